--- /dev/null
+++ b/dandeliondrum/transport/__init__.py
@@ -0,0 +1,47 @@
+"""Streams of msgpack messages between the system's processes."""
+
+from dandeliondrum.transport._connection import Callbacks
+from dandeliondrum.transport._connection import CallFuture
+from dandeliondrum.transport._connection import Connection
+from dandeliondrum.transport._connection import DEFAULT_SILENCE_MS
+from dandeliondrum.transport._connection import Handler
+from dandeliondrum.transport._connection import PINGS_PER_SILENCE
+from dandeliondrum.transport._connection import QUEUE_FRAMES
+from dandeliondrum.transport._connection import WRITE_BATCH_BYTES
+from dandeliondrum.transport._errors import CallError
+from dandeliondrum.transport._errors import CallFailure
+from dandeliondrum.transport._frames import FrameError
+from dandeliondrum.transport._frames import FrameKind
+from dandeliondrum.transport._frames import LONGEST_FRAME_BYTES
+from dandeliondrum.transport._frames import pack
+from dandeliondrum.transport._frames import read
+from dandeliondrum.transport._server import connect
+from dandeliondrum.transport._server import HANDSHAKE_TIMEOUT_MS
+from dandeliondrum.transport._server import parse_address
+from dandeliondrum.transport._server import PROTOCOL_VERSION
+from dandeliondrum.transport._server import Server
+from dandeliondrum.transport._server import ServerOptions
+
+__all__ = [
+    'CallError',
+    'CallFailure',
+    'CallFuture',
+    'Callbacks',
+    'Connection',
+    'DEFAULT_SILENCE_MS',
+    'FrameError',
+    'FrameKind',
+    'HANDSHAKE_TIMEOUT_MS',
+    'Handler',
+    'LONGEST_FRAME_BYTES',
+    'PINGS_PER_SILENCE',
+    'PROTOCOL_VERSION',
+    'QUEUE_FRAMES',
+    'Server',
+    'ServerOptions',
+    'WRITE_BATCH_BYTES',
+    'connect',
+    'pack',
+    'parse_address',
+    'read',
+]
--- /dev/null
+++ b/dandeliondrum/utils/_supervisor.py
@@ -0,0 +1,92 @@
+"""A supervisor tree of threads.
+
+A supervisor owns tasks that run until they are told to stop. A task that
+ends with an exception is started again after a pause that doubles each time,
+up to a bound. A broken invariant is not survived: the tree is stopped and
+whoever owns the root is told, so that the process can end.
+"""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import threading
+
+import structlog
+
+FIRST_PAUSE_MS = 50
+LONGEST_PAUSE_MS = 2_000
+
+_logger = structlog.get_logger()
+
+Task = collections.abc.Callable[[threading.Event], object]
+
+
+class InvariantError(Exception):
+    """Something that must always hold does not; the process has to stop."""
+
+
+class Supervisor:
+    """Runs tasks in threads, starts failed ones again, stops them together.
+
+    Each task is called with an event that is set when it has to return.
+
+    Example::
+
+        supervisor = Supervisor('gateway', threads_count=4)
+        supervisor.run('leader link', link.run)
+        ...
+        supervisor.close()
+    """
+
+    def __init__(
+        self,
+        name: str,
+        threads_count: int,
+        on_fatal: collections.abc.Callable[[InvariantError], object]
+        | None = None,
+    ) -> None:
+        self.name = name
+        self.stopping = threading.Event()
+        self._on_fatal = on_fatal
+        self._resources = contextlib.ExitStack()
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            max_workers=threads_count, thread_name_prefix=name
+        )
+
+    def run(self, name: str, task: Task) -> None:
+        """Run a task and keep it running until the supervisor closes."""
+        self._executor.submit(self._keep_running, name, task)
+
+    def child(self, name: str, threads_count: int) -> 'Supervisor':
+        """Return a supervisor that closes with this one, before it."""
+        child = Supervisor(
+            f'{self.name}/{name}', threads_count, self._on_fatal
+        )
+        self._resources.callback(child.close)
+        return child
+
+    def close(self) -> None:
+        """Tell all tasks to stop, children first, and wait for them."""
+        self.stopping.set()
+        self._resources.close()
+        self._executor.shutdown(wait=True, cancel_futures=True)
+
+    def _keep_running(self, name: str, task: Task) -> None:
+        pause_ms = FIRST_PAUSE_MS
+        while not self.stopping.is_set():
+            try:
+                task(self.stopping)
+                return
+            except InvariantError as error:
+                _logger.critical('invariant broken', task=name, why=str(error))
+                self._stop_for(error)
+                return
+            except Exception:
+                _logger.exception('task failed', task=name, pause_ms=pause_ms)
+            self.stopping.wait(pause_ms / 1000)
+            pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
+
+    def _stop_for(self, error: InvariantError) -> None:
+        self.stopping.set()
+        if self._on_fatal is not None:
+            self._on_fatal(error)
