--- a/dandeliondrum/messages/_gateway_calls.py
+++ b/dandeliondrum/messages/_gateway_calls.py
@@ -96,7 +96,7 @@
     answer: _task.AnswerPlace | None = None
     attempts_count: int = 0
     worker_id: _ids.WorkerId | None = None
-    members: tuple['TaskStatus', ...] = ()
+    members: 'tuple[TaskStatus, ...]' = ()
 
 
 @_codec.message
--- a/dandeliondrum/transport/_connection.py
+++ b/dandeliondrum/transport/_connection.py
@@ -182,9 +182,7 @@
             try:
                 frame = _frames.read(self._stream)
             except _frames.FrameError as error:
-                _logger.warning(
-                    'bad frame', peer=self.peer_id, why=str(error)
-                )
+                _logger.warning('bad frame', peer=self.peer_id, why=str(error))
                 return
             except TimeoutError:
                 silent_ms = int((time.monotonic() - last_s) * 1000)
@@ -238,9 +236,7 @@
                 lambda done: self._answer(call_id, done.result())
             )
             return
-        self._send(
-            _frames.FrameKind.REPLY, call_id, messages.encode(reply)
-        )
+        self._send(_frames.FrameKind.REPLY, call_id, messages.encode(reply))
 
 
 def _failure(
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -165,5 +165,3 @@
     if not host or not port.isdigit():
         raise ValueError(f'{address!r} is not host:port')
     return host.strip('[]'), int(port)
-
-
--- /dev/null
+++ b/dandeliondrum/transport/tests/test_streams.py
@@ -0,0 +1,133 @@
+"""Tests of streams between processes, over loopback."""
+
+import concurrent.futures
+import contextlib
+import socket
+import threading
+
+import pytest
+from returns import result
+
+from dandeliondrum import messages
+from dandeliondrum import transport
+
+CELL = messages.CellId('test')
+SHORT_SILENCE_MS = 200
+
+
+def greeting(cell_id=CELL):
+    return messages.Hello(
+        cell_id, transport.PROTOCOL_VERSION, messages.PeerKind.GATEWAY, 'g1'
+    )
+
+
+@contextlib.contextmanager
+def serving(on_call, silence_ms=SHORT_SILENCE_MS):
+    server = transport.Server(
+        transport.ServerOptions('127.0.0.1:0', CELL, silence_ms=silence_ms),
+        transport.Callbacks(on_call=on_call),
+    )
+    server.start()
+    with contextlib.closing(server):
+        yield server
+
+
+def test_a_call_gets_its_own_reply_also_when_replies_come_out_of_order():
+    futures = []
+
+    def on_call(_connection, message):
+        futures.append((message, concurrent.futures.Future()))
+        return futures[-1][1]
+
+    with serving(on_call) as server:
+        stream = transport.connect(
+            server.address, greeting(), transport.Callbacks()
+        )
+        with contextlib.closing(stream):
+            calls = [
+                stream.call_async(messages.ExplainTask(messages.TaskId(name)))
+                for name in ('one', 'two')
+            ]
+            while len(futures) < 2:
+                pass
+            for message, future in reversed(futures):
+                future.set_result(messages.CallFailed(message.task_id, True))
+            for call, name in zip(calls, ('one', 'two'), strict=True):
+                assert call.result(5).unwrap().reason == name
+
+
+def test_a_server_can_push_to_its_client():
+    pushed = threading.Event()
+
+    def on_call(connection, _message):
+        connection.push(messages.Done())
+        return messages.Done()
+
+    with serving(on_call) as server:
+        stream = transport.connect(
+            server.address,
+            greeting(),
+            transport.Callbacks(on_push=lambda *_: pushed.set()),
+        )
+        with contextlib.closing(stream):
+            assert stream.call(messages.ShowFleet(), 5_000) == result.Success(
+                messages.Done()
+            )
+            assert pushed.wait(5)
+
+
+def test_pings_keep_an_idle_stream_open():
+    with serving(lambda *_: messages.Done()) as server:
+        stream = transport.connect(
+            server.address,
+            greeting(),
+            transport.Callbacks(),
+            silence_ms=SHORT_SILENCE_MS,
+        )
+        with contextlib.closing(stream):
+            assert not stream.closed.wait(SHORT_SILENCE_MS * 4 / 1000)
+
+
+def test_a_silent_stream_is_given_up_and_its_calls_fail():
+    with socket.create_server(('127.0.0.1', 0)) as mute:
+        host, port = mute.getsockname()
+        stream = transport.connect(
+            f'{host}:{port}',
+            greeting(),
+            transport.Callbacks(),
+            silence_ms=SHORT_SILENCE_MS,
+        )
+        call = stream.call_async(messages.ShowFleet())
+        failure = call.result(10).failure()
+        assert failure.failure is transport.CallFailure.CLOSED
+
+
+@pytest.mark.parametrize(
+    'data',
+    [b'\x00\x00\x00\x05hello', b'\xff' * 64, b'GET / HTTP/1.1\r\n\r\n'],
+)
+def test_random_bytes_end_only_their_own_stream(data):
+    with serving(lambda *_: messages.Done()) as server:
+        address = transport.parse_address(server.address)
+        with socket.create_connection(address, 5) as raw:
+            raw.sendall(data)
+            raw.settimeout(10)
+            # Unread bytes make the other end's close a reset.
+            with contextlib.suppress(ConnectionResetError):
+                assert raw.recv(1) == b''
+        stream = transport.connect(
+            server.address, greeting(), transport.Callbacks()
+        )
+        with contextlib.closing(stream):
+            reply = stream.call(messages.ShowFleet(), 5_000)
+            assert isinstance(reply, result.Success)
+
+
+def test_a_peer_of_another_cell_is_turned_away():
+    with serving(lambda *_: messages.Done()) as server:
+        stream = transport.connect(
+            server.address,
+            greeting(messages.CellId('other')),
+            transport.Callbacks(),
+        )
+        assert stream.closed.wait(10)
