Write the replicated state and the leader's office

The parts are intake (callers), dispatch (plan, agree, send), the endings desk, heartbeats with leases and fences, and operators' calls.

--- /dev/null
+++ b/dandeliondrum/controller/_context.py
@@ -0,0 +1,95 @@
+"""What the parts of a leader's office share."""
+
+import concurrent.futures
+import dataclasses
+import threading
+import typing
+
+from returns import result
+
+from dandeliondrum import consensus
+from dandeliondrum.controller import _options
+from dandeliondrum.controller import _sessions
+from dandeliondrum.controller import _state
+from dandeliondrum import messages
+from dandeliondrum import placement
+from dandeliondrum import utils
+
+Proposed = concurrent.futures.Future[
+    result.Result[typing.Any, consensus.ProposeError]
+]
+
+
+@dataclasses.dataclass
+class PendingEntry:
+    """A task that the leader holds for a worker."""
+
+    spec: messages.TaskSpec
+    deadline_ms: int
+    excluded_workers: frozenset[messages.WorkerId] = frozenset()
+
+
+class Context:
+    """State, log, planner and sessions of one term of office.
+
+    ``lock`` protects everything but the replicated state. Whoever needs
+    both takes ``lock`` first. Nobody waits for the log while holding it.
+    """
+
+    def __init__(
+        self,
+        options: _options.Options,
+        state: _state.CellState,
+        node: consensus.Node,
+        term: messages.Term,
+    ) -> None:
+        self.options = options
+        self.state = state
+        self.node = node
+        self.term = term
+        self.lock = threading.RLock()
+        self.planner = placement.Planner()
+        self.sessions = _sessions.Sessions()
+        self.pending: dict[messages.TaskId, PendingEntry] = {}
+        self.work = threading.Event()
+        self.started_ms = utils.monotonic_ms()
+        self._cell_time_base_ms = state.cell_time_ms
+
+    def now_ms(self) -> int:
+        """Return the cell's own time; see :mod:`messages`."""
+        elapsed_ms = utils.monotonic_ms() - self.started_ms
+        return self._cell_time_base_ms + elapsed_ms
+
+    def propose(self, command: typing.Any) -> Proposed:
+        """Propose a command; the future holds what applying it gave."""
+        return self.node.propose(messages.encode(command))
+
+    def add_pending(self, entry: PendingEntry) -> typing.Any:
+        """Hand a task to the planner; the planner's Result is returned."""
+        spec = entry.spec
+        outcome = self.planner.add(
+            placement.PendingTask(
+                task_id=spec.task_id,
+                team_id=spec.team_id,
+                queue=spec.queue,
+                task_class=spec.task_class,
+                resources=spec.resources,
+                submitted_ms=self.now_ms(),
+                deadline_ms=entry.deadline_ms,
+                expected_run_ms=spec.expected_run_ms,
+                region=spec.region,
+                gang_id=spec.gang_id,
+                gang_size=spec.gang_size,
+                excluded_workers=entry.excluded_workers,
+            )
+        )
+        if isinstance(outcome, result.Success):
+            self.pending[spec.task_id] = entry
+            self.work.set()
+        return outcome
+
+    def drop_pending(self, task_id: messages.TaskId) -> bool:
+        """Take a task that is not placed yet back from the planner."""
+        if self.pending.pop(task_id, None) is None:
+            return False
+        return self.planner.discard(task_id)
--- /dev/null
+++ b/dandeliondrum/controller/_controller.py
@@ -0,0 +1,142 @@
+"""A controller: one voter of the replicated log, and at times its leader."""
+
+import contextlib
+import threading
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum import consensus
+from dandeliondrum.controller import _context
+from dandeliondrum.controller import _office
+from dandeliondrum.controller import _options
+from dandeliondrum.controller import _state
+from dandeliondrum import messages
+from dandeliondrum import transport
+from dandeliondrum import utils
+
+TRANSFER_TIMEOUT_MS = 2_000
+
+_logger = structlog.get_logger()
+
+
+class Controller:
+    """Holds the replicated state and, while it leads, decides.
+
+    Example::
+
+        controller = Controller(options)
+        controller.start().unwrap()
+        ...
+        controller.close()
+    """
+
+    def __init__(self, options: _options.Options) -> None:
+        self._options = options
+        self._resources = contextlib.ExitStack()
+        self._lock = threading.Lock()
+        self._office: _office.Office | None = None
+        self._timers = utils.TimerService()
+        self.state = _state.CellState()
+        self.node = consensus.Node(
+            consensus.Options(
+                controller_id=options.controller_id,
+                cell_id=options.cell_id,
+                data_folder=options.data_folder,
+                addresses=options.controllers,
+                heartbeat_ms=options.heartbeat_ms,
+                election_min_ms=options.election_min_ms,
+                election_max_ms=options.election_max_ms,
+                snapshot_every_entries=options.snapshot_every_entries,
+            ),
+            self.state,
+            self,
+        )
+
+    def start(self) -> result.Result[None, consensus.StartError]:
+        """Read the disk, listen, and take part in the cell."""
+        self._timers.start()
+        self._resources.callback(self._timers.close)
+        server = transport.Server(
+            transport.ServerOptions(
+                self._options.listen_address, self._options.cell_id
+            ),
+            transport.Callbacks(
+                on_call=self._take, on_close=self._disconnected
+            ),
+        )
+        started = self.node.start()
+        if isinstance(started, result.Failure):
+            server.close()
+            self._resources.close()
+            return started
+        self._resources.callback(self.on_following)
+        self._resources.callback(self.node.close)
+        server.start()
+        self._resources.callback(server.close)
+        return result.Success(None)
+
+    def close(self) -> None:
+        """Hand over the lead if there is somebody to take it, then stop."""
+        status = self.node.status()
+        if status.leader_id == self._options.controller_id:
+            with contextlib.suppress(Exception):
+                self.node.transfer().result(TRANSFER_TIMEOUT_MS / 1000)
+        self._resources.close()
+
+    def leads(self) -> bool:
+        """Tell whether this controller decides at the moment."""
+        return self._office is not None and self.node.leading()
+
+    def on_leading(self, term: messages.Term) -> None:
+        """Open the office; called by the log once this node leads."""
+        context = _context.Context(self._options, self.state, self.node, term)
+        office = _office.Office(context, self._timers)
+        office.open()
+        with self._lock:
+            self._office = office
+        _logger.info('leading', term=term)
+
+    def on_following(self) -> None:
+        """Close the office; called by the log when the lead is lost."""
+        with self._lock:
+            office = self._office
+            self._office = None
+        if office is not None:
+            office.close()
+            _logger.info('following')
+
+    def _take(
+        self, connection: transport.Connection, message: typing.Any
+    ) -> typing.Any:
+        if self.node.handles(message):
+            return self.node.handle(connection, message)
+        if isinstance(message, messages.FormCell):
+            return self._form(message)
+        with self._lock:
+            office = self._office
+        if office is None:
+            return self._not_leader()
+        return office.take(connection, message)
+
+    def _form(self, call: messages.FormCell) -> typing.Any:
+        members = dict(call.controllers)
+        match self.node.form(members):
+            case result.Success():
+                return messages.Done()
+            case result.Failure(error):
+                return messages.CallFailed(str(error), True)
+
+    def _not_leader(self) -> messages.NotLeader:
+        leader_id = self.node.status().leader_id
+        if leader_id is None or leader_id == self._options.controller_id:
+            return messages.NotLeader()
+        address = self._options.controllers.get(leader_id, '')
+        return messages.NotLeader(leader_id, address)
+
+    def _disconnected(self, connection: transport.Connection) -> None:
+        with self._lock:
+            office = self._office
+        if office is not None:
+            office.disconnected(connection)
--- /dev/null
+++ b/dandeliondrum/controller/_endings.py
@@ -0,0 +1,183 @@
+"""What the end of an attempt means for its task."""
+
+import typing
+
+from dandeliondrum.controller import _records
+from dandeliondrum import messages
+
+if typing.TYPE_CHECKING:
+    from dandeliondrum.controller import _state
+
+FAILED_RUNS_MAX = 3
+
+# States after which nobody can tell whether the task had its effect.
+_MAY_HAVE_RUN = frozenset(
+    (messages.AttemptState.STOPPED, messages.AttemptState.LOST)
+)
+
+
+def end(
+    state: '_state.CellState',
+    task: _records.TaskRecord,
+    report: messages.AttemptReport,
+) -> bool:
+    """Apply a report; False when it tells nothing new."""
+    current = task.attempt
+    if current is not None and current.attempt_id == report.attempt_id:
+        _end_current(state, task, current, report)
+        return True
+    return _resolve_late(state, task, report)
+
+
+def end_all_on(
+    state: '_state.CellState', worker: _records.WorkerRecord
+) -> tuple[_records.TaskRecord, ...]:
+    """End what ran on a worker whose process is known to be gone."""
+    ended = []
+    for attempt_id, task_id in list(worker.attempts.items()):
+        task = state.tasks[task_id]
+        report = messages.AttemptReport(
+            attempt_id,
+            messages.AttemptState.STOPPED,
+            detail='the worker has started anew',
+        )
+        if end(state, task, report):
+            ended.append(task)
+    return tuple(ended)
+
+
+def cancel(task: _records.TaskRecord, time_ms: int) -> None:
+    """Cancel a task: at once when it waits, by its stop when it runs."""
+    match task.state:
+        case messages.TaskState.QUEUED:
+            _finish(task, messages.TaskState.CANCELLED, time_ms)
+            task.reason = messages.RefusalReason.CANCELLED
+            task.detail = 'cancelled before it was run'
+        case messages.TaskState.ASSIGNED:
+            task.cancel_requested = True
+            task.note(time_ms, 'cancel requested')
+
+
+def _end_current(
+    state: '_state.CellState',
+    task: _records.TaskRecord,
+    attempt: _records.AttemptRecord,
+    report: messages.AttemptReport,
+) -> None:
+    time_ms = state.cell_time_ms
+    worker = state.workers[attempt.worker_id]
+    state.accounts.free(worker, attempt, task.spec)
+    task.attempt = None
+    task.note(
+        time_ms,
+        f'{attempt.attempt_id} {report.state.value} {report.detail}'.strip(),
+    )
+    if report.state is messages.AttemptState.LOST:
+        worker.fences[attempt.attempt_id] = task.spec.task_id
+    match report.state:
+        case messages.AttemptState.FINISHED:
+            _finished(task, report, time_ms)
+        case messages.AttemptState.FAILED:
+            _failed(task, attempt, report, time_ms)
+        case messages.AttemptState.NEVER_STARTED:
+            _again(task, time_ms)
+        case _:
+            _broken_off(task, attempt, report, time_ms)
+
+
+def _finished(
+    task: _records.TaskRecord,
+    report: messages.AttemptReport,
+    time_ms: int,
+) -> None:
+    if _restarts(task):
+        _again(task, time_ms)
+        return
+    _finish(task, messages.TaskState.DONE, time_ms)
+    task.answer = report.answer
+
+
+def _failed(
+    task: _records.TaskRecord,
+    attempt: _records.AttemptRecord,
+    report: messages.AttemptReport,
+    time_ms: int,
+) -> None:
+    task.failures_count += 1
+    task.failed_workers = (*task.failed_workers[-7:], attempt.worker_id)
+    may_retry = task.spec.idempotent and task.failures_count < FAILED_RUNS_MAX
+    if may_retry or _restarts(task):
+        _again(task, time_ms)
+        return
+    _finish(task, messages.TaskState.FAILED, time_ms)
+    task.answer = report.answer
+    task.detail = report.detail
+
+
+def _broken_off(
+    task: _records.TaskRecord,
+    attempt: _records.AttemptRecord,
+    report: messages.AttemptReport,
+    time_ms: int,
+) -> None:
+    if task.cancel_requested:
+        _finish(task, messages.TaskState.CANCELLED, time_ms)
+        task.detail = 'cancelled while it ran'
+    elif task.spec.idempotent or _restarts(task):
+        _again(task, time_ms)
+    else:
+        _finish(task, messages.TaskState.IN_DOUBT, time_ms)
+        task.detail = f'attempt {report.state.value}, it may have run'
+        task.last_attempt = attempt
+
+
+def _resolve_late(
+    state: '_state.CellState',
+    task: _records.TaskRecord,
+    report: messages.AttemptReport,
+) -> bool:
+    """Take what a worker tells about an attempt that was given up."""
+    last = task.last_attempt
+    for worker in state.workers.values():
+        worker.fences.pop(report.attempt_id, None)
+    if last is None or last.attempt_id != report.attempt_id:
+        return False
+    if report.state in _MAY_HAVE_RUN:
+        return False
+    task.last_attempt = None
+    time_ms = state.cell_time_ms
+    task.note(time_ms, f'{report.attempt_id} turned out {report.state.value}')
+    match report.state:
+        case messages.AttemptState.FINISHED:
+            _finish(task, messages.TaskState.DONE, time_ms)
+            task.answer = report.answer
+        case messages.AttemptState.FAILED:
+            _finish(task, messages.TaskState.FAILED, time_ms)
+            task.answer = report.answer
+        case messages.AttemptState.NEVER_STARTED:
+            _finish(task, messages.TaskState.REFUSED, time_ms)
+            task.reason = messages.RefusalReason.WORKERS_FAILED
+            task.detail = 'its worker vouches that it was never started'
+    return True
+
+
+def _restarts(task: _records.TaskRecord) -> bool:
+    is_service = task.spec.task_class is messages.TaskClass.SERVICE
+    return is_service and not task.cancel_requested
+
+
+def _again(task: _records.TaskRecord, time_ms: int) -> None:
+    if task.cancel_requested:
+        _finish(task, messages.TaskState.CANCELLED, time_ms)
+        task.reason = messages.RefusalReason.CANCELLED
+        task.detail = 'cancelled'
+    else:
+        task.state = messages.TaskState.QUEUED
+
+
+def _finish(
+    task: _records.TaskRecord, state: messages.TaskState, time_ms: int
+) -> None:
+    task.state = state
+    task.ended_ms = time_ms
+    task.body = None
--- /dev/null
+++ b/dandeliondrum/controller/_endings_desk.py
@@ -0,0 +1,114 @@
+"""Takes reports of ended attempts to the log, and their news to waiters."""
+
+import collections.abc
+import typing
+
+from returns import result
+
+from dandeliondrum import consensus
+from dandeliondrum.controller import _context
+from dandeliondrum.controller import _intake
+from dandeliondrum.controller import _records
+from dandeliondrum.controller import _state
+from dandeliondrum import messages
+
+
+class EndingsDesk:
+    """The leader's part that ends attempts.
+
+    ``stop_wanted`` holds attempts that their workers are asked to stop with
+    every heartbeat; the same request is repeated until the attempt has ended
+    on record.
+    """
+
+    def __init__(
+        self, context: _context.Context, intake: _intake.Intake
+    ) -> None:
+        self._context = context
+        self._intake = intake
+        self._uncertain: dict[messages.AttemptId, int] = {}
+        self.stop_wanted: set[messages.AttemptId] = set()
+
+    def report(
+        self, reports: collections.abc.Sequence[messages.AttemptReport]
+    ) -> None:
+        """Put reports on record; uncertain ones wait for the worker."""
+        ended = []
+        with self._context.lock:
+            for one in reports:
+                if one.state is messages.AttemptState.UNCERTAIN:
+                    self._uncertain.setdefault(one.attempt_id, 0)
+                else:
+                    ended.append(one)
+        if not ended:
+            return
+        command = messages.EndAttempts(self._context.now_ms(), tuple(ended))
+        self._context.propose(command).add_done_callback(
+            lambda done: self._recorded(done.result())
+        )
+
+    def _recorded(
+        self, outcome: result.Result[typing.Any, consensus.ProposeError]
+    ) -> None:
+        if isinstance(outcome, result.Success):
+            self.changed(outcome.unwrap())
+
+    def changed(
+        self, tasks: collections.abc.Iterable[_records.TaskRecord]
+    ) -> None:
+        """Free what ended attempts held; tell or place their tasks again."""
+        context = self._context
+        again = []
+        with context.lock, context.state.lock:
+            for task in tasks:
+                if task.attempt is not None:
+                    continue
+                context.planner.ended(task.spec.task_id)
+                if task.state in _state.ENDED_STATES:
+                    context.sessions.end(task.status())
+                elif task.state is messages.TaskState.QUEUED:
+                    again.append(task.spec.task_id)
+            context.work.set()
+        self._intake.enqueue_recorded(again)
+
+    def preempt(self, task_id: messages.TaskId, _why: str) -> None:
+        """Ask the worker to stop a running task; it is queued again."""
+        task = self._context.state.tasks.get(task_id)
+        if task is not None and task.attempt is not None:
+            self.stop_wanted.add(task.attempt.attempt_id)
+
+    def gateway_lost(self, gateway_id: messages.GatewayId) -> None:
+        """Treat starts that the gateway may not have sent as uncertain."""
+        context = self._context
+        with context.lock, context.state.lock:
+            for worker in context.state.workers.values():
+                for task_id in worker.attempts.values():
+                    attempt = context.state.tasks[task_id].attempt
+                    if attempt and attempt.gateway_id == gateway_id:
+                        self._uncertain.setdefault(attempt.attempt_id, 0)
+
+    def settle_uncertain(
+        self,
+        attempt_id: messages.AttemptId,
+        is_running: bool,
+        beats_count: int,
+    ) -> None:
+        """Compare an uncertain attempt with its worker's heartbeat.
+
+        An attempt that is missing from ``beats_count`` heartbeats in a row
+        has to be fenced; one alone may have been sent before its start came.
+        """
+        if attempt_id not in self._uncertain:
+            return
+        if is_running:
+            del self._uncertain[attempt_id]
+            return
+        self._uncertain[attempt_id] += 1
+        if self._uncertain[attempt_id] >= beats_count:
+            del self._uncertain[attempt_id]
+            self.stop_wanted.add(attempt_id)
+
+    def forget(self, attempt_id: messages.AttemptId) -> None:
+        """Drop what is remembered about an attempt that is over."""
+        self._uncertain.pop(attempt_id, None)
+        self.stop_wanted.discard(attempt_id)
--- /dev/null
+++ b/dandeliondrum/controller/_office.py
@@ -0,0 +1,254 @@
+"""One term of office of the leader: its parts, and the calls to them."""
+
+import concurrent.futures
+import contextlib
+import typing
+
+from returns import result
+
+from dandeliondrum import consensus
+from dandeliondrum.controller import _beats
+from dandeliondrum.controller import _context
+from dandeliondrum.controller import _dispatch
+from dandeliondrum.controller import _endings_desk
+from dandeliondrum.controller import _intake
+from dandeliondrum.controller import _operators
+from dandeliondrum.controller import _sessions
+from dandeliondrum import messages
+from dandeliondrum import placement
+from dandeliondrum import transport
+from dandeliondrum import utils
+
+DEADLINES_EVERY_MS = 100
+FORGET_EVERY_MS = 10_000
+REPLAY_THREADS = 2
+
+
+class Office:
+    """What a controller does while it leads.
+
+    Everything in it is soft and rebuilt from the replicated state; it is
+    thrown away when the lead is lost.
+    """
+
+    def __init__(
+        self, context: _context.Context, timers: utils.TimerService
+    ) -> None:
+        self.context = context
+        self._timers = timers
+        self._resources = contextlib.ExitStack()
+        self._intake = _intake.Intake(context)
+        self._desk = _endings_desk.EndingsDesk(context, self._intake)
+        self._beats = _beats.Beats(context, self._desk)
+        self._dispatch = _dispatch.Dispatch(context, self._desk)
+        self._operators = _operators.Operators(context, self._beats)
+
+    def open(self) -> None:
+        """Rebuild the planner, then start to decide."""
+        self._rebuild()
+        supervisor = utils.Supervisor('office', REPLAY_THREADS)
+        self._resources.callback(supervisor.close)
+        supervisor.run('dispatch', self._dispatch.run)
+        for interval_ms, callback in (
+            (_beats.CHECK_EVERY_MS, self._beats.check),
+            (DEADLINES_EVERY_MS, self._refuse_overdue),
+            (FORGET_EVERY_MS, self._forget_ended),
+        ):
+            timer = self._timers.every(interval_ms, callback)
+            self._resources.callback(timer.cancel)
+
+    def close(self) -> None:
+        """Stop deciding and drop the gateways, which find the next leader."""
+        for session in self.context.sessions.all():
+            session.connection.close()
+        self.context.work.set()
+        self._resources.close()
+
+    def _rebuild(self) -> None:
+        context = self.context
+        with context.lock, context.state.lock:
+            context.planner.set_teams(_operators.grants(context.state.rules))
+            for worker_id in context.state.workers:
+                self._beats.refresh(worker_id)
+            for worker in context.state.workers.values():
+                for task_id in worker.attempts.values():
+                    self._restore_running(task_id)
+            waiting = [task.spec.task_id for task in context.state.queued()]
+        self._intake.enqueue_recorded(waiting)
+
+    def _restore_running(self, task_id: messages.TaskId) -> None:
+        task = self.context.state.tasks[task_id]
+        attempt = task.attempt
+        if attempt is None:
+            raise utils.InvariantError(f'{task_id} holds no attempt')
+        spec = task.spec
+        self.context.planner.restore(
+            placement.RunningTask(
+                placement.PendingTask(
+                    spec.task_id,
+                    spec.team_id,
+                    spec.queue,
+                    spec.task_class,
+                    spec.resources,
+                    attempt.assigned_ms,
+                    task.deadline_ms,
+                    spec.expected_run_ms,
+                    spec.region,
+                ),
+                attempt.worker_id,
+                attempt.assigned_ms,
+            )
+        )
+        self._desk.report(
+            (
+                messages.AttemptReport(
+                    attempt.attempt_id, messages.AttemptState.UNCERTAIN
+                ),
+            )
+        )
+
+    def _refuse_overdue(self) -> None:
+        context = self.context
+        now_ms = context.now_ms()
+        refusals = []
+        with context.lock:
+            overdue = [
+                entry
+                for entry in context.pending.values()
+                if entry.deadline_ms <= now_ms
+                and entry.spec.task_class is not messages.TaskClass.SERVICE
+            ]
+            for entry in overdue:
+                spec = entry.spec
+                why = context.planner.explain(spec.task_id)
+                if not context.drop_pending(spec.task_id):
+                    continue
+                refusals.append(
+                    messages.Refusal(
+                        spec.task_id,
+                        spec.team_id,
+                        spec.body_digest,
+                        messages.RefusalReason.DEADLINE_PASSED,
+                        f'no worker before the deadline: {why}',
+                    )
+                )
+        if refusals:
+            self._intake.refuse_pending(refusals)
+
+    def _forget_ended(self) -> None:
+        context = self.context
+        before_ms = context.now_ms() - context.options.answer_retention_ms
+        with context.state.lock:
+            due = any(
+                task.ended_ms is not None and task.ended_ms < before_ms
+                for task in context.state.tasks.values()
+            )
+        if not due:
+            return
+        command = messages.ForgetTasks(context.now_ms(), before_ms)
+        context.propose(command).add_done_callback(self._forgotten)
+
+    def _forgotten(self, done: _context.Proposed) -> None:
+        outcome = done.result()
+        if isinstance(outcome, result.Success):
+            self._beats.release(outcome.unwrap())
+
+    def take(
+        self, connection: transport.Connection, message: typing.Any
+    ) -> typing.Any:
+        """Answer a call of a gateway; the reply may be a future."""
+        context = self.context
+        if isinstance(message, messages.RegisterGateway):
+            return self._register(connection, message)
+        with context.lock:
+            session = context.sessions.of(connection)
+        if session is None:
+            return messages.CallFailed('the gateway has to register', True)
+        match message:
+            case messages.GatewayBeat():
+                return self._beat(session, message)
+            case messages.SubmitTasks():
+                return self._intake.submit(session, message)
+            case messages.QueryTasks():
+                return self._intake.query(message)
+            case messages.CancelCall():
+                return self._intake.cancel(message)
+            case messages.ReportAttempts():
+                self._desk.report(message.reports)
+                return messages.Done()
+            case messages.ReleaseAnswers():
+                return self._release(message)
+            case messages.AnnounceWorker():
+                return self._beats.announce(message)
+            case messages.WorkerBeats():
+                return self._beats.take(message)
+        return self._operators.take(message)
+
+    def _register(
+        self,
+        connection: transport.Connection,
+        message: messages.RegisterGateway,
+    ) -> concurrent.futures.Future[typing.Any]:
+        context = self.context
+
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.NotLeader()
+            with context.lock, context.state.lock:
+                context.sessions.register(
+                    _sessions.Session(
+                        connection,
+                        message.gateway_id,
+                        message.region,
+                        message.rules_version,
+                    )
+                )
+                record = context.state.rules_record
+                context.work.set()
+            return messages.GatewayRegistered(
+                context.term,
+                context.options.controller_id,
+                record.version,
+                record.text,
+            )
+
+        return utils.then(context.node.confirm(), answer)
+
+    def _beat(
+        self, session: _sessions.Session, message: messages.GatewayBeat
+    ) -> typing.Any:
+        context = self.context
+        session.rules_version = message.rules_version
+        if not context.node.leading():
+            return messages.NotLeader()
+        version = context.state.rules_record.version
+        return messages.GatewayBeatReply(context.term, version)
+
+    def _release(self, call: messages.ReleaseAnswers) -> typing.Any:
+        with self.context.state.lock:
+            tasks = [
+                self.context.state.tasks[task_id]
+                for task_id in call.task_ids
+                if task_id in self.context.state.tasks
+                and self.context.state.tasks[task_id].spec.team_id
+                == call.team_id
+            ]
+        self._beats.release(tasks)
+        return messages.Done()
+
+    def disconnected(self, connection: transport.Connection) -> None:
+        """Forget a gateway; what only it waited for leaves the queue."""
+        context = self.context
+        with context.lock:
+            session = context.sessions.remove(connection)
+            if session is None:
+                return
+            for task_id in tuple(session.waiting_for):
+                entry = context.pending.get(task_id)
+                if entry is None or entry.spec.durable:
+                    continue
+                if not context.sessions.waiters(task_id):
+                    context.drop_pending(task_id)
+        self._desk.gateway_lost(session.gateway_id)
--- /dev/null
+++ b/dandeliondrum/controller/_operators.py
@@ -0,0 +1,225 @@
+"""What operators ask of the leader: rules, fleet, drain, explanations."""
+
+import collections.abc
+import concurrent.futures
+import typing
+
+from returns import result
+
+from dandeliondrum import consensus
+from dandeliondrum import messages
+from dandeliondrum import placement
+from dandeliondrum import rules as rules_lib
+from dandeliondrum.controller import _beats
+from dandeliondrum.controller import _context
+from dandeliondrum import utils
+
+
+def grants(
+    rules: rules_lib.RuleSet,
+) -> dict[messages.TeamId, placement.TeamGrant]:
+    """Return what the rules grant each team, as the planner wants it."""
+    return {
+        team_id: placement.TeamGrant(
+            rule.share, rule.running_max, rule.resources_max
+        )
+        for team_id, rule in rules.teams.items()
+    }
+
+
+class Operators:
+    """The leader's part that speaks to operators."""
+
+    def __init__(self, context: _context.Context, beats: _beats.Beats) -> None:
+        self._context = context
+        self._beats = beats
+
+    def take(self, message: typing.Any) -> typing.Any:
+        """Answer an operator's call; the reply may be a future."""
+        match message:
+            case messages.ApplyRulesCall():
+                return self._apply_rules(message)
+            case messages.ShowRules():
+                return self._confirmed(self._show_rules)
+            case messages.ShowFleet():
+                return self._confirmed(self._show_fleet)
+            case messages.DrainWorker():
+                return self._drain(message)
+            case messages.ExplainTask():
+                return self._explain(message.task_id)
+            case messages.AddController():
+                node = self._context.node
+                return self._membership(
+                    node.add_member(message.controller_id, message.address)
+                )
+            case messages.RemoveController():
+                node = self._context.node
+                return self._membership(
+                    node.remove_member(message.controller_id)
+                )
+            case messages.TransferLeadership():
+                return self._membership(self._context.node.transfer())
+        return messages.CallFailed(
+            f'{type(message).__name__} is no call to a leader', True
+        )
+
+    def _confirmed(
+        self, function: collections.abc.Callable[[], typing.Any]
+    ) -> concurrent.futures.Future[typing.Any]:
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.NotLeader()
+            return function()
+
+        return utils.then(self._context.node.confirm(), answer)
+
+    def _membership(
+        self, future: concurrent.futures.Future[typing.Any]
+    ) -> concurrent.futures.Future[typing.Any]:
+        def answer(
+            outcome: result.Result[typing.Any, typing.Any],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.CallFailed(str(outcome.failure()), False)
+            return messages.Done()
+
+        return utils.then(future, answer)
+
+    def _apply_rules(
+        self, call: messages.ApplyRulesCall
+    ) -> concurrent.futures.Future[typing.Any]:
+        context = self._context
+        committed = context.propose(
+            messages.ApplyRules(
+                context.now_ms(),
+                call.change_id,
+                call.operator_id,
+                call.expected_version,
+                call.text,
+            )
+        )
+        return utils.then(committed, self._rules_applied)
+
+    def _rules_applied(
+        self, outcome: result.Result[typing.Any, consensus.ProposeError]
+    ) -> typing.Any:
+        if isinstance(outcome, result.Failure):
+            error = outcome.failure()
+            return messages.CallFailed(error.detail, error.not_done)
+        context = self._context
+        with context.lock, context.state.lock:
+            record = context.state.rules_record
+            context.planner.set_teams(grants(context.state.rules))
+            sessions = context.sessions.all()
+        push = messages.RulesPush(record.version, record.text)
+        for session in sessions:
+            session.connection.push(push)
+        return outcome.unwrap()
+
+    def _show_rules(self) -> messages.RulesShown:
+        context = self._context
+        with context.lock, context.state.lock:
+            record = context.state.rules_record
+            return messages.RulesShown(
+                record.version,
+                record.text,
+                self._gateways(),
+                record.history,
+            )
+
+    def _gateways(
+        self,
+    ) -> tuple[tuple[messages.GatewayId, messages.RulesVersion], ...]:
+        return tuple(
+            (one.gateway_id, one.rules_version)
+            for one in self._context.sessions.all()
+        )
+
+    def _show_fleet(self) -> messages.FleetShown:
+        context = self._context
+        now_ms = utils.monotonic_ms()
+        with context.lock, context.state.lock:
+            workers = tuple(
+                messages.WorkerView(
+                    worker.facts,
+                    worker.state,
+                    now_ms - self._beats.heard(worker.facts.worker_id),
+                    len(worker.attempts),
+                    worker.reserved,
+                )
+                for worker in context.state.workers.values()
+            )
+            teams = tuple(
+                messages.TeamView(
+                    team_id,
+                    context.state.accounts.use(team_id).running_count,
+                    context.planner.pending_count(team_id),
+                    context.state.accounts.use(team_id).reserved,
+                )
+                for team_id in context.state.rules.teams
+            )
+            return messages.FleetShown(
+                context.term,
+                context.options.controller_id,
+                context.now_ms(),
+                workers,
+                teams,
+                self._controllers(),
+                self._gateways(),
+            )
+
+    def _controllers(self) -> tuple[messages.ControllerView, ...]:
+        status = self._context.node.status()
+        views = []
+        for role, members in (
+            ('voter', status.voters),
+            ('learner', status.learners),
+        ):
+            for controller_id in members:
+                leads = controller_id == status.leader_id
+                views.append(
+                    messages.ControllerView(
+                        controller_id,
+                        self._context.options.controllers.get(
+                            controller_id, ''
+                        ),
+                        'leader' if leads else role,
+                        status.last_index,
+                    )
+                )
+        return tuple(views)
+
+    def _drain(self, call: messages.DrainWorker) -> typing.Any:
+        with self._context.state.lock:
+            worker = self._context.state.workers.get(call.worker_id)
+        if worker is None:
+            return messages.CallFailed('no such worker', True)
+        proposed = self._beats.set_state(
+            worker,
+            messages.WorkerState.LEAVING,
+            f'drained by {call.operator_id}',
+        )
+
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.CallFailed(outcome.failure().detail, False)
+            return messages.Done()
+
+        return utils.then(proposed, answer)
+
+    def _explain(self, task_id: messages.TaskId) -> messages.TaskExplained:
+        context = self._context
+        with context.lock, context.state.lock:
+            task = context.state.tasks.get(task_id)
+            events = task.events if task is not None else ()
+            if task_id in context.pending:
+                line = f'queued: {context.planner.explain(task_id)}'
+            elif task is not None:
+                line = f'{task.state.value} {task.detail}'.strip()
+            else:
+                line = 'unknown'
+        return messages.TaskExplained(line, events)
--- /dev/null
+++ b/dandeliondrum/controller/_options.py
@@ -0,0 +1,45 @@
+"""Options of a controller, each with its unit."""
+
+import collections.abc
+import dataclasses
+import pathlib
+
+from dandeliondrum import messages
+
+DEFAULT_LEASES_MS: collections.abc.Mapping[messages.TaskClass, int] = {
+    messages.TaskClass.URGENT: 4_000,
+    messages.TaskClass.BATCH: 8_000,
+    messages.TaskClass.GANG: 8_000,
+    # A region that is cut off for minutes should go on serving.
+    messages.TaskClass.SERVICE: 300_000,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How a controller takes part in its cell.
+
+    ``controllers`` maps each controller to the address at which this one
+    reaches it. ``lease_margin_ms`` covers what clocks may differ in rate
+    over a lease; the time in which a worker still takes a start is added to
+    it, see docs/DESIGN.md.
+    """
+
+    controller_id: messages.ControllerId
+    cell_id: messages.CellId
+    region: messages.Region
+    failure_domain: messages.FailureDomain
+    listen_address: str
+    data_folder: pathlib.Path
+    controllers: collections.abc.Mapping[messages.ControllerId, str]
+    metrics_address: str = ''
+    heartbeat_ms: int = 100
+    election_min_ms: int = 600
+    election_max_ms: int = 1_200
+    snapshot_every_entries: int = 20_000
+    leases_ms: collections.abc.Mapping[messages.TaskClass, int] = (
+        dataclasses.field(default_factory=lambda: DEFAULT_LEASES_MS)
+    )
+    lease_margin_ms: int = 1_000
+    worker_silence_ms: int = 2_500
+    answer_retention_ms: int = 600_000
