--- a/dandeliondrum/controller/_accounts.py
+++ b/dandeliondrum/controller/_accounts.py
@@ -5,9 +5,9 @@
 more than its upper limit.
 """
 
+from dandeliondrum.controller import _records
 from dandeliondrum import messages
 from dandeliondrum import rules as rules_lib
-from dandeliondrum.controller import _records
 from dandeliondrum import utils
 
 _NOTHING = messages.Resources(0, 0)
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -89,7 +89,12 @@
         return outcome
 
     def drop_pending(self, task_id: messages.TaskId) -> bool:
-        """Take a task that is not placed yet back from the planner."""
-        if self.pending.pop(task_id, None) is None:
+        """Take a task back from the planner; False when it is placed.
+
+        A task that is placed stays on the books until the log has spoken
+        about its assignment.
+        """
+        if not self.planner.discard(task_id):
             return False
-        return self.planner.discard(task_id)
+        self.pending.pop(task_id, None)
+        return True
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -14,6 +14,7 @@
 
 PLACEMENTS_PER_ROUND = 512
 ROUND_PAUSE_MS = 2
+FAILURE_PAUSE_MS = 200
 IDLE_WAIT_MS = 100
 # More commands than this wait for the log's quorum only if it is slow; then
 # planning further ahead would only make the plan stale.
@@ -28,6 +29,7 @@
     ) -> None:
         self._context = context
         self._desk = desk
+        self._failing = threading.Event()
         self._in_flight = threading.BoundedSemaphore(COMMANDS_IN_FLIGHT_MAX)
 
     def run(self, stopping: threading.Event) -> None:
@@ -37,7 +39,9 @@
             work.wait(IDLE_WAIT_MS / 1000)
             work.clear()
             while self._plan_once() and not stopping.is_set():
-                stopping.wait(ROUND_PAUSE_MS / 1000)
+                failing = self._failing.is_set()
+                pause_ms = FAILURE_PAUSE_MS if failing else ROUND_PAUSE_MS
+                stopping.wait(pause_ms / 1000)
 
     def _plan_once(self) -> bool:
         """Plan one round; True when something was placed."""
@@ -66,8 +70,8 @@
         for one in placements:
             assignment = self._assignment(one)
             if assignment is None:
-                context.drop_pending(one.task_id)
                 context.planner.ended(one.task_id)
+                context.pending.pop(one.task_id, None)
                 continue
             sent.append(one)
             assignments.append(assignment)
@@ -118,8 +122,10 @@
         outcome: result.Result[typing.Any, consensus.ProposeError],
     ) -> None:
         if isinstance(outcome, result.Failure):
+            self._failing.set()
             self._revert(placements)
             return
+        self._failing.clear()
         for one, assigned in zip(placements, outcome.unwrap(), strict=True):
             if assigned.attempt is None:
                 self._rejected(one, assigned)
--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_intake.py
@@ -7,12 +7,12 @@
 from returns import result
 
 from dandeliondrum import consensus
-from dandeliondrum import messages
-from dandeliondrum import rules as rules_lib
 from dandeliondrum.controller import _context
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _sessions
 from dandeliondrum.controller import _state
+from dandeliondrum import messages
+from dandeliondrum import rules as rules_lib
 from dandeliondrum import utils
 
 QUEUED_MAX = 20_000
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -7,11 +7,11 @@
 from returns import result
 
 from dandeliondrum import consensus
+from dandeliondrum.controller import _beats
+from dandeliondrum.controller import _context
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import rules as rules_lib
-from dandeliondrum.controller import _beats
-from dandeliondrum.controller import _context
 from dandeliondrum import utils
 
 
--- a/dandeliondrum/controller/_rules_changes.py
+++ b/dandeliondrum/controller/_rules_changes.py
@@ -2,9 +2,9 @@
 
 from returns import result
 
+from dandeliondrum.controller import _records
 from dandeliondrum import messages
 from dandeliondrum import rules as rules_lib
-from dandeliondrum.controller import _records
 from dandeliondrum import utils
 
 OUTCOMES_KEPT = 1_000
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -6,12 +6,12 @@
 
 from returns import result
 
-from dandeliondrum import messages
-from dandeliondrum import rules as rules_lib
 from dandeliondrum.controller import _accounts
 from dandeliondrum.controller import _endings
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _rules_changes
+from dandeliondrum import messages
+from dandeliondrum import rules as rules_lib
 from dandeliondrum import utils
 
 TOKENS_PER_ENTRY = 4_096
