Plan placements first come first served on the first fit

The controller needs the planner's interface before the full policy is written. All reservations go through one ledger, which refuses what would exceed a worker or an upper limit whichever policy asks, so that a faulty policy can't.

--- /dev/null
+++ b/dandeliondrum/placement/__init__.py
@@ -0,0 +1,25 @@
+"""Which task goes to which worker, when, and why."""
+
+from dandeliondrum.placement._baseline import FirstComeFirstFit
+from dandeliondrum.placement._planner import Planner
+from dandeliondrum.placement._policy import Policy
+from dandeliondrum.placement._tasks import NeverFits
+from dandeliondrum.placement._tasks import PendingTask
+from dandeliondrum.placement._tasks import Placement
+from dandeliondrum.placement._tasks import Plan
+from dandeliondrum.placement._tasks import Preemption
+from dandeliondrum.placement._tasks import RunningTask
+from dandeliondrum.placement._tasks import TeamGrant
+
+__all__ = [
+    'FirstComeFirstFit',
+    'NeverFits',
+    'PendingTask',
+    'Placement',
+    'Plan',
+    'Planner',
+    'Policy',
+    'Preemption',
+    'RunningTask',
+    'TeamGrant',
+]
--- /dev/null
+++ b/dandeliondrum/placement/_shares.py
@@ -0,0 +1,136 @@
+"""What each team uses, against its share and its upper limits."""
+
+import collections.abc
+
+from dandeliondrum import messages
+from dandeliondrum.placement import _fleet
+from dandeliondrum.placement import _tasks
+
+# Stands for the share of a team whose share is 0, so that it comes last but
+# is not shut out while nobody else wants the room.
+SMALLEST_WEIGHT = 0.001
+
+
+class TeamAccount:
+    """What one team has running and how much more it may have."""
+
+    __slots__ = (
+        'team_id',
+        'grant',
+        'running_count',
+        'cpu_millicores',
+        'memory_mb',
+        'accelerators_count',
+        'urgent_count',
+        'held_count',
+        'held_resources',
+    )
+
+    def __init__(self, team_id: messages.TeamId) -> None:
+        self.team_id = team_id
+        self.grant: _tasks.TeamGrant | None = None
+        self.running_count = 0
+        self.cpu_millicores = 0
+        self.memory_mb = 0
+        self.accelerators_count = 0
+        self.urgent_count = 0
+        self.held_count = 0
+        self.held_resources = messages.Resources(0, 0, 0)
+
+    def count(self, task: _tasks.PendingTask, sign: int) -> None:
+        """Count a running task in (1) or out (-1)."""
+        resources = task.resources
+        self.running_count += sign
+        self.cpu_millicores += sign * resources.cpu_millicores
+        self.memory_mb += sign * resources.memory_mb
+        self.accelerators_count += sign * resources.accelerators_count
+        if task.task_class is messages.TaskClass.URGENT:
+            self.urgent_count += sign
+
+    def hold(self, count: int, resources: messages.Resources) -> None:
+        """Hold room under the upper limits back for a reserved gang."""
+        self.held_count = count
+        self.held_resources = resources
+
+    def allows(self, resources: messages.Resources, count: int = 1) -> bool:
+        """Tell whether more tasks, of this sum, stay within the limits."""
+        grant = self.grant
+        if grant is None:
+            return False
+        if (
+            grant.running_max is not None
+            and self.running_count + self.held_count + count
+            > grant.running_max
+        ):
+            return False
+        limit = grant.resources_max
+        if limit is None:
+            return True
+        held = self.held_resources
+        return (
+            self.cpu_millicores
+            + held.cpu_millicores
+            + resources.cpu_millicores
+            <= limit.cpu_millicores
+            and self.memory_mb + held.memory_mb + resources.memory_mb
+            <= limit.memory_mb
+            and self.accelerators_count
+            + held.accelerators_count
+            + resources.accelerators_count
+            <= limit.accelerators_count
+        )
+
+    def dominant_share(self, totals: _fleet.Totals) -> float:
+        """Return the largest part of the fleet that the team has, 0 to 1.
+
+        Slots count as a resource of their own.
+        """
+        share = self.running_count / (totals.slots_count or 1)
+        cpu = self.cpu_millicores / (totals.cpu_millicores or 1)
+        if cpu > share:
+            share = cpu
+        memory = self.memory_mb / (totals.memory_mb or 1)
+        if memory > share:
+            share = memory
+        if self.accelerators_count:
+            accelerators = self.accelerators_count / (
+                totals.accelerators_count or 1
+            )
+            share = max(share, accelerators)
+        return share
+
+    def weight(self) -> float:
+        """Return the granted share as a number above 0."""
+        if self.grant is None:
+            return SMALLEST_WEIGHT
+        return max(self.grant.share, SMALLEST_WEIGHT)
+
+
+class Teams:
+    """The accounts of all teams that have a grant or something running."""
+
+    def __init__(self) -> None:
+        self.accounts: dict[messages.TeamId, TeamAccount] = {}
+
+    def set_grants(
+        self,
+        grants: collections.abc.Mapping[messages.TeamId, _tasks.TeamGrant],
+    ) -> None:
+        """Replace all grants."""
+        for account in self.accounts.values():
+            account.grant = None
+        for team_id, grant in grants.items():
+            self.account(team_id).grant = grant
+
+    def account(self, team_id: messages.TeamId) -> TeamAccount:
+        """Return the account of a team, opened if there is none."""
+        account = self.accounts.get(team_id)
+        if account is None:
+            account = TeamAccount(team_id)
+            self.accounts[team_id] = account
+        return account
+
+    def granted(self, team_id: messages.TeamId) -> bool:
+        """Tell whether the team has a grant."""
+        account = self.accounts.get(team_id)
+        return account is not None and account.grant is not None
