--- /dev/null
+++ b/dandeliondrum/json_text/_suggest.py
@@ -0,0 +1,18 @@
+"""Suggests the known name that is nearest to an unknown one."""
+
+import collections.abc
+import difflib
+
+
+def known_or_nearest(name: str, known: collections.abc.Collection[str]) -> str:
+    """Return what to write in place of an unknown name.
+
+    Example::
+
+        known_or_nearest('memory_gb', ['share', 'memory_mb'])
+        # 'did you mean "memory_mb"?'
+    """
+    nearest = difflib.get_close_matches(name, known, n=1)
+    if nearest:
+        return f'did you mean "{nearest[0]}"?'
+    return 'known are ' + ', '.join(sorted(known))
--- /dev/null
+++ b/dandeliondrum/rules/__init__.py
@@ -0,0 +1,50 @@
+"""The rules file of operators: teams, keys, queues, workers, defaults.
+
+A rules file is plain text with one rule a line, in JSON, followed by a
+comment that names who asked for it. Blank lines and lines that are only a
+comment are allowed. A file with any problem is refused whole.
+
+Example::
+
+    {"rule": "team", "team": "harbour", "share": 3}  // asked by S. Prasert
+"""
+
+from dandeliondrum.rules._authorize import authorize
+from dandeliondrum.rules._authorize import authorize_team
+from dandeliondrum.rules._authorize import team_for
+from dandeliondrum.rules._keys import add_line
+from dandeliondrum.rules._keys import new_key
+from dandeliondrum.rules._keys import NewKey
+from dandeliondrum.rules._keys import remove_key
+from dandeliondrum.rules._model import Defaults
+from dandeliondrum.rules._model import EMPTY
+from dandeliondrum.rules._model import KeyRule
+from dandeliondrum.rules._model import QueueRule
+from dandeliondrum.rules._model import Rule
+from dandeliondrum.rules._model import RuleSet
+from dandeliondrum.rules._model import RulesProblem
+from dandeliondrum.rules._model import TeamRule
+from dandeliondrum.rules._model import UNLIMITED
+from dandeliondrum.rules._model import WorkerRule
+from dandeliondrum.rules._parse import parse
+
+__all__ = [
+    'Defaults',
+    'EMPTY',
+    'KeyRule',
+    'NewKey',
+    'QueueRule',
+    'Rule',
+    'RuleSet',
+    'RulesProblem',
+    'TeamRule',
+    'UNLIMITED',
+    'WorkerRule',
+    'add_line',
+    'authorize',
+    'authorize_team',
+    'new_key',
+    'parse',
+    'remove_key',
+    'team_for',
+]
--- /dev/null
+++ b/dandeliondrum/rules/_line.py
@@ -0,0 +1,178 @@
+"""Reads one line of a rules file."""
+
+import collections.abc
+import dataclasses
+import functools
+import json
+import re
+import typing
+
+from returns import result
+
+from dandeliondrum import json_text
+from dandeliondrum.rules import _checks
+from dandeliondrum.rules import _kinds
+from dandeliondrum.rules import _model
+
+LINES_CACHED = 16_384
+COMMENT = '//'
+FOUND_SHOWN_LETTERS = 60
+
+_ASKED_BY = re.compile(r'asked\s+by\s*:?\s*', re.IGNORECASE)
+_LETTER = re.compile(r'[^\W\d_]')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LineProblem:
+    """A problem within a line; the column counts from 1."""
+
+    column: int
+    detail: str
+
+
+LineResult = result.Result[_model.Rule | None, tuple[LineProblem, ...]]
+
+
+class _DuplicateError(Exception):
+    """An object has the same name twice."""
+
+
+class _ConstantError(Exception):
+    """A number that JSON does not have."""
+
+
+@functools.lru_cache(LINES_CACHED)
+def read(line: str) -> LineResult:
+    """Return the rule on a line, or None when it is blank or a comment."""
+    stripped = line.strip()
+    if not stripped or stripped.startswith(COMMENT):
+        return result.Success(None)
+    start = len(line) - len(line.lstrip())
+    if line[start] != '{':
+        return _problem(start, 'a rule begins with "{", a comment with "//"')
+    try:
+        fields, end = _DECODER.raw_decode(line, start)
+    except _DuplicateError:
+        return _duplicate(line)
+    except json.JSONDecodeError as error:
+        return _problem(error.pos, f'not JSON: {error.msg}')
+    except (_ConstantError, ValueError, RecursionError) as error:
+        return _problem(start, f'not JSON: {error}')
+    return _check(line, fields, end)
+
+
+def _check(line: str, fields: dict[str, typing.Any], end: int) -> LineResult:
+    places = {name.path: name for name in json_text.find_names(line)}
+    problems = list(_check_comment(line, end))
+    problems += _check_kind(fields, places)
+    if problems:
+        return result.Failure(tuple(problems))
+    kind = _kinds.KINDS[fields['rule']]
+    return result.Success(kind.build(fields, _asked_by(line, end)))
+
+
+def _check_comment(
+    line: str, end: int
+) -> collections.abc.Iterator[LineProblem]:
+    rest = line[end:].strip()
+    column = len(line) - len(line[end:].lstrip()) + 1
+    if not rest:
+        yield LineProblem(
+            column, 'no comment that names who asked for the rule'
+        )
+    elif not rest.startswith(COMMENT):
+        yield LineProblem(column, 'only a "//" comment may follow a rule')
+    elif not _LETTER.search(_asked_by(line, end)):
+        yield LineProblem(column, 'the comment does not name who asked')
+
+
+def _asked_by(line: str, end: int) -> str:
+    comment = line[end:].strip().removeprefix(COMMENT).strip()
+    return _ASKED_BY.sub('', comment, count=1)
+
+
+def _check_kind(
+    fields: dict[str, typing.Any],
+    places: collections.abc.Mapping[str, json_text.FoundName],
+) -> collections.abc.Iterator[LineProblem]:
+    if 'rule' not in fields:
+        yield LineProblem(
+            1, 'field "rule" is missing; it takes ' + ', '.join(_kinds.KINDS)
+        )
+        return
+    name = fields['rule']
+    if not isinstance(name, str) or name not in _kinds.KINDS:
+        yield LineProblem(
+            places['rule'].column,
+            f'unknown rule {_shown(name)}; '
+            + json_text.known_or_nearest(str(name), _kinds.KINDS.keys()),
+        )
+        return
+    members = {key: fields[key] for key in fields if key != 'rule'}
+    yield from _check_fields(members, _kinds.KINDS[name].fields, places, '')
+
+
+def _check_fields(
+    found: dict[str, typing.Any],
+    declared: tuple[_checks.Field, ...],
+    places: collections.abc.Mapping[str, json_text.FoundName],
+    prefix: str,
+) -> collections.abc.Iterator[LineProblem]:
+    by_name = {field.name: field for field in declared}
+    for name, value in found.items():
+        path = prefix + name
+        column = places[path].column if path in places else 1
+        field = by_name.get(name)
+        if field is None:
+            nearest = json_text.known_or_nearest(name, by_name.keys())
+            yield LineProblem(column, f'unknown field "{path}"; {nearest}')
+            continue
+        allowed = field.check(value)
+        if allowed:
+            yield LineProblem(
+                column,
+                f'field "{path}": found {_shown(value)}, allowed is {allowed}',
+            )
+        elif field.members:
+            yield from _check_fields(value, field.members, places, f'{path}.')
+    for field in declared:
+        if field.required and field.name not in found:
+            yield LineProblem(1, f'field "{prefix}{field.name}" is missing')
+
+
+def _duplicate(line: str) -> LineResult:
+    repeated = json_text.duplicates(json_text.find_names(line))
+    return result.Failure(
+        tuple(
+            LineProblem(name.column, f'field "{name.path}" is given twice')
+            for name in repeated
+        )
+        or (LineProblem(1, 'a field is given twice'),)
+    )
+
+
+def _problem(offset: int, detail: str) -> LineResult:
+    return result.Failure((LineProblem(offset + 1, detail),))
+
+
+def _shown(value: typing.Any) -> str:
+    text = json.dumps(value)
+    if len(text) <= FOUND_SHOWN_LETTERS:
+        return text
+    return text[:FOUND_SHOWN_LETTERS] + '...'
+
+
+def _unique(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
+    fields = dict(pairs)
+    if len(fields) != len(pairs):
+        raise _DuplicateError
+    return fields
+
+
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise _ConstantError(f'{name} is no number')
+
+
+_DECODER = json.JSONDecoder(
+    object_pairs_hook=_unique, parse_constant=_refuse_constant
+)
