--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -262,7 +262,7 @@
         if known is not None and known.facts.incarnation == facts.incarnation:
             known.facts = facts
             return ()
-        ended = ()
+        ended: tuple[_records.TaskRecord, ...] = ()
         if known is not None:
             ended = _endings.end_all_on(self, known)
         quarantined = (
