Add the stand-in worker, a fake gateway and a worker client

The other parts need something that announces itself, takes starts under leases and reports ends. The worker keeps the clock of its leases by the moment at which an answered heartbeat was sent. A start that ran here and of which nothing is left gets 410, since 409 would vouch that it never ran.

--- /dev/null
+++ b/dandeliondrum/worker/_attempts.py
@@ -0,0 +1,263 @@
+"""The attempts of a worker: what runs, what ended, what may never start."""
+
+import collections.abc
+import threading
+import typing
+
+from dandeliondrum import messages
+from dandeliondrum.worker import _attempt
+from dandeliondrum.worker import _calls
+from dandeliondrum.worker import _fence
+from dandeliondrum.worker import _journal
+from dandeliondrum.worker import _leases
+from dandeliondrum.worker import _options
+
+LEASE_REASON = 'lease'
+
+_State = messages.AttemptState
+
+
+class Attempts:
+    """Takes starts, ends and stops; safe for any thread.
+
+    ``on_start`` gets each attempt that has to be run; whoever runs it calls
+    :meth:`finish`. ``on_ended`` gets it after that.
+    """
+
+    def __init__(
+        self,
+        options: _options.Options,
+        journal: _journal.Journal,
+        leases: _leases.Leases,
+        on_start: collections.abc.Callable[[_attempt.Attempt], object],
+        on_ended: collections.abc.Callable[[_attempt.Attempt], object],
+    ) -> None:
+        self.leaving = False
+        self._options = options
+        self._journal = journal
+        self._leases = leases
+        self._on_start = on_start
+        self._on_ended = on_ended
+        self._lock = threading.RLock()
+        self._attempts: dict[messages.AttemptId, _attempt.Attempt] = {}
+        self._never_started: dict[messages.AttemptId, None] = {}
+        self._fence = _fence.Fence()
+        self._kept_bytes = 0
+
+    def start(
+        self, call: _calls.StartCall
+    ) -> _attempt.Attempt | _calls.Refused:
+        """Start an attempt, find it when it was started before, or refuse."""
+        with self._lock:
+            known = self._attempts.get(call.attempt_id)
+            if known is not None:
+                return known
+            if self._fence.was_started(call.attempt_id):
+                return _calls.Refused.GONE
+            refused = self._refusal(call)
+            self._fence.note(call.task_id, call.token)
+            if refused is not None:
+                self._record_refusal(call, refused)
+                return refused
+            attempt = _attempt.Attempt(call)
+            self._attempts[call.attempt_id] = attempt
+            self._fence.remember_started(call.attempt_id)
+            self._record(_journal.EventKind.START, attempt)
+        self._leases.arm(self._expires_ms(attempt))
+        self._on_start(attempt)
+        return attempt
+
+    def find(self, attempt_id: messages.AttemptId) -> _attempt.Attempt | None:
+        """Return an attempt that runs or whose end is still known."""
+        with self._lock:
+            return self._attempts.get(attempt_id)
+
+    def finish(
+        self,
+        attempt: _attempt.Attempt,
+        state: messages.AttemptState,
+        answer: bytes,
+        detail: str,
+    ) -> None:
+        """End an attempt; what outlived its lease counts as stopped."""
+        with self._lock:
+            ended_ms = _journal.now_ms()
+            expires_ms = self._expires_ms(attempt)
+            if ended_ms >= expires_ms:
+                attempt.stop(LEASE_REASON)
+            if attempt.stop_reason:
+                state, answer = _State.STOPPED, b''
+                detail = attempt.stop_reason
+            attempt.state = state
+            attempt.detail = detail
+            attempt.run_ms = int(ended_ms - attempt.call.arrived_ms)
+            attempt.keep(answer)
+            self._kept_bytes += attempt.length_bytes
+            self._record(
+                _journal.EventKind.END,
+                attempt,
+                reason=detail,
+                expired_ms=expires_ms if detail == LEASE_REASON else None,
+                incarnation=attempt.call.incarnation,
+            )
+            self._drop_surplus()
+            attempt.ended.set()
+        self._on_ended(attempt)
+
+    def stop(self, attempt_id: messages.AttemptId, reason: str) -> None:
+        """Stop an attempt, or see to it that it never starts."""
+        with self._lock:
+            attempt = self._attempts.get(attempt_id)
+            if attempt is not None:
+                attempt.stop(reason)
+            elif not self._fence.was_started(attempt_id):
+                self._fence.bury(attempt_id)
+                self._never_started[attempt_id] = None
+
+    def stop_all(self, reason: str) -> None:
+        """Stop whatever runs."""
+        for attempt in self.running():
+            attempt.stop(reason)
+
+    def stop_expired(self) -> None:
+        """Stop what was not renewed, and wait for the next lease to end."""
+        now_ms = _journal.now_ms()
+        with self._lock:
+            for attempt in self.running():
+                expires_ms = self._expires_ms(attempt)
+                if expires_ms <= now_ms:
+                    attempt.stop(LEASE_REASON)
+                elif not attempt.stop_reason:
+                    self._leases.arm(expires_ms)
+
+    def checkpoint(self, attempt: _attempt.Attempt) -> None:
+        """Record that an attempt was told to save its progress."""
+        with self._lock:
+            self._record(_journal.EventKind.CHECKPOINT, attempt)
+
+    def running(self) -> list[_attempt.Attempt]:
+        """Return the attempts that run now."""
+        with self._lock:
+            return [each for each in self._attempts.values() if each.running]
+
+    def unrecorded(self) -> list[_attempt.Attempt]:
+        """Return ended attempts that the leader has not acknowledged."""
+        with self._lock:
+            return [
+                each
+                for each in self._attempts.values()
+                if not each.running and not each.on_record
+            ]
+
+    def never_started(self) -> list[messages.AttemptId]:
+        """Return attempts that were stopped before they came."""
+        with self._lock:
+            return list(self._never_started)
+
+    def acknowledge(self, attempt_id: messages.AttemptId) -> None:
+        """Report the end of this attempt no more."""
+        with self._lock:
+            self._never_started.pop(attempt_id, None)
+            attempt = self._attempts.get(attempt_id)
+            if attempt is not None and not attempt.running:
+                attempt.on_record = True
+                self._forget_if_done(attempt)
+
+    def release(self, attempt_id: messages.AttemptId) -> None:
+        """Drop the answer; whoever wanted it has it."""
+        with self._lock:
+            attempt = self._attempts.get(attempt_id)
+            if attempt is not None and not attempt.running:
+                self._drop(attempt)
+
+    def reset(self, incarnation: messages.Incarnation, reason: str) -> None:
+        """Drop everything, as a restart would, once nothing runs."""
+        with self._lock:
+            self._journal.incarnation = incarnation
+            self._leases.forget()
+        self.stop_all(reason)
+        for attempt in self.running():
+            attempt.ended.wait()
+        with self._lock:
+            self._attempts.clear()
+            self._never_started.clear()
+            self._fence = _fence.Fence()
+            self._kept_bytes = 0
+
+    @property
+    def overflowed(self) -> bool:
+        """Whether there are more tombstones than can be kept."""
+        return self._fence.overflowed
+
+    def _refusal(self, call: _calls.StartCall) -> _calls.Refused | None:
+        if call.incarnation != self._journal.incarnation:
+            return _calls.Refused.INCARNATION
+        if self._fence.bars(call.attempt_id, call.task_id, call.token):
+            return _calls.Refused.FENCED
+        if self.leaving:
+            return _calls.Refused.LEAVING
+        if not self._leases.fresh():
+            return _calls.Refused.STALE_LEASE
+        if not self._has_room(call.resources):
+            return _calls.Refused.FULL
+        return None
+
+    def _has_room(self, wanted: messages.Resources) -> bool:
+        running = self.running()
+        if len(running) >= self._options.slots_count:
+            return False
+        total = wanted
+        for attempt in running:
+            total = total + attempt.call.resources
+        return total.fits_in(self._options.resources)
+
+    def _expires_ms(self, attempt: _attempt.Attempt) -> float:
+        return self._leases.expires_ms(
+            attempt.call.arrived_ms, attempt.call.lease_ms
+        )
+
+    def _drop_surplus(self) -> None:
+        for attempt in list(self._attempts.values()):
+            if self._kept_bytes <= self._options.answers_bytes:
+                return
+            if not attempt.running and attempt.answer:
+                self._record(_journal.EventKind.DROPPED, attempt)
+                self._drop(attempt)
+
+    def _drop(self, attempt: _attempt.Attempt) -> None:
+        if attempt.answer is not None:
+            self._kept_bytes -= attempt.length_bytes
+            attempt.answer = None
+        self._forget_if_done(attempt)
+
+    def _forget_if_done(self, attempt: _attempt.Attempt) -> None:
+        if attempt.on_record and attempt.answer is None:
+            self._attempts.pop(attempt.call.attempt_id, None)
+
+    def _record_refusal(
+        self, call: _calls.StartCall, refused: _calls.Refused
+    ) -> None:
+        attempt = _attempt.Attempt(call)
+        attempt.state = _State.NEVER_STARTED
+        if refused is _calls.Refused.FULL:
+            self._record(_journal.EventKind.OVERLOAD, attempt)
+        self._record(_journal.EventKind.REFUSED, attempt, reason=refused.value)
+
+    def _record(
+        self,
+        kind: _journal.EventKind,
+        attempt: _attempt.Attempt,
+        **fields: typing.Any,
+    ) -> None:
+        self._journal.record(
+            kind,
+            attempt_id=attempt.call.attempt_id,
+            task_id=attempt.call.task_id,
+            team_id=attempt.call.team_id,
+            queue=attempt.call.queue,
+            token=attempt.call.token,
+            resources=attempt.call.resources,
+            slots_count=1,
+            state=attempt.state,
+            **fields,
+        )
--- /dev/null
+++ b/dandeliondrum/worker/_options.py
@@ -0,0 +1,48 @@
+"""What a stand-in worker is told when it is made."""
+
+import dataclasses
+
+from dandeliondrum import messages
+
+DEFAULT_ANSWERS_BYTES = 256 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """The settings of one stand-in worker.
+
+    ``address`` is the ``host:port`` to listen on, where port 0 takes any
+    free one; ``advertised_address`` is what is announced when callers have
+    to come by another way, such as a proxy. ``gateways`` holds the base
+    addresses (``http://host:port``) of the gateways' ``workers_address``.
+    ``answers_bytes`` bounds the answers that are kept. An empty
+    ``journal_path`` keeps the journal in memory alone.
+
+    Example::
+
+        Options(
+            worker_id=messages.WorkerId('w1'),
+            address='127.0.0.1:0',
+            region=messages.Region('gulf'),
+            failure_domain=messages.FailureDomain('sattahip'),
+            rack=messages.Rack('r1'),
+            resources=messages.Resources(16_000, 32_768),
+            slots_count=8,
+            gateways=('http://127.0.0.1:7301',),
+        )
+    """
+
+    worker_id: messages.WorkerId
+    address: str
+    region: messages.Region
+    failure_domain: messages.FailureDomain
+    rack: messages.Rack
+    resources: messages.Resources
+    slots_count: int
+    gateways: tuple[str, ...]
+    advertised_address: str = ''
+    connections_count: int = 64
+    heartbeat_ms: int = 500
+    journal_path: str = ''
+    fails_everything: bool = False
+    answers_bytes: int = DEFAULT_ANSWERS_BYTES
--- /dev/null
+++ b/dandeliondrum/worker/_server.py
@@ -0,0 +1,203 @@
+"""The HTTP calls that gateways make to a worker."""
+
+import json
+import threading
+import typing
+import urllib.parse
+
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+from returns import result
+import werkzeug
+
+from dandeliondrum import messages
+from dandeliondrum import transport
+from dandeliondrum.worker import _attempt
+from dandeliondrum.worker import _attempts
+from dandeliondrum.worker import _calls
+from dandeliondrum.worker import _headers
+from dandeliondrum.worker import _journal
+from dandeliondrum.worker import _options
+
+LONGEST_WAIT_MS = 120_000
+BODY_MAX_BYTES = 128 * 1024 * 1024
+HEADERS_MAX_BYTES = 64 * 1024
+SHUTDOWN_TIMEOUT_S = 2
+SPARE_THREADS = 8
+
+_STOP_WAIT_S = 1.0
+
+
+class Server:
+    """Serves the calls to one worker; each runs in a pool's thread."""
+
+    def __init__(
+        self,
+        options: _options.Options,
+        attempts: _attempts.Attempts,
+        journal: _journal.Journal,
+    ) -> None:
+        self._attempts = attempts
+        self._server = wsgi.Server(
+            transport.parse_address(options.address),
+            self._respond,
+            numthreads=2 * options.slots_count + SPARE_THREADS,
+            request_queue_size=128,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self._server.keep_alive_conn_limit = options.connections_count
+        self._server.max_request_body_size = BODY_MAX_BYTES
+        self._server.max_request_header_size = HEADERS_MAX_BYTES
+        self._server.ConnectionClass = _counting(options, journal)
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f'{options.worker_id}-http'
+        )
+
+    def start(self) -> str:
+        """Listen and serve; returns ``host:port``. Raises OSError."""
+        self._server.prepare()
+        self._thread.start()
+        host, port = self._server.socket.getsockname()[:2]
+        return f'{host}:{port}'
+
+    def close(self) -> None:
+        """Stop listening and wait a moment for calls in progress."""
+        self._server.stop()
+        if self._thread.ident is not None:
+            self._thread.join()
+
+    def _respond(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> typing.Any:
+        request = werkzeug.Request(environ)
+        return self._dispatch(request)(environ, start_response)
+
+    def _dispatch(self, request: werkzeug.Request) -> werkzeug.Response:
+        path = request.environ.get('REQUEST_URI', request.path)
+        path = path.partition('?')[0]
+        segments = [urllib.parse.unquote(each) for each in path.split('/')]
+        match (request.method, segments[1:]):
+            case ('POST', ['v1', 'attempts', attempt_id]):
+                return self._start(request, messages.AttemptId(attempt_id))
+            case ('GET', ['v1', 'attempts', attempt_id, 'answer']):
+                return self._fetch(request, messages.AttemptId(attempt_id))
+            case ('DELETE', ['v1', 'attempts', attempt_id, 'answer']):
+                self._attempts.release(messages.AttemptId(attempt_id))
+                return werkzeug.Response(status=204)
+            case ('POST', ['v1', 'attempts', attempt_id, 'stop']):
+                return self._stop(messages.AttemptId(attempt_id))
+            case ('GET', ['healthz']):
+                return werkzeug.Response('ok\n')
+        return _error(404, 'no such call')
+
+    def _start(
+        self, request: werkzeug.Request, attempt_id: messages.AttemptId
+    ) -> werkzeug.Response:
+        match _headers.read_start(request, attempt_id):
+            case result.Success(call):
+                pass
+            case result.Failure(why):
+                return _error(400, why)
+        match _headers.read_wait_ms(request):
+            case result.Success(wait_ms):
+                pass
+            case result.Failure(why):
+                return _error(400, why)
+        outcome = self._attempts.start(call)
+        if isinstance(outcome, _calls.Refused):
+            return _refusal(outcome)
+        outcome.ended.wait(min(wait_ms, LONGEST_WAIT_MS) / 1000)
+        return _answer(outcome)
+
+    def _fetch(
+        self, request: werkzeug.Request, attempt_id: messages.AttemptId
+    ) -> werkzeug.Response:
+        match _headers.read_wait_ms(request):
+            case result.Success(wait_ms):
+                pass
+            case result.Failure(why):
+                return _error(400, why)
+        attempt = self._attempts.find(attempt_id)
+        if attempt is None:
+            return _error(404, 'no such attempt')
+        attempt.ended.wait(min(wait_ms, LONGEST_WAIT_MS) / 1000)
+        return _answer(attempt)
+
+    def _stop(self, attempt_id: messages.AttemptId) -> werkzeug.Response:
+        self._attempts.stop(attempt_id, 'told')
+        attempt = self._attempts.find(attempt_id)
+        if attempt is None:
+            return _state(200, messages.AttemptState.NEVER_STARTED)
+        attempt.ended.wait(_STOP_WAIT_S)
+        return _state(202 if attempt.running else 200, attempt.state)
+
+
+def _answer(attempt: _attempt.Attempt) -> werkzeug.Response:
+    answer = attempt.answer
+    if attempt.running:
+        return _state(202, attempt.state)
+    if answer is None:
+        return _refusal(_calls.Refused.GONE)
+    return werkzeug.Response(
+        answer,
+        headers={
+            'State': attempt.state.value,
+            'Run-Ms': str(attempt.run_ms),
+            'Answer-Digest': attempt.digest,
+        },
+        content_type='application/octet-stream',
+    )
+
+
+def _refusal(refused: _calls.Refused) -> werkzeug.Response:
+    status = 410 if refused is _calls.Refused.GONE else 409
+    response = _error(status, f'not started: {refused.value}')
+    response.headers['Refused'] = refused.value
+    return response
+
+
+def _state(status: int, state: messages.AttemptState) -> werkzeug.Response:
+    response = _json(status, {'state': state.value})
+    response.headers['State'] = state.value
+    return response
+
+
+def _error(status: int, why: str) -> werkzeug.Response:
+    return _json(status, {'error': why})
+
+
+def _json(status: int, fields: dict[str, str]) -> werkzeug.Response:
+    return werkzeug.Response(
+        json.dumps(fields) + '\n',
+        status=status,
+        content_type='application/json',
+    )
+
+
+def _counting(
+    options: _options.Options, journal: _journal.Journal
+) -> type[cheroot_server.HTTPConnection]:
+    """Return a connection class that notes when too many are open."""
+    lock = threading.Lock()
+    open_ids: set[int] = set()
+
+    class CountedConnection(cheroot_server.HTTPConnection):
+        """A connection that counts towards the worker's limit."""
+
+        def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+            super().__init__(*args, **kwargs)
+            with lock:
+                open_ids.add(id(self))
+                count = len(open_ids)
+            if count > options.connections_count:
+                journal.record(
+                    _journal.EventKind.OVERLOAD,
+                    reason=f'{count} connections',
+                )
+
+        def close(self) -> None:
+            with lock:
+                open_ids.discard(id(self))
+            super().close()
+
+    return CountedConnection
--- /dev/null
+++ b/dandeliondrum/worker/_worker.py
@@ -0,0 +1,192 @@
+"""A stand-in for the users' own workers."""
+
+import contextlib
+import dataclasses
+import threading
+
+from returns import result
+import structlog
+
+from dandeliondrum import messages
+from dandeliondrum import utils
+from dandeliondrum.worker import _attempt
+from dandeliondrum.worker import _attempts
+from dandeliondrum.worker import _encoding
+from dandeliondrum.worker import _gateways
+from dandeliondrum.worker import _heartbeats
+from dandeliondrum.worker import _journal
+from dandeliondrum.worker import _leases
+from dandeliondrum.worker import _options
+from dandeliondrum.worker import _runner
+from dandeliondrum.worker import _server
+
+_IDLE_CHECK_S = 0.02
+
+_logger = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartError:
+    """Why a worker can't start."""
+
+    reason: str
+
+
+class Worker:
+    """A worker in threads of this process; several can live side by side.
+
+    Example::
+
+        worker = Worker(options)
+        worker.start().unwrap()
+        ...
+        worker.leave()
+        worker.wait_idle(timeout_ms=30_000)
+        worker.close()
+    """
+
+    def __init__(self, options: _options.Options) -> None:
+        self.options = options
+        self.address = ''
+        self._resources = contextlib.ExitStack()
+        self._closed = threading.Event()
+        self._gateways = _gateways.Gateways(options.gateways)
+        self._leave_calls = _gateways.Gateways(options.gateways)
+        self._heartbeats: _heartbeats.Heartbeats | None = None
+
+    def start(self) -> result.Result[None, StartError]:
+        """Listen, then announce and send heartbeats in the background."""
+        problem = _problem(self.options)
+        if problem:
+            return result.Failure(StartError(problem))
+        try:
+            self._build()
+        except (OSError, ValueError) as error:
+            self._resources.close()
+            return result.Failure(StartError(str(error)))
+        return result.Success(None)
+
+    def close(self) -> None:
+        """Stop everything at once; what runs is recorded as stopped."""
+        self._closed.set()
+        self._resources.close()
+
+    def leave(self) -> None:
+        """Take no more starts and tell the gateways; what runs goes on."""
+        if self._attempts.leaving:
+            return
+        self._attempts.leaving = True
+        self._journal.record(_journal.EventKind.LEAVING)
+        beat = messages.WorkerBeat(
+            self.options.worker_id, self.incarnation, (), leaving=True
+        )
+        for _ in range(len(self._leave_calls)):
+            reply = self._leave_calls.post(
+                '/v1/workers/leave', _encoding.to_json(beat)
+            )
+            if isinstance(reply, result.Success):
+                break
+        if self._heartbeats is not None:
+            self._heartbeats.wake()
+
+    def wait_idle(self, timeout_ms: int) -> bool:
+        """Wait until nothing runs and all ends are on record."""
+        deadline_ms = utils.monotonic_ms() + timeout_ms
+        while self._attempts.running() or self._attempts.unrecorded():
+            if utils.monotonic_ms() >= deadline_ms:
+                return False
+            if self._closed.wait(_IDLE_CHECK_S):
+                return False
+        return True
+
+    @property
+    def incarnation(self) -> messages.Incarnation:
+        """The present incarnation."""
+        return self._journal.incarnation
+
+    def events(self) -> tuple[_journal.Event, ...]:
+        """Return what the worker recorded, oldest first."""
+        return self._journal.events()
+
+    def _build(self) -> None:
+        self._journal = _journal.Journal(
+            self.options.worker_id, self.options.journal_path
+        )
+        self._journal.incarnation = _heartbeats.new_incarnation()
+        self._resources.callback(self._journal.close)
+        self._resources.callback(
+            self._journal.record, _journal.EventKind.CLOSED
+        )
+        timers = utils.TimerService()
+        leases = _leases.Leases(timers, lambda: self._attempts.stop_expired())
+        self._runner = _runner.Runner(self.options)
+        self._resources.callback(self._runner.close)
+        self._attempts = _attempts.Attempts(
+            self.options, self._journal, leases, self._run, self._on_ended
+        )
+        self._journal.record(
+            _journal.EventKind.BEGUN,
+            resources=self.options.resources,
+            slots_count=self.options.slots_count,
+        )
+        server = _server.Server(self.options, self._attempts, self._journal)
+        self.address = server.start()
+        self._resources.callback(server.close)
+        self._resources.callback(self._attempts.stop_all, 'closing')
+        timers.start()
+        self._resources.callback(timers.close)
+        self._start_heartbeats(timers, leases)
+
+    def _start_heartbeats(
+        self, timers: utils.TimerService, leases: _leases.Leases
+    ) -> None:
+        heartbeats = _heartbeats.Heartbeats(
+            self._facts(),
+            self._gateways,
+            self._attempts,
+            leases,
+            self._journal,
+        )
+        self._heartbeats = heartbeats
+        supervisor = utils.Supervisor(
+            f'worker {self.options.worker_id}', threads_count=1
+        )
+        self._resources.callback(self._gateways.close)
+        self._resources.callback(self._leave_calls.close)
+        self._resources.callback(supervisor.close)
+        self._resources.callback(heartbeats.wake)
+        self._resources.callback(supervisor.stopping.set)
+        _heartbeats.start_beating(
+            heartbeats, timers, self.options.heartbeat_ms
+        )
+        supervisor.run('heartbeats', heartbeats.run)
+
+    def _facts(self) -> messages.WorkerFacts:
+        return messages.WorkerFacts(
+            worker_id=self.options.worker_id,
+            incarnation=self._journal.incarnation,
+            address=self.options.advertised_address or self.address,
+            region=self.options.region,
+            failure_domain=self.options.failure_domain,
+            rack=self.options.rack,
+            resources=self.options.resources,
+            slots_count=self.options.slots_count,
+            connections_count=self.options.connections_count,
+        )
+
+    def _run(self, attempt: _attempt.Attempt) -> None:
+        self._runner.run(attempt, self._attempts.finish)
+
+    def _on_ended(self, attempt: _attempt.Attempt) -> None:
+        if attempt.call.durable and self._heartbeats is not None:
+            self._heartbeats.wake()
+
+
+def _problem(options: _options.Options) -> str:
+    if not options.gateways:
+        return 'gateways: at least one address expected'
+    if options.slots_count < 1:
+        return f'slots_count: at least 1, found {options.slots_count}'
+    if options.heartbeat_ms < 1:
+        return f'heartbeat_ms: at least 1, found {options.heartbeat_ms}'
+    return ''
--- /dev/null
+++ b/dandeliondrum/worker/tests/_rig.py
@@ -0,0 +1,77 @@
+"""A worker beside a fake gateway, and starts for it."""
+
+import contextlib
+import json
+
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import worker
+
+PATIENCE_MS = 10_000
+RESOURCES = messages.Resources(16_000, 32_768)
+
+
+class Rig:
+    """What a test needs to talk to one worker."""
+
+    def __init__(self, subject, gateway):
+        self.worker = subject
+        self.gateway = gateway
+        self.client = testing.WorkerClient(subject.address)
+        self._token = 0
+
+    def start(self, attempt_id='team/r1#1', **fields):
+        """Start an attempt with a fresh token, unless told otherwise."""
+        self._token += 1
+        body = fields.pop('body', {})
+        return self.client.start(
+            testing.Start(
+                attempt_id=attempt_id,
+                task_id=fields.pop('task_id', attempt_id.partition('#')[0]),
+                token=fields.pop('token', self._token),
+                incarnation=fields.pop('incarnation', self.worker.incarnation),
+                body=body
+                if isinstance(body, bytes)
+                else json.dumps(body).encode(),
+                **fields,
+            )
+        )
+
+    def events(self, kind):
+        """Return the journal's events of one kind."""
+        return [each for each in self.worker.events() if each.kind is kind]
+
+    def wait_for_event(self, kind, count=1):
+        """Wait for so many events of a kind; the last of them."""
+        assert testing.wait_for(
+            lambda: len(self.events(kind)) >= count, PATIENCE_MS
+        ), f'no {kind} in {self.worker.events()}'
+        return self.events(kind)[-1]
+
+
+def options(*gateways, **fields):
+    """Return options of a worker with 2 slots."""
+    defaults = {
+        'worker_id': messages.WorkerId('w1'),
+        'address': '127.0.0.1:0',
+        'region': messages.Region('gulf'),
+        'failure_domain': messages.FailureDomain('sattahip'),
+        'rack': messages.Rack('r1'),
+        'resources': RESOURCES,
+        'slots_count': 2,
+        'heartbeat_ms': 50,
+        'gateways': tuple(gateways),
+    }
+    return worker.Options(**{**defaults, **fields})
+
+
+@contextlib.contextmanager
+def running(**fields):
+    """Run a worker that has announced itself to a fake gateway."""
+    with testing.FakeGateway() as gateway:
+        subject = worker.Worker(options(gateway.url, **fields))
+        subject.start().unwrap()
+        with contextlib.closing(subject):
+            rig = Rig(subject, gateway)
+            rig.wait_for_event(worker.EventKind.ANNOUNCED)
+            yield rig
