--- a/dandeliondrum/rules/_line.py
+++ b/dandeliondrum/rules/_line.py
@@ -125,7 +125,9 @@
         field = by_name.get(name)
         if field is None:
             nearest = json_text.known_or_nearest(name, by_name.keys())
-            yield LineProblem(column, f'unknown field "{path}"; {nearest}')
+            yield LineProblem(
+                column, f'unknown field {_shown(path)}; {nearest}'
+            )
             continue
         allowed = field.check(value)
         if allowed:
