--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -114,7 +114,7 @@
             )
         acknowledged = self._take_ended(worker, beat, reports)
         stop = self._to_stop(worker, beat)
-        self._take_fenced(worker, beat, reports)
+        acknowledged += self._take_fenced(worker, beat, reports)
         return messages.WorkerBeatReply(
             beat.worker_id,
             stop=stop,
@@ -169,9 +169,10 @@
         worker: _records.WorkerRecord,
         beat: messages.WorkerBeat,
         reports: list[messages.AttemptReport],
-    ) -> None:
+    ) -> tuple[messages.AttemptId, ...]:
         """Take the worker's word for attempts that it never started."""
         ended = {one.attempt_id for one in beat.ended}
+        acknowledged = []
         for attempt_id in beat.fenced:
             if attempt_id in ended:
                 continue
@@ -183,6 +184,10 @@
                         detail='fenced by its worker',
                     )
                 )
+            else:
+                acknowledged.append(attempt_id)
+                self._desk.forget(attempt_id)
+        return tuple(acknowledged)
 
     def set_state(
         self,
