--- /dev/null
+++ b/dandeliondrum/consensus/_log.py
@@ -0,0 +1,191 @@
+"""The log of a node: consecutive entries in files and in memory.
+
+Only the node's writer thread changes it. Other threads read it at any time.
+"""
+
+import bisect
+import pathlib
+import threading
+
+from dandeliondrum.consensus import _errors
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _segment
+
+
+class Log:
+    """Entries from ``first_index`` to ``last_index``, without gaps.
+
+    Raises StorageError when its files are damaged.
+    """
+
+    def __init__(self, files: _files.Files, folder: pathlib.Path) -> None:
+        self._files = files
+        self._folder = folder
+        self._lock = threading.Lock()
+        self._segments: list[_segment.Segment] = []
+        self._entries: list[_records.Entry] = []
+        self._base_index = 0
+        self._base_term: int | None = 0
+        self._dirty = False
+        self._roll_next = False
+        self._load()
+
+    @property
+    def first_index(self) -> int:
+        """The index of the oldest entry that is still here."""
+        return self._base_index + 1
+
+    @property
+    def last_index(self) -> int:
+        """The index of the newest entry."""
+        with self._lock:
+            return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the newest entry; 0 in an empty log."""
+        return self.term_at(self.last_index) or 0
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None when it is not known here."""
+        with self._lock:
+            position = index - self._base_index - 1
+            if position == -1:
+                return self._base_term
+            if 0 <= position < len(self._entries):
+                return self._entries[position].term
+            return None
+
+    def read(
+        self, index: int, entries_max: int, bytes_max: int
+    ) -> list[_records.Entry]:
+        """Return entries from this index on; at least one, if there is."""
+        with self._lock:
+            position = index - self._base_index - 1
+            if position < 0:
+                return []
+            found = self._entries[position : position + entries_max]
+        size_bytes = 0
+        for count, entry in enumerate(found):
+            size_bytes += len(entry.record)
+            if count and size_bytes > bytes_max:
+                return found[:count]
+        return found
+
+    def append(self, entries: list[_records.Entry]) -> None:
+        """Write entries that follow the last one, without syncing them.
+
+        Raises OSError when the disk refuses; the log is then as before.
+        """
+        segment = self._segment_for_append()
+        segment.append(entries)
+        self._dirty = True
+        with self._lock:
+            self._entries += entries
+
+    def sync(self) -> None:
+        """Return when all entries are on the disk."""
+        if self._dirty and self._segments:
+            self._segments[-1].sync()
+        self._dirty = False
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at this index and all after it."""
+        with self._lock:
+            del self._entries[index - self._base_index - 1 :]
+        while self._segments and self._segments[-1].first_index > index:
+            self._remove(self._segments.pop())
+        if self._segments and self._segments[-1].last_index >= index:
+            self._segments[-1].truncate_from(index)
+
+    def compact(self, index: int) -> None:
+        """Drop files that hold nothing after this index.
+
+        Entries up to the index must be covered by a snapshot. The next
+        entry begins a new file, so that this one can be dropped later.
+        """
+        self._roll_next = True
+        while len(self._segments) > 1:
+            segment = self._segments[0]
+            if segment.last_index > index:
+                return
+            with self._lock:
+                count = segment.last_index - self._base_index
+                self._base_term = self._entries[count - 1].term
+                self._base_index += count
+                del self._entries[:count]
+            self._remove(self._segments.pop(0))
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop all entries; go on after a snapshot that ends here."""
+        while self._segments:
+            self._remove(self._segments.pop())
+        with self._lock:
+            self._entries = []
+            self._base_index = index
+            self._base_term = term
+        self._dirty = False
+
+    def know_base(self, index: int, term: int) -> None:
+        """Take over a term from a snapshot that ends before the log."""
+        if index == self._base_index:
+            self._base_term = term
+
+    def close(self) -> None:
+        """Close the files."""
+        for segment in self._segments:
+            segment.close()
+
+    def _segment_for_append(self) -> _segment.Segment:
+        newest = self._segments[-1] if self._segments else None
+        if newest is not None:
+            full = newest.size_bytes >= _options.SEGMENT_BYTES_MAX
+            if not full and not (self._roll_next and newest.size_bytes):
+                return newest
+            self.sync()
+        segment = _segment.Segment(
+            self._files, self._folder, self.last_index + 1
+        )
+        self._files.sync_folder(self._folder)
+        self._roll_next = False
+        self._segments.append(segment)
+        return segment
+
+    def _remove(self, segment: _segment.Segment) -> None:
+        segment.close()
+        segment.path.unlink()
+        self._files.sync_folder(self._folder)
+
+    def _load(self) -> None:
+        found = _segment.segment_files(self._folder)
+        for position, (first_index, path) in enumerate(found):
+            if position and first_index != self.last_index + 1:
+                raise _errors.StorageError(
+                    _errors.StartError(
+                        f'entry {self.last_index + 1} is missing', str(path)
+                    )
+                )
+            if not position:
+                self._base_index = first_index - 1
+                self._base_term = None if self._base_index else 0
+            segment = _segment.Segment(self._files, self._folder, first_index)
+            self._segments.append(segment)
+            self._entries += segment.load(position == len(found) - 1)
+        self._check_terms()
+
+    def _check_terms(self) -> None:
+        terms = [entry.term for entry in self._entries]
+        for position in range(1, len(terms)):
+            if terms[position] < terms[position - 1]:
+                index = self.first_index + position
+                place = bisect.bisect_right(
+                    [segment.first_index for segment in self._segments], index
+                )
+                path = self._segments[place - 1].path
+                raise _errors.StorageError(
+                    _errors.StartError(
+                        f'the term falls at entry {index}', str(path)
+                    )
+                )
--- /dev/null
+++ b/dandeliondrum/consensus/_node.py
@@ -0,0 +1,298 @@
+"""A node of the replicated log."""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import os
+import threading
+import time
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum.consensus import _applier
+from dandeliondrum.consensus import _election
+from dandeliondrum.consensus import _errors
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _founding
+from dandeliondrum.consensus import _interfaces
+from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _start
+from dandeliondrum.consensus import _state
+from dandeliondrum.consensus import _status
+from dandeliondrum.consensus import _steward
+from dandeliondrum.consensus import _works
+from dandeliondrum.consensus import _writer
+from dandeliondrum import messages
+from dandeliondrum import transport
+from dandeliondrum import utils
+
+# Tasks of the node itself, and of its peers.
+THREADS_COUNT = 24
+
+_logger = structlog.get_logger()
+
+OnFatal = collections.abc.Callable[[utils.InvariantError], object]
+
+
+class Node:
+    """Keeps a state machine in step with those of the other controllers.
+
+    The owner has the server on which the other nodes call this one, and
+    passes on what the node handles.
+
+    Example::
+
+        node = consensus.Node(options, machine, listener)
+        node.start().unwrap()
+
+        def on_call(connection, message):
+            if node.handles(message):
+                return node.handle(connection, message)
+            ...
+
+        node.form([(ControllerId('c1'), '10.0.0.1:7000')]).unwrap()
+        node.propose(b'command').result()
+    """
+
+    def __init__(
+        self,
+        options: _options.Options,
+        machine: _interfaces.StateMachine,
+        listener: _interfaces.Listener,
+        on_fatal: OnFatal | None = None,
+        files: _files.Files | None = None,
+    ) -> None:
+        self._options = options
+        self._machine = machine
+        self._listener = listener
+        self._on_fatal = on_fatal
+        self._files = files or _files.Files()
+        self._resources = contextlib.ExitStack()
+        self._state: _state.NodeState | None = None
+
+    def start(self) -> result.Result[None, _errors.StartError]:
+        """Read the files and take part from then on."""
+        with contextlib.ExitStack() as opened:
+            try:
+                self._open(opened)
+            except _errors.StorageError as error:
+                return result.Failure(error.error)
+            except OSError as error:
+                name = error.filename or self._options.data_folder
+                return result.Failure(
+                    _errors.StartError(str(error), str(name))
+                )
+            self._resources = opened.pop_all()
+        return result.Success(None)
+
+    def close(self) -> None:
+        """Take no further part; all futures that wait are resolved."""
+        self._resources.close()
+
+    def handles(self, message: typing.Any) -> bool:
+        """Whether the message is one between nodes."""
+        return isinstance(message, _messages.REQUESTS)
+
+    def handle(
+        self, connection: transport.Connection, message: typing.Any
+    ) -> concurrent.futures.Future[typing.Any]:
+        """Return a future of the reply to another node's message."""
+        state = self._running()
+        reply: concurrent.futures.Future[typing.Any]
+        reply = concurrent.futures.Future()
+        with state.lock:
+            if isinstance(message, _messages.AppendEntries):
+                if message.term == state.term and not state.leads():
+                    # A slow disk must not make the leader seem silent.
+                    state.hear_leader(message.leader_id)
+            state.put(_works.Incoming(message, reply))
+        return reply
+
+    def propose(self, command: bytes) -> _works.ProposeFuture:
+        """Have a command agreed on and applied.
+
+        The future holds what the state machine returned, or a ProposeError.
+        """
+        return self._propose(
+            _works.Proposal(
+                _records.EntryKind.COMMAND,
+                command,
+                concurrent.futures.Future(),
+            )
+        )
+
+    def confirm(
+        self,
+    ) -> concurrent.futures.Future[result.Result[None, _errors.ProposeError]]:
+        """Make sure that no later leader had taken over before this call.
+
+        The future succeeds once a quorum has answered calls sent after this
+        one, and all that was committed before it is applied.
+        """
+        state = self._running()
+        future: concurrent.futures.Future[typing.Any]
+        future = concurrent.futures.Future()
+        with state.lock:
+            refusal = self._refusal(state)
+            if refusal is None:
+                asked_ns = time.monotonic_ns()
+                state.hurry_ns = asked_ns
+                state.confirmations.append(
+                    _state.Confirmation(asked_ns, state.commit_index, future)
+                )
+                ready = state.settle_confirmations()
+                state.peers_wake.notify_all()
+        if refusal is not None:
+            future.set_result(result.Failure(refusal))
+            return future
+        for confirmation in ready:
+            _works.settle(confirmation.future, result.Success(None))
+        return future
+
+    def leading(self) -> bool:
+        """Whether a quorum followed this node within the last while."""
+        state = self._state
+        if state is None:
+            return False
+        with state.lock:
+            return state.quorum_is_fresh()
+
+    def status(self) -> _interfaces.NodeStatus:
+        """Return a reading of the node's state."""
+        state = self._running()
+        with state.lock:
+            return _status.read(state)
+
+    def form(
+        self,
+        members: collections.abc.Iterable[tuple[messages.ControllerId, str]],
+    ) -> _works.ChangeResult:
+        """Found a cell with these voters and addresses; this is one of them.
+
+        All must be up, and the disk of each must be empty.
+        """
+        return _founding.found(self._running(), tuple(members))
+
+    def _running(self) -> _state.NodeState:
+        if self._state is None:
+            raise RuntimeError('the node was not started')
+        return self._state
+
+    def _propose(self, proposal: _works.Proposal) -> _works.ProposeFuture:
+        state = self._running()
+        with state.lock:
+            refusal = self._refusal(state)
+            size_bytes = len(proposal.payload)
+            if refusal is None and size_bytes > _options.COMMAND_BYTES_MAX:
+                refusal = state.error(
+                    _errors.ProposeFailure.TOO_LARGE, not_done=True
+                )
+            if refusal is None:
+                state.works.append(proposal)
+                state.proposals_waiting += 1
+                state.writer_wakes.notify()
+        if refusal is not None:
+            proposal.future.set_result(result.Failure(refusal))
+        return proposal.future
+
+    def _refusal(self, state: _state.NodeState) -> _errors.ProposeError | None:
+        if state.closing:
+            failure = _errors.ProposeFailure.CLOSED
+        elif state.storage_failed:
+            failure = _errors.ProposeFailure.STORAGE_FAILED
+        elif state.transfer_target is not None or not state.leads():
+            failure = _errors.ProposeFailure.NOT_LEADING
+        elif state.proposals_waiting >= _options.PROPOSALS_WAITING_MAX:
+            failure = _errors.ProposeFailure.OVERLOADED
+        else:
+            return None
+        return state.error(failure, not_done=True)
+
+    def _open(self, resources: contextlib.ExitStack) -> None:
+        folder = self._options.data_folder
+        resources.callback(os.close, _start.lock_folder(folder))
+        opened = _start.open_files(self._options, self._files)
+        resources.callback(opened.log.close)
+        state = opened.state
+        applier = _applier.Applier(state, self._machine, opened.snapshots)
+        if opened.snapshot is not None:
+            applier.restore(opened.snapshot)
+        supervisor = utils.Supervisor(
+            'consensus', THREADS_COUNT, self._on_fatal
+        )
+        writer = _writer.Writer(state, self._files, opened.snapshots, folder)
+        steward = _steward.Steward(state, opened.snapshots, supervisor)
+        resources.callback(self._drain, state)
+        resources.callback(supervisor.close)
+        resources.callback(self._stop, state, steward, supervisor)
+        self._state = state
+        supervisor.run('writer', writer.run)
+        supervisor.run('applier', applier.run)
+        supervisor.run('election', _election.Election(state).run)
+        supervisor.run('steward', steward.run)
+        supervisor.run('outcomes', self._tell_outcomes)
+        supervisor.run('listener', self._tell_listener)
+
+    def _stop(
+        self,
+        state: _state.NodeState,
+        steward: _steward.Steward,
+        supervisor: utils.Supervisor,
+    ) -> None:
+        supervisor.stopping.set()
+        with state.lock:
+            state.closing = True
+            state.become_follower()
+            state.give_up_pending()
+            state.wake_all()
+        state.events.put(None)
+        state.outcomes.put(None)
+        steward.close()
+
+    def _drain(self, state: _state.NodeState) -> None:
+        """Resolve what the stopped threads left behind."""
+        with state.lock:
+            works = list(state.works)
+            state.works.clear()
+        for work in works:
+            match work:
+                case _works.Proposal(future=future):
+                    error = state.error(
+                        _errors.ProposeFailure.CLOSED, not_done=True
+                    )
+                    _works.settle(future, result.Failure(error))
+                case _works.Stand(entered=entered):
+                    _works.settle(entered, None)
+                case _works.Found(future=future):
+                    change_error = _errors.ChangeError(
+                        _errors.ChangeFailure.CLOSED
+                    )
+                    _works.settle(future, result.Failure(change_error))
+        with state.lock:
+            state.give_up_pending()
+        while not state.outcomes.empty():
+            outcome = state.outcomes.get_nowait()
+            if outcome is not None:
+                _works.settle(outcome.future, outcome.value)
+
+    def _tell_outcomes(self, stopping: threading.Event) -> None:
+        state = self._running()
+        while not stopping.is_set():
+            outcome = state.outcomes.get()
+            if outcome is not None:
+                _works.settle(outcome.future, outcome.value)
+
+    def _tell_listener(self, stopping: threading.Event) -> None:
+        state = self._running()
+        while True:
+            match state.events.get():
+                case _works.Leading(term):
+                    self._listener.on_leading(term)
+                case _works.Following():
+                    self._listener.on_following()
+                case None:
+                    return
--- /dev/null
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -0,0 +1,276 @@
+"""Nodes in one process over loopback, that can be stopped and cut off."""
+
+import contextlib
+import dataclasses
+import pathlib
+import socket
+import threading
+import time
+
+from dandeliondrum import consensus
+from dandeliondrum import messages
+from dandeliondrum import transport
+
+CELL = messages.CellId('test')
+PATIENCE_S = 30
+HEARTBEAT_MS = 50
+ELECTION_MIN_MS = 300
+ELECTION_MAX_MS = 600
+
+
+def wait_for(condition, what='the condition'):
+    """Wait until it holds and return its value."""
+    end_s = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end_s:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.01)
+    raise AssertionError(f'{what} did not come about')
+
+
+class Machine:
+    """Keeps the commands in order; its snapshot is their list."""
+
+    def __init__(self):
+        self.commands = []
+        self.indexes = []
+        self.restored_count = 0
+
+    def apply(self, index, command):
+        self.commands.append(command)
+        self.indexes.append(index)
+        return (index, command)
+
+    def snapshot(self):
+        return b'\n'.join(self.commands)
+
+    def restore(self, data):
+        self.commands = data.split(b'\n') if data else []
+        self.indexes = []
+        self.restored_count += 1
+
+
+class Listener:
+    """Remembers what it was told."""
+
+    def __init__(self):
+        self.events = []
+
+    def on_leading(self, term):
+        self.events.append(term)
+
+    def on_following(self):
+        self.events.append(None)
+
+
+class Forwarder:
+    """Stands before one node; ``pause`` keeps all bytes back, silently."""
+
+    def __init__(self):
+        self.target = ''
+        self._open = threading.Event()
+        self._open.set()
+        self._closed = False
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
+        self._lock = threading.Lock()
+        self._streams = []
+        threading.Thread(target=self._accept_all, daemon=True).start()
+
+    def pause(self):
+        self._open.clear()
+
+    def resume(self):
+        self._open.set()
+        # What was held back must not arrive late on old streams.
+        self._drop_streams()
+
+    def close(self):
+        self._closed = True
+        self._open.set()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._drop_streams()
+
+    def _drop_streams(self):
+        with self._lock:
+            streams, self._streams = self._streams, []
+        for stream in streams:
+            with contextlib.suppress(OSError):
+                stream.shutdown(socket.SHUT_RDWR)
+            stream.close()
+
+    def _accept_all(self):
+        while not self._closed:
+            try:
+                near, _ = self._listener.accept()
+                far = socket.create_connection(
+                    transport.parse_address(self.target), 1
+                )
+            except (OSError, ValueError):
+                with contextlib.suppress(OSError, UnboundLocalError):
+                    near.close()
+                continue
+            with self._lock:
+                self._streams += [near, far]
+            for source, sink in ((near, far), (far, near)):
+                threading.Thread(
+                    target=self._carry, args=(source, sink), daemon=True
+                ).start()
+
+    def _carry(self, source, sink):
+        with contextlib.suppress(OSError):
+            while data := source.recv(1 << 16):
+                self._open.wait()
+                sink.sendall(data)
+        for stream in (source, sink):
+            with contextlib.suppress(OSError):
+                stream.shutdown(socket.SHUT_RDWR)
+            stream.close()
+
+
+@dataclasses.dataclass
+class Running:
+    """A started node and what belongs to it."""
+
+    node: consensus.Node
+    machine: Machine
+    listener: Listener
+    server: transport.Server
+
+
+class Cluster:
+    """Nodes ``c1``, ``c2`` ...; each pair is joined by a forwarder."""
+
+    def __init__(self, folder: pathlib.Path, count=3, **options):
+        self.folder = folder
+        self.options = options
+        self.files = {}
+        self.names = [
+            messages.ControllerId(f'c{number}')
+            for number in range(1, count + 1)
+        ]
+        self.running = {}
+        self.forwarders = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for name in list(self.running):
+            self.stop(name)
+        for forwarder in self.forwarders.values():
+            forwarder.close()
+
+    def forwarder(self, source, target):
+        key = (source, target)
+        if key not in self.forwarders:
+            self.forwarders[key] = Forwarder()
+        return self.forwarders[key]
+
+    def launch(self, name):
+        """Start a node and return the outcome."""
+        others = [other for other in self.names if other != name]
+        options = consensus.Options(
+            controller_id=name,
+            cell_id=CELL,
+            data_folder=self.folder / name,
+            addresses={
+                other: self.forwarder(name, other).address for other in others
+            },
+            **{
+                'heartbeat_ms': HEARTBEAT_MS,
+                'election_min_ms': ELECTION_MIN_MS,
+                'election_max_ms': ELECTION_MAX_MS,
+                **self.options,
+            },
+        )
+        machine = Machine()
+        listener = Listener()
+        node = consensus.Node(
+            options, machine, listener, files=self.files.get(name)
+        )
+        outcome = node.start()
+        if outcome.value_or(True):
+            return outcome
+        server = transport.Server(
+            transport.ServerOptions('127.0.0.1:0', CELL),
+            transport.Callbacks(on_call=node.handle),
+        )
+        server.start()
+        for other in others:
+            self.forwarder(other, name).target = server.address
+        self.running[name] = Running(node, machine, listener, server)
+        return outcome
+
+    def start(self, *names):
+        for name in names or self.names:
+            self.launch(name).unwrap()
+
+    def stop(self, name):
+        """Close a node abruptly, streams first."""
+        running = self.running.pop(name)
+        running.server.close()
+        running.node.close()
+
+    def form(self):
+        """Start all, found the cell at the first, return the leader."""
+        self.start()
+        members = [(name, 'unused:1') for name in self.names]
+        self.node(self.names[0]).form(members).unwrap()
+        return self.leader()
+
+    def node(self, name):
+        return self.running[name].node
+
+    def machine(self, name):
+        return self.running[name].machine
+
+    def leaders(self):
+        return [
+            name for name, one in self.running.items() if one.node.leading()
+        ]
+
+    def leader(self, among=None):
+        """Wait for the one leader that is told so and return its name."""
+
+        def settled():
+            found = [
+                name
+                for name in self.leaders()
+                if among is None or name in among
+            ]
+            if len(found) != 1:
+                return None
+            events = self.running[found[0]].listener.events
+            return found[0] if events and events[-1] is not None else None
+
+        return wait_for(settled, 'a leader')
+
+    def others(self, name):
+        return [other for other in self.names if other != name]
+
+    def cut(self, name):
+        """Hold back all bytes between this node and the others."""
+        for other in self.others(name):
+            self.forwarder(name, other).pause()
+            self.forwarder(other, name).pause()
+
+    def heal(self, name):
+        for other in self.others(name):
+            self.forwarder(name, other).resume()
+            self.forwarder(other, name).resume()
+
+    def propose(self, name, command):
+        return self.node(name).propose(command).result(PATIENCE_S)
+
+    def wait_applied(self, commands, names=None):
+        """Wait until the machines hold exactly these commands."""
+        for name in names or list(self.running):
+            wait_for(
+                lambda name=name: self.machine(name).commands == commands,
+                f'{name} with {len(commands)} commands',
+            )
--- /dev/null
+++ b/dandeliondrum/consensus/tests/test_agreement.py
@@ -0,0 +1,28 @@
+"""Tests of the agreement among three nodes."""
+
+from dandeliondrum.consensus.tests import harness
+
+
+def test_what_the_leader_proposes_is_applied_everywhere_in_order(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        commands = [b'%d' % number for number in range(200)]
+        futures = [
+            cluster.node(leader).propose(command) for command in commands
+        ]
+        for command, future in zip(commands, futures, strict=True):
+            index, applied = future.result(harness.PATIENCE_S).unwrap()
+            assert applied == command
+        cluster.wait_applied(commands)
+        assert cluster.node(leader).confirm().result(5).unwrap() is None
+
+
+def test_after_the_leader_is_gone_the_others_go_on(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        cluster.propose(leader, b'before').unwrap()
+        cluster.stop(leader)
+        successor = cluster.leader()
+        cluster.propose(successor, b'after').unwrap()
+        cluster.start(leader)
+        cluster.wait_applied([b'before', b'after'])
