Add the full policy beside the baseline

Shares by dominant resource, classes, gangs with one reservation, best fit over an index of free capacity, spread of services, regions, preemption and aging.

--- a/dandeliondrum/placement/__init__.py
+++ b/dandeliondrum/placement/__init__.py
@@ -1,6 +1,10 @@
 """Which task goes to which worker, when, and why."""
 
 from dandeliondrum.placement._baseline import FirstComeFirstFit
+from dandeliondrum.placement._choosers import BestFit
+from dandeliondrum.placement._choosers import Chooser
+from dandeliondrum.placement._choosers import Spread
+from dandeliondrum.placement._full import FullPolicy
 from dandeliondrum.placement._planner import Planner
 from dandeliondrum.placement._policy import Policy
 from dandeliondrum.placement._tasks import NeverFits
@@ -12,7 +16,10 @@
 from dandeliondrum.placement._tasks import TeamGrant
 
 __all__ = [
+    'BestFit',
+    'Chooser',
     'FirstComeFirstFit',
+    'FullPolicy',
     'NeverFits',
     'PendingTask',
     'Placement',
@@ -21,5 +28,6 @@
     'Policy',
     'Preemption',
     'RunningTask',
+    'Spread',
     'TeamGrant',
 ]
--- /dev/null
+++ b/dandeliondrum/placement/_full.py
@@ -0,0 +1,225 @@
+"""The full policy: shares, classes, gangs, packing, regions, preemption."""
+
+import collections.abc
+
+from dandeliondrum import messages
+from dandeliondrum.placement import _choosers
+from dandeliondrum.placement import _explain
+from dandeliondrum.placement import _fleet
+from dandeliondrum.placement import _gang_step
+from dandeliondrum.placement import _ledger
+from dandeliondrum.placement import _policy
+from dandeliondrum.placement import _preempt_step
+from dandeliondrum.placement import _queues
+from dandeliondrum.placement import _ranking
+from dandeliondrum.placement import _regions
+from dandeliondrum.placement import _state
+from dandeliondrum.placement import _tasks
+
+# Part of the fleet that batch tasks leave free for urgent ones, as long as
+# an urgent task came within the last minutes.
+RESERVE_PORTION = 0.02
+RESERVE_MEMORY_MS = 600_000
+
+AT_HOME = 'it is the tightest fit'
+CROSSED = 'no room in its region for so long that crossing was worth it'
+AGED = 'it was the oldest and had waited long'
+
+
+def default_choosers() -> dict[messages.TaskClass, _choosers.Chooser]:
+    """Return how workers are chosen for each class by default."""
+    return {
+        messages.TaskClass.URGENT: _choosers.BestFit(),
+        messages.TaskClass.BATCH: _choosers.BestFit(),
+        messages.TaskClass.GANG: _choosers.BestFit(),
+        messages.TaskClass.SERVICE: _choosers.Spread(),
+    }
+
+
+class FullPolicy:
+    """Orders by class and share, places by class, and makes room.
+
+    ``choosers`` replaces how workers are chosen, by class of task. Equal
+    seeds and calls give equal plans.
+
+    Example::
+
+        policy = FullPolicy(seed=7)
+        planner = Planner(policy)
+    """
+
+    def __init__(
+        self,
+        seed: int = 0,
+        choosers: collections.abc.Mapping[
+            messages.TaskClass, _choosers.Chooser
+        ]
+        | None = None,
+    ) -> None:
+        self._seed = seed
+        self._choosers = {**default_choosers(), **(choosers or {})}
+        self.bind(_ledger.Ledger())
+
+    def bind(self, ledger: _ledger.Ledger) -> None:
+        """See ``Policy.bind``."""
+        self._state = _state.State(ledger, self._choosers, self._seed)
+        self._gang_step = _gang_step.GangStep(self._state)
+        self._preempt_step = _preempt_step.PreemptStep(self._state)
+        self._last_urgent_ms: int | None = None
+
+    def on_added(self, task: _tasks.PendingTask) -> None:
+        """See ``Policy.on_added``."""
+        self._state.add(task)
+        if task.gang_id is not None:
+            self._gang_step.note_change()
+        elif task.task_class is messages.TaskClass.URGENT:
+            self._last_urgent_ms = max(
+                task.submitted_ms, self._last_urgent_ms or 0
+            )
+
+    def on_dropped(self, task: _tasks.PendingTask) -> None:
+        """See ``Policy.on_dropped``."""
+        self._state.drop(task)
+
+    def on_released(self, running: _tasks.RunningTask) -> None:
+        """See ``Policy.on_released``."""
+        self._state.release(running)
+
+    def on_restored(self, running: _tasks.RunningTask) -> None:
+        """See ``Policy.on_restored``."""
+        self._state.record(running)
+
+    def on_worker(self, worker: _fleet.Worker) -> None:
+        """See ``Policy.on_worker``."""
+        self._state.put_worker(worker)
+        self._gang_step.note_fleet()
+
+    def on_teams(self) -> None:
+        """See ``Policy.on_teams``."""
+        self._state.reset()
+        self._gang_step.note_fleet()
+
+    def plan(self, now_ms: int, placements_max: int) -> _tasks.Plan:
+        """See ``Policy.plan``."""
+        self._state.refresh()
+        groups = self._gang_step.run(now_ms, placements_max)
+        left = placements_max - sum(len(group) for group in groups)
+        while left > 0:
+            placement = self._place_next(now_ms)
+            if placement is None:
+                break
+            groups.append((placement,))
+            left -= 1
+        preemptions = self._preempt_step.run(now_ms)
+        return _tasks.Plan(tuple(groups), tuple(preemptions))
+
+    def explain(self, task: _tasks.PendingTask) -> str:
+        """See ``Policy.explain``."""
+        why = _explain.why_waiting(self._state, self._gang_step, task)
+        return why + _policy.excluded_note(task)
+
+    def explain_running(self, running: _tasks.RunningTask) -> str:
+        """See ``Policy.explain_running``."""
+        task_id = running.task.task_id
+        why = self._state.reasons.get(
+            task_id, 'it ran when this leader took office'
+        )
+        if self._state.victims.is_leaving(task_id):
+            why += '; it was told to leave'
+        return why
+
+    def _place_next(self, now_ms: int) -> _tasks.Placement | None:
+        """Place the task whose turn it is; None when none can be."""
+        for task in self._state.aged.due(now_ms):
+            placement = self._place_aged(task, now_ms)
+            if placement is not None:
+                return placement
+        while True:
+            found = self._next(now_ms)
+            if found is None:
+                return None
+            home, task = found
+            placement = self._place(home, task, now_ms)
+            if placement is not None:
+                self._state.aged.count_placement()
+                return placement
+
+    def _next(
+        self, now_ms: int
+    ) -> tuple[_queues.Bin, _tasks.PendingTask] | None:
+        """Return the first task of all bins that may have room."""
+        best: tuple[_queues.Bin, _tasks.PendingTask] | None = None
+        best_key: _ranking.Key | None = None
+        batch_may = not self._reserve_is_reached(now_ms)
+        for home in self._state.queues:
+            if home.blocked_everywhere:
+                continue
+            if not batch_may and (
+                home.key.task_class is messages.TaskClass.BATCH
+            ):
+                continue
+            first = self._state.queues.first(home, now_ms)
+            if first is None:
+                continue
+            key, task = first
+            if home.blocked_at_home and not _regions.may_cross(task, now_ms):
+                continue
+            if best_key is None or key < best_key:
+                best, best_key = (home, task), key
+        return best
+
+    def _place(
+        self, home: _queues.Bin, task: _tasks.PendingTask, now_ms: int
+    ) -> _tasks.Placement | None:
+        """Place a task or mark its bin as blocked."""
+        if not home.blocked_at_home:
+            worker_id = self._choose(task, task.region)
+            if worker_id is not None:
+                return self._state.commit(task, worker_id, now_ms, AT_HOME)
+            home.blocked_at_home = True
+            if task.region is None:
+                home.blocked_everywhere = True
+        if task.region is not None and _regions.may_cross(task, now_ms):
+            worker_id = self._choose(task, None)
+            if worker_id is not None:
+                return self._state.commit(task, worker_id, now_ms, CROSSED)
+            home.blocked_everywhere = True
+        return None
+
+    def _place_aged(
+        self, task: _tasks.PendingTask, now_ms: int
+    ) -> _tasks.Placement | None:
+        account = self._state.ledger.teams.account(task.team_id)
+        if not account.allows(task.resources):
+            return None
+        for region in _regions.allowed(task, now_ms):
+            worker_id = self._choose(task, region)
+            if worker_id is not None:
+                return self._state.commit(task, worker_id, now_ms, AGED)
+        return None
+
+    def _choose(
+        self, task: _tasks.PendingTask, region: messages.Region | None
+    ) -> messages.WorkerId | None:
+        return self._choosers[task.task_class].choose(
+            self._state.index,
+            task,
+            self._state.queues.need(task.resources),
+            region,
+        )
+
+    def _reserve_is_reached(self, now_ms: int) -> bool:
+        """Tell whether what is left is kept for urgent tasks."""
+        if (
+            self._last_urgent_ms is None
+            or now_ms - self._last_urgent_ms > RESERVE_MEMORY_MS
+        ):
+            return False
+        index = self._state.index
+        totals = self._state.ledger.fleet.totals
+        return (
+            index.free_slots_count <= RESERVE_PORTION * totals.slots_count
+            or index.free_cpu_millicores
+            <= RESERVE_PORTION * totals.cpu_millicores
+            or index.free_memory_mb <= RESERVE_PORTION * totals.memory_mb
+        )
--- /dev/null
+++ b/dandeliondrum/placement/_index.py
@@ -0,0 +1,331 @@
+"""Index of workers by free capacity.
+
+Free processors and memory are rounded down to levels, four to an octave,
+and workers of equal levels share a bucket. Bit masks tell which buckets hold
+any worker, so a search costs a few operations on integers for each level of
+processors, however many workers there are.
+"""
+
+import bisect
+import collections.abc
+import dataclasses
+
+from dandeliondrum import messages
+from dandeliondrum.placement import _fleet
+
+STEPS_PER_OCTAVE = 4
+SMALLEST_AMOUNT = 64
+LEVELS_COUNT = 64
+ACCELERATORS_LEVEL_MAX = 63
+
+# How many workers of a bucket at the edge of what a task needs are looked at
+# in one search. Those that have no room go to the end of their bucket, so
+# that later searches come to the others.
+EDGE_SCAN_COUNT = 8
+
+_BOUNDS = [
+    round(SMALLEST_AMOUNT * 2 ** (step / STEPS_PER_OCTAVE))
+    for step in range(LEVELS_COUNT - 1)
+]
+
+
+def level_of(amount: int) -> int:
+    """Return the level of an amount of millicores or MB, rounded down."""
+    return bisect.bisect_right(_BOUNDS, amount)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Need:
+    """The levels of what a task needs."""
+
+    accelerators: int
+    cpu: int
+    memory: int
+
+
+def need_of(resources: messages.Resources) -> Need:
+    """Return the levels of a task's resources."""
+    return Need(
+        min(resources.accelerators_count, ACCELERATORS_LEVEL_MAX),
+        level_of(resources.cpu_millicores),
+        level_of(resources.memory_mb),
+    )
+
+
+def levels_of(worker: _fleet.Worker) -> Need | None:
+    """Return the levels of what is free on a worker, None if nothing is."""
+    slots_count = worker.slots_count - worker.held_slots_count
+    cpu_millicores = worker.cpu_millicores - worker.held_cpu_millicores
+    memory_mb = worker.memory_mb - worker.held_memory_mb
+    if (
+        not worker.eligible
+        or slots_count < 1
+        or cpu_millicores < 0
+        or memory_mb < 0
+    ):
+        return None
+    accelerators = worker.accelerators_count - worker.held_accelerators_count
+    return Need(
+        max(0, min(accelerators, ACCELERATORS_LEVEL_MAX)),
+        level_of(cpu_millicores),
+        level_of(memory_mb),
+    )
+
+
+_Bucket = dict[messages.WorkerId, _fleet.Worker]
+_Ids = frozenset[messages.WorkerId]
+
+
+class _Plane:
+    """Buckets of workers with equally many free accelerators."""
+
+    __slots__ = ('cpu_mask', 'memory_masks', 'buckets')
+
+    def __init__(self) -> None:
+        self.cpu_mask = 0
+        self.memory_masks = [0] * LEVELS_COUNT
+        self.buckets: dict[int, _Bucket] = {}
+
+    def add(self, levels: Need, worker: _fleet.Worker) -> None:
+        code = levels.cpu * LEVELS_COUNT + levels.memory
+        bucket = self.buckets.get(code)
+        if bucket is None:
+            self.buckets[code] = {worker.worker_id: worker}
+            self.memory_masks[levels.cpu] |= 1 << levels.memory
+            self.cpu_mask |= 1 << levels.cpu
+        else:
+            bucket[worker.worker_id] = worker
+
+    def remove(self, levels: Need, worker: _fleet.Worker) -> None:
+        code = levels.cpu * LEVELS_COUNT + levels.memory
+        bucket = self.buckets[code]
+        del bucket[worker.worker_id]
+        if bucket:
+            return
+        del self.buckets[code]
+        self.memory_masks[levels.cpu] &= ~(1 << levels.memory)
+        if not self.memory_masks[levels.cpu]:
+            self.cpu_mask &= ~(1 << levels.cpu)
+
+
+class FreeIndex:
+    """Workers by what is free on them.
+
+    ``best`` finds the tightest fit: the smallest sum of levels left over in
+    processors and memory, on a worker with as few free accelerators as will
+    do. So nearly full workers are filled up and empty ones stay empty.
+    """
+
+    def __init__(self) -> None:
+        self._planes: dict[int, _Plane] = {}
+        self._order: list[int] = []
+
+    def add(self, levels: Need, worker: _fleet.Worker) -> None:
+        """Take a worker in at its levels."""
+        plane = self._planes.get(levels.accelerators)
+        if plane is None:
+            plane = _Plane()
+            self._planes[levels.accelerators] = plane
+            bisect.insort(self._order, levels.accelerators)
+        plane.add(levels, worker)
+
+    def remove(self, levels: Need, worker: _fleet.Worker) -> None:
+        """Take a worker out that was added at these levels."""
+        self._planes[levels.accelerators].remove(levels, worker)
+
+    def best(
+        self, need: Need, resources: messages.Resources, excluded: _Ids
+    ) -> _fleet.Worker | None:
+        """Return the tightest worker with room that isn't excluded."""
+        start = bisect.bisect_left(self._order, need.accelerators)
+        for accelerators in self._order[start:]:
+            plane = self._planes[accelerators]
+            if plane.cpu_mask >> need.cpu:
+                worker = _tightest(plane, need, resources, excluded)
+                if worker is not None:
+                    return worker
+        return None
+
+    def some(
+        self, need: Need, resources: messages.Resources, count: int
+    ) -> collections.abc.Iterator[_fleet.Worker]:
+        """Yield at most ``count`` workers with room, tight buckets first."""
+        start = bisect.bisect_left(self._order, need.accelerators)
+        looked_at = 0
+        for accelerators in self._order[start:]:
+            plane = self._planes[accelerators]
+            for cpu in _bits(plane.cpu_mask, need.cpu):
+                for memory in _bits(plane.memory_masks[cpu], need.memory):
+                    bucket = plane.buckets[cpu * LEVELS_COUNT + memory]
+                    for worker in bucket.values():
+                        looked_at += 1
+                        if worker.has_room(resources):
+                            yield worker
+                        if looked_at >= count:
+                            return
+
+
+def _bits(mask: int, start: int) -> collections.abc.Iterator[int]:
+    """Yield the positions of set bits from ``start`` upwards."""
+    mask = mask >> start << start
+    while mask:
+        low = mask & -mask
+        yield low.bit_length() - 1
+        mask ^= low
+
+
+def _tightest(
+    plane: _Plane,
+    need: Need,
+    resources: messages.Resources,
+    excluded: _Ids,
+) -> _fleet.Worker | None:
+    best: _fleet.Worker | None = None
+    best_score = 2 * LEVELS_COUNT
+    cpu_mask = plane.cpu_mask >> need.cpu << need.cpu
+    while cpu_mask:
+        low = cpu_mask & -cpu_mask
+        cpu_mask ^= low
+        cpu = low.bit_length() - 1
+        spare = cpu - need.cpu
+        if spare >= best_score:
+            break
+        memory_mask = plane.memory_masks[cpu] >> need.memory
+        while memory_mask:
+            low = memory_mask & -memory_mask
+            memory_mask ^= low
+            memory = low.bit_length() - 1
+            if spare + memory >= best_score:
+                break
+            bucket = plane.buckets[cpu * LEVELS_COUNT + memory + need.memory]
+            edge = not spare or not memory
+            worker = _pick(bucket, resources, edge, excluded)
+            if worker is not None:
+                best = worker
+                best_score = spare + memory
+                break
+    return best
+
+
+def _pick(
+    bucket: _Bucket,
+    resources: messages.Resources,
+    edge: bool,
+    excluded: _Ids,
+) -> _fleet.Worker | None:
+    """Return a worker of the bucket with room, looking at a few."""
+    if not edge and not excluded:
+        for worker in bucket.values():
+            if worker.has_room(resources):
+                return worker
+            break
+    passed: list[_fleet.Worker] = []
+    found = None
+    for worker in bucket.values():
+        if worker.has_room(resources) and worker.worker_id not in excluded:
+            found = worker
+            break
+        passed.append(worker)
+        if len(passed) >= EDGE_SCAN_COUNT:
+            break
+    if len(passed) < len(bucket):
+        for worker in passed:
+            del bucket[worker.worker_id]
+            bucket[worker.worker_id] = worker
+    return found
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    levels: Need
+    indexes: tuple[FreeIndex, ...]
+    slots_count: int = 0
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+
+
+class FleetIndex:
+    """Indexes of the fleet, of each region and of each failure domain.
+
+    It also keeps the sums of what is free on eligible workers.
+    """
+
+    def __init__(self) -> None:
+        self.everywhere = FreeIndex()
+        self.regions: dict[messages.Region, FreeIndex] = {}
+        self.domains: dict[
+            messages.Region, dict[messages.FailureDomain, FreeIndex]
+        ] = {}
+        self.free_slots_count = 0
+        self.free_cpu_millicores = 0
+        self.free_memory_mb = 0
+        self._entries: dict[messages.WorkerId, _Entry] = {}
+
+    def update(self, worker: _fleet.Worker) -> Need | None:
+        """Note what is free on a worker now; returns its levels."""
+        levels = levels_of(worker)
+        entry = self._entries.get(worker.worker_id)
+        if entry is not None:
+            self._sum(entry, -1)
+            if levels == entry.levels:
+                self._measure(entry, worker)
+                return levels
+            del self._entries[worker.worker_id]
+            for index in entry.indexes:
+                index.remove(entry.levels, worker)
+        if levels is None or worker.facts is None:
+            return None
+        indexes = entry.indexes if entry else self._indexes(worker.facts)
+        entry = _Entry(levels, indexes)
+        self._entries[worker.worker_id] = entry
+        for index in entry.indexes:
+            index.add(levels, worker)
+        self._measure(entry, worker)
+        return levels
+
+    def forget(self, worker: _fleet.Worker) -> None:
+        """Take a worker out, whose place may change."""
+        entry = self._entries.pop(worker.worker_id, None)
+        if entry is None:
+            return
+        self._sum(entry, -1)
+        for index in entry.indexes:
+            index.remove(entry.levels, worker)
+
+    def of(self, region: messages.Region | None) -> FreeIndex | None:
+        """Return the index of a region, or of the fleet for None."""
+        if region is None:
+            return self.everywhere
+        return self.regions.get(region)
+
+    def domains_of(
+        self, region: messages.Region | None
+    ) -> list[tuple[messages.FailureDomain, FreeIndex]]:
+        """Return the indexes of failure domains, of one region or all."""
+        regions = [region] if region is not None else sorted(self.domains)
+        return [
+            pair
+            for name in regions
+            for pair in sorted(
+                self.domains.get(name, {}).items(), key=lambda one: one[0]
+            )
+        ]
+
+    def _indexes(self, facts: messages.WorkerFacts) -> tuple[FreeIndex, ...]:
+        region = self.regions.setdefault(facts.region, FreeIndex())
+        domains = self.domains.setdefault(facts.region, {})
+        domain = domains.setdefault(facts.failure_domain, FreeIndex())
+        return self.everywhere, region, domain
+
+    def _measure(self, entry: _Entry, worker: _fleet.Worker) -> None:
+        entry.slots_count = worker.slots_count - worker.held_slots_count
+        entry.cpu_millicores = (
+            worker.cpu_millicores - worker.held_cpu_millicores
+        )
+        entry.memory_mb = worker.memory_mb - worker.held_memory_mb
+        self._sum(entry, 1)
+
+    def _sum(self, entry: _Entry, sign: int) -> None:
+        self.free_slots_count += sign * entry.slots_count
+        self.free_cpu_millicores += sign * entry.cpu_millicores
+        self.free_memory_mb += sign * entry.memory_mb
--- a/dandeliondrum/placement/_planner.py
+++ b/dandeliondrum/placement/_planner.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from dandeliondrum import messages
-from dandeliondrum.placement import _baseline
+from dandeliondrum.placement import _full
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _policy
 from dandeliondrum.placement import _tasks
@@ -30,7 +30,7 @@
 
     def __init__(self, policy: _policy.Policy | None = None) -> None:
         self._ledger = _ledger.Ledger()
-        self._policy = policy or _baseline.FirstComeFirstFit()
+        self._policy = policy or _full.FullPolicy()
         self._policy.bind(self._ledger)
 
     def set_teams(
--- a/dandeliondrum/placement/_shares.py
+++ b/dandeliondrum/placement/_shares.py
@@ -80,6 +80,14 @@
             <= limit.accelerators_count
         )
 
+    def allows_held(self) -> bool:
+        """Tell whether the reserved gang is within the limits by now."""
+        count, resources = self.held_count, self.held_resources
+        self.hold(0, messages.Resources(0, 0, 0))
+        allowed = self.allows(resources, count)
+        self.hold(count, resources)
+        return allowed
+
     def dominant_share(self, totals: _fleet.Totals) -> float:
         """Return the largest part of the fleet that the team has, 0 to 1.
 
