--- /dev/null
+++ b/dandeliondrum/observability/__init__.py
@@ -0,0 +1,40 @@
+"""What is seen of a process from outside: logs, traces, metrics, readiness.
+
+Each part of a process that has metrics takes a registry of
+``prometheus_client`` and puts the unit at the end of each name, as in
+``dandeliondrum_gateway_wait_seconds``.
+"""
+
+from dandeliondrum.observability._endpoints import Endpoints
+from dandeliondrum.observability._endpoints import process_registry
+from dandeliondrum.observability._endpoints import Readiness
+from dandeliondrum.observability._endpoints import ReadinessCheck
+from dandeliondrum.observability._logs import configure_logging
+from dandeliondrum.observability._logs import log_context
+from dandeliondrum.observability._server import Server
+from dandeliondrum.observability._server import ServerError
+from dandeliondrum.observability._traces import configure_tracing
+from dandeliondrum.observability._traces import current_trace_parent
+from dandeliondrum.observability._traces import LogExporter
+from dandeliondrum.observability._traces import make_tracer_provider
+from dandeliondrum.observability._traces import span
+from dandeliondrum.observability._traces import TRACE_PARENT
+from dandeliondrum.observability._traces import TRACES_PER_THOUSAND
+
+__all__ = [
+    'Endpoints',
+    'LogExporter',
+    'Readiness',
+    'ReadinessCheck',
+    'Server',
+    'ServerError',
+    'TRACES_PER_THOUSAND',
+    'TRACE_PARENT',
+    'configure_logging',
+    'configure_tracing',
+    'current_trace_parent',
+    'log_context',
+    'make_tracer_provider',
+    'process_registry',
+    'span',
+]
--- /dev/null
+++ b/dandeliondrum/observability/_logs.py
@@ -0,0 +1,97 @@
+"""Logs as JSON lines, with the ids of what a line is about."""
+
+import collections.abc
+import contextlib
+import logging
+import sys
+import typing
+
+from opentelemetry import trace
+import structlog
+
+
+def configure_logging(
+    role: str,
+    process_id: str,
+    level: str = 'info',
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Write log lines as JSON to a stream, by default to standard error.
+
+    Each line has ``time`` (UTC), ``level``, ``event``, ``role`` and ``id``,
+    the ids that :func:`log_context` holds, and the ``trace_id`` of the span
+    that is open. Lines below the level are dropped.
+
+    Example::
+
+        configure_logging('gateway', 'g1', 'info')
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            _Origin(role, process_id),
+            _add_trace_id,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper('iso', utc=True, key='time'),
+            structlog.processors.format_exc_info,
+            structlog.processors.UnicodeDecoder(),
+            structlog.processors.JSONRenderer(default=str),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+@contextlib.contextmanager
+def log_context(
+    *,
+    request_id: str | None = None,
+    task_id: str | None = None,
+    attempt_id: str | None = None,
+    term: int | None = None,
+) -> collections.abc.Iterator[None]:
+    """Put ids on all lines that this thread writes within the block.
+
+    Example::
+
+        with log_context(request_id='r1', task_id='harbour/r1'):
+            logger.info('task accepted')
+    """
+    ids = {
+        'request_id': request_id,
+        'task_id': task_id,
+        'attempt_id': attempt_id,
+        'term': term,
+    }
+    known = {name: value for name, value in ids.items() if value is not None}
+    with structlog.contextvars.bound_contextvars(**known):
+        yield
+
+
+class _Origin:
+    """Adds which process a line comes from."""
+
+    def __init__(self, role: str, process_id: str) -> None:
+        self._fields = {'role': role, 'id': process_id}
+
+    def __call__(
+        self,
+        logger: typing.Any,
+        method: str,
+        event: structlog.typing.EventDict,
+    ) -> structlog.typing.EventDict:
+        for name, value in self._fields.items():
+            event.setdefault(name, value)
+        return event
+
+
+def _add_trace_id(
+    logger: typing.Any, method: str, event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    context = trace.get_current_span().get_span_context()
+    if context.is_valid:
+        event.setdefault('trace_id', trace.format_trace_id(context.trace_id))
+    return event
--- /dev/null
+++ b/dandeliondrum/observability/_traces.py
@@ -0,0 +1,126 @@
+"""Traces: a span for each hop, written as JSON lines.
+
+The trace context comes and goes as the W3C ``traceparent`` header. Whether
+a trace is kept is decided where it begins and holds on all its hops.
+"""
+
+import collections.abc
+import contextlib
+
+from opentelemetry import context as trace_contexts
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace import sampling
+from opentelemetry import trace
+from opentelemetry.trace.propagation import tracecontext
+import structlog
+
+TRACE_PARENT = 'traceparent'
+TRACES_PER_THOUSAND = 10
+
+_logger = structlog.get_logger()
+_propagator = tracecontext.TraceContextTextMapPropagator()
+
+Attributes = collections.abc.Mapping[str, str | int | float | bool]
+
+
+def make_tracer_provider(
+    role: str,
+    process_id: str,
+    traces_per_thousand: int = TRACES_PER_THOUSAND,
+) -> sdk_trace.TracerProvider:
+    """Return a provider whose finished spans go to the log.
+
+    Close it with ``shutdown()``, which writes what is left.
+    """
+    sampler = sampling.ParentBased(
+        sampling.TraceIdRatioBased(traces_per_thousand / 1000)
+    )
+    resource = resources.Resource(
+        {'service.name': role, 'service.instance.id': process_id}
+    )
+    provider = sdk_trace.TracerProvider(sampler=sampler, resource=resource)
+    provider.add_span_processor(export.BatchSpanProcessor(LogExporter()))
+    return provider
+
+
+def configure_tracing(
+    role: str,
+    process_id: str,
+    traces_per_thousand: int = TRACES_PER_THOUSAND,
+) -> sdk_trace.TracerProvider:
+    """Make a provider and use it for the whole process."""
+    provider = make_tracer_provider(role, process_id, traces_per_thousand)
+    trace.set_tracer_provider(provider)
+    return provider
+
+
+@contextlib.contextmanager
+def span(
+    name: str,
+    trace_parent: str = '',
+    attributes: Attributes | None = None,
+    provider: trace.TracerProvider | None = None,
+) -> collections.abc.Iterator[trace.Span]:
+    """Open a span for one hop.
+
+    It is a child of ``trace_parent`` when that is given and valid, otherwise
+    of the span that is open in this thread.
+
+    Example::
+
+        with span('start attempt', spec.trace_parent) as opened:
+            headers['traceparent'] = current_trace_parent()
+            opened.set_attribute('worker', worker_id)
+    """
+    tracer = trace.get_tracer('dandeliondrum', tracer_provider=provider)
+    with tracer.start_as_current_span(
+        name, context=_parent(trace_parent), attributes=attributes
+    ) as opened:
+        yield opened
+
+
+def current_trace_parent() -> str:
+    """Return the ``traceparent`` of the open span; empty without one."""
+    carrier: dict[str, str] = {}
+    _propagator.inject(carrier)
+    return carrier.get(TRACE_PARENT, '')
+
+
+def _parent(trace_parent: str) -> trace_contexts.Context | None:
+    if not trace_parent:
+        return None
+    return _propagator.extract({TRACE_PARENT: trace_parent})
+
+
+class LogExporter(export.SpanExporter):
+    """Writes finished spans as lines of the log."""
+
+    def export(
+        self, spans: collections.abc.Sequence[sdk_trace.ReadableSpan]
+    ) -> export.SpanExportResult:
+        """Write one line for each span."""
+        for finished in spans:
+            _write(finished)
+        return export.SpanExportResult.SUCCESS
+
+
+def _write(finished: sdk_trace.ReadableSpan) -> None:
+    context = finished.get_span_context()
+    if context is None:
+        return
+    parent = finished.parent
+    started_ns = finished.start_time or 0
+    ended_ns = finished.end_time or started_ns
+    _logger.info(
+        'span',
+        name=finished.name,
+        trace_id=trace.format_trace_id(context.trace_id),
+        span_id=trace.format_span_id(context.span_id),
+        parent_id=trace.format_span_id(parent.span_id) if parent else '',
+        started_us=started_ns // 1_000,
+        length_us=(ended_ns - started_ns) // 1_000,
+        failed=not finished.status.is_ok,
+        attributes=dict(finished.attributes or {}),
+    )
--- /dev/null
+++ b/dandeliondrum/observability/tests/test_logs.py
@@ -0,0 +1,73 @@
+"""Log lines are JSON with the ids of what they are about."""
+
+import concurrent.futures
+import datetime
+
+import structlog
+
+from dandeliondrum import observability
+
+
+def test_a_line_tells_who_wrote_it_and_when(lines):
+    structlog.get_logger().info('task accepted', queue='figuring')
+    (line,) = lines.all()
+    written = datetime.datetime.fromisoformat(line.pop('time'))
+    assert written.utcoffset() == datetime.timedelta(0)
+    assert line == {
+        'event': 'task accepted',
+        'queue': 'figuring',
+        'role': 'gateway',
+        'id': 'g1',
+        'level': 'info',
+    }
+
+
+def test_ids_are_on_all_lines_of_the_block_and_no_others(lines):
+    logger = structlog.get_logger()
+    with observability.log_context(request_id='r1', task_id='harbour/r1'):
+        with observability.log_context(attempt_id='harbour/r1#1', term=7):
+            logger.info('inner')
+        logger.info('outer')
+    logger.info('after')
+    inner, outer, after = lines.all()
+    assert inner['request_id'] == outer['request_id'] == 'r1'
+    assert inner['task_id'] == 'harbour/r1'
+    assert (inner['attempt_id'], inner['term']) == ('harbour/r1#1', 7)
+    assert 'attempt_id' not in outer and 'term' not in outer
+    assert not {'request_id', 'task_id'} & after.keys()
+
+
+def test_ids_of_one_thread_are_not_on_lines_of_another(lines):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        with observability.log_context(request_id='r1'):
+            pool.submit(structlog.get_logger().info, 'other').result()
+    assert 'request_id' not in lines.all()[0]
+
+
+def test_lines_below_the_level_are_dropped(lines):
+    structlog.get_logger().debug('detail')
+    assert lines.all() == []
+
+
+def test_an_exception_is_one_line(lines):
+    try:
+        raise ValueError('two\nlines')
+    except ValueError:
+        structlog.get_logger().exception('task failed')
+    (line,) = lines.all()
+    assert 'ValueError: two\nlines' in line['exception']
+
+
+def test_values_that_json_lacks_are_still_written(lines):
+    structlog.get_logger().info('odd', data=b'\xff', thing=object())
+    (line,) = lines.all()
+    assert 'object' in line['thing']
+
+
+def test_a_line_within_a_span_has_its_trace_id(lines):
+    provider = observability.make_tracer_provider('gateway', 'g1', 1000)
+    with observability.span('hop', provider=provider) as opened:
+        structlog.get_logger().info('within')
+    trace_id = opened.get_span_context().trace_id
+    assert lines.all()[0]['trace_id'] == f'{trace_id:032x}'
+    provider.shutdown()
