--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -52,7 +52,9 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.CallFailed(outcome.failure().detail, False)
+                return messages.CallFailed(
+                    outcome.failure().failure.value, False
+                )
             with context.lock:
                 self._heard_ms[call.facts.worker_id] = utils.monotonic_ms()
                 self._silent.discard(call.facts.worker_id)
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -121,8 +121,7 @@
         return office.take(connection, message)
 
     def _form(self, call: messages.FormCell) -> typing.Any:
-        members = dict(call.controllers)
-        match self.node.form(members):
+        match self.node.form(call.controllers):
             case result.Success():
                 return messages.Done()
             case result.Failure(error):
--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_intake.py
@@ -316,7 +316,7 @@
         self, outcome: result.Result[typing.Any, consensus.ProposeError]
     ) -> typing.Any:
         if isinstance(outcome, result.Failure):
-            return messages.CallFailed(outcome.failure().detail, False)
+            return messages.CallFailed(outcome.failure().failure.value, False)
         statuses = outcome.unwrap()
         with self._context.lock:
             for status in statuses:
@@ -379,6 +379,25 @@
     )
 
 
+def _storage_full(
+    task_id: messages.TaskId, error: consensus.ProposeError
+) -> messages.TaskStatus:
+    """Refuse without a record, as there is no room for one.
+
+    The log vouches that it holds nothing of the task.
+    """
+    state = messages.TaskState.UNKNOWN
+    if error.not_done:
+        state = messages.TaskState.REFUSED
+    return messages.TaskStatus(
+        task_id,
+        state,
+        messages.RefusalReason.STORAGE_FULL,
+        'the controllers have no room left on their disks',
+        RETRY_AFTER_MS,
+    )
+
+
 def _pick_status(
     position: int, task_id: messages.TaskId
 ) -> collections.abc.Callable[[typing.Any], messages.TaskStatus]:
@@ -387,10 +406,13 @@
     ) -> messages.TaskStatus:
         if isinstance(outcome, result.Success):
             return outcome.unwrap()[position]
+        error = outcome.failure()
+        if error.failure is consensus.ProposeFailure.STORAGE_FULL:
+            return _storage_full(task_id, error)
         return messages.TaskStatus(
             task_id,
             messages.TaskState.UNKNOWN,
-            detail=outcome.failure().detail,
+            detail=error.failure.value,
         )
 
     return pick
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -107,7 +107,7 @@
     ) -> typing.Any:
         if isinstance(outcome, result.Failure):
             error = outcome.failure()
-            return messages.CallFailed(error.detail, error.not_done)
+            return messages.CallFailed(error.failure.value, error.not_done)
         context = self._context
         with context.lock, context.state.lock:
             record = context.state.rules_record
@@ -173,22 +173,18 @@
     def _controllers(self) -> tuple[messages.ControllerView, ...]:
         status = self._context.node.status()
         views = []
-        for role, members in (
-            ('voter', status.voters),
-            ('learner', status.learners),
-        ):
-            for controller_id in members:
-                leads = controller_id == status.leader_id
-                views.append(
-                    messages.ControllerView(
-                        controller_id,
-                        self._context.options.controllers.get(
-                            controller_id, ''
-                        ),
-                        'leader' if leads else role,
-                        status.last_index,
-                    )
+        for member in status.members:
+            role = 'voter' if member.voter else 'learner'
+            if member.controller_id == status.leader_id:
+                role = 'leader'
+            views.append(
+                messages.ControllerView(
+                    member.controller_id,
+                    member.address,
+                    role,
+                    messages.LogIndex(member.match_index),
                 )
+            )
         return tuple(views)
 
     def _drain(self, call: messages.DrainWorker) -> typing.Any:
@@ -206,7 +202,9 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.CallFailed(outcome.failure().detail, False)
+                return messages.CallFailed(
+                    outcome.failure().failure.value, False
+                )
             return messages.Done()
 
         return utils.then(proposed, answer)
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -46,7 +46,7 @@
         self.workers: dict[messages.WorkerId, _records.WorkerRecord] = {}
         self.accounts = _accounts.Accounts()
 
-    def apply(self, index: messages.LogIndex, command: bytes) -> typing.Any:
+    def apply(self, index: int, command: bytes) -> typing.Any:
         """Apply one command and return its typed outcome."""
         match messages.decode(command):
             case result.Success(message):
@@ -93,9 +93,7 @@
                 use.running_count += 1
                 use.reserved = use.reserved + task.spec.resources
 
-    def _apply(
-        self, index: messages.LogIndex, command: typing.Any
-    ) -> typing.Any:
+    def _apply(self, index: int, command: typing.Any) -> typing.Any:
         self.cell_time_ms = max(self.cell_time_ms, command.cell_time_ms)
         match command:
             case messages.AssignTasks():
@@ -119,7 +117,7 @@
         raise utils.InvariantError(f'no way to apply {command!r:.200}')
 
     def _assign(
-        self, index: messages.LogIndex, command: messages.AssignTasks
+        self, index: int, command: messages.AssignTasks
     ) -> tuple[_records.AssignOutcome, ...]:
         outcomes: list[_records.AssignOutcome] = []
         for position, assignment in enumerate(command.assignments):
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -8,6 +8,7 @@
 from dandeliondrum.utils._supervisor import InvariantError
 from dandeliondrum.utils._supervisor import LONGEST_PAUSE_MS
 from dandeliondrum.utils._supervisor import Supervisor
+from dandeliondrum.utils._supervisor import Task
 from dandeliondrum.utils._timers import Subscription
 from dandeliondrum.utils._timers import TimerService
 
@@ -17,6 +18,7 @@
     'LONGEST_PAUSE_MS',
     'Subscription',
     'Supervisor',
+    'Task',
     'TimerService',
     'gather',
     'monotonic_ms',
