--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from dandeliondrum import consensus
+from dandeliondrum.controller import _metrics
 from dandeliondrum.controller import _options
 from dandeliondrum.controller import _sessions
 from dandeliondrum.controller import _state
@@ -42,8 +43,10 @@
         state: _state.CellState,
         node: consensus.Node,
         term: messages.Term,
+        metrics: _metrics.Metrics,
     ) -> None:
         self.options = options
+        self.metrics = metrics
         self.state = state
         self.node = node
         self.term = term
@@ -52,6 +55,7 @@
         self.sessions = _sessions.Sessions()
         self.pending: dict[messages.TaskId, PendingEntry] = {}
         self.work = threading.Event()
+        metrics.pending.set_function(lambda: float(len(self.pending)))
         self.started_ms = utils.monotonic_ms()
         self._cell_time_base_ms = state.cell_time_ms
 
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -1,5 +1,6 @@
 """A controller: one voter of the replicated log, and at times its leader."""
 
+import collections.abc
 import contextlib
 import threading
 import typing
@@ -9,10 +10,12 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _metrics
 from dandeliondrum.controller import _office
 from dandeliondrum.controller import _options
 from dandeliondrum.controller import _state
 from dandeliondrum import messages
+from dandeliondrum import observability
 from dandeliondrum import transport
 from dandeliondrum import utils
 
@@ -32,8 +35,15 @@
         controller.close()
     """
 
-    def __init__(self, options: _options.Options) -> None:
+    def __init__(
+        self,
+        options: _options.Options,
+        on_fatal: collections.abc.Callable[[utils.InvariantError], object]
+        | None = None,
+    ) -> None:
         self._options = options
+        self._metrics = _metrics.Metrics()
+        self._metrics.leading.set_function(lambda: float(self.leads()))
         self._resources = contextlib.ExitStack()
         self._lock = threading.Lock()
         self._office: _office.Office | None = None
@@ -52,6 +62,7 @@
             ),
             self.state,
             self,
+            on_fatal,
         )
 
     def start(self) -> result.Result[None, consensus.StartError]:
@@ -75,8 +86,29 @@
         self._resources.callback(self.node.close)
         server.start()
         self._resources.callback(server.close)
+        if self._options.metrics_address:
+            return self._serve_endpoints()
         return result.Success(None)
 
+    def _serve_endpoints(self) -> result.Result[None, consensus.StartError]:
+        server = observability.Server(
+            self._options.metrics_address,
+            observability.Endpoints(self._metrics.registry, self._readiness),
+        )
+        outcome = server.start()
+        if isinstance(outcome, result.Failure):
+            self._resources.close()
+            error = outcome.failure()
+            detail = f'{error.address}: {error.reason}'
+            return result.Failure(consensus.StartError(detail))
+        self._resources.callback(server.close)
+        return result.Success(None)
+
+    def _readiness(self) -> observability.Readiness:
+        if self.node.status().leader_id is None:
+            return observability.Readiness(False, 'no leader is known')
+        return observability.Readiness(True)
+
     def close(self) -> None:
         """Hand over the lead if there is somebody to take it, then stop."""
         status = self.node.status()
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -1,6 +1,7 @@
 """From the planner's decisions to agreed attempts at the gateways."""
 
 import threading
+import time
 import typing
 
 from returns import result
@@ -108,9 +109,13 @@
         if not placements:
             return
         self._in_flight.acquire()
+        proposed_s = time.monotonic()
         committed = self._context.propose(command)
 
         def finish(done: _context.Proposed) -> None:
+            self._context.metrics.commit_seconds.observe(
+                time.monotonic() - proposed_s
+            )
             self._in_flight.release()
             self._committed(placements, done.result())
 
@@ -128,8 +133,10 @@
         self._failing.clear()
         for one, assigned in zip(placements, outcome.unwrap(), strict=True):
             if assigned.attempt is None:
+                self._context.metrics.rejected.inc()
                 self._rejected(one, assigned)
             else:
+                self._context.metrics.assigned.inc()
                 self._send(assigned.attempt)
 
     def _revert(self, placements: tuple[placement.Placement, ...]) -> None:
--- a/dandeliondrum/controller/_endings_desk.py
+++ b/dandeliondrum/controller/_endings_desk.py
@@ -42,6 +42,8 @@
                     ended.append(one)
         if not ended:
             return
+        for one in ended:
+            self._context.metrics.ended.labels(one.state.value).inc()
         command = messages.EndAttempts(self._context.now_ms(), tuple(ended))
         self._context.propose(command).add_done_callback(
             lambda done: self._recorded(done.result())
--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_intake.py
@@ -170,6 +170,8 @@
 
     def _refuse(self, refusals: list[messages.Refusal]) -> list[StatusFuture]:
         context = self._context
+        for one in refusals:
+            context.metrics.refused.labels(one.reason.value).inc()
         command = messages.RefuseTasks(context.now_ms(), tuple(refusals))
         committed = context.propose(command)
         return [
