--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -123,7 +123,9 @@
 
     def on_leading(self, term: messages.Term) -> None:
         """Open the office; called by the log once this node leads."""
-        context = _context.Context(self._options, self.state, self.node, term)
+        context = _context.Context(
+            self._options, self.state, self.node, term, self._metrics
+        )
         office = _office.Office(context, self._timers)
         office.open()
         with self._lock:
