--- /dev/null
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -0,0 +1,283 @@
+"""The stream to the leading controller.
+
+One task finds the leader, registers there and sends beats. A leader that
+does not answer a beat in time is given up, whatever the stream itself says,
+and the other controllers are tried.
+"""
+
+import collections
+import collections.abc
+import concurrent.futures
+import dataclasses
+import threading
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum.gateway import _options
+from dandeliondrum import messages
+from dandeliondrum import transport
+from dandeliondrum import utils
+
+BEAT_INTERVAL_MS = 250
+BEAT_TIMEOUT_MS = 1_000
+CONNECT_TIMEOUT_MS = 500
+REGISTER_TIMEOUT_MS = 1_000
+ROUND_PAUSE_MS = 100
+
+_logger = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkEvents:
+    """Whom the link tells; the functions are short and never wait."""
+
+    on_up: collections.abc.Callable[[], object]
+    on_start: collections.abc.Callable[[messages.StartAttempt], object]
+    on_status: collections.abc.Callable[[messages.TaskStatus], object]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Candidate:
+    controller_id: messages.ControllerId
+    address: str
+
+
+class LeaderLink:
+    """Keeps one registered stream to whoever leads."""
+
+    def __init__(self, options: _options.Options, events: LinkEvents) -> None:
+        self.rules_version = messages.RulesVersion(0)
+        self.term = messages.Term(0)
+        self._options = options
+        self._events = events
+        self._configured = tuple(
+            _Candidate(controller_id, address)
+            for controller_id, address in options.controllers
+        )
+        self._lock = threading.Lock()
+        self._current: transport.Connection | None = None
+        self._opening: transport.Connection | None = None
+        self._last: _Candidate | None = None
+        self._answered_ms: int | None = None
+        self._closed = False
+
+    def run(self, stopping: threading.Event) -> None:
+        """Find the leader again and again until told to stop."""
+        while not stopping.is_set() and not self._closed:
+            self._try_each(stopping)
+            stopping.wait(ROUND_PAUSE_MS / 1000)
+
+    def close(self) -> None:
+        """Give the stream up; calls that wait fail."""
+        self._closed = True
+        with self._lock:
+            streams = (self._current, self._opening)
+        for stream in streams:
+            if stream is not None:
+                stream.close()
+
+    def answering(self) -> bool:
+        """Tell whether the leader answered a beat within the last second."""
+        answered_ms = self._answered_ms
+        if self._current is None or answered_ms is None:
+            return False
+        age_ms = utils.monotonic_ms() - answered_ms
+        return age_ms <= BEAT_INTERVAL_MS + BEAT_TIMEOUT_MS
+
+    def is_up(self) -> bool:
+        """Tell whether a registered stream is open."""
+        return self._current is not None
+
+    def call_async(self, message: typing.Any) -> transport.CallFuture:
+        """Send a call to the leader.
+
+        The future holds the reply or a CallError. A reply that the other end
+        does not lead counts as ``NOT_SENT``, as the call had no effect.
+        """
+        stream = self._current
+        future: transport.CallFuture = concurrent.futures.Future()
+        if stream is None:
+            future.set_result(_not_sent('no leader'))
+            return future
+        stream.call_async(message).add_done_callback(
+            lambda done: self._forward(stream, done, future)
+        )
+        return future
+
+    def call(
+        self, message: typing.Any, timeout_ms: int
+    ) -> result.Result[typing.Any, transport.CallError]:
+        """Send a call and wait for its reply."""
+        try:
+            return self.call_async(message).result(timeout_ms / 1000)
+        except concurrent.futures.TimeoutError:
+            return result.Failure(
+                transport.CallError(transport.CallFailure.TIMEOUT)
+            )
+
+    def _forward(
+        self,
+        stream: transport.Connection,
+        done: transport.CallFuture,
+        future: transport.CallFuture,
+    ) -> None:
+        reply = done.result()
+        match reply:
+            case result.Success(messages.NotLeader()):
+                stream.close()
+                future.set_result(_not_sent('not the leader any more'))
+            case _:
+                future.set_result(reply)
+
+    def _try_each(self, stopping: threading.Event) -> None:
+        waiting = collections.deque(self._in_order())
+        tried: set[str] = set()
+        while waiting and not stopping.is_set() and not self._closed:
+            candidate = waiting.popleft()
+            if candidate.address in tried:
+                continue
+            tried.add(candidate.address)
+            reply = self._serve(candidate, stopping)
+            if reply is None:
+                continue
+            hinted = self._hinted(reply)
+            if hinted is not None:
+                waiting.appendleft(hinted)
+
+    def _in_order(self) -> list[_Candidate]:
+        """Return all controllers, the one that was lost last at the end."""
+        return sorted(self._configured, key=lambda one: one == self._last)
+
+    def _hinted(self, reply: messages.NotLeader) -> _Candidate | None:
+        if reply.leader_id is None:
+            return None
+        for candidate in self._configured:
+            if candidate.controller_id == reply.leader_id:
+                return candidate
+        if not reply.leader_address:
+            return None
+        return _Candidate(reply.leader_id, reply.leader_address)
+
+    def _serve(
+        self, candidate: _Candidate, stopping: threading.Event
+    ) -> messages.NotLeader | None:
+        """Use this controller while it leads; return its hint, if any."""
+        hello = messages.Hello(
+            self._options.cell_id,
+            transport.PROTOCOL_VERSION,
+            messages.PeerKind.GATEWAY,
+            self._options.gateway_id,
+        )
+        callbacks = transport.Callbacks(on_push=self._on_push)
+        try:
+            stream = transport.connect(
+                candidate.address, hello, callbacks, CONNECT_TIMEOUT_MS
+            )
+        except (OSError, ValueError) as error:
+            _logger.debug(
+                'controller not reached',
+                controller=candidate.controller_id,
+                why=str(error),
+            )
+            return None
+        with self._lock:
+            self._opening = stream
+        try:
+            return self._use(candidate, stream, stopping)
+        finally:
+            with self._lock:
+                self._current = None
+                self._opening = None
+            stream.close()
+
+    def _use(
+        self,
+        candidate: _Candidate,
+        stream: transport.Connection,
+        stopping: threading.Event,
+    ) -> messages.NotLeader | None:
+        register = messages.RegisterGateway(
+            self._options.gateway_id,
+            self._options.region,
+            self._options.failure_domain,
+            self.rules_version,
+        )
+        match stream.call(register, REGISTER_TIMEOUT_MS):
+            case result.Success(messages.GatewayRegistered() as registered):
+                self._open(candidate, stream, registered)
+                return self._beat(candidate, stream, stopping)
+            case result.Success(messages.NotLeader() as reply):
+                return reply
+            case other:
+                _logger.info(
+                    'not registered',
+                    controller=candidate.controller_id,
+                    why=str(other),
+                )
+                return None
+
+    def _open(
+        self,
+        candidate: _Candidate,
+        stream: transport.Connection,
+        registered: messages.GatewayRegistered,
+    ) -> None:
+        self.term = registered.term
+        self.rules_version = registered.rules_version
+        self._answered_ms = utils.monotonic_ms()
+        self._last = candidate
+        with self._lock:
+            self._current = stream
+        _logger.info(
+            'leader found',
+            controller=candidate.controller_id,
+            term=registered.term,
+        )
+        self._events.on_up()
+
+    def _beat(
+        self,
+        candidate: _Candidate,
+        stream: transport.Connection,
+        stopping: threading.Event,
+    ) -> messages.NotLeader | None:
+        while not stopping.is_set() and not self._closed:
+            beat = messages.GatewayBeat(self.rules_version)
+            match stream.call(beat, BEAT_TIMEOUT_MS):
+                case result.Success(messages.GatewayBeatReply() as reply):
+                    self._answered_ms = utils.monotonic_ms()
+                    self.term = reply.term
+                case result.Success(messages.NotLeader() as other):
+                    return other
+                case other:
+                    _logger.warning(
+                        'leader lost',
+                        controller=candidate.controller_id,
+                        why=str(other),
+                    )
+                    return None
+            stream.closed.wait(BEAT_INTERVAL_MS / 1000)
+        return None
+
+    def _on_push(
+        self, _stream: transport.Connection, message: typing.Any
+    ) -> None:
+        match message:
+            case messages.StartAttempt():
+                self._events.on_start(message)
+            case messages.TaskStatus():
+                self._events.on_status(message)
+            case messages.RulesPush():
+                self.rules_version = message.version
+            case _:
+                _logger.warning('unexpected push', kind=type(message).__name__)
+
+
+def _not_sent(
+    detail: str,
+) -> result.Result[typing.Any, transport.CallError]:
+    return result.Failure(
+        transport.CallError(transport.CallFailure.NOT_SENT, detail)
+    )
--- /dev/null
+++ b/dandeliondrum/gateway/_reporter.py
@@ -0,0 +1,91 @@
+"""Tells the leader what became of attempts, until it has confirmed it."""
+
+import functools
+import queue
+import threading
+
+from returns import result
+import structlog
+
+from dandeliondrum.gateway import _leader_link
+from dandeliondrum import messages
+from dandeliondrum import transport
+
+GATHER_MS = 2
+BATCH_REPORTS = 500
+RETRY_PAUSE_MS = 200
+IDLE_POLL_MS = 500
+
+_logger = structlog.get_logger()
+
+
+class Reporter:
+    """Sends reports in batches; what was not confirmed is sent again."""
+
+    def __init__(self, link: _leader_link.LeaderLink) -> None:
+        self._link = link
+        self._queue: queue.SimpleQueue[messages.AttemptReport] = (
+            queue.SimpleQueue()
+        )
+        self._lock = threading.Lock()
+        self._unconfirmed_count = 0
+
+    def report(self, report: messages.AttemptReport) -> None:
+        """Queue a report; never waits."""
+        with self._lock:
+            self._unconfirmed_count += 1
+        self._queue.put(report)
+
+    def unconfirmed_count(self) -> int:
+        """Return how many reports the leader has not confirmed."""
+        return self._unconfirmed_count
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send reports until told to stop."""
+        while not stopping.is_set():
+            batch = self._gather(stopping)
+            if batch:
+                self._send(batch, stopping)
+
+    def _gather(
+        self, stopping: threading.Event
+    ) -> tuple[messages.AttemptReport, ...]:
+        try:
+            batch = [self._queue.get(timeout=IDLE_POLL_MS / 1000)]
+        except queue.Empty:
+            return ()
+        stopping.wait(GATHER_MS / 1000)
+        while len(batch) < BATCH_REPORTS:
+            try:
+                batch.append(self._queue.get_nowait())
+            except queue.Empty:
+                break
+        return tuple(batch)
+
+    def _send(
+        self,
+        batch: tuple[messages.AttemptReport, ...],
+        stopping: threading.Event,
+    ) -> None:
+        if not self._link.is_up():
+            stopping.wait(RETRY_PAUSE_MS / 1000)
+        future = self._link.call_async(messages.ReportAttempts(batch))
+        future.add_done_callback(functools.partial(self._replied, batch))
+
+    def _replied(
+        self,
+        batch: tuple[messages.AttemptReport, ...],
+        future: transport.CallFuture,
+    ) -> None:
+        match future.result():
+            case result.Success(messages.Done()):
+                with self._lock:
+                    self._unconfirmed_count -= len(batch)
+            case other:
+                _logger.info(
+                    'reports not confirmed',
+                    reports_count=len(batch),
+                    why=str(other),
+                )
+                for report in batch:
+                    self._queue.put(report)
