--- a/dandeliondrum/placement/__init__.py
+++ b/dandeliondrum/placement/__init__.py
@@ -1,12 +1,20 @@
 """Which task goes to which worker, when, and why."""
 
+from dandeliondrum.placement._admission import AdmissionPolicy
+from dandeliondrum.placement._admission import WaitEstimator
 from dandeliondrum.placement._baseline import FirstComeFirstFit
 from dandeliondrum.placement._choosers import BestFit
 from dandeliondrum.placement._choosers import Chooser
 from dandeliondrum.placement._choosers import Spread
 from dandeliondrum.placement._full import FullPolicy
+from dandeliondrum.placement._health import WorkerHealth
 from dandeliondrum.placement._planner import Planner
 from dandeliondrum.placement._policy import Policy
+from dandeliondrum.placement._retries import NoRetry
+from dandeliondrum.placement._retries import Retry
+from dandeliondrum.placement._retries import RetryBudget
+from dandeliondrum.placement._sizes import Estimate
+from dandeliondrum.placement._sizes import SizeLearner
 from dandeliondrum.placement._tasks import NeverFits
 from dandeliondrum.placement._tasks import PendingTask
 from dandeliondrum.placement._tasks import Placement
@@ -16,18 +24,26 @@
 from dandeliondrum.placement._tasks import TeamGrant
 
 __all__ = [
+    'AdmissionPolicy',
     'BestFit',
     'Chooser',
+    'Estimate',
     'FirstComeFirstFit',
     'FullPolicy',
     'NeverFits',
+    'NoRetry',
     'PendingTask',
     'Placement',
     'Plan',
     'Planner',
     'Policy',
     'Preemption',
+    'Retry',
+    'RetryBudget',
     'RunningTask',
+    'SizeLearner',
     'Spread',
     'TeamGrant',
+    'WaitEstimator',
+    'WorkerHealth',
 ]
--- /dev/null
+++ b/dandeliondrum/placement/tests/test_admission.py
@@ -0,0 +1,87 @@
+"""Tests of early refusal and of the retry budget."""
+
+import heapq
+import random
+
+from returns import result
+
+from dandeliondrum import messages
+from dandeliondrum import placement
+
+SERVERS_COUNT = 20
+RUN_MS = 200
+# What a size learner would tell of run times between 100 and 300 ms.
+LEARNED_RUN_MS = 250
+TIMEOUT_MS = 1_000
+
+
+def goodput(load, seconds, admission):
+    """Return tasks that ended in time, for each second, on a fake fleet."""
+    chance = random.Random(1)
+    estimator = placement.WaitEstimator()
+    policy = placement.AdmissionPolicy()
+    rate = load * SERVERS_COUNT * 1_000 / RUN_MS / 1_000
+    queue, ends, good, carry = [], [], 0, 0.0
+    for now_ms in range(seconds * 1_000):
+        carry += rate
+        while carry >= 1:
+            carry -= 1
+            wait_ms = estimator.estimated_wait_ms(len(queue))
+            verdict = policy.decide(
+                len(queue), wait_ms, TIMEOUT_MS - LEARNED_RUN_MS, 10_000
+            )
+            if not admission or isinstance(verdict, result.Success):
+                queue.append(now_ms)
+        while ends and ends[0][0] <= now_ms:
+            end_ms, submitted_ms = heapq.heappop(ends)
+            good += end_ms - submitted_ms <= TIMEOUT_MS
+        started_count = 0
+        while queue and len(ends) < SERVERS_COUNT:
+            run_ms = chance.randint(RUN_MS // 2, RUN_MS * 3 // 2)
+            heapq.heappush(ends, (now_ms + run_ms, queue.pop(0)))
+            started_count += 1
+        estimator.record(started_count, len(queue), now_ms)
+    return good / seconds
+
+
+def test_goodput_stays_near_its_peak_when_overloaded():
+    peak = max(goodput(load, 20, True) for load in (0.9, 1.0, 1.2))
+    assert goodput(4, 20, True) >= 0.9 * peak
+    assert goodput(4, 20, False) < 0.5 * peak
+
+
+def test_reasons_are_told_apart():
+    policy = placement.AdmissionPolicy()
+    reasons = messages.RefusalReason
+    assert policy.decide(0, 0, 100, 1) == result.Success(None)
+    assert policy.decide(1, 0, 100, 1).failure() is reasons.QUEUE_FULL
+    assert policy.decide(0, 0, 0, 1).failure() is reasons.DEADLINE_PASSED
+    unreachable = policy.decide(0, 91, 100, 1).failure()
+    assert unreachable is reasons.DEADLINE_UNREACHABLE
+
+
+def test_a_quiet_fleet_is_not_taken_for_a_slow_one():
+    estimator = placement.WaitEstimator()
+    for second in range(60):
+        estimator.record(1, 0, second * 1_000)
+    assert estimator.estimated_wait_ms(1_000) == 0
+    estimator.record(0, 50, 60_000)
+    estimator.record(50, 50, 61_000)
+    assert estimator.estimated_wait_ms(100) == 2_000
+
+
+def test_retries_are_a_part_of_starts_with_growing_delays():
+    budget = placement.RetryBudget(seed=2)
+    retries_count = 0
+    for _ in range(10_000):
+        budget.record_start('t')
+        verdict = budget.decide('t', 1, frozenset({'w1'}))
+        if isinstance(verdict, result.Success):
+            retries_count += 1
+            assert verdict.unwrap().excluded_workers == {'w1'}
+    assert 990 <= retries_count <= 1_010
+    other = [budget.decide('u', n, frozenset()).unwrap() for n in (1, 2, 3)]
+    delays = [retry.delay_ms for retry in other]
+    assert delays == sorted(delays) and 100 <= delays[0] <= 200
+    used_up = budget.decide('u', 4, frozenset()).failure()
+    assert used_up is placement.NoRetry.ATTEMPTS_USED_UP
