--- a/dandeliondrum/placement/tests/helpers.py
+++ b/dandeliondrum/placement/tests/helpers.py
@@ -1,5 +1,7 @@
 """Builders that the tests of this package share."""
 
+import heapq
+
 from dandeliondrum import messages
 from dandeliondrum import placement
 
@@ -72,3 +74,41 @@
     return {
         one.task_id: one.worker_id for group in plan.groups for one in group
     }
+
+
+class Loop:
+    """Runs what a planner places for as long as each task was said to."""
+
+    def __init__(self, planner):
+        self.planner = planner
+        self.ends = []
+        self.started_ms = {}
+        self.where = {}
+        self.groups = []
+        self.preempted = []
+        self.run_ms = {}
+
+    def add(self, *tasks):
+        for one in tasks:
+            self.planner.add(one)
+            self.run_ms[one.task_id] = one.expected_run_ms
+
+    def step(self, now_ms, placements_max=1_000):
+        while self.ends and self.ends[0][0] <= now_ms:
+            self.planner.ended(heapq.heappop(self.ends)[1])
+        plan = self.planner.plan(now_ms, placements_max)
+        for group in plan.groups:
+            self.groups.append(group)
+            for placement_ in group:
+                name = placement_.task_id
+                self.started_ms[name] = now_ms
+                self.where[name] = placement_.worker_id
+                end_ms = now_ms + self.run_ms[name]
+                heapq.heappush(self.ends, (end_ms, name))
+        for preemption in plan.preemptions:
+            self.preempted.append(preemption)
+        return plan
+
+    def run(self, start_ms, end_ms, step_ms=100):
+        for now_ms in range(start_ms, end_ms, step_ms):
+            self.step(now_ms)
--- /dev/null
+++ b/dandeliondrum/placement/tests/test_full.py
@@ -0,0 +1,248 @@
+"""Tests of order, preemption, spread, packing and regions."""
+
+import collections
+import random
+
+from dandeliondrum import messages
+from dandeliondrum import placement
+from dandeliondrum.placement.tests import helpers
+
+URGENT = messages.TaskClass.URGENT
+SERVICE = messages.TaskClass.SERVICE
+
+
+def fleet(count=24, **fields):
+    return [
+        helpers.facts(f'w{number:02}', rack=f'r{number // 8}', **fields)
+        for number in range(count)
+    ]
+
+
+def grants(**shares):
+    return {
+        helpers.team(name): placement.TeamGrant(share)
+        for name, share in shares.items()
+    }
+
+
+def test_full_fleet_is_divided_by_share():
+    chance = random.Random(2)
+    teams = grants(a=5, b=3, c=2)
+    loop = helpers.Loop(helpers.planner(None, fleet(), teams))
+    counts = collections.Counter()
+    for now_ms in range(0, 60_000, 100):
+        for name in teams:
+            if loop.planner.pending_count(name) < 100:
+                for number in range(20):
+                    loop.add(
+                        helpers.task(
+                            f'{name}{now_ms}.{number}',
+                            team_id=name,
+                            cpu=chance.choice([500, 1_000, 2_000]),
+                            expected_run_ms=chance.randint(1_000, 4_000),
+                            submitted_ms=now_ms,
+                        )
+                    )
+        loop.step(now_ms)
+        if now_ms > 10_000:
+            for name in teams:
+                counts[name] += loop.planner.running_count(name)
+    total = sum(counts.values())
+    for name, grant in teams.items():
+        assert abs(counts[name] / total - grant.share / 10) < 0.02
+
+
+def test_idle_share_is_lent_and_taken_back():
+    teams = grants(a=1, b=1)
+    loop = helpers.Loop(helpers.planner(None, fleet(), teams))
+    for number in range(300):
+        loop.add(
+            helpers.task(f'a{number}', team_id='a', expected_run_ms=3_600_000)
+        )
+    loop.step(0)
+    assert loop.planner.running_count('a') == 192
+    for number in range(300):
+        loop.add(helpers.task(f'b{number}', team_id='b', submitted_ms=1_000))
+        loop.run_ms[f'b{number}'] = 3_600_000
+    for now_ms in range(1_000, 120_000, 500):
+        plan = loop.step(now_ms)
+        for preemption in plan.preemptions:
+            assert preemption.task_id.startswith('a')
+            loop.planner.ended(preemption.task_id)
+    assert 70 <= loop.planner.running_count('b') <= 100
+    assert loop.planner.running_count('a') >= 90
+
+
+def test_urgent_goes_ahead_and_preempts_within_a_budget():
+    loop = helpers.Loop(helpers.planner(None, fleet()))
+    for number in range(300):
+        loop.add(helpers.task(f'b{number}', expected_run_ms=3_600_000))
+    loop.step(0)
+    for number in range(30):
+        loop.add(
+            helpers.task(f'u{number}', task_class=URGENT, submitted_ms=1_000)
+        )
+    plan = loop.step(1_000)
+    assert 4 <= len(plan.preemptions) <= 8
+    again = loop.step(1_000)
+    assert again.preemptions == ()
+    started = []
+    for now_ms in range(1_100, 12_000, 100):
+        for preemption in plan.preemptions:
+            loop.planner.ended(preemption.task_id)
+        plan = loop.step(now_ms)
+        started += [n for n in helpers.placed(plan) if n.startswith('u')]
+    assert len(started) == 30
+    assert len(loop.preempted) <= 30
+
+
+def test_batch_leaves_a_reserve_while_urgent_tasks_come():
+    loop = helpers.Loop(helpers.planner(None, fleet()))
+    loop.add(helpers.task('u', task_class=URGENT))
+    loop.step(0)
+    for number in range(300):
+        loop.add(helpers.task(f'b{number}', expected_run_ms=3_600_000))
+    loop.step(1_000)
+    free_count = 192 - loop.planner.running_count(helpers.team())
+    assert 3 <= free_count <= 5
+    loop.step(700_000)
+    assert loop.planner.running_count(helpers.team()) == 192
+
+
+def test_services_spread_over_domains_and_racks():
+    workers = [
+        helpers.facts(
+            f'w{domain}{rack}{number}',
+            domain=f'd{domain}',
+            rack=f'r{rack}',
+        )
+        for domain in range(3)
+        for rack in range(2)
+        for number in range(4)
+    ]
+    planner = helpers.planner(None, workers)
+    for number in range(6):
+        planner.add(helpers.task(f's{number}', task_class=SERVICE))
+    where = helpers.placed(planner.plan(0, 100))
+    racks = collections.Counter(name[:3] for name in where.values())
+    assert len(racks) == 6
+    assert set(racks.values()) == {1}
+    planner.ended(messages.TaskId('s2'))
+    planner.add(helpers.task('s6', task_class=SERVICE, submitted_ms=1))
+    (again,) = helpers.placed(planner.plan(1, 100)).values()
+    assert again[:3] == where['s2'][:3]
+
+
+def test_packing_keeps_whole_workers_for_large_tasks():
+    loop = helpers.Loop(helpers.planner(None, fleet()))
+    for number in range(96):
+        loop.add(helpers.task(f't{number}', cpu=2_000, memory=4_000))
+    loop.step(0)
+    assert len(set(loop.where.values())) == 12
+    for number in range(12):
+        loop.add(helpers.task(f'large{number}', cpu=16_000, submitted_ms=1))
+    assert len(loop.step(1).groups) == 12
+
+
+def test_accelerators_are_kept_for_those_that_need_them():
+    workers = fleet(2) + [helpers.facts('acc', accelerators=2)]
+    planner = helpers.planner(None, workers)
+    for number in range(16):
+        planner.add(helpers.task(f't{number}'))
+    planner.add(helpers.task('acc', accelerators=2, submitted_ms=1))
+    where = helpers.placed(planner.plan(1, 100))
+    assert where.pop('acc') == 'acc'
+    assert 'acc' not in where.values()
+
+
+def test_region_is_kept_until_the_wait_is_worth_crossing():
+    workers = [
+        helpers.facts('near', slots=1),
+        helpers.facts('far', region='andaman', domain='phuket'),
+    ]
+    planner = helpers.planner(None, workers)
+    for number in range(2):
+        planner.add(
+            helpers.task(
+                f't{number}', region='gulf', expected_run_ms=3_600_000
+            )
+        )
+    assert helpers.placed(planner.plan(0, 10)) == {'t0': 'near'}
+    assert planner.plan(9_999, 10).groups == ()
+    assert 'region gulf' in planner.explain(messages.TaskId('t1'))
+    assert helpers.placed(planner.plan(10_000, 10)) == {'t1': 'far'}
+    assert 'crossing' in planner.explain(messages.TaskId('t1'))
+
+
+def test_nothing_starves_under_endless_smaller_and_urgent_work():
+    teams = grants(a=100, b=1, c=0)
+    loop = helpers.Loop(helpers.planner(None, fleet(4), teams))
+    chance = random.Random(7)
+    loop.add(helpers.task('large', team_id='b', cpu=15_000))
+    loop.add(helpers.task('poor', team_id='c'))
+    loop.add(*helpers.gang('g', 6, team_id='b', cpu=4_000))
+    for now_ms in range(0, 300_000, 100):
+        for name in ('a', 'b'):
+            for task_class in (URGENT, messages.TaskClass.BATCH):
+                if loop.planner.pending_count(name) > 200:
+                    continue
+                loop.add(
+                    helpers.task(
+                        f'{name}{task_class.value}{now_ms}',
+                        team_id=name,
+                        task_class=task_class,
+                        cpu=chance.choice([1_000, 2_000, 3_000]),
+                        submitted_ms=now_ms,
+                        expected_run_ms=chance.randint(1_000, 9_000),
+                    )
+                )
+        plan = loop.step(now_ms)
+        assert len(plan.preemptions) <= 8
+    for name in ('large', 'poor', 'g.0'):
+        assert loop.started_ms[name] < 200_000, name
+
+
+def test_class_has_the_chooser_it_was_given():
+    class Last(placement.BestFit):
+        def choose(self, index, task, need, region):
+            return messages.WorkerId('w23')
+
+    policy = placement.FullPolicy(choosers={URGENT: Last()})
+    planner = helpers.planner(policy, fleet())
+    planner.add(helpers.task('b'))
+    planner.add(helpers.task('u', task_class=URGENT))
+    where = helpers.placed(planner.plan(0, 10))
+    assert where['u'] == 'w23'
+    assert where['b'] != 'w23'
+
+
+def test_team_at_its_limit_is_passed_over_and_comes_back():
+    teams = {
+        'a': placement.TeamGrant(9, running_max=2),
+        'b': placement.TeamGrant(1),
+    }
+    planner = helpers.planner(None, fleet(1), teams)
+    for number in range(4):
+        planner.add(helpers.task(f'a{number}', team_id='a'))
+    planner.add(helpers.task('b', team_id='b'))
+    where = helpers.placed(planner.plan(0, 10))
+    assert set(where) == {'a0', 'a1', 'b'}
+    assert 'upper limit' in planner.explain(messages.TaskId('a2'))
+    planner.ended(messages.TaskId('a0'))
+    assert set(helpers.placed(planner.plan(1, 10))) == {'a2'}
+    planner.set_teams({**teams, 'a': placement.TeamGrant(9)})
+    assert set(helpers.placed(planner.plan(2, 10))) == {'a3'}
+
+
+def test_explain_names_share_and_fit():
+    planner = helpers.planner(None, fleet(1, slots=1))
+    planner.add(helpers.task('t'))
+    planner.add(helpers.task('u'))
+    planner.plan(0, 10)
+    why = planner.explain(messages.TaskId('u'))
+    assert 'no worker has room' in why
+    assert '100.0%' in why
+    assert 'tightest fit' in planner.explain(messages.TaskId('t'))
+    assert planner.explain(messages.TaskId('x')) == (
+        'neither pending nor running'
+    )
