Add the command line: daemons, rules, keys, fleet, submit

Functions of the command line only describe what is to be done; it is done once all words were understood, because the library notices left-over words after the call: a mistyped flag after 'drain w1' must not drain w1.

--- /dev/null
+++ b/dandeliondrum/command/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line by ``python -m dandeliondrum.command``."""
+
+from dandeliondrum import command
+
+if __name__ == '__main__':
+    command.main()
--- /dev/null
+++ b/dandeliondrum/command/_fleet_views.py
@@ -0,0 +1,153 @@
+"""The fleet as tables and as JSON."""
+
+import collections
+import typing
+
+from dandeliondrum.command import _tables
+from dandeliondrum import messages
+
+MILLICORES_PER_CORE = 1_000
+MB_PER_GB = 1_024
+
+
+def summary(fleet: messages.FleetShown) -> str:
+    """Return who leads, and tables of the system's parts and the teams."""
+    states = collections.Counter(view.state.value for view in fleet.workers)
+    counted = ', '.join(
+        f'{count} {state}' for state, count in sorted(states.items())
+    )
+    parts = [
+        f'leader {fleet.leader_id}, term {fleet.term}',
+        f'workers: {counted or "none"}',
+        _controllers(fleet),
+        _gateways(fleet),
+        _teams(fleet),
+    ]
+    return '\n\n'.join(parts)
+
+
+def workers(fleet: messages.FleetShown) -> str:
+    """Return a table of the workers, the fullest first."""
+    rows = []
+    for view in sorted(fleet.workers, key=_use, reverse=True):
+        has = view.facts.resources
+        rows.append(
+            (
+                view.facts.worker_id,
+                view.state.value,
+                view.facts.failure_domain,
+                view.facts.rack,
+                f'{view.running_count}/{view.facts.slots_count}',
+                _cores(view.reserved.cpu_millicores, has.cpu_millicores),
+                _gigabytes(view.reserved.memory_mb, has.memory_mb),
+                view.silent_ms,
+            )
+        )
+    head = (
+        'worker',
+        'state',
+        'domain',
+        'rack',
+        'slots',
+        'cores',
+        'memory_gb',
+        'silent_ms',
+    )
+    return _tables.render(head, rows)
+
+
+def as_data(fleet: messages.FleetShown) -> dict[str, typing.Any]:
+    """Return the fleet for ``--json``."""
+    return {
+        'leader_id': fleet.leader_id,
+        'term': fleet.term,
+        'controllers': [
+            {
+                'controller_id': view.controller_id,
+                'address': view.address,
+                'role': view.role,
+                'last_index': view.last_index,
+            }
+            for view in fleet.controllers
+        ],
+        'gateways': dict(fleet.gateways),
+        'teams': [
+            {
+                'team_id': view.team_id,
+                'running_count': view.running_count,
+                'queued_count': view.queued_count,
+                'reserved': _resources(view.reserved),
+            }
+            for view in fleet.teams
+        ],
+        'workers': [_worker(view) for view in fleet.workers],
+    }
+
+
+def _worker(view: messages.WorkerView) -> dict[str, typing.Any]:
+    return {
+        'worker_id': view.facts.worker_id,
+        'address': view.facts.address,
+        'state': view.state.value,
+        'region': view.facts.region,
+        'failure_domain': view.facts.failure_domain,
+        'rack': view.facts.rack,
+        'slots_count': view.facts.slots_count,
+        'resources': _resources(view.facts.resources),
+        'running_count': view.running_count,
+        'reserved': _resources(view.reserved),
+        'silent_ms': view.silent_ms,
+    }
+
+
+def _resources(amounts: messages.Resources) -> dict[str, int]:
+    return {
+        'cpu_millicores': amounts.cpu_millicores,
+        'memory_mb': amounts.memory_mb,
+        'accelerators_count': amounts.accelerators_count,
+    }
+
+
+def _controllers(fleet: messages.FleetShown) -> str:
+    rows = [
+        (view.controller_id, view.role, view.address, view.last_index)
+        for view in fleet.controllers
+    ]
+    return _tables.render(('controller', 'role', 'address', 'index'), rows)
+
+
+def _gateways(fleet: messages.FleetShown) -> str:
+    return _tables.render(('gateway', 'rules_version'), fleet.gateways)
+
+
+def _teams(fleet: messages.FleetShown) -> str:
+    rows = [
+        (
+            view.team_id,
+            view.running_count,
+            view.queued_count,
+            f'{view.reserved.cpu_millicores / MILLICORES_PER_CORE:.1f}',
+            f'{view.reserved.memory_mb / MB_PER_GB:.1f}',
+        )
+        for view in fleet.teams
+    ]
+    head = ('team', 'running', 'queued', 'cores', 'memory_gb')
+    return _tables.render(head, rows)
+
+
+def _use(view: messages.WorkerView) -> float:
+    has = view.facts.resources
+    return max(
+        view.reserved.cpu_millicores / max(has.cpu_millicores, 1),
+        view.reserved.memory_mb / max(has.memory_mb, 1),
+    )
+
+
+def _cores(reserved: int, has: int) -> str:
+    return (
+        f'{reserved / MILLICORES_PER_CORE:.1f}/{has / MILLICORES_PER_CORE:.1f}'
+    )
+
+
+def _gigabytes(reserved: int, has: int) -> str:
+    return f'{reserved / MB_PER_GB:.1f}/{has / MB_PER_GB:.1f}'
--- /dev/null
+++ b/dandeliondrum/command/_http.py
@@ -0,0 +1,104 @@
+"""One HTTP call, with what is known when no answer came."""
+
+import collections.abc
+import dataclasses
+import enum
+import io
+
+import pycurl
+from returns import result
+
+CONNECT_TIMEOUT_MS = 2_000
+
+# Failures after which the other end cannot have seen the call.
+_NOT_SENT_ERRORS = frozenset(
+    {
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_CONNECT,
+    }
+)
+
+
+class Failure(enum.Enum):
+    """What is known about a call without an answer."""
+
+    NOT_SENT = 'not_sent'
+    NO_ANSWER = 'no_answer'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Error:
+    """A call without a whole answer."""
+
+    failure: Failure
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A call; ``timeout_ms`` bounds it from end to end."""
+
+    method: str
+    url: str
+    headers: collections.abc.Mapping[str, str]
+    body: bytes = b''
+    timeout_ms: int = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; names of headers are in lower case."""
+
+    status: int
+    headers: collections.abc.Mapping[str, str]
+    body: bytes
+
+
+def call(request: Request) -> result.Result[Answer, Error]:
+    """Make the call once."""
+    curl = pycurl.Curl()
+    body = io.BytesIO()
+    headers: dict[str, str] = {}
+    try:
+        _prepare(curl, request)
+        curl.setopt(pycurl.WRITEDATA, body)
+        curl.setopt(
+            pycurl.HEADERFUNCTION, lambda line: _take_header(headers, line)
+        )
+        curl.perform()
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+    except pycurl.error as error:
+        return result.Failure(_error(curl, *error.args))
+    finally:
+        curl.close()
+    return result.Success(Answer(status, headers, body.getvalue()))
+
+
+def _prepare(curl: pycurl.Curl, request: Request) -> None:
+    curl.setopt(pycurl.URL, request.url)
+    curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.PROXY, '')
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    curl.setopt(pycurl.TIMEOUT_MS, request.timeout_ms)
+    lines = [f'{name}: {value}' for name, value in request.headers.items()]
+    curl.setopt(pycurl.HTTPHEADER, [*lines, 'Expect:'])
+    if request.method in ('POST', 'PUT'):
+        curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(request.body))
+        curl.setopt(pycurl.COPYPOSTFIELDS, request.body)
+
+
+def _take_header(headers: dict[str, str], line: bytes) -> None:
+    name, separator, value = line.decode('latin-1').partition(':')
+    if separator:
+        headers[name.strip().lower()] = value.strip()
+
+
+def _error(curl: pycurl.Curl, code: int, detail: str) -> Error:
+    never_connected = curl.getinfo(pycurl.CONNECT_TIME) == 0
+    if code in _NOT_SENT_ERRORS or (
+        code == pycurl.E_OPERATION_TIMEDOUT and never_connected
+    ):
+        return Error(Failure.NOT_SENT, detail)
+    return Error(Failure.NO_ANSWER, detail)
--- /dev/null
+++ b/dandeliondrum/command/_report.py
@@ -0,0 +1,72 @@
+"""What a command comes to: an exit code and what is printed."""
+
+import collections.abc
+import dataclasses
+import enum
+import json
+import sys
+import typing
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the command line."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    IN_DOUBT = 3
+    UNREACHABLE = 4
+    BROKEN = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """The end of a command.
+
+    ``text`` goes to standard output, ``note`` to standard error. With
+    ``--json`` the output is ``data`` in place of ``text``.
+    """
+
+    code: ExitCode
+    text: str = ''
+    note: str = ''
+    data: typing.Any = None
+
+
+Action = collections.abc.Callable[[], Report]
+
+
+class Command:
+    """A command that was parsed and has not run yet.
+
+    The command line is taken apart piece by piece, and what is left over is
+    only noticed after a function was called. The functions of the command
+    line therefore return one of these, which :func:`execute` runs once
+    nothing is left. It has no public members, as words that are left over
+    are looked up among them.
+    """
+
+    def __init__(self, action: Action, as_json: bool = False) -> None:
+        self._action = action
+        self._as_json = as_json
+
+
+def execute(command: Command) -> ExitCode:
+    """Run a command and print what it came to."""
+    try:
+        report = command._action()
+    except OSError as error:
+        report = Report(ExitCode.REFUSED, note=str(error))
+    write(report, command._as_json)
+    return report.code
+
+
+def write(report: Report, as_json: bool) -> None:
+    """Print a report."""
+    if report.note:
+        print(report.note, file=sys.stderr)
+    if as_json:
+        print(json.dumps(report.data, sort_keys=True))
+    elif report.text:
+        print(report.text)
+    sys.stdout.flush()
--- a/dandeliondrum/settings/_kinds.py
+++ b/dandeliondrum/settings/_kinds.py
@@ -17,6 +17,16 @@
 _LOG_LEVEL = _declare.parameter(
     _declare.Choice(LOG_LEVELS), 'Least level of log lines.', 'info'
 )
+_TRACES = _declare.parameter(
+    _declare.Whole('traces', 0, 1_000),
+    'Of a thousand traces that begin here, how many are written to the log.',
+    10,
+)
+_DRAIN_MAX = _declare.parameter(
+    _declare.Whole('ms', 0, 3_600_000),
+    'How long a planned stop waits for what is under way.',
+    30_000,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +108,7 @@
         600_000,
     )
     log_level: str = _LOG_LEVEL
+    traces_per_thousand: int = _TRACES
 
     def clashes(self) -> Clashes:
         """Return fields that do not go together."""
@@ -160,7 +171,7 @@
     workers_threads_count: int = _declare.parameter(
         _declare.Whole('threads', 1, 500),
         'Calls of workers that are served at once.',
-        16,
+        32,
     )
     gateways_max: int = _declare.parameter(
         _declare.Whole('gateways', 1, 1_000),
@@ -173,11 +184,18 @@
         'Longest body of a request.',
         64 * 1024 * 1024,
     )
-    drain_ms: int = _declare.parameter(
-        _declare.Whole('ms', 0, 3_600_000),
-        'How long a planned stop waits for open calls.',
-        30_000,
+    arrival_ms: int = _declare.parameter(
+        _declare.Whole('ms', 100, 600_000),
+        'Time within which a whole request has to arrive.',
+        10_000,
     )
+    drain_notice_ms: int = _declare.parameter(
+        _declare.Whole('ms', 0, 600_000),
+        'How long a planned stop tells the balancer that it is not ready '
+        'before it closes its ports.',
+        1_000,
+    )
+    drain_max_ms: int = _DRAIN_MAX
     operator_key_digest: str = _declare.parameter(
         _declare.Digest(),
         'SHA-256 of the key that operators show; needed unless '
@@ -185,6 +203,7 @@
         '',
     )
     log_level: str = _LOG_LEVEL
+    traces_per_thousand: int = _TRACES
 
     def clashes(self) -> Clashes:
         """Return fields that do not go together."""
@@ -211,9 +230,6 @@
     address: str = _declare.parameter(
         _ADDRESS, 'Listens here for calls of gateways.'
     )
-    advertised_address: str = _declare.parameter(
-        _ADDRESS, 'Where gateways reach this worker.'
-    )
     region: messages.Region = _declare.parameter(
         _NAME, 'Region in which the VM stands.'
     )
@@ -230,6 +246,11 @@
     memory_mb: int = _declare.parameter(
         _declare.Whole('MB', 1, 100_000_000), 'Memory for tasks.'
     )
+    advertised_address: str = _declare.parameter(
+        _ADDRESS,
+        'Where gateways reach this worker, when that is not its address.',
+        '',
+    )
     accelerators_count: int = _declare.parameter(
         _declare.Whole('accelerators', 0, 1_000),
         'Accelerators for tasks.',
@@ -249,6 +270,7 @@
     heartbeat_ms: int = _declare.parameter(
         _declare.Whole('ms', 50, 60_000), 'Time between heartbeats.', 500
     )
+    drain_max_ms: int = _DRAIN_MAX
     journal_path: str = _declare.parameter(
         _declare.Path(),
         'File to which each start and end is written, for tests.',
@@ -258,6 +280,7 @@
         _declare.Flag(), 'Fails each task that it starts, for tests.', False
     )
     log_level: str = _LOG_LEVEL
+    traces_per_thousand: int = _TRACES
 
     def clashes(self) -> Clashes:
         """Return fields that do not go together."""
