--- a/dandeliondrum/testing/_fake_gateway.py
+++ b/dandeliondrum/testing/_fake_gateway.py
@@ -57,6 +57,7 @@
             request_queue_size=128,
             shutdown_timeout=1,
         )
+        self._server.expiration_interval = POLL_S
         self._thread = threading.Thread(
             target=self._server.serve, name='fake-gateway'
         )
--- a/dandeliondrum/testing/_worker_client.py
+++ b/dandeliondrum/testing/_worker_client.py
@@ -102,6 +102,7 @@
         curl = pycurl.Curl()
         try:
             curl.setopt(pycurl.URL, self._base + path)
+            curl.setopt(pycurl.PROXY, '')
             curl.setopt(pycurl.NOSIGNAL, 1)
             curl.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
             curl.setopt(pycurl.FORBID_REUSE, 1)
--- a/dandeliondrum/worker/_attempts.py
+++ b/dandeliondrum/worker/_attempts.py
@@ -57,6 +57,7 @@
             refused = self._refusal(call)
             self._fence.note(call.task_id, call.token)
             if refused is not None:
+                self._fence.remember_refused(call.attempt_id)
                 self._record_refusal(call, refused)
                 return refused
             attempt = _attempt.Attempt(call)
--- a/dandeliondrum/worker/_fence.py
+++ b/dandeliondrum/worker/_fence.py
@@ -13,7 +13,7 @@
 
 TASKS_MAX = 100_000
 TOMBSTONES_MAX = 100_000
-STARTED_MAX = 100_000
+IDS_MAX = 100_000
 
 
 class Fence:
@@ -31,9 +31,8 @@
             collections.OrderedDict()
         )
         self._tombstones: set[messages.AttemptId] = set()
-        self._started: collections.OrderedDict[messages.AttemptId, None] = (
-            collections.OrderedDict()
-        )
+        self._refused = _RecentIds()
+        self._started = _RecentIds()
 
     def bars(
         self,
@@ -42,7 +41,7 @@
         token: messages.FencingToken,
     ) -> bool:
         """Tell whether this start, not seen before, may not happen."""
-        if attempt_id in self._tombstones:
+        if attempt_id in self._tombstones or attempt_id in self._refused:
             return True
         return token <= self._tokens.get(task_id, self._floor)
 
@@ -58,9 +57,11 @@
 
     def remember_started(self, attempt_id: messages.AttemptId) -> None:
         """Keep in mind that this attempt was started here."""
-        self._started[attempt_id] = None
-        if len(self._started) > STARTED_MAX:
-            self._started.popitem(last=False)
+        self._started.add(attempt_id)
+
+    def remember_refused(self, attempt_id: messages.AttemptId) -> None:
+        """Let this attempt never start, whatever token it comes with."""
+        self._refused.add(attempt_id)
 
     def was_started(self, attempt_id: messages.AttemptId) -> bool:
         """Tell whether this attempt was started here, as far as known."""
@@ -74,3 +75,20 @@
     def overflowed(self) -> bool:
         """Whether there are more tombstones than may be kept."""
         return len(self._tombstones) > self._tombstones_max
+
+
+class _RecentIds:
+    """The attempt ids that were added last."""
+
+    def __init__(self) -> None:
+        self._ids: collections.OrderedDict[messages.AttemptId, None] = (
+            collections.OrderedDict()
+        )
+
+    def __contains__(self, attempt_id: messages.AttemptId) -> bool:
+        return attempt_id in self._ids
+
+    def add(self, attempt_id: messages.AttemptId) -> None:
+        self._ids[attempt_id] = None
+        if len(self._ids) > IDS_MAX:
+            self._ids.popitem(last=False)
--- a/dandeliondrum/worker/_gateways.py
+++ b/dandeliondrum/worker/_gateways.py
@@ -55,6 +55,7 @@
         self._curl = curl
         reply = io.BytesIO()
         curl.setopt(pycurl.URL, url)
+        curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
--- a/dandeliondrum/worker/_heartbeats.py
+++ b/dandeliondrum/worker/_heartbeats.py
@@ -22,6 +22,7 @@
 
 COALESCE_MS = 20
 FAILURE_PAUSE_MS = 50
+MOST_DOUBLINGS = 3
 
 _logger = structlog.get_logger()
 
@@ -53,15 +54,24 @@
 
     def run(self, stopping: threading.Event) -> None:
         """Announce, then send heartbeats, until told to stop."""
+        failures_count = 0
         while not stopping.is_set():
             if self._attempts.overflowed:
                 self._begin_again('too many tombstones')
             succeeded = self._beat() if self._announced else self._announce()
             if not succeeded:
-                stopping.wait(FAILURE_PAUSE_MS / 1000)
-            elif self._due.wait():
-                stopping.wait(COALESCE_MS / 1000)
-                self._due.clear()
+                failures_count += 1
+                stopping.wait(self._pause_ms(failures_count) / 1000)
+                continue
+            failures_count = 0
+            self._due.wait()
+            stopping.wait(COALESCE_MS / 1000)
+            self._due.clear()
+
+    def _pause_ms(self, failures_count: int) -> int:
+        rounds_count = failures_count // len(self._gateways)
+        doublings_count = min(rounds_count, MOST_DOUBLINGS)
+        return FAILURE_PAUSE_MS << doublings_count
 
     def _announce(self) -> bool:
         facts = _reports.with_incarnation(
--- a/dandeliondrum/worker/_server.py
+++ b/dandeliondrum/worker/_server.py
@@ -23,6 +23,7 @@
 BODY_MAX_BYTES = 128 * 1024 * 1024
 HEADERS_MAX_BYTES = 64 * 1024
 SHUTDOWN_TIMEOUT_S = 2
+SELECT_TIMEOUT_S = 0.1
 SPARE_THREADS = 8
 
 _STOP_WAIT_S = 1.0
@@ -45,6 +46,7 @@
             request_queue_size=128,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
+        self._server.expiration_interval = SELECT_TIMEOUT_S
         self._server.keep_alive_conn_limit = options.connections_count
         self._server.max_request_body_size = BODY_MAX_BYTES
         self._server.max_request_header_size = HEADERS_MAX_BYTES
--- /dev/null
+++ b/dandeliondrum/worker/tests/test_fencing.py
@@ -0,0 +1,145 @@
+"""What was refused or stopped never starts, whatever comes late."""
+
+import pytest
+
+from dandeliondrum import messages
+from dandeliondrum import worker
+from dandeliondrum.worker import _fence
+from dandeliondrum.worker.tests import _rig
+
+Kind = worker.EventKind
+State = messages.AttemptState
+
+
+@pytest.fixture
+def rig():
+    with _rig.running() as running:
+        yield running
+
+
+def assert_never_starts(rig, attempt_id, **fields):
+    reply = rig.start(attempt_id, **fields)
+    assert (reply.status, reply.refused) == (409, 'fenced')
+    assert attempt_id not in {
+        each.attempt_id for each in rig.events(Kind.START)
+    }
+
+
+def test_a_start_for_another_incarnation_is_refused_for_good(rig):
+    reply = rig.start('team/a#1', incarnation='older', token=5)
+    assert (reply.status, reply.refused) == (409, 'incarnation')
+    assert_never_starts(rig, 'team/a#1', token=5)
+
+
+def test_an_attempt_that_was_stopped_before_it_came_never_starts(rig):
+    assert rig.client.stop('team/a#1').state == 'never_started'
+    assert_never_starts(rig, 'team/a#1')
+
+
+def test_the_leader_hears_that_a_stopped_attempt_never_started(rig):
+    rig.gateway.tell(stop=('team/a#1',))
+    beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
+    assert beat.fenced == ('team/a#1',)
+    assert [(each.attempt_id, each.state) for each in beat.ended] == [
+        ('team/a#1', State.NEVER_STARTED)
+    ]
+    assert_never_starts(rig, 'team/a#1')
+    rig.gateway.tell(acknowledged=('team/a#1',))
+    assert rig.gateway.wait_for_beat(
+        lambda each: not each.fenced and not each.ended,
+        5_000,
+        after_ms=worker.now_ms(),
+    )
+    assert_never_starts(rig, 'team/a#1')
+
+
+def test_a_running_attempt_is_fenced_only_once_it_has_stopped(rig):
+    rig.start('team/a#1', body={'hang': True})
+    rig.gateway.tell(stop=('team/a#1',))
+    beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
+    assert beat.running == ()
+    assert [each.state for each in beat.ended] == [State.STOPPED]
+    assert rig.events(Kind.END)[0].reason == 'told'
+    assert rig.start('team/a#1').state == 'stopped'
+
+
+def test_a_lower_token_of_the_same_task_is_refused(rig):
+    rig.start('team/a#2', token=20, wait_ms=5_000)
+    reply = rig.start('team/a#1', token=10)
+    assert (reply.status, reply.refused) == (409, 'fenced')
+    assert rig.start('team/b#1', token=10, wait_ms=5_000).status == 200
+    assert rig.start('team/a#3', token=30, wait_ms=5_000).status == 200
+
+
+@pytest.mark.parametrize('wanted', ['slots', 'memory'])
+def test_more_than_the_worker_has_is_refused_and_recorded(rig, wanted):
+    big = messages.Resources(1_000, 20_000)
+    small = messages.Resources(1_000, 1_000)
+    if wanted == 'slots':
+        rig.start('team/x#1', body={'hang': True}, resources=small)
+    rig.start('team/y#1', body={'hang': True}, resources=big)
+    reply = rig.start('team/a#1', resources=big)
+    assert (reply.status, reply.refused) == (409, 'full')
+    assert rig.events(Kind.OVERLOAD)[0].attempt_id == 'team/a#1'
+    rig.client.stop('team/x#1')
+    rig.client.stop('team/y#1')
+    assert_never_starts(rig, 'team/a#1', token=3)
+
+
+def test_a_leaving_worker_refuses_and_finishes_what_runs(rig):
+    rig.start('team/a#1', body={'run_ms': 300, 'echo': 'done'})
+    rig.worker.leave()
+    reply = rig.start('team/b#1')
+    assert (reply.status, reply.refused) == (409, 'leaving')
+    assert rig.client.fetch('team/a#1', 5_000).state == 'finished'
+    assert rig.gateway.left == ('w1',)
+    assert rig.gateway.wait_for_beat(lambda each: each.leaving, 5_000)
+    rig.wait_for_event(Kind.LEAVING_TOLD)
+    rig.gateway.tell(acknowledged=('team/a#1',))
+    assert rig.worker.wait_idle(5_000)
+
+
+def test_an_attempt_that_ran_and_is_forgotten_is_not_vouched_for(rig):
+    rig.start('team/a#1', token=5, wait_ms=5_000)
+    rig.client.drop('team/a#1')
+    rig.gateway.tell(acknowledged=('team/a#1',))
+    assert rig.gateway.wait_for_beat(
+        lambda each: not each.ended, 5_000, after_ms=worker.now_ms()
+    )
+    reply = rig.start('team/a#1', token=5)
+    assert (reply.status, reply.refused) == (410, 'gone')
+    rig.gateway.tell(stop=('team/a#1',))
+    beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
+    assert beat.ended == ()
+    assert len(rig.events(Kind.START)) == 1
+
+
+def test_announcing_again_drops_everything_and_takes_a_new_incarnation(rig):
+    before = rig.worker.incarnation
+    rig.start('team/a#1', body={'hang': True})
+    rig.start('team/b#1', wait_ms=5_000)
+    rig.gateway.tell(announce_again=True)
+    rig.wait_for_event(Kind.END, count=2)
+    rig.gateway.tell()
+    facts = rig.gateway.wait_for_announcement(5_000, count=2)
+    assert facts.incarnation == rig.worker.incarnation != before
+    late = rig.start('team/c#1', incarnation=before)
+    assert (late.status, late.refused) == (409, 'incarnation')
+    assert rig.client.fetch('team/b#1').status == 404
+
+
+def test_tokens_that_give_way_to_new_ones_leave_a_floor():
+    fence = _fence.Fence(tasks_max=2)
+    for token, task_id in enumerate('abc', start=1):
+        fence.note(messages.TaskId(task_id), messages.FencingToken(token))
+    assert fence.bars('a#1', 'a', 1)
+    assert fence.bars('new#1', 'new', 1)
+    assert not fence.bars('new#1', 'new', 2)
+
+
+def test_too_many_tombstones_are_an_overflow():
+    fence = _fence.Fence(tombstones_max=1)
+    fence.bury('a#1')
+    assert not fence.overflowed
+    fence.bury('b#1')
+    assert fence.overflowed
--- /dev/null
+++ b/dandeliondrum/worker/tests/test_heartbeats.py
@@ -0,0 +1,93 @@
+"""The worker keeps in touch through whichever gateway answers."""
+
+import contextlib
+import socket
+
+from dandeliondrum import testing
+from dandeliondrum import worker
+from dandeliondrum.worker.tests import _rig
+
+Kind = worker.EventKind
+
+
+def test_heartbeats_go_to_the_next_gateway_when_one_fails():
+    with contextlib.ExitStack() as stack:
+        first = stack.enter_context(testing.FakeGateway())
+        second = stack.enter_context(testing.FakeGateway())
+        subject = worker.Worker(_rig.options(first.url, second.url))
+        subject.start().unwrap()
+        stack.callback(subject.close)
+        assert first.wait_for_beat(lambda _: True, 5_000)
+        assert second.beats == ()
+        first.answering = False
+        assert second.wait_for_beat(lambda _: True, 5_000)
+
+
+def test_a_gateway_that_never_answers_costs_one_call():
+    with contextlib.ExitStack() as stack:
+        mute = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        live = stack.enter_context(testing.FakeGateway())
+        host, port = mute.getsockname()
+        subject = worker.Worker(
+            _rig.options(f'http://{host}:{port}', live.url)
+        )
+        subject.start().unwrap()
+        stack.callback(subject.close)
+        assert live.wait_for_announcement(_rig.PATIENCE_MS)
+
+
+def test_the_end_of_a_durable_attempt_is_reported_at_once():
+    with _rig.running(heartbeat_ms=60_000) as rig:
+        rig.start('team/a#1', body={'run_ms': 50, 'echo': 'x'}, durable=True)
+        assert rig.gateway.wait_for_beat(lambda each: each.ended, 5_000)
+
+
+def test_large_answers_stay_on_the_worker():
+    with _rig.running() as rig:
+        for number, length_bytes in enumerate((65_536, 65_537)):
+            rig.start(
+                f'team/r{number}#1',
+                body={'answer_bytes': length_bytes},
+                durable=True,
+            )
+        beat = rig.gateway.wait_for_beat(
+            lambda each: len(each.ended) == 2, 5_000
+        )
+        bodies = {each.attempt_id: each.answer.body for each in beat.ended}
+        assert bodies['team/r0#1'] == worker.seeded_bytes('', 65_536)
+        assert bodies['team/r1#1'] is None
+
+
+def test_running_attempts_report_what_they_use():
+    with _rig.running() as rig:
+        rig.start('team/a#1', body={'hang': True, 'use_memory_mb': 4_000})
+        beat = rig.gateway.wait_for_beat(
+            lambda each: each.running and each.running[0].used.memory_mb > 1e3,
+            5_000,
+        )
+        assert beat.running[0].attempt_id == 'team/a#1'
+        assert beat.running[0].used.memory_mb == 4_000
+        rig.gateway.tell(checkpoint=('team/a#1',))
+        rig.wait_for_event(Kind.CHECKPOINT)
+
+
+def test_a_throttled_attempt_takes_longer_until_it_is_let_go():
+    with _rig.running(heartbeat_ms=20) as rig:
+        rig.gateway.tell(throttle=('team/a#1',))
+        rig.start('team/a#1', body={'run_ms': 400}, wait_ms=9_000)
+        end = rig.wait_for_event(Kind.END)
+        assert end.at_ms - rig.events(Kind.START)[0].at_ms > 550
+
+
+def test_a_worker_without_gateways_does_not_start():
+    error = worker.Worker(_rig.options()).start().failure()
+    assert 'gateways' in error.reason
+
+
+def test_an_address_in_use_is_reported():
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        host, port = taken.getsockname()
+        subject = worker.Worker(
+            _rig.options('http://127.0.0.1:1', address=f'{host}:{port}')
+        )
+        assert subject.start().failure().reason
--- /dev/null
+++ b/dandeliondrum/worker/tests/test_leases.py
@@ -0,0 +1,92 @@
+"""What is not renewed is stopped, by the clock of the sent heartbeat."""
+
+import itertools
+
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import worker
+from dandeliondrum.worker.tests import _rig
+
+Kind = worker.EventKind
+State = messages.AttemptState
+
+
+def test_renewed_leases_let_an_attempt_run_longer_than_one_lease():
+    with _rig.running() as rig:
+        reply = rig.start(body={'run_ms': 1_500}, lease_ms=700, wait_ms=9_000)
+        assert reply.state == 'finished'
+
+
+def test_a_lease_that_nobody_renews_stops_the_attempt():
+    with _rig.running() as rig:
+        rig.gateway.answering = False
+        reply = rig.start(body={'hang': True}, lease_ms=300, wait_ms=9_000)
+        assert (reply.status, reply.state) == (200, 'stopped')
+        end = rig.wait_for_event(Kind.END)
+        assert (end.state, end.reason) == (State.STOPPED, 'lease')
+        (start,) = rig.events(Kind.START)
+        assert end.expired_ms <= end.at_ms
+        assert end.expired_ms - start.at_ms <= 300
+
+
+def test_late_answers_renew_nothing():
+    # Each answer takes 700 ms, so the next one is there 1,400 ms after the
+    # heartbeat that this one renews from; a lease of 900 ms must run out.
+    with _rig.running() as rig:
+        rig.gateway.answer_delay_ms = 700
+        sent_before = len(rig.gateway.beats)
+        assert testing.wait_for(
+            lambda: len(rig.gateway.beats) >= sent_before + 2,
+            _rig.PATIENCE_MS,
+        )
+        reply = rig.start(body={'run_ms': 4_000}, lease_ms=900, wait_ms=9_000)
+        assert reply.state == 'stopped'
+        assert rig.wait_for_event(Kind.END).reason == 'lease'
+
+
+def test_each_attempt_has_its_own_lease():
+    with _rig.running() as rig:
+        rig.gateway.answering = False
+        rig.start('team/long#1', body={'run_ms': 900}, lease_ms=60_000)
+        rig.start('team/short#1', body={'hang': True}, lease_ms=200)
+        short = rig.client.fetch('team/short#1', wait_ms=9_000)
+        long = rig.client.fetch('team/long#1', wait_ms=9_000)
+        assert (short.state, long.state) == ('stopped', 'finished')
+
+
+def test_an_end_after_the_lease_counts_as_stopped():
+    # The attempt ends by itself at the moment at which its lease does, so
+    # over some tries both orders of the two come about.
+    with _rig.running(slots_count=1) as rig:
+        rig.gateway.answering = False
+        for number in range(5):
+            attempt_id = f'team/r{number}#1'
+            rig.start(attempt_id, body={'run_ms': 60}, lease_ms=60)
+            rig.client.fetch(attempt_id, wait_ms=9_000)
+        ends = rig.events(Kind.END)
+        assert len(ends) == 5
+        starts = {each.attempt_id: each for each in rig.events(Kind.START)}
+        for end in ends:
+            ran_ms = end.at_ms - starts[end.attempt_id].at_ms
+            assert end.state is State.STOPPED or ran_ms < 60
+
+
+def test_starts_are_refused_once_the_last_answer_is_old():
+    with _rig.running() as rig:
+        assert rig.gateway.wait_for_beat(lambda _: True, _rig.PATIENCE_MS)
+        rig.gateway.answering = False
+        numbers = itertools.count()
+
+        def refused():
+            reply = rig.start(f'team/r{next(numbers)}#1')
+            return reply.refused == 'stale_lease'
+
+        assert testing.wait_for(refused, _rig.PATIENCE_MS)
+        last_ms = rig.gateway.beats[-1].at_ms
+        first = rig.events(Kind.REFUSED)[0]
+        assert first.at_ms - last_ms >= worker.START_FRESHNESS_MS - 1_000
+        rig.gateway.answering = True
+        assert testing.wait_for(
+            lambda: rig.start(f'team/r{next(numbers)}#1').status != 409,
+            _rig.PATIENCE_MS,
+        )
--- /dev/null
+++ b/dandeliondrum/worker/tests/test_server.py
@@ -0,0 +1,163 @@
+"""Calls to a worker: answers that are kept, and bad input."""
+
+import contextlib
+import hashlib
+import socket
+
+import pytest
+
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import transport
+from dandeliondrum import worker
+from dandeliondrum.worker.tests import _rig
+
+Kind = worker.EventKind
+
+
+@pytest.fixture
+def rig():
+    with _rig.running() as running:
+        yield running
+
+
+def test_an_answer_can_be_fetched_again_until_it_is_dropped(rig):
+    rig.start('team/a#1', body={'echo': 'kept'}, wait_ms=5_000)
+    answers = {rig.client.fetch('team/a#1').body for _ in range(2)}
+    assert len(answers) == 1
+    assert rig.client.drop('team/a#1').status == 204
+    assert rig.client.drop('team/a#1').status == 204
+    assert rig.client.fetch('team/a#1').status in (404, 410)
+
+
+def test_a_large_answer_arrives_whole(rig):
+    length_bytes = 64 * 1024 * 1024
+    body = {'answer_bytes': length_bytes, 'echo': 'seed'}
+    reply = rig.start('team/a#1', body=body, wait_ms=30_000)
+    digest = hashlib.sha256(reply.body).hexdigest()
+    assert len(reply.body) == length_bytes
+    assert reply.headers['answer-digest'] == digest
+    assert reply.body == worker.seeded_bytes('seed', length_bytes)
+
+
+def test_the_oldest_answers_give_way_and_are_counted():
+    with _rig.running(answers_bytes=1_500) as rig:
+        for number in range(2):
+            body = {'answer_bytes': 1_000}
+            rig.start(f'team/r{number}#1', body=body, wait_ms=5_000)
+        assert rig.client.fetch('team/r0#1').status == 410
+        assert rig.client.fetch('team/r1#1').status == 200
+        (dropped,) = rig.events(Kind.DROPPED)
+        assert dropped.attempt_id == 'team/r0#1'
+
+
+def test_failures_are_answers_too(rig):
+    reply = rig.start('team/a#1', body={'fail': True}, wait_ms=5_000)
+    assert (reply.status, reply.state) == (200, 'failed')
+    bad = rig.start('team/b#1', body={'run_ms': 'long'}, wait_ms=5_000)
+    assert (bad.status, bad.state) == (200, 'failed')
+    assert b'bad body' in bad.body
+    beat = rig.gateway.wait_for_beat(lambda each: len(each.ended) == 2, 5_000)
+    assert {each.answer.status for each in beat.ended} == {500}
+
+
+def test_a_worker_can_fail_everything():
+    with _rig.running(fails_everything=True) as rig:
+        assert rig.start(wait_ms=5_000).state == 'failed'
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {},
+        {'Token': '-1'},
+        {'Token': 'seven'},
+        {'Lease-Ms': '1.5'},
+        {'Durable': 'maybe'},
+        {'Wait-Ms': '0x10'},
+    ],
+)
+def test_bad_headers_are_a_clear_error_and_start_nothing(rig, headers):
+    good = {
+        'Task-Id': 'team/a',
+        'Token': '1',
+        'Incarnation': rig.worker.incarnation,
+        'Lease-Ms': '1000',
+        'Team': 'team',
+        'Queue': 'queue',
+        'Cpu-Millicores': '1000',
+        'Memory-Mb': '1024',
+    }
+    sent = {**good, **headers} if headers else {}
+    path = '/v1/attempts/team%2Fa%231'
+    body = b'{"hang": true}'
+    reply = rig.client.call('POST', path, sent, body)
+    assert reply.status == 400
+    assert b'header' in reply.body
+    assert rig.events(Kind.START) == []
+    assert rig.client.call('POST', path, good, body).status == 202
+
+
+def test_unknown_calls_are_not_found(rig):
+    for path in ('/', '/v1/attempts', '/v1/attempts/a/b/answer'):
+        assert rig.client.call('GET', path).status == 404
+
+
+def test_ids_keep_their_special_characters(rig):
+    attempt_id = 'team/50%2F ä#1'
+    rig.start(attempt_id, task_id='team/50%2F', wait_ms=5_000)
+    assert rig.events(Kind.START)[0].attempt_id == attempt_id
+    assert rig.client.fetch(attempt_id).status == 200
+
+
+@pytest.mark.parametrize('data', [b'\xff' * 4_000, b'POST /v1/att', b''])
+def test_random_bytes_do_not_keep_the_worker_from_serving(rig, data):
+    address = transport.parse_address(rig.worker.address)
+    with contextlib.ExitStack() as stack:
+        for _ in range(4):
+            raw = stack.enter_context(socket.create_connection(address, 5))
+            raw.sendall(data)
+        assert rig.start(wait_ms=5_000).status == 200
+
+
+def test_too_many_connections_are_recorded():
+    with _rig.running(connections_count=2) as rig:
+        address = transport.parse_address(rig.worker.address)
+        with contextlib.ExitStack() as stack:
+            for _ in range(3):
+                stack.enter_context(socket.create_connection(address, 5))
+            rig.wait_for_event(Kind.OVERLOAD)
+
+
+def test_the_journal_file_holds_what_memory_does(tmp_path):
+    path = tmp_path / 'journal'
+    with _rig.running(journal_path=str(path)) as rig:
+        rig.start(wait_ms=5_000)
+    events = worker.read_journal(path)
+    assert events == rig.worker.events()
+    assert [each.kind for each in events] == [
+        Kind.BEGUN,
+        Kind.ANNOUNCED,
+        Kind.START,
+        Kind.END,
+        Kind.CLOSED,
+    ]
+    assert events[0].resources == messages.Resources(16_000, 32_768)
+    torn = tmp_path / 'torn'
+    torn.write_bytes(path.read_bytes()[:-5])
+    assert worker.read_journal(torn) == events[:-1]
+    torn.write_bytes(b'{"at_ms":\n' + path.read_bytes())
+    with pytest.raises(ValueError):
+        worker.read_journal(torn)
+
+
+def test_several_workers_live_in_one_process():
+    with testing.FakeGateway() as gateway, contextlib.ExitStack() as stack:
+        for name in ('w1', 'w2', 'w3'):
+            subject = worker.Worker(
+                _rig.options(gateway.url, worker_id=messages.WorkerId(name))
+            )
+            subject.start().unwrap()
+            stack.callback(subject.close)
+        gateway.wait_for_announcement(5_000, count=3)
+        assert len({each.address for each in gateway.announced}) == 3
