--- a/dandeliondrum/command/_roles.py
+++ b/dandeliondrum/command/_roles.py
@@ -7,14 +7,18 @@
 import collections.abc
 import contextlib
 import dataclasses
+import os
 import pathlib
 import typing
 
 from returns import result
 
 from dandeliondrum import messages
-from dandeliondrum import observability
 from dandeliondrum import settings
+from dandeliondrum import utils
+
+# As of EX_SOFTWARE in sysexits.h.
+INVARIANT_EXIT_CODE = 70
 
 Started = result.Result[str, str]
 Fields = dict[str, typing.Any]
@@ -50,29 +54,17 @@
     from dandeliondrum import controller
 
     fields = _same_fields(loaded, controller.Options)
-    # The daemon serves metrics itself, together with readiness.
-    fields.pop('metrics_address', None)
     fields['data_folder'] = pathlib.Path(loaded.data_folder)
     fields['controllers'] = {
         item.controller_id: item.address for item in loaded.controllers
     }
-    part = controller.Controller(controller.Options(**fields))
+    part = controller.Controller(controller.Options(**fields), _end_process)
+    return _started(part.start, part.close, loaded.listen_address, resources)
 
-    def readiness() -> observability.Readiness:
-        if part.node.status().leader_id is None:
-            return observability.Readiness(False, 'no leader is known')
-        return observability.Readiness(True)
 
-    endpoints = observability.Endpoints(
-        observability.process_registry(), readiness
-    )
-    server = observability.Server(loaded.metrics_address, endpoints)
-    served = server.start()
-    if isinstance(served, result.Failure):
-        error = served.failure()
-        return result.Failure(f'{error.address}: {error.reason}')
-    resources.callback(server.close)
-    return _started(part.start, part.close, loaded.listen_address, resources)
+def _end_process(_error: utils.InvariantError) -> None:
+    """End at once: what no longer holds must not be acted on."""
+    os._exit(INVARIANT_EXIT_CODE)
 
 
 def _start_gateway(
--- a/dandeliondrum/gateway/tests/test_waiting_calls.py
+++ b/dandeliondrum/gateway/tests/test_waiting_calls.py
@@ -2,8 +2,8 @@
 
 import hashlib
 
-from dandeliondrum import messages
 from dandeliondrum.gateway.tests import fakes
+from dandeliondrum import messages
 
 
 def test_a_caller_gets_the_answer_of_the_worker(front, leader, worker):
