Learn from the ends of attempts: sizes, bad workers, retry budget

Early refusal goes by the measured pace of the team and class; a declared run time alone refuses nothing, since it is often far off. Tasks are never given less than they declared.

--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -12,11 +12,14 @@
 from dandeliondrum.controller import _records
 from dandeliondrum import messages
 from dandeliondrum import utils
+import structlog
 
 # A worker takes no start when its last answered heartbeat was sent longer
 # ago than this.
 START_FRESHNESS_MS = 2_000
 BEATS_UNTIL_FENCED = 2
+_logger = structlog.get_logger()
+
 CHECK_EVERY_MS = 250
 # A gap between two checks that is longer than this means that this process
 # was frozen, so that heartbeats may lie unread.
@@ -33,6 +36,7 @@
         self._desk = desk
         self._heard_ms: dict[messages.WorkerId, int] = {}
         self._silent: set[messages.WorkerId] = set()
+        self._quarantined: frozenset[messages.WorkerId] = frozenset()
         self._counting_from_ms = utils.monotonic_ms()
         self._checked_ms = self._counting_from_ms
         self._release: dict[messages.WorkerId, list[messages.AttemptId]] = {}
@@ -58,7 +62,9 @@
             with context.lock:
                 self._heard_ms[call.facts.worker_id] = utils.monotonic_ms()
                 self._silent.discard(call.facts.worker_id)
-            self._desk.changed(outcome.unwrap())
+            with context.lock:
+                context.experience.forget(call.facts.worker_id)
+            self._desk.ended(outcome.unwrap())
             self.refresh(call.facts.worker_id)
             return messages.Done()
 
@@ -72,9 +78,12 @@
             if worker is None:
                 context.planner.remove_worker(worker_id)
                 return
+            rule = context.state.rules.workers.get(worker_id)
             eligible = (
                 worker.state is messages.WorkerState.ACTIVE
                 and worker_id not in self._silent
+                and worker_id not in self._quarantined
+                and rule is None
             )
             context.planner.put_worker(worker.facts, eligible)
             context.work.set()
@@ -236,8 +245,19 @@
                 if silent_ms > context.options.worker_silence_ms:
                     self._went_silent(worker.facts.worker_id)
                     lost += self._lost_on(worker, silent_ms)
+            self._apply_quarantine()
         self._desk.report(lost)
 
+    def _apply_quarantine(self) -> None:
+        """Take quarantined workers out, and those on probation in again."""
+        context = self._context
+        now = context.experience.quarantined(context.now_ms())
+        changed = now ^ self._quarantined
+        self._quarantined = now
+        for worker_id in changed:
+            _logger.info('quarantine', worker=worker_id, on=worker_id in now)
+            self.refresh(worker_id)
+
     def _went_silent(self, worker_id: messages.WorkerId) -> None:
         if worker_id not in self._silent:
             self._silent.add(worker_id)
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -1,15 +1,16 @@
 """What the parts of a leader's office share."""
 
 import concurrent.futures
-import dataclasses
 import threading
 import typing
 
 from returns import result
 
 from dandeliondrum import consensus
+from dandeliondrum.controller import _experience
 from dandeliondrum.controller import _metrics
 from dandeliondrum.controller import _options
+from dandeliondrum.controller import _pending
 from dandeliondrum.controller import _sessions
 from dandeliondrum.controller import _state
 from dandeliondrum import messages
@@ -21,15 +22,6 @@
 ]
 
 
-@dataclasses.dataclass
-class PendingEntry:
-    """A task that the leader holds for a worker."""
-
-    spec: messages.TaskSpec
-    deadline_ms: int
-    excluded_workers: frozenset[messages.WorkerId] = frozenset()
-
-
 class Context:
     """State, log, planner and sessions of one term of office.
 
@@ -53,7 +45,8 @@
         self.lock = threading.RLock()
         self.planner = placement.Planner()
         self.sessions = _sessions.Sessions()
-        self.pending: dict[messages.TaskId, PendingEntry] = {}
+        self.experience = _experience.Experience()
+        self.pending = _pending.Pending()
         self.work = threading.Event()
         metrics.pending.set_function(lambda: float(len(self.pending)))
         self.started_ms = utils.monotonic_ms()
@@ -68,7 +61,7 @@
         """Propose a command; the future holds what applying it gave."""
         return self.node.propose(messages.encode(command))
 
-    def add_pending(self, entry: PendingEntry) -> typing.Any:
+    def add_pending(self, entry: _pending.PendingEntry) -> typing.Any:
         """Hand a task to the planner; the planner's Result is returned."""
         spec = entry.spec
         outcome = self.planner.add(
@@ -88,7 +81,7 @@
             )
         )
         if isinstance(outcome, result.Success):
-            self.pending[spec.task_id] = entry
+            self.pending.add(entry)
             self.work.set()
         return outcome
 
@@ -100,5 +93,5 @@
         """
         if not self.planner.discard(task_id):
             return False
-        self.pending.pop(task_id, None)
+        self.pending.remove(task_id)
         return True
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -51,6 +51,7 @@
             if not context.sessions.all():
                 return False
             plan = context.planner.plan(context.now_ms(), PLACEMENTS_PER_ROUND)
+            context.pending.measure(context.now_ms())
             gangs = [group for group in plan.groups if len(group) > 1]
             singles = [group[0] for group in plan.groups if len(group) == 1]
             commands = [self._command(group, True) for group in gangs]
@@ -72,7 +73,7 @@
             assignment = self._assignment(one)
             if assignment is None:
                 context.planner.ended(one.task_id)
-                context.pending.pop(one.task_id, None)
+                context.pending.remove(one.task_id)
                 continue
             sent.append(one)
             assignments.append(assignment)
@@ -163,7 +164,10 @@
     def _send(self, attempt: _records.AttemptRecord) -> None:
         context = self._context
         with context.lock, context.state.lock:
-            context.pending.pop(attempt.task_id, None)
+            context.pending.remove(attempt.task_id, started=True)
+            if attempt.attempt_id.endswith('#1'):
+                team_id, _, _ = attempt.task_id.partition('/')
+                context.experience.started(messages.TeamId(team_id))
             task = context.state.tasks.get(attempt.task_id)
             worker = context.state.workers.get(attempt.worker_id)
             session = context.sessions.gateway(attempt.gateway_id)
--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -8,8 +8,6 @@
 if typing.TYPE_CHECKING:
     from dandeliondrum.controller import _state
 
-FAILED_RUNS_MAX = 3
-
 # States after which nobody can tell whether the task had its effect.
 _MAY_HAVE_RUN = frozenset(
     (messages.AttemptState.STOPPED, messages.AttemptState.LOST)
@@ -20,18 +18,18 @@
     state: '_state.CellState',
     task: _records.TaskRecord,
     report: messages.AttemptReport,
-) -> bool:
-    """Apply a report; False when it tells nothing new."""
+) -> _records.EndedAttempt | None:
+    """Apply a report; None when it tells nothing new."""
     current = task.attempt
     if current is not None and current.attempt_id == report.attempt_id:
         _end_current(state, task, current, report)
-        return True
+        return _records.EndedAttempt(task, current.worker_id, report)
     return _resolve_late(state, task, report)
 
 
 def end_all_on(
     state: '_state.CellState', worker: _records.WorkerRecord
-) -> tuple[_records.TaskRecord, ...]:
+) -> tuple[_records.EndedAttempt, ...]:
     """End what ran on a worker whose process is known to be gone."""
     ended = []
     for attempt_id, task_id in list(worker.attempts.items()):
@@ -41,8 +39,9 @@
             messages.AttemptState.STOPPED,
             detail='the worker has started anew',
         )
-        if end(state, task, report):
-            ended.append(task)
+        news = end(state, task, report)
+        if news is not None:
+            ended.append(news)
     return tuple(ended)
 
 
@@ -78,7 +77,8 @@
         case messages.AttemptState.FINISHED:
             _finished(task, report, time_ms)
         case messages.AttemptState.FAILED:
-            _failed(task, attempt, report, time_ms)
+            retries_max = state.rules.defaults.retries_max
+            _failed(task, attempt, report, time_ms, retries_max)
         case messages.AttemptState.NEVER_STARTED:
             _again(task, time_ms)
         case _:
@@ -102,10 +102,15 @@
     attempt: _records.AttemptRecord,
     report: messages.AttemptReport,
     time_ms: int,
+    retries_max: int,
 ) -> None:
     task.failures_count += 1
     task.failed_workers = (*task.failed_workers[-7:], attempt.worker_id)
-    may_retry = task.spec.idempotent and task.failures_count < FAILED_RUNS_MAX
+    may_retry = (
+        task.spec.idempotent
+        and report.may_retry
+        and task.failures_count <= retries_max
+    )
     if may_retry or _restarts(task):
         _again(task, time_ms)
         return
@@ -135,15 +140,15 @@
     state: '_state.CellState',
     task: _records.TaskRecord,
     report: messages.AttemptReport,
-) -> bool:
+) -> _records.EndedAttempt | None:
     """Take what a worker tells about an attempt that was given up."""
     last = task.last_attempt
     for worker in state.workers.values():
         worker.fences.pop(report.attempt_id, None)
     if last is None or last.attempt_id != report.attempt_id:
-        return False
+        return None
     if report.state in _MAY_HAVE_RUN:
-        return False
+        return None
     task.last_attempt = None
     time_ms = state.cell_time_ms
     task.note(time_ms, f'{report.attempt_id} turned out {report.state.value}')
@@ -158,7 +163,7 @@
             _finish(task, messages.TaskState.REFUSED, time_ms)
             task.reason = messages.RefusalReason.WORKERS_FAILED
             task.detail = 'its worker vouches that it was never started'
-    return True
+    return _records.EndedAttempt(task, last.worker_id, report)
 
 
 def _restarts(task: _records.TaskRecord) -> bool:
--- a/dandeliondrum/controller/_endings_desk.py
+++ b/dandeliondrum/controller/_endings_desk.py
@@ -1,6 +1,7 @@
 """Takes reports of ended attempts to the log, and their news to waiters."""
 
 import collections.abc
+import dataclasses
 import typing
 
 from returns import result
@@ -11,6 +12,7 @@
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _state
 from dandeliondrum import messages
+from dandeliondrum import utils
 
 
 class EndingsDesk:
@@ -22,10 +24,15 @@
     """
 
     def __init__(
-        self, context: _context.Context, intake: _intake.Intake
+        self,
+        context: _context.Context,
+        intake: _intake.Intake,
+        timers: utils.TimerService,
     ) -> None:
         self._context = context
         self._intake = intake
+        self._timers = timers
+        self._retry_delays_ms: dict[messages.AttemptId, int | None] = {}
         self._uncertain: dict[messages.AttemptId, int] = {}
         self.stop_wanted: set[messages.AttemptId] = set()
 
@@ -38,6 +45,8 @@
             for one in reports:
                 if one.state is messages.AttemptState.UNCERTAIN:
                     self._uncertain.setdefault(one.attempt_id, 0)
+                elif one.state is messages.AttemptState.FAILED:
+                    ended.append(self._decide_retry(one))
                 else:
                     ended.append(one)
         if not ended:
@@ -49,30 +58,62 @@
             lambda done: self._recorded(done.result())
         )
 
+    def _decide_retry(
+        self, report: messages.AttemptReport
+    ) -> messages.AttemptReport:
+        """Spend from the budget if the task may be tried again.
+
+        A report that comes twice, from gateway and worker, is decided once.
+        """
+        with self._context.state.lock:
+            task = self._context.state.task_of(report.attempt_id)
+        if task is None or not task.spec.idempotent:
+            return report
+        if report.attempt_id not in self._retry_delays_ms:
+            delay_ms = self._context.experience.retry_delay_ms(task)
+            self._retry_delays_ms[report.attempt_id] = delay_ms
+        may_retry = self._retry_delays_ms[report.attempt_id] is not None
+        return dataclasses.replace(report, may_retry=may_retry)
+
     def _recorded(
         self, outcome: result.Result[typing.Any, consensus.ProposeError]
     ) -> None:
         if isinstance(outcome, result.Success):
-            self.changed(outcome.unwrap())
+            self.ended(outcome.unwrap())
 
-    def changed(
-        self, tasks: collections.abc.Iterable[_records.TaskRecord]
+    def ended(
+        self, news: collections.abc.Iterable[_records.EndedAttempt]
     ) -> None:
-        """Free what ended attempts held; tell or place their tasks again."""
+        """Free what attempts held; tell of their tasks or place them again."""
         context = self._context
         again = []
         with context.lock, context.state.lock:
-            for task in tasks:
+            for one in news:
+                task = one.task
+                context.experience.take(one, context.now_ms())
+                self.forget(one.report.attempt_id)
+                delay_ms = self._retry_delays_ms.pop(
+                    one.report.attempt_id, None
+                )
                 if task.attempt is not None:
                     continue
                 context.planner.ended(task.spec.task_id)
                 if task.state in _state.ENDED_STATES:
                     context.sessions.end(task.status())
-                elif task.state is messages.TaskState.QUEUED:
+                elif task.state is not messages.TaskState.QUEUED:
+                    continue
+                elif delay_ms is None:
                     again.append(task.spec.task_id)
+                else:
+                    self._enqueue_later(task.spec.task_id, delay_ms)
             context.work.set()
         self._intake.enqueue_recorded(again)
 
+    def _enqueue_later(self, task_id: messages.TaskId, delay_ms: int) -> None:
+        self._timers.after(
+            delay_ms, lambda: self._intake.enqueue_recorded([task_id])
+        )
+
     def preempt(self, task_id: messages.TaskId, _why: str) -> None:
         """Ask the worker to stop a running task; it is queued again."""
         task = self._context.state.tasks.get(task_id)
--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_intake.py
@@ -8,6 +8,7 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _pending
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _sessions
 from dandeliondrum.controller import _state
@@ -15,9 +16,19 @@
 from dandeliondrum import rules as rules_lib
 from dandeliondrum import utils
 
-QUEUED_MAX = 20_000
 RETRY_AFTER_MS = 1_000
 
+_WHY_NOT = {
+    messages.RefusalReason.QUEUE_FULL: 'as many wait in the queue as may',
+    messages.RefusalReason.DEADLINE_PASSED: (
+        'the deadline leaves no time for the expected run'
+    ),
+    messages.RefusalReason.DEADLINE_UNREACHABLE: (
+        "by the pace at which the team's tasks start, this one would start "
+        'too late'
+    ),
+}
+
 StatusFuture = concurrent.futures.Future[messages.TaskStatus]
 
 
@@ -36,7 +47,8 @@
         refusals: list[messages.Refusal] = []
         admissions: list[messages.Admission] = []
         with context.lock:
-            for position, spec in enumerate(call.tasks):
+            for position, declared in enumerate(call.tasks):
+                spec = context.experience.sized(declared)
                 verdict = self._judge(session, spec, call.key)
                 match verdict:
                     case messages.TaskStatus():
@@ -76,8 +88,9 @@
             known = self._known(session, task, spec)
             if known is not None:
                 return known
-        if spec.task_id in context.pending:
-            return self._join(session, context.pending[spec.task_id], spec)
+        entry = context.pending.get(spec.task_id)
+        if entry is not None:
+            return self._join(session, entry, spec)
         why = self._why_refused(spec, rules)
         if why is not None:
             return why
@@ -105,7 +118,7 @@
     def _join(
         self,
         session: _sessions.Session,
-        entry: _context.PendingEntry,
+        entry: _pending.PendingEntry,
         spec: messages.TaskSpec,
     ) -> messages.TaskStatus:
         if entry.spec.body_digest != spec.body_digest:
@@ -117,23 +130,13 @@
         self, spec: messages.TaskSpec, rules: rules_lib.RuleSet
     ) -> messages.Refusal | None:
         queue = rules.queues.get(spec.queue)
-        queued_max = QUEUED_MAX
-        if queue is not None and queue.queued_max is not None:
-            queued_max = queue.queued_max
-        if len(self._context.pending) >= queued_max:
-            return _refusal(
-                spec,
-                messages.RefusalReason.QUEUE_FULL,
-                f'{queued_max} tasks wait already',
-                RETRY_AFTER_MS,
-            )
-        if spec.timeout_ms <= 0:
-            return _refusal(
-                spec,
-                messages.RefusalReason.DEADLINE_PASSED,
-                'the deadline had passed when the task arrived',
-            )
-        return None
+        queued_max = queue.queued_max if queue is not None else None
+        run_ms = self._context.experience.run_ms(spec)
+        admitted = self._context.pending.admit(spec, queued_max, run_ms)
+        if isinstance(admitted, result.Success):
+            return None
+        reason = admitted.failure()
+        return _refusal(spec, reason, _WHY_NOT[reason], RETRY_AFTER_MS)
 
     def _queue(
         self,
@@ -144,7 +147,7 @@
         context = self._context
         deadline_ms = context.now_ms() + spec.timeout_ms
         excluded = frozenset(task.failed_workers if task else ())
-        entry = _context.PendingEntry(spec, deadline_ms, excluded)
+        entry = _pending.PendingEntry(spec, deadline_ms, excluded)
         outcome = context.add_pending(entry)
         if isinstance(outcome, result.Failure):
             return _refusal(
@@ -219,7 +222,7 @@
         waited_for = context.sessions.waiters(spec.task_id)
         if not spec.durable and not waited_for:
             return
-        entry = _context.PendingEntry(
+        entry = _pending.PendingEntry(
             spec, task.deadline_ms, frozenset(task.failed_workers)
         )
         outcome = context.add_pending(entry)
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_office.py
@@ -38,7 +38,7 @@
         self._timers = timers
         self._resources = contextlib.ExitStack()
         self._intake = _intake.Intake(context)
-        self._desk = _endings_desk.EndingsDesk(context, self._intake)
+        self._desk = _endings_desk.EndingsDesk(context, self._intake, timers)
         self._beats = _beats.Beats(context, self._desk)
         self._dispatch = _dispatch.Dispatch(context, self._desk)
         self._operators = _operators.Operators(context, self._beats)
@@ -112,13 +112,7 @@
         now_ms = context.now_ms()
         refusals = []
         with context.lock:
-            overdue = [
-                entry
-                for entry in context.pending.values()
-                if entry.deadline_ms <= now_ms
-                and entry.spec.task_class is not messages.TaskClass.SERVICE
-            ]
-            for entry in overdue:
+            for entry in context.pending.overdue(now_ms):
                 spec = entry.spec
                 why = context.planner.explain(spec.task_id)
                 if not context.drop_pending(spec.task_id):
--- a/dandeliondrum/controller/_records.py
+++ b/dandeliondrum/controller/_records.py
@@ -124,6 +124,15 @@
     tasks: tuple[TaskRecord, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """The end of an attempt that was news, and the task it leaves behind."""
+
+    task: TaskRecord
+    worker_id: messages.WorkerId
+    report: messages.AttemptReport
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AssignOutcome:
     """What applying one assignment gave: an attempt, or why there is none."""
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -193,13 +193,16 @@
 
     def _end(
         self, command: messages.EndAttempts
-    ) -> tuple[_records.TaskRecord, ...]:
-        changed = []
+    ) -> tuple[_records.EndedAttempt, ...]:
+        ended = []
         for report in command.reports:
             task = self.task_of(report.attempt_id)
-            if task is not None and _endings.end(self, task, report):
-                changed.append(task)
-        return tuple(changed)
+            if task is None:
+                continue
+            news = _endings.end(self, task, report)
+            if news is not None:
+                ended.append(news)
+        return tuple(ended)
 
     def task_of(
         self, attempt_id: messages.AttemptId
@@ -255,12 +258,12 @@
 
     def _register(
         self, facts: messages.WorkerFacts
-    ) -> tuple[_records.TaskRecord, ...]:
+    ) -> tuple[_records.EndedAttempt, ...]:
         known = self.workers.get(facts.worker_id)
         if known is not None and known.facts.incarnation == facts.incarnation:
             known.facts = facts
             return ()
-        ended: tuple[_records.TaskRecord, ...] = ()
+        ended: tuple[_records.EndedAttempt, ...] = ()
         if known is not None:
             ended = _endings.end_all_on(self, known)
         quarantined = (
--- a/dandeliondrum/controller/tests/builders.py
+++ b/dandeliondrum/controller/tests/builders.py
@@ -82,4 +82,5 @@
 
     def end(self, attempt_id, state, answer=None):
         report = messages.AttemptReport(attempt_id, state, answer)
-        return self(messages.EndAttempts, (report,))
+        ended = self(messages.EndAttempts, (report,))
+        return tuple(one.task for one in ended)
--- a/dandeliondrum/controller/tests/test_state.py
+++ b/dandeliondrum/controller/tests/test_state.py
@@ -108,7 +108,7 @@
 def test_a_new_incarnation_ends_what_ran_in_the_old_one(log):
     log.assign(builders.spec('t'), builders.spec('u', idempotent=True))
     ended = log(messages.RegisterWorker, builders.facts(incarnation='b'))
-    assert [task.state for task in ended] == [
+    assert [one.task.state for one in ended] == [
         TaskState.IN_DOUBT,
         TaskState.QUEUED,
     ]
--- a/dandeliondrum/messages/_commands.py
+++ b/dandeliondrum/messages/_commands.py
@@ -63,7 +63,11 @@
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptReport:
-    """What became of an attempt, as a gateway or a worker saw it."""
+    """What became of an attempt, as a gateway or a worker saw it.
+
+    ``may_retry`` is the leader's: it clears it where a failed task has used
+    up its retries, before the report goes into the log.
+    """
 
     attempt_id: _ids.AttemptId
     state: _states.AttemptState
@@ -71,6 +75,7 @@
     detail: str = ''
     run_ms: int = 0
     peak_resources: _task.Resources | None = None
+    may_retry: bool = True
 
 
 @_codec.message
