Change the membership, hand over the lead, refuse on a full disk

A member begins as a learner and votes once it has caught up. The leader hands over to a voter that has room, and stays in office, refusing, when there is none.

--- a/dandeliondrum/consensus/_applier.py
+++ b/dandeliondrum/consensus/_applier.py
@@ -101,6 +101,8 @@
                     _works.Outcome(confirmation.future, result.Success(None))
                 )
             state.steward_wakes.notify()
+            if state.transfer_target is not None:
+                state.peers_wake.notify_all()
         for outcome in settled:
             _works.settle(outcome.future, outcome.value)
 
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _records
@@ -62,15 +63,16 @@
         answered_ns = max(state.quorum_answered_ns(), state.office_ns)
         if now_ns - answered_ns > limit_ns:
             _logger.warning('no quorum answers', term=state.term)
+            state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
             return
         target = state.transfer_target
         if target is not None and now_ns > state.transfer_until_ns:
             _logger.warning('leadership not taken over', member=target)
+            state.end_transfer(_errors.ChangeFailure.TIMEOUT)
             if state.handed_over:
                 # It may still stand, and nobody would wait for this node.
                 state.become_follower()
-            state.transfer_target = None
 
     def _expire_pending(self) -> None:
         state = self._state
--- a/dandeliondrum/consensus/_files.py
+++ b/dandeliondrum/consensus/_files.py
@@ -29,6 +29,11 @@
         finally:
             os.close(descriptor)
 
+    def free_bytes(self, folder: pathlib.Path) -> int:
+        """Return how much may still be written on the folder's disk."""
+        room = os.statvfs(folder)
+        return room.f_bavail * room.f_frsize
+
     def replace(self, path: pathlib.Path, data: bytes) -> None:
         """Replace a file by one with this data, as a whole or not at all."""
         temporary = path.with_name(path.name + '.new')
--- a/dandeliondrum/consensus/_interfaces.py
+++ b/dandeliondrum/consensus/_interfaces.py
@@ -55,6 +55,7 @@
     voter: bool
     match_index: int
     silent_ms: int
+    storage_full: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -86,9 +86,19 @@
             self._entries += entries
 
     def sync(self) -> None:
-        """Return when all entries are on the disk."""
+        """Return when all entries are on the disk.
+
+        Raises StorageError when that is not known; the system may have
+        dropped what it could not write, so that trying again proves nothing.
+        """
         if self._dirty and self._segments:
-            self._segments[-1].sync()
+            segment = self._segments[-1]
+            try:
+                segment.sync()
+            except OSError as error:
+                raise _errors.StorageError(
+                    _errors.StartError(f'sync: {error}', str(segment.path))
+                ) from error
         self._dirty = False
 
     def truncate_from(self, index: int) -> None:
@@ -155,8 +165,13 @@
 
     def _remove(self, segment: _segment.Segment) -> None:
         segment.close()
-        segment.path.unlink()
-        self._files.sync_folder(self._folder)
+        try:
+            segment.path.unlink()
+            self._files.sync_folder(self._folder)
+        except OSError as error:
+            raise _errors.StorageError(
+                _errors.StartError(f'remove: {error}', str(segment.path))
+            ) from error
 
     def _load(self) -> None:
         found = _segment.segment_files(self._folder)
--- a/dandeliondrum/consensus/_messages.py
+++ b/dandeliondrum/consensus/_messages.py
@@ -113,7 +113,8 @@
 
     ``match_index`` is how far the log is synced and known to match; after
     a mismatch it is where the leader should try next. ``last_index`` is the
-    end of the follower's log.
+    end of the follower's log. ``storage_full`` is set when there is little
+    room, also where the entries could still be stored.
     """
 
     term: int
@@ -121,6 +122,7 @@
     match_index: int
     last_index: int
     disk_id: str
+    storage_full: bool = False
 
 
 @messages.message
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -12,14 +12,17 @@
 import structlog
 
 from dandeliondrum.consensus import _applier
+from dandeliondrum.consensus import _changes
 from dandeliondrum.consensus import _election
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _founding
 from dandeliondrum.consensus import _interfaces
+from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _room
 from dandeliondrum.consensus import _start
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _status
@@ -73,6 +76,7 @@
         self._files = files or _files.Files()
         self._resources = contextlib.ExitStack()
         self._state: _state.NodeState | None = None
+        self._changes: _changes.Changes | None = None
 
     def start(self) -> result.Result[None, _errors.StartError]:
         """Read the files and take part from then on."""
@@ -177,6 +181,64 @@
         """
         return _founding.found(self._running(), tuple(members))
 
+    def add_member(
+        self, controller_id: messages.ControllerId, address: str
+    ) -> _works.ChangeFuture:
+        """Take in a controller; the future resolves once it votes."""
+        future: _works.ChangeFuture = concurrent.futures.Future()
+        self._ask(_changes.AddMember(controller_id, address, future))
+        return future
+
+    def remove_member(
+        self, controller_id: messages.ControllerId
+    ) -> _works.ChangeFuture:
+        """Take a controller out; the leader itself has to transfer first."""
+        future: _works.ChangeFuture = concurrent.futures.Future()
+        self._ask(_changes.RemoveMember(controller_id, future))
+        return future
+
+    def transfer(
+        self, target: messages.ControllerId | None = None
+    ) -> _works.ChangeFuture:
+        """Let another voter lead; by default the one that is best off.
+
+        Proposals are refused from then on. What was proposed before is
+        finished first.
+        """
+        state = self._running()
+        future: _works.ChangeFuture = concurrent.futures.Future()
+        with state.lock:
+            failure = self._begin_transfer(state, target, future)
+        if failure is not None:
+            future.set_result(result.Failure(_errors.ChangeError(failure)))
+        return future
+
+    def _begin_transfer(
+        self,
+        state: _state.NodeState,
+        target: messages.ControllerId | None,
+        future: _works.ChangeFuture,
+    ) -> _errors.ChangeFailure | None:
+        if not state.leads() or state.closing:
+            return _errors.ChangeFailure.NOT_LEADING
+        if state.transfer_target is not None:
+            return _errors.ChangeFailure.CHANGE_IN_PROGRESS
+        if target is not None:
+            known = _membership.voter(state.history.current, target)
+            if known is None or target == state.me:
+                return _errors.ChangeFailure.UNKNOWN_MEMBER
+        successor = target or state.best_successor()
+        if successor is None:
+            return _errors.ChangeFailure.LOSES_QUORUM
+        state.transfer_future = future
+        state.begin_transfer(successor)
+        return None
+
+    def _ask(self, change: _changes.Change) -> None:
+        self._running()
+        if self._changes is not None:
+            self._changes.ask(change)
+
     def _running(self) -> _state.NodeState:
         if self._state is None:
             raise RuntimeError('the node was not started')
@@ -204,6 +266,8 @@
             failure = _errors.ProposeFailure.CLOSED
         elif state.storage_failed:
             failure = _errors.ProposeFailure.STORAGE_FAILED
+        elif state.leads() and state.storage_full:
+            failure = _errors.ProposeFailure.STORAGE_FULL
         elif state.transfer_target is not None or not state.leads():
             failure = _errors.ProposeFailure.NOT_LEADING
         elif state.proposals_waiting >= _options.PROPOSALS_WAITING_MAX:
@@ -222,14 +286,20 @@
         if opened.snapshot is not None:
             applier.restore(opened.snapshot)
         supervisor = utils.Supervisor(
-            'consensus', THREADS_COUNT, self._on_fatal
+            'consensus', THREADS_COUNT, self._end_fatally
         )
         writer = _writer.Writer(state, self._files, opened.snapshots, folder)
-        steward = _steward.Steward(state, opened.snapshots, supervisor)
-        resources.callback(self._drain, state)
+        changes = _changes.Changes(state)
+        steward = _steward.Steward(
+            state, opened.snapshots, supervisor, changes
+        )
+        resources.callback(self._drain, state, changes)
         resources.callback(supervisor.close)
         resources.callback(self._stop, state, steward, supervisor)
         self._state = state
+        self._changes = changes
+        room_watch = _room.RoomWatch(state, self._files)
+        supervisor.run('room watch', room_watch.run)
         supervisor.run('writer', writer.run)
         supervisor.run('applier', applier.run)
         supervisor.run('election', _election.Election(state).run)
@@ -253,8 +323,20 @@
         state.outcomes.put(None)
         steward.close()
 
-    def _drain(self, state: _state.NodeState) -> None:
+    def _end_fatally(self, error: utils.InvariantError) -> None:
+        state = self._running()
+        with state.lock:
+            state.storage_failed = True
+            state.become_follower()
+            state.give_up_pending()
+        if self._on_fatal is not None:
+            self._on_fatal(error)
+
+    def _drain(
+        self, state: _state.NodeState, changes: _changes.Changes
+    ) -> None:
         """Resolve what the stopped threads left behind."""
+        changes.step()
         with state.lock:
             works = list(state.works)
             state.works.clear()
--- a/dandeliondrum/consensus/_options.py
+++ b/dandeliondrum/consensus/_options.py
@@ -15,6 +15,9 @@
 COMPRESS_FROM_BYTES = 512
 COMPRESSION_LEVEL = 1
 PROPOSALS_WAITING_MAX = 20_000
+# Commands are refused while the disk has less room than this.
+RESERVED_BYTES = 16 * 1024 * 1024
+ROOM_CHECK_MS = 250
 SEGMENT_BYTES_MAX = 16 * 1024 * 1024
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 # A call may take this much longer for what it carries.
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -120,8 +120,8 @@
         if not state.leads() or progress is None:
             return None
         last_index = state.log.last_index
-        if state.transfer_target == self._id:
-            if progress.match_index >= last_index and not state.handed_over:
+        if state.transfer_target == self._id and not state.handed_over:
+            if progress.match_index >= last_index and state.is_quiet():
                 state.handed_over = True
                 return _HandOver(_messages.TimeoutNow(state.term, state.me))
         now_ns = time.monotonic_ns()
@@ -269,7 +269,7 @@
         match reply.outcome:
             case _messages.Outcome.STORED:
                 progress.answered_ns = sent_ns
-                progress.storage_full = False
+                progress.storage_full = reply.storage_full
                 progress.match_index = max(
                     progress.match_index, reply.match_index
                 )
--- a/dandeliondrum/consensus/_requests.py
+++ b/dandeliondrum/consensus/_requests.py
@@ -149,6 +149,8 @@
             self._store(entries)
         except OSError as error:
             _logger.error('entries not stored', why=str(error))
+            with state.lock:
+                state.storage_full = True
             return self._append_reply(_messages.Outcome.STORAGE_FULL, 0)
         match_index = message.previous_index + len(entries)
         with state.lock:
@@ -237,6 +239,7 @@
             match_index,
             self._log.last_index,
             self._state.disk_id,
+            self._state.storage_full,
         )
 
     def _stand_at_once(
--- /dev/null
+++ b/dandeliondrum/consensus/_room.py
@@ -0,0 +1,42 @@
+"""Watches the room on the disk.
+
+A leader refuses commands before the disk is full, so that votes and the
+entries of an election can still be written.
+"""
+
+import threading
+
+import structlog
+
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _state
+
+_logger = structlog.get_logger()
+
+
+class RoomWatch:
+    """Keeps ``storage_full`` up to date."""
+
+    def __init__(self, state: _state.NodeState, files: _files.Files) -> None:
+        self._state = state
+        self._files = files
+
+    def run(self, stopping: threading.Event) -> None:
+        """Look at the disk from time to time until the node closes."""
+        while not stopping.is_set():
+            self._look()
+            stopping.wait(_options.ROOM_CHECK_MS / 1000)
+
+    def _look(self) -> None:
+        state = self._state
+        free_bytes = self._files.free_bytes(state.options.data_folder)
+        full = free_bytes < _options.RESERVED_BYTES
+        with state.lock:
+            if full != state.storage_full:
+                _logger.warning(
+                    'room on the disk', full=full, free_bytes=free_bytes
+                )
+            state.storage_full = full
+            if full:
+                state.hand_over_if_full()
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -103,10 +103,12 @@
         self.steward_wakes = threading.Condition(self.lock)
         self.works: collections.deque[_works.Work] = collections.deque()
         self.proposals_waiting = 0
+        self.writing = False
         self.events: queue.Queue[_works.Event | None] = queue.Queue()
         self.outcomes: queue.Queue[_works.Outcome | None] = queue.Queue()
         self.closing = False
         self.storage_failed = False
+        self.storage_full = False
         self.role = _interfaces.Role.FOLLOWER
         self.term = 0
         self.voted_for = ''
@@ -127,6 +129,7 @@
         self.told_leading = False
         self.transfer_target: messages.ControllerId | None = None
         self.transfer_until_ns = 0
+        self.transfer_future: _works.ChangeFuture | None = None
         self.handed_over = False
         self.progress: dict[messages.ControllerId, Progress] = {}
         self.pending: dict[int, Pending] = {}
@@ -232,7 +235,8 @@
         was_leader = self.leads()
         self.role = _interfaces.Role.FOLLOWER
         self.ballot = None
-        self.transfer_target = None
+        done = self.handed_over and self.transfer_target is not None
+        self.end_transfer(None if done else _errors.ChangeFailure.NOT_LEADING)
         if was_leader:
             self.deposed_ns = time.monotonic_ns()
             self.leader_id = None
@@ -299,8 +303,8 @@
         for one in failed:
             self.tell(one.future, result.Failure(error))
 
-    def storage_refused(self) -> None:
-        """The disk is full: let a voter lead that has room, if one is up."""
+    def hand_over_if_full(self) -> None:
+        """Let a voter lead whose disk has room, if one is up."""
         best = self.best_successor()
         if best is not None and self.leads() and not self.transfer_target:
             self.begin_transfer(best)
@@ -313,6 +317,24 @@
         self.handed_over = False
         self.peers_wake.notify_all()
 
+    def is_quiet(self) -> bool:
+        """Whether nobody waits for a proposal any more."""
+        busy = self.writing or self.proposals_waiting or self.pending
+        return not busy
+
+    def end_transfer(self, failure: _errors.ChangeFailure | None) -> None:
+        """Tell whoever asked for the transfer what came of it."""
+        future = self.transfer_future
+        self.transfer_future = None
+        self.transfer_target = None
+        if future is None:
+            return
+        if failure is None:
+            self.tell(future, result.Success(None))
+        else:
+            error = _errors.ChangeError(failure)
+            self.tell(future, result.Failure(error))
+
     def best_successor(self) -> messages.ControllerId | None:
         """Return the voter that is up, has room and the longest log."""
         now_ns = time.monotonic_ns()
--- a/dandeliondrum/consensus/_status.py
+++ b/dandeliondrum/consensus/_status.py
@@ -33,15 +33,23 @@
 ) -> _interfaces.MemberStatus:
     match_index = -1
     silent_ms = -1
+    storage_full = False
     progress = state.progress.get(member.controller_id)
     if member.controller_id == state.me:
         match_index = state.synced_index
         silent_ms = 0
+        storage_full = state.storage_full
     elif state.leads() and progress is not None:
         match_index = progress.match_index
+        storage_full = progress.storage_full
         if progress.answered_ns:
             silent_ns = time.monotonic_ns() - progress.answered_ns
             silent_ms = silent_ns // _state.NS_PER_MS
     return _interfaces.MemberStatus(
-        member.controller_id, member.address, voter, match_index, silent_ms
+        member.controller_id,
+        member.address,
+        voter,
+        match_index,
+        silent_ms,
+        storage_full,
     )
--- a/dandeliondrum/consensus/_steward.py
+++ b/dandeliondrum/consensus/_steward.py
@@ -1,7 +1,11 @@
-"""The task that keeps a thread for each member."""
+"""The task that looks after the membership.
+
+It keeps a task for each member and carries out changes.
+"""
 
 import threading
 
+from dandeliondrum.consensus import _changes
 from dandeliondrum.consensus import _peer
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _state
@@ -10,23 +14,26 @@
 
 
 class Steward:
-    """Starts a peer's task when a member appears."""
+    """Starts a peer's task when a member appears; changes who is one."""
 
     def __init__(
         self,
         state: _state.NodeState,
         snapshots: _snapshot.SnapshotStore,
         supervisor: utils.Supervisor,
+        changes: _changes.Changes,
     ) -> None:
         self._state = state
         self._snapshots = snapshots
         self._supervisor = supervisor
+        self._changes = changes
         self._running: dict[messages.ControllerId, _peer.Peer] = {}
 
     def run(self, stopping: threading.Event) -> None:
         """Look after the members until the node closes."""
         state = self._state
         while not stopping.is_set():
+            self._changes.step()
             with state.lock:
                 self._start_peers()
                 state.steward_wakes.wait(state.options.election_min_ms / 1000)
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -27,6 +27,7 @@
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _works
 from dandeliondrum import messages
+from dandeliondrum import utils
 
 _logger = structlog.get_logger()
 
@@ -55,6 +56,11 @@
                 self._carry_out(works)
             except (OSError, _errors.StorageError) as error:
                 self._fail(works, error)
+            except Exception as error:
+                self._fail(works, error)
+                raise utils.InvariantError(
+                    f'the writer failed: {error!r}'
+                ) from error
 
     def enter_term(self, term: int, voted_for: str) -> None:
         """Save a later term, or a vote in this one, and take it over.
@@ -79,6 +85,7 @@
         works: list[_works.Work] = []
         size_bytes = 0
         with state.lock:
+            state.writing = False
             while not state.works and not stopping.is_set():
                 state.writer_wakes.wait()
             while state.works and size_bytes < _options.BATCH_BYTES_MAX:
@@ -87,6 +94,7 @@
                 if isinstance(work, _works.Proposal):
                     state.proposals_waiting -= 1
                     size_bytes += len(work.payload)
+            state.writing = True
         return works
 
     def _carry_out(self, works: list[_works.Work]) -> None:
@@ -104,8 +112,7 @@
                 case _works.Found():
                     self._found(work)
                 case _works.ObserveTerm(term):
-                    if term > self._state.term:
-                        self.enter_term(term, '')
+                    self._observe(term)
                 case _works.Compact(index):
                     self._log.compact(index)
         if proposals:
@@ -114,6 +121,17 @@
         for outcome in answers:
             _works.settle(outcome.future, outcome.value)
 
+    def _observe(self, term: int) -> None:
+        state = self._state
+        if term <= state.term:
+            return
+        try:
+            self.enter_term(term, '')
+        except OSError as error:
+            _logger.error('term not stored', why=str(error))
+            with state.lock:
+                state.become_follower()
+
     def _answer(self, message: _messages.Request) -> typing.Any:
         if self._state.storage_failed:
             return self._requests.refuse(message)
@@ -183,7 +201,13 @@
         with state.lock:
             for entry in entries:
                 del state.pending[entry.index]
-            state.storage_refused()
+            state.storage_full = True
+            state.hand_over_if_full()
+            if any(
+                entry.kind is _records.EntryKind.EMPTY for entry in entries
+            ):
+                # Without the first entry of its term it can commit nothing.
+                state.become_follower()
             error = state.error(
                 _errors.ProposeFailure.STORAGE_FULL, not_done=True
             )
@@ -239,7 +263,7 @@
     def _fail(
         self,
         works: list[_works.Work],
-        error: OSError | _errors.StorageError,
+        error: Exception,
     ) -> None:
         """Take no further part: what the disk holds is no longer known."""
         _logger.critical('storage failed', why=str(error))
--- /dev/null
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -0,0 +1,335 @@
+"""Tests of the files of a node: torn, damaged, full, foreign."""
+
+import errno
+import os
+
+import pytest
+
+from dandeliondrum import consensus
+from dandeliondrum.consensus import _errors
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _hard_state
+from dandeliondrum.consensus import _log
+from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _records
+from dandeliondrum.consensus.tests import harness
+
+
+class FullDisk(_files.Files):
+    """Takes ``room_bytes`` more, then is full; None is no limit."""
+
+    def __init__(self):
+        self.room_bytes = None
+        self.shown_bytes = 1 << 40
+
+    def free_bytes(self, folder):
+        return self.shown_bytes
+
+    def write(self, descriptor, data):
+        if self.room_bytes is None or len(data) <= self.room_bytes:
+            super().write(descriptor, data)
+            return
+        super().write(descriptor, data[: self.room_bytes])
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
+def make_entries(first, last, term=1):
+    return [
+        _records.make(
+            index, term, _records.EntryKind.COMMAND, b'command %d' % index
+        )
+        for index in range(first, last + 1)
+    ]
+
+
+def write_batches(folder, *batches):
+    log = _log.Log(_files.Files(), folder)
+    for batch in batches:
+        log.append(batch)
+        log.sync()
+    log.close()
+
+
+def reopen(folder):
+    log = _log.Log(_files.Files(), folder)
+    log.close()
+    return log
+
+
+def newest_file(folder):
+    return sorted(folder.glob('log-*'))[-1]
+
+
+def flip_byte(path, offset):
+    data = bytearray(path.read_bytes())
+    data[offset] ^= 0xFF
+    path.write_bytes(data)
+
+
+def test_entries_come_back_after_a_restart(tmp_path):
+    entries = make_entries(1, 9)
+    write_batches(tmp_path, entries[:4], entries[4:])
+    assert reopen(tmp_path).read(1, 100, 1 << 20) == entries
+
+
+@pytest.mark.parametrize('cut_bytes', [1, 30, 37])
+def test_a_torn_tail_is_cut(tmp_path, cut_bytes):
+    entries = make_entries(1, 3)
+    write_batches(tmp_path, entries[:2], entries[2:])
+    path = newest_file(tmp_path)
+    os.truncate(path, path.stat().st_size - cut_bytes)
+    assert reopen(tmp_path).read(1, 100, 1 << 20) == entries[:2]
+    # What was cut is really gone from the file.
+    write_batches(tmp_path, make_entries(3, 3, term=2))
+    assert reopen(tmp_path).last_term == 2
+
+
+def test_a_batch_of_which_only_the_end_was_written_is_a_torn_tail(tmp_path):
+    entries = make_entries(1, 6)
+    write_batches(tmp_path, entries[:2], entries[2:])
+    path = newest_file(tmp_path)
+    third = path.read_bytes().index(entries[2].record)
+    flip_byte(path, third + 20)
+    assert reopen(tmp_path).last_index == 2
+
+
+def test_damage_before_a_later_batch_is_refused(tmp_path):
+    entries = make_entries(1, 6)
+    write_batches(tmp_path, entries[:2], entries[2:4], entries[4:])
+    path = newest_file(tmp_path)
+    fourth = path.read_bytes().index(entries[3].record)
+    flip_byte(path, fourth + 30)
+    with pytest.raises(_errors.StorageError) as caught:
+        reopen(tmp_path)
+    assert caught.value.error.file == str(path)
+    assert caught.value.error.offset_bytes == fourth - 4
+
+
+def test_damage_at_the_end_of_an_older_file_is_refused(tmp_path, monkeypatch):
+    monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
+    write_batches(tmp_path, make_entries(1, 2), make_entries(3, 4))
+    oldest = sorted(tmp_path.glob('log-*'))[0]
+    os.truncate(oldest, oldest.stat().st_size - 1)
+    with pytest.raises(_errors.StorageError):
+        reopen(tmp_path)
+
+
+def test_a_missing_file_in_the_middle_is_refused(tmp_path, monkeypatch):
+    monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
+    batches = [make_entries(index, index) for index in (1, 2, 3)]
+    write_batches(tmp_path, *batches)
+    sorted(tmp_path.glob('log-*'))[1].unlink()
+    with pytest.raises(_errors.StorageError):
+        reopen(tmp_path)
+
+
+def test_a_full_disk_leaves_the_log_as_it_was(tmp_path):
+    disk = FullDisk()
+    log = _log.Log(disk, tmp_path)
+    log.append(make_entries(1, 2))
+    log.sync()
+    size_bytes = newest_file(tmp_path).stat().st_size
+    disk.room_bytes = 60
+    with pytest.raises(OSError, match='No space'):
+        log.append(make_entries(3, 9))
+    assert newest_file(tmp_path).stat().st_size == size_bytes
+    disk.room_bytes = None
+    log.append(make_entries(3, 3, term=2))
+    log.sync()
+    log.close()
+    assert reopen(tmp_path).read(1, 9, 1 << 20) == [
+        *make_entries(1, 2),
+        *make_entries(3, 3, term=2),
+    ]
+
+
+def test_entries_cut_back_stay_away(tmp_path, monkeypatch):
+    monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 200)
+    log = _log.Log(_files.Files(), tmp_path)
+    for index in range(1, 20):
+        log.append(make_entries(index, index))
+    log.truncate_from(3)
+    log.append(make_entries(3, 5, term=2))
+    log.sync()
+    log.close()
+    assert [entry.term for entry in reopen(tmp_path).read(1, 99, 1 << 20)] == [
+        1,
+        1,
+        2,
+        2,
+        2,
+    ]
+
+
+def test_compaction_keeps_what_is_not_covered(tmp_path):
+    log = _log.Log(_files.Files(), tmp_path)
+    log.append(make_entries(1, 10))
+    log.compact(0)
+    log.append(make_entries(11, 20))
+    log.compact(10)
+    log.close()
+    reopened = reopen(tmp_path)
+    assert (reopened.first_index, reopened.last_index) == (11, 20)
+
+
+def formed_alone(folder):
+    """Return a cluster of one with two commands, stopped."""
+    cluster = harness.Cluster(folder, 1)
+    name = cluster.form()
+    for command in (b'one', b'two'):
+        cluster.propose(name, command).unwrap()
+    cluster.stop(name)
+    return cluster
+
+
+@pytest.mark.parametrize(
+    ('name', 'offset'),
+    [(_hard_state.STATE_NAME, 5), (_hard_state.IDENTITY_NAME, 5)],
+)
+def test_a_damaged_small_file_is_a_refusal_to_start(tmp_path, name, offset):
+    cluster = formed_alone(tmp_path)
+    path = tmp_path / 'c1' / name
+    flip_byte(path, offset)
+    error = cluster.launch('c1').failure()
+    assert error.file == str(path)
+
+
+@pytest.mark.parametrize(
+    'name', [_hard_state.STATE_NAME, _hard_state.IDENTITY_NAME]
+)
+def test_a_missing_small_file_is_a_refusal_to_start(tmp_path, name):
+    cluster = formed_alone(tmp_path)
+    (tmp_path / 'c1' / name).unlink()
+    assert name in cluster.launch('c1').failure().file
+
+
+def test_a_damaged_snapshot_is_a_refusal_to_start(tmp_path):
+    cluster = harness.Cluster(tmp_path, 1, snapshot_every_entries=10)
+    name = cluster.form()
+    for number in range(30):
+        cluster.propose(name, b'%d' % number).unwrap()
+    harness.wait_for(lambda: cluster.node(name).status().snapshot_index)
+    cluster.stop(name)
+    (path,) = (tmp_path / 'c1').glob('snapshot-*')
+    flip_byte(path, 60)
+    assert cluster.launch('c1').failure().file == str(path)
+
+
+def test_a_folder_in_use_is_a_refusal_to_start(tmp_path):
+    with harness.Cluster(tmp_path, 1) as cluster:
+        cluster.start()
+        assert 'another process' in cluster.launch('c1').failure().detail
+
+
+def test_a_folder_of_another_controller_is_a_refusal_to_start(tmp_path):
+    cluster = formed_alone(tmp_path)
+    (tmp_path / 'c1').rename(tmp_path / 'c2')
+    cluster.names = ['c2']
+    assert 'belongs to controller c1' in cluster.launch('c2').failure().detail
+
+
+def test_a_leader_with_a_full_disk_hands_over_and_nothing_is_lost(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: FullDisk() for name in cluster.names}
+        leader = cluster.form()
+        cluster.propose(leader, b'before').unwrap()
+        cluster.files[leader].room_bytes = 10
+        error = cluster.propose(leader, b'refused').failure()
+        assert error.failure is consensus.ProposeFailure.STORAGE_FULL
+        assert error.not_done
+        successor = cluster.leader(among=cluster.others(leader))
+        cluster.propose(successor, b'after').unwrap()
+        cluster.files[leader].room_bytes = None
+        cluster.wait_applied([b'before', b'after'])
+
+
+def test_with_all_disks_full_the_leader_refuses_and_goes_on_later(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: FullDisk() for name in cluster.names}
+        leader = cluster.form()
+        cluster.propose(leader, b'before').unwrap()
+        cluster.wait_applied([b'before'])
+        for disk in cluster.files.values():
+            disk.room_bytes = 10
+        refusals = [
+            cluster.propose(leader, b'refused %d' % number).failure()
+            for number in range(3)
+        ]
+        assert all(error.not_done for error in refusals)
+        for disk in cluster.files.values():
+            disk.room_bytes = None
+
+        def accepted():
+            for name in cluster.leaders():
+                outcome = cluster.propose(name, b'after')
+                if outcome.value_or(None):
+                    return True
+            return False
+
+        harness.wait_for(accepted)
+        cluster.wait_applied([b'before', b'after'])
+
+
+def test_a_leader_short_of_room_hands_over_before_the_disk_is_full(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: FullDisk() for name in cluster.names}
+        leader = cluster.form()
+        cluster.files[leader].shown_bytes = 0
+        successor = cluster.leader(among=cluster.others(leader))
+        cluster.propose(successor, b'after').unwrap()
+        cluster.wait_applied([b'after'])
+
+
+def test_with_little_room_anywhere_the_leader_stays_and_refuses(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: FullDisk() for name in cluster.names}
+        leader = cluster.form()
+        for name in [*cluster.others(leader), leader]:
+            cluster.files[name].shown_bytes = 0
+            harness.wait_for(lambda name=name: reports_full(cluster, name))
+        error = cluster.propose(leader, b'refused').failure()
+        assert error.failure is consensus.ProposeFailure.STORAGE_FULL
+        assert error.not_done
+        assert cluster.leaders() == [leader]
+        for disk in cluster.files.values():
+            disk.shown_bytes = 1 << 40
+
+        def accepted():
+            return cluster.propose(leader, b'after').value_or(None)
+
+        harness.wait_for(accepted)
+        cluster.wait_applied([b'after'])
+
+
+def reports_full(cluster, name):
+    """Whether the node says so, or, of a follower, the leader knows it."""
+    (leader,) = cluster.leaders()
+    status = cluster.node(leader).status()
+    return {one.controller_id: one.storage_full for one in status.members}[
+        name
+    ]
+
+
+def test_after_a_failed_sync_the_fate_is_unknown_and_the_node_stands_back(
+    tmp_path,
+):
+    class FailingSync(_files.Files):
+        failing = False
+
+        def sync(self, descriptor):
+            if self.failing:
+                raise OSError(errno.EIO, os.strerror(errno.EIO))
+            super().sync(descriptor)
+
+    with harness.Cluster(tmp_path) as cluster:
+        disk = FailingSync()
+        cluster.files = {cluster.names[0]: disk}
+        leader = cluster.form()
+        assert leader == cluster.names[0]
+        disk.failing = True
+        error = cluster.propose(leader, b'unknown').failure()
+        assert error.failure is consensus.ProposeFailure.STORAGE_FAILED
+        assert not error.not_done
+        assert not cluster.node(leader).leading()
+        successor = cluster.leader(among=cluster.others(leader))
+        assert cluster.propose(successor, b'after').unwrap()
