--- a/dandeliondrum/command/_arguments.py
+++ b/dandeliondrum/command/_arguments.py
@@ -14,7 +14,7 @@
 from fire import core
 from fire import parser
 
-SWITCHES = frozenset({'--json'})
+SWITCHES = frozenset({'--json', '-j'})
 
 _SEPARATOR = '-'
 _WHOLE_WORDS = ('True', 'False')
--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -38,7 +38,7 @@
         self.controllers = _controllers_commands.ControllersCommands()
 
     @_arguments.typed
-    def run(self, role: str, settings: str) -> _report.Command:
+    def run(self, role: str, *, settings: str) -> _report.Command:
         """Run a daemon until SIGTERM or SIGINT, which stop it gracefully.
 
         Exits with 0 after a stop, and with 1 when the settings have a
@@ -52,7 +52,7 @@
 
     @_arguments.typed
     def status(
-        self, gateways: str = '', key_file: str = '', json: bool = False
+        self, *, gateways: str = '', key_file: str = '', json: bool = False
     ) -> _report.Command:
         """Show who leads, the controllers, the gateways and the teams.
 
@@ -71,6 +71,7 @@
     @_arguments.typed
     def top(
         self,
+        *,
         every_ms: int = REFRESH_MS,
         rounds: int = 0,
         gateways: str = '',
@@ -97,6 +98,7 @@
     def drain(
         self,
         worker: str,
+        *,
         operator: str = '',
         gateways: str = '',
         key_file: str = '',
@@ -124,6 +126,7 @@
     def explain(
         self,
         task: str,
+        *,
         team: str = '',
         gateways: str = '',
         key_file: str = '',
@@ -149,6 +152,7 @@
     def submit(
         self,
         queue: str,
+        *,
         team: str = '',
         body: str = '',
         file: str = '',
@@ -180,7 +184,7 @@
           file: File with the body of the request.
           output: File for the answer; otherwise it is printed.
           request_id: The id of the task; made up unless given.
-          task_class: urgent or batch; by default that of the queue.
+          task_class: urgent or batch; by default batch.
           idempotent: False when the task must not run twice.
           timeout_ms: Time until the answer must be there, in ms.
           expected_run_ms: Expected run time, in ms.
--- a/dandeliondrum/command/_controllers_commands.py
+++ b/dandeliondrum/command/_controllers_commands.py
@@ -36,6 +36,7 @@
         self,
         controller_id: str,
         address: str,
+        *,
         gateways: str = '',
         key_file: str = '',
         json: bool = False,
@@ -64,6 +65,7 @@
     def remove(
         self,
         controller_id: str,
+        *,
         gateways: str = '',
         key_file: str = '',
         json: bool = False,
--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -14,6 +14,7 @@
 from dandeliondrum.command import _roles
 from dandeliondrum import observability
 from dandeliondrum import settings
+from dandeliondrum import utils
 
 KINDS: collections.abc.Mapping[str, type[settings.Settings]] = {
     'controller': settings.ControllerSettings,
@@ -45,30 +46,42 @@
 def _run(role: str, loaded: settings.Settings) -> _report.Report:
     process_id = _roles.process_id(loaded)
     observability.configure_logging(role, process_id, loaded.log_level)
+    stop = _Stop()
     with contextlib.ExitStack() as resources:
-        stopping = _stop_on_signals(resources)
+        stop.on_signals(resources)
         provider = observability.configure_tracing(
             role, process_id, loaded.traces_per_thousand
         )
         resources.callback(provider.shutdown)
-        started = _roles.start(loaded, resources)
+        started = _roles.start(loaded, resources, stop.on_fatal)
         if isinstance(started, result.Failure):
             _logger.error('not started', why=started.failure())
             return _report.Report(_report.ExitCode.REFUSED)
         _logger.info('started', address=started.unwrap())
-        stopping.wait()
+        stop.requested.wait()
         _logger.info('stopping')
-    _logger.info('stopped')
-    return _report.Report(_report.ExitCode.DONE)
+    _logger.info('stopped', code=stop.code.value)
+    return _report.Report(stop.code)
 
 
-def _stop_on_signals(resources: contextlib.ExitStack) -> threading.Event:
-    stopping = threading.Event()
+class _Stop:
+    """Waits for a reason to stop, and keeps the exit code that it means."""
 
-    def stop(number: int, _frame: types.FrameType | None) -> None:
-        stopping.set()
+    def __init__(self) -> None:
+        self.requested = threading.Event()
+        self.code = _report.ExitCode.DONE
 
-    for number in STOP_SIGNALS:
-        before = signal.signal(number, stop)
-        resources.callback(signal.signal, number, before)
-    return stopping
+    def on_signals(self, resources: contextlib.ExitStack) -> None:
+        """Stop on the signals, until the resources are closed."""
+        for number in STOP_SIGNALS:
+            before = signal.signal(number, self._on_signal)
+            resources.callback(signal.signal, number, before)
+
+    def on_fatal(self, error: utils.InvariantError) -> None:
+        """Stop because an invariant is broken."""
+        _logger.critical('invariant broken', why=str(error))
+        self.code = _report.ExitCode.BROKEN
+        self.requested.set()
+
+    def _on_signal(self, number: int, _: types.FrameType | None) -> None:
+        self.requested.set()
--- a/dandeliondrum/command/_gateways.py
+++ b/dandeliondrum/command/_gateways.py
@@ -21,6 +21,9 @@
 DEFAULT_GATEWAYS = '127.0.0.1:8003'
 DETAIL_LETTERS = 400
 
+# Answers with these carry what became of a change of the rules.
+_OUTCOME_STATUSES = (412, 422)
+
 Reply = typing.TypeVar('Reply')
 
 
@@ -77,7 +80,7 @@
         self, at: collections.abc.Sequence[str], operator_key: str
     ) -> None:
         self._addresses = at
-        self._headers = {'Content-Type': 'application/json'}
+        self._headers: dict[str, str] = {}
         if operator_key:
             self._headers['Authorization'] = f'Bearer {operator_key}'
 
@@ -102,78 +105,103 @@
         self, call: messages.ApplyRulesCall
     ) -> result.Result[messages.RulesOutcome, Problem]:
         """Apply rules; sent again under its id when the answer is lost."""
-        return self._send(
-            'PUT', '/v1/rules', call, messages.RulesOutcome, True
-        )
+        headers = {
+            'If-Match': f'"{call.expected_version}"',
+            'Dandeliondrum-Change-Id': call.change_id,
+            'Dandeliondrum-Operator': call.operator_id,
+            'Content-Type': 'text/plain; charset=utf-8',
+        }
+        change = _Change('PUT', '/v1/rules', headers, call.text.encode(), True)
+        return self._send(change, messages.RulesOutcome)
 
     def drain(
         self, call: messages.DrainWorker
     ) -> result.Result[messages.Done, Problem]:
         """Drain a worker; to do so twice changes nothing more."""
         path = f'/v1/workers/{_quoted(call.worker_id)}/drain'
-        return self._send('POST', path, call, messages.Done, True)
+        headers = {'Dandeliondrum-Operator': call.operator_id}
+        change = _Change('POST', path, headers, b'', True)
+        return self._send(change, messages.Done)
 
     def add_controller(
         self, call: messages.AddController
     ) -> result.Result[messages.Done, Problem]:
         """Take in a controller; tried once."""
-        return self._send(
-            'POST', '/v1/controllers', call, messages.Done, False
+        headers = {'Content-Type': 'application/json'}
+        change = _Change(
+            'POST', '/v1/controllers', headers, worker.to_json(call), False
         )
+        return self._send(change, messages.Done)
 
     def remove_controller(
         self, call: messages.RemoveController
     ) -> result.Result[messages.Done, Problem]:
         """Take a controller out of the voters; tried once."""
         path = f'/v1/controllers/{_quoted(call.controller_id)}'
-        return self._send('DELETE', path, call, messages.Done, False)
+        return self._send(
+            _Change('DELETE', path, {}, b'', False), messages.Done
+        )
 
     def _get(
         self, path: str, kind: type[Reply]
     ) -> result.Result[Reply, Problem]:
-        outcome = self._call('GET', path, b'', True)
-        if isinstance(outcome, result.Failure):
-            return result.Failure(
-                _no_answer(outcome.failure(), _report.ExitCode.UNREACHABLE)
-            )
-        return _reply(outcome.unwrap(), kind, _report.ExitCode.UNREACHABLE)
+        return self._ask(
+            _Change('GET', path, {}, b'', True),
+            kind,
+            _report.ExitCode.UNREACHABLE,
+        )
 
     def _send(
+        self, change: '_Change', kind: type[Reply]
+    ) -> result.Result[Reply, Problem]:
+        return self._ask(change, kind, _report.ExitCode.IN_DOUBT)
+
+    def _ask(
         self,
-        method: str,
-        path: str,
-        call: object,
+        change: '_Change',
         kind: type[Reply],
-        idempotent: bool,
+        if_sent: _report.ExitCode,
     ) -> result.Result[Reply, Problem]:
-        outcome = self._call(method, path, worker.to_json(call), idempotent)
+        outcome = self._call(change)
         if isinstance(outcome, result.Failure):
-            return result.Failure(
-                _no_answer(outcome.failure(), _report.ExitCode.IN_DOUBT)
-            )
-        return _reply(outcome.unwrap(), kind, _report.ExitCode.IN_DOUBT)
+            return result.Failure(_no_answer(outcome.failure(), if_sent))
+        return _reply(outcome.unwrap(), kind, if_sent)
 
     def _call(
-        self, method: str, path: str, body: bytes, idempotent: bool
+        self, change: '_Change'
     ) -> result.Result[_http.Answer, _http.Error]:
         worst = _http.Error(_http.Failure.NOT_SENT, 'no gateway is given')
         for address in self._addresses:
             request = _http.Request(
-                method, f'http://{address}{path}', self._headers, body
+                change.method,
+                f'http://{address}{change.path}',
+                {**self._headers, **change.headers},
+                change.body,
             )
             outcome = _http.call(request)
             if isinstance(outcome, result.Success):
                 return outcome
             error = outcome.failure()
-            detail = f'{address}: {error.detail}'
             if worst.failure is not _http.Failure.NO_ANSWER:
+                detail = f'{address}: {error.detail}'
                 worst = _http.Error(error.failure, detail)
             sent = error.failure is not _http.Failure.NOT_SENT
-            if sent and not idempotent:
+            if sent and not change.idempotent:
                 break
         return result.Failure(worst)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """A call as it is sent to one gateway after the other."""
+
+    method: str
+    path: str
+    headers: collections.abc.Mapping[str, str]
+    body: bytes
+    idempotent: bool
+
+
 def _no_answer(error: _http.Error, if_sent: _report.ExitCode) -> Problem:
     if error.failure is _http.Failure.NOT_SENT:
         return Problem(
@@ -186,37 +214,55 @@
 def _reply(
     answer: _http.Answer, kind: type[Reply], if_sent: _report.ExitCode
 ) -> result.Result[Reply, Problem]:
-    if answer.status < 300 or answer.status == 409:
+    if answer.status < 300 or answer.status in _OUTCOME_STATUSES:
         reply = worker.from_json(answer.body, kind)
         if isinstance(reply, result.Success):
             return result.Success(reply.unwrap())
-    detail = _detail(answer)
+    problem = _problem(answer)
     if answer.status < 300:
-        return result.Failure(
-            Problem(
-                if_sent,
-                f'the answer is not understood: {detail}',
-            )
-        )
-    return result.Failure(Problem(_code(answer, if_sent), detail))
+        detail = f'the answer is not understood: {problem.detail}'
+        return result.Failure(Problem(if_sent, detail))
+    return result.Failure(
+        Problem(_code(answer, problem, if_sent), str(problem))
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _GatewayProblem:
+    """What a gateway says is wrong."""
 
+    status: int
+    reason: str
+    detail: str
 
-def _code(answer: _http.Answer, if_sent: _report.ExitCode) -> _report.ExitCode:
-    if answer.status == 503:
-        return _report.ExitCode.UNREACHABLE
-    if answer.status >= 500:
-        return if_sent
+    def __str__(self) -> str:
+        parts = (str(self.status), self.reason, self.detail)
+        return ': '.join(filter(None, parts))
+
+
+def _code(
+    answer: _http.Answer, problem: _GatewayProblem, if_sent: _report.ExitCode
+) -> _report.ExitCode:
+    match answer.status, problem.reason:
+        case 503, 'call_failed':
+            # The leader answered, and vouches that nothing was done.
+            return _report.ExitCode.REFUSED
+        case 503, _:
+            return _report.ExitCode.UNREACHABLE
+        case status, _ if status >= 500:
+            return if_sent
     return _report.ExitCode.REFUSED
 
 
-def _detail(answer: _http.Answer) -> str:
-    text = answer.body.decode(errors='replace').strip()
+def _problem(answer: _http.Answer) -> _GatewayProblem:
+    text = answer.body.decode(errors='replace').strip()[:DETAIL_LETTERS]
     try:
-        fields = json.loads(text)
-        detail = fields.get('detail') or fields.get('reason') or text
-    except (ValueError, AttributeError):
-        detail = text
-    return f'{answer.status}: {str(detail)[:DETAIL_LETTERS]}'
+        fields = json.loads(answer.body)
+        return _GatewayProblem(
+            answer.status, str(fields['reason']), str(fields['detail'])
+        )
+    except (ValueError, KeyError, TypeError):
+        return _GatewayProblem(answer.status, '', text)
 
 
 def _quoted(text: str) -> str:
--- a/dandeliondrum/command/_http.py
+++ b/dandeliondrum/command/_http.py
@@ -57,6 +57,10 @@
 
 def call(request: Request) -> result.Result[Answer, Error]:
     """Make the call once."""
+    for name, value in request.headers.items():
+        if not value.isprintable():
+            detail = f"{name} has letters that can't be sent: {value!r}"
+            return result.Failure(Error(Failure.NOT_SENT, detail))
     curl = pycurl.Curl()
     body = io.BytesIO()
     headers: dict[str, str] = {}
@@ -82,8 +86,10 @@
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.TIMEOUT_MS, request.timeout_ms)
-    lines = [f'{name}: {value}' for name, value in request.headers.items()]
-    curl.setopt(pycurl.HTTPHEADER, [*lines, 'Expect:'])
+    lines = [
+        f'{name}: {value}'.encode() for name, value in request.headers.items()
+    ]
+    curl.setopt(pycurl.HTTPHEADER, [*lines, b'Expect:'])
     if request.method in ('POST', 'PUT'):
         curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(request.body))
         curl.setopt(pycurl.COPYPOSTFIELDS, request.body)
--- a/dandeliondrum/command/_keys_commands.py
+++ b/dandeliondrum/command/_keys_commands.py
@@ -19,6 +19,7 @@
     def grant(
         self,
         team: str,
+        *,
         asked_by: str,
         operator: str = '',
         wait_ms: int = _rules_changes.IN_FORCE_WAIT_MS,
@@ -52,6 +53,7 @@
     def withdraw(
         self,
         key_id: str,
+        *,
         operator: str = '',
         wait_ms: int = _rules_changes.IN_FORCE_WAIT_MS,
         gateways: str = '',
--- a/dandeliondrum/command/_report.py
+++ b/dandeliondrum/command/_report.py
@@ -66,7 +66,11 @@
     if report.note:
         print(report.note, file=sys.stderr)
     if as_json:
-        print(json.dumps(report.data, sort_keys=True))
+        data = report.data
+        if data is None:
+            outcome = report.code.name.lower()
+            data = {'outcome': outcome, 'detail': report.note}
+        print(json.dumps(data, sort_keys=True))
     elif report.text:
         print(report.text)
     sys.stdout.flush()
--- a/dandeliondrum/command/_roles.py
+++ b/dandeliondrum/command/_roles.py
@@ -13,11 +13,12 @@
 from returns import result
 
 from dandeliondrum import messages
-from dandeliondrum import observability
 from dandeliondrum import settings
+from dandeliondrum import utils
 
 Started = result.Result[str, str]
 Fields = dict[str, typing.Any]
+OnFatal = collections.abc.Callable[[utils.InvariantError], object]
 
 
 def process_id(loaded: settings.Settings) -> str:
@@ -32,12 +33,17 @@
 
 
 def start(
-    loaded: settings.Settings, resources: contextlib.ExitStack
+    loaded: settings.Settings,
+    resources: contextlib.ExitStack,
+    on_fatal: OnFatal,
 ) -> Started:
-    """Start the part; the stack closes it. Returns where it listens."""
+    """Start the part; the stack closes it. Returns where it listens.
+
+    ``on_fatal`` is called when an invariant of the part is broken.
+    """
     match loaded:
         case settings.ControllerSettings():
-            return _start_controller(loaded, resources)
+            return _start_controller(loaded, resources, on_fatal)
         case settings.GatewaySettings():
             return _start_gateway(loaded, resources)
         case settings.WorkerSettings():
@@ -45,33 +51,18 @@
 
 
 def _start_controller(
-    loaded: settings.ControllerSettings, resources: contextlib.ExitStack
+    loaded: settings.ControllerSettings,
+    resources: contextlib.ExitStack,
+    on_fatal: OnFatal,
 ) -> Started:
     from dandeliondrum import controller
 
     fields = _same_fields(loaded, controller.Options)
-    # The daemon serves metrics itself, together with readiness.
-    fields.pop('metrics_address', None)
     fields['data_folder'] = pathlib.Path(loaded.data_folder)
     fields['controllers'] = {
         item.controller_id: item.address for item in loaded.controllers
     }
-    part = controller.Controller(controller.Options(**fields))
-
-    def readiness() -> observability.Readiness:
-        if part.node.status().leader_id is None:
-            return observability.Readiness(False, 'no leader is known')
-        return observability.Readiness(True)
-
-    endpoints = observability.Endpoints(
-        observability.process_registry(), readiness
-    )
-    server = observability.Server(loaded.metrics_address, endpoints)
-    served = server.start()
-    if isinstance(served, result.Failure):
-        error = served.failure()
-        return result.Failure(f'{error.address}: {error.reason}')
-    resources.callback(server.close)
+    part = controller.Controller(controller.Options(**fields), on_fatal)
     return _started(part.start, part.close, loaded.listen_address, resources)
 
 
--- a/dandeliondrum/command/_rules_commands.py
+++ b/dandeliondrum/command/_rules_commands.py
@@ -16,7 +16,7 @@
     """Check, apply and look at the rules of teams, keys and queues."""
 
     @_arguments.typed
-    def check(self, file: str, json: bool = False) -> _report.Command:
+    def check(self, file: str, *, json: bool = False) -> _report.Command:
         """Check a rules file without applying it.
 
         Exits with 0 when the file is whole, and with 1 after naming line and
@@ -32,6 +32,7 @@
     def apply(
         self,
         file: str,
+        *,
         expected_version: int,
         operator: str = '',
         change_id: str = '',
@@ -69,7 +70,7 @@
 
     @_arguments.typed
     def show(
-        self, gateways: str = '', key_file: str = '', json: bool = False
+        self, *, gateways: str = '', key_file: str = '', json: bool = False
     ) -> _report.Command:
         """Print the rules in force as they were applied.
 
@@ -84,7 +85,7 @@
 
     @_arguments.typed
     def history(
-        self, gateways: str = '', key_file: str = '', json: bool = False
+        self, *, gateways: str = '', key_file: str = '', json: bool = False
     ) -> _report.Command:
         """List the changes of the rules, the latest last.
 
--- a/dandeliondrum/command/_settings_commands.py
+++ b/dandeliondrum/command/_settings_commands.py
@@ -12,7 +12,7 @@
     """Check the settings files of the daemons."""
 
     @_arguments.typed
-    def check(self, file: str, json: bool = False) -> _report.Command:
+    def check(self, file: str, *, json: bool = False) -> _report.Command:
         """Check a settings file as a whole, without starting anything.
 
         Exits with 0 when the file is whole, and with 1 after naming line,
