--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,88 @@
+"""The examples are whole, and each deployment fits together."""
+
+import collections
+import pathlib
+
+import pytest
+
+from dandeliondrum import rules
+from dandeliondrum import settings
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+DEPLOYMENTS = {'bureau': (16_000, 32_768), 'tag-yard': (32_000, 65_536)}
+REGIONS = {
+    'sattahip': 'gulf',
+    'songkhla': 'gulf',
+    'phuket': 'andaman',
+    'pamplemousses': 'north-isle',
+    'grand-baie': 'north-isle',
+    'mahebourg': 'south-isle',
+}
+
+
+def load_all(folder):
+    return [
+        settings.load_any(path).unwrap()
+        for path in sorted(folder.glob('*.jsonc'))
+    ]
+
+
+def of_kind(loaded, kind):
+    return [item for item in loaded if isinstance(item, kind)]
+
+
+@pytest.mark.parametrize('path', sorted(EXAMPLES.rglob('*.rules')), ids=str)
+def test_rules_files_have_no_problem(path):
+    rule_set = rules.parse(path.read_text()).unwrap()
+    assert rule_set.teams
+    assert not rule_set.keys, 'an example key would be a known key'
+
+
+@pytest.mark.parametrize('role', ['controller', 'gateway', 'worker'])
+def test_the_example_of_a_role_has_every_parameter(role):
+    path = EXAMPLES / f'{role}.jsonc'
+    loaded = settings.load_any(path).unwrap()
+    text = path.read_text()
+    for parameter in settings.parameters(type(loaded)):
+        assert text.count(f'\n  "{parameter.name}": ') == 1
+        assert parameter.meaning.split()[0] in text
+
+
+@pytest.mark.parametrize('name', DEPLOYMENTS)
+def test_a_deployment_fits_together(name):
+    loaded = load_all(EXAMPLES / name)
+    controllers = of_kind(loaded, settings.ControllerSettings)
+    gateways = of_kind(loaded, settings.GatewaySettings)
+    workers = of_kind(loaded, settings.WorkerSettings)
+    assert 6 <= len(controllers) + len(gateways) <= 8
+    listening = {
+        item.controller_id: item.listen_address for item in controllers
+    }
+    for item in controllers + gateways:
+        assert item.cell_id == name
+        known = {one.controller_id: one.address for one in item.controllers}
+        assert known == listening
+    for item in loaded:
+        assert REGIONS[item.failure_domain] == item.region
+    at = {gateway.workers_address for gateway in gateways}
+    for worker in workers:
+        assert set(worker.gateways) == at
+        assert (worker.cpu_millicores, worker.memory_mb) == DEPLOYMENTS[name]
+        assert (worker.slots_count, worker.connections_count) == (8, 64)
+
+
+@pytest.mark.parametrize('name', DEPLOYMENTS)
+def test_one_region_has_a_majority_and_no_domain_has(name):
+    loaded = load_all(EXAMPLES / name)
+    controllers = of_kind(loaded, settings.ControllerSettings)
+    majority = len(controllers) // 2 + 1
+    regions = collections.Counter(item.region for item in controllers)
+    domains = collections.Counter(item.failure_domain for item in controllers)
+    assert max(regions.values()) >= majority
+    assert len(controllers) - max(domains.values()) >= majority
+
+
+@pytest.mark.parametrize('name', DEPLOYMENTS)
+def test_each_user_has_six_teams(name):
+    text = (EXAMPLES / name / f'{name}.rules').read_text()
+    assert len(rules.parse(text).unwrap().teams) == 6
