--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -1,5 +1,6 @@
 """Tools for tests: fault proxy, real processes, histories and checks."""
 
+from dandeliondrum.testing._checker import check
 from dandeliondrum.testing._fake_gateway import FakeGateway
 from dandeliondrum.testing._fake_gateway import SeenBeat
 from dandeliondrum.testing._fake_gateway import wait_for
@@ -10,9 +11,28 @@
 from dandeliondrum.testing._faults import NO_FAULTS
 from dandeliondrum.testing._faults import Pacer
 from dandeliondrum.testing._faults import STALLED
+from dandeliondrum.testing._history import History
+from dandeliondrum.testing._history import Outage
+from dandeliondrum.testing._history import OutageKind
+from dandeliondrum.testing._history import Outcome
+from dandeliondrum.testing._history import OutcomeKind
+from dandeliondrum.testing._history import Sending
+from dandeliondrum.testing._history import SendingKind
+from dandeliondrum.testing._history import TeamLimit
+from dandeliondrum.testing._history import Withdrawal
 from dandeliondrum.testing._mesh import LinkName
 from dandeliondrum.testing._mesh import ProxyMesh
+from dandeliondrum.testing._ports import free_address
+from dandeliondrum.testing._ports import free_addresses
+from dandeliondrum.testing._processes import daemon
+from dandeliondrum.testing._processes import ProcessError
+from dandeliondrum.testing._processes import Processes
+from dandeliondrum.testing._processes import Program
 from dandeliondrum.testing._proxy import Proxy
+from dandeliondrum.testing._recorder import Recorder
+from dandeliondrum.testing._violations import CheckOptions
+from dandeliondrum.testing._violations import Violation
+from dandeliondrum.testing._violations import ViolationKind
 from dandeliondrum.testing._worker_client import Reply
 from dandeliondrum.testing._worker_client import Start
 from dandeliondrum.testing._worker_client import WorkerClient
@@ -20,18 +40,38 @@
 __all__ = [
     'BLACKHOLE',
     'CUT',
+    'CheckOptions',
     'FakeGateway',
     'Faults',
     'Flow',
+    'History',
     'LinkName',
     'NO_FAULTS',
+    'Outage',
+    'OutageKind',
+    'Outcome',
+    'OutcomeKind',
     'Pacer',
+    'ProcessError',
+    'Processes',
+    'Program',
     'Proxy',
     'ProxyMesh',
+    'Recorder',
     'Reply',
     'STALLED',
     'SeenBeat',
+    'Sending',
+    'SendingKind',
     'Start',
+    'TeamLimit',
+    'Violation',
+    'ViolationKind',
+    'Withdrawal',
     'WorkerClient',
+    'check',
+    'daemon',
+    'free_address',
+    'free_addresses',
     'wait_for',
 ]
--- /dev/null
+++ b/dandeliondrum/testing/_checker.py
@@ -0,0 +1,33 @@
+"""Checks a history against what must always hold."""
+
+from dandeliondrum.testing import _callers_checks
+from dandeliondrum.testing import _history
+from dandeliondrum.testing import _runs
+from dandeliondrum.testing import _violations
+from dandeliondrum.testing import _workers_checks
+
+
+def check(
+    history: _history.History,
+    options: _violations.CheckOptions | None = None,
+) -> tuple[_violations.Violation, ...]:
+    """Return everything that is wrong with a history; empty when nothing.
+
+    The history has to be that of a run that came to rest: whatever callers
+    still wait for at its end counts as lost.
+    """
+    options = options or _violations.CheckOptions()
+    told = _callers_checks.all_told(history)
+    runs = _runs.runs(history, options.margin_ms)
+    by_task = _runs.by_task(runs)
+    return (
+        *_callers_checks.check_lost(told),
+        *_callers_checks.check_answers(told),
+        *_callers_checks.check_refusals(told, by_task),
+        *_callers_checks.check_withdrawals(history, by_task, options),
+        *_workers_checks.check_run_twice(history, by_task),
+        *_workers_checks.check_two_places(by_task),
+        *_workers_checks.check_workers(history, runs),
+        *_workers_checks.check_teams(history, runs, options.margin_ms),
+        *_workers_checks.check_leaving(history, options),
+    )
--- /dev/null
+++ b/dandeliondrum/testing/_recorder.py
@@ -0,0 +1,97 @@
+"""Collects what callers and operators did and were told."""
+
+import itertools
+import threading
+import typing
+
+from dandeliondrum import messages
+from dandeliondrum.testing import _history
+from dandeliondrum import worker
+
+
+class Recorder:
+    """Gathers the events of a run's callers; safe for any thread.
+
+    Example::
+
+        sending_id = recorder.sent(team_id=team, request_id='r1', ...)
+        ...
+        recorder.told(sending_id, testing.OutcomeKind.ANSWERED, echo='r1')
+        violations = testing.check(recorder.history(worker.events()))
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._numbers = itertools.count(1)
+        self._sendings: list[_history.Sending] = []
+        self._outcomes: list[_history.Outcome] = []
+        self._withdrawals: list[_history.Withdrawal] = []
+        self._limits: list[_history.TeamLimit] = []
+
+    def sent(self, **fields: typing.Any) -> str:
+        """Record a sending that happens now; returns its id."""
+        with self._lock:
+            sending_id = str(next(self._numbers))
+            self._sendings.append(
+                _history.Sending(
+                    sending_id=sending_id, at_ms=worker.now_ms(), **fields
+                )
+            )
+        return sending_id
+
+    def told(
+        self,
+        sending_id: str,
+        kind: _history.OutcomeKind,
+        **fields: typing.Any,
+    ) -> None:
+        """Record what the caller of a sending is told now."""
+        with self._lock:
+            self._outcomes.append(
+                _history.Outcome(
+                    sending_id=sending_id,
+                    at_ms=worker.now_ms(),
+                    kind=kind,
+                    **fields,
+                )
+            )
+
+    def withdrawn(self, key_id: str) -> None:
+        """Record that the withdrawal of a key is acknowledged now."""
+        with self._lock:
+            self._withdrawals.append(
+                _history.Withdrawal(key_id=key_id, at_ms=worker.now_ms())
+            )
+
+    def limited(
+        self,
+        team_id: messages.TeamId,
+        running_max: int | None = None,
+        resources_max: messages.Resources | None = None,
+    ) -> None:
+        """Record that an upper limit is in force from now on."""
+        with self._lock:
+            self._limits.append(
+                _history.TeamLimit(
+                    team_id=team_id,
+                    at_ms=worker.now_ms(),
+                    running_max=running_max,
+                    resources_max=resources_max,
+                )
+            )
+
+    def history(
+        self,
+        worker_events: tuple[worker.Event, ...],
+        outages: tuple[_history.Outage, ...] = (),
+    ) -> _history.History:
+        """Return the whole history so far."""
+        with self._lock:
+            return _history.History(
+                sendings=tuple(self._sendings),
+                outcomes=tuple(self._outcomes),
+                worker_events=worker_events,
+                withdrawals=tuple(self._withdrawals),
+                limits=tuple(self._limits),
+                outages=outages,
+            )
--- /dev/null
+++ b/dandeliondrum/testing/_runs.py
@@ -0,0 +1,180 @@
+"""When and where attempts ran, worked out from the workers' journals."""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+
+from dandeliondrum import messages
+from dandeliondrum.testing import _history
+from dandeliondrum import worker
+
+LEASE_REASON = 'lease'
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """One start and the time until which it ran; infinity when it goes on."""
+
+    start: worker.Event
+    until_ms: float
+
+    @property
+    def resources(self) -> messages.Resources:
+        """What the attempt was given."""
+        return self.start.resources or messages.Resources(0, 0)
+
+    @property
+    def where(self) -> str:
+        """The attempt and its worker, for messages."""
+        return f'{self.start.attempt_id} on {self.start.worker_id}'
+
+
+def runs(history: _history.History, margin_ms: float) -> tuple[Run, ...]:
+    """Return all runs, in the order of their starts.
+
+    An attempt that was found to have outlived its lease when its worker was
+    thawed ran no longer than the lease, since a frozen process runs nothing.
+    """
+    events = sorted(history.worker_events, key=lambda event: event.at_ms)
+    ends = _ends(events)
+    found = []
+    for event in events:
+        if event.kind is worker.EventKind.START:
+            end = ends.get(_key(event))
+            until_ms = _until_ms(event, end, events, history, margin_ms)
+            found.append(Run(event, until_ms))
+    return tuple(found)
+
+
+@dataclasses.dataclass(frozen=True)
+class Moment:
+    """The runs that go on at the moment at which one of them starts."""
+
+    started: Run
+    running: tuple[Run, ...]
+
+    @property
+    def total(self) -> messages.Resources:
+        """The sum of what all of them were given."""
+        total = messages.Resources(0, 0)
+        for run in self.running:
+            total = total + run.resources
+        return total
+
+
+def moments(
+    all_runs: collections.abc.Iterable[Run],
+) -> collections.abc.Iterator[Moment]:
+    """Yield a moment for each start; what ends then runs no more."""
+    running: list[Run] = []
+    for run in sorted(all_runs, key=lambda each: each.start.at_ms):
+        now_ms = run.start.at_ms
+        running = [each for each in running if each.until_ms > now_ms]
+        running.append(run)
+        yield Moment(run, tuple(running))
+
+
+def _key(event: worker.Event) -> tuple[str, str, str]:
+    return (event.worker_id, event.incarnation, event.attempt_id)
+
+
+def _ends(
+    events: collections.abc.Iterable[worker.Event],
+) -> dict[tuple[str, str, str], worker.Event]:
+    return {
+        _key(event): event
+        for event in events
+        if event.kind is worker.EventKind.END
+    }
+
+
+def _until_ms(
+    start: worker.Event,
+    end: worker.Event | None,
+    events: collections.abc.Sequence[worker.Event],
+    history: _history.History,
+    margin_ms: float,
+) -> float:
+    outages = [
+        each
+        for each in history.outages
+        if each.name == start.worker_id and each.until_ms >= start.at_ms
+    ]
+    if end is None:
+        return _cut_off_ms(start, events, outages)
+    late = end.reason == LEASE_REASON and end.expired_ms is not None
+    if late and _was_frozen_until(end.at_ms, outages, margin_ms):
+        return min(end.at_ms, end.expired_ms or end.at_ms)
+    return end.at_ms
+
+
+def _was_frozen_until(
+    at_ms: float,
+    outages: collections.abc.Iterable[_history.Outage],
+    margin_ms: float,
+) -> bool:
+    return any(
+        each.kind is _history.OutageKind.FROZEN
+        and each.from_ms <= at_ms <= each.until_ms + margin_ms
+        for each in outages
+    )
+
+
+def _cut_off_ms(
+    start: worker.Event,
+    events: collections.abc.Iterable[worker.Event],
+    outages: collections.abc.Sequence[_history.Outage],
+) -> float:
+    """Return when the worker of an attempt without an end was lost."""
+    kills = [
+        each.from_ms
+        for each in outages
+        if each.kind is _history.OutageKind.KILLED
+    ]
+    begins = [
+        event.at_ms
+        for event in events
+        if event.kind is worker.EventKind.BEGUN
+        and event.worker_id == start.worker_id
+        and event.at_ms > start.at_ms
+    ]
+    lost_ms = min([*kills, *begins], default=math.inf)
+    freezes = [
+        each.from_ms
+        for each in outages
+        if each.kind is _history.OutageKind.FROZEN
+        and each.from_ms > start.at_ms
+        and each.until_ms >= lost_ms
+    ]
+    return min([lost_ms, *freezes])
+
+
+def by_worker(
+    all_runs: collections.abc.Iterable[Run],
+) -> dict[messages.WorkerId, list[Run]]:
+    """Return the runs of each worker."""
+    grouped: dict[messages.WorkerId, list[Run]] = collections.defaultdict(list)
+    for run in all_runs:
+        grouped[run.start.worker_id].append(run)
+    return grouped
+
+
+def by_team(
+    all_runs: collections.abc.Iterable[Run],
+) -> dict[messages.TeamId, list[Run]]:
+    """Return the runs of each team."""
+    grouped: dict[messages.TeamId, list[Run]] = collections.defaultdict(list)
+    for run in all_runs:
+        grouped[run.start.team_id].append(run)
+    return grouped
+
+
+def by_task(
+    all_runs: collections.abc.Iterable[Run],
+) -> dict[messages.TaskId, list[Run]]:
+    """Return the runs of each task."""
+    grouped: dict[messages.TaskId, list[Run]] = collections.defaultdict(list)
+    for run in all_runs:
+        grouped[run.start.task_id].append(run)
+    return grouped
