--- a/dandeliondrum/controller/__init__.py
+++ b/dandeliondrum/controller/__init__.py
@@ -1,13 +1,11 @@
 """The controllers of a cell: agreed state, and the leader's decisions."""
 
 from dandeliondrum.controller._controller import Controller
-from dandeliondrum.controller._options import DEFAULT_LEASES_MS
 from dandeliondrum.controller._options import Options
 from dandeliondrum.controller._state import CellState
 
 __all__ = [
     'CellState',
     'Controller',
-    'DEFAULT_LEASES_MS',
     'Options',
 ]
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -98,7 +98,7 @@
             one.worker_id,
             worker.facts.incarnation,
             session.gateway_id,
-            context.options.leases_ms[entry.spec.task_class],
+            context.state.rules.defaults.lease_ms[entry.spec.task_class],
             None if entry.spec.durable else entry.spec,
         )
 
--- a/dandeliondrum/controller/_options.py
+++ b/dandeliondrum/controller/_options.py
@@ -6,14 +6,6 @@
 
 from dandeliondrum import messages
 
-DEFAULT_LEASES_MS: collections.abc.Mapping[messages.TaskClass, int] = {
-    messages.TaskClass.URGENT: 4_000,
-    messages.TaskClass.BATCH: 8_000,
-    messages.TaskClass.GANG: 8_000,
-    # A region that is cut off for minutes should go on serving.
-    messages.TaskClass.SERVICE: 300_000,
-}
-
 
 @dataclasses.dataclass(frozen=True)
 class Options:
@@ -37,9 +29,6 @@
     election_min_ms: int = 600
     election_max_ms: int = 1_200
     snapshot_every_entries: int = 20_000
-    leases_ms: collections.abc.Mapping[messages.TaskClass, int] = (
-        dataclasses.field(default_factory=lambda: DEFAULT_LEASES_MS)
-    )
     lease_margin_ms: int = 1_000
     worker_silence_ms: int = 2_500
     answer_retention_ms: int = 600_000
