--- a/dandeliondrum/gateway/_beats.py
+++ b/dandeliondrum/gateway/_beats.py
@@ -16,7 +16,7 @@
 GATHER_MS = 20
 BATCH_BEATS = 500
 BEAT_DEADLINE_MS = 950
-IDLE_POLL_MS = 500
+IDLE_POLL_MS = 100
 
 BeatReply = result.Result[messages.WorkerBeatReply, str]
 BeatFuture = concurrent.futures.Future[BeatReply]
--- a/dandeliondrum/gateway/_reporter.py
+++ b/dandeliondrum/gateway/_reporter.py
@@ -14,7 +14,7 @@
 GATHER_MS = 2
 BATCH_REPORTS = 500
 RETRY_PAUSE_MS = 200
-IDLE_POLL_MS = 500
+IDLE_POLL_MS = 100
 
 _logger = structlog.get_logger()
 
--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -9,8 +9,10 @@
 import json
 import socket
 import threading
+import time
 import typing
 
+from cheroot import connections
 from cheroot import errors
 from cheroot import server as cheroot_server
 from cheroot import wsgi
@@ -23,6 +25,9 @@
 KEPT_CONNECTIONS_MAX = 512
 QUEUED_CONNECTIONS_MAX = 256
 SOCKET_TIMEOUT_S = 10
+SELECT_TIMEOUT_S = 0.1
+# How long a stop still takes requests from connections that are open.
+LAST_REQUESTS_S = 0.1
 # The key of a request's environment that holds its connection.
 CONNECTION = 'dandeliondrum.connection'
 
@@ -34,7 +39,10 @@
 
     def read_request_headers(self) -> bool:
         try:
-            return super().read_request_headers()
+            readable = bool(super().read_request_headers())
+            if self.server.draining:
+                self.close_connection = True
+            return readable
         except errors.MaxSizeExceeded:
             self.close_connection = True
             self.simple_response('431 Request Header Fields Too Large')
@@ -124,6 +132,7 @@
     ConnectionClass = Connection
     max_request_header_size = HEADERS_MAX_BYTES
     keep_alive_conn_limit = KEPT_CONNECTIONS_MAX
+    expiration_interval = SELECT_TIMEOUT_S
 
     def __init__(
         self,
@@ -148,6 +157,7 @@
         self.timers = timers
         self.arrival_ms = arrival_ms
         self.on_refused = on_refused
+        self.draining = False
         self._thread: threading.Thread | None = None
 
     @property
@@ -159,6 +169,7 @@
     def open(self) -> None:
         """Listen from now on; raises OSError when the port is taken."""
         self.prepare()
+        self._connections = _Connections(self)
         self._thread = threading.Thread(
             target=self.serve, name='http-server', daemon=True
         )
@@ -178,8 +189,43 @@
         _logger.log(level, 'http server', detail=msg, exc_info=traceback)
 
     def drain(self, timeout_ms: int) -> None:
-        """Stop listening and let open requests end, for a bounded time."""
+        """Stop listening and let open requests end, for a bounded time.
+
+        Connections that were made before are still served, and requests
+        that arrive on them up to a moment later as well.
+        """
+        if not self.ready:
+            return
+        self.draining = True
+        self._stop_listening()
+        if timeout_ms > 0:
+            time.sleep(LAST_REQUESTS_S)
         self.shutdown_timeout = timeout_ms / 1000
         self.stop()
         if self._thread is not None:
             self._thread.join(timeout=SOCKET_TIMEOUT_S)
+
+    def _stop_listening(self) -> None:
+        """Take the connections that wait to be accepted, then no more."""
+        listener, self.socket = self.socket, None
+        self._connections.forget(listener)
+        listener.setblocking(False)
+        while True:
+            connection = self._connections.accept(listener)
+            if connection is None:
+                break
+            self.process_conn(connection)
+        listener.close()
+
+
+class _Connections(connections.ConnectionManager):
+    """The library's connections, with a listener that can be taken away."""
+
+    def forget(self, listener: socket.socket) -> None:
+        """Accept nothing more by itself."""
+        self._selector.unregister(listener.fileno())
+
+    def accept(self, listener: socket.socket) -> Connection | None:
+        """Return the next connection that waits, if there is one."""
+        accepted: Connection | None = self._from_server_socket(listener)
+        return accepted
--- /dev/null
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -0,0 +1,206 @@
+"""Tests of a gateway whose leader is lost, silent or not there."""
+
+import contextlib
+import itertools
+import time
+
+import pytest
+
+from dandeliondrum.gateway.tests import fakes
+from dandeliondrum import messages
+from dandeliondrum import transport
+
+
+def ready_body(front):
+    return fakes.call(front.callers_address, 'GET', '/readyz')
+
+
+def test_a_task_is_submitted_again_when_the_leader_is_lost_before_its_start(
+    worker,
+):
+    with (
+        contextlib.closing(fakes.Leader('c1')) as old,
+        contextlib.closing(fakes.Leader('c2', term=2)) as new,
+    ):
+        new.start_on(worker)
+        with fakes.serving(old.address, new.address) as front:
+            call = fakes.Background(fakes.run, front, Request_Id='r1')
+            fakes.until(lambda: old.of(messages.SubmitTasks))
+            old.close()
+            reply = call.result()
+    assert (reply.status, reply.body) == (200, b'echo:lens')
+    (first,) = old.of(messages.SubmitTasks)
+    (second,) = new.of(messages.SubmitTasks)
+    assert first.tasks[0].task_id == second.tasks[0].task_id
+    assert second.tasks[0].timeout_ms <= first.tasks[0].timeout_ms
+
+
+def test_an_answer_arrives_although_the_leader_is_lost_after_the_start(
+    worker,
+):
+    with (
+        contextlib.closing(fakes.Leader('c1')) as old,
+        contextlib.closing(fakes.Leader('c2', term=2)) as new,
+    ):
+        worker.on_start = lambda _seen: (
+            old.close() or fakes.ended(b'all the same')
+        )
+        old.start_on(worker)
+        with fakes.serving(old.address, new.address) as front:
+            assert fakes.run(front).body == b'all the same'
+            # What the old leader did not hear is told to the new one.
+            fakes.until(new.reports)
+    assert new.reports()[0].state is messages.AttemptState.FINISHED
+
+
+def test_a_report_is_sent_again_until_it_is_confirmed(front, leader, worker):
+    tries = itertools.count()
+    leader.replies[messages.ReportAttempts] = lambda _call: (
+        messages.CallFailed('not now', False)
+        if next(tries) < 2
+        else messages.Done()
+    )
+    leader.start_on(worker)
+    fakes.run(front)
+    fakes.until(lambda: len(leader.reports()) == 3)
+    assert len({report.attempt_id for report in leader.reports()}) == 1
+
+
+def test_a_leader_that_stops_answering_beats_is_given_up(worker):
+    with (
+        contextlib.closing(fakes.Leader('c1')) as mute,
+        contextlib.closing(fakes.Leader('c2', term=2)) as new,
+    ):
+        new.not_leader = messages.NotLeader()
+        with fakes.serving(mute.address, new.address) as front:
+            mute.silent = True
+            # The stream stays open and pings go on; only beats fail.
+            fakes.until(lambda: not front.ready())
+            assert ready_body(front).status == 503
+            new.not_leader = None
+            new.start_on(worker)
+            assert fakes.run(front).status == 200
+
+
+def test_a_port_that_accepts_and_says_nothing_is_passed_over(leader):
+    with contextlib.closing(fakes.MutePort()) as mute:
+        with fakes.serving(mute.address, leader.address):
+            assert mute.accepted
+
+
+def test_a_hint_is_followed_to_the_configured_address():
+    with (
+        contextlib.closing(fakes.Leader('c1')) as follower,
+        contextlib.closing(fakes.Leader('c3')) as leading,
+    ):
+        follower.not_leader = messages.NotLeader(
+            messages.ControllerId('c3'), fakes.free_port()
+        )
+        # The second controller is down; the hint makes the order.
+        with fakes.serving(
+            follower.address, fakes.free_port(), leading.address
+        ):
+            assert leading.of(messages.RegisterGateway)
+
+
+def test_a_hint_to_a_controller_outside_the_settings_is_followed():
+    with (
+        contextlib.closing(fakes.Leader('c1')) as follower,
+        contextlib.closing(fakes.Leader('c9')) as leading,
+    ):
+        follower.not_leader = messages.NotLeader(
+            messages.ControllerId('c9'), leading.address
+        )
+        with fakes.serving(follower.address):
+            assert leading.of(messages.RegisterGateway)
+
+
+def test_a_deposed_leader_is_left(worker):
+    with (
+        contextlib.closing(fakes.Leader('c1')) as old,
+        contextlib.closing(fakes.Leader('c2', term=2)) as new,
+    ):
+        new.start_on(worker)
+        with fakes.serving(old.address, new.address) as front:
+            old.not_leader = messages.NotLeader(messages.ControllerId('c2'))
+            assert fakes.run(front).status == 200
+
+
+@pytest.mark.parametrize(
+    ('headers', 'outcome'),
+    [
+        ({}, 'refused_not_run'),
+        ({'Request_Id': 'r1', 'First_Sending': 'true'}, 'refused_not_run'),
+        ({'Request_Id': 'r1'}, 'in_doubt'),
+        ({'Request_Id': 'r1', 'First_Sending': 'false'}, 'in_doubt'),
+    ],
+)
+def test_without_any_leader_only_a_new_id_is_told_as_not_run(
+    headers, outcome
+):
+    with fakes.serving(fakes.free_port(), wait=False) as front:
+        reply = fakes.run(front, Timeout_Ms=50, **headers)
+    assert reply.outcome == outcome
+    assert reply.status == (503 if outcome == 'refused_not_run' else 502)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'outcome'),
+    [
+        (transport.CallFuture, 'in_doubt'),
+        (lambda: messages.CallFailed('why', False), 'in_doubt'),
+        (lambda: messages.CallFailed('why', True), 'refused_not_run'),
+        (lambda: messages.NotLeader(), 'refused_not_run'),
+        (lambda: messages.Done(), 'in_doubt'),
+    ],
+)
+def test_what_a_leader_may_have_seen_is_in_doubt(leader, answer, outcome):
+    leader.on_submit = lambda *_: answer()
+    with fakes.serving(leader.address) as front:
+        reply = fakes.run(
+            front, Timeout_Ms=50, Request_Id='r1', First_Sending='true'
+        )
+    assert reply.outcome == outcome
+
+
+def test_a_stream_lost_after_a_submit_leaves_it_in_doubt(leader):
+    def on_submit(connection, _call):
+        connection.close()
+        leader.not_leader = messages.NotLeader()
+        return messages.Done()
+
+    leader.on_submit = on_submit
+    with fakes.serving(leader.address) as front:
+        reply = fakes.run(
+            front, Timeout_Ms=200, Request_Id='r1', First_Sending='true'
+        )
+    assert reply.outcome == 'in_doubt'
+
+
+def test_a_gateway_is_ready_only_with_a_leader():
+    with contextlib.closing(fakes.Leader()) as late:
+        late.not_leader = messages.NotLeader()
+        with fakes.serving(late.address, wait=False) as front:
+            reply = ready_body(front)
+            assert reply.status == 503
+            assert reply.json()['detail'] == 'no leader answers'
+            assert (
+                fakes.call(front.operators_address, 'GET', '/healthz').status
+                == 200
+            )
+            late.not_leader = None
+            fakes.until(lambda: ready_body(front).status == 200)
+
+
+def test_the_rules_version_of_a_push_is_in_the_next_beats(front, leader):
+    leader.push(messages.RulesPush(messages.RulesVersion(9), ''))
+    fakes.until(
+        lambda: leader.of(messages.GatewayBeat)[-1].rules_version == 9
+    )
+
+
+def test_a_stop_does_not_wait_for_a_leader():
+    began_s = time.monotonic()
+    with fakes.serving(fakes.free_port(), wait=False):
+        pass
+    assert time.monotonic() - began_s < fakes.WAIT_S
--- a/dandeliondrum/gateway/tests/test_waiting_calls.py
+++ b/dandeliondrum/gateway/tests/test_waiting_calls.py
@@ -2,8 +2,13 @@
 
 import hashlib
 
-from dandeliondrum import messages
+import pytest
+
+from dandeliondrum.gateway import _callers
 from dandeliondrum.gateway.tests import fakes
+from dandeliondrum import messages
+
+State = messages.AttemptState
 
 
 def test_a_caller_gets_the_answer_of_the_worker(front, leader, worker):
@@ -19,6 +24,227 @@
     assert submit.tasks[0].body_digest == digest
     fakes.until(leader.reports)
     (report,) = leader.reports()
-    assert report.state is messages.AttemptState.FINISHED
+    assert report.state is State.FINISHED
     assert report.answer.length_bytes == len(reply.body)
     assert report.run_ms == 7
+
+
+def test_an_id_is_made_for_a_caller_without_one(front, leader, worker):
+    leader.start_on(worker)
+    reply = fakes.run(front)
+    request_id = reply.headers['Dandeliondrum-Request-Id']
+    (submit,) = leader.of(messages.SubmitTasks)
+    assert submit.tasks[0].task_id == f'bureau/{request_id}'
+
+
+def test_a_long_task_is_asked_for_until_it_ends(leader, worker):
+    polls = []
+
+    def on_fetch(seen):
+        polls.append(seen)
+        if len(polls) < 3:
+            return fakes.running()
+        return fakes.ended(b'ring')
+
+    worker.on_start = lambda _seen: fakes.running()
+    worker.on_fetch = on_fetch
+    leader.start_on(worker)
+    with fakes.serving(leader.address, start_wait_ms=50) as front:
+        reply = fakes.run(front, Request_Id='r1')
+    assert (reply.status, reply.body) == (200, b'ring')
+    assert polls[0].attempt_id == 'bureau/r1#1'
+    fakes.until(leader.reports)
+    assert [report.state for report in leader.reports()] == [State.FINISHED]
+
+
+def test_a_resend_of_an_ended_task_gets_the_stored_answer(
+    front, leader, worker
+):
+    worker.on_fetch = lambda _seen: fakes.ended(b'stored')
+    place = fakes.place(worker, b'stored', 'bureau/r1#1')
+    leader.on_submit = lambda _connection, _call: messages.TaskStatuses(
+        (fakes.status('bureau/r1', 'done', answer=place),)
+    )
+    reply = fakes.run(front, Request_Id='r1')
+    assert (reply.status, reply.body) == (200, b'stored')
+    assert worker.starts() == []
+    assert leader.reports() == []
+
+
+def test_an_answer_in_the_log_needs_no_worker(front, leader):
+    place = messages.AnswerPlace(
+        messages.WorkerId('w1'),
+        fakes.free_port(),
+        messages.AttemptId('bureau/r1#1'),
+        4,
+        hashlib.sha256(b'kept').hexdigest(),
+        body=b'kept',
+    )
+    leader.on_submit = lambda _connection, _call: messages.TaskStatuses(
+        (fakes.status('bureau/r1', 'done', answer=place),)
+    )
+    assert fakes.run(front, Request_Id='r1').body == b'kept'
+
+
+def test_two_callers_with_one_id_both_get_its_answer(front, leader, worker):
+    first = fakes.Background(fakes.run, front, Request_Id='r1')
+    fakes.until(lambda: len(leader.of(messages.SubmitTasks)) == 1)
+    second = fakes.Background(fakes.run, front, Request_Id='r1')
+    fakes.until(lambda: len(leader.of(messages.SubmitTasks)) == 2)
+    worker.on_fetch = lambda _seen: fakes.ended(b'echo:lens')
+    spec = leader.of(messages.SubmitTasks)[0].tasks[0]
+    leader.push(fakes.start_of(spec, worker))
+    assert first.result().body == second.result().body == b'echo:lens'
+    assert len(worker.starts()) == 1
+
+
+@pytest.mark.parametrize(
+    ('reason', 'code'),
+    [
+        ('queue_full', 429),
+        ('bad_key', 403),
+        ('id_conflict', 409),
+        ('never_fits', 422),
+        ('deadline_unreachable', 504),
+    ],
+)
+def test_the_leaders_refusal_is_told_as_not_run(front, leader, reason, code):
+    refusal = fakes.status(
+        'bureau/r1',
+        'refused',
+        reason=messages.RefusalReason(reason),
+        retry_after_ms=1_500,
+    )
+    leader.on_submit = lambda *_: messages.TaskStatuses((refusal,))
+    reply = fakes.run(front, Request_Id='r1')
+    assert (reply.status, reply.outcome) == (code, 'refused_not_run')
+    assert reply.json()['reason'] == reason
+    assert reply.headers['Retry-After'] == '2'
+
+
+@pytest.mark.parametrize(
+    ('state', 'attempts_count', 'outcome'),
+    [
+        ('cancelled', 0, 'refused_not_run'),
+        ('cancelled', 1, 'in_doubt'),
+        ('in_doubt', 1, 'in_doubt'),
+        ('failed', 3, 'answered'),
+    ],
+)
+def test_a_pushed_end_of_a_task_is_told_truthfully(
+    front, leader, state, attempts_count, outcome
+):
+    call = fakes.Background(fakes.run, front, Request_Id='r1')
+    fakes.until(lambda: leader.of(messages.SubmitTasks))
+    leader.push(
+        fakes.status('bureau/r1', state, attempts_count=attempts_count)
+    )
+    assert call.result().outcome == outcome
+
+
+def test_a_failed_task_that_may_run_once_is_answered_at_once(
+    front, leader, worker
+):
+    worker.on_start = lambda _seen: fakes.ended(b'broken', 'failed')
+    leader.start_on(worker)
+    reply = fakes.run(front, Idempotent='false')
+    assert (reply.status, reply.body) == (500, b'broken')
+    assert reply.outcome == 'answered'
+
+
+def test_a_failed_idempotent_task_is_tried_again(front, leader, worker):
+    worker.on_start = lambda seen: (
+        fakes.ended(b'broken', 'failed')
+        if seen.attempt_id.endswith('#1')
+        else fakes.ended(b'true')
+    )
+
+    def on_report(call):
+        if call.reports[0].state is State.FAILED:
+            spec = leader.of(messages.SubmitTasks)[0].tasks[0]
+            leader.push(fakes.start_of(spec, worker, attempt=2))
+        return messages.Done()
+
+    leader.replies[messages.ReportAttempts] = on_report
+    leader.start_on(worker)
+    reply = fakes.run(front, Idempotent='true')
+    assert (reply.status, reply.body) == (200, b'true')
+    assert reply.headers['Dandeliondrum-Attempt'].endswith('#2')
+
+
+def test_a_failed_idempotent_task_is_answered_when_given_up(
+    front, leader, worker
+):
+    worker.on_start = lambda _seen: fakes.ended(b'broken', 'failed')
+    leader.replies[messages.ReportAttempts] = lambda call: (
+        leader.push(
+            fakes.status(
+                call.reports[0].attempt_id.partition('#')[0],
+                'failed',
+                attempts_count=1,
+            )
+        )
+        or messages.Done()
+    )
+    leader.start_on(worker)
+    reply = fakes.run(front, Idempotent='true')
+    assert (reply.status, reply.body) == (500, b'broken')
+
+
+def test_a_start_that_nobody_waits_for_is_given_back(front, leader, worker):
+    spec = messages.TaskSpec(
+        task_id=messages.TaskId('bureau/gone'),
+        team_id=messages.TeamId('bureau'),
+        queue=messages.QueueName('q'),
+        task_class=messages.TaskClass.BATCH,
+        resources=messages.Resources(1, 1),
+        idempotent=False,
+        timeout_ms=1,
+        expected_run_ms=1,
+        body_digest='',
+    )
+    leader.push(fakes.start_of(spec, worker))
+    fakes.until(leader.reports)
+    assert leader.reports()[0].state is State.NEVER_STARTED
+    assert worker.seen == []
+
+
+def test_the_same_start_pushed_twice_is_sent_once(front, leader, worker):
+    def on_submit(connection, call):
+        for _ in range(3):
+            connection.push(fakes.start_of(call.tasks[0], worker))
+        return leader.queue_all(connection, call)
+
+    worker.on_start = lambda _seen: fakes.running()
+    worker.on_fetch = lambda _seen: fakes.ended(b'once')
+    leader.on_submit = on_submit
+    assert fakes.run(front).body == b'once'
+    assert len(worker.starts()) == 1
+    fakes.until(leader.reports)
+    assert [report.state for report in leader.reports()] == [State.FINISHED]
+
+
+def test_urgent_callers_find_a_place_that_batch_callers_leave():
+    room = _callers.WaitingRoom(_callers.THREADS_KEPT_FREE + 8)
+    batch = messages.TaskClass.BATCH
+    urgent = messages.TaskClass.URGENT
+    taken = [room.enter(batch) for _ in range(8)]
+    assert taken == [True] * 6 + [False] * 2
+    assert [room.enter(urgent) for _ in range(3)] == [True, True, False]
+    room.leave(urgent)
+    assert room.enter(urgent)
+
+
+def test_a_full_gateway_refuses_at_once(leader):
+    threads = _callers.THREADS_KEPT_FREE + 1
+    with fakes.serving(
+        leader.address, callers_threads_count=threads
+    ) as front:
+        first = fakes.Background(fakes.run, front, Request_Id='r1')
+        fakes.until(lambda: leader.of(messages.SubmitTasks))
+        reply = fakes.run(front, Request_Id='r2', First_Sending='true')
+        assert (reply.status, reply.outcome) == (503, 'refused_not_run')
+        resent = fakes.run(front, Request_Id='r2')
+        assert (resent.status, resent.outcome) == (503, 'in_doubt')
+        leader.push(fakes.status('bureau/r1', 'in_doubt'))
+        first.result()
--- /dev/null
+++ b/dandeliondrum/gateway/tests/test_worker_failures.py
@@ -0,0 +1,259 @@
+"""Tests of starts that a worker refuses, does not hear or does not answer."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+import werkzeug
+
+from dandeliondrum.gateway import _worker_client
+from dandeliondrum.gateway.tests import fakes
+from dandeliondrum import messages
+
+State = messages.AttemptState
+
+
+def retry_on(leader, worker):
+    """Let the leader place a task again on this worker after a report."""
+
+    def on_report(call):
+        if call.reports[0].attempt_id.endswith('#1'):
+            spec = leader.of(messages.SubmitTasks)[0].tasks[0]
+            leader.push(fakes.start_of(spec, worker, attempt=2))
+        return messages.Done()
+
+    leader.replies[messages.ReportAttempts] = on_report
+
+
+def first_state(leader):
+    return leader.reports()[0].state
+
+
+def refusal(refused, status=409):
+    return werkzeug.Response(status=status, headers={'Refused': refused})
+
+
+def test_a_refused_start_never_started_and_another_worker_gets_it(
+    front, leader, worker
+):
+    with contextlib.closing(fakes.Worker()) as other:
+        worker.on_start = lambda _seen: refusal('full')
+        leader.start_on(worker)
+        retry_on(leader, other)
+        assert fakes.run(front).body == b'echo:lens'
+    assert first_state(leader) is State.NEVER_STARTED
+    assert leader.reports()[0].detail == 'full'
+
+
+def test_a_refused_connection_means_never_started(front, leader, worker):
+    leader.start_on(fakes.free_port())
+    retry_on(leader, worker)
+    assert fakes.run(front).body == b'echo:lens'
+    assert first_state(leader) is State.NEVER_STARTED
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        refusal('gone', 410),
+        refusal('gone'),
+        werkzeug.Response(status=400),
+        werkzeug.Response(status=500),
+        werkzeug.Response(b'no headers'),
+        werkzeug.Response(
+            b'x', headers={'State': 'sideways', 'Answer-Digest': 'x'}
+        ),
+        werkzeug.Response(
+            b'x',
+            headers={
+                'State': 'finished',
+                'Answer-Digest': 'x',
+                'Run-Ms': 'soon',
+            },
+        ),
+    ],
+)
+def test_an_answer_that_vouches_for_nothing_is_uncertain(
+    front, leader, worker, reply
+):
+    worker.on_start = lambda seen: (
+        reply
+        if seen.attempt_id.endswith('#1')
+        else fakes.ended(b'second attempt')
+    )
+    leader.start_on(worker)
+    retry_on(leader, worker)
+    assert fakes.run(front).body == b'second attempt'
+    assert first_state(leader) is State.UNCERTAIN
+
+
+def test_a_worker_that_answers_nothing_is_asked_again_then_uncertain(
+    leader, worker
+):
+    with contextlib.closing(fakes.MutePort()) as mute:
+        leader.start_on(mute.address)
+        retry_on(leader, worker)
+        with fakes.serving(
+            leader.address, start_wait_ms=50, silence_margin_ms=100
+        ) as front:
+            assert fakes.run(front).body == b'echo:lens'
+        assert len(mute.accepted) == 2
+    assert first_state(leader) is State.UNCERTAIN
+
+
+class FirstCallLost:
+    """A port that loses the first call and passes later ones on."""
+
+    def __init__(self, target):
+        self.lost = b''
+        self._target = transport_address(target)
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _serve(self):
+        first, _ = self._listener.accept()
+        self.lost = first.recv(65_536)
+        first.close()
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self._listener.accept()
+                far = socket.create_connection(self._target)
+                for source, sink in ((near, far), (far, near)):
+                    threading.Thread(
+                        target=self._pump, args=(source, sink), daemon=True
+                    ).start()
+
+    def _pump(self, source, sink):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65_536):
+                sink.sendall(data)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+
+def transport_address(address):
+    host, _, port = address.partition(':')
+    return host, int(port)
+
+
+def test_a_start_whose_answer_was_lost_is_sent_again_as_the_same(
+    front, leader, worker
+):
+    with contextlib.closing(FirstCallLost(worker.address)) as port:
+        leader.start_on(port.address)
+        assert fakes.run(front, Request_Id='r1').body == b'echo:lens'
+        assert b'POST /v1/attempts/bureau%2Fr1%231 ' in port.lost
+    assert worker.starts()[0].attempt_id == 'bureau/r1#1'
+
+
+def test_a_resent_start_refused_by_a_new_incarnation_is_uncertain(
+    front, leader, worker
+):
+    worker.on_start = lambda seen: (
+        refusal('incarnation')
+        if seen.attempt_id.endswith('#1')
+        else fakes.ended(b'second')
+    )
+    with contextlib.closing(FirstCallLost(worker.address)) as port:
+        leader.start_on(port.address)
+        retry_on(leader, worker)
+        assert fakes.run(front).body == b'second'
+    assert first_state(leader) is State.UNCERTAIN
+
+
+def test_a_worker_lost_while_it_runs_leaves_the_word_to_the_leader(
+    front, leader, worker
+):
+    with contextlib.closing(fakes.Worker()) as lost:
+        lost.on_start = lambda _seen: fakes.running()
+        leader.start_on(lost)
+        call = fakes.Background(fakes.run, front, Request_Id='r1')
+        fakes.until(lost.starts)
+    assert leader.reports() == []
+    spec = leader.of(messages.SubmitTasks)[0].tasks[0]
+    leader.push(fakes.start_of(spec, worker, attempt=2))
+    assert call.result().body == b'echo:lens'
+
+
+def test_an_answer_known_to_the_leader_is_fetched_from_its_worker(
+    front, leader, worker
+):
+    """The start went unanswered, but the worker reported the end."""
+    worker.on_start = lambda _seen: werkzeug.Response(status=500)
+    worker.on_fetch = lambda _seen: fakes.ended(b'found')
+    place = fakes.place(worker, b'found', 'bureau/r1#1')
+    leader.replies[messages.ReportAttempts] = lambda _call: (
+        leader.push(fakes.status('bureau/r1', 'done', answer=place))
+        or messages.Done()
+    )
+    leader.start_on(worker)
+    assert fakes.run(front, Request_Id='r1').body == b'found'
+
+
+def test_a_caller_without_an_answer_in_time_is_in_doubt(leader, worker):
+    worker.on_start = lambda _seen: fakes.running()
+    worker.on_fetch = lambda _seen: fakes.running()
+    leader.start_on(worker)
+    with fakes.serving(leader.address, start_wait_ms=50) as front:
+        reply = fakes.run(front, Timeout_Ms=100, First_Sending='true')
+    assert (reply.status, reply.outcome) == (502, 'in_doubt')
+
+
+def test_headers_of_a_start_carry_what_the_worker_needs(front, leader, worker):
+    leader.start_on(worker)
+    fakes.run(
+        front, Cpu_Millicores=2_000, Memory_Mb=64, Accelerators=1, Queue='q1'
+    )
+    sent = worker.starts()[0].headers
+    assert sent['Token'] == '4096'
+    assert sent['Incarnation'] == 'i1'
+    assert sent['Lease-Ms'] == '5000'
+    assert sent['Durable'] == 'false'
+    assert (sent['Team'], sent['Queue']) == ('bureau', 'q1')
+    assert sent['Cpu-Millicores'] == '2000'
+    assert (sent['Memory-Mb'], sent['Accelerators']) == ('64', '1')
+
+
+def test_no_more_connections_than_allowed_are_open_to_one_worker(worker):
+    lock = threading.Lock()
+    busy = {'now': 0, 'most': 0}
+    together = threading.Barrier(2)
+
+    def on_start(_seen):
+        with lock:
+            busy['now'] += 1
+            busy['most'] = max(busy['most'], busy['now'])
+        together.wait(fakes.WAIT_S)
+        with lock:
+            busy['now'] -= 1
+        return fakes.ended(b'')
+
+    worker.on_start = on_start
+    client = _worker_client.WorkerClient(2)
+    request = _worker_client.WorkerRequest(
+        'POST', worker.address, '/v1/attempts/a', 10_000
+    )
+    with contextlib.closing(client):
+        calls = [fakes.Background(client.call, request) for _ in range(8)]
+        for call in calls:
+            assert call.result().head.status == 200
+    assert busy['most'] == 2
+
+
+def test_a_kept_connection_that_broke_is_not_used_silently_again(worker):
+    """The library would send the call twice without saying so."""
+    with contextlib.closing(FirstCallLost(worker.address)) as port:
+        client = _worker_client.WorkerClient(1)
+        request = _worker_client.WorkerRequest(
+            'POST', port.address, '/v1/attempts/a', 10_000
+        )
+        with contextlib.closing(client):
+            outcome = client.call(request)
+            assert isinstance(outcome, _worker_client.NoAnswer)
+    assert worker.starts() == []
