--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -24,7 +24,7 @@
 
     Exit codes: 0 done; 1 refused, or a problem was found; 2 wrong usage;
     3 in doubt, the answer was lost; 4 no gateway or controller that serves
-    could be reached, and nothing was done; 5 a daemon met a broken invariant.
+    could be reached, and nothing was done; 70 a daemon's invariant is broken.
 
     Commands for operators ask the gateways of --gateways, or of the variable
     DANDELIONDRUM_GATEWAYS, and show the key of --key-file, or of
--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import os
 import signal
 import threading
 import types
@@ -46,42 +47,36 @@
 def _run(role: str, loaded: settings.Settings) -> _report.Report:
     process_id = _roles.process_id(loaded)
     observability.configure_logging(role, process_id, loaded.log_level)
-    stop = _Stop()
     with contextlib.ExitStack() as resources:
-        stop.on_signals(resources)
+        stopping = _stop_on_signals(resources)
         provider = observability.configure_tracing(
             role, process_id, loaded.traces_per_thousand
         )
         resources.callback(provider.shutdown)
-        started = _roles.start(loaded, resources, stop.on_fatal)
+        started = _roles.start(loaded, resources, end_process)
         if isinstance(started, result.Failure):
             _logger.error('not started', why=started.failure())
             return _report.Report(_report.ExitCode.REFUSED)
         _logger.info('started', address=started.unwrap())
-        stop.requested.wait()
+        stopping.wait()
         _logger.info('stopping')
-    _logger.info('stopped', code=stop.code.value)
-    return _report.Report(stop.code)
+    _logger.info('stopped')
+    return _report.Report(_report.ExitCode.DONE)
 
 
-class _Stop:
-    """Waits for a reason to stop, and keeps the exit code that it means."""
+def end_process(error: utils.InvariantError) -> typing.NoReturn:
+    """End at once: what no longer holds must not be acted on."""
+    _logger.critical('process ended', why=str(error))
+    os._exit(_report.ExitCode.BROKEN)
 
-    def __init__(self) -> None:
-        self.requested = threading.Event()
-        self.code = _report.ExitCode.DONE
 
-    def on_signals(self, resources: contextlib.ExitStack) -> None:
-        """Stop on the signals, until the resources are closed."""
-        for number in STOP_SIGNALS:
-            before = signal.signal(number, self._on_signal)
-            resources.callback(signal.signal, number, before)
+def _stop_on_signals(resources: contextlib.ExitStack) -> threading.Event:
+    stopping = threading.Event()
 
-    def on_fatal(self, error: utils.InvariantError) -> None:
-        """Stop because an invariant is broken."""
-        _logger.critical('invariant broken', why=str(error))
-        self.code = _report.ExitCode.BROKEN
-        self.requested.set()
+    def stop(_number: int, _frame: types.FrameType | None) -> None:
+        stopping.set()
 
-    def _on_signal(self, number: int, _: types.FrameType | None) -> None:
-        self.requested.set()
+    for number in STOP_SIGNALS:
+        before = signal.signal(number, stop)
+        resources.callback(signal.signal, number, before)
+    return stopping
--- a/dandeliondrum/command/_report.py
+++ b/dandeliondrum/command/_report.py
@@ -9,14 +9,18 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes of the command line."""
+    """Exit codes of the command line.
+
+    ``BROKEN`` is that of a daemon whose invariant is broken, as EX_SOFTWARE
+    in ``sysexits.h``.
+    """
 
     DONE = 0
     REFUSED = 1
     USAGE = 2
     IN_DOUBT = 3
     UNREACHABLE = 4
-    BROKEN = 5
+    BROKEN = 70
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
