--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -221,6 +221,10 @@
 class _Connections(connections.ConnectionManager):
     """The library's connections, with a listener that can be taken away."""
 
+    # The library's stubs leave these out.
+    _selector: typing.Any
+    _from_server_socket: typing.Any
+
     def forget(self, listener: socket.socket) -> None:
         """Accept nothing more by itself."""
         self._selector.unregister(listener.fileno())
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -1,5 +1,8 @@
 """Tools for tests: fault proxy, real processes, histories and checks."""
 
+from dandeliondrum.testing._cell import Cell
+from dandeliondrum.testing._cell import task_headers
+from dandeliondrum.testing._cell import wait_until
 from dandeliondrum.testing._checker import check
 from dandeliondrum.testing._fake_gateway import FakeGateway
 from dandeliondrum.testing._fake_gateway import SeenBeat
@@ -20,6 +23,8 @@
 from dandeliondrum.testing._history import SendingKind
 from dandeliondrum.testing._history import TeamLimit
 from dandeliondrum.testing._history import Withdrawal
+from dandeliondrum.testing._http import call
+from dandeliondrum.testing._http import HttpReply
 from dandeliondrum.testing._mesh import LinkName
 from dandeliondrum.testing._mesh import ProxyMesh
 from dandeliondrum.testing._ports import free_address
@@ -40,11 +45,13 @@
 __all__ = [
     'BLACKHOLE',
     'CUT',
+    'Cell',
     'CheckOptions',
     'FakeGateway',
     'Faults',
     'Flow',
     'History',
+    'HttpReply',
     'LinkName',
     'NO_FAULTS',
     'Outage',
@@ -69,9 +76,12 @@
     'ViolationKind',
     'Withdrawal',
     'WorkerClient',
+    'call',
     'check',
     'daemon',
     'free_address',
     'free_addresses',
+    'task_headers',
     'wait_for',
+    'wait_until',
 ]
--- a/dandeliondrum/testing/_cell.py
+++ b/dandeliondrum/testing/_cell.py
@@ -7,10 +7,12 @@
 
 import collections.abc
 import contextlib
+import functools
 import json
 import pathlib
 import time
 import typing
+import uuid
 
 from dandeliondrum import messages
 from dandeliondrum.testing import _http
@@ -231,9 +233,7 @@
             if not self.processes.is_running(name):
                 continue
             address = self.addresses[f'{name}/metrics']
-            reply = _http.call(
-                f'http://{address}/metrics', timeout_ms=500
-            )
+            reply = _http.call(f'http://{address}/metrics', timeout_ms=500)
             if b'dandeliondrum_controller_leading 1.0' in reply.body:
                 return name
         return ''
@@ -244,7 +244,7 @@
             workers_count = len(self.workers)
         for name in self.gateways:
             if self.processes.is_running(name):
-                wait_until(lambda at=name: self.is_ready(at))
+                wait_until(functools.partial(self.is_ready, name))
         wait_until(lambda: len(self.fleet()['workers']) >= workers_count)
 
     def is_ready(self, gateway: str) -> bool:
@@ -286,7 +286,7 @@
             text.encode(),
             {
                 'If-Match': str(expected_version),
-                'Dandeliondrum-Change-Id': change_id or f'{text!r:.40}',
+                'Dandeliondrum-Change-Id': change_id or uuid.uuid4().hex,
                 'Dandeliondrum-Operator': 'tester',
             },
             gateway,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,20 @@
 """Fixtures of the tests that run whole cells."""
 
 import contextlib
+import pathlib
 
 import pytest
 
 from dandeliondrum import rules
-from tests import cells
+from dandeliondrum import testing
+
+RULES = """
+{"rule": "team", "team": "harbour", "share": 1}  // asked by S. Prasert
+{"rule": "team", "team": "inspectors", "share": 3, "upper_limit": {"running": 2}}  // asked by S. Prasert
+{"rule": "queue", "queue": "lens", "open": false, "class": "batch"}  // asked by S. Prasert
+{"rule": "queue", "queue": "walk-in", "open": true, "class": "urgent", "team": "harbour"}  // asked by S. Prasert
+{"rule": "defaults", "retries_max": 3, "lease_ms": {"urgent": 1500, "batch": 1500, "gang": 1500, "service": 1500}}  // asked by the tests, to be quick
+"""  # noqa: E501
 
 
 @pytest.fixture
@@ -18,25 +27,38 @@
 def rules_text(keys):
     """Rules with those keys."""
     lines = [key.rule_line for key in keys.values()]
-    return cells.RULES + '\n'.join(lines) + '\n'
+    return RULES + '\n'.join(lines) + '\n'
 
 
 @pytest.fixture
-def make_cell(tmp_path):
-    """Make cells that end with the test."""
+def make_cell(tmp_path, rules_text):
+    """Make cells that end with the test, with rules applied."""
     with contextlib.ExitStack() as resources:
-        yield lambda **options: cells.Cell(tmp_path, resources, **options)
+
+        def make(workers_count=3, mesh=None, **controller_fields):
+            cell = testing.Cell(
+                pathlib.Path(tmp_path), mesh, **controller_fields
+            )
+            resources.enter_context(cell)
+            cell.add_controllers(3)
+            cell.add_gateways(2)
+            cell.wait_ready(0)
+            assert cell.apply_rules(rules_text, 0).status == 200
+            cell.add_workers(workers_count)
+            cell.wait_ready()
+            return cell
+
+        yield make
+
+
+@pytest.fixture
+def make_meshed_cell(make_cell):
+    """Make cells whose links pass through fault proxies."""
+    with testing.ProxyMesh(seed=1) as mesh:
+        yield lambda **options: make_cell(mesh=mesh, **options)
 
 
 @pytest.fixture
-def cell(make_cell, rules_text):
+def cell(make_cell):
     """Three controllers, two gateways, three workers, rules applied."""
-    whole = make_cell()
-    whole.controllers()
-    whole.gateways()
-    whole.ready()
-    status, _ = whole.apply_rules(rules_text)
-    assert status == 200
-    whole.workers()
-    whole.ready(workers_count=3)
-    return whole
+    return make_cell()
