--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -1,5 +1,7 @@
 """Tools for tests: fault proxy, real processes, histories and checks."""
 
+from dandeliondrum.testing._callers import Callers
+from dandeliondrum.testing._callers import Work
 from dandeliondrum.testing._cell import Cell
 from dandeliondrum.testing._cell import task_headers
 from dandeliondrum.testing._cell import wait_until
@@ -45,6 +47,7 @@
 __all__ = [
     'BLACKHOLE',
     'CUT',
+    'Callers',
     'Cell',
     'CheckOptions',
     'FakeGateway',
@@ -75,6 +78,7 @@
     'Violation',
     'ViolationKind',
     'Withdrawal',
+    'Work',
     'WorkerClient',
     'call',
     'check',
--- a/dandeliondrum/testing/_http.py
+++ b/dandeliondrum/testing/_http.py
@@ -59,3 +59,13 @@
         return HttpReply(0, bytes(received), fields)
     finally:
         curl.close()
+
+
+def call_json(
+    url: str,
+    body: dict[str, typing.Any],
+    headers: dict[str, str],
+    timeout_ms: int,
+) -> HttpReply:
+    """Post a JSON body."""
+    return call(url, 'POST', json.dumps(body).encode(), headers, timeout_ms)
