Test failover, formation, catch-up and changes of members

Tests found that a transfer to a voter that is down cost the leader its office; it now hands over only to one that answers, and goes on when the request to stand was surely not sent.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -88,6 +88,14 @@
             state.stand_at_once = False
             state.put_off_election()
             term = state.term
+            silent_ns = time.monotonic_ns() - state.heard_ns
+        _logger.info(
+            'leader missed',
+            member=state.me,
+            term=term,
+            silent_ms=silent_ns // _state.NS_PER_MS,
+            transfer=transfer,
+        )
         if not transfer and not self._ask(
             _state.Ballot(term + 1, pre_vote=True, transfer=False)
         ):
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -21,6 +21,7 @@
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _works
 from dandeliondrum import messages
+from dandeliondrum import transport
 
 _logger = structlog.get_logger()
 
@@ -121,7 +122,8 @@
             return None
         last_index = state.log.last_index
         if state.transfer_target == self._id and not state.handed_over:
-            if progress.match_index >= last_index and state.is_quiet():
+            ready = progress.match_index >= last_index and progress.up
+            if ready and state.is_quiet():
                 state.handed_over = True
                 return _HandOver(_messages.TimeoutNow(state.term, state.me))
         now_ns = time.monotonic_ns()
@@ -191,7 +193,7 @@
                 return self._snapshots.send(address, member.disk_id, term)
             case _HandOver(message):
                 outcome = self._link.call(address, message)
-                return isinstance(outcome, result.Success)
+                return self._end_handing(outcome)
 
     def _send(
         self,
@@ -215,8 +217,24 @@
         match outcome:
             case result.Success(_messages.AppendReply() as reply):
                 return self._take_reply(message.term, sent_ns, reply)
+        with self._state.lock:
+            progress = self._state.progress.get(self._id)
+            if progress is not None:
+                progress.up = False
         return False
 
+    def _end_handing(
+        self, outcome: result.Result[typing.Any, transport.CallError]
+    ) -> bool:
+        match outcome:
+            case result.Failure(
+                transport.CallError(transport.CallFailure.NOT_SENT)
+            ):
+                with self._state.lock:
+                    self._state.handed_over = False
+                return False
+        return isinstance(outcome, result.Success)
+
     def _count_vote(
         self, ballot: _state.Ballot, outcome: result.Result[typing.Any, object]
     ) -> bool:
@@ -243,6 +261,7 @@
             progress = state.progress.get(self._id)
             if state.term != term or not state.leads() or progress is None:
                 return True
+            progress.up = True
             going_on = self._note(progress, sent_ns, reply)
             confirmed = state.settle_confirmations()
         for confirmation in confirmed:
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -32,7 +32,8 @@
 class Progress:
     """How far a peer's log is, as the leader knows.
 
-    ``answered_ns`` is when the last call was sent that was answered.
+    ``answered_ns`` is when the last call was sent that was answered; ``up``
+    is whether the last call of all was.
     ``lost_disk_id`` is set when the peer no longer has what it had
     acknowledged, to the id of the disk that it has now; it then counts for
     no quorum.
@@ -43,6 +44,7 @@
     match_index: int = 0
     answered_ns: int = 0
     sent_ns: int = 0
+    up: bool = False
     storage_full: bool = False
     lost_disk_id: str = ''
 
--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -143,9 +143,12 @@
 
 
 class Cluster:
-    """Nodes ``c1``, ``c2`` ...; each pair is joined by a forwarder."""
+    """Nodes ``c1``, ``c2`` ...; each pair is joined by a forwarder.
 
-    def __init__(self, folder: pathlib.Path, count=3, **options):
+    The last ``spare`` ones are no members of the cell at first.
+    """
+
+    def __init__(self, folder: pathlib.Path, count=3, spare=0, **options):
         self.folder = folder
         self.options = options
         self.files = {}
@@ -153,6 +156,11 @@
             messages.ControllerId(f'c{number}')
             for number in range(1, count + 1)
         ]
+        self.spare_names = [
+            messages.ControllerId(f'c{number}')
+            for number in range(count + 1, count + spare + 1)
+        ]
+        self.every_name = self.names + self.spare_names
         self.running = {}
         self.forwarders = {}
 
@@ -173,7 +181,7 @@
 
     def launch(self, name):
         """Start a node and return the outcome."""
-        others = [other for other in self.names if other != name]
+        others = [other for other in self.every_name if other != name]
         options = consensus.Options(
             controller_id=name,
             cell_id=CELL,
--- /dev/null
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -0,0 +1,278 @@
+"""Tests of leaders that are killed, cut off, or hand over."""
+
+import threading
+import time
+
+import pytest
+
+from dandeliondrum import consensus
+from dandeliondrum.consensus.tests import harness
+
+
+class LeadingWatch:
+    """Notes whether two nodes ever said at once that they lead."""
+
+    def __init__(self, cluster):
+        self._nodes = [one.node for one in cluster.running.values()]
+        self._stop = threading.Event()
+        self.readings_count = 0
+        self.doubled = False
+        self._thread = threading.Thread(target=self._watch, daemon=True)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._stop.set()
+        self._thread.join()
+
+    def _watch(self):
+        while not self._stop.wait(0.001):
+            leading = [node for node in self._nodes if node.leading()]
+            # Both must hold at one moment: ask the first once more.
+            self.doubled |= len(leading) > 1 and leading[0].leading()
+            self.readings_count += 1
+
+
+class Proposers:
+    """Threads that propose at whichever node leads, each item once."""
+
+    def __init__(self, cluster, count=4):
+        self._cluster = cluster
+        self._stop = threading.Event()
+        self.acknowledged = []
+        self.not_done = []
+        self._threads = [
+            threading.Thread(target=self._propose_on, args=(number,))
+            for number in range(count)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def stop(self):
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def wait_for(self, count):
+        goal = len(self.acknowledged) + count
+        harness.wait_for(
+            lambda: len(self.acknowledged) >= goal, 'acknowledgements'
+        )
+
+    def _propose_on(self, number):
+        sequence = 0
+        while not self._stop.is_set():
+            for name in list(self._cluster.names):
+                running = self._cluster.running.get(name)
+                if running is None or not running.node.leading():
+                    continue
+                sequence += 1
+                command = b'%d/%d' % (number, sequence)
+                outcome = running.node.propose(command).result(
+                    harness.PATIENCE_S
+                )
+                if outcome.value_or(None):
+                    self.acknowledged.append(command)
+                elif outcome.failure().not_done:
+                    self.not_done.append(command)
+            self._stop.wait(0.001)
+
+
+def check_history(cluster, proposers):
+    """Nothing acknowledged lost, nothing refused or twice applied."""
+    last_index = max(
+        one.node.status().last_index for one in cluster.running.values()
+    )
+    for name, one in cluster.running.items():
+        harness.wait_for(
+            lambda one=one: one.node.status().applied_index >= last_index,
+            f'{name} up to date',
+        )
+    machines = [one.machine for one in cluster.running.values()]
+    for machine in machines:
+        assert machine.commands == machines[0].commands
+    applied = machines[0].commands
+    assert len(set(applied)) == len(applied)
+    assert set(proposers.acknowledged) <= set(applied)
+    assert not set(proposers.not_done) & set(applied)
+
+
+def check_terms(listeners):
+    """Each term had one leader."""
+    terms = [
+        event
+        for listener in listeners
+        for event in listener.events
+        if event is not None
+    ]
+    assert len(set(terms)) == len(terms)
+    return terms
+
+
+def test_a_leader_killed_under_load_loses_nothing_acknowledged(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.form()
+        listeners = [one.listener for one in cluster.running.values()]
+        with Proposers(cluster) as proposers:
+            for _ in range(2):
+                proposers.wait_for(50)
+                killed = cluster.leader()
+                cluster.stop(killed)
+                proposers.wait_for(50)
+                cluster.start(killed)
+                listeners.append(cluster.running[killed].listener)
+        assert len(check_terms(listeners)) >= 3
+        cluster.leader()
+        check_history(cluster, proposers)
+
+
+def test_a_leader_cut_off_stops_leading_before_another_is_elected(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        with LeadingWatch(cluster) as watch:
+            cluster.cut(leader)
+            cluster.leader(among=cluster.others(leader))
+            assert not cluster.node(leader).leading()
+        assert watch.readings_count > 10
+        assert not watch.doubled
+
+
+def test_what_a_deposed_leader_could_not_commit_is_overwritten(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        cluster.propose(leader, b'agreed').unwrap()
+        cluster.cut(leader)
+        lost = cluster.node(leader).propose(b'lost')
+        confirmed = cluster.node(leader).confirm()
+        successor = cluster.leader(among=cluster.others(leader))
+        cluster.propose(successor, b'kept').unwrap()
+        cluster.heal(leader)
+        cluster.wait_applied([b'agreed', b'kept'])
+        error = lost.result(harness.PATIENCE_S).failure()
+        assert error.failure is consensus.ProposeFailure.DEPOSED
+        assert confirmed.result(harness.PATIENCE_S).failure()
+
+
+def test_the_fate_is_known_when_the_successor_is_heard_in_time(tmp_path):
+    # Long elections leave time to heal before the proposal is given up.
+    with harness.Cluster(tmp_path, election_max_ms=2_000) as cluster:
+        leader = cluster.form()
+        cluster.cut(leader)
+        lost = cluster.node(leader).propose(b'lost')
+        successor = cluster.leader(among=cluster.others(leader))
+        cluster.heal(leader)
+        error = lost.result(harness.PATIENCE_S).failure()
+        assert error.not_done
+        assert error.leader_id == successor
+
+
+def test_a_follower_that_comes_back_does_not_depose_the_leader(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        term = cluster.node(leader).status().term
+        follower = cluster.others(leader)[0]
+        cluster.cut(follower)
+        # Long enough for it to have missed the leader and asked for votes.
+        time.sleep(2 * harness.ELECTION_MAX_MS / 1000)
+        cluster.heal(follower)
+        cluster.propose(leader, b'after').unwrap()
+        cluster.wait_applied([b'after'])
+        assert cluster.leaders() == [leader]
+        assert cluster.node(leader).status().term == term
+
+
+def test_all_come_back_after_a_restart(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        commands = [b'%d' % number for number in range(20)]
+        for command in commands:
+            cluster.propose(leader, command).unwrap()
+        for _ in range(3):
+            for name in cluster.names:
+                cluster.stop(name)
+            cluster.start()
+            leader = cluster.leader()
+            commands.append(b'once more')
+            cluster.propose(leader, commands[-1]).unwrap()
+            cluster.wait_applied(commands)
+
+
+def test_leadership_is_handed_over_under_load(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        listeners = [one.listener for one in cluster.running.values()]
+        with Proposers(cluster) as proposers, LeadingWatch(cluster) as watch:
+            for target in [*cluster.others(leader), None]:
+                proposers.wait_for(20)
+                former = cluster.leader()
+                outcome = cluster.node(former).transfer(target)
+                outcome.result(harness.PATIENCE_S).unwrap()
+                successor = cluster.leader(among=cluster.others(former))
+                assert target in (successor, None)
+        assert not watch.doubled
+        check_terms(listeners)
+        check_history(cluster, proposers)
+
+
+def test_a_transfer_to_a_voter_that_is_down_fails_and_the_leader_stays(
+    tmp_path,
+):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        target = cluster.others(leader)[0]
+        cluster.stop(target)
+        # Once a call to it has failed the leader hands nothing over.
+        time.sleep(3 * harness.HEARTBEAT_MS / 1000)
+        outcome = cluster.node(leader).transfer(target).result(30)
+        assert outcome.failure().failure is consensus.ChangeFailure.TIMEOUT
+        cluster.leader(among=[leader])
+        cluster.propose(leader, b'after').unwrap()
+
+
+def test_callbacks_may_propose(tmp_path):
+    with harness.Cluster(tmp_path, 1) as cluster:
+        (name,) = cluster.names
+        chained = []
+        done = threading.Event()
+
+        def propose_next(future):
+            assert future.result().unwrap()
+            chained.append(future)
+            if len(chained) == 50:
+                done.set()
+                return
+            following = cluster.node(name).propose(b'%d' % len(chained))
+            following.add_done_callback(propose_next)
+
+        cluster.form()
+        cluster.node(name).propose(b'0').add_done_callback(propose_next)
+        assert done.wait(harness.PATIENCE_S)
+
+
+def test_closing_resolves_all_futures(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        cluster.cut(leader)
+        node = cluster.node(leader)
+        futures = [node.propose(b'%d' % number) for number in range(5)]
+        cluster.stop(leader)
+        futures.append(node.propose(b'late'))
+        errors = [future.result(1).failure() for future in futures]
+        assert not errors[0].not_done
+        assert errors[-1].not_done
+
+
+@pytest.mark.parametrize('count', [1, 5])
+def test_other_sizes_agree_too(tmp_path, count):
+    with harness.Cluster(tmp_path, count) as cluster:
+        leader = cluster.form()
+        cluster.propose(leader, b'one').unwrap()
+        cluster.wait_applied([b'one'])
--- /dev/null
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -0,0 +1,274 @@
+"""Tests of formation, disks that were replaced, and changes of members."""
+
+import concurrent.futures
+import shutil
+import time
+
+
+from dandeliondrum import consensus
+from dandeliondrum.consensus.tests import harness
+from dandeliondrum.consensus.tests import test_failover
+from dandeliondrum import messages
+
+
+def voters(cluster, name):
+    members = cluster.node(name).status().members
+    return sorted(one.controller_id for one in members if one.voter)
+
+
+def wait_voters(cluster, name, expected):
+    harness.wait_for(
+        lambda: voters(cluster, name) == sorted(expected), f'{expected}'
+    )
+
+
+def propose_many(cluster, name, first, last):
+    commands = [b'%d' % number for number in range(first, last)]
+    futures = [cluster.node(name).propose(command) for command in commands]
+    for future in futures:
+        future.result(harness.PATIENCE_S).unwrap()
+    return commands
+
+
+def test_empty_disks_found_no_cell_by_themselves(tmp_path):
+    with harness.Cluster(
+        tmp_path, election_min_ms=50, election_max_ms=100
+    ) as cluster:
+        cluster.start()
+        time.sleep(1)
+        assert [one.listener.events for one in cluster.running.values()] == [
+            [],
+            [],
+            [],
+        ]
+        assert cluster.node('c1').status().term == 0
+
+
+def test_a_cell_is_founded_once(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        members = [(name, 'unused:1') for name in cluster.names]
+        for name in cluster.names:
+            refused = cluster.node(name).form(members).failure()
+            assert refused.failure is consensus.ChangeFailure.HAS_LOG
+        assert cluster.leaders() == [leader]
+
+
+def test_a_cell_is_not_founded_while_a_member_is_down(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.start('c1', 'c2')
+        members = [(name, 'unused:1') for name in cluster.names]
+        refused = cluster.node('c1').form(members).failure()
+        assert refused.failure is consensus.ChangeFailure.UNREACHABLE
+        # The votes that were given must not be in the way later.
+        cluster.start('c3')
+        cluster.node('c2').form(members).unwrap()
+        cluster.propose(cluster.leader(), b'one').unwrap()
+        cluster.wait_applied([b'one'])
+
+
+def test_of_founders_at_the_same_time_one_cell_comes_out(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.start()
+        members = [(name, 'unused:1') for name in cluster.names]
+        with concurrent.futures.ThreadPoolExecutor() as executor:
+            calls = [
+                executor.submit(cluster.node(name).form, members)
+                for name in cluster.names
+            ]
+        outcomes = [call.result() for call in calls]
+        founded = [one for one in outcomes if one.value_or(True) is None]
+        assert len(founded) <= 1
+        if not founded:
+            cluster.node('c1').form(members).unwrap()
+        cluster.propose(cluster.leader(), b'one').unwrap()
+        cluster.wait_applied([b'one'])
+
+
+def test_a_follower_catches_up_by_the_log(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        follower = cluster.others(leader)[0]
+        cluster.stop(follower)
+        commands = propose_many(cluster, leader, 0, 400)
+        cluster.start(follower)
+        cluster.wait_applied(commands)
+        assert cluster.machine(follower).restored_count == 0
+
+
+def test_a_follower_catches_up_by_a_snapshot(tmp_path):
+    with harness.Cluster(tmp_path, snapshot_every_entries=50) as cluster:
+        leader = cluster.form()
+        follower = cluster.others(leader)[0]
+        commands = propose_many(cluster, leader, 0, 10)
+        cluster.stop(follower)
+        for first in range(10, 410, 40):
+            commands += propose_many(cluster, leader, first, first + 40)
+        cluster.start(follower)
+        cluster.wait_applied(commands)
+        assert cluster.machine(follower).restored_count == 1
+        log_files = list((tmp_path / leader).glob('log-*'))
+        assert len(log_files) <= 3
+        # And it comes back from what it received.
+        cluster.stop(follower)
+        cluster.start(follower)
+        commands += propose_many(cluster, leader, 410, 420)
+        cluster.wait_applied(commands)
+
+
+def test_a_large_snapshot_goes_in_parts(tmp_path):
+    with harness.Cluster(tmp_path, snapshot_every_entries=8) as cluster:
+        leader = cluster.form()
+        follower = cluster.others(leader)[0]
+        cluster.stop(follower)
+        commands = [b'%07d' % number * 20_000 for number in range(30)]
+        for command in commands:
+            cluster.propose(leader, command).unwrap()
+        cluster.start(follower)
+        cluster.wait_applied(commands)
+
+
+def test_a_voter_with_an_empty_disk_does_not_vote(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        cluster.propose(leader, b'kept').unwrap()
+        emptied, other = cluster.others(leader)
+        cluster.wait_applied([b'kept'])
+        cluster.stop(emptied)
+        term = cluster.node(other).status().term
+        cluster.stop(leader)
+        shutil.rmtree(tmp_path / emptied)
+        cluster.start(emptied)
+        # The other holds all, but has no quorum with an empty voter.
+        time.sleep(3 * harness.ELECTION_MAX_MS / 1000)
+        assert cluster.leaders() == []
+        assert cluster.node(other).status().term == term
+        assert cluster.node(emptied).status().last_index == 0
+        cluster.start(leader)
+        cluster.wait_applied([b'kept'])
+        wait_voters(cluster, cluster.leader(), cluster.names)
+
+
+def test_a_voter_with_an_empty_disk_is_taken_in_again(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        commands = propose_many(cluster, leader, 0, 300)
+        emptied, other = cluster.others(leader)
+        former_disk_id = cluster.node(emptied).status().disk_id
+        cluster.stop(emptied)
+        shutil.rmtree(tmp_path / emptied)
+        cluster.start(emptied)
+        assert cluster.node(emptied).status().disk_id != former_disk_id
+        cluster.wait_applied(commands)
+        wait_voters(cluster, leader, cluster.names)
+        # It counts again: the other may go.
+        cluster.stop(other)
+        cluster.propose(leader, b'after').unwrap()
+        cluster.wait_applied([*commands, b'after'])
+
+
+def test_a_voter_with_an_older_disk_is_taken_in_again(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        commands = propose_many(cluster, leader, 0, 20)
+        older = cluster.others(leader)[0]
+        cluster.wait_applied(commands)
+        cluster.stop(older)
+        shutil.copytree(tmp_path / older, tmp_path / 'copy')
+        cluster.start(older)
+        commands += propose_many(cluster, leader, 20, 40)
+        cluster.wait_applied(commands)
+        index = cluster.node(leader).status().last_index
+        cluster.stop(older)
+        shutil.rmtree(tmp_path / older)
+        (tmp_path / 'copy').rename(tmp_path / older)
+        cluster.start(older)
+        # It was a learner for a while: two more memberships in the log.
+        harness.wait_for(
+            lambda: cluster.node(leader).status().last_index >= index + 2
+        )
+        wait_voters(cluster, leader, cluster.names)
+        cluster.wait_applied(commands)
+
+
+def test_members_come_and_go_under_load(tmp_path):
+    with harness.Cluster(tmp_path, spare=2) as cluster:
+        leader = cluster.form()
+        cluster.start(*cluster.spare_names)
+        cluster.names = cluster.every_name
+        with test_failover.Proposers(cluster) as proposers:
+            proposers.wait_for(20)
+            node = cluster.node(leader)
+            for name in cluster.spare_names:
+                node.add_member(name, 'unused:1').result(30).unwrap()
+            assert voters(cluster, leader) == cluster.every_name
+            gone = cluster.others(leader)[0]
+            node.remove_member(gone).result(30).unwrap()
+            wait_voters(cluster, leader, cluster.others(gone))
+            cluster.stop(gone)
+            proposers.wait_for(20)
+            cluster.stop(leader)
+            proposers.wait_for(20)
+        test_failover.check_history(cluster, proposers)
+
+
+def test_a_removal_that_would_lose_the_quorum_is_refused(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        down, other = cluster.others(leader)
+        cluster.stop(down)
+        harness.wait_for(lambda: silent_ms(cluster, leader, down) > 300)
+        node = cluster.node(leader)
+        refused = node.remove_member(other).result(30).failure()
+        assert refused.failure is consensus.ChangeFailure.LOSES_QUORUM
+        node.remove_member(down).result(30).unwrap()
+        cluster.propose(leader, b'two').unwrap()
+
+
+def silent_ms(cluster, leader, name):
+    members = cluster.node(leader).status().members
+    return {one.controller_id: one.silent_ms for one in members}[name]
+
+
+def test_changes_that_make_no_sense_are_refused(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        follower = cluster.others(leader)[0]
+        node = cluster.node(leader)
+        changes = [
+            node.add_member(follower, 'unused:1'),
+            node.remove_member(messages.ControllerId('c9')),
+            node.remove_member(leader),
+            node.add_member(messages.ControllerId('c9'), '127.0.0.1:1'),
+            cluster.node(follower).remove_member(leader),
+            cluster.node(follower).transfer(),
+            node.transfer(messages.ControllerId('c9')),
+        ]
+        assert [change.result(30).failure().failure for change in changes] == [
+            consensus.ChangeFailure.ALREADY_MEMBER,
+            consensus.ChangeFailure.UNKNOWN_MEMBER,
+            consensus.ChangeFailure.IS_LEADER,
+            consensus.ChangeFailure.UNREACHABLE,
+            consensus.ChangeFailure.NOT_LEADING,
+            consensus.ChangeFailure.NOT_LEADING,
+            consensus.ChangeFailure.UNKNOWN_MEMBER,
+        ]
+
+
+def test_the_membership_survives_snapshots_and_restarts(tmp_path):
+    with harness.Cluster(
+        tmp_path, spare=1, snapshot_every_entries=10
+    ) as cluster:
+        leader = cluster.form()
+        (added,) = cluster.spare_names
+        cluster.start(added)
+        node = cluster.node(leader)
+        node.add_member(added, 'unused:1').result(30).unwrap()
+        cluster.names = cluster.every_name
+        commands = propose_many(cluster, leader, 0, 50)
+        cluster.wait_applied(commands)
+        for name in cluster.names:
+            cluster.stop(name)
+        cluster.start()
+        assert voters(cluster, cluster.leader()) == cluster.names
+        cluster.wait_applied(commands)
