Keep sizes and teams from starving

The test of starvation had added its tasks to an empty fleet, where they started at once, so it could not fail. Added at 20 s to a full one (6 times overloaded: up to 40 tasks/s offered to 4 workers), the large task never started. Causes, each shown by the test: the single reservation went by share, so urgent tasks of busy teams always had it; aged tasks were tried when the fleet was full, and lost their turn; and a flooding team's own old tasks came before those of others. Now the reservation goes to the bin without a placement for longest, the aged turn is taken only when there is room, and it goes by group of team and size.

--- a/dandeliondrum/placement/_aging.py
+++ b/dandeliondrum/placement/_aging.py
@@ -1,65 +1,61 @@
-"""Waiting tasks in order of age, so that none starves."""
+"""Who has waited longest without a placement, so that none starves."""
 
 import collections
+import typing
 
-from dandeliondrum.placement import _ledger
-from dandeliondrum.placement import _tasks
-
-# One placement in so many goes to a task that has waited long, whatever its
-# class and its team's share.
+# One placement in so many goes to the group that has had none for longest,
+# whatever its class and its team's share, if that is long enough.
 PLACEMENTS_PER_AGED = 20
 AGED_MS = 60_000
 TRIED_COUNT = 4
-# Tasks that wait no more are cleared out beyond this many.
-ENDED_COUNT_MAX = 1_024
+
+_Group = typing.TypeVar('_Group')
 
 
-class AgedTasks:
-    """Tasks in order of arrival; a few of the oldest are offered in turn.
+class AgedGroups(typing.Generic[_Group]):
+    """Keeps groups in the order of their last placement.
 
-    One that can't be placed goes to the end, so that it can't keep the
-    others from their turn.
+    By group and not by task, since a team that floods its queue has many
+    old tasks through no fault of the others.
     """
 
-    def __init__(self, ledger: _ledger.Ledger) -> None:
-        self._ledger = ledger
-        self._tasks: collections.deque[_tasks.PendingTask] = (
-            collections.deque()
+    def __init__(self) -> None:
+        self._order: collections.OrderedDict[int, tuple[int, _Group]] = (
+            collections.OrderedDict()
         )
         self._placements_count = 0
 
-    def add(self, task: _tasks.PendingTask) -> None:
-        """Take a task that waits."""
-        self._tasks.append(task)
-        limit = 2 * len(self._ledger.pending) + ENDED_COUNT_MAX
-        if len(self._tasks) > limit:
-            self._tasks = collections.deque(
-                one for one in self._tasks if self._waits(one)
-            )
+    def add(self, number: int, group: _Group, since_ms: int) -> None:
+        """Take a group that waits from now on."""
+        self._order[number] = since_ms, group
+
+    def remove(self, number: int) -> None:
+        """Forget a group in which nothing waits."""
+        self._order.pop(number, None)
+
+    def note_turn(self, number: int, now_ms: int) -> None:
+        """Put a group to the end: it had a placement or its turn."""
+        entry = self._order.get(number)
+        if entry is not None:
+            self._order[number] = now_ms, entry[1]
+            self._order.move_to_end(number)
 
     def count_placement(self) -> None:
         """Count a placement that was made in the usual order."""
         self._placements_count += 1
 
-    def due(self, now_ms: int) -> list[_tasks.PendingTask]:
-        """Return tasks to be tried now, oldest first; mostly none."""
+    def due(self, now_ms: int) -> list[tuple[int, _Group]]:
+        """Return groups to be tried now, mostly none; they had their turn.
+
+        Those that can't be served go to the end all the same, so that they
+        don't keep others from their turn.
+        """
         if self._placements_count < PLACEMENTS_PER_AGED:
             return []
         self._placements_count = 0
-        found: list[_tasks.PendingTask] = []
-        looked_at = 0
-        while self._tasks and looked_at < TRIED_COUNT:
-            task = self._tasks[0]
-            if not self._waits(task):
-                self._tasks.popleft()
-                continue
-            if now_ms - task.submitted_ms < AGED_MS:
+        found: list[tuple[int, _Group]] = []
+        for number, (since_ms, group) in self._order.items():
+            if len(found) >= TRIED_COUNT or now_ms - since_ms < AGED_MS:
                 break
-            looked_at += 1
-            self._tasks.rotate(-1)
-            if task.deadline_ms is None or task.deadline_ms > now_ms:
-                found.append(task)
+            found.append((number, group))
         return found
-
-    def _waits(self, task: _tasks.PendingTask) -> bool:
-        return self._ledger.pending.get(task.task_id) is task
--- a/dandeliondrum/placement/_full.py
+++ b/dandeliondrum/placement/_full.py
@@ -130,10 +130,6 @@
 
     def _place_next(self, now_ms: int) -> _tasks.Placement | None:
         """Place the task whose turn it is; None when none can be."""
-        for task in self._state.aged.due(now_ms):
-            placement = self._place_aged(task, now_ms)
-            if placement is not None:
-                return placement
         while True:
             found = self._next(now_ms)
             if found is None:
@@ -141,7 +137,6 @@
             home, task = found
             placement = self._place(home, task, now_ms)
             if placement is not None:
-                self._state.aged.count_placement()
                 return placement
 
     def _next(
@@ -175,28 +170,36 @@
         if not home.blocked_at_home:
             worker_id = self._choose(task, task.region)
             if worker_id is not None:
-                return self._state.commit(task, worker_id, now_ms, AT_HOME)
+                return self._commit(task, worker_id, now_ms, AT_HOME)
             home.blocked_at_home = True
             if task.region is None:
                 home.blocked_everywhere = True
         if task.region is not None and _regions.may_cross(task, now_ms):
             worker_id = self._choose(task, None)
             if worker_id is not None:
-                return self._state.commit(task, worker_id, now_ms, CROSSED)
+                return self._commit(task, worker_id, now_ms, CROSSED)
             home.blocked_everywhere = True
         return None
 
-    def _place_aged(
-        self, task: _tasks.PendingTask, now_ms: int
-    ) -> _tasks.Placement | None:
-        account = self._state.ledger.teams.account(task.team_id)
-        if not account.allows(task.resources):
-            return None
-        for region in _regions.allowed(task, now_ms):
-            worker_id = self._choose(task, region)
-            if worker_id is not None:
-                return self._state.commit(task, worker_id, now_ms, AGED)
-        return None
+    def _commit(
+        self,
+        task: _tasks.PendingTask,
+        worker_id: messages.WorkerId,
+        now_ms: int,
+        reason: str,
+    ) -> _tasks.Placement:
+        """Place a task, or instead one that has waited long, if any is due.
+
+        It is asked only here, when there is known to be room.
+        """
+        for aged in self._state.queues.pop_aged(now_ms):
+            for region in _regions.allowed(aged, now_ms):
+                aged_worker_id = self._choose(aged, region)
+                if aged_worker_id is not None:
+                    return self._state.commit(
+                        aged, aged_worker_id, now_ms, AGED
+                    )
+        return self._state.commit(task, worker_id, now_ms, reason)
 
     def _choose(
         self, task: _tasks.PendingTask, region: messages.Region | None
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -2,15 +2,12 @@
 
 from dandeliondrum import messages
 from dandeliondrum.placement import _gangs
-from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _state
 from dandeliondrum.placement import _tasks
 
 # A gang that waited this long comes before younger ones, whatever the
 # shares, and holds room under its team's upper limit, too.
 AGED_MS = 60_000
-# A single task that fits nowhere gets a reservation after this time.
-SINGLE_AGED_MS = 30_000
 RETRY_MS = 200
 
 
@@ -20,6 +17,8 @@
     def __init__(self, state: _state.State) -> None:
         self._state = state
         self._retry_ms: int | None = None
+        # Gangs and single tasks take turns.
+        self._single_is_next = False
         # Gangs too large for the eligible workers, and when it was found.
         self._too_large: dict[_gangs.GangKey, int] = {}
 
@@ -74,25 +73,57 @@
     def _reserve(self, now_ms: int) -> bool:
         if self._retry_ms is not None and now_ms < self._retry_ms:
             return False
+        turns = [self._reserve_gang, self._reserve_single]
+        if self._single_is_next:
+            turns.reverse()
+        for turn in turns:
+            if turn(now_ms):
+                return True
+        self._retry_ms = now_ms + RETRY_MS
+        return False
+
+    def _reserve_gang(self, now_ms: int) -> bool:
         state = self._state
         gang = self._next_gang(now_ms)
-        if gang is not None:
+        while gang is not None:
             made = state.reserver.reserve(
                 state.ledger, gang.members(), gang.key
             )
             if made is not None:
                 state.reservation = made
+                self._single_is_next = True
                 return True
             self._too_large[gang.key] = now_ms
             state.gangs.defer(gang)
-            return self._reserve(now_ms)
-        self._retry_ms = now_ms + RETRY_MS
-        task = self._aged_single(now_ms)
+            gang = self._next_gang(now_ms)
+        return False
+
+    def _reserve_single(self, now_ms: int) -> bool:
+        """Reserve for a task whose like has found no room for long."""
+        state = self._state
+        self._single_is_next = False
+        task = self._starved_single(now_ms)
         if task is None:
             return False
         state.reservation = state.reserver.reserve(state.ledger, [task], None)
         return state.reservation is not None
 
+    def _starved_single(self, now_ms: int) -> _tasks.PendingTask | None:
+        """Return the task whose bin has had no placement for longest."""
+        queues = self._state.queues
+        best: tuple[int, _tasks.PendingTask] | None = None
+        for home in queues:
+            first = queues.first(home, now_ms)
+            if first is None:
+                continue
+            task = first[1]
+            since_ms = max(task.submitted_ms, home.placed_ms or 0)
+            if now_ms - since_ms < AGED_MS:
+                continue
+            if best is None or since_ms < best[0]:
+                best = since_ms, task
+        return None if best is None else best[1]
+
     def _next_gang(self, now_ms: int) -> _gangs.Gang | None:
         best: _gangs.Gang | None = None
         best_key: tuple[int, float, int, int] | None = None
@@ -128,19 +159,3 @@
             task.deadline_ms is not None and task.deadline_ms <= now_ms
             for task in gang.pending.values()
         )
-
-    def _aged_single(self, now_ms: int) -> _tasks.PendingTask | None:
-        """Return a task that waited long and fits nowhere, if any."""
-        best: tuple[_ranking.Key, _tasks.PendingTask] | None = None
-        queues = self._state.queues
-        for home in queues:
-            if not home.blocked_at_home:
-                continue
-            first = queues.first(home, now_ms)
-            if first is None:
-                continue
-            if now_ms - first[1].submitted_ms < SINGLE_AGED_MS:
-                continue
-            if best is None or first[0] < best[0]:
-                best = first
-        return None if best is None else best[1]
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -12,6 +12,7 @@
 import itertools
 
 from dandeliondrum import messages
+from dandeliondrum.placement import _aging
 from dandeliondrum.placement import _index
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _ranking
@@ -61,6 +62,7 @@
         'blocked_everywhere',
         'awaited_count',
         'make_room_ms',
+        'placed_ms',
     )
 
     def __init__(self, key: BinKey) -> None:
@@ -73,6 +75,8 @@
         self.awaited_count = 0
         # When to look for tasks to preempt again.
         self.make_room_ms = 0
+        # When a task of this bin was placed last; None if none was.
+        self.placed_ms: int | None = None
 
 
 class Queues:
@@ -80,6 +84,7 @@
 
     def __init__(self, ranking: _ranking.Ranking) -> None:
         self.bins: dict[BinKey, Bin] = {}
+        self.aged: _aging.AgedGroups[Group] = _aging.AgedGroups()
         self._ranking = ranking
         self._ledger = _ledger.Ledger()
         self._numbers = itertools.count()
@@ -173,6 +178,24 @@
             return key, task
         return None
 
+    def note_placed(self, task: _tasks.PendingTask, now_ms: int) -> None:
+        """Note that a queued task is about to be placed."""
+        group = self._groups.get(task.task_id)
+        if group is not None:
+            group.bin.placed_ms = now_ms
+            self.aged.note_turn(group.number, now_ms)
+            self.aged.count_placement()
+
+    def pop_aged(self, now_ms: int) -> list[_tasks.PendingTask]:
+        """Return tasks whose group had no placement for long."""
+        found = []
+        for number, group in self.aged.due(now_ms):
+            self.aged.note_turn(number, now_ms)
+            task = self._head(group, now_ms)
+            if task is not None and group.account.allows(task.resources):
+                found.append(task)
+        return found
+
     def group_count(self, home: Bin, team_id: messages.TeamId) -> int:
         """Return how many tasks of a team wait in a bin."""
         group = home.groups.get(team_id)
@@ -222,10 +245,12 @@
             home.groups[task.team_id] = group
             teams = self._by_team.setdefault(task.team_id, {})
             teams[group.number] = group
+            self.aged.add(group.number, group, task.submitted_ms)
         return group
 
     def _remove(self, group: Group) -> None:
         group.version += 1
+        self.aged.remove(group.number)
         team_id = group.account.team_id
         del group.bin.groups[team_id]
         del self._by_team[team_id][group.number]
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -4,7 +4,6 @@
 import collections.abc
 
 from dandeliondrum import messages
-from dandeliondrum.placement import _aging
 from dandeliondrum.placement import _choosers
 from dandeliondrum.placement import _fleet
 from dandeliondrum.placement import _gangs
@@ -32,7 +31,6 @@
         self.queues = _queues.Queues(self.ranking)
         self.gangs = _gangs.GangBook()
         self.victims = _preemption.VictimBook(self.ranking, seed)
-        self.aged = _aging.AgedTasks(ledger)
         self.reserver = _reservation.Reserver(self.index, seed)
         self.reservation: _reservation.Reservation | None = None
         self.reasons: dict[messages.TaskId, str] = {}
@@ -49,7 +47,6 @@
             self.gangs.add(task)
             return
         self.queues.add(task)
-        self.aged.add(task)
 
     def drop(self, task: _tasks.PendingTask) -> None:
         """Forget a task that is pending no more and was not placed."""
@@ -66,6 +63,7 @@
     ) -> _tasks.Placement:
         """Reserve a placement and bring all indexes up to date."""
         placement = self.ledger.reserve(task, worker_id, now_ms)
+        self.queues.note_placed(task, now_ms)
         self._unqueue(task)
         self.reasons[task.task_id] = reason
         self._count(self.ledger.running[task.task_id], 1)
--- a/dandeliondrum/placement/tests/test_full.py
+++ b/dandeliondrum/placement/tests/test_full.py
@@ -178,10 +178,9 @@
     teams = grants(a=100, b=1, c=0)
     loop = helpers.Loop(helpers.planner(None, fleet(4), teams))
     chance = random.Random(7)
-    loop.add(helpers.task('large', team_id='b', cpu=15_000))
-    loop.add(helpers.task('poor', team_id='c'))
-    loop.add(*helpers.gang('g', 6, team_id='b', cpu=4_000))
     for now_ms in range(0, 300_000, 100):
+        if now_ms == 20_000:
+            add_those_in_danger(loop, now_ms)
         for name in ('a', 'b'):
             for task_class in (URGENT, messages.TaskClass.BATCH):
                 if loop.planner.pending_count(name) > 200:
@@ -198,8 +197,27 @@
                 )
         plan = loop.step(now_ms)
         assert len(plan.preemptions) <= 8
-    for name in ('large', 'poor', 'g.0'):
-        assert loop.started_ms[name] < 200_000, name
+    for name in ('large', 'poor0', 'poor1', 'poor2', 'g.0'):
+        assert 20_000 < loop.started_ms[name] < 220_000, name
+
+
+def add_those_in_danger(loop, now_ms):
+    """Add a large task, tasks of a team without a share, and a gang."""
+    loop.add(
+        helpers.task('large', team_id='b', cpu=15_000, submitted_ms=now_ms)
+    )
+    for number in range(3):
+        loop.add(
+            helpers.task(
+                f'poor{number}',
+                team_id='c',
+                submitted_ms=now_ms,
+                expected_run_ms=3_600_000,
+            )
+        )
+    loop.add(
+        *helpers.gang('g', 6, team_id='b', cpu=4_000, submitted_ms=now_ms)
+    )
 
 
 def test_class_has_the_chooser_it_was_given():
