--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -159,7 +159,7 @@
         output: str = '',
         request_id: str = '',
         task_class: str = '',
-        idempotent: bool = True,
+        idempotent: bool = False,
         timeout_ms: int = 60_000,
         expected_run_ms: int = 0,
         cpu_millicores: int = 0,
@@ -185,7 +185,7 @@
           output: File for the answer; otherwise it is printed.
           request_id: The id of the task; made up unless given.
           task_class: urgent or batch; by default batch.
-          idempotent: False when the task must not run twice.
+          idempotent: True when the task may run twice without harm.
           timeout_ms: Time until the answer must be there, in ms.
           expected_run_ms: Expected run time, in ms.
           cpu_millicores: Processors; 1000 are one core.
--- a/dandeliondrum/command/_submit.py
+++ b/dandeliondrum/command/_submit.py
@@ -42,7 +42,7 @@
     output: str = ''
     request_id: str = ''
     task_class: str = ''
-    idempotent: bool = True
+    idempotent: bool = False
     timeout_ms: int = 60_000
     expected_run_ms: int = 0
     cpu_millicores: int = 0
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,26 @@
+"""Pages that are made from the code say what the code says."""
+
+import pathlib
+import re
+import subprocess
+import sys
+
+from dandeliondrum import command
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_the_settings_tables_are_up_to_date(tmp_path):
+    page = ROOT / 'docs' / 'OPERATING.md'
+    copy = tmp_path / 'OPERATING.md'
+    copy.write_text(page.read_text())
+    made = [sys.executable, '-m', 'dandeliondrum.settings', str(copy)]
+    subprocess.run(made, cwd=ROOT, check=True, timeout=60)
+    assert copy.read_text() == page.read_text()
+    assert '| `election_min_ms` |' in page.read_text()
+
+
+def test_all_exit_codes_are_documented():
+    page = (ROOT / 'docs' / 'OPERATING.md').read_text()
+    documented = {int(code) for code in re.findall(r'\n\| (\d+) \|', page)}
+    assert documented == set(command.ExitCode)
