--- a/dandeliondrum/settings/_tables.py
+++ b/dandeliondrum/settings/_tables.py
@@ -39,6 +39,8 @@
 def _row(item: _declare.Parameter) -> str:
     default = 'required' if item.required else _default(item.default)
     allowed = _declare.described(item.allowed)
+    if isinstance(item.allowed, _declare.Name):
+        allowed = 'a name'
     return f'| `{item.name}` | {item.meaning} | {allowed} | {default} |'
 
 
