Take an empty queue for the question whether a key is the team's

The controller asks so for a status or a cancellation; both were refused as bad requests, as no rule is about a queue without a name.

--- a/dandeliondrum/rules/__init__.py
+++ b/dandeliondrum/rules/__init__.py
@@ -10,7 +10,6 @@
 """
 
 from dandeliondrum.rules._authorize import authorize
-from dandeliondrum.rules._authorize import authorize_team
 from dandeliondrum.rules._authorize import team_for
 from dandeliondrum.rules._keys import add_line
 from dandeliondrum.rules._keys import new_key
@@ -42,7 +41,6 @@
     'WorkerRule',
     'add_line',
     'authorize',
-    'authorize_team',
     'new_key',
     'parse',
     'remove_key',
--- a/dandeliondrum/rules/_authorize.py
+++ b/dandeliondrum/rules/_authorize.py
@@ -18,8 +18,12 @@
     A queue that is not open needs a key of the team. An open queue needs
     none; there ``team_id`` may be empty if the rule of the queue names the
     team that such work counts for (see :func:`team_for`). A queue without a
-    rule takes nothing and gives ``BAD_REQUEST``.
+    rule takes nothing and gives ``BAD_REQUEST``. With an empty ``queue`` the
+    question is only whether the key is one of the team's, as for a status or
+    a cancellation.
     """
+    if not queue:
+        return _authorize_team(rule_set, team_id, key)
     queue_rule = rule_set.queues.get(queue)
     if queue_rule is None:
         return result.Failure(messages.RefusalReason.BAD_REQUEST)
@@ -31,17 +35,6 @@
     return result.Failure(messages.RefusalReason.BAD_KEY)
 
 
-def authorize_team(
-    rule_set: _model.RuleSet, team_id: messages.TeamId, key: str
-) -> result.Result[None, messages.RefusalReason]:
-    """Tell whether a key is one of the team, whatever the queue."""
-    if team_id not in rule_set.teams:
-        return result.Failure(messages.RefusalReason.UNKNOWN_TEAM)
-    if _is_key_of(rule_set, team_id, key):
-        return result.Success(None)
-    return result.Failure(messages.RefusalReason.BAD_KEY)
-
-
 def team_for(
     rule_set: _model.RuleSet,
     team_id: messages.TeamId,
@@ -56,6 +49,16 @@
     return queue_rule.team_id
 
 
+def _authorize_team(
+    rule_set: _model.RuleSet, team_id: messages.TeamId, key: str
+) -> result.Result[None, messages.RefusalReason]:
+    if team_id not in rule_set.teams:
+        return result.Failure(messages.RefusalReason.UNKNOWN_TEAM)
+    if _is_key_of(rule_set, team_id, key):
+        return result.Success(None)
+    return result.Failure(messages.RefusalReason.BAD_KEY)
+
+
 def _is_key_of(
     rule_set: _model.RuleSet, team_id: messages.TeamId, key: str
 ) -> bool:
--- a/dandeliondrum/rules/tests/test_keys.py
+++ b/dandeliondrum/rules/tests/test_keys.py
@@ -109,11 +109,14 @@
     assert isinstance(outcome, result.Failure)
 
 
-def test_a_key_of_a_team_whatever_the_queue():
+def test_without_a_queue_the_key_has_to_be_the_teams():
     key, text = granted()
-    rule_set = rules.parse(text).unwrap()
-    ok = rules.authorize_team(rule_set, HARBOUR, key.text)
-    assert ok == result.Success(None)
-    assert rules.authorize_team(rule_set, PRISMS, key.text) == refused(
-        messages.RefusalReason.BAD_KEY
+    no_queue = messages.QueueName('')
+    assert decide(text, HARBOUR, no_queue, key.text) == result.Success(None)
+    bad_key = refused(messages.RefusalReason.BAD_KEY)
+    assert decide(text, PRISMS, no_queue, key.text) == bad_key
+    assert decide(text, HARBOUR, no_queue, '') == bad_key
+    nobody = messages.TeamId('')
+    assert decide(text, nobody, no_queue, key.text) == refused(
+        messages.RefusalReason.UNKNOWN_TEAM
     )
