End attempts only by reports that are ends

A gateway reports a durable attempt as running when its start call returns before the end. The state machine took any unlisted state for a run that was broken off and set the task in doubt. The new test failed with both states before and passes now.

--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -8,6 +8,16 @@
 if typing.TYPE_CHECKING:
     from dandeliondrum.controller import _state
 
+_ENDS = frozenset(
+    (
+        messages.AttemptState.FINISHED,
+        messages.AttemptState.FAILED,
+        messages.AttemptState.STOPPED,
+        messages.AttemptState.NEVER_STARTED,
+        messages.AttemptState.LOST,
+    )
+)
+
 # States after which nobody can tell whether the task had its effect.
 _MAY_HAVE_RUN = frozenset(
     (messages.AttemptState.STOPPED, messages.AttemptState.LOST)
@@ -20,6 +30,8 @@
     report: messages.AttemptReport,
 ) -> _records.EndedAttempt | None:
     """Apply a report; None when it tells nothing new."""
+    if report.state not in _ENDS:
+        return None
     current = task.attempt
     if current is not None and current.attempt_id == report.attempt_id:
         _end_current(state, task, current, report)
--- a/dandeliondrum/controller/_endings_desk.py
+++ b/dandeliondrum/controller/_endings_desk.py
@@ -43,12 +43,15 @@
         ended = []
         with self._context.lock:
             for one in reports:
-                if one.state is messages.AttemptState.UNCERTAIN:
-                    self._uncertain.setdefault(one.attempt_id, 0)
-                elif one.state is messages.AttemptState.FAILED:
-                    ended.append(self._decide_retry(one))
-                else:
-                    ended.append(one)
+                match one.state:
+                    case messages.AttemptState.UNCERTAIN:
+                        self._uncertain.setdefault(one.attempt_id, 0)
+                    case messages.AttemptState.RUNNING:
+                        self._uncertain.pop(one.attempt_id, None)
+                    case messages.AttemptState.FAILED:
+                        ended.append(self._decide_retry(one))
+                    case _:
+                        ended.append(one)
         if not ended:
             return
         for one in ended:
--- a/dandeliondrum/controller/tests/test_state.py
+++ b/dandeliondrum/controller/tests/test_state.py
@@ -84,6 +84,15 @@
     assert log.state.accounts.use('harbour').running_count == 0
 
 
+@pytest.mark.parametrize(
+    'state', [AttemptState.RUNNING, AttemptState.UNCERTAIN]
+)
+def test_a_report_that_is_no_end_ends_nothing(log, state):
+    (outcome,) = log.assign(builders.spec('t'))
+    assert log.end(outcome.attempt.attempt_id, state) == ()
+    assert log.state.accounts.use('harbour').running_count == 1
+
+
 def test_a_second_report_of_an_end_frees_nothing_again(log):
     outcomes = log.assign(builders.spec('a'), builders.spec('b'))
     attempt_id = outcomes[0].attempt.attempt_id
