--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -156,6 +156,7 @@
             time.sleep(FLUSH_POLL_MS / 1000)
 
     def _make_services(self) -> _services.Services:
+        metrics = _metrics.Metrics()
         return _services.Services(
             options=self._options,
             link=self._link,
@@ -163,11 +164,11 @@
             submitter=_submitter.Submitter(
                 self._link, self._waiters, self._timers
             ),
-            reporter=_reporter.Reporter(self._link),
+            reporter=_reporter.Reporter(self._link, metrics),
             dispatcher=_dispatch.Dispatcher(self._options, self._client),
             attempts_seen=_dispatch.AttemptsSeen(),
             readiness=_readiness.Readiness(self._link),
-            metrics=_metrics.Metrics(),
+            metrics=metrics,
         )
 
     def _make_servers(self) -> tuple[_server.Server, ...]:
@@ -207,9 +208,7 @@
         outcome: str = '',
     ) -> _server.Server:
         metrics = self._services.metrics
-        application: typing.Any = _http.Application(
-            routes, metrics.observe_call, outcome
-        )
+        application: typing.Any = _http.Application(routes, metrics, outcome)
         return _server.Server(
             transport.parse_address(address),
             application,
--- a/dandeliondrum/gateway/_http.py
+++ b/dandeliondrum/gateway/_http.py
@@ -1,8 +1,8 @@
 """Requests, responses and routes, on top of werkzeug."""
 
 import collections.abc
-import contextlib
 import dataclasses
+import functools
 import json
 import time
 import typing
@@ -13,9 +13,11 @@
 from werkzeug import exceptions
 from werkzeug import routing
 
+from dandeliondrum.gateway import _metrics
 from dandeliondrum.gateway import _server
 
 READ_BYTES = 64 * 1024
+OUTCOME = 'Dandeliondrum-Outcome'
 
 _logger = structlog.get_logger()
 
@@ -107,8 +109,6 @@
 
 
 Handler = collections.abc.Callable[..., werkzeug.Response]
-# Told of each served call: route, status, outcome, seconds.
-Observer = collections.abc.Callable[[str, int, str, float], object]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,9 +124,12 @@
     """A WSGI application over a few routes."""
 
     def __init__(
-        self, routes: tuple[Route, ...], observer: Observer, outcome: str = ''
+        self,
+        routes: tuple[Route, ...],
+        metrics: _metrics.Metrics,
+        outcome: str = '',
     ) -> None:
-        self._observer = observer
+        self._metrics = metrics
         self._outcome = outcome
         self._map = routing.Map(
             [
@@ -145,45 +148,44 @@
         """Serve one request."""
         began_s = time.monotonic()
         call = Call(environ, start_response)
-        name = 'unknown'
+        name, status, outcome = 'unknown', 200, 'cut'
+        try:
+            with self._metrics.open_calls.track_inprogress():
+                name, handler = self._match(environ)
+                response = self._respond(call, name, handler)
+            status = response.status_code
+            outcome = response.headers.get(OUTCOME, '')
+        finally:
+            seconds = time.monotonic() - began_s
+            self._metrics.observe_call(name, status, outcome, seconds)
+        if call.streamed:
+            return ()
+        return response(environ, start_response)
+
+    def _match(self, environ: dict[str, typing.Any]) -> tuple[str, Handler]:
         try:
             route, arguments = self._map.bind_to_environ(environ).match()
-            name = f'{route.method} {route.pattern}'
-            response = route.handler(call, **arguments)
+        except exceptions.HTTPException as error:
+            return 'unknown', functools.partial(_refused, error)
+        name = f'{route.method} {route.pattern}'
+        return name, functools.partial(route.handler, **arguments)
+
+    def _respond(
+        self, call: Call, name: str, handler: Handler
+    ) -> werkzeug.Response:
+        try:
+            return handler(call)
         except CutShort:
-            self._observer(name, 200, 'cut', time.monotonic() - began_s)
             raise
-        except exceptions.HTTPException as error:
-            response = self._refused(error)
         except Exception as error:
             _logger.exception('handler failed', route=name)
             if call.streamed:
                 raise CutShort(str(error)) from error
-            response = self._failed()
-        outcome = response.headers.get('Dandeliondrum-Outcome', '')
-        self._observer(
-            name, response.status_code, outcome, time.monotonic() - began_s
+        headers = {OUTCOME: self._outcome} if self._outcome else None
+        return problem_response(
+            Problem(500, 'internal_error', 'see the log of the gateway'),
+            headers,
         )
-        if call.streamed:
-            return ()
-        return response(environ, start_response)
-
-    def _refused(self, error: exceptions.HTTPException) -> werkzeug.Response:
-        response = problem_response(
-            Problem(error.code or 400, 'bad_request', error.name)
-        )
-        with contextlib.suppress(AttributeError):
-            allowed = sorted(error.valid_methods or ())  # type: ignore
-            response.headers['Allow'] = ', '.join(allowed)
-        return response
-
-    def _failed(self) -> werkzeug.Response:
-        response = problem_response(
-            Problem(500, 'internal_error', 'see the log of the gateway')
-        )
-        if self._outcome:
-            response.headers['Dandeliondrum-Outcome'] = self._outcome
-        return response
 
 
 def json_response(
@@ -217,6 +219,17 @@
     return response
 
 
+def _refused(
+    error: exceptions.HTTPException, _call: Call
+) -> werkzeug.Response:
+    response = problem_response(
+        Problem(error.code or 400, 'bad_request', error.name)
+    )
+    if isinstance(error, exceptions.MethodNotAllowed):
+        response.headers['Allow'] = ', '.join(error.valid_methods or ())
+    return response
+
+
 def _too_large(max_bytes: int) -> Problem:
     return Problem(
         413, 'bad_request', f'at most {max_bytes} bytes are allowed'
--- a/dandeliondrum/gateway/_metrics.py
+++ b/dandeliondrum/gateway/_metrics.py
@@ -39,6 +39,11 @@
             buckets=WAIT_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.open_calls = prometheus_client.Gauge(
+            'dandeliondrum_gateway_open_calls',
+            'Calls that are being served now',
+            registry=self.registry,
+        )
         self.task_wait_seconds = prometheus_client.Histogram(
             'dandeliondrum_gateway_task_wait_seconds',
             'Time from the arrival of a task to its first start, by class',
--- a/dandeliondrum/gateway/_outcomes.py
+++ b/dandeliondrum/gateway/_outcomes.py
@@ -12,7 +12,6 @@
 from dandeliondrum.gateway import _http
 from dandeliondrum import messages
 
-OUTCOME = 'Dandeliondrum-Outcome'
 REQUEST_ID = 'Dandeliondrum-Request-Id'
 ATTEMPT = 'Dandeliondrum-Attempt'
 ANSWER_DIGEST = 'Dandeliondrum-Answer-Digest'
@@ -60,7 +59,7 @@
     outcome: Outcome, request_id: str, attempt_id: str = ''
 ) -> dict[str, str]:
     """Return the headers that each answer to a caller carries."""
-    headers = {OUTCOME: outcome.value}
+    headers = {_http.OUTCOME: outcome.value}
     if request_id:
         headers[REQUEST_ID] = request_id
     if attempt_id:
--- a/dandeliondrum/gateway/_reporter.py
+++ b/dandeliondrum/gateway/_reporter.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dandeliondrum.gateway import _leader_link
+from dandeliondrum.gateway import _metrics
 from dandeliondrum import messages
 from dandeliondrum import transport
 
@@ -22,8 +23,11 @@
 class Reporter:
     """Sends reports in batches; what was not confirmed is sent again."""
 
-    def __init__(self, link: _leader_link.LeaderLink) -> None:
+    def __init__(
+        self, link: _leader_link.LeaderLink, metrics: _metrics.Metrics
+    ) -> None:
         self._link = link
+        self._metrics = metrics
         self._queue: queue.SimpleQueue[messages.AttemptReport] = (
             queue.SimpleQueue()
         )
@@ -32,6 +36,7 @@
 
     def report(self, report: messages.AttemptReport) -> None:
         """Queue a report; never waits."""
+        self._metrics.attempts.labels(report.state.value).inc()
         with self._lock:
             self._unconfirmed_count += 1
         self._queue.put(report)
--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -196,6 +196,7 @@
             (pycurl.URL, f'http://{request.address}{request.path}'),
             (pycurl.PROXY, ''),
             (pycurl.NOSIGNAL, 1),
+            (pycurl.USERAGENT, 'dandeliondrum'),
             (pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1),
             (pycurl.MAXCONNECTS, 1),
             (pycurl.BUFFERSIZE, CURL_BUFFER_BYTES),
--- a/dandeliondrum/gateway/tests/test_leader_loss.py
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -135,9 +135,7 @@
         ({'Request_Id': 'r1', 'First_Sending': 'false'}, 'in_doubt'),
     ],
 )
-def test_without_any_leader_only_a_new_id_is_told_as_not_run(
-    headers, outcome
-):
+def test_without_any_leader_only_a_new_id_is_told_as_not_run(headers, outcome):
     with fakes.serving(fakes.free_port(), wait=False) as front:
         reply = fakes.run(front, Timeout_Ms=50, **headers)
     assert reply.outcome == outcome
@@ -194,9 +192,7 @@
 
 def test_the_rules_version_of_a_push_is_in_the_next_beats(front, leader):
     leader.push(messages.RulesPush(messages.RulesVersion(9), ''))
-    fakes.until(
-        lambda: leader.of(messages.GatewayBeat)[-1].rules_version == 9
-    )
+    fakes.until(lambda: leader.of(messages.GatewayBeat)[-1].rules_version == 9)
 
 
 def test_a_stop_does_not_wait_for_a_leader():
--- a/dandeliondrum/gateway/tests/test_waiting_calls.py
+++ b/dandeliondrum/gateway/tests/test_waiting_calls.py
@@ -237,9 +237,7 @@
 
 def test_a_full_gateway_refuses_at_once(leader):
     threads = _callers.THREADS_KEPT_FREE + 1
-    with fakes.serving(
-        leader.address, callers_threads_count=threads
-    ) as front:
+    with fakes.serving(leader.address, callers_threads_count=threads) as front:
         first = fakes.Background(fakes.run, front, Request_Id='r1')
         fakes.until(lambda: leader.of(messages.SubmitTasks))
         reply = fakes.run(front, Request_Id='r2', First_Sending='true')
--- a/dandeliondrum/gateway/tests/test_worker_failures.py
+++ b/dandeliondrum/gateway/tests/test_worker_failures.py
@@ -246,14 +246,35 @@
     assert busy['most'] == 2
 
 
-def test_a_kept_connection_that_broke_is_not_used_silently_again(worker):
-    """The library would send the call twice without saying so."""
-    with contextlib.closing(FirstCallLost(worker.address)) as port:
-        client = _worker_client.WorkerClient(1)
+def serve_one_then_hang_up(listener, received):
+    """Answer the first call, and hang up on each later one once read."""
+    with contextlib.suppress(OSError):
+        while True:
+            stream, _ = listener.accept()
+            while data := stream.recv(65_536):
+                received.append(data)
+                if len(received) > 1:
+                    break
+                stream.sendall(b'HTTP/1.1 202 A\r\nContent-Length: 0\r\n\r\n')
+            stream.close()
+
+
+def test_a_call_on_a_kept_connection_that_broke_is_not_repeated_silently():
+    """The library would send it a second time without saying so."""
+    received = []
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        threading.Thread(
+            target=serve_one_then_hang_up,
+            args=(listener, received),
+            daemon=True,
+        ).start()
+        host, port = listener.getsockname()
         request = _worker_client.WorkerRequest(
-            'POST', port.address, '/v1/attempts/a', 10_000
+            'POST', f'{host}:{port}', '/v1/attempts/a', 10_000
         )
+        client = _worker_client.WorkerClient(1)
         with contextlib.closing(client):
+            assert client.call(request).head.status == 202
             outcome = client.call(request)
-            assert isinstance(outcome, _worker_client.NoAnswer)
-    assert worker.starts() == []
+    assert isinstance(outcome, _worker_client.NoAnswer)
+    assert len(received) == 2
--- /dev/null
+++ b/dandeliondrum/gateway/tests/test_workers.py
@@ -0,0 +1,140 @@
+"""Tests of what workers call."""
+
+import json
+
+import pytest
+
+from dandeliondrum.gateway.tests import fakes
+from dandeliondrum import messages
+
+FACTS = {
+    'worker_id': 'lathe-1',
+    'incarnation': 'a1',
+    'address': '127.0.0.1:7100',
+    'region': 'gulf',
+    'failure_domain': 'sattahip',
+    'rack': 's-1',
+    'resources': {'cpu_millicores': 16_000, 'memory_mb': 32_768},
+    'slots_count': 8,
+    'connections_count': 64,
+}
+
+
+def beat(number=1, **changes):
+    return {
+        'worker_id': f'lathe-{number}',
+        'incarnation': 'a1',
+        'running': [],
+        **changes,
+    }
+
+
+def post(front, call, value):
+    body = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return fakes.call(
+        front.workers_address, 'POST', f'/v1/workers/{call}', body
+    )
+
+
+@pytest.mark.parametrize('body', [FACTS, {'facts': FACTS}])
+def test_a_worker_is_announced_to_the_leader(front, leader, body):
+    reply = post(front, 'announce', body)
+    assert reply.status == 200
+    (announced,) = leader.of(messages.AnnounceWorker)
+    assert announced.facts.slots_count == 8
+    assert announced.facts.resources == messages.Resources(16_000, 32_768)
+
+
+@pytest.mark.parametrize(
+    ('change', 'named'),
+    [
+        ({'slots_count': 0}, 'slots_count'),
+        ({'slots_count': '8'}, 'int expected'),
+        ({'slots_count': True}, 'int expected'),
+        ({'address': 'lathe.example:7100'}, 'lathe.example'),
+        ({'address': '127.0.0.1'}, 'host:port'),
+        ({'address': '127.0.0.1:70000'}, '70000'),
+        ({'resources': {'cpu_millicores': -1, 'memory_mb': 1}}, 'cpu'),
+        ({'resources': [1, 2]}, 'object'),
+        ({'colour': 'red'}, 'colour'),
+        ({'incarnation': 'a\r\nToken: 7'}, 'no name'),
+    ],
+)
+def test_facts_that_make_no_sense_are_refused(front, leader, change, named):
+    reply = post(front, 'announce', {**FACTS, **change})
+    assert reply.status == 400
+    assert named in reply.json()['detail']
+    assert leader.of(messages.AnnounceWorker) == []
+
+
+def test_a_missing_field_is_named(front):
+    facts = {name: FACTS[name] for name in FACTS if name != 'rack'}
+    reply = post(front, 'announce', facts)
+    assert reply.status == 400
+    assert 'rack' in reply.json()['detail']
+
+
+@pytest.mark.parametrize('body', [b'', b'{', b'[]', b'[' * 100_000, b'\xff'])
+def test_what_is_no_json_object_is_refused(front, body):
+    reply = post(front, 'heartbeat', body)
+    assert reply.status == 400
+    assert reply.json()['reason'] == 'bad_request'
+
+
+def test_heartbeats_that_come_together_share_a_call(front, leader):
+    calls = [
+        fakes.Background(post, front, 'heartbeat', beat(number))
+        for number in range(8)
+    ]
+    for number, call in enumerate(calls):
+        assert call.result().json()['worker_id'] == f'lathe-{number}'
+    sent = leader.of(messages.WorkerBeats)
+    assert sum(len(call.beats) for call in sent) == 8
+    assert len(sent) < 8
+
+
+def test_a_heartbeat_carries_usage_and_ends(front, leader):
+    reply = post(
+        front,
+        'heartbeat',
+        beat(
+            running=[
+                {
+                    'attempt_id': 'bureau/r1#1',
+                    'used': {'cpu_millicores': 5, 'memory_mb': 6},
+                }
+            ],
+            ended=[{'attempt_id': 'bureau/r0#1', 'state': 'finished'}],
+            fenced=['bureau/r2#1'],
+        ),
+    )
+    assert reply.status == 200
+    (sent,) = leader.of(messages.WorkerBeats)[0].beats
+    assert sent.running[0].used == messages.Resources(5, 6)
+    assert sent.ended[0].state is messages.AttemptState.FINISHED
+    assert sent.fenced == ('bureau/r2#1',)
+
+
+def test_a_leaving_worker_is_told_to_the_leader(front, leader):
+    reply = post(front, 'leave', {'worker_id': 'lathe-1', 'incarnation': 'a1'})
+    assert reply.status == 200
+    assert leader.of(messages.WorkerBeats)[0].beats[0].leaving
+
+
+def test_a_heartbeat_the_leader_leaves_unanswered_gets_503(front, leader):
+    leader.silent = True
+    reply = post(front, 'heartbeat', beat())
+    assert reply.status == 503
+
+
+def test_heartbeats_without_a_leader_get_503():
+    with fakes.serving(fakes.free_port(), wait=False) as front:
+        assert post(front, 'heartbeat', beat()).status == 503
+        assert post(front, 'announce', FACTS).status == 503
+
+
+def test_an_answer_for_another_worker_reaches_nobody(front, leader):
+    leader._beat_replies = lambda _call: messages.WorkerBeatReplies(
+        (messages.WorkerBeatReply(messages.WorkerId('other')),)
+    )
+    assert post(front, 'heartbeat', beat()).status == 503
