--- /dev/null
+++ b/dandeliondrum/testing/__init__.py
@@ -0,0 +1,87 @@
+"""Tools for tests: fault proxy, real processes, histories and checks."""
+
+from dandeliondrum.testing._cell import Cell
+from dandeliondrum.testing._cell import task_headers
+from dandeliondrum.testing._cell import wait_until
+from dandeliondrum.testing._checker import check
+from dandeliondrum.testing._fake_gateway import FakeGateway
+from dandeliondrum.testing._fake_gateway import SeenBeat
+from dandeliondrum.testing._fake_gateway import wait_for
+from dandeliondrum.testing._faults import BLACKHOLE
+from dandeliondrum.testing._faults import CUT
+from dandeliondrum.testing._faults import Faults
+from dandeliondrum.testing._faults import Flow
+from dandeliondrum.testing._faults import NO_FAULTS
+from dandeliondrum.testing._faults import Pacer
+from dandeliondrum.testing._faults import STALLED
+from dandeliondrum.testing._history import History
+from dandeliondrum.testing._history import Outage
+from dandeliondrum.testing._history import OutageKind
+from dandeliondrum.testing._history import Outcome
+from dandeliondrum.testing._history import OutcomeKind
+from dandeliondrum.testing._history import Sending
+from dandeliondrum.testing._history import SendingKind
+from dandeliondrum.testing._history import TeamLimit
+from dandeliondrum.testing._history import Withdrawal
+from dandeliondrum.testing._http import call
+from dandeliondrum.testing._http import HttpReply
+from dandeliondrum.testing._mesh import LinkName
+from dandeliondrum.testing._mesh import ProxyMesh
+from dandeliondrum.testing._ports import free_address
+from dandeliondrum.testing._ports import free_addresses
+from dandeliondrum.testing._processes import daemon
+from dandeliondrum.testing._processes import ProcessError
+from dandeliondrum.testing._processes import Processes
+from dandeliondrum.testing._processes import Program
+from dandeliondrum.testing._proxy import Proxy
+from dandeliondrum.testing._recorder import Recorder
+from dandeliondrum.testing._violations import CheckOptions
+from dandeliondrum.testing._violations import Violation
+from dandeliondrum.testing._violations import ViolationKind
+from dandeliondrum.testing._worker_client import Reply
+from dandeliondrum.testing._worker_client import Start
+from dandeliondrum.testing._worker_client import WorkerClient
+
+__all__ = [
+    'BLACKHOLE',
+    'CUT',
+    'Cell',
+    'CheckOptions',
+    'FakeGateway',
+    'Faults',
+    'Flow',
+    'History',
+    'HttpReply',
+    'LinkName',
+    'NO_FAULTS',
+    'Outage',
+    'OutageKind',
+    'Outcome',
+    'OutcomeKind',
+    'Pacer',
+    'ProcessError',
+    'Processes',
+    'Program',
+    'Proxy',
+    'ProxyMesh',
+    'Recorder',
+    'Reply',
+    'STALLED',
+    'SeenBeat',
+    'Sending',
+    'SendingKind',
+    'Start',
+    'TeamLimit',
+    'Violation',
+    'ViolationKind',
+    'Withdrawal',
+    'WorkerClient',
+    'call',
+    'check',
+    'daemon',
+    'free_address',
+    'free_addresses',
+    'task_headers',
+    'wait_for',
+    'wait_until',
+]
