--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -221,6 +221,10 @@
 class _Connections(connections.ConnectionManager):
     """The library's connections, with a listener that can be taken away."""
 
+    # Parts of the library that its type hints leave out.
+    _selector: typing.Any
+    _from_server_socket: typing.Any
+
     # The library's stubs leave these out.
     _selector: typing.Any
     _from_server_socket: typing.Any
