Leave a durable task that goes on to its worker's heartbeats

The leader takes every report for the end of its attempt, so the report that one runs would have freed its place and placed it a second time. A task whose submission came back as unknown is submitted again; a withdrawn key for a task that ran is 403 and in doubt.

--- a/dandeliondrum/gateway/_durable.py
+++ b/dandeliondrum/gateway/_durable.py
@@ -62,7 +62,9 @@
             worker=start.worker_id,
             outcome=type(outcome).__name__,
         )
-        self._reporter.report(report_of(start, outcome))
+        report = report_of(start, outcome)
+        if report is not None:
+            self._reporter.report(report)
 
     def _done(
         self,
@@ -97,8 +99,11 @@
 
 def report_of(
     start: messages.StartAttempt, outcome: _dispatch.StartOutcome
-) -> messages.AttemptReport:
-    """Return what the leader is told about the start of a durable task."""
+) -> messages.AttemptReport | None:
+    """Return what the leader is told about the start of a durable task.
+
+    Of one that goes on it hears by the worker's heartbeats.
+    """
     attempt_id = start.attempt_id
     match outcome:
         case _dispatch.Ended(state=state, place=place, body=body):
@@ -108,8 +113,7 @@
                 attempt_id, state, place, run_ms=outcome.run_ms
             )
         case _dispatch.Running():
-            state = messages.AttemptState.RUNNING
-            return messages.AttemptReport(attempt_id, state)
+            return None
         case _dispatch.NeverStarted(reason=reason):
             state = messages.AttemptState.NEVER_STARTED
             return messages.AttemptReport(attempt_id, state, detail=reason)
--- a/dandeliondrum/gateway/_outcomes.py
+++ b/dandeliondrum/gateway/_outcomes.py
@@ -113,6 +113,20 @@
     return refused(request_id, problem, not_run=False)
 
 
+def in_doubt_by_leader(status: messages.TaskStatus) -> werkzeug.Response:
+    """Return the leader's word that it can claim neither.
+
+    A reason is there when it turned this call away, of a task that ran.
+    """
+    request_id = request_id_of(status.task_id)
+    if status.reason is None:
+        return in_doubt(request_id, status.detail)
+    problem = _http.Problem(
+        status_of(status.reason), status.reason.value, status.detail
+    )
+    return refused(request_id, problem, not_run=False)
+
+
 def cancelled(status: messages.TaskStatus) -> werkzeug.Response:
     """Answer for a cancelled task; it did not run if it has no attempt."""
     problem = _http.Problem(
--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -225,10 +225,6 @@
     _selector: typing.Any
     _from_server_socket: typing.Any
 
-    # The library's stubs leave these out.
-    _selector: typing.Any
-    _from_server_socket: typing.Any
-
     def forget(self, listener: socket.socket) -> None:
         """Accept nothing more by itself."""
         self._selector.unregister(listener.fileno())
--- a/dandeliondrum/gateway/_submitter.py
+++ b/dandeliondrum/gateway/_submitter.py
@@ -57,7 +57,7 @@
         match future.result():
             case result.Success(messages.TaskStatuses(statuses=(status,))):
                 waiter.submit_ended(True)
-                waiter.tell(status)
+                self._take(waiter, status)
             case result.Success(messages.CallFailed() as failed):
                 waiter.submit_ended(not failed.not_done)
                 _logger.info(
@@ -65,9 +65,7 @@
                     task=waiter.spec.task_id,
                     why=failed.reason,
                 )
-                self._timers.after(
-                    RETRY_PAUSE_MS, functools.partial(self._again, waiter)
-                )
+                self._retry(waiter)
             case result.Failure(transport.CallError(failure=failure)):
                 waiter.submit_ended(
                     failure is not transport.CallFailure.NOT_SENT
@@ -76,6 +74,20 @@
                 waiter.submit_ended(True)
                 _logger.warning('unexpected reply', reply=str(other))
 
+    def _take(
+        self, waiter: _waiters.Waiter, status: messages.TaskStatus
+    ) -> None:
+        if status.state is messages.TaskState.UNKNOWN:
+            # The leader could not put it on record, or was deposed.
+            self._retry(waiter)
+        else:
+            waiter.tell(status)
+
+    def _retry(self, waiter: _waiters.Waiter) -> None:
+        self._timers.after(
+            RETRY_PAUSE_MS, functools.partial(self._again, waiter)
+        )
+
     def _again(self, waiter: _waiters.Waiter) -> None:
         if waiter in self._waiters.snapshot():
             self.submit(waiter)
--- a/dandeliondrum/gateway/_waiting_call.py
+++ b/dandeliondrum/gateway/_waiting_call.py
@@ -195,7 +195,7 @@
             case messages.TaskState.CANCELLED:
                 return _outcomes.cancelled(status)
             case messages.TaskState.IN_DOUBT:
-                return self._in_doubt(status.detail)
+                return _outcomes.in_doubt_by_leader(status)
             case messages.TaskState.DONE if status.answer is not None:
                 self._watch(status.answer, of_leader=True)
             case messages.TaskState.FAILED:
--- a/dandeliondrum/gateway/tests/test_jobs.py
+++ b/dandeliondrum/gateway/tests/test_jobs.py
@@ -172,10 +172,8 @@
     assert post(front, '/v1/services', {**value, 'replicas': 0}).status == 400
 
 
-def pushed(leader, worker, body, task_class='batch', answer=b'done'):
-    """Let the leader push the start of a durable task."""
-    worker.on_start = lambda _seen: fakes.ended(answer)
-    spec = messages.TaskSpec(
+def durable_spec(task_class):
+    return messages.TaskSpec(
         task_id=messages.TaskId('bureau/j1'),
         team_id=messages.TeamId('bureau'),
         queue=messages.QueueName('night'),
@@ -187,11 +185,29 @@
         body_digest='',
         durable=True,
     )
+
+
+def pushed(leader, worker, body, task_class='batch', answer=b'done'):
+    """Let the leader push the start of a durable task."""
+    worker.on_start = lambda _seen: fakes.ended(answer)
+    spec = durable_spec(task_class)
     leader.push(fakes.start_of(spec, worker, body=body))
     fakes.until(leader.reports)
     return leader.reports()[0]
 
 
+def test_a_durable_task_that_goes_on_is_not_reported_as_ended(
+    front, leader, worker
+):
+    """A leader takes each report for the end of its attempt."""
+    spec = durable_spec('batch')
+    worker.on_start = lambda _seen: fakes.running()
+    leader.push(fakes.start_of(spec, worker, body=b''))
+    fakes.until(worker.starts)
+    front.close()
+    assert leader.reports() == []
+
+
 def test_a_durable_task_is_dispatched_with_the_leaders_body(
     front, leader, worker
 ):
--- a/dandeliondrum/gateway/tests/test_waiting_calls.py
+++ b/dandeliondrum/gateway/tests/test_waiting_calls.py
@@ -142,6 +142,32 @@
     assert call.result().outcome == outcome
 
 
+def test_a_withdrawn_key_says_nothing_about_a_task_that_ran(front, leader):
+    status = fakes.status(
+        'bureau/r1',
+        'in_doubt',
+        reason=messages.RefusalReason.BAD_KEY,
+        attempts_count=1,
+    )
+    leader.on_submit = lambda *_: messages.TaskStatuses((status,))
+    reply = fakes.run(front, Request_Id='r1', First_Sending='true')
+    assert (reply.status, reply.outcome) == (403, 'in_doubt')
+
+
+def test_a_task_the_leader_could_not_record_is_submitted_again(
+    front, leader, worker
+):
+    def on_submit(_connection, call):
+        leader.start_on(worker)
+        return messages.TaskStatuses(
+            (fakes.status(call.tasks[0].task_id, 'unknown'),)
+        )
+
+    leader.on_submit = on_submit
+    assert fakes.run(front).body == b'echo:lens'
+    assert len(leader.of(messages.SubmitTasks)) == 2
+
+
 def test_a_failed_task_that_may_run_once_is_answered_at_once(
     front, leader, worker
 ):
