--- a/dandeliondrum/gateway/_outcomes.py
+++ b/dandeliondrum/gateway/_outcomes.py
@@ -12,7 +12,6 @@
 from dandeliondrum.gateway import _http
 from dandeliondrum import messages
 
-OUTCOME = 'Dandeliondrum-Outcome'
 REQUEST_ID = 'Dandeliondrum-Request-Id'
 ATTEMPT = 'Dandeliondrum-Attempt'
 ANSWER_DIGEST = 'Dandeliondrum-Answer-Digest'
@@ -60,7 +59,7 @@
     outcome: Outcome, request_id: str, attempt_id: str = ''
 ) -> dict[str, str]:
     """Return the headers that each answer to a caller carries."""
-    headers = {OUTCOME: outcome.value}
+    headers = {_http.OUTCOME: outcome.value}
     if request_id:
         headers[REQUEST_ID] = request_id
     if attempt_id:
@@ -114,6 +113,20 @@
     return refused(request_id, problem, not_run=False)
 
 
+def in_doubt_by_leader(status: messages.TaskStatus) -> werkzeug.Response:
+    """Return the leader's word that it can claim neither.
+
+    A reason is there when it turned this call away, of a task that ran.
+    """
+    request_id = request_id_of(status.task_id)
+    if status.reason is None:
+        return in_doubt(request_id, status.detail)
+    problem = _http.Problem(
+        status_of(status.reason), status.reason.value, status.detail
+    )
+    return refused(request_id, problem, not_run=False)
+
+
 def cancelled(status: messages.TaskStatus) -> werkzeug.Response:
     """Answer for a cancelled task; it did not run if it has no attempt."""
     problem = _http.Problem(
