--- a/dandeliondrum/command/_rules_changes.py
+++ b/dandeliondrum/command/_rules_changes.py
@@ -27,6 +27,7 @@
     version: int
     in_force: tuple[str, ...]
     behind: tuple[str, ...]
+    latest_version: int
 
     def text(self) -> str:
         """Return one line about it."""
@@ -37,6 +38,8 @@
         )
         if self.behind:
             line += '; not yet on ' + ', '.join(self.behind)
+        if self.latest_version > self.version:
+            line += f'; version {self.latest_version} has replaced it'
         return line
 
 
@@ -106,12 +109,13 @@
 def _spread(gateways: _gateways.Gateways, version: int) -> Spread:
     shown = gateways.show_rules()
     if isinstance(shown, result.Failure):
-        return Spread(version, (), ())
+        return Spread(version, (), (), version)
     reported = shown.unwrap().gateways
     return Spread(
         version,
         tuple(name for name, has in reported if has >= version),
         tuple(name for name, has in reported if has < version),
+        shown.unwrap().version,
     )
 
 
@@ -140,6 +144,7 @@
         **more,
         'in_force': list(spread.in_force),
         'behind': list(spread.behind),
+        'latest_version': spread.latest_version,
     }
     return _report.Report(
         _report.ExitCode.DONE,
--- a/dandeliondrum/observability/_logs.py
+++ b/dandeliondrum/observability/_logs.py
@@ -49,21 +49,23 @@
 def log_context(
     *,
     request_id: str | None = None,
-    task_id: str | None = None,
-    attempt_id: str | None = None,
+    task: str | None = None,
+    attempt: str | None = None,
+    worker: str | None = None,
     term: int | None = None,
 ) -> collections.abc.Iterator[None]:
     """Put ids on all lines that this thread writes within the block.
 
     Example::
 
-        with log_context(request_id='r1', task_id='harbour/r1'):
+        with log_context(request_id='r1', task='harbour/r1'):
             logger.info('task accepted')
     """
     ids = {
         'request_id': request_id,
-        'task_id': task_id,
-        'attempt_id': attempt_id,
+        'task': task,
+        'attempt': attempt,
+        'worker': worker,
         'term': term,
     }
     known = {name: value for name, value in ids.items() if value is not None}
--- a/dandeliondrum/observability/tests/test_logs.py
+++ b/dandeliondrum/observability/tests/test_logs.py
@@ -24,17 +24,17 @@
 
 def test_ids_are_on_all_lines_of_the_block_and_no_others(lines):
     logger = structlog.get_logger()
-    with observability.log_context(request_id='r1', task_id='harbour/r1'):
-        with observability.log_context(attempt_id='harbour/r1#1', term=7):
+    with observability.log_context(request_id='r1', task='harbour/r1'):
+        with observability.log_context(attempt='harbour/r1#1', term=7):
             logger.info('inner')
         logger.info('outer')
     logger.info('after')
     inner, outer, after = lines.all()
     assert inner['request_id'] == outer['request_id'] == 'r1'
-    assert inner['task_id'] == 'harbour/r1'
-    assert (inner['attempt_id'], inner['term']) == ('harbour/r1#1', 7)
-    assert 'attempt_id' not in outer and 'term' not in outer
-    assert not {'request_id', 'task_id'} & after.keys()
+    assert inner['task'] == 'harbour/r1'
+    assert (inner['attempt'], inner['term']) == ('harbour/r1#1', 7)
+    assert 'attempt' not in outer and 'term' not in outer
+    assert not {'request_id', 'task'} & after.keys()
 
 
 def test_ids_of_one_thread_are_not_on_lines_of_another(lines):
--- a/dandeliondrum/rules/_line.py
+++ b/dandeliondrum/rules/_line.py
@@ -61,10 +61,25 @@
     return _check(line, fields, end)
 
 
+class _Columns:
+    """Where the names of a line stand, looked up once one is needed."""
+
+    def __init__(self, line: str) -> None:
+        self._line = line
+
+    def of(self, path: str) -> int:
+        """Return the column of a name; 1 when it is written with escapes."""
+        return self._columns.get(path, 1)
+
+    @functools.cached_property
+    def _columns(self) -> dict[str, int]:
+        names = json_text.find_names(self._line)
+        return {name.path: name.column for name in names}
+
+
 def _check(line: str, fields: dict[str, typing.Any], end: int) -> LineResult:
-    places = {name.path: name for name in json_text.find_names(line)}
     problems = list(_check_comment(line, end))
-    problems += _check_kind(fields, places)
+    problems += _check_kind(fields, _Columns(line))
     if problems:
         return result.Failure(tuple(problems))
     kind = _kinds.KINDS[fields['rule']]
@@ -93,7 +108,7 @@
 
 def _check_kind(
     fields: dict[str, typing.Any],
-    places: collections.abc.Mapping[str, json_text.FoundName],
+    columns: '_Columns',
 ) -> collections.abc.Iterator[LineProblem]:
     if 'rule' not in fields:
         yield LineProblem(
@@ -103,25 +118,24 @@
     name = fields['rule']
     if not isinstance(name, str) or name not in _kinds.KINDS:
         yield LineProblem(
-            places['rule'].column,
+            columns.of('rule'),
             f'unknown rule {_shown(name)}; '
             + json_text.known_or_nearest(str(name), _kinds.KINDS.keys()),
         )
         return
     members = {key: fields[key] for key in fields if key != 'rule'}
-    yield from _check_fields(members, _kinds.KINDS[name].fields, places, '')
+    yield from _check_fields(members, _kinds.KINDS[name].fields, columns, '')
 
 
 def _check_fields(
     found: dict[str, typing.Any],
     declared: tuple[_checks.Field, ...],
-    places: collections.abc.Mapping[str, json_text.FoundName],
+    columns: '_Columns',
     prefix: str,
 ) -> collections.abc.Iterator[LineProblem]:
     by_name = {field.name: field for field in declared}
     for name, value in found.items():
         path = prefix + name
-        column = places[path].column if path in places else 1
         field = by_name.get(name)
         if field is None:
             nearest = json_text.known_or_nearest(name, by_name.keys())
@@ -132,11 +146,11 @@
         allowed = field.check(value)
         if allowed:
             yield LineProblem(
-                column,
+                columns.of(path),
                 f'field "{path}": found {_shown(value)}, allowed is {allowed}',
             )
         elif field.members:
-            yield from _check_fields(value, field.members, places, f'{path}.')
+            yield from _check_fields(value, field.members, columns, f'{path}.')
     for field in declared:
         if field.required and field.name not in found:
             yield LineProblem(1, f'field "{prefix}{field.name}" is missing')
--- a/dandeliondrum/rules/tests/test_parse.py
+++ b/dandeliondrum/rules/tests/test_parse.py
@@ -1,5 +1,7 @@
 """Rules files that are taken, and each way in which one is refused."""
 
+import random
+
 import pytest
 from returns import result
 
@@ -136,3 +138,36 @@
     text = TEAM.replace('3}', r'3, "\ud800": 1}')
     (problem,) = problems_of(text)
     assert problem.detail.encode()
+
+
+def test_damaged_files_give_problems_or_rules():
+    source = random.Random(20261206)
+    text = '\n'.join([TEAM, LIMITED, QUEUE])
+    for _ in range(500):
+        letters = list(text)
+        for _ in range(source.randrange(1, 4)):
+            letters[source.randrange(len(letters))] = chr(
+                source.choice([source.randrange(128), 0x2028, 0xD800])
+            )
+        outcome = rules.parse(''.join(letters))
+        assert isinstance(outcome, result.Result)
+        for problem in outcome.failure() if not_whole(outcome) else ():
+            assert problem.detail.encode()
+            assert 1 <= problem.line <= 4 + text.count('\n')
+
+
+def not_whole(outcome):
+    return isinstance(outcome, result.Failure)
+
+
+def test_random_text_gives_problems():
+    source = random.Random(20261207)
+    for _ in range(300):
+        noise = source.randbytes(source.randrange(3, 200)).decode('latin-1')
+        assert problems_of('{' + noise)
+
+
+def test_a_refused_file_leaves_what_was_read_before():
+    before = rules.parse(TEAM).unwrap()
+    problems_of(f'{TEAM}\nnonsense')
+    assert rules.parse(TEAM).unwrap() == before
