--- a/dandeliondrum/rules/_line.py
+++ b/dandeliondrum/rules/_line.py
@@ -140,7 +140,7 @@
         if field is None:
             nearest = json_text.known_or_nearest(name, by_name.keys())
             yield LineProblem(
-                column, f'unknown field {_shown(path)}; {nearest}'
+                columns.of(path), f'unknown field {_shown(path)}; {nearest}'
             )
             continue
         allowed = field.check(value)
