--- /dev/null
+++ b/dandeliondrum/testing/_conformance_calls.py
@@ -0,0 +1,171 @@
+"""What a worker has to do when it is called."""
+
+import hashlib
+
+from dandeliondrum import messages
+from dandeliondrum.testing import _subject
+from dandeliondrum.testing import _worker_client
+from dandeliondrum import transport
+from dandeliondrum import worker
+
+WAIT_MS = 5_000
+SHORT_WAIT_MS = 100
+
+_Subject = _subject.Subject
+_expect = _subject.expect
+
+
+def announces_what_it_has(subject: _Subject) -> None:
+    """The announcement names the worker and amounts above 0."""
+    facts = subject.facts
+    transport.parse_address(facts.address)
+    amounts = (
+        facts.resources.cpu_millicores,
+        facts.resources.memory_mb,
+        facts.slots_count,
+        facts.connections_count,
+    )
+    if min(amounts) < 1 or not facts.worker_id or not facts.incarnation:
+        raise _subject.NotConforming(f'announced {facts}')
+
+
+def answers_a_start_that_ends_in_time(subject: _Subject) -> None:
+    """200 with the state, the run time and the digest of the answer."""
+    reply = _finished(subject, subject.new_attempt())
+    digest = hashlib.sha256(reply.body).hexdigest()
+    if reply.headers.get('answer-digest', '').lower() != digest:
+        raise _subject.NotConforming('header Answer-Digest is not of the body')
+    if not reply.headers.get('run-ms', '').isdigit():
+        raise _subject.NotConforming('header Run-Ms is no number')
+    if reply.headers.get('content-length') != str(len(reply.body)):
+        raise _subject.NotConforming('header Content-Length is not there')
+
+
+def starts_an_attempt_only_once(subject: _Subject) -> None:
+    """The same start sent again finds the attempt that runs."""
+    attempt_id = subject.new_attempt()
+    for _ in range(2):
+        reply = subject.start(attempt_id, subject.bodies.long, token=1)
+        _expect(reply, 202)
+    beat = subject.beat(lambda each: bool(each.running), 'anything runs')
+    if [each.attempt_id for each in beat.running] != [attempt_id]:
+        raise _subject.NotConforming(f'running: {beat.running}')
+
+
+def answers_the_same_start_after_its_end(subject: _Subject) -> None:
+    """The same start sent again after the end gets the same answer."""
+    attempt_id = subject.new_attempt()
+    first = _finished(subject, attempt_id, token=1)
+    again = _finished(subject, attempt_id, token=1)
+    if first.body != again.body:
+        raise _subject.NotConforming('the second answer is another one')
+
+
+def keeps_an_answer_until_it_is_dropped(subject: _Subject) -> None:
+    """The answer can be fetched more than once until DELETE."""
+    attempt_id = subject.new_attempt()
+    answer = _finished(subject, attempt_id).body
+    for _ in range(2):
+        reply = _expect(subject.client.fetch(attempt_id), 200)
+        if reply.body != answer:
+            raise _subject.NotConforming('another answer was fetched')
+    _expect(subject.client.drop(attempt_id), 204)
+    reply = subject.client.fetch(attempt_id)
+    if reply.status not in (404, 410):
+        raise _subject.NotConforming('the answer is there after its DELETE')
+
+
+def lets_callers_wait_for_an_answer(subject: _Subject) -> None:
+    """A fetch of what runs still gets 202 after its wait."""
+    attempt_id = subject.new_attempt()
+    _expect(subject.start(attempt_id, subject.bodies.long), 202)
+    began_ms = worker.now_ms()
+    _expect(subject.client.fetch(attempt_id, wait_ms=SHORT_WAIT_MS), 202)
+    if worker.now_ms() - began_ms < SHORT_WAIT_MS:
+        raise _subject.NotConforming('the fetch did not wait')
+
+
+def stops_when_it_is_called_to(subject: _Subject) -> None:
+    """After the stop call the attempt ends as stopped."""
+    attempt_id = subject.new_attempt()
+    _expect(subject.start(attempt_id, subject.bodies.long), 202)
+    subject.client.stop(attempt_id)
+    reply = subject.client.fetch(attempt_id, wait_ms=WAIT_MS)
+    _expect(reply, 200, messages.AttemptState.STOPPED.value)
+
+
+def never_starts_what_was_stopped_before(subject: _Subject) -> None:
+    """A start that comes after its stop is refused."""
+    attempt_id = subject.new_attempt()
+    subject.client.stop(attempt_id)
+    reply = subject.start(attempt_id, subject.bodies.quick)
+    _subject.expect_refused(reply, worker.Refused.FENCED)
+
+
+def refuses_starts_for_another_incarnation(subject: _Subject) -> None:
+    """A refused attempt is refused for good."""
+    attempt_id = subject.new_attempt()
+    quick = subject.bodies.quick
+    reply = subject.start(attempt_id, quick, incarnation='other', token=1)
+    _subject.expect_refused(reply, worker.Refused.INCARNATION)
+    reply = subject.start(attempt_id, quick, token=1)
+    _subject.expect_refused(reply, worker.Refused.FENCED)
+
+
+def refuses_lower_tokens_of_a_task(subject: _Subject) -> None:
+    """An older attempt can't start after a newer one of its task."""
+    task_id = subject.new_attempt().partition('#')[0]
+    _finished(subject, f'{task_id}#2', token=1_000)
+    quick = subject.bodies.quick
+    reply = subject.start(f'{task_id}#1', quick, token=999)
+    _subject.expect_refused(reply, worker.Refused.FENCED)
+    _finished(subject, f'{task_id}#3', token=1_001)
+
+
+def refuses_more_than_it_has(subject: _Subject) -> None:
+    """No start beyond slots or resources, and never later either."""
+    share = subject.share()
+    for _ in range(subject.facts.slots_count):
+        attempt_id = subject.new_attempt()
+        _expect(subject.start(attempt_id, subject.bodies.long), 202)
+    surplus_id = subject.new_attempt()
+    reply = subject.start(
+        surplus_id, subject.bodies.quick, token=1, resources=share
+    )
+    _subject.expect_refused(reply, worker.Refused.FULL)
+    subject.client.stop(attempt_id)
+    subject.client.fetch(attempt_id, wait_ms=WAIT_MS)
+    reply = subject.start(surplus_id, subject.bodies.quick, token=1)
+    _subject.expect_refused(reply, worker.Refused.FULL, worker.Refused.FENCED)
+
+
+def refuses_bad_headers(subject: _Subject) -> None:
+    """A start without its headers is a bad request."""
+    path = '/v1/attempts/conformance%2Fbad%231'
+    reply = subject.client.call('POST', path, body=subject.bodies.quick)
+    _expect(reply, 400)
+
+
+def _finished(
+    subject: _Subject, attempt_id: str, **fields: int
+) -> _worker_client.Reply:
+    reply = subject.start(
+        attempt_id, subject.bodies.quick, wait_ms=WAIT_MS, **fields
+    )
+    return _expect(reply, 200, messages.AttemptState.FINISHED.value)
+
+
+CHECKS = (
+    announces_what_it_has,
+    answers_a_start_that_ends_in_time,
+    starts_an_attempt_only_once,
+    answers_the_same_start_after_its_end,
+    keeps_an_answer_until_it_is_dropped,
+    lets_callers_wait_for_an_answer,
+    stops_when_it_is_called_to,
+    never_starts_what_was_stopped_before,
+    refuses_starts_for_another_incarnation,
+    refuses_lower_tokens_of_a_task,
+    refuses_more_than_it_has,
+    refuses_bad_headers,
+)
