--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import os
 import signal
 import threading
 import types
@@ -14,6 +15,7 @@
 from dandeliondrum.command import _roles
 from dandeliondrum import observability
 from dandeliondrum import settings
+from dandeliondrum import utils
 
 KINDS: collections.abc.Mapping[str, type[settings.Settings]] = {
     'controller': settings.ControllerSettings,
@@ -51,7 +53,7 @@
             role, process_id, loaded.traces_per_thousand
         )
         resources.callback(provider.shutdown)
-        started = _roles.start(loaded, resources)
+        started = _roles.start(loaded, resources, end_process)
         if isinstance(started, result.Failure):
             _logger.error('not started', why=started.failure())
             return _report.Report(_report.ExitCode.REFUSED)
@@ -62,10 +64,16 @@
     return _report.Report(_report.ExitCode.DONE)
 
 
+def end_process(error: utils.InvariantError) -> typing.NoReturn:
+    """End at once: what no longer holds must not be acted on."""
+    _logger.critical('process ended', why=str(error))
+    os._exit(_report.ExitCode.BROKEN)
+
+
 def _stop_on_signals(resources: contextlib.ExitStack) -> threading.Event:
     stopping = threading.Event()
 
-    def stop(number: int, _frame: types.FrameType | None) -> None:
+    def stop(_number: int, _frame: types.FrameType | None) -> None:
         stopping.set()
 
     for number in STOP_SIGNALS:
--- a/dandeliondrum/command/_report.py
+++ b/dandeliondrum/command/_report.py
@@ -9,14 +9,18 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes of the command line."""
+    """Exit codes of the command line.
+
+    ``BROKEN`` is that of a daemon whose invariant is broken, as EX_SOFTWARE
+    in ``sysexits.h``.
+    """
 
     DONE = 0
     REFUSED = 1
     USAGE = 2
     IN_DOUBT = 3
     UNREACHABLE = 4
-    BROKEN = 5
+    BROKEN = 70
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +70,11 @@
     if report.note:
         print(report.note, file=sys.stderr)
     if as_json:
-        print(json.dumps(report.data, sort_keys=True))
+        data = report.data
+        if data is None:
+            outcome = report.code.name.lower()
+            data = {'outcome': outcome, 'detail': report.note}
+        print(json.dumps(data, sort_keys=True))
     elif report.text:
         print(report.text)
     sys.stdout.flush()
--- a/dandeliondrum/command/_roles.py
+++ b/dandeliondrum/command/_roles.py
@@ -7,7 +7,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import os
 import pathlib
 import typing
 
@@ -17,11 +16,9 @@
 from dandeliondrum import settings
 from dandeliondrum import utils
 
-# As of EX_SOFTWARE in sysexits.h.
-INVARIANT_EXIT_CODE = 70
-
 Started = result.Result[str, str]
 Fields = dict[str, typing.Any]
+OnFatal = collections.abc.Callable[[utils.InvariantError], object]
 
 
 def process_id(loaded: settings.Settings) -> str:
@@ -36,12 +33,17 @@
 
 
 def start(
-    loaded: settings.Settings, resources: contextlib.ExitStack
+    loaded: settings.Settings,
+    resources: contextlib.ExitStack,
+    on_fatal: OnFatal,
 ) -> Started:
-    """Start the part; the stack closes it. Returns where it listens."""
+    """Start the part; the stack closes it. Returns where it listens.
+
+    ``on_fatal`` is called when an invariant of the part is broken.
+    """
     match loaded:
         case settings.ControllerSettings():
-            return _start_controller(loaded, resources)
+            return _start_controller(loaded, resources, on_fatal)
         case settings.GatewaySettings():
             return _start_gateway(loaded, resources)
         case settings.WorkerSettings():
@@ -49,7 +51,9 @@
 
 
 def _start_controller(
-    loaded: settings.ControllerSettings, resources: contextlib.ExitStack
+    loaded: settings.ControllerSettings,
+    resources: contextlib.ExitStack,
+    on_fatal: OnFatal,
 ) -> Started:
     from dandeliondrum import controller
 
@@ -58,15 +62,10 @@
     fields['controllers'] = {
         item.controller_id: item.address for item in loaded.controllers
     }
-    part = controller.Controller(controller.Options(**fields), _end_process)
+    part = controller.Controller(controller.Options(**fields), on_fatal)
     return _started(part.start, part.close, loaded.listen_address, resources)
 
 
-def _end_process(_error: utils.InvariantError) -> None:
-    """End at once: what no longer holds must not be acted on."""
-    os._exit(INVARIANT_EXIT_CODE)
-
-
 def _start_gateway(
     loaded: settings.GatewaySettings, resources: contextlib.ExitStack
 ) -> Started:
