Put a heartbeat together at one moment

The leader takes a fenced attempt that has no end in the same heartbeat for one that never started. Running, ended and fenced were read one after the other, so an attempt that ended in between was fenced without its end, and a task that is not idempotent could have run twice. The bound on reports could do the same.

--- a/dandeliondrum/worker/_attempts.py
+++ b/dandeliondrum/worker/_attempts.py
@@ -1,6 +1,7 @@
 """The attempts of a worker: what runs, what ended, what may never start."""
 
 import collections.abc
+import dataclasses
 import threading
 import typing
 
@@ -17,6 +18,22 @@
 _State = messages.AttemptState
 
 
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """What runs, what ended and what is fenced, all at one moment.
+
+    ``forgotten`` names fenced attempts that were started here and of which
+    nothing else is known any more.
+    """
+
+    running: tuple[_attempt.Attempt, ...]
+    ended: tuple[_attempt.Attempt, ...]
+    never_started: tuple[messages.AttemptId, ...]
+    fenced: tuple[messages.AttemptId, ...]
+    fenced_ends: tuple[_attempt.Attempt, ...]
+    forgotten: tuple[messages.AttemptId, ...]
+
+
 class Attempts:
     """Takes starts, ends and stops; safe for any thread.
 
@@ -155,6 +172,32 @@
         with self._lock:
             return list(self._never_started)
 
+    def snapshot(
+        self, to_fence: collections.abc.Iterable[messages.AttemptId]
+    ) -> Snapshot:
+        """Return how things stand at one moment.
+
+        What is fenced neither runs nor ever will, and has its end in the
+        same snapshot unless it never started.
+        """
+        with self._lock:
+            running = {each.call.attempt_id: each for each in self.running()}
+            ended = tuple(self.unrecorded())
+            fenced = [each for each in to_fence if each not in running]
+            known = [self._attempts.get(each) for each in fenced]
+            return Snapshot(
+                running=tuple(running.values()),
+                ended=ended,
+                never_started=tuple(self.never_started()),
+                fenced=tuple(fenced),
+                fenced_ends=tuple(each for each in known if each is not None),
+                forgotten=tuple(
+                    attempt_id
+                    for attempt_id, attempt in zip(fenced, known, strict=True)
+                    if attempt is None and self._fence.was_started(attempt_id)
+                ),
+            )
+
     def acknowledge(self, attempt_id: messages.AttemptId) -> None:
         """Report the end of this attempt no more."""
         with self._lock:
--- a/dandeliondrum/worker/_heartbeats.py
+++ b/dandeliondrum/worker/_heartbeats.py
@@ -91,8 +91,9 @@
 
     def _beat(self) -> bool:
         sent_ms = _journal.now_ms()
-        beat = _reports.beat(self._facts, self._attempts, self._journal)
-        beat = _reports.with_fenced(beat, self._settled())
+        beat = _reports.beat(
+            self._facts, self._attempts, self._journal, tuple(self._fenced)
+        )
         answered = self._gateways.post(
             '/v1/workers/heartbeat', _encoding.to_json(beat)
         ).bind(
@@ -139,10 +140,6 @@
             if attempt_id in reply.checkpoint:
                 self._attempts.checkpoint(attempt)
 
-    def _settled(self) -> tuple[messages.AttemptId, ...]:
-        running = {each.call.attempt_id for each in self._attempts.running()}
-        return tuple(each for each in self._fenced if each not in running)
-
     def _tell_leaving(self, beat: messages.WorkerBeat) -> None:
         if beat.leaving and not self._leaving_told:
             self._leaving_told = True
--- a/dandeliondrum/worker/_reports.py
+++ b/dandeliondrum/worker/_reports.py
@@ -1,6 +1,8 @@
 """What a heartbeat says."""
 
+import collections.abc
 import dataclasses
+import itertools
 
 from dandeliondrum import messages
 from dandeliondrum.worker import _attempt
@@ -22,51 +24,65 @@
     return dataclasses.replace(facts, incarnation=incarnation)
 
 
-def with_fenced(
-    beat: messages.WorkerBeat, fenced: tuple[messages.AttemptId, ...]
-) -> messages.WorkerBeat:
-    """Return the same heartbeat with these attempts as fenced."""
-    return dataclasses.replace(beat, fenced=fenced)
-
-
 def beat(
     facts: messages.WorkerFacts,
     attempts: _attempts.Attempts,
     journal: _journal.Journal,
+    to_fence: collections.abc.Iterable[messages.AttemptId],
 ) -> messages.WorkerBeat:
     """Return a heartbeat that tells how things stand now."""
+    now = attempts.snapshot(itertools.islice(to_fence, REPORTS_IN_BEAT))
     return messages.WorkerBeat(
         worker_id=facts.worker_id,
         incarnation=journal.incarnation,
         running=tuple(
             messages.RunningAttempt(each.call.attempt_id, each.used)
-            for each in attempts.running()
+            for each in now.running
         ),
-        ended=_ended(facts, attempts),
+        ended=_ended(facts, now),
+        fenced=now.fenced,
         leaving=attempts.leaving,
     )
 
 
 def _ended(
-    facts: messages.WorkerFacts, attempts: _attempts.Attempts
+    facts: messages.WorkerFacts, now: _attempts.Snapshot
 ) -> tuple[messages.AttemptReport, ...]:
-    reports = [
-        messages.AttemptReport(each, messages.AttemptState.NEVER_STARTED)
-        for each in attempts.never_started()
-    ]
+    """Return the ends, those of fenced attempts first.
+
+    A fenced attempt without an end counts as one that never started, so none
+    of these may fall to the bound.
+    """
     room_bytes = BODIES_IN_BEAT_BYTES
-    for attempt in attempts.unrecorded():
-        body = _body(attempt, room_bytes)
+    reports = {
+        attempt_id: messages.AttemptReport(
+            attempt_id, messages.AttemptState.LOST, detail='forgotten'
+        )
+        for attempt_id in now.forgotten
+    }
+    for attempt in now.fenced_ends:
+        attempt_id = attempt.call.attempt_id
+        reports[attempt_id] = _report(facts, attempt, _body(attempt))
+    for attempt in now.ended:
+        attempt_id = attempt.call.attempt_id
+        body = _body(attempt)
         room_bytes -= len(body or b'')
-        reports.append(_report(facts, attempt, body))
-    return tuple(reports[:REPORTS_IN_BEAT])
+        # What has no room waits for a heartbeat after the next answer; told
+        # without its body it would not get into the log.
+        if attempt_id not in reports and room_bytes >= 0:
+            reports[attempt_id] = _report(facts, attempt, body)
+    reports |= {
+        attempt_id: messages.AttemptReport(
+            attempt_id, messages.AttemptState.NEVER_STARTED
+        )
+        for attempt_id in now.never_started
+    }
+    return tuple(itertools.islice(reports.values(), REPORTS_IN_BEAT))
 
 
-def _body(attempt: _attempt.Attempt, room_bytes: int) -> bytes | None:
-    longest_bytes = min(BODY_IN_REPORT_BYTES, room_bytes)
-    if not attempt.call.durable or attempt.length_bytes > longest_bytes:
-        return None
-    return attempt.answer
+def _body(attempt: _attempt.Attempt) -> bytes | None:
+    small = attempt.length_bytes <= BODY_IN_REPORT_BYTES
+    return attempt.answer if attempt.call.durable and small else None
 
 
 def _report(
--- a/dandeliondrum/worker/_worker.py
+++ b/dandeliondrum/worker/_worker.py
@@ -178,7 +178,8 @@
         self._runner.run(attempt, self._attempts.finish)
 
     def _on_ended(self, attempt: _attempt.Attempt) -> None:
-        if attempt.call.durable and self._heartbeats is not None:
+        wanted = attempt.call.durable or attempt.stop_reason
+        if wanted and self._heartbeats is not None:
             self._heartbeats.wake()
 
 
--- a/dandeliondrum/worker/tests/test_heartbeats.py
+++ b/dandeliondrum/worker/tests/test_heartbeats.py
@@ -5,6 +5,7 @@
 
 from dandeliondrum import testing
 from dandeliondrum import worker
+from dandeliondrum.worker import _reports
 from dandeliondrum.worker.tests import _rig
 
 Kind = worker.EventKind
@@ -58,6 +59,25 @@
         assert bodies['team/r1#1'] is None
 
 
+def test_answers_without_room_wait_for_a_later_heartbeat(monkeypatch):
+    monkeypatch.setattr(_reports, 'BODIES_IN_BEAT_BYTES', 1_500)
+    with _rig.running(heartbeat_ms=20) as rig:
+        for number in range(2):
+            body = {'answer_bytes': 1_000}
+            attempt_id = f'team/r{number}#1'
+            rig.start(attempt_id, body=body, durable=True, wait_ms=5_000)
+        now_ms = worker.now_ms()
+        beat = rig.gateway.wait_for_beat(
+            lambda each: each.ended, 5_000, after_ms=now_ms
+        )
+        assert [each.attempt_id for each in beat.ended] == ['team/r0#1']
+        rig.gateway.tell(acknowledged=('team/r0#1',))
+        beat = rig.gateway.wait_for_beat(
+            lambda each: 'r1' in str(each.ended), 5_000
+        )
+        assert len(beat.ended[0].answer.body) == 1_000
+
+
 def test_running_attempts_report_what_they_use():
     with _rig.running() as rig:
         rig.start('team/a#1', body={'hang': True, 'use_memory_mb': 4_000})
