--- a/dandeliondrum/consensus/_interfaces.py
+++ b/dandeliondrum/consensus/_interfaces.py
@@ -52,6 +52,7 @@
 
     controller_id: messages.ControllerId
     address: str
+    disk_id: str
     voter: bool
     match_index: int
     silent_ms: int
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -164,6 +164,9 @@
         self.leader_id = leader_id
         self.heard_ns = time.monotonic_ns()
         self.put_off_election()
+        if self.ballot is not None and self.ballot.pre_vote:
+            self.ballot = None
+            self.election_wakes.notify()
 
     def is_voter(self) -> bool:
         """Whether this node, with this disk, has a vote."""
--- a/dandeliondrum/consensus/_status.py
+++ b/dandeliondrum/consensus/_status.py
@@ -9,8 +9,12 @@
 
 
 def read(state: _state.NodeState) -> _interfaces.NodeStatus:
-    """Return the status; the caller holds the lock."""
-    current = state.history.current
+    """Return the status; the caller holds the lock.
+
+    The members are those that are agreed on, which a change that is not yet
+    committed leaves as they are.
+    """
+    current = state.history.as_of(state.commit_index)
     members = [_member(state, member, True) for member in current.voters]
     members += [_member(state, member, False) for member in current.learners]
     return _interfaces.NodeStatus(
@@ -48,6 +52,7 @@
     return _interfaces.MemberStatus(
         member.controller_id,
         member.address,
+        member.disk_id,
         voter,
         match_index,
         silent_ms,
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -78,6 +78,9 @@
             state.voted_for = voted_for
             if later:
                 state.leader_id = None
+                # Before the election's task can wake: whoever brought the
+                # term shall have time to win it.
+                state.put_off_election()
                 state.become_follower()
 
     def _take(self, stopping: threading.Event) -> list[_works.Work]:
@@ -105,7 +108,7 @@
                 case _works.Proposal():
                     proposals.append(work)
                 case _works.Incoming(message, reply):
-                    answer = self._answer(message)
+                    answer = self.answer(message)
                     answers.append(_works.Outcome(reply, answer))
                 case _works.Stand(term, entered):
                     self._stand(term, entered)
@@ -132,7 +135,8 @@
             with state.lock:
                 state.become_follower()
 
-    def _answer(self, message: _messages.Request) -> typing.Any:
+    def answer(self, message: _messages.Request) -> typing.Any:
+        """Carry out a request; the log is synced before the answer goes."""
         if self._state.storage_failed:
             return self._requests.refuse(message)
         try:
--- /dev/null
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -0,0 +1,88 @@
+"""Tests of the election's single steps."""
+
+import pathlib
+import time
+
+from dandeliondrum import consensus
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _start
+from dandeliondrum.consensus import _state
+from dandeliondrum.consensus import _writer
+from dandeliondrum.consensus.tests import harness
+from dandeliondrum import messages
+
+CANDIDATE = messages.ControllerId('c2')
+
+
+def open_state(folder: pathlib.Path):
+    options = consensus.Options(
+        messages.ControllerId('c1'), harness.CELL, folder
+    )
+    return _start.open_files(options, _files.Files())
+
+
+def make_writer(opened, folder):
+    return _writer.Writer(
+        opened.state, _files.Files(), opened.snapshots, folder
+    )
+
+
+def test_a_voter_gives_the_candidate_time_to_win(tmp_path):
+    # Seen as: the voter's own election began between saving the term and
+    # counting the vote as a sign of life, and deposed the winner at once.
+    opened = open_state(tmp_path)
+    writer = make_writer(opened, tmp_path)
+    opened.state.deadline_ns = 0
+    writer.enter_term(5, CANDIDATE)
+    assert opened.state.deadline_ns > time.monotonic_ns()
+
+
+def test_a_leader_that_is_heard_ends_a_pre_vote(tmp_path):
+    state = open_state(tmp_path).state
+    state.ballot = _state.Ballot(1, pre_vote=True, transfer=False)
+    with state.lock:
+        state.hear_leader(CANDIDATE)
+    assert state.ballot is None
+
+
+def vote(opened, folder, **fields):
+    """Return the reply to a request, with the log's end at 0."""
+    request = {
+        'term': 1,
+        'candidate_id': CANDIDATE,
+        'disk_id': opened.state.disk_id,
+        'last_index': 0,
+        'last_term': 0,
+        **fields,
+    }
+    writer = make_writer(opened, folder)
+    return writer.answer(_messages.RequestVote(**request))
+
+
+def test_one_vote_in_a_term_also_after_a_restart(tmp_path):
+    opened = open_state(tmp_path)
+    opened.state.heard_ns = 0
+    assert vote(opened, tmp_path).granted
+    reopened = open_state(tmp_path)
+    reopened.state.heard_ns = 0
+    other = messages.ControllerId('c3')
+    assert not vote(reopened, tmp_path, candidate_id=other).granted
+    assert vote(reopened, tmp_path).granted
+
+
+def test_no_vote_for_another_disk_or_while_a_leader_is_heard(tmp_path):
+    opened = open_state(tmp_path)
+    # Just started: a leader may still count on this node.
+    assert not vote(opened, tmp_path).granted
+    assert vote(opened, tmp_path, transfer=True).granted
+    opened.state.heard_ns = 0
+    assert not vote(opened, tmp_path, term=2, disk_id='former').granted
+    assert opened.state.term == 1
+
+
+def test_a_pre_vote_changes_nothing(tmp_path):
+    opened = open_state(tmp_path)
+    opened.state.heard_ns = 0
+    assert vote(opened, tmp_path, term=7, pre_vote=True).granted
+    assert (opened.state.term, opened.state.voted_for) == (0, '')
--- /dev/null
+++ b/dandeliondrum/consensus/tests/test_random_faults.py
@@ -0,0 +1,101 @@
+"""Random faults from fixed seeds, checked against what proposers saw."""
+
+import random
+import shutil
+
+import pytest
+
+from dandeliondrum.consensus.tests import harness
+from dandeliondrum.consensus.tests import test_failover
+
+STEPS_COUNT = 8
+
+
+class Faults:
+    """Brings about one fault at a time and takes it back."""
+
+    def __init__(self, cluster, seed):
+        self._cluster = cluster
+        self._random = random.Random(seed)
+        self.listeners = [one.listener for one in cluster.running.values()]
+
+    def step(self, proposers):
+        victim = self._random.choice(self._cluster.names)
+        fault = self._random.choice(
+            [self._kill, self._cut, self._empty, self._hand_over, self._all]
+        )
+        fault(victim, proposers)
+        self._cluster.leader()
+        proposers.wait_for(5)
+
+    def _kill(self, victim, proposers):
+        self._cluster.stop(victim)
+        proposers.wait_for(5)
+        self._start(victim)
+
+    def _cut(self, victim, proposers):
+        self._cluster.cut(victim)
+        proposers.wait_for(5)
+        self._cluster.heal(victim)
+
+    def _empty(self, victim, proposers):
+        """Lose a disk, once all others have caught up."""
+        self._catch_up()
+        self._cluster.stop(victim)
+        shutil.rmtree(self._cluster.folder / victim)
+        self._start(victim)
+        proposers.wait_for(5)
+        self._wait_all_vote()
+
+    def _hand_over(self, _victim, _proposers):
+        leader = self._cluster.leader()
+        self._cluster.node(leader).transfer().result(harness.PATIENCE_S)
+
+    def _all(self, _victim, _proposers):
+        for name in self._cluster.names:
+            self._cluster.stop(name)
+        for name in self._cluster.names:
+            self._start(name)
+
+    def _start(self, name):
+        self._cluster.start(name)
+        self.listeners.append(self._cluster.running[name].listener)
+
+    def _catch_up(self):
+        self._wait_all_vote()
+        index = max(
+            one.node.status().commit_index
+            for one in self._cluster.running.values()
+        )
+        for one in self._cluster.running.values():
+            harness.wait_for(
+                lambda one=one: one.node.status().applied_index >= index
+            )
+
+    def _votes(self, member):
+        """Whether it votes with the disk that it has now."""
+        running = self._cluster.running[member.controller_id]
+        disk_id = running.node.status().disk_id
+        return member.voter and member.disk_id == disk_id
+
+    def _wait_all_vote(self):
+        def all_vote():
+            for name in self._cluster.leaders():
+                members = self._cluster.node(name).status().members
+                return all(self._votes(member) for member in members)
+            return False
+
+        harness.wait_for(all_vote, 'all to vote')
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+def test_random_faults_lose_and_double_nothing(tmp_path, seed):
+    with harness.Cluster(tmp_path, snapshot_every_entries=100) as cluster:
+        cluster.form()
+        faults = Faults(cluster, seed)
+        with test_failover.Proposers(cluster) as proposers:
+            for _ in range(STEPS_COUNT):
+                faults.step(proposers)
+        cluster.leader()
+        test_failover.check_terms(faults.listeners)
+        test_failover.check_history(cluster, proposers)
