--- a/dandeliondrum/consensus/_applier.py
+++ b/dandeliondrum/consensus/_applier.py
@@ -8,6 +8,8 @@
 
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _interfaces
+from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _state
@@ -33,6 +35,7 @@
         self._state = state
         self._machine = machine
         self._snapshots = snapshots
+        self._applied_bytes = 0
 
     def run(self, stopping: threading.Event) -> None:
         """Apply entries until the node closes."""
@@ -82,6 +85,7 @@
 
     def _apply(self, entries: list[_records.Entry]) -> None:
         values = [self._apply_one(entry) for entry in entries]
+        self._applied_bytes += sum(len(entry.record) for entry in entries)
         state = self._state
         settled: list[_works.Outcome] = []
         with state.lock:
@@ -120,7 +124,7 @@
     def _outcome(
         self,
         entry: _records.Entry,
-        pending: _state.Pending,
+        pending: _progress.Pending,
         value: typing.Any,
     ) -> _works.ProposeResult:
         if pending.term == entry.term:
@@ -139,9 +143,13 @@
     def _snapshot_if_due(self) -> None:
         state = self._state
         index = state.applied_index
-        since = index - state.snapshot_index
-        if since < state.options.snapshot_every_entries:
+        entries_count = index - state.snapshot_index
+        if (
+            entries_count < state.options.snapshot_every_entries
+            and self._applied_bytes < _options.SNAPSHOT_EVERY_BYTES
+        ):
             return
+        self._applied_bytes = 0
         with state.lock:
             term = state.log.term_at(index)
             membership = state.history.as_of(index)
--- a/dandeliondrum/consensus/_changes.py
+++ b/dandeliondrum/consensus/_changes.py
@@ -20,6 +20,7 @@
 from dandeliondrum.consensus import _link
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _works
@@ -140,7 +141,7 @@
         """Whether the voters that are up make a quorum of a membership."""
         state = self._state
         now_ns = time.monotonic_ns()
-        limit_ns = state.options.election_min_ms * _state.NS_PER_MS
+        limit_ns = state.options.election_min_ms * _progress.NS_PER_MS
         up_count = 0
         for member in changed.voters:
             progress = state.progress.get(member.controller_id)
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -9,8 +9,10 @@
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _metrics
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _state
+from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _works
 
 # How long a candidate waits for its own disk.
@@ -59,17 +61,17 @@
         """Leave office when no quorum has answered for long enough."""
         state = self._state
         now_ns = time.monotonic_ns()
-        limit_ns = state.options.election_max_ms * _state.NS_PER_MS
+        limit_ns = state.options.election_max_ms * _progress.NS_PER_MS
         answered_ns = max(state.quorum_answered_ns(), state.office_ns)
         if now_ns - answered_ns > limit_ns:
             _logger.warning('no quorum answers', term=state.term)
-            state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
+            _transfer.end(state, _errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
             return
         target = state.transfer_target
         if target is not None and now_ns > state.transfer_until_ns:
             _logger.warning('leadership not taken over', member=target)
-            state.end_transfer(_errors.ChangeFailure.TIMEOUT)
+            _transfer.end(state, _errors.ChangeFailure.TIMEOUT)
             if state.handed_over:
                 # It may still stand, and nobody would wait for this node.
                 state.become_follower()
@@ -78,7 +80,7 @@
         state = self._state
         if state.leads() or not state.pending:
             return
-        limit_ns = 2 * state.options.election_max_ms * _state.NS_PER_MS
+        limit_ns = 2 * state.options.election_max_ms * _progress.NS_PER_MS
         if time.monotonic_ns() - state.deposed_ns > limit_ns:
             state.give_up_pending()
 
@@ -93,11 +95,11 @@
             'leader missed',
             member=state.me,
             term=term,
-            silent_ms=silent_ns // _state.NS_PER_MS,
+            silent_ms=silent_ns // _progress.NS_PER_MS,
             transfer=transfer,
         )
         if not transfer and not self._ask(
-            _state.Ballot(term + 1, pre_vote=True, transfer=False)
+            _progress.Ballot(term + 1, pre_vote=True, transfer=False)
         ):
             return
         entered: concurrent.futures.Future[int | None]
@@ -106,15 +108,15 @@
         standing_term = entered.result(STAND_TIMEOUT_S)
         if standing_term is None:
             return
-        ballot = _state.Ballot(standing_term, False, transfer)
+        ballot = _progress.Ballot(standing_term, False, transfer)
         if self._ask(ballot):
             self._take_office(standing_term)
 
-    def _ask(self, ballot: _state.Ballot) -> bool:
+    def _ask(self, ballot: _progress.Ballot) -> bool:
         """Open a ballot and wait; True when it is won."""
         state = self._state
         limit_ms = state.options.election_min_ms
-        end_ns = time.monotonic_ns() + limit_ms * _state.NS_PER_MS
+        end_ns = time.monotonic_ns() + limit_ms * _progress.NS_PER_MS
         expected_term = ballot.term - 1 if ballot.pre_vote else ballot.term
         with state.lock:
             if state.term != expected_term or state.leads():
@@ -133,7 +135,7 @@
                 state.ballot = None
             return False
 
-    def _won(self, ballot: _state.Ballot) -> bool:
+    def _won(self, ballot: _progress.Ballot) -> bool:
         voters = self._state.history.current.voters
         granted = [
             voter
@@ -144,7 +146,7 @@
         quorum = _membership.quorum_count(self._state.history.current)
         return len(granted) >= quorum
 
-    def _lost(self, ballot: _state.Ballot) -> bool:
+    def _lost(self, ballot: _progress.Ballot) -> bool:
         voters = self._state.history.current.voters
         quorum = _membership.quorum_count(self._state.history.current)
         return len(voters) - len(ballot.refused) < quorum
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -3,17 +3,12 @@
 import collections.abc
 import concurrent.futures
 import contextlib
-import os
-import threading
 import time
 import typing
 
 from returns import result
-import structlog
 
-from dandeliondrum.consensus import _applier
 from dandeliondrum.consensus import _changes
-from dandeliondrum.consensus import _election
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _founding
@@ -21,24 +16,15 @@
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
-from dandeliondrum.consensus import _room
-from dandeliondrum.consensus import _start
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _status
-from dandeliondrum.consensus import _steward
+from dandeliondrum.consensus import _tasks
+from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _works
-from dandeliondrum.consensus import _writer
 from dandeliondrum import messages
 from dandeliondrum import transport
-from dandeliondrum import utils
-
-# Tasks of the node itself, and of its peers.
-THREADS_COUNT = 24
-
-_logger = structlog.get_logger()
-
-OnFatal = collections.abc.Callable[[utils.InvariantError], object]
 
 
 class Node:
@@ -66,23 +52,20 @@
         options: _options.Options,
         machine: _interfaces.StateMachine,
         listener: _interfaces.Listener,
-        on_fatal: OnFatal | None = None,
+        on_fatal: _tasks.OnFatal | None = None,
         files: _files.Files | None = None,
     ) -> None:
         self._options = options
-        self._machine = machine
-        self._listener = listener
-        self._on_fatal = on_fatal
-        self._files = files or _files.Files()
+        self._tasks = _tasks.Tasks(
+            options, machine, listener, on_fatal, files or _files.Files()
+        )
         self._resources = contextlib.ExitStack()
-        self._state: _state.NodeState | None = None
-        self._changes: _changes.Changes | None = None
 
     def start(self) -> result.Result[None, _errors.StartError]:
         """Read the files and take part from then on."""
         with contextlib.ExitStack() as opened:
             try:
-                self._open(opened)
+                self._tasks.open(opened)
             except _errors.StorageError as error:
                 return result.Failure(error.error)
             except OSError as error:
@@ -105,7 +88,7 @@
         self, connection: transport.Connection, message: typing.Any
     ) -> concurrent.futures.Future[typing.Any]:
         """Return a future of the reply to another node's message."""
-        state = self._running()
+        state = self._tasks.state
         reply: concurrent.futures.Future[typing.Any]
         reply = concurrent.futures.Future()
         with state.lock:
@@ -137,7 +120,7 @@
         The future succeeds once a quorum has answered calls sent after this
         one, and all that was committed before it is applied.
         """
-        state = self._running()
+        state = self._tasks.state
         future: concurrent.futures.Future[typing.Any]
         future = concurrent.futures.Future()
         with state.lock:
@@ -146,7 +129,9 @@
                 asked_ns = time.monotonic_ns()
                 state.hurry_ns = asked_ns
                 state.confirmations.append(
-                    _state.Confirmation(asked_ns, state.commit_index, future)
+                    _progress.Confirmation(
+                        asked_ns, state.commit_index, future
+                    )
                 )
                 ready = state.settle_confirmations()
                 state.peers_wake.notify_all()
@@ -159,15 +144,15 @@
 
     def leading(self) -> bool:
         """Whether a quorum followed this node within the last while."""
-        state = self._state
-        if state is None:
+        if not self._tasks.started:
             return False
+        state = self._tasks.state
         with state.lock:
             return state.quorum_is_fresh()
 
     def status(self) -> _interfaces.NodeStatus:
         """Return a reading of the node's state."""
-        state = self._running()
+        state = self._tasks.state
         with state.lock:
             return _status.read(state)
 
@@ -179,14 +164,16 @@
 
         All must be up, and the disk of each must be empty.
         """
-        return _founding.found(self._running(), tuple(members))
+        return _founding.found(self._tasks.state, tuple(members))
 
     def add_member(
         self, controller_id: messages.ControllerId, address: str
     ) -> _works.ChangeFuture:
         """Take in a controller; the future resolves once it votes."""
         future: _works.ChangeFuture = concurrent.futures.Future()
-        self._ask(_changes.AddMember(controller_id, address, future))
+        self._tasks.changes.ask(
+            _changes.AddMember(controller_id, address, future)
+        )
         return future
 
     def remove_member(
@@ -194,7 +181,7 @@
     ) -> _works.ChangeFuture:
         """Take a controller out; the leader itself has to transfer first."""
         future: _works.ChangeFuture = concurrent.futures.Future()
-        self._ask(_changes.RemoveMember(controller_id, future))
+        self._tasks.changes.ask(_changes.RemoveMember(controller_id, future))
         return future
 
     def transfer(
@@ -205,7 +192,7 @@
         Proposals are refused from then on. What was proposed before is
         finished first.
         """
-        state = self._running()
+        state = self._tasks.state
         future: _works.ChangeFuture = concurrent.futures.Future()
         with state.lock:
             failure = self._begin_transfer(state, target, future)
@@ -227,25 +214,15 @@
             known = _membership.voter(state.history.current, target)
             if known is None or target == state.me:
                 return _errors.ChangeFailure.UNKNOWN_MEMBER
-        successor = target or state.best_successor()
+        successor = target or _transfer.best_successor(state)
         if successor is None:
             return _errors.ChangeFailure.LOSES_QUORUM
         state.transfer_future = future
-        state.begin_transfer(successor)
+        _transfer.begin(state, successor)
         return None
 
-    def _ask(self, change: _changes.Change) -> None:
-        self._running()
-        if self._changes is not None:
-            self._changes.ask(change)
-
-    def _running(self) -> _state.NodeState:
-        if self._state is None:
-            raise RuntimeError('the node was not started')
-        return self._state
-
     def _propose(self, proposal: _works.Proposal) -> _works.ProposeFuture:
-        state = self._running()
+        state = self._tasks.state
         with state.lock:
             refusal = self._refusal(state)
             size_bytes = len(proposal.payload)
@@ -262,6 +239,7 @@
         return proposal.future
 
     def _refusal(self, state: _state.NodeState) -> _errors.ProposeError | None:
+        waiting_count = state.proposals_waiting + len(state.pending)
         if state.closing:
             failure = _errors.ProposeFailure.CLOSED
         elif state.storage_failed:
@@ -270,111 +248,8 @@
             failure = _errors.ProposeFailure.STORAGE_FULL
         elif state.transfer_target is not None or not state.leads():
             failure = _errors.ProposeFailure.NOT_LEADING
-        elif state.proposals_waiting >= _options.PROPOSALS_WAITING_MAX:
+        elif waiting_count >= _options.PROPOSALS_WAITING_MAX:
             failure = _errors.ProposeFailure.OVERLOADED
         else:
             return None
         return state.error(failure, not_done=True)
-
-    def _open(self, resources: contextlib.ExitStack) -> None:
-        folder = self._options.data_folder
-        resources.callback(os.close, _start.lock_folder(folder))
-        opened = _start.open_files(self._options, self._files)
-        resources.callback(opened.log.close)
-        state = opened.state
-        applier = _applier.Applier(state, self._machine, opened.snapshots)
-        if opened.snapshot is not None:
-            applier.restore(opened.snapshot)
-        supervisor = utils.Supervisor(
-            'consensus', THREADS_COUNT, self._end_fatally
-        )
-        writer = _writer.Writer(state, self._files, opened.snapshots, folder)
-        changes = _changes.Changes(state)
-        steward = _steward.Steward(
-            state, opened.snapshots, supervisor, changes
-        )
-        resources.callback(self._drain, state, changes)
-        resources.callback(supervisor.close)
-        resources.callback(self._stop, state, steward, supervisor)
-        self._state = state
-        self._changes = changes
-        room_watch = _room.RoomWatch(state, self._files)
-        supervisor.run('room watch', room_watch.run)
-        supervisor.run('writer', writer.run)
-        supervisor.run('applier', applier.run)
-        supervisor.run('election', _election.Election(state).run)
-        supervisor.run('steward', steward.run)
-        supervisor.run('outcomes', self._tell_outcomes)
-        supervisor.run('listener', self._tell_listener)
-
-    def _stop(
-        self,
-        state: _state.NodeState,
-        steward: _steward.Steward,
-        supervisor: utils.Supervisor,
-    ) -> None:
-        supervisor.stopping.set()
-        with state.lock:
-            state.closing = True
-            state.become_follower()
-            state.give_up_pending()
-            state.wake_all()
-        state.events.put(None)
-        state.outcomes.put(None)
-        steward.close()
-
-    def _end_fatally(self, error: utils.InvariantError) -> None:
-        state = self._running()
-        with state.lock:
-            state.storage_failed = True
-            state.become_follower()
-            state.give_up_pending()
-        if self._on_fatal is not None:
-            self._on_fatal(error)
-
-    def _drain(
-        self, state: _state.NodeState, changes: _changes.Changes
-    ) -> None:
-        """Resolve what the stopped threads left behind."""
-        changes.step()
-        with state.lock:
-            works = list(state.works)
-            state.works.clear()
-        for work in works:
-            match work:
-                case _works.Proposal(future=future):
-                    error = state.error(
-                        _errors.ProposeFailure.CLOSED, not_done=True
-                    )
-                    _works.settle(future, result.Failure(error))
-                case _works.Stand(entered=entered):
-                    _works.settle(entered, None)
-                case _works.Found(future=future):
-                    change_error = _errors.ChangeError(
-                        _errors.ChangeFailure.CLOSED
-                    )
-                    _works.settle(future, result.Failure(change_error))
-        with state.lock:
-            state.give_up_pending()
-        while not state.outcomes.empty():
-            outcome = state.outcomes.get_nowait()
-            if outcome is not None:
-                _works.settle(outcome.future, outcome.value)
-
-    def _tell_outcomes(self, stopping: threading.Event) -> None:
-        state = self._running()
-        while not stopping.is_set():
-            outcome = state.outcomes.get()
-            if outcome is not None:
-                _works.settle(outcome.future, outcome.value)
-
-    def _tell_listener(self, stopping: threading.Event) -> None:
-        state = self._running()
-        while True:
-            match state.events.get():
-                case _works.Leading(term):
-                    self._listener.on_leading(term)
-                case _works.Following():
-                    self._listener.on_following()
-                case None:
-                    return
--- a/dandeliondrum/consensus/_options.py
+++ b/dandeliondrum/consensus/_options.py
@@ -19,6 +19,8 @@
 RESERVED_BYTES = 16 * 1024 * 1024
 ROOM_CHECK_MS = 250
 SEGMENT_BYTES_MAX = 16 * 1024 * 1024
+# A snapshot is taken after so many bytes, also when it is fewer entries.
+SNAPSHOT_EVERY_BYTES = 32 * 1024 * 1024
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 # A call may take this much longer for what it carries.
 SLOWEST_LINK_BYTES_PER_MS = 200
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -15,7 +15,9 @@
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _replies
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _snapshot_sender
 from dandeliondrum.consensus import _state
@@ -30,7 +32,7 @@
 class _AskVote:
     """Ask for a vote on a ballot."""
 
-    ballot: _state.Ballot
+    ballot: _progress.Ballot
     message: _messages.RequestVote
 
 
@@ -108,7 +110,7 @@
         self._state.peers_wake.wait(timeout_s)
 
     def _heartbeat_ns(self) -> int:
-        return self._state.options.heartbeat_ms * _state.NS_PER_MS
+        return self._state.options.heartbeat_ms * _progress.NS_PER_MS
 
     def _next_step(self, member: _messages.Member) -> _Step | None:
         state = self._state
@@ -138,7 +140,7 @@
         return self._replicate(member, progress)
 
     def _ask_vote(
-        self, member: _messages.Member, ballot: _state.Ballot
+        self, member: _messages.Member, ballot: _progress.Ballot
     ) -> _AskVote | None:
         state = self._state
         ballot.asked.add(self._id)
@@ -156,7 +158,7 @@
         return _AskVote(ballot, request)
 
     def _replicate(
-        self, member: _messages.Member, progress: _state.Progress
+        self, member: _messages.Member, progress: _progress.Progress
     ) -> _Replicate | _SendSnapshot:
         state = self._state
         previous_index = progress.next_index - 1
@@ -231,12 +233,15 @@
                 transport.CallError(transport.CallFailure.NOT_SENT)
             ):
                 with self._state.lock:
-                    self._state.handed_over = False
+                    if self._state.transfer_target == self._id:
+                        self._state.handed_over = False
                 return False
         return isinstance(outcome, result.Success)
 
     def _count_vote(
-        self, ballot: _state.Ballot, outcome: result.Result[typing.Any, object]
+        self,
+        ballot: _progress.Ballot,
+        outcome: result.Result[typing.Any, object],
     ) -> bool:
         reply = outcome.value_or(None)
         with self._state.lock:
@@ -259,51 +264,13 @@
             if reply.term > state.term:
                 state.put(_works.ObserveTerm(reply.term))
             progress = state.progress.get(self._id)
-            if state.term != term or not state.leads() or progress is None:
+            if reply.term > term or state.term != term:
+                return True
+            if not state.leads() or progress is None:
                 return True
             progress.up = True
-            going_on = self._note(progress, sent_ns, reply)
+            going_on = _replies.note_append(state, progress, sent_ns, reply)
             confirmed = state.settle_confirmations()
         for confirmation in confirmed:
             _works.settle(confirmation.future, result.Success(None))
         return going_on
-
-    def _note(
-        self,
-        progress: _state.Progress,
-        sent_ns: int,
-        reply: _messages.AppendReply,
-    ) -> bool:
-        state = self._state
-        lost = (
-            reply.outcome is _messages.Outcome.WRONG_DISK
-            or reply.last_index < progress.match_index
-        )
-        if lost:
-            if not progress.lost_disk_id:
-                _logger.warning('disk of a member replaced', member=self._id)
-            progress.lost_disk_id = reply.disk_id
-            state.steward_wakes.notify()
-            return False
-        match reply.outcome:
-            case _messages.Outcome.STORED:
-                progress.answered_ns = sent_ns
-                progress.storage_full = reply.storage_full
-                progress.match_index = max(
-                    progress.match_index, reply.match_index
-                )
-                progress.next_index = progress.match_index + 1
-                state.advance_commit()
-                state.steward_wakes.notify()
-                return True
-            case _messages.Outcome.MISMATCH:
-                progress.answered_ns = sent_ns
-                progress.next_index = max(
-                    progress.match_index + 1, reply.match_index + 1
-                )
-                return True
-            case _messages.Outcome.STORAGE_FULL:
-                progress.answered_ns = sent_ns
-                progress.storage_full = True
-                return False
-        return False
--- a/dandeliondrum/consensus/_requests.py
+++ b/dandeliondrum/consensus/_requests.py
@@ -7,10 +7,10 @@
 import structlog
 
 from dandeliondrum.consensus import _interfaces
-from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _snapshot
+from dandeliondrum.consensus import _snapshot_receiver
 from dandeliondrum.consensus import _state
 
 EnterTerm = collections.abc.Callable[[int, str], None]
@@ -32,10 +32,8 @@
     ) -> None:
         self._state = state
         self._log = state.log
-        self._snapshots = snapshots
         self._enter_term = enter_term
-        self._receiving_index = 0
-        self._received_bytes = 0
+        self._receiver = _snapshot_receiver.SnapshotReceiver(state, snapshots)
 
     def answer(self, message: _messages.Request) -> typing.Any:
         """Carry out a request; raises OSError when the disk refuses."""
@@ -62,7 +60,7 @@
             case _messages.RequestVote():
                 return _messages.VoteReply(state.term, False)
             case _messages.InstallSnapshot():
-                return self._snapshot_reply(_messages.Outcome.STORAGE_FAILED)
+                return self._receiver.reply(_messages.Outcome.STORAGE_FAILED)
             case _messages.FoundCell():
                 return _messages.FoundReply(
                     state.term, False, state.disk_id, 'storage failed'
@@ -256,54 +254,8 @@
         self, message: _messages.InstallSnapshot
     ) -> _messages.SnapshotReply:
         if message.disk_id != self._state.disk_id:
-            return self._snapshot_reply(_messages.Outcome.WRONG_DISK)
+            return self._receiver.reply(_messages.Outcome.WRONG_DISK)
         if message.term < self._state.term:
-            return self._snapshot_reply(_messages.Outcome.OLD_TERM)
+            return self._receiver.reply(_messages.Outcome.OLD_TERM)
         self._follow(message.term, message.leader_id)
-        if message.offset_bytes == 0:
-            self._receiving_index = message.index
-            self._received_bytes = 0
-        expected = (self._receiving_index, self._received_bytes)
-        if (message.index, message.offset_bytes) != expected:
-            return self._snapshot_reply(_messages.Outcome.MISMATCH)
-        self._snapshots.receive(message.offset_bytes, message.data)
-        self._received_bytes += len(message.data)
-        if self._received_bytes < message.length_bytes:
-            return self._snapshot_reply(_messages.Outcome.STORED)
-        return self._finish_install()
-
-    def _finish_install(self) -> _messages.SnapshotReply:
-        state = self._state
-        if self._receiving_index <= state.commit_index:
-            return self._snapshot_reply(_messages.Outcome.STORED)
-        snapshot = self._snapshots.take_received()
-        if snapshot is None:
-            self._received_bytes = 0
-            return self._snapshot_reply(_messages.Outcome.MISMATCH)
-        head = snapshot.head
-        with state.lock:
-            if self._log.term_at(head.index) == head.term:
-                self._log.compact(head.index)
-            else:
-                self._log.reset(head.index, head.term)
-                state.history = _membership.MembershipHistory(
-                    head.index, head.membership
-                )
-            state.synced_index = self._log.last_index
-            state.commit_index = head.index
-            state.snapshot_index = head.index
-            state.restore = snapshot
-            state.update_peers()
-            state.wake_all()
-        _logger.info('snapshot installed', index=head.index)
-        return self._snapshot_reply(_messages.Outcome.STORED)
-
-    def _snapshot_reply(
-        self, outcome: _messages.Outcome
-    ) -> _messages.SnapshotReply:
-        return _messages.SnapshotReply(
-            self._state.term,
-            outcome,
-            self._received_bytes,
-            self._state.disk_id,
-        )
+        return self._receiver.take(message)
--- a/dandeliondrum/consensus/_room.py
+++ b/dandeliondrum/consensus/_room.py
@@ -11,6 +11,7 @@
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _state
+from dandeliondrum.consensus import _transfer
 
 _logger = structlog.get_logger()
 
@@ -39,4 +40,4 @@
                 )
             state.storage_full = full
             if full:
-                state.hand_over_if_full()
+                _transfer.begin_if_full(state)
--- /dev/null
+++ b/dandeliondrum/consensus/_snapshot_receiver.py
@@ -0,0 +1,76 @@
+"""Receives a snapshot part by part, in the writer thread."""
+
+import structlog
+
+from dandeliondrum.consensus import _membership
+from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _snapshot
+from dandeliondrum.consensus import _state
+
+_logger = structlog.get_logger()
+
+
+class SnapshotReceiver:
+    """Puts a leader's snapshot in the place of the log."""
+
+    def __init__(
+        self, state: _state.NodeState, snapshots: _snapshot.SnapshotStore
+    ) -> None:
+        self._state = state
+        self._snapshots = snapshots
+        self._receiving_index = 0
+        self._received_bytes = 0
+
+    def take(
+        self, message: _messages.InstallSnapshot
+    ) -> _messages.SnapshotReply:
+        """Store one part; raises OSError when the disk refuses.
+
+        The caller has seen that the part is from the leader of this term.
+        """
+        if message.offset_bytes == 0:
+            self._receiving_index = message.index
+            self._received_bytes = 0
+        expected = (self._receiving_index, self._received_bytes)
+        if (message.index, message.offset_bytes) != expected:
+            return self.reply(_messages.Outcome.MISMATCH)
+        self._snapshots.receive(message.offset_bytes, message.data)
+        self._received_bytes += len(message.data)
+        if self._received_bytes < message.length_bytes:
+            return self.reply(_messages.Outcome.STORED)
+        return self._finish()
+
+    def _finish(self) -> _messages.SnapshotReply:
+        state = self._state
+        if self._receiving_index <= state.commit_index:
+            return self.reply(_messages.Outcome.STORED)
+        snapshot = self._snapshots.take_received()
+        if snapshot is None:
+            self._received_bytes = 0
+            return self.reply(_messages.Outcome.MISMATCH)
+        head = snapshot.head
+        with state.lock:
+            if self._state.log.term_at(head.index) == head.term:
+                self._state.log.compact(head.index)
+            else:
+                self._state.log.reset(head.index, head.term)
+                state.history = _membership.MembershipHistory(
+                    head.index, head.membership
+                )
+            state.synced_index = self._state.log.last_index
+            state.commit_index = head.index
+            state.snapshot_index = head.index
+            state.restore = snapshot
+            state.update_peers()
+            state.wake_all()
+        _logger.info('snapshot installed', index=head.index)
+        return self.reply(_messages.Outcome.STORED)
+
+    def reply(self, outcome: _messages.Outcome) -> _messages.SnapshotReply:
+        """Return a reply that says how much has arrived."""
+        return _messages.SnapshotReply(
+            self._state.term,
+            outcome,
+            self._received_bytes,
+            self._state.disk_id,
+        )
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -6,7 +6,6 @@
 
 import collections
 import concurrent.futures
-import dataclasses
 import queue
 import random
 import threading
@@ -20,67 +19,13 @@
 from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _snapshot
+from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _works
 from dandeliondrum import messages
 from dandeliondrum import utils
 
-NS_PER_MS = 1_000_000
-
-
-@dataclasses.dataclass
-class Progress:
-    """How far a peer's log is, as the leader knows.
-
-    ``answered_ns`` is when the last call was sent that was answered; ``up``
-    is whether the last call of all was.
-    ``lost_disk_id`` is set when the peer no longer has what it had
-    acknowledged, to the id of the disk that it has now; it then counts for
-    no quorum.
-    """
-
-    disk_id: str
-    next_index: int
-    match_index: int = 0
-    answered_ns: int = 0
-    sent_ns: int = 0
-    up: bool = False
-    storage_full: bool = False
-    lost_disk_id: str = ''
-
-
-@dataclasses.dataclass
-class Ballot:
-    """A round of asking for votes."""
-
-    term: int
-    pre_vote: bool
-    transfer: bool
-    asked: set[messages.ControllerId] = dataclasses.field(default_factory=set)
-    granted: set[messages.ControllerId] = dataclasses.field(
-        default_factory=set
-    )
-    refused: set[messages.ControllerId] = dataclasses.field(
-        default_factory=set
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pending:
-    """A proposal that stands in the log and is not yet applied."""
-
-    term: int
-    future: _works.ProposeFuture
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Confirmation:
-    """Someone waits until a quorum has answered a later call."""
-
-    asked_ns: int
-    applied_index: int
-    future: concurrent.futures.Future[result.Result[None, typing.Any]]
-
 
 class NodeState:
     """Role, term, indexes, peers and waiting futures of one node."""
@@ -118,7 +63,7 @@
         self.heard_ns = time.monotonic_ns()
         self.deadline_ns = 0
         self.stand_at_once = False
-        self.ballot: Ballot | None = None
+        self.ballot: _progress.Ballot | None = None
         self.synced_index = log.last_index
         self.commit_index = 0
         self.applied_index = 0
@@ -133,9 +78,9 @@
         self.transfer_until_ns = 0
         self.transfer_future: _works.ChangeFuture | None = None
         self.handed_over = False
-        self.progress: dict[messages.ControllerId, Progress] = {}
-        self.pending: dict[int, Pending] = {}
-        self.confirmations: list[Confirmation] = []
+        self.progress: dict[messages.ControllerId, _progress.Progress] = {}
+        self.pending: dict[int, _progress.Pending] = {}
+        self.confirmations: list[_progress.Confirmation] = []
         self.put_off_election()
 
     def put(self, work: _works.Work) -> None:
@@ -157,7 +102,9 @@
         wait_ms = random.uniform(
             self.options.election_min_ms, self.options.election_max_ms
         )
-        self.deadline_ns = time.monotonic_ns() + int(wait_ms * NS_PER_MS)
+        self.deadline_ns = time.monotonic_ns() + int(
+            wait_ms * _progress.NS_PER_MS
+        )
 
     def hear_leader(self, leader_id: messages.ControllerId) -> None:
         """Note a sign of life of the leader of this term."""
@@ -176,7 +123,7 @@
     def heard_recently(self) -> bool:
         """Whether a leader was heard so lately that no vote may be given."""
         silent_ns = time.monotonic_ns() - self.heard_ns
-        return silent_ns < self.options.election_min_ms * NS_PER_MS
+        return silent_ns < self.options.election_min_ms * _progress.NS_PER_MS
 
     def leads(self) -> bool:
         """Whether the role is that of the leader."""
@@ -190,7 +137,7 @@
             # The successor's voters don't wait until they miss this node.
             return False
         silent_ns = time.monotonic_ns() - self.quorum_answered_ns()
-        return silent_ns < self.options.election_min_ms * NS_PER_MS
+        return silent_ns < self.options.election_min_ms * _progress.NS_PER_MS
 
     def quorum_answered_ns(self) -> int:
         """Return the time of sending that a quorum has answered by now."""
@@ -223,7 +170,7 @@
 
     def _counted(
         self, controller_id: messages.ControllerId
-    ) -> Progress | None:
+    ) -> _progress.Progress | None:
         progress = self.progress.get(controller_id)
         if progress is None or progress.lost_disk_id:
             return None
@@ -240,8 +187,7 @@
         was_leader = self.leads()
         self.role = _interfaces.Role.FOLLOWER
         self.ballot = None
-        done = self.handed_over and self.transfer_target is not None
-        self.end_transfer(None if done else _errors.ChangeFailure.NOT_LEADING)
+        _transfer.end_by_leaving(self)
         if was_leader:
             self.deposed_ns = time.monotonic_ns()
             self.leader_id = None
@@ -276,22 +222,22 @@
                 and member in current.learners
             )
             if known is None or known.disk_id != member.disk_id or readmitted:
-                self.progress[member.controller_id] = Progress(
+                self.progress[member.controller_id] = _progress.Progress(
                     member.disk_id, self.log.last_index + 1
                 )
         for controller_id in list(self.progress):
             if _membership.member(current, controller_id) is None:
                 del self.progress[controller_id]
 
-    def settle_confirmations(self) -> list[Confirmation]:
+    def settle_confirmations(self) -> list[_progress.Confirmation]:
         """Return those that are fulfilled now, to be told without lock."""
         if not self.leads() or not self.confirmations:
             return []
         if not 0 < self.term_start_index <= self.applied_index:
             return []
         answered_ns = self.quorum_answered_ns()
-        done: list[Confirmation] = []
-        waiting: list[Confirmation] = []
+        done: list[_progress.Confirmation] = []
+        waiting: list[_progress.Confirmation] = []
         for one in self.confirmations:
             ready = (
                 one.asked_ns < answered_ns
@@ -308,52 +254,11 @@
         for one in failed:
             self.tell(one.future, result.Failure(error))
 
-    def hand_over_if_full(self) -> None:
-        """Let a voter lead whose disk has room, if one is up."""
-        best = self.best_successor()
-        if best is not None and self.leads() and not self.transfer_target:
-            self.begin_transfer(best)
-
-    def begin_transfer(self, target: messages.ControllerId) -> None:
-        """Take no more proposals and let this voter lead, within a time."""
-        limit_ms = self.options.election_max_ms
-        self.transfer_until_ns = time.monotonic_ns() + limit_ms * NS_PER_MS
-        self.transfer_target = target
-        self.handed_over = False
-        self.peers_wake.notify_all()
-
     def is_quiet(self) -> bool:
         """Whether nobody waits for a proposal any more."""
         busy = self.writing or self.proposals_waiting or self.pending
         return not busy
 
-    def end_transfer(self, failure: _errors.ChangeFailure | None) -> None:
-        """Tell whoever asked for the transfer what came of it."""
-        future = self.transfer_future
-        self.transfer_future = None
-        self.transfer_target = None
-        if future is None:
-            return
-        if failure is None:
-            self.tell(future, result.Success(None))
-        else:
-            error = _errors.ChangeError(failure)
-            self.tell(future, result.Failure(error))
-
-    def best_successor(self) -> messages.ControllerId | None:
-        """Return the voter that is up, has room and the longest log."""
-        now_ns = time.monotonic_ns()
-        limit_ns = self.options.election_min_ms * NS_PER_MS
-        found = [
-            (progress.match_index, controller_id)
-            for controller_id, progress in self.progress.items()
-            if _membership.voter(self.history.current, controller_id)
-            and not progress.lost_disk_id
-            and not progress.storage_full
-            and now_ns - progress.answered_ns < limit_ns
-        ]
-        return max(found)[1] if found else None
-
     def error(
         self, failure: _errors.ProposeFailure, not_done: bool
     ) -> _errors.ProposeError:
--- a/dandeliondrum/consensus/_status.py
+++ b/dandeliondrum/consensus/_status.py
@@ -4,6 +4,7 @@
 
 from dandeliondrum.consensus import _interfaces
 from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _state
 from dandeliondrum import messages
 
@@ -48,7 +49,7 @@
         storage_full = progress.storage_full
         if progress.answered_ns:
             silent_ns = time.monotonic_ns() - progress.answered_ns
-            silent_ms = silent_ns // _state.NS_PER_MS
+            silent_ms = silent_ns // _progress.NS_PER_MS
     return _interfaces.MemberStatus(
         member.controller_id,
         member.address,
--- /dev/null
+++ b/dandeliondrum/consensus/_transfer.py
@@ -0,0 +1,74 @@
+"""Hands the lead to another voter.
+
+The leader takes no more proposals, finishes those that it has, and asks the
+successor to stand for election at once. All functions are called with the
+state's lock held.
+"""
+
+import time
+import typing
+
+from returns import result
+
+from dandeliondrum.consensus import _errors
+from dandeliondrum.consensus import _membership
+from dandeliondrum.consensus import _progress
+from dandeliondrum import messages
+
+if typing.TYPE_CHECKING:
+    from dandeliondrum.consensus import _state
+
+
+def begin(state: '_state.NodeState', target: messages.ControllerId) -> None:
+    """Take no more proposals and let this voter lead, within a time."""
+    limit_ns = state.options.election_max_ms * _progress.NS_PER_MS
+    state.transfer_until_ns = time.monotonic_ns() + limit_ns
+    state.transfer_target = target
+    state.handed_over = False
+    state.peers_wake.notify_all()
+
+
+def begin_if_full(state: '_state.NodeState') -> None:
+    """Let a voter lead whose disk has room, if one is up."""
+    best = best_successor(state)
+    if best is not None and state.leads() and not state.transfer_target:
+        begin(state, best)
+
+
+def end(
+    state: '_state.NodeState', failure: _errors.ChangeFailure | None
+) -> None:
+    """Tell whoever asked for the transfer what came of it."""
+    future = state.transfer_future
+    state.transfer_future = None
+    state.transfer_target = None
+    if future is None:
+        return
+    if failure is None:
+        state.tell(future, result.Success(None))
+    else:
+        error = _errors.ChangeError(failure)
+        state.tell(future, result.Failure(error))
+
+
+def end_by_leaving(state: '_state.NodeState') -> None:
+    """End the transfer, if there is one, since the node leads no more."""
+    done = state.handed_over and state.transfer_target is not None
+    end(state, None if done else _errors.ChangeFailure.NOT_LEADING)
+
+
+def best_successor(
+    state: '_state.NodeState',
+) -> messages.ControllerId | None:
+    """Return the voter that is up, has room and the longest log."""
+    now_ns = time.monotonic_ns()
+    limit_ns = state.options.election_min_ms * _progress.NS_PER_MS
+    found = [
+        (progress.match_index, controller_id)
+        for controller_id, progress in state.progress.items()
+        if _membership.voter(state.history.current, controller_id)
+        and not progress.lost_disk_id
+        and not progress.storage_full
+        and now_ns - progress.answered_ns < limit_ns
+    ]
+    return max(found)[1] if found else None
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -17,14 +17,15 @@
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _hard_state
 from dandeliondrum.consensus import _interfaces
-from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _requests
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _state
+from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _works
 from dandeliondrum import messages
 from dandeliondrum import utils
@@ -43,7 +44,7 @@
         folder: pathlib.Path,
     ) -> None:
         self._state = state
-        self._log: _log.Log = state.log
+        self._log = state.log
         self._files = files
         self._path = folder / _hard_state.STATE_NAME
         self._requests = _requests.Requests(state, snapshots, self.enter_term)
@@ -181,7 +182,9 @@
                     index, state.term, proposal.kind, proposal.payload
                 )
             )
-            state.pending[index] = _state.Pending(state.term, proposal.future)
+            state.pending[index] = _progress.Pending(
+                state.term, proposal.future
+            )
             if proposal.kind is _records.EntryKind.EMPTY:
                 state.term_start_index = index
         return entries
@@ -206,7 +209,7 @@
             for entry in entries:
                 del state.pending[entry.index]
             state.storage_full = True
-            state.hand_over_if_full()
+            _transfer.begin_if_full(state)
             if any(
                 entry.kind is _records.EntryKind.EMPTY for entry in entries
             ):
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -6,8 +6,8 @@
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _start
-from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _writer
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum import messages
@@ -40,7 +40,7 @@
 
 def test_a_leader_that_is_heard_ends_a_pre_vote(tmp_path):
     state = open_state(tmp_path).state
-    state.ballot = _state.Ballot(1, pre_vote=True, transfer=False)
+    state.ballot = _progress.Ballot(1, pre_vote=True, transfer=False)
     with state.lock:
         state.hear_leader(CANDIDATE)
     assert state.ballot is None
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -6,6 +6,7 @@
 
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _options
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum.consensus.tests import test_failover
 from dandeliondrum import messages
@@ -116,6 +117,20 @@
         cluster.wait_applied(commands)
 
 
+def test_a_log_of_large_commands_is_cut_short_as_well(tmp_path, monkeypatch):
+    monkeypatch.setattr(_options, 'SNAPSHOT_EVERY_BYTES', 100_000)
+    with harness.Cluster(tmp_path, 1) as cluster:
+        leader = cluster.form()
+        for _ in range(40):
+            cluster.propose(leader, b'x' * 10_000).unwrap()
+        # Files that a snapshot before the newest one covers are dropped.
+        harness.wait_for(lambda: folder_bytes(tmp_path / leader) < 300_000)
+
+
+def folder_bytes(folder):
+    return sum(path.stat().st_size for path in folder.glob('log-*'))
+
+
 def test_a_large_snapshot_goes_in_parts(tmp_path):
     with harness.Cluster(tmp_path, snapshot_every_entries=8) as cluster:
         leader = cluster.form()
