Look at workers with new room, not at all blocked bins

At 240 to 9,500 full workers one decision took 1.2 to 6.2 ms (p50), found by the new benchmark: every freed worker woke all bins it might fit and each had to be searched for again. Now bins stand in lines by their turn, and a freed worker is offered to the blocked bins in order.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints a table and writes one JSON file."""
--- /dev/null
+++ b/benchmarks/_placement_speed.py
@@ -0,0 +1,115 @@
+"""How long one decision takes, by size of the fleet."""
+
+import dataclasses
+import random
+import time
+
+from benchmarks import _placement_world
+
+from dandeliondrum import placement
+
+# 54,000 tasks on 9,500 workers.
+RUNNING_PER_WORKER = 54_000 / 9_500
+BACKLOG_COUNT = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class SpeedResult:
+    """Times of one decision: a task ends, one arrives, one plan is made."""
+
+    workers_count: int
+    teams_count: int
+    running_count: int
+    waiting_count: int
+    regime: str
+    decisions_per_s: float
+    p50_us: float
+    p99_us: float
+    max_us: float
+    placed_count: int
+
+
+class SpeedRun:
+    """One fleet, filled and then kept at its level."""
+
+    def __init__(
+        self, workers_count: int, teams_count: int, full: bool, seed: int
+    ) -> None:
+        self._full = full
+        self._chance = random.Random(seed)
+        self._shape = _placement_world.shape_for(workers_count, teams_count)
+        self._maker = _placement_world.TaskMaker(self._shape, self._chance)
+        self._planner = placement.Planner(placement.FullPolicy(seed))
+        self._planner.set_teams(
+            _placement_world.grants(self._shape, self._chance)
+        )
+        for facts in _placement_world.workers(self._shape):
+            self._planner.put_worker(facts, eligible=True)
+        self._running: list[str] = []
+        self._now_ms = 0
+
+    def run(self, decisions_count: int) -> SpeedResult:
+        """Fill the fleet, then time so many decisions."""
+        self._fill()
+        for _ in range(decisions_count // 5):
+            self._cycle()
+        times_ns = []
+        placed_count = 0
+        spent_ns = 0
+        for _ in range(decisions_count):
+            cycle_ns, placed = self._cycle()
+            times_ns.append(cycle_ns)
+            spent_ns += cycle_ns
+            placed_count += placed
+        times_ns.sort()
+        return SpeedResult(
+            workers_count=self._shape.workers_count,
+            teams_count=self._shape.teams_count,
+            running_count=len(self._running),
+            waiting_count=self._planner.pending_count(),
+            regime='full' if self._full else 'part',
+            decisions_per_s=placed_count / (spent_ns / 1e9),
+            p50_us=times_ns[len(times_ns) // 2] / 1_000,
+            p99_us=times_ns[len(times_ns) * 99 // 100] / 1_000,
+            max_us=times_ns[-1] / 1_000,
+            placed_count=placed_count,
+        )
+
+    def _fill(self) -> None:
+        wanted = int(self._shape.workers_count * RUNNING_PER_WORKER)
+        while self._full or len(self._running) < wanted:
+            for _ in range(500):
+                self._planner.add(self._maker.make(self._now_ms))
+            placed = self._plan(wanted - len(self._running))
+            waiting_count = self._planner.pending_count()
+            if self._full and not placed and waiting_count >= BACKLOG_COUNT:
+                return
+            if not self._full and len(self._running) >= wanted:
+                return
+
+    def _plan(self, placements_max: int) -> int:
+        if self._full:
+            placements_max = 10_000
+        plan = self._planner.plan(self._now_ms, placements_max)
+        placed = [one.task_id for group in plan.groups for one in group]
+        self._running.extend(placed)
+        return len(placed)
+
+    def _cycle(self) -> tuple[int, int]:
+        """End a task, add one, plan one; return the time of all three."""
+        self._now_ms += 1
+        position = self._chance.randrange(len(self._running))
+        self._running[position], self._running[-1] = (
+            self._running[-1],
+            self._running[position],
+        )
+        ended = self._running.pop()
+        task = self._maker.make(self._now_ms)
+        started_ns = time.perf_counter_ns()
+        self._planner.ended(ended)
+        self._planner.add(task)
+        plan = self._planner.plan(self._now_ms, 1)
+        cycle_ns = time.perf_counter_ns() - started_ns
+        placed = [one.task_id for group in plan.groups for one in group]
+        self._running.extend(placed)
+        return cycle_ns, len(placed)
--- a/dandeliondrum/placement/_explain.py
+++ b/dandeliondrum/placement/_explain.py
@@ -53,9 +53,9 @@
     if made is not None and any(one is task for one, _ in made.places):
         names = _reservation.waiting_names(made)
         return f'room is reserved for it; it waits for {names}'
-    if home.blocked_everywhere:
+    if home.blocked and task.region is None:
         why = 'no worker has room for it at present'
-    elif home.blocked_at_home:
+    elif home.blocked:
         why = f'no worker of region {task.region} has room for it at present'
     else:
         why = 'others come first'
--- a/dandeliondrum/placement/_full.py
+++ b/dandeliondrum/placement/_full.py
@@ -3,15 +3,15 @@
 import collections.abc
 
 from dandeliondrum import messages
+from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _choosers
 from dandeliondrum.placement import _explain
 from dandeliondrum.placement import _fleet
 from dandeliondrum.placement import _gang_step
 from dandeliondrum.placement import _ledger
+from dandeliondrum.placement import _offers
 from dandeliondrum.placement import _policy
 from dandeliondrum.placement import _preempt_step
-from dandeliondrum.placement import _queues
-from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _regions
 from dandeliondrum.placement import _state
 from dandeliondrum.placement import _tasks
@@ -21,8 +21,6 @@
 RESERVE_PORTION = 0.02
 RESERVE_MEMORY_MS = 600_000
 
-AT_HOME = 'it is the tightest fit'
-CROSSED = 'no room in its region for so long that crossing was worth it'
 AGED = 'it was the oldest and had waited long'
 
 
@@ -65,6 +63,7 @@
         self._state = _state.State(ledger, self._choosers, self._seed)
         self._gang_step = _gang_step.GangStep(self._state)
         self._preempt_step = _preempt_step.PreemptStep(self._state)
+        self._offers = _offers.Offers(self._state)
         self._last_urgent_ms: int | None = None
 
     def on_added(self, task: _tasks.PendingTask) -> None:
@@ -102,6 +101,7 @@
     def plan(self, now_ms: int, placements_max: int) -> _tasks.Plan:
         """See ``Policy.plan``."""
         self._state.refresh()
+        self._offers.refresh(now_ms)
         groups = self._gang_step.run(now_ms, placements_max)
         left = placements_max - sum(len(group) for group in groups)
         while left > 0:
@@ -130,55 +130,35 @@
 
     def _place_next(self, now_ms: int) -> _tasks.Placement | None:
         """Place the task whose turn it is; None when none can be."""
+        queues = self._state.queues
         while True:
-            found = self._next(now_ms)
-            if found is None:
+            batch_may = not self._reserve_is_reached(now_ms)
+            turn = queues.next_active(now_ms, batch_may)
+            offer = self._offers.next(now_ms, batch_may, turn)
+            if offer is not None:
+                _, task, worker_id, reason = offer
+                return self._commit(task, worker_id, now_ms, reason)
+            if turn is None:
                 return None
-            home, task = found
-            placement = self._place(home, task, now_ms)
+            placement = self._place(turn[1], turn[2], now_ms)
             if placement is not None:
                 return placement
 
-    def _next(
-        self, now_ms: int
-    ) -> tuple[_queues.Bin, _tasks.PendingTask] | None:
-        """Return the first task of all bins that may have room."""
-        best: tuple[_queues.Bin, _tasks.PendingTask] | None = None
-        best_key: _ranking.Key | None = None
-        batch_may = not self._reserve_is_reached(now_ms)
-        for home in self._state.queues:
-            if home.blocked_everywhere:
-                continue
-            if not batch_may and (
-                home.key.task_class is messages.TaskClass.BATCH
-            ):
-                continue
-            first = self._state.queues.first(home, now_ms)
-            if first is None:
-                continue
-            key, task = first
-            if home.blocked_at_home and not _regions.may_cross(task, now_ms):
-                continue
-            if best_key is None or key < best_key:
-                best, best_key = (home, task), key
-        return best
-
     def _place(
-        self, home: _queues.Bin, task: _tasks.PendingTask, now_ms: int
+        self, home: _bins.Bin, task: _tasks.PendingTask, now_ms: int
     ) -> _tasks.Placement | None:
         """Place a task or mark its bin as blocked."""
-        if not home.blocked_at_home:
-            worker_id = self._choose(task, task.region)
-            if worker_id is not None:
-                return self._commit(task, worker_id, now_ms, AT_HOME)
-            home.blocked_at_home = True
-            if task.region is None:
-                home.blocked_everywhere = True
-        if task.region is not None and _regions.may_cross(task, now_ms):
-            worker_id = self._choose(task, None)
+        for region in _regions.allowed(task, now_ms):
+            worker_id = self._choose(task, region)
             if worker_id is not None:
-                return self._commit(task, worker_id, now_ms, CROSSED)
-            home.blocked_everywhere = True
+                reason = (
+                    _offers.AT_HOME
+                    if region == task.region
+                    else _offers.CROSSED
+                )
+                return self._commit(task, worker_id, now_ms, reason)
+        self._state.queues.set_blocked(home, True)
+        self._offers.note_blocked(home, task, now_ms)
         return None
 
     def _commit(
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -150,7 +150,7 @@
             return None
         dominant = state.ranking.dominant_share(account)
         fair = state.ranking.fair_share(account)
-        if dominant > fair and state.queues.bins:
+        if dominant > fair and state.queues.blocked_regions():
             return None
         return 1, dominant / fair, gang.submitted_ms, gang.number
 
--- a/dandeliondrum/placement/_index.py
+++ b/dandeliondrum/placement/_index.py
@@ -119,6 +119,8 @@
     def __init__(self) -> None:
         self._planes: dict[int, _Plane] = {}
         self._order: list[int] = []
+        # Whether the last search left workers out that may have room.
+        self.cut_short = False
 
     def add(self, levels: Need, worker: _fleet.Worker) -> None:
         """Take a worker in at its levels."""
@@ -137,11 +139,13 @@
         self, need: Need, resources: messages.Resources, excluded: _Ids
     ) -> _fleet.Worker | None:
         """Return the tightest worker with room that isn't excluded."""
+        self.cut_short = False
         start = bisect.bisect_left(self._order, need.accelerators)
         for accelerators in self._order[start:]:
             plane = self._planes[accelerators]
             if plane.cpu_mask >> need.cpu:
-                worker = _tightest(plane, need, resources, excluded)
+                worker, cut = _tightest(plane, need, resources, excluded)
+                self.cut_short = self.cut_short or cut
                 if worker is not None:
                     return worker
         return None
@@ -179,9 +183,10 @@
     need: Need,
     resources: messages.Resources,
     excluded: _Ids,
-) -> _fleet.Worker | None:
+) -> tuple[_fleet.Worker | None, bool]:
     best: _fleet.Worker | None = None
     best_score = 2 * LEVELS_COUNT
+    cut_short = False
     cpu_mask = plane.cpu_mask >> need.cpu << need.cpu
     while cpu_mask:
         low = cpu_mask & -cpu_mask
@@ -199,12 +204,13 @@
                 break
             bucket = plane.buckets[cpu * LEVELS_COUNT + memory + need.memory]
             edge = not spare or not memory
-            worker = _pick(bucket, resources, edge, excluded)
+            worker, cut = _pick(bucket, resources, edge, excluded)
+            cut_short = cut_short or cut
             if worker is not None:
                 best = worker
                 best_score = spare + memory
                 break
-    return best
+    return best, cut_short
 
 
 def _pick(
@@ -212,13 +218,17 @@
     resources: messages.Resources,
     edge: bool,
     excluded: _Ids,
-) -> _fleet.Worker | None:
-    """Return a worker of the bucket with room, looking at a few."""
+) -> tuple[_fleet.Worker | None, bool]:
+    """Return a worker of the bucket with room, looking at a few.
+
+    Also tells whether others were not looked at.
+    """
     if not edge and not excluded:
         for worker in bucket.values():
             if worker.has_room(resources):
-                return worker
+                return worker, False
             break
+    cut_short = False
     passed: list[_fleet.Worker] = []
     found = None
     for worker in bucket.values():
@@ -227,12 +237,13 @@
             break
         passed.append(worker)
         if len(passed) >= EDGE_SCAN_COUNT:
+            cut_short = len(bucket) > EDGE_SCAN_COUNT
             break
     if len(passed) < len(bucket):
         for worker in passed:
             del bucket[worker.worker_id]
             bucket[worker.worker_id] = worker
-    return found
+    return found, cut_short and found is None
 
 
 @dataclasses.dataclass(slots=True)
--- a/dandeliondrum/placement/_preempt_step.py
+++ b/dandeliondrum/placement/_preempt_step.py
@@ -1,8 +1,8 @@
 """The step of a plan that makes room by preemption."""
 
 from dandeliondrum import messages
+from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _preemption
-from dandeliondrum.placement import _queues
 from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _regions
 from dandeliondrum.placement import _state
@@ -13,7 +13,9 @@
 TAKE_BACK_WAIT_MS = 5_000
 TAKE_BACK_BELOW = 0.8
 TAKE_BACK_ABOVE = 1.1
-RETRY_MS = 50
+RETRY_MS = 100
+# All blocked bins are looked at, so not at every plan.
+LOOK_EVERY_MS = 10
 
 
 class PreemptStep:
@@ -22,24 +24,28 @@
     def __init__(self, state: _state.State) -> None:
         self._state = state
         self._budget = _preemption.Budget()
+        self._next_ms = 0
 
     def run(self, now_ms: int) -> list[_tasks.Preemption]:
         """Return what has to leave, within the budget."""
         slots_count = self._state.ledger.fleet.totals.slots_count
         self._budget.fill(now_ms, slots_count)
         found: list[_tasks.Preemption] = []
-        for home in self._state.queues:
-            if not home.blocked_at_home or now_ms < home.make_room_ms:
+        if now_ms < self._next_ms:
+            return found
+        self._next_ms = now_ms + LOOK_EVERY_MS
+        for home in list(self._state.queues):
+            if not home.blocked or now_ms < home.make_room_ms:
                 continue
             if home.key.task_class is messages.TaskClass.URGENT:
                 self._for_urgent(home, now_ms, found)
-            elif home.key.task_class is not messages.TaskClass.GANG:
+            else:
                 self._take_back(home, now_ms, found)
         return found
 
     def _for_urgent(
         self,
-        home: _queues.Bin,
+        home: _bins.Bin,
         now_ms: int,
         found: list[_tasks.Preemption],
     ) -> None:
@@ -56,7 +62,7 @@
 
     def _take_back(
         self,
-        home: _queues.Bin,
+        home: _bins.Bin,
         now_ms: int,
         found: list[_tasks.Preemption],
     ) -> None:
@@ -86,7 +92,7 @@
 
     def _preempt(
         self,
-        home: _queues.Bin,
+        home: _bins.Bin,
         task: _tasks.PendingTask,
         now_ms: int,
         above_share: float | None,
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -1,96 +1,45 @@
-"""Pending tasks grouped by team and by what they need.
+"""Pending tasks in bins, and the bins in lines by whose turn it is.
 
-Tasks of the same class, region, size and exclusions share a ``Bin``, and
-those of one team in it a ``Group``. Whether there is room anywhere is a
-question of the bin, whose turn it is one of the group, so neither depends on
-how many tasks wait.
+A bin is active until no worker of its region has room for its first task;
+then it is blocked until one has. Blocked bins are in lines by region, so a
+worker with new room is offered to those of its region.
 """
 
 import collections.abc
-import dataclasses
 import heapq
 import itertools
 
 from dandeliondrum import messages
 from dandeliondrum.placement import _aging
+from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _index
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _ranking
-from dandeliondrum.placement import _shares
 from dandeliondrum.placement import _tasks
 
 # A heap is rebuilt without its dropped tasks once they outnumber the others
 # and are more than this.
 DROPPED_COUNT_MAX = 64
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BinKey:
-    """What the tasks of a bin have in common."""
-
-    task_class: messages.TaskClass
-    region: messages.Region | None
-    need: _index.Need
-    excluded_workers: frozenset[messages.WorkerId]
-
-
-class Group:
-    """The waiting tasks of one team in one bin, oldest first."""
-
-    __slots__ = ('account', 'bin', 'number', 'heap', 'version', 'count')
-
-    def __init__(
-        self, account: _shares.TeamAccount, home: 'Bin', number: int
-    ) -> None:
-        self.account = account
-        self.bin = home
-        self.number = number
-        self.heap: list[tuple[int, int, _tasks.PendingTask]] = []
-        # Entries of the bin's heap with another version are void.
-        self.version = 0
-        self.count = 0
-
-
-class Bin:
-    """Groups of teams whose tasks fit the same workers."""
-
-    __slots__ = (
-        'key',
-        'groups',
-        'heap',
-        'blocked_at_home',
-        'blocked_everywhere',
-        'awaited_count',
-        'make_room_ms',
-        'placed_ms',
-    )
-
-    def __init__(self, key: BinKey) -> None:
-        self.key = key
-        self.groups: dict[messages.TeamId, Group] = {}
-        self.heap: list[tuple[_ranking.Key, int, int, int, Group]] = []
-        self.blocked_at_home = False
-        self.blocked_everywhere = False
-        # Preemptions on their way for tasks of this bin.
-        self.awaited_count = 0
-        # When to look for tasks to preempt again.
-        self.make_room_ms = 0
-        # When a task of this bin was placed last; None if none was.
-        self.placed_ms: int | None = None
+Turn = tuple[_ranking.Key, _bins.Bin, _tasks.PendingTask]
 
 
 class Queues:
     """All bins; finds the group whose turn it is in each."""
 
     def __init__(self, ranking: _ranking.Ranking) -> None:
-        self.bins: dict[BinKey, Bin] = {}
-        self.aged: _aging.AgedGroups[Group] = _aging.AgedGroups()
+        self.bins: dict[_bins.BinKey, _bins.Bin] = {}
+        self.aged: _aging.AgedGroups[_bins.Group] = _aging.AgedGroups()
         self._ranking = ranking
         self._ledger = _ledger.Ledger()
         self._numbers = itertools.count()
-        self._by_team: dict[messages.TeamId, dict[int, Group]] = {}
+        self._by_team: dict[messages.TeamId, dict[int, _bins.Group]] = {}
         self._needs: dict[messages.Resources, _index.Need] = {}
-        self._groups: dict[messages.TaskId, Group] = {}
+        self._groups: dict[messages.TaskId, _bins.Group] = {}
+        # Batch tasks wait apart, since a reserve may keep them back.
+        self._active = _bins.Line()
+        self._active_batch = _bins.Line()
+        self._blocked: dict[messages.Region | None, _bins.Line] = {}
 
     def bind(self, ledger: _ledger.Ledger) -> None:
         """Read pending tasks and accounts from this ledger."""
@@ -130,7 +79,7 @@
             ]
             heapq.heapify(group.heap)
 
-    def push(self, group: Group) -> None:
+    def push(self, group: _bins.Group) -> None:
         """Give a group its turn anew, where it now belongs."""
         if not group.heap:
             return
@@ -140,6 +89,9 @@
             group.bin.heap,
             (key, group.heap[0][0], group.number, group.version, group),
         )
+        home = group.bin
+        if home.turn is None or key < home.turn:
+            self._put(home, key)
 
     def push_team(self, team_id: messages.TeamId) -> None:
         """Give all groups of a team their turn anew."""
@@ -151,8 +103,66 @@
         for team_id in self._by_team:
             self.push_team(team_id)
 
+    def next_active(self, now_ms: int, batch_may: bool) -> Turn | None:
+        """Return the first turn among the bins that may have room."""
+        turn = self._line_first(self._active, now_ms)
+        if not batch_may:
+            return turn
+        other = self._line_first(self._active_batch, now_ms)
+        if turn is None or (other is not None and other[0] < turn[0]):
+            return other
+        return turn
+
+    def blocked_turns(
+        self, region: messages.Region | None
+    ) -> list[tuple[_ranking.Key, int, _bins.Bin]]:
+        """Return blocked bins of a region in order; keys may be late."""
+        line = self._blocked.get(region)
+        return [] if line is None else line.entries
+
+    def blocked_regions(
+        self,
+    ) -> list[messages.Region | None]:
+        """Return the regions of blocked bins."""
+        return [name for name, line in self._blocked.items() if line.entries]
+
+    def set_blocked(self, home: _bins.Bin, blocked: bool) -> None:
+        """Note that there is no room for a bin, or that there may be."""
+        home.blocked = blocked
+        if home.turn is not None:
+            self._put(home, home.turn)
+
+    def settle(self, home: _bins.Bin, now_ms: int) -> Turn | None:
+        """Return the first turn of a bin, put where it belongs now."""
+        first = self.first(home, now_ms)
+        if first is None:
+            _bins.Line.remove(home)
+            return None
+        if home.turn != first[0]:
+            self._put(home, first[0])
+        return first[0], home, first[1]
+
+    def _line_first(self, line: _bins.Line, now_ms: int) -> Turn | None:
+        while line.entries:
+            turn, _, home = line.entries[0]
+            found = self.settle(home, now_ms)
+            if found is not None and found[0] <= turn:
+                return found
+        return None
+
+    def _put(self, home: _bins.Bin, turn: _ranking.Key) -> None:
+        _bins.Line.remove(home)
+        if home.blocked:
+            region = home.key.region
+            line = self._blocked.setdefault(region, _bins.Line())
+        elif home.key.task_class is messages.TaskClass.BATCH:
+            line = self._active_batch
+        else:
+            line = self._active
+        line.add(home, turn)
+
     def first(
-        self, home: Bin, now_ms: int
+        self, home: _bins.Bin, now_ms: int
     ) -> tuple[_ranking.Key, _tasks.PendingTask] | None:
         """Return the task whose turn it is in a bin, and its key.
 
@@ -196,20 +206,22 @@
                 found.append(task)
         return found
 
-    def group_count(self, home: Bin, team_id: messages.TeamId) -> int:
+    def group_count(self, home: _bins.Bin, team_id: messages.TeamId) -> int:
         """Return how many tasks of a team wait in a bin."""
         group = home.groups.get(team_id)
         return 0 if group is None else group.count
 
-    def of(self, task: _tasks.PendingTask) -> Bin | None:
+    def of(self, task: _tasks.PendingTask) -> _bins.Bin | None:
         """Return the bin of a queued task."""
         group = self._groups.get(task.task_id)
         return None if group is None else group.bin
 
-    def __iter__(self) -> collections.abc.Iterator[Bin]:
+    def __iter__(self) -> collections.abc.Iterator[_bins.Bin]:
         return iter(self.bins.values())
 
-    def _head(self, group: Group, now_ms: int) -> _tasks.PendingTask | None:
+    def _head(
+        self, group: _bins.Group, now_ms: int
+    ) -> _tasks.PendingTask | None:
         """Return the oldest task that can still meet its deadline."""
         heap = group.heap
         while heap:
@@ -224,31 +236,31 @@
     def _waits(self, task: _tasks.PendingTask) -> bool:
         return self._ledger.pending.get(task.task_id) is task
 
-    def _key(self, task: _tasks.PendingTask) -> BinKey:
-        return BinKey(
+    def _key(self, task: _tasks.PendingTask) -> _bins.BinKey:
+        return _bins.BinKey(
             task.task_class,
             task.region,
             self.need(task.resources),
             task.excluded_workers,
         )
 
-    def _group(self, task: _tasks.PendingTask) -> Group:
+    def _group(self, task: _tasks.PendingTask) -> _bins.Group:
         key = self._key(task)
         home = self.bins.get(key)
         if home is None:
-            home = Bin(key)
+            home = _bins.Bin(key, next(self._numbers))
             self.bins[key] = home
         group = home.groups.get(task.team_id)
         if group is None:
             account = self._ledger.teams.account(task.team_id)
-            group = Group(account, home, next(self._numbers))
+            group = _bins.Group(account, home, next(self._numbers))
             home.groups[task.team_id] = group
             teams = self._by_team.setdefault(task.team_id, {})
             teams[group.number] = group
             self.aged.add(group.number, group, task.submitted_ms)
         return group
 
-    def _remove(self, group: Group) -> None:
+    def _remove(self, group: _bins.Group) -> None:
         group.version += 1
         self.aged.remove(group.number)
         team_id = group.account.team_id
@@ -257,4 +269,5 @@
         if not self._by_team[team_id]:
             del self._by_team[team_id]
         if not group.bin.groups:
+            _bins.Line.remove(group.bin)
             del self.bins[group.bin.key]
--- a/dandeliondrum/placement/_regions.py
+++ b/dandeliondrum/placement/_regions.py
@@ -13,10 +13,14 @@
 }
 
 
+def crossing_ms(task: _tasks.PendingTask) -> int:
+    """Return when a task may leave its region."""
+    return task.submitted_ms + CROSSING_WAIT_MS[task.task_class]
+
+
 def may_cross(task: _tasks.PendingTask, now_ms: int) -> bool:
     """Tell whether a task has waited long enough to leave its region."""
-    waited_ms = now_ms - task.submitted_ms
-    return waited_ms >= CROSSING_WAIT_MS[task.task_class]
+    return now_ms >= crossing_ms(task)
 
 
 def allowed(
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from dandeliondrum import messages
+from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _choosers
 from dandeliondrum.placement import _fleet
 from dandeliondrum.placement import _gangs
@@ -33,8 +34,10 @@
         self.victims = _preemption.VictimBook(self.ranking, seed)
         self.reserver = _reservation.Reserver(self.index, seed)
         self.reservation: _reservation.Reservation | None = None
+        # Workers with new room, in the order in which they got it.
+        self.woken: dict[messages.WorkerId, _fleet.Worker] = {}
         self.reasons: dict[messages.TaskId, str] = {}
-        self.awaited: dict[messages.TaskId, _queues.Bin] = {}
+        self.awaited: dict[messages.TaskId, _bins.Bin] = {}
         self._changed_teams: dict[messages.TeamId, None] = {}
         self._reset = True
         self.ranking.bind(ledger)
@@ -119,26 +122,14 @@
         self._changed_teams.clear()
 
     def wake(self, worker: _fleet.Worker) -> None:
-        """Let bins be tried again that the worker may have room for."""
+        """Note a worker that may have room for tasks that had none."""
         levels = self.index.update(worker)
         made = self.reservation
         if made is not None and worker.worker_id in made.waiting:
             if worker.has_room_for_held():
                 made.waiting.discard(worker.worker_id)
-        if levels is None or worker.facts is None:
-            return
-        for home in self.queues:
-            if not home.blocked_at_home:
-                continue
-            need = home.key.need
-            if (
-                need.cpu <= levels.cpu
-                and need.memory <= levels.memory
-                and need.accelerators <= levels.accelerators
-            ):
-                home.blocked_everywhere = False
-                if home.key.region in (None, worker.facts.region):
-                    home.blocked_at_home = False
+        if levels is not None:
+            self.woken[worker.worker_id] = worker
 
     def drop_reservation(self) -> None:
         """Let the room go that is held, if any."""
