Find turns by masks over bins and an order of teams

With few teams and a full fleet a decision still took 2 to 3 ms: by profile three quarters went into placing all of a team's groups (360) anew at each end of a task.

--- a/dandeliondrum/placement/_bins.py
+++ b/dandeliondrum/placement/_bins.py
@@ -1,17 +1,18 @@
-"""Bins of like tasks, groups in them by team, and lines of bins.
+"""Bins of like tasks, groups in them by team, and bit masks over bins.
 
 Tasks of the same class, region, size and exclusions share a ``Bin``, and
 those of one team in it a ``Group``. Whether there is room anywhere is a
 question of the bin, whose turn it is one of the group, so neither depends on
-how many tasks wait.
+how many tasks wait. Each bin has a bit, and sets of bins are integers.
 """
 
-import bisect
+import collections
+import collections.abc
 import dataclasses
+import heapq
 
 from dandeliondrum import messages
 from dandeliondrum.placement import _index
-from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _shares
 from dandeliondrum.placement import _tasks
 
@@ -29,7 +30,15 @@
 class Group:
     """The waiting tasks of one team in one bin, oldest first."""
 
-    __slots__ = ('account', 'bin', 'number', 'heap', 'version', 'count')
+    __slots__ = (
+        'account',
+        'bin',
+        'number',
+        'heap',
+        'count',
+        'awaited_count',
+        'make_room_ms',
+    )
 
     def __init__(
         self, account: _shares.TeamAccount, home: 'Bin', number: int
@@ -38,66 +47,104 @@
         self.bin = home
         self.number = number
         self.heap: list[tuple[int, int, _tasks.PendingTask]] = []
-        # Entries of the bin's heap with another version are void.
-        self.version = 0
         self.count = 0
+        # Preemptions on their way for these tasks, and when to look for
+        # more if none could be found.
+        self.awaited_count = 0
+        self.make_room_ms = 0
 
 
 class Bin:
     """Groups of teams whose tasks fit the same workers."""
 
-    __slots__ = (
-        'key',
-        'number',
-        'groups',
-        'heap',
-        'line',
-        'turn',
-        'blocked',
-        'awaited_count',
-        'make_room_ms',
-        'placed_ms',
-    )
+    __slots__ = ('key', 'bit', 'groups', 'placed_ms')
 
-    def __init__(self, key: BinKey, number: int) -> None:
+    def __init__(self, key: BinKey, bit: int, since_ms: int) -> None:
         self.key = key
-        self.number = number
+        self.bit = bit
         self.groups: dict[messages.TeamId, Group] = {}
-        self.heap: list[tuple[_ranking.Key, int, int, int, Group]] = []
-        # Where it stands, and under which key; the key may be too small by
-        # now, but never too large. None if nothing in it can be placed.
-        self.line: Line | None = None
-        self.turn: _ranking.Key | None = None
-        # No worker of its region has room.
-        self.blocked = False
-        # Preemptions on their way for tasks of this bin.
-        self.awaited_count = 0
-        # When to look for tasks to preempt again.
-        self.make_room_ms = 0
-        # When a task of this bin was placed last; None if none was.
-        self.placed_ms: int | None = None
+        # When a task of this bin was placed last, or the first came.
+        self.placed_ms = since_ms
 
 
-class Line:
-    """Bins in order of their turn."""
+class TeamQueue:
+    """The groups of one team."""
+
+    __slots__ = ('account', 'number', 'mask', 'parked', 'groups', 'places')
+
+    def __init__(self, account: _shares.TeamAccount, number: int) -> None:
+        self.account = account
+        self.number = number
+        # Bins in which a task of the team could be placed, as to its limits.
+        self.mask = 0
+        # Bins whose first task is over the team's upper limit.
+        self.parked = 0
+        self.groups: dict[int, Group] = {}
+        # The team's keys in the orders of teams.
+        self.places: tuple[float, float] = (0.0, 0.0)
+
 
-    __slots__ = ('entries',)
+class BinMasks:
+    """Bits of bins, and which bins fit where."""
 
     def __init__(self) -> None:
-        self.entries: list[tuple[_ranking.Key, int, Bin]] = []
-
-    def add(self, home: Bin, turn: _ranking.Key) -> None:
-        """Put a bin where it belongs."""
-        home.line = self
-        home.turn = turn
-        bisect.insort(self.entries, (turn, home.number, home))
-
-    @staticmethod
-    def remove(home: Bin) -> None:
-        """Take a bin out of the line it is in, if any."""
-        if home.line is None or home.turn is None:
-            return
-        entries = home.line.entries
-        del entries[bisect.bisect_left(entries, (home.turn, home.number))]
-        home.line = None
-        home.turn = None
+        self.by_bit: dict[int, Bin] = {}
+        self.classes: collections.defaultdict[messages.TaskClass, int] = (
+            collections.defaultdict(int)
+        )
+        self.regions: collections.defaultdict[messages.Region | None, int] = (
+            collections.defaultdict(int)
+        )
+        # Bins that need at most this level.
+        self._cpu = [0] * _index.LEVELS_COUNT
+        self._memory = [0] * _index.LEVELS_COUNT
+        self._accelerators = [0] * (_index.ACCELERATORS_LEVEL_MAX + 1)
+        self._free_bits: list[int] = []
+        self._bits_count = 0
+
+    def new_bin(self, key: BinKey, since_ms: int) -> Bin:
+        """Return a bin with a bit of its own, the lowest one free."""
+        if self._free_bits:
+            bit = heapq.heappop(self._free_bits)
+        else:
+            bit = 1 << self._bits_count
+            self._bits_count += 1
+        home = Bin(key, bit, since_ms)
+        self.by_bit[bit] = home
+        self._change(home)
+        return home
+
+    def remove(self, home: Bin) -> None:
+        """Give a bin's bit back."""
+        self._change(home)
+        del self.by_bit[home.bit]
+        heapq.heappush(self._free_bits, home.bit)
+
+    def fitting(self, levels: _index.Need) -> int:
+        """Return the bins whose tasks fit in such free amounts."""
+        return (
+            self._cpu[levels.cpu]
+            & self._memory[levels.memory]
+            & self._accelerators[levels.accelerators]
+        )
+
+    def _change(self, home: Bin) -> None:
+        """Set the bin's bit in all masks it belongs to, or clear it."""
+        key = home.key
+        self.classes[key.task_class] ^= home.bit
+        self.regions[key.region] ^= home.bit
+        for masks, need in (
+            (self._cpu, key.need.cpu),
+            (self._memory, key.need.memory),
+            (self._accelerators, key.need.accelerators),
+        ):
+            for level in range(need, len(masks)):
+                masks[level] ^= home.bit
+
+
+def bits(mask: int) -> collections.abc.Iterator[int]:
+    """Yield the set bits of a mask, the lowest first."""
+    while mask:
+        bit = mask & -mask
+        yield bit
+        mask ^= bit
--- a/dandeliondrum/placement/_explain.py
+++ b/dandeliondrum/placement/_explain.py
@@ -2,7 +2,6 @@
 
 from dandeliondrum.placement import _gang_step
 from dandeliondrum.placement import _policy
-from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _reservation
 from dandeliondrum.placement import _state
 from dandeliondrum.placement import _tasks
@@ -46,16 +45,17 @@
 
 
 def _why_single(state: _state.State, task: _tasks.PendingTask) -> str:
-    home = state.queues.of(task)
-    if home is None:
+    group = state.queues.of(task)
+    if group is None:
         return 'it is not queued'
     made = state.reservation
     if made is not None and any(one is task for one, _ in made.places):
         names = _reservation.waiting_names(made)
         return f'room is reserved for it; it waits for {names}'
-    if home.blocked and task.region is None:
+    is_blocked = bool(state.queues.blocked & group.bin.bit)
+    if is_blocked and task.region is None:
         why = 'no worker has room for it at present'
-    elif home.blocked:
+    elif is_blocked:
         why = f'no worker of region {task.region} has room for it at present'
     else:
         why = 'others come first'
@@ -68,8 +68,8 @@
     account = state.ledger.teams.account(task.team_id)
     used = 100 * state.ranking.dominant_share(account)
     fair = 100 * state.ranking.fair_share(account)
-    rank = state.ranking.key(account, task.task_class)[0]
-    order = 'ahead of' if rank == _ranking.FIRST_RANK else 'among'
+    is_first = state.ranking.is_first(account, task.task_class)
+    order = 'ahead of' if is_first else 'among'
     return (
         f'team {task.team_id} uses {used:.1f}% of the fleet with a share of '
         f'{fair:.1f}%, so its {task.task_class.value} tasks come {order} '
--- a/dandeliondrum/placement/_full.py
+++ b/dandeliondrum/placement/_full.py
@@ -132,18 +132,41 @@
         """Place the task whose turn it is; None when none can be."""
         queues = self._state.queues
         while True:
-            batch_may = not self._reserve_is_reached(now_ms)
-            turn = queues.next_active(now_ms, batch_may)
-            offer = self._offers.next(now_ms, batch_may, turn)
-            if offer is not None:
-                _, task, worker_id, reason = offer
-                return self._commit(task, worker_id, now_ms, reason)
-            if turn is None:
+            allowed = -1
+            if self._reserve_is_reached(now_ms):
+                allowed = ~queues.masks.classes[messages.TaskClass.BATCH]
+            offer = self._offers.current(now_ms, allowed)
+            among = queues.active | (offer.bins if offer is not None else 0)
+            group = queues.select(among & allowed, now_ms)
+            if group is None and offer is None:
                 return None
-            placement = self._place(turn[1], turn[2], now_ms)
+            placement = self._try(group, offer, now_ms)
             if placement is not None:
                 return placement
 
+    def _try(
+        self,
+        group: _bins.Group | None,
+        offer: _offers.Offer | None,
+        now_ms: int,
+    ) -> _tasks.Placement | None:
+        """Place a group's first task, or note why it can't be."""
+        task = None
+        if group is not None:
+            task = self._state.queues.head(group, now_ms)
+        if group is None or task is None:
+            self._offers.finish()
+            return None
+        home = group.bin
+        if offer is None or not offer.bins & home.bit:
+            return self._place(home, task, now_ms)
+        if not offer.suits(task, now_ms):
+            self._offers.refuse(home)
+            return None
+        return self._commit(
+            task, offer.worker.worker_id, now_ms, offer.reason(task)
+        )
+
     def _place(
         self, home: _bins.Bin, task: _tasks.PendingTask, now_ms: int
     ) -> _tasks.Placement | None:
@@ -157,7 +180,7 @@
                     else _offers.CROSSED
                 )
                 return self._commit(task, worker_id, now_ms, reason)
-        self._state.queues.set_blocked(home, True)
+        self._state.queues.blocked |= home.bit
         self._offers.note_blocked(home, task, now_ms)
         return None
 
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -9,6 +9,7 @@
 # shares, and holds room under its team's upper limit, too.
 AGED_MS = 60_000
 RETRY_MS = 200
+BINS_TRIED_COUNT = 8
 
 
 class GangStep:
@@ -111,18 +112,16 @@
     def _starved_single(self, now_ms: int) -> _tasks.PendingTask | None:
         """Return the task whose bin has had no placement for longest."""
         queues = self._state.queues
-        best: tuple[int, _tasks.PendingTask] | None = None
-        for home in queues:
-            first = queues.first(home, now_ms)
-            if first is None:
-                continue
-            task = first[1]
-            since_ms = max(task.submitted_ms, home.placed_ms or 0)
-            if now_ms - since_ms < AGED_MS:
-                continue
-            if best is None or since_ms < best[0]:
-                best = since_ms, task
-        return None if best is None else best[1]
+        bins = sorted(
+            (home.placed_ms, home.bit, home)
+            for home in queues.bins.values()
+            if now_ms - home.placed_ms >= AGED_MS
+        )
+        for _, _, home in bins[:BINS_TRIED_COUNT]:
+            task = queues.first(home, now_ms)
+            if task is not None and now_ms - task.submitted_ms >= AGED_MS:
+                return task
+        return None
 
     def _next_gang(self, now_ms: int) -> _gangs.Gang | None:
         best: _gangs.Gang | None = None
@@ -150,7 +149,7 @@
             return None
         dominant = state.ranking.dominant_share(account)
         fair = state.ranking.fair_share(account)
-        if dominant > fair and state.queues.blocked_regions():
+        if dominant > fair and state.queues.blocked:
             return None
         return 1, dominant / fair, gang.submitted_ms, gang.number
 
--- a/dandeliondrum/placement/_offers.py
+++ b/dandeliondrum/placement/_offers.py
@@ -1,18 +1,17 @@
 """Workers with new room, offered to the tasks that had none.
 
 No worker has room for a blocked bin but those that got room since, so only
-these are looked at, each against the blocked bins of its region and some of
-the others. That costs nothing for the tasks that still don't fit.
+these are looked at, one at a time, for the blocked bins that may fit.
 """
 
+import dataclasses
 import heapq
+import itertools
 
 from dandeliondrum import messages
 from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _fleet
 from dandeliondrum.placement import _index
-from dandeliondrum.placement import _queues
-from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _regions
 from dandeliondrum.placement import _state
 from dandeliondrum.placement import _tasks
@@ -20,19 +19,48 @@
 AT_HOME = 'it is the tightest fit'
 CROSSED = 'no room in its region for so long that crossing was worth it'
 
-# Bins of other regions that a worker is offered to at most.
-CROSSING_BINS_COUNT = 32
+# A worker is not offered abroad any more after so many bins that it did not
+# suit.
+REFUSALS_COUNT_MAX = 8
 
-Offer = tuple[_ranking.Key, _tasks.PendingTask, messages.WorkerId, str]
+
+@dataclasses.dataclass(slots=True)
+class Offer:
+    """A worker with new room and the blocked bins that may fit there."""
+
+    worker: _fleet.Worker
+    region: messages.Region
+    bins: int
+
+    def suits(self, task: _tasks.PendingTask, now_ms: int) -> bool:
+        """Tell whether the task can go to the worker."""
+        if self.worker.worker_id in task.excluded_workers:
+            return False
+        if not self._is_home(task) and not _regions.may_cross(task, now_ms):
+            return False
+        return self.worker.has_room(task.resources)
+
+    def reason(self, task: _tasks.PendingTask) -> str:
+        """Return why the task goes there, for an operator."""
+        return AT_HOME if self._is_home(task) else CROSSED
+
+    def _is_home(self, task: _tasks.PendingTask) -> bool:
+        return task.region is None or task.region == self.region
 
 
 class Offers:
-    """Finds the first blocked task that a worker with new room can take."""
+    """Goes through the workers with new room, in the order they got it."""
 
     def __init__(self, state: _state.State) -> None:
         self._state = state
+        # Bins that the worker at hand did not suit after all.
+        self._refused = 0
+        self._refused_count = 0
+        # Whether the worker is offered to other regions by now.
+        self._abroad = False
         # When the first task of a blocked bin may cross.
         self._crossings: list[tuple[int, int, _bins.Bin]] = []
+        self._numbers = itertools.count()
         # Bins whose search did not look at every worker.
         self._unsure: dict[int, _bins.Bin] = {}
 
@@ -42,110 +70,62 @@
         """Note a bin that was just found without room."""
         index = self._state.index.of(task.region)
         if index is not None and index.cut_short:
-            self._unsure[home.number] = home
+            self._unsure[home.bit] = home
         if task.region is not None and not _regions.may_cross(task, now_ms):
             at_ms = _regions.crossing_ms(task)
-            heapq.heappush(self._crossings, (at_ms, home.number, home))
+            entry = at_ms, next(self._numbers), home
+            heapq.heappush(self._crossings, entry)
 
     def refresh(self, now_ms: int) -> None:
         """Let bins be searched for again whose time has come."""
-        queues = self._state.queues
         while self._crossings and self._crossings[0][0] <= now_ms:
-            home = heapq.heappop(self._crossings)[2]
-            if home.blocked:
-                queues.set_blocked(home, False)
+            self._unblock(heapq.heappop(self._crossings)[2])
         if self._unsure:
-            home = self._unsure.pop(next(iter(self._unsure)))
-            if home.blocked:
-                queues.set_blocked(home, False)
-
-    def next(
-        self, now_ms: int, batch_may: bool, before: _queues.Turn | None
-    ) -> Offer | None:
-        """Return the first offer that comes before an active bin's turn."""
+            self._unblock(self._unsure.pop(next(iter(self._unsure))))
+
+    def current(self, now_ms: int, allowed: int) -> Offer | None:
+        """Return the worker to be offered now and the bins it may suit.
+
+        Bins that are not ``allowed`` at present become active, so that they
+        are looked at again when they are.
+        """
         woken = self._state.woken
+        queues = self._state.queues
         while woken:
             worker = woken[next(iter(woken))]
             levels = _index.levels_of(worker)
             if levels is not None and worker.facts is not None:
-                offer = self._for_worker(worker, levels, now_ms, batch_may)
-                if offer is not None:
-                    if before is not None and before[0] < offer[0]:
-                        return None
-                    return offer
-            del woken[worker.worker_id]
+                region = worker.facts.region
+                fitting = queues.masks.fitting(levels) & queues.blocked
+                queues.blocked &= ~(fitting & ~allowed)
+                fitting &= allowed & ~self._refused
+                if not self._abroad:
+                    regions = queues.masks.regions
+                    at_home = fitting & (regions[region] | regions[None])
+                    if at_home:
+                        return Offer(worker, region, at_home)
+                if fitting:
+                    self._abroad = True
+                    return Offer(worker, region, fitting)
+            self.finish()
         return None
 
-    def _for_worker(
-        self,
-        worker: _fleet.Worker,
-        levels: _index.Need,
-        now_ms: int,
-        batch_may: bool,
-    ) -> Offer | None:
-        if worker.facts is None:
-            return None
-        best: Offer | None = None
-        region = worker.facts.region
-        for home_region in (region, None):
-            offer = self._in_line(
-                worker, levels, home_region, now_ms, batch_may, None
-            )
-            if offer is not None and (best is None or offer[0] < best[0]):
-                best = offer
-        if best is not None:
-            return best
-        for other in self._state.queues.blocked_regions():
-            if other in (None, region):
-                continue
-            best = self._in_line(
-                worker, levels, other, now_ms, batch_may, CROSSING_BINS_COUNT
-            )
-            if best is not None:
-                return best
-        return None
+    def refuse(self, home: _bins.Bin) -> None:
+        """Note that the worker at hand does not suit a bin."""
+        self._refused |= home.bit
+        self._refused_count += 1
+        if self._abroad and self._refused_count >= REFUSALS_COUNT_MAX:
+            self.finish()
 
-    def _in_line(
-        self,
-        worker: _fleet.Worker,
-        levels: _index.Need,
-        region: messages.Region | None,
-        now_ms: int,
-        batch_may: bool,
-        crossing_count: int | None,
-    ) -> Offer | None:
-        """Return the first task of a line that the worker has room for."""
-        queues = self._state.queues
-        best: Offer | None = None
-        # A copy, since settling moves bins about.
-        for turn, _, home in queues.blocked_turns(region)[:crossing_count]:
-            need = home.key.need
-            if (
-                need.cpu > levels.cpu
-                or need.memory > levels.memory
-                or need.accelerators > levels.accelerators
-            ):
-                continue
-            if best is not None and best[0] < turn:
-                break
-            found = queues.settle(home, now_ms)
-            if found is None:
-                continue
-            key, _, task = found
-            if best is not None and best[0] < key:
-                continue
-            if not worker.has_room(task.resources):
-                continue
-            if worker.worker_id in task.excluded_workers:
-                continue
-            if home.key.task_class is messages.TaskClass.BATCH:
-                if not batch_may:
-                    queues.set_blocked(home, False)
-                    continue
-            reason = AT_HOME
-            if crossing_count is not None:
-                if not _regions.may_cross(task, now_ms):
-                    continue
-                reason = CROSSED
-            best = key, task, worker.worker_id, reason
-        return best
+    def finish(self) -> None:
+        """Go on to the next worker."""
+        woken = self._state.woken
+        if woken:
+            del woken[next(iter(woken))]
+        self._refused = 0
+        self._refused_count = 0
+        self._abroad = False
+
+    def _unblock(self, home: _bins.Bin) -> None:
+        if self._state.queues.masks.by_bit.get(home.bit) is home:
+            self._state.queues.blocked &= ~home.bit
--- a/dandeliondrum/placement/_preempt_step.py
+++ b/dandeliondrum/placement/_preempt_step.py
@@ -1,9 +1,7 @@
 """The step of a plan that makes room by preemption."""
 
-from dandeliondrum import messages
 from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _preemption
-from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _regions
 from dandeliondrum.placement import _state
 from dandeliondrum.placement import _tasks
@@ -14,8 +12,9 @@
 TAKE_BACK_BELOW = 0.8
 TAKE_BACK_ABOVE = 1.1
 RETRY_MS = 100
-# All blocked bins are looked at, so not at every plan.
 LOOK_EVERY_MS = 10
+# How many of the teams with least share may take back at a time.
+TEAMS_COUNT = 8
 
 
 class PreemptStep:
@@ -34,39 +33,34 @@
         if now_ms < self._next_ms:
             return found
         self._next_ms = now_ms + LOOK_EVERY_MS
-        for home in list(self._state.queues):
-            if not home.blocked or now_ms < home.make_room_ms:
-                continue
-            if home.key.task_class is messages.TaskClass.URGENT:
-                self._for_urgent(home, now_ms, found)
-            else:
-                self._take_back(home, now_ms, found)
+        queues = self._state.queues
+        for group in list(queues.urgent(queues.blocked, now_ms)):
+            if self._budget.left_count <= 0:
+                return found
+            self._for_urgent(group, now_ms, found)
+        for group in queues.poorest(queues.blocked, TEAMS_COUNT, now_ms):
+            self._take_back(group, now_ms, found)
         return found
 
     def _for_urgent(
         self,
-        home: _bins.Bin,
+        group: _bins.Group,
         now_ms: int,
         found: list[_tasks.Preemption],
     ) -> None:
-        first = self._state.queues.first(home, now_ms)
-        if first is None or first[0][0] != _ranking.FIRST_RANK:
-            return
-        task = first[1]
-        wanted = self._state.queues.group_count(home, task.team_id)
-        while wanted > home.awaited_count and self._budget.left_count > 0:
-            why = f'room for urgent tasks of team {task.team_id}'
-            if not self._preempt(home, task, now_ms, None, why, found):
-                home.make_room_ms = now_ms + RETRY_MS
+        why = f'room for urgent tasks of team {group.account.team_id}'
+        while (
+            group.count > group.awaited_count and self._budget.left_count > 0
+        ):
+            if not self._preempt(group, now_ms, None, why, found):
                 return
 
     def _take_back(
         self,
-        home: _bins.Bin,
+        group: _bins.Group,
         now_ms: int,
         found: list[_tasks.Preemption],
     ) -> None:
-        home.make_room_ms = now_ms + RETRY_MS
         slots_count = self._state.ledger.fleet.totals.slots_count
         kept_for_urgent = max(
             _preemption.BURST_COUNT_MIN,
@@ -74,47 +68,42 @@
         )
         if self._budget.left_count <= kept_for_urgent / 2:
             return
-        first = self._state.queues.first(home, now_ms)
-        if first is None:
-            return
-        task = first[1]
-        if now_ms - task.submitted_ms < TAKE_BACK_WAIT_MS:
+        task = self._state.queues.head(group, now_ms)
+        if task is None or now_ms - task.submitted_ms < TAKE_BACK_WAIT_MS:
             return
-        account = self._state.ledger.teams.account(task.team_id)
         ranking = self._state.ranking
-        dominant = ranking.dominant_share(account)
-        if dominant >= TAKE_BACK_BELOW * ranking.fair_share(account):
+        dominant = ranking.dominant_share(group.account)
+        if dominant >= TAKE_BACK_BELOW * ranking.fair_share(group.account):
             return
-        wanted = self._state.queues.group_count(home, task.team_id)
-        if wanted > home.awaited_count:
+        if group.count > group.awaited_count:
             why = f'lent share goes back to team {task.team_id}'
-            self._preempt(home, task, now_ms, TAKE_BACK_ABOVE, why, found)
+            self._preempt(group, now_ms, TAKE_BACK_ABOVE, why, found)
 
     def _preempt(
         self,
-        home: _bins.Bin,
-        task: _tasks.PendingTask,
+        group: _bins.Group,
         now_ms: int,
         above_share: float | None,
         why: str,
         found: list[_tasks.Preemption],
     ) -> bool:
+        """Preempt for the first task of a group, if anything can leave."""
+        task = self._state.queues.head(group, now_ms)
+        if task is None or now_ms < group.make_room_ms:
+            return False
         victims = None
         for region in _regions.allowed(task, now_ms):
             victims = self._state.victims.find(
-                task,
-                region,
-                above_share,
-                self._budget.left_count,
-                now_ms,
+                task, region, above_share, self._budget.left_count, now_ms
             )
             if victims is not None:
                 break
         if victims is None:
+            group.make_room_ms = now_ms + RETRY_MS
             return False
         self._state.victims.mark(victims)
         self._budget.spend(len(victims.running))
-        home.awaited_count += 1
-        self._state.awaited[victims.running[0].task.task_id] = home
+        group.awaited_count += 1
+        self._state.awaited[victims.running[0].task.task_id] = group
         found.extend(_preemption.preemptions(victims, why))
         return True
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -1,10 +1,11 @@
-"""Pending tasks in bins, and the bins in lines by whose turn it is.
+"""Pending tasks in bins, and whose turn it is among bins and teams.
 
 A bin is active until no worker of its region has room for its first task;
-then it is blocked until one has. Blocked bins are in lines by region, so a
-worker with new room is offered to those of its region.
+then it is blocked until one has. Teams stand in order of their shares, so a
+turn is found by walking along the teams and comparing two masks for each.
 """
 
+import bisect
 import collections.abc
 import heapq
 import itertools
@@ -20,36 +21,50 @@
 # A heap is rebuilt without its dropped tasks once they outnumber the others
 # and are more than this.
 DROPPED_COUNT_MAX = 64
+NEEDS_COUNT_MAX = 10_000
 
-Turn = tuple[_ranking.Key, _bins.Bin, _tasks.PendingTask]
+_CLASSES = (
+    messages.TaskClass.URGENT,
+    messages.TaskClass.SERVICE,
+    messages.TaskClass.GANG,
+    messages.TaskClass.BATCH,
+)
+
+_Order = list[tuple[float, int, _bins.TeamQueue]]
 
 
 class Queues:
-    """All bins; finds the group whose turn it is in each."""
+    """All bins and the teams that wait in them."""
 
     def __init__(self, ranking: _ranking.Ranking) -> None:
         self.bins: dict[_bins.BinKey, _bins.Bin] = {}
+        self.masks = _bins.BinMasks()
+        self.blocked = 0
         self.aged: _aging.AgedGroups[_bins.Group] = _aging.AgedGroups()
         self._ranking = ranking
         self._ledger = _ledger.Ledger()
         self._numbers = itertools.count()
-        self._by_team: dict[messages.TeamId, dict[int, _bins.Group]] = {}
+        self._teams: dict[messages.TeamId, _bins.TeamQueue] = {}
+        # Teams by dominant share and by what their urgent tasks use.
+        self._by_share: _Order = []
+        self._by_urgent: _Order = []
         self._needs: dict[messages.Resources, _index.Need] = {}
         self._groups: dict[messages.TaskId, _bins.Group] = {}
-        # Batch tasks wait apart, since a reserve may keep them back.
-        self._active = _bins.Line()
-        self._active_batch = _bins.Line()
-        self._blocked: dict[messages.Region | None, _bins.Line] = {}
 
     def bind(self, ledger: _ledger.Ledger) -> None:
         """Read pending tasks and accounts from this ledger."""
         self._ledger = ledger
 
+    @property
+    def active(self) -> int:
+        """Return the bins for which there may be room."""
+        return ~self.blocked
+
     def need(self, resources: messages.Resources) -> _index.Need:
         """Return the levels of what a task needs."""
         need = self._needs.get(resources)
         if need is None:
-            if len(self._needs) > 10_000:
+            if len(self._needs) > NEEDS_COUNT_MAX:
                 self._needs.clear()
             need = _index.need_of(resources)
             self._needs[resources] = need
@@ -63,7 +78,7 @@
         heapq.heappush(group.heap, entry)
         group.count += 1
         if group.heap[0] is entry:
-            self.push(group)
+            self._unpark(self._teams[task.team_id], group.bin.bit)
 
     def drop(self, task: _tasks.PendingTask) -> None:
         """Note that a queued task is pending no more."""
@@ -73,120 +88,31 @@
         group.count -= 1
         if group.count <= 0:
             self._remove(group)
-        elif len(group.heap) > 2 * group.count + DROPPED_COUNT_MAX:
+            return
+        team = self._teams[task.team_id]
+        if team.parked & group.bin.bit:
+            self._unpark(team, group.bin.bit)
+        if len(group.heap) > 2 * group.count + DROPPED_COUNT_MAX:
             group.heap = [
                 entry for entry in group.heap if self._waits(entry[2])
             ]
             heapq.heapify(group.heap)
 
-    def push(self, group: _bins.Group) -> None:
-        """Give a group its turn anew, where it now belongs."""
-        if not group.heap:
+    def note_usage(self, team_id: messages.TeamId, less: bool) -> None:
+        """Put a team whose usage has changed where it now belongs."""
+        team = self._teams.get(team_id)
+        if team is None:
             return
-        group.version += 1
-        key = self._ranking.key(group.account, group.bin.key.task_class)
-        heapq.heappush(
-            group.bin.heap,
-            (key, group.heap[0][0], group.number, group.version, group),
-        )
-        home = group.bin
-        if home.turn is None or key < home.turn:
-            self._put(home, key)
-
-    def push_team(self, team_id: messages.TeamId) -> None:
-        """Give all groups of a team their turn anew."""
-        for group in self._by_team.get(team_id, {}).values():
-            self.push(group)
-
-    def push_all(self) -> None:
-        """Give all groups their turn anew, in a new order."""
-        for team_id in self._by_team:
-            self.push_team(team_id)
-
-    def next_active(self, now_ms: int, batch_may: bool) -> Turn | None:
-        """Return the first turn among the bins that may have room."""
-        turn = self._line_first(self._active, now_ms)
-        if not batch_may:
-            return turn
-        other = self._line_first(self._active_batch, now_ms)
-        if turn is None or (other is not None and other[0] < turn[0]):
-            return other
-        return turn
-
-    def blocked_turns(
-        self, region: messages.Region | None
-    ) -> list[tuple[_ranking.Key, int, _bins.Bin]]:
-        """Return blocked bins of a region in order; keys may be late."""
-        line = self._blocked.get(region)
-        return [] if line is None else line.entries
-
-    def blocked_regions(
-        self,
-    ) -> list[messages.Region | None]:
-        """Return the regions of blocked bins."""
-        return [name for name, line in self._blocked.items() if line.entries]
-
-    def set_blocked(self, home: _bins.Bin, blocked: bool) -> None:
-        """Note that there is no room for a bin, or that there may be."""
-        home.blocked = blocked
-        if home.turn is not None:
-            self._put(home, home.turn)
-
-    def settle(self, home: _bins.Bin, now_ms: int) -> Turn | None:
-        """Return the first turn of a bin, put where it belongs now."""
-        first = self.first(home, now_ms)
-        if first is None:
-            _bins.Line.remove(home)
-            return None
-        if home.turn != first[0]:
-            self._put(home, first[0])
-        return first[0], home, first[1]
-
-    def _line_first(self, line: _bins.Line, now_ms: int) -> Turn | None:
-        while line.entries:
-            turn, _, home = line.entries[0]
-            found = self.settle(home, now_ms)
-            if found is not None and found[0] <= turn:
-                return found
-        return None
+        if less:
+            team.mask |= team.parked
+            team.parked = 0
+        self._leave_order(team)
+        self._enter_order(team)
 
-    def _put(self, home: _bins.Bin, turn: _ranking.Key) -> None:
-        _bins.Line.remove(home)
-        if home.blocked:
-            region = home.key.region
-            line = self._blocked.setdefault(region, _bins.Line())
-        elif home.key.task_class is messages.TaskClass.BATCH:
-            line = self._active_batch
-        else:
-            line = self._active
-        line.add(home, turn)
-
-    def first(
-        self, home: _bins.Bin, now_ms: int
-    ) -> tuple[_ranking.Key, _tasks.PendingTask] | None:
-        """Return the task whose turn it is in a bin, and its key.
-
-        A group whose team is at its upper limit is passed over until
-        ``push_team`` brings it back.
-        """
-        heap = home.heap
-        while heap:
-            key, submitted_ms, number, version, group = heap[0]
-            if version != group.version:
-                heapq.heappop(heap)
-                continue
-            task = self._head(group, now_ms)
-            if task is None or not group.account.allows(task.resources):
-                heapq.heappop(heap)
-                continue
-            now_key = self._ranking.key(group.account, home.key.task_class)
-            if now_key > key or task.submitted_ms > submitted_ms:
-                heapq.heapreplace(
-                    heap, (now_key, task.submitted_ms, number, version, group)
-                )
-                continue
-            return key, task
-        return None
+    def note_all_usage(self) -> None:
+        """Put all teams where they belong: grants or the fleet changed."""
+        for team in self._teams.values():
+            self.note_usage(team.account.team_id, True)
 
     def note_placed(self, task: _tasks.PendingTask, now_ms: int) -> None:
         """Note that a queued task is about to be placed."""
@@ -201,25 +127,64 @@
         found = []
         for number, group in self.aged.due(now_ms):
             self.aged.note_turn(number, now_ms)
-            task = self._head(group, now_ms)
+            task = self.head(group, now_ms)
             if task is not None and group.account.allows(task.resources):
                 found.append(task)
         return found
 
-    def group_count(self, home: _bins.Bin, team_id: messages.TeamId) -> int:
-        """Return how many tasks of a team wait in a bin."""
-        group = home.groups.get(team_id)
-        return 0 if group is None else group.count
+    def of(self, task: _tasks.PendingTask) -> _bins.Group | None:
+        """Return the group of a queued task."""
+        return self._groups.get(task.task_id)
 
-    def of(self, task: _tasks.PendingTask) -> _bins.Bin | None:
-        """Return the bin of a queued task."""
-        group = self._groups.get(task.task_id)
-        return None if group is None else group.bin
-
-    def __iter__(self) -> collections.abc.Iterator[_bins.Bin]:
-        return iter(self.bins.values())
+    def select(self, among: int, now_ms: int) -> _bins.Group | None:
+        """Return the group whose turn it is among these bins.
 
-    def _head(
+        Teams at their upper limit are passed over until they use less.
+        """
+        classes = self.masks.classes
+        limit = self._ranking.first_rank_limit()
+        firsts = (
+            (self._by_urgent, among & classes[messages.TaskClass.URGENT]),
+            (self._by_share, among & classes[messages.TaskClass.SERVICE]),
+        )
+        best: tuple[float, _bins.Group] | None = None
+        for order, mask in firsts:
+            found = self._walk(order, mask, limit, now_ms) if mask else None
+            if found is not None and (best is None or found[0] < best[0]):
+                best = found
+        if best is None:
+            best = self._walk(self._by_share, among, None, now_ms)
+        return None if best is None else best[1]
+
+    def urgent(
+        self, among: int, now_ms: int
+    ) -> collections.abc.Iterator[_bins.Group]:
+        """Yield groups of urgent tasks within share, in order."""
+        limit = self._ranking.first_rank_limit()
+        mask = among & self.masks.classes[messages.TaskClass.URGENT]
+        for key, _, team in self._by_urgent:
+            if key > limit:
+                return
+            for bit in _bins.bits(team.mask & mask):
+                group = team.groups[bit]
+                if self.head(group, now_ms) is not None:
+                    yield group
+
+    def poorest(
+        self, among: int, teams_max: int, now_ms: int
+    ) -> collections.abc.Iterator[_bins.Group]:
+        """Yield the first group of each of the teams with least share."""
+        for _, _, team in self._by_share[:teams_max]:
+            group = self._pick(team, team.mask & among, now_ms)
+            if group is not None:
+                yield group
+
+    def first(self, home: _bins.Bin, now_ms: int) -> _tasks.PendingTask | None:
+        """Return the task whose turn it is in one bin."""
+        found = self._walk(self._by_share, home.bit, None, now_ms)
+        return None if found is None else self.head(found[1], now_ms)
+
+    def head(
         self, group: _bins.Group, now_ms: int
     ) -> _tasks.PendingTask | None:
         """Return the oldest task that can still meet its deadline."""
@@ -233,41 +198,101 @@
             heapq.heappop(heap)
         return None
 
+    def _walk(
+        self, order: _Order, among: int, limit: float | None, now_ms: int
+    ) -> tuple[float, _bins.Group] | None:
+        """Return the first team's group among these bins, and its key."""
+        for key, _, team in order:
+            if limit is not None and key > limit:
+                return None
+            mask = team.mask & among
+            if mask:
+                group = self._pick(team, mask, now_ms)
+                if group is not None:
+                    return key, group
+        return None
+
+    def _pick(
+        self, team: _bins.TeamQueue, mask: int, now_ms: int
+    ) -> _bins.Group | None:
+        """Return the team's group with the oldest task, by class."""
+        for task_class in _CLASSES:
+            best: tuple[int, _bins.Group] | None = None
+            class_mask = mask & self.masks.classes[task_class]
+            for bit in _bins.bits(class_mask):
+                group = team.groups[bit]
+                task = self.head(group, now_ms)
+                if task is None:
+                    team.mask &= ~bit
+                elif not team.account.allows(task.resources):
+                    team.mask &= ~bit
+                    team.parked |= bit
+                elif best is None or task.submitted_ms < best[0]:
+                    best = task.submitted_ms, group
+            if best is not None:
+                return best[1]
+        return None
+
     def _waits(self, task: _tasks.PendingTask) -> bool:
         return self._ledger.pending.get(task.task_id) is task
 
-    def _key(self, task: _tasks.PendingTask) -> _bins.BinKey:
-        return _bins.BinKey(
+    def _unpark(self, team: _bins.TeamQueue, bit: int) -> None:
+        team.mask |= bit
+        team.parked &= ~bit
+
+    def _group(self, task: _tasks.PendingTask) -> _bins.Group:
+        key = _bins.BinKey(
             task.task_class,
             task.region,
             self.need(task.resources),
             task.excluded_workers,
         )
-
-    def _group(self, task: _tasks.PendingTask) -> _bins.Group:
-        key = self._key(task)
         home = self.bins.get(key)
         if home is None:
-            home = _bins.Bin(key, next(self._numbers))
+            home = self.masks.new_bin(key, task.submitted_ms)
             self.bins[key] = home
         group = home.groups.get(task.team_id)
         if group is None:
-            account = self._ledger.teams.account(task.team_id)
-            group = _bins.Group(account, home, next(self._numbers))
+            team = self._team(task.team_id)
+            group = _bins.Group(team.account, home, next(self._numbers))
             home.groups[task.team_id] = group
-            teams = self._by_team.setdefault(task.team_id, {})
-            teams[group.number] = group
+            team.groups[home.bit] = group
             self.aged.add(group.number, group, task.submitted_ms)
         return group
 
+    def _team(self, team_id: messages.TeamId) -> _bins.TeamQueue:
+        team = self._teams.get(team_id)
+        if team is None:
+            account = self._ledger.teams.account(team_id)
+            team = _bins.TeamQueue(account, next(self._numbers))
+            self._teams[team_id] = team
+            self._enter_order(team)
+        return team
+
     def _remove(self, group: _bins.Group) -> None:
-        group.version += 1
+        home = group.bin
+        team = self._teams[group.account.team_id]
         self.aged.remove(group.number)
-        team_id = group.account.team_id
-        del group.bin.groups[team_id]
-        del self._by_team[team_id][group.number]
-        if not self._by_team[team_id]:
-            del self._by_team[team_id]
-        if not group.bin.groups:
-            _bins.Line.remove(group.bin)
-            del self.bins[group.bin.key]
+        del home.groups[group.account.team_id]
+        del team.groups[home.bit]
+        team.mask &= ~home.bit
+        team.parked &= ~home.bit
+        if not team.groups:
+            self._leave_order(team)
+            del self._teams[group.account.team_id]
+        if not home.groups:
+            self.masks.remove(home)
+            self.blocked &= ~home.bit
+            del self.bins[home.key]
+
+    def _enter_order(self, team: _bins.TeamQueue) -> None:
+        team.places = self._ranking.places(team.account)
+        share, urgent = team.places
+        bisect.insort(self._by_share, (share, team.number, team))
+        bisect.insort(self._by_urgent, (urgent, team.number, team))
+
+    def _leave_order(self, team: _bins.TeamQueue) -> None:
+        for order, place in zip(
+            (self._by_share, self._by_urgent), team.places
+        ):
+            del order[bisect.bisect_left(order, (place, team.number))]
--- a/dandeliondrum/placement/_ranking.py
+++ b/dandeliondrum/placement/_ranking.py
@@ -4,18 +4,6 @@
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _shares
 
-Key = tuple[int, float, int]
-
-FIRST_RANK = 0
-SHARED_RANK = 1
-
-_CLASS_ORDER = {
-    messages.TaskClass.URGENT: 0,
-    messages.TaskClass.SERVICE: 1,
-    messages.TaskClass.GANG: 2,
-    messages.TaskClass.BATCH: 3,
-}
-
 
 class Ranking:
     """Orders teams by weighted dominant share, urgent work ahead.
@@ -65,19 +53,30 @@
         """Return the part of the fleet that was granted to the team."""
         return account.weight() / self._weights
 
-    def key(
-        self, account: _shares.TeamAccount, task_class: messages.TaskClass
-    ) -> Key:
-        """Return where a team's tasks of a class come in the order."""
+    def first_rank_limit(self) -> float:
+        """Return the key up to which a team is within its share."""
+        return 1.0 / self._weights
+
+    def places(self, account: _shares.TeamAccount) -> tuple[float, float]:
+        """Return a team's keys: by dominant share, and by urgent tasks.
+
+        Each is a part of the fleet for one unit of granted share; smaller
+        comes first.
+        """
         weight = account.weight()
-        dominant = self.dominant_share(account)
-        order = _CLASS_ORDER[task_class]
+        slots_count = self._ledger.fleet.totals.slots_count or 1
+        return (
+            self.dominant_share(account) / weight,
+            account.urgent_count / slots_count / weight,
+        )
+
+    def is_first(
+        self, account: _shares.TeamAccount, task_class: messages.TaskClass
+    ) -> bool:
+        """Tell whether a team's tasks of a class come before the rest."""
+        share, urgent = self.places(account)
         if task_class is messages.TaskClass.URGENT:
-            slots_count = self._ledger.fleet.totals.slots_count or 1
-            urgent = account.urgent_count / slots_count
-            if urgent * self._weights <= weight:
-                return FIRST_RANK, urgent / weight, order
-        elif task_class is messages.TaskClass.SERVICE:
-            if dominant * self._weights <= weight:
-                return FIRST_RANK, dominant / weight, order
-        return SHARED_RANK, dominant / weight, order
+            return urgent <= self.first_rank_limit()
+        if task_class is messages.TaskClass.SERVICE:
+            return share <= self.first_rank_limit()
+        return False
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -37,8 +37,7 @@
         # Workers with new room, in the order in which they got it.
         self.woken: dict[messages.WorkerId, _fleet.Worker] = {}
         self.reasons: dict[messages.TaskId, str] = {}
-        self.awaited: dict[messages.TaskId, _bins.Bin] = {}
-        self._changed_teams: dict[messages.TeamId, None] = {}
+        self.awaited: dict[messages.TaskId, _bins.Group] = {}
         self._reset = True
         self.ranking.bind(ledger)
         self.queues.bind(ledger)
@@ -82,12 +81,11 @@
         """Note a task that has freed its worker."""
         task_id = running.task.task_id
         self._count(running, -1)
-        self._changed_teams[running.task.team_id] = None
         self.reasons.pop(task_id, None)
         self.victims.ended(task_id)
-        home = self.awaited.pop(task_id, None)
-        if home is not None:
-            home.awaited_count -= 1
+        group = self.awaited.pop(task_id, None)
+        if group is not None:
+            group.awaited_count -= 1
         worker = self.ledger.fleet.workers.get(running.worker_id)
         if worker is not None:
             self.wake(worker)
@@ -111,15 +109,11 @@
         self.drop_reservation()
 
     def refresh(self) -> None:
-        """Put teams whose usage has fallen where they now belong."""
+        """Put all teams where they belong after a change of the fleet."""
         if self._reset:
             self.ranking.reset()
-            self.queues.push_all()
-        else:
-            for team_id in self._changed_teams:
-                self.queues.push_team(team_id)
+            self.queues.note_all_usage()
         self._reset = False
-        self._changed_teams.clear()
 
     def wake(self, worker: _fleet.Worker) -> None:
         """Note a worker that may have room for tasks that had none."""
@@ -140,12 +134,13 @@
         self.reserver.release(self.ledger, made)
         for worker in made.workers():
             self.wake(worker)
-        self._changed_teams[made.team_id] = None
+        self.queues.note_usage(made.team_id, less=True)
 
     def _count(self, running: _tasks.RunningTask, sign: int) -> None:
         task = running.task
         self.choosers[task.task_class].count(running, sign)
         self.ranking.note_change(task.team_id)
+        self.queues.note_usage(task.team_id, less=sign < 0)
         if task.gang_id is not None:
             self.gangs.count_running(task, sign)
         if sign > 0:
