--- a/tests/test_operators_tour.py
+++ b/tests/test_operators_tour.py
@@ -139,6 +139,28 @@
     assert desk.run('drain', 'w9', code=1) == ''
 
 
+def quarantine(desk, tmp_path):
+    """Put w1 in quarantine by a rule."""
+    serve(desk, tmp_path)
+    path = tmp_path / 'quarantine.rules'
+    line = '{"rule": "worker", "worker": "w1", "state": "quarantined"}'
+    path.write_text(f'{RULES}{line}  // asked by A. Saetang\n')
+    desk.data('rules', 'apply', str(path), '--expected-version=1')
+
+
+def test_a_worker_that_the_rules_quarantine_gets_no_task(desk, tmp_path):
+    quarantine(desk, tmp_path)
+    words = ('--team=harbour', '--timeout-ms=1500')
+    refused = desk.submit('walk-in', *words, code=1)
+    assert refused['outcome'] == 'refused_not_run'
+
+
+def test_a_worker_that_the_rules_quarantine_is_shown_so(desk, tmp_path):
+    quarantine(desk, tmp_path)
+    (worker,) = desk.data('status')['workers']
+    assert worker['state'] == 'quarantined'
+
+
 def test_a_raced_change_is_refused_with_what_is_in_force(desk, tmp_path):
     serve(desk, tmp_path)
     stale = ('rules', 'apply', str(tmp_path / 'test.rules'))
