--- a/dandeliondrum/observability/_server.py
+++ b/dandeliondrum/observability/_server.py
@@ -13,7 +13,8 @@
 from dandeliondrum import utils
 
 THREADS_COUNT = 4
-TIMEOUT_S = 5
+# A sender that stalls holds a thread for so long.
+TIMEOUT_S = 2
 HEADER_MAX_BYTES = 16 * 1024
 BODY_MAX_BYTES = 1
 
--- a/dandeliondrum/observability/tests/test_server.py
+++ b/dandeliondrum/observability/tests/test_server.py
@@ -1,5 +1,6 @@
 """The server of /metrics, /healthz and /readyz."""
 
+import contextlib
 import http.client
 import socket
 import threading
@@ -77,6 +78,22 @@
     assert part.get('/healthz')[0] == 200
 
 
+def test_half_requests_do_not_keep_others_waiting_for_good(part):
+    host, port = part.server.address.split(':')
+    with contextlib.ExitStack() as stalled:
+        for _ in range(10):
+            stream = stalled.enter_context(
+                socket.create_connection((host, int(port)), 10)
+            )
+            stream.sendall(b'GET /metrics HTTP/1.1\r\nHost: ')
+        assert part.get('/healthz')[0] == 200
+
+
+def test_a_body_is_refused(part):
+    headers = [('Content-Length', '1000000')]
+    assert part.get('/metrics', headers=headers)[0] in (400, 413)
+
+
 def test_an_address_in_use_is_an_error_value(part):
     endpoints = observability.Endpoints(part.registry, lambda: part.readiness)
     second = observability.Server(part.server.address, endpoints)
--- a/tests/test_operators_tour.py
+++ b/tests/test_operators_tour.py
@@ -109,6 +109,8 @@
     assert walk_in['outcome'] == 'answered'
     refused = desk.submit('lens', '--team=harbour', key='a.b', code=1)
     assert refused['outcome'] == 'refused_not_run'
+    words = ('keys', 'grant', 'nobody', '--asked-by=S. Prasert')
+    assert 'has no rule' in desk.data(*words, code=1)['detail']
     history = desk.data('rules', 'history')
     assert [change['version'] for change in history] == [1, 2]
     assert 'w1' in desk.run('top', '--rounds=1')
