--- a/dandeliondrum/settings/_load.py
+++ b/dandeliondrum/settings/_load.py
@@ -8,17 +8,20 @@
 
 from dandeliondrum import json_text
 from dandeliondrum.settings import _check
+from dandeliondrum.settings import _controller
 from dandeliondrum.settings import _declare
+from dandeliondrum.settings import _gateway
 from dandeliondrum.settings import _kinds
 from dandeliondrum.settings import _problems
+from dandeliondrum.settings import _worker
 
 LONGEST_FILE_BYTES = 256 * 1024
 
 Kind = typing.TypeVar(
     'Kind',
-    _kinds.ControllerSettings,
-    _kinds.GatewaySettings,
-    _kinds.WorkerSettings,
+    _controller.ControllerSettings,
+    _gateway.GatewaySettings,
+    _worker.WorkerSettings,
 )
 Problems = tuple[_problems.SettingsProblem, ...]
 
--- a/dandeliondrum/settings/_tables.py
+++ b/dandeliondrum/settings/_tables.py
@@ -1,15 +1,17 @@
 """Tables of the declared parameters, for the documentation."""
 
+from dandeliondrum.settings import _controller
 from dandeliondrum.settings import _declare
-from dandeliondrum.settings import _kinds
+from dandeliondrum.settings import _gateway
+from dandeliondrum.settings import _worker
 
 BEGIN = '<!-- settings: made by "python -m dandeliondrum.settings FILE" -->'
 END = '<!-- settings end -->'
 
 _TITLES = (
-    ('Controller', _kinds.ControllerSettings),
-    ('Gateway', _kinds.GatewaySettings),
-    ('Worker (stand-in)', _kinds.WorkerSettings),
+    ('Controller', _controller.ControllerSettings),
+    ('Gateway', _gateway.GatewaySettings),
+    ('Worker (stand-in)', _worker.WorkerSettings),
 )
 
 
