--- a/dandeliondrum/worker/_attempt.py
+++ b/dandeliondrum/worker/_attempt.py
@@ -29,7 +29,6 @@
         self.digest = _EMPTY_DIGEST
         self.detail = ''
         self.run_ms = 0
-        self.on_record = False
         self._pace = 1.0
         self._stop_reason = ''
         self._changed = threading.Condition()
--- a/dandeliondrum/worker/_attempts.py
+++ b/dandeliondrum/worker/_attempts.py
@@ -1,39 +1,24 @@
 """The attempts of a worker: what runs, what ended, what may never start."""
 
 import collections.abc
-import dataclasses
 import threading
 import typing
 
 from dandeliondrum import messages
+from dandeliondrum.worker import _answers
 from dandeliondrum.worker import _attempt
 from dandeliondrum.worker import _calls
 from dandeliondrum.worker import _fence
 from dandeliondrum.worker import _journal
 from dandeliondrum.worker import _leases
 from dandeliondrum.worker import _options
+from dandeliondrum.worker import _snapshot
 
 LEASE_REASON = 'lease'
 
 _State = messages.AttemptState
 
 
-@dataclasses.dataclass(frozen=True)
-class Snapshot:
-    """What runs, what ended and what is fenced, all at one moment.
-
-    ``forgotten`` names fenced attempts that were started here and of which
-    nothing else is known any more.
-    """
-
-    running: tuple[_attempt.Attempt, ...]
-    ended: tuple[_attempt.Attempt, ...]
-    never_started: tuple[messages.AttemptId, ...]
-    fenced: tuple[messages.AttemptId, ...]
-    fenced_ends: tuple[_attempt.Attempt, ...]
-    forgotten: tuple[messages.AttemptId, ...]
-
-
 class Attempts:
     """Takes starts, ends and stops; safe for any thread.
 
@@ -57,9 +42,11 @@
         self._on_ended = on_ended
         self._lock = threading.RLock()
         self._attempts: dict[messages.AttemptId, _attempt.Attempt] = {}
+        self._running: dict[messages.AttemptId, _attempt.Attempt] = {}
+        self._unrecorded: dict[messages.AttemptId, _attempt.Attempt] = {}
         self._never_started: dict[messages.AttemptId, None] = {}
         self._fence = _fence.Fence()
-        self._kept_bytes = 0
+        self._answers = self._no_answers()
 
     def start(
         self, call: _calls.StartCall
@@ -79,6 +66,7 @@
                 return refused
             attempt = _attempt.Attempt(call)
             self._attempts[call.attempt_id] = attempt
+            self._running[call.attempt_id] = attempt
             self._fence.remember_started(call.attempt_id)
             self._record(_journal.EventKind.START, attempt)
         self._leases.arm(self._expires_ms(attempt))
@@ -110,7 +98,9 @@
             attempt.detail = detail
             attempt.run_ms = int(ended_ms - attempt.call.arrived_ms)
             attempt.keep(answer)
-            self._kept_bytes += attempt.length_bytes
+            del self._running[attempt.call.attempt_id]
+            self._unrecorded[attempt.call.attempt_id] = attempt
+            self._answers.add(attempt)
             self._record(
                 _journal.EventKind.END,
                 attempt,
@@ -156,16 +146,12 @@
     def running(self) -> list[_attempt.Attempt]:
         """Return the attempts that run now."""
         with self._lock:
-            return [each for each in self._attempts.values() if each.running]
+            return list(self._running.values())
 
     def unrecorded(self) -> list[_attempt.Attempt]:
         """Return ended attempts that the leader has not acknowledged."""
         with self._lock:
-            return [
-                each
-                for each in self._attempts.values()
-                if not each.running and not each.on_record
-            ]
+            return list(self._unrecorded.values())
 
     def never_started(self) -> list[messages.AttemptId]:
         """Return attempts that were stopped before they came."""
@@ -174,7 +160,7 @@
 
     def snapshot(
         self, to_fence: collections.abc.Iterable[messages.AttemptId]
-    ) -> Snapshot:
+    ) -> _snapshot.Snapshot:
         """Return how things stand at one moment.
 
         What is fenced neither runs nor ever will, and has its end in the
@@ -185,7 +171,7 @@
             ended = tuple(self.unrecorded())
             fenced = [each for each in to_fence if each not in running]
             known = [self._attempts.get(each) for each in fenced]
-            return Snapshot(
+            return _snapshot.Snapshot(
                 running=tuple(running.values()),
                 ended=ended,
                 never_started=tuple(self.never_started()),
@@ -204,7 +190,7 @@
             self._never_started.pop(attempt_id, None)
             attempt = self._attempts.get(attempt_id)
             if attempt is not None and not attempt.running:
-                attempt.on_record = True
+                self._unrecorded.pop(attempt_id, None)
                 self._forget_if_done(attempt)
 
     def release(self, attempt_id: messages.AttemptId) -> None:
@@ -224,9 +210,10 @@
             attempt.ended.wait()
         with self._lock:
             self._attempts.clear()
+            self._unrecorded.clear()
             self._never_started.clear()
             self._fence = _fence.Fence()
-            self._kept_bytes = 0
+            self._answers = self._no_answers()
 
     @property
     def overflowed(self) -> bool:
@@ -260,23 +247,24 @@
             attempt.call.arrived_ms, attempt.call.lease_ms
         )
 
+    def _no_answers(self) -> _answers.Answers:
+        return _answers.Answers(
+            self._options.answers_bytes, self._options.answers_count
+        )
+
     def _drop_surplus(self) -> None:
-        for attempt in list(self._attempts.values()):
-            if self._kept_bytes <= self._options.answers_bytes:
-                return
-            if not attempt.running and attempt.answer:
-                self._record(_journal.EventKind.DROPPED, attempt)
-                self._drop(attempt)
+        for attempt in self._answers.surplus():
+            self._record(_journal.EventKind.DROPPED, attempt)
+            self._drop(attempt)
 
     def _drop(self, attempt: _attempt.Attempt) -> None:
-        if attempt.answer is not None:
-            self._kept_bytes -= attempt.length_bytes
-            attempt.answer = None
+        self._answers.drop(attempt)
         self._forget_if_done(attempt)
 
     def _forget_if_done(self, attempt: _attempt.Attempt) -> None:
-        if attempt.on_record and attempt.answer is None:
-            self._attempts.pop(attempt.call.attempt_id, None)
+        attempt_id = attempt.call.attempt_id
+        if attempt.answer is None and attempt_id not in self._unrecorded:
+            self._attempts.pop(attempt_id, None)
 
     def _record_refusal(
         self, call: _calls.StartCall, refused: _calls.Refused
--- a/dandeliondrum/worker/_journal.py
+++ b/dandeliondrum/worker/_journal.py
@@ -5,6 +5,7 @@
 a killed process loses none that it wrote.
 """
 
+import collections
 import dataclasses
 import enum
 import pathlib
@@ -18,6 +19,9 @@
 from dandeliondrum.worker import _encoding
 
 
+EVENTS_MAX = 500_000
+
+
 class EventKind(enum.Enum):
     """What an entry of the journal records.
 
@@ -66,13 +70,18 @@
 
 
 class Journal:
-    """Collects events in memory and, when there is a path, in a file."""
+    """Collects events in memory and, when there is a path, in a file.
+
+    The file holds all events, memory the newest ``EVENTS_MAX``.
+    """
 
     def __init__(self, worker_id: messages.WorkerId, path: str) -> None:
         self.incarnation = messages.Incarnation('')
         self._worker_id = worker_id
         self._lock = threading.Lock()
-        self._events: list[Event] = []
+        self._events: collections.deque[Event] = collections.deque(
+            maxlen=EVENTS_MAX
+        )
         self._file: typing.BinaryIO | None = None
         if path:
             self._file = open(path, 'ab', buffering=0)
@@ -93,7 +102,7 @@
         return event
 
     def events(self) -> tuple[Event, ...]:
-        """Return all events so far, oldest first."""
+        """Return the newest ``EVENTS_MAX`` events, oldest first."""
         with self._lock:
             return tuple(self._events)
 
--- a/dandeliondrum/worker/_options.py
+++ b/dandeliondrum/worker/_options.py
@@ -5,6 +5,7 @@
 from dandeliondrum import messages
 
 DEFAULT_ANSWERS_BYTES = 256 * 1024 * 1024
+DEFAULT_ANSWERS_COUNT = 10_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -15,7 +16,8 @@
     free one; ``advertised_address`` is what is announced when callers have
     to come by another way, such as a proxy. ``gateways`` holds the base
     addresses (``http://host:port``) of the gateways' ``workers_address``.
-    ``answers_bytes`` bounds the answers that are kept. An empty
+    ``answers_bytes`` and ``answers_count`` bound the answers
+    that are kept. An empty
     ``journal_path`` keeps the journal in memory alone.
 
     Example::
@@ -46,3 +48,4 @@
     journal_path: str = ''
     fails_everything: bool = False
     answers_bytes: int = DEFAULT_ANSWERS_BYTES
+    answers_count: int = DEFAULT_ANSWERS_COUNT
--- a/dandeliondrum/worker/_reports.py
+++ b/dandeliondrum/worker/_reports.py
@@ -8,6 +8,7 @@
 from dandeliondrum.worker import _attempt
 from dandeliondrum.worker import _attempts
 from dandeliondrum.worker import _journal
+from dandeliondrum.worker import _snapshot
 
 BODY_IN_REPORT_BYTES = 64 * 1024
 BODIES_IN_BEAT_BYTES = 1024 * 1024
@@ -46,7 +47,7 @@
 
 
 def _ended(
-    facts: messages.WorkerFacts, now: _attempts.Snapshot
+    facts: messages.WorkerFacts, now: _snapshot.Snapshot
 ) -> tuple[messages.AttemptReport, ...]:
     """Return the ends, those of fenced attempts first.
 
--- a/dandeliondrum/worker/tests/test_server.py
+++ b/dandeliondrum/worker/tests/test_server.py
@@ -40,8 +40,11 @@
     assert reply.body == worker.seeded_bytes('seed', length_bytes)
 
 
-def test_the_oldest_answers_give_way_and_are_counted():
-    with _rig.running(answers_bytes=1_500) as rig:
+@pytest.mark.parametrize(
+    'bound', [{'answers_bytes': 1_500}, {'answers_count': 1}]
+)
+def test_the_oldest_answers_give_way_and_are_counted(bound):
+    with _rig.running(**bound) as rig:
         for number in range(2):
             body = {'answer_bytes': 1_000}
             rig.start(f'team/r{number}#1', body=body, wait_ms=5_000)
