--- a/dandeliondrum/testing/tests/test_checker.py
+++ b/dandeliondrum/testing/tests/test_checker.py
@@ -273,6 +273,21 @@
     assert story.check() == ()
 
 
+def test_a_refusal_of_another_content_excuses_an_earlier_doubt(story):
+    story.sent('r', 10, Told.IN_DOUBT, 20, echo='mine')
+    story.ran('team/r#1', 'w1', 15, 18)
+    story.sent('r', 50, Told.REFUSED_NOT_RUN, 60, echo='other')
+    assert story.check() == ()
+
+
+def test_an_earlier_answer_excuses_no_start_after_it(story):
+    story.sent('r', 10, Told.ANSWERED, 40, idempotent=True)
+    story.ran('team/r#1', 'w1', 15, 18)
+    story.sent('r', 50, Told.REFUSED_NOT_RUN, 60, idempotent=True)
+    story.ran('team/r#2', 'w1', 80, 90)
+    assert story.wrong() == [Wrong.RAN_AFTER_REFUSAL]
+
+
 def test_the_answer_of_another_request(story):
     sending_id = story.sent('r', 10, echo='mine')
     story.ran('team/r#1', 'w1', 15, 18)
@@ -351,6 +366,18 @@
     assert story.wrong(margin_ms=1_000) == [Wrong.TEAM_OVER_LIMIT]
 
 
+def test_a_limit_that_is_raised_later_excuses_nothing_before(story):
+    story.limits += [
+        testing.TeamLimit(team_id='team', running_max=1),
+        testing.TeamLimit(team_id='team', at_ms=9_000, running_max=5),
+    ]
+    answered(story, 'a', 100, 9_500)
+    answered(story, 'b', 8_900, 8_950)
+    assert story.check(margin_ms=1_000) == ()
+    answered(story, 'c', 5_000, 5_100)
+    assert story.wrong(margin_ms=1_000) == [Wrong.TEAM_OVER_LIMIT]
+
+
 @pytest.mark.parametrize('start_ms, good', [(4_900, True), (5_100, False)])
 def test_a_start_for_a_withdrawn_key(story, start_ms, good):
     story.withdrawals.append(testing.Withdrawal(key_id='k1', at_ms=1_000))
--- a/dandeliondrum/testing/tests/test_proxy.py
+++ b/dandeliondrum/testing/tests/test_proxy.py
@@ -88,6 +88,12 @@
     stream.settimeout(PATIENCE_S)
 
 
+def close_with_reset(stream):
+    linger = struct.pack('ii', 1, 0)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    stream.close()
+
+
 def assert_reset(stream):
     with pytest.raises(ConnectionError):
         while stream.recv(65_536):
@@ -190,7 +196,9 @@
         with dial(proxy) as new:
             new.sendall(b'lost')
             assert_quiet(new)
-    proxy.heal()
+        proxy.heal()
+        old.sendall(b'behind a gap')
+        assert_quiet(old)
     with dial(proxy) as new:
         assert ask(new, b'after') == b'after'
     assert bytes(echo.received) == b'beforeafter'
@@ -205,13 +213,23 @@
         target, _ = listener.accept()
         stack.enter_context(target)
         link.set(testing.BLACKHOLE)
-        source.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-        )
-        source.close()
+        close_with_reset(source)
         assert_quiet(target)
 
 
+def test_a_reset_passes():
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        host, port = listener.getsockname()
+        link = stack.enter_context(testing.Proxy(f'{host}:{port}'))
+        source = dial(link)
+        target, _ = listener.accept()
+        stack.enter_context(target)
+        target.settimeout(PATIENCE_S)
+        close_with_reset(source)
+        assert_reset(target)
+
+
 def test_a_stalled_connection_goes_on_without_a_gap(proxy):
     with dial(proxy) as stream:
         ask(stream, b'before')
--- a/dandeliondrum/worker/tests/test_heartbeats.py
+++ b/dandeliondrum/worker/tests/test_heartbeats.py
@@ -43,6 +43,13 @@
         assert rig.gateway.wait_for_beat(lambda each: each.ended, 5_000)
 
 
+def test_a_leaving_worker_says_so_at_once():
+    with _rig.running(heartbeat_ms=60_000) as rig:
+        assert rig.gateway.wait_for_beat(lambda _: True, 5_000)
+        rig.worker.leave()
+        assert rig.gateway.wait_for_beat(lambda each: each.leaving, 5_000)
+
+
 def test_large_answers_stay_on_the_worker():
     with _rig.running() as rig:
         for number, length_bytes in enumerate((65_536, 65_537)):
