Refuse early only by a measured pace; refuse what waits under a lost key

Two failures that the new tests of whole cells found.

Work of a withdrawn key that waited was started up to 27 s after the withdrawal: the key was checked when the work was handed in only.

A wave of 3,000 jobs of which each could be done in time was refused in part, now and then: while nothing had started yet the estimator took the pace to be one start in all the time so far. It now knows no pace before 20 starts.

--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_intake.py
@@ -96,7 +96,8 @@
             return why
         if spec.durable and task is None:
             return None
-        return self._queue(session, spec, task)
+        key_id, _, _ = key.partition('.')
+        return self._queue(session, spec, task, key_id)
 
     def _known(
         self,
@@ -143,11 +144,12 @@
         session: _sessions.Session,
         spec: messages.TaskSpec,
         task: _records.TaskRecord | None,
+        key_id: str,
     ) -> messages.TaskStatus | messages.Refusal:
         context = self._context
         deadline_ms = context.now_ms() + spec.timeout_ms
         excluded = frozenset(task.failed_workers if task else ())
-        entry = _pending.PendingEntry(spec, deadline_ms, excluded)
+        entry = _pending.PendingEntry(spec, deadline_ms, excluded, key_id)
         outcome = context.add_pending(entry)
         if isinstance(outcome, result.Failure):
             return _refusal(
@@ -237,6 +239,24 @@
                 ]
             )
 
+    def refuse_withdrawn(self) -> None:
+        """Refuse what waits under a key that the rules hold no more."""
+        context = self._context
+        refusals = []
+        with context.lock, context.state.lock:
+            keys = context.state.rules.keys
+            for entry in context.pending.without_key(keys):
+                if context.drop_pending(entry.spec.task_id):
+                    refusals.append(
+                        _refusal(
+                            entry.spec,
+                            messages.RefusalReason.BAD_KEY,
+                            'the key was withdrawn while the task waited',
+                        )
+                    )
+        if refusals:
+            self.refuse_pending(refusals)
+
     def refuse_pending(self, refusals: list[messages.Refusal]) -> None:
         """Refuse tasks that waited; tell those who wait for them."""
         for future in self._refuse(refusals):
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_office.py
@@ -41,7 +41,9 @@
         self._desk = _endings_desk.EndingsDesk(context, self._intake, timers)
         self._beats = _beats.Beats(context, self._desk)
         self._dispatch = _dispatch.Dispatch(context, self._desk)
-        self._operators = _operators.Operators(context, self._beats)
+        self._operators = _operators.Operators(
+            context, self._beats, self._intake
+        )
 
     def open(self) -> None:
         """Rebuild the planner, then start to decide."""
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -9,6 +9,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.controller import _beats
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _intake
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import rules as rules_lib
@@ -30,8 +31,14 @@
 class Operators:
     """The leader's part that speaks to operators."""
 
-    def __init__(self, context: _context.Context, beats: _beats.Beats) -> None:
+    def __init__(
+        self,
+        context: _context.Context,
+        beats: _beats.Beats,
+        intake: _intake.Intake,
+    ) -> None:
         self._context = context
+        self._intake = intake
         self._beats = beats
 
     def take(self, message: typing.Any) -> typing.Any:
@@ -113,6 +120,7 @@
             record = context.state.rules_record
             context.planner.set_teams(grants(context.state.rules))
             sessions = context.sessions.all()
+        self._intake.refuse_withdrawn()
         push = messages.RulesPush(record.version, record.text)
         for session in sessions:
             session.connection.push(push)
--- a/dandeliondrum/controller/_pending.py
+++ b/dandeliondrum/controller/_pending.py
@@ -1,6 +1,7 @@
 """The tasks that a leader holds for a worker, and how long they may wait."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from returns import result
@@ -16,11 +17,16 @@
 
 @dataclasses.dataclass
 class PendingEntry:
-    """One task that waits for a worker."""
+    """One task that waits for a worker.
+
+    ``key_id`` is the key with which a caller who still waits handed it in;
+    empty for an open queue and for durable work, which is owed an answer.
+    """
 
     spec: messages.TaskSpec
     deadline_ms: int
     excluded_workers: frozenset[messages.WorkerId] = frozenset()
+    key_id: str = ''
 
     @property
     def group(self) -> Group:
@@ -81,6 +87,16 @@
             and entry.spec.task_class is not messages.TaskClass.SERVICE
         ]
 
+    def without_key(
+        self, key_ids: collections.abc.Container[str]
+    ) -> list[PendingEntry]:
+        """Return the tasks whose key is none of these any more."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.key_id and entry.key_id not in key_ids
+        ]
+
     def measure(self, now_ms: int) -> None:
         """Note the throughput of each group since the last call."""
         for group in set(self._estimators) | set(self._started):
--- a/dandeliondrum/placement/_admission.py
+++ b/dandeliondrum/placement/_admission.py
@@ -7,6 +7,8 @@
 from dandeliondrum import messages
 
 WINDOW_MS = 10_000
+# Tasks start in bursts, so that fewer starts say little of the pace.
+STARTED_COUNT_MIN = 20
 # Part of its timeout that a task may be expected to wait at most.
 TIMEOUT_PORTION = 0.9
 
@@ -52,14 +54,14 @@
     def estimated_wait_ms(self, ahead_count: int) -> int:
         """Return how long a task waits behind so many others.
 
-        0 while nothing has been measured: what isn't known is no reason to
+        0 while little has been measured: what isn't known is no reason to
         refuse.
         """
         if not self._busy_ms or ahead_count <= 0:
             return 0
-        # A fleet that started nothing is taken to start one task next.
-        started_count = max(1, self._started_count)
-        return ahead_count * self._busy_ms // started_count
+        if self._started_count < STARTED_COUNT_MIN:
+            return 0
+        return ahead_count * self._busy_ms // self._started_count
 
 
 class AdmissionPolicy:
--- a/dandeliondrum/placement/tests/test_admission.py
+++ b/dandeliondrum/placement/tests/test_admission.py
@@ -44,6 +44,13 @@
     return good / seconds
 
 
+def test_a_pace_of_no_starts_yet_refuses_nothing():
+    estimator = placement.WaitEstimator()
+    for now_ms in range(0, 500, 100):
+        estimator.record(0, 1_500, now_ms)
+    assert estimator.estimated_wait_ms(1_500) == 0
+
+
 def test_goodput_stays_near_its_peak_when_overloaded():
     peak = max(goodput(load, 20, True) for load in (0.9, 1.0, 1.2))
     assert goodput(4, 20, True) >= 0.9 * peak
--- a/dandeliondrum/testing/_cell.py
+++ b/dandeliondrum/testing/_cell.py
@@ -5,6 +5,7 @@
 and operators are not part of the mesh.
 """
 
+import base64
 import collections.abc
 import contextlib
 import functools
@@ -27,6 +28,8 @@
 POLL_MS = 50
 CALL_TIMEOUT_MS = 5_000
 
+_SMALL = {'cpu_millicores': 1_000, 'memory_mb': 512, 'timeout_ms': 60_000}
+
 Value = typing.TypeVar('Value')
 
 
@@ -310,6 +313,59 @@
             timeout_ms + 5_000,
         )
 
+    def submit_job(
+        self,
+        key: str,
+        tasks: list[dict[str, typing.Any]],
+        gateway: str = 'g1',
+        team: str = 'harbour',
+        **fields: typing.Any,
+    ) -> _http.HttpReply:
+        """Hand in a job; each task has ``body`` as a mapping."""
+        sent = []
+        for task in tasks:
+            body = json.dumps(task.pop('body', {})).encode()
+            encoded = base64.b64encode(body).decode()
+            sent.append({**_SMALL, **task, 'body_base64': encoded})
+        address = self.addresses[f'{gateway}/callers']
+        return _http.call_json(
+            f'http://{address}/v1/jobs',
+            {'team': team, 'queue': 'lens', 'tasks': sent, **fields},
+            {'Authorization': f'Bearer {key}'},
+            CALL_TIMEOUT_MS * 4,
+        )
+
+    def ask(
+        self,
+        key: str,
+        path: str,
+        method: str = 'GET',
+        body: dict[str, typing.Any] | None = None,
+        gateway: str = 'g1',
+        team: str = 'harbour',
+    ) -> _http.HttpReply:
+        """Make another call of a caller, for example about a task."""
+        address = self.addresses[f'{gateway}/callers']
+        return _http.call(
+            f'http://{address}/v1/{path}',
+            method,
+            None if body is None else json.dumps(body).encode(),
+            {
+                'Authorization': f'Bearer {key}',
+                'Dandeliondrum-Team': team,
+                'Content-Type': 'application/json',
+            },
+            CALL_TIMEOUT_MS * 4,
+        )
+
+    def state_of(self, key: str, request_id: str, gateway: str = 'g1') -> str:
+        """Return the state of a task; empty when there is no answer."""
+        reply = self.ask(key, f'tasks/{request_id}', gateway=gateway)
+        try:
+            return str(reply.json().get('state', ''))
+        except ValueError:
+            return ''
+
     def journal(self, name: str) -> tuple[worker.Event, ...]:
         """Return the events that a worker recorded."""
         path = self.folder / f'{name}.journal'
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,7 @@
 RULES = """
 {"rule": "team", "team": "harbour", "share": 1}  // asked by S. Prasert
 {"rule": "team", "team": "inspectors", "share": 3, "upper_limit": {"running": 2}}  // asked by S. Prasert
-{"rule": "queue", "queue": "lens", "open": false, "class": "batch"}  // asked by S. Prasert
+{"rule": "queue", "queue": "lens", "open": false, "class": "batch", "queued_max": 5000}  // asked by S. Prasert
 {"rule": "queue", "queue": "walk-in", "open": true, "class": "urgent", "team": "harbour"}  // asked by S. Prasert
 {"rule": "defaults", "retries_max": 3, "lease_ms": {"urgent": 1500, "batch": 1500, "gang": 1500, "service": 1500}}  // asked by the tests, to be quick
 """  # noqa: E501
