--- a/dandeliondrum/settings/_load.py
+++ b/dandeliondrum/settings/_load.py
@@ -15,7 +15,7 @@
 from dandeliondrum.settings import _problems
 from dandeliondrum.settings import _worker
 
-LONGEST_FILE_BYTES = 256 * 1024
+LONGEST_FILE_BYTES = 64 * 1024
 
 Kind = typing.TypeVar(
     'Kind',
