--- /dev/null
+++ b/dandeliondrum/consensus/tests/test_commit.py
@@ -0,0 +1,144 @@
+"""Tests of what counts as agreed on, and since when."""
+
+import threading
+import time
+
+from returns import result
+
+from dandeliondrum import consensus
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _peer
+from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _start
+from dandeliondrum.consensus.tests import harness
+from dandeliondrum import messages
+
+MEMBERS = tuple(
+    _messages.Member(messages.ControllerId(name), 'unused:1', f'disk {name}')
+    for name in ('c1', 'c2', 'c3')
+)
+
+
+class HeldSync(_files.Files):
+    """Lets no sync end while it is held."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.released.set()
+        self.waiting = threading.Event()
+
+    def sync(self, descriptor):
+        if not self.released.is_set():
+            self.waiting.set()
+        self.released.wait(harness.PATIENCE_S)
+        super().sync(descriptor)
+
+
+def open_leader(folder):
+    """Return the files of a leader in term 2 with an entry of term 1."""
+    options = consensus.Options(
+        messages.ControllerId('c1'), harness.CELL, folder
+    )
+    opened = _start.open_files(options, _files.Files())
+    state = opened.state
+    state.disk_id = MEMBERS[0].disk_id
+    membership = messages.encode(_messages.Membership(MEMBERS))
+    append(state, 1, _records.EntryKind.MEMBERSHIP, membership)
+    with state.lock:
+        state.term = 2
+        state.take_office()
+    return opened
+
+
+def append(state, term, kind, payload=b''):
+    index = state.log.last_index + 1
+    entry = _records.make(index, term, kind, payload)
+    state.log.append([entry])
+    state.history.add([entry])
+    state.synced_index = index
+
+
+def test_an_entry_of_a_former_term_is_committed_only_with_one_of_the_own(
+    tmp_path,
+):
+    state = open_leader(tmp_path).state
+    with state.lock:
+        state.progress['c2'].match_index = 1
+        state.advance_commit()
+        assert state.commit_index == 0
+        append(state, 2, _records.EntryKind.EMPTY)
+        state.progress['c2'].match_index = 2
+        state.advance_commit()
+        assert state.commit_index == 2
+
+
+def test_what_one_of_three_has_is_not_committed(tmp_path):
+    state = open_leader(tmp_path).state
+    with state.lock:
+        append(state, 2, _records.EntryKind.EMPTY)
+        state.advance_commit()
+        assert state.commit_index == 0
+        # A voter whose disk was replaced does not count.
+        state.progress['c2'].match_index = 2
+        state.progress['c2'].lost_disk_id = 'another'
+        state.advance_commit()
+        assert state.commit_index == 0
+
+
+def test_an_answer_counts_from_the_time_of_its_sending(tmp_path):
+    opened = open_leader(tmp_path)
+    state = opened.state
+    peer = _peer.Peer(state, opened.snapshots, messages.ControllerId('c2'))
+    began_ns = []
+
+    class SlowLink:
+        def call(self, _address, message, _size_bytes):
+            began_ns.append(time.monotonic_ns())
+            time.sleep(0.05)
+            return result.Success(
+                _messages.AppendReply(
+                    2, _messages.Outcome.STORED, 1, 1, MEMBERS[1].disk_id
+                )
+            )
+
+    peer._link = SlowLink()
+    heartbeat = _messages.AppendEntries(2, 'c1', MEMBERS[1].disk_id, 1, 1, 0)
+    assert peer._send('unused:1', heartbeat, [])
+    assert 0 < state.progress['c2'].answered_ns <= began_ns[0]
+
+
+def test_an_entry_counts_only_once_it_is_synced(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: HeldSync() for name in cluster.names}
+        leader = cluster.form()
+        cluster.propose(leader, b'before').unwrap()
+        down, slow = cluster.others(leader)
+        cluster.stop(down)
+        for disk in (cluster.files[slow], cluster.files[leader]):
+            disk.released.clear()
+            future = cluster.node(leader).propose(b'waits')
+            assert disk.waiting.wait(harness.PATIENCE_S)
+            time.sleep(2 * harness.HEARTBEAT_MS / 1000)
+            assert not future.done()
+            disk.released.set()
+            assert future.result(harness.PATIENCE_S).unwrap()
+
+
+def test_a_transfer_waits_for_what_was_proposed_before(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: HeldSync() for name in cluster.names}
+        leader = cluster.form()
+        node = cluster.node(leader)
+        disk = cluster.files[leader]
+        disk.released.clear()
+        first = node.propose(b'first')
+        assert disk.waiting.wait(harness.PATIENCE_S)
+        # The followers have all that is in the log; this is not yet there.
+        second = node.propose(b'second')
+        transfer = node.transfer()
+        time.sleep(2 * harness.HEARTBEAT_MS / 1000)
+        disk.released.set()
+        for future in (first, second, transfer):
+            future.result(harness.PATIENCE_S).unwrap()
+        cluster.wait_applied([b'first', b'second'])
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -43,6 +43,7 @@
         self._stop = threading.Event()
         self.acknowledged = []
         self.not_done = []
+        self.unknown = []
         self._threads = [
             threading.Thread(target=self._propose_on, args=(number,))
             for number in range(count)
@@ -83,6 +84,8 @@
                     self.acknowledged.append(command)
                 elif outcome.failure().not_done:
                     self.not_done.append(command)
+                else:
+                    self.unknown.append(command)
             self._stop.wait(0.001)
 
 
@@ -218,6 +221,7 @@
                 successor = cluster.leader(among=cluster.others(former))
                 assert target in (successor, None)
         assert not watch.doubled
+        assert not proposers.unknown
         check_terms(listeners)
         check_history(cluster, proposers)
 
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -23,6 +23,12 @@
     )
 
 
+def disk_of(cluster, leader, name):
+    """Return the disk of a member as the leader's membership has it."""
+    members = cluster.node(leader).status().members
+    return {one.controller_id: one.disk_id for one in members}[name]
+
+
 def propose_many(cluster, name, first, last):
     commands = [b'%d' % number for number in range(first, last)]
     futures = [cluster.node(name).propose(command) for command in commands]
@@ -173,8 +179,10 @@
         cluster.stop(emptied)
         shutil.rmtree(tmp_path / emptied)
         cluster.start(emptied)
-        assert cluster.node(emptied).status().disk_id != former_disk_id
+        disk_id = cluster.node(emptied).status().disk_id
+        assert disk_id != former_disk_id
         cluster.wait_applied(commands)
+        harness.wait_for(lambda: disk_of(cluster, leader, emptied) == disk_id)
         wait_voters(cluster, leader, cluster.names)
         # It counts again: the other may go.
         cluster.stop(other)
