Register the log's metrics with the owner of the node

They were in the global registry, which a controller does not expose, and three nodes in one process would have shared them. The bench now proposes random bytes, since constant ones compress too well.

--- a/benchmarks/bench_consensus.py
+++ b/benchmarks/bench_consensus.py
@@ -13,6 +13,7 @@
 import json
 import pathlib
 import queue
+import random
 import socket
 import subprocess
 import sys
@@ -173,7 +174,13 @@
                     pathlib.Path(folder) / name,
                     value,
                 )
-                nodes.append(consensus.Node(options, Counter(), Quiet()))
+                node = consensus.Node(
+                    options,
+                    Counter(),
+                    Quiet(),
+                    registry=prometheus_client.REGISTRY,
+                )
+                nodes.append(node)
                 nodes[0].start().unwrap()
                 server.start()
                 answer(True)
@@ -196,7 +203,7 @@
     lock = threading.Lock()
     failed = 0
     end_s = time.monotonic() + seconds
-    command = b'c' * command_bytes
+    command = random.Random(1).randbytes(command_bytes)
 
     def propose_on() -> None:
         nonlocal failed
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -8,7 +8,6 @@
 
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _membership
-from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _state
@@ -165,5 +164,5 @@
             state.works.appendleft(empty)
             state.proposals_waiting += 1
             state.writer_wakes.notify()
-        _metrics.ELECTIONS.inc()
+        state.metrics.elections_won.inc()
         _logger.info('leading', term=term, member=state.me)
--- a/dandeliondrum/consensus/_metrics.py
+++ b/dandeliondrum/consensus/_metrics.py
@@ -1,23 +1,38 @@
-"""Counters of the replicated log."""
+"""Counters of one node of the replicated log."""
 
 import prometheus_client
 
-SENT_BYTES = prometheus_client.Counter(
-    'dandeliondrum_consensus_sent_bytes',
-    'Bytes of entries and snapshots sent to a peer, as compressed',
-    ['peer'],
-)
-SENT_RAW_BYTES = prometheus_client.Counter(
-    'dandeliondrum_consensus_sent_uncompressed_bytes',
-    'Bytes of entries and snapshots sent to a peer, before compression',
-    ['peer'],
-)
-SYNC_SECONDS = prometheus_client.Histogram(
-    'dandeliondrum_consensus_sync_seconds',
-    'Time in which a batch of entries was synced to the disk',
-    buckets=(0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.2, 1, 5),
-)
-ELECTIONS = prometheus_client.Counter(
-    'dandeliondrum_consensus_elections_won',
-    'Elections that this node won',
-)
+_SYNC_BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.2, 1, 5)
+
+
+class Metrics:
+    """The counters, in the registry of the node's owner."""
+
+    def __init__(
+        self, registry: prometheus_client.CollectorRegistry | None = None
+    ) -> None:
+        if registry is None:
+            registry = prometheus_client.CollectorRegistry()
+        self.sent_bytes = prometheus_client.Counter(
+            'dandeliondrum_consensus_sent_bytes',
+            'Bytes of entries and snapshots sent to a peer, as compressed',
+            ['peer'],
+            registry=registry,
+        )
+        self.sent_raw_bytes = prometheus_client.Counter(
+            'dandeliondrum_consensus_sent_uncompressed_bytes',
+            'Bytes of entries and snapshots sent, before compression',
+            ['peer'],
+            registry=registry,
+        )
+        self.sync_seconds = prometheus_client.Histogram(
+            'dandeliondrum_consensus_sync_seconds',
+            'Time in which a batch of entries was synced to the disk',
+            buckets=_SYNC_BUCKETS_S,
+            registry=registry,
+        )
+        self.elections_won = prometheus_client.Counter(
+            'dandeliondrum_consensus_elections_won',
+            'Elections that this node won',
+            registry=registry,
+        )
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+import prometheus_client
 from returns import result
 
 from dandeliondrum.consensus import _changes
@@ -15,6 +16,7 @@
 from dandeliondrum.consensus import _interfaces
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
@@ -31,11 +33,12 @@
     """Keeps a state machine in step with those of the other controllers.
 
     The owner has the server on which the other nodes call this one, and
-    passes on what the node handles.
+    passes on what the node handles. Metrics go into the owner's registry.
+    ``on_fatal`` is called when a broken invariant has stopped the node.
 
     Example::
 
-        node = consensus.Node(options, machine, listener)
+        node = consensus.Node(options, machine, listener, registry=registry)
         node.start().unwrap()
 
         def on_call(connection, message):
@@ -54,10 +57,16 @@
         listener: _interfaces.Listener,
         on_fatal: _tasks.OnFatal | None = None,
         files: _files.Files | None = None,
+        registry: prometheus_client.CollectorRegistry | None = None,
     ) -> None:
         self._options = options
         self._tasks = _tasks.Tasks(
-            options, machine, listener, on_fatal, files or _files.Files()
+            options,
+            machine,
+            listener,
+            on_fatal,
+            files or _files.Files(),
+            _metrics.Metrics(registry),
         )
         self._resources = contextlib.ExitStack()
 
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -13,7 +13,6 @@
 from dandeliondrum.consensus import _link
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
-from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
@@ -76,8 +75,8 @@
         self._snapshots = _snapshot_sender.SnapshotSender(
             state, snapshots, self._link, member_id
         )
-        self._sent = _metrics.SENT_BYTES.labels(member_id)
-        self._sent_raw = _metrics.SENT_RAW_BYTES.labels(member_id)
+        self._sent = state.metrics.sent_bytes.labels(member_id)
+        self._sent_raw = state.metrics.sent_raw_bytes.labels(member_id)
 
     def run(self, stopping: threading.Event) -> None:
         """Serve the peer until it is no member or the node closes."""
--- a/dandeliondrum/consensus/_snapshot_sender.py
+++ b/dandeliondrum/consensus/_snapshot_sender.py
@@ -6,7 +6,6 @@
 
 from dandeliondrum.consensus import _link
 from dandeliondrum.consensus import _messages
-from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _state
@@ -70,15 +69,15 @@
     def _send_part(
         self, address: str, message: _messages.InstallSnapshot
     ) -> bool:
+        state = self._state
         size_bytes = len(message.data)
-        _metrics.SENT_BYTES.labels(self._id).inc(size_bytes)
-        _metrics.SENT_RAW_BYTES.labels(self._id).inc(size_bytes)
+        state.metrics.sent_bytes.labels(self._id).inc(size_bytes)
+        state.metrics.sent_raw_bytes.labels(self._id).inc(size_bytes)
         sent_ns = time.monotonic_ns()
         outcome = self._link.call(address, message, size_bytes)
         reply = outcome.value_or(None)
         if not isinstance(reply, _messages.SnapshotReply):
             return False
-        state = self._state
         with state.lock:
             if reply.term > state.term:
                 state.put(_works.ObserveTerm(reply.term))
--- a/dandeliondrum/consensus/_start.py
+++ b/dandeliondrum/consensus/_start.py
@@ -13,6 +13,7 @@
 from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _state
@@ -51,7 +52,11 @@
     return descriptor
 
 
-def open_files(options: _options.Options, files: _files.Files) -> Opened:
+def open_files(
+    options: _options.Options,
+    files: _files.Files,
+    metrics: _metrics.Metrics | None = None,
+) -> Opened:
     """Open the log, the snapshot, the term and vote, and the identity.
 
     Raises StorageError for damage or files of another node, and OSError.
@@ -59,14 +64,17 @@
     folder = options.data_folder
     log = _log.Log(files, folder)
     try:
-        return _open_rest(options, files, log)
+        return _open_rest(options, files, log, metrics or _metrics.Metrics())
     except Exception:
         log.close()
         raise
 
 
 def _open_rest(
-    options: _options.Options, files: _files.Files, log: _log.Log
+    options: _options.Options,
+    files: _files.Files,
+    log: _log.Log,
+    metrics: _metrics.Metrics,
 ) -> Opened:
     snapshots = _snapshot.SnapshotStore(files, options.data_folder)
     snapshot = snapshots.load()
@@ -87,7 +95,7 @@
                 str(options.data_folder),
             )
         )
-    state = _state.NodeState(options, disk_id, log, history)
+    state = _state.NodeState(options, disk_id, log, history, metrics)
     _fill_in(state, log, snapshot, hard_state)
     return Opened(state, log, snapshots, snapshot)
 
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -18,6 +18,7 @@
 from dandeliondrum.consensus import _interfaces
 from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _membership
+from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _snapshot
@@ -36,12 +37,14 @@
         disk_id: str,
         log: _log.Log,
         history: _membership.MembershipHistory,
+        metrics: _metrics.Metrics,
     ) -> None:
         self.options = options
         self.me = options.controller_id
         self.disk_id = disk_id
         self.log = log
         self.history = history
+        self.metrics = metrics
         self.lock = threading.RLock()
         self.writer_wakes = threading.Condition(self.lock)
         self.applier_wakes = threading.Condition(self.lock)
--- a/dandeliondrum/consensus/_tasks.py
+++ b/dandeliondrum/consensus/_tasks.py
@@ -13,6 +13,7 @@
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _interfaces
+from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _room
 from dandeliondrum.consensus import _start
@@ -38,12 +39,14 @@
         listener: _interfaces.Listener,
         on_fatal: OnFatal | None,
         files: _files.Files,
+        metrics: _metrics.Metrics,
     ) -> None:
         self._options = options
         self._machine = machine
         self._listener = listener
         self._on_fatal = on_fatal
         self._files = files
+        self._metrics = metrics
         self._state: _state.NodeState | None = None
         self._changes: _changes.Changes | None = None
 
@@ -73,7 +76,7 @@
         """
         folder = self._options.data_folder
         resources.callback(os.close, _start.lock_folder(folder))
-        opened = _start.open_files(self._options, self._files)
+        opened = _start.open_files(self._options, self._files, self._metrics)
         resources.callback(opened.log.close)
         state = opened.state
         applier = _applier.Applier(state, self._machine, opened.snapshots)
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -18,7 +18,6 @@
 from dandeliondrum.consensus import _hard_state
 from dandeliondrum.consensus import _interfaces
 from dandeliondrum.consensus import _messages
-from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
@@ -221,7 +220,7 @@
         self._refuse(proposals, error)
 
     def _sync(self) -> None:
-        with _metrics.SYNC_SECONDS.time():
+        with self._state.metrics.sync_seconds.time():
             self._log.sync()
         state = self._state
         with state.lock:
