--- a/benchmarks/bench_consensus.py
+++ b/benchmarks/bench_consensus.py
@@ -203,12 +203,13 @@
     lock = threading.Lock()
     failed = 0
     end_s = time.monotonic() + seconds
-    command = random.Random(1).randbytes(command_bytes)
+    source = random.Random(1)
 
     def propose_on() -> None:
         nonlocal failed
         while time.monotonic() < end_s:
             began_ns = time.monotonic_ns()
+            command = source.randbytes(command_bytes)
             outcome = node.propose(command).result()
             taken_us = (time.monotonic_ns() - began_ns) // 1_000
             with lock:
--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -71,6 +71,7 @@
         self.target = ''
         self._open = threading.Event()
         self._open.set()
+        self._silenced = []
         self._closed = False
         self._listener = socket.create_server(('127.0.0.1', 0))
         host, port = self._listener.getsockname()
@@ -82,6 +83,13 @@
     def pause(self):
         self._open.clear()
 
+    def silence(self):
+        """Hold back all bytes of the streams of now for good."""
+        self._open.clear()
+        self._silenced.append(self._open)
+        self._open = threading.Event()
+        self._open.set()
+
     def resume(self):
         self._open.set()
         # What was held back must not arrive late on old streams.
@@ -89,7 +97,8 @@
 
     def close(self):
         self._closed = True
-        self._open.set()
+        for gate in [self._open, *self._silenced]:
+            gate.set()
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
@@ -118,13 +127,15 @@
                 self._streams += [near, far]
             for source, sink in ((near, far), (far, near)):
                 threading.Thread(
-                    target=self._carry, args=(source, sink), daemon=True
+                    target=self._carry,
+                    args=(source, sink, self._open),
+                    daemon=True,
                 ).start()
 
-    def _carry(self, source, sink):
+    def _carry(self, source, sink, gate):
         with contextlib.suppress(OSError):
             while data := source.recv(1 << 16):
-                self._open.wait()
+                gate.wait()
                 sink.sendall(data)
         for stream in (source, sink):
             with contextlib.suppress(OSError):
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -241,6 +241,19 @@
         cluster.propose(leader, b'after').unwrap()
 
 
+def test_streams_that_go_silent_are_replaced(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.form()
+        with Proposers(cluster) as proposers:
+            for _ in range(2):
+                proposers.wait_for(20)
+                for forwarder in cluster.forwarders.values():
+                    forwarder.silence()
+            proposers.wait_for(20)
+        cluster.leader()
+        check_history(cluster, proposers)
+
+
 def test_callbacks_may_propose(tmp_path):
     with harness.Cluster(tmp_path, 1) as cluster:
         (name,) = cluster.names
