--- a/dandeliondrum/placement/_aging.py
+++ b/dandeliondrum/placement/_aging.py
@@ -3,11 +3,18 @@
 import collections
 import typing
 
-# One placement in so many goes to the group that has had none for longest,
-# whatever its class and its team's share, if that is long enough.
-PLACEMENTS_PER_AGED = 20
+from dandeliondrum.placement import _tasks
+
+# Part of the work that goes to groups without a placement for so long,
+# whatever their class and their team's share. It is reckoned by work and not
+# by placements, since one batch task takes the room of many urgent ones.
+AGED_PORTION = 0.05
 AGED_MS = 60_000
 TRIED_COUNT = 4
+PLACEMENTS_PER_TRY = 5
+# A task counts for no longer than this, and no more than this is saved up.
+RUN_MS_MAX = 60_000
+SAVED_WORK_MAX = 1_000_000_000
 
 _Group = typing.TypeVar('_Group')
 
@@ -24,6 +31,7 @@
             collections.OrderedDict()
         )
         self._placements_count = 0
+        self._saved_work = 0.0
 
     def add(self, number: int, group: _Group, since_ms: int) -> None:
         """Take a group that waits from now on."""
@@ -40,9 +48,15 @@
             self._order[number] = now_ms, entry[1]
             self._order.move_to_end(number)
 
-    def count_placement(self) -> None:
-        """Count a placement that was made in the usual order."""
+    def earn(self, task: _tasks.PendingTask) -> None:
+        """Count a placement; a part of its work is owed to aged groups."""
         self._placements_count += 1
+        saved = self._saved_work + AGED_PORTION * _work(task)
+        self._saved_work = min(saved, SAVED_WORK_MAX)
+
+    def spend(self, task: _tasks.PendingTask) -> None:
+        """Count a placement that an aged group had out of its turn."""
+        self._saved_work -= _work(task)
 
     def due(self, now_ms: int) -> list[tuple[int, _Group]]:
         """Return groups to be tried now, mostly none; they had their turn.
@@ -50,7 +64,9 @@
         Those that can't be served go to the end all the same, so that they
         don't keep others from their turn.
         """
-        if self._placements_count < PLACEMENTS_PER_AGED:
+        if self._saved_work < 0 or (
+            self._placements_count < PLACEMENTS_PER_TRY
+        ):
             return []
         self._placements_count = 0
         found: list[tuple[int, _Group]] = []
@@ -59,3 +75,9 @@
                 break
             found.append((number, group))
         return found
+
+
+def _work(task: _tasks.PendingTask) -> int:
+    """Return millicores times milliseconds."""
+    run_ms = min(task.expected_run_ms, RUN_MS_MAX)
+    return run_ms * max(1, task.resources.cpu_millicores)
--- a/dandeliondrum/placement/_bins.py
+++ b/dandeliondrum/placement/_bins.py
@@ -8,8 +8,8 @@
 
 import collections
 import collections.abc
-import dataclasses
 import heapq
+import typing
 
 from dandeliondrum import messages
 from dandeliondrum.placement import _index
@@ -17,8 +17,7 @@
 from dandeliondrum.placement import _tasks
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BinKey:
+class BinKey(typing.NamedTuple):
     """What the tasks of a bin have in common."""
 
     task_class: messages.TaskClass
--- a/dandeliondrum/placement/_choosers.py
+++ b/dandeliondrum/placement/_choosers.py
@@ -8,7 +8,7 @@
 from dandeliondrum.placement import _tasks
 
 # How many workers with room are compared for one replica of a service.
-SPREAD_SCAN_COUNT = 32
+SPREAD_SCAN_COUNT = 16
 
 
 class Chooser(typing.Protocol):
@@ -118,8 +118,8 @@
     ) -> tuple[int, int]:
         domain, rack = self._places[worker_id]
         return (
-            self._by_rack[service, domain, rack],
-            self._by_worker[service, worker_id],
+            self._by_rack.get((service, domain, rack), 0),
+            self._by_worker.get((service, worker_id), 0),
         )
 
     def _change(
--- a/dandeliondrum/placement/_full.py
+++ b/dandeliondrum/placement/_full.py
@@ -200,6 +200,7 @@
             for region in _regions.allowed(aged, now_ms):
                 aged_worker_id = self._choose(aged, region)
                 if aged_worker_id is not None:
+                    self._state.queues.aged.spend(aged)
                     return self._state.commit(
                         aged, aged_worker_id, now_ms, AGED
                     )
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -142,12 +142,16 @@
         if now_ms - gang.submitted_ms >= AGED_MS:
             return 0, 0, gang.submitted_ms, gang.number
         account = state.ledger.teams.account(gang.key[0])
+        totals = state.ledger.fleet.totals
         total = messages.Resources(0, 0, 0)
         for task in gang.pending.values():
             total = total + task.resources
         if not account.allows(total, len(gang.pending)):
             return None
-        dominant = state.ranking.dominant_share(account)
+        # Half of what the gang adds counts, so that a team is as much above
+        # its share with the gang as it is below without.
+        added = account.share_of(total, len(gang.pending), totals)
+        dominant = state.ranking.dominant_share(account) + added / 2
         fair = state.ranking.fair_share(account)
         if dominant > fair and state.queues.contended():
             return None
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -144,7 +144,7 @@
         if group is not None:
             group.bin.placed_ms = now_ms
             self.aged.note_turn(group.number, now_ms)
-            self.aged.count_placement()
+            self.aged.earn(task)
 
     def pop_aged(self, now_ms: int) -> list[_tasks.PendingTask]:
         """Return tasks whose group had no placement for long."""
--- a/dandeliondrum/placement/_ranking.py
+++ b/dandeliondrum/placement/_ranking.py
@@ -5,6 +5,11 @@
 from dandeliondrum.placement import _shares
 
 
+# How far the urgent tasks of a team may go beyond its share and still come
+# first; a small team's few tasks come in bursts.
+URGENT_BURST = 2.0
+
+
 class Ranking:
     """Orders teams by weighted dominant share, urgent work ahead.
 
@@ -65,9 +70,10 @@
         """
         weight = account.weight()
         slots_count = self._ledger.fleet.totals.slots_count or 1
+        urgent = account.urgent_count / slots_count / URGENT_BURST
         return (
             self.dominant_share(account) / weight,
-            account.urgent_count / slots_count / weight,
+            urgent / weight,
         )
 
     def is_first(
--- a/dandeliondrum/placement/_shares.py
+++ b/dandeliondrum/placement/_shares.py
@@ -107,6 +107,20 @@
             share = max(share, accelerators)
         return share
 
+    def share_of(
+        self,
+        resources: messages.Resources,
+        count: int,
+        totals: _fleet.Totals,
+    ) -> float:
+        """Return the largest part of the fleet that so many tasks take."""
+        return max(
+            count / (totals.slots_count or 1),
+            resources.cpu_millicores / (totals.cpu_millicores or 1),
+            resources.memory_mb / (totals.memory_mb or 1),
+            resources.accelerators_count / (totals.accelerators_count or 1),
+        )
+
     def weight(self) -> float:
         """Return the granted share as a number above 0."""
         if self.grant is None:
