Keep a reserve that grows with the variation of urgent work

Urgent tasks waited although they came first: by a look at the running tasks every 4 s the budget of preemptions was always used up, since batch tasks took room back in each short lull, and memory ran out first.

--- a/dandeliondrum/placement/_full.py
+++ b/dandeliondrum/placement/_full.py
@@ -16,11 +16,6 @@
 from dandeliondrum.placement import _state
 from dandeliondrum.placement import _tasks
 
-# Part of the fleet that batch tasks leave free for urgent ones, as long as
-# an urgent task came within the last minutes.
-RESERVE_PORTION = 0.02
-RESERVE_MEMORY_MS = 600_000
-
 AGED = 'it was the oldest and had waited long'
 
 
@@ -64,17 +59,12 @@
         self._gang_step = _gang_step.GangStep(self._state)
         self._preempt_step = _preempt_step.PreemptStep(self._state)
         self._offers = _offers.Offers(self._state)
-        self._last_urgent_ms: int | None = None
 
     def on_added(self, task: _tasks.PendingTask) -> None:
         """See ``Policy.on_added``."""
         self._state.add(task)
         if task.gang_id is not None:
             self._gang_step.note_change()
-        elif task.task_class is messages.TaskClass.URGENT:
-            self._last_urgent_ms = max(
-                task.submitted_ms, self._last_urgent_ms or 0
-            )
 
     def on_dropped(self, task: _tasks.PendingTask) -> None:
         """See ``Policy.on_dropped``."""
@@ -102,14 +92,17 @@
         """See ``Policy.plan``."""
         self._state.refresh()
         self._offers.refresh(now_ms)
-        groups = self._gang_step.run(now_ms, placements_max)
-        left = placements_max - sum(len(group) for group in groups)
-        while left > 0:
-            placement = self._place_next(now_ms)
-            if placement is None:
-                break
-            groups.append((placement,))
-            left -= 1
+        groups = self._gang_step.start_reserved(now_ms)
+        if self._gang_step.is_due(now_ms):
+            # Tasks of the first rank go before gangs get new reservations.
+            self._offers.unblock_first_rank()
+            self._place_singles(groups, now_ms, placements_max, True)
+            groups.extend(
+                self._gang_step.run(
+                    now_ms, placements_max - _count(groups), not groups
+                )
+            )
+        self._place_singles(groups, now_ms, placements_max, False)
         preemptions = self._preempt_step.run(now_ms)
         return _tasks.Plan(tuple(groups), tuple(preemptions))
 
@@ -128,16 +121,37 @@
             why += '; it was told to leave'
         return why
 
-    def _place_next(self, now_ms: int) -> _tasks.Placement | None:
+    def _place_singles(
+        self,
+        groups: list[tuple[_tasks.Placement, ...]],
+        now_ms: int,
+        placements_max: int,
+        first_rank_only: bool,
+    ) -> None:
+        left = placements_max - _count(groups)
+        while left > 0:
+            placement = self._place_next(now_ms, first_rank_only)
+            if placement is None:
+                return
+            groups.append((placement,))
+            left -= 1
+
+    def _place_next(
+        self, now_ms: int, first_rank_only: bool
+    ) -> _tasks.Placement | None:
         """Place the task whose turn it is; None when none can be."""
         queues = self._state.queues
         while True:
             allowed = -1
-            if self._reserve_is_reached(now_ms):
+            if self._state.reserve.is_reached(now_ms):
                 allowed = ~queues.masks.classes[messages.TaskClass.BATCH]
-            offer = self._offers.current(now_ms, allowed)
-            among = queues.active | (offer.bins if offer is not None else 0)
-            group = queues.select(among & allowed, now_ms)
+            offer = None
+            among = queues.active
+            if not first_rank_only:
+                offer = self._offers.current(now_ms, allowed)
+            if offer is not None:
+                among |= offer.bins
+            group = queues.select(among & allowed, now_ms, first_rank_only)
             if group is None and offer is None:
                 return None
             placement = self._try(group, offer, now_ms)
@@ -216,18 +230,6 @@
             region,
         )
 
-    def _reserve_is_reached(self, now_ms: int) -> bool:
-        """Tell whether what is left is kept for urgent tasks."""
-        if (
-            self._last_urgent_ms is None
-            or now_ms - self._last_urgent_ms > RESERVE_MEMORY_MS
-        ):
-            return False
-        index = self._state.index
-        totals = self._state.ledger.fleet.totals
-        return (
-            index.free_slots_count <= RESERVE_PORTION * totals.slots_count
-            or index.free_cpu_millicores
-            <= RESERVE_PORTION * totals.cpu_millicores
-            or index.free_memory_mb <= RESERVE_PORTION * totals.memory_mb
-        )
+
+def _count(groups: list[tuple[_tasks.Placement, ...]]) -> int:
+    return sum(len(group) for group in groups)
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -33,26 +33,47 @@
         self._retry_ms = None
 
     def run(
-        self, now_ms: int, placements_max: int
+        self, now_ms: int, placements_max: int, alone: bool
     ) -> list[tuple[_tasks.Placement, ...]]:
-        """Return the gangs (and reserved single tasks) that start."""
+        """Return the gangs (and reserved single tasks) that start.
+
+        With ``alone``, nothing else was placed so far, and a gang larger
+        than the limit of placements goes all the same.
+        """
         groups: list[tuple[_tasks.Placement, ...]] = []
         left = placements_max
-        while True:
-            if self._state.reservation is None and not self._reserve(now_ms):
-                return groups
-            group = self._start(now_ms, left, alone=not groups)
+        while left > 0 and self._reserve(now_ms):
+            no_limit = alone and not groups
+            group = self._start(now_ms, None if no_limit else left)
             if group is None:
                 return groups
             groups.append(group)
             left -= len(group)
+        return groups
+
+    def start_reserved(
+        self, now_ms: int
+    ) -> list[tuple[_tasks.Placement, ...]]:
+        """Start what has the reservation, if all of its room is there.
+
+        A gang larger than the limit of placements goes, too, as nothing else
+        has been placed yet.
+        """
+        group = self._start(now_ms, None)
+        return [] if group is None else [group]
+
+    def is_due(self, now_ms: int) -> bool:
+        """Tell whether a new reservation may be made now."""
+        return self._state.reservation is None and (
+            self._retry_ms is None or now_ms >= self._retry_ms
+        )
 
     def is_too_large(self, key: _gangs.GangKey) -> bool:
         """Tell whether the eligible workers can't hold the gang."""
         return key in self._too_large
 
     def _start(
-        self, now_ms: int, left: int, alone: bool
+        self, now_ms: int, left: int | None
     ) -> tuple[_tasks.Placement, ...] | None:
         state = self._state
         made = state.reservation
@@ -60,7 +81,7 @@
             return None
         if not state.ledger.teams.account(made.team_id).allows_held():
             return None
-        if len(made.places) > left and not alone:
+        if left is not None and len(made.places) > left:
             return None
         state.drop_reservation()
         reason = 'all members of its gang had room at once'
@@ -72,7 +93,7 @@
         )
 
     def _reserve(self, now_ms: int) -> bool:
-        if self._retry_ms is not None and now_ms < self._retry_ms:
+        if not self.is_due(now_ms):
             return False
         turns = [self._reserve_gang, self._reserve_single]
         if self._single_is_next:
@@ -153,7 +174,7 @@
         added = account.share_of(total, len(gang.pending), totals)
         dominant = state.ranking.dominant_share(account) + added / 2
         fair = state.ranking.fair_share(account)
-        if dominant > fair and state.queues.contended():
+        if dominant > fair and state.is_contended(now_ms):
             return None
         return 1, dominant / fair, gang.submitted_ms, gang.number
 
--- a/dandeliondrum/placement/_offers.py
+++ b/dandeliondrum/placement/_offers.py
@@ -83,6 +83,19 @@
         if self._unsure:
             self._unblock(self._unsure.pop(next(iter(self._unsure))))
 
+    def unblock_first_rank(self) -> None:
+        """Let urgent tasks and services be searched for on new room."""
+        queues = self._state.queues
+        classes = queues.masks.classes
+        mask = classes[messages.TaskClass.URGENT]
+        mask |= classes[messages.TaskClass.SERVICE]
+        fitting = 0
+        for worker in self._state.woken.values():
+            levels = _index.levels_of(worker)
+            if levels is not None:
+                fitting |= queues.masks.fitting(levels)
+        queues.unblock(fitting & mask)
+
     def current(self, now_ms: int, allowed: int) -> Offer | None:
         """Return the worker to be offered now and the bins it may suit.
 
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -64,9 +64,12 @@
         """Return the bins for which there may be room."""
         return ~self.blocked
 
-    def contended(self) -> bool:
-        """Tell whether a task waits for which there is no room."""
-        return any(team.mask & self.blocked for team in self._teams.values())
+    def waiting(self) -> int:
+        """Return the bins with tasks that no limit keeps back."""
+        mask = 0
+        for team in self._teams.values():
+            mask |= team.mask
+        return mask
 
     def need(self, resources: messages.Resources) -> _index.Need:
         """Return the levels of what a task needs."""
@@ -160,7 +163,9 @@
         """Return the group of a queued task."""
         return self._groups.get(task.task_id)
 
-    def select(self, among: int, now_ms: int) -> _bins.Group | None:
+    def select(
+        self, among: int, now_ms: int, first_rank_only: bool = False
+    ) -> _bins.Group | None:
         """Return the group whose turn it is among these bins.
 
         Teams at their upper limit are passed over until they use less.
@@ -176,7 +181,7 @@
             found = self._walk(order, mask, limit, now_ms) if mask else None
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
-        if best is None:
+        if best is None and not first_rank_only:
             best = self._walk(self._by_share, among, None, now_ms)
         return None if best is None else best[1]
 
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -14,6 +14,7 @@
 from dandeliondrum.placement import _queues
 from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _reservation
+from dandeliondrum.placement import _reserve
 from dandeliondrum.placement import _tasks
 
 Choosers = collections.abc.Mapping[messages.TaskClass, _choosers.Chooser]
@@ -38,6 +39,7 @@
         self.woken: dict[messages.WorkerId, _fleet.Worker] = {}
         self.reasons: dict[messages.TaskId, str] = {}
         self.awaited: dict[messages.TaskId, _bins.Group] = {}
+        self.reserve = _reserve.UrgentReserve(ledger, self.index)
         self._reset = True
         self.ranking.bind(ledger)
         self.queues.bind(ledger)
@@ -49,6 +51,7 @@
             self.gangs.add(task)
             return
         self.queues.add(task)
+        self.reserve.note_added(task)
 
     def drop(self, task: _tasks.PendingTask) -> None:
         """Forget a task that is pending no more and was not placed."""
@@ -125,6 +128,14 @@
         if levels is not None:
             self.woken[worker.worker_id] = worker
 
+    def is_contended(self, now_ms: int) -> bool:
+        """Tell whether a task waits for which there is no room."""
+        waiting = self.queues.waiting()
+        if waiting & self.queues.blocked:
+            return True
+        batch = self.queues.masks.classes[messages.TaskClass.BATCH]
+        return bool(waiting & batch) and self.reserve.is_reached(now_ms)
+
     def drop_reservation(self) -> None:
         """Let the room go that is held, if any."""
         made = self.reservation
@@ -139,6 +150,7 @@
     def _count(self, running: _tasks.RunningTask, sign: int) -> None:
         task = running.task
         self.choosers[task.task_class].count(running, sign)
+        self.reserve.count(task, sign)
         self.ranking.note_change(task.team_id)
         self.queues.note_usage(task.team_id, less=sign < 0)
         if task.gang_id is not None:
