Let closing, leaving and cutting wait for nothing that never ends

Closing now refuses starts first. A leaving worker counts as idle only once no durable answer is left that lies there alone; it used to go with it. The proxy forgets connections that ended, and no longer waits in a send, which a close was seen to wake for 64 KiB and not for 100 MB.

--- a/dandeliondrum/testing/_proxy.py
+++ b/dandeliondrum/testing/_proxy.py
@@ -41,8 +41,8 @@
         self._faults = _faults.NO_FAULTS
         self._changed = threading.Condition()
         self._lock = threading.Lock()
-        self._relays: list[_relay.Relay] = []
-        self._pipes: list[tuple[_relay.Pipe, _relay.Pipe]] = []
+        self._open: list[_Connection] = []
+        self._ended_bytes = (0, 0)
         self._closed = False
         self._port: socket.socket | None = None
         self._executor = concurrent.futures.ThreadPoolExecutor(
@@ -74,13 +74,17 @@
     def forward_bytes(self) -> int:
         """How many bytes reached the target."""
         with self._lock:
-            return sum(pair[0].carried_bytes for pair in self._pipes)
+            open_bytes = sum(each.forward.carried_bytes for each in self._open)
+            return self._ended_bytes[0] + open_bytes
 
     @property
     def backward_bytes(self) -> int:
         """How many bytes reached the source."""
         with self._lock:
-            return sum(pair[1].carried_bytes for pair in self._pipes)
+            open_bytes = sum(
+                each.backward.carried_bytes for each in self._open
+            )
+            return self._ended_bytes[1] + open_bytes
 
     def set(self, faults: _faults.Faults) -> None:
         """Put other faults in force."""
@@ -105,9 +109,9 @@
     def silence(self) -> None:
         """Make open connections swallow everything for good."""
         with self._lock:
-            for pair in self._pipes:
-                pair[0].silenced = True
-                pair[1].silenced = True
+            for connection in self._open:
+                connection.forward.silenced = True
+                connection.backward.silenced = True
 
     def _listen(self) -> None:
         port = self._port
@@ -129,9 +133,9 @@
 
     def _reset_open(self) -> None:
         with self._lock:
-            relays = list(self._relays)
-        for relay in relays:
-            relay.reset()
+            connections = list(self._open)
+        for connection in connections:
+            connection.relay.reset()
 
     def _accept_all(self, port: socket.socket) -> None:
         while True:
@@ -172,29 +176,44 @@
             self._changed,
             f'{self._seed}/{number}/backward',
         )
-        self._run(relay, forward, backward)
+        self._run(_Connection(relay, forward, backward))
 
-    def _run(
-        self, relay: _relay.Relay, forward: _relay.Pipe, backward: _relay.Pipe
-    ) -> None:
+    def _run(self, connection: '_Connection') -> None:
         with self._lock:
-            self._relays.append(relay)
-            self._pipes.append((forward, backward))
+            self._open.append(connection)
             unwanted = self._closed or self._faults.refuse
         if unwanted:
-            relay.reset()
+            connection.relay.reset()
+        tasks = []
         try:
             for task in (
-                forward.read_all,
-                forward.write_all,
-                backward.read_all,
+                connection.forward.read_all,
+                connection.forward.write_all,
+                connection.backward.read_all,
             ):
-                self._executor.submit(task)
-            backward.write_all()
+                tasks.append(self._executor.submit(task))
         except RuntimeError:
-            relay.reset()
+            # The proxy closes and takes no new tasks.
+            connection.relay.reset()
+        connection.backward.write_all()
+        concurrent.futures.wait(tasks)
+        self._forget(connection)
+
+    def _forget(self, connection: '_Connection') -> None:
         with self._lock:
-            self._relays.remove(relay)
+            self._open.remove(connection)
+            forward_bytes, backward_bytes = self._ended_bytes
+            self._ended_bytes = (
+                forward_bytes + connection.forward.carried_bytes,
+                backward_bytes + connection.backward.carried_bytes,
+            )
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class _Connection:
+    relay: _relay.Relay
+    forward: _relay.Pipe
+    backward: _relay.Pipe
 
 
 def _bind(address: str) -> socket.socket:
--- a/dandeliondrum/testing/_relay.py
+++ b/dandeliondrum/testing/_relay.py
@@ -5,6 +5,7 @@
 import dataclasses
 import queue
 import random
+import select
 import socket
 import struct
 import threading
@@ -14,6 +15,7 @@
 
 CHUNK_BYTES = 64 * 1024
 QUEUE_CHUNKS = 32
+POLL_MS = 100
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -131,7 +133,8 @@
         try:
             while self._write_next():
                 pass
-        except OSError:
+        except (OSError, ValueError):
+            # The polling of a closed socket is a ValueError.
             self._relay.reset()
         finally:
             self._relay.pipe_ended()
@@ -144,13 +147,13 @@
     def _put(self, due_s: float, chunk: bytes | None) -> bool:
         while not self._relay.closed.is_set():
             with contextlib.suppress(queue.Full):
-                self._chunks.put((due_s, chunk), timeout=0.1)
+                self._chunks.put((due_s, chunk), timeout=POLL_MS / 1000)
                 return True
         return False
 
     def _write_next(self) -> bool:
         try:
-            due_s, chunk = self._chunks.get(timeout=0.1)
+            due_s, chunk = self._chunks.get(timeout=POLL_MS / 1000)
         except queue.Empty:
             return not self._relay.closed.is_set()
         self._wait_until(due_s)
@@ -175,13 +178,30 @@
         if course.pacer is not None:
             self._wait_until(course.pacer.reserve(len(chunk)))
         if left_bytes > 0:
-            self._to.sendall(chunk[:left_bytes])
-            self.carried_bytes += min(left_bytes, len(chunk))
+            self._send_all(chunk[:left_bytes])
         if left_bytes < len(chunk):
             self._relay.reset()
             return False
         return True
 
+    def _send_all(self, data: bytes) -> None:
+        # Whether the close of a socket wakes a thread that waits in a send
+        # depends on the amount, so this one waits outside of it.
+        left = memoryview(data)
+        while left and not self._relay.closed.is_set():
+            try:
+                sent_bytes = self._to.send(left, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                self._wait_writable()
+                continue
+            self.carried_bytes += sent_bytes
+            left = left[sent_bytes:]
+
+    def _wait_writable(self) -> None:
+        writable = select.poll()
+        writable.register(self._to, select.POLLOUT)
+        writable.poll(POLL_MS)
+
     def _wait_until(self, due_s: float) -> None:
         self._relay.closed.wait(max(0.0, due_s - time.monotonic()))
 
@@ -192,7 +212,7 @@
                 and not self.silenced
                 and not self._relay.closed.is_set()
             ):
-                self._changed.wait(0.1)
+                self._changed.wait(POLL_MS / 1000)
 
 
 def reset_on_close(stream: socket.socket) -> None:
--- a/dandeliondrum/testing/tests/test_proxy.py
+++ b/dandeliondrum/testing/tests/test_proxy.py
@@ -290,6 +290,28 @@
     )
 
 
+def test_a_target_that_reads_nothing_holds_up_no_cut():
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        host, port = listener.getsockname()
+        link = testing.Proxy(f'{host}:{port}').__enter__()
+        source = stack.enter_context(dial(link))
+        target, _ = listener.accept()
+        stack.enter_context(target)
+        source.settimeout(0.5)
+        with pytest.raises(TimeoutError):
+            source.sendall(bytes(100_000_000))
+        link.set(testing.CUT)
+        source.settimeout(PATIENCE_S)
+        assert_reset(source)
+        closing = threading.Thread(
+            target=link.__exit__, args=(None, None, None), daemon=True
+        )
+        closing.start()
+        closing.join(PATIENCE_S)
+        assert not closing.is_alive()
+
+
 def test_a_mesh_cuts_by_names_whoever_dials(echo):
     with testing.ProxyMesh(seed=3) as mesh:
         mesh.link('a', 'b', echo.address)
--- a/dandeliondrum/worker/_answers.py
+++ b/dandeliondrum/worker/_answers.py
@@ -6,6 +6,9 @@
 from dandeliondrum import messages
 from dandeliondrum.worker import _attempt
 
+# Durable answers up to this size travel in heartbeats and into the log.
+LOGGED_MAX_BYTES = 64 * 1024
+
 
 class Answers:
     """Ended attempts with their answers, oldest first.
@@ -32,6 +35,13 @@
             self._kept_bytes -= attempt.length_bytes
             attempt.answer = None
 
+    def owed(self) -> bool:
+        """Tell whether there is a durable answer too large for the log."""
+        return any(
+            attempt.call.durable and attempt.length_bytes > LOGGED_MAX_BYTES
+            for attempt in self._kept.values()
+        )
+
     def surplus(self) -> collections.abc.Iterator[_attempt.Attempt]:
         """Yield the oldest while there are too many; drop what you get."""
         while self._kept and self._is_over():
--- a/dandeliondrum/worker/_attempts.py
+++ b/dandeliondrum/worker/_attempts.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import threading
-import typing
 
 from dandeliondrum import messages
 from dandeliondrum.worker import _answers
@@ -68,7 +67,7 @@
             self._attempts[call.attempt_id] = attempt
             self._running[call.attempt_id] = attempt
             self._fence.remember_started(call.attempt_id)
-            self._record(_journal.EventKind.START, attempt)
+            self._journal.record_call(_journal.EventKind.START, call)
         self._leases.arm(self._expires_ms(attempt))
         self._on_start(attempt)
         return attempt
@@ -101,9 +100,10 @@
             del self._running[attempt.call.attempt_id]
             self._unrecorded[attempt.call.attempt_id] = attempt
             self._answers.add(attempt)
-            self._record(
+            self._journal.record_call(
                 _journal.EventKind.END,
-                attempt,
+                attempt.call,
+                state=state,
                 reason=detail,
                 expired_ms=expires_ms if detail == LEASE_REASON else None,
                 incarnation=attempt.call.incarnation,
@@ -127,6 +127,11 @@
         for attempt in self.running():
             attempt.stop(reason)
 
+    def close(self) -> None:
+        """Refuse starts from now on and stop whatever runs."""
+        self.leaving = True
+        self.stop_all('closing')
+
     def stop_expired(self) -> None:
         """Stop what was not renewed, and wait for the next lease to end."""
         now_ms = _journal.now_ms()
@@ -141,7 +146,9 @@
     def checkpoint(self, attempt: _attempt.Attempt) -> None:
         """Record that an attempt was told to save its progress."""
         with self._lock:
-            self._record(_journal.EventKind.CHECKPOINT, attempt)
+            self._journal.record_call(
+                _journal.EventKind.CHECKPOINT, attempt.call
+            )
 
     def running(self) -> list[_attempt.Attempt]:
         """Return the attempts that run now."""
@@ -153,6 +160,16 @@
         with self._lock:
             return list(self._unrecorded.values())
 
+    def is_idle(self) -> bool:
+        """Tell whether the cell needs nothing more from this worker.
+
+        That is when nothing runs, all ends are on record, and no answer is
+        left that the cell owes and that lies here alone.
+        """
+        with self._lock:
+            busy = self._running or self._unrecorded
+            return not busy and not self._answers.owed()
+
     def never_started(self) -> list[messages.AttemptId]:
         """Return attempts that were stopped before they came."""
         with self._lock:
@@ -254,7 +271,7 @@
 
     def _drop_surplus(self) -> None:
         for attempt in self._answers.surplus():
-            self._record(_journal.EventKind.DROPPED, attempt)
+            self._journal.record_call(_journal.EventKind.DROPPED, attempt.call)
             self._drop(attempt)
 
     def _drop(self, attempt: _attempt.Attempt) -> None:
@@ -269,27 +286,12 @@
     def _record_refusal(
         self, call: _calls.StartCall, refused: _calls.Refused
     ) -> None:
-        attempt = _attempt.Attempt(call)
-        attempt.state = _State.NEVER_STARTED
+        record = self._journal.record_call
         if refused is _calls.Refused.FULL:
-            self._record(_journal.EventKind.OVERLOAD, attempt)
-        self._record(_journal.EventKind.REFUSED, attempt, reason=refused.value)
-
-    def _record(
-        self,
-        kind: _journal.EventKind,
-        attempt: _attempt.Attempt,
-        **fields: typing.Any,
-    ) -> None:
-        self._journal.record(
-            kind,
-            attempt_id=attempt.call.attempt_id,
-            task_id=attempt.call.task_id,
-            team_id=attempt.call.team_id,
-            queue=attempt.call.queue,
-            token=attempt.call.token,
-            resources=attempt.call.resources,
-            slots_count=1,
-            state=attempt.state,
-            **fields,
+            record(_journal.EventKind.OVERLOAD, call)
+        record(
+            _journal.EventKind.REFUSED,
+            call,
+            state=_State.NEVER_STARTED,
+            reason=refused.value,
         )
--- a/dandeliondrum/worker/_journal.py
+++ b/dandeliondrum/worker/_journal.py
@@ -16,6 +16,7 @@
 from returns import result
 
 from dandeliondrum import messages
+from dandeliondrum.worker import _calls
 from dandeliondrum.worker import _encoding
 
 
@@ -101,6 +102,25 @@
                 self._file.write(_encoding.to_json(event) + b'\n')
         return event
 
+    def record_call(
+        self,
+        kind: EventKind,
+        call: _calls.StartCall,
+        **fields: typing.Any,
+    ) -> Event:
+        """Add an event of the attempt that a call started or wanted to."""
+        return self.record(
+            kind,
+            attempt_id=call.attempt_id,
+            task_id=call.task_id,
+            team_id=call.team_id,
+            queue=call.queue,
+            token=call.token,
+            resources=call.resources,
+            slots_count=1,
+            **fields,
+        )
+
     def events(self) -> tuple[Event, ...]:
         """Return the newest ``EVENTS_MAX`` events, oldest first."""
         with self._lock:
--- a/dandeliondrum/worker/_reports.py
+++ b/dandeliondrum/worker/_reports.py
@@ -5,12 +5,12 @@
 import itertools
 
 from dandeliondrum import messages
+from dandeliondrum.worker import _answers
 from dandeliondrum.worker import _attempt
 from dandeliondrum.worker import _attempts
 from dandeliondrum.worker import _journal
 from dandeliondrum.worker import _snapshot
 
-BODY_IN_REPORT_BYTES = 64 * 1024
 BODIES_IN_BEAT_BYTES = 1024 * 1024
 REPORTS_IN_BEAT = 1_000
 
@@ -82,7 +82,7 @@
 
 
 def _body(attempt: _attempt.Attempt) -> bytes | None:
-    small = attempt.length_bytes <= BODY_IN_REPORT_BYTES
+    small = attempt.length_bytes <= _answers.LOGGED_MAX_BYTES
     return attempt.answer if attempt.call.durable and small else None
 
 
--- a/dandeliondrum/worker/_worker.py
+++ b/dandeliondrum/worker/_worker.py
@@ -90,9 +90,13 @@
             self._heartbeats.wake()
 
     def wait_idle(self, timeout_ms: int) -> bool:
-        """Wait until nothing runs and all ends are on record."""
+        """Wait until the cell needs nothing more; False when it takes longer.
+
+        That is when nothing runs, all ends are on record, and no durable
+        answer is left that is too large for the replicated log.
+        """
         deadline_ms = utils.monotonic_ms() + timeout_ms
-        while self._attempts.running() or self._attempts.unrecorded():
+        while not self._attempts.is_idle():
             if utils.monotonic_ms() >= deadline_ms:
                 return False
             if self._closed.wait(_IDLE_CHECK_S):
@@ -132,7 +136,7 @@
         server = _server.Server(self.options, self._attempts, self._journal)
         self.address = server.start()
         self._resources.callback(server.close)
-        self._resources.callback(self._attempts.stop_all, 'closing')
+        self._resources.callback(self._attempts.close)
         timers.start()
         self._resources.callback(timers.close)
         self._start_heartbeats(timers, leases)
--- a/dandeliondrum/worker/tests/test_worker.py
+++ b/dandeliondrum/worker/tests/test_worker.py
@@ -1,11 +1,16 @@
 """A worker takes starts, answers them and reports their ends."""
 
+import contextlib
 import hashlib
+import itertools
 import json
+import threading
 
+import pycurl
 import pytest
 
 from dandeliondrum import messages
+from dandeliondrum import testing
 from dandeliondrum import worker
 from dandeliondrum.worker.tests import _rig
 
@@ -53,3 +58,58 @@
         lambda each: not each.ended, 5_000, after_ms=now_ms
     )
     assert rig.client.fetch('team/r1#1').status == 404
+
+
+def test_closing_takes_no_start_that_it_would_wait_for():
+    # Starts go on coming while the worker closes; one that never ends by
+    # itself must not get in behind the stop of all that runs.
+    with _rig.running(slots_count=8) as rig:
+        closed = threading.Event()
+        threads = [
+            threading.Thread(target=keep_starting, args=(rig, n, closed))
+            for n in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        rig.wait_for_event(Kind.START, count=8)
+        closing = threading.Thread(target=rig.worker.close, daemon=True)
+        closing.start()
+        closing.join(_rig.PATIENCE_MS / 1000)
+        closed.set()
+        stuck = closing.is_alive()
+        # Lets a worker that hangs go on, so that the test ends.
+        rig.worker._attempts.stop_all('test')
+        for thread in threads:
+            thread.join()
+        assert not stuck
+
+
+def keep_starting(rig, number, closed):
+    client = testing.WorkerClient(rig.worker.address, timeout_ms=2_000)
+    for token in itertools.count(1):
+        if closed.is_set():
+            return
+        attempt_id = f'team/{number}-{token}#1'
+        with contextlib.suppress(pycurl.error):
+            client.start(
+                testing.Start(
+                    attempt_id=attempt_id,
+                    task_id=attempt_id,
+                    token=token,
+                    incarnation=rig.worker.incarnation,
+                    body=b'{"hang": true}',
+                )
+            )
+
+
+def test_a_leaving_worker_waits_for_large_answers_that_it_alone_has(rig):
+    body = {'answer_bytes': 100_000}
+    rig.start('team/a#1', body=body, durable=True, wait_ms=5_000)
+    rig.start('team/b#1', body=body, wait_ms=5_000)
+    rig.gateway.tell(acknowledged=('team/a#1', 'team/b#1'))
+    assert rig.gateway.wait_for_beat(
+        lambda each: not each.ended, 5_000, after_ms=worker.now_ms()
+    )
+    assert not rig.worker.wait_idle(100)
+    rig.gateway.tell(release=('team/a#1',))
+    assert rig.worker.wait_idle(5_000)
