--- a/dandeliondrum/testing/_runs.py
+++ b/dandeliondrum/testing/_runs.py
@@ -12,7 +12,7 @@
 LEASE_REASON = 'lease'
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, eq=False)
 class Run:
     """One start and the time until which it ran; infinity when it goes on."""
 
@@ -49,18 +49,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Moment:
-    """The runs that go on at the moment at which one of them starts."""
+    """The runs that go on when one of them starts, and what they have."""
 
     started: Run
     running: tuple[Run, ...]
-
-    @property
-    def total(self) -> messages.Resources:
-        """The sum of what all of them were given."""
-        total = messages.Resources(0, 0)
-        for run in self.running:
-            total = total + run.resources
-        return total
+    total: messages.Resources
 
 
 def moments(
@@ -68,11 +61,15 @@
 ) -> collections.abc.Iterator[Moment]:
     """Yield a moment for each start; what ends then runs no more."""
     running: list[Run] = []
+    total = messages.Resources(0, 0)
     for run in sorted(all_runs, key=lambda each: each.start.at_ms):
         now_ms = run.start.at_ms
-        running = [each for each in running if each.until_ms > now_ms]
+        for ended in [each for each in running if each.until_ms <= now_ms]:
+            running.remove(ended)
+            total = total - ended.resources
         running.append(run)
-        yield Moment(run, tuple(running))
+        total = total + run.resources
+        yield Moment(run, tuple(running), total)
 
 
 def _key(event: worker.Event) -> tuple[str, str, str]:
--- a/dandeliondrum/testing/_workers_checks.py
+++ b/dandeliondrum/testing/_workers_checks.py
@@ -57,13 +57,13 @@
                 event.worker_id,
                 f'was sent {what} at {event.at_ms}',
             )
+    all_begun = [
+        event
+        for event in history.worker_events
+        if event.kind is worker.EventKind.BEGUN
+    ]
     for worker_id, worker_runs in _runs.by_worker(all_runs).items():
-        begun = [
-            event
-            for event in history.worker_events
-            if event.kind is worker.EventKind.BEGUN
-            and event.worker_id == worker_id
-        ]
+        begun = [each for each in all_begun if each.worker_id == worker_id]
         for moment in _runs.moments(worker_runs):
             yield from _overloads(begun, worker_id, moment)
 
