Trace each hop of a waiting call; free the place of a caller that left

A caller that hung up held its place until its deadline. The first way to notice it, a peek into the socket, waited for the socket's own timeout of 10 s and made the tests hang; a poll for the other end's hang-up does not.

--- a/dandeliondrum/gateway/_dispatch.py
+++ b/dandeliondrum/gateway/_dispatch.py
@@ -8,6 +8,7 @@
 from dandeliondrum.gateway import _worker_client
 from dandeliondrum.gateway import _worker_protocol
 from dandeliondrum import messages
+from dandeliondrum import observability
 
 START_TRIES = 2
 HTTP_OK = 200
@@ -78,7 +79,6 @@
         start: messages.StartAttempt,
         body: bytes,
         wait_ms: int,
-        trace_parent: str = '',
         open_writer: _worker_client.OpenWriter = _worker_client.discard,
     ) -> StartOutcome:
         """Start the attempt and wait ``wait_ms`` for its answer.
@@ -86,6 +86,22 @@
         A start without an answer is sent once more, over a connection that
         is likely to be a new one; a worker starts an attempt once only.
         """
+        attributes = {'attempt': start.attempt_id, 'worker': start.worker_id}
+        with observability.span(
+            'start attempt', attributes=attributes
+        ) as span:
+            outcome = self._start(start, body, wait_ms, open_writer)
+            span.set_attribute('outcome', type(outcome).__name__)
+            return outcome
+
+    def _start(
+        self,
+        start: messages.StartAttempt,
+        body: bytes,
+        wait_ms: int,
+        open_writer: _worker_client.OpenWriter,
+    ) -> StartOutcome:
+        trace_parent = observability.current_trace_parent()
         request = _worker_client.WorkerRequest(
             'POST',
             start.worker_address,
@@ -127,7 +143,11 @@
             wait_ms + self._options.silence_margin_ms,
             ((_worker_protocol.WAIT_MS, str(wait_ms)),),
         )
-        match self._client.call(request, open_writer):
+        with observability.span(
+            'fetch answer', attributes={'attempt': place.attempt_id}
+        ):
+            outcome = self._client.call(request, open_writer)
+        match outcome:
             case _worker_client.WorkerReply() as reply:
                 return _fetched(place, reply)
             case (
--- a/dandeliondrum/gateway/_durable.py
+++ b/dandeliondrum/gateway/_durable.py
@@ -9,6 +9,7 @@
 from dandeliondrum.gateway import _dispatch
 from dandeliondrum.gateway import _reporter
 from dandeliondrum import messages
+from dandeliondrum import observability
 
 # How long a dispatch holds its thread; later ends come by heartbeat.
 HOLD_MS = 1_000
@@ -54,7 +55,8 @@
         hold_ms = HOLD_MS
         if start.spec.task_class is messages.TaskClass.SERVICE:
             hold_ms = 0
-        outcome = self._dispatcher.start(start, start.body or b'', hold_ms)
+        with observability.span('dispatch task', start.spec.trace_parent):
+            outcome = self._dispatcher.start(start, start.body or b'', hold_ms)
         _logger.info(
             'durable attempt dispatched',
             task=start.spec.task_id,
--- a/dandeliondrum/gateway/_http.py
+++ b/dandeliondrum/gateway/_http.py
@@ -57,6 +57,10 @@
         """Return the IP number of the other end."""
         return self.request.remote_addr or ''
 
+    def caller_left(self) -> bool:
+        """Tell whether the caller has closed or lost its connection."""
+        return self._connection.left()
+
     def body(self, max_bytes: int) -> result.Result[bytes, Problem]:
         """Read the whole body, or say why it did not arrive whole."""
         declared = self.request.content_length
--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import select
 import socket
 import threading
 import time
@@ -28,6 +29,12 @@
 SELECT_TIMEOUT_S = 0.1
 # How long a stop still takes requests from connections that are open.
 LAST_REQUESTS_S = 0.1
+# A caller whose machine is gone is noticed within about ten seconds.
+KEEPALIVE = (
+    (socket.TCP_KEEPIDLE, 4),
+    (socket.TCP_KEEPINTVL, 2),
+    (socket.TCP_KEEPCNT, 3),
+)
 # The key of a request's environment that holds its connection.
 CONNECTION = 'dandeliondrum.connection'
 
@@ -77,6 +84,18 @@
         self.late = False
         self._lock = threading.Lock()
         self._deadline: utils.Subscription | None = None
+        for option, value in KEEPALIVE:
+            self.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+    def left(self) -> bool:
+        """Tell whether the other end has closed or lost the connection."""
+        poll = select.poll()
+        try:
+            poll.register(self.socket, select.POLLRDHUP)
+        except (OSError, ValueError):
+            return True
+        return bool(poll.poll(0))
 
     def communicate(self) -> bool:
         """Serve one request; true when the connection stays open."""
--- a/dandeliondrum/gateway/_waiting_call.py
+++ b/dandeliondrum/gateway/_waiting_call.py
@@ -6,6 +6,8 @@
 import werkzeug
 
 from dandeliondrum.gateway import _answer_stream
+from dandeliondrum.gateway import _answer_watch
+from dandeliondrum.gateway import _call_reports
 from dandeliondrum.gateway import _dispatch
 from dandeliondrum.gateway import _http
 from dandeliondrum.gateway import _outcomes
@@ -13,13 +15,12 @@
 from dandeliondrum.gateway import _task_headers
 from dandeliondrum.gateway import _waiters
 from dandeliondrum import messages
+from dandeliondrum import observability
 from dandeliondrum import utils
 
 # How long after the deadline the leader's refusal may still come.
 GRACE_MS = 1_000
 STOP_POLL_MS = 500
-FIRST_PAUSE_MS = 50
-LONGEST_PAUSE_MS = 1_000
 
 _logger = structlog.get_logger()
 
@@ -53,16 +54,27 @@
             arrived_ms + task.spec.timeout_ms,
             task.vouched,
         )
-        # Where an answer is to be fetched, and how long to pause before.
-        self._place: messages.AnswerPlace | None = None
-        self._place_of_leader = False
-        self._pause_ms = 0
+        self._watch = _answer_watch.AnswerWatch()
         self._failed: _dispatch.Ended | None = None
         self._started = False
-        self._reported: set[messages.AttemptId] = set()
+        self._reports = _call_reports.CallReports(services.reporter)
 
     def run(self) -> werkzeug.Response:
         """Return the response; raise CutShort where the answer broke."""
+        spec = self._task.spec
+        with observability.span(
+            'run task',
+            spec.trace_parent,
+            {'task': spec.task_id, 'task_class': spec.task_class.value},
+        ) as span:
+            self._waiter.spec = dataclasses.replace(
+                spec, trace_parent=observability.current_trace_parent()
+            )
+            response = self._submit_and_wait()
+            span.set_attribute('status', response.status_code)
+            return response
+
+    def _submit_and_wait(self) -> werkzeug.Response:
         waiters = self._services.waiters
         waiters.add(self._waiter)
         try:
@@ -79,6 +91,8 @@
                 return self._expired('the deadline passed')
             if self._services.readiness.stopping.is_set():
                 return self._expired('the gateway stops; send the id again')
+            if self._call.caller_left():
+                return self._expired('the caller hung up')
             response = self._step(left_ms)
             if response is not None:
                 return response
@@ -88,26 +102,40 @@
         return end_ms - utils.monotonic_ms()
 
     def _step(self, left_ms: int) -> werkzeug.Response | None:
-        wait_ms = min(left_ms, STOP_POLL_MS)
-        if self._place is not None:
-            wait_ms = min(left_ms, self._pause_ms)
-        match self._waiter.next(wait_ms):
+        match self._event(left_ms):
             case messages.StartAttempt() as start:
                 return self._start(start)
             case messages.TaskStatus() as status:
                 return self._take(status)
-        if self._place is not None:
-            return self._fetch(self._place)
+        if self._watch.place is not None:
+            return self._fetch(self._watch.place)
+        return None
+
+    def _event(self, left_ms: int) -> _waiters.Event | None:
+        """Return what the leader says, or None when it is time to act."""
+        if self._watch.place is not None:
+            return self._waiter.next(min(left_ms, self._watch.pause_ms))
+        end_ms = utils.monotonic_ms() + left_ms
+        stopping = self._services.readiness.stopping
+        with observability.span('wait for the leader'):
+            while left_ms > 0 and not (
+                stopping.is_set() or self._call.caller_left()
+            ):
+                event = self._waiter.next(min(left_ms, STOP_POLL_MS))
+                if event is not None:
+                    return event
+                left_ms = end_ms - utils.monotonic_ms()
         return None
 
     def _start(self, start: messages.StartAttempt) -> werkzeug.Response | None:
         if not self._services.attempts_seen.first(start.attempt_id):
             return None
         self._observe_wait()
+        self._watch.drop()
         place = _dispatch.place_of(start)
         stream = self._stream(place)
         outcome = self._services.dispatcher.start(
-            start, self._body, self._wait_ms(), open_writer=stream.open
+            start, self._body, self._wait_ms(), stream.open
         )
         self._log.info(
             'attempt dispatched',
@@ -119,13 +147,11 @@
             case _dispatch.Ended():
                 return self._ended(outcome, stream)
             case _dispatch.Running():
-                self._watch(place)
+                self._watch.follow(place)
             case _dispatch.NeverStarted(reason=reason):
-                state = messages.AttemptState.NEVER_STARTED
-                self._report(start.attempt_id, state, detail=reason)
+                self._reports.never_started(start.attempt_id, reason)
             case _dispatch.Uncertain(reason=reason):
-                state = messages.AttemptState.UNCERTAIN
-                self._report(start.attempt_id, state, detail=reason)
+                self._reports.uncertain(start.attempt_id, reason)
         return None
 
     def _fetch(self, place: messages.AnswerPlace) -> werkzeug.Response | None:
@@ -138,14 +164,12 @@
             case _dispatch.Ended():
                 return self._ended(outcome, stream)
             case _dispatch.Running():
-                # A worker that does not hold the question is not flooded.
-                taken_ms = utils.monotonic_ms() - began_ms
-                self._pause_ms = max(0, FIRST_PAUSE_MS - taken_ms)
+                self._watch.ask_again(utils.monotonic_ms() - began_ms)
             case _dispatch.Uncertain(reason=reason):
                 self._log.info(
                     'no answer yet', attempt=place.attempt_id, why=reason
                 )
-                self._back_off()
+                self._watch.back_off()
         return None
 
     def _ended(
@@ -155,13 +179,13 @@
         if ended.streamed:
             return self._streamed(ended, stream)
         if not self._is_final(ended):
-            self._place = None
+            self._watch.drop()
             if ended.state is messages.AttemptState.FAILED:
                 self._failed = ended
             return None
         if ended.body is None:
-            self._watch(ended.place)
-            self._back_off()
+            self._watch.follow(ended.place)
+            self._watch.back_off()
             return None
         return self._deliver(ended, ended.body)
 
@@ -182,10 +206,10 @@
         if stream.started:
             raise _http.CutShort(f'answer of {ended.attempt_id} broke off')
         if self._is_final(ended):
-            self._watch(ended.place)
-            self._back_off()
+            self._watch.follow(ended.place)
+            self._watch.back_off()
         else:
-            self._place = None
+            self._watch.drop()
         return None
 
     def _take(self, status: messages.TaskStatus) -> werkzeug.Response | None:
@@ -197,7 +221,7 @@
             case messages.TaskState.IN_DOUBT:
                 return _outcomes.in_doubt_by_leader(status)
             case messages.TaskState.DONE if status.answer is not None:
-                self._watch(status.answer, of_leader=True)
+                self._watch.follow(status.answer, of_leader=True)
             case messages.TaskState.FAILED:
                 return self._failed_for_good(status)
         return None
@@ -208,7 +232,7 @@
         if self._failed is not None and self._failed.body is not None:
             return self._deliver(self._failed, self._failed.body)
         if status.answer is not None:
-            self._watch(status.answer, of_leader=True)
+            self._watch.follow(status.answer, of_leader=True)
             return None
         return _outcomes.failed(status)
 
@@ -244,47 +268,16 @@
             case messages.AttemptState.FINISHED:
                 return True
             case messages.AttemptState.FAILED:
-                return self._place_of_leader or not self._task.spec.idempotent
+                return self._watch.of_leader or not self._task.spec.idempotent
         return False
 
-    def _watch(
-        self, place: messages.AnswerPlace, of_leader: bool = False
-    ) -> None:
-        self._place = place
-        self._place_of_leader = self._place_of_leader or of_leader
-        self._pause_ms = 0
-
-    def _back_off(self) -> None:
-        doubled_ms = max(FIRST_PAUSE_MS, self._pause_ms * 2)
-        self._pause_ms = min(doubled_ms, LONGEST_PAUSE_MS)
-
     def _wait_ms(self) -> int:
         longest_ms = self._services.options.start_wait_ms
         return max(0, min(longest_ms, self._left_ms()))
 
     def _report_end(self, ended: _dispatch.Ended) -> None:
-        if not self._place_of_leader:
-            self._report(
-                ended.attempt_id,
-                ended.state,
-                answer=ended.place,
-                run_ms=ended.run_ms,
-            )
-
-    def _report(
-        self,
-        attempt_id: messages.AttemptId,
-        state: messages.AttemptState,
-        answer: messages.AnswerPlace | None = None,
-        detail: str = '',
-        run_ms: int = 0,
-    ) -> None:
-        if attempt_id in self._reported:
-            return
-        self._reported.add(attempt_id)
-        self._services.reporter.report(
-            messages.AttemptReport(attempt_id, state, answer, detail, run_ms)
-        )
+        if not self._watch.of_leader:
+            self._reports.ended(ended)
 
     def _tell_others(self, ended: _dispatch.Ended) -> None:
         """Tell callers on this gateway that wait for the same task."""
@@ -299,13 +292,11 @@
     def _give_back_starts(self) -> None:
         """Report starts that came too late for this caller."""
         while (event := self._waiter.next(0)) is not None:
-            if isinstance(
-                event, messages.StartAttempt
-            ) and self._services.attempts_seen.first(event.attempt_id):
-                self._report(
-                    event.attempt_id,
-                    messages.AttemptState.NEVER_STARTED,
-                    detail='its caller waits no more',
+            if not isinstance(event, messages.StartAttempt):
+                continue
+            if self._services.attempts_seen.first(event.attempt_id):
+                self._reports.never_started(
+                    event.attempt_id, 'its caller waits no more'
                 )
 
     def _observe_wait(self) -> None:
--- a/dandeliondrum/gateway/tests/test_waiting_calls.py
+++ b/dandeliondrum/gateway/tests/test_waiting_calls.py
@@ -1,6 +1,8 @@
 """Tests of callers that wait for a task."""
 
+import contextlib
 import hashlib
+import http.client
 
 import pytest
 
@@ -272,3 +274,19 @@
         assert (resent.status, resent.outcome) == (503, 'in_doubt')
         leader.push(fakes.status('bureau/r1', 'in_doubt'))
         first.result()
+
+
+def test_a_caller_that_hangs_up_frees_its_place(leader):
+    with fakes.serving(
+        leader.address, callers_threads_count=_callers.THREADS_KEPT_FREE + 1
+    ) as front:
+        gone = http.client.HTTPConnection(front.callers_address)
+        with contextlib.closing(gone):
+            gone.request('POST', '/v1/tasks', b'', fakes.headers())
+            fakes.until(lambda: leader.of(messages.SubmitTasks))
+        fakes.until(
+            lambda: (
+                fakes.run(front, Timeout_Ms=1).json()['reason']
+                != 'gateway_busy'
+            )
+        )
