--- /dev/null
+++ b/dandeliondrum/client/_requests.py
@@ -0,0 +1,74 @@
+"""What a caller declares about its tasks."""
+
+import base64
+import dataclasses
+import typing
+
+DEFAULT_TIMEOUT_MS = 60_000
+DAY_MS = 24 * 3_600_000
+
+
+@dataclasses.dataclass(frozen=True)
+class TaskOptions:
+    """How a task is to be run; None leaves it to the gateway's default.
+
+    ``task_class`` is ``urgent`` or ``batch``; ``timeout_ms`` bounds all
+    tries together.
+    """
+
+    queue: str = 'default'
+    task_class: str = 'batch'
+    idempotent: bool = False
+    timeout_ms: int = DEFAULT_TIMEOUT_MS
+    expected_run_ms: int | None = None
+    cpu_millicores: int | None = None
+    memory_mb: int | None = None
+    accelerators: int | None = None
+    region: str | None = None
+    trace_parent: str = ''
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers of everything but team, id and deadline."""
+        fields: dict[str, typing.Any] = {
+            'Queue': self.queue,
+            'Class': self.task_class,
+            'Idempotent': 'true' if self.idempotent else 'false',
+            'Expected-Run-Ms': self.expected_run_ms,
+            'Cpu-Millicores': self.cpu_millicores,
+            'Memory-Mb': self.memory_mb,
+            'Accelerators': self.accelerators,
+            'Region': self.region,
+        }
+        headers = {
+            f'Dandeliondrum-{name}': str(value)
+            for name, value in fields.items()
+            if value is not None
+        }
+        if self.trace_parent:
+            headers['traceparent'] = self.trace_parent
+        return headers
+
+
+@dataclasses.dataclass(frozen=True)
+class JobTask:
+    """One durable task; its answer is asked for later by its id."""
+
+    request_id: str
+    body: bytes = b''
+    task_class: str = 'batch'
+    idempotent: bool = False
+    timeout_ms: int = DAY_MS
+    expected_run_ms: int | None = None
+    cpu_millicores: int | None = None
+    memory_mb: int | None = None
+    accelerators: int | None = None
+    region: str | None = None
+
+    def plain(self) -> dict[str, typing.Any]:
+        """Return the JSON object that a gateway takes."""
+        plain = dataclasses.asdict(self)
+        plain['class'] = plain.pop('task_class')
+        plain['body_base64'] = base64.b64encode(plain.pop('body')).decode()
+        return {
+            name: value for name, value in plain.items() if value is not None
+        }
--- a/dandeliondrum/gateway/_jobs.py
+++ b/dandeliondrum/gateway/_jobs.py
@@ -173,6 +173,9 @@
         for status in statuses
         if status.state is messages.TaskState.REFUSED
     ]
+    plain: dict[str, typing.Any] = {
+        'tasks': [_tasks.plain_status(status) for status in statuses]
+    }
     code = ACCEPTED_STATUS
     outcome = _outcomes.Outcome.ACCEPTED
     if refused and len(refused) < len(statuses):
@@ -180,9 +183,11 @@
     elif refused:
         reason = refused[0].reason or messages.RefusalReason.BAD_REQUEST
         code = _outcomes.status_of(reason)
+        plain['reason'] = reason.value
+        plain['detail'] = refused[0].detail
         outcome = _outcomes.Outcome.REFUSED_NOT_RUN
     response = _http.json_response(
-        {'tasks': [_tasks.plain_status(status) for status in statuses]},
+        plain,
         code,
         _outcomes.headers_of(outcome, ''),
     )
