--- a/dandeliondrum/consensus/_status.py
+++ b/dandeliondrum/consensus/_status.py
@@ -4,13 +4,18 @@
 
 from dandeliondrum.consensus import _interfaces
 from dandeliondrum.consensus import _messages
+from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _state
 from dandeliondrum import messages
 
 
 def read(state: _state.NodeState) -> _interfaces.NodeStatus:
-    """Return the status; the caller holds the lock."""
-    current = state.history.current
+    """Return the status; the caller holds the lock.
+
+    The members are those that are agreed on, which a change that is not yet
+    committed leaves as they are.
+    """
+    current = state.history.as_of(state.commit_index)
     members = [_member(state, member, True) for member in current.voters]
     members += [_member(state, member, False) for member in current.learners]
     return _interfaces.NodeStatus(
@@ -44,10 +49,11 @@
         storage_full = progress.storage_full
         if progress.answered_ns:
             silent_ns = time.monotonic_ns() - progress.answered_ns
-            silent_ms = silent_ns // _state.NS_PER_MS
+            silent_ms = silent_ns // _progress.NS_PER_MS
     return _interfaces.MemberStatus(
         member.controller_id,
         member.address,
+        member.disk_id,
         voter,
         match_index,
         silent_ms,
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -4,7 +4,7 @@
 import collections.abc
 
 from dandeliondrum import messages
-from dandeliondrum.placement import _aging
+from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _choosers
 from dandeliondrum.placement import _fleet
 from dandeliondrum.placement import _gangs
@@ -32,12 +32,12 @@
         self.queues = _queues.Queues(self.ranking)
         self.gangs = _gangs.GangBook()
         self.victims = _preemption.VictimBook(self.ranking, seed)
-        self.aged = _aging.AgedTasks(ledger)
         self.reserver = _reservation.Reserver(self.index, seed)
         self.reservation: _reservation.Reservation | None = None
+        # Workers with new room, in the order in which they got it.
+        self.woken: dict[messages.WorkerId, _fleet.Worker] = {}
         self.reasons: dict[messages.TaskId, str] = {}
-        self.awaited: dict[messages.TaskId, _queues.Bin] = {}
-        self._changed_teams: dict[messages.TeamId, None] = {}
+        self.awaited: dict[messages.TaskId, _bins.Group] = {}
         self._reset = True
         self.ranking.bind(ledger)
         self.queues.bind(ledger)
@@ -49,7 +49,6 @@
             self.gangs.add(task)
             return
         self.queues.add(task)
-        self.aged.add(task)
 
     def drop(self, task: _tasks.PendingTask) -> None:
         """Forget a task that is pending no more and was not placed."""
@@ -66,6 +65,7 @@
     ) -> _tasks.Placement:
         """Reserve a placement and bring all indexes up to date."""
         placement = self.ledger.reserve(task, worker_id, now_ms)
+        self.queues.note_placed(task, now_ms)
         self._unqueue(task)
         self.reasons[task.task_id] = reason
         self._count(self.ledger.running[task.task_id], 1)
@@ -81,12 +81,11 @@
         """Note a task that has freed its worker."""
         task_id = running.task.task_id
         self._count(running, -1)
-        self._changed_teams[running.task.team_id] = None
         self.reasons.pop(task_id, None)
         self.victims.ended(task_id)
-        home = self.awaited.pop(task_id, None)
-        if home is not None:
-            home.awaited_count -= 1
+        group = self.awaited.pop(task_id, None)
+        if group is not None:
+            group.awaited_count -= 1
         worker = self.ledger.fleet.workers.get(running.worker_id)
         if worker is not None:
             self.wake(worker)
@@ -110,37 +109,21 @@
         self.drop_reservation()
 
     def refresh(self) -> None:
-        """Put teams whose usage has fallen where they now belong."""
+        """Put all teams where they belong after a change of the fleet."""
         if self._reset:
             self.ranking.reset()
-            self.queues.push_all()
-        else:
-            for team_id in self._changed_teams:
-                self.queues.push_team(team_id)
+            self.queues.note_all_usage()
         self._reset = False
-        self._changed_teams.clear()
 
     def wake(self, worker: _fleet.Worker) -> None:
-        """Let bins be tried again that the worker may have room for."""
+        """Note a worker that may have room for tasks that had none."""
         levels = self.index.update(worker)
         made = self.reservation
         if made is not None and worker.worker_id in made.waiting:
             if worker.has_room_for_held():
                 made.waiting.discard(worker.worker_id)
-        if levels is None or worker.facts is None:
-            return
-        for home in self.queues:
-            if not home.blocked_at_home:
-                continue
-            need = home.key.need
-            if (
-                need.cpu <= levels.cpu
-                and need.memory <= levels.memory
-                and need.accelerators <= levels.accelerators
-            ):
-                home.blocked_everywhere = False
-                if home.key.region in (None, worker.facts.region):
-                    home.blocked_at_home = False
+        if levels is not None:
+            self.woken[worker.worker_id] = worker
 
     def drop_reservation(self) -> None:
         """Let the room go that is held, if any."""
@@ -151,12 +134,13 @@
         self.reserver.release(self.ledger, made)
         for worker in made.workers():
             self.wake(worker)
-        self._changed_teams[made.team_id] = None
+        self.queues.note_usage(made.team_id, less=True)
 
     def _count(self, running: _tasks.RunningTask, sign: int) -> None:
         task = running.task
         self.choosers[task.task_class].count(running, sign)
         self.ranking.note_change(task.team_id)
+        self.queues.note_usage(task.team_id, less=sign < 0)
         if task.gang_id is not None:
             self.gangs.count_running(task, sign)
         if sign > 0:
