Learn sizes without climbing

After a while of load every task was refused as fitting on no worker: a worker that measures nothing reports the grant as the peak, the estimate adds its margin, the next task is granted that, and so on without a bound, as the workers' sizes were never told to the learner. Ruled out: the cut of the leader during which it was first seen; it happens without. A report equal to the grant now counts without the margin, estimates are bounded by the workers, and processors stay as declared, since a task that wants more is throttled.

--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -64,6 +64,7 @@
                 self._silent.discard(call.facts.worker_id)
             with context.lock:
                 context.experience.forget(call.facts.worker_id)
+                self.learn_sizes()
             self._desk.ended(outcome.unwrap())
             self.refresh(call.facts.worker_id)
             return messages.Done()
@@ -88,6 +89,13 @@
             context.planner.put_worker(worker.facts, eligible)
             context.work.set()
 
+    def learn_sizes(self) -> None:
+        """Tell what workers there are sizes of."""
+        with self._context.state.lock:
+            workers = self._context.state.workers.values()
+            sizes = {worker.facts.resources for worker in workers}
+        self._context.experience.set_worker_sizes(list(sizes))
+
     def take(self, call: messages.WorkerBeats) -> typing.Any:
         """Answer heartbeats, if this is surely still the leader."""
         context = self._context
--- a/dandeliondrum/controller/_experience.py
+++ b/dandeliondrum/controller/_experience.py
@@ -40,7 +40,7 @@
             self._sizes.record(
                 spec.team_id,
                 spec.queue,
-                report.peak_resources or spec.resources,
+                _used(spec, report.peak_resources),
                 report.run_ms,
             )
 
@@ -72,21 +72,18 @@
         self._sizes.set_worker_sizes(sizes)
 
     def sized(self, spec: messages.TaskSpec) -> messages.TaskSpec:
-        """Return the task with what its kind was seen to use.
+        """Return the task with the memory that its kind was seen to use.
 
         A task is never given less than it declared, since its worker may
-        hold it to that.
+        hold it to that. Processors are given as declared: a task that wants
+        more is throttled, which harms nobody else.
         """
         estimate = self._sizes.estimate(
             spec.team_id, spec.queue, spec.resources
         )
         declared = spec.resources
-        learned = estimate.resources
-        resources = messages.Resources(
-            max(declared.cpu_millicores, learned.cpu_millicores),
-            max(declared.memory_mb, learned.memory_mb),
-            declared.accelerators_count,
-        )
+        memory_mb = max(declared.memory_mb, estimate.resources.memory_mb)
+        resources = dataclasses.replace(declared, memory_mb=memory_mb)
         return dataclasses.replace(spec, resources=resources)
 
     def run_ms(self, spec: messages.TaskSpec) -> int:
@@ -99,3 +96,20 @@
             spec.team_id, spec.queue, spec.resources
         )
         return estimate.run_ms or 0
+
+
+def _used(
+    spec: messages.TaskSpec, peak: messages.Resources | None
+) -> messages.Resources:
+    """Return what a report says that a task used.
+
+    A peak that equals the grant may be the grant itself, reported by a
+    worker that measures nothing or holds the task to it. With the margin of
+    an estimate on top, grants would climb with every run, so the margin is
+    taken off first.
+    """
+    granted = spec.resources
+    if peak is None or peak.memory_mb == granted.memory_mb:
+        memory_mb = int(granted.memory_mb / placement.MEMORY_MARGIN)
+        return dataclasses.replace(granted, memory_mb=memory_mb)
+    return peak
--- a/dandeliondrum/placement/__init__.py
+++ b/dandeliondrum/placement/__init__.py
@@ -14,6 +14,7 @@
 from dandeliondrum.placement._retries import Retry
 from dandeliondrum.placement._retries import RetryBudget
 from dandeliondrum.placement._sizes import Estimate
+from dandeliondrum.placement._sizes import MEMORY_MARGIN
 from dandeliondrum.placement._sizes import SizeLearner
 from dandeliondrum.placement._tasks import NeverFits
 from dandeliondrum.placement._tasks import PendingTask
@@ -30,6 +31,7 @@
     'Estimate',
     'FirstComeFirstFit',
     'FullPolicy',
+    'MEMORY_MARGIN',
     'NeverFits',
     'NoRetry',
     'PendingTask',
