--- /dev/null
+++ b/benchmarks/_state_office.py
@@ -0,0 +1,143 @@
+"""Times of the leader's own work over a state: heartbeats and scans."""
+
+import collections
+import collections.abc
+import itertools
+import statistics
+import time
+
+from benchmarks import _state_world
+
+from dandeliondrum.controller import _context
+from dandeliondrum.controller import _metrics
+from dandeliondrum.controller import _office
+from dandeliondrum.controller import _pending
+from dandeliondrum import messages
+from dandeliondrum import utils
+
+BEATS_PER_MESSAGE = 32
+REPEATS_COUNT = 9
+
+
+def median_us(
+    action: collections.abc.Callable[[], object],
+    repeats_count: int = REPEATS_COUNT,
+) -> float:
+    """Return the median time of an action in microseconds."""
+    times_ns = []
+    for _ in range(repeats_count):
+        started_ns = time.perf_counter_ns()
+        action()
+        times_ns.append(time.perf_counter_ns() - started_ns)
+    return statistics.median(times_ns) / 1_000
+
+
+class OfficeTimer:
+    """A leader's office over a filled state, with its parts timed."""
+
+    def __init__(self, world: _state_world.World) -> None:
+        self._world = world
+        self._context = _context.Context(
+            _state_world.options(),
+            world.state,
+            _state_world.FakeNode(world),
+            messages.Term(1),
+            _metrics.Metrics(),
+        )
+        self._office = _office.Office(self._context, utils.TimerService())
+
+    def measure(self) -> dict[str, float]:
+        """Return the times by name; each name ends in its unit."""
+        started_s = time.perf_counter()
+        self._office._rebuild()
+        figures = {'rebuild_ms': (time.perf_counter() - started_s) * 1_000}
+        figures.update(self._beats())
+        figures.update(self._scans())
+        return figures
+
+    def _beats(self) -> dict[str, float]:
+        batches = self._batches()
+        for batch in batches:
+            self._office._beats.take(batch)
+        size = statistics.mean(len(one.beats) for one in batches)
+        source = itertools.cycle(batches)
+        encoded = [messages.encode(one) for one in batches]
+        encoded_source = itertools.cycle(encoded)
+        reply = self._office._beats.take(batches[0])
+        repeats_count = max(300, len(batches))
+        bytes_count = statistics.mean(map(len, encoded))
+        decode_us = median_us(
+            lambda: messages.decode(next(encoded_source)), repeats_count
+        )
+        take_us = median_us(
+            lambda: self._office._beats.take(next(source)), repeats_count
+        )
+        encode_us = median_us(lambda: messages.encode(reply), repeats_count)
+        total_us = (decode_us + take_us + encode_us) / size
+        return {
+            'beat_decode_us': decode_us / size,
+            'beat_take_us': take_us / size,
+            'beat_reply_encode_us': encode_us / size,
+            'beats_per_s': 1_000_000 / total_us,
+            'beat_bytes': bytes_count / size,
+            'beat_reply_bytes': len(messages.encode(reply)) / size,
+        }
+
+    def _batches(self) -> list[messages.WorkerBeats]:
+        """Return one heartbeat of each worker, as a gateway sends them."""
+        by_worker = collections.defaultdict(list)
+        for worker in self._world.state.workers.values():
+            for attempt_id in worker.attempts:
+                by_worker[worker.facts.worker_id].append(attempt_id)
+        beats = []
+        used = messages.Resources(900, 1_000)
+        for facts in self._world.workers:
+            running = by_worker[facts.worker_id]
+            beats.append(
+                messages.WorkerBeat(
+                    facts.worker_id,
+                    facts.incarnation,
+                    tuple(
+                        messages.RunningAttempt(attempt_id, used)
+                        for attempt_id in running
+                    ),
+                )
+            )
+        return [
+            messages.WorkerBeats(
+                tuple(beats[first : first + BEATS_PER_MESSAGE])
+            )
+            for first in range(0, len(beats), BEATS_PER_MESSAGE)
+        ]
+
+    def _scans(self) -> dict[str, float]:
+        beats = self._office._beats
+        figures = {
+            'check_us': median_us(beats.check),
+            'forget_ended_us': median_us(self._office._forget_ended),
+            'learn_sizes_us': median_us(beats.learn_sizes),
+            'announce_us': median_us(self._announce),
+            'gateway_lost_us': median_us(
+                lambda: self._office._desk.gateway_lost(
+                    messages.GatewayId('gateway-unknown')
+                )
+            ),
+        }
+        waiting_count = 0
+        for wanted_count in (1_000, 20_000):
+            while waiting_count < wanted_count:
+                self._wait_for_a_worker()
+                waiting_count += 1
+            figures[f'refuse_overdue_{wanted_count}_waiting_us'] = median_us(
+                self._office._refuse_overdue
+            )
+        return figures
+
+    def _announce(self) -> None:
+        call = messages.AnnounceWorker(self._world.workers[0])
+        self._office._beats.announce(call).result()
+
+    def _wait_for_a_worker(self) -> None:
+        spec = self._world.spec()
+        deadline_ms = self._context.now_ms() + 3_600_000
+        self._context.add_pending(_pending.PendingEntry(spec, deadline_ms))
