--- /dev/null
+++ b/benchmarks/bench_end_to_end.py
@@ -0,0 +1,424 @@
+"""A whole cell of processes under load, end to end.
+
+Everything runs on loopback. Example::
+
+    python -m benchmarks.bench_end_to_end all --out bench-out/e2e.json
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import platform
+import statistics
+import tempfile
+import time
+import typing
+
+from benchmarks import _load
+from benchmarks import _role_usage
+
+from dandeliondrum import rules
+from dandeliondrum import testing
+from dandeliondrum import worker
+
+import fire
+import psutil
+
+TEAM = 'harbour'
+RULES = (
+    '{"rule": "team", "team": "harbour", "share": 1}  // asked by the bench\n'
+    '{"rule": "queue", "queue": "lens", "open": false, "class": "batch",'
+    ' "queued_max": 1000000}  // asked by the bench\n'
+)
+WORKER_FIELDS = {
+    'slots_count': 64,
+    'connections_count': 256,
+    'cpu_millicores': 64_000,
+    'memory_mb': 65_536,
+}
+STARTS_TIMEOUT_S = 120
+SETTLE_S = 2.0
+KILL_PAUSE_S = 6.0
+NODE_SECONDS = 10.0
+HANGING_COUNTS = (0, 6)
+
+Figures = dict[str, typing.Any]
+
+
+class Bench:
+    """The measurements; each method is a command and writes its JSON."""
+
+    def __init__(
+        self,
+        out: str = 'bench-out/e2e.json',
+        seed: int = 1,
+        gateways: int = 3,
+        workers: int = 12,
+        processes: int = 4,
+        callers: int = 16,
+        seconds: float = 15.0,
+        tasks: int = 20_000,
+        repeats: int = 3,
+    ) -> None:
+        self._out = pathlib.Path(out)
+        self._seed = seed
+        self._gateways_count = gateways
+        self._workers_count = workers
+        self._processes_count = processes
+        self._callers_count = callers
+        self._seconds = seconds
+        self._tasks_count = tasks
+        self._repeats_count = repeats
+
+    def all(self) -> None:
+        """Measure everything, each in a fresh cell."""
+        self._run('all', self._durable, self._waiting, self._node, self._kills)
+
+    def durable(self) -> None:
+        """Committed starts per second of durable tasks."""
+        self._run('durable', self._durable)
+
+    def waiting(self) -> None:
+        """Waiting calls: time to the start and to the answer."""
+        self._run('waiting', self._waiting)
+
+    def node(self) -> None:
+        """What one worker's own share of control costs."""
+        self._run('node', self._node)
+
+    def failover(self) -> None:
+        """Longest time without an answer after a kill."""
+        self._run('failover', self._kills)
+
+    def _run(
+        self,
+        part: str,
+        *measures: collections.abc.Callable[[], Figures],
+    ) -> None:
+        report: Figures = {
+            'bench': 'end_to_end',
+            'part': part,
+            'seed': self._seed,
+            'python': platform.python_version(),
+            'started': time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime()),
+            'controllers_count': 3,
+            'gateways_count': self._gateways_count,
+            'workers_count': self._workers_count,
+            'load_processes_count': self._processes_count,
+        }
+        for measure in measures:
+            figures = measure()
+            report.update(figures)
+            _print(figures)
+            self._out.parent.mkdir(parents=True, exist_ok=True)
+            self._out.write_text(json.dumps(report, indent=1) + '\n')
+
+    @contextlib.contextmanager
+    def _cell(
+        self, workers_count: int
+    ) -> collections.abc.Iterator[tuple[testing.Cell, _load.Load]]:
+        key = rules.new_key(TEAM, 'the bench')
+        with contextlib.ExitStack() as resources:
+            folder = resources.enter_context(tempfile.TemporaryDirectory())
+            cell = resources.enter_context(testing.Cell(folder))
+            cell.add_controllers(3)
+            cell.add_gateways(self._gateways_count)
+            cell.wait_ready(0)
+            reply = cell.apply_rules(RULES + key.rule_line + '\n', 0)
+            if reply.status != 200:
+                raise RuntimeError(f'rules refused: {reply.body!r}')
+            cell.add_workers(workers_count, **WORKER_FIELDS)
+            cell.wait_ready()
+            addresses = tuple(
+                cell.addresses[f'{name}/callers'] for name in cell.gateways
+            )
+            yield (
+                cell,
+                _load.Load(
+                    addresses=addresses,
+                    key=key.text,
+                    team=TEAM,
+                    name='load',
+                    seed=self._seed,
+                    callers_count=self._callers_count,
+                    seconds=self._seconds,
+                ),
+            )
+
+    def _durable(self) -> Figures:
+        runs = [self._durable_once() for _ in range(self._repeats_count)]
+        return {'durable': runs}
+
+    def _durable_once(self) -> Figures:
+        """Hand all tasks in as jobs, wait until each has started."""
+        per_job = min(1_000, self._tasks_count)
+        jobs_count = -(-self._tasks_count // per_job // self._processes_count)
+        wanted_count = jobs_count * per_job * self._processes_count
+        with contextlib.ExitStack() as resources:
+            cell, load = resources.enter_context(
+                self._cell(self._workers_count)
+            )
+            processes = resources.enter_context(
+                _load.Processes(self._processes_count)
+            )
+            load = _with_run_ms(load, 0)
+            usage = _role_usage.RoleUsage(cell)
+            load_average = os.getloadavg()[0]
+            began_ms = worker.now_ms()
+            statuses = processes.start_jobs(load, jobs_count, per_job)()
+            taken_ms = worker.now_ms()
+            starts_ms = _wait_for_starts(cell, wanted_count)
+            figures = {
+                'tasks_count': wanted_count,
+                'jobs_refused_count': sum(one != 202 for one in statuses),
+                'submitted_per_s': wanted_count
+                / (taken_ms - began_ms)
+                * 1_000,
+                'started_count': len(starts_ms),
+                'starts_per_s': _middle_rate(starts_ms),
+                'starts_per_s_overall': len(starts_ms)
+                / (max(starts_ms, default=began_ms + 1) - began_ms)
+                * 1_000,
+                'load': round(load_average, 1),
+                'load_after': round(os.getloadavg()[0], 1),
+                'roles': usage.finish(),
+            }
+        return figures
+
+    def _waiting(self) -> Figures:
+        runs = [self._waiting_once() for _ in range(self._repeats_count)]
+        return {'waiting': runs}
+
+    def _waiting_once(self) -> Figures:
+        with contextlib.ExitStack() as resources:
+            cell, load = resources.enter_context(
+                self._cell(self._workers_count)
+            )
+            processes = resources.enter_context(
+                _load.Processes(self._processes_count)
+            )
+            usage = _role_usage.RoleUsage(cell)
+            load_average = os.getloadavg()[0]
+            told = processes.start_callers(load)()
+            roles = usage.finish()
+            first_ms = _first_starts(cell)
+            answered = [one for one in told if one.outcome == 'answered']
+            span_ms = max(one.ended_ms for one in told) - min(
+                one.sent_ms for one in told
+            )
+            figures: Figures = {
+                'callers_count': self._processes_count * self._callers_count,
+                'run_ms': load.run_ms,
+                'calls_count': len(told),
+                'answered_count': len(answered),
+                'answers_per_s': len(answered) / span_ms * 1_000,
+                'load': round(load_average, 1),
+                'load_after': round(os.getloadavg()[0], 1),
+                'roles': roles,
+            }
+            for task_class in ('urgent', 'batch'):
+                of_class = [
+                    one for one in answered if one.task_class == task_class
+                ]
+                figures[task_class] = _waits(of_class, first_ms)
+        return figures
+
+    def _node(self) -> Figures:
+        found = []
+        for hanging_count in HANGING_COUNTS:
+            with self._cell(0) as (cell, load):
+                found.append(_node_figures(cell, load, hanging_count))
+        return {'node': found}
+
+    def _kills(self) -> Figures:
+        gaps: dict[str, list[float]] = {}
+        plan = ['leader', 'follower', 'gateway'] * self._repeats_count
+        seconds = SETTLE_S + len(plan) * (KILL_PAUSE_S + SETTLE_S) + 4.0
+        with contextlib.ExitStack() as resources:
+            cell, load = resources.enter_context(
+                self._cell(self._workers_count)
+            )
+            processes = resources.enter_context(
+                _load.Processes(self._processes_count)
+            )
+            load_average = os.getloadavg()[0]
+            callers = processes.start_callers(
+                _for_kills(load, seconds, self._callers_count)
+            )
+            time.sleep(SETTLE_S)
+            kills = []
+            for role in plan:
+                name = _chosen(cell, role)
+                at_ms = worker.now_ms()
+                cell.processes.kill(name)
+                kills.append((role, at_ms))
+                time.sleep(KILL_PAUSE_S)
+                cell.processes.restart(name)
+                time.sleep(SETTLE_S)
+            told = callers()
+        answers_ms = sorted(
+            one.ended_ms for one in told if one.outcome == 'answered'
+        )
+        for role, at_ms in kills:
+            gap_ms = _longest_gap_ms(answers_ms, at_ms)
+            gaps.setdefault(role, []).append(round(gap_ms, 1))
+        return {
+            'failover': {
+                'gaps_ms': gaps,
+                'median_ms': {
+                    role: statistics.median(found)
+                    for role, found in gaps.items()
+                },
+                'answers_per_s': len(answers_ms) / seconds,
+                'not_answered_count': len(told) - len(answers_ms),
+                'load': round(load_average, 1),
+                'load_after': round(os.getloadavg()[0], 1),
+            }
+        }
+
+
+def _with_run_ms(load: _load.Load, run_ms: int) -> _load.Load:
+    return _replaced(load, run_ms=run_ms)
+
+
+def _for_kills(
+    load: _load.Load, seconds: float, callers_count: int
+) -> _load.Load:
+    return _replaced(
+        load,
+        seconds=seconds,
+        callers_count=max(2, callers_count // 4),
+        pause_ms=10,
+    )
+
+
+def _replaced(load: _load.Load, **fields: typing.Any) -> _load.Load:
+    return dataclasses.replace(load, **fields)
+
+
+def _chosen(cell: testing.Cell, role: str) -> str:
+    leader = cell.leader()
+    match role:
+        case 'leader':
+            return leader
+        case 'follower':
+            return next(one for one in cell.controllers if one != leader)
+    return cell.gateways[-1]
+
+
+def _longest_gap_ms(answers_ms: list[float], from_ms: float) -> float:
+    to_ms = from_ms + KILL_PAUSE_S * 1_000
+    inside = [one for one in answers_ms if from_ms <= one <= to_ms]
+    edges = [from_ms, *inside, to_ms]
+    return max(after - before for before, after in zip(edges, edges[1:]))
+
+
+def _wait_for_starts(cell: testing.Cell, wanted_count: int) -> list[float]:
+    """Return the times of first starts, from the workers' journals."""
+    end_s = time.monotonic() + STARTS_TIMEOUT_S
+    while time.monotonic() < end_s:
+        if _started_lines_count(cell) >= wanted_count:
+            break
+        time.sleep(0.5)
+    return sorted(_first_starts(cell).values())
+
+
+def _started_lines_count(cell: testing.Cell) -> int:
+    count = 0
+    for name in cell.workers:
+        path = cell.folder / f'{name}.journal'
+        if path.exists():
+            count += path.read_bytes().count(b'"kind":"start"')
+    return count
+
+
+def _first_starts(cell: testing.Cell) -> dict[str, float]:
+    """Return when each task first started, by task id."""
+    found: dict[str, float] = {}
+    for event in cell.journals():
+        if event.kind is worker.EventKind.START:
+            earlier_ms = found.get(event.task_id, event.at_ms)
+            found[event.task_id] = min(earlier_ms, event.at_ms)
+    return found
+
+
+def _middle_rate(times_ms: list[float]) -> float:
+    """Return events per second between the first and the last tenth."""
+    if len(times_ms) < 20:
+        return 0.0
+    tenth = len(times_ms) // 10
+    inside = times_ms[tenth:-tenth]
+    return (len(inside) - 1) / (inside[-1] - inside[0]) * 1_000
+
+
+def _waits(
+    told: list[_load.Told], first_ms: dict[str, float]
+) -> dict[str, float]:
+    to_start = sorted(
+        first_ms[f'{TEAM}/{one.request_id}'] - one.sent_ms
+        for one in told
+        if f'{TEAM}/{one.request_id}' in first_ms
+    )
+    to_answer = sorted(one.ended_ms - one.sent_ms for one in told)
+    return {
+        'count': len(told),
+        'start_p50_ms': _quantile(to_start, 0.5),
+        'start_p99_ms': _quantile(to_start, 0.99),
+        'answer_p50_ms': _quantile(to_answer, 0.5),
+        'answer_p99_ms': _quantile(to_answer, 0.99),
+    }
+
+
+def _quantile(ordered: list[float], portion: float) -> float:
+    if not ordered:
+        return 0.0
+    place = min(len(ordered) - 1, int(len(ordered) * portion))
+    return round(ordered[place], 2)
+
+
+def _node_figures(
+    cell: testing.Cell, load: _load.Load, hanging_count: int
+) -> Figures:
+    """Measure one worker that runs so many tasks, through a proxy."""
+    gateway = cell.addresses['g1/workers']
+    with testing.Proxy(gateway, seed=1) as proxy:
+        cell.add_worker('w1', gateways=[proxy.address], **WORKER_FIELDS)
+        cell.wait_ready()
+        tasks = [
+            {'request_id': f'hang-{number}', 'body': {'hang': True}}
+            for number in range(hanging_count)
+        ]
+        if tasks:
+            cell.submit_job(load.key, tasks)
+            testing.wait_until(
+                lambda: _started_lines_count(cell) >= hanging_count
+            )
+        time.sleep(SETTLE_S)
+        process = psutil.Process(cell.processes.id_of('w1'))
+        before = process.cpu_times()
+        before_bytes = (proxy.forward_bytes, proxy.backward_bytes)
+        time.sleep(NODE_SECONDS)
+        after = process.cpu_times()
+        cpu_s = after.user + after.system - before.user - before.system
+        sent_bytes = proxy.forward_bytes - before_bytes[0]
+        received_bytes = proxy.backward_bytes - before_bytes[1]
+        return {
+            'running_count': hanging_count,
+            'heartbeat_ms': 500,
+            'cpu_portion': round(cpu_s / NODE_SECONDS, 4),
+            'rss_mb': round(process.memory_info().rss / 1e6, 1),
+            'sent_bytes_per_s': round(sent_bytes / NODE_SECONDS),
+            'received_bytes_per_s': round(received_bytes / NODE_SECONDS),
+            'load': round(os.getloadavg()[0], 1),
+        }
+
+
+def _print(figures: Figures) -> None:
+    print(json.dumps(figures, indent=1), flush=True)
+
+
+if __name__ == '__main__':
+    fire.Fire(Bench)
