Keep the sizes of workers as they change, not by a look at all

An announcement looked through the whole fleet for the sizes that workers have, under the locks of the leader. benchmarks.bench_state, 9,500 workers with 54,000 running: 9.1 ms for one announcement (8.2 ms of it the look; 240 workers: 0.19 ms), so that a failure domain of 528 workers that comes back would have held the leader for 5 s and a whole fleet for 87 s.

A size is counted by worker and goes with its last one; that it also goes when the worker is gone, and not only with the next announcement, is new.

--- a/benchmarks/_state_office.py
+++ b/benchmarks/_state_office.py
@@ -115,7 +115,6 @@
         figures = {
             'check_us': median_us(beats.check),
             'forget_ended_us': median_us(self._office._forget_ended),
-            'learn_sizes_us': median_us(beats.learn_sizes),
             'announce_us': median_us(self._announce),
             'gateway_lost_us': median_us(
                 lambda: self._office._desk.gateway_lost(
--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -10,6 +10,7 @@
 from dandeliondrum.controller import _context
 from dandeliondrum.controller import _endings_desk
 from dandeliondrum.controller import _records
+from dandeliondrum.controller import _worker_sizes
 from dandeliondrum import messages
 from dandeliondrum import utils
 import structlog
@@ -40,6 +41,7 @@
         self._counting_from_ms = utils.monotonic_ms()
         self._checked_ms = self._counting_from_ms
         self._release: dict[messages.WorkerId, list[messages.AttemptId]] = {}
+        self._sizes = _worker_sizes.WorkerSizes()
 
     def heard(self, worker_id: messages.WorkerId) -> int:
         """Return when the worker was last heard, or may have been."""
@@ -64,7 +66,7 @@
                 self._silent.discard(call.facts.worker_id)
             with context.lock:
                 context.experience.forget(call.facts.worker_id)
-                self.learn_sizes()
+                self._note_size(call.facts.worker_id, call.facts.resources)
             self._desk.ended(outcome.unwrap())
             self.refresh(call.facts.worker_id)
             return messages.Done()
@@ -77,8 +79,10 @@
         with context.lock, context.state.lock:
             worker = context.state.workers.get(worker_id)
             if worker is None:
+                self._note_size(worker_id, None)
                 context.planner.remove_worker(worker_id)
                 return
+            self._note_size(worker_id, worker.facts.resources)
             rule = context.state.rules.workers.get(worker_id)
             eligible = (
                 worker.state is messages.WorkerState.ACTIVE
@@ -89,12 +93,11 @@
             context.planner.put_worker(worker.facts, eligible)
             context.work.set()
 
-    def learn_sizes(self) -> None:
-        """Tell what workers there are sizes of."""
-        with self._context.state.lock:
-            workers = self._context.state.workers.values()
-            sizes = {worker.facts.resources for worker in workers}
-        self._context.experience.set_worker_sizes(list(sizes))
+    def _note_size(
+        self, worker_id: messages.WorkerId, size: messages.Resources | None
+    ) -> None:
+        if self._sizes.note(worker_id, size):
+            self._context.experience.set_worker_sizes(self._sizes.all())
 
     def take(self, call: messages.WorkerBeats) -> typing.Any:
         """Answer heartbeats, if this is surely still the leader."""
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_office.py
@@ -70,7 +70,6 @@
         context = self.context
         with context.lock, context.state.lock:
             context.planner.set_teams(_operators.grants(context.state.rules))
-            self._beats.learn_sizes()
             for worker_id in context.state.workers:
                 self._beats.refresh(worker_id)
             for worker in context.state.workers.values():
--- /dev/null
+++ b/dandeliondrum/controller/tests/test_worker_sizes.py
@@ -0,0 +1,129 @@
+"""Tests of how the leader keeps the sizes that workers have."""
+
+import concurrent.futures
+import pathlib
+
+import pytest
+from returns import result
+
+from dandeliondrum.controller import _context
+from dandeliondrum.controller import _metrics
+from dandeliondrum.controller import _office
+from dandeliondrum.controller import _options
+from dandeliondrum.controller import _state
+from dandeliondrum.controller.tests import builders
+from dandeliondrum import messages
+from dandeliondrum import utils
+
+SMALL, BIG = 16_000, 64_000
+
+
+class UnscannedWorkers(dict):
+    """Workers that nobody may look through one by one."""
+
+    def values(self):
+        raise AssertionError('all workers were looked through')
+
+    items = __iter__ = values
+
+
+class AppliedAtOnce:
+    """Stands in for the log: what is proposed is applied at once."""
+
+    def __init__(self, state):
+        self.state = state
+        self.index = 0
+
+    def leading(self):
+        return True
+
+    def propose(self, command):
+        self.index += 1
+        done = concurrent.futures.Future()
+        outcome = self.state.apply(self.index, command)
+        done.set_result(result.Success(outcome))
+        return done
+
+
+class Leader:
+    """An office that is not open, and what it told the size learner."""
+
+    def __init__(self):
+        self.state = _state.CellState()
+        self.options = _options.Options(
+            messages.ControllerId('c1'),
+            messages.CellId('cell'),
+            messages.Region('gulf'),
+            messages.FailureDomain('songkhla'),
+            '127.0.0.1:0',
+            pathlib.Path('unused'),
+            {},
+        )
+        self.told = []
+        self.lead()
+
+    def lead(self):
+        """Begin a term of office with nothing but the replicated state."""
+        self.context = _context.Context(
+            self.options,
+            self.state,
+            AppliedAtOnce(self.state),
+            messages.Term(1),
+            _metrics.Metrics(),
+        )
+        self.context.experience.set_worker_sizes = self.told.append
+        self.office = _office.Office(self.context, utils.TimerService())
+
+    def announce(self, name, incarnation, cpu):
+        facts = builders.facts(name, incarnation, cpu=cpu)
+        call = messages.AnnounceWorker(facts)
+        assert self.office._beats.announce(call).result() == messages.Done()
+
+    def sizes(self):
+        return {size.cpu_millicores for size in self.told[-1]}
+
+
+@pytest.fixture
+def leader():
+    """Return a leader with an empty fleet."""
+    return Leader()
+
+
+def test_an_announcement_does_not_look_through_the_fleet(leader):
+    leader.state.workers = UnscannedWorkers(leader.state.workers)
+    leader.announce('lathe-1', 'a', SMALL)
+    leader.announce('lathe-2', 'a', BIG)
+    assert leader.sizes() == {SMALL, BIG}
+
+
+def test_sizes_are_told_once_for_equal_workers(leader):
+    for number in range(5):
+        leader.announce(f'lathe-{number}', 'a', SMALL)
+    assert len(leader.told) == 1
+
+
+def test_a_size_goes_when_its_last_worker_comes_back_smaller(leader):
+    leader.announce('lathe-1', 'a', BIG)
+    leader.announce('lathe-2', 'a', BIG)
+    leader.announce('lathe-1', 'b', SMALL)
+    assert leader.sizes() == {SMALL, BIG}
+    leader.announce('lathe-2', 'b', SMALL)
+    assert leader.sizes() == {SMALL}
+
+
+def test_a_size_goes_when_its_last_worker_is_gone(leader):
+    leader.announce('lathe-1', 'a', BIG)
+    leader.announce('lathe-2', 'a', SMALL)
+    worker = leader.state.workers['lathe-1']
+    gone = messages.WorkerState.GONE
+    leader.office._beats.set_state(worker, gone, 'test').result()
+    assert leader.sizes() == {SMALL}
+
+
+def test_a_new_leader_knows_the_sizes_of_the_recorded_fleet(leader):
+    leader.announce('lathe-1', 'a', BIG)
+    leader.announce('lathe-2', 'a', SMALL)
+    leader.told.clear()
+    leader.lead()
+    leader.office._rebuild()
+    assert leader.sizes() == {SMALL, BIG}
