--- a/benchmarks/_role_usage.py
+++ b/benchmarks/_role_usage.py
@@ -71,6 +71,8 @@
         rss_bytes = [self._process(one).memory_info().rss for one in live]
         return {
             'processes_count': len(live),
+            'seconds': round(seconds, 2),
+            'cpu_s_of_all': round(cpu_s, 3),
             'cpu_cores': round(cpu_s / seconds / count, 4),
             'rss_mb': round(max(rss_bytes, default=0) / 1e6, 1),
             'stream_sent_bytes_per_s': round(sent_bytes / seconds / count),
--- /dev/null
+++ b/benchmarks/bench_beats.py
@@ -0,0 +1,192 @@
+"""Heartbeats through one gateway: how many, and what each one costs.
+
+Heartbeats of workers that exist only on paper are posted from processes of
+the bench to one gateway of a real cell. The attempts that they name as
+running are not on record, so that each reply also lists them to be stopped.
+Example::
+
+    python -m benchmarks.bench_beats --out bench-out/beats.json
+"""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import json
+import multiprocessing
+import os
+import pathlib
+import platform
+import tempfile
+import time
+import typing
+
+from benchmarks import _role_usage
+
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum.worker import _encoding
+
+import fire
+import pycurl
+
+RUNNING_COUNTS = (0, 6)
+SETTLE_S = 1.0
+
+Figures = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Post:
+    """What one process posts; each worker has a thread and a connection."""
+
+    address: str
+    name: str
+    workers_count: int
+    running_count: int
+    seconds: float
+
+
+def run(
+    out: str = 'bench-out/beats.json',
+    processes: int = 3,
+    workers: int = 40,
+    seconds: float = 6.0,
+) -> None:
+    """Measure, print and write one JSON file."""
+    report: Figures = {
+        'bench': 'beats',
+        'python': platform.python_version(),
+        'started': time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime()),
+        'workers_count': processes * workers,
+        'runs': [
+            _measure(processes, workers, running_count, seconds)
+            for running_count in RUNNING_COUNTS
+        ],
+    }
+    path = pathlib.Path(out)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(report, indent=1) + '\n')
+    print(json.dumps(report['runs'], indent=1))
+
+
+def _measure(
+    processes_count: int,
+    workers_count: int,
+    running_count: int,
+    seconds: float,
+) -> Figures:
+    with contextlib.ExitStack() as resources:
+        folder = resources.enter_context(tempfile.TemporaryDirectory())
+        cell = resources.enter_context(testing.Cell(folder))
+        cell.add_controllers(3)
+        cell.add_gateways(1)
+        cell.wait_ready(0)
+        executor = resources.enter_context(
+            concurrent.futures.ProcessPoolExecutor(
+                processes_count,
+                mp_context=multiprocessing.get_context('spawn'),
+            )
+        )
+        running = [
+            executor.submit(
+                _post_all,
+                _Post(
+                    cell.addresses['g1/workers'],
+                    f'p{number}',
+                    workers_count,
+                    running_count,
+                    seconds,
+                ),
+            )
+            for number in range(processes_count)
+        ]
+        cell.wait_ready(processes_count * workers_count)
+        time.sleep(SETTLE_S)
+        usage = _role_usage.RoleUsage(cell)
+        began_s = time.monotonic()
+        found = [one.result() for one in running]
+        roles = usage.finish()
+        taken_s = time.monotonic() - began_s
+    beats_per_s = sum(one[0] for one in found) / seconds
+    return {
+        'running_count': running_count,
+        'beats_per_s': beats_per_s,
+        'failed_count': sum(one[1] for one in found),
+        # The usage was read over a part of the run, at its pace.
+        'usage_seconds': round(taken_s, 2),
+        'load': round(os.getloadavg()[0], 1),
+        'roles': roles,
+    }
+
+
+def _post_all(post: _Post) -> tuple[int, int]:
+    """Return how many heartbeats were answered and how many failed."""
+    with concurrent.futures.ThreadPoolExecutor(post.workers_count) as threads:
+        found = list(
+            threads.map(
+                lambda number: _one_worker(post, number),
+                range(post.workers_count),
+            )
+        )
+    return sum(one[0] for one in found), sum(one[1] for one in found)
+
+
+def _one_worker(post: _Post, number: int) -> tuple[int, int]:
+    worker_id = messages.WorkerId(f'{post.name}-{number}')
+    incarnation = messages.Incarnation('0123456789abcdef')
+    facts = messages.WorkerFacts(
+        worker_id,
+        incarnation,
+        '127.0.0.1:1',
+        messages.Region('gulf'),
+        messages.FailureDomain('sattahip'),
+        messages.Rack('r1'),
+        messages.Resources(1, 1),
+        1,
+        1,
+    )
+    used = messages.Resources(900, 1_000)
+    beat = messages.WorkerBeat(
+        worker_id,
+        incarnation,
+        tuple(
+            messages.RunningAttempt(
+                messages.AttemptId(f'team-{number:03}/job-{number}-{one}#1'),
+                used,
+            )
+            for one in range(post.running_count)
+        ),
+    )
+    sent = _encoding.to_json(beat)
+    answered_count = failed_count = 0
+    with contextlib.closing(pycurl.Curl()) as curl:
+        while not _posted(curl, post, 'announce', _encoding.to_json(facts)):
+            time.sleep(0.1)
+        end_s = time.monotonic() + post.seconds
+        while time.monotonic() < end_s:
+            if _posted(curl, post, 'heartbeat', sent):
+                answered_count += 1
+            else:
+                failed_count += 1
+    return answered_count, failed_count
+
+
+def _posted(curl: pycurl.Curl, post: _Post, call: str, body: bytes) -> bool:
+    curl.setopt(pycurl.URL, f'http://{post.address}/v1/workers/{call}')
+    curl.setopt(pycurl.PROXY, '')
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.TIMEOUT_MS, 2_000)
+    curl.setopt(
+        pycurl.HTTPHEADER, ['Content-Type: application/json', 'Expect:']
+    )
+    curl.setopt(pycurl.POSTFIELDS, body)
+    curl.setopt(pycurl.WRITEFUNCTION, lambda _chunk: None)
+    try:
+        curl.perform()
+    except pycurl.error:
+        return False
+    return curl.getinfo(pycurl.RESPONSE_CODE) == 200
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
