--- a/benchmarks/bench_state.py
+++ b/benchmarks/bench_state.py
@@ -45,6 +45,7 @@
 COMMANDS_COUNT = 40
 COMMAND_TASKS_COUNT = 64
 BATCH_SIZES = (1, 16, 64, 256)
+READER_PAUSE_S = 0.001
 
 Figures = dict[str, typing.Any]
 
@@ -143,9 +144,27 @@
         'snapshot_bytes': len(data),
         'snapshot_ms': snapshot_us / 1_000,
         'restore_ms': restore_us / 1_000,
+        'snapshot_reader_wait_ms': _longest_wait_ms(world),
     }
 
 
+def _longest_wait_ms(world: _state_world.World) -> float:
+    """Return how long a reader waits at most while a snapshot is made.
+
+    It waits for the lock of the state and for the interpreter.
+    """
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        snapshot = executor.submit(world.state.snapshot)
+        longest_ns = 0
+        while not snapshot.done():
+            started_ns = time.perf_counter_ns()
+            time.sleep(READER_PAUSE_S)
+            with world.state.lock:
+                taken_ns = time.perf_counter_ns() - started_ns
+            longest_ns = max(longest_ns, taken_ns)
+    return longest_ns / 1_000_000
+
+
 def _commands(world: _state_world.World) -> Figures:
     """Return times for each task or worker of a command."""
     times: dict[str, list[float]] = {}
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -58,16 +58,20 @@
                 )
 
     def snapshot(self) -> bytes:
-        """Return the whole state as bytes."""
-        with self.lock:
-            return messages.encode(
-                _records.StateSnapshot(
-                    self.cell_time_ms,
-                    self.rules_record,
-                    tuple(self.workers.values()),
-                    tuple(self.tasks.values()),
-                )
+        """Return the whole state as bytes.
+
+        The applying thread calls this. Nobody else changes the state, so it
+        takes no lock: that would keep heartbeats and submissions, which
+        only read, waiting for as long as a large state takes.
+        """
+        return messages.encode(
+            _records.StateSnapshot(
+                self.cell_time_ms,
+                self.rules_record,
+                tuple(self.workers.values()),
+                tuple(self.tasks.values()),
             )
+        )
 
     def restore(self, data: bytes) -> None:
         """Replace the state by that of a snapshot."""
--- a/dandeliondrum/controller/tests/test_state.py
+++ b/dandeliondrum/controller/tests/test_state.py
@@ -1,5 +1,7 @@
 """Tests of the replicated state, command by command."""
 
+import concurrent.futures
+
 import pytest
 
 from dandeliondrum import controller
@@ -195,6 +197,14 @@
     assert log.state.rules_record.version == 1
 
 
+def test_a_snapshot_and_readers_do_not_wait_for_each_other(log):
+    log.assign(builders.spec('t'))
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        with log.state.lock:
+            data = executor.submit(log.state.snapshot).result(timeout=10)
+    assert data == log.state.snapshot()
+
+
 def test_a_snapshot_holds_everything(log):
     outcomes = log.assign(builders.spec('a'), builders.spec('b'))
     log.end(outcomes[0].attempt.attempt_id, AttemptState.LOST)
