--- a/benchmarks/bench_end_to_end.py
+++ b/benchmarks/bench_end_to_end.py
@@ -17,6 +17,7 @@
 import time
 import typing
 
+from benchmarks import _end_to_end_figures
 from benchmarks import _load
 from benchmarks import _role_usage
 
@@ -25,24 +26,14 @@
 from dandeliondrum import worker
 
 import fire
-import psutil
 
-TEAM = 'harbour'
 RULES = (
     '{"rule": "team", "team": "harbour", "share": 1}  // asked by the bench\n'
     '{"rule": "queue", "queue": "lens", "open": false, "class": "batch",'
     ' "queued_max": 1000000}  // asked by the bench\n'
 )
-WORKER_FIELDS = {
-    'slots_count': 64,
-    'connections_count': 256,
-    'cpu_millicores': 64_000,
-    'memory_mb': 65_536,
-}
-STARTS_TIMEOUT_S = 120
 SETTLE_S = 2.0
 KILL_PAUSE_S = 6.0
-NODE_SECONDS = 10.0
 HANGING_COUNTS = (0, 6)
 
 Figures = dict[str, typing.Any]
@@ -120,7 +111,7 @@
     def _cell(
         self, workers_count: int
     ) -> collections.abc.Iterator[tuple[testing.Cell, _load.Load]]:
-        key = rules.new_key(TEAM, 'the bench')
+        key = rules.new_key(_end_to_end_figures.TEAM, 'the bench')
         with contextlib.ExitStack() as resources:
             folder = resources.enter_context(tempfile.TemporaryDirectory())
             cell = resources.enter_context(testing.Cell(folder))
@@ -130,7 +121,9 @@
             reply = cell.apply_rules(RULES + key.rule_line + '\n', 0)
             if reply.status != 200:
                 raise RuntimeError(f'rules refused: {reply.body!r}')
-            cell.add_workers(workers_count, **WORKER_FIELDS)
+            cell.add_workers(
+                workers_count, **_end_to_end_figures.WORKER_FIELDS
+            )
             cell.wait_ready()
             addresses = tuple(
                 cell.addresses[f'{name}/callers'] for name in cell.gateways
@@ -140,7 +133,7 @@
                 _load.Load(
                     addresses=addresses,
                     key=key.text,
-                    team=TEAM,
+                    team=_end_to_end_figures.TEAM,
                     name='load',
                     seed=self._seed,
                     callers_count=self._callers_count,
@@ -170,7 +163,7 @@
             began_ms = worker.now_ms()
             statuses = processes.start_jobs(load, jobs_count, per_job)()
             taken_ms = worker.now_ms()
-            starts_ms = _wait_for_starts(cell, wanted_count)
+            starts_ms = _end_to_end_figures.wait_for_starts(cell, wanted_count)
             figures = {
                 'tasks_count': wanted_count,
                 'jobs_refused_count': sum(one != 202 for one in statuses),
@@ -178,7 +171,7 @@
                 / (taken_ms - began_ms)
                 * 1_000,
                 'started_count': len(starts_ms),
-                'starts_per_s': _middle_rate(starts_ms),
+                'starts_per_s': _end_to_end_figures.middle_rate(starts_ms),
                 'starts_per_s_overall': len(starts_ms)
                 / (max(starts_ms, default=began_ms + 1) - began_ms)
                 * 1_000,
@@ -204,7 +197,7 @@
             load_average = os.getloadavg()[0]
             told = processes.start_callers(load)()
             roles = usage.finish()
-            first_ms = _first_starts(cell)
+            first_ms = _end_to_end_figures.first_starts(cell)
             answered = [one for one in told if one.outcome == 'answered']
             span_ms = max(one.ended_ms for one in told) - min(
                 one.sent_ms for one in told
@@ -223,14 +216,18 @@
                 of_class = [
                     one for one in answered if one.task_class == task_class
                 ]
-                figures[task_class] = _waits(of_class, first_ms)
+                figures[task_class] = _end_to_end_figures.waits(
+                    of_class, first_ms
+                )
         return figures
 
     def _node(self) -> Figures:
         found = []
         for hanging_count in HANGING_COUNTS:
             with self._cell(0) as (cell, load):
-                found.append(_node_figures(cell, load, hanging_count))
+                found.append(
+                    _end_to_end_figures.node_figures(cell, load, hanging_count)
+                )
         return {'node': found}
 
     def _kills(self) -> Figures:
@@ -263,7 +260,9 @@
             one.ended_ms for one in told if one.outcome == 'answered'
         )
         for role, at_ms in kills:
-            gap_ms = _longest_gap_ms(answers_ms, at_ms)
+            gap_ms = _end_to_end_figures.longest_gap_ms(
+                answers_ms, at_ms, KILL_PAUSE_S * 1_000
+            )
             gaps.setdefault(role, []).append(round(gap_ms, 1))
         return {
             'failover': {
@@ -309,113 +308,6 @@
     return cell.gateways[-1]
 
 
-def _longest_gap_ms(answers_ms: list[float], from_ms: float) -> float:
-    to_ms = from_ms + KILL_PAUSE_S * 1_000
-    inside = [one for one in answers_ms if from_ms <= one <= to_ms]
-    edges = [from_ms, *inside, to_ms]
-    return max(after - before for before, after in zip(edges, edges[1:]))
-
-
-def _wait_for_starts(cell: testing.Cell, wanted_count: int) -> list[float]:
-    """Return the times of first starts, from the workers' journals."""
-    end_s = time.monotonic() + STARTS_TIMEOUT_S
-    while time.monotonic() < end_s:
-        if _started_lines_count(cell) >= wanted_count:
-            break
-        time.sleep(0.5)
-    return sorted(_first_starts(cell).values())
-
-
-def _started_lines_count(cell: testing.Cell) -> int:
-    count = 0
-    for name in cell.workers:
-        path = cell.folder / f'{name}.journal'
-        if path.exists():
-            count += path.read_bytes().count(b'"kind":"start"')
-    return count
-
-
-def _first_starts(cell: testing.Cell) -> dict[str, float]:
-    """Return when each task first started, by task id."""
-    found: dict[str, float] = {}
-    for event in cell.journals():
-        if event.kind is worker.EventKind.START:
-            earlier_ms = found.get(event.task_id, event.at_ms)
-            found[event.task_id] = min(earlier_ms, event.at_ms)
-    return found
-
-
-def _middle_rate(times_ms: list[float]) -> float:
-    """Return events per second between the first and the last tenth."""
-    if len(times_ms) < 20:
-        return 0.0
-    tenth = len(times_ms) // 10
-    inside = times_ms[tenth:-tenth]
-    return (len(inside) - 1) / (inside[-1] - inside[0]) * 1_000
-
-
-def _waits(
-    told: list[_load.Told], first_ms: dict[str, float]
-) -> dict[str, float]:
-    to_start = sorted(
-        first_ms[f'{TEAM}/{one.request_id}'] - one.sent_ms
-        for one in told
-        if f'{TEAM}/{one.request_id}' in first_ms
-    )
-    to_answer = sorted(one.ended_ms - one.sent_ms for one in told)
-    return {
-        'count': len(told),
-        'start_p50_ms': _quantile(to_start, 0.5),
-        'start_p99_ms': _quantile(to_start, 0.99),
-        'answer_p50_ms': _quantile(to_answer, 0.5),
-        'answer_p99_ms': _quantile(to_answer, 0.99),
-    }
-
-
-def _quantile(ordered: list[float], portion: float) -> float:
-    if not ordered:
-        return 0.0
-    place = min(len(ordered) - 1, int(len(ordered) * portion))
-    return round(ordered[place], 2)
-
-
-def _node_figures(
-    cell: testing.Cell, load: _load.Load, hanging_count: int
-) -> Figures:
-    """Measure one worker that runs so many tasks, through a proxy."""
-    gateway = cell.addresses['g1/workers']
-    with testing.Proxy(gateway, seed=1) as proxy:
-        cell.add_worker('w1', gateways=[proxy.address], **WORKER_FIELDS)
-        cell.wait_ready()
-        tasks = [
-            {'request_id': f'hang-{number}', 'body': {'hang': True}}
-            for number in range(hanging_count)
-        ]
-        if tasks:
-            cell.submit_job(load.key, tasks)
-            testing.wait_until(
-                lambda: _started_lines_count(cell) >= hanging_count
-            )
-        time.sleep(SETTLE_S)
-        process = psutil.Process(cell.processes.id_of('w1'))
-        before = process.cpu_times()
-        before_bytes = (proxy.forward_bytes, proxy.backward_bytes)
-        time.sleep(NODE_SECONDS)
-        after = process.cpu_times()
-        cpu_s = after.user + after.system - before.user - before.system
-        sent_bytes = proxy.forward_bytes - before_bytes[0]
-        received_bytes = proxy.backward_bytes - before_bytes[1]
-        return {
-            'running_count': hanging_count,
-            'heartbeat_ms': 500,
-            'cpu_portion': round(cpu_s / NODE_SECONDS, 4),
-            'rss_mb': round(process.memory_info().rss / 1e6, 1),
-            'sent_bytes_per_s': round(sent_bytes / NODE_SECONDS),
-            'received_bytes_per_s': round(received_bytes / NODE_SECONDS),
-            'load': round(os.getloadavg()[0], 1),
-        }
-
-
 def _print(figures: Figures) -> None:
     print(json.dumps(figures, indent=1), flush=True)
 
