Let open queues name the team, and rules quarantine workers at once

The leader read the quarantine rules when a worker announced itself only; it now compares them whenever rules are applied, and shows such workers as quarantined.

--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -37,6 +37,7 @@
         self._heard_ms: dict[messages.WorkerId, int] = {}
         self._silent: set[messages.WorkerId] = set()
         self._quarantined: frozenset[messages.WorkerId] = frozenset()
+        self._kept_out: frozenset[messages.WorkerId] = frozenset()
         self._counting_from_ms = utils.monotonic_ms()
         self._checked_ms = self._counting_from_ms
         self._release: dict[messages.WorkerId, list[messages.AttemptId]] = {}
@@ -89,6 +90,28 @@
             context.planner.put_worker(worker.facts, eligible)
             context.work.set()
 
+    def shown_state(
+        self, worker: _records.WorkerRecord
+    ) -> messages.WorkerState:
+        """Return the state as operators see it, quarantine included."""
+        worker_id = worker.facts.worker_id
+        kept_out = (
+            worker_id in self._quarantined
+            or worker_id in self._context.state.rules.workers
+        )
+        if kept_out and worker.state is messages.WorkerState.ACTIVE:
+            return messages.WorkerState.QUARANTINED
+        return worker.state
+
+    def apply_rules(self) -> None:
+        """Keep out the workers that the rules name, and take others in."""
+        with self._context.state.lock:
+            named = frozenset(self._context.state.rules.workers)
+        changed = named ^ self._kept_out
+        self._kept_out = named
+        for worker_id in changed:
+            self.refresh(worker_id)
+
     def learn_sizes(self) -> None:
         """Tell what workers there are sizes of."""
         with self._context.state.lock:
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -120,6 +120,7 @@
             record = context.state.rules_record
             context.planner.set_teams(grants(context.state.rules))
             sessions = context.sessions.all()
+        self._beats.apply_rules()
         self._intake.refuse_withdrawn()
         push = messages.RulesPush(record.version, record.text)
         for session in sessions:
@@ -152,7 +153,7 @@
             workers = tuple(
                 messages.WorkerView(
                     worker.facts,
-                    worker.state,
+                    self._beats.shown_state(worker),
                     now_ms - self._beats.heard(worker.facts.worker_id),
                     len(worker.attempts),
                     worker.reserved,
--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -16,6 +16,7 @@
 import structlog
 
 from dandeliondrum.gateway import _options
+from dandeliondrum.gateway import _rules
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum import utils
@@ -48,7 +49,7 @@
     """Keeps one registered stream to whoever leads."""
 
     def __init__(self, options: _options.Options, events: LinkEvents) -> None:
-        self.rules_version = messages.RulesVersion(0)
+        self.rules = _rules.RulesInForce()
         self.term = messages.Term(0)
         self._options = options
         self._events = events
@@ -202,7 +203,7 @@
             self._options.gateway_id,
             self._options.region,
             self._options.failure_domain,
-            self.rules_version,
+            self.rules.version,
         )
         match stream.call(register, REGISTER_TIMEOUT_MS):
             case result.Success(messages.GatewayRegistered() as registered):
@@ -225,7 +226,7 @@
         registered: messages.GatewayRegistered,
     ) -> None:
         self.term = registered.term
-        self.rules_version = registered.rules_version
+        self.rules.take(registered.rules_version, registered.rules_text)
         self._answered_ms = utils.monotonic_ms()
         self._last = candidate
         with self._lock:
@@ -244,7 +245,7 @@
         stopping: threading.Event,
     ) -> messages.NotLeader | None:
         while not stopping.is_set() and not self._closed:
-            beat = messages.GatewayBeat(self.rules_version)
+            beat = messages.GatewayBeat(self.rules.version)
             match stream.call(beat, BEAT_TIMEOUT_MS):
                 case result.Success(messages.GatewayBeatReply() as reply):
                     self._answered_ms = utils.monotonic_ms()
@@ -270,7 +271,7 @@
             case messages.TaskStatus():
                 self._events.on_status(message)
             case messages.RulesPush():
-                self.rules_version = message.version
+                self.rules.take(message.version, message.text)
             case _:
                 _logger.warning('unexpected push', kind=type(message).__name__)
 
--- a/dandeliondrum/gateway/_task_headers.py
+++ b/dandeliondrum/gateway/_task_headers.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from dandeliondrum.gateway import _http
+from dandeliondrum.gateway import _rules
 from dandeliondrum import messages
 
 DEFAULT_TIMEOUT_MS = 60_000
@@ -67,11 +68,13 @@
 
 
 def identity(
-    call: _http.Call, request_id: str | None = None
+    call: _http.Call,
+    rules: _rules.RulesInForce,
+    request_id: str | None = None,
 ) -> result.Result[Identity, _http.Problem]:
     """Read team, request id and key; an id is made where none is given."""
     try:
-        return result.Success(_identity(call, request_id))
+        return result.Success(_identity(call, rules, request_id))
     except _BadValue as error:
         return result.Failure(_http.Problem(400, 'bad_request', str(error)))
 
@@ -89,8 +92,14 @@
     )
 
 
-def _identity(call: _http.Call, request_id: str | None) -> Identity:
-    team = _name(call, 'Team', '')
+def _identity(
+    call: _http.Call, rules: _rules.RulesInForce, request_id: str | None
+) -> Identity:
+    named = call.header(PREFIX + 'Team')
+    queue = messages.QueueName(_name(call, 'Queue', DEFAULT_QUEUE))
+    team = rules.team_for(messages.TeamId(named), queue)
+    if not valid_name(team):
+        raise _BadValue(f'{PREFIX}Team: {team!r:.40} is no name')
     vouched = _flag(call, 'First-Sending', False)
     if request_id is None:
         request_id = call.header(PREFIX + 'Request-Id')
@@ -98,7 +107,7 @@
             request_id, vouched = uuid.uuid4().hex, True
     if not valid_name(request_id):
         raise _BadValue(f'{PREFIX}Request-Id: {request_id!r:.40} is no id')
-    return Identity(messages.TeamId(team), request_id, key_of(call), vouched)
+    return Identity(team, request_id, key_of(call), vouched)
 
 
 def _spec(call: _http.Call, who: Identity, body: bytes) -> messages.TaskSpec:
