--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -1,7 +1,9 @@
 """A gateway as a whole: its parts, their start and their end."""
 
+import collections.abc
 import contextlib
 import dataclasses
+import functools
 import time
 import typing
 
@@ -34,6 +36,8 @@
 SUPERVISED_TASKS_COUNT = 3
 REPORTS_FLUSH_MS = 2_000
 FLUSH_POLL_MS = 20
+# Connections to a worker that was not called for this long are closed.
+UNUSED_MS = 30_000
 
 _logger = structlog.get_logger()
 
@@ -48,6 +52,8 @@
 class Gateway:
     """Serves callers, workers and operators over HTTP.
 
+    ``on_fatal`` is told of a broken invariant, so that the process can end.
+
     Example::
 
         gateway = Gateway(options)
@@ -57,12 +63,17 @@
         gateway.close()
     """
 
-    def __init__(self, options: _options.Options) -> None:
+    def __init__(
+        self,
+        options: _options.Options,
+        on_fatal: collections.abc.Callable[[utils.InvariantError], object]
+        | None = None,
+    ) -> None:
         self._options = options
         self._resources = contextlib.ExitStack()
         self._timers = utils.TimerService()
         self._supervisor = utils.Supervisor(
-            f'gateway-{options.gateway_id}', SUPERVISED_TASKS_COUNT
+            f'gateway-{options.gateway_id}', SUPERVISED_TASKS_COUNT, on_fatal
         )
         self._waiters = _waiters.Waiters()
         self._link = _leader_link.LeaderLink(
@@ -108,6 +119,9 @@
         self._timers.start()
         self._resources.callback(self._timers.close)
         self._resources.callback(self._client.close)
+        self._timers.every(
+            UNUSED_MS, functools.partial(self._client.close_unused, UNUSED_MS)
+        )
         self._resources.callback(self._supervisor.close)
         self._resources.callback(self._link.close)
         for server in self._servers:
--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -15,6 +15,7 @@
 import pycurl
 
 from dandeliondrum.gateway import _options
+from dandeliondrum import utils
 
 CONNECT_TIMEOUT_MS = 1_000
 POOL_WAIT_MS = 5_000
@@ -115,6 +116,15 @@
         finally:
             pool.give_back(handle)
 
+    def close_unused(self, unused_ms: int) -> None:
+        """Close connections to workers that were not called that long."""
+        with self._lock:
+            pools = list(self._pools.values())
+        oldest_ms = utils.monotonic_ms() - unused_ms
+        for pool in pools:
+            if pool.used_ms <= oldest_ms:
+                pool.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         with self._lock:
@@ -128,6 +138,7 @@
     """Handles of one worker, the last used first."""
 
     def __init__(self, connections_max: int) -> None:
+        self.used_ms = utils.monotonic_ms()
         self._slots = threading.Semaphore(connections_max)
         self._idle: list[typing.Any] = []
 
@@ -139,12 +150,15 @@
         return pycurl.Curl()
 
     def give_back(self, handle: typing.Any) -> None:
+        self.used_ms = utils.monotonic_ms()
         self._idle.append(handle)
         self._slots.release()
 
     def close(self) -> None:
-        while self._idle:
-            self._idle.pop().close()
+        # Another thread may take the last handle at the same time.
+        with contextlib.suppress(IndexError):
+            while True:
+                self._idle.pop().close()
 
 
 class _Exchange:
--- a/dandeliondrum/gateway/tests/fakes.py
+++ b/dandeliondrum/gateway/tests/fakes.py
@@ -173,6 +173,7 @@
             ('127.0.0.1', 0), self._serve, numthreads=8, shutdown_timeout=1
         )
         self._server.error_log = lambda *_, **__: None
+        self._server.expiration_interval = 0.1
         self._server.prepare()
         host, port = self._server.bind_addr[:2]
         self.address = f'{host}:{port}'
@@ -183,6 +184,10 @@
         self._server.stop()
         self._thread.join()
 
+    def open_connections(self):
+        """Count the connections that are kept open between calls."""
+        return self._server._connections._num_connections
+
     def starts(self):
         return [seen for seen in list(self.seen) if seen.method == 'POST']
 
--- a/dandeliondrum/gateway/tests/test_bad_input.py
+++ b/dandeliondrum/gateway/tests/test_bad_input.py
@@ -179,6 +179,13 @@
     assert reply.status == 200
 
 
+def test_requests_sent_ahead_of_their_answers_are_all_served(front):
+    one = b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n'
+    last = b'GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+    received = raw(front, one * 5 + last)
+    assert received.count(b'{"healthy":true}') == 6
+
+
 def test_half_a_body_is_refused(front, leader):
     data = head_lines('Content-Length: 100') + b'only this'
     code, body = reason_of(raw(front, data, half_close=True))
--- a/dandeliondrum/gateway/tests/test_worker_failures.py
+++ b/dandeliondrum/gateway/tests/test_worker_failures.py
@@ -246,6 +246,21 @@
     assert busy['most'] == 2
 
 
+def test_connections_to_a_worker_that_is_not_called_are_closed(worker):
+    client = _worker_client.WorkerClient(2)
+    request = _worker_client.WorkerRequest(
+        'POST', worker.address, '/v1/attempts/a', 10_000
+    )
+    open_now = worker.open_connections
+    with contextlib.closing(client):
+        client.call(request)
+        client.close_unused(60_000)
+        assert open_now() == 1
+        client.close_unused(0)
+        fakes.until(lambda: open_now() == 0)
+        assert client.call(request).head.status == 200
+
+
 def serve_one_then_hang_up(listener, received):
     """Answer the first call, and hang up on each later one once read."""
     with contextlib.suppress(OSError):
