--- a/dandeliondrum/placement/_aging.py
+++ b/dandeliondrum/placement/_aging.py
@@ -8,7 +8,7 @@
 # Part of the work that goes to groups without a placement for so long,
 # whatever their class and their team's share. It is reckoned by work and not
 # by placements, since one batch task takes the room of many urgent ones.
-AGED_PORTION = 0.05
+AGED_PORTION = 0.02
 AGED_MS = 60_000
 TRIED_COUNT = 4
 PLACEMENTS_PER_TRY = 5
@@ -58,15 +58,18 @@
         """Count a placement that an aged group had out of its turn."""
         self._saved_work -= _work(task)
 
+    @property
+    def may_spend(self) -> bool:
+        """Tell whether an aged group may have a placement out of turn."""
+        return self._saved_work >= 0
+
     def due(self, now_ms: int) -> list[tuple[int, _Group]]:
         """Return groups to be tried now, mostly none; they had their turn.
 
         Those that can't be served go to the end all the same, so that they
         don't keep others from their turn.
         """
-        if self._saved_work < 0 or (
-            self._placements_count < PLACEMENTS_PER_TRY
-        ):
+        if self._placements_count < PLACEMENTS_PER_TRY or not self.may_spend:
             return []
         self._placements_count = 0
         found: list[tuple[int, _Group]] = []
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -114,6 +114,9 @@
             if made is not None:
                 state.reservation = made
                 self._single_is_next = True
+                if self._is_aged(gang, now_ms):
+                    for task in gang.pending.values():
+                        state.queues.aged.spend(task)
                 return True
             self._too_large[gang.key] = now_ms
             state.gangs.defer(gang)
@@ -160,7 +163,7 @@
     ) -> tuple[int, float, int, int] | None:
         """Return the place in the order, None if it isn't its turn."""
         state = self._state
-        if now_ms - gang.submitted_ms >= AGED_MS:
+        if self._is_aged(gang, now_ms):
             return 0, 0, gang.submitted_ms, gang.number
         account = state.ledger.teams.account(gang.key[0])
         totals = state.ledger.fleet.totals
@@ -178,6 +181,13 @@
             return None
         return 1, dominant / fair, gang.submitted_ms, gang.number
 
+    def _is_aged(self, gang: _gangs.Gang, now_ms: int) -> bool:
+        """Tell whether a gang may come out of its turn."""
+        return (
+            now_ms - gang.submitted_ms >= AGED_MS
+            and self._state.queues.aged.may_spend
+        )
+
     def _is_late(self, gang: _gangs.Gang, now_ms: int) -> bool:
         return any(
             task.deadline_ms is not None and task.deadline_ms <= now_ms
--- a/dandeliondrum/placement/_preemption.py
+++ b/dandeliondrum/placement/_preemption.py
@@ -14,7 +14,7 @@
 
 # Part of the fleet's slots that may be preempted in a second, and at once
 # after a quiet time.
-RATE_PER_SECOND = 0.02
+RATE_PER_SECOND = 0.04
 BURST_PORTION = 0.04
 BURST_COUNT_MIN = 4
 
--- a/dandeliondrum/placement/_ranking.py
+++ b/dandeliondrum/placement/_ranking.py
@@ -7,7 +7,7 @@
 
 # How far the urgent tasks of a team may go beyond its share and still come
 # first; a small team's few tasks come in bursts.
-URGENT_BURST = 2.0
+URGENT_BURST = 3.0
 
 
 class Ranking:
--- a/dandeliondrum/placement/_reserve.py
+++ b/dandeliondrum/placement/_reserve.py
@@ -12,7 +12,7 @@
 PORTION = 0.02
 MEMORY_MS = 600_000
 # How much the reserve grows with the variation of urgent work.
-SPREADS = 2.0
+SPREADS = 1.0
 
 
 class UrgentReserve:
