Try gangs again that found too few workers; split the index

Only some of the busy workers are looked at for a reservation, so a gang that few workers can hold was taken for too large until the fleet changed. Shown by a test with one worker in 151 that has accelerators: the gang never started; it is tried again every 10 s now and starts at most 20 s after the room is there.

--- a/dandeliondrum/placement/_choosers.py
+++ b/dandeliondrum/placement/_choosers.py
@@ -4,6 +4,7 @@
 import typing
 
 from dandeliondrum import messages
+from dandeliondrum.placement import _fleet_index
 from dandeliondrum.placement import _index
 from dandeliondrum.placement import _tasks
 
@@ -16,7 +17,7 @@
 
     def choose(
         self,
-        index: _index.FleetIndex,
+        index: _fleet_index.FleetIndex,
         task: _tasks.PendingTask,
         need: _index.Need,
         region: messages.Region | None,
@@ -32,7 +33,7 @@
 
     def choose(
         self,
-        index: _index.FleetIndex,
+        index: _fleet_index.FleetIndex,
         task: _tasks.PendingTask,
         need: _index.Need,
         region: messages.Region | None,
@@ -78,7 +79,7 @@
 
     def choose(
         self,
-        index: _index.FleetIndex,
+        index: _fleet_index.FleetIndex,
         task: _tasks.PendingTask,
         need: _index.Need,
         region: messages.Region | None,
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -9,6 +9,9 @@
 # shares, and holds room under its team's upper limit, too.
 AGED_MS = 60_000
 RETRY_MS = 200
+# A gang that found too few workers is tried again after this time, since
+# only some of the workers are looked at.
+TOO_LARGE_MS = 10_000
 BINS_TRIED_COUNT = 8
 
 
@@ -102,6 +105,11 @@
             if turn(now_ms):
                 return True
         self._retry_ms = now_ms + RETRY_MS
+        self._too_large = {
+            key: at_ms
+            for key, at_ms in self._too_large.items()
+            if now_ms - at_ms < TOO_LARGE_MS
+        }
         return False
 
     def _reserve_gang(self, now_ms: int) -> bool:
--- a/dandeliondrum/placement/_reservation.py
+++ b/dandeliondrum/placement/_reservation.py
@@ -13,6 +13,7 @@
 
 from dandeliondrum import messages
 from dandeliondrum.placement import _fleet
+from dandeliondrum.placement import _fleet_index
 from dandeliondrum.placement import _gangs
 from dandeliondrum.placement import _index
 from dandeliondrum.placement import _ledger
@@ -54,7 +55,7 @@
     each member, and those that are expected to be free first are taken.
     """
 
-    def __init__(self, index: _index.FleetIndex, seed: int) -> None:
+    def __init__(self, index: _fleet_index.FleetIndex, seed: int) -> None:
         self._index = index
         self._random = random.Random(seed)
         self._ids: list[messages.WorkerId] = []
--- a/dandeliondrum/placement/_reserve.py
+++ b/dandeliondrum/placement/_reserve.py
@@ -3,7 +3,7 @@
 import math
 
 from dandeliondrum import messages
-from dandeliondrum.placement import _index
+from dandeliondrum.placement import _fleet_index
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _tasks
 
@@ -19,7 +19,7 @@
     """Tells when batch tasks have to leave the rest to urgent ones."""
 
     def __init__(
-        self, ledger: _ledger.Ledger, index: _index.FleetIndex
+        self, ledger: _ledger.Ledger, index: _fleet_index.FleetIndex
     ) -> None:
         self._ledger = ledger
         self._index = index
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -7,8 +7,8 @@
 from dandeliondrum.placement import _bins
 from dandeliondrum.placement import _choosers
 from dandeliondrum.placement import _fleet
+from dandeliondrum.placement import _fleet_index
 from dandeliondrum.placement import _gangs
-from dandeliondrum.placement import _index
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _preemption
 from dandeliondrum.placement import _queues
@@ -28,7 +28,7 @@
     ) -> None:
         self.ledger = ledger
         self.choosers = choosers
-        self.index = _index.FleetIndex()
+        self.index = _fleet_index.FleetIndex()
         self.ranking = _ranking.Ranking()
         self.queues = _queues.Queues(self.ranking)
         self.gangs = _gangs.GangBook()
--- a/dandeliondrum/placement/tests/test_gangs.py
+++ b/dandeliondrum/placement/tests/test_gangs.py
@@ -157,3 +157,15 @@
     loop.planner.ended(members[0].task_id)
     loop.add(members[0])
     assert helpers.placed(loop.step(100)) == {'a.0': loop.where['a.0']}
+
+
+def test_a_gang_that_few_workers_can_hold_is_tried_again():
+    workers = [helpers.facts(f'w{number}') for number in range(150)]
+    workers.append(helpers.facts('accelerated', accelerators=2))
+    loop = helpers.Loop(helpers.planner(None, workers))
+    loop.add(helpers.task('old', accelerators=2, expected_run_ms=300_000))
+    loop.step(0)
+    loop.add(*helpers.gang('a', 2, accelerators=1, submitted_ms=100))
+    for now_ms in range(100, 400_000, 1_000):
+        loop.step(now_ms)
+    assert 300_000 <= loop.started_ms['a.0'] < 320_000
