Choose workers anew where a reservation is late

Declared run times are far off, and a gang waited without end for a worker whose task had said one second and ran on: shown by a test failing first. A reservation that is 10 s later than the run times said is made anew, and a task that overruns is taken to run as long again.

--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -9,6 +9,8 @@
 # shares, and holds room under its team's upper limit, too.
 AGED_MS = 60_000
 RETRY_MS = 200
+# How long a reservation may be late before other workers are chosen.
+OVERDUE_MS = 10_000
 # A gang that found too few workers is tried again after this time, since
 # only some of the workers are looked at.
 TOO_LARGE_MS = 10_000
@@ -62,9 +64,24 @@
         A gang larger than the limit of placements goes, too, as nothing else
         has been placed yet.
         """
+        self._renew(now_ms)
         group = self._start(now_ms, None)
         return [] if group is None else [group]
 
+    def _renew(self, now_ms: int) -> None:
+        """Choose workers anew where tasks run longer than was said."""
+        state = self._state
+        made = state.reservation
+        if made is None or not made.waiting:
+            return
+        if now_ms < made.expected_ms + OVERDUE_MS:
+            return
+        members = [task for task, _ in made.places]
+        state.drop_reservation()
+        state.reservation = state.reserver.reserve(
+            state.ledger, members, made.gang_key, now_ms
+        )
+
     def is_due(self, now_ms: int) -> bool:
         """Tell whether a new reservation may be made now."""
         return self._state.reservation is None and (
@@ -117,7 +134,7 @@
         gang = self._next_gang(now_ms)
         while gang is not None:
             made = state.reserver.reserve(
-                state.ledger, gang.members(), gang.key
+                state.ledger, gang.members(), gang.key, now_ms
             )
             if made is not None:
                 state.reservation = made
@@ -138,7 +155,9 @@
         task = self._starved_single(now_ms)
         if task is None:
             return False
-        state.reservation = state.reserver.reserve(state.ledger, [task], None)
+        state.reservation = state.reserver.reserve(
+            state.ledger, [task], None, now_ms
+        )
         return state.reservation is not None
 
     def _starved_single(self, now_ms: int) -> _tasks.PendingTask | None:
--- a/dandeliondrum/placement/_reservation.py
+++ b/dandeliondrum/placement/_reservation.py
@@ -32,6 +32,8 @@
     team_id: messages.TeamId
     places: list[tuple[_tasks.PendingTask, _fleet.Worker]]
     waiting: set[messages.WorkerId]
+    # When all of the room should be there, as the tasks' run times say.
+    expected_ms: int
 
     def workers(self) -> list[_fleet.Worker]:
         """Return the workers on which room is held, each once."""
@@ -60,6 +62,7 @@
         self._random = random.Random(seed)
         self._ids: list[messages.WorkerId] = []
         self._positions: dict[messages.WorkerId, int] = {}
+        self._expected_ms = 0
 
     def note_worker(self, worker: _fleet.Worker) -> None:
         """Take a worker in for drawing, or out if it isn't eligible."""
@@ -79,6 +82,7 @@
         ledger: _ledger.Ledger,
         members: list[_tasks.PendingTask],
         gang_key: _gangs.GangKey | None,
+        now_ms: int,
     ) -> Reservation | None:
         """Hold room for all members, or for none and return None."""
         region = members[0].region
@@ -86,9 +90,16 @@
         if region is not None:
             regions.append(None)
         for where in regions:
-            places = self._places(ledger, members, where)
+            self._expected_ms = now_ms
+            places = self._places(ledger, members, where, now_ms)
             if places is not None:
-                made = Reservation(gang_key, members[0].team_id, places, set())
+                made = Reservation(
+                    gang_key,
+                    members[0].team_id,
+                    places,
+                    set(),
+                    self._expected_ms,
+                )
                 made.has_all()
                 self._hold_limit(ledger, made)
                 return made
@@ -114,6 +125,7 @@
         ledger: _ledger.Ledger,
         members: list[_tasks.PendingTask],
         region: messages.Region | None,
+        now_ms: int,
     ) -> list[tuple[_tasks.PendingTask, _fleet.Worker]] | None:
         places: list[tuple[_tasks.PendingTask, _fleet.Worker]] = []
         later: list[_tasks.PendingTask] = []
@@ -123,7 +135,9 @@
                 later.append(task)
             else:
                 self._hold(places, task, worker)
-        if later and not self._hold_busy(ledger, later, region, places):
+        if later and not self._hold_busy(
+            ledger, later, region, places, now_ms
+        ):
             for task, worker in places:
                 worker.hold(task.resources, -1)
                 self._index.update(worker)
@@ -158,22 +172,24 @@
         members: list[_tasks.PendingTask],
         region: messages.Region | None,
         places: list[tuple[_tasks.PendingTask, _fleet.Worker]],
+        now_ms: int,
     ) -> bool:
         """Hold room on busy workers for members that fit nowhere yet."""
         candidates = self._candidates(ledger, len(members), region)
         for task in members:
             best: _fleet.Worker | None = None
-            best_ms: float = 0
+            best_ms = 0
             for worker in candidates:
                 if worker.worker_id in task.excluded_workers:
                     continue
-                free_ms = expected_free_ms(worker, task.resources)
+                free_ms = expected_free_ms(worker, task.resources, now_ms)
                 if free_ms is not None and (best is None or free_ms < best_ms):
                     best = worker
                     best_ms = free_ms
             if best is None:
                 return False
             self._hold(places, task, best)
+            self._expected_ms = max(self._expected_ms, best_ms)
         return True
 
     def _candidates(
@@ -198,10 +214,12 @@
 
 
 def expected_free_ms(
-    worker: _fleet.Worker, resources: messages.Resources
+    worker: _fleet.Worker, resources: messages.Resources, now_ms: int
 ) -> int | None:
     """Return when a worker is expected to have room besides what is held.
 
+    A task that runs longer than was said is taken to run as long again.
+
     None if it won't have it even when all of its tasks have ended.
     """
     cpu = worker.cpu_millicores - worker.held_cpu_millicores
@@ -209,7 +227,7 @@
     accelerators = worker.accelerators_count - worker.held_accelerators_count
     slots = worker.slots_count - worker.held_slots_count
     ends = sorted(
-        (one.started_ms + one.task.expected_run_ms, task_id)
+        (expected_end_ms(one, now_ms), task_id)
         for task_id, one in worker.running.items()
     )
     free_ms = 0
@@ -231,6 +249,14 @@
     return None
 
 
+def expected_end_ms(running: _tasks.RunningTask, now_ms: int) -> int:
+    """Return when a task is expected to end, in the future."""
+    end_ms = running.started_ms + running.task.expected_run_ms
+    if end_ms > now_ms:
+        return end_ms
+    return now_ms + max(1, now_ms - running.started_ms)
+
+
 def waiting_names(made: Reservation) -> str:
     """Name the workers that a reservation waits for."""
     return ', '.join(collections.OrderedDict.fromkeys(sorted(made.waiting)))
--- a/dandeliondrum/placement/tests/test_gangs.py
+++ b/dandeliondrum/placement/tests/test_gangs.py
@@ -169,3 +169,16 @@
     for now_ms in range(100, 400_000, 1_000):
         loop.step(now_ms)
     assert 300_000 <= loop.started_ms['a.0'] < 320_000
+
+
+def test_reservation_leaves_a_worker_whose_task_runs_on_and_on():
+    workers = [helpers.facts(f'w{number}', slots=1) for number in range(3)]
+    loop = helpers.Loop(helpers.planner(None, workers))
+    loop.add(helpers.task('liar', expected_run_ms=1_000))
+    loop.run_ms['liar'] = 10**9
+    for name in ('honest0', 'honest1'):
+        loop.add(helpers.task(name, expected_run_ms=20_000))
+    loop.step(0)
+    loop.add(*helpers.gang('a', 2, submitted_ms=100))
+    loop.run(100, 60_000)
+    assert loop.started_ms['a.0'] < 45_000
