--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -199,10 +199,10 @@
             total = total + task.resources
         if not account.allows(total, len(gang.pending)):
             return None
-        # Half of what the gang adds counts, so that a team is as much above
-        # its share with the gang as it is below without.
+        # What the gang adds counts, so that it doesn't take its team beyond
+        # the share while others wait.
         added = account.share_of(total, len(gang.pending), totals)
-        dominant = state.ranking.dominant_share(account) + added / 2
+        dominant = state.ranking.dominant_share(account) + added
         fair = state.ranking.fair_share(account)
         if dominant > fair and state.is_contended(now_ms):
             return None
