--- a/dandeliondrum/placement/_bins.py
+++ b/dandeliondrum/placement/_bins.py
@@ -6,6 +6,7 @@
 how many tasks wait. Each bin has a bit, and sets of bins are integers.
 """
 
+import bisect
 import collections
 import collections.abc
 import heapq
@@ -26,6 +27,13 @@
     excluded_workers: frozenset[messages.WorkerId]
 
 
+_CLASS_ORDER = {
+    messages.TaskClass.URGENT: 0,
+    messages.TaskClass.SERVICE: 1,
+    messages.TaskClass.GANG: 2,
+    messages.TaskClass.BATCH: 3,
+}
+
 # Order of the class, when the first task was submitted, and the bin's bit.
 Place = tuple[int, int, int]
 
@@ -102,6 +110,19 @@
         # The team's keys in the orders of teams.
         self.places: tuple[float, float] = (0.0, 0.0)
 
+    def place(self, group: Group, task: _tasks.PendingTask) -> None:
+        """Put a group where its first task belongs."""
+        self.displace(group)
+        class_order = _CLASS_ORDER[task.task_class]
+        group.place = class_order, task.submitted_ms, group.bin.bit
+        bisect.insort(self.order, group.place)
+
+    def displace(self, group: Group) -> None:
+        """Take a group out of the order, if it is in it."""
+        if group.place is not None:
+            del self.order[bisect.bisect_left(self.order, group.place)]
+            group.place = None
+
 
 class BinMasks:
     """Bits of bins, and which bins fit where."""
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -5,7 +5,6 @@
 turn is found by walking along the teams and comparing two masks for each.
 """
 
-import bisect
 import collections.abc
 import heapq
 import itertools
@@ -17,6 +16,7 @@
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _tasks
+from dandeliondrum.placement import _team_order
 
 # A heap is rebuilt without its dropped tasks once they outnumber the others
 # and are more than this.
@@ -26,15 +26,6 @@
 # Bins in which nothing waits are kept for the next task up to this number.
 EMPTY_BINS_COUNT_MAX = 2_048
 
-_CLASS_ORDER = {
-    messages.TaskClass.URGENT: 0,
-    messages.TaskClass.SERVICE: 1,
-    messages.TaskClass.GANG: 2,
-    messages.TaskClass.BATCH: 3,
-}
-
-_Order = list[tuple[float, int, _bins.TeamQueue]]
-
 
 class Queues:
     """All bins and the teams that wait in them."""
@@ -49,9 +40,7 @@
         self._ledger = _ledger.Ledger()
         self._numbers = itertools.count()
         self._teams: dict[messages.TeamId, _bins.TeamQueue] = {}
-        # Teams by dominant share and by what their urgent tasks use.
-        self._by_share: _Order = []
-        self._by_urgent: _Order = []
+        self._order = _team_order.TeamOrder(ranking)
         self._needs: dict[messages.Resources, _index.Need] = {}
         self._groups: dict[messages.TaskId, _bins.Group] = {}
 
@@ -91,7 +80,7 @@
         if group.heap[0] is entry:
             team = self._teams[task.team_id]
             self._unpark(team, group.bin.bit)
-            self._place(team, group, task)
+            team.place(group, task)
         unfit = group.bin.unfit
         if unfit is not None and not unfit.fits_in(task.resources):
             self.unblock(group.bin.bit)
@@ -133,8 +122,8 @@
         if less:
             team.mask |= team.parked
             team.parked = 0
-        self._leave_order(team)
-        self._enter_order(team)
+        self._order.leave(team)
+        self._order.enter(team)
 
     def note_all_usage(self) -> None:
         """Put all teams where they belong: grants or the fleet changed."""
@@ -173,8 +162,14 @@
         classes = self.masks.classes
         limit = self._ranking.first_rank_limit()
         firsts = (
-            (self._by_urgent, among & classes[messages.TaskClass.URGENT]),
-            (self._by_share, among & classes[messages.TaskClass.SERVICE]),
+            (
+                self._order.by_urgent,
+                among & classes[messages.TaskClass.URGENT],
+            ),
+            (
+                self._order.by_share,
+                among & classes[messages.TaskClass.SERVICE],
+            ),
         )
         best: tuple[float, _bins.Group] | None = None
         for order, mask in firsts:
@@ -182,7 +177,7 @@
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
         if best is None and not first_rank_only:
-            best = self._walk(self._by_share, among, None, now_ms)
+            best = self._walk(self._order.by_share, among, None, now_ms)
         return None if best is None else best[1]
 
     def urgent(
@@ -193,7 +188,7 @@
         mask = among & self.masks.classes[messages.TaskClass.URGENT]
         if not mask:
             return
-        for key, _, team in self._by_urgent:
+        for key, _, team in self._order.by_urgent:
             if key > limit:
                 return
             for bit in _bins.bits(team.mask & mask):
@@ -205,14 +200,14 @@
         self, among: int, teams_max: int, now_ms: int
     ) -> collections.abc.Iterator[_bins.Group]:
         """Yield the first group of each of the teams with least share."""
-        for _, _, team in self._by_share[:teams_max]:
+        for _, _, team in self._order.by_share[:teams_max]:
             group = self._pick(team, team.mask & among, now_ms)
             if group is not None:
                 yield group
 
     def first(self, home: _bins.Bin, now_ms: int) -> _tasks.PendingTask | None:
         """Return the task whose turn it is in one bin."""
-        found = self._walk(self._by_share, home.bit, None, now_ms)
+        found = self._walk(self._order.by_share, home.bit, None, now_ms)
         return None if found is None else self.head(found[1], now_ms)
 
     def head(
@@ -230,7 +225,11 @@
         return None
 
     def _walk(
-        self, order: _Order, among: int, limit: float | None, now_ms: int
+        self,
+        order: _team_order.Teams,
+        among: int,
+        limit: float | None,
+        now_ms: int,
     ) -> tuple[float, _bins.Group] | None:
         """Return the first team's group among these bins, and its key."""
         for key, _, team in order:
@@ -256,11 +255,11 @@
             group = team.groups[bit]
             task = self.head(group, now_ms)
             if task is None:
-                self._displace(team, group)
+                team.displace(group)
                 team.mask &= ~bit
                 mask &= ~bit
             elif task.submitted_ms != team.order[position][1]:
-                self._place(team, group, task)
+                team.place(group, task)
             elif not team.account.allows(task.resources):
                 team.mask &= ~bit
                 team.parked |= bit
@@ -269,23 +268,6 @@
                 return group
         return None
 
-    def _place(
-        self,
-        team: _bins.TeamQueue,
-        group: _bins.Group,
-        task: _tasks.PendingTask,
-    ) -> None:
-        """Put a group where its first task belongs."""
-        self._displace(team, group)
-        order = _CLASS_ORDER[task.task_class]
-        group.place = order, task.submitted_ms, group.bin.bit
-        bisect.insort(team.order, group.place)
-
-    def _displace(self, team: _bins.TeamQueue, group: _bins.Group) -> None:
-        if group.place is not None:
-            del team.order[bisect.bisect_left(team.order, group.place)]
-            group.place = None
-
     def _waits(self, task: _tasks.PendingTask) -> bool:
         return self._ledger.pending.get(task.task_id) is task
 
@@ -322,20 +304,20 @@
             account = self._ledger.teams.account(team_id)
             team = _bins.TeamQueue(account, next(self._numbers))
             self._teams[team_id] = team
-            self._enter_order(team)
+            self._order.enter(team)
         return team
 
     def _remove(self, group: _bins.Group) -> None:
         home = group.bin
         team = self._teams[group.account.team_id]
         self.aged.remove(group.number)
-        self._displace(team, group)
+        team.displace(group)
         del home.groups[group.account.team_id]
         del team.groups[home.bit]
         team.mask &= ~home.bit
         team.parked &= ~home.bit
         if not team.groups:
-            self._leave_order(team)
+            self._order.leave(team)
             del self._teams[group.account.team_id]
         if not home.groups:
             self._empty_count += 1
@@ -349,15 +331,3 @@
                 self.masks.remove(home)
                 del self.bins[home.key]
         self._empty_count = 0
-
-    def _enter_order(self, team: _bins.TeamQueue) -> None:
-        team.places = self._ranking.places(team.account)
-        share, urgent = team.places
-        bisect.insort(self._by_share, (share, team.number, team))
-        bisect.insort(self._by_urgent, (urgent, team.number, team))
-
-    def _leave_order(self, team: _bins.TeamQueue) -> None:
-        for order, place in zip(
-            (self._by_share, self._by_urgent), team.places
-        ):
-            del order[bisect.bisect_left(order, (place, team.number))]
