Keep waits on silent connections from holding all of a worker's threads

Twenty waits for one attempt held the pool of a worker with one slot, and a stop got no answer within 5 s. Now the latest two calls for an attempt wait to the end and the others get 202 after 1 s, not at once, so that callers that ask again don't chase each other.

--- a/dandeliondrum/worker/_attempt.py
+++ b/dandeliondrum/worker/_attempt.py
@@ -8,6 +8,8 @@
 from dandeliondrum.worker import _journal
 
 THROTTLED_PACE = 0.5
+WAITING_MAX = 2
+SURE_WAIT_MS = 1_000
 
 _EMPTY_DIGEST = hashlib.sha256(b'').hexdigest()
 
@@ -32,6 +34,7 @@
         self._pace = 1.0
         self._stop_reason = ''
         self._changed = threading.Condition()
+        self._waiting: list[object] = []
 
     @property
     def running(self) -> bool:
@@ -47,13 +50,13 @@
         """Tell it to stop; the first reason counts."""
         with self._changed:
             self._stop_reason = self._stop_reason or reason
-            self._changed.notify()
+            self._changed.notify_all()
 
     def throttle(self, throttled: bool) -> None:
         """Run at half the pace, or at the whole again."""
         with self._changed:
             self._pace = THROTTLED_PACE if throttled else 1.0
-            self._changed.notify()
+            self._changed.notify_all()
 
     def work(self, run_ms: float) -> None:
         """Pass the time of its work; return early when told to stop."""
@@ -66,6 +69,33 @@
                 self._changed.wait(timeout_ms / 1000)
                 left_ms -= (_journal.now_ms() - began_ms) * pace
 
+    def wait(self, timeout_ms: int) -> None:
+        """Wait for the end.
+
+        Of many calls that wait, only the latest few go on for longer than
+        ``SURE_WAIT_MS``; otherwise calls whose callers have gone would hold
+        all threads.
+        """
+        ticket = object()
+        with self._changed:
+            self._waiting.append(ticket)
+            self._waiting = self._waiting[-WAITING_MAX:]
+            self._changed.notify_all()
+            sure_ms = min(timeout_ms, SURE_WAIT_MS)
+            self._changed.wait_for(self.ended.is_set, sure_ms / 1000)
+            self._changed.wait_for(
+                lambda: self.ended.is_set() or ticket not in self._waiting,
+                (timeout_ms - sure_ms) / 1000,
+            )
+            if ticket in self._waiting:
+                self._waiting.remove(ticket)
+
+    def end(self) -> None:
+        """Let those who wait for the end know of it."""
+        with self._changed:
+            self.ended.set()
+            self._changed.notify_all()
+
     def keep(self, answer: bytes) -> None:
         """Take the answer that its caller is to have."""
         self.answer = answer
--- a/dandeliondrum/worker/_attempts.py
+++ b/dandeliondrum/worker/_attempts.py
@@ -109,7 +109,7 @@
                 incarnation=attempt.call.incarnation,
             )
             self._drop_surplus()
-            attempt.ended.set()
+            attempt.end()
         self._on_ended(attempt)
 
     def stop(self, attempt_id: messages.AttemptId, reason: str) -> None:
--- a/dandeliondrum/worker/_server.py
+++ b/dandeliondrum/worker/_server.py
@@ -25,8 +25,7 @@
 SHUTDOWN_TIMEOUT_S = 10
 SELECT_TIMEOUT_S = 0.1
 SPARE_THREADS = 8
-
-_STOP_WAIT_S = 1.0
+STOP_WAIT_MS = 1_000
 
 
 class Server:
@@ -42,7 +41,8 @@
         self._server = wsgi.Server(
             transport.parse_address(options.address),
             self._respond,
-            numthreads=2 * options.slots_count + SPARE_THREADS,
+            numthreads=_attempt.WAITING_MAX * options.slots_count
+            + SPARE_THREADS,
             request_queue_size=128,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
@@ -108,7 +108,7 @@
         outcome = self._attempts.start(call)
         if isinstance(outcome, _calls.Refused):
             return _refusal(outcome)
-        outcome.ended.wait(min(wait_ms, LONGEST_WAIT_MS) / 1000)
+        outcome.wait(min(wait_ms, LONGEST_WAIT_MS))
         return _answer(outcome)
 
     def _fetch(
@@ -122,7 +122,7 @@
         attempt = self._attempts.find(attempt_id)
         if attempt is None:
             return _error(404, 'no such attempt')
-        attempt.ended.wait(min(wait_ms, LONGEST_WAIT_MS) / 1000)
+        attempt.wait(min(wait_ms, LONGEST_WAIT_MS))
         return _answer(attempt)
 
     def _stop(self, attempt_id: messages.AttemptId) -> werkzeug.Response:
@@ -130,7 +130,7 @@
         attempt = self._attempts.find(attempt_id)
         if attempt is None:
             return _state(200, messages.AttemptState.NEVER_STARTED)
-        attempt.ended.wait(_STOP_WAIT_S)
+        attempt.ended.wait(STOP_WAIT_MS / 1000)
         return _state(202 if attempt.running else 200, attempt.state)
 
 
--- a/dandeliondrum/worker/tests/test_server.py
+++ b/dandeliondrum/worker/tests/test_server.py
@@ -1,5 +1,6 @@
 """Calls to a worker: answers that are kept, and bad input."""
 
+import concurrent.futures
 import contextlib
 import hashlib
 import socket
@@ -164,3 +165,22 @@
             stack.callback(subject.close)
         gateway.wait_for_announcement(5_000, count=3)
         assert len({each.address for each in gateway.announced}) == 3
+
+
+def test_calls_that_wait_leave_room_for_others():
+    # A gateway whose connections go silent asks again and again, while the
+    # waits of its former calls go on.
+    with _rig.running(slots_count=1) as rig:
+        rig.start('team/a#1', body={'hang': True})
+        with concurrent.futures.ThreadPoolExecutor(20) as executor:
+            waits = [
+                executor.submit(rig.client.fetch, 'team/a#1', 15_000)
+                for _ in range(20)
+            ]
+            done, _ = concurrent.futures.wait(waits, 5)
+            quick = testing.WorkerClient(rig.worker.address, timeout_ms=5_000)
+            reply = quick.stop('team/a#1')
+        assert reply.state == 'stopped'
+        assert {each.result().status for each in done} == {202}
+        last = [each.result().state for each in waits if each not in done]
+        assert last == ['stopped'] * 2
