Part what callers ask of a cell from how its parts run

A cell of threads needs the same calls as a cell of processes. They move to CellCalls; Cell keeps what is about processes. Callers take either, and may name a queue for each class. tests/test_thin_path.py passes as before.

--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -3,8 +3,10 @@
 from dandeliondrum.testing._callers import Callers
 from dandeliondrum.testing._callers import Work
 from dandeliondrum.testing._cell import Cell
-from dandeliondrum.testing._cell import task_headers
-from dandeliondrum.testing._cell import wait_until
+from dandeliondrum.testing._cell_calls import CELL_ID
+from dandeliondrum.testing._cell_calls import CellCalls
+from dandeliondrum.testing._cell_calls import task_headers
+from dandeliondrum.testing._cell_calls import wait_until
 from dandeliondrum.testing._checker import check
 from dandeliondrum.testing._fake_gateway import FakeGateway
 from dandeliondrum.testing._fake_gateway import SeenBeat
@@ -46,9 +48,11 @@
 
 __all__ = [
     'BLACKHOLE',
+    'CELL_ID',
     'CUT',
     'Callers',
     'Cell',
+    'CellCalls',
     'CheckOptions',
     'FakeGateway',
     'Faults',
--- a/dandeliondrum/testing/_callers.py
+++ b/dandeliondrum/testing/_callers.py
@@ -9,7 +9,7 @@
 import time
 
 from dandeliondrum import messages
-from dandeliondrum.testing import _cell
+from dandeliondrum.testing import _cell_calls
 from dandeliondrum.testing import _history
 from dandeliondrum.testing import _http
 from dandeliondrum.testing import _recorder
@@ -41,6 +41,8 @@
     urgent_portion: float = 0.2
     timeout_ms: int = 10_000
     pause_ms: int = 5
+    urgent_queue: str = 'lens'
+    batch_queue: str = 'lens'
     seed: int = 1
 
 
@@ -69,7 +71,7 @@
 
     def __init__(
         self,
-        cell: '_cell.Cell',
+        cell: _cell_calls.CellCalls,
         work: Work,
         recorder: _recorder.Recorder,
     ) -> None:
@@ -153,13 +155,14 @@
             'run_ms': chance.randint(*work.run_ms),
             'echo': request_id,
         }
-        headers = _cell.task_headers(
+        headers = _cell_calls.task_headers(
             work.keys[team],
             team=team,
             request_id=request_id,
             idempotent='true' if idempotent else 'false',
             timeout_ms=work.timeout_ms,
             cpu_millicores=chance.randint(*work.cpu_millicores),
+            queue=work.urgent_queue if urgent else work.batch_queue,
             **{'class': 'urgent' if urgent else 'batch'},
         )
         return _Request(request_id, team, idempotent, body, headers)
