Run a whole cell in one process, and a demo on it

make run starts three controllers, two gateways and 24 workers as threads, hands in both users' work in small, loses the leader half-way and counts what callers were told and what workers recorded.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,9 @@
 
 install: $(VENV)/.installed
 
+run: install
+	$(BIN)/dandeliondrum demo $(DEMO_ARGS)
+
 test: install
 	$(BIN)/ruff format --check dandeliondrum tests benchmarks examples
 	$(BIN)/flake8 dandeliondrum tests benchmarks examples
--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -7,6 +7,7 @@
 from dandeliondrum.command import _arguments
 from dandeliondrum.command import _controllers_commands
 from dandeliondrum.command import _daemon
+from dandeliondrum.command import _demo
 from dandeliondrum.command import _fleet_actions
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _keys_commands
@@ -50,6 +51,23 @@
         """
         return _report.Command(lambda: _daemon.run(role, settings))
 
+    @_arguments.typed
+    def demo(
+        self, *, length_s: int = 20, seed: int = 1, folder: str = ''
+    ) -> _report.Command:
+        """Run a whole cell in this process, lose its leader, and count.
+
+        Prints its progress, tables, and last a line of JSON. Exits with 0
+        when workers and callers saw nothing that must never happen, else
+        with 1.
+
+        Args:
+          length_s: For how long work is handed in, in s.
+          seed: What the work is drawn from.
+          folder: Folder for data and log, which are kept there.
+        """
+        return _report.Command(lambda: _demo.demo(length_s, seed, folder))
+
     @_arguments.typed
     def status(
         self, *, gateways: str = '', key_file: str = '', json: bool = False
--- a/dandeliondrum/command/_fleet_actions.py
+++ b/dandeliondrum/command/_fleet_actions.py
@@ -8,8 +8,8 @@
 from dandeliondrum.command import _fleet_views
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _report
-from dandeliondrum.command import _tables
 from dandeliondrum import messages
+from dandeliondrum import tables
 
 CLEAR_SCREEN = '\x1b[2J\x1b[H'
 
@@ -99,7 +99,7 @@
     if isinstance(outcome, result.Failure):
         return outcome.failure().report()
     explained = outcome.unwrap()
-    table = _tables.render(('cell_time_ms', 'what'), explained.events)
+    table = tables.render(('cell_time_ms', 'what'), explained.events)
     data = {
         'task_id': f'{team_id}/{request_id}',
         'status': explained.status_line,
--- a/dandeliondrum/command/_fleet_views.py
+++ b/dandeliondrum/command/_fleet_views.py
@@ -3,8 +3,8 @@
 import collections
 import typing
 
-from dandeliondrum.command import _tables
 from dandeliondrum import messages
+from dandeliondrum import tables
 
 MILLICORES_PER_CORE = 1_000
 MB_PER_GB = 1_024
@@ -53,7 +53,7 @@
         'memory_gb',
         'silent_ms',
     )
-    return _tables.render(head, rows)
+    return tables.render(head, rows)
 
 
 def as_data(fleet: messages.FleetShown) -> dict[str, typing.Any]:
@@ -113,11 +113,11 @@
         (view.controller_id, view.role, view.address, view.last_index)
         for view in fleet.controllers
     ]
-    return _tables.render(('controller', 'role', 'address', 'index'), rows)
+    return tables.render(('controller', 'role', 'address', 'index'), rows)
 
 
 def _gateways(fleet: messages.FleetShown) -> str:
-    return _tables.render(('gateway', 'rules_version'), fleet.gateways)
+    return tables.render(('gateway', 'rules_version'), fleet.gateways)
 
 
 def _teams(fleet: messages.FleetShown) -> str:
@@ -132,7 +132,7 @@
         for view in fleet.teams
     ]
     head = ('team', 'running', 'queued', 'cores', 'memory_gb')
-    return _tables.render(head, rows)
+    return tables.render(head, rows)
 
 
 def _use(view: messages.WorkerView) -> float:
--- a/dandeliondrum/command/_rules_commands.py
+++ b/dandeliondrum/command/_rules_commands.py
@@ -7,9 +7,9 @@
 from dandeliondrum.command import _report
 from dandeliondrum.command import _rules_changes
 from dandeliondrum.command import _rules_files
-from dandeliondrum.command import _tables
 from dandeliondrum import messages
 from dandeliondrum import rules
+from dandeliondrum import tables
 
 
 class RulesCommands:
@@ -185,5 +185,5 @@
         for change in outcome.unwrap().history
     ]
     head = ('version', 'operator', 'cell_time_ms', 'change_id')
-    table = _tables.render(head, [tuple(row.values()) for row in rows])
+    table = tables.render(head, [tuple(row.values()) for row in rows])
     return _report.Report(_report.ExitCode.DONE, text=table, data=rows)
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -109,10 +109,14 @@
             return observability.Readiness(False, 'no leader is known')
         return observability.Readiness(True)
 
-    def close(self) -> None:
-        """Hand over the lead if there is somebody to take it, then stop."""
-        status = self.node.status()
-        if status.leader_id == self._options.controller_id:
+    def close(self, hand_over: bool = True) -> None:
+        """Hand over the lead if there is somebody to take it, then stop.
+
+        Without ``hand_over`` it stops at once, and the others find out by
+        its silence.
+        """
+        leader_id = self.node.status().leader_id
+        if hand_over and leader_id == self._options.controller_id:
             with contextlib.suppress(Exception):
                 self.node.transfer().result(TRANSFER_TIMEOUT_MS / 1000)
         self._resources.close()
--- /dev/null
+++ b/dandeliondrum/embedded/__init__.py
@@ -0,0 +1,23 @@
+"""A whole cell in the threads of one process, and a demo that runs one."""
+
+from dandeliondrum.embedded._cell import EmbeddedCell
+from dandeliondrum.embedded._cell import WorkerPlan
+from dandeliondrum.embedded._demo import DemoOptions
+from dandeliondrum.embedded._demo import DemoResult
+from dandeliondrum.embedded._demo import run
+from dandeliondrum.embedded._summary import Findings
+from dandeliondrum.embedded._summary import passed
+from dandeliondrum.embedded._summary import summarize
+from dandeliondrum.embedded._summary import Summary
+
+__all__ = [
+    'DemoOptions',
+    'DemoResult',
+    'EmbeddedCell',
+    'Findings',
+    'Summary',
+    'WorkerPlan',
+    'passed',
+    'run',
+    'summarize',
+]
--- /dev/null
+++ b/dandeliondrum/embedded/_cell.py
@@ -0,0 +1,185 @@
+"""Controllers, gateways and workers as threads of this process."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import pathlib
+
+from dandeliondrum import controller
+from dandeliondrum import gateway
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import worker
+
+# Threads of many roles take turns in one interpreter, so a heartbeat may be
+# late that would not be in a process of its own.
+HEARTBEAT_MS = 150
+ELECTION_MIN_MS = 1_000
+ELECTION_MAX_MS = 2_000
+
+CALLERS_THREADS_COUNT = 24
+WORKERS_THREADS_COUNT = 8
+DRAIN_MAX_MS = 3_000
+LOOPBACK = '127.0.0.1:0'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WorkerPlan:
+    """One stand-in worker of an embedded cell."""
+
+    worker_id: messages.WorkerId
+    region: messages.Region
+    failure_domain: messages.FailureDomain
+    rack: messages.Rack
+    resources: messages.Resources
+    slots_count: int = 8
+    fails_everything: bool = False
+
+
+class EmbeddedCell(testing.CellCalls):
+    """A cell whose parts are threads; it starts no other process.
+
+    The controllers keep their data in folders below ``folder``.
+
+    Example::
+
+        with embedded.EmbeddedCell(folder) as cell:
+            cell.add_controllers(3)
+            cell.add_gateways(2)
+            cell.wait_ready(0)
+            cell.apply_rules(text, expected_version=0)
+            cell.add_workers(plans)
+            cell.wait_ready()
+            cell.lose_leader()
+    """
+
+    def __init__(self, folder: str | pathlib.Path) -> None:
+        super().__init__()
+        self.folder = pathlib.Path(folder)
+        self._resources = contextlib.ExitStack()
+        self._controllers: dict[str, controller.Controller] = {}
+        self._workers: list[worker.Worker] = []
+
+    def __enter__(self) -> 'EmbeddedCell':
+        self._resources.callback(self._close_controllers)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._resources.close()
+
+    def add_controllers(self, count: int) -> None:
+        """Start controllers, and found the cell with them."""
+        names = [f'c{number}' for number in range(1, count + 1)]
+        for name, address in zip(names, testing.free_addresses(count)):
+            self.addresses[name] = address
+        for name in names:
+            self._add_controller(name, names)
+        self.form(names)
+
+    def _add_controller(self, name: str, members: list[str]) -> None:
+        part = controller.Controller(
+            controller.Options(
+                controller_id=messages.ControllerId(name),
+                cell_id=testing.CELL_ID,
+                region=messages.Region('gulf'),
+                failure_domain=messages.FailureDomain('sattahip'),
+                listen_address=self.addresses[name],
+                data_folder=self.folder / name,
+                controllers=self._addresses_of(members),
+                heartbeat_ms=HEARTBEAT_MS,
+                election_min_ms=ELECTION_MIN_MS,
+                election_max_ms=ELECTION_MAX_MS,
+            )
+        )
+        part.start().unwrap()
+        self.controllers.append(name)
+        self._controllers[name] = part
+
+    def add_gateways(self, count: int) -> None:
+        """Start gateways that know all controllers."""
+        for number in range(1, count + 1):
+            self._add_gateway(f'g{number}')
+
+    def _add_gateway(self, name: str) -> None:
+        part = gateway.Gateway(
+            gateway.Options(
+                gateway_id=messages.GatewayId(name),
+                cell_id=testing.CELL_ID,
+                region=messages.Region('gulf'),
+                failure_domain=messages.FailureDomain('sattahip'),
+                callers_address=LOOPBACK,
+                workers_address=LOOPBACK,
+                operators_address=LOOPBACK,
+                controllers=tuple(
+                    self._addresses_of(self.controllers).items()
+                ),
+                callers_threads_count=CALLERS_THREADS_COUNT,
+                workers_threads_count=WORKERS_THREADS_COUNT,
+                drain_notice_ms=0,
+                drain_max_ms=DRAIN_MAX_MS,
+            )
+        )
+        part.start().unwrap()
+        self._resources.callback(part.close)
+        self.gateways.append(name)
+        self.addresses[f'{name}/callers'] = part.callers_address
+        self.addresses[f'{name}/workers'] = part.workers_address
+        self.addresses[f'{name}/operators'] = part.operators_address
+
+    def add_workers(self, plans: collections.abc.Iterable[WorkerPlan]) -> None:
+        """Start stand-in workers that know all gateways."""
+        gateways = tuple(
+            f'http://{self.addresses[f"{name}/workers"]}'
+            for name in self.gateways
+        )
+        for plan in plans:
+            fields = {
+                field.name: getattr(plan, field.name)
+                for field in dataclasses.fields(plan)
+            }
+            part = worker.Worker(
+                worker.Options(address=LOOPBACK, gateways=gateways, **fields)
+            )
+            part.start().unwrap()
+            self._resources.callback(part.close)
+            self._workers.append(part)
+            self.workers.append(plan.worker_id)
+
+    def leader(self) -> str:
+        """Return the controller that leads, once there is one."""
+        return testing.wait_until(self.leader_now)
+
+    def leader_now(self) -> str:
+        """Return the controller that leads; empty when there is none."""
+        for name, part in self._controllers.items():
+            if part.leads():
+                return name
+        return ''
+
+    def lose_leader(self) -> str:
+        """Stop the leader without a hand-over; returns which one it was.
+
+        Its streams break and it says nothing to anybody, as when its VM is
+        lost. Unlike a killed process it closes its files in order.
+        """
+        name = self.leader()
+        self._controllers.pop(name).close(hand_over=False)
+        return name
+
+    def journals(self) -> tuple[worker.Event, ...]:
+        """Return the events of all workers."""
+        return tuple(
+            event for part in self._workers for event in part.events()
+        )
+
+    def _addresses_of(
+        self, names: collections.abc.Iterable[str]
+    ) -> dict[messages.ControllerId, str]:
+        return {
+            messages.ControllerId(name): self.addresses[name] for name in names
+        }
+
+    def _close_controllers(self) -> None:
+        while self._controllers:
+            _, part = self._controllers.popitem()
+            part.close(hand_over=False)
--- /dev/null
+++ b/dandeliondrum/embedded/_tables.py
@@ -0,0 +1,101 @@
+"""Tables of a run for people to read."""
+
+import collections.abc
+
+from dandeliondrum.embedded import _figures
+from dandeliondrum.embedded import _summary
+from dandeliondrum import tables
+
+
+def render(
+    findings: _summary.Findings, cpu_ms: float, memory_peak_mb: float
+) -> str:
+    """Return the tables of a run."""
+    summary = findings.summary
+    parts = [
+        'Waiting time by class, in ms',
+        _waits(findings.waits_ms),
+        '',
+        f'Share against grant while all teams had work waiting, for '
+        f'{summary.full_ms / 1000:.1f} s, in % of all processors',
+        _shares(findings.teams),
+        '',
+        'Packing and control cost',
+        _cost(summary, cpu_ms, memory_peak_mb),
+        '',
+        'What callers were told, and what must be 0',
+        _outcomes(summary),
+    ]
+    parts += [
+        f'{each.kind.value}: {each.subject}: {each.detail}'
+        for each in findings.violations
+    ]
+    return '\n'.join(parts)
+
+
+def _waits(waits_ms: collections.abc.Mapping[str, list[float]]) -> str:
+    rows = [
+        (
+            name,
+            len(values),
+            f'{_figures.percentile(values, 50):.0f}',
+            f'{_figures.percentile(values, 99):.0f}',
+            f'{max(values):.0f}',
+        )
+        for name, values in sorted(waits_ms.items())
+        if values
+    ]
+    return tables.render(('class', 'started', 'p50', 'p99', 'longest'), rows)
+
+
+def _shares(teams: collections.abc.Iterable[_figures.TeamFigures]) -> str:
+    rows = [
+        (
+            team.team_id,
+            team.share,
+            _percent(team.used_ratio),
+            _percent(team.granted_ratio),
+            _percent(team.error_ratio),
+        )
+        for team in teams
+    ]
+    return tables.render(
+        ('team', 'share', 'used', 'granted', 'distance'), rows
+    )
+
+
+def _cost(
+    summary: _summary.Summary, cpu_ms: float, memory_peak_mb: float
+) -> str:
+    packing = 'never full'
+    if summary.packing_ratio is not None:
+        packing = _percent(summary.packing_ratio) + '%'
+    each_ms = cpu_ms / max(1, summary.requests)
+    rows = [
+        ('processors in use while full', packing),
+        ('processor time, all roles and callers', f'{cpu_ms / 1000:.1f} s'),
+        ('processor time for each request', f'{each_ms:.1f} ms'),
+        ('largest memory of the process', f'{memory_peak_mb:.0f} MB'),
+    ]
+    return tables.render(('figure', 'value'), rows)
+
+
+def _outcomes(summary: _summary.Summary) -> str:
+    names = (
+        'requests',
+        'answered',
+        'failed',
+        'refused_not_run',
+        'in_doubt',
+        'lost',
+        'run_twice',
+        'over_limit',
+        'overloaded_workers',
+        'other_violations',
+    )
+    rows = [(name, getattr(summary, name)) for name in names]
+    return tables.render(('figure', 'count'), rows)
+
+
+def _percent(ratio: float) -> str:
+    return f'{100 * ratio:.1f}'
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -2,6 +2,8 @@
 
 from dandeliondrum.testing._callers import Callers
 from dandeliondrum.testing._callers import Work
+from dandeliondrum.testing._callers_checks import all_told
+from dandeliondrum.testing._callers_checks import Told
 from dandeliondrum.testing._cell import Cell
 from dandeliondrum.testing._cell_calls import CELL_ID
 from dandeliondrum.testing._cell_calls import CellCalls
@@ -39,6 +41,8 @@
 from dandeliondrum.testing._processes import Program
 from dandeliondrum.testing._proxy import Proxy
 from dandeliondrum.testing._recorder import Recorder
+from dandeliondrum.testing._runs import Run
+from dandeliondrum.testing._runs import runs
 from dandeliondrum.testing._violations import CheckOptions
 from dandeliondrum.testing._violations import Violation
 from dandeliondrum.testing._violations import ViolationKind
@@ -73,22 +77,26 @@
     'ProxyMesh',
     'Recorder',
     'Reply',
+    'Run',
     'STALLED',
     'SeenBeat',
     'Sending',
     'SendingKind',
     'Start',
     'TeamLimit',
+    'Told',
     'Violation',
     'ViolationKind',
     'Withdrawal',
     'Work',
     'WorkerClient',
+    'all_told',
     'call',
     'check',
     'daemon',
     'free_address',
     'free_addresses',
+    'runs',
     'task_headers',
     'wait_for',
     'wait_until',
--- a/dandeliondrum/testing/_cell.py
+++ b/dandeliondrum/testing/_cell.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import functools
 import json
 import pathlib
 import typing
@@ -178,16 +177,11 @@
                 return name
         return ''
 
-    def wait_ready(self, workers_count: int | None = None) -> None:
-        """Wait until gateways serve and the workers are in the fleet."""
-        if workers_count is None:
-            workers_count = len(self.workers)
-        for name in self.gateways:
-            if self.processes.is_running(name):
-                _cell_calls.wait_until(functools.partial(self.is_ready, name))
-        _cell_calls.wait_until(
-            lambda: len(self.fleet()['workers']) >= workers_count
-        )
+    def gateways_up(self) -> list[str]:
+        """Return the gateways whose processes run."""
+        return [
+            name for name in self.gateways if self.processes.is_running(name)
+        ]
 
     def journal(self, name: str) -> tuple[worker.Event, ...]:
         """Return the events that a worker recorded."""
--- a/dandeliondrum/testing/_cell_calls.py
+++ b/dandeliondrum/testing/_cell_calls.py
@@ -7,6 +7,7 @@
 import base64
 import collections.abc
 import contextlib
+import functools
 import json
 import time
 import typing
@@ -85,6 +86,18 @@
         with contextlib.closing(stream):
             return stream.call(message, CALL_TIMEOUT_MS).value_or(None)
 
+    def gateways_up(self) -> list[str]:
+        """Return the gateways that should become ready."""
+        return self.gateways
+
+    def wait_ready(self, workers_count: int | None = None) -> None:
+        """Wait until gateways serve and the workers are in the fleet."""
+        if workers_count is None:
+            workers_count = len(self.workers)
+        for name in self.gateways_up():
+            wait_until(functools.partial(self.is_ready, name))
+        wait_until(lambda: len(self.fleet()['workers']) >= workers_count)
+
     def is_ready(self, gateway: str) -> bool:
         """Tell whether a gateway tells the balancer that it is ready."""
         address = self.addresses[f'{gateway}/operators']
