--- /dev/null
+++ b/dandeliondrum/controller/_options.py
@@ -0,0 +1,34 @@
+"""Options of a controller, each with its unit."""
+
+import collections.abc
+import dataclasses
+import pathlib
+
+from dandeliondrum import messages
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How a controller takes part in its cell.
+
+    ``controllers`` maps each controller to the address at which this one
+    reaches it. ``lease_margin_ms`` covers what clocks may differ in rate
+    over a lease; the time in which a worker still takes a start is added to
+    it, see docs/DESIGN.md.
+    """
+
+    controller_id: messages.ControllerId
+    cell_id: messages.CellId
+    region: messages.Region
+    failure_domain: messages.FailureDomain
+    listen_address: str
+    data_folder: pathlib.Path
+    controllers: collections.abc.Mapping[messages.ControllerId, str]
+    metrics_address: str = ''
+    heartbeat_ms: int = 100
+    election_min_ms: int = 600
+    election_max_ms: int = 1_200
+    snapshot_every_entries: int = 20_000
+    lease_margin_ms: int = 1_000
+    worker_silence_ms: int = 2_500
+    answer_retention_ms: int = 600_000
--- /dev/null
+++ b/dandeliondrum/testing/__init__.py
@@ -0,0 +1,103 @@
+"""Tools for tests: fault proxy, real processes, histories and checks."""
+
+from dandeliondrum.testing._callers import Callers
+from dandeliondrum.testing._callers import Work
+from dandeliondrum.testing._callers_checks import all_told
+from dandeliondrum.testing._callers_checks import Told
+from dandeliondrum.testing._cell import Cell
+from dandeliondrum.testing._cell_calls import CELL_ID
+from dandeliondrum.testing._cell_calls import CellCalls
+from dandeliondrum.testing._cell_calls import task_headers
+from dandeliondrum.testing._cell_calls import wait_until
+from dandeliondrum.testing._checker import check
+from dandeliondrum.testing._fake_gateway import FakeGateway
+from dandeliondrum.testing._fake_gateway import SeenBeat
+from dandeliondrum.testing._fake_gateway import wait_for
+from dandeliondrum.testing._faults import BLACKHOLE
+from dandeliondrum.testing._faults import CUT
+from dandeliondrum.testing._faults import Faults
+from dandeliondrum.testing._faults import Flow
+from dandeliondrum.testing._faults import NO_FAULTS
+from dandeliondrum.testing._faults import Pacer
+from dandeliondrum.testing._faults import STALLED
+from dandeliondrum.testing._history import History
+from dandeliondrum.testing._history import Outage
+from dandeliondrum.testing._history import OutageKind
+from dandeliondrum.testing._history import Outcome
+from dandeliondrum.testing._history import OutcomeKind
+from dandeliondrum.testing._history import Sending
+from dandeliondrum.testing._history import SendingKind
+from dandeliondrum.testing._history import TeamLimit
+from dandeliondrum.testing._history import Withdrawal
+from dandeliondrum.testing._http import call
+from dandeliondrum.testing._http import HttpReply
+from dandeliondrum.testing._mesh import LinkName
+from dandeliondrum.testing._mesh import ProxyMesh
+from dandeliondrum.testing._ports import free_address
+from dandeliondrum.testing._ports import free_addresses
+from dandeliondrum.testing._processes import daemon
+from dandeliondrum.testing._processes import ProcessError
+from dandeliondrum.testing._processes import Processes
+from dandeliondrum.testing._processes import Program
+from dandeliondrum.testing._proxy import Proxy
+from dandeliondrum.testing._recorder import Recorder
+from dandeliondrum.testing._runs import Run
+from dandeliondrum.testing._runs import runs
+from dandeliondrum.testing._violations import CheckOptions
+from dandeliondrum.testing._violations import Violation
+from dandeliondrum.testing._violations import ViolationKind
+from dandeliondrum.testing._worker_client import Reply
+from dandeliondrum.testing._worker_client import Start
+from dandeliondrum.testing._worker_client import WorkerClient
+
+__all__ = [
+    'BLACKHOLE',
+    'CELL_ID',
+    'CUT',
+    'Callers',
+    'Cell',
+    'CellCalls',
+    'CheckOptions',
+    'FakeGateway',
+    'Faults',
+    'Flow',
+    'History',
+    'HttpReply',
+    'LinkName',
+    'NO_FAULTS',
+    'Outage',
+    'OutageKind',
+    'Outcome',
+    'OutcomeKind',
+    'Pacer',
+    'ProcessError',
+    'Processes',
+    'Program',
+    'Proxy',
+    'ProxyMesh',
+    'Recorder',
+    'Reply',
+    'Run',
+    'STALLED',
+    'SeenBeat',
+    'Sending',
+    'SendingKind',
+    'Start',
+    'TeamLimit',
+    'Told',
+    'Violation',
+    'ViolationKind',
+    'Withdrawal',
+    'Work',
+    'WorkerClient',
+    'all_told',
+    'call',
+    'check',
+    'daemon',
+    'free_address',
+    'free_addresses',
+    'runs',
+    'task_headers',
+    'wait_for',
+    'wait_until',
+]
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -1,6 +1,9 @@
 """Helpers that every part of the package uses."""
 
 from dandeliondrum.utils._clock import monotonic_ms
+from dandeliondrum.utils._futures import gather
+from dandeliondrum.utils._futures import resolved
+from dandeliondrum.utils._futures import then
 from dandeliondrum.utils._supervisor import FIRST_PAUSE_MS
 from dandeliondrum.utils._supervisor import InvariantError
 from dandeliondrum.utils._supervisor import LONGEST_PAUSE_MS
@@ -17,5 +20,8 @@
     'Supervisor',
     'Task',
     'TimerService',
+    'gather',
     'monotonic_ms',
+    'resolved',
+    'then',
 ]
