Do nothing for a worker announced again unchanged

Each such call dropped the reservation of a gang held there and put all teams in order anew. Shown by a test in which all workers are announced at each step: the gang went elsewhere.

--- a/dandeliondrum/placement/_planner.py
+++ b/dandeliondrum/placement/_planner.py
@@ -46,7 +46,16 @@
         self._policy.on_teams()
 
     def put_worker(self, facts: messages.WorkerFacts, eligible: bool) -> None:
-        """Add a worker or change it; one not eligible gets nothing new."""
+        """Add a worker or change it; one not eligible gets nothing new.
+
+        Nothing is done for one that is known just so, so this may be called
+        for every heartbeat.
+        """
+        known = self._ledger.fleet.workers.get(facts.worker_id)
+        if known is not None and (
+            known.facts == facts and known.eligible == eligible
+        ):
+            return
         worker = self._ledger.fleet.put(facts, eligible)
         self._policy.on_worker(worker)
 
--- a/dandeliondrum/placement/tests/test_gangs.py
+++ b/dandeliondrum/placement/tests/test_gangs.py
@@ -182,3 +182,18 @@
     loop.add(*helpers.gang('a', 2, submitted_ms=100))
     loop.run(100, 60_000)
     assert loop.started_ms['a.0'] < 45_000
+
+
+def test_a_worker_announced_again_unchanged_changes_no_reservation():
+    def where(again):
+        loop = busy_loop(workers_count=60)
+        loop.add(*helpers.gang('a', 5, submitted_ms=100))
+        for now_ms in range(100, 20_000, 100):
+            if again:
+                for number in range(60):
+                    facts = helpers.facts(f'w{number}', slots=2)
+                    loop.planner.put_worker(facts, eligible=True)
+            loop.step(now_ms)
+        return loop.where['a.0'], loop.started_ms['a.0']
+
+    assert where(again=True) == where(again=False)
