Test the demo, and cancel a queue from its end

The grant of a team with a limit on running tasks came from the mean size of all its tasks; it now counts each for the time that it ran. Callers begin before the batch is handed in, so that something is known of the workers by then.

--- /dev/null
+++ b/dandeliondrum/command/tests/test_demo.py
@@ -0,0 +1,57 @@
+"""What the demo's figures mean for its exit code."""
+
+import dataclasses
+import json
+
+import pytest
+
+from dandeliondrum.command import _demo
+from dandeliondrum import embedded
+
+GOOD = embedded.Summary(
+    requests=3,
+    answered=1,
+    failed=0,
+    refused_not_run=1,
+    in_doubt=1,
+    lost=0,
+    run_twice=0,
+    over_limit=0,
+    overloaded_workers=0,
+    other_violations=0,
+    replicas=1,
+    replicas_started=1,
+    wait_p50_ms=1.0,
+    wait_p99_ms=2.0,
+    packing_ratio=None,
+    share_error_max=None,
+    full_ms=0,
+)
+
+
+def report_of(monkeypatch, summary):
+    ended = embedded.DemoResult(summary, 'the tables')
+    monkeypatch.setattr(embedded, 'run', lambda *_, **__: ended)
+    return _demo.demo(20, 1, '')
+
+
+def test_a_good_run_ends_with_0(monkeypatch):
+    report = report_of(monkeypatch, GOOD)
+    assert report.code == 0
+    last = report.text.splitlines()[-1]
+    assert json.loads(last) == dataclasses.asdict(GOOD)
+
+
+@pytest.mark.parametrize(
+    'name',
+    (
+        'lost',
+        'run_twice',
+        'over_limit',
+        'overloaded_workers',
+        'other_violations',
+    ),
+)
+def test_a_violation_ends_with_1(monkeypatch, name):
+    bad = dataclasses.replace(GOOD, **{name: 1})
+    assert report_of(monkeypatch, bad).code == 1
--- a/dandeliondrum/embedded/_demo.py
+++ b/dandeliondrum/embedded/_demo.py
@@ -43,6 +43,7 @@
 
 GANG_TASKS_COUNT = 4
 REPLICAS_COUNT = 3
+HAND_IN_AT = 0.1
 GANG_AT = 0.3
 LOSS_AT = 0.5
 
@@ -181,8 +182,9 @@
             batch_queue=_fleets.WAITING_BATCH,
         )
         began_s = time.monotonic()
-        self._hand_in(callers)
         with testing.Callers(cell, work, self._recorder) as waiting:
+            self._wait(waiting, began_s, HAND_IN_AT)
+            self._hand_in(callers)
             self._wait(waiting, began_s, GANG_AT)
             self._hand_in_gang(callers)
             self._wait(waiting, began_s, LOSS_AT)
--- a/dandeliondrum/embedded/_durable.py
+++ b/dandeliondrum/embedded/_durable.py
@@ -11,10 +11,17 @@
 from dandeliondrum import testing
 
 ASKING_THREADS_COUNT = 4
+CANCEL_CHUNK = 40
+# What a waiting caller is told when its task failed on its worker.
+FAILED_STATUS = 500
 ASK_PAUSE_MS = 200
 HAND_IN_TRIES = 5
 HAND_IN_PAUSE_MS = 500
 
+_DOUBTFUL_ENDS = (
+    messages.TaskState.CANCELLED.value,
+    messages.TaskState.IN_DOUBT.value,
+)
 _KINDS = {kind.value: kind for kind in testing.OutcomeKind}
 
 
@@ -130,12 +137,22 @@
         self._replicas += self._accepted(handed, reply)
 
     def cancel_queued(self) -> int:
-        """Cancel what has not begun; returns how many tasks that were."""
-        queued = [
-            seen.owed for seen in self._ask_all() if seen.state == 'queued'
-        ]
-        self._cancel(queued)
-        return len(queued)
+        """Cancel what has not begun; returns how many tasks that were.
+
+        The last in line come first, a few at a time, so that few begin
+        between the question and the cancellation.
+        """
+        owed, self._owed = self._owed[::-1], []
+        cancelled_count = 0
+        for offset in range(0, len(owed), CANCEL_CHUNK):
+            queued = [
+                seen.owed
+                for seen in self._ask_for(owed[offset : offset + CANCEL_CHUNK])
+                if seen.state == messages.TaskState.QUEUED.value
+            ]
+            self._cancel(queued)
+            cancelled_count += len(queued)
+        return cancelled_count
 
     def cancel_services(self) -> None:
         """Cancel all replicas of all services."""
@@ -147,10 +164,10 @@
         What is in doubt then stays so; what is still accepted is lost.
         """
         end_s = time.monotonic() + timeout_ms / 1000
-        seen = self._ask_all()
+        seen = self._ask_again()
         while self._owed and time.monotonic() < end_s:
             time.sleep(ASK_PAUSE_MS / 1000)
-            seen = self._ask_all()
+            seen = self._ask_again()
         for each in seen:
             if each.reply.outcome == testing.OutcomeKind.IN_DOUBT.value:
                 self._tell(each)
@@ -218,13 +235,16 @@
                 team=team_id,
             )
 
-    def _ask_all(self) -> list[_Seen]:
-        """Ask for all that is owed; what has ended is owed no more."""
+    def _ask_again(self) -> list[_Seen]:
+        owed, self._owed = self._owed, []
+        return self._ask_for(owed)
+
+    def _ask_for(self, owed: list[_Owed]) -> list[_Seen]:
+        """Ask for tasks; those that have not ended go on being owed."""
         with concurrent.futures.ThreadPoolExecutor(
             ASKING_THREADS_COUNT, 'asking'
         ) as executor:
-            all_seen = list(executor.map(self._ask, self._owed))
-        self._owed = []
+            all_seen = list(executor.map(self._ask, owed))
         going_on = []
         for seen in all_seen:
             if _has_ended(seen):
@@ -245,7 +265,7 @@
         self._recorder.told(
             seen.owed.sending_id,
             _KINDS[seen.reply.outcome],
-            status=500 if seen.state == 'failed' else seen.reply.status,
+            status=_status_of(seen),
             echo=str(seen.plain.get('echo', '')),
             task_id=messages.TaskId(str(seen.plain.get('task_id', ''))),
         )
@@ -256,10 +276,17 @@
         case 'answered' | 'refused_not_run':
             return True
         case 'in_doubt':
-            return seen.state in ('cancelled', 'in_doubt')
+            return seen.state in _DOUBTFUL_ENDS
     return False
 
 
+def _status_of(seen: _Seen) -> int:
+    """Return the code of an answer; a failed task has none but its state."""
+    if seen.state == messages.TaskState.FAILED.value:
+        return FAILED_STATUS
+    return seen.reply.status
+
+
 def _refused_ids(reply: testing.HttpReply) -> frozenset[str]:
     """Return the tasks that a reply to a job names as refused."""
     return frozenset(
--- a/dandeliondrum/embedded/_figures.py
+++ b/dandeliondrum/embedded/_figures.py
@@ -144,7 +144,7 @@
     """
     used = used_ratios(runs, period, capacity)
     caps = {
-        team.team_id: _cap_ratio(team, runs, capacity)
+        team.team_id: _cap_ratio(team, runs, period, capacity)
         for team in _fleets.TEAMS
     }
     granted = deal_out(
@@ -199,17 +199,33 @@
 def _cap_ratio(
     team: _fleets.Team,
     runs: collections.abc.Iterable[testing.Run],
+    period: Period,
     capacity: int,
 ) -> float:
-    """Return the upper limit as a part of the processors."""
+    """Return the upper limit as a part of the processors.
+
+    A limit on running tasks is worth what the team's tasks have on the mean
+    of the time for which they run.
+    """
     caps = [1.0]
     if team.cpu_millicores_max is not None:
         caps.append(team.cpu_millicores_max / capacity)
-    sizes = [
-        run.resources.cpu_millicores
-        for run in runs
-        if run.start.team_id == team.team_id
-    ]
-    if team.running_max is not None and sizes:
-        caps.append(team.running_max * statistics.mean(sizes) / capacity)
+    if team.running_max is not None:
+        size = _mean_millicores(
+            [run for run in runs if run.start.team_id == team.team_id],
+            period,
+        )
+        if size > 0:
+            caps.append(team.running_max * size / capacity)
     return min(caps)
+
+
+def _mean_millicores(
+    runs: collections.abc.Iterable[testing.Run], period: Period
+) -> float:
+    total = weight_ms = 0.0
+    for run in runs:
+        overlap_ms = period.overlap_ms(run)
+        total += run.resources.cpu_millicores * overlap_ms
+        weight_ms += overlap_ms
+    return total / weight_ms if weight_ms else 0.0
