--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 
 format: install
 	$(BIN)/ruff format dandeliondrum tests benchmarks examples
+
+SEED ?= 1
+SECONDS ?= 60
+
+chaos: install
+	$(BIN)/python -m dandeliondrum.testing.chaos --seed=$(SEED) --seconds=$(SECONDS)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,10 +35,8 @@
     """Make cells that end with the test, with rules applied."""
     with contextlib.ExitStack() as resources:
 
-        def make(workers_count=3, mesh=None, **controller_fields):
-            cell = testing.Cell(
-                pathlib.Path(tmp_path), mesh, **controller_fields
-            )
+        def make(workers_count=3, mesh=None, **fields):
+            cell = testing.Cell(pathlib.Path(tmp_path), mesh, **fields)
             resources.enter_context(cell)
             cell.add_controllers(3)
             cell.add_gateways(2)
