Count what was restored before its worker was known

A new leader may restore running tasks before their workers announce themselves. Such batch tasks could never be preempted, and services ended were taken off the counts of domains that they had never been put on, which drew replicas to one domain. Both shown by tests failing first.

--- a/dandeliondrum/placement/_choosers.py
+++ b/dandeliondrum/placement/_choosers.py
@@ -1,6 +1,7 @@
 """How a worker is chosen for one task, by class of task."""
 
 import collections
+import collections.abc
 import typing
 
 from dandeliondrum import messages
@@ -50,6 +51,7 @@
         """See ``Chooser.count``."""
 
 
+_Place = tuple[messages.FailureDomain, messages.Rack]
 _Service = tuple[messages.TeamId, messages.QueueName]
 
 
@@ -60,9 +62,9 @@
     """
 
     def __init__(self) -> None:
-        self._places: dict[
-            messages.WorkerId, tuple[messages.FailureDomain, messages.Rack]
-        ] = {}
+        self._places: dict[messages.WorkerId, _Place] = {}
+        # Replicas and where they were counted.
+        self._counted: dict[messages.TaskId, _Place] = {}
         self._by_domain: collections.Counter[
             tuple[_Service, messages.FailureDomain]
         ] = collections.Counter()
@@ -73,9 +75,20 @@
             tuple[_Service, messages.WorkerId]
         ] = collections.Counter()
 
-    def note_place(self, facts: messages.WorkerFacts) -> None:
-        """Note where a worker is."""
-        self._places[facts.worker_id] = facts.failure_domain, facts.rack
+    def note_place(
+        self,
+        facts: messages.WorkerFacts,
+        running: collections.abc.Iterable[_tasks.RunningTask],
+    ) -> None:
+        """Note where a worker is, and what was found running there."""
+        place = facts.failure_domain, facts.rack
+        self._places[facts.worker_id] = place
+        for one in running:
+            if one.task.task_class is not messages.TaskClass.SERVICE:
+                continue
+            if one.task.task_id not in self._counted:
+                self.count(one, -1)
+                self.count(one, 1)
 
     def choose(
         self,
@@ -109,8 +122,14 @@
         service = running.task.team_id, running.task.queue
         worker_id = running.worker_id
         self._change(self._by_worker, (service, worker_id), sign)
-        place = self._places.get(worker_id)
+        task_id = running.task.task_id
+        if sign < 0:
+            place = self._counted.pop(task_id, None)
+        else:
+            place = self._places.get(worker_id)
         if place is not None:
+            if sign > 0:
+                self._counted[task_id] = place
             self._change(self._by_domain, (service, place[0]), sign)
             self._change(self._by_rack, (service, *place), sign)
 
--- a/dandeliondrum/placement/_preemption.py
+++ b/dandeliondrum/placement/_preemption.py
@@ -77,6 +77,7 @@
         self._ledger = _ledger.Ledger()
         self._numbers = itertools.count()
         self._leaving: set[messages.TaskId] = set()
+        self._listed: set[messages.TaskId] = set()
         self._heaps: dict[
             _Region,
             dict[messages.TeamId, list[_Entry]],
@@ -87,7 +88,13 @@
         self._ledger = ledger
 
     def add(self, running: _tasks.RunningTask) -> None:
-        """Take a task that has started, if it may be preempted."""
+        """Take a task that has started, if it may be preempted.
+
+        One whose worker is not known yet has to be added again when it is.
+        """
+        task_id = running.task.task_id
+        if task_id in self._listed:
+            return
         if running.task.task_class is not messages.TaskClass.BATCH:
             return
         if running.task.gang_id is not None:
@@ -95,6 +102,7 @@
         worker = self._ledger.fleet.workers[running.worker_id]
         if worker.facts is None:
             return
+        self._listed.add(task_id)
         entry = -running.task.submitted_ms, next(self._numbers), running
         team_id = running.task.team_id
         for region in (None, worker.facts.region):
@@ -109,6 +117,7 @@
     def ended(self, task_id: messages.TaskId) -> None:
         """Forget a task that has left."""
         self._leaving.discard(task_id)
+        self._listed.discard(task_id)
 
     def is_leaving(self, task_id: messages.TaskId) -> bool:
         """Tell whether the task was preempted already."""
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -101,7 +101,9 @@
         self.index.forget(worker)
         spread = self.choosers[messages.TaskClass.SERVICE]
         if worker.facts is not None and isinstance(spread, _choosers.Spread):
-            spread.note_place(worker.facts)
+            spread.note_place(worker.facts, worker.running.values())
+        for running in worker.running.values():
+            self.victims.add(running)
         self.reserver.note_worker(worker)
         self.wake(worker)
         self._reset = True
--- a/dandeliondrum/placement/tests/test_full.py
+++ b/dandeliondrum/placement/tests/test_full.py
@@ -293,3 +293,35 @@
     assert planner.plan(1, 10).groups == ()
     planner.add(helpers.task('small', team_id='b', cpu=455))
     assert helpers.placed(planner.plan(2, 10)) == {'small': 'w00'}
+
+
+def test_tasks_restored_before_their_worker_is_known_can_be_preempted():
+    planner = helpers.planner()
+    for number in range(8):
+        planner.restore(
+            placement.RunningTask(helpers.task(f'b{number}'), 'w00', 0)
+        )
+    planner.put_worker(fleet(1)[0], eligible=True)
+    planner.add(helpers.task('u', task_class=URGENT, submitted_ms=1))
+    (preemption,) = planner.plan(1_000, 10).preemptions
+    assert preemption.worker_id == 'w00'
+    planner.ended(preemption.task_id)
+    assert helpers.placed(planner.plan(1_100, 10)) == {'u': 'w00'}
+
+
+def test_services_restored_before_their_worker_is_known_count_once():
+    workers = [
+        helpers.facts(f'w{number}', domain=f'd{number}') for number in range(2)
+    ]
+    planner = helpers.planner()
+    for number in range(4):
+        replica = helpers.task(f'old{number}', task_class=SERVICE)
+        planner.restore(placement.RunningTask(replica, 'w0', 0))
+    for worker in workers:
+        planner.put_worker(worker, eligible=True)
+    for number in range(4):
+        planner.ended(messages.TaskId(f'old{number}'))
+    for number in range(4):
+        planner.add(helpers.task(f's{number}', task_class=SERVICE))
+    where = helpers.placed(planner.plan(1, 10))
+    assert sorted(where.values()) == ['w0', 'w0', 'w1', 'w1']
