Two calls under way to each peer; closing a node no longer hangs

A far quorum cost two round trips, since a batch waited for the answer to the one before.

Closing hung once in the tests: a task looked whether to stop, the stop and its last wake came, and the task went to sleep.

--- a/dandeliondrum/consensus/_applier.py
+++ b/dandeliondrum/consensus/_applier.py
@@ -48,6 +48,9 @@
                     snapshot is None
                     and state.commit_index <= state.applied_index
                 )
+                # Asked under the lock, or the last wake could be missed.
+                if stopping.is_set():
+                    return
                 if idle:
                     state.applier_wakes.wait()
                     continue
--- a/dandeliondrum/consensus/_link.py
+++ b/dandeliondrum/consensus/_link.py
@@ -36,13 +36,25 @@
             return result.Failure(
                 transport.CallError(transport.CallFailure.NOT_SENT, str(error))
             )
-        timeout_ms = self._options.election_min_ms
-        timeout_ms += size_bytes // _options.SLOWEST_LINK_BYTES_PER_MS
-        outcome = connection.call(message, timeout_ms)
+        outcome = connection.call(message, self.timeout_ms(size_bytes))
         if isinstance(outcome, result.Failure):
             self.close()
         return outcome
 
+    def start(
+        self, address: str, message: typing.Any
+    ) -> transport.CallFuture | None:
+        """Send a request; the reply comes later. None when not possible."""
+        try:
+            return self._connect(address).call_async(message)
+        except (OSError, ValueError):
+            return None
+
+    def timeout_ms(self, size_bytes: int) -> int:
+        """Return how long a call that carries so much may take."""
+        extra_ms = size_bytes // _options.SLOWEST_LINK_BYTES_PER_MS
+        return self._options.election_min_ms + extra_ms
+
     def close(self) -> None:
         """Close the stream; the next call opens another."""
         connection = self._connection
--- a/dandeliondrum/consensus/_options.py
+++ b/dandeliondrum/consensus/_options.py
@@ -11,6 +11,8 @@
 APPEND_BYTES_MAX = 256 * 1024
 APPEND_ENTRIES_MAX = 2_000
 BATCH_BYTES_MAX = 4 * 1024 * 1024
+# How many AppendEntries may be under way to one peer.
+CALLS_UNDER_WAY_MAX = 2
 COMMAND_BYTES_MAX = 32 * 1024 * 1024
 COMPRESS_FROM_BYTES = 512
 COMPRESSION_LEVEL = 1
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -5,7 +5,6 @@
 import threading
 import time
 import typing
-import zlib
 
 from returns import result
 import structlog
@@ -14,9 +13,9 @@
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _pipeline
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
-from dandeliondrum.consensus import _replies
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _snapshot_sender
 from dandeliondrum.consensus import _state
@@ -57,11 +56,16 @@
     message: _messages.TimeoutNow
 
 
-_Step = _AskVote | _Replicate | _SendSnapshot | _HandOver
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Collect:
+    """Take the answers that have arrived."""
+
+
+_Step = _AskVote | _Replicate | _SendSnapshot | _HandOver | _Collect
 
 
 class Peer:
-    """Speaks with one other member, one call at a time."""
+    """Speaks with one other member, in a task of its own."""
 
     def __init__(
         self,
@@ -75,8 +79,7 @@
         self._snapshots = _snapshot_sender.SnapshotSender(
             state, snapshots, self._link, member_id
         )
-        self._sent = state.metrics.sent_bytes.labels(member_id)
-        self._sent_raw = state.metrics.sent_raw_bytes.labels(member_id)
+        self._pipeline = _pipeline.Pipeline(state, self._link, member_id)
 
     def run(self, stopping: threading.Event) -> None:
         """Serve the peer until it is no member or the node closes."""
@@ -84,7 +87,8 @@
             while not stopping.is_set():
                 with self._state.lock:
                     member = self._member()
-                    if member is None:
+                    # Asked under the lock, or the last wake could be missed.
+                    if member is None or stopping.is_set():
                         return
                     step = self._next_step(member)
                     if step is None:
@@ -105,6 +109,11 @@
         progress = self._state.progress.get(self._id)
         if self._state.leads() and progress is not None:
             due_ns = progress.sent_ns + self._heartbeat_ns()
+            overdue_ns = self._pipeline.deadline_ns()
+            if not self._pipeline.has_room() and overdue_ns is not None:
+                due_ns = overdue_ns
+            elif overdue_ns is not None:
+                due_ns = min(due_ns, overdue_ns)
             timeout_s = max(0.0, (due_ns - time.monotonic_ns()) / 1e9)
         self._state.peers_wake.wait(timeout_s)
 
@@ -115,12 +124,16 @@
         state = self._state
         if state.closing or state.storage_failed:
             return None
+        if self._pipeline.has_news():
+            return _Collect()
         ballot = state.ballot
         if ballot is not None and self._id not in ballot.asked:
             return self._ask_vote(member, ballot)
         progress = state.progress.get(self._id)
         if not state.leads() or progress is None:
             return None
+        if not self._pipeline.has_room():
+            return None
         last_index = state.log.last_index
         if state.transfer_target == self._id and not state.handed_over:
             ready = progress.match_index >= last_index and progress.up
@@ -171,6 +184,7 @@
                 _options.APPEND_ENTRIES_MAX,
                 _options.APPEND_BYTES_MAX,
             )
+            progress.next_index += len(entries)
         message = _messages.AppendEntries(
             state.term,
             state.me,
@@ -189,41 +203,16 @@
                 outcome = self._link.call(address, message)
                 return self._count_vote(ballot, outcome)
             case _Replicate(message, entries):
-                return self._send(address, message, entries)
+                return self._pipeline.send(address, message, entries)
+            case _Collect():
+                return self._pipeline.collect()
             case _SendSnapshot(term):
+                self._pipeline.give_up()
                 return self._snapshots.send(address, member.disk_id, term)
             case _HandOver(message):
                 outcome = self._link.call(address, message)
                 return self._end_handing(outcome)
 
-    def _send(
-        self,
-        address: str,
-        message: _messages.AppendEntries,
-        entries: list[_records.Entry],
-    ) -> bool:
-        records = b''.join([entry.record for entry in entries])
-        raw_bytes = len(records)
-        if raw_bytes >= _options.COMPRESS_FROM_BYTES:
-            records = zlib.compress(records, _options.COMPRESSION_LEVEL)
-            message = dataclasses.replace(
-                message, records=records, compressed=True
-            )
-        elif records:
-            message = dataclasses.replace(message, records=records)
-        self._sent.inc(len(records))
-        self._sent_raw.inc(raw_bytes)
-        sent_ns = time.monotonic_ns()
-        outcome = self._link.call(address, message, len(records))
-        match outcome:
-            case result.Success(_messages.AppendReply() as reply):
-                return self._take_reply(message.term, sent_ns, reply)
-        with self._state.lock:
-            progress = self._state.progress.get(self._id)
-            if progress is not None:
-                progress.up = False
-        return False
-
     def _end_handing(
         self, outcome: result.Result[typing.Any, transport.CallError]
     ) -> bool:
@@ -254,22 +243,3 @@
                     self._state.put(_works.ObserveTerm(reply.term))
             self._state.election_wakes.notify()
         return True
-
-    def _take_reply(
-        self, term: int, sent_ns: int, reply: _messages.AppendReply
-    ) -> bool:
-        state = self._state
-        with state.lock:
-            if reply.term > state.term:
-                state.put(_works.ObserveTerm(reply.term))
-            progress = state.progress.get(self._id)
-            if reply.term > term or state.term != term:
-                return True
-            if not state.leads() or progress is None:
-                return True
-            progress.up = True
-            going_on = _replies.note_append(state, progress, sent_ns, reply)
-            confirmed = state.settle_confirmations()
-        for confirmation in confirmed:
-            _works.settle(confirmation.future, result.Success(None))
-        return going_on
--- a/dandeliondrum/consensus/_progress.py
+++ b/dandeliondrum/consensus/_progress.py
@@ -32,6 +32,10 @@
     storage_full: bool = False
     lost_disk_id: str = ''
 
+    def rewind(self) -> None:
+        """Send again what is not known to have arrived."""
+        self.next_index = min(self.next_index, self.match_index + 1)
+
 
 @dataclasses.dataclass
 class Ballot:
--- a/dandeliondrum/consensus/_replies.py
+++ b/dandeliondrum/consensus/_replies.py
@@ -12,6 +12,7 @@
 def note_append(
     state: _state.NodeState,
     progress: _progress.Progress,
+    request: _messages.AppendEntries,
     sent_ns: int,
     reply: _messages.AppendReply,
 ) -> bool:
@@ -35,17 +36,18 @@
             progress.answered_ns = sent_ns
             progress.storage_full = reply.storage_full
             progress.match_index = max(progress.match_index, reply.match_index)
-            progress.next_index = progress.match_index + 1
+            progress.next_index = max(
+                progress.next_index, progress.match_index + 1
+            )
             state.advance_commit()
             state.steward_wakes.notify()
             return True
         case _messages.Outcome.MISMATCH:
             progress.answered_ns = sent_ns
-            tried_index = progress.next_index
             progress.next_index = (
                 max(progress.match_index, reply.match_index) + 1
             )
-            return progress.next_index != tried_index
+            return progress.next_index != request.previous_index + 1
         case _messages.Outcome.STORAGE_FULL:
             progress.answered_ns = sent_ns
             progress.storage_full = True
--- a/dandeliondrum/consensus/tests/test_commit.py
+++ b/dandeliondrum/consensus/tests/test_commit.py
@@ -1,5 +1,6 @@
 """Tests of what counts as agreed on, and since when."""
 
+import concurrent.futures
 import threading
 import time
 
@@ -8,7 +9,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _messages
-from dandeliondrum.consensus import _peer
+from dandeliondrum.consensus import _pipeline
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _start
 from dandeliondrum.consensus.tests import harness
@@ -89,22 +90,26 @@
 def test_an_answer_counts_from_the_time_of_its_sending(tmp_path):
     opened = open_leader(tmp_path)
     state = opened.state
-    peer = _peer.Peer(state, opened.snapshots, messages.ControllerId('c2'))
     began_ns = []
 
     class SlowLink:
-        def call(self, _address, message, _size_bytes):
+        def start(self, _address, message):
             began_ns.append(time.monotonic_ns())
             time.sleep(0.05)
-            return result.Success(
-                _messages.AppendReply(
-                    2, _messages.Outcome.STORED, 1, 1, MEMBERS[1].disk_id
-                )
+            reply = _messages.AppendReply(
+                2, _messages.Outcome.STORED, 1, 1, MEMBERS[1].disk_id
             )
+            future = concurrent.futures.Future()
+            future.set_result(result.Success(reply))
+            return future
 
-    peer._link = SlowLink()
+        def timeout_ms(self, _size_bytes):
+            return harness.PATIENCE_S * 1000
+
+    pipeline = _pipeline.Pipeline(state, SlowLink(), MEMBERS[1].controller_id)
     heartbeat = _messages.AppendEntries(2, 'c1', MEMBERS[1].disk_id, 1, 1, 0)
-    assert peer._send('unused:1', heartbeat, [])
+    assert pipeline.send('unused:1', heartbeat, [])
+    assert pipeline.collect()
     assert 0 < state.progress['c2'].answered_ns <= began_ns[0]
 
 
