--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -37,6 +37,7 @@
         self._heard_ms: dict[messages.WorkerId, int] = {}
         self._silent: set[messages.WorkerId] = set()
         self._quarantined: frozenset[messages.WorkerId] = frozenset()
+        self._kept_out: frozenset[messages.WorkerId] = frozenset()
         self._counting_from_ms = utils.monotonic_ms()
         self._checked_ms = self._counting_from_ms
         self._release: dict[messages.WorkerId, list[messages.AttemptId]] = {}
@@ -64,6 +65,7 @@
                 self._silent.discard(call.facts.worker_id)
             with context.lock:
                 context.experience.forget(call.facts.worker_id)
+                self.learn_sizes()
             self._desk.ended(outcome.unwrap())
             self.refresh(call.facts.worker_id)
             return messages.Done()
@@ -88,6 +90,35 @@
             context.planner.put_worker(worker.facts, eligible)
             context.work.set()
 
+    def shown_state(
+        self, worker: _records.WorkerRecord
+    ) -> messages.WorkerState:
+        """Return the state as operators see it, quarantine included."""
+        worker_id = worker.facts.worker_id
+        kept_out = (
+            worker_id in self._quarantined
+            or worker_id in self._context.state.rules.workers
+        )
+        if kept_out and worker.state is messages.WorkerState.ACTIVE:
+            return messages.WorkerState.QUARANTINED
+        return worker.state
+
+    def apply_rules(self) -> None:
+        """Keep out the workers that the rules name, and take others in."""
+        with self._context.state.lock:
+            named = frozenset(self._context.state.rules.workers)
+        changed = named ^ self._kept_out
+        self._kept_out = named
+        for worker_id in changed:
+            self.refresh(worker_id)
+
+    def learn_sizes(self) -> None:
+        """Tell what workers there are sizes of."""
+        with self._context.state.lock:
+            workers = self._context.state.workers.values()
+            sizes = {worker.facts.resources for worker in workers}
+        self._context.experience.set_worker_sizes(list(sizes))
+
     def take(self, call: messages.WorkerBeats) -> typing.Any:
         """Answer heartbeats, if this is surely still the leader."""
         context = self._context
--- a/dandeliondrum/placement/_choosers.py
+++ b/dandeliondrum/placement/_choosers.py
@@ -4,11 +4,12 @@
 import typing
 
 from dandeliondrum import messages
+from dandeliondrum.placement import _fleet_index
 from dandeliondrum.placement import _index
 from dandeliondrum.placement import _tasks
 
 # How many workers with room are compared for one replica of a service.
-SPREAD_SCAN_COUNT = 32
+SPREAD_SCAN_COUNT = 16
 
 
 class Chooser(typing.Protocol):
@@ -16,7 +17,7 @@
 
     def choose(
         self,
-        index: _index.FleetIndex,
+        index: _fleet_index.FleetIndex,
         task: _tasks.PendingTask,
         need: _index.Need,
         region: messages.Region | None,
@@ -32,7 +33,7 @@
 
     def choose(
         self,
-        index: _index.FleetIndex,
+        index: _fleet_index.FleetIndex,
         task: _tasks.PendingTask,
         need: _index.Need,
         region: messages.Region | None,
@@ -78,7 +79,7 @@
 
     def choose(
         self,
-        index: _index.FleetIndex,
+        index: _fleet_index.FleetIndex,
         task: _tasks.PendingTask,
         need: _index.Need,
         region: messages.Region | None,
@@ -118,8 +119,8 @@
     ) -> tuple[int, int]:
         domain, rack = self._places[worker_id]
         return (
-            self._by_rack[service, domain, rack],
-            self._by_worker[service, worker_id],
+            self._by_rack.get((service, domain, rack), 0),
+            self._by_worker.get((service, worker_id), 0),
         )
 
     def _change(
