--- /dev/null
+++ b/dandeliondrum/consensus/tests/load.py
@@ -0,0 +1,116 @@
+"""Proposers under faults, and what must hold of them afterwards."""
+
+import threading
+
+from dandeliondrum.consensus.tests import harness
+
+
+class LeadingWatch:
+    """Notes whether two nodes ever said at once that they lead."""
+
+    def __init__(self, cluster):
+        self._nodes = [one.node for one in cluster.running.values()]
+        self._stop = threading.Event()
+        self.readings_count = 0
+        self.doubled = False
+        self._thread = threading.Thread(target=self._watch, daemon=True)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._stop.set()
+        self._thread.join()
+
+    def _watch(self):
+        while not self._stop.wait(0.001):
+            leading = [node for node in self._nodes if node.leading()]
+            # Both must hold at one moment: ask the first once more.
+            self.doubled |= len(leading) > 1 and leading[0].leading()
+            self.readings_count += 1
+
+
+class Proposers:
+    """Threads that propose at whichever node leads, each item once."""
+
+    def __init__(self, cluster, count=4):
+        self._cluster = cluster
+        self._stop = threading.Event()
+        self.acknowledged = []
+        self.not_done = []
+        self.unknown = []
+        self._threads = [
+            threading.Thread(target=self._propose_on, args=(number,))
+            for number in range(count)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def stop(self):
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def wait_for(self, count):
+        goal = len(self.acknowledged) + count
+        harness.wait_for(
+            lambda: len(self.acknowledged) >= goal, 'acknowledgements'
+        )
+
+    def _propose_on(self, number):
+        sequence = 0
+        while not self._stop.is_set():
+            for name in list(self._cluster.names):
+                running = self._cluster.running.get(name)
+                if running is None or not running.node.leading():
+                    continue
+                sequence += 1
+                command = b'%d/%d' % (number, sequence)
+                outcome = running.node.propose(command).result(
+                    harness.PATIENCE_S
+                )
+                if outcome.value_or(None):
+                    self.acknowledged.append(command)
+                elif outcome.failure().not_done:
+                    self.not_done.append(command)
+                else:
+                    self.unknown.append(command)
+            self._stop.wait(0.001)
+
+
+def check_history(cluster, proposers):
+    """Nothing acknowledged lost, nothing refused or twice applied."""
+    last_index = max(
+        one.node.status().last_index for one in cluster.running.values()
+    )
+    for name, one in cluster.running.items():
+        harness.wait_for(
+            lambda one=one: one.node.status().applied_index >= last_index,
+            f'{name} up to date',
+        )
+    machines = [one.machine for one in cluster.running.values()]
+    for machine in machines:
+        assert machine.commands == machines[0].commands
+    applied = machines[0].commands
+    assert len(set(applied)) == len(applied)
+    assert set(proposers.acknowledged) <= set(applied)
+    assert not set(proposers.not_done) & set(applied)
+
+
+def check_terms(listeners):
+    """Each term had one leader."""
+    terms = [
+        event
+        for listener in listeners
+        for event in listener.events
+        if event is not None
+    ]
+    assert len(set(terms)) == len(terms)
+    return terms
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -7,124 +7,14 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus.tests import harness
-
-
-class LeadingWatch:
-    """Notes whether two nodes ever said at once that they lead."""
-
-    def __init__(self, cluster):
-        self._nodes = [one.node for one in cluster.running.values()]
-        self._stop = threading.Event()
-        self.readings_count = 0
-        self.doubled = False
-        self._thread = threading.Thread(target=self._watch, daemon=True)
-
-    def __enter__(self):
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._stop.set()
-        self._thread.join()
-
-    def _watch(self):
-        while not self._stop.wait(0.001):
-            leading = [node for node in self._nodes if node.leading()]
-            # Both must hold at one moment: ask the first once more.
-            self.doubled |= len(leading) > 1 and leading[0].leading()
-            self.readings_count += 1
-
-
-class Proposers:
-    """Threads that propose at whichever node leads, each item once."""
-
-    def __init__(self, cluster, count=4):
-        self._cluster = cluster
-        self._stop = threading.Event()
-        self.acknowledged = []
-        self.not_done = []
-        self.unknown = []
-        self._threads = [
-            threading.Thread(target=self._propose_on, args=(number,))
-            for number in range(count)
-        ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self.stop()
-
-    def stop(self):
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
-
-    def wait_for(self, count):
-        goal = len(self.acknowledged) + count
-        harness.wait_for(
-            lambda: len(self.acknowledged) >= goal, 'acknowledgements'
-        )
-
-    def _propose_on(self, number):
-        sequence = 0
-        while not self._stop.is_set():
-            for name in list(self._cluster.names):
-                running = self._cluster.running.get(name)
-                if running is None or not running.node.leading():
-                    continue
-                sequence += 1
-                command = b'%d/%d' % (number, sequence)
-                outcome = running.node.propose(command).result(
-                    harness.PATIENCE_S
-                )
-                if outcome.value_or(None):
-                    self.acknowledged.append(command)
-                elif outcome.failure().not_done:
-                    self.not_done.append(command)
-                else:
-                    self.unknown.append(command)
-            self._stop.wait(0.001)
-
-
-def check_history(cluster, proposers):
-    """Nothing acknowledged lost, nothing refused or twice applied."""
-    last_index = max(
-        one.node.status().last_index for one in cluster.running.values()
-    )
-    for name, one in cluster.running.items():
-        harness.wait_for(
-            lambda one=one: one.node.status().applied_index >= last_index,
-            f'{name} up to date',
-        )
-    machines = [one.machine for one in cluster.running.values()]
-    for machine in machines:
-        assert machine.commands == machines[0].commands
-    applied = machines[0].commands
-    assert len(set(applied)) == len(applied)
-    assert set(proposers.acknowledged) <= set(applied)
-    assert not set(proposers.not_done) & set(applied)
-
-
-def check_terms(listeners):
-    """Each term had one leader."""
-    terms = [
-        event
-        for listener in listeners
-        for event in listener.events
-        if event is not None
-    ]
-    assert len(set(terms)) == len(terms)
-    return terms
+from dandeliondrum.consensus.tests import load
 
 
 def test_a_leader_killed_under_load_loses_nothing_acknowledged(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         cluster.form()
         listeners = [one.listener for one in cluster.running.values()]
-        with Proposers(cluster) as proposers:
+        with load.Proposers(cluster) as proposers:
             for _ in range(2):
                 proposers.wait_for(50)
                 killed = cluster.leader()
@@ -132,15 +22,15 @@
                 proposers.wait_for(50)
                 cluster.start(killed)
                 listeners.append(cluster.running[killed].listener)
-        assert len(check_terms(listeners)) >= 3
+        assert len(load.check_terms(listeners)) >= 3
         cluster.leader()
-        check_history(cluster, proposers)
+        load.check_history(cluster, proposers)
 
 
 def test_a_leader_cut_off_stops_leading_before_another_is_elected(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         leader = cluster.form()
-        with LeadingWatch(cluster) as watch:
+        with load.LeadingWatch(cluster) as watch:
             cluster.cut(leader)
             cluster.leader(among=cluster.others(leader))
             assert not cluster.node(leader).leading()
@@ -212,7 +102,10 @@
     with harness.Cluster(tmp_path) as cluster:
         leader = cluster.form()
         listeners = [one.listener for one in cluster.running.values()]
-        with Proposers(cluster) as proposers, LeadingWatch(cluster) as watch:
+        with (
+            load.Proposers(cluster) as proposers,
+            load.LeadingWatch(cluster) as watch,
+        ):
             for target in [*cluster.others(leader), None]:
                 proposers.wait_for(20)
                 former = cluster.leader()
@@ -222,8 +115,8 @@
                 assert target in (successor, None)
         assert not watch.doubled
         assert not proposers.unknown
-        check_terms(listeners)
-        check_history(cluster, proposers)
+        load.check_terms(listeners)
+        load.check_history(cluster, proposers)
 
 
 def test_a_transfer_to_a_voter_that_is_down_fails_and_the_leader_stays(
@@ -244,14 +137,14 @@
 def test_streams_that_go_silent_are_replaced(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         cluster.form()
-        with Proposers(cluster) as proposers:
+        with load.Proposers(cluster) as proposers:
             for _ in range(2):
                 proposers.wait_for(20)
                 for forwarder in cluster.forwarders.values():
                     forwarder.silence()
             proposers.wait_for(20)
         cluster.leader()
-        check_history(cluster, proposers)
+        load.check_history(cluster, proposers)
 
 
 def test_callbacks_may_propose(tmp_path):
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -8,7 +8,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus.tests import harness
-from dandeliondrum.consensus.tests import test_failover
+from dandeliondrum.consensus.tests import load
 from dandeliondrum import messages
 
 
@@ -219,7 +219,7 @@
         leader = cluster.form()
         cluster.start(*cluster.spare_names)
         cluster.names = cluster.every_name
-        with test_failover.Proposers(cluster) as proposers:
+        with load.Proposers(cluster) as proposers:
             proposers.wait_for(20)
             node = cluster.node(leader)
             for name in cluster.spare_names:
@@ -232,7 +232,7 @@
             proposers.wait_for(20)
             cluster.stop(leader)
             proposers.wait_for(20)
-        test_failover.check_history(cluster, proposers)
+        load.check_history(cluster, proposers)
 
 
 def test_a_removal_that_would_lose_the_quorum_is_refused(tmp_path):
--- a/dandeliondrum/consensus/tests/test_random_faults.py
+++ b/dandeliondrum/consensus/tests/test_random_faults.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dandeliondrum.consensus.tests import harness
-from dandeliondrum.consensus.tests import test_failover
+from dandeliondrum.consensus.tests import load
 
 STEPS_COUNT = 8
 
@@ -93,9 +93,9 @@
     with harness.Cluster(tmp_path, snapshot_every_entries=100) as cluster:
         cluster.form()
         faults = Faults(cluster, seed)
-        with test_failover.Proposers(cluster) as proposers:
+        with load.Proposers(cluster) as proposers:
             for _ in range(STEPS_COUNT):
                 faults.step(proposers)
         cluster.leader()
-        test_failover.check_terms(faults.listeners)
-        test_failover.check_history(cluster, proposers)
+        load.check_terms(faults.listeners)
+        load.check_history(cluster, proposers)
