Let tests that end nothing share a gateway

Nine tenths of the time of the tests was start and stop of gateways: the tests of input, workers, operators and jobs took about 90 s of 172 s and take 14 s now, with the same checks.

--- a/dandeliondrum/gateway/tests/conftest.py
+++ b/dandeliondrum/gateway/tests/conftest.py
@@ -23,3 +23,16 @@
 def front(leader):
     with fakes.serving(leader.address) as one:
         yield one
+
+
+@pytest.fixture(scope='module')
+def shared_leader():
+    with contextlib.closing(fakes.Leader()) as one:
+        yield one
+
+
+@pytest.fixture(scope='module')
+def shared_front(shared_leader):
+    """Serve all tests of a module, for those that end nothing."""
+    with fakes.serving(shared_leader.address) as one:
+        yield one
--- a/dandeliondrum/gateway/tests/fakes.py
+++ b/dandeliondrum/gateway/tests/fakes.py
@@ -50,23 +50,28 @@
 
     def __init__(self, name='c1', term=1):
         self.name = name
-        self.received = []
         self.connections = []
+        self.reset()
+        self._term = messages.Term(term)
+        self._server = transport.Server(
+            transport.ServerOptions('127.0.0.1:0', CELL),
+            transport.Callbacks(on_call=self._on_call),
+        )
+        self._server.start()
+        self.address = self._server.address
+
+    def reset(self):
+        """Forget what was heard and what a test has set."""
+        self.received = []
         self.silent = False
         self.not_leader = None
         self.on_submit = self.queue_all
+        self.on_beats = self.renew_all
         self.replies = {
             messages.ReportAttempts: messages.Done(),
             messages.AnnounceWorker: messages.Done(),
             messages.ReleaseAnswers: messages.Done(),
         }
-        self._term = messages.Term(term)
-        self._server = transport.Server(
-            transport.ServerOptions('127.0.0.1:0', CELL),
-            transport.Callbacks(on_call=self._on_call),
-        )
-        self._server.start()
-        self.address = self._server.address
 
     def close(self):
         self._server.close()
@@ -97,7 +102,11 @@
         self.on_submit = on_submit
 
     def push(self, message):
-        self.connections[-1].push(message)
+        """Push to the gateway that registered last and is still there."""
+        still_open = [
+            one for one in self.connections if not one.closed.is_set()
+        ]
+        still_open[-1].push(message)
 
     def _on_call(self, connection, message):
         self.received.append(message)
@@ -121,11 +130,11 @@
             case messages.SubmitTasks():
                 return self.on_submit(connection, message)
             case messages.WorkerBeats():
-                return self._beat_replies(message)
+                return self.on_beats(message)
         reply = self.replies[type(message)]
         return reply(message) if callable(reply) else reply
 
-    def _beat_replies(self, message):
+    def renew_all(self, message):
         if self.silent:
             return transport.CallFuture()
         return messages.WorkerBeatReplies(
--- a/dandeliondrum/gateway/tests/test_bad_input.py
+++ b/dandeliondrum/gateway/tests/test_bad_input.py
@@ -13,6 +13,18 @@
 from dandeliondrum import transport
 
 
+@pytest.fixture
+def leader(shared_leader):
+    shared_leader.reset()
+    return shared_leader
+
+
+@pytest.fixture
+def front(leader, shared_front):
+    fakes.until(shared_front.ready)
+    return shared_front
+
+
 def raw(front, data, half_close=False):
     """Send bytes as they are and return all that comes back."""
     address = transport.parse_address(front.callers_address)
--- a/dandeliondrum/gateway/tests/test_jobs.py
+++ b/dandeliondrum/gateway/tests/test_jobs.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import itertools
 import json
 
 import pytest
@@ -11,6 +12,19 @@
 from dandeliondrum import messages
 
 State = messages.AttemptState
+numbers = itertools.count()
+
+
+@pytest.fixture
+def leader(shared_leader):
+    shared_leader.reset()
+    return shared_leader
+
+
+@pytest.fixture
+def front(leader, shared_front):
+    fakes.until(shared_front.ready)
+    return shared_front
 
 
 def post(front, path, value, **changes):
@@ -174,7 +188,7 @@
 
 def durable_spec(task_class):
     return messages.TaskSpec(
-        task_id=messages.TaskId('bureau/j1'),
+        task_id=messages.TaskId(f'bureau/j{next(numbers)}'),
         team_id=messages.TeamId('bureau'),
         queue=messages.QueueName('night'),
         task_class=messages.TaskClass(task_class),
@@ -196,15 +210,13 @@
     return leader.reports()[0]
 
 
-def test_a_durable_task_that_goes_on_is_not_reported_as_ended(
-    front, leader, worker
-):
+def test_a_durable_task_that_goes_on_is_not_reported_as_ended(leader, worker):
     """A leader takes each report for the end of its attempt."""
     spec = durable_spec('batch')
     worker.on_start = lambda _seen: fakes.running()
-    leader.push(fakes.start_of(spec, worker, body=b''))
-    fakes.until(worker.starts)
-    front.close()
+    with fakes.serving(leader.address):
+        leader.push(fakes.start_of(spec, worker, body=b''))
+        fakes.until(worker.starts)
     assert leader.reports() == []
 
 
--- a/dandeliondrum/gateway/tests/test_operators.py
+++ b/dandeliondrum/gateway/tests/test_operators.py
@@ -3,6 +3,8 @@
 import hashlib
 import json
 
+import pytest
+
 from dandeliondrum.gateway import _operators
 from dandeliondrum.gateway.tests import fakes
 from dandeliondrum import messages
@@ -16,6 +18,18 @@
 )
 
 
+@pytest.fixture
+def leader(shared_leader):
+    shared_leader.reset()
+    return shared_leader
+
+
+@pytest.fixture
+def front(leader, shared_front):
+    fakes.until(shared_front.ready)
+    return shared_front
+
+
 def ask(front, method, path, body=b'', **headers):
     names = {name.replace('_', '-'): text for name, text in headers.items()}
     return fakes.call(front.operators_address, method, path, body, names)
--- a/dandeliondrum/gateway/tests/test_workers.py
+++ b/dandeliondrum/gateway/tests/test_workers.py
@@ -20,6 +20,18 @@
 }
 
 
+@pytest.fixture
+def leader(shared_leader):
+    shared_leader.reset()
+    return shared_leader
+
+
+@pytest.fixture
+def front(leader, shared_front):
+    fakes.until(shared_front.ready)
+    return shared_front
+
+
 def beat(number=1, **changes):
     return {
         'worker_id': f'lathe-{number}',
@@ -134,7 +146,7 @@
 
 
 def test_an_answer_for_another_worker_reaches_nobody(front, leader):
-    leader._beat_replies = lambda _call: messages.WorkerBeatReplies(
+    leader.on_beats = lambda _call: messages.WorkerBeatReplies(
         (messages.WorkerBeatReply(messages.WorkerId('other')),)
     )
     assert post(front, 'heartbeat', beat()).status == 503
