--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -43,6 +43,7 @@
         self._stop = threading.Event()
         self.acknowledged = []
         self.not_done = []
+        self.unknown = []
         self._threads = [
             threading.Thread(target=self._propose_on, args=(number,))
             for number in range(count)
@@ -83,6 +84,8 @@
                     self.acknowledged.append(command)
                 elif outcome.failure().not_done:
                     self.not_done.append(command)
+                else:
+                    self.unknown.append(command)
             self._stop.wait(0.001)
 
 
@@ -218,6 +221,7 @@
                 successor = cluster.leader(among=cluster.others(former))
                 assert target in (successor, None)
         assert not watch.doubled
+        assert not proposers.unknown
         check_terms(listeners)
         check_history(cluster, proposers)
 
@@ -237,6 +241,19 @@
         cluster.propose(leader, b'after').unwrap()
 
 
+def test_streams_that_go_silent_are_replaced(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.form()
+        with Proposers(cluster) as proposers:
+            for _ in range(2):
+                proposers.wait_for(20)
+                for forwarder in cluster.forwarders.values():
+                    forwarder.silence()
+            proposers.wait_for(20)
+        cluster.leader()
+        check_history(cluster, proposers)
+
+
 def test_callbacks_may_propose(tmp_path):
     with harness.Cluster(tmp_path, 1) as cluster:
         (name,) = cluster.names
--- a/dandeliondrum/placement/_bins.py
+++ b/dandeliondrum/placement/_bins.py
@@ -6,10 +6,11 @@
 how many tasks wait. Each bin has a bit, and sets of bins are integers.
 """
 
+import bisect
 import collections
 import collections.abc
-import dataclasses
 import heapq
+import typing
 
 from dandeliondrum import messages
 from dandeliondrum.placement import _index
@@ -17,8 +18,7 @@
 from dandeliondrum.placement import _tasks
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BinKey:
+class BinKey(typing.NamedTuple):
     """What the tasks of a bin have in common."""
 
     task_class: messages.TaskClass
@@ -27,6 +27,17 @@
     excluded_workers: frozenset[messages.WorkerId]
 
 
+_CLASS_ORDER = {
+    messages.TaskClass.URGENT: 0,
+    messages.TaskClass.SERVICE: 1,
+    messages.TaskClass.GANG: 2,
+    messages.TaskClass.BATCH: 3,
+}
+
+# Order of the class, when the first task was submitted, and the bin's bit.
+Place = tuple[int, int, int]
+
+
 class Group:
     """The waiting tasks of one team in one bin, oldest first."""
 
@@ -36,6 +47,7 @@
         'number',
         'heap',
         'count',
+        'place',
         'awaited_count',
         'make_room_ms',
     )
@@ -48,6 +60,8 @@
         self.number = number
         self.heap: list[tuple[int, int, _tasks.PendingTask]] = []
         self.count = 0
+        # Its entry in the order of its team; None if it has no task to place.
+        self.place: Place | None = None
         # Preemptions on their way for these tasks, and when to look for
         # more if none could be found.
         self.awaited_count = 0
@@ -57,7 +71,7 @@
 class Bin:
     """Groups of teams whose tasks fit the same workers."""
 
-    __slots__ = ('key', 'bit', 'groups', 'placed_ms')
+    __slots__ = ('key', 'bit', 'groups', 'placed_ms', 'unfit')
 
     def __init__(self, key: BinKey, bit: int, since_ms: int) -> None:
         self.key = key
@@ -65,12 +79,22 @@
         self.groups: dict[messages.TeamId, Group] = {}
         # When a task of this bin was placed last, or the first came.
         self.placed_ms = since_ms
+        # What no room was found for when it was blocked.
+        self.unfit: messages.Resources | None = None
 
 
 class TeamQueue:
     """The groups of one team."""
 
-    __slots__ = ('account', 'number', 'mask', 'parked', 'groups', 'places')
+    __slots__ = (
+        'account',
+        'number',
+        'mask',
+        'parked',
+        'groups',
+        'order',
+        'places',
+    )
 
     def __init__(self, account: _shares.TeamAccount, number: int) -> None:
         self.account = account
@@ -80,9 +104,25 @@
         # Bins whose first task is over the team's upper limit.
         self.parked = 0
         self.groups: dict[int, Group] = {}
+        # Groups by class and age of their first task, which may be older
+        # here than it is by now.
+        self.order: list[Place] = []
         # The team's keys in the orders of teams.
         self.places: tuple[float, float] = (0.0, 0.0)
 
+    def place(self, group: Group, task: _tasks.PendingTask) -> None:
+        """Put a group where its first task belongs."""
+        self.displace(group)
+        class_order = _CLASS_ORDER[task.task_class]
+        group.place = class_order, task.submitted_ms, group.bin.bit
+        bisect.insort(self.order, group.place)
+
+    def displace(self, group: Group) -> None:
+        """Take a group out of the order, if it is in it."""
+        if group.place is not None:
+            del self.order[bisect.bisect_left(self.order, group.place)]
+            group.place = None
+
 
 class BinMasks:
     """Bits of bins, and which bins fit where."""
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -9,6 +9,11 @@
 # shares, and holds room under its team's upper limit, too.
 AGED_MS = 60_000
 RETRY_MS = 200
+# How long a reservation may be late before other workers are chosen.
+OVERDUE_MS = 10_000
+# A gang that found too few workers is tried again after this time, since
+# only some of the workers are looked at.
+TOO_LARGE_MS = 10_000
 BINS_TRIED_COUNT = 8
 
 
@@ -33,26 +38,62 @@
         self._retry_ms = None
 
     def run(
-        self, now_ms: int, placements_max: int
+        self, now_ms: int, placements_max: int, alone: bool
     ) -> list[tuple[_tasks.Placement, ...]]:
-        """Return the gangs (and reserved single tasks) that start."""
+        """Return the gangs (and reserved single tasks) that start.
+
+        With ``alone``, nothing else was placed so far, and a gang larger
+        than the limit of placements goes all the same.
+        """
         groups: list[tuple[_tasks.Placement, ...]] = []
         left = placements_max
-        while True:
-            if self._state.reservation is None and not self._reserve(now_ms):
-                return groups
-            group = self._start(now_ms, left, alone=not groups)
+        while left > 0 and self._reserve(now_ms):
+            no_limit = alone and not groups
+            group = self._start(now_ms, None if no_limit else left)
             if group is None:
                 return groups
             groups.append(group)
             left -= len(group)
+        return groups
+
+    def start_reserved(
+        self, now_ms: int
+    ) -> list[tuple[_tasks.Placement, ...]]:
+        """Start what has the reservation, if all of its room is there.
+
+        A gang larger than the limit of placements goes, too, as nothing else
+        has been placed yet.
+        """
+        self._renew(now_ms)
+        group = self._start(now_ms, None)
+        return [] if group is None else [group]
+
+    def _renew(self, now_ms: int) -> None:
+        """Choose workers anew where tasks run longer than was said."""
+        state = self._state
+        made = state.reservation
+        if made is None or not made.waiting:
+            return
+        if now_ms < made.expected_ms + OVERDUE_MS:
+            return
+        members = [task for task, _ in made.places]
+        state.drop_reservation()
+        state.reservation = state.reserver.reserve(
+            state.ledger, members, made.gang_key, now_ms
+        )
+
+    def is_due(self, now_ms: int) -> bool:
+        """Tell whether a new reservation may be made now."""
+        return self._state.reservation is None and (
+            self._retry_ms is None or now_ms >= self._retry_ms
+        )
 
     def is_too_large(self, key: _gangs.GangKey) -> bool:
         """Tell whether the eligible workers can't hold the gang."""
         return key in self._too_large
 
     def _start(
-        self, now_ms: int, left: int, alone: bool
+        self, now_ms: int, left: int | None
     ) -> tuple[_tasks.Placement, ...] | None:
         state = self._state
         made = state.reservation
@@ -60,7 +101,7 @@
             return None
         if not state.ledger.teams.account(made.team_id).allows_held():
             return None
-        if len(made.places) > left and not alone:
+        if left is not None and len(made.places) > left:
             return None
         state.drop_reservation()
         reason = 'all members of its gang had room at once'
@@ -72,7 +113,7 @@
         )
 
     def _reserve(self, now_ms: int) -> bool:
-        if self._retry_ms is not None and now_ms < self._retry_ms:
+        if not self.is_due(now_ms):
             return False
         turns = [self._reserve_gang, self._reserve_single]
         if self._single_is_next:
@@ -81,6 +122,11 @@
             if turn(now_ms):
                 return True
         self._retry_ms = now_ms + RETRY_MS
+        self._too_large = {
+            key: at_ms
+            for key, at_ms in self._too_large.items()
+            if now_ms - at_ms < TOO_LARGE_MS
+        }
         return False
 
     def _reserve_gang(self, now_ms: int) -> bool:
@@ -88,11 +134,14 @@
         gang = self._next_gang(now_ms)
         while gang is not None:
             made = state.reserver.reserve(
-                state.ledger, gang.members(), gang.key
+                state.ledger, gang.members(), gang.key, now_ms
             )
             if made is not None:
                 state.reservation = made
                 self._single_is_next = True
+                if self._is_aged(gang, now_ms):
+                    for task in gang.pending.values():
+                        state.queues.aged.spend(task)
                 return True
             self._too_large[gang.key] = now_ms
             state.gangs.defer(gang)
@@ -106,7 +155,9 @@
         task = self._starved_single(now_ms)
         if task is None:
             return False
-        state.reservation = state.reserver.reserve(state.ledger, [task], None)
+        state.reservation = state.reserver.reserve(
+            state.ledger, [task], None, now_ms
+        )
         return state.reservation is not None
 
     def _starved_single(self, now_ms: int) -> _tasks.PendingTask | None:
@@ -115,7 +166,7 @@
         bins = sorted(
             (home.placed_ms, home.bit, home)
             for home in queues.bins.values()
-            if now_ms - home.placed_ms >= AGED_MS
+            if home.groups and now_ms - home.placed_ms >= AGED_MS
         )
         for _, _, home in bins[:BINS_TRIED_COUNT]:
             task = queues.first(home, now_ms)
@@ -139,20 +190,31 @@
     ) -> tuple[int, float, int, int] | None:
         """Return the place in the order, None if it isn't its turn."""
         state = self._state
-        if now_ms - gang.submitted_ms >= AGED_MS:
+        if self._is_aged(gang, now_ms):
             return 0, 0, gang.submitted_ms, gang.number
         account = state.ledger.teams.account(gang.key[0])
+        totals = state.ledger.fleet.totals
         total = messages.Resources(0, 0, 0)
         for task in gang.pending.values():
             total = total + task.resources
         if not account.allows(total, len(gang.pending)):
             return None
-        dominant = state.ranking.dominant_share(account)
+        # What the gang adds counts, so that it doesn't take its team beyond
+        # the share while others wait.
+        added = account.share_of(total, len(gang.pending), totals)
+        dominant = state.ranking.dominant_share(account) + added
         fair = state.ranking.fair_share(account)
-        if dominant > fair and state.queues.blocked:
+        if dominant > fair and state.is_contended(now_ms):
             return None
         return 1, dominant / fair, gang.submitted_ms, gang.number
 
+    def _is_aged(self, gang: _gangs.Gang, now_ms: int) -> bool:
+        """Tell whether a gang may come out of its turn."""
+        return (
+            now_ms - gang.submitted_ms >= AGED_MS
+            and self._state.queues.aged.may_spend
+        )
+
     def _is_late(self, gang: _gangs.Gang, now_ms: int) -> bool:
         return any(
             task.deadline_ms is not None and task.deadline_ms <= now_ms
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -5,7 +5,6 @@
 turn is found by walking along the teams and comparing two masks for each.
 """
 
-import bisect
 import collections.abc
 import heapq
 import itertools
@@ -17,20 +16,15 @@
 from dandeliondrum.placement import _ledger
 from dandeliondrum.placement import _ranking
 from dandeliondrum.placement import _tasks
+from dandeliondrum.placement import _team_order
 
 # A heap is rebuilt without its dropped tasks once they outnumber the others
 # and are more than this.
 DROPPED_COUNT_MAX = 64
 NEEDS_COUNT_MAX = 10_000
 
-_CLASSES = (
-    messages.TaskClass.URGENT,
-    messages.TaskClass.SERVICE,
-    messages.TaskClass.GANG,
-    messages.TaskClass.BATCH,
-)
-
-_Order = list[tuple[float, int, _bins.TeamQueue]]
+# Bins in which nothing waits are kept for the next task up to this number.
+EMPTY_BINS_COUNT_MAX = 2_048
 
 
 class Queues:
@@ -40,14 +34,13 @@
         self.bins: dict[_bins.BinKey, _bins.Bin] = {}
         self.masks = _bins.BinMasks()
         self.blocked = 0
+        self._empty_count = 0
         self.aged: _aging.AgedGroups[_bins.Group] = _aging.AgedGroups()
         self._ranking = ranking
         self._ledger = _ledger.Ledger()
         self._numbers = itertools.count()
         self._teams: dict[messages.TeamId, _bins.TeamQueue] = {}
-        # Teams by dominant share and by what their urgent tasks use.
-        self._by_share: _Order = []
-        self._by_urgent: _Order = []
+        self._order = _team_order.TeamOrder(ranking)
         self._needs: dict[messages.Resources, _index.Need] = {}
         self._groups: dict[messages.TaskId, _bins.Group] = {}
 
@@ -60,6 +53,13 @@
         """Return the bins for which there may be room."""
         return ~self.blocked
 
+    def waiting(self) -> int:
+        """Return the bins with tasks that no limit keeps back."""
+        mask = 0
+        for team in self._teams.values():
+            mask |= team.mask
+        return mask
+
     def need(self, resources: messages.Resources) -> _index.Need:
         """Return the levels of what a task needs."""
         need = self._needs.get(resources)
@@ -78,7 +78,12 @@
         heapq.heappush(group.heap, entry)
         group.count += 1
         if group.heap[0] is entry:
-            self._unpark(self._teams[task.team_id], group.bin.bit)
+            team = self._teams[task.team_id]
+            self._unpark(team, group.bin.bit)
+            team.place(group, task)
+        unfit = group.bin.unfit
+        if unfit is not None and not unfit.fits_in(task.resources):
+            self.unblock(group.bin.bit)
 
     def drop(self, task: _tasks.PendingTask) -> None:
         """Note that a queued task is pending no more."""
@@ -98,6 +103,17 @@
             ]
             heapq.heapify(group.heap)
 
+    def block(self, home: _bins.Bin, task: _tasks.PendingTask) -> None:
+        """Note that no worker of its region has room for a task."""
+        self.blocked |= home.bit
+        home.unfit = task.resources
+
+    def unblock(self, among: int) -> None:
+        """Let these bins be searched for again."""
+        for bit in _bins.bits(among & self.blocked):
+            self.masks.by_bit[bit].unfit = None
+        self.blocked &= ~among
+
     def note_usage(self, team_id: messages.TeamId, less: bool) -> None:
         """Put a team whose usage has changed where it now belongs."""
         team = self._teams.get(team_id)
@@ -106,8 +122,8 @@
         if less:
             team.mask |= team.parked
             team.parked = 0
-        self._leave_order(team)
-        self._enter_order(team)
+        self._order.leave(team)
+        self._order.enter(team)
 
     def note_all_usage(self) -> None:
         """Put all teams where they belong: grants or the fleet changed."""
@@ -120,7 +136,7 @@
         if group is not None:
             group.bin.placed_ms = now_ms
             self.aged.note_turn(group.number, now_ms)
-            self.aged.count_placement()
+            self.aged.earn(task)
 
     def pop_aged(self, now_ms: int) -> list[_tasks.PendingTask]:
         """Return tasks whose group had no placement for long."""
@@ -136,7 +152,9 @@
         """Return the group of a queued task."""
         return self._groups.get(task.task_id)
 
-    def select(self, among: int, now_ms: int) -> _bins.Group | None:
+    def select(
+        self, among: int, now_ms: int, first_rank_only: bool = False
+    ) -> _bins.Group | None:
         """Return the group whose turn it is among these bins.
 
         Teams at their upper limit are passed over until they use less.
@@ -144,16 +162,22 @@
         classes = self.masks.classes
         limit = self._ranking.first_rank_limit()
         firsts = (
-            (self._by_urgent, among & classes[messages.TaskClass.URGENT]),
-            (self._by_share, among & classes[messages.TaskClass.SERVICE]),
+            (
+                self._order.by_urgent,
+                among & classes[messages.TaskClass.URGENT],
+            ),
+            (
+                self._order.by_share,
+                among & classes[messages.TaskClass.SERVICE],
+            ),
         )
         best: tuple[float, _bins.Group] | None = None
         for order, mask in firsts:
             found = self._walk(order, mask, limit, now_ms) if mask else None
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
-        if best is None:
-            best = self._walk(self._by_share, among, None, now_ms)
+        if best is None and not first_rank_only:
+            best = self._walk(self._order.by_share, among, None, now_ms)
         return None if best is None else best[1]
 
     def urgent(
@@ -162,7 +186,9 @@
         """Yield groups of urgent tasks within share, in order."""
         limit = self._ranking.first_rank_limit()
         mask = among & self.masks.classes[messages.TaskClass.URGENT]
-        for key, _, team in self._by_urgent:
+        if not mask:
+            return
+        for key, _, team in self._order.by_urgent:
             if key > limit:
                 return
             for bit in _bins.bits(team.mask & mask):
@@ -174,14 +200,14 @@
         self, among: int, teams_max: int, now_ms: int
     ) -> collections.abc.Iterator[_bins.Group]:
         """Yield the first group of each of the teams with least share."""
-        for _, _, team in self._by_share[:teams_max]:
+        for _, _, team in self._order.by_share[:teams_max]:
             group = self._pick(team, team.mask & among, now_ms)
             if group is not None:
                 yield group
 
     def first(self, home: _bins.Bin, now_ms: int) -> _tasks.PendingTask | None:
         """Return the task whose turn it is in one bin."""
-        found = self._walk(self._by_share, home.bit, None, now_ms)
+        found = self._walk(self._order.by_share, home.bit, None, now_ms)
         return None if found is None else self.head(found[1], now_ms)
 
     def head(
@@ -199,7 +225,11 @@
         return None
 
     def _walk(
-        self, order: _Order, among: int, limit: float | None, now_ms: int
+        self,
+        order: _team_order.Teams,
+        among: int,
+        limit: float | None,
+        now_ms: int,
     ) -> tuple[float, _bins.Group] | None:
         """Return the first team's group among these bins, and its key."""
         for key, _, team in order:
@@ -215,22 +245,27 @@
     def _pick(
         self, team: _bins.TeamQueue, mask: int, now_ms: int
     ) -> _bins.Group | None:
-        """Return the team's group with the oldest task, by class."""
-        for task_class in _CLASSES:
-            best: tuple[int, _bins.Group] | None = None
-            class_mask = mask & self.masks.classes[task_class]
-            for bit in _bins.bits(class_mask):
-                group = team.groups[bit]
-                task = self.head(group, now_ms)
-                if task is None:
-                    team.mask &= ~bit
-                elif not team.account.allows(task.resources):
-                    team.mask &= ~bit
-                    team.parked |= bit
-                elif best is None or task.submitted_ms < best[0]:
-                    best = task.submitted_ms, group
-            if best is not None:
-                return best[1]
+        """Return the team's first group, by class, then by age."""
+        position = 0
+        while mask and position < len(team.order):
+            bit = team.order[position][2]
+            if not bit & mask:
+                position += 1
+                continue
+            group = team.groups[bit]
+            task = self.head(group, now_ms)
+            if task is None:
+                team.displace(group)
+                team.mask &= ~bit
+                mask &= ~bit
+            elif task.submitted_ms != team.order[position][1]:
+                team.place(group, task)
+            elif not team.account.allows(task.resources):
+                team.mask &= ~bit
+                team.parked |= bit
+                mask &= ~bit
+            else:
+                return group
         return None
 
     def _waits(self, task: _tasks.PendingTask) -> bool:
@@ -251,6 +286,9 @@
         if home is None:
             home = self.masks.new_bin(key, task.submitted_ms)
             self.bins[key] = home
+        elif not home.groups:
+            home.placed_ms = task.submitted_ms
+            self._empty_count -= 1
         group = home.groups.get(task.team_id)
         if group is None:
             team = self._team(task.team_id)
@@ -266,33 +304,30 @@
             account = self._ledger.teams.account(team_id)
             team = _bins.TeamQueue(account, next(self._numbers))
             self._teams[team_id] = team
-            self._enter_order(team)
+            self._order.enter(team)
         return team
 
     def _remove(self, group: _bins.Group) -> None:
         home = group.bin
         team = self._teams[group.account.team_id]
         self.aged.remove(group.number)
+        team.displace(group)
         del home.groups[group.account.team_id]
         del team.groups[home.bit]
         team.mask &= ~home.bit
         team.parked &= ~home.bit
         if not team.groups:
-            self._leave_order(team)
+            self._order.leave(team)
             del self._teams[group.account.team_id]
         if not home.groups:
-            self.masks.remove(home)
-            self.blocked &= ~home.bit
-            del self.bins[home.key]
-
-    def _enter_order(self, team: _bins.TeamQueue) -> None:
-        team.places = self._ranking.places(team.account)
-        share, urgent = team.places
-        bisect.insort(self._by_share, (share, team.number, team))
-        bisect.insort(self._by_urgent, (urgent, team.number, team))
-
-    def _leave_order(self, team: _bins.TeamQueue) -> None:
-        for order, place in zip(
-            (self._by_share, self._by_urgent), team.places
-        ):
-            del order[bisect.bisect_left(order, (place, team.number))]
+            self._empty_count += 1
+            if self._empty_count > EMPTY_BINS_COUNT_MAX:
+                self._remove_empty_bins()
+
+    def _remove_empty_bins(self) -> None:
+        for home in list(self.bins.values()):
+            if not home.groups:
+                self.unblock(home.bit)
+                self.masks.remove(home)
+                del self.bins[home.key]
+        self._empty_count = 0
