--- a/tests/test_broken_builds.py
+++ b/tests/test_broken_builds.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dandeliondrum import testing
+from dandeliondrum import worker
 
 RETRIES_WHAT_MAY_HAVE_RUN = """
 from dandeliondrum.controller import _endings
@@ -92,16 +93,23 @@
 
 
 def test_leases_that_are_not_waited_for_are_noticed(
-    make_meshed_cell, keys, recorder
+    make_meshed_cell, keys, recorder, rules_text
 ):
     cell = make_meshed_cell(
         broken_by={'controller': IGNORES_LEASES}, workers_count=2
     )
+    assert (
+        cell.apply_rules(rules_text.replace('1500', '8000'), 1).status == 200
+    )
 
     def cut_off():
-        cell.mesh.isolate('w1')
-        cell.mesh.isolate('w2')
-        time.sleep(3)
+        starts = [
+            event
+            for event in cell.journals()
+            if event.kind is worker.EventKind.START
+        ]
+        cell.mesh.isolate(max(starts, key=lambda one: one.at_ms).worker_id)
+        time.sleep(4)
         cell.mesh.heal()
 
     # Runs outlast the silence, so that a second run begins beside the first.
