Give up a silent call to a worker once the leader has better news

The call now ends within a second of news for its task. Ruled out: capacity, the planner, the lease of the first run.

--- a/dandeliondrum/gateway/_dispatch.py
+++ b/dandeliondrum/gateway/_dispatch.py
@@ -1,5 +1,6 @@
 """Starts attempts on workers and fetches their answers."""
 
+import collections.abc
 import dataclasses
 import hashlib
 import threading
@@ -59,6 +60,7 @@
     reason: str
 
 
+GivenUp = collections.abc.Callable[[], bool]
 StartOutcome = Ended | Running | NeverStarted | Uncertain
 FetchOutcome = Ended | Running | Uncertain
 
@@ -80,6 +82,7 @@
         body: bytes,
         wait_ms: int,
         open_writer: _worker_client.OpenWriter = _worker_client.discard,
+        given_up: GivenUp = _worker_client.never,
     ) -> StartOutcome:
         """Start the attempt and wait ``wait_ms`` for its answer.
 
@@ -90,7 +93,7 @@
         with observability.span(
             'start attempt', attributes=attributes
         ) as span:
-            outcome = self._start(start, body, wait_ms, open_writer)
+            outcome = self._start(start, body, wait_ms, open_writer, given_up)
             span.set_attribute('outcome', type(outcome).__name__)
             return outcome
 
@@ -100,6 +103,7 @@
         body: bytes,
         wait_ms: int,
         open_writer: _worker_client.OpenWriter,
+        given_up: GivenUp,
     ) -> StartOutcome:
         trace_parent = observability.current_trace_parent()
         request = _worker_client.WorkerRequest(
@@ -109,6 +113,7 @@
             wait_ms + self._options.silence_margin_ms,
             _worker_protocol.start_headers(start, wait_ms, trace_parent),
             body,
+            given_up,
         )
         sent_before = False
         reason = ''
@@ -119,6 +124,8 @@
                         return NeverStarted(reason)
                 case _worker_client.NoAnswer(reason=reason):
                     sent_before = True
+                    if given_up():
+                        break
                 case _worker_client.WorkerReply() as reply:
                     return _started(start, reply, sent_before)
         return Uncertain(reason)
@@ -128,6 +135,7 @@
         place: messages.AnswerPlace,
         wait_ms: int,
         open_writer: _worker_client.OpenWriter = _worker_client.discard,
+        given_up: GivenUp = _worker_client.never,
     ) -> FetchOutcome:
         """Ask the worker for an answer, for at most ``wait_ms``.
 
@@ -142,6 +150,7 @@
             _worker_protocol.answer_path(place.attempt_id),
             wait_ms + self._options.silence_margin_ms,
             ((_worker_protocol.WAIT_MS, str(wait_ms)),),
+            given_up=given_up,
         )
         with observability.span(
             'fetch answer', attributes={'attempt': place.attempt_id}
--- a/dandeliondrum/gateway/_waiters.py
+++ b/dandeliondrum/gateway/_waiters.py
@@ -47,6 +47,10 @@
         except queue.Empty:
             return None
 
+    def has_event(self) -> bool:
+        """Tell whether there is news, without taking it."""
+        return not self._events.empty()
+
     def submit_begins(self) -> None:
         """Note that the task is about to be sent to a leader."""
         with self._lock:
--- a/dandeliondrum/gateway/_waiting_call.py
+++ b/dandeliondrum/gateway/_waiting_call.py
@@ -135,7 +135,11 @@
         place = _dispatch.place_of(start)
         stream = self._stream(place)
         outcome = self._services.dispatcher.start(
-            start, self._body, self._wait_ms(), stream.open
+            start,
+            self._body,
+            self._wait_ms(),
+            stream.open,
+            self._waiter.has_event,
         )
         self._log.info(
             'attempt dispatched',
@@ -158,7 +162,7 @@
         stream = self._stream(place)
         began_ms = utils.monotonic_ms()
         outcome = self._services.dispatcher.fetch(
-            place, self._wait_ms(), stream.open
+            place, self._wait_ms(), stream.open, self._waiter.has_event
         )
         match outcome:
             case _dispatch.Ended():
--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -23,11 +23,18 @@
 CURL_BUFFER_BYTES = 256 * 1024
 
 
+def never() -> bool:
+    """Keep waiting for an answer, whatever else happens."""
+    return False
+
+
 @dataclasses.dataclass(frozen=True)
 class WorkerRequest:
     """One call to a worker.
 
-    A call on which nothing moves for ``silence_ms`` is given up.
+    A call on which nothing moves for ``silence_ms`` is given up. So is one
+    that has no answer yet once ``given_up`` tells that its caller has better
+    news; it is asked about once a second.
     """
 
     method: str
@@ -36,6 +43,7 @@
     silence_ms: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
+    given_up: collections.abc.Callable[[], bool] = never
 
 
 @dataclasses.dataclass(frozen=True)
@@ -280,6 +288,8 @@
     def _on_progress(
         self, _down_total: int, down: int, _up_total: int, up: int
     ) -> int:
+        if self._status == 0 and self._request.given_up():
+            return 1
         moved_bytes = down + up
         now_s = time.monotonic()
         if moved_bytes != self._moved_bytes:
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -1,10 +1,12 @@
 """Links between processes are cut, one way too, or go silent."""
 
+import concurrent.futures
 import time
 
 import pytest
 
 from dandeliondrum import testing
+from dandeliondrum import worker
 
 CUT_S = 6
 
@@ -100,3 +102,28 @@
                 cell.mesh.silence(one, other)
 
     run_with(cell, keys, recorder, silence, lambda: None)
+
+
+def test_work_moves_on_while_its_worker_stays_cut_off(make_meshed_cell, keys):
+    cell = make_meshed_cell()
+    key = keys['harbour'].text
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        call = executor.submit(
+            cell.run_task,
+            {'echo': 'x', 'run_ms': 1_000},
+            key,
+            timeout_ms=15_000,
+            idempotent='true',
+            request_id='x',
+        )
+
+        def first_start():
+            for event in cell.journals():
+                if event.kind is worker.EventKind.START:
+                    return event
+            return None
+
+        cell.mesh.isolate(testing.wait_until(first_start).worker_id)
+        reply = call.result()
+    assert reply.status == 200
+    assert reply.headers['dandeliondrum-attempt'].endswith('#2')
