--- a/dandeliondrum/client/_client.py
+++ b/dandeliondrum/client/_client.py
@@ -14,18 +14,11 @@
 from dandeliondrum.client import _outcomes
 from dandeliondrum.client import _requests
 from dandeliondrum.client import _retries
+from dandeliondrum.client import _settle
 from dandeliondrum import utils
 
 # What a gateway needs beyond the deadline to tell the leader's refusal.
 REPLY_MARGIN_MS = 4_000
-# Refusals by a gateway alone: the same id is welcome elsewhere.
-GATEWAY_REASONS = ('no_leader', 'gateway_busy')
-
-Settled = result.Result[_exchange.Reply, _outcomes.Outcome]
-# Tells whether a try settled the call, and how.
-Settle = collections.abc.Callable[[str, _exchange.Result], Settled | None]
-# Statuses with which a gateway tells where a task stands.
-TOLD_STATUSES = (200, 202, 404)
 
 
 class Client:
@@ -181,7 +174,7 @@
 
         return self._try(request, '', timeout_ms, False).map(_statuses)
 
-    def _ask(self, method: str, path: str, timeout_ms: int) -> Settled:
+    def _ask(self, method: str, path: str, timeout_ms: int) -> _settle.Settled:
         headers = self._headers()
 
         def request(left_ms: int, _sent_before: bool) -> _exchange.Request:
@@ -190,7 +183,7 @@
             )
 
         request_id = path.split('/')[3]
-        return self._try(request, request_id, timeout_ms, False, _told)
+        return self._try(request, request_id, timeout_ms, False, _settle.told)
 
     def _try(
         self,
@@ -198,8 +191,8 @@
         request_id: str,
         timeout_ms: int,
         vouched: bool,
-        settle: Settle | None = None,
-    ) -> Settled:
+        settle: _settle.Settle | None = None,
+    ) -> _settle.Settled:
         """Send to one gateway after the other until something is settled."""
         deadline_ms = utils.monotonic_ms() + timeout_ms
         self._budget.earn()
@@ -211,18 +204,20 @@
                 make(left_ms, sent), silence_s=self._policy.silence_s
             )
             outcome = self._exchanger.send(address, request)
-            settled = (settle or _settled)(request_id, outcome)
+            settled = (settle or _settle.settled)(request_id, outcome)
             if settled is not None:
                 return settled
-            no_effect = _without_effect(outcome)
+            no_effect = _settle.without_effect(outcome)
             sent = sent or not no_effect
             pause_ms = self._policy.pause_ms(
-                retries_count, _asked_ms(outcome), self._generator
+                retries_count, _settle.asked_ms(outcome), self._generator
             )
             late = utils.monotonic_ms() + pause_ms >= deadline_ms
             if late or not self._may_retry(outcome):
                 not_run = vouched and not sent
-                return result.Failure(_unsettled(request_id, outcome, not_run))
+                return result.Failure(
+                    _settle.unsettled(request_id, outcome, not_run)
+                )
             time.sleep(pause_ms / 1000)
         raise utils.InvariantError('the count of retries has ended')
 
@@ -233,83 +228,6 @@
         return self._budget.spend()
 
 
-def _settled(request_id: str, outcome: _exchange.Result) -> Settled | None:
-    """Return what no further try can change, if it is that."""
-    if not isinstance(outcome, _exchange.Reply):
-        return None
-    plain = outcome.plain()
-    reason = str(plain.get('reason') or outcome.status)
-    detail = str(plain.get('detail') or '')
-    match outcome.outcome():
-        case 'answered' | 'accepted':
-            whole = outcome.is_unchanged()
-            return result.Success(outcome) if whole else None
-        case 'refused_not_run' if reason not in GATEWAY_REASONS:
-            return result.Failure(
-                _outcomes.Refused(
-                    request_id, reason, detail, outcome.retry_after_ms()
-                )
-            )
-        case 'in_doubt' if 400 <= outcome.status < 500:
-            return result.Failure(
-                _outcomes.InDoubt(request_id, reason, detail)
-            )
-    return None
-
-
-def _told(request_id: str, outcome: _exchange.Result) -> Settled | None:
-    """Return what a question about a task brought, if it is settled."""
-    if not isinstance(outcome, _exchange.Reply):
-        return None
-    told = _exchange.ATTEMPT in outcome.headers
-    if told or outcome.status in TOLD_STATUSES:
-        whole = outcome.is_unchanged()
-        return result.Success(outcome) if whole else None
-    if 400 <= outcome.status < 500:
-        plain = outcome.plain()
-        return result.Failure(
-            _outcomes.InDoubt(
-                request_id,
-                str(plain.get('reason') or outcome.status),
-                str(plain.get('detail') or ''),
-            )
-        )
-    return None
-
-
-def _without_effect(outcome: _exchange.Result) -> bool:
-    """Tell whether this try certainly left nothing behind."""
-    match outcome:
-        case _exchange.NotSent():
-            return True
-        case _exchange.Reply():
-            return outcome.outcome() == 'refused_not_run'
-    return False
-
-
-def _asked_ms(outcome: _exchange.Result) -> int:
-    if isinstance(outcome, _exchange.Reply):
-        return outcome.retry_after_ms()
-    return 0
-
-
-def _unsettled(
-    request_id: str, outcome: _exchange.Result, not_run: bool
-) -> _outcomes.Outcome:
-    """Return the outcome after the last try."""
-    match outcome:
-        case _exchange.Reply():
-            reason = str(outcome.plain().get('reason') or outcome.status)
-            detail = str(outcome.plain().get('detail') or '')
-        case _exchange.NotSent(detail) | _exchange.NoReply(detail):
-            reason = 'unreachable'
-    if not_run:
-        return _outcomes.Refused(
-            request_id, reason, detail, _asked_ms(outcome)
-        )
-    return _outcomes.InDoubt(request_id, reason, detail)
-
-
 def _answer(request_id: str, reply: _exchange.Reply) -> _outcomes.Answer:
     return _outcomes.Answer(
         request_id,
