--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -9,6 +9,8 @@
 from dandeliondrum.testing._cell_calls import CellCalls
 from dandeliondrum.testing._cell_calls import task_headers
 from dandeliondrum.testing._cell_calls import wait_until
+from dandeliondrum.testing._chaos import ChaosOutcome
+from dandeliondrum.testing._chaos import run_chaos
 from dandeliondrum.testing._checker import check
 from dandeliondrum.testing._fake_gateway import FakeGateway
 from dandeliondrum.testing._fake_gateway import SeenBeat
@@ -57,6 +59,7 @@
     'Callers',
     'Cell',
     'CellCalls',
+    'ChaosOutcome',
     'CheckOptions',
     'FakeGateway',
     'Faults',
@@ -97,6 +100,7 @@
     'free_address',
     'free_addresses',
     'runs',
+    'run_chaos',
     'task_headers',
     'wait_for',
     'wait_until',
--- a/dandeliondrum/testing/_cell.py
+++ b/dandeliondrum/testing/_cell.py
@@ -5,6 +5,7 @@
 and operators are not part of the mesh.
 """
 
+import collections.abc
 import contextlib
 import json
 import pathlib
@@ -37,9 +38,11 @@
         self,
         folder: str | pathlib.Path,
         mesh: _mesh.ProxyMesh | None = None,
+        broken_by: collections.abc.Mapping[str, str] | None = None,
         **controller_fields: typing.Any,
     ) -> None:
         super().__init__()
+        self._broken_by = broken_by or {}
         self.folder = pathlib.Path(folder)
         self.processes = _processes.Processes(self.folder / 'logs')
         self.mesh = mesh
@@ -158,9 +161,10 @@
     ) -> None:
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(fields, indent=1))
-        self.processes.launch(
-            name, _processes.daemon(kind, path, ready_url=url)
+        program = _processes.daemon(
+            kind, path, ready_url=url, broken_by=self._broken_by.get(kind, '')
         )
+        self.processes.launch(name, program)
 
     def leader(self) -> str:
         """Return the controller that leads, once there is one."""
