Pause before a service that ended at once is started again; keep urgent for its queues

The pause now begins at 0.5 s and doubles up to 32 s while runs last less than 10 s. A task may be urgent only on a queue whose rule says so; elsewhere any team could have called its work urgent. A retry of one member of a gang is placed by itself. The log's figures are in the controller's registry, and a gateway's broken invariant ends its process.

--- a/dandeliondrum/command/_roles.py
+++ b/dandeliondrum/command/_roles.py
@@ -45,7 +45,7 @@
         case settings.ControllerSettings():
             return _start_controller(loaded, resources, on_fatal)
         case settings.GatewaySettings():
-            return _start_gateway(loaded, resources)
+            return _start_gateway(loaded, resources, on_fatal)
         case settings.WorkerSettings():
             return _start_worker(loaded, resources)
 
@@ -67,7 +67,9 @@
 
 
 def _start_gateway(
-    loaded: settings.GatewaySettings, resources: contextlib.ExitStack
+    loaded: settings.GatewaySettings,
+    resources: contextlib.ExitStack,
+    on_fatal: OnFatal,
 ) -> Started:
     from dandeliondrum import gateway
 
@@ -75,7 +77,7 @@
     fields['controllers'] = tuple(
         (item.controller_id, item.address) for item in loaded.controllers
     )
-    part = gateway.Gateway(gateway.Options(**fields))
+    part = gateway.Gateway(gateway.Options(**fields), on_fatal)
     return _started(part.start, part.close, loaded.callers_address, resources)
 
 
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -75,8 +75,8 @@
                 deadline_ms=entry.deadline_ms,
                 expected_run_ms=spec.expected_run_ms,
                 region=spec.region,
-                gang_id=spec.gang_id,
-                gang_size=spec.gang_size,
+                gang_id=None if entry.is_retry else spec.gang_id,
+                gang_size=1 if entry.is_retry else spec.gang_size,
                 excluded_workers=entry.excluded_workers,
             )
         )
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -63,6 +63,7 @@
             self.state,
             self,
             on_fatal,
+            registry=self._metrics.registry,
         )
 
     def start(self) -> result.Result[None, consensus.StartError]:
--- a/dandeliondrum/controller/_endings_desk.py
+++ b/dandeliondrum/controller/_endings_desk.py
@@ -15,6 +15,18 @@
 from dandeliondrum import utils
 
 
+# A service that ends sooner than this is started again after a pause only,
+# which doubles with every attempt.
+SHORT_RUN_MS = 10_000
+FIRST_PAUSE_MS = 500
+PAUSE_DOUBLINGS_MAX = 6
+
+_ENDED_BY_ITSELF = (
+    messages.AttemptState.FINISHED,
+    messages.AttemptState.FAILED,
+)
+
+
 class EndingsDesk:
     """The leader's part that ends attempts.
 
@@ -103,12 +115,13 @@
                 context.planner.ended(task.spec.task_id)
                 if task.state in _state.ENDED_STATES:
                     context.sessions.end(task.status())
-                elif task.state is not messages.TaskState.QUEUED:
+                if task.state is not messages.TaskState.QUEUED:
                     continue
-                elif delay_ms is None:
-                    again.append(task.spec.task_id)
+                pause_ms = delay_ms or _restart_pause_ms(one)
+                if pause_ms:
+                    self._enqueue_later(task.spec.task_id, pause_ms)
                 else:
-                    self._enqueue_later(task.spec.task_id, delay_ms)
+                    again.append(task.spec.task_id)
             context.work.set()
         self._intake.enqueue_recorded(again)
 
@@ -158,3 +171,15 @@
         """Drop what is remembered about an attempt that is over."""
         self._uncertain.pop(attempt_id, None)
         self.stop_wanted.discard(attempt_id)
+
+
+def _restart_pause_ms(ended: _records.EndedAttempt) -> int:
+    """Return how long a service that ended by itself has to wait."""
+    if ended.task.spec.task_class is not messages.TaskClass.SERVICE:
+        return 0
+    if ended.report.state not in _ENDED_BY_ITSELF:
+        return 0
+    if ended.report.run_ms >= SHORT_RUN_MS:
+        return 0
+    doublings = min(ended.task.attempts_count - 1, PAUSE_DOUBLINGS_MAX)
+    return FIRST_PAUSE_MS * 2**doublings
--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_intake.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import concurrent.futures
+import dataclasses
 import typing
 
 from returns import result
@@ -48,7 +49,7 @@
         admissions: list[messages.Admission] = []
         with context.lock:
             for position, declared in enumerate(call.tasks):
-                spec = context.experience.sized(declared)
+                spec = context.experience.sized(self._classed(declared))
                 verdict = self._judge(session, spec, call.key)
                 match verdict:
                     case messages.TaskStatus():
@@ -70,6 +71,18 @@
             ),
         )
 
+    def _classed(self, spec: messages.TaskSpec) -> messages.TaskSpec:
+        """Let a task be urgent on a queue for urgent work alone."""
+        queue = self._context.state.rules.queues.get(spec.queue)
+        is_urgent = spec.task_class is messages.TaskClass.URGENT
+        if (
+            queue is None
+            or not is_urgent
+            or queue.task_class is spec.task_class
+        ):
+            return spec
+        return dataclasses.replace(spec, task_class=messages.TaskClass.BATCH)
+
     def _judge(
         self,
         session: _sessions.Session,
@@ -225,7 +238,10 @@
         if not spec.durable and not waited_for:
             return
         entry = _pending.PendingEntry(
-            spec, task.deadline_ms, frozenset(task.failed_workers)
+            spec,
+            task.deadline_ms,
+            frozenset(task.failed_workers),
+            is_retry=task.attempts_count > 0,
         )
         outcome = context.add_pending(entry)
         if isinstance(outcome, result.Failure):
--- a/dandeliondrum/controller/_pending.py
+++ b/dandeliondrum/controller/_pending.py
@@ -21,12 +21,15 @@
 
     ``key_id`` is the key with which a caller who still waits handed it in;
     empty for an open queue and for durable work, which is owed an answer.
+    A retry of a gang's member is placed by itself, since the others may have
+    ended by then.
     """
 
     spec: messages.TaskSpec
     deadline_ms: int
     excluded_workers: frozenset[messages.WorkerId] = frozenset()
     key_id: str = ''
+    is_retry: bool = False
 
     @property
     def group(self) -> Group:
--- a/tests/test_durable_tasks.py
+++ b/tests/test_durable_tasks.py
@@ -1,6 +1,7 @@
 """Work that nobody waits for: jobs, gangs and services under failure."""
 
 import collections
+import time
 
 from dandeliondrum import testing
 from dandeliondrum import worker
@@ -149,6 +150,24 @@
     )
 
 
+def test_a_service_that_ends_at_once_is_not_restarted_in_a_rush(cell, keys):
+    key = keys['harbour'].text
+    service = {
+        'team': 'harbour',
+        'queue': 'lens',
+        'request_id': 'short',
+        'replicas': 1,
+        'cpu_millicores': 500,
+        'memory_mb': 256,
+        'body_base64': 'eyJydW5fbXMiOiAxfQ==',
+    }
+    assert cell.ask(key, 'services', 'POST', service).status == 202
+    testing.wait_until(lambda: len(starts_of(cell, 'short.0')) >= 3)
+    time.sleep(2)
+    # Pauses of 0.5, 1 and 2 s have begun by then; a rush has hundreds.
+    assert len(starts_of(cell, 'short.0')) < 20
+
+
 def test_a_wave_of_cancellations(cell, keys):
     key = keys['harbour'].text
     tasks = [
