Never say "not run" of a task between two attempts

Found by reading: an idempotent task whose attempt was lost, stopped or failed waits again, and its deadline or a cancellation then made it "refused, not run" although it may have run. The record now remembers that an attempt may have run; such a task ends in doubt, and a cancelled one no longer claims that it did not run.

A task on record that waits again while no gateway asks for it is now ended at its deadline, too; before, it stayed queued for good.

--- a/benchmarks/_state_office.py
+++ b/benchmarks/_state_office.py
@@ -128,7 +128,7 @@
                 self._wait_for_a_worker()
                 waiting_count += 1
             figures[f'refuse_overdue_{wanted_count}_waiting_us'] = median_us(
-                self._office._refuse_overdue
+                self._office._deadlines.check
             )
         return figures
 
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -47,6 +47,9 @@
         self.sessions = _sessions.Sessions()
         self.experience = _experience.Experience()
         self.pending = _pending.Pending()
+        # Tasks on record that wait for another attempt while no gateway
+        # does: until when one may still ask for them.
+        self.unwanted: dict[messages.TaskId, int] = {}
         self.work = threading.Event()
         metrics.pending.set_function(lambda: float(len(self.pending)))
         self.started_ms = utils.monotonic_ms()
--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -61,9 +61,7 @@
     """Cancel a task: at once when it waits, by its stop when it runs."""
     match task.state:
         case messages.TaskState.QUEUED:
-            _finish(task, messages.TaskState.CANCELLED, time_ms)
-            task.reason = messages.RefusalReason.CANCELLED
-            task.detail = 'cancelled before it was run'
+            _cancelled(task, time_ms)
         case messages.TaskState.ASSIGNED:
             task.cancel_requested = True
             task.note(time_ms, 'cancel requested')
@@ -85,6 +83,8 @@
     )
     if report.state is messages.AttemptState.LOST:
         worker.fences[attempt.attempt_id] = task.spec.task_id
+    if report.state is not messages.AttemptState.NEVER_STARTED:
+        task.may_have_run = True
     match report.state:
         case messages.AttemptState.FINISHED:
             _finished(task, report, time_ms)
@@ -185,13 +185,21 @@
 
 def _again(task: _records.TaskRecord, time_ms: int) -> None:
     if task.cancel_requested:
-        _finish(task, messages.TaskState.CANCELLED, time_ms)
-        task.reason = messages.RefusalReason.CANCELLED
-        task.detail = 'cancelled'
+        _cancelled(task, time_ms)
     else:
         task.state = messages.TaskState.QUEUED
 
 
+def _cancelled(task: _records.TaskRecord, time_ms: int) -> None:
+    """Cancel a task that waits; the reason says "not run" where it is true."""
+    _finish(task, messages.TaskState.CANCELLED, time_ms)
+    if task.may_have_run:
+        task.detail = 'cancelled between two attempts'
+    else:
+        task.reason = messages.RefusalReason.CANCELLED
+        task.detail = 'cancelled before it was run'
+
+
 def _finish(
     task: _records.TaskRecord, state: messages.TaskState, time_ms: int
 ) -> None:
--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_intake.py
@@ -236,6 +236,7 @@
         spec = task.spec
         waited_for = context.sessions.waiters(spec.task_id)
         if not spec.durable and not waited_for:
+            context.unwanted[spec.task_id] = task.deadline_ms
             return
         entry = _pending.PendingEntry(
             spec,
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_office.py
@@ -9,6 +9,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.controller import _beats
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _deadlines
 from dandeliondrum.controller import _dispatch
 from dandeliondrum.controller import _endings_desk
 from dandeliondrum.controller import _intake
@@ -19,7 +20,6 @@
 from dandeliondrum import transport
 from dandeliondrum import utils
 
-DEADLINES_EVERY_MS = 100
 FORGET_EVERY_MS = 10_000
 REPLAY_THREADS = 2
 
@@ -40,6 +40,7 @@
         self._intake = _intake.Intake(context)
         self._desk = _endings_desk.EndingsDesk(context, self._intake, timers)
         self._beats = _beats.Beats(context, self._desk)
+        self._deadlines = _deadlines.Deadlines(context, self._intake)
         self._dispatch = _dispatch.Dispatch(context, self._desk)
         self._operators = _operators.Operators(
             context, self._beats, self._intake
@@ -53,7 +54,7 @@
         supervisor.run('dispatch', self._dispatch.run)
         for interval_ms, callback in (
             (_beats.CHECK_EVERY_MS, self._beats.check),
-            (DEADLINES_EVERY_MS, self._refuse_overdue),
+            (_deadlines.CHECK_EVERY_MS, self._deadlines.check),
             (FORGET_EVERY_MS, self._forget_ended),
         ):
             timer = self._timers.every(interval_ms, callback)
@@ -109,28 +110,6 @@
             )
         )
 
-    def _refuse_overdue(self) -> None:
-        context = self.context
-        now_ms = context.now_ms()
-        refusals = []
-        with context.lock:
-            for entry in context.pending.overdue(now_ms):
-                spec = entry.spec
-                why = context.planner.explain(spec.task_id)
-                if not context.drop_pending(spec.task_id):
-                    continue
-                refusals.append(
-                    messages.Refusal(
-                        spec.task_id,
-                        spec.team_id,
-                        spec.body_digest,
-                        messages.RefusalReason.DEADLINE_PASSED,
-                        f'no worker before the deadline: {why}',
-                    )
-                )
-        if refusals:
-            self._intake.refuse_pending(refusals)
-
     def _forget_ended(self) -> None:
         context = self.context
         before_ms = context.now_ms() - context.options.answer_retention_ms
@@ -245,6 +224,8 @@
                 entry = context.pending.get(task_id)
                 if entry is None or entry.spec.durable:
                     continue
-                if not context.sessions.waiters(task_id):
-                    context.drop_pending(task_id)
+                if context.sessions.waiters(task_id):
+                    continue
+                if context.drop_pending(task_id):
+                    context.unwanted[task_id] = entry.deadline_ms
         self._desk.gateway_lost(session.gateway_id)
--- a/dandeliondrum/controller/_records.py
+++ b/dandeliondrum/controller/_records.py
@@ -31,7 +31,8 @@
 
     ``attempt`` is the attempt that may be running. ``last_attempt`` is the
     latest one that ended without an answer; a worker that comes back may
-    still tell what became of it.
+    still tell what became of it. ``may_have_run`` is set once an attempt
+    ended in any other way than by never having been started.
     """
 
     spec: messages.TaskSpec
@@ -42,6 +43,7 @@
     last_attempt: AttemptRecord | None = None
     attempts_count: int = 0
     failures_count: int = 0
+    may_have_run: bool = False
     failed_workers: tuple[messages.WorkerId, ...] = ()
     cancel_requested: bool = False
     ended_ms: int | None = None
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -236,6 +236,8 @@
             task = self._new_task(_refused_spec(refusal), None)
         if task.state is messages.TaskState.QUEUED:
             task.state = messages.TaskState.REFUSED
+            if task.may_have_run:
+                task.state = messages.TaskState.IN_DOUBT
             task.reason = refusal.reason
             task.detail = refusal.detail
             task.retry_after_ms = refusal.retry_after_ms
--- a/dandeliondrum/controller/tests/test_state.py
+++ b/dandeliondrum/controller/tests/test_state.py
@@ -140,6 +140,42 @@
     assert outcome.attempt is None
 
 
+@pytest.mark.parametrize(
+    ('how', 'expected'),
+    [
+        (AttemptState.LOST, TaskState.IN_DOUBT),
+        (AttemptState.STOPPED, TaskState.IN_DOUBT),
+        (AttemptState.FAILED, TaskState.IN_DOUBT),
+        (AttemptState.NEVER_STARTED, TaskState.REFUSED),
+    ],
+)
+def test_not_run_is_never_said_of_a_task_that_may_have_run(log, how, expected):
+    task = builders.spec('t', idempotent=True)
+    (outcome,) = log.assign(task)
+    log.end(outcome.attempt.attempt_id, how)
+    refusal = messages.Refusal(
+        task.task_id,
+        task.team_id,
+        'd',
+        messages.RefusalReason.DEADLINE_PASSED,
+        'late',
+    )
+    (status,) = log(messages.RefuseTasks, (refusal,))
+    assert status.state is expected
+
+
+def test_a_task_that_may_have_run_is_not_cancelled_as_not_run(log):
+    (outcome,) = log.assign(builders.spec('t', idempotent=True))
+    log.end(outcome.attempt.attempt_id, AttemptState.LOST)
+    (status,) = log(
+        messages.CancelTasks,
+        (messages.TaskId('harbour/t'),),
+        messages.TeamId('harbour'),
+    )
+    assert status.state is TaskState.CANCELLED
+    assert status.reason is None
+
+
 def test_a_running_task_is_not_refused(log):
     task = builders.spec('t')
     log.assign(task)
