--- a/tests/test_durable_state.py
+++ b/tests/test_durable_state.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from dandeliondrum import messages
 from dandeliondrum import testing
+from dandeliondrum import worker
 
 JOB_TASKS_COUNT = 12
 
@@ -157,3 +159,112 @@
         wait_for_answers(callers)
     accepted.assert_kept()
     assert_clean(cell, recorder)
+
+
+def test_the_leader_loses_its_disk(cell, keys, recorder, accepted):
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        lost = cell.leader()
+        lose_disk(cell, lost)
+        wait_for_answers(callers)
+        repair(cell, lost)
+        wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def test_disks_are_lost_one_after_the_other(cell, keys, recorder, accepted):
+    """In the end no disk is left of those that took part in the yes."""
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        for name in ('c1', 'c2', 'c3'):
+            lose_disk(cell, name)
+            repair(cell, name)
+            wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def starts_count(cell):
+    return sum(
+        event.kind is worker.EventKind.START for event in cell.journals()
+    )
+
+
+def test_two_disks_that_are_lost_at_once_found_no_new_cell(
+    cell, keys, rules_text, accepted
+):
+    """Nothing is decided until a majority has its own disks back."""
+    accepted.assert_kept()
+    lost = [cell.leader(), followers(cell)[0]]
+    for name in lost:
+        cell.processes.kill(name)
+        (cell.folder / name).rename(cell.folder / f'{name}.kept')
+    for name in lost:
+        cell.processes.restart(name)
+    testing.wait_until(lambda: not any(map(cell.is_ready, cell.gateways)))
+    begun = starts_count(cell)
+    addresses = cell.addresses
+    everyone = tuple((name, addresses[name]) for name in cell.controllers)
+    founded = cell.call(lost[0], messages.FormCell(everyone))
+    assert isinstance(founded, messages.CallFailed)
+    key = keys['harbour'].text
+    first = cell.run_task(
+        {'echo': 'x'}, key, timeout_ms=3_000, first_sending='true'
+    )
+    again = cell.run_task({'echo': 'y'}, key, timeout_ms=3_000, request_id='y')
+    assert first.outcome in ('refused_not_run', 'in_doubt')
+    assert again.outcome == 'in_doubt'
+    assert cell.submit_job(key, [{'request_id': 'z'}]).status != 202
+    assert cell.apply_rules(rules_text, 2).status not in (200, 412)
+    assert rules_shown(cell) is None
+    assert cell.leader_now() == ''
+    assert starts_count(cell) == begun
+    for name in lost:
+        assert says(cell, name, 'vote refused', 'disk')
+    for name in lost:
+        cell.processes.kill(name)
+        shutil.rmtree(cell.folder / name)
+        (cell.folder / f'{name}.kept').rename(cell.folder / name)
+        cell.processes.restart(name)
+    cell.wait_ready()
+    accepted.assert_kept()
+    assert cell.run_task({'echo': 'back'}, key).json()['echo'] == 'back'
+
+
+def says(cell, name, event, why):
+    """Tell whether a log has a line of this event that says this."""
+    return any(
+        line.get('event') == event and why in str(line.get('why'))
+        for line in cell.processes.log(name)
+    )
+
+
+CHANGES_COUNT = 300
+
+
+def test_restart_after_hundreds_of_changes(make_cell, rules_text):
+    """Also for a controller that was down while the rules changed."""
+    cell = make_cell(snapshot_every_entries=100)
+    absent = followers(cell)[0]
+    cell.processes.kill(absent)
+    for version in range(1, CHANGES_COUNT + 1):
+        text = f'{rules_text}// change {version}\n'
+        assert cell.apply_rules(text, version).status == 200
+    cell.processes.restart(absent)
+    wait_caught_up(cell, absent)
+    assert says_at_all(cell, absent, 'snapshot installed')
+    for name in cell.controllers:
+        cell.processes.kill(name)
+    for name in cell.controllers:
+        cell.processes.restart(name)
+    cell.wait_ready()
+    assert_rules(cell, CHANGES_COUNT + 1, text)
+    # With the two that it needs, the one that was down is asked as well.
+    other = next(name for name in cell.controllers if name != absent)
+    cell.processes.kill(other)
+    assert_rules(cell, CHANGES_COUNT + 1, text)
+
+
+def says_at_all(cell, name, event):
+    return any(line.get('event') == event for line in cell.processes.log(name))
