--- a/dandeliondrum/controller/_endings_desk.py
+++ b/dandeliondrum/controller/_endings_desk.py
@@ -8,9 +8,9 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
-from dandeliondrum.controller import _intake
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _state
+from dandeliondrum.controller import _waiting_line
 from dandeliondrum import messages
 from dandeliondrum import utils
 
@@ -38,11 +38,11 @@
     def __init__(
         self,
         context: _context.Context,
-        intake: _intake.Intake,
+        line: _waiting_line.WaitingLine,
         timers: utils.TimerService,
     ) -> None:
         self._context = context
-        self._intake = intake
+        self._line = line
         self._timers = timers
         self._retry_delays_ms: dict[messages.AttemptId, int | None] = {}
         self._uncertain: dict[messages.AttemptId, int] = {}
@@ -123,11 +123,11 @@
                 else:
                     again.append(task.spec.task_id)
             context.work.set()
-        self._intake.enqueue_recorded(again)
+        self._line.enqueue_recorded(again)
 
     def _enqueue_later(self, task_id: messages.TaskId, delay_ms: int) -> None:
         self._timers.after(
-            delay_ms, lambda: self._intake.enqueue_recorded([task_id])
+            delay_ms, lambda: self._line.enqueue_recorded([task_id])
         )
 
     def preempt(self, task_id: messages.TaskId, _why: str) -> None:
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_office.py
@@ -12,9 +12,11 @@
 from dandeliondrum.controller import _deadlines
 from dandeliondrum.controller import _dispatch
 from dandeliondrum.controller import _endings_desk
+from dandeliondrum.controller import _inquiries
 from dandeliondrum.controller import _intake
 from dandeliondrum.controller import _operators
 from dandeliondrum.controller import _sessions
+from dandeliondrum.controller import _waiting_line
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import transport
@@ -37,13 +39,15 @@
         self.context = context
         self._timers = timers
         self._resources = contextlib.ExitStack()
-        self._intake = _intake.Intake(context)
-        self._desk = _endings_desk.EndingsDesk(context, self._intake, timers)
+        self._line = _waiting_line.WaitingLine(context)
+        self._intake = _intake.Intake(context, self._line)
+        self._inquiries = _inquiries.Inquiries(context)
+        self._desk = _endings_desk.EndingsDesk(context, self._line, timers)
         self._beats = _beats.Beats(context, self._desk)
-        self._deadlines = _deadlines.Deadlines(context, self._intake)
+        self._deadlines = _deadlines.Deadlines(context, self._line)
         self._dispatch = _dispatch.Dispatch(context, self._desk)
         self._operators = _operators.Operators(
-            context, self._beats, self._intake
+            context, self._beats, self._line
         )
 
     def open(self) -> None:
@@ -77,7 +81,7 @@
                 for task_id in worker.attempts.values():
                     self._restore_running(task_id)
             waiting = [task.spec.task_id for task in context.state.queued()]
-        self._intake.enqueue_recorded(waiting)
+        self._line.enqueue_recorded(waiting)
 
     def _restore_running(self, task_id: messages.TaskId) -> None:
         task = self.context.state.tasks[task_id]
@@ -145,9 +149,9 @@
             case messages.SubmitTasks():
                 return self._intake.submit(session, message)
             case messages.QueryTasks():
-                return self._intake.query(message)
+                return self._inquiries.query(message)
             case messages.CancelCall():
-                return self._intake.cancel(message)
+                return self._inquiries.cancel(message)
             case messages.ReportAttempts():
                 self._desk.report(message.reports)
                 return messages.Done()
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -9,7 +9,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.controller import _beats
 from dandeliondrum.controller import _context
-from dandeliondrum.controller import _intake
+from dandeliondrum.controller import _waiting_line
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import rules as rules_lib
@@ -35,10 +35,10 @@
         self,
         context: _context.Context,
         beats: _beats.Beats,
-        intake: _intake.Intake,
+        line: _waiting_line.WaitingLine,
     ) -> None:
         self._context = context
-        self._intake = intake
+        self._line = line
         self._beats = beats
 
     def take(self, message: typing.Any) -> typing.Any:
@@ -121,7 +121,7 @@
             context.planner.set_teams(grants(context.state.rules))
             sessions = context.sessions.all()
         self._beats.apply_rules()
-        self._intake.refuse_withdrawn()
+        self._line.refuse_withdrawn()
         push = messages.RulesPush(record.version, record.text)
         for session in sessions:
             session.connection.push(push)
