Spare what must not run twice, and workers that a new leader has not heard

A new leader placed tasks on workers whose heartbeats had not been answered while there was no leader; they refused them as stale, and gangs started in part. A worker now gets tasks once this leader has heard from it.

--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -87,6 +87,7 @@
             rule = context.state.rules.workers.get(worker_id)
             eligible = (
                 worker.state is messages.WorkerState.ACTIVE
+                and worker_id in self._heard_ms
                 and worker_id not in self._silent
                 and worker_id not in self._quarantined
                 and rule is None
@@ -149,8 +150,9 @@
             return messages.WorkerBeatReply(
                 beat.worker_id, announce_again=True
             )
+        is_new = beat.worker_id not in self._heard_ms
         self._heard_ms[beat.worker_id] = utils.monotonic_ms()
-        if beat.worker_id in self._silent:
+        if is_new or beat.worker_id in self._silent:
             self._silent.discard(beat.worker_id)
             self.refresh(beat.worker_id)
         if beat.leaving and worker.state is not messages.WorkerState.LEAVING:
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -81,6 +81,7 @@
                 gang_id=None if entry.is_retry else spec.gang_id,
                 gang_size=1 if entry.is_retry else spec.gang_size,
                 excluded_workers=entry.excluded_workers,
+                preemptible=spec.idempotent,
             )
         )
         if isinstance(outcome, result.Success):
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_office.py
@@ -101,6 +101,7 @@
                     task.deadline_ms,
                     spec.expected_run_ms,
                     spec.region,
+                    preemptible=spec.idempotent,
                 ),
                 attempt.worker_id,
                 attempt.assigned_ms,
--- a/dandeliondrum/placement/_preemption.py
+++ b/dandeliondrum/placement/_preemption.py
@@ -97,6 +97,8 @@
             return
         if running.task.task_class is not messages.TaskClass.BATCH:
             return
+        if not running.task.preemptible:
+            return
         if running.task.gang_id is not None:
             return
         worker = self._ledger.fleet.workers[running.worker_id]
@@ -218,6 +220,7 @@
             and running.started_ms < now_ms
             and running.task.task_class is messages.TaskClass.BATCH
             and running.task.gang_id is None
+            and running.task.preemptible
             and running.task.task_id not in self._leaving
         ]
         return sorted(found, key=lambda one: one.task.submitted_ms)
--- a/dandeliondrum/placement/_tasks.py
+++ b/dandeliondrum/placement/_tasks.py
@@ -29,6 +29,7 @@
     gang_id: messages.GangId | None = None
     gang_size: int = 1
     excluded_workers: frozenset[messages.WorkerId] = frozenset()
+    preemptible: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandeliondrum/placement/tests/test_full.py
+++ b/dandeliondrum/placement/tests/test_full.py
@@ -325,3 +325,18 @@
         planner.add(helpers.task(f's{number}', task_class=SERVICE))
     where = helpers.placed(planner.plan(1, 10))
     assert sorted(where.values()) == ['w0', 'w0', 'w1', 'w1']
+
+
+def test_what_must_not_run_twice_is_never_preempted():
+    planner = helpers.planner(workers=[helpers.facts('w1')])
+    for number in range(40):
+        batch = helpers.task(f'a{number}', cpu=2_000, preemptible=False)
+        planner.add(batch)
+    planner.plan(0, 100)
+    for number in range(8):
+        urgent = helpers.task(
+            f'u{number}', cpu=2_000, task_class=messages.TaskClass.URGENT
+        )
+        planner.add(urgent)
+    for now_ms in range(1_000, 20_000, 1_000):
+        assert planner.plan(now_ms, 100).preemptions == ()
