--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,9 @@
 
 install: $(VENV)/.installed
 
+run: install
+	$(BIN)/dandeliondrum demo $(DEMO_ARGS)
+
 test: install
 	$(BIN)/ruff format --check dandeliondrum tests benchmarks examples
 	$(BIN)/flake8 dandeliondrum tests benchmarks examples
@@ -20,6 +23,12 @@
 format: install
 	$(BIN)/ruff format dandeliondrum tests benchmarks examples
 
+SEED ?= 1
+SECONDS ?= 60
+
+chaos: install
+	$(BIN)/python -m dandeliondrum.testing.chaos --seed=$(SEED) --seconds=$(SECONDS)
+
 bench: install
 	mkdir -p bench-out
 	$(BIN)/python -m benchmarks.bench_state --short --out bench-out/state.json
--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -38,6 +38,7 @@
         self._heard_ms: dict[messages.WorkerId, int] = {}
         self._silent: set[messages.WorkerId] = set()
         self._quarantined: frozenset[messages.WorkerId] = frozenset()
+        self._kept_out: frozenset[messages.WorkerId] = frozenset()
         self._counting_from_ms = utils.monotonic_ms()
         self._checked_ms = self._counting_from_ms
         self._release: dict[messages.WorkerId, list[messages.AttemptId]] = {}
@@ -86,6 +87,7 @@
             rule = context.state.rules.workers.get(worker_id)
             eligible = (
                 worker.state is messages.WorkerState.ACTIVE
+                and worker_id in self._heard_ms
                 and worker_id not in self._silent
                 and worker_id not in self._quarantined
                 and rule is None
@@ -93,6 +95,28 @@
             context.planner.put_worker(worker.facts, eligible)
             context.work.set()
 
+    def shown_state(
+        self, worker: _records.WorkerRecord
+    ) -> messages.WorkerState:
+        """Return the state as operators see it, quarantine included."""
+        worker_id = worker.facts.worker_id
+        kept_out = (
+            worker_id in self._quarantined
+            or worker_id in self._context.state.rules.workers
+        )
+        if kept_out and worker.state is messages.WorkerState.ACTIVE:
+            return messages.WorkerState.QUARANTINED
+        return worker.state
+
+    def apply_rules(self) -> None:
+        """Keep out the workers that the rules name, and take others in."""
+        with self._context.state.lock:
+            named = frozenset(self._context.state.rules.workers)
+        changed = named ^ self._kept_out
+        self._kept_out = named
+        for worker_id in changed:
+            self.refresh(worker_id)
+
     def _note_size(
         self, worker_id: messages.WorkerId, size: messages.Resources | None
     ) -> None:
@@ -126,8 +150,9 @@
             return messages.WorkerBeatReply(
                 beat.worker_id, announce_again=True
             )
+        is_new = beat.worker_id not in self._heard_ms
         self._heard_ms[beat.worker_id] = utils.monotonic_ms()
-        if beat.worker_id in self._silent:
+        if is_new or beat.worker_id in self._silent:
             self._silent.discard(beat.worker_id)
             self.refresh(beat.worker_id)
         if beat.leaving and worker.state is not messages.WorkerState.LEAVING:
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -47,6 +47,9 @@
         self.sessions = _sessions.Sessions()
         self.experience = _experience.Experience()
         self.pending = _pending.Pending()
+        # Tasks on record that wait for another attempt while no gateway
+        # does: until when one may still ask for them.
+        self.unwanted: dict[messages.TaskId, int] = {}
         self.work = threading.Event()
         metrics.pending.set_function(lambda: float(len(self.pending)))
         self.started_ms = utils.monotonic_ms()
@@ -75,9 +78,10 @@
                 deadline_ms=entry.deadline_ms,
                 expected_run_ms=spec.expected_run_ms,
                 region=spec.region,
-                gang_id=spec.gang_id,
-                gang_size=spec.gang_size,
+                gang_id=None if entry.is_retry else spec.gang_id,
+                gang_size=1 if entry.is_retry else spec.gang_size,
                 excluded_workers=entry.excluded_workers,
+                preemptible=spec.idempotent,
             )
         )
         if isinstance(outcome, result.Success):
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_office.py
@@ -9,17 +9,19 @@
 from dandeliondrum import consensus
 from dandeliondrum.controller import _beats
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _deadlines
 from dandeliondrum.controller import _dispatch
 from dandeliondrum.controller import _endings_desk
+from dandeliondrum.controller import _inquiries
 from dandeliondrum.controller import _intake
 from dandeliondrum.controller import _operators
 from dandeliondrum.controller import _sessions
+from dandeliondrum.controller import _waiting_line
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import transport
 from dandeliondrum import utils
 
-DEADLINES_EVERY_MS = 100
 FORGET_EVERY_MS = 10_000
 REPLAY_THREADS = 2
 
@@ -37,12 +39,15 @@
         self.context = context
         self._timers = timers
         self._resources = contextlib.ExitStack()
-        self._intake = _intake.Intake(context)
-        self._desk = _endings_desk.EndingsDesk(context, self._intake, timers)
+        self._line = _waiting_line.WaitingLine(context)
+        self._intake = _intake.Intake(context, self._line)
+        self._inquiries = _inquiries.Inquiries(context)
+        self._desk = _endings_desk.EndingsDesk(context, self._line, timers)
         self._beats = _beats.Beats(context, self._desk)
+        self._deadlines = _deadlines.Deadlines(context, self._line)
         self._dispatch = _dispatch.Dispatch(context, self._desk)
         self._operators = _operators.Operators(
-            context, self._beats, self._intake
+            context, self._beats, self._line
         )
 
     def open(self) -> None:
@@ -53,7 +58,7 @@
         supervisor.run('dispatch', self._dispatch.run)
         for interval_ms, callback in (
             (_beats.CHECK_EVERY_MS, self._beats.check),
-            (DEADLINES_EVERY_MS, self._refuse_overdue),
+            (_deadlines.CHECK_EVERY_MS, self._deadlines.check),
             (FORGET_EVERY_MS, self._forget_ended),
         ):
             timer = self._timers.every(interval_ms, callback)
@@ -76,7 +81,7 @@
                 for task_id in worker.attempts.values():
                     self._restore_running(task_id)
             waiting = [task.spec.task_id for task in context.state.queued()]
-        self._intake.enqueue_recorded(waiting)
+        self._line.enqueue_recorded(waiting)
 
     def _restore_running(self, task_id: messages.TaskId) -> None:
         task = self.context.state.tasks[task_id]
@@ -96,6 +101,7 @@
                     task.deadline_ms,
                     spec.expected_run_ms,
                     spec.region,
+                    preemptible=spec.idempotent,
                 ),
                 attempt.worker_id,
                 attempt.assigned_ms,
@@ -109,28 +115,6 @@
             )
         )
 
-    def _refuse_overdue(self) -> None:
-        context = self.context
-        now_ms = context.now_ms()
-        refusals = []
-        with context.lock:
-            for entry in context.pending.overdue(now_ms):
-                spec = entry.spec
-                why = context.planner.explain(spec.task_id)
-                if not context.drop_pending(spec.task_id):
-                    continue
-                refusals.append(
-                    messages.Refusal(
-                        spec.task_id,
-                        spec.team_id,
-                        spec.body_digest,
-                        messages.RefusalReason.DEADLINE_PASSED,
-                        f'no worker before the deadline: {why}',
-                    )
-                )
-        if refusals:
-            self._intake.refuse_pending(refusals)
-
     def _forget_ended(self) -> None:
         context = self.context
         before_ms = context.now_ms() - context.options.answer_retention_ms
@@ -166,9 +150,9 @@
             case messages.SubmitTasks():
                 return self._intake.submit(session, message)
             case messages.QueryTasks():
-                return self._intake.query(message)
+                return self._inquiries.query(message)
             case messages.CancelCall():
-                return self._intake.cancel(message)
+                return self._inquiries.cancel(message)
             case messages.ReportAttempts():
                 self._desk.report(message.reports)
                 return messages.Done()
@@ -245,6 +229,8 @@
                 entry = context.pending.get(task_id)
                 if entry is None or entry.spec.durable:
                     continue
-                if not context.sessions.waiters(task_id):
-                    context.drop_pending(task_id)
+                if context.sessions.waiters(task_id):
+                    continue
+                if context.drop_pending(task_id):
+                    context.unwanted[task_id] = entry.deadline_ms
         self._desk.gateway_lost(session.gateway_id)
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -9,7 +9,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.controller import _beats
 from dandeliondrum.controller import _context
-from dandeliondrum.controller import _intake
+from dandeliondrum.controller import _waiting_line
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import rules as rules_lib
@@ -35,10 +35,10 @@
         self,
         context: _context.Context,
         beats: _beats.Beats,
-        intake: _intake.Intake,
+        line: _waiting_line.WaitingLine,
     ) -> None:
         self._context = context
-        self._intake = intake
+        self._line = line
         self._beats = beats
 
     def take(self, message: typing.Any) -> typing.Any:
@@ -120,7 +120,8 @@
             record = context.state.rules_record
             context.planner.set_teams(grants(context.state.rules))
             sessions = context.sessions.all()
-        self._intake.refuse_withdrawn()
+        self._beats.apply_rules()
+        self._line.refuse_withdrawn()
         push = messages.RulesPush(record.version, record.text)
         for session in sessions:
             session.connection.push(push)
@@ -152,7 +153,7 @@
             workers = tuple(
                 messages.WorkerView(
                     worker.facts,
-                    worker.state,
+                    self._beats.shown_state(worker),
                     now_ms - self._beats.heard(worker.facts.worker_id),
                     len(worker.attempts),
                     worker.reserved,
--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -15,6 +15,7 @@
 import pycurl
 
 from dandeliondrum.gateway import _options
+from dandeliondrum import utils
 
 CONNECT_TIMEOUT_MS = 1_000
 POOL_WAIT_MS = 5_000
@@ -22,11 +23,18 @@
 CURL_BUFFER_BYTES = 256 * 1024
 
 
+def never() -> bool:
+    """Keep waiting for an answer, whatever else happens."""
+    return False
+
+
 @dataclasses.dataclass(frozen=True)
 class WorkerRequest:
     """One call to a worker.
 
-    A call on which nothing moves for ``silence_ms`` is given up.
+    A call on which nothing moves for ``silence_ms`` is given up. So is one
+    that has no answer yet once ``given_up`` tells that its caller has better
+    news; it is asked about once a second.
     """
 
     method: str
@@ -35,6 +43,7 @@
     silence_ms: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
+    given_up: collections.abc.Callable[[], bool] = never
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,6 +124,15 @@
         finally:
             pool.give_back(handle)
 
+    def close_unused(self, unused_ms: int) -> None:
+        """Close connections to workers that were not called that long."""
+        with self._lock:
+            pools = list(self._pools.values())
+        oldest_ms = utils.monotonic_ms() - unused_ms
+        for pool in pools:
+            if pool.used_ms <= oldest_ms:
+                pool.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         with self._lock:
@@ -128,6 +146,7 @@
     """Handles of one worker, the last used first."""
 
     def __init__(self, connections_max: int) -> None:
+        self.used_ms = utils.monotonic_ms()
         self._slots = threading.Semaphore(connections_max)
         self._idle: list[typing.Any] = []
 
@@ -139,12 +158,15 @@
         return pycurl.Curl()
 
     def give_back(self, handle: typing.Any) -> None:
+        self.used_ms = utils.monotonic_ms()
         self._idle.append(handle)
         self._slots.release()
 
     def close(self) -> None:
-        while self._idle:
-            self._idle.pop().close()
+        # Another thread may take the last handle at the same time.
+        with contextlib.suppress(IndexError):
+            while True:
+                self._idle.pop().close()
 
 
 class _Exchange:
@@ -266,6 +288,8 @@
     def _on_progress(
         self, _down_total: int, down: int, _up_total: int, up: int
     ) -> int:
+        if self._status == 0 and self._request.given_up():
+            return 1
         moved_bytes = down + up
         now_s = time.monotonic()
         if moved_bytes != self._moved_bytes:
--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -23,6 +23,7 @@
 STOP_TIMEOUT_MS = 15_000
 PROBE_TIMEOUT_MS = 1_000
 
+_MAIN = 'from dandeliondrum import command; command.main()'
 _COMMAND = (sys.executable, '-m', 'dandeliondrum.command', 'run')
 
 
@@ -50,10 +51,18 @@
     settings_path: str | pathlib.Path,
     ready_url: str = '',
     ready_address: str = '',
+    broken_by: str = '',
 ) -> Program:
-    """Return the program of a daemon of ours."""
+    """Return the program of a daemon of ours.
+
+    ``broken_by`` is Python code that runs first and breaks the program on
+    purpose, so that a test can show that its checks notice.
+    """
+    command = _COMMAND
+    if broken_by:
+        command = (sys.executable, '-c', f'{broken_by}\n{_MAIN}', 'run')
     return Program(
-        arguments=(*_COMMAND, kind, '--settings', str(settings_path)),
+        arguments=(*command, kind, '--settings', str(settings_path)),
         ready_url=ready_url,
         ready_address=ready_address,
     )
--- /dev/null
+++ b/tests/test_broken_builds.py
@@ -0,0 +1,131 @@
+"""The checks notice when something that must hold is broken on purpose.
+
+Each test runs a cell whose controllers were broken by a few lines, under the
+failure against which those lines stood, and wants the checker to name it.
+"""
+
+import time
+
+import pytest
+
+from dandeliondrum import testing
+from dandeliondrum import worker
+
+RETRIES_WHAT_MAY_HAVE_RUN = """
+from dandeliondrum.controller import _endings
+_endings._broken_off = lambda task, attempt, report, time_ms: _endings._again(
+    task, time_ms
+)
+"""
+
+IGNORES_LEASES = """
+from dandeliondrum.controller import _beats
+from dandeliondrum import messages
+def lost_at_once(self, worker, silent_ms):
+    return [
+        messages.AttemptReport(attempt_id, messages.AttemptState.LOST)
+        for attempt_id in worker.attempts
+    ]
+_beats.Beats._lost_on = lost_at_once
+"""
+
+IGNORES_LIMITS = """
+from dandeliondrum.controller import _accounts
+from dandeliondrum.controller import _operators
+from dandeliondrum import placement
+_accounts.Accounts.why_not = lambda *_: ''
+_operators.grants = lambda rules: {
+    team_id: placement.TeamGrant(1) for team_id in rules.teams
+}
+"""
+
+
+@pytest.fixture
+def recorder():
+    recorder = testing.Recorder()
+    recorder.limited('inspectors', running_max=2)
+    return recorder
+
+
+def kinds_after(cell, keys, recorder, fault, seconds=4, **work):
+    """Run callers with a fault in the middle; return what is violated."""
+    texts = {team: key.text for team, key in keys.items()}
+    options = {'run_ms': (300, 900), 'callers_count': 16, **work}
+    callers = testing.Callers(
+        cell, testing.Work(keys=texts, **options), recorder
+    )
+    with callers:
+        testing.wait_until(lambda: callers.answered_count() > 5)
+        fault()
+        time.sleep(seconds)
+    history = recorder.history(cell.journals(), cell.processes.outages)
+    return {violation.kind for violation in testing.check(history)}
+
+
+def kill_and_restart(cell):
+    for name in cell.workers:
+        cell.processes.kill(name)
+        cell.processes.restart(name)
+
+
+def test_a_sound_build_passes_the_same_run(make_cell, keys, recorder):
+    cell = make_cell()
+    kinds = kinds_after(
+        cell,
+        keys,
+        recorder,
+        lambda: kill_and_restart(cell),
+        idempotent_portion=0.0,
+    )
+    assert kinds == set()
+
+
+def test_a_retry_of_what_may_have_run_is_noticed(make_cell, keys, recorder):
+    cell = make_cell(broken_by={'controller': RETRIES_WHAT_MAY_HAVE_RUN})
+    kinds = kinds_after(
+        cell,
+        keys,
+        recorder,
+        lambda: kill_and_restart(cell),
+        idempotent_portion=0.0,
+    )
+    assert testing.ViolationKind.RUN_TWICE in kinds
+
+
+def test_leases_that_are_not_waited_for_are_noticed(
+    make_meshed_cell, keys, recorder, rules_text
+):
+    cell = make_meshed_cell(broken_by={'controller': IGNORES_LEASES})
+    assert (
+        cell.apply_rules(rules_text.replace('1500', '8000'), 1).status == 200
+    )
+
+    def cut_off():
+        starts = [
+            event
+            for event in cell.journals()
+            if event.kind is worker.EventKind.START
+        ]
+        cell.mesh.isolate(max(starts, key=lambda one: one.at_ms).worker_id)
+        time.sleep(4)
+        cell.mesh.heal()
+
+    # Runs outlast the silence, so that a second run begins beside the first.
+    kinds = kinds_after(
+        cell,
+        keys,
+        recorder,
+        cut_off,
+        seconds=6,
+        run_ms=(4_000, 6_000),
+        callers_count=8,
+        idempotent_portion=1.0,
+        timeout_ms=20_000,
+    )
+    assert testing.ViolationKind.TWO_PLACES in kinds
+
+
+def test_limits_that_are_not_kept_are_noticed(make_cell, keys, recorder):
+    cell = make_cell(broken_by={'controller': IGNORES_LIMITS})
+    kinds = kinds_after(cell, keys, recorder, lambda: None)
+    assert testing.ViolationKind.TEAM_OVER_LIMIT in kinds
--- /dev/null
+++ b/tests/test_durable_state.py
@@ -0,0 +1,270 @@
+"""What was accepted outlives disks, damaged files and changed members.
+
+Whole cells of real processes; histories are those of callers and workers.
+"""
+
+import shutil
+
+import pytest
+
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import worker
+
+JOB_TASKS_COUNT = 12
+
+
+@pytest.fixture
+def recorder():
+    recorder = testing.Recorder()
+    recorder.limited('inspectors', running_max=2)
+    return recorder
+
+
+def work_of(keys, **fields):
+    texts = {team: key.text for team, key in keys.items()}
+    return testing.Work(keys=texts, **fields)
+
+
+def assert_clean(cell, recorder):
+    recorded = recorder.history(cell.journals(), cell.processes.outages)
+    assert len(recorded.outcomes) > 50
+    assert testing.check(recorded) == ()
+
+
+def wait_for_answers(callers, count=50):
+    wanted = callers.answered_count() + count
+    testing.wait_until(lambda: callers.answered_count() > wanted)
+
+
+def views(cell):
+    """Return the controllers by name, as the leader sees them."""
+    shown = cell.fleet().get('controllers', [])
+    return {view['controller_id']: view for view in shown}
+
+
+def followers(cell):
+    leader = cell.leader()
+    return [name for name in cell.controllers if name != leader]
+
+
+def readmissions_count(cell, name):
+    return sum(
+        line.get('event') == 'voter readmitted as learner'
+        and line.get('member') == name
+        for other in cell.controllers
+        for line in cell.processes.log(other)
+    )
+
+
+def lose_disk(cell, name):
+    cell.processes.kill(name)
+    shutil.rmtree(cell.folder / name)
+
+
+def is_caught_up(cell, name, index):
+    view = views(cell).get(name)
+    return (
+        view is not None
+        and view['role'] in ('voter', 'leader')
+        and view['last_index'] >= index
+    )
+
+
+def wait_caught_up(cell, name):
+    """Wait until a controller votes and has all that the leader has now."""
+    leader = testing.wait_until(
+        lambda: next(
+            (one for one in views(cell).values() if one['role'] == 'leader'),
+            None,
+        )
+    )
+    index = leader['last_index']
+    testing.wait_until(lambda: is_caught_up(cell, name, index))
+
+
+def repair(cell, name):
+    """Start a controller on an empty disk; wait until it counts again."""
+    before = readmissions_count(cell, name)
+    cell.processes.restart(name)
+    testing.wait_until(lambda: readmissions_count(cell, name) > before)
+    wait_caught_up(cell, name)
+
+
+class Accepted:
+    """Rules and a job that the cell said yes to, and must keep."""
+
+    def __init__(self, cell, key, rules_text):
+        self.cell = cell
+        self.key = key
+        self.text = rules_text + '// the second version\n'
+        assert cell.apply_rules(self.text, 1).status == 200
+        tasks = [
+            {
+                'request_id': f'kept{i}',
+                'idempotent': True,
+                'body': {'echo': f'kept{i}', 'run_ms': 500},
+            }
+            for i in range(JOB_TASKS_COUNT)
+        ]
+        assert cell.submit_job(key, tasks).status == 202
+
+    def assert_kept(self):
+        assert_rules(self.cell, 2, self.text)
+        for i in range(JOB_TASKS_COUNT):
+            name = f'kept{i}'
+            testing.wait_until(lambda n=name: self.state(n) == 'done')
+            answer = self.cell.ask(self.key, f'tasks/{name}/answer')
+            assert answer.json()['echo'] == name
+
+    def state(self, name):
+        return self.cell.state_of(self.key, name)
+
+
+def assert_rules(cell, version, text):
+    """The rules are these, by the word of each gateway, and in force."""
+    for gateway in cell.gateways:
+        shown = testing.wait_until(
+            lambda g=gateway: rules_shown(cell, g)
+        )
+        assert (shown['version'], shown['text']) == (version, text)
+    testing.wait_until(lambda: in_force(cell) == {version})
+
+
+def rules_shown(cell, gateway='g1'):
+    reply = cell.operate('GET', '/v1/rules', gateway=gateway)
+    return reply.json() if reply.status == 200 else None
+
+
+def in_force(cell):
+    shown = rules_shown(cell) or {'gateways': []}
+    return {version for _, version in shown['gateways']}
+
+
+@pytest.fixture
+def accepted(cell, keys, rules_text):
+    return Accepted(cell, keys['harbour'].text, rules_text)
+
+
+def test_a_lost_disk_and_then_a_second_controller(
+    cell, keys, recorder, accepted
+):
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        lost, second = followers(cell)
+        lose_disk(cell, lost)
+        repair(cell, lost)
+        accepted.assert_kept()
+        cell.processes.kill(second)
+        wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def test_the_leader_loses_its_disk(cell, keys, recorder, accepted):
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        lost = cell.leader()
+        lose_disk(cell, lost)
+        wait_for_answers(callers)
+        repair(cell, lost)
+        wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def test_disks_are_lost_one_after_the_other(cell, keys, recorder, accepted):
+    """In the end no disk is left of those that took part in the yes."""
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        for name in ('c1', 'c2', 'c3'):
+            lose_disk(cell, name)
+            repair(cell, name)
+            wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def starts_count(cell):
+    return sum(
+        event.kind is worker.EventKind.START for event in cell.journals()
+    )
+
+
+def test_two_disks_that_are_lost_at_once_found_no_new_cell(
+    cell, keys, rules_text, accepted
+):
+    """Nothing is decided until a majority has its own disks back."""
+    accepted.assert_kept()
+    lost = [cell.leader(), followers(cell)[0]]
+    for name in lost:
+        cell.processes.kill(name)
+        (cell.folder / name).rename(cell.folder / f'{name}.kept')
+    for name in lost:
+        cell.processes.restart(name)
+    testing.wait_until(lambda: not any(map(cell.is_ready, cell.gateways)))
+    begun = starts_count(cell)
+    addresses = cell.addresses
+    everyone = tuple((name, addresses[name]) for name in cell.controllers)
+    founded = cell.call(lost[0], messages.FormCell(everyone))
+    assert isinstance(founded, messages.CallFailed)
+    key = keys['harbour'].text
+    first = cell.run_task(
+        {'echo': 'x'}, key, timeout_ms=3_000, first_sending='true'
+    )
+    again = cell.run_task({'echo': 'y'}, key, timeout_ms=3_000, request_id='y')
+    assert first.outcome in ('refused_not_run', 'in_doubt')
+    assert again.outcome == 'in_doubt'
+    assert cell.submit_job(key, [{'request_id': 'z'}]).status != 202
+    assert cell.apply_rules(rules_text, 2).status not in (200, 412)
+    assert rules_shown(cell) is None
+    assert cell.leader_now() == ''
+    assert starts_count(cell) == begun
+    for name in lost:
+        assert says(cell, name, 'vote refused', 'disk')
+    for name in lost:
+        cell.processes.kill(name)
+        shutil.rmtree(cell.folder / name)
+        (cell.folder / f'{name}.kept').rename(cell.folder / name)
+        cell.processes.restart(name)
+    cell.wait_ready()
+    accepted.assert_kept()
+    assert cell.run_task({'echo': 'back'}, key).json()['echo'] == 'back'
+
+
+def says(cell, name, event, why):
+    """Tell whether a log has a line of this event that says this."""
+    return any(
+        line.get('event') == event and why in str(line.get('why'))
+        for line in cell.processes.log(name)
+    )
+
+
+CHANGES_COUNT = 300
+
+
+def test_restart_after_hundreds_of_changes(make_cell, rules_text):
+    """Also for a controller that was down while the rules changed."""
+    cell = make_cell(snapshot_every_entries=100)
+    absent = followers(cell)[0]
+    cell.processes.kill(absent)
+    for version in range(1, CHANGES_COUNT + 1):
+        text = f'{rules_text}// change {version}\n'
+        assert cell.apply_rules(text, version).status == 200
+    cell.processes.restart(absent)
+    wait_caught_up(cell, absent)
+    assert says_at_all(cell, absent, 'snapshot installed')
+    for name in cell.controllers:
+        cell.processes.kill(name)
+    for name in cell.controllers:
+        cell.processes.restart(name)
+    cell.wait_ready()
+    assert_rules(cell, CHANGES_COUNT + 1, text)
+    # With the two that it needs, the one that was down is asked as well.
+    other = next(name for name in cell.controllers if name != absent)
+    cell.processes.kill(other)
+    assert_rules(cell, CHANGES_COUNT + 1, text)
+
+
+def says_at_all(cell, name, event):
+    return any(line.get('event') == event for line in cell.processes.log(name))
