--- a/benchmarks/_capacity_measured.py
+++ b/benchmarks/_capacity_measured.py
@@ -19,6 +19,11 @@
     rows: Rows = [('result', 'run at', 'load average beside it, 10 cores')]
     rows.append(('state.json', model.state['started'], _ends(state_loads)))
     rows.append(('end_to_end.json', e2e['started'], _ends(loads)))
+    found = model.failover['failover']
+    failover_loads = [found['load'], found['load_after']]
+    rows.append(
+        ('failover.json', model.failover['started'], _ends(failover_loads))
+    )
     rows.append(('beats.json', model.beats['started'], _ends(beats_loads)))
     started = str(model.placement['started'])
     rows.append(('placement_speed.json', started, 'not recorded'))
@@ -208,7 +213,7 @@
 
 def failover(model: Model) -> Rows:
     """Return gaps after kills."""
-    found = model.end_to_end['failover']
+    found = model.failover['failover']
     rows: Rows = [('killed', 'longest gap without an answer, ms, each run')]
     for role, gaps in found['gaps_ms'].items():
         rows.append((role, _span(gaps)))
--- a/benchmarks/_capacity_model.py
+++ b/benchmarks/_capacity_model.py
@@ -40,6 +40,7 @@
 
     state: Figures
     end_to_end: Figures
+    failover: Figures
     beats: Figures
     placement: Figures
 
@@ -196,6 +197,7 @@
     return Model(
         read('state'),
         read('end_to_end'),
+        read('failover'),
         read('beats'),
         read('placement_speed'),
     )
