Say in the log why a controller with a new disk does not vote

Two of three controllers that came back on empty disks rightly refused their votes, and nothing was decided, but the only line was the third one's 'leader missed', so an operator could not see the cause. The refusal is now a warning with both disk ids, once for each disk.

--- a/dandeliondrum/consensus/_requests.py
+++ b/dandeliondrum/consensus/_requests.py
@@ -34,6 +34,7 @@
         self._log = state.log
         self._enter_term = enter_term
         self._receiver = _snapshot_receiver.SnapshotReceiver(state, snapshots)
+        self._expected_disk_id = ''
 
     def answer(self, message: _messages.Request) -> typing.Any:
         """Carry out a request; raises OSError when the disk refuses."""
@@ -103,6 +104,7 @@
     def _may_vote(self, message: _messages.RequestVote) -> bool:
         state = self._state
         if message.disk_id != state.disk_id:
+            self._warn_of_disk(message)
             return False
         with state.lock:
             if state.leads() and not message.transfer:
@@ -111,6 +113,19 @@
                 return False
         return not message.pre_vote or self._up_to_date(message)
 
+    def _warn_of_disk(self, message: _messages.RequestVote) -> None:
+        """Say once for each disk why this node takes no part."""
+        if message.disk_id == self._expected_disk_id:
+            return
+        self._expected_disk_id = message.disk_id
+        _logger.warning(
+            'vote refused',
+            why='the members know this controller with another disk',
+            candidate=message.candidate_id,
+            expected_disk_id=message.disk_id,
+            disk_id=self._state.disk_id,
+        )
+
     def _up_to_date(self, message: _messages.RequestVote) -> bool:
         theirs = (message.last_term, message.last_index)
         return theirs >= (self._log.last_term, self._log.last_index)
