--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -184,6 +184,10 @@
         process = self._processes.get(name)
         return process is not None and process.poll() is None
 
+    def exit_code(self, name: str) -> int | None:
+        """Return the exit code of a process; None while it runs."""
+        return self._processes[name].poll()
+
     def id_of(self, name: str) -> int:
         """Return the process id."""
         return self._processes[name].pid
--- a/tests/test_durable_state.py
+++ b/tests/test_durable_state.py
@@ -3,6 +3,7 @@
 Whole cells of real processes; histories are those of callers and workers.
 """
 
+import re
 import shutil
 
 import pytest
@@ -124,9 +125,7 @@
 def assert_rules(cell, version, text):
     """The rules are these, by the word of each gateway, and in force."""
     for gateway in cell.gateways:
-        shown = testing.wait_until(
-            lambda g=gateway: rules_shown(cell, g)
-        )
+        shown = testing.wait_until(lambda g=gateway: rules_shown(cell, g))
         assert (shown['version'], shown['text']) == (version, text)
     testing.wait_until(lambda: in_force(cell) == {version})
 
@@ -268,3 +267,66 @@
 
 def says_at_all(cell, name, event):
     return any(line.get('event') == event for line in cell.processes.log(name))
+
+
+def newest_log(cell, name):
+    return max((cell.folder / name).glob('log-*'))
+
+
+def stop_at_rest(cell, name, accepted):
+    """Stop a controller that has all of what was accepted on its disk."""
+    accepted.assert_kept()
+    wait_caught_up(cell, name)
+    assert cell.processes.stop(name) == 0
+
+
+def test_a_torn_tail_is_cut(cell, keys, recorder, accepted):
+    torn = followers(cell)[0]
+    stop_at_rest(cell, torn, accepted)
+    path = newest_log(cell, torn)
+    size_bytes = path.stat().st_size
+    with open(path, 'r+b') as file:
+        file.truncate(size_bytes - 3)
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        cell.processes.restart(torn)
+        wait_caught_up(cell, torn)
+        cut = [
+            line
+            for line in cell.processes.log(torn)
+            if line['event'] == 'torn tail cut'
+        ]
+        assert [line['file'] for line in cut] == [str(path)]
+        assert 0 < cut[0]['offset_bytes'] < size_bytes - 3
+        other = next(name for name in followers(cell) if name != torn)
+        cell.processes.kill(other)
+        wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def test_damage_in_the_middle_of_a_log_is_refused(
+    cell, keys, recorder, accepted
+):
+    damaged = followers(cell)[0]
+    stop_at_rest(cell, damaged, accepted)
+    path = newest_log(cell, damaged)
+    data = bytearray(path.read_bytes())
+    position = len(data) // 2
+    data[position] ^= 0xFF
+    path.write_bytes(data)
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        with pytest.raises(testing.ProcessError):
+            cell.processes.restart(damaged)
+        assert cell.processes.exit_code(damaged) == 1
+        assert path.read_bytes() == data
+        told = [
+            str(line['why'])
+            for line in cell.processes.log(damaged)
+            if line['event'] == 'not started'
+        ]
+        assert len(told) == 1 and str(path) in told[0]
+        offset_bytes = int(re.search(r'offset\D*(\d+)', told[0])[1])
+        assert 0 < offset_bytes <= position
+        wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
