Let gateways find a leader that was added to the cell

Two controllers were added and then led: c1 told the gateways that c5 leads but looked for its address in its own settings, which name only the first three, and so sent none. Gateways found no leader for as long as an added controller led, and no placement was made. Ruled out: the election and the hand-over (the log has 'leading' of c5 in term 2). The address now comes from the agreed membership where the settings have none; the settings still come first, for links through proxies.

TransferLeadership by a connection that is no registered gateway did nothing in 30 s, so the test hands over by planned stops.

--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -166,11 +166,16 @@
                 return messages.CallFailed(str(error), True)
 
     def _not_leader(self) -> messages.NotLeader:
-        leader_id = self.node.status().leader_id
+        status = self.node.status()
+        leader_id = status.leader_id
         if leader_id is None or leader_id == self._options.controller_id:
             return messages.NotLeader()
-        address = self._options.controllers.get(leader_id, '')
-        return messages.NotLeader(leader_id, address)
+        # A controller that was added later is not in the settings.
+        agreed = {one.controller_id: one.address for one in status.members}
+        address = agreed.get(leader_id, '')
+        return messages.NotLeader(
+            leader_id, self._options.controllers.get(leader_id, address)
+        )
 
     def _disconnected(self, connection: transport.Connection) -> None:
         with self._lock:
--- a/tests/test_durable_state.py
+++ b/tests/test_durable_state.py
@@ -3,8 +3,10 @@
 Whole cells of real processes; histories are those of callers and workers.
 """
 
+import json
 import re
 import shutil
+import time
 
 import pytest
 
@@ -13,6 +15,7 @@
 from dandeliondrum import worker
 
 JOB_TASKS_COUNT = 12
+SETTLE_S = 2
 
 
 @pytest.fixture
@@ -330,3 +333,69 @@
         wait_for_answers(callers)
     accepted.assert_kept()
     assert_clean(cell, recorder)
+
+
+def change_controllers(cell, method, path, fields=None):
+    body = None if fields is None else json.dumps(fields).encode()
+    headers = {'Content-Type': 'application/json'}
+    return cell.operate(method, f'/v1/controllers{path}', body, headers).status
+
+
+def add_controller(cell, name):
+    cell.add_controller(name, [*cell.controllers, name])
+    cell.processes.wait_ready(name)
+    fields = {'controller_id': name, 'address': cell.addresses[name]}
+    assert change_controllers(cell, 'POST', '', fields) == 200
+    assert views(cell)[name]['role'] == 'voter'
+    wait_caught_up(cell, name)
+
+
+def can_change_rules(cell, version, text):
+    return cell.apply_rules(text, version).status == 200
+
+
+def test_controllers_are_added_and_one_removed(cell, keys, recorder, accepted):
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        add_controller(cell, 'c4')
+        add_controller(cell, 'c5')
+        removed = next(name for name in followers(cell) if name < 'c4')
+        assert change_controllers(cell, 'DELETE', f'/{removed}') == 200
+        assert removed not in views(cell)
+        wait_for_answers(callers)
+        kept = [name for name in cell.controllers if name != removed]
+        first, second = [name for name in kept if name != cell.leader()][:2]
+        cell.processes.kill(first)
+        wait_for_answers(callers)
+        # Two of four are no majority; with the removed one they would be.
+        cell.processes.kill(second)
+        testing.wait_until(lambda: not any(map(cell.is_ready, cell.gateways)))
+        time.sleep(SETTLE_S)
+        assert cell.leader_now() == ''
+        assert not can_change_rules(cell, 2, accepted.text + '\n')
+        cell.processes.restart(first)
+        wait_for_answers(callers)
+        assert removed not in views(cell)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def test_a_controller_that_was_added_leads(cell, keys, recorder, accepted):
+    """Gateways find it, though their settings don't name it."""
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        add_controller(cell, 'c4')
+        add_controller(cell, 'c5')
+        hand_over_to_an_added_one(cell)
+        wait_for_answers(callers)
+        assert cell.leader() in ('c4', 'c5')
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def hand_over_to_an_added_one(cell):
+    """Stop each leader as planned until one that was added leads."""
+    while (leader := cell.leader()) not in ('c4', 'c5'):
+        cell.processes.stop(leader)
+        cell.leader()
+        cell.processes.restart(leader)
