--- a/tests/test_durable_state.py
+++ b/tests/test_durable_state.py
@@ -3,7 +3,10 @@
 Whole cells of real processes; histories are those of callers and workers.
 """
 
+import json
+import re
 import shutil
+import time
 
 import pytest
 
@@ -12,6 +15,7 @@
 from dandeliondrum import worker
 
 JOB_TASKS_COUNT = 12
+SETTLE_S = 2
 
 
 @pytest.fixture
@@ -124,9 +128,7 @@
 def assert_rules(cell, version, text):
     """The rules are these, by the word of each gateway, and in force."""
     for gateway in cell.gateways:
-        shown = testing.wait_until(
-            lambda g=gateway: rules_shown(cell, g)
-        )
+        shown = testing.wait_until(lambda g=gateway: rules_shown(cell, g))
         assert (shown['version'], shown['text']) == (version, text)
     testing.wait_until(lambda: in_force(cell) == {version})
 
@@ -268,3 +270,132 @@
 
 def says_at_all(cell, name, event):
     return any(line.get('event') == event for line in cell.processes.log(name))
+
+
+def newest_log(cell, name):
+    return max((cell.folder / name).glob('log-*'))
+
+
+def stop_at_rest(cell, name, accepted):
+    """Stop a controller that has all of what was accepted on its disk."""
+    accepted.assert_kept()
+    wait_caught_up(cell, name)
+    assert cell.processes.stop(name) == 0
+
+
+def test_a_torn_tail_is_cut(cell, keys, recorder, accepted):
+    torn = followers(cell)[0]
+    stop_at_rest(cell, torn, accepted)
+    path = newest_log(cell, torn)
+    size_bytes = path.stat().st_size
+    with open(path, 'r+b') as file:
+        file.truncate(size_bytes - 3)
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        cell.processes.restart(torn)
+        wait_caught_up(cell, torn)
+        cut = [
+            line
+            for line in cell.processes.log(torn)
+            if line['event'] == 'torn tail cut'
+        ]
+        assert [line['file'] for line in cut] == [str(path)]
+        assert 0 < cut[0]['offset_bytes'] < size_bytes - 3
+        other = next(name for name in followers(cell) if name != torn)
+        cell.processes.kill(other)
+        wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def test_damage_in_the_middle_of_a_log_is_refused(
+    cell, keys, recorder, accepted
+):
+    damaged = followers(cell)[0]
+    stop_at_rest(cell, damaged, accepted)
+    path = newest_log(cell, damaged)
+    data = bytearray(path.read_bytes())
+    position = len(data) // 2
+    data[position] ^= 0xFF
+    path.write_bytes(data)
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        with pytest.raises(testing.ProcessError):
+            cell.processes.restart(damaged)
+        assert cell.processes.exit_code(damaged) == 1
+        assert path.read_bytes() == data
+        told = [
+            str(line['why'])
+            for line in cell.processes.log(damaged)
+            if line['event'] == 'not started'
+        ]
+        assert len(told) == 1 and str(path) in told[0]
+        offset_bytes = int(re.search(r'offset\D*(\d+)', told[0])[1])
+        assert 0 < offset_bytes <= position
+        wait_for_answers(callers)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def change_controllers(cell, method, path, fields=None):
+    body = None if fields is None else json.dumps(fields).encode()
+    headers = {'Content-Type': 'application/json'}
+    return cell.operate(method, f'/v1/controllers{path}', body, headers).status
+
+
+def add_controller(cell, name):
+    cell.add_controller(name, [*cell.controllers, name])
+    cell.processes.wait_ready(name)
+    fields = {'controller_id': name, 'address': cell.addresses[name]}
+    assert change_controllers(cell, 'POST', '', fields) == 200
+    assert views(cell)[name]['role'] == 'voter'
+    wait_caught_up(cell, name)
+
+
+def can_change_rules(cell, version, text):
+    return cell.apply_rules(text, version).status == 200
+
+
+def test_controllers_are_added_and_one_removed(cell, keys, recorder, accepted):
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        add_controller(cell, 'c4')
+        add_controller(cell, 'c5')
+        removed = next(name for name in followers(cell) if name < 'c4')
+        assert change_controllers(cell, 'DELETE', f'/{removed}') == 200
+        assert removed not in views(cell)
+        wait_for_answers(callers)
+        kept = [name for name in cell.controllers if name != removed]
+        first, second = [name for name in kept if name != cell.leader()][:2]
+        cell.processes.kill(first)
+        wait_for_answers(callers)
+        # Two of four are no majority; with the removed one they would be.
+        cell.processes.kill(second)
+        testing.wait_until(lambda: not any(map(cell.is_ready, cell.gateways)))
+        time.sleep(SETTLE_S)
+        assert cell.leader_now() == ''
+        assert not can_change_rules(cell, 2, accepted.text + '\n')
+        cell.processes.restart(first)
+        wait_for_answers(callers)
+        assert removed not in views(cell)
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def test_a_controller_that_was_added_leads(cell, keys, recorder, accepted):
+    """Gateways find it, though their settings don't name it."""
+    with testing.Callers(cell, work_of(keys), recorder) as callers:
+        wait_for_answers(callers)
+        add_controller(cell, 'c4')
+        add_controller(cell, 'c5')
+        hand_over_to_an_added_one(cell)
+        wait_for_answers(callers)
+        assert cell.leader() in ('c4', 'c5')
+    accepted.assert_kept()
+    assert_clean(cell, recorder)
+
+
+def hand_over_to_an_added_one(cell):
+    """Stop each leader as planned until one that was added leads."""
+    while (leader := cell.leader()) not in ('c4', 'c5'):
+        cell.processes.stop(leader)
+        cell.leader()
+        cell.processes.restart(leader)
