Let the run that shows ignored leases outlast a busy machine

On a machine with a load of 20 the second run began after the first had ended, so nothing overlapped.

--- a/tests/test_broken_builds.py
+++ b/tests/test_broken_builds.py
@@ -55,7 +55,7 @@
         cell, testing.Work(keys=texts, **options), recorder
     )
     with callers:
-        testing.wait_until(lambda: callers.answered_count() > 5)
+        testing.wait_until(lambda: callers.answered_count() > 3)
         fault()
         time.sleep(seconds)
     history = recorder.history(cell.journals(), cell.processes.outages)
@@ -107,17 +107,18 @@
             if event.kind is worker.EventKind.START
         ]
         cell.mesh.isolate(max(starts, key=lambda one: one.at_ms).worker_id)
-        time.sleep(4)
+        time.sleep(7)
         cell.mesh.heal()
 
-    # Runs outlast the silence, so that a second run begins beside the first.
+    # Runs outlast the silence and their leases outlast the runs, so that a
+    # second run begins beside the first.
     kinds = kinds_after(
         cell,
         keys,
         recorder,
         cut_off,
         seconds=6,
-        run_ms=(4_000, 6_000),
+        run_ms=(7_000, 7_500),
         callers_count=8,
         idempotent_portion=1.0,
         timeout_ms=20_000,
