Refuse to found a cell with disks that replaced those of another one

With two of three disks empty and the third controller up, an operator's 'controllers form' of just the two was taken: a second cell under the same name without the accepted rules. A node that a member asks for a vote under another disk id now refuses to be founded anew.

--- a/dandeliondrum/consensus/_requests.py
+++ b/dandeliondrum/consensus/_requests.py
@@ -76,11 +76,15 @@
 
     def _found(self, message: _messages.FoundCell) -> _messages.FoundReply:
         state = self._state
-        empty = not self._log.last_index and not state.snapshot_index
-        granted = empty and message.term > state.term
+        detail = ''
+        if self._log.last_index or state.snapshot_index:
+            detail = 'its disk already has a log'
+        elif self._expected_disk_id:
+            # A second cell would break what the first one accepted.
+            detail = 'a member of a cell knows it with another disk'
+        granted = not detail and message.term > state.term
         if granted:
             self._enter_term(message.term, message.founder_id)
-        detail = '' if empty else 'its disk already has a log'
         return _messages.FoundReply(state.term, granted, state.disk_id, detail)
 
     def _vote(self, message: _messages.RequestVote) -> _messages.VoteReply:
--- a/tests/test_durable_state.py
+++ b/tests/test_durable_state.py
@@ -206,10 +206,14 @@
         cell.processes.restart(name)
     testing.wait_until(lambda: not any(map(cell.is_ready, cell.gateways)))
     begun = starts_count(cell)
-    addresses = cell.addresses
-    everyone = tuple((name, addresses[name]) for name in cell.controllers)
-    founded = cell.call(lost[0], messages.FormCell(everyone))
-    assert isinstance(founded, messages.CallFailed)
+    for name in lost:
+        testing.wait_until(
+            lambda n=name: says(cell, n, 'vote refused', 'disk')
+        )
+    for names in (cell.controllers, lost):
+        members = tuple((name, cell.addresses[name]) for name in names)
+        founded = cell.call(lost[0], messages.FormCell(members))
+        assert isinstance(founded, messages.CallFailed), names
     key = keys['harbour'].text
     first = cell.run_task(
         {'echo': 'x'}, key, timeout_ms=3_000, first_sending='true'
@@ -222,8 +226,6 @@
     assert rules_shown(cell) is None
     assert cell.leader_now() == ''
     assert starts_count(cell) == begun
-    for name in lost:
-        assert says(cell, name, 'vote refused', 'disk')
     for name in lost:
         cell.processes.kill(name)
         shutil.rmtree(cell.folder / name)
