Keep an end that resolves a doubt until it is on record

Found by reading: the leader acknowledged such an end as soon as it had proposed it; lost with that leader, the doubt stayed for good, as the worker repeats only what is not acknowledged. A late report no longer looks through all workers for its fence.

--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_beats.py
@@ -8,6 +8,7 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _endings
 from dandeliondrum.controller import _endings_desk
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _worker_sizes
@@ -181,13 +182,10 @@
             task = self._context.state.task_of(one.attempt_id)
             is_open = one.attempt_id in worker.attempts
             is_fenced = one.attempt_id in worker.fences
-            last = task.last_attempt if task is not None else None
-            is_doubted = last is not None and (
-                last.attempt_id == one.attempt_id
-            )
-            if is_open or is_fenced or is_doubted:
+            resolves = task is not None and _endings.resolves(task, one)
+            if is_open or is_fenced or resolves:
                 reports.append(one)
-            if not is_open and not is_fenced:
+            else:
                 acknowledged.append(one.attempt_id)
                 self._desk.forget(one.attempt_id)
         return tuple(acknowledged)
--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -39,6 +39,16 @@
     return _resolve_late(state, task, report)
 
 
+def resolves(
+    task: _records.TaskRecord, report: messages.AttemptReport
+) -> bool:
+    """Tell whether a report settles what became of a task in doubt."""
+    last = task.last_attempt
+    if last is None or last.attempt_id != report.attempt_id:
+        return False
+    return report.state in _ENDS and report.state not in _MAY_HAVE_RUN
+
+
 def end_all_on(
     state: '_state.CellState', worker: _records.WorkerRecord
 ) -> tuple[_records.EndedAttempt, ...]:
@@ -83,6 +93,7 @@
     )
     if report.state is messages.AttemptState.LOST:
         worker.fences[attempt.attempt_id] = task.spec.task_id
+        state.fenced_on[attempt.attempt_id] = attempt.worker_id
     if report.state is not messages.AttemptState.NEVER_STARTED:
         task.may_have_run = True
     match report.state:
@@ -155,11 +166,10 @@
 ) -> _records.EndedAttempt | None:
     """Take what a worker tells about an attempt that was given up."""
     last = task.last_attempt
-    for worker in state.workers.values():
-        worker.fences.pop(report.attempt_id, None)
-    if last is None or last.attempt_id != report.attempt_id:
-        return None
-    if report.state in _MAY_HAVE_RUN:
+    fenced_on = state.fenced_on.pop(report.attempt_id, None)
+    if fenced_on is not None and fenced_on in state.workers:
+        state.workers[fenced_on].fences.pop(report.attempt_id, None)
+    if last is None or not resolves(task, report):
         return None
     task.last_attempt = None
     time_ms = state.cell_time_ms
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -44,6 +44,8 @@
         self.rules: rules_lib.RuleSet = rules_lib.EMPTY
         self.tasks: dict[messages.TaskId, _records.TaskRecord] = {}
         self.workers: dict[messages.WorkerId, _records.WorkerRecord] = {}
+        # Which worker each lost attempt is fenced on, for a quick look-up.
+        self.fenced_on: dict[messages.AttemptId, messages.WorkerId] = {}
         self.accounts = _accounts.Accounts()
 
     def apply(self, index: int, command: bytes) -> typing.Any:
@@ -90,6 +92,9 @@
         self.workers = {
             worker.facts.worker_id: worker for worker in snapshot.workers
         }
+        for worker in snapshot.workers:
+            for attempt_id in worker.fences:
+                self.fenced_on[attempt_id] = worker.facts.worker_id
         for task in snapshot.tasks:
             self.tasks[task.spec.task_id] = task
             if task.attempt is not None:
@@ -272,6 +277,8 @@
         ended: tuple[_records.EndedAttempt, ...] = ()
         if known is not None:
             ended = _endings.end_all_on(self, known)
+            for attempt_id in known.fences:
+                self.fenced_on.pop(attempt_id, None)
         quarantined = (
             known is not None
             and known.state is messages.WorkerState.QUARANTINED
