Give up a call to a worker only for what overtakes its attempt

The attempt was then given back as never started, again and again. Now only a start of another attempt or an end counts.

--- a/dandeliondrum/gateway/_waiters.py
+++ b/dandeliondrum/gateway/_waiters.py
@@ -7,6 +7,14 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
+_GOING_ON = frozenset(
+    (
+        messages.TaskState.UNKNOWN,
+        messages.TaskState.QUEUED,
+        messages.TaskState.ASSIGNED,
+    )
+)
+
 Event = messages.StartAttempt | messages.TaskStatus
 
 
@@ -33,23 +41,35 @@
         self._submits_open = 0
         self._known = False
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
+        self._untaken: collections.deque[Event] = collections.deque()
 
     def tell(self, event: Event) -> None:
         """Hand the waiting thread an event; never waits."""
-        self._events.put(event)
+        with self._lock:
+            self._untaken.append(event)
+            self._events.put(event)
 
     def next(self, timeout_ms: int) -> Event | None:
         """Return the next event, or None when none comes in time."""
         try:
             if timeout_ms <= 0:
-                return self._events.get_nowait()
-            return self._events.get(timeout=timeout_ms / 1000)
+                event = self._events.get_nowait()
+            else:
+                event = self._events.get(timeout=timeout_ms / 1000)
         except queue.Empty:
             return None
+        with self._lock:
+            self._untaken.popleft()
+        return event
 
-    def has_event(self) -> bool:
-        """Tell whether there is news, without taking it."""
-        return not self._events.empty()
+    def has_news(self, attempt_id: messages.AttemptId) -> bool:
+        """Tell whether an event waits that overtakes this attempt.
+
+        A status that only says that the task waits or runs does not, nor
+        does the same start once more.
+        """
+        with self._lock:
+            return any(_overtakes(one, attempt_id) for one in self._untaken)
 
     def submit_begins(self) -> None:
         """Note that the task is about to be sent to a leader."""
@@ -72,6 +92,12 @@
         return max(0, self.deadline_ms - utils.monotonic_ms())
 
 
+def _overtakes(event: Event, attempt_id: messages.AttemptId) -> bool:
+    if isinstance(event, messages.StartAttempt):
+        return event.attempt_id != attempt_id
+    return event.state not in _GOING_ON
+
+
 class Waiters:
     """All callers that wait on this gateway, by task."""
 
--- a/dandeliondrum/gateway/_waiting_call.py
+++ b/dandeliondrum/gateway/_waiting_call.py
@@ -1,6 +1,7 @@
 """The thread of a caller that waits for one task."""
 
 import dataclasses
+import functools
 
 import structlog
 import werkzeug
@@ -139,7 +140,7 @@
             self._body,
             self._wait_ms(),
             stream.open,
-            self._waiter.has_event,
+            functools.partial(self._waiter.has_news, start.attempt_id),
         )
         self._log.info(
             'attempt dispatched',
@@ -162,7 +163,10 @@
         stream = self._stream(place)
         began_ms = utils.monotonic_ms()
         outcome = self._services.dispatcher.fetch(
-            place, self._wait_ms(), stream.open, self._waiter.has_event
+            place,
+            self._wait_ms(),
+            stream.open,
+            functools.partial(self._waiter.has_news, place.attempt_id),
         )
         match outcome:
             case _dispatch.Ended():
