Name the leader's parts by the field's terms

Office, desk, waiting line and intake were words of our own for the leader's term, attempt reports, queueing and submissions. A broken invariant in the thread that decides now ends the process, as elsewhere; it had ended only its own supervisor, with a leader left that decides nothing.

--- a/benchmarks/_state_office.py
+++ b/benchmarks/_state_leadership.py
@@ -9,8 +9,8 @@
 from benchmarks import _state_world
 
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _leadership
 from dandeliondrum.controller import _metrics
-from dandeliondrum.controller import _office
 from dandeliondrum.controller import _pending
 from dandeliondrum import messages
 from dandeliondrum import utils
@@ -32,7 +32,7 @@
     return statistics.median(times_ns) / 1_000
 
 
-class OfficeTimer:
+class LeadershipTimer:
     """A leader's office over a filled state, with its parts timed."""
 
     def __init__(self, world: _state_world.World) -> None:
@@ -44,33 +44,36 @@
             messages.Term(1),
             _metrics.Metrics(),
         )
-        self._office = _office.Office(self._context, utils.TimerService())
+        self._leadership = _leadership.Leadership(
+            self._context, utils.TimerService()
+        )
 
     def measure(self) -> dict[str, float]:
         """Return the times by name; each name ends in its unit."""
         started_s = time.perf_counter()
-        self._office._rebuild()
+        self._leadership._rebuild()
         figures = {'rebuild_ms': (time.perf_counter() - started_s) * 1_000}
-        figures.update(self._beats())
+        figures.update(self._heartbeats())
         figures.update(self._scans())
         return figures
 
     def _beats(self) -> dict[str, float]:
         batches = self._batches()
         for batch in batches:
-            self._office._beats.take(batch)
+            self._leadership._heartbeats.take(batch)
         size = statistics.mean(len(one.beats) for one in batches)
         source = itertools.cycle(batches)
         encoded = [messages.encode(one) for one in batches]
         encoded_source = itertools.cycle(encoded)
-        reply = self._office._beats.take(batches[0])
+        reply = self._leadership._heartbeats.take(batches[0])
         repeats_count = max(300, len(batches))
         bytes_count = statistics.mean(map(len, encoded))
         decode_us = median_us(
             lambda: messages.decode(next(encoded_source)), repeats_count
         )
         take_us = median_us(
-            lambda: self._office._beats.take(next(source)), repeats_count
+            lambda: self._leadership._heartbeats.take(next(source)),
+            repeats_count,
         )
         encode_us = median_us(lambda: messages.encode(reply), repeats_count)
         total_us = (decode_us + take_us + encode_us) / size
@@ -111,13 +114,13 @@
         ]
 
     def _scans(self) -> dict[str, float]:
-        beats = self._office._beats
+        beats = self._leadership._heartbeats
         figures = {
             'check_us': median_us(beats.check),
-            'forget_ended_us': median_us(self._office._forget_ended),
+            'forget_ended_us': median_us(self._leadership._forget_ended),
             'announce_us': median_us(self._announce),
             'gateway_lost_us': median_us(
-                lambda: self._office._desk.gateway_lost(
+                lambda: self._leadership._desk.gateway_lost(
                     messages.GatewayId('gateway-unknown')
                 )
             ),
@@ -128,13 +131,13 @@
                 self._wait_for_a_worker()
                 waiting_count += 1
             figures[f'refuse_overdue_{wanted_count}_waiting_us'] = median_us(
-                self._office._deadlines.check
+                self._leadership._deadlines.check
             )
         return figures
 
     def _announce(self) -> None:
         call = messages.AnnounceWorker(self._world.workers[0])
-        self._office._beats.announce(call).result()
+        self._leadership._heartbeats.announce(call).result()
 
     def _wait_for_a_worker(self) -> None:
         spec = self._world.spec()
--- a/benchmarks/bench_state.py
+++ b/benchmarks/bench_state.py
@@ -19,7 +19,7 @@
 import typing
 import zlib
 
-from benchmarks import _state_office
+from benchmarks import _state_leadership
 from benchmarks import _state_world
 
 from dandeliondrum import messages
@@ -118,7 +118,7 @@
     }
     figures.update(_snapshots(world))
     figures.update(_commands(world))
-    figures.update(_state_office.OfficeTimer(world).measure())
+    figures.update(_state_leadership.LeadershipTimer(world).measure())
     figures['rss_with_office_bytes'] = _rss_bytes(process)
     return figures
 
@@ -138,8 +138,10 @@
 
 def _snapshots(world: _state_world.World) -> Figures:
     data = world.state.snapshot()
-    snapshot_us = _state_office.median_us(world.state.snapshot, 3)
-    restore_us = _state_office.median_us(lambda: world.state.restore(data), 3)
+    snapshot_us = _state_leadership.median_us(world.state.snapshot, 3)
+    restore_us = _state_leadership.median_us(
+        lambda: world.state.restore(data), 3
+    )
     return {
         'snapshot_bytes': len(data),
         'snapshot_ms': snapshot_us / 1_000,
@@ -180,7 +182,7 @@
     for _ in range(COMMANDS_COUNT):
         assignments = world.assignments(count)
         command = world.encoded(messages.AssignTasks, assignments)
-        decode_us = _state_office.median_us(
+        decode_us = _state_leadership.median_us(
             lambda data=command: messages.decode(data), 1
         )
         times.setdefault('assign_decode_us', []).append(decode_us / count)
@@ -218,11 +220,11 @@
     for teams_count in RULES_TEAMS_COUNTS:
         text = _state_world.rules_text(teams_count)
         world = _state_world.World(teams_count, 1)
-        apply_us = _state_office.median_us(lambda: world.set_rules(text))
+        apply_us = _state_leadership.median_us(lambda: world.set_rules(text))
         figures[str(teams_count)] = {
             'text_bytes': len(text),
             'text_zlib_bytes': len(zlib.compress(text.encode(), 1)),
-            'parse_ms': _state_office.median_us(lambda: rules.parse(text))
+            'parse_ms': _state_leadership.median_us(lambda: rules.parse(text))
             / 1_000,
             'apply_ms': apply_us / 1_000,
         }
--- a/dandeliondrum/consensus/_applier.py
+++ b/dandeliondrum/consensus/_applier.py
@@ -102,7 +102,7 @@
                         )
                     )
             state.applied_index = entries[-1].index
-            self._announce_office()
+            self._announce_role()
             for confirmation in state.settle_confirmations():
                 settled.append(
                     _works.Outcome(confirmation.future, result.Success(None))
@@ -136,7 +136,7 @@
             self._state.error(_errors.ProposeFailure.DEPOSED, not_done=True)
         )
 
-    def _announce_office(self) -> None:
+    def _announce_role(self) -> None:
         state = self._state
         ready = 0 < state.term_start_index <= state.applied_index
         if state.leads() and ready and not state.told_leading:
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -33,7 +33,7 @@
             with state.lock:
                 self._expire_pending()
                 if state.leads():
-                    self._watch_office()
+                    self._watch_quorum()
                 standing = self._is_due()
                 transfer = state.stand_at_once
                 if not standing:
@@ -56,7 +56,7 @@
             return False
         return state.stand_at_once or time.monotonic_ns() >= state.deadline_ns
 
-    def _watch_office(self) -> None:
+    def _watch_quorum(self) -> None:
         """Leave office when no quorum has answered for long enough."""
         state = self._state
         now_ns = time.monotonic_ns()
@@ -109,7 +109,7 @@
             return
         ballot = _progress.Ballot(standing_term, False, transfer)
         if self._ask(ballot):
-            self._take_office(standing_term)
+            self._become_leader(standing_term)
 
     def _ask(self, ballot: _progress.Ballot) -> bool:
         """Open a ballot and wait; True when it is won."""
@@ -150,7 +150,7 @@
         quorum = _membership.quorum_count(self._state.history.current)
         return len(voters) - len(ballot.refused) < quorum
 
-    def _take_office(self, term: int) -> None:
+    def _become_leader(self, term: int) -> None:
         state = self._state
         empty = _works.Proposal(
             _records.EntryKind.EMPTY, b'', concurrent.futures.Future()
@@ -160,7 +160,7 @@
                 return
             if not state.is_voter():
                 return
-            state.take_office()
+            state.become_leader()
             state.works.appendleft(empty)
             state.proposals_waiting += 1
             state.writer_wakes.notify()
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -201,7 +201,7 @@
         self._fail_confirmations()
         self.wake_all()
 
-    def take_office(self) -> None:
+    def become_leader(self) -> None:
         """Lead in this term; the caller sees that an entry is proposed."""
         self.role = _interfaces.Role.LEADER
         self.ballot = None
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -261,7 +261,7 @@
         self._log.append([first])
         with state.lock:
             state.history.add([first])
-            state.take_office()
+            state.become_leader()
             state.term_start_index = first.index
         self._log.sync()
         state.tell(work.future, result.Success(None))
--- a/dandeliondrum/consensus/tests/test_commit.py
+++ b/dandeliondrum/consensus/tests/test_commit.py
@@ -48,7 +48,7 @@
     append(state, 1, _records.EntryKind.MEMBERSHIP, membership)
     with state.lock:
         state.term = 2
-        state.take_office()
+        state.become_leader()
     return opened
 
 
--- a/dandeliondrum/controller/_endings_desk.py
+++ b/dandeliondrum/controller/_attempt_reports.py
@@ -8,9 +8,9 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _queueing
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _state
-from dandeliondrum.controller import _waiting_line
 from dandeliondrum import messages
 from dandeliondrum import utils
 
@@ -27,7 +27,7 @@
 )
 
 
-class EndingsDesk:
+class AttemptReports:
     """The leader's part that ends attempts.
 
     ``stop_wanted`` holds attempts that their workers are asked to stop with
@@ -38,11 +38,11 @@
     def __init__(
         self,
         context: _context.Context,
-        line: _waiting_line.WaitingLine,
+        queueing: _queueing.Queueing,
         timers: utils.TimerService,
     ) -> None:
         self._context = context
-        self._line = line
+        self._queueing = queueing
         self._timers = timers
         self._retry_delays_ms: dict[messages.AttemptId, int | None] = {}
         self._uncertain: dict[messages.AttemptId, int] = {}
@@ -85,7 +85,7 @@
         if task is None or not task.spec.idempotent:
             return report
         if report.attempt_id not in self._retry_delays_ms:
-            delay_ms = self._context.experience.retry_delay_ms(task)
+            delay_ms = self._context.observations.retry_delay_ms(task)
             self._retry_delays_ms[report.attempt_id] = delay_ms
         may_retry = self._retry_delays_ms[report.attempt_id] is not None
         return dataclasses.replace(report, may_retry=may_retry)
@@ -105,7 +105,7 @@
         with context.lock, context.state.lock:
             for one in news:
                 task = one.task
-                context.experience.take(one, context.now_ms())
+                context.observations.take(one, context.now_ms())
                 self.forget(one.report.attempt_id)
                 delay_ms = self._retry_delays_ms.pop(
                     one.report.attempt_id, None
@@ -123,11 +123,11 @@
                 else:
                     again.append(task.spec.task_id)
             context.work.set()
-        self._line.enqueue_recorded(again)
+        self._queueing.enqueue_recorded(again)
 
     def _enqueue_later(self, task_id: messages.TaskId, delay_ms: int) -> None:
         self._timers.after(
-            delay_ms, lambda: self._line.enqueue_recorded([task_id])
+            delay_ms, lambda: self._queueing.enqueue_recorded([task_id])
         )
 
     def preempt(self, task_id: messages.TaskId, _why: str) -> None:
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -1,4 +1,4 @@
-"""What the parts of a leader's office share."""
+"""What the parts of a leader share."""
 
 import concurrent.futures
 import threading
@@ -7,8 +7,8 @@
 from returns import result
 
 from dandeliondrum import consensus
-from dandeliondrum.controller import _experience
 from dandeliondrum.controller import _metrics
+from dandeliondrum.controller import _observations
 from dandeliondrum.controller import _options
 from dandeliondrum.controller import _pending
 from dandeliondrum.controller import _sessions
@@ -23,7 +23,7 @@
 
 
 class Context:
-    """State, log, planner and sessions of one term of office.
+    """State, log, planner and sessions of one term of leadership.
 
     ``lock`` protects everything but the replicated state. Whoever needs
     both takes ``lock`` first. Nobody waits for the log while holding it.
@@ -45,7 +45,7 @@
         self.lock = threading.RLock()
         self.planner = placement.Planner()
         self.sessions = _sessions.Sessions()
-        self.experience = _experience.Experience()
+        self.observations = _observations.Observations()
         self.pending = _pending.Pending()
         # Tasks on record that wait for another attempt while no gateway
         # does: until when one may still ask for them.
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -1,6 +1,5 @@
 """A controller: one voter of the replicated log, and at times its leader."""
 
-import collections.abc
 import contextlib
 import threading
 import typing
@@ -10,8 +9,8 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _leadership
 from dandeliondrum.controller import _metrics
-from dandeliondrum.controller import _office
 from dandeliondrum.controller import _options
 from dandeliondrum.controller import _state
 from dandeliondrum import messages
@@ -38,15 +37,15 @@
     def __init__(
         self,
         options: _options.Options,
-        on_fatal: collections.abc.Callable[[utils.InvariantError], object]
-        | None = None,
+        on_fatal: _leadership.OnFatal | None = None,
     ) -> None:
         self._options = options
+        self._on_fatal = on_fatal
         self._metrics = _metrics.Metrics()
         self._metrics.leading.set_function(lambda: float(self.leads()))
         self._resources = contextlib.ExitStack()
         self._lock = threading.Lock()
-        self._office: _office.Office | None = None
+        self._leadership: _leadership.Leadership | None = None
         self._timers = utils.TimerService()
         self.state = _state.CellState()
         self.node = consensus.Node(
@@ -124,26 +123,28 @@
 
     def leads(self) -> bool:
         """Tell whether this controller decides at the moment."""
-        return self._office is not None and self.node.leading()
+        return self._leadership is not None and self.node.leading()
 
     def on_leading(self, term: messages.Term) -> None:
-        """Open the office; called by the log once this node leads."""
+        """Begin to lead; called by the log once this node leads."""
         context = _context.Context(
             self._options, self.state, self.node, term, self._metrics
         )
-        office = _office.Office(context, self._timers)
-        office.open()
+        leadership = _leadership.Leadership(
+            context, self._timers, self._on_fatal
+        )
+        leadership.open()
         with self._lock:
-            self._office = office
+            self._leadership = leadership
         _logger.info('leading', term=term)
 
     def on_following(self) -> None:
-        """Close the office; called by the log when the lead is lost."""
+        """Stop leading; called by the log when the lead is lost."""
         with self._lock:
-            office = self._office
-            self._office = None
-        if office is not None:
-            office.close()
+            leadership = self._leadership
+            self._leadership = None
+        if leadership is not None:
+            leadership.close()
             _logger.info('following')
 
     def _take(
@@ -154,10 +155,10 @@
         if isinstance(message, messages.FormCell):
             return self._form(message)
         with self._lock:
-            office = self._office
-        if office is None:
+            leadership = self._leadership
+        if leadership is None:
             return self._not_leader()
-        return office.take(connection, message)
+        return leadership.take(connection, message)
 
     def _form(self, call: messages.FormCell) -> typing.Any:
         match self.node.form(call.controllers):
@@ -180,6 +181,6 @@
 
     def _disconnected(self, connection: transport.Connection) -> None:
         with self._lock:
-            office = self._office
-        if office is not None:
-            office.disconnected(connection)
+            leadership = self._leadership
+        if leadership is not None:
+            leadership.disconnected(connection)
--- a/dandeliondrum/controller/_deadlines.py
+++ b/dandeliondrum/controller/_deadlines.py
@@ -1,7 +1,7 @@
 """Refuses what could not be started in time."""
 
 from dandeliondrum.controller import _context
-from dandeliondrum.controller import _waiting_line
+from dandeliondrum.controller import _queueing
 from dandeliondrum import messages
 
 CHECK_EVERY_MS = 100
@@ -15,10 +15,10 @@
     """
 
     def __init__(
-        self, context: _context.Context, line: _waiting_line.WaitingLine
+        self, context: _context.Context, queueing: _queueing.Queueing
     ) -> None:
         self._context = context
-        self._line = line
+        self._queueing = queueing
 
     def check(self) -> None:
         """Refuse what is overdue, also where no gateway waits any more."""
@@ -27,7 +27,7 @@
         with context.lock:
             refusals = self._overdue(now_ms) + self._unwanted(now_ms)
         if refusals:
-            self._line.refuse_pending(refusals)
+            self._queueing.refuse_pending(refusals)
 
     def _overdue(self, now_ms: int) -> list[messages.Refusal]:
         context = self._context
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -7,8 +7,8 @@
 from returns import result
 
 from dandeliondrum import consensus
+from dandeliondrum.controller import _attempt_reports
 from dandeliondrum.controller import _context
-from dandeliondrum.controller import _endings_desk
 from dandeliondrum.controller import _records
 from dandeliondrum import messages
 from dandeliondrum import placement
@@ -26,10 +26,12 @@
     """The leader's part that decides and sends."""
 
     def __init__(
-        self, context: _context.Context, desk: '_endings_desk.EndingsDesk'
+        self,
+        context: _context.Context,
+        attempt_reports: '_attempt_reports.AttemptReports',
     ) -> None:
         self._context = context
-        self._desk = desk
+        self._attempt_reports = attempt_reports
         self._failing = threading.Event()
         self._in_flight = threading.BoundedSemaphore(COMMANDS_IN_FLIGHT_MAX)
 
@@ -58,7 +60,9 @@
             if singles:
                 commands.append(self._command(tuple(singles), False))
             for preemption in plan.preemptions:
-                self._desk.preempt(preemption.task_id, preemption.why)
+                self._attempt_reports.preempt(
+                    preemption.task_id, preemption.why
+                )
         for command, placements in commands:
             self._propose(command, placements)
         return bool(commands)
@@ -167,7 +171,7 @@
             context.pending.remove(attempt.task_id, started=True)
             if attempt.attempt_id.endswith('#1'):
                 team_id, _, _ = attempt.task_id.partition('/')
-                context.experience.started(messages.TeamId(team_id))
+                context.observations.started(messages.TeamId(team_id))
             task = context.state.tasks.get(attempt.task_id)
             worker = context.state.workers.get(attempt.worker_id)
             session = context.sessions.gateway(attempt.gateway_id)
@@ -184,7 +188,7 @@
                 task.body,
             )
         if session is None or not session.connection.push(start):
-            self._desk.report(
+            self._attempt_reports.report(
                 (
                     messages.AttemptReport(
                         attempt.attempt_id,
--- a/dandeliondrum/controller/_beats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -7,9 +7,9 @@
 from returns import result
 
 from dandeliondrum import consensus
+from dandeliondrum.controller import _attempt_reports
 from dandeliondrum.controller import _context
 from dandeliondrum.controller import _endings
-from dandeliondrum.controller import _endings_desk
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _worker_sizes
 from dandeliondrum import messages
@@ -28,14 +28,16 @@
 FROZEN_AFTER_MS = 1_000
 
 
-class Beats:
+class Heartbeats:
     """The leader's part that listens to workers."""
 
     def __init__(
-        self, context: _context.Context, desk: _endings_desk.EndingsDesk
+        self,
+        context: _context.Context,
+        attempt_reports: _attempt_reports.AttemptReports,
     ) -> None:
         self._context = context
-        self._desk = desk
+        self._attempt_reports = attempt_reports
         self._heard_ms: dict[messages.WorkerId, int] = {}
         self._silent: set[messages.WorkerId] = set()
         self._quarantined: frozenset[messages.WorkerId] = frozenset()
@@ -67,9 +69,9 @@
                 self._heard_ms[call.facts.worker_id] = utils.monotonic_ms()
                 self._silent.discard(call.facts.worker_id)
             with context.lock:
-                context.experience.forget(call.facts.worker_id)
+                context.observations.forget(call.facts.worker_id)
                 self._note_size(call.facts.worker_id, call.facts.resources)
-            self._desk.ended(outcome.unwrap())
+            self._attempt_reports.ended(outcome.unwrap())
             self.refresh(call.facts.worker_id)
             return messages.Done()
 
@@ -122,7 +124,7 @@
         self, worker_id: messages.WorkerId, size: messages.Resources | None
     ) -> None:
         if self._sizes.note(worker_id, size):
-            self._context.experience.set_worker_sizes(self._sizes.all())
+            self._context.observations.set_worker_sizes(self._sizes.all())
 
     def take(self, call: messages.WorkerBeats) -> typing.Any:
         """Answer heartbeats, if this is surely still the leader."""
@@ -134,7 +136,7 @@
             replies = tuple(
                 self._take_one(beat, reports) for beat in call.beats
             )
-        self._desk.report(reports)
+        self._attempt_reports.report(reports)
         # Asked again, since a freeze may have come in between; a worker
         # counts its lease from the sending of the heartbeat in any case.
         if not context.node.leading():
@@ -187,7 +189,7 @@
                 reports.append(one)
             else:
                 acknowledged.append(one.attempt_id)
-                self._desk.forget(one.attempt_id)
+                self._attempt_reports.forget(one.attempt_id)
         return tuple(acknowledged)
 
     def _to_stop(
@@ -198,14 +200,14 @@
         stop = set(worker.fences)
         stop |= running - worker.attempts.keys()
         for attempt_id, task_id in worker.attempts.items():
-            self._desk.settle_uncertain(
+            self._attempt_reports.settle_uncertain(
                 attempt_id,
                 attempt_id in running or attempt_id in ended,
                 BEATS_UNTIL_FENCED,
             )
             if self._context.state.tasks[task_id].cancel_requested:
                 stop.add(attempt_id)
-            elif attempt_id in self._desk.stop_wanted:
+            elif attempt_id in self._attempt_reports.stop_wanted:
                 stop.add(attempt_id)
         return tuple(sorted(stop))
 
@@ -231,7 +233,7 @@
                 )
             else:
                 acknowledged.append(attempt_id)
-                self._desk.forget(attempt_id)
+                self._attempt_reports.forget(attempt_id)
         return tuple(acknowledged)
 
     def set_state(
@@ -280,12 +282,12 @@
                     self._went_silent(worker.facts.worker_id)
                     lost += self._lost_on(worker, silent_ms)
             self._apply_quarantine()
-        self._desk.report(lost)
+        self._attempt_reports.report(lost)
 
     def _apply_quarantine(self) -> None:
         """Take quarantined workers out, and those on probation in again."""
         context = self._context
-        now = context.experience.quarantined(context.now_ms())
+        now = context.observations.quarantined(context.now_ms())
         changed = now ^ self._quarantined
         self._quarantined = now
         for worker_id in changed:
--- a/dandeliondrum/controller/_office.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -1,5 +1,6 @@
-"""One term of office of the leader: its parts, and the calls to them."""
+"""One term of the leader: its parts, and the calls to them."""
 
+import collections.abc
 import concurrent.futures
 import contextlib
 import typing
@@ -7,26 +8,28 @@
 from returns import result
 
 from dandeliondrum import consensus
-from dandeliondrum.controller import _beats
+from dandeliondrum.controller import _attempt_reports
 from dandeliondrum.controller import _context
 from dandeliondrum.controller import _deadlines
 from dandeliondrum.controller import _dispatch
-from dandeliondrum.controller import _endings_desk
-from dandeliondrum.controller import _inquiries
-from dandeliondrum.controller import _intake
+from dandeliondrum.controller import _heartbeats
 from dandeliondrum.controller import _operators
+from dandeliondrum.controller import _queries
+from dandeliondrum.controller import _queueing
 from dandeliondrum.controller import _sessions
-from dandeliondrum.controller import _waiting_line
+from dandeliondrum.controller import _submissions
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import transport
 from dandeliondrum import utils
 
 FORGET_EVERY_MS = 10_000
-REPLAY_THREADS = 2
+THREADS_COUNT = 1
 
+OnFatal = collections.abc.Callable[[utils.InvariantError], object]
 
-class Office:
+
+class Leadership:
     """What a controller does while it leads.
 
     Everything in it is soft and rebuilt from the replicated state; it is
@@ -34,30 +37,40 @@
     """
 
     def __init__(
-        self, context: _context.Context, timers: utils.TimerService
+        self,
+        context: _context.Context,
+        timers: utils.TimerService,
+        on_fatal: OnFatal | None = None,
     ) -> None:
         self.context = context
         self._timers = timers
+        self._on_fatal = on_fatal
         self._resources = contextlib.ExitStack()
-        self._line = _waiting_line.WaitingLine(context)
-        self._intake = _intake.Intake(context, self._line)
-        self._inquiries = _inquiries.Inquiries(context)
-        self._desk = _endings_desk.EndingsDesk(context, self._line, timers)
-        self._beats = _beats.Beats(context, self._desk)
-        self._deadlines = _deadlines.Deadlines(context, self._line)
-        self._dispatch = _dispatch.Dispatch(context, self._desk)
+        self._queueing = _queueing.Queueing(context)
+        self._submissions = _submissions.Submissions(context, self._queueing)
+        self._queries = _queries.Queries(context)
+        self._attempt_reports = _attempt_reports.AttemptReports(
+            context, self._queueing, timers
+        )
+        self._heartbeats = _heartbeats.Heartbeats(
+            context, self._attempt_reports
+        )
+        self._deadlines = _deadlines.Deadlines(context, self._queueing)
+        self._dispatch = _dispatch.Dispatch(context, self._attempt_reports)
         self._operators = _operators.Operators(
-            context, self._beats, self._line
+            context, self._heartbeats, self._queueing
         )
 
     def open(self) -> None:
         """Rebuild the planner, then start to decide."""
         self._rebuild()
-        supervisor = utils.Supervisor('office', REPLAY_THREADS)
+        supervisor = utils.Supervisor(
+            'leadership', THREADS_COUNT, self._on_fatal
+        )
         self._resources.callback(supervisor.close)
         supervisor.run('dispatch', self._dispatch.run)
         for interval_ms, callback in (
-            (_beats.CHECK_EVERY_MS, self._beats.check),
+            (_heartbeats.CHECK_EVERY_MS, self._heartbeats.check),
             (_deadlines.CHECK_EVERY_MS, self._deadlines.check),
             (FORGET_EVERY_MS, self._forget_ended),
         ):
@@ -76,12 +89,12 @@
         with context.lock, context.state.lock:
             context.planner.set_teams(_operators.grants(context.state.rules))
             for worker_id in context.state.workers:
-                self._beats.refresh(worker_id)
+                self._heartbeats.refresh(worker_id)
             for worker in context.state.workers.values():
                 for task_id in worker.attempts.values():
                     self._restore_running(task_id)
             waiting = [task.spec.task_id for task in context.state.queued()]
-        self._line.enqueue_recorded(waiting)
+        self._queueing.enqueue_recorded(waiting)
 
     def _restore_running(self, task_id: messages.TaskId) -> None:
         task = self.context.state.tasks[task_id]
@@ -107,7 +120,7 @@
                 attempt.assigned_ms,
             )
         )
-        self._desk.report(
+        self._attempt_reports.report(
             (
                 messages.AttemptReport(
                     attempt.attempt_id, messages.AttemptState.UNCERTAIN
@@ -131,7 +144,7 @@
     def _forgotten(self, done: _context.Proposed) -> None:
         outcome = done.result()
         if isinstance(outcome, result.Success):
-            self._beats.release(outcome.unwrap())
+            self._heartbeats.release(outcome.unwrap())
 
     def take(
         self, connection: transport.Connection, message: typing.Any
@@ -148,20 +161,20 @@
             case messages.GatewayBeat():
                 return self._beat(session, message)
             case messages.SubmitTasks():
-                return self._intake.submit(session, message)
+                return self._submissions.submit(session, message)
             case messages.QueryTasks():
-                return self._inquiries.query(message)
+                return self._queries.query(message)
             case messages.CancelCall():
-                return self._inquiries.cancel(message)
+                return self._queries.cancel(message)
             case messages.ReportAttempts():
-                self._desk.report(message.reports)
+                self._attempt_reports.report(message.reports)
                 return messages.Done()
             case messages.ReleaseAnswers():
                 return self._release(message)
             case messages.AnnounceWorker():
-                return self._beats.announce(message)
+                return self._heartbeats.announce(message)
             case messages.WorkerBeats():
-                return self._beats.take(message)
+                return self._heartbeats.take(message)
         return self._operators.take(message)
 
     def _register(
@@ -215,7 +228,7 @@
                 and self.context.state.tasks[task_id].spec.team_id
                 == call.team_id
             ]
-        self._beats.release(tasks)
+        self._heartbeats.release(tasks)
         return messages.Done()
 
     def disconnected(self, connection: transport.Connection) -> None:
@@ -233,4 +246,4 @@
                     continue
                 if context.drop_pending(task_id):
                     context.unwanted[task_id] = entry.deadline_ms
-        self._desk.gateway_lost(session.gateway_id)
+        self._attempt_reports.gateway_lost(session.gateway_id)
--- a/dandeliondrum/controller/_experience.py
+++ b/dandeliondrum/controller/_observations.py
@@ -17,7 +17,7 @@
 )
 
 
-class Experience:
+class Observations:
     """Sizes, run times, bad workers and the budget for retries.
 
     The owner's lock protects it.
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -7,9 +7,9 @@
 from returns import result
 
 from dandeliondrum import consensus
-from dandeliondrum.controller import _beats
 from dandeliondrum.controller import _context
-from dandeliondrum.controller import _waiting_line
+from dandeliondrum.controller import _heartbeats
+from dandeliondrum.controller import _queueing
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import rules as rules_lib
@@ -34,12 +34,12 @@
     def __init__(
         self,
         context: _context.Context,
-        beats: _beats.Beats,
-        line: _waiting_line.WaitingLine,
+        heartbeats: _heartbeats.Heartbeats,
+        queueing: _queueing.Queueing,
     ) -> None:
         self._context = context
-        self._line = line
-        self._beats = beats
+        self._queueing = queueing
+        self._heartbeats = heartbeats
 
     def take(self, message: typing.Any) -> typing.Any:
         """Answer an operator's call; the reply may be a future."""
@@ -120,8 +120,8 @@
             record = context.state.rules_record
             context.planner.set_teams(grants(context.state.rules))
             sessions = context.sessions.all()
-        self._beats.apply_rules()
-        self._line.refuse_withdrawn()
+        self._heartbeats.apply_rules()
+        self._queueing.refuse_withdrawn()
         push = messages.RulesPush(record.version, record.text)
         for session in sessions:
             session.connection.push(push)
@@ -153,8 +153,8 @@
             workers = tuple(
                 messages.WorkerView(
                     worker.facts,
-                    self._beats.shown_state(worker),
-                    now_ms - self._beats.heard(worker.facts.worker_id),
+                    self._heartbeats.shown_state(worker),
+                    now_ms - self._heartbeats.heard(worker.facts.worker_id),
                     len(worker.attempts),
                     worker.reserved,
                 )
@@ -201,7 +201,7 @@
             worker = self._context.state.workers.get(call.worker_id)
         if worker is None:
             return messages.CallFailed('no such worker', True)
-        proposed = self._beats.set_state(
+        proposed = self._heartbeats.set_state(
             worker,
             messages.WorkerState.LEAVING,
             f'drained by {call.operator_id}',
--- a/dandeliondrum/controller/_inquiries.py
+++ b/dandeliondrum/controller/_queries.py
@@ -13,7 +13,7 @@
 from dandeliondrum import utils
 
 
-class Inquiries:
+class Queries:
     """The leader's part that tells callers where their tasks stand."""
 
     def __init__(self, context: _context.Context) -> None:
--- a/dandeliondrum/controller/_waiting_line.py
+++ b/dandeliondrum/controller/_queueing.py
@@ -9,14 +9,14 @@
 from dandeliondrum.controller import _pending
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _state
-from dandeliondrum.controller import _verdicts
+from dandeliondrum.controller import _task_outcomes
 from dandeliondrum import messages
 from dandeliondrum import utils
 
 StatusFuture = concurrent.futures.Future[messages.TaskStatus]
 
 
-class WaitingLine:
+class Queueing:
     """The leader's part that lets tasks wait, and wait no more."""
 
     def __init__(self, context: _context.Context) -> None:
@@ -30,7 +30,8 @@
         committed = context.propose(command)
         return [
             utils.then(
-                committed, _verdicts.pick_status(position, refusal.task_id)
+                committed,
+                _task_outcomes.pick_status(position, refusal.task_id),
             )
             for position, refusal in enumerate(refusals)
         ]
@@ -66,7 +67,7 @@
         if isinstance(outcome, result.Failure):
             self.refuse_pending(
                 [
-                    _verdicts.refusal(
+                    _task_outcomes.refusal(
                         spec,
                         messages.RefusalReason.NEVER_FITS,
                         outcome.failure().detail,
@@ -83,7 +84,7 @@
             for entry in context.pending.without_key(keys):
                 if context.drop_pending(entry.spec.task_id):
                     refusals.append(
-                        _verdicts.refusal(
+                        _task_outcomes.refusal(
                             entry.spec,
                             messages.RefusalReason.BAD_KEY,
                             'the key was withdrawn while the task waited',
--- a/dandeliondrum/controller/_intake.py
+++ b/dandeliondrum/controller/_submissions.py
@@ -9,11 +9,11 @@
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
 from dandeliondrum.controller import _pending
+from dandeliondrum.controller import _queueing
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _sessions
 from dandeliondrum.controller import _state
-from dandeliondrum.controller import _verdicts
-from dandeliondrum.controller import _waiting_line
+from dandeliondrum.controller import _task_outcomes
 from dandeliondrum import messages
 from dandeliondrum import rules as rules_lib
 from dandeliondrum import utils
@@ -30,26 +30,26 @@
 }
 
 
-class Intake:
+class Submissions:
     """The leader's part that speaks for callers."""
 
     def __init__(
-        self, context: _context.Context, line: _waiting_line.WaitingLine
+        self, context: _context.Context, queueing: _queueing.Queueing
     ) -> None:
         self._context = context
-        self._line = line
+        self._queueing = queueing
 
     def submit(
         self, session: _sessions.Session, call: messages.SubmitTasks
     ) -> concurrent.futures.Future[typing.Any]:
         """Take tasks in; the reply is sent once each one's fate is known."""
         context = self._context
-        futures: list[_waiting_line.StatusFuture] = []
+        futures: list[_queueing.StatusFuture] = []
         refusals: list[messages.Refusal] = []
         admissions: list[messages.Admission] = []
         with context.lock:
             for position, declared in enumerate(call.tasks):
-                spec = context.experience.sized(self._classed(declared))
+                spec = context.observations.sized(self._classed(declared))
                 verdict = self._judge(session, spec, call.key)
                 match verdict:
                     case messages.TaskStatus():
@@ -60,7 +60,7 @@
                         body = call.bodies[position]
                         admissions.append(messages.Admission(spec, body))
         if refusals:
-            futures += self._line.refuse(refusals)
+            futures += self._queueing.refuse(refusals)
         if admissions:
             futures += self._admit(admissions)
         order = {spec.task_id: i for i, spec in enumerate(call.tasks)}
@@ -96,7 +96,9 @@
             rules = context.state.rules
         allowed = rules_lib.authorize(rules, spec.team_id, spec.queue, key)
         if isinstance(allowed, result.Failure):
-            return _verdicts.not_allowed(spec.task_id, task, allowed.failure())
+            return _task_outcomes.not_allowed(
+                spec.task_id, task, allowed.failure()
+            )
         if task is not None:
             known = self._known(session, task, spec)
             if known is not None:
@@ -119,7 +121,7 @@
         spec: messages.TaskSpec,
     ) -> messages.TaskStatus | None:
         if spec.body_digest != task.spec.body_digest and task.spec.body_digest:
-            return _verdicts.conflict(spec.task_id)
+            return _task_outcomes.conflict(spec.task_id)
         with self._context.state.lock:
             status = task.status()
         if task.state not in _state.ENDED_STATES:
@@ -136,7 +138,7 @@
         spec: messages.TaskSpec,
     ) -> messages.TaskStatus:
         if entry.spec.body_digest != spec.body_digest:
-            return _verdicts.conflict(spec.task_id)
+            return _task_outcomes.conflict(spec.task_id)
         self._context.sessions.wait_for(session, spec.task_id)
         return messages.TaskStatus(spec.task_id, messages.TaskState.QUEUED)
 
@@ -145,13 +147,13 @@
     ) -> messages.Refusal | None:
         queue = rules.queues.get(spec.queue)
         queued_max = queue.queued_max if queue is not None else None
-        run_ms = self._context.experience.run_ms(spec)
+        run_ms = self._context.observations.run_ms(spec)
         admitted = self._context.pending.admit(spec, queued_max, run_ms)
         if isinstance(admitted, result.Success):
             return None
         reason = admitted.failure()
-        return _verdicts.refusal(
-            spec, reason, _WHY_NOT[reason], _verdicts.RETRY_AFTER_MS
+        return _task_outcomes.refusal(
+            spec, reason, _WHY_NOT[reason], _task_outcomes.RETRY_AFTER_MS
         )
 
     def _queue(
@@ -167,7 +169,7 @@
         entry = _pending.PendingEntry(spec, deadline_ms, excluded, key_id)
         outcome = context.add_pending(entry)
         if isinstance(outcome, result.Failure):
-            return _verdicts.refusal(
+            return _task_outcomes.refusal(
                 spec,
                 messages.RefusalReason.NEVER_FITS,
                 outcome.failure().detail,
@@ -177,7 +179,7 @@
 
     def _confirmed(
         self, status: messages.TaskStatus
-    ) -> _waiting_line.StatusFuture:
+    ) -> _queueing.StatusFuture:
         """Return the status once it is sure that this is still the leader.
 
         A process that was frozen may have been deposed; what it then says of
@@ -187,12 +189,12 @@
             return utils.resolved(status)
         return utils.then(
             self._context.node.confirm(),
-            lambda outcome: _verdicts.unless_failed(status, outcome),
+            lambda outcome: _task_outcomes.unless_failed(status, outcome),
         )
 
     def _admit(
         self, admissions: list[messages.Admission]
-    ) -> list[_waiting_line.StatusFuture]:
+    ) -> list[_queueing.StatusFuture]:
         context = self._context
         command = messages.AdmitTasks(context.now_ms(), tuple(admissions))
         committed = context.propose(command)
@@ -201,7 +203,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> result.Result[typing.Any, consensus.ProposeError]:
             if isinstance(outcome, result.Success):
-                self._line.enqueue_recorded(
+                self._queueing.enqueue_recorded(
                     one.spec.task_id for one in admissions
                 )
             return outcome
@@ -209,7 +211,8 @@
         taken = utils.then(committed, take)
         return [
             utils.then(
-                taken, _verdicts.pick_status(position, admission.spec.task_id)
+                taken,
+                _task_outcomes.pick_status(position, admission.spec.task_id),
             )
             for position, admission in enumerate(admissions)
         ]
--- a/dandeliondrum/controller/_worker_sizes.py
+++ b/dandeliondrum/controller/_worker_sizes.py
@@ -13,7 +13,7 @@
     Example::
 
         if sizes.note(facts.worker_id, facts.resources):
-            experience.set_worker_sizes(sizes.all())
+            observations.set_worker_sizes(sizes.all())
     """
 
     def __init__(self) -> None:
--- /dev/null
+++ b/dandeliondrum/controller/tests/test_heartbeats.py
@@ -0,0 +1,156 @@
+"""Tests of what the leader makes of heartbeats."""
+
+import concurrent.futures
+
+import pytest
+from returns import result
+
+from dandeliondrum.controller.tests import builders
+from dandeliondrum.controller.tests import test_worker_sizes
+from dandeliondrum import messages
+
+WORKER = messages.WorkerId('lathe-1')
+AttemptState = messages.AttemptState
+
+
+class StalledLog(test_worker_sizes.AppliedAtOnce):
+    """A log that, once stalled, takes proposals and commits nothing."""
+
+    stalled = False
+
+    def propose(self, command):
+        if self.stalled:
+            return concurrent.futures.Future()
+        return super().propose(command)
+
+
+class LeaderOfOneWorker:
+    """A leader with one worker, and heartbeats of that worker."""
+
+    def __init__(self):
+        made = test_worker_sizes.Leader()
+        self.state = made.state
+        self.log = StalledLog(self.state)
+        made.context.node = self.log
+        made.announce(WORKER, 'a', 16_000)
+        self.heartbeats = made.leadership._heartbeats
+        self.leadership = made.leadership
+        rules = messages.ApplyRules(0, 'c1', 'op', 0, builders.RULES)
+        self.log.propose(messages.encode(rules))
+
+    def assign(self, name, **fields):
+        assignment = builders.assignment(builders.spec(name, **fields))
+        command = messages.AssignTasks(0, (assignment,))
+        outcome = self.log.propose(messages.encode(command)).result()
+        return outcome.unwrap()[0].attempt.attempt_id
+
+    def end(self, attempt_id, state):
+        report = messages.AttemptReport(attempt_id, state)
+        command = messages.EndAttempts(0, (report,))
+        self.log.propose(messages.encode(command))
+
+    def beat(self, running=(), ended=(), fenced=(), incarnation='a'):
+        beat = messages.WorkerBeat(
+            WORKER,
+            incarnation,
+            tuple(
+                messages.RunningAttempt(one, messages.Resources(1, 1))
+                for one in running
+            ),
+            tuple(messages.AttemptReport(one, state) for one, state in ended),
+            tuple(fenced),
+        )
+        reply = self.heartbeats.take(messages.WorkerBeats((beat,)))
+        return reply.replies[0]
+
+
+@pytest.fixture
+def leader():
+    return LeaderOfOneWorker()
+
+
+def test_an_unknown_incarnation_has_to_announce_itself(leader):
+    assert leader.beat(incarnation='b').announce_again
+
+
+def test_an_attempt_that_is_not_on_record_is_stopped(leader):
+    assert leader.beat(running=['harbour/x#1']).stop == ('harbour/x#1',)
+
+
+def test_an_end_is_acknowledged_only_once_it_is_on_record(leader):
+    attempt_id = leader.assign('t')
+    ended = [(attempt_id, AttemptState.FINISHED)]
+    leader.log.stalled = True
+    assert leader.beat(ended=ended).acknowledged == ()
+    leader.log.stalled = False
+    assert leader.beat(ended=ended).acknowledged == ()
+    assert leader.beat(ended=ended).acknowledged == (attempt_id,)
+
+
+def test_an_end_that_resolves_a_doubt_is_kept_until_it_is_on_record(leader):
+    attempt_id = leader.assign('t')
+    leader.end(attempt_id, AttemptState.LOST)
+    leader.end(attempt_id, AttemptState.STOPPED)
+    task = leader.state.tasks['harbour/t']
+    assert task.state is messages.TaskState.IN_DOUBT
+    ended = [(attempt_id, AttemptState.FINISHED)]
+    leader.log.stalled = True
+    assert leader.beat(ended=ended).acknowledged == ()
+    leader.log.stalled = False
+    leader.beat(ended=ended)
+    assert task.state is messages.TaskState.DONE
+    assert leader.beat(ended=ended).acknowledged == (attempt_id,)
+
+
+def test_an_end_that_leaves_the_doubt_is_acknowledged(leader):
+    attempt_id = leader.assign('t')
+    ended = [(attempt_id, AttemptState.STOPPED)]
+    leader.end(attempt_id, AttemptState.LOST)
+    leader.beat(ended=ended)
+    assert leader.beat(ended=ended).acknowledged == (attempt_id,)
+
+
+def test_an_uncertain_start_is_fenced_after_two_heartbeats_without_it(leader):
+    attempt_id = leader.assign('t')
+    report = messages.AttemptReport(attempt_id, AttemptState.UNCERTAIN)
+    leader.leadership._attempt_reports.report((report,))
+    assert leader.beat().stop == ()
+    assert leader.beat().stop == (attempt_id,)
+    leader.beat(fenced=[attempt_id])
+    task = leader.state.tasks['harbour/t']
+    assert task.state is messages.TaskState.QUEUED
+    assert leader.beat(fenced=[attempt_id]).acknowledged == (attempt_id,)
+
+
+def test_an_uncertain_start_that_runs_is_left_alone(leader):
+    attempt_id = leader.assign('t')
+    report = messages.AttemptReport(attempt_id, AttemptState.UNCERTAIN)
+    leader.leadership._attempt_reports.report((report,))
+    for _ in range(4):
+        assert leader.beat(running=[attempt_id]).stop == ()
+
+
+def test_a_lost_attempt_is_fenced_until_its_worker_vouches(leader):
+    attempt_id = leader.assign('t', idempotent=True)
+    leader.end(attempt_id, AttemptState.LOST)
+    for _ in range(2):
+        assert leader.beat().stop == (attempt_id,)
+    leader.beat(fenced=[attempt_id])
+    assert leader.beat().stop == ()
+
+
+def test_a_deposed_leader_answers_no_heartbeat(leader):
+    leader.log.leading = lambda: False
+    beat = messages.WorkerBeat(WORKER, messages.Incarnation('a'), ())
+    reply = leader.heartbeats.take(messages.WorkerBeats((beat,)))
+    assert reply == messages.NotLeader()
+
+
+def test_a_cancelled_attempt_is_stopped(leader):
+    attempt_id = leader.assign('t')
+    cancel = messages.CancelTasks(
+        0, (messages.TaskId('harbour/t'),), messages.TeamId('harbour')
+    )
+    outcome = leader.log.propose(messages.encode(cancel)).result()
+    assert isinstance(outcome, result.Success)
+    assert leader.beat(running=[attempt_id]).stop == (attempt_id,)
--- a/dandeliondrum/controller/tests/test_experience.py
+++ b/dandeliondrum/controller/tests/test_observations.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 
-from dandeliondrum.controller import _experience
+from dandeliondrum.controller import _observations
 from dandeliondrum.controller import _records
 from dandeliondrum.controller.tests import builders
 from dandeliondrum import messages
 
 
-def end(experience, task_spec, peak, number=0):
+def end(observations, task_spec, peak, number=0):
     task = _records.TaskRecord(task_spec, messages.TaskState.DONE, 0)
     report = messages.AttemptReport(
         messages.AttemptId(f'{task_spec.task_id}#{number}'),
@@ -17,36 +17,36 @@
         peak_resources=peak,
     )
     ended = _records.EndedAttempt(task, messages.WorkerId('lathe-1'), report)
-    experience.take(ended, number)
+    observations.take(ended, number)
 
 
 def test_sizes_do_not_climb_when_reports_repeat_what_was_granted():
-    experience = _experience.Experience()
+    observations = _observations.Observations()
     declared = builders.spec('t')
     for number in range(200):
-        sized = experience.sized(declared)
+        sized = observations.sized(declared)
         peak = sized.resources if number % 2 else None
-        end(experience, sized, peak, number)
-    assert experience.sized(declared).resources == declared.resources
+        end(observations, sized, peak, number)
+    assert observations.sized(declared).resources == declared.resources
 
 
 def test_memory_that_tasks_overrun_is_granted_from_then_on():
-    experience = _experience.Experience()
+    observations = _observations.Observations()
     declared = builders.spec('t')
-    experience.set_worker_sizes([messages.Resources(16_000, 32_768)])
+    observations.set_worker_sizes([messages.Resources(16_000, 32_768)])
     used = dataclasses.replace(declared.resources, memory_mb=3_000)
     for number in range(100):
-        end(experience, experience.sized(declared), used, number)
-    sized = experience.sized(declared).resources
+        end(observations, observations.sized(declared), used, number)
+    sized = observations.sized(declared).resources
     assert 3_000 <= sized.memory_mb <= 4_000
     assert sized.cpu_millicores == declared.resources.cpu_millicores
 
 
 def test_no_size_is_above_what_a_worker_has():
-    experience = _experience.Experience()
+    observations = _observations.Observations()
     declared = builders.spec('t')
-    experience.set_worker_sizes([messages.Resources(16_000, 2_048)])
+    observations.set_worker_sizes([messages.Resources(16_000, 2_048)])
     used = dataclasses.replace(declared.resources, memory_mb=9_000)
     for number in range(100):
-        end(experience, experience.sized(declared), used, number)
-    assert experience.sized(declared).resources.memory_mb == 2_048
+        end(observations, observations.sized(declared), used, number)
+    assert observations.sized(declared).resources.memory_mb == 2_048
--- a/dandeliondrum/controller/tests/test_worker_sizes.py
+++ b/dandeliondrum/controller/tests/test_worker_sizes.py
@@ -7,8 +7,8 @@
 from returns import result
 
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _leadership
 from dandeliondrum.controller import _metrics
-from dandeliondrum.controller import _office
 from dandeliondrum.controller import _options
 from dandeliondrum.controller import _state
 from dandeliondrum.controller.tests import builders
@@ -46,7 +46,7 @@
 
 
 class Leader:
-    """An office that is not open, and what it told the size learner."""
+    """A leadership that has not begun, and what it told the size learner."""
 
     def __init__(self):
         self.state = _state.CellState()
@@ -63,7 +63,7 @@
         self.lead()
 
     def lead(self):
-        """Begin a term of office with nothing but the replicated state."""
+        """Begin a term with nothing but the replicated state."""
         self.context = _context.Context(
             self.options,
             self.state,
@@ -71,13 +71,18 @@
             messages.Term(1),
             _metrics.Metrics(),
         )
-        self.context.experience.set_worker_sizes = self.told.append
-        self.office = _office.Office(self.context, utils.TimerService())
+        self.context.observations.set_worker_sizes = self.told.append
+        self.leadership = _leadership.Leadership(
+            self.context, utils.TimerService()
+        )
 
     def announce(self, name, incarnation, cpu):
         facts = builders.facts(name, incarnation, cpu=cpu)
         call = messages.AnnounceWorker(facts)
-        assert self.office._beats.announce(call).result() == messages.Done()
+        assert (
+            self.leadership._heartbeats.announce(call).result()
+            == messages.Done()
+        )
 
     def sizes(self):
         return {size.cpu_millicores for size in self.told[-1]}
@@ -116,7 +121,7 @@
     leader.announce('lathe-2', 'a', SMALL)
     worker = leader.state.workers['lathe-1']
     gone = messages.WorkerState.GONE
-    leader.office._beats.set_state(worker, gone, 'test').result()
+    leader.leadership._heartbeats.set_state(worker, gone, 'test').result()
     assert leader.sizes() == {SMALL}
 
 
@@ -125,5 +130,5 @@
     leader.announce('lathe-2', 'a', SMALL)
     leader.told.clear()
     leader.lead()
-    leader.office._rebuild()
+    leader.leadership._rebuild()
     assert leader.sizes() == {SMALL, BIG}
--- a/tests/test_broken_builds.py
+++ b/tests/test_broken_builds.py
@@ -19,14 +19,14 @@
 """
 
 IGNORES_LEASES = """
-from dandeliondrum.controller import _beats
+from dandeliondrum.controller import _heartbeats
 from dandeliondrum import messages
 def lost_at_once(self, worker, silent_ms):
     return [
         messages.AttemptReport(attempt_id, messages.AttemptState.LOST)
         for attempt_id in worker.attempts
     ]
-_beats.Beats._lost_on = lost_at_once
+_heartbeats.Heartbeats._lost_on = lost_at_once
 """
 
 IGNORES_LIMITS = """
