--- a/benchmarks/_state_leadership.py
+++ b/benchmarks/_state_leadership.py
@@ -33,7 +33,7 @@
 
 
 class LeadershipTimer:
-    """A leader's office over a filled state, with its parts timed."""
+    """A leadership over a filled state, with its parts timed."""
 
     def __init__(self, world: _state_world.World) -> None:
         self._world = world
@@ -57,7 +57,7 @@
         figures.update(self._scans())
         return figures
 
-    def _beats(self) -> dict[str, float]:
+    def _heartbeats(self) -> dict[str, float]:
         batches = self._batches()
         for batch in batches:
             self._leadership._heartbeats.take(batch)
