--- a/benchmarks/_state_leadership.py
+++ b/benchmarks/_state_leadership.py
@@ -120,7 +120,7 @@
             'forget_ended_us': median_us(self._leadership._forget_ended),
             'announce_us': median_us(self._announce),
             'gateway_lost_us': median_us(
-                lambda: self._leadership._desk.gateway_lost(
+                lambda: self._leadership._attempt_reports.gateway_lost(
                     messages.GatewayId('gateway-unknown')
                 )
             ),
