Give the leader its spans of a trace

Gateway and worker had spans, the leader between them none; it now has one for the judgement of a task and one for the assignment.

--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -11,6 +11,7 @@
 from dandeliondrum.controller import _context
 from dandeliondrum.controller import _records
 from dandeliondrum import messages
+from dandeliondrum import observability
 from dandeliondrum import placement
 
 PLACEMENTS_PER_ROUND = 512
@@ -187,7 +188,15 @@
                 attempt.lease_ms,
                 task.body,
             )
-        if session is None or not session.connection.push(start):
+        attributes = {
+            'attempt': attempt.attempt_id,
+            'worker': attempt.worker_id,
+        }
+        with observability.span(
+            'assign attempt', start.spec.trace_parent, attributes
+        ):
+            is_sent = session is not None and session.connection.push(start)
+        if not is_sent:
             self._attempt_reports.report(
                 (
                     messages.AttemptReport(
--- a/dandeliondrum/controller/_submissions.py
+++ b/dandeliondrum/controller/_submissions.py
@@ -15,6 +15,7 @@
 from dandeliondrum.controller import _state
 from dandeliondrum.controller import _task_outcomes
 from dandeliondrum import messages
+from dandeliondrum import observability
 from dandeliondrum import rules as rules_lib
 from dandeliondrum import utils
 
@@ -50,7 +51,10 @@
         with context.lock:
             for position, declared in enumerate(call.tasks):
                 spec = context.observations.sized(self._classed(declared))
-                verdict = self._judge(session, spec, call.key)
+                with observability.span(
+                    'judge task', spec.trace_parent, {'task': spec.task_id}
+                ):
+                    verdict = self._judge(session, spec, call.key)
                 match verdict:
                     case messages.TaskStatus():
                         futures.append(self._confirmed(verdict))
