--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -14,7 +14,7 @@
 from dandeliondrum import observability
 from dandeliondrum import placement
 
-PLACEMENTS_PER_ROUND = 64
+PLACEMENTS_PER_ROUND = 512
 ROUND_PAUSE_MS = 2
 FAILURE_PAUSE_MS = 200
 IDLE_WAIT_MS = 100
