Open spans only where a trace is sampled

Cause: after the leader had its two spans, waiting answers fell. Ruled out: the size of a planning round.

--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -192,7 +192,7 @@
             'attempt': attempt.attempt_id,
             'worker': attempt.worker_id,
         }
-        with observability.span(
+        with observability.sampled_span(
             'assign attempt', start.spec.trace_parent, attributes
         ):
             is_sent = session is not None and session.connection.push(start)
--- a/dandeliondrum/controller/_submissions.py
+++ b/dandeliondrum/controller/_submissions.py
@@ -51,7 +51,7 @@
         with context.lock:
             for position, declared in enumerate(call.tasks):
                 spec = context.observations.sized(self._classed(declared))
-                with observability.span(
+                with observability.sampled_span(
                     'judge task', spec.trace_parent, {'task': spec.task_id}
                 ):
                     verdict = self._judge(session, spec, call.key)
--- a/dandeliondrum/observability/__init__.py
+++ b/dandeliondrum/observability/__init__.py
@@ -17,6 +17,7 @@
 from dandeliondrum.observability._traces import current_trace_parent
 from dandeliondrum.observability._traces import LogExporter
 from dandeliondrum.observability._traces import make_tracer_provider
+from dandeliondrum.observability._traces import sampled_span
 from dandeliondrum.observability._traces import span
 from dandeliondrum.observability._traces import TRACE_PARENT
 from dandeliondrum.observability._traces import TRACES_PER_THOUSAND
@@ -36,5 +37,6 @@
     'log_context',
     'make_tracer_provider',
     'process_registry',
+    'sampled_span',
     'span',
 ]
--- a/dandeliondrum/observability/_traces.py
+++ b/dandeliondrum/observability/_traces.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import contextlib
+import re
 
 from opentelemetry import context as trace_contexts
 from opentelemetry.sdk import resources
@@ -20,6 +21,8 @@
 TRACES_PER_THOUSAND = 10
 
 _logger = structlog.get_logger()
+# The lowest bit of the flags, which end the text, says "sampled".
+_SAMPLED = re.compile('00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f][13579bdf]')
 _propagator = tracecontext.TraceContextTextMapPropagator()
 
 Attributes = collections.abc.Mapping[str, str | int | float | bool]
@@ -66,7 +69,8 @@
     """Open a span for one hop.
 
     It is a child of ``trace_parent`` when that is given and valid, otherwise
-    of the span that is open in this thread.
+    of the span that is open in this thread. Where that one is not sampled no
+    span is made, since it would cost time and be written nowhere.
 
     Example::
 
@@ -74,6 +78,9 @@
             headers['traceparent'] = current_trace_parent()
             opened.set_attribute('worker', worker_id)
     """
+    if not trace_parent and _within_unsampled():
+        yield trace.get_current_span()
+        return
     tracer = trace.get_tracer('dandeliondrum', tracer_provider=provider)
     with tracer.start_as_current_span(
         name, context=_parent(trace_parent), attributes=attributes
@@ -81,6 +88,18 @@
         yield opened
 
 
+def sampled_span(
+    name: str, trace_parent: str, attributes: Attributes | None = None
+) -> contextlib.AbstractContextManager[trace.Span]:
+    """Open a span only if the trace that it belongs to is sampled.
+
+    For hops that pass the trace context on by other means than the span.
+    """
+    if _SAMPLED.fullmatch(trace_parent) is None:
+        return contextlib.nullcontext(trace.INVALID_SPAN)
+    return span(name, trace_parent, attributes)
+
+
 def current_trace_parent() -> str:
     """Return the ``traceparent`` of the open span; empty without one."""
     carrier: dict[str, str] = {}
@@ -88,6 +107,11 @@
     return carrier.get(TRACE_PARENT, '')
 
 
+def _within_unsampled() -> bool:
+    context = trace.get_current_span().get_span_context()
+    return context.is_valid and not context.trace_flags.sampled
+
+
 def _parent(trace_parent: str) -> trace_contexts.Context | None:
     if not trace_parent:
         return None
