--- a/tests/test_lost_processes.py
+++ b/tests/test_lost_processes.py
@@ -65,29 +65,16 @@
 
 
 @pytest.mark.parametrize('how', ['kill', 'freeze'])
-def test_a_gateway_is_lost(cell, keys, recorder, how):
+@pytest.mark.parametrize('name', ['g1', 'w1'])
+def test_a_gateway_or_worker_is_lost(cell, keys, recorder, name, how):
     with testing.Callers(cell, work_of(keys), recorder) as callers:
         testing.wait_until(lambda: callers.answered_count() > 50)
-        getattr(cell.processes, how)('g1')
+        getattr(cell.processes, how)(name)
         time.sleep(FREEZE_S)
         if how == 'kill':
-            cell.processes.restart('g1')
-        else:
-            cell.processes.thaw('g1')
-        time.sleep(SETTLE_S)
-    assert_clean(cell, recorder)
-
-
-@pytest.mark.parametrize('how', ['kill', 'freeze'])
-def test_a_worker_is_lost(cell, keys, recorder, how):
-    with testing.Callers(cell, work_of(keys), recorder) as callers:
-        testing.wait_until(lambda: callers.answered_count() > 50)
-        getattr(cell.processes, how)('w1')
-        time.sleep(FREEZE_S)
-        if how == 'kill':
-            cell.processes.restart('w1')
+            cell.processes.restart(name)
         else:
-            cell.processes.thaw('w1')
+            cell.processes.thaw(name)
         time.sleep(SETTLE_S)
     assert_clean(cell, recorder)
 
