--- a/dandeliondrum/gateway/_callers.py
+++ b/dandeliondrum/gateway/_callers.py
@@ -65,7 +65,7 @@
     def run_task(self, call: _http.Call) -> werkzeug.Response:
         """Run one task and answer with its whole answer."""
         arrived_ms = utils.monotonic_ms()
-        match _task_headers.identity(call, self._services.link.rules):
+        match _task_headers.identity(call, self._services.rules):
             case result.Failure(problem):
                 vouched = _task_headers.is_vouched(call)
                 return _outcomes.refused('', problem, vouched)
--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -22,6 +22,7 @@
 from dandeliondrum.gateway import _options
 from dandeliondrum.gateway import _readiness
 from dandeliondrum.gateway import _reporter
+from dandeliondrum.gateway import _rules
 from dandeliondrum.gateway import _server
 from dandeliondrum.gateway import _services
 from dandeliondrum.gateway import _submitter
@@ -76,11 +77,13 @@
             f'gateway-{options.gateway_id}', SUPERVISED_TASKS_COUNT, on_fatal
         )
         self._waiters = _waiters.Waiters()
+        self._rules = _rules.RulesInForce()
         self._link = _leader_link.LeaderLink(
             options,
             _leader_link.LinkEvents(
                 self._on_up, self._on_start, self._waiters.tell_all
             ),
+            self._rules,
         )
         self._client = _worker_client.WorkerClient(
             options.connections_per_worker
@@ -174,6 +177,7 @@
         return _services.Services(
             options=self._options,
             link=self._link,
+            rules=self._rules,
             waiters=self._waiters,
             submitter=_submitter.Submitter(
                 self._link, self._waiters, self._timers
--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -15,8 +15,6 @@
 from returns import result
 import structlog
 
-from dandeliondrum.gateway import _options
-from dandeliondrum.gateway import _rules
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum import utils
@@ -30,13 +28,52 @@
 _logger = structlog.get_logger()
 
 
+class LinkOptions(typing.Protocol):
+    """Who opens the stream, and the controllers known at the start."""
+
+    @property
+    def gateway_id(self) -> messages.GatewayId:
+        """Return the name under which this process registers."""
+
+    @property
+    def cell_id(self) -> messages.CellId:
+        """Return the cell of the controllers."""
+
+    @property
+    def region(self) -> messages.Region:
+        """Return where this process is."""
+
+    @property
+    def failure_domain(self) -> messages.FailureDomain:
+        """Return where this process is, more closely."""
+
+    @property
+    def controllers(
+        self,
+    ) -> collections.abc.Iterable[tuple[messages.ControllerId, str]]:
+        """Return ids and addresses of controllers."""
+
+
+class Rules(typing.Protocol):
+    """What holds the rules that the leader sends."""
+
+    version: messages.RulesVersion
+
+    def take(self, version: messages.RulesVersion, text: str) -> None:
+        """Put rules in force unless they are older than those that are."""
+
+
 @dataclasses.dataclass(frozen=True)
 class LinkEvents:
-    """Whom the link tells; the functions are short and never wait."""
+    """What the link calls; the functions are short and never wait.
+
+    ``on_call`` answers calls of the leader; its reply may be a future.
+    """
 
     on_up: collections.abc.Callable[[], object]
     on_start: collections.abc.Callable[[messages.StartAttempt], object]
     on_status: collections.abc.Callable[[messages.TaskStatus], object]
+    on_call: transport.Handler | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,15 +85,18 @@
 class LeaderLink:
     """Keeps one registered stream to whoever leads."""
 
-    def __init__(self, options: _options.Options, events: LinkEvents) -> None:
-        self.rules = _rules.RulesInForce()
+    def __init__(
+        self,
+        options: LinkOptions,
+        events: LinkEvents,
+        rules: Rules,
+    ) -> None:
+        self.rules = rules
         self.term = messages.Term(0)
         self._options = options
         self._events = events
-        self._configured = tuple(
-            _Candidate(controller_id, address)
-            for controller_id, address in options.controllers
-        )
+        self._configured: tuple[_Candidate, ...] = ()
+        self.know(options.controllers)
         self._lock = threading.Lock()
         self._current: transport.Connection | None = None
         self._opening: transport.Connection | None = None
@@ -64,6 +104,18 @@
         self._answered_ms: int | None = None
         self._closed = False
 
+    def know(
+        self,
+        controllers: collections.abc.Iterable[
+            tuple[messages.ControllerId, str]
+        ],
+    ) -> None:
+        """Look for the leader among these controllers from now on."""
+        self._configured = tuple(
+            _Candidate(controller_id, address)
+            for controller_id, address in controllers
+        )
+
     def run(self, stopping: threading.Event) -> None:
         """Find the leader again and again until told to stop."""
         while not stopping.is_set() and not self._closed:
@@ -171,7 +223,9 @@
             messages.PeerKind.GATEWAY,
             self._options.gateway_id,
         )
-        callbacks = transport.Callbacks(on_push=self._on_push)
+        callbacks = transport.Callbacks(
+            on_call=self._events.on_call, on_push=self._on_push
+        )
         try:
             stream = transport.connect(
                 candidate.address, hello, callbacks, CONNECT_TIMEOUT_MS
--- a/dandeliondrum/gateway/_services.py
+++ b/dandeliondrum/gateway/_services.py
@@ -8,6 +8,7 @@
 from dandeliondrum.gateway import _options
 from dandeliondrum.gateway import _readiness
 from dandeliondrum.gateway import _reporter
+from dandeliondrum.gateway import _rules
 from dandeliondrum.gateway import _submitter
 from dandeliondrum.gateway import _waiters
 
@@ -18,6 +19,7 @@
 
     options: _options.Options
     link: _leader_link.LeaderLink
+    rules: _rules.RulesInForce
     waiters: _waiters.Waiters
     submitter: _submitter.Submitter
     reporter: _reporter.Reporter
--- a/dandeliondrum/gateway/_tasks.py
+++ b/dandeliondrum/gateway/_tasks.py
@@ -78,7 +78,7 @@
     def release(self, call: _http.Call, request_id: str) -> werkzeug.Response:
         """Let the answer be dropped, as the caller has it."""
         released = _task_headers.identity(
-            call, self._services.link.rules, request_id
+            call, self._services.rules, request_id
         ).bind(
             lambda who: _leader_calls.ask(
                 self._services.link,
@@ -146,7 +146,7 @@
         self, call: _http.Call, request_id: str
     ) -> result.Result[messages.TaskStatus, _http.Problem]:
         return (
-            _task_headers.identity(call, self._services.link.rules, request_id)
+            _task_headers.identity(call, self._services.rules, request_id)
             .bind(
                 lambda who: _leader_calls.ask(
                     self._services.link,
--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -21,6 +21,7 @@
 POOL_WAIT_MS = 5_000
 BUFFERED_MAX_BYTES = _options.MIB_BYTES
 CURL_BUFFER_BYTES = 256 * 1024
+CONTENT_TYPE = 'Content-Type'
 
 
 def never() -> bool:
@@ -34,7 +35,8 @@
 
     A call on which nothing moves for ``silence_ms`` is given up. So is one
     that has no answer yet once ``given_up`` tells that its caller has better
-    news; it is asked about once a second.
+    news; it is asked about once a second. The whole call ends after
+    ``timeout_ms``, unless that is 0.
     """
 
     method: str
@@ -44,6 +46,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
     given_up: collections.abc.Callable[[], bool] = never
+    timeout_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -223,6 +226,7 @@
             (pycurl.MAXCONNECTS, 1),
             (pycurl.BUFFERSIZE, CURL_BUFFER_BYTES),
             (pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS),
+            (pycurl.TIMEOUT_MS, request.timeout_ms),
             (pycurl.TCP_KEEPALIVE, 1),
             (pycurl.HTTPHEADER, self._header_lines()),
             (pycurl.HEADERFUNCTION, self._on_header),
@@ -243,12 +247,10 @@
             f'{name}: {value}'.encode()
             for name, value in self._request.headers
         ]
+        if not any(name == CONTENT_TYPE for name, _ in self._request.headers):
+            lines.append(b'Content-Type: application/octet-stream')
         # Without the handshake of Expect a start costs one trip only.
-        return [
-            *lines,
-            b'Expect:',
-            b'Content-Type: application/octet-stream',
-        ]
+        return [*lines, b'Expect:']
 
     def _on_sending(self, *_addresses: object) -> int:
         """Count sendings; the library may not repeat one by itself."""
--- /dev/null
+++ b/dandeliondrum/jobs/__init__.py
@@ -0,0 +1,92 @@
+"""Jobs of steps: their state, their planning, and who speaks to workers.
+
+A job has steps, a step has tasks. Jobs, runs and their ends are agreed on in
+the replicated log. The leader plans, asks an adviser where a queue wants
+that, and speaks to the workers through a :class:`WorkerPort`.
+"""
+
+from dandeliondrum.jobs._calls import AdviceReply
+from dandeliondrum.jobs._calls import Grant
+from dandeliondrum.jobs._commands import RunEnd
+from dandeliondrum.jobs._commands import RunOutcome
+from dandeliondrum.jobs._commands import WorkerFacts
+from dandeliondrum.jobs._commands import WorkerPhase
+from dandeliondrum.jobs._controller import ControllerOptions
+from dandeliondrum.jobs._controller import JobController
+from dandeliondrum.jobs._controller import Ports
+from dandeliondrum.jobs._gateway import GatewayOptions
+from dandeliondrum.jobs._gateway import JobGateway
+from dandeliondrum.jobs._leader_calls import LinkOptions
+from dandeliondrum.jobs._leader_calls import Unavailable
+from dandeliondrum.jobs._membership import MembershipOptions
+from dandeliondrum.jobs._policy import AdvicePolicy
+from dandeliondrum.jobs._policy import Policy
+from dandeliondrum.jobs._policy import QueuePolicy
+from dandeliondrum.jobs._policy import TeamPolicy
+from dandeliondrum.jobs._port import Accepted
+from dandeliondrum.jobs._port import AdviserPort
+from dandeliondrum.jobs._port import EndListing
+from dandeliondrum.jobs._port import Gone
+from dandeliondrum.jobs._port import LeaseRequest
+from dandeliondrum.jobs._port import Lists
+from dandeliondrum.jobs._port import ListsOutcome
+from dandeliondrum.jobs._port import OrderOutcome
+from dandeliondrum.jobs._port import Refusal
+from dandeliondrum.jobs._port import Refused
+from dandeliondrum.jobs._port import RunListing
+from dandeliondrum.jobs._port import StartOrder
+from dandeliondrum.jobs._port import StopOrder
+from dandeliondrum.jobs._port import Unanswered
+from dandeliondrum.jobs._port import WorkerPort
+from dandeliondrum.jobs._records import JobPhase
+from dandeliondrum.jobs._specs import JobId
+from dandeliondrum.jobs._specs import JobSpec
+from dandeliondrum.jobs._specs import parse_task_key
+from dandeliondrum.jobs._specs import problem
+from dandeliondrum.jobs._specs import StepSpec
+from dandeliondrum.jobs._specs import TaskKey
+from dandeliondrum.jobs._term import LeaderOptions
+
+__all__ = [
+    'Accepted',
+    'AdvicePolicy',
+    'AdviceReply',
+    'AdviserPort',
+    'ControllerOptions',
+    'EndListing',
+    'GatewayOptions',
+    'Gone',
+    'Grant',
+    'JobController',
+    'JobGateway',
+    'JobId',
+    'JobPhase',
+    'JobSpec',
+    'LeaderOptions',
+    'LeaseRequest',
+    'LinkOptions',
+    'Lists',
+    'ListsOutcome',
+    'MembershipOptions',
+    'OrderOutcome',
+    'Policy',
+    'Ports',
+    'QueuePolicy',
+    'Refusal',
+    'Refused',
+    'RunEnd',
+    'RunListing',
+    'RunOutcome',
+    'StartOrder',
+    'StepSpec',
+    'StopOrder',
+    'TaskKey',
+    'TeamPolicy',
+    'Unanswered',
+    'Unavailable',
+    'WorkerFacts',
+    'WorkerPhase',
+    'WorkerPort',
+    'parse_task_key',
+    'problem',
+]
--- /dev/null
+++ b/dandeliondrum/jobs/_advice_calls.py
@@ -0,0 +1,120 @@
+"""Sends the calls about advice to the processes that make them."""
+
+import functools
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum.jobs import _advice
+from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import _policy
+from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _term
+from dandeliondrum import messages
+from dandeliondrum import transport
+
+_logger = structlog.get_logger()
+
+
+class AdviceCalls:
+    """Decides in each round which steps to ask about, and has them asked."""
+
+    def __init__(self, term: _term.Term) -> None:
+        self._term = term
+
+    def make(
+        self,
+        demands: list[tuple[_planner.Demand, _policy.QueuePolicy]],
+        rooms: list[_planner.WorkerRoom],
+    ) -> None:
+        """Ask about what is placed first, while a process is free to ask."""
+        advised = [
+            (demand, queue.advice)
+            for demand, queue in demands
+            if queue.advice is not None
+        ]
+        advised.sort(key=lambda pair: _planner.order_of(pair[0]))
+        names = set()
+        for demand, policy in advised:
+            name = _specs.step_name(demand.job_id, demand.step)
+            names.add(name)
+            self._ask(name, demand, policy, rooms)
+        self._term.advice.keep_only(names)
+
+    def _ask(
+        self,
+        name: str,
+        demand: _planner.Demand,
+        policy: _policy.AdvicePolicy,
+        rooms: list[_planner.WorkerRoom],
+    ) -> None:
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        named = term.advice.to_ask(name, _candidates(demand, rooms), now_ms)
+        if not named:
+            return
+        asker_id = term.askers.choose(policy, len(named), now_ms)
+        if asker_id is None:
+            return
+        term.advice.asked(name)
+        request = _calls.AdviceRequest(name, named)
+        self._send(asker_id, request).add_done_callback(
+            functools.partial(self._answered, asker_id, request)
+        )
+
+    def _send(
+        self, asker_id: str, request: _calls.AdviceRequest
+    ) -> typing.Any:
+        for connection, gateway_id in self._term.sessions.items():
+            if gateway_id == asker_id:
+                return connection.call_async(request)
+        return self._term.asker.ask(request)
+
+    def _answered(
+        self, asker_id: str, request: _calls.AdviceRequest, done: typing.Any
+    ) -> None:
+        reply = _calls.AdviceReply((), 0, 'the call was given up')
+        if not done.cancelled() and done.exception() is None:
+            match done.result():
+                case _calls.AdviceReply() as own:
+                    reply = own
+                case result.Success(_calls.AdviceReply() as other):
+                    reply = other
+                case result.Failure(transport.CallError() as error):
+                    reply = _calls.AdviceReply((), 0, str(error.failure))
+        term = self._term
+        with term.lock:
+            now_ms = _clock.elapsed_ms()
+            term.askers.finished(asker_id, now_ms)
+            term.advice.answered(
+                request.step, request.worker_ids, reply, now_ms
+            )
+        _logger.debug(
+            'advice',
+            step=request.step,
+            asked_count=len(request.worker_ids),
+            granted_count=len(reply.grants),
+            asker=asker_id,
+            problem=reply.problem,
+        )
+        term.work.set()
+
+
+def _candidates(
+    demand: _planner.Demand, rooms: list[_planner.WorkerRoom]
+) -> list[_advice.Candidate]:
+    label = demand.spec.required_label
+    charge = demand.spec.charged()
+    fitting: list[tuple[int, messages.WorkerId, bool]] = []
+    for room in rooms:
+        if room.pool != demand.pool or label and label not in room.labels:
+            continue
+        has_room = charge.fits_in(room.free)
+        fitting.append((-room.free.cpu_millicores, room.worker_id, has_room))
+    return [
+        _advice.Candidate(worker_id, has_room)
+        for _, worker_id, has_room in sorted(fitting)
+    ]
--- /dev/null
+++ b/dandeliondrum/jobs/_controller.py
@@ -0,0 +1,246 @@
+"""A controller for jobs: a voter of the log, and at times its leader."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import pathlib
+import threading
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum import consensus
+from dandeliondrum.jobs import _asker
+from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _leader_calls
+from dandeliondrum.jobs import _leadership
+from dandeliondrum.jobs import _membership
+from dandeliondrum.jobs import _policy
+from dandeliondrum.jobs import _port
+from dandeliondrum.jobs import _state
+from dandeliondrum.jobs import _term
+from dandeliondrum import messages
+from dandeliondrum import transport
+from dandeliondrum import utils
+
+TRANSFER_TIMEOUT_MS = 1_500
+TASKS_COUNT = 2
+STREAMS_MAX = 512
+
+_logger = structlog.get_logger()
+
+OnFatal = collections.abc.Callable[[utils.InvariantError], object]
+
+
+@dataclasses.dataclass(frozen=True)
+class ControllerOptions:
+    """How a controller takes part in its cell.
+
+    ``listen_address`` is where streams arrive, as other processes reach it.
+    """
+
+    link: _leader_calls.LinkOptions
+    leader: _term.LeaderOptions
+    membership: _membership.MembershipOptions
+    listen_address: str
+    data_folder: pathlib.Path
+    election_min_ms: int = 600
+    election_max_ms: int = 1_200
+
+
+@dataclasses.dataclass(frozen=True)
+class Ports:
+    """The ways to workers and to the adviser."""
+
+    workers: _port.WorkerPort
+    adviser: _port.AdviserPort
+
+
+class JobController:
+    """Holds the replicated state and, while it leads, decides.
+
+    Calls of workers and operators may arrive at any controller; one that
+    does not lead passes them on.
+    """
+
+    def __init__(
+        self,
+        options: ControllerOptions,
+        ports: Ports,
+        decode_policy: collections.abc.Callable[[bytes], _policy.Policy],
+        on_fatal: OnFatal | None = None,
+    ) -> None:
+        self._options = options
+        self._ports = ports
+        self._timers = utils.TimerService()
+        self._resources = contextlib.ExitStack()
+        self._lock = threading.Lock()
+        self._leadership: _leadership.Leadership | None = None
+        self._asker = _asker.Asker(ports.adviser)
+        self.state = _state.JobsState(decode_policy)
+        self.calls = _leader_calls.LeaderCalls(
+            options.link,
+            _leader_calls.PolicyInForce(decode_policy),
+            self._asker,
+        )
+        self.node = consensus.Node(
+            consensus.Options(
+                controller_id=options.leader.controller_id,
+                cell_id=options.link.cell_id,
+                data_folder=options.data_folder,
+                election_min_ms=options.election_min_ms,
+                election_max_ms=options.election_max_ms,
+            ),
+            self.state,
+            self,
+            on_fatal,
+        )
+        self._membership = _membership.Membership(
+            options.membership, self.node, self.calls
+        )
+
+    def start(self) -> result.Result[None, consensus.StartError]:
+        """Read the disk, listen, and take part in the cell."""
+        self._timers.start()
+        self._resources.callback(self._timers.close)
+        self._resources.callback(self._ports.workers.close)
+        self._resources.callback(self._asker.close)
+        server = transport.Server(
+            transport.ServerOptions(
+                self._options.listen_address,
+                self._options.link.cell_id,
+                STREAMS_MAX,
+            ),
+            transport.Callbacks(
+                on_call=self._take, on_close=self._disconnected
+            ),
+        )
+        started = self.node.start()
+        if isinstance(started, result.Failure):
+            server.close()
+            self._resources.close()
+            return started
+        self._resources.callback(self.on_following)
+        self._resources.callback(self.node.close)
+        server.start()
+        self._resources.callback(server.close)
+        supervisor = utils.Supervisor('job controller', TASKS_COUNT)
+        self._resources.callback(supervisor.close)
+        self._resources.callback(self.calls.link.close)
+        supervisor.run('leader link', self.calls.link.run)
+        supervisor.run('membership', self._membership.run)
+        return result.Success(None)
+
+    def close(self) -> None:
+        """Hand over the lead if there is somebody to take it, then stop."""
+        status = self.node.status()
+        if status.leader_id == self._options.leader.controller_id:
+            transfer = self.node.transfer()
+            with contextlib.suppress(TimeoutError):
+                transfer.result(TRANSFER_TIMEOUT_MS / 1000)
+        self._resources.close()
+
+    def on_leading(self, term: messages.Term) -> None:
+        """Begin to lead; called by the log once this node leads."""
+        leadership = _leadership.Leadership(
+            self._options.leader,
+            term,
+            self.state,
+            self.node,
+            self._ports.workers,
+            self._asker,
+            self._timers,
+        )
+        leadership.open()
+        with self._lock:
+            self._leadership = leadership
+        _logger.info('leading', term=term)
+
+    def on_following(self) -> None:
+        """Stop leading; called by the log when the lead is lost."""
+        with self._lock:
+            leadership = self._leadership
+            self._leadership = None
+        if leadership is not None:
+            leadership.close()
+            _logger.info('following')
+
+    def report_worker(
+        self,
+        facts: _commands.WorkerFacts,
+        sequence: int,
+        timeout_ms: int,
+    ) -> result.Result[_calls.WorkerNoted, _leader_calls.Unavailable]:
+        """Pass a worker's heartbeat on to the leader."""
+        return self._call(_calls.WorkerReport(facts, sequence), timeout_ms)
+
+    def worker_left(
+        self, worker_id: messages.WorkerId, timeout_ms: int
+    ) -> result.Result[_calls.WorkerNoted, _leader_calls.Unavailable]:
+        """Pass on that a worker ends."""
+        return self._call(_calls.WorkerLeft(worker_id), timeout_ms)
+
+    def change_document(
+        self, version: int, document: bytes, timeout_ms: int
+    ) -> result.Result[_calls.DocumentInForce, _leader_calls.Unavailable]:
+        """Put a checked document in force unless a newer one is."""
+        return self._call(_calls.DocumentChange(version, document), timeout_ms)
+
+    def read_document(
+        self, timeout_ms: int
+    ) -> result.Result[_calls.DocumentInForce, _leader_calls.Unavailable]:
+        """Return the newest document, confirmed by a quorum."""
+        return self._call(_calls.DocumentQuery(), timeout_ms)
+
+    def _call(
+        self, message: typing.Any, timeout_ms: int
+    ) -> result.Result[typing.Any, _leader_calls.Unavailable]:
+        with self._lock:
+            leadership = self._leadership
+        if leadership is None:
+            return self.calls.call(message, timeout_ms)
+        reply = leadership.take(None, message)
+        try:
+            if hasattr(reply, 'result'):
+                reply = reply.result(timeout_ms / 1000)
+        except TimeoutError:
+            return result.Failure(
+                _leader_calls.Unavailable('not agreed in time', False)
+            )
+        match reply:
+            case messages.NotLeader():
+                return result.Failure(
+                    _leader_calls.Unavailable('leads no more', True)
+                )
+            case messages.CallFailed(reason, not_done):
+                return result.Failure(
+                    _leader_calls.Unavailable(reason, not_done)
+                )
+        return result.Success(reply)
+
+    def _take(
+        self, connection: transport.Connection, message: typing.Any
+    ) -> typing.Any:
+        if self.node.handles(message):
+            return self.node.handle(connection, message)
+        with self._lock:
+            leadership = self._leadership
+        if leadership is None:
+            return self._not_leader()
+        return leadership.take(connection, message)
+
+    def _not_leader(self) -> messages.NotLeader:
+        status = self.node.status()
+        leader_id = status.leader_id
+        if leader_id is None or leader_id == status.controller_id:
+            return messages.NotLeader()
+        addresses = {one.controller_id: one.address for one in status.members}
+        return messages.NotLeader(leader_id, addresses.get(leader_id, ''))
+
+    def _disconnected(self, connection: transport.Connection) -> None:
+        with self._lock:
+            leadership = self._leadership
+        if leadership is not None:
+            leadership.disconnected(connection)
--- /dev/null
+++ b/dandeliondrum/jobs/_demands.py
@@ -0,0 +1,133 @@
+"""What waits, as demands for the planner, and what room there is."""
+
+import collections
+import collections.abc
+
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import _policy
+from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _state
+from dandeliondrum import messages
+
+# Stands for an amount that a team's limit leaves open.
+UNLIMITED = 1 << 50
+
+
+def waiting_indexes(job: _records.JobRecord, step: int) -> tuple[int, ...]:
+    """Return the tasks of a step that may be started now.
+
+    The members of a gang wait until the last one of an earlier run is gone.
+    """
+    record, spec = job.steps[step], job.spec.steps[step]
+    if record.finished or (spec.gang and not record.idle()):
+        return ()
+    return tuple(
+        index
+        for index, task in enumerate(record.tasks)
+        if task.phase is _records.TaskPhase.WAITING
+    )
+
+
+def open_demands(
+    state: _state.JobsState,
+) -> collections.abc.Iterator[tuple[_planner.Demand, _policy.QueuePolicy]]:
+    """Return a demand for each step that is due; the caller locks."""
+    for job in state.open_jobs.values():
+        queue = state.queue_of(job)
+        if queue is None:
+            continue
+        for step, spec in enumerate(job.spec.steps):
+            indexes = waiting_indexes(job, step)
+            if not indexes or not job.step_is_due(step):
+                continue
+            yield (
+                _planner.Demand(
+                    job.spec.job_id,
+                    _specs.StepIndex(step),
+                    spec,
+                    job.spec.team_id,
+                    queue.pool,
+                    queue.priority,
+                    job.spec.submitted_ms,
+                    indexes,
+                    per_worker_counts=_counts(job, step),
+                ),
+                queue,
+            )
+
+
+def room_of(
+    worker: _records.WorkerRecord, suspicion: int
+) -> _planner.WorkerRoom:
+    """Return what is free on a worker."""
+    facts = worker.facts
+    return _planner.WorkerRoom(
+        facts.worker_id,
+        facts.pool,
+        facts.rack,
+        frozenset(facts.labels),
+        facts.capacity - worker.used,
+        suspicion,
+    )
+
+
+def team_room(
+    state: _state.JobsState,
+) -> dict[messages.TeamId, messages.Resources]:
+    """Return what each limited team may still start."""
+    rooms = {}
+    for team in state.policy.teams:
+        limit = team.limit
+        if not any(
+            (
+                limit.cpu_millicores,
+                limit.memory_mb,
+                limit.accelerators_count,
+            )
+        ):
+            continue
+        whole = messages.Resources(
+            limit.cpu_millicores or UNLIMITED,
+            limit.memory_mb or UNLIMITED,
+            limit.accelerators_count or UNLIMITED,
+        )
+        rooms[team.team_id] = whole - state.team_usage(team.team_id)
+    return rooms
+
+
+def assignments(
+    state: _state.JobsState,
+    groups: collections.abc.Sequence[tuple[_planner.Placement, ...]],
+) -> tuple[tuple[_commands.RunAssignment, ...], ...]:
+    """Number the runs of planned groups; members share a number."""
+    numbered = []
+    for group in groups:
+        tasks = [
+            state.jobs[one.task.job_id].steps[one.task.step].tasks
+            for one in group
+        ]
+        run = 1 + max(
+            tasks_of_step[one.task.index].run
+            for one, tasks_of_step in zip(group, tasks, strict=True)
+        )
+        numbered.append(
+            tuple(
+                _commands.RunAssignment(one.task, run, one.worker_id)
+                for one in group
+            )
+        )
+    return tuple(numbered)
+
+
+def _counts(
+    job: _records.JobRecord, step: int
+) -> collections.abc.Mapping[messages.WorkerId, int]:
+    if not job.spec.steps[step].per_worker_max:
+        return {}
+    return collections.Counter(
+        task.worker_id
+        for task in job.steps[step].tasks
+        if task.worker_id is not None
+    )
--- /dev/null
+++ b/dandeliondrum/jobs/_endings.py
@@ -0,0 +1,100 @@
+"""What the end of a run means for its task, its gang and its job."""
+
+import typing
+
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _specs
+
+if typing.TYPE_CHECKING:
+    from dandeliondrum.jobs import _state
+
+FIRST_GANG_MEMBER = 0
+
+
+def end_runs(
+    state: '_state.JobsState', index: int, command: _commands.EndRuns
+) -> None:
+    """Record ends; those that say nothing new change nothing."""
+    for end in command.ends:
+        job = state.jobs.get(end.task.job_id)
+        task = job.task(end.task) if job is not None else None
+        if job is not None and task is not None:
+            _end_run(state, index, job, task, end)
+
+
+def _end_run(
+    state: '_state.JobsState',
+    index: int,
+    job: _records.JobRecord,
+    task: _records.TaskRecord,
+    end: _commands.RunEnd,
+) -> None:
+    done = end.outcome is _commands.RunOutcome.DONE
+    current = task.phase is _records.TaskPhase.ASSIGNED and task.run == end.run
+    if current:
+        _release(state, job, task, end.task)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+    elif not done or task.phase is _records.TaskPhase.DONE:
+        return
+    if done and not job.spec.steps[end.task.step].endless:
+        _complete(job, end.task)
+    elif job.steps[end.task.step].finished:
+        task.phase = _records.TaskPhase.DONE
+    elif end.outcome is _commands.RunOutcome.FAILED:
+        _count_failure(state, index, job, task, end)
+    if not job.phase.ended() and all(one.done() for one in job.steps):
+        state.finish(job, index, _records.JobPhase.DONE)
+
+
+def _release(
+    state: '_state.JobsState',
+    job: _records.JobRecord,
+    task: _records.TaskRecord,
+    key: _specs.TaskKey,
+) -> None:
+    task.phase = _records.TaskPhase.WAITING
+    if task.worker_id is not None:
+        state.vacate(job, key, task.worker_id)
+        task.worker_id = None
+
+
+def _complete(job: _records.JobRecord, key: _specs.TaskKey) -> None:
+    """Mark a task as done; one end of a gang stands for all members.
+
+    Members keep their places until their own ends are listed.
+    """
+    step = job.steps[key.step]
+    members = [step.tasks[key.index]]
+    if job.spec.steps[key.step].gang:
+        step.finished = True
+        members = step.tasks
+    for member in members:
+        if member.phase is _records.TaskPhase.WAITING:
+            member.phase = _records.TaskPhase.DONE
+
+
+def _count_failure(
+    state: '_state.JobsState',
+    index: int,
+    job: _records.JobRecord,
+    task: _records.TaskRecord,
+    end: _commands.RunEnd,
+) -> None:
+    spec = job.spec.steps[end.task.step]
+    if spec.endless:
+        return
+    counted = task
+    if spec.gang:
+        step = job.steps[end.task.step]
+        if step.failed_run == end.run:
+            return
+        step.failed_run = end.run
+        counted = step.tasks[FIRST_GANG_MEMBER]
+    counted.failures_count += 1
+    queue = state.queue_of(job)
+    if queue is None or job.phase.ended():
+        return
+    if counted.failures_count >= queue.attempts_max:
+        state.finish(job, index, _records.JobPhase.FAILED)
--- /dev/null
+++ b/dandeliondrum/jobs/_leadership.py
@@ -0,0 +1,309 @@
+"""One term of the leader: its parts, and the calls to them."""
+
+import concurrent.futures
+import contextlib
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum import consensus
+from dandeliondrum.jobs import _asker
+from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _port
+from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _scheduler
+from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _state
+from dandeliondrum.jobs import _term
+from dandeliondrum.jobs import _voters
+from dandeliondrum.jobs import _workers
+from dandeliondrum import messages
+from dandeliondrum import transport
+from dandeliondrum import utils
+
+FORGET_EVERY_MS = 5_000
+
+_logger = structlog.get_logger()
+
+_Reply = concurrent.futures.Future[typing.Any]
+
+
+class Leadership:
+    """What a controller does while it leads.
+
+    All of it is rebuilt from the replicated state and from what workers
+    list; it is thrown away when the lead is lost.
+    """
+
+    def __init__(
+        self,
+        options: _term.LeaderOptions,
+        number: messages.Term,
+        state: _state.JobsState,
+        node: consensus.Node,
+        port: _port.WorkerPort,
+        asker: _asker.Asker,
+        timers: utils.TimerService,
+    ) -> None:
+        self._term = _term.Term(options, number, state, node, port, asker)
+        self._timers = timers
+        self._resources = contextlib.ExitStack()
+        self._supervisor = utils.Supervisor(
+            'leadership', _workers.PEER_THREADS_MAX
+        )
+        self._workers = _workers.Workers(self._term, self._supervisor)
+        self._scheduler = _scheduler.Scheduler(self._term)
+        self._voters = _voters.Voters(node, options.voters_count)
+        self._ended_ms: dict[_specs.JobId, int] = {}
+
+    def open(self) -> None:
+        """Serve the workers on record, then start to plan."""
+        term = self._term
+        self._resources.callback(self._supervisor.close)
+        self._resources.callback(self._workers.close)
+        self._resources.callback(term.work.set)
+        term.askers.join(term.options.controller_id)
+        self._workers.restore()
+        self._supervisor.run('scheduler', self._scheduler.run)
+        for interval_ms, callback in (
+            (_workers.CHECK_EVERY_MS, self._workers.check),
+            (FORGET_EVERY_MS, self._forget_ended),
+        ):
+            timer = self._timers.every(interval_ms, callback)
+            self._resources.callback(timer.cancel)
+
+    def close(self) -> None:
+        """Stop deciding; registered processes find the next leader."""
+        for connection, _ in self._term.connections():
+            connection.close()
+        self._supervisor.stopping.set()
+        self._resources.close()
+
+    def take(
+        self, connection: transport.Connection | None, message: typing.Any
+    ) -> typing.Any:
+        """Answer a call; the reply may be a future."""
+        if isinstance(message, messages.RegisterGateway):
+            return self._register(connection, message)
+        if not self._term.node.leading():
+            return messages.NotLeader()
+        match message:
+            case messages.GatewayBeat():
+                return self._heartbeat(connection, message)
+            case _calls.JobSubmission():
+                return self._submit(message)
+            case _calls.JobQuery():
+                return self._query(message)
+            case _calls.JobCancellation():
+                return self._cancel(message)
+            case _calls.WaitingQuery():
+                return self._count_waiting(message)
+            case _calls.WorkerReport():
+                return self._workers.report(message)
+            case _calls.WorkerLeft():
+                return self._workers.left(message)
+            case _calls.DocumentChange():
+                return self._change_document(message)
+            case _calls.DocumentQuery():
+                return self._read_document()
+            case _calls.JoinRequest():
+                return self._voters.join(message)
+        return messages.CallFailed('unknown call', True)
+
+    def disconnected(self, connection: transport.Connection) -> None:
+        """Forget a stream that has ended."""
+        term = self._term
+        with term.lock:
+            gateway_id = term.sessions.pop(connection, None)
+            if gateway_id is None or gateway_id in term.sessions.values():
+                return
+            term.askers.leave(gateway_id)
+        _logger.info('process disconnected', peer=gateway_id)
+
+    def _heartbeat(
+        self,
+        connection: transport.Connection | None,
+        message: messages.GatewayBeat,
+    ) -> messages.GatewayBeatReply:
+        with self._term.state.lock:
+            version = messages.RulesVersion(self._term.state.policy.version)
+        if connection is not None and message.rules_version < version:
+            connection.push(self._document_push())
+        return messages.GatewayBeatReply(self._term.number, version)
+
+    def _register(
+        self,
+        connection: transport.Connection | None,
+        message: messages.RegisterGateway,
+    ) -> _Reply:
+        term = self._term
+
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure) or connection is None:
+                return messages.NotLeader()
+            with term.lock, term.state.lock:
+                term.sessions[connection] = message.gateway_id
+                term.askers.join(message.gateway_id)
+                version = term.state.policy.version
+                document = term.state.document
+            _logger.info('process registered', peer=message.gateway_id)
+            return messages.GatewayRegistered(
+                term.number,
+                term.options.controller_id,
+                messages.RulesVersion(version),
+                document.decode(),
+            )
+
+        return utils.then(term.node.confirm(), answer)
+
+    def _submit(self, message: _calls.JobSubmission) -> _Reply:
+        spec = message.spec
+
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return _failed(outcome.failure())
+            _logger.info(
+                'job accepted',
+                job=spec.job_id,
+                queue=spec.queue,
+                team=spec.team_id,
+                tasks_count=sum(step.tasks_count for step in spec.steps),
+            )
+            self._term.work.set()
+            return _calls.JobStatus(outcome.unwrap())
+
+        return utils.then(
+            self._term.propose(_commands.SubmitJob(spec)), answer
+        )
+
+    def _query(self, message: _calls.JobQuery) -> _Reply:
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.NotLeader()
+            return _calls.JobStatus(
+                self._phase(message.job_id, message.team_id)
+            )
+
+        phase = self._phase(message.job_id, message.team_id)
+        if phase is not None and phase.ended():
+            # What has ended stays so; no quorum need confirm it.
+            return utils.resolved(_calls.JobStatus(phase))
+        return utils.then(self._term.node.confirm(), answer)
+
+    def _phase(
+        self, job_id: _specs.JobId, team_id: messages.TeamId
+    ) -> _records.JobPhase | None:
+        with self._term.state.lock:
+            job = self._term.state.jobs.get(job_id)
+            if job is None or job.spec.team_id != team_id:
+                return None
+            return job.phase
+
+    def _cancel(self, message: _calls.JobCancellation) -> typing.Any:
+        if self._phase(message.job_id, message.team_id) is None:
+            # Confirmed, as a deposed leader may not know the job yet.
+            return self._query(
+                _calls.JobQuery(message.job_id, message.team_id)
+            )
+
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return _failed(outcome.failure())
+            _logger.info('job cancelled', job=message.job_id)
+            self._workers.stop_unwanted((message.job_id,))
+            return _calls.JobStatus(outcome.unwrap())
+
+        return utils.then(
+            self._term.propose(_commands.CancelJob(message.job_id)), answer
+        )
+
+    def _count_waiting(
+        self, message: _calls.WaitingQuery
+    ) -> _calls.WaitingCount:
+        state = self._term.state
+        with state.lock:
+            return _calls.WaitingCount(
+                sum(
+                    job.phase is _records.JobPhase.QUEUED
+                    and job.spec.queue == message.queue
+                    for job in state.open_jobs.values()
+                )
+            )
+
+    def _change_document(self, message: _calls.DocumentChange) -> _Reply:
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return _failed(outcome.failure())
+            self._push_document()
+            return _calls.DocumentInForce(outcome.unwrap())
+
+        command = _commands.PutPolicy(message.version, message.document)
+        return utils.then(self._term.propose(command), answer)
+
+    def _push_document(self) -> None:
+        push = self._document_push()
+        for connection, _ in self._term.connections():
+            connection.push(push)
+        _logger.info('policy in force', version=push.version)
+        self._term.work.set()
+
+    def _document_push(self) -> messages.RulesPush:
+        with self._term.state.lock:
+            return messages.RulesPush(
+                messages.RulesVersion(self._term.state.policy.version),
+                self._term.state.document.decode(),
+            )
+
+    def _read_document(self) -> _Reply:
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.NotLeader()
+            with self._term.state.lock:
+                return _calls.DocumentInForce(
+                    self._term.state.policy.version, self._term.state.document
+                )
+
+        return utils.then(self._term.node.confirm(), answer)
+
+    def _forget_ended(self) -> None:
+        """Drop jobs whose callers had time enough to ask for their state."""
+        now_ms = _clock.elapsed_ms()
+        kept_ms = self._term.options.ended_jobs_kept_ms
+        with self._term.state.lock:
+            ended = {
+                job_id
+                for job_id, job in self._term.state.jobs.items()
+                if job.phase.ended()
+            }
+        self._ended_ms = {
+            job_id: self._ended_ms.get(job_id, now_ms) for job_id in ended
+        }
+        due = tuple(
+            job_id
+            for job_id, since_ms in self._ended_ms.items()
+            if now_ms - since_ms > kept_ms
+        )
+        if due:
+            self._term.propose(_commands.ForgetJobs(due))
+
+
+def _failed(error: consensus.ProposeError) -> typing.Any:
+    """Return a reply that tells whether the command may still be applied."""
+    if error.not_done:
+        return messages.NotLeader()
+    return messages.CallFailed(str(error.failure.value), False)
--- /dev/null
+++ b/dandeliondrum/jobs/_membership.py
@@ -0,0 +1,96 @@
+"""Founds the cell from the first addresses, or asks to be taken in."""
+
+import dataclasses
+import threading
+
+from returns import result
+import structlog
+
+from dandeliondrum import consensus
+from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _leader_calls
+from dandeliondrum import messages
+
+LOOK_EVERY_MS = 250
+JOIN_EVERY_MS = 1_000
+JOIN_TIMEOUT_MS = 900
+
+_logger = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipOptions:
+    """Who founds the cell: the first of ``founders``, with all of them.
+
+    ``may_found`` is set only when the whole system starts for the first time.
+    """
+
+    controller_id: messages.ControllerId
+    address: str
+    founders: tuple[tuple[messages.ControllerId, str], ...]
+    may_found: bool
+
+
+class Membership:
+    """The task that sees that this controller is a member."""
+
+    def __init__(
+        self,
+        options: MembershipOptions,
+        node: consensus.Node,
+        calls: _leader_calls.LeaderCalls,
+    ) -> None:
+        self._options = options
+        self._node = node
+        self._calls = calls
+
+    def run(self, stopping: threading.Event) -> None:
+        """Found or join, then keep the list of controllers to ask."""
+        while not stopping.is_set():
+            status = self._node.status()
+            me = self._options.controller_id
+            if any(one.controller_id == me for one in status.members):
+                self._remember(status)
+                stopping.wait(JOIN_EVERY_MS / 1000)
+            elif self._founds(status):
+                self._found()
+                stopping.wait(LOOK_EVERY_MS / 1000)
+            else:
+                self._join()
+                stopping.wait(JOIN_EVERY_MS / 1000)
+
+    def _remember(self, status: consensus.NodeStatus) -> None:
+        """Ask the members and the first addresses for the leader."""
+        known = {one.controller_id: one.address for one in status.members}
+        known.update(self._options.founders)
+        self._calls.link.know(known.items())
+
+    def _founds(self, status: consensus.NodeStatus) -> bool:
+        options = self._options
+        return (
+            options.may_found
+            and not status.members
+            and status.last_index == 0
+            and bool(options.founders)
+            and options.founders[0][0] == options.controller_id
+        )
+
+    def _found(self) -> None:
+        match self._node.form(self._options.founders):
+            case result.Success():
+                _logger.info(
+                    'cell founded',
+                    controllers=[one[0] for one in self._options.founders],
+                )
+            case result.Failure(error):
+                _logger.info('cell not founded yet', why=str(error))
+
+    def _join(self) -> None:
+        request = _calls.JoinRequest(
+            self._options.controller_id, self._options.address
+        )
+        match self._calls.call(request, JOIN_TIMEOUT_MS):
+            case result.Success():
+                _logger.info('asked to be taken in')
+            case result.Failure(error):
+                _logger.info('not taken in yet', why=error.reason)
--- /dev/null
+++ b/dandeliondrum/jobs/_planner.py
@@ -0,0 +1,202 @@
+"""Chooses workers for the tasks that wait.
+
+Answers the load of a nearly full fleet: tasks of many sizes, some that must
+start together, some that only a few workers may run. Works on plain values,
+so that any load can be played to it in a test.
+"""
+
+import collections.abc
+import dataclasses
+
+from dandeliondrum.jobs import _specs
+from dandeliondrum import messages
+
+PLACEMENTS_MAX = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """The waiting tasks of one step that is due.
+
+    ``tickets`` maps the workers that may run the step to their tickets; None
+    where any worker may. ``avoided`` are workers on which a task of the step
+    failed before. ``per_worker_counts`` are tasks of the step per worker.
+    """
+
+    job_id: _specs.JobId
+    step: _specs.StepIndex
+    spec: _specs.StepSpec
+    team_id: messages.TeamId
+    pool: str
+    priority: int
+    submitted_ms: int
+    indexes: tuple[int, ...]
+    tickets: collections.abc.Mapping[messages.WorkerId, str] | None = None
+    avoided: frozenset[messages.WorkerId] = frozenset()
+    per_worker_counts: collections.abc.Mapping[messages.WorkerId, int] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerRoom:
+    """A worker that may be given tasks, and what is free on it.
+
+    ``suspicion`` orders workers that failed tasks lately behind others.
+    """
+
+    worker_id: messages.WorkerId
+    pool: str
+    rack: messages.Rack
+    labels: frozenset[str]
+    free: messages.Resources
+    suspicion: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """One task of a demand goes to a worker."""
+
+    task: _specs.TaskKey
+    worker_id: messages.WorkerId
+    ticket: str = ''
+
+
+def order_of(demand: Demand) -> tuple[int, int, str]:
+    """Return the place of a demand: urgent queues first, then by age."""
+    return (demand.priority, demand.submitted_ms, demand.job_id)
+
+
+def plan(
+    demands: collections.abc.Iterable[Demand],
+    workers: collections.abc.Iterable[WorkerRoom],
+    team_room: collections.abc.MutableMapping[
+        messages.TeamId, messages.Resources
+    ],
+) -> list[tuple[Placement, ...]]:
+    """Return groups of placements; a group starts whole or not at all.
+
+    ``team_room`` holds what each limited team may still start; teams that
+    are not in it have no limit. It and the workers' free room are reduced
+    by what is placed.
+    """
+    by_pool: dict[str, list[WorkerRoom]] = {}
+    for worker in workers:
+        by_pool.setdefault(worker.pool, []).append(worker)
+    groups: list[tuple[Placement, ...]] = []
+    placed_count = 0
+    for demand in sorted(demands, key=order_of):
+        if placed_count >= PLACEMENTS_MAX:
+            break
+        chosen = _Attempt(demand, by_pool.get(demand.pool, []), team_room)
+        for group in chosen.run():
+            groups.append(group)
+            placed_count += len(group)
+    return groups
+
+
+class _Attempt:
+    """One demand against the room that is left."""
+
+    def __init__(
+        self,
+        demand: Demand,
+        workers: list[WorkerRoom],
+        team_room: collections.abc.MutableMapping[
+            messages.TeamId, messages.Resources
+        ],
+    ) -> None:
+        self._demand = demand
+        self._team_room = team_room
+        self._charge = demand.spec.charged()
+        self._counts = dict(demand.per_worker_counts)
+        self._workers = [one for one in workers if self._may_run(one)]
+
+    def run(self) -> list[tuple[Placement, ...]]:
+        demand = self._demand
+        if not demand.spec.gang:
+            groups: list[tuple[Placement, ...]] = []
+            for index in demand.indexes:
+                worker = self._take()
+                if worker is None:
+                    break
+                groups.append((self._placement(index, worker),))
+            return groups
+        return self._run_gang()
+
+    def _run_gang(self) -> list[tuple[Placement, ...]]:
+        taken: list[WorkerRoom] = []
+        for _ in self._demand.indexes:
+            worker = self._take()
+            if worker is None:
+                for one in taken:
+                    self._give_back(one)
+                return []
+            taken.append(worker)
+        pairs = zip(self._demand.indexes, taken, strict=True)
+        return [tuple(self._placement(index, one) for index, one in pairs)]
+
+    def _may_run(self, worker: WorkerRoom) -> bool:
+        demand = self._demand
+        label = demand.spec.required_label
+        if label and label not in worker.labels:
+            return False
+        return demand.tickets is None or worker.worker_id in demand.tickets
+
+    def _take(self) -> WorkerRoom | None:
+        if not self._team_has_room():
+            return None
+        fitting = [one for one in self._workers if self._fits(one)]
+        if not fitting:
+            return None
+        worker = min(fitting, key=self._rank)
+        worker.free -= self._charge
+        self._count(worker, 1)
+        self._change_team_room(self._demand.spec.resources, taken=True)
+        return worker
+
+    def _give_back(self, worker: WorkerRoom) -> None:
+        worker.free += self._charge
+        self._count(worker, -1)
+        self._change_team_room(self._demand.spec.resources, taken=False)
+
+    def _count(self, worker: WorkerRoom, change: int) -> None:
+        counts = self._counts
+        counts[worker.worker_id] = counts.get(worker.worker_id, 0) + change
+
+    def _fits(self, worker: WorkerRoom) -> bool:
+        most = self._demand.spec.per_worker_max
+        if most and self._counts.get(worker.worker_id, 0) >= most:
+            return False
+        return self._charge.fits_in(worker.free)
+
+    def _rank(self, worker: WorkerRoom) -> tuple[bool, int, bool, int]:
+        """Prefer workers that are sound, near the data, and nearly full."""
+        spec = self._demand.spec
+        return (
+            worker.worker_id in self._demand.avoided,
+            worker.suspicion,
+            bool(spec.near_rack) and worker.rack != spec.near_rack,
+            worker.free.cpu_millicores,
+        )
+
+    def _team_has_room(self) -> bool:
+        room = self._team_room.get(self._demand.team_id)
+        return room is None or self._demand.spec.resources.fits_in(room)
+
+    def _change_team_room(
+        self, amount: messages.Resources, taken: bool
+    ) -> None:
+        room = self._team_room.get(self._demand.team_id)
+        if room is not None:
+            changed = room - amount if taken else room + amount
+            self._team_room[self._demand.team_id] = changed
+
+    def _placement(self, index: int, worker: WorkerRoom) -> Placement:
+        demand = self._demand
+        tickets = demand.tickets or {}
+        return Placement(
+            _specs.TaskKey(demand.job_id, demand.step, index),
+            worker.worker_id,
+            tickets.get(worker.worker_id, ''),
+        )
--- /dev/null
+++ b/dandeliondrum/jobs/_port.py
@@ -0,0 +1,153 @@
+"""What the leader asks of workers and of the adviser, and what comes back.
+
+An adapter implements :class:`WorkerPort` and :class:`AdviserPort` over
+whatever protocol the workers speak.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _specs
+from dandeliondrum import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunListing:
+    """A run that a worker has; ``percent`` is its progress."""
+
+    task: _specs.TaskKey
+    run: int
+    checkpoint: str
+    percent: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndListing:
+    """An end that a worker reports until it is acknowledged."""
+
+    number: int
+    end: _commands.RunEnd
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRequest:
+    """Renew the lease of all runs on a worker and read its lists.
+
+    ``lease_until_ms`` is a time on the worker's clock, None to read only. The
+    reply comes after ``wait_ms`` or with the next end.
+    """
+
+    worker: _commands.WorkerFacts
+    token: int
+    acknowledged_number: int
+    lease_until_ms: int | None
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartOrder:
+    """Start a run on a worker."""
+
+    worker: _commands.WorkerFacts
+    token: int
+    task: _specs.TaskKey
+    run: int
+    payload: str
+    lease_until_ms: int
+    checkpoint: str
+    ticket: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopOrder:
+    """Stop a run, or keep it from ever starting."""
+
+    worker: _commands.WorkerFacts
+    token: int
+    task: _specs.TaskKey
+    run: int
+
+
+class Refusal(enum.Enum):
+    """Why a worker did not do what it was asked."""
+
+    FENCED = 'fenced'
+    OLD_RUN = 'old_run'
+    LEASE_PASSED = 'lease_passed'
+    NO_ROOM = 'no_room'
+    NO_TICKET = 'no_ticket'
+    INVALID = 'invalid'
+    UNHEALTHY = 'unhealthy'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lists:
+    """All that a worker has running, and ends not acknowledged yet.
+
+    ``ends_complete`` is false when there are more ends than fit.
+    """
+
+    clock_ms: int
+    started_ms: int
+    runs: tuple[RunListing, ...]
+    ends: tuple[EndListing, ...]
+    ends_complete: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The order was carried out, or had been before."""
+
+    clock_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The order was not carried out."""
+
+    reason: Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gone:
+    """Another incarnation answers at the address: this one has ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unanswered:
+    """No usable answer; without ``sent`` nothing reached the worker."""
+
+    sent: bool
+    detail: str
+
+
+OrderOutcome = Accepted | Refused | Gone | Unanswered
+ListsOutcome = Lists | Refused | Gone | Unanswered
+
+
+class WorkerPort(typing.Protocol):
+    """Calls to workers; used by many threads."""
+
+    def renew(self, request: LeaseRequest) -> ListsOutcome:
+        """Renew a lease and read the lists."""
+
+    def start(self, order: StartOrder) -> OrderOutcome:
+        """Start a run."""
+
+    def stop(self, order: StopOrder) -> OrderOutcome:
+        """Stop a run."""
+
+    def close(self) -> None:
+        """Close all connections."""
+
+
+class AdviserPort(typing.Protocol):
+    """Calls to the adviser, one at a time from each process."""
+
+    def ask(
+        self, step: str, worker_ids: tuple[messages.WorkerId, ...]
+    ) -> _calls.AdviceReply:
+        """Ask which of the workers may run the step."""
--- /dev/null
+++ b/dandeliondrum/jobs/_records.py
@@ -0,0 +1,99 @@
+"""Records of jobs, steps, tasks and workers in the replicated state."""
+
+import dataclasses
+import enum
+
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _specs
+from dandeliondrum import messages
+
+
+class TaskPhase(enum.Enum):
+    """Where a task is."""
+
+    WAITING = 'waiting'
+    ASSIGNED = 'assigned'
+    DONE = 'done'
+
+
+class JobPhase(enum.Enum):
+    """Where a job is."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    DONE = 'done'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+    def ended(self) -> bool:
+        """Tell whether nothing of the job is to be run any more."""
+        return self not in (JobPhase.QUEUED, JobPhase.RUNNING)
+
+
+@dataclasses.dataclass(slots=True)
+class TaskRecord:
+    """One task; ``run`` is the number of its newest run, 0 before one."""
+
+    run: int = 0
+    phase: TaskPhase = TaskPhase.WAITING
+    worker_id: messages.WorkerId | None = None
+    failures_count: int = 0
+    checkpoint: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class StepRecord:
+    """The tasks of one step.
+
+    For a gang, ``failed_run`` is the last run that failed, and ``finished``
+    is set once one member ended as done, which stands for all of them.
+    """
+
+    tasks: list[TaskRecord]
+    failed_run: int = 0
+    finished: bool = False
+
+    def done(self) -> bool:
+        """Tell whether all tasks are done."""
+        return self.finished or all(
+            task.phase is TaskPhase.DONE for task in self.tasks
+        )
+
+    def idle(self) -> bool:
+        """Tell whether no task is assigned."""
+        return all(task.phase is not TaskPhase.ASSIGNED for task in self.tasks)
+
+
+@dataclasses.dataclass(slots=True)
+class JobRecord:
+    """One job; ``ended_index`` is the entry that ended it, else 0."""
+
+    spec: _specs.JobSpec
+    steps: list[StepRecord]
+    phase: JobPhase = JobPhase.QUEUED
+    ended_index: int = 0
+
+    def task(self, key: _specs.TaskKey) -> TaskRecord | None:
+        """Return the record of a task of this job."""
+        if not 0 <= key.step < len(self.steps):
+            return None
+        tasks = self.steps[key.step].tasks
+        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+    def step_is_due(self, step: int) -> bool:
+        """Tell whether all steps before this one are done."""
+        return all(
+            self.steps[before].done() for before in self.spec.steps[step].after
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerRecord:
+    """A worker, the runs assigned to it, and what they take of it.
+
+    A run counts until its end is recorded, also while it is being stopped.
+    """
+
+    facts: _commands.WorkerFacts
+    used: messages.Resources = messages.Resources(0, 0)
+    runs: dict[_specs.TaskKey, int] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -0,0 +1,158 @@
+"""Plans in rounds: asks for advice, places tasks, has the runs agreed on."""
+
+import threading
+
+from returns import result
+import structlog
+
+from dandeliondrum.jobs import _advice_calls
+from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _demands
+from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import _policy
+from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _term
+from dandeliondrum.jobs import _worker_peer
+from dandeliondrum import messages
+
+# Rounds follow each other no faster, so that one carries many decisions.
+ROUND_MIN_MS = 8
+# Tickets and pauses run out without an event, so a round comes at least then.
+ROUND_MAX_MS = 150
+
+_logger = structlog.get_logger()
+
+_Open = list[tuple[_planner.Demand, _policy.QueuePolicy]]
+_Groups = list[tuple[_planner.Placement, ...]]
+
+
+class Scheduler:
+    """The task that decides which runs start where."""
+
+    def __init__(self, term: _term.Term) -> None:
+        self._term = term
+        self._advice_calls = _advice_calls.AdviceCalls(term)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Plan whenever something has changed."""
+        work = self._term.work
+        while not stopping.is_set():
+            work.wait(ROUND_MAX_MS / 1000)
+            if stopping.is_set():
+                return
+            work.clear()
+            if self._term.may_act():
+                self._round()
+            stopping.wait(ROUND_MIN_MS / 1000)
+
+    def _round(self) -> None:
+        term = self._term
+        with term.lock, term.state.lock:
+            demands = list(_demands.open_demands(term.state))
+            if not demands:
+                term.advice.keep_only(set())
+                return
+            rooms = self._rooms()
+            self._advice_calls.make(demands, rooms)
+            groups = self._plan(demands, rooms)
+            numbered = _demands.assignments(term.state, groups)
+            self._note_orders(groups, numbered)
+        if numbered:
+            self._agree(numbered)
+
+    def _rooms(self) -> list[_planner.WorkerRoom]:
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        rooms = []
+        for worker_id, worker in term.state.workers.items():
+            peer = term.peers.get(worker_id)
+            if peer is None or not peer.usable():
+                continue
+            if worker.facts.phase is not _commands.WorkerPhase.READY:
+                continue
+            if term.health.suspended(worker_id, now_ms):
+                continue
+            rooms.append(
+                _demands.room_of(worker, term.health.suspicion(worker_id))
+            )
+        return rooms
+
+    def _plan(
+        self, demands: _Open, rooms: list[_planner.WorkerRoom]
+    ) -> _Groups:
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        open_now = []
+        for demand, queue in demands:
+            tickets: dict[messages.WorkerId, str] | None = None
+            if queue.advice is not None:
+                name = _specs.step_name(demand.job_id, demand.step)
+                tickets = term.advice.tickets(name, now_ms)
+                if not tickets:
+                    continue
+            open_now.append(
+                _planner.Demand(
+                    demand.job_id,
+                    demand.step,
+                    demand.spec,
+                    demand.team_id,
+                    demand.pool,
+                    demand.priority,
+                    demand.submitted_ms,
+                    demand.indexes,
+                    tickets,
+                    frozenset(
+                        term.failed_on.get((demand.job_id, demand.step), ())
+                    ),
+                    demand.per_worker_counts,
+                )
+            )
+        return _planner.plan(open_now, rooms, _demands.team_room(term.state))
+
+    def _note_orders(
+        self,
+        groups: _Groups,
+        numbered: tuple[tuple[_commands.RunAssignment, ...], ...],
+    ) -> None:
+        """Let the peers know of runs before they can be assigned."""
+        for group, runs in zip(groups, numbered, strict=True):
+            for placement, run in zip(group, runs, strict=True):
+                job = self._term.state.jobs[run.task.job_id]
+                task = job.steps[run.task.step].tasks[run.task.index]
+                order = _worker_peer.Order(
+                    run.run,
+                    job.spec.payload,
+                    task.checkpoint,
+                    placement.ticket,
+                )
+                self._term.peers[run.worker_id].plan(run.task, order)
+
+    def _agree(
+        self, numbered: tuple[tuple[_commands.RunAssignment, ...], ...]
+    ) -> None:
+        term = self._term
+        outcome = term.agree(_commands.AssignRuns(numbered))
+        if isinstance(outcome, result.Failure):
+            # The runs may still be assigned; the next leader settles them.
+            _logger.warning('runs not assigned', why=str(outcome.failure()))
+            return
+        with term.lock:
+            for runs, assigned in zip(numbered, outcome.unwrap(), strict=True):
+                for run in runs:
+                    self._dispatch(run, assigned)
+
+    def _dispatch(self, run: _commands.RunAssignment, assigned: bool) -> None:
+        peer = self._term.peers.get(run.worker_id)
+        if peer is None:
+            return
+        if not assigned:
+            peer.unplan(run.task)
+            return
+        _logger.info(
+            'run assigned',
+            task=str(run.task),
+            run=run.run,
+            worker=run.worker_id,
+        )
+        peer.dispatch(run.task)
--- /dev/null
+++ b/dandeliondrum/jobs/_specs.py
@@ -0,0 +1,106 @@
+"""What a job of steps is, as its caller declared it."""
+
+import dataclasses
+import typing
+
+from dandeliondrum import messages
+
+JobId = typing.NewType('JobId', str)
+RunNumber = typing.NewType('RunNumber', int)
+StepIndex = typing.NewType('StepIndex', int)
+
+# Repeats of a job are numbered from 0; a job without repeats has the first.
+FIRST_OCCURRENCE = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class TaskKey:
+    """Names one task: its job, its step and its place in the step.
+
+    Example::
+
+        str(TaskKey(JobId('5c0e7a21'), StepIndex(1), 17)) == '5c0e7a21.0.1.17'
+    """
+
+    job_id: JobId
+    step: StepIndex
+    index: int
+
+    def __str__(self) -> str:
+        return f'{step_name(self.job_id, self.step)}.{self.index}'
+
+
+def step_name(job_id: JobId, step: StepIndex) -> str:
+    """Return the name of a step, under which an adviser knows it."""
+    return f'{job_id}.{FIRST_OCCURRENCE}.{step}'
+
+
+def parse_task_key(text: str) -> TaskKey | None:
+    """Return the key that :meth:`TaskKey.__str__` wrote, or None."""
+    parts = text.rsplit('.', 3)
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        return None
+    job_id, _occurrence, step, index = parts
+    return TaskKey(JobId(job_id), StepIndex(int(step)), int(index))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepSpec:
+    """Tasks of one kind.
+
+    ``after`` names earlier steps that must be done first. The tasks of a
+    ``gang`` start together and end together. ``per_worker_max`` is 0 where
+    any number of its tasks may share a worker. A ``fills`` step uses what
+    the others leave, so its processors are not counted.
+    """
+
+    tasks_count: int
+    resources: messages.Resources
+    expected_run_ms: int = 0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    near_rack: str = ''
+    per_worker_max: int = 0
+    checkpointing: bool = False
+    speculative: bool = False
+    endless: bool = False
+    fills: bool = False
+
+    def charged(self) -> messages.Resources:
+        """Return what one task takes from its worker's capacity."""
+        if not self.fills:
+            return self.resources
+        return dataclasses.replace(self.resources, cpu_millicores=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSpec:
+    """A job as it was accepted.
+
+    ``payload`` goes to each task as it is. ``submitted_ms`` is the time of
+    day, in milliseconds since 1970, at the gateway that took it.
+    """
+
+    job_id: JobId
+    team_id: messages.TeamId
+    queue: messages.QueueName
+    payload: str
+    steps: tuple[StepSpec, ...]
+    submitted_ms: int
+
+
+def problem(spec: JobSpec) -> str:
+    """Return why a job can't be accepted, or an empty string."""
+    if not spec.steps:
+        return 'a job needs a step'
+    for position, step in enumerate(spec.steps):
+        if step.tasks_count < 1:
+            return f'step {position} has no task'
+        amounts = dataclasses.astuple(step.resources)
+        if min(amounts) < 0 or step.per_worker_max < 0:
+            return f'step {position} has a negative amount'
+        if any(not 0 <= before < position for before in step.after):
+            return f'step {position} follows a step that is not before it'
+    return ''
--- /dev/null
+++ b/dandeliondrum/jobs/_state.py
@@ -0,0 +1,210 @@
+"""The replicated state of jobs, as a state machine of the log."""
+
+import collections.abc
+import dataclasses
+import threading
+import typing
+
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _endings
+from dandeliondrum.jobs import _policy
+from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _snapshots
+from dandeliondrum.jobs import _specs
+from dandeliondrum import messages
+
+PolicyDecoder = collections.abc.Callable[[bytes], _policy.Policy]
+
+
+class JobsState:
+    """All jobs, workers and the operator's policy.
+
+    ``decode_policy`` reads an operator's document; documents were checked
+    before they were proposed. Readers hold ``lock``.
+    """
+
+    def __init__(self, decode_policy: PolicyDecoder) -> None:
+        self.lock = threading.RLock()
+        self.jobs: dict[_specs.JobId, _records.JobRecord] = {}
+        self.open_jobs: dict[_specs.JobId, _records.JobRecord] = {}
+        self.workers: dict[messages.WorkerId, _records.WorkerRecord] = {}
+        self.team_used: dict[messages.TeamId, messages.Resources] = {}
+        self.policy = _policy.Policy()
+        self.document = b''
+        # Queues stay known after they left the policy, for accepted jobs.
+        self.queues: dict[messages.QueueName, _policy.QueuePolicy] = {}
+        self._decode_policy = decode_policy
+
+    def apply(self, index: int, command: bytes) -> typing.Any:
+        """Carry out one command; return what its proposer gets."""
+        message = messages.decode(command).unwrap()
+        with self.lock:
+            match message:
+                case _commands.SubmitJob():
+                    return self._submit(message)
+                case _commands.CancelJob():
+                    return self._cancel(index, message)
+                case _commands.AssignRuns():
+                    return self._assign(message)
+                case _commands.EndRuns():
+                    return _endings.end_runs(self, index, message)
+                case _commands.PutWorker():
+                    return self._put_worker(message)
+                case _commands.RemoveWorker():
+                    return self._remove_worker(message)
+                case _commands.PutPolicy():
+                    return self._put_policy(message)
+                case _commands.ForgetJobs():
+                    return self._forget(message)
+        raise ValueError(f'unknown command {type(message).__name__}')
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        with self.lock:
+            return _snapshots.write(self)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by that of a snapshot."""
+        with self.lock:
+            _snapshots.read(self, data)
+
+    def queue_of(self, job: _records.JobRecord) -> _policy.QueuePolicy | None:
+        """Return the queue of a job as it was last in force."""
+        return self.queues.get(job.spec.queue)
+
+    def take_policy(self, document: bytes) -> None:
+        """Put a document in force, whatever the one before it was."""
+        self.document = document
+        self.policy = self._decode_policy(document)
+        self.queues.update(self.policy.queue_by_name)
+
+    def finish(
+        self, job: _records.JobRecord, index: int, phase: _records.JobPhase
+    ) -> None:
+        """Let a job end."""
+        job.phase = phase
+        job.ended_index = index
+        # No run starts any more, so nothing needs the payload.
+        job.spec = dataclasses.replace(job.spec, payload='')
+        self.open_jobs.pop(job.spec.job_id, None)
+
+    def occupy(
+        self,
+        job: _records.JobRecord,
+        key: _specs.TaskKey,
+        run: int,
+        worker_id: messages.WorkerId,
+    ) -> None:
+        """Charge a run to its worker and its team."""
+        spec = job.spec.steps[key.step]
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.runs[key] = run
+            worker.used += spec.charged()
+        team_id = job.spec.team_id
+        self.team_used[team_id] = self.team_usage(team_id) + spec.resources
+
+    def vacate(
+        self,
+        job: _records.JobRecord,
+        key: _specs.TaskKey,
+        worker_id: messages.WorkerId,
+    ) -> None:
+        """Take back what :meth:`occupy` charged."""
+        spec = job.spec.steps[key.step]
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.runs.pop(key, None) is not None:
+            worker.used -= spec.charged()
+        team_id = job.spec.team_id
+        self.team_used[team_id] = self.team_usage(team_id) - spec.resources
+
+    def team_usage(self, team_id: messages.TeamId) -> messages.Resources:
+        """Return what a team has running or assigned."""
+        return self.team_used.get(team_id, messages.Resources(0, 0))
+
+    def _submit(self, command: _commands.SubmitJob) -> _records.JobPhase:
+        spec = command.spec
+        known = self.jobs.get(spec.job_id)
+        if known is not None:
+            return known.phase
+        steps = [
+            _records.StepRecord(
+                [_records.TaskRecord() for _ in range(step.tasks_count)]
+            )
+            for step in spec.steps
+        ]
+        job = _records.JobRecord(spec, steps)
+        self.jobs[spec.job_id] = job
+        self.open_jobs[spec.job_id] = job
+        return job.phase
+
+    def _cancel(
+        self, index: int, command: _commands.CancelJob
+    ) -> _records.JobPhase | None:
+        job = self.jobs.get(command.job_id)
+        if job is None:
+            return None
+        if not job.phase.ended():
+            self.finish(job, index, _records.JobPhase.CANCELLED)
+        return job.phase
+
+    def _assign(self, command: _commands.AssignRuns) -> tuple[bool, ...]:
+        """Return for each group whether it was assigned."""
+        return tuple(self._assign_group(group) for group in command.groups)
+
+    def _assign_group(
+        self, group: tuple[_commands.RunAssignment, ...]
+    ) -> bool:
+        if not all(self._may_assign(run) for run in group):
+            return False
+        for run in group:
+            job = self.jobs[run.task.job_id]
+            task = job.steps[run.task.step].tasks[run.task.index]
+            task.run = run.run
+            task.phase = _records.TaskPhase.ASSIGNED
+            task.worker_id = run.worker_id
+            job.phase = _records.JobPhase.RUNNING
+            self.occupy(job, run.task, run.run, run.worker_id)
+        return True
+
+    def _may_assign(self, run: _commands.RunAssignment) -> bool:
+        job = self.jobs.get(run.task.job_id)
+        worker = self.workers.get(run.worker_id)
+        if job is None or worker is None or job.phase.ended():
+            return False
+        task = job.task(run.task)
+        return (
+            task is not None
+            and task.phase is _records.TaskPhase.WAITING
+            and run.run > task.run
+            and job.step_is_due(run.task.step)
+            and worker.facts.phase is _commands.WorkerPhase.READY
+        )
+
+    def _put_worker(self, command: _commands.PutWorker) -> None:
+        facts = command.facts
+        worker = self.workers.get(facts.worker_id)
+        if worker is None:
+            self.workers[facts.worker_id] = _records.WorkerRecord(facts)
+        else:
+            worker.facts = facts
+
+    def _remove_worker(self, command: _commands.RemoveWorker) -> bool:
+        worker = self.workers.get(command.worker_id)
+        if worker is None or worker.runs:
+            return False
+        del self.workers[command.worker_id]
+        return True
+
+    def _put_policy(self, command: _commands.PutPolicy) -> int:
+        if command.version > self.policy.version:
+            self.take_policy(command.document)
+        return self.policy.version
+
+    def _forget(self, command: _commands.ForgetJobs) -> None:
+        for job_id in command.job_ids:
+            job = self.jobs.get(job_id)
+            if job is None or not job.phase.ended():
+                continue
+            if all(step.idle() for step in job.steps):
+                del self.jobs[job_id]
--- /dev/null
+++ b/dandeliondrum/jobs/_term.py
@@ -0,0 +1,134 @@
+"""What the parts of one term of the leader share."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import threading
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum import consensus
+from dandeliondrum.jobs import _advice
+from dandeliondrum.jobs import _asker
+from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _health
+from dandeliondrum.jobs import _port
+from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _state
+from dandeliondrum.jobs import _worker_peer
+from dandeliondrum import messages
+from dandeliondrum import transport
+
+# Longer than an election, after which a proposal has failed anyway.
+PROPOSE_TIMEOUT_MS = 5_000
+CONFIRM_TIMEOUT_MS = 1_000
+
+_logger = structlog.get_logger()
+
+Proposed = concurrent.futures.Future[
+    result.Result[typing.Any, consensus.ProposeError]
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaderOptions:
+    """Times and sizes of a leader; see docs/PLATFORM.md.
+
+    ``lease_ms`` is what each renewal grants and ``lease_max_ms`` the longest
+    lease that a worker takes. ``voters_count`` is how many controllers vote.
+    """
+
+    controller_id: messages.ControllerId
+    lease_ms: int
+    lease_max_ms: int
+    ended_jobs_kept_ms: int
+    voters_count: int
+
+
+class Term:
+    """State, log, workers and sessions of one term of leadership.
+
+    ``lock`` protects the parts that are kept in memory. Whoever also needs
+    the lock of the replicated state takes ``lock`` first.
+    """
+
+    def __init__(
+        self,
+        options: LeaderOptions,
+        number: messages.Term,
+        state: _state.JobsState,
+        node: consensus.Node,
+        port: _port.WorkerPort,
+        asker: _asker.Asker,
+    ) -> None:
+        self.options = options
+        self.number = number
+        self.state = state
+        self.node = node
+        self.port = port
+        self.asker = asker
+        self.lock = threading.RLock()
+        self.work = threading.Event()
+        self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
+        self.health = _health.Health()
+        self.advice = _advice.Advice()
+        self.askers = _advice.Askers()
+        self.sessions: dict[transport.Connection, messages.GatewayId] = {}
+        self.failed_on: dict[
+            tuple[_specs.JobId, int], set[messages.WorkerId]
+        ] = {}
+        self._suspension = _clock.SuspensionDetector()
+        self._suspension_lock = threading.Lock()
+
+    def may_act(self) -> bool:
+        """Tell whether this process leads for certain.
+
+        After a suspension a quorum has to confirm it, since another leader
+        may have been elected meanwhile.
+        """
+        if not self.node.leading():
+            return False
+        if not self._suspension.suspended():
+            return True
+        with self._suspension_lock:
+            if not self._suspension.suspended():
+                return True
+            return self._confirm_lead()
+
+    def _confirm_lead(self) -> bool:
+        suspended_ms = self._suspension.suspended_ms()
+        try:
+            outcome = self.node.confirm().result(CONFIRM_TIMEOUT_MS / 1000)
+        except concurrent.futures.TimeoutError:
+            return False
+        confirmed = isinstance(outcome, result.Success)
+        _logger.warning(
+            'suspended', suspended_ms=suspended_ms, still_leading=confirmed
+        )
+        if confirmed:
+            self._suspension.reset()
+        return confirmed
+
+    def propose(self, command: typing.Any) -> Proposed:
+        """Propose a command; the future holds what applying it gave."""
+        return self.node.propose(messages.encode(command))
+
+    def agree(
+        self, command: typing.Any
+    ) -> result.Result[typing.Any, consensus.ProposeError | str]:
+        """Propose a command and wait until it is applied."""
+        try:
+            return self.propose(command).result(PROPOSE_TIMEOUT_MS / 1000)
+        except concurrent.futures.TimeoutError:
+            return result.Failure('not applied in time')
+
+    def connections(
+        self,
+    ) -> collections.abc.Iterable[
+        tuple[transport.Connection, messages.GatewayId]
+    ]:
+        """Return the streams of registered processes."""
+        with self.lock:
+            return tuple(self.sessions.items())
--- /dev/null
+++ b/dandeliondrum/jobs/_workers.py
@@ -0,0 +1,336 @@
+"""Keeps a peer for each worker, and records what workers report."""
+
+import collections.abc
+import concurrent.futures
+import functools
+import typing
+
+from returns import result
+import structlog
+
+from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _port
+from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _term
+from dandeliondrum.jobs import _worker_peer
+from dandeliondrum import messages
+from dandeliondrum import utils
+
+# Two tasks for each worker; the target is 300 VMs for one leader.
+PEER_THREADS_MAX = 1_024
+CHECK_EVERY_MS = 1_000
+# A worker that neither reported nor answered for so long is forgotten.
+FORGET_AFTER_MS = 20_000
+
+_logger = structlog.get_logger()
+
+
+class Workers:
+    """The workers of one term; implements the events of their peers."""
+
+    def __init__(self, term: _term.Term, supervisor: utils.Supervisor) -> None:
+        self._term = term
+        self._supervisor = supervisor
+        self._sequences: dict[messages.WorkerId, tuple[int, int]] = {}
+        self._reported_ms: dict[messages.WorkerId, int] = {}
+        self._gone: dict[messages.WorkerId, int] = {}
+
+    def restore(self) -> None:
+        """Serve all workers that are on record."""
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        with term.lock, term.state.lock:
+            for worker_id, worker in term.state.workers.items():
+                self._reported_ms[worker_id] = now_ms
+                self._serve(worker.facts)
+
+    def close(self) -> None:
+        """Let all peers end."""
+        with self._term.lock:
+            peers = list(self._term.peers.values())
+        for peer in peers:
+            peer.close()
+
+    def report(
+        self, report: _calls.WorkerReport
+    ) -> 'concurrent.futures.Future[typing.Any]':
+        """Take in a worker's heartbeat; what is new is agreed first."""
+        term, facts = self._term, report.facts
+        noted = _calls.WorkerNoted(term.options.controller_id)
+        with term.lock, term.state.lock:
+            known = term.state.workers.get(facts.worker_id)
+            if self._is_stale(report, known):
+                _logger.info(
+                    'report ignored',
+                    worker=facts.worker_id,
+                    sequence=report.sequence,
+                    started_ms=facts.started_ms,
+                )
+                return utils.resolved(noted)
+            self._sequences[facts.worker_id] = (
+                facts.started_ms,
+                report.sequence,
+            )
+            self._reported_ms[facts.worker_id] = _clock.elapsed_ms()
+            unchanged = known is not None and known.facts == facts
+            if known is not None and known.facts.phase != facts.phase:
+                # Also placements that are being agreed on now are too late.
+                peer = term.peers.get(facts.worker_id)
+                if peer is not None:
+                    peer.facts = facts
+        if unchanged:
+            return utils.resolved(noted)
+        _logger.info(
+            'worker reported',
+            worker=facts.worker_id,
+            address=facts.address,
+            phase=facts.phase.value,
+            started_ms=facts.started_ms,
+        )
+        return utils.then(
+            term.propose(_commands.PutWorker(facts)),
+            lambda outcome: self._recorded(outcome, facts, noted),
+        )
+
+    def left(
+        self, message: _calls.WorkerLeft
+    ) -> 'concurrent.futures.Future[typing.Any]':
+        """Take note that a worker ends; what runs there ends with it."""
+        with self._term.lock:
+            peer = self._term.peers.get(message.worker_id)
+        if peer is not None:
+            peer.leave()
+            _logger.info('worker leaves', worker=message.worker_id)
+        return utils.resolved(
+            _calls.WorkerNoted(self._term.options.controller_id)
+        )
+
+    def check(self) -> None:
+        """Forget workers that are gone for long and run nothing."""
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        with term.lock, term.state.lock:
+            idle = [
+                worker_id
+                for worker_id, worker in term.state.workers.items()
+                if not worker.runs
+                and now_ms - self._reported_ms.get(worker_id, 0)
+                > FORGET_AFTER_MS
+            ]
+        for worker_id in idle:
+            term.propose(_commands.RemoveWorker(worker_id)).add_done_callback(
+                functools.partial(self._removed, worker_id)
+            )
+
+    def _is_stale(
+        self,
+        report: _calls.WorkerReport,
+        known: _records.WorkerRecord | None,
+    ) -> bool:
+        facts = report.facts
+        if self._gone.get(facts.worker_id, -1) >= facts.started_ms:
+            return True
+        if known is not None and known.facts.started_ms > facts.started_ms:
+            return True
+        last = self._sequences.get(facts.worker_id, (0, 0))
+        return last >= (facts.started_ms, report.sequence)
+
+    def _recorded(
+        self,
+        outcome: typing.Any,
+        facts: _commands.WorkerFacts,
+        noted: _calls.WorkerNoted,
+    ) -> typing.Any:
+        if isinstance(outcome, result.Failure):
+            return messages.NotLeader()
+        with self._term.lock:
+            self._serve(facts)
+        self._term.work.set()
+        return noted
+
+    def _serve(self, facts: _commands.WorkerFacts) -> None:
+        term = self._term
+        peer = term.peers.get(facts.worker_id)
+        if peer is not None:
+            if peer.facts.started_ms != facts.started_ms:
+                term.advice.forget_worker(facts.worker_id)
+                term.health.forget(facts.worker_id)
+            peer.facts = facts
+            return
+        peer = _worker_peer.WorkerPeer(
+            facts,
+            term.number,
+            term.port,
+            self,
+            _worker_peer.PeerOptions(
+                term.options.lease_ms, term.options.lease_max_ms
+            ),
+        )
+        term.peers[facts.worker_id] = peer
+        self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
+        self._supervisor.run(f'orders to {facts.worker_id}', peer.send_orders)
+
+    def _removed(
+        self, worker_id: messages.WorkerId, done: _term.Proposed
+    ) -> None:
+        if done.result() != result.Success(True):
+            return
+        with self._term.lock:
+            peer = self._term.peers.pop(worker_id, None)
+            self._reported_ms.pop(worker_id, None)
+        if peer is not None:
+            peer.close()
+        _logger.info('worker forgotten', worker=worker_id)
+
+    # Events of the peers.
+
+    def may_act(self) -> bool:
+        """Tell whether this process still leads."""
+        return self._term.may_act()
+
+    def changed(self) -> None:
+        """Plan again."""
+        self._term.work.set()
+
+    def assigned(
+        self, worker_id: messages.WorkerId
+    ) -> dict[_specs.TaskKey, int]:
+        """Return the runs that are assigned to a worker."""
+        with self._term.state.lock:
+            worker = self._term.state.workers.get(worker_id)
+            return dict(worker.runs) if worker is not None else {}
+
+    def unwanted(
+        self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
+    ) -> list[tuple[_specs.TaskKey, int]]:
+        """Return the runs of ended jobs, and of gangs that broke up."""
+        state = self._term.state
+        found = []
+        with state.lock:
+            for key, run in runs:
+                job = state.jobs.get(key.job_id)
+                if job is None or _is_unwanted(job, key, run):
+                    found.append((key, run))
+        return found
+
+    def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
+        """Have ends agreed on, then act on what they mean."""
+        workers = self._workers_of(ends)
+        outcome = self._term.agree(_commands.EndRuns(ends))
+        if isinstance(outcome, result.Failure):
+            _logger.warning('ends not recorded', why=str(outcome.failure()))
+            return False
+        for end in ends:
+            _logger.info(
+                'run ended',
+                task=str(end.task),
+                run=end.run,
+                outcome=end.outcome.value,
+                worker=workers.get(end.task),
+            )
+        with self._term.lock:
+            self._judge(ends, workers)
+        self.stop_unwanted({end.task.job_id for end in ends})
+        self._term.work.set()
+        return True
+
+    def refused(
+        self,
+        worker_id: messages.WorkerId,
+        task: _specs.TaskKey,
+        reason: _port.Refusal,
+    ) -> None:
+        """Take note that a worker refused a start."""
+        term = self._term
+        with term.lock:
+            match reason:
+                case _port.Refusal.NO_TICKET:
+                    name = _specs.step_name(task.job_id, task.step)
+                    term.advice.ticket_refused(name, worker_id)
+                case _port.Refusal.UNHEALTHY:
+                    term.health.suspend(worker_id, _clock.elapsed_ms())
+
+    def gone(self, worker_id: messages.WorkerId) -> None:
+        """Take note that a worker has ended for good."""
+        term = self._term
+        with term.lock, term.state.lock:
+            worker = term.state.workers.get(worker_id)
+            if worker is not None:
+                self._gone[worker_id] = worker.facts.started_ms
+            term.peers.pop(worker_id, None)
+        term.propose(_commands.RemoveWorker(worker_id))
+        term.work.set()
+
+    def stop_unwanted(
+        self, job_ids: collections.abc.Iterable[_specs.JobId]
+    ) -> None:
+        """Stop what still runs of jobs that ended or gangs that broke up."""
+        state = self._term.state
+        with self._term.lock, state.lock:
+            for job_id in job_ids:
+                job = state.jobs.get(job_id)
+                if job is not None:
+                    self._stop_unwanted_of(job)
+
+    def _stop_unwanted_of(self, job: _records.JobRecord) -> None:
+        for position, step in enumerate(job.steps):
+            for index, task in enumerate(step.tasks):
+                if task.worker_id is None:
+                    continue
+                key = _specs.TaskKey(
+                    job.spec.job_id, _specs.StepIndex(position), index
+                )
+                peer = self._term.peers.get(task.worker_id)
+                if peer is not None and _is_unwanted(job, key, task.run):
+                    peer.stop(key, task.run)
+
+    def _workers_of(
+        self, ends: tuple[_commands.RunEnd, ...]
+    ) -> dict[_specs.TaskKey, messages.WorkerId]:
+        state = self._term.state
+        workers = {}
+        with state.lock:
+            for end in ends:
+                job = state.jobs.get(end.task.job_id)
+                task = job.task(end.task) if job is not None else None
+                if task is not None and task.worker_id is not None:
+                    workers[end.task] = task.worker_id
+        return workers
+
+    def _judge(
+        self,
+        ends: tuple[_commands.RunEnd, ...],
+        workers: dict[_specs.TaskKey, messages.WorkerId],
+    ) -> None:
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        for end in ends:
+            worker_id = workers.get(end.task)
+            if worker_id is None:
+                continue
+            term.health.ended(worker_id, end.outcome, now_ms)
+            if end.outcome is _commands.RunOutcome.FAILED:
+                step = (end.task.job_id, end.task.step)
+                term.failed_on.setdefault(step, set()).add(worker_id)
+
+
+def _is_unwanted(
+    job: _records.JobRecord, key: _specs.TaskKey, run: int
+) -> bool:
+    """Tell whether a run should stop.
+
+    A gang's run has broken up when a member of the same run is not assigned
+    any more without the gang being done.
+    """
+    step = job.steps[key.step]
+    if job.phase.ended():
+        return not step.finished
+    if not job.spec.steps[key.step].gang or step.finished:
+        return False
+    return any(
+        member.phase is _records.TaskPhase.WAITING and member.run == run
+        for member in step.tasks
+    )
--- /dev/null
+++ b/dandeliondrum/platform/__main__.py
@@ -0,0 +1,30 @@
+"""Runs a role on the platform: ``python3 -m dandeliondrum.platform ROLE``."""
+
+import sys
+
+from returns import result
+
+from dandeliondrum import observability
+from dandeliondrum.platform import _programs
+from dandeliondrum.platform import _settings
+
+
+def main(arguments: list[str]) -> int:
+    """Run the role named by the only argument."""
+    if len(arguments) != 1:
+        sys.stderr.write('usage: dandeliondrum.platform gateway|controller\n')
+        return 2
+    role = arguments[0]
+    match _settings.load(_programs.settings_path()):
+        case result.Success(settings):
+            observability.configure_logging(
+                role, settings.vm_name, 'info', sys.stdout
+            )
+            return _programs.run(role, settings)
+        case result.Failure(why):
+            sys.stderr.write(f'settings: {why}\n')
+    return 1
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/dandeliondrum/platform/_client.py
@@ -0,0 +1,214 @@
+"""The one client of the platform: calls to workers and to the adviser."""
+
+import json
+
+import structlog
+
+from dandeliondrum import gateway
+from dandeliondrum import jobs
+from dandeliondrum import messages
+from dandeliondrum.platform import _bodies
+from dandeliondrum.platform import _fields
+
+# One connection for lists and one for orders.
+CONNECTIONS_PER_WORKER = 2
+# Between regions a call takes 40 ms; a worker that is slower has a problem.
+ORDER_TIMEOUT_MS = 800
+LISTS_EXTRA_MS = 1_000
+# The slowest queue's call takes 1.1 s, and another may be before it.
+ADVICE_TIMEOUT_MS = 2_500
+# Ends that one answer lists at most, as the platform states.
+ENDS_MAX = 500
+
+_REASONS = {
+    'fence': jobs.Refusal.FENCED,
+    'old': jobs.Refusal.OLD_RUN,
+    'late': jobs.Refusal.LEASE_PASSED,
+    'room': jobs.Refusal.NO_ROOM,
+    'ticket': jobs.Refusal.NO_TICKET,
+}
+_JSON = ('Content-Type', 'application/json')
+
+_logger = structlog.get_logger()
+
+_Failed = jobs.Unanswered | jobs.Gone | jobs.Refused
+
+
+class WorkerPort:
+    """Calls workers over HTTP; implements :class:`jobs.WorkerPort`."""
+
+    def __init__(self) -> None:
+        self._client = gateway.WorkerClient(CONNECTIONS_PER_WORKER)
+
+    def renew(self, request: jobs.LeaseRequest) -> jobs.ListsOutcome:
+        """Renew a lease and read the lists."""
+        body: dict[str, object] = {
+            'FencingToken': request.token,
+            'AckedThrough': request.acknowledged_number,
+            'WaitMs': request.wait_ms,
+        }
+        if request.lease_until_ms is not None:
+            body['DeadlineMs'] = request.lease_until_ms
+        reply = self._post(
+            request.worker, '/hold', body, request.wait_ms + LISTS_EXTRA_MS
+        )
+        if not isinstance(reply, bytes):
+            return reply
+        try:
+            return _bodies.lists(reply, ENDS_MAX)
+        except (_fields.FieldError, TypeError, ValueError) as error:
+            return jobs.Unanswered(True, f'lists not readable: {error}')
+
+    def start(self, order: jobs.StartOrder) -> jobs.OrderOutcome:
+        """Start a run."""
+        body: dict[str, object] = {
+            'Task': str(order.task),
+            'Run': order.run,
+            'Spec': order.payload,
+            'DeadlineMs': order.lease_until_ms,
+            'FencingToken': order.token,
+        }
+        if order.checkpoint:
+            body['Checkpoint'] = order.checkpoint
+        if order.ticket:
+            body['Ticket'] = order.ticket
+        return self._order(order.worker, '/run-start', body)
+
+    def stop(self, order: jobs.StopOrder) -> jobs.OrderOutcome:
+        """Stop a run."""
+        body = {
+            'Task': str(order.task),
+            'Run': order.run,
+            'FencingToken': order.token,
+        }
+        return self._order(order.worker, '/run-stop', body)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._client.close()
+
+    def _order(
+        self, worker: jobs.WorkerFacts, path: str, body: dict[str, object]
+    ) -> jobs.OrderOutcome:
+        reply = self._post(worker, path, body, ORDER_TIMEOUT_MS)
+        if not isinstance(reply, bytes):
+            return reply
+        try:
+            clock_ms = _fields.integer(_fields.parse_object(reply), 'TimeMs')
+        except _fields.FieldError as error:
+            return jobs.Unanswered(True, f'answer not readable: {error}')
+        return jobs.Accepted(clock_ms)
+
+    def _post(
+        self,
+        worker: jobs.WorkerFacts,
+        path: str,
+        body: dict[str, object],
+        timeout_ms: int,
+    ) -> bytes | _Failed:
+        outcome = self._client.call(
+            gateway.WorkerRequest(
+                'POST',
+                worker.address,
+                path,
+                timeout_ms,
+                (_JSON, ('X-Expect-Instance', worker.worker_id)),
+                json.dumps(body, separators=(',', ':')).encode(),
+                timeout_ms=timeout_ms,
+            )
+        )
+        match outcome:
+            case gateway.NotSent(reason):
+                return jobs.Unanswered(False, reason)
+            case gateway.NoAnswer(reason):
+                return jobs.Unanswered(True, reason)
+            case gateway.WorkerReply(whole=False):
+                return jobs.Unanswered(True, 'the answer was cut')
+            case gateway.WorkerReply(head, reply):
+                if head.status == 200:
+                    return reply
+                return _refusal(worker, path, head.status, reply)
+
+
+def _refusal(
+    worker: jobs.WorkerFacts, path: str, status: int, reply: bytes
+) -> _Failed:
+    match status:
+        case 421:
+            return jobs.Gone()
+        case 409:
+            try:
+                reason = _fields.text(_fields.parse_object(reply), 'Reason')
+            except _fields.FieldError as error:
+                return jobs.Unanswered(True, f'no reason given: {error}')
+            if reason in _REASONS:
+                return jobs.Refused(_REASONS[reason])
+            return jobs.Unanswered(True, f'unknown reason {reason}')
+        case 429 | 503:
+            return jobs.Refused(jobs.Refusal.UNHEALTHY)
+        case 400:
+            _logger.error(
+                'worker could not read a call',
+                worker=worker.worker_id,
+                path=path,
+                answer=reply[:200],
+            )
+            return jobs.Refused(jobs.Refusal.INVALID)
+    return jobs.Unanswered(True, f'status {status}')
+
+
+class AdviserPort:
+    """Calls the adviser over HTTP; implements :class:`jobs.AdviserPort`."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._client = gateway.WorkerClient(1)
+
+    def ask(
+        self, step: str, worker_ids: tuple[messages.WorkerId, ...]
+    ) -> jobs.AdviceReply:
+        """Ask which of the workers may run the step."""
+        body = {'Step': step, 'Workers': worker_ids}
+        outcome = self._client.call(
+            gateway.WorkerRequest(
+                'POST',
+                self._address,
+                '/advise',
+                ADVICE_TIMEOUT_MS,
+                (_JSON,),
+                json.dumps(body, separators=(',', ':')).encode(),
+                timeout_ms=ADVICE_TIMEOUT_MS,
+            )
+        )
+        match outcome:
+            case gateway.WorkerReply(head, reply, whole=True):
+                if head.status == 200:
+                    return _advice(reply)
+                return _no_advice(f'status {head.status}')
+            case gateway.WorkerReply():
+                return _no_advice('the answer was cut')
+        return _no_advice(outcome.reason)
+
+
+def _advice(reply: bytes) -> jobs.AdviceReply:
+    """Decode rows of a worker's id and its ticket."""
+    try:
+        fields = _fields.parse_object(reply)
+        rows = _fields.array(fields, 'Granted')
+        grants = tuple(
+            jobs.Grant(messages.WorkerId(str(row[0])), str(row[1]))
+            for row in rows
+        )
+        valid_ms = _fields.integer(fields, 'ValidityMs')
+    except (_fields.FieldError, TypeError, LookupError) as error:
+        return _no_advice(f'answer not readable: {error}')
+    return jobs.AdviceReply(grants, valid_ms)
+
+
+def _no_advice(problem: str) -> jobs.AdviceReply:
+    return jobs.AdviceReply((), 0, problem)
+
+
+def as_ports(address: str) -> jobs.Ports:
+    """Return the ways to workers and to the adviser."""
+    return jobs.Ports(WorkerPort(), AdviserPort(address))
--- /dev/null
+++ b/dandeliondrum/platform/_control.py
@@ -0,0 +1,117 @@
+"""The interface to workers and operators at a controller."""
+
+import typing
+
+from returns import result
+import structlog
+import werkzeug
+
+from dandeliondrum import gateway
+from dandeliondrum import jobs
+from dandeliondrum import messages
+from dandeliondrum.platform import _bodies
+from dandeliondrum.platform import _documents
+from dandeliondrum.platform import _fields
+
+REPORT_BYTES_MAX = 4 * 1024 * 1024
+DOCUMENT_BYTES_MAX = 16 * 1024 * 1024
+# Workers and operators go on to another controller after a second.
+REPORT_TIMEOUT_MS = 900
+DOCUMENT_TIMEOUT_MS = 2_500
+RETRY_AFTER_MS = 500
+
+_logger = structlog.get_logger()
+
+
+class Control:
+    """Serves the calls of workers and operators."""
+
+    def __init__(self, controller: jobs.JobController) -> None:
+        self._controller = controller
+
+    def routes(self) -> tuple[gateway.Route, ...]:
+        """Return what is served."""
+        return (
+            gateway.Route('PUT', '/instances/<worker_id>', self._report),
+            gateway.Route('DELETE', '/instances/<worker_id>', self._leave),
+            gateway.Route('PUT', '/config', self._change),
+            gateway.Route('GET', '/config', self._read),
+        )
+
+    def _report(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
+        body = call.body(REPORT_BYTES_MAX)
+        if isinstance(body, result.Failure):
+            return gateway.problem_response(body.failure())
+        try:
+            facts, sequence = _bodies.worker_facts(
+                body.unwrap(), messages.WorkerId(worker_id)
+            )
+        except _fields.FieldError as error:
+            _logger.warning(
+                'report not readable', worker=worker_id, why=str(error)
+            )
+            return _problem(400, str(error))
+        outcome = self._controller.report_worker(
+            facts, sequence, REPORT_TIMEOUT_MS
+        )
+        return _reply(outcome, lambda _noted: gateway.json_response({}))
+
+    def _leave(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
+        outcome = self._controller.worker_left(
+            messages.WorkerId(worker_id), REPORT_TIMEOUT_MS
+        )
+        return _reply(outcome, lambda _noted: gateway.json_response({}))
+
+    def _change(self, call: gateway.Call) -> werkzeug.Response:
+        body = call.body(DOCUMENT_BYTES_MAX)
+        if isinstance(body, result.Failure):
+            return gateway.problem_response(body.failure())
+        document = body.unwrap()
+        match _documents.check(document):
+            case result.Success(policy):
+                outcome = self._controller.change_document(
+                    policy.version, document, DOCUMENT_TIMEOUT_MS
+                )
+                return _reply(
+                    outcome,
+                    lambda held: gateway.json_response(
+                        {'Version': held.version}
+                    ),
+                )
+            case failed:
+                why = failed.failure()
+                _logger.warning('policy refused', why=why)
+                return _problem(400, why)
+
+    def _read(self, call: gateway.Call) -> werkzeug.Response:
+        outcome = self._controller.read_document(REPORT_TIMEOUT_MS)
+        return _reply(outcome, _document_response)
+
+
+def _document_response(held: typing.Any) -> werkzeug.Response:
+    if not held.version:
+        return _problem(503, 'there is no policy yet')
+    return werkzeug.Response(
+        held.document, 200, content_type='application/json'
+    )
+
+
+def _reply(
+    outcome: result.Result[typing.Any, jobs.Unavailable],
+    respond: typing.Callable[[typing.Any], werkzeug.Response],
+) -> werkzeug.Response:
+    match outcome:
+        case result.Success(value):
+            return respond(value)
+        case failed:
+            error = failed.failure()
+            _logger.info('call not passed on', why=error.reason)
+            return _problem(503, error.reason)
+
+
+def _problem(status: int, detail: str) -> werkzeug.Response:
+    reason = 'bad_request' if status < 500 else 'unavailable'
+    retry_ms = RETRY_AFTER_MS if status >= 500 else 0
+    return gateway.problem_response(
+        gateway.Problem(status, reason, detail, retry_ms)
+    )
--- /dev/null
+++ b/dandeliondrum/platform/_programs.py
@@ -0,0 +1,220 @@
+"""The two programs that run on the platform."""
+
+import contextlib
+import os
+import signal
+import threading
+import time
+import types
+
+from returns import result
+import structlog
+
+from dandeliondrum import gateway
+from dandeliondrum import jobs
+from dandeliondrum import messages
+from dandeliondrum.platform import _callers
+from dandeliondrum.platform import _client
+from dandeliondrum.platform import _control
+from dandeliondrum.platform import _documents
+from dandeliondrum.platform import _settings
+from dandeliondrum import transport
+from dandeliondrum import utils
+import werkzeug
+
+CELL_ID = messages.CellId('jobs')
+CALLER_THREADS_COUNT = 32
+CONTROL_THREADS_COUNT = 16
+READINESS_THREADS_COUNT = 2
+# A whole request has to arrive within this time.
+ARRIVAL_MS = 3_000
+# Leases renewed for longer than this are lost later when a VM is lost; they
+# still outlast the election of a leader and its first round of calls.
+LEASE_MS = 4_500
+# The balancer asks once a second and takes a gateway out after two misses.
+DRAIN_NOTICE_MS = 2_300
+# Answers under way at a stop come within a caller's deadline.
+DRAIN_MAX_MS = 3_000
+RELOAD_EVERY_MS = 1_000
+EXIT_BROKEN = 70
+
+_logger = structlog.get_logger()
+
+
+def run(role: str, settings: _settings.Settings) -> int:
+    """Run a role until a signal asks it to stop; return the exit code."""
+    with contextlib.ExitStack() as resources:
+        stopping = _stop_on_signals()
+        timers = utils.TimerService()
+        timers.start()
+        resources.callback(timers.close)
+        match role:
+            case 'gateway':
+                outcome = _start_gateway(settings, timers, resources)
+            case 'controller':
+                outcome = _start_controller(settings, timers, resources)
+            case _:
+                outcome = result.Failure(f'unknown role {role}')
+        if isinstance(outcome, result.Failure):
+            _logger.error('not started', why=outcome.failure())
+            return 1
+        _logger.info('started')
+        stopping.wait()
+        _logger.info('stopping')
+    _logger.info('stopped')
+    return 0
+
+
+def _start_gateway(
+    settings: _settings.Settings,
+    timers: utils.TimerService,
+    resources: contextlib.ExitStack,
+) -> result.Result[None, str]:
+    job_gateway = jobs.JobGateway(
+        jobs.GatewayOptions(_link_options(settings)),
+        _client.AdviserPort(settings.adviser_address),
+        _documents.decode,
+    )
+    draining = threading.Event()
+
+    def ready(_call: gateway.Call) -> werkzeug.Response:
+        is_ready = not draining.is_set() and _serves(job_gateway)
+        return werkzeug.Response(status=200 if is_ready else 503)
+
+    job_gateway.start()
+    resources.callback(job_gateway.close)
+    metrics = gateway.Metrics()
+    callers = _server(
+        settings.callers_address,
+        _callers.Callers(job_gateway).routes(),
+        CALLER_THREADS_COUNT,
+        timers,
+        metrics,
+    )
+    readiness = _server(
+        settings.readiness_address,
+        (gateway.Route('GET', '/ready', ready),),
+        READINESS_THREADS_COUNT,
+        timers,
+        metrics,
+    )
+    callers.open()
+    readiness.open()
+    resources.callback(readiness.drain, 0)
+    resources.callback(callers.drain, DRAIN_MAX_MS)
+    resources.callback(time.sleep, DRAIN_NOTICE_MS / 1000)
+    resources.callback(draining.set)
+    reload = timers.every(RELOAD_EVERY_MS, lambda: _reload_seeds(job_gateway))
+    resources.callback(reload.cancel)
+    return result.Success(None)
+
+
+def _serves(job_gateway: jobs.JobGateway) -> bool:
+    return job_gateway.policy.version > 0 and job_gateway.answering()
+
+
+def _reload_seeds(job_gateway: jobs.JobGateway) -> None:
+    """Look for the leader where the settings now say."""
+    match _settings.load(settings_path()):
+        case result.Success(settings):
+            job_gateway.know(settings.controllers)
+        case result.Failure(why):
+            _logger.warning('settings not readable', why=why)
+
+
+def _start_controller(
+    settings: _settings.Settings,
+    timers: utils.TimerService,
+    resources: contextlib.ExitStack,
+) -> result.Result[None, str]:
+    if settings.data_folder is None:
+        return result.Failure('DataDir is missing')
+    controller_id = messages.ControllerId(settings.ip)
+    controller = jobs.JobController(
+        jobs.ControllerOptions(
+            link=_link_options(settings),
+            leader=jobs.LeaderOptions(
+                controller_id,
+                min(LEASE_MS, settings.lease_max_ms),
+                settings.lease_max_ms,
+                settings.job_state_kept_ms + 30_000,
+                2 * settings.losses_max + 1,
+            ),
+            membership=jobs.MembershipOptions(
+                controller_id,
+                settings.stream_address,
+                settings.controllers,
+                settings.first_start,
+            ),
+            listen_address=settings.stream_address,
+            data_folder=settings.data_folder,
+        ),
+        _client.as_ports(settings.adviser_address),
+        _documents.decode,
+        _end_process,
+    )
+    started = controller.start()
+    if isinstance(started, result.Failure):
+        return result.Failure(str(started.failure()))
+    resources.callback(controller.close)
+    server = _server(
+        settings.control_address,
+        _control.Control(controller).routes(),
+        CONTROL_THREADS_COUNT,
+        timers,
+        gateway.Metrics(),
+    )
+    server.open()
+    resources.callback(server.drain, 0)
+    return result.Success(None)
+
+
+def _link_options(settings: _settings.Settings) -> jobs.LinkOptions:
+    return jobs.LinkOptions(
+        messages.GatewayId(settings.ip),
+        CELL_ID,
+        settings.region,
+        settings.failure_domain,
+        settings.controllers,
+    )
+
+
+def _server(
+    address: str,
+    routes: tuple[gateway.Route, ...],
+    threads_count: int,
+    timers: utils.TimerService,
+    metrics: gateway.Metrics,
+) -> gateway.Server:
+    return gateway.Server(
+        transport.parse_address(address),
+        gateway.Application(routes, metrics),
+        threads_count,
+        timers,
+        ARRIVAL_MS,
+        metrics.observe_refused,
+    )
+
+
+def _end_process(error: utils.InvariantError) -> None:
+    """End at once: what no longer holds must not be acted on."""
+    _logger.critical('process ended', why=str(error))
+    os._exit(EXIT_BROKEN)
+
+
+def _stop_on_signals() -> threading.Event:
+    stopping = threading.Event()
+
+    def stop(_number: int, _frame: types.FrameType | None) -> None:
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    # Settings are read again every second, with or without a signal.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    return stopping
+
+
+def settings_path() -> str:
+    """Return where the platform puts the settings file."""
+    return os.environ.get(_settings.SETTINGS_VARIABLE, _settings.DEFAULT_PATH)
--- /dev/null
+++ b/dandeliondrum/platform/_settings.py
@@ -0,0 +1,112 @@
+"""Reads the settings file that the platform gives to a process."""
+
+import dataclasses
+import pathlib
+
+from returns import result
+
+from dandeliondrum import messages
+from dandeliondrum import transport
+
+SETTINGS_VARIABLE = 'DANDELIONDRUM_SETTINGS'
+DEFAULT_PATH = '/etc/dandeliondrum/local.conf'
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """What a process of ours needs of the platform's settings.
+
+    ``seed_addresses`` are addresses of the operators' HTTP interface of a
+    few controllers. ``losses_max`` is how many VMs with a disk may be lost
+    at once.
+    """
+
+    vm_name: str
+    ip: str
+    region: messages.Region
+    failure_domain: messages.FailureDomain
+    callers_address: str
+    readiness_address: str
+    control_address: str
+    stream_port: int
+    seed_addresses: tuple[str, ...]
+    first_start: bool
+    data_folder: pathlib.Path | None
+    losses_max: int
+    stop_grace_ms: int
+    lease_max_ms: int
+    job_state_kept_ms: int
+    adviser_address: str
+
+    @property
+    def stream_address(self) -> str:
+        """Return where this process takes streams."""
+        return f'{self.ip}:{self.stream_port}'
+
+    @property
+    def controllers(self) -> tuple[tuple[messages.ControllerId, str], ...]:
+        """Return the seeds as controllers, in one order on all VMs."""
+        ips = sorted(
+            {transport.parse_address(one)[0] for one in self.seed_addresses}
+        )
+        return tuple(
+            (messages.ControllerId(ip), f'{ip}:{self.stream_port}')
+            for ip in ips
+        )
+
+
+def load(path: str) -> result.Result[Settings, str]:
+    """Read a settings file, or say what is wrong with it."""
+    try:
+        lines = pathlib.Path(path).read_text(encoding='utf-8').splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Failure(f'{path}: {error}')
+    return parse(lines)
+
+
+def parse(lines: list[str]) -> result.Result[Settings, str]:
+    """Read settings from lines of the form ``name=value``."""
+    values: dict[str, str] = {}
+    for number, line in enumerate(lines, start=1):
+        if not line.strip():
+            continue
+        name, separator, value = line.partition('=')
+        if not separator:
+            return result.Failure(f'line {number} has no "="')
+        values[name.strip()] = value.strip()
+    try:
+        return result.Success(_settings(values))
+    except KeyError as error:
+        return result.Failure(f'{error.args[0]} is missing')
+    except ValueError as error:
+        return result.Failure(str(error))
+
+
+def _settings(values: dict[str, str]) -> Settings:
+    first_port, _, _last_port = values['PortRange'].partition(',')
+    folder = values.get('DataDir')
+    seeds = tuple(one for one in values['Seeds'].split(',') if one)
+    for address in seeds:
+        transport.parse_address(address)
+    return Settings(
+        vm_name=values['Node'],
+        ip=values['Ip'],
+        region=messages.Region(values['Region']),
+        failure_domain=messages.FailureDomain(values['Zone']),
+        callers_address=values.get('Listen.Front', ''),
+        readiness_address=values.get('Listen.Ready', ''),
+        control_address=values.get('Listen.Control', ''),
+        stream_port=int(first_port),
+        seed_addresses=seeds,
+        first_start=values.get('Bootstrap') == 'true',
+        data_folder=pathlib.Path(folder) if folder else None,
+        losses_max=int(values['FaultTolerance.Machines']),
+        stop_grace_ms=_ms(values['Bounds.GraceS']),
+        lease_max_ms=int(values['Bounds.HoldMaxMs']),
+        job_state_kept_ms=_ms(values['Bounds.status_s']),
+        adviser_address=values.get('PlacementAdvisor', ''),
+    )
+
+
+def _ms(seconds: str) -> int:
+    return int(float(seconds) * 1000)
