Grant no lease to a worker that does not answer

Cause: each read of a silent worker's lists carried a new lease, which may arrive or not, so the time from which its runs could be given to others moved on with every retry and never came. Found by a test with a silent worker. A worker that did not answer the last read is only read until it answers. The log names a silent worker once. Adds tests of the state, the planner, advice, health, a worker's peer and a small cell over loopback.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -21,9 +21,11 @@
 from dandeliondrum.jobs import _specs
 from dandeliondrum import messages
 
-# How long a list may be held back until something ends. Half the lease is
-# left for a renewal that goes wrong.
-LIST_WAIT_MS = 1_500
+# A list is held back until something ends, at most for this part of a lease.
+# The rest is left for two more renewals when one goes wrong.
+RENEWALS_PER_LEASE = 3
+# A list that takes longer would delay what only a list can settle.
+LIST_WAIT_MAX_MS = 1_500
 PAUSE_MS = 100
 # A worker's clock may be 2% slow by its contract, and reading it takes time.
 CLOCK_RATE_MARGIN = 1.03
@@ -152,7 +154,9 @@
         self._lapse_ms = now_ms + _stretched(options.lease_max_ms)
         self._answered_ms: int | None = None
         self._clock_offset_ms = 0
+        self._granted_ms = 0
         self._first_read = True
+        self._answers = False
 
     # Called by the leader.
 
@@ -163,6 +167,8 @@
                 return False
             if self._answered_ms is None or self._first_read:
                 return False
+            if not self._answers:
+                return False
             silent_ms = _clock.elapsed_ms() - self._answered_ms
             return silent_ms <= SILENCE_MAX_MS
 
@@ -250,13 +256,21 @@
         return False
 
     def _lease_request(self) -> _port.LeaseRequest:
-        first = self._first_read
+        """Renew the lease only of a worker that answered the last read.
+
+        A lease that is granted to a silent worker may arrive or not, and its
+        runs could not be given to others before that one had run out.
+        """
+        reading = self._first_read or not self._answers
+        wait_ms = min(
+            LIST_WAIT_MAX_MS, self._options.lease_ms // RENEWALS_PER_LEASE
+        )
         return _port.LeaseRequest(
             self.facts,
             self._token,
             self._acknowledged,
-            None if first else self._grant(),
-            0 if first else LIST_WAIT_MS,
+            None if reading else self._grant(),
+            0 if reading else wait_ms,
         )
 
     def _grant(self) -> int:
@@ -265,16 +279,20 @@
         From then on the worker counts as running until that lease has run
         out, whether the grant arrives or not.
         """
-        now_ms = _clock.elapsed_ms()
-        self._lapse_ms = max(
-            self._lapse_ms, now_ms + _stretched(self._options.lease_ms)
-        )
-        return now_ms + self._clock_offset_ms + self._options.lease_ms
+        if self._answers:
+            now_ms = _clock.elapsed_ms()
+            lease_ms = self._options.lease_ms
+            self._lapse_ms = max(self._lapse_ms, now_ms + _stretched(lease_ms))
+            self._granted_ms = now_ms + self._clock_offset_ms + lease_ms
+        return self._granted_ms
 
     def _take_lists(self, number: int, token: int, lists: _port.Lists) -> bool:
         with self._lock:
             now_ms = _clock.elapsed_ms()
             self._answered_ms = now_ms
+            if not self._answers:
+                self._answers = True
+                _logger.info('worker answers', worker=self.facts.worker_id)
             if lists.started_ms != self._life_started_ms:
                 self._begin_life(lists)
                 return True
@@ -377,13 +395,13 @@
     def _unanswered(self, detail: str) -> None:
         now_ms = _clock.elapsed_ms()
         with self._lock:
-            silent_since_ms = self._answered_ms
+            answered, self._answers = self._answers, False
             lapsed = now_ms > self._lapse_ms
-        if silent_since_ms is not None:
-            _logger.info(
-                'worker did not answer',
+        if answered:
+            _logger.warning(
+                'worker does not answer',
                 worker=self.facts.worker_id,
-                silent_ms=now_ms - silent_since_ms,
+                lapses_in_ms=self._lapse_ms - now_ms,
                 why=detail,
             )
         if lapsed:
--- /dev/null
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -0,0 +1,95 @@
+"""Policies, jobs and workers for tests."""
+
+import dataclasses
+import json
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _state
+from dandeliondrum import messages
+
+TEAM = messages.TeamId('harbour')
+QUEUE = messages.QueueName('figuring')
+NO_LIMIT = messages.Resources(0, 0)
+
+
+def decode_policy(document):
+    """Return the policy that :func:`document` wrote."""
+    fields = json.loads(document)
+    advice = None
+    if fields.get('advised'):
+        advice = jobs.AdvicePolicy(5.0, 0.1, 1_500)
+    return jobs.Policy(
+        fields['version'],
+        (jobs.QueuePolicy(QUEUE, 'h', '/q/', 'pool', 1, 3, 500, 1.5, advice),),
+        (jobs.TeamPolicy(TEAM, ('key',), 1, NO_LIMIT),),
+        ('pool',),
+    )
+
+
+def document(version=1, advised=False):
+    """Return an operator's document."""
+    return json.dumps({'version': version, 'advised': advised}).encode()
+
+
+def step(tasks_count=1, cpu=1_000, **more):
+    """Return a step."""
+    return jobs.StepSpec(tasks_count, messages.Resources(cpu, 10), **more)
+
+
+def job(name, *steps, submitted_ms=0):
+    """Return a job."""
+    return jobs.JobSpec(
+        jobs.JobId(name), TEAM, QUEUE, 'payload', steps, submitted_ms
+    )
+
+
+def facts(worker_id, cpu=4_000, **more):
+    """Return a worker."""
+    known = jobs.WorkerFacts(
+        messages.WorkerId(worker_id),
+        f'{worker_id}:1',
+        'pool',
+        messages.FailureDomain('d1'),
+        messages.Rack('r1'),
+        ('a', 'r1'),
+        messages.Resources(cpu, 1_000),
+        1,
+    )
+    return dataclasses.replace(known, **more)
+
+
+class Machine:
+    """A state machine to which commands are applied one by one."""
+
+    def __init__(self, workers=('w1',)):
+        self.state = _state.JobsState(decode_policy)
+        self.index = 0
+        self(_commands.PutPolicy(1, document()))
+        for worker_id in workers:
+            self(_commands.PutWorker(facts(worker_id)))
+
+    def __call__(self, command):
+        self.index += 1
+        return self.state.apply(self.index, messages.encode(command))
+
+    def assign(self, task, run=1, worker_id='w1'):
+        """Assign one run; tell whether that was taken."""
+        assignment = _commands.RunAssignment(
+            jobs.parse_task_key(task), run, messages.WorkerId(worker_id)
+        )
+        return self(_commands.AssignRuns(((assignment,),)))[0]
+
+    def end(self, task, run=1, outcome=jobs.RunOutcome.DONE, checkpoint=''):
+        """Record the end of a run."""
+        key = jobs.parse_task_key(task)
+        self(_commands.EndRuns((jobs.RunEnd(key, run, outcome, checkpoint),)))
+
+    def task(self, text):
+        """Return the record of a task."""
+        key = jobs.parse_task_key(text)
+        return self.state.jobs[key.job_id].task(key)
+
+    def phase(self, name):
+        """Return where a job is."""
+        return self.state.jobs[name].phase
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -0,0 +1,98 @@
+"""Which steps are asked about, and by which process."""
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _advice
+
+POLICY = jobs.AdvicePolicy(500.0, 5.0, 1_500)
+
+
+def _candidates(count, has_room=True):
+    return [_advice.Candidate(f'w{n}', has_room) for n in range(count)]
+
+
+def _answer(advice, name, named, granted, now_ms):
+    grants = tuple(jobs.Grant(one, f't-{one}-{now_ms}') for one in granted)
+    advice.asked(name)
+    advice.answered(name, named, jobs.AdviceReply(grants, 1_500), now_ms)
+
+
+def test_the_first_call_names_workers_with_room_first():
+    advice = _advice.Advice()
+    candidates = [
+        *_candidates(40, has_room=False),
+        _advice.Candidate('free', True),
+    ]
+    named = advice.to_ask('s', candidates, 0)
+    assert named[0] == 'free'
+    assert len(named) == _advice.WORKERS_FIRST_MAX
+
+
+def test_one_call_at_a_time_for_a_step():
+    advice = _advice.Advice()
+    assert advice.to_ask('s', _candidates(3), 0)
+    advice.asked('s')
+    assert advice.to_ask('s', _candidates(3), 0) == ()
+
+
+def test_tickets_are_given_out_while_they_are_valid():
+    advice = _advice.Advice()
+    named = advice.to_ask('s', _candidates(3), 0)
+    _answer(advice, 's', named, ('w1',), 100)
+    assert advice.tickets('s', 200) == {'w1': 't-w1-100'}
+    assert advice.tickets('s', 1_600) == {}
+
+
+def test_a_ticket_is_renewed_only_for_a_granted_worker_with_room():
+    advice = _advice.Advice()
+    named = advice.to_ask('s', _candidates(3), 0)
+    _answer(advice, 's', named, ('w1',), 100)
+    assert advice.to_ask('s', _candidates(3), 200) == ()
+    full = _candidates(3, has_room=False)
+    assert advice.to_ask('s', full, 2_000) == ()
+    assert advice.to_ask('s', _candidates(3), 2_000) == ('w1',)
+
+
+def test_workers_that_were_never_named_are_asked_about():
+    advice = _advice.Advice()
+    _answer(advice, 's', advice.to_ask('s', _candidates(2), 0), (), 100)
+    assert advice.to_ask('s', _candidates(3), 200) == ('w2',)
+
+
+def test_a_call_that_failed_is_made_again_after_a_pause():
+    advice = _advice.Advice()
+    named = advice.to_ask('s', _candidates(1), 0)
+    advice.asked('s')
+    failed = jobs.AdviceReply((), 0, 'no answer')
+    advice.answered('s', named, failed, 100)
+    assert advice.to_ask('s', _candidates(1), 110) == ()
+    assert advice.to_ask('s', _candidates(1), 400) == named
+
+
+def test_another_life_of_a_worker_needs_another_ticket():
+    advice = _advice.Advice()
+    named = advice.to_ask('s', _candidates(1), 0)
+    _answer(advice, 's', named, named, 100)
+    advice.forget_worker('w0')
+    assert advice.tickets('s', 200) == {}
+    assert advice.to_ask('s', _candidates(1), 200) == ('w0',)
+
+
+def test_short_calls_do_not_wait_behind_long_ones():
+    """Plays ten long calls and ten short ones to three processes."""
+    askers = _advice.Askers()
+    for name in ('a', 'b', 'c'):
+        askers.join(name)
+    taken = [askers.choose(POLICY, 20, 0) for _ in range(10)]
+    assert sorted(filter(None, taken)) == ['a', 'b', 'c']
+    short = jobs.AdvicePolicy(10.0, 0.1, 1_500)
+    assert askers.choose(short, 20, 0) is None
+    askers.finished('b', 600)
+    served = [askers.choose(short, 20, 600) for _ in range(10)]
+    assert 'b' in served
+
+
+def test_a_process_that_left_is_not_asked():
+    askers = _advice.Askers()
+    askers.join('a')
+    askers.leave('a')
+    assert askers.choose(POLICY, 1, 0) is None
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -0,0 +1,240 @@
+"""Controllers and a gateway over loopback, with workers in memory."""
+
+import contextlib
+import time
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+from dandeliondrum import testing
+
+PATIENCE_S = 30
+CELL = messages.CellId('test')
+REGION = messages.Region('gulf')
+DOMAIN = messages.FailureDomain('d1')
+RUN_MS = 60
+
+
+def wait_for(condition):
+    end_s = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end_s:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.01)
+    raise AssertionError('the condition did not come about')
+
+
+class Cell:
+    """Three controllers that found a cell, and one gateway."""
+
+    def __init__(self, folder, resources):
+        self.folder = folder
+        self.resources = resources
+        self.adviser = testing.FakeAdviser()
+        self.fleet = [
+            testing.FakeWorker(
+                f'w{number}', messages.Resources(4_000, 1_000), RUN_MS
+            )
+            for number in range(3)
+        ]
+        ids = [messages.ControllerId(f'c{number}') for number in range(3)]
+        addresses = testing.free_addresses(len(ids))
+        self.founders = tuple(zip(ids, addresses, strict=True))
+        self.controllers = {}
+        for controller_id, address in self.founders:
+            self.start(controller_id, address, may_found=True)
+        self.gateway = jobs.JobGateway(
+            jobs.GatewayOptions(self._link('g1')),
+            self.adviser,
+            helpers.decode_policy,
+        )
+        self.gateway.start()
+        resources.callback(self.gateway.close)
+
+    def _link(self, name):
+        return jobs.LinkOptions(
+            messages.GatewayId(name), CELL, REGION, DOMAIN, self.founders
+        )
+
+    def start(self, controller_id, address, may_found=False, folder=None):
+        controller = jobs.JobController(
+            jobs.ControllerOptions(
+                self._link(controller_id),
+                jobs.LeaderOptions(controller_id, 1_000, 1_500, 60_000, 3),
+                jobs.MembershipOptions(
+                    controller_id, address, self.founders, may_found
+                ),
+                address,
+                self.folder / (folder or controller_id),
+                election_min_ms=300,
+                election_max_ms=600,
+            ),
+            jobs.Ports(testing.FakeFleet(self.fleet), self.adviser),
+            helpers.decode_policy,
+        )
+        controller.start().unwrap()
+        self.controllers[controller_id] = controller
+        self.resources.callback(self.stop, controller_id)
+        return controller
+
+    def stop(self, controller_id):
+        controller = self.controllers.pop(controller_id, None)
+        if controller is not None:
+            controller.close()
+
+    def leader(self):
+        for controller_id, controller in self.controllers.items():
+            if controller.node.leading():
+                return controller_id
+        return None
+
+    def any_controller(self):
+        return next(iter(self.controllers.values()))
+
+    def open(self, advised=False):
+        """Have a policy and the workers on record."""
+        wait_for(self.leader)
+        document = helpers.document(1, advised)
+        wait_for(
+            lambda: (
+                self.any_controller()
+                .change_document(1, document, 1_000)
+                .value_or(None)
+            )
+        )
+        for number, worker in enumerate(self.fleet):
+            self.report(worker, number + 1)
+        wait_for(lambda: self.gateway.policy.version == 1)
+
+    def report(self, worker, sequence):
+        wait_for(
+            lambda: (
+                self.any_controller()
+                .report_worker(worker.facts, sequence, 1_000)
+                .value_or(None)
+            )
+        )
+
+    def submit(self, name, *steps):
+        spec = helpers.job(name, *steps, submitted_ms=1)
+        return wait_for(
+            lambda: self.gateway.submit(spec, 2_000).value_or(None)
+        )
+
+    def phase(self, name):
+        return self.gateway.query(name, helpers.TEAM, 1_000).value_or(None)
+
+    def wait_done(self, name):
+        wait_for(lambda: self.phase(name) is jobs.JobPhase.DONE)
+
+    def starts(self):
+        return sorted(start for one in self.fleet for start in one.starts)
+
+
+@pytest.fixture
+def cell(tmp_path):
+    with contextlib.ExitStack() as resources:
+        yield Cell(tmp_path, resources)
+
+
+def test_a_job_with_steps_runs_once(cell):
+    cell.open()
+    cell.submit('j', helpers.step(4), helpers.step(2, after=(0,)))
+    cell.wait_done('j')
+    names = [name for name, _ in cell.starts()]
+    assert len(names) == len(set(names)) == 6
+
+
+def test_a_queue_with_an_adviser_waits_for_its_grants(cell):
+    cell.adviser.refuses.add('w0')
+    cell.open(advised=True)
+    cell.submit('j', helpers.step(6))
+    cell.wait_done('j')
+    assert cell.fleet[0].starts == []
+    assert cell.adviser.asked
+
+
+def test_jobs_go_on_after_the_leader_is_lost(cell):
+    cell.open()
+    for worker in cell.fleet:
+        worker.run_ms = 1_500
+    cell.submit('j', helpers.step(3))
+    wait_for(lambda: len(cell.starts()) == 3)
+    leader = cell.leader()
+    cell.controllers.pop(leader).node.close()
+    cell.wait_done('j')
+    assert len(cell.starts()) == 3
+    cell.submit('k', helpers.step())
+    cell.wait_done('k')
+
+
+def test_a_worker_that_leaves_the_network_loses_its_tasks_to_others(cell):
+    cell.open()
+    for worker in cell.fleet:
+        worker.run_ms = 400
+    cell.submit('j', helpers.step(9))
+    wait_for(lambda: cell.fleet[0].running())
+    cell.fleet[0].silent = True
+    cell.wait_done('j')
+
+
+def test_the_same_job_at_two_gateways_is_one_job(cell):
+    cell.open()
+    assert cell.submit('j', helpers.step()) is jobs.JobPhase.QUEUED
+    cell.wait_done('j')
+    assert cell.submit('j', helpers.step()) is jobs.JobPhase.DONE
+    assert len(cell.starts()) == 1
+
+
+def test_a_job_of_another_team_is_not_shown(cell):
+    cell.open()
+    cell.submit('j', helpers.step())
+    other = messages.TeamId('other')
+    assert cell.gateway.query('j', other, 1_000).unwrap() is None
+    assert cell.gateway.cancel('j', other, 1_000).unwrap() is None
+
+
+def test_a_gateway_without_a_leader_vouches_that_nothing_was_done(cell):
+    cell.open()
+    for controller_id in list(cell.controllers):
+        cell.stop(controller_id)
+    spec = helpers.job('j', helpers.step())
+    failure = cell.gateway.submit(spec, 2_000).failure()
+    assert failure.not_done
+
+
+def test_a_lost_disk_is_filled_again_and_the_jobs_are_known(cell):
+    cell.open()
+    cell.submit('j', helpers.step())
+    cell.wait_done('j')
+    lost = next(one for one, _ in cell.founders if one != cell.leader())
+    address = dict(cell.founders)[lost]
+    cell.stop(lost)
+    again = cell.start(lost, address, folder='empty')
+    wait_for(lambda: again.state.jobs)
+    assert again.state.jobs['j'].phase is jobs.JobPhase.DONE
+
+
+def test_a_cancelled_job_stops(cell):
+    cell.open()
+    for worker in cell.fleet:
+        worker.run_ms = 60_000
+    cell.submit('j', helpers.step(2))
+    wait_for(lambda: len(cell.starts()) == 2)
+    cancelled = cell.gateway.cancel('j', helpers.TEAM, 2_000).unwrap()
+    assert cancelled is jobs.JobPhase.CANCELLED
+    wait_for(lambda: not any(one.running() for one in cell.fleet))
+
+
+def test_an_older_policy_changes_nothing(cell):
+    cell.open()
+    newer = helpers.document(3)
+    controller = cell.any_controller()
+    assert controller.change_document(3, newer, 2_000).unwrap().version == 3
+    older = controller.change_document(2, helpers.document(2), 2_000)
+    assert older.unwrap().version == 3
+    assert controller.read_document(2_000).unwrap().document == newer
+    wait_for(lambda: cell.gateway.policy.version == 3)
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -0,0 +1,128 @@
+"""Placement of waiting tasks."""
+
+import dataclasses
+
+from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+
+
+def _demand(name, spec, indexes=None, **more):
+    known = _planner.Demand(
+        name,
+        0,
+        spec,
+        helpers.TEAM,
+        'pool',
+        1,
+        0,
+        tuple(range(spec.tasks_count)) if indexes is None else indexes,
+    )
+    return dataclasses.replace(known, **more)
+
+
+def _room(worker_id, cpu=4_000, **more):
+    known = _planner.WorkerRoom(
+        worker_id,
+        'pool',
+        'r1',
+        frozenset({'a'}),
+        messages.Resources(cpu, 1_000),
+    )
+    return dataclasses.replace(known, **more)
+
+
+def _workers_of(groups):
+    return [[one.worker_id for one in group] for group in groups]
+
+
+def test_no_worker_is_given_more_than_it_has():
+    groups = _planner.plan(
+        [_demand('j', helpers.step(10, cpu=1_500))],
+        [_room('w1'), _room('w2', 2_000)],
+        {},
+    )
+    assert sorted(sum(_workers_of(groups), [])) == ['w1', 'w1', 'w2']
+
+
+def test_tasks_that_fill_take_no_processors():
+    groups = _planner.plan(
+        [_demand('j', helpers.step(3, cpu=9_000, fills=True))],
+        [_room('w1')],
+        {},
+    )
+    assert len(groups) == 3
+
+
+def test_a_gang_starts_whole_or_not_at_all():
+    demand = _demand('j', helpers.step(3, cpu=2_000, gang=True))
+    assert _planner.plan([demand], [_room('w1')], {}) == []
+    rooms = [_room('w1'), _room('w2')]
+    groups = _planner.plan([demand], rooms, {})
+    assert [len(group) for group in groups] == [3]
+
+
+def test_a_gang_that_does_not_fit_leaves_its_room_to_others():
+    gang = _demand('gang', helpers.step(3, cpu=2_000, gang=True))
+    small = _demand('small', helpers.step(2, cpu=2_000), submitted_ms=1)
+    groups = _planner.plan([gang, small], [_room('w1')], {})
+    assert [group[0].task.job_id for group in groups] == ['small', 'small']
+
+
+def test_urgent_queues_go_first_then_age():
+    late = _demand('late', helpers.step(), submitted_ms=2)
+    early = _demand('early', helpers.step(), submitted_ms=1)
+    urgent = _demand('urgent', helpers.step(), priority=0, submitted_ms=3)
+    groups = _planner.plan([late, early, urgent], [_room('w1', 2_000)], {})
+    assert [group[0].task.job_id for group in groups] == ['urgent', 'early']
+
+
+def test_only_workers_with_a_ticket_are_used():
+    demand = _demand('j', helpers.step(4), tickets={'w2': 't2'})
+    groups = _planner.plan([demand], [_room('w1'), _room('w2', 2_000)], {})
+    assert _workers_of(groups) == [['w2'], ['w2']]
+    assert groups[0][0].ticket == 't2'
+
+
+def test_labels_are_kept():
+    demand = _demand('j', helpers.step(required_label='b'))
+    room = _room('w2', labels=frozenset({'b'}))
+    groups = _planner.plan([demand], [_room('w1'), room], {})
+    assert _workers_of(groups) == [['w2']]
+
+
+def test_a_worker_gets_no_more_of_a_step_than_allowed():
+    demand = _demand(
+        'j', helpers.step(4, per_worker_max=2), per_worker_counts={'w1': 1}
+    )
+    groups = _planner.plan([demand], [_room('w1'), _room('w2')], {})
+    assert sorted(sum(_workers_of(groups), [])) == ['w1', 'w2', 'w2']
+
+
+def test_a_team_is_held_to_its_limit():
+    room = {helpers.TEAM: messages.Resources(2_500, 1_000)}
+    groups = _planner.plan(
+        [_demand('j', helpers.step(4))], [_room('w1')], room
+    )
+    assert len(groups) == 2
+
+
+def test_a_gang_that_does_not_start_gives_the_limit_back():
+    room = {helpers.TEAM: messages.Resources(2_500, 1_000)}
+    gang = _demand('gang', helpers.step(3, gang=True))
+    assert _planner.plan([gang], [_room('w1')], room) == []
+    assert room[helpers.TEAM].cpu_millicores == 2_500
+
+
+def test_a_task_goes_where_it_has_not_failed_before():
+    demand = _demand('j', helpers.step(), avoided=frozenset({'w1'}))
+    rooms = [_room('w1', 1_000), _room('w2')]
+    assert _workers_of(_planner.plan([demand], rooms, {})) == [['w2']]
+
+
+def test_small_tasks_leave_the_emptiest_worker_to_large_ones():
+    small = _demand('small', helpers.step(), priority=0)
+    large = _demand('large', helpers.step(cpu=4_000))
+    rooms = [_room('w1'), _room('w2', 2_000)]
+    groups = _planner.plan([small, large], rooms, {})
+    assert _workers_of(groups) == [['w2'], ['w1']]
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_state.py
@@ -0,0 +1,191 @@
+"""The replicated state of jobs."""
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _demands
+from dandeliondrum.jobs import _state
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+
+
+def test_a_job_is_accepted_once():
+    machine = helpers.Machine()
+    command = _commands.SubmitJob(helpers.job('j', helpers.step()))
+    machine(command)
+    machine.assign('j.0.0.0')
+    machine.end('j.0.0.0')
+    assert machine(command) is jobs.JobPhase.DONE
+    assert len(machine.state.jobs) == 1
+
+
+def test_a_task_runs_in_one_place_at_a_time():
+    machine = helpers.Machine(('w1', 'w2'))
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+    assert machine.assign('j.0.0.0')
+    assert not machine.assign('j.0.0.0', run=2, worker_id='w2')
+
+
+def test_a_run_number_is_never_used_again():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+    machine.assign('j.0.0.0')
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.LOST)
+    assert not machine.assign('j.0.0.0', run=1)
+    assert machine.assign('j.0.0.0', run=2)
+
+
+def test_a_step_waits_for_the_steps_before_it():
+    machine = helpers.Machine()
+    spec = helpers.job('j', helpers.step(2), helpers.step(after=(0,)))
+    machine(_commands.SubmitJob(spec))
+    machine.assign('j.0.0.0')
+    machine.end('j.0.0.0')
+    assert not machine.assign('j.0.1.0')
+    machine.assign('j.0.0.1')
+    machine.end('j.0.0.1')
+    assert machine.assign('j.0.1.0')
+
+
+def test_only_failures_count_as_attempts():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+    for run in range(1, 5):
+        machine.assign('j.0.0.0', run)
+        machine.end('j.0.0.0', run, jobs.RunOutcome.LAPSED)
+    assert machine.phase('j') is jobs.JobPhase.RUNNING
+    for run in range(5, 8):
+        machine.assign('j.0.0.0', run)
+        machine.end('j.0.0.0', run, jobs.RunOutcome.FAILED)
+    assert machine.phase('j') is jobs.JobPhase.FAILED
+
+
+def test_an_end_of_an_earlier_run_does_not_end_the_current_one():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+    machine.assign('j.0.0.0')
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.LOST)
+    machine.assign('j.0.0.0', run=2)
+    machine.end('j.0.0.0', run=1, outcome=jobs.RunOutcome.FAILED)
+    task = machine.task('j.0.0.0')
+    assert (task.run, task.worker_id, task.failures_count) == (2, 'w1', 0)
+
+
+def test_a_late_end_as_done_completes_a_task_that_waits():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+    machine.assign('j.0.0.0')
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.LAPSED)
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.DONE)
+    assert machine.phase('j') is jobs.JobPhase.DONE
+
+
+def test_one_end_of_a_gang_stands_for_all_members():
+    machine = helpers.Machine()
+    spec = helpers.job('j', helpers.step(2, gang=True))
+    machine(_commands.SubmitJob(spec))
+    machine.assign('j.0.0.0')
+    machine.assign('j.0.0.1')
+    machine.end('j.0.0.0')
+    assert machine.phase('j') is jobs.JobPhase.DONE
+    assert machine.state.workers['w1'].used.cpu_millicores == 1_000
+    machine.end('j.0.0.1', outcome=jobs.RunOutcome.LAPSED)
+    assert machine.state.workers['w1'].used.cpu_millicores == 0
+    assert machine.phase('j') is jobs.JobPhase.DONE
+
+
+def test_a_gang_that_failed_counts_one_attempt():
+    machine = helpers.Machine()
+    spec = helpers.job('j', helpers.step(2, gang=True))
+    machine(_commands.SubmitJob(spec))
+    for run in (1, 2):
+        machine.assign('j.0.0.0', run)
+        machine.assign('j.0.0.1', run)
+        machine.end('j.0.0.0', run, jobs.RunOutcome.FAILED)
+        machine.end('j.0.0.1', run, jobs.RunOutcome.FAILED)
+    assert machine.phase('j') is jobs.JobPhase.RUNNING
+
+
+def test_members_of_a_gang_wait_until_the_last_one_is_gone():
+    machine = helpers.Machine()
+    spec = helpers.job('j', helpers.step(2, gang=True))
+    machine(_commands.SubmitJob(spec))
+    machine.assign('j.0.0.0')
+    machine.assign('j.0.0.1')
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.LOST)
+    job = machine.state.jobs['j']
+    assert _demands.waiting_indexes(job, 0) == ()
+    machine.end('j.0.0.1', outcome=jobs.RunOutcome.STOPPED)
+    assert _demands.waiting_indexes(job, 0) == (0, 1)
+
+
+def test_a_cancelled_job_keeps_its_place_until_its_runs_end():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step(2))))
+    machine.assign('j.0.0.0')
+    assert machine(_commands.CancelJob('j')) is jobs.JobPhase.CANCELLED
+    assert machine.state.workers['w1'].used.cpu_millicores == 1_000
+    assert not machine.assign('j.0.0.1')
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.STOPPED)
+    assert machine.state.workers['w1'].used.cpu_millicores == 0
+    assert machine.phase('j') is jobs.JobPhase.CANCELLED
+
+
+def test_a_draining_worker_takes_nothing_new():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+    machine(
+        _commands.PutWorker(
+            helpers.facts('w1', phase=jobs.WorkerPhase.DRAINING)
+        )
+    )
+    assert not machine.assign('j.0.0.0')
+
+
+def test_the_highest_policy_is_in_force():
+    machine = helpers.Machine()
+    assert machine(_commands.PutPolicy(5, helpers.document(5))) == 5
+    assert machine(_commands.PutPolicy(4, helpers.document(4))) == 5
+    assert machine.state.document == helpers.document(5)
+
+
+def test_a_worker_with_runs_is_not_forgotten():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+    machine.assign('j.0.0.0')
+    remove = _commands.RemoveWorker(messages.WorkerId('w1'))
+    assert not machine(remove)
+    machine.end('j.0.0.0')
+    assert machine(remove)
+
+
+def test_a_snapshot_holds_all():
+    machine = helpers.Machine()
+    spec = helpers.job('j', helpers.step(2), helpers.step(2, gang=True))
+    machine(_commands.SubmitJob(spec))
+    machine.assign('j.0.0.0')
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.FAILED, checkpoint='c')
+    machine.assign('j.0.0.1')
+    machine.assign('j.0.1.0')
+    machine.end('j.0.1.0')
+    restored = _state.JobsState(helpers.decode_policy)
+    restored.restore(machine.state.snapshot())
+    assert restored.snapshot() == machine.state.snapshot()
+    assert restored.jobs == machine.state.jobs
+    assert restored.workers == machine.state.workers
+    assert restored.team_used == machine.state.team_used
+    assert restored.policy == machine.state.policy
+    assert restored.open_jobs.keys() == {'j'}
+
+
+def test_names_of_tasks_are_read_back():
+    key = jobs.parse_task_key('5c0e7a21d94b36f8.0.1.17')
+    assert (key.step, key.index) == (1, 17)
+    assert str(key) == '5c0e7a21d94b36f8.0.1.17'
+    assert jobs.parse_task_key('5c0e7a21.x.1.17') is None
+
+
+def test_impossible_jobs_are_named():
+    assert jobs.problem(helpers.job('j'))
+    assert jobs.problem(helpers.job('j', helpers.step(0)))
+    assert jobs.problem(helpers.job('j', helpers.step(after=(0,))))
+    assert not jobs.problem(helpers.job('j', helpers.step()))
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -0,0 +1,277 @@
+"""The leader's side of one worker, against a worker in memory."""
+
+import contextlib
+import threading
+import time
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _worker_peer
+from dandeliondrum.jobs import _workers
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+from dandeliondrum import testing
+
+PATIENCE_S = 20
+
+
+def wait_for(condition):
+    end_s = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end_s:
+        if condition():
+            return
+        time.sleep(0.005)
+    raise AssertionError('the condition did not come about')
+
+
+class Leader:
+    """Records ends in a state machine of its own, without a log."""
+
+    def __init__(self, worker, lease_ms=1_000):
+        self.machine = helpers.Machine(())
+        self.machine(_commands.PutWorker(worker.facts))
+        self.worker = worker
+        self.acting = True
+        self.outcomes = []
+        self.gone_ids = []
+        self.refusals = []
+        self.lease_ms = lease_ms
+        self.stopping = threading.Event()
+        self.peer = self.open_peer(messages.Term(1))
+
+    def open_peer(self, term):
+        return _worker_peer.WorkerPeer(
+            self.worker.facts,
+            term,
+            testing.FakeFleet([self.worker]),
+            self,
+            _worker_peer.PeerOptions(self.lease_ms, self.lease_ms),
+        )
+
+    def submit(self, name, *steps):
+        self.machine(_commands.SubmitJob(helpers.job(name, *steps)))
+
+    def start(self, task, run=1):
+        key = jobs.parse_task_key(task)
+        self.peer.plan(key, _worker_peer.Order(run, 'payload', '', ''))
+        assert self.machine.assign(task, run, self.worker.facts.worker_id)
+        self.peer.dispatch(key)
+
+    def may_act(self):
+        return self.acting
+
+    def record(self, ends):
+        with self.machine.state.lock:
+            self.machine(_commands.EndRuns(ends))
+            self.outcomes += [
+                (str(end.task), end.run, end.outcome.name) for end in ends
+            ]
+        return True
+
+    def assigned(self, worker_id):
+        with self.machine.state.lock:
+            return dict(self.machine.state.workers[worker_id].runs)
+
+    def unwanted(self, runs):
+        state = self.machine.state
+        with state.lock:
+            return [
+                (key, run)
+                for key, run in runs
+                if _workers._is_unwanted(state.jobs[key.job_id], key, run)
+            ]
+
+    def refused(self, worker_id, task, reason):
+        self.refusals.append(reason)
+
+    def gone(self, worker_id):
+        self.gone_ids.append(worker_id)
+
+    def changed(self):
+        """Nothing plans here."""
+
+
+@contextlib.contextmanager
+def serving(leader, peer=None):
+    peer = peer or leader.peer
+    threads = [
+        threading.Thread(target=task, args=(leader.stopping,))
+        for task in (peer.watch, peer.send_orders)
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        leader.stopping.set()
+        peer.close()
+        for thread in threads:
+            thread.join()
+        leader.stopping.clear()
+
+
+@pytest.fixture
+def worker():
+    return testing.FakeWorker('w1', messages.Resources(4_000, 100), 50)
+
+
+def test_a_run_is_started_and_its_end_recorded(worker):
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.start('j.0.0.0')
+        wait_for(lambda: leader.machine.phase('j') is jobs.JobPhase.DONE)
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
+
+
+def test_a_start_carried_out_late_does_not_run_twice(worker):
+    worker.run_ms = 400
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        worker.makes_starts_late = True
+        leader.start('j.0.0.0')
+        wait_for(lambda: worker.late_starts)
+        worker.makes_starts_late = False
+        wait_for(worker.running)
+        worker.carry_out_late_starts()
+        wait_for(lambda: leader.machine.phase('j') is jobs.JobPhase.DONE)
+        worker.carry_out_late_starts()
+    assert worker.starts == [('j.0.0.0', 1)]
+
+
+def test_a_start_that_is_never_answered_is_shut_out_before_another(worker):
+    leader = Leader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        worker.makes_starts_late = True
+        leader.start('j.0.0.0')
+        wait_for(lambda: ('j.0.0.0', 1, 'LOST') in leader.outcomes)
+        worker.carry_out_late_starts()
+    assert worker.starts == []
+
+
+def test_a_silent_worker_keeps_its_runs_until_the_lease_is_over(worker):
+    worker.run_ms = 60_000
+    leader = Leader(worker, lease_ms=600)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.start('j.0.0.0')
+        wait_for(worker.running)
+        worker.silent = True
+        wait_for(lambda: leader.outcomes)
+        assert worker.running() == {}
+    assert leader.outcomes == [('j.0.0.0', 1, 'LAPSED')]
+
+
+def test_a_new_leader_finds_runs_that_were_not_listed(worker):
+    """An assigned run whose start was never sent is queued again."""
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    assert leader.machine.assign('j.0.0.0')
+    with serving(leader):
+        wait_for(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_start_of_an_earlier_leader_is_shut_out(worker):
+    """Its order arrives after the next leader decided that it is lost."""
+    earlier = Leader(worker)
+    earlier.submit('j', helpers.step())
+    with serving(earlier):
+        wait_for(earlier.peer.usable)
+        worker.makes_starts_late = True
+        earlier.start('j.0.0.0')
+        wait_for(lambda: worker.late_starts)
+    earlier.peer = earlier.open_peer(messages.Term(2))
+    with serving(earlier):
+        wait_for(lambda: earlier.outcomes)
+        worker.carry_out_late_starts()
+    assert worker.starts == []
+    assert earlier.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_new_life_under_the_same_id_loses_its_runs(worker):
+    worker.run_ms = 60_000
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.start('j.0.0.0')
+        wait_for(worker.running)
+        worker.start_again()
+        wait_for(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_late_start_to_a_new_life_is_shut_out_or_counted(worker):
+    leader = Leader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        worker.makes_starts_late = True
+        leader.start('j.0.0.0')
+        wait_for(lambda: worker.late_starts)
+        worker.start_again()
+        wait_for(lambda: leader.outcomes)
+        worker.carry_out_late_starts()
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+    assert worker.starts == []
+
+
+def test_another_incarnation_at_the_address_ends_all_runs(worker):
+    worker.run_ms = 60_000
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.start('j.0.0.0')
+        wait_for(worker.running)
+        worker.replaced = True
+        wait_for(lambda: leader.gone_ids)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+    assert leader.gone_ids == ['w1']
+
+
+def test_runs_of_a_cancelled_job_are_stopped(worker):
+    worker.run_ms = 60_000
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.start('j.0.0.0')
+        wait_for(worker.running)
+        leader.machine(_commands.CancelJob('j'))
+        wait_for(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'STOPPED')]
+
+
+def test_a_run_that_nobody_assigned_is_stopped_first(worker):
+    """What a worker runs besides takes room that is not accounted for."""
+    worker.run_ms = 60_000
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    key = jobs.parse_task_key('j.0.0.0')
+    worker.start(jobs.StartOrder(worker.facts, 0, key, 7, '', 60_000, '', ''))
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        assert worker.running() == {}
+
+
+def test_a_leader_that_may_not_act_sends_nothing(worker):
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.acting = False
+        leader.start('j.0.0.0')
+        time.sleep(0.3)
+        assert worker.starts == []
+        leader.acting = True
+        wait_for(lambda: worker.starts)
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -33,6 +33,9 @@
 from dandeliondrum.testing._history import Withdrawal
 from dandeliondrum.testing._http import call
 from dandeliondrum.testing._http import HttpReply
+from dandeliondrum.testing._job_workers import FakeAdviser
+from dandeliondrum.testing._job_workers import FakeFleet
+from dandeliondrum.testing._job_workers import FakeWorker
 from dandeliondrum.testing._mesh import LinkName
 from dandeliondrum.testing._mesh import ProxyMesh
 from dandeliondrum.testing._ports import free_address
@@ -61,7 +64,10 @@
     'CellCalls',
     'ChaosOutcome',
     'CheckOptions',
+    'FakeAdviser',
+    'FakeFleet',
     'FakeGateway',
+    'FakeWorker',
     'Faults',
     'Flow',
     'History',
--- /dev/null
+++ b/dandeliondrum/testing/_job_workers.py
@@ -0,0 +1,233 @@
+"""Workers in memory that keep the contract of :mod:`dandeliondrum.jobs`.
+
+They stand for the workers behind a :class:`jobs.WorkerPort`, with faults that
+a test switches on: no answers, orders that are carried out late, a new life
+under the same id, another incarnation at the same address, failing runs.
+"""
+
+import dataclasses
+import threading
+import time
+
+from dandeliondrum import jobs
+from dandeliondrum import messages
+
+_POLL_S = 0.005
+
+
+@dataclasses.dataclass
+class _Run:
+    run: int
+    ends_at_ms: float
+    percent: float = 0.0
+
+
+class FakeWorker:
+    """One worker; its clock starts at 0 with each life."""
+
+    def __init__(
+        self,
+        worker_id: str,
+        capacity: messages.Resources,
+        run_ms: int,
+    ) -> None:
+        self.lock = threading.RLock()
+        self.run_ms = run_ms
+        self.silent = False
+        self.replaced = False
+        self.fails = False
+        self.late_starts: list[jobs.StartOrder] = []
+        self.makes_starts_late = False
+        self.starts: list[tuple[str, int]] = []
+        self.facts = jobs.WorkerFacts(
+            messages.WorkerId(worker_id),
+            f'{worker_id}:1',
+            'pool',
+            messages.FailureDomain('d1'),
+            messages.Rack('r1'),
+            ('a', 'r1'),
+            capacity,
+            started_ms=1,
+        )
+        self._begin()
+
+    def start_again(self) -> None:
+        """Begin a new life under the same id, with nothing known."""
+        with self.lock:
+            self.facts = dataclasses.replace(
+                self.facts, started_ms=self.facts.started_ms + 1
+            )
+            self._begin()
+
+    def running(self) -> dict[str, int]:
+        """Return the runs that the worker has now."""
+        with self.lock:
+            self._advance()
+            return {str(task): run.run for task, run in self._runs.items()}
+
+    def carry_out_late_starts(self) -> None:
+        """Carry out the starts that were not answered."""
+        with self.lock:
+            late, self.late_starts = self.late_starts, []
+        for order in late:
+            self.start(order, late=True)
+
+    def renew(self, request: jobs.LeaseRequest) -> jobs.ListsOutcome:
+        """Answer a renewal, after a while or with the next end."""
+        until_s = time.monotonic() + request.wait_ms / 1000
+        refused = self._check(request.token)
+        if refused is not None:
+            return refused
+        with self.lock:
+            self._ends = [
+                one
+                for one in self._ends
+                if one.number > request.acknowledged_number
+            ]
+            if request.lease_until_ms is not None:
+                self._lease_ms = max(self._lease_ms, request.lease_until_ms)
+        while True:
+            with self.lock:
+                self._advance()
+                if self._ends or time.monotonic() >= until_s:
+                    return self._lists()
+            time.sleep(_POLL_S)
+
+    def start(
+        self, order: jobs.StartOrder, late: bool = False
+    ) -> jobs.OrderOutcome:
+        """Carry out a start, or keep it for later without an answer."""
+        if self.makes_starts_late and not late:
+            self.late_starts.append(order)
+            return jobs.Unanswered(True, 'no answer')
+        refused = self._check(order.token)
+        if refused is not None:
+            return refused
+        with self.lock:
+            self._advance()
+            self._lease_ms = max(self._lease_ms, order.lease_until_ms)
+            if order.lease_until_ms <= self._clock_ms():
+                return jobs.Refused(jobs.Refusal.LEASE_PASSED)
+            known = self._runs.get(order.task)
+            if known is not None and known.run == order.run:
+                return jobs.Accepted(int(self._clock_ms()))
+            if order.run <= self._highest.get(order.task, 0):
+                return jobs.Refused(jobs.Refusal.OLD_RUN)
+            self._highest[order.task] = order.run
+            self._runs[order.task] = _Run(
+                order.run, self._clock_ms() + self.run_ms
+            )
+            self.starts.append((str(order.task), order.run))
+            return jobs.Accepted(int(self._clock_ms()))
+
+    def stop(self, order: jobs.StopOrder) -> jobs.OrderOutcome:
+        """Stop a run, or shut it out."""
+        refused = self._check(order.token)
+        if refused is not None:
+            return refused
+        with self.lock:
+            self._advance()
+            known = self._runs.get(order.task)
+            if known is not None and known.run <= order.run:
+                self._end(order.task, jobs.RunOutcome.STOPPED)
+            self._highest[order.task] = max(
+                order.run, self._highest.get(order.task, 0)
+            )
+            return jobs.Accepted(int(self._clock_ms()))
+
+    def _begin(self) -> None:
+        self._born_s = time.monotonic()
+        self._token = 0
+        self._lease_ms = 0
+        self._runs: dict[jobs.TaskKey, _Run] = {}
+        self._highest: dict[jobs.TaskKey, int] = {}
+        self._ends: list[jobs.EndListing] = []
+        self._ends_count = 0
+
+    def _check(
+        self, token: int
+    ) -> jobs.Gone | jobs.Refused | jobs.Unanswered | None:
+        if self.silent:
+            return jobs.Unanswered(True, 'silent')
+        if self.replaced:
+            return jobs.Gone()
+        with self.lock:
+            if token < self._token:
+                return jobs.Refused(jobs.Refusal.FENCED)
+            self._token = token
+        return None
+
+    def _clock_ms(self) -> float:
+        return (time.monotonic() - self._born_s) * 1000
+
+    def _advance(self) -> None:
+        now_ms = self._clock_ms()
+        for task, run in list(self._runs.items()):
+            if self._lease_ms and now_ms > self._lease_ms:
+                self._end(task, jobs.RunOutcome.LAPSED)
+            elif now_ms >= run.ends_at_ms:
+                done = jobs.RunOutcome.DONE
+                failed = jobs.RunOutcome.FAILED
+                self._end(task, failed if self.fails else done)
+
+    def _end(self, task: jobs.TaskKey, outcome: jobs.RunOutcome) -> None:
+        run = self._runs.pop(task)
+        self._ends_count += 1
+        self._ends.append(
+            jobs.EndListing(
+                self._ends_count, jobs.RunEnd(task, run.run, outcome)
+            )
+        )
+
+    def _lists(self) -> jobs.Lists:
+        return jobs.Lists(
+            int(self._clock_ms()),
+            self.facts.started_ms,
+            tuple(
+                jobs.RunListing(task, run.run, '', run.percent)
+                for task, run in self._runs.items()
+            ),
+            tuple(self._ends),
+        )
+
+
+class FakeFleet:
+    """Workers by id, as a :class:`jobs.WorkerPort`."""
+
+    def __init__(self, workers: list[FakeWorker]) -> None:
+        self.workers = {one.facts.worker_id: one for one in workers}
+
+    def renew(self, request: jobs.LeaseRequest) -> jobs.ListsOutcome:
+        """Renew a lease and read the lists."""
+        return self.workers[request.worker.worker_id].renew(request)
+
+    def start(self, order: jobs.StartOrder) -> jobs.OrderOutcome:
+        """Start a run."""
+        return self.workers[order.worker.worker_id].start(order)
+
+    def stop(self, order: jobs.StopOrder) -> jobs.OrderOutcome:
+        """Stop a run."""
+        return self.workers[order.worker.worker_id].stop(order)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+class FakeAdviser:
+    """Grants all workers but those named in ``refuses``."""
+
+    def __init__(self) -> None:
+        self.refuses: set[messages.WorkerId] = set()
+        self.asked: list[tuple[str, tuple[messages.WorkerId, ...]]] = []
+
+    def ask(
+        self, step: str, worker_ids: tuple[messages.WorkerId, ...]
+    ) -> jobs.AdviceReply:
+        """Answer at once."""
+        self.asked.append((step, worker_ids))
+        grants = tuple(
+            jobs.Grant(worker_id, f'{step}/{worker_id}')
+            for worker_id in worker_ids
+            if worker_id not in self.refuses
+        )
+        return jobs.AdviceReply(grants, 1_500)
