--- /dev/null
+++ b/dandeliondrum/platform/tests/test_bodies.py
@@ -0,0 +1,101 @@
+"""What callers and workers send."""
+
+import json
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum.platform import _bodies
+from dandeliondrum.platform import _fields
+
+STEP = {'Count': 2, 'Cpu': 500, 'MemMb': 256, 'EstimateMs': 900}
+REPORT = {
+    'Service': 'pool',
+    'Address': '10.128.0.9:8080',
+    'Zone': 'sattahip',
+    'State': 'ready',
+    'Capacity': {'Cpu': 16_000, 'MemMb': 32_768, 'Gpu': 0},
+    'Labels': ['a', 'r1-3'],
+    'Seq': 4,
+    'born': 17,
+}
+
+
+def _job(**fields):
+    body = json.dumps({'Spec': 'text', 'Steps': [STEP], **fields}).encode()
+    return _bodies.job_spec(body, jobs.JobId('0' * 16), 't', 'q', 5)
+
+
+def _report(**fields):
+    body = json.dumps({**REPORT, **fields}).encode()
+    return _bodies.worker_facts(body, 'i-1')
+
+
+def test_a_job_is_read():
+    later = {**STEP, 'After': [0], 'Gang': True, 'AntiAffinity': 3}
+    spec = _job(Steps=[STEP, later])
+    assert spec.steps[0].tasks_count == 2
+    assert spec.steps[1].after == (0,)
+    assert spec.steps[1].gang
+    assert spec.steps[1].per_worker_max == 3
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'Steps': []},
+        {'Steps': [{}]},
+        {'Steps': [{**STEP, 'Count': -1}]},
+        {'Steps': [{**STEP, 'Count': 10**9}]},
+        {'Steps': [{**STEP, 'After': [0]}]},
+        {'Steps': [{**STEP, 'After': ['0']}]},
+        {'Steps': 'all'},
+        {'Spec': 5},
+        {'Spec': 'x' * 5_000},
+        {'RepeatCount': 3},
+    ],
+)
+def test_a_job_that_makes_no_sense_is_refused(fields):
+    with pytest.raises(_fields.FieldError):
+        _job(**fields)
+
+
+def test_a_report_is_read():
+    facts, sequence = _report()
+    assert (facts.rack, facts.started_ms, sequence) == ('r1-3', 17, 4)
+    assert facts.capacity.cpu_millicores == 16_000
+    assert _report(State='draining')[0].phase is jobs.WorkerPhase.DRAINING
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'State': 'unknown'},
+        {'State': None},
+        {'Address': 'nowhere'},
+        {'Capacity': 16},
+        {'Labels': [1]},
+        {'Seq': '4'},
+        {'Service': None},
+    ],
+)
+def test_a_report_of_another_writer_is_refused(fields):
+    with pytest.raises(_fields.FieldError):
+        _report(**fields)
+
+
+def test_lists_are_read():
+    body = {
+        'TimeMs': 9,
+        'born': 17,
+        'Running': [['0a.0.1.17', 2, 'c', 41, 700], ['odd', 1, '', 0, 0]],
+        'Ended': [[58, '0a.0.1.9', 1, 'done', ''], [59, 'odd', 1, 'x', '']],
+    }
+    lists = _bodies.lists(json.dumps(body).encode(), 500)
+    assert [(str(one.task), one.run) for one in lists.runs] == [
+        ('0a.0.1.17', 2)
+    ]
+    assert lists.ends[0].number == 58
+    assert lists.ends[0].end.outcome is jobs.RunOutcome.DONE
+    assert lists.ends_complete
+    assert not _bodies.lists(json.dumps(body).encode(), 2).ends_complete
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -38,6 +38,8 @@
 from dandeliondrum.testing._job_workers import FakeWorker
 from dandeliondrum.testing._mesh import LinkName
 from dandeliondrum.testing._mesh import ProxyMesh
+from dandeliondrum.testing._platform import HttpAdviser
+from dandeliondrum.testing._platform import HttpWorker
 from dandeliondrum.testing._ports import free_address
 from dandeliondrum.testing._ports import free_addresses
 from dandeliondrum.testing._processes import daemon
@@ -71,7 +73,9 @@
     'Faults',
     'Flow',
     'History',
+    'HttpAdviser',
     'HttpReply',
+    'HttpWorker',
     'LinkName',
     'NO_FAULTS',
     'Outage',
--- a/dandeliondrum/testing/_job_workers.py
+++ b/dandeliondrum/testing/_job_workers.py
@@ -49,6 +49,13 @@
             capacity,
             started_ms=1,
         )
+        self._born_s = 0.0
+        self._token = 0
+        self._lease_ms = 0
+        self._runs: dict[jobs.TaskKey, _Run] = {}
+        self._highest: dict[jobs.TaskKey, int] = {}
+        self._ends: list[jobs.EndListing] = []
+        self._ends_count = 0
         self._begin()
 
     def start_again(self) -> None:
@@ -139,9 +146,9 @@
         self._born_s = time.monotonic()
         self._token = 0
         self._lease_ms = 0
-        self._runs: dict[jobs.TaskKey, _Run] = {}
-        self._highest: dict[jobs.TaskKey, int] = {}
-        self._ends: list[jobs.EndListing] = []
+        self._runs = {}
+        self._highest = {}
+        self._ends = []
         self._ends_count = 0
 
     def _check(
--- /dev/null
+++ b/dandeliondrum/testing/_platform.py
@@ -0,0 +1,205 @@
+"""A stand-in of the users' platform over loopback HTTP.
+
+Workers and the adviser speak the platform's published protocol. What the
+workers do is :class:`FakeWorker`; this module only puts it on the wire.
+"""
+
+import contextlib
+import json
+import typing
+
+from cheroot import wsgi
+import werkzeug
+
+from dandeliondrum import jobs
+from dandeliondrum import messages
+from dandeliondrum.testing import _job_workers
+from dandeliondrum import transport
+from dandeliondrum import utils
+
+THREADS_COUNT = 8
+
+_REASONS = {
+    jobs.Refusal.FENCED: 'fence',
+    jobs.Refusal.OLD_RUN: 'old',
+    jobs.Refusal.LEASE_PASSED: 'late',
+}
+
+_Body = dict[str, typing.Any]
+
+
+class HttpServer:
+    """Serves a function from a path and a JSON body to a JSON reply."""
+
+    def __init__(
+        self,
+        address: str,
+        serve: typing.Callable[[werkzeug.Request, _Body], typing.Any],
+    ) -> None:
+        self._serve = serve
+        self._resources = contextlib.ExitStack()
+        self._server = wsgi.Server(
+            transport.parse_address(address),
+            werkzeug.Request.application(self._respond),
+            numthreads=THREADS_COUNT,
+            timeout=10,
+        )
+        self._server.prepare()
+        host, port = self._server.bind_addr[:2]
+        self.address = f'{host}:{port}'
+
+    def start(self) -> None:
+        """Answer from now on."""
+        supervisor = utils.Supervisor('stand-in', threads_count=1)
+        supervisor.run('serve', lambda _: self._server.serve())
+        self._resources.callback(supervisor.close)
+        self._resources.callback(self._server.stop)
+
+    def close(self) -> None:
+        """Stop answering."""
+        self._resources.close()
+
+    def _respond(self, request: werkzeug.Request) -> werkzeug.Response:
+        body = json.loads(request.get_data() or b'{}')
+        status, reply = self._serve(request, body)
+        return werkzeug.Response(
+            json.dumps(reply), status, content_type='application/json'
+        )
+
+
+class HttpWorker:
+    """A worker in memory, served over HTTP."""
+
+    def __init__(self, worker: _job_workers.FakeWorker, address: str) -> None:
+        self.worker = worker
+        self.sequence = 0
+        self.server = HttpServer(address, self._serve)
+
+    def report(self, state: str = 'ready') -> bytes:
+        """Return the body of the next report about itself."""
+        self.sequence += 1
+        facts = self.worker.facts
+        fields = {
+            'Service': facts.pool,
+            'Address': self.server.address,
+            'Zone': facts.failure_domain,
+            'Version': 'v1',
+            'Slots': 8,
+            'State': state,
+            'ColdRemainingMs': 0,
+            'Capacity': _amounts(facts.capacity),
+            'Labels': list(facts.labels),
+            'TimeMs': 1,
+            'Seq': self.sequence,
+            'born': facts.started_ms,
+        }
+        return json.dumps(fields).encode()
+
+    def _serve(
+        self, request: werkzeug.Request, body: _Body
+    ) -> tuple[int, _Body]:
+        expected = request.headers.get('X-Expect-Instance')
+        if expected != self.worker.facts.worker_id:
+            return 421, {}
+        match request.path:
+            case '/hold':
+                return self._renew(body)
+            case '/run-start':
+                return _order_reply(self.worker.start(self._start(body)))
+            case '/run-stop':
+                return _order_reply(self.worker.stop(self._stop(body)))
+        return 404, {}
+
+    def _renew(self, body: _Body) -> tuple[int, _Body]:
+        outcome = self.worker.renew(
+            jobs.LeaseRequest(
+                self.worker.facts,
+                body['FencingToken'],
+                body['AckedThrough'],
+                body.get('DeadlineMs'),
+                body.get('WaitMs', 0),
+            )
+        )
+        if not isinstance(outcome, jobs.Lists):
+            return _order_reply(outcome)
+        running = [
+            [str(one.task), one.run, one.checkpoint, one.percent, 0]
+            for one in outcome.runs
+        ]
+        ended = [
+            [
+                one.number,
+                str(one.end.task),
+                one.end.run,
+                one.end.outcome.value,
+                one.end.checkpoint,
+            ]
+            for one in outcome.ends
+        ]
+        return 200, {
+            'TimeMs': outcome.clock_ms,
+            'Running': running,
+            'Ended': ended,
+            'born': outcome.started_ms,
+        }
+
+    def _start(self, body: _Body) -> jobs.StartOrder:
+        return jobs.StartOrder(
+            self.worker.facts,
+            body['FencingToken'],
+            _task(body),
+            body['Run'],
+            body['Spec'],
+            body['DeadlineMs'],
+            body.get('Checkpoint', ''),
+            body.get('Ticket', ''),
+        )
+
+    def _stop(self, body: _Body) -> jobs.StopOrder:
+        return jobs.StopOrder(
+            self.worker.facts, body['FencingToken'], _task(body), body['Run']
+        )
+
+
+class HttpAdviser:
+    """An adviser in memory, served over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        self.adviser = _job_workers.FakeAdviser()
+        self.server = HttpServer(address, self._serve)
+
+    def _serve(
+        self, request: werkzeug.Request, body: _Body
+    ) -> tuple[int, _Body]:
+        if request.path != '/advise':
+            return 404, {}
+        ids = tuple(messages.WorkerId(one) for one in body['Workers'])
+        reply = self.adviser.ask(body['Step'], ids)
+        granted = [[one.worker_id, one.ticket] for one in reply.grants]
+        return 200, {'Granted': granted, 'ValidityMs': reply.valid_ms}
+
+
+def _order_reply(outcome: object) -> tuple[int, _Body]:
+    match outcome:
+        case jobs.Accepted(clock_ms):
+            return 200, {'TimeMs': clock_ms}
+        case jobs.Refused(reason):
+            return 409, {'TimeMs': 0, 'Reason': _REASONS[reason]}
+        case jobs.Gone():
+            return 421, {}
+    return 500, {}
+
+
+def _task(body: _Body) -> jobs.TaskKey:
+    key = jobs.parse_task_key(body['Task'])
+    if key is None:
+        raise ValueError(f'no task: {body["Task"]}')
+    return key
+
+
+def _amounts(resources: messages.Resources) -> _Body:
+    return {
+        'Cpu': resources.cpu_millicores,
+        'MemMb': resources.memory_mb,
+        'Gpu': resources.accelerators_count,
+    }
