Write logs without ever blocking, and send no start to a draining worker

Cause: a process wrote each log line to standard output itself, so a reader that stalls would stop it. A start that was planned before its worker reported that it drains could be sent seconds later when the worker's orders were held up; it is queued again instead. A worker that left and starts again under its id is used again.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -318,6 +318,7 @@
                 started_ms=lists.started_ms,
             )
         self._life_started_ms = lists.started_ms
+        self._left = False
         self._token += 1
         self._acknowledged = 0
         self._clock_offset_ms = lists.clock_ms - _clock.elapsed_ms()
@@ -456,7 +457,8 @@
         run = self._events.assigned(self.facts.worker_id).get(task)
         if run is None:
             return
-        unwanted = bool(self._events.unwanted([(task, run)]))
+        draining = self.facts.phase is _commands.WorkerPhase.DRAINING
+        unwanted = draining or bool(self._events.unwanted([(task, run)]))
         with self._lock:
             order = self._orders.get(task)
             if order is None or order.run != run:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -1,6 +1,7 @@
 """The leader's side of one worker, against a worker in memory."""
 
 import contextlib
+import dataclasses
 import threading
 import time
 
@@ -275,3 +276,29 @@
         assert worker.starts == []
         leader.acting = True
         wait_for(lambda: worker.starts)
+
+
+def test_a_start_that_was_planned_before_a_drain_is_not_sent(worker):
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.acting = False
+        leader.start('j.0.0.0')
+        leader.peer.facts = dataclasses.replace(
+            worker.facts, phase=jobs.WorkerPhase.DRAINING
+        )
+        leader.acting = True
+        wait_for(lambda: leader.outcomes)
+    assert worker.starts == []
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_worker_that_left_is_used_again_in_its_next_life(worker):
+    leader = Leader(worker)
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.peer.leave()
+        assert not leader.peer.usable()
+        worker.start_again()
+        wait_for(leader.peer.usable)
--- a/dandeliondrum/observability/__init__.py
+++ b/dandeliondrum/observability/__init__.py
@@ -5,6 +5,7 @@
 ``dandeliondrum_gateway_wait_seconds``.
 """
 
+from dandeliondrum.observability._bounded import BoundedStream
 from dandeliondrum.observability._endpoints import Endpoints
 from dandeliondrum.observability._endpoints import process_registry
 from dandeliondrum.observability._endpoints import Readiness
@@ -23,6 +24,7 @@
 from dandeliondrum.observability._traces import TRACES_PER_THOUSAND
 
 __all__ = [
+    'BoundedStream',
     'Endpoints',
     'LogExporter',
     'Readiness',
--- a/dandeliondrum/observability/_logs.py
+++ b/dandeliondrum/observability/_logs.py
@@ -9,12 +9,14 @@
 from opentelemetry import trace
 import structlog
 
+from dandeliondrum.observability import _bounded
+
 
 def configure_logging(
     role: str,
     process_id: str,
     level: str = 'info',
-    stream: typing.TextIO | None = None,
+    stream: typing.TextIO | _bounded.BoundedStream | None = None,
 ) -> None:
     """Write log lines as JSON to a stream, by default to standard error.
 
@@ -40,7 +42,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(
+            typing.cast(typing.TextIO, stream or sys.stderr)
+        ),
         cache_logger_on_first_use=False,
     )
 
--- a/dandeliondrum/platform/__main__.py
+++ b/dandeliondrum/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs a role on the platform: ``python3 -m dandeliondrum.platform ROLE``."""
 
+import contextlib
 import sys
 
 from returns import result
@@ -17,10 +18,14 @@
     role = arguments[0]
     match _settings.load(_programs.settings_path()):
         case result.Success(settings):
-            observability.configure_logging(
-                role, settings.vm_name, 'info', sys.stdout
-            )
-            return _programs.run(role, settings)
+            with contextlib.ExitStack() as resources:
+                stream = observability.BoundedStream(sys.stdout)
+                stream.start()
+                resources.callback(stream.close)
+                observability.configure_logging(
+                    role, settings.vm_name, 'info', stream
+                )
+                return _programs.run(role, settings)
         case result.Failure(why):
             sys.stderr.write(f'settings: {why}\n')
     return 1
