Say why a step waits, and serve a controller's metrics

Cause: when a job was late, the log named neither what kept it waiting nor the age of what decided. The leader now reports steps that wait for over a second with the obstacle, the workers in use and the grants; assignments carry the policy's version and the age of the worker's list; calls to the adviser their time. Counters and histograms are served at 9464/metrics.

--- a/dandeliondrum/jobs/_advice_calls.py
+++ b/dandeliondrum/jobs/_advice_calls.py
@@ -62,7 +62,7 @@
         term.advice.asked(name)
         request = _calls.AdviceRequest(name, named)
         self._send(asker_id, request).add_done_callback(
-            functools.partial(self._answered, asker_id, request)
+            functools.partial(self._answered, asker_id, request, now_ms)
         )
 
     def _send(
@@ -74,7 +74,11 @@
         return self._term.asker.ask(request)
 
     def _answered(
-        self, asker_id: str, request: _calls.AdviceRequest, done: typing.Any
+        self,
+        asker_id: str,
+        request: _calls.AdviceRequest,
+        sent_ms: int,
+        done: typing.Any,
     ) -> None:
         reply = _calls.AdviceReply((), 0, 'the call was given up')
         if not done.cancelled() and done.exception() is None:
@@ -92,9 +96,14 @@
             term.advice.answered(
                 request.step, request.worker_ids, reply, now_ms
             )
-        _logger.debug(
+        took_ms = now_ms - sent_ms
+        term.metrics.advice_seconds.labels(
+            'failed' if reply.problem else 'answered'
+        ).observe(took_ms / 1000)
+        _logger.info(
             'advice',
             step=request.step,
+            took_ms=took_ms,
             asked_count=len(request.worker_ids),
             granted_count=len(reply.grants),
             asker=asker_id,
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -17,6 +17,7 @@
 from dandeliondrum.jobs import _leader_calls
 from dandeliondrum.jobs import _leadership
 from dandeliondrum.jobs import _membership
+from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _state
@@ -79,6 +80,8 @@
         self._lock = threading.Lock()
         self._leadership: _leadership.Leadership | None = None
         self._asker = _asker.Asker(ports.adviser)
+        self.metrics = _metrics.Metrics()
+        self.metrics.leading.set_function(lambda: float(self.leads()))
         self.state = _state.JobsState(decode_policy)
         self.calls = _leader_calls.LeaderCalls(
             options.link,
@@ -96,6 +99,7 @@
             self.state,
             self,
             on_fatal,
+            registry=self.metrics.registry,
         )
         self._membership = _membership.Membership(
             options.membership, self.node, self.calls
@@ -142,6 +146,10 @@
                 transfer.result(TRANSFER_TIMEOUT_MS / 1000)
         self._resources.close()
 
+    def leads(self) -> bool:
+        """Tell whether this controller decides at the moment."""
+        return self._leadership is not None and self.node.leading()
+
     def on_leading(self, term: messages.Term) -> None:
         """Begin to lead; called by the log once this node leads."""
         leadership = _leadership.Leadership(
@@ -151,6 +159,7 @@
             self.node,
             self._ports.workers,
             self._asker,
+            self.metrics,
             self._timers,
         )
         leadership.open()
--- /dev/null
+++ b/dandeliondrum/jobs/_delays.py
@@ -0,0 +1,62 @@
+"""Reports why steps that are due are not placed."""
+
+import structlog
+
+from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import _specs
+from dandeliondrum import messages
+
+# A step is reported when it has waited this long, and then this often.
+REPORT_EVERY_MS = 1_000
+# Lines in one round at most; the oldest steps come first.
+REPORTS_PER_ROUND_MAX = 5
+
+_logger = structlog.get_logger()
+
+_Key = tuple[_specs.JobId, _specs.StepIndex]
+
+
+class Delays:
+    """Remembers since when each step waits; used by the scheduler alone."""
+
+    def __init__(self) -> None:
+        self._since_ms: dict[_Key, int] = {}
+        self._reported_ms: dict[_Key, int] = {}
+
+    def report(
+        self,
+        waiting: list[_planner.Demand],
+        rooms: list[_planner.WorkerRoom],
+        team_room: dict[messages.TeamId, messages.Resources],
+        now_ms: int,
+    ) -> None:
+        """Take in what a round left waiting; write lines about the oldest."""
+        keys = {(one.job_id, one.step): one for one in waiting}
+        self._since_ms = {key: self._since_ms.get(key, now_ms) for key in keys}
+        self._reported_ms = {
+            key: value
+            for key, value in self._reported_ms.items()
+            if key in keys
+        }
+        due = [
+            key
+            for key, since_ms in self._since_ms.items()
+            if now_ms - self._reported_ms.get(key, since_ms) >= REPORT_EVERY_MS
+        ]
+        due.sort(key=lambda key: self._since_ms[key])
+        for key in due[:REPORTS_PER_ROUND_MAX]:
+            self._reported_ms[key] = now_ms
+            demand = keys[key]
+            obstacle = _planner.obstacle(demand, rooms, team_room)
+            _logger.info(
+                'step waits',
+                job=demand.job_id,
+                step=demand.step,
+                tasks_count=len(demand.indexes),
+                waited_ms=now_ms - self._since_ms[key],
+                why=obstacle.value,
+                usable_workers_count=len(rooms),
+                granted_count=(
+                    None if demand.tickets is None else len(demand.tickets)
+                ),
+            )
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -12,6 +12,7 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _scheduler
@@ -46,9 +47,12 @@
         node: consensus.Node,
         port: _port.WorkerPort,
         asker: _asker.Asker,
+        metrics: _metrics.Metrics,
         timers: utils.TimerService,
     ) -> None:
-        self._term = _term.Term(options, number, state, node, port, asker)
+        self._term = _term.Term(
+            options, number, state, node, port, asker, metrics
+        )
         self._timers = timers
         self._resources = contextlib.ExitStack()
         self._supervisor = utils.Supervisor(
@@ -176,7 +180,13 @@
                 team=spec.team_id,
                 tasks_count=sum(step.tasks_count for step in spec.steps),
             )
-            self._term.work.set()
+            term = self._term
+            term.metrics.accepted.labels(spec.queue).inc()
+            term.accepted_ms[spec.job_id] = (
+                spec.queue,
+                _clock.elapsed_ms(),
+            )
+            term.work.set()
             return _calls.JobStatus(outcome.unwrap())
 
         return utils.then(
@@ -293,6 +303,12 @@
         self._ended_ms = {
             job_id: self._ended_ms.get(job_id, now_ms) for job_id in ended
         }
+        with self._term.lock:
+            for job_id in ended:
+                self._term.accepted_ms.pop(job_id, None)
+            for key in list(self._term.failed_on):
+                if key[0] in ended:
+                    del self._term.failed_on[key]
         due = tuple(
             job_id
             for job_id, since_ms in self._ended_ms.items()
--- /dev/null
+++ b/dandeliondrum/jobs/_metrics.py
@@ -0,0 +1,84 @@
+"""Metrics of a controller for jobs, in a registry of its own."""
+
+import prometheus_client
+from prometheus_client import registry
+
+WAIT_BUCKETS_SECONDS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+    6.4,
+    12.8,
+    30.0,
+)
+
+
+class Metrics:
+    """Counters, gauges and histograms; names carry their unit."""
+
+    def __init__(self) -> None:
+        self.registry = registry.CollectorRegistry()
+        self.leading = prometheus_client.Gauge(
+            'dandeliondrum_jobs_leading',
+            'Whether this controller leads',
+            registry=self.registry,
+        )
+        self.open_jobs = prometheus_client.Gauge(
+            'dandeliondrum_jobs_open',
+            'Jobs that have not ended',
+            registry=self.registry,
+        )
+        self.usable_workers = prometheus_client.Gauge(
+            'dandeliondrum_jobs_usable_workers',
+            'Workers that are given tasks now',
+            registry=self.registry,
+        )
+        self.accepted = prometheus_client.Counter(
+            'dandeliondrum_jobs_accepted',
+            'Jobs that were accepted, by queue',
+            ('queue',),
+            registry=self.registry,
+        )
+        self.assigned = prometheus_client.Counter(
+            'dandeliondrum_jobs_runs_assigned',
+            'Runs that were assigned',
+            registry=self.registry,
+        )
+        self.ended = prometheus_client.Counter(
+            'dandeliondrum_jobs_runs_ended',
+            'Runs whose end was recorded, by outcome',
+            ('outcome',),
+            registry=self.registry,
+        )
+        self.refused = prometheus_client.Counter(
+            'dandeliondrum_jobs_starts_refused',
+            'Starts that workers refused, by reason',
+            ('reason',),
+            registry=self.registry,
+        )
+        self.first_start_seconds = prometheus_client.Histogram(
+            'dandeliondrum_jobs_first_start_seconds',
+            "Time from a job's acceptance to its first assignment, by queue",
+            ('queue',),
+            buckets=WAIT_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.advice_seconds = prometheus_client.Histogram(
+            'dandeliondrum_jobs_advice_seconds',
+            'Time of a call to the adviser, by outcome',
+            ('outcome',),
+            buckets=WAIT_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.round_seconds = prometheus_client.Histogram(
+            'dandeliondrum_jobs_round_seconds',
+            'Time of a round of planning with a demand',
+            buckets=WAIT_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 
 from dandeliondrum.jobs import _specs
 from dandeliondrum import messages
@@ -62,6 +63,16 @@
     ticket: str = ''
 
 
+class Obstacle(enum.Enum):
+    """Why a task that is due is not placed."""
+
+    NO_WORKER = 'no worker of the pool is usable'
+    NO_GRANT = 'no usable worker is granted'
+    NO_ROOM = 'no granted worker has room'
+    TEAM_LIMIT = 'the team is at its limit'
+    GANG = 'the gang does not fit as a whole'
+
+
 def order_of(demand: Demand) -> tuple[int, int, str]:
     """Return the place of a demand: urgent queues first, then by age."""
     return (demand.priority, demand.submitted_ms, demand.job_id)
@@ -95,6 +106,23 @@
     return groups
 
 
+def obstacle(
+    demand: Demand,
+    workers: collections.abc.Iterable[WorkerRoom],
+    team_room: collections.abc.Mapping[messages.TeamId, messages.Resources],
+) -> Obstacle:
+    """Return what keeps a demand waiting after a round of planning."""
+    pool = [one for one in workers if one.pool == demand.pool]
+    if not pool:
+        return Obstacle.NO_WORKER
+    attempt = _Attempt(demand, pool, dict(team_room))
+    if not attempt.candidates_count():
+        return Obstacle.NO_GRANT
+    if not attempt.team_has_room():
+        return Obstacle.TEAM_LIMIT
+    return Obstacle.GANG if attempt.one_fits() else Obstacle.NO_ROOM
+
+
 class _Attempt:
     """One demand against the room that is left."""
 
@@ -124,6 +152,14 @@
             return groups
         return self._run_gang()
 
+    def candidates_count(self) -> int:
+        """Return how many workers may run the demand at all."""
+        return len(self._workers)
+
+    def one_fits(self) -> bool:
+        """Tell whether one task alone would fit somewhere."""
+        return any(self._fits(one) for one in self._workers)
+
     def _run_gang(self) -> list[tuple[Placement, ...]]:
         taken: list[WorkerRoom] = []
         for _ in self._demand.indexes:
@@ -144,7 +180,7 @@
         return demand.tickets is None or worker.worker_id in demand.tickets
 
     def _take(self) -> WorkerRoom | None:
-        if not self._team_has_room():
+        if not self.team_has_room():
             return None
         fitting = [one for one in self._workers if self._fits(one)]
         if not fitting:
@@ -180,7 +216,8 @@
             worker.free.cpu_millicores,
         )
 
-    def _team_has_room(self) -> bool:
+    def team_has_room(self) -> bool:
+        """Tell whether the team may start one more task."""
         room = self._team_room.get(self._demand.team_id)
         return room is None or self._demand.spec.resources.fits_in(room)
 
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -1,6 +1,8 @@
 """Plans in rounds: asks for advice, places tasks, has the runs agreed on."""
 
+import dataclasses
 import threading
+import time
 
 from returns import result
 import structlog
@@ -8,6 +10,7 @@
 from dandeliondrum.jobs import _advice_calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _delays
 from dandeliondrum.jobs import _demands
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
@@ -33,6 +36,7 @@
     def __init__(self, term: _term.Term) -> None:
         self._term = term
         self._advice_calls = _advice_calls.AdviceCalls(term)
+        self._delays = _delays.Delays()
 
     def run(self, stopping: threading.Event) -> None:
         """Plan whenever something has changed."""
@@ -48,16 +52,20 @@
 
     def _round(self) -> None:
         term = self._term
+        began_s = time.monotonic()
         with term.lock, term.state.lock:
+            term.metrics.open_jobs.set(len(term.state.open_jobs))
             demands = list(_demands.open_demands(term.state))
             if not demands:
                 term.advice.keep_only(set())
                 return
             rooms = self._rooms()
+            term.metrics.usable_workers.set(len(rooms))
             self._advice_calls.make(demands, rooms)
             groups = self._plan(demands, rooms)
             numbered = _demands.assignments(term.state, groups)
             self._note_orders(groups, numbered)
+        term.metrics.round_seconds.observe(time.monotonic() - began_s)
         if numbered:
             self._agree(numbered)
 
@@ -83,32 +91,38 @@
     ) -> _Groups:
         term = self._term
         now_ms = _clock.elapsed_ms()
-        open_now = []
-        for demand, queue in demands:
-            tickets: dict[messages.WorkerId, str] | None = None
-            if queue.advice is not None:
-                name = _specs.step_name(demand.job_id, demand.step)
-                tickets = term.advice.tickets(name, now_ms)
-                if not tickets:
-                    continue
-            open_now.append(
-                _planner.Demand(
-                    demand.job_id,
-                    demand.step,
-                    demand.spec,
-                    demand.team_id,
-                    demand.pool,
-                    demand.priority,
-                    demand.submitted_ms,
-                    demand.indexes,
-                    tickets,
-                    frozenset(
-                        term.failed_on.get((demand.job_id, demand.step), ())
-                    ),
-                    demand.per_worker_counts,
-                )
-            )
-        return _planner.plan(open_now, rooms, _demands.team_room(term.state))
+        ready = [
+            self._with_grants(demand, queue, now_ms)
+            for demand, queue in demands
+        ]
+        team_room = _demands.team_room(term.state)
+        groups = _planner.plan(
+            [one for one in ready if one.tickets != {}], rooms, team_room
+        )
+        placed = {
+            (one.task.job_id, one.task.step) for g in groups for one in g
+        }
+        waiting = [
+            one for one in ready if (one.job_id, one.step) not in placed
+        ]
+        self._delays.report(waiting, rooms, team_room, now_ms)
+        return groups
+
+    def _with_grants(
+        self,
+        demand: _planner.Demand,
+        queue: _policy.QueuePolicy,
+        now_ms: int,
+    ) -> _planner.Demand:
+        term = self._term
+        tickets: dict[messages.WorkerId, str] | None = None
+        if queue.advice is not None:
+            name = _specs.step_name(demand.job_id, demand.step)
+            tickets = term.advice.tickets(name, now_ms)
+        failed_on = term.failed_on.get((demand.job_id, demand.step), set())
+        return dataclasses.replace(
+            demand, tickets=tickets, avoided=frozenset(failed_on)
+        )
 
     def _note_orders(
         self,
@@ -149,10 +163,23 @@
         if not assigned:
             peer.unplan(run.task)
             return
+        self._term.metrics.assigned.inc()
         _logger.info(
             'run assigned',
             task=str(run.task),
             run=run.run,
             worker=run.worker_id,
+            policy_version=self._term.state.policy.version,
+            list_age_ms=peer.list_age_ms(),
         )
+        self._observe_first_start(run.task.job_id)
         peer.dispatch(run.task)
+
+    def _observe_first_start(self, job_id: _specs.JobId) -> None:
+        accepted = self._term.accepted_ms.pop(job_id, None)
+        if accepted is not None:
+            queue, since_ms = accepted
+            waited_ms = _clock.elapsed_ms() - since_ms
+            self._term.metrics.first_start_seconds.labels(queue).observe(
+                waited_ms / 1000
+            )
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -14,6 +14,7 @@
 from dandeliondrum.jobs import _asker
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _health
+from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
@@ -62,6 +63,7 @@
         node: consensus.Node,
         port: _port.WorkerPort,
         asker: _asker.Asker,
+        metrics: _metrics.Metrics,
     ) -> None:
         self.options = options
         self.number = number
@@ -69,6 +71,7 @@
         self.node = node
         self.port = port
         self.asker = asker
+        self.metrics = metrics
         self.lock = threading.RLock()
         self.work = threading.Event()
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
@@ -79,6 +82,10 @@
         self.failed_on: dict[
             tuple[_specs.JobId, int], set[messages.WorkerId]
         ] = {}
+        # When a job that has not started yet was accepted in this term.
+        self.accepted_ms: dict[
+            _specs.JobId, tuple[messages.QueueName, int]
+        ] = {}
         self._suspension = _clock.SuspensionDetector()
         self._suspension_lock = threading.Lock()
 
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -173,6 +173,12 @@
             silent_ms = _clock.elapsed_ms() - self._answered_ms
             return silent_ms <= SILENCE_MAX_MS
 
+    def list_age_ms(self) -> int:
+        """Return the age of the newest list, -1 where there is none."""
+        if self._answered_ms is None:
+            return -1
+        return _clock.elapsed_ms() - self._answered_ms
+
     def plan(self, task: _specs.TaskKey, order: Order) -> None:
         """Note a run that is about to be agreed on."""
         with self._lock:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -224,6 +224,7 @@
             _logger.warning('ends not recorded', why=str(outcome.failure()))
             return False
         for end in ends:
+            self._term.metrics.ended.labels(end.outcome.value).inc()
             _logger.info(
                 'run ended',
                 task=str(end.task),
@@ -245,6 +246,7 @@
     ) -> None:
         """Take note that a worker refused a start."""
         term = self._term
+        term.metrics.refused.labels(reason.value).inc()
         with term.lock:
             match reason:
                 case _port.Refusal.NO_TICKET:
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -126,3 +126,20 @@
     rooms = [_room('w1'), _room('w2', 2_000)]
     groups = _planner.plan([small, large], rooms, {})
     assert _workers_of(groups) == [['w2'], ['w1']]
+
+
+def _obstacle(demand, rooms, team_room=None):
+    return _planner.obstacle(demand, rooms, team_room or {})
+
+
+def test_what_keeps_a_demand_waiting_is_named():
+    demand = _demand('j', helpers.step(2, cpu=3_000))
+    obstacle = _planner.Obstacle
+    assert _obstacle(demand, []) is obstacle.NO_WORKER
+    assert _obstacle(demand, [_room('w1', 100)]) is obstacle.NO_ROOM
+    denied = dataclasses.replace(demand, tickets={'w2': 't'})
+    assert _obstacle(denied, [_room('w1')]) is obstacle.NO_GRANT
+    limit = {helpers.TEAM: messages.Resources(10, 10)}
+    assert _obstacle(demand, [_room('w1')], limit) is obstacle.TEAM_LIMIT
+    gang = _demand('j', helpers.step(2, cpu=3_000, gang=True))
+    assert _obstacle(gang, [_room('w1')]) is obstacle.GANG
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -7,12 +7,15 @@
 import time
 import types
 
+import prometheus_client
 from returns import result
 import structlog
+import werkzeug
 
 from dandeliondrum import gateway
 from dandeliondrum import jobs
 from dandeliondrum import messages
+from dandeliondrum import observability
 from dandeliondrum.platform import _callers
 from dandeliondrum.platform import _client
 from dandeliondrum.platform import _control
@@ -20,8 +23,9 @@
 from dandeliondrum.platform import _settings
 from dandeliondrum import transport
 from dandeliondrum import utils
-import werkzeug
 
+# As deploy/system.toml names it.
+METRICS_PORT = 9_464
 CELL_ID = messages.CellId('jobs')
 CALLER_THREADS_COUNT = 32
 CONTROL_THREADS_COUNT = 16
@@ -106,7 +110,7 @@
     resources.callback(draining.set)
     reload = timers.every(RELOAD_EVERY_MS, lambda: _reload_seeds(job_gateway))
     resources.callback(reload.cancel)
-    return result.Success(None)
+    return _serve_metrics(settings, metrics.registry, resources, _always_ready)
 
 
 def _serves(job_gateway: jobs.JobGateway) -> bool:
@@ -166,6 +170,31 @@
     )
     server.open()
     resources.callback(server.drain, 0)
+    return _serve_metrics(
+        settings, controller.metrics.registry, resources, _always_ready
+    )
+
+
+def _always_ready() -> observability.Readiness:
+    return observability.Readiness(True)
+
+
+def _serve_metrics(
+    settings: _settings.Settings,
+    registry: prometheus_client.CollectorRegistry,
+    resources: contextlib.ExitStack,
+    readiness: observability.ReadinessCheck,
+) -> result.Result[None, str]:
+    server = observability.Server(
+        f'{settings.ip}:{METRICS_PORT}',
+        observability.Endpoints(registry, readiness),
+    )
+    outcome = server.start()
+    if isinstance(outcome, result.Failure):
+        # The program serves callers without its metrics, too.
+        _logger.error('no metrics', why=outcome.failure().reason)
+        return result.Success(None)
+    resources.callback(server.close)
     return result.Success(None)
 
 
