--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -15,6 +15,7 @@
 from dandeliondrum.command import _rules_commands
 from dandeliondrum.command import _settings_commands
 from dandeliondrum.command import _submit
+from dandeliondrum.command import _why
 
 NAME = 'dandeliondrum'
 REFRESH_MS = 1_000
@@ -222,6 +223,20 @@
 
         return _report.Command(action, json)
 
+    @_arguments.typed
+    def why(self, request: str, *, json: bool = False) -> _report.Command:
+        """Show what log lines on standard input say about a request.
+
+        Takes the lines of any number of processes in any order. Shows those
+        about the request, and changes of leaders and workers in its time.
+        Exits with 1 when no line names the request.
+
+        Args:
+          request: The id of the request or job.
+          json: Print JSON.
+        """
+        return _report.Command(lambda: _why.report(request, sys.stdin), json)
+
 
 def main(arguments: list[str] | None = None) -> None:
     """Run the command line; ends with one of the exit codes."""
--- /dev/null
+++ b/dandeliondrum/command/tests/test_why.py
@@ -0,0 +1,51 @@
+"""From the id of a request to its lines."""
+
+import json
+
+from dandeliondrum.command import _report
+from dandeliondrum.command import _why
+
+
+def _line(second, event, process='c1', **fields):
+    return json.dumps(
+        {
+            'event': event,
+            'id': process,
+            'time': f'2026-12-04T06:00:{second:02}.000Z',
+            **fields,
+        }
+    )
+
+
+LINES = [
+    _line(9, 'run ended', task='j1.0.0.1', worker='w1', outcome='lapsed'),
+    'no log line at all',
+    '{"cut": ',
+    f' 3.10 core-1 {_line(3, "run assigned", task="j1.0.0.1", worker="w1")}',
+    _line(2, 'job accepted', job='j1'),
+    _line(2, 'job accepted', job='j10'),
+    _line(4, 'worker does not answer', worker='w1'),
+    _line(4, 'worker does not answer', worker='w2'),
+    _line(5, 'leading', 'c2', term=3),
+    _line(50, 'leading', 'c3', term=4),
+]
+
+
+def test_lines_of_a_request_come_in_order_with_what_bears_on_them():
+    text = _why.report('j1', LINES).text
+    events = [row.split('  ')[2] for row in text.splitlines()]
+    assert events == [
+        'job accepted',
+        'run assigned',
+        'worker does not answer',
+        'leading',
+        'run ended',
+    ]
+    assert 'worker=w2' not in text
+    assert 'j10' not in text
+
+
+def test_a_request_that_no_line_names_is_said_so():
+    outcome = _why.report('j2', LINES)
+    assert outcome.code is _report.ExitCode.REFUSED
+    assert 'j2' in outcome.note
