Send three orders to a worker at a time, and use it once its list is known

Each worker now has three tasks for orders. A test that failed once in ten showed that a worker counted as usable between its first list and the comparison of that list with what is assigned, so it could be given tasks on top of runs that nobody assigned; it is usable only after the comparison, in each life.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -307,10 +307,14 @@
                 return True
             offset_ms = lists.clock_ms - now_ms
             self._clock_offset_ms = offset_ms
-            if self._first_read:
-                self._first_read = False
-                self._events.changed()
-        return self._settle(number, lists)
+        if not self._settle(number, lists):
+            return False
+        with self._lock:
+            # What the worker runs is known only now, and so is its room.
+            first, self._first_read = self._first_read, False
+        if first:
+            self._events.changed()
+        return True
 
     def _begin_life(self, lists: _port.Lists) -> None:
         """Shut out orders for an earlier life before the lists are believed.
@@ -326,6 +330,7 @@
             )
         self._life_started_ms = lists.started_ms
         self._left = False
+        self._first_read = True
         self._token += 1
         self._acknowledged = 0
         self._clock_offset_ms = lists.clock_ms - _clock.elapsed_ms()
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -19,8 +19,11 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
-# Two tasks for each worker; the target is 300 VMs for one leader.
-PEER_THREADS_MAX = 1_024
+# Orders that may be under way to one worker. An order that gets no answer
+# holds up one of them for its timeout, and others are for other jobs.
+ORDER_TASKS_PER_WORKER = 3
+# Enough for the tasks of 500 workers.
+PEER_THREADS_MAX = 500 * (1 + ORDER_TASKS_PER_WORKER) + 1
 CHECK_EVERY_MS = 1_000
 # A worker that neither reported nor answered for so long is forgotten.
 FORGET_AFTER_MS = 20_000
@@ -171,7 +174,10 @@
         )
         term.peers[facts.worker_id] = peer
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
-        self._supervisor.run(f'orders to {facts.worker_id}', peer.send_orders)
+        for _ in range(ORDER_TASKS_PER_WORKER):
+            self._supervisor.run(
+                f'orders to {facts.worker_id}', peer.send_orders
+            )
 
     def _removed(
         self, worker_id: messages.WorkerId, done: _term.Proposed
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -99,7 +99,7 @@
     peer = peer or leader.peer
     threads = [
         threading.Thread(target=task, args=(leader.stopping,))
-        for task in (peer.watch, peer.send_orders)
+        for task in (peer.watch, *2 * (peer.send_orders,))
     ]
     for thread in threads:
         thread.start()
@@ -302,3 +302,27 @@
         assert not leader.peer.usable()
         worker.start_again()
         wait_for(leader.peer.usable)
+
+
+def test_an_order_without_an_answer_does_not_hold_up_another(worker):
+    """One of two starts hangs until the other one has run."""
+    leader = Leader(worker)
+    leader.submit('j', helpers.step(2))
+    answered = threading.Event()
+    port = testing.FakeFleet([worker])
+
+    def start(order):
+        if order.task.index == 0:
+            answered.wait(PATIENCE_S)
+        return worker.start(order)
+
+    port.start = start
+    leader.peer._port = port
+    with serving(leader):
+        wait_for(leader.peer.usable)
+        leader.start('j.0.0.0')
+        leader.start('j.0.0.1')
+        try:
+            wait_for(lambda: ('j.0.0.1', 1, 'DONE') in leader.outcomes)
+        finally:
+            answered.set()
--- a/dandeliondrum/platform/_client.py
+++ b/dandeliondrum/platform/_client.py
@@ -10,8 +10,8 @@
 from dandeliondrum.platform import _bodies
 from dandeliondrum.platform import _fields
 
-# One connection for lists and one for orders.
-CONNECTIONS_PER_WORKER = 2
+# One connection for lists and three for orders.
+CONNECTIONS_PER_WORKER = 4
 # Between regions a call takes 40 ms; a worker that is slower has a problem.
 ORDER_TIMEOUT_MS = 500
 LISTS_EXTRA_MS = 400
