Keep the account of calls to the adviser by process and call

Ruled out: full workers, team limits, a slow adviser, a slow leader. The account now holds the calls under way, two at most, none behind an overdue one, and prefers the processes whose calls come back soonest.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -7,6 +7,7 @@
 is free first, in the order in which steps are to be placed.
 """
 
+import collections
 import collections.abc
 import dataclasses
 
@@ -23,8 +24,13 @@
 TICKET_MARGIN_MS = 350
 # A call is not queued behind others that keep its caller busy for longer.
 BACKLOG_MAX_MS = 60
+# A call that is so much later than its process's calls usually are is overdue.
+OVERDUE_MS = 100
 # A step whose call failed is asked about again after this pause.
 FAILURE_PAUSE_MS = 150
+# Weight of the newest call in what a process adds to a call; five calls
+# outweigh one that was held up.
+EXTRA_WEIGHT = 0.2
 
 StepName = str
 AskerId = str
@@ -148,42 +154,79 @@
                 del self._steps[name]
 
 
+@dataclasses.dataclass(slots=True)
+class _Asker:
+    """One process: the times of its calls under way, the oldest first.
+
+    ``extra_ms`` is what its calls took beyond the adviser's own time.
+    """
+
+    calls_ms: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    begun_ms: float = 0.0
+    extra_ms: float | None = None
+
+    def free_in_ms(self, now_ms: float) -> float | None:
+        """Return when another call could begin; None if that is not known.
+
+        A call that is overdue may have met a link or a process that is
+        down, and nothing is queued behind it.
+        """
+        if not self.calls_ms:
+            return 0.0
+        left_ms = self.begun_ms + self.calls_ms[0] - now_ms
+        overdue_ms = -left_ms - (self.extra_ms or 0.0)
+        if len(self.calls_ms) > 1 or overdue_ms > OVERDUE_MS:
+            return None
+        return max(0.0, left_ms)
+
+
 class Askers:
-    """The processes that may call the adviser, and until when each is busy."""
+    """The processes that may call the adviser, and how busy each is."""
 
     def __init__(self) -> None:
-        self._busy_until_ms: dict[AskerId, float] = {}
+        self._askers: dict[AskerId, _Asker] = {}
 
     def join(self, asker_id: AskerId) -> None:
         """Count on a process from now on."""
-        self._busy_until_ms.setdefault(asker_id, 0)
+        self._askers.setdefault(asker_id, _Asker())
 
     def leave(self, asker_id: AskerId) -> None:
         """Count on a process no more."""
-        self._busy_until_ms.pop(asker_id, None)
+        self._askers.pop(asker_id, None)
 
     def choose(
-        self, policy: _policy.AdvicePolicy, workers_count: int, now_ms: int
+        self, policy: _policy.AdvicePolicy, workers_count: int, now_ms: float
     ) -> AskerId | None:
         """Return who is to make a call next; None while all are busy."""
-        if not self._busy_until_ms:
-            return None
-        asker_id = min(
-            self._busy_until_ms, key=lambda one: self._busy_until_ms[one]
-        )
-        begins_ms = max(self._busy_until_ms[asker_id], now_ms)
-        if begins_ms - now_ms > BACKLOG_MAX_MS:
+        best: tuple[float, AskerId] | None = None
+        for asker_id, asker in self._askers.items():
+            free_in_ms = asker.free_in_ms(now_ms)
+            if free_in_ms is None or free_in_ms > BACKLOG_MAX_MS:
+                continue
+            answer_in_ms = free_in_ms + (asker.extra_ms or 0.0)
+            if best is None or answer_in_ms < best[0]:
+                best = (answer_in_ms, asker_id)
+        if best is None:
             return None
-        call_ms = policy.call_ms(workers_count)
-        self._busy_until_ms[asker_id] = begins_ms + call_ms
-        return asker_id
-
-    def finished(self, asker_id: AskerId, now_ms: int) -> None:
-        """Note that a process has no call under way."""
-        if asker_id in self._busy_until_ms:
-            self._busy_until_ms[asker_id] = min(
-                self._busy_until_ms[asker_id], now_ms
-            )
+        chosen = self._askers[best[1]]
+        if not chosen.calls_ms:
+            chosen.begun_ms = now_ms
+        chosen.calls_ms.append(policy.call_ms(workers_count))
+        return best[1]
+
+    def finished(self, asker_id: AskerId, now_ms: float) -> None:
+        """Note that the oldest call of a process has ended."""
+        asker = self._askers.get(asker_id)
+        if asker is None or not asker.calls_ms:
+            return
+        took_ms = now_ms - asker.begun_ms
+        extra_ms = max(0.0, took_ms - asker.calls_ms.popleft())
+        if asker.extra_ms is None:
+            asker.extra_ms = extra_ms
+        asker.extra_ms += (extra_ms - asker.extra_ms) * EXTRA_WEIGHT
+        asker.begun_ms = now_ms
 
 
 def _ids(
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -91,8 +91,49 @@
     assert 'b' in served
 
 
+def test_nothing_is_queued_behind_a_call_that_does_not_end():
+    """Plays urgent calls for ten seconds while one process is cut off."""
+    askers = _advice.Askers()
+    for name in ('cut', 'near'):
+        askers.join(name)
+    short = jobs.AdvicePolicy(20.0, 0.0, 1_500)
+    chosen = []
+    for now_ms in range(0, 10_000, 30):
+        asker_id = askers.choose(short, 1, now_ms)
+        chosen.append(asker_id)
+        if asker_id == 'near':
+            askers.finished('near', now_ms + 20)
+    assert chosen.count('cut') <= 2
+    assert chosen.count('near') >= 300
+
+
+def test_a_process_with_a_call_under_way_stays_busy_when_one_ends():
+    askers = _advice.Askers()
+    askers.join('a')
+    short = jobs.AdvicePolicy(20.0, 0.0, 1_500)
+    assert askers.choose(short, 1, 0) == 'a'
+    assert askers.choose(short, 1, 0) == 'a'
+    assert askers.choose(short, 1, 0) is None
+    askers.finished('a', 20)
+    assert askers.choose(short, 1, 20) == 'a'
+    assert askers.choose(short, 1, 20) is None
+
+
 def test_a_process_that_left_is_not_asked():
     askers = _advice.Askers()
     askers.join('a')
     askers.leave('a')
     assert askers.choose(POLICY, 1, 0) is None
+
+
+def test_a_process_that_is_far_from_the_adviser_is_asked_last():
+    askers = _advice.Askers()
+    short = jobs.AdvicePolicy(10.0, 0.0, 1_500)
+    now_ms = 0
+    for name, extra_ms in (('far', 90), ('near', 5)):
+        askers.join(name)
+        assert askers.choose(short, 1, now_ms) == name
+        now_ms += 10 + extra_ms
+        askers.finished(name, now_ms)
+    chosen = [askers.choose(short, 1, now_ms) for _ in range(3)]
+    assert chosen == ['near', 'near', 'far']
