Keep workers free for large tasks and gangs that wait

A step that found no room for 0.4 s now gets workers kept free, a third of the pool at most, which only more urgent or older work may use; the tickets of a gang are renewed together. A controller that loses the lead no longer holds up its log until the tasks of its term have ended (2.4 s seen).

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -84,12 +84,14 @@
         name: StepName,
         candidates: collections.abc.Sequence[Candidate],
         now_ms: int,
+        together: bool = False,
     ) -> tuple[messages.WorkerId, ...]:
         """Return the workers to name in a call about the step, if any.
 
         The first call names many, with or without room. A later one is made
         only for workers that have room now and whose ticket has run out, or
-        that were never named.
+        that were never named. The tasks of a gang start ``together``, so
+        the tickets of all its workers are renewed at the same time.
         """
         step = self._steps.setdefault(name, _Step())
         if step.in_flight or now_ms < step.not_before_ms:
@@ -100,9 +102,16 @@
             return _ids(named, WORKERS_FIRST_MAX)
         valid = self.tickets(name, now_ms)
         open_now = [c for c in wanted if c.has_room]
-        if any(c.worker_id in valid for c in open_now):
+        unnamed = any(c.worker_id not in step.tickets for c in open_now)
+        if together and len(valid) == len(step.tickets) and not unnamed:
             return ()
-        granted = [c for c in open_now if c.worker_id in step.tickets]
+        if not together and any(c.worker_id in valid for c in open_now):
+            return ()
+        granted = [
+            c
+            for c in (wanted if together and open_now else open_now)
+            if c.worker_id in step.tickets
+        ]
         unknown = [c for c in open_now if c.worker_id not in step.tickets]
         return _ids(granted + unknown, WORKERS_LATER_MAX)
 
--- a/dandeliondrum/jobs/_advice_calls.py
+++ b/dandeliondrum/jobs/_advice_calls.py
@@ -53,7 +53,9 @@
     ) -> None:
         term = self._term
         now_ms = _clock.elapsed_ms()
-        named = term.advice.to_ask(name, _candidates(demand, rooms), now_ms)
+        named = term.advice.to_ask(
+            name, _candidates(demand, rooms), now_ms, demand.spec.gang
+        )
         if not named:
             return
         asker_id = term.askers.choose(policy, len(named), now_ms)
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -1,6 +1,7 @@
 """A controller for jobs: a voter of the log, and at times its leader."""
 
 import collections.abc
+import concurrent.futures
 import contextlib
 import dataclasses
 import pathlib
@@ -79,6 +80,9 @@
         self._resources = contextlib.ExitStack()
         self._lock = threading.Lock()
         self._leadership: _leadership.Leadership | None = None
+        self._closing = concurrent.futures.ThreadPoolExecutor(
+            1, thread_name_prefix='closing'
+        )
         self._asker = _asker.Asker(ports.adviser)
         self.metrics = _metrics.Metrics()
         self.metrics.leading.set_function(lambda: float(self.leads()))
@@ -126,6 +130,7 @@
             server.close()
             self._resources.close()
             return started
+        self._resources.callback(self._closing.shutdown)
         self._resources.callback(self.on_following)
         self._resources.callback(self.node.close)
         server.start()
@@ -173,7 +178,9 @@
             leadership = self._leadership
             self._leadership = None
         if leadership is not None:
-            leadership.close()
+            leadership.resign()
+            # The log must not wait until all tasks have ended.
+            self._closing.submit(leadership.close)
             _logger.info('following')
 
     def report_worker(
--- a/dandeliondrum/jobs/_delays.py
+++ b/dandeliondrum/jobs/_delays.py
@@ -23,6 +23,12 @@
         self._since_ms: dict[_Key, int] = {}
         self._reported_ms: dict[_Key, int] = {}
 
+    def waited_ms(
+        self, job_id: _specs.JobId, step: _specs.StepIndex, now_ms: int
+    ) -> int:
+        """Return how long a step had been waiting at the last round."""
+        return now_ms - self._since_ms.get((job_id, step), now_ms)
+
     def report(
         self,
         waiting: list[_planner.Demand],
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -69,6 +69,7 @@
         facts.rack,
         frozenset(facts.labels),
         facts.capacity - worker.used,
+        facts.capacity,
         suspicion,
     )
 
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -79,11 +79,16 @@
             timer = self._timers.every(interval_ms, callback)
             self._resources.callback(timer.cancel)
 
-    def close(self) -> None:
+    def resign(self) -> None:
         """Stop deciding; registered processes find the next leader."""
+        self._supervisor.stopping.set()
+        self._workers.close()
         for connection, _ in self._term.connections():
             connection.close()
-        self._supervisor.stopping.set()
+
+    def close(self) -> None:
+        """Wait for the tasks, some of which wait for workers to answer."""
+        self.resign()
         self._resources.close()
 
     def take(
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -13,6 +13,10 @@
 from dandeliondrum import messages
 
 PLACEMENTS_MAX = 256
+# A demand that found no room for so long gets workers kept free for it.
+RESERVE_AFTER_MS = 400
+# At most one worker in so many is kept free.
+RESERVED_PART = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +26,7 @@
     ``tickets`` maps the workers that may run the step to their tickets; None
     where any worker may. ``avoided`` are workers on which a task of the step
     failed before. ``per_worker_counts`` are tasks of the step per worker.
+    ``waited_ms`` is how long the step has been due.
     """
 
     job_id: _specs.JobId
@@ -37,6 +42,7 @@
     per_worker_counts: collections.abc.Mapping[messages.WorkerId, int] = (
         dataclasses.field(default_factory=dict)
     )
+    waited_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +50,7 @@
     """A worker that may be given tasks, and what is free on it.
 
     ``suspicion`` orders workers that failed tasks lately behind others.
+    A worker that is ``reserved`` is left to a demand that comes earlier.
     """
 
     worker_id: messages.WorkerId
@@ -51,7 +58,9 @@
     rack: messages.Rack
     labels: frozenset[str]
     free: messages.Resources
+    capacity: messages.Resources
     suspicion: int = 0
+    reserved: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,10 +108,15 @@
     for demand in sorted(demands, key=order_of):
         if placed_count >= PLACEMENTS_MAX:
             break
-        chosen = _Attempt(demand, by_pool.get(demand.pool, []), team_room)
-        for group in chosen.run():
-            groups.append(group)
-            placed_count += len(group)
+        pool = by_pool.get(demand.pool, [])
+        attempt = _Attempt(demand, pool, team_room)
+        chosen = attempt.run()
+        groups += chosen
+        count = sum(len(group) for group in chosen)
+        placed_count += count
+        left_count = len(demand.indexes) - count
+        if left_count and demand.waited_ms >= RESERVE_AFTER_MS:
+            attempt.reserve(left_count, len(pool) // RESERVED_PART)
     return groups
 
 
@@ -152,6 +166,25 @@
             return groups
         return self._run_gang()
 
+    def reserve(self, tasks_count: int, reserved_max: int) -> None:
+        """Keep workers free until the tasks that are left fit.
+
+        Small tasks would otherwise take each core that becomes free, and a
+        large task or a gang would never start. The emptiest workers come
+        first, so the same ones are kept in the next round.
+        """
+        if not self.team_has_room():
+            return
+        able = [
+            one for one in self._workers if self._charge.fits_in(one.capacity)
+        ]
+        able.sort(key=lambda one: -one.free.cpu_millicores)
+        for worker in able[:reserved_max]:
+            if tasks_count <= 0:
+                return
+            worker.reserved = True
+            tasks_count -= _tasks_that_fit(self._charge, worker.capacity)
+
     def candidates_count(self) -> int:
         """Return how many workers may run the demand at all."""
         return len(self._workers)
@@ -174,6 +207,8 @@
 
     def _may_run(self, worker: WorkerRoom) -> bool:
         demand = self._demand
+        if worker.reserved:
+            return False
         label = demand.spec.required_label
         if label and label not in worker.labels:
             return False
@@ -237,3 +272,15 @@
             worker.worker_id,
             tickets.get(worker.worker_id, ''),
         )
+
+
+def _tasks_that_fit(
+    charge: messages.Resources, capacity: messages.Resources
+) -> int:
+    """Return how many tasks fit on an empty worker."""
+    pairs = (
+        (charge.cpu_millicores, capacity.cpu_millicores),
+        (charge.memory_mb, capacity.memory_mb),
+        (charge.accelerators_count, capacity.accelerators_count),
+    )
+    return min((have // want for want, have in pairs if want), default=1)
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -121,7 +121,12 @@
             tickets = term.advice.tickets(name, now_ms)
         failed_on = term.failed_on.get((demand.job_id, demand.step), set())
         return dataclasses.replace(
-            demand, tickets=tickets, avoided=frozenset(failed_on)
+            demand,
+            tickets=tickets,
+            avoided=frozenset(failed_on),
+            waited_ms=self._delays.waited_ms(
+                demand.job_id, demand.step, now_ms
+            ),
         )
 
     def _note_orders(
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -137,3 +137,15 @@
         askers.finished(name, now_ms)
     chosen = [askers.choose(short, 1, now_ms) for _ in range(3)]
     assert chosen == ['near', 'near', 'far']
+
+
+def test_the_tickets_of_a_gang_are_renewed_together():
+    advice = _advice.Advice()
+    named = advice.to_ask('s', _candidates(4), 0, together=True)
+    _answer(advice, 's', named, ('w0', 'w1'), 100)
+    assert advice.to_ask('s', _candidates(4), 200, together=True) == ()
+    half = [_advice.Candidate(f'w{n}', n % 2 == 1) for n in range(4)]
+    again = advice.to_ask('s', half, 2_000, together=True)
+    assert sorted(again) == ['w0', 'w1']
+    full = _candidates(4, has_room=False)
+    assert advice.to_ask('s', full, 2_000, together=True) == ()
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -28,6 +28,7 @@
         'r1',
         frozenset({'a'}),
         messages.Resources(cpu, 1_000),
+        messages.Resources(4_000, 1_000),
     )
     return dataclasses.replace(known, **more)
 
@@ -143,3 +144,45 @@
     assert _obstacle(demand, [_room('w1')], limit) is obstacle.TEAM_LIMIT
     gang = _demand('j', helpers.step(2, cpu=3_000, gang=True))
     assert _obstacle(gang, [_room('w1')]) is obstacle.GANG
+
+
+def _play_full_fleet(reserving):
+    """Plays a fleet that small tasks keep full, with one large task.
+
+    Each round one small task ends on each of three workers and more small
+    ones come. Returns the round in which the large task starts.
+    """
+    free = {'w1': 1_000, 'w2': 1_000, 'w3': 1_000}
+    for number in range(20):
+        waited_ms = 300 * number if reserving else 0
+        large = _demand('large', helpers.step(cpu=4_000), waited_ms=waited_ms)
+        small = _demand('small', helpers.step(9), priority=2)
+        rooms = [_room(name, cpu) for name, cpu in free.items()]
+        groups = _planner.plan([large, small], rooms, {})
+        for group in groups:
+            if group[0].task.job_id == 'large':
+                return number
+            free[group[0].worker_id] -= 1_000
+        free = {name: min(cpu + 1_000, 4_000) for name, cpu in free.items()}
+    return None
+
+
+def test_a_large_task_starts_on_a_fleet_that_small_ones_keep_full():
+    assert _play_full_fleet(reserving=False) is None
+    assert _play_full_fleet(reserving=True) <= 6
+
+
+def test_urgent_tasks_may_use_what_is_kept_free():
+    gang = _demand('g', helpers.step(4, cpu=4_000, gang=True), waited_ms=900)
+    urgent = _demand('urgent', helpers.step(), priority=0)
+    rooms = [_room(f'w{number}') for number in range(3)]
+    groups = _planner.plan([gang, urgent], rooms, {})
+    assert [group[0].task.job_id for group in groups] == ['urgent']
+
+
+def test_a_team_at_its_limit_keeps_no_worker_free():
+    limit = {helpers.TEAM: messages.Resources(10, 10)}
+    large = _demand('large', helpers.step(cpu=4_000), waited_ms=900)
+    other = _demand('other', helpers.step(3), team_id='other', priority=2)
+    rooms = [_room(f'w{number}', 1_000) for number in range(3)]
+    assert len(_planner.plan([large, other], rooms, limit)) == 3
