--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,6 @@
 	mkdir -p bench-out
 	$(BIN)/python -m benchmarks.bench_state --short --out bench-out/state.json
 	$(BIN)/python -m benchmarks.bench_end_to_end all --tasks=2000 --repeats=1 --seconds=5 --out bench-out/end_to_end.json
-	$(BIN)/python -m benchmarks.bench_beats --seconds=4 --out bench-out/beats.json
+	$(BIN)/python -m benchmarks.bench_heartbeats --seconds=4 --out bench-out/heartbeats.json
 	$(BIN)/python -m benchmarks.bench_placement --part=speed --workers='(24,240)' --teams='(10,)' --decisions=500 --out bench-out/placement_speed.json
 	$(BIN)/python -m benchmarks.bench_consensus --seconds=2 > bench-out/consensus.json
--- a/benchmarks/_capacity_measured.py
+++ b/benchmarks/_capacity_measured.py
@@ -15,7 +15,7 @@
     loads = [one['load_after'] for one in e2e['durable'] + e2e['waiting']]
     sizes = model.state['sizes']
     state_loads = [one['load'] for one in sizes]
-    beats_loads = [one['load'] for one in model.beats['runs']]
+    heartbeats_loads = [one['load'] for one in model.heartbeats['runs']]
     rows: Rows = [('result', 'run at', 'load average beside it, 10 cores')]
     rows.append(('state.json', model.state['started'], _ends(state_loads)))
     rows.append(('end_to_end.json', e2e['started'], _ends(loads)))
@@ -24,7 +24,13 @@
     rows.append(
         ('failover.json', model.failover['started'], _ends(failover_loads))
     )
-    rows.append(('beats.json', model.beats['started'], _ends(beats_loads)))
+    rows.append(
+        (
+            'heartbeats.json',
+            model.heartbeats['started'],
+            _ends(heartbeats_loads),
+        )
+    )
     started = str(model.placement['started'])
     rows.append(('placement_speed.json', started, 'not recorded'))
     return rows
@@ -76,8 +82,8 @@
 def leader(model: Model) -> Rows:
     """Return the slopes of the leader's own work."""
     names = (
-        ('beat_decode_us', 'decode of one heartbeat, µs'),
-        ('beat_take_us', 'answer to one heartbeat, µs'),
+        ('heartbeat_decode_us', 'decode of one heartbeat, µs'),
+        ('heartbeat_take_us', 'answer to one heartbeat, µs'),
         ('check_us', 'search for silent workers, every 250 ms, µs'),
         ('announce_us', 'one announcement, µs'),
         ('gateway_lost_us', 'loss of one gateway, µs'),
@@ -159,7 +165,7 @@
     )
     rows.append(
         (
-            'durable starts a second, from first hand-in to last start',
+            'durable starts a second, from first submission to last start',
             _span(one['starts_per_s_overall'] for one in durable),
         )
     )
@@ -174,7 +180,7 @@
             kind, quantile, _ = name.split('_')
             rows.append(
                 (
-                    f'{task_class}: hand-in to {kind}, {quantile}, ms',
+                    f'{task_class}: submission to {kind}, {quantile}, ms',
                     _span(one[task_class][name] for one in waiting),
                 )
             )
@@ -247,7 +253,7 @@
     return rows
 
 
-def beats(model: Model) -> Rows:
+def heartbeats(model: Model) -> Rows:
     """Return costs of heartbeats."""
     rows: Rows = [
         (
@@ -259,12 +265,12 @@
             'leader, µs each',
         )
     ]
-    for one in model.beats['runs']:
-        cells = [str(one['running_count']), _n(one['beats_per_s'])]
+    for one in model.heartbeats['runs']:
+        cells = [str(one['running_count']), _n(one['heartbeats_per_s'])]
         for role in ('gateway', 'leader'):
             cores = one['roles'][role]['cpu_cores']
             cells.append(_n(cores, 2))
-            cells.append(_n(cores / one['beats_per_s'] * 1e6))
+            cells.append(_n(cores / one['heartbeats_per_s'] * 1e6))
         rows.append(tuple(cells))
     return rows
 
--- a/benchmarks/_capacity_model.py
+++ b/benchmarks/_capacity_model.py
@@ -41,7 +41,7 @@
     state: Figures
     end_to_end: Figures
     failover: Figures
-    beats: Figures
+    heartbeats: Figures
     placement: Figures
 
     def size(self, workers: int, running: int, ended: int = 0) -> Figures:
@@ -121,18 +121,21 @@
             for one in self.end_to_end[kind]
         )
 
-    def beat_us(self, role: str) -> float:
+    def heartbeat_us(self, role: str) -> float:
         """Processor time of one heartbeat with six attempts."""
-        run = self.beats['runs'][-1]
+        run = self.heartbeats['runs'][-1]
         usage = run['roles'][role]
         return (
-            usage['cpu_s_of_all'] / usage['seconds'] / run['beats_per_s'] * 1e6
+            usage['cpu_s_of_all']
+            / usage['seconds']
+            / run['heartbeats_per_s']
+            * 1e6
         )
 
-    def beats_cores(self, role: str, interval_ms: int) -> float:
+    def heartbeats_cores(self, role: str, interval_ms: int) -> float:
         """Cores for the heartbeats of all workers."""
-        beats_per_s = WORKERS_COUNT * 1_000 / interval_ms
-        return beats_per_s * self.beat_us(role) / 1e6
+        heartbeats_per_s = WORKERS_COUNT * 1_000 / interval_ms
+        return heartbeats_per_s * self.heartbeat_us(role) / 1e6
 
     def starts_cores(self, kind: str, role: str) -> float:
         """Cores for the target's starts."""
@@ -173,13 +176,13 @@
     def shards_count(self, kind: str, interval_ms: int) -> int:
         """Leaders that the target needs if each has its slice."""
         cores = self.starts_cores(kind, 'leader')
-        cores += self.beats_cores('leader', interval_ms)
+        cores += self.heartbeats_cores('leader', interval_ms)
         return math.ceil(cores / CORE_PORTION)
 
     def gateways_count(self, kind: str, interval_ms: int) -> int:
         """Gateway processes that the target needs."""
         cores = self.starts_cores(kind, 'gateway')
-        cores += self.beats_cores('gateway', interval_ms)
+        cores += self.heartbeats_cores('gateway', interval_ms)
         return math.ceil(cores / CORE_PORTION)
 
     def conflict_portion(self) -> float:
@@ -198,6 +201,6 @@
         read('state'),
         read('end_to_end'),
         read('failover'),
-        read('beats'),
+        read('heartbeats'),
         read('placement_speed'),
     )
--- a/benchmarks/_capacity_needs.py
+++ b/benchmarks/_capacity_needs.py
@@ -12,13 +12,15 @@
     """Return the target's needs."""
     rows: Rows = [('what', 'arithmetic', 'need')]
     for interval_ms in (model_lib.HEARTBEAT_MS, 1_000):
-        beats_per_s = model_lib.WORKERS_COUNT * 1_000 / interval_ms
+        heartbeats_per_s = model_lib.WORKERS_COUNT * 1_000 / interval_ms
         for role in ('leader', 'gateway'):
+            cores = model.heartbeats_cores(role, interval_ms)
             rows.append(
                 (
                     f'heartbeats every {interval_ms} ms: {role}',
-                    f'{_n(beats_per_s)}/s × {_n(model.beat_us(role))} µs',
-                    f'{_n(model.beats_cores(role, interval_ms), 1)} cores',
+                    f'{_n(heartbeats_per_s)}/s × '
+                    f'{_n(model.heartbeat_us(role))} µs',
+                    f'{_n(cores, 1)} cores',
                 )
             )
     for kind in ('durable', 'waiting'):
@@ -91,7 +93,7 @@
 def breaks(model: Model) -> Rows:
     """Return what breaks at which size."""
     portion = model_lib.CORE_PORTION
-    beats_per_worker = 1_000 / model_lib.HEARTBEAT_MS
+    heartbeats_per_worker = 1_000 / model_lib.HEARTBEAT_MS
     rows: Rows = [('what breaks', 'limit', 'at', 'the target')]
 
     def add(what: str, limit: str, at: str, target: str) -> None:
@@ -106,7 +108,7 @@
         _n(total),
     )
     for role in ('gateway', 'leader'):
-        per_worker_us = beats_per_worker * model.beat_us(role)
+        per_worker_us = heartbeats_per_worker * model.heartbeat_us(role)
         add(
             f'heartbeats through one {role}',
             f'{portion:.0%} of a core',
--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -156,7 +156,7 @@
 
 
 def submit_jobs(load: Load, jobs_count: int, tasks_count: int) -> list[int]:
-    """Hand in jobs, one after the other; returns the status of each."""
+    """Submit jobs, one after the other; returns the status of each."""
     body = json.dumps({'run_ms': load.run_ms}).encode()
     statuses = []
     with contextlib.closing(_Client()) as client:
@@ -220,7 +220,7 @@
     def start_jobs(
         self, load: Load, jobs_count: int, tasks_count: int
     ) -> collections.abc.Callable[[], list[int]]:
-        """Hand in jobs from all processes; the result waits for the last."""
+        """Submit jobs from all processes; the result waits for the last."""
         running = [
             self._executor.submit(
                 submit_jobs,
--- a/benchmarks/_state_leadership.py
+++ b/benchmarks/_state_leadership.py
@@ -61,7 +61,7 @@
         batches = self._batches()
         for batch in batches:
             self._leadership._heartbeats.take(batch)
-        size = statistics.mean(len(one.beats) for one in batches)
+        size = statistics.mean(len(one.heartbeats) for one in batches)
         source = itertools.cycle(batches)
         encoded = [messages.encode(one) for one in batches]
         encoded_source = itertools.cycle(encoded)
@@ -78,26 +78,26 @@
         encode_us = median_us(lambda: messages.encode(reply), repeats_count)
         total_us = (decode_us + take_us + encode_us) / size
         return {
-            'beat_decode_us': decode_us / size,
-            'beat_take_us': take_us / size,
-            'beat_reply_encode_us': encode_us / size,
-            'beats_per_s': 1_000_000 / total_us,
-            'beat_bytes': bytes_count / size,
-            'beat_reply_bytes': len(messages.encode(reply)) / size,
+            'heartbeat_decode_us': decode_us / size,
+            'heartbeat_take_us': take_us / size,
+            'heartbeat_reply_encode_us': encode_us / size,
+            'heartbeats_per_s': 1_000_000 / total_us,
+            'heartbeat_bytes': bytes_count / size,
+            'heartbeat_reply_bytes': len(messages.encode(reply)) / size,
         }
 
-    def _batches(self) -> list[messages.WorkerBeats]:
+    def _batches(self) -> list[messages.WorkerHeartbeats]:
         """Return one heartbeat of each worker, as a gateway sends them."""
         by_worker = collections.defaultdict(list)
         for worker in self._world.state.workers.values():
             for attempt_id in worker.attempts:
                 by_worker[worker.facts.worker_id].append(attempt_id)
-        beats = []
+        heartbeats = []
         used = messages.Resources(900, 1_000)
         for facts in self._world.workers:
             running = by_worker[facts.worker_id]
-            beats.append(
-                messages.WorkerBeat(
+            heartbeats.append(
+                messages.WorkerHeartbeat(
                     facts.worker_id,
                     facts.incarnation,
                     tuple(
@@ -107,16 +107,16 @@
                 )
             )
         return [
-            messages.WorkerBeats(
-                tuple(beats[first : first + BEATS_PER_MESSAGE])
+            messages.WorkerHeartbeats(
+                tuple(heartbeats[first : first + BEATS_PER_MESSAGE])
             )
-            for first in range(0, len(beats), BEATS_PER_MESSAGE)
+            for first in range(0, len(heartbeats), BEATS_PER_MESSAGE)
         ]
 
     def _scans(self) -> dict[str, float]:
-        beats = self._leadership._heartbeats
+        heartbeats = self._leadership._heartbeats
         figures = {
-            'check_us': median_us(beats.check),
+            'check_us': median_us(heartbeats.check),
             'forget_ended_us': median_us(self._leadership._forget_ended),
             'announce_us': median_us(self._announce),
             'gateway_lost_us': median_us(
--- a/benchmarks/bench_beats.py
+++ b/benchmarks/bench_heartbeats.py
@@ -5,7 +5,7 @@
 running are not on record, so that each reply also lists them to be stopped.
 Example::
 
-    python -m benchmarks.bench_beats --out bench-out/beats.json
+    python -m benchmarks.bench_heartbeats --out bench-out/heartbeats.json
 """
 
 import concurrent.futures
@@ -47,14 +47,14 @@
 
 
 def run(
-    out: str = 'bench-out/beats.json',
+    out: str = 'bench-out/heartbeats.json',
     processes: int = 3,
     workers: int = 40,
     seconds: float = 6.0,
 ) -> None:
     """Measure, print and write one JSON file."""
     report: Figures = {
-        'bench': 'beats',
+        'bench': 'heartbeats',
         'python': platform.python_version(),
         'started': time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime()),
         'workers_count': processes * workers,
@@ -107,10 +107,10 @@
         found = [one.result() for one in running]
         roles = usage.finish()
         taken_s = time.monotonic() - began_s
-    beats_per_s = sum(one[0] for one in found) / seconds
+    heartbeats_per_s = sum(one[0] for one in found) / seconds
     return {
         'running_count': running_count,
-        'beats_per_s': beats_per_s,
+        'heartbeats_per_s': heartbeats_per_s,
         'failed_count': sum(one[1] for one in found),
         # The usage was read over a part of the run, at its pace.
         'usage_seconds': round(taken_s, 2),
@@ -146,7 +146,7 @@
         1,
     )
     used = messages.Resources(900, 1_000)
-    beat = messages.WorkerBeat(
+    heartbeat = messages.WorkerHeartbeat(
         worker_id,
         incarnation,
         tuple(
@@ -157,7 +157,7 @@
             for one in range(post.running_count)
         ),
     )
-    sent = _encoding.to_json(beat)
+    sent = _encoding.to_json(heartbeat)
     answered_count = failed_count = 0
     with contextlib.closing(pycurl.Curl()) as curl:
         while not _posted(curl, post, 'announce', _encoding.to_json(facts)):
--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -59,7 +59,7 @@
     'streams': _capacity_measured.streams,
     'failover': _capacity_measured.failover,
     'node': _capacity_measured.node,
-    'beats': _capacity_measured.beats,
+    'heartbeats': _capacity_measured.heartbeats,
     'placement': _capacity_measured.placement,
     'needs': _capacity_needs.needs,
     'breaks': _capacity_needs.breaks,
--- a/dandeliondrum/client/__init__.py
+++ b/dandeliondrum/client/__init__.py
@@ -1,4 +1,4 @@
-"""Client library for those who hand in work.
+"""Client library for those who submit work.
 
 It keeps the three outcomes apart: the whole answer, a refusal that is not
 run, and a doubt that can be resolved later by the request's id.
--- a/dandeliondrum/client/_client.py
+++ b/dandeliondrum/client/_client.py
@@ -22,7 +22,7 @@
 
 
 class Client:
-    """Hands in work for one team and sees it through.
+    """Submits work for one team and sees it through.
 
     A request's id is made once and kept through all tries, so that no try
     can run a task a second time.
@@ -95,7 +95,7 @@
         gang: bool = False,
         timeout_ms: int = _requests.DEFAULT_TIMEOUT_MS,
     ) -> result.Result[tuple[_outcomes.TaskStatus, ...], _outcomes.Outcome]:
-        """Hand in durable tasks; success once each has its status.
+        """Submit durable tasks; success once each has its status.
 
         Sending the same job again does no harm.
         """
@@ -133,7 +133,7 @@
     ) -> result.Result[
         _outcomes.Answer, _outcomes.Outcome | _outcomes.Pending
     ]:
-        """Fetch the answer of a task that was handed in before."""
+        """Fetch the answer of a task that was submitted before."""
         reply = self._ask('GET', f'/v1/tasks/{request_id}/answer', timeout_ms)
         match reply:
             case result.Success(found) if _exchange.ATTEMPT in found.headers:
--- a/dandeliondrum/client/_outcomes.py
+++ b/dandeliondrum/client/_outcomes.py
@@ -21,7 +21,7 @@
 class Refused:
     """The task did not run and, under this id, never will.
 
-    It may be handed in again under another id, at best not before
+    It may be submitted again under another id, at best not before
     ``retry_after_ms`` have passed.
     """
 
--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -63,7 +63,7 @@
         with 1.
 
         Args:
-          length_s: For how long work is handed in, in s.
+          length_s: For how long work is submitted, in s.
           seed: What the work is drawn from.
           folder: Folder for data and log, which are kept there.
         """
@@ -189,7 +189,7 @@
         key_file: str = '',
         json: bool = False,
     ) -> _report.Command:
-        """Hand in one task as a caller does, and wait for its answer.
+        """Submit one task as a caller does, and wait for its answer.
 
         The body is --body, or --file, or standard input. The key is that of
         --key-file or of the variable DANDELIONDRUM_KEY. Exits with 0 for an
--- a/dandeliondrum/command/_submit.py
+++ b/dandeliondrum/command/_submit.py
@@ -32,7 +32,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Submission:
-    """What to hand in; an empty ``request_id`` has one made up."""
+    """What to submit; an empty ``request_id`` has one made up."""
 
     addresses: collections.abc.Sequence[str]
     key: str
@@ -52,7 +52,7 @@
 
 
 def submit(submission: Submission) -> _report.Report:
-    """Hand in a task and wait for its answer.
+    """Submit a task and wait for its answer.
 
     Another gateway is only tried when the one before cannot have seen the
     call: an id that may be known already is the caller's to send again.
--- a/dandeliondrum/controller/_attempt_reports.py
+++ b/dandeliondrum/controller/_attempt_reports.py
@@ -150,12 +150,13 @@
         self,
         attempt_id: messages.AttemptId,
         is_running: bool,
-        beats_count: int,
+        heartbeats_count: int,
     ) -> None:
         """Compare an uncertain attempt with its worker's heartbeat.
 
-        An attempt that is missing from ``beats_count`` heartbeats in a row
-        has to be fenced; one alone may have been sent before its start came.
+        An attempt that is missing from ``heartbeats_count`` heartbeats in a
+        row has to be fenced; one alone may have been sent before its start
+        came.
         """
         if attempt_id not in self._uncertain:
             return
@@ -163,7 +164,7 @@
             del self._uncertain[attempt_id]
             return
         self._uncertain[attempt_id] += 1
-        if self._uncertain[attempt_id] >= beats_count:
+        if self._uncertain[attempt_id] >= heartbeats_count:
             del self._uncertain[attempt_id]
             self.stop_wanted.add(attempt_id)
 
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -126,7 +126,7 @@
         if self._sizes.note(worker_id, size):
             self._context.observations.set_worker_sizes(self._sizes.all())
 
-    def take(self, call: messages.WorkerBeats) -> typing.Any:
+    def take(self, call: messages.WorkerHeartbeats) -> typing.Any:
         """Answer heartbeats, if this is surely still the leader."""
         context = self._context
         if not context.node.leading():
@@ -134,53 +134,57 @@
         reports: list[messages.AttemptReport] = []
         with context.lock, context.state.lock:
             replies = tuple(
-                self._take_one(beat, reports) for beat in call.beats
+                self._take_one(heartbeat, reports)
+                for heartbeat in call.heartbeats
             )
         self._attempt_reports.report(reports)
         # Asked again, since a freeze may have come in between; a worker
         # counts its lease from the sending of the heartbeat in any case.
         if not context.node.leading():
             return messages.NotLeader()
-        return messages.WorkerBeatReplies(replies)
+        return messages.WorkerHeartbeatReplies(replies)
 
     def _take_one(
         self,
-        beat: messages.WorkerBeat,
+        heartbeat: messages.WorkerHeartbeat,
         reports: list[messages.AttemptReport],
-    ) -> messages.WorkerBeatReply:
-        worker = self._context.state.workers.get(beat.worker_id)
-        if worker is None or worker.facts.incarnation != beat.incarnation:
-            return messages.WorkerBeatReply(
-                beat.worker_id, announce_again=True
+    ) -> messages.WorkerHeartbeatReply:
+        worker = self._context.state.workers.get(heartbeat.worker_id)
+        if worker is None or worker.facts.incarnation != heartbeat.incarnation:
+            return messages.WorkerHeartbeatReply(
+                heartbeat.worker_id, announce_again=True
             )
-        is_new = beat.worker_id not in self._heard_ms
-        self._heard_ms[beat.worker_id] = utils.monotonic_ms()
-        if is_new or beat.worker_id in self._silent:
-            self._silent.discard(beat.worker_id)
-            self.refresh(beat.worker_id)
-        if beat.leaving and worker.state is not messages.WorkerState.LEAVING:
+        is_new = heartbeat.worker_id not in self._heard_ms
+        self._heard_ms[heartbeat.worker_id] = utils.monotonic_ms()
+        if is_new or heartbeat.worker_id in self._silent:
+            self._silent.discard(heartbeat.worker_id)
+            self.refresh(heartbeat.worker_id)
+        if (
+            heartbeat.leaving
+            and worker.state is not messages.WorkerState.LEAVING
+        ):
             self.set_state(
                 worker, messages.WorkerState.LEAVING, 'the worker leaves'
             )
-        acknowledged = self._take_ended(worker, beat, reports)
-        stop = self._to_stop(worker, beat)
-        acknowledged += self._take_fenced(worker, beat, reports)
-        return messages.WorkerBeatReply(
-            beat.worker_id,
+        acknowledged = self._take_ended(worker, heartbeat, reports)
+        stop = self._to_stop(worker, heartbeat)
+        acknowledged += self._take_fenced(worker, heartbeat, reports)
+        return messages.WorkerHeartbeatReply(
+            heartbeat.worker_id,
             stop=stop,
             acknowledged=acknowledged,
-            release=tuple(self._release.pop(beat.worker_id, ())),
+            release=tuple(self._release.pop(heartbeat.worker_id, ())),
         )
 
     def _take_ended(
         self,
         worker: _records.WorkerRecord,
-        beat: messages.WorkerBeat,
+        heartbeat: messages.WorkerHeartbeat,
         reports: list[messages.AttemptReport],
     ) -> tuple[messages.AttemptId, ...]:
         """Report what is news; acknowledge what is on record."""
         acknowledged = []
-        for one in beat.ended:
+        for one in heartbeat.ended:
             task = self._context.state.task_of(one.attempt_id)
             is_open = one.attempt_id in worker.attempts
             is_fenced = one.attempt_id in worker.fences
@@ -193,10 +197,12 @@
         return tuple(acknowledged)
 
     def _to_stop(
-        self, worker: _records.WorkerRecord, beat: messages.WorkerBeat
+        self,
+        worker: _records.WorkerRecord,
+        heartbeat: messages.WorkerHeartbeat,
     ) -> tuple[messages.AttemptId, ...]:
-        running = {one.attempt_id for one in beat.running}
-        ended = {one.attempt_id for one in beat.ended}
+        running = {one.attempt_id for one in heartbeat.running}
+        ended = {one.attempt_id for one in heartbeat.ended}
         stop = set(worker.fences)
         stop |= running - worker.attempts.keys()
         for attempt_id, task_id in worker.attempts.items():
@@ -214,13 +220,13 @@
     def _take_fenced(
         self,
         worker: _records.WorkerRecord,
-        beat: messages.WorkerBeat,
+        heartbeat: messages.WorkerHeartbeat,
         reports: list[messages.AttemptReport],
     ) -> tuple[messages.AttemptId, ...]:
         """Take the worker's word for attempts that it never started."""
-        ended = {one.attempt_id for one in beat.ended}
+        ended = {one.attempt_id for one in heartbeat.ended}
         acknowledged = []
-        for attempt_id in beat.fenced:
+        for attempt_id in heartbeat.fenced:
             if attempt_id in ended:
                 continue
             if attempt_id in worker.attempts or attempt_id in worker.fences:
--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -158,8 +158,8 @@
         if session is None:
             return messages.CallFailed('the gateway has to register', True)
         match message:
-            case messages.GatewayBeat():
-                return self._beat(session, message)
+            case messages.GatewayHeartbeat():
+                return self._heartbeat(session, message)
             case messages.SubmitTasks():
                 return self._submissions.submit(session, message)
             case messages.QueryTasks():
@@ -173,7 +173,7 @@
                 return self._release(message)
             case messages.AnnounceWorker():
                 return self._heartbeats.announce(message)
-            case messages.WorkerBeats():
+            case messages.WorkerHeartbeats():
                 return self._heartbeats.take(message)
         return self._operators.take(message)
 
@@ -209,15 +209,15 @@
 
         return utils.then(context.node.confirm(), answer)
 
-    def _beat(
-        self, session: _sessions.Session, message: messages.GatewayBeat
+    def _heartbeat(
+        self, session: _sessions.Session, message: messages.GatewayHeartbeat
     ) -> typing.Any:
         context = self.context
         session.rules_version = message.rules_version
         if not context.node.leading():
             return messages.NotLeader()
         version = context.state.rules_record.version
-        return messages.GatewayBeatReply(context.term, version)
+        return messages.GatewayHeartbeatReply(context.term, version)
 
     def _release(self, call: messages.ReleaseAnswers) -> typing.Any:
         with self.context.state.lock:
--- a/dandeliondrum/controller/tests/test_heartbeats.py
+++ b/dandeliondrum/controller/tests/test_heartbeats.py
@@ -49,8 +49,8 @@
         command = messages.EndAttempts(0, (report,))
         self.log.propose(messages.encode(command))
 
-    def beat(self, running=(), ended=(), fenced=(), incarnation='a'):
-        beat = messages.WorkerBeat(
+    def heartbeat(self, running=(), ended=(), fenced=(), incarnation='a'):
+        heartbeat = messages.WorkerHeartbeat(
             WORKER,
             incarnation,
             tuple(
@@ -60,7 +60,7 @@
             tuple(messages.AttemptReport(one, state) for one, state in ended),
             tuple(fenced),
         )
-        reply = self.heartbeats.take(messages.WorkerBeats((beat,)))
+        reply = self.heartbeats.take(messages.WorkerHeartbeats((heartbeat,)))
         return reply.replies[0]
 
 
@@ -70,21 +70,21 @@
 
 
 def test_an_unknown_incarnation_has_to_announce_itself(leader):
-    assert leader.beat(incarnation='b').announce_again
+    assert leader.heartbeat(incarnation='b').announce_again
 
 
 def test_an_attempt_that_is_not_on_record_is_stopped(leader):
-    assert leader.beat(running=['harbour/x#1']).stop == ('harbour/x#1',)
+    assert leader.heartbeat(running=['harbour/x#1']).stop == ('harbour/x#1',)
 
 
 def test_an_end_is_acknowledged_only_once_it_is_on_record(leader):
     attempt_id = leader.assign('t')
     ended = [(attempt_id, AttemptState.FINISHED)]
     leader.log.stalled = True
-    assert leader.beat(ended=ended).acknowledged == ()
+    assert leader.heartbeat(ended=ended).acknowledged == ()
     leader.log.stalled = False
-    assert leader.beat(ended=ended).acknowledged == ()
-    assert leader.beat(ended=ended).acknowledged == (attempt_id,)
+    assert leader.heartbeat(ended=ended).acknowledged == ()
+    assert leader.heartbeat(ended=ended).acknowledged == (attempt_id,)
 
 
 def test_an_end_that_resolves_a_doubt_is_kept_until_it_is_on_record(leader):
@@ -95,31 +95,31 @@
     assert task.state is messages.TaskState.IN_DOUBT
     ended = [(attempt_id, AttemptState.FINISHED)]
     leader.log.stalled = True
-    assert leader.beat(ended=ended).acknowledged == ()
+    assert leader.heartbeat(ended=ended).acknowledged == ()
     leader.log.stalled = False
-    leader.beat(ended=ended)
+    leader.heartbeat(ended=ended)
     assert task.state is messages.TaskState.DONE
-    assert leader.beat(ended=ended).acknowledged == (attempt_id,)
+    assert leader.heartbeat(ended=ended).acknowledged == (attempt_id,)
 
 
 def test_an_end_that_leaves_the_doubt_is_acknowledged(leader):
     attempt_id = leader.assign('t')
     ended = [(attempt_id, AttemptState.STOPPED)]
     leader.end(attempt_id, AttemptState.LOST)
-    leader.beat(ended=ended)
-    assert leader.beat(ended=ended).acknowledged == (attempt_id,)
+    leader.heartbeat(ended=ended)
+    assert leader.heartbeat(ended=ended).acknowledged == (attempt_id,)
 
 
 def test_an_uncertain_start_is_fenced_after_two_heartbeats_without_it(leader):
     attempt_id = leader.assign('t')
     report = messages.AttemptReport(attempt_id, AttemptState.UNCERTAIN)
     leader.leadership._attempt_reports.report((report,))
-    assert leader.beat().stop == ()
-    assert leader.beat().stop == (attempt_id,)
-    leader.beat(fenced=[attempt_id])
+    assert leader.heartbeat().stop == ()
+    assert leader.heartbeat().stop == (attempt_id,)
+    leader.heartbeat(fenced=[attempt_id])
     task = leader.state.tasks['harbour/t']
     assert task.state is messages.TaskState.QUEUED
-    assert leader.beat(fenced=[attempt_id]).acknowledged == (attempt_id,)
+    assert leader.heartbeat(fenced=[attempt_id]).acknowledged == (attempt_id,)
 
 
 def test_an_uncertain_start_that_runs_is_left_alone(leader):
@@ -127,22 +127,22 @@
     report = messages.AttemptReport(attempt_id, AttemptState.UNCERTAIN)
     leader.leadership._attempt_reports.report((report,))
     for _ in range(4):
-        assert leader.beat(running=[attempt_id]).stop == ()
+        assert leader.heartbeat(running=[attempt_id]).stop == ()
 
 
 def test_a_lost_attempt_is_fenced_until_its_worker_vouches(leader):
     attempt_id = leader.assign('t', idempotent=True)
     leader.end(attempt_id, AttemptState.LOST)
     for _ in range(2):
-        assert leader.beat().stop == (attempt_id,)
-    leader.beat(fenced=[attempt_id])
-    assert leader.beat().stop == ()
+        assert leader.heartbeat().stop == (attempt_id,)
+    leader.heartbeat(fenced=[attempt_id])
+    assert leader.heartbeat().stop == ()
 
 
 def test_a_deposed_leader_answers_no_heartbeat(leader):
     leader.log.leading = lambda: False
-    beat = messages.WorkerBeat(WORKER, messages.Incarnation('a'), ())
-    reply = leader.heartbeats.take(messages.WorkerBeats((beat,)))
+    heartbeat = messages.WorkerHeartbeat(WORKER, messages.Incarnation('a'), ())
+    reply = leader.heartbeats.take(messages.WorkerHeartbeats((heartbeat,)))
     assert reply == messages.NotLeader()
 
 
@@ -153,4 +153,4 @@
     )
     outcome = leader.log.propose(messages.encode(cancel)).result()
     assert isinstance(outcome, result.Success)
-    assert leader.beat(running=[attempt_id]).stop == (attempt_id,)
+    assert leader.heartbeat(running=[attempt_id]).stop == (attempt_id,)
--- a/dandeliondrum/embedded/_demo.py
+++ b/dandeliondrum/embedded/_demo.py
@@ -38,7 +38,7 @@
 CORE_MEMORY_MB = 1_024
 # Declared run times are off by up to this factor, either way.
 DECLARED_FACTOR = 3
-# How much more work each team hands in than its share of the time takes.
+# How much more work each team submits than its share of the time takes.
 EXCESS_FACTOR = 1.4
 
 GANG_TASKS_COUNT = 4
@@ -58,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class DemoOptions:
-    """How long work is handed in, and the seed that it is drawn from.
+    """How long work is submitted, and the seed that it is drawn from.
 
     Without a ``folder`` a temporary one is made and removed again; it takes
     the data of the controllers and the log.
@@ -169,7 +169,7 @@
     def _work(
         self, cell: _cell.EmbeddedCell, callers: _durable.DurableCallers
     ) -> float:
-        """Hand in work for the whole length; returns when it was over."""
+        """Submit work for the whole length; returns when it was over."""
         work = testing.Work(
             keys=dict(self._keys.items()),
             callers_count=CALLERS_COUNT,
@@ -184,9 +184,9 @@
         began_s = time.monotonic()
         with testing.Callers(cell, work, self._recorder) as waiting:
             self._wait(waiting, began_s, HAND_IN_AT)
-            self._hand_in(callers)
+            self._submit(callers)
             self._wait(waiting, began_s, GANG_AT)
-            self._hand_in_gang(callers)
+            self._submit_gang(callers)
             self._wait(waiting, began_s, LOSS_AT)
             self._lose_leader(cell)
             self._wait(waiting, began_s, 1.0)
@@ -195,8 +195,8 @@
             self._tell(f'{count} queued tasks are cancelled')
         return until_ms
 
-    def _hand_in(self, callers: _durable.DurableCallers) -> None:
-        callers.hand_in_service(
+    def _submit(self, callers: _durable.DurableCallers) -> None:
+        callers.submit_service(
             messages.TeamId('inspection'),
             _fleets.SERVICE,
             'lens',
@@ -205,16 +205,16 @@
             memory_mb=CORE_MEMORY_MB,
             body_base64=HANGING_BODY_BASE64,
         )
-        handed_in_count = 0
+        submitted_count = 0
         for team in _fleets.TEAMS:
             tasks = [
                 self._task(f'night-{number}')
                 for number in range(self._tasks_count(team))
             ]
-            callers.hand_in(team.team_id, _fleets.DURABLE_BATCH, tasks)
-            handed_in_count += len(tasks)
+            callers.submit(team.team_id, _fleets.DURABLE_BATCH, tasks)
+            submitted_count += len(tasks)
         self._tell(
-            f'{len(_fleets.TEAMS)} teams handed in {handed_in_count} tasks '
+            f'{len(_fleets.TEAMS)} teams submitted {submitted_count} tasks '
             f'for later and a service of {REPLICAS_COUNT} replicas'
         )
 
@@ -241,13 +241,13 @@
             'body': {'run_ms': run_ms, 'echo': request_id},
         }
 
-    def _hand_in_gang(self, callers: _durable.DurableCallers) -> None:
+    def _submit_gang(self, callers: _durable.DurableCallers) -> None:
         tasks = [
             self._task(f'gang-{number}') for number in range(GANG_TASKS_COUNT)
         ]
         team_id = messages.TeamId('engraving')
-        callers.hand_in(team_id, _fleets.GANG, tasks, gang=True)
-        self._tell(f'{team_id} handed in a gang of {GANG_TASKS_COUNT}')
+        callers.submit(team_id, _fleets.GANG, tasks, gang=True)
+        self._tell(f'{team_id} submitted a gang of {GANG_TASKS_COUNT}')
 
     def _lose_leader(self, cell: _cell.EmbeddedCell) -> None:
         lost = cell.lose_leader()
--- a/dandeliondrum/embedded/_durable.py
+++ b/dandeliondrum/embedded/_durable.py
@@ -1,4 +1,4 @@
-"""Callers that hand in durable work and ask for its answers later."""
+"""Callers that submit durable work and ask for its answers later."""
 
 import collections
 import collections.abc
@@ -57,12 +57,12 @@
 
 
 class DurableCallers:
-    """Hands in jobs, gangs and services, and collects what becomes of them.
+    """Submits jobs, gangs and services, and collects what becomes of them.
 
     Example::
 
         callers = DurableCallers(cell, keys, recorder)
-        callers.hand_in('harbour', 'night', [{'request_id': 'n1'}])
+        callers.submit('harbour', 'night', [{'request_id': 'n1'}])
         callers.cancel_queued()
         callers.collect(timeout_ms=10_000)
     """
@@ -79,14 +79,14 @@
         self._owed: list[_Owed] = []
         self._replicas: list[_Owed] = []
 
-    def hand_in(
+    def submit(
         self,
         team_id: messages.TeamId,
         queue: str,
         tasks: collections.abc.Sequence[dict[str, typing.Any]],
         gang: bool = False,
     ) -> None:
-        """Hand in a job; each task has ``body`` as a mapping."""
+        """Submit a job; each task has ``body`` as a mapping."""
         handed = [self._sent(team_id, task) for task in tasks]
         reply = self._until_replied(
             lambda gateway: self._cell.submit_job(
@@ -100,7 +100,7 @@
         )
         self._owed += self._accepted(handed, reply)
 
-    def hand_in_service(
+    def submit_service(
         self,
         team_id: messages.TeamId,
         queue: str,
@@ -108,7 +108,7 @@
         replicas: int,
         **fields: typing.Any,
     ) -> None:
-        """Hand in a service."""
+        """Submit a service."""
         handed = [
             self._sent(
                 team_id,
--- a/dandeliondrum/embedded/_summary.py
+++ b/dandeliondrum/embedded/_summary.py
@@ -67,7 +67,7 @@
 ) -> Findings:
     """Work out the figures of a run that came to rest.
 
-    ``until_ms`` is when callers stopped to hand in work; see
+    ``until_ms`` is when callers stopped to submit work; see
     :func:`_figures.full_period` for ``settling_ms``.
     """
     runs = testing.runs(history, testing.CheckOptions().margin_ms)
--- a/dandeliondrum/gateway/_callers.py
+++ b/dandeliondrum/gateway/_callers.py
@@ -1,4 +1,4 @@
-"""Calls of those who hand in work and wait for it."""
+"""Calls of those who submit work and wait for it."""
 
 import collections.abc
 import contextlib
--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -10,10 +10,10 @@
 from returns import result
 import structlog
 
-from dandeliondrum.gateway import _beats
 from dandeliondrum.gateway import _callers
 from dandeliondrum.gateway import _dispatch
 from dandeliondrum.gateway import _durable
+from dandeliondrum.gateway import _heartbeats
 from dandeliondrum.gateway import _http
 from dandeliondrum.gateway import _jobs
 from dandeliondrum.gateway import _leader_link
@@ -89,7 +89,7 @@
             options.connections_per_worker
         )
         self._services = self._make_services()
-        self._beats = _beats.Beats(self._link)
+        self._heartbeats = _heartbeats.Heartbeats(self._link)
         self._durable = _durable.DurableDispatch(
             self._services.dispatcher,
             self._services.reporter,
@@ -136,7 +136,7 @@
             self._resources.callback(server.drain, 0)
         self._supervisor.run('leader link', self._link.run)
         self._supervisor.run('reports', self._services.reporter.run)
-        self._supervisor.run('heartbeats', self._beats.run)
+        self._supervisor.run('heartbeats', self._heartbeats.run)
         self._services.readiness.phase = _readiness.Phase.SERVING
         return result.Success(None)
 
@@ -156,7 +156,7 @@
             callers, workers, _ = self._servers
             callers.drain(self._options.drain_max_ms)
             self._durable.close()
-            workers.drain(_beats.BEAT_DEADLINE_MS)
+            workers.drain(_heartbeats.BEAT_DEADLINE_MS)
             self._flush_reports()
         self._resources.close()
 
@@ -197,7 +197,7 @@
             *_jobs.Jobs(services).routes(),
             *_operators.health_routes(services),
         )
-        workers = _workers.Workers(services, self._beats).routes()
+        workers = _workers.Workers(services, self._heartbeats).routes()
         operators = _operators.Operators(services).routes()
         return (
             self._make_server(
--- a/dandeliondrum/gateway/_beats.py
+++ b/dandeliondrum/gateway/_heartbeats.py
@@ -18,29 +18,29 @@
 BEAT_DEADLINE_MS = 950
 IDLE_POLL_MS = 100
 
-BeatReply = result.Result[messages.WorkerBeatReply, str]
-BeatFuture = concurrent.futures.Future[BeatReply]
+HeartbeatReply = result.Result[messages.WorkerHeartbeatReply, str]
+HeartbeatFuture = concurrent.futures.Future[HeartbeatReply]
 
 _logger = structlog.get_logger()
 
 
 @dataclasses.dataclass(frozen=True)
 class _Waiting:
-    beat: messages.WorkerBeat
-    future: BeatFuture
+    heartbeat: messages.WorkerHeartbeat
+    future: HeartbeatFuture
 
 
-class Beats:
+class Heartbeats:
     """Relays heartbeats; each has a deadline of its own."""
 
     def __init__(self, link: _leader_link.LeaderLink) -> None:
         self._link = link
         self._queue: queue.SimpleQueue[_Waiting] = queue.SimpleQueue()
 
-    def relay(self, beat: messages.WorkerBeat) -> BeatReply:
+    def relay(self, heartbeat: messages.WorkerHeartbeat) -> HeartbeatReply:
         """Return the leader's answer to one heartbeat, or why none came."""
-        future: BeatFuture = concurrent.futures.Future()
-        self._queue.put(_Waiting(beat, future))
+        future: HeartbeatFuture = concurrent.futures.Future()
+        self._queue.put(_Waiting(heartbeat, future))
         try:
             return future.result(BEAT_DEADLINE_MS / 1000)
         except concurrent.futures.TimeoutError:
@@ -66,7 +66,7 @@
         return tuple(batch)
 
     def _send(self, batch: tuple[_Waiting, ...]) -> None:
-        call = messages.WorkerBeats(tuple(one.beat for one in batch))
+        call = messages.WorkerHeartbeats(tuple(one.heartbeat for one in batch))
         self._link.call_async(call).add_done_callback(
             functools.partial(_replied, batch)
         )
@@ -76,7 +76,7 @@
     batch: tuple[_Waiting, ...], future: transport.CallFuture
 ) -> None:
     match future.result():
-        case result.Success(messages.WorkerBeatReplies(replies=replies)):
+        case result.Success(messages.WorkerHeartbeatReplies(replies=replies)):
             if _belong(batch, replies):
                 for one, reply in zip(batch, replies, strict=True):
                     one.future.set_result(result.Success(reply))
@@ -88,15 +88,17 @@
             why = failure.value
         case other:
             why = f'unexpected reply {type(other).__name__}'
-    _logger.info('heartbeats not relayed', beats_count=len(batch), why=why)
+    _logger.info(
+        'heartbeats not relayed', heartbeats_count=len(batch), why=why
+    )
     for one in batch:
         one.future.set_result(result.Failure(why))
 
 
 def _belong(
     batch: tuple[_Waiting, ...],
-    replies: tuple[messages.WorkerBeatReply, ...],
+    replies: tuple[messages.WorkerHeartbeatReply, ...],
 ) -> bool:
-    return [one.beat.worker_id for one in batch] == [
+    return [one.heartbeat.worker_id for one in batch] == [
         reply.worker_id for reply in replies
     ]
--- a/dandeliondrum/gateway/_job_requests.py
+++ b/dandeliondrum/gateway/_job_requests.py
@@ -1,4 +1,4 @@
-"""Bodies of calls that hand in durable tasks."""
+"""Bodies of calls that submit durable tasks."""
 
 import dataclasses
 import hashlib
@@ -77,7 +77,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Submission:
-    """Durable tasks of one team, ready to be handed in.
+    """Durable tasks of one team, ready to be submitted.
 
     With ``all_or_none`` they travel in one call.
     """
@@ -91,7 +91,7 @@
 def from_job(
     job: JobRequest, trace_parent: str
 ) -> result.Result[Submission, _http.Problem]:
-    """Check a job and return what it hands in."""
+    """Check a job and return what it submits."""
     problem = _problem_of_job(job)
     if problem:
         return result.Failure(_http.Problem(400, 'bad_request', problem))
--- a/dandeliondrum/gateway/_jobs.py
+++ b/dandeliondrum/gateway/_jobs.py
@@ -1,4 +1,4 @@
-"""Calls that hand in durable tasks: jobs, gangs and services."""
+"""Calls that submit durable tasks: jobs, gangs and services."""
 
 import collections.abc
 import typing
@@ -40,7 +40,7 @@
         )
 
     def submit_job(self, call: _http.Call) -> werkzeug.Response:
-        """Hand in a job; each task is told about by itself."""
+        """Submit a job; each task is told about by itself."""
         return self._submit(
             call,
             self._body(call)
@@ -57,7 +57,7 @@
         )
 
     def submit_service(self, call: _http.Call) -> werkzeug.Response:
-        """Hand in the replicas of a service."""
+        """Submit the replicas of a service."""
         return self._submit(
             call,
             self._body(call)
@@ -88,10 +88,10 @@
                 vouched = _task_headers.says_first_sending(call)
                 return _outcomes.refused('', problem, vouched)
             case result.Success(submission):
-                return self._hand_in(call, submission)
+                return self._submit_all(call, submission)
         raise AssertionError
 
-    def _hand_in(
+    def _submit_all(
         self, call: _http.Call, submission: _job_requests.Submission
     ) -> werkzeug.Response:
         key = _task_headers.key_of(call)
@@ -141,8 +141,8 @@
 ) -> werkzeug.Response:
     """Answer when the leader did not take all chunks.
 
-    Nothing was handed in if the first call had no effect; whether any of
-    the ids was handed in before, only the caller can tell.
+    Nothing was submitted if the first call had no effect; whether any of
+    the ids was submitted before, only the caller can tell.
     """
     without_effect = not statuses and problem.status != 502
     vouched = _task_headers.says_first_sending(call)
--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -1,8 +1,8 @@
 """The stream to the leading controller.
 
-One task finds the leader, registers there and sends beats. A leader that
-does not answer a beat in time is given up, whatever the stream itself says,
-and the other controllers are tried.
+One task finds the leader, registers there and sends heartbeats. A leader that
+does not answer a heartbeat in time is given up, whatever the stream itself
+says, and the other controllers are tried.
 """
 
 import collections
@@ -132,7 +132,7 @@
                 stream.close()
 
     def answering(self) -> bool:
-        """Tell whether the leader answered a beat within the last second."""
+        """Tell whether the leader answered a heartbeat a moment ago."""
         answered_ms = self._answered_ms
         if self._current is None or answered_ms is None:
             return False
@@ -262,7 +262,7 @@
         match stream.call(register, REGISTER_TIMEOUT_MS):
             case result.Success(messages.GatewayRegistered() as registered):
                 self._open(candidate, stream, registered)
-                return self._beat(candidate, stream, stopping)
+                return self._heartbeat(candidate, stream, stopping)
             case result.Success(messages.NotLeader() as reply):
                 return reply
             case other:
@@ -292,16 +292,16 @@
         )
         self._events.on_up()
 
-    def _beat(
+    def _heartbeat(
         self,
         candidate: _Candidate,
         stream: transport.Connection,
         stopping: threading.Event,
     ) -> messages.NotLeader | None:
         while not stopping.is_set() and not self._closed:
-            beat = messages.GatewayBeat(self.rules.version)
-            match stream.call(beat, BEAT_TIMEOUT_MS):
-                case result.Success(messages.GatewayBeatReply() as reply):
+            heartbeat = messages.GatewayHeartbeat(self.rules.version)
+            match stream.call(heartbeat, BEAT_TIMEOUT_MS):
+                case result.Success(messages.GatewayHeartbeatReply() as reply):
                     self._answered_ms = utils.monotonic_ms()
                     self.term = reply.term
                 case result.Success(messages.NotLeader() as other):
--- a/dandeliondrum/gateway/_metrics.py
+++ b/dandeliondrum/gateway/_metrics.py
@@ -69,15 +69,15 @@
             ('status',),
             registry=self.registry,
         )
-        self.beats = prometheus_client.Counter(
-            'dandeliondrum_gateway_worker_beats',
+        self.heartbeats = prometheus_client.Counter(
+            'dandeliondrum_gateway_worker_heartbeats',
             'Heartbeats of workers, by outcome',
             ('outcome',),
             registry=self.registry,
         )
         self.leader_up = prometheus_client.Gauge(
             'dandeliondrum_gateway_leader_up',
-            '1 while a leader answers beats, else 0',
+            '1 while a leader answers heartbeats, else 0',
             registry=self.registry,
         )
         self.reports_unconfirmed = prometheus_client.Gauge(
--- a/dandeliondrum/gateway/_tasks.py
+++ b/dandeliondrum/gateway/_tasks.py
@@ -1,4 +1,4 @@
-"""Calls about tasks that were handed in before."""
+"""Calls about tasks that were submitted before."""
 
 import dataclasses
 import typing
--- a/dandeliondrum/gateway/_workers.py
+++ b/dandeliondrum/gateway/_workers.py
@@ -7,7 +7,7 @@
 from returns import result
 import werkzeug
 
-from dandeliondrum.gateway import _beats
+from dandeliondrum.gateway import _heartbeats
 from dandeliondrum.gateway import _http
 from dandeliondrum.gateway import _json_codec
 from dandeliondrum.gateway import _leader_calls
@@ -24,10 +24,10 @@
     """Serves announce, heartbeat and leave."""
 
     def __init__(
-        self, services: _services.Services, beats: _beats.Beats
+        self, services: _services.Services, heartbeats: _heartbeats.Heartbeats
     ) -> None:
         self._services = services
-        self._beats = beats
+        self._heartbeats = heartbeats
 
     def routes(self) -> tuple[_http.Route, ...]:
         """Return what this part serves."""
@@ -61,7 +61,9 @@
         """Relay a heartbeat and return the leader's answer."""
         return self._relay(
             call.json(BODY_MAX_BYTES).bind(
-                lambda data: _json_codec.from_plain(data, messages.WorkerBeat)
+                lambda data: _json_codec.from_plain(
+                    data, messages.WorkerHeartbeat
+                )
             )
         )
 
@@ -71,24 +73,26 @@
             call.json(BODY_MAX_BYTES)
             .bind(
                 lambda data: _json_codec.from_plain(
-                    {'running': [], **data}, messages.WorkerBeat
+                    {'running': [], **data}, messages.WorkerHeartbeat
                 )
             )
-            .map(lambda beat: dataclasses.replace(beat, leaving=True))
+            .map(
+                lambda heartbeat: dataclasses.replace(heartbeat, leaving=True)
+            )
         )
 
     def _relay(
-        self, parsed: result.Result[messages.WorkerBeat, _http.Problem]
+        self, parsed: result.Result[messages.WorkerHeartbeat, _http.Problem]
     ) -> werkzeug.Response:
         match parsed:
             case result.Failure(problem):
                 self._count('bad_request')
                 return _http.problem_response(problem)
-            case result.Success(beat):
-                return self._answer(self._beats.relay(beat))
+            case result.Success(heartbeat):
+                return self._answer(self._heartbeats.relay(heartbeat))
         raise AssertionError
 
-    def _answer(self, reply: _beats.BeatReply) -> werkzeug.Response:
+    def _answer(self, reply: _heartbeats.HeartbeatReply) -> werkzeug.Response:
         match reply:
             case result.Success(answer):
                 self._count('answered')
@@ -101,7 +105,7 @@
         raise AssertionError
 
     def _count(self, outcome: str) -> None:
-        self._services.metrics.beats.labels(outcome).inc()
+        self._services.metrics.heartbeats.labels(outcome).inc()
 
 
 def _announcement(
--- a/dandeliondrum/gateway/tests/fakes.py
+++ b/dandeliondrum/gateway/tests/fakes.py
@@ -66,7 +66,7 @@
         self.silent = False
         self.not_leader = None
         self.on_submit = self.queue_all
-        self.on_beats = self.renew_all
+        self.on_heartbeats = self.renew_all
         self.replies = {
             messages.ReportAttempts: messages.Done(),
             messages.AnnounceWorker: messages.Done(),
@@ -121,26 +121,26 @@
                     messages.RulesVersion(3),
                     '',
                 )
-            case messages.GatewayBeat() if self.silent:
+            case messages.GatewayHeartbeat() if self.silent:
                 return transport.CallFuture()
-            case messages.GatewayBeat():
-                return messages.GatewayBeatReply(
+            case messages.GatewayHeartbeat():
+                return messages.GatewayHeartbeatReply(
                     self._term, messages.RulesVersion(3)
                 )
             case messages.SubmitTasks():
                 return self.on_submit(connection, message)
-            case messages.WorkerBeats():
-                return self.on_beats(message)
+            case messages.WorkerHeartbeats():
+                return self.on_heartbeats(message)
         reply = self.replies[type(message)]
         return reply(message) if callable(reply) else reply
 
     def renew_all(self, message):
         if self.silent:
             return transport.CallFuture()
-        return messages.WorkerBeatReplies(
+        return messages.WorkerHeartbeatReplies(
             tuple(
-                messages.WorkerBeatReply(beat.worker_id)
-                for beat in message.beats
+                messages.WorkerHeartbeatReply(heartbeat.worker_id)
+                for heartbeat in message.heartbeats
             )
         )
 
--- a/dandeliondrum/gateway/tests/test_leader_loss.py
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -66,7 +66,7 @@
     assert len({report.attempt_id for report in leader.reports()}) == 1
 
 
-def test_a_leader_that_stops_answering_beats_is_given_up(worker):
+def test_a_leader_that_stops_answering_heartbeats_is_given_up(worker):
     with (
         contextlib.closing(fakes.Leader('c1')) as mute,
         contextlib.closing(fakes.Leader('c2', term=2)) as new,
@@ -74,7 +74,7 @@
         new.not_leader = messages.NotLeader()
         with fakes.serving(mute.address, new.address) as front:
             mute.silent = True
-            # The stream stays open and pings go on; only beats fail.
+            # The stream stays open and pings go on; only heartbeats fail.
             fakes.until(lambda: not front.ready())
             assert ready_body(front).status == 503
             new.not_leader = None
@@ -190,9 +190,11 @@
             fakes.until(lambda: ready_body(front).status == 200)
 
 
-def test_the_rules_version_of_a_push_is_in_the_next_beats(front, leader):
+def test_the_rules_version_of_a_push_is_in_the_next_heartbeats(front, leader):
     leader.push(messages.RulesPush(messages.RulesVersion(9), ''))
-    fakes.until(lambda: leader.of(messages.GatewayBeat)[-1].rules_version == 9)
+    fakes.until(
+        lambda: leader.of(messages.GatewayHeartbeat)[-1].rules_version == 9
+    )
 
 
 def test_a_stop_does_not_wait_for_a_leader():
--- a/dandeliondrum/gateway/tests/test_workers.py
+++ b/dandeliondrum/gateway/tests/test_workers.py
@@ -32,7 +32,7 @@
     return shared_front
 
 
-def beat(number=1, **changes):
+def heartbeat(number=1, **changes):
     return {
         'worker_id': f'lathe-{number}',
         'incarnation': 'a1',
@@ -95,13 +95,13 @@
 
 def test_heartbeats_that_come_together_share_a_call(front, leader):
     calls = [
-        fakes.Background(post, front, 'heartbeat', beat(number))
+        fakes.Background(post, front, 'heartbeat', heartbeat(number))
         for number in range(8)
     ]
     for number, call in enumerate(calls):
         assert call.result().json()['worker_id'] == f'lathe-{number}'
-    sent = leader.of(messages.WorkerBeats)
-    assert sum(len(call.beats) for call in sent) == 8
+    sent = leader.of(messages.WorkerHeartbeats)
+    assert sum(len(call.heartbeats) for call in sent) == 8
     assert len(sent) < 8
 
 
@@ -109,7 +109,7 @@
     reply = post(
         front,
         'heartbeat',
-        beat(
+        heartbeat(
             running=[
                 {
                     'attempt_id': 'bureau/r1#1',
@@ -121,7 +121,7 @@
         ),
     )
     assert reply.status == 200
-    (sent,) = leader.of(messages.WorkerBeats)[0].beats
+    (sent,) = leader.of(messages.WorkerHeartbeats)[0].heartbeats
     assert sent.running[0].used == messages.Resources(5, 6)
     assert sent.ended[0].state is messages.AttemptState.FINISHED
     assert sent.fenced == ('bureau/r2#1',)
@@ -130,23 +130,23 @@
 def test_a_leaving_worker_is_told_to_the_leader(front, leader):
     reply = post(front, 'leave', {'worker_id': 'lathe-1', 'incarnation': 'a1'})
     assert reply.status == 200
-    assert leader.of(messages.WorkerBeats)[0].beats[0].leaving
+    assert leader.of(messages.WorkerHeartbeats)[0].heartbeats[0].leaving
 
 
 def test_a_heartbeat_the_leader_leaves_unanswered_gets_503(front, leader):
     leader.silent = True
-    reply = post(front, 'heartbeat', beat())
+    reply = post(front, 'heartbeat', heartbeat())
     assert reply.status == 503
 
 
 def test_heartbeats_without_a_leader_get_503():
     with fakes.serving(fakes.free_port(), wait=False) as front:
-        assert post(front, 'heartbeat', beat()).status == 503
+        assert post(front, 'heartbeat', heartbeat()).status == 503
         assert post(front, 'announce', FACTS).status == 503
 
 
 def test_an_answer_for_another_worker_reaches_nobody(front, leader):
-    leader.on_beats = lambda _call: messages.WorkerBeatReplies(
-        (messages.WorkerBeatReply(messages.WorkerId('other')),)
+    leader.on_heartbeats = lambda _call: messages.WorkerHeartbeatReplies(
+        (messages.WorkerHeartbeatReply(messages.WorkerId('other')),)
     )
-    assert post(front, 'heartbeat', beat()).status == 503
+    assert post(front, 'heartbeat', heartbeat()).status == 503
--- a/dandeliondrum/jobs/_endings.py
+++ b/dandeliondrum/jobs/_endings.py
@@ -1,30 +1,26 @@
 """What the end of a run means for its task, its gang and its job."""
 
-import typing
-
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _ledger
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _specs
 
-if typing.TYPE_CHECKING:
-    from dandeliondrum.jobs import _state
-
 FIRST_GANG_MEMBER = 0
 
 
 def end_runs(
-    state: '_state.JobsState', index: int, command: _commands.EndRuns
+    ledger: _ledger.Ledger, index: int, command: _commands.EndRuns
 ) -> None:
     """Record ends; those that say nothing new change nothing."""
     for end in command.ends:
-        job = state.jobs.get(end.task.job_id)
+        job = ledger.jobs.get(end.task.job_id)
         task = job.task(end.task) if job is not None else None
         if job is not None and task is not None:
-            _end_run(state, index, job, task, end)
+            _end_run(ledger, index, job, task, end)
 
 
 def _end_run(
-    state: '_state.JobsState',
+    ledger: _ledger.Ledger,
     index: int,
     job: _records.JobRecord,
     task: _records.TaskRecord,
@@ -33,7 +29,7 @@
     done = end.outcome is _commands.RunOutcome.DONE
     current = task.phase is _records.TaskPhase.ASSIGNED and task.run == end.run
     if current:
-        _release(state, job, task, end.task)
+        _release(ledger, job, task, end.task)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
     elif not done or task.phase is _records.TaskPhase.DONE:
@@ -43,20 +39,20 @@
     elif job.steps[end.task.step].finished:
         task.phase = _records.TaskPhase.DONE
     elif end.outcome is _commands.RunOutcome.FAILED:
-        _count_failure(state, index, job, task, end)
+        _count_failure(ledger, index, job, task, end)
     if not job.phase.ended() and all(one.done() for one in job.steps):
-        state.finish(job, index, _records.JobPhase.DONE)
+        ledger.finish(job, index, _records.JobPhase.DONE)
 
 
 def _release(
-    state: '_state.JobsState',
+    ledger: _ledger.Ledger,
     job: _records.JobRecord,
     task: _records.TaskRecord,
     key: _specs.TaskKey,
 ) -> None:
     task.phase = _records.TaskPhase.WAITING
     if task.worker_id is not None:
-        state.vacate(job, key, task.worker_id)
+        ledger.vacate(job, key, task.worker_id)
         task.worker_id = None
 
 
@@ -76,7 +72,7 @@
 
 
 def _count_failure(
-    state: '_state.JobsState',
+    ledger: _ledger.Ledger,
     index: int,
     job: _records.JobRecord,
     task: _records.TaskRecord,
@@ -93,8 +89,8 @@
         step.failed_run = end.run
         counted = step.tasks[FIRST_GANG_MEMBER]
     counted.failures_count += 1
-    queue = state.queue_of(job)
+    queue = ledger.queue_of(job)
     if queue is None or job.phase.ended():
         return
     if counted.failures_count >= queue.attempts_max:
-        state.finish(job, index, _records.JobPhase.FAILED)
+        ledger.finish(job, index, _records.JobPhase.FAILED)
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -100,7 +100,7 @@
         if not self._term.node.leading():
             return messages.NotLeader()
         match message:
-            case messages.GatewayBeat():
+            case messages.GatewayHeartbeat():
                 return self._heartbeat(connection, message)
             case _calls.JobSubmission():
                 return self._submit(message)
@@ -135,13 +135,13 @@
     def _heartbeat(
         self,
         connection: transport.Connection | None,
-        message: messages.GatewayBeat,
-    ) -> messages.GatewayBeatReply:
+        message: messages.GatewayHeartbeat,
+    ) -> messages.GatewayHeartbeatReply:
         with self._term.state.lock:
             version = messages.RulesVersion(self._term.state.policy.version)
         if connection is not None and message.rules_version < version:
             connection.push(self._document_push())
-        return messages.GatewayBeatReply(self._term.number, version)
+        return messages.GatewayHeartbeatReply(self._term.number, version)
 
     def _register(
         self,
--- a/dandeliondrum/jobs/_snapshots.py
+++ b/dandeliondrum/jobs/_snapshots.py
@@ -1,17 +1,14 @@
 """The whole state of jobs as bytes, and back."""
 
 import dataclasses
-import typing
 
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _ledger
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _specs
 from dandeliondrum import messages
 
-if typing.TYPE_CHECKING:
-    from dandeliondrum.jobs import _state
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Task:
@@ -48,37 +45,36 @@
     former_queues: tuple[_policy.QueuePolicy, ...] = ()
 
 
-def write(state: '_state.JobsState') -> bytes:
-    """Return the state as bytes; the caller holds its lock."""
+def write(ledger: _ledger.Ledger) -> bytes:
+    """Return the records as bytes."""
     return messages.encode(
         JobsSnapshot(
-            tuple(_pack_job(job) for job in state.jobs.values()),
-            tuple(worker.facts for worker in state.workers.values()),
-            state.document,
-            tuple(state.queues.values()),
+            tuple(_pack_job(job) for job in ledger.jobs.values()),
+            tuple(worker.facts for worker in ledger.workers.values()),
+            ledger.document,
+            tuple(ledger.queues.values()),
         )
     )
 
 
-def read(state: '_state.JobsState', data: bytes) -> None:
-    """Fill the state from bytes; the caller holds its lock."""
+def read(ledger: _ledger.Ledger, data: bytes) -> bytes:
+    """Fill the records from bytes; return the operator's document."""
     snapshot: JobsSnapshot = messages.decode(data).unwrap()
-    state.workers = {
+    ledger.workers = {
         facts.worker_id: _records.WorkerRecord(facts)
         for facts in snapshot.workers
     }
-    state.team_used = {}
-    state.jobs = {job.spec.job_id: _unpack_job(job) for job in snapshot.jobs}
-    state.open_jobs = {
+    ledger.team_used = {}
+    ledger.jobs = {job.spec.job_id: _unpack_job(job) for job in snapshot.jobs}
+    ledger.open_jobs = {
         job_id: job
-        for job_id, job in state.jobs.items()
+        for job_id, job in ledger.jobs.items()
         if not job.phase.ended()
     }
-    state.queues = {queue.name: queue for queue in snapshot.former_queues}
-    if snapshot.document:
-        state.take_policy(snapshot.document)
-    for job in state.jobs.values():
-        _index_runs(state, job)
+    ledger.queues = {queue.name: queue for queue in snapshot.former_queues}
+    for job in ledger.jobs.values():
+        _index_runs(ledger, job)
+    return snapshot.document
 
 
 def _pack_job(job: _records.JobRecord) -> _Job:
@@ -125,7 +121,7 @@
     )
 
 
-def _index_runs(state: '_state.JobsState', job: _records.JobRecord) -> None:
+def _index_runs(ledger: _ledger.Ledger, job: _records.JobRecord) -> None:
     for position, step in enumerate(job.steps):
         for index, task in enumerate(step.tasks):
             if task.worker_id is None:
@@ -133,4 +129,4 @@
             key = _specs.TaskKey(
                 job.spec.job_id, _specs.StepIndex(position), index
             )
-            state.occupy(job, key, task.run, task.worker_id)
+            ledger.occupy(job, key, task.run, task.worker_id)
--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -1,22 +1,21 @@
 """The replicated state of jobs, as a state machine of the log."""
 
 import collections.abc
-import dataclasses
 import threading
 import typing
 
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _endings
+from dandeliondrum.jobs import _ledger
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _snapshots
-from dandeliondrum.jobs import _specs
 from dandeliondrum import messages
 
 PolicyDecoder = collections.abc.Callable[[bytes], _policy.Policy]
 
 
-class JobsState:
+class JobsState(_ledger.Ledger):
     """All jobs, workers and the operator's policy.
 
     ``decode_policy`` reads an operator's document; documents were checked
@@ -24,15 +23,9 @@
     """
 
     def __init__(self, decode_policy: PolicyDecoder) -> None:
+        super().__init__()
         self.lock = threading.RLock()
-        self.jobs: dict[_specs.JobId, _records.JobRecord] = {}
-        self.open_jobs: dict[_specs.JobId, _records.JobRecord] = {}
-        self.workers: dict[messages.WorkerId, _records.WorkerRecord] = {}
-        self.team_used: dict[messages.TeamId, messages.Resources] = {}
         self.policy = _policy.Policy()
-        self.document = b''
-        # Queues stay known after they left the policy, for accepted jobs.
-        self.queues: dict[messages.QueueName, _policy.QueuePolicy] = {}
         self._decode_policy = decode_policy
 
     def apply(self, index: int, command: bytes) -> typing.Any:
@@ -66,11 +59,9 @@
     def restore(self, data: bytes) -> None:
         """Replace the whole state by that of a snapshot."""
         with self.lock:
-            _snapshots.read(self, data)
-
-    def queue_of(self, job: _records.JobRecord) -> _policy.QueuePolicy | None:
-        """Return the queue of a job as it was last in force."""
-        return self.queues.get(job.spec.queue)
+            document = _snapshots.read(self, data)
+            if document:
+                self.take_policy(document)
 
     def take_policy(self, document: bytes) -> None:
         """Put a document in force, whatever the one before it was."""
@@ -78,50 +69,6 @@
         self.policy = self._decode_policy(document)
         self.queues.update(self.policy.queue_by_name)
 
-    def finish(
-        self, job: _records.JobRecord, index: int, phase: _records.JobPhase
-    ) -> None:
-        """Let a job end."""
-        job.phase = phase
-        job.ended_index = index
-        # No run starts any more, so nothing needs the payload.
-        job.spec = dataclasses.replace(job.spec, payload='')
-        self.open_jobs.pop(job.spec.job_id, None)
-
-    def occupy(
-        self,
-        job: _records.JobRecord,
-        key: _specs.TaskKey,
-        run: int,
-        worker_id: messages.WorkerId,
-    ) -> None:
-        """Charge a run to its worker and its team."""
-        spec = job.spec.steps[key.step]
-        worker = self.workers.get(worker_id)
-        if worker is not None:
-            worker.runs[key] = run
-            worker.used += spec.charged()
-        team_id = job.spec.team_id
-        self.team_used[team_id] = self.team_usage(team_id) + spec.resources
-
-    def vacate(
-        self,
-        job: _records.JobRecord,
-        key: _specs.TaskKey,
-        worker_id: messages.WorkerId,
-    ) -> None:
-        """Take back what :meth:`occupy` charged."""
-        spec = job.spec.steps[key.step]
-        worker = self.workers.get(worker_id)
-        if worker is not None and worker.runs.pop(key, None) is not None:
-            worker.used -= spec.charged()
-        team_id = job.spec.team_id
-        self.team_used[team_id] = self.team_usage(team_id) - spec.resources
-
-    def team_usage(self, team_id: messages.TeamId) -> messages.Resources:
-        """Return what a team has running or assigned."""
-        return self.team_used.get(team_id, messages.Resources(0, 0))
-
     def _submit(self, command: _commands.SubmitJob) -> _records.JobPhase:
         spec = command.spec
         known = self.jobs.get(spec.job_id)
--- a/dandeliondrum/messages/__init__.py
+++ b/dandeliondrum/messages/__init__.py
@@ -20,8 +20,8 @@
 from dandeliondrum.messages._gateway_calls import CallFailed
 from dandeliondrum.messages._gateway_calls import CancelCall
 from dandeliondrum.messages._gateway_calls import Done
-from dandeliondrum.messages._gateway_calls import GatewayBeat
-from dandeliondrum.messages._gateway_calls import GatewayBeatReply
+from dandeliondrum.messages._gateway_calls import GatewayHeartbeat
+from dandeliondrum.messages._gateway_calls import GatewayHeartbeatReply
 from dandeliondrum.messages._gateway_calls import GatewayRegistered
 from dandeliondrum.messages._gateway_calls import NotLeader
 from dandeliondrum.messages._gateway_calls import QueryTasks
@@ -81,10 +81,10 @@
 from dandeliondrum.messages._task import WorkerFacts
 from dandeliondrum.messages._worker_calls import AnnounceWorker
 from dandeliondrum.messages._worker_calls import RunningAttempt
-from dandeliondrum.messages._worker_calls import WorkerBeat
-from dandeliondrum.messages._worker_calls import WorkerBeatReplies
-from dandeliondrum.messages._worker_calls import WorkerBeatReply
-from dandeliondrum.messages._worker_calls import WorkerBeats
+from dandeliondrum.messages._worker_calls import WorkerHeartbeat
+from dandeliondrum.messages._worker_calls import WorkerHeartbeatReplies
+from dandeliondrum.messages._worker_calls import WorkerHeartbeatReply
+from dandeliondrum.messages._worker_calls import WorkerHeartbeats
 
 __all__ = [
     'AddController',
@@ -116,8 +116,8 @@
     'ForgetTasks',
     'FormCell',
     'GangId',
-    'GatewayBeat',
-    'GatewayBeatReply',
+    'GatewayHeartbeat',
+    'GatewayHeartbeatReply',
     'GatewayId',
     'GatewayRegistered',
     'Hello',
@@ -161,10 +161,10 @@
     'TeamView',
     'Term',
     'TransferLeadership',
-    'WorkerBeat',
-    'WorkerBeatReplies',
-    'WorkerBeatReply',
-    'WorkerBeats',
+    'WorkerHeartbeat',
+    'WorkerHeartbeatReplies',
+    'WorkerHeartbeatReply',
+    'WorkerHeartbeats',
     'WorkerFacts',
     'WorkerId',
     'WorkerState',
--- a/dandeliondrum/messages/_gateway_calls.py
+++ b/dandeliondrum/messages/_gateway_calls.py
@@ -64,7 +64,7 @@
 
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
-class GatewayBeat:
+class GatewayHeartbeat:
     """Sent a few times a second; tells the rules version that is in force."""
 
     rules_version: _ids.RulesVersion
@@ -72,7 +72,7 @@
 
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
-class GatewayBeatReply:
+class GatewayHeartbeatReply:
     """Sent only while the leader has heard from a quorum of late."""
 
     term: _ids.Term
@@ -102,7 +102,7 @@
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmitTasks:
-    """Hand in tasks of one team.
+    """Submit tasks of one team.
 
     ``bodies`` is empty for tasks that a caller waits for and has one entry
     for each durable task. The reply comes once each task is queued, known
@@ -157,7 +157,7 @@
 class StartAttempt:
     """Push: start this committed attempt on its worker.
 
-    The gateway sends the body that its caller handed in; for a durable task
+    The gateway sends the body that its caller submitted; for a durable task
     the body comes along.
     """
 
--- a/dandeliondrum/messages/_worker_calls.py
+++ b/dandeliondrum/messages/_worker_calls.py
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WorkerBeat:
+class WorkerHeartbeat:
     """A worker's heartbeat.
 
     ``ended`` repeats each ended attempt until the answer to a heartbeat
@@ -42,7 +42,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WorkerBeatReply:
+class WorkerHeartbeatReply:
     """The answer to a heartbeat.
 
     The leases of all running attempts that are not in ``stop`` are renewed,
@@ -63,15 +63,15 @@
 
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
-class WorkerBeats:
+class WorkerHeartbeats:
     """Heartbeats that one gateway gathered within a few milliseconds."""
 
-    beats: tuple[WorkerBeat, ...]
+    heartbeats: tuple[WorkerHeartbeat, ...]
 
 
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
-class WorkerBeatReplies:
+class WorkerHeartbeatReplies:
     """The replies, in the order of the heartbeats."""
 
-    replies: tuple[WorkerBeatReply, ...]
+    replies: tuple[WorkerHeartbeatReply, ...]
--- a/dandeliondrum/placement/_reserve.py
+++ b/dandeliondrum/placement/_reserve.py
@@ -27,7 +27,7 @@
         self._last_ms: int | None = None
 
     def note_added(self, task: _tasks.PendingTask) -> None:
-        """Note a task that was handed in."""
+        """Note a task that was submitted."""
         if task.task_class is messages.TaskClass.URGENT:
             self._last_ms = max(task.submitted_ms, self._last_ms or 0)
 
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -13,7 +13,7 @@
 from dandeliondrum.testing._chaos import run_chaos
 from dandeliondrum.testing._checker import check
 from dandeliondrum.testing._fake_gateway import FakeGateway
-from dandeliondrum.testing._fake_gateway import SeenBeat
+from dandeliondrum.testing._fake_gateway import SeenHeartbeat
 from dandeliondrum.testing._fake_gateway import wait_for
 from dandeliondrum.testing._faults import BLACKHOLE
 from dandeliondrum.testing._faults import CUT
@@ -92,7 +92,7 @@
     'Reply',
     'Run',
     'STALLED',
-    'SeenBeat',
+    'SeenHeartbeat',
     'Sending',
     'SendingKind',
     'Start',
--- a/dandeliondrum/testing/_callers.py
+++ b/dandeliondrum/testing/_callers.py
@@ -27,7 +27,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Work:
-    """What callers hand in; choices are drawn from the seed.
+    """What callers submit; choices are drawn from the seed.
 
     ``keys`` maps teams to the text of their keys. ``pause_ms`` is what a
     caller waits between two requests.
--- a/dandeliondrum/testing/_cell_calls.py
+++ b/dandeliondrum/testing/_cell_calls.py
@@ -169,7 +169,7 @@
         team: str = 'harbour',
         **fields: typing.Any,
     ) -> _http.HttpReply:
-        """Hand in a job; each task has ``body`` as a mapping."""
+        """Submit a job; each task has ``body`` as a mapping."""
         sent = []
         for task in tasks:
             body = json.dumps(task.pop('body', {})).encode()
--- a/dandeliondrum/testing/_conformance.py
+++ b/dandeliondrum/testing/_conformance.py
@@ -6,8 +6,8 @@
 
 import pycurl
 
-from dandeliondrum.testing import _conformance_beats
 from dandeliondrum.testing import _conformance_calls
+from dandeliondrum.testing import _conformance_heartbeats
 from dandeliondrum.testing import _fake_gateway
 from dandeliondrum.testing import _subject
 
@@ -15,7 +15,7 @@
 
 CHECKS: tuple[Check, ...] = (
     *_conformance_calls.CHECKS,
-    *_conformance_beats.CHECKS,
+    *_conformance_heartbeats.CHECKS,
 )
 
 
--- a/dandeliondrum/testing/_conformance_calls.py
+++ b/dandeliondrum/testing/_conformance_calls.py
@@ -47,9 +47,11 @@
     for _ in range(2):
         reply = subject.start(attempt_id, subject.bodies.long, token=1)
         _expect(reply, 202)
-    beat = subject.beat(lambda each: bool(each.running), 'anything runs')
-    if [each.attempt_id for each in beat.running] != [attempt_id]:
-        raise _subject.NotConforming(f'running: {beat.running}')
+    heartbeat = subject.heartbeat(
+        lambda each: bool(each.running), 'anything runs'
+    )
+    if [each.attempt_id for each in heartbeat.running] != [attempt_id]:
+        raise _subject.NotConforming(f'running: {heartbeat.running}')
 
 
 def answers_the_same_start_after_its_end(subject: _Subject) -> None:
--- a/dandeliondrum/testing/_conformance_beats.py
+++ b/dandeliondrum/testing/_conformance_heartbeats.py
@@ -18,28 +18,30 @@
 
 def sends_heartbeats(subject: _Subject) -> None:
     """Heartbeats come, and name the incarnation that was announced."""
-    before = len(subject.gateway.beats)
+    before = len(subject.gateway.heartbeats)
     came = _fake_gateway.wait_for(
-        lambda: len(subject.gateway.beats) >= before + BEATS_COUNT,
+        lambda: len(subject.gateway.heartbeats) >= before + BEATS_COUNT,
         _subject.PATIENCE_MS,
     )
     if not came:
         raise _subject.NotConforming('too few heartbeats')
-    beat = subject.gateway.beats[-1].beat
-    if beat.incarnation != subject.facts.incarnation:
-        raise _subject.NotConforming(f'incarnation {beat.incarnation}')
+    heartbeat = subject.gateway.heartbeats[-1].heartbeat
+    if heartbeat.incarnation != subject.facts.incarnation:
+        raise _subject.NotConforming(f'incarnation {heartbeat.incarnation}')
 
 
 def reports_ends_until_they_are_acknowledged(subject: _Subject) -> None:
     """Each heartbeat repeats an end until an answer acknowledges it."""
     attempt_id = _finish(subject)
     for _ in range(2):
-        beat = subject.beat(lambda each: bool(each.ended), 'the end is told')
-        report = beat.ended[0]
+        heartbeat = subject.heartbeat(
+            lambda each: bool(each.ended), 'the end is told'
+        )
+        report = heartbeat.ended[0]
         if (report.attempt_id, report.state) != (attempt_id, _State.FINISHED):
             raise _subject.NotConforming(f'reported {report}')
     subject.gateway.tell(acknowledged=(attempt_id,))
-    subject.beat(lambda each: not each.ended, 'the end is no longer told')
+    subject.heartbeat(lambda each: not each.ended, 'the end is no longer told')
 
 
 def drops_released_answers(subject: _Subject) -> None:
@@ -61,8 +63,10 @@
         attempt_id, subject.bodies.quick, durable=True, wait_ms=WAIT_MS
     )
     _subject.expect(reply, 200)
-    beat = subject.beat(lambda each: bool(each.ended), 'the end is told')
-    place = beat.ended[0].answer
+    heartbeat = subject.heartbeat(
+        lambda each: bool(each.ended), 'the end is told'
+    )
+    place = heartbeat.ended[0].answer
     if place is None or place.body != reply.body:
         raise _subject.NotConforming(f'answer {place!r:.200}')
 
@@ -73,21 +77,25 @@
     reply = subject.start(attempt_id, subject.bodies.long)
     _subject.expect(reply, 202)
     subject.gateway.tell(stop=(attempt_id,))
-    beat = subject.beat(lambda each: bool(each.fenced), 'it is fenced')
-    if beat.running or beat.fenced != (attempt_id,):
-        raise _subject.NotConforming(f'fenced {beat}')
-    if [each.state for each in beat.ended] != [_State.STOPPED]:
-        raise _subject.NotConforming(f'ended {beat.ended}')
+    heartbeat = subject.heartbeat(
+        lambda each: bool(each.fenced), 'it is fenced'
+    )
+    if heartbeat.running or heartbeat.fenced != (attempt_id,):
+        raise _subject.NotConforming(f'fenced {heartbeat}')
+    if [each.state for each in heartbeat.ended] != [_State.STOPPED]:
+        raise _subject.NotConforming(f'ended {heartbeat.ended}')
 
 
 def vouches_for_what_never_started(subject: _Subject) -> None:
     """A stop of an unknown attempt keeps it from ever starting."""
     attempt_id = subject.new_attempt()
     subject.gateway.tell(stop=(attempt_id,))
-    beat = subject.beat(lambda each: bool(each.fenced), 'it is fenced')
-    ended = [(each.attempt_id, each.state) for each in beat.ended]
+    heartbeat = subject.heartbeat(
+        lambda each: bool(each.fenced), 'it is fenced'
+    )
+    ended = [(each.attempt_id, each.state) for each in heartbeat.ended]
     if ended != [(attempt_id, _State.NEVER_STARTED)]:
-        raise _subject.NotConforming(f'ended {beat.ended}')
+        raise _subject.NotConforming(f'ended {heartbeat.ended}')
     reply = subject.start(attempt_id, subject.bodies.quick)
     _subject.expect_refused(reply, worker.Refused.FENCED)
 
@@ -136,16 +144,16 @@
     before = subject.facts
     count = len(subject.gateway.announced)
     subject.gateway.tell(announce_again=True)
-    subject.beat(lambda _: True, 'anything is said')
+    subject.heartbeat(lambda _: True, 'anything is said')
     subject.gateway.tell()
     facts = subject.gateway.wait_for_announcement(
         _subject.PATIENCE_MS, count + 1
     )
     if facts is None or facts.incarnation == before.incarnation:
         raise _subject.NotConforming(f'announced {facts}')
-    beat = subject.beat(lambda _: True, 'anything is said')
-    if beat.running or beat.ended:
-        raise _subject.NotConforming(f'not dropped: {beat}')
+    heartbeat = subject.heartbeat(lambda _: True, 'anything is said')
+    if heartbeat.running or heartbeat.ended:
+        raise _subject.NotConforming(f'not dropped: {heartbeat}')
     late = subject.start(
         attempt_id, subject.bodies.quick, incarnation=before.incarnation
     )
--- a/dandeliondrum/testing/_fake_gateway.py
+++ b/dandeliondrum/testing/_fake_gateway.py
@@ -20,11 +20,11 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class SeenBeat:
+class SeenHeartbeat:
     """A heartbeat and when it came, by the monotonic clock."""
 
     at_ms: float
-    beat: messages.WorkerBeat
+    heartbeat: messages.WorkerHeartbeat
 
 
 class FakeGateway:
@@ -44,10 +44,10 @@
         self.answering = True
         self.answer_delay_ms = 0
         self.url = ''
-        self._orders = messages.WorkerBeatReply(messages.WorkerId(''))
+        self._orders = messages.WorkerHeartbeatReply(messages.WorkerId(''))
         self._lock = threading.Lock()
         self._announced: list[messages.WorkerFacts] = []
-        self._beats: list[SeenBeat] = []
+        self._heartbeats: list[SeenHeartbeat] = []
         self._left: list[messages.WorkerId] = []
         self._bad: list[str] = []
         self._server = wsgi.Server(
@@ -76,7 +76,7 @@
     def tell(self, **orders: typing.Any) -> None:
         """Set what the next heartbeats are answered with."""
         with self._lock:
-            self._orders = messages.WorkerBeatReply(
+            self._orders = messages.WorkerHeartbeatReply(
                 messages.WorkerId(''), **orders
             )
 
@@ -87,10 +87,10 @@
             return tuple(self._announced)
 
     @property
-    def beats(self) -> tuple[SeenBeat, ...]:
+    def heartbeats(self) -> tuple[SeenHeartbeat, ...]:
         """All heartbeats, oldest first."""
         with self._lock:
-            return tuple(self._beats)
+            return tuple(self._heartbeats)
 
     @property
     def left(self) -> tuple[messages.WorkerId, ...]:
@@ -112,20 +112,20 @@
             return self.announced[-1]
         return None
 
-    def wait_for_beat(
+    def wait_for_heartbeat(
         self,
-        matches: collections.abc.Callable[[messages.WorkerBeat], bool],
+        matches: collections.abc.Callable[[messages.WorkerHeartbeat], bool],
         timeout_ms: int,
         after_ms: float = 0,
-    ) -> messages.WorkerBeat | None:
+    ) -> messages.WorkerHeartbeat | None:
         """Wait for a heartbeat that matches; None when none came."""
-        found: list[messages.WorkerBeat] = []
+        found: list[messages.WorkerHeartbeat] = []
 
         def look() -> bool:
             found.extend(
-                seen.beat
-                for seen in self.beats
-                if seen.at_ms >= after_ms and matches(seen.beat)
+                seen.heartbeat
+                for seen in self.heartbeats
+                if seen.at_ms >= after_ms and matches(seen.heartbeat)
             )
             return bool(found)
 
@@ -162,11 +162,11 @@
             match message:
                 case messages.WorkerFacts():
                     self._announced.append(message)
-                case messages.WorkerBeat():
+                case messages.WorkerHeartbeat():
                     if path.endswith('leave'):
                         self._left.append(message.worker_id)
                     else:
-                        self._beats.append(SeenBeat(at_ms, message))
+                        self._heartbeats.append(SeenHeartbeat(at_ms, message))
             reply = dataclasses.replace(
                 self._orders, worker_id=message.worker_id
             )
@@ -178,8 +178,8 @@
 
 _KINDS: dict[str, type] = {
     '/v1/workers/announce': messages.WorkerFacts,
-    '/v1/workers/heartbeat': messages.WorkerBeat,
-    '/v1/workers/leave': messages.WorkerBeat,
+    '/v1/workers/heartbeat': messages.WorkerHeartbeat,
+    '/v1/workers/leave': messages.WorkerHeartbeat,
 }
 
 
--- a/dandeliondrum/testing/_subject.py
+++ b/dandeliondrum/testing/_subject.py
@@ -82,13 +82,13 @@
             whole.memory_mb // self.facts.slots_count,
         )
 
-    def beat(
+    def heartbeat(
         self,
-        matches: typing.Callable[[messages.WorkerBeat], bool],
+        matches: typing.Callable[[messages.WorkerHeartbeat], bool],
         what: str,
-    ) -> messages.WorkerBeat:
+    ) -> messages.WorkerHeartbeat:
         """Wait for a heartbeat from now on that matches."""
-        found = self.gateway.wait_for_beat(
+        found = self.gateway.wait_for_heartbeat(
             matches, PATIENCE_MS, after_ms=worker.now_ms()
         )
         if found is None:
@@ -102,13 +102,13 @@
         started = tuple(self._started)
         self._started.clear()
         self.gateway.tell(stop=started)
-        self.beat(
-            lambda beat: set(started) <= set(beat.fenced),
+        self.heartbeat(
+            lambda heartbeat: set(started) <= set(heartbeat.fenced),
             'all that was stopped is fenced',
         )
         self.gateway.tell(acknowledged=started, release=started)
-        self.beat(
-            lambda beat: not beat.ended and not beat.fenced,
+        self.heartbeat(
+            lambda heartbeat: not heartbeat.ended and not heartbeat.fenced,
             'nothing is left to acknowledge',
         )
         self.gateway.tell()
--- a/dandeliondrum/testing/tests/test_processes.py
+++ b/dandeliondrum/testing/tests/test_processes.py
@@ -189,6 +189,8 @@
         rig.processes.thaw('w1')
         reply = call.result()
     assert reply.refused in ('stale_lease', 'fenced')
-    beat = rig.gateway.wait_for_beat(lambda each: each.fenced, PATIENCE_MS)
-    assert beat.fenced == ('team/a#1',)
+    heartbeat = rig.gateway.wait_for_heartbeat(
+        lambda each: each.fenced, PATIENCE_MS
+    )
+    assert heartbeat.fenced == ('team/a#1',)
     assert rig.events(Kind.START) == []
--- a/dandeliondrum/utils/_timers.py
+++ b/dandeliondrum/utils/_timers.py
@@ -7,9 +7,9 @@
 
     timers = TimerService()
     timers.start()
-    beat = timers.every(250, send_heartbeat)
+    heartbeat = timers.every(250, send_heartbeat)
     ...
-    beat.cancel()
+    heartbeat.cancel()
     timers.close()
 """
 
--- a/dandeliondrum/worker/_heartbeats.py
+++ b/dandeliondrum/worker/_heartbeats.py
@@ -58,7 +58,9 @@
         while not stopping.is_set():
             if self._attempts.overflowed:
                 self._begin_again('too many tombstones')
-            succeeded = self._beat() if self._announced else self._announce()
+            succeeded = (
+                self._heartbeat() if self._announced else self._announce()
+            )
             if not succeeded:
                 failures_count += 1
                 stopping.wait(self._pause_ms(failures_count) / 1000)
@@ -89,19 +91,21 @@
         self._due.set()
         return True
 
-    def _beat(self) -> bool:
+    def _heartbeat(self) -> bool:
         sent_ms = _journal.now_ms()
-        beat = _reports.beat(
+        heartbeat = _reports.heartbeat(
             self._facts, self._attempts, self._journal, tuple(self._fenced)
         )
         answered = self._gateways.post(
-            '/v1/workers/heartbeat', _encoding.to_json(beat)
+            '/v1/workers/heartbeat', _encoding.to_json(heartbeat)
         ).bind(
-            lambda body: _encoding.from_json(body, messages.WorkerBeatReply)
+            lambda body: _encoding.from_json(
+                body, messages.WorkerHeartbeatReply
+            )
         )
         match answered:
             case result.Success(reply):
-                self._take(beat, reply, sent_ms)
+                self._take(heartbeat, reply, sent_ms)
                 return True
             case result.Failure(why):
                 _logger.info('heartbeat without answer', why=why)
@@ -109,8 +113,8 @@
 
     def _take(
         self,
-        beat: messages.WorkerBeat,
-        reply: messages.WorkerBeatReply,
+        heartbeat: messages.WorkerHeartbeat,
+        reply: messages.WorkerHeartbeatReply,
         sent_ms: float,
     ) -> None:
         if reply.announce_again:
@@ -119,13 +123,13 @@
         for attempt_id in reply.stop:
             self._attempts.stop(attempt_id, 'told')
         self._leases.answered(sent_ms)
-        self._tell_leaving(beat)
+        self._tell_leaving(heartbeat)
         self._steer(reply)
         for attempt_id in reply.acknowledged:
             self._attempts.acknowledge(attempt_id)
         for attempt_id in reply.release:
             self._attempts.release(attempt_id)
-        for attempt_id in beat.fenced:
+        for attempt_id in heartbeat.fenced:
             if attempt_id not in reply.stop:
                 self._fenced.pop(attempt_id, None)
         new = set(reply.stop) - self._fenced.keys()
@@ -133,15 +137,15 @@
         if new:
             self._due.set()
 
-    def _steer(self, reply: messages.WorkerBeatReply) -> None:
+    def _steer(self, reply: messages.WorkerHeartbeatReply) -> None:
         for attempt in self._attempts.running():
             attempt_id = attempt.call.attempt_id
             attempt.throttle(attempt_id in reply.throttle)
             if attempt_id in reply.checkpoint:
                 self._attempts.checkpoint(attempt)
 
-    def _tell_leaving(self, beat: messages.WorkerBeat) -> None:
-        if beat.leaving and not self._leaving_told:
+    def _tell_leaving(self, heartbeat: messages.WorkerHeartbeat) -> None:
+        if heartbeat.leaving and not self._leaving_told:
             self._leaving_told = True
             self._journal.record(_journal.EventKind.LEAVING_TOLD)
 
@@ -157,7 +161,7 @@
     return messages.Incarnation(secrets.token_hex(8))
 
 
-def start_beating(
+def start_heartbeating(
     heartbeats: Heartbeats, timers: utils.TimerService, interval_ms: int
 ) -> utils.Subscription:
     """Make heartbeats due at each interval."""
--- a/dandeliondrum/worker/_reports.py
+++ b/dandeliondrum/worker/_reports.py
@@ -25,15 +25,15 @@
     return dataclasses.replace(facts, incarnation=incarnation)
 
 
-def beat(
+def heartbeat(
     facts: messages.WorkerFacts,
     attempts: _attempts.Attempts,
     journal: _journal.Journal,
     to_fence: collections.abc.Iterable[messages.AttemptId],
-) -> messages.WorkerBeat:
+) -> messages.WorkerHeartbeat:
     """Return a heartbeat that tells how things stand now."""
     now = attempts.snapshot(itertools.islice(to_fence, REPORTS_IN_BEAT))
-    return messages.WorkerBeat(
+    return messages.WorkerHeartbeat(
         worker_id=facts.worker_id,
         incarnation=journal.incarnation,
         running=tuple(
--- a/dandeliondrum/worker/_worker.py
+++ b/dandeliondrum/worker/_worker.py
@@ -77,12 +77,12 @@
             return
         self._attempts.leaving = True
         self._journal.record(_journal.EventKind.LEAVING)
-        beat = messages.WorkerBeat(
+        heartbeat = messages.WorkerHeartbeat(
             self.options.worker_id, self.incarnation, (), leaving=True
         )
         for _ in range(len(self._leave_calls)):
             reply = self._leave_calls.post(
-                '/v1/workers/leave', _encoding.to_json(beat)
+                '/v1/workers/leave', _encoding.to_json(heartbeat)
             )
             if isinstance(reply, result.Success):
                 break
@@ -160,7 +160,7 @@
         self._resources.callback(supervisor.close)
         self._resources.callback(heartbeats.wake)
         self._resources.callback(supervisor.stopping.set)
-        _heartbeats.start_beating(
+        _heartbeats.start_heartbeating(
             heartbeats, timers, self.options.heartbeat_ms
         )
         supervisor.run('heartbeats', heartbeats.run)
--- a/dandeliondrum/worker/tests/test_fencing.py
+++ b/dandeliondrum/worker/tests/test_fencing.py
@@ -43,14 +43,14 @@
 
 def test_the_leader_hears_that_a_stopped_attempt_never_started(rig):
     rig.gateway.tell(stop=('team/a#1',))
-    beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
-    assert beat.fenced == ('team/a#1',)
-    assert [(each.attempt_id, each.state) for each in beat.ended] == [
+    heartbeat = rig.gateway.wait_for_heartbeat(lambda each: each.fenced, 5_000)
+    assert heartbeat.fenced == ('team/a#1',)
+    assert [(each.attempt_id, each.state) for each in heartbeat.ended] == [
         ('team/a#1', State.NEVER_STARTED)
     ]
     assert_never_starts(rig, 'team/a#1')
     rig.gateway.tell(acknowledged=('team/a#1',))
-    assert rig.gateway.wait_for_beat(
+    assert rig.gateway.wait_for_heartbeat(
         lambda each: not each.fenced and not each.ended,
         5_000,
         after_ms=worker.now_ms(),
@@ -61,9 +61,9 @@
 def test_a_running_attempt_is_fenced_only_once_it_has_stopped(rig):
     rig.start('team/a#1', body={'hang': True})
     rig.gateway.tell(stop=('team/a#1',))
-    beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
-    assert beat.running == ()
-    assert [each.state for each in beat.ended] == [State.STOPPED]
+    heartbeat = rig.gateway.wait_for_heartbeat(lambda each: each.fenced, 5_000)
+    assert heartbeat.running == ()
+    assert [each.state for each in heartbeat.ended] == [State.STOPPED]
     assert rig.events(Kind.END)[0].reason == 'told'
     assert rig.start('team/a#1').state == 'stopped'
 
@@ -98,7 +98,7 @@
     assert (reply.status, reply.refused) == (409, 'leaving')
     assert rig.client.fetch('team/a#1', 5_000).state == 'finished'
     assert rig.gateway.left == ('w1',)
-    assert rig.gateway.wait_for_beat(lambda each: each.leaving, 5_000)
+    assert rig.gateway.wait_for_heartbeat(lambda each: each.leaving, 5_000)
     rig.wait_for_event(Kind.LEAVING_TOLD)
     rig.gateway.tell(acknowledged=('team/a#1',))
     assert rig.worker.wait_idle(5_000)
@@ -108,14 +108,14 @@
     rig.start('team/a#1', token=5, wait_ms=5_000)
     rig.client.drop('team/a#1')
     rig.gateway.tell(acknowledged=('team/a#1',))
-    assert rig.gateway.wait_for_beat(
+    assert rig.gateway.wait_for_heartbeat(
         lambda each: not each.ended, 5_000, after_ms=worker.now_ms()
     )
     reply = rig.start('team/a#1', token=5)
     assert (reply.status, reply.refused) == (410, 'gone')
     rig.gateway.tell(stop=('team/a#1',))
-    beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
-    assert [each.state for each in beat.ended] == [State.LOST]
+    heartbeat = rig.gateway.wait_for_heartbeat(lambda each: each.fenced, 5_000)
+    assert [each.state for each in heartbeat.ended] == [State.LOST]
     assert len(rig.events(Kind.START)) == 1
 
 
@@ -177,9 +177,11 @@
     with _rig.running(heartbeat_ms=20) as rig:
         rig.start('team/a#1', body={'run_ms': 9_000})
         rig.gateway.tell(stop=('team/a#1',))
-        beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
-        assert beat.running == ()
-        assert [each.attempt_id for each in beat.ended] == ['team/a#1']
+        heartbeat = rig.gateway.wait_for_heartbeat(
+            lambda each: each.fenced, 5_000
+        )
+        assert heartbeat.running == ()
+        assert [each.attempt_id for each in heartbeat.ended] == ['team/a#1']
 
 
 def test_fenced_ends_come_first_when_there_are_too_many(monkeypatch):
@@ -189,5 +191,7 @@
         for attempt_id in attempt_ids:
             rig.start(attempt_id, wait_ms=5_000)
         rig.gateway.tell(stop=tuple(attempt_ids[2:]))
-        beat = rig.gateway.wait_for_beat(lambda each: each.fenced, 5_000)
-        assert [each.attempt_id for each in beat.ended] == attempt_ids[2:]
+        heartbeat = rig.gateway.wait_for_heartbeat(
+            lambda each: each.fenced, 5_000
+        )
+        assert [each.attempt_id for each in heartbeat.ended] == attempt_ids[2:]
--- a/dandeliondrum/worker/tests/test_heartbeats.py
+++ b/dandeliondrum/worker/tests/test_heartbeats.py
@@ -18,10 +18,10 @@
         subject = worker.Worker(_rig.options(first.url, second.url))
         subject.start().unwrap()
         stack.callback(subject.close)
-        assert first.wait_for_beat(lambda _: True, 5_000)
-        assert second.beats == ()
+        assert first.wait_for_heartbeat(lambda _: True, 5_000)
+        assert second.heartbeats == ()
         first.answering = False
-        assert second.wait_for_beat(lambda _: True, 5_000)
+        assert second.wait_for_heartbeat(lambda _: True, 5_000)
 
 
 def test_a_gateway_that_never_answers_costs_one_call():
@@ -40,14 +40,14 @@
 def test_the_end_of_a_durable_attempt_is_reported_at_once():
     with _rig.running(heartbeat_ms=60_000) as rig:
         rig.start('team/a#1', body={'run_ms': 50, 'echo': 'x'}, durable=True)
-        assert rig.gateway.wait_for_beat(lambda each: each.ended, 5_000)
+        assert rig.gateway.wait_for_heartbeat(lambda each: each.ended, 5_000)
 
 
 def test_a_leaving_worker_says_so_at_once():
     with _rig.running(heartbeat_ms=60_000) as rig:
-        assert rig.gateway.wait_for_beat(lambda _: True, 5_000)
+        assert rig.gateway.wait_for_heartbeat(lambda _: True, 5_000)
         rig.worker.leave()
-        assert rig.gateway.wait_for_beat(lambda each: each.leaving, 5_000)
+        assert rig.gateway.wait_for_heartbeat(lambda each: each.leaving, 5_000)
 
 
 def test_large_answers_stay_on_the_worker():
@@ -58,10 +58,12 @@
                 body={'answer_bytes': length_bytes},
                 durable=True,
             )
-        beat = rig.gateway.wait_for_beat(
+        heartbeat = rig.gateway.wait_for_heartbeat(
             lambda each: len(each.ended) == 2, 5_000
         )
-        bodies = {each.attempt_id: each.answer.body for each in beat.ended}
+        bodies = {
+            each.attempt_id: each.answer.body for each in heartbeat.ended
+        }
         assert bodies['team/r0#1'] == worker.seeded_bytes('', 65_536)
         assert bodies['team/r1#1'] is None
 
@@ -74,26 +76,26 @@
             attempt_id = f'team/r{number}#1'
             rig.start(attempt_id, body=body, durable=True, wait_ms=5_000)
         now_ms = worker.now_ms()
-        beat = rig.gateway.wait_for_beat(
+        heartbeat = rig.gateway.wait_for_heartbeat(
             lambda each: each.ended, 5_000, after_ms=now_ms
         )
-        assert [each.attempt_id for each in beat.ended] == ['team/r0#1']
+        assert [each.attempt_id for each in heartbeat.ended] == ['team/r0#1']
         rig.gateway.tell(acknowledged=('team/r0#1',))
-        beat = rig.gateway.wait_for_beat(
+        heartbeat = rig.gateway.wait_for_heartbeat(
             lambda each: 'r1' in str(each.ended), 5_000
         )
-        assert len(beat.ended[0].answer.body) == 1_000
+        assert len(heartbeat.ended[0].answer.body) == 1_000
 
 
 def test_running_attempts_report_what_they_use():
     with _rig.running() as rig:
         rig.start('team/a#1', body={'hang': True, 'use_memory_mb': 4_000})
-        beat = rig.gateway.wait_for_beat(
+        heartbeat = rig.gateway.wait_for_heartbeat(
             lambda each: each.running and each.running[0].used.memory_mb > 1e3,
             5_000,
         )
-        assert beat.running[0].attempt_id == 'team/a#1'
-        assert beat.running[0].used.memory_mb == 4_000
+        assert heartbeat.running[0].attempt_id == 'team/a#1'
+        assert heartbeat.running[0].used.memory_mb == 4_000
         rig.gateway.tell(checkpoint=('team/a#1',))
         rig.wait_for_event(Kind.CHECKPOINT)
 
--- a/dandeliondrum/worker/tests/test_leases.py
+++ b/dandeliondrum/worker/tests/test_leases.py
@@ -34,9 +34,9 @@
     # heartbeat that this one renews from; a lease of 900 ms must run out.
     with _rig.running() as rig:
         rig.gateway.answer_delay_ms = 700
-        sent_before = len(rig.gateway.beats)
+        sent_before = len(rig.gateway.heartbeats)
         assert testing.wait_for(
-            lambda: len(rig.gateway.beats) >= sent_before + 2,
+            lambda: len(rig.gateway.heartbeats) >= sent_before + 2,
             _rig.PATIENCE_MS,
         )
         reply = rig.start(body={'run_ms': 4_000}, lease_ms=900, wait_ms=9_000)
@@ -73,7 +73,7 @@
 
 def test_starts_are_refused_once_the_last_answer_is_old():
     with _rig.running() as rig:
-        assert rig.gateway.wait_for_beat(lambda _: True, _rig.PATIENCE_MS)
+        assert rig.gateway.wait_for_heartbeat(lambda _: True, _rig.PATIENCE_MS)
         rig.gateway.answering = False
         numbers = itertools.count()
 
@@ -82,7 +82,7 @@
             return reply.refused == 'stale_lease'
 
         assert testing.wait_for(refused, _rig.PATIENCE_MS)
-        last_ms = rig.gateway.beats[-1].at_ms
+        last_ms = rig.gateway.heartbeats[-1].at_ms
         first = rig.events(Kind.REFUSED)[0]
         assert first.at_ms - last_ms >= worker.START_FRESHNESS_MS - 1_000
         rig.gateway.answering = True
--- a/dandeliondrum/worker/tests/test_server.py
+++ b/dandeliondrum/worker/tests/test_server.py
@@ -61,8 +61,10 @@
     bad = rig.start('team/b#1', body={'run_ms': 'long'}, wait_ms=5_000)
     assert (bad.status, bad.state) == (200, 'failed')
     assert b'bad body' in bad.body
-    beat = rig.gateway.wait_for_beat(lambda each: len(each.ended) == 2, 5_000)
-    assert {each.answer.status for each in beat.ended} == {500}
+    heartbeat = rig.gateway.wait_for_heartbeat(
+        lambda each: len(each.ended) == 2, 5_000
+    )
+    assert {each.answer.status for each in heartbeat.ended} == {500}
 
 
 def test_a_worker_can_fail_everything():
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -29,11 +29,13 @@
 def test_the_needs_follow_the_results():
     model = _capacity_model.load(RESULTS)
     changed = copy.deepcopy(model)
-    for one in changed.beats['runs']:
+    for one in changed.heartbeats['runs']:
         for usage in one['roles'].values():
             usage['cpu_s_of_all'] *= 2
-    before = model.beats_cores('gateway', 500)
-    assert changed.beats_cores('gateway', 500) == pytest.approx(2 * before)
+    before = model.heartbeats_cores('gateway', 500)
+    assert changed.heartbeats_cores('gateway', 500) == pytest.approx(
+        2 * before
+    )
     text = PAGE.read_text()
     assert capacity_tables.filled(text, changed) != text
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -69,7 +69,7 @@
 def test_it_shows_its_progress_and_tables(ended):
     for words in (
         '24 workers are up',
-        'handed in a gang',
+        'submitted a gang',
         'is lost',
         'leads after',
         'Waiting time by class',
