Do not follow hints to a leader that was just lost

Such a hint is not followed, as the lost one is asked last anyway, and registering has 0.4 s (100 ms between regions, with a quorum's confirmation).

--- a/benchmarks/_state_leadership.py
+++ b/benchmarks/_state_leadership.py
@@ -15,7 +15,7 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
-BEATS_PER_MESSAGE = 32
+HEARTBEATS_PER_MESSAGE = 32
 REPEATS_COUNT = 9
 
 
@@ -108,9 +108,9 @@
             )
         return [
             messages.WorkerHeartbeats(
-                tuple(heartbeats[first : first + BEATS_PER_MESSAGE])
+                tuple(heartbeats[first : first + HEARTBEATS_PER_MESSAGE])
             )
-            for first in range(0, len(heartbeats), BEATS_PER_MESSAGE)
+            for first in range(0, len(heartbeats), HEARTBEATS_PER_MESSAGE)
         ]
 
     def _scans(self) -> dict[str, float]:
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -19,7 +19,7 @@
 # A worker takes no start when its last answered heartbeat was sent longer
 # ago than this.
 START_FRESHNESS_MS = 2_000
-BEATS_UNTIL_FENCED = 2
+HEARTBEATS_UNTIL_FENCED = 2
 _logger = structlog.get_logger()
 
 CHECK_EVERY_MS = 250
@@ -209,7 +209,7 @@
             self._attempt_reports.settle_uncertain(
                 attempt_id,
                 attempt_id in running or attempt_id in ended,
-                BEATS_UNTIL_FENCED,
+                HEARTBEATS_UNTIL_FENCED,
             )
             if self._context.state.tasks[task_id].cancel_requested:
                 stop.add(attempt_id)
--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -156,7 +156,7 @@
             callers, workers, _ = self._servers
             callers.drain(self._options.drain_max_ms)
             self._durable.close()
-            workers.drain(_heartbeats.BEAT_DEADLINE_MS)
+            workers.drain(_heartbeats.HEARTBEAT_DEADLINE_MS)
             self._flush_reports()
         self._resources.close()
 
--- a/dandeliondrum/gateway/_heartbeats.py
+++ b/dandeliondrum/gateway/_heartbeats.py
@@ -14,8 +14,8 @@
 from dandeliondrum import transport
 
 GATHER_MS = 20
-BATCH_BEATS = 500
-BEAT_DEADLINE_MS = 950
+BATCH_HEARTBEATS = 500
+HEARTBEAT_DEADLINE_MS = 950
 IDLE_POLL_MS = 100
 
 HeartbeatReply = result.Result[messages.WorkerHeartbeatReply, str]
@@ -42,7 +42,7 @@
         future: HeartbeatFuture = concurrent.futures.Future()
         self._queue.put(_Waiting(heartbeat, future))
         try:
-            return future.result(BEAT_DEADLINE_MS / 1000)
+            return future.result(HEARTBEAT_DEADLINE_MS / 1000)
         except concurrent.futures.TimeoutError:
             return result.Failure('the leader did not answer in time')
 
@@ -58,7 +58,7 @@
 
     def _gather(self, first: _Waiting) -> tuple[_Waiting, ...]:
         batch = [first]
-        while len(batch) < BATCH_BEATS:
+        while len(batch) < BATCH_HEARTBEATS:
             try:
                 batch.append(self._queue.get_nowait())
             except queue.Empty:
--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -19,10 +19,10 @@
 from dandeliondrum import transport
 from dandeliondrum import utils
 
-BEAT_INTERVAL_MS = 250
-BEAT_TIMEOUT_MS = 500
+HEARTBEAT_INTERVAL_MS = 250
+HEARTBEAT_TIMEOUT_MS = 500
 CONNECT_TIMEOUT_MS = 500
-REGISTER_TIMEOUT_MS = 1_000
+REGISTER_TIMEOUT_MS = 400
 ROUND_PAUSE_MS = 100
 
 _logger = structlog.get_logger()
@@ -137,7 +137,7 @@
         if self._current is None or answered_ms is None:
             return False
         age_ms = utils.monotonic_ms() - answered_ms
-        return age_ms <= BEAT_INTERVAL_MS + BEAT_TIMEOUT_MS
+        return age_ms <= HEARTBEAT_INTERVAL_MS + HEARTBEAT_TIMEOUT_MS
 
     def is_up(self) -> bool:
         """Tell whether a registered stream is open."""
@@ -196,7 +196,9 @@
             if reply is None:
                 continue
             hinted = self._hinted(reply)
-            if hinted is not None:
+            # Followers name a lost leader until another one is elected; it
+            # is asked last, as it may take connections without answering.
+            if hinted is not None and hinted != self._last:
                 waiting.appendleft(hinted)
 
     def _in_order(self) -> list[_Candidate]:
@@ -300,7 +302,7 @@
     ) -> messages.NotLeader | None:
         while not stopping.is_set() and not self._closed:
             heartbeat = messages.GatewayHeartbeat(self.rules.version)
-            match stream.call(heartbeat, BEAT_TIMEOUT_MS):
+            match stream.call(heartbeat, HEARTBEAT_TIMEOUT_MS):
                 case result.Success(messages.GatewayHeartbeatReply() as reply):
                     self._answered_ms = utils.monotonic_ms()
                     self.term = reply.term
@@ -313,7 +315,7 @@
                         why=str(other),
                     )
                     return None
-            stream.closed.wait(BEAT_INTERVAL_MS / 1000)
+            stream.closed.wait(HEARTBEAT_INTERVAL_MS / 1000)
         return None
 
     def _on_push(
--- a/dandeliondrum/testing/_conformance_heartbeats.py
+++ b/dandeliondrum/testing/_conformance_heartbeats.py
@@ -5,7 +5,7 @@
 from dandeliondrum.testing import _subject
 from dandeliondrum import worker
 
-BEATS_COUNT = 3
+HEARTBEATS_COUNT = 3
 LEASE_MS = 800
 LATE_ANSWER_MS = 700
 LATE_LEASE_MS = 1_200
@@ -20,7 +20,7 @@
     """Heartbeats come, and name the incarnation that was announced."""
     before = len(subject.gateway.heartbeats)
     came = _fake_gateway.wait_for(
-        lambda: len(subject.gateway.heartbeats) >= before + BEATS_COUNT,
+        lambda: len(subject.gateway.heartbeats) >= before + HEARTBEATS_COUNT,
         _subject.PATIENCE_MS,
     )
     if not came:
--- a/dandeliondrum/worker/_reports.py
+++ b/dandeliondrum/worker/_reports.py
@@ -11,8 +11,8 @@
 from dandeliondrum.worker import _journal
 from dandeliondrum.worker import _snapshot
 
-BODIES_IN_BEAT_BYTES = 1024 * 1024
-REPORTS_IN_BEAT = 1_000
+BODIES_IN_HEARTBEAT_BYTES = 1024 * 1024
+REPORTS_IN_HEARTBEAT = 1_000
 
 _FAILED_STATUS = 500
 _ANSWERED_STATUS = 200
@@ -32,7 +32,7 @@
     to_fence: collections.abc.Iterable[messages.AttemptId],
 ) -> messages.WorkerHeartbeat:
     """Return a heartbeat that tells how things stand now."""
-    now = attempts.snapshot(itertools.islice(to_fence, REPORTS_IN_BEAT))
+    now = attempts.snapshot(itertools.islice(to_fence, REPORTS_IN_HEARTBEAT))
     return messages.WorkerHeartbeat(
         worker_id=facts.worker_id,
         incarnation=journal.incarnation,
@@ -54,7 +54,7 @@
     A fenced attempt without an end counts as one that never started, so none
     of these may fall to the bound.
     """
-    room_bytes = BODIES_IN_BEAT_BYTES
+    room_bytes = BODIES_IN_HEARTBEAT_BYTES
     reports = {
         attempt_id: messages.AttemptReport(
             attempt_id, messages.AttemptState.LOST, detail='forgotten'
@@ -78,7 +78,7 @@
         )
         for attempt_id in now.never_started
     }
-    return tuple(itertools.islice(reports.values(), REPORTS_IN_BEAT))
+    return tuple(itertools.islice(reports.values(), REPORTS_IN_HEARTBEAT))
 
 
 def _body(attempt: _attempt.Attempt) -> bytes | None:
--- a/dandeliondrum/worker/tests/test_fencing.py
+++ b/dandeliondrum/worker/tests/test_fencing.py
@@ -185,7 +185,7 @@
 
 
 def test_fenced_ends_come_first_when_there_are_too_many(monkeypatch):
-    monkeypatch.setattr(_reports, 'REPORTS_IN_BEAT', 2)
+    monkeypatch.setattr(_reports, 'REPORTS_IN_HEARTBEAT', 2)
     with _rig.running(heartbeat_ms=20) as rig:
         attempt_ids = [f'team/r{number}#1' for number in range(4)]
         for attempt_id in attempt_ids:
--- a/dandeliondrum/worker/tests/test_heartbeats.py
+++ b/dandeliondrum/worker/tests/test_heartbeats.py
@@ -69,7 +69,7 @@
 
 
 def test_answers_without_room_wait_for_a_later_heartbeat(monkeypatch):
-    monkeypatch.setattr(_reports, 'BODIES_IN_BEAT_BYTES', 1_500)
+    monkeypatch.setattr(_reports, 'BODIES_IN_HEARTBEAT_BYTES', 1_500)
     with _rig.running(heartbeat_ms=20) as rig:
         for number in range(2):
             body = {'answer_bytes': 1_000}
