--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -11,8 +11,8 @@
 
 
 def test_the_settings_tables_are_up_to_date(tmp_path):
-    page = ROOT / 'docs' / 'OPERATING.md'
-    copy = tmp_path / 'OPERATING.md'
+    page = ROOT / 'docs' / 'OPERATIONS.md'
+    copy = tmp_path / 'OPERATIONS.md'
     copy.write_text(page.read_text())
     made = [sys.executable, '-m', 'dandeliondrum.settings', str(copy)]
     subprocess.run(made, cwd=ROOT, check=True, timeout=60)
@@ -21,6 +21,6 @@
 
 
 def test_all_exit_codes_are_documented():
-    page = (ROOT / 'docs' / 'OPERATING.md').read_text()
+    page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
     documented = {int(code) for code in re.findall(r'\n\| (\d+) \|', page)}
     assert documented == set(command.ExitCode)
