Ask about enough workers for wide gangs

A call now names five workers for each that the step needs, 30 at least and 100 at most, and later calls for a gang all that were never named.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -15,9 +15,13 @@
 from dandeliondrum.jobs import _policy
 from dandeliondrum import messages
 
-# Workers named in the first call about a step; the adviser refuses over 100,
-# and a job's latency objective allows for a call about 30.
-WORKERS_FIRST_MAX = 30
+# Workers named in the first call about a step, at least: a job's latency
+# objective allows for a call about 30. The adviser takes 100 at most.
+WORKERS_FIRST_MIN = 30
+WORKERS_MAX = 100
+# Workers named for each one that a step needs; advisers grant three in ten
+# and more, and some of those are full.
+NAMED_PER_NEEDED = 5
 # Workers named in a later call, which only renews tickets that are needed.
 WORKERS_LATER_MAX = 12
 # A ticket has to outlast planning, the log and the way to the worker.
@@ -84,6 +88,7 @@
         name: StepName,
         candidates: collections.abc.Sequence[Candidate],
         now_ms: int,
+        needed_count: int = 1,
         together: bool = False,
     ) -> tuple[messages.WorkerId, ...]:
         """Return the workers to name in a call about the step, if any.
@@ -92,6 +97,7 @@
         only for workers that have room now and whose ticket has run out, or
         that were never named. The tasks of a gang start ``together``, so
         the tickets of all its workers are renewed at the same time.
+        ``needed_count`` is how many empty workers would hold what waits.
         """
         step = self._steps.setdefault(name, _Step())
         if step.in_flight or now_ms < step.not_before_ms:
@@ -99,7 +105,8 @@
         wanted = [c for c in candidates if c.worker_id not in step.refused]
         if not step.tickets and not step.refused:
             named = sorted(wanted, key=lambda c: not c.has_room)
-            return _ids(named, WORKERS_FIRST_MAX)
+            most = max(WORKERS_FIRST_MIN, needed_count * NAMED_PER_NEEDED)
+            return _ids(named, min(most, WORKERS_MAX))
         valid = self.tickets(name, now_ms)
         open_now = [c for c in wanted if c.has_room]
         unnamed = any(c.worker_id not in step.tickets for c in open_now)
@@ -113,7 +120,8 @@
             if c.worker_id in step.tickets
         ]
         unknown = [c for c in open_now if c.worker_id not in step.tickets]
-        return _ids(granted + unknown, WORKERS_LATER_MAX)
+        most = WORKERS_MAX if together else WORKERS_LATER_MAX
+        return _ids(granted + unknown, most)
 
     def asked(self, name: StepName) -> None:
         """Note that a call about the step is on its way."""
--- a/dandeliondrum/jobs/_advice_calls.py
+++ b/dandeliondrum/jobs/_advice_calls.py
@@ -54,7 +54,11 @@
         term = self._term
         now_ms = _clock.elapsed_ms()
         named = term.advice.to_ask(
-            name, _candidates(demand, rooms), now_ms, demand.spec.gang
+            name,
+            _candidates(demand, rooms),
+            now_ms,
+            _workers_needed(demand, rooms),
+            demand.spec.gang,
         )
         if not named:
             return
@@ -129,3 +133,19 @@
         _advice.Candidate(worker_id, has_room)
         for _, worker_id, has_room in sorted(fitting)
     ]
+
+
+def _workers_needed(
+    demand: _planner.Demand, rooms: list[_planner.WorkerRoom]
+) -> int:
+    """Return how many empty workers would hold what waits of a step."""
+    charge = demand.spec.charged()
+    most = max(
+        (
+            _planner.tasks_that_fit(charge, room.capacity)
+            for room in rooms
+            if room.pool == demand.pool
+        ),
+        default=1,
+    )
+    return -(-len(demand.indexes) // max(1, most))
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -183,7 +183,7 @@
             if tasks_count <= 0:
                 return
             worker.reserved = True
-            tasks_count -= _tasks_that_fit(self._charge, worker.capacity)
+            tasks_count -= tasks_that_fit(self._charge, worker.capacity)
 
     def candidates_count(self) -> int:
         """Return how many workers may run the demand at all."""
@@ -274,7 +274,7 @@
         )
 
 
-def _tasks_that_fit(
+def tasks_that_fit(
     charge: messages.Resources, capacity: messages.Resources
 ) -> int:
     """Return how many tasks fit on an empty worker."""
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -24,7 +24,7 @@
     ]
     named = advice.to_ask('s', candidates, 0)
     assert named[0] == 'free'
-    assert len(named) == _advice.WORKERS_FIRST_MAX
+    assert len(named) == _advice.WORKERS_FIRST_MIN
 
 
 def test_one_call_at_a_time_for_a_step():
@@ -149,3 +149,17 @@
     assert sorted(again) == ['w0', 'w1']
     full = _candidates(4, has_room=False)
     assert advice.to_ask('s', full, 2_000, together=True) == ()
+
+
+def test_a_wide_gang_is_asked_about_on_enough_workers():
+    """Plays a gang that needs 10 workers where three in ten are granted."""
+    advice = _advice.Advice()
+    candidates = _candidates(176)
+    named = advice.to_ask('s', candidates, 0, 10, together=True)
+    granted = [one for one in named if int(one[1:]) % 10 < 3]
+    _answer(advice, 's', named, granted, 100)
+    again = advice.to_ask('s', candidates, 200, 10, together=True)
+    granted += [one for one in again if int(one[1:]) % 10 < 3]
+    assert len(named) == 50
+    assert len(set(granted)) >= 40
+    assert len(again) <= _advice.WORKERS_MAX
