Soak the platform's programs with random faults

Real processes beside workers in memory that report to a judge; kills, freezes, stops, lost disks, silent, restarted, failing and late workers, changes of the configuration, in series and overlapping, all from one seed. Checked while it runs: no task twice, none after its end was noted, no worker overloaded, nothing that was not submitted; at the end: each accepted job has an end and the newest document is read back everywhere. Tests show that the judge notices each. A short run is part of the tests.

--- a/dandeliondrum/platform/tests/helpers.py
+++ b/dandeliondrum/platform/tests/helpers.py
@@ -1,6 +1,4 @@
-"""Settings and documents as the platform writes them."""
-
-import json
+"""Settings as the platform writes them."""
 
 SETTINGS = {
     'Node': 'core-sattahip-1',
@@ -24,37 +22,3 @@
 
 def lines(values):
     return [f'{name}={value}' for name, value in values.items()]
-
-
-def route(name='r1', **more):
-    return {
-        'Name': name,
-        'Host': 'nony24.example',
-        'PathPrefix': f'/{name}/',
-        'Type': 'non_idempotent',
-        'TimeoutMs': 3_000,
-        'TargetLatencyMs': 500,
-        'Priority': 1,
-        'Service': 'pool',
-        'MaxAttempts': 3,
-        'Stretch': 2.2,
-        'Public': False,
-        **more,
-    }
-
-
-def tenant(name='kaje80', keys=('k1',)):
-    cap = {'Cpu': 0, 'MemMb': 0, 'Gpu': 0}
-    return {'Name': name, 'ApiKeys': list(keys), 'Weight': 14, 'Cap': cap}
-
-
-def document(version=1, **more):
-    fields = {
-        'Version': version,
-        'Routes': [route()],
-        'Services': [{'Name': 'pool'}],
-        'Limits': {},
-        'Tenants': [tenant()],
-        **more,
-    }
-    return json.dumps(fields).encode()
--- a/dandeliondrum/platform/tests/test_documents.py
+++ b/dandeliondrum/platform/tests/test_documents.py
@@ -7,13 +7,13 @@
 
 from dandeliondrum import messages
 from dandeliondrum.platform import _documents
-from dandeliondrum.platform.tests import helpers
+from dandeliondrum import testing
 
 
 def test_a_document_becomes_a_policy():
     advice = {'DecideMs': 496.0, 'PeriodMs': 4, 'ValidityMs': 2_000}
-    route = helpers.route(PlacementAdvisor=advice)
-    policy = _documents.check(helpers.document(7, Routes=[route])).unwrap()
+    route = testing.route(PlacementAdvisor=advice)
+    policy = _documents.check(testing.document(7, Routes=[route])).unwrap()
     assert policy.version == 7
     queue = policy.queue_at('nony24.example', '/r1/0123')
     assert queue.pool == 'pool'
@@ -24,10 +24,10 @@
 
 def test_the_longest_prefix_is_taken():
     routes = [
-        helpers.route('a', PathPrefix='/q/'),
-        helpers.route('b', PathPrefix='/q/long/'),
+        testing.route('a', PathPrefix='/q/'),
+        testing.route('b', PathPrefix='/q/long/'),
     ]
-    policy = _documents.check(helpers.document(Routes=routes)).unwrap()
+    policy = _documents.check(testing.document(Routes=routes)).unwrap()
     assert policy.queue_at('nony24.example', '/q/long/1').name == 'b'
     assert policy.queue_at('nony24.example', '/q/1').name == 'a'
     assert policy.queue_at('other.example', '/q/1') is None
@@ -41,21 +41,21 @@
 @pytest.mark.parametrize(
     'more',
     [
-        {'Routes': [helpers.route(Service='unknown')]},
-        {'Routes': [helpers.route(), helpers.route()]},
-        {'Routes': [helpers.route(), helpers.route('r2', PathPrefix='/r1/')]},
-        {'Routes': [helpers.route(TimeoutMs=0)]},
-        {'Routes': [helpers.route(TimeoutMs='3000')]},
+        {'Routes': [testing.route(Service='unknown')]},
+        {'Routes': [testing.route(), testing.route()]},
+        {'Routes': [testing.route(), testing.route('r2', PathPrefix='/r1/')]},
+        {'Routes': [testing.route(TimeoutMs=0)]},
+        {'Routes': [testing.route(TimeoutMs='3000')]},
         {'Routes': None},
-        {'Tenants': [helpers.tenant('a'), helpers.tenant('b')]},
-        {'Tenants': [helpers.tenant(keys=(1,))]},
+        {'Tenants': [testing.tenant('a'), testing.tenant('b')]},
+        {'Tenants': [testing.tenant(keys=(1,))]},
         {'Version': True},
         {'Version': 0},
     ],
 )
 def test_an_invalid_document_is_refused(more):
     assert isinstance(
-        _documents.check(helpers.document(**more)), result.Failure
+        _documents.check(testing.document(**more)), result.Failure
     )
 
 
@@ -65,7 +65,7 @@
 
 
 def test_a_document_that_was_cut_short_is_refused():
-    whole = helpers.document()
+    whole = testing.document()
     for length in range(len(whole)):
         outcome = _documents.check(whole[:length])
         assert isinstance(outcome, result.Failure)
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -40,6 +40,11 @@
 from dandeliondrum.testing._mesh import ProxyMesh
 from dandeliondrum.testing._platform import HttpAdviser
 from dandeliondrum.testing._platform import HttpWorker
+from dandeliondrum.testing._platform_cell import document
+from dandeliondrum.testing._platform_cell import make_workers
+from dandeliondrum.testing._platform_cell import PlatformCell
+from dandeliondrum.testing._platform_cell import route
+from dandeliondrum.testing._platform_cell import tenant
 from dandeliondrum.testing._ports import free_address
 from dandeliondrum.testing._ports import free_addresses
 from dandeliondrum.testing._processes import daemon
@@ -83,6 +88,7 @@
     'Outcome',
     'OutcomeKind',
     'Pacer',
+    'PlatformCell',
     'ProcessError',
     'Processes',
     'Program',
@@ -107,11 +113,15 @@
     'call',
     'check',
     'daemon',
+    'document',
     'free_address',
     'free_addresses',
-    'runs',
+    'make_workers',
+    'route',
     'run_chaos',
+    'runs',
     'task_headers',
+    'tenant',
     'wait_for',
     'wait_until',
 ]
--- a/dandeliondrum/testing/_job_workers.py
+++ b/dandeliondrum/testing/_job_workers.py
@@ -120,11 +120,7 @@
                 return jobs.Accepted(int(self._clock_ms()))
             if order.run <= self._highest.get(order.task, 0):
                 return jobs.Refused(jobs.Refusal.OLD_RUN)
-            self._highest[order.task] = order.run
-            self._runs[order.task] = _Run(
-                order.run, self._clock_ms() + self.run_ms
-            )
-            self.starts.append((str(order.task), order.run))
+            self._begin_run(order)
             return jobs.Accepted(int(self._clock_ms()))
 
     def stop(self, order: jobs.StopOrder) -> jobs.OrderOutcome:
@@ -142,6 +138,13 @@
             )
             return jobs.Accepted(int(self._clock_ms()))
 
+    def _begin_run(self, order: jobs.StartOrder) -> None:
+        self._highest[order.task] = order.run
+        self._runs[order.task] = _Run(
+            order.run, self._clock_ms() + self.run_ms
+        )
+        self.starts.append((str(order.task), order.run))
+
     def _begin(self) -> None:
         self._born_s = time.monotonic()
         self._token = 0
--- /dev/null
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -0,0 +1,234 @@
+"""The programs for the platform as processes, beside stand-ins of the rest."""
+
+import contextlib
+import json
+import pathlib
+import shutil
+import sys
+
+from dandeliondrum import messages
+from dandeliondrum.testing import _http
+from dandeliondrum.testing import _job_workers
+from dandeliondrum.testing import _platform
+from dandeliondrum.testing import _ports
+from dandeliondrum.testing import _processes
+
+# Controllers are known by their IP numbers, so each has one of its own.
+CONTROLLER_IPS = ('127.0.0.2', '127.0.0.3', '127.0.0.4')
+GATEWAY_IPS = ('127.0.0.5', '127.0.0.6')
+POOL = 'pool'
+KEY = 'k1'
+HOST = 'nony24.example'
+HEADERS = {'Authorization': f'Token {KEY}', 'Host': HOST}
+LEASE_MAX_MS = 6_000
+CALL_TIMEOUT_MS = 4_000
+
+
+def route(name: str = 'r1', **more: object) -> dict[str, object]:
+    """Return a queue as an operator's document has it."""
+    return {
+        'Name': name,
+        'Host': HOST,
+        'PathPrefix': f'/{name}/',
+        'Type': 'non_idempotent',
+        'TimeoutMs': 3_000,
+        'TargetLatencyMs': 500,
+        'Priority': 1,
+        'Service': POOL,
+        'MaxAttempts': 3,
+        'Stretch': 2.2,
+        'Public': False,
+        **more,
+    }
+
+
+def tenant(
+    name: str = 'kaje80', keys: tuple[object, ...] = (KEY,)
+) -> dict[str, object]:
+    """Return a team as an operator's document has it."""
+    cap = {'Cpu': 0, 'MemMb': 0, 'Gpu': 0}
+    return {'Name': name, 'ApiKeys': list(keys), 'Weight': 14, 'Cap': cap}
+
+
+def document(version: int = 1, **more: object) -> bytes:
+    """Return an operator's document."""
+    fields = {
+        'Version': version,
+        'Routes': [route()],
+        'Services': [{'Name': POOL}],
+        'Limits': {},
+        'Tenants': [tenant()],
+        **more,
+    }
+    return json.dumps(fields).encode()
+
+
+class PlatformCell:
+    """Three controllers, gateways, workers and an adviser on loopback.
+
+    Processes run until the context ends.
+
+    Example::
+
+        with testing.Processes(folder) as processes:
+            with testing.PlatformCell(folder, processes, workers) as cell:
+                cell.put_document(testing.document())
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        processes: _processes.Processes,
+        workers: list[_job_workers.FakeWorker],
+        gateways_count: int = 1,
+    ) -> None:
+        self.processes = processes
+        self._folder = folder
+        control, self._stream = (
+            _ports.free_address().rpartition(':')[2] for _ in range(2)
+        )
+        self.control = [f'{ip}:{control}' for ip in CONTROLLER_IPS]
+        self.callers = [
+            _ports.free_address(ip) for ip in GATEWAY_IPS[:gateways_count]
+        ]
+        self.readiness = [
+            _ports.free_address(ip) for ip in GATEWAY_IPS[:gateways_count]
+        ]
+        self.adviser = _platform.HttpAdviser(_ports.free_address())
+        self.workers = [
+            _platform.HttpWorker(one, _ports.free_address()) for one in workers
+        ]
+        self._resources = contextlib.ExitStack()
+
+    def __enter__(self) -> 'PlatformCell':
+        servers = [one.server for one in self.workers]
+        for server in (self.adviser.server, *servers):
+            server.start()
+            self._resources.callback(server.close)
+        for ip in CONTROLLER_IPS:
+            self._launch_controller(ip, first_start=True)
+        for number, address in enumerate(self.callers):
+            self._launch(
+                f'g{number}',
+                'gateway',
+                {
+                    'Ip': GATEWAY_IPS[number],
+                    'Listen.Front': address,
+                    'Listen.Ready': self.readiness[number],
+                },
+            )
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._resources.close()
+
+    def controller(self, number: int) -> str:
+        """Return the name of a controller's process."""
+        return f'c{CONTROLLER_IPS[number]}'
+
+    def replace_disk(self, number: int) -> None:
+        """Start a controller that was killed again, with an empty disk."""
+        ip = CONTROLLER_IPS[number]
+        shutil.rmtree(self._folder / ip)
+        self._launch_controller(ip, first_start=False)
+
+    def put_document(self, body: bytes, number: int = 0) -> int:
+        """Send an operator's document to a controller; return the status."""
+        return _http.call(
+            f'http://{self.control[number]}/config',
+            'PUT',
+            body,
+            timeout_ms=CALL_TIMEOUT_MS,
+        ).status
+
+    def read_document(self, number: int) -> _http.HttpReply:
+        """Read the document back at a controller."""
+        return _http.call(
+            f'http://{self.control[number]}/config', timeout_ms=CALL_TIMEOUT_MS
+        )
+
+    def report(self, worker: _platform.HttpWorker, number: int) -> int:
+        """Send a worker's report to a controller; return the status."""
+        worker_id = worker.worker.facts.worker_id
+        return _http.call(
+            f'http://{self.control[number]}/instances/{worker_id}',
+            'PUT',
+            worker.report(),
+            timeout_ms=CALL_TIMEOUT_MS,
+        ).status
+
+    def ready(self, number: int = 0) -> bool:
+        """Tell whether a gateway reports itself ready."""
+        url = f'http://{self.readiness[number]}/ready'
+        return _http.call(url, timeout_ms=CALL_TIMEOUT_MS).status == 200
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        number: int = 0,
+    ) -> _http.HttpReply:
+        """Make a caller's call at a gateway."""
+        return _http.call(
+            f'http://{self.callers[number]}{path}',
+            method,
+            body,
+            headers or HEADERS,
+            CALL_TIMEOUT_MS,
+        )
+
+    def _launch_controller(self, ip: str, first_start: bool) -> None:
+        number = CONTROLLER_IPS.index(ip)
+        self._launch(
+            self.controller(number),
+            'controller',
+            {
+                'Ip': ip,
+                'Listen.Control': self.control[number],
+                'DataDir': str(self._folder / ip),
+                'Bootstrap': 'true' if first_start else 'false',
+            },
+        )
+
+    def _launch(self, name: str, role: str, more: dict[str, str]) -> None:
+        settings = {
+            'Node': name,
+            'Zone': 'sattahip',
+            'Region': 'gulf',
+            'PortRange': f'{self._stream},{self._stream}',
+            'Seeds': ','.join(self.control),
+            'FaultTolerance.Machines': '1',
+            'Bounds.GraceS': '6',
+            'Bounds.HoldMaxMs': str(LEASE_MAX_MS),
+            'Bounds.status_s': '120',
+            'PlacementAdvisor': self.adviser.server.address,
+            **more,
+        }
+        path = self._folder / f'{name}.conf'
+        path.write_text(
+            '\n'.join(f'{key}={value}' for key, value in settings.items())
+        )
+        self.processes.launch(
+            name,
+            _processes.Program(
+                arguments=(
+                    sys.executable,
+                    '-m',
+                    'dandeliondrum.platform',
+                    role,
+                ),
+                environment=(('DANDELIONDRUM_SETTINGS', str(path)),),
+            ),
+        )
+
+
+def make_workers(
+    count: int, capacity: messages.Resources, run_ms: int
+) -> list[_job_workers.FakeWorker]:
+    """Return workers in memory, alike but for their ids."""
+    return [
+        _job_workers.FakeWorker(f'i-{number}', capacity, run_ms)
+        for number in range(count)
+    ]
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,90 @@
+"""A short soak of the platform's programs, and what its judge notices."""
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum import messages
+from dandeliondrum.testing import _soak
+from dandeliondrum.testing import _soak_judge
+
+# Seeds that ever failed stand here with a line on the cause.
+SEEDS = (1,)
+LENGTH_S = 8
+CAPACITY = messages.Resources(1_000, 100)
+TEXT = _soak_judge.payload(600)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_soak_sees_nothing_that_must_never_happen(seed, tmp_path):
+    options = _soak.SoakOptions(seed, LENGTH_S, tmp_path)
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == ()
+    assert outcome.accepted_count > 0
+    assert outcome.faults
+
+
+@pytest.fixture
+def judge():
+    made = _soak_judge.Judge()
+    made.submitted('j', TEXT)
+    return made
+
+
+def _worker(name, judge, run_ms=60_000):
+    return _soak_judge.JudgedWorker(name, CAPACITY, run_ms, judge)
+
+
+def _start(worker, task, run=1, text=TEXT):
+    return worker.start(
+        jobs.StartOrder(
+            worker.facts,
+            1,
+            jobs.parse_task_key(task),
+            run,
+            text,
+            60_000,
+            '',
+            '',
+        )
+    )
+
+
+def _renew(worker, acknowledged_number):
+    return worker.renew(
+        jobs.LeaseRequest(worker.facts, 1, acknowledged_number, 60_000, 0)
+    )
+
+
+def test_the_judge_notices_a_task_that_runs_twice(judge):
+    _start(_worker('w1', judge), 'j.0.0.0')
+    _start(_worker('w2', judge), 'j.0.0.0', run=2)
+    assert judge.violations == ['w2: j.0.0.0 starts twice']
+
+
+def test_the_judge_notices_a_start_after_an_end_was_noted(judge):
+    worker = _worker('w1', judge, run_ms=0)
+    _start(worker, 'j.0.0.0')
+    ends = _renew(worker, 0).ends
+    _renew(worker, ends[0].number)
+    _start(worker, 'j.0.0.0', run=2)
+    assert judge.violations == ['w1: j.0.0.0 starts after its end was noted']
+
+
+def test_the_judge_notices_an_overloaded_worker(judge):
+    worker = _worker('w1', judge)
+    _start(worker, 'j.0.0.0')
+    _start(worker, 'j.0.0.1')
+    assert judge.violations == ['w1: overloaded by j.0.0.1']
+
+
+def test_the_judge_notices_what_nobody_submitted(judge):
+    _start(_worker('w1', judge), 'k.0.0.0')
+    assert judge.violations == ['w1: k.0.0.0 was not submitted so']
+
+
+def test_a_worker_that_starts_again_runs_nothing(judge):
+    worker = _worker('w1', judge)
+    _start(worker, 'j.0.0.0')
+    worker.start_again()
+    _start(_worker('w2', judge), 'j.0.0.0', run=2)
+    assert judge.violations == []
