Let a team's gang start although its single tasks fill its share

Cause: in 'make run' the gang of four never started. What a gang adds counted against its team's share, and the team's own backlog of single tasks kept it at that share, so the gang's turn came only by age, after 60 s. Ruled out: a reservation lost with the leader (the gang never got one). After 5 s a gang goes when its team is within its share without it; the team's single tasks wait instead.

--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -8,6 +8,8 @@
 # A gang that waited this long comes before younger ones, whatever the
 # shares, and holds room under its team's upper limit, too.
 AGED_MS = 60_000
+# For so long a gang leaves its team's share to the team's single tasks.
+SINGLES_FIRST_MS = 5_000
 RETRY_MS = 200
 # How long a reservation may be late before other workers are chosen.
 OVERDUE_MS = 10_000
@@ -200,13 +202,17 @@
         if not account.allows(total, len(gang.pending)):
             return None
         # What the gang adds counts, so that it doesn't take its team beyond
-        # the share while others wait.
+        # the share while others wait. But a team that keeps itself at its
+        # share with single tasks would never start it, so after a while it
+        # may go beyond by one gang, and its single tasks wait instead.
+        used = state.ranking.dominant_share(account)
         added = account.share_of(total, len(gang.pending), totals)
-        dominant = state.ranking.dominant_share(account) + added
         fair = state.ranking.fair_share(account)
-        if dominant > fair and state.is_contended(now_ms):
+        waited_ms = now_ms - gang.submitted_ms
+        counted = used + (added if waited_ms < SINGLES_FIRST_MS else 0)
+        if counted > fair and state.is_contended(now_ms):
             return None
-        return 1, dominant / fair, gang.submitted_ms, gang.number
+        return 1, (used + added) / fair, gang.submitted_ms, gang.number
 
     def _is_aged(self, gang: _gangs.Gang, now_ms: int) -> bool:
         """Tell whether a gang may come out of its turn."""
--- a/dandeliondrum/placement/tests/test_gangs.py
+++ b/dandeliondrum/placement/tests/test_gangs.py
@@ -197,3 +197,35 @@
         return loop.where['a.0'], loop.started_ms['a.0']
 
     assert where(again=True) == where(again=False)
+
+
+def test_a_gang_is_not_kept_out_by_its_own_teams_tasks():
+    """Two teams keep the fleet full; one of them submits a gang, too.
+
+    The team's own single tasks keep it at its share all the time.
+    """
+    teams = {helpers.team(name): placement.TeamGrant(share=1) for name in 'ab'}
+    workers = [helpers.facts(f'w{number}', slots=4) for number in range(4)]
+    loop = helpers.Loop(helpers.planner(None, workers, teams))
+    for name in teams:
+        for number in range(200):
+            loop.add(
+                helpers.task(
+                    f'{name}{number}',
+                    team_id=name,
+                    cpu=4_000,
+                    expected_run_ms=1_500 + 300 * (number % 5),
+                )
+            )
+    loop.step(0)
+    loop.add(
+        *helpers.gang(
+            'gang',
+            4,
+            cpu=4_000,
+            team_id=helpers.team('a'),
+            submitted_ms=100,
+        )
+    )
+    loop.run(100, 20_000)
+    assert loop.started_ms.get('gang.0', 20_000) < 15_000
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -219,6 +219,9 @@
                     'dandeliondrum.platform',
                     role,
                 ),
+                ready_address=settings.get(
+                    'Listen.Control', settings.get('Listen.Front', '')
+                ),
                 environment=(('DANDELIONDRUM_SETTINGS', str(path)),),
             ),
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,8 +7,13 @@
 from dandeliondrum.testing import _soak
 from dandeliondrum.testing import _soak_judge
 
-# Seeds that ever failed stand here with a line on the cause.
-SEEDS = (1,)
+# Seeds that ever failed stay here, with a line on the cause.
+SEEDS = (
+    1,
+    # A controller got SIGTERM while its interpreter still started, so it ended
+    # by the signal; a fault now waits until a restarted process listens.
+    3,
+)
 LENGTH_S = 8
 CAPACITY = messages.Resources(1_000, 100)
 TEXT = _soak_judge.payload(600)
