Let a controller ask for its place also while it believes it has one

Four of five voters were left, two disks were lost, no quorum. Each controller that does not lead now goes on asking, which changes nothing for a member. The test failed before.

--- a/dandeliondrum/jobs/_membership.py
+++ b/dandeliondrum/jobs/_membership.py
@@ -45,12 +45,19 @@
         self._calls = calls
 
     def run(self, stopping: threading.Event) -> None:
-        """Found or join, then keep the list of controllers to ask."""
+        """Found or join, and keep the list of controllers to ask.
+
+        A member goes on asking, which changes nothing while it is one: it
+        may have been replaced while its link or its disk was down, and
+        nobody sends it the entry that says so.
+        """
         while not stopping.is_set():
             status = self._node.status()
             me = self._options.controller_id
             if any(one.controller_id == me for one in status.members):
                 self._remember(status)
+                if status.leader_id != me:
+                    self._join()
                 stopping.wait(JOIN_EVERY_MS / 1000)
             elif self._founds(status):
                 self._found()
@@ -91,6 +98,6 @@
         )
         match self._calls.call(request, JOIN_TIMEOUT_MS):
             case result.Success():
-                _logger.info('asked to be taken in')
+                _logger.debug('is a member or is taken in')
             case result.Failure(error):
                 _logger.info('not taken in yet', why=error.reason)
--- a/dandeliondrum/jobs/tests/test_cell.py
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -230,6 +230,23 @@
     assert again.state.jobs['j'].phase is jobs.JobPhase.DONE
 
 
+def test_a_voter_that_was_replaced_while_it_was_away_comes_back(cell):
+    """Nobody sends it the entry that says that it is no member any more."""
+    cell.open()
+    leader = cell.leader()
+    away = next(one for one, _ in cell.founders if one != leader)
+    node = cell.controllers[leader].node
+    testing.wait_until(
+        lambda: node.remove_member(away).result(5).value_or(True) is None
+    )
+    testing.wait_until(
+        lambda: any(
+            one.controller_id == away and one.voter
+            for one in node.status().members
+        )
+    )
+
+
 def test_a_cancelled_job_stops(cell):
     cell.open()
     for worker in cell.fleet:
