Call the outcomes of a bench's calls what they are

Told becomes CallResult. The long sleeps of a few test children get their reason: the harness ends them.

--- a/benchmarks/_end_to_end_figures.py
+++ b/benchmarks/_end_to_end_figures.py
@@ -74,17 +74,17 @@
 
 
 def waits(
-    told: list[_load.Told], first_ms: dict[str, float]
+    calls: list[_load.CallResult], first_ms: dict[str, float]
 ) -> dict[str, float]:
     """Return quantiles of the time to the start and to the answer."""
     to_start = sorted(
         first_ms[f'{TEAM}/{one.request_id}'] - one.sent_ms
-        for one in told
+        for one in calls
         if f'{TEAM}/{one.request_id}' in first_ms
     )
-    to_answer = sorted(one.ended_ms - one.sent_ms for one in told)
+    to_answer = sorted(one.ended_ms - one.sent_ms for one in calls)
     return {
-        'count': len(told),
+        'count': len(calls),
         'start_p50_ms': _quantile(to_start, 0.5),
         'start_p99_ms': _quantile(to_start, 0.99),
         'answer_p50_ms': _quantile(to_answer, 0.5),
--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -41,8 +41,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Told:
-    """What one caller was told; the clock is that of the journals."""
+class CallResult:
+    """What one caller got; the clock is that of the journals."""
 
     request_id: str
     task_class: str
@@ -92,7 +92,7 @@
         return status, outcomes[0] if outcomes else ''
 
 
-def wait_for_answers(load: Load) -> list[Told]:
+def wait_for_answers(load: Load) -> list[CallResult]:
     """Run the callers of this process until their time is over."""
     end_s = time.monotonic() + load.seconds
     with concurrent.futures.ThreadPoolExecutor(load.callers_count) as threads:
@@ -100,10 +100,10 @@
             threads.submit(_one_caller, load, number, end_s)
             for number in range(load.callers_count)
         ]
-        return [told for done in running for told in done.result()]
+        return [one for done in running for one in done.result()]
 
 
-def _one_caller(load: Load, number: int, end_s: float) -> list[Told]:
+def _one_caller(load: Load, number: int, end_s: float) -> list[CallResult]:
     chance = random.Random(f'{load.seed}/{load.name}/{number}')
     found = []
     serial = 0
@@ -118,7 +118,7 @@
 
 def _one_task(
     load: Load, client: _Client, chance: random.Random, request_id: str
-) -> Told:
+) -> CallResult:
     is_urgent = chance.random() < load.urgent_portion
     task_class = 'urgent' if is_urgent else 'batch'
     headers = testing.task_headers(
@@ -145,7 +145,7 @@
         if outcome in ('answered', 'refused_not_run'):
             break
         time.sleep(RESEND_PAUSE_MS / 1000)
-    return Told(
+    return CallResult(
         request_id,
         task_class,
         sent_ms,
@@ -206,7 +206,7 @@
 
     def start_callers(
         self, load: Load
-    ) -> collections.abc.Callable[[], list[Told]]:
+    ) -> collections.abc.Callable[[], list[CallResult]]:
         """Start callers in all processes; the result waits for their end."""
         running = [
             self._executor.submit(
@@ -215,7 +215,7 @@
             )
             for number in range(self._count)
         ]
-        return lambda: [told for one in running for told in one.result()]
+        return lambda: [call for one in running for call in one.result()]
 
     def start_jobs(
         self, load: Load, jobs_count: int, tasks_count: int
--- a/benchmarks/bench_end_to_end.py
+++ b/benchmarks/bench_end_to_end.py
@@ -197,17 +197,17 @@
             )
             usage = _role_usage.RoleUsage(cell)
             load_average = os.getloadavg()[0]
-            told = processes.start_callers(load)()
+            calls = processes.start_callers(load)()
             roles = usage.finish()
             first_ms = _end_to_end_figures.first_starts(cell)
-            answered = [one for one in told if one.outcome == 'answered']
-            span_ms = max(one.ended_ms for one in told) - min(
-                one.sent_ms for one in told
+            answered = [one for one in calls if one.outcome == 'answered']
+            span_ms = max(one.ended_ms for one in calls) - min(
+                one.sent_ms for one in calls
             )
             figures: Figures = {
                 'callers_count': self._processes_count * self._callers_count,
                 'run_ms': load.run_ms,
-                'calls_count': len(told),
+                'calls_count': len(calls),
                 'answered_count': len(answered),
                 'answers_per_s': len(answered) / span_ms * 1_000,
                 'load': round(load_average, 1),
@@ -259,12 +259,12 @@
                 cell.processes.restart(name)
                 time.sleep(SETTLE_S)
             watched_ms = worker.now_ms()
-            told = callers()
+            calls = callers()
         answers_ms = sorted(
-            one.ended_ms for one in told if one.outcome == 'answered'
+            one.ended_ms for one in calls if one.outcome == 'answered'
         )
         # A window after the callers' end would show a gap that is none.
-        if max(one.ended_ms for one in told) < watched_ms:
+        if max(one.ended_ms for one in calls) < watched_ms:
             raise RuntimeError('the callers ended before the last kill')
         for role, at_ms in kills:
             gap_ms = _end_to_end_figures.longest_gap_ms(
@@ -279,7 +279,7 @@
                     for role, found in gaps.items()
                 },
                 'answers_per_s': len(answers_ms) / seconds,
-                'not_answered_count': len(told) - len(answers_ms),
+                'not_answered_count': len(calls) - len(answers_ms),
                 'load': round(load_average, 1),
                 'load_after': round(os.getloadavg()[0], 1),
             }
--- a/dandeliondrum/testing/_soak_callers.py
+++ b/dandeliondrum/testing/_soak_callers.py
@@ -23,7 +23,7 @@
 
 
 class SoakCallers:
-    """Submit jobs and change documents until told to stop."""
+    """Submit jobs and change documents until :meth:`stop` is called."""
 
     def __init__(
         self,
--- a/dandeliondrum/testing/tests/test_processes.py
+++ b/dandeliondrum/testing/tests/test_processes.py
@@ -28,6 +28,10 @@
         yield harness
 
 
+# Children that sleep for 600 s live until the harness ends them, which is what
+# these tests check; no test waits for them.
+
+
 def test_what_still_runs_is_killed_at_the_end(tmp_path):
     with testing.Processes(tmp_path) as harness:
         harness.start('p', python('import time; time.sleep(600)'))
