Close a log only once the test's proposal is in it

What the writer had not taken from its queue by then is refused as not leading, with not_done=True, which is true of it; the test expected that its fate is unknown. Ruled out: that the leader had left office before (it led at the proposal, in one term, in each failing run).

Change: the test waits until the log has grown before it closes the node.

--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -172,7 +172,10 @@
         leader = cluster.form()
         cluster.cut(leader)
         node = cluster.node(leader)
+        before = node.status().last_index
         futures = [node.propose(b'%d' % number) for number in range(5)]
+        # Closing refuses what is not in the log yet, as not done.
+        harness.wait_for(lambda: node.status().last_index > before)
         cluster.stop(leader)
         futures.append(node.propose(b'late'))
         errors = [future.result(1).failure() for future in futures]
