Wait for the first gateway before a second one takes its port

A second gateway that starts faster than the first one gets the ports and serves. Shown by freezing the first gateway right after its start: the second one listened and served until the timeout, as seen. Ruled out: that a port is released too early.

Change: the fixture waits until the gateway listens too.

--- a/tests/test_operators_tour.py
+++ b/tests/test_operators_tour.py
@@ -66,6 +66,7 @@
         cell.add_controllers(1, form=False)
         cell.add_gateways(1)
         cell.processes.wait_ready('c1')
+        cell.processes.wait_ready('g1')
         yield Desk(cell)
 
 
