--- a/dandeliondrum/testing/_cell.py
+++ b/dandeliondrum/testing/_cell.py
@@ -56,6 +56,18 @@
     def __exit__(self, *_: object) -> None:
         self._resources.close()
 
+    def wait_ready(
+        self,
+        workers_count: int | None = None,
+        timeout_ms: int = _cell_calls.WAIT_TIMEOUT_MS,
+    ) -> None:
+        """Wait as the base does; a failure has the logs in its notes."""
+        try:
+            super().wait_ready(workers_count, timeout_ms)
+        except AssertionError as error:
+            error.add_note(self.processes.describe())
+            raise
+
     def add_controllers(self, count: int, form: bool = True) -> None:
         """Start controllers, and found the cell with them."""
         names = [f'c{i}' for i in range(1, count + 1)]
--- a/dandeliondrum/testing/_cell_calls.py
+++ b/dandeliondrum/testing/_cell_calls.py
@@ -90,13 +90,22 @@
         """Return the gateways that should become ready."""
         return self.gateways
 
-    def wait_ready(self, workers_count: int | None = None) -> None:
-        """Wait until gateways serve and the workers are in the fleet."""
+    def wait_ready(
+        self,
+        workers_count: int | None = None,
+        timeout_ms: int = WAIT_TIMEOUT_MS,
+    ) -> None:
+        """Wait until gateways serve and the workers are in the fleet.
+
+        The timeout holds for each gateway, and for the workers, by itself.
+        """
         if workers_count is None:
             workers_count = len(self.workers)
         for name in self.gateways_up():
-            wait_until(functools.partial(self.is_ready, name))
-        wait_until(lambda: len(self.fleet()['workers']) >= workers_count)
+            wait_until(functools.partial(self.is_ready, name), timeout_ms)
+        wait_until(
+            lambda: len(self.fleet()['workers']) >= workers_count, timeout_ms
+        )
 
     def is_ready(self, gateway: str) -> bool:
         """Tell whether a gateway tells the balancer that it is ready."""
--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -209,6 +209,15 @@
         ]
         return '\n'.join(texts)[-length_chars:]
 
+    def describe(self) -> str:
+        """Return the state of each process with the end of its log."""
+        texts = []
+        for name, process in self._processes.items():
+            code = process.poll()
+            state = 'running' if code is None else f'ended with {code}'
+            texts.append(f'{name} {state}: {self.log_end(name)}')
+        return '\n'.join(texts)
+
     def _end_freeze(self, name: str) -> None:
         from_ms = self._frozen_ms.pop(name, None)
         if from_ms is not None:
--- /dev/null
+++ b/dandeliondrum/testing/tests/test_cell.py
@@ -0,0 +1,18 @@
+"""What a cell of the tests says when it does not become ready."""
+
+import pytest
+
+from dandeliondrum import testing
+
+
+def test_the_state_of_each_process_is_named(tmp_path):
+    with testing.Cell(tmp_path) as cell:
+        cell.add_controllers(1, form=False)
+        cell.add_gateways(1)
+        cell.processes.wait_ready('g1')
+        cell.processes.kill('c1')
+        with pytest.raises(AssertionError) as raised:
+            cell.wait_ready(0, timeout_ms=500)
+    (note,) = raised.value.__notes__
+    assert 'c1 ended with -9' in note
+    assert 'g1 running' in note and '"started"' in note
