--- a/dandeliondrum/client/_client.py
+++ b/dandeliondrum/client/_client.py
@@ -17,7 +17,7 @@
 from dandeliondrum.client import _settle
 from dandeliondrum import utils
 
-# What a gateway needs beyond the deadline to tell the leader's refusal.
+# What a gateway needs beyond the deadline to report the leader's refusal.
 REPLY_MARGIN_MS = 4_000
 
 
@@ -112,7 +112,7 @@
         request_ids: collections.abc.Sequence[str],
         timeout_ms: int = _requests.DEFAULT_TIMEOUT_MS,
     ) -> result.Result[tuple[_outcomes.TaskStatus, ...], _outcomes.Outcome]:
-        """Cancel tasks; the statuses tell what became of each."""
+        """Cancel tasks; the statuses say what became of each."""
         value = {'team': self._team, 'request_ids': list(request_ids)}
         return self._post('/v1/tasks/cancel', value, timeout_ms)
 
@@ -121,7 +121,7 @@
         request_id: str,
         timeout_ms: int = _requests.DEFAULT_TIMEOUT_MS,
     ) -> result.Result[_outcomes.TaskStatus, _outcomes.Outcome]:
-        """Tell where a task stands."""
+        """Return where a task stands."""
         return self._ask('GET', f'/v1/tasks/{request_id}', timeout_ms).bind(
             lambda reply: _status(request_id, reply)
         )
@@ -148,7 +148,7 @@
         request_id: str,
         timeout_ms: int = _requests.DEFAULT_TIMEOUT_MS,
     ) -> result.Result[None, _outcomes.Outcome]:
-        """Tell that the answer has arrived and may be dropped."""
+        """Report that the answer has arrived and may be dropped."""
         path = f'/v1/tasks/{request_id}/answer'
         return self._ask('DELETE', path, timeout_ms).map(lambda _reply: None)
 
@@ -183,7 +183,9 @@
             )
 
         request_id = path.split('/')[3]
-        return self._try(request, request_id, timeout_ms, False, _settle.told)
+        return self._try(
+            request, request_id, timeout_ms, False, _settle.reported
+        )
 
     def _try(
         self,
--- a/dandeliondrum/client/_exchange.py
+++ b/dandeliondrum/client/_exchange.py
@@ -62,7 +62,7 @@
         return int(text) * 1000 if text.isdigit() else 0
 
     def is_unchanged(self) -> bool:
-        """Tell whether the body is what the worker answered."""
+        """Return whether the body is what the worker answered."""
         digest = self.headers.get(DIGEST)
         if digest is None:
             return True
@@ -80,7 +80,7 @@
 class NoReply:
     """The call was sent; no whole answer came back.
 
-    ``silent`` tells that the connection was open and nothing came.
+    ``silent`` says that the connection was open and nothing came.
     """
 
     detail: str
--- a/dandeliondrum/client/_outcomes.py
+++ b/dandeliondrum/client/_outcomes.py
@@ -53,7 +53,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class TaskStatus:
-    """Where one task stands, as the gateway told it."""
+    """Where one task stands, as the gateway reported it."""
 
     request_id: str
     state: str
--- a/dandeliondrum/client/_settle.py
+++ b/dandeliondrum/client/_settle.py
@@ -11,10 +11,10 @@
 GATEWAY_REASONS = ('no_leader', 'gateway_busy')
 
 Settled = result.Result[_exchange.Reply, _outcomes.Outcome]
-# Tells whether a try settled the call, and how.
+# Says whether a try settled the call, and how.
 Settle = collections.abc.Callable[[str, _exchange.Result], Settled | None]
-# Statuses with which a gateway tells where a task stands.
-TOLD_STATUSES = (200, 202, 404)
+# Statuses with which a gateway says where a task stands.
+FINAL_STATUSES = (200, 202, 404)
 
 
 def settled(request_id: str, outcome: _exchange.Result) -> Settled | None:
@@ -41,12 +41,12 @@
     return None
 
 
-def told(request_id: str, outcome: _exchange.Result) -> Settled | None:
+def reported(request_id: str, outcome: _exchange.Result) -> Settled | None:
     """Return what a question about a task brought, if it is settled."""
     if not isinstance(outcome, _exchange.Reply):
         return None
-    told = _exchange.ATTEMPT in outcome.headers
-    if told or outcome.status in TOLD_STATUSES:
+    final = _exchange.ATTEMPT in outcome.headers
+    if final or outcome.status in FINAL_STATUSES:
         whole = outcome.is_unchanged()
         return result.Success(outcome) if whole else None
     if 400 <= outcome.status < 500:
@@ -62,7 +62,7 @@
 
 
 def without_effect(outcome: _exchange.Result) -> bool:
-    """Tell whether this try certainly left nothing behind."""
+    """Return whether this try certainly left nothing behind."""
     match outcome:
         case _exchange.NotSent():
             return True
--- a/dandeliondrum/client/tests/test_client.py
+++ b/dandeliondrum/client/tests/test_client.py
@@ -60,7 +60,7 @@
         yield one
 
 
-def told(outcome, status, body=b'', **headers):
+def reply(outcome, status, body=b'', **headers):
     names = {name.replace('_', '-'): text for name, text in headers.items()}
     return werkzeug.Response(
         body if isinstance(body, bytes) else json.dumps(body).encode(),
@@ -70,7 +70,7 @@
 
 
 def answered(body=b'ring', digest=None):
-    return told(
+    return reply(
         'answered',
         200,
         body,
@@ -83,14 +83,14 @@
 
 def cut():
     """Return an answer that ends before its declared length."""
-    response = told('answered', 200, b'half')
+    response = reply('answered', 200, b'half')
     response.headers['Content-Length'] = '8'
     response.automatically_set_content_length = False
     return response
 
 
 def refusal(reason, status=503, outcome='refused_not_run', after_ms=0):
-    return told(
+    return reply(
         outcome,
         status,
         {'reason': reason, 'detail': 'why', 'retry_after_ms': after_ms},
@@ -283,7 +283,7 @@
 )
 def test_a_status_is_returned_whatever_it_is(state, outcome, code):
     body = {'request_id': 'r1', 'state': state, 'worker_id': None}
-    with scripted(told(outcome, code, body)) as gateway:
+    with scripted(reply(outcome, code, body)) as gateway:
         handler = make(gateway.address)
         assert handler.status('r1').unwrap() == client.TaskStatus('r1', state)
         pending = handler.answer('r1').failure()
@@ -291,7 +291,7 @@
 
 
 def test_a_stored_answer_is_fetched_and_released():
-    with scripted(answered(), answered(), told('answered', 200)) as gateway:
+    with scripted(answered(), answered(), reply('answered', 200)) as gateway:
         handler = make(gateway.address)
         assert handler.answer('r1').unwrap().body == b'ring'
         assert isinstance(handler.release('r1'), result.Success)
--- a/dandeliondrum/command/_controllers_commands.py
+++ b/dandeliondrum/command/_controllers_commands.py
@@ -169,7 +169,7 @@
             return _gateways.Problem(
                 _report.ExitCode.IN_DOUBT,
                 f'no answer ({error.failure.value}); is cell_id right? '
-                '"status" tells whether the cell is formed',
+                '"status" says whether the cell is formed',
             ).report()
     return _gateways.Problem(
         _report.ExitCode.IN_DOUBT, f'unexpected reply: {reply}'
--- a/dandeliondrum/command/_gateways.py
+++ b/dandeliondrum/command/_gateways.py
@@ -57,7 +57,7 @@
 
 
 def connect(given: str, key_file: str) -> 'Gateways':
-    """Return the gateways that a command was told to use."""
+    """Return the gateways that a command was asked to use."""
     return Gateways(addresses(given), key(key_file))
 
 
--- a/dandeliondrum/command/_keys_commands.py
+++ b/dandeliondrum/command/_keys_commands.py
@@ -111,7 +111,7 @@
         return report
     note = (
         f'{report.note}\nwhether the key below is granted is not known; '
-        f'"rules show" tells whether {made.key_id} is in force'
+        f'"rules show" says whether {made.key_id} is in force'
     )
     data = {**report.data, 'key': made.text, 'key_id': made.key_id}
     return _report.Report(report.code, made.text, note, data)
--- a/dandeliondrum/command/tests/test_rules_commands.py
+++ b/dandeliondrum/command/tests/test_rules_commands.py
@@ -1,4 +1,4 @@
-"""``rules`` and ``keys``: what is changed, what is told, what is resent."""
+"""``rules`` and ``keys``: what is changed, reported and resent."""
 
 import pytest
 
@@ -206,7 +206,7 @@
     assert ended.code == 3
     key_id = ended.out.partition('.')[0]
     assert key_id in gateway.text
-    assert f'tells whether {key_id} is in force' in ended.err
+    assert f'says whether {key_id} is in force' in ended.err
 
 
 def test_the_operators_key_is_shown_from_a_file(run, gateway, at, tmp_path):
--- a/dandeliondrum/consensus/_applier.py
+++ b/dandeliondrum/consensus/_applier.py
@@ -77,7 +77,7 @@
             error = state.error(_errors.ProposeFailure.DEPOSED, not_done=False)
             for index in passed:
                 pending = state.pending.pop(index)
-                state.tell(pending.future, result.Failure(error))
+                state.resolve(pending.future, result.Failure(error))
 
     def _read(self) -> list[_records.Entry]:
         state = self._state
@@ -139,8 +139,8 @@
     def _announce_role(self) -> None:
         state = self._state
         ready = 0 < state.term_start_index <= state.applied_index
-        if state.leads() and ready and not state.told_leading:
-            state.told_leading = True
+        if state.leads() and ready and not state.reported_leading:
+            state.reported_leading = True
             state.events.put(_works.Leading(messages.Term(state.term)))
 
     def _snapshot_if_due(self) -> None:
--- a/dandeliondrum/consensus/_changes.py
+++ b/dandeliondrum/consensus/_changes.py
@@ -177,7 +177,7 @@
     def _begin(self, change: Change) -> None:
         refusal = self._refusal(change)
         if refusal is not None:
-            self._state.tell(change.future, result.Failure(refusal))
+            self._state.resolve(change.future, result.Failure(refusal))
             return
         member: _messages.Member | None = None
         if isinstance(change, AddMember):
@@ -213,7 +213,7 @@
 
     def _fail(self, change: Change, failure: _errors.ChangeFailure) -> None:
         error = _errors.ChangeError(failure, change.controller_id)
-        self._state.tell(change.future, result.Failure(error))
+        self._state.resolve(change.future, result.Failure(error))
 
     def _refusal(self, change: Change) -> _errors.ChangeError | None:
         state = self._state
@@ -262,7 +262,7 @@
                     known = _membership.member(current, change.controller_id)
                     done = known is None
             if done:
-                state.tell(change.future, result.Success(None))
+                state.resolve(change.future, result.Success(None))
             else:
                 waiting.append(change)
         self._waiting = waiting
@@ -275,6 +275,6 @@
         for change in [*self._asked, *self._waiting]:
             detail = 'unknown' if change in self._waiting else 'not begun'
             error = _errors.ChangeError(failure, detail)
-            state.tell(change.future, result.Failure(error))
+            state.resolve(change.future, result.Failure(error))
         self._asked.clear()
         self._waiting.clear()
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -11,7 +11,6 @@
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _state
-from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _works
 
 # How long a candidate waits for its own disk.
@@ -64,13 +63,13 @@
         answered_ns = max(state.quorum_answered_ns(), state.office_ns)
         if now_ns - answered_ns > limit_ns:
             _logger.warning('no quorum answers', term=state.term)
-            _transfer.end(state, _errors.ChangeFailure.NOT_LEADING)
+            state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
             return
         target = state.transfer_target
         if target is not None and now_ns > state.transfer_until_ns:
             _logger.warning('leadership not taken over', member=target)
-            _transfer.end(state, _errors.ChangeFailure.TIMEOUT)
+            state.end_transfer(_errors.ChangeFailure.TIMEOUT)
             if state.handed_over:
                 # It may still stand, and nobody would wait for this node.
                 state.become_follower()
--- a/dandeliondrum/consensus/_errors.py
+++ b/dandeliondrum/consensus/_errors.py
@@ -30,7 +30,7 @@
 
 
 class ProposeFailure(enum.Enum):
-    """Why there is no success to tell."""
+    """Why there is no success to report."""
 
     NOT_LEADING = 'not_leading'
     DEPOSED = 'deposed'
--- a/dandeliondrum/consensus/_interfaces.py
+++ b/dandeliondrum/consensus/_interfaces.py
@@ -1,4 +1,4 @@
-"""What a node needs from its owner, and what it tells about itself."""
+"""What a node needs from its owner, and what it reports about itself."""
 
 import dataclasses
 import enum
@@ -26,7 +26,7 @@
 
 
 class Listener(typing.Protocol):
-    """Is told of the node's role, in order, in a thread of its own."""
+    """Is notified of the node's role, in order, in a thread of its own."""
 
     def on_leading(self, term: messages.Term) -> None:
         """The node leads, and all that was agreed before is applied."""
--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -1,7 +1,7 @@
 """One file of the log.
 
 Before each record stands a marker. The first record of a batch that was
-synced together has one of its own, which tells a torn tail from damage: an
+synced together has one of its own, which separates a torn tail from damage: an
 unreadable record is a torn tail when no later batch follows, since a batch
 is only begun after the one before it is synced.
 """
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -22,7 +22,6 @@
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _snapshot
-from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _works
 from dandeliondrum import messages
 from dandeliondrum import utils
@@ -76,7 +75,7 @@
         self.office_ns = 0
         self.deposed_ns = 0
         self.hurry_ns = 0
-        self.told_leading = False
+        self.reported_leading = False
         self.transfer_target: messages.ControllerId | None = None
         self.transfer_until_ns = 0
         self.transfer_future: _works.ChangeFuture | None = None
@@ -190,13 +189,14 @@
         was_leader = self.leads()
         self.role = _interfaces.Role.FOLLOWER
         self.ballot = None
-        _transfer.end_by_leaving(self)
+        done = self.handed_over and self.transfer_target is not None
+        self.end_transfer(None if done else _errors.ChangeFailure.NOT_LEADING)
         if was_leader:
             self.deposed_ns = time.monotonic_ns()
             self.leader_id = None
             self.put_off_election()
-        if self.told_leading:
-            self.told_leading = False
+        if self.reported_leading:
+            self.reported_leading = False
             self.events.put(_works.Following())
         self._fail_confirmations()
         self.wake_all()
@@ -233,7 +233,7 @@
                 del self.progress[controller_id]
 
     def settle_confirmations(self) -> list[_progress.Confirmation]:
-        """Return those that are fulfilled now, to be told without lock."""
+        """Return those that are fulfilled now, to be resolved without lock."""
         if not self.leads() or not self.confirmations:
             return []
         if not 0 < self.term_start_index <= self.applied_index:
@@ -255,7 +255,7 @@
         self.confirmations = []
         error = self.error(_errors.ProposeFailure.DEPOSED, not_done=True)
         for one in failed:
-            self.tell(one.future, result.Failure(error))
+            self.resolve(one.future, result.Failure(error))
 
     def is_quiet(self) -> bool:
         """Whether nobody waits for a proposal any more."""
@@ -270,16 +270,29 @@
         return _errors.ProposeError(failure, not_done, leader_id)
 
     def give_up_pending(self) -> None:
-        """Tell those who still wait that the fate is unknown."""
+        """Resolve what still waits: the fate is unknown."""
         failure = _errors.ProposeFailure.DEPOSED
         if self.closing:
             failure = _errors.ProposeFailure.CLOSED
         error = self.error(failure, not_done=False)
         for pending in self.pending.values():
-            self.tell(pending.future, result.Failure(error))
+            self.resolve(pending.future, result.Failure(error))
         self.pending.clear()
 
-    def tell(
+    def end_transfer(self, failure: _errors.ChangeFailure | None) -> None:
+        """End the transfer, if there is one, and answer who asked for it."""
+        future = self.transfer_future
+        self.transfer_future = None
+        self.transfer_target = None
+        if future is None:
+            return
+        if failure is None:
+            self.resolve(future, result.Success(None))
+        else:
+            error = _errors.ChangeError(failure)
+            self.resolve(future, result.Failure(error))
+
+    def resolve(
         self, future: concurrent.futures.Future[typing.Any], value: typing.Any
     ) -> None:
         """Have a future resolved by a thread that holds no lock."""
--- a/dandeliondrum/consensus/_transfer.py
+++ b/dandeliondrum/consensus/_transfer.py
@@ -6,20 +6,14 @@
 """
 
 import time
-import typing
 
-from returns import result
-
-from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _membership
 from dandeliondrum.consensus import _progress
+from dandeliondrum.consensus import _state
 from dandeliondrum import messages
 
-if typing.TYPE_CHECKING:
-    from dandeliondrum.consensus import _state
-
 
-def begin(state: '_state.NodeState', target: messages.ControllerId) -> None:
+def begin(state: _state.NodeState, target: messages.ControllerId) -> None:
     """Take no more proposals and let this voter lead, within a time."""
     limit_ns = state.options.election_max_ms * _progress.NS_PER_MS
     state.transfer_until_ns = time.monotonic_ns() + limit_ns
@@ -28,37 +22,15 @@
     state.peers_wake.notify_all()
 
 
-def begin_if_full(state: '_state.NodeState') -> None:
+def begin_if_full(state: _state.NodeState) -> None:
     """Let a voter lead whose disk has room, if one is up."""
     best = best_successor(state)
     if best is not None and state.leads() and not state.transfer_target:
         begin(state, best)
 
 
-def end(
-    state: '_state.NodeState', failure: _errors.ChangeFailure | None
-) -> None:
-    """Tell whoever asked for the transfer what came of it."""
-    future = state.transfer_future
-    state.transfer_future = None
-    state.transfer_target = None
-    if future is None:
-        return
-    if failure is None:
-        state.tell(future, result.Success(None))
-    else:
-        error = _errors.ChangeError(failure)
-        state.tell(future, result.Failure(error))
-
-
-def end_by_leaving(state: '_state.NodeState') -> None:
-    """End the transfer, if there is one, since the node leads no more."""
-    done = state.handed_over and state.transfer_target is not None
-    end(state, None if done else _errors.ChangeFailure.NOT_LEADING)
-
-
 def best_successor(
-    state: '_state.NodeState',
+    state: _state.NodeState,
 ) -> messages.ControllerId | None:
     """Return the voter that is up, has room and the longest log."""
     now_ns = time.monotonic_ns()
--- a/dandeliondrum/consensus/_works.py
+++ b/dandeliondrum/consensus/_works.py
@@ -74,14 +74,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leading:
-    """The listener is to be told that the node leads."""
+    """The listener is to be notified that the node leads."""
 
     term: messages.Term
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Following:
-    """The listener is to be told that the node leads no more."""
+    """The listener is to be notified that the node leads no more."""
 
 
 Event = Leading | Following
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -194,7 +194,7 @@
         error: _errors.ProposeError,
     ) -> None:
         for proposal in proposals:
-            self._state.tell(proposal.future, result.Failure(error))
+            self._state.resolve(proposal.future, result.Failure(error))
 
     def _refuse_full(
         self,
@@ -250,7 +250,7 @@
         elif self._log.last_index or state.snapshot_index:
             refusal = _errors.ChangeError(_errors.ChangeFailure.HAS_LOG)
         if refusal is not None:
-            state.tell(work.future, result.Failure(refusal))
+            state.resolve(work.future, result.Failure(refusal))
             return
         first = _records.make(
             1,
@@ -264,7 +264,7 @@
             state.become_leader()
             state.term_start_index = first.index
         self._log.sync()
-        state.tell(work.future, result.Success(None))
+        state.resolve(work.future, result.Success(None))
 
     def _fail(
         self,
@@ -281,7 +281,7 @@
                 _errors.ProposeFailure.STORAGE_FAILED, not_done=False
             )
             for pending in state.pending.values():
-                state.tell(pending.future, result.Failure(unknown))
+                state.resolve(pending.future, result.Failure(unknown))
             state.pending.clear()
         for work in works:
             match work:
@@ -289,11 +289,11 @@
                     answer = self._requests.refuse(message)
                     _works.settle(reply, answer)
                 case _works.Proposal(future=future):
-                    state.tell(future, result.Failure(unknown))
+                    state.resolve(future, result.Failure(unknown))
                 case _works.Stand(entered=entered):
                     _works.settle(entered, None)
                 case _works.Found(future=future):
                     refused = _errors.ChangeError(
                         _errors.ChangeFailure.REFUSED, 'storage failed'
                     )
-                    state.tell(future, result.Failure(refused))
+                    state.resolve(future, result.Failure(refused))
--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -52,7 +52,7 @@
 
 
 class Listener:
-    """Remembers what it was told."""
+    """Remembers its notifications."""
 
     def __init__(self):
         self.events = []
@@ -156,10 +156,10 @@
 class Cluster:
     """Nodes ``c1``, ``c2`` ...; each pair is joined by a forwarder.
 
-    The last ``spare`` ones are no members of the cell at first.
+    The last ``extra`` ones are no members of the cell at first.
     """
 
-    def __init__(self, folder: pathlib.Path, count=3, spare=0, **options):
+    def __init__(self, folder: pathlib.Path, count=3, extra=0, **options):
         self.folder = folder
         self.options = options
         self.files = {}
@@ -167,11 +167,11 @@
             messages.ControllerId(f'c{number}')
             for number in range(1, count + 1)
         ]
-        self.spare_names = [
+        self.extra_names = [
             messages.ControllerId(f'c{number}')
-            for number in range(count + 1, count + spare + 1)
+            for number in range(count + 1, count + extra + 1)
         ]
-        self.every_name = self.names + self.spare_names
+        self.every_name = self.names + self.extra_names
         self.running = {}
         self.forwarders = {}
 
@@ -254,7 +254,7 @@
         ]
 
     def leader(self, among=None):
-        """Wait for the one leader that is told so and return its name."""
+        """Wait for the one leader that is notified and return its name."""
 
         def settled():
             found = [
--- a/dandeliondrum/consensus/tests/test_closing.py
+++ b/dandeliondrum/consensus/tests/test_closing.py
@@ -1,4 +1,4 @@
-"""Tests that the tasks of a node end when they are told to."""
+"""Tests that the tasks of a node end when they are asked to."""
 
 import threading
 
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -215,14 +215,14 @@
 
 
 def test_members_come_and_go_under_load(tmp_path):
-    with harness.Cluster(tmp_path, spare=2) as cluster:
+    with harness.Cluster(tmp_path, extra=2) as cluster:
         leader = cluster.form()
-        cluster.start(*cluster.spare_names)
+        cluster.start(*cluster.extra_names)
         cluster.names = cluster.every_name
         with load.Proposers(cluster) as proposers:
             proposers.wait_for(20)
             node = cluster.node(leader)
-            for name in cluster.spare_names:
+            for name in cluster.extra_names:
                 node.add_member(name, 'unused:1').result(30).unwrap()
             assert voters(cluster, leader) == cluster.every_name
             gone = cluster.others(leader)[0]
@@ -280,10 +280,10 @@
 
 def test_the_membership_survives_snapshots_and_restarts(tmp_path):
     with harness.Cluster(
-        tmp_path, spare=1, snapshot_every_entries=10
+        tmp_path, extra=1, snapshot_every_entries=10
     ) as cluster:
         leader = cluster.form()
-        (added,) = cluster.spare_names
+        (added,) = cluster.extra_names
         cluster.start(added)
         node = cluster.node(leader)
         node.add_member(added, 'unused:1').result(30).unwrap()
--- a/dandeliondrum/controller/_attempt_reports.py
+++ b/dandeliondrum/controller/_attempt_reports.py
@@ -99,7 +99,7 @@
     def ended(
         self, news: collections.abc.Iterable[_records.EndedAttempt]
     ) -> None:
-        """Free what attempts held; tell of their tasks or place them again."""
+        """Free what attempts held; report their tasks or place them again."""
         context = self._context
         again = []
         with context.lock, context.state.lock:
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -122,7 +122,7 @@
         self._resources.close()
 
     def leads(self) -> bool:
-        """Tell whether this controller decides at the moment."""
+        """Return whether this controller decides at the moment."""
         return self._leadership is not None and self.node.leading()
 
     def on_leading(self, term: messages.Term) -> None:
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -37,7 +37,7 @@
         self._in_flight = threading.BoundedSemaphore(COMMANDS_IN_FLIGHT_MAX)
 
     def run(self, stopping: threading.Event) -> None:
-        """Plan whenever there is work, until told to stop."""
+        """Plan whenever there is work, until asked to stop."""
         work = self._context.work
         while not stopping.is_set():
             work.wait(IDLE_WAIT_MS / 1000)
--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -2,11 +2,22 @@
 
 import typing
 
+from dandeliondrum.controller import _accounts
 from dandeliondrum.controller import _records
 from dandeliondrum import messages
+from dandeliondrum import rules as rules_lib
+
+
+class Cell(typing.Protocol):
+    """The part of a cell's state that the end of an attempt changes."""
+
+    tasks: dict[messages.TaskId, _records.TaskRecord]
+    workers: dict[messages.WorkerId, _records.WorkerRecord]
+    fenced_on: dict[messages.AttemptId, messages.WorkerId]
+    accounts: _accounts.Accounts
+    rules: rules_lib.RuleSet
+    cell_time_ms: int
 
-if typing.TYPE_CHECKING:
-    from dandeliondrum.controller import _state
 
 _ENDS = frozenset(
     (
@@ -18,18 +29,18 @@
     )
 )
 
-# States after which nobody can tell whether the task had its effect.
+# States after which nobody knows whether the task had its effect.
 _MAY_HAVE_RUN = frozenset(
     (messages.AttemptState.STOPPED, messages.AttemptState.LOST)
 )
 
 
 def end(
-    state: '_state.CellState',
+    state: Cell,
     task: _records.TaskRecord,
     report: messages.AttemptReport,
 ) -> _records.EndedAttempt | None:
-    """Apply a report; None when it tells nothing new."""
+    """Apply a report; None when it says nothing new."""
     if report.state not in _ENDS:
         return None
     current = task.attempt
@@ -42,7 +53,7 @@
 def resolves(
     task: _records.TaskRecord, report: messages.AttemptReport
 ) -> bool:
-    """Tell whether a report settles what became of a task in doubt."""
+    """Return whether a report settles what became of a task in doubt."""
     last = task.last_attempt
     if last is None or last.attempt_id != report.attempt_id:
         return False
@@ -50,7 +61,7 @@
 
 
 def end_all_on(
-    state: '_state.CellState', worker: _records.WorkerRecord
+    state: Cell, worker: _records.WorkerRecord
 ) -> tuple[_records.EndedAttempt, ...]:
     """End what ran on a worker whose process is known to be gone."""
     ended = []
@@ -78,7 +89,7 @@
 
 
 def _end_current(
-    state: '_state.CellState',
+    state: Cell,
     task: _records.TaskRecord,
     attempt: _records.AttemptRecord,
     report: messages.AttemptReport,
@@ -160,11 +171,11 @@
 
 
 def _resolve_late(
-    state: '_state.CellState',
+    state: Cell,
     task: _records.TaskRecord,
     report: messages.AttemptReport,
 ) -> _records.EndedAttempt | None:
-    """Take what a worker tells about an attempt that was given up."""
+    """Take what a worker reports about an attempt that was given up."""
     last = task.last_attempt
     fenced_on = state.fenced_on.pop(report.attempt_id, None)
     if fenced_on is not None and fenced_on in state.workers:
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -78,7 +78,7 @@
         return utils.then(context.propose(command), registered)
 
     def refresh(self, worker_id: messages.WorkerId) -> None:
-        """Tell the planner what a worker has and whether it takes tasks."""
+        """Give the planner what a worker has and whether it takes tasks."""
         context = self._context
         with context.lock, context.state.lock:
             worker = context.state.workers.get(worker_id)
@@ -248,7 +248,7 @@
         state: messages.WorkerState,
         why: str,
     ) -> _context.Proposed:
-        """Put a worker's new state on record and tell the planner."""
+        """Put a worker's new state on record and notify the planner."""
         facts = worker.facts
         command = messages.SetWorkerState(
             self._context.now_ms(),
@@ -264,7 +264,7 @@
     def release(
         self, tasks: collections.abc.Iterable[_records.TaskRecord]
     ) -> None:
-        """Tell workers with their next heartbeat to drop answers."""
+        """Ask workers with their next heartbeat to drop answers."""
         with self._context.lock:
             for task in tasks:
                 if task.answer is not None:
--- a/dandeliondrum/controller/_observations.py
+++ b/dandeliondrum/controller/_observations.py
@@ -68,7 +68,7 @@
         self._health.forget(worker_id)
 
     def set_worker_sizes(self, sizes: list[messages.Resources]) -> None:
-        """Tell what workers have; nothing is taken to need more."""
+        """Take what workers have; nothing is taken to need more."""
         self._sizes.set_worker_sizes(sizes)
 
     def sized(self, spec: messages.TaskSpec) -> messages.TaskSpec:
--- a/dandeliondrum/controller/_queries.py
+++ b/dandeliondrum/controller/_queries.py
@@ -14,7 +14,7 @@
 
 
 class Queries:
-    """The leader's part that tells callers where their tasks stand."""
+    """The leader's part that reports to callers where their tasks stand."""
 
     def __init__(self, context: _context.Context) -> None:
         self._context = context
@@ -22,7 +22,7 @@
     def query(
         self, call: messages.QueryTasks
     ) -> concurrent.futures.Future[typing.Any]:
-        """Tell where tasks stand, after making sure to be the leader."""
+        """Return where tasks stand, after making sure to be the leader."""
         refused = self._key_refused(call.team_id, call.key)
         if refused is not None:
             return utils.resolved(refused)
--- a/dandeliondrum/controller/_queueing.py
+++ b/dandeliondrum/controller/_queueing.py
@@ -94,11 +94,11 @@
             self.refuse_pending(refusals)
 
     def refuse_pending(self, refusals: list[messages.Refusal]) -> None:
-        """Refuse tasks that waited; tell those who wait for them."""
+        """Refuse tasks that waited; notify those who wait for them."""
         for future in self.refuse(refusals):
-            future.add_done_callback(self._tell)
+            future.add_done_callback(self._notify)
 
-    def _tell(self, done: StatusFuture) -> None:
+    def _notify(self, done: StatusFuture) -> None:
         status = done.result()
         if status.state in _state.ENDED_STATES:
             with self._context.lock:
--- a/dandeliondrum/controller/_records.py
+++ b/dandeliondrum/controller/_records.py
@@ -31,7 +31,7 @@
 
     ``attempt`` is the attempt that may be running. ``last_attempt`` is the
     latest one that ended without an answer; a worker that comes back may
-    still tell what became of it. ``may_have_run`` is set once an attempt
+    still report what became of it. ``may_have_run`` is set once an attempt
     ended in any other way than by never having been started.
     """
 
@@ -91,7 +91,7 @@
     )
 
     def fits(self, resources: messages.Resources) -> bool:
-        """Tell whether one more task of this size stays within bounds."""
+        """Return whether one more task of this size stays within bounds."""
         return len(self.attempts) < self.facts.slots_count and (
             self.reserved + resources
         ).fits_in(self.facts.resources)
--- a/dandeliondrum/controller/_rules_changes.py
+++ b/dandeliondrum/controller/_rules_changes.py
@@ -14,7 +14,7 @@
 def change(
     record: _records.RulesRecord, command: messages.ApplyRules
 ) -> tuple[_records.RulesRecord, messages.RulesOutcome]:
-    """Return the record after a change, and what its operator is told."""
+    """Return the record after a change, and what its operator sees."""
     for change_id, accepted, version, detail in record.outcomes:
         if change_id == command.change_id:
             earlier = messages.RulesOutcome(accepted, version, detail)
--- a/dandeliondrum/controller/_sessions.py
+++ b/dandeliondrum/controller/_sessions.py
@@ -69,7 +69,7 @@
         return tuple(self._waiters.get(task_id, ()))
 
     def end(self, status: messages.TaskStatus) -> None:
-        """Tell those who wait for a task how it ended."""
+        """Notify those who wait for a task how it ended."""
         for session in self._waiters.pop(status.task_id, ()):
             session.waiting_for.discard(status.task_id)
             session.connection.push(status)
--- a/dandeliondrum/controller/_task_outcomes.py
+++ b/dandeliondrum/controller/_task_outcomes.py
@@ -1,4 +1,4 @@
-"""What callers are told: statuses and refusals, each in one place."""
+"""What callers see: statuses and refusals, each in one place."""
 
 import collections.abc
 import typing
--- a/dandeliondrum/controller/tests/test_worker_sizes.py
+++ b/dandeliondrum/controller/tests/test_worker_sizes.py
@@ -46,7 +46,7 @@
 
 
 class Leader:
-    """A leadership that has not begun, and what it told the size learner."""
+    """A leadership that has not begun, and what the size learner got."""
 
     def __init__(self):
         self.state = _state.CellState()
@@ -59,7 +59,7 @@
             pathlib.Path('unused'),
             {},
         )
-        self.told = []
+        self.reported = []
         self.lead()
 
     def lead(self):
@@ -71,7 +71,7 @@
             messages.Term(1),
             _metrics.Metrics(),
         )
-        self.context.observations.set_worker_sizes = self.told.append
+        self.context.observations.set_worker_sizes = self.reported.append
         self.leadership = _leadership.Leadership(
             self.context, utils.TimerService()
         )
@@ -85,7 +85,7 @@
         )
 
     def sizes(self):
-        return {size.cpu_millicores for size in self.told[-1]}
+        return {size.cpu_millicores for size in self.reported[-1]}
 
 
 @pytest.fixture
@@ -104,7 +104,7 @@
 def test_sizes_are_told_once_for_equal_workers(leader):
     for number in range(5):
         leader.announce(f'lathe-{number}', 'a', SMALL)
-    assert len(leader.told) == 1
+    assert len(leader.reported) == 1
 
 
 def test_a_size_goes_when_its_last_worker_comes_back_smaller(leader):
@@ -128,7 +128,7 @@
 def test_a_new_leader_knows_the_sizes_of_the_recorded_fleet(leader):
     leader.announce('lathe-1', 'a', BIG)
     leader.announce('lathe-2', 'a', SMALL)
-    leader.told.clear()
+    leader.reported.clear()
     leader.lead()
     leader.leadership._rebuild()
     assert leader.sizes() == {SMALL, BIG}
--- a/dandeliondrum/embedded/_demo.py
+++ b/dandeliondrum/embedded/_demo.py
@@ -43,7 +43,7 @@
 
 GANG_TASKS_COUNT = 4
 REPLICAS_COUNT = 3
-HAND_IN_AT = 0.1
+SUBMIT_AT = 0.1
 GANG_AT = 0.3
 LOSS_AT = 0.5
 
@@ -125,7 +125,7 @@
             callers = _durable.DurableCallers(cell, self._keys, self._recorder)
             until_ms = self._work(cell, callers)
             self._finish(callers)
-        # Workers that were closed have told the end of all that they ran.
+        # Workers that were closed have reported the end of all that they ran.
         history = self._recorder.history(cell.journals())
         cpu_ms = 1000 * (time.process_time() - cpu_began_s)
         usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -149,7 +149,7 @@
             self._limit(team)
         cell.add_workers(self._plans)
         cell.wait_ready()
-        self._tell(
+        self._print(
             f'{CONTROLLERS_COUNT} controllers, {GATEWAYS_COUNT} gateways and '
             f'{len(self._plans)} workers are up; '
             f'{_fleets.FAILING_WORKER} fails everything'
@@ -183,7 +183,7 @@
         )
         began_s = time.monotonic()
         with testing.Callers(cell, work, self._recorder) as waiting:
-            self._wait(waiting, began_s, HAND_IN_AT)
+            self._wait(waiting, began_s, SUBMIT_AT)
             self._submit(callers)
             self._wait(waiting, began_s, GANG_AT)
             self._submit_gang(callers)
@@ -192,7 +192,7 @@
             self._wait(waiting, began_s, 1.0)
             until_ms = worker.now_ms()
             count = callers.cancel_queued()
-            self._tell(f'{count} queued tasks are cancelled')
+            self._print(f'{count} queued tasks are cancelled')
         return until_ms
 
     def _submit(self, callers: _durable.DurableCallers) -> None:
@@ -213,7 +213,7 @@
             ]
             callers.submit(team.team_id, _fleets.DURABLE_BATCH, tasks)
             submitted_count += len(tasks)
-        self._tell(
+        self._print(
             f'{len(_fleets.TEAMS)} teams submitted {submitted_count} tasks '
             f'for later and a service of {REPLICAS_COUNT} replicas'
         )
@@ -247,20 +247,20 @@
         ]
         team_id = messages.TeamId('engraving')
         callers.submit(team_id, _fleets.GANG, tasks, gang=True)
-        self._tell(f'{team_id} submitted a gang of {GANG_TASKS_COUNT}')
+        self._print(f'{team_id} submitted a gang of {GANG_TASKS_COUNT}')
 
     def _lose_leader(self, cell: _cell.EmbeddedCell) -> None:
         lost = cell.lose_leader()
         began_s = time.monotonic()
-        self._tell(f'the leader {lost} is lost')
+        self._print(f'the leader {lost} is lost')
         leader = cell.leader()
         took_ms = 1000 * (time.monotonic() - began_s)
-        self._tell(f'{leader} leads after {took_ms:.0f} ms')
+        self._print(f'{leader} leads after {took_ms:.0f} ms')
 
     def _finish(self, callers: _durable.DurableCallers) -> None:
         callers.collect(COLLECT_TIMEOUT_MS)
         callers.cancel_services()
-        self._tell('all ends were told; closing the cell')
+        self._print('all ends were reported; closing the cell')
 
     def _wait(
         self, waiting: testing.Callers, began_s: float, portion: float
@@ -270,7 +270,7 @@
         while (left_s := end_s - time.monotonic()) > 0:
             time.sleep(min(left_s, PROGRESS_EVERY_MS / 1000))
             count = waiting.answered_count()
-            self._tell(f'{count} waiting calls were answered so far')
+            self._print(f'{count} waiting calls were answered so far')
 
-    def _tell(self, text: str) -> None:
+    def _print(self, text: str) -> None:
         self._show(f'{time.monotonic() - self._began_s:6.1f} s  {text}')
--- a/dandeliondrum/embedded/_durable.py
+++ b/dandeliondrum/embedded/_durable.py
@@ -12,11 +12,11 @@
 
 ASKING_THREADS_COUNT = 4
 CANCEL_CHUNK = 40
-# What a waiting caller is told when its task failed on its worker.
+# What a waiting caller sees when its task failed on its worker.
 FAILED_STATUS = 500
 ASK_PAUSE_MS = 200
-HAND_IN_TRIES = 5
-HAND_IN_PAUSE_MS = 500
+SUBMIT_TRIES = 5
+SUBMIT_PAUSE_MS = 500
 
 _DOUBTFUL_ENDS = (
     messages.TaskState.CANCELLED.value,
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Seen:
-    """What a caller was told when it asked for an answer."""
+    """What a caller saw when it asked for an answer."""
 
     owed: _Owed
     reply: testing.HttpReply
@@ -159,7 +159,7 @@
         self._cancel(self._replicas)
 
     def collect(self, timeout_ms: int) -> None:
-        """Ask until the end of every task was told, or time is over.
+        """Ask until the end of every task was reported, or time is over.
 
         What is in doubt then stays so; what is still accepted is lost.
         """
@@ -170,7 +170,7 @@
             seen = self._ask_again()
         for each in seen:
             if each.reply.outcome == testing.OutcomeKind.IN_DOUBT.value:
-                self._tell(each)
+                self._report(each)
 
     def _sent(
         self,
@@ -193,18 +193,18 @@
     ) -> testing.HttpReply:
         """Make a call through one gateway after the other."""
         reply = testing.HttpReply(0, b'', {})
-        for number in range(HAND_IN_TRIES):
+        for number in range(SUBMIT_TRIES):
             gateways = self._cell.gateways
             reply = call(gateways[number % len(gateways)])
             if reply.outcome in ('accepted', 'refused_not_run'):
                 break
-            time.sleep(HAND_IN_PAUSE_MS / 1000)
+            time.sleep(SUBMIT_PAUSE_MS / 1000)
         return reply
 
     def _accepted(
         self, handed: list[_Owed], reply: testing.HttpReply
     ) -> list[_Owed]:
-        """Record what the caller was told; return what it is owed.
+        """Record what the caller saw; return what it is owed.
 
         Without a reply the job may be in the log: its tasks are asked for.
         """
@@ -214,11 +214,13 @@
         refused = _refused_ids(reply)
         owed = []
         for each in handed:
-            told = kind
+            outcome = kind
             if each.request_id in refused:
-                told = testing.OutcomeKind.REFUSED_NOT_RUN
-            self._recorder.told(each.sending_id, told, status=reply.status)
-            if told is testing.OutcomeKind.ACCEPTED:
+                outcome = testing.OutcomeKind.REFUSED_NOT_RUN
+            self._recorder.outcome(
+                each.sending_id, outcome, status=reply.status
+            )
+            if outcome is testing.OutcomeKind.ACCEPTED:
                 owed.append(each)
         return owed
 
@@ -248,7 +250,7 @@
         going_on = []
         for seen in all_seen:
             if _has_ended(seen):
-                self._tell(seen)
+                self._report(seen)
             else:
                 self._owed.append(seen.owed)
                 going_on.append(seen)
@@ -261,8 +263,8 @@
         )
         return _Seen(owed, reply)
 
-    def _tell(self, seen: _Seen) -> None:
-        self._recorder.told(
+    def _report(self, seen: _Seen) -> None:
+        self._recorder.outcome(
             seen.owed.sending_id,
             _KINDS[seen.reply.outcome],
             status=_status_of(seen),
--- a/dandeliondrum/embedded/_figures.py
+++ b/dandeliondrum/embedded/_figures.py
@@ -76,7 +76,7 @@
 
 
 def full_period(
-    told: collections.abc.Iterable[testing.Told],
+    sendings: collections.abc.Iterable[testing.SendingOutcomes],
     runs: collections.abc.Iterable[testing.Run],
     settling_ms: float,
     until_ms: float,
@@ -89,7 +89,7 @@
     started_ms = {run.start.task_id: run.start.at_ms for run in runs}
     sent_ms: dict[messages.TeamId, float] = {}
     waited_ms: dict[messages.TeamId, float] = {}
-    for each in told:
+    for each in sendings:
         sending = each.sending
         if sending.kind is not testing.SendingKind.DURABLE:
             continue
--- a/dandeliondrum/embedded/_summary.py
+++ b/dandeliondrum/embedded/_summary.py
@@ -11,12 +11,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Summary:
-    """What callers were told and what workers recorded, in numbers.
+    """What callers saw and what workers recorded, in numbers.
 
     ``requests`` are waiting calls and durable tasks; each is counted once as
-    answered, refused, in doubt or lost. ``failed`` of the answered ones were
-    told that their task failed. The replicas of services, which have no end,
-    are counted apart. Waits are those of waiting calls from their sending to
+    answered, refused, in doubt or lost. ``failed`` of the answered ones had a
+    failed task. The replicas of services, which have no end, are counted
+    apart. Waits are those of waiting calls from their sending to
     the first start, ``packing_ratio`` is the mean part of all processors in
     use, and ``share_error_max`` the largest distance of a team's part from
     its grant; the last two are None when the fleet was never full.
@@ -52,7 +52,7 @@
 
 
 def passed(summary: Summary) -> bool:
-    """Tell whether nothing happened that must never happen."""
+    """Return whether nothing happened that must never happen."""
     return not (
         summary.lost
         or summary.run_twice
@@ -71,8 +71,8 @@
     :func:`_figures.full_period` for ``settling_ms``.
     """
     runs = testing.runs(history, testing.CheckOptions().margin_ms)
-    told = testing.all_told(history)
-    period = _figures.full_period(told, runs, settling_ms, until_ms)
+    sendings = testing.all_sending_outcomes(history)
+    period = _figures.full_period(sendings, runs, settling_ms, until_ms)
     teams: tuple[_figures.TeamFigures, ...] = ()
     if period is not None:
         capacity = _figures.capacity_millicores(history)
@@ -81,9 +81,9 @@
     calls = [wait for name in ('urgent', 'batch') for wait in waits[name]]
     violations = testing.check(history)
     summary = Summary(
-        **_outcomes(told),
+        **_outcomes(sendings),
         **_broken(violations),
-        **_replicas(told, runs),
+        **_replicas(sendings, runs),
         wait_p50_ms=round(_figures.percentile(calls, 50), 1),
         wait_p99_ms=round(_figures.percentile(calls, 99), 1),
         packing_ratio=_sum_of([team.used_ratio for team in teams]),
@@ -112,11 +112,11 @@
     return waits
 
 
-def _outcomes(told: tuple[testing.Told, ...]) -> dict[str, int]:
-    """Count each request once, by what its caller was told in the end."""
+def _outcomes(sendings: tuple[testing.SendingOutcomes, ...]) -> dict[str, int]:
+    """Count each request once, by what its caller saw in the end."""
     counted: collections.Counter[testing.OutcomeKind] = collections.Counter()
     requests = failed = lost = 0
-    for each in told:
+    for each in sendings:
         if each.sending.kind is testing.SendingKind.SERVICE:
             continue
         requests += 1
@@ -155,11 +155,12 @@
 
 
 def _replicas(
-    told: tuple[testing.Told, ...], runs: tuple[testing.Run, ...]
+    sendings: tuple[testing.SendingOutcomes, ...],
+    runs: tuple[testing.Run, ...],
 ) -> dict[str, int]:
     wanted = {
         each.sending.task_id
-        for each in told
+        for each in sendings
         if each.sending.kind is testing.SendingKind.SERVICE
     }
     started = {run.start.task_id for run in runs}
--- a/dandeliondrum/embedded/_tables.py
+++ b/dandeliondrum/embedded/_tables.py
@@ -23,7 +23,7 @@
         'Packing and control cost',
         _cost(summary, cpu_ms, memory_peak_mb),
         '',
-        'What callers were told, and what must be 0',
+        'What callers saw, and what must be 0',
         _outcomes(summary),
     ]
     parts += [
--- a/dandeliondrum/embedded/tests/test_figures.py
+++ b/dandeliondrum/embedded/tests/test_figures.py
@@ -44,7 +44,7 @@
         )
 
     def sent(
-        self, task_id, at_ms=0, told=KINDS.ANSWERED, told_ms=None, **more
+        self, task_id, at_ms=0, outcome=KINDS.ANSWERED, outcome_ms=None, **more
     ):
         team_id, _, request_id = task_id.partition('/')
         sending = testing.Sending(
@@ -56,10 +56,10 @@
             **more,
         )
         self.sendings.append(sending)
-        if told is not None:
-            end_ms = at_ms + 1_000 if told_ms is None else told_ms
+        if outcome is not None:
+            end_ms = at_ms + 1_000 if outcome_ms is None else outcome_ms
             self.outcomes.append(
-                testing.Outcome(sending_id=task_id, at_ms=end_ms, kind=told)
+                testing.Outcome(sending_id=task_id, at_ms=end_ms, kind=outcome)
             )
         return self
 
@@ -105,7 +105,7 @@
 
 
 BAD = {
-    'lost': lambda: good().sent('figuring/b', told=None),
+    'lost': lambda: good().sent('figuring/b', outcome=None),
     'run_twice': lambda: good().ran('figuring/a', 600, 700, number=2),
     'overloaded_workers': lambda: good().ran('harbour/b', 200, 400, 4_000),
     'over_limit': lambda: (
@@ -113,7 +113,7 @@
     ),
     'other_violations': lambda: (
         good()
-        .sent('figuring/b', told=KINDS.REFUSED_NOT_RUN)
+        .sent('figuring/b', outcome=KINDS.REFUSED_NOT_RUN)
         .ran('figuring/b', 100, 200)
     ),
 }
@@ -129,11 +129,11 @@
 
 def test_each_request_is_counted_once():
     story = good()
-    story.sent('figuring/r', told=KINDS.REFUSED_NOT_RUN)
-    story.sent('figuring/d', told=KINDS.IN_DOUBT)
-    story.sent('figuring/l', told=None)
+    story.sent('figuring/r', outcome=KINDS.REFUSED_NOT_RUN)
+    story.sent('figuring/d', outcome=KINDS.IN_DOUBT)
+    story.sent('figuring/l', outcome=None)
     story.sent(
-        'figuring/s', told=KINDS.ACCEPTED, kind=testing.SendingKind.SERVICE
+        'figuring/s', outcome=KINDS.ACCEPTED, kind=testing.SendingKind.SERVICE
     )
     summary = story.summary()
     assert summary.requests == 4
@@ -144,7 +144,7 @@
 
 def test_an_accepted_task_without_an_end_is_lost():
     durable = testing.SendingKind.DURABLE
-    story = Story().sent('figuring/j', told=KINDS.ACCEPTED, kind=durable)
+    story = Story().sent('figuring/j', outcome=KINDS.ACCEPTED, kind=durable)
     assert story.summary().lost == 1
 
 
@@ -166,8 +166,8 @@
     for team in _fleets.TEAMS:
         story.sent(
             f'{team.team_id}/w',
-            told=KINDS.REFUSED_NOT_RUN,
-            told_ms=10_000,
+            outcome=KINDS.REFUSED_NOT_RUN,
+            outcome_ms=10_000,
             kind=testing.SendingKind.DURABLE,
         )
     story.ran('figuring/f', 0, 10_000, 6_000)
--- a/dandeliondrum/gateway/_answer_stream.py
+++ b/dandeliondrum/gateway/_answer_stream.py
@@ -24,8 +24,8 @@
 class AnswerStream:
     """One large answer on its way from a worker to a caller.
 
-    ``on_end`` is told how the attempt ended as soon as the head is there,
-    and decides whether the caller gets this answer.
+    ``on_end`` gets how the attempt ended as soon as the head is there, and
+    decides whether the caller gets this answer.
     """
 
     def __init__(
--- a/dandeliondrum/gateway/_call_reports.py
+++ b/dandeliondrum/gateway/_call_reports.py
@@ -1,4 +1,4 @@
-"""What one waiting call tells the leader about its attempts."""
+"""What one waiting call reports to the leader about its attempts."""
 
 from dandeliondrum.gateway import _dispatch
 from dandeliondrum.gateway import _reporter
@@ -13,7 +13,7 @@
         self._reported: set[messages.AttemptId] = set()
 
     def ended(self, ended: _dispatch.Ended) -> None:
-        """Tell how an attempt ended and where its answer lies."""
+        """Report how an attempt ended and where its answer lies."""
         self._report(
             messages.AttemptReport(
                 ended.attempt_id, ended.state, ended.place, '', ended.run_ms
@@ -26,7 +26,7 @@
         self._report(messages.AttemptReport(attempt_id, state, detail=why))
 
     def uncertain(self, attempt_id: messages.AttemptId, why: str) -> None:
-        """Tell that an attempt may have started."""
+        """Report that an attempt may have started."""
         state = messages.AttemptState.UNCERTAIN
         self._report(messages.AttemptReport(attempt_id, state, detail=why))
 
--- a/dandeliondrum/gateway/_dispatch.py
+++ b/dandeliondrum/gateway/_dispatch.py
@@ -28,7 +28,7 @@
     """The attempt ended and its answer lies at ``place``.
 
     ``body`` is the whole checked answer; it is None when the answer was cut
-    or went to a writer. ``streamed`` tells that a writer got some of it and
+    or went to a writer. ``streamed`` says that a writer got some of it and
     ``whole`` that it got all.
     """
 
@@ -175,7 +175,7 @@
         self._seen: dict[messages.AttemptId, None] = {}
 
     def first(self, attempt_id: messages.AttemptId) -> bool:
-        """Tell whether the attempt is new, and remember it."""
+        """Return whether the attempt is new, and remember it."""
         with self._lock:
             if attempt_id in self._seen:
                 return False
--- a/dandeliondrum/gateway/_durable.py
+++ b/dandeliondrum/gateway/_durable.py
@@ -102,7 +102,7 @@
 def report_of(
     start: messages.StartAttempt, outcome: _dispatch.StartOutcome
 ) -> messages.AttemptReport | None:
-    """Return what the leader is told about the start of a durable task.
+    """Return what the leader is sent about the start of a durable task.
 
     Of one that goes on it hears by the worker's heartbeats.
     """
--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -53,7 +53,7 @@
 class Gateway:
     """Serves callers, workers and operators over HTTP.
 
-    ``on_fatal`` is told of a broken invariant, so that the process can end.
+    ``on_fatal`` is called on a broken invariant, so that the process can end.
 
     Example::
 
@@ -81,7 +81,7 @@
         self._link = _leader_link.LeaderLink(
             options,
             _leader_link.LinkEvents(
-                self._on_up, self._on_start, self._waiters.tell_all
+                self._on_up, self._on_start, self._waiters.notify_all
             ),
             self._rules,
         )
@@ -114,7 +114,7 @@
         return self._servers[2].address
 
     def ready(self) -> bool:
-        """Tell whether callers should be sent here."""
+        """Return whether callers should be sent here."""
         return not self._services.readiness.problem()
 
     def start(self) -> result.Result[None, StartError]:
@@ -141,10 +141,10 @@
         return result.Success(None)
 
     def close(self) -> None:
-        """Tell the balancer, let open calls end, then stop.
+        """Notify the balancer, let open calls end, then stop.
 
         The time is bounded by the options; calls that still wait then are
-        told to send their id again.
+        asked to send their id again.
         """
         readiness = self._services.readiness
         if readiness.phase is _readiness.Phase.SERVING:
@@ -243,7 +243,7 @@
         """Hand a pushed start to who has its body."""
         if start.body is not None:
             self._durable.submit(start)
-        elif not self._waiters.tell_one(start):
+        elif not self._waiters.notify_one(start):
             if self._services.attempts_seen.first(start.attempt_id):
                 self._services.reporter.report(
                     messages.AttemptReport(
--- a/dandeliondrum/gateway/_heartbeats.py
+++ b/dandeliondrum/gateway/_heartbeats.py
@@ -47,7 +47,7 @@
             return result.Failure('the leader did not answer in time')
 
     def run(self, stopping: threading.Event) -> None:
-        """Send gathered heartbeats until told to stop."""
+        """Send gathered heartbeats until asked to stop."""
         while not stopping.is_set():
             try:
                 first = self._queue.get(timeout=IDLE_POLL_MS / 1000)
--- a/dandeliondrum/gateway/_http.py
+++ b/dandeliondrum/gateway/_http.py
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Problem:
-    """Why a call can't be served, as its caller is told."""
+    """Why a call can't be served, as its caller sees it."""
 
     status: int
     reason: str
@@ -58,7 +58,7 @@
         return self.request.remote_addr or ''
 
     def caller_left(self) -> bool:
-        """Tell whether the caller has closed or lost its connection."""
+        """Return whether the caller has closed or lost its connection."""
         return self._connection.left()
 
     def body(self, max_bytes: int) -> result.Result[bytes, Problem]:
--- a/dandeliondrum/gateway/_jobs.py
+++ b/dandeliondrum/gateway/_jobs.py
@@ -40,7 +40,7 @@
         )
 
     def submit_job(self, call: _http.Call) -> werkzeug.Response:
-        """Submit a job; each task is told about by itself."""
+        """Submit a job; each task is reported by itself."""
         return self._submit(
             call,
             self._body(call)
@@ -142,7 +142,7 @@
     """Answer when the leader did not take all chunks.
 
     Nothing was submitted if the first call had no effect; whether any of
-    the ids was submitted before, only the caller can tell.
+    the ids was submitted before, only the caller knows.
     """
     without_effect = not statuses and problem.status != 502
     vouched = _task_headers.says_first_sending(call)
--- a/dandeliondrum/gateway/_leader_calls.py
+++ b/dandeliondrum/gateway/_leader_calls.py
@@ -1,4 +1,4 @@
-"""Calls to the leader whose failure a caller is told."""
+"""Calls to the leader whose failure is reported to a caller."""
 
 import typing
 
--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -118,7 +118,7 @@
         )
 
     def run(self, stopping: threading.Event) -> None:
-        """Find the leader again and again until told to stop."""
+        """Find the leader again and again until asked to stop."""
         while not stopping.is_set() and not self._closed:
             self._try_each(stopping)
             stopping.wait(ROUND_PAUSE_MS / 1000)
@@ -133,7 +133,7 @@
                 stream.close()
 
     def answering(self) -> bool:
-        """Tell whether the leader answered a heartbeat a moment ago."""
+        """Return whether the leader answered a heartbeat a moment ago."""
         answered_ms = self._answered_ms
         if self._current is None or answered_ms is None:
             return False
@@ -147,7 +147,7 @@
         return utils.monotonic_ms() - self._down_since_ms
 
     def is_up(self) -> bool:
-        """Tell whether a registered stream is open."""
+        """Return whether a registered stream is open."""
         return self._current is not None
 
     def call_async(self, message: typing.Any) -> transport.CallFuture:
--- a/dandeliondrum/gateway/_options.py
+++ b/dandeliondrum/gateway/_options.py
@@ -1,4 +1,4 @@
-"""What a gateway has to be told before it starts."""
+"""What a gateway has to know before it starts."""
 
 import dataclasses
 
@@ -20,8 +20,8 @@
 
     ``start_wait_ms`` is how long a worker may hold a start or a question for
     an answer; a link that went silent is noticed within that time plus
-    ``silence_margin_ms``. A stop tells the balancer for ``drain_notice_ms``
-    that the gateway is not ready, then lets open calls end for at most
+    ``silence_margin_ms``. A stop reports not ready for
+    ``drain_notice_ms``, then lets open calls end for at most
     ``drain_max_ms``. A whole request has to arrive within ``arrival_ms``.
     """
 
--- a/dandeliondrum/gateway/_outcomes.py
+++ b/dandeliondrum/gateway/_outcomes.py
@@ -93,7 +93,7 @@
 def refused(
     request_id: str, problem: _http.Problem, not_run: bool
 ) -> werkzeug.Response:
-    """Return a refusal; ``not_run`` tells whether that may be claimed."""
+    """Return a refusal; ``not_run`` says whether that may be claimed."""
     outcome = Outcome.REFUSED_NOT_RUN if not_run else Outcome.IN_DOUBT
     return _http.problem_response(problem, headers_of(outcome, request_id))
 
--- a/dandeliondrum/gateway/_reporter.py
+++ b/dandeliondrum/gateway/_reporter.py
@@ -1,4 +1,4 @@
-"""Tells the leader what became of attempts, until it has confirmed it."""
+"""Reports to the leader what became of attempts, until it has confirmed it."""
 
 import functools
 import queue
@@ -46,7 +46,7 @@
         return self._unconfirmed_count
 
     def run(self, stopping: threading.Event) -> None:
-        """Send reports until told to stop."""
+        """Send reports until asked to stop."""
         while not stopping.is_set():
             batch = self._gather(stopping)
             if batch:
--- a/dandeliondrum/gateway/_rules.py
+++ b/dandeliondrum/gateway/_rules.py
@@ -1,4 +1,4 @@
-"""The rules that a gateway has in force, as the leader handed them down."""
+"""The rules that a gateway has in force, as the leader sent them."""
 
 import threading
 
--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -89,7 +89,7 @@
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
     def left(self) -> bool:
-        """Tell whether the other end has closed or lost the connection."""
+        """Return whether the other end has closed or lost the connection."""
         poll = select.poll()
         try:
             poll.register(self.socket, select.POLLRDHUP)
--- a/dandeliondrum/gateway/_submitter.py
+++ b/dandeliondrum/gateway/_submitter.py
@@ -81,7 +81,7 @@
             # The leader could not put it on record, or was deposed.
             self._retry(waiter)
         else:
-            waiter.tell(status)
+            waiter.notify(status)
 
     def _retry(self, waiter: _waiters.Waiter) -> None:
         self._timers.after(
--- a/dandeliondrum/gateway/_task_headers.py
+++ b/dandeliondrum/gateway/_task_headers.py
@@ -57,7 +57,7 @@
 
 
 def valid_name(text: str) -> bool:
-    """Tell whether a text may be an id or a name."""
+    """Return whether a text may be an id or a name."""
     return _NAME.fullmatch(text) is not None
 
 
@@ -187,12 +187,12 @@
 
 
 def is_vouched(call: _http.Call) -> bool:
-    """Tell whether the call's id, valid or not, was never sent before."""
+    """Return whether the call's id, valid or not, was never sent before."""
     if not call.header(PREFIX + 'Request-Id'):
         return True
     return says_first_sending(call)
 
 
 def says_first_sending(call: _http.Call) -> bool:
-    """Tell whether the caller vouches that it never sent this before."""
+    """Return whether the caller vouches that it never sent this before."""
     return call.header(PREFIX + 'First-Sending') == 'true'
--- a/dandeliondrum/gateway/_tasks.py
+++ b/dandeliondrum/gateway/_tasks.py
@@ -56,7 +56,7 @@
         )
 
     def show(self, call: _http.Call, request_id: str) -> werkzeug.Response:
-        """Tell where a task stands."""
+        """Return where a task stands."""
         match self._status(call, request_id):
             case result.Success(status):
                 return status_response(status)
--- a/dandeliondrum/gateway/_waiters.py
+++ b/dandeliondrum/gateway/_waiters.py
@@ -1,4 +1,4 @@
-"""Callers that wait for a task, and what they are told about it."""
+"""Callers that wait for a task, and what they are notified of."""
 
 import collections
 import queue
@@ -22,7 +22,7 @@
     """One caller's thread that waits for one task.
 
     ``vouched`` is true when the id was never sent before. As long as also
-    :meth:`may_be_known` is false, the gateway can tell by itself that the
+    :meth:`may_be_known` is false, the gateway knows by itself that the
     task did not run.
     """
 
@@ -43,7 +43,7 @@
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self._untaken: collections.deque[Event] = collections.deque()
 
-    def tell(self, event: Event) -> None:
+    def notify(self, event: Event) -> None:
         """Hand the waiting thread an event; never waits."""
         with self._lock:
             self._untaken.append(event)
@@ -63,7 +63,7 @@
         return event
 
     def has_news(self, attempt_id: messages.AttemptId) -> bool:
-        """Tell whether an event waits that overtakes this attempt.
+        """Return whether an event waits that overtakes this attempt.
 
         A status that only says that the task waits or runs does not, nor
         does the same start once more.
@@ -83,7 +83,7 @@
             self._known = self._known or had_effect
 
     def may_be_known(self) -> bool:
-        """Tell whether any leader may have seen the task."""
+        """Return whether any leader may have seen the task."""
         with self._lock:
             return self._known or self._submits_open > 0
 
@@ -121,20 +121,20 @@
             if not waiters:
                 del self._by_task[waiter.spec.task_id]
 
-    def tell_one(self, start: messages.StartAttempt) -> bool:
+    def notify_one(self, start: messages.StartAttempt) -> bool:
         """Give a start to one waiter; False when nobody waits."""
         with self._lock:
             waiters = self._by_task.get(start.spec.task_id)
             if not waiters:
                 return False
-            waiters[0].tell(start)
+            waiters[0].notify(start)
             return True
 
-    def tell_all(self, status: messages.TaskStatus) -> None:
+    def notify_all(self, status: messages.TaskStatus) -> None:
         """Give a status to everybody who waits for the task."""
         with self._lock:
             for waiter in self._by_task.get(status.task_id, ()):
-                waiter.tell(status)
+                waiter.notify(status)
 
     def snapshot(self) -> list[Waiter]:
         """Return all waiters of this moment."""
--- a/dandeliondrum/gateway/_waiting_call.py
+++ b/dandeliondrum/gateway/_waiting_call.py
@@ -29,7 +29,7 @@
 class WaitingCall:
     """Sees one task through, from submission to the caller's answer.
 
-    The thread waits for the leader's word; told to start an attempt, it
+    The thread waits for the leader's order; asked to start an attempt, it
     carries the body to the worker itself and waits there for the answer.
     """
 
@@ -271,7 +271,7 @@
         return self._is_final(ended)
 
     def _is_final(self, ended: _dispatch.Ended) -> bool:
-        """Tell whether no further attempt can follow this end."""
+        """Return whether no further attempt can follow this end."""
         match ended.state:
             case messages.AttemptState.FINISHED:
                 return True
@@ -288,12 +288,12 @@
             self._reports.ended(ended)
 
     def _tell_others(self, ended: _dispatch.Ended) -> None:
-        """Tell callers on this gateway that wait for the same task."""
+        """Notify callers on this gateway that wait for the same task."""
         state = messages.TaskState.DONE
         if ended.state is messages.AttemptState.FAILED:
             state = messages.TaskState.FAILED
         place = dataclasses.replace(ended.place, body=None)
-        self._services.waiters.tell_all(
+        self._services.waiters.notify_all(
             messages.TaskStatus(self._task.spec.task_id, state, answer=place)
         )
 
--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -34,7 +34,7 @@
     """One call to a worker.
 
     A call on which nothing moves for ``silence_ms`` is given up. So is one
-    that has no answer yet once ``given_up`` tells that its caller has better
+    that has no answer yet once ``given_up`` says that its caller has better
     news; it is asked about once a second. The whole call ends after
     ``timeout_ms``, unless that is 0.
     """
--- a/dandeliondrum/gateway/tests/fakes.py
+++ b/dandeliondrum/gateway/tests/fakes.py
@@ -42,7 +42,7 @@
 
 
 class Leader:
-    """Answers a gateway as a test tells it to.
+    """Answers a gateway as a test asks it to.
 
     ``on_submit(connection, call)`` returns the reply to ``SubmitTasks``;
     each other message is answered by what ``replies`` has for its class.
--- a/dandeliondrum/gateway/tests/test_leader_loss.py
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -48,7 +48,7 @@
         old.start_on(worker)
         with fakes.serving(old.address, new.address) as front:
             assert fakes.run(front).body == b'all the same'
-            # What the old leader did not hear is told to the new one.
+            # What the old leader did not hear is reported to the new one.
             fakes.until(new.reports)
     assert new.reports()[0].state is messages.AttemptState.FINISHED
 
@@ -193,7 +193,10 @@
 def test_the_rules_version_of_a_push_is_in_the_next_heartbeats(front, leader):
     leader.push(messages.RulesPush(messages.RulesVersion(9), ''))
     fakes.until(
-        lambda: leader.of(messages.GatewayHeartbeat)[-1].rules_version == 9
+        lambda: any(
+            heartbeat.rules_version == 9
+            for heartbeat in leader.of(messages.GatewayHeartbeat)[-1:]
+        )
     )
 
 
--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -58,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
-    """A worker that fits a step; ``has_room`` tells whether it does now."""
+    """A worker that fits a step; ``has_room`` says whether it does now."""
 
     worker_id: messages.WorkerId
     has_room: bool
--- a/dandeliondrum/jobs/_clock.py
+++ b/dandeliondrum/jobs/_clock.py
@@ -23,7 +23,7 @@
         return max(0, _offset_ms() - self._offset_ms)
 
     def suspended(self) -> bool:
-        """Tell whether it stood still for long enough to matter."""
+        """Return whether it stood still for long enough to matter."""
         return self.suspended_ms() >= SUSPENSION_MIN_MS
 
     def reset(self) -> None:
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -152,7 +152,7 @@
         self._resources.close()
 
     def leads(self) -> bool:
-        """Tell whether this controller decides at the moment."""
+        """Return whether this controller decides at the moment."""
         return self._leadership is not None and self.node.leading()
 
     def on_leading(self, term: messages.Term) -> None:
--- a/dandeliondrum/jobs/_gateway.py
+++ b/dandeliondrum/jobs/_gateway.py
@@ -71,7 +71,7 @@
         self._resources.close()
 
     def answering(self) -> bool:
-        """Tell whether a leader answered a moment ago."""
+        """Return whether a leader answered a moment ago."""
         return self._calls.link.answering()
 
     def know(
--- a/dandeliondrum/jobs/_health.py
+++ b/dandeliondrum/jobs/_health.py
@@ -47,7 +47,7 @@
         self._pause_ms[worker_id] = min(2 * pause_ms, LONGEST_PAUSE_MS)
 
     def suspended(self, worker_id: messages.WorkerId, now_ms: int) -> bool:
-        """Tell whether the worker is to be left out."""
+        """Return whether the worker is to be left out."""
         return now_ms < self._until_ms.get(worker_id, 0)
 
     def suspicion(self, worker_id: messages.WorkerId) -> int:
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -324,7 +324,7 @@
 
 
 def _failed(error: consensus.ProposeError) -> typing.Any:
-    """Return a reply that tells whether the command may still be applied."""
+    """Return a reply that says whether the command may still be applied."""
     if error.not_done:
         return messages.NotLeader()
     return messages.CallFailed(str(error.failure.value), False)
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -190,7 +190,7 @@
         return len(self._workers)
 
     def one_fits(self) -> bool:
-        """Tell whether one task alone would fit somewhere."""
+        """Return whether one task alone would fit somewhere."""
         return any(self._fits(one) for one in self._workers)
 
     def _run_gang(self) -> list[tuple[Placement, ...]]:
@@ -252,7 +252,7 @@
         )
 
     def team_has_room(self) -> bool:
-        """Tell whether the team may start one more task."""
+        """Return whether the team may start one more task."""
         room = self._team_room.get(self._demand.team_id)
         return room is None or self._demand.spec.resources.fits_in(room)
 
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -26,7 +26,7 @@
     CANCELLED = 'cancelled'
 
     def ended(self) -> bool:
-        """Tell whether nothing of the job is to be run any more."""
+        """Return whether nothing of the job is to be run any more."""
         return self not in (JobPhase.QUEUED, JobPhase.RUNNING)
 
 
@@ -54,13 +54,13 @@
     finished: bool = False
 
     def done(self) -> bool:
-        """Tell whether all tasks are done."""
+        """Return whether all tasks are done."""
         return self.finished or all(
             task.phase is TaskPhase.DONE for task in self.tasks
         )
 
     def idle(self) -> bool:
-        """Tell whether no task is assigned."""
+        """Return whether no task is assigned."""
         return all(task.phase is not TaskPhase.ASSIGNED for task in self.tasks)
 
 
@@ -81,7 +81,7 @@
         return tasks[key.index] if 0 <= key.index < len(tasks) else None
 
     def step_is_due(self, step: int) -> bool:
-        """Tell whether all steps before this one are done."""
+        """Return whether all steps before this one are done."""
         return all(
             self.steps[before].done() for before in self.spec.steps[step].after
         )
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -90,7 +90,7 @@
         self._suspension_lock = threading.Lock()
 
     def may_act(self) -> bool:
-        """Tell whether this process leads for certain.
+        """Return whether this process leads for certain.
 
         After a suspension a quorum has to confirm it, since another leader
         may have been elected meanwhile.
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -83,7 +83,7 @@
     """What a peer needs from the leader; calls are short but for record."""
 
     def may_act(self) -> bool:
-        """Tell whether this process still leads."""
+        """Return whether this process still leads."""
 
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Have ends agreed; False when that failed."""
@@ -162,7 +162,7 @@
     # Called by the leader.
 
     def usable(self) -> bool:
-        """Tell whether new tasks may be placed on the worker now."""
+        """Return whether new tasks may be placed on the worker now."""
         with self._lock:
             if self._ended or self._left or self._strangers_count:
                 return False
@@ -372,7 +372,7 @@
         return True
 
     def _is_lost(self, order: Order | None, run: int, number: int) -> bool:
-        """Tell whether a run that is not listed can't be running.
+        """Return whether a run that is not listed can't be running.
 
         A run without an order here was ordered by an earlier leader, whose
         token is shut out by the read itself.
@@ -563,7 +563,7 @@
         self._settle_by_stop(task, order)
 
     def _settle_by_stop(self, task: _specs.TaskKey, order: Order) -> None:
-        """Keep a run from starting late; the lists tell what it came to."""
+        """Keep a run from starting late; the lists show what it came to."""
         self.stop(task, order.run)
 
     def _send_stop(self, task: _specs.TaskKey, run: int) -> None:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -194,7 +194,7 @@
     # Events of the peers.
 
     def may_act(self) -> bool:
-        """Tell whether this process still leads."""
+        """Return whether this process still leads."""
         return self._term.may_act()
 
     def changed(self) -> None:
@@ -328,7 +328,7 @@
 def _is_unwanted(
     job: _records.JobRecord, key: _specs.TaskKey, run: int
 ) -> bool:
-    """Tell whether a run should stop.
+    """Return whether a run should stop.
 
     A gang's run has broken up when a member of the same run is not assigned
     any more without the gang being done.
--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -74,7 +74,7 @@
         return self.state.apply(self.index, messages.encode(command))
 
     def assign(self, task, run=1, worker_id='w1'):
-        """Assign one run; tell whether that was taken."""
+        """Assign one run; return whether that was taken."""
         assignment = _commands.RunAssignment(
             jobs.parse_task_key(task), run, messages.WorkerId(worker_id)
         )
--- a/dandeliondrum/messages/_gateway_calls.py
+++ b/dandeliondrum/messages/_gateway_calls.py
@@ -65,7 +65,7 @@
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayHeartbeat:
-    """Sent a few times a second; tells the rules version that is in force."""
+    """Sent a few times a second; names the rules version that is in force."""
 
     rules_version: _ids.RulesVersion
 
--- a/dandeliondrum/messages/_task.py
+++ b/dandeliondrum/messages/_task.py
@@ -15,7 +15,7 @@
     accelerators_count: int = 0
 
     def fits_in(self, other: 'Resources') -> bool:
-        """Tell whether these amounts are all within the other's."""
+        """Return whether these amounts are all within the other's."""
         return (
             self.cpu_millicores <= other.cpu_millicores
             and self.memory_mb <= other.memory_mb
--- a/dandeliondrum/messages/_worker_calls.py
+++ b/dandeliondrum/messages/_worker_calls.py
@@ -29,7 +29,7 @@
     """A worker's heartbeat.
 
     ``ended`` repeats each ended attempt until the answer to a heartbeat
-    acknowledges it. ``fenced`` names attempts that the worker was told to
+    acknowledges it. ``fenced`` names attempts that the worker was asked to
     stop and that now neither run nor ever will.
     """
 
--- a/dandeliondrum/observability/_server.py
+++ b/dandeliondrum/observability/_server.py
@@ -33,7 +33,7 @@
     """Serves /metrics, /healthz and /readyz on an address.
 
     ``address`` is ``host:port`` by IP number. Port 0 takes any free one;
-    once started, ``address`` tells which.
+    once started, ``address`` says which.
 
     Example::
 
--- a/dandeliondrum/placement/_admission.py
+++ b/dandeliondrum/placement/_admission.py
@@ -74,7 +74,7 @@
         timeout_ms: int,
         queued_max: int,
     ) -> result.Result[None, messages.RefusalReason]:
-        """Admit a task, or tell why not.
+        """Admit a task, or say why not.
 
         ``timeout_ms`` is what is left for waiting: the caller's timeout less
         the run time, as a high quantile (``Estimate.run_ms``); with the mean
--- a/dandeliondrum/placement/_aging.py
+++ b/dandeliondrum/placement/_aging.py
@@ -60,7 +60,7 @@
 
     @property
     def may_spend(self) -> bool:
-        """Tell whether an aged group may have a placement out of turn."""
+        """Return whether an aged group may have a placement out of turn."""
         return self._saved_work >= 0
 
     def due(self, now_ms: int) -> list[tuple[int, _Group]]:
--- a/dandeliondrum/placement/_fleet.py
+++ b/dandeliondrum/placement/_fleet.py
@@ -76,7 +76,7 @@
         self.held_slots_count += sign
 
     def has_room(self, resources: messages.Resources) -> bool:
-        """Tell whether the task fits in what is neither taken nor held."""
+        """Return whether the task fits in what is neither taken nor held."""
         return (
             self.eligible
             and self.slots_count - self.held_slots_count >= 1
@@ -88,7 +88,7 @@
         )
 
     def has_room_for_held(self) -> bool:
-        """Tell whether all that is held on this worker is free by now."""
+        """Return whether all that is held on this worker is free by now."""
         return (
             self.eligible
             and self.slots_count >= self.held_slots_count
--- a/dandeliondrum/placement/_full.py
+++ b/dandeliondrum/placement/_full.py
@@ -119,7 +119,7 @@
             task_id, 'it ran when this leader took office'
         )
         if self._state.victims.is_leaving(task_id):
-            why += '; it was told to leave'
+            why += '; it was asked to leave'
         return why
 
     def _place_singles(
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -85,13 +85,13 @@
         )
 
     def is_due(self, now_ms: int) -> bool:
-        """Tell whether a new reservation may be made now."""
+        """Return whether a new reservation may be made now."""
         return self._state.reservation is None and (
             self._retry_ms is None or now_ms >= self._retry_ms
         )
 
     def is_too_large(self, key: _gangs.GangKey) -> bool:
-        """Tell whether the eligible workers can't hold the gang."""
+        """Return whether the eligible workers can't hold the gang."""
         return key in self._too_large
 
     def _start(
@@ -215,7 +215,7 @@
         return 1, (used + added) / fair, gang.submitted_ms, gang.number
 
     def _is_aged(self, gang: _gangs.Gang, now_ms: int) -> bool:
-        """Tell whether a gang may come out of its turn."""
+        """Return whether a gang may come out of its turn."""
         return (
             now_ms - gang.submitted_ms >= AGED_MS
             and self._state.queues.aged.may_spend
--- a/dandeliondrum/placement/_gangs.py
+++ b/dandeliondrum/placement/_gangs.py
@@ -26,7 +26,7 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether all members that have to be together are here."""
+        """Return whether all members that have to be together are here."""
         return (
             bool(self.pending)
             and len(self.pending) + self.running_count >= self.size
@@ -93,7 +93,7 @@
         return found
 
     def has_ready(self) -> bool:
-        """Tell whether there may be a complete gang that waits."""
+        """Return whether there may be a complete gang that waits."""
         return bool(self._ready)
 
     def defer(self, gang: Gang) -> None:
--- a/dandeliondrum/placement/_index.py
+++ b/dandeliondrum/placement/_index.py
@@ -1,7 +1,7 @@
 """Index of workers by free capacity.
 
 Free processors and memory are rounded down to levels, four to an octave,
-and workers of equal levels share a bucket. Bit masks tell which buckets hold
+and workers of equal levels share a bucket. Bit masks show which buckets hold
 any worker, so a search costs a few operations on integers for each level of
 processors, however many workers there are.
 """
@@ -191,23 +191,23 @@
         low = cpu_mask & -cpu_mask
         cpu_mask ^= low
         cpu = low.bit_length() - 1
-        spare = cpu - need.cpu
-        if spare >= best_score:
+        left_over = cpu - need.cpu
+        if left_over >= best_score:
             break
         memory_mask = plane.memory_masks[cpu] >> need.memory
         while memory_mask:
             low = memory_mask & -memory_mask
             memory_mask ^= low
             memory = low.bit_length() - 1
-            if spare + memory >= best_score:
+            if left_over + memory >= best_score:
                 break
             bucket = plane.buckets[cpu * LEVELS_COUNT + memory + need.memory]
-            edge = not spare or not memory
+            edge = not left_over or not memory
             worker, cut = _pick(bucket, resources, edge, excluded)
             cut_short = cut_short or cut
             if worker is not None:
                 best = worker
-                best_score = spare + memory
+                best_score = left_over + memory
                 break
     return best, cut_short
 
@@ -220,7 +220,7 @@
 ) -> tuple[_fleet.Worker | None, bool]:
     """Return a worker of the bucket with room, looking at a few.
 
-    Also tells whether others were not looked at.
+    Also says whether others were not looked at.
     """
     if not edge and not excluded:
         for worker in bucket.values():
--- a/dandeliondrum/placement/_ledger.py
+++ b/dandeliondrum/placement/_ledger.py
@@ -85,7 +85,7 @@
         return running
 
     def why_never(self, task: _tasks.PendingTask) -> str | None:
-        """Tell why the task can't ever run here, or None if it may."""
+        """Say why the task can't ever run here, or None if it may."""
         account = self.teams.accounts.get(task.team_id)
         if account is None or account.grant is None:
             return f'team {task.team_id} is unknown'
--- a/dandeliondrum/placement/_offers.py
+++ b/dandeliondrum/placement/_offers.py
@@ -35,7 +35,7 @@
     bins: int
 
     def suits(self, task: _tasks.PendingTask, now_ms: int) -> bool:
-        """Tell whether the task can go to the worker."""
+        """Return whether the task can go to the worker."""
         if self.worker.worker_id in task.excluded_workers:
             return False
         if not self._is_home(task) and not _regions.may_cross(task, now_ms):
--- a/dandeliondrum/placement/_planner.py
+++ b/dandeliondrum/placement/_planner.py
@@ -153,7 +153,7 @@
         return worker.reserved()
 
     def explain(self, task_id: messages.TaskId) -> str:
-        """Tell an operator why a task waits, or why it is where it is."""
+        """Explain why a task waits, or why it is where it is."""
         task = self._ledger.pending.get(task_id)
         if task is not None:
             return 'waits: ' + self._policy.explain(task)
--- a/dandeliondrum/placement/_policy.py
+++ b/dandeliondrum/placement/_policy.py
@@ -41,10 +41,10 @@
         """Reserve at most so many placements and return them."""
 
     def explain(self, task: _tasks.PendingTask) -> str:
-        """Tell an operator why a pending task waits."""
+        """Explain to an operator why a pending task waits."""
 
     def explain_running(self, running: _tasks.RunningTask) -> str:
-        """Tell an operator why a task is where it is."""
+        """Explain to an operator why a task is where it is."""
 
 
 def why_waiting(
--- a/dandeliondrum/placement/_preemption.py
+++ b/dandeliondrum/placement/_preemption.py
@@ -122,7 +122,7 @@
         self._listed.discard(task_id)
 
     def is_leaving(self, task_id: messages.TaskId) -> bool:
-        """Tell whether the task was preempted already."""
+        """Return whether the task was preempted already."""
         return task_id in self._leaving
 
     def find(
@@ -160,7 +160,7 @@
         return None
 
     def mark(self, victims: Victims) -> None:
-        """Note that these tasks were told to leave."""
+        """Note that these tasks were asked to leave."""
         for running in victims.running:
             self._leaving.add(running.task.task_id)
 
@@ -264,7 +264,7 @@
 
     @property
     def enough(self) -> bool:
-        """Tell whether nothing is missing any more."""
+        """Return whether nothing is missing any more."""
         return (
             self._cpu <= 0
             and self._memory <= 0
--- a/dandeliondrum/placement/_ranking.py
+++ b/dandeliondrum/placement/_ranking.py
@@ -79,7 +79,7 @@
     def is_first(
         self, account: _shares.TeamAccount, task_class: messages.TaskClass
     ) -> bool:
-        """Tell whether a team's tasks of a class come before the rest."""
+        """Return whether a team's tasks of a class come before the rest."""
         share, urgent = self.places(account)
         if task_class is messages.TaskClass.URGENT:
             return urgent <= self.first_rank_limit()
--- a/dandeliondrum/placement/_regions.py
+++ b/dandeliondrum/placement/_regions.py
@@ -19,7 +19,7 @@
 
 
 def may_cross(task: _tasks.PendingTask, now_ms: int) -> bool:
-    """Tell whether a task has waited long enough to leave its region."""
+    """Return whether a task has waited long enough to leave its region."""
     return now_ms >= crossing_ms(task)
 
 
--- a/dandeliondrum/placement/_reservation.py
+++ b/dandeliondrum/placement/_reservation.py
@@ -41,7 +41,7 @@
         return list(found.values())
 
     def has_all(self) -> bool:
-        """Tell whether all the room is there; notes what is still awaited."""
+        """Return whether all the room is there; note what is awaited."""
         self.waiting = {
             worker.worker_id
             for worker in self.workers()
--- a/dandeliondrum/placement/_reserve.py
+++ b/dandeliondrum/placement/_reserve.py
@@ -16,7 +16,7 @@
 
 
 class UrgentReserve:
-    """Tells when batch tasks have to leave the rest to urgent ones."""
+    """Decides when batch tasks have to leave the rest to urgent ones."""
 
     def __init__(
         self, ledger: _ledger.Ledger, index: _fleet_index.FleetIndex
@@ -37,7 +37,7 @@
             self._running_count += sign
 
     def is_reached(self, now_ms: int) -> bool:
-        """Tell whether what is left is kept for urgent tasks."""
+        """Return whether what is left is kept for urgent tasks."""
         if self._last_ms is None or now_ms - self._last_ms > MEMORY_MS:
             return False
         totals = self._ledger.fleet.totals
--- a/dandeliondrum/placement/_shares.py
+++ b/dandeliondrum/placement/_shares.py
@@ -53,7 +53,7 @@
         self.held_resources = resources
 
     def allows(self, resources: messages.Resources, count: int = 1) -> bool:
-        """Tell whether more tasks, of this sum, stay within the limits."""
+        """Return whether more tasks, of this sum, stay within the limits."""
         grant = self.grant
         if grant is None:
             return False
@@ -81,7 +81,7 @@
         )
 
     def allows_held(self) -> bool:
-        """Tell whether the reserved gang is within the limits by now."""
+        """Return whether the reserved gang is within the limits by now."""
         count, resources = self.held_count, self.held_resources
         self.hold(0, messages.Resources(0, 0, 0))
         allowed = self.allows(resources, count)
@@ -153,6 +153,6 @@
         return account
 
     def granted(self, team_id: messages.TeamId) -> bool:
-        """Tell whether the team has a grant."""
+        """Return whether the team has a grant."""
         account = self.accounts.get(team_id)
         return account is not None and account.grant is not None
--- a/dandeliondrum/placement/_state.py
+++ b/dandeliondrum/placement/_state.py
@@ -131,7 +131,7 @@
             self.woken[worker.worker_id] = worker
 
     def is_contended(self, now_ms: int) -> bool:
-        """Tell whether a task waits for which there is no room."""
+        """Return whether a task waits for which there is no room."""
         waiting = self.queues.waiting()
         if waiting & self.queues.blocked:
             return True
--- a/dandeliondrum/placement/tests/test_admission.py
+++ b/dandeliondrum/placement/tests/test_admission.py
@@ -10,7 +10,7 @@
 
 SERVERS_COUNT = 20
 RUN_MS = 200
-# What a size learner would tell of run times between 100 and 300 ms.
+# What a size learner would say of run times between 100 and 300 ms.
 LEARNED_RUN_MS = 250
 TIMEOUT_MS = 1_000
 
--- a/dandeliondrum/rules/_authorize.py
+++ b/dandeliondrum/rules/_authorize.py
@@ -13,7 +13,7 @@
     queue: messages.QueueName,
     key: str,
 ) -> result.Result[None, messages.RefusalReason]:
-    """Tell whether work may be taken.
+    """Return whether work may be taken.
 
     A queue that is not open needs a key of the team. An open queue needs
     none; there ``team_id`` may be empty if the rule of the queue names the
--- a/dandeliondrum/settings/_gateway.py
+++ b/dandeliondrum/settings/_gateway.py
@@ -66,7 +66,7 @@
     )
     drain_notice_ms: int = _declare.parameter(
         _declare.Whole('ms', 0, 600_000),
-        'How long a planned stop tells the balancer that it is not ready '
+        'How long a planned stop reports itself as not ready '
         'before it closes its ports.',
         1_000,
     )
--- a/dandeliondrum/settings/_kinds.py
+++ b/dandeliondrum/settings/_kinds.py
@@ -12,7 +12,7 @@
     | _worker.WorkerSettings
 )
 
-# The field that tells which role a file is for.
+# The field that says which role a file is for.
 ROLE_FIELDS: collections.abc.Mapping[str, type[Settings]] = {
     'gateway_id': _gateway.GatewaySettings,
     'worker_id': _worker.WorkerSettings,
--- a/dandeliondrum/settings/_load.py
+++ b/dandeliondrum/settings/_load.py
@@ -53,7 +53,7 @@
 ) -> result.Result[_kinds.Settings, Problems]:
     """Return the settings of whichever role the file is for.
 
-    The role is told by the field that holds the id of the process.
+    The role follows from the field that holds the id of the process.
     """
     match _read(str(path)):
         case result.Success(text):
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -2,8 +2,8 @@
 
 from dandeliondrum.testing._callers import Callers
 from dandeliondrum.testing._callers import Work
-from dandeliondrum.testing._callers_checks import all_told
-from dandeliondrum.testing._callers_checks import Told
+from dandeliondrum.testing._callers_checks import all_sending_outcomes
+from dandeliondrum.testing._callers_checks import SendingOutcomes
 from dandeliondrum.testing._cell import Cell
 from dandeliondrum.testing._cell_calls import CELL_ID
 from dandeliondrum.testing._cell_calls import CellCalls
@@ -103,13 +103,13 @@
     'SendingKind',
     'Start',
     'TeamLimit',
-    'Told',
+    'SendingOutcomes',
     'Violation',
     'ViolationKind',
     'Withdrawal',
     'Work',
     'WorkerClient',
-    'all_told',
+    'all_sending_outcomes',
     'call',
     'check',
     'daemon',
--- a/dandeliondrum/testing/_callers.py
+++ b/dandeliondrum/testing/_callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep a cell busy and record what they were told."""
+"""Callers that keep a cell busy and record what they saw."""
 
 import collections.abc
 import concurrent.futures
@@ -56,9 +56,9 @@
 
 
 class Callers:
-    """Threads that send waiting calls until they are told to stop.
+    """Threads that send waiting calls until they are asked to stop.
 
-    A caller that gets no reply, or is told "in doubt", sends the same id
+    A caller that gets no reply, or sees "in doubt", sends the same id
     again through another gateway, as the client library does.
 
     Example::
@@ -138,7 +138,7 @@
             ended_s = time.monotonic()
             with self._lock:
                 self.waits_ms.append((ended_s, (ended_s - began_s) * 1000))
-        self._recorder.told(
+        self._recorder.outcome(
             sending_id,
             kind,
             status=reply.status,
@@ -170,19 +170,19 @@
     def _send_until_told(
         self, chance: random.Random, request: _Request
     ) -> _http.HttpReply | None:
-        """Send and send again; return the last thing that was told."""
+        """Send and send again; return the last reply."""
         end_s = time.monotonic() + PATIENCE_MS / 1000
-        told: _http.HttpReply | None = None
+        last: _http.HttpReply | None = None
         while time.monotonic() < end_s:
             reply = self._send(chance, request)
             if reply.outcome in ('answered', 'refused_not_run'):
                 return reply
             if reply.outcome:
-                told = reply
+                last = reply
                 if self._stopping.is_set():
-                    return told
+                    return last
             time.sleep(RESEND_PAUSE_MS / 1000)
-        return told
+        return last
 
     def _send(
         self, chance: random.Random, request: _Request
--- a/dandeliondrum/testing/_callers_checks.py
+++ b/dandeliondrum/testing/_callers_checks.py
@@ -1,4 +1,4 @@
-"""Checks of what callers were told."""
+"""Checks of what callers saw."""
 
 import collections
 import collections.abc
@@ -16,8 +16,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Told:
-    """A sending and all that its caller was told, oldest first."""
+class SendingOutcomes:
+    """A sending and all that its caller saw, oldest first."""
 
     sending: _history.Sending
     outcomes: tuple[_history.Outcome, ...]
@@ -38,7 +38,7 @@
 
     @property
     def refused(self) -> bool:
-        """Whether the caller was told that the task was not run."""
+        """Whether the caller was informed that the task was not run."""
         return (
             self.verdict is not None
             and self.verdict.kind is _history.OutcomeKind.REFUSED_NOT_RUN
@@ -50,20 +50,24 @@
         return self.verdict.at_ms if self.verdict is not None else math.inf
 
 
-def all_told(history: _history.History) -> tuple[Told, ...]:
+def all_sending_outcomes(
+    history: _history.History,
+) -> tuple[SendingOutcomes, ...]:
     """Return every sending with its outcomes."""
     grouped: dict[str, list[_history.Outcome]] = collections.defaultdict(list)
     for outcome in sorted(history.outcomes, key=lambda each: each.at_ms):
         grouped[outcome.sending_id].append(outcome)
     return tuple(
-        Told(sending, tuple(grouped[sending.sending_id]))
+        SendingOutcomes(sending, tuple(grouped[sending.sending_id]))
         for sending in sorted(history.sendings, key=lambda each: each.at_ms)
     )
 
 
-def check_lost(told: collections.abc.Iterable[Told]) -> _Violations:
+def check_lost(
+    sendings: collections.abc.Iterable[SendingOutcomes],
+) -> _Violations:
     """Find sendings whose caller never had an outcome."""
-    for each in told:
+    for each in sendings:
         if each.verdict is not None:
             continue
         if each.sending.kind is _history.SendingKind.SERVICE and each.outcomes:
@@ -76,9 +80,11 @@
         )
 
 
-def check_answers(told: collections.abc.Iterable[Told]) -> _Violations:
+def check_answers(
+    sendings: collections.abc.Iterable[SendingOutcomes],
+) -> _Violations:
     """Find answers that belong to another request."""
-    for each in told:
+    for each in sendings:
         for outcome in each.outcomes:
             wrong = _wrong_answer(each.sending, outcome)
             if wrong:
@@ -99,18 +105,20 @@
 
 
 def check_refusals(
-    told: collections.abc.Iterable[Told],
+    sendings: collections.abc.Iterable[SendingOutcomes],
     runs_by_task: dict[messages.TaskId, list[_runs.Run]],
 ) -> _Violations:
-    """Find tasks that ran although a caller was told that they did not.
+    """Find tasks that ran although a caller was informed that they did not.
 
     The same id may have been sent more than once. A start is excused by a
     sending that was not refused itself and that was under way together with
     the refused one or after it, by one of an earlier answer, and by one with
     another content.
     """
-    grouped: dict[messages.TaskId, list[Told]] = collections.defaultdict(list)
-    for each in told:
+    grouped: dict[messages.TaskId, list[SendingOutcomes]] = (
+        collections.defaultdict(list)
+    )
+    for each in sendings:
         grouped[each.sending.task_id].append(each)
     for task_id, same_id in grouped.items():
         for refused in same_id:
@@ -122,12 +130,14 @@
                         _Kind.RAN_AFTER_REFUSAL,
                         task_id,
                         f'{run.where} started at {run.start.at_ms}, '
-                        f'"not run" was told at {refused.ended_ms}',
+                        f'"not run" was reported at {refused.ended_ms}',
                     )
 
 
 def _excused(
-    refused: Told, same_id: collections.abc.Iterable[Told], start_ms: float
+    refused: SendingOutcomes,
+    same_id: collections.abc.Iterable[SendingOutcomes],
+    start_ms: float,
 ) -> bool:
     return any(
         not other.refused
@@ -137,7 +147,9 @@
     )
 
 
-def _may_have_caused(other: Told, refused: Told, start_ms: float) -> bool:
+def _may_have_caused(
+    other: SendingOutcomes, refused: SendingOutcomes, start_ms: float
+) -> bool:
     if other.sending.echo != refused.sending.echo:
         return True
     answered = (
--- a/dandeliondrum/testing/_cell_calls.py
+++ b/dandeliondrum/testing/_cell_calls.py
@@ -108,7 +108,7 @@
         )
 
     def is_ready(self, gateway: str) -> bool:
-        """Tell whether a gateway tells the balancer that it is ready."""
+        """Return whether a gateway reports itself ready."""
         address = self.addresses[f'{gateway}/operators']
         url = f'http://{address}/readyz'
         return _http.call(url, timeout_ms=1_000).status == 200
--- a/dandeliondrum/testing/_checker.py
+++ b/dandeliondrum/testing/_checker.py
@@ -17,13 +17,13 @@
     still wait for at its end counts as lost.
     """
     options = options or _violations.CheckOptions()
-    told = _callers_checks.all_told(history)
+    sendings = _callers_checks.all_sending_outcomes(history)
     runs = _runs.runs(history, options.margin_ms)
     by_task = _runs.by_task(runs)
     return (
-        *_callers_checks.check_lost(told),
-        *_callers_checks.check_answers(told),
-        *_callers_checks.check_refusals(told, by_task),
+        *_callers_checks.check_lost(sendings),
+        *_callers_checks.check_answers(sendings),
+        *_callers_checks.check_refusals(sendings, by_task),
         *_callers_checks.check_withdrawals(history, by_task, options),
         *_workers_checks.check_run_twice(history, by_task),
         *_workers_checks.check_two_places(by_task),
--- a/dandeliondrum/testing/_conformance_heartbeats.py
+++ b/dandeliondrum/testing/_conformance_heartbeats.py
@@ -35,19 +35,23 @@
     attempt_id = _finish(subject)
     for _ in range(2):
         heartbeat = subject.heartbeat(
-            lambda each: bool(each.ended), 'the end is told'
+            lambda each: bool(each.ended), 'the end is reported'
         )
         report = heartbeat.ended[0]
         if (report.attempt_id, report.state) != (attempt_id, _State.FINISHED):
             raise _subject.NotConforming(f'reported {report}')
-    subject.gateway.tell(acknowledged=(attempt_id,))
-    subject.heartbeat(lambda each: not each.ended, 'the end is no longer told')
+    subject.gateway.reply_with(acknowledged=(attempt_id,))
+    subject.heartbeat(
+        lambda each: not each.ended, 'the end is no longer reported'
+    )
 
 
 def drops_released_answers(subject: _Subject) -> None:
     """An answer is gone once a heartbeat's answer releases it."""
     attempt_id = _finish(subject)
-    subject.gateway.tell(acknowledged=(attempt_id,), release=(attempt_id,))
+    subject.gateway.reply_with(
+        acknowledged=(attempt_id,), release=(attempt_id,)
+    )
     gone = _fake_gateway.wait_for(
         lambda: subject.client.fetch(attempt_id).status in (404, 410),
         _subject.PATIENCE_MS,
@@ -64,7 +68,7 @@
     )
     _subject.expect(reply, 200)
     heartbeat = subject.heartbeat(
-        lambda each: bool(each.ended), 'the end is told'
+        lambda each: bool(each.ended), 'the end is reported'
     )
     place = heartbeat.ended[0].answer
     if place is None or place.body != reply.body:
@@ -76,7 +80,7 @@
     attempt_id = subject.new_attempt()
     reply = subject.start(attempt_id, subject.bodies.long)
     _subject.expect(reply, 202)
-    subject.gateway.tell(stop=(attempt_id,))
+    subject.gateway.reply_with(stop=(attempt_id,))
     heartbeat = subject.heartbeat(
         lambda each: bool(each.fenced), 'it is fenced'
     )
@@ -89,7 +93,7 @@
 def vouches_for_what_never_started(subject: _Subject) -> None:
     """A stop of an unknown attempt keeps it from ever starting."""
     attempt_id = subject.new_attempt()
-    subject.gateway.tell(stop=(attempt_id,))
+    subject.gateway.reply_with(stop=(attempt_id,))
     heartbeat = subject.heartbeat(
         lambda each: bool(each.fenced), 'it is fenced'
     )
@@ -137,15 +141,15 @@
 
 
 def begins_again_when_it_is_unknown(subject: _Subject) -> None:
-    """Told to announce again it drops all and changes its incarnation."""
+    """Asked to announce again it drops all and changes its incarnation."""
     attempt_id = subject.new_attempt()
     reply = subject.start(attempt_id, subject.bodies.long)
     _subject.expect(reply, 202)
     before = subject.facts
     count = len(subject.gateway.announced)
-    subject.gateway.tell(announce_again=True)
+    subject.gateway.reply_with(announce_again=True)
     subject.heartbeat(lambda _: True, 'anything is said')
-    subject.gateway.tell()
+    subject.gateway.reply_with()
     facts = subject.gateway.wait_for_announcement(
         _subject.PATIENCE_MS, count + 1
     )
--- a/dandeliondrum/testing/_fake_gateway.py
+++ b/dandeliondrum/testing/_fake_gateway.py
@@ -30,7 +30,7 @@
 class FakeGateway:
     """Answers announcements and heartbeats and keeps what it heard.
 
-    ``answering`` cleared makes it fail every call. What ``tell`` is given
+    ``answering`` cleared makes it fail every call. What ``reply_with`` gets
     goes into each answer to a heartbeat until it is changed.
 
     Example::
@@ -73,7 +73,7 @@
         self._server.stop()
         self._thread.join()
 
-    def tell(self, **orders: typing.Any) -> None:
+    def reply_with(self, **orders: typing.Any) -> None:
         """Set what the next heartbeats are answered with."""
         with self._lock:
             self._orders = messages.WorkerHeartbeatReply(
--- a/dandeliondrum/testing/_history.py
+++ b/dandeliondrum/testing/_history.py
@@ -21,7 +21,7 @@
 
 
 class OutcomeKind(enum.Enum):
-    """What a caller was told; ``ACCEPTED`` is no end."""
+    """What a caller saw; ``ACCEPTED`` is no end."""
 
     ANSWERED = 'answered'
     REFUSED_NOT_RUN = 'refused_not_run'
@@ -62,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Outcome:
-    """What the caller of one sending was told.
+    """What the caller of one sending saw.
 
     A sending may have several: accepted and later answered, or in doubt and
     later resolved. ``echo`` and ``task_id`` come from the answer itself and
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -159,7 +159,7 @@
         ).status
 
     def ready(self, number: int = 0) -> bool:
-        """Tell whether a gateway reports itself ready."""
+        """Return whether a gateway reports itself ready."""
         url = f'http://{self.readiness[number]}/ready'
         return _http.call(url, timeout_ms=CALL_TIMEOUT_MS).status == 200
 
--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -180,7 +180,7 @@
             ) from None
 
     def is_running(self, name: str) -> bool:
-        """Tell whether a process runs, frozen or not."""
+        """Return whether a process runs, frozen or not."""
         process = self._processes.get(name)
         return process is not None and process.poll() is None
 
--- a/dandeliondrum/testing/_recorder.py
+++ b/dandeliondrum/testing/_recorder.py
@@ -1,4 +1,4 @@
-"""Collects what callers and operators did and were told."""
+"""Collects what callers and operators did and saw."""
 
 import itertools
 import threading
@@ -16,7 +16,7 @@
 
         sending_id = recorder.sent(team_id=team, request_id='r1', ...)
         ...
-        recorder.told(sending_id, testing.OutcomeKind.ANSWERED, echo='r1')
+        recorder.outcome(sending_id, testing.OutcomeKind.ANSWERED, echo='r1')
         violations = testing.check(recorder.history(worker.events()))
     """
 
@@ -39,13 +39,13 @@
             )
         return sending_id
 
-    def told(
+    def outcome(
         self,
         sending_id: str,
         kind: _history.OutcomeKind,
         **fields: typing.Any,
     ) -> None:
-        """Record what the caller of a sending is told now."""
+        """Record what the caller of a sending sees now."""
         with self._lock:
             self._outcomes.append(
                 _history.Outcome(
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -196,7 +196,7 @@
 
     @contextlib.contextmanager
     def _alone(self, *names: str) -> collections.abc.Iterator[bool]:
-        """Strike processes that no other fault has; tell whether it may."""
+        """Strike processes that no other fault has; return whether it may."""
         with self._lock:
             free = not self._busy.intersection(names)
             if free:
--- a/dandeliondrum/testing/_soak_callers.py
+++ b/dandeliondrum/testing/_soak_callers.py
@@ -134,7 +134,7 @@
                 self._judge.add(f'an old document at controller {number}')
 
     def _submit(self, job_id: jobs.JobId, body: bytes) -> bool:
-        """Send until the answer is final; tell whether it was accepted."""
+        """Send until the answer is final; return whether it was accepted."""
         end_s = time.monotonic() + SUBMIT_TIMEOUT_S
         number = 0
         while time.monotonic() < end_s and not self._aborted.is_set():
--- a/dandeliondrum/testing/_subject.py
+++ b/dandeliondrum/testing/_subject.py
@@ -101,17 +101,17 @@
         self.gateway.answer_delay_ms = 0
         started = tuple(self._started)
         self._started.clear()
-        self.gateway.tell(stop=started)
+        self.gateway.reply_with(stop=started)
         self.heartbeat(
             lambda heartbeat: set(started) <= set(heartbeat.fenced),
             'all that was stopped is fenced',
         )
-        self.gateway.tell(acknowledged=started, release=started)
+        self.gateway.reply_with(acknowledged=started, release=started)
         self.heartbeat(
             lambda heartbeat: not heartbeat.ended and not heartbeat.fenced,
             'nothing is left to acknowledge',
         )
-        self.gateway.tell()
+        self.gateway.reply_with()
 
 
 def expect(
--- a/dandeliondrum/testing/_worker_client.py
+++ b/dandeliondrum/testing/_worker_client.py
@@ -82,7 +82,7 @@
         return self.call('GET', _path(attempt_id) + '/answer', headers)
 
     def drop(self, attempt_id: str) -> Reply:
-        """Tell that the answer has arrived."""
+        """Report that the answer has arrived."""
         return self.call('DELETE', _path(attempt_id) + '/answer')
 
     def stop(self, attempt_id: str) -> Reply:
--- a/dandeliondrum/testing/_workers_checks.py
+++ b/dandeliondrum/testing/_workers_checks.py
@@ -146,7 +146,7 @@
     left_ms = {
         (event.worker_id, event.incarnation): event.at_ms
         for event in history.worker_events
-        if event.kind is worker.EventKind.LEAVING_TOLD
+        if event.kind is worker.EventKind.LEAVING_ACKNOWLEDGED
     }
     for event in history.worker_events:
         key = (event.worker_id, event.incarnation)
--- a/dandeliondrum/testing/tests/test_checker.py
+++ b/dandeliondrum/testing/tests/test_checker.py
@@ -10,7 +10,7 @@
 
 Kind = worker.EventKind
 Wrong = testing.ViolationKind
-Told = testing.OutcomeKind
+KINDS = testing.OutcomeKind
 State = messages.AttemptState
 
 SMALL = messages.Resources(1_000, 1_000)
@@ -51,7 +51,7 @@
             )
         )
 
-    def sent(self, request_id, at_ms, outcome=None, told_ms=None, **fields):
+    def sent(self, request_id, at_ms, outcome=None, outcome_ms=None, **fields):
         sending_id = str(next(self._numbers))
         fields.setdefault('team_id', 'team')
         fields.setdefault('idempotent', False)
@@ -64,10 +64,10 @@
             )
         )
         if outcome is not None:
-            self.told(sending_id, outcome, told_ms)
+            self.outcome(sending_id, outcome, outcome_ms)
         return sending_id
 
-    def told(self, sending_id, kind, at_ms, **fields):
+    def outcome(self, sending_id, kind, at_ms, **fields):
         self.outcomes.append(
             testing.Outcome(
                 sending_id=sending_id, at_ms=at_ms, kind=kind, **fields
@@ -111,24 +111,24 @@
 def answered(story, request_id='r', from_ms=100, until_ms=200, **fields):
     """One request from its sending to its answer."""
     story.sent(
-        request_id, from_ms - 10, Told.ANSWERED, until_ms + 10, **fields
+        request_id, from_ms - 10, KINDS.ANSWERED, until_ms + 10, **fields
     )
     story.ran(f'team/{request_id}#1', 'w1', from_ms, until_ms)
 
 
 def test_a_clean_history_has_nothing_wrong(story):
     answered(story)
-    accepted = story.sent('job', 10, Told.ACCEPTED, 20)
+    accepted = story.sent('job', 10, KINDS.ACCEPTED, 20)
     story.ran('team/job#1', 'w2', 30, 40)
-    story.told(accepted, Told.ANSWERED, 50, task_id='team/job')
-    story.sent('full', 10, Told.REFUSED_NOT_RUN, 20)
-    doubtful = story.sent('doubt', 10, Told.IN_DOUBT, 20)
+    story.outcome(accepted, KINDS.ANSWERED, 50, task_id='team/job')
+    story.sent('full', 10, KINDS.REFUSED_NOT_RUN, 20)
+    doubtful = story.sent('doubt', 10, KINDS.IN_DOUBT, 20)
     story.ran('team/doubt#1', 'w2', 50, 60)
-    story.told(doubtful, Told.ANSWERED, 90)
+    story.outcome(doubtful, KINDS.ANSWERED, 90)
     replicas = story.sent(
         'service', 10, kind=testing.SendingKind.SERVICE, idempotent=True
     )
-    story.told(replicas, Told.ACCEPTED, 20)
+    story.outcome(replicas, KINDS.ACCEPTED, 20)
     story.ran('team/service#1', 'w2', 100)
     assert story.check() == ()
 
@@ -139,7 +139,7 @@
 
 
 def test_an_accepted_job_without_an_end_is_lost(story):
-    story.sent('r', 10, Told.ACCEPTED, 20)
+    story.sent('r', 10, KINDS.ACCEPTED, 20)
     assert story.wrong() == [Wrong.LOST]
 
 
@@ -174,7 +174,7 @@
 
 @pytest.mark.parametrize('killed_ms', [150, 350])
 def test_a_killed_worker_runs_nothing_from_then_on(story, killed_ms):
-    story.sent('r', 90, Told.ANSWERED, 410, idempotent=True)
+    story.sent('r', 90, KINDS.ANSWERED, 410, idempotent=True)
     story.ran('team/r#1', 'w1', 100)
     story.outages.append(
         testing.Outage('w1', testing.OutageKind.KILLED, killed_ms, killed_ms)
@@ -188,7 +188,7 @@
 def test_an_attempt_without_an_end_goes_on_until_its_worker_begins_anew(
     story,
 ):
-    story.sent('r', 90, Told.ANSWERED, 410, idempotent=True)
+    story.sent('r', 90, KINDS.ANSWERED, 410, idempotent=True)
     story.ran('team/r#1', 'w1', 100)
     story.begun('w1', 301)
     story.ran('team/r#2', 'w2', 300, 400)
@@ -199,7 +199,7 @@
 def test_a_lease_ends_an_attempt_in_time_only_if_its_worker_froze(
     story, frozen
 ):
-    story.sent('r', 90, Told.ANSWERED, 410, idempotent=True)
+    story.sent('r', 90, KINDS.ANSWERED, 410, idempotent=True)
     story.ran('team/r#1', 'w1', 100, 5_000, reason='lease', expired_ms=250)
     story.ran('team/r#2', 'w2', 300, 400)
     if frozen:
@@ -210,7 +210,7 @@
 
 
 def test_a_thawed_worker_that_goes_on_past_its_lease(story):
-    story.sent('r', 90, Told.ANSWERED, 410, idempotent=True)
+    story.sent('r', 90, KINDS.ANSWERED, 410, idempotent=True)
     story.ran('team/r#1', 'w1', 100, 5_000)
     story.ran('team/r#2', 'w2', 300, 400)
     story.outages.append(
@@ -220,7 +220,7 @@
 
 
 def test_a_frozen_worker_that_is_killed_ran_until_it_froze(story):
-    story.sent('r', 90, Told.ANSWERED, 410, idempotent=True)
+    story.sent('r', 90, KINDS.ANSWERED, 410, idempotent=True)
     story.ran('team/r#1', 'w1', 100)
     story.ran('team/r#2', 'w2', 300, 400)
     story.outages += [
@@ -232,58 +232,58 @@
 
 @pytest.mark.parametrize('start_ms', [15, 20_000])
 def test_work_that_ran_although_it_was_refused(story, start_ms):
-    story.sent('r', 10, Told.REFUSED_NOT_RUN, 20)
+    story.sent('r', 10, KINDS.REFUSED_NOT_RUN, 20)
     story.ran('team/r#1', 'w1', start_ms, start_ms + 5)
     assert story.wrong() == [Wrong.RAN_AFTER_REFUSAL]
 
 
 def test_a_refused_request_may_be_sent_again_and_run(story):
-    story.sent('r', 10, Told.REFUSED_NOT_RUN, 20)
-    story.sent('r', 30, Told.REFUSED_NOT_RUN, 40)
-    story.sent('r', 50, Told.ANSWERED, 90)
+    story.sent('r', 10, KINDS.REFUSED_NOT_RUN, 20)
+    story.sent('r', 30, KINDS.REFUSED_NOT_RUN, 40)
+    story.sent('r', 50, KINDS.ANSWERED, 90)
     story.ran('team/r#1', 'w1', 60, 70)
     assert story.check() == ()
 
 
 def test_a_later_sending_excuses_no_start_before_it(story):
-    story.sent('r', 10, Told.REFUSED_NOT_RUN, 20)
-    story.sent('r', 50, Told.IN_DOUBT, 90)
+    story.sent('r', 10, KINDS.REFUSED_NOT_RUN, 20)
+    story.sent('r', 50, KINDS.IN_DOUBT, 90)
     story.ran('team/r#1', 'w1', 45, 47)
     assert story.wrong() == [Wrong.RAN_AFTER_REFUSAL]
 
 
 def test_not_run_after_a_doubt_in_which_it_ran(story):
-    story.sent('r', 10, Told.IN_DOUBT, 20)
+    story.sent('r', 10, KINDS.IN_DOUBT, 20)
     story.ran('team/r#1', 'w1', 15, 18)
-    story.sent('r', 30, Told.REFUSED_NOT_RUN, 40)
+    story.sent('r', 30, KINDS.REFUSED_NOT_RUN, 40)
     assert story.wrong() == [Wrong.RAN_AFTER_REFUSAL]
 
 
 def test_a_doubt_that_is_resolved_as_not_run_counts_as_not_run(story):
-    sending_id = story.sent('r', 10, Told.IN_DOUBT, 20)
+    sending_id = story.sent('r', 10, KINDS.IN_DOUBT, 20)
     story.ran('team/r#1', 'w1', 15, 18)
-    story.told(sending_id, Told.REFUSED_NOT_RUN, 500)
+    story.outcome(sending_id, KINDS.REFUSED_NOT_RUN, 500)
     assert story.wrong() == [Wrong.RAN_AFTER_REFUSAL]
 
 
 def test_a_refusal_of_another_content_says_nothing_of_the_first(story):
-    story.sent('r', 10, Told.ANSWERED, 40, echo='')
+    story.sent('r', 10, KINDS.ANSWERED, 40, echo='')
     story.ran('team/r#1', 'w1', 15, 18)
-    story.sent('r', 50, Told.REFUSED_NOT_RUN, 60, echo='other')
+    story.sent('r', 50, KINDS.REFUSED_NOT_RUN, 60, echo='other')
     assert story.check() == ()
 
 
 def test_a_refusal_of_another_content_excuses_an_earlier_doubt(story):
-    story.sent('r', 10, Told.IN_DOUBT, 20, echo='mine')
+    story.sent('r', 10, KINDS.IN_DOUBT, 20, echo='mine')
     story.ran('team/r#1', 'w1', 15, 18)
-    story.sent('r', 50, Told.REFUSED_NOT_RUN, 60, echo='other')
+    story.sent('r', 50, KINDS.REFUSED_NOT_RUN, 60, echo='other')
     assert story.check() == ()
 
 
 def test_an_earlier_answer_excuses_no_start_after_it(story):
-    story.sent('r', 10, Told.ANSWERED, 40, idempotent=True)
+    story.sent('r', 10, KINDS.ANSWERED, 40, idempotent=True)
     story.ran('team/r#1', 'w1', 15, 18)
-    story.sent('r', 50, Told.REFUSED_NOT_RUN, 60, idempotent=True)
+    story.sent('r', 50, KINDS.REFUSED_NOT_RUN, 60, idempotent=True)
     story.ran('team/r#2', 'w1', 80, 90)
     assert story.wrong() == [Wrong.RAN_AFTER_REFUSAL]
 
@@ -291,15 +291,15 @@
 def test_the_answer_of_another_request(story):
     sending_id = story.sent('r', 10, echo='mine')
     story.ran('team/r#1', 'w1', 15, 18)
-    story.told(sending_id, Told.ANSWERED, 20, echo='theirs')
+    story.outcome(sending_id, KINDS.ANSWERED, 20, echo='theirs')
     assert story.wrong() == [Wrong.WRONG_ANSWER]
 
 
 def test_the_answer_of_another_task_with_the_same_echo(story):
     sending_id = story.sent('r', 10, echo='same')
     story.ran('team/r#1', 'w1', 15, 18)
-    story.told(
-        sending_id, Told.ANSWERED, 20, echo='same', task_id='team/other'
+    story.outcome(
+        sending_id, KINDS.ANSWERED, 20, echo='same', task_id='team/other'
     )
     assert story.wrong() == [Wrong.WRONG_ANSWER]
 
@@ -312,7 +312,7 @@
 
 def test_a_worker_with_more_memory_in_use_than_it_has(story):
     for number in range(2):
-        story.sent(f'r{number}', 10, Told.ANSWERED, 300)
+        story.sent(f'r{number}', 10, KINDS.ANSWERED, 300)
         story.ran(
             f'team/r{number}#1',
             'w1',
@@ -349,7 +349,7 @@
 def test_a_team_above_its_limit_across_workers(story, limit):
     story.limits.append(testing.TeamLimit(team_id='team', **limit))
     answered(story, 'a')
-    story.sent('b', 10, Told.ANSWERED, 300)
+    story.sent('b', 10, KINDS.ANSWERED, 300)
     story.ran('team/b#1', 'w2', 150, 250)
     assert story.wrong() == [Wrong.TEAM_OVER_LIMIT]
 
@@ -381,7 +381,7 @@
 @pytest.mark.parametrize('start_ms, good', [(4_900, True), (5_100, False)])
 def test_a_start_for_a_withdrawn_key(story, start_ms, good):
     story.withdrawals.append(testing.Withdrawal(key_id='k1', at_ms=1_000))
-    story.sent('r', 100, Told.ANSWERED, 9_000, key_id='k1')
+    story.sent('r', 100, KINDS.ANSWERED, 9_000, key_id='k1')
     story.ran('team/r#1', 'w1', start_ms, start_ms + 10)
     expected = [] if good else [Wrong.WITHDRAWN_KEY]
     assert story.wrong(withdrawal_ms=3_000, margin_ms=1_000) == expected
@@ -389,19 +389,19 @@
 
 def test_work_that_another_key_was_sent_with_may_start(story):
     story.withdrawals.append(testing.Withdrawal(key_id='k1', at_ms=1_000))
-    story.sent('r', 100, Told.IN_DOUBT, 200, key_id='k1')
-    story.sent('r', 5_000, Told.ANSWERED, 9_000, key_id='k2')
+    story.sent('r', 100, KINDS.IN_DOUBT, 200, key_id='k1')
+    story.sent('r', 5_000, KINDS.ANSWERED, 9_000, key_id='k2')
     story.ran('team/r#1', 'w1', 6_000, 6_010)
     assert story.check() == ()
 
 
 def test_queued_work_of_a_withdrawn_key_may_be_allowed(story):
     story.withdrawals.append(testing.Withdrawal(key_id='k1', at_ms=1_000))
-    story.sent('r', 100, Told.ANSWERED, 99_000, key_id='k1')
+    story.sent('r', 100, KINDS.ANSWERED, 99_000, key_id='k1')
     story.ran('team/r#1', 'w1', LONG_MS, LONG_MS + 10)
     assert story.wrong() == [Wrong.WITHDRAWN_KEY]
     assert story.check(withdrawn_queued_may_start=True) == ()
-    story.sent('new', 1_100, Told.ANSWERED, 99_000, key_id='k1')
+    story.sent('new', 1_100, KINDS.ANSWERED, 99_000, key_id='k1')
     story.ran('team/new#1', 'w1', LONG_MS, LONG_MS + 10)
     assert story.wrong(withdrawn_queued_may_start=True) == [
         Wrong.WITHDRAWN_KEY
@@ -412,7 +412,7 @@
 @pytest.mark.parametrize('refused', [True, False])
 def test_work_sent_to_a_leaving_worker(story, start_ms, good, refused):
     story.event(Kind.LEAVING, 'w1', 500)
-    story.event(Kind.LEAVING_TOLD, 'w1', 1_000)
+    story.event(Kind.LEAVING_ACKNOWLEDGED, 'w1', 1_000)
     if refused:
         story.event(
             Kind.REFUSED,
@@ -435,7 +435,7 @@
     assert [each.kind for each in testing.check(recorder.history(()))] == [
         Wrong.LOST
     ]
-    recorder.told(sending_id, Told.ANSWERED, echo='x')
+    recorder.outcome(sending_id, KINDS.ANSWERED, echo='x')
     recorder.withdrawn('k1')
     recorder.limited('team', running_max=1)
     history = recorder.history(())
--- a/dandeliondrum/testing/tests/test_processes.py
+++ b/dandeliondrum/testing/tests/test_processes.py
@@ -13,6 +13,8 @@
 from dandeliondrum import worker
 
 PATIENCE_MS = 20_000
+# Leaves a start on a busy machine time to arrive before its lease ends.
+LEASE_MS = 3_000
 FROZEN_MS = worker.START_FRESHNESS_MS + 200
 Kind = worker.EventKind
 Outage = testing.OutageKind
@@ -165,10 +167,10 @@
 
 
 def test_a_thawed_worker_has_stopped_what_its_lease_does_not_cover(rig):
-    reply = rig.start('team/a#1', 1, body=b'{"hang": true}', lease_ms=700)
+    reply = rig.start('team/a#1', 1, body=b'{"hang": true}', lease_ms=LEASE_MS)
     assert reply.status == 202
     rig.processes.freeze('w1')
-    time.sleep(1.2)
+    time.sleep(1.25 * LEASE_MS / 1000)
     rig.processes.thaw('w1')
     assert rig.client.fetch('team/a#1', wait_ms=PATIENCE_MS).state == 'stopped'
     (end,) = rig.events(Kind.END)
@@ -185,7 +187,7 @@
     rig.processes.freeze('w1')
     with concurrent.futures.ThreadPoolExecutor(1) as executor:
         call = executor.submit(rig.start, 'team/a#1', 1, wait_ms=1_000)
-        rig.gateway.tell(stop=('team/a#1',))
+        rig.gateway.reply_with(stop=('team/a#1',))
         frozen_ms = worker.now_ms()
         testing.wait_for(
             lambda: worker.now_ms() - frozen_ms > FROZEN_MS, PATIENCE_MS
--- a/dandeliondrum/transport/_connection.py
+++ b/dandeliondrum/transport/_connection.py
@@ -39,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Callbacks:
-    """What the owner of a connection wants to be told.
+    """What the owner of a connection wants to be notified of.
 
     ``on_call`` returns the reply or a future of it; ``on_push`` returns
     nothing; both run in the reading thread and have to be short.
--- a/dandeliondrum/utils/_supervisor.py
+++ b/dandeliondrum/utils/_supervisor.py
@@ -1,9 +1,9 @@
 """A supervisor tree of threads.
 
-A supervisor owns tasks that run until they are told to stop. A task that
+A supervisor owns tasks that run until they are asked to stop. A task that
 ends with an exception is started again after a pause that doubles each time,
 up to a bound. A broken invariant is not survived: the tree is stopped and
-whoever owns the root is told, so that the process can end.
+whoever owns the root is notified, so that the process can end.
 """
 
 import collections.abc
@@ -66,7 +66,7 @@
         return child
 
     def close(self) -> None:
-        """Tell all tasks to stop, children first, and wait for them."""
+        """Ask all tasks to stop, children first, and wait for them."""
         self.stopping.set()
         self._resources.close()
         self._executor.shutdown(wait=True, cancel_futures=True)
--- a/dandeliondrum/worker/_answers.py
+++ b/dandeliondrum/worker/_answers.py
@@ -36,7 +36,7 @@
             attempt.answer = None
 
     def owed(self) -> bool:
-        """Tell whether there is a durable answer too large for the log."""
+        """Return whether there is a durable answer too large for the log."""
         return any(
             attempt.call.durable and attempt.length_bytes > LOGGED_MAX_BYTES
             for attempt in self._kept.values()
--- a/dandeliondrum/worker/_attempt.py
+++ b/dandeliondrum/worker/_attempt.py
@@ -43,11 +43,11 @@
 
     @property
     def stop_reason(self) -> str:
-        """Why it was told to stop; empty when it was not."""
+        """Why it was asked to stop; empty when it was not."""
         return self._stop_reason
 
     def stop(self, reason: str) -> None:
-        """Tell it to stop; the first reason counts."""
+        """Ask it to stop; the first reason counts."""
         with self._changed:
             self._stop_reason = self._stop_reason or reason
             self._changed.notify_all()
@@ -59,7 +59,7 @@
             self._changed.notify_all()
 
     def work(self, run_ms: float) -> None:
-        """Pass the time of its work; return early when told to stop."""
+        """Pass the time of its work; return early when asked to stop."""
         left_ms = run_ms
         with self._changed:
             while left_ms > 0 and not self._stop_reason:
--- a/dandeliondrum/worker/_attempts.py
+++ b/dandeliondrum/worker/_attempts.py
@@ -144,7 +144,7 @@
                     self._leases.arm(expires_ms)
 
     def checkpoint(self, attempt: _attempt.Attempt) -> None:
-        """Record that an attempt was told to save its progress."""
+        """Record that an attempt was asked to save its progress."""
         with self._lock:
             self._journal.record_call(
                 _journal.EventKind.CHECKPOINT, attempt.call
@@ -161,7 +161,7 @@
             return list(self._unrecorded.values())
 
     def is_idle(self) -> bool:
-        """Tell whether the cell needs nothing more from this worker.
+        """Return whether the cell needs nothing more from this worker.
 
         That is when nothing runs, all ends are on record, and no answer is
         left that the cell owes and that lies here alone.
--- a/dandeliondrum/worker/_fence.py
+++ b/dandeliondrum/worker/_fence.py
@@ -40,7 +40,7 @@
         task_id: messages.TaskId,
         token: messages.FencingToken,
     ) -> bool:
-        """Tell whether this start, not seen before, may not happen."""
+        """Return whether this start, not seen before, may not happen."""
         if attempt_id in self._tombstones or attempt_id in self._refused:
             return True
         return token <= self._tokens.get(task_id, self._floor)
@@ -64,7 +64,7 @@
         self._refused.add(attempt_id)
 
     def was_started(self, attempt_id: messages.AttemptId) -> bool:
-        """Tell whether this attempt was started here, as far as known."""
+        """Return whether this attempt was started here, as far as known."""
         return attempt_id in self._started
 
     def bury(self, attempt_id: messages.AttemptId) -> None:
--- a/dandeliondrum/worker/_heartbeats.py
+++ b/dandeliondrum/worker/_heartbeats.py
@@ -46,14 +46,14 @@
         self._due = threading.Event()
         self._fenced: dict[messages.AttemptId, None] = {}
         self._announced = False
-        self._leaving_told = False
+        self._leaving_acknowledged = False
 
     def wake(self) -> None:
         """Send a heartbeat now."""
         self._due.set()
 
     def run(self, stopping: threading.Event) -> None:
-        """Announce, then send heartbeats, until told to stop."""
+        """Announce, then send heartbeats, until asked to stop."""
         failures_count = 0
         while not stopping.is_set():
             if self._attempts.overflowed:
@@ -121,7 +121,7 @@
             self._begin_again('announce again')
             return
         for attempt_id in reply.stop:
-            self._attempts.stop(attempt_id, 'told')
+            self._attempts.stop(attempt_id, 'requested')
         self._leases.answered(sent_ms)
         self._tell_leaving(heartbeat)
         self._steer(reply)
@@ -145,9 +145,9 @@
                 self._attempts.checkpoint(attempt)
 
     def _tell_leaving(self, heartbeat: messages.WorkerHeartbeat) -> None:
-        if heartbeat.leaving and not self._leaving_told:
-            self._leaving_told = True
-            self._journal.record(_journal.EventKind.LEAVING_TOLD)
+        if heartbeat.leaving and not self._leaving_acknowledged:
+            self._leaving_acknowledged = True
+            self._journal.record(_journal.EventKind.LEAVING_ACKNOWLEDGED)
 
     def _begin_again(self, reason: str) -> None:
         _logger.warning('dropping everything', why=reason)
--- a/dandeliondrum/worker/_journal.py
+++ b/dandeliondrum/worker/_journal.py
@@ -28,7 +28,8 @@
 
     ``OVERLOAD`` is a start that the worker had to refuse because it was
     given more than it has. ``LEAVING`` is the decision to leave and
-    ``LEAVING_TOLD`` the first answer of a gateway that was told of it.
+    ``LEAVING_ACKNOWLEDGED`` the first answer of a gateway that has heard of
+    it.
     """
 
     BEGUN = 'begun'
@@ -40,7 +41,7 @@
     CHECKPOINT = 'checkpoint'
     DROPPED = 'dropped'
     LEAVING = 'leaving'
-    LEAVING_TOLD = 'leaving_told'
+    LEAVING_ACKNOWLEDGED = 'leaving_acknowledged'
     CLOSED = 'closed'
 
 
--- a/dandeliondrum/worker/_leases.py
+++ b/dandeliondrum/worker/_leases.py
@@ -41,7 +41,7 @@
             self._answered_sent_ms = -math.inf
 
     def fresh(self) -> bool:
-        """Tell whether starts may still be taken."""
+        """Return whether starts may still be taken."""
         silent_ms = _journal.now_ms() - self._answered_sent_ms
         return silent_ms <= START_FRESHNESS_MS
 
--- a/dandeliondrum/worker/_options.py
+++ b/dandeliondrum/worker/_options.py
@@ -1,4 +1,4 @@
-"""What a stand-in worker is told when it is made."""
+"""What a stand-in worker is given when it is made."""
 
 import dataclasses
 
--- a/dandeliondrum/worker/_reports.py
+++ b/dandeliondrum/worker/_reports.py
@@ -31,7 +31,7 @@
     journal: _journal.Journal,
     to_fence: collections.abc.Iterable[messages.AttemptId],
 ) -> messages.WorkerHeartbeat:
-    """Return a heartbeat that tells how things stand now."""
+    """Return a heartbeat that says how things stand now."""
     now = attempts.snapshot(itertools.islice(to_fence, REPORTS_IN_HEARTBEAT))
     return messages.WorkerHeartbeat(
         worker_id=facts.worker_id,
@@ -68,8 +68,8 @@
         attempt_id = attempt.call.attempt_id
         body = _body(attempt)
         room_bytes -= len(body or b'')
-        # What has no room waits for a heartbeat after the next answer; told
-        # without its body it would not get into the log.
+        # What has no room waits for a heartbeat after the next answer;
+        # reported without its body it would not get into the log.
         if attempt_id not in reports and room_bytes >= 0:
             reports[attempt_id] = _report(facts, attempt, body)
     reports |= {
--- a/dandeliondrum/worker/_server.py
+++ b/dandeliondrum/worker/_server.py
@@ -126,7 +126,7 @@
         return _answer(attempt)
 
     def _stop(self, attempt_id: messages.AttemptId) -> werkzeug.Response:
-        self._attempts.stop(attempt_id, 'told')
+        self._attempts.stop(attempt_id, 'requested')
         attempt = self._attempts.find(attempt_id)
         if attempt is None:
             return _state(200, messages.AttemptState.NEVER_STARTED)
--- a/dandeliondrum/worker/_snapshot.py
+++ b/dandeliondrum/worker/_snapshot.py
@@ -1,4 +1,4 @@
-"""What a heartbeat has to tell, read at one moment."""
+"""What a heartbeat has to report, read at one moment."""
 
 import dataclasses
 
--- a/dandeliondrum/worker/_worker.py
+++ b/dandeliondrum/worker/_worker.py
@@ -72,7 +72,7 @@
         self._resources.close()
 
     def leave(self) -> None:
-        """Take no more starts and tell the gateways; what runs goes on."""
+        """Take no more starts and notify the gateways; what runs goes on."""
         if self._attempts.leaving:
             return
         self._attempts.leaving = True
--- a/dandeliondrum/worker/tests/_rig.py
+++ b/dandeliondrum/worker/tests/_rig.py
@@ -21,7 +21,7 @@
         self._token = 0
 
     def start(self, attempt_id='team/r1#1', **fields):
-        """Start an attempt with a fresh token, unless told otherwise."""
+        """Start an attempt with a fresh token, unless asked otherwise."""
         self._token += 1
         body = fields.pop('body', {})
         return self.client.start(
--- a/dandeliondrum/worker/tests/test_fencing.py
+++ b/dandeliondrum/worker/tests/test_fencing.py
@@ -42,14 +42,14 @@
 
 
 def test_the_leader_hears_that_a_stopped_attempt_never_started(rig):
-    rig.gateway.tell(stop=('team/a#1',))
+    rig.gateway.reply_with(stop=('team/a#1',))
     heartbeat = rig.gateway.wait_for_heartbeat(lambda each: each.fenced, 5_000)
     assert heartbeat.fenced == ('team/a#1',)
     assert [(each.attempt_id, each.state) for each in heartbeat.ended] == [
         ('team/a#1', State.NEVER_STARTED)
     ]
     assert_never_starts(rig, 'team/a#1')
-    rig.gateway.tell(acknowledged=('team/a#1',))
+    rig.gateway.reply_with(acknowledged=('team/a#1',))
     assert rig.gateway.wait_for_heartbeat(
         lambda each: not each.fenced and not each.ended,
         5_000,
@@ -60,11 +60,11 @@
 
 def test_a_running_attempt_is_fenced_only_once_it_has_stopped(rig):
     rig.start('team/a#1', body={'hang': True})
-    rig.gateway.tell(stop=('team/a#1',))
+    rig.gateway.reply_with(stop=('team/a#1',))
     heartbeat = rig.gateway.wait_for_heartbeat(lambda each: each.fenced, 5_000)
     assert heartbeat.running == ()
     assert [each.state for each in heartbeat.ended] == [State.STOPPED]
-    assert rig.events(Kind.END)[0].reason == 'told'
+    assert rig.events(Kind.END)[0].reason == 'requested'
     assert rig.start('team/a#1').state == 'stopped'
 
 
@@ -99,21 +99,21 @@
     assert rig.client.fetch('team/a#1', 5_000).state == 'finished'
     assert rig.gateway.left == ('w1',)
     assert rig.gateway.wait_for_heartbeat(lambda each: each.leaving, 5_000)
-    rig.wait_for_event(Kind.LEAVING_TOLD)
-    rig.gateway.tell(acknowledged=('team/a#1',))
+    rig.wait_for_event(Kind.LEAVING_ACKNOWLEDGED)
+    rig.gateway.reply_with(acknowledged=('team/a#1',))
     assert rig.worker.wait_idle(5_000)
 
 
 def test_an_attempt_that_ran_and_is_forgotten_is_not_vouched_for(rig):
     rig.start('team/a#1', token=5, wait_ms=5_000)
     rig.client.drop('team/a#1')
-    rig.gateway.tell(acknowledged=('team/a#1',))
+    rig.gateway.reply_with(acknowledged=('team/a#1',))
     assert rig.gateway.wait_for_heartbeat(
         lambda each: not each.ended, 5_000, after_ms=worker.now_ms()
     )
     reply = rig.start('team/a#1', token=5)
     assert (reply.status, reply.refused) == (410, 'gone')
-    rig.gateway.tell(stop=('team/a#1',))
+    rig.gateway.reply_with(stop=('team/a#1',))
     heartbeat = rig.gateway.wait_for_heartbeat(lambda each: each.fenced, 5_000)
     assert [each.state for each in heartbeat.ended] == [State.LOST]
     assert len(rig.events(Kind.START)) == 1
@@ -123,9 +123,9 @@
     before = rig.worker.incarnation
     rig.start('team/a#1', body={'hang': True})
     rig.start('team/b#1', wait_ms=5_000)
-    rig.gateway.tell(announce_again=True)
+    rig.gateway.reply_with(announce_again=True)
     rig.wait_for_event(Kind.END, count=2)
-    rig.gateway.tell()
+    rig.gateway.reply_with()
     facts = rig.gateway.wait_for_announcement(5_000, count=2)
     assert facts.incarnation == rig.worker.incarnation != before
     late = rig.start('team/c#1', incarnation=before)
@@ -154,12 +154,12 @@
     # The leader takes a fenced attempt without an end for one that never
     # started. This one is slow to stop, and ends while a heartbeat is put
     # together: after the ends were listed.
-    told, let_go = threading.Event(), threading.Event()
+    stopped, let_go = threading.Event(), threading.Event()
     stop = _attempt.Attempt.stop
     unrecorded = _attempts.Attempts.unrecorded
 
     def stop_late(attempt, reason):
-        told.set()
+        stopped.set()
         late = threading.Thread(
             target=lambda: (let_go.wait(5), stop(attempt, reason))
         )
@@ -167,7 +167,7 @@
 
     def list_then_let_go(attempts):
         ends = unrecorded(attempts)
-        if told.is_set():
+        if stopped.is_set():
             let_go.set()
             attempts.find('team/a#1').ended.wait(0.5)
         return ends
@@ -176,7 +176,7 @@
     monkeypatch.setattr(_attempts.Attempts, 'unrecorded', list_then_let_go)
     with _rig.running(heartbeat_ms=20) as rig:
         rig.start('team/a#1', body={'run_ms': 9_000})
-        rig.gateway.tell(stop=('team/a#1',))
+        rig.gateway.reply_with(stop=('team/a#1',))
         heartbeat = rig.gateway.wait_for_heartbeat(
             lambda each: each.fenced, 5_000
         )
@@ -190,7 +190,7 @@
         attempt_ids = [f'team/r{number}#1' for number in range(4)]
         for attempt_id in attempt_ids:
             rig.start(attempt_id, wait_ms=5_000)
-        rig.gateway.tell(stop=tuple(attempt_ids[2:]))
+        rig.gateway.reply_with(stop=tuple(attempt_ids[2:]))
         heartbeat = rig.gateway.wait_for_heartbeat(
             lambda each: each.fenced, 5_000
         )
--- a/dandeliondrum/worker/tests/test_heartbeats.py
+++ b/dandeliondrum/worker/tests/test_heartbeats.py
@@ -80,7 +80,7 @@
             lambda each: each.ended, 5_000, after_ms=now_ms
         )
         assert [each.attempt_id for each in heartbeat.ended] == ['team/r0#1']
-        rig.gateway.tell(acknowledged=('team/r0#1',))
+        rig.gateway.reply_with(acknowledged=('team/r0#1',))
         heartbeat = rig.gateway.wait_for_heartbeat(
             lambda each: 'r1' in str(each.ended), 5_000
         )
@@ -96,13 +96,13 @@
         )
         assert heartbeat.running[0].attempt_id == 'team/a#1'
         assert heartbeat.running[0].used.memory_mb == 4_000
-        rig.gateway.tell(checkpoint=('team/a#1',))
+        rig.gateway.reply_with(checkpoint=('team/a#1',))
         rig.wait_for_event(Kind.CHECKPOINT)
 
 
 def test_a_throttled_attempt_takes_longer_until_it_is_let_go():
     with _rig.running(heartbeat_ms=20) as rig:
-        rig.gateway.tell(throttle=('team/a#1',))
+        rig.gateway.reply_with(throttle=('team/a#1',))
         rig.start('team/a#1', body={'run_ms': 400}, wait_ms=9_000)
         end = rig.wait_for_event(Kind.END)
         assert end.at_ms - rig.events(Kind.START)[0].at_ms > 550
--- a/dandeliondrum/worker/tests/test_worker.py
+++ b/dandeliondrum/worker/tests/test_worker.py
@@ -52,7 +52,7 @@
     assert report.state is State.FINISHED
     assert json.loads(report.answer.body)['echo'] == 'kept'
     assert rig.client.fetch('team/r1#1').status == 200
-    rig.gateway.tell(acknowledged=('team/r1#1',), release=('team/r1#1',))
+    rig.gateway.reply_with(acknowledged=('team/r1#1',), release=('team/r1#1',))
     now_ms = worker.now_ms()
     assert rig.gateway.wait_for_heartbeat(
         lambda each: not each.ended, 5_000, after_ms=now_ms
@@ -106,10 +106,10 @@
     body = {'answer_bytes': 100_000}
     rig.start('team/a#1', body=body, durable=True, wait_ms=5_000)
     rig.start('team/b#1', body=body, wait_ms=5_000)
-    rig.gateway.tell(acknowledged=('team/a#1', 'team/b#1'))
+    rig.gateway.reply_with(acknowledged=('team/a#1', 'team/b#1'))
     assert rig.gateway.wait_for_heartbeat(
         lambda each: not each.ended, 5_000, after_ms=worker.now_ms()
     )
     assert not rig.worker.wait_idle(100)
-    rig.gateway.tell(release=('team/a#1',))
+    rig.gateway.reply_with(release=('team/a#1',))
     assert rig.worker.wait_idle(5_000)
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -60,8 +60,8 @@
 
 
 def test_each_request_has_one_outcome(summary):
-    told = ('answered', 'refused_not_run', 'in_doubt', 'lost')
-    assert summary['requests'] == sum(summary[name] for name in told)
+    found = ('answered', 'refused_not_run', 'in_doubt', 'lost')
+    assert summary['requests'] == sum(summary[name] for name in found)
     assert summary['answered'] > 0
     assert summary['replicas_started'] == summary['replicas'] == 3
 
--- a/tests/test_durable_state.py
+++ b/tests/test_durable_state.py
@@ -126,7 +126,7 @@
 
 
 def assert_rules(cell, version, text):
-    """The rules are these, by the word of each gateway, and in force."""
+    """The rules are these, as each gateway reports, and in force."""
     for gateway in cell.gateways:
         shown = testing.wait_until(lambda g=gateway: rules_shown(cell, g))
         assert (shown['version'], shown['text']) == (version, text)
@@ -237,7 +237,7 @@
 
 
 def says(cell, name, event, why):
-    """Tell whether a log has a line of this event that says this."""
+    """Return whether a log has a line of this event that says this."""
     return any(
         line.get('event') == event and why in str(line.get('why'))
         for line in cell.processes.log(name)
@@ -324,13 +324,13 @@
             cell.processes.restart(damaged)
         assert cell.processes.exit_code(damaged) == 1
         assert path.read_bytes() == data
-        told = [
+        found = [
             str(line['why'])
             for line in cell.processes.log(damaged)
             if line['event'] == 'not started'
         ]
-        assert len(told) == 1 and str(path) in told[0]
-        offset_bytes = int(re.search(r'offset\D*(\d+)', told[0])[1])
+        assert len(found) == 1 and str(path) in found[0]
+        offset_bytes = int(re.search(r'offset\D*(\d+)', found[0])[1])
         assert 0 < offset_bytes <= position
         wait_for_answers(callers)
     accepted.assert_kept()
