Stop runs that stand still and place them elsewhere; put slow workers last

Ruled out: leases (such workers renew them) and failures in a row (nothing fails).

Change: _progress.py follows the percent of each run on the worker's own clock. A run without progress for a second over three lists is stopped and its worker gets nothing new for a while; restores and the assembly of a gang are allowed for; a task that stalls twice is left alone. Work done per time gives each worker a speed, and one far below the fleet's median comes last. Endless tasks and tasks that fill are not judged. The workers in memory now list a percent that rises.

Now 100% is never a stall, with a test that failed on it.

A job on a cell whose workers stand still ends (test_a_run_that_stands_still_goes_to_another_worker); before it never did.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -314,6 +314,7 @@
             for key in list(self._term.failed_on):
                 if key[0] in ended:
                     del self._term.failed_on[key]
+            self._term.progress.forget_jobs(ended)
         due = tuple(
             job_id
             for job_id, since_ms in self._ended_ms.items()
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -62,6 +62,11 @@
             ('reason',),
             registry=self.registry,
         )
+        self.stalled = prometheus_client.Counter(
+            'dandeliondrum_jobs_runs_stalled',
+            'Runs that were stopped as they made no progress',
+            registry=self.registry,
+        )
         self.first_start_seconds = prometheus_client.Histogram(
             'dandeliondrum_jobs_first_start_seconds',
             "Time from a job's acceptance to its first assignment, by queue",
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -73,6 +73,7 @@
         term = self._term
         now_ms = _clock.elapsed_ms()
         rooms = []
+        slow = term.progress.slow_workers(now_ms)
         for worker_id, worker in term.state.workers.items():
             peer = term.peers.get(worker_id)
             if peer is None or not peer.usable():
@@ -81,8 +82,9 @@
                 continue
             if term.health.suspended(worker_id, now_ms):
                 continue
+            suspicion = term.health.suspicion(worker_id)
             rooms.append(
-                _demands.room_of(worker, term.health.suspicion(worker_id))
+                _demands.room_of(worker, suspicion + (worker_id in slow))
             )
         return rooms
 
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -16,6 +16,7 @@
 from dandeliondrum.jobs import _health
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
+from dandeliondrum.jobs import _progress
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _worker_peer
@@ -76,6 +77,7 @@
         self.work = threading.Event()
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
         self.health = _health.Health()
+        self.progress = _progress.Progress()
         self.advice = _advice.Advice()
         self.askers = _advice.Askers()
         self.sessions: dict[transport.Connection, messages.GatewayId] = {}
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -69,8 +69,6 @@
     sends_count: int = 0
     settled_read: int = 0
     checkpoint_seen: str = ''
-    percent: float = 0.0
-    progress_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +96,11 @@
     ) -> list[tuple[_specs.TaskKey, int]]:
         """Return those of the assigned runs that should stop."""
 
+    def stalled(
+        self, worker_id: messages.WorkerId, lists: _port.Lists
+    ) -> list[tuple[_specs.TaskKey, int]]:
+        """Judge the progress of all runs; return those that stand still."""
+
     def refused(
         self,
         worker_id: messages.WorkerId,
@@ -357,7 +360,8 @@
                     )
         strangers = [key for key in listed if assigned.get(key[0]) != key[1]]
         unwanted = self._events.unwanted(listed.keys() - set(strangers))
-        for task, run in [*strangers, *unwanted]:
+        stalled = self._events.stalled(self.facts.worker_id, lists)
+        for task, run in [*strangers, *unwanted, *stalled]:
             self.stop(task, run)
         if ends and not self._events.record(tuple(ends)):
             return False
@@ -395,9 +399,6 @@
             order.phase = OrderPhase.LISTED
         if listing.checkpoint:
             order.checkpoint_seen = listing.checkpoint
-        if listing.percent != order.percent or not order.progress_ms:
-            order.percent = listing.percent
-            order.progress_ms = _clock.elapsed_ms()
 
     def _forget(self, task: _specs.TaskKey, run: int) -> None:
         order = self._orders.get(task)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -12,8 +12,10 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _port
+from dandeliondrum.jobs import _progress
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import _worker_peer
 from dandeliondrum import messages
@@ -161,6 +163,7 @@
             if peer.facts.started_ms != facts.started_ms:
                 term.advice.forget_worker(facts.worker_id)
                 term.health.forget(facts.worker_id)
+                term.progress.forget(facts.worker_id)
             peer.facts = facts
             return
         peer = _worker_peer.WorkerPeer(
@@ -244,6 +247,35 @@
         self._term.work.set()
         return True
 
+    def stalled(
+        self, worker_id: messages.WorkerId, lists: _port.Lists
+    ) -> list[tuple[_specs.TaskKey, int]]:
+        """Judge the progress of all runs; return those that stand still."""
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        with term.lock:
+            with term.state.lock:
+                runs = _progress_of(term.state, lists.runs)
+            stalled = term.progress.listed(
+                worker_id, runs, lists.clock_ms, now_ms
+            )
+            for one in stalled:
+                step = (one.task.job_id, one.task.step)
+                term.failed_on.setdefault(step, set()).add(worker_id)
+            if stalled and not term.health.suspended(worker_id, now_ms):
+                term.health.suspend(worker_id, now_ms)
+        for one in stalled:
+            term.metrics.stalled.inc()
+            _logger.warning(
+                'run stalled',
+                task=str(one.task),
+                run=one.run,
+                worker=worker_id,
+                percent=one.percent,
+                expected_ms=one.expected_ms,
+            )
+        return [(one.task, one.run) for one in stalled]
+
     def refused(
         self,
         worker_id: messages.WorkerId,
@@ -325,6 +357,39 @@
                 term.failed_on.setdefault(step, set()).add(worker_id)
 
 
+def _progress_of(
+    state: _state.JobsState,
+    listings: collections.abc.Iterable[_port.RunListing],
+) -> list[_progress.RunProgress]:
+    """Return the progress of runs from which progress can be expected.
+
+    Endless tasks have none, and tasks that fill stand still while others use
+    their worker. The caller locks.
+    """
+    found = []
+    for one in listings:
+        job = state.jobs.get(one.task.job_id)
+        task = job.task(one.task) if job is not None else None
+        if job is None or task is None or task.run != one.run:
+            continue
+        step = job.spec.steps[one.task.step]
+        if step.endless or step.fills or not step.expected_run_ms:
+            continue
+        may_wait_ms = _progress.RESTORE_MS if task.checkpoint else 0
+        if step.gang:
+            may_wait_ms += _progress.GANG_START_MS
+        found.append(
+            _progress.RunProgress(
+                one.task,
+                one.run,
+                one.percent,
+                step.expected_run_ms,
+                may_wait_ms,
+            )
+        )
+    return found
+
+
 def _is_unwanted(
     job: _records.JobRecord, key: _specs.TaskKey, run: int
 ) -> bool:
--- a/dandeliondrum/jobs/tests/test_cell.py
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -176,6 +176,21 @@
     cell.wait_done('j')
 
 
+def test_a_run_that_stands_still_goes_to_another_worker(cell):
+    cell.open()
+    for worker in cell.fleet:
+        worker.stalls_ms = 600_000
+    cell.submit('j', helpers.step(expected_run_ms=RUN_MS))
+    testing.wait_until(cell.starts)
+    for worker in cell.fleet:
+        worker.stalls_ms = 0
+    cell.wait_done('j')
+    (first, second) = cell.starts()
+    assert first == ('j.0.0.0', 1) and second[0] == 'j.0.0.0'
+    assert not any(worker.running() for worker in cell.fleet)
+    assert max(len(worker.starts) for worker in cell.fleet) == 1
+
+
 def test_the_same_job_at_two_gateways_is_one_job(cell):
     cell.open()
     assert cell.submit('j', helpers.step()) is jobs.JobPhase.QUEUED
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_progress.py
@@ -0,0 +1,117 @@
+"""Workers on which runs stand still or are slow, by what they list."""
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _progress
+
+EVERY_MS = 500
+EXPECTED_MS = 2_000
+TASK = jobs.parse_task_key('j.0.0.0')
+
+
+class Listings:
+    """Plays the listings of workers, one each half second."""
+
+    def __init__(self):
+        self.progress = _progress.Progress()
+        self.now_ms = 0
+
+    def play(self, worker_id, percents, task=TASK, run=1, **fields):
+        """Return the time at which the run was found stalled, or None."""
+        fields = {'expected_ms': EXPECTED_MS, **fields}
+        start_ms = self.now_ms
+        for percent in percents:
+            self.now_ms += EVERY_MS
+            one = _progress.RunProgress(task, run, percent, **fields)
+            found = self.progress.listed(
+                worker_id, [one], self.now_ms, self.now_ms
+            )
+            if found:
+                return self.now_ms - start_ms
+        return None
+
+
+@pytest.fixture
+def listings():
+    return Listings()
+
+
+def test_a_run_that_advances_is_left_alone(listings):
+    assert listings.play('w1', range(0, 100, 25)) is None
+
+
+def test_a_run_that_never_begins_is_stalled(listings):
+    assert listings.play('w1', [0] * 9) <= 2_000
+
+
+def test_a_run_that_stops_midway_is_stalled(listings):
+    found_ms = listings.play('w1', [0, 25, 50] + [50] * 9)
+    assert 1_500 < found_ms <= 3_000
+
+
+def test_a_slow_run_of_a_long_task_is_not_stalled(listings):
+    # Ten minutes at a quarter of the speed: a percent takes 24 s.
+    percents = [n // 48 for n in range(200)]
+    found = listings.play('w1', percents, expected_ms=600_000)
+    assert found is None
+
+
+def test_a_run_may_restore_its_checkpoint_first(listings):
+    waits = {'may_wait_ms': _progress.RESTORE_MS}
+    assert listings.play('w1', [40, 40, 40, 60, 80], **waits) is None
+    assert listings.play('w1', [40] * 9, run=2, **waits) is not None
+
+
+def test_a_gang_may_wait_for_its_members(listings):
+    waits = {'may_wait_ms': _progress.GANG_START_MS}
+    assert listings.play('w1', [0] * 8 + [10, 40, 70], **waits) is None
+
+
+def test_a_run_that_has_done_its_part_waits_for_its_gang(listings):
+    assert listings.play('w1', [0, 50] + [100] * 9) is None
+
+
+def test_one_missed_listing_is_no_stall(listings):
+    # The worker stood still itself: its clock went on, nothing was listed.
+    listings.play('w1', [0, 20])
+    listings.now_ms += 5_000
+    assert listings.play('w1', [20, 40, 60]) is None
+
+
+def test_a_task_that_stalls_everywhere_is_left_alone(listings):
+    for run in range(1, 1 + _progress.STALLS_MAX):
+        assert listings.play(f'w{run}', [0] * 9, run=run) is not None
+    assert listings.play('w9', [0] * 9, run=9) is None
+    listings.progress.forget_jobs({TASK.job_id})
+    assert listings.play('w9', [0] * 9, run=10) is not None
+
+
+def test_a_worker_of_a_quarter_of_the_speed_is_slow(listings):
+    for number in range(5):
+        listings.play(f'w{number}', range(0, 100, 25))
+    listings.play('late', [0, 6, 12, 18, 24])
+    assert listings.progress.slow_workers(listings.now_ms) == {'late'}
+
+
+def test_estimates_that_are_off_make_no_worker_slow(listings):
+    for number in range(5):
+        listings.play(f'w{number}', range(0, 100, 25))
+    listings.play('w9', range(0, 100, 13))
+    assert not listings.progress.slow_workers(listings.now_ms)
+
+
+def test_a_slow_worker_is_tried_again(listings):
+    for number in range(5):
+        listings.play(f'w{number}', range(0, 100, 25))
+    listings.play('late', [0, 6, 12, 18, 24])
+    later_ms = listings.now_ms + _progress.SPEED_AGE_MAX_MS + 1
+    assert not listings.progress.slow_workers(later_ms)
+
+
+def test_a_worker_that_starts_anew_has_no_history(listings):
+    for number in range(5):
+        listings.play(f'w{number}', range(0, 100, 25))
+    listings.play('late', [0, 6, 12, 18, 24])
+    listings.progress.forget('late')
+    assert not listings.progress.slow_workers(listings.now_ms + 1_000)
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -75,6 +75,10 @@
                 if _workers._is_unwanted(state.jobs[key.job_id], key, run)
             ]
 
+    def stalled(self, worker_id, lists):
+        """Return none; progress is judged elsewhere."""
+        return []
+
     def refused(self, worker_id, task, reason):
         self.refusals.append(reason)
 
--- a/dandeliondrum/testing/_job_workers.py
+++ b/dandeliondrum/testing/_job_workers.py
@@ -18,8 +18,12 @@
 @dataclasses.dataclass
 class _Run:
     run: int
+    begins_at_ms: float
     ends_at_ms: float
-    percent: float = 0.0
+
+    def percent(self, now_ms: float) -> float:
+        passed_ms = now_ms - self.begins_at_ms
+        return int(100 * passed_ms / (self.ends_at_ms - self.begins_at_ms))
 
 
 class FakeWorker:
@@ -36,6 +40,8 @@
         self.silent = False
         self.replaced = False
         self.fails = False
+        # New runs stand still for so much longer than ``run_ms``.
+        self.stalls_ms = 0
         self.late_starts: list[jobs.StartOrder] = []
         self.makes_starts_late = False
         self.starts: list[tuple[str, int]] = []
@@ -141,7 +147,9 @@
     def _begin_run(self, order: jobs.StartOrder) -> None:
         self._highest[order.task] = order.run
         self._runs[order.task] = _Run(
-            order.run, self._clock_ms() + self.run_ms
+            order.run,
+            self._clock_ms() + self.stalls_ms,
+            self._clock_ms() + self.stalls_ms + self.run_ms,
         )
         self.starts.append((str(order.task), order.run))
 
@@ -194,7 +202,9 @@
             int(self._clock_ms()),
             self.facts.started_ms,
             tuple(
-                jobs.RunListing(task, run.run, '', run.percent)
+                jobs.RunListing(
+                    task, run.run, '', max(0, run.percent(self._clock_ms()))
+                )
                 for task, run in self._runs.items()
             ),
             tuple(self._ends),
