Restart what can't end before its worker leaves while there is time

Cause: runs on a draining worker that need longer than it stays were lost with it, and began anew only then. The time that it stays was not read.

Change: the adapter decodes the least time that a draining worker has left, and the heartbeat carries it to the leader. A run whose remaining work takes longer is stopped at once, if it saves its progress or has done under a fifth; others stay, as workers often leave later than they say.

Ruled out: moving all runs (throws work away that would have ended).

Measured: a run of ten minutes on a worker that leaves in one moves to another worker at once (test_a_run_that_ends_after_its_worker_moves_at_once); before it stayed until the worker was gone.

--- a/dandeliondrum/jobs/__init__.py
+++ b/dandeliondrum/jobs/__init__.py
@@ -7,6 +7,7 @@
 
 from dandeliondrum.jobs._calls import AdviceReply
 from dandeliondrum.jobs._calls import Grant
+from dandeliondrum.jobs._calls import WorkerReport
 from dandeliondrum.jobs._commands import RunEnd
 from dandeliondrum.jobs._commands import RunOutcome
 from dandeliondrum.jobs._commands import WorkerFacts
@@ -87,6 +88,7 @@
     'WorkerFacts',
     'WorkerPhase',
     'WorkerPort',
+    'WorkerReport',
     'parse_task_key',
     'problem',
 ]
--- a/dandeliondrum/jobs/_calls.py
+++ b/dandeliondrum/jobs/_calls.py
@@ -61,10 +61,15 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """A worker's heartbeat; ``sequence`` rises within one life of it."""
+    """A worker's heartbeat; ``sequence`` rises within one life of it.
+
+    ``leaves_in_ms`` is how long a draining worker stays at least, None where
+    it does not say.
+    """
 
     facts: _commands.WorkerFacts
     sequence: int
+    leaves_in_ms: int | None = None
 
 
 @messages.message
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -14,7 +14,6 @@
 from dandeliondrum import consensus
 from dandeliondrum.jobs import _asker
 from dandeliondrum.jobs import _calls
-from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _leader_calls
 from dandeliondrum.jobs import _leadership
 from dandeliondrum.jobs import _membership
@@ -184,13 +183,10 @@
             _logger.info('following')
 
     def report_worker(
-        self,
-        facts: _commands.WorkerFacts,
-        sequence: int,
-        timeout_ms: int,
+        self, report: _calls.WorkerReport, timeout_ms: int
     ) -> result.Result[_calls.WorkerNoted, _leader_calls.Unavailable]:
         """Pass a worker's heartbeat on to the leader."""
-        return self._call(_calls.WorkerReport(facts, sequence), timeout_ms)
+        return self._call(report, timeout_ms)
 
     def worker_left(
         self, worker_id: messages.WorkerId, timeout_ms: int
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -62,9 +62,10 @@
             ('reason',),
             registry=self.registry,
         )
-        self.stalled = prometheus_client.Counter(
-            'dandeliondrum_jobs_runs_stalled',
-            'Runs that were stopped as they made no progress',
+        self.misplaced = prometheus_client.Counter(
+            'dandeliondrum_jobs_runs_misplaced',
+            'Runs that were stopped to be placed elsewhere, by reason',
+            ('reason',),
             registry=self.registry,
         )
         self.first_start_seconds = prometheus_client.Histogram(
--- a/dandeliondrum/jobs/_progress.py
+++ b/dandeliondrum/jobs/_progress.py
@@ -28,8 +28,12 @@
 STALLS_MAX = 2
 # Estimates are off by up to a half, and slow workers take four times as long.
 SLOW_PART = 0.35
+# Keeps the time that a run on a slow worker still takes finite.
+SPEED_MIN = 0.05
 # How much the newest figure counts in the mean speed of a worker.
 NEWEST_WEIGHT = 0.5
+# What a run that saves nothing may have done when it is given up early.
+GIVEN_UP_PERCENT_MAX = 20
 # Older figures say nothing; a slow worker is tried again after that.
 SPEED_AGE_MAX_MS = 6_000
 # The fleet's median is worked out again after this.
@@ -42,7 +46,8 @@
 
     ``percent`` is the part of its work that is done, ``expected_ms`` the
     estimate for all of it. ``may_wait_ms`` is how long it may stand still at
-    its beginning for reasons of its own.
+    its beginning for reasons of its own. What a ``checkpointing`` run has
+    done is kept when it is stopped.
     """
 
     task: _specs.TaskKey
@@ -50,6 +55,7 @@
     percent: float
     expected_ms: int
     may_wait_ms: int = 0
+    checkpointing: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +118,26 @@
             self._stalls[one.task] += 1
         return stalled
 
+    def too_long(
+        self,
+        worker_id: messages.WorkerId,
+        runs: list[RunProgress],
+        left_ms: int,
+    ) -> list[RunProgress]:
+        """Return runs to restart elsewhere before their worker leaves.
+
+        Answers the load of workers that drain: a run that can't end in time
+        would be lost with its worker, and begin anew only then. One that has
+        done much and saves nothing stays, as workers often leave later.
+        """
+        speed = max(self.speed(worker_id), SPEED_MIN)
+        return [
+            one
+            for one in runs
+            if (one.checkpointing or one.percent < GIVEN_UP_PERCENT_MAX)
+            and (1 - one.percent / 100) * one.expected_ms / speed > left_ms
+        ]
+
     def slow_workers(self, now_ms: int) -> frozenset[messages.WorkerId]:
         """Return the workers that are much slower than most."""
         at_ms = self._slow_at_ms
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -96,10 +96,10 @@
     ) -> list[tuple[_specs.TaskKey, int]]:
         """Return those of the assigned runs that should stop."""
 
-    def stalled(
+    def misplaced(
         self, worker_id: messages.WorkerId, lists: _port.Lists
     ) -> list[tuple[_specs.TaskKey, int]]:
-        """Judge the progress of all runs; return those that stand still."""
+        """Judge the progress of runs; return those to place elsewhere."""
 
     def refused(
         self,
@@ -360,8 +360,8 @@
                     )
         strangers = [key for key in listed if assigned.get(key[0]) != key[1]]
         unwanted = self._events.unwanted(listed.keys() - set(strangers))
-        stalled = self._events.stalled(self.facts.worker_id, lists)
-        for task, run in [*strangers, *unwanted, *stalled]:
+        misplaced = self._events.misplaced(self.facts.worker_id, lists)
+        for task, run in [*strangers, *unwanted, *misplaced]:
             self.stop(task, run)
         if ends and not self._events.record(tuple(ends)):
             return False
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -42,6 +42,8 @@
         self._sequences: dict[messages.WorkerId, tuple[int, int]] = {}
         self._reported_ms: dict[messages.WorkerId, int] = {}
         self._gone: dict[messages.WorkerId, int] = {}
+        # When draining workers leave at the earliest, by our clock.
+        self._leaves_ms: dict[messages.WorkerId, int] = {}
 
     def restore(self) -> None:
         """Serve all workers that are on record."""
@@ -80,6 +82,7 @@
                 report.sequence,
             )
             self._reported_ms[facts.worker_id] = _clock.elapsed_ms()
+            self._note_leaving(report)
             unchanged = known is not None and known.facts == facts
             if known is not None and known.facts.phase != facts.phase:
                 # Also placements that are being agreed on now are too late.
@@ -130,6 +133,15 @@
                 functools.partial(self._removed, worker_id)
             )
 
+    def _note_leaving(self, report: _calls.WorkerReport) -> None:
+        facts = report.facts
+        draining = facts.phase is _commands.WorkerPhase.DRAINING
+        if draining and report.leaves_in_ms is not None:
+            now_ms = _clock.elapsed_ms()
+            self._leaves_ms[facts.worker_id] = now_ms + report.leaves_in_ms
+        else:
+            self._leaves_ms.pop(facts.worker_id, None)
+
     def _is_stale(
         self,
         report: _calls.WorkerReport,
@@ -190,6 +202,7 @@
         with self._term.lock:
             peer = self._term.peers.pop(worker_id, None)
             self._reported_ms.pop(worker_id, None)
+            self._leaves_ms.pop(worker_id, None)
         if peer is not None:
             peer.close()
         _logger.info('worker forgotten', worker=worker_id)
@@ -247,10 +260,10 @@
         self._term.work.set()
         return True
 
-    def stalled(
+    def misplaced(
         self, worker_id: messages.WorkerId, lists: _port.Lists
     ) -> list[tuple[_specs.TaskKey, int]]:
-        """Judge the progress of all runs; return those that stand still."""
+        """Judge the progress of runs; return those to place elsewhere."""
         term = self._term
         now_ms = _clock.elapsed_ms()
         with term.lock:
@@ -259,22 +272,38 @@
             stalled = term.progress.listed(
                 worker_id, runs, lists.clock_ms, now_ms
             )
+            too_long: list[_progress.RunProgress] = []
+            leaves_ms = self._leaves_ms.get(worker_id)
+            if leaves_ms is not None:
+                too_long = term.progress.too_long(
+                    worker_id, runs, leaves_ms - now_ms
+                )
             for one in stalled:
                 step = (one.task.job_id, one.task.step)
                 term.failed_on.setdefault(step, set()).add(worker_id)
             if stalled and not term.health.suspended(worker_id, now_ms):
                 term.health.suspend(worker_id, now_ms)
-        for one in stalled:
-            term.metrics.stalled.inc()
+        self._log_misplaced(worker_id, stalled, 'no progress')
+        self._log_misplaced(worker_id, too_long, 'ends after its worker')
+        return [(one.task, one.run) for one in (*stalled, *too_long)]
+
+    def _log_misplaced(
+        self,
+        worker_id: messages.WorkerId,
+        runs: list[_progress.RunProgress],
+        why: str,
+    ) -> None:
+        for one in runs:
+            self._term.metrics.misplaced.labels(why).inc()
             _logger.warning(
-                'run stalled',
+                'run to be placed elsewhere',
                 task=str(one.task),
                 run=one.run,
                 worker=worker_id,
+                why=why,
                 percent=one.percent,
                 expected_ms=one.expected_ms,
             )
-        return [(one.task, one.run) for one in stalled]
 
     def refused(
         self,
@@ -385,6 +414,7 @@
                 one.percent,
                 step.expected_run_ms,
                 may_wait_ms,
+                step.checkpointing,
             )
         )
     return found
--- a/dandeliondrum/jobs/tests/test_cell.py
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -1,6 +1,7 @@
 """Controllers and a gateway over loopback, with workers in memory."""
 
 import contextlib
+import dataclasses
 import time
 
 import pytest
@@ -104,11 +105,14 @@
             self.report(worker, number + 1)
         testing.wait_until(lambda: self.gateway.policy.version == 1)
 
-    def report(self, worker, sequence):
+    def report(self, worker, sequence, leaves_in_ms=None):
         testing.wait_until(
             lambda: (
                 self.any_controller()
-                .report_worker(worker.facts, sequence, 1_000)
+                .report_worker(
+                    jobs.WorkerReport(worker.facts, sequence, leaves_in_ms),
+                    1_000,
+                )
                 .value_or(None)
             )
         )
@@ -191,6 +195,30 @@
     assert max(len(worker.starts) for worker in cell.fleet) == 1
 
 
+def test_a_run_that_ends_after_its_worker_moves_at_once(cell):
+    cell.open()
+    cell.fleet[0].run_ms = 600_000
+    leaving = cell.fleet[0]
+    leaving.facts = dataclasses.replace(
+        leaving.facts, capacity=messages.Resources(8_000, 1_000)
+    )
+    cell.report(leaving, 10)
+    # Only the first worker has room for it, until another one grows.
+    cell.submit('j', helpers.step(cpu=6_000, expected_run_ms=600_000))
+    testing.wait_until(lambda: leaving.starts)
+    leaving.facts = dataclasses.replace(
+        leaving.facts, phase=jobs.WorkerPhase.DRAINING
+    )
+    other = cell.fleet[1]
+    other.facts = dataclasses.replace(
+        other.facts, capacity=messages.Resources(8_000, 1_000)
+    )
+    cell.report(other, 11)
+    cell.report(leaving, 12, leaves_in_ms=60_000)
+    cell.wait_done('j')
+    assert [len(worker.starts) for worker in cell.fleet] == [1, 1, 0]
+
+
 def test_the_same_job_at_two_gateways_is_one_job(cell):
     cell.open()
     assert cell.submit('j', helpers.step()) is jobs.JobPhase.QUEUED
--- a/dandeliondrum/jobs/tests/test_progress.py
+++ b/dandeliondrum/jobs/tests/test_progress.py
@@ -115,3 +115,23 @@
     listings.play('late', [0, 6, 12, 18, 24])
     listings.progress.forget('late')
     assert not listings.progress.slow_workers(listings.now_ms + 1_000)
+
+
+@pytest.mark.parametrize(
+    ('percent', 'checkpointing', 'left_ms', 'moves'),
+    [
+        (0, False, 1_500, True),
+        (0, False, 2_500, False),
+        (60, False, 500, False),
+        (60, True, 500, True),
+        (60, True, 900, False),
+    ],
+)
+def test_a_run_that_ends_after_its_worker_is_moved(
+    percent, checkpointing, left_ms, moves
+):
+    one = _progress.RunProgress(
+        TASK, 1, percent, EXPECTED_MS, checkpointing=checkpointing
+    )
+    found = _progress.Progress().too_long('w1', [one], left_ms)
+    assert bool(found) == moves
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -75,7 +75,7 @@
                 if _workers._is_unwanted(state.jobs[key.job_id], key, run)
             ]
 
-    def stalled(self, worker_id, lists):
+    def misplaced(self, worker_id, lists):
         """Return none; progress is judged elsewhere."""
         return []
 
--- a/dandeliondrum/platform/_bodies.py
+++ b/dandeliondrum/platform/_bodies.py
@@ -76,13 +76,10 @@
     )
 
 
-def worker_facts(
+def worker_report(
     body: bytes, worker_id: messages.WorkerId
-) -> tuple[jobs.WorkerFacts, int]:
-    """Return what a worker reports, and the number of its report.
-
-    Raises FieldError.
-    """
+) -> jobs.WorkerReport:
+    """Return what a worker reports; raises FieldError."""
     fields = _fields.parse_object(body)
     phase = _PHASES.get(_fields.text(fields, 'State'))
     if phase is None:
@@ -102,7 +99,12 @@
         _fields.integer(fields, 'born', 0),
         phase,
     )
-    return facts, _fields.integer(fields, 'Seq')
+    leaves_in_ms = None
+    if 'RemainingMs' in fields:
+        leaves_in_ms = _fields.integer(fields, 'RemainingMs')
+    return jobs.WorkerReport(
+        facts, _fields.integer(fields, 'Seq'), leaves_in_ms
+    )
 
 
 def _address(fields: _fields.Body) -> str:
--- a/dandeliondrum/platform/_control.py
+++ b/dandeliondrum/platform/_control.py
@@ -43,7 +43,7 @@
         if isinstance(body, result.Failure):
             return gateway.problem_response(body.failure())
         try:
-            facts, sequence = _bodies.worker_facts(
+            report = _bodies.worker_report(
                 body.unwrap(), messages.WorkerId(worker_id)
             )
         except _fields.FieldError as error:
@@ -51,9 +51,7 @@
                 'report not readable', worker=worker_id, why=str(error)
             )
             return _problem(400, str(error))
-        outcome = self._controller.report_worker(
-            facts, sequence, REPORT_TIMEOUT_MS
-        )
+        outcome = self._controller.report_worker(report, REPORT_TIMEOUT_MS)
         return _reply(outcome, lambda _noted: gateway.json_response({}))
 
     def _leave(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
--- a/dandeliondrum/platform/tests/test_bodies.py
+++ b/dandeliondrum/platform/tests/test_bodies.py
@@ -28,7 +28,7 @@
 
 def _report(**fields):
     body = json.dumps({**REPORT, **fields}).encode()
-    return _bodies.worker_facts(body, 'i-1')
+    return _bodies.worker_report(body, 'i-1')
 
 
 def test_a_job_is_read():
@@ -61,10 +61,14 @@
 
 
 def test_a_report_is_read():
-    facts, sequence = _report()
-    assert (facts.rack, facts.started_ms, sequence) == ('r1-3', 17, 4)
+    report = _report()
+    facts = report.facts
+    assert (facts.rack, facts.started_ms, report.sequence) == ('r1-3', 17, 4)
     assert facts.capacity.cpu_millicores == 16_000
-    assert _report(State='draining')[0].phase is jobs.WorkerPhase.DRAINING
+    assert report.leaves_in_ms is None
+    draining = _report(State='draining', RemainingMs=2_500)
+    assert draining.facts.phase is jobs.WorkerPhase.DRAINING
+    assert draining.leaves_in_ms == 2_500
 
 
 @pytest.mark.parametrize(
@@ -77,6 +81,7 @@
         {'Labels': [1]},
         {'Seq': '4'},
         {'Service': None},
+        {'RemainingMs': 'soon'},
     ],
 )
 def test_a_report_of_another_writer_is_refused(fields):
