Leave a silent leader out of the search while its successor is elected

Change: for 0.7 s after a heartbeat timed out, the search passes over that controller. After a reset or a refusal it is still asked, as it may lead on.

Measured: the test counts calls to the silent leader while the other one answers: 1 or more before, none now.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -24,6 +24,9 @@
 CONNECT_TIMEOUT_MS = 500
 REGISTER_TIMEOUT_MS = 400
 ROUND_PAUSE_MS = 100
+# A successor is elected within 0.9 s of the last sign of a leader, and its
+# silence is noticed after 0.5 s or more of these.
+SILENT_AVOID_MS = 700
 
 _logger = structlog.get_logger()
 
@@ -101,6 +104,7 @@
         self._current: transport.Connection | None = None
         self._opening: transport.Connection | None = None
         self._last: _Candidate | None = None
+        self._avoid_last_until_ms = 0
         self._answered_ms: int | None = None
         self._down_since_ms = utils.monotonic_ms()
         self._closed = False
@@ -209,7 +213,14 @@
                 waiting.appendleft(hinted)
 
     def _in_order(self) -> list[_Candidate]:
-        """Return all controllers, the one that was lost last at the end."""
+        """Return all controllers, the one that was lost last at the end.
+
+        One that has just stopped answering would hold up the search until a
+        timeout, so it is left out while a successor is being elected.
+        """
+        others = [one for one in self._configured if one != self._last]
+        if others and utils.monotonic_ms() < self._avoid_last_until_ms:
+            return others
         return sorted(self._configured, key=lambda one: one == self._last)
 
     def _hinted(self, reply: messages.NotLeader) -> _Candidate | None:
@@ -323,6 +334,10 @@
                         controller=candidate.controller_id,
                         why=str(other),
                     )
+                    if _is_timeout(other):
+                        self._avoid_last_until_ms = (
+                            utils.monotonic_ms() + SILENT_AVOID_MS
+                        )
                     return None
             stream.closed.wait(HEARTBEAT_INTERVAL_MS / 1000)
         return None
@@ -347,3 +362,11 @@
     return result.Failure(
         transport.CallError(transport.CallFailure.NOT_SENT, detail)
     )
+
+
+def _is_timeout(outcome: result.Result[typing.Any, typing.Any]) -> bool:
+    match outcome:
+        case result.Failure(transport.CallError(failure=failure)):
+            return failure is transport.CallFailure.TIMEOUT
+        case _:
+            return False
--- a/dandeliondrum/gateway/tests/test_leader_loss.py
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -82,6 +82,23 @@
             assert fakes.run(front).status == 200
 
 
+def test_a_silent_leader_does_not_hold_up_the_search_for_its_successor():
+    with (
+        contextlib.closing(fakes.Leader('c1')) as mute,
+        contextlib.closing(fakes.Leader('c2', term=2)) as new,
+    ):
+        new.not_leader = messages.NotLeader(messages.ControllerId('c1'))
+        with fakes.serving(mute.address, new.address) as front:
+            mute.silent = True
+            fakes.until(lambda: new.of(messages.RegisterGateway))
+            asked_count = len(mute.of(messages.RegisterGateway))
+            # Several rounds pass before the successor is elected.
+            fakes.until(lambda: len(new.of(messages.RegisterGateway)) == 3)
+            new.not_leader = None
+            fakes.until(front.ready)
+            assert len(mute.of(messages.RegisterGateway)) == asked_count
+
+
 def test_a_port_that_accepts_and_says_nothing_is_passed_over(leader):
     with contextlib.closing(fakes.MutePort()) as mute:
         with fakes.serving(mute.address, leader.address):
