Ask about a step again when the call to the adviser is overdue

A step had one call at a time, however late.

Ruled out: the adviser (the next call took 21 ms), and queueing behind the overdue call (no new call goes to that process).

Change: a call that is 100 ms later than its process's calls usually are may be doubled once by another process. Either reply counts.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -30,6 +30,8 @@
 BACKLOG_MAX_MS = 60
 # A call that is so much later than its process's calls usually are is overdue.
 OVERDUE_MS = 100
+# Calls about one step at a time: a second one once the first is overdue.
+CALLS_PER_STEP_MAX = 2
 # A step whose call failed is asked about again after this pause.
 FAILURE_PAUSE_MS = 150
 # Weight of the newest call in what a process adds to a call; five calls
@@ -52,9 +54,17 @@
         default_factory=dict
     )
     refused: set[messages.WorkerId] = dataclasses.field(default_factory=set)
-    in_flight: bool = False
+    calls_count: int = 0
+    overdue_from_ms: float = 0.0
     not_before_ms: int = 0
 
+    def may_be_asked(self, now_ms: float) -> bool:
+        if self.calls_count >= CALLS_PER_STEP_MAX:
+            return False
+        if self.calls_count and now_ms < self.overdue_from_ms:
+            return False
+        return now_ms >= self.not_before_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -98,9 +108,10 @@
         that were never named. The tasks of a gang start ``together``, so
         the tickets of all its workers are renewed at the same time.
         ``needed_count`` is how many empty workers would hold what waits.
+        While a call is under way there is no other one, unless it is overdue.
         """
         step = self._steps.setdefault(name, _Step())
-        if step.in_flight or now_ms < step.not_before_ms:
+        if not step.may_be_asked(now_ms):
             return ()
         wanted = [c for c in candidates if c.worker_id not in step.refused]
         if not step.tickets and not step.refused:
@@ -123,9 +134,11 @@
         most = WORKERS_MAX if together else WORKERS_LATER_MAX
         return _ids(granted + unknown, most)
 
-    def asked(self, name: StepName) -> None:
-        """Note that a call about the step is on its way."""
-        self._steps[name].in_flight = True
+    def asked(self, name: StepName, due_ms: float) -> None:
+        """Note that a call is on its way whose reply is due by then."""
+        step = self._steps[name]
+        step.calls_count += 1
+        step.overdue_from_ms = due_ms + OVERDUE_MS
 
     def answered(
         self,
@@ -138,7 +151,7 @@
         step = self._steps.get(name)
         if step is None:
             return
-        step.in_flight = False
+        step.calls_count -= 1
         if reply.problem:
             step.not_before_ms = now_ms + FAILURE_PAUSE_MS
             return
@@ -167,7 +180,7 @@
     def keep_only(self, names: collections.abc.Set[StepName]) -> None:
         """Forget all other steps."""
         for name in self._steps.keys() - names:
-            if not self._steps[name].in_flight:
+            if not self._steps[name].calls_count:
                 del self._steps[name]
 
 
@@ -233,6 +246,11 @@
         chosen.calls_ms.append(policy.call_ms(workers_count))
         return best[1]
 
+    def due_ms(self, asker_id: AskerId) -> float:
+        """Return when the last call of a process should be answered."""
+        asker = self._askers[asker_id]
+        return asker.begun_ms + sum(asker.calls_ms) + (asker.extra_ms or 0.0)
+
     def finished(self, asker_id: AskerId, now_ms: float) -> None:
         """Note that the oldest call of a process has ended."""
         asker = self._askers.get(asker_id)
--- a/dandeliondrum/jobs/_advice_calls.py
+++ b/dandeliondrum/jobs/_advice_calls.py
@@ -65,7 +65,7 @@
         asker_id = term.askers.choose(policy, len(named), now_ms)
         if asker_id is None:
             return
-        term.advice.asked(name)
+        term.advice.asked(name, term.askers.due_ms(asker_id))
         request = _calls.AdviceRequest(name, named)
         self._send(asker_id, request).add_done_callback(
             functools.partial(self._answered, asker_id, request, now_ms)
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -12,7 +12,7 @@
 
 def _answer(advice, name, named, granted, now_ms):
     grants = tuple(jobs.Grant(one, f't-{one}-{now_ms}') for one in granted)
-    advice.asked(name)
+    advice.asked(name, now_ms)
     advice.answered(name, named, jobs.AdviceReply(grants, 1_500), now_ms)
 
 
@@ -30,10 +30,32 @@
 def test_one_call_at_a_time_for_a_step():
     advice = _advice.Advice()
     assert advice.to_ask('s', _candidates(3), 0)
-    advice.asked('s')
+    advice.asked('s', 100)
     assert advice.to_ask('s', _candidates(3), 0) == ()
 
 
+def test_an_overdue_call_is_made_by_another_process():
+    advice, askers = _advice.Advice(), _advice.Askers()
+    for name in ('cut off', 'other'):
+        askers.join(name)
+    assert advice.to_ask('s', _candidates(3), 0)
+    first = askers.choose(POLICY, 3, 0)
+    due_ms = askers.due_ms(first)
+    advice.asked('s', due_ms)
+    assert advice.to_ask('s', _candidates(3), due_ms) == ()
+    overdue_ms = due_ms + _advice.OVERDUE_MS + 1
+    assert advice.to_ask('s', _candidates(3), overdue_ms)
+    second = askers.choose(POLICY, 3, overdue_ms)
+    assert {first, second} == {'cut off', 'other'}
+    advice.asked('s', askers.due_ms(second))
+    assert advice.to_ask('s', _candidates(3), 99_999) == ()
+    lost = jobs.AdviceReply((), 0, 'closed')
+    advice.answered('s', ('w1',), lost, 100_000)
+    grants = (jobs.Grant('w1', 't'),)
+    advice.answered('s', ('w1',), jobs.AdviceReply(grants, 1_500), 100_001)
+    assert advice.tickets('s', 100_002) == {'w1': 't'}
+
+
 def test_tickets_are_given_out_while_they_are_valid():
     advice = _advice.Advice()
     named = advice.to_ask('s', _candidates(3), 0)
@@ -61,7 +83,7 @@
 def test_a_call_that_failed_is_made_again_after_a_pause():
     advice = _advice.Advice()
     named = advice.to_ask('s', _candidates(1), 0)
-    advice.asked('s')
+    advice.asked('s', 100)
     failed = jobs.AdviceReply((), 0, 'no answer')
     advice.answered('s', named, failed, 100)
     assert advice.to_ask('s', _candidates(1), 110) == ()
