Harm the links of the soak: delayed, cut, stalled, deaf, mute, silenced

Cause: the soak harmed processes and workers, not links, which the users ask for.

Change: calls to each worker and those of callers to each gateway pass through the proxies that exist; workers may also stand still. A fault that strikes a link draws nothing for seeds that ran before, so the kept seeds keep their faults (links=False). Runs in memory end when they are due also while nobody calls the worker.

Links between controllers are not harmed yet.

--- a/dandeliondrum/testing/_platform.py
+++ b/dandeliondrum/testing/_platform.py
@@ -74,6 +74,8 @@
         self.worker = worker
         self.sequence = 0
         self.server = HttpServer(address, self._serve)
+        # Where the worker says that it is reached.
+        self.advertised = self.server.address
 
     def report(self, state: str = 'ready') -> bytes:
         """Return the body of the next report about itself."""
@@ -81,7 +83,7 @@
         facts = self.worker.facts
         fields = {
             'Service': facts.pool,
-            'Address': self.server.address,
+            'Address': self.advertised,
             'Zone': facts.failure_domain,
             'Version': 'v1',
             'Slots': 8,
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -12,6 +12,7 @@
 from dandeliondrum.testing import _platform
 from dandeliondrum.testing import _ports
 from dandeliondrum.testing import _processes
+from dandeliondrum.testing import _proxy
 
 # Controllers are known by their IP numbers, so each has one of its own.
 CONTROLLER_IPS = ('127.0.0.2', '127.0.0.3', '127.0.0.4')
@@ -66,7 +67,9 @@
 class PlatformCell:
     """Three controllers, gateways, workers and an adviser on loopback.
 
-    Processes run until the context ends.
+    Processes run until the context ends. With ``proxied`` the calls to each
+    worker and those of callers to each gateway pass through a proxy, by the
+    name of what it leads to in ``links``.
 
     Example::
 
@@ -81,6 +84,7 @@
         processes: _processes.Processes,
         workers: list[_job_workers.FakeWorker],
         gateways_count: int = 1,
+        proxied: bool = False,
     ) -> None:
         self.processes = processes
         self._folder = folder
@@ -98,6 +102,14 @@
         self.workers = [
             _platform.HttpWorker(one, _ports.free_address()) for one in workers
         ]
+        self.links: dict[str, _proxy.Proxy] = {}
+        if proxied:
+            self.links = {
+                one.worker.facts.worker_id: _proxy.Proxy(one.server.address)
+                for one in self.workers
+            }
+            for number, address in enumerate(self.callers):
+                self.links[f'g{number}'] = _proxy.Proxy(address)
         self._resources = contextlib.ExitStack()
 
     def __enter__(self) -> 'PlatformCell':
@@ -105,6 +117,12 @@
         for server in (self.adviser.server, *servers):
             server.start()
             self._resources.callback(server.close)
+        for link in self.links.values():
+            self._resources.enter_context(link)
+        for worker in self.workers:
+            worker_link = self.links.get(worker.worker.facts.worker_id)
+            if worker_link is not None:
+                worker.advertised = worker_link.address
         for ip in CONTROLLER_IPS:
             self._launch_controller(ip, first_start=True)
         for number, address in enumerate(self.callers):
@@ -172,8 +190,10 @@
         number: int = 0,
     ) -> _http.HttpReply:
         """Make a caller's call at a gateway."""
+        link = self.links.get(f'g{number}')
+        address = self.callers[number] if link is None else link.address
         return _http.call(
-            f'http://{self.callers[number]}{path}',
+            f'http://{address}{path}',
             method,
             body,
             headers or HEADERS,
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -3,19 +3,22 @@
 Real processes serve callers while faults are injected from outside of them,
 in series and overlapping: processes are killed, frozen and stopped, disks are
 lost, workers fall silent, start again, fail, or carry out orders late, and
-operators change the configuration. Everything is drawn from one seed.
+operators change the configuration. Links to workers and gateways are delayed,
+reset, cut in one direction or silenced. Everything is drawn from one seed.
 """
 
 import collections.abc
 import concurrent.futures
 import contextlib
 import dataclasses
+import functools
 import pathlib
 import random
 import threading
 import time
 
 from dandeliondrum import messages
+from dandeliondrum.testing import _faults
 from dandeliondrum.testing import _platform_cell
 from dandeliondrum.testing import _processes
 from dandeliondrum.testing import _soak_callers
@@ -31,15 +34,24 @@
 FAULT_GAP_S = (0.2, 1.5)
 FAULT_LENGTH_S = (0.2, 3.5)
 FAULTS_AT_ONCE = 3
+LINK_DELAY_MS = (20, 400)
+# Longer than a soak: what stands still has to be placed elsewhere.
+STALL_MS = 600_000
+ADVANCE_EVERY_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
 class SoakOptions:
-    """The seed, and for how long faults are injected."""
+    """The seed, and for how long faults are injected.
+
+    Without ``links`` the faults of links are left out, and those that a seed
+    draws are the ones that it drew before there were any.
+    """
 
     seed: int
     length_s: float
     folder: pathlib.Path
+    links: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,7 +78,11 @@
         )
         cell = resources.enter_context(
             _platform_cell.PlatformCell(
-                options.folder, processes, list(workers), gateways_count=2
+                options.folder,
+                processes,
+                list(workers),
+                gateways_count=2,
+                proxied=options.links,
             )
         )
         return _Soak(options, cell, workers, judge).run(resources)
@@ -100,6 +116,7 @@
         )
         resources.callback(self._stopping.set)
         reports = executor.submit(self._report_workers)
+        clock = executor.submit(self._advance_workers)
         if not self._open():
             self._judge.add('the cell did not begin to serve')
             return self._outcome()
@@ -118,6 +135,7 @@
         self._callers.settle(SETTLE_TIMEOUT_S)
         self._stopping.set()
         reports.result()
+        clock.result()
         return self._outcome()
 
     def _outcome(self) -> SoakOutcome:
@@ -148,6 +166,12 @@
                     if self._cell.report(worker, number) == 200:
                         break
 
+    def _advance_workers(self) -> None:
+        """Let runs end when they are due, also where no call arrives."""
+        while not self._stopping.wait(ADVANCE_EVERY_S):
+            for worker in self._workers:
+                worker.running()
+
     def _inject_faults(
         self, executor: concurrent.futures.ThreadPoolExecutor
     ) -> None:
@@ -192,8 +216,58 @@
                 lambda: self._fail(worker, length_s),
             ),
         ]
+        if self._options.links:
+            faults += [
+                (
+                    f'standing still {worker.facts.worker_id}',
+                    lambda: self._stall(worker, length_s),
+                ),
+                *self._link_faults(length_s),
+            ]
         return chance.choice(faults)
 
+    def _link_faults(
+        self, length_s: float
+    ) -> list[tuple[str, collections.abc.Callable[[], None]]]:
+        """Return faults of one link; those of connections come twice."""
+        name = self._chance.choice(sorted(self._cell.links))
+        link = self._cell.links[name]
+        delay_ms = self._chance.randint(*LINK_DELAY_MS)
+        swallow = _faults.Flow.SWALLOW
+        shapes = {
+            'delayed': _faults.Faults(delay_ms=delay_ms, jitter_ms=20),
+            'cut off': _faults.CUT,
+            'stalled': _faults.STALLED,
+            'deaf': _faults.Faults(forward=swallow),
+            'mute': _faults.Faults(backward=swallow),
+        }
+        faults: list[tuple[str, collections.abc.Callable[[], None]]] = [
+            (
+                f'link to {name} {what}',
+                functools.partial(self._harm, name, faults, length_s),
+            )
+            for what, faults in shapes.items()
+        ]
+        faults.append((f'connections to {name} silenced', link.silence))
+        return faults
+
+    def _harm(
+        self, name: str, faults: _faults.Faults, length_s: float
+    ) -> None:
+        """Harm a link for a while; no other fault has it meanwhile."""
+        with self._alone(f'link {name}') as free:
+            if free:
+                self._cell.links[name].set(faults)
+                time.sleep(length_s)
+                self._cell.links[name].heal()
+
+    def _stall(
+        self, worker: _soak_judge.JudgedWorker, length_s: float
+    ) -> None:
+        worker.stalls_ms = STALL_MS
+        time.sleep(length_s)
+        worker.stalls_ms = 0
+
     @contextlib.contextmanager
     def _alone(self, *names: str) -> collections.abc.Iterator[bool]:
         """Strike processes that no other fault has; return whether it may."""
--- a/dandeliondrum/testing/_soak_callers.py
+++ b/dandeliondrum/testing/_soak_callers.py
@@ -15,6 +15,8 @@
 # Sent again for so long; a cell without a leader needs a few seconds.
 SUBMIT_TIMEOUT_S = 20
 CANCELLED_PART = 0.15
+# What a task is said to take; workers of a soak take about as long.
+TASK_ESTIMATE_MS = 700
 TASK_CPU = (500, 1_500)
 TASKS_MAX = 3
 # A controller with an empty disk votes again by then.
@@ -66,7 +68,12 @@
             cpu = chance.randint(*TASK_CPU)
             text = _soak_judge.payload(cpu)
             count = chance.randint(1, TASKS_MAX)
-            step = {'Count': count, 'Cpu': cpu, 'MemMb': 1}
+            step = {
+                'Count': count,
+                'Cpu': cpu,
+                'MemMb': 1,
+                'EstimateMs': TASK_ESTIMATE_MS,
+            }
             later = {**step, 'After': [0]}
             body = {
                 'Spec': text,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,14 +18,22 @@
     # keeps them up until a lost disk is filled.
     7,
 )
+# Faults of links came later, so these draw what they drew before.
+SEEDS_WITH_LINKS = (101,)
 LENGTH_S = 8
 CAPACITY = messages.Resources(1_000, 100)
 TEXT = _soak_judge.payload(600)
 
 
-@pytest.mark.parametrize('seed', SEEDS)
-def test_a_soak_sees_nothing_that_must_never_happen(seed, tmp_path):
-    options = _soak.SoakOptions(seed, LENGTH_S, tmp_path)
+@pytest.mark.parametrize(
+    ('seed', 'links'),
+    [
+        *((seed, False) for seed in SEEDS),
+        *((seed, True) for seed in SEEDS_WITH_LINKS),
+    ],
+)
+def test_a_soak_sees_nothing_that_must_never_happen(seed, links, tmp_path):
+    options = _soak.SoakOptions(seed, LENGTH_S, tmp_path, links)
     outcome = _soak.run_soak(options)
     assert outcome.violations == ()
     assert outcome.accepted_count > 0
