--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -85,6 +85,12 @@
     assert groups[0][0].ticket == 't2'
 
 
+def test_only_workers_of_the_pool_are_used():
+    rooms = [_room('w1', pool='other'), _room('w2')]
+    groups = _planner.plan([_demand('j', helpers.step(9))], rooms, {})
+    assert set(sum(_workers_of(groups), [])) == {'w2'}
+
+
 def test_labels_are_kept():
     demand = _demand('j', helpers.step(required_label='b'))
     room = _room('w2', labels=frozenset({'b'}))
