Part the leader's side of a worker into lease, orders, sender and lists

Cause: jobs/_worker_peer.py had 600 lines in which the reading of lists and the sending of orders shared a dozen fields.

Change: _lease.py has the grants and when they have run out, _orders.py what is to be sent and how far each start is, _order_sender.py the tasks that send, _peer_state.py what these share; _worker_peer.py keeps the lists. No behaviour is meant to change.

--- /dev/null
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -0,0 +1,176 @@
+"""Sends the starts and stops of one worker."""
+
+import threading
+
+import structlog
+
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _orders
+from dandeliondrum.jobs import _peer_state
+from dandeliondrum.jobs import _port
+from dandeliondrum.jobs import _specs
+
+PAUSE_MS = 100
+IDLE_MS = 500
+# A start that was not answered so often is replaced by a stop.
+STARTS_MAX = 3
+
+_logger = structlog.get_logger()
+
+
+class OrderSender:
+    """Carries out what the order book holds; several tasks may run it."""
+
+    def __init__(self, state: _peer_state.PeerState) -> None:
+        self._state = state
+        self._orders = state.orders
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send starts and stops until the worker has ended."""
+        state = self._state
+        while not stopping.is_set() and not state.ended:
+            item = self._orders.next(IDLE_MS / 1000)
+            if item is None:
+                continue
+            if not state.events.may_act():
+                self._orders.put_back(item)
+                stopping.wait(PAUSE_MS / 1000)
+                continue
+            match item:
+                case _orders.Stop(task, run):
+                    self._send_stop(task, run)
+                case task:
+                    self._send_start(task, stopping)
+
+    def _send_start(
+        self, task: _specs.TaskKey, stopping: threading.Event
+    ) -> None:
+        state = self._state
+        run = state.events.assigned(state.facts.worker_id).get(task)
+        if run is None:
+            return
+        draining = state.facts.phase is _commands.WorkerPhase.DRAINING
+        unwanted = draining or bool(state.events.unwanted([(task, run)]))
+        with state.lock:
+            order = self._orders.get(task, run)
+            if order is None:
+                return
+            if unwanted and order.sends_count == 0:
+                request = None
+            else:
+                order.sends_count += 1
+                order.phase = _orders.OrderPhase.SENT
+                request = self._start_order(task, order)
+        if request is None:
+            self._never_started(task, order.run)
+            return
+        outcome = state.port.start(request)
+        match outcome:
+            case _port.Accepted():
+                self._settle(order)
+            case _port.Gone():
+                state.end_life()
+            case _port.Refused(reason):
+                self._start_refused(task, order, reason)
+            case _port.Unanswered(sent, detail):
+                self._start_unanswered(task, order, sent, detail)
+                stopping.wait(PAUSE_MS / 1000)
+
+    def _start_order(
+        self, task: _specs.TaskKey, order: _orders.Order
+    ) -> _port.StartOrder:
+        state = self._state
+        return _port.StartOrder(
+            state.facts,
+            state.token,
+            task,
+            order.run,
+            order.payload,
+            state.lease_until_ms(),
+            order.checkpoint,
+            order.ticket,
+        )
+
+    def _settle(self, order: _orders.Order) -> None:
+        with self._state.lock:
+            self._orders.settle(order, self._state.reads_count + 1)
+
+    def _start_refused(
+        self,
+        task: _specs.TaskKey,
+        order: _orders.Order,
+        reason: _port.Refusal,
+    ) -> None:
+        worker_id = self._state.facts.worker_id
+        _logger.info(
+            'start refused',
+            worker=worker_id,
+            task=str(task),
+            run=order.run,
+            why=reason.value,
+            sends_count=order.sends_count,
+        )
+        self._state.events.refused(worker_id, task, reason)
+        if order.sends_count == 1:
+            # Nothing of this run is under way, so it can never start.
+            self._never_started(task, order.run)
+        else:
+            self._settle_by_stop(task, order)
+
+    def _never_started(self, task: _specs.TaskKey, run: int) -> None:
+        lost = _commands.RunEnd(task, run, _commands.RunOutcome.LOST)
+        self._state.record((lost,))
+
+    def _start_unanswered(
+        self,
+        task: _specs.TaskKey,
+        order: _orders.Order,
+        sent: bool,
+        detail: str,
+    ) -> None:
+        _logger.info(
+            'start not answered',
+            worker=self._state.facts.worker_id,
+            task=str(task),
+            run=order.run,
+            sent=sent,
+            why=detail,
+        )
+        with self._state.lock:
+            if not sent:
+                order.sends_count -= 1
+            if order.phase is _orders.OrderPhase.LISTED:
+                return
+            if order.sends_count < STARTS_MAX:
+                order.phase = _orders.OrderPhase.QUEUED
+                self._orders.repeat(task)
+                return
+        self._settle_by_stop(task, order)
+
+    def _settle_by_stop(
+        self, task: _specs.TaskKey, order: _orders.Order
+    ) -> None:
+        """Keep a run from starting late; the lists show what it came to."""
+        self._orders.stop(task, order.run)
+
+    def _send_stop(self, task: _specs.TaskKey, run: int) -> None:
+        state = self._state
+        with state.lock:
+            order = self._orders.get(task, run)
+            request = _port.StopOrder(state.facts, state.token, task, run)
+        outcome = state.port.stop(request)
+        match outcome:
+            case _port.Accepted() | _port.Refused():
+                if order is not None:
+                    self._settle(order)
+            case _port.Gone():
+                state.end_life()
+            case _port.Unanswered(_, detail):
+                _logger.info(
+                    'stop not answered',
+                    worker=state.facts.worker_id,
+                    task=str(task),
+                    run=run,
+                    why=detail,
+                )
+                self._orders.repeat(_orders.Stop(task, run))
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -12,11 +12,11 @@
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _delays
 from dandeliondrum.jobs import _demands
+from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _term
-from dandeliondrum.jobs import _worker_peer
 from dandeliondrum import messages
 
 # Rounds follow each other no faster, so that one carries many decisions.
@@ -141,13 +141,13 @@
             for placement, run in zip(group, runs, strict=True):
                 job = self._term.state.jobs[run.task.job_id]
                 task = job.steps[run.task.step].tasks[run.task.index]
-                order = _worker_peer.Order(
+                order = _orders.Order(
                     run.run,
                     job.spec.payload,
                     task.checkpoint,
                     placement.ticket,
                 )
-                self._term.peers[run.worker_id].plan(run.task, order)
+                self._term.peers[run.worker_id].orders.plan(run.task, order)
 
     def _agree(
         self, numbered: tuple[tuple[_commands.RunAssignment, ...], ...]
@@ -168,7 +168,7 @@
         if peer is None:
             return
         if not assigned:
-            peer.unplan(run.task)
+            peer.orders.unplan(run.task)
             return
         self._term.metrics.assigned.inc()
         _logger.info(
@@ -180,7 +180,7 @@
             list_age_ms=peer.list_age_ms(),
         )
         self._observe_first_start(run.task.job_id)
-        peer.dispatch(run.task)
+        peer.orders.dispatch(run.task)
 
     def _observe_first_start(self, job_id: _specs.JobId) -> None:
         accepted = self._term.accepted_ms.pop(job_id, None)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -191,7 +191,7 @@
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
         for _ in range(ORDER_TASKS_PER_WORKER):
             self._supervisor.run(
-                f'orders to {facts.worker_id}', peer.send_orders
+                f'orders to {facts.worker_id}', peer.sender.run
             )
 
     def _removed(
@@ -354,7 +354,7 @@
                 )
                 peer = self._term.peers.get(task.worker_id)
                 if peer is not None and _is_unwanted(job, key, task.run):
-                    peer.stop(key, task.run)
+                    peer.orders.stop(key, task.run)
 
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -9,6 +9,7 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _worker_peer
 from dandeliondrum.jobs import _workers
 from dandeliondrum.jobs.tests import helpers
@@ -47,9 +48,9 @@
 
     def start(self, task, run=1):
         key = jobs.parse_task_key(task)
-        self.peer.plan(key, _worker_peer.Order(run, 'payload', '', ''))
+        self.peer.orders.plan(key, _orders.Order(run, 'payload', '', ''))
         assert self.machine.assign(task, run, self.worker.facts.worker_id)
-        self.peer.dispatch(key)
+        self.peer.orders.dispatch(key)
 
     def may_act(self):
         return self.acting
@@ -94,7 +95,7 @@
     peer = peer or leader.peer
     threads = [
         threading.Thread(target=task, args=(leader.stopping,))
-        for task in (peer.watch, *2 * (peer.send_orders,))
+        for task in (peer.watch, *2 * (peer.sender.run,))
     ]
     for thread in threads:
         thread.start()
@@ -316,7 +317,7 @@
         return worker.start(order)
 
     port.start = start
-    leader.peer._port = port
+    leader.peer._state.port = port
     with serving(leader):
         testing.wait_until(leader.peer.usable)
         leader.start('j.0.0.0')
