--- a/dandeliondrum/embedded/_tables.py
+++ b/dandeliondrum/embedded/_tables.py
@@ -92,6 +92,7 @@
         'over_limit',
         'overloaded_workers',
         'other_violations',
+        'never_started',
     )
     rows = [(name, getattr(summary, name)) for name in names]
     return tables.render(('figure', 'count'), rows)
