Decide once that a run ends after its worker

Cause: while a run on a draining worker was being stopped, each read of the lists judged it again, wrote the line and counted it.

Change: each run is returned once; a stop without an answer is repeated by the sender as before.

Measured: the test asks twice and failed on the second answer.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -24,8 +24,8 @@
 CONNECT_TIMEOUT_MS = 500
 REGISTER_TIMEOUT_MS = 400
 ROUND_PAUSE_MS = 100
-# A successor is elected within 0.9 s of the last sign of a leader, and its
-# silence is noticed after 0.5 s or more of these.
+# A successor is elected within 0.9 s of the leader's last sign of life, and
+# the silence is noticed 0.5 s after it or later.
 SILENT_AVOID_MS = 700
 
 _logger = structlog.get_logger()
--- a/dandeliondrum/jobs/_progress.py
+++ b/dandeliondrum/jobs/_progress.py
@@ -64,6 +64,7 @@
     since_ms: int
     listings_count: int = 1
     moved: bool = False
+    given_up: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,15 +129,23 @@
 
         Answers the load of workers that drain: a run that can't end in time
         would be lost with its worker, and begin anew only then. One that has
-        done much and saves nothing stays, as workers often leave later.
+        done much and saves nothing stays, as workers often leave later. Each
+        run of the last listing is returned once.
         """
         speed = max(self.speed(worker_id), SPEED_MIN)
-        return [
-            one
-            for one in runs
-            if (one.checkpointing or one.percent < GIVEN_UP_PERCENT_MAX)
-            and (1 - one.percent / 100) * one.expected_ms / speed > left_ms
-        ]
+        tracks = self._tracks.get(worker_id, {})
+        found = []
+        for one in runs:
+            track = tracks.get((one.task, one.run))
+            if track is None or track.given_up:
+                continue
+            if not one.checkpointing and one.percent >= GIVEN_UP_PERCENT_MAX:
+                continue
+            rest_ms = (1 - one.percent / 100) * one.expected_ms / speed
+            if rest_ms > left_ms:
+                track.given_up = True
+                found.append(one)
+        return found
 
     def slow_workers(self, now_ms: int) -> frozenset[messages.WorkerId]:
         """Return the workers that are much slower than most."""
--- a/dandeliondrum/jobs/tests/test_progress.py
+++ b/dandeliondrum/jobs/tests/test_progress.py
@@ -133,5 +133,7 @@
     one = _progress.RunProgress(
         TASK, 1, percent, EXPECTED_MS, checkpointing=checkpointing
     )
-    found = _progress.Progress().too_long('w1', [one], left_ms)
-    assert bool(found) == moves
+    progress = _progress.Progress()
+    progress.listed('w1', [one], 0, 0)
+    assert bool(progress.too_long('w1', [one], left_ms)) == moves
+    assert not progress.too_long('w1', [one], left_ms)
