Call runs that nobody assigned unassigned

One line of documentation in the soak described faults that come twice; none does.

Change: names and text only.

Measured: the tests of jobs pass.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -66,7 +66,7 @@
         self.sender = _order_sender.OrderSender(self._state)
         self._lock = self._state.lock
         self._life_started_ms = 0
-        self._strangers_count = 0
+        self._unassigned_count = 0
         self._acknowledged = 0
         self._left = False
         self._answered_ms: int | None = None
@@ -84,7 +84,7 @@
     def usable(self) -> bool:
         """Return whether new tasks may be placed on the worker now."""
         with self._lock:
-            if self._state.ended or self._left or self._strangers_count:
+            if self._state.ended or self._left or self._unassigned_count:
                 return False
             if self._answered_ms is None or self._first_read:
                 return False
@@ -217,17 +217,17 @@
                     continue
                 elif self.orders.is_lost(task, run, number):
                     ends.append(self._lost(task, run))
-        strangers = [key for key in listed if assigned.get(key[0]) != key[1]]
-        unwanted = self._events.unwanted(listed.keys() - set(strangers))
+        unassigned = [key for key in listed if assigned.get(key[0]) != key[1]]
+        unwanted = self._events.unwanted(listed.keys() - set(unassigned))
         misplaced = self._events.misplaced(self.facts.worker_id, lists)
-        for task, run in [*strangers, *unwanted, *misplaced]:
+        for task, run in [*unassigned, *unwanted, *misplaced]:
             self.orders.stop(task, run)
         if not self._state.record(tuple(ends)):
             return False
         with self._lock:
-            if bool(strangers) != bool(self._strangers_count):
+            if bool(unassigned) != bool(self._unassigned_count):
                 self._events.changed()
-            self._strangers_count = len(strangers)
+            self._unassigned_count = len(unassigned)
             numbers = [one.number for one in lists.ends]
             self._acknowledged = max([self._acknowledged, *numbers])
         return True
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -229,7 +229,7 @@
     def _link_faults(
         self, length_s: float
     ) -> list[tuple[str, collections.abc.Callable[[], None]]]:
-        """Return faults of one link; those of connections come twice."""
+        """Return the faults of a link that is drawn here."""
         name = self._chance.choice(sorted(self._cell.links))
         link = self._cell.links[name]
         delay_ms = self._chance.randint(*LINK_DELAY_MS)
