Cut off a worker on which a run has just begun

The journals of that run: the test cut off w3, which had the newest start, at 8.1 s; that start was of 0.97 s, its run ended at 8.26 s, and the second run of the same task began at 11.05 s, after it. The broken build did start the task again, but not beside the first run. The calls of the runs that had ended were sent again only after the cut.

Ruled out: that the broken build waits for leases (it gave the task up 2.8 s after the cut; the lease was 8 s), and the checker, which had no overlap to find.

Change: the test waits for a run that starts after it wants to cut, and cuts off that worker. Bounds and what is wanted stay.

--- a/tests/test_broken_builds.py
+++ b/tests/test_broken_builds.py
@@ -100,13 +100,20 @@
         cell.apply_rules(rules_text.replace('1500', '8000'), 1).status == 200
     )
 
-    def cut_off():
+    def newest_start(since_ms):
         starts = [
             event
             for event in cell.journals()
-            if event.kind is worker.EventKind.START
+            if event.kind is worker.EventKind.START and event.at_ms >= since_ms
         ]
-        cell.mesh.isolate(max(starts, key=lambda one: one.at_ms).worker_id)
+        return max(starts, key=lambda one: one.at_ms, default=None)
+
+    def cut_off():
+        # The second run begins three seconds later, so the first one must
+        # have just begun.
+        now_ms = worker.now_ms()
+        started = testing.wait_until(lambda: newest_start(now_ms))
+        cell.mesh.isolate(started.worker_id)
         time.sleep(7)
         cell.mesh.heal()
 
