Keep the time at which a lease ran out when an answer comes after it

The stand-in worker works this time out again when the run has ended; a heartbeat that was answered between the stop and the end had moved it.

Ruled out: the longer lease of the test, which makes the same time smaller or larger and does not order the two; the run itself, which was stopped.

Change: the time is kept with the stop, and a later renewal does not change it.

Measured: a test that puts a renewal between the two gave the later time before and gives the right one now; the tests of worker, testing and embedded pass.

--- a/dandeliondrum/worker/_attempt.py
+++ b/dandeliondrum/worker/_attempt.py
@@ -8,6 +8,8 @@
 from dandeliondrum.worker import _journal
 
 THROTTLED_PACE = 0.5
+# Why an attempt was stopped that was not renewed; readers of journals know it.
+LEASE_REASON = 'lease'
 WAITING_MAX = 2
 SURE_WAIT_MS = 1_000
 
@@ -18,7 +20,8 @@
     """State of an attempt; its fields belong to the lock of its owner.
 
     ``ended`` is set once it runs no more. ``answer`` is None from the moment
-    at which the answer was dropped.
+    at which the answer was dropped. ``expired_ms`` is when its lease ran out,
+    None while that is not the reason of its stop.
     """
 
     def __init__(self, call: _calls.StartCall) -> None:
@@ -31,6 +34,7 @@
         self.digest = _EMPTY_DIGEST
         self.detail = ''
         self.run_ms = 0
+        self.expired_ms: float | None = None
         self._pace = 1.0
         self._stop_reason = ''
         self._changed = threading.Condition()
@@ -52,6 +56,13 @@
             self._stop_reason = self._stop_reason or reason
             self._changed.notify_all()
 
+    def expire(self, expired_ms: float) -> None:
+        """Stop it for its lease; a renewal from now on changes nothing."""
+        with self._changed:
+            if not self._stop_reason:
+                self.expired_ms = expired_ms
+            self.stop(LEASE_REASON)
+
     def throttle(self, throttled: bool) -> None:
         """Run at half the pace, or at the whole again."""
         with self._changed:
--- a/dandeliondrum/worker/_attempts.py
+++ b/dandeliondrum/worker/_attempts.py
@@ -13,7 +13,6 @@
 from dandeliondrum.worker import _options
 from dandeliondrum.worker import _snapshot
 
-LEASE_REASON = 'lease'
 
 _State = messages.AttemptState
 
@@ -89,7 +88,7 @@
             ended_ms = _journal.now_ms()
             expires_ms = self._expires_ms(attempt)
             if ended_ms >= expires_ms:
-                attempt.stop(LEASE_REASON)
+                attempt.expire(expires_ms)
             if attempt.stop_reason:
                 state, answer = _State.STOPPED, b''
                 detail = attempt.stop_reason
@@ -105,7 +104,7 @@
                 attempt.call,
                 state=state,
                 reason=detail,
-                expired_ms=expires_ms if detail == LEASE_REASON else None,
+                expired_ms=attempt.expired_ms,
                 incarnation=attempt.call.incarnation,
             )
             self._drop_surplus()
@@ -139,7 +138,7 @@
             for attempt in self.running():
                 expires_ms = self._expires_ms(attempt)
                 if expires_ms <= now_ms:
-                    attempt.stop(LEASE_REASON)
+                    attempt.expire(expires_ms)
                 elif not attempt.stop_reason:
                     self._leases.arm(expires_ms)
 
--- a/dandeliondrum/worker/tests/test_leases.py
+++ b/dandeliondrum/worker/tests/test_leases.py
@@ -1,16 +1,40 @@
 """What is not renewed is stopped, by the clock of the sent heartbeat."""
 
+import contextlib
 import itertools
+import time
 
 from dandeliondrum import messages
 from dandeliondrum import testing
+from dandeliondrum import utils
 from dandeliondrum import worker
+from dandeliondrum.worker import _attempts
+from dandeliondrum.worker import _calls
+from dandeliondrum.worker import _journal
+from dandeliondrum.worker import _leases
 from dandeliondrum.worker.tests import _rig
 
 Kind = worker.EventKind
 State = messages.AttemptState
 
 
+def _call(arrived_ms, lease_ms):
+    return _calls.StartCall(
+        attempt_id=messages.AttemptId('team/a#1'),
+        task_id=messages.TaskId('team/a'),
+        token=messages.FencingToken(1),
+        incarnation=messages.Incarnation(''),
+        lease_ms=lease_ms,
+        durable=False,
+        team_id=messages.TeamId('team'),
+        queue=messages.QueueName('lens'),
+        resources=messages.Resources(1_000, 512),
+        trace_parent='',
+        body=b'',
+        arrived_ms=arrived_ms,
+    )
+
+
 def test_renewed_leases_let_an_attempt_run_longer_than_one_lease():
     with _rig.running() as rig:
         reply = rig.start(body={'run_ms': 1_500}, lease_ms=700, wait_ms=9_000)
@@ -54,6 +78,28 @@
         assert (short.state, long.state) == ('stopped', 'finished')
 
 
+def test_a_renewal_after_the_end_of_a_lease_does_not_move_it():
+    # The answer to a heartbeat comes between the stop of a run and its end,
+    # as it may right after a freeze.
+    with contextlib.closing(utils.TimerService()) as timers:
+        timers.start()
+        leases = _leases.Leases(timers, lambda: None)
+        journal = _journal.Journal(messages.WorkerId('w1'), '')
+        attempts = _attempts.Attempts(
+            _rig.options(), journal, leases, lambda _: None, lambda _: None
+        )
+        arrived_ms = worker.now_ms()
+        leases.answered(arrived_ms)
+        attempt = attempts.start(_call(arrived_ms, lease_ms=20))
+        time.sleep(0.05)
+        attempts.stop_expired()
+        leases.answered(worker.now_ms())
+        attempts.finish(attempt, State.FINISHED, b'', '')
+    (end,) = [one for one in journal.events() if one.kind is Kind.END]
+    assert (end.state, end.reason) == (State.STOPPED, 'lease')
+    assert end.expired_ms == arrived_ms + 20
+
+
 def test_an_end_after_the_lease_counts_as_stopped():
     # The attempt ends by itself at the moment at which its lease does, so
     # over some tries both orders of the two come about.
