Count the start of a process as part of the wait for a leader

Cause: a voter that starts waits a whole election timeout for a leader, and refuses votes for the shortest one. It cannot have heard a leader since its process started, and loading the code takes a good part of that time. After a loss of power the cell had no leader for all of it.

Ruled out: shorter timeouts for the first election (a voter that was killed may have confirmed its leader just before, and that leader's lease has to run out first).

Change: the programs pass the time at which the package was loaded, and the first wait counts from there.

Test: test_after_a_restart_of_all_the_start_of_the_process_counts, which failed before (no leader for 8 s).

--- a/dandeliondrum/__init__.py
+++ b/dandeliondrum/__init__.py
@@ -7,4 +7,10 @@
 under leases.
 """
 
+import time
+
 __version__ = '0.1.0'
+
+# When the package was loaded, in nanoseconds of the monotonic clock. Daemons
+# load it first of all, so it stands for the start of their process.
+LOADED_NS = time.monotonic_ns()
--- a/dandeliondrum/command/_roles.py
+++ b/dandeliondrum/command/_roles.py
@@ -12,6 +12,7 @@
 
 from returns import result
 
+import dandeliondrum
 from dandeliondrum import messages
 from dandeliondrum import settings
 from dandeliondrum import utils
@@ -59,6 +60,7 @@
 
     fields = _same_fields(loaded, controller.Options)
     fields['data_folder'] = pathlib.Path(loaded.data_folder)
+    fields['started_ns'] = dandeliondrum.LOADED_NS
     fields['controllers'] = {
         item.controller_id: item.address for item in loaded.controllers
     }
--- a/dandeliondrum/consensus/_options.py
+++ b/dandeliondrum/consensus/_options.py
@@ -34,6 +34,10 @@
 
     ``addresses`` maps controllers to ``host:port`` and overrides what the
     membership says, for example so that a proxy can stand between.
+    ``started_ns`` is the monotonic time at which the process started, in
+    nanoseconds, or None for the time at which the node is made. The node can
+    have heard no leader since then, so its first election needs to wait only
+    for what is left of the usual time.
     """
 
     controller_id: messages.ControllerId
@@ -45,4 +49,5 @@
     heartbeat_ms: int = 100
     election_min_ms: int = 600
     election_max_ms: int = 1_200
+    started_ns: int | None = None
     snapshot_every_entries: int = 20_000
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -63,6 +63,8 @@
         self.voted_for = ''
         self.leader_id: messages.ControllerId | None = None
         self.heard_ns = time.monotonic_ns()
+        if options.started_ns is not None:
+            self.heard_ns = options.started_ns
         self.deadline_ns = 0
         self.stand_at_once = False
         self.ballot: _progress.Ballot | None = None
@@ -83,7 +85,7 @@
         self.progress: dict[messages.ControllerId, _progress.Progress] = {}
         self.pending: dict[int, _progress.Pending] = {}
         self.confirmations: list[_progress.Confirmation] = []
-        self.put_off_election()
+        self.put_off_election(self.heard_ns)
 
     def put(self, work: _works.Work) -> None:
         """Hand work to the writer thread; takes the lock itself."""
@@ -99,14 +101,14 @@
         self.election_wakes.notify_all()
         self.steward_wakes.notify_all()
 
-    def put_off_election(self) -> None:
-        """Draw anew how long to wait for a leader."""
+    def put_off_election(self, since_ns: int | None = None) -> None:
+        """Draw anew how long to wait for a leader, from now if not given."""
         wait_ms = random.uniform(
             self.options.election_min_ms, self.options.election_max_ms
         )
-        self.deadline_ns = time.monotonic_ns() + int(
-            wait_ms * _progress.NS_PER_MS
-        )
+        if since_ns is None:
+            since_ns = time.monotonic_ns()
+        self.deadline_ns = since_ns + int(wait_ms * _progress.NS_PER_MS)
 
     def hear_leader(self, leader_id: messages.ControllerId) -> None:
         """Note a sign of life of the leader of this term."""
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -189,3 +189,23 @@
         leader = cluster.form()
         cluster.propose(leader, b'one').unwrap()
         cluster.wait_applied([b'one'])
+
+
+def test_after_a_restart_of_all_the_start_of_the_process_counts(tmp_path):
+    """Seen as 0.8 s without a leader after a loss of power.
+
+    A process has heard no leader since it started, so the time that it took
+    to start is part of the time that a voter waits.
+    """
+    times = {'election_min_ms': 8_000, 'election_max_ms': 8_100}
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.form()
+        cluster.propose(leader, b'kept').unwrap()
+        for name in cluster.names:
+            cluster.stop(name)
+        began_ns = time.monotonic_ns()
+        cluster.options = {**times, 'started_ns': began_ns - 8_000 * 10**6}
+        cluster.start()
+        leader = cluster.leader()
+        assert time.monotonic_ns() - began_ns < 5_000 * 10**6
+        cluster.wait_applied([b'kept'])
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -58,6 +58,7 @@
                 election_min_ms=options.election_min_ms,
                 election_max_ms=options.election_max_ms,
                 snapshot_every_entries=options.snapshot_every_entries,
+                started_ns=options.started_ns,
             ),
             self.state,
             self,
--- a/dandeliondrum/controller/_options.py
+++ b/dandeliondrum/controller/_options.py
@@ -14,7 +14,8 @@
     ``controllers`` maps each controller to the address at which this one
     reaches it. ``lease_margin_ms`` covers what clocks may differ in rate
     over a lease; the time in which a worker still takes a start is added to
-    it, see docs/DESIGN.md.
+    it, see docs/DESIGN.md. ``started_ns`` is as in
+    :class:`dandeliondrum.consensus.Options`.
     """
 
     controller_id: messages.ControllerId
@@ -28,6 +29,7 @@
     heartbeat_ms: int = 100
     election_min_ms: int = 600
     election_max_ms: int = 1_200
+    started_ns: int | None = None
     snapshot_every_entries: int = 20_000
     lease_margin_ms: int = 1_000
     worker_silence_ms: int = 2_500
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -40,6 +40,7 @@
     """How a controller takes part in its cell.
 
     ``listen_address`` is where streams arrive, as other processes reach it.
+    ``started_ns`` is as in :class:`dandeliondrum.consensus.Options`.
     """
 
     link: _leader_calls.LinkOptions
@@ -49,6 +50,7 @@
     data_folder: pathlib.Path
     election_min_ms: int = 450
     election_max_ms: int = 900
+    started_ns: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,6 +100,7 @@
                 data_folder=options.data_folder,
                 election_min_ms=options.election_min_ms,
                 election_max_ms=options.election_max_ms,
+                started_ns=options.started_ns,
             ),
             self.state,
             self,
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -12,6 +12,7 @@
 import structlog
 import werkzeug
 
+import dandeliondrum
 from dandeliondrum import gateway
 from dandeliondrum import jobs
 from dandeliondrum import messages
@@ -152,6 +153,7 @@
             ),
             listen_address=settings.stream_address,
             data_folder=settings.data_folder,
+            started_ns=dandeliondrum.LOADED_NS,
         ),
         _client.as_ports(settings.adviser_address),
         _documents.decode,
