Let gateways learn the cell's controllers from the leader

Cause: a gateway knew the controllers of its settings, and one that a follower named.

Change: the reply to a heartbeat carries the members' ids and addresses, and the search goes over them. A configured address goes before one that the leader names, as a proxy may stand there.

Tests: test_a_leader_that_was_never_configured_is_found, which failed before, and test_a_configured_address_goes_before_the_one_that_is_named.

--- a/dandeliondrum/consensus/_interfaces.py
+++ b/dandeliondrum/consensus/_interfaces.py
@@ -74,3 +74,7 @@
     snapshot_index: messages.LogIndex
     disk_id: str
     members: tuple[MemberStatus, ...]
+
+    def addresses(self) -> tuple[tuple[messages.ControllerId, str], ...]:
+        """Return the members' ids and ``host:port``."""
+        return tuple((one.controller_id, one.address) for one in self.members)
--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -217,7 +217,9 @@
         if not context.node.leading():
             return messages.NotLeader()
         version = context.state.rules_record.version
-        return messages.GatewayHeartbeatReply(context.term, version)
+        return messages.GatewayHeartbeatReply(
+            context.term, version, context.node.status().addresses()
+        )
 
     def _release(self, call: messages.ReleaseAnswers) -> typing.Any:
         with self.context.state.lock:
--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -99,6 +99,7 @@
         self._options = options
         self._events = events
         self._configured: tuple[_Candidate, ...] = ()
+        self._members: tuple[_Candidate, ...] = ()
         self.know(options.controllers)
         self._lock = threading.Lock()
         self._current: transport.Connection | None = None
@@ -116,10 +117,7 @@
         ],
     ) -> None:
         """Look for the leader among these controllers from now on."""
-        self._configured = tuple(
-            _Candidate(controller_id, address)
-            for controller_id, address in controllers
-        )
+        self._configured = _candidates(controllers)
 
     def run(self, stopping: threading.Event) -> None:
         """Find the leader again and again until asked to stop."""
@@ -218,15 +216,29 @@
         One that has just stopped answering would hold up the search until a
         timeout, so it is left out while a successor is being elected.
         """
-        others = [one for one in self._configured if one != self._last]
+        known = self._known()
+        others = [one for one in known if one != self._last]
         if others and utils.monotonic_ms() < self._avoid_last_until_ms:
             return others
-        return sorted(self._configured, key=lambda one: one == self._last)
+        return sorted(known, key=lambda one: one == self._last)
+
+    def _known(self) -> list[_Candidate]:
+        """Return the members that the last leader named, then the others.
+
+        All configured controllers may have been replaced since. A configured
+        address goes before the one that the leader named.
+        """
+        configured = {one.controller_id: one for one in self._configured}
+        known = {
+            one.controller_id: configured.get(one.controller_id, one)
+            for one in self._members
+        }
+        return list((known | configured).values())
 
     def _hinted(self, reply: messages.NotLeader) -> _Candidate | None:
         if reply.leader_id is None:
             return None
-        for candidate in self._configured:
+        for candidate in self._known():
             if candidate.controller_id == reply.leader_id:
                 return candidate
         if not reply.leader_address:
@@ -326,6 +338,8 @@
                 case result.Success(messages.GatewayHeartbeatReply() as reply):
                     self._answered_ms = utils.monotonic_ms()
                     self.term = reply.term
+                    if reply.controllers:
+                        self._members = _candidates(reply.controllers)
                 case result.Success(messages.NotLeader() as other):
                     return other
                 case other:
@@ -356,6 +370,15 @@
                 _logger.warning('unexpected push', kind=type(message).__name__)
 
 
+def _candidates(
+    controllers: collections.abc.Iterable[tuple[messages.ControllerId, str]],
+) -> tuple[_Candidate, ...]:
+    return tuple(
+        _Candidate(controller_id, address)
+        for controller_id, address in controllers
+    )
+
+
 def _not_sent(
     detail: str,
 ) -> result.Result[typing.Any, transport.CallError]:
--- a/dandeliondrum/gateway/tests/fakes.py
+++ b/dandeliondrum/gateway/tests/fakes.py
@@ -65,6 +65,7 @@
         self.received = []
         self.silent = False
         self.not_leader = None
+        self.members = ()
         self.on_submit = self.queue_all
         self.on_heartbeats = self.renew_all
         self.replies = {
@@ -125,7 +126,7 @@
                 return transport.CallFuture()
             case messages.GatewayHeartbeat():
                 return messages.GatewayHeartbeatReply(
-                    self._term, messages.RulesVersion(3)
+                    self._term, messages.RulesVersion(3), self.members
                 )
             case messages.SubmitTasks():
                 return self.on_submit(connection, message)
--- a/dandeliondrum/gateway/tests/test_leader_link.py
+++ b/dandeliondrum/gateway/tests/test_leader_link.py
@@ -1,5 +1,6 @@
 """The search for the leader."""
 
+import contextlib
 import threading
 import time
 
@@ -37,15 +38,11 @@
         one.close()
 
 
-def test_a_hint_to_the_leader_that_was_just_lost_is_not_followed(controllers):
-    """A follower names the frozen leader until the next one is elected."""
-    lost, follower, successor = controllers
-    successor.not_leader = messages.NotLeader()
-    follower.not_leader = messages.NotLeader(
-        messages.ControllerId('c1'), lost.address
-    )
+@contextlib.contextmanager
+def searching(*addresses):
+    """A link whose search runs, with these controllers configured."""
     link = _leader_link.LeaderLink(
-        fakes.options(*(one.address for one in controllers)),
+        fakes.options(*addresses),
         _leader_link.LinkEvents(lambda: None, lambda _: None, lambda _: None),
         _rules.RulesInForce(),
     )
@@ -53,6 +50,21 @@
     task = threading.Thread(target=link.run, args=(stopping,))
     task.start()
     try:
+        yield link
+    finally:
+        stopping.set()
+        link.close()
+        task.join()
+
+
+def test_a_hint_to_the_leader_that_was_just_lost_is_not_followed(controllers):
+    """A follower names the frozen leader until the next one is elected."""
+    lost, follower, successor = controllers
+    successor.not_leader = messages.NotLeader()
+    follower.not_leader = messages.NotLeader(
+        messages.ControllerId('c1'), lost.address
+    )
+    with searching(*(one.address for one in controllers)) as link:
         fakes.until(link.is_up)
         lost.frozen = True
         asked_count = len(successor.received)
@@ -60,14 +72,38 @@
         began_s = time.monotonic()
         time.sleep(ELECTION_S)
         successor.not_leader = None
-        fakes.until(
-            lambda: any(
-                isinstance(one, messages.GatewayHeartbeat)
-                for one in list(successor.received)
-            )
-        )
+        fakes.until(lambda: heartbeats_of(successor))
         assert time.monotonic() - began_s < FOUND_WITHIN_S
-    finally:
-        stopping.set()
-        link.close()
-        task.join()
+
+
+def heartbeats_of(leader):
+    return leader.of(messages.GatewayHeartbeat)
+
+
+def test_a_leader_that_was_never_configured_is_found(controllers):
+    """All configured controllers were replaced and are gone."""
+    first, added, _ = controllers
+    first.members = tuple(
+        (messages.ControllerId(one.name), one.address)
+        for one in (first, added)
+    )
+    with searching(first.address):
+        # The second one is sent after the reply to the first was read.
+        fakes.until(lambda: len(heartbeats_of(first)) > 1)
+        first.close()
+        fakes.until(lambda: heartbeats_of(added), timeout_s=5)
+
+
+def test_a_configured_address_goes_before_the_one_that_is_named(controllers):
+    """A proxy may stand before a controller; it must not be passed by."""
+    first, behind, passed_by = controllers
+    first.members = (
+        (messages.ControllerId('c1'), first.address),
+        (messages.ControllerId('c2'), passed_by.address),
+    )
+    with searching(first.address, behind.address):
+        # The second one is sent after the reply to the first was read.
+        fakes.until(lambda: len(heartbeats_of(first)) > 1)
+        first.close()
+        fakes.until(lambda: heartbeats_of(behind), timeout_s=5)
+    assert not passed_by.received
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -141,7 +141,9 @@
             version = messages.RulesVersion(self._term.state.policy.version)
         if connection is not None and message.rules_version < version:
             connection.push(self._document_push())
-        return messages.GatewayHeartbeatReply(self._term.number, version)
+        return messages.GatewayHeartbeatReply(
+            self._term.number, version, self._term.node.status().addresses()
+        )
 
     def _register(
         self,
--- a/dandeliondrum/messages/_gateway_calls.py
+++ b/dandeliondrum/messages/_gateway_calls.py
@@ -73,10 +73,14 @@
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayHeartbeatReply:
-    """Sent only while the leader has heard from a quorum of late."""
+    """Sent only while the leader has heard from a quorum of late.
+
+    ``controllers`` are the members of the cell with their addresses.
+    """
 
     term: _ids.Term
     rules_version: _ids.RulesVersion
+    controllers: tuple[tuple[_ids.ControllerId, str], ...] = ()
 
 
 @_codec.message
