Refuse for good only by a policy that the leader confirmed a moment ago

Cause: a gateway without a leader answered 401 and 404 by the last policy that it had, however old. A queue or a key that was added since was refused for good.

Ruled out: doing so for accepted calls too, since those need the leader, which sends its policy first.

Change: 1.5 s after the last answer of a leader such calls get 503 and Retry-After 1; the gateway logs the version that it did not trust.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -142,6 +142,13 @@
         age_ms = utils.monotonic_ms() - answered_ms
         return age_ms <= HEARTBEAT_INTERVAL_MS + HEARTBEAT_TIMEOUT_MS
 
+    def silent_ms(self) -> int | None:
+        """Return how long no leader has answered; None if none ever did."""
+        answered_ms = self._answered_ms
+        if answered_ms is None:
+            return None
+        return utils.monotonic_ms() - answered_ms
+
     def down_ms(self) -> int:
         """Return for how long no stream has been open, 0 while one is."""
         if self._current is not None:
--- a/dandeliondrum/jobs/_gateway.py
+++ b/dandeliondrum/jobs/_gateway.py
@@ -17,6 +17,11 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
+# A policy that no leader has confirmed for so long may have been replaced. A
+# change has to be in force 2.5 s after it was agreed, and heartbeats with
+# their timeouts take up to 0.75 s.
+POLICY_AGE_MAX_MS = 1_500
+
 _logger = structlog.get_logger()
 
 Unavailable = _leader_calls.Unavailable
@@ -74,6 +79,14 @@
         """Return whether a leader answered a moment ago."""
         return self._calls.link.answering()
 
+    def policy_is_current(self) -> bool:
+        """Return whether a leader confirmed the policy a moment ago.
+
+        Without that, nothing may be refused for what the policy says.
+        """
+        silent_ms = self._calls.link.silent_ms()
+        return silent_ms is not None and silent_ms <= POLICY_AGE_MAX_MS
+
     def know(
         self,
         controllers: collections.abc.Iterable[
--- a/dandeliondrum/jobs/tests/test_cell.py
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -310,3 +310,13 @@
     assert older.unwrap().version == 3
     assert controller.read_document(2_000).unwrap().document == newer
     testing.wait_until(lambda: cell.gateway.policy.version == 3)
+
+
+def test_a_policy_is_current_while_a_leader_confirms_it(cell):
+    assert not cell.gateway.policy_is_current()
+    cell.open()
+    assert cell.gateway.policy_is_current()
+    for controller_id in list(cell.controllers):
+        cell.stop(controller_id)
+    testing.wait_until(lambda: not cell.gateway.policy_is_current())
+    assert cell.gateway.policy.version == 1
--- a/dandeliondrum/platform/_callers.py
+++ b/dandeliondrum/platform/_callers.py
@@ -56,11 +56,15 @@
         host = call.header('Host').partition(':')[0]
         queue = policy.queue_at(host, f'/{path}')
         if queue is None:
-            return _problem(404, 'no_queue', 'no queue at this address')
+            return self._refuse_by_policy(
+                policy, _problem(404, 'no_queue', 'no queue at this address')
+            )
         team = policy.team_for_key(_key(call))
         if team is None and not queue.is_open:
             _logger.info('key refused', queue=queue.name)
-            return _problem(401, 'key', 'the key is not known')
+            return self._refuse_by_policy(
+                policy, _problem(401, 'key', 'the key is not known')
+            )
         team_id = team.team_id if team else messages.TeamId('')
         rest = f'/{path}'[len(queue.path_prefix) :]
         method = call.request.method
@@ -76,6 +80,19 @@
                 return self._cancel(call, team_id, job_id)
         return self._state(call, team_id, job_id)
 
+    def _refuse_by_policy(
+        self, policy: jobs.Policy, refusal: werkzeug.Response
+    ) -> werkzeug.Response:
+        """Refuse for good only by a policy that the leader has confirmed.
+
+        One that may have been replaced is no reason to send a caller away
+        whose queue or key the newest one has.
+        """
+        if self._gateway.policy_is_current():
+            return refusal
+        _logger.warning('policy not confirmed', policy_version=policy.version)
+        return _problem(503, 'old_policy', 'the policy is not confirmed', True)
+
     def _submit(
         self,
         call: gateway.Call,
