Elect a new leader after 300 to 600 ms of silence

Cause: a lost leader costs the wait for an election, 450 ms and more, on top of the ballot (0.1 to 0.2 s between regions) and the search of the gateways.

Ruled out: shorter timeouts still: leases of reads rest on the shortest one, heartbeats come each 100 ms, and a call between regions takes 41 ms.

Change: 300 to 600 ms instead of 450 to 900 for jobs.

--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -48,8 +48,8 @@
     membership: _membership.MembershipOptions
     listen_address: str
     data_folder: pathlib.Path
-    election_min_ms: int = 450
-    election_max_ms: int = 900
+    election_min_ms: int = 300
+    election_max_ms: int = 600
     started_ns: int | None = None
 
 
