Make room for gangs by stopping less urgent runs that save their progress

Room was kept for gangs only while their tickets were valid: each time these ran out, others took it, and tickets were renewed only once there was room.

Ruled out: keeping more workers free (they stand idle until short tasks have ended), and stopping runs that would lose their progress.

Change: a demand that has waited for 0.4 s may have runs of less urgent queues stopped, if they save their progress, are no gang, and have been started three times at most; for a gang only if all of it fits then. What is being stopped counts as room that comes, and is kept for the demand on all workers that the adviser granted, with or without a valid ticket. Tickets of gangs for which room was kept are renewed one call's length before they run out. Lines `run preempted`, counter dandeliondrum_jobs_runs_preempted.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -93,20 +93,33 @@
             if ticket.until_ms - TICKET_MARGIN_MS > now_ms
         }
 
+    def granted(
+        self, name: StepName
+    ) -> collections.abc.Set[messages.WorkerId]:
+        """Return the workers that may run the step, with or without ticket.
+
+        The adviser does not change its mind; only tickets run out.
+        """
+        step = self._steps.get(name)
+        return step.tickets.keys() if step is not None else set()
+
     def to_ask(
         self,
         name: StepName,
         candidates: collections.abc.Sequence[Candidate],
         now_ms: int,
         needed_count: int = 1,
-        together: bool = False,
+        policy: _policy.AdvicePolicy | None = None,
     ) -> tuple[messages.WorkerId, ...]:
         """Return the workers to name in a call about the step, if any.
 
         The first call names many, with or without room. A later one is made
         only for workers that have room now and whose ticket has run out, or
-        that were never named. The tasks of a gang start ``together``, so
-        the tickets of all its workers are renewed at the same time.
+        that were never named. The tasks of a gang start together, so the
+        tickets of all its workers are renewed at the same time, and so long
+        before they run out as a call takes by the ``policy``: without them
+        the room that is kept for the gang would go to others. ``policy`` is
+        None for what is no gang.
         ``needed_count`` is how many empty workers would hold what waits.
         While a call is under way there is no other one, unless it is overdue.
         """
@@ -118,7 +131,9 @@
             named = sorted(wanted, key=lambda c: not c.has_room)
             most = max(WORKERS_FIRST_MIN, needed_count * NAMED_PER_NEEDED)
             return _ids(named, min(most, WORKERS_MAX))
-        valid = self.tickets(name, now_ms)
+        together = policy is not None
+        renewal_ms = policy.call_ms(len(step.tickets)) if policy else 0.0
+        valid = self.tickets(name, now_ms + int(renewal_ms))
         open_now = [c for c in wanted if c.has_room]
         unnamed = any(c.worker_id not in step.tickets for c in open_now)
         if together and len(valid) == len(step.tickets) and not unnamed:
--- a/dandeliondrum/jobs/_advice_calls.py
+++ b/dandeliondrum/jobs/_advice_calls.py
@@ -1,5 +1,6 @@
 """Sends the calls about advice to the processes that make them."""
 
+import collections.abc
 import functools
 import typing
 
@@ -29,8 +30,13 @@
         self,
         demands: list[tuple[_planner.Demand, _policy.QueuePolicy]],
         rooms: list[_planner.WorkerRoom],
+        served: collections.abc.Set[tuple[_specs.JobId, _specs.StepIndex]],
     ) -> None:
-        """Ask about what is placed first, while a process is free to ask."""
+        """Ask about what is placed first, while a process is free to ask.
+
+        The steps that are ``served`` will have room soon, so the tickets of
+        gangs among them are renewed meanwhile.
+        """
         advised = [
             (demand, queue.advice)
             for demand, queue in demands
@@ -41,7 +47,9 @@
         for demand, policy in advised:
             name = _specs.step_name(demand.job_id, demand.step)
             names.add(name)
-            self._ask(name, demand, policy, rooms)
+            comes = demand.spec.gang and (demand.job_id, demand.step) in served
+            candidates = _candidates(demand, rooms, comes)
+            self._ask(name, demand, policy, rooms, candidates)
         self._term.advice.keep_only(names)
 
     def _ask(
@@ -50,15 +58,16 @@
         demand: _planner.Demand,
         policy: _policy.AdvicePolicy,
         rooms: list[_planner.WorkerRoom],
+        candidates: list[_advice.Candidate],
     ) -> None:
         term = self._term
         now_ms = _clock.elapsed_ms()
         named = term.advice.to_ask(
             name,
-            _candidates(demand, rooms),
+            candidates,
             now_ms,
             _workers_needed(demand, rooms),
-            demand.spec.gang,
+            policy if demand.spec.gang else None,
         )
         if not named:
             return
@@ -119,7 +128,9 @@
 
 
 def _candidates(
-    demand: _planner.Demand, rooms: list[_planner.WorkerRoom]
+    demand: _planner.Demand,
+    rooms: list[_planner.WorkerRoom],
+    room_comes: bool,
 ) -> list[_advice.Candidate]:
     label = demand.spec.required_label
     charge = demand.spec.charged()
@@ -127,7 +138,7 @@
     for room in rooms:
         if room.pool != demand.pool or label and label not in room.labels:
             continue
-        has_room = charge.fits_in(room.free)
+        has_room = room_comes or charge.fits_in(room.free)
         fitting.append((-room.free.cpu_millicores, room.worker_id, has_room))
     return [
         _advice.Candidate(worker_id, has_room)
@@ -142,7 +153,7 @@
     charge = demand.spec.charged()
     most = max(
         (
-            _planner.tasks_that_fit(charge, room.capacity)
+            _specs.tasks_that_fit(charge, room.capacity)
             for room in rooms
             if room.pool == demand.pool
         ),
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -6,6 +6,7 @@
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
+from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
@@ -74,6 +75,38 @@
     )
 
 
+def yielding_runs(
+    state: _state.JobsState,
+    worker_id: messages.WorkerId,
+    is_stopping: collections.abc.Callable[[_specs.TaskKey, int], bool],
+) -> list[_preemption.YieldingRun]:
+    """Return the runs of a worker that can be stopped without loss.
+
+    What is being stopped already comes too; its room becomes free soon.
+    """
+    found = []
+    for key, run in state.workers[worker_id].runs.items():
+        job = state.jobs.get(key.job_id)
+        queue = state.queue_of(job) if job is not None else None
+        if job is None or queue is None:
+            continue
+        spec = job.spec.steps[key.step]
+        stopping = is_stopping(key, run)
+        yields = spec.checkpointing and not spec.gang and not spec.endless
+        if stopping or (yields and run <= _preemption.RUNS_MAX):
+            found.append(
+                _preemption.YieldingRun(
+                    key,
+                    run,
+                    worker_id,
+                    spec.charged(),
+                    queue.priority,
+                    stopping,
+                )
+            )
+    return found
+
+
 def team_room(
     state: _state.JobsState,
 ) -> dict[messages.TeamId, messages.Resources]:
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -68,6 +68,11 @@
             ('reason',),
             registry=self.registry,
         )
+        self.preempted = prometheus_client.Counter(
+            'dandeliondrum_jobs_runs_preempted',
+            'Runs that were stopped to make room for more urgent work',
+            registry=self.registry,
+        )
         self.first_start_seconds = prometheus_client.Histogram(
             'dandeliondrum_jobs_first_start_seconds',
             "Time from a job's acceptance to its first assignment, by queue",
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -95,6 +95,11 @@
             self._outbox.appendleft(Stop(task, run))
             self._wake.notify()
 
+    def is_stopping(self, task: _specs.TaskKey, run: int) -> bool:
+        """Return whether the stop of a run has been ordered."""
+        with self._lock:
+            return (task, run) in self._stops_ms
+
     def next(self, timeout_s: float) -> _specs.TaskKey | Stop | None:
         """Return what is to be sent next; None if that takes too long."""
         with self._wake:
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 
+from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
 from dandeliondrum import messages
 
@@ -23,8 +24,9 @@
 class Demand:
     """The waiting tasks of one step that is due.
 
-    ``tickets`` maps the workers that may run the step to their tickets; None
-    where any worker may. ``avoided`` are workers on which a task of the step
+    ``granted`` are the workers that may run the step, and ``tickets`` maps
+    those on which it may start now to their tickets; both are None where any
+    worker may. ``avoided`` are workers on which a task of the step
     failed before. ``per_worker_counts`` are tasks of the step per worker.
     ``waited_ms`` is how long the step has been due.
     """
@@ -38,6 +40,7 @@
     submitted_ms: int
     indexes: tuple[int, ...]
     tickets: collections.abc.Mapping[messages.WorkerId, str] | None = None
+    granted: collections.abc.Set[messages.WorkerId] | None = None
     avoided: frozenset[messages.WorkerId] = frozenset()
     per_worker_counts: collections.abc.Mapping[messages.WorkerId, int] = (
         dataclasses.field(default_factory=dict)
@@ -93,13 +96,16 @@
     team_room: collections.abc.MutableMapping[
         messages.TeamId, messages.Resources
     ],
+    preemption: _preemption.Preemption | None = None,
 ) -> list[tuple[Placement, ...]]:
     """Return groups of placements; a group starts whole or not at all.
 
     ``team_room`` holds what each limited team may still start; teams that
     are not in it have no limit. It and the workers' free room are reduced
-    by what is placed.
+    by what is placed. ``preemption`` collects the runs to stop for demands
+    that have waited; without it nothing is stopped.
     """
+    preemption = preemption or _preemption.Preemption()
     by_pool: dict[str, list[WorkerRoom]] = {}
     for worker in workers:
         by_pool.setdefault(worker.pool, []).append(worker)
@@ -116,7 +122,10 @@
         placed_count += count
         left_count = len(demand.indexes) - count
         if left_count and demand.waited_ms >= RESERVE_AFTER_MS:
-            attempt.reserve(left_count, len(pool) // RESERVED_PART)
+            if attempt.make_room(left_count, preemption):
+                preemption.served.add((demand.job_id, demand.step))
+            else:
+                attempt.reserve(left_count, len(pool) // RESERVED_PART)
     return groups
 
 
@@ -152,7 +161,9 @@
         self._team_room = team_room
         self._charge = demand.spec.charged()
         self._counts = dict(demand.per_worker_counts)
-        self._workers = [one for one in workers if self._may_run(one)]
+        # Room is kept also where a ticket has to be renewed first.
+        self._able = [one for one in workers if self._may_run(one)]
+        self._workers = [one for one in self._able if self._may_start(one)]
 
     def run(self) -> list[tuple[Placement, ...]]:
         demand = self._demand
@@ -173,17 +184,48 @@
         large task or a gang would never start. The emptiest workers come
         first, so the same ones are kept in the next round.
         """
+        for worker in self._emptiest()[:reserved_max]:
+            if tasks_count <= 0:
+                return
+            worker.reserved = True
+            tasks_count -= _specs.tasks_that_fit(self._charge, worker.capacity)
+
+    def make_room(
+        self, tasks_count: int, preemption: _preemption.Preemption
+    ) -> bool:
+        """Have less urgent runs stopped, and keep what they leave free.
+
+        Returns whether the tasks that are left will fit then.
+        """
+        most = self._demand.spec.per_worker_max
+        places = [
+            _preemption.Place(
+                one.worker_id,
+                one.free,
+                most - self._counts.get(one.worker_id, 0) if most else None,
+            )
+            for one in self._emptiest()
+        ]
+        kept = preemption.make_room(
+            places,
+            self._charge,
+            self._demand.priority,
+            tasks_count,
+            self._demand.spec.gang,
+        )
+        for worker in self._able:
+            worker.reserved = worker.reserved or worker.worker_id in kept
+        return bool(kept)
+
+    def _emptiest(self) -> list[WorkerRoom]:
+        """Return the workers that could run a task, the emptiest first."""
         if not self.team_has_room():
-            return
+            return []
         able = [
-            one for one in self._workers if self._charge.fits_in(one.capacity)
+            one for one in self._able if self._charge.fits_in(one.capacity)
         ]
         able.sort(key=lambda one: -one.free.cpu_millicores)
-        for worker in able[:reserved_max]:
-            if tasks_count <= 0:
-                return
-            worker.reserved = True
-            tasks_count -= tasks_that_fit(self._charge, worker.capacity)
+        return able
 
     def candidates_count(self) -> int:
         """Return how many workers may run the demand at all."""
@@ -212,7 +254,11 @@
         label = demand.spec.required_label
         if label and label not in worker.labels:
             return False
-        return demand.tickets is None or worker.worker_id in demand.tickets
+        return demand.granted is None or worker.worker_id in demand.granted
+
+    def _may_start(self, worker: WorkerRoom) -> bool:
+        tickets = self._demand.tickets
+        return tickets is None or worker.worker_id in tickets
 
     def _take(self) -> WorkerRoom | None:
         if not self.team_has_room():
@@ -272,15 +318,3 @@
             worker.worker_id,
             tickets.get(worker.worker_id, ''),
         )
-
-
-def tasks_that_fit(
-    charge: messages.Resources, capacity: messages.Resources
-) -> int:
-    """Return how many tasks fit on an empty worker."""
-    pairs = (
-        (charge.cpu_millicores, capacity.cpu_millicores),
-        (charge.memory_mb, capacity.memory_mb),
-        (charge.accelerators_count, capacity.accelerators_count),
-    )
-    return min((have // want for want, have in pairs if want), default=1)
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -1,5 +1,6 @@
 """Plans in rounds: asks for advice, places tasks, has the runs agreed on."""
 
+import collections.abc
 import dataclasses
 import threading
 import time
@@ -15,6 +16,7 @@
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
+from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _term
 from dandeliondrum import messages
@@ -37,6 +39,8 @@
         self._term = term
         self._advice_calls = _advice_calls.AdviceCalls(term)
         self._delays = _delays.Delays()
+        # Steps for which the last round has kept room.
+        self._served: set[tuple[_specs.JobId, _specs.StepIndex]] = set()
 
     def run(self, stopping: threading.Event) -> None:
         """Plan whenever something has changed."""
@@ -61,7 +65,7 @@
                 return
             rooms = self._rooms()
             term.metrics.usable_workers.set(len(rooms))
-            self._advice_calls.make(demands, rooms)
+            self._advice_calls.make(demands, rooms, self._served)
             groups = self._plan(demands, rooms)
             numbered = _demands.assignments(term.state, groups)
             self._note_orders(groups, numbered)
@@ -98,9 +102,15 @@
             for demand, queue in demands
         ]
         team_room = _demands.team_room(term.state)
+        preemption = _preemption.Preemption(self._yielding_runs)
         groups = _planner.plan(
-            [one for one in ready if one.tickets != {}], rooms, team_room
+            [one for one in ready if one.granted is None or one.granted],
+            rooms,
+            team_room,
+            preemption,
         )
+        self._served = preemption.served
+        self._stop(preemption.chosen)
         placed = {
             (one.task.job_id, one.task.step) for g in groups for one in g
         }
@@ -110,6 +120,26 @@
         self._delays.report(waiting, rooms, team_room, now_ms)
         return groups
 
+    def _yielding_runs(
+        self, worker_id: messages.WorkerId
+    ) -> list[_preemption.YieldingRun]:
+        orders = self._term.peers[worker_id].orders
+        return _demands.yielding_runs(
+            self._term.state, worker_id, orders.is_stopping
+        )
+
+    def _stop(self, runs: list[_preemption.YieldingRun]) -> None:
+        for one in runs:
+            self._term.metrics.preempted.inc()
+            _logger.info(
+                'run preempted',
+                task=str(one.task),
+                run=one.run,
+                worker=one.worker_id,
+                priority=one.priority,
+            )
+            self._term.peers[one.worker_id].orders.stop(one.task, one.run)
+
     def _with_grants(
         self,
         demand: _planner.Demand,
@@ -118,13 +148,16 @@
     ) -> _planner.Demand:
         term = self._term
         tickets: dict[messages.WorkerId, str] | None = None
+        granted: collections.abc.Set[messages.WorkerId] | None = None
         if queue.advice is not None:
             name = _specs.step_name(demand.job_id, demand.step)
             tickets = term.advice.tickets(name, now_ms)
+            granted = term.advice.granted(name)
         failed_on = term.failed_on.get((demand.job_id, demand.step), set())
         return dataclasses.replace(
             demand,
             tickets=tickets,
+            granted=granted,
             avoided=frozenset(failed_on),
             waited_ms=self._delays.waited_ms(
                 demand.job_id, demand.step, now_ms
--- a/dandeliondrum/jobs/_specs.py
+++ b/dandeliondrum/jobs/_specs.py
@@ -104,3 +104,17 @@
         if any(not 0 <= before < position for before in step.after):
             return f'step {position} follows a step that is not before it'
     return ''
+
+
+def tasks_that_fit(
+    charge: messages.Resources, room: messages.Resources
+) -> int:
+    """Return how many tasks fit into some room."""
+    pairs = (
+        (charge.cpu_millicores, room.cpu_millicores),
+        (charge.memory_mb, room.memory_mb),
+        (charge.accelerators_count, room.accelerators_count),
+    )
+    return max(
+        0, min((have // want for want, have in pairs if want), default=1)
+    )
--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -5,6 +5,7 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _state
 from dandeliondrum import messages
 
@@ -59,6 +60,34 @@
     return dataclasses.replace(known, **more)
 
 
+def demand(name, spec, indexes=None, **more):
+    """Return the waiting tasks of a step."""
+    known = _planner.Demand(
+        name,
+        0,
+        spec,
+        TEAM,
+        'pool',
+        1,
+        0,
+        tuple(range(spec.tasks_count)) if indexes is None else indexes,
+    )
+    return dataclasses.replace(known, **more)
+
+
+def room(worker_id, cpu=4_000, **more):
+    """Return a worker of 4 processors with so many millicores free."""
+    known = _planner.WorkerRoom(
+        worker_id,
+        'pool',
+        'r1',
+        frozenset({'a'}),
+        messages.Resources(cpu, 1_000),
+        messages.Resources(4_000, 1_000),
+    )
+    return dataclasses.replace(known, **more)
+
+
 class Machine:
     """A state machine to which commands are applied one by one."""
 
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_preemption.py
@@ -0,0 +1,193 @@
+"""Runs that make room for more urgent work."""
+
+import dataclasses
+import itertools
+
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _demands
+from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import _preemption
+from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+
+WAITED_MS = _planner.RESERVE_AFTER_MS
+LATER = 2
+
+
+def _run(index, cpu, worker_id='w1', priority=LATER, **more):
+    known = _preemption.YieldingRun(
+        _specs.TaskKey('batch', 0, index),
+        1,
+        worker_id,
+        messages.Resources(cpu, 10),
+        priority,
+    )
+    return dataclasses.replace(known, **more)
+
+
+def _gang(tasks_count, cpu, **more):
+    spec = helpers.step(tasks_count, cpu=cpu, gang=True)
+    return helpers.demand('gang', spec, waited_ms=WAITED_MS, **more)
+
+
+def _plan(demands, rooms, runs):
+    preemption = _preemption.Preemption(
+        lambda worker_id: [one for one in runs if one.worker_id == worker_id]
+    )
+    groups = _planner.plan(demands, rooms, {}, preemption)
+    return groups, [one.task.index for one in preemption.chosen]
+
+
+def test_a_gang_that_waits_gets_the_room_of_less_urgent_runs():
+    rooms = [helpers.room('w1', 0), helpers.room('w2', 2_000)]
+    runs = [_run(0, 2_000), _run(1, 1_000), _run(2, 1_000)]
+    groups, stopped = _plan([_gang(3, 1_000)], rooms, runs)
+    # One is enough for the task that does not fit on the other worker.
+    assert (groups, stopped) == ([], [0])
+
+
+def test_nothing_is_stopped_for_a_gang_that_would_not_fit_even_then():
+    rooms = [helpers.room('w1', 0)]
+    runs = [_run(0, 2_000)]
+    assert _plan([_gang(3, 1_000)], rooms, runs) == ([], [])
+
+
+def test_nothing_is_stopped_for_a_demand_that_has_just_come():
+    demand = dataclasses.replace(_gang(1, 1_000), waited_ms=0)
+    rooms = [helpers.room('w1', 0)]
+    assert _plan([demand], rooms, [_run(0, 2_000)]) == ([], [])
+
+
+def test_runs_that_are_as_urgent_stay():
+    rooms = [helpers.room('w1', 0)]
+    runs = [_run(0, 2_000, priority=1)]
+    assert _plan([_gang(1, 1_000)], rooms, runs) == ([], [])
+
+
+def test_what_is_being_stopped_counts_and_is_not_given_to_others():
+    rooms = [helpers.room('w1', 1_000)]
+    runs = [_run(0, 2_000, stopping=True), _run(1, 1_000)]
+    small = helpers.demand('small', helpers.step(cpu=500), priority=LATER)
+    groups, stopped = _plan([_gang(3, 1_000), small], rooms, runs)
+    assert (groups, stopped) == ([], [])
+
+
+def test_two_gangs_do_not_count_on_the_same_room():
+    rooms = [helpers.room('w1', 0)]
+    runs = [_run(0, 1_000), _run(1, 1_000)]
+    first, second = _gang(1, 1_000), _gang(1, 1_000)
+    second = dataclasses.replace(second, job_id='other')
+    _, stopped = _plan([first, second], rooms, runs)
+    assert len(stopped) == 1
+
+
+def test_tasks_that_may_start_alone_get_what_there_is():
+    spec = helpers.step(3, cpu=1_000)
+    demand = helpers.demand('j', spec, waited_ms=WAITED_MS)
+    _, stopped = _plan([demand], [helpers.room('w1', 0)], [_run(0, 1_000)])
+    assert stopped == [0]
+
+
+def test_only_runs_that_lose_nothing_yield():
+    machine = helpers.Machine()
+    saves = helpers.step(2, checkpointing=True)
+    gang = helpers.step(1, checkpointing=True, gang=True)
+    spec = helpers.job('j', saves, helpers.step(1), gang)
+    machine(_commands.SubmitJob(spec))
+    for task in ('j.0.0.0', 'j.0.1.0', 'j.0.2.0'):
+        assert machine.assign(task)
+    assert machine.assign('j.0.0.1', run=_preemption.RUNS_MAX + 1)
+    assert _yielding(machine) == ['j.0.0.0']
+    assert _yielding(machine, 'j.0.1.0') == ['j.0.0.0', 'j.0.1.0']
+
+
+def _yielding(machine, stopping=''):
+    runs = _demands.yielding_runs(
+        machine.state, 'w1', lambda task, _run: str(task) == stopping
+    )
+    return sorted(str(one.task) for one in runs)
+
+
+class FullFleet:
+    """Workers full of short tasks, of which more wait than ever fit.
+
+    Time goes on in rounds of planning. A run that is stopped takes
+    ``STOP_MS``; its task waits again.
+    """
+
+    ROUND_MS = 50
+    RUN_MS = 2_700
+    STOP_MS = 300
+    CPU = 1_000
+
+    def __init__(self, workers_count, preempts):
+        self.now_ms = 0
+        self.names = [f'w{number}' for number in range(workers_count)]
+        self.preempts = preempts
+        # Ends by worker and run, in the order in which they started.
+        self.ends_ms = {name: {} for name in self.names}
+        self.stopping = set()
+        self.numbers = itertools.count()
+        for position, name in enumerate(self.names):
+            for slot in range(4):
+                spread_ms = self.RUN_MS * (4 * position + slot)
+                self._start(name, spread_ms // (4 * workers_count))
+
+    def _start(self, name, end_ms):
+        self.ends_ms[name][next(self.numbers)] = end_ms
+
+    def _runs_of(self, name):
+        if not self.preempts:
+            return []
+        return [
+            _run(index, self.CPU, name, stopping=index in self.stopping)
+            for index in self.ends_ms[name]
+        ]
+
+    def wait_of(self, gang, limit_ms=30_000):
+        """Return how long a gang waits until it starts."""
+        began_ms = self.now_ms
+        while self.now_ms - began_ms < limit_ms:
+            waited_ms = self.now_ms - began_ms
+            if self._round(dataclasses.replace(gang, waited_ms=waited_ms)):
+                return waited_ms
+            self.now_ms += self.ROUND_MS
+        return limit_ms
+
+    def _round(self, gang):
+        for ends in self.ends_ms.values():
+            for index in [i for i, end in ends.items() if end <= self.now_ms]:
+                del ends[index]
+        rooms = [
+            helpers.room(name, 4_000 - self.CPU * len(self.ends_ms[name]))
+            for name in self.names
+        ]
+        batch = helpers.demand(
+            'batch', helpers.step(40, cpu=self.CPU), priority=LATER
+        )
+        preemption = _preemption.Preemption(self._runs_of)
+        groups = _planner.plan([gang, batch], rooms, {}, preemption)
+        for one in preemption.chosen:
+            self.stopping.add(one.task.index)
+            end_ms = self.now_ms + self.STOP_MS
+            self.ends_ms[one.worker_id][one.task.index] = end_ms
+        for placement, *others in groups:
+            if placement.task.job_id == gang.job_id:
+                return True
+            self._start(placement.worker_id, self.now_ms + self.RUN_MS)
+        return False
+
+
+def test_a_gang_starts_soon_in_a_fleet_that_is_full_of_short_tasks():
+    """Plays more batch work than fits, and a gang for a third of the fleet.
+
+    Its tickets are for half of the workers. It starts as soon as it may ask
+    for room and the stops have taken their time.
+    """
+    granted = {f'w{number}' for number in range(6)}
+    gang = _gang(8, 2_000, granted=granted, tickets=dict.fromkeys(granted, ''))
+    waited_ms = FullFleet(12, preempts=True).wait_of(gang)
+    most_ms = WAITED_MS + FullFleet.STOP_MS + 2 * FullFleet.ROUND_MS
+    assert waited_ms <= most_ms
+    assert FullFleet(12, preempts=False).wait_of(gang) > 2 * most_ms
