Name room that is kept for other work as a reason of its own

Change: Obstacle.KEPT. Test: test_what_is_kept_for_others_is_an_obstacle_of_its_own, which failed before. Measured: nothing; lines of a log alone.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -80,6 +80,7 @@
 
     NO_WORKER = 'no worker of the pool is usable'
     NO_GRANT = 'no usable worker is granted'
+    KEPT = 'all granted workers are kept free for other work'
     NO_ROOM = 'no granted worker has room'
     TEAM_LIMIT = 'the team is at its limit'
     GANG = 'the gang does not fit as a whole'
@@ -140,7 +141,11 @@
         return Obstacle.NO_WORKER
     attempt = _Attempt(demand, pool, dict(team_room))
     if not attempt.candidates_count():
-        return Obstacle.NO_GRANT
+        unkept = [dataclasses.replace(one, reserved=False) for one in pool]
+        others = _Attempt(demand, unkept, dict(team_room))
+        return (
+            Obstacle.KEPT if others.candidates_count() else Obstacle.NO_GRANT
+        )
     if not attempt.team_has_room():
         return Obstacle.TEAM_LIMIT
     return Obstacle.GANG if attempt.one_fits() else Obstacle.NO_ROOM
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -201,3 +201,14 @@
     ]
     groups = _planner.plan([gang, small], rooms, {})
     assert {'w1', 'w2'}.isdisjoint(sum(_workers_of(groups), []))
+
+
+def test_what_is_kept_for_others_is_an_obstacle_of_its_own():
+    demand = helpers.demand(
+        'j', helpers.step(), tickets={'w1': 't1'}, granted={'w1'}
+    )
+    kept = helpers.room('w1', reserved=True)
+    assert _planner.obstacle(demand, [kept], {}) is _planner.Obstacle.KEPT
+    refused = [helpers.room('w2')]
+    obstacle = _planner.obstacle(demand, refused, {})
+    assert obstacle is _planner.Obstacle.NO_GRANT
