Let one of two voters that ask at once end its pre-vote

Ruled out: a wider spread of the timeouts, which delays each election.

Change: a voter whose pre-vote is open ends it when one with a higher id asks.

Test: test_of_two_that_ask_at_once_one_ends_its_pre_vote, which failed before.

--- a/dandeliondrum/consensus/_requests.py
+++ b/dandeliondrum/consensus/_requests.py
@@ -95,7 +95,7 @@
             granted = message.term > state.term
             if granted:
                 with state.lock:
-                    state.make_way()
+                    state.make_way(message.candidate_id)
             return _messages.VoteReply(state.term, granted)
         if message.term > state.term:
             self._enter_term(message.term, '')
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -110,13 +110,18 @@
             since_ns = time.monotonic_ns()
         self.deadline_ns = since_ns + int(wait_ms * _progress.NS_PER_MS)
 
-    def make_way(self) -> None:
+    def make_way(self, candidate_id: messages.ControllerId) -> None:
         """Stand no sooner than another one has had time for a ballot.
 
         Two that stand at the same time take votes from each other, and both
-        wait again. One that asks and can't win holds up nobody for longer,
+        wait again. So of two that ask at once the one with the lower id ends
+        its pre-vote. One that asks and can't win holds up nobody for longer,
         as it asks less often than this.
         """
+        asks = self.ballot is not None and self.ballot.pre_vote
+        if asks and candidate_id > self.me:
+            self.ballot = None
+            self.election_wakes.notify()
         ballot_ms = self.options.election_min_ms // 2
         self.deadline_ns = max(
             self.deadline_ns,
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -101,3 +101,20 @@
     # Its own election is due before the other one asks again.
     least_ms = opened.state.options.election_min_ms
     assert made_way_ns < time.monotonic_ns() + least_ms * _progress.NS_PER_MS
+
+
+def test_of_two_that_ask_at_once_one_ends_its_pre_vote(tmp_path):
+    """Seen as 0.65 s more without a leader, as all three left had to agree."""
+    opened = open_state(tmp_path)
+    opened.state.heard_ns = 0
+    own = _progress.Ballot(1, pre_vote=True, transfer=False)
+    opened.state.ballot = own
+    lower = messages.ControllerId('c0')
+    assert vote(opened, tmp_path, pre_vote=True, candidate_id=lower).granted
+    assert opened.state.ballot is own
+    assert vote(opened, tmp_path, pre_vote=True).granted
+    assert opened.state.ballot is None
+    # A real vote that is under way goes on.
+    opened.state.ballot = _progress.Ballot(1, pre_vote=False, transfer=False)
+    assert vote(opened, tmp_path, pre_vote=True).granted
+    assert opened.state.ballot is not None
