Name the adviser's times of a gang for what they are

A reader could take `policy` of to_ask for the policy of any step; it is set for gangs alone. The comment of SILENT_AVOID_MS named a time that elections no longer take. No behaviour changes; the tests pass with the new name.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -25,8 +25,8 @@
 CONNECT_TIMEOUT_MS = 200
 REGISTER_TIMEOUT_MS = 400
 ROUND_PAUSE_MS = 100
-# A successor is elected within 0.9 s of the leader's last sign of life, and
-# the silence is noticed 0.5 s after it or later.
+# Longer than an election takes once the silence of a leader was noticed, which
+# is 0.5 s after its last sign of life or later.
 SILENT_AVOID_MS = 700
 
 _logger = structlog.get_logger()
--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -109,7 +109,7 @@
         candidates: collections.abc.Sequence[Candidate],
         now_ms: int,
         needed_count: int = 1,
-        policy: _policy.AdvicePolicy | None = None,
+        gang_policy: _policy.AdvicePolicy | None = None,
     ) -> tuple[messages.WorkerId, ...]:
         """Return the workers to name in a call about the step, if any.
 
@@ -117,9 +117,9 @@
         only for workers that have room now and whose ticket has run out, or
         that were never named. The tasks of a gang start together, so the
         tickets of all its workers are renewed at the same time, and so long
-        before they run out as a call takes by the ``policy``: without them
-        the room that is kept for the gang would go to others. ``policy`` is
-        None for what is no gang.
+        before they run out as a call takes by ``gang_policy``: without them
+        the room that is kept for the gang would go to others. It is None for
+        other steps.
         ``needed_count`` is how many empty workers would hold what waits.
         While a call is under way there is no other one, unless it is overdue.
         """
@@ -131,9 +131,11 @@
             named = sorted(wanted, key=lambda c: not c.has_room)
             most = max(WORKERS_FIRST_MIN, needed_count * NAMED_PER_NEEDED)
             return _ids(named, min(most, WORKERS_MAX))
-        together = policy is not None
-        renewal_ms = policy.call_ms(len(step.tickets)) if policy else 0.0
-        valid = self.tickets(name, now_ms + int(renewal_ms))
+        together = gang_policy is not None
+        call_ms = 0.0
+        if gang_policy is not None:
+            call_ms = gang_policy.call_ms(len(step.tickets))
+        valid = self.tickets(name, now_ms + int(call_ms))
         open_now = [c for c in wanted if c.has_room]
         unnamed = any(c.worker_id not in step.tickets for c in open_now)
         if together and len(valid) == len(step.tickets) and not unnamed:
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -163,24 +163,24 @@
 
 def test_the_tickets_of_a_gang_are_renewed_together():
     advice = _advice.Advice()
-    named = advice.to_ask('s', _candidates(4), 0, policy=POLICY)
+    named = advice.to_ask('s', _candidates(4), 0, gang_policy=POLICY)
     _answer(advice, 's', named, ('w0', 'w1'), 100)
-    assert advice.to_ask('s', _candidates(4), 200, policy=POLICY) == ()
+    assert advice.to_ask('s', _candidates(4), 200, gang_policy=POLICY) == ()
     half = [_advice.Candidate(f'w{n}', n % 2 == 1) for n in range(4)]
-    again = advice.to_ask('s', half, 2_000, policy=POLICY)
+    again = advice.to_ask('s', half, 2_000, gang_policy=POLICY)
     assert sorted(again) == ['w0', 'w1']
     full = _candidates(4, has_room=False)
-    assert advice.to_ask('s', full, 2_000, policy=POLICY) == ()
+    assert advice.to_ask('s', full, 2_000, gang_policy=POLICY) == ()
 
 
 def test_a_wide_gang_is_asked_about_on_enough_workers():
     """Plays a gang that needs 10 workers where three in ten are granted."""
     advice = _advice.Advice()
     candidates = _candidates(176)
-    named = advice.to_ask('s', candidates, 0, 10, policy=POLICY)
+    named = advice.to_ask('s', candidates, 0, 10, gang_policy=POLICY)
     granted = [one for one in named if int(one[1:]) % 10 < 3]
     _answer(advice, 's', named, granted, 100)
-    again = advice.to_ask('s', candidates, 200, 10, policy=POLICY)
+    again = advice.to_ask('s', candidates, 200, 10, gang_policy=POLICY)
     granted += [one for one in again if int(one[1:]) % 10 < 3]
     assert len(named) == 50
     assert len(set(granted)) >= 40
@@ -190,11 +190,15 @@
 def test_the_tickets_of_a_gang_are_renewed_before_they_run_out():
     """Seen as room kept for a gang that went to others meanwhile."""
     advice = _advice.Advice()
-    named = advice.to_ask('s', _candidates(4), 0, policy=POLICY)
+    named = advice.to_ask('s', _candidates(4), 0, gang_policy=POLICY)
     _answer(advice, 's', named, ('w0', 'w1'), 0)
     latest_ms = 1_500 - _advice.TICKET_MARGIN_MS - POLICY.call_ms(2)
-    early = advice.to_ask('s', _candidates(4), latest_ms - 20, policy=POLICY)
+    early = advice.to_ask(
+        's', _candidates(4), latest_ms - 20, gang_policy=POLICY
+    )
     assert early == ()
-    again = advice.to_ask('s', _candidates(4), latest_ms + 20, policy=POLICY)
+    again = advice.to_ask(
+        's', _candidates(4), latest_ms + 20, gang_policy=POLICY
+    )
     assert again == ('w0', 'w1')
     assert advice.granted('s') == {'w0', 'w1'}
