Keep no room for a gang that its team may not run

Cause: found while reading the change: room was made and kept for a gang when its team's limit left room for one task. A gang needs room for all, so runs would have been stopped and workers kept idle for nothing, until the team's other work had ended.

Change: for a gang the limit has to leave room for all its tasks before it is planned, or room is made or kept; `step waits` then names the limit.

Test: test_nothing_is_stopped_for_a_gang_that_its_team_may_not_run, which failed before.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -175,12 +175,12 @@
         if not demand.spec.gang:
             groups: list[tuple[Placement, ...]] = []
             for index in demand.indexes:
-                worker = self._take()
+                worker = self._take() if self.team_has_room() else None
                 if worker is None:
                     break
                 groups.append((self._placement(index, worker),))
             return groups
-        return self._run_gang()
+        return self._run_gang() if self.team_has_room() else []
 
     def reserve(self, tasks_count: int, reserved_max: int) -> None:
         """Keep workers free until the tasks that are left fit.
@@ -225,6 +225,7 @@
     def _emptiest(self) -> list[WorkerRoom]:
         """Return the workers that could run a task, the emptiest first."""
         if not self.team_has_room():
+            # Room that is kept would stand idle.
             return []
         able = [
             one for one in self._able if self._charge.fits_in(one.capacity)
@@ -266,8 +267,6 @@
         return tickets is None or worker.worker_id in tickets
 
     def _take(self) -> WorkerRoom | None:
-        if not self.team_has_room():
-            return None
         fitting = [one for one in self._workers if self._fits(one)]
         if not fitting:
             return None
@@ -303,9 +302,14 @@
         )
 
     def team_has_room(self) -> bool:
-        """Return whether the team may start one more task."""
-        room = self._team_room.get(self._demand.team_id)
-        return room is None or self._demand.spec.resources.fits_in(room)
+        """Return whether the team may start a task, or the whole gang."""
+        demand = self._demand
+        room = self._team_room.get(demand.team_id)
+        if room is None:
+            return True
+        least_count = len(demand.indexes) if demand.spec.gang else 1
+        fit_count = _specs.tasks_that_fit(demand.spec.resources, room)
+        return fit_count >= least_count
 
     def _change_team_room(
         self, amount: messages.Resources, taken: bool
--- a/dandeliondrum/jobs/_specs.py
+++ b/dandeliondrum/jobs/_specs.py
@@ -11,6 +11,8 @@
 
 # Repeats of a job are numbered from 0; a job without repeats has the first.
 FIRST_OCCURRENCE = 0
+# How many tasks fit that take nothing.
+ANY_NUMBER = 1 << 30
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -116,5 +118,9 @@
         (charge.accelerators_count, room.accelerators_count),
     )
     return max(
-        0, min((have // want for want, have in pairs if want), default=1)
+        0,
+        min(
+            (have // want for want, have in pairs if want),
+            default=ANY_NUMBER,
+        ),
     )
--- a/dandeliondrum/jobs/tests/test_preemption.py
+++ b/dandeliondrum/jobs/tests/test_preemption.py
@@ -73,6 +73,19 @@
     assert (groups, stopped) == ([], [])
 
 
+def test_nothing_is_stopped_for_a_gang_that_its_team_may_not_run():
+    """The limit leaves room for two of three tasks."""
+    rooms = [helpers.room('w1', 0), helpers.room('w2', 4_000)]
+    runs = [_run(index, 1_000) for index in range(4)]
+    limit = {helpers.TEAM: messages.Resources(2_000, 1_000)}
+    preemption = _preemption.Preemption(lambda _worker_id: runs)
+    gang = _gang(3, 1_000, granted={'w1'}, tickets={'w1': 't1'})
+    assert _planner.plan([gang], rooms, limit, preemption) == []
+    assert (preemption.chosen, rooms[0].reserved) == ([], False)
+    obstacle = _planner.obstacle(gang, rooms, limit)
+    assert obstacle is _planner.Obstacle.TEAM_LIMIT
+
+
 def test_two_gangs_do_not_count_on_the_same_room():
     rooms = [helpers.room('w1', 0)]
     runs = [_run(0, 1_000), _run(1, 1_000)]
