Send no start after a stop, and let only runs that have begun yield

A second stop was then not sent, as one had been sent less than 0.7 s before, and the repeated start had taken back what the first stop had settled. So nothing said that the run could not be there, and the task stayed assigned for ever. The fault is older than preemption (a cancelled or stalled run could meet it), which only stops runs far more often.

Ruled out: workers that list the run (it was in no list), tickets, kept room (no line `step waits` for these tasks).

Change: once a stop is ordered, its start is not sent again; the stop settles it, also while a start is under way. A run that was stopped before its start was sent never starts. Only runs that a worker has listed yield.

--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _preemption
@@ -78,11 +79,12 @@
 def yielding_runs(
     state: _state.JobsState,
     worker_id: messages.WorkerId,
-    is_stopping: collections.abc.Callable[[_specs.TaskKey, int], bool],
+    orders: _orders.OrderBook,
 ) -> list[_preemption.YieldingRun]:
     """Return the runs of a worker that can be stopped without loss.
 
-    What is being stopped already comes too; its room becomes free soon.
+    A run whose start may still be on its way is not among them. What is
+    being stopped already comes too; its room becomes free soon.
     """
     found = []
     for key, run in state.workers[worker_id].runs.items():
@@ -91,8 +93,9 @@
         if job is None or queue is None:
             continue
         spec = job.spec.steps[key.step]
-        stopping = is_stopping(key, run)
-        yields = spec.checkpointing and not spec.gang and not spec.endless
+        stopping = orders.is_stopping(key, run)
+        saves = spec.checkpointing and not spec.gang and not spec.endless
+        yields = saves and orders.is_listed(key, run)
         if stopping or (yields and run <= _preemption.RUNS_MAX):
             found.append(
                 _preemption.YieldingRun(
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -50,13 +50,19 @@
         if run is None:
             return
         draining = state.facts.phase is _commands.WorkerPhase.DRAINING
-        unwanted = draining or bool(state.events.unwanted([(task, run)]))
+        stop_ordered = self._orders.is_stopping(task, run)
+        unwanted = bool(state.events.unwanted([(task, run)]))
         with state.lock:
             order = self._orders.get(task, run)
             if order is None:
                 return
-            if unwanted and order.sends_count == 0:
+            if order.sends_count == 0 and (
+                draining or unwanted or stop_ordered
+            ):
                 request = None
+            elif stop_ordered:
+                # The stop settles what was sent so far.
+                return
             else:
                 order.sends_count += 1
                 order.phase = _orders.OrderPhase.SENT
@@ -141,6 +147,8 @@
                 order.sends_count -= 1
             if order.phase is _orders.OrderPhase.LISTED:
                 return
+            if self._orders.is_stopping(task, order.run):
+                return
             if order.sends_count < STARTS_MAX:
                 order.phase = _orders.OrderPhase.QUEUED
                 self._orders.repeat(task)
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -100,6 +100,11 @@
         with self._lock:
             return (task, run) in self._stops_ms
 
+    def is_listed(self, task: _specs.TaskKey, run: int) -> bool:
+        """Return whether the worker has listed a run, so it has begun."""
+        order = self.get(task, run)
+        return order is not None and order.phase is OrderPhase.LISTED
+
     def next(self, timeout_s: float) -> _specs.TaskKey | Stop | None:
         """Return what is to be sent next; None if that takes too long."""
         with self._wake:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -124,9 +124,7 @@
         self, worker_id: messages.WorkerId
     ) -> list[_preemption.YieldingRun]:
         orders = self._term.peers[worker_id].orders
-        return _demands.yielding_runs(
-            self._term.state, worker_id, orders.is_stopping
-        )
+        return _demands.yielding_runs(self._term.state, worker_id, orders)
 
     def _stop(self, runs: list[_preemption.YieldingRun]) -> None:
         for one in runs:
--- a/dandeliondrum/jobs/tests/test_preemption.py
+++ b/dandeliondrum/jobs/tests/test_preemption.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 import itertools
+import threading
 
+from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _demands
+from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
@@ -102,23 +105,28 @@
     assert stopped == [0]
 
 
-def test_only_runs_that_lose_nothing_yield():
+def test_only_runs_that_have_begun_and_lose_nothing_yield():
     machine = helpers.Machine()
-    saves = helpers.step(2, checkpointing=True)
+    saves = helpers.step(3, checkpointing=True)
     gang = helpers.step(1, checkpointing=True, gang=True)
     spec = helpers.job('j', saves, helpers.step(1), gang)
     machine(_commands.SubmitJob(spec))
-    for task in ('j.0.0.0', 'j.0.1.0', 'j.0.2.0'):
+    begun = ('j.0.0.0', 'j.0.1.0', 'j.0.2.0')
+    for task in (*begun, 'j.0.0.2'):
         assert machine.assign(task)
     assert machine.assign('j.0.0.1', run=_preemption.RUNS_MAX + 1)
-    assert _yielding(machine) == ['j.0.0.0']
-    assert _yielding(machine, 'j.0.1.0') == ['j.0.0.0', 'j.0.1.0']
-
-
-def _yielding(machine, stopping=''):
-    runs = _demands.yielding_runs(
-        machine.state, 'w1', lambda task, _run: str(task) == stopping
-    )
+    orders = _orders.OrderBook(threading.RLock())
+    for task in begun:
+        orders.listed(jobs.parse_task_key(task), 1, '')
+    often = jobs.parse_task_key('j.0.0.1')
+    orders.listed(often, _preemption.RUNS_MAX + 1, '')
+    assert _yielding(machine, orders) == ['j.0.0.0']
+    orders.stop(jobs.parse_task_key('j.0.1.0'), 1)
+    assert _yielding(machine, orders) == ['j.0.0.0', 'j.0.1.0']
+
+
+def _yielding(machine, orders):
+    runs = _demands.yielding_runs(machine.state, 'w1', orders)
     return sorted(str(one.task) for one in runs)
 
 
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -328,3 +328,51 @@
             )
         finally:
             answered.set()
+
+
+def _after_an_unanswered_start(worker):
+    """Return a peer with an unanswered start, and one that is stopped."""
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    leader.start('j.0.0.0')
+    leader.stopping.set()
+    key = jobs.parse_task_key('j.0.0.0')
+    assert leader.peer.orders.next(0) == key
+    worker.makes_starts_late = True
+    leader.peer.sender._send_start(key, leader.stopping)
+    worker.makes_starts_late = False
+    return leader.peer, key
+
+
+def test_a_start_is_not_sent_again_after_a_stop(worker):
+    """Seen as a task that stayed assigned for ever (LOST).
+
+    The repeated start was refused for the stop, and as a stop had just been
+    sent, nothing settled the order any more.
+    """
+    peer, key = _after_an_unanswered_start(worker)
+    peer.orders.stop(key, 1)
+    peer.sender._send_stop(key, 1)
+    peer.sender._send_start(key, threading.Event())
+    assert peer.orders.is_lost(key, 1, read=1)
+
+
+def test_a_stop_while_a_start_is_under_way_settles_it(worker):
+    """The stop is answered before the start is known to be unanswered."""
+    peer, key = _after_an_unanswered_start(worker)
+    peer.orders.stop(key, 1)
+    peer.sender._send_stop(key, 1)
+    order = peer.orders.get(key, 1)
+    peer.sender._start_unanswered(key, order, True, 'no answer')
+    assert peer.orders.is_lost(key, 1, read=1)
+
+
+def test_a_run_that_is_stopped_before_its_start_is_sent_never_starts(worker):
+    leader = Leader(worker)
+    leader.submit('j', helpers.step())
+    leader.start('j.0.0.0')
+    key = jobs.parse_task_key('j.0.0.0')
+    leader.peer.orders.stop(key, 1)
+    leader.peer.sender._send_start(key, leader.stopping)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+    assert worker.starts == []
