Ask whether a stop was ordered at the moment at which a start is sent

Cause: found while reading the change.

Change: it asks under the lock under which it marks the start as sent. Test: test_a_stop_that_is_settled_just_before_the_start_is_sent_counts, which failed before.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -50,9 +50,9 @@
         if run is None:
             return
         draining = state.facts.phase is _commands.WorkerPhase.DRAINING
-        stop_ordered = self._orders.is_stopping(task, run)
         unwanted = bool(state.events.unwanted([(task, run)]))
         with state.lock:
+            stop_ordered = self._orders.is_stopping(task, run)
             order = self._orders.get(task, run)
             if order is None:
                 return
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -376,3 +376,18 @@
     leader.peer.sender._send_start(key, leader.stopping)
     assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
     assert worker.starts == []
+
+
+def test_a_stop_that_is_settled_just_before_the_start_is_sent_counts(worker):
+    """The sender may wait long for what it asks before it sends."""
+    peer, key = _after_an_unanswered_start(worker)
+    leader = peer._events
+
+    def stop_meanwhile(runs):
+        peer.orders.stop(key, 1)
+        peer.sender._send_stop(key, 1)
+        return []
+
+    leader.unwanted = stop_meanwhile
+    peer.sender._send_start(key, leader.stopping)
+    assert peer.orders.is_lost(key, 1, read=1)
