Report the leader's processor time by part, rounds and lags

The leader of a large cell used about a whole core, and neither logs nor metrics told which part of it did: planning, the log, the lists of workers, orders, or the streams to gateways. Nor could one see for how long a planning round held the leader's locks, or how long a command waited until it was applied.

Threads of a supervisor are now named after their task, and streams after their direction. The processor time of each thread is read from the kernel's clock of that thread and added up by part; the sum is a counter in the controller's registry that is read when metrics are collected. While it leads, a controller logs one line every 5 s with the seconds by part, starts, rounds, waiting steps, open jobs, advice calls, the longest time a round waited for and held the locks, and the times of commands from the proposal to the result. The line has a fixed set of fields, goes through the bounded log stream and is written by the timers' thread.

An id of a thread that has exited gives an error here, while pthread_getcpuclockid has undefined behaviour for it. What a thread used after it was last read counts for the part "unknown".

--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -81,6 +81,7 @@
         if client_id is None:
             return
         term.advice.record_call(name, term.adviser_clients.due_ms(client_id))
+        term.load.record_advice_call()
         request = _calls.AdviceRequest(name, included)
         self._send(client_id, request).add_done_callback(
             functools.partial(self._answered, client_id, request, now_ms)
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -12,6 +12,7 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _leader_load
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _records
@@ -75,6 +76,7 @@
         for interval_ms, callback in (
             (_workers.CHECK_INTERVAL_MS, self._workers.check),
             (CLEANUP_INTERVAL_MS, self._forget_ended),
+            (_leader_load.REPORT_INTERVAL_MS, term.load.report),
         ):
             timer = self._timers.every(interval_ms, callback)
             self._resources.callback(timer.cancel)
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -1,8 +1,14 @@
 """Metrics of a job controller, in a separate registry."""
 
+import collections.abc
+
 import prometheus_client
+from prometheus_client import metrics_core
 from prometheus_client import registry
 
+from dandeliondrum.jobs import _processor_parts
+from dandeliondrum import utils
+
 WAIT_BUCKETS_SECONDS = (
     0.01,
     0.025,
@@ -18,12 +24,44 @@
     30.0,
 )
 
+LAG_BUCKETS_SECONDS = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+)
+
+
+class _ProcessorTimeCollector(registry.Collector):
+    """Reads the processor time by part when metrics are collected."""
+
+    def __init__(self, processor_time: utils.ProcessorTime) -> None:
+        self._processor_time = processor_time
+
+    def collect(self) -> collections.abc.Iterator[metrics_core.Metric]:
+        family = metrics_core.CounterMetricFamily(
+            'dandeliondrum_jobs_processor_seconds',
+            'Processor time of the controller, by part',
+            labels=('part',),
+        )
+        for part, value in self._processor_time.read().items():
+            family.add_metric((part,), value)
+        yield family
+
 
 class Metrics:
     """Counters, gauges and histograms of a job controller."""
 
     def __init__(self) -> None:
         self.registry = registry.CollectorRegistry()
+        self.processor_time = utils.ProcessorTime(_processor_parts.part_of)
+        self.registry.register(_ProcessorTimeCollector(self.processor_time))
         self.leading = prometheus_client.Gauge(
             'dandeliondrum_jobs_leading',
             'Whether this controller leads',
@@ -93,3 +131,21 @@
             buckets=WAIT_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.lock_wait_seconds = prometheus_client.Histogram(
+            'dandeliondrum_jobs_round_lock_wait_seconds',
+            "Time that a round waited for the leader's locks",
+            buckets=LAG_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.lock_held_seconds = prometheus_client.Histogram(
+            'dandeliondrum_jobs_round_lock_held_seconds',
+            "Time that a round held the leader's locks",
+            buckets=LAG_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.command_seconds = prometheus_client.Histogram(
+            'dandeliondrum_jobs_command_seconds',
+            'Time from the proposal of a command to its result',
+            buckets=LAG_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -62,8 +62,10 @@
         term = self._term
         started_s = time.monotonic()
         with term.lock, term.state.lock:
+            locked_s = time.monotonic()
             term.metrics.open_jobs.set(len(term.state.open_jobs))
             demands = list(_demands.open_demands(term.state))
+            term.load.record_waiting(len(demands), len(term.state.open_jobs))
             if not demands:
                 term.advice.retain(set())
                 return
@@ -75,7 +77,11 @@
             groups = self._plan(demands, workers)
             assignments = _demands.assignments(term.state, groups)
             self._register_orders(groups, assignments)
-        term.metrics.round_seconds.observe(time.monotonic() - started_s)
+        ended_s = time.monotonic()
+        term.metrics.round_seconds.observe(ended_s - started_s)
+        term.load.record_round(
+            ended_s - started_s, locked_s - started_s, ended_s - locked_s
+        )
         if assignments:
             self._commit(assignments)
 
@@ -221,6 +227,7 @@
             peer.orders.discard_plan(run.task)
             return
         self._term.metrics.assigned.inc()
+        self._term.load.record_starts(1)
         _logger.info(
             'run assigned',
             task=str(run.task),
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import dataclasses
 import threading
+import time
 import typing
 
 from returns import result
@@ -14,6 +15,7 @@
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _health
+from dandeliondrum.jobs import _leader_load
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _progress
@@ -74,6 +76,7 @@
         self.port = port
         self.adviser_client = adviser_client
         self.metrics = metrics
+        self.load = _leader_load.LeaderLoad(metrics)
         self.lock = threading.RLock()
         self.round_requested = threading.Event()
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
@@ -126,7 +129,12 @@
 
     def propose(self, command: typing.Any) -> Proposed:
         """Propose a command; return a future of its result."""
-        return self.node.propose(messages.encode(command))
+        proposed_s = time.monotonic()
+        future = self.node.propose(messages.encode(command))
+        future.add_done_callback(
+            lambda _: self.load.record_command(time.monotonic() - proposed_s)
+        )
+        return future
 
     def commit(
         self, command: typing.Any
--- a/dandeliondrum/transport/_connection.py
+++ b/dandeliondrum/transport/_connection.py
@@ -76,7 +76,9 @@
     def run(self) -> None:
         """Read until the connection ends; start and join the writer thread."""
         writer = threading.Thread(
-            target=self._write_loop, name='stream-writer', daemon=True
+            target=self._write_loop,
+            name=f'{threading.current_thread().name} writer',
+            daemon=True,
         )
         writer.start()
         try:
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -50,7 +50,7 @@
         host, port = self._listener.getsockname()[:2]
         self.address = f'{host}:{port}'
         self._executor = concurrent.futures.ThreadPoolExecutor(
-            options.connections_max + 1, thread_name_prefix='stream'
+            options.connections_max + 1, thread_name_prefix='incoming-stream'
         )
 
     def start(self) -> None:
@@ -154,7 +154,7 @@
         _frames.pack(_frames.FrameKind.PUSH, 0, messages.encode(hello))
     )
     threading.Thread(
-        target=connection.run, name='stream-reader', daemon=True
+        target=connection.run, name='outgoing-stream', daemon=True
     ).start()
     return connection
 
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -4,6 +4,8 @@
 from dandeliondrum.utils._futures import completed_future
 from dandeliondrum.utils._futures import gather
 from dandeliondrum.utils._futures import map_future
+from dandeliondrum.utils._processor_time import ProcessorTime
+from dandeliondrum.utils._processor_time import UNKNOWN_PART
 from dandeliondrum.utils._supervisor import InvariantError
 from dandeliondrum.utils._supervisor import RESTART_BACKOFF_MAX_MS
 from dandeliondrum.utils._supervisor import RESTART_BACKOFF_MIN_MS
@@ -14,12 +16,14 @@
 
 __all__ = [
     'InvariantError',
+    'ProcessorTime',
     'RESTART_BACKOFF_MAX_MS',
     'RESTART_BACKOFF_MIN_MS',
     'Subscription',
     'Supervisor',
     'Task',
     'TimerService',
+    'UNKNOWN_PART',
     'completed_future',
     'gather',
     'map_future',
--- /dev/null
+++ b/dandeliondrum/utils/_processor_time.py
@@ -0,0 +1,59 @@
+"""Processor time of this process by groups of threads."""
+
+import collections
+import collections.abc
+import threading
+import time
+
+# The kernel's clock of a thread is derived from its id: CPUCLOCK_SCHED for one
+# thread. An id whose thread has exited gives an OSError, while
+# pthread_getcpuclockid would have undefined behaviour.
+_CLOCK_ID_BITS = 3
+_THREAD_CLOCK_FLAGS = 6
+
+UNKNOWN_PART = 'unknown'
+
+
+class ProcessorTime:
+    """Processor seconds since the start of the process, by part; thread-safe.
+
+    ``part_of`` returns the part to which a thread belongs by its name. What
+    threads used after their last reading before they exited, and what
+    threads without a name in this interpreter used, belongs to
+    ``UNKNOWN_PART``.
+    """
+
+    def __init__(self, part_of: collections.abc.Callable[[str], str]) -> None:
+        self._part_of = part_of
+        self._lock = threading.Lock()
+        self._by_thread: dict[threading.Thread, float] = {}
+        self._by_part: dict[str, float] = collections.defaultdict(float)
+
+    def read(self) -> dict[str, float]:
+        """Return the seconds used so far by each part."""
+        with self._lock:
+            by_thread = {}
+            for thread in threading.enumerate():
+                used_s = _used_s(thread)
+                if used_s is None:
+                    continue
+                # A thread may change its name and thereby its part.
+                self._by_part[self._part_of(thread.name)] += (
+                    used_s - self._by_thread.get(thread, 0.0)
+                )
+                by_thread[thread] = used_s
+            self._by_thread = by_thread
+            known_s = sum(self._by_part.values())
+            unknown_s = max(0.0, time.process_time() - known_s)
+            return {**self._by_part, UNKNOWN_PART: unknown_s}
+
+
+def _used_s(thread: threading.Thread) -> float | None:
+    if thread.native_id is None:
+        return None
+    clock_id = (~thread.native_id << _CLOCK_ID_BITS) | _THREAD_CLOCK_FLAGS
+    try:
+        return time.clock_gettime(clock_id)
+    except OSError:
+        # The thread has exited since it was enumerated.
+        return None
--- a/dandeliondrum/utils/_supervisor.py
+++ b/dandeliondrum/utils/_supervisor.py
@@ -73,6 +73,7 @@
         self._executor.shutdown(wait=True, cancel_futures=True)
 
     def _run_with_restarts(self, name: str, task: Task) -> None:
+        threading.current_thread().name = f'{self.name}: {name}'
         pause_ms = RESTART_BACKOFF_MIN_MS
         while not self.stopping.is_set():
             try:
