Refuse sessions of connections that closed during their registration

What callers saw: after the change of leader on a grown site no run was assigned for 8 s. Every call to the adviser, 279 to 483 a second, went to one gateway and failed at once with NOT_SENT, although that gateway had registered again.

Cause: the reply to a registration needs a quorum, and the session was added in the callback of the confirmation. If the connection had closed by then, `disconnected` had run before and nothing removed the session again. Calls were sent on the first session that a scan found for the gateway, the dead one, even after the gateway had registered anew. A busy leader widens the window: a gateway gives up after 400 ms. Two more ways to the same state: a registration that was confirmed after the leader had resigned left its connection open at a leader that no longer led, and a confirmation that came late replaced a newer registration.

The same in the other engine: `controller` added sessions in the same way. A durable task that was planned for such a gateway was reverted and planned again, each time that the gateway's turn came; and on resigning only the newest connection of each gateway was closed.

Fix: one table of sessions for both engines (`transport.SessionTable`). It refuses a session whose connection has closed, under the lock that removal takes; one that arrived before the gateway's current registration; and any once the leader has resigned. A newer registration closes the connection that it replaces. Lookup by gateway is a dictionary access. The leader calls the adviser itself instead of through its own loopback stream, and losing that stream no longer takes it out of the pool.

Evidence: the tests of `jobs/tests/test_leadership.py` (6) and `controller/tests/test_registration.py` (3) fail on the old code, with GatewayRegistered instead of NotLeader for the closed connection; they pass now.

Ruled out: two processes that share a gateway id, which would now close each other's connections: the id is the VM's address, and gateways and controllers run on different VMs. Connections in `transport.Server` are added before the check of its end, and need no change.

--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -6,6 +6,7 @@
 import typing
 
 from returns import result
+import structlog
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _attempt_reports
@@ -26,6 +27,8 @@
 FORGET_EVERY_MS = 10_000
 THREADS_COUNT = 1
 
+_logger = structlog.get_logger()
+
 OnFatal = collections.abc.Callable[[utils.InvariantError], object]
 
 
@@ -79,8 +82,7 @@
 
     def close(self) -> None:
         """Stop scheduling and disconnect gateways, which look for a leader."""
-        for session in self.context.sessions.all():
-            session.connection.close()
+        self.context.sessions.close()
         self.context.work_available.set()
         self._resources.close()
 
@@ -187,6 +189,13 @@
         message: messages.RegisterGateway,
     ) -> concurrent.futures.Future[typing.Any]:
         context = self.context
+        session = _sessions.Session(
+            connection,
+            message.gateway_id,
+            context.sessions.next_number(),
+            message.region,
+            message.rules_version,
+        )
 
         def answer(
             outcome: result.Result[typing.Any, consensus.ProposeError],
@@ -194,14 +203,11 @@
             if isinstance(outcome, result.Failure):
                 return messages.NotLeader()
             with context.lock, context.state.lock:
-                context.sessions.register(
-                    _sessions.Session(
-                        connection,
-                        message.gateway_id,
-                        message.region,
-                        message.rules_version,
+                if not context.sessions.register(session):
+                    _logger.info(
+                        'registration refused', gateway=message.gateway_id
                     )
-                )
+                    return messages.NotLeader()
                 record = context.state.rules_record
                 context.work_available.set()
             return messages.GatewayRegistered(
--- a/dandeliondrum/controller/_sessions.py
+++ b/dandeliondrum/controller/_sessions.py
@@ -6,12 +6,10 @@
 from dandeliondrum import transport
 
 
-@dataclasses.dataclass
-class Session:
+@dataclasses.dataclass(eq=False)
+class Session(transport.Session):
     """The connection of one gateway to the leader."""
 
-    connection: transport.Connection
-    gateway_id: messages.GatewayId
     region: messages.Region
     rules_version: messages.RulesVersion
     waiting_for: set[messages.TaskId] = dataclasses.field(default_factory=set)
@@ -24,23 +22,33 @@
     """
 
     def __init__(self) -> None:
-        self._by_connection: dict[transport.Connection, Session] = {}
-        self._by_gateway: dict[messages.GatewayId, Session] = {}
+        self._registered: transport.SessionTable[Session] = (
+            transport.SessionTable()
+        )
         self._waiters_by_task: dict[messages.TaskId, list[Session]] = {}
         self._round_robin_count = 0
 
-    def register(self, session: Session) -> None:
-        """Add a session; it replaces an earlier one of its gateway."""
-        self._by_connection[session.connection] = session
-        self._by_gateway[session.gateway_id] = session
+    def next_number(self) -> int:
+        """Return the number of a registration whose call has arrived."""
+        return self._registered.next_number()
+
+    def register(self, session: Session) -> bool:
+        """Add a session; it replaces an earlier one of its gateway.
+
+        Returns False if it must not be used; see
+        :meth:`transport.SessionTable.add`.
+        """
+        return self._registered.add(session)
+
+    def close(self) -> None:
+        """Close all connections; later registrations are refused."""
+        self._registered.close()
 
     def remove(self, connection: transport.Connection) -> Session | None:
         """Remove the session of a closed connection and return it."""
-        session = self._by_connection.pop(connection, None)
+        session = self._registered.remove(connection)
         if session is None:
             return None
-        if self._by_gateway.get(session.gateway_id) is session:
-            del self._by_gateway[session.gateway_id]
         for task_id in session.waiting_for:
             waiters = self._waiters_by_task.get(task_id, [])
             if session in waiters:
@@ -53,15 +61,15 @@
         self, connection: transport.Connection
     ) -> Session | None:
         """Return the session of a connection."""
-        return self._by_connection.get(connection)
+        return self._registered.by_connection(connection)
 
     def by_gateway(self, gateway_id: messages.GatewayId) -> Session | None:
         """Return the session of a gateway."""
-        return self._by_gateway.get(gateway_id)
+        return self._registered.by_gateway(gateway_id)
 
     def all(self) -> tuple[Session, ...]:
         """Return the current session of each gateway."""
-        return tuple(self._by_gateway.values())
+        return self._registered.all()
 
     def wait_for(self, session: Session, task_id: messages.TaskId) -> None:
         """Record that a caller of this gateway waits for the task."""
--- /dev/null
+++ b/dandeliondrum/controller/tests/test_registration.py
@@ -0,0 +1,87 @@
+"""Registrations of gateways at the leader, whose reply needs a quorum."""
+
+import concurrent.futures
+import threading
+
+import pytest
+from returns import result
+
+from dandeliondrum.controller.tests import builders
+from dandeliondrum.controller.tests import test_worker_sizes
+from dandeliondrum import messages
+
+GATEWAY = messages.GatewayId('g1')
+
+
+class FakeConnection:
+    """Connection of which only the end matters."""
+
+    def __init__(self):
+        self.closed = threading.Event()
+
+    def close(self):
+        self.closed.set()
+
+
+class UnconfirmedLog(test_worker_sizes.ImmediateLog):
+    """Fake log that confirms leadership when the test says so."""
+
+    def __init__(self, state):
+        super().__init__(state)
+        self.confirmation = concurrent.futures.Future()
+
+    def confirm_leadership(self):
+        return self.confirmation
+
+
+@pytest.fixture
+def leader():
+    leader = test_worker_sizes.Leader()
+    leader.context.node = UnconfirmedLog(leader.state)
+    return leader
+
+
+def register(leader, connection):
+    return leader.leadership.handle_call(
+        connection,
+        messages.RegisterGateway(
+            GATEWAY,
+            messages.Region('gulf'),
+            messages.FailureDomain('d1'),
+            messages.RulesVersion(0),
+        ),
+    )
+
+
+def test_a_gateway_that_left_before_its_confirmation_is_given_no_tasks(
+    leader,
+):
+    connection = FakeConnection()
+    reply = register(leader, connection)
+    connection.close()
+    leader.leadership.on_close(connection)
+    leader.context.node.confirmation.set_result(result.Success(None))
+    assert reply.result(0) == messages.NotLeader()
+    sessions = leader.context.sessions
+    durable = builders.spec('one', durable=True)
+    assert sessions.choose_gateway(durable, None) is None
+    assert sessions.all() == ()
+
+
+def test_a_leader_that_has_closed_keeps_no_late_registration(leader):
+    connection = FakeConnection()
+    reply = register(leader, connection)
+    leader.leadership.close()
+    leader.context.node.confirmation.set_result(result.Success(None))
+    assert reply.result(0) == messages.NotLeader()
+    assert leader.context.sessions.by_connection(connection) is None
+
+
+def test_a_newer_registration_closes_the_older_connection(leader):
+    first, second = FakeConnection(), FakeConnection()
+    leader.context.node.confirmation.set_result(result.Success(None))
+    register(leader, first)
+    register(leader, second)
+    assert first.closed.is_set()
+    session = leader.context.sessions.by_gateway(GATEWAY)
+    assert session.connection is second
--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -16,6 +16,7 @@
 from dandeliondrum.jobs import _term
 from dandeliondrum import messages
 from dandeliondrum import transport
+from dandeliondrum import utils
 
 _logger = structlog.get_logger()
 
@@ -89,10 +90,16 @@
     def _send(
         self, client_id: str, request: _calls.AdviceRequest
     ) -> typing.Any:
-        for connection, gateway_id in self._term.sessions.items():
-            if gateway_id == client_id:
-                return connection.call_async(request)
-        return self._term.adviser_client.ask(request)
+        if client_id == self._term.options.controller_id:
+            return self._term.adviser_client.ask(request)
+        session = self._term.sessions.by_gateway(messages.GatewayId(client_id))
+        if session is None:
+            return utils.completed_future(
+                result.Failure(
+                    transport.CallError(transport.CallFailure.NOT_SENT)
+                )
+            )
+        return session.connection.call_async(request)
 
     def _answered(
         self,
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -86,8 +86,7 @@
         """
         self._supervisor.stopping.set()
         self._workers.close()
-        for connection, _ in self._term.connections():
-            connection.close()
+        self._term.sessions.close()
 
     def close(self) -> None:
         """Wait for all threads, some of which wait for replies of workers."""
@@ -129,10 +128,14 @@
         """Remove the session of a connection that has closed."""
         term = self._term
         with term.lock:
-            gateway_id = term.sessions.pop(connection, None)
-            if gateway_id is None or gateway_id in term.sessions.values():
+            session = term.sessions.remove(connection)
+            if session is None:
                 return
-            term.adviser_clients.remove(gateway_id)
+            gateway_id = session.gateway_id
+            if term.sessions.by_gateway(gateway_id) is not None:
+                return
+            if gateway_id != term.options.controller_id:
+                term.adviser_clients.remove(gateway_id)
         _logger.info('process disconnected', peer=gateway_id)
 
     def _heartbeat(
@@ -152,17 +155,27 @@
         self,
         connection: transport.Connection | None,
         message: messages.RegisterGateway,
-    ) -> _Reply:
+    ) -> typing.Any:
         term = self._term
+        if connection is None:
+            return messages.NotLeader()
+        session = transport.Session(
+            connection, message.gateway_id, term.sessions.next_number()
+        )
 
         def make_reply(
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
-            if isinstance(outcome, result.Failure) or connection is None:
+            if isinstance(outcome, result.Failure):
+                return messages.NotLeader()
+            with term.lock:
+                added = term.sessions.add(session)
+                if added:
+                    term.adviser_clients.add(message.gateway_id)
+            if not added:
+                _logger.info('registration refused', peer=message.gateway_id)
                 return messages.NotLeader()
-            with term.lock, term.state.lock:
-                term.sessions[connection] = message.gateway_id
-                term.adviser_clients.add(message.gateway_id)
+            with term.state.lock:
                 version = term.state.policy.version
                 document = term.state.document
             _logger.info('process registered', peer=message.gateway_id)
@@ -278,8 +291,8 @@
 
     def _push_document(self) -> None:
         push = self._document_push()
-        for connection, _ in self._term.connections():
-            connection.push(push)
+        for session in self._term.sessions.all():
+            session.connection.push(push)
         _logger.info('policy in force', version=push.version)
         self._term.round_requested.set()
 
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -1,6 +1,5 @@
 """State shared by the components of the leader during one term."""
 
-import collections.abc
 import concurrent.futures
 import dataclasses
 import threading
@@ -81,7 +80,9 @@
         self.progress = _progress.Progress()
         self.advice = _advice.GrantCache()
         self.adviser_clients = _advice.AdviserClientPool()
-        self.sessions: dict[transport.Connection, messages.GatewayId] = {}
+        self.sessions: transport.SessionTable[transport.Session] = (
+            transport.SessionTable()
+        )
         self.failed_on: dict[
             tuple[_specs.JobId, int], set[messages.WorkerId]
         ] = {}
@@ -136,12 +137,3 @@
             return self.propose(command).result(PROPOSE_TIMEOUT_MS / 1000)
         except concurrent.futures.TimeoutError:
             return result.Failure('command not applied in time')
-
-    def connections(
-        self,
-    ) -> collections.abc.Iterable[
-        tuple[transport.Connection, messages.GatewayId]
-    ]:
-        """Return the connections of registered processes."""
-        with self.lock:
-            return tuple(self.sessions.items())
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -0,0 +1,171 @@
+"""Registrations of processes at the leader, whose reply needs a quorum."""
+
+import concurrent.futures
+import threading
+
+import pytest
+from returns import result
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _advice_requester
+from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _leadership
+from dandeliondrum.jobs import _metrics
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import utils
+
+GATEWAY = messages.GatewayId('g1')
+REQUEST = _calls.AdviceRequest('j.0.0', (messages.WorkerId('w1'),))
+
+
+class FakeConnection:
+    """Connection that reports its end to the leader, as a server does."""
+
+    def __init__(self, leadership):
+        self.closed = threading.Event()
+        self.calls = []
+        self._leadership = leadership
+
+    def call_async(self, message):
+        self.calls.append(message)
+        return concurrent.futures.Future()
+
+    def close(self):
+        if not self.closed.is_set():
+            self.closed.set()
+            self._leadership.disconnected(self)
+
+
+class FakeNode:
+    """Node that confirms leadership when the test calls ``confirm``."""
+
+    def __init__(self):
+        self.confirmations = []
+
+    def is_leading(self):
+        return True
+
+    def confirm_leadership(self):
+        self.confirmations.append(concurrent.futures.Future())
+        return self.confirmations[-1]
+
+    def confirm(self, number=0):
+        self.confirmations.pop(number).set_result(result.Success(None))
+
+
+@pytest.fixture
+def node():
+    return FakeNode()
+
+
+@pytest.fixture
+def leadership(node):
+    machine = helpers.Machine()
+    return _leadership.Leadership(
+        jobs.LeaderOptions(
+            messages.ControllerId('c1'), 1_000, 1_500, 60_000, 3
+        ),
+        messages.Term(1),
+        machine.state,
+        node,
+        testing.FakeFleet([]),
+        None,
+        _metrics.Metrics(),
+        utils.TimerService(),
+    )
+
+
+def register(leadership, connection):
+    return leadership.handle(
+        connection,
+        messages.RegisterGateway(
+            GATEWAY,
+            messages.Region('gulf'),
+            messages.FailureDomain('d1'),
+            messages.RulesVersion(0),
+        ),
+    )
+
+
+def chosen_client(leadership):
+    """Return the process that is chosen for a call to the adviser."""
+    policy = jobs.AdvicePolicy(5.0, 0.1, 1_500)
+    return leadership._term.adviser_clients.choose(policy, 1, 0)
+
+
+def ask(leadership):
+    requester = _advice_requester.AdviceRequester(leadership._term)
+    return requester._send(GATEWAY, REQUEST)
+
+
+def test_a_connection_closed_before_its_confirmation_gets_no_advice_calls(
+    leadership, node
+):
+    connection = FakeConnection(leadership)
+    reply = register(leadership, connection)
+    connection.close()
+    node.confirm()
+    assert reply.result(0) == messages.NotLeader()
+    assert chosen_client(leadership) is None
+
+
+def test_a_process_that_registers_again_is_called_on_its_open_connection(
+    leadership, node
+):
+    first, second = FakeConnection(leadership), FakeConnection(leadership)
+    replies = [register(leadership, first)]
+    first.close()
+    replies.append(register(leadership, second))
+    node.confirm()
+    node.confirm()
+    assert replies[0].result(0) == messages.NotLeader()
+    assert isinstance(replies[1].result(0), messages.GatewayRegistered)
+    assert chosen_client(leadership) == GATEWAY
+    ask(leadership)
+    assert (first.calls, second.calls) == ([], [REQUEST])
+
+
+def test_a_newer_registration_closes_the_older_connection(leadership, node):
+    first, second = FakeConnection(leadership), FakeConnection(leadership)
+    register(leadership, first)
+    node.confirm()
+    register(leadership, second)
+    node.confirm()
+    assert first.closed.is_set() and not second.closed.is_set()
+    assert chosen_client(leadership) == GATEWAY
+    ask(leadership)
+    assert (first.calls, second.calls) == ([], [REQUEST])
+    second.close()
+    assert chosen_client(leadership) is None
+
+
+def test_a_registration_confirmed_late_does_not_replace_a_newer_one(
+    leadership, node
+):
+    first, second = FakeConnection(leadership), FakeConnection(leadership)
+    late = register(leadership, first)
+    register(leadership, second)
+    node.confirm(1)
+    node.confirm(0)
+    assert late.result(0) == messages.NotLeader()
+    assert not second.closed.is_set()
+    ask(leadership)
+    assert (first.calls, second.calls) == ([], [REQUEST])
+
+
+def test_a_leader_that_has_resigned_keeps_no_late_registration(
+    leadership, node
+):
+    connection = FakeConnection(leadership)
+    reply = register(leadership, connection)
+    leadership.resign()
+    node.confirm()
+    assert reply.result(0) == messages.NotLeader()
+    assert chosen_client(leadership) is None
+
+
+def test_a_call_to_a_process_without_a_session_fails_at_once(leadership):
+    outcome = ask(leadership).result(0)
+    assert isinstance(outcome, result.Failure)
--- a/dandeliondrum/transport/__init__.py
+++ b/dandeliondrum/transport/__init__.py
@@ -21,6 +21,8 @@
 from dandeliondrum.transport._server import PROTOCOL_VERSION
 from dandeliondrum.transport._server import Server
 from dandeliondrum.transport._server import ServerOptions
+from dandeliondrum.transport._sessions import Session
+from dandeliondrum.transport._sessions import SessionTable
 
 __all__ = [
     'CallError',
@@ -39,6 +41,8 @@
     'SEND_QUEUE_MAX_FRAMES',
     'Server',
     'ServerOptions',
+    'Session',
+    'SessionTable',
     'WRITE_BATCH_BYTES',
     'connect',
     'pack',
