Leave out a process whose calls to the adviser fail

Cause: the pool chooses the process whose call ends soonest. A call that failed counted as one that ended, so the process that fails at once was always free and had the lowest overhead.

Fix: a failed call never lowers the average overhead of a process, and the process is left out for 100 ms, doubled with each failure in a row up to 800 ms; a reply ends this. A call whose connection was lost (NOT_SENT or CLOSED) is made by the next best process at once, without the delay of its step. A leader that resigns empties the pool first, so that the calls it breaks off are not repeated. `choose` remembers until when no process is available, since waiting steps ask in each round.

Known limit: the pause does not tell a process that can't reach the adviser from a request that the adviser rejects; both are replies with a problem. Steps that are rejected for ever would pause one process for 100 ms each time.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _policy
@@ -41,6 +42,10 @@
 # Weight of the newest call in the moving average of a process's overhead. It
 # takes five calls to outweigh a single delayed one.
 OVERHEAD_SMOOTHING_FACTOR = 0.2
+# A process whose call failed gets no other one for this long; the pause
+# doubles with each failure in a row.
+FAILURE_PAUSE_MS = 100
+FAILURE_PAUSE_DOUBLINGS_MAX = 3
 
 StepName = str
 ClientId = str
@@ -182,14 +187,20 @@
         included: tuple[messages.WorkerId, ...],
         reply: _calls.AdviceReply,
         now_ms: int,
+        may_retry_now: bool = False,
     ) -> None:
-        """Store the grants and refusals of a reply."""
+        """Store the grants and refusals of a reply.
+
+        After a reply with a problem the next call about the step waits for
+        ``RETRY_DELAY_MS``, unless ``may_retry_now`` is set.
+        """
         step = self._steps.get(name)
         if step is None:
             return
         step.calls_count -= 1
         if reply.problem:
-            step.not_before_ms = now_ms + RETRY_DELAY_MS
+            if not may_retry_now:
+                step.not_before_ms = now_ms + RETRY_DELAY_MS
             return
         expires_ms = now_ms + reply.valid_ms
         granted = {grant.worker_id: grant.ticket for grant in reply.grants}
@@ -229,6 +240,8 @@
     ``pending_ms`` holds the expected durations of its pending calls, oldest
     first. ``call_started_ms`` is when the oldest one began. ``overhead_ms``
     is the average time by which its calls exceed the expected duration.
+    After ``failures_count`` failed calls in a row no call is given to it
+    before ``not_before_ms``.
     """
 
     pending_ms: collections.deque[float] = dataclasses.field(
@@ -236,21 +249,52 @@
     )
     call_started_ms: float = 0.0
     overhead_ms: float | None = None
+    failures_count: int = 0
+    not_before_ms: float = 0.0
 
-    def free_in_ms(self, now_ms: float) -> float | None:
-        """Return in how many milliseconds another call could begin.
+    def available_from_ms(self, now_ms: float) -> float:
+        """Return when another call may be given to the process.
 
-        Returns None if a call is queued already or the current one is
+        Returns infinity if a call is queued already or the current one is
         overdue: its link or process may be down, so nothing is queued
         behind it.
         """
         if not self.pending_ms:
-            return 0.0
-        left_ms = self.call_started_ms + self.pending_ms[0] - now_ms
-        overdue_ms = -left_ms - (self.overhead_ms or 0.0)
+            return self.not_before_ms
+        end_ms = self.call_started_ms + self.pending_ms[0]
+        overdue_ms = now_ms - end_ms - (self.overhead_ms or 0.0)
         if len(self.pending_ms) > 1 or overdue_ms > OVERDUE_AFTER_MS:
-            return None
-        return max(0.0, left_ms)
+            return math.inf
+        return max(self.not_before_ms, end_ms - BACKLOG_MAX_MS)
+
+    def answer_in_ms(self, now_ms: float) -> float:
+        """Return the delay, beyond its duration, of the next call."""
+        overhead_ms = self.overhead_ms or 0.0
+        if not self.pending_ms:
+            return overhead_ms
+        left_ms = self.call_started_ms + self.pending_ms[0] - now_ms
+        return max(0.0, left_ms) + overhead_ms
+
+    def end_call(self, now_ms: float) -> float:
+        """Remove the oldest call; return by how much it was too long."""
+        took_ms = now_ms - self.call_started_ms
+        self.call_started_ms = now_ms
+        return max(0.0, took_ms - self.pending_ms.popleft())
+
+    def update_overhead(self, overhead_ms: float) -> None:
+        if self.overhead_ms is None:
+            self.overhead_ms = overhead_ms
+        self.overhead_ms += (
+            overhead_ms - self.overhead_ms
+        ) * OVERHEAD_SMOOTHING_FACTOR
+
+    def pause(self, now_ms: float) -> None:
+        """Start the pause after a failure, unless one is under way."""
+        if now_ms < self.not_before_ms:
+            return
+        doublings = min(self.failures_count, FAILURE_PAUSE_DOUBLINGS_MAX)
+        self.not_before_ms = now_ms + FAILURE_PAUSE_MS * 2**doublings
+        self.failures_count += 1
 
 
 class AdviserClientPool:
@@ -258,37 +302,50 @@
 
     def __init__(self) -> None:
         self._loads: dict[ClientId, _ClientLoad] = {}
+        # No process is available before this time, unless a call ends or a
+        # process is added. Waiting steps ask far more often than calls end.
+        self._none_before_ms = 0.0
 
     def add(self, client_id: ClientId) -> None:
         """Add a process to the pool."""
         self._loads.setdefault(client_id, _ClientLoad())
+        self._none_before_ms = 0.0
 
     def remove(self, client_id: ClientId) -> None:
         """Remove a process from the pool."""
         self._loads.pop(client_id, None)
 
+    def clear(self) -> None:
+        """Remove all processes from the pool."""
+        self._loads.clear()
+
     def choose(
         self, policy: _policy.AdvicePolicy, workers_count: int, now_ms: float
     ) -> ClientId | None:
         """Reserve the process that will reply first for a call.
 
-        Returns None while all processes are busy.
+        Returns None while all processes are busy or paused after a failure.
         """
-        best: tuple[float, ClientId] | None = None
+        if now_ms < self._none_before_ms:
+            return None
+        best_id: ClientId | None = None
+        best_ms = next_ms = math.inf
         for client_id, load in self._loads.items():
-            free_in_ms = load.free_in_ms(now_ms)
-            if free_in_ms is None or free_in_ms > BACKLOG_MAX_MS:
+            available_ms = load.available_from_ms(now_ms)
+            if available_ms > now_ms:
+                next_ms = min(next_ms, available_ms)
                 continue
-            answer_in_ms = free_in_ms + (load.overhead_ms or 0.0)
-            if best is None or answer_in_ms < best[0]:
-                best = (answer_in_ms, client_id)
-        if best is None:
+            answer_in_ms = load.answer_in_ms(now_ms)
+            if answer_in_ms < best_ms:
+                best_id, best_ms = client_id, answer_in_ms
+        if best_id is None:
+            self._none_before_ms = next_ms
             return None
-        chosen = self._loads[best[1]]
+        chosen = self._loads[best_id]
         if not chosen.pending_ms:
             chosen.call_started_ms = now_ms
         chosen.pending_ms.append(policy.call_ms(workers_count))
-        return best[1]
+        return best_id
 
     def due_ms(self, client_id: ClientId) -> float:
         """Return when the last call of a process is expected to return."""
@@ -300,18 +357,29 @@
         )
 
     def record_finished(self, client_id: ClientId, now_ms: float) -> None:
-        """Record that the oldest call of a process has ended."""
+        """Record that the oldest call of a process was answered."""
+        self._none_before_ms = 0.0
         load = self._loads.get(client_id)
         if load is None or not load.pending_ms:
             return
-        took_ms = now_ms - load.call_started_ms
-        overhead_ms = max(0.0, took_ms - load.pending_ms.popleft())
-        if load.overhead_ms is None:
-            load.overhead_ms = overhead_ms
-        load.overhead_ms += (
-            overhead_ms - load.overhead_ms
-        ) * OVERHEAD_SMOOTHING_FACTOR
-        load.call_started_ms = now_ms
+        load.update_overhead(load.end_call(now_ms))
+        load.failures_count = 0
+        load.not_before_ms = 0.0
+
+    def record_failed(self, client_id: ClientId, now_ms: float) -> None:
+        """Record that the oldest call of a process has failed.
+
+        The process is left out for a while. A failure may come faster than
+        any reply, so it never lowers the average overhead.
+        """
+        self._none_before_ms = 0.0
+        load = self._loads.get(client_id)
+        if load is None or not load.pending_ms:
+            return
+        overhead_ms = load.end_call(now_ms)
+        if overhead_ms > (load.overhead_ms or 0.0):
+            load.update_overhead(overhead_ms)
+        load.pause(now_ms)
 
 
 def _ids(
--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -78,13 +78,23 @@
         )
         if not included:
             return
-        client_id = term.adviser_clients.choose(policy, len(included), now_ms)
+        self._call(_calls.AdviceRequest(name, included), policy)
+
+    def _call(
+        self, request: _calls.AdviceRequest, policy: _policy.AdvicePolicy
+    ) -> None:
+        """Make a call through the process that will reply first, if any."""
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        clients = term.adviser_clients
+        client_id = clients.choose(policy, len(request.worker_ids), now_ms)
         if client_id is None:
             return
-        term.advice.record_call(name, term.adviser_clients.due_ms(client_id))
-        request = _calls.AdviceRequest(name, included)
+        term.advice.record_call(request.step, clients.due_ms(client_id))
         self._send(client_id, request).add_done_callback(
-            functools.partial(self._answered, client_id, request, now_ms)
+            functools.partial(
+                self._answered, client_id, request, policy, now_ms
+            )
         )
 
     def _send(
@@ -105,25 +115,23 @@
         self,
         client_id: str,
         request: _calls.AdviceRequest,
+        policy: _policy.AdvicePolicy,
         sent_ms: int,
         done: typing.Any,
     ) -> None:
-        reply = _calls.AdviceReply((), 0, 'call cancelled or failed')
-        if not done.cancelled() and done.exception() is None:
-            match done.result():
-                case _calls.AdviceReply() as own:
-                    reply = own
-                case result.Success(_calls.AdviceReply() as other):
-                    reply = other
-                case result.Failure(transport.CallError() as error):
-                    reply = _calls.AdviceReply((), 0, str(error.failure))
+        reply, is_lost = _read_reply(done)
         term = self._term
         with term.lock:
             now_ms = _clock.elapsed_ms()
-            term.adviser_clients.record_finished(client_id, now_ms)
+            if reply.problem:
+                term.adviser_clients.record_failed(client_id, now_ms)
+            else:
+                term.adviser_clients.record_finished(client_id, now_ms)
             term.advice.record_reply(
-                request.step, request.worker_ids, reply, now_ms
+                request.step, request.worker_ids, reply, now_ms, is_lost
             )
+            if is_lost:
+                self._call(request, policy)
         took_ms = now_ms - sent_ms
         term.metrics.advice_seconds.labels(
             'failed' if reply.problem else 'answered'
@@ -140,6 +148,25 @@
         term.round_requested.set()
 
 
+def _read_reply(done: typing.Any) -> tuple[_calls.AdviceReply, bool]:
+    """Return the reply to a call and whether its connection was lost."""
+    if done.cancelled():
+        return _calls.AdviceReply((), 0, 'call cancelled'), False
+    if done.exception() is not None:
+        return _calls.AdviceReply((), 0, repr(done.exception())), False
+    match done.result():
+        case _calls.AdviceReply() as reply:
+            return reply, False
+        case result.Success(_calls.AdviceReply() as reply):
+            return reply, False
+        case result.Success(messages.CallFailed(reason)):
+            return _calls.AdviceReply((), 0, reason), False
+        case result.Failure(transport.CallError() as error):
+            return _calls.AdviceReply((), 0, str(error.failure)), True
+        case other:
+            return _calls.AdviceReply((), 0, f'reply {other!r}'), False
+
+
 def _candidates(
     demand: _planner.Demand,
     workers: list[_planner.AvailableWorker],
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -86,6 +86,8 @@
         """
         self._supervisor.stopping.set()
         self._workers.close()
+        with self._term.lock:
+            self._term.adviser_clients.clear()
         self._term.sessions.close()
 
     def close(self) -> None:
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -218,3 +218,50 @@
     )
     assert again == ('w0', 'w1')
     assert advice.granted('s') == {'w0', 'w1'}
+
+
+def test_a_process_that_keeps_failing_is_left_out_for_longer_and_longer():
+    clients = _advice.AdviserClientPool()
+    clients.add('a')
+    asked_ms = []
+    for now_ms in range(0, 5_000, 10):
+        if clients.choose(POLICY, 1, now_ms):
+            asked_ms.append(now_ms)
+            clients.record_failed('a', now_ms)
+    pauses_ms = [
+        later - earlier
+        for earlier, later in zip(asked_ms, asked_ms[1:], strict=False)
+    ]
+    assert pauses_ms == [100, 200, 400, 800, 800, 800, 800, 800]
+    assert clients.choose(POLICY, 1, 6_000) == 'a'
+    clients.record_finished('a', 6_500)
+    assert clients.choose(POLICY, 1, 6_500) == 'a'
+
+
+def test_failures_at_once_do_not_make_a_process_look_fast():
+    clients = _advice.AdviserClientPool()
+    short = jobs.AdvicePolicy(10.0, 0.0, 1_500)
+    now_ms = 0
+    for name, overhead_ms in (('far', 90), ('near', 5)):
+        clients.add(name)
+        assert clients.choose(short, 1, now_ms) == name
+        now_ms += 10 + overhead_ms
+        clients.record_finished(name, now_ms)
+    for _ in range(10):
+        assert clients.choose(short, 1, now_ms) == 'near'
+        assert clients.choose(short, 1, now_ms) == 'near'
+        assert clients.choose(short, 1, now_ms) == 'far'
+        clients.record_failed('far', now_ms)
+        now_ms += 20
+        clients.record_finished('near', now_ms)
+        clients.record_finished('near', now_ms)
+        now_ms += 1_000
+
+
+def test_a_call_that_may_be_repeated_at_once_is_not_delayed():
+    advice = _advice.GrantCache()
+    included = advice.select_workers('s', _candidates(1), 0)
+    advice.record_call('s', 100)
+    lost = jobs.AdviceReply((), 0, 'closed')
+    advice.record_reply('s', included, lost, 100, may_retry_now=True)
+    assert advice.select_workers('s', _candidates(1), 100) == included
