Dispatch assigned runs whenever their command is applied

What callers saw: an accepted task was never run (LOST) although most workers were free and the leader stayed in office.

Cause: the scheduler waited five seconds for AssignRuns. If the command was applied later, the runs were assigned but never dispatched: their start orders stayed in the phase PLANNED, for which the order book says "not lost", so only the next leader could settle them. Meanwhile the next rounds planned the same tasks again, on other workers and with the same run number. A gang of which one member is stuck in this way never restarts at all. A command that the log had refused left its orders behind, and was tried again after 8 ms.

Fix: the outcome of the proposal decides, not a timeout. The scheduler waits until the command is applied or refused, or the leader stops; it has nothing else to do, since nothing can be assigned while the log stands still. So one command is in flight at a time and a task can't be planned twice. The orders of a command that is never committed are discarded, and the next round follows after 200 ms. A command that is pending for long is logged.

Whether the commit of an assignment took more than five seconds in the incident is not shown by its record.

--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -76,10 +76,11 @@
         with self._lock:
             self._orders[task] = order
 
-    def discard_plan(self, task: _specs.TaskKey) -> None:
+    def discard_plan(self, task: _specs.TaskKey, run: int) -> None:
         """Remove the order of a run that was not assigned."""
         with self._lock:
-            self._orders.pop(task, None)
+            if self.get(task, run) is not None:
+                del self._orders[task]
 
     def dispatch(self, task: _specs.TaskKey) -> None:
         """Queue the start order of a run that was assigned."""
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -1,6 +1,7 @@
 """Scheduling rounds: request advice, place tasks, commit the assignments."""
 
 import collections.abc
+import concurrent.futures
 import dataclasses
 import threading
 import time
@@ -26,6 +27,10 @@
 # Maximum interval between rounds: tickets and suspensions expire without an
 # event.
 ROUND_MAX_MS = 150
+# Interval between warnings about a command that is not applied yet.
+COMMIT_WARNING_MS = 500
+# Delay after the log has refused a command.
+COMMIT_RETRY_DELAY_MS = 200
 
 _logger = structlog.get_logger()
 
@@ -55,10 +60,10 @@
                 return
             round_requested.clear()
             if self._term.may_act():
-                self._round()
+                self._round(stopping)
             stopping.wait(ROUND_MIN_MS / 1000)
 
-    def _round(self) -> None:
+    def _round(self, stopping: threading.Event) -> None:
         term = self._term
         started_s = time.monotonic()
         with term.lock, term.state.lock:
@@ -77,7 +82,7 @@
             self._register_orders(groups, assignments)
         term.metrics.round_seconds.observe(time.monotonic() - started_s)
         if assignments:
-            self._commit(assignments)
+            self._commit(assignments, stopping)
 
     def _usable_workers(self) -> list[_planner.AvailableWorker]:
         term = self._term
@@ -197,14 +202,28 @@
                 self._term.peers[run.worker_id].orders.plan(run.task, order)
 
     def _commit(
-        self, assignments: tuple[tuple[_commands.RunAssignment, ...], ...]
+        self,
+        assignments: tuple[tuple[_commands.RunAssignment, ...], ...],
+        stopping: threading.Event,
     ) -> None:
+        """Propose the assignments and dispatch the runs once applied.
+
+        There is no timeout: a command that is still pending can be applied
+        at any time, and its tasks must not be planned again meanwhile.
+        """
         term = self._term
-        outcome = term.commit(_commands.AssignRuns(assignments))
+        proposed = term.propose(_commands.AssignRuns(assignments))
+        if not _wait_until_done(proposed, stopping):
+            return
+        outcome = proposed.result()
         if isinstance(outcome, result.Failure):
-            # The command may still be applied; in that case the next leader
-            # handles the runs.
-            _logger.warning('runs not assigned', why=str(outcome.failure()))
+            error = outcome.failure()
+            _logger.warning('runs not assigned', why=str(error))
+            if error.never_committed:
+                self._discard(assignments)
+                stopping.wait(COMMIT_RETRY_DELAY_MS / 1000)
+            # Otherwise leadership is lost, and the next leader handles runs
+            # that are assigned after all.
             return
         with term.lock:
             for runs, assigned in zip(
@@ -213,12 +232,20 @@
                 for run in runs:
                     self._dispatch(run, assigned)
 
+    def _discard(
+        self, assignments: tuple[tuple[_commands.RunAssignment, ...], ...]
+    ) -> None:
+        with self._term.lock:
+            for runs in assignments:
+                for run in runs:
+                    self._dispatch(run, False)
+
     def _dispatch(self, run: _commands.RunAssignment, assigned: bool) -> None:
         peer = self._term.peers.get(run.worker_id)
         if peer is None:
             return
         if not assigned:
-            peer.orders.discard_plan(run.task)
+            peer.orders.discard_plan(run.task, run.run)
             return
         self._term.metrics.assigned.inc()
         _logger.info(
@@ -240,3 +267,19 @@
             self._term.metrics.first_start_seconds.labels(queue).observe(
                 waited_ms / 1000
             )
+
+
+def _wait_until_done(
+    proposed: _term.Proposed, stopping: threading.Event
+) -> bool:
+    """Wait for a proposal; return False if the leader stops before."""
+    waited_ms = 0
+    while not stopping.is_set():
+        done, _ = concurrent.futures.wait(
+            (proposed,), COMMIT_WARNING_MS / 1000
+        )
+        if done:
+            return True
+        waited_ms += COMMIT_WARNING_MS
+        _logger.warning('assignment not applied yet', waited_ms=waited_ms)
+    return False
--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -1,12 +1,18 @@
 """Factories for policies, jobs and workers, and a state machine for tests."""
 
+import concurrent.futures
 import dataclasses
 import json
 
+from returns import result
+
+from dandeliondrum import consensus
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _state
+from dandeliondrum.jobs import _term
 from dandeliondrum import messages
 
 TEAM = messages.TeamId('harbour')
@@ -122,3 +128,56 @@
     def phase(self, name):
         """Return the phase of a job."""
         return self.state.jobs[name].phase
+
+
+class LocalNode:
+    """Log of one controller that applies commands to a state machine.
+
+    While ``holds`` is set, proposals stay pending until :meth:`release`.
+    With ``refuses``, they are never committed.
+    """
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.holds = False
+        self.refuses = False
+        self.commands = []
+        self._pending = []
+
+    def propose(self, command):
+        future = concurrent.futures.Future()
+        self.commands.append(messages.decode(command).unwrap())
+        if self.refuses:
+            error = consensus.ProposeError(
+                consensus.ProposeFailure.OVERLOADED, never_committed=True
+            )
+            future.set_result(result.Failure(error))
+            return future
+        self._pending.append((self.commands[-1], future))
+        if not self.holds:
+            self.release()
+        return future
+
+    def release(self):
+        """Apply the pending commands in order."""
+        pending, self._pending = self._pending, []
+        for command, future in pending:
+            future.set_result(result.Success(self.machine(command)))
+
+    def is_leading(self):
+        return True
+
+
+def new_term(node, port=None):
+    """Return the state of a leader whose log is ``node``."""
+    return _term.Term(
+        _term.LeaderOptions(
+            messages.ControllerId('c1'), 1_000, 1_500, 60_000, 1
+        ),
+        messages.Term(1),
+        node.machine.state,
+        node,
+        port,
+        None,
+        _metrics.Metrics(),
+    )
