--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -31,6 +31,7 @@
         self.gone_ids = []
         self.refusals = []
         self.lease_ms = lease_ms
+        self.log_refuses = False
         self.stopping = threading.Event()
         self.peer = self.open_peer(messages.Term(1))
 
@@ -56,6 +57,8 @@
         return self.acting
 
     def record(self, ends):
+        if self.log_refuses:
+            return False
         with self.machine.state.lock:
             self.machine(_commands.EndRuns(ends))
             self.outcomes += [
@@ -394,3 +397,37 @@
     leader.obsolete = stop_meanwhile
     peer.sender._send_start(key, leader.stopping)
     assert peer.orders.is_lost(key, 1, read=1)
+
+
+def test_a_refused_start_is_settled_although_the_log_refuses_its_end(worker):
+    """Regression test: such a task stayed assigned forever."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    port = testing.FakeFleet([worker])
+    port.start = lambda order: jobs.Refused(jobs.Refusal.NO_ROOM)
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.log_refuses = True
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.refusals)
+        leader.log_refuses = False
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_start_that_is_not_sent_is_settled_if_the_log_refuses(worker):
+    """Regression test: such a task stayed assigned forever."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    leader.peer.facts = dataclasses.replace(
+        worker.facts, phase=jobs.WorkerPhase.DRAINING
+    )
+    leader.start('j.0.0.0')
+    key = leader.peer.orders.next(0)
+    leader.log_refuses = True
+    leader.peer.sender._send_start(key, leader.stopping)
+    leader.log_refuses = False
+    with serving(leader):
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
