Send a stop again after a pause if it was not carried out

Two faults in the handling of stop orders:

A worker that refuses a stop as unhealthy (429 or 503) has done nothing, but the stop counted as carried out. The run could then be recorded as lost although an earlier start order that was not answered may still arrive, so that the task runs twice.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -38,7 +38,8 @@
                 continue
             match item:
                 case _orders.Stop(task, run):
-                    self._send_stop(task, run)
+                    if not self._send_stop(task, run):
+                        stopping.wait(RETRY_DELAY_MS / 1000)
                 case task:
                     self._send_start(task, stopping)
 
@@ -167,24 +168,31 @@
         """Prevent a late start; the worker's lists tell what became of it."""
         self._orders.stop(task, order.run)
 
-    def _send_stop(self, task: _specs.TaskKey, run: int) -> None:
+    def _send_stop(self, task: _specs.TaskKey, run: int) -> bool:
+        """Send a stop; return False if it has to be sent again."""
         state = self._state
         with state.lock:
             order = self._orders.get(task, run)
             request = _port.StopOrder(state.facts, state.token, task, run)
         outcome = state.port.stop(request)
         match outcome:
+            case _port.Unanswered(_, why):
+                pass
+            case _port.Refused(_port.Refusal.UNHEALTHY as reason):
+                why = reason.value
+            case _port.WorkerReplaced():
+                state.handle_replacement()
+                return True
             case _port.Accepted() | _port.Refused():
                 if order is not None:
                     self._settle(order)
-            case _port.WorkerReplaced():
-                state.handle_replacement()
-            case _port.Unanswered(_, detail):
-                _logger.info(
-                    'stop not answered',
-                    worker=state.facts.worker_id,
-                    task=str(task),
-                    run=run,
-                    why=detail,
-                )
-                self._orders.requeue(_orders.Stop(task, run))
+                return True
+        _logger.info(
+            'stop not carried out',
+            worker=state.facts.worker_id,
+            task=str(task),
+            run=run,
+            why=why,
+        )
+        self._orders.requeue(_orders.Stop(task, run))
+        return False
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -431,3 +431,37 @@
     with serving(leader):
         testing.wait_until(lambda: leader.outcomes)
     assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_stop_that_an_unhealthy_worker_refuses_is_sent_again(worker):
+    """An unhealthy worker has done nothing, so the start may still arrive."""
+    peer, key = _after_an_unanswered_start(worker)
+    port = testing.FakeFleet([worker])
+    port.stop = lambda order: jobs.Refused(jobs.Refusal.UNHEALTHY)
+    peer._state.port = port
+    peer.orders.stop(key, 1)
+    assert peer.orders.next(0) == _orders.Stop(key, 1)
+    peer.sender._send_stop(key, 1)
+    assert not peer.orders.is_lost(key, 1, read=1)
+    queued = [peer.orders.next(0) for _ in range(2)]
+    assert _orders.Stop(key, 1) in queued
+
+
+def test_a_stop_to_a_worker_that_refuses_connections_is_not_a_busy_loop(
+    worker,
+):
+    stops = []
+
+    def refuse(order):
+        stops.append(order)
+        return jobs.Unanswered(False, 'connection refused')
+
+    leader = FakeLeader(worker, lease_ms=60_000)
+    port = testing.FakeFleet([worker])
+    port.stop = refuse
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.peer.orders.stop(jobs.parse_task_key('j.0.0.0'), 1)
+        time.sleep(0.5)
+    assert 1 <= len(stops) <= 10
