Keep the orders of a worker if the ends of its runs are not recorded

Cause: when a lease has expired or another incarnation answers, the ends of all runs of the worker are recorded and its queue is cleared. There were two gaps. If the log refused the ends and the worker then answered again, the start orders were in the phase QUEUED without being in the queue. And the assigned runs were read before the queue was cleared, so that a run dispatched in between lost its order but was not among the ends.

Fix: the queue is emptied first, then the assigned runs are read, and the orders return to the queue if the ends are not recorded.

--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import threading
@@ -134,10 +135,20 @@
         with self._condition:
             self._condition.notify_all()
 
-    def drop_queued(self) -> None:
-        """Clear the queue."""
+    def drop_queued(self) -> tuple[_specs.TaskKey | Stop, ...]:
+        """Empty the queue; return the orders that were in it."""
         with self._lock:
+            dropped = tuple(self._queue)
             self._queue.clear()
+            return dropped
+
+    def restore_queued(
+        self, items: collections.abc.Iterable[_specs.TaskKey | Stop]
+    ) -> None:
+        """Return dropped orders to the tail of the queue."""
+        with self._condition:
+            self._queue.extend(items)
+            self._condition.notify_all()
 
     def get(self, task: _specs.TaskKey, run: int) -> Order | None:
         """Return the start order of a run, None if this leader has none."""
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -105,14 +105,22 @@
             self.events.worker_replaced(self.facts.worker_id)
 
     def record_all(self, outcome: _commands.RunOutcome) -> bool:
-        """Record an end of all assigned runs; return whether it succeeded."""
+        """Record an end of all assigned runs; return whether it succeeded.
+
+        Their queued orders are dropped, or kept if it did not succeed. The
+        queue is emptied first, so that it then contains only orders of runs
+        that are not in ``ends``.
+        """
+        dropped = self.orders.drop_queued()
         assigned = self.events.assigned(self.facts.worker_id)
-        self.orders.drop_queued()
         ends = tuple(
             _commands.RunEnd(task, run, outcome, self.orders.checkpoint(task))
             for task, run in assigned.items()
         )
-        return self.record(ends)
+        if self.record(ends):
+            return True
+        self.orders.restore_queued(dropped)
+        return False
 
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Record ends and remove their orders; return whether it succeeded."""
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -465,3 +465,40 @@
         leader.peer.orders.stop(jobs.parse_task_key('j.0.0.0'), 1)
         time.sleep(0.5)
     assert 1 <= len(stops) <= 10
+
+
+def test_orders_are_kept_when_the_log_refuses_the_ends_of_a_worker(worker):
+    """Regression test: a task stayed assigned forever.
+
+    The worker was silent for longer than its lease and answers again.
+    """
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    leader.start('j.0.0.0')
+    leader.log_refuses = True
+    assert not leader.peer._state.record_all(jobs.RunOutcome.LAPSED)
+    leader.log_refuses = False
+    with serving(leader):
+        testing.wait_until(
+            lambda: leader.machine.phase('j') is jobs.JobPhase.DONE
+        )
+
+
+def test_a_run_that_is_dispatched_while_its_worker_lapses_is_settled(worker):
+    """Regression test: a task stayed assigned forever."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    assigned = leader.assigned
+
+    def assign_meanwhile(worker_id):
+        runs = assigned(worker_id)
+        leader.assigned = assigned
+        leader.start('j.0.0.0')
+        return runs
+
+    leader.assigned = assign_meanwhile
+    assert leader.peer._state.record_all(jobs.RunOutcome.LAPSED)
+    with serving(leader):
+        testing.wait_until(
+            lambda: leader.machine.phase('j') is jobs.JobPhase.DONE
+        )
