Use a higher fencing token for a worker that is added again

What callers saw: less capacity. A worker that the leader had removed, because it did not report for 20 s, and that reports again as the same process was never given a task by this leader again. Each of its leases was refused, ten times a second.

Cause: the new peer of the worker began with the first token of the term, but the former peer had already used the next one, as each first read of the lists raises it. The worker refuses a lower token.

Fix: the leader keeps the number of tokens that former peers have used, and the next peer continues from there. This also fences off the orders of the former peer.

--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -73,6 +73,7 @@
         port: _port.WorkerPort,
         events: Events,
         lease: _lease.Lease,
+        tokens_used_count: int,
     ) -> None:
         self.lock = threading.RLock()
         self.facts = facts
@@ -80,7 +81,7 @@
         self.events = events
         self.lease = lease
         self.orders = _orders.OrderBook(self.lock)
-        self.token = term * TOKENS_PER_TERM
+        self.token = term * TOKENS_PER_TERM + tokens_used_count
         self.reads_count = 0
         self.is_responding = False
         self.ended = False
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -44,7 +44,9 @@
     """Manages one worker while this process leads.
 
     The leader plans, dispatches and stops runs through ``orders``. One thread
-    runs :meth:`watch` and others run ``sender``.
+    runs :meth:`watch` and others run ``sender``. ``tokens_used_count`` is the
+    number of fencing tokens of this term that an earlier peer of the same
+    worker has used.
     """
 
     def __init__(
@@ -54,14 +56,17 @@
         port: _port.WorkerPort,
         events: _peer_state.Events,
         options: PeerOptions,
+        tokens_used_count: int = 0,
     ) -> None:
         self._options = options
+        self._term = term
         self._state = _peer_state.PeerState(
             facts,
             term,
             port,
             events,
             _lease.Lease(options.lease_ms, options.lease_max_ms),
+            tokens_used_count,
         )
         self._events = events
         self.orders = self._state.orders
@@ -83,6 +88,12 @@
     def facts(self, facts: _commands.WorkerFacts) -> None:
         self._state.facts = facts
 
+    @property
+    def tokens_used_count(self) -> int:
+        """The number of fencing tokens of this term used so far."""
+        first_token = self._term * _peer_state.TOKENS_PER_TERM
+        return self._state.token - first_token + 1
+
     def usable(self) -> bool:
         """Return whether new tasks may be placed on the worker now."""
         with self._lock:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -45,6 +45,9 @@
         self._replaced_started_ms: dict[messages.WorkerId, int] = {}
         # Earliest time at which draining workers leave, on our clock.
         self._leaves_ms: dict[messages.WorkerId, int] = {}
+        # Fencing tokens that the former peers of workers have used. The next
+        # peer of such a worker needs a higher one.
+        self._tokens_used_counts: dict[messages.WorkerId, int] = {}
 
     def restore(self) -> None:
         """Start the peers of all workers in the replicated state."""
@@ -191,6 +194,7 @@
             _worker_peer.PeerOptions(
                 term.options.lease_ms, term.options.lease_max_ms
             ),
+            self._tokens_used_counts.get(facts.worker_id, 0),
         )
         term.peers[facts.worker_id] = peer
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
@@ -205,12 +209,16 @@
         if done.result() != result.Success(True):
             return
         with self._term.lock:
-            peer = self._term.peers.pop(worker_id, None)
+            self._remove_peer(worker_id)
             self._reported_ms.pop(worker_id, None)
             self._leaves_ms.pop(worker_id, None)
+        _logger.info('worker removed', worker=worker_id)
+
+    def _remove_peer(self, worker_id: messages.WorkerId) -> None:
+        peer = self._term.peers.pop(worker_id, None)
         if peer is not None:
             peer.close()
-        _logger.info('worker removed', worker=worker_id)
+            self._tokens_used_counts[worker_id] = peer.tokens_used_count
 
     # Callbacks of the peers.
 
@@ -334,7 +342,7 @@
             worker = term.state.workers.get(worker_id)
             if worker is not None:
                 self._replaced_started_ms[worker_id] = worker.facts.started_ms
-            term.peers.pop(worker_id, None)
+            self._remove_peer(worker_id)
         term.propose(_commands.RemoveWorker(worker_id))
         term.round_requested.set()
 
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -0,0 +1,73 @@
+"""Peers of workers that are removed, replaced or report again."""
+
+import contextlib
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _workers
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import utils
+
+W1 = messages.WorkerId('w1')
+
+
+class Leader:
+    """Workers of a leader with one job and the worker ``w1``."""
+
+    def __init__(self, resources):
+        self.worker = testing.FakeWorker(W1, messages.Resources(4_000, 100), 1)
+        self.machine = helpers.Machine(())
+        self.node = helpers.LocalNode(self.machine)
+        self.term = helpers.new_term(
+            self.node, testing.FakeFleet([self.worker])
+        )
+        supervisor = utils.Supervisor('test', 20)
+        self.workers = _workers.Workers(self.term, supervisor)
+        resources.callback(supervisor.close)
+        resources.callback(self.workers.close)
+        self.machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+        self.sequence = 0
+
+    def report(self):
+        self.sequence += 1
+        self.workers.handle_report(
+            jobs.WorkerReport(self.worker.facts, self.sequence)
+        )
+
+    def peer(self):
+        return self.term.peers.get(W1)
+
+    def wait_usable(self):
+        testing.wait_until(lambda: self.peer() and self.peer().usable())
+
+
+@pytest.fixture
+def leader():
+    with contextlib.ExitStack() as resources:
+        yield Leader(resources)
+
+
+def test_a_removed_worker_that_reports_again_is_used(leader, monkeypatch):
+    """Regression test: it refused the token of its second peer."""
+    leader.report()
+    leader.wait_usable()
+    monkeypatch.setattr(_workers, 'REMOVE_AFTER_MS', -1)
+    leader.workers.check()
+    assert leader.peer() is None and not leader.machine.state.workers
+    leader.report()
+    leader.wait_usable()
+
+
+def test_a_worker_replaced_by_an_incarnation_with_its_id_is_used(leader):
+    leader.report()
+    leader.wait_usable()
+    leader.worker.replaced = True
+    testing.wait_until(lambda: W1 not in leader.machine.state.workers)
+    leader.worker.replaced = False
+    leader.worker.restart()
+    leader.report()
+    leader.wait_usable()
