Settle runs assigned to a worker while it is being removed

What callers saw: a task stayed assigned for the rest of the term (LOST).

Cause: when another incarnation answers at the address of a worker, the leader records the ends of its runs, removes its peer and proposes to remove the worker. An assignment that was already in the log's queue could be applied in between. The removal then fails since the worker has a run, and the worker stays in the state without a peer: the dispatch finds no peer, and nobody settles the run.

Fix: if the removal fails, the worker gets a peer again, which finds that the worker was replaced and repeats both steps. `Workers.restore` adds the missing peers in both cases, at the beginning of a term and here.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -49,14 +49,23 @@
         # peer of such a worker needs a higher one.
         self._tokens_used_counts: dict[messages.WorkerId, int] = {}
 
-    def restore(self) -> None:
-        """Start the peers of all workers in the replicated state."""
+    def restore(self) -> list[messages.WorkerId]:
+        """Start the peers of workers in the replicated state without one.
+
+        Returns the ids of these workers.
+        """
         term = self._term
         now_ms = _clock.elapsed_ms()
+        restored_ids = []
         with term.lock, term.state.lock:
+            if self._supervisor.stopping.is_set():
+                return []
             for worker_id, worker in term.state.workers.items():
-                self._reported_ms[worker_id] = now_ms
-                self._add_or_update_peer(worker.facts)
+                if worker_id not in term.peers:
+                    self._reported_ms[worker_id] = now_ms
+                    self._add_or_update_peer(worker.facts)
+                    restored_ids.append(worker_id)
+        return restored_ids
 
     def close(self) -> None:
         """Stop all peers."""
@@ -343,9 +352,20 @@
             if worker is not None:
                 self._replaced_started_ms[worker_id] = worker.facts.started_ms
             self._remove_peer(worker_id)
-        term.propose(_commands.RemoveWorker(worker_id))
+        term.propose(_commands.RemoveWorker(worker_id)).add_done_callback(
+            functools.partial(self._on_replaced_removed, worker_id)
+        )
         term.round_requested.set()
 
+    def _on_replaced_removed(
+        self, worker_id: messages.WorkerId, done: _term.Proposed
+    ) -> None:
+        if done.result() == result.Success(False):
+            # A run was assigned after the ends were recorded. Another peer
+            # records its end and removes the worker.
+            for restored_id in self.restore():
+                _logger.warning('replaced worker has runs', worker=restored_id)
+
     def stop_obsolete(
         self, job_ids: collections.abc.Iterable[_specs.JobId]
     ) -> None:
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -6,6 +6,7 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _workers
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
@@ -44,6 +45,9 @@
     def wait_usable(self):
         testing.wait_until(lambda: self.peer() and self.peer().usable())
 
+    def phase(self):
+        return self.machine.task('j.0.0.0').phase
+
 
 @pytest.fixture
 def leader():
@@ -62,6 +66,24 @@
     leader.wait_usable()
 
 
+def test_a_run_assigned_to_a_worker_just_replaced_is_settled(leader):
+    """Regression test: a task stayed assigned forever (violation LOST).
+
+    The assignment is applied between the ends of the worker's runs and its
+    removal.
+    """
+    leader.report()
+    leader.wait_usable()
+    leader.worker.replaced = True
+    leader.node.holds = True
+    testing.wait_until(lambda: leader.peer() is None)
+    assert leader.machine.assign('j.0.0.0')
+    leader.node.holds = False
+    leader.node.release()
+    testing.wait_until(lambda: W1 not in leader.machine.state.workers)
+    assert leader.phase() is _records.TaskPhase.WAITING
+
+
 def test_a_worker_replaced_by_an_incarnation_with_its_id_is_used(leader):
     leader.report()
     leader.wait_usable()
