Ignore late answers from the former address of a worker

What callers saw: less capacity. A worker that started again under its id at another address could be removed and all its reports ignored for the rest of the term.

Cause: a call that was sent to the former address may be answered after the report of the restart, by another incarnation at that address. The peer took it for an answer about the restarted worker: it recorded the ends of its runs, and the new start time was noted as that of a replaced process, so that its reports counted as outdated. Several threads of a peer could also report the same replacement, and the later ones then removed the next peer of the worker.

Fix: the answer counts only if the worker that was called is still the current one, and each peer reports its replacement once.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -77,7 +77,7 @@
                 self._settle(order)
             case _port.WorkerReplaced():
                 self._settle(order)
-                state.handle_replacement()
+                state.handle_replacement(request.worker)
             case _port.Refused(reason):
                 self._handle_refusal(task, order, reason)
             case _port.Unanswered(sent, detail):
@@ -181,7 +181,7 @@
             case _port.Refused(_port.Refusal.UNHEALTHY as reason):
                 why = reason.value
             case _port.WorkerReplaced():
-                state.handle_replacement()
+                state.handle_replacement(request.worker)
                 return True
             case _port.Accepted() | _port.Refused():
                 if order is not None:
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -98,12 +98,26 @@
                 return self.lease.grant()
             return self.lease.granted_ms()
 
-    def handle_replacement(self) -> None:
-        """Record that another incarnation answers, so no run is left."""
-        _logger.info('worker replaced', worker=self.facts.worker_id)
-        if self.record_all(_commands.RunOutcome.LOST):
+    def handle_replacement(self, called: _commands.WorkerFacts) -> None:
+        """Record that another incarnation answers, so no run is left.
+
+        ``called`` is the worker to which the call was sent. It has no effect
+        if the worker has started again since, possibly at another address.
+        """
+        facts = self.facts
+        if (called.started_ms, called.address) != (
+            facts.started_ms,
+            facts.address,
+        ):
+            return
+        _logger.info('worker replaced', worker=facts.worker_id)
+        if not self.record_all(_commands.RunOutcome.LOST):
+            return
+        with self.lock:
+            if self.ended:
+                return
             self.close()
-            self.events.worker_replaced(self.facts.worker_id)
+        self.events.worker_replaced(facts.worker_id)
 
     def record_all(self, outcome: _commands.RunOutcome) -> bool:
         """Record an end of all assigned runs; return whether it succeeded.
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -145,7 +145,7 @@
             case _port.WorkerListing():
                 return self._handle_lists(number, token, outcome)
             case _port.WorkerReplaced():
-                self._state.handle_replacement()
+                self._state.handle_replacement(request.worker)
             case _port.Refused(reason):
                 _logger.warning(
                     'lease refused',
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -502,3 +502,32 @@
         testing.wait_until(
             lambda: leader.machine.phase('j') is jobs.JobPhase.DONE
         )
+
+
+def test_a_late_answer_from_a_former_address_does_not_remove_the_worker(
+    worker,
+):
+    """The worker has started again elsewhere, under the same id."""
+    leader = FakeLeader(worker)
+    called = threading.Event()
+    answered = threading.Event()
+    port = testing.FakeFleet([worker])
+    first_renew = port.renew
+
+    def renew(request):
+        if request.worker.address == 'former:1':
+            called.set()
+            answered.wait(TIMEOUT_S)
+            return jobs.WorkerReplaced()
+        return first_renew(request)
+
+    port.renew = renew
+    leader.peer._state.port = port
+    leader.peer.facts = dataclasses.replace(worker.facts, address='former:1')
+    with serving(leader):
+        called.wait(TIMEOUT_S)
+        worker.restart()
+        leader.peer.facts = worker.facts
+        answered.set()
+        testing.wait_until(leader.peer.usable)
+    assert leader.gone_ids == []
