End the runs of a worker that refuses its lease

What callers saw: a task stayed assigned for as long as its worker refused the renewal of its lease, for instance as unhealthy (LOST).

Cause: a refused renewal had no effect but a log line. The worker's lease expires, so its runs have ended, but only calls without an answer made the leader record that. The worker also still counted as responding, so that each start order extended the lease.

Fix: a refusal counts as no answer.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -153,6 +153,7 @@
                     token=token,
                     why=reason.value,
                 )
+                self._handle_no_answer(reason.value)
             case _port.Unanswered(_, detail):
                 self._handle_no_answer(detail)
         return False
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -531,3 +531,19 @@
         answered.set()
         testing.wait_until(leader.peer.usable)
     assert leader.gone_ids == []
+
+
+def test_runs_of_a_worker_that_refuses_its_lease_end_with_the_lease(worker):
+    """Regression test: such tasks stayed assigned forever."""
+    worker.run_ms = 60_000
+    leader = FakeLeader(worker, lease_ms=600)
+    leader.submit('j', helpers.step())
+    port = testing.FakeFleet([worker])
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(worker.running)
+        port.renew = lambda request: jobs.Refused(jobs.Refusal.UNHEALTHY)
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LAPSED')]
