Audit that some thread acts on each assigned run

The faults fixed before are of one class: a run is assigned in the replicated state, but no thread of the leader will ever act on it, so that an accepted task is lost until the leader changes. The next fault of this class should not lose a task.

A start order that has not changed its phase for five seconds, although it is not in the queue and the lists of the worker don't settle it, is stuck, and so is a stop that had no effect. Each one is logged as a warning with its cause, counted in dandeliondrum_jobs_runs_stuck, and stopped; after that the lists of the worker settle the run in the usual way, so this can't run a task twice.

A healthy run is left alone.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -9,6 +9,7 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.jobs import _adviser_client
+from dandeliondrum.jobs import _audit
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
@@ -59,6 +60,7 @@
             'leadership', _workers.PEER_THREADS_MAX
         )
         self._workers = _workers.Workers(self._term, self._supervisor)
+        self._audit = _audit.Audit(self._term, self._workers)
         self._scheduler = _scheduler.Scheduler(self._term)
         self._voters = _voters.Voters(node, options.voters_count)
         self._ended_ms: dict[_specs.JobId, int] = {}
@@ -74,6 +76,7 @@
         self._supervisor.run('scheduler', self._scheduler.run)
         for interval_ms, callback in (
             (_workers.CHECK_INTERVAL_MS, self._workers.check),
+            (_audit.INTERVAL_MS, self._audit.check),
             (CLEANUP_INTERVAL_MS, self._forget_ended),
         ):
             timer = self._timers.every(interval_ms, callback)
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -68,6 +68,12 @@
             ('reason',),
             registry=self.registry,
         )
+        self.stuck = prometheus_client.Counter(
+            'dandeliondrum_jobs_runs_stuck',
+            'Assigned runs on which no thread acted, by cause',
+            ('cause',),
+            registry=self.registry,
+        )
         self.preempted = prometheus_client.Counter(
             'dandeliondrum_jobs_runs_preempted',
             'Runs that were stopped to make room for more urgent work',
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -66,7 +66,7 @@
                 return
             else:
                 order.sends_count += 1
-                order.phase = _orders.OrderPhase.SENT
+                order.enter(_orders.OrderPhase.SENT)
                 request = self._start_order(task, order)
         if request is None:
             self._record_never_started(task, order)
@@ -157,7 +157,7 @@
             if self._orders.is_stopping(task, order.run):
                 return
             if order.sends_count < START_ATTEMPTS_MAX:
-                order.phase = _orders.OrderPhase.QUEUED
+                order.enter(_orders.OrderPhase.QUEUED)
                 self._orders.requeue(task)
                 return
         self._settle_by_stop(task, order)
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -17,6 +17,9 @@
 # A stop that had no effect yet is ordered again after this at the earliest. A
 # stop that was not answered is sent again without this delay.
 STOP_RETRY_MS = 700
+# An order whose phase has not changed for this long is stuck, unless it is
+# still in the queue. Calls to workers take at most a second.
+STUCK_AFTER_MS = 5_000
 
 
 class OrderPhase(enum.Enum):
@@ -39,7 +42,7 @@
 
     ``settled_read`` is the number of the first read of the lists that began
     after the order was settled. ``checkpoint_seen`` is the newest checkpoint
-    that the worker has listed.
+    that the worker has listed. ``phase`` has not changed since ``since_ms``.
     """
 
     run: int
@@ -47,10 +50,16 @@
     checkpoint: str
     ticket: str
     phase: OrderPhase = OrderPhase.PLANNED
+    since_ms: int = dataclasses.field(default_factory=_clock.elapsed_ms)
     sends_count: int = 0
     settled_read: int = 0
     checkpoint_seen: str = ''
 
+    def enter(self, phase: OrderPhase) -> None:
+        """Change the phase."""
+        self.phase = phase
+        self.since_ms = _clock.elapsed_ms()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
@@ -88,7 +97,7 @@
         with self._condition:
             order = self._orders.get(task)
             if order is not None:
-                order.phase = OrderPhase.QUEUED
+                order.enter(OrderPhase.QUEUED)
                 self._queue.append(task)
                 self._condition.notify()
 
@@ -170,8 +179,8 @@
             if order is None:
                 order = Order(run, '', '', '')
                 self._orders[task] = order
-            if order.phase is not OrderPhase.QUEUED:
-                order.phase = OrderPhase.LISTED
+            if order.phase not in (OrderPhase.QUEUED, OrderPhase.LISTED):
+                order.enter(OrderPhase.LISTED)
             if checkpoint:
                 order.checkpoint_seen = checkpoint
 
@@ -182,7 +191,7 @@
         """
         with self._lock:
             if order.phase is not OrderPhase.LISTED:
-                order.phase = OrderPhase.SETTLED
+                order.enter(OrderPhase.SETTLED)
                 order.settled_read = next_read
 
     def is_lost(self, task: _specs.TaskKey, run: int, read: int) -> bool:
@@ -197,6 +206,24 @@
         settled = order.phase is OrderPhase.SETTLED
         return settled and read >= order.settled_read
 
+    def stuck_cause(self, task: _specs.TaskKey, run: int, now_ms: int) -> str:
+        """Return why no thread would ever act on an assigned run, or ''."""
+        with self._lock:
+            stop_ms = self._stops_ms.get((task, run))
+            if stop_ms is not None:
+                is_late = now_ms - stop_ms > STUCK_AFTER_MS
+                is_queued = Stop(task, run) in self._queue
+                return 'stop' if is_late and not is_queued else ''
+            order = self.get(task, run)
+            if order is None or now_ms - order.since_ms <= STUCK_AFTER_MS:
+                return ''
+            match order.phase:
+                case OrderPhase.QUEUED if task in self._queue:
+                    return ''
+                case OrderPhase.LISTED | OrderPhase.SETTLED:
+                    return ''
+            return order.phase.value
+
     def forget(self, task: _specs.TaskKey, run: int) -> None:
         """Remove the orders of a run that has ended and of earlier runs."""
         with self._lock:
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -5,7 +5,9 @@
 import pytest
 
 from dandeliondrum import jobs
+from dandeliondrum.jobs import _audit
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _workers
 from dandeliondrum.jobs.tests import helpers
@@ -14,6 +16,7 @@
 from dandeliondrum import utils
 
 W1 = messages.WorkerId('w1')
+TASK = jobs.parse_task_key('j.0.0.0')
 
 
 class Leader:
@@ -93,3 +96,58 @@
     leader.worker.restart()
     leader.report()
     leader.wait_usable()
+
+
+@pytest.fixture
+def audit(leader, monkeypatch):
+    monkeypatch.setattr(_orders, 'STUCK_AFTER_MS', 50)
+    return _audit.Audit(leader.term, leader.workers)
+
+
+def _is_settled(leader, audit):
+    audit.check()
+    return leader.phase() is _records.TaskPhase.WAITING
+
+
+def test_the_audit_settles_an_assigned_run_that_is_not_dispatched(
+    leader, audit
+):
+    leader.report()
+    leader.wait_usable()
+    leader.peer().orders.plan(TASK, _orders.Order(1, 'payload', '', ''))
+    assert leader.machine.assign('j.0.0.0')
+    testing.wait_until(lambda: _is_settled(leader, audit))
+    assert leader.worker.starts == []
+
+
+def test_the_audit_settles_a_start_that_left_the_queue_unsent(leader, audit):
+    leader.report()
+    leader.wait_usable()
+    orders = leader.peer().orders
+    orders.plan(TASK, _orders.Order(1, 'payload', '', ''))
+    orders.get(TASK, 1).enter(_orders.OrderPhase.QUEUED)
+    assert leader.machine.assign('j.0.0.0')
+    testing.wait_until(lambda: _is_settled(leader, audit))
+
+
+def test_the_audit_settles_the_runs_of_a_worker_without_a_peer(leader, audit):
+    leader.machine(_commands.PutWorker(leader.worker.facts))
+    assert leader.machine.assign('j.0.0.0')
+    testing.wait_until(lambda: _is_settled(leader, audit))
+
+
+def test_the_audit_leaves_a_healthy_run_alone(leader, audit):
+    leader.worker.run_ms = 300
+    leader.report()
+    leader.wait_usable()
+    orders = leader.peer().orders
+    orders.plan(TASK, _orders.Order(1, 'payload', '', ''))
+    assert leader.machine.assign('j.0.0.0')
+    orders.dispatch(TASK)
+
+    def is_done():
+        audit.check()
+        return leader.phase() is _records.TaskPhase.DONE
+
+    testing.wait_until(is_done)
+    assert leader.worker.starts == [('j.0.0.0', 1)]
