Give up starts that can not be sent to their worker

What callers saw: a task waited for as long as its worker answered reads of its lists but accepted no connection for orders (LOST if that lasts).

Cause: only starts that may have arrived counted towards the limit of attempts, so a start that never left the leader was repeated forever.

Fix: after ten such attempts, about a second, the run is recorded as lost, which is certain as nothing was sent. The task is then placed again.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -14,6 +14,9 @@
 QUEUE_TIMEOUT_MS = 500
 # Number of unanswered start orders after which a stop is sent instead.
 START_ATTEMPTS_MAX = 3
+# Number of attempts after which a start that never left this process is given
+# up, so that the task can be placed elsewhere.
+UNSENT_ATTEMPTS_MAX = 10
 
 _logger = structlog.get_logger()
 
@@ -152,15 +155,23 @@
         with self._state.lock:
             if not sent:
                 order.sends_count -= 1
+                order.unsent_count += 1
             if order.phase is _orders.OrderPhase.LISTED:
                 return
             if self._orders.is_stopping(task, order.run):
                 return
-            if order.sends_count < START_ATTEMPTS_MAX:
+            never_sent = (
+                not order.sends_count
+                and order.unsent_count >= UNSENT_ATTEMPTS_MAX
+            )
+            if not never_sent and order.sends_count < START_ATTEMPTS_MAX:
                 order.enter(_orders.OrderPhase.QUEUED)
                 self._orders.requeue(task)
                 return
-        self._settle_by_stop(task, order)
+        if never_sent:
+            self._record_never_started(task, order)
+        else:
+            self._settle_by_stop(task, order)
 
     def _settle_by_stop(
         self, task: _specs.TaskKey, order: _orders.Order
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -40,6 +40,7 @@
 class Order:
     """The start order of one run on this worker.
 
+    ``unsent_count`` is the number of attempts that did not reach the worker.
     ``settled_read`` is the number of the first read of the lists that began
     after the order was settled. ``checkpoint_seen`` is the newest checkpoint
     that the worker has listed. ``phase`` has not changed since ``since_ms``.
@@ -52,6 +53,7 @@
     phase: OrderPhase = OrderPhase.PLANNED
     since_ms: int = dataclasses.field(default_factory=_clock.elapsed_ms)
     sends_count: int = 0
+    unsent_count: int = 0
     settled_read: int = 0
     checkpoint_seen: str = ''
 
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -547,3 +547,17 @@
         port.renew = lambda request: jobs.Refused(jobs.Refusal.UNHEALTHY)
         testing.wait_until(lambda: leader.outcomes)
     assert leader.outcomes == [('j.0.0.0', 1, 'LAPSED')]
+
+
+def test_a_start_that_can_not_be_sent_is_given_up(worker):
+    """Regression test: the task waited for as long as the worker answered."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    port = testing.FakeFleet([worker])
+    port.start = lambda order: jobs.Unanswered(False, 'no connection')
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
