--- a/dandeliondrum/jobs/tests/test_progress.py
+++ b/dandeliondrum/jobs/tests/test_progress.py
@@ -137,3 +137,18 @@
     progress.record_list('w1', [one], 0, 0)
     assert bool(progress.late_runs('w1', [one], left_ms)) == moves
     assert not progress.late_runs('w1', [one], left_ms)
+
+
+def test_a_run_is_not_stalled_because_its_lists_are_read_late(listings):
+    """Only the worker's clock counts; here the leader is short of time."""
+    track = listings.progress
+    percents = (0, 10, 20, 30, 40)
+    for number, percent in enumerate(percents):
+        one = _progress.RunProgress(TASK, 1, percent, EXPECTED_MS)
+        clock_ms = number * 200
+        assert not track.record_list('w1', [one], clock_ms, number * 10_000)
+    one = _progress.RunProgress(TASK, 1, percents[-1], EXPECTED_MS)
+    for number in range(4):
+        clock_ms += 200
+        now_ms = (len(percents) + number) * 10_000
+        assert not track.record_list('w1', [one], clock_ms, now_ms)
