Suspend at most half of the fleet

What callers may see: no usable worker for up to 24 s although all are free. Tasks that fail through their own fault, or a slowdown that many workers share, suspend one worker after the other, without any limit.

If more than half of the workers fail, the cause is not the workers, so no further ones are suspended. One worker may always be suspended, so that a small fleet keeps the protection of its tasks' attempts.

--- a/dandeliondrum/jobs/_health.py
+++ b/dandeliondrum/jobs/_health.py
@@ -5,6 +5,9 @@
 """
 
 import collections
+import collections.abc
+
+import structlog
 
 from dandeliondrum.jobs import _commands
 from dandeliondrum import messages
@@ -15,12 +18,24 @@
 # task takes seconds.
 FIRST_SUSPENSION_MS = 3_000
 SUSPENSION_MAX_MS = 24_000
+# At most the number of workers divided by this is suspended at a time. If
+# more fail, the cause is not the workers, and the others are still needed.
+SUSPENDED_DIVISOR = 2
+
+_logger = structlog.get_logger()
 
 
 class Health:
-    """Counts consecutive failures; one success resets a worker."""
+    """Counts consecutive failures; one success resets a worker.
 
-    def __init__(self) -> None:
+    ``count_workers`` returns the size of the fleet, which limits how many
+    workers are suspended at a time. There is no limit without it.
+    """
+
+    def __init__(
+        self, count_workers: collections.abc.Callable[[], int] | None = None
+    ) -> None:
+        self._count_workers = count_workers
         self._failures: collections.Counter[messages.WorkerId] = (
             collections.Counter()
         )
@@ -42,7 +57,13 @@
                 self.suspend(worker_id, now_ms)
 
     def suspend(self, worker_id: messages.WorkerId, now_ms: int) -> None:
-        """Suspend the worker, each time for twice as long up to a maximum."""
+        """Suspend the worker, each time for twice as long up to a maximum.
+
+        It has no effect while too many other workers are suspended.
+        """
+        if not self.suspended(worker_id, now_ms) and self._is_full(now_ms):
+            _logger.warning('worker not suspended', worker=worker_id)
+            return
         duration_ms = self._next_duration_ms.get(
             worker_id, FIRST_SUSPENSION_MS
         )
@@ -51,6 +72,14 @@
             2 * duration_ms, SUSPENSION_MAX_MS
         )
 
+    def _is_full(self, now_ms: int) -> bool:
+        if self._count_workers is None:
+            return False
+        count = sum(
+            until_ms > now_ms for until_ms in self._suspended_until_ms.values()
+        )
+        return count >= max(1, self._count_workers() // SUSPENDED_DIVISOR)
+
     def suspended(self, worker_id: messages.WorkerId, now_ms: int) -> bool:
         """Return whether the worker is suspended."""
         return now_ms < self._suspended_until_ms.get(worker_id, 0)
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -77,7 +77,7 @@
         self.lock = threading.RLock()
         self.round_requested = threading.Event()
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
-        self.health = _health.Health()
+        self.health = _health.Health(lambda: len(self.peers))
         self.progress = _progress.Progress()
         self.advice = _advice.GrantCache()
         self.adviser_clients = _advice.AdviserClientPool()
--- a/dandeliondrum/jobs/tests/test_health.py
+++ b/dandeliondrum/jobs/tests/test_health.py
@@ -39,3 +39,23 @@
         health.record_end('w1', jobs.RunOutcome.LOST, 0)
         health.record_end('w1', jobs.RunOutcome.STOPPED, 0)
     assert health.consecutive_failures('w1') == 0
+
+
+def test_at_most_half_of_the_fleet_is_suspended():
+    """Tasks that fail through their own fault suspended all workers."""
+    health = _health.Health(lambda: 10)
+    workers = [f'w{number}' for number in range(10)]
+    for worker_id in workers:
+        for _ in range(_health.CONSECUTIVE_FAILURES_MAX):
+            health.record_end(worker_id, jobs.RunOutcome.FAILED, 0)
+    suspended = [one for one in workers if health.suspended(one, 100)]
+    assert len(suspended) == 5
+    later_ms = _health.FIRST_SUSPENSION_MS
+    health.record_end('w9', jobs.RunOutcome.FAILED, later_ms)
+    assert health.suspended('w9', later_ms)
+
+
+def test_the_only_worker_is_suspended():
+    health = _health.Health(lambda: 1)
+    _fail(health, _health.CONSECUTIVE_FAILURES_MAX)
+    assert health.suspended('w1', 100)
