Ask the adviser about enough workers for steps with a limit per worker

What callers saw: the tasks of a step with a limit of tasks per worker ran on the first few granted workers only, one wave after the other, although other workers were free.

Cause: a worker on which the step already had its most tasks still counted as having capacity for it. As long as its ticket was valid no other worker was asked about, and its renewals filled the later calls. The first call was also sized as if each worker took as many tasks as fit.

Fix: such a worker has no capacity for the step, and the limit counts for the number of workers needed.

--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -144,7 +144,9 @@
     for worker in workers:
         if worker.pool != demand.pool or label and label not in worker.labels:
             continue
-        has_capacity = expects_capacity or charge.fits_in(worker.free)
+        has_capacity = not _is_at_limit(demand, worker.worker_id) and (
+            expects_capacity or charge.fits_in(worker.free)
+        )
         fitting.append(
             (-worker.free.cpu_millicores, worker.worker_id, has_capacity)
         )
@@ -154,11 +156,21 @@
     ]
 
 
+def _is_at_limit(
+    demand: _planner.Demand, worker_id: messages.WorkerId
+) -> bool:
+    """Return whether the step may run no more tasks on the worker."""
+    per_worker_max = demand.spec.per_worker_max
+    count = demand.per_worker_counts.get(worker_id, 0)
+    return bool(per_worker_max) and count >= per_worker_max
+
+
 def _workers_needed(
     demand: _planner.Demand, workers: list[_planner.AvailableWorker]
 ) -> int:
     """Return how many empty workers would hold the waiting tasks."""
     charge = demand.spec.charged()
+    per_worker_max = demand.spec.per_worker_max
     tasks_per_worker = max(
         (
             _specs.tasks_that_fit(charge, worker.capacity)
@@ -167,4 +179,6 @@
         ),
         default=1,
     )
+    if per_worker_max:
+        tasks_per_worker = min(tasks_per_worker, per_worker_max)
     return -(-len(demand.indexes) // max(1, tasks_per_worker))
