Leave room for new workers in calls that renew tickets

What callers saw: a step could wait for as long as at least twelve of its granted workers were kept free for other work, although other workers were free: each later call about it consisted of renewals for these workers, so the adviser was never asked about the others.

Fix: up to half of such a call is about workers that were in no call yet. The number of workers in a call stays the same, so calls take no longer. Calls for gangs are unchanged, because a gang needs all its tickets at once.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -167,8 +167,13 @@
             if c.worker_id in step.tickets
         ]
         new = [c for c in available if c.worker_id not in step.tickets]
-        limit = CALL_WORKERS_MAX if is_gang else RENEWAL_WORKERS_MAX
-        return _ids(granted + new, limit)
+        if is_gang:
+            return _ids(granted + new, CALL_WORKERS_MAX)
+        # The granted workers may be kept free for other work.
+        renewed_count = RENEWAL_WORKERS_MAX - min(
+            len(new), RENEWAL_WORKERS_MAX // 2
+        )
+        return _ids(granted[:renewed_count] + new, RENEWAL_WORKERS_MAX)
 
     def record_call(self, name: StepName, due_ms: float) -> None:
         """Record that a call was sent and when its reply is expected."""
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -218,3 +218,16 @@
     )
     assert again == ('w0', 'w1')
     assert advice.granted('s') == {'w0', 'w1'}
+
+
+def test_renewals_of_tickets_leave_room_for_new_workers():
+    """Regression test: a step was only offered workers kept for others."""
+    advice = _advice.GrantCache()
+    known = _candidates(20)
+    included = advice.select_workers('s', known, 0)
+    _answer(advice, 's', included, [c.worker_id for c in known], 100)
+    new = [_advice.Candidate(f'new{n}', True) for n in range(20)]
+    names = advice.select_workers('s', known + new, 5_000)
+    assert len(names) == _advice.RENEWAL_WORKERS_MAX
+    new_count = sum(name.startswith('new') for name in names)
+    assert new_count == _advice.RENEWAL_WORKERS_MAX // 2
