Settle attempts whose end the log did not record

A gateway reports once that it could not send a start, and the leader once that the gateway's connection was gone. The worker does not know the attempt, so its heartbeats never mention it, and the task stayed assigned until the next term.

Fix: such attempts become uncertain, and the heartbeats of the worker settle them: an attempt that is missing from two of them is fenced.

--- a/dandeliondrum/controller/_attempt_reports.py
+++ b/dandeliondrum/controller/_attempt_reports.py
@@ -5,6 +5,7 @@
 import typing
 
 from returns import result
+import structlog
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
@@ -21,6 +22,8 @@
 FIRST_RESTART_DELAY_MS = 500
 RESTART_DELAY_DOUBLINGS_MAX = 6
 
+_logger = structlog.get_logger()
+
 _EXITED_STATES = (
     messages.AttemptState.FINISHED,
     messages.AttemptState.FAILED,
@@ -70,7 +73,7 @@
             self._context.metrics.ended.labels(report.state.value).inc()
         command = messages.EndAttempts(self._context.now_ms(), tuple(ended))
         self._context.propose(command).add_done_callback(
-            lambda done: self._on_committed(done.result())
+            lambda done: self._on_committed(tuple(ended), done.result())
         )
 
     def _decide_retry(
@@ -92,10 +95,23 @@
         return dataclasses.replace(report, may_retry=may_retry)
 
     def _on_committed(
-        self, outcome: result.Result[typing.Any, consensus.ProposeError]
+        self,
+        reports: tuple[messages.AttemptReport, ...],
+        outcome: result.Result[typing.Any, consensus.ProposeError],
     ) -> None:
         if isinstance(outcome, result.Success):
             self.handle_ended(outcome.unwrap())
+            return
+        _logger.warning(
+            'ends not recorded',
+            why=outcome.failure().failure.value,
+            reports_count=len(reports),
+        )
+        # A gateway reports an end only once, so the worker's heartbeats have
+        # to settle the attempt.
+        with self._context.lock:
+            for report in reports:
+                self._uncertain.setdefault(report.attempt_id, 0)
 
     def handle_ended(
         self, ended_attempts: collections.abc.Iterable[_records.EndedAttempt]
--- a/dandeliondrum/controller/tests/test_heartbeats.py
+++ b/dandeliondrum/controller/tests/test_heartbeats.py
@@ -5,22 +5,30 @@
 import pytest
 from returns import result
 
+from dandeliondrum import consensus
 from dandeliondrum.controller.tests import builders
 from dandeliondrum.controller.tests import test_worker_sizes
 from dandeliondrum import messages
+from dandeliondrum import utils
 
 WORKER = messages.WorkerId('lathe-1')
 AttemptState = messages.AttemptState
 
 
 class StalledLog(test_worker_sizes.ImmediateLog):
-    """Fake log that accepts proposals but commits none while stalled."""
+    """Fake log that commits no proposals while it is stalled or refuses."""
 
     stalled = False
+    refuses = False
 
     def propose(self, command):
         if self.stalled:
             return concurrent.futures.Future()
+        if self.refuses:
+            error = consensus.ProposeError(
+                consensus.ProposeFailure.OVERLOADED, never_committed=True
+            )
+            return utils.completed_future(result.Failure(error))
         return super().propose(command)
 
 
@@ -157,3 +165,20 @@
     outcome = leader.log.propose(messages.encode(cancel)).result()
     assert isinstance(outcome, result.Success)
     assert leader.heartbeat(running=[attempt_id]).stop == (attempt_id,)
+
+
+def test_an_end_that_the_log_refuses_is_settled_by_heartbeats(leader):
+    """Regression test: the task stayed assigned forever.
+
+    A gateway reports only once that it could not send a start.
+    """
+    attempt_id = leader.assign('t')
+    report = messages.AttemptReport(attempt_id, AttemptState.NEVER_STARTED)
+    leader.log.refuses = True
+    leader.leadership._attempt_reports.report((report,))
+    leader.log.refuses = False
+    leader.heartbeat()
+    assert leader.heartbeat().stop == (attempt_id,)
+    leader.heartbeat(fenced=[attempt_id])
+    task = leader.state.tasks['harbour/t']
+    assert task.state is messages.TaskState.QUEUED
