Refuse waiting tasks even if the first refusal is not recorded

Two places in the product's own engine where a recorded task that waits was neither run nor refused until the next term:

A task that is refused at its deadline is dropped from the pending tasks first. If the log then refused the command, nothing refused or ran the task any more. Such refusals are now made again at the next check.

A task that is not durable and whose caller's gateway disconnects between its placement and its assignment was dropped from the pending tasks. It is now refused at its deadline, as a task whose caller leaves earlier.

--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -52,6 +52,8 @@
         # although no gateway waits for them. Until then a gateway may ask
         # for the task again.
         self.abandoned_deadlines_ms: dict[messages.TaskId, int] = {}
+        # Refusals of tasks that waited, to be committed again.
+        self.unrecorded_refusals: list[messages.Refusal] = []
         self.work_available = threading.Event()
         metrics.pending.set_function(lambda: float(len(self.pending)))
         self.started_ms = utils.monotonic_ms()
--- a/dandeliondrum/controller/_deadlines.py
+++ b/dandeliondrum/controller/_deadlines.py
@@ -25,7 +25,11 @@
         context = self._context
         now_ms = context.now_ms()
         with context.lock:
-            refusals = self._overdue(now_ms) + self._abandoned(now_ms)
+            refusals = (
+                self._overdue(now_ms)
+                + self._abandoned(now_ms)
+                + self._unrecorded()
+            )
         if refusals:
             self._queueing.refuse_pending(refusals)
 
@@ -39,6 +43,17 @@
                 refusals.append(_refusal(entry.spec, detail))
         return refusals
 
+    def _unrecorded(self) -> list[messages.Refusal]:
+        """Return refusals that could not be committed, to try again."""
+        context = self._context
+        refusals = context.unrecorded_refusals
+        context.unrecorded_refusals = []
+        return [
+            refusal
+            for refusal in refusals
+            if refusal.task_id not in context.pending
+        ]
+
     def _abandoned(self, now_ms: int) -> list[messages.Refusal]:
         """Return refusals of tasks that no gateway asked for in time."""
         context = self._context
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -79,8 +79,7 @@
         for planned in placements:
             assignment = self._assignment(planned)
             if assignment is None:
-                context.planner.release(planned.task_id)
-                context.pending.remove(planned.task_id)
+                self._abandon(planned)
                 continue
             assigned.append(planned)
             assignments.append(assignment)
@@ -89,6 +88,19 @@
         )
         return command, tuple(assigned)
 
+    def _abandon(self, planned: placement.Placement) -> None:
+        """Drop a placed task that can't be sent to its worker.
+
+        If it is recorded, it is refused at its deadline, unless a gateway
+        asks for it again.
+        """
+        context = self._context
+        entry = context.pending.get(planned.task_id)
+        context.planner.release(planned.task_id)
+        context.pending.remove(planned.task_id)
+        if entry is not None:
+            context.abandoned_deadlines_ms[planned.task_id] = entry.deadline_ms
+
     def _assignment(
         self, planned: placement.Placement
     ) -> messages.Assignment | None:
--- a/dandeliondrum/controller/_queueing.py
+++ b/dandeliondrum/controller/_queueing.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import concurrent.futures
+import functools
 
 from returns import result
 
@@ -96,11 +97,17 @@
 
     def refuse_pending(self, refusals: list[messages.Refusal]) -> None:
         """Refuse waiting tasks and notify the gateways that wait for them."""
-        for future in self.refuse(refusals):
-            future.add_done_callback(self._notify)
+        futures = self.refuse(refusals)
+        for refusal, future in zip(refusals, futures, strict=True):
+            future.add_done_callback(functools.partial(self._notify, refusal))
 
-    def _notify(self, done: StatusFuture) -> None:
+    def _notify(self, refusal: messages.Refusal, done: StatusFuture) -> None:
+        context = self._context
         status = done.result()
-        if status.state in _state.ENDED_STATES:
-            with self._context.lock:
-                self._context.sessions.notify_ended(status)
+        with context.lock:
+            if status.state in _state.ENDED_STATES:
+                context.sessions.notify_ended(status)
+            elif status.state is messages.TaskState.UNKNOWN:
+                # The task is no longer pending, so nothing else would refuse
+                # or run it.
+                context.unrecorded_refusals.append(refusal)
