Bound the workers reserved for all waiting demands together

What callers may see: tasks wait although most workers are free.

Cause: each demand that had waited reserved up to a third of its pool. The limit held for each demand alone, so three demands that can't start yet, for instance gangs of which not enough workers are granted, reserved the whole pool for as long as they waited, and nothing else was placed there.

Fix: the limit holds for the pool. Demands reserve in scheduling order, so the first one has the same reservation as before. Workers on which runs are stopped for a demand are not limited, because its tasks fit there.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -18,7 +18,7 @@
 # Workers are reserved for a demand that has waited for this long.
 RESERVE_AFTER_MS = 400
 # Without preemption, at most the number of workers in the pool divided by this
-# is reserved for one demand.
+# is reserved, so that waiting demands don't leave the whole pool idle.
 RESERVED_DIVISOR = 3
 
 
@@ -113,6 +113,9 @@
     by_pool: dict[str, list[AvailableWorker]] = {}
     for worker in workers:
         by_pool.setdefault(worker.pool, []).append(worker)
+    reservable_counts = {
+        name: len(pool) // RESERVED_DIVISOR for name, pool in by_pool.items()
+    }
     groups: list[tuple[Placement, ...]] = []
     placed_count = 0
     for demand in sorted(demands, key=priority_key):
@@ -130,8 +133,10 @@
                 preemption.steps_with_capacity.add(
                     (demand.job_id, demand.step)
                 )
-            else:
-                placement.reserve(left_count, len(pool) // RESERVED_DIVISOR)
+            elif pool:
+                reservable_counts[demand.pool] -= placement.reserve(
+                    left_count, reservable_counts[demand.pool]
+                )
     return groups
 
 
@@ -199,18 +204,23 @@
             return groups
         return self._place_gang() if self.team_allows() else []
 
-    def reserve(self, tasks_count: int, reserved_max: int) -> None:
+    def reserve(self, tasks_count: int, reserved_max: int) -> int:
         """Reserve workers until the remaining tasks would fit on them.
 
+        Returns the number of workers reserved.
+
         Otherwise small tasks would take every core that becomes free, and a
         large task or a gang would never start. The workers with the most free
         CPU come first, so the next round reserves the same ones.
         """
+        reserved_count = 0
         for worker in self._by_free_cpu()[:reserved_max]:
             if tasks_count <= 0:
-                return
+                break
             worker.reserved = True
+            reserved_count += 1
             tasks_count -= _specs.tasks_that_fit(self._charge, worker.capacity)
+        return reserved_count
 
     def preempt(
         self, tasks_count: int, preemption: _preemption.Preemption
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -256,3 +256,22 @@
     refused = [helpers.available_worker('w2')]
     wait_reason = _planner.wait_reason(demand, refused, {})
     assert wait_reason is _planner.WaitReason.NO_GRANT
+
+
+def test_waiting_gangs_do_not_reserve_the_whole_pool():
+    """Regression test: nothing was placed on an empty fleet."""
+    workers = [helpers.available_worker(f'w{n}') for n in range(30)]
+    gangs = [
+        helpers.demand(
+            f'gang{number}',
+            helpers.step(40, cpu=4_000, gang=True),
+            waited_ms=_planner.RESERVE_AFTER_MS,
+            submitted_ms=number,
+        )
+        for number in range(4)
+    ]
+    small = helpers.demand('small', helpers.step(60), priority=2)
+    groups = _planner.plan([*gangs, small], workers, {})
+    assert len(groups) == 60
+    reserved_count = sum(worker.reserved for worker in workers)
+    assert reserved_count == 30 // _planner.RESERVED_DIVISOR
