--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -14,6 +14,9 @@
 QUEUE_TIMEOUT_MS = 500
 # Number of unanswered start orders after which a stop is sent instead.
 START_ATTEMPTS_MAX = 3
+# Number of attempts after which a start that never left this process is given
+# up, so that the task can be placed elsewhere.
+UNSENT_ATTEMPTS_MAX = 10
 
 _logger = structlog.get_logger()
 
@@ -38,7 +41,8 @@
                 continue
             match item:
                 case _orders.Stop(task, run):
-                    self._send_stop(task, run)
+                    if not self._send_stop(task, run):
+                        stopping.wait(RETRY_DELAY_MS / 1000)
                 case task:
                     self._send_start(task, stopping)
 
@@ -65,17 +69,18 @@
                 return
             else:
                 order.sends_count += 1
-                order.phase = _orders.OrderPhase.SENT
+                order.enter(_orders.OrderPhase.SENT)
                 request = self._start_order(task, order)
         if request is None:
-            self._record_never_started(task, order.run)
+            self._record_never_started(task, order)
             return
         outcome = state.port.start(request)
         match outcome:
             case _port.Accepted():
                 self._settle(order)
             case _port.WorkerReplaced():
-                state.handle_replacement()
+                self._settle(order)
+                state.handle_replacement(request.worker)
             case _port.Refused(reason):
                 self._handle_refusal(task, order, reason)
             case _port.Unanswered(sent, detail):
@@ -120,12 +125,16 @@
         if order.sends_count == 1:
             # No other start order of this run is in flight, so it can never
             # start.
-            self._record_never_started(task, order.run)
+            self._record_never_started(task, order)
         else:
             self._settle_by_stop(task, order)
 
-    def _record_never_started(self, task: _specs.TaskKey, run: int) -> None:
-        lost = _commands.RunEnd(task, run, _commands.RunOutcome.LOST)
+    def _record_never_started(
+        self, task: _specs.TaskKey, order: _orders.Order
+    ) -> None:
+        # If the log refuses the end now, the next lists settle the run.
+        self._settle(order)
+        lost = _commands.RunEnd(task, order.run, _commands.RunOutcome.LOST)
         self._state.record((lost,))
 
     def _handle_unanswered_start(
@@ -146,15 +155,23 @@
         with self._state.lock:
             if not sent:
                 order.sends_count -= 1
+                order.unsent_count += 1
             if order.phase is _orders.OrderPhase.LISTED:
                 return
             if self._orders.is_stopping(task, order.run):
                 return
-            if order.sends_count < START_ATTEMPTS_MAX:
-                order.phase = _orders.OrderPhase.QUEUED
+            never_sent = (
+                not order.sends_count
+                and order.unsent_count >= UNSENT_ATTEMPTS_MAX
+            )
+            if not never_sent and order.sends_count < START_ATTEMPTS_MAX:
+                order.enter(_orders.OrderPhase.QUEUED)
                 self._orders.requeue(task)
                 return
-        self._settle_by_stop(task, order)
+        if never_sent:
+            self._record_never_started(task, order)
+        else:
+            self._settle_by_stop(task, order)
 
     def _settle_by_stop(
         self, task: _specs.TaskKey, order: _orders.Order
@@ -162,24 +179,31 @@
         """Prevent a late start; the worker's lists tell what became of it."""
         self._orders.stop(task, order.run)
 
-    def _send_stop(self, task: _specs.TaskKey, run: int) -> None:
+    def _send_stop(self, task: _specs.TaskKey, run: int) -> bool:
+        """Send a stop; return False if it has to be sent again."""
         state = self._state
         with state.lock:
             order = self._orders.get(task, run)
             request = _port.StopOrder(state.facts, state.token, task, run)
         outcome = state.port.stop(request)
         match outcome:
+            case _port.Unanswered(_, why):
+                pass
+            case _port.Refused(_port.Refusal.UNHEALTHY as reason):
+                why = reason.value
+            case _port.WorkerReplaced():
+                state.handle_replacement(request.worker)
+                return True
             case _port.Accepted() | _port.Refused():
                 if order is not None:
                     self._settle(order)
-            case _port.WorkerReplaced():
-                state.handle_replacement()
-            case _port.Unanswered(_, detail):
-                _logger.info(
-                    'stop not answered',
-                    worker=state.facts.worker_id,
-                    task=str(task),
-                    run=run,
-                    why=detail,
-                )
-                self._orders.requeue(_orders.Stop(task, run))
+                return True
+        _logger.info(
+            'stop not carried out',
+            worker=state.facts.worker_id,
+            task=str(task),
+            run=run,
+            why=why,
+        )
+        self._orders.requeue(_orders.Stop(task, run))
+        return False
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -73,6 +73,7 @@
         port: _port.WorkerPort,
         events: Events,
         lease: _lease.Lease,
+        tokens_used_count: int,
     ) -> None:
         self.lock = threading.RLock()
         self.facts = facts
@@ -80,7 +81,7 @@
         self.events = events
         self.lease = lease
         self.orders = _orders.OrderBook(self.lock)
-        self.token = term * TOKENS_PER_TERM
+        self.token = term * TOKENS_PER_TERM + tokens_used_count
         self.reads_count = 0
         self.is_responding = False
         self.ended = False
@@ -97,22 +98,44 @@
                 return self.lease.grant()
             return self.lease.granted_ms()
 
-    def handle_replacement(self) -> None:
-        """Record that another incarnation answers, so no run is left."""
-        _logger.info('worker replaced', worker=self.facts.worker_id)
-        if self.record_all(_commands.RunOutcome.LOST):
+    def handle_replacement(self, called: _commands.WorkerFacts) -> None:
+        """Record that another incarnation answers, so no run is left.
+
+        ``called`` is the worker to which the call was sent. It has no effect
+        if the worker has started again since, possibly at another address.
+        """
+        facts = self.facts
+        if (called.started_ms, called.address) != (
+            facts.started_ms,
+            facts.address,
+        ):
+            return
+        _logger.info('worker replaced', worker=facts.worker_id)
+        if not self.record_all(_commands.RunOutcome.LOST):
+            return
+        with self.lock:
+            if self.ended:
+                return
             self.close()
-            self.events.worker_replaced(self.facts.worker_id)
+        self.events.worker_replaced(facts.worker_id)
 
     def record_all(self, outcome: _commands.RunOutcome) -> bool:
-        """Record an end of all assigned runs; return whether it succeeded."""
+        """Record an end of all assigned runs; return whether it succeeded.
+
+        Their queued orders are dropped, or kept if it did not succeed. The
+        queue is emptied first, so that it then contains only orders of runs
+        that are not in ``ends``.
+        """
+        dropped = self.orders.drop_queued()
         assigned = self.events.assigned(self.facts.worker_id)
-        self.orders.drop_queued()
         ends = tuple(
             _commands.RunEnd(task, run, outcome, self.orders.checkpoint(task))
             for task, run in assigned.items()
         )
-        return self.record(ends)
+        if self.record(ends):
+            return True
+        self.orders.restore_queued(dropped)
+        return False
 
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Record ends and remove their orders; return whether it succeeded."""
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -45,15 +45,27 @@
         self._replaced_started_ms: dict[messages.WorkerId, int] = {}
         # Earliest time at which draining workers leave, on our clock.
         self._leaves_ms: dict[messages.WorkerId, int] = {}
+        # Fencing tokens that the former peers of workers have used. The next
+        # peer of such a worker needs a higher one.
+        self._tokens_used_counts: dict[messages.WorkerId, int] = {}
 
-    def restore(self) -> None:
-        """Start the peers of all workers in the replicated state."""
+    def restore(self) -> list[messages.WorkerId]:
+        """Start the peers of workers in the replicated state without one.
+
+        Returns the ids of these workers.
+        """
         term = self._term
         now_ms = _clock.elapsed_ms()
+        restored_ids = []
         with term.lock, term.state.lock:
+            if self._supervisor.stopping.is_set():
+                return []
             for worker_id, worker in term.state.workers.items():
-                self._reported_ms[worker_id] = now_ms
-                self._add_or_update_peer(worker.facts)
+                if worker_id not in term.peers:
+                    self._reported_ms[worker_id] = now_ms
+                    self._add_or_update_peer(worker.facts)
+                    restored_ids.append(worker_id)
+        return restored_ids
 
     def close(self) -> None:
         """Stop all peers."""
@@ -191,6 +203,7 @@
             _worker_peer.PeerOptions(
                 term.options.lease_ms, term.options.lease_max_ms
             ),
+            self._tokens_used_counts.get(facts.worker_id, 0),
         )
         term.peers[facts.worker_id] = peer
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
@@ -205,12 +218,16 @@
         if done.result() != result.Success(True):
             return
         with self._term.lock:
-            peer = self._term.peers.pop(worker_id, None)
+            self._remove_peer(worker_id)
             self._reported_ms.pop(worker_id, None)
             self._leaves_ms.pop(worker_id, None)
+        _logger.info('worker removed', worker=worker_id)
+
+    def _remove_peer(self, worker_id: messages.WorkerId) -> None:
+        peer = self._term.peers.pop(worker_id, None)
         if peer is not None:
             peer.close()
-        _logger.info('worker removed', worker=worker_id)
+            self._tokens_used_counts[worker_id] = peer.tokens_used_count
 
     # Callbacks of the peers.
 
@@ -334,10 +351,21 @@
             worker = term.state.workers.get(worker_id)
             if worker is not None:
                 self._replaced_started_ms[worker_id] = worker.facts.started_ms
-            term.peers.pop(worker_id, None)
-        term.propose(_commands.RemoveWorker(worker_id))
+            self._remove_peer(worker_id)
+        term.propose(_commands.RemoveWorker(worker_id)).add_done_callback(
+            functools.partial(self._on_replaced_removed, worker_id)
+        )
         term.round_requested.set()
 
+    def _on_replaced_removed(
+        self, worker_id: messages.WorkerId, done: _term.Proposed
+    ) -> None:
+        if done.result() == result.Success(False):
+            # A run was assigned after the ends were recorded. Another peer
+            # records its end and removes the worker.
+            for restored_id in self.restore():
+                _logger.warning('replaced worker has runs', worker=restored_id)
+
     def stop_obsolete(
         self, job_ids: collections.abc.Iterable[_specs.JobId]
     ) -> None:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -31,6 +31,7 @@
         self.gone_ids = []
         self.refusals = []
         self.lease_ms = lease_ms
+        self.log_refuses = False
         self.stopping = threading.Event()
         self.peer = self.open_peer(messages.Term(1))
 
@@ -56,6 +57,8 @@
         return self.acting
 
     def record(self, ends):
+        if self.log_refuses:
+            return False
         with self.machine.state.lock:
             self.machine(_commands.EndRuns(ends))
             self.outcomes += [
@@ -394,3 +397,167 @@
     leader.obsolete = stop_meanwhile
     peer.sender._send_start(key, leader.stopping)
     assert peer.orders.is_lost(key, 1, read=1)
+
+
+def test_a_refused_start_is_settled_although_the_log_refuses_its_end(worker):
+    """Regression test: such a task stayed assigned forever."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    port = testing.FakeFleet([worker])
+    port.start = lambda order: jobs.Refused(jobs.Refusal.NO_ROOM)
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.log_refuses = True
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.refusals)
+        leader.log_refuses = False
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_start_that_is_not_sent_is_settled_if_the_log_refuses(worker):
+    """Regression test: such a task stayed assigned forever."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    leader.peer.facts = dataclasses.replace(
+        worker.facts, phase=jobs.WorkerPhase.DRAINING
+    )
+    leader.start('j.0.0.0')
+    key = leader.peer.orders.next(0)
+    leader.log_refuses = True
+    leader.peer.sender._send_start(key, leader.stopping)
+    leader.log_refuses = False
+    with serving(leader):
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_stop_that_an_unhealthy_worker_refuses_is_sent_again(worker):
+    """An unhealthy worker has done nothing, so the start may still arrive."""
+    peer, key = _after_an_unanswered_start(worker)
+    port = testing.FakeFleet([worker])
+    port.stop = lambda order: jobs.Refused(jobs.Refusal.UNHEALTHY)
+    peer._state.port = port
+    peer.orders.stop(key, 1)
+    assert peer.orders.next(0) == _orders.Stop(key, 1)
+    peer.sender._send_stop(key, 1)
+    assert not peer.orders.is_lost(key, 1, read=1)
+    queued = [peer.orders.next(0) for _ in range(2)]
+    assert _orders.Stop(key, 1) in queued
+
+
+def test_a_stop_to_a_worker_that_refuses_connections_is_not_a_busy_loop(
+    worker,
+):
+    stops = []
+
+    def refuse(order):
+        stops.append(order)
+        return jobs.Unanswered(False, 'connection refused')
+
+    leader = FakeLeader(worker, lease_ms=60_000)
+    port = testing.FakeFleet([worker])
+    port.stop = refuse
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.peer.orders.stop(jobs.parse_task_key('j.0.0.0'), 1)
+        time.sleep(0.5)
+    assert 1 <= len(stops) <= 10
+
+
+def test_orders_are_kept_when_the_log_refuses_the_ends_of_a_worker(worker):
+    """Regression test: a task stayed assigned forever.
+
+    The worker was silent for longer than its lease and answers again.
+    """
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    leader.start('j.0.0.0')
+    leader.log_refuses = True
+    assert not leader.peer._state.record_all(jobs.RunOutcome.LAPSED)
+    leader.log_refuses = False
+    with serving(leader):
+        testing.wait_until(
+            lambda: leader.machine.phase('j') is jobs.JobPhase.DONE
+        )
+
+
+def test_a_run_that_is_dispatched_while_its_worker_lapses_is_settled(worker):
+    """Regression test: a task stayed assigned forever."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    assigned = leader.assigned
+
+    def assign_meanwhile(worker_id):
+        runs = assigned(worker_id)
+        leader.assigned = assigned
+        leader.start('j.0.0.0')
+        return runs
+
+    leader.assigned = assign_meanwhile
+    assert leader.peer._state.record_all(jobs.RunOutcome.LAPSED)
+    with serving(leader):
+        testing.wait_until(
+            lambda: leader.machine.phase('j') is jobs.JobPhase.DONE
+        )
+
+
+def test_a_late_answer_from_a_former_address_does_not_remove_the_worker(
+    worker,
+):
+    """The worker has started again elsewhere, under the same id."""
+    leader = FakeLeader(worker)
+    called = threading.Event()
+    answered = threading.Event()
+    port = testing.FakeFleet([worker])
+    first_renew = port.renew
+
+    def renew(request):
+        if request.worker.address == 'former:1':
+            called.set()
+            answered.wait(TIMEOUT_S)
+            return jobs.WorkerReplaced()
+        return first_renew(request)
+
+    port.renew = renew
+    leader.peer._state.port = port
+    leader.peer.facts = dataclasses.replace(worker.facts, address='former:1')
+    with serving(leader):
+        called.wait(TIMEOUT_S)
+        worker.restart()
+        leader.peer.facts = worker.facts
+        answered.set()
+        testing.wait_until(leader.peer.usable)
+    assert leader.gone_ids == []
+
+
+def test_runs_of_a_worker_that_refuses_its_lease_end_with_the_lease(worker):
+    """Regression test: such tasks stayed assigned forever."""
+    worker.run_ms = 60_000
+    leader = FakeLeader(worker, lease_ms=600)
+    leader.submit('j', helpers.step())
+    port = testing.FakeFleet([worker])
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(worker.running)
+        port.renew = lambda request: jobs.Refused(jobs.Refusal.UNHEALTHY)
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LAPSED')]
+
+
+def test_a_start_that_can_not_be_sent_is_given_up(worker):
+    """Regression test: the task waited for as long as the worker answered."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    port = testing.FakeFleet([worker])
+    port.start = lambda order: jobs.Unanswered(False, 'no connection')
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -0,0 +1,153 @@
+"""Peers of workers that are removed, replaced or report again."""
+
+import contextlib
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _audit
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _orders
+from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _workers
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
+from dandeliondrum import testing
+from dandeliondrum import utils
+
+W1 = messages.WorkerId('w1')
+TASK = jobs.parse_task_key('j.0.0.0')
+
+
+class Leader:
+    """Workers of a leader with one job and the worker ``w1``."""
+
+    def __init__(self, resources):
+        self.worker = testing.FakeWorker(W1, messages.Resources(4_000, 100), 1)
+        self.machine = helpers.Machine(())
+        self.node = helpers.LocalNode(self.machine)
+        self.term = helpers.new_term(
+            self.node, testing.FakeFleet([self.worker])
+        )
+        supervisor = utils.Supervisor('test', 20)
+        self.workers = _workers.Workers(self.term, supervisor)
+        resources.callback(supervisor.close)
+        resources.callback(self.workers.close)
+        self.machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
+        self.sequence = 0
+
+    def report(self):
+        self.sequence += 1
+        self.workers.handle_report(
+            jobs.WorkerReport(self.worker.facts, self.sequence)
+        )
+
+    def peer(self):
+        return self.term.peers.get(W1)
+
+    def wait_usable(self):
+        testing.wait_until(lambda: self.peer() and self.peer().usable())
+
+    def phase(self):
+        return self.machine.task('j.0.0.0').phase
+
+
+@pytest.fixture
+def leader():
+    with contextlib.ExitStack() as resources:
+        yield Leader(resources)
+
+
+def test_a_removed_worker_that_reports_again_is_used(leader, monkeypatch):
+    """Regression test: it refused the token of its second peer."""
+    leader.report()
+    leader.wait_usable()
+    monkeypatch.setattr(_workers, 'REMOVE_AFTER_MS', -1)
+    leader.workers.check()
+    assert leader.peer() is None and not leader.machine.state.workers
+    leader.report()
+    leader.wait_usable()
+
+
+def test_a_run_assigned_to_a_worker_just_replaced_is_settled(leader):
+    """Regression test: a task stayed assigned forever (violation LOST).
+
+    The assignment is applied between the ends of the worker's runs and its
+    removal.
+    """
+    leader.report()
+    leader.wait_usable()
+    leader.worker.replaced = True
+    leader.node.holds = True
+    testing.wait_until(lambda: leader.peer() is None)
+    assert leader.machine.assign('j.0.0.0')
+    leader.node.holds = False
+    leader.node.release()
+    testing.wait_until(lambda: W1 not in leader.machine.state.workers)
+    assert leader.phase() is _records.TaskPhase.WAITING
+
+
+def test_a_worker_replaced_by_an_incarnation_with_its_id_is_used(leader):
+    leader.report()
+    leader.wait_usable()
+    leader.worker.replaced = True
+    testing.wait_until(lambda: W1 not in leader.machine.state.workers)
+    leader.worker.replaced = False
+    leader.worker.restart()
+    leader.report()
+    leader.wait_usable()
+
+
+@pytest.fixture
+def audit(leader, monkeypatch):
+    monkeypatch.setattr(_orders, 'STUCK_AFTER_MS', 50)
+    return _audit.Audit(leader.term, leader.workers)
+
+
+def _is_settled(leader, audit):
+    audit.check()
+    return leader.phase() is _records.TaskPhase.WAITING
+
+
+def test_the_audit_settles_an_assigned_run_that_is_not_dispatched(
+    leader, audit
+):
+    leader.report()
+    leader.wait_usable()
+    leader.peer().orders.plan(TASK, _orders.Order(1, 'payload', '', ''))
+    assert leader.machine.assign('j.0.0.0')
+    testing.wait_until(lambda: _is_settled(leader, audit))
+    assert leader.worker.starts == []
+
+
+def test_the_audit_settles_a_start_that_left_the_queue_unsent(leader, audit):
+    leader.report()
+    leader.wait_usable()
+    orders = leader.peer().orders
+    orders.plan(TASK, _orders.Order(1, 'payload', '', ''))
+    orders.get(TASK, 1).enter(_orders.OrderPhase.QUEUED)
+    assert leader.machine.assign('j.0.0.0')
+    testing.wait_until(lambda: _is_settled(leader, audit))
+
+
+def test_the_audit_settles_the_runs_of_a_worker_without_a_peer(leader, audit):
+    leader.machine(_commands.PutWorker(leader.worker.facts))
+    assert leader.machine.assign('j.0.0.0')
+    testing.wait_until(lambda: _is_settled(leader, audit))
+
+
+def test_the_audit_leaves_a_healthy_run_alone(leader, audit):
+    leader.worker.run_ms = 300
+    leader.report()
+    leader.wait_usable()
+    orders = leader.peer().orders
+    orders.plan(TASK, _orders.Order(1, 'payload', '', ''))
+    assert leader.machine.assign('j.0.0.0')
+    orders.dispatch(TASK)
+
+    def is_done():
+        audit.check()
+        return leader.phase() is _records.TaskPhase.DONE
+
+    testing.wait_until(is_done)
+    assert leader.worker.starts == [('j.0.0.0', 1)]
