Answer calls whose handler fails instead of leaving them pending

What callers see: a call without a reply. The caller waits for its timeout, and where it has none (calls to the adviser through another process) the process and the step stay blocked until the connection closes.

Cause: `Connection._send_reply` sent the result of a future from its done callback. If the future had failed or was cancelled, `done.result()` raised there, the exception was logged by the standard library only, and no reply was sent. A handler that raised, or a reply that can't be encoded, ended the reader thread and with it the connection and all its other calls; at a server even without a log line, since its executor drops the exception.

Where it was met: `AdviserClient.ask` raised after the client was closed, and an exception in `AdviserPort.ask` became that of the future. A call to the own leader raised into the control server.

Fix: each failure of a handler, of its future or of the encoding is logged with its traceback and answered with CallFailed, whose `not_done` is false. The adviser's client answers its failures with a problem. An exception that ends a connection is logged.

--- a/dandeliondrum/jobs/_adviser_client.py
+++ b/dandeliondrum/jobs/_adviser_client.py
@@ -7,6 +7,7 @@
 
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _port
+from dandeliondrum import utils
 
 _logger = structlog.get_logger()
 
@@ -30,20 +31,37 @@
     def ask(
         self, request: _calls.AdviceRequest
     ) -> 'concurrent.futures.Future[typing.Any]':
-        """Queue a request; return a future of an AdviceReply."""
-        return self._executor.submit(self._ask, request)
+        """Queue a request; return a future of an AdviceReply.
+
+        A failure is a reply with a problem. The future is cancelled if the
+        client is closed before the request is sent.
+        """
+        try:
+            return self._executor.submit(self._ask, request)
+        except RuntimeError as error:
+            return utils.completed_future(self._failure(request, str(error)))
 
     def close(self) -> None:
         """Drop queued requests; a running call ends by its timeout."""
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _ask(self, request: _calls.AdviceRequest) -> _calls.AdviceReply:
-        reply = self._port.ask(request.step, request.worker_ids)
+        try:
+            reply = self._port.ask(request.step, request.worker_ids)
+        except Exception as error:
+            _logger.exception('call of the adviser failed', step=request.step)
+            return self._failure(request, repr(error))
         if reply.problem:
-            _logger.warning(
-                'adviser did not answer',
-                step=request.step,
-                workers_count=len(request.worker_ids),
-                why=reply.problem,
-            )
+            return self._failure(request, reply.problem)
         return reply
+
+    def _failure(
+        self, request: _calls.AdviceRequest, problem: str
+    ) -> _calls.AdviceReply:
+        _logger.warning(
+            'adviser did not answer',
+            step=request.step,
+            workers_count=len(request.worker_ids),
+            why=problem,
+        )
+        return _calls.AdviceReply((), 0, problem)
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -216,14 +216,20 @@
             leadership = self._leadership
         if leadership is None:
             return self.calls.call(message, timeout_ms)
-        reply = leadership.handle(None, message)
         try:
+            reply = leadership.handle(None, message)
             if hasattr(reply, 'result'):
                 reply = reply.result(timeout_ms / 1000)
         except TimeoutError:
             return result.Failure(
                 _leader_calls.Unavailable('not committed in time', False)
             )
+        except Exception as error:
+            kind = type(message).__name__
+            _logger.exception('call failed', kind=kind)
+            return result.Failure(
+                _leader_calls.Unavailable(f'{kind} failed: {error!r}', False)
+            )
         match reply:
             case messages.NotLeader():
                 return result.Failure(
--- a/dandeliondrum/transport/_connection.py
+++ b/dandeliondrum/transport/_connection.py
@@ -10,6 +10,7 @@
 import collections.abc
 import concurrent.futures
 import dataclasses
+import functools
 import itertools
 import queue
 import socket
@@ -43,6 +44,8 @@
 
     ``on_call`` returns the reply or a future of the reply; the result of
     ``on_push`` is ignored. Both run in the reader thread and must not block.
+    A call whose handler or future fails is answered with CallFailed, so that
+    its caller does not wait.
     """
 
     on_call: Handler | None = None
@@ -81,6 +84,8 @@
         writer.start()
         try:
             self._read_loop()
+        except Exception:
+            _logger.exception('connection failed', peer=self.peer_id)
         finally:
             self.close()
             writer.join()
@@ -234,15 +239,51 @@
             if self._callbacks.on_push is not None:
                 self._callbacks.on_push(self, message)
         elif self._callbacks.on_call is not None:
-            self._send_reply(call_id, self._callbacks.on_call(self, message))
+            self._handle_call(self._callbacks.on_call, call_id, message)
 
-    def _send_reply(self, call_id: int, reply: typing.Any) -> None:
+    def _handle_call(
+        self, on_call: Handler, call_id: int, message: typing.Any
+    ) -> None:
+        kind = type(message).__name__
+        try:
+            reply = on_call(self, message)
+        except Exception as error:
+            self._send_failure(call_id, kind, error)
+            return
         if isinstance(reply, concurrent.futures.Future):
             reply.add_done_callback(
-                lambda done: self._send_reply(call_id, done.result())
+                functools.partial(self._send_result, call_id, kind)
             )
+        else:
+            self._send_reply(call_id, kind, reply)
+
+    def _send_result(
+        self,
+        call_id: int,
+        kind: str,
+        done: 'concurrent.futures.Future[typing.Any]',
+    ) -> None:
+        try:
+            reply = done.result()
+        except Exception as error:
+            self._send_failure(call_id, kind, error)
+            return
+        self._send_reply(call_id, kind, reply)
+
+    def _send_reply(self, call_id: int, kind: str, reply: typing.Any) -> None:
+        try:
+            payload = messages.encode(reply)
+        except Exception as error:
+            self._send_failure(call_id, kind, error)
             return
-        self._send(_frames.FrameKind.REPLY, call_id, messages.encode(reply))
+        self._send(_frames.FrameKind.REPLY, call_id, payload)
+
+    def _send_failure(self, call_id: int, kind: str, error: Exception) -> None:
+        _logger.error(
+            'call failed', peer=self.peer_id, kind=kind, exc_info=error
+        )
+        failed = messages.CallFailed(f'{kind} failed: {error!r}', False)
+        self._send(_frames.FrameKind.REPLY, call_id, messages.encode(failed))
 
 
 def _failure(
--- a/dandeliondrum/transport/tests/test_streams.py
+++ b/dandeliondrum/transport/tests/test_streams.py
@@ -58,6 +58,38 @@
                 assert call.result(5).unwrap().reason == name
 
 
+def _raise(*_):
+    raise RuntimeError('broken')
+
+
+def _failed_future(*_):
+    future = concurrent.futures.Future()
+    future.set_exception(RuntimeError('broken'))
+    return future
+
+
+def _cancelled_future(*_):
+    future = concurrent.futures.Future()
+    future.cancel()
+    return future
+
+
+@pytest.mark.parametrize(
+    'on_call', [_raise, _failed_future, _cancelled_future, lambda *_: object()]
+)
+def test_a_call_whose_handler_fails_is_answered(on_call):
+    with serving(on_call) as server:
+        connection = transport.connect(
+            server.address, hello(), transport.Callbacks()
+        )
+        with contextlib.closing(connection):
+            for _ in range(2):
+                reply = connection.call(messages.ShowFleet(), 2_000).unwrap()
+                assert isinstance(reply, messages.CallFailed)
+                assert 'ShowFleet failed' in reply.reason
+                assert not reply.not_done
+
+
 def test_a_server_can_push_to_its_client():
     pushed = threading.Event()
 
