Answer reports of workers that are recorded after the leader has closed

What callers see: a worker's report to a leader that resigns gets no reply within its timeout, or an error of the control server.

Cause: the worker's peer is added in the callback of the log. If the leader had closed by then, its thread pool refused the peer's tasks with RuntimeError, after the peer had been added, and the failed future was never answered.

Fix: once the workers of a term are closed, a recorded report is answered with NotLeader under the same lock, and the sender repeats it to the next leader, which knows the worker from the log.

Evidence: the new test fails on the old code with `RuntimeError: cannot schedule new futures after shutdown`. Ruled out: peers that are added between the resignation and the end of the pool. Their tasks never ran, since the supervisor was stopping, and a peer whose tasks run was added before and is closed.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -45,6 +45,7 @@
         self._replaced_started_ms: dict[messages.WorkerId, int] = {}
         # Earliest time at which draining workers leave, on our clock.
         self._leaves_ms: dict[messages.WorkerId, int] = {}
+        self._closed = False
 
     def restore(self) -> None:
         """Start the peers of all workers in the replicated state."""
@@ -56,8 +57,9 @@
                 self._add_or_update_peer(worker.facts)
 
     def close(self) -> None:
-        """Stop all peers."""
+        """Stop all peers; later reports are left to the next leader."""
         with self._term.lock:
+            self._closed = True
             peers = list(self._term.peers.values())
         for peer in peers:
             peer.close()
@@ -169,6 +171,8 @@
         if isinstance(outcome, result.Failure):
             return messages.NotLeader()
         with self._term.lock:
+            if self._closed:
+                return messages.NotLeader()
             self._add_or_update_peer(facts)
         self._term.round_requested.set()
         return acknowledgement
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -43,6 +43,7 @@
 
     def __init__(self):
         self.confirmations = []
+        self.proposals = []
 
     def is_leading(self):
         return True
@@ -51,6 +52,10 @@
         self.confirmations.append(concurrent.futures.Future())
         return self.confirmations[-1]
 
+    def propose(self, _command):
+        self.proposals.append(concurrent.futures.Future())
+        return self.proposals[-1]
+
     def confirm(self, number=0):
         self.confirmations.pop(number).set_result(result.Success(None))
 
@@ -62,7 +67,7 @@
 
 @pytest.fixture
 def leadership(node):
-    machine = helpers.Machine()
+    machine = helpers.Machine(())
     return _leadership.Leadership(
         jobs.LeaderOptions(
             messages.ControllerId('c1'), 1_000, 1_500, 60_000, 3
@@ -169,3 +174,15 @@
 def test_a_call_to_a_process_without_a_session_fails_at_once(leadership):
     outcome = ask(leadership).result(0)
     assert isinstance(outcome, result.Failure)
+
+
+def test_a_worker_recorded_after_the_leader_has_closed_is_answered(
+    leadership, node
+):
+    leadership.open()
+    report = _calls.WorkerReport(helpers.facts('w1'), 1)
+    reply = leadership.handle(None, report)
+    leadership.close()
+    node.proposals[0].set_result(result.Success(None))
+    assert reply.result(0) == messages.NotLeader()
+    assert not leadership._term.peers
