Do not register over a stream that was connected after the end of its link

What the leader saw: a gateway that was shutting down registered, and was chosen for tasks and calls until its stream closed, up to 400 ms later.

Cause: `LeaderLink.close` closes the stream that is connecting. One whose connect returned after that was noted too late, and the link registered over it before it looked at its end.

Fix: the end is set and read under the lock that notes the stream.

Evidence: the new test, which delays the connect past the close, fails on the old code with one registration and passes now. Ruled out: a current stream that has closed before it is noted; its first heartbeat fails at once with NOT_SENT and removes it.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -132,8 +132,8 @@
 
     def close(self) -> None:
         """Close the stream; pending calls fail."""
-        self._closed = True
         with self._lock:
+            self._closed = True
             streams = (self._current, self._connecting)
         for stream in streams:
             if stream is not None:
@@ -301,7 +301,10 @@
             return None
         with self._lock:
             self._connecting = stream
+            closed = self._closed
         try:
+            if closed:
+                return None
             return self._register_and_serve(candidate, stream, stopping)
         finally:
             with self._lock:
--- a/dandeliondrum/gateway/tests/test_leader_link.py
+++ b/dandeliondrum/gateway/tests/test_leader_link.py
@@ -113,6 +113,27 @@
     assert not bypassed.received
 
 
+def test_a_link_closed_while_it_connects_does_not_register(
+    controllers, monkeypatch
+):
+    leader, *_ = controllers
+    connected, closed = threading.Event(), threading.Event()
+    connect = transport.connect
+
+    def connect_slowly(*args):
+        stream = connect(*args)
+        connected.set()
+        closed.wait(fakes.WAIT_S)
+        return stream
+
+    monkeypatch.setattr(transport, 'connect', connect_slowly)
+    with running_link(leader.address) as link:
+        assert connected.wait(fakes.WAIT_S)
+        link.close()
+        closed.set()
+    assert not registrations_count(leader)
+
+
 def test_a_silent_controller_does_not_hold_up_each_round(controllers):
     """Some gateways found the new leader 0.5 s later than the others.
 
