Pause before reports that the leader refused are sent again

What was seen in a test: 276 calls in 0.6 s with the same report to a leader that refuses it at once.

Cause: the reporter paused only while its link was down. A call that failed at once over a link that looked up, such as CallFailed of a leader that has lost the session, was queued again immediately, and sent every 2 ms.

Fix: the reporter pauses for RETRY_PAUSE_MS after any call that failed. Reports made during the pause wait for it, as they did while the link was down.

--- a/dandeliondrum/gateway/_reporter.py
+++ b/dandeliondrum/gateway/_reporter.py
@@ -33,6 +33,7 @@
         )
         self._lock = threading.Lock()
         self._unconfirmed_count = 0
+        self._has_failed = threading.Event()
 
     def report(self, report: messages.AttemptReport) -> None:
         """Queue a report without blocking."""
@@ -72,7 +73,8 @@
         batch: tuple[messages.AttemptReport, ...],
         stopping: threading.Event,
     ) -> None:
-        if not self._link.is_up():
+        if self._has_failed.is_set() or not self._link.is_up():
+            self._has_failed.clear()
             stopping.wait(RETRY_PAUSE_MS / 1000)
         future = self._link.call_async(messages.ReportAttempts(batch))
         future.add_done_callback(functools.partial(self._on_reply, batch))
@@ -92,5 +94,6 @@
                     reports_count=len(batch),
                     why=str(other),
                 )
+                self._has_failed.set()
                 for report in batch:
                     self._queue.put(report)
