--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -347,6 +347,32 @@
     return leader.peer, key
 
 
+class StopCountingWorker(testing.FakeWorker):
+    """Worker that counts the stop orders sent to it."""
+
+    stops_count = 0
+
+    def stop(self, order):
+        self.stops_count += 1
+        return super().stop(order)
+
+
+def test_a_stop_that_fails_at_once_is_not_sent_in_a_tight_loop():
+    worker = StopCountingWorker('w1', messages.Resources(4_000, 100), 5_000)
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(worker.running)
+        worker.silent = True
+        leader.peer.orders.stop(jobs.parse_task_key('j.0.0.0'), 1)
+        time.sleep(0.5)
+        assert 1 <= worker.stops_count <= 7
+        worker.silent = False
+        testing.wait_until(lambda: not worker.running())
+
+
 def test_a_start_is_not_sent_again_after_a_stop(worker):
     """Regression test: a task stayed assigned forever (violation LOST).
 
