--- a/dandeliondrum/controller/tests/test_deadlines.py
+++ b/dandeliondrum/controller/tests/test_deadlines.py
@@ -1,5 +1,7 @@
 """Refusals of tasks at their deadline, and of tasks without a caller."""
 
+import threading
+
 import pytest
 
 from dandeliondrum.controller import _operators
@@ -15,6 +17,9 @@
 class Connection:
     """Connection of a gateway that takes every push."""
 
+    def __init__(self):
+        self.closed = threading.Event()
+
     def push(self, message):
         return True
 
@@ -61,9 +66,13 @@
     task_id = messages.TaskId('harbour/t')
     connection = Connection()
     session = _sessions.Session(
-        connection, messages.GatewayId('g1'), messages.Region('gulf'), 1
+        connection,
+        messages.GatewayId('g1'),
+        leader.context.sessions.next_number(),
+        messages.Region('gulf'),
+        messages.RulesVersion(1),
     )
-    leader.context.sessions.register(session)
+    assert leader.context.sessions.register(session)
     leader.context.sessions.wait_for(session, task_id)
     leader.leadership._queueing.enqueue_recorded([task_id])
     plan = leader.context.planner.plan(leader.context.now_ms(), 10)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -48,6 +48,7 @@
         # Fencing tokens that the former peers of workers have used. The next
         # peer of such a worker needs a higher one.
         self._tokens_used_counts: dict[messages.WorkerId, int] = {}
+        self._closed = False
 
     def restore(self) -> list[messages.WorkerId]:
         """Start the peers of workers in the replicated state without one.
@@ -58,7 +59,7 @@
         now_ms = _clock.elapsed_ms()
         restored_ids = []
         with term.lock, term.state.lock:
-            if self._supervisor.stopping.is_set():
+            if self._closed or self._supervisor.stopping.is_set():
                 return []
             for worker_id, worker in term.state.workers.items():
                 if worker_id not in term.peers:
@@ -68,8 +69,9 @@
         return restored_ids
 
     def close(self) -> None:
-        """Stop all peers."""
+        """Stop all peers; later reports are left to the next leader."""
         with self._term.lock:
+            self._closed = True
             peers = list(self._term.peers.values())
         for peer in peers:
             peer.close()
@@ -181,6 +183,8 @@
         if isinstance(outcome, result.Failure):
             return messages.NotLeader()
         with self._term.lock:
+            if self._closed:
+                return messages.NotLeader()
             self._add_or_update_peer(facts)
         self._term.round_requested.set()
         return acknowledgement
