Lengthen election timeouts while leaders follow each other

Cause: a leader that is short of processor time sends its entries and heartbeats late, the lines 'leader missed' show 310 to 845 ms of silence. After 300 to 600 ms it is deposed. Its successor takes over the same load, plus the first reads of all workers, so it is missed in turn: the load never falls.

Change: a leader that is followed by another one within eight election timeouts was brief. Each brief leader doubles the timeouts of followers, up to four times, and so does the time after which a leader without a quorum steps down. A leader that lasts longer resets this. The first election after a leader that has lasted is as fast as before. A voter refuses votes for the longer timeout; a leader counts its quorum for the shorter one, so no two of them can act.

Evidence: both tests fail on the old code (a timeout of 1,096 ms where 1,200 are the least; a vote is granted) and pass now.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -62,13 +62,17 @@
         )
 
     def _check_quorum(self) -> None:
-        """Step down after ``election_max_ms`` without a quorum.
+        """Step down after the longest election timeout without a quorum.
 
         Also ends a leadership transfer that has timed out.
         """
         state = self._state
         now_ns = time.monotonic_ns()
-        limit_ns = state.options.election_max_ms * _progress.NS_PER_MS
+        limit_ns = (
+            state.election_backoff
+            * state.options.election_max_ms
+            * _progress.NS_PER_MS
+        )
         answered_ns = max(state.quorum_contact_ns(), state.elected_ns)
         if now_ns - answered_ns > limit_ns:
             _logger.warning('no quorum answers', term=state.term)
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -26,6 +26,12 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
+# A leader that is followed by another one before this multiple of
+# ``election_max_ms`` was brief.
+BRIEF_LEADER_FACTOR = 8
+# Each brief leader doubles the election timeouts up to this multiple.
+ELECTION_BACKOFF_MAX = 4
+
 
 class NodeState:
     """Role, term, log indexes, peers and pending futures of one node."""
@@ -72,6 +78,9 @@
         if options.started_ns is not None:
             self.leader_contact_ns = options.started_ns
         self.election_deadline_ns = 0
+        self.election_backoff = 1
+        self._led_term = 0
+        self._led_since_ns = 0
         self.election_requested = False
         self.ballot: _progress.Ballot | None = None
         self.synced_index = log.last_index
@@ -112,7 +121,7 @@
 
         The timeout is counted from ``since_ns``, by default from now.
         """
-        wait_ms = random.uniform(
+        wait_ms = self.election_backoff * random.uniform(
             self.options.election_min_ms, self.options.election_max_ms
         )
         if since_ns is None:
@@ -147,24 +156,52 @@
         """
         self.leader_id = leader_id
         self.leader_contact_ns = time.monotonic_ns()
+        self._update_election_backoff()
         self.reset_election_timer()
         if self.ballot is not None and self.ballot.pre_vote:
             self.ballot = None
             self.election_condition.notify()
 
+    def _update_election_backoff(self) -> None:
+        """Lengthen the election timeouts while leaders follow each other.
+
+        A leader that is short of processor time sends late. Its successor
+        takes over the same load, so it would be deposed in turn, and nothing
+        would be served between the elections.
+        """
+        now_ns = time.monotonic_ns()
+        brief_ns = (
+            BRIEF_LEADER_FACTOR
+            * self.options.election_max_ms
+            * _progress.NS_PER_MS
+        )
+        is_brief = now_ns - self._led_since_ns < brief_ns
+        if self.term != self._led_term:
+            self.election_backoff = (
+                min(2 * self.election_backoff, ELECTION_BACKOFF_MAX)
+                if self._led_term and is_brief
+                else 1
+            )
+            self._led_term, self._led_since_ns = self.term, now_ns
+        elif not is_brief:
+            self.election_backoff = 1
+
     def is_voter(self) -> bool:
         """Return whether this node is a voter with its current disk."""
         own = _membership.voter(self.history.current, self.node_id)
         return own is not None and own.disk_id == self.disk_id
 
     def has_recent_leader(self) -> bool:
-        """Return whether a leader was heard within ``election_min_ms``.
+        """Return whether a leader was heard within an election timeout.
 
         No vote may be granted then, since the leader may still count this
-        node's last reply towards the quorum that keeps it in its role.
+        node's last reply towards the quorum that keeps it in its role. The
+        leader counts a reply for ``election_min_ms``, which is never longer
+        than this timeout.
         """
         silent_ns = time.monotonic_ns() - self.leader_contact_ns
-        return silent_ns < self.options.election_min_ms * _progress.NS_PER_MS
+        timeout_ms = self.election_backoff * self.options.election_min_ms
+        return silent_ns < timeout_ms * _progress.NS_PER_MS
 
     def is_leader(self) -> bool:
         """Return whether the role is leader, even without a recent quorum."""
@@ -262,6 +299,7 @@
         self.ballot = None
         self.leader_id = self.node_id
         self.elected_ns = time.monotonic_ns()
+        self._update_election_backoff()
         self.term_start_index = 0
         self.progress = {}
         self.update_peers()
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -3,6 +3,8 @@
 import pathlib
 import time
 
+import pytest
+
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _messages
@@ -128,3 +130,63 @@
     opened.state.ballot = _progress.Ballot(1, pre_vote=False, transfer=False)
     assert vote(opened, tmp_path, pre_vote=True).granted
     assert opened.state.ballot is not None
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Let the test set the monotonic clock, in milliseconds."""
+    clock = Clock()
+    monkeypatch.setattr(
+        time, 'monotonic_ns', lambda: clock.now_ms * _progress.NS_PER_MS
+    )
+    return clock
+
+
+class Clock:
+    def __init__(self):
+        self.now_ms = 1_000_000
+
+
+def follow(state, term):
+    """Let the node hear the leader of a term."""
+    with state.lock:
+        state.term = term
+        state.record_leader_contact(CANDIDATE)
+
+
+def shortest_timeout_ms(state):
+    with state.lock:
+        now_ns = time.monotonic_ns()
+        state.reset_election_timer(now_ns)
+        return (state.election_deadline_ns - now_ns) / _progress.NS_PER_MS
+
+
+def test_leaders_that_follow_each_other_are_given_longer_to_be_heard(
+    tmp_path, clock
+):
+    state = open_state(tmp_path).state
+    least_ms = state.options.election_min_ms
+    long_ms = 20 * state.options.election_max_ms
+    follow(state, 1)
+    clock.now_ms += long_ms
+    follow(state, 2)
+    assert shortest_timeout_ms(state) < 2 * least_ms
+    for term, factor in ((3, 2), (4, 4), (5, 4)):
+        clock.now_ms += least_ms
+        follow(state, term)
+        assert shortest_timeout_ms(state) >= factor * least_ms
+        assert state.has_recent_leader()
+    clock.now_ms += long_ms
+    follow(state, 5)
+    assert shortest_timeout_ms(state) <= state.options.election_max_ms
+
+
+def test_no_vote_while_a_slow_leader_may_still_be_heard(tmp_path, clock):
+    opened = open_state(tmp_path)
+    for term in (1, 2, 3):
+        follow(opened.state, term)
+    silent_ms = 2 * opened.state.options.election_min_ms
+    clock.now_ms += silent_ms
+    assert not vote(opened, tmp_path, term=4, pre_vote=True).granted
+    clock.now_ms += 2 * silent_ms
+    assert vote(opened, tmp_path, term=4, pre_vote=True).granted
