Confirm a leader that is briefly out of touch before its calls are refused

What callers saw: gateways were sent away with 'no longer the leader' by a controller that still led, searched for a leader, registered again at the same one and refused calls meanwhile.

Cause: each call is answered with NotLeader while no quorum has answered for 300 ms. A leader that is short of processor time exceeds this for a moment. Each gateway then closes its connection, and 45 registrations follow, each of which needs a quorum, too.

Change: such a call waits until a quorum has confirmed the leader. If it is deposed or steps down, the call is refused as before, at most one election timeout later.

Evidence: the new test fails on the old code, which refuses at once.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -106,8 +106,31 @@
         """Handle a call; return the reply or a future of it."""
         if isinstance(message, messages.RegisterGateway):
             return self._register(connection, message)
-        if not self._term.node.is_leading():
-            return messages.NotLeader()
+        if self._term.node.is_leading():
+            return self._handle_as_leader(connection, message)
+        return self._handle_if_confirmed(connection, message)
+
+    def _handle_if_confirmed(
+        self, connection: transport.Connection | None, message: typing.Any
+    ) -> _Reply:
+        """Handle a call once a quorum has confirmed the leadership.
+
+        The contact with the quorum may be late for a moment only. To refuse
+        calls then would make all gateways search for a leader.
+        """
+
+        def reply(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.NotLeader()
+            return self._handle_as_leader(connection, message)
+
+        return utils.chain_future(self._term.node.confirm_leadership(), reply)
+
+    def _handle_as_leader(
+        self, connection: transport.Connection | None, message: typing.Any
+    ) -> typing.Any:
         match message:
             case messages.GatewayHeartbeat():
                 return self._heartbeat(connection, message)
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -44,9 +44,10 @@
     def __init__(self):
         self.confirmations = []
         self.proposals = []
+        self.leading = True
 
     def is_leading(self):
-        return True
+        return self.leading
 
     def confirm_leadership(self):
         self.confirmations.append(concurrent.futures.Future())
@@ -186,3 +187,19 @@
     node.proposals[0].set_result(result.Success(None))
     assert reply.result(0) == messages.NotLeader()
     assert not leadership._term.peers
+
+
+@pytest.mark.parametrize('confirmed', [True, False])
+def test_a_short_loss_of_contact_with_the_quorum_sends_no_process_away(
+    leadership, node, confirmed
+):
+    node.leading = False
+    query = _calls.WaitingQuery(helpers.QUEUE)
+    reply = leadership.handle(FakeConnection(leadership), query)
+    assert not reply.done()
+    if confirmed:
+        node.confirm()
+        assert reply.result(0) == _calls.WaitingCount(0)
+    else:
+        node.confirmations.pop().set_result(result.Failure(None))
+        assert reply.result(0) == messages.NotLeader()
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -1,6 +1,7 @@
 """Utilities for clocks, timers, futures and supervised threads."""
 
 from dandeliondrum.utils._clock import monotonic_ms
+from dandeliondrum.utils._futures import chain_future
 from dandeliondrum.utils._futures import completed_future
 from dandeliondrum.utils._futures import gather
 from dandeliondrum.utils._futures import map_future
@@ -24,6 +25,7 @@
     'Task',
     'TimerService',
     'UNKNOWN_PART',
+    'chain_future',
     'completed_future',
     'gather',
     'map_future',
--- a/dandeliondrum/utils/_futures.py
+++ b/dandeliondrum/utils/_futures.py
@@ -36,6 +36,39 @@
     return outcome
 
 
+def chain_future(
+    future: 'concurrent.futures.Future[Value]',
+    function: collections.abc.Callable[
+        [Value], 'Mapped | concurrent.futures.Future[Mapped]'
+    ],
+) -> 'concurrent.futures.Future[Mapped]':
+    """Return a future of what ``function`` returns, also if that is a future.
+
+    An exception of any of them becomes the exception of the new future.
+    """
+    outcome: concurrent.futures.Future[Mapped] = concurrent.futures.Future()
+
+    def copy(done: 'concurrent.futures.Future[Mapped]') -> None:
+        try:
+            outcome.set_result(done.result())
+        except Exception as error:
+            outcome.set_exception(error)
+
+    def finish(done: 'concurrent.futures.Future[Value]') -> None:
+        try:
+            value = function(done.result())
+        except Exception as error:
+            outcome.set_exception(error)
+            return
+        if isinstance(value, concurrent.futures.Future):
+            value.add_done_callback(copy)
+        else:
+            outcome.set_result(value)
+
+    future.add_done_callback(finish)
+    return outcome
+
+
 def gather(
     futures: collections.abc.Sequence['concurrent.futures.Future[Value]'],
 ) -> 'concurrent.futures.Future[list[Value]]':
