Leave out a worker that refuses starts for a short time

What callers saw in a test: a task never ran within 30 s although two of three workers were free. The third refused each start at once, and the task was assigned to it again in every round: 78 refused starts in a second, each with two entries in the log.

Cause: a start that is refused at once is recorded as lost, after which the worker has its resources free again, in the leader's books. Nothing told the planner that the worker had refused. Only refusals for health or for a ticket had an effect.

Fix: a worker that refuses a start because of its resources, of a lease that has passed or of a newer token is left out for 100 ms, doubled with each further refusal up to 1.6 s; a run that is done resets this. Refusals of starts that were sent in one batch count once. A refusal that concerns one run (an older run, an invalid order) has no effect on the worker, as before.

Evidence: the new test of the cell (NO_ROOM, LEASE_PASSED) fails on the old code after 30 s and passes now with at most 5 refusals for three jobs. Two tests of the pauses.

--- a/dandeliondrum/jobs/_health.py
+++ b/dandeliondrum/jobs/_health.py
@@ -1,7 +1,8 @@
 """Suspension of workers on which runs fail repeatedly.
 
 A worker that accepts every run and fails it always has free resources, so it
-would use up the attempts of many tasks.
+would use up the attempts of many tasks. One that refuses every start seems
+free as well and would draw the same tasks in each round.
 """
 
 import collections
@@ -15,6 +16,10 @@
 # task takes seconds.
 FIRST_SUSPENSION_MS = 3_000
 SUSPENSION_MAX_MS = 24_000
+# Duration of the first suspension after a refused start, doubled each time up
+# to the maximum. The resources may be free again after a few calls.
+FIRST_REFUSAL_PAUSE_MS = 100
+REFUSAL_PAUSE_MAX_MS = 1_600
 
 
 class Health:
@@ -26,6 +31,7 @@
         )
         self._next_duration_ms: dict[messages.WorkerId, int] = {}
         self._suspended_until_ms: dict[messages.WorkerId, int] = {}
+        self._next_refusal_pause_ms: dict[messages.WorkerId, int] = {}
 
     def record_end(
         self,
@@ -51,6 +57,23 @@
             2 * duration_ms, SUSPENSION_MAX_MS
         )
 
+    def record_refusal(
+        self, worker_id: messages.WorkerId, now_ms: int
+    ) -> None:
+        """Suspend a worker that refused a start for a short time.
+
+        Refusals of starts that were sent before have no further effect.
+        """
+        if self.suspended(worker_id, now_ms):
+            return
+        pause_ms = self._next_refusal_pause_ms.get(
+            worker_id, FIRST_REFUSAL_PAUSE_MS
+        )
+        self._suspended_until_ms[worker_id] = now_ms + pause_ms
+        self._next_refusal_pause_ms[worker_id] = min(
+            2 * pause_ms, REFUSAL_PAUSE_MAX_MS
+        )
+
     def suspended(self, worker_id: messages.WorkerId, now_ms: int) -> bool:
         """Return whether the worker is suspended."""
         return now_ms < self._suspended_until_ms.get(worker_id, 0)
@@ -64,3 +87,4 @@
         self._failures.pop(worker_id, None)
         self._next_duration_ms.pop(worker_id, None)
         self._suspended_until_ms.pop(worker_id, None)
+        self._next_refusal_pause_ms.pop(worker_id, None)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -330,6 +330,12 @@
                     term.advice.expire_ticket(name, worker_id)
                 case _port.Refusal.UNHEALTHY:
                     term.health.suspend(worker_id, _clock.elapsed_ms())
+                case (
+                    _port.Refusal.NO_ROOM
+                    | _port.Refusal.LEASE_PASSED
+                    | _port.Refusal.FENCED
+                ):
+                    term.health.record_refusal(worker_id, _clock.elapsed_ms())
 
     def worker_replaced(self, worker_id: messages.WorkerId) -> None:
         """Remove a worker that another incarnation has replaced."""
--- a/dandeliondrum/jobs/tests/test_cell.py
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -184,6 +184,24 @@
     cell.wait_done('j')
 
 
+@pytest.mark.parametrize(
+    'reason', [jobs.Refusal.NO_ROOM, jobs.Refusal.LEASE_PASSED]
+)
+def test_a_worker_that_refuses_all_starts_does_not_hold_a_task(cell, reason):
+    refused = []
+
+    def refuse(order, late=False):
+        refused.append(order.worker.worker_id)
+        return jobs.Refused(reason)
+
+    cell.open()
+    cell.fleet[0].start = refuse
+    for name in ('j', 'k', 'l'):
+        cell.submit(name, helpers.step())
+        cell.wait_done(name)
+    assert len(refused) <= 5
+
+
 def test_a_stalled_run_is_moved_to_another_worker(cell):
     cell.open()
     for worker in cell.fleet:
--- a/dandeliondrum/jobs/tests/test_health.py
+++ b/dandeliondrum/jobs/tests/test_health.py
@@ -39,3 +39,29 @@
         health.record_end('w1', jobs.RunOutcome.LOST, 0)
         health.record_end('w1', jobs.RunOutcome.STOPPED, 0)
     assert health.consecutive_failures('w1') == 0
+
+
+def test_a_worker_that_refuses_starts_is_left_out_for_longer_each_time():
+    health = _health.Health()
+    now_ms, pauses_ms = 0, []
+    for _ in range(7):
+        for _ in range(3):
+            health.record_refusal('w1', now_ms)
+        ends_ms = next(
+            at_ms
+            for at_ms in range(now_ms, now_ms + 5_000, 10)
+            if not health.suspended('w1', at_ms)
+        )
+        pauses_ms.append(ends_ms - now_ms)
+        now_ms = ends_ms
+    assert pauses_ms == [100, 200, 400, 800, 1_600, 1_600, 1_600]
+    health.record_end('w1', jobs.RunOutcome.DONE, now_ms)
+    health.record_refusal('w1', now_ms)
+    assert not health.suspended('w1', now_ms + 100)
+
+
+def test_a_refusal_does_not_shorten_a_suspension():
+    health = _health.Health()
+    _fail(health, _health.CONSECUTIVE_FAILURES_MAX)
+    health.record_refusal('w1', 1)
+    assert health.suspended('w1', _health.FIRST_SUSPENSION_MS - 1)
