Add a benchmark of the scheduler's rounds

There was no way to measure a planning round at the size of a grown cell without a cell. The benchmark drives the real scheduler, grant cache, pool of advisers' clients, planner, order books and state machine on a virtual clock: 176 workers of 32 processors, 45 gateways that answer advice calls, and three kinds of jobs, all with advice, at 0.6, 1.0 and 3.0 times a load that nearly fills the fleet. It prints the processor time of the rounds a simulated second, a round and a start; the time to apply commands is left out.

The scheduler gets public names for one round and for the pause after it; its behaviour is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -35,4 +35,5 @@
 	$(BIN)/python -m benchmarks.bench_end_to_end all --tasks=2000 --repeats=1 --seconds=5 --out bench-out/end_to_end.json
 	$(BIN)/python -m benchmarks.bench_heartbeats --seconds=4 --out bench-out/heartbeats.json
 	$(BIN)/python -m benchmarks.bench_placement --part=speed --workers='(24,240)' --teams='(10,)' --decisions=500 --out bench-out/placement_speed.json
+	$(BIN)/python -m benchmarks.bench_rounds --seconds=3 --out bench-out/rounds.json
 	$(BIN)/python -m benchmarks.bench_consensus --seconds=2 > bench-out/consensus.json
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -55,10 +55,15 @@
                 return
             round_requested.clear()
             if self._term.may_act():
-                self._round()
-            stopping.wait(ROUND_MIN_MS / 1000)
+                self.run_round()
+            stopping.wait(self.pause_ms() / 1000)
 
-    def _round(self) -> None:
+    def pause_ms(self) -> float:
+        """Return the pause after the last round."""
+        return ROUND_MIN_MS
+
+    def run_round(self) -> None:
+        """Place waiting tasks and commit their assignments."""
         term = self._term
         started_s = time.monotonic()
         with term.lock, term.state.lock:
