Select candidates for advice only when a call can be made

A round sorted all workers for each waiting step that needs advice, and computed how many empty workers it needs, although most of these steps had a call in progress, no free process to make one, or valid tickets.

Candidates are now selected only for steps whose next call may be made, workers are sorted once a round and pool, later calls of steps that are no gangs look only at workers with sufficient resources, and the number of needed workers is computed only for a first call, from the distinct capacities. Once no process is free for a policy, its remaining steps are not considered in this round.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -113,6 +113,16 @@
         step = self._steps.get(name)
         return step.tickets.keys() if step is not None else set()
 
+    def may_call(self, name: StepName, now_ms: int) -> bool:
+        """Return whether a call about the step may be made now."""
+        step = self._steps.get(name)
+        return step is None or step.may_call(now_ms)
+
+    def is_unknown(self, name: StepName) -> bool:
+        """Return whether no call about the step was answered yet."""
+        step = self._steps.get(name)
+        return step is None or not (step.tickets or step.refused)
+
     def select_workers(
         self,
         name: StepName,
@@ -143,7 +153,7 @@
         not_refused = [
             c for c in candidates if c.worker_id not in step.refused
         ]
-        if not step.tickets and not step.refused:
+        if self.is_unknown(name):
             included = sorted(not_refused, key=lambda c: not c.has_capacity)
             limit = max(
                 FIRST_CALL_WORKERS_MIN,
--- /dev/null
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -0,0 +1,77 @@
+"""Workers of a planning round as candidates for calls to the adviser."""
+
+import collections.abc
+
+from dandeliondrum.jobs import _advice
+from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import _specs
+from dandeliondrum import messages
+
+
+class CandidateWorkers:
+    """The usable workers of each pool, sorted once for all demands."""
+
+    def __init__(
+        self, workers: collections.abc.Iterable[_planner.AvailableWorker]
+    ) -> None:
+        self._by_pool: dict[str, list[_planner.AvailableWorker]] = {}
+        for worker in workers:
+            self._by_pool.setdefault(worker.pool, []).append(worker)
+        self._sorted_pools: set[str] = set()
+        self._capacities: dict[str, set[messages.Resources]] = {}
+
+    def select(
+        self,
+        demand: _planner.Demand,
+        only_with_capacity: bool,
+        expects_capacity: bool = False,
+    ) -> list[_advice.Candidate]:
+        """Return the candidates for a demand, the most free CPU first.
+
+        ``only_with_capacity`` leaves out those without sufficient resources.
+        With ``expects_capacity`` all workers count as having capacity.
+        """
+        label = demand.spec.required_label
+        charge = demand.spec.charged()
+        only_with_capacity = only_with_capacity and not expects_capacity
+        found = []
+        for worker in self._sorted_workers(demand.pool):
+            if (
+                only_with_capacity
+                and worker.free.cpu_millicores < charge.cpu_millicores
+            ):
+                break
+            if label and label not in worker.labels:
+                continue
+            has_capacity = expects_capacity or charge.fits_in(worker.free)
+            if has_capacity or not only_with_capacity:
+                found.append(_advice.Candidate(worker.worker_id, has_capacity))
+        return found
+
+    def count_needed(self, demand: _planner.Demand) -> int:
+        """Return how many empty workers would hold the waiting tasks."""
+        charge = demand.spec.charged()
+        tasks_per_worker = max(
+            (
+                _specs.tasks_that_fit(charge, capacity)
+                for capacity in self._capacities_of(demand.pool)
+            ),
+            default=1,
+        )
+        return -(-len(demand.indexes) // max(1, tasks_per_worker))
+
+    def _sorted_workers(self, pool: str) -> list[_planner.AvailableWorker]:
+        workers = self._by_pool.get(pool, [])
+        if pool not in self._sorted_pools:
+            self._sorted_pools.add(pool)
+            workers.sort(
+                key=lambda one: (-one.free.cpu_millicores, one.worker_id)
+            )
+        return workers
+
+    def _capacities_of(self, pool: str) -> set[messages.Resources]:
+        known = self._capacities.get(pool)
+        if known is None:
+            known = {worker.capacity for worker in self._by_pool.get(pool, ())}
+            self._capacities[pool] = known
+        return known
--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -7,7 +7,7 @@
 from returns import result
 import structlog
 
-from dandeliondrum.jobs import _advice
+from dandeliondrum.jobs import _advice_candidates
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _planner
@@ -46,46 +46,68 @@
             if queue.advice is not None
         ]
         advised.sort(key=lambda pair: _planner.priority_key(pair[0]))
+        candidate_workers = _advice_candidates.CandidateWorkers(workers)
         names = set()
+        busy_policies: set[_policy.AdvicePolicy] = set()
         for demand, policy in advised:
             name = _specs.step_name(demand.job_id, demand.step)
             names.add(name)
+            if policy in busy_policies:
+                continue
             expects_capacity = (
                 demand.spec.gang
                 and (demand.job_id, demand.step) in steps_with_capacity
             )
-            candidates = _candidates(demand, workers, expects_capacity)
-            self._ask(name, demand, policy, workers, candidates)
+            included = self._select_workers(
+                name, demand, policy, candidate_workers, expects_capacity
+            )
+            if included and not self._ask(name, policy, included):
+                busy_policies.add(policy)
         self._term.advice.retain(names)
 
-    def _ask(
+    def _select_workers(
         self,
         name: str,
         demand: _planner.Demand,
         policy: _policy.AdvicePolicy,
-        workers: list[_planner.AvailableWorker],
-        candidates: list[_advice.Candidate],
-    ) -> None:
-        term = self._term
+        candidate_workers: _advice_candidates.CandidateWorkers,
+        expects_capacity: bool,
+    ) -> tuple[messages.WorkerId, ...]:
+        advice = self._term.advice
         now_ms = _clock.elapsed_ms()
-        included = term.advice.select_workers(
+        if not advice.may_call(name, now_ms):
+            return ()
+        is_first_call = advice.is_unknown(name)
+        is_gang = demand.spec.gang
+        return advice.select_workers(
             name,
-            candidates,
+            candidate_workers.select(
+                demand, not is_first_call and not is_gang, expects_capacity
+            ),
             now_ms,
-            _workers_needed(demand, workers),
-            policy if demand.spec.gang else None,
+            candidate_workers.count_needed(demand) if is_first_call else 1,
+            policy if is_gang else None,
         )
-        if not included:
-            return
+
+    def _ask(
+        self,
+        name: str,
+        policy: _policy.AdvicePolicy,
+        included: tuple[messages.WorkerId, ...],
+    ) -> bool:
+        """Send a call; return False if no process is free for it."""
+        term = self._term
+        now_ms = _clock.elapsed_ms()
         client_id = term.adviser_clients.choose(policy, len(included), now_ms)
         if client_id is None:
-            return
+            return False
         term.advice.record_call(name, term.adviser_clients.due_ms(client_id))
         term.load.record_advice_call()
         request = _calls.AdviceRequest(name, included)
         self._send(client_id, request).add_done_callback(
             functools.partial(self._answered, client_id, request, now_ms)
         )
+        return True
 
     def _send(
         self, client_id: str, request: _calls.AdviceRequest
@@ -132,40 +154,3 @@
             problem=reply.problem,
         )
         term.round_requested.set()
-
-
-def _candidates(
-    demand: _planner.Demand,
-    workers: list[_planner.AvailableWorker],
-    expects_capacity: bool,
-) -> list[_advice.Candidate]:
-    label = demand.spec.required_label
-    charge = demand.spec.charged()
-    fitting: list[tuple[int, messages.WorkerId, bool]] = []
-    for worker in workers:
-        if worker.pool != demand.pool or label and label not in worker.labels:
-            continue
-        has_capacity = expects_capacity or charge.fits_in(worker.free)
-        fitting.append(
-            (-worker.free.cpu_millicores, worker.worker_id, has_capacity)
-        )
-    return [
-        _advice.Candidate(worker_id, has_capacity)
-        for _, worker_id, has_capacity in sorted(fitting)
-    ]
-
-
-def _workers_needed(
-    demand: _planner.Demand, workers: list[_planner.AvailableWorker]
-) -> int:
-    """Return how many empty workers would hold the waiting tasks."""
-    charge = demand.spec.charged()
-    tasks_per_worker = max(
-        (
-            _specs.tasks_that_fit(charge, worker.capacity)
-            for worker in workers
-            if worker.pool == demand.pool
-        ),
-        default=1,
-    )
-    return -(-len(demand.indexes) // max(1, tasks_per_worker))
