Allocate all tasks of a step in one pass over its workers

For each task the planner scanned all workers of the pool, and it built the list of eligible workers for each step, although most steps may run only on the few workers that the adviser granted. A gang that did not fit repeated this for each member in every round.

The workers of a step are now looked up by its tickets or grants, ranked once, and filled up in this order. This gives the same placements as choosing the best worker for each task: a worker that got a task has less free CPU than before, or the same, so it still ranks before all others. A gang's resources are taken only once all its members fit. Candidates for preemption are created only as far as they are looked at.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -9,6 +9,7 @@
 import collections.abc
 import dataclasses
 import enum
+import itertools
 
 from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
@@ -110,15 +111,13 @@
     to stop for demands that have waited; without it nothing is stopped.
     """
     preemption = preemption or _preemption.Preemption()
-    by_pool: dict[str, list[AvailableWorker]] = {}
-    for worker in workers:
-        by_pool.setdefault(worker.pool, []).append(worker)
+    pools = _make_pools(workers)
     groups: list[tuple[Placement, ...]] = []
     placed_count = 0
     for demand in sorted(demands, key=priority_key):
         if placed_count >= PLACEMENTS_MAX:
             break
-        pool = by_pool.get(demand.pool, [])
+        pool = pools.get(demand.pool, _NO_WORKERS)
         placement = _DemandPlacement(demand, pool, team_available)
         chosen = placement.place()
         groups += chosen
@@ -131,7 +130,8 @@
                     (demand.job_id, demand.step)
                 )
             else:
-                placement.reserve(left_count, len(pool) // RESERVED_DIVISOR)
+                reserved_max = len(pool.workers) // RESERVED_DIVISOR
+                placement.reserve(left_count, reserved_max)
     return groups
 
 
@@ -143,20 +143,13 @@
     ],
 ) -> WaitReason:
     """Return why a demand is still waiting after a planning round."""
-    pool = [worker for worker in workers if worker.pool == demand.pool]
-    if not pool:
+    pool = _make_pools(workers).get(demand.pool)
+    if pool is None:
         return WaitReason.NO_WORKER
     placement = _DemandPlacement(demand, pool, dict(team_available))
     if not placement.candidates_count():
-        unreserved = [
-            dataclasses.replace(worker, reserved=False) for worker in pool
-        ]
-        others = _DemandPlacement(demand, unreserved, dict(team_available))
-        return (
-            WaitReason.RESERVED
-            if others.candidates_count()
-            else WaitReason.NO_GRANT
-        )
+        others_count = placement.candidates_count(include_reserved=True)
+        return WaitReason.RESERVED if others_count else WaitReason.NO_GRANT
     if not placement.team_allows():
         return WaitReason.TEAM_LIMIT
     return (
@@ -164,40 +157,79 @@
     )
 
 
+class _Pool:
+    """The usable workers of one pool, and their positions by id."""
+
+    def __init__(self) -> None:
+        self.workers: list[AvailableWorker] = []
+        self.positions: dict[messages.WorkerId, int] = {}
+
+    def add(self, worker: AvailableWorker) -> None:
+        self.positions[worker.worker_id] = len(self.workers)
+        self.workers.append(worker)
+
+    def select(
+        self, worker_ids: collections.abc.Collection[messages.WorkerId] | None
+    ) -> list[AvailableWorker]:
+        """Return the workers with these ids, all if None, in pool order."""
+        if worker_ids is None:
+            return self.workers
+        positions = self.positions
+        return [
+            self.workers[position]
+            for position in sorted(
+                positions[worker_id]
+                for worker_id in worker_ids
+                if worker_id in positions
+            )
+        ]
+
+
+_NO_WORKERS = _Pool()
+
+
+def _make_pools(
+    workers: collections.abc.Iterable[AvailableWorker],
+) -> dict[str, _Pool]:
+    pools: dict[str, _Pool] = {}
+    for worker in workers:
+        pool = pools.get(worker.pool)
+        if pool is None:
+            pool = pools[worker.pool] = _Pool()
+        pool.add(worker)
+    return pools
+
+
 class _DemandPlacement:
     """Placement of one demand on the resources that are left."""
 
     def __init__(
         self,
         demand: Demand,
-        workers: list[AvailableWorker],
+        pool: _Pool,
         team_available: collections.abc.MutableMapping[
             messages.TeamId, messages.Resources
         ],
     ) -> None:
         self._demand = demand
+        self._pool = pool
         self._team_available = team_available
         self._charge = demand.spec.charged()
         self._counts = dict(demand.per_worker_counts)
-        # Workers whose ticket has to be renewed can be reserved as well.
-        self._eligible = [
-            worker for worker in workers if self._may_run(worker)
-        ]
-        self._workers = [
-            worker for worker in self._eligible if self._may_start(worker)
-        ]
 
     def place(self) -> list[tuple[Placement, ...]]:
         demand = self._demand
+        allowed_count = self._team_allows_count()
+        wanted_count = len(demand.indexes)
         if not demand.spec.gang:
-            groups: list[tuple[Placement, ...]] = []
-            for index in demand.indexes:
-                worker = self._allocate() if self.team_allows() else None
-                if worker is None:
-                    break
-                groups.append((self._placement(index, worker),))
-            return groups
-        return self._place_gang() if self.team_allows() else []
+            allocation = self._allocate(min(wanted_count, allowed_count))
+            return [(one,) for one in self._take(allocation)]
+        if allowed_count < wanted_count:
+            return []
+        allocation = self._allocate(wanted_count)
+        if sum(count for _, count in allocation) < wanted_count:
+            return []
+        return [tuple(self._take(allocation))]
 
     def reserve(self, tasks_count: int, reserved_max: int) -> None:
         """Reserve workers until the remaining tasks would fit on them.
@@ -221,7 +253,7 @@
         Returns whether any worker was reserved.
         """
         per_worker_max = self._demand.spec.per_worker_max
-        candidates = [
+        candidates = (
             _preemption.CandidateWorker(
                 worker.worker_id,
                 worker.free,
@@ -230,7 +262,7 @@
                 else None,
             )
             for worker in self._by_free_cpu()
-        ]
+        )
         reserved_ids = preemption.select_runs(
             candidates,
             self._charge,
@@ -238,10 +270,8 @@
             tasks_count,
             self._demand.spec.gang,
         )
-        for worker in self._eligible:
-            worker.reserved = (
-                worker.reserved or worker.worker_id in reserved_ids
-            )
+        for worker in self._pool.select(reserved_ids):
+            worker.reserved = True
         return bool(reserved_ids)
 
     def _by_free_cpu(self) -> list[AvailableWorker]:
@@ -249,76 +279,106 @@
         if not self.team_allows():
             # Reserved resources would stay idle.
             return []
+        # Workers whose ticket has to be renewed can be reserved as well.
         eligible = [
             worker
-            for worker in self._eligible
-            if self._charge.fits_in(worker.capacity)
+            for worker in self._pool.select(self._demand.granted)
+            if self._may_run(worker) and self._charge.fits_in(worker.capacity)
         ]
         eligible.sort(key=lambda worker: -worker.free.cpu_millicores)
         return eligible
 
-    def candidates_count(self) -> int:
+    def candidates_count(self, include_reserved: bool = False) -> int:
         """Return how many workers may start the demand now."""
-        return len(self._workers)
+        return len(self._startable(include_reserved))
 
     def single_task_fits(self) -> bool:
         """Return whether a single task would fit on any worker."""
-        return any(self._fits(worker) for worker in self._workers)
-
-    def _place_gang(self) -> list[tuple[Placement, ...]]:
-        taken: list[AvailableWorker] = []
-        for _ in self._demand.indexes:
-            worker = self._allocate()
-            if worker is None:
-                for allocated in taken:
-                    self._deallocate(allocated)
-                return []
-            taken.append(worker)
-        pairs = zip(self._demand.indexes, taken, strict=True)
+        return any(
+            self._charge.fits_in(worker.free) and self._room(worker) > 0
+            for worker in self._startable()
+        )
+
+    def _may_run(
+        self, worker: AvailableWorker, include_reserved: bool = False
+    ) -> bool:
+        if worker.reserved and not include_reserved:
+            return False
+        label = self._demand.spec.required_label
+        return not label or label in worker.labels
+
+    def _startable(
+        self, include_reserved: bool = False
+    ) -> list[AvailableWorker]:
+        """Return the workers on which a task may start now."""
+        tickets, granted = self._demand.tickets, self._demand.granted
         return [
-            tuple(self._placement(index, worker) for index, worker in pairs)
+            worker
+            for worker in self._pool.select(
+                granted if tickets is None else tickets
+            )
+            if self._may_run(worker, include_reserved)
+            and (granted is None or worker.worker_id in granted)
         ]
 
-    def _may_run(self, worker: AvailableWorker) -> bool:
-        demand = self._demand
-        if worker.reserved:
-            return False
-        label = demand.spec.required_label
-        if label and label not in worker.labels:
-            return False
-        return demand.granted is None or worker.worker_id in demand.granted
-
-    def _may_start(self, worker: AvailableWorker) -> bool:
-        tickets = self._demand.tickets
-        return tickets is None or worker.worker_id in tickets
-
-    def _allocate(self) -> AvailableWorker | None:
-        fitting = [worker for worker in self._workers if self._fits(worker)]
-        if not fitting:
-            return None
-        worker = min(fitting, key=self._rank)
-        worker.free -= self._charge
-        self._count(worker, 1)
-        self._update_team_available(self._demand.spec.resources, taken=True)
-        return worker
-
-    def _deallocate(self, worker: AvailableWorker) -> None:
-        worker.free += self._charge
-        self._count(worker, -1)
-        self._update_team_available(self._demand.spec.resources, taken=False)
-
-    def _count(self, worker: AvailableWorker, change: int) -> None:
-        counts = self._counts
-        counts[worker.worker_id] = counts.get(worker.worker_id, 0) + change
-
-    def _fits(self, worker: AvailableWorker) -> bool:
+    def _room(self, worker: AvailableWorker) -> int:
+        """Return how many more tasks fit on a worker with room for one."""
+        count = _specs.tasks_that_fit(self._charge, worker.free)
         per_worker_max = self._demand.spec.per_worker_max
-        if (
-            per_worker_max
-            and self._counts.get(worker.worker_id, 0) >= per_worker_max
-        ):
-            return False
-        return self._charge.fits_in(worker.free)
+        if per_worker_max:
+            used_count = self._counts.get(worker.worker_id, 0)
+            count = min(count, per_worker_max - used_count)
+        return count
+
+    def _allocate(
+        self, wanted_count: int
+    ) -> list[tuple[AvailableWorker, int]]:
+        """Return the best workers, each with a number of tasks to place.
+
+        A worker that got a task ranks before all others that ranked after it,
+        so it is filled up before the next one is used.
+        """
+        if wanted_count <= 0:
+            return []
+        charge = self._charge
+        ranked = [
+            (self._rank(worker), position, worker)
+            for position, worker in enumerate(self._startable())
+            if charge.fits_in(worker.free)
+        ]
+        ranked.sort()
+        allocation = []
+        for _, _, worker in ranked:
+            if wanted_count <= 0:
+                break
+            count = min(wanted_count, self._room(worker))
+            if count > 0:
+                allocation.append((worker, count))
+                wanted_count -= count
+        return allocation
+
+    def _take(
+        self, allocation: list[tuple[AvailableWorker, int]]
+    ) -> list[Placement]:
+        """Take an allocation's resources from the workers and the team."""
+        spec = self._demand.spec
+        placements = []
+        indexes = iter(self._demand.indexes)
+        for worker, count in allocation:
+            worker.free -= _multiply(self._charge, count)
+            worker_id = worker.worker_id
+            self._counts[worker_id] = self._counts.get(worker_id, 0) + count
+            placements += [
+                self._placement(index, worker)
+                for index in itertools.islice(indexes, count)
+            ]
+        team_id = self._demand.team_id
+        available = self._team_available.get(team_id)
+        if available is not None:
+            self._team_available[team_id] = available - _multiply(
+                spec.resources, len(placements)
+            )
+        return placements
 
     def _rank(self, worker: AvailableWorker) -> tuple[bool, int, bool, int]:
         """Return the sort key of a worker; the lowest is chosen.
@@ -337,20 +397,15 @@
     def team_allows(self) -> bool:
         """Return whether the team's limit allows a task, or the whole gang."""
         demand = self._demand
-        available = self._team_available.get(demand.team_id)
-        if available is None:
-            return True
         least_count = len(demand.indexes) if demand.spec.gang else 1
-        fit_count = _specs.tasks_that_fit(demand.spec.resources, available)
-        return fit_count >= least_count
+        return self._team_allows_count() >= least_count
 
-    def _update_team_available(
-        self, amount: messages.Resources, taken: bool
-    ) -> None:
+    def _team_allows_count(self) -> int:
+        """Return how many tasks the team's limit allows."""
         available = self._team_available.get(self._demand.team_id)
-        if available is not None:
-            changed = available - amount if taken else available + amount
-            self._team_available[self._demand.team_id] = changed
+        if available is None:
+            return _specs.ANY_NUMBER
+        return _specs.tasks_that_fit(self._demand.spec.resources, available)
 
     def _placement(self, index: int, worker: AvailableWorker) -> Placement:
         demand = self._demand
@@ -360,3 +415,13 @@
             worker.worker_id,
             tickets.get(worker.worker_id, ''),
         )
+
+
+def _multiply(amount: messages.Resources, count: int) -> messages.Resources:
+    if count == 1:
+        return amount
+    return messages.Resources(
+        amount.cpu_millicores * count,
+        amount.memory_mb * count,
+        amount.accelerators_count * count,
+    )
