Compute demands again only for jobs that have changed

Each round looked at all tasks of all open jobs, and copied each demand to add its tickets. Between two rounds only few jobs change.

A job's record counts its changes, and the scheduler keeps the demands of a job until the count, the record or the policy differs. The demands' own fields for tickets, grants and waiting time are set anew for each round instead of copying the demand.

--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -20,6 +20,8 @@
 # Replaces an amount for which a team has no limit.
 UNLIMITED = 1 << 50
 
+_OpenDemand = tuple[_planner.Demand, _policy.QueuePolicy]
+
 
 def waiting_indexes(job: _records.JobRecord, step: int) -> tuple[int, ...]:
     """Return the indexes of the tasks of a step that may be started now.
@@ -39,30 +41,71 @@
 
 def open_demands(
     state: _state.JobsState,
-) -> collections.abc.Iterator[tuple[_planner.Demand, _policy.QueuePolicy]]:
+) -> collections.abc.Iterator[_OpenDemand]:
     """Yield a demand for each due step; the caller holds the state's lock."""
     for job in state.open_jobs.values():
-        queue = state.queue_of(job)
-        if queue is None:
+        yield from _job_demands(state, job)
+
+
+class DemandCache:
+    """Demands of due steps, computed again only for jobs that have changed.
+
+    Not thread-safe: only the scheduler's thread uses it.
+    """
+
+    def __init__(self) -> None:
+        self._policy: _policy.Policy | None = None
+        self._by_job: dict[
+            _specs.JobId, tuple[_records.JobRecord, int, list[_OpenDemand]]
+        ] = {}
+
+    def read(self, state: _state.JobsState) -> list[_OpenDemand]:
+        """Return what open_demands yields; the caller holds its lock.
+
+        The demands are those of the last call where nothing has changed.
+        """
+        before = self._by_job if state.policy is self._policy else {}
+        self._policy = state.policy
+        self._by_job = {}
+        found: list[_OpenDemand] = []
+        for job_id, job in state.open_jobs.items():
+            known = before.get(job_id)
+            if (
+                known is None
+                or known[0] is not job
+                or known[1] != job.changes_count
+            ):
+                demands = list(_job_demands(state, job))
+                known = (job, job.changes_count, demands)
+            self._by_job[job_id] = known
+            found += known[2]
+        return found
+
+
+def _job_demands(
+    state: _state.JobsState, job: _records.JobRecord
+) -> collections.abc.Iterator[_OpenDemand]:
+    queue = state.queue_of(job)
+    if queue is None:
+        return
+    for step, spec in enumerate(job.spec.steps):
+        indexes = waiting_indexes(job, step)
+        if not indexes or not job.step_is_due(step):
             continue
-        for step, spec in enumerate(job.spec.steps):
-            indexes = waiting_indexes(job, step)
-            if not indexes or not job.step_is_due(step):
-                continue
-            yield (
-                _planner.Demand(
-                    job.spec.job_id,
-                    _specs.StepIndex(step),
-                    spec,
-                    job.spec.team_id,
-                    queue.pool,
-                    queue.priority,
-                    job.spec.submitted_ms,
-                    indexes,
-                    per_worker_counts=_counts(job, step),
-                ),
-                queue,
-            )
+        yield (
+            _planner.Demand(
+                job.spec.job_id,
+                _specs.StepIndex(step),
+                spec,
+                job.spec.team_id,
+                queue.pool,
+                queue.priority,
+                job.spec.submitted_ms,
+                indexes,
+                per_worker_counts=_counts(job, step),
+            ),
+            queue,
+        )
 
 
 def available_worker(
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -23,7 +23,7 @@
 RESERVED_DIVISOR = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Demand:
     """The waiting tasks of one due step.
 
@@ -32,6 +32,8 @@
     any worker may run it. ``avoided`` holds the workers on which a task of
     the step failed before. ``per_worker_counts`` is the number of tasks of
     the step on each worker. ``waited_ms`` is how long the step has been due.
+    The planner does not change a demand; ``tickets``, ``granted``, ``avoided``
+    and ``waited_ms`` are set anew for each round.
     """
 
     job_id: _specs.JobId
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -66,12 +66,17 @@
 
 @dataclasses.dataclass(slots=True)
 class JobRecord:
-    """One job; ``ended_index`` is the log index of its end, else 0."""
+    """One job; ``ended_index`` is the log index of its end, else 0.
+
+    ``changes_count`` grows with each change of the tasks. It is not part of
+    snapshots, since it only tells readers in this process what has changed.
+    """
 
     spec: _specs.JobSpec
     steps: list[StepRecord]
     phase: JobPhase = JobPhase.QUEUED
     ended_index: int = 0
+    changes_count: int = dataclasses.field(default=0, compare=False)
 
     def task(self, key: _specs.TaskKey) -> TaskRecord | None:
         """Return the record of a task, None if the job has no such task."""
--- a/dandeliondrum/jobs/_run_ends.py
+++ b/dandeliondrum/jobs/_run_ends.py
@@ -30,6 +30,7 @@
     task: _records.TaskRecord,
     end: _commands.RunEnd,
 ) -> None:
+    job.changes_count += 1
     done = end.outcome is _commands.RunOutcome.DONE
     current = task.phase is _records.TaskPhase.ASSIGNED and task.run == end.run
     if current:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -1,7 +1,5 @@
 """Scheduling rounds: request advice, place tasks, commit the assignments."""
 
-import collections.abc
-import dataclasses
 import threading
 import time
 
@@ -40,6 +38,7 @@
         self._term = term
         self._advice_requester = _advice_requester.AdviceRequester(term)
         self._wait_tracker = _wait_tracker.WaitTracker()
+        self._demand_cache = _demands.DemandCache()
         # Steps for which the last round reserved workers on which tasks fit,
         # now or once runs have been stopped.
         self._steps_with_capacity: set[
@@ -69,7 +68,7 @@
         with term.lock, term.state.lock:
             locked_s = time.monotonic()
             term.metrics.open_jobs.set(len(term.state.open_jobs))
-            demands = list(_demands.open_demands(term.state))
+            demands = self._demand_cache.read(term.state)
             term.load.record_waiting(len(demands), len(term.state.open_jobs))
             if not demands:
                 term.advice.retain(set())
@@ -116,10 +115,10 @@
     ) -> _Groups:
         term = self._term
         now_ms = _clock.elapsed_ms()
-        ready = [
-            self._with_grants(demand, queue, now_ms)
-            for demand, queue in demands
-        ]
+        ready = []
+        for demand, queue in demands:
+            self._set_advice(demand, queue, now_ms)
+            ready.append(demand)
         team_available = _demands.team_available(term.state)
         preemption = _preemption.Preemption(self._preemptible_runs)
         groups = _planner.plan(
@@ -165,29 +164,21 @@
             )
             self._term.peers[run.worker_id].orders.stop(run.task, run.run)
 
-    def _with_grants(
+    def _set_advice(
         self,
         demand: _planner.Demand,
         queue: _policy.QueuePolicy,
         now_ms: int,
-    ) -> _planner.Demand:
+    ) -> None:
+        """Set the workers that a demand may use now, and how long it waits."""
         term = self._term
-        tickets: dict[messages.WorkerId, str] | None = None
-        granted: collections.abc.Set[messages.WorkerId] | None = None
         if queue.advice is not None:
             name = _specs.step_name(demand.job_id, demand.step)
-            tickets = term.advice.tickets(name, now_ms)
-            granted = term.advice.granted(name)
-        failed_on = term.failed_on.get((demand.job_id, demand.step), set())
-        return dataclasses.replace(
-            demand,
-            tickets=tickets,
-            granted=granted,
-            avoided=frozenset(failed_on),
-            waited_ms=self._wait_tracker.waited_ms(
-                demand.job_id, demand.step, now_ms
-            ),
-        )
+            demand.tickets = term.advice.tickets(name, now_ms)
+            demand.granted = term.advice.granted(name)
+        step = (demand.job_id, demand.step)
+        demand.avoided = frozenset(term.failed_on.get(step, ()))
+        demand.waited_ms = self._wait_tracker.waited_ms(*step, now_ms)
 
     def _register_orders(
         self,
--- a/dandeliondrum/jobs/tests/test_demands.py
+++ b/dandeliondrum/jobs/tests/test_demands.py
@@ -1,6 +1,7 @@
 """Demands of due steps, and the resources that teams may still use."""
 
 import dataclasses
+import random
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
@@ -67,3 +68,66 @@
     machine = helpers.Machine()
     _limited(machine)
     assert helpers.TEAM not in _demands.team_available(machine.state)
+
+
+def _random_command(rng, machine, number):
+    """Return a random command about the jobs so far."""
+    jobs_list = list(machine.state.jobs.values())
+    kind = rng.choice(('submit', 'assign', 'assign', 'end', 'end', 'cancel'))
+    if kind == 'submit' or not jobs_list:
+        steps = tuple(
+            helpers.step(
+                rng.randint(1, 3),
+                gang=rng.random() < 0.3,
+                after=tuple(range(at)) if rng.random() < 0.5 else (),
+                per_worker_max=rng.choice((0, 0, 2)),
+            )
+            for at in range(rng.randint(1, 3))
+        )
+        return _commands.SubmitJob(helpers.job(f'j{number}', *steps))
+    job = rng.choice(jobs_list)
+    job_id = job.spec.job_id
+    step = rng.randrange(len(job.steps))
+    index = rng.randrange(len(job.steps[step].tasks))
+    key = jobs.TaskKey(job_id, step, index)
+    run = job.steps[step].tasks[index].run
+    match kind:
+        case 'assign':
+            worker_id = messages.WorkerId(rng.choice(('w1', 'w2')))
+            assignment = _commands.RunAssignment(key, run + 1, worker_id)
+            return _commands.AssignRuns(((assignment,),))
+        case 'end':
+            outcome = rng.choice(list(jobs.RunOutcome))
+            return _commands.EndRuns((jobs.RunEnd(key, run, outcome),))
+    return _commands.CancelJob(job_id)
+
+
+def test_cached_demands_are_those_computed_anew():
+    rng = random.Random(1)
+    for _ in range(20):
+        machine = helpers.Machine(('w1', 'w2'))
+        cache = _demands.DemandCache()
+        version = 1
+        for number in range(120):
+            machine(_random_command(rng, machine, number))
+            if rng.random() < 0.05:
+                version += 1
+                document = helpers.document(version, rng.random() < 0.5)
+                machine(_commands.PutPolicy(version, document))
+            if rng.random() < 0.03:
+                machine.state.restore(machine.state.snapshot())
+            if rng.random() < 0.5:
+                found = cache.read(machine.state)
+                assert found == list(_demands.open_demands(machine.state))
+
+
+def test_an_unchanged_job_keeps_its_cached_demands():
+    machine = helpers.Machine()
+    machine(_commands.SubmitJob(helpers.job('j1', helpers.step(2))))
+    machine(_commands.SubmitJob(helpers.job('j2', helpers.step(2))))
+    cache = _demands.DemandCache()
+    before = [demand for demand, _ in cache.read(machine.state)]
+    assert machine.assign('j2.0.0.0')
+    after = [demand for demand, _ in cache.read(machine.state)]
+    assert after[0] is before[0]
+    assert after[1].indexes == (1,)
