Answer heartbeats of gateways without the lock of the state

The leader took the lock of the replicated state to read the version of the policy for each heartbeat of a gateway. A planning round holds this lock, and on a large cell it is long; the heartbeats waited in the threads that read the streams, gateways gave the leader up after 500 ms and connected again, which made the leader still busier.

The policy is an immutable value that is replaced as a whole, so its version is now read without the lock. The document is still read under it, which happens only for a gateway with an older version.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -142,8 +142,9 @@
         connection: transport.Connection | None,
         message: messages.GatewayHeartbeat,
     ) -> messages.GatewayHeartbeatReply:
-        with self._term.state.lock:
-            version = messages.RulesVersion(self._term.state.policy.version)
+        # Read without the lock, which others may hold for long: gateways
+        # give up a leader that does not answer in time.
+        version = messages.RulesVersion(self._term.state.policy.version)
         if connection is not None and message.rules_version < version:
             connection.push(self._document_push())
         return messages.GatewayHeartbeatReply(
