Start threads for orders to workers only while orders are under way

Three threads for each worker waited for orders and woke up every 500 ms: of 706 threads of a leader with 176 workers, 528, started at each takeover while the first reads of all workers compete for the interpreter's lock.

An order that is queued now starts a task of the leader's pool, at most three for a worker; the task sends orders until none is queued. The pool starts a thread when none is idle, and its limit is still that of all orders to 500 workers, so workers that don't answer, be it a rack or a failure domain, take no thread from the others. No task starts once the worker has ended: this is checked under the peer's lock, which closing now takes. OrderSender.run stays for callers with threads of their own.

Ruled out: a pool of fixed size, which hanging workers would exhaust; waiting without a timeout, which leaves the threads.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -1,5 +1,6 @@
 """Delivery of start and stop orders to one worker."""
 
+import collections.abc
 import threading
 
 import structlog
@@ -9,7 +10,11 @@
 from dandeliondrum.jobs import _peer_state
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _specs
+from dandeliondrum import utils
 
+# Number of orders under way to one worker. An order without an answer takes
+# its timeout; the others go on meanwhile.
+ORDERS_MAX = 3
 RETRY_DELAY_MS = 100
 QUEUE_TIMEOUT_MS = 500
 # Number of unanswered start orders after which a stop is sent instead.
@@ -17,6 +22,9 @@
 
 _logger = structlog.get_logger()
 
+# Starts a named task in a thread.
+Runner = collections.abc.Callable[[str, utils.Task], None]
+
 
 class OrderSender:
     """Sends the orders of the order book; several threads may run it."""
@@ -24,23 +32,51 @@
     def __init__(self, state: _peer_state.PeerState) -> None:
         self._state = state
         self._orders = state.orders
+        self._tasks_count = 0
 
     def run(self, stopping: threading.Event) -> None:
         """Send starts and stops until the worker has ended."""
-        state = self._state
-        while not stopping.is_set() and not state.ended:
+        while not stopping.is_set() and not self._state.ended:
             item = self._orders.next(QUEUE_TIMEOUT_MS / 1000)
-            if item is None:
-                continue
-            if not state.events.may_act():
-                self._orders.put_back(item)
-                stopping.wait(RETRY_DELAY_MS / 1000)
-                continue
-            match item:
-                case _orders.Stop(task, run):
-                    self._send_stop(task, run)
-                case task:
-                    self._send_start(task, stopping)
+            if item is not None:
+                self._send(item, stopping)
+
+    def start_with(self, run: Runner) -> None:
+        """Send queued orders in tasks that ``run`` is called to start.
+
+        A task ends when no order is queued. There are as many tasks as
+        orders under way, at most ``ORDERS_MAX``, and none once the worker
+        has ended.
+        """
+        self._orders.on_queued = lambda: self._start_task(run)
+
+    def _start_task(self, run: Runner) -> None:
+        # The caller holds the lock of the state.
+        if self._tasks_count < ORDERS_MAX and not self._state.ended:
+            self._tasks_count += 1
+            run(f'orders to {self._state.facts.worker_id}', self._send_queued)
+
+    def _send_queued(self, stopping: threading.Event) -> None:
+        while not stopping.is_set() and not self._state.ended:
+            with self._state.lock:
+                item = self._orders.next(0)
+                if item is None:
+                    self._tasks_count -= 1
+                    return
+            self._send(item, stopping)
+
+    def _send(
+        self, item: _specs.TaskKey | _orders.Stop, stopping: threading.Event
+    ) -> None:
+        if not self._state.events.may_act():
+            self._orders.put_back(item)
+            stopping.wait(RETRY_DELAY_MS / 1000)
+            return
+        match item:
+            case _orders.Stop(task, run):
+                self._send_stop(task, run)
+            case task:
+                self._send_start(task, stopping)
 
     def _send_start(
         self, task: _specs.TaskKey, stopping: threading.Event
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import threading
@@ -60,9 +61,17 @@
 
 
 class OrderBook:
-    """The start orders by task and the outgoing queue; thread-safe."""
+    """The start orders by task and the outgoing queue; thread-safe.
 
-    def __init__(self, lock: threading.RLock) -> None:
+    ``on_queued`` is called for each order that is queued, under ``lock``.
+    """
+
+    def __init__(
+        self,
+        lock: threading.RLock,
+        on_queued: collections.abc.Callable[[], object] = lambda: None,
+    ) -> None:
+        self.on_queued = on_queued
         self._lock = lock
         self._condition = threading.Condition(lock)
         self._orders: dict[_specs.TaskKey, Order] = {}
@@ -88,7 +97,7 @@
             if order is not None:
                 order.phase = OrderPhase.QUEUED
                 self._queue.append(task)
-                self._condition.notify()
+                self._notify_queued()
 
     def stop(self, task: _specs.TaskKey, run: int) -> None:
         """Queue a stop order, unless a recent one exists."""
@@ -99,7 +108,7 @@
                 return
             self._stops_ms[task, run] = now_ms
             self._queue.appendleft(Stop(task, run))
-            self._condition.notify()
+            self._notify_queued()
 
     def is_stopping(self, task: _specs.TaskKey, run: int) -> bool:
         """Return whether a stop of the run has been ordered."""
@@ -114,7 +123,7 @@
     def next(self, timeout_s: float) -> _specs.TaskKey | Stop | None:
         """Return the next order to send; None after the timeout."""
         with self._condition:
-            if not self._queue:
+            if not self._queue and timeout_s:
                 self._condition.wait(timeout_s)
             return self._queue.popleft() if self._queue else None
 
@@ -124,10 +133,14 @@
             self._queue.appendleft(item)
 
     def requeue(self, item: _specs.TaskKey | Stop) -> None:
-        """Append an order to the queue to be sent again."""
-        with self._condition:
+        """Append an order to the queue, to be sent again by this thread."""
+        with self._lock:
             self._queue.append(item)
 
+    def _notify_queued(self) -> None:
+        self._condition.notify()
+        self.on_queued()
+
     def wake_all(self) -> None:
         """Wake all threads that wait for an order."""
         with self._condition:
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -124,5 +124,6 @@
 
     def close(self) -> None:
         """Stop the threads that serve the worker."""
-        self.ended = True
-        self.orders.wake_all()
+        with self.lock:
+            self.ended = True
+            self.orders.wake_all()
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -11,6 +11,7 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _order_sender
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _progress
 from dandeliondrum.jobs import _records
@@ -21,12 +22,9 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
-# Threads that send orders to one worker. An order without an answer blocks
-# one of them for its timeout; the others continue with other jobs.
-ORDER_THREADS_PER_WORKER = 3
-# Sufficient for 500 workers, each with a thread that reads its lists, plus
-# the scheduler.
-PEER_THREADS_MAX = 500 * (1 + ORDER_THREADS_PER_WORKER) + 1
+# Sufficient for 500 workers, each with a thread that reads its lists and the
+# orders under way to it, plus the scheduler.
+PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 1
 CHECK_INTERVAL_MS = 1_000
 # A worker without runs that has not reported for this long is removed.
 REMOVE_AFTER_MS = 20_000
@@ -194,10 +192,7 @@
         )
         term.peers[facts.worker_id] = peer
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
-        for _ in range(ORDER_THREADS_PER_WORKER):
-            self._supervisor.run(
-                f'orders to {facts.worker_id}', peer.sender.run
-            )
+        peer.sender.start_with(self._supervisor.run)
 
     def _on_removed(
         self, worker_id: messages.WorkerId, done: _term.Proposed
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -9,12 +9,14 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _order_sender
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _worker_peer
 from dandeliondrum.jobs import _workers
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 from dandeliondrum import testing
+from dandeliondrum import utils
 
 TIMEOUT_S = 20
 
@@ -394,3 +396,82 @@
     leader.obsolete = stop_meanwhile
     peer.sender._send_start(key, leader.stopping)
     assert peer.orders.is_lost(key, 1, read=1)
+
+
+@contextlib.contextmanager
+def serving_with_tasks(*leaders):
+    """Serve the workers with the threads of one supervisor, as a leader."""
+    supervisor = utils.Supervisor('test', _workers.PEER_THREADS_MAX)
+    names = []
+
+    def run(name, task):
+        names.append(name)
+        supervisor.run(name, task)
+
+    for leader in leaders:
+        leader.peer.sender.start_with(run)
+        supervisor.run('lists', leader.peer.watch)
+    try:
+        yield names
+    finally:
+        supervisor.stopping.set()
+        for leader in leaders:
+            leader.peer.close()
+        supervisor.close()
+
+
+def test_a_worker_without_orders_needs_no_thread_for_them(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step(2))
+    with serving_with_tasks(leader) as names:
+        testing.wait_until(leader.peer.usable)
+        assert names == []
+        for index in range(2):
+            leader.start(f'j.0.0.{index}')
+            count = index + 1
+            testing.wait_until(lambda: len(leader.outcomes) == count)
+            testing.wait_until(lambda: not leader.peer.sender._tasks_count)
+    assert names == 2 * ['orders to w1']
+
+
+def test_hanging_orders_hold_up_neither_their_worker_nor_another(worker):
+    """All but one of the orders to a worker hang until the others have run."""
+    other = testing.FakeWorker('w2', messages.Resources(4_000, 100), 50)
+    leaders = [FakeLeader(worker), FakeLeader(other)]
+    hanging = _order_sender.ORDERS_MAX - 1
+    answered = threading.Event()
+    port = testing.FakeFleet([worker])
+
+    def start(order):
+        if order.task.index < hanging:
+            answered.wait(TIMEOUT_S)
+        return worker.start(order)
+
+    port.start = start
+    leaders[0].peer._state.port = port
+    for leader in leaders:
+        leader.submit('j', helpers.step(hanging + 1))
+    with serving_with_tasks(*leaders):
+        for leader in leaders:
+            testing.wait_until(leader.peer.usable)
+            for index in range(hanging + 1):
+                leader.start(f'j.0.0.{index}')
+        last = (f'j.0.0.{hanging}', 1, 'DONE')
+        try:
+            testing.wait_until(lambda: last in leaders[0].outcomes)
+            testing.wait_until(
+                lambda: len(leaders[1].outcomes) == hanging + 1
+            )
+        finally:
+            answered.set()
+
+
+def test_no_order_is_sent_to_a_worker_after_its_end(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    with serving_with_tasks(leader) as names:
+        testing.wait_until(leader.peer.usable)
+        leader.peer.close()
+        leader.start('j.0.0.0')
+    assert names == []
+    assert worker.starts == []
