Pause before a stop order that failed is sent again

A stop order without an answer was queued again and sent at once. If the call fails at once, as with a closed port after a worker's crash, up to three threads sent it in a loop until the worker's lease had expired, seconds later, and wrote a log line each time.

An unanswered start already waits 100 ms; a stop now does the same.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -74,7 +74,8 @@
             return
         match item:
             case _orders.Stop(task, run):
-                self._send_stop(task, run)
+                if not self._send_stop(task, run):
+                    stopping.wait(RETRY_DELAY_MS / 1000)
             case task:
                 self._send_start(task, stopping)
 
@@ -198,7 +199,8 @@
         """Prevent a late start; the worker's lists tell what became of it."""
         self._orders.stop(task, order.run)
 
-    def _send_stop(self, task: _specs.TaskKey, run: int) -> None:
+    def _send_stop(self, task: _specs.TaskKey, run: int) -> bool:
+        """Send a stop; return False if it has to be sent again."""
         state = self._state
         with state.lock:
             order = self._orders.get(task, run)
@@ -219,3 +221,5 @@
                     why=detail,
                 )
                 self._orders.requeue(_orders.Stop(task, run))
+                return False
+        return True
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -475,3 +475,26 @@
         leader.start('j.0.0.0')
     assert names == []
     assert worker.starts == []
+
+
+def test_a_stop_that_fails_at_once_is_not_sent_without_a_pause(worker):
+    """Regression test: a worker whose port is closed kept a processor busy."""
+    worker.run_ms = 60_000
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    sent = []
+    port = testing.FakeFleet([worker])
+
+    def stop(order):
+        sent.append(order)
+        return jobs.Unanswered(False, 'connection refused')
+
+    port.stop = stop
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(worker.running)
+        leader.peer._state.port = port
+        leader.peer.orders.stop(jobs.parse_task_key('j.0.0.0'), 1)
+        time.sleep(0.5)
+        assert 2 <= len(sent) <= 10
