Read a worker without runs once a second instead of holding a read

Each worker was read at least each 500 ms, also one on which nothing ran or was assigned: 350 reads a second for 176 idle workers, the larger part of the processor time of an idle leader.

Without runs there is no lease to renew and no end to wait for; a start order grants a lease itself. The leader now waits between the reads of such a worker, at most a second and up to a quarter less, so that reads spread out. A planned start or a queued stop ends the pause at once and the next read is held as before, so ends of runs are reported as early as before; workers with runs are read as before. These reads are not held, so the age of the newest lists stays below the 2.2 s after which a worker gets no new tasks. A worker that stops answering is noticed after 1.4 s at most instead of 0.9 s.

Ruled out: a longer held read, since a run that starts meanwhile would have its end hidden for that long if the reply is lost.

--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -74,6 +74,7 @@
         self.on_queued = on_queued
         self._lock = lock
         self._condition = threading.Condition(lock)
+        self._used = threading.Condition(lock)
         self._orders: dict[_specs.TaskKey, Order] = {}
         self._queue: collections.deque[_specs.TaskKey | Stop] = (
             collections.deque()
@@ -84,6 +85,7 @@
         """Add the order of a run that is about to be proposed to the log."""
         with self._lock:
             self._orders[task] = order
+            self._used.notify()
 
     def discard_plan(self, task: _specs.TaskKey) -> None:
         """Remove the order of a run that was not assigned."""
@@ -139,12 +141,21 @@
 
     def _notify_queued(self) -> None:
         self._condition.notify()
+        self._used.notify()
         self.on_queued()
 
+    def wait_until_used(self, timeout_s: float) -> bool:
+        """Wait for a planned start or a queued order; return if one exists."""
+        with self._used:
+            if not self._orders and not self._queue:
+                self._used.wait(timeout_s)
+            return bool(self._orders or self._queue)
+
     def wake_all(self) -> None:
         """Wake all threads that wait for an order."""
-        with self._condition:
+        with self._lock:
             self._condition.notify_all()
+            self._used.notify_all()
 
     def drop_queued(self) -> None:
         """Clear the queue."""
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import random
 import threading
 
 import structlog
@@ -25,6 +26,11 @@
 # timeout of the call, and the latency objective of jobs leaves half a second
 # beyond their run time.
 LIST_WAIT_MAX_MS = 500
+# Interval of the reads of a worker without runs and orders, less up to a
+# quarter, so that the reads of many workers are spread. A worker that does
+# not answer is noticed after this and the timeout of the call.
+IDLE_READ_INTERVAL_MS = 1_000
+IDLE_READ_SPREAD = 0.25
 RETRY_DELAY_MS = 100
 # A worker that has not answered for this long is given no new tasks.
 SILENCE_MAX_MS = 2_200
@@ -73,6 +79,8 @@
         self._leaving = False
         self._last_reply_ms: int | None = None
         self._first_read = True
+        # Whether nothing runs on the worker or is assigned to it.
+        self._is_idle = False
 
     @property
     def facts(self) -> _commands.WorkerFacts:
@@ -120,6 +128,21 @@
                 continue
             if not self._read_once():
                 stopping.wait(RETRY_DELAY_MS / 1000)
+            elif self._is_idle:
+                self._wait_for_order()
+
+    def _wait_for_order(self) -> None:
+        """Wait for an order, at most until the next read is due.
+
+        A worker without runs needs no lease and has no ends to report; a
+        start order grants a lease itself.
+        """
+        spread = 1 - IDLE_READ_SPREAD * random.random()
+        with self._lock:
+            if not self._state.ended:
+                self._is_idle = not self.orders.wait_until_used(
+                    IDLE_READ_INTERVAL_MS * spread / 1000
+                )
 
     def _read_once(self) -> bool:
         with self._lock:
@@ -127,6 +150,7 @@
             number = self._state.reads_count
             token = self._state.token
             request = self._lease_request()
+        self._is_idle = False
         outcome = self._state.port.renew(request)
         if self._state.ended:
             return True
@@ -162,7 +186,7 @@
             self._state.token,
             self._acknowledged,
             None if read_only else self._state.lease_until_ms(),
-            0 if read_only else wait_ms,
+            0 if read_only or self._is_idle else wait_ms,
         )
 
     def _handle_lists(
@@ -236,6 +260,10 @@
             self._unassigned_count = len(unassigned)
             numbers = [item.sequence for item in lists.ends]
             self._acknowledged = max([self._acknowledged, *numbers])
+        still_assigned = assigned.keys() - {end.task for end in ends}
+        self._is_idle = (
+            lists.ends_complete and not still_assigned and not listed
+        )
         return True
 
     def _lost(self, task: _specs.TaskKey, run: int) -> _commands.RunEnd:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -459,9 +459,7 @@
         last = (f'j.0.0.{hanging}', 1, 'DONE')
         try:
             testing.wait_until(lambda: last in leaders[0].outcomes)
-            testing.wait_until(
-                lambda: len(leaders[1].outcomes) == hanging + 1
-            )
+            testing.wait_until(lambda: len(leaders[1].outcomes) == hanging + 1)
         finally:
             answered.set()
 
@@ -498,3 +496,54 @@
         leader.peer.orders.stop(jobs.parse_task_key('j.0.0.0'), 1)
         time.sleep(0.5)
         assert 2 <= len(sent) <= 10
+
+
+def _record_reads(leader):
+    """Return a list to which the reads of the worker's lists are added."""
+    requests = []
+    port = testing.FakeFleet([leader.worker])
+
+    def renew(request):
+        requests.append(request)
+        return leader.worker.renew(request)
+
+    port.renew = renew
+    leader.peer._state.port = port
+    return requests
+
+
+def test_a_worker_without_runs_is_read_rarely_and_stays_usable(worker):
+    leader = FakeLeader(worker)
+    requests = _record_reads(leader)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        time.sleep(2.1)
+        assert leader.peer.usable()
+    assert 2 <= len(requests) <= 4
+    assert {request.wait_ms for request in requests} == {0}
+
+
+def test_a_start_ends_the_pause_between_reads_of_an_idle_worker(worker):
+    """The end of the first run after a pause is not reported late."""
+    leader = FakeLeader(worker, lease_ms=6_000)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        testing.wait_until(lambda: leader.peer._is_idle)
+        begin_s = time.monotonic()
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+        elapsed_ms = (time.monotonic() - begin_s) * 1_000
+    assert elapsed_ms < 700
+
+
+def test_an_idle_worker_that_stops_answering_is_noticed(worker):
+    leader = FakeLeader(worker)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        testing.wait_until(lambda: leader.peer._is_idle)
+        begin_s = time.monotonic()
+        worker.silent = True
+        testing.wait_until(lambda: not leader.peer.usable())
+        elapsed_ms = (time.monotonic() - begin_s) * 1_000
+    assert elapsed_ms < _worker_peer.IDLE_READ_INTERVAL_MS + 400
