Commit ends of runs on several workers in one command

Each worker's reading thread proposed the ends on its worker as a command of its own: 330 ends a second were about 300 commands, each of which is encoded, logged, replicated, applied and answered by itself, and takes the locks for the health of workers and for obsolete runs. A proposal costs the leader more than the read that brought the end.

While one thread commits a batch, the ends of the others now gather in the next one, which one of them commits for all. An end that comes alone is committed at once, so nothing waits for a timer; an end waits for at most one other commit before its own. All threads of a batch learn its outcome, and a batch that failed is read and recorded again, as before.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -11,6 +11,7 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _end_recorder
 from dandeliondrum.jobs import _order_sender
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _progress
@@ -43,6 +44,7 @@
         self._replaced_started_ms: dict[messages.WorkerId, int] = {}
         # Earliest time at which draining workers leave, on our clock.
         self._leaves_ms: dict[messages.WorkerId, int] = {}
+        self._end_recorder = _end_recorder.EndRecorder(self._commit_ends)
 
     def restore(self) -> None:
         """Start the peers of all workers in the replicated state."""
@@ -240,25 +242,7 @@
 
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Commit ends to the log, then update health and stop broken gangs."""
-        workers = self._workers_of(ends)
-        outcome = self._term.commit(_commands.EndRuns(ends))
-        if isinstance(outcome, result.Failure):
-            _logger.warning('ends not recorded', why=str(outcome.failure()))
-            return False
-        for end in ends:
-            self._term.metrics.ended.labels(end.outcome.value).inc()
-            _logger.info(
-                'run ended',
-                task=str(end.task),
-                run=end.run,
-                outcome=end.outcome.value,
-                worker=workers.get(end.task),
-            )
-        with self._term.lock:
-            self._record_health(ends, workers)
-        self.stop_obsolete({end.task.job_id for end in ends})
-        self._term.round_requested.set()
-        return True
+        return self._end_recorder.record(ends)
 
     def misplaced(
         self, worker_id: messages.WorkerId, lists: _port.WorkerListing
@@ -356,6 +340,27 @@
                 if peer is not None and _is_obsolete(job, key, task.run):
                     peer.orders.stop(key, task.run)
 
+    def _commit_ends(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
+        workers = self._workers_of(ends)
+        outcome = self._term.commit(_commands.EndRuns(ends))
+        if isinstance(outcome, result.Failure):
+            _logger.warning('ends not recorded', why=str(outcome.failure()))
+            return False
+        for end in ends:
+            self._term.metrics.ended.labels(end.outcome.value).inc()
+            _logger.info(
+                'run ended',
+                task=str(end.task),
+                run=end.run,
+                outcome=end.outcome.value,
+                worker=workers.get(end.task),
+            )
+        with self._term.lock:
+            self._record_health(ends, workers)
+        self.stop_obsolete({end.task.job_id for end in ends})
+        self._term.round_requested.set()
+        return True
+
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
     ) -> dict[_specs.TaskKey, messages.WorkerId]:
--- /dev/null
+++ b/dandeliondrum/jobs/tests/test_end_recorder.py
@@ -0,0 +1,77 @@
+"""Commits of ends that several threads record at the same time."""
+
+import concurrent.futures
+import threading
+
+import pytest
+
+from dandeliondrum import jobs
+from dandeliondrum.jobs import _end_recorder
+from dandeliondrum import testing
+
+TIMEOUT_S = 20
+
+
+def end(number):
+    """Return the end of a run of a job of its own."""
+    key = jobs.TaskKey(jobs.JobId(f'j{number}'), 0, 0)
+    return jobs.RunEnd(key, 1, jobs.RunOutcome.DONE)
+
+
+class SlowLog:
+    """Commits only when ``free`` is set, with the next of ``outcomes``."""
+
+    def __init__(self, *outcomes):
+        self.batches = []
+        self.free = threading.Event()
+        self._outcomes = list(outcomes)
+
+    def __call__(self, ends):
+        self.batches.append(ends)
+        assert self.free.wait(TIMEOUT_S)
+        outcome = self._outcomes.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+
+@pytest.fixture
+def threads():
+    with concurrent.futures.ThreadPoolExecutor(8) as executor:
+        yield executor
+
+
+def record_during_a_commit(threads, log, count):
+    """Return the futures of a first record and of ``count`` during it."""
+    recorder = _end_recorder.EndRecorder(log)
+    futures = [threads.submit(recorder.record, (end(0),))]
+    testing.wait_until(lambda: log.batches)
+    for number in range(1, count + 1):
+        futures.append(threads.submit(recorder.record, (end(number),)))
+    testing.wait_until(lambda: len(recorder._next.ends) == count)
+    log.free.set()
+    return futures
+
+
+def test_ends_that_arrive_during_a_commit_are_committed_together(threads):
+    log = SlowLog(True, True)
+    futures = record_during_a_commit(threads, log, 5)
+    assert all(future.result(TIMEOUT_S) for future in futures)
+    assert log.batches[0] == (end(0),)
+    assert set(log.batches[1]) == {end(number) for number in range(1, 6)}
+    assert len(log.batches) == 2
+
+
+def test_all_are_told_that_their_batch_was_not_committed(threads):
+    log = SlowLog(True, False)
+    futures = record_during_a_commit(threads, log, 3)
+    outcomes = [future.result(TIMEOUT_S) for future in futures]
+    assert outcomes == [True, False, False, False]
+
+
+def test_a_commit_that_raises_does_not_hold_up_the_next(threads):
+    log = SlowLog(ValueError('broken'), True)
+    futures = record_during_a_commit(threads, log, 2)
+    with pytest.raises(ValueError, match='broken'):
+        futures[0].result(TIMEOUT_S)
+    assert all(future.result(TIMEOUT_S) for future in futures[1:])
