Do not scan a running job for obsolete runs at each end of a run

After each end of a run the leader went through all tasks of its job, under its own lock and that of the replicated state, although a run becomes obsolete only when its job has ended or its gang is broken. The cost grew with the square of a job's tasks, and planning and reads waited for it meanwhile.

A running job without gangs is now skipped. The new test fails on the old code. Jobs with a gang are still scanned.

The same class, not changed here: after each end _run_ends goes through the tasks of the job up to the first that is not done, on each controller.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -329,6 +329,10 @@
                     self._stop_obsolete_of(job)
 
     def _stop_obsolete_of(self, job: _records.JobRecord) -> None:
+        if not job.phase.ended() and not any(
+            step.gang for step in job.spec.steps
+        ):
+            return
         for position, step in enumerate(job.steps):
             for index, task in enumerate(step.tasks):
                 if task.worker_id is None:
