--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -72,11 +72,20 @@
 
 
 class OrderBook:
-    """The start orders by task and the outgoing queue; thread-safe."""
+    """The start orders by task and the outgoing queue; thread-safe.
 
-    def __init__(self, lock: threading.RLock) -> None:
+    ``on_queued`` is called for each order that is queued, under ``lock``.
+    """
+
+    def __init__(
+        self,
+        lock: threading.RLock,
+        on_queued: collections.abc.Callable[[], object] = lambda: None,
+    ) -> None:
+        self.on_queued = on_queued
         self._lock = lock
         self._condition = threading.Condition(lock)
+        self._used = threading.Condition(lock)
         self._orders: dict[_specs.TaskKey, Order] = {}
         self._queue: collections.deque[_specs.TaskKey | Stop] = (
             collections.deque()
@@ -87,6 +96,7 @@
         """Add the order of a run that is about to be proposed to the log."""
         with self._lock:
             self._orders[task] = order
+            self._used.notify()
 
     def discard_plan(self, task: _specs.TaskKey, run: int) -> None:
         """Remove the order of a run that was not assigned."""
@@ -101,7 +111,7 @@
             if order is not None:
                 order.enter(OrderPhase.QUEUED)
                 self._queue.append(task)
-                self._condition.notify()
+                self._notify_queued()
 
     def stop(self, task: _specs.TaskKey, run: int) -> None:
         """Queue a stop order, unless a recent one exists."""
@@ -112,7 +122,7 @@
                 return
             self._stops_ms[task, run] = now_ms
             self._queue.appendleft(Stop(task, run))
-            self._condition.notify()
+            self._notify_queued()
 
     def is_stopping(self, task: _specs.TaskKey, run: int) -> bool:
         """Return whether a stop of the run has been ordered."""
@@ -127,7 +137,7 @@
     def next(self, timeout_s: float) -> _specs.TaskKey | Stop | None:
         """Return the next order to send; None after the timeout."""
         with self._condition:
-            if not self._queue:
+            if not self._queue and timeout_s:
                 self._condition.wait(timeout_s)
             return self._queue.popleft() if self._queue else None
 
@@ -137,14 +147,27 @@
             self._queue.appendleft(item)
 
     def requeue(self, item: _specs.TaskKey | Stop) -> None:
-        """Append an order to the queue to be sent again."""
-        with self._condition:
+        """Append an order to the queue, to be sent again by this thread."""
+        with self._lock:
             self._queue.append(item)
 
+    def _notify_queued(self) -> None:
+        self._condition.notify()
+        self._used.notify()
+        self.on_queued()
+
+    def wait_until_used(self, timeout_s: float) -> bool:
+        """Wait for a planned start or a queued order; return if one exists."""
+        with self._used:
+            if not self._orders and not self._queue:
+                self._used.wait(timeout_s)
+            return bool(self._orders or self._queue)
+
     def wake_all(self) -> None:
         """Wake all threads that wait for an order."""
-        with self._condition:
+        with self._lock:
             self._condition.notify_all()
+            self._used.notify_all()
 
     def drop_queued(self) -> tuple[_specs.TaskKey | Stop, ...]:
         """Empty the queue; return the orders that were in it."""
@@ -158,8 +181,9 @@
     ) -> None:
         """Return dropped orders to the tail of the queue."""
         with self._condition:
-            self._queue.extend(items)
-            self._condition.notify_all()
+            for item in items:
+                self._queue.append(item)
+                self._notify_queued()
 
     def get(self, task: _specs.TaskKey, run: int) -> Order | None:
         """Return the start order of a run, None if this leader has none."""
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -11,6 +11,8 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _end_recorder
+from dandeliondrum.jobs import _order_sender
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _progress
 from dandeliondrum.jobs import _records
@@ -21,12 +23,9 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
-# Threads that send orders to one worker. An order without an answer blocks
-# one of them for its timeout; the others continue with other jobs.
-ORDER_THREADS_PER_WORKER = 3
-# Sufficient for 500 workers, each with a thread that reads its lists, plus
-# the scheduler.
-PEER_THREADS_MAX = 500 * (1 + ORDER_THREADS_PER_WORKER) + 1
+# Sufficient for 500 workers, each with a thread that reads its lists and the
+# orders under way to it, plus the scheduler.
+PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 1
 CHECK_INTERVAL_MS = 1_000
 # A worker without runs that has not reported for this long is removed.
 REMOVE_AFTER_MS = 20_000
@@ -50,6 +49,8 @@
         self._tokens_used_counts: dict[messages.WorkerId, int] = {}
         self._closed = False
 
+        self._end_recorder = _end_recorder.EndRecorder(self._commit_ends)
+
     def restore(self) -> list[messages.WorkerId]:
         """Start the peers of workers in the replicated state without one.
 
@@ -211,10 +212,7 @@
         )
         term.peers[facts.worker_id] = peer
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
-        for _ in range(ORDER_THREADS_PER_WORKER):
-            self._supervisor.run(
-                f'orders to {facts.worker_id}', peer.sender.run
-            )
+        peer.sender.start_with(self._supervisor.run)
 
     def _on_removed(
         self, worker_id: messages.WorkerId, done: _term.Proposed
@@ -266,25 +264,7 @@
 
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Commit ends to the log, then update health and stop broken gangs."""
-        workers = self._workers_of(ends)
-        outcome = self._term.commit(_commands.EndRuns(ends))
-        if isinstance(outcome, result.Failure):
-            _logger.warning('ends not recorded', why=str(outcome.failure()))
-            return False
-        for end in ends:
-            self._term.metrics.ended.labels(end.outcome.value).inc()
-            _logger.info(
-                'run ended',
-                task=str(end.task),
-                run=end.run,
-                outcome=end.outcome.value,
-                worker=workers.get(end.task),
-            )
-        with self._term.lock:
-            self._record_health(ends, workers)
-        self.stop_obsolete({end.task.job_id for end in ends})
-        self._term.round_requested.set()
-        return True
+        return self._end_recorder.record(ends)
 
     def misplaced(
         self, worker_id: messages.WorkerId, lists: _port.WorkerListing
@@ -388,6 +368,10 @@
                     self._stop_obsolete_of(job)
 
     def _stop_obsolete_of(self, job: _records.JobRecord) -> None:
+        if not job.phase.ended() and not any(
+            step.gang for step in job.spec.steps
+        ):
+            return
         for position, step in enumerate(job.steps):
             for index, task in enumerate(step.tasks):
                 if task.worker_id is None:
@@ -399,6 +383,27 @@
                 if peer is not None and _is_obsolete(job, key, task.run):
                     peer.orders.stop(key, task.run)
 
+    def _commit_ends(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
+        workers = self._workers_of(ends)
+        outcome = self._term.commit(_commands.EndRuns(ends))
+        if isinstance(outcome, result.Failure):
+            _logger.warning('ends not recorded', why=str(outcome.failure()))
+            return False
+        for end in ends:
+            self._term.metrics.ended.labels(end.outcome.value).inc()
+            _logger.info(
+                'run ended',
+                task=str(end.task),
+                run=end.run,
+                outcome=end.outcome.value,
+                worker=workers.get(end.task),
+            )
+        with self._term.lock:
+            self._record_health(ends, workers)
+        self.stop_obsolete({end.task.job_id for end in ends})
+        self._term.round_requested.set()
+        return True
+
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
     ) -> dict[_specs.TaskKey, messages.WorkerId]:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -9,12 +9,14 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _order_sender
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _worker_peer
 from dandeliondrum.jobs import _workers
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 from dandeliondrum import testing
+from dandeliondrum import utils
 
 TIMEOUT_S = 20
 
@@ -587,3 +589,154 @@
         leader.start('j.0.0.0')
         testing.wait_until(lambda: leader.outcomes)
     assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+@contextlib.contextmanager
+def serving_with_tasks(*leaders):
+    """Serve the workers with the threads of one supervisor, as a leader."""
+    supervisor = utils.Supervisor('test', _workers.PEER_THREADS_MAX)
+    names = []
+
+    def run(name, task):
+        names.append(name)
+        supervisor.run(name, task)
+
+    for leader in leaders:
+        leader.peer.sender.start_with(run)
+        supervisor.run('lists', leader.peer.watch)
+    try:
+        yield names
+    finally:
+        supervisor.stopping.set()
+        for leader in leaders:
+            leader.peer.close()
+        supervisor.close()
+
+
+def test_a_worker_without_orders_needs_no_thread_for_them(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step(2))
+    with serving_with_tasks(leader) as names:
+        testing.wait_until(leader.peer.usable)
+        assert names == []
+        for index in range(2):
+            leader.start(f'j.0.0.{index}')
+            count = index + 1
+            testing.wait_until(lambda: len(leader.outcomes) == count)
+            testing.wait_until(lambda: not leader.peer.sender._tasks_count)
+    assert names == 2 * ['orders to w1']
+
+
+def test_hanging_orders_hold_up_neither_their_worker_nor_another(worker):
+    """All but one of the orders to a worker hang until the others have run."""
+    other = testing.FakeWorker('w2', messages.Resources(4_000, 100), 50)
+    leaders = [FakeLeader(worker), FakeLeader(other)]
+    hanging = _order_sender.ORDERS_MAX - 1
+    answered = threading.Event()
+    port = testing.FakeFleet([worker])
+
+    def start(order):
+        if order.task.index < hanging:
+            answered.wait(TIMEOUT_S)
+        return worker.start(order)
+
+    port.start = start
+    leaders[0].peer._state.port = port
+    for leader in leaders:
+        leader.submit('j', helpers.step(hanging + 1))
+    with serving_with_tasks(*leaders):
+        for leader in leaders:
+            testing.wait_until(leader.peer.usable)
+            for index in range(hanging + 1):
+                leader.start(f'j.0.0.{index}')
+        last = (f'j.0.0.{hanging}', 1, 'DONE')
+        try:
+            testing.wait_until(lambda: last in leaders[0].outcomes)
+            testing.wait_until(lambda: len(leaders[1].outcomes) == hanging + 1)
+        finally:
+            answered.set()
+
+
+def test_no_order_is_sent_to_a_worker_after_its_end(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    with serving_with_tasks(leader) as names:
+        testing.wait_until(leader.peer.usable)
+        leader.peer.close()
+        leader.start('j.0.0.0')
+    assert names == []
+    assert worker.starts == []
+
+
+def test_a_stop_that_fails_at_once_is_not_sent_without_a_pause(worker):
+    """Regression test: a worker whose port is closed kept a processor busy."""
+    worker.run_ms = 60_000
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    sent = []
+    port = testing.FakeFleet([worker])
+
+    def stop(order):
+        sent.append(order)
+        return jobs.Unanswered(False, 'connection refused')
+
+    port.stop = stop
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(worker.running)
+        leader.peer._state.port = port
+        leader.peer.orders.stop(jobs.parse_task_key('j.0.0.0'), 1)
+        time.sleep(0.5)
+        assert 2 <= len(sent) <= 10
+
+
+def _record_reads(leader):
+    """Return a list to which the reads of the worker's lists are added."""
+    requests = []
+    port = testing.FakeFleet([leader.worker])
+
+    def renew(request):
+        requests.append(request)
+        return leader.worker.renew(request)
+
+    port.renew = renew
+    leader.peer._state.port = port
+    return requests
+
+
+def test_a_worker_without_runs_is_read_rarely_and_stays_usable(worker):
+    leader = FakeLeader(worker)
+    requests = _record_reads(leader)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        time.sleep(2.1)
+        assert leader.peer.usable()
+    assert 2 <= len(requests) <= 4
+    assert {request.wait_ms for request in requests} == {0}
+
+
+def test_a_start_ends_the_pause_between_reads_of_an_idle_worker(worker):
+    """The end of the first run after a pause is not reported late."""
+    leader = FakeLeader(worker, lease_ms=6_000)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        testing.wait_until(lambda: leader.peer._is_idle)
+        begin_s = time.monotonic()
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+        elapsed_ms = (time.monotonic() - begin_s) * 1_000
+    assert elapsed_ms < 700
+
+
+def test_an_idle_worker_that_stops_answering_is_noticed(worker):
+    leader = FakeLeader(worker)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        testing.wait_until(lambda: leader.peer._is_idle)
+        begin_s = time.monotonic()
+        worker.silent = True
+        testing.wait_until(lambda: not leader.peer.usable())
+        elapsed_ms = (time.monotonic() - begin_s) * 1_000
+    assert elapsed_ms < _worker_peer.IDLE_READ_INTERVAL_MS + 400
