Wait for a slow leader instead of sending a call again

What callers saw: with a leader that needs longer than 1.5 s for a commit, submissions ended without a definite answer, and valid configurations were acknowledged late.

Cause: LeaderCalls.call gave an attempt 1.5 s and then sent the same call again on the same stream, while the first one was still queued at the leader. Each call that a slow leader did not answer in time doubled its work, so the time of a commit grew beyond the budget of the callers.

Evidence: test_a_slow_leader_is_not_sent_the_same_submission_again fails on the old code (the submission is in doubt; the leader got it twice).

Why it works: the attempt's timeout was meant for a leader that has changed or is lost. The link finds that out by itself: a heartbeat without an answer for 500 ms, or a NotLeader reply, closes the stream, which ends the pending calls, and these are sent again to the next leader as before.

Ruled out: a longer timeout of an attempt, which only shifts the load at which the work doubles.

--- a/dandeliondrum/jobs/_leader_calls.py
+++ b/dandeliondrum/jobs/_leader_calls.py
@@ -17,8 +17,6 @@
 from dandeliondrum import messages
 from dandeliondrum import transport
 
-# Timeout of one attempt, after which the leader may have changed.
-ATTEMPT_TIMEOUT_MS = 1_500
 RETRY_DELAY_MS = 60
 # Calls wait for a leader only this long after the last one was lost. A new
 # leader is usually found by then (after 0.7 to 1.5 s in benchmarks); if it
@@ -81,7 +79,9 @@
 class LeaderCalls:
     """Sends calls to the leader and retries them after a failure.
 
-    A retried call may be executed twice, so all calls are idempotent.
+    A call that is not answered yet is sent again only if its stream has
+    closed; the link closes the stream of a leader that stops answering. A
+    retried call may be executed twice, so all calls are idempotent.
     """
 
     def __init__(
@@ -120,10 +120,7 @@
             gives_up = not_done and not self.failover_left_ms()
             if left_ms <= 0 or gives_up:
                 return result.Failure(Unavailable(reason, not_done))
-            reply = self.link.call(
-                message, max(1, min(left_ms, ATTEMPT_TIMEOUT_MS))
-            )
-            match reply:
+            match self.link.call(message, left_ms):
                 case result.Success(messages.NotLeader()):
                     reason = 'the leader has changed'
                 case result.Success(messages.CallFailed() as failed):
