Acknowledge unchanged worker reports without the leader and its locks

What was seen: while the leader was short of processor time, half of the calls of workers to the control address failed, and configurations were not acknowledged.

Cause: each report of a worker went to the leader, also if it repeated what was committed. A follower's HTTP thread waited up to 900 ms for the answer, so a controller with 16 threads answered 18 reports a second at most while the leader did not answer; 350 workers send several times that, and each worker goes on to another controller after a second, while its call is still queued at the first. The leader took the lock of the term and that of the state for every report and so waited for planning rounds, in the reader thread of the follower's stream, behind which all later calls of that stream queued.

Why it works: a follower has the committed facts of all workers. If a report equals them, the leader has nothing to decide, so the follower acknowledges it and forwards one report each 5 s in the background, as the leader removes an idle worker after 20 s without a report. Reports with news, of unknown workers or of another start of a worker go to the leader as before, and a follower that no leader has answered for 5 s acknowledges nothing. The leader compares an unchanged report without the locks of the term and of the state; the times and sequence numbers of reports have a lock of their own.

Ruled out: a message that carries the reports of many workers at once.

--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -14,6 +14,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _follower_reports
 from dandeliondrum.jobs import _leader_calls
 from dandeliondrum.jobs import _leadership
 from dandeliondrum.jobs import _membership
@@ -93,6 +94,9 @@
             _leader_calls.ActivePolicy(decode_policy),
             self._adviser_client,
         )
+        self._follower_reports = _follower_reports.FollowerReports(
+            self.state, self.calls.link
+        )
         self.node = consensus.Node(
             consensus.Options(
                 controller_id=options.leader.controller_id,
@@ -188,7 +192,12 @@
     def report_worker(
         self, report: _calls.WorkerReport, timeout_ms: int
     ) -> result.Result[_calls.WorkerNoted, _leader_calls.Unavailable]:
-        """Forward a worker's heartbeat to the leader."""
+        """Handle a worker's heartbeat, at the leader if it has news."""
+        if self._leadership is None:
+            if self._follower_reports.acknowledges(report):
+                return result.Success(
+                    _calls.WorkerNoted(self._known_leader_id())
+                )
         return self._call(report, timeout_ms)
 
     def report_worker_shutdown(
@@ -246,6 +255,11 @@
             return self._not_leader()
         return leadership.handle(connection, message)
 
+    def _known_leader_id(self) -> messages.ControllerId:
+        return (
+            self.node.status().leader_id or self._options.leader.controller_id
+        )
+
     def _not_leader(self) -> messages.NotLeader:
         status = self.node.status()
         leader_id = status.leader_id
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -3,6 +3,7 @@
 import collections.abc
 import concurrent.futures
 import functools
+import threading
 import typing
 
 from returns import result
@@ -40,6 +41,9 @@
     def __init__(self, term: _term.Term, supervisor: utils.Supervisor) -> None:
         self._term = term
         self._supervisor = supervisor
+        # Protects the fields below. Code that also needs the lock of the term
+        # acquires that one first.
+        self._lock = threading.Lock()
         self._sequences: dict[messages.WorkerId, tuple[int, int]] = {}
         self._reported_ms: dict[messages.WorkerId, int] = {}
         self._replaced_started_ms: dict[messages.WorkerId, int] = {}
@@ -50,7 +54,7 @@
         """Start the peers of all workers in the replicated state."""
         term = self._term
         now_ms = _clock.elapsed_ms()
-        with term.lock, term.state.lock:
+        with term.lock, term.state.lock, self._lock:
             for worker_id, worker in term.state.workers.items():
                 self._reported_ms[worker_id] = now_ms
                 self._add_or_update_peer(worker.facts)
@@ -65,34 +69,28 @@
     def handle_report(
         self, report: _calls.WorkerReport
     ) -> 'concurrent.futures.Future[typing.Any]':
-        """Handle a heartbeat; changed facts are committed before the reply."""
+        """Handle a heartbeat; changed facts are committed before the reply.
+
+        A heartbeat without changes is answered without the locks that a
+        planning round holds.
+        """
         term, facts = self._term, report.facts
         acknowledgement = _calls.WorkerNoted(term.options.controller_id)
-        with term.lock, term.state.lock:
-            known = term.state.workers.get(facts.worker_id)
-            if self._is_stale(report, known):
-                _logger.info(
-                    'report ignored',
-                    worker=facts.worker_id,
-                    sequence=report.sequence,
-                    started_ms=facts.started_ms,
-                )
+        record = term.state.workers.get(facts.worker_id)
+        known = record.facts if record is not None else None
+        if known == facts:
+            with self._lock:
+                self._record_report(report, known)
+            return utils.completed_future(acknowledgement)
+        with term.lock, self._lock:
+            if not self._record_report(report, known):
                 return utils.completed_future(acknowledgement)
-            self._sequences[facts.worker_id] = (
-                facts.started_ms,
-                report.sequence,
-            )
-            self._reported_ms[facts.worker_id] = _clock.elapsed_ms()
-            self._update_leave_time(report)
-            unchanged = known is not None and known.facts == facts
-            if known is not None and known.facts.phase != facts.phase:
+            if known is not None and known.phase != facts.phase:
                 # The new phase also applies to assignments that are being
                 # committed now.
                 peer = term.peers.get(facts.worker_id)
                 if peer is not None:
                     peer.facts = facts
-        if unchanged:
-            return utils.completed_future(acknowledgement)
         _logger.info(
             'worker reported',
             worker=facts.worker_id,
@@ -122,7 +120,7 @@
         """Remove workers without runs that have not reported for long."""
         term = self._term
         now_ms = _clock.elapsed_ms()
-        with term.lock, term.state.lock:
+        with term.lock, term.state.lock, self._lock:
             idle = [
                 worker_id
                 for worker_id, worker in term.state.workers.items()
@@ -135,6 +133,26 @@
                 functools.partial(self._on_removed, worker_id)
             )
 
+    def _record_report(
+        self,
+        report: _calls.WorkerReport,
+        known: _commands.WorkerFacts | None,
+    ) -> bool:
+        """Record the time of a report; return False if it is out of date."""
+        facts = report.facts
+        if self._is_stale(report, known):
+            _logger.info(
+                'report ignored',
+                worker=facts.worker_id,
+                sequence=report.sequence,
+                started_ms=facts.started_ms,
+            )
+            return False
+        self._sequences[facts.worker_id] = (facts.started_ms, report.sequence)
+        self._reported_ms[facts.worker_id] = _clock.elapsed_ms()
+        self._update_leave_time(report)
+        return True
+
     def _update_leave_time(self, report: _calls.WorkerReport) -> None:
         facts = report.facts
         draining = facts.phase is _commands.WorkerPhase.DRAINING
@@ -147,7 +165,7 @@
     def _is_stale(
         self,
         report: _calls.WorkerReport,
-        known: _records.WorkerRecord | None,
+        known: _commands.WorkerFacts | None,
     ) -> bool:
         facts = report.facts
         if (
@@ -155,7 +173,7 @@
             >= facts.started_ms
         ):
             return True
-        if known is not None and known.facts.started_ms > facts.started_ms:
+        if known is not None and known.started_ms > facts.started_ms:
             return True
         last = self._sequences.get(facts.worker_id, (0, 0))
         return last >= (facts.started_ms, report.sequence)
@@ -204,7 +222,7 @@
     ) -> None:
         if done.result() != result.Success(True):
             return
-        with self._term.lock:
+        with self._term.lock, self._lock:
             peer = self._term.peers.pop(worker_id, None)
             self._reported_ms.pop(worker_id, None)
             self._leaves_ms.pop(worker_id, None)
@@ -278,7 +296,8 @@
                 worker_id, runs, lists.clock_ms, now_ms
             )
             late_runs: list[_progress.RunProgress] = []
-            leaves_ms = self._leaves_ms.get(worker_id)
+            with self._lock:
+                leaves_ms = self._leaves_ms.get(worker_id)
             if leaves_ms is not None:
                 late_runs = term.progress.late_runs(
                     worker_id, runs, leaves_ms - now_ms
@@ -330,7 +349,7 @@
     def worker_replaced(self, worker_id: messages.WorkerId) -> None:
         """Remove a worker that another incarnation has replaced."""
         term = self._term
-        with term.lock, term.state.lock:
+        with term.lock, term.state.lock, self._lock:
             worker = term.state.workers.get(worker_id)
             if worker is not None:
                 self._replaced_started_ms[worker_id] = worker.facts.started_ms
