Limit the threads that wait for the leader with a worker's report

What callers saw: a valid configuration was not acknowledged while the leader answered late.

Cause: the control address has 16 threads for workers and operators. Each report waits up to 900 ms for the leader, so 48 reports that the leader does not answer delay the next request by 2.6 s. Operators go on to another controller after a second, where the same happens.

Evidence: test_a_config_does_not_wait_behind_reports on the old code: the configuration is answered after 2.58 s, with a controller that acknowledges it at once; the bound is 1 s, after which operators give up. It passes now.

Why it works: at most 12 threads wait with a report. Further reports get 503 at once, so the other threads are free for operators and for reports that need no answer of the leader.

Ruled out: to let further reports wait for a free slot, which holds up the requests behind them; more threads, which only shift the limit.

--- a/dandeliondrum/platform/_control_api.py
+++ b/dandeliondrum/platform/_control_api.py
@@ -1,5 +1,6 @@
 """HTTP API of a controller for workers and operators."""
 
+import threading
 import typing
 
 from returns import result
@@ -19,6 +20,10 @@
 REPORT_TIMEOUT_MS = 900
 DOCUMENT_TIMEOUT_MS = 2_500
 RETRY_AFTER_MS = 500
+THREADS_COUNT = 16
+# Reports that may wait for the leader at the same time; the other threads are
+# left for operators and for reports that are answered without the leader.
+WAITING_REPORTS_MAX = 12
 
 _logger = structlog.get_logger()
 
@@ -28,6 +33,7 @@
 
     def __init__(self, controller: jobs.JobController) -> None:
         self._controller = controller
+        self._report_slots = threading.BoundedSemaphore(WAITING_REPORTS_MAX)
 
     def routes(self) -> tuple[gateway.Route, ...]:
         """Return the routes of the API."""
@@ -51,13 +57,29 @@
                 'invalid worker report', worker=worker_id, why=str(error)
             )
             return _problem(400, str(error))
-        outcome = self._controller.report_worker(report, REPORT_TIMEOUT_MS)
-        return _reply(outcome, lambda _result: gateway.json_response({}))
+        return self._wait_for_leader(
+            lambda: self._controller.report_worker(report, REPORT_TIMEOUT_MS)
+        )
 
     def _leave(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
-        outcome = self._controller.report_worker_shutdown(
-            messages.WorkerId(worker_id), REPORT_TIMEOUT_MS
+        return self._wait_for_leader(
+            lambda: self._controller.report_worker_shutdown(
+                messages.WorkerId(worker_id), REPORT_TIMEOUT_MS
+            )
         )
+
+    def _wait_for_leader(
+        self,
+        report: typing.Callable[[], result.Result[object, jobs.Unavailable]],
+    ) -> werkzeug.Response:
+        """Report to the leader, or refuse at once if too many calls wait."""
+        if not self._report_slots.acquire(blocking=False):
+            _logger.info('too many reports wait for the leader')
+            return _problem(503, 'too many reports wait for the leader')
+        try:
+            outcome = report()
+        finally:
+            self._report_slots.release()
         return _reply(outcome, lambda _result: gateway.json_response({}))
 
     def _put_document(self, call: gateway.Call) -> werkzeug.Response:
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -29,7 +29,6 @@
 METRICS_PORT = 9_464
 CELL_ID = messages.CellId('jobs')
 CALLER_THREADS_COUNT = 32
-CONTROL_THREADS_COUNT = 16
 READINESS_THREADS_COUNT = 2
 # Limit for the arrival of a whole request.
 REQUEST_READ_TIMEOUT_MS = 3_000
@@ -167,7 +166,7 @@
     server = _make_server(
         settings.control_address,
         _control_api.ControlApi(controller).routes(),
-        CONTROL_THREADS_COUNT,
+        _control_api.THREADS_COUNT,
         timers,
         gateway.Metrics(),
     )
