Record a run that never started although the log refused its end at first

What callers could see: an accepted task that is never started again, with workers free (LOST), until the leader changes.

Cause: a start that a worker refused, or that was stopped before it was sent, was recorded as lost once. If the log did not take this (overloaded, full disk, or not applied within 5 s on a slow leader), nothing repeated it: the order had left the queue, and since it was not settled, the reads of the worker's lists never counted the run as lost. The task stayed assigned to a run that can't start.

Fix: the order is settled before its end is recorded. If that fails, the next read of the lists, which does not contain the run, records the end. The end of a run may be recorded twice, which has no effect the second time.

Ruled out: ends that the lists contain, of a replaced worker, or after the lease; they are recorded again by the next read.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -69,7 +69,7 @@
                 order.phase = _orders.OrderPhase.SENT
                 request = self._start_order(task, order)
         if request is None:
-            self._record_never_started(task, order.run)
+            self._record_never_started(task, order)
             return
         outcome = state.port.start(request)
         match outcome:
@@ -121,12 +121,17 @@
         if order.sends_count == 1:
             # No other start order of this run is in flight, so it can never
             # start.
-            self._record_never_started(task, order.run)
+            self._record_never_started(task, order)
         else:
             self._settle_by_stop(task, order)
 
-    def _record_never_started(self, task: _specs.TaskKey, run: int) -> None:
-        lost = _commands.RunEnd(task, run, _commands.RunOutcome.LOST)
+    def _record_never_started(
+        self, task: _specs.TaskKey, order: _orders.Order
+    ) -> None:
+        # If the log does not record the end now, the next read of the lists
+        # finds that the run is lost.
+        self._settle(order)
+        lost = _commands.RunEnd(task, order.run, _commands.RunOutcome.LOST)
         self._state.record((lost,))
 
     def _handle_unanswered_start(
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -347,6 +347,52 @@
     return leader.peer, key
 
 
+def _fail_first_records(leader, count):
+    """Let the log refuse the first ``count`` ends of runs."""
+    record = leader.record
+    refused = []
+
+    def record_later(ends):
+        if len(refused) < count:
+            refused.append(ends)
+            return False
+        return record(ends)
+
+    leader.record = record_later
+    return refused
+
+
+def test_a_refused_start_that_the_log_did_not_record_is_recorded_later(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    refused = _fail_first_records(leader, 2)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        worker.start = lambda order: jobs.Refused(jobs.Refusal.NO_ROOM)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes, timeout_ms=3_000)
+    assert len(refused) == 2
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_stopped_start_that_the_log_did_not_record_is_recorded_later(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        refused = _fail_first_records(leader, 2)
+        leader.acting = False
+        leader.start('j.0.0.0')
+        leader.peer.facts = dataclasses.replace(
+            worker.facts, phase=jobs.WorkerPhase.DRAINING
+        )
+        leader.acting = True
+        testing.wait_until(lambda: leader.outcomes, timeout_ms=3_000)
+    assert len(refused) == 2
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+    assert not worker.starts
+
+
 class StopCountingWorker(testing.FakeWorker):
     """Worker that counts the stop orders sent to it."""
 
