Start runs whose assignment the log applies late

What callers could see: an accepted task that is assigned but never started (LOST), until the leader changes.

Cause: the scheduler waits 5 s for the log to apply an assignment. After that it left the run to the next leader. On a leader that stays in office but is slow (its applier waits for the state's lock, or the disk is slow), the assignment is applied later, while the planned order was never sent, and reads of the worker's lists count a planned run as not settled, so not as lost.

Fix: when the wait is over, the order is sent, or dropped, as soon as the outcome is known. Discarding the plan of a second assignment no longer removes an order that has been dispatched: the scheduler goes on after the wait and plans the same run again, which the log then refuses.

--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -77,9 +77,15 @@
             self._orders[task] = order
 
     def discard_plan(self, task: _specs.TaskKey) -> None:
-        """Remove the order of a run that was not assigned."""
+        """Remove the order of a run that was not assigned.
+
+        An earlier assignment of the same run may have been applied late. Its
+        order was dispatched and stays.
+        """
         with self._lock:
-            self._orders.pop(task, None)
+            order = self._orders.get(task)
+            if order is not None and order.phase is OrderPhase.PLANNED:
+                del self._orders[task]
 
     def dispatch(self, task: _specs.TaskKey) -> None:
         """Queue the start order of a run that was assigned."""
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -1,13 +1,16 @@
 """Scheduling rounds: request advice, place tasks, commit the assignments."""
 
 import collections.abc
+import concurrent.futures
 import dataclasses
 import threading
 import time
+import typing
 
 from returns import result
 import structlog
 
+from dandeliondrum import consensus
 from dandeliondrum.jobs import _advice_requester
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
@@ -199,14 +202,28 @@
     def _commit(
         self, assignments: tuple[tuple[_commands.RunAssignment, ...], ...]
     ) -> None:
-        term = self._term
-        outcome = term.commit(_commands.AssignRuns(assignments))
+        proposed = self._term.propose(_commands.AssignRuns(assignments))
+        try:
+            outcome = proposed.result(_term.PROPOSE_TIMEOUT_MS / 1000)
+        except concurrent.futures.TimeoutError:
+            _logger.warning('runs not assigned in time')
+            proposed.add_done_callback(
+                lambda done: self._on_committed(assignments, done.result())
+            )
+            return
+        self._on_committed(assignments, outcome)
+
+    def _on_committed(
+        self,
+        assignments: tuple[tuple[_commands.RunAssignment, ...], ...],
+        outcome: result.Result[typing.Any, consensus.ProposeError],
+    ) -> None:
         if isinstance(outcome, result.Failure):
             # The command may still be applied; in that case the next leader
             # handles the runs.
             _logger.warning('runs not assigned', why=str(outcome.failure()))
             return
-        with term.lock:
+        with self._term.lock:
             for runs, assigned in zip(
                 assignments, outcome.unwrap(), strict=True
             ):
