Keep callbacks of confirmations out of the threads that send heartbeats

What the cell saw in a test: a leader that is up loses its office while callbacks of `confirm_leadership` wait.

Cause: a confirmation was resolved in the thread of the peer whose reply made the quorum, and its callbacks ran there. Those of a registration, of a query of a job and of a read of the document wait for locks that the scheduler holds for a whole planning round. Until then this thread sends its peer neither entries nor heartbeats; with both peers' threads waiting, commits stop, and after an election timeout the leader is deposed. So a leader whose rounds are long, with many gateways that register or many queries, slows its own log, and may bring about the election that makes them all register again.

Fix: the confirmations are resolved by the resolver's thread, which exists for futures that must not be resolved under the node's lock.

Not changed: results of proposals are resolved in the applier's thread, and their callbacks wait for the same locks there. That delays applying, not heartbeats.

--- a/dandeliondrum/consensus/_pipeline.py
+++ b/dandeliondrum/consensus/_pipeline.py
@@ -153,11 +153,10 @@
             keep_sending = _append_replies.handle_append_reply(
                 state, progress, call.message, call.sent_ns, reply
             )
-            confirmed = state.take_ready_confirmations()
-        for confirmation in confirmed:
-            _work_items.resolve_future(
-                confirmation.future, result.Success(None)
-            )
+            # Callbacks may wait for locks of the state machine, and this
+            # thread has to send heartbeats meanwhile.
+            for confirmation in state.take_ready_confirmations():
+                state.resolve_later(confirmation.future, result.Success(None))
         return keep_sending
 
 
