Read replies of workers without callbacks for headers and progress

A call to a worker made 16 callbacks, one for each header line and ten for its progress, each of which takes the interpreter's lock that hundreds of threads need. The platform's adapter reads no headers, and its calls are limited as a whole, so that the progress tells nothing more. Other callers of the client keep both.

--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -38,7 +38,9 @@
     also aborted if ``is_abandoned`` returns True before a status line arrived,
     because a newer event has made the reply useless to the caller;
     ``is_abandoned`` is called about once a second. ``timeout_ms`` limits the
-    duration of the whole call; 0 means no limit.
+    duration of the whole call; 0 means no limit. Without ``reads_headers``
+    the reply has no headers, which makes the call cheaper, and a body of
+    more than BUFFERED_MAX_BYTES is truncated.
     """
 
     method: str
@@ -49,6 +51,14 @@
     body: bytes = b''
     is_abandoned: collections.abc.Callable[[], bool] = never_abandoned
     timeout_ms: int = 0
+    reads_headers: bool = True
+
+    def needs_progress(self) -> bool:
+        """Return whether the call may be aborted before ``timeout_ms``."""
+        return (
+            self.is_abandoned is not never_abandoned
+            or not 0 < self.timeout_ms <= self.silence_ms
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -203,8 +213,11 @@
             error = ''
         except pycurl.error as failure:
             error = str(failure.args[1] or failure.args[0])
-        if self._head is None and self._status >= 200 and not error:
-            self._head = Head(self._status, self._headers)
+        if not self._request.reads_headers:
+            self._status = self._handle.getinfo(pycurl.RESPONSE_CODE)
+        if self._head is None and self._status >= 200:
+            if self._body or not error:
+                self._head = Head(self._status, self._headers)
         if self._head is not None:
             return WorkerReply(
                 self._head,
@@ -232,13 +245,16 @@
             (pycurl.TIMEOUT_MS, request.timeout_ms),
             (pycurl.TCP_KEEPALIVE, 1),
             (pycurl.HTTPHEADER, self._header_lines()),
-            (pycurl.HEADERFUNCTION, self._on_header),
             (pycurl.WRITEFUNCTION, self._on_body),
             (pycurl.PREREQFUNCTION, self._on_request_start),
-            (pycurl.XFERINFOFUNCTION, self._on_progress),
-            (pycurl.NOPROGRESS, 0),
         ):
             curl.setopt(option, value)
+        # Each callback takes the interpreter's lock, several times a call.
+        if request.reads_headers:
+            curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        if request.needs_progress():
+            curl.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
+            curl.setopt(pycurl.NOPROGRESS, 0)
         if request.method == 'POST':
             curl.setopt(pycurl.POST, 1)
             curl.setopt(pycurl.POSTFIELDS, request.body)
@@ -274,6 +290,11 @@
             self._head = Head(self._status, self._headers)
 
     def _on_body(self, chunk: bytes) -> int:
+        if not self._request.reads_headers:
+            if len(self._body) + len(chunk) > BUFFERED_MAX_BYTES:
+                return 0
+            self._body += chunk
+            return len(chunk)
         if self._head is None:
             return 0
         if self._writer is None:
--- a/dandeliondrum/platform/_http_ports.py
+++ b/dandeliondrum/platform/_http_ports.py
@@ -119,6 +119,7 @@
                 (_JSON, ('X-Expect-Instance', worker.worker_id)),
                 json.dumps(body, separators=(',', ':')).encode(),
                 timeout_ms=timeout_ms,
+                reads_headers=False,
             )
         )
         match outcome:
@@ -186,6 +187,7 @@
                 (_JSON,),
                 json.dumps(body, separators=(',', ':')).encode(),
                 timeout_ms=ADVICE_TIMEOUT_MS,
+                reads_headers=False,
             )
         )
         match outcome:
