Call workers with a client that takes fewer system calls and callbacks

The general HTTP client cost 0.32 ms of processor time a call in a leader with 176 workers, where a call alone costs 0.05 ms: a call made 16 callbacks (one for each header line, ten for its progress), sets 20 options anew, and each return to the interpreter waits for its lock, which hundreds of threads need. Calls to workers were about half of all processor time of the leader's worker side.

The platform's adapter only sends small POST requests and reads small replies. Its new client does so on plain sockets: check the kept connection, send, wait, receive. Kept as it was: at most four connections to a worker, no request is ever sent twice, a call that fails before it was sent is told from one that may have arrived, a limit for the whole call. New: a call waits for a free connection until its own time is over instead of 5 s, a header value with a line break is refused, and replies of more than 1 MiB are truncated. The gateways of the product's own interface, which stream large bodies, keep the general client.

--- a/dandeliondrum/gateway/__init__.py
+++ b/dandeliondrum/gateway/__init__.py
@@ -18,8 +18,10 @@
 from dandeliondrum.gateway._metrics import Metrics
 from dandeliondrum.gateway._options import Options
 from dandeliondrum.gateway._server import Server
+from dandeliondrum.gateway._worker_client import Head
 from dandeliondrum.gateway._worker_client import NoReply
 from dandeliondrum.gateway._worker_client import NotSent
+from dandeliondrum.gateway._worker_client import Outcome
 from dandeliondrum.gateway._worker_client import WorkerClient
 from dandeliondrum.gateway._worker_client import WorkerReply
 from dandeliondrum.gateway._worker_client import WorkerRequest
@@ -28,12 +30,14 @@
     'Application',
     'Call',
     'Gateway',
+    'Head',
     'LeaderLink',
     'LinkEvents',
     'Metrics',
     'NoReply',
     'NotSent',
     'Options',
+    'Outcome',
     'Problem',
     'Route',
     'Server',
--- a/dandeliondrum/platform/_http_ports.py
+++ b/dandeliondrum/platform/_http_ports.py
@@ -9,6 +9,7 @@
 from dandeliondrum import messages
 from dandeliondrum.platform import _bodies
 from dandeliondrum.platform import _fields
+from dandeliondrum.platform import _http_client
 
 # One connection for lease renewals and three for orders.
 CONNECTIONS_PER_WORKER = 4
@@ -29,6 +30,7 @@
     'ticket': jobs.Refusal.NO_TICKET,
 }
 _JSON = ('Content-Type', 'application/json')
+_encode_json = json.JSONEncoder(separators=(',', ':')).encode
 
 _logger = structlog.get_logger()
 
@@ -39,7 +41,7 @@
     """Calls workers over HTTP; implements :class:`jobs.WorkerPort`."""
 
     def __init__(self) -> None:
-        self._client = gateway.WorkerClient(CONNECTIONS_PER_WORKER)
+        self._client = _http_client.HttpClient(CONNECTIONS_PER_WORKER)
 
     def renew(self, request: jobs.LeaseRequest) -> jobs.ListingOutcome:
         """Renew a worker's lease and return its lists of runs."""
@@ -110,16 +112,12 @@
         body: dict[str, object],
         timeout_ms: int,
     ) -> bytes | _CallFailure:
-        outcome = self._client.call(
-            gateway.WorkerRequest(
-                'POST',
-                worker.address,
-                path,
-                timeout_ms,
-                (_JSON, ('X-Expect-Instance', worker.worker_id)),
-                json.dumps(body, separators=(',', ':')).encode(),
-                timeout_ms=timeout_ms,
-            )
+        outcome = self._client.post(
+            worker.address,
+            path,
+            (_JSON, ('X-Expect-Instance', worker.worker_id)),
+            _encode_json(body).encode(),
+            timeout_ms,
         )
         match outcome:
             case gateway.NotSent(reason):
@@ -170,23 +168,19 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._client = gateway.WorkerClient(1)
+        self._client = _http_client.HttpClient(1)
 
     def ask(
         self, step: str, worker_ids: tuple[messages.WorkerId, ...]
     ) -> jobs.AdviceReply:
         """Ask the adviser which of the workers may run the step."""
         body = {'Step': step, 'Workers': worker_ids}
-        outcome = self._client.call(
-            gateway.WorkerRequest(
-                'POST',
-                self._address,
-                '/advise',
-                ADVICE_TIMEOUT_MS,
-                (_JSON,),
-                json.dumps(body, separators=(',', ':')).encode(),
-                timeout_ms=ADVICE_TIMEOUT_MS,
-            )
+        outcome = self._client.post(
+            self._address,
+            '/advise',
+            (_JSON,),
+            _encode_json(body).encode(),
+            ADVICE_TIMEOUT_MS,
         )
         match outcome:
             case gateway.WorkerReply(head, reply, complete=True):
