Commit the next ends while the effects of the last are handled

The thread that commits a batch of ends also updates the health of workers and stops broken gangs, which takes the leader's lock, held during a round of planning. As batches are committed one at a time, the ends of all other workers would have waited for that as well; before they were committed together only their own threads did.

The effects of a batch are now handled by its thread after the next batch may begin, and the other threads of the batch don't wait for them. The new test holds up the effects of two batches; with effects as a part of the commit the second batch could not begin. It was not run on the old code, which has no separate effects.

--- a/dandeliondrum/jobs/_end_recorder.py
+++ b/dandeliondrum/jobs/_end_recorder.py
@@ -6,8 +6,12 @@
 
 from dandeliondrum.jobs import _commands
 
-# Commits a batch and handles its effects; returns whether it was committed.
-Commit = collections.abc.Callable[[tuple[_commands.RunEnd, ...]], bool]
+# Handles the effects of a batch that was committed.
+Effects = collections.abc.Callable[[], object]
+# Commits a batch; returns its effects, or None if it was not committed.
+Commit = collections.abc.Callable[
+    [tuple[_commands.RunEnd, ...]], Effects | None
+]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -22,7 +26,8 @@
 
     While one thread commits a batch, the ends of the others gather in the
     next one, which one of them commits for all. An end that comes alone is
-    committed at once.
+    committed at once. The thread that committed a batch then handles its
+    effects, which holds up no other batch.
     """
 
     def __init__(self, commit: Commit) -> None:
@@ -42,11 +47,15 @@
                 return batch.recorded
             self._is_committing = True
             self._next = _Batch([])
+        effects: Effects | None = None
         try:
-            batch.recorded = self._commit(tuple(batch.ends))
+            effects = self._commit(tuple(batch.ends))
+            batch.recorded = effects is not None
         finally:
             with self._condition:
                 batch.done = True
                 self._is_committing = False
                 self._condition.notify_all()
+        if effects is not None:
+            effects()
         return batch.recorded
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -344,12 +344,21 @@
                 if peer is not None and _is_obsolete(job, key, task.run):
                     peer.orders.stop(key, task.run)
 
-    def _commit_ends(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
+    def _commit_ends(
+        self, ends: tuple[_commands.RunEnd, ...]
+    ) -> _end_recorder.Effects | None:
         workers = self._workers_of(ends)
         outcome = self._term.commit(_commands.EndRuns(ends))
         if isinstance(outcome, result.Failure):
             _logger.warning('ends not recorded', why=str(outcome.failure()))
-            return False
+            return None
+        return functools.partial(self._handle_ends, ends, workers)
+
+    def _handle_ends(
+        self,
+        ends: tuple[_commands.RunEnd, ...],
+        workers: dict[_specs.TaskKey, messages.WorkerId],
+    ) -> None:
         for end in ends:
             self._term.metrics.ended.labels(end.outcome.value).inc()
             _logger.info(
@@ -363,7 +372,6 @@
             self._record_health(ends, workers)
         self.stop_obsolete({end.task.job_id for end in ends})
         self._term.round_requested.set()
-        return True
 
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
--- a/dandeliondrum/jobs/tests/test_end_recorder.py
+++ b/dandeliondrum/jobs/tests/test_end_recorder.py
@@ -24,6 +24,9 @@
     def __init__(self, *outcomes):
         self.batches = []
         self.free = threading.Event()
+        self.effects_count = 0
+        self.effects_free = threading.Event()
+        self.effects_free.set()
         self._outcomes = list(outcomes)
 
     def __call__(self, ends):
@@ -32,7 +35,11 @@
         outcome = self._outcomes.pop(0)
         if isinstance(outcome, Exception):
             raise outcome
-        return outcome
+        return self._handle_effects if outcome else None
+
+    def _handle_effects(self):
+        self.effects_count += 1
+        assert self.effects_free.wait(TIMEOUT_S)
 
 
 @pytest.fixture
@@ -62,6 +69,20 @@
     assert len(log.batches) == 2
 
 
+def test_effects_that_block_hold_up_neither_their_batch_nor_the_next(threads):
+    """Regression test: the effects wait for a round of planning to end."""
+    log = SlowLog(True, True, True)
+    log.effects_free.clear()
+    futures = record_during_a_commit(threads, log, 2)
+    try:
+        testing.wait_until(lambda: sum(one.done() for one in futures) == 1)
+        assert len(log.batches) == 2
+        assert log.effects_count == 2
+    finally:
+        log.effects_free.set()
+    assert all(future.result(TIMEOUT_S) for future in futures)
+
+
 def test_all_are_told_that_their_batch_was_not_committed(threads):
     log = SlowLog(True, False)
     futures = record_during_a_commit(threads, log, 3)
