Plan without holding the locks of the leader

A planning round held the lock of the term and that of the replicated state from its start to the registration of its results. Meanwhile no command was applied, and threads that serve workers and gateways waited; on a large cell that is for tens of milliseconds, as often as every 8 ms.

A round now reads its inputs under the locks: the demands, the usable workers with their free resources, the limits of teams, tickets and peers. Advice is requested under the lock of the term only. The plan is made without locks, except that the runs of a worker that may be preempted are read under the state's lock for each worker. Results are registered under both locks; groups with a job or a worker that was removed in the meantime are left out, and the state machine rejects the rest of what became impossible, as it did before for changes between a round and its commit.

--- a/benchmarks/_round_simulation.py
+++ b/benchmarks/_round_simulation.py
@@ -126,6 +126,11 @@
         ):
             self._run(virtual_ms)
 
+    def lock_held_s(self) -> float:
+        """Return for how long rounds held the leader's locks in all."""
+        name = 'dandeliondrum_jobs_round_lock_held_seconds_sum'
+        return self.term.metrics.registry.get_sample_value(name) or 0.0
+
     def waiting_steps_count(self) -> int:
         """Return how many due steps have waiting tasks."""
         return sum(1 for _ in _demands.open_demands(self.state))
--- a/benchmarks/bench_rounds.py
+++ b/benchmarks/bench_rounds.py
@@ -120,6 +120,9 @@
         'cores': round(totals.round_cpu_s / totals.virtual_ms * 1000, 3),
         'round_ms': _per(totals.round_cpu_s * 1000, totals.rounds_count),
         'round_max_ms': round(totals.round_max_s * 1000, 1),
+        'lock_held_ms': _per(
+            simulation.lock_held_s() * 1000, totals.rounds_count
+        ),
         'start_us': _per(totals.round_cpu_s * 1e6, totals.starts_count),
         'rounds': totals.rounds_count,
         'starts': totals.starts_count,
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -135,8 +135,9 @@
     are being stopped already are included, since their resources become free
     soon.
     """
+    worker = state.workers.get(worker_id)
     found = []
-    for key, run in state.workers[worker_id].runs.items():
+    for key, run in worker.runs.items() if worker is not None else ():
         job = state.jobs.get(key.job_id)
         queue = state.queue_of(job) if job is not None else None
         if job is None or queue is None:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -1,5 +1,9 @@
 """Scheduling rounds: request advice, place tasks, commit the assignments."""
 
+import collections.abc
+import contextlib
+import dataclasses
+import functools
 import threading
 import time
 
@@ -17,6 +21,7 @@
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import _wait_tracker
+from dandeliondrum.jobs import _worker_peer
 from dandeliondrum import messages
 
 # Minimum interval between rounds, so that one round batches many decisions.
@@ -27,8 +32,39 @@
 
 _logger = structlog.get_logger()
 
-_Demands = list[tuple[_planner.Demand, _policy.QueuePolicy]]
 _Groups = list[tuple[_planner.Placement, ...]]
+_Assignments = tuple[tuple[_commands.RunAssignment, ...], ...]
+_Peers = dict[messages.WorkerId, _worker_peer.WorkerPeer]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Inputs:
+    """What a round plans with, as read under the locks."""
+
+    demands: list[_planner.Demand]
+    workers: list[_planner.AvailableWorker]
+    team_available: dict[messages.TeamId, messages.Resources]
+    peers: _Peers
+    now_ms: int
+
+
+class _LockTimes:
+    """The longest time that a round waited for a lock and held one."""
+
+    def __init__(self) -> None:
+        self.wait_max_s = 0.0
+        self.held_max_s = 0.0
+
+    @contextlib.contextmanager
+    def measure(self, lock: threading.RLock) -> collections.abc.Iterator[None]:
+        """Hold a lock and measure how long it took and was held."""
+        started_s = time.monotonic()
+        with lock:
+            locked_s = time.monotonic()
+            yield
+        self.wait_max_s = max(self.wait_max_s, locked_s - started_s)
+        held_s = time.monotonic() - locked_s
+        self.held_max_s = max(self.held_max_s, held_s)
 
 
 class Scheduler:
@@ -62,77 +98,100 @@
         return ROUND_MIN_MS
 
     def run_round(self) -> None:
-        """Place waiting tasks and commit their assignments."""
+        """Place waiting tasks and commit their assignments.
+
+        The locks are held only to read the inputs and to register the
+        results, so that the other threads do not wait while a plan is made.
+        Assignments that became impossible in the meantime are left out or
+        rejected by the state machine.
+        """
         term = self._term
+        locks = _LockTimes()
         started_s = time.monotonic()
-        with term.lock, term.state.lock:
-            locked_s = time.monotonic()
-            term.metrics.open_jobs.set(len(term.state.open_jobs))
-            demands = self._demand_cache.read(term.state)
-            term.load.record_waiting(len(demands), len(term.state.open_jobs))
+        inputs = self._read_inputs(locks)
+        if inputs is None:
+            return
+        groups = self._plan(inputs)
+        assignments = self._register(groups, inputs, locks)
+        round_s = time.monotonic() - started_s
+        term.metrics.round_seconds.observe(round_s)
+        term.load.record_round(round_s, locks.wait_max_s, locks.held_max_s)
+        if assignments:
+            self._commit(assignments)
+
+    def _read_inputs(self, locks: '_LockTimes') -> '_Inputs | None':
+        """Read what is to be planned and request advice; None if nothing."""
+        term = self._term
+        now_ms = _clock.elapsed_ms()
+        with locks.measure(term.lock):
+            usable = self._usable_ids(now_ms)
+            with locks.measure(term.state.lock):
+                demands = self._demand_cache.read(term.state)
+                open_jobs_count = len(term.state.open_jobs)
+                workers = (
+                    self._usable_workers(usable, now_ms) if demands else []
+                )
+                team_available = _demands.team_available(term.state)
+            term.metrics.open_jobs.set(open_jobs_count)
+            term.load.record_waiting(len(demands), open_jobs_count)
             if not demands:
                 term.advice.retain(set())
-                return
-            workers = self._usable_workers()
-            term.metrics.usable_workers.set(len(workers))
+                return None
             self._advice_requester.request(
                 demands, workers, self._steps_with_capacity
             )
-            groups = self._plan(demands, workers)
-            assignments = _demands.assignments(term.state, groups)
-            self._register_orders(groups, assignments)
-        ended_s = time.monotonic()
-        term.metrics.round_seconds.observe(ended_s - started_s)
-        term.load.record_round(
-            ended_s - started_s, locked_s - started_s, ended_s - locked_s
+            for demand, queue in demands:
+                self._set_advice(demand, queue, now_ms)
+            peers = dict(term.peers)
+        term.metrics.usable_workers.set(len(workers))
+        return _Inputs(
+            [demand for demand, _ in demands],
+            workers,
+            team_available,
+            peers,
+            now_ms,
         )
-        if assignments:
-            self._commit(assignments)
 
-    def _usable_workers(self) -> list[_planner.AvailableWorker]:
+    def _usable_ids(self, now_ms: int) -> set[messages.WorkerId]:
+        term = self._term
+        return {
+            worker_id
+            for worker_id, peer in term.peers.items()
+            if peer.usable() and not term.health.suspended(worker_id, now_ms)
+        }
+
+    def _usable_workers(
+        self, usable: set[messages.WorkerId], now_ms: int
+    ) -> list[_planner.AvailableWorker]:
         term = self._term
-        now_ms = _clock.elapsed_ms()
-        workers = []
         slow = term.progress.slow_workers(now_ms)
-        for worker_id, worker in term.state.workers.items():
-            peer = term.peers.get(worker_id)
-            if peer is None or not peer.usable():
-                continue
-            if worker.facts.phase is not _commands.WorkerPhase.READY:
-                continue
-            if term.health.suspended(worker_id, now_ms):
-                continue
-            penalty = term.health.consecutive_failures(worker_id)
-            workers.append(
-                _demands.available_worker(
-                    worker, penalty + (worker_id in slow)
-                )
+        return [
+            _demands.available_worker(
+                worker,
+                term.health.consecutive_failures(worker_id)
+                + (worker_id in slow),
             )
-        return workers
+            for worker_id, worker in term.state.workers.items()
+            if worker_id in usable
+            and worker.facts.phase is _commands.WorkerPhase.READY
+        ]
 
-    def _plan(
-        self, demands: _Demands, workers: list[_planner.AvailableWorker]
-    ) -> _Groups:
-        term = self._term
-        now_ms = _clock.elapsed_ms()
-        ready = []
-        for demand, queue in demands:
-            self._set_advice(demand, queue, now_ms)
-            ready.append(demand)
-        team_available = _demands.team_available(term.state)
-        preemption = _preemption.Preemption(self._preemptible_runs)
+    def _plan(self, inputs: '_Inputs') -> _Groups:
+        preemption = _preemption.Preemption(
+            functools.partial(self._preemptible_runs, inputs.peers)
+        )
         groups = _planner.plan(
             [
                 demand
-                for demand in ready
+                for demand in inputs.demands
                 if demand.granted is None or demand.granted
             ],
-            workers,
-            team_available,
+            inputs.workers,
+            inputs.team_available,
             preemption,
         )
         self._steps_with_capacity = preemption.steps_with_capacity
-        self._preempt(preemption.chosen)
+        self._preempt(preemption.chosen, inputs.peers)
         placed = {
             (placement.task.job_id, placement.task.step)
             for group in groups
@@ -140,19 +199,26 @@
         }
         waiting = [
             demand
-            for demand in ready
+            for demand in inputs.demands
             if (demand.job_id, demand.step) not in placed
         ]
-        self._wait_tracker.report(waiting, workers, team_available, now_ms)
+        self._wait_tracker.report(
+            waiting, inputs.workers, inputs.team_available, inputs.now_ms
+        )
         return groups
 
     def _preemptible_runs(
-        self, worker_id: messages.WorkerId
+        self, peers: _Peers, worker_id: messages.WorkerId
     ) -> list[_preemption.PreemptibleRun]:
-        orders = self._term.peers[worker_id].orders
-        return _demands.preemptible_runs(self._term.state, worker_id, orders)
+        state = self._term.state
+        with state.lock:
+            return _demands.preemptible_runs(
+                state, worker_id, peers[worker_id].orders
+            )
 
-    def _preempt(self, runs: list[_preemption.PreemptibleRun]) -> None:
+    def _preempt(
+        self, runs: list[_preemption.PreemptibleRun], peers: _Peers
+    ) -> None:
         for run in runs:
             self._term.metrics.preempted.inc()
             _logger.info(
@@ -162,7 +228,7 @@
                 worker=run.worker_id,
                 priority=run.priority,
             )
-            self._term.peers[run.worker_id].orders.stop(run.task, run.run)
+            peers[run.worker_id].orders.stop(run.task, run.run)
 
     def _set_advice(
         self,
@@ -170,33 +236,55 @@
         queue: _policy.QueuePolicy,
         now_ms: int,
     ) -> None:
-        """Set the workers that a demand may use now, and how long it waits."""
+        """Set what a demand may use now; it is kept from round to round."""
         term = self._term
         if queue.advice is not None:
             name = _specs.step_name(demand.job_id, demand.step)
             demand.tickets = term.advice.tickets(name, now_ms)
-            demand.granted = term.advice.granted(name)
+            demand.granted = frozenset(term.advice.granted(name))
         step = (demand.job_id, demand.step)
         demand.avoided = frozenset(term.failed_on.get(step, ()))
         demand.waited_ms = self._wait_tracker.waited_ms(*step, now_ms)
 
-    def _register_orders(
-        self,
-        groups: _Groups,
-        assignments: tuple[tuple[_commands.RunAssignment, ...], ...],
-    ) -> None:
+    def _register(
+        self, groups: _Groups, inputs: '_Inputs', locks: '_LockTimes'
+    ) -> _Assignments:
         """Add the runs to the order books before they can be assigned."""
-        for group, runs in zip(groups, assignments, strict=True):
-            for placement, run in zip(group, runs, strict=True):
-                job = self._term.state.jobs[run.task.job_id]
-                task = job.steps[run.task.step].tasks[run.task.index]
-                order = _orders.Order(
-                    run.run,
-                    job.spec.payload,
-                    task.checkpoint,
-                    placement.ticket,
-                )
-                self._term.peers[run.worker_id].orders.plan(run.task, order)
+        if not groups:
+            return ()
+        term = self._term
+        with locks.measure(term.lock), locks.measure(term.state.lock):
+            # Jobs and workers may have been removed since they were read.
+            groups = [
+                group for group in groups if self._is_known(group, inputs)
+            ]
+            assignments = _demands.assignments(term.state, groups)
+            for group, runs in zip(groups, assignments, strict=True):
+                for placement, run in zip(group, runs, strict=True):
+                    self._register_order(placement, run)
+        return assignments
+
+    def _is_known(
+        self, group: tuple[_planner.Placement, ...], inputs: '_Inputs'
+    ) -> bool:
+        term = self._term
+        return all(
+            placement.task.job_id in term.state.open_jobs
+            and placement.worker_id in term.state.workers
+            and term.peers.get(placement.worker_id)
+            is inputs.peers[placement.worker_id]
+            for placement in group
+        )
+
+    def _register_order(
+        self, placement: _planner.Placement, run: _commands.RunAssignment
+    ) -> None:
+        job = self._term.state.jobs[run.task.job_id]
+        task = job.steps[run.task.step].tasks[run.task.index]
+        order = _orders.Order(
+            run.run, job.spec.payload, task.checkpoint, placement.ticket
+        )
+        self._term.peers[run.worker_id].orders.plan(run.task, order)
 
     def _commit(
         self, assignments: tuple[tuple[_commands.RunAssignment, ...], ...]
