Pause after a planning round for at least its duration

Rounds followed each other after 8 ms however long they were. With a long backlog or too little processor time planning took nearly all of the leader, while each round found only what the last few milliseconds had brought.

The pause is now at least as long as the round without its commit, up to the longest interval between rounds, so planning takes at most half of the time. After a short round or one without demands it is 8 ms as before, so a single job on an idle leader starts as early as before.

The test is a round in which the planner takes 50 ms; on the old code the pause after it is 8 ms (run: failed).

--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -75,6 +75,8 @@
         self._advice_requester = _advice_requester.AdviceRequester(term)
         self._wait_tracker = _wait_tracker.WaitTracker()
         self._demand_cache = _demands.DemandCache()
+        # Duration of the last round without its commit.
+        self._round_ms = 0.0
         # Steps for which the last round reserved workers on which tasks fit,
         # now or once runs have been stopped.
         self._steps_with_capacity: set[
@@ -94,8 +96,12 @@
             stopping.wait(self.pause_ms() / 1000)
 
     def pause_ms(self) -> float:
-        """Return the pause after the last round."""
-        return ROUND_MIN_MS
+        """Return the pause after the last round.
+
+        It is at least as long as the round, so that planning leaves half of
+        the time to the other threads.
+        """
+        return min(max(ROUND_MIN_MS, self._round_ms), ROUND_MAX_MS)
 
     def run_round(self) -> None:
         """Place waiting tasks and commit their assignments.
@@ -110,10 +116,12 @@
         started_s = time.monotonic()
         inputs = self._read_inputs(locks)
         if inputs is None:
+            self._round_ms = 0.0
             return
         groups = self._plan(inputs)
         assignments = self._register(groups, inputs, locks)
         round_s = time.monotonic() - started_s
+        self._round_ms = round_s * 1000
         term.metrics.round_seconds.observe(round_s)
         term.load.record_round(round_s, locks.wait_max_s, locks.held_max_s)
         if assignments:
--- a/dandeliondrum/jobs/tests/test_leader_locks.py
+++ b/dandeliondrum/jobs/tests/test_leader_locks.py
@@ -173,3 +173,14 @@
     with _plan_with(leave):
         scheduler.run_round()
     assert machine.task('j.0.0.0').run == 0
+
+
+def test_a_long_round_is_followed_by_a_pause_of_its_length(machine, term):
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step(1))))
+    scheduler = _scheduler.Scheduler(term)
+    assert scheduler.pause_ms() == _scheduler.ROUND_MIN_MS
+    with _plan_with(lambda: threading.Event().wait(0.05)):
+        scheduler.run_round()
+    assert 50 <= scheduler.pause_ms() <= _scheduler.ROUND_MAX_MS
+    scheduler.run_round()
+    assert scheduler.pause_ms() == _scheduler.ROUND_MIN_MS
