Limit log lines about waiting steps by time instead of by round

Up to five lines were logged in each round about steps that wait, each with a search for the reason over all workers. With hundreds of waiting steps and rounds every few milliseconds this gave as many lines a second as steps waited, up to some hundreds.

The lines are now written in batches of five, at least 250 ms apart, the oldest steps first. A few waiting steps are reported every second as before.

--- a/dandeliondrum/jobs/_wait_tracker.py
+++ b/dandeliondrum/jobs/_wait_tracker.py
@@ -8,8 +8,10 @@
 
 # Time before the first report about a waiting step, and between reports.
 REPORT_INTERVAL_MS = 1_000
-# Maximum number of log lines per round; the oldest steps come first.
-REPORTS_PER_ROUND_MAX = 5
+# Interval between batches of log lines, and the maximum number of lines in a
+# batch; the oldest steps come first.
+BATCH_INTERVAL_MS = 250
+REPORTS_PER_BATCH_MAX = 5
 
 _logger = structlog.get_logger()
 
@@ -25,6 +27,7 @@
     def __init__(self) -> None:
         self._since_ms: dict[_Key, int] = {}
         self._reported_ms: dict[_Key, int] = {}
+        self._batch_ms = 0
 
     def waited_ms(
         self, job_id: _specs.JobId, step: _specs.StepIndex, now_ms: int
@@ -42,6 +45,8 @@
         """Update the waiting steps after a round and log the oldest ones."""
         keys = {(demand.job_id, demand.step): demand for demand in waiting}
         self._since_ms = {key: self._since_ms.get(key, now_ms) for key in keys}
+        if now_ms - self._batch_ms < BATCH_INTERVAL_MS:
+            return
         self._reported_ms = {
             key: value
             for key, value in self._reported_ms.items()
@@ -54,7 +59,9 @@
             >= REPORT_INTERVAL_MS
         ]
         due.sort(key=lambda key: self._since_ms[key])
-        for key in due[:REPORTS_PER_ROUND_MAX]:
+        if due:
+            self._batch_ms = now_ms
+        for key in due[:REPORTS_PER_BATCH_MAX]:
             self._reported_ms[key] = now_ms
             demand = keys[key]
             wait_reason = _planner.wait_reason(demand, workers, team_available)
