Look only at workers with room for gangs whose tickets are valid

In each round all workers of the pool became candidates for each waiting gang, although a call about a gang whose tickets all outlast it is made only if some new worker has sufficient resources. Such gangs now first look at the workers with sufficient resources, which are few on a full fleet. Candidates are compared by plain numbers and are no longer frozen.

The choice of workers for a call moves next to the candidates and is compared with a full scan for random fleets and caches.

--- a/benchmarks/_round_simulation.py
+++ b/benchmarks/_round_simulation.py
@@ -68,8 +68,9 @@
 class Load:
     """The size of a cell and what it is asked to run.
 
-    With ``round_ms`` each round takes this time of the virtual clock, which
-    makes the simulation repeatable; otherwise it takes its processor time.
+    With ``round_ms`` each round takes this time of the virtual clock, and the
+    pause follows from it, which makes the simulation repeatable; otherwise a
+    round takes its processor time.
     """
 
     workers_count: int
@@ -145,8 +146,11 @@
             self.term.round_requested.clear()
             used_ms = self._round() * 1000
             fixed_ms = self._load.round_ms
-            self._advance(used_ms if fixed_ms is None else fixed_ms)
-            self._advance(self.scheduler.pause_ms())
+            if fixed_ms is None:
+                self._advance(used_ms + self.scheduler.pause_ms())
+            else:
+                pause_ms = max(_scheduler.ROUND_MIN_MS, fixed_ms)
+                self._advance(fixed_ms + pause_ms)
         self.totals.virtual_ms += self._now_ms - began_ms
 
     def _round(self) -> float:
--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -70,7 +70,7 @@
         return now_ms >= self.not_before_ms
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Candidate:
     """A worker that can run a step.
 
@@ -123,6 +123,19 @@
         step = self._steps.get(name)
         return step is None or not (step.tickets or step.refused)
 
+    def is_valid_for(
+        self, name: StepName, now_ms: int, policy: _policy.AdvicePolicy
+    ) -> bool:
+        """Return whether all tickets outlast a call that renews them."""
+        step = self._steps.get(name)
+        if step is None:
+            return False
+        end_ms = now_ms + int(policy.call_ms(len(step.tickets)))
+        return all(
+            ticket.expires_ms - TICKET_MARGIN_MS > end_ms
+            for ticket in step.tickets.values()
+        )
+
     def select_workers(
         self,
         name: StepName,
--- a/dandeliondrum/jobs/_advice_candidates.py
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -4,6 +4,7 @@
 
 from dandeliondrum.jobs import _advice
 from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _specs
 from dandeliondrum import messages
 
@@ -33,17 +34,21 @@
         """
         label = demand.spec.required_label
         charge = demand.spec.charged()
+        cpu, memory = charge.cpu_millicores, charge.memory_mb
+        accelerators = charge.accelerators_count
         only_with_capacity = only_with_capacity and not expects_capacity
         found = []
         for worker in self._sorted_workers(demand.pool):
-            if (
-                only_with_capacity
-                and worker.free.cpu_millicores < charge.cpu_millicores
-            ):
+            free = worker.free
+            if only_with_capacity and free.cpu_millicores < cpu:
                 break
             if label and label not in worker.labels:
                 continue
-            has_capacity = expects_capacity or charge.fits_in(worker.free)
+            has_capacity = expects_capacity or (
+                cpu <= free.cpu_millicores
+                and memory <= free.memory_mb
+                and accelerators <= free.accelerators_count
+            )
             if has_capacity or not only_with_capacity:
                 found.append(_advice.Candidate(worker.worker_id, has_capacity))
         return found
@@ -75,3 +80,39 @@
             known = {worker.capacity for worker in self._by_pool.get(pool, ())}
             self._capacities[pool] = known
         return known
+
+
+def workers_for_call(
+    advice: _advice.GrantCache,
+    name: str,
+    demand: _planner.Demand,
+    policy: _policy.AdvicePolicy,
+    candidate_workers: CandidateWorkers,
+    now_ms: int,
+    expects_capacity: bool = False,
+) -> tuple[messages.WorkerId, ...]:
+    """Return the workers to include in a call about a step, if any."""
+    if not advice.may_call(name, now_ms):
+        return ()
+    is_first_call = advice.is_unknown(name)
+    is_gang = demand.spec.gang
+    gang_policy = policy if is_gang else None
+    if not is_first_call and (
+        not is_gang or advice.is_valid_for(name, now_ms, policy)
+    ):
+        # A call is made only if there is such a worker.
+        included = advice.select_workers(
+            name,
+            candidate_workers.select(demand, True, expects_capacity),
+            now_ms,
+            gang_policy=gang_policy,
+        )
+        if not is_gang or not included:
+            return included
+    return advice.select_workers(
+        name,
+        candidate_workers.select(demand, False, expects_capacity),
+        now_ms,
+        candidate_workers.count_needed(demand) if is_first_call else 1,
+        gang_policy,
+    )
--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -58,37 +58,19 @@
                 demand.spec.gang
                 and (demand.job_id, demand.step) in steps_with_capacity
             )
-            included = self._select_workers(
-                name, demand, policy, candidate_workers, expects_capacity
+            included = _advice_candidates.workers_for_call(
+                self._term.advice,
+                name,
+                demand,
+                policy,
+                candidate_workers,
+                _clock.elapsed_ms(),
+                expects_capacity,
             )
             if included and not self._ask(name, policy, included):
                 busy_policies.add(policy)
         self._term.advice.retain(names)
 
-    def _select_workers(
-        self,
-        name: str,
-        demand: _planner.Demand,
-        policy: _policy.AdvicePolicy,
-        candidate_workers: _advice_candidates.CandidateWorkers,
-        expects_capacity: bool,
-    ) -> tuple[messages.WorkerId, ...]:
-        advice = self._term.advice
-        now_ms = _clock.elapsed_ms()
-        if not advice.may_call(name, now_ms):
-            return ()
-        is_first_call = advice.is_unknown(name)
-        is_gang = demand.spec.gang
-        return advice.select_workers(
-            name,
-            candidate_workers.select(
-                demand, not is_first_call and not is_gang, expects_capacity
-            ),
-            now_ms,
-            candidate_workers.count_needed(demand) if is_first_call else 1,
-            policy if is_gang else None,
-        )
-
     def _ask(
         self,
         name: str,
--- a/dandeliondrum/jobs/tests/test_candidate_workers.py
+++ b/dandeliondrum/jobs/tests/test_candidate_workers.py
@@ -12,7 +12,7 @@
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 
-GANG_POLICY = _policy.AdvicePolicy(100.0, 1.0, 1_500)
+POLICY = _policy.AdvicePolicy(100.0, 1.0, 1_500)
 NOW_MS = 10_000
 
 
@@ -120,36 +120,27 @@
     return cache
 
 
-@pytest.mark.parametrize('seed', range(20))
-def test_a_later_call_needs_only_candidates_with_capacity(seed):
+@pytest.mark.parametrize('seed', range(30))
+def test_a_call_includes_the_workers_of_a_full_scan(seed):
     rng = random.Random(seed)
     for _ in range(50):
         workers = _workers(rng)
-        demand = _demand(rng)
-        gang_policy = GANG_POLICY if demand.spec.gang else None
+        demand, expects_capacity = _demand(rng), rng.random() < 0.3
         cache = _random_cache(rng, 'step', workers)
-        scanned = _reference_candidates(demand, workers, False)
         expected = copy.deepcopy(cache).select_workers(
             'step',
-            scanned,
+            _reference_candidates(demand, workers, expects_capacity),
             NOW_MS,
             _reference_needed(demand, workers),
-            gang_policy,
+            POLICY if demand.spec.gang else None,
         )
-        if not cache.may_call('step', NOW_MS):
-            assert expected == ()
-            continue
-        is_first = cache.is_unknown('step')
-        candidate_workers = _advice_candidates.CandidateWorkers(workers)
-        assert (
-            cache.select_workers(
-                'step',
-                candidate_workers.select(
-                    demand, not is_first and not demand.spec.gang
-                ),
-                NOW_MS,
-                candidate_workers.count_needed(demand) if is_first else 1,
-                gang_policy,
-            )
-            == expected
+        included = _advice_candidates.workers_for_call(
+            cache,
+            'step',
+            demand,
+            POLICY,
+            _advice_candidates.CandidateWorkers(workers),
+            NOW_MS,
+            expects_capacity,
         )
+        assert included == expected
