Collect garbage more rarely in processes that run for long

The default settings of the collector look at the youngest objects after 700 net allocations, and now and then at all objects.

Once a process has started, objects that exist by then are never looked at again, and the thresholds are 10,000 net allocations and 10 collections of a generation. Both engines use this for all of their processes.

--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -57,6 +57,7 @@
         if isinstance(started, result.Failure):
             _logger.error('not started', why=started.failure())
             return _report.Report(_report.ExitCode.REFUSED)
+        utils.limit_collections()
         _logger.info('started', address=started.unwrap())
         stop_requested.wait()
         _logger.info('stopping')
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -64,6 +64,7 @@
         if isinstance(outcome, result.Failure):
             _logger.error('not started', why=outcome.failure())
             return 1
+        utils.limit_collections()
         _logger.info('started')
         stopping.wait()
         _logger.info('stopping')
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -1,6 +1,7 @@
 """Utilities for clocks, timers, futures and supervised threads."""
 
 from dandeliondrum.utils._clock import monotonic_ms
+from dandeliondrum.utils._collector import limit_collections
 from dandeliondrum.utils._futures import completed_future
 from dandeliondrum.utils._futures import gather
 from dandeliondrum.utils._futures import map_future
@@ -26,6 +27,7 @@
     'UNKNOWN_PART',
     'completed_future',
     'gather',
+    'limit_collections',
     'map_future',
     'monotonic_ms',
 ]
