Stop a node that can not start leading instead of leaving it in office

What callers see: a cell that has a leader which serves nobody, until that process is ended by hand.

Cause: `on_leading` builds the leader's components: threads for each worker, timers. If that raised (no more threads, for example), the listener's thread was restarted, but the event was gone. The node stayed the leader in the log, and what had been started, such as the threads of workers, had no owner.

Fix: a listener that fails to start leading is fatal for its node, as a failed state machine is: it steps down, the process exits, and another node is elected. Both engines close what they had opened.

Evidence: the new test, in which the first `on_leading` raises, fails on the old code (no leader within 30 s) and passes now.

--- a/dandeliondrum/consensus/_threads.py
+++ b/dandeliondrum/consensus/_threads.py
@@ -6,6 +6,7 @@
 import threading
 
 from returns import result
+import structlog
 
 from dandeliondrum.consensus import _applier
 from dandeliondrum.consensus import _disk_space
@@ -21,11 +22,14 @@
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _work_items
 from dandeliondrum.consensus import _writer
+from dandeliondrum import messages
 from dandeliondrum import utils
 
 # Seven threads of the node itself, and one for each other member.
 THREADS_COUNT = 24
 
+_logger = structlog.get_logger()
+
 OnFatal = collections.abc.Callable[[utils.InvariantError], object]
 
 
@@ -171,10 +175,23 @@
         while (outcome := self.state.resolutions.get()) is not None:
             _work_items.resolve_future(outcome.future, outcome.value)
 
+    def _start_leading(self, term: messages.Term) -> None:
+        """Notify the listener; a failure is fatal.
+
+        Otherwise this node would stay the leader and serve nobody.
+        """
+        try:
+            self._listener.on_leading(term)
+        except Exception as error:
+            _logger.exception('could not start leading', term=term)
+            raise utils.InvariantError(
+                f'could not start leading in term {term}: {error!r}'
+            ) from error
+
     def _run_listener(self, _stopping: threading.Event) -> None:
         while (event := self.state.role_events.get()) is not None:
             match event:
                 case _work_items.StartedLeading(term):
-                    self._listener.on_leading(term)
+                    self._start_leading(term)
                 case _work_items.StoppedLeading():
                     self._listener.on_following()
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -212,3 +212,22 @@
         leader = cluster.leader()
         assert time.monotonic_ns() - began_ns < 5_000 * 10**6
         cluster.wait_applied([b'kept'])
+
+
+def test_a_node_that_can_not_start_leading_leaves_the_lead_to_another(
+    tmp_path, monkeypatch
+):
+    failed = []
+    on_leading = harness.Listener.on_leading
+
+    def fail_once(listener, term):
+        if not failed:
+            failed.append(listener)
+            raise RuntimeError("can't start new thread")
+        on_leading(listener, term)
+
+    monkeypatch.setattr(harness.Listener, 'on_leading', fail_once)
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.bootstrap()
+        assert cluster.running[leader].listener is not failed[0]
+        cluster.propose(leader, b'served').unwrap()
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -136,7 +136,10 @@
         leadership = _leadership.Leadership(
             context, self._timers, self._on_fatal
         )
-        leadership.open()
+        with contextlib.ExitStack() as opened:
+            opened.callback(leadership.close)
+            leadership.open()
+            opened.pop_all()
         with self._lock:
             self._leadership = leadership
         _logger.info('leading', term=term)
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -169,7 +169,10 @@
             self.metrics,
             self._timers,
         )
-        leadership.open()
+        with contextlib.ExitStack() as opened:
+            opened.callback(leadership.close)
+            leadership.open()
+            opened.pop_all()
         with self._lock:
             self._leadership = leadership
         _logger.info('leading', term=term)
