Refuse new jobs early while the leader is overloaded

What callers saw: with a leader that is short of processor time, jobs were accepted and not run, others were refused only after their whole time, and configurations were acknowledged late or not at all. All of it gave way together.

Cause: the leader accepted every job that it could read. The only bound was that of 20,000 proposals of the log. So each submission, assignment, end and configuration waited behind all submissions before it.

Evidence: test_an_overloaded_leader_refuses_new_jobs_and_keeps_accepted_ones holds a cell of three controllers over its capacity for 7 s, with a leader that needs 30 ms for a command and 64 callers.

How it works: the leader estimates the time from a submission to a start order from its pending commits and their rate, its planning rounds and the delay of a timer. Urgent work has to start within 1.3 s; if the estimate has been above 1.2 s for 0.5 s the leader is overloaded. From then on each job is decided by the current estimate against a limit by the priority of its queue, so the least urgent are refused first and the backlog stays at the limit. A leader that keeps up, a burst that is worked off at once and a process that was frozen refuse nothing (tests with a simulated clock).

A refusal guarantees that the job does not run: the leader refuses neither a job that it knows nor one whose commit is pending, and a refusal after an unanswered attempt stays in doubt. It is a CallFailed with the time to retry, a field that older processes ignore, and becomes 503 with Retry-After without a retry at the gateway. The gateway refuses further jobs of the queue by itself for 0.5 s.

Ruled out, with the same simulation: refusing by the age of the oldest commit, which goes on growing while the backlog shrinks, so urgent work was refused too; refusing whole priorities in steps, which let the backlog swing between 0 and 1.7 s; an estimate from the number of commits per 0.5 s, which fails for commits that end in batches.

--- a/dandeliondrum/jobs/_leader_calls.py
+++ b/dandeliondrum/jobs/_leader_calls.py
@@ -69,11 +69,13 @@
 class Unavailable(typing.NamedTuple):
     """Failure of a call.
 
-    ``not_done`` guarantees that the call had no effect.
+    ``not_done`` guarantees that the call had no effect. ``retry_after_ms`` is
+    set if the leader has refused the call because it is overloaded.
     """
 
     reason: str
     not_done: bool
+    retry_after_ms: int = 0
 
 
 class LeaderCalls:
@@ -110,7 +112,8 @@
 
         A call that certainly had no effect fails early once no leader has
         been known for longer than a failover takes, so that its caller need
-        not wait for the timeout.
+        not wait for the timeout. A call that an overloaded leader refuses
+        fails at once.
         """
         deadline_ms = _clock.elapsed_ms() + timeout_ms
         not_done = True
@@ -126,6 +129,12 @@
                 case result.Success(messages.CallFailed() as failed):
                     reason = failed.reason
                     not_done = not_done and failed.not_done
+                    if failed.retry_after_ms:
+                        return result.Failure(
+                            Unavailable(
+                                reason, not_done, failed.retry_after_ms
+                            )
+                        )
                 case result.Success(value):
                     return result.Success(value)
                 case result.Failure(error):
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dandeliondrum import consensus
+from dandeliondrum.jobs import _admission
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
@@ -62,6 +63,8 @@
         self._scheduler = _scheduler.Scheduler(self._term)
         self._voters = _voters.Voters(node, options.voters_count)
         self._ended_ms: dict[_specs.JobId, int] = {}
+        # Jobs whose submission is being committed.
+        self._submitting: set[_specs.JobId] = set()
 
     def open(self) -> None:
         """Start the peers of all known workers, then the scheduler."""
@@ -75,6 +78,7 @@
         for interval_ms, callback in (
             (_workers.CHECK_INTERVAL_MS, self._workers.check),
             (CLEANUP_INTERVAL_MS, self._forget_ended),
+            (_admission.SAMPLE_INTERVAL_MS, self._sample_start_delay),
         ):
             timer = self._timers.every(interval_ms, callback)
             self._resources.callback(timer.cancel)
@@ -175,12 +179,53 @@
 
         return utils.map_future(term.node.confirm_leadership(), make_reply)
 
-    def _submit(self, message: _calls.JobSubmission) -> _Reply:
+    def _sample_start_delay(self) -> None:
+        term, admission = self._term, self._term.admission
+        now_ms = _clock.elapsed_ms()
+        was_overloaded = admission.is_overloaded()
+        admission.sample(
+            (queue.priority for queue in term.state.policy.queues), now_ms
+        )
+        delay_ms = admission.start_delay_ms(now_ms)
+        term.metrics.start_delay_seconds.set(delay_ms / 1000)
+        if admission.is_overloaded() != was_overloaded:
+            _logger.warning(
+                'overload ends' if was_overloaded else 'overload begins',
+                start_delay_ms=delay_ms,
+            )
+
+    def _refusal(self, spec: _specs.JobSpec) -> messages.CallFailed | None:
+        """Return the refusal of a new job, None if it is accepted.
+
+        A job that was submitted before is never refused, since it may run.
+        """
+        # Read without the lock of the state, for which a refusal would have
+        # to wait. A job leaves the first set after it has entered the second.
+        state = self._term.state
+        if spec.job_id in self._submitting or spec.job_id in state.jobs:
+            return None
+        queue = state.policy.queue_by_name.get(spec.queue)
+        if queue is None:
+            return None
+        retry_after_ms = self._term.admission.retry_after_ms(
+            queue.priority, _clock.elapsed_ms()
+        )
+        if retry_after_ms is None:
+            return None
+        self._term.metrics.submissions_refused.labels(spec.queue).inc()
+        return messages.CallFailed('overloaded', True, retry_after_ms)
+
+    def _submit(self, message: _calls.JobSubmission) -> typing.Any:
         spec = message.spec
+        refusal = self._refusal(spec)
+        if refusal is not None:
+            return refusal
+        self._submitting.add(spec.job_id)
 
         def make_reply(
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
+            self._submitting.discard(spec.job_id)
             if isinstance(outcome, result.Failure):
                 return _failure_reply(outcome.failure())
             _logger.info(
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -45,6 +45,17 @@
             ('queue',),
             registry=self.registry,
         )
+        self.submissions_refused = prometheus_client.Counter(
+            'dandeliondrum_jobs_submissions_refused',
+            'Jobs that were refused while the leader was overloaded, by queue',
+            ('queue',),
+            registry=self.registry,
+        )
+        self.start_delay_seconds = prometheus_client.Gauge(
+            'dandeliondrum_jobs_start_delay_seconds',
+            'Expected time from a submission to the order to start a task',
+            registry=self.registry,
+        )
         self.assigned = prometheus_client.Counter(
             'dandeliondrum_jobs_runs_assigned',
             'Runs that were assigned',
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -59,6 +59,19 @@
             stopping.wait(ROUND_MIN_MS / 1000)
 
     def _round(self) -> None:
+        admission = self._term.admission
+        admission.begin_round(_clock.elapsed_ms())
+        try:
+            assignments = self._plan_round()
+        finally:
+            admission.end_round(_clock.elapsed_ms())
+        if assignments:
+            self._commit(assignments)
+
+    def _plan_round(
+        self,
+    ) -> tuple[tuple[_commands.RunAssignment, ...], ...]:
+        """Plan due tasks and register their orders; return assignments."""
         term = self._term
         started_s = time.monotonic()
         with term.lock, term.state.lock:
@@ -66,7 +79,7 @@
             demands = list(_demands.open_demands(term.state))
             if not demands:
                 term.advice.retain(set())
-                return
+                return ()
             workers = self._usable_workers()
             term.metrics.usable_workers.set(len(workers))
             self._advice_requester.request(
@@ -76,8 +89,7 @@
             assignments = _demands.assignments(term.state, groups)
             self._register_orders(groups, assignments)
         term.metrics.round_seconds.observe(time.monotonic() - started_s)
-        if assignments:
-            self._commit(assignments)
+        return assignments
 
     def _usable_workers(self) -> list[_planner.AvailableWorker]:
         term = self._term
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -10,6 +10,7 @@
 import structlog
 
 from dandeliondrum import consensus
+from dandeliondrum.jobs import _admission
 from dandeliondrum.jobs import _advice
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _clock
@@ -77,6 +78,7 @@
         self.lock = threading.RLock()
         self.round_requested = threading.Event()
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
+        self.admission = _admission.Admission()
         self.health = _health.Health()
         self.progress = _progress.Progress()
         self.advice = _advice.GrantCache()
@@ -126,7 +128,13 @@
 
     def propose(self, command: typing.Any) -> Proposed:
         """Propose a command; return a future of its result."""
-        return self.node.propose(messages.encode(command))
+        admission = self.admission
+        commit_id = admission.begin_commit(_clock.elapsed_ms())
+        proposed = self.node.propose(messages.encode(command))
+        proposed.add_done_callback(
+            lambda _: admission.end_commit(commit_id, _clock.elapsed_ms())
+        )
+        return proposed
 
     def commit(
         self, command: typing.Any
--- a/dandeliondrum/jobs/tests/test_cell.py
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -20,8 +20,9 @@
 class Cell:
     """Three controllers that form a cell, and one gateway."""
 
-    def __init__(self, folder, resources):
+    def __init__(self, folder, resources, election_min_ms=300):
         self.folder = folder
+        self.election_min_ms = election_min_ms
         self.resources = resources
         self.adviser = testing.FakeAdviser()
         self.fleet = [
@@ -63,8 +64,8 @@
                 ),
                 address,
                 self.folder / (folder or controller_id),
-                election_min_ms=300,
-                election_max_ms=600,
+                election_min_ms=self.election_min_ms,
+                election_max_ms=2 * self.election_min_ms,
             ),
             jobs.Ports(testing.FakeFleet(self.fleet), self.adviser),
             helpers.decode_policy,
--- a/dandeliondrum/jobs/tests/test_leader_calls.py
+++ b/dandeliondrum/jobs/tests/test_leader_calls.py
@@ -96,3 +96,34 @@
     leader.delay_ms = 2_000
     assert submit(gateway) == result.Success(jobs.JobPhase.QUEUED)
     assert len(leader.submissions) == 1
+
+
+def test_a_refused_submission_fails_at_once_with_the_time_to_retry(
+    leader, gateway
+):
+    leader.reply = messages.CallFailed('overloaded', True, 1_500)
+    refusal = submit(gateway).failure()
+    assert refusal.not_done and refusal.retry_after_ms == 1_500
+    assert len(leader.submissions) == 1
+
+
+def test_a_gateway_spares_the_leader_refusals_but_not_for_long(
+    leader, gateway
+):
+    leader.reply = messages.CallFailed('overloaded', True, 1_500)
+    refusals = [submit(gateway, f'j{number}').failure() for number in range(9)]
+    assert {one.retry_after_ms for one in refusals} == {1_500}
+    assert len(leader.submissions) == 1
+    leader.reply = _calls.JobStatus(jobs.JobPhase.QUEUED)
+    testing.wait_until(lambda: submit(gateway).value_or(None))
+    assert len(leader.submissions) == 2
+
+
+def test_a_refusal_after_an_unanswered_attempt_leaves_the_job_in_doubt(
+    leader, gateway
+):
+    """The first attempt may still be stored, although the next is refused."""
+    leader.replies = [None, messages.CallFailed('overloaded', True, 1_500)]
+    refusal = submit(gateway).failure()
+    assert len(leader.submissions) == 2
+    assert not refusal.not_done
--- a/dandeliondrum/messages/_gateway_calls.py
+++ b/dandeliondrum/messages/_gateway_calls.py
@@ -31,10 +31,13 @@
     """The reply to a call that failed.
 
     ``not_done`` is true if the leader guarantees that it had no effect.
+    ``retry_after_ms`` is set if the leader refuses such calls for now; the
+    call is then not to be sent again before that time.
     """
 
     reason: str
     not_done: bool
+    retry_after_ms: int = 0
 
 
 @_codec.message
--- a/dandeliondrum/platform/_caller_api.py
+++ b/dandeliondrum/platform/_caller_api.py
@@ -181,7 +181,14 @@
         not_done=error.not_done,
     )
     if error.not_done or operation != 'submit':
-        return _problem(503, 'unavailable', error.reason, True)
+        return gateway.problem_response(
+            gateway.Problem(
+                503,
+                'unavailable',
+                error.reason,
+                error.retry_after_ms or RETRY_AFTER_MS,
+            )
+        )
     return _problem(
         504, 'in_doubt', 'the job may have been accepted; query its state'
     )
--- a/dandeliondrum/platform/tests/test_callers.py
+++ b/dandeliondrum/platform/tests/test_callers.py
@@ -1,8 +1,12 @@
 """Tests of replies to callers that need no call to the leader."""
 
+import json
+
 import pytest
+from returns import result
 
 from dandeliondrum import gateway
+from dandeliondrum import jobs
 from dandeliondrum.platform import _caller_api
 from dandeliondrum.platform import _documents
 from dandeliondrum import testing
@@ -19,6 +23,10 @@
     def __init__(self):
         self.policy = _documents.decode(testing.document())
         self.is_current = True
+        self.failure = jobs.Unavailable('overloaded', True, 2_500)
+
+    def submit(self, spec, timeout_ms):
+        return result.Failure(self.failure)
 
     def wait_for_policy(self, timeout_ms):
         return self.policy
@@ -67,3 +75,24 @@
     stub.is_current = False
     assert status_of(address, JOB) == 503
     assert status_of(address, '/none/00000000000000a1') == 503
+
+
+def submit(address):
+    body = {'Spec': 'x', 'Steps': [{'Count': 1, 'Cpu': 1, 'MemMb': 1}]}
+    return testing.call(
+        f'http://{address}{JOB}',
+        'POST',
+        json.dumps(body).encode(),
+        {'Host': 'nony24.example', 'Authorization': 'Token k1'},
+    )
+
+
+def test_an_overloaded_leader_refuses_with_the_time_to_retry(stub, address):
+    reply = submit(address)
+    assert reply.status == 503
+    assert reply.headers['retry-after'] == '3'
+
+
+def test_a_refusal_after_an_unanswered_attempt_is_in_doubt(stub, address):
+    stub.failure = jobs.Unavailable('overloaded', False, 2_500)
+    assert submit(address).status == 504
