Refuse calls without closing the stream when the log's queue is full

What callers would see: once the log refuses proposals because too many are pending, each submission, query or configuration ends the stream of its gateway to the leader. The gateway searches and registers again, each time at the cost of the leader that has no time left.

Cause: a proposal that is certain not to be committed was answered with NotLeader, also if the reason was an overload and not the loss of leadership.

Evidence: test_a_full_log_queue_does_not_close_the_streams_to_gateways fails before (the submission fails with not_sent, as the stream was closed).

Why it works: such a call gets a CallFailed with a time to retry, as other refusals of an overloaded leader.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -253,7 +253,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
+                return _failure_reply(outcome.failure())
             return _calls.JobStatus(
                 self._phase(message.job_id, message.team_id)
             )
@@ -340,7 +340,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
+                return _failure_reply(outcome.failure())
             with self._term.state.lock:
                 return _calls.DocumentInForce(
                     self._term.state.policy.version, self._term.state.document
@@ -385,7 +385,15 @@
 
 
 def _failure_reply(error: consensus.ProposeError) -> typing.Any:
-    """Return a reply that tells whether the command may still be applied."""
+    """Return a reply that tells whether the command may still be applied.
+
+    NotLeader closes the stream to the caller, so an overloaded leader must
+    not return it.
+    """
+    if error.failure is consensus.ProposeFailure.OVERLOADED:
+        return messages.CallFailed(
+            str(error.failure.value), True, _admission.RETRY_AFTER_MIN_MS
+        )
     if error.never_committed:
         return messages.NotLeader()
     return messages.CallFailed(str(error.failure.value), False)
--- a/dandeliondrum/jobs/tests/test_overload.py
+++ b/dandeliondrum/jobs/tests/test_overload.py
@@ -11,6 +11,7 @@
 import pytest
 from returns import result
 
+from dandeliondrum.consensus import _options
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _admission
 from dandeliondrum.jobs.tests import helpers
@@ -259,3 +260,16 @@
     assert refusal.not_done and refusal.retry_after_ms == 1_500
     cell.wait_done('j')
     assert [task for task, _ in cell.starts()] == ['j.0.0.0']
+
+
+def test_a_full_log_queue_does_not_close_the_streams_to_gateways(
+    cell, monkeypatch
+):
+    monkeypatch.setattr(_options, 'UNAPPLIED_PROPOSALS_MAX', 0)
+    spec = helpers.job('j', helpers.step())
+    refusal = cell.gateway.submit(spec, CALLER_BUDGET_MS).failure()
+    assert refusal.not_done and refusal.retry_after_ms == 1_000
+    assert cell.gateway.has_leader()
+    query = cell.gateway.query('j', helpers.TEAM, CALLER_BUDGET_MS)
+    assert query.failure().retry_after_ms == 1_000
+    assert cell.gateway.has_leader()
