--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dandeliondrum import consensus
+from dandeliondrum.jobs import _admission
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _audit
 from dandeliondrum.jobs import _calls
@@ -65,6 +66,8 @@
         self._scheduler = _scheduler.Scheduler(self._term)
         self._voters = _voters.Voters(node, options.voters_count)
         self._ended_ms: dict[_specs.JobId, int] = {}
+        # Jobs whose submission is being committed.
+        self._submitting: set[_specs.JobId] = set()
 
     def open(self) -> None:
         """Start the peers of all known workers, then the scheduler."""
@@ -80,6 +83,7 @@
             (_audit.INTERVAL_MS, self._audit.check),
             (CLEANUP_INTERVAL_MS, self._forget_ended),
             (_leader_load.REPORT_INTERVAL_MS, term.load.report),
+            (_admission.SAMPLE_INTERVAL_MS, self._sample_start_delay),
         ):
             timer = self._timers.every(interval_ms, callback)
             self._resources.callback(timer.cancel)
@@ -219,12 +223,53 @@
 
         return utils.map_future(term.node.confirm_leadership(), make_reply)
 
-    def _submit(self, message: _calls.JobSubmission) -> _Reply:
+    def _sample_start_delay(self) -> None:
+        term, admission = self._term, self._term.admission
+        now_ms = _clock.elapsed_ms()
+        was_overloaded = admission.is_overloaded()
+        admission.sample(
+            (queue.priority for queue in term.state.policy.queues), now_ms
+        )
+        delay_ms = admission.start_delay_ms(now_ms)
+        term.metrics.start_delay_seconds.set(delay_ms / 1000)
+        if admission.is_overloaded() != was_overloaded:
+            _logger.warning(
+                'overload ends' if was_overloaded else 'overload begins',
+                start_delay_ms=delay_ms,
+            )
+
+    def _refusal(self, spec: _specs.JobSpec) -> messages.CallFailed | None:
+        """Return the refusal of a new job, None if it is accepted.
+
+        A job that was submitted before is never refused, since it may run.
+        """
+        # Read without the lock of the state, for which a refusal would have
+        # to wait. A job leaves the first set after it has entered the second.
+        state = self._term.state
+        if spec.job_id in self._submitting or spec.job_id in state.jobs:
+            return None
+        queue = state.policy.queue_by_name.get(spec.queue)
+        if queue is None:
+            return None
+        retry_after_ms = self._term.admission.retry_after_ms(
+            queue.priority, _clock.elapsed_ms()
+        )
+        if retry_after_ms is None:
+            return None
+        self._term.metrics.submissions_refused.labels(spec.queue).inc()
+        return messages.CallFailed('overloaded', True, retry_after_ms)
+
+    def _submit(self, message: _calls.JobSubmission) -> typing.Any:
         spec = message.spec
+        refusal = self._refusal(spec)
+        if refusal is not None:
+            return refusal
+        self._submitting.add(spec.job_id)
 
         def make_reply(
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
+            self._submitting.discard(spec.job_id)
             if isinstance(outcome, result.Failure):
                 return _failure_reply(outcome.failure())
             _logger.info(
@@ -252,7 +297,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
+                return _failure_reply(outcome.failure())
             return _calls.JobStatus(
                 self._phase(message.job_id, message.team_id)
             )
@@ -339,7 +384,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
+                return _failure_reply(outcome.failure())
             with self._term.state.lock:
                 return _calls.DocumentInForce(
                     self._term.state.policy.version, self._term.state.document
@@ -384,7 +429,15 @@
 
 
 def _failure_reply(error: consensus.ProposeError) -> typing.Any:
-    """Return a reply that tells whether the command may still be applied."""
+    """Return a reply that tells whether the command may still be applied.
+
+    NotLeader closes the stream to the caller, so an overloaded leader must
+    not return it.
+    """
+    if error.failure is consensus.ProposeFailure.OVERLOADED:
+        return messages.CallFailed(
+            str(error.failure.value), True, _admission.RETRY_AFTER_MIN_MS
+        )
     if error.never_committed:
         return messages.NotLeader()
     return messages.CallFailed(str(error.failure.value), False)
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -114,24 +114,33 @@
         The locks are held only to read the inputs and to register the
         results, so that the other threads do not wait while a plan is made.
         Assignments that became impossible in the meantime are left out or
-        rejected by the state machine.
-        The commit is given up when ``stopping`` is set.
+        rejected by the state machine. The commit is given up when ``stopping`` is set.
         """
+        admission = self._term.admission
+        admission.begin_round(_clock.elapsed_ms())
+        try:
+            assignments = self._make_assignments()
+        finally:
+            admission.end_round(_clock.elapsed_ms())
+        if assignments:
+            self._commit(assignments, stopping)
+
+    def _make_assignments(self) -> _Assignments:
+        """Plan due tasks and register their orders."""
         term = self._term
         locks = _LockTimes()
         started_s = time.monotonic()
         inputs = self._read_inputs(locks)
         if inputs is None:
             self._round_ms = 0.0
-            return
+            return ()
         groups = self._plan(inputs)
         assignments = self._register(groups, inputs, locks)
         round_s = time.monotonic() - started_s
         self._round_ms = round_s * 1000
         term.metrics.round_seconds.observe(round_s)
         term.load.record_round(round_s, locks.wait_max_s, locks.held_max_s)
-        if assignments:
-            self._commit(assignments, stopping)
+        return assignments
 
     def _read_inputs(self, locks: '_LockTimes') -> '_Inputs | None':
         """Read what is to be planned and request advice; None if nothing."""
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -10,6 +10,7 @@
 import structlog
 
 from dandeliondrum import consensus
+from dandeliondrum.jobs import _admission
 from dandeliondrum.jobs import _advice
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _clock
@@ -79,6 +80,7 @@
         self.lock = threading.RLock()
         self.round_requested = threading.Event()
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
+        self.admission = _admission.Admission()
         self.health = _health.Health(lambda: len(self.peers))
         self.progress = _progress.Progress()
         self.advice = _advice.GrantCache()
@@ -131,11 +133,15 @@
     def propose(self, command: typing.Any) -> Proposed:
         """Propose a command; return a future of its result."""
         proposed_s = time.monotonic()
-        future = self.node.propose(messages.encode(command))
-        future.add_done_callback(
-            lambda _: self.load.record_command(time.monotonic() - proposed_s)
-        )
-        return future
+        commit_id = self.admission.begin_commit(_clock.elapsed_ms())
+
+        def finish(_: Proposed) -> None:
+            self.admission.end_commit(commit_id, _clock.elapsed_ms())
+            self.load.record_command(time.monotonic() - proposed_s)
+
+        proposed = self.node.propose(messages.encode(command))
+        proposed.add_done_callback(finish)
+        return proposed
 
     def commit(
         self, command: typing.Any
