Keep the planner's inputs of workers that have not changed

Each round computed the free resources and the set of labels of all usable workers anew, under the lock of the state, although few workers change between two rounds. The inputs are now kept and only reset to the free resources; they are made anew when a worker's facts or used resources differ.

--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _orders
@@ -108,20 +109,62 @@
         )
 
 
-def available_worker(
-    worker: _records.WorkerRecord, penalty: int
-) -> _planner.AvailableWorker:
-    """Return a worker with its free resources, as input of the planner."""
-    facts = worker.facts
-    return _planner.AvailableWorker(
-        facts.worker_id,
-        facts.pool,
-        facts.rack,
-        frozenset(facts.labels),
-        facts.capacity - worker.used,
-        facts.capacity,
-        penalty,
-    )
+class WorkerCache:
+    """Inputs of the planner for workers, made anew only where one changed.
+
+    Not thread-safe: only the scheduler's thread uses it.
+    """
+
+    def __init__(self) -> None:
+        self._before: dict[messages.WorkerId, _CachedWorker] = {}
+
+    def read(
+        self,
+        workers: collections.abc.Iterable[tuple[_records.WorkerRecord, int]],
+    ) -> list[_planner.AvailableWorker]:
+        """Return the given workers, each with its penalty, for one round.
+
+        The results are those of the last call with other free resources, so
+        they must not be used after the next call.
+        """
+        current: dict[messages.WorkerId, _CachedWorker] = {}
+        found = []
+        for worker, penalty in workers:
+            facts = worker.facts
+            known = self._before.get(facts.worker_id)
+            if (
+                known is None
+                or known.facts is not facts
+                or known.used is not worker.used
+            ):
+                free = facts.capacity - worker.used
+                available = _planner.AvailableWorker(
+                    facts.worker_id,
+                    facts.pool,
+                    facts.rack,
+                    frozenset(facts.labels),
+                    free,
+                    facts.capacity,
+                )
+                known = _CachedWorker(facts, worker.used, free, available)
+            available = known.available
+            available.free = known.free
+            available.penalty = penalty
+            available.reserved = False
+            current[facts.worker_id] = known
+            found.append(available)
+        self._before = current
+        return found
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CachedWorker:
+    """A worker with what its input was computed from."""
+
+    facts: _commands.WorkerFacts
+    used: messages.Resources
+    free: messages.Resources
+    available: _planner.AvailableWorker
 
 
 def preemptible_runs(
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -75,6 +75,7 @@
         self._advice_requester = _advice_requester.AdviceRequester(term)
         self._wait_tracker = _wait_tracker.WaitTracker()
         self._demand_cache = _demands.DemandCache()
+        self._worker_cache = _demands.WorkerCache()
         # Duration of the last round without its commit.
         self._round_ms = 0.0
         # Steps for which the last round reserved workers on which tasks fit,
@@ -173,8 +174,8 @@
     ) -> list[_planner.AvailableWorker]:
         term = self._term
         slow = term.progress.slow_workers(now_ms)
-        return [
-            _demands.available_worker(
+        return self._worker_cache.read(
+            (
                 worker,
                 term.health.consecutive_failures(worker_id)
                 + (worker_id in slow),
@@ -182,7 +183,7 @@
             for worker_id, worker in term.state.workers.items()
             if worker_id in usable
             and worker.facts.phase is _commands.WorkerPhase.READY
-        ]
+        )
 
     def _plan(self, inputs: '_Inputs') -> _Groups:
         preemption = _preemption.Preemption(
--- a/dandeliondrum/jobs/tests/test_demands.py
+++ b/dandeliondrum/jobs/tests/test_demands.py
@@ -131,3 +131,28 @@
     after = [demand for demand, _ in cache.read(machine.state)]
     assert after[0] is before[0]
     assert after[1].indexes == (1,)
+
+
+def _read_workers(cache, machine, penalty=0):
+    return cache.read(
+        (worker, penalty) for worker in machine.state.workers.values()
+    )
+
+
+def test_cached_workers_have_the_resources_that_are_free_now():
+    machine = helpers.Machine(('w1', 'w2'))
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step(2))))
+    cache = _demands.WorkerCache()
+    for worker in _read_workers(cache, machine):
+        worker.free, worker.reserved = messages.Resources(0, 0), True
+    assert machine.assign('j.0.0.0')
+    machine(_commands.PutWorker(helpers.facts('w2', cpu=9_000)))
+    first, second = _read_workers(cache, machine, penalty=2)
+    assert (first.free.cpu_millicores, first.reserved) == (3_000, False)
+    assert second.free.cpu_millicores == second.capacity.cpu_millicores
+    assert second.capacity.cpu_millicores == 9_000
+    assert first.penalty == second.penalty == 2
+    machine.end('j.0.0.0')
+    machine(_commands.RemoveWorker(messages.WorkerId('w2')))
+    (first,) = _read_workers(cache, machine)
+    assert first.free == first.capacity
