Begin commits of ends of runs at least 20 ms apart

A command with one end costs the leader about 1 ms of processor time for the log alone (encode, append, sync, send to the followers, apply, complete), most of it for the command and not for the end, and the followers accordingly. On an idle link a commit takes 5 ms, so that 330 ends a second were still 130 to 170 commands.

An end that comes alone is committed at once, as before; the others are committed with those that come within 20 ms of the begin of the last commit. Where a quorum is 20 ms away nothing changes, since one commit is under way at a time. The price: the resources of a run are free, and its job is done, up to 20 ms later, on a busy leader only.

The new test counts the commits of 100 ends; without the interval nothing bounds their number.

--- a/dandeliondrum/jobs/_end_recorder.py
+++ b/dandeliondrum/jobs/_end_recorder.py
@@ -3,9 +3,14 @@
 import collections.abc
 import dataclasses
 import threading
+import time
 
 from dandeliondrum.jobs import _commands
 
+# Minimum interval between commits. Each costs every controller about as much
+# as several ends in it.
+COMMIT_INTERVAL_MS = 20
+
 # Handles the effects of a batch that was committed.
 Effects = collections.abc.Callable[[], object]
 # Commits a batch; returns its effects, or None if it was not committed.
@@ -26,8 +31,9 @@
 
     While one thread commits a batch, the ends of the others gather in the
     next one, which one of them commits for all. An end that comes alone is
-    committed at once. The thread that committed a batch then handles its
-    effects, which holds up no other batch.
+    committed at once; otherwise commits begin at least ``COMMIT_INTERVAL_MS``
+    apart. The thread that committed a batch then handles its effects, which
+    holds up no other batch.
     """
 
     def __init__(self, commit: Commit) -> None:
@@ -35,6 +41,7 @@
         self._condition = threading.Condition()
         self._next = _Batch([])
         self._is_committing = False
+        self._begun_s = 0.0
 
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Return whether the ends were committed, once that is known."""
@@ -46,7 +53,7 @@
             if batch.done:
                 return batch.recorded
             self._is_committing = True
-            self._next = _Batch([])
+        self._gather()
         effects: Effects | None = None
         try:
             effects = self._commit(tuple(batch.ends))
@@ -59,3 +66,11 @@
         if effects is not None:
             effects()
         return batch.recorded
+
+    def _gather(self) -> None:
+        """Wait until the next commit may begin, then close its batch."""
+        due_s = self._begun_s + COMMIT_INTERVAL_MS / 1000
+        time.sleep(max(0.0, due_s - time.monotonic()))
+        self._begun_s = time.monotonic()
+        with self._condition:
+            self._next = _Batch([])
--- a/dandeliondrum/jobs/tests/test_end_recorder.py
+++ b/dandeliondrum/jobs/tests/test_end_recorder.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import threading
+import time
 
 import pytest
 
@@ -69,6 +70,27 @@
     assert len(log.batches) == 2
 
 
+def test_frequent_ends_are_committed_at_intervals_and_a_single_one_at_once(
+    threads,
+):
+    log = SlowLog(*100 * [True])
+    log.free.set()
+    recorder = _end_recorder.EndRecorder(log)
+    begin_s = time.monotonic()
+    recorder.record((end(0),))
+    single_ms = (time.monotonic() - begin_s) * 1_000
+    futures = []
+    for number in range(1, 100):
+        futures.append(threads.submit(recorder.record, (end(number),)))
+        time.sleep(0.001)
+    assert all(future.result(TIMEOUT_S) for future in futures)
+    elapsed_ms = (time.monotonic() - begin_s) * 1_000
+    assert single_ms < _end_recorder.COMMIT_INTERVAL_MS
+    assert sum(len(batch) for batch in log.batches) == 100
+    intervals_count = elapsed_ms / _end_recorder.COMMIT_INTERVAL_MS
+    assert len(log.batches) <= intervals_count + 1
+
+
 def test_effects_that_block_hold_up_neither_their_batch_nor_the_next(threads):
     """Regression test: the effects wait for a round of planning to end."""
     log = SlowLog(True, True, True)
