--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -115,7 +115,8 @@
         The locks are held only to read the inputs and to register the
         results, so that the other threads do not wait while a plan is made.
         Assignments that became impossible in the meantime are left out or
-        rejected by the state machine. The commit is given up when ``stopping`` is set.
+        rejected by the state machine. The commit is given up when
+        ``stopping`` is set.
         """
         admission = self._term.admission
         admission.begin_round(_clock.elapsed_ms())
--- a/dandeliondrum/jobs/tests/test_end_recorder.py
+++ b/dandeliondrum/jobs/tests/test_end_recorder.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import threading
+import time
 
 import pytest
 
@@ -24,6 +25,9 @@
     def __init__(self, *outcomes):
         self.batches = []
         self.free = threading.Event()
+        self.effects_count = 0
+        self.effects_free = threading.Event()
+        self.effects_free.set()
         self._outcomes = list(outcomes)
 
     def __call__(self, ends):
@@ -32,7 +36,11 @@
         outcome = self._outcomes.pop(0)
         if isinstance(outcome, Exception):
             raise outcome
-        return outcome
+        return self._handle_effects if outcome else None
+
+    def _handle_effects(self):
+        self.effects_count += 1
+        assert self.effects_free.wait(TIMEOUT_S)
 
 
 @pytest.fixture
@@ -62,6 +70,41 @@
     assert len(log.batches) == 2
 
 
+def test_frequent_ends_are_committed_at_intervals_and_a_single_one_at_once(
+    threads,
+):
+    log = SlowLog(*100 * [True])
+    log.free.set()
+    recorder = _end_recorder.EndRecorder(log)
+    begin_s = time.monotonic()
+    recorder.record((end(0),))
+    single_ms = (time.monotonic() - begin_s) * 1_000
+    futures = []
+    for number in range(1, 100):
+        futures.append(threads.submit(recorder.record, (end(number),)))
+        time.sleep(0.001)
+    assert all(future.result(TIMEOUT_S) for future in futures)
+    elapsed_ms = (time.monotonic() - begin_s) * 1_000
+    assert single_ms < _end_recorder.COMMIT_INTERVAL_MS
+    assert sum(len(batch) for batch in log.batches) == 100
+    intervals_count = elapsed_ms / _end_recorder.COMMIT_INTERVAL_MS
+    assert len(log.batches) <= intervals_count + 1
+
+
+def test_effects_that_block_hold_up_neither_their_batch_nor_the_next(threads):
+    """Regression test: the effects wait for a round of planning to end."""
+    log = SlowLog(True, True, True)
+    log.effects_free.clear()
+    futures = record_during_a_commit(threads, log, 2)
+    try:
+        testing.wait_until(lambda: sum(one.done() for one in futures) == 1)
+        assert len(log.batches) == 2
+        assert log.effects_count == 2
+    finally:
+        log.effects_free.set()
+    assert all(future.result(TIMEOUT_S) for future in futures)
+
+
 def test_all_are_told_that_their_batch_was_not_committed(threads):
     log = SlowLog(True, False)
     futures = record_during_a_commit(threads, log, 3)
