Read the processor time of threads from the kernel's statistics

In a deployment the report of the leader's load showed 5.0 s for each thread in 5 s, 4,252 s in all with 850 threads: the clock of a thread was read through the process's clock functions, and where these are virtual it follows the time of day.

The time is now read from /proc/self/task/*/schedstat, and that of the process from getrusage. If a thread's file can not be read, its time counts for the part "unknown".

In a deployment with virtual clocks the new source was not run.

--- a/dandeliondrum/utils/_processor_time.py
+++ b/dandeliondrum/utils/_processor_time.py
@@ -2,14 +2,14 @@
 
 import collections
 import collections.abc
+import resource
 import threading
-import time
 
-# The kernel's clock of a thread is derived from its id: CPUCLOCK_SCHED for one
-# thread. An id whose thread has exited gives an OSError, while
-# pthread_getcpuclockid would have undefined behaviour.
-_CLOCK_ID_BITS = 3
-_THREAD_CLOCK_FLAGS = 6
+# Its first field is the processor time of the thread in nanoseconds. The
+# thread's clock is no source: where clocks are virtual, it follows the time
+# of day.
+_THREAD_FILE = '/proc/self/task/{}/schedstat'
+_NS_PER_S = 1_000_000_000
 
 UNKNOWN_PART = 'unknown'
 
@@ -44,16 +44,24 @@
                 by_thread[thread] = used_s
             self._by_thread = by_thread
             known_s = sum(self._by_part.values())
-            unknown_s = max(0.0, time.process_time() - known_s)
+            unknown_s = max(0.0, _process_used_s() - known_s)
             return {**self._by_part, UNKNOWN_PART: unknown_s}
 
 
 def _used_s(thread: threading.Thread) -> float | None:
     if thread.native_id is None:
         return None
-    clock_id = (~thread.native_id << _CLOCK_ID_BITS) | _THREAD_CLOCK_FLAGS
     try:
-        return time.clock_gettime(clock_id)
-    except OSError:
-        # The thread has exited since it was enumerated.
+        with open(
+            _THREAD_FILE.format(thread.native_id), encoding='ascii'
+        ) as file:
+            return int(file.read().split()[0]) / _NS_PER_S
+    except (OSError, ValueError, IndexError):
+        # The thread has exited since it was enumerated, or the kernel keeps
+        # no such times; its time then counts for UNKNOWN_PART.
         return None
+
+
+def _process_used_s() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
--- a/dandeliondrum/utils/tests/test_processor_time.py
+++ b/dandeliondrum/utils/tests/test_processor_time.py
@@ -62,7 +62,7 @@
     try:
         processor_time.read()
         thread.name = 'busy'
-        _burn(time.thread_time() + 0.03)
+        _burn(time.thread_time() + 0.06)
         used = processor_time.read()
         assert 0.03 <= used['busy'] < 1.0
     finally:
@@ -89,3 +89,12 @@
 
 def _name():
     return threading.current_thread().name
+
+
+def test_virtual_clocks_do_not_count_as_processor_time(monkeypatch):
+    processor_time = utils.ProcessorTime(_part_of)
+    before = sum(processor_time.read().values())
+    elapsed_s = time.monotonic
+    monkeypatch.setattr(time, 'clock_gettime', lambda _clock: elapsed_s())
+    monkeypatch.setattr(time, 'process_time', elapsed_s)
+    assert sum(processor_time.read().values()) - before < 1.0
