Use the table of sessions in the benchmark of rounds

The benchmark failed at its start since the leader's sessions became a table: 'SessionTable' object does not support item assignment. It now adds sessions as the leader does.

--- a/benchmarks/_round_simulation.py
+++ b/benchmarks/_round_simulation.py
@@ -29,6 +29,7 @@
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
 from dandeliondrum import messages
+from dandeliondrum import transport
 
 POOL = 'pool'
 HOST = 'host'
@@ -330,7 +331,13 @@
         for number in range(self._load.gateways_count):
             gateway_id = messages.GatewayId(f'g{number}')
             connection = _Connection(gateway_id, self._ask)
-            term.sessions[typing.cast(typing.Any, connection)] = gateway_id
+            term.sessions.add(
+                transport.Session(
+                    typing.cast(typing.Any, connection),
+                    gateway_id,
+                    term.sessions.next_number(),
+                )
+            )
             term.adviser_clients.add(gateway_id)
         return term
 
@@ -430,6 +437,7 @@
         gateway_id: messages.GatewayId,
         ask: typing.Callable[[str, _calls.AdviceRequest], object],
     ) -> None:
+        self.closed = threading.Event()
         self._gateway_id = gateway_id
         self._ask = ask
 
