--- a/dandeliondrum/jobs/tests/test_reports.py
+++ b/dandeliondrum/jobs/tests/test_reports.py
@@ -10,6 +10,7 @@
 from dandeliondrum.jobs import _follower_reports
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum.jobs.tests import test_cell
+from dandeliondrum import testing
 from dandeliondrum import transport
 
 # Time that a worker waits for an answer.
@@ -100,6 +101,13 @@
 def test_unchanged_reports_are_answered_while_the_state_is_locked(cell):
     leader = cell.controllers[cell.leader()]
     facts = cell.fleet[0].facts
+    # A follower can't register while the state of the leader is locked.
+    testing.wait_until(
+        lambda: all(
+            controller.is_leading() or controller.calls.link.is_answering()
+            for controller in cell.controllers.values()
+        )
+    )
     with concurrent.futures.ThreadPoolExecutor() as threads:
         with leader.state.lock:
             answers = [
