Answer heartbeats and registrations of gateways during a planning round

What callers see: on a leader with long planning rounds gateways lose the leader, register again and time out again, and requests fail meanwhile.

Cause: a heartbeat of a gateway, its registration and the end of its connection waited for the term's lock or the state's lock, which the scheduler holds for a whole round. A gateway gives up a heartbeat after 500 ms and a registration after 400 ms. So rounds of that length cost the leader its gateways, whose registrations add to its load.

Fix: the active document with its version is one value that is replaced as a whole, so that it is read without a lock; the sessions and the pool of the adviser's clients have locks of their own, held for microseconds.

Evidence: the new test holds both locks as a round does; on the code before, the registration times out after 1 s, now registration, heartbeat and disconnection are answered. All tests of `jobs` and `platform` pass.

Not changed: queries of jobs, submissions and reports of workers still wait for the state's lock, since they read records that change.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -11,6 +11,7 @@
 import collections.abc
 import dataclasses
 import math
+import threading
 
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _policy
@@ -298,9 +299,13 @@
 
 
 class AdviserClientPool:
-    """Pool of the processes that may call the adviser, with their load."""
+    """Pool of the processes that may call the adviser, with their load.
+
+    Thread-safe.
+    """
 
     def __init__(self) -> None:
+        self._lock = threading.Lock()
         self._loads: dict[ClientId, _ClientLoad] = {}
         # No process is available before this time, unless a call ends or a
         # process is added. Waiting steps ask far more often than calls end.
@@ -308,16 +313,19 @@
 
     def add(self, client_id: ClientId) -> None:
         """Add a process to the pool."""
-        self._loads.setdefault(client_id, _ClientLoad())
-        self._none_before_ms = 0.0
+        with self._lock:
+            self._loads.setdefault(client_id, _ClientLoad())
+            self._none_before_ms = 0.0
 
     def remove(self, client_id: ClientId) -> None:
         """Remove a process from the pool."""
-        self._loads.pop(client_id, None)
+        with self._lock:
+            self._loads.pop(client_id, None)
 
     def clear(self) -> None:
         """Remove all processes from the pool."""
-        self._loads.clear()
+        with self._lock:
+            self._loads.clear()
 
     def choose(
         self, policy: _policy.AdvicePolicy, workers_count: int, now_ms: float
@@ -326,6 +334,17 @@
 
         Returns None while all processes are busy or paused after a failure.
         """
+        with self._lock:
+            client_id = self._choose(now_ms)
+            if client_id is None:
+                return None
+            chosen = self._loads[client_id]
+            if not chosen.pending_ms:
+                chosen.call_started_ms = now_ms
+            chosen.pending_ms.append(policy.call_ms(workers_count))
+            return client_id
+
+    def _choose(self, now_ms: float) -> ClientId | None:
         if now_ms < self._none_before_ms:
             return None
         best_id: ClientId | None = None
@@ -340,31 +359,31 @@
                 best_id, best_ms = client_id, answer_in_ms
         if best_id is None:
             self._none_before_ms = next_ms
-            return None
-        chosen = self._loads[best_id]
-        if not chosen.pending_ms:
-            chosen.call_started_ms = now_ms
-        chosen.pending_ms.append(policy.call_ms(workers_count))
         return best_id
 
     def due_ms(self, client_id: ClientId) -> float:
-        """Return when the last call of a process is expected to return."""
-        load = self._loads[client_id]
-        return (
-            load.call_started_ms
-            + sum(load.pending_ms)
-            + (load.overhead_ms or 0.0)
-        )
+        """Return when the last call of a process is expected to return.
+
+        Returns 0 if the process has left the pool.
+        """
+        with self._lock:
+            load = self._loads.get(client_id, _ClientLoad())
+            return (
+                load.call_started_ms
+                + sum(load.pending_ms)
+                + (load.overhead_ms or 0.0)
+            )
 
     def record_finished(self, client_id: ClientId, now_ms: float) -> None:
         """Record that the oldest call of a process was answered."""
-        self._none_before_ms = 0.0
-        load = self._loads.get(client_id)
-        if load is None or not load.pending_ms:
-            return
-        load.update_overhead(load.end_call(now_ms))
-        load.failures_count = 0
-        load.not_before_ms = 0.0
+        with self._lock:
+            self._none_before_ms = 0.0
+            load = self._loads.get(client_id)
+            if load is None or not load.pending_ms:
+                return
+            load.update_overhead(load.end_call(now_ms))
+            load.failures_count = 0
+            load.not_before_ms = 0.0
 
     def record_failed(self, client_id: ClientId, now_ms: float) -> None:
         """Record that the oldest call of a process has failed.
@@ -372,14 +391,15 @@
         The process is left out for a while. A failure may come faster than
         any reply, so it never lowers the average overhead.
         """
-        self._none_before_ms = 0.0
-        load = self._loads.get(client_id)
-        if load is None or not load.pending_ms:
-            return
-        overhead_ms = load.end_call(now_ms)
-        if overhead_ms > (load.overhead_ms or 0.0):
-            load.update_overhead(overhead_ms)
-        load.pause(now_ms)
+        with self._lock:
+            self._none_before_ms = 0.0
+            load = self._loads.get(client_id)
+            if load is None or not load.pending_ms:
+                return
+            overhead_ms = load.end_call(now_ms)
+            if overhead_ms > (load.overhead_ms or 0.0):
+                load.update_overhead(overhead_ms)
+            load.pause(now_ms)
 
 
 def _ids(
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import threading
 import typing
 
 from returns import result
@@ -62,6 +63,9 @@
         self._scheduler = _scheduler.Scheduler(self._term)
         self._voters = _voters.Voters(node, options.voters_count)
         self._ended_ms: dict[_specs.JobId, int] = {}
+        # Keeps the pool of the adviser's clients in step with the sessions.
+        # The term's lock is held for whole planning rounds.
+        self._registration_lock = threading.RLock()
 
     def open(self) -> None:
         """Start the peers of all known workers, then the scheduler."""
@@ -86,8 +90,7 @@
         """
         self._supervisor.stopping.set()
         self._workers.close()
-        with self._term.lock:
-            self._term.adviser_clients.clear()
+        self._term.adviser_clients.clear()
         self._term.sessions.close()
 
     def close(self) -> None:
@@ -129,7 +132,7 @@
     def disconnected(self, connection: transport.Connection) -> None:
         """Remove the session of a connection that has closed."""
         term = self._term
-        with term.lock:
+        with self._registration_lock:
             session = term.sessions.remove(connection)
             if session is None:
                 return
@@ -145,8 +148,7 @@
         connection: transport.Connection | None,
         message: messages.GatewayHeartbeat,
     ) -> messages.GatewayHeartbeatReply:
-        with self._term.state.lock:
-            version = messages.RulesVersion(self._term.state.policy.version)
+        version = self._term.state.active_document.version
         if connection is not None and message.rules_version < version:
             connection.push(self._document_push())
         return messages.GatewayHeartbeatReply(
@@ -170,22 +172,20 @@
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
                 return messages.NotLeader()
-            with term.lock:
+            with self._registration_lock:
                 added = term.sessions.add(session)
                 if added:
                     term.adviser_clients.add(message.gateway_id)
             if not added:
                 _logger.info('registration refused', peer=message.gateway_id)
                 return messages.NotLeader()
-            with term.state.lock:
-                version = term.state.policy.version
-                document = term.state.document
+            active = term.state.active_document
             _logger.info('process registered', peer=message.gateway_id)
             return messages.GatewayRegistered(
                 term.number,
                 term.options.controller_id,
-                messages.RulesVersion(version),
-                document.decode(),
+                active.version,
+                active.document.decode(),
             )
 
         return utils.map_future(term.node.confirm_leadership(), make_reply)
@@ -299,11 +299,8 @@
         self._term.round_requested.set()
 
     def _document_push(self) -> messages.RulesPush:
-        with self._term.state.lock:
-            return messages.RulesPush(
-                messages.RulesVersion(self._term.state.policy.version),
-                self._term.state.document.decode(),
-            )
+        active = self._term.state.active_document
+        return messages.RulesPush(active.version, active.document.decode())
 
     def _read_document(self) -> _Reply:
         def make_reply(
@@ -311,10 +308,8 @@
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
                 return messages.NotLeader()
-            with self._term.state.lock:
-                return _calls.DocumentInForce(
-                    self._term.state.policy.version, self._term.state.document
-                )
+            active = self._term.state.active_document
+            return _calls.DocumentInForce(active.version, active.document)
 
         return utils.map_future(
             self._term.node.confirm_leadership(), make_reply
--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -1,6 +1,7 @@
 """Replicated state machine of jobs, workers and the policy."""
 
 import collections.abc
+import dataclasses
 import threading
 import typing
 
@@ -15,17 +16,27 @@
 PolicyDecoder = collections.abc.Callable[[bytes], _policy.Policy]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActiveDocument:
+    """The operator's document in force; version 0 if there is none."""
+
+    version: messages.RulesVersion
+    document: bytes
+
+
 class JobsState(_record_store.RecordStore):
     """All jobs, workers and the operator's policy.
 
     ``decode_policy`` parses an operator's document, which was validated
-    before it was proposed. Readers hold ``lock``.
+    before it was proposed. Readers hold ``lock``, except for
+    ``active_document``, which is replaced as a whole.
     """
 
     def __init__(self, decode_policy: PolicyDecoder) -> None:
         super().__init__()
         self.lock = threading.RLock()
         self.policy = _policy.Policy()
+        self.active_document = ActiveDocument(messages.RulesVersion(0), b'')
         self._decode_policy = decode_policy
 
     def apply(self, index: int, command: bytes) -> typing.Any:
@@ -67,6 +78,9 @@
         """Activate a document regardless of its version."""
         self.document = document
         self.policy = self._decode_policy(document)
+        self.active_document = ActiveDocument(
+            messages.RulesVersion(self.policy.version), document
+        )
         self.queues.update(self.policy.queue_by_name)
 
     def _submit(self, command: _commands.SubmitJob) -> _records.JobPhase:
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -6,6 +6,7 @@
 import pytest
 from returns import result
 
+from dandeliondrum import consensus
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _advice_requester
 from dandeliondrum.jobs import _calls
@@ -48,6 +49,11 @@
     def is_leading(self):
         return True
 
+    def status(self):
+        return consensus.NodeStatus(
+            'c1', consensus.Role.LEADER, 1, 'c1', True, 1, 1, 1, 0, 'd', ()
+        )
+
     def confirm_leadership(self):
         self.confirmations.append(concurrent.futures.Future())
         return self.confirmations[-1]
@@ -186,3 +192,33 @@
     node.proposals[0].set_result(result.Success(None))
     assert reply.result(0) == messages.NotLeader()
     assert not leadership._term.peers
+
+
+def test_a_long_planning_round_delays_no_registration_and_no_heartbeat(
+    leadership, node
+):
+    term = leadership._term
+    planning, planned = threading.Event(), threading.Event()
+
+    def plan():
+        with term.lock, term.state.lock:
+            planning.set()
+            planned.wait(10)
+
+    connection = FakeConnection(leadership)
+    with concurrent.futures.ThreadPoolExecutor(2) as executor:
+        executor.submit(plan)
+        planning.wait(10)
+        try:
+            reply = executor.submit(register, leadership, connection)
+            executor.submit(node.confirm).result(1)
+            registered = reply.result(1).result(1)
+            heartbeat = messages.GatewayHeartbeat(messages.RulesVersion(1))
+            beat = executor.submit(leadership.handle, connection, heartbeat)
+            assert isinstance(beat.result(1), messages.GatewayHeartbeatReply)
+            executor.submit(connection.close).result(1)
+        finally:
+            planned.set()
+    assert isinstance(registered, messages.GatewayRegistered)
+    assert registered.rules_version == 1
+    assert chosen_client(leadership) is None
