--- a/dandeliondrum/jobs/tests/test_overload.py
+++ b/dandeliondrum/jobs/tests/test_overload.py
@@ -277,6 +277,21 @@
     assert [task for task, _ in cell.starts()] == ['j.0.0.0']
 
 
+def test_a_gateway_does_not_refuse_a_job_that_was_accepted(cell, monkeypatch):
+    cell.submit('j', helpers.step())
+    monkeypatch.setattr(
+        _admission.Admission, 'retry_after_ms', lambda *_: 1_500
+    )
+    spec = helpers.job('k', helpers.step())
+    assert isinstance(
+        cell.gateway.submit(spec, CALLER_BUDGET_MS), result.Failure
+    )
+    again = helpers.job('j', helpers.step())
+    assert isinstance(
+        cell.gateway.submit(again, CALLER_BUDGET_MS), result.Success
+    )
+
+
 def test_a_full_log_queue_does_not_close_the_streams_to_gateways(
     cell, monkeypatch
 ):
