Refuse no job while one of its submissions is committed

An overloaded leader refuses no job whose submission is being committed. It kept these jobs in a set, so of two submissions of one job the first that ended removed the entry for both.

The leader counts the pending submissions of each job now. The new test fails on the old code (the third submission is refused) and passes now, with the other tests of the file.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -1,5 +1,6 @@
 """The leader during one term: its components and the calls to them."""
 
+import collections
 import concurrent.futures
 import contextlib
 import threading
@@ -67,8 +68,11 @@
         self._scheduler = _scheduler.Scheduler(self._term)
         self._voters = _voters.Voters(node, options.voters_count)
         self._ended_ms: dict[_specs.JobId, int] = {}
-        # Jobs whose submission is being committed.
-        self._submitting: set[_specs.JobId] = set()
+        # How many submissions of a job are being committed.
+        self._submitting: collections.Counter[_specs.JobId] = (
+            collections.Counter()
+        )
+        self._submitting_lock = threading.Lock()
         # Keeps the pool of the adviser's clients in step with the sessions.
         self._registration_lock = threading.RLock()
 
@@ -242,7 +246,7 @@
         A job that was submitted before is never refused, since it may run.
         """
         # Read without the lock of the state, for which a refusal would have
-        # to wait. A job leaves the first set after it has entered the second.
+        # to wait. A job leaves the first after it has entered the second.
         state = self._term.state
         if spec.job_id in self._submitting or spec.job_id in state.jobs:
             return None
@@ -262,12 +266,12 @@
         refusal = self._refusal(spec)
         if refusal is not None:
             return refusal
-        self._submitting.add(spec.job_id)
+        self._count_submission(spec.job_id, 1)
 
         def make_reply(
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
-            self._submitting.discard(spec.job_id)
+            self._count_submission(spec.job_id, -1)
             if isinstance(outcome, result.Failure):
                 return _failure_reply(outcome.failure())
             _logger.info(
@@ -290,6 +294,12 @@
             self._term.propose(_commands.SubmitJob(spec)), make_reply
         )
 
+    def _count_submission(self, job_id: _specs.JobId, change: int) -> None:
+        with self._submitting_lock:
+            self._submitting[job_id] += change
+            if not self._submitting[job_id]:
+                del self._submitting[job_id]
+
     def _query(self, message: _calls.JobQuery) -> _Reply:
         def make_reply(
             outcome: result.Result[typing.Any, consensus.ProposeError],
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -178,6 +178,29 @@
     assert chosen_client(leadership) is None
 
 
+def test_a_job_is_not_refused_while_one_of_its_submissions_is_committed(
+    leadership, node, monkeypatch
+):
+    """The commit that is left may succeed, so the job may run."""
+    submission = _calls.JobSubmission(helpers.job('j', helpers.step()))
+    for _ in range(2):
+        leadership.handle(None, submission)
+    monkeypatch.setattr(
+        leadership._term.admission, 'retry_after_ms', lambda *_: 1_500
+    )
+    failure = consensus.ProposeError(
+        consensus.ProposeFailure.OVERLOADED, never_committed=True
+    )
+    node.proposals[0].set_result(result.Failure(failure))
+    leadership.handle(None, submission)
+    assert len(node.proposals) == 3
+    for proposal in node.proposals[1:]:
+        proposal.set_result(result.Failure(failure))
+    refusal = leadership.handle(None, submission)
+    assert refusal == messages.CallFailed('overloaded', True, 1_500)
+    assert len(node.proposals) == 3
+
+
 def test_a_call_to_a_process_without_a_session_fails_at_once(leadership):
     outcome = ask(leadership).result(0)
     assert isinstance(outcome, result.Failure)
