Forward the next report if the leader did not note the last one

A follower acknowledges unchanged reports of workers itself and forwards one per worker and 5 s. A reply CallFailed or NotLeader counted as forwarded, so the leader heard nothing of the worker for another 5 s, and after four of these in a row would have removed it. Only a call without any reply was repeated with the next report.

Such a reply now counts as not forwarded and is logged with its reason. The test of a report that was not forwarded runs with these two replies, too: both cases fail on the old code and pass now, with the other tests of the file.

--- a/dandeliondrum/jobs/_follower_reports.py
+++ b/dandeliondrum/jobs/_follower_reports.py
@@ -1,6 +1,7 @@
 """Reports of workers that a follower answers without the leader."""
 
 import threading
+import typing
 
 from returns import result
 import structlog
@@ -70,16 +71,26 @@
 
     def _forward(self, report: _calls.WorkerReport) -> None:
         def finish(done: transport.CallFuture) -> None:
-            outcome = done.result()
-            if isinstance(outcome, result.Success):
+            why = _failure_reason(done.result())
+            if why is None:
                 return
             worker_id = report.facts.worker_id
-            _logger.info(
-                'report not forwarded',
-                worker=worker_id,
-                why=outcome.failure().failure.value,
-            )
+            _logger.info('report not forwarded', worker=worker_id, why=why)
             with self._lock:
                 self._forwarded_ms.pop(worker_id, None)
 
         self._link.call_async(report).add_done_callback(finish)
+
+
+def _failure_reason(
+    outcome: result.Result[typing.Any, transport.CallError],
+) -> str | None:
+    """Return why the leader has not noted a report, None if it has."""
+    match outcome:
+        case result.Success(messages.CallFailed(reason)):
+            return reason
+        case result.Success(messages.NotLeader()):
+            return 'not the leader'
+        case result.Success():
+            return None
+    return outcome.failure().failure.value
--- a/dandeliondrum/jobs/tests/test_reports.py
+++ b/dandeliondrum/jobs/tests/test_reports.py
@@ -10,6 +10,7 @@
 from dandeliondrum.jobs import _follower_reports
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum.jobs.tests import test_cell
+from dandeliondrum import messages
 from dandeliondrum import testing
 from dandeliondrum import transport
 
@@ -79,12 +80,18 @@
     assert not reports.acknowledges(report('w1'))
 
 
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        result.Failure(transport.CallError(transport.CallFailure.NOT_SENT)),
+        result.Success(messages.CallFailed('broken', True)),
+        result.Success(messages.NotLeader()),
+    ],
+)
 def test_a_report_that_was_not_forwarded_is_followed_by_the_next(
-    reports, link
+    reports, link, outcome
 ):
-    link.outcome = result.Failure(
-        transport.CallError(transport.CallFailure.NOT_SENT)
-    )
+    link.outcome = outcome
     assert reports.acknowledges(report('w1', 1))
     assert reports.acknowledges(report('w1', 2))
     assert len(link.sent) == 2
