Bound the time of accepted jobs in the overload test, too

The test compares the commands that the leader applies between a submission and its reply with a bound, as each command takes longer on a busy machine. Delays that are not commands were not bounded any more.

--- a/dandeliondrum/jobs/tests/test_overload.py
+++ b/dandeliondrum/jobs/tests/test_overload.py
@@ -245,6 +245,8 @@
     # In commands, since on a busy machine each takes longer than intended.
     assert later_counts
     assert max(later_counts) * SLOW_COMMAND_MS < START_MAX_MS
+    # Delays that are no commands are bounded, too.
+    assert max(one.took_ms for one in accepted) < CALLER_BUDGET_MS
     assert max(operator.ack_ms) < DOCUMENT_ACK_MAX_MS
     assert max(operator.in_force_ms) < DOCUMENT_IN_FORCE_MAX_MS
     assert reporters.failed == [] and reporters.answered_count
