Take a place for waiting reports only if a report waits

At most 12 calls of workers may wait for the leader. Each report took one of these places before it was known whether it had to wait, so 12 reports that waited for a slow leader made a controller refuse all others with 503: also those that it acknowledges without waiting, and the news that a worker drains or leaves, for which unchanged reports left no room.

A report is now acknowledged first if that needs no waiting: by a follower as before, by an active leader if the facts are committed. Only the others take a place, and 4 of the 12 are kept for reports with news and for workers that leave.

--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -196,13 +196,29 @@
         self, report: _calls.WorkerReport, timeout_ms: int
     ) -> result.Result[_calls.WorkerNoted, _leader_calls.Unavailable]:
         """Handle a worker's heartbeat, at the leader if it has news."""
-        if self._leadership is None:
-            if self._follower_reports.acknowledges(report):
-                return result.Success(
-                    _calls.WorkerNoted(self._known_leader_id())
-                )
+        noted = self.acknowledge_report(report)
+        if noted is not None:
+            return result.Success(noted)
         return self._call(report, timeout_ms)
 
+    def acknowledge_report(
+        self, report: _calls.WorkerReport
+    ) -> _calls.WorkerNoted | None:
+        """Return the reply to a heartbeat that needs no waiting, else None."""
+        with self._lock:
+            leadership = self._leadership
+        if leadership is not None:
+            return leadership.acknowledge(report)
+        if self._follower_reports.acknowledges(report):
+            return _calls.WorkerNoted(self._known_leader_id())
+        return None
+
+    def has_news(self, report: _calls.WorkerReport) -> bool:
+        """Return whether a heartbeat differs from what is known here."""
+        # Read without the lock, as a snapshot of the state may hold it.
+        known = self.state.workers.get(report.facts.worker_id)
+        return known is None or known.facts != report.facts
+
     def report_worker_shutdown(
         self, worker_id: messages.WorkerId, timeout_ms: int
     ) -> result.Result[_calls.WorkerNoted, _leader_calls.Unavailable]:
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -120,6 +120,14 @@
             return self._handle_as_leader(connection, message)
         return self._handle_if_confirmed(connection, message)
 
+    def acknowledge(
+        self, report: _calls.WorkerReport
+    ) -> _calls.WorkerNoted | None:
+        """Return the reply to a report that needs no waiting, else None."""
+        if not self._term.node.is_leading():
+            return None
+        return self._workers.acknowledge(report)
+
     def _handle_if_confirmed(
         self, connection: transport.Connection | None, message: typing.Any
     ) -> _Reply:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -80,22 +80,30 @@
         for peer in peers:
             peer.close()
 
-    def handle_report(
+    def acknowledge(
         self, report: _calls.WorkerReport
-    ) -> 'concurrent.futures.Future[typing.Any]':
-        """Handle a heartbeat; changed facts are committed before the reply.
+    ) -> _calls.WorkerNoted | None:
+        """Return the reply to a heartbeat without changes, None to others.
 
-        A heartbeat without changes is answered without the locks that a
-        planning round holds.
+        It takes none of the locks that a planning round holds.
         """
+        known = self._known_facts(report)
+        if known != report.facts:
+            return None
+        with self._lock:
+            self._record_report(report, known)
+        return _calls.WorkerNoted(self._term.options.controller_id)
+
+    def handle_report(
+        self, report: _calls.WorkerReport
+    ) -> 'concurrent.futures.Future[typing.Any]':
+        """Handle a heartbeat; changed facts are committed before the reply."""
+        noted = self.acknowledge(report)
+        if noted is not None:
+            return utils.completed_future(noted)
         term, facts = self._term, report.facts
         acknowledgement = _calls.WorkerNoted(term.options.controller_id)
-        record = term.state.workers.get(facts.worker_id)
-        known = record.facts if record is not None else None
-        if known == facts:
-            with self._lock:
-                self._record_report(report, known)
-            return utils.completed_future(acknowledgement)
+        known = self._known_facts(report)
         with term.lock, self._lock:
             if not self._record_report(report, known):
                 return utils.completed_future(acknowledgement)
@@ -147,6 +155,12 @@
                 functools.partial(self._on_removed, worker_id)
             )
 
+    def _known_facts(
+        self, report: _calls.WorkerReport
+    ) -> _commands.WorkerFacts | None:
+        record = self._term.state.workers.get(report.facts.worker_id)
+        return record.facts if record is not None else None
+
     def _record_report(
         self,
         report: _calls.WorkerReport,
--- a/dandeliondrum/platform/_control_api.py
+++ b/dandeliondrum/platform/_control_api.py
@@ -24,6 +24,8 @@
 # Reports that may wait for the leader at the same time; the other threads are
 # left for operators and for reports that are answered without the leader.
 WAITING_REPORTS_MAX = 12
+# How many of them are kept for reports with news and for workers that leave.
+WAITING_NEWS_MIN = 4
 
 _logger = structlog.get_logger()
 
@@ -33,7 +35,10 @@
 
     def __init__(self, controller: jobs.JobController) -> None:
         self._controller = controller
-        self._report_slots = threading.BoundedSemaphore(WAITING_REPORTS_MAX)
+        self._slots = threading.BoundedSemaphore(
+            WAITING_REPORTS_MAX - WAITING_NEWS_MIN
+        )
+        self._news_slots = threading.BoundedSemaphore(WAITING_NEWS_MIN)
 
     def routes(self) -> tuple[gateway.Route, ...]:
         """Return the routes of the API."""
@@ -57,31 +62,45 @@
                 'invalid worker report', worker=worker_id, why=str(error)
             )
             return _problem(400, str(error))
+        if self._controller.acknowledge_report(report) is not None:
+            return gateway.json_response({})
         return self._wait_for_leader(
-            lambda: self._controller.report_worker(report, REPORT_TIMEOUT_MS)
+            lambda: self._controller.report_worker(report, REPORT_TIMEOUT_MS),
+            self._controller.has_news(report),
         )
 
     def _leave(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
         return self._wait_for_leader(
             lambda: self._controller.report_worker_shutdown(
                 messages.WorkerId(worker_id), REPORT_TIMEOUT_MS
-            )
+            ),
+            True,
         )
 
     def _wait_for_leader(
         self,
         report: typing.Callable[[], result.Result[object, jobs.Unavailable]],
+        has_news: bool,
     ) -> werkzeug.Response:
         """Report to the leader, or refuse at once if too many calls wait."""
-        if not self._report_slots.acquire(blocking=False):
+        slots = self._take_slot(has_news)
+        if slots is None:
             _logger.info('too many reports wait for the leader')
             return _problem(503, 'too many reports wait for the leader')
         try:
             outcome = report()
         finally:
-            self._report_slots.release()
+            slots.release()
         return _reply(outcome, lambda _result: gateway.json_response({}))
 
+    def _take_slot(self, has_news: bool) -> threading.Semaphore | None:
+        """Return the slots of which one was taken, None if all are in use."""
+        usable = [self._news_slots] if has_news else []
+        for slots in (*usable, self._slots):
+            if slots.acquire(blocking=False):
+                return slots
+        return None
+
     def _put_document(self, call: gateway.Call) -> werkzeug.Response:
         body = call.body(DOCUMENT_BYTES_MAX)
         if isinstance(body, result.Failure):
--- a/dandeliondrum/platform/tests/test_control.py
+++ b/dandeliondrum/platform/tests/test_control.py
@@ -25,11 +25,32 @@
 
     def __init__(self):
         self.waiting_count = 0
+        # Workers whose calls waited for the leader.
+        self.asked = []
+        # Workers whose reports are acknowledged without the leader, and those
+        # whose reports are known but have to wait for it.
+        self.acknowledged = set()
+        self.unchanged = set()
         self._lock = threading.Lock()
 
+    def acknowledge_report(self, report):
+        if report.facts.worker_id in self.acknowledged:
+            return object()
+        return None
+
+    def has_news(self, report):
+        return report.facts.worker_id not in self.unchanged
+
+    def report_worker_shutdown(self, worker_id, timeout_ms):
+        return self._wait(worker_id, timeout_ms)
+
     def report_worker(self, report, timeout_ms):
+        return self._wait(report.facts.worker_id, timeout_ms)
+
+    def _wait(self, worker_id, timeout_ms):
         with self._lock:
             self.waiting_count += 1
+            self.asked.append(worker_id)
         time.sleep(timeout_ms / 1000)
         with self._lock:
             self.waiting_count -= 1
@@ -63,13 +84,16 @@
     timers.close()
 
 
-def test_a_config_does_not_wait_behind_reports(controller, address):
+@pytest.fixture
+def body():
     worker = testing.FakeWorker('w', messages.Resources(1, 1), 1)
     fake = testing.HttpWorker(worker, '127.0.0.1:0')
     fake.server.start()
     fake.server.close()
-    body = fake.report()
+    return fake.report()
+
 
+def test_a_config_does_not_wait_behind_reports(controller, address, body):
     def report(number):
         url = f'http://{address}/instances/w{number}'
         return testing.call(url, 'PUT', body).status
@@ -91,3 +115,55 @@
         assert {one.result() for one in reports} == {503}
     assert reply.status == 200
     assert took_ms < CALLER_PATIENCE_MS
+
+
+def test_an_unchanged_report_is_answered_while_other_reports_wait(
+    controller, address, body
+):
+    controller.acknowledged.add('known')
+
+    def report(name):
+        return testing.call(
+            f'http://{address}/instances/{name}', 'PUT', body
+        ).status
+
+    with concurrent.futures.ThreadPoolExecutor(WORKERS_COUNT) as threads:
+        for number in range(_control_api.WAITING_REPORTS_MAX):
+            threads.submit(report, f'w{number}')
+        testing.wait_until(
+            lambda: (
+                controller.waiting_count == _control_api.WAITING_REPORTS_MAX
+            )
+        )
+        reply = testing.call(f'http://{address}/instances/known', 'PUT', body)
+        assert (reply.status, reply.body) == (200, b'{}')
+
+
+def test_unchanged_reports_leave_room_for_news_and_for_leaves(
+    controller, address, body
+):
+    names = [f'w{number}' for number in range(WORKERS_COUNT)]
+    controller.unchanged.update(names)
+    room = _control_api.WAITING_REPORTS_MAX - _control_api.WAITING_NEWS_MIN
+
+    def call(name, method='PUT'):
+        url = f'http://{address}/instances/{name}'
+        return testing.call(url, method, body if method == 'PUT' else b'')
+
+    with concurrent.futures.ThreadPoolExecutor(WORKERS_COUNT) as threads:
+        replies = [
+            threads.submit(call, name)
+            for name in names[: _control_api.WAITING_REPORTS_MAX]
+        ]
+        testing.wait_until(
+            lambda: (
+                sum(one.done() for one in replies)
+                == _control_api.WAITING_NEWS_MIN
+            )
+        )
+        assert controller.waiting_count == room
+        threads.submit(call, 'draining')
+        threads.submit(call, 'leaving', 'DELETE')
+        testing.wait_until(
+            lambda: {'draining', 'leaving'} <= set(controller.asked)
+        )
