Count pauses and suspensions of workers separately

Callers saw jobs wait although workers were free: a refused start pauses its worker for 100 ms to 1.6 s, and the pauses had no limit, so that all of 10 workers were out of use at once. Pauses and suspensions shared one table. Therefore a worker in a pause also escaped the limit of half of the fleet for suspensions, and pauses of half of the fleet prevented the suspension of a worker that fails all its runs. A worker in a pause whose runs stall was not suspended either.

There are two tables now. Each is limited to half of the fleet by itself, and the limit of suspensions counts suspensions only. The limits are separate, so both together can still leave out the whole fleet for a while.

Four new tests; run on the old code, three fail because of the fault. The fourth, of stalled runs, fails there because the method is missing.

Refusals because the lease had passed still pause a worker.

--- a/dandeliondrum/jobs/_health.py
+++ b/dandeliondrum/jobs/_health.py
@@ -19,12 +19,13 @@
 # task takes seconds.
 FIRST_SUSPENSION_MS = 3_000
 SUSPENSION_MAX_MS = 24_000
-# At most the number of workers divided by this is suspended at a time. If
-# more fail, the cause is not the workers, and the others are still needed.
-SUSPENDED_DIVISOR = 2
+# At most the number of workers divided by this is suspended at a time, and as
+# many are paused. If more fail, the cause is not the workers, and the others
+# are still needed.
+LEFT_OUT_DIVISOR = 2
 
-# Duration of the first suspension after a refused start, doubled each time up
-# to the maximum. The resources may be free again after a few calls.
+# Duration of the first pause after a refused start, doubled each time up to
+# the maximum. The resources may be free again after a few calls.
 FIRST_REFUSAL_PAUSE_MS = 100
 REFUSAL_PAUSE_MAX_MS = 1_600
 
@@ -34,8 +35,10 @@
 class Health:
     """Counts consecutive failures; one success resets a worker.
 
-    ``count_workers`` returns the size of the fleet, which limits how many
-    workers are suspended at a time. There is no limit without it.
+    A worker that fails is suspended for seconds, and one that refuses a start
+    is paused for a part of a second. ``count_workers`` returns the size of
+    the fleet, which limits how many workers are suspended at a time, and how
+    many are paused. There is no limit without it.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         )
         self._next_duration_ms: dict[messages.WorkerId, int] = {}
         self._suspended_until_ms: dict[messages.WorkerId, int] = {}
+        self._paused_until_ms: dict[messages.WorkerId, int] = {}
         self._next_refusal_pause_ms: dict[messages.WorkerId, int] = {}
 
     def record_end(
@@ -68,45 +72,63 @@
 
         It has no effect while too many other workers are suspended.
         """
-        if not self.suspended(worker_id, now_ms) and self._is_full(now_ms):
+        until_ms = self._suspended_until_ms
+        if now_ms >= until_ms.get(worker_id, 0) and self._is_full(
+            until_ms, now_ms
+        ):
             _logger.warning('worker not suspended', worker=worker_id)
             return
         duration_ms = self._next_duration_ms.get(
             worker_id, FIRST_SUSPENSION_MS
         )
-        self._suspended_until_ms[worker_id] = now_ms + duration_ms
+        until_ms[worker_id] = now_ms + duration_ms
         self._next_duration_ms[worker_id] = min(
             2 * duration_ms, SUSPENSION_MAX_MS
         )
 
-    def _is_full(self, now_ms: int) -> bool:
+    def record_stall(self, worker_id: messages.WorkerId, now_ms: int) -> None:
+        """Suspend a worker whose runs make no progress.
+
+        It has no effect on a worker that is suspended already.
+        """
+        if now_ms >= self._suspended_until_ms.get(worker_id, 0):
+            self.suspend(worker_id, now_ms)
+
+    def _is_full(
+        self, until_ms: dict[messages.WorkerId, int], now_ms: int
+    ) -> bool:
         if self._count_workers is None:
             return False
-        count = sum(
-            until_ms > now_ms for until_ms in self._suspended_until_ms.values()
-        )
-        return count >= max(1, self._count_workers() // SUSPENDED_DIVISOR)
+        count = sum(end_ms > now_ms for end_ms in until_ms.values())
+        return count >= max(1, self._count_workers() // LEFT_OUT_DIVISOR)
 
     def record_refusal(
         self, worker_id: messages.WorkerId, now_ms: int
     ) -> None:
-        """Suspend a worker that refused a start for a short time.
+        """Pause a worker that refused a start.
 
-        Refusals of starts that were sent before have no further effect.
+        Refusals of starts that were sent before have no further effect, and
+        no refusal has one while too many other workers are paused.
         """
         if self.suspended(worker_id, now_ms):
             return
+        if self._is_full(self._paused_until_ms, now_ms):
+            _logger.info('worker not paused', worker=worker_id)
+            return
         pause_ms = self._next_refusal_pause_ms.get(
             worker_id, FIRST_REFUSAL_PAUSE_MS
         )
-        self._suspended_until_ms[worker_id] = now_ms + pause_ms
+        self._paused_until_ms[worker_id] = now_ms + pause_ms
         self._next_refusal_pause_ms[worker_id] = min(
             2 * pause_ms, REFUSAL_PAUSE_MAX_MS
         )
 
     def suspended(self, worker_id: messages.WorkerId, now_ms: int) -> bool:
-        """Return whether the worker is suspended."""
-        return now_ms < self._suspended_until_ms.get(worker_id, 0)
+        """Return whether the worker is suspended or paused."""
+        return now_ms < max(
+            self._suspended_until_ms.get(worker_id, 0),
+            self._paused_until_ms.get(worker_id, 0),
+        )
 
     def consecutive_failures(self, worker_id: messages.WorkerId) -> int:
         """Return the number of consecutive failures on the worker."""
@@ -117,4 +139,5 @@
         self._failures.pop(worker_id, None)
         self._next_duration_ms.pop(worker_id, None)
         self._suspended_until_ms.pop(worker_id, None)
+        self._paused_until_ms.pop(worker_id, None)
         self._next_refusal_pause_ms.pop(worker_id, None)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -305,8 +305,8 @@
             for run in stalled:
                 step = (run.task.job_id, run.task.step)
                 term.failed_on.setdefault(step, set()).add(worker_id)
-            if stalled and not term.health.suspended(worker_id, now_ms):
-                term.health.suspend(worker_id, now_ms)
+            if stalled:
+                term.health.record_stall(worker_id, now_ms)
         self._log_misplaced(worker_id, stalled, 'no progress')
         self._log_misplaced(worker_id, late_runs, 'ends after its worker')
         return [(run.task, run.run) for run in (*stalled, *late_runs)]
--- a/dandeliondrum/jobs/tests/test_health.py
+++ b/dandeliondrum/jobs/tests/test_health.py
@@ -2,6 +2,7 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _health
+from dandeliondrum import messages
 
 
 def _fail(health, count, now_ms=0):
@@ -85,3 +86,42 @@
     _fail(health, _health.CONSECUTIVE_FAILURES_MAX)
     health.record_refusal('w1', 1)
     assert health.suspended('w1', _health.FIRST_SUSPENSION_MS - 1)
+
+
+def _fleet():
+    return [messages.WorkerId(f'w{number}') for number in range(10)]
+
+
+def test_paused_workers_do_not_escape_the_limit_of_suspensions():
+    health = _health.Health(lambda: 10)
+    for worker_id in _fleet():
+        health.record_refusal(worker_id, 0)
+    for worker_id in _fleet():
+        health.suspend(worker_id, 10)
+    suspended = [one for one in _fleet() if health.suspended(one, 1_000)]
+    assert len(suspended) <= 5
+
+
+def test_refusals_pause_at_most_half_of_the_fleet():
+    health = _health.Health(lambda: 10)
+    for worker_id in _fleet():
+        health.record_refusal(worker_id, 0)
+    assert sum(health.suspended(one, 50) for one in _fleet()) <= 5
+
+
+def test_short_pauses_do_not_keep_a_failing_worker_in_use():
+    health = _health.Health(lambda: 10)
+    for worker_id in _fleet()[:5]:
+        health.record_refusal(worker_id, 0)
+    failing = _fleet()[9]
+    health.suspend(failing, 10)
+    assert health.suspended(failing, 1_000)
+
+
+def test_a_paused_worker_whose_runs_stall_is_suspended_once():
+    health = _health.Health(lambda: 10)
+    health.record_refusal('w1', 0)
+    health.record_stall('w1', 10)
+    health.record_stall('w1', 20)
+    assert health.suspended('w1', _health.FIRST_SUSPENSION_MS)
+    assert not health.suspended('w1', _health.FIRST_SUSPENSION_MS + 10)
