Assign no run to a worker that changed while it was planned for

A plan is made without the locks, from a copy of the workers. When the results were registered, only the identity of the peer was compared. A worker that restarted with fewer resources, or that announced its end, keeps its peer. So 4,000 millicores were assigned to a worker of 1,000, and runs to workers that were about to leave; such starts are refused and their tasks wait longer.

The facts of the workers (capacity, phase, start and the rest) are read with the inputs and compared when the runs are registered, and the peer must still be usable. This is done only for workers of placed groups. The state of the peers is read before the lock of the replicated state is taken.

A report that commits between the registration and the commit of the assignments is still not noticed, unless it changes the phase: the state machine does not compare resources.

--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -50,6 +50,7 @@
     workers: list[_planner.AvailableWorker]
     team_available: dict[messages.TeamId, messages.Resources]
     peers: _Peers
+    facts: dict[messages.WorkerId, _commands.WorkerFacts]
     now_ms: int
 
 
@@ -157,6 +158,12 @@
                     self._usable_workers(usable, now_ms) if demands else []
                 )
                 team_available = _demands.team_available(term.state)
+                facts = {
+                    worker.worker_id: term.state.workers[
+                        worker.worker_id
+                    ].facts
+                    for worker in workers
+                }
             term.metrics.open_jobs.set(open_jobs_count)
             term.load.record_waiting(len(demands), open_jobs_count)
             if not demands:
@@ -174,6 +181,7 @@
             workers,
             team_available,
             peers,
+            facts,
             now_ms,
         )
 
@@ -278,26 +286,60 @@
         if not groups:
             return ()
         term = self._term
-        with locks.measure(term.lock), locks.measure(term.state.lock):
-            # Jobs and workers may have been removed since they were read.
-            groups = [
-                group for group in groups if self._is_known(group, inputs)
-            ]
-            assignments = _demands.assignments(term.state, groups)
-            for group, runs in zip(groups, assignments, strict=True):
-                for placement, run in zip(group, runs, strict=True):
-                    self._register_order(placement, run)
+        with locks.measure(term.lock):
+            usable = self._still_usable(groups, inputs)
+            with locks.measure(term.state.lock):
+                # Jobs and workers may have changed since they were read.
+                unchanged = self._unchanged(usable, inputs)
+                groups = [
+                    group
+                    for group in groups
+                    if self._is_valid(group, unchanged)
+                ]
+                assignments = _demands.assignments(term.state, groups)
+                for group, runs in zip(groups, assignments, strict=True):
+                    for placement, run in zip(group, runs, strict=True):
+                        self._register_order(placement, run)
         return assignments
 
-    def _is_known(
-        self, group: tuple[_planner.Placement, ...], inputs: '_Inputs'
+    def _still_usable(
+        self, groups: _Groups, inputs: '_Inputs'
+    ) -> set[messages.WorkerId]:
+        """Return the workers of the groups that may get new tasks."""
+        peers = self._term.peers
+        placed_on = {
+            placement.worker_id for group in groups for placement in group
+        }
+        return {
+            worker_id
+            for worker_id in placed_on
+            if peers.get(worker_id) is inputs.peers[worker_id]
+            and inputs.peers[worker_id].usable()
+        }
+
+    def _unchanged(
+        self, worker_ids: set[messages.WorkerId], inputs: '_Inputs'
+    ) -> set[messages.WorkerId]:
+        """Return the workers whose facts are those that were planned with.
+
+        A worker that restarted may have fewer resources.
+        """
+        workers = self._term.state.workers
+        return {
+            worker_id
+            for worker_id in worker_ids
+            if worker_id in workers
+            and workers[worker_id].facts == inputs.facts[worker_id]
+        }
+
+    def _is_valid(
+        self,
+        group: tuple[_planner.Placement, ...],
+        unchanged: set[messages.WorkerId],
     ) -> bool:
-        term = self._term
         return all(
-            placement.task.job_id in term.state.open_jobs
-            and placement.worker_id in term.state.workers
-            and term.peers.get(placement.worker_id)
-            is inputs.peers[placement.worker_id]
+            placement.task.job_id in self._term.state.open_jobs
+            and placement.worker_id in unchanged
             for placement in group
         )
 
--- a/dandeliondrum/jobs/tests/test_leader_locks.py
+++ b/dandeliondrum/jobs/tests/test_leader_locks.py
@@ -175,6 +175,36 @@
     assert machine.task('j.0.0.0').run == 0
 
 
+def test_a_worker_that_shrank_during_planning_is_not_overloaded(machine, term):
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step(1, 4_000))))
+
+    def restart():
+        for worker_id in ('w1', 'w2'):
+            facts = helpers.facts(worker_id, cpu=1_000, started_ms=2)
+            machine(_commands.PutWorker(facts))
+            term.peers[worker_id].facts = facts
+
+    with _plan_with(restart):
+        _scheduler.Scheduler(term).run_round(threading.Event())
+    for worker in machine.state.workers.values():
+        used = worker.used.cpu_millicores
+        assert used <= worker.facts.capacity.cpu_millicores
+
+
+def test_a_worker_that_announced_its_end_during_planning_gets_no_run(
+    machine, term
+):
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step(1))))
+
+    def leave():
+        for peer in term.peers.values():
+            peer.usable = lambda: False
+
+    with _plan_with(leave):
+        _scheduler.Scheduler(term).run_round(threading.Event())
+    assert machine.task('j.0.0.0').run == 0
+
+
 def test_a_long_round_is_followed_by_a_pause_of_its_length(machine, term):
     machine(_commands.SubmitJob(helpers.job('j', helpers.step(1))))
     scheduler = _scheduler.Scheduler(term)
