Count the end of a run only against the worker of that run

A worker repeats an end until it is acknowledged, also when the commit succeeded and its result was lost. If the task had a next run by then, the FAILED end counted against the worker of that run: it was suspended and avoided for failures of another one. The worker of an end was looked up by the task alone, without the number of the run.

The run must be the current one now, and the workers are kept by task and run, since ends of several runs of a task can be in one batch.

Two tests; both fail on the old code (1 instead of 0 failures, 2 instead of 1).

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -33,6 +33,8 @@
 
 _logger = structlog.get_logger()
 
+_Run = tuple[_specs.TaskKey, int]
+
 
 class Workers:
     """The workers during one term; implements the callbacks of their peers."""
@@ -414,7 +416,7 @@
     def _handle_ends(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_specs.TaskKey, messages.WorkerId],
+        workers: dict[_Run, messages.WorkerId],
     ) -> None:
         for end in ends:
             self._term.metrics.ended.labels(end.outcome.value).inc()
@@ -423,7 +425,7 @@
                 task=str(end.task),
                 run=end.run,
                 outcome=end.outcome.value,
-                worker=workers.get(end.task),
+                worker=workers.get((end.task, end.run)),
             )
         with self._term.lock:
             self._record_health(ends, workers)
@@ -432,26 +434,31 @@
 
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
-    ) -> dict[_specs.TaskKey, messages.WorkerId]:
+    ) -> dict[_Run, messages.WorkerId]:
         state = self._term.state
-        workers = {}
+        workers: dict[_Run, messages.WorkerId] = {}
         with state.lock:
             for end in ends:
                 job = state.jobs.get(end.task.job_id)
                 task = job.task(end.task) if job is not None else None
-                if task is not None and task.worker_id is not None:
-                    workers[end.task] = task.worker_id
+                # A repeated end must not count against the next run's worker.
+                if (
+                    task is not None
+                    and task.run == end.run
+                    and task.worker_id is not None
+                ):
+                    workers[end.task, end.run] = task.worker_id
         return workers
 
     def _record_health(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_specs.TaskKey, messages.WorkerId],
+        workers: dict[_Run, messages.WorkerId],
     ) -> None:
         term = self._term
         now_ms = _clock.elapsed_ms()
         for end in ends:
-            worker_id = workers.get(end.task)
+            worker_id = workers.get((end.task, end.run))
             if worker_id is None:
                 continue
             term.health.record_end(worker_id, end.outcome, now_ms)
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -151,3 +151,30 @@
 
     testing.wait_until(is_done)
     assert leader.worker.starts == [('j.0.0.0', 1)]
+
+
+def test_a_repeated_end_does_not_count_against_the_next_worker(leader):
+    for worker_id in ('w1', 'w2'):
+        leader.machine(_commands.PutWorker(helpers.facts(worker_id)))
+    assert leader.machine.assign('j.0.0.0', 1, 'w1')
+    end = _commands.RunEnd(TASK, 1, jobs.RunOutcome.FAILED)
+    assert leader.workers.record((end,))
+    assert leader.machine.assign('j.0.0.0', 2, 'w2')
+    assert leader.workers.record((end,))
+    health = leader.term.health
+    assert health.consecutive_failures('w1') == 1
+    assert health.consecutive_failures('w2') == 0
+
+
+def test_a_repeated_end_in_the_batch_of_the_next_one_does_not_count(leader):
+    for worker_id in ('w1', 'w2'):
+        leader.machine(_commands.PutWorker(helpers.facts(worker_id)))
+    ends = [
+        _commands.RunEnd(TASK, run, jobs.RunOutcome.FAILED) for run in (1, 2)
+    ]
+    assert leader.machine.assign('j.0.0.0', 1, 'w1')
+    assert leader.workers.record((ends[0],))
+    assert leader.machine.assign('j.0.0.0', 2, 'w2')
+    assert leader.workers.record(tuple(ends))
+    assert leader.term.health.consecutive_failures('w1') == 1
+    assert leader.term.health.consecutive_failures('w2') == 1
