Forget the failures of a drained worker that restarts

A worker that drained and then started again stayed suspended, and avoided for the failures of its last incarnation. A report with a new phase sets the facts of the peer before the commit. The commit then found no new start time and did not reset health, advice and progress.

Both places now use one function, which resets them when the start time changes.

One test; it fails on the old code: the worker is still suspended.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -106,7 +106,7 @@
                 # committed now.
                 peer = term.peers.get(facts.worker_id)
                 if peer is not None:
-                    peer.facts = facts
+                    self._update_peer(peer, facts)
         _logger.info(
             'worker reported',
             worker=facts.worker_id,
@@ -213,11 +213,7 @@
         term = self._term
         peer = term.peers.get(facts.worker_id)
         if peer is not None:
-            if peer.facts.started_ms != facts.started_ms:
-                term.advice.forget_worker(facts.worker_id)
-                term.health.forget(facts.worker_id)
-                term.progress.forget(facts.worker_id)
-            peer.facts = facts
+            self._update_peer(peer, facts)
             return
         peer = _worker_peer.WorkerPeer(
             facts,
@@ -233,6 +229,16 @@
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
         peer.sender.start_with(self._supervisor.run)
 
+    def _update_peer(
+        self, peer: _worker_peer.WorkerPeer, facts: _commands.WorkerFacts
+    ) -> None:
+        term = self._term
+        if peer.facts.started_ms != facts.started_ms:
+            term.advice.forget_worker(facts.worker_id)
+            term.health.forget(facts.worker_id)
+            term.progress.forget(facts.worker_id)
+        peer.facts = facts
+
     def _on_removed(
         self, worker_id: messages.WorkerId, done: _term.Proposed
     ) -> None:
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -1,6 +1,7 @@
 """Peers of workers that are removed, replaced or report again."""
 
 import contextlib
+import dataclasses
 
 import pytest
 
@@ -178,3 +179,17 @@
     assert leader.workers.record(tuple(ends))
     assert leader.term.health.consecutive_failures('w1') == 1
     assert leader.term.health.consecutive_failures('w2') == 1
+
+
+def _report_next(leader, **changes):
+    leader.worker.facts = dataclasses.replace(leader.worker.facts, **changes)
+    leader.report()
+
+
+def test_a_drained_worker_that_restarts_is_not_suspended_any_more(leader):
+    leader.report()
+    _report_next(leader, phase=jobs.WorkerPhase.DRAINING)
+    leader.term.health.suspend(W1, 0)
+    assert leader.term.health.suspended(W1, 1)
+    _report_next(leader, phase=jobs.WorkerPhase.READY, started_ms=2)
+    assert not leader.term.health.suspended(W1, 1)
