Keep the facts of the newest report when an older one commits late

A worker that reports a change and then that it drains could get start orders until the second report was committed: a new phase sets the facts of the peer at once, but the commit of the older report set them back to READY.

The peer's facts are kept with the start time and sequence of their report, and the commit of an older report does not replace them. If the newer report is not committed, the next heartbeat differs from the replicated state and is proposed again. Taking the facts from the replicated state would not help: it still has READY at that time.

The test fails on the old code. Reports are proposed without the lock, so two of one worker can still be committed in the wrong order; the next heartbeat corrects that.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -53,6 +53,8 @@
         # Fencing tokens that the former peers of workers have used. The next
         # peer of such a worker needs a higher one.
         self._tokens_used_counts: dict[messages.WorkerId, int] = {}
+        # Start time and sequence of the reports with the facts of the peers.
+        self._facts_sequences: dict[messages.WorkerId, tuple[int, int]] = {}
         self._closed = False
         self._end_recorder = _end_recorder.EndRecorder(self._commit_ends)
 
@@ -107,6 +109,10 @@
                 peer = term.peers.get(facts.worker_id)
                 if peer is not None:
                     self._update_peer(peer, facts)
+                    self._facts_sequences[facts.worker_id] = (
+                        facts.started_ms,
+                        report.sequence,
+                    )
         _logger.info(
             'worker reported',
             worker=facts.worker_id,
@@ -116,7 +122,9 @@
         )
         return utils.map_future(
             term.propose(_commands.PutWorker(facts)),
-            lambda outcome: self._on_recorded(outcome, facts, acknowledgement),
+            lambda outcome: self._on_recorded(
+                outcome, report, acknowledgement
+            ),
         )
 
     def handle_leave(
@@ -197,7 +205,7 @@
     def _on_recorded(
         self,
         outcome: typing.Any,
-        facts: _commands.WorkerFacts,
+        report: _calls.WorkerReport,
         acknowledgement: _calls.WorkerNoted,
     ) -> typing.Any:
         if isinstance(outcome, result.Failure):
@@ -205,10 +213,28 @@
         with self._term.lock:
             if self._closed:
                 return messages.NotLeader()
-            self._add_or_update_peer(facts)
+            with self._lock:
+                self._use_facts(report)
         self._term.round_requested.set()
         return acknowledgement
 
+    def _use_facts(self, report: _calls.WorkerReport) -> None:
+        """Use committed facts unless the peer has those of a newer report."""
+        facts = report.facts
+        sequence = (facts.started_ms, report.sequence)
+        if (
+            facts.worker_id in self._term.peers
+            and self._facts_sequences.get(facts.worker_id, (0, 0)) > sequence
+        ):
+            _logger.info(
+                'facts of an older report ignored',
+                worker=facts.worker_id,
+                sequence=report.sequence,
+            )
+            return
+        self._facts_sequences[facts.worker_id] = sequence
+        self._add_or_update_peer(facts)
+
     def _add_or_update_peer(self, facts: _commands.WorkerFacts) -> None:
         term = self._term
         peer = term.peers.get(facts.worker_id)
@@ -251,6 +277,7 @@
         _logger.info('worker removed', worker=worker_id)
 
     def _remove_peer(self, worker_id: messages.WorkerId) -> None:
+        self._facts_sequences.pop(worker_id, None)
         peer = self._term.peers.pop(worker_id, None)
         if peer is not None:
             peer.close()
--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -158,9 +158,10 @@
             self.release()
         return future
 
-    def release(self):
-        """Apply the pending commands in order."""
-        pending, self._pending = self._pending, []
+    def release(self, count=None):
+        """Apply the pending commands, or the first ``count``, in order."""
+        pending = self._pending[:count]
+        self._pending = self._pending[len(pending) :]
         for command, future in pending:
             future.set_result(result.Success(self.machine(command)))
 
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -186,6 +186,17 @@
     leader.report()
 
 
+def test_an_older_report_that_commits_late_does_not_undo_draining(leader):
+    leader.report()
+    leader.node.holds = True
+    _report_next(leader, address='w1:2')
+    _report_next(leader, phase=jobs.WorkerPhase.DRAINING)
+    leader.node.release(1)
+    assert leader.peer().facts.phase is jobs.WorkerPhase.DRAINING
+    leader.node.release()
+    assert leader.peer().facts == leader.worker.facts
+
+
 def test_a_drained_worker_that_restarts_is_not_suspended_any_more(leader):
     leader.report()
     _report_next(leader, phase=jobs.WorkerPhase.DRAINING)
