--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -33,6 +33,8 @@
 
 _logger = structlog.get_logger()
 
+_Run = tuple[_specs.TaskKey, int]
+
 
 class Workers:
     """The workers during one term; implements the callbacks of their peers."""
@@ -51,6 +53,8 @@
         # Fencing tokens that the former peers of workers have used. The next
         # peer of such a worker needs a higher one.
         self._tokens_used_counts: dict[messages.WorkerId, int] = {}
+        # Start time and sequence of the reports with the facts of the peers.
+        self._facts_sequences: dict[messages.WorkerId, tuple[int, int]] = {}
         self._closed = False
         self._end_recorder = _end_recorder.EndRecorder(self._commit_ends)
 
@@ -112,7 +116,11 @@
                 # committed now.
                 peer = term.peers.get(facts.worker_id)
                 if peer is not None:
-                    peer.facts = facts
+                    self._update_peer(peer, facts)
+                    self._facts_sequences[facts.worker_id] = (
+                        facts.started_ms,
+                        report.sequence,
+                    )
         _logger.info(
             'worker reported',
             worker=facts.worker_id,
@@ -122,7 +130,9 @@
         )
         return utils.map_future(
             term.propose(_commands.PutWorker(facts)),
-            lambda outcome: self._on_recorded(outcome, facts, acknowledgement),
+            lambda outcome: self._on_recorded(
+                outcome, report, acknowledgement
+            ),
         )
 
     def handle_leave(
@@ -209,7 +219,7 @@
     def _on_recorded(
         self,
         outcome: typing.Any,
-        facts: _commands.WorkerFacts,
+        report: _calls.WorkerReport,
         acknowledgement: _calls.WorkerNoted,
     ) -> typing.Any:
         if isinstance(outcome, result.Failure):
@@ -217,19 +227,33 @@
         with self._term.lock:
             if self._closed:
                 return messages.NotLeader()
-            self._add_or_update_peer(facts)
+            with self._lock:
+                self._use_facts(report)
         self._term.round_requested.set()
         return acknowledgement
 
+    def _use_facts(self, report: _calls.WorkerReport) -> None:
+        """Use committed facts unless the peer has those of a newer report."""
+        facts = report.facts
+        sequence = (facts.started_ms, report.sequence)
+        if (
+            facts.worker_id in self._term.peers
+            and self._facts_sequences.get(facts.worker_id, (0, 0)) > sequence
+        ):
+            _logger.info(
+                'facts of an older report ignored',
+                worker=facts.worker_id,
+                sequence=report.sequence,
+            )
+            return
+        self._facts_sequences[facts.worker_id] = sequence
+        self._add_or_update_peer(facts)
+
     def _add_or_update_peer(self, facts: _commands.WorkerFacts) -> None:
         term = self._term
         peer = term.peers.get(facts.worker_id)
         if peer is not None:
-            if peer.facts.started_ms != facts.started_ms:
-                term.advice.forget_worker(facts.worker_id)
-                term.health.forget(facts.worker_id)
-                term.progress.forget(facts.worker_id)
-            peer.facts = facts
+            self._update_peer(peer, facts)
             return
         peer = _worker_peer.WorkerPeer(
             facts,
@@ -245,6 +269,16 @@
         self._supervisor.run(f'lists of {facts.worker_id}', peer.watch)
         peer.sender.start_with(self._supervisor.run)
 
+    def _update_peer(
+        self, peer: _worker_peer.WorkerPeer, facts: _commands.WorkerFacts
+    ) -> None:
+        term = self._term
+        if peer.facts.started_ms != facts.started_ms:
+            term.advice.forget_worker(facts.worker_id)
+            term.health.forget(facts.worker_id)
+            term.progress.forget(facts.worker_id)
+        peer.facts = facts
+
     def _on_removed(
         self, worker_id: messages.WorkerId, done: _term.Proposed
     ) -> None:
@@ -257,6 +291,7 @@
         _logger.info('worker removed', worker=worker_id)
 
     def _remove_peer(self, worker_id: messages.WorkerId) -> None:
+        self._facts_sequences.pop(worker_id, None)
         peer = self._term.peers.pop(worker_id, None)
         if peer is not None:
             peer.close()
@@ -319,8 +354,8 @@
             for run in stalled:
                 step = (run.task.job_id, run.task.step)
                 term.failed_on.setdefault(step, set()).add(worker_id)
-            if stalled and not term.health.suspended(worker_id, now_ms):
-                term.health.suspend(worker_id, now_ms)
+            if stalled:
+                term.health.record_stall(worker_id, now_ms)
         self._log_misplaced(worker_id, stalled, 'no progress')
         self._log_misplaced(worker_id, late_runs, 'ends after its worker')
         return [(run.task, run.run) for run in (*stalled, *late_runs)]
@@ -428,7 +463,7 @@
     def _handle_ends(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_specs.TaskKey, messages.WorkerId],
+        workers: dict[_Run, messages.WorkerId],
     ) -> None:
         for end in ends:
             self._term.metrics.ended.labels(end.outcome.value).inc()
@@ -437,7 +472,7 @@
                 task=str(end.task),
                 run=end.run,
                 outcome=end.outcome.value,
-                worker=workers.get(end.task),
+                worker=workers.get((end.task, end.run)),
             )
         with self._term.lock:
             self._record_health(ends, workers)
@@ -446,26 +481,31 @@
 
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
-    ) -> dict[_specs.TaskKey, messages.WorkerId]:
+    ) -> dict[_Run, messages.WorkerId]:
         state = self._term.state
-        workers = {}
+        workers: dict[_Run, messages.WorkerId] = {}
         with state.lock:
             for end in ends:
                 job = state.jobs.get(end.task.job_id)
                 task = job.task(end.task) if job is not None else None
-                if task is not None and task.worker_id is not None:
-                    workers[end.task] = task.worker_id
+                # A repeated end must not count against the next run's worker.
+                if (
+                    task is not None
+                    and task.run == end.run
+                    and task.worker_id is not None
+                ):
+                    workers[end.task, end.run] = task.worker_id
         return workers
 
     def _record_health(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_specs.TaskKey, messages.WorkerId],
+        workers: dict[_Run, messages.WorkerId],
     ) -> None:
         term = self._term
         now_ms = _clock.elapsed_ms()
         for end in ends:
-            worker_id = workers.get(end.task)
+            worker_id = workers.get((end.task, end.run))
             if worker_id is None:
                 continue
             term.health.record_end(worker_id, end.outcome, now_ms)
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -1,6 +1,7 @@
 """Peers of workers that are removed, replaced or report again."""
 
 import contextlib
+import dataclasses
 
 import pytest
 
@@ -151,3 +152,55 @@
 
     testing.wait_until(is_done)
     assert leader.worker.starts == [('j.0.0.0', 1)]
+
+
+def test_a_repeated_end_does_not_count_against_the_next_worker(leader):
+    for worker_id in ('w1', 'w2'):
+        leader.machine(_commands.PutWorker(helpers.facts(worker_id)))
+    assert leader.machine.assign('j.0.0.0', 1, 'w1')
+    end = _commands.RunEnd(TASK, 1, jobs.RunOutcome.FAILED)
+    assert leader.workers.record((end,))
+    assert leader.machine.assign('j.0.0.0', 2, 'w2')
+    assert leader.workers.record((end,))
+    health = leader.term.health
+    assert health.consecutive_failures('w1') == 1
+    assert health.consecutive_failures('w2') == 0
+
+
+def test_a_repeated_end_in_the_batch_of_the_next_one_does_not_count(leader):
+    for worker_id in ('w1', 'w2'):
+        leader.machine(_commands.PutWorker(helpers.facts(worker_id)))
+    ends = [
+        _commands.RunEnd(TASK, run, jobs.RunOutcome.FAILED) for run in (1, 2)
+    ]
+    assert leader.machine.assign('j.0.0.0', 1, 'w1')
+    assert leader.workers.record((ends[0],))
+    assert leader.machine.assign('j.0.0.0', 2, 'w2')
+    assert leader.workers.record(tuple(ends))
+    assert leader.term.health.consecutive_failures('w1') == 1
+    assert leader.term.health.consecutive_failures('w2') == 1
+
+
+def _report_next(leader, **changes):
+    leader.worker.facts = dataclasses.replace(leader.worker.facts, **changes)
+    leader.report()
+
+
+def test_an_older_report_that_commits_late_does_not_undo_draining(leader):
+    leader.report()
+    leader.node.holds = True
+    _report_next(leader, address='w1:2')
+    _report_next(leader, phase=jobs.WorkerPhase.DRAINING)
+    leader.node.release(1)
+    assert leader.peer().facts.phase is jobs.WorkerPhase.DRAINING
+    leader.node.release()
+    assert leader.peer().facts == leader.worker.facts
+
+
+def test_a_drained_worker_that_restarts_is_not_suspended_any_more(leader):
+    leader.report()
+    _report_next(leader, phase=jobs.WorkerPhase.DRAINING)
+    leader.term.health.suspend(W1, 0)
+    assert leader.term.health.suspended(W1, 1)
+    _report_next(leader, phase=jobs.WorkerPhase.READY, started_ms=2)
+    assert not leader.term.health.suspended(W1, 1)
