Reset the election back-off of a leader that lasts

Callers saw no service for longer than needed: a leader whose predecessor was brief doubled its election back-off when elected and kept it for its whole term. Cut off from its quorum, even hours later, it stepped down up to that factor late.

The back-off was only reconsidered on an election and when a follower hears its leader; a leader hears none. It now also reconsiders it whenever it checks its quorum. Its followers do so at the same age of the leader, and a shorter limit only makes it step down earlier, so no vote is granted sooner.

The new test fails on the old code: after 20 election timeouts the leader still has the back-off of a brief one.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -67,6 +67,7 @@
         Also ends a leadership transfer that has timed out.
         """
         state = self._state
+        state.update_election_backoff()
         now_ns = time.monotonic_ns()
         limit_ns = (
             state.election_backoff
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -156,18 +156,19 @@
         """
         self.leader_id = leader_id
         self.leader_contact_ns = time.monotonic_ns()
-        self._update_election_backoff()
+        self.update_election_backoff()
         self.reset_election_timer()
         if self.ballot is not None and self.ballot.pre_vote:
             self.ballot = None
             self.election_condition.notify()
 
-    def _update_election_backoff(self) -> None:
+    def update_election_backoff(self) -> None:
         """Lengthen the election timeouts while leaders follow each other.
 
         A leader that is short of processor time sends late. Its successor
         takes over the same load, so it would be deposed in turn, and nothing
-        would be served between the elections.
+        would be served between the elections. A leader that lasts ends this,
+        for itself as for its followers.
         """
         now_ns = time.monotonic_ns()
         brief_ns = (
@@ -299,7 +300,7 @@
         self.ballot = None
         self.leader_id = self.node_id
         self.elected_ns = time.monotonic_ns()
-        self._update_election_backoff()
+        self.update_election_backoff()
         self.term_start_index = 0
         self.progress = {}
         self.update_peers()
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _election
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _progress
@@ -190,3 +191,16 @@
     assert not vote(opened, tmp_path, term=4, pre_vote=True).granted
     clock.now_ms += 2 * silent_ms
     assert vote(opened, tmp_path, term=4, pre_vote=True).granted
+
+
+def test_a_leader_that_lasts_steps_down_as_fast_as_before(tmp_path, clock):
+    state = open_state(tmp_path).state
+    for term in (1, 2):
+        follow(state, term)
+    with state.lock:
+        state.term = 3
+        state.become_leader()
+    clock.now_ms += 20 * state.options.election_max_ms
+    with state.lock:
+        _election.Election(state)._check_quorum()
+    assert state.election_backoff == 1
