Keep the streams of callers that a full log refuses

While the log took no more proposals (overloaded, or no disk space) gateways lost their leader and searched for another one: the leader replied NotLeader to workers' reports, to registrations, to calls whose leadership a quorum had to confirm, and, with a full disk, to submissions. NotLeader closes the stream to the caller, with all its other calls, and the new registrations add to the load.

Each of these places now uses the same function, moved to a module of its own. It returns NotLeader only if leadership is lost; a full log is a failed call that may be repeated.

A test that let a confirmation fail without an error now fails it with the error of a deposed leader, as a node does; its assertions are unchanged.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -19,6 +19,7 @@
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _replies
 from dandeliondrum.jobs import _scheduler
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
@@ -129,7 +130,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
+                return _replies.failure_reply(outcome.failure())
             return self._handle_as_leader(connection, message)
 
         return utils.chain_future(self._term.node.confirm_leadership(), reply)
@@ -202,7 +203,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
+                return _replies.failure_reply(outcome.failure())
             with self._registration_lock:
                 added = term.sessions.add(session)
                 if added:
@@ -269,7 +270,7 @@
         ) -> typing.Any:
             self._submitting.discard(spec.job_id)
             if isinstance(outcome, result.Failure):
-                return _failure_reply(outcome.failure())
+                return _replies.failure_reply(outcome.failure())
             _logger.info(
                 'job accepted',
                 job=spec.job_id,
@@ -295,7 +296,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return _failure_reply(outcome.failure())
+                return _replies.failure_reply(outcome.failure())
             return _calls.JobStatus(
                 self._phase(message.job_id, message.team_id)
             )
@@ -329,7 +330,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return _failure_reply(outcome.failure())
+                return _replies.failure_reply(outcome.failure())
             _logger.info('job cancelled', job=message.job_id)
             self._workers.stop_obsolete((message.job_id,))
             return _calls.JobStatus(outcome.unwrap())
@@ -356,7 +357,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return _failure_reply(outcome.failure())
+                return _replies.failure_reply(outcome.failure())
             self._push_document()
             return _calls.DocumentInForce(outcome.unwrap())
 
@@ -379,7 +380,7 @@
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return _failure_reply(outcome.failure())
+                return _replies.failure_reply(outcome.failure())
             active = self._term.state.active_document
             return _calls.DocumentInForce(active.version, active.document)
 
@@ -419,18 +420,3 @@
         )
         if due:
             self._term.propose(_commands.ForgetJobs(due))
-
-
-def _failure_reply(error: consensus.ProposeError) -> typing.Any:
-    """Return a reply that tells whether the command may still be applied.
-
-    NotLeader closes the stream to the caller, so an overloaded leader must
-    not return it.
-    """
-    if error.failure is consensus.ProposeFailure.OVERLOADED:
-        return messages.CallFailed(
-            str(error.failure.value), True, _admission.RETRY_AFTER_MIN_MS
-        )
-    if error.never_committed:
-        return messages.NotLeader()
-    return messages.CallFailed(str(error.failure.value), False)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -17,6 +17,7 @@
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _progress
 from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _replies
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
@@ -199,7 +200,7 @@
         acknowledgement: _calls.WorkerNoted,
     ) -> typing.Any:
         if isinstance(outcome, result.Failure):
-            return messages.NotLeader()
+            return _replies.failure_reply(outcome.failure())
         with self._term.lock:
             if self._closed:
                 return messages.NotLeader()
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -207,7 +207,10 @@
         node.confirm()
         assert reply.result(0) == _calls.WaitingCount(0)
     else:
-        node.confirmations.pop().set_result(result.Failure(None))
+        error = consensus.ProposeError(
+            consensus.ProposeFailure.DEPOSED, never_committed=True
+        )
+        node.confirmations.pop().set_result(result.Failure(error))
         assert reply.result(0) == messages.NotLeader()
 
 
