End the pending commit of a proposal that raises

If a command could not be encoded or the log raised, the leader went on to count the commit as pending for the rest of its term. The age of the oldest pending commit is the expected start delay, so about a second later the leader would have refused new jobs of all queues until another was elected.

The command is now encoded before the commit begins, and an exception of the log ends it. Found by review; not seen in a run. Both cases of the new test fail on the old code.

--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -132,6 +132,7 @@
 
     def propose(self, command: typing.Any) -> Proposed:
         """Propose a command; return a future of its result."""
+        encoded = messages.encode(command)
         proposed_s = time.monotonic()
         commit_id = self.admission.begin_commit(_clock.elapsed_ms())
 
@@ -139,7 +140,11 @@
             self.admission.end_commit(commit_id, _clock.elapsed_ms())
             self.load.record_command(time.monotonic() - proposed_s)
 
-        proposed = self.node.propose(messages.encode(command))
+        try:
+            proposed = self.node.propose(encoded)
+        except BaseException:
+            self.admission.end_commit(commit_id, _clock.elapsed_ms())
+            raise
         proposed.add_done_callback(finish)
         return proposed
 
--- a/dandeliondrum/jobs/tests/test_admission.py
+++ b/dandeliondrum/jobs/tests/test_admission.py
@@ -1,6 +1,14 @@
 """Tests of admission by the start delay, with a simulated clock."""
 
+from unittest import mock
+
+import pytest
+
 from dandeliondrum.jobs import _admission
+from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
 
 PRIORITIES = (0, 1, 2)
 START_TARGET_MS = 1_300
@@ -144,3 +152,15 @@
     waits_ms = [min(one) for one in zip(*samples, strict=True)]
     assert waits_ms == sorted(waits_ms)
     assert waits_ms[0] >= _admission.RETRY_AFTER_MIN_MS
+
+
+@pytest.mark.parametrize('fails_in', ['encode', 'propose'])
+def test_a_proposal_that_raises_does_not_count_as_a_pending_commit(fails_in):
+    node = helpers.LocalNode(helpers.Machine(()))
+    term = helpers.new_term(node)
+    owner = messages if fails_in == 'encode' else node
+    with mock.patch.object(owner, fails_in, side_effect=ValueError):
+        with pytest.raises(ValueError):
+            term.propose(_commands.ForgetJobs(()))
+    later_ms = _clock.elapsed_ms() + 10 * _admission.START_DELAY_MAX_MS
+    assert term.admission.start_delay_ms(later_ms) == 0
