Answer gateways' calls while the other engine makes a plan

In the product's own engine each call of a gateway, heartbeats included, took the lock of the leader's context to look its session up. A planning round holds that lock, so a long round made the heartbeats of all gateways late; they then lost a leader that was healthy.

The table of sessions has a lock of its own, held for a look-up only, so the lock of the context is not needed. The new test holds that lock and fails on the old code. How long rounds hold it was not measured.

--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -159,8 +159,9 @@
         context = self.context
         if isinstance(message, messages.RegisterGateway):
             return self._register_gateway(connection, message)
-        with context.lock:
-            session = context.sessions.by_connection(connection)
+        # Read without the lock of the context, which is held while a plan is
+        # made; the sessions have a lock of their own.
+        session = context.sessions.by_connection(connection)
         if session is None:
             return messages.CallFailed('the gateway must register first', True)
         match message:
--- a/dandeliondrum/controller/_sessions.py
+++ b/dandeliondrum/controller/_sessions.py
@@ -18,7 +18,8 @@
 class Sessions:
     """The sessions of a leader.
 
-    Not thread-safe; the owner's lock protects it.
+    Not thread-safe, except for ``by_connection``, ``by_gateway`` and ``all``;
+    the owner's lock protects the rest.
     """
 
     def __init__(self) -> None:
--- a/dandeliondrum/controller/tests/test_registration.py
+++ b/dandeliondrum/controller/tests/test_registration.py
@@ -85,3 +85,33 @@
     assert first.closed.is_set()
     session = leader.context.sessions.by_gateway(GATEWAY)
     assert session.connection is second
+
+
+def _registered(leader):
+    connection = FakeConnection()
+    leader.context.node.confirmation.set_result(result.Success(None))
+    register(leader, connection)
+    return connection
+
+
+HEARTBEAT = messages.GatewayHeartbeat(messages.RulesVersion(0))
+
+
+def test_a_heartbeat_is_answered_while_a_plan_holds_the_lock(
+    leader, monkeypatch
+):
+    connection = _registered(leader)
+    node = leader.context.node
+    monkeypatch.setattr(node, 'is_leading', lambda: False, raising=False)
+    handled = threading.Event()
+
+    def beat():
+        leader.leadership.handle_call(connection, HEARTBEAT)
+        handled.set()
+
+    thread = threading.Thread(target=beat, daemon=True)
+    with leader.context.lock:
+        thread.start()
+        in_time = handled.wait(3)
+    thread.join()
+    assert in_time
