Refuse no heartbeat while the quorum is late for a moment

In the product's own engine a leader replied NotLeader to the heartbeats of gateways and workers as soon as its last confirmation by a quorum was older than the shortest election timeout. NotLeader closes the stream, so a short delay between controllers sent all gateways in search of a leader while the old one still led.

The leader now asks the quorum to confirm it and replies then; it refuses the call only if that fails. Workers' heartbeats keep the second check after they have been handled, so a leader that is deposed meanwhile renews no lease; a worker counts its lease from the time at which it sent the heartbeat, so a late reply does not prolong it.

The function for confirmed replies moves from the calls of operators to the context, as it is needed in three places.

--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -1,5 +1,6 @@
 """State that the components of a leader share."""
 
+import collections.abc
 import concurrent.futures
 import threading
 import typing
@@ -68,6 +69,26 @@
         """Propose a command; the future holds the outcome of applying it."""
         return self.node.propose(messages.encode(command))
 
+    def answer_if_confirmed(
+        self, function: collections.abc.Callable[[], typing.Any]
+    ) -> concurrent.futures.Future[typing.Any]:
+        """Return a future of a reply that needs the leadership.
+
+        ``function`` makes the reply once a quorum has confirmed the
+        leadership; without that the reply is NotLeader. The contact with the
+        quorum may be late for a moment only, and to refuse a call then would
+        make the gateways search for a leader.
+        """
+
+        def answer(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> typing.Any:
+            if isinstance(outcome, result.Failure):
+                return messages.NotLeader()
+            return function()
+
+        return utils.map_future(self.node.confirm_leadership(), answer)
+
     def add_pending(self, entry: _pending.PendingEntry) -> typing.Any:
         """Add a task to the planner and return the planner's Result."""
         spec = entry.spec
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -138,10 +138,18 @@
             self._context.observations.set_worker_sizes(self._sizes.all())
 
     def handle(self, call: messages.WorkerHeartbeats) -> typing.Any:
-        """Answer heartbeats, or NotLeader if leadership is not certain."""
+        """Answer heartbeats, or NotLeader if leadership is not certain.
+
+        The reply is a future if a quorum has to confirm the leadership.
+        """
+        if self._context.node.is_leading():
+            return self._handle_as_leader(call)
+        return self._context.answer_if_confirmed(
+            lambda: self._handle_as_leader(call)
+        )
+
+    def _handle_as_leader(self, call: messages.WorkerHeartbeats) -> typing.Any:
         context = self._context
-        if not context.node.is_leading():
-            return messages.NotLeader()
         reports: list[messages.AttemptReport] = []
         with context.lock, context.state.lock:
             replies = tuple(
--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -225,12 +225,17 @@
     ) -> typing.Any:
         context = self.context
         session.rules_version = message.rules_version
-        if not context.node.is_leading():
-            return messages.NotLeader()
-        version = context.state.rules_record.version
-        return messages.GatewayHeartbeatReply(
-            context.term, version, context.node.status().addresses()
-        )
+
+        def reply() -> messages.GatewayHeartbeatReply:
+            return messages.GatewayHeartbeatReply(
+                context.term,
+                context.state.rules_record.version,
+                context.node.status().addresses(),
+            )
+
+        if context.node.is_leading():
+            return reply()
+        return context.answer_if_confirmed(reply)
 
     def _release_answers(self, call: messages.ReleaseAnswers) -> typing.Any:
         with self.context.state.lock:
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -1,6 +1,5 @@
 """Operator calls to the leader: rules, fleet, drain, task explanations."""
 
-import collections.abc
 import concurrent.futures
 import typing
 
@@ -47,9 +46,9 @@
             case messages.ApplyRulesCall():
                 return self._apply_rules(message)
             case messages.ShowRules():
-                return self._answer_if_leading(self._show_rules)
+                return self._context.answer_if_confirmed(self._show_rules)
             case messages.ShowFleet():
-                return self._answer_if_leading(self._show_fleet)
+                return self._context.answer_if_confirmed(self._show_fleet)
             case messages.DrainWorker():
                 return self._drain(message)
             case messages.ExplainTask():
@@ -73,20 +72,6 @@
             True,
         )
 
-    def _answer_if_leading(
-        self, function: collections.abc.Callable[[], typing.Any]
-    ) -> concurrent.futures.Future[typing.Any]:
-        def answer(
-            outcome: result.Result[typing.Any, consensus.ProposeError],
-        ) -> typing.Any:
-            if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
-            return function()
-
-        return utils.map_future(
-            self._context.node.confirm_leadership(), answer
-        )
-
     def _reply_when_changed(
         self, future: concurrent.futures.Future[typing.Any]
     ) -> concurrent.futures.Future[typing.Any]:
--- a/dandeliondrum/controller/tests/test_registration.py
+++ b/dandeliondrum/controller/tests/test_registration.py
@@ -2,10 +2,12 @@
 
 import concurrent.futures
 import threading
+from unittest import mock
 
 import pytest
 from returns import result
 
+from dandeliondrum import consensus
 from dandeliondrum.controller.tests import builders
 from dandeliondrum.controller.tests import test_worker_sizes
 from dandeliondrum import messages
@@ -115,3 +117,35 @@
         in_time = handled.wait(3)
     thread.join()
     assert in_time
+
+
+def test_a_leader_briefly_out_of_touch_does_not_refuse_a_heartbeat(
+    leader, monkeypatch
+):
+    connection = _registered(leader)
+    node = leader.context.node
+    monkeypatch.setattr(node, 'is_leading', lambda: False, raising=False)
+    node.confirmation = concurrent.futures.Future()
+    reply = leader.leadership.handle_call(connection, HEARTBEAT)
+    assert not isinstance(reply, messages.NotLeader)
+    assert not reply.done()
+    monkeypatch.setattr(
+        node, 'status', lambda: mock.Mock(addresses=lambda: ()), raising=False
+    )
+    node.confirmation.set_result(result.Success(None))
+    assert isinstance(reply.result(0), messages.GatewayHeartbeatReply)
+
+
+def test_a_deposed_leader_refuses_a_heartbeat_of_a_gateway(
+    leader, monkeypatch
+):
+    connection = _registered(leader)
+    node = leader.context.node
+    monkeypatch.setattr(node, 'is_leading', lambda: False, raising=False)
+    node.confirmation = concurrent.futures.Future()
+    reply = leader.leadership.handle_call(connection, HEARTBEAT)
+    error = consensus.ProposeError(
+        consensus.ProposeFailure.DEPOSED, never_committed=True
+    )
+    node.confirmation.set_result(result.Failure(error))
+    assert reply.result(0) == messages.NotLeader()
