--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -159,8 +159,9 @@
         context = self.context
         if isinstance(message, messages.RegisterGateway):
             return self._register_gateway(connection, message)
-        with context.lock:
-            session = context.sessions.by_connection(connection)
+        # Read without the lock of the context, which is held while a plan is
+        # made; the sessions have a lock of their own.
+        session = context.sessions.by_connection(connection)
         if session is None:
             return messages.CallFailed('the gateway must register first', True)
         match message:
@@ -224,12 +225,17 @@
     ) -> typing.Any:
         context = self.context
         session.rules_version = message.rules_version
-        if not context.node.is_leading():
-            return messages.NotLeader()
-        version = context.state.rules_record.version
-        return messages.GatewayHeartbeatReply(
-            context.term, version, context.node.status().addresses()
-        )
+
+        def reply() -> messages.GatewayHeartbeatReply:
+            return messages.GatewayHeartbeatReply(
+                context.term,
+                context.state.rules_record.version,
+                context.node.status().addresses(),
+            )
+
+        if context.node.is_leading():
+            return reply()
+        return context.answer_if_confirmed(reply)
 
     def _release_answers(self, call: messages.ReleaseAnswers) -> typing.Any:
         with self.context.state.lock:
