Acknowledge no ends that a restarted worker has not reported

Cause: a worker that starts again under its id numbers its ends from 1. The leader sent the highest number that it had ever recorded with every read, and learns of the restart only from the reply. If the first reads after a restart arrive and their replies are lost, while start orders are carried out, the new incarnation forgets ends that nobody has read. The first answered read then shows a restart and no such runs, and they are recorded as lost and started again.

Now a number is sent only with the read that follows a reply which listed ends, whatever comes of that read. A read after one without an answer acknowledges nothing; the worker lists what it still holds, and ends that were recorded for this incarnation are not proposed again. What stays is a restart, a whole run and its end between a reply and the arrival of the next read, and a read that is carried out late by a new incarnation which has not yet seen the next fencing token.

Both new tests failed before: the end after a restart was recorded as lost, and the numbers of the reads were 1, 1, 1 instead of 1, 0, 1, 0.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -80,6 +80,9 @@
         self._lock = self._state.lock
         self._worker_started_ms = 0
         self._unassigned_count = 0
+        # Highest number of a recorded end of the worker's current incarnation,
+        # and the number to acknowledge with the next read, 0 for none.
+        self._recorded_number = 0
         self._acknowledged = 0
         self._leaving = False
         self._last_reply_ms: int | None = None
@@ -161,6 +164,7 @@
             number = self._state.reads_count
             token = self._state.token
             request = self._lease_request()
+            self._acknowledged = 0
         self._is_idle = False
         outcome = self._state.port.renew(request)
         if self._state.ended:
@@ -187,7 +191,9 @@
 
         A worker that does not answer gets no new lease: the grant might
         arrive, and its runs could not be reassigned before that lease had
-        expired.
+        expired. Ends are acknowledged only right after a reply listed them:
+        a worker that has started again numbers its ends anew, and would
+        forget ends that nobody has read.
         """
         read_only = self._first_read or not self._state.is_responding
         wait_ms = min(
@@ -241,7 +247,7 @@
         self._leaving = False
         self._first_read = True
         self._state.token += 1
-        self._acknowledged = 0
+        self._recorded_number = 0
         self._state.lease.update_clock(lists.clock_ms)
 
     def _reconcile(self, number: int, lists: _port.WorkerListing) -> bool:
@@ -249,7 +255,11 @@
         assigned = self._events.assigned(self.facts.worker_id)
         listed = {(item.task, item.run): item for item in lists.runs}
         ended = {(item.end.task, item.end.run) for item in lists.ends}
-        ends = [item.end for item in lists.ends]
+        ends = [
+            item.end
+            for item in lists.ends
+            if item.sequence > self._recorded_number
+        ]
         with self._lock:
             for task, run in assigned.items():
                 if (task, run) in listed:
@@ -271,7 +281,10 @@
                 self._events.request_round()
             self._unassigned_count = len(unassigned)
             numbers = [item.sequence for item in lists.ends]
-            self._acknowledged = max([self._acknowledged, *numbers])
+            self._acknowledged = max(numbers, default=0)
+            self._recorded_number = max(
+                self._recorded_number, self._acknowledged
+            )
         still_assigned = assigned.keys() - {end.task for end in ends}
         self._is_idle = (
             lists.ends_complete and not still_assigned and not listed
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -231,6 +231,63 @@
     assert worker.starts == []
 
 
+def test_an_end_after_a_restart_is_not_acknowledged_unread(worker):
+    """The numbers of ends start anew, so old numbers name unread ends."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step(2))
+    port = testing.FakeFleet([worker])
+    is_cut = threading.Event()
+
+    def renew(request):
+        if is_cut.is_set():
+            return jobs.Unanswered(False, 'link cut')
+        return worker.renew(request)
+
+    port.renew = renew
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes and not worker._ends)
+        is_cut.set()
+        worker.restart()
+        leader.start('j.0.0.1')
+        testing.wait_until(
+            lambda: len(worker.starts) == 2 and not worker.running()
+        )
+        is_cut.clear()
+        testing.wait_until(
+            lambda: leader.machine.phase('j') is jobs.JobPhase.DONE
+        )
+    assert leader.outcomes[-1] == ('j.0.0.1', 1, 'DONE')
+
+
+def test_ends_are_acknowledged_only_right_after_they_were_read(worker):
+    """A read that is not answered may be carried out after a restart."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    port = testing.FakeFleet([worker])
+    acknowledged = []
+
+    def renew(request):
+        acknowledged.append(request.acknowledged_number)
+        if acknowledged[-1] and acknowledged.count(1) == 1:
+            return jobs.Unanswered(True, 'request lost')
+        return worker.renew(request)
+
+    port.renew = renew
+    leader.peer._state.port = port
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes and not worker._ends)
+        reads_count = len(acknowledged)
+        testing.wait_until(lambda: len(acknowledged) > reads_count)
+    first = acknowledged.index(1)
+    assert acknowledged[first : first + 4] == [1, 0, 1, 0]
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
+
+
 def test_another_incarnation_at_the_address_ends_all_runs(worker):
     worker.run_ms = 60_000
     leader = FakeLeader(worker)
