Drop a pending acknowledgement when a worker reports a restart

A worker without runs is read once a second, so up to a second lies between the reply that lists its last ends and the read that acknowledges them.

The worker's report of its restart usually comes before it is given a task. The leader already had it but kept the old number. It now drops the number when the start time in the report changes; the next read shows which incarnation answers. If a report only repeats what a read had shown, the ends are listed once more and acknowledged then, without a second commit.

The new test failed before: the end after the restart was recorded as lost. No read is added. It remains open while the report of the restart has not arrived.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -97,7 +97,10 @@
 
     @facts.setter
     def facts(self, facts: _commands.WorkerFacts) -> None:
-        self._state.facts = facts
+        with self._lock:
+            if facts.started_ms != self._state.facts.started_ms:
+                self._acknowledged = 0
+            self._state.facts = facts
 
     @property
     def tokens_used_count(self) -> int:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -288,6 +288,33 @@
     assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
 
 
+def test_ends_of_a_reported_restart_are_not_acknowledged_unread(worker):
+    """The restart is known from the worker's report before the next read."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step(2))
+    peer = leader.peer
+
+    def run(task):
+        key = jobs.parse_task_key(task)
+        assert leader.machine.assign(task, 1, worker.facts.worker_id)
+        order = jobs.StartOrder(
+            worker.facts, peer._state.token, key, 1, '', 60_000, '', ''
+        )
+        assert isinstance(worker.start(order), jobs.Accepted)
+        testing.wait_until(lambda: not worker.running())
+
+    assert peer._read_once()
+    assert peer._read_once()
+    run('j.0.0.0')
+    assert peer._read_once()
+    worker.restart()
+    peer.facts = worker.facts
+    run('j.0.0.1')
+    assert peer._read_once()
+    assert peer._read_once()
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE'), ('j.0.0.1', 1, 'DONE')]
+
+
 def test_another_incarnation_at_the_address_ends_all_runs(worker):
     worker.run_ms = 60_000
     leader = FakeLeader(worker)
