Acknowledge the last ends of a worker without a pause

A worker without runs is read once a second. The read that acknowledges its last ends waited for this pause, too.

A worker that has just listed ends is no longer taken for idle, so the next read follows at once. The test fails before (the acknowledgement came after 0.75 to 1 s) and passes now.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -87,7 +87,8 @@
         self._leaving = False
         self._last_reply_ms: int | None = None
         self._first_read = True
-        # Whether nothing runs on the worker or is assigned to it.
+        # Whether nothing runs on the worker, is assigned to it, or ended there
+        # without an acknowledgement.
         self._is_idle = False
 
     @property
@@ -289,9 +290,8 @@
                 self._recorded_number, self._acknowledged
             )
         still_assigned = assigned.keys() - {end.task for end in ends}
-        self._is_idle = (
-            lists.ends_complete and not still_assigned and not listed
-        )
+        # Ends that were listed are acknowledged by the next read, at once.
+        self._is_idle = not (still_assigned or listed or lists.ends)
         return True
 
     def _lost(self, task: _specs.TaskKey, run: int) -> _commands.RunEnd:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -814,6 +814,23 @@
     assert elapsed_ms < 700
 
 
+def test_the_last_ends_of_a_worker_are_acknowledged_without_a_pause(worker):
+    """A worker that restarts before that numbers its ends anew."""
+    leader = FakeLeader(worker, lease_ms=6_000)
+    leader.submit('j', helpers.step())
+    requests = _record_reads(leader)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+        begin_s = time.monotonic()
+        testing.wait_until(
+            lambda: any(request.acknowledged_number for request in requests)
+        )
+        elapsed_ms = (time.monotonic() - begin_s) * 1_000
+    assert elapsed_ms < _worker_peer.IDLE_READ_INTERVAL_MS / 2
+
+
 def test_an_idle_worker_that_stops_answering_is_noticed(worker):
     leader = FakeLeader(worker)
     with serving(leader):
