--- a/dandeliondrum/controller/tests/test_registration.py
+++ b/dandeliondrum/controller/tests/test_registration.py
@@ -107,11 +107,11 @@
     monkeypatch.setattr(node, 'is_leading', lambda: False, raising=False)
     handled = threading.Event()
 
-    def beat():
+    def heartbeat():
         leader.leadership.handle_call(connection, HEARTBEAT)
         handled.set()
 
-    thread = threading.Thread(target=beat, daemon=True)
+    thread = threading.Thread(target=heartbeat, daemon=True)
     with leader.context.lock:
         thread.start()
         in_time = handled.wait(3)
--- a/dandeliondrum/gateway/tests/test_reporter.py
+++ b/dandeliondrum/gateway/tests/test_reporter.py
@@ -16,7 +16,7 @@
 
 
 class RefusingLink:
-    """Link to a leader that refuses calls at once until it is mended."""
+    """Link to a leader that refuses calls at once until it works again."""
 
     def __init__(self):
         self.calls_count = 0
--- a/dandeliondrum/jobs/tests/test_leader_locks.py
+++ b/dandeliondrum/jobs/tests/test_leader_locks.py
@@ -105,14 +105,14 @@
     heartbeat = messages.GatewayHeartbeat(messages.RulesVersion(1))
     answered = threading.Event()
 
-    def beat():
+    def send_heartbeat():
         reply = leadership.handle(None, heartbeat)
         answered.set()
         return reply
 
     with concurrent.futures.ThreadPoolExecutor(1) as executor:
         with machine.state.lock:
-            replied = executor.submit(beat)
+            replied = executor.submit(send_heartbeat)
             in_time = answered.wait(TIMEOUT_S)
         assert in_time
         assert replied.result().rules_version == 1
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -257,8 +257,8 @@
             executor.submit(node.confirm).result(1)
             registered = reply.result(1).result(1)
             heartbeat = messages.GatewayHeartbeat(messages.RulesVersion(1))
-            beat = executor.submit(leadership.handle, connection, heartbeat)
-            assert isinstance(beat.result(1), messages.GatewayHeartbeatReply)
+            reply = executor.submit(leadership.handle, connection, heartbeat)
+            assert isinstance(reply.result(1), messages.GatewayHeartbeatReply)
             executor.submit(connection.close).result(1)
         finally:
             planned.set()
--- a/dandeliondrum/jobs/tests/test_overload.py
+++ b/dandeliondrum/jobs/tests/test_overload.py
@@ -80,7 +80,7 @@
 class Callers:
     """Callers that submit one job after the other to a gateway each.
 
-    A caller that was refused returns after the time that it was told.
+    A caller that was refused returns after its Retry-After.
     """
 
     def __init__(self, gateways, callers_count, leader):
