Commit a worker's report again when a follower repeats it

Cause: the leader notes the sequence of a report before its facts are committed, and took a report with the same sequence for out of date, which it acknowledges at once. A follower repeats a report when the leader refused it (a full disk or log) or when its stream to the leader closed, so the second sending was acknowledged although the first commit had failed.

What callers saw: a worker that started to drain was answered, while the log still had it as ready. The next leader could give it tasks until its next report.

Now only an older sequence is out of date. A repeat does not extend the time at which a draining worker leaves, which counts from the first arrival.

Whether it was the cause of that test's failure is not shown. The controller of the other engine keeps no sequences of reports, so it is not affected.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -187,9 +187,11 @@
                 started_ms=facts.started_ms,
             )
             return False
-        self._sequences[facts.worker_id] = (facts.started_ms, report.sequence)
+        sequence = (facts.started_ms, report.sequence)
         self._reported_ms[facts.worker_id] = _clock.elapsed_ms()
-        self._update_leave_time(report)
+        if self._sequences.get(facts.worker_id) != sequence:
+            self._sequences[facts.worker_id] = sequence
+            self._update_leave_time(report)
         return True
 
     def _update_leave_time(self, report: _calls.WorkerReport) -> None:
@@ -215,7 +217,8 @@
         if known is not None and known.started_ms > facts.started_ms:
             return True
         last = self._sequences.get(facts.worker_id, (0, 0))
-        return last >= (facts.started_ms, report.sequence)
+        # A follower repeats a report whose first commit may have failed.
+        return last > (facts.started_ms, report.sequence)
 
     def _on_recorded(
         self,
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -7,6 +7,7 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _audit
+from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _records
@@ -197,6 +198,26 @@
     assert leader.peer().facts == leader.worker.facts
 
 
+def test_a_repeated_report_is_acknowledged_only_once_it_is_committed(leader):
+    """Regression test: the next leader gave tasks to a draining worker."""
+    leader.report()
+    leader.node.refuses = True
+    draining = jobs.WorkerReport(
+        dataclasses.replace(
+            leader.worker.facts, phase=jobs.WorkerPhase.DRAINING
+        ),
+        sequence=2,
+    )
+    refused = leader.workers.handle_report(draining).result(0)
+    assert isinstance(refused, messages.CallFailed)
+    leader.node.refuses, leader.node.holds = False, True
+    repeated = leader.workers.handle_report(draining)
+    assert not repeated.done()
+    leader.node.release()
+    assert isinstance(repeated.result(0), _calls.WorkerNoted)
+    assert leader.machine.state.workers[W1].facts == draining.facts
+
+
 def test_a_drained_worker_that_restarts_is_not_suspended_any_more(leader):
     leader.report()
     _report_next(leader, phase=jobs.WorkerPhase.DRAINING)
