Wait for slow disks when a cell is founded

Cause: the founder gave each member the shortest election timeout (300 ms in the job engine) to answer, but a member first writes its vote to the disk. On a busy machine syncs of 100 to 440 ms were measured, so the founding failed with UNREACHABLE. As each attempt needs a new term, and so new votes, a cell whose disks always need longer would never be founded.

What callers saw: `controllers form` failed with "no reply from c2", and tests of consensus/ failed in their founding at a load above 25 (docs/PROOFS.md).

The new test blocks the disk of one member for longer than two elections; it fails on the code before. No leader is missed while a cell is founded, so waiting costs nothing; a member that can't be reached still fails at once or after the timeout of the connection.

The files whose syncs block move from one test module to the harness.

--- a/dandeliondrum/consensus/_bootstrap.py
+++ b/dandeliondrum/consensus/_bootstrap.py
@@ -21,6 +21,8 @@
 from dandeliondrum import messages
 
 LOCAL_TIMEOUT_S = 10
+# Unlike an election, founding may wait for a slow disk: no leader is missed.
+VOTE_TIMEOUT_MS = 5_000
 ATTEMPTS_MAX = 3
 
 _logger = structlog.get_logger()
@@ -95,7 +97,9 @@
         with contextlib.closing(
             _peer_connection.PeerConnection(state.options)
         ) as connection:
-            reply = connection.call(peer_address, request).value_or(None)
+            reply = connection.call(
+                peer_address, request, timeout_ms=VOTE_TIMEOUT_MS
+            ).value_or(None)
     return reply if isinstance(reply, _messages.FoundReply) else None
 
 
--- a/dandeliondrum/consensus/_peer_connection.py
+++ b/dandeliondrum/consensus/_peer_connection.py
@@ -25,11 +25,15 @@
         self._connection: transport.Connection | None = None
 
     def call(
-        self, address: str, message: typing.Any, size_bytes: int = 0
+        self,
+        address: str,
+        message: typing.Any,
+        size_bytes: int = 0,
+        timeout_ms: int | None = None,
     ) -> result.Result[typing.Any, transport.CallError]:
         """Send a request and wait for its reply.
 
-        ``size_bytes`` is the size of its payload and extends the timeout.
+        The default timeout is that of a payload of ``size_bytes``.
         """
         try:
             connection = self._connect(address)
@@ -37,7 +41,9 @@
             return result.Failure(
                 transport.CallError(transport.CallFailure.NOT_SENT, str(error))
             )
-        outcome = connection.call(message, self.timeout_ms(size_bytes))
+        if timeout_ms is None:
+            timeout_ms = self.timeout_ms(size_bytes)
+        outcome = connection.call(message, timeout_ms)
         if isinstance(outcome, result.Failure):
             self.close()
         return outcome
--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -8,6 +8,7 @@
 import time
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _files
 from dandeliondrum import messages
 from dandeliondrum import transport
 
@@ -143,6 +144,21 @@
             stream.close()
 
 
+class BlockingSync(_files.Files):
+    """Files whose syncs block until ``released`` is set."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.released.set()
+        self.waiting = threading.Event()
+
+    def sync(self, descriptor):
+        if not self.released.is_set():
+            self.waiting.set()
+        self.released.wait(TIMEOUT_S)
+        super().sync(descriptor)
+
+
 @dataclasses.dataclass
 class RunningNode:
     """A started node with its state machine, listener and server."""
--- a/dandeliondrum/consensus/tests/test_commit.py
+++ b/dandeliondrum/consensus/tests/test_commit.py
@@ -1,7 +1,6 @@
 """Tests of when entries are committed and replies are counted."""
 
 import concurrent.futures
-import threading
 import time
 
 from returns import result
@@ -21,21 +20,6 @@
 )
 
 
-class BlockingSync(_files.Files):
-    """Files whose syncs block until ``released`` is set."""
-
-    def __init__(self):
-        self.released = threading.Event()
-        self.released.set()
-        self.waiting = threading.Event()
-
-    def sync(self, descriptor):
-        if not self.released.is_set():
-            self.waiting.set()
-        self.released.wait(harness.TIMEOUT_S)
-        super().sync(descriptor)
-
-
 def open_leader(folder):
     """Return a leader in term 2 whose log has one entry of term 1."""
     options = consensus.Options(
@@ -115,7 +99,9 @@
 
 def test_an_entry_counts_only_once_it_is_synced(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
-        cluster.files = {name: BlockingSync() for name in cluster.names}
+        cluster.files = {
+            name: harness.BlockingSync() for name in cluster.names
+        }
         leader = cluster.bootstrap()
         cluster.propose(leader, b'before').unwrap()
         down, slow = cluster.others(leader)
@@ -132,7 +118,9 @@
 
 def test_a_transfer_waits_for_earlier_proposals(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
-        cluster.files = {name: BlockingSync() for name in cluster.names}
+        cluster.files = {
+            name: harness.BlockingSync() for name in cluster.names
+        }
         leader = cluster.bootstrap()
         node = cluster.node(leader)
         disk = cluster.files[leader]
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -74,6 +74,26 @@
         cluster.wait_applied([b'one'])
 
 
+def test_a_cell_is_founded_on_disks_slower_than_an_election(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        disks = [harness.BlockingSync() for _ in cluster.names]
+        cluster.files = dict(zip(cluster.names, disks, strict=True))
+        cluster.start()
+        disks[1].released.clear()
+        members = [(name, 'unused:1') for name in cluster.names]
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            founding = executor.submit(
+                cluster.node(cluster.names[0]).bootstrap, members
+            )
+            try:
+                assert disks[1].waiting.wait(harness.TIMEOUT_S)
+                time.sleep(2 * harness.ELECTION_MAX_MS / 1000)
+                assert not founding.done()
+            finally:
+                disks[1].released.set()
+            founding.result().unwrap()
+
+
 def test_simultaneous_bootstraps_form_at_most_one_cell(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         cluster.start()
