Handle what has arrived before a late voter starts an election

Cause: on a machine short of processor time the thread of the election timer is woken late, and so are the threads that read the leader's messages. When they all run again, the timer sees a silence that is its own process's, and starts a pre-vote before the waiting heartbeats are handled. If the other voters were late, too, they grant it, and a leader that was never silent is deposed. A late leader steps down in the same way before it has handled the replies of its quorum.

What callers saw: extra elections on a busy machine, in tests and wherever several controllers share a machine; calls under way failed or were in doubt.

Now a voter or leader that notices that it was woken late by a heartbeat interval or more first waits as long as it was late, at most until the silence is twice the longest election timeout. One that is on time waits no longer than before.

The new test moves the clock instead of loading the machine and fails on the code before; two more tests hold that a lost leader is still missed, at once by a voter that is not late.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -27,21 +27,57 @@
 
     def __init__(self, state: _state.NodeState) -> None:
         self._state = state
+        # Until when messages may be unhandled because this process was late.
+        self._late_until_ns = 0
 
     def run(self, stopping: threading.Event) -> None:
         """Run the election timer and quorum checks until the node closes."""
-        state = self._state
         while not stopping.is_set():
-            with state.lock:
-                self._expire_pending_proposals()
-                if state.is_leader():
-                    self._check_quorum()
-                election_due = self._is_election_due()
-                transfer = state.election_requested
-                if not election_due:
-                    state.election_condition.wait(self._wait_timeout_s())
-            if election_due:
-                self._run_election(transfer)
+            self._step()
+
+    def _step(self) -> None:
+        state = self._state
+        with state.lock:
+            self._expire_pending_proposals()
+            if state.is_leader():
+                self._check_quorum()
+            election_due = self._is_election_due()
+            transfer = state.election_requested
+            if not election_due:
+                self._wait(self._wait_timeout_s())
+        if election_due:
+            self._run_election(transfer)
+
+    def _wait(self, timeout_s: float) -> None:
+        """Wait and notice if this thread is woken late.
+
+        Then the threads that handle messages may be late, too: what seems to
+        be the silence of the others may be this process's own. They get as
+        long as this thread was late to handle what has arrived.
+        """
+        state = self._state
+        due_ns = time.monotonic_ns() + int(timeout_s * 1e9)
+        state.election_condition.wait(timeout_s)
+        now_ns = time.monotonic_ns()
+        late_ns = now_ns - due_ns
+        if late_ns >= state.options.heartbeat_ms * _progress.NS_PER_MS:
+            self._late_until_ns = now_ns + late_ns
+
+    def _may_have_unhandled(self, heard_ns: int) -> bool:
+        """Return whether messages since ``heard_ns`` may be unhandled.
+
+        A process that is late all the time is given up after twice the
+        longest election timeout.
+        """
+        state = self._state
+        now_ns = time.monotonic_ns()
+        limit_ns = (
+            2
+            * state.election_backoff
+            * state.options.election_max_ms
+            * _progress.NS_PER_MS
+        )
+        return now_ns < self._late_until_ns and now_ns - heard_ns < limit_ns
 
     def _wait_timeout_s(self) -> float:
         state = self._state
@@ -56,10 +92,11 @@
             return False
         if not state.is_voter():
             return False
-        return (
-            state.election_requested
-            or time.monotonic_ns() >= state.election_deadline_ns
-        )
+        if state.election_requested:
+            return True
+        if self._may_have_unhandled(state.leader_contact_ns):
+            return False
+        return time.monotonic_ns() >= state.election_deadline_ns
 
     def _check_quorum(self) -> None:
         """Step down after the longest election timeout without a quorum.
@@ -75,7 +112,9 @@
             * _progress.NS_PER_MS
         )
         answered_ns = max(state.quorum_contact_ns(), state.elected_ns)
-        if now_ns - answered_ns > limit_ns:
+        if now_ns - answered_ns > limit_ns and not self._may_have_unhandled(
+            answered_ns
+        ):
             _logger.warning('no quorum answers', term=state.term)
             state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -1,6 +1,8 @@
 """Unit tests of the steps of an election."""
 
+import math
 import pathlib
+import threading
 import time
 
 import pytest
@@ -10,6 +12,7 @@
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _progress
+from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _recovery
 from dandeliondrum.consensus import _writer
 from dandeliondrum.consensus.tests import harness
@@ -204,3 +207,69 @@
     with state.lock:
         _election.Election(state)._check_quorum()
     assert state.election_backoff == 1
+
+
+class LateCondition:
+    """Condition whose waits end late by the given times, in milliseconds."""
+
+    def __init__(self, clock, late_ms, stopping):
+        self._clock = clock
+        self._late_ms = list(late_ms)
+        self._stopping = stopping
+
+    def wait(self, timeout_s):
+        if not self._late_ms:
+            self._stopping.set()
+            return
+        waited_ms = math.ceil(timeout_s * 1_000)
+        self._clock.now_ms += waited_ms + self._late_ms.pop(0)
+
+
+@pytest.fixture
+def starts_election(tmp_path, clock, monkeypatch):
+    """Return a function that runs a voter whose waits end late.
+
+    It returns whether the voter has started an election by then.
+    """
+    state = open_state(tmp_path).state
+    members = (
+        _messages.Member(state.node_id, 'unused:1', state.disk_id),
+        _messages.Member(CANDIDATE, 'unused:1', 'disk'),
+    )
+    membership = messages.encode(_messages.Membership(members))
+    state.history.add(
+        [_records.make(1, 1, _records.EntryKind.MEMBERSHIP, membership)]
+    )
+
+    def run(*late_ms):
+        follow(state, 1)
+        stopping, started = threading.Event(), threading.Event()
+        state.election_condition = LateCondition(clock, late_ms, stopping)
+
+        def run_election(_transfer):
+            started.set()
+            stopping.set()
+
+        election = _election.Election(state)
+        monkeypatch.setattr(election, '_run_election', run_election)
+        election.run(stopping)
+        return started.is_set()
+
+    return run
+
+
+def test_a_late_voter_handles_what_has_arrived_before_an_election(
+    starts_election,
+):
+    assert not starts_election(500)
+
+
+def test_a_late_voter_misses_a_lost_leader_in_the_end(starts_election):
+    assert starts_election(500, 0, 0, 0, 0, 0, 0)
+    assert starts_election(*[500] * 7)
+
+
+def test_a_voter_that_is_not_late_misses_a_lost_leader_at_once(
+    starts_election,
+):
+    assert starts_election(0)
