Send and answer heartbeats while the disk of a follower is slow

Cause: a follower's reply to entries, and to heartbeats after them, waits for the sync of its log, and the leader sends nothing while two calls to a follower are unanswered. So a sync longer than an election timeout silences the leader for this follower, and the leader itself steps down when a quorum has not answered for that long. An answer that is late also closed the connection and had all entries sent again, which adds load.

What callers saw: a leader that runs and can reach all others was deposed by a moment of slow disks, and its successor has to write its votes to the same disks first.

Now the leader sends a heartbeat when one is due although two calls are unanswered, and a follower answers a heartbeat at once while it syncs its log. Such an answer confirms that it follows in this term and says nothing about the log. It is not given while a vote is handled or stored, so that a vote never follows an answer that a leader may still count. While such heartbeats are answered the connection is kept. Messages are unchanged; a leader of an older build processes these answers as before, which is why they claim no entry beyond those that the leader has sent.

The new test blocks the syncs of both followers for two seconds; on the code before, the leader is deposed and its proposals fail.

--- a/dandeliondrum/consensus/_append_replies.py
+++ b/dandeliondrum/consensus/_append_replies.py
@@ -36,7 +36,7 @@
         return False
     match reply.outcome:
         case _messages.Outcome.STORED:
-            progress.answered_ns = sent_ns
+            progress.record_answer(sent_ns)
             progress.storage_full = reply.storage_full
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(
@@ -46,13 +46,13 @@
             state.membership_condition.notify()
             return True
         case _messages.Outcome.MISMATCH:
-            progress.answered_ns = sent_ns
+            progress.record_answer(sent_ns)
             progress.next_index = (
                 max(progress.match_index, reply.match_index) + 1
             )
             return progress.next_index != request.previous_index + 1
         case _messages.Outcome.STORAGE_FULL:
-            progress.answered_ns = sent_ns
+            progress.record_answer(sent_ns)
             progress.storage_full = True
             return False
     return False
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from dandeliondrum.consensus import _bootstrap
+from dandeliondrum.consensus import _early_replies
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _interfaces
@@ -100,7 +101,11 @@
     def handle(
         self, connection: transport.Connection, message: typing.Any
     ) -> concurrent.futures.Future[typing.Any]:
-        """Queue a request of another node and return a future of its reply."""
+        """Queue a request of another node and return a future of its reply.
+
+        A heartbeat is answered at once while the writer thread waits for the
+        disk. It is queued nevertheless, for the commit index.
+        """
         state = self._threads.state
         reply: concurrent.futures.Future[typing.Any]
         reply = concurrent.futures.Future()
@@ -110,6 +115,9 @@
                     # Recorded before the writer thread handles the request,
                     # so that a slow disk doesn't trigger an election.
                     state.record_leader_contact(message.leader_id)
+                    early = _early_replies.reply_to_heartbeat(state, message)
+                    if early is not None:
+                        reply.set_result(early)
             state.enqueue_work(_work_items.PeerRequest(message, reply))
         return reply
 
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -120,12 +120,7 @@
         if self._state.is_leader() and progress is not None:
             due_ns = progress.sent_ns + self._heartbeat_ns()
             call_deadline_ns = self._pipeline.deadline_ns()
-            if (
-                not self._pipeline.has_capacity()
-                and call_deadline_ns is not None
-            ):
-                due_ns = call_deadline_ns
-            elif call_deadline_ns is not None:
+            if call_deadline_ns is not None:
                 due_ns = min(due_ns, call_deadline_ns)
             timeout_s = max(0.0, (due_ns - time.monotonic_ns()) / 1e9)
         self._state.peers_condition.wait(timeout_s)
@@ -145,8 +140,13 @@
         progress = state.progress.get(self._member_id)
         if not state.is_leader() or progress is None:
             return None
+        now_ns = time.monotonic_ns()
+        heartbeat_due = now_ns - progress.sent_ns >= self._heartbeat_ns()
         if not self._pipeline.has_capacity():
-            return None
+            if not heartbeat_due:
+                return None
+            # A follower whose disk is slow must not miss its leader.
+            return self._prepare_entries(member, progress, now_ns, 0)
         last_index = state.log.last_index
         if (
             state.transfer_target == self._member_id
@@ -160,16 +160,16 @@
                 return _SendTimeoutNow(
                     _messages.TimeoutNow(state.term, state.node_id)
                 )
-        now_ns = time.monotonic_ns()
         due = (
-            last_index >= progress.next_index
+            heartbeat_due
+            or last_index >= progress.next_index
             or progress.sent_ns < state.heartbeat_requested_ns
-            or now_ns - progress.sent_ns >= self._heartbeat_ns()
         )
         if not due:
             return None
-        progress.sent_ns = now_ns
-        return self._prepare_entries(member, progress)
+        return self._prepare_entries(
+            member, progress, now_ns, _options.APPEND_ENTRIES_MAX
+        )
 
     def _prepare_vote_request(
         self, member: _messages.Member, ballot: _progress.Ballot
@@ -190,19 +190,27 @@
         return _SendVoteRequest(ballot, request)
 
     def _prepare_entries(
-        self, member: _messages.Member, progress: _progress.Progress
-    ) -> _SendEntries | _SendSnapshot:
+        self,
+        member: _messages.Member,
+        progress: _progress.Progress,
+        now_ns: int,
+        entries_max: int,
+    ) -> _SendEntries | _SendSnapshot | None:
+        """Return entries to send, or a heartbeat if there are none.
+
+        With ``entries_max`` 0 it is a heartbeat, or None if only a snapshot
+        can be sent.
+        """
         state = self._state
+        progress.sent_ns = now_ns
         previous_index = progress.next_index - 1
         previous_term = state.log.term_at(previous_index)
         if previous_term is None:
-            return _SendSnapshot(state.term)
+            return _SendSnapshot(state.term) if entries_max else None
         entries: list[_records.Entry] = []
-        if not progress.readmission_disk_id:
+        if entries_max and not progress.readmission_disk_id:
             entries = state.log.read(
-                progress.next_index,
-                _options.APPEND_ENTRIES_MAX,
-                _options.APPEND_BYTES_MAX,
+                progress.next_index, entries_max, _options.APPEND_BYTES_MAX
             )
             progress.next_index += len(entries)
         message = _messages.AppendEntries(
--- a/dandeliondrum/consensus/_pipeline.py
+++ b/dandeliondrum/consensus/_pipeline.py
@@ -3,7 +3,8 @@
 Several calls may be in flight at once, so that replication to a remote peer
 takes one round trip and not two. Replies are processed in the order of the
 calls. After a failed call the remaining ones are abandoned and their entries
-sent again.
+sent again. Heartbeats that are sent beside as many calls as may be in flight
+are the exception: their replies only show that the peer follows.
 """
 
 import collections
@@ -25,6 +26,14 @@
 from dandeliondrum import transport
 
 
+# Outcomes of a peer that follows the leader.
+_FOLLOWING = (
+    _messages.Outcome.STORED,
+    _messages.Outcome.MISMATCH,
+    _messages.Outcome.STORAGE_FULL,
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _InFlightCall:
     """A request that was sent and whose reply is not yet processed."""
@@ -48,6 +57,12 @@
         self._peer_connection = link
         self._member_id = member_id
         self._in_flight: collections.deque[_InFlightCall] = collections.deque()
+        # Heartbeats beside the calls in flight, and the time until which the
+        # last answer to one of them proves that the connection works.
+        self._heartbeats: collections.deque[_InFlightCall] = (
+            collections.deque()
+        )
+        self._working_until_ns = 0
         self._sent_bytes = state.metrics.sent_bytes.labels(member_id)
         self._sent_raw_bytes = state.metrics.sent_raw_bytes.labels(member_id)
 
@@ -56,15 +71,26 @@
         return len(self._in_flight) < _options.IN_FLIGHT_CALLS_MAX
 
     def has_finished_call(self) -> bool:
-        """Return whether the oldest call is answered or has timed out."""
-        if not self._in_flight:
-            return False
-        oldest = self._in_flight[0]
-        return oldest.reply.done() or time.monotonic_ns() >= oldest.deadline_ns
+        """Return whether an oldest call is answered or has timed out."""
+        return (
+            _has_answer(self._in_flight)
+            or _has_answer(self._heartbeats)
+            or self._has_timed_out()
+        )
+
+    def _has_timed_out(self) -> bool:
+        deadline_ns = self.deadline_ns()
+        return deadline_ns is not None and time.monotonic_ns() >= deadline_ns
 
     def deadline_ns(self) -> int | None:
-        """Return when the oldest call times out, None without any call."""
-        return self._in_flight[0].deadline_ns if self._in_flight else None
+        """Return when an oldest call times out, None without any call."""
+        deadlines_ns = []
+        if self._in_flight:
+            deadline_ns = self._in_flight[0].deadline_ns
+            deadlines_ns.append(max(deadline_ns, self._working_until_ns))
+        if self._heartbeats:
+            deadlines_ns.append(self._heartbeats[0].deadline_ns)
+        return min(deadlines_ns, default=None)
 
     def send(
         self,
@@ -72,7 +98,10 @@
         message: _messages.AppendEntries,
         entries: list[_records.Entry],
     ) -> bool:
-        """Send entries or a heartbeat; False when the peer is unreachable."""
+        """Send entries or a heartbeat; False when the peer is unreachable.
+
+        Without capacity only a heartbeat may be sent.
+        """
         message, raw_bytes = _encode_records(message, entries)
         size_bytes = len(message.records)
         self._sent_bytes.inc(size_bytes)
@@ -85,7 +114,8 @@
         limit_ns = (
             self._peer_connection.timeout_ms(size_bytes) * _progress.NS_PER_MS
         )
-        self._in_flight.append(
+        calls = self._in_flight if self.has_capacity() else self._heartbeats
+        calls.append(
             _InFlightCall(message, sent_ns, sent_ns + limit_ns, reply)
         )
         reply.add_done_callback(self._on_reply)
@@ -97,14 +127,18 @@
         Returns False after a failure, to ask for a pause.
         """
         while self.has_finished_call():
-            call = self._in_flight.popleft()
-            reply = None
-            if call.reply.done():
-                reply = call.reply.result().value_or(None)
+            if _has_answer(self._in_flight):
+                call, handle = self._in_flight.popleft(), self._handle_reply
+            elif _has_answer(self._heartbeats):
+                call, handle = self._heartbeats.popleft(), self._handle_contact
+            else:
+                self.abort()
+                return False
+            reply = call.reply.result().value_or(None)
             if not isinstance(reply, _messages.AppendReply):
                 self.abort()
                 return False
-            if not self._handle_reply(call, reply):
+            if not handle(call, reply):
                 self._clear_in_flight()
                 return False
         return True
@@ -119,6 +153,7 @@
             progress = self._state.progress.get(self._member_id)
             if progress is not None:
                 progress.is_reachable = False
+        self._heartbeats.clear()
         self._clear_in_flight()
 
     def _clear_in_flight(self) -> None:
@@ -136,16 +171,10 @@
         self, call: _InFlightCall, reply: _messages.AppendReply
     ) -> bool:
         state = self._state
-        term = call.message.term
         with state.lock:
-            if reply.term > state.term:
-                state.enqueue_work(_work_items.ObserveTerm(reply.term))
-            progress = state.progress.get(self._member_id)
-            if reply.term > term or state.term != term:
-                return True
-            if not state.is_leader() or progress is None:
+            progress = self._current_progress(call, reply)
+            if progress is None:
                 return True
-            progress.is_reachable = True
             if reply.outcome is _messages.Outcome.MISMATCH:
                 # Later entries in flight follow this one, so that they will
                 # not match either.
@@ -153,12 +182,49 @@
             keep_sending = _append_replies.handle_append_reply(
                 state, progress, call.message, call.sent_ns, reply
             )
-            # Callbacks may wait for locks of the state machine, and this
-            # thread has to send heartbeats meanwhile.
-            for confirmation in state.take_ready_confirmations():
-                state.resolve_later(confirmation.future, result.Success(None))
+            self._resolve_confirmations()
         return keep_sending
 
+    def _handle_contact(
+        self, call: _InFlightCall, reply: _messages.AppendReply
+    ) -> bool:
+        """Record that the peer follows; earlier replies may be outstanding."""
+        with self._state.lock:
+            progress = self._current_progress(call, reply)
+            if progress is not None and reply.outcome in _FOLLOWING:
+                progress.record_answer(call.sent_ns)
+                self._working_until_ns = call.deadline_ns
+                self._resolve_confirmations()
+        return True
+
+    def _current_progress(
+        self, call: _InFlightCall, reply: _messages.AppendReply
+    ) -> _progress.Progress | None:
+        """Return the peer's progress if the reply is of the leader's term."""
+        state = self._state
+        term = call.message.term
+        if reply.term > state.term:
+            state.enqueue_work(_work_items.ObserveTerm(reply.term))
+        progress = state.progress.get(self._member_id)
+        if reply.term > term or state.term != term:
+            return None
+        if not state.is_leader() or progress is None:
+            return None
+        progress.is_reachable = True
+        return progress
+
+    def _resolve_confirmations(self) -> None:
+        # Callbacks may wait for locks of the state machine, and this thread
+        # has to send heartbeats meanwhile.
+        for confirmation in self._state.take_ready_confirmations():
+            self._state.resolve_later(
+                confirmation.future, result.Success(None)
+            )
+
+
+def _has_answer(calls: collections.deque[_InFlightCall]) -> bool:
+    return bool(calls) and calls[0].reply.done()
+
 
 def _encode_records(
     message: _messages.AppendEntries, entries: list[_records.Entry]
--- a/dandeliondrum/consensus/_progress.py
+++ b/dandeliondrum/consensus/_progress.py
@@ -33,6 +33,10 @@
     storage_full: bool = False
     readmission_disk_id: str = ''
 
+    def record_answer(self, sent_ns: int) -> None:
+        """Record the answer to a request; answers may be out of order."""
+        self.answered_ns = max(self.answered_ns, sent_ns)
+
     def rewind(self) -> None:
         """Resend from the first entry that is not known to be stored."""
         self.next_index = min(self.next_index, self.match_index + 1)
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -61,6 +61,8 @@
         )
         self.queued_proposals_count = 0
         self.writer_busy = False
+        # Whether the writer thread waits until the log is on the disk.
+        self.is_syncing = False
         self.role_events: queue.Queue[_work_items.RoleEvent | None] = (
             queue.Queue()
         )
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -227,9 +227,15 @@
         self._fail_proposals(proposals, error)
 
     def _sync(self) -> None:
-        with self._state.metrics.sync_seconds.time():
-            self._log.sync()
         state = self._state
+        with state.lock:
+            state.is_syncing = True
+        try:
+            with state.metrics.sync_seconds.time():
+                self._log.sync()
+        finally:
+            with state.lock:
+                state.is_syncing = False
         with state.lock:
             state.synced_index = self._log.last_index
             state.advance_commit()
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -83,6 +83,38 @@
         assert cluster.node(leader).status().term == term
 
 
+def test_followers_with_slow_disks_do_not_depose_the_leader(tmp_path):
+    with harness.Cluster(
+        tmp_path, election_min_ms=800, election_max_ms=1_000
+    ) as cluster:
+        cluster.files = {
+            name: harness.BlockingSync() for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        term = cluster.node(leader).status().term
+        node = cluster.node(leader)
+        disks = [cluster.files[name] for name in cluster.others(leader)]
+        for disk in disks:
+            disk.released.clear()
+        try:
+            futures = [node.propose(b'0')]
+            for disk in disks:
+                assert disk.waiting.wait(harness.TIMEOUT_S)
+            # As many calls as may be in flight wait for the disks.
+            futures += [node.propose(b'1'), node.propose(b'2')]
+            time.sleep(2)
+            assert not any(future.done() for future in futures)
+            assert node.is_leading()
+            node.confirm_leadership().result(harness.TIMEOUT_S).unwrap()
+        finally:
+            for disk in disks:
+                disk.released.set()
+        for future in futures:
+            future.result(harness.TIMEOUT_S).unwrap()
+        cluster.wait_applied([b'0', b'1', b'2'])
+        assert node.status().term == term
+
+
 def test_all_come_back_after_a_restart(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         leader = cluster.bootstrap()
