Elect a leader on disks that are slower than an election timeout

Cause: a voter writes its vote to the disk before it answers, and the candidate gave it only the shortest election timeout (300 ms in the job engine), after which it entered and wrote a new term, for which the voters had to write again. On disks whose syncs take longer than that no leader is ever elected; on a busy machine an election takes two or three terms. A vote in a later term was even written twice, first the term and then the vote.

Now a candidate waits for votes up to twice the longest election timeout; one that is refused or sees a later term still stops at once, and asking before an election (the pre-vote), which writes nothing, is not given longer. Term and vote are written together.

The new test delays each sync by 400 ms; on the code before no leader is elected within 30 s.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -167,8 +167,8 @@
     def _collect_votes(self, ballot: _progress.Ballot) -> bool:
         """Request votes for a ballot and wait; True when it is won."""
         state = self._state
-        limit_ms = state.options.election_min_ms
-        end_ns = time.monotonic_ns() + limit_ms * _progress.NS_PER_MS
+        limit_ns = state.ballot_timeout_ms(ballot) * _progress.NS_PER_MS
+        end_ns = time.monotonic_ns() + limit_ns
         expected_term = ballot.term - 1 if ballot.pre_vote else ballot.term
         with state.lock:
             if state.term != expected_term or state.is_leader():
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -230,7 +230,11 @@
         )
         match action:
             case _SendVoteRequest(ballot, message):
-                outcome = self._peer_connection.call(address, message)
+                outcome = self._peer_connection.call(
+                    address,
+                    message,
+                    timeout_ms=self._state.ballot_timeout_ms(ballot),
+                )
                 return self._record_vote(ballot, outcome)
             case _SendEntries(message, entries):
                 return self._pipeline.send(address, message, entries)
--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -110,16 +110,20 @@
                 with state.lock:
                     state.yield_to_candidate(message.candidate_id)
             return _messages.VoteReply(state.term, granted)
-        if message.term > state.term:
-            self._enter_term(message.term, '')
-        if message.term < state.term or not self._is_log_up_to_date(message):
-            return _messages.VoteReply(state.term, False)
-        if state.voted_for not in ('', message.candidate_id):
+        if message.term < state.term:
             return _messages.VoteReply(state.term, False)
-        self._enter_term(message.term, message.candidate_id)
-        with state.lock:
-            state.reset_election_timer()
-        return _messages.VoteReply(state.term, True)
+        is_later = message.term > state.term
+        granted = self._is_log_up_to_date(message) and (
+            is_later or state.voted_for in ('', message.candidate_id)
+        )
+        # One write for the term and the vote, for which the candidate waits.
+        if granted:
+            self._enter_term(message.term, message.candidate_id)
+            with state.lock:
+                state.reset_election_timer()
+        elif is_later:
+            self._enter_term(message.term, '')
+        return _messages.VoteReply(state.term, granted)
 
     def _is_vote_allowed(self, message: _messages.RequestVote) -> bool:
         state = self._state
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -151,6 +151,17 @@
             time.monotonic_ns() + ballot_ms * _progress.NS_PER_MS,
         )
 
+    def ballot_timeout_ms(self, ballot: _progress.Ballot) -> int:
+        """Return how long to wait for the answers to a ballot.
+
+        A voter writes its vote to the disk before it answers. A candidate
+        that gave up before would have to write a new term, and so would its
+        voters, again and again.
+        """
+        if ballot.pre_vote:
+            return self.options.election_min_ms
+        return 2 * self.options.election_max_ms
+
     def record_leader_contact(self, leader_id: messages.ControllerId) -> None:
         """Record a message of the leader and restart the election timer.
 
--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -159,6 +159,17 @@
         super().sync(descriptor)
 
 
+class SlowSync(_files.Files):
+    """Files whose syncs take at least ``delay_ms``."""
+
+    def __init__(self):
+        self.delay_ms = 0
+
+    def sync(self, descriptor):
+        time.sleep(self.delay_ms / 1000)
+        super().sync(descriptor)
+
+
 @dataclasses.dataclass
 class RunningNode:
     """A started node with its state machine, listener and server."""
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -10,6 +10,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _election
 from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _hard_state
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
@@ -78,6 +79,17 @@
     assert vote(reopened, tmp_path).granted
 
 
+def test_a_vote_in_a_later_term_is_written_once(tmp_path, monkeypatch):
+    opened = open_state(tmp_path)
+    opened.state.leader_contact_ns = 0
+    written = []
+    monkeypatch.setattr(
+        _hard_state, 'save', lambda _files, _path, saved: written.append(saved)
+    )
+    assert vote(opened, tmp_path, term=7).granted
+    assert written == [_hard_state.HardState(7, CANDIDATE)]
+
+
 def test_no_vote_for_another_disk_or_while_a_leader_is_heard(tmp_path):
     opened = open_state(tmp_path)
     # The node has just started, so a leader may still count its last reply
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -115,6 +115,18 @@
         assert node.status().term == term
 
 
+def test_a_leader_is_elected_on_disks_slower_than_an_election(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: harness.SlowSync() for name in cluster.names}
+        leader = cluster.bootstrap()
+        cluster.propose(leader, b'before').unwrap()
+        for disk in cluster.files.values():
+            disk.delay_ms = harness.ELECTION_MIN_MS + 100
+        cluster.stop(leader)
+        cluster.propose(cluster.leader(), b'after').unwrap()
+        cluster.wait_applied([b'before', b'after'])
+
+
 def test_all_come_back_after_a_restart(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         leader = cluster.bootstrap()
