Send no lease of a worker's former clock after it has restarted

Cause: a worker's clock starts anew when it restarts. The leader then used the new clock for leases that it grants, but kept the end of the last lease on the former clock. A worker that does not answer gets no new lease, only this last one. So if the worker's replies were lost right after its restart was noticed, start orders carried a time that is far ahead on the new clock. The worker shortens it to the longest lease (6 s from the arrival of the order), while the leader gives the run up when the lease that it has granted ends (4.9 s after it was sent). In between the task can run on two workers.

The end of the last lease is now forgotten on a restart. Such an order carries 0, and the worker refuses it as late.

The new test (replies are lost once the lists of the new incarnation were read) failed before: the worker started the run. It passes now, with the other tests of the file.

Not closed: a worker that restarts and whose replies are lost before the leader has seen that. Its orders are sent with a lease on the former clock and last up to 1.5 s longer than the leader waits.

--- a/dandeliondrum/jobs/_lease.py
+++ b/dandeliondrum/jobs/_lease.py
@@ -30,6 +30,15 @@
         """Update the offset between the worker's clock and ours."""
         self._clock_offset_ms = clock_ms - _clock.elapsed_ms()
 
+    def restart_clock(self, clock_ms: int) -> None:
+        """Use the clock of a worker that has started again.
+
+        The end of a lease on the former clock may be far in the future on the
+        new one, so it must not be sent any more.
+        """
+        self.update_clock(clock_ms)
+        self._granted_ms = 0
+
     def grant(self) -> int:
         """Return the end of a new lease on the worker's clock.
 
@@ -43,7 +52,10 @@
         return self._granted_ms
 
     def granted_ms(self) -> int:
-        """Return the end of the newest lease on the worker's clock."""
+        """Return the end of the newest lease on the worker's clock.
+
+        It is 0 if none has been granted since the worker started.
+        """
         return self._granted_ms
 
     def expired(self) -> bool:
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -252,7 +252,7 @@
         self._first_read = True
         self._state.token += 1
         self._recorded_number = 0
-        self._state.lease.update_clock(lists.clock_ms)
+        self._state.lease.restart_clock(lists.clock_ms)
 
     def _reconcile(self, number: int, lists: _port.WorkerListing) -> bool:
         """Compare the lists with the assigned runs and record the ends."""
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -231,6 +231,45 @@
     assert worker.starts == []
 
 
+class _MuteFleet(testing.FakeFleet):
+    """Its calls are carried out, but not answered while it is ``mute``."""
+
+    def __init__(self, workers):
+        super().__init__(workers)
+        self.mute = False
+        # Becomes mute once lists of this incarnation were read.
+        self.mute_from_ms = None
+
+    def renew(self, request):
+        outcome = super().renew(request)
+        if self.mute:
+            return jobs.Unanswered(True, 'mute')
+        self.mute = outcome.started_ms == self.mute_from_ms
+        return outcome
+
+    def start(self, order):
+        outcome = super().start(order)
+        return jobs.Unanswered(True, 'mute') if self.mute else outcome
+
+
+def test_a_restarted_worker_gets_no_lease_on_its_former_clock(worker):
+    """Such a lease lasts longer than the leader waits for it to expire."""
+    worker.run_ms = 60_000
+    worker._started_s -= 100
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    fleet = leader.peer._state.port = _MuteFleet([worker])
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        fleet.mute_from_ms = worker.facts.started_ms + 1
+        worker.restart()
+        testing.wait_until(lambda: fleet.mute)
+        testing.wait_until(lambda: not leader.peer._state.is_responding)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+        assert worker.starts == []
+
+
 def test_an_end_after_a_restart_is_not_acknowledged_unread(worker):
     """The numbers of ends start anew, so old numbers name unread ends."""
     leader = FakeLeader(worker, lease_ms=60_000)
