Keep the workers' contract on leases and fencing tokens in the fake worker

Two differences between the fake worker and the published protocol, found while tracing tasks that start twice in a soak. Neither was seen to cause a failure.

A longer lease than the longest one is shortened by a worker; the fake kept it. After a restart its clock starts anew, so an order with a time of the former clock gave its runs a lease of up to the former uptime, and the leader gave them up long before they ended. The longest lease is now an argument of the fake, without a limit by default.

The fake checked the fencing token and carried the call out in two steps. A start with an old token could pass the check, then a read with a higher one listed no such run, and then the run started. Both steps are one now.

A renewal that waits for an end is woken by it instead of looking every 5 ms, which a soak with 100 workers needs.

--- a/dandeliondrum/testing/_fake_job_workers.py
+++ b/dandeliondrum/testing/_fake_job_workers.py
@@ -6,14 +6,13 @@
 """
 
 import dataclasses
+import math
 import threading
 import time
 
 from dandeliondrum import jobs
 from dandeliondrum import messages
 
-_POLL_S = 0.005
-
 
 @dataclasses.dataclass
 class _Run:
@@ -33,6 +32,7 @@
     ``replaced``, every call is answered with :class:`jobs.WorkerReplaced`;
     with ``fails``, runs end as failed. With ``delays_starts``, start
     orders are kept without an answer until :meth:`carry_out_late_starts`.
+    Leases are shortened to ``lease_max_ms`` from the time of their arrival.
     """
 
     def __init__(
@@ -40,8 +40,11 @@
         worker_id: str,
         capacity: messages.Resources,
         run_ms: int,
+        lease_max_ms: float = math.inf,
     ) -> None:
         self.lock = threading.RLock()
+        self._changed = threading.Condition(self.lock)
+        self._lease_max_ms = lease_max_ms
         self.run_ms = run_ms
         self.silent = False
         self.replaced = False
@@ -63,7 +66,7 @@
         )
         self._started_s = 0.0
         self._token = 0
-        self._lease_ms = 0
+        self._lease_ms = 0.0
         self._runs: dict[jobs.TaskKey, _Run] = {}
         self._highest_run: dict[jobs.TaskKey, int] = {}
         self._ends: list[jobs.EndListing] = []
@@ -94,23 +97,19 @@
     def renew(self, request: jobs.LeaseRequest) -> jobs.ListingOutcome:
         """Renew the lease; return at the next end or when the wait is over."""
         until_s = time.monotonic() + request.wait_ms / 1000
-        refused = self._check_access(request.token)
-        if refused is not None:
-            return refused
         with self.lock:
-            self._ends = [
-                one
-                for one in self._ends
-                if one.sequence > request.acknowledged_number
-            ]
+            refused = self._check_access(request.token)
+            if refused is not None:
+                return refused
+            self._forget_ends(request.acknowledged_number)
             if request.lease_until_ms is not None:
-                self._lease_ms = max(self._lease_ms, request.lease_until_ms)
-        while True:
-            with self.lock:
+                self._extend_lease(request.lease_until_ms)
+            while True:
                 self._end_due_runs()
-                if self._ends or time.monotonic() >= until_s:
+                wait_s = until_s - time.monotonic()
+                if self._ends or wait_s <= 0:
                     return self._current_lists()
-            time.sleep(_POLL_S)
+                self._changed.wait(min(wait_s, self._next_end_s()))
 
     def start(
         self, order: jobs.StartOrder, late: bool = False
@@ -119,12 +118,12 @@
         if self.delays_starts and not late:
             self.late_starts.append(order)
             return jobs.Unanswered(True, 'no answer')
-        refused = self._check_access(order.token)
-        if refused is not None:
-            return refused
         with self.lock:
+            refused = self._check_access(order.token)
+            if refused is not None:
+                return refused
             self._end_due_runs()
-            self._lease_ms = max(self._lease_ms, order.lease_until_ms)
+            self._extend_lease(order.lease_until_ms)
             if order.lease_until_ms <= self._clock_ms():
                 return jobs.Refused(jobs.Refusal.LEASE_PASSED)
             current = self._runs.get(order.task)
@@ -133,14 +132,15 @@
             if order.run <= self._highest_run.get(order.task, 0):
                 return jobs.Refused(jobs.Refusal.OLD_RUN)
             self._begin_run(order)
+            self._changed.notify_all()
             return jobs.Accepted(int(self._clock_ms()))
 
     def stop(self, order: jobs.StopOrder) -> jobs.OrderOutcome:
         """Stop a run and bar it and earlier runs of its task from starting."""
-        refused = self._check_access(order.token)
-        if refused is not None:
-            return refused
         with self.lock:
+            refused = self._check_access(order.token)
+            if refused is not None:
+                return refused
             self._end_due_runs()
             current = self._runs.get(order.task)
             if current is not None and current.run <= order.run:
@@ -150,6 +150,15 @@
             )
             return jobs.Accepted(int(self._clock_ms()))
 
+    def _forget_ends(self, acknowledged_number: int) -> None:
+        self._ends = [
+            one for one in self._ends if one.sequence > acknowledged_number
+        ]
+
+    def _extend_lease(self, until_ms: float) -> None:
+        longest_ms = self._clock_ms() + self._lease_max_ms
+        self._lease_ms = max(self._lease_ms, min(until_ms, longest_ms))
+
     def _begin_run(self, order: jobs.StartOrder) -> None:
         self._highest_run[order.task] = order.run
         self._runs[order.task] = _Run(
@@ -162,7 +171,7 @@
     def _reset(self) -> None:
         self._started_s = time.monotonic()
         self._token = 0
-        self._lease_ms = 0
+        self._lease_ms = 0.0
         self._runs = {}
         self._highest_run = {}
         self._ends = []
@@ -175,10 +184,9 @@
             return jobs.Unanswered(True, 'silent')
         if self.replaced:
             return jobs.WorkerReplaced()
-        with self.lock:
-            if token < self._token:
-                return jobs.Refused(jobs.Refusal.FENCED)
-            self._token = token
+        if token < self._token:
+            return jobs.Refused(jobs.Refusal.FENCED)
+        self._token = token
         return None
 
     def _clock_ms(self) -> float:
@@ -194,6 +202,14 @@
                 failed = jobs.RunOutcome.FAILED
                 self._end(task, failed if self.fails else done)
 
+    def _next_end_s(self) -> float:
+        """Return the time until the next run is due to end."""
+        ends_at_ms = [run.ends_at_ms for run in self._runs.values()]
+        if ends_at_ms and self._lease_ms:
+            ends_at_ms.append(self._lease_ms)
+        due_ms = min(ends_at_ms, default=math.inf) - self._clock_ms()
+        return max(0.001, due_ms / 1000)
+
     def _end(self, task: jobs.TaskKey, outcome: jobs.RunOutcome) -> None:
         run = self._runs.pop(task)
         self._last_end_number += 1
@@ -202,6 +218,7 @@
                 self._last_end_number, jobs.RunEnd(task, run.run, outcome)
             )
         )
+        self._changed.notify_all()
 
     def _current_lists(self) -> jobs.WorkerListing:
         return jobs.WorkerListing(
