Let a soak's worker forget the orders that it held when it restarts

While "late orders" is on, a stand-in worker receives start orders, keeps them without an answer and carries them out later. If it restarted in between, its next incarnation carried out what the former one had kept. A worker that starts again "holds and knows nothing of before" (the published protocol), so that can not happen.

The new incarnation has seen no fencing token and its clock is before the lease's end, so nothing in the order bars it, and the leader had been told by the former incarnation that the run was not there. No leader can prevent this.

Ruled out: a lease that the leader takes for expired too early (the runs ended as lost, not lapsed) and late lapses in the stand-in worker.

The soak's workers shorten leases to the longest one, as the protocol says, and acknowledged ends are reported to the checker in the same step in which the worker forgets them.

--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -69,7 +69,13 @@
     """Run one soak and return its result."""
     checker = _soak_checker.InvariantChecker()
     workers = [
-        _soak_checker.CheckedWorker(f'i-{number}', CAPACITY, RUN_MS, checker)
+        _soak_checker.CheckedWorker(
+            f'i-{number}',
+            CAPACITY,
+            RUN_MS,
+            checker,
+            _platform_cell.LEASE_MAX_MS,
+        )
         for number in range(WORKERS_COUNT)
     ]
     with contextlib.ExitStack() as resources:
--- a/dandeliondrum/testing/_soak_checker.py
+++ b/dandeliondrum/testing/_soak_checker.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import math
 import threading
 
 from dandeliondrum import jobs
@@ -51,6 +52,9 @@
                 )
             cpu = int(json.loads(order.payload)['cpu'])
             self._running_on[task] = worker_id
+            # A second start on the same worker replaces the first run.
+            replaced_cpu = self._cpu_by_run.get((worker_id, task), 0)
+            self._cpu_by_worker[worker_id] -= replaced_cpu
             self._cpu_by_run[worker_id, task] = cpu
             self._cpu_by_worker[worker_id] += cpu
             if self._cpu_by_worker[worker_id] > worker.capacity.cpu_millicores:
@@ -88,27 +92,30 @@
         capacity: messages.Resources,
         run_ms: int,
         checker: InvariantChecker,
+        lease_max_ms: float = math.inf,
     ) -> None:
         self._checker = checker
-        super().__init__(worker_id, capacity, run_ms)
-
-    def renew(self, request: jobs.LeaseRequest) -> jobs.ListingOutcome:
-        """Report acknowledged ends to the checker, then renew the lease."""
-        with self.lock:
-            valid = not self.silent and request.token >= self._token
-            for one in self._ends if valid else ():
-                done = one.end.outcome is jobs.RunOutcome.DONE
-                if done and one.sequence <= request.acknowledged_number:
-                    self._checker.end_acknowledged(one.end.task)
-        return super().renew(request)
+        super().__init__(worker_id, capacity, run_ms, lease_max_ms)
 
     def restart(self) -> None:
-        """Report the ends of all runs to the checker, then restart."""
+        """Report the ends of all runs to the checker, then restart.
+
+        A worker that starts again holds nothing of before, so also the orders
+        that it has received and not carried out are gone.
+        """
         with self.lock:
             for task in list(self._runs):
                 self._checker.ended(self.facts.worker_id, task)
+            self.late_starts = []
             super().restart()
 
+    def _forget_ends(self, acknowledged_number: int) -> None:
+        for one in self._ends:
+            done = one.end.outcome is jobs.RunOutcome.DONE
+            if done and one.sequence <= acknowledged_number:
+                self._checker.end_acknowledged(one.end.task)
+        super()._forget_ends(acknowledged_number)
+
     def _begin_run(self, order: jobs.StartOrder) -> None:
         self._checker.started(self.facts, order)
         super()._begin_run(order)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -110,3 +110,22 @@
     worker.restart()
     _start(_worker('w2', checker), 'j.0.0.0', run=2)
     assert checker.violations == []
+
+
+def test_a_worker_that_starts_again_holds_no_orders_of_before(checker):
+    worker = _worker('w1', checker)
+    worker.delays_starts = True
+    _start(worker, 'j.0.0.0')
+    worker.restart()
+    worker.carry_out_late_starts()
+    assert checker.starts_count == 0
+
+
+def test_a_task_that_starts_twice_on_a_worker_loads_it_once(checker):
+    worker = _worker('w1', checker)
+    _start(worker, 'j.0.0.0')
+    _start(worker, 'j.0.0.0', run=2)
+    assert checker.violations == ['w1: j.0.0.0 starts twice']
+    worker.restart()
+    _start(worker, 'j.0.0.1')
+    assert checker.violations == ['w1: j.0.0.0 starts twice']
