Draw a soak's jobs and faults from its seed alone, and let its size be chosen

A seed could not be run again: the callers drew their jobs from the seed and the id of their thread, whether a job was cancelled was drawn only if it was accepted, and while three faults were active the draws of faults were skipped, so that all later ones depended on how long each fault lasted. Now the jobs of a caller depend on the seed and its number, and the n-th fault and the pause after it on the seed alone. As long as fewer than three faults are active, a seed draws the faults that it drew before; when they are, the next one now waits. What is left to chance are the times. The tests of this fail on the old code (it has no such functions; its draws depend on the thread and on the active faults).

A fault that failed, for example a process that did not exit or did not get ready, was lost without a trace when another fault began; it is a violation now.

It is not started if it needs more than half of the machine's memory, more than is available, more than 16 GB or 300 processes. The faults can come in series of up to five that begin shortly one after another and overlap, also several restarts of one worker; on by default for the command, off for the seeds of the tests. Callers keep their connections open. Workers report as the protocol says: with a second for each call, and to the controller that acknowledged last.

--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -14,9 +14,12 @@
 from dandeliondrum.testing import _processes
 from dandeliondrum.testing import _proxy
 
-# Controllers are identified by IP address, so each needs its own.
-CONTROLLER_IPS = ('127.0.0.2', '127.0.0.3', '127.0.0.4')
-GATEWAY_IPS = ('127.0.0.5', '127.0.0.6')
+# Controllers and gateways are identified by IP address, so each needs its
+# own.
+CONTROLLER_IP = '127.0.0.{}'
+FIRST_CONTROLLER = 2
+GATEWAY_IP = '127.0.1.{}'
+SEEDS_COUNT = 3
 POOL = 'pool'
 KEY = 'k1'
 HOST = 'nony24.example'
@@ -65,7 +68,7 @@
 
 
 class PlatformCell:
-    """Three controllers, gateways, workers and an adviser on loopback.
+    """Controllers, gateways, workers and an adviser on loopback.
 
     Controllers and gateways are processes, which run until the context of
     ``processes`` ends; workers and the adviser are fakes. With ``proxied``,
@@ -86,18 +89,26 @@
         workers: list[_fake_job_workers.FakeWorker],
         gateways_count: int = 1,
         proxied: bool = False,
+        controllers_count: int = 3,
+        job_state_kept_s: int = 120,
     ) -> None:
         self.processes = processes
+        self._job_state_kept_s = job_state_kept_s
+        self._controller_ips = [
+            CONTROLLER_IP.format(FIRST_CONTROLLER + number)
+            for number in range(controllers_count)
+        ]
+        self._gateway_ips = [
+            GATEWAY_IP.format(1 + number) for number in range(gateways_count)
+        ]
         self._folder = folder
         control, self._stream_port = (
             _ports.free_address().rpartition(':')[2] for _ in range(2)
         )
-        self.control = [f'{ip}:{control}' for ip in CONTROLLER_IPS]
-        self.callers = [
-            _ports.free_address(ip) for ip in GATEWAY_IPS[:gateways_count]
-        ]
+        self.control = [f'{ip}:{control}' for ip in self._controller_ips]
+        self.callers = [_ports.free_address(ip) for ip in self._gateway_ips]
         self.readiness_addresses = [
-            _ports.free_address(ip) for ip in GATEWAY_IPS[:gateways_count]
+            _ports.free_address(ip) for ip in self._gateway_ips
         ]
         self.adviser = _platform_fakes.HttpAdviser(_ports.free_address())
         self.workers = [
@@ -125,14 +136,14 @@
             worker_proxy = self.links.get(worker.worker.facts.worker_id)
             if worker_proxy is not None:
                 worker.advertised_address = worker_proxy.address
-        for ip in CONTROLLER_IPS:
+        for ip in self._controller_ips:
             self._launch_controller(ip, first_start=True)
         for number, address in enumerate(self.callers):
             self._launch(
                 f'g{number}',
                 'gateway',
                 {
-                    'Ip': GATEWAY_IPS[number],
+                    'Ip': self._gateway_ips[number],
                     'Listen.Front': address,
                     'Listen.Ready': self.readiness_addresses[number],
                 },
@@ -144,22 +155,24 @@
 
     def controller(self, number: int) -> str:
         """Return the process name of a controller."""
-        return f'c{CONTROLLER_IPS[number]}'
+        return f'c{self._controller_ips[number]}'
 
     def replace_disk(self, number: int) -> None:
         """Restart a killed controller with an empty data folder."""
-        ip = CONTROLLER_IPS[number]
+        ip = self._controller_ips[number]
         shutil.rmtree(self._folder / ip)
         self._launch_controller(ip, first_start=False)
         self.processes.wait_ready(self.controller(number))
 
-    def put_document(self, body: bytes, number: int = 0) -> int:
+    def put_document(
+        self, body: bytes, number: int = 0, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> int:
         """Send a configuration document to a controller; return the status."""
         return _http.call(
             f'http://{self.control[number]}/config',
             'PUT',
             body,
-            timeout_ms=CALL_TIMEOUT_MS,
+            timeout_ms=timeout_ms,
         ).status
 
     def read_document(self, number: int) -> _http.HttpReply:
@@ -168,14 +181,19 @@
             f'http://{self.control[number]}/config', timeout_ms=CALL_TIMEOUT_MS
         )
 
-    def report(self, worker: _platform_fakes.HttpWorker, number: int) -> int:
+    def report(
+        self,
+        worker: _platform_fakes.HttpWorker,
+        number: int,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> int:
         """Send the report of a worker to a controller; return the status."""
         worker_id = worker.worker.facts.worker_id
         return _http.call(
             f'http://{self.control[number]}/instances/{worker_id}',
             'PUT',
             worker.report(),
-            timeout_ms=CALL_TIMEOUT_MS,
+            timeout_ms=timeout_ms,
         ).status
 
     def ready(self, number: int = 0) -> bool:
@@ -190,11 +208,13 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         number: int = 0,
+        client: _http.HttpClient | None = None,
     ) -> _http.HttpReply:
-        """Make a caller call to a gateway."""
+        """Make a caller call to a gateway, on a new connection by default."""
         proxy = self.links.get(f'g{number}')
         address = self.callers[number] if proxy is None else proxy.address
-        return _http.call(
+        call = _http.call if client is None else client.call
+        return call(
             f'http://{address}{path}',
             method,
             body,
@@ -203,7 +223,7 @@
         )
 
     def _launch_controller(self, ip: str, first_start: bool) -> None:
-        number = CONTROLLER_IPS.index(ip)
+        number = self._controller_ips.index(ip)
         self._launch(
             self.controller(number),
             'controller',
@@ -221,11 +241,11 @@
             'Zone': 'sattahip',
             'Region': 'gulf',
             'PortRange': f'{self._stream_port},{self._stream_port}',
-            'Seeds': ','.join(self.control),
-            'FaultTolerance.Machines': '1',
+            'Seeds': ','.join(self.control[:SEEDS_COUNT]),
+            'FaultTolerance.Machines': str((len(self.control) - 1) // 2),
             'Bounds.GraceS': '6',
             'Bounds.HoldMaxMs': str(LEASE_MAX_MS),
-            'Bounds.status_s': '120',
+            'Bounds.status_s': str(self._job_state_kept_s),
             'PlacementAdvisor': self.adviser.server.address,
             **overrides,
         }
--- a/dandeliondrum/testing/_soak_callers.py
+++ b/dandeliondrum/testing/_soak_callers.py
@@ -1,11 +1,15 @@
 """The callers and operators of a soak, with checks of their replies."""
 
+import collections.abc
+import contextlib
+import dataclasses
 import json
 import random
 import threading
 import time
 
 from dandeliondrum import jobs
+from dandeliondrum.testing import _http
 from dandeliondrum.testing import _platform_cell
 from dandeliondrum.testing import _soak_checker
 
@@ -15,6 +19,7 @@
 # A submission is retried for this time, as electing a leader takes seconds.
 SUBMIT_TIMEOUT_S = 20
 CANCELLED_FRACTION = 0.15
+CANCEL_ATTEMPTS = 4
 # The estimated run time of a task, close to the actual one in a soak.
 TASK_ESTIMATE_MS = 700
 TASK_CPU = (500, 1_500)
@@ -22,6 +27,40 @@
 # A controller with an empty disk is a voter again within this time.
 CATCH_UP_S = 5
 END_STATES = ('completed', 'failed', 'cancelled')
+# Operators try the next controller after this time without a reply.
+DOCUMENT_TIMEOUT_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class SoakJob:
+    """A job to submit; ``cancels`` tells whether it is then cancelled."""
+
+    job_id: jobs.JobId
+    payload: str
+    body: bytes
+    cancels: bool
+
+
+def soak_jobs(seed: int, caller: int) -> collections.abc.Iterator[SoakJob]:
+    """Return the jobs of a caller, which depend on nothing but the seed."""
+    rng = random.Random(f'{seed}/{caller}')
+    for number in range(1, 1 << 24):
+        cpu = rng.randint(*TASK_CPU)
+        step = {
+            'Count': rng.randint(1, TASKS_MAX),
+            'Cpu': cpu,
+            'MemMb': 1,
+            'EstimateMs': TASK_ESTIMATE_MS,
+        }
+        second_step = {**step, 'After': [0]}
+        steps = [step, second_step] if rng.random() < 0.3 else [step]
+        payload = _soak_checker.payload(cpu)
+        yield SoakJob(
+            jobs.JobId(f'{seed:08x}{caller:02x}{number:06x}'),
+            payload,
+            json.dumps({'Spec': payload, 'Steps': steps}).encode(),
+            rng.random() < CANCELLED_FRACTION,
+        )
 
 
 class SoakCallers:
@@ -43,16 +82,12 @@
         self._aborting = stopping
         self._stopping = threading.Event()
         self._lock = threading.Lock()
+        self._document_lock = threading.Lock()
         self._accepted_ids: list[jobs.JobId] = []
         self._cancelled_ids: set[jobs.JobId] = set()
-        self._jobs_count = 0
         self._latest_version = 0
         self._acknowledged_version = 0
 
-    def jobs_count(self) -> int:
-        """Return the number of submitted jobs."""
-        return self._jobs_count
-
     def accepted_count(self) -> int:
         """Return the number of accepted jobs."""
         return len(self._accepted_ids)
@@ -61,34 +96,25 @@
         """Stop submitting jobs and changing documents."""
         self._stopping.set()
 
-    def submit_jobs(self) -> None:
-        """Submit jobs one after another, and cancel some of them."""
-        rng = random.Random(f'{self._seed}/{threading.get_ident()}')
-        while not self._stopping.wait(SUBMIT_EVERY_S):
-            with self._lock:
-                self._jobs_count += 1
-                job_id = jobs.JobId(f'{self._seed:08x}{self._jobs_count:08x}')
-            cpu = rng.randint(*TASK_CPU)
-            payload = _soak_checker.payload(cpu)
-            count = rng.randint(1, TASKS_MAX)
-            step = {
-                'Count': count,
-                'Cpu': cpu,
-                'MemMb': 1,
-                'EstimateMs': TASK_ESTIMATE_MS,
-            }
-            second_step = {**step, 'After': [0]}
-            body = {
-                'Spec': payload,
-                'Steps': [step, second_step] if rng.random() < 0.3 else [step],
-            }
-            self._checker.submitted(job_id, payload)
-            if not self._submit(job_id, json.dumps(body).encode()):
-                continue
-            with self._lock:
-                self._accepted_ids.append(job_id)
-            if rng.random() < CANCELLED_FRACTION:
-                self._cancel(job_id)
+    def submit_jobs(self, caller: int) -> None:
+        """Submit jobs one after another, and cancel some of them.
+
+        The caller keeps its connections open until a gateway closes them.
+        """
+        with contextlib.closing(_http.HttpClient()) as client:
+            for job in soak_jobs(self._seed, caller):
+                if self._stopping.wait(SUBMIT_EVERY_S):
+                    return
+                self._checker.submitted(job.job_id, job.payload)
+                if self._submit(job, client, caller):
+                    self.add_accepted(job.job_id)
+                    if job.cancels:
+                        self._cancel(job.job_id, client, caller)
+
+    def add_accepted(self, job_id: jobs.JobId) -> None:
+        """Add a job that was accepted, so that it has to end."""
+        with self._lock:
+            self._accepted_ids.append(job_id)
 
     def change_documents(self) -> None:
         """Send a new version of the document at regular intervals."""
@@ -96,17 +122,21 @@
             self.send_document()
 
     def send_document(self) -> int:
-        """Send the next version of the document until a controller accepts it.
+        """Send the next version of the document to each controller in turn.
 
-        Return the last status.
+        Return the last status, 200 once a controller has accepted it.
         """
-        self._latest_version += 1
-        body = _platform_cell.document(self._latest_version)
+        with self._document_lock:
+            self._latest_version += 1
+            return self._put_document(self._latest_version)
+
+    def _put_document(self, version: int) -> int:
+        body = _platform_cell.document(version)
         status = 0
         for number in range(len(self._cell.control)):
-            status = self._cell.put_document(body, number)
+            status = self._cell.put_document(body, number, DOCUMENT_TIMEOUT_MS)
             if status == 200:
-                self._acknowledged_version = self._latest_version
+                self._acknowledged_version = version
                 break
             if status == 400:
                 self._checker.add_violation(
@@ -118,17 +148,20 @@
         """Wait until all accepted jobs have ended, and check their states."""
         end_s = time.monotonic() + timeout_s
         waiting = list(self._accepted_ids)
-        while waiting and time.monotonic() < end_s:
-            waiting = [one for one in waiting if not self._has_ended(one)]
-            time.sleep(RETRY_PAUSE_S)
+        with contextlib.closing(_http.HttpClient()) as client:
+            while waiting and time.monotonic() < end_s:
+                waiting = [
+                    one for one in waiting if not self._has_ended(one, client)
+                ]
+                time.sleep(RETRY_PAUSE_S)
         for job_id in waiting:
             self._checker.add_violation(
                 f'{job_id} was accepted but did not end'
             )
         self._check_documents(end_s)
 
-    def _has_ended(self, job_id: jobs.JobId) -> bool:
-        reply = self._cell.ask('GET', f'/r1/{job_id}')
+    def _has_ended(self, job_id: jobs.JobId, client: _http.HttpClient) -> bool:
+        reply = self._cell.ask('GET', f'/r1/{job_id}', client=client)
         if reply.status == 410:
             self._checker.add_violation(
                 f'{job_id} was accepted but is unknown'
@@ -158,27 +191,41 @@
                     f'controller {number} has an outdated document'
                 )
 
-    def _submit(self, job_id: jobs.JobId, body: bytes) -> bool:
+    def _submit(
+        self, job: SoakJob, client: _http.HttpClient, first: int
+    ) -> bool:
         """Retry a submission until it is accepted or the time is over.
 
+        Each attempt is made at the next gateway, from number ``first`` on.
         Return whether it was accepted.
         """
         end_s = time.monotonic() + SUBMIT_TIMEOUT_S
-        number = 0
+        number = first
         while time.monotonic() < end_s and not self._aborting.is_set():
             reply = self._cell.ask(
-                'POST', f'/r1/{job_id}', body, number=number
+                'POST',
+                f'/r1/{job.job_id}',
+                job.body,
+                number=number % len(self._cell.callers),
+                client=client,
             )
             if reply.status == 200:
                 return True
-            number = 1 - number
+            number += 1
             time.sleep(RETRY_PAUSE_S)
         return False
 
-    def _cancel(self, job_id: jobs.JobId) -> None:
+    def _cancel(
+        self, job_id: jobs.JobId, client: _http.HttpClient, first: int
+    ) -> None:
         self._cancelled_ids.add(job_id)
-        for number in (0, 1, 0, 1):
-            reply = self._cell.ask('DELETE', f'/r1/{job_id}', number=number)
+        for number in range(first, first + CANCEL_ATTEMPTS):
+            reply = self._cell.ask(
+                'DELETE',
+                f'/r1/{job_id}',
+                number=number % len(self._cell.callers),
+                client=client,
+            )
             if reply.status == 200:
                 return
             if reply.status == 410:
--- a/dandeliondrum/testing/_soak_checker.py
+++ b/dandeliondrum/testing/_soak_checker.py
@@ -1,6 +1,7 @@
 """The invariants of a soak, checked on the events of fake workers."""
 
 import collections
+import datetime
 import json
 import math
 import threading
@@ -16,11 +17,16 @@
 
 
 class InvariantChecker:
-    """Checks the invariants and collects violations; thread-safe."""
+    """Checks the invariants and collects violations; thread-safe.
+
+    ``events`` holds lines with the time of each event of a worker, fault and
+    violation, in the format of the times in the logs of the processes.
+    """
 
     def __init__(self) -> None:
         self.lock = threading.RLock()
         self.violations: list[str] = []
+        self.events: list[str] = []
         self._running_on: dict[jobs.TaskKey, str] = {}
         self._acknowledged: set[jobs.TaskKey] = set()
         self._cpu_by_worker: collections.Counter[str] = collections.Counter()
@@ -33,6 +39,10 @@
         with self.lock:
             self._submitted_payloads[job_id] = text
 
+    def jobs_count(self) -> int:
+        """Return the number of submitted jobs."""
+        return len(self._submitted_payloads)
+
     def started(
         self, worker: jobs.WorkerFacts, order: jobs.StartOrder
     ) -> None:
@@ -40,6 +50,10 @@
         with self.lock:
             self.starts_count += 1
             task, worker_id = order.task, worker.worker_id
+            self.log(
+                f'{worker_id} incarnation {worker.started_ms} starts {task} '
+                f'run {order.run} by token {order.token}'
+            )
             if task in self._running_on:
                 self._add_worker_violation(f'{task} starts twice', worker_id)
             if task in self._acknowledged:
@@ -63,6 +77,7 @@
     def ended(self, worker_id: str, task: jobs.TaskKey) -> None:
         """Register that a run on a worker has ended, with any outcome."""
         with self.lock:
+            self.log(f'{worker_id} ends {task}')
             if self._running_on.get(task) == worker_id:
                 del self._running_on[task]
             self._cpu_by_worker[worker_id] -= self._cpu_by_run.pop(
@@ -78,9 +93,18 @@
         """Add a violation that a caller detected."""
         with self.lock:
             self.violations.append(violation)
+            self.log(f'violation: {violation}')
+
+    def log(self, text: str) -> None:
+        """Add an event with its time."""
+        now = datetime.datetime.now(datetime.UTC)
+        with self.lock:
+            self.events.append(
+                f'{now.isoformat(timespec="microseconds")} {text}'
+            )
 
     def _add_worker_violation(self, violation: str, worker_id: str) -> None:
-        self.violations.append(f'{worker_id}: {violation}')
+        self.add_violation(f'{worker_id}: {violation}')
 
 
 class CheckedWorker(_fake_job_workers.FakeWorker):
@@ -104,6 +128,7 @@
         that it has received and not carried out are gone.
         """
         with self.lock:
+            self._checker.log(f'{self.facts.worker_id} restarts')
             for task in list(self._runs):
                 self._checker.ended(self.facts.worker_id, task)
             self.late_starts = []
--- /dev/null
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -0,0 +1,315 @@
+"""The faults of a soak, drawn from its seed and injected from outside."""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import functools
+import random
+import threading
+import time
+
+from dandeliondrum.testing import _faults
+from dandeliondrum.testing import _platform_cell
+from dandeliondrum.testing import _processes
+from dandeliondrum.testing import _soak_callers
+from dandeliondrum.testing import _soak_checker
+
+FAULT_INTERVAL_S = (0.2, 1.5)
+FAULT_DURATION_S = (0.2, 3.5)
+LINK_DELAY_MS = (20, 400)
+# Longer than a soak, so that a stalled run has to be placed elsewhere.
+STALL_MS = 600_000
+POLL_S = 0.02
+# Number of faults in a series, and the time from one to the next.
+SERIES_COUNT = (2, 5)
+SERIES_INTERVAL_S = (0.0, 0.6)
+
+Fault = tuple[str, collections.abc.Callable[[], None]]
+
+
+class FaultInjector:
+    """Draws faults and applies them to a cell, several at a time.
+
+    The faults and the times between them depend only on the seed, not on the
+    state of the cell. Without ``links`` there are no link faults and with
+    ``series`` there are also series of faults; a seed draws the same faults
+    as before these were added if they are off.
+    """
+
+    def __init__(
+        self,
+        cell: _platform_cell.PlatformCell,
+        workers: list[_soak_checker.CheckedWorker],
+        checker: _soak_checker.InvariantChecker,
+        seed: int,
+        faults_at_once: int,
+        links: bool = True,
+        series: bool = False,
+    ) -> None:
+        self._cell = cell
+        self._workers = workers
+        self._checker = checker
+        self._rng = random.Random(seed)
+        self._faults_at_once = faults_at_once
+        self._links = links
+        self._series = series
+        self.names: list[str] = []
+        self._reserved_names: set[str] = set()
+        self._lock = threading.Lock()
+
+    def inject(
+        self, executor: concurrent.futures.ThreadPoolExecutor, length_s: float
+    ) -> None:
+        """Inject faults for a time, and wait until all of them are over."""
+        end_s = time.monotonic() + length_s
+        active: list[concurrent.futures.Future[None]] = []
+        while time.monotonic() < end_s:
+            active = [one for one in active if not one.done()]
+            if len(active) >= self._faults_at_once:
+                time.sleep(POLL_S)
+                continue
+            (name, fault), pause_s = self.draw()
+            self.names.append(name)
+            active.append(executor.submit(self._apply, name, fault))
+            time.sleep(pause_s)
+        for one in active:
+            one.result()
+
+    def _apply(
+        self, name: str, fault: collections.abc.Callable[[], None]
+    ) -> None:
+        """Apply a fault; a process that does not obey is a violation."""
+        self._checker.log(f'begin of fault: {name}')
+        try:
+            fault()
+        except _processes.ProcessError as error:
+            self._checker.add_violation(str(error))
+        self._checker.log(f'end of fault: {name}')
+
+    def draw(self) -> tuple[Fault, float]:
+        """Draw the next fault and the time until the one after it."""
+        if self._series and self._rng.random() < 0.3:
+            fault = self._draw_series()
+        else:
+            fault = self._draw_fault()
+        return fault, self._rng.uniform(*FAULT_INTERVAL_S)
+
+    def _draw_series(self) -> Fault:
+        """Draw faults of one kind that begin shortly one after another."""
+        rng = self._rng
+        kind = rng.choice(['kill', 'freeze', 'stop', 'restart'])
+        names = (
+            [one.facts.worker_id for one in self._workers]
+            if kind == 'restart'
+            else self._process_names()
+        )
+        count = min(len(names), rng.randint(*SERIES_COUNT))
+        steps: list[tuple[collections.abc.Callable[[], None], float]] = []
+        # Workers restart several times in a row, too.
+        chosen = (
+            rng.choices(names, k=count)
+            if kind == 'restart'
+            else rng.sample(names, count)
+        )
+        for name in chosen:
+            length_s = rng.uniform(*FAULT_DURATION_S)
+            pause_s = rng.uniform(*SERIES_INTERVAL_S)
+            steps.append((self._step(kind, name, length_s), pause_s))
+        return f'{kind} {", ".join(chosen)}', lambda: _run_series(steps)
+
+    def _step(
+        self, kind: str, name: str, length_s: float
+    ) -> collections.abc.Callable[[], None]:
+        match kind:
+            case 'kill':
+                return functools.partial(self._kill, name, length_s)
+            case 'freeze':
+                return functools.partial(self._freeze, name, length_s)
+            case 'stop':
+                return functools.partial(self._stop, name)
+        return next(
+            one.restart for one in self._workers if one.facts.worker_id == name
+        )
+
+    def _controller_names(self) -> list[str]:
+        return [
+            self._cell.controller(number)
+            for number in range(len(self._cell.control))
+        ]
+
+    def _process_names(self) -> list[str]:
+        gateways = [f'g{number}' for number in range(len(self._cell.callers))]
+        return [*self._controller_names(), *gateways]
+
+    def _draw_fault(self) -> Fault:
+        rng = self._rng
+        length_s = rng.uniform(*FAULT_DURATION_S)
+        process = rng.choice(self._process_names())
+        worker = rng.choice(self._workers)
+        number = rng.randrange(len(self._cell.control))
+        faults: list[Fault] = [
+            (f'kill {process}', lambda: self._kill(process, length_s)),
+            (f'freeze {process}', lambda: self._freeze(process, length_s)),
+            (f'stop {process}', lambda: self._stop(process)),
+            (f'wipe {number}', lambda: self._lose_disk(number)),
+            ('kill all controllers', self._kill_all),
+            (
+                f'silence {worker.facts.worker_id}',
+                lambda: self._silence(worker, 2 * length_s),
+            ),
+            (f'restart {worker.facts.worker_id}', worker.restart),
+            (
+                f'late orders to {worker.facts.worker_id}',
+                lambda: self._delay_orders(worker, length_s),
+            ),
+            (
+                f'failing {worker.facts.worker_id}',
+                lambda: self._fail(worker, length_s),
+            ),
+        ]
+        if self._links:
+            faults += [
+                (
+                    f'standing still {worker.facts.worker_id}',
+                    lambda: self._stall_runs(worker, length_s),
+                ),
+                *self._link_faults(length_s),
+            ]
+        return rng.choice(faults)
+
+    def _link_faults(self, length_s: float) -> list[Fault]:
+        """Draw a link and return the faults that can be applied to it."""
+        name = self._rng.choice(sorted(self._cell.links))
+        link = self._cell.links[name]
+        delay_ms = self._rng.randint(*LINK_DELAY_MS)
+        discard = _faults.Flow.DISCARD
+        faults_by_name = {
+            'delayed': _faults.Faults(delay_ms=delay_ms, jitter_ms=20),
+            'cut off': _faults.CUT,
+            'stalled': _faults.STALLED,
+            'deaf': _faults.Faults(forward=discard),
+            'mute': _faults.Faults(backward=discard),
+        }
+        faults: list[Fault] = [
+            (
+                f'link to {name} {description}',
+                functools.partial(
+                    self._apply_link_faults, name, faults, length_s
+                ),
+            )
+            for description, faults in faults_by_name.items()
+        ]
+        faults.append((f'connections to {name} silenced', link.silence))
+        return faults
+
+    def _apply_link_faults(
+        self, name: str, faults: _faults.Faults, length_s: float
+    ) -> None:
+        """Apply faults to a link for a while, unless it is already faulty."""
+        with self._reserve(f'link {name}') as reserved:
+            if reserved:
+                self._cell.links[name].set(faults)
+                time.sleep(length_s)
+                self._cell.links[name].heal()
+
+    def _stall_runs(
+        self, worker: _soak_checker.CheckedWorker, length_s: float
+    ) -> None:
+        worker.stall_ms = STALL_MS
+        time.sleep(length_s)
+        worker.stall_ms = 0
+
+    @contextlib.contextmanager
+    def _reserve(self, *names: str) -> collections.abc.Iterator[bool]:
+        """Reserve targets for one fault; yield whether all were available."""
+        with self._lock:
+            reserved = not self._reserved_names.intersection(names)
+            if reserved:
+                self._reserved_names.update(names)
+        try:
+            yield reserved
+        finally:
+            if reserved:
+                with self._lock:
+                    self._reserved_names.difference_update(names)
+
+    def _kill(self, name: str, length_s: float) -> None:
+        with self._reserve(name) as reserved:
+            if reserved:
+                self._cell.processes.kill(name)
+                time.sleep(length_s)
+                self._cell.processes.restart(name)
+
+    def _freeze(self, name: str, length_s: float) -> None:
+        with self._reserve(name) as reserved:
+            if reserved:
+                self._cell.processes.freeze(name)
+                time.sleep(length_s)
+                self._cell.processes.thaw(name)
+
+    def _stop(self, name: str) -> None:
+        with self._reserve(name) as reserved:
+            if reserved:
+                if self._cell.processes.stop(name) != 0:
+                    self._checker.add_violation(
+                        f'{name} did not exit with code 0'
+                    )
+                self._cell.processes.restart(name)
+
+    def _lose_disk(self, number: int) -> None:
+        """Lose one disk; protect the other controllers until it is refilled.
+
+        With three controllers, the loss of a second disk in the meantime
+        would exceed the fault tolerance of the cell.
+        """
+        names = self._controller_names()
+        with self._reserve(*names) as reserved:
+            if reserved:
+                self._cell.processes.kill(names[number])
+                self._cell.replace_disk(number)
+                time.sleep(_soak_callers.CATCH_UP_S)
+
+    def _kill_all(self) -> None:
+        names = self._controller_names()
+        with self._reserve(*names) as reserved:
+            if reserved:
+                for name in names:
+                    self._cell.processes.kill(name)
+                for name in names:
+                    self._cell.processes.restart(name)
+
+    def _silence(
+        self, worker: _soak_checker.CheckedWorker, length_s: float
+    ) -> None:
+        worker.silent = True
+        time.sleep(length_s)
+        worker.silent = False
+
+    def _delay_orders(
+        self, worker: _soak_checker.CheckedWorker, length_s: float
+    ) -> None:
+        worker.delays_starts = True
+        time.sleep(length_s)
+        worker.delays_starts = False
+        time.sleep(length_s)
+        worker.carry_out_late_starts()
+
+    def _fail(
+        self, worker: _soak_checker.CheckedWorker, length_s: float
+    ) -> None:
+        worker.fails = True
+        time.sleep(length_s)
+        worker.fails = False
+
+
+def _run_series(
+    steps: list[tuple[collections.abc.Callable[[], None], float]],
+) -> None:
+    """Begin each step a while after the last one, which may go on."""
+    with concurrent.futures.ThreadPoolExecutor(len(steps)) as executor:
+        running = []
+        for step, pause_s in steps:
+            running.append(executor.submit(step))
+            time.sleep(pause_s)
+        for one in running:
+            one.result()
--- /dev/null
+++ b/dandeliondrum/testing/_soak_reports.py
@@ -0,0 +1,83 @@
+"""The status reports of a soak's workers, and how long they go unanswered."""
+
+import threading
+import time
+
+from dandeliondrum.testing import _platform_cell
+from dandeliondrum.testing import _platform_fakes
+
+REPORT_EVERY_S = 1.0
+# Workers try the next controller after this time without a reply.
+REPORT_TIMEOUT_MS = 1_000
+WORKERS_PER_THREAD = 10
+
+
+class WorkerReporter:
+    """Sends the reports of all workers until ``stopping`` is set.
+
+    A worker keeps reporting to the controller that acknowledged its last
+    report, and tries the others when that one fails.
+    """
+
+    def __init__(
+        self, cell: _platform_cell.PlatformCell, stopping: threading.Event
+    ) -> None:
+        self._cell = cell
+        self._stopping = stopping
+        self._controllers = [0] * len(cell.workers)
+        self._lock = threading.Lock()
+        self._since_s = 0.0
+        self._acknowledged_s: dict[int, float] = {}
+        self._longest_s = 0.0
+
+    def threads_count(self) -> int:
+        """Return how many threads have to execute :meth:`run`."""
+        return -(-len(self._cell.workers) // WORKERS_PER_THREAD)
+
+    def run(self, thread: int) -> None:
+        """Send the reports of some of the workers at regular intervals."""
+        step = self.threads_count()
+        while not self._stopping.wait(REPORT_EVERY_S):
+            for position in range(thread, len(self._cell.workers), step):
+                worker = self._cell.workers[position]
+                if worker.worker.silent or self._report(position, worker):
+                    self._acknowledge(position)
+
+    def watch(self) -> None:
+        """Measure from now on how long workers get no acknowledgement."""
+        with self._lock:
+            self._since_s = time.monotonic()
+            self._acknowledged_s.clear()
+            self._longest_s = 0.0
+
+    def longest_silence_s(self) -> float:
+        """Return the longest time in which one got none since then."""
+        now_s = time.monotonic()
+        with self._lock:
+            return max(
+                self._longest_s,
+                *(
+                    now_s - self._acknowledged_s.get(position, self._since_s)
+                    for position in range(len(self._cell.workers))
+                ),
+            )
+
+    def _report(
+        self, position: int, worker: _platform_fakes.HttpWorker
+    ) -> bool:
+        count = len(self._cell.control)
+        first = self._controllers[position]
+        for offset in range(count):
+            number = (first + offset) % count
+            status = self._cell.report(worker, number, REPORT_TIMEOUT_MS)
+            if status == 200:
+                self._controllers[position] = number
+                return True
+        return False
+
+    def _acknowledge(self, position: int) -> None:
+        now_s = time.monotonic()
+        with self._lock:
+            last_s = self._acknowledged_s.get(position, self._since_s)
+            self._longest_s = max(self._longest_s, now_s - last_s)
+            self._acknowledged_s[position] = now_s
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -3,8 +3,10 @@
 Example::
 
     python -m dandeliondrum.testing.soak --seed=1 --seeds=50 --seconds=20
+    python -m dandeliondrum.testing.soak --size=large
 """
 
+import dataclasses
 import pathlib
 import sys
 import tempfile
@@ -12,22 +14,56 @@
 import fire
 
 from dandeliondrum.testing import _soak
+from dandeliondrum.testing import _soak_size
 
 
-def main(seed: int = 1, seeds: int = 1, seconds: float = 20) -> None:
+def main(
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20,
+    size: str = 'small',
+    gateways: int = 0,
+    workers: int = 0,
+    series: bool = True,
+    folder: str = '',
+) -> None:
     """Run soaks with consecutive seeds; exit with code 1 if one failed.
 
-    For a failed soak, print the folder with its logs and its faults.
+    For a failed soak, print the folder with its logs and its faults. The
+    folders are made in ``folder``, by default that of temporary files. The
+    size is ``small`` or ``large``, with other numbers of gateways and workers
+    if they are given. A soak that exceeds the limits of the machine is not
+    started.
     """
+    if size not in _soak_size.SIZES:
+        sys.exit(
+            f'unknown size {size}: expected {", ".join(_soak_size.SIZES)}'
+        )
+    chosen = _soak_size.SIZES[size]
+    chosen = dataclasses.replace(
+        chosen,
+        gateways_count=gateways or chosen.gateways_count,
+        workers_count=workers or chosen.workers_count,
+    )
+    problem = _soak_size.check_this_machine(chosen)
+    if problem is not None:
+        sys.exit(f'not started: {problem}')
     failed = False
     for number in range(seed, seed + seeds):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
-        options = _soak.SoakOptions(number, seconds, folder)
+        options = _soak.SoakOptions(
+            number,
+            seconds,
+            pathlib.Path(
+                tempfile.mkdtemp(prefix=f'soak-{number}-', dir=folder or None)
+            ),
+            series=series,
+            size=chosen,
+        )
         outcome = _soak.run_soak(options)
         sys.stdout.write(_soak.describe(options, outcome) + '\n')
         if outcome.violations:
             failed = True
-            sys.stdout.write(f'  logs: {folder}\n')
+            sys.stdout.write(f'  logs: {options.folder}\n')
             sys.stdout.write(f'  faults: {", ".join(outcome.faults)}\n')
         sys.stdout.flush()
     sys.exit(1 if failed else 0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,22 @@
 """Short soak runs of the platform's programs, and tests of their checks."""
 
+import concurrent.futures
+import dataclasses
+import itertools
+import threading
+import time
+import types
+
 import pytest
 
 from dandeliondrum import jobs
 from dandeliondrum import messages
 from dandeliondrum.testing import _soak
+from dandeliondrum.testing import _soak_callers
 from dandeliondrum.testing import _soak_checker
+from dandeliondrum.testing import _soak_faults
+from dandeliondrum.testing import _soak_reports
+from dandeliondrum.testing import _soak_size
 
 # Seeds that ever failed stay here, with a line on the cause.
 SEEDS = (
@@ -129,3 +140,114 @@
     worker.restart()
     _start(worker, 'j.0.0.1')
     assert checker.violations == ['w1: j.0.0.0 starts twice']
+
+
+def test_a_seed_draws_the_same_jobs_in_any_thread():
+    def draw(caller):
+        return list(itertools.islice(_soak_callers.soak_jobs(5, caller), 20))
+
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        assert executor.submit(draw, 1).result() == draw(1)
+    ids = {job.job_id for caller in (0, 1) for job in draw(caller)}
+    assert len(ids) == 40
+    assert [job.body for job in draw(0)] != [job.body for job in draw(1)]
+
+
+def _injector(checker, **options):
+    links = {name: types.SimpleNamespace(silence=None) for name in ('g0',)}
+    cell = types.SimpleNamespace(
+        links=links,
+        control=['c0', 'c1', 'c2'],
+        callers=['g0', 'g1'],
+        controller='c{}'.format,
+    )
+    workers = [_worker(f'w{number}', checker) for number in range(3)]
+    return _soak_faults.FaultInjector(cell, workers, checker, 9, 3, **options)
+
+
+@pytest.mark.parametrize('series', [False, True])
+def test_a_seed_injects_the_same_faults_however_long_they_last(
+    series, checker, monkeypatch
+):
+    monkeypatch.setattr(_soak_faults, 'FAULT_INTERVAL_S', (0.001, 0.002))
+
+    def inject(duration_s):
+        injector = _injector(checker, series=series)
+        draw = injector.draw
+
+        def draw_harmless():
+            (name, _), pause_s = draw()
+            return (name, lambda: time.sleep(duration_s)), pause_s
+
+        monkeypatch.setattr(injector, 'draw', draw_harmless)
+        with concurrent.futures.ThreadPoolExecutor(3) as executor:
+            injector.inject(executor, 0.4)
+        return injector.names
+
+    short, long = inject(0.0), inject(0.03)
+    assert len(short) > len(long) > 5
+    assert short[: len(long)] == long
+
+
+def test_series_of_faults_restart_workers_and_signal_processes(checker):
+    injector = _injector(checker, series=True)
+    names = [injector.draw()[0][0] for _ in range(200)]
+    series = [name for name in names if ', ' in name]
+    kinds = {name.partition(' ')[0] for name in series}
+    assert kinds == {'kill', 'freeze', 'stop', 'restart'}
+
+
+def test_a_soak_that_needs_half_of_the_memory_is_not_started():
+    large = _soak_size.SIZES['large']
+    assert _soak_size.check_machine(large, 32_000, 30_000) is None
+    needed = f'the soak needs {large.memory_mb} MB'
+    assert needed in _soak_size.check_machine(large, 16_000, 15_000)
+    assert needed in _soak_size.check_machine(large, 32_000, 8_000)
+
+
+def test_a_soak_stays_below_16_gb_and_300_processes():
+    small = _soak_size.SIZES['small']
+    gateways = dataclasses.replace(small, gateways_count=90)
+    assert 'MB of memory' in _soak_size.check_machine(gateways, 10**6, 10**6)
+    gateways = dataclasses.replace(small, gateways_count=296)
+    assert '300 processes' in _soak_size.check_machine(gateways, 10**6, 10**6)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        ({'controllers_count': 4}, 'an odd number of controllers'),
+        ({'workers_count': 0}, 'at least one gateway and one worker'),
+    ],
+)
+def test_a_soak_of_an_impossible_size_is_not_started(changes, expected):
+    size = dataclasses.replace(_soak_size.SIZES['small'], **changes)
+    assert expected in _soak_size.check_machine(size, 10**6, 10**6)
+
+
+def test_a_worker_whose_reports_are_not_acknowledged_is_noticed(monkeypatch):
+    monkeypatch.setattr(_soak_reports, 'REPORT_EVERY_S', 0.01)
+    worker = types.SimpleNamespace(worker=types.SimpleNamespace(silent=False))
+    other = types.SimpleNamespace(worker=types.SimpleNamespace(silent=False))
+
+    def report(one, _number, _timeout_ms):
+        return 503 if one is other else 200
+
+    stopping = threading.Event()
+    cell = types.SimpleNamespace(
+        workers=[worker], control=['c0', 'c1'], report=report
+    )
+    for workers, seconds_min, seconds_max in (
+        ([worker], 0.0, 0.2),
+        ([worker, other], 0.4, 5.0),
+    ):
+        cell.workers = workers
+        stopping.clear()
+        reporter = _soak_reports.WorkerReporter(cell, stopping)
+        reporter.watch()
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            executor.submit(reporter.run, 0)
+            time.sleep(0.4)
+            silence_s = reporter.longest_silence_s()
+            stopping.set()
+        assert seconds_min <= silence_s <= seconds_max
