Wait until a frozen process has stopped

Cause: Processes.freeze returned right after it had sent SIGSTOP. The signal takes effect only once a thread of the process is scheduled; the other threads run until then. A test that goes on at once reaches a process that still runs.

Ruled out: a fault of the worker that starts an attempt after a thaw. Its check reads the clock when the attempt is started, and a renewal counts from the time at which the heartbeat was sent, so an answer that arrives after the thaw either names the stop or is too old.

Change: freeze waits until the kernel reports the whole process stopped, and raises ProcessError if it ends instead. The status stays in the kernel, so a process can be frozen twice and Popen.poll still reaps it. A freeze that raises leaves no beginning of an outage behind any more.

Looked at besides: the soak and the chaos run use the same call and need no change; kill and stop already wait for the end of the process; nothing else sends signals. What follows a thaw does not depend on when SIGCONT takes effect.

--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -157,9 +157,20 @@
         )
 
     def freeze(self, name: str) -> None:
-        """Suspend a process with SIGSTOP until it is thawed."""
-        self._frozen_since_ms[name] = worker.now_ms()
-        self._running_process(name).send_signal(signal.SIGSTOP)
+        """Suspend a process with SIGSTOP until it is thawed.
+
+        Returns once all its threads are stopped: the signal takes effect only
+        when one of them is scheduled, and the others run until then. Raises
+        ProcessError if the process ends instead.
+        """
+        process = self._running_process(name)
+        from_ms = worker.now_ms()
+        process.send_signal(signal.SIGSTOP)
+        if not _fake_gateway.wait_for(
+            lambda: _is_stopped(name, process), STOP_TIMEOUT_MS
+        ):
+            raise ProcessError(f'{name} did not stop after SIGSTOP')
+        self._frozen_since_ms[name] = from_ms
 
     def thaw(self, name: str) -> None:
         """Resume a frozen process."""
@@ -251,6 +262,22 @@
         return self._folder / f'{name}.{kind}'
 
 
+def _is_stopped(name: str, process: subprocess.Popen[bytes]) -> bool:
+    """Return whether all threads are stopped; raise if the process ended.
+
+    The status is left for later calls and for ``Popen.poll``.
+    """
+    options = os.WSTOPPED | os.WEXITED | os.WNOHANG | os.WNOWAIT
+    try:
+        status = os.waitid(os.P_PID, process.pid, options)
+    except ChildProcessError:
+        # Another thread has polled the process after its end.
+        raise ProcessError(f'{name} ended before it stopped') from None
+    if status is not None and status.si_code != os.CLD_STOPPED:
+        raise ProcessError(f'{name} ended before it stopped')
+    return status is not None
+
+
 def _is_ready(program: Program) -> bool:
     if program.ready_url:
         return _answers_with_200(program.ready_url)
--- a/dandeliondrum/testing/tests/test_processes.py
+++ b/dandeliondrum/testing/tests/test_processes.py
@@ -3,6 +3,9 @@
 import concurrent.futures
 import json
 import os
+import pathlib
+import signal
+import subprocess
 import sys
 import time
 
@@ -97,6 +100,61 @@
     assert processes.outages == ()
 
 
+BUSY_CODE = """
+import threading, time
+def run():
+    while True:
+        time.sleep(0.001)
+for _ in range(32):
+    threading.Thread(target=run, daemon=True).start()
+print('{}', flush=True)
+time.sleep(600)
+"""
+
+
+@pytest.fixture
+def busy_process(processes):
+    processes.start('p', python_program(BUSY_CODE))
+    assert testing.wait_for(lambda: processes.log('p') != [], TIMEOUT_MS)
+    return processes
+
+
+def thread_states(process_id):
+    """Return the states of all threads; ``T`` is that of a stopped one."""
+    paths = pathlib.Path(f'/proc/{process_id}/task').glob('*/stat')
+    return {path.read_text().rpartition(')')[2].split()[0] for path in paths}
+
+
+def test_no_thread_runs_on_when_freeze_returns(busy_process):
+    for _ in range(20):
+        busy_process.freeze('p')
+        assert thread_states(busy_process.id_of('p')) == {'T'}
+        busy_process.thaw('p')
+
+
+def test_a_frozen_process_can_be_frozen_again(busy_process):
+    busy_process.freeze('p')
+    busy_process.freeze('p')
+    assert thread_states(busy_process.id_of('p')) == {'T'}
+    busy_process.thaw('p')
+    assert testing.wait_for(
+        lambda: 'T' not in thread_states(busy_process.id_of('p')), TIMEOUT_MS
+    )
+
+
+def test_freezing_a_process_that_ends_first_raises(processes, monkeypatch):
+    processes.start('p', python_program('import time; time.sleep(600)'))
+    monkeypatch.setattr(
+        subprocess.Popen,
+        'send_signal',
+        lambda process, _number: os.kill(process.pid, signal.SIGKILL),
+    )
+    with pytest.raises(testing.ProcessError):
+        processes.freeze('p')
+    assert processes.exit_code('p') == -signal.SIGKILL
+    assert processes.outages == ()
+
+
 def test_free_addresses_differ():
     assert len(set(testing.free_addresses(50))) == 50
 
