Acknowledge no ends after a restart that was reported while they commit

Callers: a task that has run on a restarted worker could run again, since its end was forgotten before anybody had read it.

Cause: the number to acknowledge was set when the commit of the ends had succeeded. If the worker reported a restart meanwhile, the next read went to the new incarnation, which numbers its ends anew, with a number of the old one. The setter of the facts drops a pending number, but this one was set after it. The number is now set only if the read was sent to the incarnation that the newest report names.

Found by reading, while the waiting for commits was to be moved to another thread. The window was one commit. It remains open for a restart that was not reported yet, as docs/PROOFS.md says: the protocol of workers has no incarnation in a read.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -166,7 +166,6 @@
         with self._lock:
             self._state.reads_count += 1
             number = self._state.reads_count
-            token = self._state.token
             request = self._lease_request()
             self._acknowledged = 0
         self._is_idle = False
@@ -175,14 +174,14 @@
             return True
         match outcome:
             case _port.WorkerListing():
-                return self._handle_lists(number, token, outcome)
+                return self._handle_lists(number, request, outcome)
             case _port.WorkerReplaced():
                 self._state.handle_replacement(request.worker)
             case _port.Refused(reason):
                 _logger.warning(
                     'lease refused',
                     worker=self.facts.worker_id,
-                    token=token,
+                    token=request.token,
                     why=reason.value,
                 )
                 self._handle_no_answer(reason.value)
@@ -212,7 +211,10 @@
         )
 
     def _handle_lists(
-        self, number: int, token: int, lists: _port.WorkerListing
+        self,
+        number: int,
+        request: _port.LeaseRequest,
+        lists: _port.WorkerListing,
     ) -> bool:
         with self._lock:
             self._last_reply_ms = _clock.elapsed_ms()
@@ -222,12 +224,17 @@
             if lists.started_ms != self._worker_started_ms:
                 self._handle_restart(lists)
                 return True
-            if token != self._state.token:
+            if request.token != self._state.token:
                 return True
             self._state.lease.update_clock(lists.clock_ms)
         if not self._reconcile(number, lists):
             return False
         with self._lock:
+            # A worker that has started again numbers its ends anew.
+            if request.worker.started_ms == self._state.facts.started_ms:
+                self._acknowledged = max(
+                    (item.sequence for item in lists.ends), default=0
+                )
             # The runs of the worker, and so its free resources, are known
             # only now.
             first, self._first_read = self._first_read, False
@@ -285,10 +292,7 @@
                 self._events.request_round()
             self._unassigned_count = len(unassigned)
             numbers = [item.sequence for item in lists.ends]
-            self._acknowledged = max(numbers, default=0)
-            self._recorded_number = max(
-                self._recorded_number, self._acknowledged
-            )
+            self._recorded_number = max(self._recorded_number, *numbers, 0)
         still_assigned = assigned.keys() - {end.task for end in ends}
         # Ends that were listed are acknowledged by the next read, at once.
         self._is_idle = not (still_assigned or listed or lists.ends)
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -288,33 +288,57 @@
     assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
 
 
+def run(leader, task):
+    """Start a run at the worker and wait for its end."""
+    worker = leader.worker
+    key = jobs.parse_task_key(task)
+    assert leader.machine.assign(task, 1, worker.facts.worker_id)
+    order = jobs.StartOrder(
+        worker.facts, leader.peer._state.token, key, 1, '', 60_000, '', ''
+    )
+    assert isinstance(worker.start(order), jobs.Accepted)
+    testing.wait_until(lambda: not worker.running())
+
+
 def test_ends_of_a_reported_restart_are_not_acknowledged_unread(worker):
     """The restart is known from the worker's report before the next read."""
     leader = FakeLeader(worker, lease_ms=60_000)
     leader.submit('j', helpers.step(2))
     peer = leader.peer
-
-    def run(task):
-        key = jobs.parse_task_key(task)
-        assert leader.machine.assign(task, 1, worker.facts.worker_id)
-        order = jobs.StartOrder(
-            worker.facts, peer._state.token, key, 1, '', 60_000, '', ''
-        )
-        assert isinstance(worker.start(order), jobs.Accepted)
-        testing.wait_until(lambda: not worker.running())
-
     assert peer._read_once()
     assert peer._read_once()
-    run('j.0.0.0')
+    run(leader, 'j.0.0.0')
     assert peer._read_once()
     worker.restart()
     peer.facts = worker.facts
-    run('j.0.0.1')
+    run(leader, 'j.0.0.1')
     assert peer._read_once()
     assert peer._read_once()
     assert leader.outcomes == [('j.0.0.0', 1, 'DONE'), ('j.0.0.1', 1, 'DONE')]
 
 
+def test_ends_are_not_acknowledged_to_a_restart_reported_meanwhile(worker):
+    """The restart is reported while the log commits the ends."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    requests = _record_reads(leader)
+    peer, record = leader.peer, leader.record
+
+    def restart_meanwhile(ends):
+        worker.restart()
+        peer.facts = worker.facts
+        return record(ends)
+
+    leader.record = restart_meanwhile
+    assert peer._read_once()
+    assert peer._read_once()
+    run(leader, 'j.0.0.0')
+    assert peer._read_once()
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
+    assert peer._read_once()
+    assert [request.acknowledged_number for request in requests] == 4 * [0]
+
+
 def test_another_incarnation_at_the_address_ends_all_runs(worker):
     worker.run_ms = 60_000
     leader = FakeLeader(worker)
