Miss a lost leader in time although the process is always late

A voter whose threads are late waits for what has arrived before it starts an election.

The wait is now given once for each silence and is at most the shortest election timeout.

The new test failed before: a voter that is always 110 ms late missed its leader after 2,404 ms instead of at most 1,640 with timeouts of 600 to 1,200 ms. The tests of a voter that is late once pass as before.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -27,8 +27,10 @@
 
     def __init__(self, state: _state.NodeState) -> None:
         self._state = state
-        # Until when messages may be unhandled because this process was late.
+        # Until when messages may be unhandled because this process was late,
+        # and the last contact when that was noticed.
         self._late_until_ns = 0
+        self._late_contact_ns = 0
 
     def run(self, stopping: threading.Event) -> None:
         """Run the election timer and quorum checks until the node closes."""
@@ -53,31 +55,32 @@
 
         Then the threads that handle messages may be late, too: what seems to
         be the silence of the others may be this process's own. They get as
-        long as this thread was late to handle what has arrived.
+        long as this thread was late to handle what has arrived, at most the
+        shortest election timeout. A process that is always late gets that
+        once for each silence, so that a lost leader is still missed.
         """
-        state = self._state
+        options = self._state.options
         due_ns = time.monotonic_ns() + int(timeout_s * 1e9)
-        state.election_condition.wait(timeout_s)
+        self._state.election_condition.wait(timeout_s)
         now_ns = time.monotonic_ns()
         late_ns = now_ns - due_ns
-        if late_ns >= state.options.heartbeat_ms * _progress.NS_PER_MS:
-            self._late_until_ns = now_ns + late_ns
-
-    def _may_have_unhandled(self, heard_ns: int) -> bool:
-        """Return whether messages since ``heard_ns`` may be unhandled.
+        contact_ns = self._contact_ns()
+        if contact_ns == self._late_contact_ns:
+            return
+        if late_ns >= options.heartbeat_ms * _progress.NS_PER_MS:
+            limit_ns = options.election_min_ms * _progress.NS_PER_MS
+            self._late_until_ns = now_ns + min(late_ns, limit_ns)
+            self._late_contact_ns = contact_ns
 
-        A process that is late all the time is given up after twice the
-        longest election timeout.
-        """
+    def _contact_ns(self) -> int:
+        """Return when the leader, or its quorum, was last heard."""
         state = self._state
-        now_ns = time.monotonic_ns()
-        limit_ns = (
-            2
-            * state.election_backoff
-            * state.options.election_max_ms
-            * _progress.NS_PER_MS
-        )
-        return now_ns < self._late_until_ns and now_ns - heard_ns < limit_ns
+        if state.is_leader():
+            return max(state.quorum_contact_ns(), state.elected_ns)
+        return state.leader_contact_ns
+
+    def _may_have_unhandled(self) -> bool:
+        return time.monotonic_ns() < self._late_until_ns
 
     def _wait_timeout_s(self) -> float:
         state = self._state
@@ -94,7 +97,7 @@
             return False
         if state.election_requested:
             return True
-        if self._may_have_unhandled(state.leader_contact_ns):
+        if self._may_have_unhandled():
             return False
         return time.monotonic_ns() >= state.election_deadline_ns
 
@@ -111,10 +114,8 @@
             * state.options.election_max_ms
             * _progress.NS_PER_MS
         )
-        answered_ns = max(state.quorum_contact_ns(), state.elected_ns)
-        if now_ns - answered_ns > limit_ns and not self._may_have_unhandled(
-            answered_ns
-        ):
+        silent_ns = now_ns - self._contact_ns()
+        if silent_ns > limit_ns and not self._may_have_unhandled():
             _logger.warning('no quorum answers', term=state.term)
             state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -281,6 +281,15 @@
     assert starts_election(*[500] * 7)
 
 
+def test_a_voter_that_is_always_late_misses_a_lost_leader_in_time(
+    starts_election, clock
+):
+    began_ms, late_ms = clock.now_ms, 110
+    assert starts_election(*[late_ms] * 100)
+    election_max_ms = consensus.Options.election_max_ms
+    assert clock.now_ms - began_ms <= election_max_ms + 4 * late_ms
+
+
 def test_a_voter_that_is_not_late_misses_a_lost_leader_at_once(
     starts_election,
 ):
