Drop a queued election once the leader is heard again

The term of an election is entered by the writer thread, after what it has queued, which may include the sync of a slow disk. The leader could be heard meanwhile, and a follower now answers its heartbeats during a sync; it then entered a new term all the same and deposed a leader that runs.

The writer now looks once more, unless the leader itself asked for the election to hand its role over.

The new test failed before: the term was 1 instead of 0. The class is a decision that is carried out later than it was made, without a second look at what it was based on.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -157,7 +157,9 @@
             return
         entered_term: concurrent.futures.Future[int | None]
         entered_term = concurrent.futures.Future()
-        state.enqueue_work(_work_items.StartElection(term, entered_term))
+        state.enqueue_work(
+            _work_items.StartElection(term, transfer, entered_term)
+        )
         new_term = entered_term.result(TERM_WRITE_TIMEOUT_S)
         if new_term is None:
             return
--- a/dandeliondrum/consensus/_work_items.py
+++ b/dandeliondrum/consensus/_work_items.py
@@ -40,10 +40,12 @@
     """Enter the term after ``term`` as a candidate.
 
     The future receives the new term, or None when the node is no longer in
-    ``term`` or can't store the new one.
+    ``term``, has heard the leader again or can't store the new term. In a
+    ``transfer`` the leader is heard and expects the election.
     """
 
     term: int
+    transfer: bool
     entered_term: concurrent.futures.Future[int | None]
 
 
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import concurrent.futures
 import pathlib
 import threading
 import typing
@@ -114,8 +113,8 @@
                 case _work_items.PeerRequest(message, reply):
                     answer = self.handle(message)
                     answers.append(_work_items.Resolution(reply, answer))
-                case _work_items.StartElection(term, entered):
-                    self._start_election(term, entered)
+                case _work_items.StartElection():
+                    self._start_election(work)
                 case _work_items.BootstrapCell():
                     self._bootstrap_cell(work)
                 case _work_items.ObserveTerm(term):
@@ -240,20 +239,26 @@
             state.synced_index = self._log.last_index
             state.advance_commit()
 
-    def _start_election(
-        self, term: int, entered: concurrent.futures.Future[int | None]
-    ) -> None:
+    def _start_election(self, work: _work_items.StartElection) -> None:
         state = self._state
         new_term: int | None = None
-        if term == state.term and not state.is_leader():
+        if self._may_start_election(work):
             try:
-                self.enter_term(term + 1, state.node_id)
-                new_term = term + 1
+                self.enter_term(work.term + 1, state.node_id)
+                new_term = work.term + 1
                 with state.lock:
                     state.role = _interfaces.Role.CANDIDATE
             except OSError as error:
                 _logger.error('could not store term', why=str(error))
-        _work_items.resolve_future(entered, new_term)
+        _work_items.resolve_future(work.entered_term, new_term)
+
+    def _may_start_election(self, work: _work_items.StartElection) -> bool:
+        state = self._state
+        with state.lock:
+            if work.term != state.term or state.is_leader():
+                return False
+            # The leader may have been heard while this item was queued.
+            return work.transfer or not state.has_recent_leader()
 
     def _bootstrap_cell(self, work: _work_items.BootstrapCell) -> None:
         state = self._state
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -1,5 +1,6 @@
 """Unit tests of the steps of an election."""
 
+import concurrent.futures
 import math
 import pathlib
 import threading
@@ -15,6 +16,7 @@
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _recovery
+from dandeliondrum.consensus import _work_items
 from dandeliondrum.consensus import _writer
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum import messages
@@ -46,6 +48,28 @@
     assert opened.state.election_deadline_ns > time.monotonic_ns()
 
 
+def queued_election(opened, folder, transfer=False):
+    """Return the term that an election enters after the leader was heard."""
+    entered = concurrent.futures.Future()
+    with opened.state.lock:
+        opened.state.record_leader_contact(CANDIDATE)
+    make_writer(opened, folder)._process_batch(
+        [_work_items.StartElection(opened.state.term, transfer, entered)]
+    )
+    return entered.result(0)
+
+
+def test_a_leader_heard_while_an_election_is_queued_is_not_deposed(tmp_path):
+    opened = open_state(tmp_path)
+    assert queued_election(opened, tmp_path) is None
+    assert opened.state.term == 0
+
+
+def test_a_transfer_is_not_held_up_by_the_leader_that_is_heard(tmp_path):
+    opened = open_state(tmp_path)
+    assert queued_election(opened, tmp_path, transfer=True) == 1
+
+
 def test_a_leader_that_is_heard_ends_a_pre_vote(tmp_path):
     state = open_state(tmp_path).state
     state.ballot = _progress.Ballot(1, pre_vote=True, transfer=False)
