Keep a task waiting whose cancellation the log refuses

A cancellation removes the task from the planner and proposes the command. If the log refused it, for example with a full disk, the caller was answered that the call failed, and the accepted task stayed queued in the state without being planned, refused or cancelled until another leader took over: lost.

The tasks are now added to the planner again. One that was cancelled after all can not be assigned, since the state machine checks that. The engine of jobs of steps plans from the state and is not affected.

The test failed before: the task was in none of the leader's tables.

--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -51,7 +51,7 @@
         self._resources = contextlib.ExitStack()
         self._queueing = _queueing.Queueing(context)
         self._submissions = _submissions.Submissions(context, self._queueing)
-        self._queries = _queries.Queries(context)
+        self._queries = _queries.Queries(context, self._queueing)
         self._attempt_reports = _attempt_reports.AttemptReports(
             context, self._queueing, timers
         )
--- a/dandeliondrum/controller/_queries.py
+++ b/dandeliondrum/controller/_queries.py
@@ -1,12 +1,15 @@
 """Status queries and cancellation of tasks."""
 
 import concurrent.futures
+import functools
 import typing
 
 from returns import result
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _pending
+from dandeliondrum.controller import _queueing
 from dandeliondrum.controller import _state
 from dandeliondrum import messages
 from dandeliondrum import rules as rules_lib
@@ -16,8 +19,11 @@
 class Queries:
     """Answers status queries and cancellations on behalf of the leader."""
 
-    def __init__(self, context: _context.Context) -> None:
+    def __init__(
+        self, context: _context.Context, queueing: _queueing.Queueing
+    ) -> None:
         self._context = context
+        self._queueing = queueing
 
     def query(
         self, call: messages.QueryTasks
@@ -90,17 +96,33 @@
             task_id for task_id in call.task_ids if task_id.startswith(prefix)
         )
         with context.lock:
-            for task_id in own_ids:
-                context.drop_pending(task_id)
+            dropped = self._drop_pending(own_ids)
         committed = context.propose(
             messages.CancelTasks(context.now_ms(), own_ids, call.team_id)
         )
-        return utils.map_future(committed, self._on_cancelled)
+        return utils.map_future(
+            committed, functools.partial(self._on_cancelled, dropped)
+        )
+
+    def _drop_pending(
+        self, task_ids: tuple[messages.TaskId, ...]
+    ) -> list[_pending.PendingEntry]:
+        context = self._context
+        entries = [context.pending.get(task_id) for task_id in task_ids]
+        return [
+            entry
+            for entry in entries
+            if entry is not None and context.drop_pending(entry.spec.task_id)
+        ]
 
     def _on_cancelled(
-        self, outcome: result.Result[typing.Any, consensus.ProposeError]
+        self,
+        dropped: list[_pending.PendingEntry],
+        outcome: result.Result[typing.Any, consensus.ProposeError],
     ) -> typing.Any:
         if isinstance(outcome, result.Failure):
+            # A task that was cancelled after all is not assigned.
+            self._queueing.requeue(dropped)
             return messages.CallFailed(outcome.failure().failure.value, False)
         statuses = outcome.unwrap()
         with self._context.lock:
--- a/dandeliondrum/controller/_queueing.py
+++ b/dandeliondrum/controller/_queueing.py
@@ -65,12 +65,24 @@
             frozenset(task.failed_workers),
             is_retry=task.attempts_count > 0,
         )
-        outcome = context.add_pending(entry)
+        self._add(entry)
+
+    def requeue(
+        self, entries: collections.abc.Iterable[_pending.PendingEntry]
+    ) -> None:
+        """Add tasks that were dropped for a command that was not applied."""
+        with self._context.lock:
+            for entry in entries:
+                if entry.spec.task_id not in self._context.pending:
+                    self._add(entry)
+
+    def _add(self, entry: _pending.PendingEntry) -> None:
+        outcome = self._context.add_pending(entry)
         if isinstance(outcome, result.Failure):
             self.refuse_pending(
                 [
                     _task_outcomes.refusal(
-                        spec,
+                        entry.spec,
                         messages.RefusalReason.NEVER_FITS,
                         outcome.failure().detail,
                     )
--- /dev/null
+++ b/dandeliondrum/controller/tests/test_queries.py
@@ -0,0 +1,51 @@
+"""Cancellation of tasks."""
+
+import pytest
+
+from dandeliondrum.controller import _operators
+from dandeliondrum.controller.tests import builders
+from dandeliondrum.controller.tests import test_heartbeats
+from dandeliondrum import messages
+
+
+@pytest.fixture
+def leader(monkeypatch):
+    leader = test_heartbeats.SingleWorkerLeader()
+    leader.context = leader.leadership.context
+    grants = _operators.team_grants(leader.state.rules)
+    leader.context.planner.set_teams(grants)
+    monkeypatch.setattr(
+        leader.leadership._queries, '_check_key', lambda *_: None
+    )
+    return leader
+
+
+def _accept(leader):
+    """Return the specification of an accepted task that waits."""
+    spec = builders.spec('t', durable=True)
+    admit = messages.AdmitTasks(0, (messages.Admission(spec, b''),))
+    leader.log.propose(messages.encode(admit))
+    leader.leadership._queueing.enqueue_recorded([spec.task_id])
+    return spec
+
+
+def _cancel(leader, spec):
+    call = messages.CancelCall((spec.task_id,), spec.team_id, '')
+    return leader.leadership._queries.cancel(call).result(0)
+
+
+def test_a_task_whose_cancellation_is_not_recorded_still_waits(leader):
+    """Regression test: the accepted task was neither run nor refused."""
+    spec = _accept(leader)
+    leader.log.refuses = True
+    assert isinstance(_cancel(leader, spec), messages.CallFailed)
+    assert spec.task_id in leader.context.pending
+    plan = leader.context.planner.plan(leader.context.now_ms(), 10)
+    assert [each.task_id for each in plan.groups[0]] == [spec.task_id]
+
+
+def test_a_cancelled_task_waits_no_more(leader):
+    spec = _accept(leader)
+    (status,) = _cancel(leader, spec).statuses
+    assert status.state is messages.TaskState.CANCELLED
+    assert spec.task_id not in leader.context.pending
