Renew the leases of workers while the log commits no ends

Callers: with a log that takes longer than a lease for a commit, running work was killed and started again.

Cause: the thread that renews a worker's lease also recorded the ends that it had read, and waited for the commit of the batch before and for its own, up to 5 s each.

The thread now waits for a commit at most as long as for a reply of the worker (half a second, or a third of a lease if that is less), and then renews the lease and reads the lists again; it records nothing new meanwhile. A commit that takes longer is finished by a task of the supervisor, so there is one more thread only then. Ends are acknowledged as before: after their commit, and only right after a reply that listed them for the current incarnation. An end that commits after a restart of its worker changes no number of the new incarnation. The runs of a worker are known, and it gets a lease, once its lists are read, not only once its ends are committed.

test_leases_are_renewed_while_the_log_commits_nothing failed before: no renewal within 30 s of a log that commits nothing. The other new tests are about the new interface and can't run on the code before.

Ruled out: to commit all batches in tasks.

--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -7,6 +7,7 @@
 import structlog
 
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _end_recorder
 from dandeliondrum.jobs import _lease
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _port
@@ -28,6 +29,11 @@
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Commit ends of runs to the log; return whether that succeeded."""
 
+    def begin_record(
+        self, ends: tuple[_commands.RunEnd, ...]
+    ) -> _end_recorder.Recording:
+        """Begin to commit ends; the caller has to wait for the outcome."""
+
     def assigned(
         self, worker_id: messages.WorkerId
     ) -> dict[_specs.TaskKey, int]:
@@ -141,9 +147,13 @@
         """Record ends and remove their orders; return whether it succeeded."""
         if ends and not self.events.record(ends):
             return False
+        self.forget(ends)
+        return True
+
+    def forget(self, ends: tuple[_commands.RunEnd, ...]) -> None:
+        """Remove the orders of runs whose ends are recorded."""
         for end in ends:
             self.orders.forget(end.task, end.run)
-        return True
 
     def close(self) -> None:
         """Stop the threads that serve the worker."""
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -12,6 +12,7 @@
 
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _end_recorder
 from dandeliondrum.jobs import _lease
 from dandeliondrum.jobs import _order_sender
 from dandeliondrum.jobs import _peer_state
@@ -46,6 +47,20 @@
     lease_max_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Recording:
+    """Ends that are being committed.
+
+    ``number`` is the highest number of an end that the worker listed with
+    them in its incarnation ``started_ms``.
+    """
+
+    commit: _end_recorder.Recording
+    ends: tuple[_commands.RunEnd, ...]
+    number: int
+    started_ms: int
+
+
 class WorkerPeer:
     """Manages one worker while this process leads.
 
@@ -84,6 +99,7 @@
         # and the number to acknowledge with the next read, 0 for none.
         self._recorded_number = 0
         self._acknowledged = 0
+        self._recording: _Recording | None = None
         self._leaving = False
         self._last_reply_ms: int | None = None
         self._first_read = True
@@ -199,15 +215,18 @@
         forget ends that nobody has read.
         """
         read_only = self._first_read or not self._state.is_responding
-        wait_ms = min(
-            LIST_WAIT_MAX_MS, self._options.lease_ms // RENEWALS_PER_LEASE
-        )
+        at_once = read_only or self._is_idle or self._recording is not None
         return _port.LeaseRequest(
             self.facts,
             self._state.token,
             self._acknowledged,
             None if read_only else self._state.lease_until_ms(),
-            0 if read_only or self._is_idle else wait_ms,
+            0 if at_once else self._list_wait_ms(),
+        )
+
+    def _list_wait_ms(self) -> int:
+        return min(
+            LIST_WAIT_MAX_MS, self._options.lease_ms // RENEWALS_PER_LEASE
         )
 
     def _handle_lists(
@@ -227,19 +246,46 @@
             if request.token != self._state.token:
                 return True
             self._state.lease.update_clock(lists.clock_ms)
-        if not self._reconcile(number, lists):
-            return False
+        self._reconcile(number, lists)
         with self._lock:
-            # A worker that has started again numbers its ends anew.
-            if request.worker.started_ms == self._state.facts.started_ms:
-                self._acknowledged = max(
-                    (item.sequence for item in lists.ends), default=0
-                )
             # The runs of the worker, and so its free resources, are known
             # only now.
             first, self._first_read = self._first_read, False
         if first:
             self._events.request_round()
+        is_recorded = self._await_recording()
+        with self._lock:
+            # A worker that has started again numbers its ends anew.
+            if request.worker.started_ms == self._state.facts.started_ms:
+                self._acknowledged = max(
+                    (
+                        item.sequence
+                        for item in lists.ends
+                        if item.sequence <= self._recorded_number
+                    ),
+                    default=0,
+                )
+        return is_recorded
+
+    def _await_recording(self) -> bool:
+        """Wait for the log, at most until the next renewal of the lease.
+
+        Return False if the log has refused the ends.
+        """
+        recording, self._recording = self._recording, None
+        if recording is None:
+            return True
+        is_recorded = recording.commit.wait(self._list_wait_ms() / 1000)
+        if is_recorded is None:
+            self._recording = recording
+        if not is_recorded:
+            self._is_idle = False
+            return is_recorded is None
+        self._state.forget(recording.ends)
+        if recording.started_ms == self._worker_started_ms:
+            self._recorded_number = max(
+                self._recorded_number, recording.number
+            )
         return True
 
     def _handle_restart(self, lists: _port.WorkerListing) -> None:
@@ -261,8 +307,11 @@
         self._recorded_number = 0
         self._state.lease.update_clock(lists.clock_ms)
 
-    def _reconcile(self, number: int, lists: _port.WorkerListing) -> bool:
-        """Compare the lists with the assigned runs and record the ends."""
+    def _reconcile(self, number: int, lists: _port.WorkerListing) -> None:
+        """Compare the lists with the assigned runs and record the ends.
+
+        While the log commits ends, further ones are left to later reads.
+        """
         assigned = self._events.assigned(self.facts.worker_id)
         listed = {(item.task, item.run): item for item in lists.runs}
         ended = {(item.end.task, item.end.run) for item in lists.ends}
@@ -285,18 +334,20 @@
         misplaced = self._events.misplaced(self.facts.worker_id, lists)
         for task, run in [*unassigned, *obsolete, *misplaced]:
             self.orders.stop(task, run)
-        if not self._state.record(tuple(ends)):
-            return False
         with self._lock:
             if bool(unassigned) != bool(self._unassigned_count):
                 self._events.request_round()
             self._unassigned_count = len(unassigned)
-            numbers = [item.sequence for item in lists.ends]
-            self._recorded_number = max(self._recorded_number, *numbers, 0)
+        if ends and self._recording is None:
+            self._recording = _Recording(
+                self._events.begin_record(tuple(ends)),
+                tuple(ends),
+                max((item.sequence for item in lists.ends), default=0),
+                self._worker_started_ms,
+            )
         still_assigned = assigned.keys() - {end.task for end in ends}
         # Ends that were listed are acknowledged by the next read, at once.
         self._is_idle = not (still_assigned or listed or lists.ends)
-        return True
 
     def _lost(self, task: _specs.TaskKey, run: int) -> _commands.RunEnd:
         checkpoint = self.orders.checkpoint(task)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -9,6 +9,7 @@
 from returns import result
 import structlog
 
+from dandeliondrum import consensus
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
@@ -26,8 +27,9 @@
 from dandeliondrum import utils
 
 # Sufficient for 500 workers, each with a thread that reads its lists and the
-# orders under way to it, plus the scheduler.
-PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 1
+# orders under way to it, plus the scheduler, a slow commit of ends and the
+# effects of others.
+PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 4
 CHECK_INTERVAL_MS = 1_000
 # A worker without runs that has not reported for this long is removed.
 REMOVE_AFTER_MS = 20_000
@@ -57,7 +59,9 @@
         # Start time and sequence of the reports with the facts of the peers.
         self._facts_sequences: dict[messages.WorkerId, tuple[int, int]] = {}
         self._closed = False
-        self._end_recorder = _end_recorder.EndRecorder(self._commit_ends)
+        self._end_recorder = _end_recorder.EndRecorder(
+            self._commit_ends, supervisor, _term.PROPOSE_TIMEOUT_MS
+        )
 
     def restore(self) -> list[messages.WorkerId]:
         """Start the peers of workers in the replicated state without one.
@@ -84,6 +88,7 @@
             peers = list(self._term.peers.values())
         for peer in peers:
             peer.close()
+        self._end_recorder.close()
 
     def acknowledge(
         self, report: _calls.WorkerReport
@@ -333,6 +338,12 @@
         """Commit ends to the log, then update health and stop broken gangs."""
         return self._end_recorder.record(ends)
 
+    def begin_record(
+        self, ends: tuple[_commands.RunEnd, ...]
+    ) -> _end_recorder.Recording:
+        """Begin to commit ends; the caller has to wait for the outcome."""
+        return self._end_recorder.begin(ends)
+
     def misplaced(
         self, worker_id: messages.WorkerId, lists: _port.WorkerListing
     ) -> list[tuple[_specs.TaskKey, int]]:
@@ -453,13 +464,21 @@
 
     def _commit_ends(
         self, ends: tuple[_commands.RunEnd, ...]
-    ) -> _end_recorder.Effects | None:
+    ) -> _end_recorder.Committed:
         workers = self._workers_of(ends)
-        outcome = self._term.commit(_commands.EndRuns(ends))
-        if isinstance(outcome, result.Failure):
-            _logger.warning('ends not recorded', why=str(outcome.failure()))
-            return None
-        return functools.partial(self._handle_ends, ends, workers)
+
+        def make_effects(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> _end_recorder.Effects | None:
+            if isinstance(outcome, result.Failure):
+                _logger.warning(
+                    'ends not recorded', why=str(outcome.failure())
+                )
+                return None
+            return functools.partial(self._handle_ends, ends, workers)
+
+        proposed = self._term.propose(_commands.EndRuns(ends))
+        return utils.map_future(proposed, make_effects)
 
     def _handle_ends(
         self,
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -21,6 +21,16 @@
 TIMEOUT_S = 20
 
 
+@dataclasses.dataclass
+class FakeRecording:
+    """Ends that are committed if ``recorded``, refused if it is False."""
+
+    recorded: bool | None = None
+
+    def wait(self, timeout_s):
+        return self.recorded
+
+
 class FakeLeader:
     """Leader that records ends in a local state machine, without a log."""
 
@@ -68,6 +78,9 @@
             ]
         return True
 
+    def begin_record(self, ends):
+        return FakeRecording(self.record(ends))
+
     def assigned(self, worker_id):
         with self.machine.state.lock:
             return dict(self.machine.state.workers[worker_id].runs)
@@ -339,6 +352,89 @@
     assert [request.acknowledged_number for request in requests] == 4 * [0]
 
 
+class PendingLog:
+    """Log that commits ends when the test says so."""
+
+    def __init__(self, leader):
+        self.batches = []
+        self.recordings = []
+        self._record = leader.record
+        leader.begin_record = self._begin_record
+
+    def _begin_record(self, ends):
+        self.batches.append(ends)
+        self.recordings.append(FakeRecording())
+        return self.recordings[-1]
+
+    def commit(self, index):
+        """Commit a batch."""
+        self.recordings[index].recorded = self._record(self.batches[index])
+
+
+def test_ends_are_not_acknowledged_before_they_are_committed(worker):
+    leader = FakeLeader(worker, lease_ms=60)
+    leader.submit('j', helpers.step(2))
+    requests = _record_reads(leader)
+    log, peer = PendingLog(leader), leader.peer
+    assert peer._read_once()
+    assert peer._read_once()
+    run(leader, 'j.0.0.0')
+    assert peer._read_once()
+    run(leader, 'j.0.0.1')
+    assert peer._read_once()
+    assert [len(ends) for ends in log.batches] == [1]
+    log.commit(0)
+    assert peer._read_once()
+    assert [request.acknowledged_number for request in requests] == 5 * [0]
+    assert peer._read_once()
+    assert requests[-1].acknowledged_number == 1
+    assert [len(ends) for ends in log.batches] == [1, 1]
+    log.commit(1)
+    assert peer._read_once()
+    assert peer._read_once()
+    assert requests[-1].acknowledged_number == 2
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE'), ('j.0.0.1', 1, 'DONE')]
+
+
+def test_ends_that_the_log_refuses_late_are_recorded_again(worker):
+    leader = FakeLeader(worker, lease_ms=60)
+    leader.submit('j', helpers.step())
+    log, peer = PendingLog(leader), leader.peer
+    assert peer._read_once()
+    assert peer._read_once()
+    run(leader, 'j.0.0.0')
+    assert peer._read_once()
+    log.recordings[0].recorded = False
+    assert not peer._read_once()
+    assert peer._read_once()
+    log.commit(1)
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
+
+
+def test_ends_committed_after_a_restart_acknowledge_none_of_the_new(worker):
+    """The ends of the new incarnation have the numbers of the old ones."""
+    leader = FakeLeader(worker, lease_ms=60)
+    leader.submit('j', helpers.step(2))
+    requests = _record_reads(leader)
+    log, peer = PendingLog(leader), leader.peer
+    assert peer._read_once()
+    assert peer._read_once()
+    run(leader, 'j.0.0.0')
+    assert peer._read_once()
+    worker.restart()
+    run(leader, 'j.0.0.1')
+    assert peer._read_once()
+    log.commit(0)
+    assert peer._read_once()
+    assert peer._read_once()
+    assert [request.acknowledged_number for request in requests] == 6 * [0]
+    log.commit(1)
+    assert peer._read_once()
+    assert peer._read_once()
+    assert requests[-1].acknowledged_number == 1
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE'), ('j.0.0.1', 1, 'DONE')]
+
+
 def test_another_incarnation_at_the_address_ends_all_runs(worker):
     worker.run_ms = 60_000
     leader = FakeLeader(worker)
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -10,6 +10,7 @@
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import _workers
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
@@ -99,6 +100,44 @@
     leader.wait_usable()
 
 
+def _start(leader, task):
+    """Assign a run without the log and send its start order."""
+    key = jobs.parse_task_key(task)
+    orders = leader.peer().orders
+    orders.plan(key, _orders.Order(1, 'payload', '', ''))
+    assert leader.machine.assign(task)
+    orders.dispatch(key)
+
+
+def test_leases_are_renewed_while_the_log_commits_nothing(leader, monkeypatch):
+    monkeypatch.setattr(_term, 'PROPOSE_TIMEOUT_MS', 60_000)
+    worker, node = leader.worker, leader.node
+    leader.machine(_commands.SubmitJob(helpers.job('k', helpers.step())))
+    leader.report()
+    leader.wait_usable()
+    worker.run_ms = 60_000
+    _start(leader, 'k.0.0.0')
+    testing.wait_until(worker.running)
+    node.holds = True
+    worker.run_ms = 1
+    try:
+        _start(leader, 'j.0.0.0')
+        testing.wait_until(
+            lambda: isinstance(node.commands[-1], _commands.EndRuns)
+        )
+        for _ in range(5):
+            lease_ms = worker._lease_ms
+            testing.wait_until(
+                lambda until_ms=lease_ms: worker._lease_ms > until_ms
+            )
+        assert worker._ends
+    finally:
+        node.holds = False
+        node.release()
+    testing.wait_until(lambda: not worker._ends)
+    assert leader.phase() is _records.TaskPhase.DONE
+
+
 @pytest.fixture
 def audit(leader, monkeypatch):
     monkeypatch.setattr(_orders, 'STUCK_AFTER_MS', 50)
