Do not pause a worker for a start whose lease expired on the way

Callers: free workers got no tasks for 0.1 to 1.6 s because the leader, or the way to them, was slow. That is when the capacity is needed most.

Cause: a worker that refuses a start as LEASE_PASSED was paused like one without room. The refusal has two causes: the clock of the worker is not what the leader takes it for, so that all starts would be refused; or the start has been on its way for longer than its lease. By the leader's estimate of the worker's clock when the refusal arrives, the lease has expired only in the second case. The worker is not paused then. The line 'start refused' says `was_late`.

test_a_start_that_arrives_after_its_lease_does_not_pause_the_worker failed before: w1 was paused. A worker that refuses timely starts is paused as before (test_a_worker_whose_clock_refuses_a_timely_start_is_paused and test_a_worker_that_refuses_all_starts_does_not_hold_a_task).

Ruled out: a loop without a pause. A late start was sent when the worker answered, with a lease that is longer than the timeout of the call, and a worker that does not answer is given no tasks. In controller/ a start that reaches its worker late is reported as never started, which does not count against the worker, so there is nothing to change.

77 tests of the peer, of workers and of cells pass.

--- a/dandeliondrum/jobs/_lease.py
+++ b/dandeliondrum/jobs/_lease.py
@@ -42,6 +42,10 @@
         self._granted_ms = now_ms + self._clock_offset_ms + self._lease_ms
         return self._granted_ms
 
+    def left_ms(self, until_ms: int) -> int:
+        """Return the time left until ``until_ms`` on the worker's clock."""
+        return until_ms - _clock.elapsed_ms() - self._clock_offset_ms
+
     def granted_ms(self) -> int:
         """Return the end of the newest lease on the worker's clock."""
         return self._granted_ms
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -6,6 +6,7 @@
 import structlog
 
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _lease
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _peer_state
 from dandeliondrum.jobs import _port
@@ -118,7 +119,7 @@
                 self._settle(order)
                 state.handle_replacement(request.worker)
             case _port.Refused(reason):
-                self._handle_refusal(task, order, reason)
+                self._handle_refusal(request, order, reason)
             case _port.Unanswered(sent, detail):
                 self._handle_unanswered_start(task, order, sent, detail)
                 stopping.wait(RETRY_DELAY_MS / 1000)
@@ -144,20 +145,26 @@
 
     def _handle_refusal(
         self,
-        task: _specs.TaskKey,
+        request: _port.StartOrder,
         order: _orders.Order,
         reason: _port.Refusal,
     ) -> None:
-        worker_id = self._state.facts.worker_id
+        task, worker_id = request.task, self._state.facts.worker_id
+        was_late = (
+            reason is _port.Refusal.LEASE_PASSED
+            and self._state.lease.left_ms(request.lease_until_ms)
+            <= _lease.EXPIRY_MARGIN_MS
+        )
         _logger.info(
             'start refused',
             worker=worker_id,
             task=str(task),
             run=order.run,
             why=reason.value,
+            was_late=was_late,
             sends_count=order.sends_count,
         )
-        self._state.events.refused(worker_id, task, reason)
+        self._state.events.refused(worker_id, task, reason, was_late)
         if order.sends_count == 1:
             # No other start order of this run is in flight, so it can never
             # start.
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -54,8 +54,12 @@
         worker_id: messages.WorkerId,
         task: _specs.TaskKey,
         reason: _port.Refusal,
+        was_late: bool,
     ) -> None:
-        """Handle a start order that a worker refused."""
+        """Handle a start order that a worker refused.
+
+        ``was_late`` tells that its lease had expired on the way.
+        """
 
     def worker_replaced(self, worker_id: messages.WorkerId) -> None:
         """Remove a worker that another incarnation has replaced."""
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -395,8 +395,12 @@
         worker_id: messages.WorkerId,
         task: _specs.TaskKey,
         reason: _port.Refusal,
+        was_late: bool,
     ) -> None:
-        """Handle a start order that a worker refused."""
+        """Handle a start order that a worker refused.
+
+        A worker is not to blame for an order that reached it late.
+        """
         term = self._term
         term.metrics.refused.labels(reason.value).inc()
         with term.lock:
@@ -404,6 +408,8 @@
                 case _port.Refusal.NO_TICKET:
                     name = _specs.step_name(task.job_id, task.step)
                     term.advice.expire_ticket(name, worker_id)
+                case _port.Refusal.LEASE_PASSED if was_late:
+                    pass
                 case _port.Refusal.UNHEALTHY:
                     term.health.suspend(worker_id, _clock.elapsed_ms())
                 case (
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -98,7 +98,7 @@
         """Return nothing; progress is tested elsewhere."""
         return []
 
-    def refused(self, worker_id, task, reason):
+    def refused(self, worker_id, task, reason, was_late):
         self.refusals.append(reason)
 
     def worker_replaced(self, worker_id):
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -138,6 +138,44 @@
     assert leader.phase() is _records.TaskPhase.DONE
 
 
+def _refuse_starts(leader, start):
+    """Replace the start of runs; return the ids of the workers paused."""
+    paused_ids = []
+    leader.term.health.record_refusal = lambda worker_id, now_ms: (
+        paused_ids.append(worker_id)
+    )
+    leader.term.port.start = start
+    return paused_ids
+
+
+def test_a_start_that_arrives_after_its_lease_does_not_pause_the_worker(
+    leader,
+):
+    worker = leader.worker
+
+    def start_late(order):
+        testing.wait_until(lambda: worker._clock_ms() > order.lease_until_ms)
+        return worker.start(order)
+
+    leader.report()
+    leader.wait_usable()
+    paused_ids = _refuse_starts(leader, start_late)
+    _start(leader, 'j.0.0.0')
+    testing.wait_until(lambda: leader.phase() is _records.TaskPhase.WAITING)
+    assert worker.starts == [] and paused_ids == []
+
+
+def test_a_worker_whose_clock_refuses_a_timely_start_is_paused(leader):
+    leader.report()
+    leader.wait_usable()
+    paused_ids = _refuse_starts(
+        leader, lambda order: jobs.Refused(jobs.Refusal.LEASE_PASSED)
+    )
+    _start(leader, 'j.0.0.0')
+    testing.wait_until(lambda: leader.phase() is _records.TaskPhase.WAITING)
+    assert paused_ids == [W1]
+
+
 @pytest.fixture
 def audit(leader, monkeypatch):
     monkeypatch.setattr(_orders, 'STUCK_AFTER_MS', 50)
