--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -9,6 +9,7 @@
 from returns import result
 import structlog
 
+from dandeliondrum import consensus
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
@@ -26,8 +27,9 @@
 from dandeliondrum import utils
 
 # Sufficient for 500 workers, each with a thread that reads its lists and the
-# orders under way to it, plus the scheduler.
-PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 1
+# orders under way to it, plus the scheduler, a slow commit of ends and the
+# effects of others.
+PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 4
 CHECK_INTERVAL_MS = 1_000
 # A worker without runs that has not reported for this long is removed.
 REMOVE_AFTER_MS = 20_000
@@ -57,7 +59,9 @@
         # Start time and sequence of the reports with the facts of the peers.
         self._facts_sequences: dict[messages.WorkerId, tuple[int, int]] = {}
         self._closed = False
-        self._end_recorder = _end_recorder.EndRecorder(self._commit_ends)
+        self._end_recorder = _end_recorder.EndRecorder(
+            self._commit_ends, supervisor, _term.PROPOSE_TIMEOUT_MS
+        )
 
     def restore(self) -> list[messages.WorkerId]:
         """Start the peers of workers in the replicated state without one.
@@ -84,6 +88,7 @@
             peers = list(self._term.peers.values())
         for peer in peers:
             peer.close()
+        self._end_recorder.close()
 
     def acknowledge(
         self, report: _calls.WorkerReport
@@ -336,6 +341,12 @@
         """Commit ends to the log, then update health and stop broken gangs."""
         return self._end_recorder.record(ends)
 
+    def begin_record(
+        self, ends: tuple[_commands.RunEnd, ...]
+    ) -> _end_recorder.Recording:
+        """Begin to commit ends; the caller has to wait for the outcome."""
+        return self._end_recorder.begin(ends)
+
     def misplaced(
         self, worker_id: messages.WorkerId, lists: _port.WorkerListing
     ) -> list[tuple[_specs.TaskKey, int]]:
@@ -387,8 +398,12 @@
         worker_id: messages.WorkerId,
         task: _specs.TaskKey,
         reason: _port.Refusal,
+        was_late: bool,
     ) -> None:
-        """Handle a start order that a worker refused."""
+        """Handle a start order that a worker refused.
+
+        A worker is not to blame for an order that reached it late.
+        """
         term = self._term
         term.metrics.refused.labels(reason.value).inc()
         with term.lock:
@@ -396,6 +411,8 @@
                 case _port.Refusal.NO_TICKET:
                     name = _specs.step_name(task.job_id, task.step)
                     term.advice.expire_ticket(name, worker_id)
+                case _port.Refusal.LEASE_PASSED if was_late:
+                    pass
                 case _port.Refusal.UNHEALTHY:
                     term.health.suspend(worker_id, _clock.elapsed_ms())
                 case (
@@ -456,13 +473,21 @@
 
     def _commit_ends(
         self, ends: tuple[_commands.RunEnd, ...]
-    ) -> _end_recorder.Effects | None:
+    ) -> _end_recorder.Committed:
         workers = self._workers_of(ends)
-        outcome = self._term.commit(_commands.EndRuns(ends))
-        if isinstance(outcome, result.Failure):
-            _logger.warning('ends not recorded', why=str(outcome.failure()))
-            return None
-        return functools.partial(self._handle_ends, ends, workers)
+
+        def make_effects(
+            outcome: result.Result[typing.Any, consensus.ProposeError],
+        ) -> _end_recorder.Effects | None:
+            if isinstance(outcome, result.Failure):
+                _logger.warning(
+                    'ends not recorded', why=str(outcome.failure())
+                )
+                return None
+            return functools.partial(self._handle_ends, ends, workers)
+
+        proposed = self._term.propose(_commands.EndRuns(ends))
+        return utils.map_future(proposed, make_effects)
 
     def _handle_ends(
         self,
