Compare the end of an attempt with a clock read before the thaw

Cause: test_a_thawed_worker_stops_an_attempt_whose_lease_expired compared the end of the attempt with the end of the outage, which Processes.thaw reads after SIGCONT. That is an upper bound of the end of the freeze; a worker that runs on at once may record the end of the attempt before it.

Change: the test reads the clock before it thaws and compares with that. It is as strict: the lease has to expire within the freeze, before the thaw, and the attempt has to end after the thaw. The recorded end of the outage must not be before the thaw, which is checked besides. The checker keeps the upper bound, which Outage describes now.

--- a/dandeliondrum/testing/_history.py
+++ b/dandeliondrum/testing/_history.py
@@ -104,6 +104,8 @@
     """A kill of a process, or a period in which it was frozen.
 
     ``name`` is the name of the process; for a worker it is the worker id.
+    ``from_ms`` is read before a freeze and ``until_ms`` after its end, so the
+    process may have run at both ends of the period.
     """
 
     name: str
--- a/dandeliondrum/testing/tests/test_processes.py
+++ b/dandeliondrum/testing/tests/test_processes.py
@@ -236,6 +236,7 @@
     assert reply.status == 202
     worker_process.processes.freeze('w1')
     time.sleep(1.25 * LEASE_MS / 1000)
+    thawed_ms = worker.now_ms()
     worker_process.processes.thaw('w1')
     assert (
         worker_process.client.fetch('team/a#1', wait_ms=TIMEOUT_MS).state
@@ -245,7 +246,8 @@
     (frozen,) = worker_process.processes.outages
     assert end.reason == 'lease'
     assert end.state is messages.AttemptState.STOPPED
-    assert frozen.from_ms < end.expired_ms < frozen.until_ms < end.at_ms
+    assert frozen.from_ms < end.expired_ms < thawed_ms < end.at_ms
+    assert thawed_ms <= frozen.until_ms
     assert worker_process.check() == ()
 
 
