Pause a worker that rejects a start as invalid

A worker that answered a start with 400 was neither paused nor avoided. The run was recorded as never started, and the next round could choose the same worker: two log entries for each round, without end, and no start elsewhere.

It is now paused like one without room. OLD_RUN is left as it is: the next run has a higher number.

The test of a timely start that is refused now has this reason as well; with it, it failed before (no worker was paused).

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -419,6 +419,7 @@
                     _port.Refusal.NO_ROOM
                     | _port.Refusal.LEASE_PASSED
                     | _port.Refusal.FENCED
+                    | _port.Refusal.INVALID
                 ):
                     term.health.record_refusal(worker_id, _clock.elapsed_ms())
 
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -166,12 +166,19 @@
     assert worker.starts == [] and paused_ids == []
 
 
-def test_a_worker_whose_clock_refuses_a_timely_start_is_paused(leader):
+@pytest.mark.parametrize(
+    'reason',
+    [
+        # Its clock is not what the leader takes it for.
+        jobs.Refusal.LEASE_PASSED,
+        # Regression: the next round sent it the same task again.
+        jobs.Refusal.INVALID,
+    ],
+)
+def test_a_worker_that_refuses_a_timely_start_is_paused(leader, reason):
     leader.report()
     leader.wait_usable()
-    paused_ids = _refuse_starts(
-        leader, lambda order: jobs.Refused(jobs.Refusal.LEASE_PASSED)
-    )
+    paused_ids = _refuse_starts(leader, lambda order: jobs.Refused(reason))
     _start(leader, 'j.0.0.0')
     testing.wait_until(lambda: leader.phase() is _records.TaskPhase.WAITING)
     assert paused_ids == [W1]
