Keep the stream of a gateway whose heartbeat a full log can't confirm

Callers: when the log or the disk of the leader was full and its contact with the quorum was late, all gateways lost their streams, so that calls under way ended in doubt, and all searched for a leader and registered again, which needs a quorum each.

Cause: such a heartbeat is answered once a quorum has confirmed the leadership, and a log without room refuses confirmations as it does commands. The product's own engine answered NotLeader. The engine for jobs answered that the call failed, but the gateway closes its stream upon any answer but a heartbeat's.

Both engines now refuse with a time to retry (one second), also the heartbeats of workers in the product's own engine, and the gateway keeps its stream and sends the next heartbeat after that time. Such a refusal doesn't count as an answer: the gateway is not ready, and its policy grows old. Any other refusal ends the stream as before, for instance that of a leader that does not know the gateway.

Not changed: a gateway can't register while the log refuses confirmations. Confirmations that need no room in the log would answer both, but their number is bounded only by that refusal.

--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -18,6 +18,9 @@
 from dandeliondrum import placement
 from dandeliondrum import utils
 
+# Delay of a call that the log can't confirm for now.
+RETRY_AFTER_MS = 1_000
+
 ProposalFuture = concurrent.futures.Future[
     result.Result[typing.Any, consensus.ProposeError]
 ]
@@ -76,15 +79,15 @@
 
         ``function`` makes the reply once a quorum has confirmed the
         leadership; without that the reply is NotLeader. The contact with the
-        quorum may be late for a moment only, and to refuse a call then would
-        make the gateways search for a leader.
+        quorum may be late for a moment only, and the log may accept nothing
+        for now. NotLeader would then make the gateways search for a leader.
         """
 
         def answer(
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
-                return messages.NotLeader()
+                return _unconfirmed_reply(outcome.failure())
             return function()
 
         return utils.map_future(self.node.confirm_leadership(), answer)
@@ -124,3 +127,15 @@
             return False
         self.pending.remove(task_id)
         return True
+
+
+def _unconfirmed_reply(error: consensus.ProposeError) -> typing.Any:
+    match error.failure:
+        case (
+            consensus.ProposeFailure.OVERLOADED
+            | consensus.ProposeFailure.STORAGE_FULL
+        ):
+            return messages.CallFailed(
+                str(error.failure.value), True, RETRY_AFTER_MS
+            )
+    return messages.NotLeader()
--- a/dandeliondrum/controller/tests/test_registration.py
+++ b/dandeliondrum/controller/tests/test_registration.py
@@ -11,6 +11,7 @@
 from dandeliondrum.controller.tests import builders
 from dandeliondrum.controller.tests import test_worker_sizes
 from dandeliondrum import messages
+from dandeliondrum import utils
 
 GATEWAY = messages.GatewayId('g1')
 
@@ -136,6 +137,27 @@
     assert isinstance(reply.result(0), messages.GatewayHeartbeatReply)
 
 
+@pytest.mark.parametrize(
+    'failure',
+    [
+        consensus.ProposeFailure.OVERLOADED,
+        consensus.ProposeFailure.STORAGE_FULL,
+    ],
+)
+def test_a_leader_with_a_full_log_refuses_a_heartbeat_only_for_now(
+    leader, monkeypatch, failure
+):
+    """Otherwise the gateway closes its stream and searches for a leader."""
+    connection = _registered(leader)
+    node = leader.context.node
+    monkeypatch.setattr(node, 'is_leading', lambda: False, raising=False)
+    error = consensus.ProposeError(failure, never_committed=True)
+    node.confirmation = utils.completed_future(result.Failure(error))
+    reply = leader.leadership.handle_call(connection, HEARTBEAT).result(0)
+    assert isinstance(reply, messages.CallFailed)
+    assert reply.not_done and reply.retry_after_ms
+
+
 def test_a_deposed_leader_refuses_a_heartbeat_of_a_gateway(
     leader, monkeypatch
 ):
--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -2,7 +2,8 @@
 
 A background thread finds the leader, registers with it and sends heartbeats.
 If a heartbeat is not answered in time, the stream is closed even if it still
-looks healthy, and the other controllers are tried.
+looks healthy, and the other controllers are tried. A leader that refuses a
+heartbeat for now, with a time to retry, keeps its stream.
 """
 
 import collections
@@ -371,6 +372,7 @@
     ) -> messages.NotLeader | None:
         while not stopping.is_set() and not self._closed:
             heartbeat = messages.GatewayHeartbeat(self.rules.version)
+            pause_ms = HEARTBEAT_INTERVAL_MS
             match stream.call(heartbeat, HEARTBEAT_TIMEOUT_MS):
                 case result.Success(messages.GatewayHeartbeatReply() as reply):
                     self._answered_ms = utils.monotonic_ms()
@@ -379,6 +381,16 @@
                         self._members = _candidates(reply.controllers)
                 case result.Success(messages.NotLeader() as other):
                     return other
+                case result.Success(
+                    messages.CallFailed(reason=why, retry_after_ms=retry_ms)
+                ) if retry_ms:
+                    _logger.info(
+                        'heartbeat refused',
+                        controller=candidate.controller_id,
+                        why=why,
+                        retry_after_ms=retry_ms,
+                    )
+                    pause_ms = retry_ms
                 case other:
                     _logger.warning(
                         'leader lost',
@@ -388,7 +400,7 @@
                     if _is_timeout(other):
                         self._mark_unresponsive(candidate)
                     return None
-            stream.closed.wait(HEARTBEAT_INTERVAL_MS / 1000)
+            stream.closed.wait(pause_ms / 1000)
         return None
 
     def _on_push(
--- a/dandeliondrum/gateway/tests/fakes.py
+++ b/dandeliondrum/gateway/tests/fakes.py
@@ -65,6 +65,7 @@
         """Clear the received messages and restore the default replies."""
         self.received = []
         self.silent = False
+        self.heartbeat_refusal = None
         self.not_leader = None
         self.members = ()
         self.on_submit = self.queue_all
@@ -125,6 +126,8 @@
                 )
             case messages.GatewayHeartbeat() if self.silent:
                 return transport.CallFuture()
+            case messages.GatewayHeartbeat() if self.heartbeat_refusal:
+                return self.heartbeat_refusal
             case messages.GatewayHeartbeat():
                 return messages.GatewayHeartbeatReply(
                     self._term, messages.RulesVersion(3), self.members
--- a/dandeliondrum/gateway/tests/test_leader_link.py
+++ b/dandeliondrum/gateway/tests/test_leader_link.py
@@ -84,6 +84,37 @@
     return leader.received_of(messages.GatewayHeartbeat)
 
 
+def refuse_heartbeats(leader, refusal):
+    """Refuse all heartbeats until the leader has got three more calls."""
+    leader.heartbeat_refusal = refusal
+    count = len(leader.received)
+    fakes.wait_until(lambda: len(leader.received) >= count + 3)
+    leader.heartbeat_refusal = None
+
+
+def test_a_leader_that_refuses_heartbeats_for_now_is_not_given_up(controllers):
+    """The log of the leader is full, so it can't confirm that it leads."""
+    leader, *_ = controllers
+    with running_link(leader.address) as link:
+        fakes.wait_until(link.is_up)
+        refuse_heartbeats(leader, messages.CallFailed('overloaded', True, 20))
+        count = len(heartbeats_of(leader))
+        fakes.wait_until(lambda: len(heartbeats_of(leader)) > count + 1)
+        assert link.is_answering()
+    assert registrations_count(leader) == 1
+
+
+def test_a_leader_that_does_not_know_the_gateway_is_registered_with_again(
+    controllers,
+):
+    leader, *_ = controllers
+    with running_link(leader.address) as link:
+        fakes.wait_until(link.is_up)
+        refuse_heartbeats(leader, messages.CallFailed('not registered', True))
+        fakes.wait_until(link.is_answering)
+    assert registrations_count(leader) > 1
+
+
 def test_a_leader_that_was_never_configured_is_found(controllers):
     """All configured controllers have been replaced and shut down."""
     first, added, _ = controllers
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -141,9 +141,11 @@
         def reply(
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
-            if isinstance(outcome, result.Failure):
-                return _replies.failure_reply(outcome.failure())
-            return self._handle_as_leader(connection, message)
+            if isinstance(outcome, result.Success):
+                return self._handle_as_leader(connection, message)
+            if isinstance(message, messages.GatewayHeartbeat):
+                return _replies.heartbeat_refusal(outcome.failure())
+            return _replies.failure_reply(outcome.failure())
 
         return utils.chain_future(self._term.node.confirm_leadership(), reply)
 
--- a/dandeliondrum/jobs/_replies.py
+++ b/dandeliondrum/jobs/_replies.py
@@ -1,4 +1,4 @@
-"""Replies of the leader to calls whose command was not committed."""
+"""Replies of the leader to calls that the log has refused."""
 
 import typing
 
@@ -7,6 +7,25 @@
 from dandeliondrum import messages
 
 
+def heartbeat_refusal(error: consensus.ProposeError) -> typing.Any:
+    """Return the reply to a heartbeat that a quorum has not confirmed.
+
+    A leader whose log accepts nothing for now may still lead, so the gateway
+    keeps its stream and sends the next heartbeat later.
+    """
+    match error.failure:
+        case (
+            consensus.ProposeFailure.OVERLOADED
+            | consensus.ProposeFailure.STORAGE_FULL
+        ):
+            return messages.CallFailed(
+                str(error.failure.value),
+                True,
+                _admission.RETRY_AFTER_MIN_MS,
+            )
+    return failure_reply(error)
+
+
 def failure_reply(error: consensus.ProposeError) -> typing.Any:
     """Return a reply that tells whether the command may still be applied.
 
--- a/dandeliondrum/jobs/tests/test_replies.py
+++ b/dandeliondrum/jobs/tests/test_replies.py
@@ -64,6 +64,17 @@
     assert not isinstance(reply, messages.NotLeader)
 
 
+def test_a_heartbeat_that_a_full_log_can_not_confirm_is_to_be_sent_later(
+    full_log,
+):
+    """Otherwise the gateway closes its stream and searches for a leader."""
+    full_log.node.is_leading = lambda: False
+    heartbeat = messages.GatewayHeartbeat(messages.RulesVersion(1))
+    reply = _leadership_of(full_log).handle(None, heartbeat).result()
+    assert isinstance(reply, messages.CallFailed)
+    assert reply.not_done and reply.retry_after_ms
+
+
 def test_a_submission_that_a_full_log_refuses_does_not_close_the_stream(
     full_log,
 ):
