Do not count a transfer of leadership as a brief leader

Callers: after a planned restart of a leader that had led for less than 5 s, or of several controllers in turn, the loss of the next leader was noticed only after twice to four times the election timeout (up to 2.4 s), and nothing was accepted until then.

Cause: the timeouts of elections double when a leader is followed by another one soon, since a leader short of processor time is deposed and its successors are, too. A leader that transferred its leadership was not deposed, but counted as such. The successor knows that its election was requested, and the voters learn it from its vote requests; they keep their timeouts now. A node that gets no vote request still counts the transfer. No message changes.

A voter withholds its vote for at least one election timeout as before, since the timeouts are only kept and never shortened by this.

test_a_transfer_soon_after_an_election_keeps_the_timeouts and test_the_successor_in_a_transfer_keeps_its_timeouts failed before: the timeouts were doubled.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -121,6 +121,9 @@
         new_term = entered_term.result(TERM_WRITE_TIMEOUT_S)
         if new_term is None:
             return
+        if transfer:
+            with state.lock:
+                state.transfer_term = new_term
         ballot = _progress.Ballot(new_term, False, transfer)
         if self._collect_votes(ballot):
             self._become_leader(new_term)
--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -111,6 +111,9 @@
                     state.yield_to_candidate(message.candidate_id)
             return _messages.VoteReply(state.term, granted)
         if message.term > state.term:
+            if message.transfer:
+                with state.lock:
+                    state.transfer_term = message.term
             self._enter_term(message.term, '')
         if message.term < state.term or not self._is_log_up_to_date(message):
             return _messages.VoteReply(state.term, False)
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -79,6 +79,8 @@
             self.leader_contact_ns = options.started_ns
         self.election_deadline_ns = 0
         self.election_backoff = 1
+        # Term of the newest election that a leader has requested.
+        self.transfer_term = 0
         self._led_term = 0
         self._led_since_ns = 0
         self.election_requested = False
@@ -168,7 +170,8 @@
         A leader that is short of processor time sends late. Its successor
         takes over the same load, so it would be deposed in turn, and nothing
         would be served between the elections. A leader that lasts ends this,
-        for itself as for its followers.
+        for itself as for its followers. A leader that transferred its
+        leadership was not deposed.
         """
         now_ns = time.monotonic_ns()
         brief_ns = (
@@ -178,11 +181,12 @@
         )
         is_brief = now_ns - self._led_since_ns < brief_ns
         if self.term != self._led_term:
-            self.election_backoff = (
-                min(2 * self.election_backoff, ELECTION_BACKOFF_MAX)
-                if self._led_term and is_brief
-                else 1
-            )
+            if not self._led_term or not is_brief:
+                self.election_backoff = 1
+            elif self.term != self.transfer_term:
+                self.election_backoff = min(
+                    2 * self.election_backoff, ELECTION_BACKOFF_MAX
+                )
             self._led_term, self._led_since_ns = self.term, now_ns
         elif not is_brief:
             self.election_backoff = 1
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -204,3 +204,32 @@
     with state.lock:
         _election.Election(state)._check_quorum()
     assert state.election_backoff == 1
+
+
+def test_a_transfer_soon_after_an_election_keeps_the_timeouts(tmp_path, clock):
+    opened = open_state(tmp_path)
+    follow(opened.state, 1)
+    assert vote(opened, tmp_path, term=2, transfer=True).granted
+    follow(opened.state, 2)
+    assert opened.state.election_backoff == 1
+    follow(opened.state, 3)
+    assert opened.state.election_backoff == 2
+
+
+def test_the_successor_in_a_transfer_keeps_its_timeouts(
+    tmp_path, clock, monkeypatch
+):
+    state = open_state(tmp_path).state
+    follow(state, 1)
+
+    def enter_term(work):
+        state.term = 2
+        work.entered_term.set_result(2)
+
+    election = _election.Election(state)
+    monkeypatch.setattr(election, '_collect_votes', lambda _: True)
+    monkeypatch.setattr(state, 'enqueue_work', enter_term)
+    monkeypatch.setattr(state, 'is_voter', lambda: True)
+    election._run_election(True)
+    assert state.is_leader()
+    assert state.election_backoff == 1
