--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -27,21 +27,60 @@
 
     def __init__(self, state: _state.NodeState) -> None:
         self._state = state
+        # Until when messages may be unhandled because this process was late,
+        # and the last contact when that was noticed.
+        self._late_until_ns = 0
+        self._late_contact_ns = 0
 
     def run(self, stopping: threading.Event) -> None:
         """Run the election timer and quorum checks until the node closes."""
-        state = self._state
         while not stopping.is_set():
-            with state.lock:
-                self._expire_pending_proposals()
-                if state.is_leader():
-                    self._check_quorum()
-                election_due = self._is_election_due()
-                transfer = state.election_requested
-                if not election_due:
-                    state.election_condition.wait(self._wait_timeout_s())
-            if election_due:
-                self._run_election(transfer)
+            self._step()
+
+    def _step(self) -> None:
+        state = self._state
+        with state.lock:
+            self._expire_pending_proposals()
+            if state.is_leader():
+                self._check_quorum()
+            election_due = self._is_election_due()
+            transfer = state.election_requested
+            if not election_due:
+                self._wait(self._wait_timeout_s())
+        if election_due:
+            self._run_election(transfer)
+
+    def _wait(self, timeout_s: float) -> None:
+        """Wait and notice if this thread is woken late.
+
+        Then the threads that handle messages may be late, too: what seems to
+        be the silence of the others may be this process's own. They get as
+        long as this thread was late to handle what has arrived, at most the
+        shortest election timeout. A process that is always late gets that
+        once for each silence, so that a lost leader is still missed.
+        """
+        options = self._state.options
+        due_ns = time.monotonic_ns() + int(timeout_s * 1e9)
+        self._state.election_condition.wait(timeout_s)
+        now_ns = time.monotonic_ns()
+        late_ns = now_ns - due_ns
+        contact_ns = self._contact_ns()
+        if contact_ns == self._late_contact_ns:
+            return
+        if late_ns >= options.heartbeat_ms * _progress.NS_PER_MS:
+            limit_ns = options.election_min_ms * _progress.NS_PER_MS
+            self._late_until_ns = now_ns + min(late_ns, limit_ns)
+            self._late_contact_ns = contact_ns
+
+    def _contact_ns(self) -> int:
+        """Return when the leader, or its quorum, was last heard."""
+        state = self._state
+        if state.is_leader():
+            return max(state.quorum_contact_ns(), state.elected_ns)
+        return state.leader_contact_ns
+
+    def _may_have_unhandled(self) -> bool:
+        return time.monotonic_ns() < self._late_until_ns
 
     def _wait_timeout_s(self) -> float:
         state = self._state
@@ -56,10 +95,11 @@
             return False
         if not state.is_voter():
             return False
-        return (
-            state.election_requested
-            or time.monotonic_ns() >= state.election_deadline_ns
-        )
+        if state.election_requested:
+            return True
+        if self._may_have_unhandled():
+            return False
+        return time.monotonic_ns() >= state.election_deadline_ns
 
     def _check_quorum(self) -> None:
         """Step down after the longest election timeout without a quorum.
@@ -74,8 +114,8 @@
             * state.options.election_max_ms
             * _progress.NS_PER_MS
         )
-        answered_ns = max(state.quorum_contact_ns(), state.elected_ns)
-        if now_ns - answered_ns > limit_ns:
+        silent_ns = now_ns - self._contact_ns()
+        if silent_ns > limit_ns and not self._may_have_unhandled():
             _logger.warning('no quorum answers', term=state.term)
             state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
@@ -117,7 +157,9 @@
             return
         entered_term: concurrent.futures.Future[int | None]
         entered_term = concurrent.futures.Future()
-        state.enqueue_work(_work_items.StartElection(term, entered_term))
+        state.enqueue_work(
+            _work_items.StartElection(term, transfer, entered_term)
+        )
         new_term = entered_term.result(TERM_WRITE_TIMEOUT_S)
         if new_term is None:
             return
@@ -131,8 +173,8 @@
     def _collect_votes(self, ballot: _progress.Ballot) -> bool:
         """Request votes for a ballot and wait; True when it is won."""
         state = self._state
-        limit_ms = state.options.election_min_ms
-        end_ns = time.monotonic_ns() + limit_ms * _progress.NS_PER_MS
+        limit_ns = state.ballot_timeout_ms(ballot) * _progress.NS_PER_MS
+        end_ns = time.monotonic_ns() + limit_ns
         expected_term = ballot.term - 1 if ballot.pre_vote else ballot.term
         with state.lock:
             if state.term != expected_term or state.is_leader():
--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -8,6 +8,7 @@
 import time
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _files
 from dandeliondrum import messages
 from dandeliondrum import transport
 
@@ -143,6 +144,32 @@
             stream.close()
 
 
+class BlockingSync(_files.Files):
+    """Files whose syncs block until ``released`` is set."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.released.set()
+        self.waiting = threading.Event()
+
+    def sync(self, descriptor):
+        if not self.released.is_set():
+            self.waiting.set()
+        self.released.wait(TIMEOUT_S)
+        super().sync(descriptor)
+
+
+class SlowSync(_files.Files):
+    """Files whose syncs take at least ``delay_ms``."""
+
+    def __init__(self):
+        self.delay_ms = 0
+
+    def sync(self, descriptor):
+        time.sleep(self.delay_ms / 1000)
+        super().sync(descriptor)
+
+
 @dataclasses.dataclass
 class RunningNode:
     """A started node with its state machine, listener and server."""
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -1,6 +1,9 @@
 """Unit tests of the steps of an election."""
 
+import concurrent.futures
+import math
 import pathlib
+import threading
 import time
 
 import pytest
@@ -8,9 +11,12 @@
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _election
 from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _hard_state
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _progress
+from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _recovery
+from dandeliondrum.consensus import _work_items
 from dandeliondrum.consensus import _writer
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum import messages
@@ -42,6 +48,28 @@
     assert opened.state.election_deadline_ns > time.monotonic_ns()
 
 
+def queued_election(opened, folder, transfer=False):
+    """Return the term that an election enters after the leader was heard."""
+    entered = concurrent.futures.Future()
+    with opened.state.lock:
+        opened.state.record_leader_contact(CANDIDATE)
+    make_writer(opened, folder)._process_batch(
+        [_work_items.StartElection(opened.state.term, transfer, entered)]
+    )
+    return entered.result(0)
+
+
+def test_a_leader_heard_while_an_election_is_queued_is_not_deposed(tmp_path):
+    opened = open_state(tmp_path)
+    assert queued_election(opened, tmp_path) is None
+    assert opened.state.term == 0
+
+
+def test_a_transfer_is_not_held_up_by_the_leader_that_is_heard(tmp_path):
+    opened = open_state(tmp_path)
+    assert queued_election(opened, tmp_path, transfer=True) == 1
+
+
 def test_a_leader_that_is_heard_ends_a_pre_vote(tmp_path):
     state = open_state(tmp_path).state
     state.ballot = _progress.Ballot(1, pre_vote=True, transfer=False)
@@ -75,6 +103,17 @@
     assert vote(reopened, tmp_path).granted
 
 
+def test_a_vote_in_a_later_term_is_written_once(tmp_path, monkeypatch):
+    opened = open_state(tmp_path)
+    opened.state.leader_contact_ns = 0
+    written = []
+    monkeypatch.setattr(
+        _hard_state, 'save', lambda _files, _path, saved: written.append(saved)
+    )
+    assert vote(opened, tmp_path, term=7).granted
+    assert written == [_hard_state.HardState(7, CANDIDATE)]
+
+
 def test_no_vote_for_another_disk_or_while_a_leader_is_heard(tmp_path):
     opened = open_state(tmp_path)
     # The node has just started, so a leader may still count its last reply
@@ -233,3 +272,78 @@
     election._run_election(True)
     assert state.is_leader()
     assert state.election_backoff == 1
+
+
+class LateCondition:
+    """Condition whose waits end late by the given times, in milliseconds."""
+
+    def __init__(self, clock, late_ms, stopping):
+        self._clock = clock
+        self._late_ms = list(late_ms)
+        self._stopping = stopping
+
+    def wait(self, timeout_s):
+        if not self._late_ms:
+            self._stopping.set()
+            return
+        waited_ms = math.ceil(timeout_s * 1_000)
+        self._clock.now_ms += waited_ms + self._late_ms.pop(0)
+
+
+@pytest.fixture
+def starts_election(tmp_path, clock, monkeypatch):
+    """Return a function that runs a voter whose waits end late.
+
+    It returns whether the voter has started an election by then.
+    """
+    state = open_state(tmp_path).state
+    members = (
+        _messages.Member(state.node_id, 'unused:1', state.disk_id),
+        _messages.Member(CANDIDATE, 'unused:1', 'disk'),
+    )
+    membership = messages.encode(_messages.Membership(members))
+    state.history.add(
+        [_records.make(1, 1, _records.EntryKind.MEMBERSHIP, membership)]
+    )
+
+    def run(*late_ms):
+        follow(state, 1)
+        stopping, started = threading.Event(), threading.Event()
+        state.election_condition = LateCondition(clock, late_ms, stopping)
+
+        def run_election(_transfer):
+            started.set()
+            stopping.set()
+
+        election = _election.Election(state)
+        monkeypatch.setattr(election, '_run_election', run_election)
+        election.run(stopping)
+        return started.is_set()
+
+    return run
+
+
+def test_a_late_voter_handles_what_has_arrived_before_an_election(
+    starts_election,
+):
+    assert not starts_election(500)
+
+
+def test_a_late_voter_misses_a_lost_leader_in_the_end(starts_election):
+    assert starts_election(500, 0, 0, 0, 0, 0, 0)
+    assert starts_election(*[500] * 7)
+
+
+def test_a_voter_that_is_always_late_misses_a_lost_leader_in_time(
+    starts_election, clock
+):
+    began_ms, late_ms = clock.now_ms, 110
+    assert starts_election(*[late_ms] * 100)
+    election_max_ms = consensus.Options.election_max_ms
+    assert clock.now_ms - began_ms <= election_max_ms + 4 * late_ms
+
+
+def test_a_voter_that_is_not_late_misses_a_lost_leader_at_once(
+    starts_election,
+):
+    assert starts_election(0)
