Keep the stream to a late leader while looking for its successor

Callers: if the leader answered heartbeats more than 500 ms late, all calls that it had received ended in doubt or were sent again, and all gateways registered with it again at the same moment, each of which needs a quorum. That added to the load that had made it late.

Cause: a gateway closed the stream upon a late heartbeat, before it knew whether another leader existed.

A gateway now sends no more calls to a late leader and searches for its successor at the same time as before, but closes the stream only once the successor is found, or if no answer has arrived 700 ms later. That is when the silent controller was tried again before, too. If the answer arrives by then, the gateway goes on without a registration, and the calls that the leader has received are answered. Meanwhile calls are refused as not sent, and the gateway is not ready, as before.

test_a_leader_that_answers_late_is_not_given_up failed before: the call under way failed as CLOSED and the gateway registered a second time. The other two new tests guard what must not change: a silent leader is given up, and calls to it fail once its successor is found. They passed before as well.

The test that a successor is found within 0.8 s passes.

Not shown: what it gains in a cell.

246 tests of gateway/ and of the calls, cells and reports in jobs/ pass.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -1,9 +1,12 @@
 """Stream to the leading controller.
 
 A background thread finds the leader, registers with it and sends heartbeats.
-If a heartbeat is not answered in time, the stream is closed even if it still
-looks healthy, and the other controllers are tried. A leader that refuses a
-heartbeat for now, with a time to retry, keeps its stream.
+If a heartbeat is not answered in time, no more calls are sent and the other
+controllers are tried, even if the stream still looks healthy. It is closed as
+soon as another leader is found, or if the answer does not arrive at all: a
+leader that is only slow need not be registered with again, and the calls that
+it has received are answered. A leader that refuses a heartbeat for now, with
+a time to retry, keeps its stream.
 """
 
 import collections
@@ -90,6 +93,20 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class _LateLeader:
+    """A leader whose answer to a heartbeat is late, but may still arrive."""
+
+    candidate: _Candidate
+    stream: transport.Connection
+    answer: transport.CallFuture
+    expiry_ms: int
+
+    def is_due(self) -> bool:
+        """Return whether it has answered or can't be waited for any more."""
+        return self.answer.done() or utils.monotonic_ms() >= self.expiry_ms
+
+
 class LeaderLink:
     """Keeps a registered stream to the current leader."""
 
@@ -109,6 +126,7 @@
         self._lock = threading.Lock()
         self._current: transport.Connection | None = None
         self._connecting: transport.Connection | None = None
+        self._late_leader: _LateLeader | None = None
         self._last_leader: _Candidate | None = None
         # Addresses of unresponsive controllers, with the end of the skip time.
         self._skip_until_ms: dict[str, int] = {}
@@ -127,15 +145,21 @@
 
     def run(self, stopping: threading.Event) -> None:
         """Search for the leader and serve it until ``stopping`` is set."""
-        while not stopping.is_set() and not self._closed:
-            self._search(stopping)
-            stopping.wait(ROUND_PAUSE_MS / 1000)
+        try:
+            while not stopping.is_set() and not self._closed:
+                self._search(stopping)
+                self._resume_late_leader(stopping)
+                stopping.wait(ROUND_PAUSE_MS / 1000)
+        finally:
+            self._close_late_leader()
 
     def close(self) -> None:
         """Close the stream; pending calls fail."""
         with self._lock:
             self._closed = True
-            streams = (self._current, self._connecting)
+            streams = [self._current, self._connecting]
+            if self._late_leader is not None:
+                streams.append(self._late_leader.stream)
         for stream in streams:
             if stream is not None:
                 stream.close()
@@ -185,12 +209,7 @@
         self, message: typing.Any, timeout_ms: int
     ) -> result.Result[typing.Any, transport.CallError]:
         """Send a call and wait for its reply."""
-        try:
-            return self.call_async(message).result(timeout_ms / 1000)
-        except concurrent.futures.TimeoutError:
-            return result.Failure(
-                transport.CallError(transport.CallFailure.TIMEOUT)
-            )
+        return _wait(self.call_async(message), timeout_ms)
 
     def _forward_reply(
         self,
@@ -213,6 +232,8 @@
         tried: set[str] = set()
         while waiting and not stopping.is_set() and not self._closed:
             candidate = waiting.popleft()
+            if self._late_leader is not None and self._late_leader.is_due():
+                return
             if candidate.address in tried:
                 continue
             tried.add(candidate.address)
@@ -231,9 +252,12 @@
 
         A controller that recently did not answer would block the search until
         a timeout, so it is skipped while a successor is being elected, unless
-        no other one is left.
+        no other one is left. A leader whose answer is late is not tried.
         """
         known = self._known_controllers()
+        if self._late_leader is not None:
+            late = self._late_leader.candidate
+            known = [one for one in known if one != late]
         now_ms = utils.monotonic_ms()
         others = [
             one
@@ -308,13 +332,47 @@
                 return None
             return self._register_and_serve(candidate, stream, stopping)
         finally:
-            with self._lock:
-                if self._current is not None:
-                    self._down_since_ms = utils.monotonic_ms()
-                self._current = None
-                self._connecting = None
+            self._leave(stream)
+
+    def _leave(self, stream: transport.Connection) -> None:
+        """Send no more calls; close the stream unless an answer is late."""
+        late = self._late_leader
+        with self._lock:
+            if self._current is not None:
+                self._down_since_ms = utils.monotonic_ms()
+            self._current = None
+            self._connecting = None
+        if late is None or late.stream is not stream:
             stream.close()
 
+    def _resume_late_leader(self, stopping: threading.Event) -> None:
+        """Use the stream of a leader again that has answered after all."""
+        late = self._late_leader
+        if late is None or not late.is_due():
+            return
+        if not late.answer.done() or not _is_leading(late.answer.result()):
+            self._close_late_leader()
+            return
+        _logger.info(
+            'late leader answers', controller=late.candidate.controller_id
+        )
+        with self._lock:
+            self._late_leader = None
+            self._current = late.stream
+        try:
+            self._events.on_leader_found()
+            self._send_heartbeats(
+                late.candidate, late.stream, stopping, late.answer
+            )
+        finally:
+            self._leave(late.stream)
+
+    def _close_late_leader(self) -> None:
+        with self._lock:
+            late, self._late_leader = self._late_leader, None
+        if late is not None:
+            late.stream.close()
+
     def _register_and_serve(
         self,
         candidate: _Candidate,
@@ -357,6 +415,7 @@
         self._last_leader = candidate
         with self._lock:
             self._current = stream
+        self._close_late_leader()
         _logger.info(
             'leader found',
             controller=candidate.controller_id,
@@ -369,11 +428,14 @@
         candidate: _Candidate,
         stream: transport.Connection,
         stopping: threading.Event,
+        first_answer: transport.CallFuture | None = None,
     ) -> messages.NotLeader | None:
         while not stopping.is_set() and not self._closed:
             heartbeat = messages.GatewayHeartbeat(self.rules.version)
+            answer = first_answer or stream.call_async(heartbeat)
+            first_answer = None
             pause_ms = HEARTBEAT_INTERVAL_MS
-            match stream.call(heartbeat, HEARTBEAT_TIMEOUT_MS):
+            match _wait(answer, HEARTBEAT_TIMEOUT_MS):
                 case result.Success(messages.GatewayHeartbeatReply() as reply):
                     self._answered_ms = utils.monotonic_ms()
                     self.term = reply.term
@@ -399,10 +461,23 @@
                     )
                     if _is_timeout(other):
                         self._mark_unresponsive(candidate)
+                        self._set_late_leader(candidate, stream, answer)
                     return None
             stream.closed.wait(pause_ms / 1000)
         return None
 
+    def _set_late_leader(
+        self,
+        candidate: _Candidate,
+        stream: transport.Connection,
+        answer: transport.CallFuture,
+    ) -> None:
+        expiry_ms = utils.monotonic_ms() + UNRESPONSIVE_SKIP_MS
+        with self._lock:
+            self._late_leader = _LateLeader(
+                candidate, stream, answer, expiry_ms
+            )
+
     def _on_push(
         self, _stream: transport.Connection, message: typing.Any
     ) -> None:
@@ -434,6 +509,30 @@
     )
 
 
+def _wait(
+    answer: transport.CallFuture, timeout_ms: int
+) -> result.Result[typing.Any, transport.CallError]:
+    try:
+        return answer.result(timeout_ms / 1000)
+    except concurrent.futures.TimeoutError:
+        return result.Failure(
+            transport.CallError(transport.CallFailure.TIMEOUT)
+        )
+
+
+def _is_leading(
+    answer: result.Result[typing.Any, transport.CallError],
+) -> bool:
+    """Return whether a leader has answered or refused a heartbeat."""
+    match answer:
+        case result.Success(messages.GatewayHeartbeatReply()):
+            return True
+        case result.Success(messages.CallFailed(retry_after_ms=retry_ms)):
+            return retry_ms > 0
+        case _:
+            return False
+
+
 def _is_timeout(outcome: result.Result[typing.Any, typing.Any]) -> bool:
     match outcome:
         case result.Failure(transport.CallError(failure=failure)):
--- a/dandeliondrum/gateway/tests/test_leader_link.py
+++ b/dandeliondrum/gateway/tests/test_leader_link.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from returns import result
 
 from dandeliondrum.gateway import _active_rules
 from dandeliondrum.gateway import _leader_link
@@ -19,14 +20,25 @@
 
 
 class FreezableLeader(fakes.Leader):
-    """Leader that accepts connections but never answers once frozen."""
+    """Leader that accepts connections but does not answer while frozen."""
 
-    frozen = False
+    def __init__(self, name):
+        super().__init__(name)
+        self.frozen = False
+        self._unanswered = []
+
+    def answer_late(self):
+        """Answer the calls that arrived while frozen, and all later ones."""
+        self.frozen = False
+        for connection, message, reply in self._unanswered:
+            reply.set_result(super()._on_call(connection, message))
 
     def _on_call(self, connection, message):
         if self.frozen:
             self.received.append(message)
-            return transport.CallFuture()
+            reply = transport.CallFuture()
+            self._unanswered.append((connection, message, reply))
+            return reply
         return super()._on_call(connection, message)
 
 
@@ -84,6 +96,60 @@
     return leader.received_of(messages.GatewayHeartbeat)
 
 
+def submit(link):
+    """Return the future of a submission without tasks."""
+    return link.call_async(messages.SubmitTasks((), (), ''))
+
+
+def test_a_leader_that_answers_late_is_not_given_up(controllers, monkeypatch):
+    """The calls that it has received are answered, none is sent again."""
+    monkeypatch.setattr(_leader_link, 'UNRESPONSIVE_SKIP_MS', 20_000)
+    leader, follower, _ = controllers
+    follower.not_leader = messages.NotLeader(messages.ControllerId('c1'))
+    with running_link(leader.address, follower.address) as link:
+        fakes.wait_until(link.is_up)
+        leader.frozen = True
+        submitted = submit(link)
+        fakes.wait_until(lambda: not link.is_up())
+        # Meanwhile the link looks for a successor and sends no more calls.
+        fakes.wait_until(lambda: registrations_count(follower) > 1)
+        unsent = submit(link).result(fakes.WAIT_S).failure()
+        assert unsent.failure is transport.CallFailure.NOT_SENT
+        leader.answer_late()
+        fakes.wait_until(link.is_answering)
+        assert isinstance(submitted.result(fakes.WAIT_S), result.Success)
+        assert isinstance(submit(link).result(fakes.WAIT_S), result.Success)
+    assert registrations_count(leader) == 1
+
+
+def test_a_leader_that_does_not_answer_at_all_is_given_up(
+    controllers, monkeypatch
+):
+    monkeypatch.setattr(_leader_link, 'UNRESPONSIVE_SKIP_MS', 50)
+    leader, *_ = controllers
+    with running_link(leader.address) as link:
+        fakes.wait_until(link.is_up)
+        leader.silent = True
+        fakes.wait_until(lambda: registrations_count(leader) > 1)
+        leader.silent = False
+        fakes.wait_until(link.is_answering)
+
+
+def test_calls_to_a_late_leader_fail_once_its_successor_is_found(
+    controllers, monkeypatch
+):
+    """They are then sent again to the successor."""
+    monkeypatch.setattr(_leader_link, 'UNRESPONSIVE_SKIP_MS', 20_000)
+    leader, successor, _ = controllers
+    with running_link(leader.address, successor.address) as link:
+        fakes.wait_until(link.is_up)
+        leader.frozen = True
+        submitted = submit(link)
+        fakes.wait_until(lambda: heartbeats_of(successor))
+        failure = submitted.result(fakes.WAIT_S).failure()
+        assert failure.failure is transport.CallFailure.CLOSED
+
+
 def refuse_heartbeats(leader, refusal):
     """Refuse all heartbeats until the leader has got three more calls."""
     leader.heartbeat_refusal = refusal
