Answer heartbeats of workers while the leader plans

Callers of the product's own engine: while a leader made long plans, running work was killed because its lease was not renewed, and gateways gave the leader up, since their heartbeats come over the same connection.

Cause: heartbeats of workers took the lock that is held while a plan is made, for what the leader remembers of workers and attempts.

What heartbeats need is now protected by the lock of the replicated state, which no plan holds: when workers were heard, which of them are silent, answers to release, uncertain attempts, stops requested, and the retry budget. A worker's announcement that it leaves is proposed after the lock of the state is released: its callback updates the planner, and a log that refuses calls it at once. It has nothing to update then.

Failed before (no answer within 3 s): test_a_worker_is_answered_while_a_plan_holds_the_lock (an end, a failure that is retried), test_a_worker_that_leaves_is_answered_while_a_plan_holds_the_lock and test_a_worker_heard_first_during_a_plan_gets_tasks_after_it.

Still waiting for plans: other calls of a gateway, such as submissions, which are handled by the thread that reads its connection, so heartbeats that arrive behind them wait, too.

--- a/dandeliondrum/controller/_attempt_reports.py
+++ b/dandeliondrum/controller/_attempt_reports.py
@@ -35,7 +35,7 @@
 
     ``stop_requested`` holds the attempts that workers are asked to stop. The
     request is repeated in every heartbeat reply until the end of the attempt
-    is committed.
+    is committed. It is protected by the lock of the replicated state.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
     ) -> None:
         """Commit ends of attempts; uncertain ones wait for a heartbeat."""
         ended = []
-        with self._context.lock:
+        with self._context.state.lock:
             for report in reports:
                 match report.state:
                     case messages.AttemptState.UNCERTAIN:
@@ -84,8 +84,7 @@
         The gateway and the worker may both report the same failure; the
         budget is charged only once.
         """
-        with self._context.state.lock:
-            task = self._context.state.task_of_attempt(report.attempt_id)
+        task = self._context.state.task_of_attempt(report.attempt_id)
         if task is None or not task.spec.idempotent:
             return report
         if report.attempt_id not in self._retry_delays_ms:
@@ -109,7 +108,7 @@
         )
         # A gateway reports an end only once, so the worker's heartbeats have
         # to settle the attempt.
-        with self._context.lock:
+        with self._context.state.lock:
             for report in reports:
                 self._uncertain.setdefault(report.attempt_id, 0)
 
@@ -149,9 +148,11 @@
 
     def preempt(self, task_id: messages.TaskId, _reason: str) -> None:
         """Ask the worker to stop a running task; it is then queued again."""
-        task = self._context.state.tasks.get(task_id)
-        if task is not None and task.attempt is not None:
-            self.stop_requested.add(task.attempt.attempt_id)
+        state = self._context.state
+        with state.lock:
+            task = state.tasks.get(task_id)
+            if task is not None and task.attempt is not None:
+                self.stop_requested.add(task.attempt.attempt_id)
 
     def gateway_lost(self, gateway_id: messages.GatewayId) -> None:
         """Mark attempts uncertain that a lost gateway may not have started."""
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -31,7 +31,8 @@
 
     ``lock`` protects everything except the replicated state, which has a
     lock of its own. Code that needs both takes ``lock`` first. No code waits
-    for the log while it holds ``lock``.
+    for the log while it holds ``lock``. It is held while a plan is made, so
+    what heartbeats need is protected by the lock of the state instead.
     """
 
     def __init__(
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -38,15 +38,18 @@
     ) -> None:
         self._context = context
         self._attempt_reports = attempt_reports
+        # These are protected by the lock of the replicated state.
         self._last_heartbeat_ms: dict[messages.WorkerId, int] = {}
         self._silent: set[messages.WorkerId] = set()
+        self._answers_to_release: dict[
+            messages.WorkerId, list[messages.AttemptId]
+        ] = {}
+        # Workers heard from again of which the planner does not know yet.
+        self._heard_again: set[messages.WorkerId] = set()
         self._quarantined: frozenset[messages.WorkerId] = frozenset()
         self._excluded_by_rules: frozenset[messages.WorkerId] = frozenset()
         self._silence_from_ms = utils.monotonic_ms()
         self._checked_ms = self._silence_from_ms
-        self._answers_to_release: dict[
-            messages.WorkerId, list[messages.AttemptId]
-        ] = {}
         self._sizes = _worker_sizes.WorkerSizes()
 
     def last_heard_ms(self, worker_id: messages.WorkerId) -> int:
@@ -74,7 +77,7 @@
                 return messages.CallFailed(
                     outcome.failure().failure.value, False
                 )
-            with context.lock:
+            with context.state.lock:
                 self._last_heartbeat_ms[call.facts.worker_id] = (
                     utils.monotonic_ms()
                 )
@@ -151,12 +154,18 @@
     def _handle_as_leader(self, call: messages.WorkerHeartbeats) -> typing.Any:
         context = self._context
         reports: list[messages.AttemptReport] = []
-        with context.lock, context.state.lock:
+        leaving: list[_records.WorkerRecord] = []
+        with context.state.lock:
             replies = tuple(
-                self._handle_one(heartbeat, reports)
+                self._handle_one(heartbeat, reports, leaving)
                 for heartbeat in call.heartbeats
             )
+        for worker in leaving:
+            self.set_state(
+                worker, messages.WorkerState.LEAVING, 'the worker leaves'
+            )
         self._attempt_reports.report(reports)
+        self._refresh_if_idle()
         # Checked again, because the process may have been suspended after
         # the first check. A late reply never prolongs a lease: a worker
         # counts its lease from the time at which it sent the heartbeat.
@@ -168,6 +177,7 @@
         self,
         heartbeat: messages.WorkerHeartbeat,
         reports: list[messages.AttemptReport],
+        leaving: list[_records.WorkerRecord],
     ) -> messages.WorkerHeartbeatReply:
         worker = self._context.state.workers.get(heartbeat.worker_id)
         if worker is None or worker.facts.incarnation != heartbeat.incarnation:
@@ -178,14 +188,12 @@
         self._last_heartbeat_ms[heartbeat.worker_id] = utils.monotonic_ms()
         if is_new or heartbeat.worker_id in self._silent:
             self._silent.discard(heartbeat.worker_id)
-            self.refresh(heartbeat.worker_id)
+            self._heard_again.add(heartbeat.worker_id)
         if (
             heartbeat.leaving
             and worker.state is not messages.WorkerState.LEAVING
         ):
-            self.set_state(
-                worker, messages.WorkerState.LEAVING, 'the worker leaves'
-            )
+            leaving.append(worker)
         acknowledged = self._process_ended(worker, heartbeat, reports)
         stop = self._attempts_to_stop(worker, heartbeat)
         acknowledged += self._process_fenced(worker, heartbeat, reports)
@@ -198,6 +206,21 @@
             ),
         )
 
+    def _refresh_if_idle(self) -> None:
+        """Update the planner, or leave it to the next check while it plans."""
+        lock = self._context.lock
+        if self._heard_again and lock.acquire(blocking=False):
+            try:
+                self._refresh_heard_again()
+            finally:
+                lock.release()
+
+    def _refresh_heard_again(self) -> None:
+        with self._context.state.lock:
+            heard_again, self._heard_again = self._heard_again, set()
+        for worker_id in heard_again:
+            self.refresh(worker_id)
+
     def _process_ended(
         self,
         worker: _records.WorkerRecord,
@@ -282,14 +305,23 @@
             reason,
         )
         proposed = self._context.propose(command)
-        proposed.add_done_callback(lambda _: self.refresh(facts.worker_id))
+
+        def finish(done: _context.ProposalFuture) -> None:
+            outcome = done.result()
+            if (
+                isinstance(outcome, result.Success)
+                or not outcome.failure().never_committed
+            ):
+                self.refresh(facts.worker_id)
+
+        proposed.add_done_callback(finish)
         return proposed
 
     def release(
         self, tasks: collections.abc.Iterable[_records.TaskRecord]
     ) -> None:
         """Ask workers to delete answers, in their next heartbeat replies."""
-        with self._context.lock:
+        with self._context.state.lock:
             for task in tasks:
                 if task.answer is not None:
                     answer = task.answer
@@ -311,6 +343,7 @@
                 if silent_ms > context.options.worker_silence_ms:
                     self._mark_silent(worker.facts.worker_id)
                     lost += self._lost_attempts(worker, silent_ms)
+            self._refresh_heard_again()
             self._apply_quarantine()
         self._attempt_reports.report(lost)
 
--- a/dandeliondrum/controller/_observations.py
+++ b/dandeliondrum/controller/_observations.py
@@ -20,7 +20,8 @@
 class Observations:
     """Resource and run time estimates, worker health and retry budget.
 
-    Not thread-safe; the owner's lock protects it.
+    Not thread-safe; the owner's lock protects it, and that of the replicated
+    state the retry budget.
     """
 
     def __init__(self) -> None:
--- a/dandeliondrum/controller/tests/test_heartbeats.py
+++ b/dandeliondrum/controller/tests/test_heartbeats.py
@@ -1,6 +1,7 @@
 """Tests of how the leader processes heartbeats."""
 
 import concurrent.futures
+import threading
 
 import pytest
 from returns import result
@@ -38,6 +39,7 @@
     def __init__(self):
         base = test_worker_sizes.Leader()
         self.state = base.state
+        self.context = base.context
         self.log = StalledLog(self.state)
         base.context.node = self.log
         base.announce(WORKER, 'a', 16_000)
@@ -57,7 +59,14 @@
         command = messages.EndAttempts(0, (report,))
         self.log.propose(messages.encode(command))
 
-    def heartbeat(self, running=(), ended=(), fenced=(), incarnation='a'):
+    def heartbeat(
+        self,
+        running=(),
+        ended=(),
+        fenced=(),
+        incarnation='a',
+        leaving=False,
+    ):
         heartbeat = messages.WorkerHeartbeat(
             WORKER,
             incarnation,
@@ -70,6 +79,7 @@
                 for attempt_id, state in ended
             ),
             tuple(fenced),
+            leaving,
         )
         reply = self.heartbeats.handle(messages.WorkerHeartbeats((heartbeat,)))
         return reply.replies[0]
@@ -186,6 +196,57 @@
     assert isinstance(reply.result(0), messages.WorkerHeartbeatReplies)
 
 
+def _heartbeat_while_planning(leader, **fields):
+    """Return the reply to a heartbeat, None if it waits for the planner."""
+    replies = []
+
+    def send():
+        replies.append(leader.heartbeat(**fields))
+
+    thread = threading.Thread(target=send, daemon=True)
+    with leader.context.lock:
+        thread.start()
+        thread.join(3)
+        answered = list(replies)
+    thread.join()
+    return answered[0] if answered else None
+
+
+@pytest.mark.parametrize('state', [AttemptState.FINISHED, AttemptState.FAILED])
+def test_a_worker_is_answered_while_a_plan_holds_the_lock(leader, state):
+    """Regression test: leases lapsed while the leader made long plans."""
+    ended_id = leader.assign('ended', idempotent=True)
+    running_id = leader.assign('running')
+    stray_id = 'harbour/x#1'
+    leader.log.stalled = True
+    reply = _heartbeat_while_planning(
+        leader, running=[running_id, stray_id], ended=[(ended_id, state)]
+    )
+    assert reply is not None
+    assert reply.stop == (stray_id,)
+
+
+def test_a_worker_heard_first_during_a_plan_gets_tasks_after_it(leader):
+    leader.heartbeats._last_heartbeat_ms.clear()
+    eligible = []
+    leader.context.planner.put_worker = lambda facts, is_eligible: (
+        eligible.append(is_eligible)
+    )
+    assert _heartbeat_while_planning(leader) is not None
+    assert eligible == []
+    leader.heartbeats.check()
+    assert eligible[-1:] == [True]
+
+
+def test_a_worker_that_leaves_is_answered_while_a_plan_holds_the_lock(leader):
+    leader.log.refuses = True
+    assert _heartbeat_while_planning(leader, leaving=True) is not None
+    leader.log.refuses = False
+    leader.heartbeat(leaving=True)
+    worker = leader.state.workers[WORKER]
+    assert worker.state is messages.WorkerState.LEAVING
+
+
 def test_a_cancelled_attempt_is_stopped(leader):
     attempt_id = leader.assign('t')
     cancel = messages.CancelTasks(
