--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -113,6 +113,9 @@
         if message.term < state.term:
             return _messages.VoteReply(state.term, False)
         is_later = message.term > state.term
+        if is_later and message.transfer:
+            with state.lock:
+                state.transfer_term = message.term
         granted = self._is_log_up_to_date(message) and (
             is_later or state.voted_for in ('', message.candidate_id)
         )
