Notice a signal that a thread other than the main one receives

Suspected cause: Python runs the handler of a signal in the main thread, which waited without a timeout. If the system delivers the signal to another thread, nothing wakes the main one.

Both programs that wait for signals use the same function.

The new test sends the signal to another thread. With a wait without a timeout it failed (the process went on for 20 s); it passes now.

--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -59,7 +59,7 @@
             return _report.Report(_report.ExitCode.REFUSED)
         utils.limit_collections()
         _logger.info('started', address=started.unwrap())
-        stop_requested.wait()
+        utils.wait_for_signal(stop_requested)
         _logger.info('stopping')
     _logger.info('stopped')
     return _report.Report(_report.ExitCode.DONE)
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -65,7 +65,7 @@
             return 1
         utils.limit_collections()
         _logger.info('started')
-        stopping.wait()
+        utils.wait_for_signal(stopping)
         _logger.info('stopping')
     _logger.info('stopped')
     return 0
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -8,6 +8,7 @@
 from dandeliondrum.utils._futures import map_future
 from dandeliondrum.utils._processor_time import ProcessorTime
 from dandeliondrum.utils._processor_time import UNKNOWN_PART
+from dandeliondrum.utils._signals import wait_for_signal
 from dandeliondrum.utils._supervisor import InvariantError
 from dandeliondrum.utils._supervisor import RESTART_BACKOFF_MAX_MS
 from dandeliondrum.utils._supervisor import RESTART_BACKOFF_MIN_MS
@@ -32,4 +33,5 @@
     'limit_collections',
     'map_future',
     'monotonic_ms',
+    'wait_for_signal',
 ]
--- /dev/null
+++ b/dandeliondrum/utils/tests/test_signals.py
@@ -0,0 +1,33 @@
+"""Signals stop a process whichever of its threads receives them."""
+
+import subprocess
+import sys
+
+TIMEOUT_S = 20
+PROGRAM = """
+import signal
+import threading
+import time
+
+from dandeliondrum import utils
+
+stopping = threading.Event()
+signal.signal(signal.SIGTERM, lambda _number, _frame: stopping.set())
+
+
+def receive():
+    time.sleep(0.2)
+    signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+    time.sleep(60)
+
+
+threading.Thread(target=receive, daemon=True).start()
+utils.wait_for_signal(stopping)
+"""
+
+
+def test_a_signal_that_another_thread_receives_is_not_lost():
+    ended = subprocess.run(
+        [sys.executable, '-c', PROGRAM], timeout=TIMEOUT_S, check=False
+    )
+    assert ended.returncode == 0
