Count wake-ups and a fixed rate in the benchmarks of log and calls

The platform charges wake-ups besides processor time, and neither benchmark showed them. bench_worker_calls and bench_consensus now report the voluntary context switches of the leader's process for each start or command. bench_consensus can also propose at a fixed rate, as a leader does; at full speed its batches hide what one commit costs.

--- a/benchmarks/bench_consensus.py
+++ b/benchmarks/bench_consensus.py
@@ -5,7 +5,9 @@
     python -m benchmarks.bench_consensus --voters=5 --delayed=2 --delay_ms=20
 
 ``delay_ms`` is added in each direction between the last ``delayed`` nodes and
-the others; the first node leads.
+the others; the first node leads. With ``rate`` the proposers propose so many
+commands a second together, or else each one as soon as its last command is
+applied. Context switches are those of threads that had to wait.
 """
 
 import collections.abc
@@ -14,6 +16,7 @@
 import pathlib
 import queue
 import random
+import resource
 import socket
 import subprocess
 import sys
@@ -207,21 +210,35 @@
 
 
 def load(
-    node: consensus.Node, proposers: int, seconds: float, command_bytes: int
+    node: consensus.Node,
+    proposers: int,
+    seconds: float,
+    command_bytes: int,
+    rate: float,
 ) -> dict[str, typing.Any]:
     """Propose from ``proposers`` threads and return the figures.
 
-    Each thread waits for its command before it proposes the next one.
+    Each thread waits for its command before it proposes the next one, and
+    also until the next one is due if there is a ``rate``.
     """
     latencies = histogram.HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
     lock = threading.Lock()
     failed = 0
-    end_s = time.monotonic() + seconds
+    begin_s = time.monotonic()
+    end_s = begin_s + seconds
     source = random.Random(1)
 
-    def propose_until_end() -> None:
+    def propose_until_end(position: int) -> None:
         nonlocal failed
-        while time.monotonic() < end_s:
+        due_s = begin_s
+        if rate:
+            due_s += position / rate
+        while True:
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            if time.monotonic() >= end_s:
+                return
+            if rate:
+                due_s += proposers / rate
             started_ns = time.monotonic_ns()
             command = source.randbytes(command_bytes)
             outcome = node.propose(command).result()
@@ -231,15 +248,21 @@
                 failed += 0 if outcome.value_or(0) else 1
 
     threads = [
-        threading.Thread(target=propose_until_end) for _ in range(proposers)
+        threading.Thread(target=propose_until_end, args=(position,))
+        for position in range(proposers)
     ]
     started_s = time.monotonic()
     cpu_started_s = time.process_time()
+    switches_count = resource.getrusage(resource.RUSAGE_SELF).ru_nvcsw
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
     elapsed_s = time.monotonic() - started_s
+    cpu_s = time.process_time() - cpu_started_s
+    switches_count = (
+        resource.getrusage(resource.RUSAGE_SELF).ru_nvcsw - switches_count
+    )
     count = latencies.get_total_count()
     return {
         'committed_per_s': round((count - failed) / elapsed_s),
@@ -247,8 +270,10 @@
         'p50_ms': latencies.get_value_at_percentile(50) / 1000,
         'p99_ms': latencies.get_value_at_percentile(99) / 1000,
         'max_ms': latencies.get_max_value() / 1000,
-        'leader_cpu_ratio': round(
-            (time.process_time() - cpu_started_s) / elapsed_s, 2
+        'leader_cpu_ratio': round(cpu_s / elapsed_s, 2),
+        'leader_us_per_command': round(cpu_s * 1e6 / max(count, 1)),
+        'leader_switches_per_command': round(
+            switches_count / max(count, 1), 1
         ),
         'syncs_per_s': round(_sample('sync_seconds_count') / elapsed_s),
         'sent_bytes_per_command': _per_command('sent_bytes_total', count),
@@ -294,6 +319,7 @@
     proposers: int = 64,
     seconds: float = 5.0,
     command_bytes: int = 64,
+    rate: float = 0.0,
     delayed: int = 0,
     delay_ms: float = 0.0,
     folder: str = '',
@@ -316,6 +342,7 @@
                 'proposers': proposers,
                 'seconds': seconds,
                 'command_bytes': command_bytes,
+                'rate': rate,
             },
         )
     print(
@@ -326,6 +353,7 @@
                 'proposers': proposers,
                 'seconds': seconds,
                 'command_bytes': command_bytes,
+                'rate': rate,
                 'delayed': delayed,
                 'delay_ms': delay_ms,
                 **figures,
--- a/benchmarks/bench_worker_calls.py
+++ b/benchmarks/bench_worker_calls.py
@@ -4,7 +4,8 @@
 another one. A fake log commits each batch of proposals after a fixed time.
 Measured are the takeover (until all workers are usable), an idle leader and
 one that starts runs at given rates; the time of the thread that assigns runs
-and of the log is left out. Example::
+and of the log is left out. Context switches are those of all threads that
+had to wait, as a measure of wake-ups. Example::
 
     python -m benchmarks.bench_worker_calls --workers=176 --rates=0,100,330
 """
@@ -16,6 +17,7 @@
 import json
 import pathlib
 import queue
+import resource
 import sys
 import threading
 import time
@@ -238,6 +240,11 @@
     return dict(times)
 
 
+def _switches_count() -> int:
+    """Return how often the threads of this process have waited so far."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_nvcsw
+
+
 def _measure(
     leader: _Leader,
     starter: _Starter,
@@ -246,11 +253,13 @@
     seconds: float,
 ) -> Figures:
     calls, proposed = servers.calls(), leader.node.proposed.copy()
+    switches_count = _switches_count()
     process_s, times = time.process_time(), _thread_times()
     starter_s, log_s = starter.thread_s, leader.node.thread_s
     begin_s = time.monotonic()
     starts = starter.run(rate, seconds)
     elapsed_s = time.monotonic() - begin_s
+    switches_count = _switches_count() - switches_count
     used_s = time.process_time() - process_s
     others_s = starter.thread_s - starter_s + leader.node.thread_s - log_s
     calls_s = used_s - others_s
@@ -268,12 +277,14 @@
             name: round((count - calls.get(name, 0)) / elapsed_s, 1)
             for name, count in received.items()
         },
+        'switches_per_s': round(switches_count / elapsed_s, 1),
         'commands_per_s': round(
             (leader.node.proposed - proposed)['commands'] / elapsed_s, 1
         ),
     }
     if starts:
         figures['ms_per_start'] = round(1000 * calls_s / starts, 3)
+        figures['switches_per_start'] = round(switches_count / starts, 1)
     return figures
 
 
