Wake only the threads of the log that have something to do

All threads that serve the members of a cell waited for one condition, which each reply of any member notified: with 5 voters each reply woke four threads, of which one had something to do. The thread that manages the membership was woken by each reply and by each applied command, though only entries other than commands, lost disks and learners that catch up concern it.

Each peer's thread now waits for a condition of its own. The manager is woken by a new membership, by an applied entry that is not a command, and by replies while there is a learner; as before it also looks by itself after the shortest election timeout.

--- a/dandeliondrum/consensus/_append_replies.py
+++ b/dandeliondrum/consensus/_append_replies.py
@@ -43,7 +43,9 @@
                 progress.next_index, progress.match_index + 1
             )
             state.advance_commit()
-            state.membership_condition.notify()
+            if state.history.current.learners:
+                # A learner may have caught up, or a quorum be reachable now.
+                state.membership_condition.notify()
             return True
         case _messages.Outcome.MISMATCH:
             progress.answered_ns = sent_ns
--- a/dandeliondrum/consensus/_applier.py
+++ b/dandeliondrum/consensus/_applier.py
@@ -120,9 +120,14 @@
                         confirmation.future, result.Success(None)
                     )
                 )
-            state.membership_condition.notify()
+            if any(
+                entry.kind is not _records.EntryKind.COMMAND
+                for entry in entries
+            ):
+                # Only these entries may allow a change of the membership.
+                state.membership_condition.notify()
             if state.transfer_target is not None:
-                state.peers_condition.notify_all()
+                state.wake_peers()
         for outcome in resolutions:
             _work_items.resolve_future(outcome.future, outcome.value)
 
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -135,7 +135,7 @@
             if state.term != expected_term or state.is_leader():
                 return False
             state.ballot = ballot
-            state.peers_condition.notify_all()
+            state.wake_peers()
             while state.ballot is ballot and not state.closing:
                 wait_ns = end_ns - time.monotonic_ns()
                 if self._is_won(ballot):
--- a/dandeliondrum/consensus/_membership_manager.py
+++ b/dandeliondrum/consensus/_membership_manager.py
@@ -52,6 +52,7 @@
                 continue
             peer = _peer.Peer(self._state, self._snapshots, name)
             self._peers[name] = peer
+            self._state.add_peer(name)
             self._supervisor.run(f'peer {name}', self._peer_task(name, peer))
 
     def _peer_task(
@@ -61,6 +62,7 @@
             peer.run(stopping)
             with self._state.lock:
                 self._peers.pop(name, None)
+                self._state.remove_peer(name)
                 self._state.membership_condition.notify()
 
         return serve
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -149,7 +149,7 @@
                     )
                 )
                 ready = state.take_ready_confirmations()
-                state.peers_condition.notify_all()
+                state.wake_peers()
         if refusal is not None:
             future.set_result(result.Failure(refusal))
             return future
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -128,7 +128,7 @@
             elif call_deadline_ns is not None:
                 due_ns = min(due_ns, call_deadline_ns)
             timeout_s = max(0.0, (due_ns - time.monotonic_ns()) / 1e9)
-        self._state.peers_condition.wait(timeout_s)
+        self._state.wait_as_peer(self._member_id, timeout_s)
 
     def _heartbeat_ns(self) -> int:
         return self._state.options.heartbeat_ms * _progress.NS_PER_MS
--- a/dandeliondrum/consensus/_pipeline.py
+++ b/dandeliondrum/consensus/_pipeline.py
@@ -130,7 +130,7 @@
 
     def _on_reply(self, _reply: transport.CallFuture) -> None:
         with self._state.lock:
-            self._state.peers_condition.notify_all()
+            self._state.wake_peer(self._member_id)
 
     def _handle_reply(
         self, call: _InFlightCall, reply: _messages.AppendReply
--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -261,7 +261,7 @@
         with state.lock:
             if state.history.add(new_entries):
                 state.update_peers()
-                state.peers_condition.notify_all()
+                state.wake_peers()
 
     def _truncate_log(self, index: int) -> None:
         state = self._state
@@ -274,7 +274,7 @@
             state.synced_index = min(state.synced_index, index - 1)
             if state.history.truncate_from(index):
                 state.update_peers()
-                state.peers_condition.notify_all()
+                state.wake_peers()
 
     def _make_append_reply(
         self, outcome: _messages.Outcome, match_index: int
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -53,7 +53,9 @@
         self.lock = threading.RLock()
         self.writer_condition = threading.Condition(self.lock)
         self.applier_condition = threading.Condition(self.lock)
-        self.peers_condition = threading.Condition(self.lock)
+        self._peer_conditions: dict[
+            messages.ControllerId, threading.Condition
+        ] = {}
         self.election_condition = threading.Condition(self.lock)
         self.membership_condition = threading.Condition(self.lock)
         self.work_queue: collections.deque[_work_items.WorkItem] = (
@@ -108,11 +110,36 @@
             self.work_queue.append(work)
             self.writer_condition.notify()
 
+    def add_peer(self, member_id: messages.ControllerId) -> None:
+        """Add the condition on which the thread of a peer waits."""
+        self._peer_conditions[member_id] = threading.Condition(self.lock)
+
+    def remove_peer(self, member_id: messages.ControllerId) -> None:
+        """Remove the condition of a peer whose thread has ended."""
+        self._peer_conditions.pop(member_id, None)
+
+    def wait_as_peer(
+        self, member_id: messages.ControllerId, timeout_s: float | None
+    ) -> bool:
+        """Wait in the thread of a peer; return False after the timeout."""
+        return self._peer_conditions[member_id].wait(timeout_s)
+
+    def wake_peer(self, member_id: messages.ControllerId) -> None:
+        """Wake the thread of one peer."""
+        condition = self._peer_conditions.get(member_id)
+        if condition is not None:
+            condition.notify()
+
+    def wake_peers(self) -> None:
+        """Wake the threads of all peers."""
+        for condition in self._peer_conditions.values():
+            condition.notify()
+
     def notify_all_threads(self) -> None:
         """Wake all threads so that they check the state again."""
         self.writer_condition.notify_all()
         self.applier_condition.notify_all()
-        self.peers_condition.notify_all()
+        self.wake_peers()
         self.election_condition.notify_all()
         self.membership_condition.notify_all()
 
@@ -325,6 +352,7 @@
         for controller_id in list(self.progress):
             if _membership.member(current, controller_id) is None:
                 del self.progress[controller_id]
+        self.membership_condition.notify()
 
     def take_ready_confirmations(self) -> list[_progress.Confirmation]:
         """Remove and return the confirmations that can succeed now.
--- a/dandeliondrum/consensus/_transfer.py
+++ b/dandeliondrum/consensus/_transfer.py
@@ -19,7 +19,7 @@
     state.transfer_deadline_ns = time.monotonic_ns() + limit_ns
     state.transfer_target = target
     state.timeout_now_sent = False
-    state.peers_condition.notify_all()
+    state.wake_peers()
 
 
 def begin_if_full(state: _state.NodeState) -> None:
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -170,7 +170,7 @@
         with state.lock:
             if state.history.add(entries):
                 state.update_peers()
-            state.peers_condition.notify_all()
+            state.wake_peers()
 
     def _make_entries(
         self, proposals: list[_work_items.Proposal]
--- a/dandeliondrum/consensus/tests/test_commit.py
+++ b/dandeliondrum/consensus/tests/test_commit.py
@@ -113,6 +113,51 @@
     assert 0 < state.progress['c2'].answered_ns <= began_ns[0]
 
 
+class IdleLink:
+    """A link whose calls are answered by the test."""
+
+    def __init__(self):
+        self.replies = []
+
+    def call_async(self, _address, _message):
+        self.replies.append(concurrent.futures.Future())
+        return self.replies[-1]
+
+    def timeout_ms(self, _size_bytes):
+        return harness.TIMEOUT_S * 1000
+
+
+def test_a_reply_wakes_only_the_thread_of_its_peer(tmp_path):
+    state = open_leader(tmp_path).state
+    names = [member.controller_id for member in MEMBERS[1:]]
+    waiting = []
+
+    def wait(name):
+        with state.lock:
+            waiting.append(name)
+            return state.wait_as_peer(name, 1)
+
+    def all_wait():
+        # A thread gives up the lock only to wait for its condition.
+        with state.lock:
+            return len(waiting) == len(names)
+
+    for name in names:
+        state.add_peer(name)
+    link = IdleLink()
+    pipeline = _pipeline.Pipeline(state, link, names[0])
+    heartbeat = _messages.AppendEntries(2, 'c1', MEMBERS[1].disk_id, 1, 1, 0)
+    assert pipeline.send('unused:1', heartbeat, [])
+    with concurrent.futures.ThreadPoolExecutor(2) as threads:
+        woken = [threads.submit(wait, name) for name in names]
+        harness.wait_for(all_wait)
+        link.replies[0].set_result(result.Failure(None))
+        assert [future.result(harness.TIMEOUT_S) for future in woken] == [
+            True,
+            False,
+        ]
+
+
 def test_an_entry_counts_only_once_it_is_synced(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         cluster.files = {name: BlockingSync() for name in cluster.names}
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -6,6 +6,7 @@
 
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _membership_changes
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum.consensus.tests import load
@@ -37,6 +38,31 @@
     return commands
 
 
+def test_commands_do_not_wake_the_membership_managers(tmp_path, monkeypatch):
+    process = _membership_changes.MembershipChanges.process
+    processed_s = []
+
+    def count(changes):
+        processed_s.append(time.monotonic())
+        process(changes)
+
+    monkeypatch.setattr(
+        _membership_changes.MembershipChanges, 'process', count
+    )
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.bootstrap()
+        cluster.propose(leader, b'first').unwrap()
+        cluster.wait_applied([b'first'])
+        began_s = time.monotonic()
+        for _ in range(100):
+            cluster.propose(leader, b'next').unwrap()
+        ended_s = time.monotonic()
+        woken_count = sum(began_s <= at_s <= ended_s for at_s in processed_s)
+    # Each manager looks by itself after this interval.
+    intervals = (ended_s - began_s) / (harness.ELECTION_MIN_MS / 1000)
+    assert woken_count <= len(cluster.names) * (intervals + 2)
+
+
 def test_empty_disks_found_no_cell_by_themselves(tmp_path):
     with harness.Cluster(
         tmp_path, election_min_ms=50, election_max_ms=100
