Do not revive a lease that expired before its renewal

Cause: two, found while test_a_thawed_worker_stops_an_attempt_whose_lease_ expired was repeated at a load of 48 to 51 on 8 cores.

In the stand-in worker, the reply to a heartbeat renewed all leases, also those that had expired before. After a freeze, the heartbeat thread may run before the timer that stops expired attempts. The test started an attempt as soon as the fake gateway had received the announcement. The worker refuses starts until it has read the reply (2 of 30 runs: 409, stale_lease).

What callers saw: nothing that we know of. A leader that has given an attempt up names it in its reply to the first heartbeat after the thaw, and the refusal of a start is true and leads to another attempt. Only the stand-in worker is concerned, not users' own workers.

Change: expired attempts are stopped before a reply is applied. A worker records its announcement after the renewal that goes with it, so that a test that waits for the former can start attempts. The test waits for the first heartbeat, which follows the reply to the announcement.

Tests: test_a_renewal_before_the_timer_does_not_extend_an_expired_lease, with and without a stop in the reply, failed before in both cases.

--- a/dandeliondrum/testing/tests/test_processes.py
+++ b/dandeliondrum/testing/tests/test_processes.py
@@ -183,6 +183,9 @@
             ),
         )
         self.facts = gateway.wait_for_announcement(TIMEOUT_MS)
+        # Sent after the worker has received the reply to its announcement;
+        # before that, it refuses starts.
+        assert gateway.wait_for_heartbeat(lambda _: True, TIMEOUT_MS)
 
     def start(self, attempt_id, token, **fields):
         return self.client.start(
--- a/dandeliondrum/worker/_heartbeats.py
+++ b/dandeliondrum/worker/_heartbeats.py
@@ -92,8 +92,8 @@
         if isinstance(reply, result.Failure):
             return False
         self._announced = True
-        self._journal.record(_journal.EventKind.ANNOUNCED)
         self._leases.record_answered_heartbeat(sent_ms)
+        self._journal.record(_journal.EventKind.ANNOUNCED)
         self._due.set()
         return True
 
@@ -126,6 +126,8 @@
         if reply.announce_again:
             self._take_new_incarnation('announce again')
             return
+        # After a freeze, the reply may be handled before the lease timer.
+        self._attempts.stop_expired()
         for attempt_id in reply.stop:
             self._attempts.stop(attempt_id, 'requested')
         self._leases.record_answered_heartbeat(sent_ms)
--- a/dandeliondrum/worker/tests/test_leases.py
+++ b/dandeliondrum/worker/tests/test_leases.py
@@ -4,6 +4,8 @@
 import itertools
 import time
 
+import pytest
+
 from dandeliondrum import messages
 from dandeliondrum import testing
 from dandeliondrum import utils
@@ -104,6 +106,26 @@
     assert end.expired_ms == arrived_ms + 20
 
 
+@pytest.mark.parametrize('stops', [(), ('team/r1#1',)])
+def test_a_renewal_before_the_timer_does_not_extend_an_expired_lease(
+    monkeypatch, stops
+):
+    # After a freeze, the timer may run later than the next heartbeat.
+    monkeypatch.setattr(_leases.Leases, 'schedule', lambda *_: None)
+    with _harness.running() as harness:
+        harness.gateway.answering = False
+        harness.start(body={'hang': True}, lease_ms=300)
+        time.sleep(0.4)
+        harness.gateway.reply_with(stop=stops)
+        harness.gateway.answering = True
+        reply = harness.client.fetch('team/r1#1', wait_ms=9_000)
+        end = harness.wait_for_event(Kind.END)
+    (start,) = harness.events(Kind.START)
+    assert reply.state == 'stopped'
+    assert end.reason == 'lease'
+    assert end.expired_ms - start.at_ms <= 300
+
+
 def test_an_end_after_the_lease_counts_as_stopped():
     # The attempt finishes at about the time at which its lease expires, so
     # that both orders occur over several runs.
