Count a gateway as ready only while its stream is open

Cause: a gateway that learns from the reply to a call that its leader was deposed closes the stream in the thread that reads replies. LeaderLink counted as up, and the gateway as ready, until the thread of the link had run and dropped the stream. A call made in between is not sent.

What callers saw: a gateway that a load balancer takes for ready refuses the next calls with 503, no_leader, for at least the 100 ms until the next search. With First-Sending they are reported as refused_not_run, which is true: the call is not sent on a closed stream, so no leader can have received it.

The test before it in the same module deposes the leader of the gateway that both share, and the fixture waits until that gateway is ready. That was true at once on the closed stream, and the first of the two calls met no leader.

Ruled out: a false "not run". Only NOT_SENT and a reply that says so lead to it. A heartbeat that times out between the fixture and the call would give the same text; it takes a stall of 500 ms within a few ms and was not observed.

Change: is_up and with it is_answering are false once the stream has closed.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -142,7 +142,7 @@
     def is_answering(self) -> bool:
         """Return whether the leader answered the last heartbeat in time."""
         answered_ms = self._answered_ms
-        if self._current is None or answered_ms is None:
+        if not self.is_up() or answered_ms is None:
             return False
         age_ms = utils.monotonic_ms() - answered_ms
         return age_ms <= HEARTBEAT_INTERVAL_MS + HEARTBEAT_TIMEOUT_MS
@@ -162,7 +162,8 @@
 
     def is_up(self) -> bool:
         """Return whether a registered stream is open."""
-        return self._current is not None
+        stream = self._current
+        return stream is not None and not stream.closed.is_set()
 
     def call_async(self, message: typing.Any) -> transport.CallFuture:
         """Send a call to the leader.
--- a/dandeliondrum/gateway/tests/test_leader_link.py
+++ b/dandeliondrum/gateway/tests/test_leader_link.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from returns import result
 
 from dandeliondrum.gateway import _active_rules
 from dandeliondrum.gateway import _leader_link
@@ -39,11 +40,13 @@
 
 
 @contextlib.contextmanager
-def running_link(*addresses):
+def running_link(*addresses, on_leader_found=lambda: None):
     """Run a link with these controllers configured."""
     link = _leader_link.LeaderLink(
         fakes.options(*addresses),
-        _leader_link.LinkEvents(lambda: None, lambda _: None, lambda _: None),
+        _leader_link.LinkEvents(
+            on_leader_found, lambda _: None, lambda _: None
+        ),
         _active_rules.ActiveRules(),
     )
     stopping = threading.Event()
@@ -148,3 +151,25 @@
             assert 2 * len(unresponsive.accepted) < registrations_count(
                 follower
             )
+
+
+def test_a_link_does_not_count_as_up_on_a_stream_that_has_closed(controllers):
+    """Calls made after a gateway was found ready then met no leader."""
+    leader, *_ = controllers
+    registered, released = threading.Event(), threading.Event()
+
+    def hold_up_link():
+        registered.set()
+        released.wait(fakes.WAIT_S)
+
+    with running_link(leader.address, on_leader_found=hold_up_link) as link:
+        assert registered.wait(fakes.WAIT_S)
+        assert link.is_up()
+        leader.not_leader = messages.NotLeader()
+        query = messages.QueryTasks((), messages.TeamId('t'), '')
+        assert isinstance(
+            link.call(query, fakes.WAIT_S * 1_000), result.Failure
+        )
+        states = (link.is_up(), link.is_answering())
+        released.set()
+    assert states == (False, False)
