Hold a soak's cell over its capacity for a while, and check what is seen

Half-way through a soak, when no faults are active, many callers submit jobs without a pause, and the controllers get less and less processor time (down to a quarter, by signals) until a job is refused. From then on the load goes on for the given time. The jobs need hardly any resources, so that controllers and gateways are the limit. Checked are, with bounds from the stated targets:

accepted jobs end, none starts twice (the checker, as ever); a refused job, which was sent once, never starts; each refusal says when to retry; at most a tenth of the jobs sent after the first refusal are refused later than after 1 s or get no definite reply; each valid document is acknowledged within 6 s, sent as operators do; no worker is without an acknowledged report for more than 6 s; within 5 s after the load, at least 0.9 of the jobs that were served before are served again at a steady load of 20 jobs/s: accepted, and started within 1.3 s.

If no job is refused, that is a violation, too. Each check is shown to notice a violation.

Jobs that were sent before the first refusal may wait: that the load exceeds the capacity shows only once jobs have waited.

In large soaks, the links of the first 8 workers and gateways can be faulty, and each worker reports in a thread of its own. With proxies for all of them the soak's process had 4,000 threads, and most workers answered too late. The processes are killed before the stand-ins are closed, which took minutes with connections open; an error ends the callers and is written to events.log.

--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -71,9 +71,9 @@
     """Controllers, gateways, workers and an adviser on loopback.
 
     Controllers and gateways are processes, which run until the context of
-    ``processes`` ends; workers and the adviser are fakes. With ``proxied``,
-    the calls to each worker and those of callers to each gateway pass through
-    a proxy; ``links`` maps the names of their targets to these proxies.
+    ``processes`` ends; workers and the adviser are fakes. The calls to the
+    first ``links_count`` workers and those of callers to as many gateways pass
+    through proxies; ``links`` maps the names of their targets to these.
 
     Example::
 
@@ -88,7 +88,7 @@
         processes: _processes.Processes,
         workers: list[_fake_job_workers.FakeWorker],
         gateways_count: int = 1,
-        proxied: bool = False,
+        links_count: int = 0,
         controllers_count: int = 3,
         job_state_kept_s: int = 120,
     ) -> None:
@@ -115,14 +115,12 @@
             _platform_fakes.HttpWorker(one, _ports.free_address())
             for one in workers
         ]
-        self.links: dict[str, _proxy.Proxy] = {}
-        if proxied:
-            self.links = {
-                one.worker.facts.worker_id: _proxy.Proxy(one.server.address)
-                for one in self.workers
-            }
-            for number, address in enumerate(self.callers):
-                self.links[f'g{number}'] = _proxy.Proxy(address)
+        self.links: dict[str, _proxy.Proxy] = {
+            one.worker.facts.worker_id: _proxy.Proxy(one.server.address)
+            for one in self.workers[:links_count]
+        }
+        for number, address in enumerate(self.callers[:links_count]):
+            self.links[f'g{number}'] = _proxy.Proxy(address)
         self._resources = contextlib.ExitStack()
 
     def __enter__(self) -> 'PlatformCell':
--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -97,10 +97,15 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for name in list(self._processes):
-            self._resources.callback(self.kill, name)
+        self.kill_all()
         self._resources.close()
 
+    def kill_all(self) -> None:
+        """Kill all processes that still run."""
+        with contextlib.ExitStack() as kills:
+            for name in list(self._processes):
+                kills.callback(self.kill, name)
+
     def start(self, name: str, program: Program) -> None:
         """Start a process and wait until it is ready.
 
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -5,6 +5,7 @@
 are lost, workers stop answering, restart, fail, or carry out orders late, and
 operators change the configuration. Links to workers and gateways are delayed,
 reset, cut in one direction or silenced. The faults are drawn from one seed.
+Between the faults, the cell may be overloaded for a while.
 """
 
 import concurrent.futures
@@ -13,6 +14,7 @@
 import pathlib
 import threading
 import time
+import traceback
 
 from dandeliondrum import messages
 from dandeliondrum.testing import _platform_cell
@@ -20,6 +22,7 @@
 from dandeliondrum.testing import _soak_callers
 from dandeliondrum.testing import _soak_checker
 from dandeliondrum.testing import _soak_faults
+from dandeliondrum.testing import _soak_overload
 from dandeliondrum.testing import _soak_reports
 from dandeliondrum.testing import _soak_size
 
@@ -29,6 +32,8 @@
 JOB_STATE_KEPT_S = 900
 OPEN_TIMEOUT_S = 40
 OPEN_TIMEOUT_PER_PROCESS_S = 1
+# Before an overload, the cell has to serve for this time without faults.
+CALM_S = 4
 # Once all faults are over, accepted jobs have to end within this time.
 SETTLE_TIMEOUT_S = 60
 ADVANCE_EVERY_S = 0.02
@@ -39,9 +44,9 @@
 class SoakOptions:
     """Options of a soak; faults are injected for ``length_s`` seconds.
 
-    Without ``links`` there are no link faults, and without ``series`` no
-    series of faults. A seed draws the same faults as before these were added
-    if they are off.
+    Without ``links`` there are no link faults, without ``series`` no series
+    of faults, and without ``overload_s`` no overload. A seed draws the same
+    faults as before these were added if they are off.
     """
 
     seed: int
@@ -49,6 +54,7 @@
     folder: pathlib.Path
     links: bool = True
     series: bool = False
+    overload_s: float = 0
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
 
@@ -61,6 +67,7 @@
     jobs_count: int
     accepted_count: int
     starts_count: int
+    overload: _soak_overload.OverloadFigures | None
 
 
 def run_soak(options: SoakOptions) -> SoakOutcome:
@@ -86,13 +93,18 @@
                 processes,
                 list(workers),
                 gateways_count=options.size.gateways_count,
-                proxied=options.links,
+                links_count=options.size.links_count if options.links else 0,
                 controllers_count=options.size.controllers_count,
                 job_state_kept_s=JOB_STATE_KEPT_S,
             )
         )
+        # Servers close at once when nobody is connected to them any more.
+        resources.callback(processes.kill_all)
         try:
             return _Soak(options, cell, workers, checker).run(resources)
+        except Exception:
+            checker.log(traceback.format_exc())
+            raise
         finally:
             path = options.folder / EVENTS_FILE
             path.write_text('\n'.join(checker.events))
@@ -124,6 +136,7 @@
             options.links,
             options.series,
         )
+        self._overload: _soak_overload.OverloadFigures | None = None
 
     def run(self, resources: contextlib.ExitStack) -> SoakOutcome:
         """Inject faults once the cell is ready; return what was observed.
@@ -131,18 +144,21 @@
         Accepted jobs have to end after the last fault.
         """
         size = self._options.size
-        reporters_count = self._reporter.threads_count()
         executor = resources.enter_context(
             concurrent.futures.ThreadPoolExecutor(
-                size.faults_at_once + size.callers_count + reporters_count + 2
+                size.faults_at_once
+                + size.callers_count
+                + size.workers_count
+                + 2
             )
         )
+        resources.callback(self._callers.stop)
         resources.callback(self._stopping.set)
         background = [
             executor.submit(self._advance_workers),
             *(
                 executor.submit(self._reporter.run, number)
-                for number in range(reporters_count)
+                for number in range(size.workers_count)
             ),
         ]
         if not self._wait_until_serving():
@@ -155,7 +171,7 @@
                 for number in range(size.callers_count)
             ),
         ]
-        self._faults.inject(executor, self._options.length_s)
+        self._disturb(executor)
         self._callers.stop()
         for call in calls:
             call.result()
@@ -165,6 +181,30 @@
             task.result()
         return self._outcome()
 
+    def _disturb(
+        self, executor: concurrent.futures.ThreadPoolExecutor
+    ) -> None:
+        """Inject faults, with an overload half-way if there is to be one."""
+        options = self._options
+        if not options.overload_s:
+            self._faults.inject(executor, options.length_s)
+            return
+        self._faults.inject(executor, options.length_s / 2)
+        if not self._wait_until_serving():
+            self._checker.add_violation('the cell did not serve again')
+            return
+        time.sleep(CALM_S)
+        self._overload = _soak_overload.Overload(
+            self._cell,
+            self._checker,
+            self._callers,
+            self._reporter,
+            options.seed,
+        ).run(options.size.overload_callers_count, options.overload_s)
+        for violation in _soak_overload.check_overload(self._overload):
+            self._checker.add_violation(violation)
+        self._faults.inject(executor, options.length_s / 2)
+
     def _outcome(self) -> SoakOutcome:
         return SoakOutcome(
             tuple(self._checker.violations),
@@ -172,6 +212,7 @@
             self._checker.jobs_count(),
             self._callers.accepted_count(),
             self._checker.starts_count,
+            self._overload,
         )
 
     def _wait_until_serving(self) -> bool:
@@ -203,4 +244,7 @@
         f'{len(outcome.faults)} faults, {outcome.accepted_count} of '
         f'{outcome.jobs_count} jobs accepted, {outcome.starts_count} starts'
     )
-    return '\n'.join([summary, *(f'  {one}' for one in outcome.violations)])
+    lines = [summary, *(f'  {one}' for one in outcome.violations)]
+    if outcome.overload is not None:
+        lines.append(f'  {outcome.overload}')
+    return '\n'.join(lines)
--- a/dandeliondrum/testing/_soak_callers.py
+++ b/dandeliondrum/testing/_soak_callers.py
@@ -29,6 +29,7 @@
 END_STATES = ('completed', 'failed', 'cancelled')
 # Operators try the next controller after this time without a reply.
 DOCUMENT_TIMEOUT_MS = 1_000
+DOCUMENT_RETRY_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,6 +131,20 @@
             self._latest_version += 1
             return self._put_document(self._latest_version)
 
+    def acknowledged_after_s(self, timeout_s: float) -> float | None:
+        """Send a new version until it is accepted; return how long it took.
+
+        Return None if no controller accepts it within the timeout.
+        """
+        began_s = time.monotonic()
+        with self._document_lock:
+            self._latest_version += 1
+            while time.monotonic() - began_s < timeout_s:
+                if self._put_document(self._latest_version) == 200:
+                    return time.monotonic() - began_s
+                time.sleep(DOCUMENT_RETRY_S)
+        return None
+
     def _put_document(self, version: int) -> int:
         body = _platform_cell.document(version)
         status = 0
--- a/dandeliondrum/testing/_soak_checker.py
+++ b/dandeliondrum/testing/_soak_checker.py
@@ -5,6 +5,7 @@
 import json
 import math
 import threading
+import time
 
 from dandeliondrum import jobs
 from dandeliondrum import messages
@@ -32,6 +33,9 @@
         self._cpu_by_worker: collections.Counter[str] = collections.Counter()
         self._cpu_by_run: dict[tuple[str, jobs.TaskKey], int] = {}
         self._submitted_payloads: dict[jobs.JobId, str] = {}
+        self._refused_ids: set[jobs.JobId] = set()
+        # When the first task of each job started.
+        self.started_s: dict[jobs.JobId, float] = {}
         self.starts_count = 0
 
     def submitted(self, job_id: jobs.JobId, text: str) -> None:
@@ -43,6 +47,13 @@
         """Return the number of submitted jobs."""
         return len(self._submitted_payloads)
 
+    def refused(self, job_id: jobs.JobId) -> None:
+        """Check that a refused job, which was sent only once, never runs."""
+        with self.lock:
+            self._refused_ids.add(job_id)
+            if job_id in self.started_s:
+                self.add_violation(f'{job_id} was refused but started')
+
     def started(
         self, worker: jobs.WorkerFacts, order: jobs.StartOrder
     ) -> None:
@@ -54,6 +65,11 @@
                 f'{worker_id} incarnation {worker.started_ms} starts {task} '
                 f'run {order.run} by token {order.token}'
             )
+            self.started_s.setdefault(task.job_id, time.monotonic())
+            if task.job_id in self._refused_ids:
+                self._add_worker_violation(
+                    f'{task} was refused but starts', worker_id
+                )
             if task in self._running_on:
                 self._add_worker_violation(f'{task} starts twice', worker_id)
             if task in self._acknowledged:
--- a/dandeliondrum/testing/_soak_reports.py
+++ b/dandeliondrum/testing/_soak_reports.py
@@ -9,7 +9,6 @@
 REPORT_EVERY_S = 1.0
 # Workers try the next controller after this time without a reply.
 REPORT_TIMEOUT_MS = 1_000
-WORKERS_PER_THREAD = 10
 
 
 class WorkerReporter:
@@ -30,18 +29,12 @@
         self._acknowledged_s: dict[int, float] = {}
         self._longest_s = 0.0
 
-    def threads_count(self) -> int:
-        """Return how many threads have to execute :meth:`run`."""
-        return -(-len(self._cell.workers) // WORKERS_PER_THREAD)
-
-    def run(self, thread: int) -> None:
-        """Send the reports of some of the workers at regular intervals."""
-        step = self.threads_count()
+    def run(self, position: int) -> None:
+        """Send the reports of one worker at regular intervals."""
+        worker = self._cell.workers[position]
         while not self._stopping.wait(REPORT_EVERY_S):
-            for position in range(thread, len(self._cell.workers), step):
-                worker = self._cell.workers[position]
-                if worker.worker.silent or self._report(position, worker):
-                    self._acknowledge(position)
+            if worker.worker.silent or self._report(position, worker):
+                self._acknowledge(position)
 
     def watch(self) -> None:
         """Measure from now on how long workers get no acknowledgement."""
--- a/dandeliondrum/testing/_soak_size.py
+++ b/dandeliondrum/testing/_soak_size.py
@@ -18,15 +18,17 @@
 class SoakSize:
     """Numbers of processes, of workers, of callers and of faults at once.
 
-    Workers and callers are threads of the soak. ``overload_callers_count``
-    callers together exceed the capacity of the cell.
+    Workers and callers are threads of the soak. The links to so many workers
+    and gateways can be faulty. ``overload_callers_count`` callers together
+    exceed the capacity of the cell.
     """
 
     controllers_count: int = 3
     gateways_count: int = 2
     workers_count: int = 4
+    links_count: int = 4
     callers_count: int = 2
-    overload_callers_count: int = 96
+    overload_callers_count: int = 100
     faults_at_once: int = 3
 
     @property
@@ -47,10 +49,18 @@
 
 SIZES = {
     'small': SoakSize(),
+    # Its gateways forward more calls at once than slowed controllers bear.
+    'medium': SoakSize(
+        gateways_count=6,
+        workers_count=8,
+        callers_count=3,
+        overload_callers_count=240,
+    ),
     'large': SoakSize(
         controllers_count=5,
         gateways_count=40,
         workers_count=100,
+        links_count=8,
         callers_count=16,
         overload_callers_count=400,
         faults_at_once=8,
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -3,7 +3,8 @@
 Example::
 
     python -m dandeliondrum.testing.soak --seed=1 --seeds=50 --seconds=20
-    python -m dandeliondrum.testing.soak --size=large
+    python -m dandeliondrum.testing.soak --size=medium --overload=5
+    python -m dandeliondrum.testing.soak --size=large --overload=5
 """
 
 import dataclasses
@@ -24,6 +25,7 @@
     size: str = 'small',
     gateways: int = 0,
     workers: int = 0,
+    overload: float = 0,
     series: bool = True,
     folder: str = '',
 ) -> None:
@@ -31,9 +33,10 @@
 
     For a failed soak, print the folder with its logs and its faults. The
     folders are made in ``folder``, by default that of temporary files. The
-    size is ``small`` or ``large``, with other numbers of gateways and workers
-    if they are given. A soak that exceeds the limits of the machine is not
-    started.
+    size is ``small``, ``medium`` or ``large``, with other numbers of gateways
+    and workers if they are given. A soak that exceeds the limits of the
+    machine is not started. Half-way, the cell is held over its capacity for
+    ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
         sys.exit(
@@ -57,6 +60,7 @@
                 tempfile.mkdtemp(prefix=f'soak-{number}-', dir=folder or None)
             ),
             series=series,
+            overload_s=overload,
             size=chosen,
         )
         outcome = _soak.run_soak(options)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 from dandeliondrum.testing import _soak_callers
 from dandeliondrum.testing import _soak_checker
 from dandeliondrum.testing import _soak_faults
+from dandeliondrum.testing import _soak_overload
 from dandeliondrum.testing import _soak_reports
 from dandeliondrum.testing import _soak_size
 
@@ -33,6 +34,9 @@
 # the same faults as before link faults were added.
 SEEDS_WITH_LINKS = (101,)
 LENGTH_S = 8
+OVERLOAD_SEED = 301
+OVERLOAD_FAULTS_S = 3
+OVERLOAD_S = 3
 CAPACITY = messages.Resources(1_000, 100)
 TEXT = _soak_checker.payload(600)
 
@@ -52,6 +56,19 @@
     assert outcome.faults
 
 
+def test_a_soak_with_an_overload_sees_nothing_that_must_never_happen(tmp_path):
+    options = _soak.SoakOptions(
+        OVERLOAD_SEED,
+        OVERLOAD_FAULTS_S,
+        tmp_path,
+        series=True,
+        overload_s=OVERLOAD_S,
+        size=_soak_size.SIZES['medium'],
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+
+
 @pytest.fixture
 def checker():
     made = _soak_checker.InvariantChecker()
@@ -142,6 +159,18 @@
     assert checker.violations == ['w1: j.0.0.0 starts twice']
 
 
+def test_the_checker_notices_a_start_of_a_refused_job(checker):
+    checker.refused('j')
+    _start(_worker('w1', checker), 'j.0.0.0')
+    assert checker.violations == ['w1: j.0.0.0 was refused but starts']
+
+
+def test_the_checker_notices_a_refusal_of_a_job_that_runs(checker):
+    _start(_worker('w1', checker), 'j.0.0.0')
+    checker.refused('j')
+    assert checker.violations == ['j was refused but started']
+
+
 def test_a_seed_draws_the_same_jobs_in_any_thread():
     def draw(caller):
         return list(itertools.islice(_soak_callers.soak_jobs(5, caller), 20))
@@ -225,6 +254,65 @@
     assert expected in _soak_size.check_machine(size, 10**6, 10**6)
 
 
+ACCEPTED = _soak_overload.LoadReply('j1', 200, 1.0, 0.1, '')
+REFUSED = _soak_overload.LoadReply('j2', 503, 0.0, 0.1, '1')
+BORNE = _soak_overload.OverloadFigures(
+    replies=(ACCEPTED, REFUSED),
+    acknowledged_s=(0.1, 6.0),
+    unreported_s=6.0,
+    rate_before=20.0,
+    rate_after=18.0,
+    recovered_after_s=0.0,
+)
+
+
+def test_an_overload_that_is_borne_violates_nothing():
+    assert list(_soak_overload.check_overload(BORNE)) == []
+
+
+def test_jobs_sent_before_the_first_refusal_may_wait():
+    waiting = dataclasses.replace(ACCEPTED, status=504, sent_s=0.05)
+    figures = dataclasses.replace(BORNE, replies=(ACCEPTED, REFUSED, waiting))
+    assert list(_soak_overload.check_overload(figures)) == []
+
+
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        ({'replies': (REFUSED,)}, 'no job was accepted'),
+        ({'replies': (ACCEPTED,)}, 'no job was refused'),
+        (
+            {
+                'replies': (
+                    ACCEPTED,
+                    dataclasses.replace(REFUSED, retry_after=''),
+                )
+            },
+            'j2 was refused without a time to retry',
+        ),
+        (
+            {
+                'replies': (
+                    *8 * (ACCEPTED,),
+                    REFUSED,
+                    dataclasses.replace(REFUSED, sent_s=1.0, elapsed_s=1.1),
+                    dataclasses.replace(ACCEPTED, status=504),
+                )
+            },
+            '2 of 10 jobs were refused late or got no definite reply',
+        ),
+        ({'acknowledged_s': (0.1, 6.1)}, 'a valid document was not'),
+        ({'acknowledged_s': (None, 0.1)}, 'a valid document was not'),
+        ({'unreported_s': 6.1}, 'reports of a worker were not acknowledged'),
+        ({'rate_after': 17.9}, '17.9 jobs/s were served'),
+    ],
+)
+def test_each_violation_of_an_overload_is_noticed(changes, expected):
+    figures = dataclasses.replace(BORNE, **changes)
+    (violation,) = _soak_overload.check_overload(figures)
+    assert expected in violation
+
+
 def test_a_worker_whose_reports_are_not_acknowledged_is_noticed(monkeypatch):
     monkeypatch.setattr(_soak_reports, 'REPORT_EVERY_S', 0.01)
     worker = types.SimpleNamespace(worker=types.SimpleNamespace(silent=False))
@@ -245,8 +333,9 @@
         stopping.clear()
         reporter = _soak_reports.WorkerReporter(cell, stopping)
         reporter.watch()
-        with concurrent.futures.ThreadPoolExecutor(1) as executor:
-            executor.submit(reporter.run, 0)
+        with concurrent.futures.ThreadPoolExecutor(2) as executor:
+            for position in range(len(workers)):
+                executor.submit(reporter.run, position)
             time.sleep(0.4)
             silence_s = reporter.longest_silence_s()
             stopping.set()
