Step down if the own disk stalls, and silence a follower whose disk hangs

A leader whose disk stalls goes on sending heartbeats, so nobody elects another one, while no job, end or policy is committed until the disk goes on: callers waited until their deadlines. A follower whose sync never returns now answers heartbeats during the sync, so it counted as reachable without limit and was never replaced, and a leader kept in office by it could commit nothing.

A leader steps down, and does not stand for election, while one sync takes longer than twice the longest election timeout. A follower stops answering heartbeats after four times that. Both are lengthened with the back-off of elections, so that a cell whose disks are all slow keeps its leader.

Found by a review. Both tests failed before: no successor within 30 s, and the follower was not silent within 30 s. All tests of consensus/ pass.

--- a/dandeliondrum/consensus/_early_replies.py
+++ b/dandeliondrum/consensus/_early_replies.py
@@ -16,7 +16,9 @@
     term, and the next one is refused because of this heartbeat. The caller
     holds the lock and has recorded the contact with the leader.
     """
-    if not state.is_syncing or message.records:
+    if state.sync_since_ns is None or message.records:
+        return None
+    if state.sync_exceeds(_state.FOLLOWER_SYNC_FACTOR):
         return None
     if state.role is not _interfaces.Role.FOLLOWER:
         return None
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -99,12 +99,15 @@
             return True
         if self._may_have_unhandled():
             return False
+        if state.sync_exceeds(_state.LEADER_SYNC_FACTOR):
+            return False
         return time.monotonic_ns() >= state.election_deadline_ns
 
     def _check_quorum(self) -> None:
         """Step down after the longest election timeout without a quorum.
 
-        Also ends a leadership transfer that has timed out.
+        Also steps down if the own disk stalls, and ends a leadership transfer
+        that has timed out.
         """
         state = self._state
         state.update_election_backoff()
@@ -115,8 +118,11 @@
             * _progress.NS_PER_MS
         )
         silent_ns = now_ns - self._contact_ns()
-        if silent_ns > limit_ns and not self._may_have_unhandled():
-            _logger.warning('no quorum answers', term=state.term)
+        is_silent = silent_ns > limit_ns and not self._may_have_unhandled()
+        is_stalled = state.sync_exceeds(_state.LEADER_SYNC_FACTOR)
+        if is_silent or is_stalled:
+            why = 'disk stalled' if is_stalled else 'no quorum answers'
+            _logger.warning(why, term=state.term)
             state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
             return
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -29,6 +29,12 @@
 # A leader that is followed by another one before this multiple of
 # ``election_max_ms`` was brief.
 BRIEF_LEADER_FACTOR = 8
+# A leader whose disk takes longer than this multiple of ``election_max_ms``
+# to sync the log steps down, since it can't commit anything.
+LEADER_SYNC_FACTOR = 2
+# A follower whose disk takes longer than this multiple of ``election_max_ms``
+# no longer counts as reachable.
+FOLLOWER_SYNC_FACTOR = 4
 # Each brief leader doubles the election timeouts up to this multiple.
 ELECTION_BACKOFF_MAX = 4
 
@@ -63,8 +69,9 @@
         )
         self.queued_proposals_count = 0
         self.writer_busy = False
-        # Whether the writer thread waits until the log is on the disk.
-        self.is_syncing = False
+        # Since when the writer thread waits until the log is on the disk,
+        # None if it does not.
+        self.sync_since_ns: int | None = None
         self.role_events: queue.Queue[_work_items.RoleEvent | None] = (
             queue.Queue()
         )
@@ -317,6 +324,18 @@
             return 0
         return sorted(values, reverse=True)[quorum - 1]
 
+    def sync_exceeds(self, factor: int) -> bool:
+        """Return whether a sync of the log takes longer than expected.
+
+        That is ``factor`` times the longest election timeout. The caller
+        holds the lock.
+        """
+        if self.sync_since_ns is None:
+            return False
+        timeout_ms = self.election_backoff * self.options.election_max_ms
+        limit_ns = factor * timeout_ms * _progress.NS_PER_MS
+        return time.monotonic_ns() - self.sync_since_ns > limit_ns
+
     def become_follower(self) -> None:
         """Step down as leader or candidate."""
         was_leader = self.is_leader()
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -7,6 +7,7 @@
 import collections.abc
 import pathlib
 import threading
+import time
 import typing
 
 from returns import result
@@ -228,13 +229,13 @@
     def _sync(self) -> None:
         state = self._state
         with state.lock:
-            state.is_syncing = True
+            state.sync_since_ns = time.monotonic_ns()
         try:
             with state.metrics.sync_seconds.time():
                 self._log.sync()
         finally:
             with state.lock:
-                state.is_syncing = False
+                state.sync_since_ns = None
         with state.lock:
             state.synced_index = self._log.last_index
             state.advance_commit()
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -127,6 +127,52 @@
         cluster.wait_applied([b'before', b'after'])
 
 
+def test_a_leader_whose_disk_stalls_is_replaced(tmp_path):
+    """Regression test: nothing was committed until the disk went on."""
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {
+            name: harness.BlockingSync() for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        disk = cluster.files[leader]
+        disk.released.clear()
+        try:
+            future = cluster.node(leader).propose(b'0')
+            assert disk.waiting.wait(harness.TIMEOUT_S)
+            successor = cluster.leader(among=cluster.others(leader))
+            cluster.propose(successor, b'1').unwrap()
+        finally:
+            disk.released.set()
+        # The entry may have been stored by the others before the stall.
+        future.result(harness.TIMEOUT_S)
+        assert cluster.machine(successor).commands[-1] == b'1'
+
+
+def silent_ms(cluster, leader, name):
+    """Return how long a member has been silent according to the leader."""
+    members = cluster.node(leader).status().members
+    (found,) = [one for one in members if one.controller_id == name]
+    return found.silent_ms
+
+
+def test_a_follower_whose_disk_hangs_is_not_taken_for_reachable(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {
+            name: harness.BlockingSync() for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        hung = cluster.others(leader)[0]
+        disk = cluster.files[hung]
+        disk.released.clear()
+        try:
+            cluster.propose(leader, b'0').unwrap()
+            assert disk.waiting.wait(harness.TIMEOUT_S)
+            harness.wait_for(lambda: silent_ms(cluster, leader, hung) > 1_000)
+            assert cluster.node(leader).is_leading()
+        finally:
+            disk.released.set()
+
+
 def test_all_come_back_after_a_restart(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         leader = cluster.bootstrap()
