Give a transfer of leadership the time that votes may take

Cause: a transfer ended after the longest election timeout (600 ms in the job engine), although its target has to write a new term and its voters their votes by then. On slow disks the leader stepped down with TIMEOUT while the election that it had asked for was under way.

Now the target has to catch up within the longest election timeout as before, and once it is asked to stand it has the time of a ballot in addition. A target that is lost in between holds up proposals for that much longer.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -11,6 +11,7 @@
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _state
+from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _work_items
 
 # How long a candidate waits until its new term is stored on its own disk.
@@ -119,9 +120,10 @@
             state.end_transfer(_errors.ChangeFailure.NOT_LEADING)
             state.become_follower()
             return
-        target = state.transfer_target
-        if target is not None and now_ns > state.transfer_deadline_ns:
-            _logger.warning('leadership transfer timed out', member=target)
+        if _transfer.has_timed_out(state):
+            _logger.warning(
+                'leadership transfer timed out', member=state.transfer_target
+            )
             state.end_transfer(_errors.ChangeFailure.TIMEOUT)
             if state.timeout_now_sent:
                 # The target may still start an election, and its voters do
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -160,6 +160,10 @@
         """
         if ballot.pre_vote:
             return self.options.election_min_ms
+        return self.vote_timeout_ms()
+
+    def vote_timeout_ms(self) -> int:
+        """Return how long votes may take, with the writes to the disks."""
         return 2 * self.options.election_max_ms
 
     def record_leader_contact(self, leader_id: messages.ControllerId) -> None:
--- a/dandeliondrum/consensus/_transfer.py
+++ b/dandeliondrum/consensus/_transfer.py
@@ -14,7 +14,11 @@
 
 
 def begin(state: _state.NodeState, target: messages.ControllerId) -> None:
-    """Start a transfer to ``target``, limited to ``election_max_ms``."""
+    """Start a transfer to ``target``.
+
+    The target has to catch up within ``election_max_ms``, and then to win the
+    election within the time that votes may take.
+    """
     limit_ns = state.options.election_max_ms * _progress.NS_PER_MS
     state.transfer_deadline_ns = time.monotonic_ns() + limit_ns
     state.transfer_target = target
@@ -29,6 +33,16 @@
         begin(state, best)
 
 
+def has_timed_out(state: _state.NodeState) -> bool:
+    """Return whether a transfer is under way and takes too long."""
+    if state.transfer_target is None:
+        return False
+    deadline_ns = state.transfer_deadline_ns
+    if state.timeout_now_sent:
+        deadline_ns += state.vote_timeout_ms() * _progress.NS_PER_MS
+    return time.monotonic_ns() > deadline_ns
+
+
 def best_successor(
     state: _state.NodeState,
 ) -> messages.ControllerId | None:
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -127,6 +127,20 @@
         cluster.wait_applied([b'before', b'after'])
 
 
+def test_leadership_is_transferred_on_disks_slower_than_an_election(
+    tmp_path,
+):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: harness.SlowSync() for name in cluster.names}
+        leader = cluster.bootstrap()
+        cluster.propose(leader, b'before').unwrap()
+        for disk in cluster.files.values():
+            disk.delay_ms = harness.ELECTION_MIN_MS + 100
+        transfer = cluster.node(leader).transfer_leadership()
+        transfer.result(harness.TIMEOUT_S).unwrap()
+        cluster.leader(among=cluster.others(leader))
+
+
 def test_all_come_back_after_a_restart(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         leader = cluster.bootstrap()
