Slow down the search for a leader that a test counts

Cause: test_a_silent_leader_does_not_hold_up_the_search_for_its_successor expects that the silent leader is not asked again before its successor is found. That holds only while the successor answers each registration within 400 ms and several rounds take less than the 700 ms for which a silent controller is skipped; the test measured the machine with that. Seen once at a load of 18 on 6 cores: a registration at the successor timed out, so that both controllers were skipped. With none left, all are tried again, the lost leader last, as designed.

Ruled out: a fault of the search. The successor was asked first in the round in which the silent leader was asked again.

Change: the test multiplies the times of the search by ten, their relation stays.

Test: test_a_silent_leader_is_asked_again_if_no_other_controller_answers holds on to what was seen, by a successor that never answers. It describes present behaviour and so passed before; it fails if skipped controllers are not tried when none is left.

--- a/dandeliondrum/gateway/tests/test_leader_link.py
+++ b/dandeliondrum/gateway/tests/test_leader_link.py
@@ -79,6 +79,20 @@
         assert time.monotonic() - began_s < FOUND_WITHIN_S
 
 
+def test_a_silent_leader_is_asked_again_if_no_other_controller_answers(
+    controllers, monkeypatch
+):
+    lost, successor, _ = controllers
+    successor.not_leader = messages.NotLeader()
+    with running_link(lost.address, successor.address) as link:
+        fakes.wait_until(link.is_up)
+        monkeypatch.setattr(_leader_link, 'UNRESPONSIVE_SKIP_MS', 60_000)
+        counts = [registrations_count(one) for one in (lost, successor)]
+        successor.frozen = lost.frozen = True
+        fakes.wait_until(lambda: registrations_count(lost) > counts[0])
+        assert registrations_count(successor) == counts[1] + 2
+
+
 def registrations_count(leader):
     return len(leader.received_of(messages.RegisterGateway))
 
--- a/dandeliondrum/gateway/tests/test_leader_loss.py
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dandeliondrum.gateway import _leader_link
 from dandeliondrum.gateway.tests import fakes
 from dandeliondrum import messages
 from dandeliondrum import transport
@@ -82,7 +83,25 @@
             assert fakes.run(gw).status == 200
 
 
-def test_a_silent_leader_does_not_hold_up_the_search_for_its_successor():
+# Slows the search down, but not the busy machine that runs the tests.
+SLOWDOWN = 10
+
+
+@pytest.fixture
+def slow_search(monkeypatch):
+    for name in (
+        'CONNECT_TIMEOUT_MS',
+        'REGISTER_TIMEOUT_MS',
+        'ROUND_PAUSE_MS',
+        'UNRESPONSIVE_SKIP_MS',
+    ):
+        usual_ms = getattr(_leader_link, name)
+        monkeypatch.setattr(_leader_link, name, SLOWDOWN * usual_ms)
+
+
+def test_a_silent_leader_does_not_hold_up_the_search_for_its_successor(
+    slow_search,
+):
     with (
         contextlib.closing(fakes.Leader('c1')) as unresponsive,
         contextlib.closing(fakes.Leader('c2', term=2)) as new,
