Compare the rate after an overload with that of a cell beside it

The overload test failed with 80 jobs in a second after the load instead of half of 222. Trace: it compared the rates of two moments, and the machine changed between them.

Now a control cell in a process of its own is measured in turns with the cell, before and after, and the cell must have half of its old rate relative to the control cell. That is as strict about the recovery: the same factor, the same 3 s after the load, and no refusal; threads that are left busy or a leader that still waits slow this cell and not the other one. The rates are printed. A rate counts the time until the last job is accepted.

--- a/dandeliondrum/jobs/tests/test_overload.py
+++ b/dandeliondrum/jobs/tests/test_overload.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import itertools
+import multiprocessing
 import threading
 import time
 
@@ -36,6 +37,8 @@
 REPORT_TIMEOUT_MS = 900
 RECOVERY_MAX_MS = 3_000
 FEW_CALLERS = 4
+TURNS_COUNT = 8
+TURN_MS = 250
 # All controllers share one interpreter, which would delay their heartbeats.
 ELECTION_MIN_MS = 1_500
 
@@ -201,24 +204,96 @@
             future.result()
 
 
-def rate(gateways, leader, duration_ms=1_000):
-    """Return how many jobs a second a few callers can submit."""
-    callers = Callers(gateways, FEW_CALLERS, leader)
-    time.sleep(duration_ms / 1000)
-    callers.stop()
-    assert not [one for one in callers.submissions if not one.accepted()]
-    return len(callers.submissions) * 1000 / duration_ms, callers
+class JobRate:
+    """Measures how many jobs a second a few callers can submit to a cell."""
 
+    def __init__(self, gateways, leader):
+        self.submissions = []
+        self._gateways = gateways
+        self._leader = leader
+
+    def measure(self, duration_ms):
+        began_s = time.monotonic()
+        callers = Callers(self._gateways, FEW_CALLERS, self._leader)
+        time.sleep(duration_ms / 1000)
+        callers.stop()
+        self.submissions += callers.submissions
+        assert not [one for one in callers.submissions if not one.accepted()]
+        return len(callers.submissions) / (time.monotonic() - began_s)
+
+
+class ControlCell:
+    """A cell of another process, which is never overloaded.
+
+    Its rate shows what the machine allows at the moment.
+    """
+
+    def __init__(self, folder, resources):
+        folder.mkdir()
+        spawn = multiprocessing.get_context('spawn')
+        self._requests, served = spawn.Pipe()
+        process = spawn.Process(target=serve_rates, args=(folder, served))
+        process.start()
+        resources.callback(process.join)
+        resources.callback(self._requests.send, None)
+
+    def measure(self, duration_ms):
+        self._requests.send(duration_ms)
+        return self._requests.recv()
+
+
+def serve_rates(folder, requests):
+    """Open a cell and answer each duration with the rate measured then."""
+    with contextlib.ExitStack() as resources:
+        log = resources.enter_context((folder / 'log').open('w'))
+        resources.enter_context(contextlib.redirect_stdout(log))
+        cell = test_cell.Cell(folder, resources, ELECTION_MIN_MS)
+        cell.open()
+        job_rate = JobRate(open_gateways(cell), slow_leader(cell))
+        while (duration_ms := requests.recv()) is not None:
+            requests.send(job_rate.measure(duration_ms))
 
-def test_an_overloaded_leader_refuses_new_jobs_and_keeps_accepted_ones(cell):
+
+def relative_rate(job_rate, control):
+    """Return the rate of a cell relative to that of the control cell.
+
+    They are measured in turns, since the load of the machine may change.
+    """
+    rates = [
+        (job_rate.measure(TURN_MS), control.measure(TURN_MS))
+        for _ in range(TURNS_COUNT)
+    ]
+    print('rates of the cell and of the control cell', rates)
+    own, control_rate = (sum(column) for column in zip(*rates, strict=True))
+    return own / control_rate
+
+
+def open_gateways(cell):
     gateways = [cell.gateway] + [
         cell.new_gateway(f'g{number}')
         for number in range(2, GATEWAYS_COUNT + 1)
     ]
     testing.wait_until(lambda: all(one.has_leader() for one in gateways))
-    leader = cell.leader()
+    return gateways
+
+
+def slow_leader(cell):
+    return SlowLeader(cell.controllers[cell.wait_leader()])
+
+
+@pytest.fixture
+def control(tmp_path):
+    with contextlib.ExitStack() as resources:
+        yield ControlCell(tmp_path / 'control', resources)
+
+
+def test_an_overloaded_leader_refuses_new_jobs_and_keeps_accepted_ones(
+    cell, control
+):
+    gateways = open_gateways(cell)
+    leader = cell.wait_leader()
     slow = SlowLeader(cell.controllers[leader])
-    old_rate, _ = rate(gateways, slow)
+    old_rate = relative_rate(JobRate(gateways, slow), control)
 
     operator, reporters = Operator(cell), Reporters(cell)
     slow.command_ms = SLOW_COMMAND_MS
@@ -257,9 +332,10 @@
     assert not any(f'{one.name}.0.0.0' in starts for one in refusals)
     left_s = ended_s + RECOVERY_MAX_MS / 1000 - time.monotonic()
     time.sleep(max(0, left_s))
-    new_rate, callers = rate(gateways, slow)
+    job_rate = JobRate(gateways, slow)
+    new_rate = relative_rate(job_rate, control)
     assert new_rate > old_rate / 2
-    for one in callers.submissions:
+    for one in job_rate.submissions:
         cell.wait_done(one.name)
 
 
