--- a/dandeliondrum/transport/__init__.py
+++ b/dandeliondrum/transport/__init__.py
@@ -7,6 +7,7 @@
 from dandeliondrum.transport._connection import Handler
 from dandeliondrum.transport._connection import PINGS_PER_IDLE_TIMEOUT
 from dandeliondrum.transport._connection import SEND_QUEUE_MAX_FRAMES
+from dandeliondrum.transport._connection import WRITE_BATCH_BYTES
 from dandeliondrum.transport._errors import CallError
 from dandeliondrum.transport._errors import CallFailure
 from dandeliondrum.transport._frames import FRAME_MAX_BYTES
@@ -42,6 +43,7 @@
     'ServerOptions',
     'Session',
     'SessionTable',
+    'WRITE_BATCH_BYTES',
     'connect',
     'pack',
     'parse_address',
--- a/dandeliondrum/transport/_connection.py
+++ b/dandeliondrum/transport/_connection.py
@@ -1,11 +1,10 @@
 """Symmetric connection between two processes of a cell.
 
-Each connection has a reader thread and a writer thread. What the stream does
-not accept at once is queued for the writer thread, so that a peer that stops
-reading can't block the senders. Each side sends a ping when it has nothing
-else to send. A connection on which nothing arrives for ``silence_ms`` is
-closed; this detects links whose state a device in between, such as a
-firewall, has dropped.
+Each connection has a reader thread and a writer thread. Senders only append
+to a queue, so that a peer that stops reading can't block them. Each side
+sends a ping when it has nothing else to send. A connection on which nothing
+arrives for ``silence_ms`` is closed; this detects links whose state a device
+in between, such as a firewall, has dropped.
 """
 
 import collections.abc
@@ -13,6 +12,7 @@
 import dataclasses
 import functools
 import itertools
+import queue
 import socket
 import threading
 import time
@@ -24,19 +24,17 @@
 from dandeliondrum import messages
 from dandeliondrum.transport import _errors
 from dandeliondrum.transport import _frames
-from dandeliondrum.transport import _sender
 
 DEFAULT_IDLE_TIMEOUT_MS = 1_500
 PINGS_PER_IDLE_TIMEOUT = 4
 SEND_QUEUE_MAX_FRAMES = 20_000
+WRITE_BATCH_BYTES = 256 * 1024
 
 _logger = structlog.get_logger()
 
 CallFuture = concurrent.futures.Future[
     result.Result[typing.Any, _errors.CallError]
 ]
-# Sends a frame, or queues it for the writer thread.
-_Send = collections.abc.Callable[[bytes], bool]
 Handler = collections.abc.Callable[['Connection', typing.Any], typing.Any]
 
 
@@ -68,19 +66,15 @@
         self.closed = threading.Event()
         self._stream = stream
         self._callbacks = callbacks
+        self._silence_s = silence_ms / 1000
+        self._outgoing: queue.Queue[bytes | None] = queue.Queue(
+            SEND_QUEUE_MAX_FRAMES
+        )
         self._call_ids = itertools.count(1)
         self._lock = threading.Lock()
         self._pending: dict[int, CallFuture] = {}
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream.setblocking(False)
-        self._reader = _frames.FrameReader(stream, silence_ms)
-        self._sender = _sender.FrameSender(
-            stream,
-            SEND_QUEUE_MAX_FRAMES,
-            _frames.pack(_frames.FrameKind.PING, 0, b''),
-            silence_ms / 1000 / PINGS_PER_IDLE_TIMEOUT,
-            silence_ms,
-        )
+        stream.settimeout(self._silence_s)
 
     def run(self) -> None:
         """Read until the connection ends; start and join the writer thread."""
@@ -110,7 +104,7 @@
                 future.set_result(_failure(_errors.CallFailure.NOT_SENT))
                 return future
             self._pending[call_id] = future
-        self._send(self._sender.send, _frames.FrameKind.CALL, call_id, payload)
+        self._send(_frames.FrameKind.CALL, call_id, payload)
         return future
 
     def call(
@@ -124,12 +118,7 @@
 
     def push(self, message: typing.Any) -> bool:
         """Queue a message that gets no reply; return whether it was queued."""
-        return self._send(
-            self._sender.queue,
-            _frames.FrameKind.PUSH,
-            0,
-            messages.encode(message),
-        )
+        return self._send(_frames.FrameKind.PUSH, 0, messages.encode(message))
 
     def close(self) -> None:
         """Close the connection; pending calls fail with ``CLOSED``."""
@@ -139,7 +128,10 @@
             self.closed.set()
             pending = list(self._pending.values())
             self._pending.clear()
-        self._sender.close()
+        try:
+            self._outgoing.put_nowait(None)
+        except queue.Full:
+            pass
         try:
             self._stream.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -149,29 +141,55 @@
             future.set_result(_failure(_errors.CallFailure.CLOSED))
 
     def _send(
-        self,
-        send: _Send,
-        kind: _frames.FrameKind,
-        call_id: int,
-        payload: bytes,
+        self, kind: _frames.FrameKind, call_id: int, payload: bytes
     ) -> bool:
-        sent = send(_frames.pack(kind, call_id, payload))
-        if not sent and not self.closed.is_set():
+        if self.closed.is_set():
+            return False
+        try:
+            self._outgoing.put_nowait(_frames.pack(kind, call_id, payload))
+            return True
+        except queue.Full:
             _logger.warning('send queue full', peer=self.peer_id)
             self.close()
-        return sent
+            return False
 
     def _write_loop(self) -> None:
-        try:
-            self._sender.run()
-        except OSError:
-            self.close()
+        ping = _frames.pack(_frames.FrameKind.PING, 0, b'')
+        while not self.closed.is_set():
+            try:
+                frame = self._outgoing.get(
+                    timeout=self._silence_s / PINGS_PER_IDLE_TIMEOUT
+                )
+            except queue.Empty:
+                frame = ping
+            if frame is None:
+                return
+            try:
+                self._stream.sendall(self._join_queued_frames(frame))
+            except OSError:
+                self.close()
+                return
+
+    def _join_queued_frames(self, first: bytes) -> bytes:
+        batch = [first]
+        size_bytes = len(first)
+        while size_bytes < WRITE_BATCH_BYTES:
+            try:
+                frame = self._outgoing.get_nowait()
+            except queue.Empty:
+                break
+            if frame is None:
+                self._outgoing.put_nowait(None)
+                break
+            batch.append(frame)
+            size_bytes += len(frame)
+        return b''.join(batch)
 
     def _read_loop(self) -> None:
         last_received_s = time.monotonic()
         while not self.closed.is_set():
             try:
-                frame = self._reader.read()
+                frame = _frames.read(self._stream)
             except _frames.FrameError as error:
                 _logger.warning(
                     'invalid frame', peer=self.peer_id, why=str(error)
@@ -198,9 +216,7 @@
     ) -> bool:
         match kind:
             case _frames.FrameKind.PING:
-                return self._send(
-                    self._sender.send, _frames.FrameKind.PONG, 0, b''
-                )
+                return self._send(_frames.FrameKind.PONG, 0, b'')
             case _frames.FrameKind.PONG:
                 return True
         match messages.decode(payload):
@@ -234,23 +250,17 @@
         try:
             reply = on_call(self, message)
         except Exception as error:
-            self._send_failure(self._sender.send, call_id, kind, error)
+            self._send_failure(call_id, kind, error)
             return
-        if not isinstance(reply, concurrent.futures.Future):
-            self._send_reply(self._sender.send, call_id, kind, reply)
-        elif reply.done():
-            self._send_result(self._sender.send, call_id, kind, reply)
-        else:
-            # Queued, so that whoever resolves many futures is not held up.
+        if isinstance(reply, concurrent.futures.Future):
             reply.add_done_callback(
-                functools.partial(
-                    self._send_result, self._sender.queue, call_id, kind
-                )
+                functools.partial(self._send_result, call_id, kind)
             )
+        else:
+            self._send_reply(call_id, kind, reply)
 
     def _send_result(
         self,
-        send: _Send,
         call_id: int,
         kind: str,
         done: 'concurrent.futures.Future[typing.Any]',
@@ -258,30 +268,24 @@
         try:
             reply = done.result()
         except Exception as error:
-            self._send_failure(send, call_id, kind, error)
+            self._send_failure(call_id, kind, error)
             return
-        self._send_reply(send, call_id, kind, reply)
+        self._send_reply(call_id, kind, reply)
 
-    def _send_reply(
-        self, send: _Send, call_id: int, kind: str, reply: typing.Any
-    ) -> None:
+    def _send_reply(self, call_id: int, kind: str, reply: typing.Any) -> None:
         try:
             payload = messages.encode(reply)
         except Exception as error:
-            self._send_failure(send, call_id, kind, error)
+            self._send_failure(call_id, kind, error)
             return
-        self._send(send, _frames.FrameKind.REPLY, call_id, payload)
+        self._send(_frames.FrameKind.REPLY, call_id, payload)
 
-    def _send_failure(
-        self, send: _Send, call_id: int, kind: str, error: Exception
-    ) -> None:
+    def _send_failure(self, call_id: int, kind: str, error: Exception) -> None:
         _logger.error(
             'call failed', peer=self.peer_id, kind=kind, exc_info=error
         )
         failed = messages.CallFailed(f'{kind} failed: {error!r}', False)
-        self._send(
-            send, _frames.FrameKind.REPLY, call_id, messages.encode(failed)
-        )
+        self._send(_frames.FrameKind.REPLY, call_id, messages.encode(failed))
 
 
 def _failure(
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -148,11 +148,11 @@
     stream = socket.create_connection(
         parse_address(address), timeout_ms / 1000
     )
+    connection = _connection.Connection(stream, callbacks, silence_ms)
+    connection.peer_id = address
     stream.sendall(
         _frames.pack(_frames.FrameKind.PUSH, 0, messages.encode(hello))
     )
-    connection = _connection.Connection(stream, callbacks, silence_ms)
-    connection.peer_id = address
     threading.Thread(
         target=connection.run, name='outgoing-stream', daemon=True
     ).start()
