Judge the runs of a soak's workers by the leases on their own clocks

An example: 06.762 run 1 starts on i-20, 07.569 it ends, 13.612 recorded as lapsed, 13.914 run 2 assigned to i-41, 13.962 the end of run 1 recorded as done, 14.537 run 2 starts. By the rule, an end is taken note of when it is acknowledged "unless the worker's lease lapsed between the two". The checker now leaves out the end if the lease lapsed between the end and its acknowledgement on the worker's clock.

Run 2 of 06000031.0.1.1 had a lease until about 24.04; the leader recorded it as lapsed at 24.424 and run 3 started at 25.306, but the thread that ends due runs came to it only at 26.015. Such a run has ended by its worker's clock, whenever that is listed. Only this example was followed in full; the others have the same order.

A run whose lease has not lapsed, and an end that was acknowledged in time, are judged as before; the tests of that are unchanged.

--- a/dandeliondrum/testing/_soak_checker.py
+++ b/dandeliondrum/testing/_soak_checker.py
@@ -1,6 +1,7 @@
 """The invariants of a soak, checked on the events of fake workers."""
 
 import collections
+import collections.abc
 import datetime
 import json
 import math
@@ -28,7 +29,10 @@
         self.lock = threading.RLock()
         self.violations: list[str] = []
         self.events: list[str] = []
-        self._running_on: dict[jobs.TaskKey, str] = {}
+        # The worker of each running task, and whether its lease has lapsed.
+        self._running_on: dict[
+            jobs.TaskKey, tuple[str, collections.abc.Callable[[], bool]]
+        ] = {}
         self._acknowledged: set[jobs.TaskKey] = set()
         self._cpu_by_worker: collections.Counter[str] = collections.Counter()
         self._cpu_by_run: dict[tuple[str, jobs.TaskKey], int] = {}
@@ -55,9 +59,16 @@
                 self.add_violation(f'{job_id} was refused but started')
 
     def started(
-        self, worker: jobs.WorkerFacts, order: jobs.StartOrder
+        self,
+        worker: jobs.WorkerFacts,
+        order: jobs.StartOrder,
+        has_lapsed: collections.abc.Callable[[], bool],
     ) -> None:
-        """Check a start order that a worker is about to carry out."""
+        """Check a start order that a worker is about to carry out.
+
+        Once the worker's lease has lapsed on its own clock, its runs have
+        ended, also if it has not listed their ends yet.
+        """
         with self.lock:
             self.starts_count += 1
             task, worker_id = order.task, worker.worker_id
@@ -70,7 +81,8 @@
                 self._add_worker_violation(
                     f'{task} was refused but starts', worker_id
                 )
-            if task in self._running_on:
+            running = self._running_on.get(task)
+            if running is not None and not running[1]():
                 self._add_worker_violation(f'{task} starts twice', worker_id)
             if task in self._acknowledged:
                 self._add_worker_violation(
@@ -81,7 +93,7 @@
                     f'{task} was not submitted with this payload', worker_id
                 )
             cpu = int(json.loads(order.payload)['cpu'])
-            self._running_on[task] = worker_id
+            self._running_on[task] = (worker_id, has_lapsed)
             # A second start on the same worker replaces the first run.
             replaced_cpu = self._cpu_by_run.get((worker_id, task), 0)
             self._cpu_by_worker[worker_id] -= replaced_cpu
@@ -94,8 +106,9 @@
         """Register that a run on a worker has ended, with any outcome."""
         with self.lock:
             self.log(f'{worker_id} ends {task}')
-            if self._running_on.get(task) == worker_id:
-                del self._running_on[task]
+            if task in self._running_on:
+                if self._running_on[task][0] == worker_id:
+                    del self._running_on[task]
             self._cpu_by_worker[worker_id] -= self._cpu_by_run.pop(
                 (worker_id, task), 0
             )
@@ -150,17 +163,40 @@
             self.late_starts = []
             super().restart()
 
+    def _reset(self) -> None:
+        super()._reset()
+        self._ended_ms: dict[int, float] = {}
+        # When the lease was renewed for the last time after it had lapsed.
+        self._lapsed_ms = 0.0
+
+    def _has_lapsed(self) -> bool:
+        return 0 < self._lease_ms < self._clock_ms()
+
+    def _extend_lease(self, until_ms: float) -> None:
+        if self._has_lapsed():
+            self._lapsed_ms = self._clock_ms()
+        super()._extend_lease(until_ms)
+
     def _forget_ends(self, acknowledged_number: int) -> None:
+        """Report the ends that the leader has taken note of.
+
+        By the protocol, an end whose worker's lease lapsed before it was
+        acknowledged is not taken note of, as the leader may have given the
+        run up.
+        """
         for one in self._ends:
             done = one.end.outcome is jobs.RunOutcome.DONE
-            if done and one.sequence <= acknowledged_number:
+            ended_ms = self._ended_ms[one.sequence]
+            lapsed = self._has_lapsed() or self._lapsed_ms > ended_ms
+            if done and one.sequence <= acknowledged_number and not lapsed:
                 self._checker.end_acknowledged(one.end.task)
         super()._forget_ends(acknowledged_number)
 
     def _begin_run(self, order: jobs.StartOrder) -> None:
-        self._checker.started(self.facts, order)
+        self._checker.started(self.facts, order, self._has_lapsed)
         super()._begin_run(order)
 
     def _end(self, task: jobs.TaskKey, outcome: jobs.RunOutcome) -> None:
         super()._end(task, outcome)
+        self._ended_ms[self._last_end_number] = self._clock_ms()
         self._checker.ended(self.facts.worker_id, task)
