Let the fake worker queue all connections of a test

Cause: the fake worker of the gateway tests listened with cheroot's backlog of 5. Eight calls at once can overflow it on a busy machine; the kernel then drops the connection request, which is repeated after 1 s, the gateway's limit for connecting. The gateway reports the attempt as never started, which is true. The fake leader starts no further attempt, as a real one would, so the call waits until the drain ends.

What was seen: test_requests_sent_during_a_stop_are_served failed with "the gateway is stopping; send the id again" instead of an answer, with one attempt logged as NeverStarted 1 s after the others.

Change: a backlog of 128, as of the fake gateway and of the stand-in worker. No assertion changes.

--- a/dandeliondrum/gateway/tests/fakes.py
+++ b/dandeliondrum/gateway/tests/fakes.py
@@ -181,7 +181,11 @@
         self.on_start = lambda seen: ended(b'echo:' + seen.body)
         self.on_fetch = lambda _seen: werkzeug.Response(status=404)
         self._server = wsgi.Server(
-            ('127.0.0.1', 0), self._serve, numthreads=8, shutdown_timeout=1
+            ('127.0.0.1', 0),
+            self._serve,
+            numthreads=8,
+            request_queue_size=128,
+            shutdown_timeout=1,
         )
         self._server.error_log = lambda *_, **__: None
         self._server.expiration_interval = 0.1
