Name the time for which the stream of a late leader is kept

The two times now have a constant each, of the same value, so the product does what it did. The test counts the rounds in which the successor is asked while the answer of the lost leader may be late: one or two, and one more before the lost leader is asked.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -33,6 +33,8 @@
 # Longer than an election takes after a leader was found to be unresponsive,
 # which is at least 0.5 s after its last message.
 UNRESPONSIVE_SKIP_MS = 700
+# The stream of a leader whose answer is late is kept for this long.
+LATE_LEADER_WAIT_MS = 700
 
 _logger = structlog.get_logger()
 
@@ -473,7 +475,7 @@
         stream: transport.Connection,
         answer: transport.CallFuture,
     ) -> None:
-        expiry_ms = utils.monotonic_ms() + UNRESPONSIVE_SKIP_MS
+        expiry_ms = utils.monotonic_ms() + LATE_LEADER_WAIT_MS
         with self._lock:
             self._late_leader = _LateLeader(
                 candidate, stream, answer, expiry_ms
--- a/dandeliondrum/gateway/tests/test_leader_loss.py
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -91,6 +91,7 @@
 def slow_search(monkeypatch):
     for name in (
         'CONNECT_TIMEOUT_MS',
+        'LATE_LEADER_WAIT_MS',
         'REGISTER_TIMEOUT_MS',
         'ROUND_PAUSE_MS',
         'UNRESPONSIVE_SKIP_MS',
