Refuse numbers that are not finite or beyond 64 bits

JSON has numbers that Python reads as infinite (1e400) or as integers of any length. A worker that listed such a number raised OverflowError in the thread that reads its lists, which was then restarted with ever longer pauses and renewed no lease. An operator's document with an infinite Stretch was accepted; with the order by objectives it would have failed every planning round of the cell. A job with an EstimateMs beyond 64 bits failed in the gateway's encoder instead of being refused with 400.

A document with such a number that is stored already can not be read any more; none is known.

--- a/dandeliondrum/platform/_bodies.py
+++ b/dandeliondrum/platform/_bodies.py
@@ -129,7 +129,7 @@
 
     A list of ``ended_runs_max`` ended runs is taken as incomplete. Rows with
     a task or an outcome of unknown form are skipped. Raises FieldError, or
-    TypeError or ValueError for a row with a value of the wrong type.
+    TypeError, ValueError or OverflowError for a row with a wrong value.
     """
     fields = _fields.parse_object(body)
     runs = tuple(_decode_run(row) for row in _fields.array(fields, 'Running'))
--- a/dandeliondrum/platform/_fields.py
+++ b/dandeliondrum/platform/_fields.py
@@ -2,8 +2,12 @@
 
 import collections.abc
 import json
+import math
 import typing
 
+# Integers are stored and sent between processes with at most 64 bits.
+INTEGER_MAX = 2**63 - 1
+
 
 class FieldError(ValueError):
     """A field is missing or has the wrong type or value."""
@@ -36,15 +40,21 @@
 
 
 def integer(body: Body, name: str, default: int | None = None) -> int:
-    """Return an integer field."""
-    return _get_typed(body, name, int, default)
+    """Return an integer field of at most 64 bits."""
+    value = _get_typed(body, name, int, default)
+    if abs(value) > INTEGER_MAX:
+        raise FieldError(f'{name} is too large')
+    return value
 
 
 def number(body: Body, name: str, default: float | None = None) -> float:
-    """Return a numeric field as a float."""
+    """Return a finite numeric field as a float."""
     value = _get(body, name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise FieldError(f'{name} must be a number')
+    # Not only Infinity and NaN: 1e400 is read as infinite, too.
+    if not math.isfinite(value) or abs(value) > INTEGER_MAX:
+        raise FieldError(f'{name} is too large or not finite')
     return float(value)
 
 
--- a/dandeliondrum/platform/_http_ports.py
+++ b/dandeliondrum/platform/_http_ports.py
@@ -60,7 +60,7 @@
             return reply
         try:
             return _bodies.decode_worker_lists(reply, ENDED_RUNS_MAX)
-        except (_fields.FieldError, TypeError, ValueError) as error:
+        except (TypeError, ValueError, OverflowError) as error:
             return jobs.Unanswered(True, f'invalid lists: {error}')
 
     def start(self, order: jobs.StartOrder) -> jobs.OrderOutcome:
--- a/dandeliondrum/platform/tests/test_bodies.py
+++ b/dandeliondrum/platform/tests/test_bodies.py
@@ -47,6 +47,8 @@
         {'Steps': [{}]},
         {'Steps': [{**STEP, 'Count': -1}]},
         {'Steps': [{**STEP, 'Count': 10**9}]},
+        {'Steps': [{**STEP, 'EstimateMs': 2**64}]},
+        {'Steps': [{**STEP, 'Cpu': 10**400}]},
         {'Steps': [{**STEP, 'After': [0]}]},
         {'Steps': [{**STEP, 'After': ['0']}]},
         {'Steps': 'all'},
