Keep a draining worker out of use whatever report arrives late

A report that a worker sent before it began to drain can be delayed by a cut and arrive after the leader has been lost. The next leader knows the committed phase but not the sequence numbers of reports, so it took the late report as news, committed the worker as ready and placed tasks on it.

Ruled out: committing each sequence number, as reports that tell nothing new need no commit today.

Change: draining is final for an incarnation; a report to the contrary is acknowledged and ignored. A worker that starts again is used. The test fails on the code before, where the worker is committed as ready.

--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -221,6 +221,9 @@
             return True
         if known is not None and known.started_ms > facts.started_ms:
             return True
+        if known is not None and _ends_draining(known, facts):
+            # A late report; this leader may not have seen the newer ones.
+            return True
         last = self._sequences.get(facts.worker_id, (0, 0))
         # A follower repeats a report whose first commit may have failed.
         return last > (facts.started_ms, report.sequence)
@@ -579,6 +582,20 @@
     return found
 
 
+def _ends_draining(
+    known: _commands.WorkerFacts, facts: _commands.WorkerFacts
+) -> bool:
+    """Return whether facts say that the same incarnation drains no more.
+
+    Draining is final: a worker that is to be used again starts again.
+    """
+    return (
+        known.started_ms == facts.started_ms
+        and known.phase is _commands.WorkerPhase.DRAINING
+        and facts.phase is _commands.WorkerPhase.READY
+    )
+
+
 def _is_obsolete(
     job: _records.JobRecord, key: _specs.TaskKey, run: int
 ) -> bool:
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -282,6 +282,23 @@
     assert leader.peer().facts == leader.worker.facts
 
 
+def test_a_draining_worker_stays_out_of_use_after_the_leader_is_lost(leader):
+    """The next leader does not know which reports came before."""
+    draining = dataclasses.replace(
+        leader.worker.facts, phase=jobs.WorkerPhase.DRAINING
+    )
+    leader.machine(_commands.PutWorker(draining))
+    leader.workers.restore()
+    # Sent before the worker began to drain, and delayed on the way.
+    leader.report()
+    state = leader.machine.state
+    assert state.workers[W1].facts.phase is jobs.WorkerPhase.DRAINING
+    assert leader.peer().facts.phase is jobs.WorkerPhase.DRAINING
+    # Another incarnation may be used.
+    _report_next(leader, started_ms=2)
+    assert state.workers[W1].facts.phase is jobs.WorkerPhase.READY
+
+
 def test_a_repeated_report_is_acknowledged_only_once_it_is_committed(leader):
     """Regression test: the next leader gave tasks to a draining worker."""
     leader.report()
