Ask the adviser about other workers while those with tickets are kept free

No call was made as long as one worker with room had a valid ticket, also if that worker was reserved for another step; a call came only when the tickets had expired, each 2 s, and named 12 workers, those with the most free CPU first, which are the reserved ones.

Ruled out: a full fleet (fleet_free_cpu_share 0.23 to 0.45 in the leader's load lines); an adviser that is busy (100 to 200 calls a second, 0.3 s each, 102 processes).

Change: once a round has been planned with the tickets of the last reply and tasks still wait, the next call names workers with room that have no ticket. Workers that the last round kept free come last. The number of workers in a later call grows with what the waiting tasks need, as in the first one.

Tests: the two new ones of the cache need the new method, so they can't run on the code before; there the second call of the first one returns nobody.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -25,8 +25,8 @@
 # Candidates per worker that a step needs. Advisers grant at least three in
 # ten, and some of the granted workers are full.
 CANDIDATES_PER_NEEDED_WORKER = 5
-# Maximum number of workers in a later call, which only renews the tickets
-# that are needed.
+# Maximum number of workers in a later call about a step whose waiting tasks
+# need few workers; it only adds or renews the tickets that are needed.
 RENEWAL_WORKERS_MAX = 12
 # A ticket must stay valid during planning, the commit to the log and the
 # delivery to the worker.
@@ -67,6 +67,8 @@
     calls_count: int = 0
     overdue_from_ms: float = 0.0
     not_before_ms: int = 0
+    # Whether a round has been planned with the tickets of the last reply.
+    planned: bool = False
 
     def may_call(self, now_ms: float) -> bool:
         if self.calls_count >= CALLS_PER_STEP_MAX:
@@ -109,6 +111,16 @@
             if ticket.expires_ms - TICKET_MARGIN_MS > now_ms
         }
 
+    def record_planned(self, name: StepName) -> None:
+        """Record that a round is planned with the tickets of a step.
+
+        If tasks still wait after it, its tickets are not sufficient: workers
+        with resources may be reserved for others.
+        """
+        step = self._steps.get(name)
+        if step is not None:
+            step.planned = True
+
     def granted(
         self, name: StepName
     ) -> collections.abc.Set[messages.WorkerId]:
@@ -154,8 +166,10 @@
 
         The first call includes many workers, with or without free resources.
         A later call includes only workers that have free resources and whose
-        ticket has expired, or that were in no call yet. There is only one
-        call at a time, unless it is overdue.
+        ticket has expired, or that were in no call yet. It is made if there
+        is no valid ticket for a worker with free resources, or if a round has
+        left tasks waiting in spite of such tickets. There is only one call at
+        a time, unless it is overdue.
 
         The tasks of a gang start together, so the tickets of all its workers
         are renewed in one call. The renewal precedes the expiry by the
@@ -188,7 +202,8 @@
         has_new = any(c.worker_id not in step.tickets for c in available)
         if is_gang and len(valid) == len(step.tickets) and not has_new:
             return ()
-        if not is_gang and any(c.worker_id in valid for c in available):
+        has_valid = any(c.worker_id in valid for c in available)
+        if not is_gang and has_valid and not step.planned:
             return ()
         granted = [
             c
@@ -198,11 +213,17 @@
         new = [c for c in available if c.worker_id not in step.tickets]
         if is_gang:
             return _ids(granted + new, CALL_WORKERS_MAX)
-        # The granted workers may be kept free for other work.
-        renewed_count = RENEWAL_WORKERS_MAX - min(
-            len(new), RENEWAL_WORKERS_MAX // 2
+        expired = [c for c in granted if c.worker_id not in valid]
+        limit = min(
+            max(
+                RENEWAL_WORKERS_MAX,
+                needed_count * CANDIDATES_PER_NEEDED_WORKER,
+            ),
+            CALL_WORKERS_MAX,
         )
-        return _ids(granted[:renewed_count] + new, RENEWAL_WORKERS_MAX)
+        # The granted workers may be kept free for other work.
+        renewed_count = limit - min(len(new), limit // 2)
+        return _ids(expired[:renewed_count] + new, limit)
 
     def record_call(self, name: StepName, due_ms: float) -> None:
         """Record that a call was sent and when its reply is expected."""
@@ -231,6 +252,7 @@
             if not may_retry_now:
                 step.not_before_ms = now_ms + RETRY_DELAY_MS
             return
+        step.planned = False
         expires_ms = now_ms + reply.valid_ms
         granted = {grant.worker_id: grant.ticket for grant in reply.grants}
         for worker_id in included:
--- a/dandeliondrum/jobs/_advice_candidates.py
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -10,15 +10,25 @@
 
 
 class CandidateWorkers:
-    """The usable workers of each pool, sorted once for all demands."""
+    """The usable workers of each pool, sorted once for all demands.
+
+    Those that the last round kept free for some demand come behind all
+    others.
+    """
 
     def __init__(
-        self, workers: collections.abc.Iterable[_planner.AvailableWorker]
+        self,
+        workers: collections.abc.Iterable[_planner.AvailableWorker],
+        reserved_ids: collections.abc.Set[messages.WorkerId] = frozenset(),
     ) -> None:
         self._by_pool: dict[str, list[_planner.AvailableWorker]] = {}
         for worker in workers:
             self._by_pool.setdefault(worker.pool, []).append(worker)
-        self._sorted_pools: set[str] = set()
+        self._reserved_ids = reserved_ids
+        # The workers that are not reserved, and those that are.
+        self._sorted: dict[
+            str, tuple[list[_planner.AvailableWorker], ...]
+        ] = {}
         self._capacities: dict[str, set[messages.Resources]] = {}
 
     def select(
@@ -38,22 +48,25 @@
         accelerators = charge.accelerators_count
         only_with_capacity = only_with_capacity and not expects_capacity
         found = []
-        for worker in self._sorted_workers(demand.pool):
-            free = worker.free
-            if only_with_capacity and free.cpu_millicores < cpu:
-                break
-            if label and label not in worker.labels:
-                continue
-            has_capacity = not _is_at_limit(demand, worker.worker_id) and (
-                expects_capacity
-                or (
-                    cpu <= free.cpu_millicores
-                    and memory <= free.memory_mb
-                    and accelerators <= free.accelerators_count
+        for part in self._sorted_workers(demand.pool):
+            for worker in part:
+                free = worker.free
+                if only_with_capacity and free.cpu_millicores < cpu:
+                    break
+                if label and label not in worker.labels:
+                    continue
+                has_capacity = not _is_at_limit(demand, worker.worker_id) and (
+                    expects_capacity
+                    or (
+                        cpu <= free.cpu_millicores
+                        and memory <= free.memory_mb
+                        and accelerators <= free.accelerators_count
+                    )
                 )
-            )
-            if has_capacity or not only_with_capacity:
-                found.append(_advice.Candidate(worker.worker_id, has_capacity))
+                if has_capacity or not only_with_capacity:
+                    found.append(
+                        _advice.Candidate(worker.worker_id, has_capacity)
+                    )
         return found
 
     def count_needed(self, demand: _planner.Demand) -> int:
@@ -71,14 +84,21 @@
             tasks_per_worker = min(tasks_per_worker, per_worker_max)
         return -(-len(demand.indexes) // max(1, tasks_per_worker))
 
-    def _sorted_workers(self, pool: str) -> list[_planner.AvailableWorker]:
-        workers = self._by_pool.get(pool, [])
-        if pool not in self._sorted_pools:
-            self._sorted_pools.add(pool)
-            workers.sort(
-                key=lambda one: (-one.free.cpu_millicores, one.worker_id)
+    def _sorted_workers(
+        self, pool: str
+    ) -> tuple[list[_planner.AvailableWorker], ...]:
+        parts = self._sorted.get(pool)
+        if parts is None:
+            workers = sorted(
+                self._by_pool.get(pool, ()),
+                key=lambda one: (-one.free.cpu_millicores, one.worker_id),
+            )
+            reserved = self._reserved_ids
+            parts = self._sorted[pool] = (
+                [one for one in workers if one.worker_id not in reserved],
+                [one for one in workers if one.worker_id in reserved],
             )
-        return workers
+        return parts
 
     def _capacities_of(self, pool: str) -> set[messages.Resources]:
         known = self._capacities.get(pool)
@@ -111,7 +131,8 @@
             name,
             candidate_workers.select(demand, True, expects_capacity),
             now_ms,
-            gang_policy=gang_policy,
+            1 if is_gang else candidate_workers.count_needed(demand),
+            gang_policy,
         )
         if not is_gang or not included:
             return included
--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -34,12 +34,14 @@
         steps_with_capacity: collections.abc.Set[
             tuple[_specs.JobId, _specs.StepIndex]
         ],
+        reserved_ids: collections.abc.Set[messages.WorkerId] = frozenset(),
     ) -> None:
         """Request advice in scheduling order while a process is free.
 
         For the steps in ``steps_with_capacity``, workers were reserved on
         which tasks fit, now or once runs have been stopped. The tickets of
-        gangs among these steps are renewed in the meantime.
+        gangs among these steps are renewed in the meantime. ``reserved_ids``
+        are the workers that the last round kept free.
         """
         advised = [
             (demand, queue.advice)
@@ -47,7 +49,9 @@
             if queue.advice is not None
         ]
         advised.sort(key=lambda pair: _planner.scheduling_key(pair[0]))
-        candidate_workers = _advice_candidates.CandidateWorkers(workers)
+        candidate_workers = _advice_candidates.CandidateWorkers(
+            workers, reserved_ids
+        )
         names = set()
         busy_policies: set[_policy.AdvicePolicy] = set()
         for demand, policy in advised:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -94,6 +94,8 @@
         self._steps_with_capacity: set[
             tuple[_specs.JobId, _specs.StepIndex]
         ] = set()
+        # Workers that the last round kept free for some step.
+        self._reserved_ids: set[messages.WorkerId] = set()
 
     def run(self, stopping: threading.Event) -> None:
         """Run a round after each change until ``stopping`` is set."""
@@ -177,7 +179,10 @@
             for demand, _ in demands:
                 self._set_urgency(demand, now_ms)
             self._advice_requester.request(
-                demands, workers, self._steps_with_capacity
+                demands,
+                workers,
+                self._steps_with_capacity,
+                self._reserved_ids,
             )
             for demand, queue in demands:
                 self._set_advice(demand, queue, now_ms)
@@ -235,6 +240,9 @@
             preemption,
         )
         self._steps_with_capacity = preemption.steps_with_capacity
+        self._reserved_ids = {
+            worker.worker_id for worker in inputs.workers if worker.reserved
+        }
         self._preempt(preemption.chosen, inputs.peers)
         placed = {
             (placement.task.job_id, placement.task.step)
@@ -286,6 +294,8 @@
             name = _specs.step_name(demand.job_id, demand.step)
             demand.tickets = term.advice.tickets(name, now_ms)
             demand.granted = frozenset(term.advice.granted(name))
+            if demand.tickets:
+                term.advice.record_planned(name)
         step = (demand.job_id, demand.step)
         demand.avoided = frozenset(term.failed_on.get(step, ()))
 
--- a/dandeliondrum/jobs/tests/test_advice.py
+++ b/dandeliondrum/jobs/tests/test_advice.py
@@ -66,6 +66,30 @@
     assert advice.tickets('s', 1_600) == {}
 
 
+def test_other_workers_are_asked_about_while_those_with_tickets_are_kept():
+    """Regression test: steps waited for seconds beside 60 free workers."""
+    advice = _advice.GrantCache()
+    included = advice.select_workers('s', _candidates(3), 0)
+    _answer(advice, 's', included, ('w1',), 100)
+    candidates = _candidates(40)
+    assert advice.select_workers('s', candidates, 200) == ()
+    # The round leaves tasks waiting: w1 is reserved for another step.
+    advice.record_planned('s')
+    asked = advice.select_workers('s', candidates, 210, needed_count=4)
+    assert asked == tuple(f'w{n}' for n in range(3, 23))
+    _answer(advice, 's', asked, ('w5',), 300)
+    assert advice.select_workers('s', candidates, 310) == ()
+    assert set(advice.tickets('s', 310)) == {'w1', 'w5'}
+
+
+def test_nobody_is_asked_if_all_workers_with_room_have_a_ticket():
+    advice = _advice.GrantCache()
+    included = advice.select_workers('s', _candidates(3), 0)
+    _answer(advice, 's', included, included, 100)
+    advice.record_planned('s')
+    assert advice.select_workers('s', _candidates(3), 200) == ()
+
+
 def test_a_ticket_is_renewed_only_for_a_granted_worker_with_room():
     advice = _advice.GrantCache()
     included = advice.select_workers('s', _candidates(3), 0)
--- a/dandeliondrum/jobs/tests/test_candidate_workers.py
+++ b/dandeliondrum/jobs/tests/test_candidate_workers.py
@@ -152,3 +152,19 @@
             expects_capacity,
         )
         assert included == expected
+
+
+def test_workers_kept_free_for_others_come_last():
+    demand = helpers.demand('j', helpers.step(cpu=1_000))
+    workers = [
+        helpers.available_worker('empty', 4_000),
+        helpers.available_worker('half', 2_000),
+        helpers.available_worker('full', 500),
+    ]
+    candidates = _advice_candidates.CandidateWorkers(workers, {'empty'})
+    for only_with_capacity, expected in (
+        (False, ['half', 'full', 'empty']),
+        (True, ['half', 'empty']),
+    ):
+        found = candidates.select(demand, only_with_capacity)
+        assert [one.worker_id for one in found] == expected
