Make no further calls about steps whose team is at its limit

Change: only the first call is made while the limit allows no task of the step, or not the whole gang. The test fails without it (2 calls instead of 1).

--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -34,14 +34,18 @@
         steps_with_capacity: collections.abc.Set[
             tuple[_specs.JobId, _specs.StepIndex]
         ],
-        reserved_ids: collections.abc.Set[messages.WorkerId] = frozenset(),
+        reserved_ids: collections.abc.Set[messages.WorkerId],
+        team_available: collections.abc.Mapping[
+            messages.TeamId, messages.Resources
+        ],
     ) -> None:
         """Request advice in scheduling order while a process is free.
 
         For the steps in ``steps_with_capacity``, workers were reserved on
         which tasks fit, now or once runs have been stopped. The tickets of
         gangs among these steps are renewed in the meantime. ``reserved_ids``
-        are the workers that the last round kept free.
+        are the workers that the last round kept free. While a team is at its
+        limit, only the first call about each of its steps is made.
         """
         advised = [
             (demand, queue.advice)
@@ -59,6 +63,10 @@
             names.add(name)
             if policy in busy_policies:
                 continue
+            if not self._term.advice.is_unknown(
+                name
+            ) and not _planner.team_allows(demand, team_available):
+                continue
             expects_capacity = (
                 demand.spec.gang
                 and (demand.job_id, demand.step) in steps_with_capacity
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -180,13 +180,37 @@
     if not placement.candidates_count():
         others_count = placement.candidates_count(include_reserved=True)
         return WaitReason.RESERVED if others_count else WaitReason.NO_GRANT
-    if not placement.team_allows():
+    if not team_allows(demand, team_available):
         return WaitReason.TEAM_LIMIT
     return (
         WaitReason.GANG if placement.single_task_fits() else WaitReason.NO_ROOM
     )
 
 
+def team_allows(
+    demand: Demand,
+    team_available: collections.abc.Mapping[
+        messages.TeamId, messages.Resources
+    ],
+) -> bool:
+    """Return whether the team's limit allows a task, or the whole gang."""
+    least_count = len(demand.indexes) if demand.spec.gang else 1
+    return _team_allows_count(demand, team_available) >= least_count
+
+
+def _team_allows_count(
+    demand: Demand,
+    team_available: collections.abc.Mapping[
+        messages.TeamId, messages.Resources
+    ],
+) -> int:
+    """Return how many tasks the team's limit allows."""
+    available = team_available.get(demand.team_id)
+    if available is None:
+        return _specs.ANY_NUMBER
+    return _specs.tasks_that_fit(demand.spec.resources, available)
+
+
 def workers_with_capacity_count(
     demand: Demand, workers: collections.abc.Iterable[AvailableWorker]
 ) -> int:
@@ -262,7 +286,7 @@
 
     def place(self) -> list[tuple[Placement, ...]]:
         demand = self._demand
-        allowed_count = self._team_allows_count()
+        allowed_count = _team_allows_count(demand, self._team_available)
         wanted_count = len(demand.indexes)
         if not demand.spec.gang:
             allocation = self._allocate(min(wanted_count, allowed_count))
@@ -324,7 +348,7 @@
 
     def _by_free_cpu(self) -> list[AvailableWorker]:
         """Return the workers that could run a task, most free CPU first."""
-        if not self.team_allows():
+        if not team_allows(self._demand, self._team_available):
             # Reserved resources would stay idle.
             return []
         # Workers whose ticket has to be renewed can be reserved as well.
@@ -442,19 +466,6 @@
             worker.free.cpu_millicores,
         )
 
-    def team_allows(self) -> bool:
-        """Return whether the team's limit allows a task, or the whole gang."""
-        demand = self._demand
-        least_count = len(demand.indexes) if demand.spec.gang else 1
-        return self._team_allows_count() >= least_count
-
-    def _team_allows_count(self) -> int:
-        """Return how many tasks the team's limit allows."""
-        available = self._team_available.get(self._demand.team_id)
-        if available is None:
-            return _specs.ANY_NUMBER
-        return _specs.tasks_that_fit(self._demand.spec.resources, available)
-
     def _placement(self, index: int, worker: AvailableWorker) -> Placement:
         demand = self._demand
         tickets = demand.tickets or {}
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -183,6 +183,7 @@
                 workers,
                 self._steps_with_capacity,
                 self._reserved_ids,
+                team_available,
             )
             for demand, queue in demands:
                 self._set_advice(demand, queue, now_ms)
--- a/dandeliondrum/jobs/tests/test_advice_requester.py
+++ b/dandeliondrum/jobs/tests/test_advice_requester.py
@@ -81,6 +81,7 @@
         self._requester = _advice_requester.AdviceRequester(self.term)
         self._workers = [helpers.available_worker('w1')]
         self._open = {}
+        self.team_available = {}
 
     def request(self, names=()):
         """Request advice for new steps and for those without a grant."""
@@ -90,6 +91,8 @@
             [(demand, QUEUE) for demand in self._open.values()],
             self._workers,
             set(),
+            set(),
+            self.team_available,
         )
 
     def advance(self):
@@ -101,6 +104,9 @@
             if self.term.advice.granted(_specs.step_name(name, 0)):
                 del self._open[name]
 
+    def calls_count(self):
+        return sum(len(client.steps) for client in self.clients)
+
     def open_names(self):
         return list(self._open)
 
@@ -150,3 +156,20 @@
     leadership.resign()
     rounds.request(['j0'])
     assert all(not client.steps for client in rounds.clients)
+
+
+def test_a_step_whose_team_is_at_its_limit_is_asked_about_once(
+    leadership, node, now_ms
+):
+    rounds = Round(leadership, node, now_ms, None)
+    rounds.team_available[helpers.TEAM] = messages.Resources(0, 0)
+    rounds.request(['j0'])
+    for _ in range(2 * ANSWER_MS // TICK_MS):
+        rounds.advance()
+    assert rounds.calls_count() == 1
+    now_ms[0] += 2 * POLICY.valid_ms
+    rounds.request(['j0'])
+    assert rounds.calls_count() == 1
+    rounds.team_available.clear()
+    rounds.request(['j0'])
+    assert rounds.calls_count() == 2
