--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -186,44 +186,24 @@
         not_refused = [
             c for c in candidates if c.worker_id not in step.refused
         ]
+        needed_max = min(
+            needed_count * CANDIDATES_PER_NEEDED_WORKER, CALL_WORKERS_MAX
+        )
         if self.is_unknown(name):
             included = sorted(not_refused, key=lambda c: not c.has_capacity)
-            limit = max(
-                FIRST_CALL_WORKERS_MIN,
-                needed_count * CANDIDATES_PER_NEEDED_WORKER,
-            )
-            return _ids(included, min(limit, CALL_WORKERS_MAX))
-        is_gang = gang_policy is not None
-        call_ms = 0.0
+            return _ids(included, max(FIRST_CALL_WORKERS_MIN, needed_max))
         if gang_policy is not None:
-            call_ms = gang_policy.call_ms(len(step.tickets))
-        valid = self.tickets(name, now_ms + int(call_ms))
-        available = [c for c in not_refused if c.has_capacity]
-        has_new = any(c.worker_id not in step.tickets for c in available)
-        if is_gang and len(valid) == len(step.tickets) and not has_new:
-            return ()
-        has_valid = any(c.worker_id in valid for c in available)
-        if not is_gang and has_valid and not step.planned:
-            return ()
-        granted = [
-            c
-            for c in (not_refused if is_gang and available else available)
-            if c.worker_id in step.tickets
-        ]
-        new = [c for c in available if c.worker_id not in step.tickets]
-        if is_gang:
-            return _ids(granted + new, CALL_WORKERS_MAX)
-        expired = [c for c in granted if c.worker_id not in valid]
-        limit = min(
-            max(
-                RENEWAL_WORKERS_MAX,
-                needed_count * CANDIDATES_PER_NEEDED_WORKER,
-            ),
-            CALL_WORKERS_MAX,
+            renewed_at_ms = now_ms + int(
+                gang_policy.call_ms(len(step.tickets))
+            )
+            valid = self.tickets(name, renewed_at_ms)
+            return _select_for_gang(step, not_refused, valid)
+        return _select_more(
+            step,
+            not_refused,
+            self.tickets(name, now_ms),
+            max(RENEWAL_WORKERS_MAX, needed_max),
         )
-        # The granted workers may be kept free for other work.
-        renewed_count = limit - min(len(new), limit // 2)
-        return _ids(expired[:renewed_count] + new, limit)
 
     def record_call(self, name: StepName, due_ms: float) -> None:
         """Record that a call was sent and when its reply is expected."""
@@ -284,6 +264,47 @@
                 del self._steps[name]
 
 
+def _select_for_gang(
+    step: _StepAdvice,
+    candidates: collections.abc.Sequence[Candidate],
+    valid: collections.abc.Collection[messages.WorkerId],
+) -> tuple[messages.WorkerId, ...]:
+    """Return all granted workers and further ones with free resources.
+
+    No call is needed while all tickets in ``valid`` outlast a call and there
+    are no further workers.
+    """
+    available = [c for c in candidates if c.has_capacity]
+    new = [c for c in available if c.worker_id not in step.tickets]
+    if len(valid) == len(step.tickets) and not new:
+        return ()
+    granted = [
+        c for c in candidates if available and c.worker_id in step.tickets
+    ]
+    return _ids(granted + new, CALL_WORKERS_MAX)
+
+
+def _select_more(
+    step: _StepAdvice,
+    candidates: collections.abc.Sequence[Candidate],
+    valid: collections.abc.Collection[messages.WorkerId],
+    limit: int,
+) -> tuple[messages.WorkerId, ...]:
+    """Return workers with free resources and without a valid ticket."""
+    available = [c for c in candidates if c.has_capacity]
+    if not step.planned and any(c.worker_id in valid for c in available):
+        return ()
+    expired = [
+        c
+        for c in available
+        if c.worker_id in step.tickets and c.worker_id not in valid
+    ]
+    new = [c for c in available if c.worker_id not in step.tickets]
+    # The granted workers may be kept free for other work.
+    renewed_count = limit - min(len(new), limit // 2)
+    return _ids(expired[:renewed_count] + new, limit)
+
+
 @dataclasses.dataclass(slots=True)
 class _ClientLoad:
     """The load of one process that calls the adviser.
