Keep the sequence of a worker's report with its facts

What users would see: a worker that has shrunk is given more than it has (LIMIT) after a report from before reaches the next leader late.

Cause: only the leader's memory held which report of a worker is the newest, and the log applied the facts of any report. A new leader took a delayed report with the former capacity as news. At one leader, two threads that handle two reports can also propose their facts in the other order, since the proposal is made after the lock is released; the peer then had the newer facts, the replicated state the older ones, with which rounds plan.

Change: the sequence of a report is proposed with its facts, and the state machine ignores facts that are older than those it has. A leader ignores such reports at once. Unchanged reports are not committed, as before, so the sequence is that of the first report with these facts.

Ruled out: a follower that acknowledges a late report by itself forwards it or drops it, and the leader then ignores it.

Left: a report that is late by a whole shrink, growth and shrink, and arrives at a leader that has not heard the worker yet, counts until the next report.

--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -105,9 +105,13 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class PutWorker:
-    """Add or update the record of a worker."""
+    """Add or update the record of a worker.
+
+    ``sequence`` is that of the report with these facts.
+    """
 
     facts: WorkerFacts
+    sequence: int = 0
 
 
 @messages.message
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -97,8 +97,17 @@
     """A worker, the runs assigned to it, and the resources they use.
 
     A run counts until its end is recorded, even while it is being stopped.
+    ``sequence`` is that of the report with the facts.
     """
 
     facts: _commands.WorkerFacts
     used: messages.Resources = messages.Resources(0, 0)
     runs: dict[_specs.TaskKey, int] = dataclasses.field(default_factory=dict)
+    sequence: int = 0
+
+    def is_newer(self, facts: _commands.WorkerFacts, sequence: int) -> bool:
+        """Return whether the facts here are newer than those of a report."""
+        return (self.facts.started_ms, self.sequence) > (
+            facts.started_ms,
+            sequence,
+        )
--- a/dandeliondrum/jobs/_snapshots.py
+++ b/dandeliondrum/jobs/_snapshots.py
@@ -37,12 +37,17 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobsSnapshot:
-    """Jobs, workers and the policy; derived data is rebuilt when read."""
+    """Jobs, workers and the policy; derived data is rebuilt when read.
+
+    ``sequences`` are those of the reports with the facts of ``workers``, in
+    the same order; empty in snapshots of earlier versions.
+    """
 
     jobs: tuple[_Job, ...]
     workers: tuple[_commands.WorkerFacts, ...]
     document: bytes
     former_queues: tuple[_policy.QueuePolicy, ...] = ()
+    sequences: tuple[int, ...] = ()
 
 
 def write(store: _record_store.RecordStore) -> bytes:
@@ -53,6 +58,7 @@
             tuple(worker.facts for worker in store.workers.values()),
             store.document,
             tuple(store.queues.values()),
+            tuple(worker.sequence for worker in store.workers.values()),
         )
     )
 
@@ -60,9 +66,10 @@
 def read(store: _record_store.RecordStore, data: bytes) -> bytes:
     """Restore the records from a snapshot; return the policy document."""
     snapshot: JobsSnapshot = messages.decode(data).unwrap()
+    sequences = snapshot.sequences or (0,) * len(snapshot.workers)
     store.workers = {
-        facts.worker_id: _records.WorkerRecord(facts)
-        for facts in snapshot.workers
+        facts.worker_id: _records.WorkerRecord(facts, sequence=sequence)
+        for facts, sequence in zip(snapshot.workers, sequences, strict=True)
     }
     store.team_used = {}
     store.jobs = {job.spec.job_id: _unpack_job(job) for job in snapshot.jobs}
--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -143,13 +143,21 @@
             and worker.facts.phase is _commands.WorkerPhase.READY
         )
 
-    def _put_worker(self, command: _commands.PutWorker) -> None:
-        facts = command.facts
+    def _put_worker(self, command: _commands.PutWorker) -> bool:
+        """Return whether the facts are used; those of an older report aren't.
+
+        Reports may be committed in another order than they were sent.
+        """
+        facts, sequence = command.facts, command.sequence
         worker = self.workers.get(facts.worker_id)
         if worker is None:
-            self.workers[facts.worker_id] = _records.WorkerRecord(facts)
-        else:
-            worker.facts = facts
+            worker = _records.WorkerRecord(facts)
+            self.workers[facts.worker_id] = worker
+        elif worker.is_newer(facts, sequence):
+            return False
+        worker.facts = facts
+        worker.sequence = sequence
+        return True
 
     def _remove_worker(self, command: _commands.RemoveWorker) -> bool:
         worker = self.workers.get(command.worker_id)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -97,8 +97,8 @@
 
         It takes none of the locks that a planning round holds.
         """
-        known = self._known_facts(report)
-        if known != report.facts:
+        known = self._known(report)
+        if known is None or known.facts != report.facts:
             return None
         with self._lock:
             self._record_report(report, known)
@@ -113,11 +113,11 @@
             return utils.completed_future(noted)
         term, facts = self._term, report.facts
         acknowledgement = _calls.WorkerNoted(term.options.controller_id)
-        known = self._known_facts(report)
+        known = self._known(report)
         with term.lock, self._lock:
             if not self._record_report(report, known):
                 return utils.completed_future(acknowledgement)
-            if known is not None and known.phase != facts.phase:
+            if known is not None and known.facts.phase != facts.phase:
                 # The new phase also applies to assignments that are being
                 # committed now.
                 peer = term.peers.get(facts.worker_id)
@@ -135,7 +135,7 @@
             started_ms=facts.started_ms,
         )
         return utils.map_future(
-            term.propose(_commands.PutWorker(facts)),
+            term.propose(_commands.PutWorker(facts, report.sequence)),
             lambda outcome: self._on_recorded(
                 outcome, report, acknowledgement
             ),
@@ -171,16 +171,15 @@
                 functools.partial(self._on_removed, worker_id)
             )
 
-    def _known_facts(
+    def _known(
         self, report: _calls.WorkerReport
-    ) -> _commands.WorkerFacts | None:
-        record = self._term.state.workers.get(report.facts.worker_id)
-        return record.facts if record is not None else None
+    ) -> _records.WorkerRecord | None:
+        return self._term.state.workers.get(report.facts.worker_id)
 
     def _record_report(
         self,
         report: _calls.WorkerReport,
-        known: _commands.WorkerFacts | None,
+        known: _records.WorkerRecord | None,
     ) -> bool:
         """Record the time of a report; return False if it is out of date."""
         facts = report.facts
@@ -211,7 +210,7 @@
     def _is_stale(
         self,
         report: _calls.WorkerReport,
-        known: _commands.WorkerFacts | None,
+        known: _records.WorkerRecord | None,
     ) -> bool:
         facts = report.facts
         if (
@@ -219,10 +218,11 @@
             >= facts.started_ms
         ):
             return True
-        if known is not None and known.started_ms > facts.started_ms:
-            return True
-        if known is not None and _ends_draining(known, facts):
-            # A late report; this leader may not have seen the newer ones.
+        # This leader may not have seen the newer reports.
+        if known is not None and (
+            known.is_newer(facts, report.sequence)
+            or _ends_draining(known.facts, facts)
+        ):
             return True
         last = self._sequences.get(facts.worker_id, (0, 0))
         # A follower repeats a report whose first commit may have failed.
@@ -240,7 +240,8 @@
             if self._closed:
                 return messages.NotLeader()
             with self._lock:
-                self._use_facts(report)
+                if outcome.unwrap():
+                    self._use_facts(report)
         self._term.round_requested.set()
         return acknowledgement
 
--- a/dandeliondrum/jobs/tests/test_state.py
+++ b/dandeliondrum/jobs/tests/test_state.py
@@ -1,5 +1,7 @@
 """The replicated state of jobs."""
 
+import dataclasses
+
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _demands
@@ -141,6 +143,30 @@
     assert not machine.assign('j.0.0.0')
 
 
+def test_facts_of_an_older_report_change_nothing():
+    machine = helpers.Machine(())
+    shrunk, restarted = helpers.facts('w1', 1_000), helpers.facts('w1', 500)
+    restarted = dataclasses.replace(restarted, started_ms=2)
+    assert machine(_commands.PutWorker(shrunk, 7))
+    assert not machine(_commands.PutWorker(helpers.facts('w1', 4_000), 6))
+    assert machine.state.workers['w1'].facts == shrunk
+    # The sequence starts anew in each incarnation.
+    assert machine(_commands.PutWorker(restarted, 1))
+    assert not machine(_commands.PutWorker(shrunk, 8))
+    assert machine.state.workers['w1'].facts == restarted
+
+
+def test_a_snapshot_without_the_sequences_of_reports_is_read():
+    machine = helpers.Machine(('w1', 'w2'))
+    machine(_commands.PutWorker(helpers.facts('w1', 1_000), 7))
+    snapshot = messages.decode(machine.state.snapshot()).unwrap()
+    earlier = dataclasses.replace(snapshot, sequences=())
+    machine.state.restore(messages.encode(earlier))
+    workers = machine.state.workers
+    assert [workers[name].sequence for name in ('w1', 'w2')] == [0, 0]
+    assert workers['w1'].facts == helpers.facts('w1', 1_000)
+
+
 def test_the_highest_policy_is_in_force():
     machine = helpers.Machine()
     assert machine(_commands.PutPolicy(5, helpers.document(5))) == 5
@@ -167,6 +193,7 @@
     machine.assign('j.0.0.1')
     machine.assign('j.0.1.0')
     machine.end('j.0.1.0')
+    machine(_commands.PutWorker(helpers.facts('w1', 500), 7))
     restored = _state.JobsState(helpers.decode_policy)
     restored.restore(machine.state.snapshot())
     assert restored.snapshot() == machine.state.snapshot()
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -20,6 +20,7 @@
 
 W1 = messages.WorkerId('w1')
 TASK = jobs.parse_task_key('j.0.0.0')
+SMALL = messages.Resources(1_000, 100)
 
 
 class Leader:
@@ -299,6 +300,58 @@
     assert state.workers[W1].facts.phase is jobs.WorkerPhase.READY
 
 
+def _next_leader(leader, resources):
+    """Return the workers of the next leader, which has heard no report."""
+    supervisor = utils.Supervisor('next leader', 20)
+    workers = _workers.Workers(
+        helpers.new_term(leader.node, leader.term.port), supervisor
+    )
+    resources.callback(supervisor.close)
+    resources.callback(workers.close)
+    workers.restore()
+    return workers
+
+
+def test_a_late_report_after_a_change_of_leader_does_not_undo_a_shrink(leader):
+    late = jobs.WorkerReport(leader.worker.facts, 1)
+    leader.report()
+    _report_next(leader, capacity=SMALL)
+    leader.workers.close()
+    with contextlib.ExitStack() as resources:
+        workers = _next_leader(leader, resources)
+        workers.handle_report(late)
+        assert leader.machine.state.workers[W1].facts.capacity == SMALL
+        assert workers._term.peers[W1].facts.capacity == SMALL
+        grown = dataclasses.replace(late, sequence=leader.sequence + 1)
+        workers.handle_report(grown)
+        assert leader.machine.state.workers[W1].facts == grown.facts
+        assert workers._term.peers[W1].facts == grown.facts
+
+
+def test_reports_that_are_committed_in_reverse_do_not_undo_a_shrink(leader):
+    """Two threads propose the facts of two reports in the other order."""
+    leader.report()
+    grown = dataclasses.replace(leader.worker.facts, address='w1:2')
+    shrunk = dataclasses.replace(grown, capacity=SMALL)
+    propose = leader.term.propose
+
+    def propose_after_the_next(command):
+        leader.term.propose = propose
+        leader.workers.handle_report(jobs.WorkerReport(shrunk, 3))
+        return propose(command)
+
+    leader.term.propose = propose_after_the_next
+    leader.workers.handle_report(jobs.WorkerReport(grown, 2))
+    assert leader.machine.state.workers[W1].facts == shrunk
+    assert leader.peer().facts == shrunk
+
+
+def test_unchanged_reports_are_not_committed(leader):
+    for _ in range(3):
+        leader.report()
+    assert len(leader.node.commands) == 1
+
+
 def test_a_repeated_report_is_acknowledged_only_once_it_is_committed(leader):
     """Regression test: the next leader gave tasks to a draining worker."""
     leader.report()
