Assign no run for which its worker has no resources left

What users would see: a run that was planned before its worker shrank is started there and brings the worker over its capacity (LIMIT).

Cause: a plan is made with the facts of its round, and the state machine checked of the worker only that it doesn't drain. Facts that are committed between the plan and the assignment, by this leader or by the next one, did not count.

Change: a group is assigned only if the runs assigned to each of its workers, including those that are being stopped, and the group's own fit in the worker's capacity. A refused group is discarded and planned again, as before.

test_only_runs_that_have_begun_and_lose_no_work_are_preempted assigned five processors on a worker that has four. Its worker has five now; what it checks is the same.

--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -118,6 +118,8 @@
     ) -> bool:
         if not all(self._may_assign(run) for run in group):
             return False
+        if not self._fits(group):
+            return False
         for run in group:
             job = self.jobs[run.task.job_id]
             task = job.steps[run.task.step].tasks[run.task.index]
@@ -143,6 +145,21 @@
             and worker.facts.phase is _commands.WorkerPhase.READY
         )
 
+    def _fits(self, group: tuple[_commands.RunAssignment, ...]) -> bool:
+        """Return whether the workers have the resources for all runs.
+
+        A worker may have shrunk since the runs were planned.
+        """
+        used: dict[messages.WorkerId, messages.Resources] = {}
+        for run in group:
+            before = used.get(run.worker_id, self.workers[run.worker_id].used)
+            step = self.jobs[run.task.job_id].spec.steps[run.task.step]
+            used[run.worker_id] = before + step.charged()
+        return all(
+            total.fits_in(self.workers[worker_id].facts.capacity)
+            for worker_id, total in used.items()
+        )
+
     def _put_worker(self, command: _commands.PutWorker) -> bool:
         """Return whether the facts are used; those of an older report aren't.
 
--- a/dandeliondrum/jobs/tests/test_preemption.py
+++ b/dandeliondrum/jobs/tests/test_preemption.py
@@ -122,7 +122,8 @@
 
 
 def test_only_runs_that_have_begun_and_lose_no_work_are_preempted():
-    machine = helpers.Machine()
+    machine = helpers.Machine(())
+    machine(_commands.PutWorker(helpers.facts('w1', cpu=5_000)))
     saves = helpers.step(3, checkpointing=True)
     gang = helpers.step(1, checkpointing=True, gang=True)
     spec = helpers.job('j', saves, helpers.step(1), gang)
--- a/dandeliondrum/jobs/tests/test_scheduler.py
+++ b/dandeliondrum/jobs/tests/test_scheduler.py
@@ -100,6 +100,24 @@
         assert len(leader.proposed_runs()) == 1
 
 
+def test_a_plan_for_a_worker_that_has_shrunk_meanwhile_is_made_anew(leader):
+    leader.node.holds = True
+    with leader.scheduling():
+        testing.wait_until(leader.proposed_runs)
+        shrunk_id = leader.proposed_runs()[0].worker_id
+        leader.machine(_commands.PutWorker(helpers.facts(shrunk_id, 500)))
+        leader.node.holds = False
+        leader.node.release()
+        testing.wait_until(
+            lambda: (
+                leader.machine.task('j.0.0.0').phase
+                is _records.TaskPhase.ASSIGNED
+            )
+        )
+    assert leader.machine.task('j.0.0.0').worker_id != shrunk_id
+    assert leader.term.peers[shrunk_id].orders.get(TASK, 1) is None
+
+
 def test_the_orders_of_a_refused_assignment_are_discarded(leader):
     leader.node.refuses = True
     with leader.scheduling():
--- a/dandeliondrum/jobs/tests/test_state.py
+++ b/dandeliondrum/jobs/tests/test_state.py
@@ -143,6 +143,42 @@
     assert not machine.assign('j.0.0.0')
 
 
+def test_a_run_is_not_assigned_to_a_worker_that_has_shrunk():
+    machine = helpers.Machine(('w1', 'w2'))
+    machine(_commands.SubmitJob(helpers.job('j', helpers.step(3))))
+    filling = helpers.step(2, uses_idle_cpu=True)
+    machine(_commands.SubmitJob(helpers.job('fills', filling)))
+    assert machine.assign('j.0.0.0')
+    machine(_commands.PutWorker(helpers.facts('w1', 1_500)))
+    assert not machine.assign('j.0.0.1')
+    assert machine.assign('fills.0.0.0')
+    machine(_commands.PutWorker(helpers.facts('w1', 500)))
+    # What is being stopped still counts, and so does what runs.
+    assert not machine.assign('fills.0.0.1')
+    machine.end('j.0.0.0', outcome=jobs.RunOutcome.STOPPED)
+    assert machine.assign('fills.0.0.1')
+    assert not machine.assign('j.0.0.1')
+    machine(_commands.PutWorker(helpers.facts('w1', 1_000)))
+    assert machine.assign('j.0.0.1')
+
+
+def test_a_gang_that_does_not_fit_any_more_is_not_assigned_in_part():
+    machine = helpers.Machine(('w1', 'w2'))
+    gang = helpers.step(3, gang=True)
+    machine(_commands.SubmitJob(helpers.job('j', gang)))
+    machine(_commands.PutWorker(helpers.facts('w1', 1_999)))
+    group = tuple(
+        _commands.RunAssignment(
+            jobs.parse_task_key(f'j.0.0.{index}'), 1, messages.WorkerId(name)
+        )
+        for index, name in enumerate(('w2', 'w1', 'w1'))
+    )
+    assert machine(_commands.AssignRuns((group,))) == (False,)
+    assert machine.state.workers['w2'].runs == {}
+    machine(_commands.PutWorker(helpers.facts('w1', 2_000)))
+    assert machine(_commands.AssignRuns((group,))) == (True,)
+
+
 def test_facts_of_an_older_report_change_nothing():
     machine = helpers.Machine(())
     shrunk, restarted = helpers.facts('w1', 1_000), helpers.facts('w1', 500)
