Send no start to a worker that has shrunk below what it was given

What users would see: a start that waited in the queue of a worker, or was sent again after no answer, brings a worker that has shrunk in the meantime over its capacity (LIMIT).

Cause: a queued start was dropped only if the worker drains, the job has ended or a stop was ordered. Nothing bounds the time in the queue: behind orders without an answer, three at a time for three attempts, or while this process may not act.

Change: before each attempt the runs that are assigned to the worker have to fit in its capacity. A start that was never sent is recorded as lost and planned again; one that was sent is settled by a stop, as a late start may still arrive. A run that the worker has begun goes on. A start now leaves at most one call (500 ms) after the smaller capacity is in force here.

Ruled out: a start that an earlier leader assigned is never sent by the next one. Its orders begin empty, and a run that the worker does not list is recorded as lost (test_a_new_leader_finds_runs_that_were_not_listed).

Left: if the worker began a run whose start was not answered, and shrinks within the 100 ms before the start is sent again, that run is stopped.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -92,18 +92,22 @@
             return
         draining = state.facts.phase is _commands.WorkerPhase.DRAINING
         obsolete = bool(state.events.obsolete([(task, run)]))
+        has_shrunk = not state.events.fits(state.facts)
         with state.lock:
             stop_ordered = self._orders.is_stopping(task, run)
             order = self._orders.get(task, run)
             if order is None:
                 return
             if order.sends_count == 0 and (
-                draining or obsolete or stop_ordered
+                draining or obsolete or stop_ordered or has_shrunk
             ):
                 request = None
             elif stop_ordered:
                 # The stop also settles the starts that were sent before it.
                 return
+            elif has_shrunk:
+                self._settle_by_stop(task, order)
+                return
             else:
                 order.sends_count += 1
                 order.enter(_orders.OrderPhase.SENT)
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -39,6 +39,9 @@
     ) -> dict[_specs.TaskKey, int]:
         """Return the runs that are assigned to a worker."""
 
+    def fits(self, facts: _commands.WorkerFacts) -> bool:
+        """Return whether the runs assigned to a worker fit in its capacity."""
+
     def obsolete(
         self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
     ) -> list[tuple[_specs.TaskKey, int]]:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -328,6 +328,12 @@
             worker = self._term.state.workers.get(worker_id)
             return dict(worker.runs) if worker is not None else {}
 
+    def fits(self, facts: _commands.WorkerFacts) -> bool:
+        """Return whether the runs assigned to a worker fit in its capacity."""
+        with self._term.state.lock:
+            worker = self._term.state.workers.get(facts.worker_id)
+            return worker is None or worker.used.fits_in(facts.capacity)
+
     def obsolete(
         self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
     ) -> list[tuple[_specs.TaskKey, int]]:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -85,6 +85,11 @@
         with self.machine.state.lock:
             return dict(self.machine.state.workers[worker_id].runs)
 
+    def fits(self, facts):
+        with self.machine.state.lock:
+            used = self.machine.state.workers[facts.worker_id].used
+            return used.fits_in(facts.capacity)
+
     def obsolete(self, runs):
         state = self.machine.state
         with state.lock:
@@ -542,6 +547,59 @@
     assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
 
 
+SMALL = messages.Resources(500, 100)
+
+
+def test_a_start_that_was_planned_before_a_shrink_is_not_sent(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.acting = False
+        leader.start('j.0.0.0')
+        leader.peer.facts = dataclasses.replace(worker.facts, capacity=SMALL)
+        leader.acting = True
+        testing.wait_until(lambda: leader.outcomes)
+    assert worker.starts == []
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+
+
+def test_a_start_is_not_sent_again_after_a_shrink(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    fleet = leader.peer._state.port
+    sent = []
+
+    def shrink(order):
+        sent.append(order)
+        leader.peer.facts = dataclasses.replace(worker.facts, capacity=SMALL)
+        return jobs.Unanswered(True, 'no answer')
+
+    fleet.start = shrink
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+    assert len(sent) == 1
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+    # A start that is carried out late is refused.
+    worker.start(sent[0])
+    assert worker.starts == []
+
+
+def test_a_run_that_began_before_a_shrink_goes_on(worker):
+    worker.run_ms = 400
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(worker.running)
+        leader.peer.facts = dataclasses.replace(worker.facts, capacity=SMALL)
+        testing.wait_until(lambda: leader.outcomes)
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
+
+
 def test_a_worker_that_left_is_used_again_after_a_restart(worker):
     leader = FakeLeader(worker)
     with serving(leader):
