Let a smaller capacity count before it is committed

Cause: only a change of phase took effect on the peer before its commit. A report that equals the committed facts was acknowledged without a look at a different one that was still being committed.

Change: a smaller capacity takes effect on the peer at once, as a change of phase does, so the check before each start uses it. Rounds use no worker whose peer has facts that are not committed yet; otherwise they would assign runs that are then not started, again and again. A report that differs from the peer's facts is committed also if it equals the committed ones; this happens only while the two differ.

--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -224,6 +224,8 @@
             for worker_id, worker in term.state.workers.items()
             if worker_id in usable
             and worker.facts.phase is _commands.WorkerPhase.READY
+            # The peer may have newer facts, which are being committed.
+            and worker.facts == term.peers[worker_id].facts
         )
 
     def _plan(self, inputs: '_Inputs') -> _Groups:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -100,6 +100,10 @@
         known = self._known(report)
         if known is None or known.facts != report.facts:
             return None
+        peer = self._term.peers.get(report.facts.worker_id)
+        if peer is not None and peer.facts != report.facts:
+            # The peer has facts that are not committed yet.
+            return None
         with self._lock:
             self._record_report(report, known)
         return _calls.WorkerNoted(self._term.options.controller_id)
@@ -117,9 +121,9 @@
         with term.lock, self._lock:
             if not self._record_report(report, known):
                 return utils.completed_future(acknowledgement)
-            if known is not None and known.facts.phase != facts.phase:
-                # The new phase also applies to assignments that are being
-                # committed now.
+            if known is not None and _limits_starts(known.facts, facts):
+                # This also applies to assignments that are being committed
+                # now.
                 peer = term.peers.get(facts.worker_id)
                 if peer is not None:
                     self._update_peer(peer, facts)
@@ -589,6 +593,15 @@
     return found
 
 
+def _limits_starts(
+    known: _commands.WorkerFacts, facts: _commands.WorkerFacts
+) -> bool:
+    """Return whether the phase has changed or the worker has shrunk."""
+    return known.phase != facts.phase or not known.capacity.fits_in(
+        facts.capacity
+    )
+
+
 def _ends_draining(
     known: _commands.WorkerFacts, facts: _commands.WorkerFacts
 ) -> bool:
--- a/dandeliondrum/jobs/tests/test_scheduler.py
+++ b/dandeliondrum/jobs/tests/test_scheduler.py
@@ -12,7 +12,6 @@
 from dandeliondrum.jobs import _scheduler
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs.tests import helpers
-from dandeliondrum import messages
 from dandeliondrum import testing
 
 TASK = jobs.parse_task_key('j.0.0.0')
@@ -21,7 +20,8 @@
 class ReadyPeer:
     """Peer of a worker that accepts tasks; keeps its orders."""
 
-    def __init__(self):
+    def __init__(self, facts):
+        self.facts = facts
         self.orders = _orders.OrderBook(threading.RLock())
 
     def usable(self):
@@ -40,7 +40,8 @@
         self.term = helpers.new_term(self.node)
         self.scheduler = _scheduler.Scheduler(self.term)
         for worker_id in ('w1', 'w2'):
-            self.term.peers[messages.WorkerId(worker_id)] = ReadyPeer()
+            facts = helpers.facts(worker_id)
+            self.term.peers[facts.worker_id] = ReadyPeer(facts)
         self.machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
 
     def proposed_runs(self):
@@ -118,6 +119,19 @@
     assert leader.term.peers[shrunk_id].orders.get(TASK, 1) is None
 
 
+def test_a_worker_whose_smaller_capacity_is_being_committed_is_not_used(
+    leader,
+):
+    for worker_id, peer in leader.term.peers.items():
+        peer.facts = helpers.facts(worker_id, 500)
+    leader.scheduler.run_round(threading.Event())
+    assert not leader.proposed_runs()
+    for worker_id, peer in leader.term.peers.items():
+        peer.facts = helpers.facts(worker_id)
+    leader.scheduler.run_round(threading.Event())
+    assert leader.proposed_runs()
+
+
 def test_the_orders_of_a_refused_assignment_are_discarded(leader):
     leader.node.refuses = True
     with leader.scheduling():
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -300,6 +300,38 @@
     assert state.workers[W1].facts.phase is jobs.WorkerPhase.READY
 
 
+def test_a_smaller_capacity_counts_while_it_is_being_committed(leader):
+    leader.report()
+    leader.node.holds = True
+    _report_next(leader, capacity=SMALL)
+    assert leader.peer().facts.capacity == SMALL
+    leader.node.release()
+    assert leader.machine.state.workers[W1].facts == leader.worker.facts
+
+
+def test_a_worker_that_grows_before_its_shrink_is_committed_is_used(leader):
+    leader.report()
+    facts = leader.worker.facts
+    leader.node.holds = True
+    _report_next(leader, capacity=SMALL)
+    _report_next(leader, capacity=facts.capacity)
+    leader.node.holds = False
+    leader.node.release()
+    assert leader.machine.state.workers[W1].facts == facts
+    assert leader.peer().facts == facts
+
+
+def test_a_worker_that_grows_after_a_refused_shrink_is_used(leader):
+    leader.report()
+    facts = leader.worker.facts
+    leader.node.refuses = True
+    _report_next(leader, capacity=SMALL)
+    assert leader.machine.state.workers[W1].facts == facts
+    leader.node.refuses = False
+    _report_next(leader, capacity=facts.capacity)
+    assert leader.peer().facts == facts
+
+
 def _next_leader(leader, resources):
     """Return the workers of the next leader, which has heard no report."""
     supervisor = utils.Supervisor('next leader', 20)
