Keep no shrunken worker free for a task that may not start there

What users would see: a step of which an amount is 0, such as one that fills or one without accelerators, waits while a worker is kept free for it that has shrunk below its runs, and no less urgent run is stopped for it.

Cause: the number of tasks that fit leaves out amounts that a task doesn't need. On a worker with a negative amount of that kind, preemption counted room that placement, which compares all amounts, does not see.

Change: preemption counts no task on a worker with a negative amount. The limits of teams still leave such amounts out.

Evidence: tests of test_preemption.py and test_planner.py failed before. With them come tests that passed before: random shrinks and grows of workers over rounds of the scheduler, a round at once after a worker has grown, a shrunken worker that drains and restarts, and no stop for a task that fits no worker.

--- a/dandeliondrum/jobs/_preemption.py
+++ b/dandeliondrum/jobs/_preemption.py
@@ -117,7 +117,7 @@
         preemptible.sort(
             key=lambda run: (-run.priority, -run.charge.cpu_millicores)
         )
-        count = min(wanted_count, _specs.tasks_that_fit(charge, free))
+        count = min(wanted_count, _fit_count(charge, free))
         chosen: list[PreemptibleRun] = []
         pending: list[PreemptibleRun] = []
         for run in preemptible:
@@ -125,9 +125,14 @@
                 break
             free += run.charge
             pending.append(run)
-            fit_count = _specs.tasks_that_fit(charge, free)
+            fit_count = _fit_count(charge, free)
             if fit_count > count:
                 count = min(wanted_count, fit_count)
                 chosen += pending
                 pending = []
         return count, chosen
+
+
+def _fit_count(charge: messages.Resources, free: messages.Resources) -> int:
+    """Return how many tasks may start; none while any amount is negative."""
+    return _specs.tasks_that_fit(charge, free) if charge.fits_in(free) else 0
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dandeliondrum import jobs
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
@@ -23,6 +24,37 @@
     assert sorted(sum(_workers_of(groups), [])) == ['w1', 'w1', 'w2']
 
 
+def test_nothing_is_placed_on_a_worker_that_runs_more_than_it_has():
+    """A worker may shrink below the resources of its runs."""
+    shrunk = [
+        helpers.available_worker('w1', -500),
+        helpers.available_worker('w2', free=messages.Resources(4_000, -1)),
+        helpers.available_worker(
+            'w3',
+            free=messages.Resources(0, 0, -1),
+            capacity=messages.Resources(0, 0),
+        ),
+    ]
+    steps = [
+        helpers.step(2, cpu=cpu, **more)
+        for cpu in (0, 1, 1_000)
+        for more in (
+            {},
+            {'gang': True},
+            {'uses_idle_cpu': True},
+            {'per_worker_max': 1},
+        )
+    ]
+    nothing = jobs.StepSpec(1, messages.Resources(0, 0))
+    demands = [
+        helpers.demand(f'j{number}', spec, waited_ms=waited_ms)
+        for number, spec in enumerate([*steps, nothing])
+        for waited_ms in (0, _planner.RESERVE_AFTER_MS)
+    ]
+    assert _planner.plan(demands, shrunk, {}) == []
+    assert _wait_reason(demands[0], shrunk) is _planner.WaitReason.NO_ROOM
+
+
 def test_tasks_that_fill_take_no_processors():
     groups = _planner.plan(
         [helpers.demand('j', helpers.step(3, cpu=9_000, uses_idle_cpu=True))],
--- a/dandeliondrum/jobs/tests/test_preemption.py
+++ b/dandeliondrum/jobs/tests/test_preemption.py
@@ -121,6 +121,34 @@
     assert stopped == [0]
 
 
+def test_a_worker_that_has_shrunk_below_its_runs_is_not_counted_as_free():
+    """Regression test: it was reserved for tasks that could not start."""
+    shrunk = helpers.available_worker('w1', -500)
+    runs = [_run(0, 1_000)]
+    filling = helpers.demand(
+        'filling', helpers.step(uses_idle_cpu=True), waited_ms=WAITED_MS
+    )
+    assert _plan([filling], [shrunk], runs) == ([], [0])
+    assert _plan([filling], [shrunk], []) == ([], [])
+    shrunk = helpers.available_worker('w1', -500)
+    preemption = _preemption.Preemption()
+    _planner.plan([filling], [shrunk], {}, preemption)
+    assert not preemption.steps_with_capacity and not preemption.chosen
+
+
+def test_nothing_is_stopped_for_a_task_that_fits_no_worker_any_more():
+    shrunk = [
+        helpers.available_worker(
+            name, 500, capacity=messages.Resources(1_500, 1_000)
+        )
+        for name in ('w1', 'w2', 'w3')
+    ]
+    runs = [_run(0, 1_000), _run(1, 1_000, 'w2'), _run(2, 1_000, 'w3')]
+    large = helpers.demand('j', helpers.step(cpu=2_000), waited_ms=WAITED_MS)
+    assert _plan([large], shrunk, runs) == ([], [])
+    assert not any(worker.reserved for worker in shrunk)
+
+
 def test_only_runs_that_have_begun_and_lose_no_work_are_preempted():
     machine = helpers.Machine(())
     machine(_commands.PutWorker(helpers.facts('w1', cpu=5_000)))
--- a/dandeliondrum/jobs/tests/test_scheduler.py
+++ b/dandeliondrum/jobs/tests/test_scheduler.py
@@ -1,6 +1,7 @@
 """Commits of assignments, with a log whose delays a test controls."""
 
 import contextlib
+import random
 import threading
 
 import pytest
@@ -12,6 +13,7 @@
 from dandeliondrum.jobs import _scheduler
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs.tests import helpers
+from dandeliondrum import messages
 from dandeliondrum import testing
 
 TASK = jobs.parse_task_key('j.0.0.0')
@@ -132,6 +134,46 @@
     assert leader.proposed_runs()
 
 
+def _change_randomly(leader, rng):
+    """Let a worker shrink or grow and some of the runs end."""
+    worker_id = rng.choice(sorted(leader.term.peers))
+    capacity = messages.Resources(
+        rng.choice((0, 500, 2_000, 4_000)), rng.choice((0, 25, 1_000))
+    )
+    facts = helpers.facts(worker_id, capacity=capacity)
+    leader.machine(_commands.PutWorker(facts))
+    leader.term.peers[worker_id].facts = facts
+    workers = leader.machine.state.workers.values()
+    for task, run in [item for one in workers for item in one.runs.items()]:
+        if rng.random() < 0.3:
+            leader.machine.end(str(task), run, jobs.RunOutcome.STOPPED)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_workers_that_shrink_and_grow_get_no_more_than_they_have(leader, seed):
+    rng = random.Random(seed)
+    for name, more in (
+        ('gang', {'gang': True}),
+        ('filling', {'uses_idle_cpu': True}),
+        ('saving', {'checkpointing': True}),
+    ):
+        spec = helpers.job(name, helpers.step(4, cpu=700, **more))
+        leader.machine(_commands.SubmitJob(spec))
+    workers = leader.machine.state.workers
+    starts_count = 0
+    for _ in range(200):
+        _change_randomly(leader, rng)
+        before = {
+            worker_id: dict(workers[worker_id].runs) for worker_id in workers
+        }
+        leader.scheduler.run_round(threading.Event())
+        for worker_id, worker in workers.items():
+            if worker.runs != before[worker_id]:
+                starts_count += 1
+                assert worker.used.fits_in(worker.facts.capacity)
+    assert starts_count > 50
+
+
 def test_the_orders_of_a_refused_assignment_are_discarded(leader):
     leader.node.refuses = True
     with leader.scheduling():
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -309,6 +309,32 @@
     assert leader.machine.state.workers[W1].facts == leader.worker.facts
 
 
+def test_a_round_follows_at_once_when_a_worker_has_grown(leader):
+    leader.report()
+    _report_next(leader, capacity=SMALL)
+    leader.term.round_requested.clear()
+    _report_next(leader, capacity=messages.Resources(4_000, 100))
+    assert leader.term.round_requested.is_set()
+    state = leader.machine.state
+    assert state.workers[W1].facts.capacity.cpu_millicores == 4_000
+
+
+def test_a_worker_may_drain_and_restart_after_it_has_shrunk(leader):
+    leader.report()
+    facts = leader.worker.facts
+    _report_next(leader, capacity=messages.Resources(0, 0))
+    _report_next(leader, phase=jobs.WorkerPhase.DRAINING)
+    known = leader.machine.state.workers[W1]
+    assert known.facts.phase is jobs.WorkerPhase.DRAINING
+    assert known.facts.capacity == leader.peer().facts.capacity
+    leader.sequence = 0
+    restarted = dataclasses.replace(facts, started_ms=2)
+    leader.worker.facts = restarted
+    leader.report()
+    assert leader.peer().facts == restarted
+    assert leader.machine.state.workers[W1].facts == restarted
+
+
 def test_a_worker_that_grows_before_its_shrink_is_committed_is_used(leader):
     leader.report()
     facts = leader.worker.facts
