Count no negative processors in the free part of the fleet

The figure fleet_free_cpu_share of the log line "leader load" sank below the truth while a worker had shrunk below its runs: its negative rest was subtracted from what others have free. The test failed before (0.25 instead of 0.5). Only the log line used the figure.

--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -176,7 +176,8 @@
     """Return the free part of the workers' CPU, 0 without workers."""
     free = capacity = 0
     for worker in workers:
-        free += worker.free.cpu_millicores
+        # A worker that has shrunk may run more than it has.
+        free += max(0, worker.free.cpu_millicores)
         capacity += worker.capacity.cpu_millicores
     return free / capacity if capacity else 0.0
 
--- a/dandeliondrum/jobs/tests/test_demands.py
+++ b/dandeliondrum/jobs/tests/test_demands.py
@@ -139,6 +139,18 @@
     )
 
 
+def test_a_worker_that_runs_more_than_it_has_does_not_hide_free_processors():
+    workers = [
+        helpers.available_worker('w1', -2_000),
+        helpers.available_worker('w2', 4_000),
+        helpers.available_worker(
+            'w3', 0, capacity=messages.Resources(0, 1_000)
+        ),
+    ]
+    assert _demands.free_cpu_share(workers) == 0.5
+    assert _demands.free_cpu_share(workers[2:]) == 0.0
+
+
 def test_cached_workers_have_the_resources_that_are_free_now():
     machine = helpers.Machine(('w1', 'w2'))
     machine(_commands.SubmitJob(helpers.job('j', helpers.step(2))))
