Refuse a worker's report with a negative capacity

A report with a negative amount in Capacity is malformed: the facts of the worker that were known before hold. It replaced them, so the worker got nothing until its next report. The new case of test_rejects_invalid_worker_report failed before; null, fractions and a missing object were refused already, and a capacity of 0 is valid.

--- a/dandeliondrum/platform/_bodies.py
+++ b/dandeliondrum/platform/_bodies.py
@@ -101,7 +101,7 @@
         messages.FailureDomain(_fields.text(fields, 'Zone')),
         messages.Rack(labels[-1] if labels else ''),
         tuple(labels),
-        _documents.decode_resources(_fields.object_field(fields, 'Capacity')),
+        _decode_capacity(fields),
         # Start time of this worker process, in ms since the Unix epoch.
         _fields.integer(fields, 'born', 0),
         phase,
@@ -114,6 +114,15 @@
     )
 
 
+def _decode_capacity(fields: _fields.Body) -> messages.Resources:
+    capacity = _documents.decode_resources(
+        _fields.object_field(fields, 'Capacity')
+    )
+    if not messages.Resources(0, 0).fits_in(capacity):
+        raise _fields.FieldError('Capacity must not be negative')
+    return capacity
+
+
 def _decode_address(fields: _fields.Body) -> str:
     address = _fields.text(fields, 'Address')
     host, separator, port = address.rpartition(':')
--- a/dandeliondrum/platform/tests/test_bodies.py
+++ b/dandeliondrum/platform/tests/test_bodies.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dandeliondrum import jobs
+from dandeliondrum import messages
 from dandeliondrum.platform import _bodies
 from dandeliondrum.platform import _fields
 
@@ -68,6 +69,8 @@
     assert (facts.rack, facts.started_ms, report.sequence) == ('r1-3', 17, 4)
     assert facts.capacity.cpu_millicores == 16_000
     assert report.leaves_in_ms is None
+    shrunk = _report(Capacity={'Cpu': 0, 'MemMb': 0, 'Gpu': 0})
+    assert shrunk.facts.capacity == messages.Resources(0, 0)
     draining = _report(State='draining', RemainingMs=2_500)
     assert draining.facts.phase is jobs.WorkerPhase.DRAINING
     assert draining.leaves_in_ms == 2_500
@@ -80,6 +83,10 @@
         {'State': None},
         {'Address': 'nowhere'},
         {'Capacity': 16},
+        {'Capacity': None},
+        {'Capacity': {'Cpu': -1}},
+        {'Capacity': {'Cpu': 1.5}},
+        {'Capacity': {'MemMb': None}},
         {'Labels': [1]},
         {'Seq': '4'},
         {'Service': None},
