Test late reports of shrunken workers at the next leader in a cell

Three controllers, fake workers that accept whatever they are sent, the leader crashes, and reports from before the shrink arrive late at all controllers.

--- a/dandeliondrum/jobs/tests/test_reports.py
+++ b/dandeliondrum/jobs/tests/test_reports.py
@@ -2,6 +2,8 @@
 
 import concurrent.futures
 import contextlib
+import dataclasses
+import itertools
 
 import pytest
 from returns import result
@@ -149,3 +151,41 @@
     cell.submit('j', helpers.step(4))
     cell.wait_done('j')
     assert [len(worker.starts) for worker in cell.fleet] == [0, 0, 4]
+
+
+def _watch_load(worker):
+    """Return a list that each start appends the tasks that run then to."""
+    loads, start = [], worker.start
+
+    def start_and_count(order, late=False):
+        outcome = start(order, late)
+        loads.append(len(worker.running()))
+        return outcome
+
+    worker.start = start_and_count
+    return loads
+
+
+def test_shrunken_workers_are_not_overloaded_after_a_change_of_leader(cell):
+    """A report from before the shrink reaches the next leader late."""
+    capacity = messages.Resources(1_000, 1_000)
+    before = [worker.facts for worker in cell.fleet]
+    loads = [_watch_load(worker) for worker in cell.fleet]
+    for worker in cell.fleet:
+        worker.facts = dataclasses.replace(worker.facts, capacity=capacity)
+        cell.report(worker, 100)
+    cell.crash(cell.wait_leader())
+    cell.wait_leader()
+    for worker, facts in zip(cell.fleet, before, strict=True):
+        shrunk, worker.facts = worker.facts, facts
+        for controller in cell.controllers.values():
+            cell.report(worker, 50, controller=controller)
+        worker.facts = shrunk
+    cell.submit('small', helpers.step(12))
+    cell.submit('large', helpers.step(cpu=3_000))
+    cell.wait_done('small')
+    assert max(itertools.chain(*loads)) == 1
+    assert cell.phase('large') is jobs.JobPhase.QUEUED
+    cell.fleet[0].facts = before[0]
+    cell.report(cell.fleet[0], 101)
+    cell.wait_done('large')
