--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -97,8 +97,12 @@
 
         It takes none of the locks that a planning round holds.
         """
-        known = self._known_facts(report)
-        if known != report.facts:
+        known = self._known(report)
+        if known is None or known.facts != report.facts:
+            return None
+        peer = self._term.peers.get(report.facts.worker_id)
+        if peer is not None and peer.facts != report.facts:
+            # The peer has facts that are not committed yet.
             return None
         with self._lock:
             self._record_report(report, known)
@@ -113,13 +117,13 @@
             return utils.completed_future(noted)
         term, facts = self._term, report.facts
         acknowledgement = _calls.WorkerNoted(term.options.controller_id)
-        known = self._known_facts(report)
+        known = self._known(report)
         with term.lock, self._lock:
             if not self._record_report(report, known):
                 return utils.completed_future(acknowledgement)
-            if known is not None and known.phase != facts.phase:
-                # The new phase also applies to assignments that are being
-                # committed now.
+            if known is not None and _limits_starts(known.facts, facts):
+                # This also applies to assignments that are being committed
+                # now.
                 peer = term.peers.get(facts.worker_id)
                 if peer is not None:
                     self._update_peer(peer, facts)
@@ -135,7 +139,7 @@
             started_ms=facts.started_ms,
         )
         return utils.map_future(
-            term.propose(_commands.PutWorker(facts)),
+            term.propose(_commands.PutWorker(facts, report.sequence)),
             lambda outcome: self._on_recorded(
                 outcome, report, acknowledgement
             ),
@@ -171,16 +175,15 @@
                 functools.partial(self._on_removed, worker_id)
             )
 
-    def _known_facts(
+    def _known(
         self, report: _calls.WorkerReport
-    ) -> _commands.WorkerFacts | None:
-        record = self._term.state.workers.get(report.facts.worker_id)
-        return record.facts if record is not None else None
+    ) -> _records.WorkerRecord | None:
+        return self._term.state.workers.get(report.facts.worker_id)
 
     def _record_report(
         self,
         report: _calls.WorkerReport,
-        known: _commands.WorkerFacts | None,
+        known: _records.WorkerRecord | None,
     ) -> bool:
         """Record the time of a report; return False if it is out of date."""
         facts = report.facts
@@ -211,7 +214,7 @@
     def _is_stale(
         self,
         report: _calls.WorkerReport,
-        known: _commands.WorkerFacts | None,
+        known: _records.WorkerRecord | None,
     ) -> bool:
         facts = report.facts
         if (
@@ -219,10 +222,11 @@
             >= facts.started_ms
         ):
             return True
-        if known is not None and known.started_ms > facts.started_ms:
-            return True
-        if known is not None and _ends_draining(known, facts):
-            # A late report; this leader may not have seen the newer ones.
+        # This leader may not have seen the newer reports.
+        if known is not None and (
+            known.is_newer(facts, report.sequence)
+            or _ends_draining(known.facts, facts)
+        ):
             return True
         last = self._sequences.get(facts.worker_id, (0, 0))
         # A follower repeats a report whose first commit may have failed.
@@ -240,7 +244,8 @@
             if self._closed:
                 return messages.NotLeader()
             with self._lock:
-                self._use_facts(report)
+                if outcome.unwrap():
+                    self._use_facts(report)
         self._term.round_requested.set()
         return acknowledgement
 
@@ -327,6 +332,12 @@
             worker = self._term.state.workers.get(worker_id)
             return dict(worker.runs) if worker is not None else {}
 
+    def fits(self, facts: _commands.WorkerFacts) -> bool:
+        """Return whether the runs assigned to a worker fit in its capacity."""
+        with self._term.state.lock:
+            worker = self._term.state.workers.get(facts.worker_id)
+            return worker is None or worker.used.fits_in(facts.capacity)
+
     def obsolete(
         self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
     ) -> list[tuple[_specs.TaskKey, int]]:
@@ -582,6 +593,15 @@
     return found
 
 
+def _limits_starts(
+    known: _commands.WorkerFacts, facts: _commands.WorkerFacts
+) -> bool:
+    """Return whether the phase has changed or the worker has shrunk."""
+    return known.phase != facts.phase or not known.capacity.fits_in(
+        facts.capacity
+    )
+
+
 def _ends_draining(
     known: _commands.WorkerFacts, facts: _commands.WorkerFacts
 ) -> bool:
--- a/dandeliondrum/jobs/tests/test_scheduler.py
+++ b/dandeliondrum/jobs/tests/test_scheduler.py
@@ -1,6 +1,7 @@
 """Commits of assignments, with a log whose delays a test controls."""
 
 import contextlib
+import random
 import threading
 
 import pytest
@@ -21,7 +22,8 @@
 class ReadyPeer:
     """Peer of a worker that accepts tasks; keeps its orders."""
 
-    def __init__(self):
+    def __init__(self, facts):
+        self.facts = facts
         self.orders = _orders.OrderBook(threading.RLock())
 
     def usable(self):
@@ -40,7 +42,8 @@
         self.term = helpers.new_term(self.node)
         self.scheduler = _scheduler.Scheduler(self.term)
         for worker_id in ('w1', 'w2'):
-            self.term.peers[messages.WorkerId(worker_id)] = ReadyPeer()
+            facts = helpers.facts(worker_id)
+            self.term.peers[facts.worker_id] = ReadyPeer(facts)
         self.machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
 
     def proposed_runs(self):
@@ -100,6 +103,77 @@
         assert len(leader.proposed_runs()) == 1
 
 
+def test_a_plan_for_a_worker_that_has_shrunk_meanwhile_is_made_anew(leader):
+    leader.node.holds = True
+    with leader.scheduling():
+        testing.wait_until(leader.proposed_runs)
+        shrunk_id = leader.proposed_runs()[0].worker_id
+        leader.machine(_commands.PutWorker(helpers.facts(shrunk_id, 500)))
+        leader.node.holds = False
+        leader.node.release()
+        testing.wait_until(
+            lambda: (
+                leader.machine.task('j.0.0.0').phase
+                is _records.TaskPhase.ASSIGNED
+            )
+        )
+    assert leader.machine.task('j.0.0.0').worker_id != shrunk_id
+    assert leader.term.peers[shrunk_id].orders.get(TASK, 1) is None
+
+
+def test_a_worker_whose_smaller_capacity_is_being_committed_is_not_used(
+    leader,
+):
+    for worker_id, peer in leader.term.peers.items():
+        peer.facts = helpers.facts(worker_id, 500)
+    leader.scheduler.run_round(threading.Event())
+    assert not leader.proposed_runs()
+    for worker_id, peer in leader.term.peers.items():
+        peer.facts = helpers.facts(worker_id)
+    leader.scheduler.run_round(threading.Event())
+    assert leader.proposed_runs()
+
+
+def _change_randomly(leader, rng):
+    """Let a worker shrink or grow and some of the runs end."""
+    worker_id = rng.choice(sorted(leader.term.peers))
+    capacity = messages.Resources(
+        rng.choice((0, 500, 2_000, 4_000)), rng.choice((0, 25, 1_000))
+    )
+    facts = helpers.facts(worker_id, capacity=capacity)
+    leader.machine(_commands.PutWorker(facts))
+    leader.term.peers[worker_id].facts = facts
+    workers = leader.machine.state.workers.values()
+    for task, run in [item for one in workers for item in one.runs.items()]:
+        if rng.random() < 0.3:
+            leader.machine.end(str(task), run, jobs.RunOutcome.STOPPED)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_workers_that_shrink_and_grow_get_no_more_than_they_have(leader, seed):
+    rng = random.Random(seed)
+    for name, more in (
+        ('gang', {'gang': True}),
+        ('filling', {'uses_idle_cpu': True}),
+        ('saving', {'checkpointing': True}),
+    ):
+        spec = helpers.job(name, helpers.step(4, cpu=700, **more))
+        leader.machine(_commands.SubmitJob(spec))
+    workers = leader.machine.state.workers
+    starts_count = 0
+    for _ in range(200):
+        _change_randomly(leader, rng)
+        before = {
+            worker_id: dict(workers[worker_id].runs) for worker_id in workers
+        }
+        leader.scheduler.run_round(threading.Event())
+        for worker_id, worker in workers.items():
+            if worker.runs != before[worker_id]:
+                starts_count += 1
+                assert worker.used.fits_in(worker.facts.capacity)
+    assert starts_count > 50
+
+
 def test_the_orders_of_a_refused_assignment_are_discarded(leader):
     leader.node.refuses = True
     with leader.scheduling():
