Limit how often a task may crash the workers that start it

Seen by users: an idempotent task that crashes its worker was started again on worker after worker, without end: durable tasks, gang members that are tried again, service replicas and waiting calls alike.

Cause: an attempt that ends with its worker (STOPPED by a new incarnation, or LOST) puts an idempotent task back into the queue. Neither the retry limit nor the retry budget applies to it, since both count failed attempts only.

Ruled out: attempts lost with their worker cost other tasks no attempt (`failures_count` stays 0) and no retry token, and put no worker into quarantine, since only finished and failed attempts are observed.

Change: the replicated state counts the crashes under each task. A worker has crashed if a new incarnation announces itself and the worker was not leaving. A task is closed when three workers have crashed under it and the last one ran nothing else: failed if it is durable, else in doubt. Tasks that shared the worker are not closed. The crashes of a service count together only within 10 min, since it has no end and unrelated crashes would add up. As with any change of the state machine, all controllers of a cell have to run it for their states to be equal.

--- a/dandeliondrum/controller/_attempt_reports.py
+++ b/dandeliondrum/controller/_attempt_reports.py
@@ -131,6 +131,7 @@
                 context.planner.release(task.spec.task_id)
                 if task.state in _state.ENDED_STATES:
                     context.sessions.notify_ended(task.status())
+                    context.drop_pending(task.spec.task_id)
                 if task.state is not messages.TaskState.QUEUED:
                     continue
                 delay_ms = retry_delay_ms or _restart_delay_ms(ended)
--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -3,6 +3,7 @@
 import typing
 
 from dandeliondrum.controller import _accounts
+from dandeliondrum.controller import _crashes
 from dandeliondrum.controller import _records
 from dandeliondrum import messages
 from dandeliondrum import rules as rules_lib
@@ -66,10 +67,27 @@
 def end_worker_attempts(
     state: CellStateProtocol, worker: _records.WorkerRecord
 ) -> tuple[_records.EndedAttempt, ...]:
-    """End all attempts on a worker whose process has ended."""
+    """End all attempts on a worker whose process has ended.
+
+    Unless the worker was leaving, its process has crashed. This counts for
+    the tasks of its attempts, and of those lost before that it never fenced.
+    """
     ended = []
+    has_crashed = worker.state is not messages.WorkerState.LEAVING
+    was_alone = len(worker.attempts) + len(worker.fences) == 1
+    if has_crashed:
+        for attempt_id, task_id in worker.fences.items():
+            ended_attempt = _record_late_crash(
+                state, worker, attempt_id, task_id, was_alone
+            )
+            if ended_attempt is not None:
+                ended.append(ended_attempt)
     for attempt_id, task_id in list(worker.attempts.items()):
         task = state.tasks[task_id]
+        if has_crashed:
+            _crashes.record_crash(
+                task, attempt_id, was_alone, state.cell_time_ms
+            )
         report = messages.AttemptReport(
             attempt_id,
             messages.AttemptState.STOPPED,
@@ -81,6 +99,29 @@
     return tuple(ended)
 
 
+def _record_late_crash(
+    state: CellStateProtocol,
+    worker: _records.WorkerRecord,
+    attempt_id: messages.AttemptId,
+    task_id: messages.TaskId,
+    was_alone: bool,
+) -> _records.EndedAttempt | None:
+    """Count a crash for a task whose attempt has been declared lost.
+
+    Return the end if the task waits for another attempt and is closed.
+    """
+    task = state.tasks.get(task_id)
+    if task is None or task.ended_ms is not None:
+        return None
+    _crashes.record_crash(task, attempt_id, was_alone, state.cell_time_ms)
+    is_queued = task.state is messages.TaskState.QUEUED
+    if not is_queued or not _crashes.is_over_limit(task):
+        return None
+    _finish_crashed(task, state.cell_time_ms)
+    report = messages.AttemptReport(attempt_id, messages.AttemptState.LOST)
+    return _records.EndedAttempt(task, worker.facts.worker_id, report)
+
+
 def cancel_task(task: _records.TaskRecord, time_ms: int) -> None:
     """Cancel a queued task at once; request the stop of a running one."""
     match task.state:
@@ -165,6 +206,10 @@
     if task.cancel_requested:
         _finish(task, messages.TaskState.CANCELLED, time_ms)
         task.detail = 'cancelled while it ran'
+    elif _crashes.is_over_limit(task):
+        _finish_crashed(task, time_ms)
+        if task.state is messages.TaskState.IN_DOUBT:
+            task.last_attempt = attempt
     elif task.spec.idempotent or _is_restarted(task):
         _requeue(task, time_ms)
     else:
@@ -230,6 +275,19 @@
         task.detail = 'cancelled before it was run'
 
 
+def _finish_crashed(task: _records.TaskRecord, time_ms: int) -> None:
+    """Close a task under which too many workers have crashed.
+
+    A durable task gets a definite answer. The caller of another one is told
+    that it may have run.
+    """
+    state = messages.TaskState.IN_DOUBT
+    if task.spec.durable:
+        state = messages.TaskState.FAILED
+    _finish(task, state, time_ms)
+    task.detail = _crashes.DETAIL
+
+
 def _finish(
     task: _records.TaskRecord, state: messages.TaskState, time_ms: int
 ) -> None:
--- a/dandeliondrum/controller/_records.py
+++ b/dandeliondrum/controller/_records.py
@@ -32,7 +32,8 @@
     ``attempt`` is the attempt that may be running. ``last_attempt`` is the
     attempt that ended without an answer and put the task in doubt; its
     worker may still report the outcome. ``may_have_run`` is set once an
-    attempt has ended in any state other than ``NEVER_STARTED``.
+    attempt has ended in any state other than ``NEVER_STARTED``. The fields
+    about crashes are described in :mod:`_crashes`.
     """
 
     spec: messages.TaskSpec
@@ -52,6 +53,9 @@
     retry_after_ms: int = 0
     answer: messages.AnswerPlace | None = None
     events: tuple[tuple[int, str], ...] = ()
+    crashes_count: int = 0
+    crashed_alone: bool = False
+    crashed_ms: int = 0
 
     def add_event(self, time_ms: int, event: str) -> None:
         """Append an event to the history that operators can query.
