Let fake workers crash on given tasks and come back

No test could play this, since a fake worker could only be restarted by its test, at once and under its id.

A fake worker now crashes shortly after the start of a run with a deadly payload, accepts nothing for a while, and comes back under its id or under a new one at the same address. A fake fleet answers the calls for a former id as another incarnation does.

--- a/dandeliondrum/testing/_fake_job_workers.py
+++ b/dandeliondrum/testing/_fake_job_workers.py
@@ -2,7 +2,8 @@
 
 They implement the contract behind a :class:`jobs.WorkerPort`, with faults that
 a test enables: no answers, start orders that are carried out late, a restart
-under the same id, another incarnation at the same address, failing runs.
+under the same id, another incarnation at the same address, failing runs,
+runs that crash their worker.
 """
 
 import dataclasses
@@ -33,6 +34,11 @@
     with ``fails``, runs end as failed. With ``delays_starts``, start
     orders are kept without an answer until :meth:`carry_out_late_starts`.
     Leases are shortened to ``lease_max_ms`` from the time of their arrival.
+
+    A run with one of the ``deadly_payloads`` crashes the worker
+    ``crash_after_ms`` after its start. After a crash nothing is accepted for
+    ``down_ms``. The worker is then back under the next id if
+    ``returns_replaced`` is set, else under its id; ``ids`` has all of them.
     """
 
     def __init__(
@@ -53,6 +59,14 @@
         self.stall_ms = 0
         self.late_starts: list[jobs.StartOrder] = []
         self.delays_starts = False
+        self.deadly_payloads: set[str] = set()
+        self.crash_after_ms = 10
+        self.down_ms = 3_000
+        self.returns_replaced = False
+        self.crashes_count = 0
+        self.ids = [messages.WorkerId(worker_id)]
+        self._crash_at_s = math.inf
+        self._down_until_s = 0.0
         self.starts: list[tuple[str, int]] = []
         self.facts = jobs.WorkerFacts(
             messages.WorkerId(worker_id),
@@ -81,9 +95,32 @@
             )
             self._reset()
 
+    def crash(self) -> None:
+        """Lose all state, and accept nothing for ``down_ms``."""
+        with self.lock:
+            self.crashes_count += 1
+            self.restart()
+            if self.returns_replaced:
+                self.ids.append(
+                    messages.WorkerId(f'{self.ids[0]}~{len(self.ids)}')
+                )
+                self.facts = dataclasses.replace(
+                    self.facts, worker_id=self.ids[-1]
+                )
+            self._down_until_s = time.monotonic() + self.down_ms / 1000
+            self._changed.notify_all()
+
+    def is_down(self) -> bool:
+        """Return whether the worker has crashed and is not back yet."""
+        with self.lock:
+            if time.monotonic() >= self._crash_at_s:
+                self.crash()
+            return time.monotonic() < self._down_until_s
+
     def running(self) -> dict[str, int]:
         """Return the number of the current run of each running task."""
         with self.lock:
+            self.is_down()
             self._end_due_runs()
             return {str(task): run.run for task, run in self._runs.items()}
 
@@ -105,6 +142,8 @@
             if request.lease_until_ms is not None:
                 self._extend_lease(request.lease_until_ms)
             while True:
+                if self.is_down():
+                    return jobs.Unanswered(True, 'crashed')
                 self._end_due_runs()
                 wait_s = until_s - time.monotonic()
                 if self._ends or wait_s <= 0:
@@ -167,8 +206,12 @@
             self._clock_ms() + self.stall_ms + self.run_ms,
         )
         self.starts.append((str(order.task), order.run))
+        if order.payload in self.deadly_payloads:
+            crash_at_s = time.monotonic() + self.crash_after_ms / 1000
+            self._crash_at_s = min(self._crash_at_s, crash_at_s)
 
     def _reset(self) -> None:
+        self._crash_at_s = math.inf
         self._started_s = time.monotonic()
         self._token = 0
         self._lease_ms = 0.0
@@ -180,6 +223,8 @@
     def _check_access(
         self, token: int
     ) -> jobs.WorkerReplaced | jobs.Refused | jobs.Unanswered | None:
+        if self.is_down():
+            return jobs.Unanswered(False, 'connection refused')
         if self.silent:
             return jobs.Unanswered(True, 'silent')
         if self.replaced:
@@ -203,12 +248,13 @@
                 self._end(task, failed if self.fails else done)
 
     def _next_end_s(self) -> float:
-        """Return the time until the next run is due to end."""
+        """Return the time until the next run ends or crashes the worker."""
         ends_at_ms = [run.ends_at_ms for run in self._runs.values()]
         if ends_at_ms and self._lease_ms:
             ends_at_ms.append(self._lease_ms)
         due_ms = min(ends_at_ms, default=math.inf) - self._clock_ms()
-        return max(0.001, due_ms / 1000)
+        crash_s = self._crash_at_s - time.monotonic()
+        return max(0.001, min(due_ms / 1000, crash_s))
 
     def _end(self, task: jobs.TaskKey, outcome: jobs.RunOutcome) -> None:
         run = self._runs.pop(task)
@@ -238,23 +284,39 @@
     """A :class:`jobs.WorkerPort` that dispatches to fake workers by id."""
 
     def __init__(self, workers: list[FakeWorker]) -> None:
-        self.workers = {one.facts.worker_id: one for one in workers}
+        self._workers = workers
 
     def renew(self, request: jobs.LeaseRequest) -> jobs.ListingOutcome:
         """Renew the lease of a worker and return its lists."""
-        return self.workers[request.worker.worker_id].renew(request)
+        worker = self._find(request.worker)
+        return (
+            jobs.WorkerReplaced() if worker is None else worker.renew(request)
+        )
 
     def start(self, order: jobs.StartOrder) -> jobs.OrderOutcome:
         """Start a run."""
-        return self.workers[order.worker.worker_id].start(order)
+        worker = self._find(order.worker)
+        return jobs.WorkerReplaced() if worker is None else worker.start(order)
 
     def stop(self, order: jobs.StopOrder) -> jobs.OrderOutcome:
         """Stop a run."""
-        return self.workers[order.worker.worker_id].stop(order)
+        worker = self._find(order.worker)
+        return jobs.WorkerReplaced() if worker is None else worker.stop(order)
 
     def close(self) -> None:
         """Do nothing, as there are no connections."""
 
+    def _find(self, facts: jobs.WorkerFacts) -> FakeWorker | None:
+        """Return the worker that has this id, None if it was replaced.
+
+        The calls of a worker that is down are refused by itself.
+        """
+        worker = next(
+            one for one in self._workers if facts.worker_id in one.ids
+        )
+        is_current = worker.facts.worker_id == facts.worker_id
+        return worker if is_current or worker.is_down() else None
+
 
 class FakeAdviser:
     """A placement adviser that grants all workers except ``refused_ids``.
--- a/dandeliondrum/testing/tests/test_fake_job_workers.py
+++ b/dandeliondrum/testing/tests/test_fake_job_workers.py
@@ -3,6 +3,8 @@
 import concurrent.futures
 import threading
 
+import pytest
+
 from dandeliondrum import jobs
 from dandeliondrum import messages
 from dandeliondrum import testing
@@ -83,3 +85,35 @@
         jobs.LeaseRequest(worker.facts, 1, 0, 60_000, 10_000)
     ).ends
     assert end.end.outcome is jobs.RunOutcome.DONE
+
+
+@pytest.mark.parametrize('returns_replaced', [False, True])
+def test_a_deadly_run_crashes_its_worker_which_is_back_later(returns_replaced):
+    worker = testing.FakeWorker('w', CAPACITY, 60_000)
+    worker.deadly_payloads = {'payload'}
+    worker.down_ms = 200
+    worker.returns_replaced = returns_replaced
+    fleet = testing.FakeFleet([worker])
+    before = worker.facts
+    request = jobs.LeaseRequest(before, 1, 0, 60_000, 5_000)
+    assert isinstance(_start(worker, 1, 60_000), jobs.Accepted)
+    assert fleet.renew(request) == jobs.Unanswered(True, 'crashed')
+    refused = jobs.Unanswered(False, 'connection refused')
+    assert fleet.renew(request) == refused
+    assert worker.crashes_count == 1 and not worker.running()
+    testing.wait_until(lambda: not worker.is_down())
+    assert worker.facts.started_ms > before.started_ms
+    if returns_replaced:
+        assert fleet.renew(request) == jobs.WorkerReplaced()
+        request = jobs.LeaseRequest(worker.facts, 1, 0, None, 0)
+    listing = fleet.renew(request)
+    assert listing.started_ms == worker.facts.started_ms
+    assert listing.runs == listing.ends == ()
+
+
+def test_a_worker_survives_the_runs_of_other_payloads():
+    worker = testing.FakeWorker('w', CAPACITY, 50)
+    worker.deadly_payloads = {'other'}
+    _start(worker, 1, 60_000)
+    testing.wait_until(lambda: not worker.running())
+    assert worker.crashes_count == 0
