--- a/dandeliondrum/jobs/tests/test_cell.py
+++ b/dandeliondrum/jobs/tests/test_cell.py
@@ -23,7 +23,14 @@
 class Cell:
     """Three controllers that form a cell, and one gateway."""
 
-    def __init__(self, folder, resources, election_min_ms=300, lease_ms=1_000):
+    def __init__(
+        self,
+        folder,
+        resources,
+        election_min_ms=300,
+        lease_ms=1_000,
+        workers_count=3,
+    ):
         self.folder = folder
         self.election_min_ms = election_min_ms
         self.lease_ms = lease_ms
@@ -33,7 +40,7 @@
             testing.FakeWorker(
                 f'w{number}', messages.Resources(4_000, 1_000), RUN_MS
             )
-            for number in range(3)
+            for number in range(workers_count)
         ]
         ids = [messages.ControllerId(f'c{number}') for number in range(3)]
         addresses = testing.free_addresses(len(ids))
