Test that a task that crashes its workers is not started for ever

Each run of the task ends as LOST when its worker is back, and the end of a lost run counts for nothing, so the next round starts the task again.

The tests play it with fake workers that crash 10 ms after such a start and are back after 0.5 s, under their id or replaced: one task among 15 innocent jobs, four at once, and one whose leader is lost after the second crash. Ruled out: that the leader takes the crash for a silence, as leases are eight times as long as a worker is down, and that one kind of return is to blame, as both fail.

--- a/dandeliondrum/jobs/tests/test_crashing_tasks.py
+++ b/dandeliondrum/jobs/tests/test_crashing_tasks.py
@@ -1,4 +1,4 @@
-"""Workers that crash, are lost, drain or leave for no task's fault."""
+"""Tasks that crash their workers, and crashes for no task's fault."""
 
 import contextlib
 import dataclasses
@@ -17,6 +17,9 @@
 # Longer than a worker is down, so that a crash is not taken for a silence.
 LEASE_MS = 4_000
 REPORT_EVERY_S = 0.05
+DEADLY = 'deadly'
+# Three crashes, and fewer than three starts after them.
+STARTS_MAX = 5
 LOSSES_COUNT = 3
 ROUNDS_COUNT = 4
 
@@ -31,6 +34,7 @@
         for worker in self.fleet:
             worker.run_ms = RUN_MS
             worker.down_ms = DOWN_MS
+            worker.deadly_payloads = {DEADLY}
             worker.returns_replaced = returns_replaced
 
     def open_reporting(self):
@@ -52,6 +56,14 @@
                     reported[worker.ids[0]] = worker.facts
                     self.report(worker, sequence)
 
+    def submit_deadly(self, name):
+        spec = dataclasses.replace(
+            helpers.job(name, helpers.step(), submitted_ms=1), payload=DEADLY
+        )
+        testing.wait_until(
+            lambda: self.gateway.submit(spec, 2_000).value_or(None)
+        )
+
     def starts_count(self, name):
         return [task for task, _ in self.starts()].count(f'{name}.0.0.0')
 
@@ -63,6 +75,17 @@
         busy = [worker for worker in self.fleet if worker.running()]
         return sorted(busy, key=lambda worker: worker.crashes_count)
 
+    def wait_given_up(self, name):
+        """Wait until a job has failed or was started too often."""
+        testing.wait_until(
+            lambda: (
+                self.phase(name) is jobs.JobPhase.FAILED
+                or self.starts_count(name) > STARTS_MAX
+            )
+        )
+        assert self.starts_count(name) <= STARTS_MAX
+        assert self.phase(name) is jobs.JobPhase.FAILED
+
     def wait_worker_of(self, name):
         """Return the worker that runs the only task of a job."""
         return testing.wait_until(
@@ -98,6 +121,51 @@
     return names
 
 
+@pytest.mark.parametrize('returns_replaced', [False, True])
+def test_a_task_that_crashes_its_workers_is_not_started_for_ever(
+    returns_replaced, make_cell
+):
+    cell = make_cell(returns_replaced)
+    innocent = _submit_innocent(cell, 'a', 6)
+    cell.submit_deadly('d')
+    innocent += _submit_innocent(cell, 'b', 6)
+    cell.wait_given_up('d')
+    innocent += _submit_innocent(cell, 'c', 3)
+    for name in innocent:
+        cell.wait_done(name)
+    starts_count = cell.starts_count('d')
+    assert cell.crashes_count() == starts_count <= STARTS_MAX
+
+
+def test_several_tasks_that_crash_their_workers_are_not_started_for_ever(
+    make_cell,
+):
+    cell = make_cell()
+    innocent = _submit_innocent(cell, 'a', 3)
+    deadly = [f'd{number}' for number in range(4)]
+    for name in deadly:
+        cell.submit_deadly(name)
+    innocent += _submit_innocent(cell, 'b', 3)
+    for name in deadly:
+        cell.wait_given_up(name)
+    for name in innocent:
+        cell.wait_done(name)
+
+
+@pytest.mark.parametrize('returns_replaced', [False, True])
+def test_crashes_under_a_task_still_count_after_the_leader_is_lost(
+    returns_replaced, make_cell
+):
+    cell = make_cell(returns_replaced)
+    cell.submit_deadly('d')
+    innocent = _submit_innocent(cell, 'a', 6)
+    testing.wait_until(lambda: cell.crashes_count() == 2)
+    cell.crash(cell.wait_leader())
+    cell.wait_given_up('d')
+    for name in innocent:
+        cell.wait_done(name)
+
+
 @pytest.mark.parametrize('returns_replaced', [False, True])
 def test_workers_that_crash_for_no_fault_of_a_task_fail_no_job(
     returns_replaced, make_cell
