Count the workers that crash under a task

A task that crashes each worker that starts it was started for ever: the ends of all runs of a worker that comes back as another incarnation were LOST, which nothing counts.

Runs of a worker that restarted or was replaced now end as CRASHED, each with a suspicion: alone on its worker, just started, beside other jobs, or not blamed. Suspicions are classified from the orders and lists of the leader before the crash. A worker that drained or announced its shutdown has not crashed, and runs that lapsed before the crash was found are counted afterwards. The state counts crashes once per run and gives a job up once three workers have crashed under a task and the task ran without other jobs in the last one. Log events 'worker crashed' and 'job given up', and metrics of crashes, tell about it.

Suspects are still placed beside other jobs, so this alone rarely gives a task up.

--- a/dandeliondrum/jobs/__init__.py
+++ b/dandeliondrum/jobs/__init__.py
@@ -11,6 +11,7 @@
 from dandeliondrum.jobs._calls import WorkerReport
 from dandeliondrum.jobs._commands import RunEnd
 from dandeliondrum.jobs._commands import RunOutcome
+from dandeliondrum.jobs._commands import Suspicion
 from dandeliondrum.jobs._commands import WorkerFacts
 from dandeliondrum.jobs._commands import WorkerPhase
 from dandeliondrum.jobs._controller import ControllerOptions
@@ -80,6 +81,7 @@
     'StartOrder',
     'StepSpec',
     'StopOrder',
+    'Suspicion',
     'TaskKey',
     'TeamPolicy',
     'Unanswered',
--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -11,9 +11,10 @@
     """How a run ended.
 
     ``LAPSED`` means that the lease of the worker expired. ``LOST`` means that
-    the run is certain neither to be running nor to start later. ``BROKEN``
-    and ``ALONE`` are outcomes of gang members: another member ended, or the
-    other members did not start.
+    the run is certain neither to be running nor to start later. ``CRASHED``
+    means that the process of the worker ended under the run. ``BROKEN`` and
+    ``ALONE`` are outcomes of gang members: another member ended, or the other
+    members did not start.
     """
 
     DONE = 'done'
@@ -23,6 +24,20 @@
     BROKEN = 'broken'
     ALONE = 'alone'
     LOST = 'lost'
+    CRASHED = 'crashed'
+
+
+class Suspicion(enum.Enum):
+    """Evidence that a run crashed its worker.
+
+    ``SHARED`` means that it ran beside runs of other jobs, ``STARTING`` that
+    it had just been started, and ``ALONE`` that no other job was running.
+    """
+
+    NONE = 'none'
+    SHARED = 'shared'
+    STARTING = 'starting'
+    ALONE = 'alone'
 
 
 class WorkerPhase(enum.Enum):
@@ -62,12 +77,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnd:
-    """The end of a run; ``checkpoint`` is empty if there is none."""
+    """The end of a run; ``checkpoint`` is empty if there is none.
+
+    ``suspicion`` is only used with ``CRASHED``.
+    """
 
     task: _specs.TaskKey
     run: int
     outcome: RunOutcome
     checkpoint: str = ''
+    suspicion: Suspicion = Suspicion.NONE
 
 
 @messages.message
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -105,6 +105,22 @@
             ('outcome',),
             registry=self.registry,
         )
+        self.worker_crashes = prometheus_client.Counter(
+            'dandeliondrum_jobs_worker_crashes',
+            'Workers that crashed with runs assigned to them',
+            registry=self.registry,
+        )
+        self.crashed_runs = prometheus_client.Counter(
+            'dandeliondrum_jobs_runs_crashed',
+            'Runs whose worker crashed, by suspicion',
+            ('suspicion',),
+            registry=self.registry,
+        )
+        self.given_up = prometheus_client.Counter(
+            'dandeliondrum_jobs_given_up',
+            'Jobs that were given up because a task crashes workers',
+            registry=self.registry,
+        )
         self.refused = prometheus_client.Counter(
             'dandeliondrum_jobs_starts_refused',
             'Starts that workers refused, by reason',
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -116,6 +116,9 @@
             case _port.Accepted():
                 self._settle(order)
             case _port.WorkerReplaced():
+                with state.lock:
+                    # The order did not reach this incarnation.
+                    order.sends_count -= 1
                 self._settle(order)
                 state.handle_replacement(request.worker)
             case _port.Refused(reason):
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -134,6 +134,16 @@
         order = self.get(task, run)
         return order is not None and order.phase is OrderPhase.LISTED
 
+    def listed_ms(
+        self, task: _specs.TaskKey, run: int, now_ms: int
+    ) -> int | None:
+        """Return for how long a run has been listed, None if it is not."""
+        with self._lock:
+            order = self.get(task, run)
+            if order is None or order.phase is not OrderPhase.LISTED:
+                return None
+            return now_ms - order.since_ms
+
     def next(self, timeout_s: float) -> _specs.TaskKey | Stop | None:
         """Return the next order to send; None after the timeout."""
         with self._condition:
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -1,12 +1,14 @@
 """State shared by the components that manage one worker."""
 
 import collections.abc
+import dataclasses
 import threading
 import typing
 
 import structlog
 
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _crashes
 from dandeliondrum.jobs import _end_recorder
 from dandeliondrum.jobs import _lease
 from dandeliondrum.jobs import _orders
@@ -39,6 +41,11 @@
     ) -> dict[_specs.TaskKey, int]:
         """Return the runs that are assigned to a worker."""
 
+    def suspects(
+        self, tasks: collections.abc.Iterable[_specs.TaskKey]
+    ) -> set[_specs.TaskKey]:
+        """Return the tasks among these that are suspected of crashes."""
+
     def obsolete(
         self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
     ) -> list[tuple[_specs.TaskKey, int]]:
@@ -61,6 +68,13 @@
         ``was_late`` tells that its lease had expired on the way.
         """
 
+    def worker_crashed(
+        self,
+        worker_id: messages.WorkerId,
+        ends: tuple[_commands.RunEnd, ...],
+    ) -> None:
+        """Report the crash of a worker, with the ends of its runs."""
+
     def worker_replaced(self, worker_id: messages.WorkerId) -> None:
         """Remove a worker that another incarnation has replaced."""
 
@@ -72,8 +86,10 @@
     """The leader's view of one worker; ``lock`` protects the fields.
 
     ``is_responding`` tells whether the last read of the lists was answered,
-    and ``reads_count`` numbers the reads. Once ``ended`` is set, the threads
-    that serve the worker exit.
+    and ``reads_count`` numbers the reads. ``is_departing`` is set if the
+    current incarnation drains or has announced its shutdown. ``crashed``
+    holds the ends, not recorded yet, of the runs of an incarnation that
+    crashed. Once ``ended`` is set, the threads that serve the worker exit.
     """
 
     def __init__(
@@ -94,6 +110,12 @@
         self.token = term * TOKENS_PER_TERM + tokens_used_count
         self.reads_count = 0
         self.is_responding = False
+        self.last_reply_ms: int | None = None
+        self.is_departing = facts.phase is _commands.WorkerPhase.DRAINING
+        self.crashed: dict[_crashes.Run, _commands.RunEnd] = {}
+        # Ends to record if a worker whose lease expired turns out to have
+        # crashed.
+        self._lapsed: dict[_crashes.Run, _commands.RunEnd] = {}
         self.ended = False
 
     def lease_until_ms(self) -> int:
@@ -121,27 +143,118 @@
         ):
             return
         _logger.info('worker replaced', worker=facts.worker_id)
-        if not self.record_all(_commands.RunOutcome.LOST):
+        dropped = self.orders.drop_queued()
+        with self.lock:
+            lapsed = tuple(self._lapsed.values())
+        ends = (*self._crash_ends(), *lapsed)
+        if not self._record_all(ends, dropped):
             return
         with self.lock:
             if self.ended:
                 return
             self.close()
+        self._report_crash(ends)
         self.events.worker_replaced(facts.worker_id)
 
-    def record_all(self, outcome: _commands.RunOutcome) -> bool:
-        """Record an end of all assigned runs; return whether it succeeded.
+    def handle_restart(self) -> None:
+        """Remember how the runs of the former incarnation ended.
 
-        Their queued orders are dropped, or kept if it did not succeed. The
-        queue is emptied first, so that it then contains only orders of runs
-        that are not in ``ends``.
+        Called before the reply of the new incarnation is used. The runs that
+        it does not list are then recorded with these ends.
+        """
+        ends = self._crash_ends()
+        with self.lock:
+            ends = (*ends, *self._lapsed.values())
+            self._lapsed.clear()
+            self.crashed.update(
+                {
+                    (end.task, end.run): end
+                    for end in ends
+                    if end.outcome is _commands.RunOutcome.CRASHED
+                }
+            )
+            self.is_departing = False
+        self._report_crash(ends)
+
+    def record_lapse(self) -> bool:
+        """Record that the lease of all assigned runs has expired.
+
+        Returns whether it succeeded.
         """
         dropped = self.orders.drop_queued()
-        assigned = self.events.assigned(self.facts.worker_id)
+        crashed = self._crash_ends()
         ends = tuple(
-            _commands.RunEnd(task, run, outcome, self.orders.checkpoint(task))
-            for task, run in assigned.items()
+            dataclasses.replace(
+                end,
+                outcome=_commands.RunOutcome.LAPSED,
+                suspicion=_commands.Suspicion.NONE,
+            )
+            for end in crashed
         )
+        if not self._record_all(ends, dropped):
+            return False
+        with self.lock:
+            for end in crashed:
+                if end.outcome is _commands.RunOutcome.CRASHED:
+                    self._lapsed[end.task, end.run] = end
+        return True
+
+    def forget_lapse(self) -> None:
+        """Note that the worker has not crashed, as it answers again."""
+        with self.lock:
+            self._lapsed.clear()
+
+    def _crash_ends(self) -> tuple[_commands.RunEnd, ...]:
+        """Return the ends of the assigned runs if the worker has ended.
+
+        A worker that drained or announced its shutdown has not crashed.
+        """
+        assigned = self.events.assigned(self.facts.worker_id)
+        suspects = self.events.suspects(assigned)
+        with self.lock:
+            suspicions: dict[_crashes.Run, _commands.Suspicion] = {}
+            if not self.is_departing:
+                suspicions = _crashes.suspicions(
+                    _crashes.read_run(
+                        task,
+                        run,
+                        self.orders,
+                        self.last_reply_ms or 0,
+                        task in suspects,
+                    )
+                    for task, run in assigned.items()
+                )
+            return tuple(
+                _commands.RunEnd(
+                    task,
+                    run,
+                    _commands.RunOutcome.CRASHED
+                    if (task, run) in suspicions
+                    else _commands.RunOutcome.LOST,
+                    self.orders.checkpoint(task),
+                    suspicions.get((task, run), _commands.Suspicion.NONE),
+                )
+                for task, run in assigned.items()
+            )
+
+    def _report_crash(self, ends: tuple[_commands.RunEnd, ...]) -> None:
+        crashed = tuple(
+            end for end in ends if end.outcome is _commands.RunOutcome.CRASHED
+        )
+        if crashed:
+            self.events.worker_crashed(self.facts.worker_id, crashed)
+
+    def _record_all(
+        self,
+        ends: tuple[_commands.RunEnd, ...],
+        dropped: tuple[_specs.TaskKey | _orders.Stop, ...],
+    ) -> bool:
+        """Record ends of all assigned runs; return whether it succeeded.
+
+        ``dropped`` are the queued orders, which are queued again if it did
+        not succeed. The queue is emptied first, so that it then contains only
+        orders of runs that are not in ``ends``.
+        """
         if self.record(ends):
             return True
         self.orders.restore_queued(dropped)
@@ -156,8 +269,10 @@
 
     def forget(self, ends: tuple[_commands.RunEnd, ...]) -> None:
         """Remove the orders of runs whose ends are recorded."""
-        for end in ends:
-            self.orders.forget(end.task, end.run)
+        with self.lock:
+            for end in ends:
+                self.orders.forget(end.task, end.run)
+                self.crashed.pop((end.task, end.run), None)
 
     def close(self) -> None:
         """Stop the threads that serve the worker."""
--- a/dandeliondrum/jobs/_record_store.py
+++ b/dandeliondrum/jobs/_record_store.py
@@ -17,6 +17,8 @@
         self.open_jobs: dict[_specs.JobId, _records.JobRecord] = {}
         self.workers: dict[messages.WorkerId, _records.WorkerRecord] = {}
         self.team_used: dict[messages.TeamId, messages.Resources] = {}
+        # Tasks of open jobs that are suspected of crashing workers.
+        self.suspects: set[_specs.TaskKey] = set()
         # Includes queues that were removed from the policy, since accepted
         # jobs may still refer to them.
         self.queues: dict[messages.QueueName, _policy.QueuePolicy] = {}
@@ -34,6 +36,9 @@
         # No run starts any more, so the payload is not needed.
         job.spec = dataclasses.replace(job.spec, payload='')
         self.open_jobs.pop(job.spec.job_id, None)
+        self.suspects = {
+            key for key in self.suspects if key.job_id != job.spec.job_id
+        }
 
     def add_usage(
         self,
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -32,13 +32,21 @@
 
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
-    """One task; ``run`` is the number of its newest run, 0 if none."""
+    """One task; ``run`` is the number of its newest run, 0 if none.
+
+    ``crashes_count`` is the number of workers that crashed under the task,
+    and ``crashed_run`` the last run that was counted. A task with
+    ``is_suspect`` is run apart from other jobs.
+    """
 
     run: int = 0
     phase: TaskPhase = TaskPhase.WAITING
     worker_id: messages.WorkerId | None = None
     failures_count: int = 0
     checkpoint: str = ''
+    crashes_count: int = 0
+    crashed_run: int = 0
+    is_suspect: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/dandeliondrum/jobs/_run_ends.py
+++ b/dandeliondrum/jobs/_run_ends.py
@@ -6,21 +6,40 @@
 from dandeliondrum.jobs import _specs
 
 FIRST_GANG_MEMBER = 0
+# Number of crashes after which a task is a suspect although other jobs ran on
+# each of the workers.
+SHARED_CRASHES_MAX = 3
+# Number of crashes after which a task is given up, if it ran apart from other
+# jobs in the last one.
+CRASHES_MAX = 3
+
+_STRONG_SUSPICIONS = (
+    _commands.Suspicion.STARTING,
+    _commands.Suspicion.ALONE,
+)
 
 
 def end_runs(
     store: _record_store.RecordStore, index: int, command: _commands.EndRuns
-) -> None:
-    """Record the ends of runs.
+) -> tuple[_specs.TaskKey, ...]:
+    """Record the ends of runs; return the tasks given up for crashes.
 
-    Repeated ends have no effect. Of the ends of earlier runs only ``DONE``
-    has one: it completes a task that is not done yet.
+    Repeated ends have no effect. Of the ends of earlier runs only two have
+    one: ``DONE`` completes a task that is not done yet, and ``CRASHED``
+    counts the crash.
     """
+    given_up = []
     for end in command.ends:
         job = store.jobs.get(end.task.job_id)
         task = job.task(end.task) if job is not None else None
-        if job is not None and task is not None:
-            _end_run(store, index, job, task, end)
+        if job is None or task is None:
+            continue
+        _end_run(store, index, job, task, end)
+        if end.outcome is _commands.RunOutcome.CRASHED and _count_crash(
+            store, index, job, task, end
+        ):
+            given_up.append(end.task)
+    return tuple(given_up)
 
 
 def _end_run(
@@ -44,6 +63,8 @@
     elif job.steps[end.task.step].finished:
         task.phase = _records.TaskPhase.DONE
     elif end.outcome is _commands.RunOutcome.FAILED:
+        task.is_suspect = False
+        store.suspects.discard(end.task)
         _count_failure(store, index, job, task, end)
     if not job.phase.ended() and all(step.done() for step in job.steps):
         store.finish(job, index, _records.JobPhase.DONE)
@@ -99,3 +120,37 @@
         return
     if counted.failures_count >= queue.attempts_max:
         store.finish(job, index, _records.JobPhase.FAILED)
+
+
+def _count_crash(
+    store: _record_store.RecordStore,
+    index: int,
+    job: _records.JobRecord,
+    task: _records.TaskRecord,
+    end: _commands.RunEnd,
+) -> bool:
+    """Count a crash once; return whether the job was given up for it.
+
+    The members of a gang start on several workers, so they never run alone.
+    """
+    if (
+        job.phase.ended()
+        or task.phase is _records.TaskPhase.DONE
+        or end.suspicion is _commands.Suspicion.NONE
+        or end.run <= task.crashed_run
+    ):
+        return False
+    task.crashed_run = end.run
+    task.crashes_count += 1
+    is_strong = end.suspicion in _STRONG_SUSPICIONS
+    if is_strong or task.crashes_count >= SHARED_CRASHES_MAX:
+        task.is_suspect = True
+        store.suspects.add(end.task)
+    is_gang = job.spec.steps[end.task.step].gang
+    is_certain = end.suspicion is _commands.Suspicion.ALONE or (
+        is_gang and is_strong
+    )
+    if task.crashes_count < CRASHES_MAX or not is_certain:
+        return False
+    store.finish(job, index, _records.JobPhase.FAILED)
+    return True
--- a/dandeliondrum/jobs/_snapshots.py
+++ b/dandeliondrum/jobs/_snapshots.py
@@ -17,6 +17,9 @@
     worker_id: messages.WorkerId | None
     failures_count: int
     checkpoint: str
+    crashes_count: int = 0
+    crashed_run: int = 0
+    is_suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +68,7 @@
         for facts in snapshot.workers
     }
     store.team_used = {}
+    store.suspects = set()
     store.jobs = {job.spec.job_id: _unpack_job(job) for job in snapshot.jobs}
     store.open_jobs = {
         job_id: job
@@ -73,7 +77,7 @@
     }
     store.queues = {queue.name: queue for queue in snapshot.former_queues}
     for job in store.jobs.values():
-        _index_runs(store, job)
+        _index_tasks(store, job)
     return snapshot.document
 
 
@@ -89,6 +93,9 @@
                     task.worker_id,
                     task.failures_count,
                     task.checkpoint,
+                    task.crashes_count,
+                    task.crashed_run,
+                    task.is_suspect,
                 )
                 for task in step.tasks
             ),
@@ -108,6 +115,9 @@
                     task.worker_id,
                     task.failures_count,
                     task.checkpoint,
+                    task.crashes_count,
+                    task.crashed_run,
+                    task.is_suspect,
                 )
                 for task in step.tasks
             ],
@@ -121,14 +131,15 @@
     )
 
 
-def _index_runs(
+def _index_tasks(
     store: _record_store.RecordStore, job: _records.JobRecord
 ) -> None:
     for position, step in enumerate(job.steps):
         for index, task in enumerate(step.tasks):
-            if task.worker_id is None:
-                continue
             key = _specs.TaskKey(
                 job.spec.job_id, _specs.StepIndex(position), index
             )
-            store.add_usage(job, key, task.run, task.worker_id)
+            if task.is_suspect and not job.phase.ended():
+                store.suspects.add(key)
+            if task.worker_id is not None:
+                store.add_usage(job, key, task.run, task.worker_id)
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -101,7 +101,6 @@
         self._acknowledged = 0
         self._recording: _Recording | None = None
         self._leaving = False
-        self._last_reply_ms: int | None = None
         self._first_read = True
         # Whether nothing runs on the worker, is assigned to it, or ended there
         # without an acknowledgement.
@@ -117,6 +116,10 @@
         with self._lock:
             if facts.started_ms != self._state.facts.started_ms:
                 self._acknowledged = 0
+            if facts.phase is not self._state.facts.phase:
+                self._state.is_departing |= (
+                    facts.phase is _commands.WorkerPhase.DRAINING
+                )
             self._state.facts = facts
 
     @property
@@ -130,23 +133,24 @@
         with self._lock:
             if self._state.ended or self._leaving or self._unassigned_count:
                 return False
-            if self._last_reply_ms is None or self._first_read:
+            if self._state.last_reply_ms is None or self._first_read:
                 return False
             if not self._state.is_responding:
                 return False
-            silent_ms = _clock.elapsed_ms() - self._last_reply_ms
+            silent_ms = _clock.elapsed_ms() - self._state.last_reply_ms
             return silent_ms <= SILENCE_MAX_MS
 
     def list_age_ms(self) -> int:
         """Return the age of the newest lists, -1 if there are none."""
-        if self._last_reply_ms is None:
+        if self._state.last_reply_ms is None:
             return -1
-        return _clock.elapsed_ms() - self._last_reply_ms
+        return _clock.elapsed_ms() - self._state.last_reply_ms
 
     def leave(self) -> None:
         """Give no new tasks to a worker that announced its shutdown."""
         with self._lock:
             self._leaving = True
+            self._state.is_departing = True
 
     def close(self) -> None:
         """Stop all threads of this peer."""
@@ -235,12 +239,17 @@
         request: _port.LeaseRequest,
         lists: _port.WorkerListing,
     ) -> bool:
+        restarted = lists.started_ms != self._worker_started_ms
+        if not restarted:
+            self._state.forget_lapse()
+        elif self._worker_started_ms:
+            self._state.handle_restart()
         with self._lock:
-            self._last_reply_ms = _clock.elapsed_ms()
+            self._state.last_reply_ms = _clock.elapsed_ms()
             if not self._state.is_responding:
                 self._state.is_responding = True
                 _logger.info('worker answers', worker=self.facts.worker_id)
-            if lists.started_ms != self._worker_started_ms:
+            if restarted:
                 self._handle_restart(lists)
                 return True
             if request.token != self._state.token:
@@ -323,12 +332,19 @@
         with self._lock:
             for task, run in assigned.items():
                 if (task, run) in listed:
+                    self._state.crashed.pop((task, run), None)
                     checkpoint = listed[task, run].checkpoint
                     self.orders.mark_listed(task, run, checkpoint)
                 elif (task, run) in ended or not lists.ends_complete:
                     continue
                 elif self.orders.is_lost(task, run, number):
                     ends.append(self._lost(task, run))
+            # Runs that had lapsed before the crash was found.
+            ends += [
+                end
+                for (task, run), end in self._state.crashed.items()
+                if assigned.get(task) != run
+            ]
         unassigned = [key for key in listed if assigned.get(key[0]) != key[1]]
         obsolete = self._events.obsolete(listed.keys() - set(unassigned))
         misplaced = self._events.misplaced(self.facts.worker_id, lists)
@@ -350,6 +366,9 @@
         self._is_idle = not (still_assigned or listed or lists.ends)
 
     def _lost(self, task: _specs.TaskKey, run: int) -> _commands.RunEnd:
+        crashed = self._state.crashed.get((task, run))
+        if crashed is not None:
+            return crashed
         checkpoint = self.orders.checkpoint(task)
         return _commands.RunEnd(
             task, run, _commands.RunOutcome.LOST, checkpoint
@@ -367,4 +386,4 @@
                 why=detail,
             )
         if state.lease.expired():
-            state.record_all(_commands.RunOutcome.LAPSED)
+            state.record_lapse()
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -327,6 +327,13 @@
             worker = self._term.state.workers.get(worker_id)
             return dict(worker.runs) if worker is not None else {}
 
+    def suspects(
+        self, tasks: collections.abc.Iterable[_specs.TaskKey]
+    ) -> set[_specs.TaskKey]:
+        """Return the tasks among these that are suspected of crashes."""
+        with self._term.state.lock:
+            return self._term.state.suspects.intersection(tasks)
+
     def obsolete(
         self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
     ) -> list[tuple[_specs.TaskKey, int]]:
@@ -426,6 +433,25 @@
                 ):
                     term.health.record_refusal(worker_id, _clock.elapsed_ms())
 
+    def worker_crashed(
+        self,
+        worker_id: messages.WorkerId,
+        ends: tuple[_commands.RunEnd, ...],
+    ) -> None:
+        """Report the crash of a worker, with the ends of its runs."""
+        self._term.metrics.worker_crashes.inc()
+        suspicions = {
+            str(end.task): end.suspicion.value
+            for end in ends
+            if end.suspicion is not _commands.Suspicion.NONE
+        }
+        _logger.warning(
+            'worker crashed',
+            worker=worker_id,
+            suspicions=suspicions,
+            others_count=len(ends) - len(suspicions),
+        )
+
     def worker_replaced(self, worker_id: messages.WorkerId) -> None:
         """Remove a worker that another incarnation has replaced."""
         term = self._term
@@ -488,7 +514,10 @@
                     'ends not recorded', why=str(outcome.failure())
                 )
                 return None
-            return functools.partial(self._handle_ends, ends, workers)
+            given_up = outcome.unwrap()
+            return functools.partial(
+                self._handle_ends, ends, workers, given_up
+            )
 
         proposed = self._term.propose(_commands.EndRuns(ends))
         return utils.map_future(proposed, make_effects)
@@ -497,8 +526,13 @@
         self,
         ends: tuple[_commands.RunEnd, ...],
         workers: dict[_Run, messages.WorkerId],
+        given_up: tuple[_specs.TaskKey, ...],
     ) -> None:
         for end in ends:
+            if end.outcome is _commands.RunOutcome.CRASHED:
+                self._term.metrics.crashed_runs.labels(
+                    end.suspicion.value
+                ).inc()
             self._term.metrics.ended.labels(end.outcome.value).inc()
             _logger.info(
                 'run ended',
@@ -507,6 +541,11 @@
                 outcome=end.outcome.value,
                 worker=workers.get((end.task, end.run)),
             )
+        for task in given_up:
+            self._term.metrics.given_up.inc()
+            _logger.warning(
+                'job given up', job=task.job_id, task=str(task), why='crashes'
+            )
         with self._term.lock:
             self._record_health(ends, workers)
         self.stop_obsolete({end.task.job_id for end in ends})
