Run tasks apart from other jobs that are suspected of crashing workers

What users saw: a task that crashes each worker that starts it took one worker after another down, about 3.5 s each, with all runs there.

Cause: the ends of these runs were LOST, which nothing counts, and the task was placed beside others again, so that it could not be told from them.

The waiting suspects of a step are now a demand of their own, after its other tasks. It is placed on one empty worker, which gets nothing else until the run has been listed for a second, or for the whole run after three crashes. If there is no empty worker, one is reserved so that it drains; after three seconds a worker with other runs is used. At most a quarter of a pool is kept for suspects. 'step waits' tells about it.

The reference planner places isolated demands as well, and is compared with the planner on random cases.

--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -9,12 +9,14 @@
 import dataclasses
 
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _crashes
 from dandeliondrum.jobs import _objectives
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _records
+from dandeliondrum.jobs import _run_ends
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
 from dandeliondrum import messages
@@ -95,6 +97,7 @@
         indexes = waiting_indexes(job, step)
         if not indexes or not job.step_is_due(step):
             continue
+        indexes, isolated = _isolate(job.steps[step], spec, indexes)
         yield (
             _planner.Demand(
                 job.spec.job_id,
@@ -107,11 +110,62 @@
                 indexes,
                 per_worker_counts=_counts(job, step),
                 slack_ms=slack_ms[step],
+                isolated=isolated,
             ),
             queue,
         )
 
 
+def _isolate(
+    record: _records.StepRecord,
+    spec: _specs.StepSpec,
+    indexes: tuple[int, ...],
+) -> tuple[tuple[int, ...], bool]:
+    """Return the tasks to place first, and whether they are isolated.
+
+    Tasks that are suspected of crashing workers come last. A gang is placed
+    as a whole.
+    """
+    if spec.gang:
+        return indexes, False
+    others = tuple(
+        index for index in indexes if not record.tasks[index].is_suspect
+    )
+    return (others, False) if others else (indexes, True)
+
+
+def isolating_workers(
+    state: _state.JobsState,
+    order_books: collections.abc.Mapping[messages.WorkerId, _orders.OrderBook],
+    now_ms: int,
+) -> set[messages.WorkerId]:
+    """Return the workers that are given nothing else beside a suspect.
+
+    A suspect is isolated until it has been listed for a while, and one that
+    has crashed many workers during its whole run. The caller holds the lock
+    of the state.
+    """
+    found = set()
+    for key in state.suspects:
+        job = state.open_jobs[key.job_id]
+        task = job.steps[key.step].tasks[key.index]
+        if task.worker_id is None or job.spec.steps[key.step].gang:
+            continue
+        orders = order_books.get(task.worker_id)
+        listed_ms = (
+            orders.listed_ms(key, task.run, now_ms)
+            if orders is not None
+            else None
+        )
+        if (
+            task.crashes_count >= _run_ends.CRASHES_MAX
+            or listed_ms is None
+            or listed_ms < _crashes.STARTING_MS
+        ):
+            found.add(task.worker_id)
+    return found
+
+
 class WorkerCache:
     """Inputs of the planner for workers, made anew only where one changed.
 
@@ -148,12 +202,14 @@
                     frozenset(facts.labels),
                     free,
                     facts.capacity,
+                    started_ms=facts.started_ms,
                 )
                 known = _CachedWorker(facts, worker.used, free, available)
             available = known.available
             available.free = known.free
             available.penalty = penalty
             available.reserved = False
+            available.is_empty = not worker.runs
             current[facts.worker_id] = known
             found.append(available)
         self._before = current
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -21,6 +21,12 @@
 # Without preemption, at most the number of workers in the pool divided by this
 # is reserved, so that waiting demands don't leave the whole pool idle.
 RESERVED_DIVISOR = 3
+# At most the number of workers in the pool divided by this, but at least one,
+# is kept for tasks that are run apart from other jobs.
+ISOLATED_DIVISOR = 4
+# An isolated demand that has waited for this long may use a worker that runs
+# something.
+ISOLATION_WAIT_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,7 +44,8 @@
     submission if there is no objective; ``is_late`` is set once an objective
     can't be met any more. The planner does not change a demand; ``tickets``,
     ``granted``, ``avoided``, ``waited_ms``, ``latest_start_ms`` and
-    ``is_late`` are set anew for each round.
+    ``is_late`` are set anew for each round. The tasks of an ``isolated``
+    demand are suspected of crashing workers and run apart from other jobs.
     """
 
     job_id: _specs.JobId
@@ -59,6 +66,7 @@
     slack_ms: int | None = None
     latest_start_ms: int = 0
     is_late: bool = False
+    isolated: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,7 +75,7 @@
 
     ``penalty`` is higher for slow workers and for workers that failed tasks
     recently; they are chosen last. A ``reserved`` worker is kept for an
-    earlier demand.
+    earlier demand. A worker with ``is_empty`` runs nothing.
     """
 
     worker_id: messages.WorkerId
@@ -78,6 +86,8 @@
     capacity: messages.Resources
     penalty: int = 0
     reserved: bool = False
+    is_empty: bool = True
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +108,7 @@
     NO_ROOM = 'no granted worker has room'
     TEAM_LIMIT = 'the team is at its limit'
     GANG = 'the gang does not fit as a whole'
+    ISOLATION = 'no worker is free to run the task apart from other jobs'
 
 
 def scheduling_key(demand: Demand) -> tuple[bool, int, int, int, str]:
@@ -124,6 +135,7 @@
         messages.TeamId, messages.Resources
     ],
     preemption: _preemption.Preemption | None = None,
+    isolating_counts: collections.abc.Mapping[str, int] | None = None,
 ) -> list[tuple[Placement, ...]]:
     """Return groups of placements; each group is assigned as a whole.
 
@@ -131,6 +143,8 @@
     use; teams that are not in it have no limit. It and the free resources of
     the workers are reduced by what is placed. ``preemption`` collects the runs
     to stop for demands that have waited; without it nothing is stopped.
+    ``isolating_counts`` is the number of workers of each pool that are not
+    among ``workers`` because they are kept for isolated tasks.
     """
     preemption = preemption or _preemption.Preemption()
     pools = _make_pools(workers)
@@ -138,6 +152,7 @@
         name: len(pool.workers) // RESERVED_DIVISOR
         for name, pool in pools.items()
     }
+    isolable_counts = _isolable_counts(pools, isolating_counts or {})
     groups: list[tuple[Placement, ...]] = []
     placed_count = 0
     for demand in sorted(demands, key=scheduling_key):
@@ -145,10 +160,22 @@
             break
         pool = pools.get(demand.pool, _NO_WORKERS)
         placement = _DemandPlacement(demand, pool, team_available)
-        chosen = placement.place()
+        if demand.isolated:
+            if isolable_counts.get(demand.pool, 0) <= 0:
+                continue
+            chosen = placement.place_isolated()
+        else:
+            chosen = placement.place()
         groups += chosen
         count = sum(len(group) for group in chosen)
         placed_count += count
+        if demand.isolated:
+            if count or (
+                demand.waited_ms >= RESERVE_AFTER_MS
+                and placement.reserve(1, reservable_counts[demand.pool])
+            ):
+                isolable_counts[demand.pool] -= 1
+            continue
         left_count = len(demand.indexes) - count
         if left_count and demand.waited_ms >= RESERVE_AFTER_MS:
             # A late demand must not stop runs that may still be in time.
@@ -165,6 +192,22 @@
     return groups
 
 
+def _isolable_counts(
+    pools: collections.abc.Mapping[str, '_Pool'],
+    isolating_counts: collections.abc.Mapping[str, int],
+) -> dict[str, int]:
+    """Return how many workers of each pool may be kept for isolated tasks."""
+    return {
+        name: max(
+            1,
+            (len(pool.workers) + isolating_counts.get(name, 0))
+            // ISOLATED_DIVISOR,
+        )
+        - isolating_counts.get(name, 0)
+        for name, pool in pools.items()
+    }
+
+
 def wait_reason(
     demand: Demand,
     workers: collections.abc.Iterable[AvailableWorker],
@@ -182,6 +225,8 @@
         return WaitReason.RESERVED if others_count else WaitReason.NO_GRANT
     if not team_allows(demand, team_available):
         return WaitReason.TEAM_LIMIT
+    if demand.isolated and placement.single_task_fits():
+        return WaitReason.ISOLATION
     return (
         WaitReason.GANG if placement.single_task_fits() else WaitReason.NO_ROOM
     )
@@ -298,6 +343,39 @@
             return []
         return [tuple(self._take(allocation))]
 
+    def place_isolated(self) -> list[tuple[Placement, ...]]:
+        """Place tasks on one worker, on which nothing else is placed.
+
+        Among empty workers, the one that has been up longest is chosen.
+        """
+        demand = self._demand
+        allowed_count = _team_allows_count(demand, self._team_available)
+        candidates = [
+            worker
+            for worker in self._startable()
+            if (worker.is_empty or demand.waited_ms >= ISOLATION_WAIT_MS)
+            and self._charge.fits_in(worker.free)
+            and self._room(worker) > 0
+        ]
+        if not candidates or allowed_count <= 0:
+            return []
+        worker = min(candidates, key=self._rank_isolated)
+        count = min(self._room(worker), len(demand.indexes), allowed_count)
+        placements = self._take([(worker, count)])
+        worker.reserved = True
+        return [(one,) for one in placements]
+
+    def _rank_isolated(
+        self, worker: AvailableWorker
+    ) -> tuple[bool, bool, int, int]:
+        """Return the sort key of a worker; the lowest is chosen."""
+        return (
+            not worker.is_empty,
+            worker.worker_id in self._demand.avoided,
+            0 if worker.is_empty else -worker.free.cpu_millicores,
+            worker.started_ms,
+        )
+
     def reserve(self, tasks_count: int, reserved_max: int) -> int:
         """Reserve workers until the remaining tasks would fit on them.
 
@@ -438,6 +516,7 @@
         indexes = iter(self._demand.indexes)
         for worker, count in allocation:
             worker.free -= _multiply(self._charge, count)
+            worker.is_empty = False
             worker_id = worker.worker_id
             self._counts[worker_id] = self._counts.get(worker_id, 0) + count
             placements += [
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -1,5 +1,6 @@
 """Scheduling rounds: request advice, place tasks, commit the assignments."""
 
+import collections
 import collections.abc
 import concurrent.futures
 import contextlib
@@ -55,6 +56,7 @@
     team_available: dict[messages.TeamId, messages.Resources]
     peers: _Peers
     facts: dict[messages.WorkerId, _commands.WorkerFacts]
+    isolating_counts: dict[str, int]
     now_ms: int
 
 
@@ -161,9 +163,23 @@
                     term.state.open_jobs, now_ms, _clock.unix_ms()
                 )
                 open_jobs_count = len(term.state.open_jobs)
+                isolating = _demands.isolating_workers(
+                    term.state,
+                    {
+                        worker_id: peer.orders
+                        for worker_id, peer in term.peers.items()
+                    },
+                    now_ms,
+                )
+                usable.difference_update(isolating)
                 workers = (
                     self._usable_workers(usable, now_ms) if demands else []
                 )
+                isolating_counts = collections.Counter(
+                    term.state.workers[worker_id].facts.pool
+                    for worker_id in isolating
+                    if worker_id in term.state.workers
+                )
                 team_available = _demands.team_available(term.state)
                 facts = {
                     worker.worker_id: term.state.workers[
@@ -199,6 +215,7 @@
             team_available,
             peers,
             facts,
+            isolating_counts,
             now_ms,
         )
 
@@ -239,6 +256,7 @@
             inputs.workers,
             inputs.team_available,
             preemption,
+            inputs.isolating_counts,
         )
         self._steps_with_capacity = preemption.steps_with_capacity
         self._reserved_ids = {
--- a/dandeliondrum/jobs/tests/reference_planner.py
+++ b/dandeliondrum/jobs/tests/reference_planner.py
@@ -103,6 +103,7 @@
         messages.TeamId, messages.Resources
     ],
     preemption: Preemption | None = None,
+    isolating_counts: collections.abc.Mapping[str, int] | None = None,
 ) -> list[tuple[_planner.Placement, ...]]:
     """Return groups of placements; each group is assigned as a whole.
 
@@ -119,17 +120,42 @@
         name: len(pool) // _planner.RESERVED_DIVISOR
         for name, pool in by_pool.items()
     }
+    isolating = isolating_counts or {}
+    isolable_counts = {
+        name: max(
+            1,
+            (len(pool) + isolating.get(name, 0)) // _planner.ISOLATED_DIVISOR,
+        )
+        - isolating.get(name, 0)
+        for name, pool in by_pool.items()
+    }
     groups: list[tuple[_planner.Placement, ...]] = []
     placed_count = 0
     for demand in sorted(demands, key=_planner.scheduling_key):
         if placed_count >= _planner.PLACEMENTS_MAX:
             break
         pool = by_pool.get(demand.pool, [])
+        if demand.isolated and (not pool or isolable_counts[demand.pool] <= 0):
+            continue
         placement = _DemandPlacement(demand, pool, team_available)
-        chosen = placement.place()
+        chosen = (
+            placement.place_isolated()
+            if demand.isolated
+            else placement.place()
+        )
         groups += chosen
         count = sum(len(group) for group in chosen)
         placed_count += count
+        used_ids = {one.worker_id for group in chosen for one in group}
+        for worker in pool:
+            worker.is_empty &= worker.worker_id not in used_ids
+        if demand.isolated:
+            waited = demand.waited_ms >= _planner.RESERVE_AFTER_MS
+            if not count and waited:
+                count = placement.reserve(1, reservable_counts[demand.pool])
+            if count:
+                isolable_counts[demand.pool] -= 1
+            continue
         left_count = len(demand.indexes) - count
         if left_count and demand.waited_ms >= _planner.RESERVE_AFTER_MS:
             if not demand.is_late and placement.preempt(
@@ -169,6 +195,8 @@
         )
     if not placement.team_allows():
         return _planner.WaitReason.TEAM_LIMIT
+    if demand.isolated and placement.single_task_fits():
+        return _planner.WaitReason.ISOLATION
     return (
         _planner.WaitReason.GANG
         if placement.single_task_fits()
@@ -211,6 +239,40 @@
             return groups
         return self._place_gang() if self.team_allows() else []
 
+    def place_isolated(self) -> list[tuple[_planner.Placement, ...]]:
+        """Place tasks on the best worker, one at a time while they fit."""
+        demand = self._demand
+        empty = [worker for worker in self._workers if worker.is_empty]
+        empty.sort(
+            key=lambda worker: (
+                worker.worker_id in demand.avoided,
+                worker.started_ms,
+            )
+        )
+        others: list[_planner.AvailableWorker] = []
+        if demand.waited_ms >= _planner.ISOLATION_WAIT_MS:
+            others = [
+                worker for worker in self._workers if not worker.is_empty
+            ]
+            others.sort(
+                key=lambda worker: (
+                    worker.worker_id in demand.avoided,
+                    -worker.free.cpu_millicores,
+                    worker.started_ms,
+                )
+            )
+        groups: list[tuple[_planner.Placement, ...]] = []
+        for worker in [*empty, *others]:
+            for index in demand.indexes:
+                if not (self.team_allows() and self._fits(worker)):
+                    break
+                self._take_on(worker)
+                groups.append((self._placement(index, worker),))
+            if groups:
+                worker.reserved = True
+                break
+        return groups
+
     def reserve(self, tasks_count: int, reserved_max: int) -> int:
         """Reserve workers until the remaining tasks would fit on them.
 
@@ -310,10 +372,13 @@
         if not fitting:
             return None
         worker = min(fitting, key=self._rank)
+        self._take_on(worker)
+        return worker
+
+    def _take_on(self, worker: _planner.AvailableWorker) -> None:
         worker.free -= self._charge
         self._count(worker, 1)
         self._update_team_available(self._demand.spec.resources, taken=True)
-        return worker
 
     def _deallocate(self, worker: _planner.AvailableWorker) -> None:
         worker.free += self._charge
--- a/dandeliondrum/jobs/tests/test_planner_reference.py
+++ b/dandeliondrum/jobs/tests/test_planner_reference.py
@@ -30,6 +30,7 @@
             for worker in self.workers
         }
         self.demands = [self._demand(n) for n in range(rng.randint(1, 16))]
+        self.isolating_counts = {'pool': rng.choice((0, 0, 1, 2))}
         self.team_available = {
             team: messages.Resources(
                 rng.randint(0, 30_000), rng.randint(0, 4_000), 4
@@ -55,6 +56,8 @@
             self._resources(rng.choice((2_000, 8_000))),
             messages.Resources(8_000, 1_000, 2),
             penalty=rng.choice((0, 0, 0, 1, 3)),
+            is_empty=rng.random() < 0.5,
+            started_ms=rng.randint(0, 3),
         )
 
     def _runs(self, worker_id):
@@ -111,9 +114,12 @@
             granted,
             frozenset(rng.sample(names, rng.randint(0, 1))),
             counts,
-            rng.choice((0, _planner.RESERVE_AFTER_MS)),
+            rng.choice(
+                (0, _planner.RESERVE_AFTER_MS, _planner.ISOLATION_WAIT_MS)
+            ),
             latest_start_ms=rng.choice((0, 1, 2)),
             is_late=rng.random() < 0.3,
+            isolated=not spec.gang and rng.random() < 0.3,
         )
 
 
@@ -122,7 +128,11 @@
     team_available = dict(case.team_available)
     preemption = preemption_class(lambda worker_id: case.runs[worker_id])
     groups = planner.plan(
-        copy.deepcopy(case.demands), workers, team_available, preemption
+        copy.deepcopy(case.demands),
+        workers,
+        team_available,
+        preemption,
+        case.isolating_counts,
     )
     reasons = [
         planner.wait_reason(demand, workers, team_available)
@@ -152,12 +162,21 @@
 def test_the_cases_place_preempt_and_reserve():
     rng = random.Random(0)
     placed_count = chosen_count = reserved_count = gangs_count = 0
+    isolated_count = 0
     for _ in range(500):
+        case = _Case(rng)
         groups, workers, _, chosen, _, _ = _outcome(
-            _planner, _preemption.Preemption, _Case(rng)
+            _planner, _preemption.Preemption, case
+        )
+        isolated_ids = {
+            demand.job_id for demand in case.demands if demand.isolated
+        }
+        isolated_count += sum(
+            group[0].task.job_id in isolated_ids for group in groups
         )
         placed_count += len(groups)
         gangs_count += sum(len(group) > 1 for group in groups)
         chosen_count += len(chosen)
         reserved_count += sum(worker.reserved for worker in workers)
     assert min(placed_count, gangs_count, chosen_count, reserved_count) > 0
+    assert isolated_count > 0
