--- a/dandeliondrum/testing/_fake_job_workers.py
+++ b/dandeliondrum/testing/_fake_job_workers.py
@@ -284,7 +284,11 @@
     """A :class:`jobs.WorkerPort` that dispatches to fake workers by id."""
 
     def __init__(self, workers: list[FakeWorker]) -> None:
-        self._workers = workers
+        self._workers = list(workers)
+
+    def add(self, worker: FakeWorker) -> None:
+        """Add a worker."""
+        self._workers.append(worker)
 
     def renew(self, request: jobs.LeaseRequest) -> jobs.ListingOutcome:
         """Renew the lease of a worker and return its lists."""
