Do not call a policy current while a newer one is being received

What callers could see: 404 or 401 for a queue or key that a newer policy has, which the gateway knows to exist and still reads. With whole policies the reply that names a version came after the policy itself; with parts it comes before, so an answer of the leader no longer confirms what the gateway has.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -138,6 +138,8 @@
         # Addresses of unresponsive controllers, with the end of the skip time.
         self._skip_until_ms: dict[str, int] = {}
         self._answered_ms: int | None = None
+        # When a leader last named no newer rules than the active ones.
+        self._rules_confirmed_ms: int | None = None
         self._down_since_ms = utils.monotonic_ms()
         self._closed = False
 
@@ -181,10 +183,11 @@
 
     def since_last_answer_ms(self) -> int | None:
         """Return the time since a leader last answered, or None if never."""
-        answered_ms = self._answered_ms
-        if answered_ms is None:
-            return None
-        return utils.monotonic_ms() - answered_ms
+        return _since_ms(self._answered_ms)
+
+    def since_rules_confirmed_ms(self) -> int | None:
+        """Return the time since a leader had no newer rules, None if never."""
+        return _since_ms(self._rules_confirmed_ms)
 
     def down_ms(self) -> int:
         """Return how long no stream has been open; 0 while one is."""
@@ -422,9 +425,7 @@
         )
         newest = registered.newest_rules_version
         self._serves_parts = newest is not None
-        if newest is not None:
-            self._request_rules(stream, newest)
-        self._answered_ms = utils.monotonic_ms()
+        self._record_answer(stream, newest or registered.rules_version)
         self._last_leader = candidate
         with self._lock:
             self._current = stream
@@ -450,12 +451,10 @@
             pause_ms = HEARTBEAT_INTERVAL_MS
             match _wait(answer, HEARTBEAT_TIMEOUT_MS):
                 case result.Success(messages.GatewayHeartbeatReply() as reply):
-                    self._answered_ms = utils.monotonic_ms()
+                    self._record_answer(stream, reply.rules_version)
                     self.term = reply.term
                     if reply.controllers:
                         self._members = _candidates(reply.controllers)
-                    if self._serves_parts:
-                        self._request_rules(stream, reply.rules_version)
                 case result.Success(messages.NotLeader() as other):
                     return other
                 case result.Success(
@@ -481,6 +480,15 @@
             stream.closed.wait(pause_ms / 1000)
         return None
 
+    def _record_answer(
+        self, stream: transport.Connection, newest: messages.RulesVersion
+    ) -> None:
+        self._answered_ms = utils.monotonic_ms()
+        if newest <= self.rules.version:
+            self._rules_confirmed_ms = self._answered_ms
+        elif self._serves_parts:
+            self._request_rules(stream, newest)
+
     def _request_rules(
         self, stream: transport.Connection, newest: messages.RulesVersion
     ) -> None:
@@ -523,6 +531,10 @@
     )
 
 
+def _since_ms(time_ms: int | None) -> int | None:
+    return None if time_ms is None else utils.monotonic_ms() - time_ms
+
+
 def _not_sent(
     detail: str,
 ) -> result.Result[typing.Any, transport.CallError]:
--- a/dandeliondrum/jobs/_gateway.py
+++ b/dandeliondrum/jobs/_gateway.py
@@ -92,11 +92,11 @@
         return self.policy
 
     def policy_is_current(self) -> bool:
-        """Return whether a leader confirmed the policy recently.
+        """Return whether a leader had no newer policy recently.
 
         Otherwise the gateway must not reject requests because of the policy.
         """
-        age_ms = self._calls.link.since_last_answer_ms()
+        age_ms = self._calls.link.since_rules_confirmed_ms()
         return age_ms is not None and age_ms <= POLICY_AGE_MAX_MS
 
     def set_controllers(
