--- a/dandeliondrum/controller/tests/test_state.py
+++ b/dandeliondrum/controller/tests/test_state.py
@@ -43,6 +43,19 @@
     assert worker.reserved.cpu_millicores == 12_000
 
 
+def test_a_worker_that_has_shrunk_is_given_no_more_than_it_has(log):
+    tasks = [
+        builders.spec(f't{i}', team='inspectors', cpu=cpu)
+        for i, cpu in enumerate((6_000, 0, 1_000))
+    ]
+    assert log.assign(tasks[0])[0].attempt is not None
+    log(messages.RegisterWorker, builders.facts(cpu=5_000))
+    assert [one.attempt for one in log.assign(*tasks[1:])] == [None, None]
+    assert log.state.workers['lathe-1'].reserved.cpu_millicores == 6_000
+    log(messages.RegisterWorker, builders.facts(cpu=7_000))
+    assert None not in [one.attempt for one in log.assign(*tasks[1:])]
+
+
 def test_a_gang_starts_whole_or_not_at_all(log):
     tasks = [
         builders.spec(f't{i}', team='inspectors', cpu=6_000) for i in range(3)
--- a/dandeliondrum/placement/tests/test_planner.py
+++ b/dandeliondrum/placement/tests/test_planner.py
@@ -347,6 +347,42 @@
         random_calls.step()
 
 
+@pytest.mark.parametrize('seed', range(6))
+def test_workers_that_shrink_and_grow_get_no_more_than_they_have(policy, seed):
+    rng = random.Random(seed)
+    facts = {name: helpers.facts(name) for name in ('w1', 'w2')}
+    planner = helpers.planner(policy, facts.values())
+    running = {}
+    placed_count = 0
+    for number in range(400):
+        name = rng.choice(['w1', 'w2'])
+        facts[name] = helpers.facts(
+            name,
+            cpu=rng.choice([0, 1_500, 16_000]),
+            memory=rng.choice([0, 2_000, 32_000]),
+            accelerators=rng.randrange(3),
+            slots=rng.choice([1, 8]),
+        )
+        planner.put_worker(facts[name], eligible=True)
+        task = helpers.task(f't{number}', accelerators=rng.randrange(2))
+        if isinstance(planner.add(task), result.Success):
+            running[task.task_id] = None
+        for task_id, worker_id in list(running.items()):
+            if worker_id is not None and rng.random() < 0.2:
+                planner.release(task_id)
+                del running[task_id]
+        for task_id, worker_id in helpers.placed(
+            planner.plan(number * 100, 10)
+        ).items():
+            placed_count += 1
+            running[task_id] = worker_id
+            used = planner.reserved(worker_id)
+            assert used.fits_in(facts[worker_id].resources)
+            tasks = [one for one in running.values() if one == worker_id]
+            assert len(tasks) <= facts[worker_id].slots_count
+    assert placed_count > 50
+
+
 @pytest.mark.parametrize('make', POLICIES)
 def test_same_calls_give_same_plans(make):
     runs = []
