Suspect fewer runs of a crash, and let suspects start sooner

- Runs that the worker never listed are suspected before those that have survived a listing.
- 'sole' is a suspicion against the only job that was starting.
It suffices to give a task up, for gangs as well; 'starting' no longer does for gangs.
Before, a task that was placed beside others after a wait was started again although each crash was its own.
- A worker is kept for at most five seconds for a run under which three workers have crashed.
- Workers that crashed under a suspect leave room for others to be isolated, up to half of the pool with those that answer.
- Suspects of a single crash, mostly innocent, come before the others, keep their place in the order although late, and use a busy worker after 3 s; the others after 10 s.

--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -31,12 +31,14 @@
     """Evidence that a run crashed its worker.
 
     ``SHARED`` means that it ran beside runs of other jobs, ``STARTING`` that
-    it had just been started, and ``ALONE`` that no other job was running.
+    it had just been started, ``SOLE`` that no other job had just been started,
+    and ``ALONE`` that no other job was running.
     """
 
     NONE = 'none'
     SHARED = 'shared'
     STARTING = 'starting'
+    SOLE = 'sole'
     ALONE = 'alone'
 
 
--- a/dandeliondrum/jobs/_crashes.py
+++ b/dandeliondrum/jobs/_crashes.py
@@ -17,13 +17,15 @@
 class AssignedRun:
     """A run that was assigned to a worker when the worker crashed.
 
-    ``may_have_started`` is false if no start order can have arrived.
+    ``may_have_started`` is false if no start order can have arrived. A run
+    that is starting may have been listed, for less than ``STARTING_MS``.
     """
 
     task: _specs.TaskKey
     run: int
     may_have_started: bool
     is_starting: bool
+    is_listed: bool
     is_suspect: bool
 
 
@@ -41,18 +43,24 @@
     """
     order = orders.get(task, run)
     if order is None:
-        return AssignedRun(task, run, True, False, is_suspect)
+        return AssignedRun(task, run, True, False, False, is_suspect)
     listed_ms = orders.listed_ms(task, run, answered_ms)
     is_sent = order.sends_count > 0
     is_starting = is_sent and (listed_ms is None or listed_ms < STARTING_MS)
-    may_have_started = is_sent or listed_ms is not None
-    return AssignedRun(task, run, may_have_started, is_starting, is_suspect)
+    is_listed = listed_ms is not None
+    return AssignedRun(
+        task, run, is_sent or is_listed, is_starting, is_listed, is_suspect
+    )
 
 
 def suspicions(
     runs: collections.abc.Iterable[AssignedRun],
 ) -> dict[Run, _commands.Suspicion]:
-    """Return the suspicion against each run that may have started."""
+    """Return the suspicion against each run that may have started.
+
+    Suspects that are starting clear all others. Runs that the worker has
+    never listed are suspected more than runs that have survived a listing.
+    """
     possible = [run for run in runs if run.may_have_started]
     if len({run.task.job_id for run in possible}) == 1:
         return {
@@ -60,13 +68,19 @@
         }
     starting = [run for run in possible if run.is_starting]
     starting_suspects = [run for run in starting if run.is_suspect]
-    blamed = starting_suspects or starting
+    unlisted = [run for run in starting if not run.is_listed]
+    blamed = starting_suspects or unlisted or starting
     others = (
         _commands.Suspicion.NONE
         if starting_suspects
         else _commands.Suspicion.SHARED
     )
+    suspicion = (
+        _commands.Suspicion.SOLE
+        if len({run.task.job_id for run in unlisted or starting}) == 1
+        else _commands.Suspicion.STARTING
+    )
     found = {(run.task, run.run): others for run in possible}
     for run in blamed:
-        found[run.task, run.run] = _commands.Suspicion.STARTING
+        found[run.task, run.run] = suspicion
     return found
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -23,6 +23,9 @@
 
 # Replaces an amount for which a team has no limit.
 UNLIMITED = 1 << 50
+# A suspect under which many workers have crashed is run apart from other jobs
+# until it has been listed for this long.
+LONG_PROBATION_MS = 5_000
 
 _OpenDemand = tuple[_planner.Demand, _policy.QueuePolicy]
 
@@ -97,7 +100,7 @@
         indexes = waiting_indexes(job, step)
         if not indexes or not job.step_is_due(step):
             continue
-        indexes, isolated = _isolate(job.steps[step], spec, indexes)
+        indexes, crashes_count = _isolate(job.steps[step], spec, indexes)
         yield (
             _planner.Demand(
                 job.spec.job_id,
@@ -110,7 +113,7 @@
                 indexes,
                 per_worker_counts=_counts(job, step),
                 slack_ms=slack_ms[step],
-                isolated=isolated,
+                crashes_count=crashes_count,
             ),
             queue,
         )
@@ -120,18 +123,20 @@
     record: _records.StepRecord,
     spec: _specs.StepSpec,
     indexes: tuple[int, ...],
-) -> tuple[tuple[int, ...], bool]:
-    """Return the tasks to place first, and whether they are isolated.
+) -> tuple[tuple[int, ...], int]:
+    """Return the tasks to place first, and their crashes if they are isolated.
 
     Tasks that are suspected of crashing workers come last. A gang is placed
-    as a whole.
+    as a whole, beside others.
     """
     if spec.gang:
-        return indexes, False
+        return indexes, 0
     others = tuple(
         index for index in indexes if not record.tasks[index].is_suspect
     )
-    return (others, False) if others else (indexes, True)
+    if others:
+        return others, 0
+    return indexes, min(record.tasks[index].crashes_count for index in indexes)
 
 
 def isolating_workers(
@@ -141,9 +146,9 @@
 ) -> set[messages.WorkerId]:
     """Return the workers that are given nothing else beside a suspect.
 
-    A suspect is isolated until it has been listed for a while, and one that
-    has crashed many workers during its whole run. The caller holds the lock
-    of the state.
+    A suspect is isolated until it has been listed for a while, and for longer
+    if many workers have crashed under it. The caller holds the lock of the
+    state.
     """
     found = set()
     for key in state.suspects:
@@ -157,11 +162,12 @@
             if orders is not None
             else None
         )
-        if (
-            task.crashes_count >= _run_ends.CRASHES_MAX
-            or listed_ms is None
-            or listed_ms < _crashes.STARTING_MS
-        ):
+        probation_ms = (
+            LONG_PROBATION_MS
+            if task.crashes_count >= _run_ends.CRASHES_MAX
+            else _crashes.STARTING_MS
+        )
+        if listed_ms is None or listed_ms < probation_ms:
             found.add(task.worker_id)
     return found
 
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -22,11 +22,13 @@
 # is reserved, so that waiting demands don't leave the whole pool idle.
 RESERVED_DIVISOR = 3
 # At most the number of workers in the pool divided by this, but at least one,
-# is kept for tasks that are run apart from other jobs.
+# is kept for tasks that are run apart from other jobs. With the workers that
+# don't answer since such a task was started, it is at most twice that number.
 ISOLATED_DIVISOR = 4
 # An isolated demand that has waited for this long may use a worker that runs
-# something.
+# something; the second value applies after more than one crash.
 ISOLATION_WAIT_MS = 3_000
+ISOLATION_LONG_WAIT_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,8 +46,9 @@
     submission if there is no objective; ``is_late`` is set once an objective
     can't be met any more. The planner does not change a demand; ``tickets``,
     ``granted``, ``avoided``, ``waited_ms``, ``latest_start_ms`` and
-    ``is_late`` are set anew for each round. The tasks of an ``isolated``
-    demand are suspected of crashing workers and run apart from other jobs.
+    ``is_late`` are set anew for each round. If
+    ``crashes_count`` is not 0, the tasks are suspected of crashing workers and
+    run apart from other jobs; it is the least number of crashes under a task.
     """
 
     job_id: _specs.JobId
@@ -66,7 +69,19 @@
     slack_ms: int | None = None
     latest_start_ms: int = 0
     is_late: bool = False
-    isolated: bool = False
+    crashes_count: int = 0
+
+    @property
+    def isolated(self) -> bool:
+        """Whether the tasks are run apart from other jobs."""
+        return self.crashes_count > 0
+
+    @property
+    def may_share(self) -> bool:
+        """Whether an isolated demand has waited long for an empty worker."""
+        if self.crashes_count > 1:
+            return self.waited_ms >= ISOLATION_LONG_WAIT_MS
+        return self.waited_ms >= ISOLATION_WAIT_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +105,22 @@
     started_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Isolation:
+    """Numbers of workers of each pool that are kept for isolated tasks.
+
+    These workers are not among those to plan with. Those that don't answer
+    have possibly crashed.
+    """
+
+    answering_counts: collections.abc.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    silent_counts: collections.abc.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """Placement of one task on a worker."""
@@ -117,10 +148,11 @@
     Demands that can still meet their objective come first. If more work
     arrives than fits, others would otherwise become late behind demands that
     are late already. Then the priority of the queue decides, then the time
-    that is left, and then age.
+    that is left, and then age. A suspect of a single crash is most likely not
+    to blame and does not lose its place, since it waits for an empty worker.
     """
     return (
-        demand.is_late,
+        demand.is_late and demand.crashes_count != 1,
         demand.priority,
         demand.latest_start_ms,
         demand.submitted_ms,
@@ -135,7 +167,7 @@
         messages.TeamId, messages.Resources
     ],
     preemption: _preemption.Preemption | None = None,
-    isolating_counts: collections.abc.Mapping[str, int] | None = None,
+    isolation: Isolation | None = None,
 ) -> list[tuple[Placement, ...]]:
     """Return groups of placements; each group is assigned as a whole.
 
@@ -143,8 +175,8 @@
     use; teams that are not in it have no limit. It and the free resources of
     the workers are reduced by what is placed. ``preemption`` collects the runs
     to stop for demands that have waited; without it nothing is stopped.
-    ``isolating_counts`` is the number of workers of each pool that are not
-    among ``workers`` because they are kept for isolated tasks.
+    ``isolation`` counts the workers that are not among ``workers`` because
+    they are kept for isolated tasks.
     """
     preemption = preemption or _preemption.Preemption()
     pools = _make_pools(workers)
@@ -152,10 +184,10 @@
         name: len(pool.workers) // RESERVED_DIVISOR
         for name, pool in pools.items()
     }
-    isolable_counts = _isolable_counts(pools, isolating_counts or {})
+    isolable_counts = _isolable_counts(pools, isolation or Isolation())
     groups: list[tuple[Placement, ...]] = []
     placed_count = 0
-    for demand in sorted(demands, key=scheduling_key):
+    for demand in _in_order(demands):
         if placed_count >= PLACEMENTS_MAX:
             break
         pool = pools.get(demand.pool, _NO_WORKERS)
@@ -192,20 +224,41 @@
     return groups
 
 
+def _in_order(
+    demands: collections.abc.Iterable[Demand],
+) -> list[Demand]:
+    """Return the demands in scheduling order.
+
+    The isolated ones change places among themselves, so that those under
+    which the fewest workers have crashed come first.
+    """
+    ordered = sorted(demands, key=scheduling_key)
+    isolated = iter(
+        sorted(
+            (demand for demand in ordered if demand.isolated),
+            key=lambda demand: demand.crashes_count,
+        )
+    )
+    return [
+        next(isolated) if demand.isolated else demand for demand in ordered
+    ]
+
+
 def _isolable_counts(
-    pools: collections.abc.Mapping[str, '_Pool'],
-    isolating_counts: collections.abc.Mapping[str, int],
+    pools: collections.abc.Mapping[str, '_Pool'], isolation: Isolation
 ) -> dict[str, int]:
     """Return how many workers of each pool may be kept for isolated tasks."""
-    return {
-        name: max(
-            1,
-            (len(pool.workers) + isolating_counts.get(name, 0))
-            // ISOLATED_DIVISOR,
+    counts = {}
+    for name, pool in pools.items():
+        answering_count = isolation.answering_counts.get(name, 0)
+        silent_count = isolation.silent_counts.get(name, 0)
+        total_count = len(pool.workers) + answering_count + silent_count
+        kept_max = max(1, total_count // ISOLATED_DIVISOR)
+        counts[name] = min(
+            kept_max - answering_count,
+            2 * kept_max - answering_count - silent_count,
         )
-        - isolating_counts.get(name, 0)
-        for name, pool in pools.items()
-    }
+    return counts
 
 
 def wait_reason(
@@ -353,7 +406,7 @@
         candidates = [
             worker
             for worker in self._startable()
-            if (worker.is_empty or demand.waited_ms >= ISOLATION_WAIT_MS)
+            if (worker.is_empty or demand.may_share)
             and self._charge.fits_in(worker.free)
             and self._room(worker) > 0
         ]
--- a/dandeliondrum/jobs/_run_ends.py
+++ b/dandeliondrum/jobs/_run_ends.py
@@ -9,12 +9,12 @@
 # Number of crashes after which a task is a suspect although other jobs ran on
 # each of the workers.
 SHARED_CRASHES_MAX = 3
-# Number of crashes after which a task is given up, if it ran apart from other
-# jobs in the last one.
+# Number of crashes after which a task is given up, if the last one can't be
+# due to the start of another job.
 CRASHES_MAX = 3
 
-_STRONG_SUSPICIONS = (
-    _commands.Suspicion.STARTING,
+_CERTAIN_SUSPICIONS = (
+    _commands.Suspicion.SOLE,
     _commands.Suspicion.ALONE,
 )
 
@@ -129,10 +129,7 @@
     task: _records.TaskRecord,
     end: _commands.RunEnd,
 ) -> bool:
-    """Count a crash once; return whether the job was given up for it.
-
-    The members of a gang start on several workers, so they never run alone.
-    """
+    """Count a crash once; return whether the job was given up for it."""
     if (
         job.phase.ended()
         or task.phase is _records.TaskPhase.DONE
@@ -142,14 +139,14 @@
         return False
     task.crashed_run = end.run
     task.crashes_count += 1
-    is_strong = end.suspicion in _STRONG_SUSPICIONS
-    if is_strong or task.crashes_count >= SHARED_CRASHES_MAX:
+    is_certain = end.suspicion in _CERTAIN_SUSPICIONS
+    if (
+        is_certain
+        or end.suspicion is _commands.Suspicion.STARTING
+        or task.crashes_count >= SHARED_CRASHES_MAX
+    ):
         task.is_suspect = True
         store.suspects.add(end.task)
-    is_gang = job.spec.steps[end.task.step].gang
-    is_certain = end.suspicion is _commands.Suspicion.ALONE or (
-        is_gang and is_strong
-    )
     if task.crashes_count < CRASHES_MAX or not is_certain:
         return False
     store.finish(job, index, _records.JobPhase.FAILED)
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -56,7 +56,7 @@
     team_available: dict[messages.TeamId, messages.Resources]
     peers: _Peers
     facts: dict[messages.WorkerId, _commands.WorkerFacts]
-    isolating_counts: dict[str, int]
+    isolation: _planner.Isolation
     now_ms: int
 
 
@@ -171,15 +171,14 @@
                     },
                     now_ms,
                 )
+                isolation = _planner.Isolation(
+                    self._count_by_pool(isolating & usable),
+                    self._count_by_pool(isolating - usable),
+                )
                 usable.difference_update(isolating)
                 workers = (
                     self._usable_workers(usable, now_ms) if demands else []
                 )
-                isolating_counts = collections.Counter(
-                    term.state.workers[worker_id].facts.pool
-                    for worker_id in isolating
-                    if worker_id in term.state.workers
-                )
                 team_available = _demands.team_available(term.state)
                 facts = {
                     worker.worker_id: term.state.workers[
@@ -215,7 +214,7 @@
             team_available,
             peers,
             facts,
-            isolating_counts,
+            isolation,
             now_ms,
         )
 
@@ -227,6 +226,16 @@
             if peer.usable() and not term.health.suspended(worker_id, now_ms)
         }
 
+    def _count_by_pool(
+        self, worker_ids: set[messages.WorkerId]
+    ) -> collections.Counter[str]:
+        workers = self._term.state.workers
+        return collections.Counter(
+            workers[worker_id].facts.pool
+            for worker_id in worker_ids
+            if worker_id in workers
+        )
+
     def _usable_workers(
         self, usable: set[messages.WorkerId], now_ms: int
     ) -> list[_planner.AvailableWorker]:
@@ -256,7 +265,7 @@
             inputs.workers,
             inputs.team_available,
             preemption,
-            inputs.isolating_counts,
+            inputs.isolation,
         )
         self._steps_with_capacity = preemption.steps_with_capacity
         self._reserved_ids = {
