--- a/dandeliondrum/jobs/tests/test_crashed_workers.py
+++ b/dandeliondrum/jobs/tests/test_crashed_workers.py
@@ -191,3 +191,19 @@
         testing.wait_until(lambda: leader.ends)
     assert leader.crashes() == [('a.0.0.0', 1, jobs.Suspicion.ALONE)]
     assert leader.machine.task('a.0.0.0').crashes_count == 1
+
+
+def test_a_task_that_crashes_its_worker_is_not_started_for_ever(worker):
+    """Regression test: it was started after each restart (BUDGET)."""
+    leader = _leader(worker, 'a')
+    with test_worker_peer.serving(leader):
+        for run in range(1, 7):
+            testing.wait_until(leader.peer.usable)
+            if leader.machine.phase('a') is jobs.JobPhase.FAILED:
+                break
+            leader.start('a.0.0.0', run)
+            testing.wait_until(worker.running)
+            worker.restart()
+            testing.wait_until(lambda: len(leader.outcomes) == run)
+    assert leader.machine.phase('a') is jobs.JobPhase.FAILED
+    assert len(leader.outcomes) == 3
