Let a soak submit jobs that crash their workers, and check what follows

A share of the callers' jobs, drawn from the seed, is deadly: its task crashes the stand-in worker 10 ms after the start, and the worker is back after 2 to 3 s under its id or a new one. While it is down its server answers 500, which the leader takes for no answer; that a refused connection is handled is tested with fake workers.

The checker notices a deadly task that is started three times more after three workers have crashed under it, and a job that is shown as failed for no fault of its tasks: neither did one of them end as failed as often as attempts are allowed, nor have two workers crashed under one. A crash with deadly tasks on the worker counts for these alone, so that an innocent job beside one is never to be shown as failed. So far a soak accepted any job that was shown as failed.

Each check is shown to notice its violation in tests/test_soak.py.

--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -26,6 +26,7 @@
 HEADERS = {'Authorization': f'Token {KEY}', 'Host': HOST}
 LEASE_MAX_MS = 6_000
 CALL_TIMEOUT_MS = 4_000
+ATTEMPTS_MAX = 3
 
 
 def route(name: str = 'r1', **overrides: object) -> dict[str, object]:
@@ -39,7 +40,7 @@
         'TargetLatencyMs': 500,
         'Priority': 1,
         'Service': POOL,
-        'MaxAttempts': 3,
+        'MaxAttempts': ATTEMPTS_MAX,
         'Stretch': 2.2,
         'Public': False,
         **overrides,
--- a/dandeliondrum/testing/_platform_fakes.py
+++ b/dandeliondrum/testing/_platform_fakes.py
@@ -105,6 +105,8 @@
     def _serve(
         self, request: werkzeug.Request, body: _Body
     ) -> tuple[int, _Body]:
+        if self.worker.is_down():
+            return 500, {}
         expected = request.headers.get('X-Expect-Instance')
         if expected != self.worker.facts.worker_id:
             return 421, {}
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -5,7 +5,8 @@
 are lost, workers stop answering, restart, fail, or carry out orders late, and
 operators change the configuration. Links to workers and gateways are delayed,
 reset, cut in one direction or silenced. The faults are drawn from one seed.
-Between the faults, the cell may be overloaded for a while.
+Some jobs may crash the workers that start them. Between the faults, the cell
+may be overloaded for a while.
 """
 
 import concurrent.futures
@@ -46,7 +47,8 @@
 
     Without ``links`` there are no link faults, without ``series`` no series
     of faults, and without ``overload_s`` no overload. A seed draws the same
-    faults as before these were added if they are off.
+    faults as before these were added if they are off. ``deadly_share``
+    is the share of jobs that crash the workers that start them.
     """
 
     seed: int
@@ -55,6 +57,7 @@
     links: bool = True
     series: bool = False
     overload_s: float = 0
+    deadly_share: float = 0
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
 
@@ -67,6 +70,7 @@
     jobs_count: int
     accepted_count: int
     starts_count: int
+    crashes_count: int
     overload: _soak_overload.OverloadFigures | None
 
 
@@ -124,7 +128,11 @@
         self._checker = checker
         self._stopping = threading.Event()
         self._callers = _soak_callers.SoakCallers(
-            cell, checker, options.seed, self._stopping
+            cell,
+            checker,
+            options.seed,
+            self._stopping,
+            options.deadly_share,
         )
         self._reporter = _soak_reports.WorkerReporter(cell, self._stopping)
         self._faults = _soak_faults.FaultInjector(
@@ -212,6 +220,7 @@
             self._checker.jobs_count(),
             self._callers.accepted_count(),
             self._checker.starts_count,
+            self._checker.crashes_count,
             self._overload,
         )
 
@@ -242,7 +251,8 @@
     summary = (
         f'seed {options.seed}: {len(outcome.violations)} violations, '
         f'{len(outcome.faults)} faults, {outcome.accepted_count} of '
-        f'{outcome.jobs_count} jobs accepted, {outcome.starts_count} starts'
+        f'{outcome.jobs_count} jobs accepted, {outcome.starts_count} starts, '
+        f'{outcome.crashes_count} crashes and restarts of workers'
     )
     lines = [summary, *(f'  {one}' for one in outcome.violations)]
     if outcome.overload is not None:
--- a/dandeliondrum/testing/_soak_callers.py
+++ b/dandeliondrum/testing/_soak_callers.py
@@ -34,17 +34,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class SoakJob:
-    """A job to submit; ``cancels`` tells whether it is then cancelled."""
+    """A job to submit; ``cancels`` tells whether it is then cancelled.
+
+    The task of a deadly job crashes the workers that start it.
+    """
 
     job_id: jobs.JobId
     payload: str
     body: bytes
     cancels: bool
+    deadly: bool
 
 
-def soak_jobs(seed: int, caller: int) -> collections.abc.Iterator[SoakJob]:
-    """Return the jobs of a caller, which depend on nothing but the seed."""
+def soak_jobs(
+    seed: int, caller: int, deadly_share: float = 0
+) -> collections.abc.Iterator[SoakJob]:
+    """Return the jobs of a caller, which depend on nothing but the seed.
+
+    The jobs that are not deadly are the same for each share of deadly ones.
+    """
     rng = random.Random(f'{seed}/{caller}')
+    deadly_rng = random.Random(f'{seed}/{caller}/deadly')
     for number in range(1, 1 << 24):
         cpu = rng.randint(*TASK_CPU)
         step = {
@@ -55,19 +65,24 @@
         }
         second_step = {**step, 'After': [0]}
         steps = [step, second_step] if rng.random() < 0.3 else [step]
-        payload = _soak_checker.payload(cpu)
+        deadly = deadly_rng.random() < deadly_share
+        if deadly:
+            steps = [{**step, 'Count': 1}]
+        payload = _soak_checker.payload(cpu, deadly)
         yield SoakJob(
             jobs.JobId(f'{seed:08x}{caller:02x}{number:06x}'),
             payload,
             json.dumps({'Spec': payload, 'Steps': steps}).encode(),
             rng.random() < CANCELLED_FRACTION,
+            deadly,
         )
 
 
 class SoakCallers:
     """Submits jobs and changes documents until :meth:`stop` is called.
 
-    ``stopping`` aborts pending submissions.
+    ``stopping`` aborts pending submissions. ``deadly_share`` is the share of
+    deadly jobs.
     """
 
     def __init__(
@@ -76,10 +91,12 @@
         checker: _soak_checker.InvariantChecker,
         seed: int,
         stopping: threading.Event,
+        deadly_share: float = 0,
     ) -> None:
         self._cell = cell
         self._checker = checker
         self._seed = seed
+        self._deadly_share = deadly_share
         self._aborting = stopping
         self._stopping = threading.Event()
         self._lock = threading.Lock()
@@ -103,10 +120,10 @@
         The caller keeps its connections open until a gateway closes them.
         """
         with contextlib.closing(_http.HttpClient()) as client:
-            for job in soak_jobs(self._seed, caller):
+            for job in soak_jobs(self._seed, caller, self._deadly_share):
                 if self._stopping.wait(SUBMIT_EVERY_S):
                     return
-                self._checker.submitted(job.job_id, job.payload)
+                self._checker.submitted(job.job_id, job.payload, job.deadly)
                 if self._submit(job, client, caller):
                     self.add_accepted(job.job_id)
                     if job.cancels:
@@ -189,6 +206,8 @@
             self._checker.add_violation(
                 f'{job_id} is cancelled but no caller requested that'
             )
+        if state == 'failed':
+            self._checker.shown_as_failed(job_id)
         return state in END_STATES
 
     def _check_documents(self, end_s: float) -> None:
--- a/dandeliondrum/testing/_soak_checker.py
+++ b/dandeliondrum/testing/_soak_checker.py
@@ -5,17 +5,29 @@
 import datetime
 import json
 import math
+import random
 import threading
 import time
 
 from dandeliondrum import jobs
 from dandeliondrum import messages
 from dandeliondrum.testing import _fake_job_workers
+from dandeliondrum.testing import _platform_cell
 
+# A job may be given up once so many workers have crashed under a task of it.
+CRASHES_MIN = 2
+# After so many crashes, a task that causes them may be started so often.
+CRASHES_MAX = 3
+STARTS_AFTER_CRASHES_MAX = 2
+CRASH_DOWN_MS = (2_000, 3_000)
 
-def payload(cpu_millicores: int) -> str:
+
+def payload(cpu_millicores: int, deadly: bool = False) -> str:
     """Return a payload that states the CPU request of its tasks."""
-    return json.dumps({'cpu': cpu_millicores})
+    fields: dict[str, int | bool] = {'cpu': cpu_millicores}
+    if deadly:
+        fields['deadly'] = True
+    return json.dumps(fields)
 
 
 class InvariantChecker:
@@ -41,11 +53,27 @@
         # When the first task of each job started.
         self.started_s: dict[jobs.JobId, float] = {}
         self.starts_count = 0
+        # The payloads of tasks that crash the workers that start them.
+        self.deadly_payloads: set[str] = set()
+        self.crashes_count = 0
+        self._crashes: collections.Counter[jobs.TaskKey] = (
+            collections.Counter()
+        )
+        self._starts_after_crashes: collections.Counter[jobs.TaskKey] = (
+            collections.Counter()
+        )
+        self._failed_ends: collections.Counter[jobs.TaskKey] = (
+            collections.Counter()
+        )
 
-    def submitted(self, job_id: jobs.JobId, text: str) -> None:
+    def submitted(
+        self, job_id: jobs.JobId, text: str, deadly: bool = False
+    ) -> None:
         """Register the payload of a job before it is first sent."""
         with self.lock:
             self._submitted_payloads[job_id] = text
+            if deadly:
+                self.deadly_payloads.add(text)
 
     def jobs_count(self) -> int:
         """Return the number of submitted jobs."""
@@ -92,6 +120,7 @@
                 self._add_worker_violation(
                     f'{task} was not submitted with this payload', worker_id
                 )
+            self._check_crashes(task, worker_id)
             cpu = int(json.loads(order.payload)['cpu'])
             self._running_on[task] = (worker_id, has_lapsed)
             # A second start on the same worker replaces the first run.
@@ -102,10 +131,61 @@
             if self._cpu_by_worker[worker_id] > worker.capacity.cpu_millicores:
                 self._add_worker_violation(f'overloaded by {task}', worker_id)
 
-    def ended(self, worker_id: str, task: jobs.TaskKey) -> None:
+    def _check_crashes(self, task: jobs.TaskKey, worker_id: str) -> None:
+        if not self._is_deadly(task.job_id):
+            return
+        if self._crashes[task] >= CRASHES_MAX:
+            self._starts_after_crashes[task] += 1
+        if self._starts_after_crashes[task] == STARTS_AFTER_CRASHES_MAX + 1:
+            self._add_worker_violation(
+                f'{task} starts again after {self._crashes[task]} crashes',
+                worker_id,
+            )
+
+    def _is_deadly(self, job_id: jobs.JobId) -> bool:
+        return self._submitted_payloads.get(job_id) in self.deadly_payloads
+
+    def crashed(
+        self, worker_id: str, tasks: collections.abc.Iterable[jobs.TaskKey]
+    ) -> None:
+        """Register that a worker has crashed, or has been restarted.
+
+        If deadly tasks ran on it, it was not for the sake of the others.
+        """
+        with self.lock:
+            self.crashes_count += 1
+            running = list(tasks)
+            deadly = [one for one in running if self._is_deadly(one.job_id)]
+            self._crashes.update(deadly or running)
+            for task in running:
+                self.ended(worker_id, task)
+
+    def shown_as_failed(self, job_id: jobs.JobId) -> None:
+        """Check that a job that is shown as failed has a task to blame."""
+        with self.lock:
+            blamed = [
+                task
+                for counter, count_min in (
+                    (self._crashes, CRASHES_MIN),
+                    (self._failed_ends, _platform_cell.ATTEMPTS_MAX),
+                )
+                for task, count in counter.items()
+                if task.job_id == job_id and count >= count_min
+            ]
+            if not blamed:
+                self.add_violation(f'{job_id} is failed for no fault of it')
+
+    def ended(
+        self,
+        worker_id: str,
+        task: jobs.TaskKey,
+        outcome: jobs.RunOutcome = jobs.RunOutcome.LOST,
+    ) -> None:
         """Register that a run on a worker has ended, with any outcome."""
         with self.lock:
             self.log(f'{worker_id} ends {task}')
+            if outcome is jobs.RunOutcome.FAILED:
+                self._failed_ends[task] += 1
             if task in self._running_on:
                 if self._running_on[task][0] == worker_id:
                     del self._running_on[task]
@@ -148,7 +228,17 @@
         lease_max_ms: float = math.inf,
     ) -> None:
         self._checker = checker
+        self._rng = random.Random(worker_id)
         super().__init__(worker_id, capacity, run_ms, lease_max_ms)
+        self.deadly_payloads = checker.deadly_payloads
+
+    def crash(self) -> None:
+        """Crash, and draw how long for and how the worker is back."""
+        with self.lock:
+            self._checker.log(f'{self.facts.worker_id} crashes')
+            self.down_ms = self._rng.randint(*CRASH_DOWN_MS)
+            self.returns_replaced = self._rng.random() < 0.5
+            super().crash()
 
     def restart(self) -> None:
         """Report the ends of all runs to the checker, then restart.
@@ -158,8 +248,7 @@
         """
         with self.lock:
             self._checker.log(f'{self.facts.worker_id} restarts')
-            for task in list(self._runs):
-                self._checker.ended(self.facts.worker_id, task)
+            self._checker.crashed(self.facts.worker_id, self._runs)
             self.late_starts = []
             super().restart()
 
@@ -199,4 +288,4 @@
     def _end(self, task: jobs.TaskKey, outcome: jobs.RunOutcome) -> None:
         super()._end(task, outcome)
         self._ended_ms[self._last_end_number] = self._clock_ms()
-        self._checker.ended(self.facts.worker_id, task)
+        self._checker.ended(self.facts.worker_id, task, outcome)
--- a/dandeliondrum/testing/_soak_faults.py
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -99,7 +99,7 @@
         rng = self._rng
         kind = rng.choice(['kill', 'freeze', 'stop', 'restart'])
         names = (
-            [one.facts.worker_id for one in self._workers]
+            [one.ids[0] for one in self._workers]
             if kind == 'restart'
             else self._process_names()
         )
@@ -127,9 +127,7 @@
                 return functools.partial(self._freeze, name, length_s)
             case 'stop':
                 return functools.partial(self._stop, name)
-        return next(
-            one.restart for one in self._workers if one.facts.worker_id == name
-        )
+        return next(one.restart for one in self._workers if one.ids[0] == name)
 
     def _controller_names(self) -> list[str]:
         return [
@@ -154,23 +152,23 @@
             (f'wipe {number}', lambda: self._lose_disk(number)),
             ('kill all controllers', self._kill_all),
             (
-                f'silence {worker.facts.worker_id}',
+                f'silence {worker.ids[0]}',
                 lambda: self._silence(worker, 2 * length_s),
             ),
-            (f'restart {worker.facts.worker_id}', worker.restart),
+            (f'restart {worker.ids[0]}', worker.restart),
             (
-                f'late orders to {worker.facts.worker_id}',
+                f'late orders to {worker.ids[0]}',
                 lambda: self._delay_orders(worker, length_s),
             ),
             (
-                f'failing {worker.facts.worker_id}',
+                f'failing {worker.ids[0]}',
                 lambda: self._fail(worker, length_s),
             ),
         ]
         if self._links:
             faults += [
                 (
-                    f'standing still {worker.facts.worker_id}',
+                    f'standing still {worker.ids[0]}',
                     lambda: self._stall_runs(worker, length_s),
                 ),
                 *self._link_faults(length_s),
--- a/dandeliondrum/testing/_soak_reports.py
+++ b/dandeliondrum/testing/_soak_reports.py
@@ -33,7 +33,8 @@
         """Send the reports of one worker at regular intervals."""
         worker = self._cell.workers[position]
         while not self._stopping.wait(REPORT_EVERY_S):
-            if worker.worker.silent or self._report(position, worker):
+            away = worker.worker.silent or worker.worker.is_down()
+            if away or self._report(position, worker):
                 self._acknowledge(position)
 
     def watch(self) -> None:
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -27,6 +27,7 @@
     workers: int = 0,
     overload: float = 0,
     series: bool = True,
+    deadly: float = 0,
     folder: str = '',
 ) -> None:
     """Run soaks with consecutive seeds; exit with code 1 if one failed.
@@ -35,7 +36,8 @@
     folders are made in ``folder``, by default that of temporary files. The
     size is ``small``, ``medium`` or ``large``, with other numbers of gateways
     and workers if they are given. A soak that exceeds the limits of the
-    machine is not started. Half-way, the cell is held over its capacity for
+    machine is not started. ``deadly`` is the share of jobs that crash the
+    workers that start them. Half-way, the cell is held over its capacity for
     ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
@@ -61,6 +63,7 @@
             ),
             series=series,
             overload_s=overload,
+            deadly_share=deadly,
             size=chosen,
         )
         outcome = _soak.run_soak(options)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -197,6 +197,106 @@
     assert checker.violations == ['j was refused but started']
 
 
+DEADLY_TEXT = _soak_checker.payload(400, deadly=True)
+DEADLY_TASK = 'd.0.0.0'
+
+
+@pytest.fixture
+def deadly_checker(checker):
+    checker.submitted('d', DEADLY_TEXT, deadly=True)
+    return checker
+
+
+def _crash_under(checker, task, text, count):
+    """Start a task on workers that crash then; return the next run."""
+    for run in range(1, count + 1):
+        worker = _worker(f'w{run}', checker)
+        _start(worker, task, run, text)
+        worker.crash()
+    return count + 1
+
+
+def test_a_deadly_task_crashes_its_worker(deadly_checker):
+    worker = _worker('w1', deadly_checker)
+    _start(worker, DEADLY_TASK, text=DEADLY_TEXT)
+    time.sleep(0.05)
+    assert worker.is_down() and deadly_checker.crashes_count == 1
+    _start(_worker('w2', deadly_checker), DEADLY_TASK, 2, DEADLY_TEXT)
+    assert deadly_checker.violations == []
+
+
+def test_the_checker_notices_a_task_that_crashes_workers_for_ever(
+    deadly_checker,
+):
+    run = _crash_under(deadly_checker, DEADLY_TASK, DEADLY_TEXT, 5)
+    assert deadly_checker.violations == []
+    for name in ('w6', 'w7'):
+        worker = _worker(name, deadly_checker)
+        _start(worker, DEADLY_TASK, run, DEADLY_TEXT)
+        worker.crash()
+    assert deadly_checker.violations == [
+        'w6: d.0.0.0 starts again after 5 crashes'
+    ]
+
+
+def test_a_task_whose_workers_crash_for_other_causes_may_start_again(checker):
+    _crash_under(checker, 'j.0.0.0', TEXT, 7)
+    assert checker.violations == []
+
+
+@pytest.mark.parametrize('crashes_count', [0, 1])
+def test_the_checker_notices_a_deadly_job_that_failed_too_soon(
+    crashes_count, deadly_checker
+):
+    _crash_under(deadly_checker, DEADLY_TASK, DEADLY_TEXT, crashes_count)
+    deadly_checker.shown_as_failed('d')
+    assert deadly_checker.violations == ['d is failed for no fault of it']
+
+
+def test_a_deadly_job_may_fail_after_two_crashes(deadly_checker):
+    _crash_under(deadly_checker, DEADLY_TASK, DEADLY_TEXT, 2)
+    deadly_checker.shown_as_failed('d')
+    assert deadly_checker.violations == []
+
+
+def test_the_checker_notices_a_job_that_failed_for_the_crashes_of_another(
+    deadly_checker,
+):
+    for run in range(1, 4):
+        worker = _worker(f'w{run}', deadly_checker)
+        _start(worker, 'j.0.0.0', run)
+        _start(worker, DEADLY_TASK, run, DEADLY_TEXT)
+        worker.crash()
+    deadly_checker.shown_as_failed('j')
+    assert deadly_checker.violations == ['j is failed for no fault of it']
+
+
+@pytest.mark.parametrize('failures_count', [2, 3])
+def test_the_checker_notices_a_job_that_failed_before_its_last_attempt(
+    failures_count, checker
+):
+    worker = _worker('w1', checker, run_ms=0)
+    worker.fails = True
+    for run in range(1, failures_count + 1):
+        _start(worker, 'j.0.0.0', run)
+        worker.running()
+    checker.shown_as_failed('j')
+    assert len(checker.violations) == (failures_count < 3)
+
+
+def test_a_share_of_the_jobs_is_deadly_and_the_others_are_as_before():
+    def draw(share):
+        drawn = _soak_callers.soak_jobs(5, 0, share)
+        return list(itertools.islice(drawn, 100))
+
+    some = draw(0.1)
+    deadly = [job for job in some if job.deadly]
+    assert 0 < len(deadly) < 30
+    assert all('deadly' in job.payload for job in deadly)
+    for before, job in zip(draw(0), some, strict=True):
+        assert job == before or job.deadly
+
+
 def test_a_seed_draws_the_same_jobs_in_any_thread():
     def draw(caller):
         return list(itertools.islice(_soak_callers.soak_jobs(5, caller), 20))
@@ -339,10 +439,14 @@
     assert expected in violation
 
 
-def test_a_worker_whose_reports_are_not_acknowledged_is_noticed(monkeypatch):
+def test_a_worker_whose_reports_are_not_acknowledged_is_noticed(
+    checker, monkeypatch
+):
     monkeypatch.setattr(_soak_reports, 'REPORT_EVERY_S', 0.01)
-    worker = types.SimpleNamespace(worker=types.SimpleNamespace(silent=False))
-    other = types.SimpleNamespace(worker=types.SimpleNamespace(silent=False))
+    worker, other = (
+        types.SimpleNamespace(worker=_worker(name, checker))
+        for name in ('w1', 'w2')
+    )
 
     def report(one, _number, _timeout_ms):
         return 503 if one is other else 200
