Shrink the workers of a soak at times, and check what is started then

A worker's capacity may shrink and grow again while it runs, and a start that brings it over what it has by then breaks LIMIT 4 s and one heartbeat after it said so. Nothing played this.

With shrinks=True, a fifth of a soak's faults shrink a worker to the largest task for 1 to 10 s. The checker counts the capacity of before for 5 s from the first report of the new one that was acknowledged; what a worker has grown by counts at once, and an order that a worker carried out late may use whatever it had, as bounds in time are not for these. A seed draws what it drew before while this is off.

--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -5,8 +5,9 @@
 are lost, workers stop answering, restart, fail, or carry out orders late, and
 operators change the configuration. Links to workers and gateways are delayed,
 reset, cut in one direction or silenced. The faults are drawn from one seed.
-Some jobs may crash the workers that start them. Between the faults, the cell
-may be overloaded for a while.
+Some jobs may crash the workers that start them, and the capacity of workers
+may shrink for a while. Between the faults, the cell may be overloaded for a
+while.
 """
 
 import concurrent.futures
@@ -46,9 +47,10 @@
     """Options of a soak; faults are injected for ``length_s`` seconds.
 
     Without ``links`` there are no link faults, without ``series`` no series
-    of faults, and without ``overload_s`` no overload. A seed draws the same
-    faults as before these were added if they are off. ``deadly_share``
-    is the share of jobs that crash the workers that start them.
+    of faults, without ``shrinks`` no worker's capacity shrinks, and without
+    ``overload_s`` there is no overload. A seed draws the same faults as before
+    these were added if they are off. ``deadly_share`` is the share of jobs
+    that crash the workers that start them.
     """
 
     seed: int
@@ -57,6 +59,7 @@
     links: bool = True
     series: bool = False
     overload_s: float = 0
+    shrinks: bool = False
     deadly_share: float = 0
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
@@ -134,7 +137,9 @@
             self._stopping,
             options.deadly_share,
         )
-        self._reporter = _soak_reports.WorkerReporter(cell, self._stopping)
+        self._reporter = _soak_reports.WorkerReporter(
+            cell, self._stopping, checker.reported
+        )
         self._faults = _soak_faults.FaultInjector(
             cell,
             workers,
@@ -143,6 +148,7 @@
             options.size.faults_at_once,
             options.links,
             options.series,
+            options.shrinks,
         )
         self._overload: _soak_overload.OverloadFigures | None = None
 
--- a/dandeliondrum/testing/_soak_checker.py
+++ b/dandeliondrum/testing/_soak_checker.py
@@ -19,6 +19,8 @@
 # After so many crashes, a task that causes them may be started so often.
 CRASHES_MAX = 3
 STARTS_AFTER_CRASHES_MAX = 2
+# How long starts may still use the capacity of before a shrinkage.
+CAPACITY_GRACE_S = 5.0
 CRASH_DOWN_MS = (2_000, 3_000)
 
 
@@ -65,6 +67,8 @@
         self._failed_ends: collections.Counter[jobs.TaskKey] = (
             collections.Counter()
         )
+        # When each worker first reported its capacities, oldest first.
+        self._reported_cpu: dict[str, list[tuple[float, int]]] = {}
 
     def submitted(
         self, job_id: jobs.JobId, text: str, deadly: bool = False
@@ -91,11 +95,13 @@
         worker: jobs.WorkerFacts,
         order: jobs.StartOrder,
         has_lapsed: collections.abc.Callable[[], bool],
+        is_late: bool = False,
     ) -> None:
         """Check a start order that a worker is about to carry out.
 
         Once the worker's lease has lapsed on its own clock, its runs have
-        ended, also if it has not listed their ends yet.
+        ended, also if it has not listed their ends yet. ``is_late`` tells
+        that the worker has kept the order for a while.
         """
         with self.lock:
             self.starts_count += 1
@@ -128,7 +134,8 @@
             self._cpu_by_worker[worker_id] -= replaced_cpu
             self._cpu_by_run[worker_id, task] = cpu
             self._cpu_by_worker[worker_id] += cpu
-            if self._cpu_by_worker[worker_id] > worker.capacity.cpu_millicores:
+            cpu_max = self._usable_cpu(worker, is_late)
+            if self._cpu_by_worker[worker_id] > cpu_max:
                 self._add_worker_violation(f'overloaded by {task}', worker_id)
 
     def _check_crashes(self, task: jobs.TaskKey, worker_id: str) -> None:
@@ -145,6 +152,34 @@
     def _is_deadly(self, job_id: jobs.JobId) -> bool:
         return self._submitted_payloads.get(job_id) in self.deadly_payloads
 
+    def _usable_cpu(self, worker: jobs.WorkerFacts, is_late: bool) -> int:
+        """Return the CPU that the runs on a worker may use by now.
+
+        Time limits do not apply to an order that was carried out late.
+        """
+        since_s = -math.inf if is_late else time.monotonic() - CAPACITY_GRACE_S
+        reported = self._reported_cpu.get(worker.worker_id, [])
+        replaced_s = [first_s for first_s, _ in reported[1:]]
+        return max(
+            worker.capacity.cpu_millicores,
+            *(
+                cpu
+                for (_, cpu), end_s in zip(
+                    reported, [*replaced_s, math.inf], strict=False
+                )
+                if end_s > since_s
+            ),
+            0,
+        )
+
+    def reported(self, worker: jobs.WorkerFacts) -> None:
+        """Register the capacity that a worker has reported."""
+        cpu = worker.capacity.cpu_millicores
+        with self.lock:
+            reported = self._reported_cpu.setdefault(worker.worker_id, [])
+            if not reported or reported[-1][1] != cpu:
+                reported.append((time.monotonic(), cpu))
+
     def crashed(
         self, worker_id: str, tasks: collections.abc.Iterable[jobs.TaskKey]
     ) -> None:
@@ -229,9 +264,18 @@
     ) -> None:
         self._checker = checker
         self._rng = random.Random(worker_id)
+        self._carries_out_late = False
         super().__init__(worker_id, capacity, run_ms, lease_max_ms)
         self.deadly_payloads = checker.deadly_payloads
 
+    def start(
+        self, order: jobs.StartOrder, late: bool = False
+    ) -> jobs.OrderOutcome:
+        """Carry out a start order, or keep it for later without an answer."""
+        with self.lock:
+            self._carries_out_late = late
+            return super().start(order, late)
+
     def crash(self) -> None:
         """Crash, and draw how long for and how the worker is back."""
         with self.lock:
@@ -282,7 +326,9 @@
         super()._forget_ends(acknowledged_number)
 
     def _begin_run(self, order: jobs.StartOrder) -> None:
-        self._checker.started(self.facts, order, self._has_lapsed)
+        self._checker.started(
+            self.facts, order, self._has_lapsed, self._carries_out_late
+        )
         super()._begin_run(order)
 
     def _end(self, task: jobs.TaskKey, outcome: jobs.RunOutcome) -> None:
--- a/dandeliondrum/testing/_soak_faults.py
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -3,6 +3,7 @@
 import collections.abc
 import concurrent.futures
 import contextlib
+import dataclasses
 import functools
 import random
 import threading
@@ -23,6 +24,11 @@
 # Number of faults in a series, and the time from one to the next.
 SERIES_COUNT = (2, 5)
 SERIES_INTERVAL_S = (0.0, 0.6)
+# A shrunken worker still has room for each task.
+SHRUNKEN_CPU = _soak_callers.TASK_CPU[1]
+SHRINKAGE_SHARE = 0.2
+# Often longer than starts may still use what was there before.
+SHRINKAGE_DURATION_S = (1.0, 10.0)
 
 Fault = tuple[str, collections.abc.Callable[[], None]]
 
@@ -31,9 +37,10 @@
     """Draws faults and applies them to a cell, several at a time.
 
     The faults and the times between them depend only on the seed, not on the
-    state of the cell. Without ``links`` there are no link faults and with
-    ``series`` there are also series of faults; a seed draws the same faults
-    as before these were added if they are off.
+    state of the cell. Without ``links`` there are no link faults, with
+    ``series`` there are also series of faults, and with ``shrinks`` workers
+    that shrink; a seed draws the same faults as before these were added if
+    they are off.
     """
 
     def __init__(
@@ -45,6 +52,7 @@
         faults_at_once: int,
         links: bool = True,
         series: bool = False,
+        shrinks: bool = False,
     ) -> None:
         self._cell = cell
         self._workers = workers
@@ -53,6 +61,7 @@
         self._faults_at_once = faults_at_once
         self._links = links
         self._series = series
+        self._shrinks = shrinks
         self.names: list[str] = []
         self._reserved_names: set[str] = set()
         self._lock = threading.Lock()
@@ -88,12 +97,20 @@
 
     def draw(self) -> tuple[Fault, float]:
         """Draw the next fault and the time until the one after it."""
-        if self._series and self._rng.random() < 0.3:
+        if self._shrinks and self._rng.random() < SHRINKAGE_SHARE:
+            fault = self._draw_shrinkage()
+        elif self._series and self._rng.random() < 0.3:
             fault = self._draw_series()
         else:
             fault = self._draw_fault()
         return fault, self._rng.uniform(*FAULT_INTERVAL_S)
 
+    def _draw_shrinkage(self) -> Fault:
+        worker = self._rng.choice(self._workers)
+        length_s = self._rng.uniform(*SHRINKAGE_DURATION_S)
+        name = f'shrunken {worker.ids[0]}'
+        return name, functools.partial(self._shrink, worker, length_s)
+
     def _draw_series(self) -> Fault:
         """Draw faults of one kind that begin shortly one after another."""
         rng = self._rng
@@ -217,6 +234,17 @@
         time.sleep(length_s)
         worker.stall_ms = 0
 
+    def _shrink(
+        self, worker: _soak_checker.CheckedWorker, length_s: float
+    ) -> None:
+        """Shrink a worker for a while, unless it is already shrunken."""
+        with self._reserve(f'capacity {worker.ids[0]}') as reserved:
+            if reserved:
+                full_cpu = worker.facts.capacity.cpu_millicores
+                _set_cpu(worker, SHRUNKEN_CPU)
+                time.sleep(length_s)
+                _set_cpu(worker, full_cpu)
+
     @contextlib.contextmanager
     def _reserve(self, *names: str) -> collections.abc.Iterator[bool]:
         """Reserve targets for one fault; yield whether all were available."""
@@ -300,6 +328,14 @@
         worker.fails = False
 
 
+def _set_cpu(worker: _soak_checker.CheckedWorker, cpu_millicores: int) -> None:
+    with worker.lock:
+        capacity = dataclasses.replace(
+            worker.facts.capacity, cpu_millicores=cpu_millicores
+        )
+        worker.facts = dataclasses.replace(worker.facts, capacity=capacity)
+
+
 def _run_series(
     steps: list[tuple[collections.abc.Callable[[], None], float]],
 ) -> None:
--- a/dandeliondrum/testing/_soak_reports.py
+++ b/dandeliondrum/testing/_soak_reports.py
@@ -1,8 +1,10 @@
 """The status reports of a soak's workers, and how long they go unanswered."""
 
+import collections.abc
 import threading
 import time
 
+from dandeliondrum import jobs
 from dandeliondrum.testing import _platform_cell
 from dandeliondrum.testing import _platform_fakes
 
@@ -15,14 +17,21 @@
     """Sends the reports of all workers until ``stopping`` is set.
 
     A worker keeps reporting to the controller that acknowledged its last
-    report, and tries the others when that one fails.
+    report, and tries the others when that one fails. ``on_acknowledged`` is
+    called with what a worker has reported.
     """
 
     def __init__(
-        self, cell: _platform_cell.PlatformCell, stopping: threading.Event
+        self,
+        cell: _platform_cell.PlatformCell,
+        stopping: threading.Event,
+        on_acknowledged: collections.abc.Callable[
+            [jobs.WorkerFacts], None
+        ] = lambda _: None,
     ) -> None:
         self._cell = cell
         self._stopping = stopping
+        self._on_acknowledged = on_acknowledged
         self._controllers = [0] * len(cell.workers)
         self._lock = threading.Lock()
         self._since_s = 0.0
@@ -61,11 +70,13 @@
     ) -> bool:
         count = len(self._cell.control)
         first = self._controllers[position]
+        facts = worker.worker.facts
         for offset in range(count):
             number = (first + offset) % count
             status = self._cell.report(worker, number, REPORT_TIMEOUT_MS)
             if status == 200:
                 self._controllers[position] = number
+                self._on_acknowledged(facts)
                 return True
         return False
 
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -27,6 +27,7 @@
     workers: int = 0,
     overload: float = 0,
     series: bool = True,
+    shrinks: bool = False,
     deadly: float = 0,
     folder: str = '',
 ) -> None:
@@ -36,9 +37,10 @@
     folders are made in ``folder``, by default that of temporary files. The
     size is ``small``, ``medium`` or ``large``, with other numbers of gateways
     and workers if they are given. A soak that exceeds the limits of the
-    machine is not started. ``deadly`` is the share of jobs that crash the
-    workers that start them. Half-way, the cell is held over its capacity for
-    ``overload`` seconds, for which ``small`` has too few gateways.
+    machine is not started. With ``shrinks``, the capacity of workers shrinks
+    at times; ``deadly`` is the share of jobs that crash the workers that
+    start them. Half-way, the cell is held over its capacity for ``overload``
+    seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
         sys.exit(
@@ -63,6 +65,7 @@
             ),
             series=series,
             overload_s=overload,
+            shrinks=shrinks,
             deadly_share=deadly,
             size=chosen,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,7 @@
 # Seeds with link faults. The seeds above run without them, so that they draw
 # the same faults as before link faults were added.
 SEEDS_WITH_LINKS = (101,)
+SHRINKAGE_SEED = 751
 LENGTH_S = 8
 OVERLOAD_SEED = 301
 OVERLOAD_FAULTS_S = 3
@@ -56,6 +57,17 @@
     assert outcome.faults
 
 
+def test_a_soak_with_shrinking_workers_sees_nothing_that_must_never_happen(
+    tmp_path,
+):
+    options = _soak.SoakOptions(
+        SHRINKAGE_SEED, LENGTH_S, tmp_path, series=True, shrinks=True
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+    assert any(name.startswith('shrunken') for name in outcome.faults)
+
+
 def test_a_soak_with_an_overload_sees_nothing_that_must_never_happen(tmp_path):
     options = _soak.SoakOptions(
         OVERLOAD_SEED,
@@ -284,6 +296,74 @@
     assert len(checker.violations) == (failures_count < 3)
 
 
+def _shrink(worker, checker, cpu_millicores):
+    checker.reported(worker.facts)
+    _soak_faults._set_cpu(worker, cpu_millicores)
+    checker.reported(worker.facts)
+
+
+@pytest.mark.parametrize(
+    ('reports', 'expected'),
+    [(True, ['w1: overloaded by j.0.0.0']), (False, [])],
+)
+def test_the_checker_notices_an_overload_long_after_a_shrinkage_was_reported(
+    reports, expected, checker, monkeypatch
+):
+    monkeypatch.setattr(_soak_checker, 'CAPACITY_GRACE_S', 0.05)
+    worker = _worker('w1', checker)
+    if reports:
+        _shrink(worker, checker, 500)
+    else:
+        checker.reported(worker.facts)
+        _soak_faults._set_cpu(worker, 500)
+    time.sleep(0.1)
+    _start(worker, 'j.0.0.0')
+    assert checker.violations == expected
+
+
+def test_a_worker_that_has_just_shrunk_may_be_given_what_it_had(checker):
+    worker = _worker('w1', checker)
+    _shrink(worker, checker, 500)
+    _start(worker, 'j.0.0.0')
+    assert checker.violations == []
+    _start(worker, 'j.0.0.1')
+    assert checker.violations == ['w1: overloaded by j.0.0.1']
+
+
+def test_a_worker_may_use_what_it_has_grown_by(checker, monkeypatch):
+    monkeypatch.setattr(_soak_checker, 'CAPACITY_GRACE_S', 0)
+    worker = _worker('w1', checker)
+    _shrink(worker, checker, 500)
+    _soak_faults._set_cpu(worker, 1_200)
+    _start(worker, 'j.0.0.0')
+    _start(worker, 'j.0.0.1')
+    assert checker.violations == []
+
+
+def test_a_start_that_is_carried_out_late_may_use_what_was_there(
+    checker, monkeypatch
+):
+    monkeypatch.setattr(_soak_checker, 'CAPACITY_GRACE_S', 0)
+    worker = _worker('w1', checker)
+    worker.delays_starts = True
+    _start(worker, 'j.0.0.0')
+    _shrink(worker, checker, 500)
+    time.sleep(0.01)
+    worker.carry_out_late_starts()
+    assert checker.violations == []
+
+
+def test_shrunken_workers_are_drawn_and_grow_again(checker, monkeypatch):
+    monkeypatch.setattr(_soak_faults, 'SHRINKAGE_DURATION_S', (0, 0))
+    injector = _injector(checker, shrinks=True)
+    drawn = [injector.draw()[0] for _ in range(100)]
+    shrinkages = [one for one in drawn if one[0].startswith('shrunken w')]
+    assert 10 < len(shrinkages) < 40
+    for _, shrink in shrinkages:
+        shrink()
+    assert {one.facts.capacity for one in injector._workers} == {CAPACITY}
+
+
 def test_a_share_of_the_jobs_is_deadly_and_the_others_are_as_before():
     def draw(share):
         drawn = _soak_callers.soak_jobs(5, 0, share)
