--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,8 @@
 # the same faults as before link faults were added.
 SEEDS_WITH_LINKS = (101,)
 SHRINKAGE_SEED = 751
+DEADLY_SEED = 802
+DEADLY_SHARE = 0.05
 LENGTH_S = 8
 OVERLOAD_SEED = 301
 OVERLOAD_FAULTS_S = 3
@@ -68,6 +70,19 @@
     assert any(name.startswith('shrunken') for name in outcome.faults)
 
 
+def test_a_soak_with_deadly_jobs_sees_nothing_that_must_never_happen(tmp_path):
+    options = _soak.SoakOptions(
+        DEADLY_SEED,
+        LENGTH_S,
+        tmp_path,
+        series=True,
+        deadly_share=DEADLY_SHARE,
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+    assert outcome.crashes_count
+
+
 def test_a_soak_with_an_overload_sees_nothing_that_must_never_happen(tmp_path):
     options = _soak.SoakOptions(
         OVERLOAD_SEED,
