--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,9 @@
 # Seeds with link faults. The seeds above run without them, so that they draw
 # the same faults as before link faults were added.
 SEEDS_WITH_LINKS = (101,)
+SHRINKAGE_SEED = 751
+DEADLY_SEED = 802
+DEADLY_SHARE = 0.05
 LENGTH_S = 8
 OVERLOAD_SEED = 301
 OVERLOAD_FAULTS_S = 3
@@ -56,6 +59,30 @@
     assert outcome.faults
 
 
+def test_a_soak_with_shrinking_workers_sees_nothing_that_must_never_happen(
+    tmp_path,
+):
+    options = _soak.SoakOptions(
+        SHRINKAGE_SEED, LENGTH_S, tmp_path, series=True, shrinks=True
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+    assert any(name.startswith('shrunken') for name in outcome.faults)
+
+
+def test_a_soak_with_deadly_jobs_sees_nothing_that_must_never_happen(tmp_path):
+    options = _soak.SoakOptions(
+        DEADLY_SEED,
+        LENGTH_S,
+        tmp_path,
+        series=True,
+        deadly_share=DEADLY_SHARE,
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+    assert outcome.crashes_count
+
+
 def test_a_soak_with_an_overload_sees_nothing_that_must_never_happen(tmp_path):
     options = _soak.SoakOptions(
         OVERLOAD_SEED,
@@ -197,6 +224,174 @@
     assert checker.violations == ['j was refused but started']
 
 
+DEADLY_TEXT = _soak_checker.payload(400, deadly=True)
+DEADLY_TASK = 'd.0.0.0'
+
+
+@pytest.fixture
+def deadly_checker(checker):
+    checker.submitted('d', DEADLY_TEXT, deadly=True)
+    return checker
+
+
+def _crash_under(checker, task, text, count):
+    """Start a task on workers that crash then; return the next run."""
+    for run in range(1, count + 1):
+        worker = _worker(f'w{run}', checker)
+        _start(worker, task, run, text)
+        worker.crash()
+    return count + 1
+
+
+def test_a_deadly_task_crashes_its_worker(deadly_checker):
+    worker = _worker('w1', deadly_checker)
+    _start(worker, DEADLY_TASK, text=DEADLY_TEXT)
+    time.sleep(0.05)
+    assert worker.is_down() and deadly_checker.crashes_count == 1
+    _start(_worker('w2', deadly_checker), DEADLY_TASK, 2, DEADLY_TEXT)
+    assert deadly_checker.violations == []
+
+
+def test_the_checker_notices_a_task_that_crashes_workers_for_ever(
+    deadly_checker,
+):
+    run = _crash_under(deadly_checker, DEADLY_TASK, DEADLY_TEXT, 5)
+    assert deadly_checker.violations == []
+    for name in ('w6', 'w7'):
+        worker = _worker(name, deadly_checker)
+        _start(worker, DEADLY_TASK, run, DEADLY_TEXT)
+        worker.crash()
+    assert deadly_checker.violations == [
+        'w6: d.0.0.0 starts again after 5 crashes'
+    ]
+
+
+def test_a_task_whose_workers_crash_for_other_causes_may_start_again(checker):
+    _crash_under(checker, 'j.0.0.0', TEXT, 7)
+    assert checker.violations == []
+
+
+@pytest.mark.parametrize('crashes_count', [0, 1])
+def test_the_checker_notices_a_deadly_job_that_failed_too_soon(
+    crashes_count, deadly_checker
+):
+    _crash_under(deadly_checker, DEADLY_TASK, DEADLY_TEXT, crashes_count)
+    deadly_checker.shown_as_failed('d')
+    assert deadly_checker.violations == ['d is failed for no fault of it']
+
+
+def test_a_deadly_job_may_fail_after_two_crashes(deadly_checker):
+    _crash_under(deadly_checker, DEADLY_TASK, DEADLY_TEXT, 2)
+    deadly_checker.shown_as_failed('d')
+    assert deadly_checker.violations == []
+
+
+def test_the_checker_notices_a_job_that_failed_for_the_crashes_of_another(
+    deadly_checker,
+):
+    for run in range(1, 4):
+        worker = _worker(f'w{run}', deadly_checker)
+        _start(worker, 'j.0.0.0', run)
+        _start(worker, DEADLY_TASK, run, DEADLY_TEXT)
+        worker.crash()
+    deadly_checker.shown_as_failed('j')
+    assert deadly_checker.violations == ['j is failed for no fault of it']
+
+
+@pytest.mark.parametrize('failures_count', [2, 3])
+def test_the_checker_notices_a_job_that_failed_before_its_last_attempt(
+    failures_count, checker
+):
+    worker = _worker('w1', checker, run_ms=0)
+    worker.fails = True
+    for run in range(1, failures_count + 1):
+        _start(worker, 'j.0.0.0', run)
+        worker.running()
+    checker.shown_as_failed('j')
+    assert len(checker.violations) == (failures_count < 3)
+
+
+def _shrink(worker, checker, cpu_millicores):
+    checker.reported(worker.facts)
+    _soak_faults._set_cpu(worker, cpu_millicores)
+    checker.reported(worker.facts)
+
+
+@pytest.mark.parametrize(
+    ('reports', 'expected'),
+    [(True, ['w1: overloaded by j.0.0.0']), (False, [])],
+)
+def test_the_checker_notices_an_overload_long_after_a_shrinkage_was_reported(
+    reports, expected, checker, monkeypatch
+):
+    monkeypatch.setattr(_soak_checker, 'CAPACITY_GRACE_S', 0.05)
+    worker = _worker('w1', checker)
+    if reports:
+        _shrink(worker, checker, 500)
+    else:
+        checker.reported(worker.facts)
+        _soak_faults._set_cpu(worker, 500)
+    time.sleep(0.1)
+    _start(worker, 'j.0.0.0')
+    assert checker.violations == expected
+
+
+def test_a_worker_that_has_just_shrunk_may_be_given_what_it_had(checker):
+    worker = _worker('w1', checker)
+    _shrink(worker, checker, 500)
+    _start(worker, 'j.0.0.0')
+    assert checker.violations == []
+    _start(worker, 'j.0.0.1')
+    assert checker.violations == ['w1: overloaded by j.0.0.1']
+
+
+def test_a_worker_may_use_what_it_has_grown_by(checker, monkeypatch):
+    monkeypatch.setattr(_soak_checker, 'CAPACITY_GRACE_S', 0)
+    worker = _worker('w1', checker)
+    _shrink(worker, checker, 500)
+    _soak_faults._set_cpu(worker, 1_200)
+    _start(worker, 'j.0.0.0')
+    _start(worker, 'j.0.0.1')
+    assert checker.violations == []
+
+
+def test_a_start_that_is_carried_out_late_may_use_what_was_there(
+    checker, monkeypatch
+):
+    monkeypatch.setattr(_soak_checker, 'CAPACITY_GRACE_S', 0)
+    worker = _worker('w1', checker)
+    worker.delays_starts = True
+    _start(worker, 'j.0.0.0')
+    _shrink(worker, checker, 500)
+    time.sleep(0.01)
+    worker.carry_out_late_starts()
+    assert checker.violations == []
+
+
+def test_shrunken_workers_are_drawn_and_grow_again(checker, monkeypatch):
+    monkeypatch.setattr(_soak_faults, 'SHRINKAGE_DURATION_S', (0, 0))
+    injector = _injector(checker, shrinks=True)
+    drawn = [injector.draw()[0] for _ in range(100)]
+    shrinkages = [one for one in drawn if one[0].startswith('shrunken w')]
+    assert 10 < len(shrinkages) < 40
+    for _, shrink in shrinkages:
+        shrink()
+    assert {one.facts.capacity for one in injector._workers} == {CAPACITY}
+
+
+def test_a_share_of_the_jobs_is_deadly_and_the_others_are_as_before():
+    def draw(share):
+        drawn = _soak_callers.soak_jobs(5, 0, share)
+        return list(itertools.islice(drawn, 100))
+
+    some = draw(0.1)
+    deadly = [job for job in some if job.deadly]
+    assert 0 < len(deadly) < 30
+    assert all('deadly' in job.payload for job in deadly)
+    for before, job in zip(draw(0), some, strict=True):
+        assert job == before or job.deadly
+
+
 def test_a_seed_draws_the_same_jobs_in_any_thread():
     def draw(caller):
         return list(itertools.islice(_soak_callers.soak_jobs(5, caller), 20))
@@ -339,10 +534,14 @@
     assert expected in violation
 
 
-def test_a_worker_whose_reports_are_not_acknowledged_is_noticed(monkeypatch):
+def test_a_worker_whose_reports_are_not_acknowledged_is_noticed(
+    checker, monkeypatch
+):
     monkeypatch.setattr(_soak_reports, 'REPORT_EVERY_S', 0.01)
-    worker = types.SimpleNamespace(worker=types.SimpleNamespace(silent=False))
-    other = types.SimpleNamespace(worker=types.SimpleNamespace(silent=False))
+    worker, other = (
+        types.SimpleNamespace(worker=_worker(name, checker))
+        for name in ('w1', 'w2')
+    )
 
     def report(one, _number, _timeout_ms):
         return 503 if one is other else 200
