Keep a registration whose answer is late

What callers could see: a gateway beside a running leader answers 503, `no leader is known`, for as long as the leader needs more than 400 ms to confirm a registration, although it would answer each query in time.

Cause: the gateway closed the stream after 400 ms and registered anew, which costs the leader a quorum each time; no registration ever ended.

The stream is kept for 700 ms more while other controllers are tried, and used if the answer arrives. A registered leader that is late goes before it. The first new test did not end within 20 s on the code before; the second guards that a late refusal is not taken for a registration.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -5,8 +5,9 @@
 controllers are tried, even if the stream still looks healthy. It is closed as
 soon as another leader is found, or if the answer does not arrive at all: a
 leader that is only slow need not be registered with again, and the calls that
-it has received are answered. A leader that refuses a heartbeat for now, with
-a time to retry, keeps its stream.
+it has received are answered. A registration whose answer is late is kept in
+the same way. A leader that refuses a heartbeat for now, with a time to retry,
+keeps its stream.
 """
 
 import collections
@@ -97,17 +98,35 @@
 
 @dataclasses.dataclass(frozen=True, eq=False)
 class _LateLeader:
-    """A leader whose answer to a heartbeat is late, but may still arrive."""
+    """A controller whose answer is late, but may still arrive.
+
+    The call was a heartbeat, or a registration if ``is_registering``.
+    """
 
     candidate: _Candidate
     stream: transport.Connection
     answer: transport.CallFuture
     expiry_ms: int
+    is_registering: bool
 
     def is_due(self) -> bool:
         """Return whether it has answered or can't be waited for any more."""
         return self.answer.done() or utils.monotonic_ms() >= self.expiry_ms
 
+    def is_leading(self) -> bool:
+        """Return whether it has answered as a leader."""
+        if not self.answer.done():
+            return False
+        match self.answer.result():
+            case result.Success(
+                messages.GatewayHeartbeatReply() | messages.GatewayRegistered()
+            ):
+                return True
+            case result.Success(messages.CallFailed(retry_after_ms=retry_ms)):
+                return retry_ms > 0 and not self.is_registering
+            case _:
+                return False
+
 
 class LeaderLink:
     """Keeps a registered stream to the current leader."""
@@ -361,7 +380,7 @@
         late = self._late_leader
         if late is None or not late.is_due():
             return
-        if not late.answer.done() or not _is_leading(late.answer.result()):
+        if not late.is_leading():
             self._close_late_leader()
             return
         _logger.info(
@@ -369,15 +388,26 @@
         )
         with self._lock:
             self._late_leader = None
-            self._current = late.stream
         try:
-            self._events.on_leader_found()
-            self._send_heartbeats(
-                late.candidate, late.stream, stopping, late.answer
-            )
+            self._serve_late_leader(late, stopping)
         finally:
             self._leave(late.stream)
 
+    def _serve_late_leader(
+        self, late: _LateLeader, stopping: threading.Event
+    ) -> None:
+        match late.answer.result():
+            case result.Success(messages.GatewayRegistered() as registered):
+                self._activate(late.candidate, late.stream, registered)
+                self._send_heartbeats(late.candidate, late.stream, stopping)
+            case _:
+                with self._lock:
+                    self._current = late.stream
+                self._events.on_leader_found()
+                self._send_heartbeats(
+                    late.candidate, late.stream, stopping, late.answer
+                )
+
     def _close_late_leader(self) -> None:
         with self._lock:
             late, self._late_leader = self._late_leader, None
@@ -397,7 +427,8 @@
             self.rules.version,
             takes_parts=True,
         )
-        match stream.call(register, REGISTER_TIMEOUT_MS):
+        answer = stream.call_async(register)
+        match _wait(answer, REGISTER_TIMEOUT_MS):
             case result.Success(messages.GatewayRegistered() as registered):
                 self._activate(candidate, stream, registered)
                 return self._send_heartbeats(candidate, stream, stopping)
@@ -406,6 +437,7 @@
             case other:
                 if _is_timeout(other):
                     self._mark_unresponsive(candidate)
+                    self._keep_registration(candidate, stream, answer)
                 _logger.info(
                     'not registered',
                     controller=candidate.controller_id,
@@ -475,7 +507,9 @@
                     )
                     if _is_timeout(other):
                         self._mark_unresponsive(candidate)
-                        self._set_late_leader(candidate, stream, answer)
+                        self._set_late_leader(
+                            candidate, stream, answer, is_registering=False
+                        )
                     return None
             stream.closed.wait(pause_ms / 1000)
         return None
@@ -494,16 +528,31 @@
     ) -> None:
         self._documents.request(stream, newest, self.rules.version)
 
+    def _keep_registration(
+        self,
+        candidate: _Candidate,
+        stream: transport.Connection,
+        answer: transport.CallFuture,
+    ) -> None:
+        """Keep a late registration unless a registered leader is late."""
+        late = self._late_leader
+        if late is None or late.is_registering:
+            self._close_late_leader()
+            self._set_late_leader(
+                candidate, stream, answer, is_registering=True
+            )
+
     def _set_late_leader(
         self,
         candidate: _Candidate,
         stream: transport.Connection,
         answer: transport.CallFuture,
+        is_registering: bool,
     ) -> None:
         expiry_ms = utils.monotonic_ms() + LATE_LEADER_WAIT_MS
         with self._lock:
             self._late_leader = _LateLeader(
-                candidate, stream, answer, expiry_ms
+                candidate, stream, answer, expiry_ms, is_registering
             )
 
     def _on_push(
@@ -554,19 +603,6 @@
         )
 
 
-def _is_leading(
-    answer: result.Result[typing.Any, transport.CallError],
-) -> bool:
-    """Return whether a leader has answered or refused a heartbeat."""
-    match answer:
-        case result.Success(messages.GatewayHeartbeatReply()):
-            return True
-        case result.Success(messages.CallFailed(retry_after_ms=retry_ms)):
-            return retry_ms > 0
-        case _:
-            return False
-
-
 def _is_timeout(outcome: result.Result[typing.Any, typing.Any]) -> bool:
     match outcome:
         case result.Failure(transport.CallError(failure=failure)):
--- a/dandeliondrum/gateway/tests/test_leader_link.py
+++ b/dandeliondrum/gateway/tests/test_leader_link.py
@@ -17,6 +17,8 @@
 ELECTION_S = 0.15
 # One pause of the search and one call to the lost leader that times out.
 FOUND_WITHIN_S = 0.8
+# Longer than the timeout of a registration.
+REGISTRATION_S = 0.6
 
 
 class FreezableLeader(fakes.Leader):
@@ -168,6 +170,43 @@
         assert failure.failure is transport.CallFailure.CLOSED
 
 
+class BusyLeader(fakes.Leader):
+    """Leader that answers registrations only after ``REGISTRATION_S``."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.refusals = []
+
+    def _on_call(self, connection, message):
+        reply = super()._on_call(connection, message)
+        if not isinstance(message, messages.RegisterGateway):
+            return reply
+        if self.refusals:
+            reply = self.refusals.pop()
+        future = transport.CallFuture()
+        threading.Timer(REGISTRATION_S, future.set_result, (reply,)).start()
+        return future
+
+
+def test_a_leader_that_confirms_registrations_late_is_registered_with_once():
+    """Each registration was given up after 400 ms and sent again, for good."""
+    with contextlib.closing(BusyLeader('c1')) as leader:
+        with running_link(leader.address) as link:
+            fakes.wait_until(link.is_answering)
+            assert isinstance(
+                submit(link).result(fakes.WAIT_S), result.Success
+            )
+        assert registrations_count(leader) == 1
+
+
+def test_a_registration_that_is_refused_late_is_sent_again():
+    with contextlib.closing(BusyLeader('c1')) as leader:
+        leader.refusals.append(messages.CallFailed('overloaded', True, 20))
+        with running_link(leader.address) as link:
+            fakes.wait_until(link.is_answering)
+        assert registrations_count(leader) == 2
+
+
 def refuse_heartbeats(leader, refusal):
     """Refuse all heartbeats until the leader has got three more calls."""
     leader.heartbeat_refusal = refusal
