Use no worker whose lists and facts are of two incarnations

What users would see: a worker that started again with fewer resources is given what it had before (LIMIT), until its first report arrives.

Cause: the lists of a worker tell its start time, and the leader compared it only with that of earlier lists. A leader that reads the new incarnation before its report reaches it, or right after its own election, used the capacity, the labels and the phase of the former one. The other way round, a worker whose restart had been reported was used before its lists were read again, with the clock and the runs of the former incarnation.

Change: a worker is usable only while the start time of its lists is that of its facts; a start time that is not given (0) stands for any. Workers report at least every 1.5 s, so a restarted one is used that much later at most.

test_a_worker_that_left_is_used_again_after_a_restart left out the report of the restarted worker. It sends it now; what it checks is the same, and a new test checks the time before the report.

--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -135,11 +135,20 @@
                 return False
             if self._state.last_reply_ms is None or self._first_read:
                 return False
-            if not self._state.is_responding:
+            if not self._state.is_responding or self._facts_are_former():
                 return False
             silent_ms = _clock.elapsed_ms() - self._state.last_reply_ms
             return silent_ms <= SILENCE_MAX_MS
 
+    def _facts_are_former(self) -> bool:
+        """Return whether the lists and the facts are of two incarnations.
+
+        The capacity of an incarnation that has not reported is not known. 0
+        stands for a start time that was not given.
+        """
+        known_ms = {self._state.facts.started_ms, self._worker_started_ms}
+        return len(known_ms - {0}) > 1
+
     def list_age_ms(self) -> int:
         """Return the age of the newest lists, -1 if there are none."""
         if self._state.last_reply_ms is None:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -615,6 +615,32 @@
         leader.peer.leave()
         assert not leader.peer.usable()
         worker.restart()
+        leader.peer.facts = worker.facts
+        testing.wait_until(leader.peer.usable)
+
+
+def test_a_restarted_worker_is_not_used_with_the_facts_of_before(worker):
+    """Regression test: it may have started again with fewer resources."""
+    leader = FakeLeader(worker)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        worker.restart()
+        reads = _record_reads(leader)
+        testing.wait_until(lambda: len(reads) >= 3)
+        assert not leader.peer.usable()
+        leader.peer.facts = worker.facts
+        assert leader.peer.usable()
+
+
+def test_a_worker_that_reports_its_restart_is_used_once_it_is_read(worker):
+    leader = FakeLeader(worker)
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        worker.silent = True
+        worker.restart()
+        leader.peer.facts = worker.facts
+        assert not leader.peer.usable()
+        worker.silent = False
         testing.wait_until(leader.peer.usable)
 
 
