Isolate tasks that may crash their workers

Seen by users: a task that crashes the workers that start it ran beside other tasks each time, and each crash took these with it. Idempotent neighbours started again and again, non-idempotent ones ended in doubt. Since the task hardly ever ran alone on a busy fleet, the limit of crashes did not close it.

Cause: the planner places a task that is tried again like any other.

Ruled out: preemption for such a task. It would have to stop all tasks of a worker for one that may not deserve it.

Change: a task is suspect if a worker crashed within about a second of its start, or if three did under it. The planner places a suspect only on an idle worker and nothing beside it; a reservation that is due after a long wait holds the whole worker. Services are suspect only after three crashes, since they would keep a worker to themselves without end. The random calls of the planner's tests include isolated tasks now, and check that each is alone.

--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -111,6 +111,7 @@
                 gang_size=1 if entry.is_retry else spec.gang_size,
                 excluded_workers=entry.excluded_workers,
                 preemptible=spec.idempotent,
+                isolated=entry.isolated,
             )
         )
         if isinstance(outcome, result.Success):
--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -65,7 +65,9 @@
 
 
 def end_worker_attempts(
-    state: CellStateProtocol, worker: _records.WorkerRecord
+    state: CellStateProtocol,
+    worker: _records.WorkerRecord,
+    last_heard_ms: int | None,
 ) -> tuple[_records.EndedAttempt, ...]:
     """End all attempts on a worker whose process has ended.
 
@@ -88,6 +90,7 @@
             _crashes.record_crash(
                 task, attempt_id, was_alone, state.cell_time_ms
             )
+            _crashes.note_start(task, last_heard_ms)
         report = messages.AttemptReport(
             attempt_id,
             messages.AttemptState.STOPPED,
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -68,7 +68,13 @@
     ) -> concurrent.futures.Future[typing.Any]:
         """Register a worker; the reply is sent once that is committed."""
         context = self._context
-        command = messages.RegisterWorker(context.now_ms(), call.facts)
+        with context.state.lock:
+            heard_ms = self._last_heartbeat_ms.get(call.facts.worker_id)
+        if heard_ms is not None:
+            heard_ms += context.now_ms() - utils.monotonic_ms()
+        command = messages.RegisterWorker(
+            context.now_ms(), call.facts, heard_ms
+        )
 
         def registered(
             outcome: result.Result[typing.Any, consensus.ProposeError],
--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -11,6 +11,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.controller import _attempt_reports
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _crashes
 from dandeliondrum.controller import _deadlines
 from dandeliondrum.controller import _dispatch
 from dandeliondrum.controller import _heartbeats
@@ -121,6 +122,7 @@
                     spec.expected_run_ms,
                     spec.region,
                     preemptible=spec.idempotent,
+                    isolated=_crashes.is_suspect(task),
                 ),
                 attempt.worker_id,
                 attempt.assigned_ms,
--- a/dandeliondrum/controller/_pending.py
+++ b/dandeliondrum/controller/_pending.py
@@ -24,7 +24,8 @@
     task. It is empty for open queues and for durable tasks, which stay
     queued when a key is withdrawn, because their callers are owed an answer.
     A retry (``is_retry``) of a gang's member is placed alone, since the
-    other members may have ended already.
+    other members may have ended already. An ``isolated`` task shares its
+    worker with no other.
     """
 
     spec: messages.TaskSpec
@@ -32,6 +33,7 @@
     excluded_workers: frozenset[messages.WorkerId] = frozenset()
     key_id: str = ''
     is_retry: bool = False
+    isolated: bool = False
 
     @property
     def group(self) -> Group:
--- a/dandeliondrum/controller/_queueing.py
+++ b/dandeliondrum/controller/_queueing.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _crashes
 from dandeliondrum.controller import _pending
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _state
@@ -64,6 +65,7 @@
             task.deadline_ms,
             frozenset(task.failed_workers),
             is_retry=task.attempts_count > 0,
+            isolated=_crashes.is_suspect(task),
         )
         self._add(entry)
 
--- a/dandeliondrum/controller/_records.py
+++ b/dandeliondrum/controller/_records.py
@@ -56,6 +56,7 @@
     crashes_count: int = 0
     crashed_alone: bool = False
     crashed_ms: int = 0
+    crashed_at_start: bool = False
 
     def add_event(self, time_ms: int, event: str) -> None:
         """Append an event to the history that operators can query.
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -122,7 +122,7 @@
             case messages.CancelTasks():
                 return self._cancel_tasks(command)
             case messages.RegisterWorker():
-                return self._register_worker(command.facts)
+                return self._register_worker(command)
             case messages.SetWorkerState():
                 return self._set_worker_state(command)
             case messages.ApplyRules():
@@ -277,8 +277,9 @@
         return tuple(statuses)
 
     def _register_worker(
-        self, facts: messages.WorkerFacts
+        self, command: messages.RegisterWorker
     ) -> tuple[_records.EndedAttempt, ...]:
+        facts = command.facts
         previous = self.workers.get(facts.worker_id)
         if (
             previous is not None
@@ -288,7 +289,9 @@
             return ()
         ended: tuple[_records.EndedAttempt, ...] = ()
         if previous is not None:
-            ended = _endings.end_worker_attempts(self, previous)
+            ended = _endings.end_worker_attempts(
+                self, previous, command.last_heard_ms
+            )
             for attempt_id in previous.fences:
                 self.fenced_on.pop(attempt_id, None)
         was_quarantined = (
--- a/dandeliondrum/controller/_submissions.py
+++ b/dandeliondrum/controller/_submissions.py
@@ -8,6 +8,7 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _crashes
 from dandeliondrum.controller import _pending
 from dandeliondrum.controller import _queueing
 from dandeliondrum.controller import _records
@@ -188,7 +189,11 @@
         deadline_ms = context.now_ms() + spec.timeout_ms
         excluded_workers = frozenset(task.failed_workers if task else ())
         entry = _pending.PendingEntry(
-            spec, deadline_ms, excluded_workers, key_id
+            spec,
+            deadline_ms,
+            excluded_workers,
+            key_id,
+            isolated=task is not None and _crashes.is_suspect(task),
         )
         outcome = context.add_pending(entry)
         if isinstance(outcome, result.Failure):
--- a/dandeliondrum/controller/tests/test_crashes.py
+++ b/dandeliondrum/controller/tests/test_crashes.py
@@ -4,7 +4,10 @@
 import pytest
 
 from dandeliondrum import controller
+from dandeliondrum.controller import _crashes
+from dandeliondrum.controller import _operators
 from dandeliondrum.controller.tests import builders
+from dandeliondrum.controller.tests import test_heartbeats
 from dandeliondrum import messages
 
 TaskState = messages.TaskState
@@ -12,7 +15,7 @@
 WORKER = messages.WorkerId('lathe-1')
 STARTS_MAX = 10
 TASKS_FIELD_KEY = '3'
-CRASH_FIELD_KEYS = 'hij'
+CRASH_FIELD_KEYS = 'hijk'
 
 
 class Cell(builders.Log):
@@ -24,11 +27,11 @@
         self.incarnation = 0
         self.restart()
 
-    def restart(self):
+    def restart(self, last_heard_ms=None):
         """Announce the worker anew and return the tasks it has ended."""
         self.incarnation += 1
         facts = builders.facts(incarnation=str(self.incarnation))
-        ended = self(messages.RegisterWorker, facts)
+        ended = self(messages.RegisterWorker, facts, last_heard_ms)
         return [attempt.task for attempt in ended]
 
     def start(self, *specs):
@@ -176,3 +179,70 @@
     task = restored.tasks[spec.task_id]
     assert task.state is TaskState.QUEUED
     assert task.crashes_count == 0
+
+
+@pytest.mark.parametrize(
+    ('heard_after_ms', 'expected'),
+    [(-5_000, False), (-400, True), (900, True), (1_500, False)],
+)
+def test_a_task_at_whose_start_a_worker_crashed_is_suspect(
+    cell, heard_after_ms, expected
+):
+    spec = admitted(cell)
+    cell.time_ms = 10_000
+    cell.start(spec)
+    assigned_ms = cell.task(spec).attempt.assigned_ms
+    cell.restart(last_heard_ms=assigned_ms + heard_after_ms)
+    assert _crashes.is_suspect(cell.task(spec)) is expected
+
+
+def test_a_task_under_which_three_workers_crashed_is_suspect(cell):
+    innocent = builders.spec('innocent', idempotent=True)
+    service = admitted(cell, task_class=messages.TaskClass.SERVICE)
+    for _ in range(3):
+        assert not _crashes.is_suspect(cell.state.tasks[service.task_id])
+        cell.start(innocent, service)
+        cell.restart(last_heard_ms=cell.time_ms)
+    assert _crashes.is_suspect(cell.task(innocent))
+    assert _crashes.is_suspect(cell.task(service))
+
+
+class Leader(test_heartbeats.SingleWorkerLeader):
+    """A leader whose only worker can crash under a durable task."""
+
+    def __init__(self):
+        super().__init__()
+        grants = _operators.team_grants(self.state.rules)
+        self.context.planner.set_teams(grants)
+        self.spec = builders.spec('deadly', idempotent=True, durable=True)
+        admission = messages.Admission(self.spec, b'body')
+        self.log.propose(messages.encode(messages.AdmitTasks(0, (admission,))))
+        self.crash()
+
+    def crash(self):
+        assignment = builders.assignment(self.spec)
+        now_ms = self.context.now_ms()
+        command = messages.AssignTasks(now_ms, (assignment,))
+        self.log.propose(messages.encode(command))
+        self.base.announce(WORKER, 'b', 16_000)
+
+
+def test_a_suspect_is_isolated_by_its_leader_and_by_the_next():
+    leader = Leader()
+    task_id = leader.spec.task_id
+    assert leader.context.pending.get(task_id).isolated
+    leader.base.begin_term()
+    leader.base.leadership._rebuild()
+    assert leader.base.context.pending.get(task_id).isolated
+
+
+def test_a_restored_suspect_keeps_its_worker_to_itself():
+    leader = Leader()
+    command = messages.AssignTasks(
+        0, (builders.assignment(leader.spec, incarnation='b'),)
+    )
+    leader.log.propose(messages.encode(command))
+    leader.base.begin_term()
+    leader.base.leadership._rebuild()
+    planner = leader.base.context.planner
+    assert planner._ledger.running[leader.spec.task_id].task.isolated
--- a/dandeliondrum/controller/tests/test_heartbeats.py
+++ b/dandeliondrum/controller/tests/test_heartbeats.py
@@ -43,6 +43,7 @@
         self.log = StalledLog(self.state)
         base.context.node = self.log
         base.announce(WORKER, 'a', 16_000)
+        self.base = base
         self.heartbeats = base.leadership._heartbeats
         self.leadership = base.leadership
         rules = messages.ApplyRules(0, 'c1', 'op', 0, builders.RULES)
--- a/dandeliondrum/messages/_commands.py
+++ b/dandeliondrum/messages/_commands.py
@@ -124,10 +124,15 @@
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegisterWorker:
-    """Add a worker, or a new incarnation of one, to the fleet."""
+    """Add a worker, or a new incarnation of one, to the fleet.
+
+    ``last_heard_ms`` is the cell time of the last heartbeat of the previous
+    incarnation, None if the leader has received none.
+    """
 
     cell_time_ms: int
     facts: _task.WorkerFacts
+    last_heard_ms: int | None = None
 
 
 @_codec.message
--- a/dandeliondrum/placement/_bins.py
+++ b/dandeliondrum/placement/_bins.py
@@ -1,9 +1,9 @@
 """Equivalence classes of pending tasks (bins) and bit masks over them.
 
-Tasks of the same class, region, size level and excluded workers share a
-``Bin``; those of one team in a bin form a ``Group``. The search for a worker
-is done once for a bin and the order of teams is decided between groups, so
-the cost of neither depends on the number of pending tasks. Each bin has a
+Tasks of the same class, region, size level, excluded workers and isolation
+share a ``Bin``; those of one team in a bin form a ``Group``. The search for a
+worker is done once for a bin and the order of teams is decided between groups,
+so the cost of neither depends on the number of pending tasks. Each bin has a
 bit of its own, and sets of bins are integers.
 """
 
@@ -26,6 +26,7 @@
     region: messages.Region | None
     need: _index.CapacityLevels
     excluded_workers: frozenset[messages.WorkerId]
+    isolated: bool
 
 
 _CLASS_ORDER = {
--- a/dandeliondrum/placement/_fair_share_policy.py
+++ b/dandeliondrum/placement/_fair_share_policy.py
@@ -110,7 +110,7 @@
     def explain(self, task: _tasks.PendingTask) -> str:
         """See ``Policy.explain``."""
         reason = _explain.waiting_reason(self._state, self._gang_step, task)
-        return reason + _policy.excluded_note(task)
+        return reason + _policy.restrictions_note(task)
 
     def explain_running(self, running: _tasks.RunningTask) -> str:
         """See ``Policy.explain_running``."""
@@ -229,6 +229,9 @@
     def _choose(
         self, task: _tasks.PendingTask, region: messages.Region | None
     ) -> messages.WorkerId | None:
+        if task.isolated:
+            worker = self._state.index.idle_worker(task, region)
+            return None if worker is None else worker.worker_id
         return self._choosers[task.task_class].choose(
             self._state.index,
             task,
--- a/dandeliondrum/placement/_first_fit.py
+++ b/dandeliondrum/placement/_first_fit.py
@@ -57,7 +57,7 @@
         reason = _policy.blocking_reason(self._ledger, task)
         if reason is None:
             reason = 'no worker has room for it at present'
-        return reason + _policy.excluded_note(task)
+        return reason + _policy.restrictions_note(task)
 
     def explain_running(self, running: _tasks.RunningTask) -> str:
         """See ``Policy.explain_running``."""
@@ -131,13 +131,11 @@
         account = self._ledger.teams.account(task.team_id)
         if not account.allows(task.resources):
             return None
-        shape = (task.resources, task.excluded_workers)
+        shape = (task.resources, task.excluded_workers, task.isolated)
         if shape in self._infeasible_shapes:
             return None
         for worker in self._workers:
-            if worker.worker_id in task.excluded_workers:
-                continue
-            if worker.has_room(task.resources):
+            if worker.allows(task):
                 return self._ledger.reserve(
                     task, worker.worker_id, self._now_ms
                 )
--- a/dandeliondrum/placement/_fleet.py
+++ b/dandeliondrum/placement/_fleet.py
@@ -28,6 +28,8 @@
         'held_memory_mb',
         'held_accelerators_count',
         'held_slots_count',
+        'held_isolated_count',
+        'isolated_count',
         'running',
     )
 
@@ -45,6 +47,8 @@
         self.held_memory_mb = 0
         self.held_accelerators_count = 0
         self.held_slots_count = 0
+        self.held_isolated_count = 0
+        self.isolated_count = 0
         self.running: dict[messages.TaskId, _tasks.RunningTask] = {}
 
     def set_facts(
@@ -62,24 +66,45 @@
     def reserve(self, running: _tasks.RunningTask) -> None:
         """Reserve the resources and one slot for a task."""
         self.running[running.task.task_id] = running
+        self.isolated_count += running.task.isolated
         self._add_capacity(running.task.resources, 1, -1)
 
     def release(self, running: _tasks.RunningTask) -> None:
         """Free the resources and the slot of a task."""
         del self.running[running.task.task_id]
+        self.isolated_count -= running.task.isolated
         self._add_capacity(running.task.resources, 1, 1)
 
-    def hold(self, resources: messages.Resources, sign: int) -> None:
+    def hold(self, task: _tasks.PendingTask, sign: int) -> None:
         """Hold capacity for one reserved task (1) or release it (-1)."""
+        resources = task.resources
+        self.held_isolated_count += sign * task.isolated
         self.held_cpu_millicores += sign * resources.cpu_millicores
         self.held_memory_mb += sign * resources.memory_mb
         self.held_accelerators_count += sign * resources.accelerators_count
         self.held_slots_count += sign
 
+    def is_idle(self) -> bool:
+        """Return whether nothing is reserved or held."""
+        return not self.running and not self.held_slots_count
+
+    def is_closed(self) -> bool:
+        """Return whether an isolated task keeps all others away."""
+        return self.isolated_count > 0 or self.held_isolated_count > 0
+
+    def allows(self, task: _tasks.PendingTask) -> bool:
+        """Return whether the task may be placed on this worker at present."""
+        return (
+            self.worker_id not in task.excluded_workers
+            and (self.is_idle() or not task.isolated)
+            and self.has_room(task.resources)
+        )
+
     def has_room(self, resources: messages.Resources) -> bool:
         """Return whether a task fits in what is neither reserved nor held."""
         return (
             self.eligible
+            and not self.is_closed()
             and self.slots_count - self.held_slots_count >= 1
             and resources.cpu_millicores
             <= self.cpu_millicores - self.held_cpu_millicores
@@ -90,6 +115,8 @@
 
     def has_room_for_held(self) -> bool:
         """Return whether everything held on this worker is free."""
+        if self.isolated_count or (self.held_isolated_count and self.running):
+            return False
         return (
             self.eligible
             and self.slots_count >= self.held_slots_count
--- a/dandeliondrum/placement/_fleet_index.py
+++ b/dandeliondrum/placement/_fleet_index.py
@@ -5,6 +5,7 @@
 from dandeliondrum import messages
 from dandeliondrum.placement import _fleet
 from dandeliondrum.placement import _index
+from dandeliondrum.placement import _tasks
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,6 +33,7 @@
         self.free_cpu_millicores = 0
         self.free_memory_mb = 0
         self._entries: dict[messages.WorkerId, _Entry] = {}
+        self._idle: dict[messages.WorkerId, _fleet.Worker] = {}
 
     def update(self, worker: _fleet.Worker) -> _index.CapacityLevels | None:
         """Index the free capacity of a worker again and return its levels.
@@ -39,6 +41,10 @@
         None if the worker can't take any task; it is not indexed then.
         """
         levels = _index.free_levels(worker)
+        if levels is not None and worker.is_idle():
+            self._idle[worker.worker_id] = worker
+        else:
+            self._idle.pop(worker.worker_id, None)
         entry = self._entries.get(worker.worker_id)
         if entry is not None:
             self._add_to_sums(entry, -1)
@@ -60,6 +66,7 @@
 
     def remove(self, worker: _fleet.Worker) -> None:
         """Remove a worker whose region or failure domain may change."""
+        self._idle.pop(worker.worker_id, None)
         entry = self._entries.pop(worker.worker_id, None)
         if entry is None:
             return
@@ -88,6 +95,31 @@
             )
         ]
 
+    def idle_worker(
+        self, task: _tasks.PendingTask, region: messages.Region | None
+    ) -> _fleet.Worker | None:
+        """Return the smallest idle worker that allows the task, if any.
+
+        All idle workers are examined; few tasks are isolated.
+        """
+        allowed = (
+            worker
+            for worker in self._idle.values()
+            if worker.facts is not None
+            and (region is None or worker.facts.region == region)
+            and worker.allows(task)
+        )
+        return min(
+            allowed,
+            key=lambda worker: (
+                worker.accelerators_count,
+                worker.cpu_millicores,
+                worker.memory_mb,
+                worker.worker_id,
+            ),
+            default=None,
+        )
+
     def _indexes_for(
         self, facts: messages.WorkerFacts
     ) -> tuple[_index.FreeIndex, ...]:
--- a/dandeliondrum/placement/_index.py
+++ b/dandeliondrum/placement/_index.py
@@ -63,6 +63,7 @@
     memory_mb = worker.memory_mb - worker.held_memory_mb
     if (
         not worker.eligible
+        or worker.is_closed()
         or slots_count < 1
         or cpu_millicores < 0
         or memory_mb < 0
--- a/dandeliondrum/placement/_ledger.py
+++ b/dandeliondrum/placement/_ledger.py
@@ -50,12 +50,13 @@
     ) -> _tasks.Placement:
         """Change a pending task to running on a worker with room for it.
 
-        Raises ``utils.InvariantError`` if the worker's capacity or the
-        team's upper limit would be exceeded, or if the task is not pending.
+        Raises ``utils.InvariantError`` if the worker does not allow the task,
+        if the team's upper limit would be exceeded, or if the task is not
+        pending.
         Each of these is a fault of the calling policy.
         """
         worker = self.fleet.workers.get(worker_id)
-        if worker is None or not worker.has_room(task.resources):
+        if worker is None or not worker.allows(task):
             raise utils.InvariantError(
                 f'worker {worker_id} has no room for task {task.task_id}'
             )
--- a/dandeliondrum/placement/_offers.py
+++ b/dandeliondrum/placement/_offers.py
@@ -40,13 +40,11 @@
 
     def accepts(self, task: _tasks.PendingTask, now_ms: int) -> bool:
         """Return whether the task can be placed on the worker."""
-        if self.worker.worker_id in task.excluded_workers:
-            return False
         if not self._is_in_region(task) and not _regions.may_cross(
             task, now_ms
         ):
             return False
-        return self.worker.has_room(task.resources)
+        return self.worker.allows(task)
 
     def reason(self, task: _tasks.PendingTask) -> str:
         """Return why the task is placed there, for an operator."""
@@ -85,7 +83,7 @@
         not examine every worker.
         """
         index = self._state.index.for_region(task.region)
-        if index is not None and index.truncated:
+        if index is not None and index.truncated and not task.isolated:
             self._incomplete_searches[bin_.bit] = bin_
         if task.region is not None and not _regions.may_cross(task, now_ms):
             at_ms = _regions.crossing_allowed_ms(task)
--- a/dandeliondrum/placement/_policy.py
+++ b/dandeliondrum/placement/_policy.py
@@ -65,12 +65,15 @@
     return None
 
 
-def excluded_note(task: _tasks.PendingTask) -> str:
-    """Return a clause that lists the excluded workers, '' if none."""
-    if not task.excluded_workers:
-        return ''
-    names = ', '.join(sorted(task.excluded_workers))
-    return f'; excluded after earlier failures: {names}'
+def restrictions_note(task: _tasks.PendingTask) -> str:
+    """Return clauses on the workers that the task may not use, '' if none."""
+    note = ''
+    if task.excluded_workers:
+        names = ', '.join(sorted(task.excluded_workers))
+        note += f'; excluded after earlier failures: {names}'
+    if task.isolated:
+        note += '; it needs an idle worker, since workers crashed under it'
+    return note
 
 
 def gang_key(
--- a/dandeliondrum/placement/_preemption.py
+++ b/dandeliondrum/placement/_preemption.py
@@ -142,8 +142,11 @@
 
         With ``above_share``, only tasks of teams are considered whose
         dominant share exceeds this multiple of their fair share. Tasks that
-        were started at ``now_ms`` are not preempted.
+        were started at ``now_ms`` are not preempted, and none for an isolated
+        task, which would need all tasks of a worker to end.
         """
+        if task.isolated:
+            return None
         for team_id in self._teams(region, above_share):
             heap = self._heaps[region][team_id]
             kept: list[_Entry] = []
--- a/dandeliondrum/placement/_queues.py
+++ b/dandeliondrum/placement/_queues.py
@@ -306,6 +306,7 @@
             task.region,
             self.need(task.resources),
             task.excluded_workers,
+            task.isolated,
         )
         bin_ = self.bins.get(key)
         if bin_ is None:
--- a/dandeliondrum/placement/_reservation.py
+++ b/dandeliondrum/placement/_reservation.py
@@ -118,7 +118,7 @@
     ) -> None:
         """Release all that a reservation holds."""
         for task, worker in reservation.assignments:
-            worker.hold(task.resources, -1)
+            worker.hold(task, -1)
             self._index.update(worker)
         account = ledger.teams.account(reservation.team_id)
         account.hold(0, messages.Resources(0, 0, 0))
@@ -151,7 +151,7 @@
             ledger, unplaced, region, assignments, now_ms
         ):
             for task, worker in assignments:
-                worker.hold(task.resources, -1)
+                worker.hold(task, -1)
                 self._index.update(worker)
             return None
         return assignments
@@ -159,6 +159,8 @@
     def _free_worker(
         self, task: _tasks.PendingTask, region: messages.Region | None
     ) -> _fleet.Worker | None:
+        if task.isolated:
+            return self._index.idle_worker(task, region)
         free = self._index.for_region(region)
         if free is None:
             return None
@@ -174,7 +176,7 @@
         task: _tasks.PendingTask,
         worker: _fleet.Worker,
     ) -> None:
-        worker.hold(task.resources, 1)
+        worker.hold(task, 1)
         self._index.update(worker)
         assignments.append((task, worker))
 
@@ -194,7 +196,7 @@
             for worker in candidates:
                 if worker.worker_id in task.excluded_workers:
                     continue
-                free_ms = expected_free_ms(worker, task.resources, now_ms)
+                free_ms = expected_free_ms(worker, task, now_ms)
                 if free_ms is not None and (best is None or free_ms < best_ms):
                     best = worker
                     best_ms = free_ms
@@ -226,7 +228,7 @@
 
 
 def expected_free_ms(
-    worker: _fleet.Worker, resources: messages.Resources, now_ms: int
+    worker: _fleet.Worker, task: _tasks.PendingTask, now_ms: int
 ) -> int | None:
     """Return when a worker is expected to have room besides what is held.
 
@@ -234,6 +236,14 @@
     of its tasks have ended. See ``expected_end_ms`` for tasks that run
     longer than expected.
     """
+    if worker.held_isolated_count or (
+        task.isolated and worker.held_slots_count
+    ):
+        return None
+    resources = task.resources
+    obstacles_count = worker.isolated_count
+    if task.isolated:
+        obstacles_count = len(worker.running)
     cpu = worker.cpu_millicores - worker.held_cpu_millicores
     memory = worker.memory_mb - worker.held_memory_mb
     accelerators = worker.accelerators_count - worker.held_accelerators_count
@@ -251,8 +261,11 @@
             accelerators += ended.accelerators_count
             slots += 1
             free_ms = end_ms
+            if task.isolated or worker.running[task_id].task.isolated:
+                obstacles_count -= 1
         if (
             slots >= 1
+            and not obstacles_count
             and resources.cpu_millicores <= cpu
             and resources.memory_mb <= memory
             and resources.accelerators_count <= accelerators
--- a/dandeliondrum/placement/_tasks.py
+++ b/dandeliondrum/placement/_tasks.py
@@ -15,6 +15,7 @@
     least ``gang_size`` members are pending or running, so a member that is
     retried after the others have ended needs a smaller ``gang_size``.
     ``excluded_workers`` are the workers on which earlier attempts failed.
+    An ``isolated`` task runs only on a worker that runs nothing else.
     """
 
     task_id: messages.TaskId
@@ -30,6 +31,7 @@
     gang_size: int = 1
     excluded_workers: frozenset[messages.WorkerId] = frozenset()
     preemptible: bool = True
+    isolated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandeliondrum/placement/tests/test_planner.py
+++ b/dandeliondrum/placement/tests/test_planner.py
@@ -202,12 +202,14 @@
         excluded = frozenset()
         if self.random.random() < 0.2:
             excluded = frozenset({f'w{self.random.randrange(8)}'})
+        isolated = self.random.random() < 0.1
         self.add_task(
             self.make_task(
                 self.name('t'),
                 task_class=self.random.choice(classes),
                 deadline_ms=deadline_ms,
                 excluded_workers=excluded,
+                isolated=isolated,
                 **self.common_fields(),
             )
         )
@@ -320,11 +322,19 @@
             total = total + task.resources
         return total, len(tasks)
 
+    def has_isolated(self, name):
+        return any(
+            task.isolated
+            for task, where in self.running.values()
+            if where == name
+        )
+
     def check_limits(self):
         for name, facts in self.facts.items():
             total, count = self.used(name)
             assert total.fits_in(facts.resources)
             assert count <= facts.slots_count
+            assert count == 1 or not self.has_isolated(name)
         for team_id, grant in self.grants.items():
             tasks = [
                 task
