Blame no suspect alone while a run of another job was never listed

A suspect that the worker had listed was regarded as the only one that was starting if all runs that were never listed were of one other job, and could be given up for a crash of that job's task. Found in review, not seen in a run. The new test got 'sole' for the listed suspect before.

--- a/dandeliondrum/jobs/_crashes.py
+++ b/dandeliondrum/jobs/_crashes.py
@@ -69,7 +69,8 @@
     starting = [run for run in possible if run.is_starting]
     starting_suspects = [run for run in starting if run.is_suspect]
     unlisted = [run for run in starting if not run.is_listed]
-    blamed = starting_suspects or unlisted or starting
+    rivals = unlisted or starting
+    blamed = starting_suspects or rivals
     others = (
         _commands.Suspicion.NONE
         if starting_suspects
@@ -77,7 +78,7 @@
     )
     suspicion = (
         _commands.Suspicion.SOLE
-        if len({run.task.job_id for run in unlisted or starting}) == 1
+        if len({run.task.job_id for run in (*blamed, *rivals)}) == 1
         else _commands.Suspicion.STARTING
     )
     found = {(run.task, run.run): others for run in possible}
--- a/dandeliondrum/jobs/tests/test_crashes.py
+++ b/dandeliondrum/jobs/tests/test_crashes.py
@@ -90,6 +90,16 @@
     assert found == {'a.0.0.0': NONE, 'b.0.0.0': STARTING}
 
 
+def test_a_listed_suspect_is_not_sole_beside_a_run_never_listed():
+    """Regression test: it could be given up for the crash of another task."""
+    found = _suspicions(
+        _run('a.0.0.0', starting=True, listed=False),
+        _run('b.0.0.0', starting=True, suspect=True),
+        _run('c.0.0.0'),
+    )
+    assert found['b.0.0.0'] is STARTING
+
+
 def test_a_starting_suspect_clears_the_other_runs():
     found = _suspicions(
         _run('a.0.0.0'),
