Submit jobs in calls of 64 KB instead of 512 KB

A job of 16 bodies of 60 KB at a gateway with a link of 2 Mbit/s was answered 502, "no_reply, call to the leader: closed".

Cause: a call of 512 KB takes 2.1 s on such a link. The heartbeat behind it waits 0.5 s, and 0.7 s later the gateway closes the stream, which ends the call. Class: a transfer whose length depends on data holds up messages with a deadline on the same connection.

Change: a call holds bodies of 64 KB in all, which take 0.3 s. A single larger body or a gang still goes in one call; that remains open.

--- a/dandeliondrum/gateway/_job_handlers.py
+++ b/dandeliondrum/gateway/_job_handlers.py
@@ -18,7 +18,7 @@
 
 SUBMIT_TIMEOUT_MS = 5_000
 CHUNK_TASKS = 500
-CHUNK_BYTES = 512 * 1024
+CHUNK_BYTES = 64 * 1024
 ACCEPTED_STATUS = 202
 # Some tasks of a job were accepted and others were refused.
 MULTI_STATUS = 207
