--- a/tests/test_narrow_links.py
+++ b/tests/test_narrow_links.py
@@ -1,10 +1,11 @@
-"""Large submissions at a gateway on a link of 2 Mbit/s."""
+"""Large submissions and rules at a gateway on a link of 2 Mbit/s."""
 
 import pytest
 
 from dandeliondrum import testing
 
 LINK_BYTES_PER_SECOND = 250_000
+RULES_LINES = 10_000
 
 
 @pytest.fixture
@@ -29,3 +30,14 @@
 
 def test_a_job_of_many_bodies_is_accepted(cell, keys):
     assert submit(cell, keys, 16, 60_000).status == 202
+
+
+def test_a_large_body_is_accepted(cell, keys):
+    assert submit(cell, keys, 1, 600_000).status == 202
+
+
+def test_large_rules_can_be_read(cell, rules_text):
+    comment = ''.join(f'// {number:_^80}\n' for number in range(RULES_LINES))
+    assert cell.apply_rules(comment + rules_text, 1, 'large').status == 200
+    testing.wait_until(lambda: cell.is_ready('g2'))
+    assert cell.operate('GET', '/v1/rules', gateway='g2').status == 200
