Request no document again that is older than announced before

Found by review: after a leader that announced version 3, one whose newest is 2 (its log has lost data) was asked for version 2 again and again without a pause, since the receiver kept the highest version ever announced.

Change: the receiver believes the latest announcement. The next heartbeat corrects one that arrives out of order.

--- a/dandeliondrum/transport/_documents.py
+++ b/dandeliondrum/transport/_documents.py
@@ -144,7 +144,7 @@
     ) -> None:
         """Request the newest version unless it is active or requested."""
         with self._lock:
-            self._newest = max(self._newest, newest)
+            self._newest = newest
             self._active = max(self._active, active)
         self._request_next(connection)
 
--- a/dandeliondrum/transport/tests/test_documents.py
+++ b/dandeliondrum/transport/tests/test_documents.py
@@ -164,3 +164,16 @@
         leader.sender.part(messages.RulesPartQuery('', 0))
     part = leader.sender.part(messages.RulesPartQuery(first.digest, 5))
     assert (part.version, part.offset) == (leader.version, 0)
+
+
+def test_an_older_document_of_a_leader_is_requested_once(gateway):
+    leader = Leader(3, large_text(3))
+    gateway.request(leader)
+    leader.close()
+    successor = Leader(2, large_text(2))
+    gateway.request(successor)
+    for _ in range(50):
+        if successor._pending:
+            successor.answer()
+    assert gateway.active == [(2, successor.text)]
+    assert not successor._pending
