--- a/dandeliondrum/transport/tests/test_documents.py
+++ b/dandeliondrum/transport/tests/test_documents.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import random
+from unittest import mock
 
 import pytest
 from returns import result
@@ -177,3 +178,57 @@
             successor.answer()
     assert gateway.active == [(2, successor.text)]
     assert not successor._pending
+
+
+@pytest.mark.parametrize('takes_parts', [True, False])
+@pytest.mark.parametrize('text', ['small', large_text(1)])
+def test_announcements_carry_what_the_gateway_can_use(text, takes_parts):
+    leader = Leader(7, text)
+    pushed = []
+    connection = mock.Mock(push=pushed.append)
+    session = transport.Session(
+        connection, messages.GatewayId('g1'), 1, takes_parts=takes_parts
+    )
+    leader.sender.announce((session,))
+    left_out = takes_parts and text != 'small'
+    whole = messages.RulesPush(7, text)
+    assert pushed == [messages.RulesChanged(7) if left_out else whole]
+
+
+def test_a_part_delays_a_narrow_link_for_less_than_a_heartbeat_waits():
+    part = Leader(1, large_text(1)).sender.part(messages.RulesPartQuery('', 0))
+    assert len(part.data) <= 16 * 1024
+
+
+def test_a_transfer_continues_while_the_former_connection_is_open(gateway):
+    former = Leader(1, large_text(1))
+    gateway.request(former)
+    successor = Leader(1, former.text)
+    gateway.request(successor)
+    assert successor.queries
+    former.answer()
+    assert len(former.queries) == 1
+    successor.answer_all()
+    assert gateway.active == [(1, former.text)]
+
+
+def test_replies_to_the_same_request_are_used_once(gateway):
+    leader = Leader(1, large_text(1))
+    other = Leader(1, leader.text)
+    for one in (leader, other, leader):
+        gateway.request(one)
+    leader.answer_all()
+    assert gateway.active == [(1, leader.text)]
+
+
+def test_a_transfer_is_completed_after_requests_for_newer_versions(gateway):
+    leader = Leader(1, large_text(1))
+    first = leader.text
+    gateway.request(leader)
+    leader.answer()
+    for version in (2, 3, 4):
+        leader.version, leader.text = version, large_text(version)
+        leader.sender.part(messages.RulesPartQuery('', 0))
+    gateway.request(leader)
+    leader.answer_all()
+    assert gateway.active == [(1, first), (4, leader.text)]
