Add a failing test of a large command on a link between regions

An entry is sent whole, and heartbeats wait behind it on the same connection. While 2 MiB of random bytes go to two followers over 15 Mbit/s, which takes 2.2 s, the followers hear nothing for longer than an election timeout (0.6 to 1.2 s) and elect another leader; the proposer gets DEPOSED, and a retry starts anew. Gangs of the own engine have up to 4 MiB.

--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -68,10 +68,14 @@
 
 
 class Forwarder:
-    """TCP proxy in front of a node; ``pause`` silently holds all data."""
+    """TCP proxy in front of a node; ``pause`` silently holds all data.
+
+    A ``pacer`` limits the bandwidth towards the node.
+    """
 
     def __init__(self):
         self.target = ''
+        self.pacer = None
         self._open = threading.Event()
         self._open.set()
         self._silenced = []
@@ -137,8 +141,11 @@
 
     def _forward(self, source, sink, gate):
         with contextlib.suppress(OSError):
-            while data := source.recv(1 << 16):
+            while data := source.recv(1 << 14):
                 gate.wait()
+                if self.pacer is not None:
+                    sent_s = self.pacer.reserve(len(data))
+                    time.sleep(max(0.0, sent_s - time.monotonic()))
                 sink.sendall(data)
         for stream in (source, sink):
             with contextlib.suppress(OSError):
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -3,10 +3,12 @@
 import concurrent.futures
 import math
 import pathlib
+import random
 import threading
 import time
 
 import pytest
+from returns import result
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _election
@@ -20,6 +22,7 @@
 from dandeliondrum.consensus import _writer
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum import messages
+from dandeliondrum import testing
 
 CANDIDATE = messages.ControllerId('c2')
 
@@ -347,3 +350,20 @@
     starts_election,
 ):
     assert starts_election(0)
+
+
+def test_a_large_command_on_a_link_between_regions_deposes_no_leader(tmp_path):
+    options = {
+        'heartbeat_ms': 100,
+        'election_min_ms': 600,
+        'election_max_ms': 1_200,
+    }
+    with harness.Cluster(tmp_path, **options) as cluster:
+        leader = cluster.bootstrap()
+        term = cluster.node(leader).status().term
+        pacer = testing.Pacer(15_000_000 // 8)
+        for other in cluster.others(leader):
+            cluster.forwarder(leader, other).pacer = pacer
+        command = random.Random(1).randbytes(2 * 1024 * 1024)
+        assert isinstance(cluster.propose(leader, command), result.Success)
+        assert cluster.node(leader).status().term == term
