--- a/dandeliondrum/jobs/tests/test_crashed_workers.py
+++ b/dandeliondrum/jobs/tests/test_crashed_workers.py
@@ -205,5 +205,6 @@
             testing.wait_until(worker.running)
             worker.restart()
             testing.wait_until(lambda: len(leader.outcomes) == run)
+            leader.peer.facts = worker.facts
     assert leader.machine.phase('a') is jobs.JobPhase.FAILED
     assert len(leader.outcomes) == 3
