--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -48,6 +48,12 @@
         thread.join()
 
 
+@pytest.fixture
+def rules_text(rules_text):
+    """Return rules with leases that outlast the restart of a worker."""
+    return rules_text.replace('1500', '8000')
+
+
 @pytest.fixture
 def cell(make_cell):
     cell = make_cell(WORKERS_COUNT, broken_by={'worker': CRASH_AT_START})
