--- a/review/kit/cell.py
+++ b/review/kit/cell.py
@@ -153,6 +153,7 @@
     def start(self):
         with open(ROOT / 'deploy' / 'system.toml', 'rb') as source:
             roles = tomllib.load(source)['roles']
+        self._controller_command = roles['controller']['run']
         for ip in self._control_ips:
             data = self.folder / f'data-{ip}'
             data.mkdir()
@@ -198,7 +199,7 @@
             'DANDELIONDRUM_SETTINGS': str(path),
         }
         words = shlex.split(command)
-        with open(self.folder / f'{ip}.log', 'wb') as log:
+        with open(self.folder / f'{ip}.log', 'ab') as log:
             self._processes[ip] = subprocess.Popen(
                 words, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                 stdout=log, stderr=subprocess.STDOUT,
@@ -209,6 +210,16 @@
         self._processes[ip].send_signal(what)
         self.record.write(f'signal {signal.Signals(what).name} to controller {number}')
 
+    def restart_controller(self, number):
+        """Start a controller that was killed again, with its disk."""
+        ip = self._control_ips[number]
+        self._processes[ip].wait()
+        self._launch(ip, self._controller_command, 'core', {
+            'Listen.Control': f'{ip}:{self._control_port}',
+            'DataDir': str(self.folder / f'data-{ip}'),
+            'Bootstrap': 'false',
+        })
+
     def leader(self):
         """Return the number of the controller that logged that it leads last."""
         newest, found = '', 0
@@ -423,6 +434,13 @@
             self.changed.notify_all()
         self._record.write(f'worker {self.id}: is lost, silent from now on')
 
+    def fail(self, job):
+        """Let the runs of a job end as failed, through their own fault."""
+        with self.changed:
+            for task in [task for task in self._runs if task.startswith(job)]:
+                self._end(task, 'failed')
+            self.changed.notify_all()
+
     def close(self):
         self._closing.set()
         if self.up and self._listener is not None:
