--- a/review/kit/cell.py
+++ b/review/kit/cell.py
@@ -370,6 +370,8 @@
         self.up = False
         self.dark = False
         self.sheds = False
+        # How far the time of day of the worker's machine has been stepped.
+        self.time_of_day_step_ms = 0
         self.started = []
         self.ended = []
         self._listener = None
@@ -382,7 +384,7 @@
             self._lives += 1
             if not same_id or not self.id:
                 self.id = f'{self._prefix}-{self._number:02d}{os.urandom(3).hex()}'
-            self.born = time.time_ns() // 1_000_000
+            self.born = time.time_ns() // 1_000_000 + self.time_of_day_step_ms
             self._zero = time.monotonic()
             self._token = 0
             self._deadline_ms = 0
@@ -391,6 +393,8 @@
             self._ends = []
             self._last_end = 0
             self._seq = 0
+            self.acknowledged_count = 0
+            self.state = 'ready'
             self.up, self.dark = True, False
         self._record.write(f'worker {self.id}: begins, kind {self.kind}, born {self.born}')
         if report_first:
@@ -408,6 +412,29 @@
         life = self._lives
         threading.Thread(target=self._beat, args=(life, report_first), daemon=True).start()
 
+    def drain(self):
+        """Report that the worker drains; return once it is acknowledged."""
+        self.state = 'draining'
+        while not self.check_in():
+            time.sleep(0.1)
+        self._record.write(f'worker {self.id}: draining, acknowledged')
+
+    def sign_off(self, first):
+        """Send DELETE to one node after the other, beginning with first."""
+        count = len(self._cell.control)
+        for step in range(count):
+            number = (first + step) % count
+            status, _ = http_call(
+                self._cell.control[number], 'DELETE', f'/instances/{self.id}',
+                timeout_s=1.0,
+            )
+            self._record.write(
+                f'worker {self.id}: DELETE at controller {number} -> '
+                f'{status or "no answer within 1 s"}')
+            if 200 <= status < 300:
+                return True
+        return False
+
     def crash(self):
         """Lose all state and accept nothing until the next incarnation."""
         with self.changed:
@@ -460,7 +487,7 @@
             return {
                 'Service': self.service, 'Address': self.address,
                 'Zone': 'sattahip', 'Version': 'v1', 'Slots': 8,
-                'State': 'ready', 'ColdRemainingMs': 0,
+                'State': self.state, 'ColdRemainingMs': 0,
                 'Capacity': self.capacity,
                 'Labels': [self.kind, f'r1-{self._number // 8}'],
                 'TimeMs': self._clock(), 'Seq': self._seq, 'born': self.born,
@@ -474,6 +501,7 @@
             address = self._cell.control[(first + step) % len(self._cell.control)]
             status, _ = http_call(address, 'PUT', f'/instances/{self.id}', body, timeout_s=1.0)
             if 200 <= status < 300:
+                self.acknowledged_count += 1
                 if self._seq == 1:
                     self._record.write(
                         f'worker {self.id}: check-in with Labels {body["Labels"]} '
