Show a job as running once a worker has started a task of it

Cause: the state machine set the phase to RUNNING when it applied the assignment; nothing set it back. Ruled out: a wrong count in the gateway; both gateways answered 0 from the leader's phases.

Ends that only a started run can have set the phase as well. The metric of the time to the first start ends at the start, not at the assignment.

Four tests of crashes asserted RUNNING to show that a job was not given up, for runs that were only assigned. They now record the start first and assert the same.

--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -118,9 +118,10 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndRuns:
-    """Record the ends of runs."""
+    """Record the ends of runs, and the jobs of which a run has started."""
 
     ends: tuple[RunEnd, ...]
+    begun: tuple[_specs.JobId, ...] = ()
 
 
 @messages.message
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -89,6 +89,7 @@
         self._supervisor.run('scheduler', self._scheduler.run)
         for interval_ms, callback in (
             (_workers.CHECK_INTERVAL_MS, self._workers.check),
+            (_workers.STARTS_INTERVAL_MS, self._workers.commit_starts),
             (_audit.INTERVAL_MS, self._audit.check),
             (CLEANUP_INTERVAL_MS, self._forget_ended),
             (_leader_load.REPORT_INTERVAL_MS, term.load.report),
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -119,6 +119,7 @@
         match outcome:
             case _port.Accepted():
                 self._settle(order)
+                state.events.started((task.job_id,))
             case _port.WorkerReplaced():
                 with state.lock:
                     # The order did not reach this incarnation.
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -28,6 +28,9 @@
     def may_act(self) -> bool:
         """Return whether this process still leads."""
 
+    def started(self, job_ids: collections.abc.Iterable[_specs.JobId]) -> None:
+        """Note jobs of which a worker has started a run."""
+
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Commit ends of runs to the log; return whether that succeeded."""
 
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -17,7 +17,7 @@
 
 
 class JobPhase(enum.Enum):
-    """Phase of a job."""
+    """Phase of a job; it is RUNNING from the first start on a worker on."""
 
     QUEUED = 'queued'
     RUNNING = 'running'
--- a/dandeliondrum/jobs/_run_ends.py
+++ b/dandeliondrum/jobs/_run_ends.py
@@ -17,17 +17,32 @@
     _commands.Suspicion.SOLE,
     _commands.Suspicion.ALONE,
 )
+# Only a run that has started ends so. A run is also LAPSED, LOST or CRASHED if
+# its start order was never carried out.
+_STARTED_OUTCOMES = frozenset(
+    (
+        _commands.RunOutcome.DONE,
+        _commands.RunOutcome.FAILED,
+        _commands.RunOutcome.STOPPED,
+        _commands.RunOutcome.BROKEN,
+        _commands.RunOutcome.ALONE,
+    )
+)
 
 
 def end_runs(
     store: _record_store.RecordStore, index: int, command: _commands.EndRuns
 ) -> tuple[_specs.TaskKey, ...]:
-    """Record the ends of runs; return the tasks given up for crashes.
+    """Record starts and ends of runs; return the tasks given up for crashes.
 
     Repeated ends have no effect. Of the ends of earlier runs only two have
     one: ``DONE`` completes a task that is not done yet, and ``CRASHED``
     counts the crash.
     """
+    for job_id in command.begun:
+        begun = store.jobs.get(job_id)
+        if begun is not None:
+            _begin(begun)
     given_up = []
     for end in command.ends:
         job = store.jobs.get(end.task.job_id)
@@ -42,6 +57,11 @@
     return tuple(given_up)
 
 
+def _begin(job: _records.JobRecord) -> None:
+    if job.phase is _records.JobPhase.QUEUED:
+        job.phase = _records.JobPhase.RUNNING
+
+
 def _end_run(
     store: _record_store.RecordStore,
     index: int,
@@ -50,6 +70,8 @@
     end: _commands.RunEnd,
 ) -> None:
     job.changes_count += 1
+    if end.outcome in _STARTED_OUTCOMES:
+        _begin(job)
     done = end.outcome is _commands.RunOutcome.DONE
     current = task.phase is _records.TaskPhase.ASSIGNED and task.run == end.run
     if current:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -470,18 +470,8 @@
             policy_version=self._term.state.policy.version,
             list_age_ms=peer.list_age_ms(),
         )
-        self._observe_first_start(run.task.job_id)
         peer.orders.dispatch(run.task)
 
-    def _observe_first_start(self, job_id: _specs.JobId) -> None:
-        accepted = self._term.accepted_ms.pop(job_id, None)
-        if accepted is not None:
-            queue, since_ms = accepted
-            waited_ms = _clock.elapsed_ms() - since_ms
-            self._term.metrics.first_start_seconds.labels(queue).observe(
-                waited_ms / 1000
-            )
-
 
 def _wait_until_done(
     proposed: _term.Proposed, stopping: threading.Event
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -333,6 +333,9 @@
         assigned = self._events.assigned(self.facts.worker_id)
         listed = {(item.task, item.run): item for item in lists.runs}
         ended = {(item.end.task, item.end.run) for item in lists.ends}
+        self._events.started(
+            {task.job_id for task, _ in listed.keys() | ended}
+        )
         ends = [
             item.end
             for item in lists.ends
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -31,6 +31,9 @@
 # effects of others.
 PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 4
 CHECK_INTERVAL_MS = 1_000
+# Interval between commits of starts. Callers are promised a count of waiting
+# jobs that is at most 2 s old.
+STARTS_INTERVAL_MS = 250
 # A worker without runs that has not reported for this long is removed.
 REMOVE_AFTER_MS = 20_000
 
@@ -58,6 +61,8 @@
         self._tokens_used_counts: dict[messages.WorkerId, int] = {}
         # Start time and sequence of the reports with the facts of the peers.
         self._facts_sequences: dict[messages.WorkerId, tuple[int, int]] = {}
+        # Jobs that a worker has started and that are still recorded as queued.
+        self._begun: set[_specs.JobId] = set()
         self._closed = False
         self._end_recorder = _end_recorder.EndRecorder(
             self._commit_ends, supervisor, _term.PROPOSE_TIMEOUT_MS
@@ -358,6 +363,59 @@
                     found.append((key, run))
         return found
 
+    def started(self, job_ids: collections.abc.Iterable[_specs.JobId]) -> None:
+        """Note jobs of which a worker has started a run.
+
+        They are committed by the next :meth:`commit_starts`.
+        """
+        # Read without the lock of the state, as most jobs have begun before.
+        jobs = self._term.state.jobs
+        begun = [
+            job_id
+            for job_id in job_ids
+            if job_id in jobs
+            and jobs[job_id].phase is _records.JobPhase.QUEUED
+        ]
+        if not begun:
+            return
+        for job_id in begun:
+            self._observe_first_start(job_id)
+        with self._lock:
+            self._begun.update(begun)
+
+    def _observe_first_start(self, job_id: _specs.JobId) -> None:
+        accepted = self._term.accepted_ms.pop(job_id, None)
+        if accepted is not None:
+            queue, since_ms = accepted
+            waited_ms = _clock.elapsed_ms() - since_ms
+            self._term.metrics.first_start_seconds.labels(queue).observe(
+                waited_ms / 1000
+            )
+
+    def commit_starts(self) -> None:
+        """Commit which jobs have begun since the last call."""
+        with self._lock:
+            begun, self._begun = self._begun, set()
+        jobs = self._term.state.jobs
+        queued = [
+            job_id
+            for job_id in begun
+            if job_id in jobs
+            and jobs[job_id].phase is _records.JobPhase.QUEUED
+        ]
+        if not queued or not self._term.node.is_leading():
+            return
+
+        def finish(done: _term.Proposed) -> None:
+            outcome = done.result()
+            if isinstance(outcome, result.Failure):
+                _logger.info('starts not recorded', why=str(outcome.failure()))
+                with self._lock:
+                    self._begun.update(queued)
+
+        command = _commands.EndRuns((), tuple(sorted(queued)))
+        self._term.propose(command).add_done_callback(finish)
+
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
         """Commit ends to the log, then update health and stop broken gangs."""
         return self._end_recorder.record(ends)
--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -122,6 +122,10 @@
         )
         return self(_commands.AssignRuns(((assignment,),)))[0]
 
+    def begin(self, name):
+        """Record that a worker has started a run of a job."""
+        self(_commands.EndRuns((), (jobs.JobId(name),)))
+
     def end(self, task, run=1, outcome=jobs.RunOutcome.DONE, checkpoint=''):
         """Record the end of a run."""
         key = jobs.parse_task_key(task)
--- a/dandeliondrum/jobs/tests/test_crashed_tasks.py
+++ b/dandeliondrum/jobs/tests/test_crashed_tasks.py
@@ -44,6 +44,7 @@
     for suspicion in suspicions:
         run = machine.task(task).run + 1
         assert machine.assign(task, run)
+        machine.begin('j')
         given_up = _crash(machine, run, suspicion, task)
     return given_up
 
@@ -93,6 +94,7 @@
     machine = _machine()
     for run in range(1, 10):
         assert machine.assign('j.0.0.0', run)
+        machine.begin('j')
         machine.end('j.0.0.0', run, outcome)
     assert machine.phase('j') is jobs.JobPhase.RUNNING
     assert machine.task('j.0.0.0').crashes_count == 0
--- a/dandeliondrum/jobs/tests/test_state.py
+++ b/dandeliondrum/jobs/tests/test_state.py
@@ -53,6 +53,7 @@
     machine(_commands.SubmitJob(helpers.job('j', helpers.step())))
     for run in range(1, 5):
         machine.assign('j.0.0.0', run)
+        machine.begin('j')
         machine.end('j.0.0.0', run, jobs.RunOutcome.LAPSED)
     assert machine.phase('j') is jobs.JobPhase.RUNNING
     for run in range(5, 8):
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -41,6 +41,7 @@
         self.acting = True
         self.outcomes = []
         self.gone_ids = []
+        self.started_ids = set()
         self.crashed_ids = []
         self.refusals = []
         self.lease_ms = lease_ms
@@ -79,6 +80,9 @@
             ]
         return True
 
+    def started(self, job_ids):
+        self.started_ids.update(job_ids)
+
     def begin_record(self, ends):
         return FakeRecording(self.record(ends))
 
