Count assigned attempts as queued until their worker has started them

Operators saw: top, status and the metric of waiting tasks counted a task as running from the commit of its assignment, also if its worker was silent.

Change: heartbeats tell which attempts have started. What is assigned and not started counts as queued and as waiting; explain tells the two apart. The limits and reservations are unchanged.

Evidence: test_an_assigned_task_counts_as_queued_until_its_worker_has_started_it fails without the change, as the counts are 1 running and 0 queued then.

--- a/dandeliondrum/controller/_attempt_reports.py
+++ b/dandeliondrum/controller/_attempt_reports.py
@@ -63,6 +63,7 @@
                         self._uncertain.setdefault(report.attempt_id, 0)
                     case messages.AttemptState.RUNNING:
                         self._uncertain.pop(report.attempt_id, None)
+                        self._note_started(report.attempt_id)
                     case messages.AttemptState.FAILED:
                         ended.append(self._decide_retry(report))
                     case _:
@@ -187,10 +188,31 @@
             del self._uncertain[attempt_id]
             self.stop_requested.add(attempt_id)
 
+    def note_running(
+        self,
+        worker: _records.WorkerRecord,
+        running: collections.abc.Set[messages.AttemptId],
+    ) -> None:
+        """Note the attempts of a worker that its heartbeat shows as running.
+
+        The caller holds the lock of the state.
+        """
+        self._context.started_attempts |= running & worker.attempts.keys()
+
+    def _note_started(self, attempt_id: messages.AttemptId) -> None:
+        task = self._context.state.task_of_attempt(attempt_id)
+        if (
+            task is not None
+            and task.attempt is not None
+            and task.attempt.attempt_id == attempt_id
+        ):
+            self._context.started_attempts.add(attempt_id)
+
     def forget(self, attempt_id: messages.AttemptId) -> None:
         """Discard the state kept for an attempt that has ended."""
         self._uncertain.pop(attempt_id, None)
         self.stop_requested.discard(attempt_id)
+        self._context.started_attempts.discard(attempt_id)
 
 
 def _restart_delay_ms(ended: _records.EndedAttempt) -> int:
--- a/dandeliondrum/controller/_context.py
+++ b/dandeliondrum/controller/_context.py
@@ -61,11 +61,25 @@
         self.abandoned_deadlines_ms: dict[messages.TaskId, int] = {}
         # Refusals of tasks that waited, to be committed again.
         self.unrecorded_refusals: list[messages.Refusal] = []
+        # Attempts that a worker or a gateway has reported as running since
+        # this leader's term began. Protected by the lock of the state.
+        self.started_attempts: set[messages.AttemptId] = set()
         self.work_available = threading.Event()
-        metrics.pending.set_function(lambda: float(len(self.pending)))
+        metrics.pending.set_function(self._waiting_count)
         self.started_ms = utils.monotonic_ms()
         self._cell_time_base_ms = state.cell_time_ms
 
+    def _waiting_count(self) -> float:
+        """Return the number of tasks that no worker has started."""
+        with self.lock, self.state.lock:
+            unstarted_count = sum(
+                attempt_id not in self.started_attempts
+                and task_id not in self.pending
+                for worker in self.state.workers.values()
+                for attempt_id, task_id in worker.attempts.items()
+            )
+            return float(len(self.pending) + unstarted_count)
+
     def _newest_rules(self) -> tuple[messages.RulesVersion, str]:
         record = self.state.rules_record
         return record.version, record.text
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -256,6 +256,7 @@
     ) -> tuple[messages.AttemptId, ...]:
         running = {attempt.attempt_id for attempt in heartbeat.running}
         ended = {report.attempt_id for report in heartbeat.ended}
+        self._attempt_reports.note_running(worker, running)
         stop = set(worker.fences)
         stop |= running - worker.attempts.keys()
         for attempt_id, task_id in worker.attempts.items():
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -1,5 +1,6 @@
 """Operator calls to the leader: rules, fleet, drain, task explanations."""
 
+import collections
 import concurrent.futures
 import typing
 
@@ -9,6 +10,7 @@
 from dandeliondrum.controller import _context
 from dandeliondrum.controller import _heartbeats
 from dandeliondrum.controller import _queueing
+from dandeliondrum.controller import _records
 from dandeliondrum import messages
 from dandeliondrum import placement
 from dandeliondrum import rules as rules_lib
@@ -145,16 +147,19 @@
                     self._heartbeats.effective_state(worker),
                     now_ms
                     - self._heartbeats.last_heard_ms(worker.facts.worker_id),
-                    len(worker.attempts),
+                    len(worker.attempts.keys() & context.started_attempts),
                     worker.reserved,
                 )
                 for worker in context.state.workers.values()
             )
+            unstarted_counts = self._unstarted_counts()
             teams = tuple(
                 messages.TeamView(
                     team_id,
-                    context.state.accounts.use(team_id).running_count,
-                    context.planner.pending_count(team_id),
+                    context.state.accounts.use(team_id).running_count
+                    - unstarted_counts[team_id],
+                    context.planner.pending_count(team_id)
+                    + unstarted_counts[team_id],
                     context.state.accounts.use(team_id).reserved,
                 )
                 for team_id in context.state.rules.teams
@@ -169,6 +174,16 @@
                 self._gateways(),
             )
 
+    def _unstarted_counts(self) -> collections.Counter[messages.TeamId]:
+        """Return for each team the assigned tasks that have not started."""
+        context = self._context
+        return collections.Counter(
+            context.state.tasks[task_id].spec.team_id
+            for worker in context.state.workers.values()
+            for attempt_id, task_id in worker.attempts.items()
+            if attempt_id not in context.started_attempts
+        )
+
     def _controllers(self) -> tuple[messages.ControllerView, ...]:
         status = self._context.node.status()
         views = []
@@ -215,8 +230,16 @@
             events = task.events if task is not None else ()
             if task_id in context.pending:
                 explanation = f'queued: {context.planner.explain(task_id)}'
+            elif task is not None and task.attempt is not None:
+                explanation = self._explain_attempt(task.attempt)
             elif task is not None:
                 explanation = f'{task.state.value} {task.detail}'.strip()
             else:
                 explanation = 'unknown'
         return messages.TaskExplained(explanation, events)
+
+    def _explain_attempt(self, attempt: _records.AttemptRecord) -> str:
+        worker_id = attempt.worker_id
+        if attempt.attempt_id in self._context.started_attempts:
+            return f'running on {worker_id}'
+        return f'assigned to {worker_id}, not reported as started yet'
--- a/dandeliondrum/controller/tests/test_heartbeats.py
+++ b/dandeliondrum/controller/tests/test_heartbeats.py
@@ -32,6 +32,11 @@
             return utils.completed_future(result.Failure(error))
         return super().propose(command)
 
+    def status(self):
+        return consensus.NodeStatus(
+            'c1', consensus.Role.LEADER, 1, 'c1', True, 1, 1, 1, 0, 'd', ()
+        )
+
 
 class SingleWorkerLeader:
     """A leader with one worker, whose heartbeats the tests send."""
@@ -273,3 +278,41 @@
     leader.heartbeat(fenced=[attempt_id])
     task = leader.state.tasks['harbour/t']
     assert task.state is messages.TaskState.QUEUED
+
+
+def _fleet_shown(leader):
+    """Return the counts of the worker and of its team, and the metric."""
+    fleet = leader.leadership._operators._show_fleet()
+    team = next(view for view in fleet.teams if view.team_id == 'harbour')
+    waiting = leader.context.metrics.registry.get_sample_value(
+        'dandeliondrum_controller_pending_tasks'
+    )
+    return (
+        fleet.workers[0].running_count,
+        team.running_count,
+        team.queued_count,
+        waiting,
+    )
+
+
+def test_an_assigned_task_counts_as_queued_until_its_worker_has_started_it(
+    leader,
+):
+    """Regression test: assigned tasks were shown as running."""
+    attempt_id = leader.assign('t')
+    explain = leader.leadership._operators._explain
+    assert _fleet_shown(leader) == (0, 0, 1, 1)
+    assert explain('harbour/t').status_line.startswith('assigned to lathe-1')
+    leader.heartbeat()
+    assert _fleet_shown(leader) == (0, 0, 1, 1)
+    leader.heartbeat(running=[attempt_id])
+    assert _fleet_shown(leader) == (1, 1, 0, 0)
+    assert explain('harbour/t').status_line == 'running on lathe-1'
+    leader.heartbeat(ended=[(attempt_id, AttemptState.FINISHED)])
+    assert _fleet_shown(leader) == (0, 0, 0, 0)
+    assert not leader.context.started_attempts
+
+
+def test_a_listed_attempt_of_another_worker_does_not_count_as_started(leader):
+    leader.heartbeat(running=['harbour/unknown#1'])
+    assert not leader.context.started_attempts
--- a/dandeliondrum/messages/_operator_calls.py
+++ b/dandeliondrum/messages/_operator_calls.py
@@ -78,7 +78,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerView:
-    """State of one worker, as known to the leader."""
+    """State of one worker, as known to the leader.
+
+    ``running_count`` counts the attempts that the worker has started, while
+    ``reserved`` includes those that are only assigned to it.
+    """
 
     facts: _task.WorkerFacts
     state: _states.WorkerState
@@ -89,7 +93,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TeamView:
-    """Usage of the fleet by one team."""
+    """Usage of the fleet by one team.
+
+    Tasks that are assigned and that no worker has started yet count as
+    queued; their resources are ``reserved`` already.
+    """
 
     team_id: _ids.TeamId
     running_count: int
