Discard tickets that were asked for before their worker restarted

Callers saw late starts: a reply of the adviser to a call made before a worker started again gave the step a ticket that the new incarnation refuses.

Cause: a ticket is valid for one life of a worker, and only those already stored were dropped at a restart.

Change: a step remembers which workers restarted while it had calls under way, and ignores their grants in these replies.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -67,6 +67,9 @@
     calls_count: int = 0
     overdue_from_ms: float = 0.0
     not_before_ms: int = 0
+    # Workers that have started again during a call, whose reply holds tickets
+    # of their former incarnations.
+    restarted: set[messages.WorkerId] = dataclasses.field(default_factory=set)
     # Whether a round has been planned with the tickets of the last reply.
     planned: bool = False
 
@@ -228,6 +231,9 @@
         if step is None:
             return
         step.calls_count -= 1
+        restarted = step.restarted
+        if not step.calls_count:
+            step.restarted = set()
         if reply.problem:
             if not may_retry_now:
                 step.not_before_ms = now_ms + RETRY_DELAY_MS
@@ -236,6 +242,8 @@
         expires_ms = now_ms + reply.valid_ms
         granted = {grant.worker_id: grant.ticket for grant in reply.grants}
         for worker_id in included:
+            if worker_id in restarted:
+                continue
             if worker_id in granted:
                 step.tickets[worker_id] = _Ticket(
                     granted[worker_id], expires_ms
@@ -256,6 +264,8 @@
         for step in self._steps.values():
             step.tickets.pop(worker_id, None)
             step.refused.discard(worker_id)
+            if step.calls_count:
+                step.restarted.add(worker_id)
 
     def retain(self, names: collections.abc.Set[StepName]) -> None:
         """Drop all other steps, except those with a call in progress."""
