Tie messages about a worker to one incarnation of it

Cause: announcements, orders, removals, failures and progress named the id of a worker only.

Ruled out: leases, tokens and numbers of ends, which follow the incarnation that the lists show.

Change: a shutdown may carry born; without it, it loses its effect when the worker answers a read begun a second later. An order keeps the facts that it was planned with and is not sent if incarnation, pool or labels differ. The commands that remove a worker name the incarnation. An incarnation whose clock was stepped back replaces the known one when it is the one that answers reads. Failures, refusals and progress count for the incarnation that they are about.

--- a/dandeliondrum/jobs/_calls.py
+++ b/dandeliondrum/jobs/_calls.py
@@ -76,9 +76,14 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerLeft:
-    """A worker announces that it shuts down."""
+    """A worker announces that it shuts down.
+
+    ``started_ms`` tells which incarnation does, 0 if the worker has not given
+    it.
+    """
 
     worker_id: messages.WorkerId
+    started_ms: int = 0
 
 
 @messages.message
--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -129,19 +129,26 @@
 class PutWorker:
     """Add or update the record of a worker.
 
-    ``sequence`` is that of the report with these facts.
+    ``sequence`` is that of the report with these facts. They are used instead
+    of those of the incarnation ``replaces_started_ms`` whatever the clock of
+    the worker says.
     """
 
     facts: WorkerFacts
     sequence: int = 0
+    replaces_started_ms: int | None = None
 
 
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemoveWorker:
-    """Remove a worker without runs from the state."""
+    """Remove a worker without runs from the state.
+
+    If ``started_ms`` is given, only this incarnation is removed.
+    """
 
     worker_id: messages.WorkerId
+    started_ms: int | None = None
 
 
 @messages.message
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -220,10 +220,17 @@
         return known is None or known.facts != report.facts
 
     def report_worker_shutdown(
-        self, worker_id: messages.WorkerId, timeout_ms: int
+        self,
+        worker_id: messages.WorkerId,
+        timeout_ms: int,
+        started_ms: int = 0,
     ) -> result.Result[_calls.WorkerNoted, _leader_calls.Unavailable]:
-        """Tell the leader that a worker shuts down."""
-        return self._call(_calls.WorkerLeft(worker_id), timeout_ms)
+        """Tell the leader that a worker shuts down.
+
+        ``started_ms`` is the start time of its incarnation, 0 if not known.
+        """
+        left = _calls.WorkerLeft(worker_id, started_ms)
+        return self._call(left, timeout_ms)
 
     def change_document(
         self, version: int, document: bytes, timeout_ms: int
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -98,14 +98,15 @@
             order = self._orders.get(task, run)
             if order is None:
                 return
+            has_changed = has_shrunk or not state.may_carry_out(order)
             if order.sends_count == 0 and (
-                draining or obsolete or stop_ordered or has_shrunk
+                draining or obsolete or stop_ordered or has_changed
             ):
                 request = None
             elif stop_ordered:
                 # The stop also settles the starts that were sent before it.
                 return
-            elif has_shrunk:
+            elif has_changed:
                 self._settle_by_stop(task, order)
                 return
             else:
@@ -172,7 +173,8 @@
             was_late=was_late,
             sends_count=order.sends_count,
         )
-        self._state.events.refused(worker_id, task, reason, was_late)
+        if request.worker.started_ms == self._state.facts.started_ms:
+            self._state.events.refused(worker_id, task, reason, was_late)
         if order.sends_count == 1:
             # No other start order of this run is in flight, so it can never
             # start.
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -12,6 +12,7 @@
 import threading
 
 from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _specs
 
 # A stop that had no effect yet is ordered again after this at the earliest. A
@@ -44,6 +45,7 @@
     ``settled_read`` is the number of the first read of the lists that began
     after the order was settled. ``checkpoint_seen`` is the newest checkpoint
     that the worker has listed. ``phase`` has not changed since ``since_ms``.
+    ``worker`` is what the run was planned with; None if it is not known.
     """
 
     run: int
@@ -56,6 +58,7 @@
     unsent_count: int = 0
     settled_read: int = 0
     checkpoint_seen: str = ''
+    worker: _commands.WorkerFacts | None = None
 
     def enter(self, phase: OrderPhase) -> None:
         """Change the phase."""
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -81,8 +81,10 @@
     ) -> None:
         """Report the crash of a worker, with the ends of its runs."""
 
-    def worker_replaced(self, worker_id: messages.WorkerId) -> None:
-        """Remove a worker that another incarnation has replaced."""
+    def worker_replaced(
+        self, worker_id: messages.WorkerId, started_ms: int
+    ) -> None:
+        """Remove an incarnation that another worker has replaced."""
 
     def request_round(self) -> None:
         """Request a new scheduling round."""
@@ -92,10 +94,12 @@
     """The leader's view of one worker; ``lock`` protects the fields.
 
     ``is_responding`` tells whether the last read of the lists was answered,
-    and ``reads_count`` numbers the reads. ``is_departing`` is set if the
-    current incarnation drains or has announced its shutdown. ``crashed``
-    holds the ends, not recorded yet, of the runs of an incarnation that
-    crashed. Once ``ended`` is set, the threads that serve the worker exit.
+    and ``reads_count`` numbers the reads. ``listed_started_ms`` is the start
+    time of the incarnation that answered last, 0 if none has.
+    ``is_departing`` is set if the current incarnation drains or has announced
+    its shutdown. ``crashed`` holds the ends, not recorded yet, of the runs of
+    an incarnation that crashed. Once ``ended`` is set, the threads that serve
+    the worker exit.
     """
 
     def __init__(
@@ -115,6 +119,7 @@
         self.orders = _orders.OrderBook(self.lock)
         self.token = term * TOKENS_PER_TERM + tokens_used_count
         self.reads_count = 0
+        self.listed_started_ms = 0
         self.is_responding = False
         self.last_reply_ms: int | None = None
         self.is_departing = facts.phase is _commands.WorkerPhase.DRAINING
@@ -136,6 +141,26 @@
                 return self.lease.grant()
             return self.lease.granted_ms()
 
+    def is_incarnation(self, started_ms: int) -> bool:
+        """Return whether no other incarnation has answered.
+
+        0 stands for a start time that was not given.
+        """
+        return len({started_ms, self.listed_started_ms} - {0}) <= 1
+
+    def may_carry_out(self, order: _orders.Order) -> bool:
+        """Return whether the worker is still what an order was planned for.
+
+        A worker that has started again may be of another kind.
+        """
+        planned, facts = order.worker, self.facts
+        return planned is None or (
+            planned.started_ms == facts.started_ms
+            and planned.pool == facts.pool
+            and planned.labels == facts.labels
+            and self.is_incarnation(planned.started_ms)
+        )
+
     def handle_replacement(self, called: _commands.WorkerFacts) -> None:
         """Record that another incarnation answers, so no run is left.
 
@@ -160,9 +185,9 @@
                 return
             self.close()
         self._report_crash(ends)
-        self.events.worker_replaced(facts.worker_id)
+        self.events.worker_replaced(facts.worker_id, facts.started_ms)
 
-    def handle_restart(self) -> None:
+    def handle_restart(self, started_ms: int) -> None:
         """Remember how the runs of the former incarnation ended.
 
         Called before the reply of the new incarnation is used. The runs that
@@ -179,7 +204,10 @@
                     if end.outcome is _commands.RunOutcome.CRASHED
                 }
             )
-            self.is_departing = False
+            self.is_departing = (
+                self.facts.started_ms == started_ms
+                and self.facts.phase is _commands.WorkerPhase.DRAINING
+            )
         self._report_crash(ends)
 
     def record_lapse(self) -> bool:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -410,7 +410,11 @@
         job = self._term.state.jobs[run.task.job_id]
         task = job.steps[run.task.step].tasks[run.task.index]
         order = _orders.Order(
-            run.run, job.spec.payload, task.checkpoint, placement.ticket
+            run.run,
+            job.spec.payload,
+            task.checkpoint,
+            placement.ticket,
+            worker=self._term.state.workers[run.worker_id].facts,
         )
         self._term.peers[run.worker_id].orders.plan(run.task, order)
 
--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -169,7 +169,10 @@
         if worker is None:
             worker = _records.WorkerRecord(facts)
             self.workers[facts.worker_id] = worker
-        elif worker.is_newer(facts, sequence):
+        elif (
+            worker.is_newer(facts, sequence)
+            and worker.facts.started_ms != command.replaces_started_ms
+        ):
             return False
         worker.facts = facts
         worker.sequence = sequence
@@ -179,6 +182,8 @@
         worker = self.workers.get(command.worker_id)
         if worker is None or worker.runs:
             return False
+        if command.started_ms not in (None, worker.facts.started_ms):
+            return False
         del self.workers[command.worker_id]
         return True
 
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -33,6 +33,9 @@
 IDLE_READ_INTERVAL_MS = 1_000
 IDLE_READ_SPREAD = 0.25
 RETRY_DELAY_MS = 100
+# A worker that announces its shutdown has ended after this: it waits no longer
+# for the reply.
+LEAVE_TIMEOUT_MS = 1_000
 # A worker that has not answered for this long is given no new tasks.
 SILENCE_MAX_MS = 2_200
 
@@ -93,14 +96,16 @@
         self.orders = self._state.orders
         self.sender = _order_sender.OrderSender(self._state)
         self._lock = self._state.lock
-        self._worker_started_ms = 0
         self._unassigned_count = 0
         # Highest number of a recorded end of the worker's current incarnation,
         # and the number to acknowledge with the next read, 0 for none.
         self._recorded_number = 0
         self._acknowledged = 0
         self._recording: _Recording | None = None
-        self._leaving = False
+        # When the worker announced its shutdown, and whether the message told
+        # that it is the current incarnation that shuts down.
+        self._left_ms: int | None = None
+        self._left_for_certain = False
         self._first_read = True
         # Whether nothing runs on the worker, is assigned to it, or ended there
         # without an acknowledgement.
@@ -131,23 +136,24 @@
     def usable(self) -> bool:
         """Return whether new tasks may be placed on the worker now."""
         with self._lock:
-            if self._state.ended or self._leaving or self._unassigned_count:
+            if self._state.ended or self._unassigned_count:
+                return False
+            if self._left_ms is not None:
                 return False
             if self._state.last_reply_ms is None or self._first_read:
                 return False
-            if not self._state.is_responding or self._facts_are_former():
+            if not self._state.is_responding or self.facts_are_former():
                 return False
             silent_ms = _clock.elapsed_ms() - self._state.last_reply_ms
             return silent_ms <= SILENCE_MAX_MS
 
-    def _facts_are_former(self) -> bool:
+    def facts_are_former(self) -> bool:
         """Return whether the lists and the facts are of two incarnations.
 
         The capacity of an incarnation that has not reported is not known. 0
         stands for a start time that was not given.
         """
-        known_ms = {self._state.facts.started_ms, self._worker_started_ms}
-        return len(known_ms - {0}) > 1
+        return not self._state.is_incarnation(self._state.facts.started_ms)
 
     def list_age_ms(self) -> int:
         """Return the age of the newest lists, -1 if there are none."""
@@ -155,11 +161,50 @@
             return -1
         return _clock.elapsed_ms() - self._state.last_reply_ms
 
-    def leave(self) -> None:
-        """Give no new tasks to a worker that announced its shutdown."""
+    def leave(self, started_ms: int = 0) -> bool:
+        """Give no new tasks to a worker that announced its shutdown.
+
+        The announcement may arrive late, when the worker has started again.
+        Return False if ``started_ms`` is that of another incarnation. If it
+        is not given (0), the announcement has no effect any more once the
+        worker answers a read that began ``LEAVE_TIMEOUT_MS`` after it.
+        """
         with self._lock:
-            self._leaving = True
+            if started_ms and not (
+                started_ms == self._state.facts.started_ms
+                and self._state.is_incarnation(started_ms)
+            ):
+                return False
+            self._left_ms = _clock.elapsed_ms()
+            self._left_for_certain = started_ms != 0
             self._state.is_departing = True
+        return True
+
+    def answers_as(self, started_ms: int) -> bool:
+        """Return whether the last read was answered by this incarnation."""
+        with self._lock:
+            return (
+                self._state.is_responding
+                and self._state.listed_started_ms == started_ms
+            )
+
+    def _check_departure(self, read_begun_ms: int) -> None:
+        """Discard an announcement of a shutdown that did not follow.
+
+        The caller holds the lock.
+        """
+        if (
+            self._left_ms is None
+            or self._left_for_certain
+            or read_begun_ms - self._left_ms < LEAVE_TIMEOUT_MS
+        ):
+            return
+        _logger.info('worker has not left', worker=self.facts.worker_id)
+        self._left_ms = None
+        self._state.is_departing = (
+            self._state.facts.phase is _commands.WorkerPhase.DRAINING
+        )
+        self._events.request_round()
 
     def close(self) -> None:
         """Stop all threads of this peer."""
@@ -197,12 +242,15 @@
             number = self._state.reads_count
             request = self._lease_request()
             self._acknowledged = 0
+            begun_ms = _clock.elapsed_ms()
         self._is_idle = False
         outcome = self._state.port.renew(request)
         if self._state.ended:
             return True
         match outcome:
             case _port.WorkerListing():
+                with self._lock:
+                    self._check_departure(begun_ms)
                 return self._handle_lists(number, request, outcome)
             case _port.WorkerReplaced():
                 self._state.handle_replacement(request.worker)
@@ -248,11 +296,11 @@
         request: _port.LeaseRequest,
         lists: _port.WorkerListing,
     ) -> bool:
-        restarted = lists.started_ms != self._worker_started_ms
+        restarted = lists.started_ms != self._state.listed_started_ms
         if not restarted:
             self._state.forget_lapse()
-        elif self._worker_started_ms:
-            self._state.handle_restart()
+        elif self._state.listed_started_ms:
+            self._state.handle_restart(lists.started_ms)
         with self._lock:
             self._state.last_reply_ms = _clock.elapsed_ms()
             if not self._state.is_responding:
@@ -300,7 +348,7 @@
             self._is_idle = False
             return is_recorded is None
         self._state.forget(recording.ends)
-        if recording.started_ms == self._worker_started_ms:
+        if recording.started_ms == self._state.listed_started_ms:
             self._recorded_number = max(
                 self._recorded_number, recording.number
             )
@@ -312,14 +360,14 @@
         The next read carries a higher token. An order that was still in
         flight is then either in those lists or never carried out.
         """
-        if self._worker_started_ms:
+        if self._state.listed_started_ms:
             _logger.warning(
                 'worker started again',
                 worker=self.facts.worker_id,
                 started_ms=lists.started_ms,
             )
-        self._worker_started_ms = lists.started_ms
-        self._leaving = False
+        self._state.listed_started_ms = lists.started_ms
+        self._left_ms = None
         self._first_read = True
         self._state.token += 1
         self._recorded_number = 0
@@ -371,7 +419,7 @@
                 self._events.begin_record(tuple(ends)),
                 tuple(ends),
                 max((item.sequence for item in lists.ends), default=0),
-                self._worker_started_ms,
+                self._state.listed_started_ms,
             )
         still_assigned = assigned.keys() - {end.task for end in ends}
         # Ends that were listed are acknowledged by the next read, at once.
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -40,6 +40,8 @@
 _logger = structlog.get_logger()
 
 _Run = tuple[_specs.TaskKey, int]
+# A worker's id and the start time of its incarnation.
+_Incarnation = tuple[messages.WorkerId, int]
 
 
 class Workers:
@@ -143,8 +145,13 @@
             phase=facts.phase.value,
             started_ms=facts.started_ms,
         )
+        command = _commands.PutWorker(
+            facts,
+            report.sequence,
+            self._replaced_ms(known, facts),
+        )
         return utils.map_future(
-            term.propose(_commands.PutWorker(facts, report.sequence)),
+            term.propose(command),
             lambda outcome: self._on_recorded(
                 outcome, report, acknowledgement
             ),
@@ -157,8 +164,12 @@
         with self._term.lock:
             peer = self._term.peers.get(message.worker_id)
         if peer is not None:
-            peer.leave()
-            _logger.info('worker leaves', worker=message.worker_id)
+            is_current = peer.leave(message.started_ms)
+            _logger.info(
+                'worker leaves' if is_current else 'shutdown ignored',
+                worker=message.worker_id,
+                started_ms=message.started_ms,
+            )
         return utils.completed_future(
             _calls.WorkerNoted(self._term.options.controller_id)
         )
@@ -169,16 +180,16 @@
         now_ms = _clock.elapsed_ms()
         with term.lock, term.state.lock, self._lock:
             idle = [
-                worker_id
+                (worker_id, worker.facts.started_ms)
                 for worker_id, worker in term.state.workers.items()
                 if not worker.runs
                 and now_ms - self._reported_ms.get(worker_id, 0)
                 > REMOVE_AFTER_MS
             ]
-        for worker_id in idle:
-            term.propose(_commands.RemoveWorker(worker_id)).add_done_callback(
-                functools.partial(self._on_removed, worker_id)
-            )
+        for worker_id, started_ms in idle:
+            term.propose(
+                _commands.RemoveWorker(worker_id, started_ms)
+            ).add_done_callback(functools.partial(self._on_removed, worker_id))
 
     def _known(
         self, report: _calls.WorkerReport
@@ -216,6 +227,22 @@
         else:
             self._leaves_ms.pop(facts.worker_id, None)
 
+    def _replaced_ms(
+        self,
+        known: _records.WorkerRecord | None,
+        facts: _commands.WorkerFacts,
+    ) -> int | None:
+        """Return the start time of the incarnation that a worker replaced.
+
+        It is None unless it is later than that of the worker.
+        """
+        peer = self._term.peers.get(facts.worker_id)
+        if known is None or peer is None:
+            return None
+        if not _has_replaced(peer, known.facts, facts):
+            return None
+        return known.facts.started_ms
+
     def _is_stale(
         self,
         report: _calls.WorkerReport,
@@ -227,6 +254,8 @@
             >= facts.started_ms
         ):
             return True
+        if self._replaced_ms(known, facts) is not None:
+            return False
         # This leader may not have seen the newer reports.
         if known is not None and (
             known.is_newer(facts, report.sequence)
@@ -258,8 +287,10 @@
         """Use committed facts unless the peer has those of a newer report."""
         facts = report.facts
         sequence = (facts.started_ms, report.sequence)
+        peer = self._term.peers.get(facts.worker_id)
         if (
-            facts.worker_id in self._term.peers
+            peer is not None
+            and not _has_replaced(peer, peer.facts, facts)
             and self._facts_sequences.get(facts.worker_id, (0, 0)) > sequence
         ):
             _logger.info(
@@ -299,6 +330,8 @@
             term.advice.forget_worker(facts.worker_id)
             term.health.forget(facts.worker_id)
             term.progress.forget(facts.worker_id)
+            for failed_on in term.failed_on.values():
+                failed_on.discard(facts.worker_id)
         peer.facts = facts
 
     def _on_removed(
@@ -306,10 +339,15 @@
     ) -> None:
         if done.result() != result.Success(True):
             return
-        with self._term.lock, self._lock:
+        term = self._term
+        with term.lock, term.state.lock, self._lock:
+            if worker_id in term.state.workers:
+                # It has reported again since.
+                return
             self._remove_peer(worker_id)
             self._reported_ms.pop(worker_id, None)
             self._leaves_ms.pop(worker_id, None)
+            self._sequences.pop(worker_id, None)
         _logger.info('worker removed', worker=worker_id)
 
     def _remove_peer(self, worker_id: messages.WorkerId) -> None:
@@ -433,6 +471,10 @@
         term = self._term
         now_ms = _clock.elapsed_ms()
         with term.lock:
+            peer = term.peers.get(worker_id)
+            if peer is None or peer.facts_are_former():
+                # What is known of the worker is about another incarnation.
+                return []
             with term.state.lock:
                 runs = _expected_progress(term.state, lists.runs)
             stalled = term.progress.record_list(
@@ -521,15 +563,17 @@
             others_count=len(ends) - len(suspicions),
         )
 
-    def worker_replaced(self, worker_id: messages.WorkerId) -> None:
-        """Remove a worker that another incarnation has replaced."""
+    def worker_replaced(
+        self, worker_id: messages.WorkerId, started_ms: int
+    ) -> None:
+        """Remove an incarnation that another worker has replaced."""
         term = self._term
-        with term.lock, term.state.lock, self._lock:
-            worker = term.state.workers.get(worker_id)
-            if worker is not None:
-                self._replaced_started_ms[worker_id] = worker.facts.started_ms
+        with term.lock, self._lock:
+            self._replaced_started_ms[worker_id] = started_ms
             self._remove_peer(worker_id)
-        term.propose(_commands.RemoveWorker(worker_id)).add_done_callback(
+        term.propose(
+            _commands.RemoveWorker(worker_id, started_ms)
+        ).add_done_callback(
             functools.partial(self._on_replaced_removed, worker_id)
         )
         term.round_requested.set()
@@ -538,10 +582,13 @@
         self, worker_id: messages.WorkerId, done: _term.Proposed
     ) -> None:
         if done.result() == result.Success(False):
-            # A run was assigned after the ends were recorded. Another peer
-            # records its end and removes the worker.
+            # A run was assigned after the ends were recorded, and another
+            # peer records its end and removes the worker. Or the worker has
+            # reported another incarnation.
             for restored_id in self.restore():
-                _logger.warning('replaced worker has runs', worker=restored_id)
+                _logger.warning(
+                    'replaced worker is still recorded', worker=restored_id
+                )
 
     def stop_obsolete(
         self, job_ids: collections.abc.Iterable[_specs.JobId]
@@ -594,7 +641,7 @@
     def _handle_ends(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_Run, messages.WorkerId],
+        workers: dict[_Run, _Incarnation],
         given_up: tuple[_specs.TaskKey, ...],
     ) -> None:
         for end in ends:
@@ -608,7 +655,7 @@
                 task=str(end.task),
                 run=end.run,
                 outcome=end.outcome.value,
-                worker=workers.get((end.task, end.run)),
+                worker=workers.get((end.task, end.run), (None, 0))[0],
             )
         for task in given_up:
             self._term.metrics.given_up.inc()
@@ -622,9 +669,9 @@
 
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
-    ) -> dict[_Run, messages.WorkerId]:
+    ) -> dict[_Run, _Incarnation]:
         state = self._term.state
-        workers: dict[_Run, messages.WorkerId] = {}
+        workers: dict[_Run, _Incarnation] = {}
         with state.lock:
             for end in ends:
                 job = state.jobs.get(end.task.job_id)
@@ -633,21 +680,29 @@
                 if (
                     task is not None
                     and task.run == end.run
-                    and task.worker_id is not None
+                    and task.worker_id in state.workers
                 ):
-                    workers[end.task, end.run] = task.worker_id
+                    facts = state.workers[task.worker_id].facts
+                    workers[end.task, end.run] = (
+                        facts.worker_id,
+                        facts.started_ms,
+                    )
         return workers
 
     def _record_health(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_Run, messages.WorkerId],
+        workers: dict[_Run, _Incarnation],
     ) -> None:
         term = self._term
         now_ms = _clock.elapsed_ms()
         for end in ends:
-            worker_id = workers.get((end.task, end.run))
-            if worker_id is None:
+            if (end.task, end.run) not in workers:
+                continue
+            worker_id, started_ms = workers[end.task, end.run]
+            peer = term.peers.get(worker_id)
+            if peer is not None and peer.facts.started_ms != started_ms:
+                # The next incarnation is not to blame.
                 continue
             term.health.record_end(worker_id, end.outcome, now_ms)
             if end.outcome is _commands.RunOutcome.FAILED:
@@ -690,6 +745,21 @@
     return found
 
 
+def _has_replaced(
+    peer: _worker_peer.WorkerPeer,
+    known: _commands.WorkerFacts,
+    facts: _commands.WorkerFacts,
+) -> bool:
+    """Return whether a worker replaced one with a later start time.
+
+    That happens if its clock was stepped back before it started again. It
+    then counts which of them answers.
+    """
+    return facts.started_ms < known.started_ms and peer.answers_as(
+        facts.started_ms
+    )
+
+
 def _limits_starts(
     known: _commands.WorkerFacts, facts: _commands.WorkerFacts
 ) -> bool:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -118,7 +118,7 @@
     def refused(self, worker_id, task, reason, was_late):
         self.refusals.append(reason)
 
-    def worker_replaced(self, worker_id):
+    def worker_replaced(self, worker_id, started_ms):
         self.gone_ids.append(worker_id)
 
     def request_round(self):
--- a/dandeliondrum/platform/_bodies.py
+++ b/dandeliondrum/platform/_bodies.py
@@ -114,6 +114,16 @@
     )
 
 
+def decode_shutdown(body: bytes) -> int:
+    """Return the start time of the worker that shuts down, 0 if not given.
+
+    The platform specifies no body; raises FieldError for an invalid one.
+    """
+    if not body:
+        return 0
+    return _fields.integer(_fields.parse_object(body), 'born', 0)
+
+
 def _decode_capacity(fields: _fields.Body) -> messages.Resources:
     capacity = _documents.decode_resources(
         _fields.object_field(fields, 'Capacity')
--- a/dandeliondrum/platform/_control_api.py
+++ b/dandeliondrum/platform/_control_api.py
@@ -70,9 +70,19 @@
         )
 
     def _leave(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
+        body = call.body(REPORT_BYTES_MAX)
+        if isinstance(body, result.Failure):
+            return gateway.problem_response(body.failure())
+        try:
+            started_ms = _bodies.decode_shutdown(body.unwrap())
+        except _fields.FieldError as error:
+            _logger.warning(
+                'invalid worker shutdown', worker=worker_id, why=str(error)
+            )
+            return _problem(400, str(error))
         return self._wait_for_leader(
             lambda: self._controller.report_worker_shutdown(
-                messages.WorkerId(worker_id), REPORT_TIMEOUT_MS
+                messages.WorkerId(worker_id), REPORT_TIMEOUT_MS, started_ms
             ),
             True,
         )
--- a/dandeliondrum/platform/tests/test_control.py
+++ b/dandeliondrum/platform/tests/test_control.py
@@ -27,6 +27,7 @@
         self.waiting_count = 0
         # Workers whose calls waited for the leader.
         self.asked = []
+        self.shutdowns = []
         # Workers whose reports are acknowledged without the leader, and those
         # whose reports are known but have to wait for it.
         self.acknowledged = set()
@@ -41,7 +42,8 @@
     def has_news(self, report):
         return report.facts.worker_id not in self.unchanged
 
-    def report_worker_shutdown(self, worker_id, timeout_ms):
+    def report_worker_shutdown(self, worker_id, timeout_ms, started_ms=0):
+        self.shutdowns.append((worker_id, started_ms))
         return self._wait(worker_id, timeout_ms)
 
     def report_worker(self, report, timeout_ms):
@@ -167,3 +169,13 @@
         testing.wait_until(
             lambda: {'draining', 'leaving'} <= set(controller.asked)
         )
+
+
+def test_a_shutdown_may_tell_its_incarnation(controller, address):
+    url = f'http://{address}/instances/w'
+    for body in (b'', b'{}', b'{"born": 1700000000000}'):
+        testing.call(url, 'DELETE', body)
+    assert controller.shutdowns == [('w', 0), ('w', 0), ('w', 1700000000000)]
+    for body in (b'[', b'{"born": "1"}', b'{"born": 1e999}'):
+        assert testing.call(url, 'DELETE', body).status == 400
+    assert len(controller.shutdowns) == 3
