Ignore late announcements of a former incarnation in the own interface

Operators would see: a gateway that was frozen delivers the announcement of a worker's former incarnation. It replaced the current one, and the attempts that ran there were ended as stopped, those that must not run twice as in doubt. A failure reported late counted against the health of the next incarnation.

Change: a worker's record keeps the incarnations that were replaced, at most 16; an announcement of one of them fails and changes nothing. A late report of a failure does not count for the health of another incarnation.

--- a/dandeliondrum/controller/_endings.py
+++ b/dandeliondrum/controller/_endings.py
@@ -249,7 +249,11 @@
             _finish(task, messages.TaskState.REFUSED, time_ms)
             task.reason = messages.RefusalReason.WORKERS_FAILED
             task.detail = 'its worker vouches that it was never started'
-    return _records.EndedAttempt(task, last.worker_id, report)
+    worker = state.workers.get(last.worker_id)
+    is_former = (
+        worker is not None and worker.facts.incarnation != last.incarnation
+    )
+    return _records.EndedAttempt(task, last.worker_id, report, is_former)
 
 
 def _is_restarted(task: _records.TaskRecord) -> bool:
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -84,6 +84,14 @@
                     outcome.failure().failure.value, False
                 )
             with context.state.lock:
+                worker = context.state.workers.get(call.facts.worker_id)
+                if (
+                    worker is None
+                    or worker.facts.incarnation != call.facts.incarnation
+                ):
+                    return messages.CallFailed(
+                        'another incarnation has replaced it', True
+                    )
                 self._last_heartbeat_ms[call.facts.worker_id] = (
                     utils.monotonic_ms()
                 )
--- a/dandeliondrum/controller/_observations.py
+++ b/dandeliondrum/controller/_observations.py
@@ -36,7 +36,10 @@
         if report.state not in _COMPLETED_STATES:
             return
         succeeded = report.state is messages.AttemptState.FINISHED
-        self._health.record(ended.worker_id, spec.task_id, succeeded, now_ms)
+        if not ended.is_former:
+            self._health.record(
+                ended.worker_id, spec.task_id, succeeded, now_ms
+            )
         if succeeded:
             self._sizes.record(
                 spec.team_id,
--- a/dandeliondrum/controller/_records.py
+++ b/dandeliondrum/controller/_records.py
@@ -9,6 +9,7 @@
 from dandeliondrum import messages
 
 EVENTS_PER_TASK = 16
+FORMER_INCARNATIONS_MAX = 16
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,7 +86,8 @@
     """A worker of the fleet and its reserved resources.
 
     ``fences`` maps attempts that were declared lost to their tasks until the
-    worker confirms that they do not run.
+    worker confirms that they do not run. ``former_incarnations`` are those
+    that the current one has replaced, the latest last.
     """
 
     facts: messages.WorkerFacts
@@ -97,6 +99,7 @@
     fences: dict[messages.AttemptId, messages.TaskId] = dataclasses.field(
         default_factory=dict
     )
+    former_incarnations: tuple[messages.Incarnation, ...] = ()
 
     def fits(self, resources: messages.Resources) -> bool:
         """Return whether a task with these resources fits in what is free."""
@@ -140,11 +143,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedAttempt:
-    """The end of an attempt that changed the state of its task."""
+    """The end of an attempt that changed the state of its task.
+
+    ``is_former`` tells that the worker has started again since.
+    """
 
     task: TaskRecord
     worker_id: messages.WorkerId
     report: messages.AttemptReport
+    is_former: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -288,7 +288,15 @@
             previous.facts = facts
             return ()
         ended: tuple[_records.EndedAttempt, ...] = ()
+        former: tuple[messages.Incarnation, ...] = ()
         if previous is not None:
+            if facts.incarnation in previous.former_incarnations:
+                # The announcement is late.
+                return ()
+            former = (
+                *previous.former_incarnations,
+                previous.facts.incarnation,
+            )[-_records.FORMER_INCARNATIONS_MAX :]
             ended = _endings.end_worker_attempts(
                 self, previous, command.last_heard_ms
             )
@@ -303,6 +311,7 @@
             messages.WorkerState.QUARANTINED
             if was_quarantined
             else messages.WorkerState.ACTIVE,
+            former_incarnations=former,
         )
         return ended
 
--- a/dandeliondrum/controller/tests/test_heartbeats.py
+++ b/dandeliondrum/controller/tests/test_heartbeats.py
@@ -316,3 +316,38 @@
 def test_a_listed_attempt_of_another_worker_does_not_count_as_started(leader):
     leader.heartbeat(running=['harbour/unknown#1'])
     assert not leader.context.started_attempts
+
+
+def test_a_late_announcement_does_not_replace_the_next_incarnation(leader):
+    """Regression test: it ended the attempts of the current incarnation."""
+    leader.base.announce(WORKER, 'b', 16_000)
+    task = builders.spec('t', idempotent=True)
+    assignment = builders.assignment(task, incarnation='b')
+    command = messages.AssignTasks(0, (assignment,))
+    leader.log.propose(messages.encode(command))
+    late = messages.AnnounceWorker(builders.facts(WORKER, 'a', cpu=1_000))
+    reply = leader.heartbeats.announce(late).result()
+    assert isinstance(reply, messages.CallFailed)
+    worker = leader.state.workers[WORKER]
+    assert worker.facts.incarnation == 'b'
+    assert list(worker.attempts) == ['harbour/t#1']
+    assert leader.base.sizes() == {16_000}
+    assert not leader.heartbeat(incarnation='b').announce_again
+    restored = type(leader.state)()
+    restored.restore(leader.state.snapshot())
+    assert restored.workers[WORKER].former_incarnations == ('a',)
+
+
+def test_a_late_failure_does_not_count_against_the_next_incarnation(leader):
+    attempt_id = leader.assign('t')
+    leader.base.announce(WORKER, 'b', 16_000)
+    task = leader.state.tasks['harbour/t']
+    assert task.state is messages.TaskState.IN_DOUBT
+    records = []
+    leader.context.observations._health.record = lambda *args: records.append(
+        args
+    )
+    report = messages.AttemptReport(attempt_id, AttemptState.FAILED)
+    leader.leadership._attempt_reports.report((report,))
+    assert task.state is messages.TaskState.FAILED
+    assert records == []
