Reserve workers only for demands that can run on them

Cause: the reservation checked that a worker can run one task, never that the workers can run the gang. By the same cause: workers on which AntiAffinity allows no further task were reserved; workers were reserved, and runs stopped, for more tasks than Cap allows; room of endless tasks counted as becoming free; the adviser was asked about steps that can't run.

Ruled out: suspended or silent workers; the three idle ones were usable.

Change: a gang reserves only if all of it fits on the usable workers that may run it, by label, service, grants and AntiAffinity, once all but endless tasks have ended. What can't run even without other work is left out of the plan and of calls to the adviser; GET of its job has a Detail that says why.

The reference planner has the same rule in its own form, and its random cases have endless tasks.

--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -38,6 +38,7 @@
         team_available: collections.abc.Mapping[
             messages.TeamId, messages.Resources
         ],
+        unfit_steps: collections.abc.Container[_planner.StepKey] = (),
     ) -> None:
         """Request advice in scheduling order while a process is free.
 
@@ -45,7 +46,8 @@
         which tasks fit, now or once runs have been stopped. The tickets of
         gangs among these steps are renewed in the meantime. ``reserved_ids``
         are the workers that the last round kept free. While a team is at its
-        limit, only the first call about each of its steps is made.
+        limit, only the first call about each of its steps is made. None is
+        made about ``unfit_steps``, which can't run on the workers.
         """
         advised = [
             (demand, queue.advice)
@@ -61,7 +63,9 @@
         for demand, policy in advised:
             name = _specs.step_name(demand.job_id, demand.step)
             names.add(name)
-            if policy in busy_policies:
+            if policy in busy_policies or (
+                (demand.job_id, demand.step) in unfit_steps
+            ):
                 continue
             if not self._term.advice.is_unknown(
                 name
--- a/dandeliondrum/jobs/_calls.py
+++ b/dandeliondrum/jobs/_calls.py
@@ -37,9 +37,14 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobStatus:
-    """The phase of a job; None if the job is not known."""
+    """The phase of a job; None if the job is not known.
+
+    ``detail`` tells why a job can't run on the workers that are usable now,
+    if that is so.
+    """
 
     phase: _records.JobPhase | None
+    detail: str = ''
 
 
 @messages.message
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -209,6 +209,7 @@
                     free,
                     facts.capacity,
                     started_ms=facts.started_ms,
+                    endless_used=worker.endless_used,
                 )
                 known = _CachedWorker(facts, worker.used, free, available)
             available = known.available
@@ -288,7 +289,17 @@
     state: _state.JobsState,
 ) -> dict[messages.TeamId, messages.Resources]:
     """Return the resources that each limited team may still use."""
-    available = {}
+    return {
+        team_id: limit - state.team_usage(team_id)
+        for team_id, limit in team_limits(state).items()
+    }
+
+
+def team_limits(
+    state: _state.JobsState,
+) -> dict[messages.TeamId, messages.Resources]:
+    """Return the upper limit of each limited team."""
+    limits = {}
     for team in state.policy.teams:
         limit = team.limit
         if not any(
@@ -299,13 +310,12 @@
             )
         ):
             continue
-        total = messages.Resources(
+        limits[team.team_id] = messages.Resources(
             limit.cpu_millicores or UNLIMITED,
             limit.memory_mb or UNLIMITED,
             limit.accelerators_count or UNLIMITED,
         )
-        available[team.team_id] = total - state.team_usage(team.team_id)
-    return available
+    return limits
 
 
 def assignments(
--- a/dandeliondrum/jobs/_gateway.py
+++ b/dandeliondrum/jobs/_gateway.py
@@ -125,7 +125,18 @@
         timeout_ms: int,
     ) -> result.Result[_records.JobPhase | None, Unavailable]:
         """Return the phase of a job, None if the job is not known."""
-        return self._status(_calls.JobQuery(job_id, team_id), timeout_ms)
+        return self.query_status(job_id, team_id, timeout_ms).map(
+            lambda status: status.phase
+        )
+
+    def query_status(
+        self,
+        job_id: _specs.JobId,
+        team_id: messages.TeamId,
+        timeout_ms: int,
+    ) -> result.Result[_calls.JobStatus, Unavailable]:
+        """Return the phase of a job, and why it can't run now if so."""
+        return self._calls.call(_calls.JobQuery(job_id, team_id), timeout_ms)
 
     def cancel(
         self,
@@ -147,9 +158,7 @@
 
     def _status(
         self,
-        message: _calls.JobSubmission
-        | _calls.JobQuery
-        | _calls.JobCancellation,
+        message: _calls.JobSubmission | _calls.JobCancellation,
         timeout_ms: int,
     ) -> result.Result[_records.JobPhase | None, Unavailable]:
         return self._calls.call(message, timeout_ms).map(
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -322,9 +322,11 @@
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
                 return _replies.failure_reply(outcome.failure())
-            return _calls.JobStatus(
-                self._phase(message.job_id, message.team_id)
-            )
+            phase = self._phase(message.job_id, message.team_id)
+            detail = ''
+            if phase is not None and not phase.ended():
+                detail = self._term.unfit_reasons.get(message.job_id, '')
+            return _calls.JobStatus(phase, detail)
 
         phase = self._phase(message.job_id, message.team_id)
         if phase is not None and phase.ended():
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -15,6 +15,8 @@
 from dandeliondrum.jobs import _specs
 from dandeliondrum import messages
 
+StepKey = tuple[_specs.JobId, _specs.StepIndex]
+
 PLACEMENTS_MAX = 256
 # Workers are reserved for a demand that has waited for this long.
 RESERVE_AFTER_MS = 400
@@ -90,7 +92,8 @@
 
     ``penalty`` is higher for slow workers and for workers that failed tasks
     recently; they are chosen last. A ``reserved`` worker is kept for an
-    earlier demand. A worker with ``is_empty`` runs nothing.
+    earlier demand. A worker with ``is_empty`` runs nothing. ``endless_used``
+    is what endless tasks use; nobody knows when it becomes free.
     """
 
     worker_id: messages.WorkerId
@@ -103,6 +106,11 @@
     reserved: bool = False
     is_empty: bool = True
     started_ms: int = 0
+    endless_used: messages.Resources = messages.Resources(0, 0)
+
+    def obtainable(self) -> messages.Resources:
+        """Return the resources that are or will become free."""
+        return self.capacity - self.endless_used
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +141,7 @@
 class WaitReason(enum.Enum):
     """Reason why a due task is not placed."""
 
+    UNFIT = 'the granted workers could not run it if they were empty'
     NO_WORKER = 'no worker of the pool is usable'
     NO_GRANT = 'no usable worker is granted'
     RESERVED = 'all granted workers are kept free for other work'
@@ -208,7 +217,10 @@
             ):
                 isolable_counts[demand.pool] -= 1
             continue
-        left_count = len(demand.indexes) - count
+        left_count = min(
+            len(demand.indexes) - count,
+            _team_allows_count(demand, team_available),
+        )
         if left_count and demand.waited_ms >= RESERVE_AFTER_MS:
             # A late demand must not stop runs that may still be in time.
             if not demand.is_late and placement.preempt(
@@ -280,11 +292,59 @@
         return WaitReason.TEAM_LIMIT
     if demand.isolated and placement.single_task_fits():
         return WaitReason.ISOLATION
+    if not placement.may_fit():
+        return WaitReason.UNFIT
     return (
         WaitReason.GANG if placement.single_task_fits() else WaitReason.NO_ROOM
     )
 
 
+def unfit_reasons(
+    demands: collections.abc.Iterable[Demand],
+    workers: collections.abc.Iterable[AvailableWorker],
+    team_limits: collections.abc.Mapping[messages.TeamId, messages.Resources],
+) -> dict[StepKey, str]:
+    """Return the steps that can't run even if nothing else does, and why.
+
+    That depends on the workers that are usable now, so it may change. Nothing
+    is known of a pool without usable workers. Grants are not considered, as
+    more of them may be asked for.
+    """
+    pools = _make_pools(workers)
+    reasons = {}
+    for demand in demands:
+        reason = _unfit_reason(demand, pools, team_limits)
+        if reason:
+            reasons[demand.job_id, demand.step] = reason
+    return reasons
+
+
+def _unfit_reason(
+    demand: Demand,
+    pools: collections.abc.Mapping[str, '_Pool'],
+    team_limits: collections.abc.Mapping[messages.TeamId, messages.Resources],
+) -> str:
+    least_count = len(demand.indexes) if demand.spec.gang else 1
+    if _team_allows_count(demand, team_limits) < least_count:
+        return (
+            f'step {demand.step}: the limit of the team is below what '
+            f'{least_count} of its tasks need'
+        )
+    pool = pools.get(demand.pool)
+    if pool is None:
+        return ''
+    placement = _DemandPlacement(demand, pool, {})
+    fit_count = placement.count_fits(pool.workers, least_count)
+    if fit_count >= least_count:
+        return ''
+    if not fit_count:
+        return f'step {demand.step}: no usable worker can run a task of it'
+    return (
+        f'step {demand.step}: the usable workers have room for {fit_count} '
+        f'of the {least_count} tasks that start together'
+    )
+
+
 def team_allows(
     demand: Demand,
     team_available: collections.abc.Mapping[
@@ -432,21 +492,71 @@
     def reserve(self, tasks_count: int, reserved_max: int) -> int:
         """Reserve workers until the remaining tasks would fit on them.
 
-        Returns the number of workers reserved.
+        Returns the number of workers reserved, 0 for a gang that the workers
+        can't run at once.
 
         Otherwise small tasks would take every core that becomes free, and a
         large task or a gang would never start. The workers with the most free
         CPU come first, so the next round reserves the same ones.
         """
         reserved_count = 0
+        if not self.may_fit():
+            return 0
         for worker in self._by_free_cpu()[:reserved_max]:
             if tasks_count <= 0:
                 break
             worker.reserved = True
             reserved_count += 1
-            tasks_count -= _specs.tasks_that_fit(self._charge, worker.capacity)
+            tasks_count -= self._obtainable_room(worker)
         return reserved_count
 
+    def may_fit(self) -> bool:
+        """Return whether a task, or the whole gang, fits on the workers.
+
+        What runs there now is left out, except for endless tasks.
+        """
+        least_count = 1
+        if self._demand.spec.gang:
+            least_count = len(self._demand.indexes)
+        granted = self._pool.select(self._demand.granted)
+        return self.count_fits(granted, least_count) >= least_count
+
+    def count_fits(
+        self,
+        workers: collections.abc.Iterable[AvailableWorker],
+        wanted_count: int,
+    ) -> int:
+        """Return how many tasks fit at once; at least ``wanted_count`` if so.
+
+        What runs on the workers now is left out, except for endless tasks.
+        """
+        demand = self._demand
+        # The other tasks of the step end, unless they are endless.
+        per_worker_max = demand.spec.per_worker_max or _specs.ANY_NUMBER
+        count = 0
+        for worker in workers:
+            if count >= wanted_count:
+                break
+            if not self._may_run(worker, include_reserved=True):
+                continue
+            used_count = 0
+            if demand.spec.endless:
+                used_count = self._counts.get(worker.worker_id, 0)
+            fit_count = _specs.tasks_that_fit(
+                self._charge, worker.obtainable()
+            )
+            count += max(0, min(fit_count, per_worker_max - used_count))
+        return count
+
+    def _obtainable_room(self, worker: AvailableWorker) -> int:
+        """Return how many more tasks fit once runs that end have ended."""
+        count = _specs.tasks_that_fit(self._charge, worker.obtainable())
+        per_worker_max = self._demand.spec.per_worker_max
+        if per_worker_max:
+            used_count = self._counts.get(worker.worker_id, 0)
+            count = min(count, per_worker_max - used_count)
+        return count
+
     def preempt(
         self, tasks_count: int, preemption: _preemption.Preemption
     ) -> bool:
@@ -486,7 +596,7 @@
         eligible = [
             worker
             for worker in self._pool.select(self._demand.granted)
-            if self._may_run(worker) and self._charge.fits_in(worker.capacity)
+            if self._may_run(worker) and self._obtainable_room(worker) > 0
         ]
         eligible.sort(key=lambda worker: -worker.free.cpu_millicores)
         return eligible
--- a/dandeliondrum/jobs/_record_store.py
+++ b/dandeliondrum/jobs/_record_store.py
@@ -53,6 +53,8 @@
         if worker is not None:
             worker.runs[key] = run
             worker.used += spec.charged()
+            if spec.endless:
+                worker.endless_used += spec.charged()
         team_id = job.spec.team_id
         self.team_used[team_id] = self.team_usage(team_id) + spec.resources
 
@@ -67,6 +69,8 @@
         worker = self.workers.get(worker_id)
         if worker is not None and worker.runs.pop(key, None) is not None:
             worker.used -= spec.charged()
+            if spec.endless:
+                worker.endless_used -= spec.charged()
         team_id = job.spec.team_id
         self.team_used[team_id] = self.team_usage(team_id) - spec.resources
 
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -105,6 +105,7 @@
     """A worker, the runs assigned to it, and the resources they use.
 
     A run counts until its end is recorded, even while it is being stopped.
+    ``endless_used`` is the part that runs of endless tasks use.
     ``sequence`` is that of the report with the facts.
     """
 
@@ -112,6 +113,7 @@
     used: messages.Resources = messages.Resources(0, 0)
     runs: dict[_specs.TaskKey, int] = dataclasses.field(default_factory=dict)
     sequence: int = 0
+    endless_used: messages.Resources = messages.Resources(0, 0)
 
     def is_newer(self, facts: _commands.WorkerFacts, sequence: int) -> bool:
         """Return whether the facts here are newer than those of a report."""
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -54,6 +54,7 @@
     demands: list[_planner.Demand]
     workers: list[_planner.AvailableWorker]
     team_available: dict[messages.TeamId, messages.Resources]
+    unfit_reasons: dict[_planner.StepKey, str]
     peers: _Peers
     facts: dict[messages.WorkerId, _commands.WorkerFacts]
     isolation: _planner.Isolation
@@ -180,6 +181,7 @@
                     self._usable_workers(usable, now_ms) if demands else []
                 )
                 team_available = _demands.team_available(term.state)
+                team_limits = _demands.team_limits(term.state)
                 facts = {
                     worker.worker_id: term.state.workers[
                         worker.worker_id
@@ -190,15 +192,21 @@
             term.load.record_waiting(len(demands), open_jobs_count)
             if not demands:
                 term.advice.retain(set())
+                term.unfit_reasons = {}
                 return None
             for demand, _ in demands:
                 self._set_urgency(demand, now_ms)
+            unfit_reasons = _planner.unfit_reasons(
+                (demand for demand, _ in demands), workers, team_limits
+            )
+            term.unfit_reasons = _reasons_to_report(demands, unfit_reasons)
             self._advice_requester.request(
                 demands,
                 workers,
                 self._steps_with_capacity,
                 self._reserved_ids,
                 team_available,
+                unfit_reasons,
             )
             for demand, queue in demands:
                 self._set_advice(demand, queue, now_ms)
@@ -212,6 +220,7 @@
             [demand for demand, _ in demands],
             workers,
             team_available,
+            unfit_reasons,
             peers,
             facts,
             isolation,
@@ -262,7 +271,8 @@
             [
                 demand
                 for demand in inputs.demands
-                if demand.granted is None or demand.granted
+                if (demand.granted is None or demand.granted)
+                and (demand.job_id, demand.step) not in inputs.unfit_reasons
             ],
             inputs.workers,
             inputs.team_available,
@@ -477,6 +487,22 @@
         peer.orders.dispatch(run.task)
 
 
+def _reasons_to_report(
+    demands: list[tuple[_planner.Demand, _policy.QueuePolicy]],
+    unfit_reasons: dict[_planner.StepKey, str],
+) -> dict[_specs.JobId, str]:
+    """Return why jobs can't run that have been waiting for a while.
+
+    The workers may not be known yet before.
+    """
+    return {
+        demand.job_id: unfit_reasons[demand.job_id, demand.step]
+        for demand, _ in demands
+        if (demand.job_id, demand.step) in unfit_reasons
+        and demand.waited_ms >= _planner.RESERVE_AFTER_MS
+    }
+
+
 def _wait_until_done(
     proposed: _term.Proposed, stopping: threading.Event
 ) -> bool:
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -96,6 +96,9 @@
         self.accepted_ms: dict[
             _specs.JobId, tuple[messages.QueueName, int]
         ] = {}
+        # Jobs with a step that the usable workers can't run, and why; replaced
+        # as a whole by each round.
+        self.unfit_reasons: dict[_specs.JobId, str] = {}
         self._suspension = _clock.SuspensionDetector()
         self._suspension_lock = threading.Lock()
 
--- a/dandeliondrum/jobs/tests/test_planner_reference.py
+++ b/dandeliondrum/jobs/tests/test_planner_reference.py
@@ -61,6 +61,9 @@
             penalty=rng.choice((0, 0, 0, 1, 3)),
             is_empty=rng.random() < 0.5,
             started_ms=rng.randint(0, 3),
+            endless_used=messages.Resources(
+                rng.choice((0, 0, 0, 2_000, 6_000)), 0
+            ),
         )
 
     def _runs(self, worker_id):
@@ -89,6 +92,7 @@
             near_rack=rng.choice(('', *RACKS)),
             per_worker_max=per_worker_max,
             uses_idle_cpu=rng.random() < 0.15,
+            endless=rng.random() < 0.15,
         )
         names = [worker.worker_id for worker in self.workers]
         tickets = granted = None
--- a/dandeliondrum/platform/_caller_api.py
+++ b/dandeliondrum/platform/_caller_api.py
@@ -126,12 +126,11 @@
         team_id: messages.TeamId,
         job_id: jobs.JobId,
     ) -> werkzeug.Response:
-        match self._gateway.query(job_id, team_id, _wait_ms(call)):
-            case result.Success(None):
-                _logger.info('unknown job', job=job_id)
-                return _problem(410, 'no_job', 'unknown job')
-            case result.Success(phase):
-                return _state_response(phase)
+        match self._gateway.query_status(job_id, team_id, _wait_ms(call)):
+            case result.Success(status):
+                if status.phase is None:
+                    _logger.info('unknown job', job=job_id)
+                return _state_response(status.phase, status.detail)
             case failed:
                 return _unavailable('query', job_id, failed.failure())
 
@@ -159,10 +158,15 @@
                 return _unavailable('count', queue.name, failed.failure())
 
 
-def _state_response(phase: jobs.JobPhase | None) -> werkzeug.Response:
+def _state_response(
+    phase: jobs.JobPhase | None, detail: str = ''
+) -> werkzeug.Response:
     if phase is None:
         return _problem(410, 'no_job', 'unknown job')
-    return gateway.json_response({'State': _STATES[phase]})
+    fields = {'State': _STATES[phase]}
+    if detail:
+        fields['Detail'] = detail
+    return gateway.json_response(fields)
 
 
 def _unavailable(
