Keep no room for gangs that services keep out in the own interface

Callers saw: small tasks waited although workers had room, as a gang or a starved task held the room until services on the workers end, which they don't; and a gang that had waited a minute held workers although services of its team use the team's limit.

Services counted as tasks that end as expected.

Change: what services use does not count as becoming free, neither of a worker nor of a team's limit. The status of a queued task says why it can't start on the present fleet, as explain does for operators.

--- a/dandeliondrum/controller/_queries.py
+++ b/dandeliondrum/controller/_queries.py
@@ -1,6 +1,7 @@
 """Status queries and cancellation of tasks."""
 
 import concurrent.futures
+import dataclasses
 import functools
 import typing
 
@@ -76,11 +77,22 @@
     def _status_of(
         self, task_id: messages.TaskId, team_id: messages.TeamId
     ) -> messages.TaskStatus:
-        task = self._context.state.tasks.get(task_id)
+        context = self._context
+        task = context.state.tasks.get(task_id)
         if task is not None and task.spec.team_id == team_id:
-            return task.status()
-        if task_id in self._context.pending:
-            return messages.TaskStatus(task_id, messages.TaskState.QUEUED)
+            status = task.status()
+            if status.state is messages.TaskState.QUEUED:
+                unfit = context.planner.unfit_reason(task_id)
+                return dataclasses.replace(
+                    status, detail=unfit or status.detail
+                )
+            return status
+        if task_id in context.pending:
+            return messages.TaskStatus(
+                task_id,
+                messages.TaskState.QUEUED,
+                detail=context.planner.unfit_reason(task_id),
+            )
         return messages.TaskStatus(task_id, messages.TaskState.UNKNOWN)
 
     def cancel(
--- a/dandeliondrum/controller/tests/test_queries.py
+++ b/dandeliondrum/controller/tests/test_queries.py
@@ -1,5 +1,7 @@
 """Cancellation of tasks."""
 
+import dataclasses
+
 import pytest
 
 from dandeliondrum.controller import _operators
@@ -49,3 +51,33 @@
     (status,) = _cancel(leader, spec).statuses
     assert status.state is messages.TaskState.CANCELLED
     assert spec.task_id not in leader.context.pending
+
+
+def test_the_status_of_a_gang_tells_that_the_fleet_is_too_small(leader):
+    """Regression test: it was shown as queued without a reason."""
+    specs = [
+        dataclasses.replace(
+            builders.spec(
+                f'g{number}',
+                team='inspectors',
+                cpu=16_000,
+                durable=True,
+                task_class=messages.TaskClass.GANG,
+            ),
+            gang_id=messages.GangId('g'),
+            gang_size=2,
+        )
+        for number in range(2)
+    ]
+    admissions = tuple(messages.Admission(spec, b'') for spec in specs)
+    leader.log.propose(messages.encode(messages.AdmitTasks(0, admissions)))
+    ids = [spec.task_id for spec in specs]
+    leader.heartbeat()
+    leader.heartbeats.refresh(test_heartbeats.WORKER)
+    leader.leadership._queueing.enqueue_recorded(ids)
+    leader.context.planner.plan(leader.context.now_ms(), 10)
+    call = messages.QueryTasks(tuple(ids), specs[0].team_id, '')
+    statuses = leader.leadership._queries._find_statuses(call).statuses
+    for status in statuses:
+        assert status.state is messages.TaskState.QUEUED
+        assert status.detail == 'the eligible workers are too few for its gang'
--- a/dandeliondrum/placement/_explain.py
+++ b/dandeliondrum/placement/_explain.py
@@ -1,11 +1,14 @@
 """Explanations for operators of why a pending task waits."""
 
+from dandeliondrum import messages
 from dandeliondrum.placement import _gang_step
 from dandeliondrum.placement import _policy
 from dandeliondrum.placement import _reservation
 from dandeliondrum.placement import _state
 from dandeliondrum.placement import _tasks
 
+TOO_LARGE = 'the eligible workers are too few for its gang'
+
 
 def waiting_reason(
     state: _state.State,
@@ -21,6 +24,33 @@
     return _single_reason(state, task)
 
 
+def unfit_reason(
+    state: _state.State,
+    gang_step: _gang_step.GangStep,
+    task: _tasks.PendingTask,
+) -> str:
+    """Return why a task can't start even once others have ended, or ''."""
+    infeasible = state.ledger.infeasible_reason(task)
+    if infeasible is not None:
+        return infeasible
+    key = _policy.gang_key(task)
+    gang = state.gangs.get(key) if key is not None else None
+    if gang is None or key is None:
+        return ''
+    total = messages.Resources(0, 0, 0)
+    for member in gang.pending.values():
+        total = total + member.resources
+    account = state.ledger.teams.account(task.team_id)
+    if gang.ready and not account.may_allow(total, len(gang.pending)):
+        return (
+            f'the services of team {task.team_id} leave too little of its '
+            f'upper limit for the gang'
+        )
+    if gang_step.is_too_large(key):
+        return TOO_LARGE
+    return ''
+
+
 def _gang_reason(
     state: _state.State,
     gang_step: _gang_step.GangStep,
@@ -40,8 +70,9 @@
     if reservation is not None and reservation.gang_key == key:
         names = _reservation.format_waiting_workers(reservation)
         return f'room is reserved for its gang; it waits for {names}'
-    if gang_step.is_too_large(key):
-        return 'the eligible workers are too few for its gang'
+    unfit = unfit_reason(state, gang_step, task)
+    if unfit:
+        return unfit
     if reservation is not None:
         return 'room is reserved for other tasks first'
     return 'other tasks precede its gang; ' + _share_note(state, task)
--- a/dandeliondrum/placement/_fair_share_policy.py
+++ b/dandeliondrum/placement/_fair_share_policy.py
@@ -112,6 +112,10 @@
         reason = _explain.waiting_reason(self._state, self._gang_step, task)
         return reason + _policy.restrictions_note(task)
 
+    def unfit_reason(self, task: _tasks.PendingTask) -> str:
+        """See ``Policy.unfit_reason``."""
+        return _explain.unfit_reason(self._state, self._gang_step, task)
+
     def explain_running(self, running: _tasks.RunningTask) -> str:
         """See ``Policy.explain_running``."""
         task_id = running.task.task_id
--- a/dandeliondrum/placement/_first_fit.py
+++ b/dandeliondrum/placement/_first_fit.py
@@ -59,6 +59,10 @@
             reason = 'no worker has room for it at present'
         return reason + _policy.restrictions_note(task)
 
+    def unfit_reason(self, task: _tasks.PendingTask) -> str:
+        """See ``Policy.unfit_reason``."""
+        return self._ledger.infeasible_reason(task) or ''
+
     def explain_running(self, running: _tasks.RunningTask) -> str:
         """See ``Policy.explain_running``."""
         return f'{running.worker_id} was the first worker with room'
--- a/dandeliondrum/placement/_gang_step.py
+++ b/dandeliondrum/placement/_gang_step.py
@@ -202,13 +202,15 @@
     ) -> tuple[int, float, int, int] | None:
         """Return the gang's sort key, None if it may not reserve now."""
         state = self._state
-        if self._is_aged(gang, now_ms):
-            return 0, 0, gang.submitted_ms, gang.number
         account = state.ledger.teams.account(gang.key[0])
         totals = state.ledger.fleet.totals
         total = messages.Resources(0, 0, 0)
         for task in gang.pending.values():
             total = total + task.resources
+        if self._is_aged(gang, now_ms):
+            if not account.may_allow(total, len(gang.pending)):
+                return None
+            return 0, 0, gang.submitted_ms, gang.number
         if not account.allows(total, len(gang.pending)):
             return None
         # The gang's own share counts, so that it doesn't take its team above
--- a/dandeliondrum/placement/_planner.py
+++ b/dandeliondrum/placement/_planner.py
@@ -154,6 +154,14 @@
             return messages.Resources(0, 0, 0)
         return worker.reserved()
 
+    def unfit_reason(self, task_id: messages.TaskId) -> str:
+        """Return why a pending task can't start even on an idle fleet.
+
+        It is empty if the task may start later, or is not pending.
+        """
+        task = self._ledger.pending.get(task_id)
+        return '' if task is None else self._policy.unfit_reason(task)
+
     def explain(self, task_id: messages.TaskId) -> str:
         """Explain why a task waits, or why it was placed on its worker."""
         task = self._ledger.pending.get(task_id)
--- a/dandeliondrum/placement/_policy.py
+++ b/dandeliondrum/placement/_policy.py
@@ -43,6 +43,12 @@
     def explain(self, task: _tasks.PendingTask) -> str:
         """Return the reason why a pending task waits, for an operator."""
 
+    def unfit_reason(self, task: _tasks.PendingTask) -> str:
+        """Return why a pending task can't start even on an idle fleet.
+
+        It is empty if that is not known; it may change with the fleet.
+        """
+
     def explain_running(self, running: _tasks.RunningTask) -> str:
         """Return why a task was placed on its worker, for an operator."""
 
--- a/dandeliondrum/placement/_reservation.py
+++ b/dandeliondrum/placement/_reservation.py
@@ -233,8 +233,8 @@
     """Return when a worker is expected to have room besides what is held.
 
     0 if it has the room already, and None if it won't have it even after all
-    of its tasks have ended. See ``expected_end_ms`` for tasks that run
-    longer than expected.
+    of its tasks have ended. Services have no end. See ``expected_end_ms`` for
+    tasks that run longer than expected.
     """
     if worker.held_isolated_count or (
         task.isolated and worker.held_slots_count
@@ -251,6 +251,7 @@
     ends = sorted(
         (expected_end_ms(one, now_ms), task_id)
         for task_id, one in worker.running.items()
+        if one.task.task_class is not messages.TaskClass.SERVICE
     )
     free_ms = 0
     for end_ms, task_id in [(0, None), *ends]:
--- a/dandeliondrum/placement/_shares.py
+++ b/dandeliondrum/placement/_shares.py
@@ -22,6 +22,8 @@
         'memory_mb',
         'accelerators_count',
         'urgent_count',
+        'services_count',
+        'services_resources',
         'held_count',
         'held_resources',
     )
@@ -34,6 +36,8 @@
         self.memory_mb = 0
         self.accelerators_count = 0
         self.urgent_count = 0
+        self.services_count = 0
+        self.services_resources = messages.Resources(0, 0, 0)
         self.held_count = 0
         self.held_resources = messages.Resources(0, 0, 0)
 
@@ -46,6 +50,12 @@
         self.accelerators_count += sign * resources.accelerators_count
         if task.task_class is messages.TaskClass.URGENT:
             self.urgent_count += sign
+        if task.task_class is messages.TaskClass.SERVICE:
+            self.services_count += sign
+            services = self.services_resources
+            self.services_resources = (
+                services + resources if sign > 0 else services - resources
+            )
 
     def hold(self, count: int, resources: messages.Resources) -> None:
         """Hold a part of the upper limits for the reserved tasks."""
@@ -83,6 +93,24 @@
             <= limit.accelerators_count
         )
 
+    def may_allow(self, resources: messages.Resources, count: int) -> bool:
+        """Return whether ``count`` more tasks fit once others have ended.
+
+        ``resources`` is their sum. The services of the team have no end.
+        """
+        grant = self.grant
+        if grant is None:
+            return False
+        running_max = grant.running_max
+        if running_max is not None and (
+            self.services_count + count > running_max
+        ):
+            return False
+        limit = grant.resources_max
+        return limit is None or (self.services_resources + resources).fits_in(
+            limit
+        )
+
     def allows_held(self) -> bool:
         """Return whether the reserved tasks are within the limits now."""
         count, resources = self.held_count, self.held_resources
--- a/dandeliondrum/placement/tests/test_gangs.py
+++ b/dandeliondrum/placement/tests/test_gangs.py
@@ -238,3 +238,69 @@
     )
     simulation.run(100, 20_000)
     assert simulation.started_ms.get('gang.0', 20_000) < 15_000
+
+
+def _with_services(workers_count, teams=None, **fields):
+    """Return a simulation of workers that services keep full."""
+    workers = [
+        helpers.facts(f'w{number}', slots=2) for number in range(workers_count)
+    ]
+    simulation = helpers.Simulation(helpers.planner(None, workers, teams))
+    for number in range(workers_count):
+        simulation.add(
+            helpers.task(
+                f's{number}',
+                cpu=9_000,
+                task_class=messages.TaskClass.SERVICE,
+                **fields,
+            )
+        )
+        simulation.run_ms[f's{number}'] = 10**9
+    simulation.step(0)
+    assert len(simulation.started_ms) == workers_count
+    return simulation
+
+
+def test_no_room_is_kept_on_workers_that_services_keep_full():
+    """Regression test: small tasks waited behind a gang without end."""
+    simulation = _with_services(4)
+    simulation.add(*helpers.gang('a', 4, cpu=9_000, submitted_ms=100))
+    simulation.run(100, 3_000)
+    assert 'a.0' not in simulation.started_ms
+    simulation.add(
+        *(
+            helpers.task(f'small{n}', cpu=7_000, submitted_ms=3_000)
+            for n in range(4)
+        )
+    )
+    simulation.step(3_000)
+    assert sum(name.startswith('small') for name in simulation.started_ms) == 4
+    reason = simulation.planner.unfit_reason(messages.TaskId('a.0'))
+    assert reason == 'the eligible workers are too few for its gang'
+    assert reason in simulation.planner.explain(messages.TaskId('a.0'))
+
+
+def test_no_room_is_kept_for_a_team_whose_services_use_its_limit():
+    """Regression test: an aged gang held workers that it could not use."""
+    teams = {
+        helpers.team(): placement.TeamGrant(share=1, running_max=4),
+        helpers.team('other'): placement.TeamGrant(share=1),
+    }
+    simulation = _with_services(3, teams)
+    simulation.add(*helpers.gang('a', 3, cpu=7_000, submitted_ms=100))
+    simulation.run(100, 61_000, 1_000)
+    simulation.add(
+        *(
+            helpers.task(
+                f'small{number}',
+                cpu=7_000,
+                team_id=helpers.team('other'),
+                submitted_ms=61_000,
+            )
+            for number in range(3)
+        )
+    )
+    simulation.step(61_500)
+    assert sum(name.startswith('small') for name in simulation.started_ms) == 3
+    reason = simulation.planner.unfit_reason(messages.TaskId('a.0'))
+    assert 'upper limit' in reason
