Refuse announcements and heartbeats that can't be relayed

Callers would see: a heartbeat with a number beyond 64 bits or an unpaired surrogate failed the encoding of the gateway's whole batch, so that other workers lost their leases; an address with non-ASCII digits made the calling thread fail.

Cause: types were checked, not what the codec and the HTTP client need.

Change: the JSON codec refuses such numbers and texts with 400; an address is printable ASCII with a port up to 65,535; a call that can't be prepared counts as not sent.

--- a/dandeliondrum/client/_http.py
+++ b/dandeliondrum/client/_http.py
@@ -60,7 +60,8 @@
         if isinstance(exact, int) and exact > 0:
             return exact
         text = self.headers.get('retry-after', '')
-        return int(text) * 1000 if text.isdigit() else 0
+        is_valid = text.isascii() and text.isdigit() and len(text) <= 15
+        return int(text) * 1000 if is_valid else 0
 
     def is_intact(self) -> bool:
         """Return whether the body matches its digest, if it has one."""
--- a/dandeliondrum/gateway/_json_codec.py
+++ b/dandeliondrum/gateway/_json_codec.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import functools
+import re
 import typing
 
 import cattrs
@@ -19,6 +20,9 @@
 Value = typing.TypeVar('Value')
 # Key of the field metadata that holds a different name in JSON.
 JSON_NAME = 'json_name'
+INTEGER_MAX = 2**63 - 1
+
+_LONE_SURROGATE = re.compile('[\ud800-\udfff]')
 
 
 def unstructure(value: object) -> typing.Any:
@@ -94,6 +98,11 @@
 def _check_type(value: object, kind: type) -> object:
     if type(value) is not kind:
         raise TypeError(f'{kind.__name__} expected, found {value!r:.40}')
+    # Neither could be encoded in a message.
+    if isinstance(value, int) and abs(value) > INTEGER_MAX:
+        raise ValueError('the number has more than 64 bits')
+    if isinstance(value, str) and _LONE_SURROGATE.search(value):
+        raise ValueError('the text has an unpaired surrogate')
     return value
 
 
--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -71,7 +71,8 @@
     def length_bytes(self) -> int | None:
         """Return the declared body length, or None without a valid one."""
         text = self.headers.get('content-length', '')
-        return int(text) if text.isdigit() else None
+        is_valid = text.isascii() and text.isdigit() and len(text) <= 18
+        return int(text) if is_valid else None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -207,7 +208,10 @@
         self._last_transfer_s = time.monotonic()
 
     def run(self) -> Outcome:
-        self._prepare()
+        try:
+            self._prepare()
+        except (ValueError, pycurl.error) as problem:
+            return NotSent(f'invalid request: {problem}')
         try:
             self._handle.perform()
             error = ''
@@ -266,6 +270,8 @@
             f'{name}: {value}'.encode()
             for name, value in self._request.headers
         ]
+        if any(b'\r' in line or b'\n' in line for line in lines):
+            raise ValueError('a header has several lines')
         if not any(name == CONTENT_TYPE for name, _ in self._request.headers):
             lines.append(b'Content-Type: application/octet-stream')
         # An empty Expect header avoids the extra round trip of "100 Continue".
--- a/dandeliondrum/transport/__init__.py
+++ b/dandeliondrum/transport/__init__.py
@@ -20,6 +20,7 @@
 from dandeliondrum.transport._server import connect
 from dandeliondrum.transport._server import HANDSHAKE_TIMEOUT_MS
 from dandeliondrum.transport._server import parse_address
+from dandeliondrum.transport._server import PORT_MAX
 from dandeliondrum.transport._server import PROTOCOL_VERSION
 from dandeliondrum.transport._server import Server
 from dandeliondrum.transport._server import ServerOptions
@@ -50,6 +51,7 @@
     'WRITE_BATCH_BYTES',
     'connect',
     'pack',
+    'PORT_MAX',
     'parse_address',
     'read',
 ]
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import re
 import socket
 import threading
 
@@ -14,6 +15,9 @@
 
 PROTOCOL_VERSION = 1
 HANDSHAKE_TIMEOUT_MS = 2_000
+PORT_MAX = 65_535
+
+_ADDRESS = re.compile('([!-~]+):([0-9]{1,5})')
 
 _logger = structlog.get_logger()
 
@@ -162,9 +166,10 @@
 def parse_address(address: str) -> tuple[str, int]:
     """Split ``host:port``; the host may be in square brackets.
 
-    Raises ValueError if the address has another form.
+    Raises ValueError if the address has another form, or if the port is above
+    65,535. Port 0 is valid: it stands for any free port to listen at.
     """
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdigit():
-        raise ValueError(f'{address!r} is not host:port')
-    return host.strip('[]'), int(port)
+    match = _ADDRESS.fullmatch(address)
+    if match is None or int(match[2]) > PORT_MAX:
+        raise ValueError(f'{address!r:.80} is not host:port')
+    return match[1].strip('[]'), int(match[2])
