Let odd entries of workers cost themselves only

Callers would see: a row of a worker's list with a run number beyond 64 bits failed the commit of the ends of all workers in its batch, with each read of the worker. Any other odd row made the whole lists count as no answer, so the leases of all runs there lapsed.

Cause: values were checked for their type at most, not for what the log and the calls need. Ruled out: processes that end; none did.

Change: rows are decoded one by one, and those that can't be read are left out with a log line. Addresses, ids and texts that can't be sent or stored are refused with 400. Documents that earlier versions stored are still read.

Lists that are no lists still count as no answer.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -3,6 +3,7 @@
 import collections
 import concurrent.futures
 import contextlib
+import json
 import threading
 import typing
 
@@ -403,7 +404,11 @@
 
     def _newest_document(self) -> tuple[messages.RulesVersion, str]:
         active = self._term.state.active_document
-        return active.version, active.document.decode()
+        # A document that an earlier version accepted may be in UTF-16.
+        encoding = json.detect_encoding(active.document)
+        return active.version, active.document.decode(
+            encoding, 'surrogatepass'
+        )
 
     def _read_document(self, query: _calls.DocumentQuery) -> _Reply:
         def make_reply(
--- a/dandeliondrum/jobs/_specs.py
+++ b/dandeliondrum/jobs/_specs.py
@@ -1,6 +1,7 @@
 """Specifications of jobs, steps and tasks as declared by callers."""
 
 import dataclasses
+import re
 import typing
 
 from dandeliondrum import messages
@@ -12,6 +13,10 @@
 # Occurrences of a repeated job are numbered from 0; a job that is not repeated
 # has only the first.
 FIRST_OCCURRENCE = 0
+_TASK_KEY = re.compile(
+    rf'([!-~]{{1,128}})\.{FIRST_OCCURRENCE}\.(0|[1-9][0-9]{{0,8}})'
+    r'\.(0|[1-9][0-9]{0,8})'
+)
 # Number of tasks that fit if they need no resources.
 ANY_NUMBER = 1 << 30
 
@@ -40,11 +45,10 @@
 
 def parse_task_key(text: str) -> TaskKey | None:
     """Return the key that :meth:`TaskKey.__str__` wrote, or None."""
-    parts = text.rsplit('.', 3)
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+    match = _TASK_KEY.fullmatch(text)
+    if match is None:
         return None
-    job_id, _occurrence, step, index = parts
-    return TaskKey(JobId(job_id), StepIndex(int(step)), int(index))
+    return TaskKey(JobId(match[1]), StepIndex(int(match[2])), int(match[3]))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandeliondrum/platform/_bodies.py
+++ b/dandeliondrum/platform/_bodies.py
@@ -5,14 +5,27 @@
 worker. ``Labels`` of a worker are its kind and its rack, in this order.
 """
 
+import collections.abc
+import re
+import typing
+
 from dandeliondrum import jobs
 from dandeliondrum import messages
 from dandeliondrum.platform import _documents
 from dandeliondrum.platform import _fields
+from dandeliondrum import transport
 
 PAYLOAD_BYTES_MAX = 4_000
 # Bounds the cost of one job; far above the widest steps in use.
 TASKS_MAX = 5_000
+WORKER_ID_CHARS_MAX = 128
+CHECKPOINT_CHARS_MAX = 65_536
+
+_WORKER_ID = re.compile(f'[!-~]{{1,{WORKER_ID_CHARS_MAX}}}')
+# A name, an IPv4 address, or an IPv6 address in brackets.
+_HOST = re.compile(r'[A-Za-z0-9][A-Za-z0-9.-]{0,252}|\[[0-9A-Fa-f:.]{2,45}\]')
+_PORT = re.compile('[1-9][0-9]{0,4}')
+_Row = typing.TypeVar('_Row')
 
 _OUTCOMES = {
     'done': jobs.RunOutcome.DONE,
@@ -42,7 +55,7 @@
     time, which are not supported.
     """
     fields = _fields.parse_object(body)
-    payload = _fields.text(fields, 'Spec')
+    payload = _fields.storable_text(fields, 'Spec')
     if len(payload.encode()) > PAYLOAD_BYTES_MAX:
         raise _fields.FieldError(
             f'Spec must be at most {PAYLOAD_BYTES_MAX} bytes'
@@ -73,8 +86,8 @@
         after=tuple(after),
         gang=_fields.boolean(body, 'Gang'),
         same_rack=_fields.boolean(body, 'SameRack'),
-        required_label=_fields.text(body, 'Requirements', ''),
-        near_rack=_fields.text(body, 'Affinity', ''),
+        required_label=_fields.storable_text(body, 'Requirements', ''),
+        near_rack=_fields.storable_text(body, 'Affinity', ''),
         per_worker_max=_fields.integer(body, 'AntiAffinity', 0),
         checkpointing=_fields.boolean(body, 'Checkpointing'),
         speculative=_fields.boolean(body, 'Speculative'),
@@ -87,18 +100,22 @@
     body: bytes, worker_id: messages.WorkerId
 ) -> jobs.WorkerReport:
     """Decode the state that a worker reports; raises FieldError."""
+    _check_worker_id(worker_id)
     fields = _fields.parse_object(body)
     phase = _PHASES.get(_fields.text(fields, 'State'))
     if phase is None:
         raise _fields.FieldError('State must be ready or draining')
     labels = _fields.array(fields, 'Labels', [])
-    if not all(isinstance(label, str) for label in labels):
+    if not all(
+        isinstance(label, str) and _fields.is_storable(label)
+        for label in labels
+    ):
         raise _fields.FieldError('Labels must be a list of strings')
     facts = jobs.WorkerFacts(
         worker_id,
         _decode_address(fields),
-        _fields.text(fields, 'Service'),
-        messages.FailureDomain(_fields.text(fields, 'Zone')),
+        _fields.storable_text(fields, 'Service'),
+        messages.FailureDomain(_fields.storable_text(fields, 'Zone')),
         messages.Rack(labels[-1] if labels else ''),
         tuple(labels),
         _decode_capacity(fields),
@@ -114,11 +131,13 @@
     )
 
 
-def decode_shutdown(body: bytes) -> int:
+def decode_shutdown(body: bytes, worker_id: messages.WorkerId) -> int:
     """Return the start time of the worker that shuts down, 0 if not given.
 
-    The platform specifies no body; raises FieldError for an invalid one.
+    The platform specifies no body; raises FieldError for an invalid one, or
+    for an invalid id.
     """
+    _check_worker_id(worker_id)
     if not body:
         return 0
     return _fields.integer(_fields.parse_object(body), 'born', 0)
@@ -133,61 +152,121 @@
     return capacity
 
 
+def _check_worker_id(worker_id: messages.WorkerId) -> None:
+    """Raise FieldError for an id that can't be sent back in a header."""
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise _fields.FieldError(
+            f'the id must be 1 to {WORKER_ID_CHARS_MAX} printable ASCII '
+            f'characters without spaces'
+        )
+
+
 def _decode_address(fields: _fields.Body) -> str:
     address = _fields.text(fields, 'Address')
-    host, separator, port = address.rpartition(':')
-    if not host or not separator or not port.isdecimal():
-        raise _fields.FieldError('Address must be host:port')
+    host, _, port = address.rpartition(':')
+    if not _HOST.fullmatch(host):
+        raise _fields.FieldError(f'Address {address!r:.80} is not host:port')
+    if not _PORT.fullmatch(port) or int(port) > transport.PORT_MAX:
+        raise _fields.FieldError(f'Address {address!r:.80} has no valid port')
     return address
 
 
 def decode_worker_lists(
-    body: bytes, ended_runs_max: int
+    body: bytes,
+    ended_runs_max: int,
+    on_invalid: collections.abc.Callable[[str], object] = lambda _why: None,
 ) -> jobs.WorkerListing:
     """Decode the lists of a worker's running and ended runs.
 
-    A list of ``ended_runs_max`` ended runs is taken as incomplete. Rows with
-    a task or an outcome of unknown form are skipped. Raises FieldError, or
-    TypeError, ValueError or OverflowError for a row with a wrong value.
+    A list of ``ended_runs_max`` ended runs is taken as incomplete. A row that
+    is invalid, or names no task of this product, is skipped and reported to
+    ``on_invalid``; the other rows hold. Raises FieldError.
     """
-    fields = _fields.parse_object(body)
-    runs = tuple(_decode_run(row) for row in _fields.array(fields, 'Running'))
+    fields = _fields.parse_shallow_object(body)
     ended = _fields.array(fields, 'Ended')
     return jobs.WorkerListing(
         _fields.integer(fields, 'TimeMs'),
         _fields.integer(fields, 'born', 0),
-        tuple(run for run in runs if run is not None),
-        tuple(
-            end
-            for end in (_decode_run_end(row) for row in ended)
-            if end is not None
+        _decode_rows(
+            _fields.array(fields, 'Running'), _decode_run, on_invalid
         ),
+        _decode_rows(ended, _decode_run_end, on_invalid),
         ends_complete=len(ended) < ended_runs_max,
     )
 
 
-def _decode_run(row: object) -> jobs.RunListing | None:
+def _decode_rows(
+    rows: list[typing.Any],
+    decode: collections.abc.Callable[[typing.Any], _Row],
+    on_invalid: collections.abc.Callable[[str], object],
+) -> tuple[_Row, ...]:
+    decoded = []
+    for row in rows:
+        try:
+            decoded.append(decode(row))
+        except _fields.FieldError as error:
+            on_invalid(str(error))
+    return tuple(decoded)
+
+
+def _decode_run(row: typing.Any) -> jobs.RunListing:
     """Decode a row of task, run, checkpoint and percent.
 
-    A further column may follow and is ignored.
+    A further column may follow and is ignored. An invalid checkpoint or
+    percent is replaced by none: the run counts in any case, since it must not
+    be started elsewhere.
     """
-    if not isinstance(row, list) or len(row) < 4:
+    task, run, checkpoint, percent = _columns(row, 4)[:4]
+    if not _is_text(checkpoint):
+        checkpoint = ''
+    if type(percent) not in (int, float) or not 0 <= percent <= 100:
+        percent = 0
+    return jobs.RunListing(
+        _decode_task(task), _decode_number(run), checkpoint, float(percent)
+    )
+
+
+def _decode_run_end(row: typing.Any) -> jobs.EndListing:
+    """Decode a row of number, task, run, outcome and checkpoint.
+
+    An invalid checkpoint is replaced by none.
+    """
+    number, task, run, outcome, checkpoint = _columns(row, 5)[:5]
+    known = _OUTCOMES.get(outcome) if isinstance(outcome, str) else None
+    if known is None:
+        raise _fields.FieldError(f'unknown outcome {outcome!r:.40}')
+    if not _is_text(checkpoint):
+        checkpoint = ''
+    end = jobs.RunEnd(
+        _decode_task(task), _decode_number(run), known, checkpoint
+    )
+    return jobs.EndListing(_decode_number(number), end)
+
+
+def _columns(row: typing.Any, least_count: int) -> list[typing.Any]:
+    if not isinstance(row, list) or len(row) < least_count:
         raise _fields.FieldError(
-            'a row of Running must have at least 4 columns'
+            f'a row must have at least {least_count} columns'
         )
-    task = jobs.parse_task_key(str(row[0]))
+    return row
+
+
+def _decode_task(value: typing.Any) -> jobs.TaskKey:
+    task = jobs.parse_task_key(value) if isinstance(value, str) else None
     if task is None:
-        return None
-    return jobs.RunListing(task, int(row[1]), str(row[2]), float(row[3]))
-
-
-def _decode_run_end(row: object) -> jobs.EndListing | None:
-    """Decode a row of number, task, run, outcome and checkpoint."""
-    if not isinstance(row, list) or len(row) < 5:
-        raise _fields.FieldError('a row of Ended must have at least 5 columns')
-    task = jobs.parse_task_key(str(row[1]))
-    outcome = _OUTCOMES.get(str(row[3]))
-    if task is None or outcome is None:
-        return None
-    end = jobs.RunEnd(task, int(row[2]), outcome, str(row[4] or ''))
-    return jobs.EndListing(int(row[0]), end)
+        raise _fields.FieldError(f'{value!r:.40} is no task')
+    return task
+
+
+def _decode_number(value: typing.Any) -> int:
+    if type(value) is not int or not 0 < value <= _fields.INTEGER_MAX:
+        raise _fields.FieldError(f'{value!r:.40} is no number of a run or end')
+    return value
+
+
+def _is_text(value: typing.Any) -> bool:
+    return (
+        isinstance(value, str)
+        and len(value) <= CHECKPOINT_CHARS_MAX
+        and _fields.is_storable(value)
+    )
--- a/dandeliondrum/platform/_caller_api.py
+++ b/dandeliondrum/platform/_caller_api.py
@@ -212,7 +212,8 @@
 
 def _wait_ms(call: gateway.Call) -> int:
     text = call.header(DEADLINE_HEADER)
-    declared_ms = int(text) if text.isdecimal() else WAIT_MAX_MS
+    is_valid = text.isascii() and text.isdigit() and len(text) <= 15
+    declared_ms = int(text) if is_valid else WAIT_MAX_MS
     return max(1, min(declared_ms, WAIT_MAX_MS) - REPLY_MARGIN_MS)
 
 
--- a/dandeliondrum/platform/_control_api.py
+++ b/dandeliondrum/platform/_control_api.py
@@ -74,7 +74,9 @@
         if isinstance(body, result.Failure):
             return gateway.problem_response(body.failure())
         try:
-            started_ms = _bodies.decode_shutdown(body.unwrap())
+            started_ms = _bodies.decode_shutdown(
+                body.unwrap(), messages.WorkerId(worker_id)
+            )
         except _fields.FieldError as error:
             _logger.warning(
                 'invalid worker shutdown', worker=worker_id, why=str(error)
--- a/dandeliondrum/platform/_documents.py
+++ b/dandeliondrum/platform/_documents.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import json
 
 from returns import result
 
@@ -18,14 +19,25 @@
 def validate(document: bytes) -> result.Result[jobs.Policy, str]:
     """Return the policy of a valid document, or why it is invalid."""
     try:
-        return result.Success(decode(document))
+        body = _fields.parse_object(document)
+        if _fields.without_surrogates(body) != body:
+            return result.Failure('the document has unpaired surrogates')
+        return result.Success(_decode(body))
     except _fields.FieldError as error:
         return result.Failure(str(error))
 
 
 def decode(document: bytes) -> jobs.Policy:
-    """Return the policy of a document; raises FieldError if invalid."""
-    body = _fields.parse_object(document)
+    """Return the policy of a document in force; raises FieldError if invalid.
+
+    Earlier versions accepted documents in other encodings than UTF-8 and with
+    unpaired surrogates, which are replaced here.
+    """
+    text = document.decode(json.detect_encoding(document), 'surrogatepass')
+    return _decode(_fields.without_surrogates(_fields.parse_object(text)))
+
+
+def _decode(body: _fields.Body) -> jobs.Policy:
     pools = tuple(
         _fields.text(_fields.as_object(service, 'service'), 'Name')
         for service in _fields.array(body, 'Services')
--- a/dandeliondrum/platform/_fields.py
+++ b/dandeliondrum/platform/_fields.py
@@ -3,10 +3,17 @@
 import collections.abc
 import json
 import math
+import re
 import typing
 
 # Integers are stored and sent between processes with at most 64 bits.
 INTEGER_MAX = 2**63 - 1
+_INTEGER_CHARS_MAX = len(str(-INTEGER_MAX))
+# Far above the nesting of any message of the platform.
+NESTING_MAX = 32
+
+_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_LONE_SURROGATE = re.compile('[\ud800-\udfff]')
 
 
 class FieldError(ValueError):
@@ -19,14 +26,86 @@
 
 
 def parse_object(data: bytes | str) -> Body:
-    """Parse a JSON object; raises FieldError for anything else."""
+    """Parse a JSON object in UTF-8; raises FieldError for anything else.
+
+    An integer that is too long to be valid is read as infinite, so that it
+    invalidates its own field only.
+    """
+    return as_object(_parse(_decode(data)), 'body')
+
+
+def parse_shallow_object(data: bytes) -> Body:
+    """Parse like parse_object, with null for what is nested too deeply.
+
+    For objects with lists of entries that are independent of each other.
+    """
+    text = _decode(data)
     try:
-        value = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        value = json.loads(text, parse_int=_parse_integer)
+    except RecursionError:
+        value = _parse(_cut_nesting(text))
+    except ValueError as error:
         raise FieldError(f'not JSON: {error}') from error
     return as_object(value, 'body')
 
 
+def _decode(data: bytes | str) -> str:
+    try:
+        return data if isinstance(data, str) else data.decode()
+    except UnicodeDecodeError as error:
+        raise FieldError(f'not UTF-8: {error}') from error
+
+
+def _parse(text: str) -> typing.Any:
+    try:
+        return json.loads(text, parse_int=_parse_integer)
+    except (ValueError, RecursionError) as error:
+        raise FieldError(f'not JSON: {error}') from error
+
+
+def _parse_integer(text: str) -> int | float:
+    # Python refuses to convert more than 4,300 digits.
+    return int(text) if len(text) <= _INTEGER_CHARS_MAX else math.inf
+
+
+def _cut_nesting(text: str) -> str:
+    """Replace what is nested more than NESTING_MAX levels deep by null."""
+    parts = []
+    depth = kept_until = 0
+    for match in _STRING_OR_BRACKET.finditer(text):
+        if match[0] in '[{':
+            depth += 1
+            if depth == NESTING_MAX + 1:
+                parts += [text[kept_until : match.start()], 'null']
+        elif match[0] in ']}':
+            depth -= 1
+            if depth == NESTING_MAX:
+                kept_until = match.end()
+    parts.append(text[kept_until:] if depth <= NESTING_MAX else '')
+    return ''.join(parts)
+
+
+def is_storable(text: str) -> bool:
+    """Return whether a text can be stored: JSON allows lone surrogates."""
+    return _LONE_SURROGATE.search(text) is None
+
+
+def without_surrogates(body: Body) -> Body:
+    """Return the object with a question mark for each lone surrogate."""
+    encoded = json.dumps(body, ensure_ascii=False)
+    if is_storable(encoded):
+        return body
+    return json.loads(encoded.encode('utf-8', 'replace'))
+
+
+def storable_text(body: Body, name: str, default: str | None = None) -> str:
+    """Return a string field that can be stored."""
+    value = text(body, name, default)
+    if not is_storable(value):
+        raise FieldError(f'{name} has an unpaired surrogate')
+    return value
+
+
 def as_object(value: object, name: str) -> Body:
     """Return the value as an object; raises FieldError if it is not one."""
     if not isinstance(value, dict):
--- a/dandeliondrum/platform/_http_ports.py
+++ b/dandeliondrum/platform/_http_ports.py
@@ -9,6 +9,7 @@
 from dandeliondrum import messages
 from dandeliondrum.platform import _bodies
 from dandeliondrum.platform import _fields
+from dandeliondrum import utils
 
 # One connection for lease renewals and three for orders.
 CONNECTIONS_PER_WORKER = 4
@@ -20,6 +21,8 @@
 ADVICE_TIMEOUT_MS = 2_500
 # Most ended runs in one reply, as specified by the platform.
 ENDED_RUNS_MAX = 500
+# Interval between log lines about invalid rows of a worker, which it repeats.
+LOG_INTERVAL_MS = 10_000
 
 _REFUSALS = {
     'fence': jobs.Refusal.FENCED,
@@ -40,6 +43,8 @@
 
     def __init__(self) -> None:
         self._client = gateway.WorkerClient(CONNECTIONS_PER_WORKER)
+        # When invalid rows of a worker were last logged.
+        self._logged_ms: dict[messages.WorkerId, int] = {}
 
     def renew(self, request: jobs.LeaseRequest) -> jobs.ListingOutcome:
         """Renew a worker's lease and return its lists of runs."""
@@ -58,10 +63,32 @@
         )
         if not isinstance(reply, bytes):
             return reply
+        problems: list[str] = []
         try:
-            return _bodies.decode_worker_lists(reply, ENDED_RUNS_MAX)
-        except (TypeError, ValueError, OverflowError) as error:
+            return _bodies.decode_worker_lists(
+                reply, ENDED_RUNS_MAX, problems.append
+            )
+        except _fields.FieldError as error:
             return jobs.Unanswered(True, f'invalid lists: {error}')
+        finally:
+            if problems:
+                self._log_invalid_rows(request.worker.worker_id, problems)
+
+    def _log_invalid_rows(
+        self, worker_id: messages.WorkerId, problems: list[str]
+    ) -> None:
+        """Log that rows were skipped, now and then for each worker."""
+        now_ms = utils.monotonic_ms()
+        logged_ms = self._logged_ms.get(worker_id)
+        if logged_ms is not None and now_ms - logged_ms < LOG_INTERVAL_MS:
+            return
+        self._logged_ms[worker_id] = now_ms
+        _logger.warning(
+            'rows of a worker skipped',
+            worker=worker_id,
+            rows_count=len(problems),
+            why=problems[0],
+        )
 
     def start(self, order: jobs.StartOrder) -> jobs.OrderOutcome:
         """Start a run on a worker."""
@@ -203,18 +230,34 @@
 def _decode_advice(reply: bytes) -> jobs.AdviceReply:
     """Decode grants, each a row of a worker id and its ticket."""
     try:
-        fields = _fields.parse_object(reply)
+        fields = _fields.parse_shallow_object(reply)
         rows = _fields.array(fields, 'Granted')
-        grants = tuple(
-            jobs.Grant(messages.WorkerId(str(row[0])), str(row[1]))
-            for row in rows
-        )
         valid_ms = _fields.integer(fields, 'ValidityMs')
-    except (_fields.FieldError, TypeError, LookupError) as error:
+    except _fields.FieldError as error:
         return _advice_failure(f'invalid reply: {error}')
+    grants = tuple(
+        jobs.Grant(messages.WorkerId(row[0]), row[1])
+        for row in rows
+        if _is_grant(row)
+    )
+    if len(grants) < len(rows):
+        _logger.warning(
+            'invalid grants skipped', rows_count=len(rows) - len(grants)
+        )
     return jobs.AdviceReply(grants, valid_ms)
 
 
+def _is_grant(row: object) -> bool:
+    return (
+        isinstance(row, list)
+        and len(row) >= 2
+        and all(
+            isinstance(text, str) and _fields.is_storable(text)
+            for text in row[:2]
+        )
+    )
+
+
 def _advice_failure(problem: str) -> jobs.AdviceReply:
     return jobs.AdviceReply((), 0, problem)
 
