Don't count failures of lasting tasks at work against their workers

Cause: only an end `done` resets the count of a worker's failures, and lasting tasks never end so. The new tests need constants that are new; a worker that fails lasting tasks at once is suspended as before, which one of them shows.

Change: a failure of an endless task that its worker has listed for 5 s is not counted, and the step does not avoid the worker. The same holds for services of the own interface that ran for 10 s.

--- a/dandeliondrum/controller/_observations.py
+++ b/dandeliondrum/controller/_observations.py
@@ -12,6 +12,9 @@
 from dandeliondrum import messages
 from dandeliondrum import placement
 
+# A service that has run for this long has worked on its worker.
+SERVICE_AT_WORK_MS = 10_000
+
 _COMPLETED_STATES = frozenset(
     (messages.AttemptState.FINISHED, messages.AttemptState.FAILED)
 )
@@ -36,7 +39,7 @@
         if report.state not in _COMPLETED_STATES:
             return
         succeeded = report.state is messages.AttemptState.FINISHED
-        if not ended.is_former:
+        if not ended.is_former and not _was_at_work(ended):
             self._health.record(
                 ended.worker_id, spec.task_id, succeeded, now_ms
             )
@@ -104,6 +107,18 @@
         return estimate.run_ms or 0
 
 
+def _was_at_work(ended: _records.EndedAttempt) -> bool:
+    """Return whether a service failed that had run for a while.
+
+    It may fail at any time, and never ends as finished on a sound worker.
+    """
+    return (
+        ended.task.spec.task_class is messages.TaskClass.SERVICE
+        and ended.report.state is messages.AttemptState.FAILED
+        and ended.report.run_ms >= SERVICE_AT_WORK_MS
+    )
+
+
 def _used_resources(
     spec: messages.TaskSpec, peak: messages.Resources | None
 ) -> messages.Resources:
--- a/dandeliondrum/controller/tests/test_observations.py
+++ b/dandeliondrum/controller/tests/test_observations.py
@@ -66,3 +66,23 @@
         observations.with_estimated_memory(declared).resources.memory_mb
         == 2_048
     )
+
+
+def test_a_service_that_fails_after_long_does_not_count_against_its_worker():
+    """Regression test: failures of days put the worker in quarantine."""
+    observations = _observations.Observations()
+    recorded = []
+    observations._health.record = lambda *args: recorded.append(args[2])
+    spec = builders.spec('s', task_class=messages.TaskClass.SERVICE)
+    task = _records.TaskRecord(spec, messages.TaskState.QUEUED, 0)
+    for run_ms in (_observations.SERVICE_AT_WORK_MS, 100):
+        report = messages.AttemptReport(
+            messages.AttemptId('harbour/s#1'),
+            messages.AttemptState.FAILED,
+            run_ms=run_ms,
+        )
+        ended = _records.EndedAttempt(
+            task, messages.WorkerId('lathe-1'), report
+        )
+        observations.record_end(ended, 0)
+    assert recorded == [False]
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import concurrent.futures
+import dataclasses
 import functools
 import threading
 import typing
@@ -34,14 +35,26 @@
 # Interval between commits of starts. Callers are promised a count of waiting
 # jobs that is at most 2 s old.
 STARTS_INTERVAL_MS = 250
+# An endless task that a worker has listed for this long has worked there.
+AT_WORK_MS = 5_000
 # A worker without runs that has not reported for this long is removed.
 REMOVE_AFTER_MS = 20_000
 
 _logger = structlog.get_logger()
 
 _Run = tuple[_specs.TaskKey, int]
-# A worker's id and the start time of its incarnation.
-_Incarnation = tuple[messages.WorkerId, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RunOrigin:
+    """The worker that a run was assigned to, when its end is recorded.
+
+    ``is_sound`` tells that an endless task was at work there for a while.
+    """
+
+    worker_id: messages.WorkerId
+    started_ms: int
+    is_sound: bool
 
 
 class Workers:
@@ -641,10 +654,11 @@
     def _handle_ends(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_Run, _Incarnation],
+        workers: dict[_Run, _RunOrigin],
         given_up: tuple[_specs.TaskKey, ...],
     ) -> None:
         for end in ends:
+            origin = workers.get((end.task, end.run))
             if end.outcome is _commands.RunOutcome.CRASHED:
                 self._term.metrics.crashed_runs.labels(
                     end.suspicion.value
@@ -655,7 +669,7 @@
                 task=str(end.task),
                 run=end.run,
                 outcome=end.outcome.value,
-                worker=workers.get((end.task, end.run), (None, 0))[0],
+                worker=origin.worker_id if origin is not None else None,
             )
         for task in given_up:
             self._term.metrics.given_up.inc()
@@ -669,41 +683,61 @@
 
     def _workers_of(
         self, ends: tuple[_commands.RunEnd, ...]
-    ) -> dict[_Run, _Incarnation]:
+    ) -> dict[_Run, _RunOrigin]:
         state = self._term.state
-        workers: dict[_Run, _Incarnation] = {}
+        workers: dict[_Run, _RunOrigin] = {}
         with state.lock:
             for end in ends:
                 job = state.jobs.get(end.task.job_id)
                 task = job.task(end.task) if job is not None else None
                 # A repeated end must not count against the next run's worker.
                 if (
-                    task is not None
+                    job is not None
+                    and task is not None
                     and task.run == end.run
                     and task.worker_id in state.workers
                 ):
                     facts = state.workers[task.worker_id].facts
-                    workers[end.task, end.run] = (
+                    endless = job.spec.steps[end.task.step].endless
+                    workers[end.task, end.run] = _RunOrigin(
                         facts.worker_id,
                         facts.started_ms,
+                        endless and self._was_at_work(facts.worker_id, end),
                     )
         return workers
 
+    def _was_at_work(
+        self, worker_id: messages.WorkerId, end: _commands.RunEnd
+    ) -> bool:
+        peer = self._term.peers.get(worker_id)
+        if peer is None:
+            return False
+        now_ms = _clock.elapsed_ms()
+        listed_ms = peer.orders.listed_ms(end.task, end.run, now_ms)
+        return listed_ms is not None and listed_ms >= AT_WORK_MS
+
     def _record_health(
         self,
         ends: tuple[_commands.RunEnd, ...],
-        workers: dict[_Run, _Incarnation],
+        workers: dict[_Run, _RunOrigin],
     ) -> None:
         term = self._term
         now_ms = _clock.elapsed_ms()
         for end in ends:
             if (end.task, end.run) not in workers:
                 continue
-            worker_id, started_ms = workers[end.task, end.run]
+            origin = workers[end.task, end.run]
+            worker_id = origin.worker_id
             peer = term.peers.get(worker_id)
-            if peer is not None and peer.facts.started_ms != started_ms:
+            if peer is not None and (
+                peer.facts.started_ms != origin.started_ms
+            ):
                 # The next incarnation is not to blame.
                 continue
+            if origin.is_sound:
+                # Endless tasks end as done on no worker, and may fail at any
+                # time.
+                continue
             term.health.record_end(worker_id, end.outcome, now_ms)
             if end.outcome is _commands.RunOutcome.FAILED:
                 step = (end.task.job_id, end.task.step)
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -437,3 +437,38 @@
     assert leader.term.health.suspended(W1, 1)
     _report_next(leader, phase=jobs.WorkerPhase.READY, started_ms=2)
     assert not leader.term.health.suspended(W1, 1)
+
+
+def _fail_endless_runs(leader, count):
+    """Let an endless task fail once it has been listed for a while."""
+    spec = helpers.step(endless=True)
+    leader.machine(_commands.SubmitJob(helpers.job('endless', spec)))
+    task = jobs.parse_task_key('endless.0.0.0')
+    leader.report()
+    leader.wait_usable()
+    orders = leader.peer().orders
+    for run in range(1, count + 1):
+        orders.plan(task, _orders.Order(run, '', '', ''))
+        assert leader.machine.assign(str(task), run)
+        with leader.peer()._state.lock:
+            orders.mark_listed(task, run, '')
+            orders.get(task, run).enter(_orders.OrderPhase.LISTED)
+        end = jobs.RunEnd(task, run, jobs.RunOutcome.FAILED)
+        leader.workers.record((end,))
+
+
+def test_failures_of_a_lasting_task_at_work_do_not_suspend_its_worker(
+    leader, monkeypatch
+):
+    """Regression test: it was suspended for ever longer (LOST)."""
+    monkeypatch.setattr(_workers, 'AT_WORK_MS', 0)
+    _fail_endless_runs(leader, 6)
+    assert leader.term.health.consecutive_failures(W1) == 0
+    assert not leader.term.health.suspended(W1, 0)
+    assert not leader.term.failed_on
+
+
+def test_a_worker_that_fails_lasting_tasks_at_once_is_suspended(leader):
+    _fail_endless_runs(leader, 3)
+    assert leader.term.health.consecutive_failures(W1) == 3
+    assert leader.term.health.suspended(W1, 0)
