Compare resources only once for a worker without endless tasks

Planning rounds of large fleets would become slower by the check of what can run: for each waiting step and worker it built a difference of resources and counted tasks, where one comparison is sufficient. Not measured by itself.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -110,7 +110,10 @@
 
     def obtainable(self) -> messages.Resources:
         """Return the resources that are or will become free."""
-        return self.capacity - self.endless_used
+        used = self.endless_used
+        if used.cpu_millicores or used.memory_mb or used.accelerators_count:
+            return self.capacity - used
+        return self.capacity
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -548,6 +551,13 @@
             count += max(0, min(fit_count, per_worker_max - used_count))
         return count
 
+    def _is_at_limit(self, worker: AvailableWorker) -> bool:
+        """Return whether the step may run no more tasks on the worker."""
+        per_worker_max = self._demand.spec.per_worker_max
+        return bool(per_worker_max) and (
+            self._counts.get(worker.worker_id, 0) >= per_worker_max
+        )
+
     def _obtainable_room(self, worker: AvailableWorker) -> int:
         """Return how many more tasks fit once runs that end have ended."""
         count = _specs.tasks_that_fit(self._charge, worker.obtainable())
@@ -596,7 +606,9 @@
         eligible = [
             worker
             for worker in self._pool.select(self._demand.granted)
-            if self._may_run(worker) and self._obtainable_room(worker) > 0
+            if self._may_run(worker)
+            and self._charge.fits_in(worker.obtainable())
+            and not self._is_at_limit(worker)
         ]
         eligible.sort(key=lambda worker: -worker.free.cpu_millicores)
         return eligible
