Report starts while a job is forgotten, and unfit steps with their reason

Found when reading the change. A job that is forgotten while a worker's list is handled raised a KeyError in the thread that reads the worker, which then started again. Starts noted while the leadership was unconfirmed for a moment were dropped until the next lists. A step that no worker can run was logged as waiting for grants, since the adviser is not asked about it.

Change: the jobs are looked up once; nothing is taken while the leader may not commit; the check of what can run comes before that of grants. The reference planner has the same order.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -144,7 +144,7 @@
 class WaitReason(enum.Enum):
     """Reason why a due task is not placed."""
 
-    UNFIT = 'the granted workers could not run it if they were empty'
+    UNFIT = 'the usable workers could not run it if they were empty'
     NO_WORKER = 'no worker of the pool is usable'
     NO_GRANT = 'no usable worker is granted'
     RESERVED = 'all granted workers are kept free for other work'
@@ -288,6 +288,9 @@
     if pool is None:
         return WaitReason.NO_WORKER
     placement = _DemandPlacement(demand, pool, dict(team_available))
+    least_count = len(demand.indexes) if demand.spec.gang else 1
+    if placement.count_fits(pool.workers, least_count) < least_count:
+        return WaitReason.UNFIT
     if not placement.candidates_count():
         others_count = placement.candidates_count(include_reserved=True)
         return WaitReason.RESERVED if others_count else WaitReason.NO_GRANT
@@ -295,8 +298,6 @@
         return WaitReason.TEAM_LIMIT
     if demand.isolated and placement.single_task_fits():
         return WaitReason.ISOLATION
-    if not placement.may_fit():
-        return WaitReason.UNFIT
     return (
         WaitReason.GANG if placement.single_task_fits() else WaitReason.NO_ROOM
     )
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -419,14 +419,7 @@
 
         They are committed by the next :meth:`commit_starts`.
         """
-        # Read without the lock of the state, as most jobs have begun before.
-        jobs = self._term.state.jobs
-        begun = [
-            job_id
-            for job_id in job_ids
-            if job_id in jobs
-            and jobs[job_id].phase is _records.JobPhase.QUEUED
-        ]
+        begun = self._queued(job_ids)
         if not begun:
             return
         for job_id in begun:
@@ -434,6 +427,19 @@
         with self._lock:
             self._begun.update(begun)
 
+    def _queued(
+        self, job_ids: collections.abc.Iterable[_specs.JobId]
+    ) -> list[_specs.JobId]:
+        """Return the jobs among these that are recorded as queued."""
+        # Read without the lock of the state, as most jobs have begun before.
+        state = self._term.state
+        return [
+            job_id
+            for job_id in job_ids
+            if (job := state.jobs.get(job_id)) is not None
+            and job.phase is _records.JobPhase.QUEUED
+        ]
+
     def _observe_first_start(self, job_id: _specs.JobId) -> None:
         accepted = self._term.accepted_ms.pop(job_id, None)
         if accepted is not None:
@@ -445,16 +451,12 @@
 
     def commit_starts(self) -> None:
         """Commit which jobs have begun since the last call."""
+        if not self._term.node.is_leading():
+            return
         with self._lock:
             begun, self._begun = self._begun, set()
-        jobs = self._term.state.jobs
-        queued = [
-            job_id
-            for job_id in begun
-            if job_id in jobs
-            and jobs[job_id].phase is _records.JobPhase.QUEUED
-        ]
-        if not queued or not self._term.node.is_leading():
+        queued = self._queued(begun)
+        if not queued:
             return
 
         def finish(done: _term.Proposed) -> None:
--- a/dandeliondrum/jobs/tests/reference_planner.py
+++ b/dandeliondrum/jobs/tests/reference_planner.py
@@ -191,6 +191,8 @@
     if not pool:
         return _planner.WaitReason.NO_WORKER
     placement = _DemandPlacement(demand, pool, dict(team_available))
+    if not placement.may_fit(only_granted=False):
+        return _planner.WaitReason.UNFIT
     if not placement.candidates_count():
         unreserved = [
             dataclasses.replace(worker, reserved=False) for worker in pool
@@ -205,8 +207,6 @@
         return _planner.WaitReason.TEAM_LIMIT
     if demand.isolated and placement.single_task_fits():
         return _planner.WaitReason.ISOLATION
-    if not placement.may_fit():
-        return _planner.WaitReason.UNFIT
     return (
         _planner.WaitReason.GANG
         if placement.single_task_fits()
@@ -302,7 +302,7 @@
             tasks_count -= self._room_when_empty(worker, self._counts)
         return reserved_count
 
-    def may_fit(self) -> bool:
+    def may_fit(self, only_granted: bool = True) -> bool:
         """Return whether a task, or the whole gang, fits when all is empty."""
         demand = self._demand
         others = {} if not demand.spec.endless else self._counts
@@ -311,7 +311,9 @@
             for worker in self._pool
             if not demand.spec.required_label
             or demand.spec.required_label in worker.labels
-            if demand.granted is None or worker.worker_id in demand.granted
+            if not only_granted
+            or demand.granted is None
+            or worker.worker_id in demand.granted
         ]
         return sum(rooms) >= (len(demand.indexes) if demand.spec.gang else 1)
 
