Correct what a number beyond 64 bits did to other workers

A new test with two workers over HTTP passes on as well: the ends of the other worker are recorded. The commit with the odd end raised and counted as failed, so that ends which shared it were recorded after their worker's next read.

--- a/dandeliondrum/platform/tests/test_odd_entries.py
+++ b/dandeliondrum/platform/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _workers
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
@@ -110,11 +111,11 @@
 
 
 @contextlib.contextmanager
-def _leader(resources):
+def _leader(resources, run_ms=60_000):
     """Workers of a leader that calls them over HTTP, with one job."""
     machine = helpers.Machine(())
     sound = testing.HttpWorker(
-        testing.FakeWorker('sound', messages.Resources(4_000, 1_000), 60_000),
+        testing.FakeWorker('sound', messages.Resources(4_000, 1_000), run_ms),
         '127.0.0.1:0',
     )
     sound.server.start()
@@ -171,6 +172,46 @@
         assert 'task failed' not in {line['event'] for line in logs}
 
 
+class _OddWorker(testing.HttpWorker):
+    """A worker whose list of ends has a row with a number too large."""
+
+    def _renew(self, body):
+        status, lists = super()._renew(body)
+        row = [1, f'{JOB_ID}.0.0.0', 2**70, 'done', '']
+        return status, {**lists, 'Ended': [row]}
+
+
+def test_the_ends_of_other_workers_are_recorded_beside_an_odd_one():
+    """They share commits with the ends of the odd one."""
+    with contextlib.ExitStack() as resources:
+        machine, workers, term, report = resources.enter_context(
+            _leader(resources, run_ms=300)
+        )
+        odd = _OddWorker(
+            testing.FakeWorker('odd', messages.Resources(4_000, 1_000), 1),
+            '127.0.0.1:0',
+        )
+        odd.server.start()
+        resources.callback(odd.server.close)
+        odd_id = messages.WorkerId('odd')
+        workers.handle_report(
+            _bodies.decode_worker_report(odd.report(), odd_id)
+        )
+        workers.handle_report(report)
+        for name in ('sound', 'odd'):
+            testing.wait_until(lambda name=name: term.peers[name].usable())
+        machine(_commands.SubmitJob(helpers.job('j', helpers.step(4))))
+        for index in range(4):
+            task = jobs.parse_task_key(f'j.0.0.{index}')
+            order = _orders.Order(1, 'payload', '', '')
+            term.peers['sound'].orders.plan(task, order)
+            assert machine.assign(str(task), 1, 'sound')
+            term.peers['sound'].orders.dispatch(task)
+        testing.wait_until(
+            lambda: machine.phase('j') is jobs.JobPhase.DONE, 5_000
+        )
+
+
 def test_a_lone_surrogate_can_not_be_stored():
     facts = helpers.facts('w1', address=f'{SURROGATE}:80')
     with pytest.raises(UnicodeEncodeError):
@@ -180,7 +221,7 @@
 @pytest.mark.parametrize('odd', ODD_VALUES, ids=lambda odd: repr(odd)[:20])
 @pytest.mark.parametrize('column', range(5))
 def test_an_odd_row_leaves_the_other_rows(column, odd):
-    """Regression test: all ends of all workers in a commit were lost."""
+    """Regression test: no list of the worker was read, or no end recorded."""
     body = {
         'TimeMs': 9,
         'born': 17,
