--- a/dandeliondrum/jobs/tests/test_unfit_demands.py
+++ b/dandeliondrum/jobs/tests/test_unfit_demands.py
@@ -133,7 +133,7 @@
         (helpers.step(100), 1_000, ''),
     ],
 )
-def test_the_reason_why_a_demand_can_not_run_is_told(spec, limit, text):
+def test_the_reason_why_a_demand_can_not_run_is_reported(spec, limit, text):
     limits = {}
     if limit is not None:
         limits[helpers.TEAM] = messages.Resources(limit, 10_000)
@@ -143,7 +143,7 @@
     assert text in reasons.get((demand.job_id, demand.step), '')
 
 
-def test_nothing_is_told_of_a_pool_without_usable_workers():
+def test_nothing_is_reported_for_a_pool_without_usable_workers():
     demand = _demand(helpers.step())
     assert _planner.unfit_reasons([demand], [], {}) == {}
 
@@ -167,7 +167,7 @@
     assert available.obtainable().cpu_millicores == 4_000
 
 
-def test_a_caller_is_told_that_its_gang_does_not_fit(tmp_path):
+def test_the_caller_of_a_gang_that_does_not_fit_gets_the_reason(tmp_path):
     """Regression test: it was shown as queued without a reason."""
     with contextlib.ExitStack() as resources:
         cell = test_cell.Cell(tmp_path, resources)
