Compute what a worker can offer once, not for each waiting step

Change: what will become free is kept with the worker, and the limit for each worker is only looked at for steps that have one. The plans are the same: the random cases pass.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -93,7 +93,8 @@
     ``penalty`` is higher for slow workers and for workers that failed tasks
     recently; they are chosen last. A ``reserved`` worker is kept for an
     earlier demand. A worker with ``is_empty`` runs nothing. ``endless_used``
-    is what endless tasks use; nobody knows when it becomes free.
+    is what endless tasks use; nobody knows when it becomes free. What is or
+    will become free is ``obtainable``.
     """
 
     worker_id: messages.WorkerId
@@ -107,13 +108,10 @@
     is_empty: bool = True
     started_ms: int = 0
     endless_used: messages.Resources = messages.Resources(0, 0)
+    obtainable: messages.Resources = dataclasses.field(init=False)
 
-    def obtainable(self) -> messages.Resources:
-        """Return the resources that are or will become free."""
-        used = self.endless_used
-        if used.cpu_millicores or used.memory_mb or used.accelerators_count:
-            return self.capacity - used
-        return self.capacity
+    def __post_init__(self) -> None:
+        self.obtainable = self.capacity - self.endless_used
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -546,22 +544,13 @@
             used_count = 0
             if demand.spec.endless:
                 used_count = self._counts.get(worker.worker_id, 0)
-            fit_count = _specs.tasks_that_fit(
-                self._charge, worker.obtainable()
-            )
+            fit_count = _specs.tasks_that_fit(self._charge, worker.obtainable)
             count += max(0, min(fit_count, per_worker_max - used_count))
         return count
 
-    def _is_at_limit(self, worker: AvailableWorker) -> bool:
-        """Return whether the step may run no more tasks on the worker."""
-        per_worker_max = self._demand.spec.per_worker_max
-        return bool(per_worker_max) and (
-            self._counts.get(worker.worker_id, 0) >= per_worker_max
-        )
-
     def _obtainable_room(self, worker: AvailableWorker) -> int:
         """Return how many more tasks fit once runs that end have ended."""
-        count = _specs.tasks_that_fit(self._charge, worker.obtainable())
+        count = _specs.tasks_that_fit(self._charge, worker.obtainable)
         per_worker_max = self._demand.spec.per_worker_max
         if per_worker_max:
             used_count = self._counts.get(worker.worker_id, 0)
@@ -604,13 +593,18 @@
             # Reserved resources would stay idle.
             return []
         # Workers whose ticket has to be renewed can be reserved as well.
+        charge = self._charge
         eligible = [
             worker
             for worker in self._pool.select(self._demand.granted)
-            if self._may_run(worker)
-            and self._charge.fits_in(worker.obtainable())
-            and not self._is_at_limit(worker)
+            if self._may_run(worker) and charge.fits_in(worker.obtainable)
         ]
+        if self._demand.spec.per_worker_max:
+            eligible = [
+                worker
+                for worker in eligible
+                if self._obtainable_room(worker) > 0
+            ]
         eligible.sort(key=lambda worker: -worker.free.cpu_millicores)
         return eligible
 
--- a/dandeliondrum/jobs/tests/test_unfit_demands.py
+++ b/dandeliondrum/jobs/tests/test_unfit_demands.py
@@ -81,7 +81,7 @@
     workers = _workers(endless_used=LASTING)
     large = helpers.step(cpu=4_000)
     assert _reserved_count(_demand(large), workers) == 0
-    workers[4].endless_used = messages.Resources(0, 0)
+    workers[4] = helpers.available_worker('w4', 3_000)
     assert _reserved_count(_demand(large), workers) == 1
     assert workers[4].reserved
 
@@ -158,13 +158,13 @@
     assert worker.endless_used.cpu_millicores == 3_000
     cache = _demands.WorkerCache()
     (available,) = cache.read([(worker, 0)])
-    assert available.obtainable().cpu_millicores == 1_000
+    assert available.obtainable.cpu_millicores == 1_000
     restored = type(machine.state)(helpers.decode_policy)
     restored.restore(machine.state.snapshot())
     assert restored.workers['w1'].endless_used == worker.endless_used
     machine.end('a.0.0.0', 1, jobs.RunOutcome.STOPPED)
     (available,) = cache.read([(worker, 0)])
-    assert available.obtainable().cpu_millicores == 4_000
+    assert available.obtainable.cpu_millicores == 4_000
 
 
 def test_the_caller_of_a_gang_that_does_not_fit_gets_the_reason(tmp_path):
