Search deeply nested lists in linear time

With a string without an end that holds many escaped quotes, the search tried each of them: 10 s for 140 KB, with the interpreter held, so that the whole controller would stand still.

Change: a string without an end reaches to the end of the text.

--- a/dandeliondrum/platform/_fields.py
+++ b/dandeliondrum/platform/_fields.py
@@ -12,7 +12,9 @@
 # Far above the nesting of any message of the platform.
 NESTING_MAX = 32
 
-_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_STRING_OR_BRACKET = re.compile(
+    r'"(?:[^"\\]|\\.)*(?:"|\\?\Z)|[\[\]{}]', re.DOTALL
+)
 _LONE_SURROGATE = re.compile('[\ud800-\udfff]')
 
 
--- a/dandeliondrum/platform/tests/test_odd_entries.py
+++ b/dandeliondrum/platform/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import json
 import math
 import random
+import time
 
 import pytest
 from returns import result
@@ -271,6 +272,16 @@
     assert len(problems) == 2
 
 
+@pytest.mark.parametrize('end', ['', '\\', '"', '\\\n'])
+def test_a_string_without_end_behind_deep_nesting_is_refused_soon(end):
+    """Regression test: a search held the interpreter for 10 s."""
+    text = '{"Running":[' + '[' * 100_000 + '"' + '\\"' * 20_000 + end
+    started_s = time.monotonic()
+    with pytest.raises(_fields.FieldError):
+        _bodies.decode_worker_lists(text.encode(), 500)
+    assert time.monotonic() - started_s < 5
+
+
 @pytest.mark.parametrize('body', [DEEP, '{"Running":' + DEEP + '}', '[' * 9])
 def test_lists_without_a_clock_are_no_lists(body):
     with pytest.raises(_fields.FieldError):
