Review: an acknowledged config is gone after the loss of two disks

The cell is founded with the three seeds as its only voters and acknowledges the first config at once, before the other two controllers vote. Two disks lost right after that ack, which the deployment has to bear, leave no majority for good.

--- a/review/kit-2/cell.py
+++ b/review/kit-2/cell.py
@@ -475,22 +475,12 @@
         front_port, ready_port = free_port(front[0]), free_port(front[0])
         self.front = [f'{ip}:{front_port}' for ip in front]
         self.ready = [f'{ip}:{ready_port}' for ip in front]
-        shared = self._shared_settings(controllers_count, stream_port)
-        for number, ip in enumerate(core):
-            self._programs[f'core-{number}'] = self._program(
-                f'core-{number}',
-                'controller',
-                {
-                    **shared,
-                    'Role': 'controller',
-                    'MachineClass': 'core',
-                    'Serves': 'control',
-                    'Ip': ip,
-                    'Listen.Control': self.control[number],
-                    'DataDir': self.folder / f'disk-{number}',
-                    'LossCounts': 'true',
-                },
-            )
+        self._spare_ip = f'127.{net}.0.{controllers_count + 2}'
+        self._shared = shared = self._shared_settings(
+            controllers_count, stream_port
+        )
+        for number in range(controllers_count):
+            self._add_controller(number, core[number])
         for number, ip in enumerate(front):
             self._programs[f'front-{number}'] = self._program(
                 f'front-{number}',
@@ -544,6 +534,52 @@
             'PlacementAdvisor': '127.0.0.1:9',
         }
 
+    def _add_controller(self, number, ip, **overrides):
+        self._programs[f'core-{number}'] = self._program(
+            f'core-{number}',
+            'controller',
+            {
+                **self._shared,
+                'Role': 'controller',
+                'MachineClass': 'core',
+                'Serves': 'control',
+                'Ip': ip,
+                'Listen.Control': self.control[number],
+                'DataDir': self.folder / f'disk-{number}',
+                'LossCounts': 'true',
+                **overrides,
+            },
+        )
+
+    def replace_core(self):
+        """Start an empty controller at another address; return its number."""
+        number = len(self.control)
+        port = self.control[0].rpartition(':')[2]
+        self.control.append(f'{self._spare_ip}:{port}')
+        self._add_controller(number, self._spare_ip, Bootstrap='false')
+        self.launch(f'core-{number}')
+        return number
+
+    def wipe(self, names):
+        """Kill controllers at once; their disks are empty afterwards."""
+        for name in names:
+            self.signal(name, signal.SIGKILL)
+        for name in names:
+            self._processes[name].wait()
+            folder = self.folder / name.replace('core', 'disk')
+            shutil.rmtree(folder)
+            folder.mkdir()
+            path = self._programs[name][1]
+            path.write_text(
+                path.read_text().replace('Bootstrap=true', 'Bootstrap=false')
+            )
+            self.record.write(name, 'disk lost')
+
+    def launch_all(self):
+        """Start all processes of the first start."""
+        for name in self._programs:
+            self.launch(name)
+
     def _program(self, name, role, settings):
         data_folder = settings.get('DataDir')
         if data_folder is not None:
@@ -585,8 +621,7 @@
 
     def start(self, document=None):
         """Start all processes and workers, and send the first config."""
-        for name in self._programs:
-            self.launch(name)
+        self.launch_all()
         for worker in self.workers:
             worker.start()
         document = document or config(1)
