--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,10 @@
-"""A service is shown as failed once workers have crashed under it."""
+"""A submission runs on after its cancelling was acknowledged."""
 
+import json
 import pathlib
+import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'kit-2'))
@@ -9,21 +12,51 @@
 import cell as kit  # noqa: E402
 
 WORKERS_COUNT = 8
-CRASHES_COUNT = 3
-DOWN_S = 1.5
-# Time at work before each crash, and the time in which to be at work again.
-AT_WORK_S = 7.0
-RESTART_LIMIT_S = 14.0
-WATCH_S = 9.0
+# One front of ten is a share of 0.1, below the largest dose of 0.11.
+FRONTS_COUNT = 10
+LEADER_FREEZE_S = 0.4
+LEADER_ROUNDS_COUNT = 6
+FRONT_FREEZE_S = 3.5
+# The client leaves after half of the latency target of 500 ms.
+PATIENCE_S = 0.25
+CANCEL_MS = 3_000
+# From the end of a freeze on; longer than ContactMs, so that no disturbance is
+# near, and than cancel_ms and StopTimeoutMs together.
+WATCH_S = 5.0
 
 
 def case(make_cell, with_trouble):
-    cell = make_cell()
+    cell = make_cell(gateways_count=FRONTS_COUNT)
     cell.workers = [
         kit.Worker(cell, f'i-{number}', lambda *_: (None, ''))
         for number in range(WORKERS_COUNT)
     ]
-    cell.start()
+    cell.start(kit.config(1, [kit.route(TargetLatencyMs=500)]))
+    time.sleep(6.0)
+    found = []
+    for _ in range(LEADER_ROUNDS_COUNT):
+        frozen = f'core-{leader(cell)}'
+        found += cancel_early(cell, frozen, LEADER_FREEZE_S, with_trouble)
+        time.sleep(1.0)
+    found += cancel_early(cell, 'front-0', FRONT_FREEZE_S, with_trouble)
+    return '\n'.join(found)
+
+
+def leader(cell):
+    """Return the number of the controller that began to lead last."""
+    newest = ('', 0)
+    for number in range(len(cell.control)):
+        for line in (cell.folder / f'core-{number}.log').open():
+            if '"event": "leading"' in line:
+                newest = max(newest, (json.loads(line)['time'], number))
+    return newest[1]
+
+
+def cancel_early(cell, frozen, freeze_s, with_trouble):
+    """Hand in a service, leave and cancel it while a process is frozen.
+
+    Returns how the rule was broken, if it was.
+    """
     job_id = kit.job_id()
     body = {
         'Spec': 'service',
@@ -31,43 +64,39 @@
             {'Count': 1, 'Cpu': 1_000, 'MemMb': 512, 'LongRunning': True}
         ],
     }
-    status, _ = cell.ask(0, 'POST', job_id, body)
-    if status != 200:
-        raise kit.NotRun(f'not accepted: {status}')
-    for _ in range(CRASHES_COUNT):
-        worker = wait_until_at_work(cell)
-        if worker is None:
+    thaw = threading.Timer(freeze_s, cell.signal, (frozen, signal.SIGCONT))
+    if with_trouble:
+        cell.signal(frozen, signal.SIGSTOP)
+        thaw.start()
+    cell.ask(0, 'POST', job_id, body, patience_s=PATIENCE_S)
+    status = None
+    for _ in range(5):
+        # As after any call without a clear response, at another front.
+        status, _ = cell.ask(1, 'DELETE', job_id)
+        if status in (200, 410):
             break
-        time.sleep(AT_WORK_S)
-        if with_trouble:
-            worker.crash()
-            time.sleep(DOWN_S)
-            worker.start()
-    until_s = time.monotonic() + WATCH_S
-    states = set()
-    while time.monotonic() < until_s:
-        status, fields = cell.ask(1, 'GET', job_id)
-        states.add((status, fields.get('State')))
-        time.sleep(1.0)
-    if any(state == 'failed' for _, state in states):
-        return f'LOST: the service {job_id} is shown as failed'
-    if not at_work(cell):
-        return f'LOST: no task of the service {job_id} is at work'
-    return None
-
-
-def at_work(cell):
-    return [worker for worker in cell.workers if worker.running()]
-
-
-def wait_until_at_work(cell):
-    until_s = time.monotonic() + RESTART_LIMIT_S
-    while time.monotonic() < until_s:
-        found = at_work(cell)
-        if found:
-            return found[0]
-        time.sleep(0.05)
-    return None
+    else:
+        raise kit.NotRun(f'the cancelling was not acknowledged: {status}')
+    acked_s = cell.record.now_s()
+    if with_trouble:
+        thaw.join()
+    time.sleep(WATCH_S)
+    cell.ask(1, 'GET', job_id)
+    for worker in cell.workers:
+        running = worker.running()
+        for at_s, task, run in worker.starts:
+            if not task.startswith(job_id):
+                continue
+            after_s = at_s - acked_s
+            if after_s > CANCEL_MS / 1000 or task in running:
+                now_s = cell.record.now_s() - acked_s
+                return [
+                    f'UNASKED, {frozen} frozen: the cancelling of {job_id} was '
+                    f'acknowledged with {status}; {task} run {run} was started '
+                    f'{after_s:.3f} s after it; at work {now_s:.1f} s after '
+                    f'it: {task in running}'
+                ]
+    return []
 
 
 kit.run_case(case)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,6 @@
-"""A submission runs on after its cancelling was acknowledged."""
+"""A task runs on two workers after one of them has started again."""
 
-import json
 import pathlib
-import signal
 import sys
 import threading
 import time
@@ -12,91 +10,101 @@
 import cell as kit  # noqa: E402
 
 WORKERS_COUNT = 8
-# One front of ten is a share of 0.1, below the largest dose of 0.11.
-FRONTS_COUNT = 10
-LEADER_FREEZE_S = 0.4
-LEADER_ROUNDS_COUNT = 6
-FRONT_FREEZE_S = 3.5
-# The client leaves after half of the latency target of 500 ms.
-PATIENCE_S = 0.25
-CANCEL_MS = 3_000
-# From the end of a freeze on; longer than ContactMs, so that no disturbance is
-# near, and than cancel_ms and StopTimeoutMs together.
-WATCH_S = 5.0
+ROUNDS_COUNT = 6
+TASKS_COUNT = 40
+TASK_S = 9.0
+# One way between two regions.
+DISTANCE_MS = 20
+# The worker crashes when it has begun this many runs of a round.
+CRASH_AFTER_STARTS = 4
+DOWN_S = 0.6
+# Time between the start of its next life and the cut, and length of the cut.
+CUT_AFTER_S = 0.15
+CUT_S = 5.5
+
+
+class Trouble:
+    """Crashes one worker a round, and cuts it off soon after it is back."""
+
+    def __init__(self):
+        self.is_armed = False
+        self._starts = {}
+        self._lock = threading.Lock()
+
+    def arm(self):
+        with self._lock:
+            self._starts = {}
+            self.is_armed = True
+
+    def note_start(self, worker):
+        with self._lock:
+            if not self.is_armed:
+                return
+            self._starts[worker] = self._starts.get(worker, 0) + 1
+            if self._starts[worker] < CRASH_AFTER_STARTS:
+                return
+            self.is_armed = False
+        threading.Thread(target=self._strike, args=(worker,)).start()
+
+    def _strike(self, worker):
+        worker.crash()
+        time.sleep(DOWN_S)
+        worker.start()
+        time.sleep(CUT_AFTER_S)
+        worker.cut()
+        time.sleep(CUT_S)
+        worker.join()
 
 
 def case(make_cell, with_trouble):
-    cell = make_cell(gateways_count=FRONTS_COUNT)
-    cell.workers = [
-        kit.Worker(cell, f'i-{number}', lambda *_: (None, ''))
-        for number in range(WORKERS_COUNT)
-    ]
-    cell.start(kit.config(1, [kit.route(TargetLatencyMs=500)]))
-    time.sleep(6.0)
+    cell = make_cell()
+    trouble = Trouble()
     found = []
-    for _ in range(LEADER_ROUNDS_COUNT):
-        frozen = f'core-{leader(cell)}'
-        found += cancel_early(cell, frozen, LEADER_FREEZE_S, with_trouble)
-        time.sleep(1.0)
-    found += cancel_early(cell, 'front-0', FRONT_FREEZE_S, with_trouble)
-    return '\n'.join(found)
-
-
-def leader(cell):
-    """Return the number of the controller that began to lead last."""
-    newest = ('', 0)
-    for number in range(len(cell.control)):
-        for line in (cell.folder / f'core-{number}.log').open():
-            if '"event": "leading"' in line:
-                newest = max(newest, (json.loads(line)['time'], number))
-    return newest[1]
-
-
-def cancel_early(cell, frozen, freeze_s, with_trouble):
-    """Hand in a service, leave and cancel it while a process is frozen.
-
-    Returns how the rule was broken, if it was.
-    """
-    job_id = kit.job_id()
-    body = {
-        'Spec': 'service',
-        'Steps': [
-            {'Count': 1, 'Cpu': 1_000, 'MemMb': 512, 'LongRunning': True}
-        ],
-    }
-    thaw = threading.Timer(freeze_s, cell.signal, (frozen, signal.SIGCONT))
-    if with_trouble:
-        cell.signal(frozen, signal.SIGSTOP)
-        thaw.start()
-    cell.ask(0, 'POST', job_id, body, patience_s=PATIENCE_S)
-    status = None
-    for _ in range(5):
-        # As after any call without a clear response, at another front.
-        status, _ = cell.ask(1, 'DELETE', job_id)
-        if status in (200, 410):
+
+    def add_worker(number):
+        def work(task, run, _spec):
+            for other in cell.workers:
+                # Read without its lock, since this worker's lock is held.
+                at_work = other._runs.get(task) if other.is_up else None
+                if other is not worker and at_work is not None:
+                    found.append(
+                        f'TWICE: {task} run {run} was started on {worker.id} '
+                        f'while run {at_work.run} was at work on {other.id}'
+                    )
+                    cell.record.write('case', 'two runs', text=found[-1])
+            trouble.note_start(worker)
+            return TASK_S, 'done'
+
+        worker = kit.Worker(cell, f'i-{number}', work, distance_ms=DISTANCE_MS)
+        cell.workers.append(worker)
+
+    for number in range(WORKERS_COUNT):
+        add_worker(number)
+    cell.start()
+    time.sleep(5.0)
+    for _ in range(ROUNDS_COUNT):
+        job_id = kit.job_id()
+        body = {
+            'Spec': 'batch',
+            'Steps': [
+                {
+                    'Count': TASKS_COUNT,
+                    'Cpu': 1_000,
+                    'MemMb': 512,
+                    'EstimateMs': int(TASK_S * 1000),
+                }
+            ],
+        }
+        if with_trouble:
+            trouble.arm()
+        if cell.ask(0, 'POST', job_id, body)[0] != 200:
+            raise kit.NotRun('not accepted')
+        time.sleep(CUT_S + 4.5)
+        cell.ask(0, 'DELETE', job_id)
+        if found:
             break
-    else:
-        raise kit.NotRun(f'the cancelling was not acknowledged: {status}')
-    acked_s = cell.record.now_s()
-    if with_trouble:
-        thaw.join()
-    time.sleep(WATCH_S)
-    cell.ask(1, 'GET', job_id)
-    for worker in cell.workers:
-        running = worker.running()
-        for at_s, task, run in worker.starts:
-            if not task.startswith(job_id):
-                continue
-            after_s = at_s - acked_s
-            if after_s > CANCEL_MS / 1000 or task in running:
-                now_s = cell.record.now_s() - acked_s
-                return [
-                    f'UNASKED, {frozen} frozen: the cancelling of {job_id} was '
-                    f'acknowledged with {status}; {task} run {run} was started '
-                    f'{after_s:.3f} s after it; at work {now_s:.1f} s after '
-                    f'it: {task in running}'
-                ]
-    return []
+        time.sleep(3.0)
+    return found[0] if found else None
 
 
 kit.run_case(case)
