--- a/review/kit-2/cell.py
+++ b/review/kit-2/cell.py
@@ -23,6 +23,7 @@
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 HOST = 'nony24.example'
 KEY = '6x73d3zji9n73hh2b9wu'
+SEEDS_COUNT = 3
 HEARTBEAT_S = 1.5
 STOP_TIMEOUT_MS = 200
 HOLD_MAX_MS = 6_000
@@ -35,7 +36,7 @@
     """Writes what was sent, answered and run to ``record.txt``."""
 
     def __init__(self, path):
-        self._file = open(path, 'w', encoding='utf-8')
+        self._file = open(path, 'a', encoding='utf-8')
         self._lock = threading.Lock()
         self.began_s = time.monotonic()
 
@@ -503,7 +504,7 @@
             'Region': 'gulf',
             'Zones.sattahip': 'gulf',
             'PortRange': f'{stream_port},{stream_port}',
-            'Seeds': ','.join(self.control[:3]),
+            'Seeds': ','.join(self.control[:SEEDS_COUNT]),
             'Bootstrap': 'true',
             'Limits.MemoryMb': 300,
             'Limits.MaxFds': 4_100,
@@ -575,9 +576,16 @@
             )
             self.record.write(name, 'disk lost')
 
-    def launch_all(self):
-        """Start all processes of the first start."""
-        for name in self._programs:
+    def launch_all(self, spread_s=0.0):
+        """Start all processes of the first start, the seeds first.
+
+        The others follow ``spread_s`` later.
+        """
+        names = list(self._programs)
+        for name in names[:SEEDS_COUNT]:
+            self.launch(name)
+        time.sleep(spread_s)
+        for name in names[SEEDS_COUNT:]:
             self.launch(name)
 
     def _program(self, name, role, settings):
@@ -675,7 +683,9 @@
         return status, fields
 
     def close(self):
-        """End all processes that this cell started."""
+        """End all processes that this cell started; twice does no harm."""
+        if not self.folder.exists():
+            return
         for worker in self.workers:
             worker.close()
         for process in self._processes.values():
@@ -706,6 +716,7 @@
     """
     record_path = pathlib.Path(sys.argv[0]).resolve().parent / 'record.txt'
     with_trouble = os.environ.get('TROUBLE', '1') != '0'
+    record_path.unlink(missing_ok=True)
 
     def give_up(*_):
         raise NotRun('out of time')
