Count on calls to a former incarnation of a worker

Cause: a call to a worker names its id only. Until the next incarnation has seen a higher token it carries out the calls that were meant for the former one, some of them seconds late. The end of a lease on the former clock is far in the future on the new one, so it accepts the longest lease. The leader counted the last lease that it had granted.

Ruled out: the end of the lease that starts carry alone; a worker that is never read at all after its restart gives the same.

Change: - The longest lease is counted from the first read of an incarnation and from the first read with the higher token. - A start without an answer may be carried out for another 5 s. An answer with a clock that is behind is of an incarnation that was not read. Such a run has lapsed when the longest lease after that has; others lapse as before. - A new leader counts on the calls of the former one for 5 s. Runs that a worker has listed, and of which no start is left, are confirmed in the log (those that last, and others after 2 s), so these do not wait longer. - A start is not sent to a worker that does not answer, and is sent again only once the worker's lists were read. - Ends are not acknowledged while a start without an answer may be carried out.

Tests of a peer without threads now mark its worker as answering, or let its lease expire, before they use it; they expect the same.

--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -118,10 +118,15 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndRuns:
-    """Record the ends of runs, and the jobs of which a run has started."""
+    """Record the ends of runs, and the jobs of which a run has started.
+
+    ``confirmed`` are runs, with their numbers, that a worker has listed and
+    of which no start may be carried out any more.
+    """
 
     ends: tuple[RunEnd, ...]
     begun: tuple[_specs.JobId, ...] = ()
+    confirmed: tuple[tuple[_specs.TaskKey, int], ...] = ()
 
 
 @messages.message
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -1,6 +1,7 @@
 """Delivery of start and stop orders to one worker."""
 
 import collections.abc
+import enum
 import threading
 
 import structlog
@@ -30,6 +31,14 @@
 Runner = collections.abc.Callable[[str, utils.Task], None]
 
 
+class _StartAction(enum.Enum):
+    """What to do next about a start order."""
+
+    SEND = 'send'
+    WAIT = 'wait'
+    GIVE_UP = 'give_up'
+
+
 class OrderSender:
     """Sends the orders of the order book; several threads may run it."""
 
@@ -96,27 +105,42 @@
         with state.lock:
             stop_ordered = self._orders.is_stopping(task, run)
             order = self._orders.get(task, run)
-            if order is None:
+            if order is None or order.phase is _orders.OrderPhase.LISTED:
                 return
             has_changed = has_shrunk or not state.may_carry_out(order)
-            if order.sends_count == 0 and (
-                draining or obsolete or stop_ordered or has_changed
+            is_first = order.sends_count == 0
+            if is_first and (
+                draining
+                or obsolete
+                or stop_ordered
+                or has_changed
+                or not state.is_responding
             ):
-                request = None
+                action = _StartAction.GIVE_UP
             elif stop_ordered:
                 # The stop also settles the starts that were sent before it.
                 return
             elif has_changed:
                 self._settle_by_stop(task, order)
                 return
+            elif not is_first and not state.has_read(order.resend_read):
+                # The worker may have started again. Its next lists tell that,
+                # or that the run has begun.
+                self._orders.requeue(task)
+                action = _StartAction.WAIT
             else:
-                order.sends_count += 1
-                order.enter(_orders.OrderPhase.SENT)
+                begun_ms = state.begin_start(order)
                 request = self._start_order(task, order)
-        if request is None:
-            self._record_never_started(task, order)
-            return
+                action = _StartAction.SEND
+        match action:
+            case _StartAction.GIVE_UP:
+                self._record_never_started(task, order)
+                return
+            case _StartAction.WAIT:
+                stopping.wait(RETRY_DELAY_MS / 1000)
+                return
         outcome = state.port.start(request)
+        state.end_start(order, outcome, begun_ms)
         match outcome:
             case _port.Accepted():
                 self._settle(order)
@@ -209,6 +233,7 @@
             if not sent:
                 order.sends_count -= 1
                 order.unsent_count += 1
+            order.resend_read = self._state.reads_count + 1
             if order.phase is _orders.OrderPhase.LISTED:
                 return
             if self._orders.is_stopping(task, order.run):
--- a/dandeliondrum/jobs/_orders.py
+++ b/dandeliondrum/jobs/_orders.py
@@ -43,9 +43,13 @@
 
     ``unsent_count`` is the number of attempts that did not reach the worker.
     ``settled_read`` is the number of the first read of the lists that began
-    after the order was settled. ``checkpoint_seen`` is the newest checkpoint
-    that the worker has listed. ``phase`` has not changed since ``since_ms``.
-    ``worker`` is what the run was planned with; None if it is not known.
+    after the order was settled, ``resend_read`` that of the first one that
+    began after a start was not answered. Until ``unanswered_until_ms`` a
+    start that was not answered may be carried out, and until
+    ``may_start_until_ms`` any start. ``checkpoint_seen`` is the newest
+    checkpoint that the worker has listed. ``phase`` has not changed since
+    ``since_ms``. ``worker`` is what the run was planned with; None if it is
+    not known.
     """
 
     run: int
@@ -57,6 +61,9 @@
     sends_count: int = 0
     unsent_count: int = 0
     settled_read: int = 0
+    resend_read: int = 0
+    unanswered_until_ms: int = 0
+    may_start_until_ms: int = 0
     checkpoint_seen: str = ''
     worker: _commands.WorkerFacts | None = None
 
@@ -78,14 +85,17 @@
     """The start orders by task and the outgoing queue; thread-safe.
 
     ``on_queued`` is called for each order that is queued, under ``lock``.
+    Orders of an earlier leader may be carried out until ``former_until_ms``.
     """
 
     def __init__(
         self,
         lock: threading.RLock,
         on_queued: collections.abc.Callable[[], object] = lambda: None,
+        former_until_ms: int = 0,
     ) -> None:
         self.on_queued = on_queued
+        self._former_until_ms = former_until_ms
         self._lock = lock
         self._condition = threading.Condition(lock)
         self._used = threading.Condition(lock)
@@ -216,13 +226,28 @@
         with self._lock:
             order = self.get(task, run)
             if order is None:
-                order = Order(run, '', '', '')
+                order = Order(
+                    run,
+                    '',
+                    '',
+                    '',
+                    may_start_until_ms=self._former_until_ms,
+                )
                 self._orders[task] = order
-            if order.phase not in (OrderPhase.QUEUED, OrderPhase.LISTED):
+            if order.phase is not OrderPhase.LISTED:
                 order.enter(OrderPhase.LISTED)
             if checkpoint:
                 order.checkpoint_seen = checkpoint
 
+    def awaits_late_start(self) -> bool:
+        """Return whether a start that was not answered may be carried out."""
+        now_ms = _clock.elapsed_ms()
+        with self._lock:
+            return any(
+                order.unanswered_until_ms > now_ms
+                for order in self._orders.values()
+            )
+
     def settle(self, order: Order, next_read: int) -> None:
         """Record that no reply is outstanding.
 
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _crashes
 from dandeliondrum.jobs import _end_recorder
@@ -52,6 +53,16 @@
     ) -> set[_specs.TaskKey]:
         """Return the tasks among these that are suspected of crashes."""
 
+    def confirm(
+        self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
+    ) -> None:
+        """Note runs of which no start may be carried out any more."""
+
+    def confirmed(
+        self, tasks: collections.abc.Iterable[_specs.TaskKey]
+    ) -> set[_specs.TaskKey]:
+        """Return the tasks among these whose run is recorded as such."""
+
     def obsolete(
         self, runs: collections.abc.Iterable[tuple[_specs.TaskKey, int]]
     ) -> list[tuple[_specs.TaskKey, int]]:
@@ -94,12 +105,13 @@
     """The leader's view of one worker; ``lock`` protects the fields.
 
     ``is_responding`` tells whether the last read of the lists was answered,
-    and ``reads_count`` numbers the reads. ``listed_started_ms`` is the start
-    time of the incarnation that answered last, 0 if none has.
-    ``is_departing`` is set if the current incarnation drains or has announced
-    its shutdown. ``crashed`` holds the ends, not recorded yet, of the runs of
-    an incarnation that crashed. Once ``ended`` is set, the threads that serve
-    the worker exit.
+    and ``reads_count`` numbers the reads. ``used_read`` is the number of the
+    newest read whose lists were used, and ``used_read_begun_ms`` its time.
+    ``listed_started_ms`` is the start time of the incarnation that answered
+    last, 0 if none has. ``is_departing`` is set if the current incarnation
+    drains or has announced its shutdown. ``crashed`` holds the ends, not
+    recorded yet, of the runs of an incarnation that crashed. Once ``ended`` is
+    set, the threads that serve the worker exit.
     """
 
     def __init__(
@@ -116,9 +128,14 @@
         self.port = port
         self.events = events
         self.lease = lease
-        self.orders = _orders.OrderBook(self.lock)
+        self.orders = _orders.OrderBook(
+            self.lock,
+            former_until_ms=_clock.elapsed_ms() + _lease.LATE_CALL_MAX_MS,
+        )
         self.token = term * TOKENS_PER_TERM + tokens_used_count
         self.reads_count = 0
+        self.used_read = 0
+        self.used_read_begun_ms = 0
         self.listed_started_ms = 0
         self.is_responding = False
         self.last_reply_ms: int | None = None
@@ -141,6 +158,59 @@
                 return self.lease.grant()
             return self.lease.granted_ms()
 
+    def has_read(self, number: int) -> bool:
+        """Return whether lists of this read, or of a later one, were used."""
+        return self.is_responding and self.used_read >= number
+
+    def begin_start(self, order: _orders.Order) -> int:
+        """Note that a start is sent; return the time. Needs the lock."""
+        now_ms = _clock.elapsed_ms()
+        order.sends_count += 1
+        order.enter(_orders.OrderPhase.SENT)
+        order.may_start_until_ms = max(
+            order.may_start_until_ms, now_ms + _lease.LATE_CALL_MAX_MS
+        )
+        return now_ms
+
+    def end_start(
+        self,
+        order: _orders.Order,
+        outcome: _port.OrderOutcome,
+        begun_ms: int,
+    ) -> None:
+        """Note until when a start, and the lease in it, may take effect.
+
+        An answer may be that of an incarnation that has not been read.
+        """
+        with self.lock:
+            until_ms = 0
+            match outcome:
+                case _port.Accepted(clock_ms) if self.lease.is_same_clock(
+                    clock_ms, begun_ms
+                ):
+                    pass
+                case _port.Accepted() | _port.Refused():
+                    until_ms = _clock.elapsed_ms()
+                    self.lease.expect_arrival(until_ms)
+                case _port.Unanswered(sent=True):
+                    until_ms = begun_ms + _lease.LATE_CALL_MAX_MS
+                    self.lease.expect_arrival(until_ms)
+                    order.unanswered_until_ms = until_ms
+            order.may_start_until_ms = max(order.unanswered_until_ms, until_ms)
+
+    def may_start_unread(self, task: _specs.TaskKey, run: int) -> bool:
+        """Return whether a run may start after the newest lists were read.
+
+        Another incarnation may carry out a start that was sent to the former
+        one. A run without an order was started by an earlier leader.
+        """
+        with self.lock:
+            order = self.orders.get(task, run)
+            if order is None:
+                return True
+            until_ms = order.may_start_until_ms
+            return 0 < until_ms >= self.used_read_begun_ms
+
     def is_incarnation(self, started_ms: int) -> bool:
         """Return whether no other incarnation has answered.
 
@@ -177,7 +247,7 @@
         dropped = self.orders.drop_queued()
         with self.lock:
             lapsed = tuple(self._lapsed.values())
-        ends = (*self._crash_ends(), *lapsed)
+        ends = tuple(dict.fromkeys((*self._crash_ends(), *lapsed)))
         if not self._record_all(ends, dropped):
             return
         with self.lock:
@@ -195,7 +265,7 @@
         """
         ends = self._crash_ends()
         with self.lock:
-            ends = (*ends, *self._lapsed.values())
+            ends = tuple(dict.fromkeys((*ends, *self._lapsed.values())))
             self._lapsed.clear()
             self.crashed.update(
                 {
@@ -211,12 +281,27 @@
         self._report_crash(ends)
 
     def record_lapse(self) -> bool:
-        """Record that the lease of all assigned runs has expired.
+        """Record the runs whose lease has expired; return whether it worked.
 
-        Returns whether it succeeded.
+        A run that the next incarnation may start has lapsed once the longest
+        lease of that one has expired.
         """
         dropped = self.orders.drop_queued()
-        crashed = self._crash_ends()
+        all_crashed = self._crash_ends()
+        confirmed = self.events.confirmed(end.task for end in all_crashed)
+        with self.lock:
+            # Who is suspected depends on all runs, also on those that lapse
+            # later.
+            self._lapsed.update(
+                {
+                    (end.task, end.run): end
+                    for end in all_crashed
+                    if end.outcome is _commands.RunOutcome.CRASHED
+                }
+            )
+        crashed = tuple(
+            end for end in all_crashed if self._has_lapsed(end, confirmed)
+        )
         ends = tuple(
             dataclasses.replace(
                 end,
@@ -227,12 +312,28 @@
         )
         if not self._record_all(ends, dropped):
             return False
-        with self.lock:
-            for end in crashed:
-                if end.outcome is _commands.RunOutcome.CRASHED:
-                    self._lapsed[end.task, end.run] = end
+        left = {end.task for end in all_crashed} - {end.task for end in ends}
+        self.orders.restore_queued(
+            item
+            for item in dropped
+            if (item.task if isinstance(item, _orders.Stop) else item) in left
+        )
         return True
 
+    def _has_lapsed(
+        self, end: _commands.RunEnd, confirmed: set[_specs.TaskKey]
+    ) -> bool:
+        """Return whether a run has ended on a worker that does not answer."""
+        with self.lock:
+            order = self.orders.get(end.task, end.run)
+            if order is None and end.task in confirmed:
+                return self.lease.expired()
+            if not self.may_start_unread(end.task, end.run):
+                return self.lease.expired()
+            start_ms = order.may_start_until_ms if order is not None else 0
+            expiry_ms = self.lease.unread_expiry_ms(start_ms)
+        return _clock.elapsed_ms() > expiry_ms
+
     def forget_lapse(self) -> None:
         """Note that the worker has not crashed, as it answers again."""
         with self.lock:
@@ -258,8 +359,10 @@
                     )
                     for task, run in assigned.items()
                 )
+            lapsed = {} if self.is_departing else self._lapsed
             return tuple(
-                _commands.RunEnd(
+                lapsed.get((task, run))
+                or _commands.RunEnd(
                     task,
                     run,
                     _commands.RunOutcome.CRASHED
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -36,7 +36,8 @@
 
     ``crashes_count`` is the number of workers that crashed under the task,
     and ``crashed_run`` the last run that was counted. A task with
-    ``is_suspect`` is run apart from other jobs.
+    ``is_suspect`` is run apart from other jobs. ``is_confirmed`` tells that
+    no start of the run may be carried out any more.
     """
 
     run: int = 0
@@ -47,6 +48,7 @@
     crashes_count: int = 0
     crashed_run: int = 0
     is_suspect: bool = False
+    is_confirmed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/dandeliondrum/jobs/_run_ends.py
+++ b/dandeliondrum/jobs/_run_ends.py
@@ -43,6 +43,11 @@
         begun = store.jobs.get(job_id)
         if begun is not None:
             _begin(begun)
+    for key, run in command.confirmed:
+        job = store.jobs.get(key.job_id)
+        task = job.task(key) if job is not None else None
+        if task is not None and task.run == run:
+            task.is_confirmed = True
     given_up = []
     for end in command.ends:
         job = store.jobs.get(end.task.job_id)
--- a/dandeliondrum/jobs/_snapshots.py
+++ b/dandeliondrum/jobs/_snapshots.py
@@ -20,6 +20,7 @@
     crashes_count: int = 0
     crashed_run: int = 0
     is_suspect: bool = False
+    is_confirmed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +104,7 @@
                     task.crashes_count,
                     task.crashed_run,
                     task.is_suspect,
+                    task.is_confirmed,
                 )
                 for task in step.tasks
             ),
@@ -125,6 +127,7 @@
                     task.crashes_count,
                     task.crashed_run,
                     task.is_suspect,
+                    task.is_confirmed,
                 )
                 for task in step.tasks
             ],
--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -126,6 +126,7 @@
             task.run = run.run
             task.phase = _records.TaskPhase.ASSIGNED
             task.worker_id = run.worker_id
+            task.is_confirmed = False
             job.changes_count += 1
             self.add_usage(job, run.task, run.run, run.worker_id)
         return True
--- a/dandeliondrum/jobs/_worker_peer.py
+++ b/dandeliondrum/jobs/_worker_peer.py
@@ -251,7 +251,7 @@
             case _port.WorkerListing():
                 with self._lock:
                     self._check_departure(begun_ms)
-                return self._handle_lists(number, request, outcome)
+                return self._handle_lists(number, begun_ms, request, outcome)
             case _port.WorkerReplaced():
                 self._state.handle_replacement(request.worker)
             case _port.Refused(reason):
@@ -262,7 +262,12 @@
                     why=reason.value,
                 )
                 self._handle_no_answer(reason.value)
-            case _port.Unanswered(_, detail):
+            case _port.Unanswered(sent, detail):
+                if sent and request.lease_until_ms is not None:
+                    with self._lock:
+                        self._state.lease.expect_arrival(
+                            begun_ms + _lease.LATE_CALL_MAX_MS
+                        )
                 self._handle_no_answer(detail)
         return False
 
@@ -293,6 +298,7 @@
     def _handle_lists(
         self,
         number: int,
+        begun_ms: int,
         request: _port.LeaseRequest,
         lists: _port.WorkerListing,
     ) -> bool:
@@ -312,6 +318,12 @@
             if request.token != self._state.token:
                 return True
             self._state.lease.update_clock(lists.clock_ms)
+            if self._first_read:
+                # Until this read, the worker carried out calls with an
+                # earlier token.
+                self._state.lease.extend_to_max()
+            self._state.used_read = number
+            self._state.used_read_begun_ms = begun_ms
         self._reconcile(number, lists)
         with self._lock:
             # The runs of the worker, and so its free resources, are known
@@ -331,6 +343,10 @@
                     ),
                     default=0,
                 )
+                if self.orders.awaits_late_start():
+                    # In the next incarnation that start and this read might
+                    # be carried out, and the end of its run be forgotten.
+                    self._acknowledged = 0
         return is_recorded
 
     def _await_recording(self) -> bool:
@@ -405,6 +421,12 @@
                 for (task, run), end in self._state.crashed.items()
                 if assigned.get(task) != run
             ]
+        self._events.confirm(
+            (task, run)
+            for task, run in assigned.items()
+            if (task, run) in listed
+            and not self._state.may_start_unread(task, run)
+        )
         unassigned = [key for key in listed if assigned.get(key[0]) != key[1]]
         obsolete = self._events.obsolete(listed.keys() - set(unassigned))
         misplaced = self._events.misplaced(self.facts.worker_id, lists)
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -35,6 +35,8 @@
 # Interval between commits of starts. Callers are promised a count of waiting
 # jobs that is at most 2 s old.
 STARTS_INTERVAL_MS = 250
+# A run that takes longer is confirmed in the log after this.
+CONFIRM_AFTER_MS = 2_000
 # An endless task that a worker has listed for this long has worked there.
 AT_WORK_MS = 5_000
 # A worker without runs that has not reported for this long is removed.
@@ -78,6 +80,8 @@
         self._facts_sequences: dict[messages.WorkerId, tuple[int, int]] = {}
         # Jobs that a worker has started and that are still recorded as queued.
         self._begun: set[_specs.JobId] = set()
+        # Runs that are listed and not recorded as confirmed.
+        self._confirmed: set[_Run] = set()
         self._closed = False
         self._end_recorder = _end_recorder.EndRecorder(
             self._commit_ends, supervisor, _term.PROPOSE_TIMEOUT_MS
@@ -449,14 +453,57 @@
                 waited_ms / 1000
             )
 
+    def confirm(self, runs: collections.abc.Iterable[_Run]) -> None:
+        """Note runs of which no start may be carried out any more.
+
+        They are committed by the next :meth:`commit_starts`.
+        """
+        confirmed = [run for run in runs if self._is_unconfirmed(*run)]
+        if confirmed:
+            with self._lock:
+                self._confirmed.update(confirmed)
+
+    def confirmed(
+        self, tasks: collections.abc.Iterable[_specs.TaskKey]
+    ) -> set[_specs.TaskKey]:
+        """Return the tasks among these whose run is recorded as such."""
+        state = self._term.state
+        with state.lock:
+            return {
+                key
+                for key in tasks
+                if (job := state.jobs.get(key.job_id)) is not None
+                and (task := job.task(key)) is not None
+                and task.is_confirmed
+            }
+
+    def _is_unconfirmed(self, key: _specs.TaskKey, run: int) -> bool:
+        """Return whether a run of some length is still to be confirmed."""
+        # Read without the lock of the state, as most runs are confirmed.
+        job = self._term.state.jobs.get(key.job_id)
+        task = job.task(key) if job is not None else None
+        if job is None or task is None or task.run != run:
+            return False
+        if task.is_confirmed or task.worker_id is None:
+            return False
+        if job.spec.steps[key.step].endless:
+            return True
+        peer = self._term.peers.get(task.worker_id)
+        if peer is None:
+            return False
+        listed_ms = peer.orders.listed_ms(key, run, _clock.elapsed_ms())
+        return listed_ms is not None and listed_ms >= CONFIRM_AFTER_MS
+
     def commit_starts(self) -> None:
-        """Commit which jobs have begun since the last call."""
+        """Commit the jobs that have begun, and runs, since the last call."""
         if not self._term.node.is_leading():
             return
         with self._lock:
             begun, self._begun = self._begun, set()
+            runs, self._confirmed = self._confirmed, set()
         queued = self._queued(begun)
-        if not queued:
+        confirmed = [run for run in runs if self._is_unconfirmed(*run)]
+        if not queued and not confirmed:
             return
 
         def finish(done: _term.Proposed) -> None:
@@ -465,8 +512,11 @@
                 _logger.info('starts not recorded', why=str(outcome.failure()))
                 with self._lock:
                     self._begun.update(queued)
+                    self._confirmed.update(confirmed)
 
-        command = _commands.EndRuns((), tuple(sorted(queued)))
+        command = _commands.EndRuns(
+            (), tuple(sorted(queued)), tuple(sorted(confirmed, key=str))
+        )
         self._term.propose(command).add_done_callback(finish)
 
     def record(self, ends: tuple[_commands.RunEnd, ...]) -> bool:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -86,6 +86,18 @@
     def begin_record(self, ends):
         return FakeRecording(self.record(ends))
 
+    def confirm(self, runs):
+        self.machine(_commands.EndRuns((), (), tuple(runs)))
+
+    def confirmed(self, tasks):
+        state = self.machine.state
+        with state.lock:
+            return {
+                key
+                for key in tasks
+                if state.jobs[key.job_id].task(key).is_confirmed
+            }
+
     def assigned(self, worker_id):
         with self.machine.state.lock:
             return dict(self.machine.state.workers[worker_id].runs)
@@ -683,6 +695,7 @@
     leader.submit('j', helpers.step())
     leader.start('j.0.0.0')
     leader.stopping.set()
+    leader.peer._state.is_responding = True
     key = jobs.parse_task_key('j.0.0.0')
     assert leader.peer.orders.next(0) == key
     worker.delays_starts = True
@@ -842,6 +855,7 @@
     leader = FakeLeader(worker, lease_ms=60_000)
     leader.submit('j', helpers.step())
     leader.start('j.0.0.0')
+    leader.peer._state.lease._expiry_ms = 0
     leader.log_refuses = True
     assert not leader.peer._state.record_lapse()
     leader.log_refuses = False
