Commit the cancelling of a job that is not known

Cause: the leader proposed the cancelling to the log only if it knew the job; otherwise it answered it like a query. A submission that was being committed, or that waited in a gateway, then came after the reply as if nothing had been said about it.

Ruled out: waiting for submissions that are being committed, as one that waits in a gateway would still come later.

Change: each cancelling is committed before it is answered. For an id that is not known the log records id and team, and the submission becomes a cancelled job. Kept as long as ended jobs, at most 20,000; further ones are refused.

--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -102,9 +102,15 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelJob:
-    """End a job before its tasks are done."""
+    """End a job before its tasks are done.
+
+    An id that is not known is cancelled before its submission: the team's job
+    with this id never runs. Commands of earlier versions name no team, and
+    have no effect on ids that are not known.
+    """
 
     job_id: _specs.JobId
+    team_id: messages.TeamId | None = None
 
 
 @messages.message
@@ -168,6 +174,11 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForgetJobs:
-    """Remove ended jobs from the state."""
+    """Remove ended jobs from the state.
+
+    Also removes the ids that were cancelled before their submission, by
+    commands up to ``early_cancels_until_index`` in the log.
+    """
 
     job_ids: tuple[_specs.JobId, ...]
+    early_cancels_until_index: int = 0
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -71,6 +71,10 @@
         self._scheduler = _scheduler.Scheduler(self._term)
         self._voters = _voters.Voters(node, options.voters_count)
         self._ended_ms: dict[_specs.JobId, int] = {}
+        # When this leader first knew of early cancellings up to a log index.
+        self._early_cancel_marks: collections.deque[tuple[int, int]] = (
+            collections.deque()
+        )
         # How many submissions of a job are being committed.
         self._submitting: collections.Counter[_specs.JobId] = (
             collections.Counter()
@@ -299,13 +303,15 @@
                 tasks_count=sum(step.tasks_count for step in spec.steps),
             )
             term = self._term
+            phase = outcome.unwrap()
             term.metrics.accepted.labels(spec.queue).inc()
-            term.accepted_ms[spec.job_id] = (
-                spec.queue,
-                _clock.elapsed_ms(),
-            )
+            if not phase.ended():
+                term.accepted_ms[spec.job_id] = (
+                    spec.queue,
+                    _clock.elapsed_ms(),
+                )
             term.round_requested.set()
-            return _calls.JobStatus(outcome.unwrap())
+            return _calls.JobStatus(phase)
 
         return utils.map_future(
             self._term.propose(_commands.SubmitJob(spec)), make_reply
@@ -347,25 +353,37 @@
             return job.phase
 
     def _cancel(self, message: _calls.JobCancellation) -> typing.Any:
-        if self._phase(message.job_id, message.team_id) is None:
-            # A deposed leader may not know the job yet, so the reply has to
-            # be confirmed by a quorum.
-            return self._query(
-                _calls.JobQuery(message.job_id, message.team_id)
-            )
+        """Commit a cancelling, also that of a job that is not known.
+
+        Its submission may be on the way, and is ordered after it in the log
+        or before it.
+        """
 
         def make_reply(
             outcome: result.Result[typing.Any, consensus.ProposeError],
         ) -> typing.Any:
             if isinstance(outcome, result.Failure):
                 return _replies.failure_reply(outcome.failure())
-            _logger.info('job cancelled', job=message.job_id)
-            self._workers.stop_obsolete((message.job_id,))
-            return _calls.JobStatus(outcome.unwrap())
-
-        return utils.map_future(
-            self._term.propose(_commands.CancelJob(message.job_id)), make_reply
-        )
+            match outcome.unwrap():
+                case _records.EarlyCancel.REFUSED:
+                    _logger.warning(
+                        'cancelling refused',
+                        job=message.job_id,
+                        why='too many ids that are not known',
+                    )
+                    return messages.CallFailed(
+                        'too many cancelled ids', True, CLEANUP_INTERVAL_MS
+                    )
+                case _records.EarlyCancel.RECORDED:
+                    _logger.info('unknown job cancelled', job=message.job_id)
+                    return _calls.JobStatus(None)
+                case phase:
+                    _logger.info('job cancelled', job=message.job_id)
+                    self._workers.stop_obsolete((message.job_id,))
+                    return _calls.JobStatus(phase)
+
+        command = _commands.CancelJob(message.job_id, message.team_id)
+        return utils.map_future(self._term.propose(command), make_reply)
 
     def _count_waiting(
         self, message: _calls.WaitingQuery
@@ -455,5 +473,22 @@
             for job_id, since_ms in self._ended_ms.items()
             if now_ms - since_ms > kept_ms
         )
-        if due:
-            self._term.propose(_commands.ForgetJobs(due))
+        until_index = self._early_cancels_due(now_ms - kept_ms)
+        if due or until_index:
+            self._term.propose(_commands.ForgetJobs(due, until_index))
+
+    def _early_cancels_due(self, before_ms: int) -> int:
+        """Return the log index up to which early cancellings are forgotten.
+
+        It is 0 for none. Each is kept as long as an ended job, so that a
+        submission that was on the way meets it.
+        """
+        marks = self._early_cancel_marks
+        with self._term.state.lock:
+            newest_index = self._term.state.newest_early_cancel()
+        if newest_index and (not marks or marks[-1][1] != newest_index):
+            marks.append((_clock.elapsed_ms(), newest_index))
+        until_index = 0
+        while marks and marks[0][0] < before_ms:
+            until_index = marks.popleft()[1]
+        return until_index
--- a/dandeliondrum/jobs/_record_store.py
+++ b/dandeliondrum/jobs/_record_store.py
@@ -17,6 +17,11 @@
         self.open_jobs: dict[_specs.JobId, _records.JobRecord] = {}
         self.workers: dict[messages.WorkerId, _records.WorkerRecord] = {}
         self.team_used: dict[messages.TeamId, messages.Resources] = {}
+        # Ids that were cancelled before their submission, and the log index of
+        # the last cancelling of each, in the order of these.
+        self.early_cancels: dict[
+            tuple[_specs.JobId, messages.TeamId], int
+        ] = {}
         # Tasks of open jobs that are suspected of crashing workers.
         self.suspects: set[_specs.TaskKey] = set()
         # Includes queues that were removed from the policy, since accepted
--- a/dandeliondrum/jobs/_records.py
+++ b/dandeliondrum/jobs/_records.py
@@ -30,6 +30,16 @@
         return self not in (JobPhase.QUEUED, JobPhase.RUNNING)
 
 
+class EarlyCancel(enum.Enum):
+    """Outcome of the cancelling of an id that is not known.
+
+    ``REFUSED`` means that as many of them as possible are recorded.
+    """
+
+    RECORDED = 'recorded'
+    REFUSED = 'refused'
+
+
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
     """One task; ``run`` is the number of its newest run, 0 if none.
--- a/dandeliondrum/jobs/_snapshots.py
+++ b/dandeliondrum/jobs/_snapshots.py
@@ -44,7 +44,8 @@
     """Jobs, workers and the policy; derived data is rebuilt when read.
 
     ``sequences`` are those of the reports with the facts of ``workers``, in
-    the same order; empty in snapshots of earlier versions.
+    the same order; empty in snapshots of earlier versions. ``early_cancels``
+    are the ids that were cancelled before their submission.
     """
 
     jobs: tuple[_Job, ...]
@@ -52,6 +53,7 @@
     document: bytes
     former_queues: tuple[_policy.QueuePolicy, ...] = ()
     sequences: tuple[int, ...] = ()
+    early_cancels: tuple[tuple[_specs.JobId, messages.TeamId, int], ...] = ()
 
 
 def write(store: _record_store.RecordStore) -> bytes:
@@ -63,6 +65,10 @@
             store.document,
             tuple(store.queues.values()),
             tuple(worker.sequence for worker in store.workers.values()),
+            tuple(
+                (job_id, team_id, index)
+                for (job_id, team_id), index in store.early_cancels.items()
+            ),
         )
     )
 
@@ -77,6 +83,10 @@
     }
     store.team_used = {}
     store.suspects = set()
+    store.early_cancels = {
+        (job_id, team_id): index
+        for job_id, team_id, index in snapshot.early_cancels
+    }
     store.jobs = {job.spec.job_id: _unpack_job(job) for job in snapshot.jobs}
     store.open_jobs = {
         job_id: job
--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -13,6 +13,9 @@
 from dandeliondrum.jobs import _snapshots
 from dandeliondrum import messages
 
+# Number of ids that may be recorded as cancelled before their submission.
+EARLY_CANCELS_MAX = 20_000
+
 PolicyDecoder = collections.abc.Callable[[bytes], _policy.Policy]
 
 
@@ -45,7 +48,7 @@
         with self.lock:
             match message:
                 case _commands.SubmitJob():
-                    return self._submit(message)
+                    return self._submit(index, message)
                 case _commands.CancelJob():
                     return self._cancel(index, message)
                 case _commands.AssignRuns():
@@ -83,7 +86,13 @@
         )
         self.queues.update(self.policy.queue_by_name)
 
-    def _submit(self, command: _commands.SubmitJob) -> _records.JobPhase:
+    def newest_early_cancel(self) -> int:
+        """Return the log index of the newest early cancelling, 0 for none."""
+        return next(reversed(self.early_cancels.values()), 0)
+
+    def _submit(
+        self, index: int, command: _commands.SubmitJob
+    ) -> _records.JobPhase:
         spec = command.spec
         known = self.jobs.get(spec.job_id)
         if known is not None:
@@ -97,18 +106,33 @@
         job = _records.JobRecord(spec, steps)
         self.jobs[spec.job_id] = job
         self.open_jobs[spec.job_id] = job
+        early = self.early_cancels.pop((spec.job_id, spec.team_id), None)
+        if early is not None:
+            self.finish(job, index, _records.JobPhase.CANCELLED)
         return job.phase
 
     def _cancel(
         self, index: int, command: _commands.CancelJob
-    ) -> _records.JobPhase | None:
+    ) -> _records.JobPhase | _records.EarlyCancel | None:
         job = self.jobs.get(command.job_id)
-        if job is None:
-            return None
+        if job is None or command.team_id not in (None, job.spec.team_id):
+            return self._cancel_early(index, command)
         if not job.phase.ended():
             self.finish(job, index, _records.JobPhase.CANCELLED)
         return job.phase
 
+    def _cancel_early(
+        self, index: int, command: _commands.CancelJob
+    ) -> _records.EarlyCancel | None:
+        if command.team_id is None:
+            return None
+        key = command.job_id, command.team_id
+        known = self.early_cancels.pop(key, None)
+        if known is None and len(self.early_cancels) >= EARLY_CANCELS_MAX:
+            return _records.EarlyCancel.REFUSED
+        self.early_cancels[key] = index
+        return _records.EarlyCancel.RECORDED
+
     def _assign(self, command: _commands.AssignRuns) -> tuple[bool, ...]:
         """Return for each group whether it was assigned."""
         return tuple(self._assign_group(group) for group in command.groups)
@@ -194,6 +218,13 @@
         return self.policy.version
 
     def _forget(self, command: _commands.ForgetJobs) -> None:
+        until_index = command.early_cancels_until_index
+        if until_index:
+            self.early_cancels = {
+                key: index
+                for key, index in self.early_cancels.items()
+                if index > until_index
+            }
         for job_id in command.job_ids:
             job = self.jobs.get(job_id)
             if job is None or not job.phase.ended():
