--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -14,6 +14,7 @@
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
 from dandeliondrum import messages
+from dandeliondrum import utils
 
 TEAM = messages.TeamId('harbour')
 QUEUE = messages.QueueName('figuring')
@@ -179,6 +180,9 @@
     def is_leading(self):
         return True
 
+    def confirm_leadership(self):
+        return utils.completed_future(result.Success(None))
+
 
 def new_term(node, port=None):
     """Return the state of a leader whose log is ``node``."""
