--- a/dandeliondrum/testing/_fake_job_workers.py
+++ b/dandeliondrum/testing/_fake_job_workers.py
@@ -34,6 +34,9 @@
     with ``fails``, runs end as failed. With ``delays_starts``, start
     orders are kept without an answer until :meth:`carry_out_late_starts`.
     Leases are shortened to ``lease_max_ms`` from the time of their arrival.
+    Between :meth:`go_dark` and :meth:`come_back` the worker is down and calls
+    to it wait; the next incarnation carries them out, although their callers
+    may have given up.
 
     A run with one of the ``deadly_payloads`` crashes the worker
     ``crash_after_ms`` after its start. After a crash nothing is accepted for
@@ -63,6 +66,8 @@
         self.crash_after_ms = 10
         self.down_ms = 3_000
         self.returns_replaced = False
+        self.is_dark = False
+        self._outages_count = 0
         self.crashes_count = 0
         self.ids = [messages.WorkerId(worker_id)]
         self._crash_at_s = math.inf
@@ -110,6 +115,21 @@
             self._down_until_s = time.monotonic() + self.down_ms / 1000
             self._changed.notify_all()
 
+    def go_dark(self) -> None:
+        """Lose all state, and keep calls for the next incarnation."""
+        with self.lock:
+            self.restart()
+            self._outages_count += 1
+            self.is_dark = True
+            self._changed.notify_all()
+
+    def come_back(self) -> None:
+        """Begin the next incarnation, which carries out the calls kept."""
+        with self.lock:
+            self.restart()
+            self.is_dark = False
+            self._changed.notify_all()
+
     def is_down(self) -> bool:
         """Return whether the worker has crashed and is not back yet."""
         with self.lock:
@@ -141,8 +161,9 @@
             self._forget_ends(request.acknowledged_number)
             if request.lease_until_ms is not None:
                 self._extend_lease(request.lease_until_ms)
+            outages_count = self._outages_count
             while True:
-                if self.is_down():
+                if self.is_down() or outages_count != self._outages_count:
                     return jobs.Unanswered(True, 'crashed')
                 self._end_due_runs()
                 wait_s = until_s - time.monotonic()
@@ -223,6 +244,8 @@
     def _check_access(
         self, token: int
     ) -> jobs.WorkerReplaced | jobs.Refused | jobs.Unanswered | None:
+        while self.is_dark:
+            self._changed.wait()
         if self.is_down():
             return jobs.Unanswered(False, 'connection refused')
         if self.silent:
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -47,10 +47,11 @@
     """Options of a soak; faults are injected for ``length_s`` seconds.
 
     Without ``links`` there are no link faults, without ``series`` no series
-    of faults, without ``shrinks`` no worker's capacity shrinks, and without
-    ``overload_s`` there is no overload. A seed draws the same faults as before
-    these were added if they are off. ``deadly_share`` is the share of jobs
-    that crash the workers that start them.
+    of faults, without ``shrinks`` no worker's capacity shrinks, without
+    ``recuts`` no worker is cut off soon after it has started again, and
+    without ``overload_s`` there is no overload. A seed draws the same faults
+    as before these were added if they are off. ``deadly_share`` is the share
+    of jobs that crash the workers that start them.
     """
 
     seed: int
@@ -60,6 +61,7 @@
     series: bool = False
     overload_s: float = 0
     shrinks: bool = False
+    recuts: bool = False
     deadly_share: float = 0
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
@@ -149,6 +151,7 @@
             options.links,
             options.series,
             options.shrinks,
+            options.recuts,
         )
         self._overload: _soak_overload.OverloadFigures | None = None
 
--- a/dandeliondrum/testing/_soak_faults.py
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -29,6 +29,14 @@
 SHRINKAGE_SHARE = 0.2
 # Often longer than starts may still use what was there before.
 SHRINKAGE_DURATION_S = (1.0, 10.0)
+RECUT_SHARE = 0.25
+# How long runs last on a worker that is cut off after its restart, for how
+# long it runs before, is down, is back, and is cut off.
+RECUT_RUN_MS = 9_000
+RECUT_BEFORE_S = (0.5, 2.0)
+RECUT_DOWN_S = (0.3, 1.0)
+RECUT_BACK_S = (0.05, 0.7)
+RECUT_CUT_S = (5.0, 9.0)
 
 Fault = tuple[str, collections.abc.Callable[[], None]]
 
@@ -38,9 +46,10 @@
 
     The faults and the times between them depend only on the seed, not on the
     state of the cell. Without ``links`` there are no link faults, with
-    ``series`` there are also series of faults, and with ``shrinks`` workers
-    that shrink; a seed draws the same faults as before these were added if
-    they are off.
+    ``series`` there are also series of faults, with ``shrinks`` workers that
+    shrink, and with ``recuts`` workers that are cut off soon after they have
+    started again, with calls to their former incarnations; a seed draws the
+    same faults as before these were added if they are off.
     """
 
     def __init__(
@@ -53,6 +62,7 @@
         links: bool = True,
         series: bool = False,
         shrinks: bool = False,
+        recuts: bool = False,
     ) -> None:
         self._cell = cell
         self._workers = workers
@@ -62,6 +72,7 @@
         self._links = links
         self._series = series
         self._shrinks = shrinks
+        self._recuts = recuts
         self.names: list[str] = []
         self._reserved_names: set[str] = set()
         self._lock = threading.Lock()
@@ -99,6 +110,8 @@
         """Draw the next fault and the time until the one after it."""
         if self._shrinks and self._rng.random() < SHRINKAGE_SHARE:
             fault = self._draw_shrinkage()
+        elif self._recuts and self._rng.random() < RECUT_SHARE:
+            fault = self._draw_recut()
         elif self._series and self._rng.random() < 0.3:
             fault = self._draw_series()
         else:
@@ -111,6 +124,20 @@
         name = f'shrunken {worker.ids[0]}'
         return name, functools.partial(self._shrink, worker, length_s)
 
+    def _draw_recut(self) -> Fault:
+        worker = self._rng.choice(self._workers)
+        times_s = [
+            self._rng.uniform(*limits)
+            for limits in (
+                RECUT_BEFORE_S,
+                RECUT_DOWN_S,
+                RECUT_BACK_S,
+                RECUT_CUT_S,
+            )
+        ]
+        name = f'cut off after restart {worker.ids[0]}'
+        return name, functools.partial(self._cut_again, worker, *times_s)
+
     def _draw_series(self) -> Fault:
         """Draw faults of one kind that begin shortly one after another."""
         rng = self._rng
@@ -245,6 +272,27 @@
                 time.sleep(length_s)
                 _set_cpu(worker, full_cpu)
 
+    def _cut_again(
+        self,
+        worker: _soak_checker.CheckedWorker,
+        before_s: float,
+        down_s: float,
+        back_s: float,
+        cut_s: float,
+    ) -> None:
+        """Start a worker again and cut it off soon after, as it runs on."""
+        with self._reserve(f'outage {worker.ids[0]}') as reserved:
+            if not reserved:
+                return
+            run_ms, worker.run_ms = worker.run_ms, RECUT_RUN_MS
+            time.sleep(before_s)
+            worker.go_dark()
+            time.sleep(down_s)
+            worker.come_back()
+            time.sleep(back_s)
+            worker.run_ms = run_ms
+            self._silence(worker, cut_s)
+
     @contextlib.contextmanager
     def _reserve(self, *names: str) -> collections.abc.Iterator[bool]:
         """Reserve targets for one fault; yield whether all were available."""
--- a/dandeliondrum/testing/_soak_reports.py
+++ b/dandeliondrum/testing/_soak_reports.py
@@ -42,7 +42,8 @@
         """Send the reports of one worker at regular intervals."""
         worker = self._cell.workers[position]
         while not self._stopping.wait(REPORT_EVERY_S):
-            away = worker.worker.silent or worker.worker.is_down()
+            fake = worker.worker
+            away = fake.silent or fake.is_dark or fake.is_down()
             if away or self._report(position, worker):
                 self._acknowledge(position)
 
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -28,6 +28,7 @@
     overload: float = 0,
     series: bool = True,
     shrinks: bool = False,
+    recuts: bool = False,
     deadly: float = 0,
     folder: str = '',
 ) -> None:
@@ -38,9 +39,10 @@
     size is ``small``, ``medium`` or ``large``, with other numbers of gateways
     and workers if they are given. A soak that exceeds the limits of the
     machine is not started. With ``shrinks``, the capacity of workers shrinks
-    at times; ``deadly`` is the share of jobs that crash the workers that
-    start them. Half-way, the cell is held over its capacity for ``overload``
-    seconds, for which ``small`` has too few gateways.
+    at times; with ``recuts`` workers are cut off soon after they have started
+    again, and meet calls of before; ``deadly`` is the share of jobs that crash
+    the workers that start them. Half-way, the cell is held over its capacity
+    for ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
         sys.exit(
@@ -66,6 +68,7 @@
             series=series,
             overload_s=overload,
             shrinks=shrinks,
+            recuts=recuts,
             deadly_share=deadly,
             size=chosen,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,7 @@
 # the same faults as before link faults were added.
 SEEDS_WITH_LINKS = (101,)
 SHRINKAGE_SEED = 751
+RECUT_SEED = 901
 DEADLY_SEED = 802
 DEADLY_SHARE = 0.05
 LENGTH_S = 8
@@ -70,6 +71,17 @@
     assert any(name.startswith('shrunken') for name in outcome.faults)
 
 
+def test_a_soak_with_workers_that_are_cut_off_after_a_restart_sees_nothing(
+    tmp_path,
+):
+    options = _soak.SoakOptions(
+        RECUT_SEED, LENGTH_S, tmp_path, series=True, recuts=True
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+    assert any(name.startswith('cut off after') for name in outcome.faults)
+
+
 def test_a_soak_with_deadly_jobs_sees_nothing_that_must_never_happen(tmp_path):
     options = _soak.SoakOptions(
         DEADLY_SEED,
@@ -379,6 +391,33 @@
     assert {one.facts.capacity for one in injector._workers} == {CAPACITY}
 
 
+def test_a_worker_that_is_cut_off_after_a_restart_carries_out_calls_of_before(
+    checker, monkeypatch
+):
+    for name, length_s in (('BEFORE', 0), ('BACK', 0.2), ('CUT', 0)):
+        monkeypatch.setattr(
+            _soak_faults, f'RECUT_{name}_S', (length_s, length_s)
+        )
+    injector = _injector(checker, recuts=True)
+    drawn = [injector.draw()[0] for _ in range(100)]
+    recuts = [one for one in drawn if one[0].startswith('cut off after')]
+    assert 10 < len(recuts) < 45
+    name, cut_again = recuts[0]
+    worker = next(
+        one for one in injector._workers if one.ids[0] == name.split()[-1]
+    )
+    with concurrent.futures.ThreadPoolExecutor(2) as executor:
+        recut = executor.submit(cut_again)
+        while not worker.is_dark:
+            time.sleep(0.001)
+        started = executor.submit(_start, worker, 'j.0.0.0')
+        recut.result()
+        assert isinstance(started.result(), jobs.Accepted)
+    assert checker.starts_count == 1
+    assert not worker.is_dark and not worker.silent
+    assert worker.run_ms == 60_000
+
+
 def test_a_share_of_the_jobs_is_deadly_and_the_others_are_as_before():
     def draw(share):
         drawn = _soak_callers.soak_jobs(5, 0, share)
