--- a/dandeliondrum/controller/_queries.py
+++ b/dandeliondrum/controller/_queries.py
@@ -16,6 +16,9 @@
 from dandeliondrum import rules as rules_lib
 from dandeliondrum import utils
 
+# Number of tasks that may be recorded as cancelled before their submission.
+EARLY_CANCELS_MAX = 100_000
+
 
 class Queries:
     """Answers status queries and cancellations on behalf of the leader."""
@@ -107,6 +110,10 @@
         own_ids = tuple(
             task_id for task_id in call.task_ids if task_id.startswith(prefix)
         )
+        if not self._may_record(own_ids):
+            return utils.completed_future(
+                messages.CallFailed('too many unknown tasks', True)
+            )
         with context.lock:
             dropped = self._drop_pending(own_ids)
         committed = context.propose(
@@ -116,6 +123,14 @@
             committed, functools.partial(self._on_cancelled, dropped)
         )
 
+    def _may_record(self, task_ids: tuple[messages.TaskId, ...]) -> bool:
+        """Return whether there is place for the unknown ones of the ids."""
+        state = self._context.state
+        with state.lock:
+            unknown_count = sum(one not in state.tasks for one in task_ids)
+            count = state.early_cancels_count + unknown_count
+        return not unknown_count or count <= EARLY_CANCELS_MAX
+
     def _drop_pending(
         self, task_ids: tuple[messages.TaskId, ...]
     ) -> list[_pending.PendingEntry]:
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -47,6 +47,8 @@
         # Index of WorkerRecord.fences: the worker of each fenced attempt.
         self.fenced_on: dict[messages.AttemptId, messages.WorkerId] = {}
         self.accounts = _accounts.Accounts()
+        # Number of tasks that were cancelled before their submission.
+        self.early_cancels_count = 0
 
     def apply(self, index: int, command: bytes) -> typing.Any:
         """Apply one encoded command and return its outcome.
@@ -103,6 +105,7 @@
                 self.fenced_on[attempt_id] = worker.facts.worker_id
         for task in snapshot.tasks:
             self.tasks[task.spec.task_id] = task
+            self.early_cancels_count += _is_early_cancel(task)
             if task.attempt is not None:
                 use = self.accounts.use(task.spec.team_id)
                 use.running_count += 1
@@ -272,6 +275,7 @@
             task = self.tasks.get(task_id)
             if task is None:
                 task = self._new_task(_cancelled_spec(task_id, command), None)
+                self.early_cancels_count += 1
             _endings.cancel_task(task, self.cell_time_ms)
             statuses.append(task.status())
         return tuple(statuses)
@@ -353,6 +357,7 @@
         )
         for task in forgotten:
             del self.tasks[task.spec.task_id]
+            self.early_cancels_count -= _is_early_cancel(task)
         return forgotten
 
     def queued(self) -> collections.abc.Iterator[_records.TaskRecord]:
@@ -374,6 +379,11 @@
     return _placeholder_spec(task_id, command.team_id, '')
 
 
+def _is_early_cancel(task: _records.TaskRecord) -> bool:
+    """Return whether a task was cancelled before its submission."""
+    return task.state is messages.TaskState.CANCELLED and not task.spec.queue
+
+
 def _placeholder_spec(
     task_id: messages.TaskId, team_id: messages.TeamId, digest: str
 ) -> messages.TaskSpec:
--- a/dandeliondrum/controller/tests/test_queries.py
+++ b/dandeliondrum/controller/tests/test_queries.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dandeliondrum.controller import _operators
+from dandeliondrum.controller import _queries
 from dandeliondrum.controller.tests import builders
 from dandeliondrum.controller.tests import test_heartbeats
 from dandeliondrum import messages
@@ -53,6 +54,31 @@
     assert spec.task_id not in leader.context.pending
 
 
+def _cancel_unknown(leader, *names):
+    task_ids = tuple(f'harbour/{name}' for name in names)
+    call = messages.CancelCall(task_ids, 'harbour', '')
+    return leader.leadership._queries.cancel(call).result(0)
+
+
+def test_as_many_cancellations_of_unknown_tasks_are_kept_as_fit(
+    leader, monkeypatch
+):
+    monkeypatch.setattr(_queries, 'EARLY_CANCELS_MAX', 2)
+    state = leader.context.state
+    assert len(_cancel_unknown(leader, 'a', 'b').statuses) == 2
+    failed = _cancel_unknown(leader, 'a', 'c')
+    assert isinstance(failed, messages.CallFailed) and failed.not_done
+    assert 'harbour/c' not in state.tasks
+    assert len(_cancel_unknown(leader, 'a', 'b').statuses) == 2
+    copy = type(state)()
+    copy.restore(state.snapshot())
+    assert copy.early_cancels_count == state.early_cancels_count == 2
+    forget = messages.ForgetTasks(10, 10)
+    leader.log.propose(messages.encode(forget))
+    assert state.early_cancels_count == 0
+    assert len(_cancel_unknown(leader, 'c').statuses) == 1
+
+
 def test_the_status_of_a_gang_tells_that_the_fleet_is_too_small(leader):
     """Regression test: it was shown as queued without a reason."""
     specs = [
