Acknowledge the first document once all voters have joined

Cause: the cell is founded by three seeds, and the first document was committed by two of these three before the other controllers had joined. The loss of two disks then leaves one voter of three.

Ruled out: founding with five, as the three seeds are all that is known, and waiting without a limit, as two of five may be lost from the start.

Controllers ask to join each 250 ms at first.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -33,6 +33,7 @@
 from dandeliondrum import utils
 
 CLEANUP_INTERVAL_MS = 5_000
+JOINS_RETRY_MS = 250
 
 _logger = structlog.get_logger()
 
@@ -407,6 +408,13 @@
             self._push_document()
             return _calls.DocumentInForce(outcome.unwrap())
 
+        is_first = not self._term.state.active_document.version
+        if is_first and not self._voters.may_begin():
+            return utils.completed_future(
+                messages.CallFailed(
+                    'controllers are joining', True, JOINS_RETRY_MS
+                )
+            )
         command = _commands.PutPolicy(message.version, message.document)
         return utils.map_future(self._term.propose(command), make_reply)
 
--- a/dandeliondrum/jobs/_membership.py
+++ b/dandeliondrum/jobs/_membership.py
@@ -13,6 +13,9 @@
 
 FOUNDING_INTERVAL_MS = 250
 JOIN_INTERVAL_MS = 1_000
+# Number of first requests to join a cell that is being founded, which are sent
+# at the interval of founding: nothing is acknowledged before.
+FIRST_JOINS_COUNT = 20
 JOIN_TIMEOUT_MS = 900
 
 _logger = structlog.get_logger()
@@ -52,6 +55,7 @@
         is one. It may have been replaced while its link or its disk was down,
         and then it does not receive the log entry that removed it.
         """
+        first_joins_left = FIRST_JOINS_COUNT if self._options.may_found else 0
         while not stopping.is_set():
             status = self._node.status()
             me = self._options.controller_id
@@ -65,7 +69,13 @@
                 stopping.wait(FOUNDING_INTERVAL_MS / 1000)
             else:
                 self._join()
-                stopping.wait(JOIN_INTERVAL_MS / 1000)
+                interval_ms = (
+                    FOUNDING_INTERVAL_MS
+                    if first_joins_left
+                    else JOIN_INTERVAL_MS
+                )
+                first_joins_left = max(0, first_joins_left - 1)
+                stopping.wait(interval_ms / 1000)
 
     def _update_controllers(self, status: consensus.NodeStatus) -> None:
         """Look for the leader among the members and the founders."""
--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -15,6 +15,9 @@
 # to join. A restart takes less time, and the replacement of a lost VM must
 # have the full state 4 s after its start.
 SILENCE_MAX_MS = 2_500
+# After the founding, controllers have this time to join before something is
+# acknowledged without them.
+FIRST_JOINS_MS = 3_000
 
 _logger = structlog.get_logger()
 
@@ -27,6 +30,17 @@
         self._voters_count = voters_count
         self._term_started_ms = _clock.elapsed_ms()
 
+    def may_begin(self) -> bool:
+        """Return whether a cell that holds nothing may acknowledge something.
+
+        Only with all its voters it bears the losses that it is meant to bear.
+        Those that do not join in time are lost already.
+        """
+        members = self._node.status().members
+        voters_count = sum(member.voter for member in members)
+        waited_ms = _clock.elapsed_ms() - self._term_started_ms
+        return voters_count >= self._voters_count or waited_ms > FIRST_JOINS_MS
+
     def join(self, request: _calls.JoinRequest) -> typing.Any:
         """Add a controller if there are too few or one of them is lost.
 
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -12,6 +12,7 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _leadership
 from dandeliondrum.jobs import _metrics
+from dandeliondrum.jobs import _state
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 from dandeliondrum import testing
@@ -265,3 +266,24 @@
     assert isinstance(registered, messages.GatewayRegistered)
     assert registered.rules_version == 1
     assert chosen_client(leadership) is None
+
+
+def test_the_first_document_waits_for_the_voters(leadership, node):
+    """Regression test for review/8: it was acknowledged by three of five."""
+    leadership._term.state.active_document = _state.ActiveDocument(
+        messages.RulesVersion(0), b''
+    )
+    change = _calls.DocumentChange(1, helpers.document())
+    reply = leadership.handle(None, change).result(0)
+    assert isinstance(reply, messages.CallFailed)
+    assert reply.not_done and reply.retry_after_ms
+    assert not node.proposals
+    leadership._voters.may_begin = lambda: True
+    leadership.handle(None, change)
+    assert len(node.proposals) == 1
+
+
+def test_later_documents_do_not_wait_for_the_voters(leadership, node):
+    change = _calls.DocumentChange(2, helpers.document(2))
+    leadership.handle(None, change)
+    assert len(node.proposals) == 1
--- a/dandeliondrum/jobs/tests/test_voters.py
+++ b/dandeliondrum/jobs/tests/test_voters.py
@@ -83,3 +83,18 @@
     reply = _voters.Voters(node, 3).join(NEW)
     assert node.changes == []
     assert reply.not_done
+
+
+def test_a_cell_begins_once_it_has_all_its_voters(now_ms):
+    """Regression test for review/8: the loss of two disks ended the cell."""
+    node = FakeNode({'c1': 0, 'c2': 0})
+    voters = _voters.Voters(node, 3)
+    assert not voters.may_begin()
+    node.silences_ms['c3'] = 0
+    assert voters.may_begin()
+
+
+def test_a_cell_begins_without_voters_that_do_not_join(now_ms):
+    voters = _voters.Voters(FakeNode({'c1': 0, 'c2': 0}), 3)
+    now_ms[0] += _voters.FIRST_JOINS_MS + 1
+    assert voters.may_begin()
