Leave out at most half of the workers of a kind

Cause: early failures suspend a worker for ever longer, and the limit of half was that of the whole fleet.

Evidence: the test of both workers of a label fails without the change.

Ruled out: not counting a service that fails at once against its worker, as a worker that fails all it starts would stay in use.

Change: the limit also holds among the workers of the same pool and labels, on any rack.

--- a/dandeliondrum/jobs/_health.py
+++ b/dandeliondrum/jobs/_health.py
@@ -20,8 +20,8 @@
 FIRST_SUSPENSION_MS = 3_000
 SUSPENSION_MAX_MS = 24_000
 # At most the number of workers divided by this is suspended at a time, and as
-# many are paused. If more fail, the cause is not the workers, and the others
-# are still needed.
+# many are paused, of all workers and of those of a kind. If more fail, the
+# cause is not the workers, and the others are still needed.
 LEFT_OUT_DIVISOR = 2
 
 # Duration of the first pause after a refused start, doubled each time up to
@@ -38,13 +38,19 @@
     A worker that fails is suspended for seconds, and one that refuses a start
     is paused for a part of a second. ``count_workers`` returns the size of
     the fleet, which limits how many workers are suspended at a time, and how
-    many are paused. There is no limit without it.
+    many are paused. There is no limit without it. ``find_alike`` returns the
+    workers that run the same steps as a worker, and limits these as well.
     """
 
     def __init__(
-        self, count_workers: collections.abc.Callable[[], int] | None = None
+        self,
+        count_workers: collections.abc.Callable[[], int] | None = None,
+        find_alike: collections.abc.Callable[
+            [messages.WorkerId], collections.abc.Collection[messages.WorkerId]
+        ] = lambda _: (),
     ) -> None:
         self._count_workers = count_workers
+        self._find_alike = find_alike
         self._failures: collections.Counter[messages.WorkerId] = (
             collections.Counter()
         )
@@ -74,7 +80,7 @@
         """
         until_ms = self._suspended_until_ms
         if now_ms >= until_ms.get(worker_id, 0) and self._is_full(
-            until_ms, now_ms
+            until_ms, worker_id, now_ms
         ):
             _logger.warning('worker not suspended', worker=worker_id)
             return
@@ -95,12 +101,19 @@
             self.suspend(worker_id, now_ms)
 
     def _is_full(
-        self, until_ms: dict[messages.WorkerId, int], now_ms: int
+        self,
+        until_ms: dict[messages.WorkerId, int],
+        worker_id: messages.WorkerId,
+        now_ms: int,
     ) -> bool:
         if self._count_workers is None:
             return False
-        count = sum(end_ms > now_ms for end_ms in until_ms.values())
-        return count >= max(1, self._count_workers() // LEFT_OUT_DIVISOR)
+        left_out = {one for one, end_ms in until_ms.items() if end_ms > now_ms}
+        if len(left_out) >= _left_out_max(self._count_workers()):
+            return True
+        alike = self._find_alike(worker_id)
+        left_out_alike = left_out.intersection(alike)
+        return bool(alike) and len(left_out_alike) >= _left_out_max(len(alike))
 
     def record_refusal(
         self, worker_id: messages.WorkerId, now_ms: int
@@ -112,7 +125,7 @@
         """
         if self.suspended(worker_id, now_ms):
             return
-        if self._is_full(self._paused_until_ms, now_ms):
+        if self._is_full(self._paused_until_ms, worker_id, now_ms):
             _logger.info('worker not paused', worker=worker_id)
             return
         pause_ms = self._next_refusal_pause_ms.get(
@@ -141,3 +154,7 @@
         self._suspended_until_ms.pop(worker_id, None)
         self._paused_until_ms.pop(worker_id, None)
         self._next_refusal_pause_ms.pop(worker_id, None)
+
+
+def _left_out_max(workers_count: int) -> int:
+    return max(1, workers_count // LEFT_OUT_DIVISOR)
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -14,6 +14,7 @@
 from dandeliondrum.jobs import _advice
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _health
 from dandeliondrum.jobs import _leader_load
 from dandeliondrum.jobs import _metrics
@@ -81,7 +82,9 @@
         self.round_requested = threading.Event()
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
         self.admission = _admission.Admission()
-        self.health = _health.Health(lambda: len(self.peers))
+        self.health = _health.Health(
+            lambda: len(self.peers), self._alike_workers
+        )
         self.progress = _progress.Progress()
         self.advice = _advice.GrantCache()
         self.adviser_clients = _advice.AdviserClientPool()
@@ -102,6 +105,20 @@
         self._suspension = _clock.SuspensionDetector()
         self._suspension_lock = threading.Lock()
 
+    def _alike_workers(
+        self, worker_id: messages.WorkerId
+    ) -> list[messages.WorkerId]:
+        """Return the workers of the same pool and kind, on any rack."""
+        peer = self.peers.get(worker_id)
+        if peer is None:
+            return []
+        kind = _kind(peer.facts)
+        return [
+            other_id
+            for other_id, other in list(self.peers.items())
+            if _kind(other.facts) == kind
+        ]
+
     def may_act(self) -> bool:
         """Return whether this process is certain to be the leader.
 
@@ -159,3 +176,7 @@
             return self.propose(command).result(PROPOSE_TIMEOUT_MS / 1000)
         except concurrent.futures.TimeoutError:
             return result.Failure('command not applied in time')
+
+
+def _kind(facts: _commands.WorkerFacts) -> tuple[str, frozenset[str]]:
+    return facts.pool, frozenset(facts.labels) - {facts.rack}
--- a/dandeliondrum/jobs/tests/test_health.py
+++ b/dandeliondrum/jobs/tests/test_health.py
@@ -56,6 +56,20 @@
     assert health.suspended('w9', later_ms)
 
 
+def test_at_most_half_of_the_workers_of_a_kind_are_suspended():
+    """Regression test for review/10: all that had a label were left out."""
+    kind = ['w0', 'w1']
+    health = _health.Health(
+        lambda: 10, lambda one: kind if one in kind else []
+    )
+    for worker_id in kind:
+        health.suspend(worker_id, 0)
+        health.record_refusal(worker_id, 0)
+    assert [health.suspended(one, 100) for one in kind] == [True, False]
+    health.suspend('w2', 0)
+    assert health.suspended('w2', 100)
+
+
 def test_the_only_worker_is_suspended():
     health = _health.Health(lambda: 1)
     _fail(health, _health.CONSECUTIVE_FAILURES_MAX)
--- a/dandeliondrum/jobs/tests/test_term.py
+++ b/dandeliondrum/jobs/tests/test_term.py
@@ -1,6 +1,7 @@
 """Whether a leader may act after its VM or process was suspended."""
 
 import concurrent.futures
+import types
 
 import pytest
 from returns import result
@@ -100,3 +101,16 @@
 def test_a_node_that_does_not_lead_never_acts(term, node):
     node.leads = False
     assert not term.may_act()
+
+
+def test_workers_of_one_label_are_not_all_left_out(term):
+    """Regression test for review/10: a lasting task did not run (LOST)."""
+    for number in range(8):
+        kind, rack = 'b' if number < 2 else 'a', f'r{number}'
+        facts = helpers.facts(f'w{number}', labels=(kind, rack), rack=rack)
+        term.peers[facts.worker_id] = types.SimpleNamespace(facts=facts)
+    for worker_id in ('w0', 'w1', 'w2'):
+        term.health.suspend(worker_id, 0)
+    assert term.health.suspended('w0', 100)
+    assert not term.health.suspended('w1', 100)
+    assert term.health.suspended('w2', 100)
