Found a cell although one of the seeds is lost

Cause: only the first seed founded the cell, and with the votes of all three.

Ruled out: taking the lost seed out of the list, as nobody tells; founding without a majority of the seeds, as two cells could commit.

Change: the seeds take turns, 3 s apart; a founder that has waited 1.5 s for all needs two of three votes. Only controllers started with Bootstrap grant them.

--- a/dandeliondrum/consensus/_messages.py
+++ b/dandeliondrum/consensus/_messages.py
@@ -41,7 +41,7 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundReply:
-    """Reply to FoundCell; only a node without a log grants its vote.
+    """Reply to FoundCell; only a node without a log may grant its vote.
 
     ``detail`` is the reason for a refusal that a later term can't change.
     """
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -184,13 +184,18 @@
     def bootstrap(
         self,
         members: collections.abc.Iterable[tuple[messages.ControllerId, str]],
+        by_majority: bool = False,
     ) -> _work_items.ChangeResult:
         """Bootstrap a cell with these voters, given as id and ``host:port``.
 
         This node must be one of them. All must be running with an empty
-        disk. Blocks until the first entry is written or the attempt fails.
+        disk; with ``by_majority`` it suffices that most of them are, and the
+        others are left out. Blocks until the first entry is written or the
+        attempt fails.
         """
-        return _bootstrap.bootstrap_cell(self._threads.state, tuple(members))
+        return _bootstrap.bootstrap_cell(
+            self._threads.state, tuple(members), by_majority
+        )
 
     def add_member(
         self, controller_id: messages.ControllerId, address: str
--- a/dandeliondrum/consensus/_options.py
+++ b/dandeliondrum/consensus/_options.py
@@ -40,7 +40,9 @@
     nanoseconds, or None for the time at which the node is created. The first
     election timeout is counted from then, since the process can't have heard
     from a leader between its start and the creation of the node; the first
-    election waits only for what is left of the timeout.
+    election waits only for what is left of the timeout. ``grants_founding``
+    is unset where an empty disk does not tell that there is no cell, since a
+    disk may have been lost.
     """
 
     controller_id: messages.ControllerId
@@ -53,4 +55,5 @@
     election_min_ms: int = 600
     election_max_ms: int = 1_200
     started_ns: int | None = None
+    grants_founding: bool = True
     snapshot_every_entries: int = 20_000
--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -93,7 +93,11 @@
             # under another disk id. A second cell would conflict with what
             # the first one has accepted.
             detail = 'a cell already has this controller with another disk'
-        granted = not detail and message.term > state.term
+        granted = (
+            state.options.grants_founding
+            and not detail
+            and message.term > state.term
+        )
         if granted:
             self._enter_term(message.term, message.founder_id)
         return _messages.FoundReply(state.term, granted, state.disk_id, detail)
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -4,8 +4,10 @@
 import shutil
 import time
 
+from returns import result
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _bootstrap
 from dandeliondrum.consensus import _membership_changes
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus.tests import harness
@@ -138,6 +140,97 @@
         cluster.wait_applied([b'one'])
 
 
+def _members(cluster):
+    return [(name, 'unused:1') for name in cluster.names]
+
+
+def _failure(outcome):
+    return outcome.failure().failure
+
+
+def test_a_cell_is_founded_by_a_majority_without_a_lost_member(tmp_path):
+    """Regression test for review/9: no cell was ever founded."""
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.start('c1', 'c2')
+        members = _members(cluster)
+        founder = cluster.node('c1')
+        unreachable = consensus.ChangeFailure.UNREACHABLE
+        assert _failure(founder.bootstrap(members)) is unreachable
+        founder.bootstrap(members, by_majority=True).unwrap()
+        assert cluster.leader() in ('c1', 'c2')
+        cluster.start('c3')
+        refused = cluster.node('c3').bootstrap(members, by_majority=True)
+        assert _failure(refused) is consensus.ChangeFailure.HAS_LOG
+        leader = cluster.node(cluster.leader())
+        leader.add_member('c3', 'unused:1').result(harness.TIMEOUT_S).unwrap()
+        cluster.propose(cluster.leader(), b'one').unwrap()
+        cluster.wait_applied([b'one'])
+
+
+def test_a_minority_founds_nothing(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.start('c1')
+        outcome = cluster.node('c1').bootstrap(_members(cluster), True)
+        assert _failure(outcome) is consensus.ChangeFailure.UNREACHABLE
+
+
+def test_a_controller_whose_disk_may_have_been_lost_founds_no_cell(tmp_path):
+    """Its empty disk does not tell that there is no cell."""
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.start('c1')
+        cluster.options['grants_founding'] = False
+        cluster.start('c2')
+        outcome = cluster.node('c1').bootstrap(_members(cluster), True)
+        assert isinstance(outcome, result.Failure)
+
+
+def test_simultaneous_bootstraps_by_majorities_serve_in_one_cell(tmp_path):
+    for attempt in range(4):
+        with harness.Cluster(tmp_path / str(attempt)) as cluster:
+            cluster.start()
+            members = _members(cluster)
+            with concurrent.futures.ThreadPoolExecutor() as executor:
+                for name in cluster.names:
+                    executor.submit(
+                        cluster.node(name).bootstrap, members, True
+                    )
+            # Of three attempts each may have one vote; or one has founded a
+            # cell with a part of them, which elects its leader.
+            harness.wait_for(
+                lambda node=cluster.node('c1'), them=members, those=cluster: (
+                    those.leaders()
+                    or isinstance(node.bootstrap(them, True), result.Success)
+                ),
+                'a founded cell',
+            )
+            leader = cluster.leader()
+            cluster.propose(leader, b'one').unwrap()
+            for name in cluster.others(leader):
+                assert isinstance(
+                    cluster.propose(name, b'two'), result.Failure
+                )
+
+
+def test_a_founder_that_another_one_has_overtaken_commits_nothing(tmp_path):
+    """It has all votes, but writes its first entry after the other one."""
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.start()
+        members = tuple(_members(cluster))
+        state = cluster.node('c1')._threads.state
+        votes = _bootstrap._request_all_votes(state, members, 1, True)
+        assert all(vote.granted for vote in votes)
+        cluster.isolate('c1')
+        cluster.node('c2').bootstrap(members, by_majority=True).unwrap()
+        cluster.propose(cluster.leader(['c2', 'c3']), b'one').unwrap()
+        _bootstrap._write_first_entry(state, members, votes, 1, True).unwrap()
+        assert not cluster.node('c1').propose(b'two').done()
+        cluster.heal('c1')
+        leader = cluster.node(cluster.leader(['c2', 'c3']))
+        added = leader.add_member('c1', 'unused:1')
+        added.result(harness.TIMEOUT_S).unwrap()
+        cluster.wait_applied([b'one'])
+
+
 def test_a_follower_catches_up_by_the_log(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         leader = cluster.bootstrap()
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -105,6 +105,7 @@
                 election_min_ms=options.election_min_ms,
                 election_max_ms=options.election_max_ms,
                 started_ns=options.started_ns,
+                grants_founding=options.membership.may_found,
             ),
             self.state,
             self,
--- a/dandeliondrum/jobs/_membership.py
+++ b/dandeliondrum/jobs/_membership.py
@@ -8,10 +8,16 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _leader_calls
 from dandeliondrum import messages
 
 FOUNDING_INTERVAL_MS = 250
+# The second of the founders founds the cell if the first has not done so
+# within this time, and the third after twice this time.
+FOUNDER_TIMEOUT_MS = 3_000
+# After its first attempt a founder waits this long for all of the founders.
+ALL_FOUNDERS_TIMEOUT_MS = 1_500
 JOIN_INTERVAL_MS = 1_000
 # Number of first requests to join a cell that is being founded, which are sent
 # at the interval of founding: nothing is acknowledged before.
@@ -25,7 +31,8 @@
 class MembershipOptions:
     """How a controller becomes a member of the cell.
 
-    The first of ``founders`` founds the cell with all of them as members.
+    The first of ``founders`` founds the cell with all of them as members. If
+    one of them is lost, another founds it, or the others are the members.
     ``may_found`` is set only when the whole system starts for the first time.
     """
 
@@ -47,6 +54,8 @@
         self._options = options
         self._node = node
         self._calls = calls
+        self._started_ms = _clock.elapsed_ms()
+        self._first_attempt_ms: int | None = None
 
     def run(self, stopping: threading.Event) -> None:
         """Found or join the cell, and update the known controllers.
@@ -87,16 +96,23 @@
 
     def _should_found(self, status: consensus.NodeStatus) -> bool:
         options = self._options
-        return (
-            options.may_found
-            and not status.members
-            and status.last_index == 0
-            and bool(options.founders)
-            and options.founders[0][0] == options.controller_id
+        if not options.may_found or status.members or status.last_index:
+            return False
+        waited_ms = _clock.elapsed_ms() - self._started_ms
+        return any(
+            founder_id == options.controller_id
+            and waited_ms >= position * FOUNDER_TIMEOUT_MS
+            for position, (founder_id, _) in enumerate(options.founders)
         )
 
     def _found_cell(self) -> None:
-        match self._node.bootstrap(self._options.founders):
+        now_ms = _clock.elapsed_ms()
+        if self._first_attempt_ms is None:
+            self._first_attempt_ms = now_ms
+        waited_ms = now_ms - self._first_attempt_ms
+        match self._node.bootstrap(
+            self._options.founders, waited_ms > ALL_FOUNDERS_TIMEOUT_MS
+        ):
             case result.Success():
                 _logger.info(
                     'cell founded',
@@ -106,6 +122,9 @@
                 )
             case result.Failure(error):
                 _logger.info('cell not founded yet', why=str(error))
+                if error.failure is consensus.ChangeFailure.HAS_LOG:
+                    # The others have founded it.
+                    self._join()
 
     def _join(self) -> None:
         request = _calls.JoinRequest(
