--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -9,11 +9,13 @@
 from dandeliondrum import consensus
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _leadership
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
 from dandeliondrum import messages
+from dandeliondrum import testing
 from dandeliondrum import utils
 
 TEAM = messages.TeamId('harbour')
@@ -184,6 +186,22 @@
         return utils.completed_future(result.Success(None))
 
 
+def new_leadership(machine, node, kept_ms=60_000):
+    """Return the components of a leader without workers."""
+    return _leadership.Leadership(
+        jobs.LeaderOptions(
+            messages.ControllerId('c1'), 1_000, 1_500, kept_ms, 3
+        ),
+        messages.Term(1),
+        machine.state,
+        node,
+        testing.FakeFleet([]),
+        None,
+        _metrics.Metrics(),
+        utils.TimerService(),
+    )
+
+
 def new_term(node, port=None):
     """Return the state of a leader whose log is ``node``."""
     return _term.Term(
--- a/dandeliondrum/jobs/tests/test_early_cancels.py
+++ b/dandeliondrum/jobs/tests/test_early_cancels.py
@@ -10,13 +10,10 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _leadership
-from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
-from dandeliondrum import testing
-from dandeliondrum import utils
 
 OTHER_TEAM = messages.TeamId('counter')
 KEPT_MS = 60_000
@@ -38,18 +35,7 @@
 
 @pytest.fixture
 def leadership(machine, node):
-    return _leadership.Leadership(
-        jobs.LeaderOptions(
-            messages.ControllerId('c1'), 1_000, 1_500, KEPT_MS, 3
-        ),
-        messages.Term(1),
-        machine.state,
-        node,
-        testing.FakeFleet([]),
-        None,
-        _metrics.Metrics(),
-        utils.TimerService(),
-    )
+    return helpers.new_leadership(machine, node, KEPT_MS)
 
 
 def _submit(leadership, name='j'):
--- a/dandeliondrum/jobs/tests/test_leadership.py
+++ b/dandeliondrum/jobs/tests/test_leadership.py
@@ -10,13 +10,9 @@
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _advice_requester
 from dandeliondrum.jobs import _calls
-from dandeliondrum.jobs import _leadership
-from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
-from dandeliondrum import testing
-from dandeliondrum import utils
 
 GATEWAY = messages.GatewayId('g1')
 REQUEST = _calls.AdviceRequest('j.0.0', (messages.WorkerId('w1'),))
@@ -75,19 +71,7 @@
 
 @pytest.fixture
 def leadership(node):
-    machine = helpers.Machine(())
-    return _leadership.Leadership(
-        jobs.LeaderOptions(
-            messages.ControllerId('c1'), 1_000, 1_500, 60_000, 3
-        ),
-        messages.Term(1),
-        machine.state,
-        node,
-        testing.FakeFleet([]),
-        None,
-        _metrics.Metrics(),
-        utils.TimerService(),
-    )
+    return helpers.new_leadership(helpers.Machine(()), node)
 
 
 def register(leadership, connection):
