Let a test of the proxy wait for the last count

Cause: the proxy counts a chunk after it has sent it, and the test read the count as soon as it had the last byte. It still asks for the exact count.

--- a/dandeliondrum/testing/tests/test_proxy.py
+++ b/dandeliondrum/testing/tests/test_proxy.py
@@ -107,6 +107,8 @@
         sender.start()
         assert read_exactly(stream, len(data)) == data
         sender.join()
+    # The proxy counts a chunk after it was sent.
+    testing.wait_until(lambda: proxy.backward_bytes >= len(data))
     assert proxy.forward_bytes == proxy.backward_bytes == len(data)
 
 
