Say what the actions on a start order do; share a set-up of tests

The doc comment of the actions did not tell what happens to the order. Four tests of late calls sent a start that is kept in the same three lines.

No code that runs in the product changes.

--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -32,7 +32,11 @@
 
 
 class _StartAction(enum.Enum):
-    """What to do next about a start order."""
+    """How a queued start order is handled.
+
+    ``WAIT`` queues it again until the worker's lists were read, and
+    ``GIVE_UP`` records that the run never started.
+    """
 
     SEND = 'send'
     WAIT = 'wait'
--- a/dandeliondrum/jobs/tests/test_late_calls.py
+++ b/dandeliondrum/jobs/tests/test_late_calls.py
@@ -114,6 +114,12 @@
             self.peer._state.lease._expiry_ms = 0
             self.peer._state.lease._arrival_ms = 0
 
+    def start_kept(self):
+        """Send a start that is kept for the next incarnation."""
+        self.fleet.starts_kept = True
+        self.start('j.0.0.0')
+        testing.wait_until(lambda: self.fleet.kept)
+
     def lapses(self):
         """Wait for the lapse; return whether the run has ended by then."""
         testing.wait_until(lambda: self.outcomes)
@@ -164,9 +170,7 @@
     leader, worker
 ):
     """Regression test for review/7: the start arrives seconds late."""
-    leader.fleet.starts_kept = True
-    leader.start('j.0.0.0')
-    testing.wait_until(lambda: leader.fleet.kept)
+    leader.start_kept()
     leader.fleet.is_cut = True
     testing.wait_until(lambda: not leader.peer._state.is_responding)
     worker.restart()
@@ -184,9 +188,7 @@
     The first read tells that it has started again, the second fences off the
     calls to the former incarnation.
     """
-    leader.fleet.starts_kept = True
-    leader.start('j.0.0.0')
-    testing.wait_until(lambda: leader.fleet.kept)
+    leader.start_kept()
     leader.fleet.reads_fail = True
     testing.wait_until(lambda: not leader.peer._state.is_responding)
     worker.restart()
@@ -202,9 +204,7 @@
     leader = _Leader(worker)
     with test_worker_peer.serving(leader):
         testing.wait_until(leader.peer.usable)
-        leader.fleet.starts_kept = True
-        leader.start('j.0.0.0')
-        testing.wait_until(lambda: leader.fleet.kept)
+        leader.start_kept()
     kept = leader.fleet
     with pytest.MonkeyPatch.context() as patches:
         patches.setattr(_lease, 'LATE_CALL_MAX_MS', LATE_CALL_MAX_MS)
@@ -281,9 +281,7 @@
     """The next incarnation would forget the end of the run that it starts."""
     leader.submit('k', helpers.step())
     leader.submit('l', helpers.step())
-    leader.fleet.starts_kept = True
-    leader.start('j.0.0.0')
-    testing.wait_until(lambda: leader.fleet.kept)
+    leader.start_kept()
     leader.fleet.starts_kept = False
     worker.run_ms = 1
     reads_count = len(leader.fleet.reads)
