Start no task in an evacuated failure domain

Operators need to keep new tasks out of a whole failure domain. Orders to evacuate a domain or to restore it are committed to the replicated log. The state machine rejects assignments there, the scheduler leaves its workers out, and the order sender gives up starts that were not sent and resolves those without an answer by a stop once the worker's lists show that the run has not begun. An order names the newest one that its sender has seen, so that one held up on a link can't undo a newer one. Routes exist only with the contract 'places'.

--- a/dandeliondrum/jobs/__init__.py
+++ b/dandeliondrum/jobs/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from dandeliondrum.jobs._calls import AdviceReply
+from dandeliondrum.jobs._calls import EvacuatedDomains
 from dandeliondrum.jobs._calls import Grant
 from dandeliondrum.jobs._calls import WorkerReport
 from dandeliondrum.jobs._commands import RunEnd
@@ -57,6 +58,7 @@
     'AdviserPort',
     'ControllerOptions',
     'EndListing',
+    'EvacuatedDomains',
     'GatewayOptions',
     'Grant',
     'JobController',
--- a/dandeliondrum/jobs/_calls.py
+++ b/dandeliondrum/jobs/_calls.py
@@ -5,6 +5,7 @@
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 
 
@@ -131,6 +132,45 @@
     document: bytes = b''
 
 
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainChange:
+    """Ask the leader to evacuate or restore a failure domain.
+
+    ``after_index`` is the log index of the newest order about the domain that
+    the sender has seen. The reply is an EvacuatedDomains.
+    """
+
+    failure_domain: messages.FailureDomain
+    evacuated: bool
+    after_index: int = 0
+    origin: evacuations.Origin = evacuations.Origin()
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainQuery:
+    """Ask for the orders about failure domains, confirmed by a quorum."""
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuatedDomains:
+    """The newest order about each failure domain, also of restored ones.
+
+    ``is_outdated`` tells that the order of the DomainChange had no effect, as
+    there is a newer one than its sender has seen.
+    """
+
+    orders: tuple[evacuations.DomainOrder, ...] = ()
+    is_outdated: bool = False
+
+    @property
+    def domains(self) -> frozenset[messages.FailureDomain]:
+        """The domains that are evacuated."""
+        return evacuations.Evacuations(self.orders).domains
+
+
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class JoinRequest:
--- a/dandeliondrum/jobs/_commands.py
+++ b/dandeliondrum/jobs/_commands.py
@@ -4,6 +4,7 @@
 import enum
 
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 
 
@@ -182,3 +183,27 @@
 
     job_ids: tuple[_specs.JobId, ...]
     early_cancels_until_index: int = 0
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuateDomain:
+    """Assign no further runs to the workers of a failure domain.
+
+    ``after_index`` is the log index of the newest order about the domain that
+    the sender has seen. If there is a newer one, the command has no effect.
+    """
+
+    failure_domain: messages.FailureDomain
+    after_index: int = 0
+    origin: evacuations.Origin = evacuations.Origin()
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreDomain:
+    """Revoke the evacuation of a failure domain; see EvacuateDomain."""
+
+    failure_domain: messages.FailureDomain
+    after_index: int = 0
+    origin: evacuations.Origin = evacuations.Origin()
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -14,6 +14,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _calls
+from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _follower_reports
 from dandeliondrum.jobs import _leader_calls
 from dandeliondrum.jobs import _leadership
@@ -23,6 +24,7 @@
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum import utils
@@ -89,6 +91,9 @@
         self.metrics = _metrics.Metrics()
         self.metrics.leading.set_function(lambda: float(self.is_leading()))
         self.state = _state.JobsState(decode_policy)
+        self.metrics.evacuated_domains.set_function(
+            lambda: float(len(self.state.evacuations.domains))
+        )
         self.calls = _leader_calls.LeaderCalls(
             options.link,
             _leader_calls.ActivePolicy(decode_policy),
@@ -256,6 +261,55 @@
             )
         )
 
+    def change_domain(
+        self,
+        failure_domain: messages.FailureDomain,
+        evacuated: bool,
+        timeout_ms: int,
+        requested_by: str = '',
+        reason: str = '',
+    ) -> result.Result[_calls.EvacuatedDomains, _leader_calls.Unavailable]:
+        """Evacuate a failure domain, or restore it; return the orders.
+
+        An order that meets a newer one than the replica here had is sent
+        again after that one, as long as its sender waits for the reply.
+        """
+        deadline_ms = _clock.elapsed_ms() + timeout_ms
+        origin = evacuations.Origin(requested_by, reason, _clock.unix_ms())
+        known = self.state.evacuations
+        while True:
+            change = _calls.DomainChange(
+                failure_domain,
+                evacuated,
+                known.last_index(failure_domain),
+                origin,
+            )
+            left_ms = deadline_ms - _clock.elapsed_ms()
+            outcome = self._call(change, max(0, left_ms))
+            if isinstance(outcome, result.Failure):
+                return outcome
+            if not outcome.unwrap().is_outdated:
+                return outcome
+            if left_ms <= 0:
+                return result.Failure(
+                    _leader_calls.Unavailable('changed meanwhile', True)
+                )
+            known = evacuations.Evacuations(outcome.unwrap().orders)
+
+    def evacuated_domains(
+        self, timeout_ms: int
+    ) -> result.Result[_calls.EvacuatedDomains, _leader_calls.Unavailable]:
+        """Return the orders about failure domains, confirmed by a quorum."""
+        return self._call(_calls.DomainQuery(), timeout_ms)
+
+    def reported_domains(self) -> frozenset[messages.FailureDomain]:
+        """Return the failure domains of the known workers."""
+        # Read without the lock, as a snapshot of the state may hold it.
+        return frozenset(
+            worker.facts.failure_domain
+            for worker in list(self.state.workers.values())
+        )
+
     def _call(
         self, message: typing.Any, timeout_ms: int
     ) -> result.Result[typing.Any, _leader_calls.Unavailable]:
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -17,6 +17,7 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _domain_orders
 from dandeliondrum.jobs import _leader_load
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
@@ -39,6 +40,10 @@
 
 _Reply = concurrent.futures.Future[typing.Any]
 
+_CONTROLLERS_ARE_JOINING = messages.CallFailed(
+    'controllers are joining', True, JOINS_RETRY_MS
+)
+
 
 class Leadership:
     """The components that are active while a controller leads.
@@ -181,6 +186,10 @@
                 return self._read_document(message)
             case messages.RulesPartQuery():
                 return self._documents.part(message)
+            case _calls.DomainChange():
+                return self._change_domain(message)
+            case _calls.DomainQuery():
+                return _domain_orders.read(self._term)
             case _calls.JoinRequest():
                 return self._voters.join(message)
         return messages.CallFailed('unknown call', True)
@@ -408,16 +417,21 @@
             self._push_document()
             return _calls.DocumentInForce(outcome.unwrap())
 
-        is_first = not self._term.state.active_document.version
-        if is_first and not self._voters.may_begin():
-            return utils.completed_future(
-                messages.CallFailed(
-                    'controllers are joining', True, JOINS_RETRY_MS
-                )
-            )
+        if not self._may_acknowledge():
+            return utils.completed_future(_CONTROLLERS_ARE_JOINING)
         command = _commands.PutPolicy(message.version, message.document)
         return utils.map_future(self._term.propose(command), make_reply)
 
+    def _may_acknowledge(self) -> bool:
+        """Return whether what operators send bears the losses it has to."""
+        is_first = not self._term.state.active_document.version
+        return not is_first or self._voters.may_begin()
+
+    def _change_domain(self, message: _calls.DomainChange) -> _Reply:
+        if not self._may_acknowledge():
+            return utils.completed_future(_CONTROLLERS_ARE_JOINING)
+        return _domain_orders.change(self._term, message)
+
     def _push_document(self) -> None:
         self._documents.announce(self._term.sessions.all())
         active = self._term.state.active_document
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -127,6 +127,16 @@
             ('reason',),
             registry=self.registry,
         )
+        self.evacuated_domains = prometheus_client.Gauge(
+            'dandeliondrum_jobs_evacuated_domains',
+            'Failure domains in which no task is started',
+            registry=self.registry,
+        )
+        self.withheld = prometheus_client.Counter(
+            'dandeliondrum_jobs_starts_withheld',
+            'Starts that were not sent as the failure domain was evacuated',
+            registry=self.registry,
+        )
         self.misplaced = prometheus_client.Counter(
             'dandeliondrum_jobs_runs_misplaced',
             'Runs that were stopped to be placed elsewhere, by reason',
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -106,6 +106,7 @@
         draining = state.facts.phase is _commands.WorkerPhase.DRAINING
         obsolete = bool(state.events.obsolete([(task, run)]))
         has_shrunk = not state.events.fits(state.facts)
+        evacuated = state.events.is_evacuated(state.facts)
         with state.lock:
             stop_ordered = self._orders.is_stopping(task, run)
             order = self._orders.get(task, run)
@@ -118,6 +119,7 @@
                 or obsolete
                 or stop_ordered
                 or has_changed
+                or evacuated
                 or not state.is_responding
             ):
                 action = _StartAction.GIVE_UP
@@ -132,12 +134,22 @@
                 # or that the run has begun.
                 self._orders.requeue(task)
                 action = _StartAction.WAIT
+            elif evacuated:
+                # The lists read since then show that the run has not begun,
+                # so the stop ends no work.
+                state.events.withheld(state.facts.worker_id, task, order.run)
+                self._settle_by_stop(task, order)
+                return
             else:
                 begun_ms = state.begin_start(order)
                 request = self._start_order(task, order)
                 action = _StartAction.SEND
         match action:
             case _StartAction.GIVE_UP:
+                if evacuated:
+                    state.events.withheld(
+                        state.facts.worker_id, task, order.run
+                    )
                 self._record_never_started(task, order)
                 return
             case _StartAction.WAIT:
--- a/dandeliondrum/jobs/_peer_state.py
+++ b/dandeliondrum/jobs/_peer_state.py
@@ -48,6 +48,14 @@
     def fits(self, facts: _commands.WorkerFacts) -> bool:
         """Return whether the runs assigned to a worker fit in its capacity."""
 
+    def is_evacuated(self, facts: _commands.WorkerFacts) -> bool:
+        """Return whether the failure domain of a worker is evacuated."""
+
+    def withheld(
+        self, worker_id: messages.WorkerId, task: _specs.TaskKey, run: int
+    ) -> None:
+        """Note that a start is not sent, as the domain is evacuated."""
+
     def suspects(
         self, tasks: collections.abc.Iterable[_specs.TaskKey]
     ) -> set[_specs.TaskKey]:
--- a/dandeliondrum/jobs/_record_store.py
+++ b/dandeliondrum/jobs/_record_store.py
@@ -5,6 +5,7 @@
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 
 
@@ -27,6 +28,7 @@
         # Includes queues that were removed from the policy, since accepted
         # jobs may still refer to them.
         self.queues: dict[messages.QueueName, _policy.QueuePolicy] = {}
+        self.evacuations = evacuations.Evacuations()
 
     def queue_of(self, job: _records.JobRecord) -> _policy.QueuePolicy | None:
         """Return the queue of a job as the policy last defined it."""
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -259,6 +259,7 @@
             for worker_id, worker in term.state.workers.items()
             if worker_id in usable
             and worker.facts.phase is _commands.WorkerPhase.READY
+            and not term.state.is_evacuated(worker.facts)
             # The peer may have newer facts, which are being committed.
             and worker.facts == term.peers[worker_id].facts
         )
@@ -393,7 +394,8 @@
     ) -> set[messages.WorkerId]:
         """Return the workers whose facts are those that were planned with.
 
-        A worker that restarted may have fewer resources.
+        A worker that restarted may have fewer resources. Its failure domain
+        may have been evacuated in the meantime.
         """
         workers = self._term.state.workers
         return {
@@ -401,6 +403,7 @@
             for worker_id in worker_ids
             if worker_id in workers
             and workers[worker_id].facts == inputs.facts[worker_id]
+            and not self._term.state.is_evacuated(inputs.facts[worker_id])
         }
 
     def _is_valid(
--- a/dandeliondrum/jobs/_snapshots.py
+++ b/dandeliondrum/jobs/_snapshots.py
@@ -7,6 +7,7 @@
 from dandeliondrum.jobs import _record_store
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 
 
@@ -46,6 +47,7 @@
     ``sequences`` are those of the reports with the facts of ``workers``, in
     the same order; empty in snapshots of earlier versions. ``early_cancels``
     are the ids that were cancelled before their submission.
+    ``domain_orders`` are the newest orders about failure domains.
     """
 
     jobs: tuple[_Job, ...]
@@ -54,6 +56,7 @@
     former_queues: tuple[_policy.QueuePolicy, ...] = ()
     sequences: tuple[int, ...] = ()
     early_cancels: tuple[tuple[_specs.JobId, messages.TeamId, int], ...] = ()
+    domain_orders: tuple[evacuations.DomainOrder, ...] = ()
 
 
 def write(store: _record_store.RecordStore) -> bytes:
@@ -69,6 +72,7 @@
                 (job_id, team_id, index)
                 for (job_id, team_id), index in store.early_cancels.items()
             ),
+            store.evacuations.orders,
         )
     )
 
@@ -87,6 +91,7 @@
         (job_id, team_id): index
         for job_id, team_id, index in snapshot.early_cancels
     }
+    store.evacuations = evacuations.Evacuations(snapshot.domain_orders)
     store.jobs = {job.spec.job_id: _unpack_job(job) for job in snapshot.jobs}
     store.open_jobs = {
         job_id: job
--- a/dandeliondrum/jobs/_state.py
+++ b/dandeliondrum/jobs/_state.py
@@ -11,6 +11,7 @@
 from dandeliondrum.jobs import _records
 from dandeliondrum.jobs import _run_ends
 from dandeliondrum.jobs import _snapshots
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 
 # Number of ids that may be recorded as cancelled before their submission.
@@ -27,6 +28,14 @@
     document: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainChanged:
+    """Result of an order about a failure domain, and the orders after it."""
+
+    outcome: evacuations.OrderOutcome
+    orders: tuple[evacuations.DomainOrder, ...]
+
+
 class JobsState(_record_store.RecordStore):
     """All jobs, workers and the operator's policy.
 
@@ -63,6 +72,10 @@
                     return self._put_policy(message)
                 case _commands.ForgetJobs():
                     return self._forget(message)
+                case _commands.EvacuateDomain():
+                    return self._change_domain(index, message, True)
+                case _commands.RestoreDomain():
+                    return self._change_domain(index, message, False)
         raise ValueError(f'unknown command {type(message).__name__}')
 
     def snapshot(self) -> bytes:
@@ -86,6 +99,10 @@
         )
         self.queues.update(self.policy.queue_by_name)
 
+    def is_evacuated(self, facts: _commands.WorkerFacts) -> bool:
+        """Return whether the domain of a worker is evacuated."""
+        return facts.failure_domain in self.evacuations.domains
+
     def newest_early_cancel(self) -> int:
         """Return the log index of the newest early cancelling, 0 for none."""
         return next(reversed(self.early_cancels.values()), 0)
@@ -167,6 +184,7 @@
             and run.run > task.run
             and job.step_is_due(run.task.step)
             and worker.facts.phase is _commands.WorkerPhase.READY
+            and not self.is_evacuated(worker.facts)
         )
 
     def _fits(self, group: tuple[_commands.RunAssignment, ...]) -> bool:
@@ -217,6 +235,18 @@
             self.activate_policy(command.document)
         return self.policy.version
 
+    def _change_domain(
+        self,
+        index: int,
+        command: _commands.EvacuateDomain | _commands.RestoreDomain,
+        evacuated: bool,
+    ) -> DomainChanged:
+        order = evacuations.DomainOrder(
+            command.failure_domain, evacuated, index, command.origin
+        )
+        outcome = self.evacuations.apply(order, command.after_index)
+        return DomainChanged(outcome, self.evacuations.orders)
+
     def _forget(self, command: _commands.ForgetJobs) -> None:
         until_index = command.early_cancels_until_index
         if until_index:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -398,6 +398,24 @@
             worker = self._term.state.workers.get(facts.worker_id)
             return worker is None or worker.used.fits_in(facts.capacity)
 
+    def is_evacuated(self, facts: _commands.WorkerFacts) -> bool:
+        """Return whether the failure domain of a worker is evacuated."""
+        # Read without the lock of the state: the set is replaced as a whole.
+        return self._term.state.is_evacuated(facts)
+
+    def withheld(
+        self, worker_id: messages.WorkerId, task: _specs.TaskKey, run: int
+    ) -> None:
+        """Note that a start is not sent, as the domain is evacuated."""
+        self._term.metrics.withheld.inc()
+        _logger.info(
+            'start withheld',
+            worker=worker_id,
+            task=str(task),
+            run=run,
+            why='domain evacuated',
+        )
+
     def suspects(
         self, tasks: collections.abc.Iterable[_specs.TaskKey]
     ) -> set[_specs.TaskKey]:
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -44,6 +44,7 @@
         self.started_ids = set()
         self.crashed_ids = []
         self.refusals = []
+        self.withheld_runs = []
         self.lease_ms = lease_ms
         self.log_refuses = False
         self.stopping = threading.Event()
@@ -107,6 +108,12 @@
             used = self.machine.state.workers[facts.worker_id].used
             return used.fits_in(facts.capacity)
 
+    def is_evacuated(self, facts):
+        return self.machine.state.is_evacuated(facts)
+
+    def withheld(self, worker_id, task, run):
+        self.withheld_runs.append((str(task), run))
+
     def suspects(self, tasks):
         with self.machine.state.lock:
             return self.machine.state.suspects.intersection(tasks)
@@ -611,6 +618,104 @@
     assert worker.starts == []
 
 
+def _evacuate(leader):
+    domain = leader.worker.facts.failure_domain
+    leader.machine(_commands.EvacuateDomain(domain))
+
+
+def test_a_start_that_was_planned_before_an_evacuation_is_not_sent(worker):
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.acting = False
+        leader.start('j.0.0.0')
+        _evacuate(leader)
+        leader.acting = True
+        testing.wait_until(lambda: leader.outcomes)
+    assert worker.starts == []
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+    assert leader.withheld_runs == [('j.0.0.0', 1)]
+
+
+def test_a_start_without_an_answer_is_not_sent_again_after_an_evacuation(
+    worker,
+):
+    """A lost order, resent up to three times, would start a task there."""
+    leader = FakeLeader(worker, lease_ms=60_000)
+    leader.submit('j', helpers.step())
+    fleet = leader.peer._state.port
+    sent = []
+
+    def evacuate(order):
+        sent.append(order)
+        if len(sent) == 1:
+            _evacuate(leader)
+        return jobs.Unanswered(True, 'no answer')
+
+    fleet.start = evacuate
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+    assert len(sent) == 1
+    assert leader.outcomes == [('j.0.0.0', 1, 'LOST')]
+    assert leader.withheld_runs == [('j.0.0.0', 1)]
+    # A start that is carried out late is refused.
+    worker.start(sent[0])
+    assert worker.starts == []
+
+
+def test_a_run_whose_start_was_not_answered_goes_on_after_an_evacuation(
+    worker,
+):
+    """The stop for an unanswered start must not end a run that has begun."""
+    worker.run_ms = 400
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step())
+    fleet = leader.peer._state.port
+
+    def start_and_evacuate(order):
+        worker.start(order)
+        _evacuate(leader)
+        return jobs.Unanswered(True, 'answer lost')
+
+    fleet.start = start_and_evacuate
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        leader.start('j.0.0.0')
+        testing.wait_until(lambda: leader.outcomes)
+    assert worker.starts == [('j.0.0.0', 1)]
+    assert leader.outcomes == [('j.0.0.0', 1, 'DONE')]
+
+
+def test_a_gang_that_has_not_started_completely_is_given_up_whole(worker):
+    worker.run_ms = 60_000
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step(2, gang=True))
+    keys = [jobs.parse_task_key(f'j.0.0.{index}') for index in (0, 1)]
+    with serving(leader):
+        testing.wait_until(leader.peer.usable)
+        for key in keys:
+            leader.peer.orders.plan(key, _orders.Order(1, 'payload', '', ''))
+        assignments = tuple(
+            _commands.RunAssignment(key, 1, worker.facts.worker_id)
+            for key in keys
+        )
+        assert leader.machine(_commands.AssignRuns((assignments,))) == (True,)
+        leader.peer.orders.dispatch(keys[0])
+        testing.wait_until(worker.running)
+        _evacuate(leader)
+        leader.peer.orders.dispatch(keys[1])
+        testing.wait_until(lambda: len(leader.outcomes) == 2)
+    assert worker.starts == [('j.0.0.0', 1)]
+    assert worker.running() == {}
+    assert sorted(leader.outcomes) == [
+        ('j.0.0.0', 1, 'STOPPED'),
+        ('j.0.0.1', 1, 'LOST'),
+    ]
+
+
 def test_a_run_that_began_before_a_shrink_goes_on(worker):
     worker.run_ms = 400
     leader = FakeLeader(worker)
--- a/dandeliondrum/platform/_control_api.py
+++ b/dandeliondrum/platform/_control_api.py
@@ -61,7 +61,7 @@
             _logger.warning(
                 'invalid worker report', worker=worker_id, why=str(error)
             )
-            return _problem(400, str(error))
+            return problem(400, str(error))
         if self._controller.acknowledge_report(report) is not None:
             return gateway.json_response({})
         return self._wait_for_leader(
@@ -81,7 +81,7 @@
             _logger.warning(
                 'invalid worker shutdown', worker=worker_id, why=str(error)
             )
-            return _problem(400, str(error))
+            return problem(400, str(error))
         return self._wait_for_leader(
             lambda: self._controller.report_worker_shutdown(
                 messages.WorkerId(worker_id), REPORT_TIMEOUT_MS, started_ms
@@ -98,12 +98,12 @@
         slots = self._take_slot(has_news)
         if slots is None:
             _logger.info('too many reports wait for the leader')
-            return _problem(503, 'too many reports wait for the leader')
+            return problem(503, 'too many reports wait for the leader')
         try:
             outcome = report()
         finally:
             slots.release()
-        return _reply(outcome, lambda _result: gateway.json_response({}))
+        return reply(outcome, lambda _result: gateway.json_response({}))
 
     def _take_slot(self, has_news: bool) -> threading.Semaphore | None:
         """Return the slots of which one was taken, None if all are in use."""
@@ -123,7 +123,7 @@
                 outcome = self._controller.change_document(
                     policy.version, document, DOCUMENT_TIMEOUT_MS
                 )
-                return _reply(
+                return reply(
                     outcome,
                     lambda current: gateway.json_response(
                         {'Version': current.version}
@@ -132,35 +132,37 @@
             case failed:
                 error = failed.failure()
                 _logger.warning('invalid policy', why=error)
-                return _problem(400, error)
+                return problem(400, error)
 
     def _get_document(self, call: gateway.Call) -> werkzeug.Response:
         outcome = self._controller.read_document(REPORT_TIMEOUT_MS)
-        return _reply(outcome, _document_response)
+        return reply(outcome, _document_response)
 
 
 def _document_response(current: typing.Any) -> werkzeug.Response:
     if not current.version:
-        return _problem(503, 'no policy has been set yet')
+        return problem(503, 'no policy has been set yet')
     return werkzeug.Response(
         current.document, 200, content_type='application/json'
     )
 
 
-def _reply(
+def reply(
     outcome: result.Result[typing.Any, jobs.Unavailable],
     respond: typing.Callable[[typing.Any], werkzeug.Response],
 ) -> werkzeug.Response:
+    """Return the response to a call to the leader."""
     match outcome:
         case result.Success(value):
             return respond(value)
         case failed:
             error = failed.failure()
             _logger.info('leader unavailable', why=error.reason)
-            return _problem(503, error.reason)
+            return problem(503, error.reason)
 
 
-def _problem(status: int, detail: str) -> werkzeug.Response:
+def problem(status: int, detail: str) -> werkzeug.Response:
+    """Return a refusal; the caller may try again if it is above 499."""
     reason = 'bad_request' if status < 500 else 'unavailable'
     retry_ms = RETRY_AFTER_MS if status >= 500 else 0
     return gateway.problem_response(
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -20,6 +20,7 @@
 from dandeliondrum.platform import _caller_api
 from dandeliondrum.platform import _control_api
 from dandeliondrum.platform import _documents
+from dandeliondrum.platform import _evacuation_api
 from dandeliondrum.platform import _http_ports
 from dandeliondrum.platform import _settings
 from dandeliondrum import transport
@@ -166,7 +167,10 @@
     resources.callback(controller.close)
     server = _make_server(
         settings.control_address,
-        _control_api.ControlApi(controller).routes(),
+        (
+            *_control_api.ControlApi(controller).routes(),
+            *_evacuation_api.routes(controller, settings),
+        ),
         _control_api.THREADS_COUNT,
         timers,
         gateway.Metrics(),
--- a/dandeliondrum/platform/_settings.py
+++ b/dandeliondrum/platform/_settings.py
@@ -10,6 +10,8 @@
 
 SETTINGS_VARIABLE = 'DANDELIONDRUM_SETTINGS'
 DEFAULT_PATH = '/etc/dandeliondrum/local.conf'
+# Followed by the name of a failure domain; the value is its region.
+DOMAIN_PREFIX = 'Zones.'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,7 +20,9 @@
 
     ``seed_addresses`` are the control API addresses of some controllers.
     ``losses_max`` is the number of VMs with a disk whose simultaneous loss
-    has to be tolerated.
+    has to be tolerated. ``contracts`` are the optional parts of the interface
+    that are in use. ``failure_domains`` are all of them; empty if the file
+    names none.
     """
 
     vm_name: str
@@ -37,6 +41,8 @@
     lease_max_ms: int
     job_state_kept_ms: int
     adviser_address: str
+    contracts: frozenset[str] = frozenset()
+    failure_domains: frozenset[messages.FailureDomain] = frozenset()
 
     @property
     def stream_address(self) -> str:
@@ -105,6 +111,16 @@
         lease_max_ms=int(values['Bounds.HoldMaxMs']),
         job_state_kept_ms=_seconds_to_ms(values['Bounds.status_s']),
         adviser_address=values.get('PlacementAdvisor', ''),
+        contracts=frozenset(
+            name.strip()
+            for name in values.get('Contracts', '').split(',')
+            if name.strip()
+        ),
+        failure_domains=frozenset(
+            messages.FailureDomain(name.removeprefix(DOMAIN_PREFIX))
+            for name in values
+            if name.startswith(DOMAIN_PREFIX)
+        ),
     )
 
 
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -74,7 +74,8 @@
     Controllers and gateways are processes, which run until the context of
     ``processes`` ends; workers and the adviser are fakes. The calls to the
     first ``links_count`` workers and those of callers to as many gateways pass
-    through proxies; ``links`` maps the names of their targets to these.
+    through proxies; ``links`` maps the names of their targets to these. If
+    ``failure_domains`` are given, they can be evacuated.
 
     Example::
 
@@ -92,8 +93,10 @@
         links_count: int = 0,
         controllers_count: int = 3,
         job_state_kept_s: int = 120,
+        failure_domains: tuple[str, ...] = (),
     ) -> None:
         self.processes = processes
+        self.failure_domains = failure_domains
         self._job_state_kept_s = job_state_kept_s
         self._controller_ips = [
             CONTROLLER_IP.format(FIRST_CONTROLLER + number)
@@ -195,6 +198,20 @@
             timeout_ms=timeout_ms,
         ).status
 
+    def change_domain(
+        self,
+        domain: str,
+        evacuated: bool,
+        number: int = 0,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> int:
+        """Evacuate or restore a domain at a controller; return the status."""
+        return _http.call(
+            f'http://{self.control[number]}/evacuations/{domain}',
+            'POST' if evacuated else 'DELETE',
+            timeout_ms=timeout_ms,
+        ).status
+
     def ready(self, number: int = 0) -> bool:
         """Return whether a gateway reports that it is ready."""
         url = f'http://{self.readiness_addresses[number]}/ready'
@@ -248,6 +265,10 @@
             'PlacementAdvisor': self.adviser.server.address,
             **overrides,
         }
+        if self.failure_domains:
+            settings['Contracts'] = 'base,places'
+            for domain in self.failure_domains:
+                settings[f'Zones.{domain}'] = settings['Region']
         path = self._folder / f'{name}.conf'
         path.write_text(
             '\n'.join(f'{key}={value}' for key, value in settings.items())
