Put work that is of no more use to its caller behind everything else

A demand that missed its objective was late, whether its job could still end within three times the objective, when it is worth a fifth, or not. So under overload calls to the adviser and room went to work without value, and late work went by its deadline, which serves work that is about to lose its value.

The new package jobs/queueing has the classes in time, late and of no more use. Late work of one priority goes by the work that is left per value, shortest first. Work in time is ordered as before. _objectives moves into the package, and the sort key from _planner. The tests that set is_late set the class now.

--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -14,6 +14,7 @@
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _term
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum import utils
@@ -54,7 +55,7 @@
             for demand, queue in demands
             if queue.advice is not None
         ]
-        advised.sort(key=lambda pair: _planner.scheduling_key(pair[0]))
+        advised.sort(key=lambda pair: queueing.sort_key(pair[0]))
         candidate_workers = _advice_candidates.CandidateWorkers(
             workers, reserved_ids
         )
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -10,7 +10,6 @@
 
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _crashes
-from dandeliondrum.jobs import _objectives
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
@@ -19,6 +18,7 @@
 from dandeliondrum.jobs import _run_ends
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 # Replaces an amount for which a team has no limit.
@@ -50,8 +50,9 @@
     state: _state.JobsState,
 ) -> collections.abc.Iterator[_OpenDemand]:
     """Yield a demand for each due step; the caller holds the state's lock."""
+    means = queueing.KindMeans()
     for job in state.open_jobs.values():
-        yield from _job_demands(state, job)
+        yield from _job_demands(state, job, means)
 
 
 class DemandCache:
@@ -62,6 +63,7 @@
 
     def __init__(self) -> None:
         self._policy: _policy.Policy | None = None
+        self._means = queueing.KindMeans()
         self._by_job: dict[
             _specs.JobId, tuple[_records.JobRecord, int, list[_OpenDemand]]
         ] = {}
@@ -82,7 +84,9 @@
                 or known[0] is not job
                 or known[1] != job.changes_count
             ):
-                demands = list(_job_demands(state, job))
+                if known is None:
+                    self._means.record(job.spec)
+                demands = list(_job_demands(state, job, self._means))
                 known = (job, job.changes_count, demands)
             self._by_job[job_id] = known
             found += known[2]
@@ -90,14 +94,23 @@
 
 
 def _job_demands(
-    state: _state.JobsState, job: _records.JobRecord
+    state: _state.JobsState,
+    job: _records.JobRecord,
+    means: queueing.KindMeans,
 ) -> collections.abc.Iterator[_OpenDemand]:
     queue = state.queue_of(job)
     if queue is None:
         return
-    slack_ms = _objectives.slack_ms(job.spec.steps, queue)
-    for step, spec in enumerate(job.spec.steps):
-        indexes = waiting_indexes(job, step)
+    steps = job.spec.steps
+    waiting = [waiting_indexes(job, step) for step in range(len(steps))]
+    if not any(waiting):
+        return
+    slack_ms = queueing.slack_ms(steps, queue)
+    objective_ms = queueing.objective_ms(steps, queue)
+    left_core_ms = queueing.work_core_ms(steps, map(len, waiting))
+    value = means.value(job.spec)
+    for step, spec in enumerate(steps):
+        indexes = waiting[step]
         if not indexes or not job.step_is_due(step):
             continue
         indexes, crashes_count = _isolate(job.steps[step], spec, indexes)
@@ -113,6 +126,9 @@
                 indexes,
                 per_worker_counts=_counts(job, step),
                 slack_ms=slack_ms[step],
+                objective_ms=None if spec.endless else objective_ms,
+                left_core_ms=left_core_ms,
+                value=value,
                 crashes_count=crashes_count,
             ),
             queue,
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -13,6 +13,7 @@
 
 from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 StepKey = tuple[_specs.JobId, _specs.StepIndex]
@@ -43,12 +44,15 @@
     the step failed before. ``per_worker_counts`` is the number of tasks of
     the step on each worker. ``waited_ms`` is how long the step has been due.
     ``slack_ms`` is how long after the submission its tasks may start for the
-    job to meet its latency objective, None if there is none.
-    ``latest_start_ms`` is that time on this process's clock, or the time of
-    submission if there is no objective; ``is_late`` is set once an objective
-    can't be met any more. The planner does not change a demand; ``tickets``,
+    job to meet its latency objective, and ``objective_ms`` when the job should
+    have ended; both are None if there is none. ``latest_start_ms`` is the
+    former on this process's clock, or the time of submission if there is no
+    objective; ``urgency`` is what the job can still achieve.
+    ``left_core_ms`` is the work of the job that has not started, in ms of a
+    core, and ``value`` what the job is worth to its callers, 1 for an average
+    job of its queue. The planner does not change a demand; ``tickets``,
     ``granted``, ``avoided``, ``waited_ms``, ``latest_start_ms`` and
-    ``is_late`` are set anew for each round. If
+    ``urgency`` are set anew for each round. If
     ``crashes_count`` is not 0, the tasks are suspected of crashing workers and
     run apart from other jobs; it is the least number of crashes under a task.
     """
@@ -69,10 +73,18 @@
     )
     waited_ms: int = 0
     slack_ms: int | None = None
+    objective_ms: int | None = None
     latest_start_ms: int = 0
-    is_late: bool = False
+    urgency: queueing.Urgency = queueing.Urgency.IN_TIME
+    left_core_ms: float = 0.0
+    value: float = 1.0
     crashes_count: int = 0
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the objective of the job can't be met any more."""
+        return self.urgency is not queueing.Urgency.IN_TIME
+
     @property
     def isolated(self) -> bool:
         """Whether the tasks are run apart from other jobs."""
@@ -152,24 +164,6 @@
     ISOLATION = 'no worker is free to run the task apart from other jobs'
 
 
-def scheduling_key(demand: Demand) -> tuple[bool, int, int, int, str]:
-    """Return the sort key of a demand.
-
-    Demands that can still meet their objective come first. If more work
-    arrives than fits, others would otherwise become late behind demands that
-    are late already. Then the priority of the queue decides, then the time
-    that is left, and then age. A suspect of a single crash is most likely not
-    to blame and does not lose its place, since it waits for an empty worker.
-    """
-    return (
-        demand.is_late and demand.crashes_count != 1,
-        demand.priority,
-        demand.latest_start_ms,
-        demand.submitted_ms,
-        demand.job_id,
-    )
-
-
 def plan(
     demands: collections.abc.Iterable[Demand],
     workers: collections.abc.Iterable[AvailableWorker],
@@ -245,7 +239,7 @@
     The isolated ones change places among themselves, so that those under
     which the fewest workers have crashed come first.
     """
-    ordered = sorted(demands, key=scheduling_key)
+    ordered = sorted(demands, key=queueing.sort_key)
     isolated = iter(
         sorted(
             (demand for demand in ordered if demand.isolated),
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -16,7 +16,6 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _demands
-from dandeliondrum.jobs import _objectives
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
@@ -25,6 +24,7 @@
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import _wait_tracker
 from dandeliondrum.jobs import _worker_peer
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 # Minimum interval between rounds, so that one round batches many decisions.
@@ -89,7 +89,7 @@
         self._wait_tracker = _wait_tracker.WaitTracker()
         self._demand_cache = _demands.DemandCache()
         self._worker_cache = _demands.WorkerCache()
-        self._submission_times = _objectives.SubmissionTimes()
+        self._submission_times = queueing.SubmissionTimes()
         # Duration of the last round without its commit.
         self._round_ms = 0.0
         # Steps for which the last round reserved workers on which tasks fit,
@@ -343,8 +343,8 @@
         """Set what decides the order of demands in this round."""
         submitted_ms = self._submission_times.submitted_ms(demand.job_id)
         demand.latest_start_ms = submitted_ms + (demand.slack_ms or 0)
-        demand.is_late = (
-            demand.slack_ms is not None and now_ms > demand.latest_start_ms
+        demand.urgency = queueing.urgency_at(
+            now_ms, demand.latest_start_ms, demand.objective_ms
         )
         demand.waited_ms = self._wait_tracker.waited_ms(
             demand.job_id, demand.step, now_ms
--- a/dandeliondrum/jobs/_wait_tracker.py
+++ b/dandeliondrum/jobs/_wait_tracker.py
@@ -73,6 +73,7 @@
                 waited_ms=now_ms - self._since_ms[key],
                 why=wait_reason.value,
                 late=demand.is_late,
+                urgency=demand.urgency.name,
                 usable_workers_count=len(workers),
                 with_capacity_count=_planner.workers_with_capacity_count(
                     demand, workers
--- a/dandeliondrum/jobs/_objectives.py
+++ b/dandeliondrum/jobs/queueing/_objectives.py
@@ -23,6 +23,30 @@
     """
     if not queue.latency_target_ms:
         return [None] * len(steps)
+    chains_ms = _chains_ms(steps)
+    limit_ms = _limit_ms(chains_ms, queue)
+    return [
+        None if step.endless else limit_ms - chain_ms
+        for step, chain_ms in zip(steps, chains_ms, strict=True)
+    ]
+
+
+def objective_ms(
+    steps: collections.abc.Sequence[_specs.StepSpec],
+    queue: _policy.QueuePolicy,
+) -> int | None:
+    """Return when a job should have ended, in ms after its submission."""
+    if not queue.latency_target_ms:
+        return None
+    return _limit_ms(_chains_ms(steps), queue)
+
+
+def _limit_ms(chains_ms: list[int], queue: _policy.QueuePolicy) -> int:
+    return int(queue.stretch * max(chains_ms)) + queue.latency_target_ms
+
+
+def _chains_ms(steps: collections.abc.Sequence[_specs.StepSpec]) -> list[int]:
+    """Return for each step the longest chain of steps that it begins."""
     chains_ms = [step.expected_run_ms for step in steps]
     for position in range(len(steps) - 1, -1, -1):
         for before in steps[position].after:
@@ -30,13 +54,7 @@
                 chains_ms[before],
                 steps[before].expected_run_ms + chains_ms[position],
             )
-    objective_ms = (
-        int(queue.stretch * max(chains_ms)) + queue.latency_target_ms
-    )
-    return [
-        None if step.endless else objective_ms - chain_ms
-        for step, chain_ms in zip(steps, chains_ms, strict=True)
-    ]
+    return chains_ms
 
 
 class SubmissionTimes:
--- a/dandeliondrum/jobs/tests/load_simulation.py
+++ b/dandeliondrum/jobs/tests/load_simulation.py
@@ -7,12 +7,13 @@
 
 import collections
 import dataclasses
+import enum
 import random
 
 from dandeliondrum import jobs
-from dandeliondrum.jobs import _objectives
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _preemption
+from dandeliondrum.jobs import queueing
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 
@@ -24,6 +25,19 @@
 USEFUL_OBJECTIVES_MAX = 3
 
 
+class Order(enum.Enum):
+    """What the planner is told about the demands.
+
+    ``AGE``: nothing but priority and age. ``LATENESS``: also whether the
+    objective can still be met and the time left. ``URGENCY``: also whether
+    late work is of use, and how much of it is left.
+    """
+
+    AGE = enum.auto()
+    LATENESS = enum.auto()
+    URGENCY = enum.auto()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobClass:
     """Jobs that are alike; ``rate`` is the number of arrivals per second.
@@ -70,6 +84,10 @@
             and self.ended_ms - self.arrived_ms <= self.objective_ms
         )
 
+    def late(self):
+        """Return whether the job ended late, but was of use."""
+        return self.useful() and not self.in_time()
+
     def useful(self):
         """Return whether the job ended before it was of no use."""
         limit_ms = USEFUL_OBJECTIVES_MAX * self.objective_ms
@@ -80,12 +98,14 @@
 
 
 class Simulation:
-    """One play of a load; ``uses_objectives`` tells the planner of them."""
+    """One play of a load in a given order of the demands."""
 
-    def __init__(self, classes, workers_count, seed, uses_objectives=True):
+    def __init__(self, classes, workers_count, seed, order=Order.URGENCY):
         self._classes = classes
         self._rng = random.Random(seed)
-        self._uses_objectives = uses_objectives
+        # Arrivals are the same in each order of the demands.
+        self._grants_rng = random.Random(seed)
+        self._order = order
         self._workers = {
             f'w{number}': messages.Resources(WORKER_CPU, WORKER_MEMORY_MB)
             for number in range(workers_count)
@@ -139,7 +159,9 @@
 
     def _begin_step(self, job, now_ms):
         count = max(1, int(len(self._workers) * GRANTED_SHARE))
-        job.granted = tuple(self._rng.sample(sorted(self._workers), count))
+        job.granted = tuple(
+            self._grants_rng.sample(sorted(self._workers), count)
+        )
         job.waiting = job.kind.tasks_count
         job.due_since_ms = now_ms
 
@@ -187,19 +209,6 @@
             job.estimated_run_ms,
             gang=job.gang,
         )
-        more = {}
-        if self._uses_objectives:
-            specs = [
-                dataclasses.replace(spec, after=(step - 1,) if step else ())
-                for step in range(job.steps_count)
-            ]
-            queue = helpers.queue(job.kind.stretch, job.kind.target_ms)
-            slack_ms = _objectives.slack_ms(specs, queue)[job.step]
-            latest_start_ms = job.arrived_ms + slack_ms
-            more = {
-                'latest_start_ms': latest_start_ms,
-                'is_late': now_ms > latest_start_ms,
-            }
         return helpers.demand(
             job.name,
             spec,
@@ -209,8 +218,39 @@
             granted=frozenset(job.granted),
             tickets=dict.fromkeys(job.granted, 't'),
             waited_ms=now_ms - job.due_since_ms,
-            **more,
+            **self._objective_fields(job, spec, now_ms),
+        )
+
+    def _objective_fields(self, job, spec, now_ms):
+        """Return what the order depends on beside priority and age."""
+        if self._order is Order.AGE:
+            return {}
+        steps = [
+            dataclasses.replace(spec, after=(step - 1,) if step else ())
+            for step in range(job.steps_count)
+        ]
+        queue = helpers.queue(job.kind.stretch, job.kind.target_ms)
+        latest_start_ms = (
+            job.arrived_ms + queueing.slack_ms(steps, queue)[job.step]
         )
+        objective_ms = queueing.objective_ms(steps, queue)
+        urgency = queueing.urgency_at(now_ms, latest_start_ms, objective_ms)
+        fields = {
+            'slack_ms': latest_start_ms - job.arrived_ms,
+            'objective_ms': objective_ms,
+            'latest_start_ms': latest_start_ms,
+            'urgency': urgency,
+        }
+        if self._order is Order.LATENESS:
+            late = queueing.Urgency.LATE
+            return fields | {
+                'urgency': min(urgency, late),
+                # Late demands then go by the time of their latest start.
+                'left_core_ms': latest_start_ms,
+            }
+        counts = [job.kind.tasks_count] * job.steps_count
+        counts[: job.step + 1] = [0] * job.step + [job.waiting]
+        return fields | {'left_core_ms': queueing.work_core_ms(steps, counts)}
 
     def _charge(self, job):
         return messages.Resources(job.kind.cpu, 100)
--- a/dandeliondrum/jobs/tests/reference_planner.py
+++ b/dandeliondrum/jobs/tests/reference_planner.py
@@ -6,6 +6,7 @@
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 
@@ -129,7 +130,7 @@
             1, (len(pool) + kept + silent) // _planner.ISOLATED_DIVISOR
         )
         isolable_counts[name] = quarter - max(kept, kept + silent - quarter)
-    ordered = sorted(demands, key=_planner.scheduling_key)
+    ordered = sorted(demands, key=queueing.sort_key)
     places = [n for n, demand in enumerate(ordered) if demand.isolated]
     by_crashes = sorted(places, key=lambda n: (ordered[n].crashes_count, n))
     moved = [ordered[n] for n in by_crashes]
--- a/dandeliondrum/jobs/tests/test_heavy_load.py
+++ b/dandeliondrum/jobs/tests/test_heavy_load.py
@@ -59,9 +59,9 @@
 
 
 @functools.cache
-def _shares(uses_objectives, counts=simulation.SimulatedJob.in_time):
+def _shares(order, counts=simulation.SimulatedJob.in_time):
     """Return for each class the share of jobs for which ``counts`` is true."""
-    plays = _plays(uses_objectives)
+    plays = _plays(order)
     return {
         kind.name: statistics.mean(
             counts(job) for play in plays for job in play.jobs_of(kind.name)
@@ -71,24 +71,24 @@
 
 
 @functools.cache
-def _plays(uses_objectives):
+def _plays(order):
     return [
-        simulation.Simulation(
-            CLASSES, WORKERS_COUNT, seed, uses_objectives
-        ).run(TRAFFIC_MS, END_MS)
+        simulation.Simulation(CLASSES, WORKERS_COUNT, seed, order).run(
+            TRAFFIC_MS, END_MS
+        )
         for seed in range(PLAYS_COUNT)
     ]
 
 
 def test_nine_in_ten_of_each_class_meet_their_objective():
-    assert min(_shares(True).values()) >= 0.9
+    assert min(_shares(simulation.Order.URGENCY).values()) >= 0.9
 
 
 def test_jobs_of_the_worst_served_class_are_late_half_as_often_as_by_age():
-    late_share = 1 - min(_shares(True).values())
-    assert late_share <= (1 - min(_shares(False).values())) / 2
+    late_share = 1 - min(_shares(simulation.Order.URGENCY).values())
+    assert late_share <= (1 - min(_shares(simulation.Order.AGE).values())) / 2
 
 
 def test_late_jobs_still_end_while_they_are_of_use():
-    shares = _shares(True, simulation.SimulatedJob.useful)
+    shares = _shares(simulation.Order.URGENCY, simulation.SimulatedJob.useful)
     assert min(shares.values()) >= 0.98
--- a/dandeliondrum/jobs/tests/test_isolation.py
+++ b/dandeliondrum/jobs/tests/test_isolation.py
@@ -12,6 +12,7 @@
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _preemption
+from dandeliondrum.jobs import queueing
 from dandeliondrum.jobs.tests import helpers
 
 
@@ -153,7 +154,7 @@
 
 
 def test_a_late_suspect_of_one_crash_keeps_its_place():
-    late = _isolated('a', helpers.step(), is_late=True)
+    late = _isolated('a', helpers.step(), urgency=queueing.Urgency.LATE)
     other = helpers.demand('b', helpers.step(), submitted_ms=1)
     workers = [helpers.available_worker('w1')]
     groups = _planner.plan([other, late], workers, {})
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -4,6 +4,7 @@
 
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _planner
+from dandeliondrum.jobs import queueing
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 
@@ -93,7 +94,11 @@
 
 def test_demands_that_can_be_in_time_go_before_those_that_are_late():
     late = helpers.demand(
-        'late', helpers.step(), priority=0, latest_start_ms=1, is_late=True
+        'late',
+        helpers.step(),
+        priority=0,
+        latest_start_ms=1,
+        urgency=queueing.Urgency.LATE,
     )
     in_time = helpers.demand(
         'in time', helpers.step(), priority=2, latest_start_ms=9
--- a/dandeliondrum/jobs/tests/test_planner_reference.py
+++ b/dandeliondrum/jobs/tests/test_planner_reference.py
@@ -9,6 +9,7 @@
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _preemption
+from dandeliondrum.jobs import queueing
 from dandeliondrum.jobs.tests import reference_planner
 from dandeliondrum import messages
 
@@ -130,7 +131,16 @@
                 )
             ),
             latest_start_ms=rng.choice((0, 1, 2)),
-            is_late=rng.random() < 0.3,
+            urgency=rng.choice(
+                (
+                    queueing.Urgency.IN_TIME,
+                    queueing.Urgency.IN_TIME,
+                    queueing.Urgency.LATE,
+                    queueing.Urgency.NO_USE,
+                )
+            ),
+            left_core_ms=rng.choice((0, 1, 2)),
+            value=rng.choice((0.3, 1)),
             crashes_count=0 if spec.gang else rng.choice((0, 0, 0, 1, 3)),
         )
 
--- a/dandeliondrum/jobs/tests/test_preemption.py
+++ b/dandeliondrum/jobs/tests/test_preemption.py
@@ -11,6 +11,7 @@
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import queueing
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 
@@ -67,7 +68,7 @@
 
 def test_nothing_is_stopped_for_a_demand_that_is_late():
     workers = [helpers.available_worker('w1', 0)]
-    late = _gang(1, 1_000, is_late=True)
+    late = _gang(1, 1_000, urgency=queueing.Urgency.LATE)
     assert _plan([late], workers, [_run(0, 2_000)]) == ([], [])
 
 
