--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -189,12 +189,9 @@
         not_refused = [
             c for c in candidates if c.worker_id not in step.refused
         ]
-        needed_max = min(
-            needed_count * CANDIDATES_PER_NEEDED_WORKER, CALL_WORKERS_MAX
-        )
         if self.is_unknown(name):
             included = sorted(not_refused, key=lambda c: not c.has_capacity)
-            return _ids(included, max(FIRST_CALL_WORKERS_MIN, needed_max))
+            return _ids(included, first_call_max(needed_count))
         if gang_policy is not None:
             renewed_at_ms = now_ms + int(
                 gang_policy.call_ms(len(step.tickets))
@@ -205,7 +202,7 @@
             step,
             not_refused,
             self.tickets(name, now_ms),
-            max(RENEWAL_WORKERS_MAX, needed_max),
+            max(RENEWAL_WORKERS_MAX, _needed_max(needed_count)),
         )
 
     def record_call(self, name: StepName, due_ms: float) -> None:
@@ -483,6 +480,18 @@
             load.pause(now_ms)
 
 
+def first_call_max(needed_count: int) -> int:
+    """Return how many workers the first call about a step includes.
+
+    ``needed_count`` empty workers would hold all of its tasks.
+    """
+    return max(FIRST_CALL_WORKERS_MIN, _needed_max(needed_count))
+
+
+def _needed_max(needed_count: int) -> int:
+    return min(needed_count * CANDIDATES_PER_NEEDED_WORKER, CALL_WORKERS_MAX)
+
+
 def _ids(
     candidates: collections.abc.Sequence[Candidate], limit: int
 ) -> tuple[messages.WorkerId, ...]:
--- a/dandeliondrum/jobs/_advice_candidates.py
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -36,23 +36,36 @@
         demand: _planner.Demand,
         only_with_capacity: bool,
         expects_capacity: bool = False,
+        first_call_max: int | None = None,
     ) -> list[_advice.Candidate]:
         """Return the candidates for a demand, the most free CPU first.
 
         ``only_with_capacity`` leaves out those without sufficient resources.
-        With ``expects_capacity`` all workers count as having capacity.
+        With ``expects_capacity`` all workers count as having capacity. With
+        ``first_call_max``, workers that would not be among that many in a
+        first call may be missing: it prefers those with capacity.
         """
         label = demand.spec.required_label
         charge = demand.spec.charged()
         cpu, memory = charge.cpu_millicores, charge.memory_mb
         accelerators = charge.accelerators_count
         only_with_capacity = only_with_capacity and not expects_capacity
-        found = []
+        found: list[_advice.Candidate] = []
+        with_capacity_count = 0
         for part in self._sorted_workers(demand.pool):
             for worker in part:
                 free = worker.free
                 if only_with_capacity and free.cpu_millicores < cpu:
                     break
+                if first_call_max is not None and (
+                    with_capacity_count >= first_call_max
+                    or (
+                        free.cpu_millicores < cpu
+                        and len(found) >= first_call_max
+                        and not expects_capacity
+                    )
+                ):
+                    break
                 if label and label not in worker.labels:
                     continue
                 has_capacity = not _is_at_limit(demand, worker.worker_id) and (
@@ -63,6 +76,7 @@
                         and accelerators <= free.accelerators_count
                     )
                 )
+                with_capacity_count += has_capacity
                 if has_capacity or not only_with_capacity:
                     found.append(
                         _advice.Candidate(worker.worker_id, has_capacity)
@@ -136,11 +150,17 @@
         )
         if not is_gang or not included:
             return included
+    needed_count = candidate_workers.count_needed(demand)
+    first_call_max = (
+        _advice.first_call_max(needed_count) if is_first_call else None
+    )
     return advice.select_workers(
         name,
-        candidate_workers.select(demand, False, expects_capacity),
+        candidate_workers.select(
+            demand, False, expects_capacity, first_call_max
+        ),
         now_ms,
-        candidate_workers.count_needed(demand) if is_first_call else 1,
+        needed_count if is_first_call else 1,
         gang_policy,
     )
 
--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -39,7 +39,7 @@
         team_available: collections.abc.Mapping[
             messages.TeamId, messages.Resources
         ],
-        unfit_steps: collections.abc.Container[_planner.StepKey] = (),
+        skipped_steps: collections.abc.Container[_planner.StepKey] = (),
     ) -> None:
         """Request advice in scheduling order while a process is free.
 
@@ -48,7 +48,7 @@
         gangs among these steps are renewed in the meantime. ``reserved_ids``
         are the workers that the last round kept free. While a team is at its
         limit, only the first call about each of its steps is made. None is
-        made about ``unfit_steps``, which can't run on the workers.
+        made about ``skipped_steps``, which the round does not plan.
         """
         advised = [
             (demand, queue.advice)
@@ -65,7 +65,7 @@
             name = _specs.step_name(demand.job_id, demand.step)
             names.add(name)
             if policy in busy_policies or (
-                (demand.job_id, demand.step) in unfit_steps
+                (demand.job_id, demand.step) in skipped_steps
             ):
                 continue
             if not self._term.advice.is_unknown(
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -49,12 +49,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Inputs:
-    """What a round plans with, as read under the locks."""
+    """What a round plans with, as read under the locks.
+
+    ``skipped_steps`` can't run on the usable workers, or are left to a later
+    round.
+    """
 
     demands: list[_planner.Demand]
     workers: list[_planner.AvailableWorker]
     team_available: dict[messages.TeamId, messages.Resources]
-    unfit_reasons: dict[_planner.StepKey, str]
+    skipped_steps: set[_planner.StepKey]
     peers: _Peers
     facts: dict[messages.WorkerId, _commands.WorkerFacts]
     isolation: _planner.Isolation
@@ -90,6 +94,7 @@
         self._demand_cache = _demands.DemandCache()
         self._worker_cache = _demands.WorkerCache()
         self._submission_times = queueing.SubmissionTimes()
+        self._backlog = queueing.Backlog()
         # Duration of the last round without its commit.
         self._round_ms = 0.0
         # Steps for which the last round reserved workers on which tasks fit,
@@ -200,16 +205,22 @@
                 (demand for demand, _ in demands), workers, team_limits
             )
             term.unfit_reasons = _reasons_to_report(demands, unfit_reasons)
+            skipped = unfit_reasons.keys() | self._backlog.postponed(
+                demand
+                for demand, _ in demands
+                if (demand.job_id, demand.step) not in unfit_reasons
+            )
             self._advice_requester.request(
                 demands,
                 workers,
                 self._steps_with_capacity,
                 self._reserved_ids,
                 team_available,
-                unfit_reasons,
+                skipped,
             )
             for demand, queue in demands:
-                self._set_advice(demand, queue, now_ms)
+                if (demand.job_id, demand.step) not in skipped:
+                    self._set_advice(demand, queue, now_ms)
             peers = dict(term.peers)
             term.load.record_fleet(
                 _demands.free_cpu_share(workers),
@@ -220,7 +231,7 @@
             [demand for demand, _ in demands],
             workers,
             team_available,
-            unfit_reasons,
+            skipped,
             peers,
             facts,
             isolation,
@@ -273,7 +284,7 @@
                 demand
                 for demand in inputs.demands
                 if (demand.granted is None or demand.granted)
-                and (demand.job_id, demand.step) not in inputs.unfit_reasons
+                and (demand.job_id, demand.step) not in inputs.skipped_steps
             ],
             inputs.workers,
             inputs.team_available,
--- a/dandeliondrum/jobs/queueing/__init__.py
+++ b/dandeliondrum/jobs/queueing/__init__.py
@@ -4,6 +4,7 @@
 its job, and which step goes first if not everything fits.
 """
 
+from dandeliondrum.jobs.queueing._backlog import Backlog
 from dandeliondrum.jobs.queueing._objectives import objective_ms
 from dandeliondrum.jobs.queueing._objectives import slack_ms
 from dandeliondrum.jobs.queueing._objectives import SubmissionTimes
@@ -15,6 +16,7 @@
 from dandeliondrum.jobs.queueing._value import work_core_ms
 
 __all__ = [
+    'Backlog',
     'Demand',
     'KindMeans',
     'SubmissionTimes',
--- a/dandeliondrum/jobs/queueing/_order.py
+++ b/dandeliondrum/jobs/queueing/_order.py
@@ -12,6 +12,7 @@
     """What the order depends on; see ``_planner.Demand``."""
 
     job_id: _specs.JobId
+    step: _specs.StepIndex
     priority: int
     submitted_ms: int
     latest_start_ms: int
