Evacuate failure domains in the soak

Operators evacuate a domain for 6 to 15 s during other faults; the checker counts a start there as a violation from 5 s after the acknowledgement until the order is revoked, orders carried out late by a worker excepted.

--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -6,8 +6,8 @@
 operators change the configuration. Links to workers and gateways are delayed,
 reset, cut in one direction or silenced. The faults are drawn from one seed.
 Some jobs may crash the workers that start them, and the capacity of workers
-may shrink for a while. Between the faults, the cell may be overloaded for a
-while.
+may shrink for a while. Operators may evacuate failure domains. Between the
+faults, the cell may be overloaded for a while.
 """
 
 import concurrent.futures
@@ -39,6 +39,8 @@
 # Once all faults are over, accepted jobs have to end within this time.
 SETTLE_TIMEOUT_S = 60
 ADVANCE_EVERY_S = 0.02
+# Workers belong to these in turn if there are evacuations.
+FAILURE_DOMAINS = ('d1', 'd2', 'd3')
 EVENTS_FILE = 'events.log'
 
 
@@ -48,10 +50,11 @@
 
     Without ``links`` there are no link faults, without ``series`` no series
     of faults, without ``shrinks`` no worker's capacity shrinks, without
-    ``recuts`` no worker is cut off soon after it has started again, and
-    without ``overload_s`` there is no overload. A seed draws the same faults
-    as before these were added if they are off. ``deadly_share`` is the share
-    of jobs that crash the workers that start them.
+    ``recuts`` no worker is cut off soon after it has started again, without
+    ``evacuations`` no failure domain is evacuated, and without ``overload_s``
+    there is no overload. A seed draws the same faults as before these were
+    added if they are off. ``deadly_share`` is the share of jobs that crash
+    the workers that start them.
     """
 
     seed: int
@@ -62,6 +65,7 @@
     overload_s: float = 0
     shrinks: bool = False
     recuts: bool = False
+    evacuations: bool = False
     deadly_share: float = 0
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
@@ -92,6 +96,12 @@
         )
         for number in range(options.size.workers_count)
     ]
+    if options.evacuations:
+        for position, worker in enumerate(workers):
+            domain = FAILURE_DOMAINS[position % len(FAILURE_DOMAINS)]
+            worker.facts = dataclasses.replace(
+                worker.facts, failure_domain=messages.FailureDomain(domain)
+            )
     with contextlib.ExitStack() as resources:
         processes = resources.enter_context(
             _processes.Processes(options.folder)
@@ -105,6 +115,7 @@
                 links_count=options.size.links_count if options.links else 0,
                 controllers_count=options.size.controllers_count,
                 job_state_kept_s=JOB_STATE_KEPT_S,
+                failure_domains=FAILURE_DOMAINS if options.evacuations else (),
             )
         )
         # Servers close at once when nobody is connected to them any more.
@@ -152,6 +163,7 @@
             options.series,
             options.shrinks,
             options.recuts,
+            options.evacuations,
         )
         self._overload: _soak_overload.OverloadFigures | None = None
 
--- a/dandeliondrum/testing/_soak_checker.py
+++ b/dandeliondrum/testing/_soak_checker.py
@@ -21,6 +21,9 @@
 STARTS_AFTER_CRASHES_MAX = 2
 # How long starts may still use the capacity of before a shrinkage.
 CAPACITY_GRACE_S = 5.0
+# How long tasks may still start in a domain after its evacuation was
+# acknowledged.
+EVACUATION_GRACE_S = 5.0
 CRASH_DOWN_MS = (2_000, 3_000)
 
 
@@ -69,6 +72,8 @@
         )
         # When each worker first reported its capacities, oldest first.
         self._reported_cpu: dict[str, list[tuple[float, int]]] = {}
+        # When the evacuation of each domain was acknowledged.
+        self._evacuated_s: dict[str, float] = {}
 
     def submitted(
         self, job_id: jobs.JobId, text: str, deadly: bool = False
@@ -127,6 +132,8 @@
                     f'{task} was not submitted with this payload', worker_id
                 )
             self._check_crashes(task, worker_id)
+            if not is_late:
+                self._check_domain(worker, task)
             cpu = int(json.loads(order.payload)['cpu'])
             self._running_on[task] = (worker_id, has_lapsed)
             # A second start on the same worker replaces the first run.
@@ -149,6 +156,30 @@
                 worker_id,
             )
 
+    def _check_domain(
+        self, worker: jobs.WorkerFacts, task: jobs.TaskKey
+    ) -> None:
+        since_s = self._evacuated_s.get(worker.failure_domain, math.inf)
+        evacuated_s = time.monotonic() - since_s
+        if evacuated_s > EVACUATION_GRACE_S:
+            self._add_worker_violation(
+                f'{task} starts in {worker.failure_domain} {evacuated_s:.1f} '
+                's after its evacuation',
+                worker.worker_id,
+            )
+
+    def evacuated(self, domain: str) -> None:
+        """Register that the evacuation of a domain was acknowledged."""
+        with self.lock:
+            self.log(f'{domain} is evacuated')
+            self._evacuated_s[domain] = time.monotonic()
+
+    def restored(self, domain: str) -> None:
+        """Register that the evacuation of a domain is about to be revoked."""
+        with self.lock:
+            self.log(f'{domain} is restored')
+            self._evacuated_s.pop(domain, None)
+
     def _is_deadly(self, job_id: jobs.JobId) -> bool:
         return self._submitted_payloads.get(job_id) in self.deadly_payloads
 
--- a/dandeliondrum/testing/_soak_faults.py
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -30,6 +30,13 @@
 # Often longer than starts may still use what was there before.
 SHRINKAGE_DURATION_S = (1.0, 10.0)
 RECUT_SHARE = 0.25
+EVACUATION_SHARE = 0.2
+# Longer than EVACUATION_GRACE_S of the checker, so that it is checked.
+EVACUATION_DURATION_S = (6.0, 15.0)
+# Operators send an order again after this time without an answer, at most for
+# ORDER_ACK_S.
+ORDER_TIMEOUT_MS = 1_000
+ORDER_ACK_S = 6.0
 # How long runs last on a worker that is cut off after its restart, for how
 # long it runs before, is down, is back, and is cut off.
 RECUT_RUN_MS = 9_000
@@ -48,8 +55,9 @@
     state of the cell. Without ``links`` there are no link faults, with
     ``series`` there are also series of faults, with ``shrinks`` workers that
     shrink, and with ``recuts`` workers that are cut off soon after they have
-    started again, with calls to their former incarnations; a seed draws the
-    same faults as before these were added if they are off.
+    started again, with calls to their former incarnations, and with
+    ``evacuations`` operators evacuate failure domains for a while; a seed
+    draws the same faults as before these were added if they are off.
     """
 
     def __init__(
@@ -63,6 +71,7 @@
         series: bool = False,
         shrinks: bool = False,
         recuts: bool = False,
+        evacuations: bool = False,
     ) -> None:
         self._cell = cell
         self._workers = workers
@@ -73,6 +82,7 @@
         self._series = series
         self._shrinks = shrinks
         self._recuts = recuts
+        self._evacuations = evacuations
         self.names: list[str] = []
         self._reserved_names: set[str] = set()
         self._lock = threading.Lock()
@@ -112,6 +122,8 @@
             fault = self._draw_shrinkage()
         elif self._recuts and self._rng.random() < RECUT_SHARE:
             fault = self._draw_recut()
+        elif self._evacuations and self._rng.random() < EVACUATION_SHARE:
+            fault = self._draw_evacuation()
         elif self._series and self._rng.random() < 0.3:
             fault = self._draw_series()
         else:
@@ -138,6 +150,12 @@
         name = f'cut off after restart {worker.ids[0]}'
         return name, functools.partial(self._cut_again, worker, *times_s)
 
+    def _draw_evacuation(self) -> Fault:
+        domain = self._rng.choice(self._cell.failure_domains)
+        length_s = self._rng.uniform(*EVACUATION_DURATION_S)
+        name = f'evacuated {domain}'
+        return name, functools.partial(self._evacuate, domain, length_s)
+
     def _draw_series(self) -> Fault:
         """Draw faults of one kind that begin shortly one after another."""
         rng = self._rng
@@ -293,6 +311,43 @@
             worker.run_ms = run_ms
             self._silence(worker, cut_s)
 
+    def _evacuate(self, domain: str, length_s: float) -> None:
+        """Evacuate a domain for a while, unless it is evacuated already."""
+        with self._reserve(f'domain {domain}') as reserved:
+            if not reserved:
+                return
+            if self._order(domain, True):
+                self._checker.evacuated(domain)
+                time.sleep(length_s)
+            # The order is revoked from its first sending on.
+            self._checker.restored(domain)
+            while not self._order(domain, False):
+                self._checker.log(f'{domain} is not restored yet')
+
+    def _order(self, domain: str, evacuated: bool) -> bool:
+        """Send an order until it is acknowledged; return whether it was.
+
+        It is sent to one controller after another.
+        """
+        end_s = time.monotonic() + ORDER_ACK_S
+        number = 0
+        while time.monotonic() < end_s:
+            status = self._cell.change_domain(
+                domain,
+                evacuated,
+                number % len(self._cell.control),
+                ORDER_TIMEOUT_MS,
+            )
+            if status == 200:
+                return True
+            if 400 <= status < 500:
+                self._checker.add_violation(
+                    f'an order about {domain} was refused with {status}'
+                )
+            number += 1
+            time.sleep(POLL_S)
+        return False
+
     @contextlib.contextmanager
     def _reserve(self, *names: str) -> collections.abc.Iterator[bool]:
         """Reserve targets for one fault; yield whether all were available."""
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -29,6 +29,7 @@
     series: bool = True,
     shrinks: bool = False,
     recuts: bool = False,
+    evacuations: bool = False,
     deadly: float = 0,
     folder: str = '',
 ) -> None:
@@ -40,8 +41,9 @@
     and workers if they are given. A soak that exceeds the limits of the
     machine is not started. With ``shrinks``, the capacity of workers shrinks
     at times; with ``recuts`` workers are cut off soon after they have started
-    again, and meet calls of before; ``deadly`` is the share of jobs that crash
-    the workers that start them. Half-way, the cell is held over its capacity
+    again, and meet calls of before; with ``evacuations`` failure domains are
+    evacuated for a while; ``deadly`` is the share of jobs that crash the
+    workers that start them. Half-way, the cell is held over its capacity
     for ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
@@ -69,6 +71,7 @@
             overload_s=overload,
             shrinks=shrinks,
             recuts=recuts,
+            evacuations=evacuations,
             deadly_share=deadly,
             size=chosen,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,9 @@
 DEADLY_SEED = 802
 DEADLY_SHARE = 0.05
 LENGTH_S = 8
+EVACUATION_SEED = 3001
+# Evacuations are checked from 5 s after their acknowledgement on.
+EVACUATION_LENGTH_S = 16
 OVERLOAD_SEED = 301
 OVERLOAD_FAULTS_S = 3
 OVERLOAD_S = 3
@@ -82,6 +85,20 @@
     assert any(name.startswith('cut off after') for name in outcome.faults)
 
 
+def test_a_soak_with_evacuations_sees_nothing_that_must_never_happen(tmp_path):
+    """Also guards against jobs that are stranded in an evacuated domain."""
+    options = _soak.SoakOptions(
+        EVACUATION_SEED,
+        EVACUATION_LENGTH_S,
+        tmp_path,
+        series=True,
+        evacuations=True,
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+    assert any(name.startswith('evacuated') for name in outcome.faults)
+
+
 def test_a_soak_with_deadly_jobs_sees_nothing_that_must_never_happen(tmp_path):
     options = _soak.SoakOptions(
         DEADLY_SEED,
@@ -418,6 +435,31 @@
     assert worker.run_ms == 60_000
 
 
+@pytest.mark.parametrize(
+    ('late', 'restored', 'violations_count'),
+    [(False, False, 1), (True, False, 0), (False, True, 0)],
+)
+def test_the_checker_notices_a_start_in_an_evacuated_domain(
+    late, restored, violations_count, checker, monkeypatch
+):
+    monkeypatch.setattr(_soak_checker, 'EVACUATION_GRACE_S', 0.05)
+    worker = _worker('w1', checker)
+    checker.evacuated(worker.facts.failure_domain)
+    _start(_worker('w2', checker), 'j.0.0.1')
+    assert checker.violations == []
+    worker.delays_starts = late
+    if late:
+        _start(worker, 'j.0.0.0')
+    time.sleep(0.1)
+    if restored:
+        checker.restored(worker.facts.failure_domain)
+    if late:
+        worker.carry_out_late_starts()
+    else:
+        _start(worker, 'j.0.0.0')
+    assert len(checker.violations) == violations_count
+
+
 def test_a_share_of_the_jobs_is_deadly_and_the_others_are_as_before():
     def draw(share):
         drawn = _soak_callers.soak_jobs(5, 0, share)
