Learn the speeds of workers and place tasks on faster ones first

Workers that report the same capacity may run at half the speed of others, and placement knew only those far below a third of the median, for 6 s.

jobs/speeds keeps a sample for each worker and step, separates the speed of the worker from the error of the caller's estimate, which all tasks of a step share, and makes tiers only in a pool that is clearly uneven. Faster tiers come first among equally reliable workers, in placement and in calls to the adviser; a gang that would mix tiers is placed in the slower one if it fits there. Preemption prefers runs with more work left.

Shown by jobs/speeds/tests: the slow quarter of 24 workers is found with estimates that are off by up to two fifths; stalls, suspended workers, restored checkpoints, waiting gang members, steps of long tasks and restarts make no worker slow; an even fleet never has tiers.

--- a/dandeliondrum/jobs/_advice_candidates.py
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -1,5 +1,6 @@
 """Workers of a planning round as candidates for calls to the adviser."""
 
+import collections
 import collections.abc
 
 from dandeliondrum.jobs import _advice
@@ -13,7 +14,7 @@
     """The usable workers of each pool, sorted once for all demands.
 
     Those that the last round kept free for some demand come behind all
-    others.
+    others, and slower ones behind faster ones.
     """
 
     def __init__(
@@ -25,7 +26,8 @@
         for worker in workers:
             self._by_pool.setdefault(worker.pool, []).append(worker)
         self._reserved_ids = reserved_ids
-        # The workers that are not reserved, and those that are.
+        # The workers that are not reserved, and those that are, each by
+        # speed.
         self._sorted: dict[
             str, tuple[list[_planner.AvailableWorker], ...]
         ] = {}
@@ -39,6 +41,7 @@
     ) -> list[_advice.Candidate]:
         """Return the candidates for a demand, the most free CPU first.
 
+        Faster workers come before slower ones, whatever CPU is free there.
         ``only_with_capacity`` leaves out those without sufficient resources.
         With ``expects_capacity`` all workers count as having capacity.
         """
@@ -93,10 +96,13 @@
                 self._by_pool.get(pool, ()),
                 key=lambda one: (-one.free.cpu_millicores, one.worker_id),
             )
-            reserved = self._reserved_ids
-            parts = self._sorted[pool] = (
-                [one for one in workers if one.worker_id not in reserved],
-                [one for one in workers if one.worker_id in reserved],
+            by_part: dict[tuple[bool, float], list[_planner.AvailableWorker]]
+            by_part = collections.defaultdict(list)
+            for one in workers:
+                is_reserved = one.worker_id in self._reserved_ids
+                by_part[is_reserved, -one.speed].append(one)
+            parts = self._sorted[pool] = tuple(
+                by_part[key] for key in sorted(by_part)
             )
         return parts
 
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -7,6 +7,7 @@
 import collections
 import collections.abc
 import dataclasses
+import types
 
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _crashes
@@ -28,6 +29,7 @@
 LONG_PROBATION_MS = 5_000
 
 _OpenDemand = tuple[_planner.Demand, _policy.QueuePolicy]
+LeftMs = collections.abc.Callable[[_specs.TaskKey, int, int], int]
 
 
 def waiting_indexes(job: _records.JobRecord, step: int) -> tuple[int, ...]:
@@ -184,9 +186,13 @@
     def read(
         self,
         workers: collections.abc.Iterable[tuple[_records.WorkerRecord, int]],
+        speeds: collections.abc.Mapping[messages.WorkerId, float] = (
+            types.MappingProxyType({})
+        ),
     ) -> list[_planner.AvailableWorker]:
         """Return the given workers, each with its penalty, for one round.
 
+        ``speeds`` holds the relative speeds of workers that are not 1.0.
         The results are those of the last call with other free resources, so
         they must not be used after the next call.
         """
@@ -215,6 +221,7 @@
             available = known.available
             available.free = known.free
             available.penalty = penalty
+            available.speed = speeds.get(facts.worker_id, 1.0)
             available.reserved = False
             available.is_empty = not worker.runs
             current[facts.worker_id] = known
@@ -249,9 +256,13 @@
     state: _state.JobsState,
     worker_id: messages.WorkerId,
     orders: _orders.OrderBook,
+    left_ms: LeftMs = lambda _key, _run, expected_ms: expected_ms,
 ) -> list[_preemption.PreemptibleRun]:
     """Return the runs of a worker that can be stopped without losing work.
 
+    ``left_ms`` returns the expected time to the end of a run of the worker
+    from the estimated duration of all of it.
+
     Runs whose start is not confirmed by the worker are left out. Runs that
     are being stopped already are included, since their resources become free
     soon.
@@ -280,6 +291,7 @@
                     spec.charged(),
                     queue.priority,
                     stopping,
+                    left_ms(key, run, spec.expected_run_ms),
                 )
             )
     return found
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import registry
 
 from dandeliondrum.jobs import _processor_parts
+from dandeliondrum.jobs import speeds
 from dandeliondrum import utils
 
 WAIT_BUCKETS_SECONDS = (
@@ -182,3 +183,23 @@
             buckets=LAG_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.workers_by_speed = prometheus_client.Gauge(
+            'dandeliondrum_jobs_workers_by_speed',
+            'Workers with a measured speed, by pool and tier',
+            ('pool', 'tier'),
+            registry=self.registry,
+        )
+        self.pool_speed = prometheus_client.Gauge(
+            'dandeliondrum_jobs_pool_speed',
+            "Median speed of a pool's workers relative to callers' estimates",
+            ('pool',),
+            registry=self.registry,
+        )
+
+    def record_speeds(self, pool_name: str, pool: speeds.PoolSpeeds) -> None:
+        """Set the gauges of the speeds of a pool."""
+        self.pool_speed.labels(pool_name).set(pool.rate)
+        for tier in speeds.Tier:
+            self.workers_by_speed.labels(pool_name, tier.value).set(
+                pool.count(tier)
+            )
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -90,11 +90,13 @@
 class AvailableWorker:
     """A usable worker and its free resources.
 
-    ``penalty`` is higher for slow workers and for workers that failed tasks
-    recently; they are chosen last. A ``reserved`` worker is kept for an
-    earlier demand. A worker with ``is_empty`` runs nothing. ``endless_used``
-    is what endless tasks use; nobody knows when it becomes free. What is or
-    will become free is ``obtainable``.
+    ``speed`` is that of the worker's tier, and 1.0 is the median of the pool;
+    all workers of an even pool have 1.0. ``penalty`` is higher for slow
+    workers and for workers that failed tasks recently; they are chosen last.
+    A ``reserved`` worker is kept for an earlier demand. A worker with
+    ``is_empty`` runs nothing. ``endless_used`` is what endless tasks use;
+    nobody knows when it becomes free. What is or will become free is
+    ``obtainable``.
     """
 
     worker_id: messages.WorkerId
@@ -108,6 +110,7 @@
     is_empty: bool = True
     started_ms: int = 0
     endless_used: messages.Resources = messages.Resources(0, 0)
+    speed: float = 1.0
     obtainable: messages.Resources = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -453,10 +456,8 @@
             return [(one,) for one in self._take(allocation)]
         if allowed_count < wanted_count:
             return []
-        allocation = self._allocate(wanted_count)
-        if sum(count for _, count in allocation) < wanted_count:
-            return []
-        return [tuple(self._take(allocation))]
+        allocation = self._allocate_gang(wanted_count)
+        return [tuple(self._take(allocation))] if allocation else []
 
     def place_isolated(self) -> list[tuple[Placement, ...]]:
         """Place tasks on one worker, on which nothing else is placed.
@@ -660,6 +661,40 @@
         """
         if wanted_count <= 0:
             return []
+        return self._fill(self._ranked(), wanted_count)
+
+    def _allocate_gang(
+        self, wanted_count: int
+    ) -> list[tuple[AvailableWorker, int]]:
+        """Return the best workers for a whole gang, none if it does not fit.
+
+        A gang with members on fast and on slow workers is as slow as one on
+        slow workers only, so the fast ones are left to others if the gang
+        fits on equally reliable ones of the slowest speed.
+        """
+        ranked = self._ranked()
+        allocation = self._fill(ranked, wanted_count)
+        if sum(count for _, count in allocation) < wanted_count:
+            return []
+        slowest = min(worker.speed for worker, _ in allocation)
+        if all(worker.speed == slowest for worker, _ in allocation):
+            return allocation
+        used = max(self._reliability(worker) for worker, _ in allocation)
+        alike = self._fill(
+            [
+                worker
+                for worker in ranked
+                if worker.speed == slowest
+                and self._reliability(worker) <= used
+            ],
+            wanted_count,
+        )
+        if sum(count for _, count in alike) < wanted_count:
+            return allocation
+        return alike
+
+    def _ranked(self) -> list[AvailableWorker]:
+        """Return the workers with room for a task, the best first."""
         charge = self._charge
         ranked = [
             (self._rank(worker), position, worker)
@@ -667,8 +702,15 @@
             if charge.fits_in(worker.free)
         ]
         ranked.sort()
+        return [worker for _, _, worker in ranked]
+
+    def _fill(
+        self,
+        ranked: collections.abc.Iterable[AvailableWorker],
+        wanted_count: int,
+    ) -> list[tuple[AvailableWorker, int]]:
         allocation = []
-        for _, _, worker in ranked:
+        for worker in ranked:
             if wanted_count <= 0:
                 break
             count = min(wanted_count, self._room(worker))
@@ -701,16 +743,24 @@
             )
         return placements
 
-    def _rank(self, worker: AvailableWorker) -> tuple[bool, int, bool, int]:
+    def _reliability(self, worker: AvailableWorker) -> tuple[bool, int]:
+        """Return a sort key; the lowest is the most reliable."""
+        return worker.worker_id in self._demand.avoided, worker.penalty
+
+    def _rank(
+        self, worker: AvailableWorker
+    ) -> tuple[bool, int, float, bool, int]:
         """Return the sort key of a worker; the lowest is chosen.
 
-        Prefers reliable workers, then the rack near the data, then the
-        worker with the least free CPU, so that full workers are filled up.
+        Prefers reliable workers, then faster ones, then the rack near the
+        data, then the worker with the least free CPU, so that full workers
+        are filled up.
         """
         spec = self._demand.spec
         return (
             worker.worker_id in self._demand.avoided,
             worker.penalty,
+            -worker.speed,
             bool(spec.near_rack) and worker.rack != spec.near_rack,
             worker.free.cpu_millicores,
         )
--- a/dandeliondrum/jobs/_preemption.py
+++ b/dandeliondrum/jobs/_preemption.py
@@ -13,13 +13,16 @@
 
 # A task with more runs than this is not preempted, so that it can finish.
 PREEMPTIBLE_RUN_NUMBER_MAX = 3
+# A run with less than this left ends about as soon as it could be stopped.
+SHORT_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PreemptibleRun:
     """A run that can be stopped without losing work, and its resources.
 
-    ``stopping`` is set if its stop has been ordered already.
+    ``stopping`` is set if its stop has been ordered already. ``left_ms`` is
+    the expected time to its end.
     """
 
     task: _specs.TaskKey
@@ -28,6 +31,7 @@
     charge: messages.Resources
     priority: int
     stopping: bool = False
+    left_ms: int = 0
 
 
 RunsOf = collections.abc.Callable[
@@ -114,9 +118,7 @@
                 free += run.charge
             elif run.priority > priority:
                 preemptible.append(run)
-        preemptible.sort(
-            key=lambda run: (-run.priority, -run.charge.cpu_millicores)
-        )
+        preemptible.sort(key=_preference)
         count = min(wanted_count, _fit_count(charge, free))
         chosen: list[PreemptibleRun] = []
         pending: list[PreemptibleRun] = []
@@ -133,6 +135,18 @@
         return count, chosen
 
 
+def _preference(run: PreemptibleRun) -> tuple[int, int, int]:
+    """Return the sort key of a run; the lowest is stopped first.
+
+    Runs of the least urgent priority are stopped first, then those with more
+    work left: one that ends soon makes room by itself. Times count as alike
+    within a factor of two, so that few runs with much CPU are stopped rather
+    than many.
+    """
+    left_class = (run.left_ms // SHORT_MS).bit_length()
+    return -run.priority, -left_class, -run.charge.cpu_millicores
+
+
 def _fit_count(charge: messages.Resources, free: messages.Resources) -> int:
     """Return how many tasks may start; none while any amount is negative."""
     return _specs.tasks_that_fit(charge, free) if charge.fits_in(free) else 0
--- a/dandeliondrum/jobs/_progress.py
+++ b/dandeliondrum/jobs/_progress.py
@@ -6,10 +6,12 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import statistics
 
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import speeds
 from dandeliondrum import messages
 
 # A run without progress for this long is stalled. The limit is only two reads
@@ -41,6 +43,12 @@
 SPEED_AGE_MAX_MS = 6_000
 # Interval at which the median speed of the fleet is recomputed.
 MEDIAN_INTERVAL_MS = 200
+# A worker whose lists are this far apart was suspended or cut off, so its runs
+# are not measured in between. Lists are read each 500 ms.
+LIST_GAP_MAX_MS = 1_200
+# A run without progress for longer than this, and than a percent takes on a
+# slow worker, has paused. The pause says nothing about the worker's speed.
+PAUSE_MS = 700
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +58,8 @@
     ``percent`` is the completed part of its work, ``expected_ms`` the
     estimated duration of all of it. ``startup_allowance_ms`` is how long the
     run may legitimately make no progress at its beginning. A
-    ``checkpointing`` run keeps its progress when it is stopped.
+    ``checkpointing`` run keeps its progress when it is stopped. A member of a
+    ``gang`` ends when all members are done.
     """
 
     task: _specs.TaskKey
@@ -59,12 +68,22 @@
     expected_ms: int
     startup_allowance_ms: int = 0
     checkpointing: bool = False
+    gang: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class _RunTrack:
+    """A run since its last progress.
+
+    ``is_measured`` tells that the time since then counts for the speed of the
+    worker.
+    """
+
     percent: float
     since_ms: int
+    expected_ms: int
+    is_measured: bool
+    gang: bool
     listings_count: int = 1
     has_progressed: bool = False
     reported_late: bool = False
@@ -82,7 +101,10 @@
     Not thread-safe: the caller holds a lock.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, table: speeds.SpeedTable | None = None) -> None:
+        self._table = table or speeds.SpeedTable()
+        # Time of the last list of each worker, on its clock.
+        self._listed_ms: dict[messages.WorkerId, int] = {}
         self._tracks: dict[
             messages.WorkerId, dict[tuple[_specs.TaskKey, int], _RunTrack]
         ] = {}
@@ -99,24 +121,49 @@
         runs: list[RunProgress],
         clock_ms: int,
         now_ms: int,
+        done: collections.abc.Collection[tuple[_specs.TaskKey, int]] = (),
     ) -> list[RunProgress]:
         """Record a worker's list of runs; return the runs now found stalled.
 
         ``clock_ms`` is the time of the list on the worker's clock, ``now_ms``
-        the time on the clock of this process.
+        the time on the clock of this process. ``done`` holds the runs that
+        are listed as ended successfully.
         """
         before = self._tracks.get(worker_id, {})
+        gap_ms = clock_ms - self._listed_ms.get(worker_id, clock_ms)
+        self._listed_ms[worker_id] = clock_ms
+        if not 0 <= gap_ms <= LIST_GAP_MAX_MS:
+            for known in before.values():
+                known.is_measured = False
+        for key in done:
+            if key in before and not before[key].gang:
+                self._measure(
+                    worker_id,
+                    key[0],
+                    before[key],
+                    COMPLETE_PERCENT,
+                    clock_ms,
+                    now_ms,
+                )
         tracks = {}
         stalled = []
         for run in runs:
             key = (run.task, run.run)
             track = before.get(key)
             if track is None:
-                track = _RunTrack(run.percent, clock_ms)
+                track = _RunTrack(
+                    run.percent,
+                    clock_ms,
+                    run.expected_ms,
+                    run.percent > 0 and not run.startup_allowance_ms,
+                    run.gang,
+                )
             elif run.percent > track.percent:
                 self._advance(worker_id, track, run, clock_ms, now_ms)
             else:
                 track.listings_count += 1
+                if _is_paused(track, clock_ms):
+                    track.is_measured = False
                 if self._is_stalled(track, run, clock_ms):
                     stalled.append(run)
                     track.since_ms, track.listings_count = clock_ms, 1
@@ -170,10 +217,23 @@
         known = self._speeds.get(worker_id)
         return known.value if known is not None else 1.0
 
+    def percent(
+        self, worker_id: messages.WorkerId, task: _specs.TaskKey, run: int
+    ) -> float:
+        """Return the last known progress of a run, 0 if it is not listed.
+
+        It may be called without the lock: the tracks of a worker are replaced
+        as a whole.
+        """
+        track = self._tracks.get(worker_id, {}).get((task, run))
+        return track.percent if track is not None else 0.0
+
     def forget(self, worker_id: messages.WorkerId) -> None:
         """Drop the history of a worker that has restarted."""
         self._tracks.pop(worker_id, None)
         self._speeds.pop(worker_id, None)
+        self._listed_ms.pop(worker_id, None)
+        self._table.forget(worker_id)
 
     def forget_jobs(self, job_ids: set[_specs.JobId]) -> None:
         """Drop the history of jobs that have ended."""
@@ -194,9 +254,35 @@
         if track.has_progressed and elapsed_ms > 0:
             done_ms = (run.percent - track.percent) / 100 * run.expected_ms
             self._update_speed(worker_id, done_ms / elapsed_ms, now_ms)
+        if run.percent < COMPLETE_PERCENT:
+            # Nobody knows since when a complete member waits for its gang.
+            self._measure(
+                worker_id, run.task, track, run.percent, clock_ms, now_ms
+            )
+        track.is_measured = True
         track.percent, track.since_ms = run.percent, clock_ms
         track.listings_count, track.has_progressed = 1, True
 
+    def _measure(
+        self,
+        worker_id: messages.WorkerId,
+        task: _specs.TaskKey,
+        track: _RunTrack,
+        percent: float,
+        clock_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Record the progress of a run for the speed of its worker."""
+        if not track.is_measured:
+            return
+        self._table.record(
+            worker_id,
+            (task.job_id, task.step),
+            (percent - track.percent) / 100 * track.expected_ms,
+            clock_ms - track.since_ms,
+            now_ms,
+        )
+
     def _update_speed(
         self, worker_id: messages.WorkerId, value: float, now_ms: int
     ) -> None:
@@ -236,3 +322,8 @@
         return frozenset(
             worker_id for worker_id, value in fresh.items() if value < limit
         )
+
+
+def _is_paused(track: _RunTrack, clock_ms: int) -> bool:
+    percent_ms = track.expected_ms / 100 * SLOWEST_FACTOR
+    return clock_ms - track.since_ms > max(PAUSE_MS, percent_ms)
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -25,6 +25,7 @@
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import _wait_tracker
 from dandeliondrum.jobs import _worker_peer
+from dandeliondrum.jobs import speeds
 from dandeliondrum import messages
 
 # Minimum interval between rounds, so that one round batches many decisions.
@@ -250,18 +251,38 @@
     ) -> list[_planner.AvailableWorker]:
         term = self._term
         slow = term.progress.slow_workers(now_ms)
+        if term.speeds.is_due(now_ms):
+            self._refresh_speeds(now_ms)
         return self._worker_cache.read(
             (
-                worker,
-                term.health.consecutive_failures(worker_id)
-                + (worker_id in slow),
-            )
-            for worker_id, worker in term.state.workers.items()
-            if worker_id in usable
-            and worker.facts.phase is _commands.WorkerPhase.READY
-            # The peer may have newer facts, which are being committed.
-            and worker.facts == term.peers[worker_id].facts
+                (
+                    worker,
+                    term.health.consecutive_failures(worker_id)
+                    + (worker_id in slow),
+                )
+                for worker_id, worker in term.state.workers.items()
+                if worker_id in usable
+                and worker.facts.phase is _commands.WorkerPhase.READY
+                # The peer may have newer facts, which are being committed.
+                and worker.facts == term.peers[worker_id].facts
+            ),
+            term.speeds.uneven_speeds(now_ms),
+        )
+
+    def _refresh_speeds(self, now_ms: int) -> None:
+        """Compute the speeds of workers and report changes of tiers."""
+        term = self._term
+        changes = term.speeds.refresh(
+            {
+                worker_id: worker.facts.pool
+                for worker_id, worker in term.state.workers.items()
+            },
+            now_ms,
         )
+        for name, worker_ids in changes.items():
+            speeds.log_change(name, term.speeds.pool(name), worker_ids)
+        for name, pool in term.speeds.pools.items():
+            term.metrics.record_speeds(name, pool)
 
     def _plan(self, inputs: '_Inputs') -> _Groups:
         preemption = _preemption.Preemption(
@@ -305,9 +326,28 @@
         state = self._term.state
         with state.lock:
             return _demands.preemptible_runs(
-                state, worker_id, peers[worker_id].orders
+                state,
+                worker_id,
+                peers[worker_id].orders,
+                functools.partial(self._left_ms, worker_id),
             )
 
+    def _left_ms(
+        self,
+        worker_id: messages.WorkerId,
+        task: _specs.TaskKey,
+        run: int,
+        expected_ms: int,
+    ) -> int:
+        """Return the expected time to the end of a run."""
+        term = self._term
+        return term.speeds.expected_run_ms(
+            worker_id,
+            expected_ms,
+            _clock.elapsed_ms(),
+            term.progress.percent(worker_id, task, run),
+        )
+
     def _preempt(
         self, runs: list[_preemption.PreemptibleRun], peers: _Peers
     ) -> None:
@@ -319,6 +359,7 @@
                 run=run.run,
                 worker=run.worker_id,
                 priority=run.priority,
+                left_ms=run.left_ms,
             )
             peers[run.worker_id].orders.stop(run.task, run.run)
 
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -23,6 +23,7 @@
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _worker_peer
+from dandeliondrum.jobs import speeds
 from dandeliondrum import messages
 from dandeliondrum import transport
 
@@ -85,7 +86,8 @@
         self.health = _health.Health(
             lambda: len(self.peers), self._alike_workers
         )
-        self.progress = _progress.Progress()
+        self.speeds = speeds.SpeedTable()
+        self.progress = _progress.Progress(self.speeds)
         self.advice = _advice.GrantCache()
         self.adviser_clients = _advice.AdviserClientPool()
         self.sessions: transport.SessionTable[transport.Session] = (
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -543,7 +543,15 @@
             with term.state.lock:
                 runs = _expected_progress(term.state, lists.runs)
             stalled = term.progress.record_list(
-                worker_id, runs, lists.clock_ms, now_ms
+                worker_id,
+                runs,
+                lists.clock_ms,
+                now_ms,
+                [
+                    (item.end.task, item.end.run)
+                    for item in lists.ends
+                    if item.end.outcome is _commands.RunOutcome.DONE
+                ],
             )
             late_runs: list[_progress.RunProgress] = []
             with self._lock:
@@ -826,6 +834,7 @@
                 step.expected_run_ms,
                 startup_allowance_ms,
                 step.checkpointing,
+                step.gang,
             )
         )
     return found
