Let tasks wait for a worker that is fast enough for their objective

With faster workers merely chosen first, jobs were late as often as before on a nearly full fleet: what is placed when only slow workers have room misses its objective there, and a single slow member delays a whole step or gang.

A demand now leaves out workers on which it would miss its objective, until its latest start, if the faster ones that it is granted can run it at all. It reserves and preempts only there, too. Later it takes any worker. 'step waits' names the cause.

Equal workers: the same ends of all jobs.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -48,7 +48,8 @@
     submission if there is no objective; ``is_late`` is set once an objective
     can't be met any more. The planner does not change a demand; ``tickets``,
     ``granted``, ``avoided``, ``waited_ms``, ``latest_start_ms`` and
-    ``is_late`` are set anew for each round. If
+    ``is_late`` are set anew for each round, and so is ``slack_left_ms``, the
+    time until the latest start, None without an objective. If
     ``crashes_count`` is not 0, the tasks are suspected of crashing workers and
     run apart from other jobs; it is the least number of crashes under a task.
     """
@@ -71,6 +72,7 @@
     slack_ms: int | None = None
     latest_start_ms: int = 0
     is_late: bool = False
+    slack_left_ms: int | None = None
     crashes_count: int = 0
 
     @property
@@ -153,6 +155,7 @@
     TEAM_LIMIT = 'the team is at its limit'
     GANG = 'the gang does not fit as a whole'
     ISOLATION = 'no worker is free to run the task apart from other jobs'
+    TOO_SLOW = 'the workers with room are too slow for the objective'
 
 
 def scheduling_key(demand: Demand) -> tuple[bool, int, int, int, str]:
@@ -292,6 +295,8 @@
     least_count = len(demand.indexes) if demand.spec.gang else 1
     if placement.count_fits(pool.workers, least_count) < least_count:
         return WaitReason.UNFIT
+    if not placement.single_task_fits() and placement.slow_worker_fits():
+        return WaitReason.TOO_SLOW
     if not placement.candidates_count():
         others_count = placement.candidates_count(include_reserved=True)
         return WaitReason.RESERVED if others_count else WaitReason.NO_GRANT
@@ -388,13 +393,19 @@
 
 
 class _Pool:
-    """The usable workers of one pool, and their positions by id."""
+    """The usable workers of one pool, and their positions by id.
+
+    ``speed_min`` is the speed of the slowest one, at most 1.
+    """
 
     def __init__(self) -> None:
         self.workers: list[AvailableWorker] = []
         self.positions: dict[messages.WorkerId, int] = {}
+        self.speed_min = 1.0
 
     def add(self, worker: AvailableWorker) -> None:
+        if worker.speed < self.speed_min:
+            self.speed_min = worker.speed
         self.positions[worker.worker_id] = len(self.workers)
         self.workers.append(worker)
 
@@ -446,6 +457,34 @@
         self._team_available = team_available
         self._charge = demand.spec.charged()
         self._counts = dict(demand.per_worker_counts)
+        self._speed_min = 0.0
+        if pool.speed_min < 1:
+            self._speed_min = self._find_speed_min()
+
+    def _find_speed_min(self) -> float:
+        """Return the least speed of workers on which the demand may start.
+
+        On a slower one it would miss its objective, but it may still meet it
+        on a faster one that becomes free before its latest start. Then, or if
+        the faster workers could never run it, any worker is used.
+        """
+        demand = self._demand
+        left_ms = demand.slack_left_ms
+        if left_ms is None or left_ms < 0 or demand.isolated:
+            return 0.0
+        run_ms = demand.spec.expected_run_ms
+        speed_min = run_ms / (run_ms + left_ms) if run_ms else 0.0
+        if speed_min <= self._pool.speed_min:
+            return 0.0
+        fast_enough = (
+            worker
+            for worker in self._pool.select(demand.granted)
+            if worker.speed >= speed_min
+        )
+        least_count = len(demand.indexes) if demand.spec.gang else 1
+        if self.count_fits(fast_enough, least_count) < least_count:
+            return 0.0
+        return speed_min
 
     def place(self) -> list[tuple[Placement, ...]]:
         demand = self._demand
@@ -597,7 +636,9 @@
         charge = self._charge
         eligible = [
             worker
-            for worker in self._pool.select(self._demand.granted)
+            for worker in self._fast_enough(
+                self._pool.select(self._demand.granted)
+            )
             if self._may_run(worker) and charge.fits_in(worker.obtainable)
         ]
         if self._demand.spec.per_worker_max:
@@ -613,6 +654,17 @@
         """Return how many workers may start the demand now."""
         return len(self._startable(include_reserved))
 
+    def slow_worker_fits(self) -> bool:
+        """Return whether a task would fit on workers that are too slow."""
+        if not self._speed_min:
+            return False
+        others = _DemandPlacement(
+            dataclasses.replace(self._demand, slack_left_ms=None),
+            self._pool,
+            self._team_available,
+        )
+        return others.single_task_fits()
+
     def single_task_fits(self) -> bool:
         """Return whether a single task would fit on any worker."""
         return any(
@@ -633,7 +685,7 @@
     ) -> list[AvailableWorker]:
         """Return the workers on which a task may start now."""
         tickets, granted = self._demand.tickets, self._demand.granted
-        return [
+        startable = [
             worker
             for worker in self._pool.select(
                 granted if tickets is None else tickets
@@ -641,6 +693,16 @@
             if self._may_run(worker, include_reserved)
             and (granted is None or worker.worker_id in granted)
         ]
+        return self._fast_enough(startable)
+
+    def _fast_enough(
+        self, workers: list[AvailableWorker]
+    ) -> list[AvailableWorker]:
+        """Return the workers that are not too slow for the demand."""
+        speed_min = self._speed_min
+        if not speed_min:
+            return workers
+        return [worker for worker in workers if worker.speed >= speed_min]
 
     def _room(self, worker: AvailableWorker) -> int:
         """Return how many more tasks fit on a worker with room for one."""
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -384,8 +384,13 @@
         """Set what decides the order of demands in this round."""
         submitted_ms = self._submission_times.submitted_ms(demand.job_id)
         demand.latest_start_ms = submitted_ms + (demand.slack_ms or 0)
+        demand.slack_left_ms = (
+            demand.latest_start_ms - now_ms
+            if demand.slack_ms is not None
+            else None
+        )
         demand.is_late = (
-            demand.slack_ms is not None and now_ms > demand.latest_start_ms
+            demand.slack_left_ms is not None and demand.slack_left_ms < 0
         )
         demand.waited_ms = self._wait_tracker.waited_ms(
             demand.job_id, demand.step, now_ms
--- /dev/null
+++ b/dandeliondrum/jobs/speeds/tests/test_uneven_load.py
@@ -0,0 +1,104 @@
+"""Load of a nearly full fleet of which a quarter runs at 0.55 of its speed.
+
+The others run at 1.2. The load is that of the heavy day in ``jobs.tests``,
+at four fifths of it and in full. What callers get is compared with placement
+that takes all workers for equal.
+"""
+
+import dataclasses
+import functools
+import statistics
+
+import pytest
+
+from dandeliondrum.jobs.speeds.tests import uneven_simulation
+from dandeliondrum.jobs.tests import test_heavy_load as heavy
+
+PLAYS_COUNT = 6
+EQUAL = {f'w{number}': 1.0 for number in range(heavy.WORKERS_COUNT)}
+
+
+@functools.cache
+def _plays(load, learns):
+    classes = [
+        dataclasses.replace(kind, rate=kind.rate * load)
+        for kind in heavy.CLASSES
+    ]
+    return [
+        uneven_simulation.UnevenFleet(
+            classes, heavy.WORKERS_COUNT, seed, learns
+        ).run(heavy.TRAFFIC_MS, heavy.END_MS)
+        for seed in range(PLAYS_COUNT)
+    ]
+
+
+def _late_share(load, learns, counts):
+    return 1 - statistics.mean(
+        job.in_time()
+        for play in _plays(load, learns)
+        for job in play.jobs
+        if counts(job)
+    )
+
+
+def _of_kind(name):
+    return lambda job: job.kind.name == name
+
+
+@pytest.mark.parametrize('load', [0.8, 1.0])
+@pytest.mark.parametrize('name', [kind.name for kind in heavy.CLASSES])
+def test_callers_of_each_kind_are_late_less_often(load, name):
+    late_share = _late_share(load, True, _of_kind(name))
+    assert late_share <= 0.8 * _late_share(load, False, _of_kind(name))
+
+
+@pytest.mark.parametrize('load', [0.8, 1.0])
+def test_callers_are_late_half_as_often_over_all_kinds(load):
+    late_share = _late_share(load, True, lambda job: True)
+    assert late_share <= 0.5 * _late_share(load, False, lambda job: True)
+
+
+@pytest.mark.parametrize('load', [0.8, 1.0])
+def test_gangs_are_late_less_often(load):
+    def is_gang(job):
+        return job.gang
+
+    late_share = _late_share(load, True, is_gang)
+    assert late_share <= 0.8 * _late_share(load, False, is_gang)
+
+
+def test_jobs_are_worth_more_to_their_callers():
+    means = [
+        statistics.mean(
+            uneven_simulation.value(job)
+            for play in _plays(1.0, learns)
+            for job in play.jobs
+        )
+        for learns in (False, True)
+    ]
+    assert means[1] >= means[0] + 0.03
+
+
+def test_no_job_is_starved_by_waiting_for_fast_workers():
+    for play in _plays(1.0, True):
+        assert all(job.ended_ms is not None for job in play.jobs)
+
+
+def test_tiers_are_known_after_seconds():
+    # A new leader learns them again.
+    first_ms = [play.first_uneven_ms for play in _plays(1.0, True)]
+    assert max(first_ms) <= 15_000
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_a_fleet_of_equal_workers_is_served_as_before(seed):
+    plays = [
+        uneven_simulation.UnevenFleet(
+            heavy.CLASSES, heavy.WORKERS_COUNT, seed, learns, EQUAL
+        ).run(heavy.TRAFFIC_MS, heavy.END_MS)
+        for learns in (False, True)
+    ]
+    before, after = (
+        [(job.name, job.ended_ms) for job in play.jobs] for play in plays
+    )
+    assert after == before
--- a/dandeliondrum/jobs/tests/load_simulation.py
+++ b/dandeliondrum/jobs/tests/load_simulation.py
@@ -161,24 +161,33 @@
             self._demand(job, now_ms) for job in self._open if job.waiting
         ]
         workers = [
-            helpers.available_worker(
-                worker_id,
-                free=free,
-                capacity=messages.Resources(WORKER_CPU, WORKER_MEMORY_MB),
-            )
+            self._available(worker_id, free, now_ms)
             for worker_id, free in self._workers.items()
         ]
         groups = _planner.plan(demands, workers, {}, _preemption.Preemption())
         by_name = {job.name: job for job in self._open}
-        for placement in (one for group in groups for one in group):
-            job = by_name[placement.task.job_id]
-            self._workers[placement.worker_id] -= self._charge(job)
-            job.waiting -= 1
-            job.running += 1
-            ticks = -(-job.true_run_ms // TICK_MS)
-            self._ends[now_ms + ticks * TICK_MS].append(
-                (job, placement.worker_id)
-            )
+        for group in groups:
+            job = by_name[group[0].task.job_id]
+            ticks = -(-self._run_ms(job, group) // TICK_MS)
+            for placement in group:
+                self._workers[placement.worker_id] -= self._charge(job)
+                job.waiting -= 1
+                job.running += 1
+                self._ends[now_ms + ticks * TICK_MS].append(
+                    (job, placement.worker_id)
+                )
+
+    def _available(self, worker_id, free, now_ms):
+        """Return a worker as the planner knows it."""
+        return helpers.available_worker(
+            worker_id,
+            free=free,
+            capacity=messages.Resources(WORKER_CPU, WORKER_MEMORY_MB),
+        )
+
+    def _run_ms(self, job, group):
+        """Return how long the runs of a group take."""
+        return job.true_run_ms
 
     def _demand(self, job, now_ms):
         spec = jobs.StepSpec(
@@ -199,6 +208,7 @@
             more = {
                 'latest_start_ms': latest_start_ms,
                 'is_late': now_ms > latest_start_ms,
+                'slack_left_ms': latest_start_ms - now_ms,
             }
         return helpers.demand(
             job.name,
