--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -52,7 +52,8 @@
     core, and ``value`` what the job is worth to its callers, 1 for an average
     job of its queue. The planner does not change a demand; ``tickets``,
     ``granted``, ``avoided``, ``waited_ms``, ``latest_start_ms`` and
-    ``urgency`` are set anew for each round. If
+    ``urgency`` are set anew for each round, and so is ``slack_left_ms``, the
+    time until the latest start, None without an objective. If
     ``crashes_count`` is not 0, the tasks are suspected of crashing workers and
     run apart from other jobs; it is the least number of crashes under a task.
     """
@@ -78,6 +79,7 @@
     urgency: queueing.Urgency = queueing.Urgency.IN_TIME
     left_core_ms: float = 0.0
     value: float = 1.0
+    slack_left_ms: int | None = None
     crashes_count: int = 0
 
     @property
@@ -102,11 +104,13 @@
 class AvailableWorker:
     """A usable worker and its free resources.
 
-    ``penalty`` is higher for slow workers and for workers that failed tasks
-    recently; they are chosen last. A ``reserved`` worker is kept for an
-    earlier demand. A worker with ``is_empty`` runs nothing. ``endless_used``
-    is what endless tasks use; nobody knows when it becomes free. What is or
-    will become free is ``obtainable``.
+    ``speed`` is that of the worker's tier, and 1.0 is the median of the pool;
+    all workers of an even pool have 1.0. ``penalty`` is higher for slow
+    workers and for workers that failed tasks recently; they are chosen last.
+    A ``reserved`` worker is kept for an earlier demand. A worker with
+    ``is_empty`` runs nothing. ``endless_used`` is what endless tasks use;
+    nobody knows when it becomes free. What is or will become free is
+    ``obtainable``.
     """
 
     worker_id: messages.WorkerId
@@ -120,6 +124,7 @@
     is_empty: bool = True
     started_ms: int = 0
     endless_used: messages.Resources = messages.Resources(0, 0)
+    speed: float = 1.0
     obtainable: messages.Resources = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -162,6 +167,7 @@
     TEAM_LIMIT = 'the team is at its limit'
     GANG = 'the gang does not fit as a whole'
     ISOLATION = 'no worker is free to run the task apart from other jobs'
+    TOO_SLOW = 'the workers with room are too slow for the objective'
 
 
 def plan(
@@ -283,6 +289,8 @@
     least_count = len(demand.indexes) if demand.spec.gang else 1
     if placement.count_fits(pool.workers, least_count) < least_count:
         return WaitReason.UNFIT
+    if not placement.single_task_fits() and placement.slow_worker_fits():
+        return WaitReason.TOO_SLOW
     if not placement.candidates_count():
         others_count = placement.candidates_count(include_reserved=True)
         return WaitReason.RESERVED if others_count else WaitReason.NO_GRANT
@@ -379,13 +387,19 @@
 
 
 class _Pool:
-    """The usable workers of one pool, and their positions by id."""
+    """The usable workers of one pool, and their positions by id.
+
+    ``speed_min`` is the speed of the slowest one, at most 1.
+    """
 
     def __init__(self) -> None:
         self.workers: list[AvailableWorker] = []
         self.positions: dict[messages.WorkerId, int] = {}
+        self.speed_min = 1.0
 
     def add(self, worker: AvailableWorker) -> None:
+        if worker.speed < self.speed_min:
+            self.speed_min = worker.speed
         self.positions[worker.worker_id] = len(self.workers)
         self.workers.append(worker)
 
@@ -437,6 +451,34 @@
         self._team_available = team_available
         self._charge = demand.spec.charged()
         self._counts = dict(demand.per_worker_counts)
+        self._speed_min = 0.0
+        if pool.speed_min < 1:
+            self._speed_min = self._find_speed_min()
+
+    def _find_speed_min(self) -> float:
+        """Return the least speed of workers on which the demand may start.
+
+        On a slower one it would miss its objective, but it may still meet it
+        on a faster one that becomes free before its latest start. Then, or if
+        the faster workers could never run it, any worker is used.
+        """
+        demand = self._demand
+        left_ms = demand.slack_left_ms
+        if left_ms is None or left_ms < 0 or demand.isolated:
+            return 0.0
+        run_ms = demand.spec.expected_run_ms
+        speed_min = run_ms / (run_ms + left_ms) if run_ms else 0.0
+        if speed_min <= self._pool.speed_min:
+            return 0.0
+        fast_enough = (
+            worker
+            for worker in self._pool.select(demand.granted)
+            if worker.speed >= speed_min
+        )
+        least_count = len(demand.indexes) if demand.spec.gang else 1
+        if self.count_fits(fast_enough, least_count) < least_count:
+            return 0.0
+        return speed_min
 
     def place(self) -> list[tuple[Placement, ...]]:
         demand = self._demand
@@ -447,10 +489,8 @@
             return [(one,) for one in self._take(allocation)]
         if allowed_count < wanted_count:
             return []
-        allocation = self._allocate(wanted_count)
-        if sum(count for _, count in allocation) < wanted_count:
-            return []
-        return [tuple(self._take(allocation))]
+        allocation = self._allocate_gang(wanted_count)
+        return [tuple(self._take(allocation))] if allocation else []
 
     def place_isolated(self) -> list[tuple[Placement, ...]]:
         """Place tasks on one worker, on which nothing else is placed.
@@ -590,7 +630,9 @@
         charge = self._charge
         eligible = [
             worker
-            for worker in self._pool.select(self._demand.granted)
+            for worker in self._fast_enough(
+                self._pool.select(self._demand.granted)
+            )
             if self._may_run(worker) and charge.fits_in(worker.obtainable)
         ]
         if self._demand.spec.per_worker_max:
@@ -606,6 +648,17 @@
         """Return how many workers may start the demand now."""
         return len(self._startable(include_reserved))
 
+    def slow_worker_fits(self) -> bool:
+        """Return whether a task would fit on workers that are too slow."""
+        if not self._speed_min:
+            return False
+        others = _DemandPlacement(
+            dataclasses.replace(self._demand, slack_left_ms=None),
+            self._pool,
+            self._team_available,
+        )
+        return others.single_task_fits()
+
     def single_task_fits(self) -> bool:
         """Return whether a single task would fit on any worker."""
         return any(
@@ -626,7 +679,7 @@
     ) -> list[AvailableWorker]:
         """Return the workers on which a task may start now."""
         tickets, granted = self._demand.tickets, self._demand.granted
-        return [
+        startable = [
             worker
             for worker in self._pool.select(
                 granted if tickets is None else tickets
@@ -634,6 +687,16 @@
             if self._may_run(worker, include_reserved)
             and (granted is None or worker.worker_id in granted)
         ]
+        return self._fast_enough(startable)
+
+    def _fast_enough(
+        self, workers: list[AvailableWorker]
+    ) -> list[AvailableWorker]:
+        """Return the workers that are not too slow for the demand."""
+        speed_min = self._speed_min
+        if not speed_min:
+            return workers
+        return [worker for worker in workers if worker.speed >= speed_min]
 
     def _room(self, worker: AvailableWorker) -> int:
         """Return how many more tasks fit on a worker with room for one."""
@@ -654,6 +717,40 @@
         """
         if wanted_count <= 0:
             return []
+        return self._fill(self._ranked(), wanted_count)
+
+    def _allocate_gang(
+        self, wanted_count: int
+    ) -> list[tuple[AvailableWorker, int]]:
+        """Return the best workers for a whole gang, none if it does not fit.
+
+        A gang with members on fast and on slow workers is as slow as one on
+        slow workers only, so the fast ones are left to others if the gang
+        fits on equally reliable ones of the slowest speed.
+        """
+        ranked = self._ranked()
+        allocation = self._fill(ranked, wanted_count)
+        if sum(count for _, count in allocation) < wanted_count:
+            return []
+        slowest = min(worker.speed for worker, _ in allocation)
+        if all(worker.speed == slowest for worker, _ in allocation):
+            return allocation
+        used = max(self._reliability(worker) for worker, _ in allocation)
+        alike = self._fill(
+            [
+                worker
+                for worker in ranked
+                if worker.speed == slowest
+                and self._reliability(worker) <= used
+            ],
+            wanted_count,
+        )
+        if sum(count for _, count in alike) < wanted_count:
+            return allocation
+        return alike
+
+    def _ranked(self) -> list[AvailableWorker]:
+        """Return the workers with room for a task, the best first."""
         charge = self._charge
         ranked = [
             (self._rank(worker), position, worker)
@@ -661,8 +758,15 @@
             if charge.fits_in(worker.free)
         ]
         ranked.sort()
+        return [worker for _, _, worker in ranked]
+
+    def _fill(
+        self,
+        ranked: collections.abc.Iterable[AvailableWorker],
+        wanted_count: int,
+    ) -> list[tuple[AvailableWorker, int]]:
         allocation = []
-        for _, _, worker in ranked:
+        for worker in ranked:
             if wanted_count <= 0:
                 break
             count = min(wanted_count, self._room(worker))
@@ -695,16 +799,24 @@
             )
         return placements
 
-    def _rank(self, worker: AvailableWorker) -> tuple[bool, int, bool, int]:
+    def _reliability(self, worker: AvailableWorker) -> tuple[bool, int]:
+        """Return a sort key; the lowest is the most reliable."""
+        return worker.worker_id in self._demand.avoided, worker.penalty
+
+    def _rank(
+        self, worker: AvailableWorker
+    ) -> tuple[bool, int, float, bool, int]:
         """Return the sort key of a worker; the lowest is chosen.
 
-        Prefers reliable workers, then the rack near the data, then the
-        worker with the least free CPU, so that full workers are filled up.
+        Prefers reliable workers, then faster ones, then the rack near the
+        data, then the worker with the least free CPU, so that full workers
+        are filled up.
         """
         spec = self._demand.spec
         return (
             worker.worker_id in self._demand.avoided,
             worker.penalty,
+            -worker.speed,
             bool(spec.near_rack) and worker.rack != spec.near_rack,
             worker.free.cpu_millicores,
         )
