Evacuate failure domains in the product's own engine

The same set of orders is replicated there and enforced by the state machine, the planner's eligible workers and the sending of starts.

--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -8,6 +8,7 @@
 from dandeliondrum.command import _controllers_commands
 from dandeliondrum.command import _daemon
 from dandeliondrum.command import _demo
+from dandeliondrum.command import _domains_commands
 from dandeliondrum.command import _fleet_actions
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _keys_commands
@@ -38,6 +39,7 @@
         self.rules = _rules_commands.RulesCommands()
         self.keys = _keys_commands.KeysCommands()
         self.controllers = _controllers_commands.ControllersCommands()
+        self.domains = _domains_commands.DomainsCommands()
 
     @_arguments.convert_arguments
     def run(self, role: str, *, settings: str) -> _report.Command:
--- a/dandeliondrum/command/_gateways.py
+++ b/dandeliondrum/command/_gateways.py
@@ -127,6 +127,28 @@
         http_call = _HttpCall('POST', path, headers, b'', True)
         return self._send(http_call, messages.Done)
 
+    def show_domains(self) -> result.Result[messages.DomainsShown, Problem]:
+        """Return the failure domains and the orders about them."""
+        return self._get('/v1/domains', messages.DomainsShown)
+
+    def change_domain(
+        self,
+        domain: messages.FailureDomain,
+        evacuated: bool,
+        operator: str,
+        reason: str,
+    ) -> result.Result[messages.Done, Problem]:
+        """Evacuate a failure domain or restore it; idempotent."""
+        http_call = _HttpCall(
+            'POST' if evacuated else 'DELETE',
+            f'/v1/domains/{_url_quote(domain)}/evacuation'
+            f'?reason={_url_quote(reason)}',
+            {'Dandeliondrum-Operator': operator},
+            b'',
+            True,
+        )
+        return self._send(http_call, messages.Done)
+
     def add_controller(
         self, call: messages.AddController
     ) -> result.Result[messages.Done, Problem]:
--- a/dandeliondrum/command/tests/fake_gateway.py
+++ b/dandeliondrum/command/tests/fake_gateway.py
@@ -67,6 +67,42 @@
 }
 
 
+DOMAINS = {
+    'domains': [
+        {
+            'failure_domain': 'd1',
+            'evacuated': True,
+            'workers_count': 2,
+            'running_count': 5,
+            'index': 7,
+            'operator_id': 'anna',
+            'reason': 'power work',
+            'requested_unix_ms': 1_765_000_000_000,
+        },
+        {
+            'failure_domain': 'd2',
+            'evacuated': False,
+            'workers_count': 1,
+            'running_count': 0,
+            'index': 0,
+            'operator_id': '',
+            'reason': '',
+            'requested_unix_ms': 0,
+        },
+    ]
+}
+EVACUATIONS = {
+    'Evacuations': [
+        {
+            'Zone': 'd1',
+            'By': 'anna',
+            'Reason': 'power work',
+            'SinceMs': 1_765_000_000_000,
+        }
+    ]
+}
+
+
 class FakeGateway:
     """Stores rules with compare-and-set, as the leader does.
 
@@ -85,6 +121,8 @@
         self.calls = []
         self.drop_responses_count = 0
         self.concurrent_texts = []
+        # Status of orders about domains at a control port.
+        self.control_status = 200
         self.answer = (200, {'Dandeliondrum-Outcome': 'answered'}, b'ground')
         self._server = http.server.ThreadingHTTPServer(
             ('127.0.0.1', 0), self._handler()
@@ -113,6 +151,17 @@
                 return 200, {}, EXPLAINED
             case 'POST', '/v1/workers/w1/drain':
                 return 200, {}, {}
+            case 'GET', '/v1/domains':
+                return 200, {}, DOMAINS
+            case 'POST' | 'DELETE', '/v1/domains/d1/evacuation':
+                return 200, {}, {}
+            case 'POST' | 'DELETE', '/evacuations/d1':
+                return self.control_status, {}, {}
+            case 'POST', '/evacuations/d9':
+                detail = "unknown failure domain 'd9'"
+                return 404, {}, {'reason': 'bad_request', 'detail': detail}
+            case 'GET', '/evacuations':
+                return 200, {}, EVACUATIONS
             case 'POST' | 'DELETE', '/v1/controllers' | '/v1/controllers/c4':
                 return 200, {}, {}
             case 'POST', '/v1/tasks':
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -48,6 +48,9 @@
         self._leadership: _leadership.Leadership | None = None
         self._timers = utils.TimerService()
         self.state = _state.CellState()
+        self._metrics.evacuated_domains.set_function(
+            lambda: float(len(self.state.evacuations.domains))
+        )
         self.node = consensus.Node(
             consensus.Options(
                 controller_id=options.controller_id,
--- a/dandeliondrum/controller/_dispatch.py
+++ b/dandeliondrum/controller/_dispatch.py
@@ -198,6 +198,7 @@
             session = context.sessions.by_gateway(attempt.gateway_id)
             if task is None or task.attempt is not attempt or worker is None:
                 return
+            evacuated = context.state.is_evacuated(worker.facts)
             start = messages.StartAttempt(
                 attempt.attempt_id,
                 attempt.token,
@@ -208,6 +209,10 @@
                 attempt.lease_ms,
                 task.body,
             )
+        if evacuated:
+            context.metrics.withheld.inc()
+            self._never_started(attempt, 'its failure domain is evacuated')
+            return
         attributes = {
             'attempt': attempt.attempt_id,
             'worker': attempt.worker_id,
@@ -217,12 +222,18 @@
         ):
             is_sent = session is not None and session.connection.push(start)
         if not is_sent:
-            self._attempt_reports.report(
-                (
-                    messages.AttemptReport(
-                        attempt.attempt_id,
-                        messages.AttemptState.NEVER_STARTED,
-                        detail='its gateway disconnected before the start',
-                    ),
-                )
+            self._never_started(
+                attempt, 'its gateway disconnected before the start'
+            )
+
+    def _never_started(
+        self, attempt: _records.AttemptRecord, detail: str
+    ) -> None:
+        never_started = messages.AttemptState.NEVER_STARTED
+        self._attempt_reports.report(
+            (
+                messages.AttemptReport(
+                    attempt.attempt_id, never_started, detail=detail
+                ),
             )
+        )
--- a/dandeliondrum/controller/_heartbeats.py
+++ b/dandeliondrum/controller/_heartbeats.py
@@ -122,6 +122,7 @@
                 and worker_id not in self._silent
                 and worker_id not in self._quarantined
                 and rule is None
+                and not context.state.is_evacuated(worker.facts)
             )
             context.planner.put_worker(worker.facts, eligible)
             context.work_available.set()
--- a/dandeliondrum/controller/_metrics.py
+++ b/dandeliondrum/controller/_metrics.py
@@ -32,6 +32,16 @@
             'Planned assignments that the state machine did not take.',
             registry=self.registry,
         )
+        self.evacuated_domains = prometheus_client.Gauge(
+            'dandeliondrum_controller_evacuated_domains',
+            'Failure domains in which no task is started.',
+            registry=self.registry,
+        )
+        self.withheld = prometheus_client.Counter(
+            'dandeliondrum_controller_starts_withheld',
+            'Starts that were not sent as the failure domain was evacuated.',
+            registry=self.registry,
+        )
         self.ended = prometheus_client.Counter(
             'dandeliondrum_controller_attempts_ended',
             'Attempts that ended, by how.',
--- a/dandeliondrum/controller/_operators.py
+++ b/dandeliondrum/controller/_operators.py
@@ -8,6 +8,7 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.controller import _context
+from dandeliondrum.controller import _domains
 from dandeliondrum.controller import _heartbeats
 from dandeliondrum.controller import _queueing
 from dandeliondrum.controller import _records
@@ -41,6 +42,7 @@
         self._context = context
         self._queueing = queueing
         self._heartbeats = heartbeats
+        self._domains = _domains.Domains(context, heartbeats)
 
     def handle(self, message: typing.Any) -> typing.Any:
         """Handle an operator's call; the reply may be a future."""
@@ -53,6 +55,10 @@
                 return self._context.answer_if_confirmed(self._show_fleet)
             case messages.DrainWorker():
                 return self._drain(message)
+            case messages.ChangeDomain():
+                return self._domains.change(message)
+            case messages.ShowDomains():
+                return self._context.answer_if_confirmed(self._domains.show)
             case messages.ExplainTask():
                 return self._explain(message.task_id)
             case messages.AddController():
--- a/dandeliondrum/controller/_records.py
+++ b/dandeliondrum/controller/_records.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 
 EVENTS_PER_TASK = 16
@@ -139,6 +140,7 @@
     rules: RulesRecord
     workers: tuple[WorkerRecord, ...]
     tasks: tuple[TaskRecord, ...]
+    domain_orders: tuple[evacuations.DomainOrder, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandeliondrum/controller/_state.py
+++ b/dandeliondrum/controller/_state.py
@@ -10,6 +10,7 @@
 from dandeliondrum.controller import _endings
 from dandeliondrum.controller import _records
 from dandeliondrum.controller import _rules_changes
+from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 from dandeliondrum import rules as rules_lib
 from dandeliondrum import utils
@@ -47,6 +48,7 @@
         # Index of WorkerRecord.fences: the worker of each fenced attempt.
         self.fenced_on: dict[messages.AttemptId, messages.WorkerId] = {}
         self.accounts = _accounts.Accounts()
+        self.evacuations = evacuations.Evacuations()
         # Number of tasks that were cancelled before their submission.
         self.early_cancels_count = 0
 
@@ -77,6 +79,7 @@
                 self.rules_record,
                 tuple(self.workers.values()),
                 tuple(self.tasks.values()),
+                self.evacuations.orders,
             )
         )
 
@@ -97,6 +100,7 @@
         self.cell_time_ms = snapshot.cell_time_ms
         self.rules_record = snapshot.rules
         self.rules = _rules_changes.parse_accepted(snapshot.rules.text)
+        self.evacuations = evacuations.Evacuations(snapshot.domain_orders)
         self.workers = {
             worker.facts.worker_id: worker for worker in snapshot.workers
         }
@@ -132,6 +136,8 @@
                 return self._apply_rules(command)
             case messages.ForgetTasks():
                 return self._forget_tasks(command)
+            case messages.OrderDomain():
+                return self._order_domain(index, command)
         raise utils.InvariantError(f'unknown command {command!r:.200}')
 
     def _assign(
@@ -201,6 +207,8 @@
             return 'worker is unknown or not active'
         if worker.facts.incarnation != assignment.incarnation:
             return 'worker has restarted'
+        if self.is_evacuated(worker.facts):
+            return 'failure domain is evacuated'
         return self.accounts.rejection_reason(worker, spec, self.rules)
 
     def _revert_assignment(self, attempt: _records.AttemptRecord) -> None:
@@ -360,6 +368,23 @@
             self.early_cancels_count -= _is_early_cancel(task)
         return forgotten
 
+    def _order_domain(
+        self, index: int, command: messages.OrderDomain
+    ) -> evacuations.OrderOutcome:
+        order = evacuations.DomainOrder(
+            command.failure_domain,
+            command.evacuated,
+            index,
+            evacuations.Origin(
+                command.operator_id, command.reason, command.requested_unix_ms
+            ),
+        )
+        return self.evacuations.apply(order, command.after_index)
+
+    def is_evacuated(self, facts: messages.WorkerFacts) -> bool:
+        """Return whether the domain of a worker is evacuated."""
+        return facts.failure_domain in self.evacuations.domains
+
     def queued(self) -> collections.abc.Iterator[_records.TaskRecord]:
         """Yield the recorded tasks that wait for a worker."""
         for task in self.tasks.values():
--- a/dandeliondrum/gateway/_operator_handlers.py
+++ b/dandeliondrum/gateway/_operator_handlers.py
@@ -58,6 +58,15 @@
             self._authenticated(
                 'POST', '/v1/workers/<worker_id>/drain', self.drain
             ),
+            self._authenticated('GET', '/v1/domains', self.show_domains),
+            self._authenticated(
+                'POST', '/v1/domains/<domain>/evacuation', self.evacuate_domain
+            ),
+            self._authenticated(
+                'DELETE',
+                '/v1/domains/<domain>/evacuation',
+                self.restore_domain,
+            ),
             self._authenticated(
                 'POST', '/v1/controllers', self.add_controller
             ),
@@ -118,6 +127,55 @@
             )
         )
 
+    def show_domains(self, _call: _http.Call) -> werkzeug.Response:
+        """Return the failure domains and the orders about them."""
+        return self._query(messages.ShowDomains(), messages.DomainsShown)
+
+    def evacuate_domain(
+        self, call: _http.Call, domain: str
+    ) -> werkzeug.Response:
+        """Assign no new attempts in a failure domain."""
+        return self._order_domain(call, messages.FailureDomain(domain), True)
+
+    def restore_domain(
+        self, call: _http.Call, domain: str
+    ) -> werkzeug.Response:
+        """Revoke the evacuation of a failure domain."""
+        return self._order_domain(call, messages.FailureDomain(domain), False)
+
+    def _order_domain(
+        self,
+        call: _http.Call,
+        domain: messages.FailureDomain,
+        evacuated: bool,
+    ) -> werkzeug.Response:
+        """Send an order that takes effect after the newest one so far.
+
+        An order that is held up on its way can't undo a newer one then.
+        """
+        reply = _leader_calls.call(
+            self._components.link,
+            messages.ShowDomains(),
+            messages.DomainsShown,
+            SHOW_TIMEOUT_MS,
+        )
+        if isinstance(reply, result.Failure):
+            return _http.problem_response(reply.failure())
+        index = sum(
+            view.index
+            for view in reply.unwrap().domains
+            if view.failure_domain == domain
+        )
+        return self._change(
+            messages.ChangeDomain(
+                domain,
+                evacuated,
+                index,
+                _operator_of(call),
+                call.request.args.get('reason', ''),
+            )
+        )
+
     def add_controller(self, call: _http.Call) -> werkzeug.Response:
         """Add a controller, first as a learner."""
         parsed = call.json(BODY_MAX_BYTES).bind(
--- a/dandeliondrum/gateway/tests/test_operators.py
+++ b/dandeliondrum/gateway/tests/test_operators.py
@@ -122,6 +122,26 @@
     assert ask(gw, 'GET', '/v1/tasks/r1/explain').status == 400
 
 
+def test_an_order_about_a_domain_follows_the_newest_one(gw, leader):
+    leader.replies[messages.ShowDomains] = messages.DomainsShown(
+        (
+            messages.DomainView(messages.FailureDomain('d1'), True, 2, 5, 7),
+            messages.DomainView(messages.FailureDomain('d2'), False, 1, 0, 9),
+        )
+    )
+    leader.replies[messages.ChangeDomain] = messages.Done()
+    path = '/v1/domains/d1/evacuation?reason=power+work'
+    operator = {'Dandeliondrum_Operator': 'anna'}
+    assert ask(gw, 'POST', path, **operator).status == 200
+    assert ask(gw, 'DELETE', '/v1/domains/d1/evacuation').status == 200
+    assert leader.received_of(messages.ChangeDomain) == [
+        messages.ChangeDomain('d1', True, 7, 'anna', 'power work'),
+        messages.ChangeDomain('d1', False, 7, 'operator', ''),
+    ]
+    shown = ask(gw, 'GET', '/v1/domains').json()['domains']
+    assert [row['evacuated'] for row in shown] == [True, False]
+
+
 def test_fleet_is_shown_with_message_field_names(gw, leader):
     leader.replies[messages.ShowFleet] = messages.FleetShown(
         messages.Term(2),
--- a/dandeliondrum/messages/__init__.py
+++ b/dandeliondrum/messages/__init__.py
@@ -13,6 +13,7 @@
 from dandeliondrum.messages._commands import CancelTasks
 from dandeliondrum.messages._commands import EndAttempts
 from dandeliondrum.messages._commands import ForgetTasks
+from dandeliondrum.messages._commands import OrderDomain
 from dandeliondrum.messages._commands import Refusal
 from dandeliondrum.messages._commands import RefuseTasks
 from dandeliondrum.messages._commands import RegisterWorker
@@ -58,7 +59,10 @@
 from dandeliondrum.messages._ids import WorkerId
 from dandeliondrum.messages._operator_calls import AddController
 from dandeliondrum.messages._operator_calls import ApplyRulesCall
+from dandeliondrum.messages._operator_calls import ChangeDomain
 from dandeliondrum.messages._operator_calls import ControllerView
+from dandeliondrum.messages._operator_calls import DomainsShown
+from dandeliondrum.messages._operator_calls import DomainView
 from dandeliondrum.messages._operator_calls import DrainWorker
 from dandeliondrum.messages._operator_calls import ExplainTask
 from dandeliondrum.messages._operator_calls import FleetShown
@@ -67,6 +71,7 @@
 from dandeliondrum.messages._operator_calls import RulesChange
 from dandeliondrum.messages._operator_calls import RulesOutcome
 from dandeliondrum.messages._operator_calls import RulesShown
+from dandeliondrum.messages._operator_calls import ShowDomains
 from dandeliondrum.messages._operator_calls import ShowFleet
 from dandeliondrum.messages._operator_calls import ShowRules
 from dandeliondrum.messages._operator_calls import TaskExplained
@@ -106,9 +111,12 @@
     'CancelCall',
     'CancelTasks',
     'CellId',
+    'ChangeDomain',
     'CodecError',
     'ControllerId',
     'ControllerView',
+    'DomainView',
+    'DomainsShown',
     'Done',
     'DrainWorker',
     'EndAttempts',
@@ -128,6 +136,7 @@
     'LogIndex',
     'NotLeader',
     'OperatorId',
+    'OrderDomain',
     'PeerKind',
     'QueryTasks',
     'QueueName',
@@ -152,6 +161,7 @@
     'RulesVersion',
     'RunningAttempt',
     'SetWorkerState',
+    'ShowDomains',
     'ShowFleet',
     'ShowRules',
     'StartAttempt',
--- a/dandeliondrum/messages/_commands.py
+++ b/dandeliondrum/messages/_commands.py
@@ -170,3 +170,23 @@
 
     cell_time_ms: int
     ended_before_ms: int
+
+
+@_codec.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderDomain:
+    """Evacuate a failure domain, or restore it.
+
+    No task is assigned in an evacuated domain. ``after_index`` is the log
+    index of the newest order about the domain that the operator has seen; if
+    there is a newer one, the command has no effect. ``requested_unix_ms`` is
+    the time of day of the leader.
+    """
+
+    cell_time_ms: int
+    failure_domain: _ids.FailureDomain
+    evacuated: bool
+    after_index: int
+    operator_id: _ids.OperatorId
+    reason: str
+    requested_unix_ms: int
--- a/dandeliondrum/messages/_operator_calls.py
+++ b/dandeliondrum/messages/_operator_calls.py
@@ -70,6 +70,53 @@
     operator_id: _ids.OperatorId
 
 
+@_codec.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeDomain:
+    """Assign no new tasks in a failure domain, or revoke that.
+
+    Running attempts continue. ``after_index`` is as in :class:`OrderDomain`.
+    """
+
+    failure_domain: _ids.FailureDomain
+    evacuated: bool
+    after_index: int
+    operator_id: _ids.OperatorId
+    reason: str
+
+
+@_codec.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowDomains:
+    """Request the failure domains and the orders about them."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainView:
+    """A failure domain, and the newest order about it.
+
+    The counts are None if they are not known. ``index`` is 0 and the fields
+    after it are empty without an order.
+    """
+
+    failure_domain: _ids.FailureDomain
+    evacuated: bool
+    workers_count: int | None = None
+    running_count: int | None = None
+    index: int = 0
+    operator_id: _ids.OperatorId = _ids.OperatorId('')
+    reason: str = ''
+    requested_unix_ms: int = 0
+
+
+@_codec.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainsShown:
+    """The failure domains of the workers and those with an order."""
+
+    domains: tuple[DomainView, ...]
+
+
 @_codec.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShowFleet:
--- a/tests/test_operators_tour.py
+++ b/tests/test_operators_tour.py
@@ -11,6 +11,7 @@
 
 from dandeliondrum import rules
 from dandeliondrum import testing
+from dandeliondrum import worker
 
 TIMEOUT_S = 60
 RULES = """
@@ -119,6 +120,38 @@
     assert 'w1' in cli.run('top', '--rounds=1')
 
 
+def _starts_count(cell, worker_id):
+    return sum(
+        event.kind is worker.EventKind.START
+        for event in cell.journal(worker_id)
+    )
+
+
+def test_nothing_starts_in_an_evacuated_domain(cli, tmp_path):
+    """The order has to be known to the planner, and to hold until revoked."""
+    set_up_cell(cli, tmp_path)
+    cli.cell.add_worker('w2', failure_domain='rayong')
+    testing.wait_until(
+        lambda: len(cli.run_json('domains', 'list')['domains']) == 2
+    )
+    cli.run('domains', 'evacuate', 'sattahip', '--reason=power work')
+    for _ in range(3):
+        assert cli.submit('walk-in')['outcome'] == 'answered'
+    assert _starts_count(cli.cell, 'w1') == 0
+    (listed,) = [
+        one
+        for one in cli.run_json('domains', 'list')['domains']
+        if one['evacuated']
+    ]
+    assert (listed['domain'], listed['reason']) == ('sattahip', 'power work')
+    cli.run('domains', 'restore', 'sattahip')
+    cli.run('domains', 'evacuate', 'rayong')
+    assert cli.submit('walk-in')['outcome'] == 'answered'
+    assert _starts_count(cli.cell, 'w1') == 1
+    unknown = cli.run_json('domains', 'evacuate', 'nowhere', code=1)
+    assert 'rayong, sattahip' in unknown['detail']
+
+
 def test_an_open_queue_takes_work_that_names_no_team(cli, tmp_path):
     set_up_cell(cli, tmp_path)
     assert cli.submit('walk-in')['outcome'] == 'answered'
