--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -250,6 +250,7 @@
     ) -> list[_planner.AvailableWorker]:
         term = self._term
         slow = term.progress.slow_workers(now_ms)
+        evacuated = term.state.evacuations.domains
         return self._worker_cache.read(
             (
                 worker,
@@ -259,7 +260,7 @@
             for worker_id, worker in term.state.workers.items()
             if worker_id in usable
             and worker.facts.phase is _commands.WorkerPhase.READY
-            and not term.state.is_evacuated(worker.facts)
+            and worker.facts.failure_domain not in evacuated
             # The peer may have newer facts, which are being committed.
             and worker.facts == term.peers[worker_id].facts
         )
