Put teams that want far more than their share behind others under contention

A team that sends many times its usual load took most of a full pool, since the weights of teams were decoded and not used.

A round now finds the pools whose due work exceeds their free resources. Only there, a team that wants four times as much of its weighted share as the others want of theirs goes behind them, within the same priority and urgency class, in bands by its dominant share of the pool (up to once, twice, four times the share and so on). Running and waiting work of the same or a more urgent priority counts. Idle share is lent, upper limits are checked where they were. The step that has waited longest goes first once it has waited two minutes, one at a time in a pool. What runs is read at most each 250 ms, and only under contention.

--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -249,6 +249,40 @@
     available: _planner.AvailableWorker
 
 
+def running_work(
+    state: _state.JobsState,
+    order_books: collections.abc.Mapping[messages.WorkerId, _orders.OrderBook],
+    now_ms: int,
+) -> dict[str, queueing.Running]:
+    """Return by pool what runs on the workers and when it should end.
+
+    A run that has just been assigned takes as long as declared. One that
+    takes longer than declared is expected to take an eighth of that more;
+    estimates are off by up to a half. Ends are rounded up to tenths of a
+    second, so that there are few of them. The caller holds the state's lock.
+    """
+    found: dict[str, queueing.Running] = {}
+    for worker_id, orders in order_books.items():
+        worker = state.workers[worker_id]
+        running = found.setdefault(worker.facts.pool, queueing.Running())
+        for key, run in worker.runs.items():
+            job = state.jobs[key.job_id]
+            queue = state.queue_of(job)
+            if queue is None:
+                continue
+            spec = job.spec.steps[key.step]
+            ends_in_ms = None
+            if not spec.endless:
+                run_ms = spec.expected_run_ms
+                elapsed_ms = orders.listed_ms(key, run, now_ms) or 0
+                left_ms = max(run_ms - elapsed_ms, run_ms // 8)
+                ends_in_ms = -(-left_ms // 100) * 100
+            running.add(
+                job.spec.team_id, queue.priority, spec.charged(), ends_in_ms
+            )
+    return found
+
+
 def free_cpu_share(
     workers: collections.abc.Iterable[_planner.AvailableWorker],
 ) -> float:
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -72,6 +72,17 @@
             'Jobs that have not ended',
             registry=self.registry,
         )
+        self.contended_pools = prometheus_client.Gauge(
+            'dandeliondrum_jobs_contended_pools',
+            'Pools in which the due work did not fit in the last round',
+            registry=self.registry,
+        )
+        self.waiting_steps = prometheus_client.Gauge(
+            'dandeliondrum_jobs_waiting_steps',
+            'Due steps before the last round, by cause of their position',
+            ('cause',),
+            registry=self.registry,
+        )
         self.usable_workers = prometheus_client.Gauge(
             'dandeliondrum_jobs_usable_workers',
             'Workers that are given tasks now',
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -50,9 +50,11 @@
     objective; ``urgency`` is what the job can still achieve.
     ``left_core_ms`` is the work of the job that has not started, in ms of a
     core, and ``value`` what the job is worth to its callers, 1 for an average
-    job of its queue. The planner does not change a demand; ``tickets``,
-    ``granted``, ``avoided``, ``waited_ms``, ``latest_start_ms`` and
-    ``urgency`` are set anew for each round. If
+    job of its queue. ``amount`` is what all tasks use together.
+    ``standing`` is what :func:`queueing.order` has found.
+    The planner does not change a demand; ``tickets``, ``granted``,
+    ``avoided``, ``waited_ms``, ``latest_start_ms``, ``urgency`` and
+    ``standing`` are set anew for each round. If
     ``crashes_count`` is not 0, the tasks are suspected of crashing workers and
     run apart from other jobs; it is the least number of crashes under a task.
     """
@@ -78,7 +80,12 @@
     urgency: queueing.Urgency = queueing.Urgency.IN_TIME
     left_core_ms: float = 0.0
     value: float = 1.0
+    standing: queueing.Standing = queueing.NEUTRAL
     crashes_count: int = 0
+    amount: messages.Resources = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.amount = _multiply(self.spec.charged(), len(self.indexes))
 
     @property
     def is_late(self) -> bool:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -16,6 +16,7 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _demands
+from dandeliondrum.jobs import _ordering
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
@@ -89,6 +90,7 @@
         self._wait_tracker = _wait_tracker.WaitTracker()
         self._demand_cache = _demands.DemandCache()
         self._worker_cache = _demands.WorkerCache()
+        self._ordering = _ordering.Ordering(term)
         self._submission_times = queueing.SubmissionTimes()
         # Duration of the last round without its commit.
         self._round_ms = 0.0
@@ -193,12 +195,19 @@
             if not demands:
                 term.advice.retain(set())
                 term.unfit_reasons = {}
+                self._ordering.order([], [], (), now_ms)
                 return None
             for demand, _ in demands:
                 self._set_urgency(demand, now_ms)
             unfit_reasons = _planner.unfit_reasons(
                 (demand for demand, _ in demands), workers, team_limits
             )
+            ordered = self._ordering.order(
+                [demand for demand, _ in demands],
+                workers,
+                unfit_reasons,
+                now_ms,
+            )
             term.unfit_reasons = _reasons_to_report(demands, unfit_reasons)
             self._advice_requester.request(
                 demands,
@@ -217,7 +226,7 @@
             )
         term.metrics.usable_workers.set(len(workers))
         return _Inputs(
-            [demand for demand, _ in demands],
+            ordered,
             workers,
             team_available,
             unfit_reasons,
--- a/dandeliondrum/jobs/_wait_tracker.py
+++ b/dandeliondrum/jobs/_wait_tracker.py
@@ -4,6 +4,7 @@
 
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 # Time before the first report about a waiting step, and between reports.
@@ -74,6 +75,8 @@
                 why=wait_reason.value,
                 late=demand.is_late,
                 urgency=demand.urgency.name,
+                position_cause=queueing.cause_of(demand).value,
+                share_band=demand.standing.share_band,
                 usable_workers_count=len(workers),
                 with_capacity_count=_planner.workers_with_capacity_count(
                     demand, workers
--- a/dandeliondrum/jobs/queueing/_order.py
+++ b/dandeliondrum/jobs/queueing/_order.py
@@ -1,24 +1,43 @@
 """The scheduling order of due steps."""
 
+import collections
+import collections.abc
+import dataclasses
 import typing
 
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs.queueing import _contention
+from dandeliondrum.jobs.queueing import _shares
+from dandeliondrum.jobs.queueing import _standing
 from dandeliondrum.jobs.queueing import _urgency
 
-_SortKey = tuple[_urgency.Urgency, int, float, int, str]
+# Under contention, a step that has waited this long may go first. It is more
+# than three times the objective of jobs of up to half a minute, so what can
+# still be of use has had its turn before.
+WAIT_MAX_MS = 120_000
 
+_SortKey = tuple[
+    bool, _urgency.Urgency, bool, int, int, float, int, _specs.JobId
+]
 
-class Demand(typing.Protocol):
+
+class Demand(_shares.Demand, typing.Protocol):
     """What the order depends on; see ``_planner.Demand``."""
 
     job_id: _specs.JobId
-    priority: int
+    step: _specs.StepIndex
     submitted_ms: int
+    waited_ms: int
     latest_start_ms: int
+    objective_ms: int | None
     urgency: _urgency.Urgency
     left_core_ms: float
     value: float
     crashes_count: int
+    standing: _standing.Standing
+
+
+_AnyDemand = typing.TypeVar('_AnyDemand', bound=Demand)
 
 
 def sort_key(demand: Demand) -> _SortKey:
@@ -30,19 +49,98 @@
     all. Then the priority of the queue decides, then the time that is left,
     and then age. Late demands of one priority are all worth the same part of
     their value until they are of no use, so the ones with the least work left
-    per value come first: it makes the most of the capacity. A suspect of a
-    single crash is most likely not to blame and does not lose its place,
-    since it waits for an empty worker.
+    per value come first: it makes the most of the capacity. What ``order``
+    has found about a demand counts between these. A suspect of a single crash
+    is most likely not to blame and does not lose its place, since it waits
+    for an empty worker.
     """
     urgency = demand.urgency
     if demand.crashes_count == 1:
         urgency = _urgency.Urgency.IN_TIME
+    standing = demand.standing
     return (
+        not standing.is_overdue,
         urgency,
+        standing.is_deferred,
         demand.priority,
+        standing.share_band,
         demand.left_core_ms / demand.value
         if urgency is _urgency.Urgency.LATE
         else demand.latest_start_ms,
         demand.submitted_ms,
         demand.job_id,
     )
+
+
+def order(
+    demands: collections.abc.Iterable[_AnyDemand],
+    contention: _contention.Contention,
+) -> list[_AnyDemand]:
+    """Set the standing of each demand and return them in scheduling order.
+
+    Standings differ only in pools under contention.
+    """
+    demands = list(demands)
+    for demand in demands:
+        demand.standing = _standing.NEUTRAL
+    demands.sort(key=sort_key)
+    by_pool = collections.defaultdict(list)
+    if contention.pools:
+        for demand in demands:
+            if demand.pool in contention.pools:
+                by_pool[demand.pool].append(demand)
+    for pool, contending in by_pool.items():
+        if contention.weighs_teams():
+            _set_share_bands(pool, contending, contention)
+        _set_overdue(contending)
+    if any(demand.standing is not _standing.NEUTRAL for demand in demands):
+        demands.sort(key=sort_key)
+    return demands
+
+
+def cause_of(demand: Demand) -> _standing.Cause:
+    """Return what decided the position of a demand, for logs and counters."""
+    standing, urgency = demand.standing, demand.urgency
+    if standing.is_overdue:
+        return _standing.Cause.OVERDUE
+    if urgency is _urgency.Urgency.NO_USE:
+        return _standing.Cause.NO_USE
+    if urgency is _urgency.Urgency.LATE:
+        return _standing.Cause.LATE
+    if standing.is_deferred:
+        return _standing.Cause.DEFERRED
+    if standing.share_band:
+        return _standing.Cause.SHARE
+    return _standing.Cause.ORDER
+
+
+def _set_share_bands(
+    pool: str,
+    demands: list[_AnyDemand],
+    contention: _contention.Contention,
+) -> None:
+    bands = _shares.ShareBands(
+        contention.pools[pool].capacity,
+        contention.running.get(pool, _contention.Running()),
+        contention.weights,
+        demands,
+    )
+    if not bands.any():
+        return
+    for demand in demands:
+        band = bands.take(demand)
+        if band:
+            demand.standing = dataclasses.replace(
+                demand.standing, share_band=band
+            )
+
+
+def _set_overdue(demands: list[_AnyDemand]) -> None:
+    """Let the demand of the pool that has waited longest go first.
+
+    One at a time: a backlog that is of no more use would otherwise keep all
+    others from being in time.
+    """
+    oldest = max(demands, key=lambda demand: demand.waited_ms)
+    if oldest.waited_ms >= WAIT_MAX_MS:
+        oldest.standing = dataclasses.replace(oldest.standing, is_overdue=True)
--- /dev/null
+++ b/dandeliondrum/jobs/queueing/_standing.py
@@ -0,0 +1,33 @@
+"""What moves a demand within the scheduling order under contention."""
+
+import dataclasses
+import enum
+
+
+class Cause(enum.Enum):
+    """What decided the position of a demand."""
+
+    ORDER = 'by priority and time left'
+    LATE = 'its objective can not be met any more'
+    NO_USE = 'it is of no more use to its caller'
+    SHARE = 'its team uses more than its share'
+    DEFERRED = 'more can be in time if this one waits'
+    OVERDUE = 'it has waited longest'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """Position of a demand relative to others that are equally urgent.
+
+    An ``is_overdue`` demand goes before all others. An ``is_deferred`` one
+    goes behind those that can be in time. ``share_band`` is higher for teams
+    that use more than their share; it is 0 up to the share, 1 up to twice the
+    share, 2 up to four times, and so on.
+    """
+
+    is_overdue: bool = False
+    is_deferred: bool = False
+    share_band: int = 0
+
+
+NEUTRAL = Standing()
--- a/dandeliondrum/jobs/queueing/tests/test_late_work.py
+++ b/dandeliondrum/jobs/queueing/tests/test_late_work.py
@@ -61,19 +61,19 @@
 
 def test_more_late_jobs_are_of_use_than_in_the_order_of_their_deadlines():
     before = _count(simulation.Order.LATENESS, simulation.SimulatedJob.late)
-    now = _count(simulation.Order.URGENCY, simulation.SimulatedJob.late)
+    now = _count(simulation.Order.CURRENT, simulation.SimulatedJob.late)
     assert now >= 1.5 * before
 
 
 def test_as_many_jobs_are_in_time_as_in_the_order_of_their_deadlines():
     in_time = simulation.SimulatedJob.in_time
     before = _count(simulation.Order.LATENESS, in_time)
-    assert _count(simulation.Order.URGENCY, in_time) >= before
+    assert _count(simulation.Order.CURRENT, in_time) >= before
 
 
 def test_jobs_of_no_more_use_are_still_run():
     assert all(
-        job.ended_ms is not None for job in _played(simulation.Order.URGENCY)
+        job.ended_ms is not None for job in _played(simulation.Order.CURRENT)
     )
 
 
--- a/dandeliondrum/jobs/tests/load_simulation.py
+++ b/dandeliondrum/jobs/tests/load_simulation.py
@@ -29,13 +29,13 @@
     """What the planner is told about the demands.
 
     ``AGE``: nothing but priority and age. ``LATENESS``: also whether the
-    objective can still be met and the time left. ``URGENCY``: also whether
-    late work is of use, and how much of it is left.
+    objective can still be met and the time left, as before the order knew
+    what late work is of use. ``CURRENT``: all that the scheduler tells it.
     """
 
     AGE = enum.auto()
     LATENESS = enum.auto()
-    URGENCY = enum.auto()
+    CURRENT = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +56,11 @@
     target_ms: int
     bursts: tuple[tuple[int, int, float], ...] = ()
     gang_share: float = 0.0
+    team: str = helpers.TEAM
+
+    def of_team(self, team, bursts=()):
+        """Return these jobs as those of a team."""
+        return dataclasses.replace(self, team=team, bursts=bursts)
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,6 +89,10 @@
             and self.ended_ms - self.arrived_ms <= self.objective_ms
         )
 
+    def value(self):
+        """Return what the job was worth to its callers, at most 1."""
+        return 1.0 if self.in_time() else 0.2 * self.useful()
+
     def late(self):
         """Return whether the job ended late, but was of use."""
         return self.useful() and not self.in_time()
@@ -100,12 +109,15 @@
 class Simulation:
     """One play of a load in a given order of the demands."""
 
-    def __init__(self, classes, workers_count, seed, order=Order.URGENCY):
+    def __init__(
+        self, classes, workers_count, seed, order=Order.CURRENT, weights=None
+    ):
         self._classes = classes
         self._rng = random.Random(seed)
         # Arrivals are the same in each order of the demands.
         self._grants_rng = random.Random(seed)
         self._order = order
+        self._weights = weights or {}
         self._workers = {
             f'w{number}': messages.Resources(WORKER_CPU, WORKER_MEMORY_MB)
             for number in range(workers_count)
@@ -166,7 +178,7 @@
         job.due_since_ms = now_ms
 
     def _end_runs(self, now_ms):
-        for job, worker_id in self._ends.pop(now_ms, ()):
+        for job, worker_id, _ in self._ends.pop(now_ms, ()):
             self._workers[worker_id] += self._charge(job)
             job.running -= 1
             if job.waiting or job.running:
@@ -190,6 +202,8 @@
             )
             for worker_id, free in self._workers.items()
         ]
+        if self._order is Order.CURRENT:
+            queueing.order(demands, self._contention(demands, workers, now_ms))
         groups = _planner.plan(demands, workers, {}, _preemption.Preemption())
         by_name = {job.name: job for job in self._open}
         for placement in (one for group in groups for one in group):
@@ -199,9 +213,28 @@
             job.running += 1
             ticks = -(-job.true_run_ms // TICK_MS)
             self._ends[now_ms + ticks * TICK_MS].append(
-                (job, placement.worker_id)
+                (job, placement.worker_id, now_ms)
             )
 
+    def _contention(self, demands, workers, now_ms):
+        contended = queueing.contended_pools(
+            demands, queueing.pool_rooms(workers)
+        )
+        running = queueing.Running()
+        for runs in self._ends.values():
+            for job, _, started_ms in runs:
+                # It is expected to take as long as its caller estimated.
+                left_ms = started_ms + job.estimated_run_ms - now_ms
+                running.add(
+                    job.kind.team,
+                    job.kind.priority,
+                    self._charge(job),
+                    max(TICK_MS, left_ms),
+                )
+        return queueing.Contention(
+            contended, dict.fromkeys(contended, running), self._weights
+        )
+
     def _demand(self, job, now_ms):
         spec = jobs.StepSpec(
             job.kind.tasks_count,
@@ -213,6 +246,7 @@
             job.name,
             spec,
             tuple(range(job.waiting)),
+            team_id=job.kind.team,
             priority=job.kind.priority,
             submitted_ms=job.arrived_ms,
             granted=frozenset(job.granted),
--- a/dandeliondrum/jobs/tests/test_heavy_load.py
+++ b/dandeliondrum/jobs/tests/test_heavy_load.py
@@ -81,14 +81,14 @@
 
 
 def test_nine_in_ten_of_each_class_meet_their_objective():
-    assert min(_shares(simulation.Order.URGENCY).values()) >= 0.9
+    assert min(_shares(simulation.Order.CURRENT).values()) >= 0.9
 
 
 def test_jobs_of_the_worst_served_class_are_late_half_as_often_as_by_age():
-    late_share = 1 - min(_shares(simulation.Order.URGENCY).values())
+    late_share = 1 - min(_shares(simulation.Order.CURRENT).values())
     assert late_share <= (1 - min(_shares(simulation.Order.AGE).values())) / 2
 
 
 def test_late_jobs_still_end_while_they_are_of_use():
-    shares = _shares(simulation.Order.URGENCY, simulation.SimulatedJob.useful)
+    shares = _shares(simulation.Order.CURRENT, simulation.SimulatedJob.useful)
     assert min(shares.values()) >= 0.98
