--- a/dandeliondrum/jobs/queueing/_backlog.py
+++ b/dandeliondrum/jobs/queueing/_backlog.py
@@ -40,15 +40,16 @@
         self, demands: collections.abc.Iterable[_order.Demand]
     ) -> set[_StepKey]:
         """Return the steps of the demands that this round leaves out."""
-        keyed = [(_order.sort_key(one), one) for one in demands]
         no_use = sorted(
             (
-                (key, (one.job_id, one.step))
-                for key, one in keyed
-                if key[0] is _urgency.Urgency.NO_USE
+                one
+                for one in demands
+                if _order.urgency_of(one) is _urgency.Urgency.NO_USE
+                and not one.standing.is_overdue
             ),
+            key=_order.sort_key,
         )
-        others = [step for _, step in no_use[FIRST_MAX:]]
+        others = [(one.job_id, one.step) for one in no_use[FIRST_MAX:]]
         if len(others) <= IN_TURN_MAX:
             return set()
         begin = self._turn % len(others)
--- a/dandeliondrum/jobs/speeds/tests/uneven_simulation.py
+++ b/dandeliondrum/jobs/speeds/tests/uneven_simulation.py
@@ -40,7 +40,7 @@
         return int(job.true_run_ms / min(found))
 
     def _end_runs(self, now_ms):
-        for job, worker_id in self._ends.get(now_ms, ()):
+        for job, worker_id, _ in self._ends.get(now_ms, ()):
             run_ms = job.true_run_ms / self.true_speeds[worker_id]
             self.table.record(
                 worker_id,
