Add tests with crowds of untrusted clients at the ports of real processes

Cause: clients that nobody controls can make a process grow, run out of descriptors or stop answering, and no test shows it.

The tests are marked and run alone after the others in make test, since they measure processes. A platform cell can have its own network and settings.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/flake8 dandeliondrum tests benchmarks examples
 	$(BIN)/mypy
 	$(BIN)/pytest $(PYTEST_ARGS)
+	$(BIN)/pytest -n 0 -m isolated tests/test_untrusted_clients.py
 
 format: install
 	$(BIN)/ruff format dandeliondrum tests benchmarks examples
--- a/dandeliondrum/testing/__init__.py
+++ b/dandeliondrum/testing/__init__.py
@@ -39,6 +39,7 @@
 from dandeliondrum.testing._mesh import LinkName
 from dandeliondrum.testing._mesh import ProxyMesh
 from dandeliondrum.testing._platform_cell import document
+from dandeliondrum.testing._platform_cell import HEADERS
 from dandeliondrum.testing._platform_cell import make_workers
 from dandeliondrum.testing._platform_cell import PlatformCell
 from dandeliondrum.testing._platform_cell import route
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -1,5 +1,6 @@
 """A platform deployment: real controllers and gateways with fake workers."""
 
+import collections.abc
 import contextlib
 import json
 import pathlib
@@ -16,9 +17,10 @@
 
 # Controllers and gateways are identified by IP address, so each needs its
 # own.
-CONTROLLER_IP = '127.0.0.{}'
+NETWORK = '127.0'
+CONTROLLER_IP = '{}.0.{}'
 FIRST_CONTROLLER = 2
-GATEWAY_IP = '127.0.1.{}'
+GATEWAY_IP = '{}.1.{}'
 SEEDS_COUNT = 3
 POOL = 'pool'
 KEY = 'k1'
@@ -74,7 +76,9 @@
     Controllers and gateways are processes, which run until the context of
     ``processes`` ends; workers and the adviser are fakes. The calls to the
     first ``links_count`` workers and those of callers to as many gateways pass
-    through proxies; ``links`` maps the names of their targets to these.
+    through proxies; ``links`` maps the names of their targets to these. All
+    of them listen in ``network``, the first half of their IP addresses, and
+    get ``settings`` in addition to their own.
 
     Example::
 
@@ -92,15 +96,19 @@
         links_count: int = 0,
         controllers_count: int = 3,
         job_state_kept_s: int = 120,
+        network: str = NETWORK,
+        settings: collections.abc.Mapping[str, str] | None = None,
     ) -> None:
         self.processes = processes
+        self._settings = settings or {}
         self._job_state_kept_s = job_state_kept_s
         self._controller_ips = [
-            CONTROLLER_IP.format(FIRST_CONTROLLER + number)
+            CONTROLLER_IP.format(network, FIRST_CONTROLLER + number)
             for number in range(controllers_count)
         ]
         self._gateway_ips = [
-            GATEWAY_IP.format(1 + number) for number in range(gateways_count)
+            GATEWAY_IP.format(network, 1 + number)
+            for number in range(gateways_count)
         ]
         self._folder = folder
         control, self._stream_port = (
@@ -156,6 +164,10 @@
         """Return the process name of a controller."""
         return f'c{self._controller_ips[number]}'
 
+    def stream_address(self, number: int) -> str:
+        """Return where a controller accepts the streams of its peers."""
+        return f'{self._controller_ips[number]}:{self._stream_port}'
+
     def replace_disk(self, number: int) -> None:
         """Restart a killed controller with an empty data folder."""
         ip = self._controller_ips[number]
@@ -246,6 +258,7 @@
             'Bounds.HoldMaxMs': str(LEASE_MAX_MS),
             'Bounds.status_s': str(self._job_state_kept_s),
             'PlacementAdvisor': self.adviser.server.address,
+            **self._settings,
             **overrides,
         }
         path = self._folder / f'{name}.conf'
