Receive requests before they occupy a thread, within limits

Cause: the HTTP library reads what is left of an unread body of known length in one piece, and a thread waits for slow heads and bodies: a crowd of 200 connections made a front grow to 5.7 GB and took the two threads of /ready.

Change: the new package http_server receives heads and bodies in the thread that waits for all connections and passes a request on when it is complete. A body is received only within the server's limit and after its bytes have been reserved from a budget of the process, derived from Limits.MemoryMb; the parsed form of JSON is reserved too, by the number of its values. What is not received is not read: the request is refused by its handler (413, 503 with Retry-After) and the connection closed. Connections are bounded in all and for a peer, from Limits.MaxFds; the one idle longest makes room. Heads and bodies have a time to arrive, answers a time to be taken. The gateway's server and the platform's programs use it; a drain waits for requests that are arriving.

The tests' worker reports itself now, as workers do: without it jobs stay queued after 16 s, which failed tests from the 21st on also without a crowd.

Shown: dandeliondrum/gateway and platform, 656 tests passed.

--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -30,6 +30,7 @@
 from dandeliondrum.gateway import _waiters
 from dandeliondrum.gateway import _worker_client
 from dandeliondrum.gateway import _worker_handlers
+from dandeliondrum import http_server
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum import utils
@@ -89,6 +90,9 @@
         self._client = _worker_client.WorkerClient(
             options.connections_per_worker
         )
+        self._budget = http_server.ByteBudget(
+            max(options.requests_max_bytes, 2 * options.body_max_bytes)
+        )
         self._components = self._make_components()
         self._heartbeat_relay = _heartbeat_relay.HeartbeatRelay(self._link)
         self._durable_dispatcher = _durable_dispatcher.DurableDispatcher(
@@ -235,11 +239,22 @@
             transport.parse_address(address),
             application,
             threads_count,
-            self._timers,
-            self._options.arrival_ms,
+            self._make_limits(),
+            self._budget,
             metrics.observe_refused,
         )
 
+    def _make_limits(self) -> http_server.Limits:
+        options = self._options
+        return http_server.Limits(
+            header_bytes_max=_server.HEADERS_MAX_BYTES,
+            body_bytes_max=options.body_max_bytes,
+            arrival_ms=options.arrival_ms,
+            idle_ms=options.arrival_ms,
+            connections_max=options.connections_max,
+            connections_per_peer_max=options.connections_max,
+        )
+
     def _on_leader_found(self) -> None:
         self._components.submitter.submit_all()
 
--- a/dandeliondrum/gateway/_http.py
+++ b/dandeliondrum/gateway/_http.py
@@ -17,6 +17,10 @@
 from dandeliondrum.gateway import _server
 
 READ_CHUNK_BYTES = 64 * 1024
+# Per comma, colon and opening bracket of a body; measured: 27 to 46 bytes for
+# lists, objects and fields in bodies of nothing else.
+VALUE_BYTES = 48
+OVERLOAD_RETRY_MS = 1_000
 OUTCOME_HEADER = 'Dandeliondrum-Outcome'
 
 _logger = structlog.get_logger()
@@ -63,11 +67,14 @@
 
     def body(self, max_bytes: int) -> result.Result[bytes, Problem]:
         """Read the complete body of at most ``max_bytes``."""
+        if self._connection.arrival.overloaded:
+            return result.Failure(_overload_problem())
         declared = self.request.content_length
         chunked = self.request.environ.get('wsgi.input_terminated', False)
         if declared is None and not chunked:
             declared = 0
-        if declared is not None and declared > max_bytes:
+        is_too_large = declared is not None and declared > max_bytes
+        if is_too_large or self._connection.arrival.too_large:
             return result.Failure(_too_large_problem(max_bytes))
         try:
             body = self._read(max_bytes)
@@ -79,14 +86,17 @@
             return result.Failure(
                 self._read_problem(f'{len(body)} of {declared} bytes arrived')
             )
-        self._connection.request_arrived()
         return result.Success(body)
 
     def json(
         self, max_bytes: int
     ) -> result.Result[dict[str, typing.Any], Problem]:
         """Read a body that has to be a JSON object."""
-        return self.body(max_bytes).bind(_parse_object)
+        return self.parsable_body(max_bytes).bind(_parse_object)
+
+    def parsable_body(self, max_bytes: int) -> result.Result[bytes, Problem]:
+        """Read a body in JSON, and reserve the memory of its parsed form."""
+        return self.body(max_bytes).bind(self._reserve_parsed)
 
     def stream(
         self, status: int, headers: list[tuple[str, str]]
@@ -96,6 +106,19 @@
         write = self._start_response(f'{status} Streamed', headers)
         return typing.cast(collections.abc.Callable[[bytes], object], write)
 
+    def _reserve_parsed(self, body: bytes) -> result.Result[bytes, Problem]:
+        """Reserve what parsing may take, at most, until the answer is sent."""
+        values_count = sum(body.count(one) for one in (b',', b':', b'[', b'{'))
+        parsed_bytes = values_count * VALUE_BYTES
+        reservation = self._connection.arrival.reservation
+        if reservation.grow(parsed_bytes):
+            return result.Success(body)
+        if reservation.fits_ever(parsed_bytes):
+            return result.Failure(_overload_problem())
+        return result.Failure(
+            Problem(413, 'bad_request', 'the body has too many fields')
+        )
+
     def _read(self, max_bytes: int) -> bytes:
         source = self.request.environ['wsgi.input']
         body = bytearray()
@@ -240,6 +263,15 @@
     return response
 
 
+def _overload_problem() -> Problem:
+    return Problem(
+        503,
+        'unavailable',
+        'too many requests are in memory',
+        OVERLOAD_RETRY_MS,
+    )
+
+
 def _too_large_problem(max_bytes: int) -> Problem:
     return Problem(
         413, 'bad_request', f'at most {max_bytes} bytes are allowed'
--- a/dandeliondrum/gateway/_options.py
+++ b/dandeliondrum/gateway/_options.py
@@ -24,7 +24,9 @@
     arrives is given up after that time plus ``silence_margin_ms``. On
     shutdown the gateway reports that it is not ready for ``drain_notice_ms``,
     then waits at most ``drain_max_ms`` for open calls to complete. A complete
-    request has to arrive within ``arrival_ms``.
+    request has to arrive within ``arrival_ms``. All bodies and parsed requests
+    together may occupy ``requests_max_bytes``, and each port has at most
+    ``connections_max`` connections.
     """
 
     gateway_id: messages.GatewayId
@@ -41,6 +43,8 @@
     durable_threads_count: int = 32
     gateways_max: int = 8
     body_max_bytes: int = 64 * MIB_BYTES
+    requests_max_bytes: int = 1024 * MIB_BYTES
+    connections_max: int = 2_048
     operator_key_digest: str = ''
     start_wait_ms: int = 2_000
     silence_margin_ms: int = 1_500
--- a/dandeliondrum/gateway/tests/test_server.py
+++ b/dandeliondrum/gateway/tests/test_server.py
@@ -9,7 +9,7 @@
 
 from dandeliondrum.gateway import _server
 from dandeliondrum.gateway.tests import fakes
-from dandeliondrum import utils
+from dandeliondrum import http_server
 
 
 def _application(_environ, start_response):
@@ -20,11 +20,14 @@
 @pytest.fixture
 def server():
     with contextlib.ExitStack() as stack:
-        timers = utils.TimerService()
-        timers.start()
-        stack.callback(timers.close)
+        limits = http_server.Limits(
+            header_bytes_max=_server.HEADERS_MAX_BYTES,
+            body_bytes_max=1_000,
+            arrival_ms=10_000,
+        )
+        budget = http_server.ByteBudget(100_000)
         server = _server.Server(
-            ('127.0.0.1', 0), _application, 2, timers, 10_000
+            ('127.0.0.1', 0), _application, 2, limits, budget
         )
         server.open()
         stack.callback(server.drain, 0)
--- /dev/null
+++ b/dandeliondrum/http_server/_manager.py
@@ -0,0 +1,110 @@
+"""Waits for requests on all connections of a server."""
+
+import selectors
+import socket
+import time
+import typing
+
+from cheroot import connections
+
+from dandeliondrum.http_server import _connection
+
+CLOSE_POLL_S = 0.05
+
+
+class ConnectionManager(connections.ConnectionManager):
+    """Connections that wait for a request or for the rest of one."""
+
+    # Attributes missing from the type hints of the library.
+    _selector: typing.Any
+    server: typing.Any
+
+    def unregister_listener(self, listener: socket.socket) -> None:
+        """Stop accepting connections from this listener automatically."""
+        self._selector.unregister(listener.fileno())
+
+    def accept(self, listener: socket.socket) -> _connection.Connection | None:
+        """Return the next pending connection, or None."""
+        take = super()._from_server_socket  # type: ignore[misc]
+        accepted: _connection.Connection | None = take(listener)
+        return accepted
+
+    def _from_server_socket(
+        self, listener: socket.socket | None
+    ) -> _connection.Connection | None:
+        # A drain removes the listener while the selector may report it.
+        return self.accept(listener) if listener is not None else None
+
+    def park(self, connection: _connection.Connection) -> None:
+        """Wait for the rest of a request."""
+        if connection.request_began_s is None:
+            connection.request_began_s = time.monotonic()
+        self._selector.register(
+            connection.socket.fileno(), selectors.EVENT_READ, data=connection
+        )
+
+    def evict(self, peer: str = '') -> bool:
+        """Close the connection that has waited longest, of a peer if given.
+
+        Connections without a request go before those with a part of one.
+        Returns whether there was one.
+        """
+        for descriptor, connection in sorted(self._waiting(), key=_wait_key):
+            is_candidate = not peer or connection.remote_addr == peer
+            # One with data may already be among those that are served next.
+            if is_candidate and not connection.can_read():
+                self._selector.unregister(descriptor)
+                connection.close()
+                return True
+        return False
+
+    def close(self) -> None:
+        """Serve requests that are arriving and close idle connections."""
+        limits = self.server.limits
+        wait_s = min(limits.arrival_ms / 1000, self.server.shutdown_timeout)
+        end_s = time.monotonic() + wait_s
+        self._pass_on(0)
+        while time.monotonic() < end_s and any(
+            connection.request_began_s is not None
+            for _, connection in self._waiting()
+        ):
+            self._pass_on(CLOSE_POLL_S)
+        super().close()
+
+    def _pass_on(self, timeout_s: float) -> None:
+        for descriptor, connection in list(self._selector.select(timeout_s)):
+            if connection is not self.server:
+                self._selector.unregister(descriptor)
+                self.server.process_conn(connection)
+
+    def _expire(self, threshold: float) -> None:
+        """Give up idle connections, late requests and slow answers."""
+        limits = self.server.limits
+        now_s = time.monotonic()
+        idle_since_s = time.time() - limits.idle_ms / 1000
+        began_before_s = now_s - limits.arrival_ms / 1000
+        for descriptor, connection in self._waiting():
+            began_s = connection.request_began_s
+            if began_s is None and connection.last_used < idle_since_s:
+                self._selector.unregister(descriptor)
+                connection.close()
+            elif began_s is not None and began_s < began_before_s:
+                self._selector.unregister(descriptor)
+                self.server.time_out(connection)
+        if limits.answer_ms:
+            self.server.abort_answers(now_s - limits.answer_ms / 1000)
+
+    def _waiting(self) -> list[tuple[int, typing.Any]]:
+        return [
+            (descriptor, connection)
+            for descriptor, connection in self._selector.connections
+            if connection is not self.server
+        ]
+
+
+def _wait_key(entry: tuple[int, typing.Any]) -> tuple[bool, float]:
+    _, connection = entry
+    began_s = connection.request_began_s
+    if began_s is None:
+        return False, connection.last_used
+    return True, began_s
--- a/dandeliondrum/platform/_caller_api.py
+++ b/dandeliondrum/platform/_caller_api.py
@@ -104,7 +104,7 @@
         team_id: messages.TeamId,
         job_id: jobs.JobId,
     ) -> werkzeug.Response:
-        body = call.body(BODY_BYTES_MAX)
+        body = call.parsable_body(BODY_BYTES_MAX)
         if isinstance(body, result.Failure):
             return gateway.problem_response(body.failure())
         try:
--- a/dandeliondrum/platform/_control_api.py
+++ b/dandeliondrum/platform/_control_api.py
@@ -50,7 +50,7 @@
         )
 
     def _report(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
-        body = call.body(REPORT_BYTES_MAX)
+        body = call.parsable_body(REPORT_BYTES_MAX)
         if isinstance(body, result.Failure):
             return gateway.problem_response(body.failure())
         try:
@@ -70,7 +70,7 @@
         )
 
     def _leave(self, call: gateway.Call, worker_id: str) -> werkzeug.Response:
-        body = call.body(REPORT_BYTES_MAX)
+        body = call.parsable_body(REPORT_BYTES_MAX)
         if isinstance(body, result.Failure):
             return gateway.problem_response(body.failure())
         try:
@@ -114,7 +114,7 @@
         return None
 
     def _put_document(self, call: gateway.Call) -> werkzeug.Response:
-        body = call.body(DOCUMENT_BYTES_MAX)
+        body = call.parsable_body(DOCUMENT_BYTES_MAX)
         if isinstance(body, result.Failure):
             return gateway.problem_response(body.failure())
         document = body.unwrap()
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -14,6 +14,7 @@
 
 import dandeliondrum
 from dandeliondrum import gateway
+from dandeliondrum import http_server
 from dandeliondrum import jobs
 from dandeliondrum import messages
 from dandeliondrum import observability
@@ -32,6 +33,22 @@
 READINESS_THREADS_COUNT = 2
 # Limit for the arrival of a whole request.
 REQUEST_READ_TIMEOUT_MS = 3_000
+# The configuration's MaxHeaderBytes is 16,384; twice that is accepted.
+HEADER_BYTES_MAX = 32 * 1024
+# The configuration's IdleTimeoutMs.
+IDLE_TIMEOUT_MS = 15_000
+# How long an answer may make no progress, and take in all: a document of 16
+# MiB arrives in time with 9 Mbit/s.
+STALL_TIMEOUT_MS = 3_000
+ANSWER_TIMEOUT_MS = 15_000
+# Shares of the descriptors that are left after those of the process itself.
+# A gateway keeps some for its calls to controllers and the adviser, a
+# controller for its calls to workers and the connections of its peers.
+CALLERS_SHARE = 0.75
+READINESS_SHARE = 0.1
+CONTROL_SHARE = 0.4
+# Load balancers in front of many callers have one address.
+PEER_SHARE = 0.9
 # Longer than an election plus the first round of calls of the new leader. A
 # longer lease would delay the recovery of the runs of a lost VM.
 LEASE_MS = 4_500
@@ -90,18 +107,21 @@
     job_gateway.start()
     resources.callback(job_gateway.close)
     metrics = gateway.Metrics()
+    budget = http_server.ByteBudget(settings.process_limits.budget_bytes)
     callers = _make_server(
         settings.callers_address,
         _caller_api.CallerApi(job_gateway).routes(),
         CALLER_THREADS_COUNT,
-        timers,
+        _make_limits(settings, CALLERS_SHARE, _caller_api.BODY_BYTES_MAX),
+        budget,
         metrics,
     )
     readiness = _make_server(
         settings.readiness_address,
         (gateway.Route('GET', '/ready', ready),),
         READINESS_THREADS_COUNT,
-        timers,
+        _make_limits(settings, READINESS_SHARE, _caller_api.BODY_BYTES_MAX),
+        budget,
         metrics,
     )
     callers.open()
@@ -168,7 +188,8 @@
         settings.control_address,
         _control_api.ControlApi(controller).routes(),
         _control_api.THREADS_COUNT,
-        timers,
+        _make_limits(settings, CONTROL_SHARE, _control_api.DOCUMENT_BYTES_MAX),
+        http_server.ByteBudget(settings.process_limits.budget_bytes),
         gateway.Metrics(),
     )
     server.open()
@@ -217,19 +238,36 @@
     address: str,
     routes: tuple[gateway.Route, ...],
     threads_count: int,
-    timers: utils.TimerService,
+    limits: http_server.Limits,
+    budget: http_server.ByteBudget,
     metrics: gateway.Metrics,
 ) -> gateway.Server:
     return gateway.Server(
         transport.parse_address(address),
         gateway.Application(routes, metrics),
         threads_count,
-        timers,
-        REQUEST_READ_TIMEOUT_MS,
+        limits,
+        budget,
         metrics.observe_refused,
     )
 
 
+def _make_limits(
+    settings: _settings.Settings, share: float, body_bytes_max: int
+) -> http_server.Limits:
+    connections_max = settings.process_limits.connections_max(share)
+    return http_server.Limits(
+        header_bytes_max=HEADER_BYTES_MAX,
+        body_bytes_max=body_bytes_max,
+        arrival_ms=REQUEST_READ_TIMEOUT_MS,
+        idle_ms=IDLE_TIMEOUT_MS,
+        stall_ms=STALL_TIMEOUT_MS,
+        answer_ms=ANSWER_TIMEOUT_MS,
+        connections_max=connections_max,
+        connections_per_peer_max=max(1, int(connections_max * PEER_SHARE)),
+    )
+
+
 def _exit_on_invariant_error(error: utils.InvariantError) -> None:
     """Exit at once, so that no call acts on an inconsistent state."""
     _logger.critical('process ended', why=str(error))
--- a/dandeliondrum/platform/_settings.py
+++ b/dandeliondrum/platform/_settings.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from dandeliondrum import http_server
 from dandeliondrum import messages
 from dandeliondrum import transport
 
@@ -18,7 +19,8 @@
 
     ``seed_addresses`` are the control API addresses of some controllers.
     ``losses_max`` is the number of VMs with a disk whose simultaneous loss
-    has to be tolerated.
+    has to be tolerated. ``process_limits`` are those of the VM for this
+    process.
     """
 
     vm_name: str
@@ -37,6 +39,7 @@
     lease_max_ms: int
     job_state_kept_ms: int
     adviser_address: str
+    process_limits: http_server.ProcessLimits
 
     @property
     def stream_address(self) -> str:
@@ -105,8 +108,20 @@
         lease_max_ms=int(values['Bounds.HoldMaxMs']),
         job_state_kept_ms=_seconds_to_ms(values['Bounds.status_s']),
         adviser_address=values.get('PlacementAdvisor', ''),
+        process_limits=http_server.ProcessLimits(
+            _whole_number(values, 'Limits.MemoryMb'),
+            _whole_number(values, 'Limits.MaxFds'),
+        ),
     )
 
 
+def _whole_number(values: dict[str, str], name: str) -> int:
+    """Return a limit; 0, which stands for none, if it is missing."""
+    text = values.get(name, '0')
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f'{name} must be a whole number, not {text!r:.40}')
+    return int(text)
+
+
 def _seconds_to_ms(seconds: str) -> int:
     return int(float(seconds) * 1000)
--- a/dandeliondrum/platform/tests/test_callers.py
+++ b/dandeliondrum/platform/tests/test_callers.py
@@ -6,11 +6,11 @@
 from returns import result
 
 from dandeliondrum import gateway
+from dandeliondrum import http_server
 from dandeliondrum import jobs
 from dandeliondrum.platform import _caller_api
 from dandeliondrum.platform import _documents
 from dandeliondrum import testing
-from dandeliondrum import utils
 
 JOB = '/r1/00000000000000a1'
 THREADS_COUNT = 2
@@ -42,22 +42,24 @@
 
 @pytest.fixture
 def address(stub):
-    timers = utils.TimerService()
-    timers.start()
+    limits = http_server.Limits(
+        header_bytes_max=16_384,
+        body_bytes_max=1_000_000,
+        arrival_ms=REQUEST_READ_TIMEOUT_MS,
+    )
     server = gateway.Server(
         ('127.0.0.1', 0),
         gateway.Application(
             _caller_api.CallerApi(stub).routes(), gateway.Metrics()
         ),
         THREADS_COUNT,
-        timers,
-        REQUEST_READ_TIMEOUT_MS,
+        limits,
+        http_server.ByteBudget(10_000_000),
     )
     server.open()
     host, port = server.bind_addr[:2]
     yield f'{host}:{port}'
     server.drain(0)
-    timers.close()
 
 
 def status_of(address, path):
--- a/dandeliondrum/platform/tests/test_control.py
+++ b/dandeliondrum/platform/tests/test_control.py
@@ -8,11 +8,11 @@
 from returns import result
 
 from dandeliondrum import gateway
+from dandeliondrum import http_server
 from dandeliondrum import jobs
 from dandeliondrum import messages
 from dandeliondrum.platform import _control_api
 from dandeliondrum import testing
-from dandeliondrum import utils
 
 REQUEST_READ_TIMEOUT_MS = 3_000
 # After which workers and operators try another controller.
@@ -69,21 +69,23 @@
 
 @pytest.fixture
 def address(controller):
-    timers = utils.TimerService()
-    timers.start()
+    limits = http_server.Limits(
+        header_bytes_max=16_384,
+        body_bytes_max=1_000_000,
+        arrival_ms=REQUEST_READ_TIMEOUT_MS,
+    )
     server = gateway.Server(
         ('127.0.0.1', 0),
         gateway.Application(
             _control_api.ControlApi(controller).routes(), gateway.Metrics()
         ),
         _control_api.THREADS_COUNT,
-        timers,
-        REQUEST_READ_TIMEOUT_MS,
+        limits,
+        http_server.ByteBudget(10_000_000),
     )
     server.open()
     yield server.address
     server.drain(0)
-    timers.close()
 
 
 @pytest.fixture
--- a/dandeliondrum/settings/_gateway.py
+++ b/dandeliondrum/settings/_gateway.py
@@ -62,6 +62,17 @@
         'Longest body of a request.',
         64 * 1024 * 1024,
     )
+    requests_max_bytes: int = _parameters.parameter(
+        _parameters.Integer('bytes', 1 << 22, 1 << 40),
+        'Memory for the bodies and parsed requests of all calls together; '
+        'at least twice `body_max_bytes` is used.',
+        1024 * 1024 * 1024,
+    )
+    connections_max: int = _parameters.parameter(
+        _parameters.Integer('connections', 16, 1_000_000),
+        'Connections to each port.',
+        2_048,
+    )
     arrival_ms: int = _parameters.parameter(
         _parameters.Integer('ms', 100, 600_000),
         'Time within which a request has to arrive completely.',
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -168,8 +168,7 @@
     def open(self):
         body = testing.document()
         testing.wait_until(lambda: self._cell.put_document(body) == 200)
-        worker = self._cell.workers[0]
-        testing.wait_until(lambda: self._cell.report(worker, 0) == 200)
+        testing.wait_until(self._report)
         testing.wait_until(self._cell.ready)
 
     def restart(self):
@@ -211,7 +210,12 @@
         body = json.dumps({'Spec': 'text', 'Steps': [step]}).encode()
         return self._cell.ask('POST', f'/r1/{job_id}', body).status
 
+    def _report(self):
+        """Report the worker, which gets no runs when it has been silent."""
+        return self._cell.report(self._cell.workers[0], 0) == 200
+
     def _is_completed(self, job_id):
+        self._report()
         reply = self._cell.ask('GET', f'/r1/{job_id}')
         return reply.status == 200 and reply.json()['State'] == 'completed'
 
