Bound the metrics port, the worker's port and streams without a hello

Cause: the metrics server and the worker's server are the HTTP library's, and the stream port accepts any number of streams, with frames of 64 MiB, before a peer has said who it is.

Change: both HTTP servers use http_server; bodies at the metrics port are refused as before. A hello is at most 16 KiB and arrives completely within 2 s; 32 streams without one are kept, of which the oldest makes room.

--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from cheroot import errors
 import structlog
 
 from dandeliondrum import http_server
@@ -23,7 +24,11 @@
     """Request that returns errors of the server itself as JSON."""
 
     def read_request_headers(self) -> bool:
-        readable = super().read_request_headers()
+        try:
+            readable = super().read_request_headers()
+        except errors.MaxSizeExceeded:
+            self.simple_response('431 Request Header Fields Too Large')
+            return False
         if self.server.draining:
             self.close_connection = True
         return readable
--- a/dandeliondrum/http_server/_arrival.py
+++ b/dandeliondrum/http_server/_arrival.py
@@ -3,6 +3,7 @@
 import contextlib
 import enum
 import io
+import os
 import re
 import socket
 
@@ -96,9 +97,9 @@
             if self._buffer and self._examine():
                 return self._ready()
             try:
-                piece = self._stream.recv(
-                    self._missing_bytes(), socket.MSG_DONTWAIT
-                )
+                # The descriptor doesn't block; ``recv`` waits on a socket
+                # with a timeout, also with MSG_DONTWAIT.
+                piece = os.read(self._stream.fileno(), self._missing_bytes())
             except (BlockingIOError, InterruptedError):
                 return State.PARTIAL
             except OSError:
@@ -189,8 +190,8 @@
         has_body = self._request_bytes != self._head_bytes
         if b'expect' in fields and awaited and has_body and not is_refused:
             with contextlib.suppress(OSError):
-                self._stream.send(
-                    b'HTTP/1.1 100 Continue\r\n\r\n', socket.MSG_DONTWAIT
+                os.write(
+                    self._stream.fileno(), b'HTTP/1.1 100 Continue\r\n\r\n'
                 )
         return True
 
--- a/dandeliondrum/http_server/_connection.py
+++ b/dandeliondrum/http_server/_connection.py
@@ -5,7 +5,6 @@
 import time
 import typing
 
-from cheroot import errors
 from cheroot import server as cheroot_server
 
 from dandeliondrum.http_server import _arrival
@@ -45,11 +44,7 @@
 
     def read_request_headers(self) -> bool:
         """Read the header fields; return whether they are valid."""
-        try:
-            if not super().read_request_headers():
-                return False
-        except errors.MaxSizeExceeded:
-            self.simple_response('431 Request Header Fields Too Large')
+        if not super().read_request_headers():
             return False
         if int(self.inheaders.get(b'Content-Length', 0)) < 0:
             self.simple_response('400 Bad Request', 'negative length')
--- a/dandeliondrum/observability/_server.py
+++ b/dandeliondrum/observability/_server.py
@@ -3,22 +3,27 @@
 import contextlib
 import dataclasses
 
-from cheroot import wsgi
 from returns import result
-import structlog
 from werkzeug import wrappers
 
+from dandeliondrum import http_server
 from dandeliondrum.observability import _endpoints
 from dandeliondrum import transport
 from dandeliondrum import utils
 
 THREADS_COUNT = 4
-# How long a client that stalls can occupy a thread.
-TIMEOUT_S = 2
-HEADER_MAX_BYTES = 16 * 1024
-BODY_MAX_BYTES = 1
-
-_logger = structlog.get_logger()
+# A scraper or two and an operator are expected. A body is never read.
+LIMITS = http_server.Limits(
+    header_bytes_max=16 * 1024,
+    body_bytes_max=0,
+    arrival_ms=2_000,
+    idle_ms=10_000,
+    stall_ms=2_000,
+    answer_ms=10_000,
+    connections_max=32,
+    connections_per_peer_max=32,
+)
+BUDGET_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,14 +55,13 @@
 
     def start(self) -> result.Result[None, ServerError]:
         """Listen, and serve requests in background threads."""
-        server = _LoggingServer(
+        server = http_server.Server(
             transport.parse_address(self.address),
             wrappers.Request.application(self._serve),
-            numthreads=THREADS_COUNT,
-            timeout=TIMEOUT_S,
+            THREADS_COUNT,
+            LIMITS,
+            http_server.ByteBudget(BUDGET_BYTES),
         )
-        server.max_request_header_size = HEADER_MAX_BYTES
-        server.max_request_body_size = BODY_MAX_BYTES
         try:
             server.prepare()
         except OSError as error:
@@ -75,6 +79,8 @@
         self._resources.close()
 
     def _serve(self, request: wrappers.Request) -> wrappers.Response:
+        if request.environ[http_server.CONNECTION_KEY].arrival.too_large:
+            return wrappers.Response('no body is expected\n', status=413)
         if request.method not in ('GET', 'HEAD'):
             return wrappers.Response('only GET is served\n', status=405)
         response = self._endpoints.respond(request.path)
@@ -83,14 +89,3 @@
         return wrappers.Response(
             'only /metrics, /healthz and /readyz are served\n', status=404
         )
-
-
-class _LoggingServer(wsgi.Server):
-    """Writes the error messages of the HTTP server to the log."""
-
-    def error_log(
-        self, msg: str = '', level: int = 20, traceback: bool = False
-    ) -> None:
-        _logger.warning(
-            'http server error', why=msg.strip(), exc_info=traceback or None
-        )
--- a/dandeliondrum/transport/_frames.py
+++ b/dandeliondrum/transport/_frames.py
@@ -36,7 +36,9 @@
     return _LENGTH.pack(len(envelope)) + envelope
 
 
-def read(stream: socket.socket) -> tuple[FrameKind, int, bytes] | None:
+def read(
+    stream: socket.socket, length_max: int = FRAME_MAX_BYTES
+) -> tuple[FrameKind, int, bytes] | None:
     """Read one frame; return None at the end of the stream.
 
     Raises FrameError for invalid frames, and OSError (TimeoutError among
@@ -46,10 +48,10 @@
     if header is None:
         return None
     (length_bytes,) = _LENGTH.unpack(header)
-    if length_bytes > FRAME_MAX_BYTES:
+    if length_bytes > length_max:
         raise FrameError(
             f'frame of {length_bytes} bytes exceeds the limit of '
-            f'{FRAME_MAX_BYTES} bytes'
+            f'{length_max} bytes'
         )
     envelope = _read_exactly(stream, length_bytes)
     if envelope is None:
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import threading
+import time
 
 import structlog
 
@@ -14,7 +15,11 @@
 from dandeliondrum.transport import _frames
 
 PROTOCOL_VERSION = 1
+# A hello has to arrive completely within this time.
 HANDSHAKE_TIMEOUT_MS = 2_000
+HANDSHAKES_MAX = 32
+# Measured: 130 bytes with the longest ids in use.
+HELLO_BYTES_MAX = 16 * 1024
 PORT_MAX = 65_535
 
 _ADDRESS = re.compile('([!-~]+):([0-9]{1,5})')
@@ -28,6 +33,8 @@
 
     ``address`` is ``host:port`` with an IP address as host; port 0 picks a
     free port. Connections beyond ``connections_max`` are closed at once.
+    Connections without a hello don't count, as anybody can open them: there
+    are HANDSHAKES_MAX at most, of which the oldest makes room for a new one.
     """
 
     address: str
@@ -47,6 +54,8 @@
         self._resources = contextlib.ExitStack()
         self._lock = threading.Lock()
         self._connections: set[_connection.Connection] = set()
+        # Streams without a hello and their times of arrival, oldest first.
+        self._handshakes: dict[socket.socket, float] = {}
         self._stopping = threading.Event()
         self._listener = socket.create_server(
             parse_address(options.address), backlog=128
@@ -54,7 +63,8 @@
         host, port = self._listener.getsockname()[:2]
         self.address = f'{host}:{port}'
         self._executor = concurrent.futures.ThreadPoolExecutor(
-            options.connections_max + 1, thread_name_prefix='incoming-stream'
+            options.connections_max + HANDSHAKES_MAX + 2,
+            thread_name_prefix='incoming-stream',
         )
 
     def start(self) -> None:
@@ -63,6 +73,7 @@
         self._resources.callback(self._close_connections)
         self._resources.callback(self._close_listener)
         self._executor.submit(self._accept_loop)
+        self._executor.submit(self._cut_late_handshakes)
 
     def close(self) -> None:
         """Stop listening and close all connections."""
@@ -77,8 +88,24 @@
     def _close_connections(self) -> None:
         with self._lock:
             connections = list(self._connections)
+            handshakes = list(self._handshakes)
         for connection in connections:
             connection.close()
+        for stream in handshakes:
+            _cut(stream)
+
+    def _cut_late_handshakes(self) -> None:
+        """End handshakes of peers that send their hello too slowly."""
+        while not self._stopping.wait(HANDSHAKE_TIMEOUT_MS / 4_000):
+            began_before_s = time.monotonic() - HANDSHAKE_TIMEOUT_MS / 1_000
+            with self._lock:
+                late = [
+                    stream
+                    for stream, began_s in self._handshakes.items()
+                    if began_s < began_before_s
+                ]
+            for stream in late:
+                _cut(stream)
 
     def _accept_loop(self) -> None:
         while not self._stopping.is_set():
@@ -92,17 +119,40 @@
                 _logger.warning('too many connections')
                 stream.close()
                 continue
+            self._begin_handshake(stream)
             try:
                 self._executor.submit(self._serve, stream)
             except RuntimeError:
+                self._end_handshake(stream)
                 stream.close()
 
+    def _begin_handshake(self, stream: socket.socket) -> None:
+        """Count a stream without a hello; make room for it if necessary.
+
+        A peer sends its hello at once, so the oldest ones are strangers. The
+        executor has a thread for each stream that is counted.
+        """
+        with self._lock:
+            excess = len(self._handshakes) + 1 - HANDSHAKES_MAX
+            oldest = list(self._handshakes)[: max(0, excess)]
+            for one in oldest:
+                del self._handshakes[one]
+            self._handshakes[stream] = time.monotonic()
+        for one in oldest:
+            _cut(one)
+
+    def _end_handshake(self, stream: socket.socket) -> None:
+        with self._lock:
+            self._handshakes.pop(stream, None)
+
     def _serve(self, stream: socket.socket) -> None:
         try:
             hello = self._read_hello(stream)
         except (OSError, _frames.FrameError) as error:
             _logger.warning('handshake failed', why=str(error))
             hello = None
+        finally:
+            self._end_handshake(stream)
         if hello is None:
             stream.close()
             return
@@ -122,7 +172,7 @@
 
     def _read_hello(self, stream: socket.socket) -> messages.Hello | None:
         stream.settimeout(HANDSHAKE_TIMEOUT_MS / 1000)
-        frame = _frames.read(stream)
+        frame = _frames.read(stream, HELLO_BYTES_MAX)
         if frame is None:
             return None
         hello = messages.decode(frame[2]).value_or(None)
@@ -163,6 +213,12 @@
     return connection
 
 
+def _cut(stream: socket.socket) -> None:
+    """Shut a stream down, to wake the thread that reads from it."""
+    with contextlib.suppress(OSError):
+        stream.shutdown(socket.SHUT_RDWR)
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Split ``host:port``; the host may be in square brackets.
 
--- a/dandeliondrum/worker/_server.py
+++ b/dandeliondrum/worker/_server.py
@@ -5,11 +5,10 @@
 import typing
 import urllib.parse
 
-from cheroot import server as cheroot_server
-from cheroot import wsgi
 from returns import result
 import werkzeug
 
+from dandeliondrum import http_server
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum.worker import _attempt
@@ -21,9 +20,16 @@
 
 WAIT_MAX_MS = 120_000
 BODY_MAX_BYTES = 128 * 1024 * 1024
+# Bodies of all requests together: two of the longest.
+REQUESTS_MAX_BYTES = 512 * 1024 * 1024
+# A body of 64 MB arrives in time with 5 Mbit/s.
+ARRIVAL_MS = 120_000
+IDLE_MS = 10_000
+# Connections beyond those agreed with the gateways are journalled; this many
+# times as many are accepted.
+CONNECTIONS_FACTOR = 4
 HEADERS_MAX_BYTES = 64 * 1024
 SHUTDOWN_TIMEOUT_S = 10
-SELECT_TIMEOUT_S = 0.1
 SPARE_THREADS = 8
 STOP_WAIT_MS = 1_000
 
@@ -42,18 +48,22 @@
         journal: _journal.Journal,
     ) -> None:
         self._attempts = attempts
-        self._server = wsgi.Server(
+        connections_max = CONNECTIONS_FACTOR * options.connections_count
+        self._server = http_server.Server(
             transport.parse_address(options.address),
             self._respond,
-            numthreads=_attempt.LONG_WAITERS_MAX * options.slots_count
-            + SPARE_THREADS,
-            request_queue_size=128,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            _attempt.LONG_WAITERS_MAX * options.slots_count + SPARE_THREADS,
+            http_server.Limits(
+                header_bytes_max=HEADERS_MAX_BYTES,
+                body_bytes_max=BODY_MAX_BYTES,
+                arrival_ms=ARRIVAL_MS,
+                idle_ms=IDLE_MS,
+                connections_max=connections_max,
+                connections_per_peer_max=connections_max,
+            ),
+            http_server.ByteBudget(REQUESTS_MAX_BYTES),
+            shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
         )
-        self._server.expiration_interval = SELECT_TIMEOUT_S
-        self._server.keep_alive_conn_limit = options.connections_count
-        self._server.max_request_body_size = BODY_MAX_BYTES
-        self._server.max_request_header_size = HEADERS_MAX_BYTES
         self._server.ConnectionClass = _counted_connection_class(
             options, journal
         )
@@ -84,7 +94,14 @@
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> typing.Any:
         request = werkzeug.Request(environ)
-        return self._dispatch(request)(environ, start_response)
+        arrival = environ[http_server.CONNECTION_KEY].arrival
+        if arrival.overloaded:
+            response = _error_response(503, 'too many requests in memory')
+        elif arrival.too_large:
+            response = _error_response(413, 'the body is too large')
+        else:
+            response = self._dispatch(request)
+        return response(environ, start_response)
 
     def _dispatch(self, request: werkzeug.Request) -> werkzeug.Response:
         path = request.environ.get('REQUEST_URI', request.path)
@@ -194,12 +211,12 @@
 
 def _counted_connection_class(
     options: _options.Options, journal: _journal.Journal
-) -> type[cheroot_server.HTTPConnection]:
+) -> type[http_server.Connection]:
     """Return a connection class that records when too many are open."""
     lock = threading.Lock()
     open_ids: set[int] = set()
 
-    class CountedConnection(cheroot_server.HTTPConnection):
+    class CountedConnection(http_server.Connection):
         """A connection that counts towards the worker's limit."""
 
         def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
