--- a/dandeliondrum/jobs/_advice_candidates.py
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -10,6 +10,10 @@
 from dandeliondrum import messages
 
 
+# Workers of one speed.
+_Part = tuple[float, list[_planner.AvailableWorker]]
+
+
 class CandidateWorkers:
     """The usable workers of each pool, sorted once for all demands.
 
@@ -28,9 +32,7 @@
         self._reserved_ids = reserved_ids
         # The workers that are not reserved, and those that are, each by
         # speed.
-        self._sorted: dict[
-            str, tuple[list[_planner.AvailableWorker], ...]
-        ] = {}
+        self._sorted: dict[str, tuple[_Part, ...]] = {}
         self._capacities: dict[str, set[messages.Resources]] = {}
 
     def select(
@@ -42,6 +44,7 @@
         """Return the candidates for a demand, the most free CPU first.
 
         Faster workers come before slower ones, whatever CPU is free there.
+        Those that are too slow for the demand count as having no capacity.
         ``only_with_capacity`` leaves out those without sufficient resources.
         With ``expects_capacity`` all workers count as having capacity.
         """
@@ -49,21 +52,29 @@
         charge = demand.spec.charged()
         cpu, memory = charge.cpu_millicores, charge.memory_mb
         accelerators = charge.accelerators_count
+        least_speed = demand.least_speed
         only_with_capacity = only_with_capacity and not expects_capacity
         found = []
-        for part in self._sorted_workers(demand.pool):
+        for speed, part in self._sorted_workers(demand.pool):
+            is_fast_enough = speed >= least_speed
+            if only_with_capacity and not is_fast_enough:
+                continue
             for worker in part:
                 free = worker.free
                 if only_with_capacity and free.cpu_millicores < cpu:
                     break
                 if label and label not in worker.labels:
                     continue
-                has_capacity = not _is_at_limit(demand, worker.worker_id) and (
-                    expects_capacity
-                    or (
-                        cpu <= free.cpu_millicores
-                        and memory <= free.memory_mb
-                        and accelerators <= free.accelerators_count
+                has_capacity = (
+                    is_fast_enough
+                    and not _is_at_limit(demand, worker.worker_id)
+                    and (
+                        expects_capacity
+                        or (
+                            cpu <= free.cpu_millicores
+                            and memory <= free.memory_mb
+                            and accelerators <= free.accelerators_count
+                        )
                     )
                 )
                 if has_capacity or not only_with_capacity:
@@ -87,9 +98,7 @@
             tasks_per_worker = min(tasks_per_worker, per_worker_max)
         return -(-len(demand.indexes) // max(1, tasks_per_worker))
 
-    def _sorted_workers(
-        self, pool: str
-    ) -> tuple[list[_planner.AvailableWorker], ...]:
+    def _sorted_workers(self, pool: str) -> tuple[_Part, ...]:
         parts = self._sorted.get(pool)
         if parts is None:
             workers = sorted(
@@ -102,7 +111,7 @@
                 is_reserved = one.worker_id in self._reserved_ids
                 by_part[is_reserved, -one.speed].append(one)
             parts = self._sorted[pool] = tuple(
-                by_part[key] for key in sorted(by_part)
+                (-key[1], by_part[key]) for key in sorted(by_part)
             )
         return parts
 
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -75,6 +75,18 @@
     slack_left_ms: int | None = None
     crashes_count: int = 0
 
+    @property
+    def least_speed(self) -> float:
+        """The speed of a worker on which the demand meets its objective.
+
+        It is at most 1, and 0 if any worker will do: the demand has no
+        objective or has missed it, or its tasks are isolated.
+        """
+        left_ms, run_ms = self.slack_left_ms, self.spec.expected_run_ms
+        if left_ms is None or left_ms < 0 or not run_ms or self.isolated:
+            return 0.0
+        return run_ms / (run_ms + left_ms)
+
     @property
     def isolated(self) -> bool:
         """Whether the tasks are run apart from other jobs."""
@@ -469,11 +481,7 @@
         the faster workers could never run it, any worker is used.
         """
         demand = self._demand
-        left_ms = demand.slack_left_ms
-        if left_ms is None or left_ms < 0 or demand.isolated:
-            return 0.0
-        run_ms = demand.spec.expected_run_ms
-        speed_min = run_ms / (run_ms + left_ms) if run_ms else 0.0
+        speed_min = demand.least_speed
         if speed_min <= self._pool.speed_min:
             return 0.0
         fast_enough = (
--- a/dandeliondrum/jobs/speeds/tests/test_uneven_placement.py
+++ b/dandeliondrum/jobs/speeds/tests/test_uneven_placement.py
@@ -135,6 +135,16 @@
     assert [one.worker_id for one in found] == ['slow0', 'slow1']
 
 
+def test_the_adviser_is_asked_about_workers_that_are_fast_enough():
+    # A step must not be granted only workers that it can't use.
+    candidates = _advice_candidates.CandidateWorkers(_fleet())
+    demand = _step(slack_left_ms=SLACK_MS)
+    every = candidates.select(demand, only_with_capacity=False)
+    assert [one.has_capacity for one in every] == [True, True, False, False]
+    found = candidates.select(demand, only_with_capacity=True)
+    assert [one.worker_id for one in found] == ['fast0', 'fast1']
+
+
 def _stopped(*runs):
     preemption = _preemption.Preemption(lambda _worker_id: runs)
     demand = _step()
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -30,6 +30,8 @@
 
 CAPACITY = messages.Resources(4_000, 100_000)
 RUN_MS = 700
+# How long runs take on every fourth worker of an uneven cell.
+SLOW_RUN_MS = 1_540
 # Longer than a soak, which queries all accepted jobs at its end.
 JOB_STATE_KEPT_S = 900
 OPEN_TIMEOUT_S = 40
@@ -51,7 +53,8 @@
     ``recuts`` no worker is cut off soon after it has started again, and
     without ``overload_s`` there is no overload. A seed draws the same faults
     as before these were added if they are off. ``deadly_share`` is the share
-    of jobs that crash the workers that start them.
+    of jobs that crash the workers that start them. With ``uneven`` every
+    fourth worker is slow.
     """
 
     seed: int
@@ -63,6 +66,7 @@
     shrinks: bool = False
     recuts: bool = False
     deadly_share: float = 0
+    uneven: bool = False
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
 
@@ -86,7 +90,7 @@
         _soak_checker.CheckedWorker(
             f'i-{number}',
             CAPACITY,
-            RUN_MS,
+            SLOW_RUN_MS if options.uneven and number % 4 == 0 else RUN_MS,
             checker,
             _platform_cell.LEASE_MAX_MS,
         )
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -30,6 +30,7 @@
     shrinks: bool = False,
     recuts: bool = False,
     deadly: float = 0,
+    uneven: bool = False,
     folder: str = '',
 ) -> None:
     """Run soaks with consecutive seeds; exit with code 1 if one failed.
@@ -41,7 +42,8 @@
     machine is not started. With ``shrinks``, the capacity of workers shrinks
     at times; with ``recuts`` workers are cut off soon after they have started
     again, and meet calls of before; ``deadly`` is the share of jobs that crash
-    the workers that start them. Half-way, the cell is held over its capacity
+    the workers that start them; with ``uneven`` every fourth worker takes more
+    than twice as long. Half-way, the cell is held over its capacity
     for ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
@@ -70,6 +72,7 @@
             shrinks=shrinks,
             recuts=recuts,
             deadly_share=deadly,
+            uneven=uneven,
             size=chosen,
         )
         outcome = _soak.run_soak(options)
