Compute the work that is left only for runs that may be stopped

The expected end was computed for each preemptible run of each candidate worker, most of which are not stopped, and the runs were sorted even if the tasks fit without a stop.

--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -29,7 +29,6 @@
 LONG_PROBATION_MS = 5_000
 
 _OpenDemand = tuple[_planner.Demand, _policy.QueuePolicy]
-LeftMs = collections.abc.Callable[[_specs.TaskKey, int, int], int]
 
 
 def waiting_indexes(job: _records.JobRecord, step: int) -> tuple[int, ...]:
@@ -256,13 +255,9 @@
     state: _state.JobsState,
     worker_id: messages.WorkerId,
     orders: _orders.OrderBook,
-    left_ms: LeftMs = lambda _key, _run, expected_ms: expected_ms,
 ) -> list[_preemption.PreemptibleRun]:
     """Return the runs of a worker that can be stopped without losing work.
 
-    ``left_ms`` returns the expected time to the end of a run of the worker
-    from the estimated duration of all of it.
-
     Runs whose start is not confirmed by the worker are left out. Runs that
     are being stopped already are included, since their resources become free
     soon.
@@ -291,7 +286,7 @@
                     spec.charged(),
                     queue.priority,
                     stopping,
-                    left_ms(key, run, spec.expected_run_ms),
+                    spec.expected_run_ms,
                 )
             )
     return found
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -421,6 +421,19 @@
         self.positions[worker.worker_id] = len(self.workers)
         self.workers.append(worker)
 
+    def in_any_order(
+        self, worker_ids: collections.abc.Collection[messages.WorkerId] | None
+    ) -> collections.abc.Iterable[AvailableWorker]:
+        """Return what select does, for callers that need only a few."""
+        if worker_ids is None:
+            return self.workers
+        positions = self.positions
+        return (
+            self.workers[positions[worker_id]]
+            for worker_id in worker_ids
+            if worker_id in positions
+        )
+
     def select(
         self, worker_ids: collections.abc.Collection[messages.WorkerId] | None
     ) -> list[AvailableWorker]:
@@ -486,7 +499,7 @@
             return 0.0
         fast_enough = (
             worker
-            for worker in self._pool.select(demand.granted)
+            for worker in self._pool.in_any_order(demand.granted)
             if worker.speed >= speed_min
         )
         least_count = len(demand.indexes) if demand.spec.gang else 1
--- a/dandeliondrum/jobs/_preemption.py
+++ b/dandeliondrum/jobs/_preemption.py
@@ -21,8 +21,8 @@
 class PreemptibleRun:
     """A run that can be stopped without losing work, and its resources.
 
-    ``stopping`` is set if its stop has been ordered already. ``left_ms`` is
-    the expected time to its end.
+    ``stopping`` is set if its stop has been ordered already. ``expected_ms``
+    is the estimated duration of all of it.
     """
 
     task: _specs.TaskKey
@@ -31,9 +31,10 @@
     charge: messages.Resources
     priority: int
     stopping: bool = False
-    left_ms: int = 0
+    expected_ms: int = 0
 
 
+LeftMs = collections.abc.Callable[[PreemptibleRun], int]
 RunsOf = collections.abc.Callable[
     [messages.WorkerId], collections.abc.Iterable[PreemptibleRun]
 ]
@@ -56,17 +57,24 @@
     """Selects the runs to stop in one planning round.
 
     ``runs_of`` returns the preemptible runs of a worker; it is called only
-    for demands that have waited. ``chosen`` holds the selected runs, and
-    ``steps_with_capacity`` the steps for which workers were reserved in this
-    round on which tasks fit, now or once runs have been stopped.
+    for demands that have waited. ``left_ms`` returns the expected time to the
+    end of a run, and is called only where runs are stopped. ``chosen`` holds
+    the selected runs, and ``steps_with_capacity`` the steps for which workers
+    were reserved in this round on which tasks fit, now or once runs have been
+    stopped.
     """
 
-    def __init__(self, runs_of: RunsOf = lambda _worker_id: ()) -> None:
+    def __init__(
+        self,
+        runs_of: RunsOf = lambda _worker_id: (),
+        left_ms: LeftMs = lambda run: run.expected_ms,
+    ) -> None:
         self.chosen: list[PreemptibleRun] = []
         self.steps_with_capacity: set[
             tuple[_specs.JobId, _specs.StepIndex]
         ] = set()
         self._runs_of = runs_of
+        self._left_ms = left_ms
 
     def select_runs(
         self,
@@ -118,8 +126,9 @@
                 free += run.charge
             elif run.priority > priority:
                 preemptible.append(run)
-        preemptible.sort(key=_preference)
         count = min(wanted_count, _fit_count(charge, free))
+        if count < wanted_count:
+            preemptible.sort(key=self._preference)
         chosen: list[PreemptibleRun] = []
         pending: list[PreemptibleRun] = []
         for run in preemptible:
@@ -134,17 +143,16 @@
                 pending = []
         return count, chosen
 
+    def _preference(self, run: PreemptibleRun) -> tuple[int, int, int]:
+        """Return the sort key of a run; the lowest is stopped first.
 
-def _preference(run: PreemptibleRun) -> tuple[int, int, int]:
-    """Return the sort key of a run; the lowest is stopped first.
-
-    Runs of the least urgent priority are stopped first, then those with more
-    work left: one that ends soon makes room by itself. Times count as alike
-    within a factor of two, so that few runs with much CPU are stopped rather
-    than many.
-    """
-    left_class = (run.left_ms // SHORT_MS).bit_length()
-    return -run.priority, -left_class, -run.charge.cpu_millicores
+        Runs of the least urgent priority are stopped first, then those with
+        more work left: one that ends soon makes room by itself. Times count
+        as alike within a factor of two, so that few runs with much CPU are
+        stopped rather than many.
+        """
+        left_class = (self._left_ms(run) // SHORT_MS).bit_length()
+        return -run.priority, -left_class, -run.charge.cpu_millicores
 
 
 def _fit_count(charge: messages.Resources, free: messages.Resources) -> int:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -268,7 +268,8 @@
 
     def _plan(self, inputs: '_Inputs') -> _Groups:
         preemption = _preemption.Preemption(
-            functools.partial(self._preemptible_runs, inputs.peers)
+            functools.partial(self._preemptible_runs, inputs.peers),
+            self._left_ms,
         )
         groups = _planner.plan(
             [
@@ -308,26 +309,17 @@
         state = self._term.state
         with state.lock:
             return _demands.preemptible_runs(
-                state,
-                worker_id,
-                peers[worker_id].orders,
-                functools.partial(self._left_ms, worker_id),
+                state, worker_id, peers[worker_id].orders
             )
 
-    def _left_ms(
-        self,
-        worker_id: messages.WorkerId,
-        task: _specs.TaskKey,
-        run: int,
-        expected_ms: int,
-    ) -> int:
+    def _left_ms(self, run: _preemption.PreemptibleRun) -> int:
         """Return the expected time to the end of a run."""
         term = self._term
         return term.speeds.expected_run_ms(
-            worker_id,
-            expected_ms,
+            run.worker_id,
+            run.expected_ms,
             _clock.elapsed_ms(),
-            term.progress.percent(worker_id, task, run),
+            term.progress.percent(run.worker_id, run.task, run.run),
         )
 
     def _preempt(
@@ -341,7 +333,7 @@
                 run=run.run,
                 worker=run.worker_id,
                 priority=run.priority,
-                left_ms=run.left_ms,
+                left_ms=self._left_ms(run),
             )
             peers[run.worker_id].orders.stop(run.task, run.run)
 
--- a/dandeliondrum/jobs/speeds/tests/test_learning.py
+++ b/dandeliondrum/jobs/speeds/tests/test_learning.py
@@ -125,4 +125,4 @@
     peers = leader.term.peers
     peers['w3'].orders.mark_listed(key, 1, '')
     (run,) = leader.scheduler._preemptible_runs(peers, 'w3')
-    assert run.left_ms == RUN_MS / 4
+    assert leader.scheduler._left_ms(run) == RUN_MS / 4
--- a/dandeliondrum/jobs/speeds/tests/test_uneven_placement.py
+++ b/dandeliondrum/jobs/speeds/tests/test_uneven_placement.py
@@ -161,7 +161,7 @@
         'w1',
         messages.Resources(cpu, 10),
         priority,
-        left_ms=left_ms,
+        expected_ms=left_ms,
     )
 
 
