--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -94,6 +94,18 @@
         """Whether the objective of the job can't be met any more."""
         return self.urgency is not queueing.Urgency.IN_TIME
 
+    @property
+    def least_speed(self) -> float:
+        """The speed of a worker on which the demand meets its objective.
+
+        It is at most 1, and 0 if any worker will do: the demand has no
+        objective or has missed it, or its tasks are isolated.
+        """
+        left_ms, run_ms = self.slack_left_ms, self.spec.expected_run_ms
+        if left_ms is None or left_ms < 0 or not run_ms or self.isolated:
+            return 0.0
+        return run_ms / (run_ms + left_ms)
+
     @property
     def isolated(self) -> bool:
         """Whether the tasks are run apart from other jobs."""
@@ -410,6 +422,19 @@
         self.positions[worker.worker_id] = len(self.workers)
         self.workers.append(worker)
 
+    def in_any_order(
+        self, worker_ids: collections.abc.Collection[messages.WorkerId] | None
+    ) -> collections.abc.Iterable[AvailableWorker]:
+        """Return what select does, for callers that need only a few."""
+        if worker_ids is None:
+            return self.workers
+        positions = self.positions
+        return (
+            self.workers[positions[worker_id]]
+            for worker_id in worker_ids
+            if worker_id in positions
+        )
+
     def select(
         self, worker_ids: collections.abc.Collection[messages.WorkerId] | None
     ) -> list[AvailableWorker]:
@@ -470,16 +495,12 @@
         the faster workers could never run it, any worker is used.
         """
         demand = self._demand
-        left_ms = demand.slack_left_ms
-        if left_ms is None or left_ms < 0 or demand.isolated:
-            return 0.0
-        run_ms = demand.spec.expected_run_ms
-        speed_min = run_ms / (run_ms + left_ms) if run_ms else 0.0
+        speed_min = demand.least_speed
         if speed_min <= self._pool.speed_min:
             return 0.0
         fast_enough = (
             worker
-            for worker in self._pool.select(demand.granted)
+            for worker in self._pool.in_any_order(demand.granted)
             if worker.speed >= speed_min
         )
         least_count = len(demand.indexes) if demand.spec.gang else 1
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -30,6 +30,8 @@
 
 CAPACITY = messages.Resources(4_000, 100_000)
 RUN_MS = 700
+# How long runs take on every fourth worker of an uneven cell.
+SLOW_RUN_MS = 1_540
 # Longer than a soak, which queries all accepted jobs at its end.
 JOB_STATE_KEPT_S = 900
 OPEN_TIMEOUT_S = 40
@@ -54,7 +56,7 @@
     ``evacuations`` no failure domain is evacuated, and without ``overload_s``
     there is no overload. A seed draws the same faults as before these were
     added if they are off. ``deadly_share`` is the share of jobs that crash
-    the workers that start them.
+    the workers that start them. With ``uneven`` every fourth worker is slow.
     """
 
     seed: int
@@ -67,6 +69,7 @@
     recuts: bool = False
     evacuations: bool = False
     deadly_share: float = 0
+    uneven: bool = False
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
 
@@ -90,7 +93,7 @@
         _soak_checker.CheckedWorker(
             f'i-{number}',
             CAPACITY,
-            RUN_MS,
+            SLOW_RUN_MS if options.uneven and number % 4 == 0 else RUN_MS,
             checker,
             _platform_cell.LEASE_MAX_MS,
         )
