--- a/dandeliondrum/platform/tests/test_evacuations.py
+++ b/dandeliondrum/platform/tests/test_evacuations.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from dandeliondrum import gateway
+from dandeliondrum import http_server
 from dandeliondrum import jobs
 from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
@@ -16,7 +17,6 @@
 from dandeliondrum.platform.tests import helpers
 from dandeliondrum.platform.tests import test_programs
 from dandeliondrum import testing
-from dandeliondrum import utils
 
 DOMAINS = ('sattahip', 'rayong')
 ACK_MAX_MS = 6_000
@@ -67,16 +67,16 @@
 @contextlib.contextmanager
 def _serving(controller, settings=SETTINGS):
     with contextlib.ExitStack() as resources:
-        timers = utils.TimerService()
-        timers.start()
-        resources.callback(timers.close)
+        limits = http_server.Limits(
+            header_bytes_max=16_384, body_bytes_max=1_000, arrival_ms=3_000
+        )
         routes = _evacuation_api.routes(controller, settings)
         server = gateway.Server(
             ('127.0.0.1', 0),
             gateway.Application(routes, gateway.Metrics()),
             2,
-            timers,
-            3_000,
+            limits,
+            http_server.ByteBudget(1_000_000),
         )
         server.open()
         resources.callback(server.drain, 0)
