--- a/dandeliondrum/platform/_evacuation_api.py
+++ b/dandeliondrum/platform/_evacuation_api.py
@@ -61,7 +61,7 @@
     ) -> werkzeug.Response:
         known = self._known_domains()
         if domain not in known:
-            _logger.warning('unknown domain', failure_domain=domain)
+            _logger.warning('unknown domain', failure_domain=f'{domain:.80}')
             return _control_api.problem(
                 404,
                 f'unknown failure domain {domain!r:.80}; known are: '
