--- a/dandeliondrum/jobs/speeds/_tiers.py
+++ b/dandeliondrum/jobs/speeds/_tiers.py
@@ -26,8 +26,9 @@
 # its tier with each sample.
 SLOW_UNTIL = 0.85
 FAST_UNTIL = 1 / SLOW_UNTIL
-# Different steps that a worker must have run. With estimates that are off by
-# up to two fifths, one equal worker in 1,000 looks slow.
+# Different steps that a worker must have run. With estimates that are spread
+# evenly from 0.7 to 1.4, one sample in eight of an equal worker is below the
+# limit, so that all of four are with one worker in 4,000.
 SAMPLES_MIN = 4
 # Part of the workers with samples that must have enough of them. The median
 # of the first few workers is not that of the pool.
