Return freed blocks, log refusals, and describe the limits

Cause: glibc raises its threshold for mapped blocks when one is freed, so the memory of bodies stayed resident (test of bodies short of their end at /ready: 183 MB of 160); refusals of the server left no line in the log.

Refusals are counted by cause and logged together once a second.

--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -45,6 +45,7 @@
 
 
 def _run(role: str, loaded: settings.Settings) -> _report.Report:
+    utils.return_large_blocks()
     process_id = _roles.process_id(loaded)
     observability.configure_logging(role, process_id, loaded.log_level)
     with contextlib.ExitStack() as exit_stack:
--- a/dandeliondrum/gateway/_metrics.py
+++ b/dandeliondrum/gateway/_metrics.py
@@ -65,7 +65,7 @@
         )
         self.refused_input = prometheus_client.Counter(
             'dandeliondrum_gateway_refused_input',
-            'Requests that the HTTP server refused, by status',
+            'Requests that the HTTP server refused, by status or cause',
             ('status',),
             registry=self.registry,
         )
--- a/dandeliondrum/http_server/_connection.py
+++ b/dandeliondrum/http_server/_connection.py
@@ -75,6 +75,9 @@
 
     def __init__(self, server: typing.Any, sock: socket.socket, *_: object):
         super().__init__(server, sock)
+        # These caches refer to the connection, which would only be freed by
+        # the garbage collector.
+        del self.resolve_peer_creds, self.get_peer_creds
         self.arrival = _arrival.Arrival(sock, server.limits, server.budget)
         self.rfile = _arrival.Reader(self.arrival)
         self.arrival_timed_out = False
--- a/dandeliondrum/http_server/_server.py
+++ b/dandeliondrum/http_server/_server.py
@@ -1,6 +1,8 @@
 """HTTP server that receives requests before it occupies threads."""
 
+import collections
 import threading
+import time
 import typing
 
 from cheroot import wsgi
@@ -15,6 +17,8 @@
 BACKLOG_CONNECTIONS = 512
 QUEUED_CONNECTIONS_MAX = 256
 SELECT_TIMEOUT_S = 0.1
+# Refusals of a crowd are logged together.
+LOG_EVERY_S = 1.0
 # Key in the WSGI environment that holds the connection of the request.
 CONNECTION_KEY = 'dandeliondrum.connection'
 
@@ -35,7 +39,8 @@
 
     The budget may be shared by the servers of a process. ``on_refused`` is
     called with the status of each request that the server itself refuses, and
-    with 'connection' for a connection beyond the limits.
+    with the cause for requests and connections beyond the limits: length,
+    memory, time, unread (answers) or connections.
     """
 
     ConnectionClass = _connection.Connection
@@ -74,6 +79,8 @@
         self.max_request_header_size = limits.header_bytes_max
         self._open: set[_connection.Connection] = set()
         self._open_lock = threading.Lock()
+        self._noted: collections.Counter[str] = collections.Counter()
+        self._noted_at_s = 0.0
 
     def prepare(self) -> None:
         """Start listening; raise OSError if the port is in use."""
@@ -99,6 +106,7 @@
     def time_out(self, conn: _connection.Connection) -> None:
         """Answer a request that did not arrive in time."""
         conn.arrival_timed_out = True
+        self._note_refusal('time', conn)
         conn.arrival.give_up()
         self._pass_on(conn)
 
@@ -135,9 +143,13 @@
         """
         conn.request_began_s = None
         if not conn.can_write():
-            self.on_refused('connection')
+            self._note_refusal('unread', conn)
             conn.close()
             return
+        if conn.arrival.overloaded:
+            self._note_refusal('memory', conn)
+        if conn.arrival.too_large:
+            self._note_refusal('length', conn)
         super().process_conn(conn)
 
     def _admit(self, conn: _connection.Connection) -> bool:
@@ -149,10 +161,31 @@
             )
         peer_full = of_peer >= self.limits.connections_per_peer_max
         if peer_full or total >= self.limits.connections_max:
-            self.on_refused('connection')
+            self._note_refusal('connections', conn)
             peer = conn.remote_addr if peer_full else ''
             if not self._connections.evict(peer):
                 return False
         with self._open_lock:
             self._open.add(conn)
         return True
+
+    def _note_refusal(self, cause: str, conn: _connection.Connection) -> None:
+        """Count a refusal, and log those since the last line at times."""
+        self.on_refused(cause)
+        now_s = time.monotonic()
+        with self._open_lock:
+            self._noted[cause] += 1
+            if now_s - self._noted_at_s < LOG_EVERY_S:
+                return
+            noted = dict(self._noted)
+            self._noted.clear()
+            self._noted_at_s = now_s
+            connections_count = len(self._open)
+        _logger.warning(
+            'clients beyond the limits',
+            port=self.bind_addr[1],
+            causes=noted,
+            last_peer=conn.remote_addr,
+            connections_count=connections_count,
+            reserved_bytes=self.budget.used_bytes,
+        )
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -65,6 +65,7 @@
 
 def run(role: str, settings: _settings.Settings) -> int:
     """Run a role until SIGTERM or SIGINT; return the exit code."""
+    utils.return_large_blocks()
     with contextlib.ExitStack() as resources:
         stopping = _stop_on_signals()
         timers = utils.TimerService()
--- a/dandeliondrum/platform/tests/test_settings.py
+++ b/dandeliondrum/platform/tests/test_settings.py
@@ -28,7 +28,13 @@
 
 @pytest.mark.parametrize(
     ('name', 'value'),
-    [('Seeds', 'nowhere'), ('Bounds.HoldMaxMs', 'x'), ('PortRange', '')],
+    [
+        ('Seeds', 'nowhere'),
+        ('Bounds.HoldMaxMs', 'x'),
+        ('PortRange', ''),
+        ('Limits.MemoryMb', '-1'),
+        ('Limits.MaxFds', 'many'),
+    ],
 )
 def test_rejects_invalid_value(name, value):
     values = {**helpers.SETTINGS, name: value}
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -1,5 +1,6 @@
 """Utilities for clocks, timers, futures and supervised threads."""
 
+from dandeliondrum.utils._allocator import return_large_blocks
 from dandeliondrum.utils._clock import monotonic_ms
 from dandeliondrum.utils._collector import limit_collections
 from dandeliondrum.utils._futures import chain_future
@@ -33,5 +34,6 @@
     'limit_collections',
     'map_future',
     'monotonic_ms',
+    'return_large_blocks',
     'wait_for_signal',
 ]
