--- a/dandeliondrum/jobs/queueing/__init__.py
+++ b/dandeliondrum/jobs/queueing/__init__.py
@@ -10,6 +10,7 @@
 from dandeliondrum.jobs.queueing._contention import pool_rooms
 from dandeliondrum.jobs.queueing._contention import PoolRoom
 from dandeliondrum.jobs.queueing._contention import Running
+from dandeliondrum.jobs.queueing._deferral import starts_ms
 from dandeliondrum.jobs.queueing._objectives import objective_ms
 from dandeliondrum.jobs.queueing._objectives import slack_ms
 from dandeliondrum.jobs.queueing._objectives import SubmissionTimes
@@ -46,6 +47,7 @@
     'pool_rooms',
     'slack_ms',
     'sort_key',
+    'starts_ms',
     'urgency_at',
     'work_core_ms',
 ]
