--- a/dandeliondrum/jobs/_advice_candidates.py
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -1,5 +1,6 @@
 """Workers of a planning round as candidates for calls to the adviser."""
 
+import collections
 import collections.abc
 
 from dandeliondrum.jobs import _advice
@@ -9,11 +10,15 @@
 from dandeliondrum import messages
 
 
+# Workers of one speed.
+_Part = tuple[float, list[_planner.AvailableWorker]]
+
+
 class CandidateWorkers:
     """The usable workers of each pool, sorted once for all demands.
 
     Those that the last round kept free for some demand come behind all
-    others.
+    others, and slower ones behind faster ones.
     """
 
     def __init__(
@@ -25,10 +30,9 @@
         for worker in workers:
             self._by_pool.setdefault(worker.pool, []).append(worker)
         self._reserved_ids = reserved_ids
-        # The workers that are not reserved, and those that are.
-        self._sorted: dict[
-            str, tuple[list[_planner.AvailableWorker], ...]
-        ] = {}
+        # The workers that are not reserved, and those that are, each by
+        # speed.
+        self._sorted: dict[str, tuple[_Part, ...]] = {}
         self._capacities: dict[str, set[messages.Resources]] = {}
 
     def select(
@@ -36,33 +40,57 @@
         demand: _planner.Demand,
         only_with_capacity: bool,
         expects_capacity: bool = False,
+        first_call_max: int | None = None,
     ) -> list[_advice.Candidate]:
         """Return the candidates for a demand, the most free CPU first.
 
+        Faster workers come before slower ones, whatever CPU is free there.
+        Those that are too slow for the demand count as having no capacity.
         ``only_with_capacity`` leaves out those without sufficient resources.
-        With ``expects_capacity`` all workers count as having capacity.
+        With ``expects_capacity`` all workers count as having capacity. With
+        ``first_call_max``, workers that would not be among that many in a
+        first call may be missing: it prefers those with capacity.
         """
         label = demand.spec.required_label
         charge = demand.spec.charged()
         cpu, memory = charge.cpu_millicores, charge.memory_mb
         accelerators = charge.accelerators_count
+        least_speed = demand.least_speed
         only_with_capacity = only_with_capacity and not expects_capacity
-        found = []
-        for part in self._sorted_workers(demand.pool):
+        found: list[_advice.Candidate] = []
+        with_capacity_count = 0
+        for speed, part in self._sorted_workers(demand.pool):
+            is_fast_enough = speed >= least_speed
+            if only_with_capacity and not is_fast_enough:
+                continue
             for worker in part:
                 free = worker.free
                 if only_with_capacity and free.cpu_millicores < cpu:
                     break
+                if first_call_max is not None and (
+                    with_capacity_count >= first_call_max
+                    or (
+                        free.cpu_millicores < cpu
+                        and len(found) >= first_call_max
+                        and not expects_capacity
+                    )
+                ):
+                    break
                 if label and label not in worker.labels:
                     continue
-                has_capacity = not _is_at_limit(demand, worker.worker_id) and (
-                    expects_capacity
-                    or (
-                        cpu <= free.cpu_millicores
-                        and memory <= free.memory_mb
-                        and accelerators <= free.accelerators_count
+                has_capacity = (
+                    is_fast_enough
+                    and not _is_at_limit(demand, worker.worker_id)
+                    and (
+                        expects_capacity
+                        or (
+                            cpu <= free.cpu_millicores
+                            and memory <= free.memory_mb
+                            and accelerators <= free.accelerators_count
+                        )
                     )
                 )
+                with_capacity_count += has_capacity
                 if has_capacity or not only_with_capacity:
                     found.append(
                         _advice.Candidate(worker.worker_id, has_capacity)
@@ -84,19 +112,20 @@
             tasks_per_worker = min(tasks_per_worker, per_worker_max)
         return -(-len(demand.indexes) // max(1, tasks_per_worker))
 
-    def _sorted_workers(
-        self, pool: str
-    ) -> tuple[list[_planner.AvailableWorker], ...]:
+    def _sorted_workers(self, pool: str) -> tuple[_Part, ...]:
         parts = self._sorted.get(pool)
         if parts is None:
             workers = sorted(
                 self._by_pool.get(pool, ()),
                 key=lambda one: (-one.free.cpu_millicores, one.worker_id),
             )
-            reserved = self._reserved_ids
-            parts = self._sorted[pool] = (
-                [one for one in workers if one.worker_id not in reserved],
-                [one for one in workers if one.worker_id in reserved],
+            by_part: dict[tuple[bool, float], list[_planner.AvailableWorker]]
+            by_part = collections.defaultdict(list)
+            for one in workers:
+                is_reserved = one.worker_id in self._reserved_ids
+                by_part[is_reserved, -one.speed].append(one)
+            parts = self._sorted[pool] = tuple(
+                (-key[1], by_part[key]) for key in sorted(by_part)
             )
         return parts
 
@@ -136,11 +165,17 @@
         )
         if not is_gang or not included:
             return included
+    needed_count = candidate_workers.count_needed(demand)
+    first_call_max = (
+        _advice.first_call_max(needed_count) if is_first_call else None
+    )
     return advice.select_workers(
         name,
-        candidate_workers.select(demand, False, expects_capacity),
+        candidate_workers.select(
+            demand, False, expects_capacity, first_call_max
+        ),
         now_ms,
-        candidate_workers.count_needed(demand) if is_first_call else 1,
+        needed_count if is_first_call else 1,
         gang_policy,
     )
 
--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -14,6 +14,7 @@
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _term
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum import utils
@@ -38,7 +39,7 @@
         team_available: collections.abc.Mapping[
             messages.TeamId, messages.Resources
         ],
-        unfit_steps: collections.abc.Container[_planner.StepKey] = (),
+        skipped_steps: collections.abc.Container[_planner.StepKey] = (),
     ) -> None:
         """Request advice in scheduling order while a process is free.
 
@@ -47,14 +48,14 @@
         gangs among these steps are renewed in the meantime. ``reserved_ids``
         are the workers that the last round kept free. While a team is at its
         limit, only the first call about each of its steps is made. None is
-        made about ``unfit_steps``, which can't run on the workers.
+        made about ``skipped_steps``, which the round does not plan.
         """
         advised = [
             (demand, queue.advice)
             for demand, queue in demands
             if queue.advice is not None
         ]
-        advised.sort(key=lambda pair: _planner.scheduling_key(pair[0]))
+        advised.sort(key=lambda pair: queueing.sort_key(pair[0]))
         candidate_workers = _advice_candidates.CandidateWorkers(
             workers, reserved_ids
         )
@@ -64,7 +65,7 @@
             name = _specs.step_name(demand.job_id, demand.step)
             names.add(name)
             if policy in busy_policies or (
-                (demand.job_id, demand.step) in unfit_steps
+                (demand.job_id, demand.step) in skipped_steps
             ):
                 continue
             if not self._term.advice.is_unknown(
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -7,10 +7,10 @@
 import collections
 import collections.abc
 import dataclasses
+import types
 
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _crashes
-from dandeliondrum.jobs import _objectives
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
@@ -19,6 +19,7 @@
 from dandeliondrum.jobs import _run_ends
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs import _state
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 # Replaces an amount for which a team has no limit.
@@ -50,8 +51,9 @@
     state: _state.JobsState,
 ) -> collections.abc.Iterator[_OpenDemand]:
     """Yield a demand for each due step; the caller holds the state's lock."""
+    means = queueing.KindMeans()
     for job in state.open_jobs.values():
-        yield from _job_demands(state, job)
+        yield from _job_demands(state, job, means)
 
 
 class DemandCache:
@@ -62,6 +64,7 @@
 
     def __init__(self) -> None:
         self._policy: _policy.Policy | None = None
+        self._means = queueing.KindMeans()
         self._by_job: dict[
             _specs.JobId, tuple[_records.JobRecord, int, list[_OpenDemand]]
         ] = {}
@@ -82,7 +85,9 @@
                 or known[0] is not job
                 or known[1] != job.changes_count
             ):
-                demands = list(_job_demands(state, job))
+                if known is None:
+                    self._means.record(job.spec)
+                demands = list(_job_demands(state, job, self._means))
                 known = (job, job.changes_count, demands)
             self._by_job[job_id] = known
             found += known[2]
@@ -90,14 +95,23 @@
 
 
 def _job_demands(
-    state: _state.JobsState, job: _records.JobRecord
+    state: _state.JobsState,
+    job: _records.JobRecord,
+    means: queueing.KindMeans,
 ) -> collections.abc.Iterator[_OpenDemand]:
     queue = state.queue_of(job)
     if queue is None:
         return
-    slack_ms = _objectives.slack_ms(job.spec.steps, queue)
-    for step, spec in enumerate(job.spec.steps):
-        indexes = waiting_indexes(job, step)
+    steps = job.spec.steps
+    waiting = [waiting_indexes(job, step) for step in range(len(steps))]
+    if not any(waiting):
+        return
+    slack_ms = queueing.slack_ms(steps, queue)
+    objective_ms = queueing.objective_ms(steps, queue)
+    left_core_ms = queueing.work_core_ms(steps, map(len, waiting))
+    value = means.value(job.spec)
+    for step, spec in enumerate(steps):
+        indexes = waiting[step]
         if not indexes or not job.step_is_due(step):
             continue
         indexes, crashes_count = _isolate(job.steps[step], spec, indexes)
@@ -113,6 +127,9 @@
                 indexes,
                 per_worker_counts=_counts(job, step),
                 slack_ms=slack_ms[step],
+                objective_ms=None if spec.endless else objective_ms,
+                left_core_ms=left_core_ms,
+                value=value,
                 crashes_count=crashes_count,
             ),
             queue,
@@ -184,9 +201,13 @@
     def read(
         self,
         workers: collections.abc.Iterable[tuple[_records.WorkerRecord, int]],
+        speeds: collections.abc.Mapping[messages.WorkerId, float] = (
+            types.MappingProxyType({})
+        ),
     ) -> list[_planner.AvailableWorker]:
         """Return the given workers, each with its penalty, for one round.
 
+        ``speeds`` holds the relative speeds of workers that are not 1.0.
         The results are those of the last call with other free resources, so
         they must not be used after the next call.
         """
@@ -215,6 +236,7 @@
             available = known.available
             available.free = known.free
             available.penalty = penalty
+            available.speed = speeds.get(facts.worker_id, 1.0)
             available.reserved = False
             available.is_empty = not worker.runs
             current[facts.worker_id] = known
@@ -233,6 +255,43 @@
     available: _planner.AvailableWorker
 
 
+def running_work(
+    state: _state.JobsState,
+    order_books: collections.abc.Mapping[messages.WorkerId, _orders.OrderBook],
+    now_ms: int,
+) -> dict[str, queueing.Running]:
+    """Return by pool what runs on the workers and when it should end.
+
+    A run that has just been assigned takes as long as declared. One that
+    takes longer than declared is expected to take an eighth of that more;
+    estimates are off by up to a half. Ends are rounded down to tenths of a
+    second, so that there are few of them. The caller holds the state's lock.
+    """
+    found: dict[str, queueing.Running] = {}
+    for worker_id, orders in order_books.items():
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            # It was removed after the workers had been read.
+            continue
+        running = found.setdefault(worker.facts.pool, queueing.Running())
+        for key, run in worker.runs.items():
+            job = state.jobs[key.job_id]
+            queue = state.queue_of(job)
+            if queue is None:
+                continue
+            spec = job.spec.steps[key.step]
+            ends_in_ms = None
+            if not spec.endless:
+                run_ms = spec.expected_run_ms
+                elapsed_ms = orders.listed_ms(key, run, now_ms) or 0
+                left_ms = max(run_ms - elapsed_ms, run_ms // 8)
+                ends_in_ms = left_ms // 100 * 100
+            running.add(
+                job.spec.team_id, queue.priority, spec.charged(), ends_in_ms
+            )
+    return found
+
+
 def free_cpu_share(
     workers: collections.abc.Iterable[_planner.AvailableWorker],
 ) -> float:
@@ -280,6 +339,7 @@
                     spec.charged(),
                     queue.priority,
                     stopping,
+                    spec.expected_run_ms,
                 )
             )
     return found
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -17,6 +17,7 @@
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
+from dandeliondrum.jobs import _domain_orders
 from dandeliondrum.jobs import _leader_load
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
@@ -24,6 +25,7 @@
 from dandeliondrum.jobs import _replies
 from dandeliondrum.jobs import _scheduler
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import _speed_refresher
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import _voters
@@ -39,6 +41,10 @@
 
 _Reply = concurrent.futures.Future[typing.Any]
 
+_CONTROLLERS_ARE_JOINING = messages.CallFailed(
+    'controllers are joining', True, JOINS_RETRY_MS
+)
+
 
 class Leadership:
     """The components that are active while a controller leads.
@@ -70,6 +76,7 @@
         self._audit = _audit.Audit(self._term, self._workers)
         self._documents = transport.DocumentSender(self._newest_document)
         self._scheduler = _scheduler.Scheduler(self._term)
+        self._speed_refresher = _speed_refresher.SpeedRefresher(self._term)
         self._voters = _voters.Voters(node, options.voters_count)
         self._ended_ms: dict[_specs.JobId, int] = {}
         # When this leader first knew of early cancellings up to a log index.
@@ -93,6 +100,7 @@
         term.adviser_clients.add(term.options.controller_id)
         self._workers.restore()
         self._supervisor.run('scheduler', self._scheduler.run)
+        self._supervisor.run('speeds', self._speed_refresher.run)
         for interval_ms, callback in (
             (_workers.CHECK_INTERVAL_MS, self._workers.check),
             (_workers.STARTS_INTERVAL_MS, self._workers.commit_starts),
@@ -181,6 +189,10 @@
                 return self._read_document(message)
             case messages.RulesPartQuery():
                 return self._documents.part(message)
+            case _calls.DomainChange():
+                return self._change_domain(message)
+            case _calls.DomainQuery():
+                return _domain_orders.read(self._term)
             case _calls.JoinRequest():
                 return self._voters.join(message)
         return messages.CallFailed('unknown call', True)
@@ -408,16 +420,21 @@
             self._push_document()
             return _calls.DocumentInForce(outcome.unwrap())
 
-        is_first = not self._term.state.active_document.version
-        if is_first and not self._voters.may_begin():
-            return utils.completed_future(
-                messages.CallFailed(
-                    'controllers are joining', True, JOINS_RETRY_MS
-                )
-            )
+        if not self._may_acknowledge():
+            return utils.completed_future(_CONTROLLERS_ARE_JOINING)
         command = _commands.PutPolicy(message.version, message.document)
         return utils.map_future(self._term.propose(command), make_reply)
 
+    def _may_acknowledge(self) -> bool:
+        """Return whether what operators send bears the losses it has to."""
+        is_first = not self._term.state.active_document.version
+        return not is_first or self._voters.may_begin()
+
+    def _change_domain(self, message: _calls.DomainChange) -> _Reply:
+        if not self._may_acknowledge():
+            return utils.completed_future(_CONTROLLERS_ARE_JOINING)
+        return _domain_orders.change(self._term, message)
+
     def _push_document(self) -> None:
         self._documents.announce(self._term.sessions.all())
         active = self._term.state.active_document
--- a/dandeliondrum/jobs/_metrics.py
+++ b/dandeliondrum/jobs/_metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import registry
 
 from dandeliondrum.jobs import _processor_parts
+from dandeliondrum.jobs import speeds
 from dandeliondrum import utils
 
 WAIT_BUCKETS_SECONDS = (
@@ -72,6 +73,17 @@
             'Jobs that have not ended',
             registry=self.registry,
         )
+        self.contended_pools = prometheus_client.Gauge(
+            'dandeliondrum_jobs_contended_pools',
+            'Pools in which the due work did not fit in the last round',
+            registry=self.registry,
+        )
+        self.waiting_steps = prometheus_client.Gauge(
+            'dandeliondrum_jobs_waiting_steps',
+            'Due steps before the last round, by cause of their position',
+            ('cause',),
+            registry=self.registry,
+        )
         self.usable_workers = prometheus_client.Gauge(
             'dandeliondrum_jobs_usable_workers',
             'Workers that are given tasks now',
@@ -127,6 +139,16 @@
             ('reason',),
             registry=self.registry,
         )
+        self.evacuated_domains = prometheus_client.Gauge(
+            'dandeliondrum_jobs_evacuated_domains',
+            'Failure domains in which no task is started',
+            registry=self.registry,
+        )
+        self.withheld = prometheus_client.Counter(
+            'dandeliondrum_jobs_starts_withheld',
+            'Starts that were not sent as the failure domain was evacuated',
+            registry=self.registry,
+        )
         self.misplaced = prometheus_client.Counter(
             'dandeliondrum_jobs_runs_misplaced',
             'Runs that were stopped to be placed elsewhere, by reason',
@@ -182,3 +204,23 @@
             buckets=LAG_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.workers_by_speed = prometheus_client.Gauge(
+            'dandeliondrum_jobs_workers_by_speed',
+            'Workers with a measured speed, by pool and tier',
+            ('pool', 'tier'),
+            registry=self.registry,
+        )
+        self.pool_speed = prometheus_client.Gauge(
+            'dandeliondrum_jobs_pool_speed',
+            "Median speed of a pool's workers relative to callers' estimates",
+            ('pool',),
+            registry=self.registry,
+        )
+
+    def record_speeds(self, pool_name: str, pool: speeds.PoolSpeeds) -> None:
+        """Set the gauges of the speeds of a pool."""
+        self.pool_speed.labels(pool_name).set(pool.rate)
+        for tier in speeds.Tier:
+            self.workers_by_speed.labels(pool_name, tier.value).set(
+                pool.count(tier)
+            )
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -13,6 +13,7 @@
 
 from dandeliondrum.jobs import _preemption
 from dandeliondrum.jobs import _specs
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 StepKey = tuple[_specs.JobId, _specs.StepIndex]
@@ -43,12 +44,18 @@
     the step failed before. ``per_worker_counts`` is the number of tasks of
     the step on each worker. ``waited_ms`` is how long the step has been due.
     ``slack_ms`` is how long after the submission its tasks may start for the
-    job to meet its latency objective, None if there is none.
-    ``latest_start_ms`` is that time on this process's clock, or the time of
-    submission if there is no objective; ``is_late`` is set once an objective
-    can't be met any more. The planner does not change a demand; ``tickets``,
-    ``granted``, ``avoided``, ``waited_ms``, ``latest_start_ms`` and
-    ``is_late`` are set anew for each round. If
+    job to meet its latency objective, and ``objective_ms`` when the job should
+    have ended; both are None if there is none. ``latest_start_ms`` is the
+    former on this process's clock, or the time of submission if there is no
+    objective; ``urgency`` is what the job can still achieve.
+    ``left_core_ms`` is the work of the job that has not started, in ms of a
+    core, and ``value`` what the job is worth to its callers, 1 for an average
+    job of its queue. ``amount`` is what all tasks use together.
+    ``standing`` is what :func:`queueing.order` has found.
+    The planner does not change a demand; ``tickets``, ``granted``,
+    ``avoided``, ``waited_ms``, ``latest_start_ms``, ``urgency`` and
+    ``standing`` are set anew for each round, and so is ``slack_left_ms``, the
+    time until the latest start, None without an objective. If
     ``crashes_count`` is not 0, the tasks are suspected of crashing workers and
     run apart from other jobs; it is the least number of crashes under a task.
     """
@@ -69,9 +76,35 @@
     )
     waited_ms: int = 0
     slack_ms: int | None = None
+    objective_ms: int | None = None
     latest_start_ms: int = 0
-    is_late: bool = False
+    urgency: queueing.Urgency = queueing.Urgency.IN_TIME
+    left_core_ms: float = 0.0
+    value: float = 1.0
+    slack_left_ms: int | None = None
+    standing: queueing.Standing = queueing.NEUTRAL
     crashes_count: int = 0
+    amount: messages.Resources = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.amount = _multiply(self.spec.charged(), len(self.indexes))
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the objective of the job can't be met any more."""
+        return self.urgency is not queueing.Urgency.IN_TIME
+
+    @property
+    def least_speed(self) -> float:
+        """The speed of a worker on which the demand meets its objective.
+
+        It is at most 1, and 0 if any worker will do: the demand has no
+        objective or has missed it, or its tasks are isolated.
+        """
+        left_ms, run_ms = self.slack_left_ms, self.spec.expected_run_ms
+        if left_ms is None or left_ms < 0 or not run_ms or self.isolated:
+            return 0.0
+        return run_ms / (run_ms + left_ms)
 
     @property
     def isolated(self) -> bool:
@@ -90,11 +123,13 @@
 class AvailableWorker:
     """A usable worker and its free resources.
 
-    ``penalty`` is higher for slow workers and for workers that failed tasks
-    recently; they are chosen last. A ``reserved`` worker is kept for an
-    earlier demand. A worker with ``is_empty`` runs nothing. ``endless_used``
-    is what endless tasks use; nobody knows when it becomes free. What is or
-    will become free is ``obtainable``.
+    ``speed`` is that of the worker's tier, and 1.0 is the median of the pool;
+    all workers of an even pool have 1.0. ``penalty`` is higher for slow
+    workers and for workers that failed tasks recently; they are chosen last.
+    A ``reserved`` worker is kept for an earlier demand. A worker with
+    ``is_empty`` runs nothing. ``endless_used`` is what endless tasks use;
+    nobody knows when it becomes free. What is or will become free is
+    ``obtainable``.
     """
 
     worker_id: messages.WorkerId
@@ -108,6 +143,7 @@
     is_empty: bool = True
     started_ms: int = 0
     endless_used: messages.Resources = messages.Resources(0, 0)
+    speed: float = 1.0
     obtainable: messages.Resources = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -150,24 +186,7 @@
     TEAM_LIMIT = 'the team is at its limit'
     GANG = 'the gang does not fit as a whole'
     ISOLATION = 'no worker is free to run the task apart from other jobs'
-
-
-def scheduling_key(demand: Demand) -> tuple[bool, int, int, int, str]:
-    """Return the sort key of a demand.
-
-    Demands that can still meet their objective come first. If more work
-    arrives than fits, others would otherwise become late behind demands that
-    are late already. Then the priority of the queue decides, then the time
-    that is left, and then age. A suspect of a single crash is most likely not
-    to blame and does not lose its place, since it waits for an empty worker.
-    """
-    return (
-        demand.is_late and demand.crashes_count != 1,
-        demand.priority,
-        demand.latest_start_ms,
-        demand.submitted_ms,
-        demand.job_id,
-    )
+    TOO_SLOW = 'the workers with room are too slow for the objective'
 
 
 def plan(
@@ -245,7 +264,7 @@
     The isolated ones change places among themselves, so that those under
     which the fewest workers have crashed come first.
     """
-    ordered = sorted(demands, key=scheduling_key)
+    ordered = sorted(demands, key=queueing.sort_key)
     isolated = iter(
         sorted(
             (demand for demand in ordered if demand.isolated),
@@ -289,6 +308,8 @@
     least_count = len(demand.indexes) if demand.spec.gang else 1
     if placement.count_fits(pool.workers, least_count) < least_count:
         return WaitReason.UNFIT
+    if not placement.single_task_fits() and placement.slow_worker_fits():
+        return WaitReason.TOO_SLOW
     if not placement.candidates_count():
         others_count = placement.candidates_count(include_reserved=True)
         return WaitReason.RESERVED if others_count else WaitReason.NO_GRANT
@@ -385,16 +406,35 @@
 
 
 class _Pool:
-    """The usable workers of one pool, and their positions by id."""
+    """The usable workers of one pool, and their positions by id.
+
+    ``speed_min`` is the speed of the slowest one, at most 1.
+    """
 
     def __init__(self) -> None:
         self.workers: list[AvailableWorker] = []
         self.positions: dict[messages.WorkerId, int] = {}
+        self.speed_min = 1.0
 
     def add(self, worker: AvailableWorker) -> None:
+        if worker.speed < self.speed_min:
+            self.speed_min = worker.speed
         self.positions[worker.worker_id] = len(self.workers)
         self.workers.append(worker)
 
+    def in_any_order(
+        self, worker_ids: collections.abc.Collection[messages.WorkerId] | None
+    ) -> collections.abc.Iterable[AvailableWorker]:
+        """Return what select does, for callers that need only a few."""
+        if worker_ids is None:
+            return self.workers
+        positions = self.positions
+        return (
+            self.workers[positions[worker_id]]
+            for worker_id in worker_ids
+            if worker_id in positions
+        )
+
     def select(
         self, worker_ids: collections.abc.Collection[messages.WorkerId] | None
     ) -> list[AvailableWorker]:
@@ -443,6 +483,30 @@
         self._team_available = team_available
         self._charge = demand.spec.charged()
         self._counts = dict(demand.per_worker_counts)
+        self._speed_min = 0.0
+        if pool.speed_min < 1:
+            self._speed_min = self._find_speed_min()
+
+    def _find_speed_min(self) -> float:
+        """Return the least speed of workers on which the demand may start.
+
+        On a slower one it would miss its objective, but it may still meet it
+        on a faster one that becomes free before its latest start. Then, or if
+        the faster workers could never run it, any worker is used.
+        """
+        demand = self._demand
+        speed_min = demand.least_speed
+        if speed_min <= self._pool.speed_min:
+            return 0.0
+        fast_enough = (
+            worker
+            for worker in self._pool.in_any_order(demand.granted)
+            if worker.speed >= speed_min
+        )
+        least_count = len(demand.indexes) if demand.spec.gang else 1
+        if self.count_fits(fast_enough, least_count) < least_count:
+            return 0.0
+        return speed_min
 
     def place(self) -> list[tuple[Placement, ...]]:
         demand = self._demand
@@ -453,10 +517,8 @@
             return [(one,) for one in self._take(allocation)]
         if allowed_count < wanted_count:
             return []
-        allocation = self._allocate(wanted_count)
-        if sum(count for _, count in allocation) < wanted_count:
-            return []
-        return [tuple(self._take(allocation))]
+        allocation = self._allocate_gang(wanted_count)
+        return [tuple(self._take(allocation))] if allocation else []
 
     def place_isolated(self) -> list[tuple[Placement, ...]]:
         """Place tasks on one worker, on which nothing else is placed.
@@ -596,7 +658,9 @@
         charge = self._charge
         eligible = [
             worker
-            for worker in self._pool.select(self._demand.granted)
+            for worker in self._fast_enough(
+                self._pool.select(self._demand.granted)
+            )
             if self._may_run(worker) and charge.fits_in(worker.obtainable)
         ]
         if self._demand.spec.per_worker_max:
@@ -612,6 +676,17 @@
         """Return how many workers may start the demand now."""
         return len(self._startable(include_reserved))
 
+    def slow_worker_fits(self) -> bool:
+        """Return whether a task would fit on workers that are too slow."""
+        if not self._speed_min:
+            return False
+        others = _DemandPlacement(
+            dataclasses.replace(self._demand, slack_left_ms=None),
+            self._pool,
+            self._team_available,
+        )
+        return others.single_task_fits()
+
     def single_task_fits(self) -> bool:
         """Return whether a single task would fit on any worker."""
         return any(
@@ -632,7 +707,7 @@
     ) -> list[AvailableWorker]:
         """Return the workers on which a task may start now."""
         tickets, granted = self._demand.tickets, self._demand.granted
-        return [
+        startable = [
             worker
             for worker in self._pool.select(
                 granted if tickets is None else tickets
@@ -640,6 +715,16 @@
             if self._may_run(worker, include_reserved)
             and (granted is None or worker.worker_id in granted)
         ]
+        return self._fast_enough(startable)
+
+    def _fast_enough(
+        self, workers: list[AvailableWorker]
+    ) -> list[AvailableWorker]:
+        """Return the workers that are not too slow for the demand."""
+        speed_min = self._speed_min
+        if not speed_min:
+            return workers
+        return [worker for worker in workers if worker.speed >= speed_min]
 
     def _room(self, worker: AvailableWorker) -> int:
         """Return how many more tasks fit on a worker with room for one."""
@@ -660,6 +745,40 @@
         """
         if wanted_count <= 0:
             return []
+        return self._fill(self._ranked(), wanted_count)
+
+    def _allocate_gang(
+        self, wanted_count: int
+    ) -> list[tuple[AvailableWorker, int]]:
+        """Return the best workers for a whole gang, none if it does not fit.
+
+        A gang with members on fast and on slow workers is as slow as one on
+        slow workers only, so the fast ones are left to others if the gang
+        fits on equally reliable ones of the slowest speed.
+        """
+        ranked = self._ranked()
+        allocation = self._fill(ranked, wanted_count)
+        if sum(count for _, count in allocation) < wanted_count:
+            return []
+        slowest = min(worker.speed for worker, _ in allocation)
+        if all(worker.speed == slowest for worker, _ in allocation):
+            return allocation
+        used = max(self._reliability(worker) for worker, _ in allocation)
+        alike = self._fill(
+            [
+                worker
+                for worker in ranked
+                if worker.speed == slowest
+                and self._reliability(worker) <= used
+            ],
+            wanted_count,
+        )
+        if sum(count for _, count in alike) < wanted_count:
+            return allocation
+        return alike
+
+    def _ranked(self) -> list[AvailableWorker]:
+        """Return the workers with room for a task, the best first."""
         charge = self._charge
         ranked = [
             (self._rank(worker), position, worker)
@@ -667,8 +786,15 @@
             if charge.fits_in(worker.free)
         ]
         ranked.sort()
+        return [worker for _, _, worker in ranked]
+
+    def _fill(
+        self,
+        ranked: collections.abc.Iterable[AvailableWorker],
+        wanted_count: int,
+    ) -> list[tuple[AvailableWorker, int]]:
         allocation = []
-        for _, _, worker in ranked:
+        for worker in ranked:
             if wanted_count <= 0:
                 break
             count = min(wanted_count, self._room(worker))
@@ -701,16 +827,24 @@
             )
         return placements
 
-    def _rank(self, worker: AvailableWorker) -> tuple[bool, int, bool, int]:
+    def _reliability(self, worker: AvailableWorker) -> tuple[bool, int]:
+        """Return a sort key; the lowest is the most reliable."""
+        return worker.worker_id in self._demand.avoided, worker.penalty
+
+    def _rank(
+        self, worker: AvailableWorker
+    ) -> tuple[bool, int, float, bool, int]:
         """Return the sort key of a worker; the lowest is chosen.
 
-        Prefers reliable workers, then the rack near the data, then the
-        worker with the least free CPU, so that full workers are filled up.
+        Prefers reliable workers, then faster ones, then the rack near the
+        data, then the worker with the least free CPU, so that full workers
+        are filled up.
         """
         spec = self._demand.spec
         return (
             worker.worker_id in self._demand.avoided,
             worker.penalty,
+            -worker.speed,
             bool(spec.near_rack) and worker.rack != spec.near_rack,
             worker.free.cpu_millicores,
         )
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -16,7 +16,7 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _demands
-from dandeliondrum.jobs import _objectives
+from dandeliondrum.jobs import _ordering
 from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _policy
@@ -25,6 +25,7 @@
 from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import _wait_tracker
 from dandeliondrum.jobs import _worker_peer
+from dandeliondrum.jobs import queueing
 from dandeliondrum import messages
 
 # Minimum interval between rounds, so that one round batches many decisions.
@@ -49,12 +50,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Inputs:
-    """What a round plans with, as read under the locks."""
+    """What a round plans with, as read under the locks.
+
+    ``skipped_steps`` can't run on the usable workers, or are left to a later
+    round.
+    """
 
     demands: list[_planner.Demand]
     workers: list[_planner.AvailableWorker]
     team_available: dict[messages.TeamId, messages.Resources]
-    unfit_reasons: dict[_planner.StepKey, str]
+    skipped_steps: set[_planner.StepKey]
     peers: _Peers
     facts: dict[messages.WorkerId, _commands.WorkerFacts]
     isolation: _planner.Isolation
@@ -89,7 +94,9 @@
         self._wait_tracker = _wait_tracker.WaitTracker()
         self._demand_cache = _demands.DemandCache()
         self._worker_cache = _demands.WorkerCache()
-        self._submission_times = _objectives.SubmissionTimes()
+        self._ordering = _ordering.Ordering(term)
+        self._submission_times = queueing.SubmissionTimes()
+        self._backlog = queueing.Backlog()
         # Duration of the last round without its commit.
         self._round_ms = 0.0
         # Steps for which the last round reserved workers on which tasks fit,
@@ -193,23 +200,36 @@
             if not demands:
                 term.advice.retain(set())
                 term.unfit_reasons = {}
+                self._ordering.clear()
                 return None
             for demand, _ in demands:
                 self._set_urgency(demand, now_ms)
             unfit_reasons = _planner.unfit_reasons(
                 (demand for demand, _ in demands), workers, team_limits
             )
+            ordered = self._ordering.order(
+                [demand for demand, _ in demands],
+                workers,
+                unfit_reasons,
+                now_ms,
+            )
             term.unfit_reasons = _reasons_to_report(demands, unfit_reasons)
+            skipped = unfit_reasons.keys() | self._backlog.postponed(
+                demand
+                for demand, _ in demands
+                if (demand.job_id, demand.step) not in unfit_reasons
+            )
             self._advice_requester.request(
                 demands,
                 workers,
                 self._steps_with_capacity,
                 self._reserved_ids,
                 team_available,
-                unfit_reasons,
+                skipped,
             )
             for demand, queue in demands:
-                self._set_advice(demand, queue, now_ms)
+                if (demand.job_id, demand.step) not in skipped:
+                    self._set_advice(demand, queue, now_ms)
             peers = dict(term.peers)
             term.load.record_fleet(
                 _demands.free_cpu_share(workers),
@@ -217,10 +237,10 @@
             )
         term.metrics.usable_workers.set(len(workers))
         return _Inputs(
-            [demand for demand, _ in demands],
+            ordered,
             workers,
             team_available,
-            unfit_reasons,
+            skipped,
             peers,
             facts,
             isolation,
@@ -250,29 +270,35 @@
     ) -> list[_planner.AvailableWorker]:
         term = self._term
         slow = term.progress.slow_workers(now_ms)
+        evacuated = term.state.evacuations.domains
         return self._worker_cache.read(
             (
-                worker,
-                term.health.consecutive_failures(worker_id)
-                + (worker_id in slow),
-            )
-            for worker_id, worker in term.state.workers.items()
-            if worker_id in usable
-            and worker.facts.phase is _commands.WorkerPhase.READY
-            # The peer may have newer facts, which are being committed.
-            and worker.facts == term.peers[worker_id].facts
+                (
+                    worker,
+                    term.health.consecutive_failures(worker_id)
+                    + (worker_id in slow),
+                )
+                for worker_id, worker in term.state.workers.items()
+                if worker_id in usable
+                and worker.facts.phase is _commands.WorkerPhase.READY
+                and worker.facts.failure_domain not in evacuated
+                # The peer may have newer facts, which are being committed.
+                and worker.facts == term.peers[worker_id].facts
+            ),
+            term.speeds.uneven_speeds(now_ms),
         )
 
     def _plan(self, inputs: '_Inputs') -> _Groups:
         preemption = _preemption.Preemption(
-            functools.partial(self._preemptible_runs, inputs.peers)
+            functools.partial(self._preemptible_runs, inputs.peers),
+            self._left_ms,
         )
         groups = _planner.plan(
             [
                 demand
                 for demand in inputs.demands
                 if (demand.granted is None or demand.granted)
-                and (demand.job_id, demand.step) not in inputs.unfit_reasons
+                and (demand.job_id, demand.step) not in inputs.skipped_steps
             ],
             inputs.workers,
             inputs.team_available,
@@ -308,6 +334,16 @@
                 state, worker_id, peers[worker_id].orders
             )
 
+    def _left_ms(self, run: _preemption.PreemptibleRun) -> int:
+        """Return the expected time to the end of a run."""
+        term = self._term
+        return term.speeds.expected_run_ms(
+            run.worker_id,
+            run.expected_ms,
+            _clock.elapsed_ms(),
+            term.progress.percent(run.worker_id, run.task, run.run),
+        )
+
     def _preempt(
         self, runs: list[_preemption.PreemptibleRun], peers: _Peers
     ) -> None:
@@ -319,6 +355,7 @@
                 run=run.run,
                 worker=run.worker_id,
                 priority=run.priority,
+                left_ms=self._left_ms(run),
             )
             peers[run.worker_id].orders.stop(run.task, run.run)
 
@@ -343,8 +380,13 @@
         """Set what decides the order of demands in this round."""
         submitted_ms = self._submission_times.submitted_ms(demand.job_id)
         demand.latest_start_ms = submitted_ms + (demand.slack_ms or 0)
-        demand.is_late = (
-            demand.slack_ms is not None and now_ms > demand.latest_start_ms
+        demand.slack_left_ms = (
+            demand.latest_start_ms - now_ms
+            if demand.slack_ms is not None
+            else None
+        )
+        demand.urgency = queueing.urgency_at(
+            now_ms, demand.latest_start_ms, demand.objective_ms
         )
         demand.waited_ms = self._wait_tracker.waited_ms(
             demand.job_id, demand.step, now_ms
@@ -393,7 +435,8 @@
     ) -> set[messages.WorkerId]:
         """Return the workers whose facts are those that were planned with.
 
-        A worker that restarted may have fewer resources.
+        A worker that restarted may have fewer resources. Its failure domain
+        may have been evacuated in the meantime.
         """
         workers = self._term.state.workers
         return {
@@ -401,6 +444,7 @@
             for worker_id in worker_ids
             if worker_id in workers
             and workers[worker_id].facts == inputs.facts[worker_id]
+            and not self._term.state.is_evacuated(inputs.facts[worker_id])
         }
 
     def _is_valid(
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -28,9 +28,9 @@
 from dandeliondrum import utils
 
 # Sufficient for 500 workers, each with a thread that reads its lists and the
-# orders under way to it, plus the scheduler, a slow commit of ends and the
-# effects of others.
-PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 4
+# orders under way to it, plus the scheduler, the speeds, a slow commit of ends
+# and the effects of others.
+PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 5
 CHECK_INTERVAL_MS = 1_000
 # Interval between commits of starts. Callers are promised a count of waiting
 # jobs that is at most 2 s old.
@@ -398,6 +398,24 @@
             worker = self._term.state.workers.get(facts.worker_id)
             return worker is None or worker.used.fits_in(facts.capacity)
 
+    def is_evacuated(self, facts: _commands.WorkerFacts) -> bool:
+        """Return whether the failure domain of a worker is evacuated."""
+        # Read without the lock of the state: the set is replaced as a whole.
+        return self._term.state.is_evacuated(facts)
+
+    def withheld(
+        self, worker_id: messages.WorkerId, task: _specs.TaskKey, run: int
+    ) -> None:
+        """Note that a start is not sent, as the domain is evacuated."""
+        self._term.metrics.withheld.inc()
+        _logger.info(
+            'start withheld',
+            worker=worker_id,
+            task=str(task),
+            run=run,
+            why='domain evacuated',
+        )
+
     def suspects(
         self, tasks: collections.abc.Iterable[_specs.TaskKey]
     ) -> set[_specs.TaskKey]:
@@ -543,7 +561,15 @@
             with term.state.lock:
                 runs = _expected_progress(term.state, lists.runs)
             stalled = term.progress.record_list(
-                worker_id, runs, lists.clock_ms, now_ms
+                worker_id,
+                runs,
+                lists.clock_ms,
+                now_ms,
+                [
+                    (item.end.task, item.end.run)
+                    for item in lists.ends
+                    if item.end.outcome is _commands.RunOutcome.DONE
+                ],
             )
             late_runs: list[_progress.RunProgress] = []
             with self._lock:
@@ -826,6 +852,7 @@
                 step.expected_run_ms,
                 startup_allowance_ms,
                 step.checkpointing,
+                step.gang,
             )
         )
     return found
--- a/dandeliondrum/jobs/tests/load_simulation.py
+++ b/dandeliondrum/jobs/tests/load_simulation.py
@@ -7,12 +7,13 @@
 
 import collections
 import dataclasses
+import enum
 import random
 
 from dandeliondrum import jobs
-from dandeliondrum.jobs import _objectives
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _preemption
+from dandeliondrum.jobs import queueing
 from dandeliondrum.jobs.tests import helpers
 from dandeliondrum import messages
 
@@ -24,6 +25,19 @@
 USEFUL_OBJECTIVES_MAX = 3
 
 
+class Order(enum.Enum):
+    """What the planner is told about the demands.
+
+    ``AGE``: nothing but priority and age. ``LATENESS``: also whether the
+    objective can still be met and the time left, as before the order knew
+    what late work is of use. ``CURRENT``: all that the scheduler tells it.
+    """
+
+    AGE = enum.auto()
+    LATENESS = enum.auto()
+    CURRENT = enum.auto()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobClass:
     """Jobs that are alike; ``rate`` is the number of arrivals per second.
@@ -42,6 +56,11 @@
     target_ms: int
     bursts: tuple[tuple[int, int, float], ...] = ()
     gang_share: float = 0.0
+    team: str = helpers.TEAM
+
+    def of_team(self, team, bursts=()):
+        """Return these jobs as those of a team."""
+        return dataclasses.replace(self, team=team, bursts=bursts)
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +89,14 @@
             and self.ended_ms - self.arrived_ms <= self.objective_ms
         )
 
+    def value(self):
+        """Return what the job was worth to its callers, at most 1."""
+        return 1.0 if self.in_time() else 0.2 * self.useful()
+
+    def late(self):
+        """Return whether the job ended late, but was of use."""
+        return self.useful() and not self.in_time()
+
     def useful(self):
         """Return whether the job ended before it was of no use."""
         limit_ms = USEFUL_OBJECTIVES_MAX * self.objective_ms
@@ -80,12 +107,17 @@
 
 
 class Simulation:
-    """One play of a load; ``uses_objectives`` tells the planner of them."""
+    """One play of a load in a given order of the demands."""
 
-    def __init__(self, classes, workers_count, seed, uses_objectives=True):
+    def __init__(
+        self, classes, workers_count, seed, order=Order.CURRENT, weights=None
+    ):
         self._classes = classes
         self._rng = random.Random(seed)
-        self._uses_objectives = uses_objectives
+        # Arrivals are the same in each order of the demands.
+        self._grants_rng = random.Random(seed)
+        self._order = order
+        self._weights = weights or {}
         self._workers = {
             f'w{number}': messages.Resources(WORKER_CPU, WORKER_MEMORY_MB)
             for number in range(workers_count)
@@ -139,12 +171,14 @@
 
     def _begin_step(self, job, now_ms):
         count = max(1, int(len(self._workers) * GRANTED_SHARE))
-        job.granted = tuple(self._rng.sample(sorted(self._workers), count))
+        job.granted = tuple(
+            self._grants_rng.sample(sorted(self._workers), count)
+        )
         job.waiting = job.kind.tasks_count
         job.due_since_ms = now_ms
 
     def _end_runs(self, now_ms):
-        for job, worker_id in self._ends.pop(now_ms, ()):
+        for job, worker_id, _ in self._ends.pop(now_ms, ()):
             self._workers[worker_id] += self._charge(job)
             job.running -= 1
             if job.waiting or job.running:
@@ -161,24 +195,56 @@
             self._demand(job, now_ms) for job in self._open if job.waiting
         ]
         workers = [
-            helpers.available_worker(
-                worker_id,
-                free=free,
-                capacity=messages.Resources(WORKER_CPU, WORKER_MEMORY_MB),
-            )
+            self._available(worker_id, free, now_ms)
             for worker_id, free in self._workers.items()
         ]
+        if self._order is Order.CURRENT:
+            queueing.order(
+                demands, self._contention(demands, workers, now_ms), now_ms
+            )
         groups = _planner.plan(demands, workers, {}, _preemption.Preemption())
         by_name = {job.name: job for job in self._open}
-        for placement in (one for group in groups for one in group):
-            job = by_name[placement.task.job_id]
-            self._workers[placement.worker_id] -= self._charge(job)
-            job.waiting -= 1
-            job.running += 1
-            ticks = -(-job.true_run_ms // TICK_MS)
-            self._ends[now_ms + ticks * TICK_MS].append(
-                (job, placement.worker_id)
-            )
+        for group in groups:
+            job = by_name[group[0].task.job_id]
+            ticks = -(-self._run_ms(job, group) // TICK_MS)
+            for placement in group:
+                self._workers[placement.worker_id] -= self._charge(job)
+                job.waiting -= 1
+                job.running += 1
+                self._ends[now_ms + ticks * TICK_MS].append(
+                    (job, placement.worker_id, now_ms)
+                )
+
+    def _available(self, worker_id, free, now_ms):
+        """Return a worker as the planner knows it."""
+        return helpers.available_worker(
+            worker_id,
+            free=free,
+            capacity=messages.Resources(WORKER_CPU, WORKER_MEMORY_MB),
+        )
+
+    def _run_ms(self, job, group):
+        """Return how long the runs of a group take."""
+        return job.true_run_ms
+
+    def _contention(self, demands, workers, now_ms):
+        contended = queueing.contended_pools(
+            demands, queueing.pool_rooms(workers)
+        )
+        running = queueing.Running()
+        for runs in self._ends.values():
+            for job, _, started_ms in runs:
+                # It is expected to take as long as its caller estimated.
+                left_ms = started_ms + job.estimated_run_ms - now_ms
+                running.add(
+                    job.kind.team,
+                    job.kind.priority,
+                    self._charge(job),
+                    max(TICK_MS, left_ms),
+                )
+        return queueing.Contention(
+            contended, dict.fromkeys(contended, running), self._weights
+        )
 
     def _demand(self, job, now_ms):
         spec = jobs.StepSpec(
@@ -187,30 +253,50 @@
             job.estimated_run_ms,
             gang=job.gang,
         )
-        more = {}
-        if self._uses_objectives:
-            specs = [
-                dataclasses.replace(spec, after=(step - 1,) if step else ())
-                for step in range(job.steps_count)
-            ]
-            queue = helpers.queue(job.kind.stretch, job.kind.target_ms)
-            slack_ms = _objectives.slack_ms(specs, queue)[job.step]
-            latest_start_ms = job.arrived_ms + slack_ms
-            more = {
-                'latest_start_ms': latest_start_ms,
-                'is_late': now_ms > latest_start_ms,
-            }
         return helpers.demand(
             job.name,
             spec,
             tuple(range(job.waiting)),
+            team_id=job.kind.team,
             priority=job.kind.priority,
             submitted_ms=job.arrived_ms,
             granted=frozenset(job.granted),
             tickets=dict.fromkeys(job.granted, 't'),
             waited_ms=now_ms - job.due_since_ms,
-            **more,
+            **self._objective_fields(job, spec, now_ms),
+        )
+
+    def _objective_fields(self, job, spec, now_ms):
+        """Return what the order depends on beside priority and age."""
+        if self._order is Order.AGE:
+            return {}
+        steps = [
+            dataclasses.replace(spec, after=(step - 1,) if step else ())
+            for step in range(job.steps_count)
+        ]
+        queue = helpers.queue(job.kind.stretch, job.kind.target_ms)
+        latest_start_ms = (
+            job.arrived_ms + queueing.slack_ms(steps, queue)[job.step]
         )
+        objective_ms = queueing.objective_ms(steps, queue)
+        urgency = queueing.urgency_at(now_ms, latest_start_ms, objective_ms)
+        fields = {
+            'slack_ms': latest_start_ms - job.arrived_ms,
+            'objective_ms': objective_ms,
+            'latest_start_ms': latest_start_ms,
+            'slack_left_ms': latest_start_ms - now_ms,
+            'urgency': urgency,
+        }
+        if self._order is Order.LATENESS:
+            late = queueing.Urgency.LATE
+            return fields | {
+                'urgency': min(urgency, late),
+                # Late demands then go by the time of their latest start.
+                'left_core_ms': latest_start_ms,
+            }
+        counts = [job.kind.tasks_count] * job.steps_count
+        counts[: job.step + 1] = [0] * job.step + [job.waiting]
+        return fields | {'left_core_ms': queueing.work_core_ms(steps, counts)}
 
     def _charge(self, job):
         return messages.Resources(job.kind.cpu, 100)
--- a/dandeliondrum/platform/_settings.py
+++ b/dandeliondrum/platform/_settings.py
@@ -5,11 +5,14 @@
 
 from returns import result
 
+from dandeliondrum import http_server
 from dandeliondrum import messages
 from dandeliondrum import transport
 
 SETTINGS_VARIABLE = 'DANDELIONDRUM_SETTINGS'
 DEFAULT_PATH = '/etc/dandeliondrum/local.conf'
+# Followed by the name of a failure domain; the value is its region.
+DOMAIN_PREFIX = 'Zones.'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,7 +21,9 @@
 
     ``seed_addresses`` are the control API addresses of some controllers.
     ``losses_max`` is the number of VMs with a disk whose simultaneous loss
-    has to be tolerated.
+    has to be tolerated. ``process_limits`` are those of the VM for this
+    process. ``contracts`` are the optional parts of the interface that are in
+    use. ``failure_domains`` are all of them; empty if the file names none.
     """
 
     vm_name: str
@@ -37,6 +42,9 @@
     lease_max_ms: int
     job_state_kept_ms: int
     adviser_address: str
+    process_limits: http_server.ProcessLimits
+    contracts: frozenset[str] = frozenset()
+    failure_domains: frozenset[messages.FailureDomain] = frozenset()
 
     @property
     def stream_address(self) -> str:
@@ -105,8 +113,30 @@
         lease_max_ms=int(values['Bounds.HoldMaxMs']),
         job_state_kept_ms=_seconds_to_ms(values['Bounds.status_s']),
         adviser_address=values.get('PlacementAdvisor', ''),
+        contracts=frozenset(
+            name.strip()
+            for name in values.get('Contracts', '').split(',')
+            if name.strip()
+        ),
+        failure_domains=frozenset(
+            messages.FailureDomain(name.removeprefix(DOMAIN_PREFIX))
+            for name in values
+            if name.startswith(DOMAIN_PREFIX)
+        ),
+        process_limits=http_server.ProcessLimits(
+            _whole_number(values, 'Limits.MemoryMb'),
+            _whole_number(values, 'Limits.MaxFds'),
+        ),
     )
 
 
+def _whole_number(values: dict[str, str], name: str) -> int:
+    """Return a limit; 0, which stands for none, if it is missing."""
+    text = values.get(name, '0')
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f'{name} must be a whole number, not {text!r:.40}')
+    return int(text)
+
+
 def _seconds_to_ms(seconds: str) -> int:
     return int(float(seconds) * 1000)
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -29,7 +29,9 @@
     series: bool = True,
     shrinks: bool = False,
     recuts: bool = False,
+    evacuations: bool = False,
     deadly: float = 0,
+    uneven: bool = False,
     folder: str = '',
 ) -> None:
     """Run soaks with consecutive seeds; exit with code 1 if one failed.
@@ -40,8 +42,10 @@
     and workers if they are given. A soak that exceeds the limits of the
     machine is not started. With ``shrinks``, the capacity of workers shrinks
     at times; with ``recuts`` workers are cut off soon after they have started
-    again, and meet calls of before; ``deadly`` is the share of jobs that crash
-    the workers that start them. Half-way, the cell is held over its capacity
+    again, and meet calls of before; with ``evacuations`` failure domains are
+    evacuated for a while; ``deadly`` is the share of jobs that crash the
+    workers that start them; with ``uneven`` every fourth worker takes more
+    than twice as long. Half-way, the cell is held over its capacity
     for ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
@@ -69,7 +73,9 @@
             overload_s=overload,
             shrinks=shrinks,
             recuts=recuts,
+            evacuations=evacuations,
             deadly_share=deadly,
+            uneven=uneven,
             size=chosen,
         )
         outcome = _soak.run_soak(options)
