Name the inputs of the order plainly; describe work of no more use

Doc comments that began with 'What' read like riddles; a scheduler's round has one function for the steps that it skips.

--- a/dandeliondrum/http_server/_arrival.py
+++ b/dandeliondrum/http_server/_arrival.py
@@ -35,7 +35,7 @@
 
 
 class State(enum.Enum):
-    """What has arrived of a request."""
+    """State of a request that is being received."""
 
     PARTIAL = 'partial'
     # To be served, or to be refused by what is in the attributes.
@@ -48,7 +48,7 @@
 
 
 class Arrival(io.RawIOBase):
-    """What has arrived of the requests of a connection.
+    """Receiver of the requests of one connection.
 
     As a stream it ends with the current request. ``overloaded`` says that the
     budget did not suffice for its body, ``too_large`` that its body exceeds
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Inputs:
-    """What a round plans with, as read under the locks.
+    """Inputs of a planning round, as read under the locks.
 
     ``skipped_steps`` can't run on the usable workers, or are left to a later
     round.
@@ -207,18 +207,14 @@
             unfit_reasons = _planner.unfit_reasons(
                 (demand for demand, _ in demands), workers, team_limits
             )
+            term.unfit_reasons = _reasons_to_report(demands, unfit_reasons)
             ordered = self._ordering.order(
                 [demand for demand, _ in demands],
                 workers,
                 unfit_reasons,
                 now_ms,
             )
-            term.unfit_reasons = _reasons_to_report(demands, unfit_reasons)
-            skipped = unfit_reasons.keys() | self._backlog.postponed(
-                demand
-                for demand, _ in demands
-                if (demand.job_id, demand.step) not in unfit_reasons
-            )
+            skipped = self._skipped_steps(ordered, unfit_reasons)
             self._advice_requester.request(
                 demands,
                 workers,
@@ -247,6 +243,18 @@
             now_ms,
         )
 
+    def _skipped_steps(
+        self,
+        demands: list[_planner.Demand],
+        unfit_reasons: dict[_planner.StepKey, str],
+    ) -> set[_planner.StepKey]:
+        """Return the steps that this round neither plans nor requests."""
+        return unfit_reasons.keys() | self._backlog.postponed(
+            demand
+            for demand in demands
+            if (demand.job_id, demand.step) not in unfit_reasons
+        )
+
     def _usable_ids(self, now_ms: int) -> set[messages.WorkerId]:
         term = self._term
         return {
--- a/dandeliondrum/jobs/evacuations/_evacuations.py
+++ b/dandeliondrum/jobs/evacuations/_evacuations.py
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Origin:
-    """Who asked for an order, why, and when; empty if it is not known."""
+    """Requester, reason and time of an order; empty if not known."""
 
     requested_by: str = ''
     reason: str = ''
--- a/dandeliondrum/jobs/queueing/_contention.py
+++ b/dandeliondrum/jobs/queueing/_contention.py
@@ -8,14 +8,14 @@
 
 
 class Demand(typing.Protocol):
-    """What a demand asks of its pool; see ``_planner.Demand``."""
+    """Resources that a demand asks for; see ``_planner.Demand``."""
 
     pool: str
     amount: messages.Resources
 
 
 class Worker(typing.Protocol):
-    """What a worker has; see ``_planner.AvailableWorker``."""
+    """Resources of a worker; see ``_planner.AvailableWorker``."""
 
     pool: str
     free: messages.Resources
@@ -32,7 +32,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Running:
-    """What runs in a pool: the use of each team by priority, and its ends.
+    """Running work of a pool: the use of each team by priority, and its ends.
 
     ``ends`` holds what becomes free by the time from now, in ms. Endless
     tasks are not part of it.
--- a/dandeliondrum/jobs/queueing/_deferral.py
+++ b/dandeliondrum/jobs/queueing/_deferral.py
@@ -29,7 +29,7 @@
 
 
 class Demand(typing.Protocol):
-    """What the forecast depends on; see ``_planner.Demand``."""
+    """Fields that the forecast reads; see ``_planner.Demand``."""
 
     spec: _specs.StepSpec
     amount: messages.Resources
--- a/dandeliondrum/jobs/queueing/_order.py
+++ b/dandeliondrum/jobs/queueing/_order.py
@@ -23,7 +23,7 @@
 
 
 class Demand(_shares.Demand, _deferral.Demand, typing.Protocol):
-    """What the order depends on; see ``_planner.Demand``."""
+    """Fields that the order reads; see ``_planner.Demand``."""
 
     job_id: _specs.JobId
     step: _specs.StepIndex
--- a/dandeliondrum/jobs/queueing/_shares.py
+++ b/dandeliondrum/jobs/queueing/_shares.py
@@ -16,7 +16,7 @@
 
 
 class Demand(_contention.Demand, typing.Protocol):
-    """What the bands depend on; see ``_planner.Demand``."""
+    """Fields that the bands depend on; see ``_planner.Demand``."""
 
     team_id: messages.TeamId
     priority: int
--- a/dandeliondrum/jobs/queueing/_standing.py
+++ b/dandeliondrum/jobs/queueing/_standing.py
@@ -1,4 +1,4 @@
-"""What moves a demand within the scheduling order under contention."""
+"""Standing of a demand in the scheduling order under contention."""
 
 import dataclasses
 import enum
@@ -6,7 +6,7 @@
 
 
 class Cause(enum.Enum):
-    """What decided the position of a demand."""
+    """Rule that decided the position of a demand."""
 
     ORDER = 'by priority and time left'
     LATE = 'its objective can not be met any more'
--- a/dandeliondrum/jobs/queueing/_urgency.py
+++ b/dandeliondrum/jobs/queueing/_urgency.py
@@ -1,4 +1,4 @@
-"""How much use a job can still be to its callers."""
+"""Urgency classes of jobs, by their latency objectives."""
 
 import enum
 
@@ -7,7 +7,7 @@
 
 
 class Urgency(enum.IntEnum):
-    """What a job can still achieve if a step of it starts now."""
+    """Best outcome that a job can reach if a step of it starts now."""
 
     IN_TIME = 0
     LATE = 1
--- a/dandeliondrum/jobs/queueing/_value.py
+++ b/dandeliondrum/jobs/queueing/_value.py
@@ -1,4 +1,4 @@
-"""What a job is worth to its callers, relative to other jobs of its queue."""
+"""Value of a job to its callers, relative to other jobs of its queue."""
 
 import collections
 import collections.abc
