Free the header fields of a request when it has been answered

Cause: the request object was stored in its own environment, a reference cycle that kept all fields until a rare collection. The environments no longer hold the requests.

--- a/dandeliondrum/gateway/_http.py
+++ b/dandeliondrum/gateway/_http.py
@@ -48,7 +48,9 @@
         environ: dict[str, typing.Any],
         start_response: collections.abc.Callable[..., typing.Any],
     ) -> None:
-        self.request = werkzeug.Request(environ)
+        # A request that is stored in its environment would keep all header
+        # fields in memory until the next collection of reference cycles.
+        self.request = werkzeug.Request(environ, populate_request=False)
         self.streamed = False
         self._start_response = start_response
         self._connection: _server.Connection = environ[_server.CONNECTION_KEY]
--- a/dandeliondrum/observability/_server.py
+++ b/dandeliondrum/observability/_server.py
@@ -1,7 +1,9 @@
 """HTTP server for the endpoints of processes without an HTTP interface."""
 
+import collections.abc
 import contextlib
 import dataclasses
+import typing
 
 from returns import result
 from werkzeug import wrappers
@@ -57,7 +59,7 @@
         """Listen, and serve requests in background threads."""
         server = http_server.Server(
             transport.parse_address(self.address),
-            wrappers.Request.application(self._serve),
+            self._respond,
             THREADS_COUNT,
             LIMITS,
             http_server.ByteBudget(BUDGET_BYTES),
@@ -78,6 +80,16 @@
         """Stop listening and wait for the threads to end."""
         self._resources.close()
 
+    def _respond(
+        self,
+        environ: dict[str, typing.Any],
+        start_response: typing.Any,
+    ) -> collections.abc.Iterable[bytes]:
+        # A request that is stored in its environment would keep all header
+        # fields in memory until the next collection of reference cycles.
+        request = wrappers.Request(environ, populate_request=False)
+        return self._serve(request)(environ, start_response)
+
     def _serve(self, request: wrappers.Request) -> wrappers.Response:
         if request.environ[http_server.CONNECTION_KEY].arrival.too_large:
             return wrappers.Response('no body is expected\n', status=413)
--- a/dandeliondrum/worker/_server.py
+++ b/dandeliondrum/worker/_server.py
@@ -93,7 +93,7 @@
     def _respond(
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> typing.Any:
-        request = werkzeug.Request(environ)
+        request = werkzeug.Request(environ, populate_request=False)
         arrival = environ[http_server.CONNECTION_KEY].arrival
         if arrival.overloaded:
             response = _error_response(503, 'too many requests in memory')
