Look only at the granted workers of a step to see whether it needs a call

Cause: each round scanned all workers for each waiting step that had been answered about before, although most steps need no further call.

Change: the granted workers with capacity are looked at first, and new ones only until a call is full.

--- a/dandeliondrum/jobs/_advice.py
+++ b/dandeliondrum/jobs/_advice.py
@@ -134,6 +134,35 @@
         step = self._steps.get(name)
         return step.tickets.keys() if step is not None else set()
 
+    def answered_about(
+        self, name: StepName
+    ) -> collections.abc.Set[messages.WorkerId]:
+        """Return the workers that were granted or refused for the step."""
+        step = self._steps.get(name)
+        if step is None:
+            return frozenset()
+        return step.tickets.keys() | step.refused
+
+    def is_sufficient(
+        self,
+        name: StepName,
+        with_capacity: collections.abc.Iterable[messages.WorkerId],
+        now_ms: int,
+    ) -> bool:
+        """Return whether the step needs no further call now.
+
+        That is so if a worker with capacity has a valid ticket that no round
+        has been planned with.
+        """
+        step = self._steps.get(name)
+        if step is None or step.planned:
+            return False
+        valid = self.tickets(name, now_ms)
+        return any(
+            worker_id in valid and worker_id not in step.refused
+            for worker_id in with_capacity
+        )
+
     def may_call(self, name: StepName, now_ms: int) -> bool:
         """Return whether a call about the step may be made now."""
         step = self._steps.get(name)
@@ -202,7 +231,7 @@
             step,
             not_refused,
             self.tickets(name, now_ms),
-            max(RENEWAL_WORKERS_MAX, _needed_max(needed_count)),
+            later_call_max(needed_count),
         )
 
     def record_call(self, name: StepName, due_ms: float) -> None:
@@ -488,6 +517,11 @@
     return max(FIRST_CALL_WORKERS_MIN, _needed_max(needed_count))
 
 
+def later_call_max(needed_count: int) -> int:
+    """Return how many workers a later call about a step includes at most."""
+    return max(RENEWAL_WORKERS_MAX, _needed_max(needed_count))
+
+
 def _needed_max(needed_count: int) -> int:
     return min(needed_count * CANDIDATES_PER_NEEDED_WORKER, CALL_WORKERS_MAX)
 
--- a/dandeliondrum/jobs/_advice_candidates.py
+++ b/dandeliondrum/jobs/_advice_candidates.py
@@ -12,6 +12,7 @@
 
 # Workers of one speed.
 _Part = tuple[float, list[_planner.AvailableWorker]]
+_Place = tuple[int, float, _planner.AvailableWorker]
 
 
 class CandidateWorkers:
@@ -34,6 +35,8 @@
         # speed.
         self._sorted: dict[str, tuple[_Part, ...]] = {}
         self._capacities: dict[str, set[messages.Resources]] = {}
+        # Position in the sorted order, speed and worker, by pool and id.
+        self._places: dict[str, dict[messages.WorkerId, _Place]] = {}
 
     def select(
         self,
@@ -56,6 +59,7 @@
         cpu, memory = charge.cpu_millicores, charge.memory_mb
         accelerators = charge.accelerators_count
         least_speed = demand.least_speed
+        is_limited = demand.spec.per_worker_max > 0
         only_with_capacity = only_with_capacity and not expects_capacity
         found: list[_advice.Candidate] = []
         with_capacity_count = 0
@@ -80,7 +84,6 @@
                     continue
                 has_capacity = (
                     is_fast_enough
-                    and not _is_at_limit(demand, worker.worker_id)
                     and (
                         expects_capacity
                         or (
@@ -89,6 +92,9 @@
                             and accelerators <= free.accelerators_count
                         )
                     )
+                    and not (
+                        is_limited and _is_at_limit(demand, worker.worker_id)
+                    )
                 )
                 with_capacity_count += has_capacity
                 if has_capacity or not only_with_capacity:
@@ -97,6 +103,58 @@
                     )
         return found
 
+    def select_granted(
+        self,
+        demand: _planner.Demand,
+        granted: collections.abc.Iterable[messages.WorkerId],
+        expects_capacity: bool = False,
+    ) -> list[messages.WorkerId]:
+        """Return the granted workers that have capacity, in order.
+
+        Calls about steps that wait in vain are considered in each round, so
+        this looks at the granted workers only.
+        """
+        places = self._places_of(demand.pool)
+        has_capacity = _capacity_test(demand, expects_capacity)
+        found = []
+        for worker_id in granted:
+            place = places.get(worker_id)
+            if place is not None and has_capacity(place[1], place[2]):
+                found.append((place[0], worker_id))
+        return [worker_id for _, worker_id in sorted(found)]
+
+    def select_new(
+        self,
+        demand: _planner.Demand,
+        known: collections.abc.Set[messages.WorkerId],
+        limit: int,
+        expects_capacity: bool = False,
+    ) -> list[messages.WorkerId]:
+        """Return the first workers with capacity that are not ``known``."""
+        cpu = demand.spec.charged().cpu_millicores
+        has_capacity = _capacity_test(demand, expects_capacity)
+        found: list[messages.WorkerId] = []
+        for speed, part in self._sorted_workers(demand.pool):
+            for worker in part:
+                if len(found) >= limit:
+                    return found
+                if not expects_capacity and worker.free.cpu_millicores < cpu:
+                    break
+                if worker.worker_id not in known and has_capacity(
+                    speed, worker
+                ):
+                    found.append(worker.worker_id)
+        return found
+
+    def _places_of(self, pool: str) -> dict[messages.WorkerId, _Place]:
+        places = self._places.get(pool)
+        if places is None:
+            places = self._places[pool] = {}
+            for speed, part in self._sorted_workers(pool):
+                for worker in part:
+                    places[worker.worker_id] = (len(places), speed, worker)
+        return places
+
     def count_needed(self, demand: _planner.Demand) -> int:
         """Return how many empty workers would hold the waiting tasks."""
         charge = demand.spec.charged()
@@ -151,19 +209,20 @@
         return ()
     is_first_call = advice.is_unknown(name)
     is_gang = demand.spec.gang
-    gang_policy = policy if is_gang else None
-    if not is_first_call and (
-        not is_gang or advice.is_valid_for(name, now_ms, policy)
-    ):
+    if not is_first_call and not is_gang:
+        return _workers_for_renewal(
+            advice, name, demand, candidate_workers, now_ms, expects_capacity
+        )
+    if not is_first_call and advice.is_valid_for(name, now_ms, policy):
         # A call is made only if there is such a worker.
         included = advice.select_workers(
             name,
             candidate_workers.select(demand, True, expects_capacity),
             now_ms,
-            1 if is_gang else candidate_workers.count_needed(demand),
-            gang_policy,
+            1,
+            policy,
         )
-        if not is_gang or not included:
+        if not included:
             return included
     needed_count = candidate_workers.count_needed(demand)
     first_call_max = (
@@ -176,10 +235,65 @@
         ),
         now_ms,
         needed_count if is_first_call else 1,
-        gang_policy,
+        policy if is_gang else None,
     )
 
 
+def _workers_for_renewal(
+    advice: _advice.GrantCache,
+    name: str,
+    demand: _planner.Demand,
+    candidate_workers: CandidateWorkers,
+    now_ms: int,
+    expects_capacity: bool,
+) -> tuple[messages.WorkerId, ...]:
+    """Return the workers to include in a later call about a step.
+
+    The candidates are those from which ``select_workers`` would choose among
+    all that have capacity.
+    """
+    granted = candidate_workers.select_granted(
+        demand, advice.granted(name), expects_capacity
+    )
+    if advice.is_sufficient(name, granted, now_ms):
+        return ()
+    needed_count = candidate_workers.count_needed(demand)
+    new = candidate_workers.select_new(
+        demand,
+        advice.answered_about(name),
+        _advice.later_call_max(needed_count),
+        expects_capacity,
+    )
+    return advice.select_workers(
+        name,
+        [_advice.Candidate(one, True) for one in (*granted, *new)],
+        now_ms,
+        needed_count,
+    )
+
+
+def _capacity_test(
+    demand: _planner.Demand, expects_capacity: bool
+) -> collections.abc.Callable[[float, _planner.AvailableWorker], bool]:
+    """Return a function that tells whether a worker has room for a task.
+
+    Its arguments are the worker's speed and the worker.
+    """
+    label = demand.spec.required_label
+    charge = demand.spec.charged()
+    least_speed = demand.least_speed
+
+    def test(speed: float, worker: _planner.AvailableWorker) -> bool:
+        return (
+            speed >= least_speed
+            and (not label or label in worker.labels)
+            and not _is_at_limit(demand, worker.worker_id)
+            and (expects_capacity or charge.fits_in(worker.free))
+        )
+
+    return test
+
+
 def _is_at_limit(
     demand: _planner.Demand, worker_id: messages.WorkerId
 ) -> bool:
