Write to a stream in the sender's thread, and read several frames at once

Cause: each frame between processes woke the writer thread of its connection, and reading it took two system calls with a poll each. The leader exchanges hundreds of frames a second, and each system call gives up the interpreter's lock, for which its thread then waits behind the others.

Change: a sender writes by itself as long as the stream takes the whole frame without blocking; the rest is left to the writer thread, and so are all later frames until it has caught up, so the order is kept. A reader takes what has arrived and splits it into frames.

Ruled out: a shorter switch interval of the interpreter.

--- a/dandeliondrum/transport/_connection.py
+++ b/dandeliondrum/transport/_connection.py
@@ -1,10 +1,11 @@
 """Symmetric connection between two processes of a cell.
 
-Each connection has a reader thread and a writer thread. Senders only append
-to a queue, so that a peer that stops reading can't block them. Each side
-sends a ping when it has nothing else to send. A connection on which nothing
-arrives for ``silence_ms`` is closed; this detects links whose state a device
-in between, such as a firewall, has dropped.
+Each connection has a reader thread and a writer thread. A sender writes to
+the stream itself as long as the stream takes all at once. What it does not
+take is left to the writer thread, so that a peer that stops reading can't
+block senders. Each side sends a ping when it has nothing else to send. A
+connection on which nothing arrives for ``silence_ms`` is closed; this detects
+links whose state a device in between, such as a firewall, has dropped.
 """
 
 import collections.abc
@@ -70,11 +71,22 @@
         self._outgoing: queue.Queue[bytes | None] = queue.Queue(
             SEND_QUEUE_MAX_FRAMES
         )
+        # Protects the three fields below.
+        self._send_lock = threading.Lock()
+        # Frames that are queued or being written by the writer thread.
+        self._queued_count = 0
+        # Whether a sender has written since the writer thread last looked.
+        self._has_sent = False
+        # The same descriptor, to write without blocking.
+        self._direct_stream = socket.socket(
+            stream.family, stream.type, stream.proto, stream.fileno()
+        )
         self._call_ids = itertools.count(1)
         self._lock = threading.Lock()
         self._pending: dict[int, CallFuture] = {}
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream.settimeout(self._silence_s)
+        self._direct_stream.setblocking(False)
 
     def run(self) -> None:
         """Read until the connection ends; start and join the writer thread."""
@@ -136,6 +148,8 @@
             self._stream.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
+        with self._send_lock:
+            self._direct_stream.detach()
         self._stream.close()
         for future in pending:
             future.set_result(_failure(_errors.CallFailure.CLOSED))
@@ -143,34 +157,63 @@
     def _send(
         self, kind: _frames.FrameKind, call_id: int, payload: bytes
     ) -> bool:
-        if self.closed.is_set():
-            return False
+        frame = _frames.pack(kind, call_id, payload)
+        with self._send_lock:
+            if self.closed.is_set():
+                return False
+            if not self._queued_count:
+                sent_bytes = self._write_now(frame)
+                if sent_bytes == len(frame):
+                    self._has_sent = True
+                    return True
+                frame = frame[sent_bytes:]
+            try:
+                self._outgoing.put_nowait(frame)
+                self._queued_count += 1
+                return True
+            except queue.Full:
+                pass
+        _logger.warning('send queue full', peer=self.peer_id)
+        self.close()
+        return False
+
+    def _write_now(self, frame: bytes) -> int:
+        """Return how many bytes the stream takes without blocking."""
         try:
-            self._outgoing.put_nowait(_frames.pack(kind, call_id, payload))
-            return True
-        except queue.Full:
-            _logger.warning('send queue full', peer=self.peer_id)
-            self.close()
-            return False
+            return self._direct_stream.send(frame)
+        except OSError:
+            # The writer thread waits, or meets the error again.
+            return 0
 
     def _write_loop(self) -> None:
-        ping = _frames.pack(_frames.FrameKind.PING, 0, b'')
         while not self.closed.is_set():
             try:
                 frame = self._outgoing.get(
                     timeout=self._silence_s / PINGS_PER_IDLE_TIMEOUT
                 )
             except queue.Empty:
-                frame = ping
+                if self._is_idle():
+                    self._send(_frames.FrameKind.PING, 0, b'')
+                continue
             if frame is None:
                 return
+            frames = self._queued_frames(frame)
             try:
-                self._stream.sendall(self._join_queued_frames(frame))
+                self._stream.sendall(b''.join(frames))
             except OSError:
                 self.close()
                 return
+            with self._send_lock:
+                self._queued_count -= len(frames)
+
+    def _is_idle(self) -> bool:
+        """Return whether nothing was sent since the last call."""
+        with self._send_lock:
+            has_sent, self._has_sent = self._has_sent, False
+        return not has_sent
 
-    def _join_queued_frames(self, first: bytes) -> bytes:
+    def _queued_frames(self, first: bytes) -> list[bytes]:
+        """Return queued frames to write at once."""
         batch = [first]
         size_bytes = len(first)
         while size_bytes < WRITE_BATCH_BYTES:
@@ -183,13 +226,14 @@
                 break
             batch.append(frame)
             size_bytes += len(frame)
-        return b''.join(batch)
+        return batch
 
     def _read_loop(self) -> None:
+        reader = _frames.Reader(self._stream)
         last_received_s = time.monotonic()
         while not self.closed.is_set():
             try:
-                frame = _frames.read(self._stream)
+                frame = reader.read()
             except _frames.FrameError as error:
                 _logger.warning(
                     'invalid frame', peer=self.peer_id, why=str(error)
--- a/dandeliondrum/transport/_frames.py
+++ b/dandeliondrum/transport/_frames.py
@@ -14,6 +14,10 @@
 FRAME_MAX_BYTES = 64 * 1024 * 1024
 
 _LENGTH = struct.Struct('>I')
+# Bytes to ask a stream for; more of a frame that is known to be longer, since
+# Python allocates them for each read.
+_READ_BYTES = 32 * 1024
+_READ_MAX_BYTES = 256 * 1024
 
 
 class FrameKind(enum.IntEnum):
@@ -26,6 +30,9 @@
     PONG = 4
 
 
+Frame = tuple[FrameKind, int, bytes]
+
+
 class FrameError(Exception):
     """The peer sent bytes that are not a valid frame."""
 
@@ -38,8 +45,8 @@
 
 def read(
     stream: socket.socket, length_max: int = FRAME_MAX_BYTES
-) -> tuple[FrameKind, int, bytes] | None:
-    """Read one frame; return None at the end of the stream.
+) -> Frame | None:
+    """Read one frame and nothing behind it; None at the end of the stream.
 
     Raises FrameError for invalid frames, and OSError (TimeoutError among
     them) as the socket does.
@@ -47,15 +54,65 @@
     header = _read_exactly(stream, _LENGTH.size)
     if header is None:
         return None
-    (length_bytes,) = _LENGTH.unpack(header)
+    length_bytes = _frame_length(header, length_max)
+    envelope = _read_exactly(stream, length_bytes)
+    if envelope is None:
+        return None
+    return _unpack(envelope)
+
+
+class Reader:
+    """Reads frames of a stream, several with one system call if possible.
+
+    A read takes the interpreter's lock anew, for which it waits while other
+    threads are busy.
+
+    Example::
+
+        reader = Reader(stream)
+        while (frame := reader.read()) is not None:
+            ...
+    """
+
+    def __init__(self, stream: socket.socket) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    def read(self) -> Frame | None:
+        """Read one frame; raises what :func:`read` does."""
+        if not self._fill(_LENGTH.size):
+            return None
+        length_bytes = _frame_length(self._buffer, FRAME_MAX_BYTES)
+        end = _LENGTH.size + length_bytes
+        if not self._fill(end):
+            return None
+        envelope = bytes(self._buffer[_LENGTH.size : end])
+        del self._buffer[:end]
+        return _unpack(envelope)
+
+    def _fill(self, length_bytes: int) -> bool:
+        """Read until the buffer is that long; return False at the end."""
+        while (missing := length_bytes - len(self._buffer)) > 0:
+            chunk = self._stream.recv(
+                max(_READ_BYTES, min(missing, _READ_MAX_BYTES))
+            )
+            if not chunk:
+                return False
+            self._buffer += chunk
+        return True
+
+
+def _frame_length(header: bytes | bytearray, length_max: int) -> int:
+    (length_bytes,) = _LENGTH.unpack_from(header)
     if length_bytes > length_max:
         raise FrameError(
             f'frame of {length_bytes} bytes exceeds the limit of '
             f'{length_max} bytes'
         )
-    envelope = _read_exactly(stream, length_bytes)
-    if envelope is None:
-        return None
+    return int(length_bytes)
+
+
+def _unpack(envelope: bytes) -> Frame:
     try:
         kind, call_id, payload = msgpack.unpackb(envelope)
         return FrameKind(kind), int(call_id), bytes(payload)
@@ -66,7 +123,7 @@
 def _read_exactly(stream: socket.socket, length_bytes: int) -> bytes | None:
     chunks = bytearray()
     while len(chunks) < length_bytes:
-        chunk = stream.recv(min(length_bytes - len(chunks), 1 << 18))
+        chunk = stream.recv(min(length_bytes - len(chunks), _READ_MAX_BYTES))
         if not chunk:
             return None
         chunks += chunk
--- a/dandeliondrum/transport/tests/test_streams.py
+++ b/dandeliondrum/transport/tests/test_streams.py
@@ -10,6 +10,7 @@
 
 from dandeliondrum import messages
 from dandeliondrum import transport
+from dandeliondrum.transport import _frames
 
 CELL = messages.CellId('test')
 SHORT_SILENCE_MS = 200
@@ -165,3 +166,57 @@
             transport.Callbacks(),
         )
         assert connection.closed.wait(10)
+
+
+def test_a_peer_that_stops_reading_does_not_block_senders_and_gets_all():
+    """Senders write themselves, so a full stream must not hold them up."""
+    count, size_bytes = 40, 256 * 1024
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        host, port = server.getsockname()
+        connection = transport.connect(
+            f'{host}:{port}', hello(), transport.Callbacks(), silence_ms=30_000
+        )
+        stream, _ = server.accept()
+        with contextlib.closing(connection), stream:
+            for number in range(count):
+                text = f'{number}-'.ljust(size_bytes, '.')
+                assert connection.push(messages.CallFailed(text, True))
+            stream.settimeout(30)
+            reader = _frames.Reader(stream)
+            assert reader.read()[0] is _frames.FrameKind.PUSH  # The hello.
+            received = []
+            while len(received) < count:
+                kind, _, payload = reader.read()
+                if kind is _frames.FrameKind.PUSH:
+                    received.append(messages.decode(payload).unwrap().reason)
+    assert [int(text.partition('-')[0]) for text in received] == list(
+        range(count)
+    )
+    assert {len(text) for text in received} == {size_bytes}
+
+
+def test_frames_that_arrive_together_or_in_pieces_are_read_one_by_one():
+    """One read of the stream may return parts of several frames."""
+    frames = [
+        (_frames.FrameKind.CALL, number, b'.' * size_bytes)
+        for number, size_bytes in enumerate((0, 5, 100_000, 1, 400_000, 3))
+    ]
+    data = b''.join(_frames.pack(*frame) for frame in frames)
+    for piece_bytes in (1_000, 70_001, len(data)):
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            ours.settimeout(10)
+            sender = threading.Thread(
+                target=_send_pieces, args=(theirs, data, piece_bytes)
+            )
+            sender.start()
+            reader = _frames.Reader(ours)
+            assert [reader.read() for _ in frames] == frames
+            sender.join()
+            theirs.shutdown(socket.SHUT_WR)
+            assert reader.read() is None
+
+
+def _send_pieces(stream, data, piece_bytes):
+    for begin in range(0, len(data), piece_bytes):
+        stream.sendall(data[begin : begin + piece_bytes])
