Request advice for new jobs between two rounds

Cause: advice was requested in rounds only. With 600 steps waiting a round takes 50 to 75 ms, its commit 40 to 100 ms, and the pause after it three times the round, so a new job waited for its request as long as for its placement.

Change: while the scheduler waits for its commit, or leaves the time to other threads, it requests the first advice for jobs as they are accepted, with the workers as the last round left them. Nothing is requested for steps that can't run. The time of the commit counts as part of the pause, since planning rests meanwhile.

--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -27,6 +27,8 @@
 
     def __init__(self, term: _term.Term) -> None:
         self._term = term
+        # The workers as the last round left them.
+        self._candidate_workers = _advice_candidates.CandidateWorkers(())
 
     def request(
         self,
@@ -59,6 +61,7 @@
         candidate_workers = _advice_candidates.CandidateWorkers(
             workers, reserved_ids
         )
+        self._candidate_workers = candidate_workers
         names = set()
         busy_policies: set[_policy.AdvicePolicy] = set()
         for demand, policy in advised:
@@ -90,6 +93,44 @@
                 busy_policies.add(policy)
         self._term.advice.retain(names)
 
+    def clear(self) -> None:
+        """Forget the workers, while nothing waits and they are not read."""
+        self._candidate_workers = _advice_candidates.CandidateWorkers(())
+
+    def request_first(
+        self,
+        demands: list[tuple[_planner.Demand, _policy.QueuePolicy]],
+        skipped_steps: collections.abc.Container[_planner.StepKey],
+    ) -> None:
+        """Request advice for demands of new jobs between two rounds.
+
+        They would lose the rest of the pause between rounds, and a reply
+        that comes during the next round the whole of another one. None is
+        requested for ``skipped_steps``.
+        """
+        advised = [
+            (demand, queue.advice)
+            for demand, queue in demands
+            if queue.advice is not None
+            and (demand.job_id, demand.step) not in skipped_steps
+        ]
+        advised.sort(key=lambda pair: queueing.sort_key(pair[0]))
+        for demand, policy in advised:
+            name = _specs.step_name(demand.job_id, demand.step)
+            if not self._term.advice.is_unknown(name):
+                continue
+            included = _advice_candidates.workers_for_call(
+                self._term.advice,
+                name,
+                demand,
+                policy,
+                self._candidate_workers,
+                _clock.elapsed_ms(),
+            )
+            request = _calls.AdviceRequest(name, included)
+            if included and not self._call(request, policy):
+                return
+
     def _call(
         self, request: _calls.AdviceRequest, policy: _policy.AdvicePolicy
     ) -> bool:
--- a/dandeliondrum/jobs/_demands.py
+++ b/dandeliondrum/jobs/_demands.py
@@ -69,6 +69,18 @@
             _specs.JobId, tuple[_records.JobRecord, int, list[_OpenDemand]]
         ] = {}
 
+    def read_new(
+        self, state: _state.JobsState, job_id: _specs.JobId
+    ) -> list[_OpenDemand]:
+        """Return the demands of a job if it was not read before.
+
+        The caller holds the lock of the state.
+        """
+        job = state.open_jobs.get(job_id)
+        if job is None or job_id in self._by_job:
+            return []
+        return list(_job_demands(state, job, self._means))
+
     def read(self, state: _state.JobsState) -> list[_OpenDemand]:
         """Return what open_demands yields; the caller holds its lock.
 
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -97,6 +97,7 @@
         self._resources.callback(self._supervisor.close)
         self._resources.callback(self._workers.close)
         self._resources.callback(term.round_requested.set)
+        self._resources.callback(term.new_jobs.put, None)
         term.adviser_clients.add(term.options.controller_id)
         self._workers.restore()
         self._supervisor.run('scheduler', self._scheduler.run)
@@ -323,6 +324,7 @@
                     spec.queue,
                     _clock.elapsed_ms(),
                 )
+                term.new_jobs.put(spec.job_id)
             term.round_requested.set()
             return _calls.JobStatus(phase)
 
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -2,10 +2,10 @@
 
 import collections
 import collections.abc
-import concurrent.futures
 import contextlib
 import dataclasses
 import functools
+import queue
 import threading
 import time
 
@@ -97,13 +97,16 @@
         self._ordering = _ordering.Ordering(term)
         self._submission_times = queueing.SubmissionTimes()
         self._backlog = queueing.Backlog()
-        # Duration of the last round without its commit.
+        # Durations of the last round without its commit, and of the commit.
         self._round_ms = 0.0
+        self._commit_ms = 0.0
         # Steps for which the last round reserved workers on which tasks fit,
         # now or once runs have been stopped.
         self._steps_with_capacity: set[
             tuple[_specs.JobId, _specs.StepIndex]
         ] = set()
+        # The usable workers as the last round left them.
+        self._workers: list[_planner.AvailableWorker] = []
         # Workers that the last round kept free for some step.
         self._reserved_ids: set[messages.WorkerId] = set()
 
@@ -117,11 +120,52 @@
             round_requested.clear()
             if self._term.may_act():
                 self.run_round(stopping)
-            stopping.wait(self.pause_ms() / 1000)
+            self._pause(stopping)
+
+    def _pause(self, stopping: threading.Event) -> None:
+        """Leave the time to other threads, but request advice meanwhile."""
+        end_s = time.monotonic() + self.pause_ms() / 1000
+        while not stopping.is_set():
+            left_s = end_s - time.monotonic()
+            if left_s <= 0:
+                return
+            self._request_first_advice(left_s)
+
+    def _request_first_advice(self, timeout_s: float) -> None:
+        """Wait for new jobs and request advice for them.
+
+        A job that is read here for the first time is planned by the next
+        round, for which its advice then is on the way.
+        """
+        term = self._term
+        job_ids = _take_all(term.new_jobs, timeout_s)
+        if not job_ids or not term.may_act():
+            return
+        now_ms = _clock.elapsed_ms()
+        with term.lock:
+            with term.state.lock:
+                demands = [
+                    found
+                    for job_id in job_ids
+                    for found in self._demand_cache.read_new(
+                        term.state, job_id
+                    )
+                ]
+                team_limits = _demands.team_limits(term.state)
+            for demand, _ in demands:
+                self._submission_times.add(demand.job_id, now_ms)
+                self._set_urgency(demand, now_ms)
+            unfit_reasons = _planner.unfit_reasons(
+                (demand for demand, _ in demands), self._workers, team_limits
+            )
+            self._advice_requester.request_first(demands, unfit_reasons)
 
     def pause_ms(self) -> float:
-        """Return the pause after the last round."""
-        pause_ms = PAUSE_PER_ROUND * self._round_ms
+        """Return the pause after the last round.
+
+        Planning rested while the round was committed.
+        """
+        pause_ms = PAUSE_PER_ROUND * self._round_ms - self._commit_ms
         return min(max(ROUND_MIN_MS, pause_ms), ROUND_MAX_MS)
 
     def run_round(self, stopping: threading.Event) -> None:
@@ -139,8 +183,11 @@
             assignments = self._make_assignments()
         finally:
             admission.end_round(_clock.elapsed_ms())
+        self._commit_ms = 0.0
         if assignments:
+            started_s = time.monotonic()
             self._commit(assignments, stopping)
+            self._commit_ms = (time.monotonic() - started_s) * 1000
 
     def _make_assignments(self) -> _Assignments:
         """Plan due tasks and register their orders."""
@@ -197,10 +244,12 @@
                 }
             term.metrics.open_jobs.set(open_jobs_count)
             term.load.record_waiting(len(demands), open_jobs_count)
+            self._workers = workers
             if not demands:
                 term.advice.retain(set())
                 term.unfit_reasons = {}
                 self._ordering.clear()
+                self._advice_requester.clear()
                 return None
             for demand, _ in demands:
                 self._set_urgency(demand, now_ms)
@@ -223,9 +272,9 @@
                 team_available,
                 skipped,
             )
-            for demand, queue in demands:
+            for demand, queue_policy in demands:
                 if (demand.job_id, demand.step) not in skipped:
-                    self._set_advice(demand, queue, now_ms)
+                    self._set_advice(demand, queue_policy, now_ms)
             peers = dict(term.peers)
             term.load.record_fleet(
                 _demands.free_cpu_share(workers),
@@ -370,12 +419,12 @@
     def _set_advice(
         self,
         demand: _planner.Demand,
-        queue: _policy.QueuePolicy,
+        queue_policy: _policy.QueuePolicy,
         now_ms: int,
     ) -> None:
         """Set what a demand may use now; it is kept from round to round."""
         term = self._term
-        if queue.advice is not None:
+        if queue_policy.advice is not None:
             name = _specs.step_name(demand.job_id, demand.step)
             demand.tickets = term.advice.tickets(name, now_ms)
             demand.granted = frozenset(term.advice.granted(name))
@@ -492,7 +541,7 @@
         """
         term = self._term
         proposed = term.propose(_commands.AssignRuns(assignments))
-        if not _wait_until_done(proposed, stopping):
+        if not self._wait_until_done(proposed, stopping):
             return
         outcome = proposed.result()
         if isinstance(outcome, result.Failure):
@@ -511,6 +560,26 @@
                 for run in runs:
                     self._dispatch(run, assigned)
 
+    def _wait_until_done(
+        self, proposed: _term.Proposed, stopping: threading.Event
+    ) -> bool:
+        """Wait for a proposal; return False if the leader stops before."""
+        new_jobs = self._term.new_jobs
+        proposed.add_done_callback(lambda _: new_jobs.put(None))
+        started_s = time.monotonic()
+        warned_ms = 0
+        while not stopping.is_set():
+            if proposed.done():
+                return True
+            self._request_first_advice(COMMIT_WARNING_MS / 1000)
+            waited_ms = int((time.monotonic() - started_s) * 1000)
+            if waited_ms >= warned_ms + COMMIT_WARNING_MS:
+                warned_ms = waited_ms
+                _logger.warning(
+                    'assignment not applied yet', waited_ms=waited_ms
+                )
+        return False
+
     def _discard(
         self, assignments: tuple[tuple[_commands.RunAssignment, ...], ...]
     ) -> None:
@@ -555,17 +624,14 @@
     }
 
 
-def _wait_until_done(
-    proposed: _term.Proposed, stopping: threading.Event
-) -> bool:
-    """Wait for a proposal; return False if the leader stops before."""
-    waited_ms = 0
-    while not stopping.is_set():
-        done, _ = concurrent.futures.wait(
-            (proposed,), COMMIT_WARNING_MS / 1000
-        )
-        if done:
-            return True
-        waited_ms += COMMIT_WARNING_MS
-        _logger.warning('assignment not applied yet', waited_ms=waited_ms)
-    return False
+def _take_all(
+    new_jobs: 'queue.SimpleQueue[_specs.JobId | None]', timeout_s: float
+) -> list[_specs.JobId]:
+    """Wait for an entry of a queue; return all jobs that are in it then."""
+    found = []
+    try:
+        found.append(new_jobs.get(timeout=timeout_s))
+        while True:
+            found.append(new_jobs.get_nowait())
+    except queue.Empty:
+        return [job_id for job_id in found if job_id is not None]
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import dataclasses
+import queue
 import threading
 import time
 import typing
@@ -81,6 +82,11 @@
         self.load = _leader_load.LeaderLoad(metrics)
         self.lock = threading.RLock()
         self.round_requested = threading.Event()
+        # Jobs that were accepted since the scheduler last looked; None only
+        # wakes it.
+        self.new_jobs: queue.SimpleQueue[_specs.JobId | None] = (
+            queue.SimpleQueue()
+        )
         self.peers: dict[messages.WorkerId, _worker_peer.WorkerPeer] = {}
         self.admission = _admission.Admission()
         self.health = _health.Health(
--- a/dandeliondrum/jobs/queueing/_objectives.py
+++ b/dandeliondrum/jobs/queueing/_objectives.py
@@ -90,6 +90,11 @@
             job_id: known.get(job_id, now_ms) for job_id in open_jobs
         }
 
+    def add(self, job_id: _specs.JobId, now_ms: int) -> None:
+        """Note a job that was accepted just now."""
+        if self._submitted_ms is not None:
+            self._submitted_ms.setdefault(job_id, now_ms)
+
     def submitted_ms(self, job_id: _specs.JobId) -> int:
         """Return when an open job was submitted, on this process's clock."""
         return (self._submitted_ms or {})[job_id]
--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import json
+import threading
 
 from returns import result
 
@@ -11,6 +12,7 @@
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _leadership
 from dandeliondrum.jobs import _metrics
+from dandeliondrum.jobs import _orders
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import _term
@@ -215,3 +217,13 @@
         None,
         _metrics.Metrics(),
     )
+
+
+def order_book():
+    """Return the orders of a worker that has none."""
+    return _orders.OrderBook(threading.RLock())
+
+
+def pending_proposal():
+    """Return the future of a command that is not applied yet."""
+    return concurrent.futures.Future()
