Let urgent late work go before less urgent work that can wait for it

Cause: late work went behind all that could be in time, whatever time that had to spare, and became of no use there.

Change: under contention a late step goes before less urgent ones that need ten times its work or more, as far as by the forecast all that are behind it can wait for it. The new cause of a position is told in `step waits`.

--- a/dandeliondrum/jobs/queueing/_order.py
+++ b/dandeliondrum/jobs/queueing/_order.py
@@ -8,6 +8,7 @@
 from dandeliondrum.jobs import _specs
 from dandeliondrum.jobs.queueing import _contention
 from dandeliondrum.jobs.queueing import _deferral
+from dandeliondrum.jobs.queueing import _late_work
 from dandeliondrum.jobs.queueing import _shares
 from dandeliondrum.jobs.queueing import _standing
 from dandeliondrum.jobs.queueing import _urgency
@@ -61,6 +62,18 @@
     """
     urgency = urgency_of(demand)
     standing = demand.standing
+    if standing.before is not None and not standing.is_overdue:
+        place = standing.before
+        return (
+            True,
+            _urgency.Urgency.IN_TIME,
+            place.is_deferred,
+            place.priority,
+            place.share_band,
+            place.latest_start_ms,
+            standing.turn,
+            demand.job_id,
+        )
     return (
         not standing.is_overdue,
         urgency,
@@ -97,6 +110,7 @@
         if contention.weighs_teams():
             _set_share_bands(pool, contending, contention)
         _set_deferred(pool, contending, contention, now_ms)
+        _set_before(pool, contending, contention, now_ms)
         _set_overdue(contending)
     if any(demand.standing is not _standing.NEUTRAL for demand in demands):
         demands.sort(key=sort_key)
@@ -110,6 +124,8 @@
         return _standing.Cause.OVERDUE
     if urgency is _urgency.Urgency.NO_USE:
         return _standing.Cause.NO_USE
+    if standing.before is not None:
+        return _standing.Cause.OTHERS_CAN_WAIT
     if urgency is _urgency.Urgency.LATE:
         return _standing.Cause.LATE
     if standing.is_deferred:
@@ -159,6 +175,41 @@
         demand.standing = _standing.deferred(demand.standing.share_band)
 
 
+def _set_before(
+    pool: str,
+    demands: list[_AnyDemand],
+    contention: _contention.Contention,
+    now_ms: int,
+) -> None:
+    """Let late demands go before less urgent ones that can wait for them."""
+    in_time, late = (
+        sorted(
+            (demand for demand in demands if urgency_of(demand) is urgency),
+            key=sort_key,
+        )
+        for urgency in (_urgency.Urgency.IN_TIME, _urgency.Urgency.LATE)
+    )
+    late = [one for one in late if one.standing is _standing.NEUTRAL]
+    last_priority = max((one.priority for one in in_time), default=0)
+    if not late or late[0].priority >= last_priority:
+        return
+    found = _late_work.places(
+        late,
+        in_time,
+        contention.pools[pool],
+        contention.running.get(pool, _contention.Running()),
+        now_ms,
+    )
+    for turn, (demand, behind) in enumerate(found, -len(found)):
+        place = _standing.Place(
+            behind.standing.is_deferred,
+            behind.priority,
+            behind.standing.share_band,
+            behind.latest_start_ms,
+        )
+        demand.standing = _standing.Standing(before=place, turn=turn)
+
+
 def _set_overdue(demands: list[_AnyDemand]) -> None:
     """Let the demand of the pool that has waited longest go first.
 
