Leave work with time to spare to later rounds beside much pressing work

Cause: the leader carried out 550 starts a second with all of its processor time, while 775 urgent ones arrived. A third of its starts were of jobs with seconds to spare, up to 256 tasks a round, and starts of one round compete.

Change: once a round has placed 96 tasks of steps that can't wait for 2 s, steps that can are left to later rounds.

Ruled out: a smaller limit on the starts of a round, which holds back pressing work as well.

--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -19,6 +19,12 @@
 StepKey = tuple[_specs.JobId, _specs.StepIndex]
 
 PLACEMENTS_MAX = 256
+# A leader that is short of processor time carries out about so many starts
+# between two rounds. Once a round has placed so many tasks of demands that
+# can't wait for as long as below, those that can are left to later rounds:
+# their starts would delay the others.
+PRESSING_MAX = 96
+PRESSING_SPARE_MS = 2_000
 # Workers are reserved for a demand that has waited for this long.
 RESERVE_AFTER_MS = 400
 # Without preemption, at most the number of workers in the pool divided by this
@@ -106,6 +112,12 @@
             return 0.0
         return run_ms / (run_ms + left_ms)
 
+    @property
+    def can_wait(self) -> bool:
+        """Whether some more rounds don't make the demand late."""
+        left_ms = self.slack_left_ms
+        return left_ms is not None and left_ms >= PRESSING_SPARE_MS
+
     @property
     def isolated(self) -> bool:
         """Whether the tasks are run apart from other jobs."""
@@ -215,10 +227,12 @@
     }
     isolable_counts = _isolable_counts(pools, isolation or Isolation())
     groups: list[tuple[Placement, ...]] = []
-    placed_count = 0
+    placed_count = pressing_count = 0
     for demand in _in_order(demands):
         if placed_count >= PLACEMENTS_MAX:
             break
+        if pressing_count >= PRESSING_MAX and demand.can_wait:
+            continue
         pool = pools.get(demand.pool, _NO_WORKERS)
         placement = _DemandPlacement(demand, pool, team_available)
         if demand.isolated:
@@ -230,6 +244,8 @@
         groups += chosen
         count = sum(len(group) for group in chosen)
         placed_count += count
+        if not demand.can_wait:
+            pressing_count += count
         if demand.isolated:
             if count or (
                 demand.waited_ms >= RESERVE_AFTER_MS
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _planner
 from dandeliondrum.jobs import queueing
@@ -338,3 +340,43 @@
     assert len(groups) == 60
     reserved_count = sum(worker.reserved for worker in workers)
     assert reserved_count == 30 // _planner.RESERVED_DIVISOR
+
+
+def _pressing_and_other(pressing_count, spare_ms):
+    """Return the tasks placed of a job behind many pressing ones."""
+    demands = [
+        helpers.demand(
+            f'u{number:03}', helpers.step(), priority=0, slack_left_ms=300
+        )
+        for number in range(pressing_count)
+    ]
+    demands.append(
+        helpers.demand('other', helpers.step(8), slack_left_ms=spare_ms)
+    )
+    workers = [helpers.available_worker(f'w{number}') for number in range(60)]
+    placed = [
+        placement.task.job_id
+        for group in _planner.plan(demands, workers, {})
+        for placement in group
+    ]
+    assert len(placed) - placed.count('other') == pressing_count
+    return placed.count('other')
+
+
+def test_work_with_time_to_spare_waits_while_a_round_has_much_pressing_work():
+    """Its starts would delay those of urgent jobs in a burst."""
+    spare_ms = _planner.PRESSING_SPARE_MS
+    assert _pressing_and_other(_planner.PRESSING_MAX, spare_ms) == 0
+
+
+def test_work_with_time_to_spare_is_placed_beside_little_pressing_work():
+    spare_ms = _planner.PRESSING_SPARE_MS
+    assert _pressing_and_other(_planner.PRESSING_MAX - 1, spare_ms) == 8
+
+
+@pytest.mark.parametrize(
+    'spare_ms', [None, -5_000, _planner.PRESSING_SPARE_MS - 1]
+)
+def test_work_that_can_not_wait_is_placed_in_any_round(spare_ms):
+    """What has no objective, as a service, is placed as well."""
+    assert _pressing_and_other(_planner.PRESSING_MAX, spare_ms) == 8
