--- a/dandeliondrum/command/_rules_commands.py
+++ b/dandeliondrum/command/_rules_commands.py
@@ -1,5 +1,7 @@
 """Commands of ``dandeliondrum rules``."""
 
+import collections.abc
+
 from returns import result
 
 from dandeliondrum.command import _arguments
@@ -12,21 +14,48 @@
 from dandeliondrum import tables
 
 
+# Stands for the rules that are in force in the cell.
+IN_FORCE = 'in-force'
+
+_Other = tuple[
+    rules.RuleSet | None, collections.abc.Collection[messages.WorkerId] | None
+]
+
+
 class RulesCommands:
     """Check, apply and show the rules of teams, keys and queues."""
 
     @_arguments.convert_arguments
-    def check(self, file: str, *, json: bool = False) -> _report.Command:
+    def check(
+        self,
+        file: str,
+        *,
+        against: str = '',
+        strict: bool = False,
+        gateways: str = '',
+        key_file: str = '',
+        json: bool = False,
+    ) -> _report.Command:
         """Check a rules file without applying it.
 
         Exits with 0 when the file is valid, and with 1 after printing line
-        and column of each problem.
+        and column of each problem. With --against or --strict it also warns
+        of rules that can never apply and of limits that contradict each
+        other.
 
         Args:
           file: The rules file.
+          against: Print in which rules the file differs from this one, or
+            from the rules of the cell if it is "in-force".
+          strict: Exit with 5 if there are warnings.
+          gateways: Operator addresses of gateways, separated by commas; used
+            with --against=in-force only.
+          key_file: File with the operator key.
           json: Print JSON.
         """
-        return _report.Command(lambda: _check(file), json)
+        return _report.Command(
+            lambda: _check(file, against, strict, (gateways, key_file)), json
+        )
 
     @_arguments.convert_arguments
     def apply(
@@ -99,7 +128,9 @@
         )
 
 
-def _check(file: str) -> _report.Report:
+def _check(
+    file: str, against: str, strict: bool, cell: tuple[str, str]
+) -> _report.Report:
     read = _rules_files.read(file)
     if isinstance(read, result.Failure):
         return read.failure()
@@ -111,10 +142,50 @@
         'workers': len(rule_set.workers),
     }
     words = ', '.join(f'{name} {count}' for name, count in counts.items())
+    text = f'{file}: no problem ({words})'
+    data: dict[str, object] = {'problems': [], **counts}
+    if not against and not strict:
+        return _report.Report(_report.ExitCode.DONE, text=text, data=data)
+    other = _read_other(against, cell)
+    if isinstance(other, result.Failure):
+        return other.failure()
+    before, known_workers = other.unwrap()
+    doubts = rules.find_doubts(rule_set, known_workers)
+    data['warnings'] = list(doubts)
+    if before is not None:
+        changes = rules.compare(before, rule_set)
+        data['changes'] = list(changes)
+        text = '\n'.join((text, *(changes or ('no difference',))))
     return _report.Report(
-        _report.ExitCode.DONE,
-        text=f'{file}: no problem ({words})',
-        data={'problems': [], **counts},
+        _report.ExitCode.DOUBTS
+        if strict and doubts
+        else _report.ExitCode.DONE,
+        text=text,
+        note='\n'.join(f'{file}: warning: {doubt}' for doubt in doubts),
+        data=data,
+    )
+
+
+def _read_other(
+    against: str, cell: tuple[str, str]
+) -> result.Result[_Other, _report.Report]:
+    """Return the rules to compare with, and the known workers if asked."""
+    if not against:
+        return result.Success((None, None))
+    if against != IN_FORCE:
+        return _rules_files.read(against).map(
+            lambda text: (rules.parse(text).unwrap(), None)
+        )
+    gateways = _gateways.connect(*cell)
+    shown, fleet = gateways.show_rules(), gateways.show_fleet()
+    for outcome in (shown, fleet):
+        if isinstance(outcome, result.Failure):
+            return result.Failure(outcome.failure().report())
+    workers = {one.facts.worker_id for one in fleet.unwrap().workers}
+    return (
+        rules.parse(shown.unwrap().text)
+        .map(lambda rule_set: (rule_set, workers))
+        .alt(lambda found: _rules_files.problems_report(IN_FORCE, found))
     )
 
 
--- a/dandeliondrum/command/tests/test_rules_commands.py
+++ b/dandeliondrum/command/tests/test_rules_commands.py
@@ -55,6 +55,55 @@
     assert 'No such file' in result.err
 
 
+def test_check_warns_and_compares_with_another_file(run, rules_file, tmp_path):
+    """Valid rules that have no effect would otherwise be applied unnoticed."""
+    other = tmp_path / 'other.rules'
+    other.write_text(TEAM.replace('3', '2') + OTHER)
+    result = run('rules', 'check', str(rules_file), f'--against={other}')
+    assert result.code == 0
+    assert result.out.splitlines()[1:] == [
+        'team "harbour": share 2 -> 3',
+        'team "prisms": removed',
+    ]
+    assert f'{rules_file}: warning: team "harbour" has no key' in result.err
+
+
+def test_a_strict_check_fails_for_a_warning(run, rules_file):
+    result = run('rules', 'check', str(rules_file), '--strict', '--json')
+    assert result.code == 5
+    assert result.data()['problems'] == []
+    assert len(result.data()['warnings']) == 2
+
+
+def test_check_compares_with_the_rules_in_force(
+    run, gateway, gateways_flag, rules_file
+):
+    gateway.text = TEAM + OTHER
+    words = ('--against=in-force', gateways_flag)
+    result = run('rules', 'check', str(rules_file), *words)
+    assert result.code == 0
+    assert result.out.splitlines()[1:] == ['team "prisms": removed']
+    gateway.text = TEAM
+    result = run('rules', 'check', str(rules_file), *words)
+    assert result.out.splitlines()[1:] == ['no difference']
+    assert put_calls(gateway) == []
+
+
+def test_check_against_an_unreachable_cell_fails(run, rules_file):
+    words = ('--against=in-force', f'--gateways={UNREACHABLE}')
+    assert run('rules', 'check', str(rules_file), *words).code == 4
+
+
+def test_check_against_an_invalid_file_names_that_file(
+    run, rules_file, tmp_path
+):
+    other = tmp_path / 'other.rules'
+    other.write_text('nonsense')
+    result = run('rules', 'check', str(rules_file), f'--against={other}')
+    assert result.code == 1
+    assert result.err.startswith(f'{other}:1:1: ')
+
+
 def test_apply_waits_until_the_rules_are_in_force(
     run, gateway, gateways_flag, rules_file
 ):
--- a/dandeliondrum/rules/__init__.py
+++ b/dandeliondrum/rules/__init__.py
@@ -26,6 +26,8 @@
 from dandeliondrum.rules._model import UNLIMITED
 from dandeliondrum.rules._model import WorkerRule
 from dandeliondrum.rules._parse import parse
+from dandeliondrum.rules._review import compare
+from dandeliondrum.rules._review import find_doubts
 
 __all__ = [
     'Defaults',
@@ -41,6 +43,8 @@
     'WorkerRule',
     'add_line',
     'authorize',
+    'compare',
+    'find_doubts',
     'new_key',
     'parse',
     'remove_key',
