Let crowds of clients that nobody controls press at ports in the soak

Cause: the limits against such clients were tested one crowd at a time, with no other fault beside.

A seed draws what it drew before if it is off.

--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -6,8 +6,9 @@
 operators change the configuration. Links to workers and gateways are delayed,
 reset, cut in one direction or silenced. The faults are drawn from one seed.
 Some jobs may crash the workers that start them, and the capacity of workers
-may shrink for a while. Operators may evacuate failure domains. Between the
-faults, the cell may be overloaded for a while.
+may shrink for a while. Operators may evacuate failure domains, and clients
+that nobody controls may press at a port. Between the faults, the cell may be
+overloaded for a while.
 """
 
 import concurrent.futures
@@ -53,8 +54,9 @@
     Without ``links`` there are no link faults, without ``series`` no series
     of faults, without ``shrinks`` no worker's capacity shrinks, without
     ``recuts`` no worker is cut off soon after it has started again, without
-    ``evacuations`` no failure domain is evacuated, and without ``overload_s``
-    there is no overload. A seed draws the same faults as before these were
+    ``evacuations`` no failure domain is evacuated, without ``crowds`` no
+    clients press that nobody controls, and without ``overload_s`` there is no
+    overload. A seed draws the same faults as before these were
     added if they are off. ``deadly_share`` is the share of jobs that crash
     the workers that start them. With ``uneven`` every fourth worker is slow.
     """
@@ -68,6 +70,7 @@
     shrinks: bool = False
     recuts: bool = False
     evacuations: bool = False
+    crowds: bool = False
     deadly_share: float = 0
     uneven: bool = False
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
@@ -167,6 +170,7 @@
             options.shrinks,
             options.recuts,
             options.evacuations,
+            options.crowds,
         )
         self._overload: _soak_overload.OverloadFigures | None = None
 
--- a/dandeliondrum/testing/_soak_faults.py
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -14,6 +14,7 @@
 from dandeliondrum.testing import _processes
 from dandeliondrum.testing import _soak_callers
 from dandeliondrum.testing import _soak_checker
+from dandeliondrum.testing import _soak_crowds
 
 FAULT_INTERVAL_S = (0.2, 1.5)
 FAULT_DURATION_S = (0.2, 3.5)
@@ -31,6 +32,7 @@
 SHRINKAGE_DURATION_S = (1.0, 10.0)
 RECUT_SHARE = 0.25
 EVACUATION_SHARE = 0.2
+CROWD_SHARE = 0.3
 # Longer than EVACUATION_GRACE_S of the checker, so that it is checked.
 EVACUATION_DURATION_S = (6.0, 15.0)
 # Operators send an order again after this time without an answer, at most for
@@ -56,8 +58,9 @@
     ``series`` there are also series of faults, with ``shrinks`` workers that
     shrink, and with ``recuts`` workers that are cut off soon after they have
     started again, with calls to their former incarnations, and with
-    ``evacuations`` operators evacuate failure domains for a while; a seed
-    draws the same faults as before these were added if they are off.
+    ``evacuations`` operators evacuate failure domains for a while, and with
+    ``crowds`` clients that nobody controls press at a port; a seed draws the
+    same faults as before these were added if they are off.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         shrinks: bool = False,
         recuts: bool = False,
         evacuations: bool = False,
+        crowds: bool = False,
     ) -> None:
         self._cell = cell
         self._workers = workers
@@ -83,6 +87,7 @@
         self._shrinks = shrinks
         self._recuts = recuts
         self._evacuations = evacuations
+        self._crowds = crowds
         self.names: list[str] = []
         self._reserved_names: set[str] = set()
         self._lock = threading.Lock()
@@ -124,6 +129,8 @@
             fault = self._draw_recut()
         elif self._evacuations and self._rng.random() < EVACUATION_SHARE:
             fault = self._draw_evacuation()
+        elif self._crowds and self._rng.random() < CROWD_SHARE:
+            fault = self._draw_crowd()
         elif self._series and self._rng.random() < 0.3:
             fault = self._draw_series()
         else:
@@ -156,6 +163,15 @@
         name = f'evacuated {domain}'
         return name, functools.partial(self._evacuate, domain, length_s)
 
+    def _draw_crowd(self) -> Fault:
+        doors = [*self._cell.callers, *self._cell.control]
+        address = self._rng.choice(doors)
+        length_s = self._rng.uniform(*FAULT_DURATION_S)
+        seed = self._rng.getrandbits(32)
+        return f'crowd at {address}', functools.partial(
+            _soak_crowds.press, address, seed, length_s
+        )
+
     def _draw_series(self) -> Fault:
         """Draw faults of one kind that begin shortly one after another."""
         rng = self._rng
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -30,6 +30,7 @@
     shrinks: bool = False,
     recuts: bool = False,
     evacuations: bool = False,
+    crowds: bool = False,
     deadly: float = 0,
     uneven: bool = False,
     folder: str = '',
@@ -43,9 +44,10 @@
     machine is not started. With ``shrinks``, the capacity of workers shrinks
     at times; with ``recuts`` workers are cut off soon after they have started
     again, and meet calls of before; with ``evacuations`` failure domains are
-    evacuated for a while; ``deadly`` is the share of jobs that crash the
-    workers that start them; with ``uneven`` every fourth worker takes more
-    than twice as long. Half-way, the cell is held over its capacity
+    evacuated for a while; with ``crowds`` clients that nobody controls press
+    at ports of gateways and controllers; ``deadly`` is the share of jobs that
+    crash the workers that start them; with ``uneven`` every fourth worker
+    takes more than twice as long. Half-way, the cell is held over its capacity
     for ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
@@ -74,6 +76,7 @@
             shrinks=shrinks,
             recuts=recuts,
             evacuations=evacuations,
+            crowds=crowds,
             deadly_share=deadly,
             uneven=uneven,
             size=chosen,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,7 @@
 EVACUATION_SEED = 3001
 # Evacuations are checked from 5 s after their acknowledgement on.
 EVACUATION_LENGTH_S = 16
+CROWDS_SEED = 4001
 OVERLOAD_SEED = 301
 OVERLOAD_FAULTS_S = 3
 OVERLOAD_S = 3
@@ -99,6 +100,16 @@
     assert any(name.startswith('evacuated') for name in outcome.faults)
 
 
+def test_a_soak_with_crowds_sees_nothing_that_must_never_happen(tmp_path):
+    """Jobs have to be taken and run beside clients that nobody controls."""
+    options = _soak.SoakOptions(
+        CROWDS_SEED, LENGTH_S, tmp_path, links=False, crowds=True
+    )
+    outcome = _soak.run_soak(options)
+    assert outcome.violations == (), _soak.describe(options, outcome)
+    assert any(name.startswith('crowd') for name in outcome.faults)
+
+
 def test_a_soak_with_deadly_jobs_sees_nothing_that_must_never_happen(tmp_path):
     options = _soak.SoakOptions(
         DEADLY_SEED,
