Split the reads of a round, and use the usual terms

Change: what a round reads under the lock of the state is a data class of its own, and the selection, the order and the requests are a function. Measured: the tests of the scheduler, the planner and the order pass.

--- a/dandeliondrum/jobs/_advice_requester.py
+++ b/dandeliondrum/jobs/_advice_requester.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
-    """What came of a call, and when."""
+    """The outcome of a call and the time at which it was known."""
 
     request: _calls.AdviceRequest
     policy: _policy.AdvicePolicy
--- a/dandeliondrum/jobs/_planner.py
+++ b/dandeliondrum/jobs/_planner.py
@@ -24,7 +24,7 @@
 # can't wait for as long as below, those that can are left to later rounds:
 # their starts would delay the others.
 PRESSING_MAX = 96
-PRESSING_SPARE_MS = 2_000
+PRESSING_SLACK_MS = 2_000
 # Workers are reserved for a demand that has waited for this long.
 RESERVE_AFTER_MS = 400
 # Without preemption, at most the number of workers in the pool divided by this
@@ -116,7 +116,7 @@
     def can_wait(self) -> bool:
         """Whether some more rounds don't make the demand late."""
         left_ms = self.slack_left_ms
-        return left_ms is not None and left_ms >= PRESSING_SPARE_MS
+        return left_ms is not None and left_ms >= PRESSING_SLACK_MS
 
     @property
     def isolated(self) -> bool:
--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -68,6 +68,19 @@
     now_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StateRead:
+    """What a round reads of the replicated state, under its lock."""
+
+    demands: list[_OpenDemand]
+    workers: list[_planner.AvailableWorker]
+    isolation: _planner.Isolation
+    team_available: dict[messages.TeamId, messages.Resources]
+    team_limits: dict[messages.TeamId, messages.Resources]
+    facts: dict[messages.WorkerId, _commands.WorkerFacts]
+    open_jobs_count: int
+
+
 class _LockTimes:
     """The longest time that a round waited for a lock and held one."""
 
@@ -219,85 +232,106 @@
             self._advice_requester.record_answers()
             usable = self._usable_ids(now_ms)
             with locks.measure(term.state.lock):
-                demands = self._demand_cache.read(term.state)
-                self._submission_times.update(
-                    term.state.open_jobs, now_ms, _clock.unix_ms()
-                )
-                open_jobs_count = len(term.state.open_jobs)
-                isolating = _demands.isolating_workers(
-                    term.state,
-                    {
-                        worker_id: peer.orders
-                        for worker_id, peer in term.peers.items()
-                    },
-                    now_ms,
-                )
-                isolation = _planner.Isolation(
-                    self._count_by_pool(isolating & usable),
-                    self._count_by_pool(isolating - usable),
-                )
-                usable.difference_update(isolating)
-                workers = (
-                    self._usable_workers(usable, now_ms) if demands else []
-                )
-                team_available = _demands.team_available(term.state)
-                team_limits = _demands.team_limits(term.state)
-                facts = {
-                    worker.worker_id: term.state.workers[
-                        worker.worker_id
-                    ].facts
-                    for worker in workers
-                }
-            term.metrics.open_jobs.set(open_jobs_count)
-            term.load.record_waiting(len(demands), open_jobs_count)
-            self._workers = workers
-            if not demands:
-                term.advice.retain(set())
-                term.unfit_reasons = {}
-                self._unfit_reasons = {}
-                self._ordering.clear()
-                self._advice_requester.clear()
+                state = self._read_state(usable, now_ms)
+            term.metrics.open_jobs.set(state.open_jobs_count)
+            term.load.record_waiting(len(state.demands), state.open_jobs_count)
+            self._workers = state.workers
+            if not state.demands:
+                self._clear()
                 return None
-            for demand, _ in demands:
+            for demand, _ in state.demands:
                 self._set_urgency(demand, now_ms)
-            considered = self._select_considered(demands)
-            unfit_reasons = self._unfit_reasons = _planner.unfit_reasons(
-                (demand for demand, _ in considered), workers, team_limits
-            )
-            term.unfit_reasons = _reasons_to_report(demands, unfit_reasons)
-            ordered = self._ordering.order(
-                [demand for demand, _ in considered],
-                workers,
-                unfit_reasons,
-                now_ms,
-            )
-            self._advice_requester.request(
-                considered,
-                workers,
-                self._steps_with_capacity,
-                self._reserved_ids,
-                team_available,
-                unfit_reasons,
-            )
-            term.advice.retain(_step_names(demands))
-            for demand, queue_policy in considered:
-                if (demand.job_id, demand.step) not in unfit_reasons:
-                    self._set_advice(demand, queue_policy, now_ms)
-            peers = dict(term.peers)
+            inputs = self._make_inputs(state, now_ms)
             term.load.record_fleet(
-                _demands.free_cpu_share(workers),
-                sum(demand.is_late for demand, _ in demands),
+                _demands.free_cpu_share(state.workers),
+                sum(demand.is_late for demand, _ in state.demands),
             )
-        term.metrics.usable_workers.set(len(workers))
+        term.metrics.usable_workers.set(len(state.workers))
+        return inputs
+
+    def _read_state(
+        self, usable: set[messages.WorkerId], now_ms: int
+    ) -> '_StateRead':
+        """Read the replicated state; the caller holds its lock.
+
+        The workers kept for isolated tasks are removed from ``usable``.
+        """
+        term = self._term
+        state = term.state
+        demands = self._demand_cache.read(state)
+        self._submission_times.update(
+            state.open_jobs, now_ms, _clock.unix_ms()
+        )
+        isolating = _demands.isolating_workers(
+            state,
+            {worker_id: peer.orders for worker_id, peer in term.peers.items()},
+            now_ms,
+        )
+        isolation = _planner.Isolation(
+            self._count_by_pool(isolating & usable),
+            self._count_by_pool(isolating - usable),
+        )
+        usable.difference_update(isolating)
+        workers = self._usable_workers(usable, now_ms) if demands else []
+        return _StateRead(
+            demands,
+            workers,
+            isolation,
+            _demands.team_available(state),
+            _demands.team_limits(state),
+            {
+                worker.worker_id: state.workers[worker.worker_id].facts
+                for worker in workers
+            },
+            len(state.open_jobs),
+        )
+
+    def _clear(self) -> None:
+        """Forget what is known of waiting steps while there are none."""
+        self._term.advice.retain(set())
+        self._term.unfit_reasons = {}
+        self._unfit_reasons = {}
+        self._ordering.clear()
+        self._advice_requester.clear()
+
+    def _make_inputs(self, state: '_StateRead', now_ms: int) -> '_Inputs':
+        """Select and order the demands of this round and request advice.
+
+        The caller holds the lock of the term.
+        """
+        term, workers = self._term, state.workers
+        considered = self._select_considered(state.demands)
+        unfit_reasons = self._unfit_reasons = _planner.unfit_reasons(
+            (demand for demand, _ in considered), workers, state.team_limits
+        )
+        term.unfit_reasons = _reasons_to_report(state.demands, unfit_reasons)
+        ordered = self._ordering.order(
+            [demand for demand, _ in considered],
+            workers,
+            unfit_reasons,
+            now_ms,
+        )
+        self._advice_requester.request(
+            considered,
+            workers,
+            self._steps_with_capacity,
+            self._reserved_ids,
+            state.team_available,
+            unfit_reasons,
+        )
+        term.advice.retain(_step_names(state.demands))
+        for demand, queue_policy in considered:
+            if (demand.job_id, demand.step) not in unfit_reasons:
+                self._set_advice(demand, queue_policy, now_ms)
         return _Inputs(
-            [demand for demand, _ in demands],
+            [demand for demand, _ in state.demands],
             ordered,
             workers,
-            team_available,
+            state.team_available,
             unfit_reasons.keys(),
-            peers,
-            facts,
-            isolation,
+            dict(term.peers),
+            state.facts,
+            state.isolation,
             now_ms,
         )
 
--- a/dandeliondrum/jobs/queueing/_backlog.py
+++ b/dandeliondrum/jobs/queueing/_backlog.py
@@ -17,7 +17,7 @@
 
 # Demands of each class that a round considers: the first ones in scheduling
 # order, and some of the others in turn. With 600 late ones a round took 75 ms
-# of the leader, and work with half a second to spare waits for several rounds.
+# of the leader, and work with half a second of slack waits for several rounds.
 LIMITS: collections.abc.Mapping[_urgency.Urgency, _Limits] = {
     _urgency.Urgency.LATE: (64, 32),
     _urgency.Urgency.NO_USE: (16, 16),
--- a/dandeliondrum/jobs/queueing/_late_work.py
+++ b/dandeliondrum/jobs/queueing/_late_work.py
@@ -1,7 +1,7 @@
 """Late work of urgent queues that goes before work that can wait for it.
 
 Late work goes behind all that can be in time, since the latter is worth more.
-Behind a backlog of less urgent work with seconds to spare, though, short
+Behind a backlog of less urgent work with seconds of slack, though, short
 urgent work that has missed its objective by little would wait until it is of
 no use at all. It goes first where, by the forecast, nothing becomes late for
 it.
@@ -16,7 +16,7 @@
 from dandeliondrum.jobs.queueing import _contention
 from dandeliondrum.jobs.queueing import _deferral
 
-# What has to be left of the time to spare of the work that waits: rounds, and
+# What has to be left of the slack of the work that waits: rounds, and
 # starts after them, come in steps of about this.
 MARGIN_MS = 200
 # Late work goes only before what needs so many times its work. With large late
@@ -40,14 +40,14 @@
     for it and for those that were let in before.
     """
     forecast = _deferral.Forecast(room, running)
-    spare_ms = _least_spare_ms(in_time, forecast, now_ms)
+    slack_ms = _least_slack_ms(in_time, forecast, now_ms)
     found = []
     taken_ms = 0.0
     for demand in late:
         # So long the whole pool would be busy with it.
         work_ms = forecast.part(demand) * demand.spec.expected_run_ms
         needed_ms = taken_ms + work_ms + MARGIN_MS
-        position = bisect.bisect_left(spare_ms, needed_ms)
+        position = bisect.bisect_left(slack_ms, needed_ms)
         behind = next(
             (
                 one
@@ -63,17 +63,17 @@
     return found
 
 
-def _least_spare_ms(
+def _least_slack_ms(
     demands: collections.abc.Sequence[_AnyDemand],
     forecast: _deferral.Forecast,
     now_ms: int,
 ) -> list[float]:
-    """Return the least time to spare of each demand and those behind it.
+    """Return the least slack of each demand and those behind it.
 
     What is deferred, or late by the forecast, is not kept from being in time
     by anything that goes before it.
     """
-    spare_ms = []
+    slack_ms = []
     for demand in demands:
         start_ms, _ = forecast.place(demand)
         left_ms = demand.latest_start_ms - now_ms - start_ms
@@ -82,7 +82,7 @@
             or demand.standing.is_deferred
             or left_ms < 0
         )
-        spare_ms.append(math.inf if can_wait else left_ms)
-    least_ms = list(itertools.accumulate(reversed(spare_ms), min))
+        slack_ms.append(math.inf if can_wait else left_ms)
+    least_ms = list(itertools.accumulate(reversed(slack_ms), min))
     least_ms.reverse()
     return least_ms
--- a/dandeliondrum/jobs/queueing/tests/test_urgent_late_work.py
+++ b/dandeliondrum/jobs/queueing/tests/test_urgent_late_work.py
@@ -74,10 +74,10 @@
     )
 
 
-def _in_time(name, spare_ms, priority=1):
+def _in_time(name, slack_ms, priority=1):
     """Return a demand that can begin when all that runs has ended."""
     return _demand(
-        name, priority, 10, 2_000, NOW_MS + spare_ms, queueing.Urgency.IN_TIME
+        name, priority, 10, 2_000, NOW_MS + slack_ms, queueing.Urgency.IN_TIME
     )
 
 
@@ -89,7 +89,7 @@
     return [demand.job_id for demand in ordered]
 
 
-def test_late_work_goes_before_less_urgent_work_with_time_to_spare():
+def test_late_work_goes_before_less_urgent_work_with_slack():
     assert _ordered([_in_time('other', 5_000), _late('late')]) == [
         'late', 'other',
     ]  # fmt: skip
@@ -101,7 +101,7 @@
     ]  # fmt: skip
 
 
-def test_the_time_to_spare_is_that_at_the_forecast_start():
+def test_the_slack_is_that_at_the_forecast_start():
     """Work ahead in the order, or running, uses it up."""
     demands = [_in_time('other', 5_000), _late('late')]
     assert _ordered(demands, running_ms=4_900) == ['other', 'late']
--- a/dandeliondrum/jobs/tests/load_simulation.py
+++ b/dandeliondrum/jobs/tests/load_simulation.py
@@ -26,11 +26,11 @@
 
 
 class Order(enum.Enum):
-    """What the planner is told about the demands.
+    """Fields of the demands on which the planner may base its order.
 
     ``AGE``: nothing but priority and age. ``LATENESS``: also whether the
     objective can still be met and the time left, as before the order knew
-    what late work is of use. ``CURRENT``: all that the scheduler tells it.
+    what late work is of use. ``CURRENT``: all that the scheduler sets.
     """
 
     AGE = enum.auto()
--- a/dandeliondrum/jobs/tests/test_first_advice.py
+++ b/dandeliondrum/jobs/tests/test_first_advice.py
@@ -1,6 +1,6 @@
 """Advice for new jobs between two planning rounds.
 
-The load: jobs with half a second to spare that arrive while the scheduler
+The load: jobs with half a second of slack that arrive while the scheduler
 waits for its commit or leaves the time to others after a long round.
 """
 
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -342,7 +342,7 @@
     assert reserved_count == 30 // _planner.RESERVED_DIVISOR
 
 
-def _pressing_and_other(pressing_count, spare_ms):
+def _pressing_and_other(pressing_count, slack_ms):
     """Return the tasks placed of a job behind many pressing ones."""
     demands = [
         helpers.demand(
@@ -351,7 +351,7 @@
         for number in range(pressing_count)
     ]
     demands.append(
-        helpers.demand('other', helpers.step(8), slack_left_ms=spare_ms)
+        helpers.demand('other', helpers.step(8), slack_left_ms=slack_ms)
     )
     workers = [helpers.available_worker(f'w{number}') for number in range(60)]
     placed = [
@@ -363,20 +363,20 @@
     return placed.count('other')
 
 
-def test_work_with_time_to_spare_waits_while_a_round_has_much_pressing_work():
+def test_work_with_slack_waits_while_a_round_has_much_pressing_work():
     """Its starts would delay those of urgent jobs in a burst."""
-    spare_ms = _planner.PRESSING_SPARE_MS
-    assert _pressing_and_other(_planner.PRESSING_MAX, spare_ms) == 0
+    slack_ms = _planner.PRESSING_SLACK_MS
+    assert _pressing_and_other(_planner.PRESSING_MAX, slack_ms) == 0
 
 
-def test_work_with_time_to_spare_is_placed_beside_little_pressing_work():
-    spare_ms = _planner.PRESSING_SPARE_MS
-    assert _pressing_and_other(_planner.PRESSING_MAX - 1, spare_ms) == 8
+def test_work_with_slack_is_placed_beside_little_pressing_work():
+    slack_ms = _planner.PRESSING_SLACK_MS
+    assert _pressing_and_other(_planner.PRESSING_MAX - 1, slack_ms) == 8
 
 
 @pytest.mark.parametrize(
-    'spare_ms', [None, -5_000, _planner.PRESSING_SPARE_MS - 1]
+    'slack_ms', [None, -5_000, _planner.PRESSING_SLACK_MS - 1]
 )
-def test_work_that_can_not_wait_is_placed_in_any_round(spare_ms):
+def test_work_that_can_not_wait_is_placed_in_any_round(slack_ms):
     """What has no objective, as a service, is placed as well."""
-    assert _pressing_and_other(_planner.PRESSING_MAX, spare_ms) == 8
+    assert _pressing_and_other(_planner.PRESSING_MAX, slack_ms) == 8
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -129,7 +129,7 @@
     def _begin_handshake(self, stream: socket.socket) -> None:
         """Count a stream without a hello; make room for it if necessary.
 
-        A peer sends its hello at once, so the oldest ones are strangers. The
+        A peer sends its hello at once, so the oldest ones are no peers. The
         executor has a thread for each stream that is counted.
         """
         with self._lock:
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -410,11 +410,11 @@
         yield 0.2
 
 
-def test_large_frames_of_strangers_are_not_kept(site):
+def test_large_frames_of_unknown_senders_are_not_kept(site):
     play(site, 'stream', crowds.Crowd(script=large_frame, count=20))
 
 
-def test_slow_strangers_leave_room_for_peers(site):
+def test_slow_unknown_senders_leave_room_for_peers(site):
     crowd = crowds.Crowd(
         script=slow_frame, count=300, connections_max=2_000, seconds=4.0
     )
