--- a/dandeliondrum/jobs/_scheduler.py
+++ b/dandeliondrum/jobs/_scheduler.py
@@ -70,7 +70,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StateRead:
-    """What a round reads of the replicated state, under its lock."""
+    """Parts of the replicated state that a round reads under its lock."""
 
     demands: list[_OpenDemand]
     workers: list[_planner.AvailableWorker]
--- a/dandeliondrum/jobs/tests/test_planner.py
+++ b/dandeliondrum/jobs/tests/test_planner.py
@@ -378,5 +378,5 @@
     'slack_ms', [None, -5_000, _planner.PRESSING_SLACK_MS - 1]
 )
 def test_work_that_can_not_wait_is_placed_in_any_round(slack_ms):
-    """What has no objective, as a service, is placed as well."""
+    """Steps without an objective, such as services, are placed as well."""
     assert _pressing_and_other(_planner.PRESSING_MAX, slack_ms) == 8
