Log why votes are missing, and each change of the membership

The logs of five live controllers did not tell why: a lost election named neither the voters nor who refused or did not answer, and no line told which membership a controller uses.

Change: a reply to a vote request carries the reason of a refusal; a candidate logs a lost ballot with the reasons by voter when they change, and at most every 5 s otherwise. Each controller logs the membership in effect when it changes. The leader logs and counts the voters that do not count towards a quorum, and how many further losses are borne.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -8,15 +8,20 @@
 
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _membership
+from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _transfer
 from dandeliondrum.consensus import _work_items
+from dandeliondrum import messages
 
 # How long a candidate waits until its new term is stored on its own disk.
 TERM_WRITE_TIMEOUT_S = 10
 
+# A lost ballot is logged when its outcome changes, and once in this time.
+LOST_BALLOT_LOG_INTERVAL_NS = 5_000_000_000
+
 _logger = structlog.get_logger()
 
 
@@ -32,6 +37,9 @@
         # and the last contact when that was noticed.
         self._late_until_ns = 0
         self._late_contact_ns = 0
+        self._missing_voters: list[messages.ControllerId] = []
+        self._lost_ballot_outcome: object = None
+        self._lost_ballot_logged_ns = 0
 
     def run(self, stopping: threading.Event) -> None:
         """Run the election timer and quorum checks until the node closes."""
@@ -44,6 +52,7 @@
             self._expire_pending_proposals()
             if state.is_leader():
                 self._check_quorum()
+            self._report_missing_voters()
             election_due = self._is_election_due()
             transfer = state.election_requested
             if not election_due:
@@ -137,6 +146,25 @@
                 # not wait until this leader's lease has run out.
                 state.become_follower()
 
+    def _report_missing_voters(self) -> None:
+        """Log and count the voters that a leader does not reach."""
+        state = self._state
+        missing = state.missing_voters() if state.is_leader() else []
+        voters_count = len(state.history.current.voters)
+        state.metrics.voters.set(voters_count)
+        state.metrics.voters_missing.set(len(missing))
+        if missing == self._missing_voters:
+            return
+        self._missing_voters = missing
+        if state.is_leader():
+            quorum = _membership.quorum_count(state.history.current)
+            _logger.info(
+                'missing voters changed',
+                missing=missing,
+                voters_count=voters_count,
+                losses_left=voters_count - len(missing) - quorum,
+            )
+
     def _expire_pending_proposals(self) -> None:
         state = self._state
         if state.is_leader() or not state.pending:
@@ -199,8 +227,43 @@
                 state.election_condition.wait(wait_ns / 1e9)
             if state.ballot is ballot:
                 state.ballot = None
+                self._log_lost_ballot(ballot)
             return False
 
+    def _log_lost_ballot(self, ballot: _progress.Ballot) -> None:
+        """Log who did not vote for this node, and why."""
+        state = self._state
+        current = state.history.current
+        refusals = {
+            voter.controller_id: ballot.refused.get(
+                voter.controller_id, _messages.VoteRefusal.NO_REPLY
+            ).value
+            for voter in current.voters
+            if voter.controller_id != state.node_id
+            and voter.controller_id not in ballot.granted
+        }
+        now_ns = time.monotonic_ns()
+        outcome = (ballot.pre_vote, state.history.index, refusals)
+        logged_ago_ns = now_ns - self._lost_ballot_logged_ns
+        if (
+            outcome == self._lost_ballot_outcome
+            and logged_ago_ns < LOST_BALLOT_LOG_INTERVAL_NS
+        ):
+            return
+        self._lost_ballot_outcome = outcome
+        self._lost_ballot_logged_ns = now_ns
+        _logger.info(
+            'votes missing',
+            term=ballot.term,
+            pre_vote=ballot.pre_vote,
+            granted=sorted(ballot.granted),
+            refusals=refusals,
+            quorum=_membership.quorum_count(current),
+            membership_index=state.history.index,
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
+        )
+
     def _is_won(self, ballot: _progress.Ballot) -> bool:
         voters = self._state.history.current.voters
         granted = [
--- a/dandeliondrum/consensus/_membership_changes.py
+++ b/dandeliondrum/consensus/_membership_changes.py
@@ -150,7 +150,14 @@
         if lag_entries > PROMOTION_LAG_ENTRIES or progress.match_index == 0:
             return None
         changed = _membership.with_voter(current, member)
-        return changed if self._keeps_quorum(changed) else None
+        if not self._keeps_quorum(changed):
+            return None
+        _logger.info(
+            'learner promoted',
+            member=member.controller_id,
+            lag_entries=lag_entries,
+        )
+        return changed
 
     def _keeps_quorum(self, changed: _messages.Membership) -> bool:
         """Return whether the reachable voters form a quorum of ``changed``."""
--- a/dandeliondrum/consensus/_messages.py
+++ b/dandeliondrum/consensus/_messages.py
@@ -70,13 +70,34 @@
     transfer: bool = False
 
 
+class VoteRefusal(enum.Enum):
+    """Reason why a vote or pre-vote is not granted.
+
+    ``NO_REPLY`` is recorded by the candidate, the others are sent by voters;
+    ``UNKNOWN`` is that of a voter which sends none.
+    """
+
+    UNKNOWN = 'unknown'
+    NO_REPLY = 'no_reply'
+    WRONG_DISK = 'wrong_disk'
+    LEADER_KNOWN = 'leader_known'
+    LOG_BEHIND = 'log_behind'
+    OLD_TERM = 'old_term'
+    VOTED = 'voted'
+    STORAGE_FAILED = 'storage_failed'
+
+
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class VoteReply:
-    """The voter's current term, and whether the vote is granted."""
+    """The voter's current term, and whether the vote is granted.
+
+    ``refusal`` is the reason if it is not.
+    """
 
     term: int
     granted: bool
+    refusal: VoteRefusal = VoteRefusal.UNKNOWN
 
 
 @messages.message
--- a/dandeliondrum/consensus/_metrics.py
+++ b/dandeliondrum/consensus/_metrics.py
@@ -39,3 +39,13 @@
             'Elections that this node won',
             registry=registry,
         )
+        self.voters = prometheus_client.Gauge(
+            'dandeliondrum_consensus_voters',
+            'Voters of the membership in effect',
+            registry=registry,
+        )
+        self.voters_missing = prometheus_client.Gauge(
+            'dandeliondrum_consensus_voters_missing',
+            'Voters that do not count towards a quorum; 0 on a follower',
+            registry=registry,
+        )
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -270,11 +270,13 @@
         reply = outcome.value_or(None)
         with self._state.lock:
             if not isinstance(reply, _messages.VoteReply):
-                ballot.refused.add(self._member_id)
+                ballot.refused[self._member_id] = (
+                    _messages.VoteRefusal.NO_REPLY
+                )
             elif reply.granted:
                 ballot.granted.add(self._member_id)
             else:
-                ballot.refused.add(self._member_id)
+                ballot.refused[self._member_id] = reply.refusal
                 if reply.term > self._state.term:
                     self._state.enqueue_work(
                         _work_items.ObserveTerm(reply.term)
--- a/dandeliondrum/consensus/_progress.py
+++ b/dandeliondrum/consensus/_progress.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _work_items
 from dandeliondrum import messages
 
@@ -53,8 +54,8 @@
     granted: set[messages.ControllerId] = dataclasses.field(
         default_factory=set
     )
-    refused: set[messages.ControllerId] = dataclasses.field(
-        default_factory=set
+    refused: dict[messages.ControllerId, _messages.VoteRefusal] = (
+        dataclasses.field(default_factory=dict)
     )
 
 
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -186,3 +186,4 @@
         state.snapshot_index = snapshot.head.index
     uncommitted = log.read(state.commit_index + 1, log.last_index, 1 << 62)
     state.history.add(uncommitted)
+    state.report_membership()
--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -64,7 +64,9 @@
                     _messages.Outcome.STORAGE_FAILED, 0
                 )
             case _messages.RequestVote():
-                return _messages.VoteReply(state.term, False)
+                return _messages.VoteReply(
+                    state.term, False, _messages.VoteRefusal.STORAGE_FAILED
+                )
             case _messages.InstallSnapshot():
                 return self._receiver.make_reply(
                     _messages.Outcome.STORAGE_FAILED
@@ -106,43 +108,61 @@
         self, message: _messages.RequestVote
     ) -> _messages.VoteReply:
         state = self._state
-        if not self._is_vote_allowed(message):
-            return _messages.VoteReply(state.term, False)
+        refusal = self._find_vote_refusal(message)
+        if refusal is not None:
+            return _messages.VoteReply(state.term, False, refusal)
         if message.pre_vote:
-            granted = message.term > state.term
-            if granted:
-                with state.lock:
-                    state.yield_to_candidate(message.candidate_id)
-            return _messages.VoteReply(state.term, granted)
-        if message.term < state.term:
-            return _messages.VoteReply(state.term, False)
+            with state.lock:
+                state.yield_to_candidate(message.candidate_id)
+            return _messages.VoteReply(state.term, True)
         is_later = message.term > state.term
         if is_later and message.transfer:
             with state.lock:
                 state.transfer_term = message.term
-        granted = self._is_log_up_to_date(message) and (
-            is_later or state.voted_for in ('', message.candidate_id)
-        )
+        refusal = self._find_ballot_refusal(message)
         # One write for the term and the vote, for which the candidate waits.
-        if granted:
+        if refusal is None:
             self._enter_term(message.term, message.candidate_id)
             with state.lock:
                 state.reset_election_timer()
-        elif is_later:
+            return _messages.VoteReply(state.term, True)
+        if is_later:
             self._enter_term(message.term, '')
-        return _messages.VoteReply(state.term, granted)
+        return _messages.VoteReply(state.term, False, refusal)
 
-    def _is_vote_allowed(self, message: _messages.RequestVote) -> bool:
+    def _find_vote_refusal(
+        self, message: _messages.RequestVote
+    ) -> _messages.VoteRefusal | None:
+        """Return why a request is refused without entering its term."""
         state = self._state
         if message.disk_id != state.disk_id:
             self._warn_disk_mismatch(message)
-            return False
+            return _messages.VoteRefusal.WRONG_DISK
         with state.lock:
             if state.is_leader() and not message.transfer:
-                return not state.has_recent_quorum()
-            if state.has_recent_leader() and not message.transfer:
-                return False
-        return not message.pre_vote or self._is_log_up_to_date(message)
+                if state.has_recent_quorum():
+                    return _messages.VoteRefusal.LEADER_KNOWN
+            elif state.has_recent_leader() and not message.transfer:
+                return _messages.VoteRefusal.LEADER_KNOWN
+            elif message.pre_vote and not self._is_log_up_to_date(message):
+                return _messages.VoteRefusal.LOG_BEHIND
+        oldest = state.term + 1 if message.pre_vote else state.term
+        if message.term < oldest:
+            return _messages.VoteRefusal.OLD_TERM
+        return None
+
+    def _find_ballot_refusal(
+        self, message: _messages.RequestVote
+    ) -> _messages.VoteRefusal | None:
+        """Return why no vote is granted in the term of the request."""
+        state = self._state
+        if not self._is_log_up_to_date(message):
+            return _messages.VoteRefusal.LOG_BEHIND
+        if message.term > state.term:
+            return None
+        if state.voted_for not in ('', message.candidate_id):
+            return _messages.VoteRefusal.VOTED
+        return None
 
     def _warn_disk_mismatch(self, message: _messages.RequestVote) -> None:
         """Log once per disk id why this node refuses its vote."""
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -13,11 +13,13 @@
 import typing
 
 from returns import result
+import structlog
 
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _interfaces
 from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _membership
+from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
@@ -38,6 +40,8 @@
 # Each brief leader doubles the election timeouts up to this multiple.
 ELECTION_BACKOFF_MAX = 4
 
+_logger = structlog.get_logger()
+
 
 class NodeState:
     """Role, term, log indexes, peers and pending futures of one node."""
@@ -90,6 +94,7 @@
             self.leader_contact_ns = options.started_ns
         self.election_deadline_ns = 0
         self.election_backoff = 1
+        self._reported_membership: _messages.Membership | None = None
         # Term of the newest election that a leader has requested.
         self.transfer_term = 0
         self._led_term = 0
@@ -393,6 +398,41 @@
             if _membership.member(current, controller_id) is None:
                 del self.progress[controller_id]
         self.membership_condition.notify()
+        self.report_membership()
+
+    def report_membership(self) -> None:
+        """Log the membership in effect if it differs from the last one."""
+        current = self.history.current
+        if current == self._reported_membership:
+            return
+        self._reported_membership = current
+        _logger.info(
+            'membership changed',
+            index=self.history.index,
+            term=self.term,
+            voters=[one.controller_id for one in current.voters],
+            learners=[one.controller_id for one in current.learners],
+            votes_here=self.is_voter(),
+        )
+
+    def missing_voters(self) -> list[messages.ControllerId]:
+        """Return the voters that don't count towards a quorum at present.
+
+        They have not answered within the shortest election timeout, or have
+        lost entries that they had acknowledged. Only the leader knows them.
+        """
+        oldest_ns = (
+            time.monotonic_ns()
+            - self.options.election_min_ms * _progress.NS_PER_MS
+        )
+        missing = []
+        for voter in self.history.current.voters:
+            if voter.controller_id == self.node_id:
+                continue
+            progress = self._quorum_progress(voter.controller_id)
+            if progress is None or progress.answered_ns < oldest_ns:
+                missing.append(voter.controller_id)
+        return missing
 
     def take_ready_confirmations(self) -> list[_progress.Confirmation]:
         """Remove and return the confirmations that can succeed now.
