Replace lost voters one change at a time

Cause: each request to join was decided by itself, on the last committed membership. Between the removal of a lost voter and the addition of its successor, a second controller that asked to join found too few members and was added as well. Six voters remained, one of them gone for good, so that four of six had to answer; nobody asked to join any more, so nothing repaired it. Two lost disks, which five voters bear, left three. Class: the number of losses that the cell bears was lower than intended, and nothing compared the two.

Change: the leader keeps the controllers that ask to join, and compares them with the members at each request and four times a second. One change is made at a time. A successor is added as a learner beside a voter that is silent for 0.7 s; after 1.5 s (2.5 s before) the lost voter is removed and the learner promoted, so that no voter is removed for a successor without the state. A new learner counts as heard when it is added, as it has just sent its disk id; before, one that was silent since the start of the term by this reckoning was replaced at once.

--- a/dandeliondrum/consensus/_membership_changes.py
+++ b/dandeliondrum/consensus/_membership_changes.py
@@ -35,11 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class AddMember:
-    """Add a controller; the future resolves once it is a voter."""
+    """Add a controller; the future resolves once it is a voter.
+
+    Without ``until_voter`` it resolves once the controller is a learner.
+    """
 
     controller_id: messages.ControllerId
     address: str
     future: _work_items.ChangeFuture
+    until_voter: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -149,6 +153,9 @@
         lag_entries = state.log.last_index - progress.match_index
         if lag_entries > PROMOTION_LAG_ENTRIES or progress.match_index == 0:
             return None
+        voters_max = state.options.voters_max
+        if voters_max is not None and len(current.voters) >= voters_max:
+            return None
         changed = _membership.with_voter(current, member)
         if not self._keeps_quorum(changed):
             return None
@@ -281,9 +288,13 @@
         waiting = []
         for change in self._in_progress:
             match change:
-                case AddMember():
-                    voter = _membership.voter(current, change.controller_id)
-                    done = voter is not None
+                case AddMember(until_voter=until_voter):
+                    find = (
+                        _membership.voter
+                        if until_voter
+                        else _membership.member
+                    )
+                    done = find(current, change.controller_id) is not None
                 case RemoveMember():
                     known = _membership.member(current, change.controller_id)
                     done = known is None
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -198,12 +198,21 @@
         )
 
     def add_member(
-        self, controller_id: messages.ControllerId, address: str
+        self,
+        controller_id: messages.ControllerId,
+        address: str,
+        until_voter: bool = True,
     ) -> _work_items.ChangeFuture:
-        """Add a controller; the future resolves once it is a voter."""
+        """Add a controller; the future resolves once it is a voter.
+
+        Without ``until_voter`` it resolves once the controller is a learner,
+        which is promoted when it has caught up and there is room for a voter.
+        """
         future: _work_items.ChangeFuture = concurrent.futures.Future()
         self._threads.changes.submit(
-            _membership_changes.AddMember(controller_id, address, future)
+            _membership_changes.AddMember(
+                controller_id, address, future, until_voter
+            )
         )
         return future
 
--- a/dandeliondrum/consensus/_options.py
+++ b/dandeliondrum/consensus/_options.py
@@ -42,7 +42,8 @@
     from a leader between its start and the creation of the node; the first
     election waits only for what is left of the timeout. ``grants_founding``
     is unset where an empty disk does not tell that there is no cell, since a
-    disk may have been lost.
+    disk may have been lost. A learner is promoted only while there are fewer
+    than ``voters_max`` voters; None is no limit.
     """
 
     controller_id: messages.ControllerId
@@ -56,4 +57,5 @@
     election_max_ms: int = 1_200
     started_ns: int | None = None
     grants_founding: bool = True
+    voters_max: int | None = None
     snapshot_every_entries: int = 20_000
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -391,9 +391,14 @@
                 and member in current.learners
             )
             if known is None or known.disk_id != member.disk_id or readmitted:
-                self.progress[member.controller_id] = _progress.Progress(
+                progress = _progress.Progress(
                     member.disk_id, self.log.last_index + 1
                 )
+                if member in current.learners:
+                    # It has just sent the id of its disk. Only the answers
+                    # of voters count towards a quorum.
+                    progress.answered_ns = time.monotonic_ns()
+                self.progress[member.controller_id] = progress
         for controller_id in list(self.progress):
             if _membership.member(current, controller_id) is None:
                 del self.progress[controller_id]
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -436,3 +436,23 @@
         cluster.start()
         assert voters(cluster, cluster.leader()) == cluster.names
         cluster.wait_applied(commands)
+
+
+def test_a_learner_votes_only_once_there_is_room_for_a_voter(tmp_path):
+    """More voters than intended would need more of them to answer."""
+    with harness.Cluster(tmp_path, extra=1, voters_max=3) as cluster:
+        leader = cluster.bootstrap()
+        cluster.start('c4')
+        node = cluster.node(leader)
+        added = node.add_member('c4', 'unused:1', until_voter=False)
+        added.result(harness.TIMEOUT_S).unwrap()
+        cluster.propose(leader, b'one').unwrap()
+        harness.wait_for(
+            lambda: node.status().members[-1].match_index > 0, 'the state'
+        )
+        time.sleep(2 * harness.ELECTION_MIN_MS / 1000)
+        assert voters(cluster, leader) == ['c1', 'c2', 'c3']
+        removed = cluster.others(leader)[0]
+        node.remove_member(removed).result(harness.TIMEOUT_S).unwrap()
+        expected = {'c1', 'c2', 'c3', 'c4'} - {removed}
+        wait_voters(cluster, leader, expected)
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -111,6 +111,7 @@
                 election_max_ms=options.election_max_ms,
                 started_ns=options.started_ns,
                 grants_founding=options.membership.may_found,
+                voters_max=options.leader.voters_count,
             ),
             self.state,
             self,
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -106,6 +106,7 @@
             (_workers.CHECK_INTERVAL_MS, self._workers.check),
             (_workers.STARTS_INTERVAL_MS, self._workers.commit_starts),
             (_audit.INTERVAL_MS, self._audit.check),
+            (_voters.CHECK_INTERVAL_MS, self._voters.check),
             (CLEANUP_INTERVAL_MS, self._forget_ended),
             (_leader_load.REPORT_INTERVAL_MS, term.load.report),
             (_admission.SAMPLE_INTERVAL_MS, self._sample_start_delay),
--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -1,6 +1,20 @@
-"""Addition of controllers and replacement of lost ones."""
+"""Addition of controllers and replacement of lost ones.
 
-import functools
+The leader compares the members with the controllers that ask to join, and
+makes one change at a time:
+
+* Beside a voter that is silent, one of those that ask is
+  added as a learner, so that it has the state when it has to vote.
+* Once the silence is too long, the voter is removed, and the learner is
+  promoted, as there are never more than ``voters_count`` voters.
+
+A lost voter is thus removed before its successor votes. If the successor is
+lost as well, no more voters are missing than before.
+"""
+
+import collections.abc
+import dataclasses
+import threading
 import typing
 
 from returns import result
@@ -11,17 +25,54 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum import messages
 
+CHECK_INTERVAL_MS = 250
+# A successor is taken in as a learner beside a voter that was silent for this
+# long. It exceeds the longest election timeout.
+SUSPICION_MS = 700
 # A voter that was silent for this long is replaced by a controller that asks
-# to join. A restart takes less time, and the replacement of a lost VM must
-# have the full state 4 s after its start.
-SILENCE_MAX_MS = 2_500
+# to join. A restart takes less time, and the successor of a lost VM must vote
+# 4 s after its start.
+SILENCE_MAX_MS = 1_500
+# A controller that has not asked to join for this long is no successor.
+# Controllers ask once a second.
+CANDIDATE_EXPIRY_MS = 2_500
 # After the founding, controllers have this time to join before something is
 # acknowledged without them.
 FIRST_JOINS_MS = 3_000
+# A learner that lags behind by no more entries may replace a voter.
+READY_LAG_ENTRIES = 1_000
 
 _logger = structlog.get_logger()
 
 
+@dataclasses.dataclass(slots=True)
+class _Candidate:
+    """A controller that is no member and asks to join."""
+
+    address: str
+    first_asked_ms: int
+    last_asked_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Add:
+    """Add a learner."""
+
+    controller_id: messages.ControllerId
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Remove:
+    """Remove a member."""
+
+    controller_id: messages.ControllerId
+    silent_ms: int
+
+
+_Change = _Add | _Remove
+
+
 class Voters:
     """Manages the voting members; the leader creates one per term."""
 
@@ -29,6 +80,11 @@
         self._node = node
         self._voters_count = voters_count
         self._term_started_ms = _clock.elapsed_ms()
+        self._lock = threading.Lock()
+        self._candidates: dict[messages.ControllerId, _Candidate] = {}
+        # When this leader first saw a member with its current disk.
+        self._seen_ms: dict[tuple[messages.ControllerId, str], int] = {}
+        self._is_changing = False
 
     def may_begin(self) -> bool:
         """Return whether a cell that holds nothing may acknowledge something.
@@ -42,65 +98,145 @@
         return voters_count >= self._voters_count or waited_ms > FIRST_JOINS_MS
 
     def join(self, request: _calls.JoinRequest) -> typing.Any:
-        """Add a controller if there are too few or one of them is lost.
+        """Note a controller that asks to join, and add it if it is needed.
 
         The change continues in the background; the controller repeats its
         request until it is a member.
         """
-        members = self._node.status().members
-        known = [member.controller_id for member in members]
-        if request.controller_id in known:
-            return messages.Done()
-        if len(members) < self._voters_count:
-            self._add(request)
+        now_ms = _clock.elapsed_ms()
+        controller_id = request.controller_id
+        with self._lock:
+            known = self._candidates.setdefault(
+                controller_id, _Candidate(request.address, now_ms, now_ms)
+            )
+            known.address = request.address
+            known.last_asked_ms = now_ms
+        self.check()
+        if controller_id in self._member_ids():
             return messages.Done()
-        lost = [
-            member
-            for member in members
-            if self._silent_ms(member) > SILENCE_MAX_MS
-        ]
-        if lost:
-            self._replace(max(lost, key=self._silent_ms), request)
         return messages.CallFailed('the cell has all its voters', True)
 
+    def check(self) -> None:
+        """Start the next change that is due."""
+        with self._lock:
+            status = self._node.status()
+            self._forget_old(status)
+            change = None if self._is_changing else self._next_change(status)
+            self._is_changing = self._is_changing or change is not None
+        if change is not None:
+            self._start(change)
+
+    def _member_ids(self) -> set[messages.ControllerId]:
+        members = self._node.status().members
+        return {member.controller_id for member in members}
+
+    def _forget_old(self, status: consensus.NodeStatus) -> None:
+        now_ms = _clock.elapsed_ms()
+        members = {member.controller_id for member in status.members}
+        for controller_id, candidate in list(self._candidates.items()):
+            is_old = now_ms - candidate.last_asked_ms > CANDIDATE_EXPIRY_MS
+            if is_old or controller_id in members:
+                del self._candidates[controller_id]
+        present = {
+            (member.controller_id, member.disk_id) for member in status.members
+        }
+        for key in present:
+            self._seen_ms.setdefault(key, now_ms)
+        for key in self._seen_ms.keys() - present:
+            del self._seen_ms[key]
+
     def _silent_ms(self, member: consensus.MemberStatus) -> int:
         """Return the minimum time for which a member has been silent.
 
-        A member that this leader has never heard from was lost before the
-        term began, so it has been silent at least since then.
+        A member that this leader has never heard from has been silent since
+        the term began, or since it is a member with its current disk.
         """
         if member.silent_ms >= 0:
             return member.silent_ms
-        return _clock.elapsed_ms() - self._term_started_ms
-
-    def _add(self, request: _calls.JoinRequest) -> None:
-        _logger.info('adding controller', controller=request.controller_id)
-        self._node.add_member(
-            request.controller_id, request.address
-        ).add_done_callback(_log_outcome)
-
-    def _replace(
-        self, lost: consensus.MemberStatus, request: _calls.JoinRequest
-    ) -> None:
-        _logger.warning(
-            'replacing lost voter',
-            controller=lost.controller_id,
-            silent_ms=self._silent_ms(lost),
-            successor=request.controller_id,
-        )
-        self._node.remove_member(lost.controller_id).add_done_callback(
-            functools.partial(self._on_removed, request)
-        )
+        key = (member.controller_id, member.disk_id)
+        return _clock.elapsed_ms() - self._seen_ms[key]
 
-    def _on_removed(
-        self, request: _calls.JoinRequest, done: typing.Any
-    ) -> None:
-        _log_outcome(done)
-        if isinstance(done.result(), result.Success):
-            self._add(request)
+    def _ready_learners(
+        self, status: consensus.NodeStatus
+    ) -> list[consensus.MemberStatus]:
+        return [
+            member
+            for member in status.members
+            if not member.voter
+            and self._silent_ms(member) < SUSPICION_MS
+            and member.match_index > 0
+            and status.last_index - member.match_index <= READY_LAG_ENTRIES
+        ]
 
+    def _next_change(self, status: consensus.NodeStatus) -> _Change | None:
+        """Return the next change that is due; the caller holds the lock."""
+        voters = [member for member in status.members if member.voter]
+        learners = [member for member in status.members if not member.voter]
+        lost = self._lost(voters, SILENCE_MAX_MS)
+        removable = [
+            one for one in lost if one.controller_id != status.controller_id
+        ]
+        excess_count = len(voters) - self._voters_count
+        if removable and (excess_count > 0 or self._ready_learners(status)):
+            return self._removal(removable)
+        candidates = [
+            (candidate.first_asked_ms, controller_id)
+            for controller_id, candidate in self._candidates.items()
+        ]
+        lost_learners = self._lost(learners, SILENCE_MAX_MS)
+        if lost_learners and candidates:
+            return self._removal(lost_learners)
+        needed_count = (
+            self._voters_count
+            - (len(voters) - len(self._lost(voters, SUSPICION_MS)))
+            - (len(learners) - len(lost_learners))
+        )
+        if needed_count <= 0 or not candidates:
+            return None
+        controller_id = min(candidates)[1]
+        return _Add(controller_id, self._candidates[controller_id].address)
+
+    def _lost(
+        self,
+        members: collections.abc.Iterable[consensus.MemberStatus],
+        silence_ms: int,
+    ) -> list[consensus.MemberStatus]:
+        """Return the members that are silent for longer than this."""
+        return [
+            member
+            for member in members
+            if self._silent_ms(member) > silence_ms
+        ]
 
-def _log_outcome(done: typing.Any) -> None:
-    outcome = done.result()
-    if isinstance(outcome, result.Failure):
-        _logger.info('membership not changed', why=str(outcome.failure()))
+    def _removal(
+        self, members: collections.abc.Iterable[consensus.MemberStatus]
+    ) -> _Remove:
+        """Return the removal of the member that is silent for longest."""
+        lost = max(members, key=self._silent_ms)
+        return _Remove(lost.controller_id, self._silent_ms(lost))
+
+    def _start(self, change: _Change) -> None:
+        match change:
+            case _Add(controller_id, address):
+                _logger.info('adding controller', controller=controller_id)
+                done = self._node.add_member(
+                    controller_id, address, until_voter=False
+                )
+            case _Remove(controller_id, silent_ms):
+                _logger.warning(
+                    'removing lost member',
+                    controller=controller_id,
+                    silent_ms=silent_ms,
+                )
+                done = self._node.remove_member(controller_id)
+        done.add_done_callback(self._on_changed)
+
+    def _on_changed(self, done: typing.Any) -> None:
+        outcome = done.result()
+        with self._lock:
+            self._is_changing = False
+        if isinstance(outcome, result.Failure):
+            # The next check tries again.
+            _logger.info('membership not changed', why=str(outcome.failure()))
+            return
+        self.check()
