Hand over the vote of a controller that stops

The cell replaced it only after 2.5 s of silence and up to 1 s until the successor asked again: meanwhile two more losses, which are allowed, leave two of five voters.

Change: a controller that gets SIGTERM asks the leader to replace it. The leader adds a controller that waits to join, removes the one that stops once that has the state, and answers; if nobody waits, it says so at once. A leader that stops first lets the successor get the state, hands over the leadership and then asks the next leader. It waits 1.5 s at most. Controllers that are no members ask to join four times a second instead of once, as they did already at the first start, and log a refusal only when its reason changes.

--- a/dandeliondrum/jobs/_calls.py
+++ b/dandeliondrum/jobs/_calls.py
@@ -180,6 +180,18 @@
     address: str
 
 
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveRequest:
+    """A controller that stops asks the leader to replace it.
+
+    The reply is Done once another controller votes in its place, or, for the
+    leader itself, once one is ready to. It is CallFailed if there is none.
+    """
+
+    controller_id: messages.ControllerId
+
+
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceRequest:
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -30,6 +30,8 @@
 from dandeliondrum import utils
 
 TRANSFER_TIMEOUT_MS = 1_500
+# Longer than the leader waits for a successor.
+LEAVE_TIMEOUT_MS = 2_000
 THREADS_COUNT = 2
 STREAMS_MAX = 512
 
@@ -156,14 +158,36 @@
         return result.Success(None)
 
     def close(self) -> None:
-        """Transfer leadership if possible, then stop."""
+        """Hand over the leadership and the vote if possible, then stop."""
+        self._membership.leave()
+        self._hand_over_vote()
         status = self.node.status()
         if status.leader_id == self._options.leader.controller_id:
             transfer = self.node.transfer_leadership()
             with contextlib.suppress(TimeoutError):
                 transfer.result(TRANSFER_TIMEOUT_MS / 1000)
+            self._hand_over_vote()
         self._resources.close()
 
+    def _hand_over_vote(self) -> None:
+        """Let a controller that waits to join take over this one's vote.
+
+        A VM that is removed no longer counts as soon as this process ends,
+        so that two others may be lost right after.
+        """
+        me = self._options.leader.controller_id
+        status = self.node.status()
+        if not any(
+            member.controller_id == me and member.voter
+            for member in status.members
+        ):
+            return
+        outcome = self._call(_calls.LeaveRequest(me), LEAVE_TIMEOUT_MS)
+        why = ''
+        if isinstance(outcome, result.Failure):
+            why = outcome.failure().reason
+        _logger.info('vote handed over' if not why else 'vote kept', why=why)
+
     def is_leading(self) -> bool:
         """Return whether this controller is the active leader."""
         return self._leadership is not None and self.node.is_leading()
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -197,6 +197,8 @@
                 return _domain_orders.read(self._term)
             case _calls.JoinRequest():
                 return self._voters.join(message)
+            case _calls.LeaveRequest():
+                return self._voters.leave(message)
         return messages.CallFailed('unknown call', True)
 
     def disconnected(self, connection: transport.Connection) -> None:
--- a/dandeliondrum/jobs/_membership.py
+++ b/dandeliondrum/jobs/_membership.py
@@ -18,10 +18,9 @@
 FOUNDER_TIMEOUT_MS = 3_000
 # After its first attempt a founder waits this long for all of the founders.
 ALL_FOUNDERS_TIMEOUT_MS = 1_500
-JOIN_INTERVAL_MS = 1_000
-# Number of first requests to join a cell that is being founded, which are sent
-# at the interval of founding: nothing is acknowledged before.
-FIRST_JOINS_COUNT = 20
+# A member asks for the case that it was replaced, which it may not know.
+MEMBER_JOIN_INTERVAL_MS = 1_000
+JOIN_INTERVAL_MS = 250
 JOIN_TIMEOUT_MS = 900
 
 _logger = structlog.get_logger()
@@ -56,6 +55,12 @@
         self._calls = calls
         self._started_ms = _clock.elapsed_ms()
         self._first_attempt_ms: int | None = None
+        self._is_leaving = threading.Event()
+        self._join_failure = ''
+
+    def leave(self) -> None:
+        """Ask for no membership any more."""
+        self._is_leaving.set()
 
     def run(self, stopping: threading.Event) -> None:
         """Found or join the cell, and update the known controllers.
@@ -64,27 +69,21 @@
         is one. It may have been replaced while its link or its disk was down,
         and then it does not receive the log entry that removed it.
         """
-        first_joins_left = FIRST_JOINS_COUNT if self._options.may_found else 0
         while not stopping.is_set():
             status = self._node.status()
             me = self._options.controller_id
+            interval_ms = JOIN_INTERVAL_MS
             if any(member.controller_id == me for member in status.members):
                 self._update_controllers(status)
                 if status.leader_id != me:
                     self._join()
-                stopping.wait(JOIN_INTERVAL_MS / 1000)
+                interval_ms = MEMBER_JOIN_INTERVAL_MS
             elif self._should_found(status):
                 self._found_cell()
-                stopping.wait(FOUNDING_INTERVAL_MS / 1000)
+                interval_ms = FOUNDING_INTERVAL_MS
             else:
                 self._join()
-                interval_ms = (
-                    FOUNDING_INTERVAL_MS
-                    if first_joins_left
-                    else JOIN_INTERVAL_MS
-                )
-                first_joins_left = max(0, first_joins_left - 1)
-                stopping.wait(interval_ms / 1000)
+            stopping.wait(interval_ms / 1000)
 
     def _update_controllers(self, status: consensus.NodeStatus) -> None:
         """Look for the leader among the members and the founders."""
@@ -127,11 +126,17 @@
                     self._join()
 
     def _join(self) -> None:
+        if self._is_leaving.is_set():
+            return
         request = _calls.JoinRequest(
             self._options.controller_id, self._options.address
         )
+        failure = ''
         match self._calls.call(request, JOIN_TIMEOUT_MS):
             case result.Success():
                 _logger.debug('join request accepted')
             case result.Failure(error):
-                _logger.info('join request not accepted', why=error.reason)
+                failure = error.reason
+        if failure and failure != self._join_failure:
+            _logger.info('join request not accepted', why=failure)
+        self._join_failure = failure
--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -3,7 +3,7 @@
 The leader compares the members with the controllers that ask to join, and
 makes one change at a time:
 
-* Beside a voter that is silent, one of those that ask is
+* Beside a voter that is silent or about to stop, one of those that ask is
   added as a learner, so that it has the state when it has to vote.
 * Once the silence is too long, the voter is removed, and the learner is
   promoted, as there are never more than ``voters_count`` voters.
@@ -13,6 +13,7 @@
 """
 
 import collections.abc
+import concurrent.futures
 import dataclasses
 import threading
 import typing
@@ -34,8 +35,10 @@
 # 4 s after its start.
 SILENCE_MAX_MS = 1_500
 # A controller that has not asked to join for this long is no successor.
-# Controllers ask once a second.
-CANDIDATE_EXPIRY_MS = 2_500
+# Controllers that are no members ask every 250 ms.
+CANDIDATE_EXPIRY_MS = 1_500
+# A controller that stops waits this long for its successor.
+LEAVE_TIMEOUT_MS = 1_500
 # After the founding, controllers have this time to join before something is
 # acknowledged without them.
 FIRST_JOINS_MS = 3_000
@@ -82,6 +85,12 @@
         self._term_started_ms = _clock.elapsed_ms()
         self._lock = threading.Lock()
         self._candidates: dict[messages.ControllerId, _Candidate] = {}
+        # Futures of controllers that wait for a successor before they stop,
+        # and the end of their wait.
+        self._leaving: dict[
+            messages.ControllerId,
+            tuple[int, concurrent.futures.Future[typing.Any]],
+        ] = {}
         # When this leader first saw a member with its current disk.
         self._seen_ms: dict[tuple[messages.ControllerId, str], int] = {}
         self._is_changing = False
@@ -116,13 +125,34 @@
             return messages.Done()
         return messages.CallFailed('the cell has all its voters', True)
 
+    def leave(
+        self, request: _calls.LeaveRequest
+    ) -> 'concurrent.futures.Future[typing.Any]':
+        """Replace a controller that stops, if another one can take over.
+
+        The future resolves once it is no voter, or, for the leader itself,
+        once its successor is ready. It fails with CallFailed if there is no
+        successor or the time is up.
+        """
+        future: concurrent.futures.Future[typing.Any]
+        future = concurrent.futures.Future()
+        deadline_ms = _clock.elapsed_ms() + LEAVE_TIMEOUT_MS
+        with self._lock:
+            self._candidates.pop(request.controller_id, None)
+            self._leaving[request.controller_id] = (deadline_ms, future)
+        self.check()
+        return future
+
     def check(self) -> None:
-        """Start the next change that is due."""
+        """Start the next change that is due, and answer those that leave."""
         with self._lock:
             status = self._node.status()
             self._forget_old(status)
+            answers = self._take_answers(status)
             change = None if self._is_changing else self._next_change(status)
             self._is_changing = self._is_changing or change is not None
+        for future, answer in answers:
+            future.set_result(answer)
         if change is not None:
             self._start(change)
 
@@ -156,6 +186,32 @@
         key = (member.controller_id, member.disk_id)
         return _clock.elapsed_ms() - self._seen_ms[key]
 
+    def _take_answers(
+        self, status: consensus.NodeStatus
+    ) -> list[tuple[concurrent.futures.Future[typing.Any], typing.Any]]:
+        """Remove the waits of controllers that need not wait any longer."""
+        now_ms = _clock.elapsed_ms()
+        voters = {one.controller_id for one in status.members if one.voter}
+        has_successor = bool(self._candidates or self._ready_learners(status))
+        answers = []
+        for controller_id, (deadline_ms, future) in list(
+            self._leaving.items()
+        ):
+            answer: typing.Any = None
+            if controller_id not in voters:
+                answer = messages.Done()
+            elif controller_id == status.controller_id:
+                if self._ready_learners(status):
+                    answer = messages.Done()
+            if answer is None and not has_successor:
+                answer = messages.CallFailed('no successor', True)
+            if answer is None and now_ms > deadline_ms:
+                answer = messages.CallFailed('not replaced in time', False)
+            if answer is not None:
+                del self._leaving[controller_id]
+                answers.append((future, answer))
+        return answers
+
     def _ready_learners(
         self, status: consensus.NodeStatus
     ) -> list[consensus.MemberStatus]:
@@ -163,6 +219,7 @@
             member
             for member in status.members
             if not member.voter
+            and member.controller_id not in self._leaving
             and self._silent_ms(member) < SUSPICION_MS
             and member.match_index > 0
             and status.last_index - member.match_index <= READY_LAG_ENTRIES
@@ -182,6 +239,7 @@
         candidates = [
             (candidate.first_asked_ms, controller_id)
             for controller_id, candidate in self._candidates.items()
+            if controller_id not in self._leaving
         ]
         lost_learners = self._lost(learners, SILENCE_MAX_MS)
         if lost_learners and candidates:
@@ -201,11 +259,12 @@
         members: collections.abc.Iterable[consensus.MemberStatus],
         silence_ms: int,
     ) -> list[consensus.MemberStatus]:
-        """Return the members that are silent for longer than this."""
+        """Return the members that are silent for longer or are stopping."""
         return [
             member
             for member in members
-            if self._silent_ms(member) > silence_ms
+            if member.controller_id in self._leaving
+            or self._silent_ms(member) > silence_ms
         ]
 
     def _removal(
--- a/dandeliondrum/jobs/tests/test_replaced_voters.py
+++ b/dandeliondrum/jobs/tests/test_replaced_voters.py
@@ -1,4 +1,4 @@
-"""Replacement of lost voters, with changes that take some time."""
+"""Replacement of lost and leaving voters, with changes that take some time."""
 
 import pytest
 
@@ -26,6 +26,10 @@
     return _calls.JoinRequest(messages.ControllerId(name), f'{name}:1')
 
 
+def _leave(voters, name):
+    return voters.leave(_calls.LeaveRequest(messages.ControllerId(name)))
+
+
 def _ask_for(voters, node, names, now_ms, rounds=20):
     """Let controllers ask to join while changes are completed slowly."""
     for _ in range(rounds):
@@ -95,3 +99,43 @@
     voters.check()
     node.complete_changes()
     assert list(node.silences_ms) == list(FIVE)
+
+
+def test_a_leaving_voter_is_replaced_before_it_stops(now_ms):
+    """A removed VM no longer counts as soon as its process has ended."""
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    voters.join(_request('c6'))
+    left = _leave(voters, 'c5')
+    assert not left.done()
+    node.complete_changes()
+    assert left.result(0) == messages.Done()
+    assert node.voters == ['c1', 'c2', 'c3', 'c4', 'c6']
+
+
+def test_a_leaving_voter_does_not_wait_if_nobody_can_take_over(now_ms):
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    assert _leave(voters, 'c5').result(0).not_done
+    assert node.voters == list(FIVE)
+
+
+def test_a_leaving_voter_waits_no_longer_than_the_limit(now_ms):
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    voters.join(_request('c6'))
+    left = _leave(voters, 'c5')
+    now_ms[0] += _voters.LEAVE_TIMEOUT_MS + 1
+    voters.join(_request('c6'))
+    assert isinstance(left.result(0), messages.CallFailed)
+
+
+def test_a_leaving_leader_waits_until_its_successor_is_ready(now_ms):
+    """The next leader replaces it, which need not know who asks to join."""
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    voters.join(_request('c6'))
+    left = _leave(voters, 'c1')
+    node.complete_changes()
+    assert left.result(0) == messages.Done()
+    assert (node.voters, node.learners) == (list(FIVE), ['c6'])
