Delay acknowledgements to operators while a voter is replaced

While a lost voter is being replaced, the voters bear one loss less, and the platform may already count the successor.

Nothing waits if nobody can take over, and jobs don't wait. The first configuration is refused as before until all voters have joined. An acknowledgement after the limit is logged.

Measured: unit tests only; the new ones need the new method.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -428,7 +428,22 @@
         if not self._may_acknowledge():
             return utils.completed_future(_CONTROLLERS_ARE_JOINING)
         command = _commands.PutPolicy(message.version, message.document)
-        return utils.map_future(self._term.propose(command), make_reply)
+        return self._acknowledge_safely(
+            utils.map_future(self._term.propose(command), make_reply)
+        )
+
+    def _acknowledge_safely(self, reply: _Reply) -> _Reply:
+        """Delay a reply to an operator while a lost voter is replaced.
+
+        What is acknowledged has to survive as many further losses as the
+        deployment bears, which the voters do only afterwards.
+        """
+        return utils.chain_future(
+            reply,
+            lambda message: utils.map_future(
+                self._voters.wait_for_replacements(), lambda _: message
+            ),
+        )
 
     def _may_acknowledge(self) -> bool:
         """Return whether what operators send bears the losses it has to."""
@@ -438,7 +453,9 @@
     def _change_domain(self, message: _calls.DomainChange) -> _Reply:
         if not self._may_acknowledge():
             return utils.completed_future(_CONTROLLERS_ARE_JOINING)
-        return _domain_orders.change(self._term, message)
+        return self._acknowledge_safely(
+            _domain_orders.change(self._term, message)
+        )
 
     def _push_document(self) -> None:
         self._documents.announce(self._term.sessions.all())
--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -39,6 +39,9 @@
 CANDIDATE_EXPIRY_MS = 1_500
 # A controller that stops waits this long for its successor.
 LEAVE_TIMEOUT_MS = 1_500
+# An acknowledgement to an operator waits this long at most until the voters
+# bear the losses that they are meant to bear.
+ACKNOWLEDGEMENT_DELAY_MAX_MS = 1_500
 # After the founding, controllers have this time to join before something is
 # acknowledged without them.
 FIRST_JOINS_MS = 3_000
@@ -94,6 +97,9 @@
         # When this leader first saw a member with its current disk.
         self._seen_ms: dict[tuple[messages.ControllerId, str], int] = {}
         self._is_changing = False
+        # Futures that resolve once no voter has to be replaced, and the ends
+        # of their waits.
+        self._waiting: list[tuple[int, concurrent.futures.Future[None]]] = []
 
     def may_begin(self) -> bool:
         """Return whether a cell that holds nothing may acknowledge something.
@@ -143,16 +149,33 @@
         self.check()
         return future
 
+    def wait_for_replacements(self) -> 'concurrent.futures.Future[None]':
+        """Return a future that resolves when no voter is being replaced.
+
+        Until then a further loss may be one too many. It resolves after
+        ACKNOWLEDGEMENT_DELAY_MAX_MS at the latest, and at once if nobody is
+        there to replace a lost voter.
+        """
+        future: concurrent.futures.Future[None] = concurrent.futures.Future()
+        deadline_ms = _clock.elapsed_ms() + ACKNOWLEDGEMENT_DELAY_MAX_MS
+        with self._lock:
+            self._waiting.append((deadline_ms, future))
+        self.check()
+        return future
+
     def check(self) -> None:
-        """Start the next change that is due, and answer those that leave."""
+        """Start the next change that is due, and answer those that wait."""
         with self._lock:
             status = self._node.status()
             self._forget_old(status)
             answers = self._take_answers(status)
+            waiting = self._take_waiting(status)
             change = None if self._is_changing else self._next_change(status)
             self._is_changing = self._is_changing or change is not None
         for future, answer in answers:
             future.set_result(answer)
+        for one in waiting:
+            one.set_result(None)
         if change is not None:
             self._start(change)
 
@@ -212,6 +235,35 @@
                 answers.append((future, answer))
         return answers
 
+    def _take_waiting(
+        self, status: consensus.NodeStatus
+    ) -> list[concurrent.futures.Future[None]]:
+        """Remove the waits for replacements that are over."""
+        now_ms = _clock.elapsed_ms()
+        is_replacing = self._is_replacing(status)
+        over = [
+            future
+            for deadline_ms, future in self._waiting
+            if not is_replacing or now_ms > deadline_ms
+        ]
+        if over and is_replacing:
+            _logger.warning(
+                'acknowledging while a voter is missing', count=len(over)
+            )
+        self._waiting = [one for one in self._waiting if one[1] not in over]
+        return over
+
+    def _is_replacing(self, status: consensus.NodeStatus) -> bool:
+        """Return whether a voter is missing that another one can replace."""
+        voters = [member for member in status.members if member.voter]
+        lost = self._lost(voters, SUSPICION_MS)
+        has_successor = bool(self._candidates) or len(voters) < len(
+            status.members
+        )
+        return self._is_changing or (
+            has_successor and (bool(lost) or len(voters) < self._voters_count)
+        )
+
     def _ready_learners(
         self, status: consensus.NodeStatus
     ) -> list[consensus.MemberStatus]:
--- a/dandeliondrum/jobs/tests/test_replaced_voters.py
+++ b/dandeliondrum/jobs/tests/test_replaced_voters.py
@@ -101,6 +101,38 @@
     assert list(node.silences_ms) == list(FIVE)
 
 
+def test_operators_are_answered_once_a_lost_voter_is_replaced(now_ms):
+    """Before, an acknowledged document did not survive two more losses."""
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    node.silences_ms['c5'] = _voters.SUSPICION_MS + 1
+    voters.join(_request('c6'))
+    waiting = voters.wait_for_replacements()
+    node.complete_changes()
+    assert not waiting.done()
+    node.silences_ms['c5'] = _voters.SILENCE_MAX_MS + 1
+    voters.check()
+    node.complete_changes()
+    assert waiting.done()
+
+
+def test_operators_wait_no_longer_than_the_limit(now_ms):
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    node.silences_ms['c5'] = LOST_MS
+    voters.join(_request('c6'))
+    waiting = voters.wait_for_replacements()
+    now_ms[0] += _voters.ACKNOWLEDGEMENT_DELAY_MAX_MS + 1
+    voters.check()
+    assert waiting.done()
+
+
+def test_operators_do_not_wait_if_nobody_can_replace_a_lost_voter(now_ms):
+    node = voting_node.SlowNode({**FIVE, 'c5': LOST_MS}, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    assert voters.wait_for_replacements().done()
+
+
 def test_a_leaving_voter_is_replaced_before_it_stops(now_ms):
     """A removed VM no longer counts as soon as its process has ended."""
     node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
