--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -160,6 +160,11 @@
         self.commands = []
         self._pending = []
 
+    def status(self):
+        return consensus.NodeStatus(
+            'c1', consensus.Role.LEADER, 1, 'c1', True, 1, 1, 1, 0, 'd', ()
+        )
+
     def propose(self, command):
         future = concurrent.futures.Future()
         self.commands.append(messages.decode(command).unwrap())
