Close the descriptor of a connection after its threads have ended

Seen: five controllers without a quorum logged "connection timed out" with silent_ms 1501 about live peers on loopback 278 times in 25 s.

Cause: close() closed the descriptor while the reader waited in poll(). The shutdown wakes that poll, which then looks the number up again: it finds the next connection, which has got the number, and waits there until the timeout of 1.5 s. A connection whose writer or reader thread could not be started was not closed at all, so that its peer kept it until the timeout.

That such a thread reads or writes bytes of the other connection was not seen; the window for it is a few instructions.

Ruled out: a slow machine alone.

Change: close() shuts the stream down and marks the connection closed; the thread in run() closes the descriptor after reader and writer. If run() has not begun, close() does it. The shutdown and the close exclude each other, and senders stop before the close. A connection without its threads is closed; connect() raises OSError then. A timeout after a close on this side is not logged. The second socket object is made last, since a failure after it would close the descriptor twice.

The cell of five controllers was not run.

--- a/dandeliondrum/transport/_connection.py
+++ b/dandeliondrum/transport/_connection.py
@@ -6,10 +6,14 @@
 block senders. Each side sends a ping when it has nothing else to send. A
 connection on which nothing arrives for ``silence_ms`` is closed; this detects
 links whose state a device in between, such as a firewall, has dropped.
+
+Closing a connection shuts its stream down. The descriptor is closed after both
+threads have ended, since its number may be that of another connection then.
 """
 
 import collections.abc
 import concurrent.futures
+import contextlib
 import dataclasses
 import functools
 import itertools
@@ -77,32 +81,38 @@
         self._queued_count = 0
         # Whether a sender has written since the writer thread last looked.
         self._has_sent = False
-        # The same descriptor, to write without blocking.
-        self._direct_stream = socket.socket(
-            stream.family, stream.type, stream.proto, stream.fileno()
-        )
         self._call_ids = itertools.count(1)
+        # Protects the two fields below, and the descriptor while it is shut
+        # down or closed. Taken before ``_send_lock``.
         self._lock = threading.Lock()
         self._pending: dict[int, CallFuture] = {}
+        # Whether ``run`` has begun, which closes the descriptor in the end.
+        self._is_running = False
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream.settimeout(self._silence_s)
+        # The same descriptor, to write without blocking. Made last, as a
+        # failure after it would close the descriptor twice.
+        self._direct_stream = socket.socket(
+            stream.family, stream.type, stream.proto, stream.fileno()
+        )
         self._direct_stream.setblocking(False)
 
     def run(self) -> None:
-        """Read until the connection ends; start and join the writer thread."""
-        writer = threading.Thread(
-            target=self._write_loop,
-            name=f'{threading.current_thread().name} writer',
-            daemon=True,
-        )
-        writer.start()
+        """Read until the connection ends, then close its descriptor.
+
+        Starts and joins the writer thread. If it can't be started, the
+        connection is closed at once.
+        """
+        with self._lock:
+            self._is_running = not self.closed.is_set()
         try:
-            self._read_loop()
+            if self._is_running:
+                self._read_and_write()
         except Exception:
             _logger.exception('connection failed', peer=self.peer_id)
         finally:
             self.close()
-            writer.join()
+            self._close_descriptor()
             if self._callbacks.on_close is not None:
                 self._callbacks.on_close(self)
 
@@ -140,20 +150,40 @@
             self.closed.set()
             pending = list(self._pending.values())
             self._pending.clear()
-        try:
+            is_running = self._is_running
+            # Wakes the threads that read and write.
+            with contextlib.suppress(OSError):
+                self._stream.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(queue.Full):
             self._outgoing.put_nowait(None)
-        except queue.Full:
-            pass
-        try:
-            self._stream.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-        with self._send_lock:
-            self._direct_stream.detach()
-        self._stream.close()
+        if not is_running:
+            self._close_descriptor()
         for future in pending:
             future.set_result(_failure(_errors.CallFailure.CLOSED))
 
+    def _close_descriptor(self) -> None:
+        """Close the descriptor, which no thread uses any more.
+
+        Senders don't touch it once ``closed`` is set; a second call has no
+        effect.
+        """
+        with self._lock, self._send_lock:
+            self._direct_stream.detach()
+            self._stream.close()
+
+    def _read_and_write(self) -> None:
+        writer = threading.Thread(
+            target=self._write_loop,
+            name=f'{threading.current_thread().name} writer',
+            daemon=True,
+        )
+        writer.start()
+        try:
+            self._read_loop()
+        finally:
+            self.close()
+            writer.join()
+
     def _send(
         self, kind: _frames.FrameKind, call_id: int, payload: bytes
     ) -> bool:
@@ -240,6 +270,8 @@
                 )
                 return
             except TimeoutError:
+                if self.closed.is_set():
+                    return
                 silent_ms = int((time.monotonic() - last_received_s) * 1000)
                 _logger.info(
                     'connection timed out',
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -197,7 +197,8 @@
 ) -> _connection.Connection:
     """Open a connection, send ``hello`` and start the connection's threads.
 
-    Raises OSError if the peer can't be reached within ``timeout_ms``.
+    Raises OSError if the peer can't be reached within ``timeout_ms``, or if no
+    thread can be started.
     """
     stream = socket.create_connection(
         parse_address(address), timeout_ms / 1000
@@ -211,9 +212,14 @@
     except OSError:
         connection.close()
         raise
-    threading.Thread(
+    reader = threading.Thread(
         target=connection.run, name='outgoing-stream', daemon=True
-    ).start()
+    )
+    try:
+        reader.start()
+    except RuntimeError as error:
+        connection.close()
+        raise OSError(str(error)) from error
     return connection
 
 
--- a/dandeliondrum/transport/tests/test_streams.py
+++ b/dandeliondrum/transport/tests/test_streams.py
@@ -4,9 +4,11 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 from returns import result
+import structlog
 
 from dandeliondrum import messages
 from dandeliondrum import transport
@@ -220,3 +222,173 @@
 def _send_pieces(stream, data, piece_bytes):
     for begin in range(0, len(data), piece_bytes):
         stream.sendall(data[begin : begin + piece_bytes])
+
+
+class _Pair:
+    """A connection over a stream that the test knows, and its peer."""
+
+    def __init__(self, callbacks=None, silence_ms=30_000):
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            self.stream = socket.create_connection(listener.getsockname(), 5)
+            self.peer, _ = listener.accept()
+        self.peer.settimeout(10)
+        self.connection = transport.Connection(
+            self.stream, callbacks or transport.Callbacks(), silence_ms
+        )
+        self.runner = threading.Thread(
+            target=self.connection.run, daemon=True, name='runner'
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.connection.close()
+        self.peer.close()
+        if self.runner.ident is not None:
+            self.runner.join(10)
+
+    def has_descriptor(self):
+        return self.stream.fileno() >= 0
+
+
+def test_a_close_leaves_the_descriptor_to_the_thread_that_reads():
+    """A new connection may get the number of a descriptor that is closed."""
+    handling, proceed = threading.Event(), threading.Event()
+
+    def on_push(*_):
+        handling.set()
+        proceed.wait(30)
+
+    with _Pair(transport.Callbacks(on_push=on_push)) as pair:
+        pair.runner.start()
+        push = messages.encode(messages.Done())
+        pair.peer.sendall(_frames.pack(_frames.FrameKind.PUSH, 0, push))
+        assert handling.wait(10)
+        pair.connection.close()
+        try:
+            assert pair.has_descriptor()
+            assert pair.peer.recv(1) == b''
+            assert not pair.connection.push(messages.Done())
+        finally:
+            proceed.set()
+        pair.runner.join(10)
+        assert not pair.runner.is_alive()
+        assert not pair.has_descriptor()
+
+
+def test_readers_of_closed_connections_do_not_wait_on_new_connections():
+    """The stream of a new connection may have the number of a closed one."""
+    threads_count, each_count = 4, 200
+    ended = set()
+
+    def open_and_close(address, pause_s):
+        for _ in range(each_count):
+            connection = transport.connect(
+                address,
+                hello(),
+                transport.Callbacks(on_close=ended.add),
+                silence_ms=30_000,
+                timeout_ms=20_000,
+            )
+            time.sleep(pause_s)
+            connection.close()
+
+    with serving(lambda *_: messages.Done(), silence_ms=30_000) as server:
+        with concurrent.futures.ThreadPoolExecutor(threads_count) as executor:
+            loops = [
+                executor.submit(open_and_close, server.address, number / 500)
+                for number in range(threads_count)
+            ]
+        for loop in loops:
+            loop.result()
+        # A reader that waits on another stream does so for 30 s.
+        end_s = time.monotonic() + 10
+        while time.monotonic() < end_s:
+            if len(ended) == threads_count * each_count:
+                break
+            time.sleep(0.01)
+    assert len(ended) == threads_count * each_count
+
+
+def _events(lines, event):
+    return [line for line in lines if line['event'] == event]
+
+
+def test_a_connection_that_never_runs_does_not_leak_its_descriptor():
+    with _Pair() as pair:
+        pair.connection.close()
+        assert not pair.has_descriptor()
+        assert pair.peer.recv(1) == b''
+        assert not pair.connection.push(messages.Done())
+
+
+def test_a_connection_that_is_closed_before_it_runs_reports_its_end():
+    ended = []
+    with _Pair(transport.Callbacks(on_close=ended.append)) as pair:
+        pair.connection.close()
+        pair.connection.run()
+        assert ended == [pair.connection]
+        assert not pair.has_descriptor()
+
+
+def test_a_connection_without_a_writer_thread_does_not_stay_silent(
+    monkeypatch,
+):
+    """Otherwise its peer waits for it until the timeout."""
+    ended = []
+    with _Pair(transport.Callbacks(on_close=ended.append)) as pair:
+        _refuse_threads(monkeypatch, 'writer')
+        with contextlib.suppress(RuntimeError):
+            pair.connection.run()
+        assert pair.connection.closed.is_set()
+        assert not pair.has_descriptor()
+        assert ended == [pair.connection]
+        assert pair.peer.recv(1) == b''
+
+
+def test_a_connection_without_a_reader_thread_does_not_stay_silent(
+    monkeypatch,
+):
+    _refuse_threads(monkeypatch, 'outgoing-stream')
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        host, port = listener.getsockname()
+        with pytest.raises(OSError, match='new thread'):
+            transport.connect(f'{host}:{port}', hello(), transport.Callbacks())
+        peer, _ = listener.accept()
+        with peer:
+            peer.settimeout(10)
+            assert _frames.read(peer)[0] is _frames.FrameKind.PUSH
+            assert peer.recv(1) == b''
+
+
+def _refuse_threads(monkeypatch, name):
+    """Fail as the system does when it has no thread left."""
+    start = threading.Thread.start
+
+    def refuse(thread):
+        if thread.name.endswith(name):
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, 'start', refuse)
+
+
+def test_a_close_on_this_side_is_not_logged_as_a_timeout(monkeypatch):
+    """A read may time out at the moment of a close."""
+    reading, closed = threading.Event(), threading.Event()
+
+    def read(_reader):
+        reading.set()
+        assert closed.wait(10)
+        raise TimeoutError('timed out')
+
+    monkeypatch.setattr(_frames.Reader, 'read', read)
+    with structlog.testing.capture_logs() as lines, _Pair() as pair:
+        pair.runner.start()
+        assert reading.wait(10)
+        pair.connection.close()
+        closed.set()
+        pair.runner.join(10)
+        assert not pair.runner.is_alive()
+    assert _events(lines, 'connection timed out') == []
