Accept peers again after an accept that failed

Seen: a process that runs out of descriptors once never accepts a peer again, though its listener still completes handshakes: peers connect and wait for their timeout.

Cause: the loop that accepts returned on any OSError, without a log line.

Evidence: the loop read; EMFILE by a real limit, and EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED and EPROTO by a listener that raises them.

Change: the loop ends when the server closes. Another failure is logged, once a second at most with the number of failures since, and the loop pauses for 100 ms, except after ECONNABORTED. As a loop that goes on must not use a descriptor that is closed, close() shuts the listener down, and closes it after the thread that accepts has ended; a server that was never started closes its listener as well.

Other loops, read: the tasks under utils.Supervisor in consensus, jobs, gateway, controller and worker end only when asked to, and are restarted after an exception; timers log an exception and go on.

--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import math
 import re
 import socket
 import threading
@@ -21,6 +22,9 @@
 # Measured: 130 bytes with the longest ids in use.
 HELLO_BYTES_MAX = 16 * 1024
 PORT_MAX = 65_535
+# Pause after a failed accept, in which descriptors or memory may become free.
+ACCEPT_PAUSE_MS = 100
+ACCEPT_LOG_INTERVAL_MS = 1_000
 
 _ADDRESS = re.compile('([!-~]+):([0-9]{1,5})')
 
@@ -57,9 +61,13 @@
         # Streams without a hello and their times of arrival, oldest first.
         self._handshakes: dict[socket.socket, float] = {}
         self._stopping = threading.Event()
+        self._accept_failures = _AcceptFailures()
         self._listener = socket.create_server(
             parse_address(options.address), backlog=128
         )
+        # Closed after the thread that accepts has ended, which could use
+        # another listener with the same number otherwise.
+        self._resources.callback(self._listener.close)
         host, port = self._listener.getsockname()[:2]
         self.address = f'{host}:{port}'
         self._executor = concurrent.futures.ThreadPoolExecutor(
@@ -71,7 +79,7 @@
         """Start to accept connections."""
         self._resources.callback(self._executor.shutdown)
         self._resources.callback(self._close_connections)
-        self._resources.callback(self._close_listener)
+        self._resources.callback(self._stop_listening)
         self._executor.submit(self._accept_loop)
         self._executor.submit(self._cut_late_handshakes)
 
@@ -80,10 +88,8 @@
         self._stopping.set()
         self._resources.close()
 
-    def _close_listener(self) -> None:
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+    def _stop_listening(self) -> None:
+        _cut(self._listener)
 
     def _close_connections(self) -> None:
         with self._lock:
@@ -109,10 +115,9 @@
 
     def _accept_loop(self) -> None:
         while not self._stopping.is_set():
-            try:
-                stream, _ = self._listener.accept()
-            except OSError:
-                return
+            stream = self._accept()
+            if stream is None:
+                continue
             with self._lock:
                 full = len(self._connections) >= self._options.connections_max
             if full:
@@ -126,6 +131,19 @@
                 self._end_handshake(stream)
                 stream.close()
 
+    def _accept(self) -> socket.socket | None:
+        """Return the next stream; None after a failure, which is logged."""
+        try:
+            stream, _ = self._listener.accept()
+        except OSError as error:
+            if not self._stopping.is_set():
+                self._accept_failures.record(error)
+            # Peers that give up their connections must not delay others.
+            if not isinstance(error, ConnectionAbortedError):
+                self._stopping.wait(ACCEPT_PAUSE_MS / 1000)
+            return None
+        return stream
+
     def _begin_handshake(self, stream: socket.socket) -> None:
         """Count a stream without a hello; make room for it if necessary.
 
@@ -188,6 +206,26 @@
         return hello
 
 
+class _AcceptFailures:
+    """Logs failures to accept, with a limit to the number of lines."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._logged_s = -math.inf
+
+    def record(self, error: OSError) -> None:
+        """Log a failure and the number of those since the last line."""
+        self._count += 1
+        now_s = time.monotonic()
+        if now_s - self._logged_s < ACCEPT_LOG_INTERVAL_MS / 1000:
+            return
+        _logger.warning(
+            'accept failed', why=str(error), failures_count=self._count
+        )
+        self._count = 0
+        self._logged_s = now_s
+
+
 def connect(
     address: str,
     hello: messages.Hello,
--- a/dandeliondrum/transport/tests/test_streams.py
+++ b/dandeliondrum/transport/tests/test_streams.py
@@ -2,6 +2,11 @@
 
 import concurrent.futures
 import contextlib
+import errno
+import gc
+import itertools
+import os
+import resource
 import socket
 import threading
 import time
@@ -392,3 +397,120 @@
         pair.runner.join(10)
         assert not pair.runner.is_alive()
     assert _events(lines, 'connection timed out') == []
+
+
+class _FaultyListener:
+    """A listener whose ``accept`` fails as long as there are errors."""
+
+    def __init__(self, listener, errors):
+        self._listener = listener
+        self._errors = iter(errors)
+        self.open_after_accept = []
+
+    def accept(self):
+        number = next(self._errors, None)
+        if number is not None:
+            raise OSError(number, os.strerror(number))
+        try:
+            return self._listener.accept()
+        except OSError:
+            time.sleep(0.1)
+            self.open_after_accept.append(self._listener.fileno() >= 0)
+            raise
+
+    def __getattr__(self, name):
+        return getattr(self._listener, name)
+
+
+@contextlib.contextmanager
+def serving_faultily(errors):
+    server = transport.Server(
+        transport.ServerOptions('127.0.0.1:0', CELL),
+        transport.Callbacks(on_call=lambda *_: messages.Done()),
+    )
+    server._listener = _FaultyListener(server._listener, errors)
+    with contextlib.closing(server):
+        server.start()
+        yield server
+
+
+def _assert_serves(server):
+    connection = transport.connect(
+        server.address, hello(), transport.Callbacks(), silence_ms=30_000
+    )
+    with contextlib.closing(connection):
+        reply = connection.call(messages.ShowFleet(), 10_000)
+        assert reply == result.Success(messages.Done())
+
+
+@pytest.mark.parametrize(
+    'number',
+    [
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ECONNABORTED,
+        errno.EPROTO,
+    ],
+)
+def test_a_server_accepts_again_after_an_accept_that_failed(number):
+    with structlog.testing.capture_logs() as lines:
+        with serving_faultily([number] * 3) as server:
+            _assert_serves(server)
+    assert os.strerror(number) in _events(lines, 'accept failed')[0]['why']
+
+
+def test_a_server_without_descriptors_accepts_again_when_there_are_some():
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with structlog.testing.capture_logs() as lines:
+        with serving(lambda *_: messages.Done(), 30_000) as server:
+            gc.collect()
+            with socket.socket() as waiting:
+                resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (waiting.fileno() + 1, limits[1])
+                )
+                try:
+                    waiting.connect(transport.parse_address(server.address))
+                    _wait_for(lambda: _events(lines, 'accept failed'))
+                finally:
+                    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+                _assert_serves(server)
+
+
+def _wait_for(condition):
+    end_s = time.monotonic() + 10
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
+
+
+def test_accepts_that_keep_failing_do_not_flood_the_log_or_hold_up_a_close():
+    with structlog.testing.capture_logs() as lines:
+        with serving_faultily(itertools.repeat(errno.EMFILE)):
+            began_s = time.monotonic()
+            time.sleep(1.5)
+        lasted_s = time.monotonic() - began_s
+    failed = _events(lines, 'accept failed')
+    assert 2 <= len(failed) <= 1 + lasted_s
+    # Further failures are counted.
+    assert failed[1]['failures_count'] > 1
+
+
+def test_a_close_leaves_the_listener_to_the_thread_that_accepts():
+    """A new descriptor may get the number of a listener that is closed."""
+    with structlog.testing.capture_logs() as lines:
+        with serving_faultily([]) as server:
+            _assert_serves(server)
+            listener = server._listener
+    assert listener.open_after_accept == [True]
+    assert listener.fileno() < 0
+    assert _events(lines, 'accept failed') == []
+
+
+def test_a_server_that_never_starts_does_not_leak_its_listener():
+    server = transport.Server(
+        transport.ServerOptions('127.0.0.1:0', CELL), transport.Callbacks()
+    )
+    server.close()
+    assert server._listener.fileno() < 0
