Go on writing the log after a write that failed

Seen: by a trial, not by callers: after a write to a full pipe that doesn't block, no later line arrives until the process ends, though the pipe is read again. A full disk or a file size limit would do the same.

Cause: the log's writer thread returned on any OSError, the same fault as in the loop that accepts peers.

Change: only a reader that is gone (EPIPE, or a closed file) ends the thread. After another error it pauses for 250 ms and goes on. The lines of the write that failed are counted by "log lines dropped", though a part of them may have been written. A drop counts as reported once a write with its report succeeded.

--- a/dandeliondrum/observability/_bounded_stream.py
+++ b/dandeliondrum/observability/_bounded_stream.py
@@ -2,10 +2,13 @@
 
 Lines go through a bounded queue to a thread that writes them in batches. Lines
 are dropped when the reader of the stream stalls, or when there are more lines
-per second than a reader can use; a log line reports their number.
+per second than a reader can use; a log line reports their number. So are the
+lines of a write that failed, for instance on a full disk, though a part of
+them may have been written.
 """
 
 import collections
+import dataclasses
 import json
 import threading
 import time
@@ -19,6 +22,17 @@
 # How long lines are collected for a batch.
 BATCH_INTERVAL_S = 0.05
 CLOSE_TIMEOUT_S = 1.0
+# Pause after a failed write.
+RETRY_PAUSE_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class _Batch:
+    """Text to write, its number of queued lines and of drops it reports."""
+
+    text: str
+    lines_count: int
+    drops_count: int
 
 
 class BoundedStream:
@@ -49,7 +63,7 @@
         self._closed = False
         self._rate_second = 0
         self._rate_count = 0
-        self._unreported_drops_count = 0
+        self._reported_drops_count = 0
         self._thread = threading.Thread(
             target=self._write_loop, name='log', daemon=True
         )
@@ -63,7 +77,6 @@
         with self._lock:
             if self._is_over_limit():
                 self.dropped_count += 1
-                self._unreported_drops_count += 1
             else:
                 self._lines.append(text)
         self._has_lines.set()
@@ -96,27 +109,39 @@
             if not self._closed:
                 time.sleep(BATCH_INTERVAL_S)
             batch = self._next_batch()
-            while batch:
-                try:
-                    self._target.write(batch)
-                    self._target.flush()
-                except (OSError, ValueError):
-                    # The reader is gone. There is no place to report this,
-                    # and the process must keep running.
+            while batch.text:
+                if not self._write_batch(batch):
                     return
                 batch = self._next_batch()
             if self._closed:
                 return
 
-    def _next_batch(self) -> str:
+    def _write_batch(self, batch: _Batch) -> bool:
+        """Write lines; return whether later ones may be written."""
+        try:
+            self._target.write(batch.text)
+            self._target.flush()
+        except (BrokenPipeError, ValueError):
+            # The reader is gone. There is no place to report this, and the
+            # process must keep running.
+            return False
+        except OSError:
+            # Reported by the next batch that can be written.
+            with self._lock:
+                self.dropped_count += batch.lines_count
+            if self._closed:
+                return False
+            time.sleep(RETRY_PAUSE_S)
+            return True
+        self._reported_drops_count += batch.drops_count
+        return True
+
+    def _next_batch(self) -> _Batch:
         with self._lock:
             count = min(len(self._lines), BATCH_LINES_MAX)
-            batch = [self._lines.popleft() for _ in range(count)]
-            dropped, self._unreported_drops_count = (
-                self._unreported_drops_count,
-                0,
-            )
+            lines = [self._lines.popleft() for _ in range(count)]
+            dropped = self.dropped_count - self._reported_drops_count
         if dropped:
             report = {'event': 'log lines dropped', 'lines_count': dropped}
-            batch.append(json.dumps(report) + '\n')
-        return ''.join(batch)
+            lines.append(json.dumps(report) + '\n')
+        return _Batch(''.join(lines), count, dropped)
