Answer the peers of a controller before importing the HTTP servers

What was seen: a controller imported all that both programs need before it opened the port for its peers: werkzeug, cheroot, the callers' API and the endpoints of the metrics, which the answers to its peers don't need.

What both share is in _links and _servers. The order in which ports are opened and closed is as before.

The gateway imports the same modules as before.

--- a/dandeliondrum/platform/__main__.py
+++ b/dandeliondrum/platform/__main__.py
@@ -16,7 +16,7 @@
         sys.stderr.write('usage: dandeliondrum.platform gateway|controller\n')
         return 2
     role = arguments[0]
-    match _settings.load(_programs.settings_path()):
+    match _settings.load(_settings.find_path()):
         case result.Success(settings):
             with contextlib.ExitStack() as resources:
                 stream = observability.BoundedStream(sys.stdout)
--- /dev/null
+++ b/dandeliondrum/platform/_gateway_program.py
@@ -0,0 +1,100 @@
+"""The gateway program."""
+
+import contextlib
+import threading
+import time
+
+from returns import result
+import structlog
+import werkzeug
+
+from dandeliondrum import gateway
+from dandeliondrum import http_server
+from dandeliondrum import jobs
+from dandeliondrum.platform import _caller_api
+from dandeliondrum.platform import _documents
+from dandeliondrum.platform import _http_ports
+from dandeliondrum.platform import _links
+from dandeliondrum.platform import _servers
+from dandeliondrum.platform import _settings
+from dandeliondrum import utils
+
+CALLER_THREADS_COUNT = 32
+READINESS_THREADS_COUNT = 2
+# Shares of the descriptors that are left after those of the process itself,
+# which keeps some for its calls to controllers and the adviser.
+CALLERS_SHARE = 0.75
+READINESS_SHARE = 0.1
+# The load balancer probes every second and removes a gateway after two failed
+# probes.
+DRAIN_NOTICE_MS = 2_300
+# Open calls end within the longest deadline of a caller.
+DRAIN_MAX_MS = 3_000
+RELOAD_EVERY_MS = 1_000
+
+_logger = structlog.get_logger()
+
+
+def start(
+    settings: _settings.Settings,
+    timers: utils.TimerService,
+    resources: contextlib.ExitStack,
+) -> result.Result[None, str]:
+    """Start a gateway that runs until ``resources`` are closed."""
+    job_gateway = jobs.JobGateway(
+        jobs.GatewayOptions(_links.make_link_options(settings)),
+        _http_ports.HttpAdviserPort(settings.adviser_address),
+        _documents.decode,
+    )
+    draining = threading.Event()
+
+    def ready(_call: gateway.Call) -> werkzeug.Response:
+        is_ready = not draining.is_set() and _can_serve_callers(job_gateway)
+        return werkzeug.Response(status=200 if is_ready else 503)
+
+    job_gateway.start()
+    resources.callback(job_gateway.close)
+    metrics = gateway.Metrics()
+    budget = http_server.ByteBudget(settings.process_limits.budget_bytes)
+    callers = _servers.make_server(
+        settings.callers_address,
+        _caller_api.CallerApi(job_gateway).routes(),
+        CALLER_THREADS_COUNT,
+        _servers.make_limits(
+            settings, CALLERS_SHARE, _caller_api.BODY_BYTES_MAX
+        ),
+        budget,
+        metrics,
+    )
+    readiness = _servers.make_server(
+        settings.readiness_address,
+        (gateway.Route('GET', '/ready', ready),),
+        READINESS_THREADS_COUNT,
+        _servers.make_limits(
+            settings, READINESS_SHARE, _caller_api.BODY_BYTES_MAX
+        ),
+        budget,
+        metrics,
+    )
+    callers.open()
+    readiness.open()
+    resources.callback(readiness.drain, 0)
+    resources.callback(callers.drain, DRAIN_MAX_MS)
+    resources.callback(time.sleep, DRAIN_NOTICE_MS / 1000)
+    resources.callback(draining.set)
+    reload = timers.every(RELOAD_EVERY_MS, lambda: _reload_seeds(job_gateway))
+    resources.callback(reload.cancel)
+    return _servers.serve_metrics(settings, metrics.registry, resources)
+
+
+def _can_serve_callers(job_gateway: jobs.JobGateway) -> bool:
+    return job_gateway.policy.version > 0 and job_gateway.has_leader()
+
+
+def _reload_seeds(job_gateway: jobs.JobGateway) -> None:
+    """Reread the settings and use the controllers that they list."""
+    match _settings.load(_settings.find_path()):
+        case result.Success(settings):
+            job_gateway.set_controllers(settings.controllers)
+        case result.Failure(error):
+            _logger.warning('settings not readable', why=error)
--- a/dandeliondrum/platform/_settings.py
+++ b/dandeliondrum/platform/_settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform writes for each process."""
 
 import dataclasses
+import os
 import pathlib
 
 from returns import result
@@ -63,6 +64,11 @@
         )
 
 
+def find_path() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
+
+
 def load(path: str) -> result.Result[Settings, str]:
     """Return the settings in a file, or an error message."""
     try:
--- a/dandeliondrum/platform/tests/test_start.py
+++ b/dandeliondrum/platform/tests/test_start.py
@@ -8,6 +8,10 @@
 import subprocess
 import sys
 
+import pytest
+
+from dandeliondrum import testing
+
 # Packages that no controller needs, and those of an HTTP server.
 NEVER_NEEDED = {
     'dandeliondrum.command',
@@ -55,3 +59,63 @@
     assert 'dandeliondrum.observability' in imported
     unneeded = NEVER_NEEDED | HTTP_SERVER | {'prometheus_client'}
     assert not imported & unneeded
+
+
+# Ends the process with the list when the port would be opened.
+OPENING = """
+import json, os, sys
+from dandeliondrum import transport
+from dandeliondrum.platform import __main__ as program
+
+def report(_server):
+    sys.stdout.write(json.dumps(sorted(sys.modules)))
+    sys.stdout.flush()
+    os._exit(0)
+
+transport.Server.start = report
+program.main(['controller'])
+"""
+
+
+@pytest.fixture
+def imported_at_the_opening(tmp_path, monkeypatch):
+    """Return what a controller has imported when it opens its stream port."""
+    ip, _, port = testing.free_address().rpartition(':')
+    settings = {
+        'Node': 'c1',
+        'Ip': ip,
+        'Zone': 'sattahip',
+        'Region': 'gulf',
+        'PortRange': f'{port},{port}',
+        'Seeds': '',
+        'DataDir': str(tmp_path / 'data'),
+        'FaultTolerance.Machines': '1',
+        'Bounds.GraceS': '6',
+        'Bounds.HoldMaxMs': '6000',
+        'Bounds.status_s': '120',
+    }
+    path = tmp_path / 'c1.conf'
+    path.write_text(
+        '\n'.join(f'{name}={value}' for name, value in settings.items())
+    )
+    monkeypatch.setenv('DANDELIONDRUM_SETTINGS', str(path))
+    done = subprocess.run(
+        [sys.executable, '-c', OPENING],
+        capture_output=True,
+        check=True,
+        timeout=60,
+    )
+    return set(json.loads(done.stdout))
+
+
+def test_a_controller_answers_its_peers_before_it_imports_http_servers(
+    imported_at_the_opening,
+):
+    assert 'dandeliondrum.consensus' in imported_at_the_opening
+    assert not imported_at_the_opening & HTTP_SERVER
+
+
+def test_a_controller_imports_no_package_of_other_roles_at_its_start(
+    imported_at_the_opening,
+):
+    assert not imported_at_the_opening & NEVER_NEEDED
