Import the scheduler after the stream port of a controller is open

What was seen: a fifth of what a controller imports before it listens for its peers is the scheduler with its queues, plans and advice. Only a leader uses these, and a returning controller leads at the earliest after an election.

Change: the controller imports them once it has started to listen and to join, or when it is elected before that. Tests check that the scheduler isn't there when the port is opened, and that it is before the HTTP ports are.

--- a/dandeliondrum/jobs/__init__.py
+++ b/dandeliondrum/jobs/__init__.py
@@ -22,6 +22,7 @@
 from dandeliondrum.jobs._gateway import JobGateway
 from dandeliondrum.jobs._leader_calls import LinkOptions
 from dandeliondrum.jobs._leader_calls import Unavailable
+from dandeliondrum.jobs._leader_options import LeaderOptions
 from dandeliondrum.jobs._membership import MembershipOptions
 from dandeliondrum.jobs._policy import AdvicePolicy
 from dandeliondrum.jobs._policy import Policy
@@ -49,7 +50,6 @@
 from dandeliondrum.jobs._specs import parse_task_key
 from dandeliondrum.jobs._specs import StepSpec
 from dandeliondrum.jobs._specs import TaskKey
-from dandeliondrum.jobs._term import LeaderOptions
 
 __all__ = [
     'Accepted',
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -6,6 +6,7 @@
 import dataclasses
 import pathlib
 import threading
+import types
 import typing
 
 from returns import result
@@ -17,18 +18,20 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _follower_reports
 from dandeliondrum.jobs import _leader_calls
-from dandeliondrum.jobs import _leadership
+from dandeliondrum.jobs import _leader_options
 from dandeliondrum.jobs import _membership
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _policy
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _state
-from dandeliondrum.jobs import _term
 from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum import utils
 
+if typing.TYPE_CHECKING:
+    from dandeliondrum.jobs import _leadership
+
 TRANSFER_TIMEOUT_MS = 1_500
 THREADS_COUNT = 2
 STREAMS_MAX = 512
@@ -47,7 +50,7 @@
     """
 
     link: _leader_calls.LinkOptions
-    leader: _term.LeaderOptions
+    leader: _leader_options.LeaderOptions
     membership: _membership.MembershipOptions
     listen_address: str
     data_folder: pathlib.Path
@@ -152,6 +155,8 @@
         self._resources.callback(self.calls.link.close)
         supervisor.run('leader link', self.calls.link.run)
         supervisor.run('membership', self._membership.run)
+        # Peers are answered meanwhile; an election would have to wait for it.
+        _load_leadership()
         return result.Success(None)
 
     def close(self) -> None:
@@ -169,7 +174,7 @@
 
     def on_leading(self, term: messages.Term) -> None:
         """Start leading; called by the consensus node when it is elected."""
-        leadership = _leadership.Leadership(
+        leadership = _load_leadership().Leadership(
             self._options.leader,
             term,
             self.state,
@@ -373,3 +378,10 @@
             leadership = self._leadership
         if leadership is not None:
             leadership.disconnected(connection)
+
+
+def _load_leadership() -> types.ModuleType:
+    """Import the scheduler and the rest that only a leader needs."""
+    from dandeliondrum.jobs import _leadership
+
+    return _leadership
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -19,6 +19,7 @@
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _domain_orders
 from dandeliondrum.jobs import _leader_load
+from dandeliondrum.jobs import _leader_options
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _records
@@ -55,7 +56,7 @@
 
     def __init__(
         self,
-        options: _term.LeaderOptions,
+        options: _leader_options.LeaderOptions,
         number: messages.Term,
         state: _state.JobsState,
         node: consensus.Node,
--- a/dandeliondrum/jobs/_term.py
+++ b/dandeliondrum/jobs/_term.py
@@ -1,7 +1,6 @@
 """State shared by the components of the leader during one term."""
 
 import concurrent.futures
-import dataclasses
 import queue
 import threading
 import time
@@ -18,6 +17,7 @@
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _health
 from dandeliondrum.jobs import _leader_load
+from dandeliondrum.jobs import _leader_options
 from dandeliondrum.jobs import _metrics
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _progress
@@ -39,22 +39,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True)
-class LeaderOptions:
-    """Settings of a leader; see docs/PLATFORM.md.
-
-    ``lease_ms`` is the duration of each lease, and ``lease_max_ms`` the
-    longest lease that a worker accepts. ``voters_count`` is the number of
-    voting controllers.
-    """
-
-    controller_id: messages.ControllerId
-    lease_ms: int
-    lease_max_ms: int
-    ended_jobs_kept_ms: int
-    voters_count: int
-
-
 class Term:
     """State, log, workers and sessions of one term of leadership.
 
@@ -64,7 +48,7 @@
 
     def __init__(
         self,
-        options: LeaderOptions,
+        options: _leader_options.LeaderOptions,
         number: messages.Term,
         state: _state.JobsState,
         node: consensus.Node,
--- a/dandeliondrum/jobs/tests/helpers.py
+++ b/dandeliondrum/jobs/tests/helpers.py
@@ -207,7 +207,7 @@
 def new_term(node, port=None):
     """Return the state of a leader whose log is ``node``."""
     return _term.Term(
-        _term.LeaderOptions(
+        jobs.LeaderOptions(
             messages.ControllerId('c1'), 1_000, 1_500, 60_000, 1
         ),
         messages.Term(1),
--- a/dandeliondrum/platform/tests/test_start.py
+++ b/dandeliondrum/platform/tests/test_start.py
@@ -28,13 +28,24 @@
     'pytest',
 }
 HTTP_SERVER = {'cheroot', 'werkzeug'}
+LEADER = {
+    'dandeliondrum.jobs._leadership',
+    'dandeliondrum.jobs._scheduler',
+    'dandeliondrum.jobs._term',
+    'dandeliondrum.jobs.queueing',
+}
 
 
 def imported_by(program):
     """Return the modules that a program has imported when it ends."""
     listing = 'import json, sys; print(json.dumps(sorted(sys.modules)))'
+    return output_of(f'{program}\n{listing}')
+
+
+def output_of(program):
+    """Return the names that a program prints."""
     done = subprocess.run(
-        [sys.executable, '-c', f'{program}\n{listing}'],
+        [sys.executable, '-c', program],
         capture_output=True,
         check=True,
         timeout=60,
@@ -61,25 +72,29 @@
     assert not imported & unneeded
 
 
-# Ends the process with the list when the port would be opened.
-OPENING = """
-import json, os, sys
-from dandeliondrum import transport
+# Ends the process with the list when the function would be called.
+STARTING = """
+import importlib, json, os, sys
 from dandeliondrum.platform import __main__ as program
 
-def report(_server):
+def report(*_):
     sys.stdout.write(json.dumps(sorted(sys.modules)))
     sys.stdout.flush()
     os._exit(0)
 
-transport.Server.start = report
+place = importlib.import_module({module!r}){owner}
+place.start = report
 program.main(['controller'])
 """
+OPENING = STARTING.format(module='dandeliondrum.transport', owner='.Server')
+CONTROL = STARTING.format(
+    module='dandeliondrum.platform._control_server', owner=''
+)
 
 
 @pytest.fixture
-def imported_at_the_opening(tmp_path, monkeypatch):
-    """Return what a controller has imported when it opens its stream port."""
+def settings_file(tmp_path, monkeypatch):
+    """Let programs read the settings of a controller."""
     ip, _, port = testing.free_address().rpartition(':')
     settings = {
         'Node': 'c1',
@@ -99,13 +114,12 @@
         '\n'.join(f'{name}={value}' for name, value in settings.items())
     )
     monkeypatch.setenv('DANDELIONDRUM_SETTINGS', str(path))
-    done = subprocess.run(
-        [sys.executable, '-c', OPENING],
-        capture_output=True,
-        check=True,
-        timeout=60,
-    )
-    return set(json.loads(done.stdout))
+
+
+@pytest.fixture
+def imported_at_the_opening(settings_file):
+    """Return what a controller has imported when it opens its stream port."""
+    return output_of(OPENING)
 
 
 def test_a_controller_answers_its_peers_before_it_imports_http_servers(
@@ -119,3 +133,13 @@
     imported_at_the_opening,
 ):
     assert not imported_at_the_opening & NEVER_NEEDED
+
+
+def test_a_controller_answers_its_peers_before_it_imports_the_scheduler(
+    imported_at_the_opening,
+):
+    assert not imported_at_the_opening & LEADER
+
+
+def test_no_election_waits_for_the_import_of_the_scheduler(settings_file):
+    assert output_of(CONTROL) >= LEADER
