Import the messages of operators and of the cell's workers at first use

What was seen: making data classes takes most of the import of the project's own modules. A controller or gateway for jobs never sends or receives 27 of the messages: those between operators, workers and the other controller.

Change: their two modules are imported when one of their names is used, or when a message arrives whose class isn't known yet; the check for unknown classes comes after that and gives the same error. Tests decode such messages in a new process, and check that no module of the package is unknown to one.

--- a/dandeliondrum/messages/__init__.py
+++ b/dandeliondrum/messages/__init__.py
@@ -1,5 +1,7 @@
 """Typed messages between the components of a cell, and their codec."""
 
+import typing
+
 from dandeliondrum.messages._codec import CodecError
 from dandeliondrum.messages._codec import decode
 from dandeliondrum.messages._codec import encode
@@ -57,27 +59,6 @@
 from dandeliondrum.messages._ids import TeamId
 from dandeliondrum.messages._ids import Term
 from dandeliondrum.messages._ids import WorkerId
-from dandeliondrum.messages._operator_calls import AddController
-from dandeliondrum.messages._operator_calls import ApplyRulesCall
-from dandeliondrum.messages._operator_calls import ChangeDomain
-from dandeliondrum.messages._operator_calls import ControllerView
-from dandeliondrum.messages._operator_calls import DomainsShown
-from dandeliondrum.messages._operator_calls import DomainView
-from dandeliondrum.messages._operator_calls import DrainWorker
-from dandeliondrum.messages._operator_calls import ExplainTask
-from dandeliondrum.messages._operator_calls import FleetShown
-from dandeliondrum.messages._operator_calls import FormCell
-from dandeliondrum.messages._operator_calls import RemoveController
-from dandeliondrum.messages._operator_calls import RulesChange
-from dandeliondrum.messages._operator_calls import RulesOutcome
-from dandeliondrum.messages._operator_calls import RulesShown
-from dandeliondrum.messages._operator_calls import ShowDomains
-from dandeliondrum.messages._operator_calls import ShowFleet
-from dandeliondrum.messages._operator_calls import ShowRules
-from dandeliondrum.messages._operator_calls import TaskExplained
-from dandeliondrum.messages._operator_calls import TeamView
-from dandeliondrum.messages._operator_calls import TransferLeadership
-from dandeliondrum.messages._operator_calls import WorkerView
 from dandeliondrum.messages._states import AttemptState
 from dandeliondrum.messages._states import RefusalReason
 from dandeliondrum.messages._states import TaskClass
@@ -87,12 +68,73 @@
 from dandeliondrum.messages._task import Resources
 from dandeliondrum.messages._task import TaskSpec
 from dandeliondrum.messages._task import WorkerFacts
-from dandeliondrum.messages._worker_calls import AnnounceWorker
-from dandeliondrum.messages._worker_calls import RunningAttempt
-from dandeliondrum.messages._worker_calls import WorkerHeartbeat
-from dandeliondrum.messages._worker_calls import WorkerHeartbeatReplies
-from dandeliondrum.messages._worker_calls import WorkerHeartbeatReply
-from dandeliondrum.messages._worker_calls import WorkerHeartbeats
+from dandeliondrum import utils
+
+if typing.TYPE_CHECKING:
+    from dandeliondrum.messages._operator_calls import AddController
+    from dandeliondrum.messages._operator_calls import ApplyRulesCall
+    from dandeliondrum.messages._operator_calls import ChangeDomain
+    from dandeliondrum.messages._operator_calls import ControllerView
+    from dandeliondrum.messages._operator_calls import DomainsShown
+    from dandeliondrum.messages._operator_calls import DomainView
+    from dandeliondrum.messages._operator_calls import DrainWorker
+    from dandeliondrum.messages._operator_calls import ExplainTask
+    from dandeliondrum.messages._operator_calls import FleetShown
+    from dandeliondrum.messages._operator_calls import FormCell
+    from dandeliondrum.messages._operator_calls import RemoveController
+    from dandeliondrum.messages._operator_calls import RulesChange
+    from dandeliondrum.messages._operator_calls import RulesOutcome
+    from dandeliondrum.messages._operator_calls import RulesShown
+    from dandeliondrum.messages._operator_calls import ShowDomains
+    from dandeliondrum.messages._operator_calls import ShowFleet
+    from dandeliondrum.messages._operator_calls import ShowRules
+    from dandeliondrum.messages._operator_calls import TaskExplained
+    from dandeliondrum.messages._operator_calls import TeamView
+    from dandeliondrum.messages._operator_calls import TransferLeadership
+    from dandeliondrum.messages._operator_calls import WorkerView
+    from dandeliondrum.messages._worker_calls import AnnounceWorker
+    from dandeliondrum.messages._worker_calls import RunningAttempt
+    from dandeliondrum.messages._worker_calls import WorkerHeartbeat
+    from dandeliondrum.messages._worker_calls import WorkerHeartbeatReplies
+    from dandeliondrum.messages._worker_calls import WorkerHeartbeatReply
+    from dandeliondrum.messages._worker_calls import WorkerHeartbeats
+else:
+    __getattr__ = utils.import_on_use(
+        __name__,
+        {
+            '_operator_calls': (
+                'AddController',
+                'ApplyRulesCall',
+                'ChangeDomain',
+                'ControllerView',
+                'DomainsShown',
+                'DomainView',
+                'DrainWorker',
+                'ExplainTask',
+                'FleetShown',
+                'FormCell',
+                'RemoveController',
+                'RulesChange',
+                'RulesOutcome',
+                'RulesShown',
+                'ShowDomains',
+                'ShowFleet',
+                'ShowRules',
+                'TaskExplained',
+                'TeamView',
+                'TransferLeadership',
+                'WorkerView',
+            ),
+            '_worker_calls': (
+                'AnnounceWorker',
+                'RunningAttempt',
+                'WorkerHeartbeat',
+                'WorkerHeartbeatReplies',
+                'WorkerHeartbeatReply',
+                'WorkerHeartbeats',
+            ),
+        },
+    )
 
 __all__ = [
     'AddController',
--- a/dandeliondrum/messages/_codec.py
+++ b/dandeliondrum/messages/_codec.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 import functools
+import importlib
 import typing
 
 import cattrs
@@ -21,6 +22,12 @@
 MessageClass = typing.TypeVar('MessageClass', bound=type)
 
 _FIELD_KEYS = '0123456789abcdefghijklmnopqrstuvwxyz'
+# The package imports them when one of their names is used; the first use may
+# be a message of a peer.
+_MODULES_IMPORTED_ON_USE = (
+    'dandeliondrum.messages._operator_calls',
+    'dandeliondrum.messages._worker_calls',
+)
 _classes_by_tag: dict[str, type] = {}
 
 
@@ -59,12 +66,19 @@
     """Decode a message, or return the error for invalid bytes."""
     try:
         tag, fields = msgpack.unpackb(data)
-        cls = _classes_by_tag[tag]
+        cls = _find_class(tag)
         return result.Success(_converter().structure(fields, cls))
     except Exception as error:
         return result.Failure(CodecError(f'{type(error).__name__}: {error}'))
 
 
+def _find_class(tag: str) -> type:
+    if tag not in _classes_by_tag:
+        for module in _MODULES_IMPORTED_ON_USE:
+            importlib.import_module(module)
+    return _classes_by_tag[tag]
+
+
 @functools.cache
 def _converter() -> cattrs.Converter:
     converter = cattrs.Converter(detailed_validation=False)
--- a/dandeliondrum/messages/tests/test_codec.py
+++ b/dandeliondrum/messages/tests/test_codec.py
@@ -1,10 +1,27 @@
 """Tests of the message codec."""
 
+import importlib
+import pkgutil
+import subprocess
+import sys
+
 import pytest
 from returns import result
 
 from dandeliondrum import messages
+from dandeliondrum.messages import _codec
 
+DECODING = """
+import sys
+from dandeliondrum import messages
+print(messages.decode(sys.stdin.buffer.read()).unwrap())
+"""
+FINDING = """
+import sys
+from dandeliondrum import messages
+from dandeliondrum.messages import _codec
+assert _codec._find_class(sys.argv[1]).__name__ == sys.argv[1]
+"""
 FACTS = messages.WorkerFacts(
     worker_id=messages.WorkerId('lathe-1'),
     incarnation=messages.Incarnation('a1'),
@@ -63,3 +80,39 @@
 def test_encoding_an_unregistered_class_raises():
     with pytest.raises(TypeError):
         messages.encode(FACTS)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        messages.AnnounceWorker(FACTS),
+        messages.ExplainTask(messages.TaskId('bureau/ring')),
+    ],
+)
+def test_a_message_that_was_never_used_in_the_process_is_decoded(message):
+    done = subprocess.run(
+        [sys.executable, '-c', DECODING],
+        input=messages.encode(message),
+        capture_output=True,
+        check=True,
+        timeout=60,
+    )
+    assert done.stdout.decode().strip() == str(message)
+
+
+def test_no_module_of_messages_is_unknown_to_a_new_process():
+    for module in pkgutil.iter_modules(messages.__path__):
+        importlib.import_module(f'{messages.__name__}.{module.name}')
+    one_by_module = {
+        cls.__module__: tag for tag, cls in _codec._classes_by_tag.items()
+    }
+    tags = [
+        tag
+        for module, tag in one_by_module.items()
+        if module.startswith(f'{messages.__name__}._')
+    ]
+    assert len(tags) >= 5
+    for tag in tags:
+        subprocess.run(
+            [sys.executable, '-c', FINDING, tag], check=True, timeout=60
+        )
--- a/dandeliondrum/platform/tests/test_start.py
+++ b/dandeliondrum/platform/tests/test_start.py
@@ -17,6 +17,8 @@
     'dandeliondrum.command',
     'dandeliondrum.controller',
     'dandeliondrum.gateway._gateway',
+    'dandeliondrum.messages._operator_calls',
+    'dandeliondrum.messages._worker_calls',
     'dandeliondrum.rules',
     'dandeliondrum.testing',
     'dandeliondrum.worker',
--- a/dandeliondrum/utils/tests/test_faces.py
+++ b/dandeliondrum/utils/tests/test_faces.py
@@ -11,6 +11,7 @@
 PACKAGES = (
     'dandeliondrum.gateway',
     'dandeliondrum.http_server',
+    'dandeliondrum.messages',
     'dandeliondrum.observability',
 )
 
