Name the module of lazy imports by its purpose; log why a controller is removed

Cause: _faces says nothing about imports, and a controller that stops is not lost. Change: _lazy_imports; the line "removing controller" has the reason. Measured: tests of utils and test_replaced_voters.py pass.

--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -70,10 +70,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Remove:
-    """Remove a member."""
+    """Remove a member that is lost or stops."""
 
     controller_id: messages.ControllerId
     silent_ms: int
+    is_leaving: bool
 
 
 _Change = _Add | _Remove
@@ -324,7 +325,11 @@
     ) -> _Remove:
         """Return the removal of the member that is silent for longest."""
         lost = max(members, key=self._silent_ms)
-        return _Remove(lost.controller_id, self._silent_ms(lost))
+        return _Remove(
+            lost.controller_id,
+            self._silent_ms(lost),
+            lost.controller_id in self._leaving,
+        )
 
     def _start(self, change: _Change) -> None:
         match change:
@@ -333,10 +338,11 @@
                 done = self._node.add_member(
                     controller_id, address, until_voter=False
                 )
-            case _Remove(controller_id, silent_ms):
+            case _Remove(controller_id, silent_ms, is_leaving):
                 _logger.warning(
-                    'removing lost member',
+                    'removing controller',
                     controller=controller_id,
+                    why='it stops' if is_leaving else 'it is silent',
                     silent_ms=silent_ms,
                 )
                 done = self._node.remove_member(controller_id)
--- a/dandeliondrum/utils/tests/test_faces.py
+++ b/dandeliondrum/utils/tests/test_lazy_imports.py
@@ -18,9 +18,9 @@
 
 @pytest.mark.parametrize('package', PACKAGES)
 def test_no_public_name_is_missing(package):
-    face = importlib.import_module(package)
-    for name in face.__all__:
-        assert getattr(face, name) is not None
+    module = importlib.import_module(package)
+    for name in module.__all__:
+        assert getattr(module, name) is not None
 
 
 @pytest.mark.parametrize('package', PACKAGES)
@@ -28,9 +28,9 @@
     names = importlib.import_module(package).__all__
     program = f"""
 import importlib, sys
-face = importlib.import_module({package!r})
-value = getattr(face, sys.argv[1])
-assert vars(face)[sys.argv[1]] is value
+module = importlib.import_module({package!r})
+value = getattr(module, sys.argv[1])
+assert vars(module)[sys.argv[1]] is value
 """
     running = [
         subprocess.Popen([sys.executable, '-c', program, name])
