PlatformCell: controllers in regions, added later, wiped, killed together

PlatformCell launches controllers at unused addresses with empty disks, wipes disks, and rewrites the seeds of all processes; Processes kills several at the same moment. The tolerated number of losses is that of the first controllers, also after others were added.

--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -6,6 +6,7 @@
 import pathlib
 import shutil
 import sys
+import threading
 
 from dandeliondrum import messages
 from dandeliondrum.testing import _fake_job_workers
@@ -14,12 +15,14 @@
 from dandeliondrum.testing import _ports
 from dandeliondrum.testing import _processes
 from dandeliondrum.testing import _proxy
+from dandeliondrum.testing import _slow_region
 
 # Controllers and gateways are identified by IP address, so each needs its
 # own.
 NETWORK = '127.0'
 CONTROLLER_IP = '{}.0.{}'
 FIRST_CONTROLLER = 2
+CONTROLLERS_MAX = 100
 GATEWAY_IP = '{}.1.{}'
 SEEDS_COUNT = 3
 POOL = 'pool'
@@ -79,7 +82,8 @@
     through proxies; ``links`` maps the names of their targets to these. All
     of them listen in ``network``, the first half of their IP addresses, and
     get ``settings`` in addition to their own. If ``failure_domains`` are
-    given, they can be evacuated.
+    given, they can be evacuated. With ``regions``, the controllers are in
+    these by turns, and have the delays of the module ``_slow_region``.
 
     Example::
 
@@ -100,24 +104,39 @@
         failure_domains: tuple[str, ...] = (),
         network: str = NETWORK,
         settings: collections.abc.Mapping[str, str] | None = None,
+        regions: tuple[str, ...] = (),
     ) -> None:
         self.processes = processes
+        self.regions = regions
         self._settings = settings or {}
         self.failure_domains = failure_domains
         self._job_state_kept_s = job_state_kept_s
-        self._controller_ips = [
+        self._losses_max = (controllers_count - 1) // 2
+        self._spare_ips = [
             CONTROLLER_IP.format(network, FIRST_CONTROLLER + number)
-            for number in range(controllers_count)
+            for number in range(CONTROLLERS_MAX)
         ]
+        self._region_of = {
+            ip: regions[number % len(regions)] if regions else ''
+            for number, ip in enumerate(self._spare_ips)
+        }
+        self._controller_ips = self._spare_ips[:controllers_count]
+        del self._spare_ips[:controllers_count]
         self._gateway_ips = [
             GATEWAY_IP.format(network, 1 + number)
             for number in range(gateways_count)
         ]
         self._folder = folder
-        control, self._stream_port = (
+        self._control_port, self._stream_port = (
             _ports.free_address().rpartition(':')[2] for _ in range(2)
         )
-        self.control = [f'{ip}:{control}' for ip in self._controller_ips]
+        self.control = [
+            f'{ip}:{self._control_port}' for ip in self._controller_ips
+        ]
+        # Protects the two fields below and the addresses of controllers.
+        self._lock = threading.Lock()
+        self._seeds = self.control[:SEEDS_COUNT]
+        self._written: dict[str, dict[str, str]] = {}
         self.callers = [_ports.free_address(ip) for ip in self._gateway_ips]
         self.readiness_addresses = [
             _ports.free_address(ip) for ip in self._gateway_ips
@@ -146,8 +165,8 @@
             worker_proxy = self.links.get(worker.worker.facts.worker_id)
             if worker_proxy is not None:
                 worker.advertised_address = worker_proxy.address
-        for ip in self._controller_ips:
-            self._launch_controller(ip, first_start=True)
+        for number in range(len(self._controller_ips)):
+            self.launch_controller(number, first_start=True)
         for number, address in enumerate(self.callers):
             self._launch(
                 f'g{number}',
@@ -171,13 +190,65 @@
         """Return where a controller accepts the streams of its peers."""
         return f'{self._controller_ips[number]}:{self._stream_port}'
 
+    def region(self, number: int) -> str:
+        """Return the region of a controller."""
+        return self._region_of[self._controller_ips[number]]
+
+    def launch_controller(
+        self, number: int, first_start: bool = False
+    ) -> None:
+        """Start a controller without waiting until it is ready."""
+        ip = self._controller_ips[number]
+        overrides = {
+            'Ip': ip,
+            'Listen.Control': self.control[number],
+            'DataDir': str(self._folder / ip),
+            'Bootstrap': 'true' if first_start else 'false',
+        }
+        slowed: tuple[str, ...] = ()
+        if self.regions:
+            region = overrides['Region'] = self._region_of[ip]
+            remote_ips = [
+                other
+                for other, its_region in self._region_of.items()
+                if its_region != region
+            ]
+            slowed = _slow_region.arguments(remote_ips)
+        self._launch(self.controller(number), 'controller', overrides, slowed)
+
     def replace_disk(self, number: int) -> None:
         """Restart a killed controller with an empty data folder."""
-        ip = self._controller_ips[number]
-        shutil.rmtree(self._folder / ip)
-        self._launch_controller(ip, first_start=False)
+        self.wipe_disk(number)
+        self.launch_controller(number)
         self.processes.wait_ready(self.controller(number))
 
+    def wipe_disk(self, number: int) -> None:
+        """Empty the data folder of a killed controller."""
+        folder = self._folder / self._controller_ips[number]
+        if folder.exists():
+            shutil.rmtree(folder)
+
+    def add_controller(self, region: str = '') -> int:
+        """Reserve an unused address for a controller; return its number.
+
+        It is to be launched then, and has an empty data folder.
+        """
+        with self._lock:
+            ip = next(
+                ip for ip in self._spare_ips if self._region_of[ip] == region
+            )
+            self._spare_ips.remove(ip)
+            self._controller_ips.append(ip)
+            self.control.append(f'{ip}:{self._control_port}')
+            return len(self._controller_ips) - 1
+
+    def set_seeds(self, numbers: collections.abc.Iterable[int]) -> None:
+        """Write other seed controllers to the settings of all processes."""
+        with self._lock:
+            self._seeds = [self.control[number] for number in numbers]
+            for name, settings in self._written.items():
+                self._write_settings(name, settings)
+
     def put_document(
         self, body: bytes, number: int = 0, timeout_ms: int = CALL_TIMEOUT_MS
     ) -> int:
@@ -189,10 +260,12 @@
             timeout_ms=timeout_ms,
         ).status
 
-    def read_document(self, number: int) -> _http.HttpReply:
+    def read_document(
+        self, number: int, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> _http.HttpReply:
         """Read the configuration document from a controller."""
         return _http.call(
-            f'http://{self.control[number]}/config', timeout_ms=CALL_TIMEOUT_MS
+            f'http://{self.control[number]}/config', timeout_ms=timeout_ms
         )
 
     def report(
@@ -250,27 +323,19 @@
             CALL_TIMEOUT_MS,
         )
 
-    def _launch_controller(self, ip: str, first_start: bool) -> None:
-        number = self._controller_ips.index(ip)
-        self._launch(
-            self.controller(number),
-            'controller',
-            {
-                'Ip': ip,
-                'Listen.Control': self.control[number],
-                'DataDir': str(self._folder / ip),
-                'Bootstrap': 'true' if first_start else 'false',
-            },
-        )
-
-    def _launch(self, name: str, role: str, overrides: dict[str, str]) -> None:
+    def _launch(
+        self,
+        name: str,
+        role: str,
+        overrides: dict[str, str],
+        slowed: tuple[str, ...] = (),
+    ) -> None:
         settings = {
             'Node': name,
             'Zone': 'sattahip',
             'Region': 'gulf',
             'PortRange': f'{self._stream_port},{self._stream_port}',
-            'Seeds': ','.join(self.control[:SEEDS_COUNT]),
-            'FaultTolerance.Machines': str((len(self.control) - 1) // 2),
+            'FaultTolerance.Machines': str(self._losses_max),
             'Bounds.GraceS': '6',
             'Bounds.HoldMaxMs': str(LEASE_MAX_MS),
             'Bounds.status_s': str(self._job_state_kept_s),
@@ -282,19 +347,14 @@
             settings['Contracts'] = 'base,places'
             for domain in self.failure_domains:
                 settings[f'Zones.{domain}'] = settings['Region']
-        path = self._folder / f'{name}.conf'
-        path.write_text(
-            '\n'.join(f'{key}={value}' for key, value in settings.items())
-        )
+        with self._lock:
+            self._written[name] = settings
+            path = self._write_settings(name, settings)
+        program = slowed or ('-m', 'dandeliondrum.platform', role)
         self.processes.launch(
             name,
             _processes.Program(
-                arguments=(
-                    sys.executable,
-                    '-m',
-                    'dandeliondrum.platform',
-                    role,
-                ),
+                arguments=(sys.executable, *program),
                 ready_address=settings.get(
                     'Listen.Control', settings.get('Listen.Front', '')
                 ),
@@ -302,6 +362,22 @@
             ),
         )
 
+    def _write_settings(
+        self, name: str, settings: dict[str, str]
+    ) -> pathlib.Path:
+        """Replace the settings file of a process at once; return its path.
+
+        The caller holds the lock.
+        """
+        path = self._folder / f'{name}.conf'
+        lines = {**settings, 'Seeds': ','.join(self._seeds)}
+        written = path.with_suffix('.new')
+        written.write_text(
+            '\n'.join(f'{key}={value}' for key, value in lines.items())
+        )
+        written.replace(path)
+        return path
+
 
 def make_workers(
     count: int, capacity: messages.Resources, run_ms: int
--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -155,11 +155,16 @@
             return
         process.kill()
         process.wait()
-        self._record_freeze(name)
-        now_ms = worker.now_ms()
-        self._outages.append(
-            _history.Outage(name, _history.OutageKind.KILLED, now_ms, now_ms)
-        )
+        self._record_end(name)
+
+    def kill_together(self, names: collections.abc.Iterable[str]) -> None:
+        """Kill processes at the same moment and wait for their end."""
+        chosen = [name for name in names if self.is_running(name)]
+        for name in chosen:
+            self._processes[name].send_signal(signal.SIGKILL)
+        for name in chosen:
+            self._processes[name].wait()
+            self._record_end(name)
 
     def freeze(self, name: str) -> None:
         """Suspend a process with SIGSTOP until it is thawed.
@@ -235,6 +240,13 @@
             descriptions.append(f'{name} {state}: {self.log_tail(name)}')
         return '\n'.join(descriptions)
 
+    def _record_end(self, name: str) -> None:
+        self._record_freeze(name)
+        now_ms = worker.now_ms()
+        self._outages.append(
+            _history.Outage(name, _history.OutageKind.KILLED, now_ms, now_ms)
+        )
+
     def _record_freeze(self, name: str) -> None:
         from_ms = self._frozen_since_ms.pop(name, None)
         if from_ms is not None:
