--- /dev/null
+++ b/dandeliondrum/testing/_losses_schedule.py
@@ -0,0 +1,186 @@
+"""Schedules of losses of controllers, and how many may be lost at a time."""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+import threading
+import time
+
+LOSSES_MAX = 2
+# A VM stays lost for this time after its start.
+CATCH_UP_S = 4.0
+POWER_LOSS_S = (0.5, 3.5)
+FINAL_BACK_S = (0.5, 1.5)
+PAUSE_S = (0.0, 5.0)
+FAULTS_COUNT = (3, 8)
+AIMED_SHARE = 0.4
+ADDITION_SHARE = 0.2
+
+
+class Kind(enum.Enum):
+    """What happens to a controller."""
+
+    KILL = 'killed'
+    POWER_LOSS = 'without power'
+    FREEZE = 'frozen'
+    WIPE = 'disk lost'
+    WIPE_TWO = 'two disks lost'
+    REPLACE = 'lost and replaced'
+    REPLACE_PLANNED = 'replaced as planned'
+    NEW_SEEDS = 'new seeds'
+    ADD = 'added'
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault, how long it lasts, and the time until the next one.
+
+    Its target is the leader, or one that ``choice``, a number from 0 to 1,
+    selects among the controllers that are not lost.
+    """
+
+    kind: Kind
+    at_leader: bool = False
+    choice: float = 0.0
+    length_s: float = 1.0
+    pause_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LastFault:
+    """The last fault, right after an acknowledged document.
+
+    The disks of ``wiped_count`` controllers are lost, of those selected by
+    ``choice`` or first the leader's; the others are killed, too, or are not.
+    All are back after ``back_s``.
+    """
+
+    wiped_count: int = LOSSES_MAX
+    kills_others: bool = True
+    at_leader: bool = False
+    choice: float = 0.0
+    back_s: float = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Schedule:
+    """The faults of a run in their order."""
+
+    faults: tuple[Fault, ...]
+    last: LastFault
+
+
+# The last fault hits controllers other than the replaced one.
+PLANNED = Schedule((Fault(Kind.REPLACE_PLANNED),), LastFault(choice=0.3))
+UNPLANNED = Schedule((Fault(Kind.REPLACE),), LastFault(choice=0.3))
+
+
+def draw_schedule(seed: int) -> Schedule:
+    """Return the schedule of a seed."""
+    rng = random.Random(seed)
+    faults = []
+    kinds = [one for one in Kind if one is not Kind.ADD]
+    for _ in range(rng.randint(*FAULTS_COUNT)):
+        faults.append(
+            Fault(
+                rng.choice(kinds),
+                rng.random() < AIMED_SHARE,
+                rng.random(),
+                rng.uniform(*POWER_LOSS_S),
+                rng.uniform(*PAUSE_S),
+            )
+        )
+    if rng.random() < ADDITION_SHARE:
+        # Spare controllers are few.
+        faults.insert(rng.randrange(len(faults)), Fault(Kind.ADD))
+    wiped_count, kills_others = rng.choice(
+        [(2, True), (2, True), (2, True), (2, False), (0, True)]
+    )
+    last = LastFault(
+        wiped_count,
+        kills_others,
+        rng.random() < AIMED_SHARE,
+        rng.random(),
+        rng.uniform(*FINAL_BACK_S),
+    )
+    return Schedule(tuple(faults), last)
+
+
+class Slots:
+    """The controllers that count, and until when each is lost.
+
+    ``numbers`` are those of the controllers in the cell.
+    """
+
+    def __init__(
+        self, numbers: collections.abc.Iterable[int], losses_max: int
+    ) -> None:
+        self.numbers = list(numbers)
+        self._losses_max = losses_max
+        self._until_s = [0.0] * len(self.numbers)
+        self._changed = threading.Condition()
+
+    def lose(
+        self,
+        count: int,
+        choice: float,
+        leader: collections.abc.Callable[[], int | None] = lambda: None,
+    ) -> list[int]:
+        """Wait until as many more may be lost; return the slots.
+
+        The first is that of the number that ``leader`` returns, if it is not
+        lost already.
+        """
+        with self._changed:
+            self._wait(count)
+            left_s = self._left_s()
+            free = [slot for slot, left in enumerate(left_s) if left <= 0]
+            first = int(choice * len(free))
+            ordered = free[first:] + free[:first]
+            leading = leader()
+            ordered.sort(key=lambda slot: self.numbers[slot] != leading)
+            for slot in ordered[:count]:
+                self._until_s[slot] = float('inf')
+            return ordered[:count]
+
+    def restore(
+        self,
+        slot: int,
+        number: int | None = None,
+        catch_up_s: float = CATCH_UP_S,
+    ) -> None:
+        """Take a slot as lost for ``catch_up_s`` from now, and no longer.
+
+        Another controller is in it, if ``number`` is given.
+        """
+        with self._changed:
+            if number is not None:
+                self.numbers[slot] = number
+            self._until_s[slot] = time.monotonic() + catch_up_s
+            self._changed.notify_all()
+
+    def add(self, number: int) -> int:
+        """Wait until one more may be lost; add and return a lost slot."""
+        with self._changed:
+            self._wait(1)
+            self.numbers.append(number)
+            self._until_s.append(float('inf'))
+            return len(self.numbers) - 1
+
+    def lost_s(self) -> float:
+        """Return after which time none will be lost."""
+        with self._changed:
+            return max(0.0, *self._left_s())
+
+    def _left_s(self) -> list[float]:
+        now_s = time.monotonic()
+        return [until_s - now_s for until_s in self._until_s]
+
+    def _wait(self, count: int) -> None:
+        """Wait until as many more may be lost; the caller holds the lock."""
+        while True:
+            left_s = [left for left in self._left_s() if left > 0]
+            if len(left_s) + count <= self._losses_max:
+                return
+            self._changed.wait(min(*left_s, CATCH_UP_S))
