Keep a stopping controller until its successor is ready, and answer all

What waited at a leader that lost its leadership was never answered: an operator's change that had been applied got no reply.

Change: a learner that is not lost counts as a successor, and the components of a term answer all that wait when it ends. A repeated request to leave shares the first one's answer.

--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -122,6 +122,7 @@
         """
         self._supervisor.stopping.set()
         self._workers.close()
+        self._voters.close()
         self._term.adviser_clients.clear()
         self._term.sessions.close()
 
--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -146,7 +146,9 @@
         deadline_ms = _clock.elapsed_ms() + LEAVE_TIMEOUT_MS
         with self._lock:
             self._candidates.pop(request.controller_id, None)
-            self._leaving[request.controller_id] = (deadline_ms, future)
+            _, future = self._leaving.setdefault(
+                request.controller_id, (deadline_ms, future)
+            )
         self.check()
         return future
 
@@ -180,6 +182,22 @@
         if change is not None:
             self._start(change)
 
+    def close(self) -> None:
+        """Answer all that wait, when this controller leads no more.
+
+        What operators wait for has been applied.
+        """
+        with self._lock:
+            leaving = list(self._leaving.values())
+            self._leaving.clear()
+            waiting, self._waiting = self._waiting, []
+        for _, future in leaving:
+            future.set_result(
+                messages.CallFailed('no longer the leader', True)
+            )
+        for _, applied in waiting:
+            applied.set_result(None)
+
     def _member_ids(self) -> set[messages.ControllerId]:
         members = self._node.status().members
         return {member.controller_id for member in members}
@@ -216,7 +234,7 @@
         """Remove the waits of controllers that need not wait any longer."""
         now_ms = _clock.elapsed_ms()
         voters = {one.controller_id for one in status.members if one.voter}
-        has_successor = bool(self._candidates or self._ready_learners(status))
+        has_successor = self._has_successor(status)
         answers = []
         for controller_id, (deadline_ms, future) in list(
             self._leaving.items()
@@ -258,13 +276,17 @@
         """Return whether a voter is missing that another one can replace."""
         voters = [member for member in status.members if member.voter]
         lost = self._lost(voters, SUSPICION_MS)
-        has_successor = bool(self._candidates) or len(voters) < len(
-            status.members
-        )
         return self._is_changing or (
-            has_successor and (bool(lost) or len(voters) < self._voters_count)
+            self._has_successor(status)
+            and (bool(lost) or len(voters) < self._voters_count)
         )
 
+    def _has_successor(self, status: consensus.NodeStatus) -> bool:
+        """Return whether a controller may vote that doesn't vote yet."""
+        learners = [member for member in status.members if not member.voter]
+        lost_learners = self._lost(learners, SILENCE_MAX_MS)
+        return bool(self._candidates) or len(learners) > len(lost_learners)
+
     def _ready_learners(
         self, status: consensus.NodeStatus
     ) -> list[consensus.MemberStatus]:
--- a/dandeliondrum/jobs/tests/test_replaced_voters.py
+++ b/dandeliondrum/jobs/tests/test_replaced_voters.py
@@ -145,6 +145,32 @@
     assert node.voters == ['c1', 'c2', 'c3', 'c4', 'c6']
 
 
+def test_a_leaving_voter_waits_while_its_successor_gets_the_state(now_ms):
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    voters.join(_request('c6'))
+    node.last_index = 5_000
+    left = _leave(voters, 'c5')
+    node.complete_changes()
+    assert not left.done()
+    node.last_index = 1
+    voters.check()
+    node.complete_changes()
+    assert left.result(0) == messages.Done()
+
+
+def test_all_that_wait_are_answered_when_the_leader_leads_no_more(now_ms):
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    voters.join(_request('c6'))
+    left = _leave(voters, 'c5')
+    waiting = voters.wait_for_replacements()
+    assert not left.done() and not waiting.done()
+    voters.close()
+    assert left.result(0).not_done
+    assert waiting.done()
+
+
 def test_a_leaving_voter_does_not_wait_if_nobody_can_take_over(now_ms):
     node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
     voters = _voters.Voters(node, VOTERS_COUNT)
