Look at the voters ten times a second

Cause: in a trial the removal of a lost voter followed up to 0.25 s after the end of its silence, a tenth of the time that a successor has. Change: the leader checks every 100 ms.

--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -26,7 +26,7 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum import messages
 
-CHECK_INTERVAL_MS = 250
+CHECK_INTERVAL_MS = 100
 # A successor is taken in as a learner beside a voter that was silent for this
 # long. It exceeds the longest election timeout.
 SUSPICION_MS = 700
