Remove a voter only for a learner that fills no other place

A voter was also removed for a learner that only refilled its own place after its disk was lost. And of 9 leaders that stopped, 4 kept their vote although a successor was a learner already.

Cause: any ready learner allowed a removal, and the removal of one voter is complete before the learner is promoted, so that it allowed the next. A leader that stopped got "no successor" while that had no state yet, or asked its own ended leadership, once; a follower that was told the same repeated its question for 2 s.

Change: a learner allows a removal only beyond the places that are free. A LeaveReply tells whether there is a successor, and is sent once it votes; a controller that stops asks again until the answer, 2 s at most, and gives up when no leader is known. A candidate that can't be reached goes behind the others, and a request to join that arrives late does not add a controller that has left. Orders about failure domains are no longer delayed, since their senders wait 0.9 s only. A wait that begins after the leader's term has ended is over at once.

The fake node of the tests promotes by a change of its own now, and a new learner has no state, as on the real one.

--- a/dandeliondrum/jobs/_calls.py
+++ b/dandeliondrum/jobs/_calls.py
@@ -185,13 +185,23 @@
 class LeaveRequest:
     """A controller that stops asks the leader to replace it.
 
-    The reply is Done once another controller votes in its place, or, for the
-    leader itself, once one is ready to. It is CallFailed if there is none.
+    The reply is a LeaveReply.
     """
 
     controller_id: messages.ControllerId
 
 
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveReply:
+    """Whether another controller takes the place of one that stops.
+
+    If so, it votes already, or, where the leader itself stops, is ready to.
+    """
+
+    has_successor: bool
+
+
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceRequest:
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -6,6 +6,7 @@
 import dataclasses
 import pathlib
 import threading
+import time
 import types
 import typing
 
@@ -33,8 +34,8 @@
     from dandeliondrum.jobs import _leadership
 
 TRANSFER_TIMEOUT_MS = 1_500
-# Longer than the leader waits for a successor.
-LEAVE_TIMEOUT_MS = 2_000
+# Limit for the replacement of a controller that stops.
+HAND_OVER_TIMEOUT_MS = 2_000
 THREADS_COUNT = 2
 STREAMS_MAX = 512
 
@@ -165,33 +166,45 @@
     def close(self) -> None:
         """Hand over the leadership and the vote if possible, then stop."""
         self._membership.leave()
-        self._hand_over_vote()
+        deadline_ms = _clock.elapsed_ms() + HAND_OVER_TIMEOUT_MS
+        has_successor = self._hand_over_vote(deadline_ms)
         status = self.node.status()
         if status.leader_id == self._options.leader.controller_id:
             transfer = self.node.transfer_leadership()
             with contextlib.suppress(TimeoutError):
                 transfer.result(TRANSFER_TIMEOUT_MS / 1000)
-            self._hand_over_vote()
+        if has_successor:
+            has_successor = self._hand_over_vote(deadline_ms)
+        _logger.info('vote handed over' if has_successor else 'vote kept')
         self._resources.close()
 
-    def _hand_over_vote(self) -> None:
-        """Let a controller that waits to join take over this one's vote.
+    def _hand_over_vote(self, deadline_ms: int) -> bool:
+        """Ask for a replacement; return whether there is a successor.
 
         A VM that is removed no longer counts as soon as this process ends,
         so that two others may be lost right after.
         """
         me = self._options.leader.controller_id
-        status = self.node.status()
-        if not any(
+        while self._is_voter():
+            left_ms = deadline_ms - _clock.elapsed_ms()
+            if left_ms <= 0:
+                return False
+            match self._call(_calls.LeaveRequest(me), left_ms):
+                case result.Success(_calls.LeaveReply(has_successor)):
+                    return has_successor
+                case result.Failure(error):
+                    _logger.debug('not replaced yet', why=error.reason)
+                    if not self.calls.failover_left_ms():
+                        return False
+            time.sleep(_leader_calls.RETRY_DELAY_MS / 1000)
+        return True
+
+    def _is_voter(self) -> bool:
+        me = self._options.leader.controller_id
+        return any(
             member.controller_id == me and member.voter
-            for member in status.members
-        ):
-            return
-        outcome = self._call(_calls.LeaveRequest(me), LEAVE_TIMEOUT_MS)
-        why = ''
-        if isinstance(outcome, result.Failure):
-            why = outcome.failure().reason
-        _logger.info('vote handed over' if not why else 'vote kept', why=why)
+            for member in self.node.status().members
+        )
 
     def is_leading(self) -> bool:
         """Return whether this controller is the active leader."""
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -455,9 +455,7 @@
     def _change_domain(self, message: _calls.DomainChange) -> _Reply:
         if not self._may_acknowledge():
             return utils.completed_future(_CONTROLLERS_ARE_JOINING)
-        return self._acknowledge_safely(
-            _domain_orders.change(self._term, message)
-        )
+        return _domain_orders.change(self._term, message)
 
     def _push_document(self) -> None:
         self._documents.announce(self._term.sessions.all())
--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -9,12 +9,15 @@
   promoted, as there are never more than ``voters_count`` voters.
 
 A lost voter is thus removed before its successor votes. If the successor is
-lost as well, no more voters are missing than before.
+lost as well, no more voters are missing than before. A voter is removed only
+for a learner that is not needed to fill another place: with fewer voters, of
+which some are lost, the cell would bear fewer losses.
 """
 
 import collections.abc
 import concurrent.futures
 import dataclasses
+import functools
 import threading
 import typing
 
@@ -39,6 +42,9 @@
 CANDIDATE_EXPIRY_MS = 1_500
 # A controller that stops waits this long for its successor.
 LEAVE_TIMEOUT_MS = 1_500
+# A request to join may arrive this long after its sender has left: it is
+# repeated for JOIN_TIMEOUT_MS of the module ``_membership``.
+LATE_JOIN_MS = 1_000
 # An acknowledgement to an operator waits this long at most until the voters
 # bear the losses that they are meant to bear.
 ACKNOWLEDGEMENT_DELAY_MAX_MS = 1_500
@@ -97,7 +103,10 @@
         ] = {}
         # When this leader first saw a member with its current disk.
         self._seen_ms: dict[tuple[messages.ControllerId, str], int] = {}
+        # When controllers that asked to be replaced were answered.
+        self._left_ms: dict[messages.ControllerId, int] = {}
         self._is_changing = False
+        self._is_closed = False
         # Futures that resolve once no voter has to be replaced, and the ends
         # of their waits.
         self._waiting: list[tuple[int, concurrent.futures.Future[None]]] = []
@@ -122,11 +131,13 @@
         now_ms = _clock.elapsed_ms()
         controller_id = request.controller_id
         with self._lock:
-            known = self._candidates.setdefault(
-                controller_id, _Candidate(request.address, now_ms, now_ms)
-            )
-            known.address = request.address
-            known.last_asked_ms = now_ms
+            left_ms = self._left_ms.get(controller_id)
+            if left_ms is None or now_ms - left_ms > LATE_JOIN_MS:
+                known = self._candidates.setdefault(
+                    controller_id, _Candidate(request.address, now_ms, now_ms)
+                )
+                known.address = request.address
+                known.last_asked_ms = now_ms
         self.check()
         if controller_id in self._member_ids():
             return messages.Done()
@@ -137,9 +148,7 @@
     ) -> 'concurrent.futures.Future[typing.Any]':
         """Replace a controller that stops, if another one can take over.
 
-        The future resolves once it is no voter, or, for the leader itself,
-        once its successor is ready. It fails with CallFailed if there is no
-        successor or the time is up.
+        The future holds a LeaveReply, or CallFailed if the time is up.
         """
         future: concurrent.futures.Future[typing.Any]
         future = concurrent.futures.Future()
@@ -162,8 +171,13 @@
         future: concurrent.futures.Future[None] = concurrent.futures.Future()
         deadline_ms = _clock.elapsed_ms() + ACKNOWLEDGEMENT_DELAY_MAX_MS
         with self._lock:
-            self._waiting.append((deadline_ms, future))
-        self.check()
+            is_closed = self._is_closed
+            if not is_closed:
+                self._waiting.append((deadline_ms, future))
+        if is_closed:
+            future.set_result(None)
+        else:
+            self.check()
         return future
 
     def check(self) -> None:
@@ -188,6 +202,7 @@
         What operators wait for has been applied.
         """
         with self._lock:
+            self._is_closed = True
             leaving = list(self._leaving.values())
             self._leaving.clear()
             waiting, self._waiting = self._waiting, []
@@ -233,27 +248,37 @@
     ) -> list[tuple[concurrent.futures.Future[typing.Any], typing.Any]]:
         """Remove the waits of controllers that need not wait any longer."""
         now_ms = _clock.elapsed_ms()
-        voters = {one.controller_id for one in status.members if one.voter}
-        has_successor = self._has_successor(status)
         answers = []
         for controller_id, (deadline_ms, future) in list(
             self._leaving.items()
         ):
-            answer: typing.Any = None
-            if controller_id not in voters:
-                answer = messages.Done()
-            elif controller_id == status.controller_id:
-                if self._ready_learners(status):
-                    answer = messages.Done()
-            if answer is None and not has_successor:
-                answer = messages.CallFailed('no successor', True)
+            answer = self._answer_to_leaving(controller_id, status)
             if answer is None and now_ms > deadline_ms:
                 answer = messages.CallFailed('not replaced in time', False)
             if answer is not None:
                 del self._leaving[controller_id]
+                self._left_ms[controller_id] = now_ms
                 answers.append((future, answer))
         return answers
 
+    def _answer_to_leaving(
+        self,
+        controller_id: messages.ControllerId,
+        status: consensus.NodeStatus,
+    ) -> typing.Any:
+        """Return the answer to a controller that stops, None for none yet."""
+        voters = [one.controller_id for one in status.members if one.voter]
+        has_successor = self._has_successor(status)
+        if controller_id in voters:
+            if not has_successor:
+                return _calls.LeaveReply(False)
+            if controller_id != status.controller_id:
+                return None
+            is_ready = bool(self._spare_learners(status))
+            return _calls.LeaveReply(True) if is_ready else None
+        is_complete = len(voters) >= self._voters_count
+        return _calls.LeaveReply(True) if is_complete else None
+
     def _take_waiting(
         self, status: consensus.NodeStatus
     ) -> list[concurrent.futures.Future[None]]:
@@ -282,10 +307,25 @@
         )
 
     def _has_successor(self, status: consensus.NodeStatus) -> bool:
-        """Return whether a controller may vote that doesn't vote yet."""
+        """Return whether a controller may take the place of a voter.
+
+        A learner that fills a place which is free already does not count.
+        """
         learners = [member for member in status.members if not member.voter]
         lost_learners = self._lost(learners, SILENCE_MAX_MS)
-        return bool(self._candidates) or len(learners) > len(lost_learners)
+        spare_count = len(learners) - len(lost_learners)
+        return bool(self._candidates) or spare_count > self._free_count(status)
+
+    def _free_count(self, status: consensus.NodeStatus) -> int:
+        """Return how many voters there are too few."""
+        voters_count = sum(member.voter for member in status.members)
+        return max(0, self._voters_count - voters_count)
+
+    def _spare_learners(
+        self, status: consensus.NodeStatus
+    ) -> list[consensus.MemberStatus]:
+        """Return ready learners beyond those that fill a free place."""
+        return self._ready_learners(status)[self._free_count(status) :]
 
     def _ready_learners(
         self, status: consensus.NodeStatus
@@ -309,7 +349,7 @@
             one for one in lost if one.controller_id != status.controller_id
         ]
         excess_count = len(voters) - self._voters_count
-        if removable and (excess_count > 0 or self._ready_learners(status)):
+        if removable and (excess_count > 0 or self._spare_learners(status)):
             return self._removal(removable)
         candidates = [
             (candidate.first_asked_ms, controller_id)
@@ -368,12 +408,15 @@
                     silent_ms=silent_ms,
                 )
                 done = self._node.remove_member(controller_id)
-        done.add_done_callback(self._on_changed)
+        done.add_done_callback(functools.partial(self._on_changed, change))
 
-    def _on_changed(self, done: typing.Any) -> None:
+    def _on_changed(self, change: _Change, done: typing.Any) -> None:
         outcome = done.result()
         with self._lock:
             self._is_changing = False
+            if isinstance(outcome, result.Failure):
+                # Another one is tried before this one.
+                self._candidates.pop(change.controller_id, None)
         if isinstance(outcome, result.Failure):
             # The next check tries again.
             _logger.info('membership not changed', why=str(outcome.failure()))
--- a/dandeliondrum/jobs/tests/test_voters.py
+++ b/dandeliondrum/jobs/tests/test_voters.py
@@ -20,15 +20,17 @@
 
 def test_a_controller_is_added_while_there_are_too_few(now_ms):
     node = voting_node.SlowNode({'c1': 0, 'c2': 0}, 3)
-    _voters.Voters(node, 3).join(NEW)
-    node.complete_changes()
+    voters = _voters.Voters(node, 3)
+    voters.join(NEW)
+    node.settle(voters)
     assert node.voters == ['c1', 'c2', 'new']
 
 
 def test_a_silent_voter_is_replaced(now_ms):
     node = voting_node.SlowNode({'c1': 0, 'c2': 3_000, 'c3': 100}, 3)
-    _voters.Voters(node, 3).join(NEW)
-    node.complete_changes()
+    voters = _voters.Voters(node, 3)
+    voters.join(NEW)
+    node.settle(voters)
     assert node.voters == ['c1', 'c3', 'new']
 
 
@@ -37,18 +39,19 @@
     node = voting_node.SlowNode({'c1': 0, 'c2': -1, 'c3': 100}, 3)
     voters = _voters.Voters(node, 3)
     voters.join(NEW)
-    node.complete_changes()
+    node.settle(voters)
     assert node.voters == ['c1', 'c2', 'c3']
     now_ms[0] += _voters.SILENCE_MAX_MS + 1
     voters.join(NEW)
-    node.complete_changes()
+    node.settle(voters)
     assert node.voters == ['c1', 'c3', 'new']
 
 
 def test_no_voter_is_replaced_while_all_respond(now_ms):
     node = voting_node.SlowNode({'c1': 0, 'c2': 200, 'c3': 100}, 3)
-    reply = _voters.Voters(node, 3).join(NEW)
-    node.complete_changes()
+    voters = _voters.Voters(node, 3)
+    reply = voters.join(NEW)
+    node.settle(voters)
     assert list(node.silences_ms) == ['c1', 'c2', 'c3']
     assert reply.not_done
 
--- a/dandeliondrum/jobs/tests/voting_node.py
+++ b/dandeliondrum/jobs/tests/voting_node.py
@@ -7,13 +7,18 @@
 
 from dandeliondrum import consensus
 
+# More than the changes of any test.
+SETTLE_ROUNDS = 20
+
 
 class SlowNode:
     """Consensus node whose membership changes are completed by the test.
 
     They follow the rules of the real one: one at a time in their order, and
-    an addition is complete once the controller is a voter, which it becomes
-    only while there are fewer voters than ``voters_max``.
+    an addition is complete once the controller is a learner or a voter. A
+    learner has no state at first. It is promoted by a change of its own,
+    which follows the one that makes room for it, while there are fewer voters
+    than ``voters_max``.
     """
 
     def __init__(self, silences_ms, voters_max):
@@ -21,6 +26,8 @@
         self.voters_max = voters_max
         self.last_index = 1
         self.learners = []
+        self.unreachable = []
+        self._indexes = dict.fromkeys(self.silences_ms, 1)
         self._queued = collections.deque()
         self._adding = {}
 
@@ -46,7 +53,7 @@
                     name,
                     'disk',
                     name not in self.learners,
-                    1,
+                    self._indexes.get(name, 1),
                     silent_ms,
                     False,
                 )
@@ -65,41 +72,50 @@
         return future
 
     def complete_change(self):
-        """Complete the oldest change, and the promotions that are due."""
+        """Complete the oldest change."""
+        self._indexes = dict.fromkeys(self.silences_ms, 1)
         if not self._queued:
             return
         kind, name, until_voter, future = self._queued.popleft()
-        known = name in self.silences_ms
-        if known == (kind == 'add'):
-            failure = (
-                consensus.ChangeFailure.ALREADY_MEMBER
-                if known
-                else consensus.ChangeFailure.UNKNOWN_MEMBER
-            )
+        failure = self._failure(kind, name)
+        if failure is not None:
             future.set_result(result.Failure(consensus.ChangeError(failure)))
             return
-        if kind == 'remove':
-            del self.silences_ms[name]
-            if name in self.learners:
+        match kind:
+            case 'add':
+                self.silences_ms[name] = self._indexes[name] = 0
+                self.learners.append(name)
+                if until_voter:
+                    self._adding[name] = future
+            case 'remove':
+                del self.silences_ms[name]
+                if name in self.learners:
+                    self.learners.remove(name)
+            case 'promote':
                 self.learners.remove(name)
-        else:
-            self.silences_ms[name] = 0
-            self.learners.append(name)
-            if until_voter:
-                self._adding[name] = future
-        self._promote()
-        if kind == 'remove' or not until_voter:
+        self._promote_next()
+        if kind != 'add' or not until_voter:
             future.set_result(result.Success(None))
 
-    def complete_changes(self):
-        """Complete all changes, and those that follow from them."""
-        while self._queued:
+    def settle(self, voters):
+        """Complete all changes, with checks of the leader between them."""
+        for _ in range(SETTLE_ROUNDS):
             self.complete_change()
+            voters.check()
 
-    def _promote(self):
-        for name in list(self.learners):
-            if len(self.voters) < self.voters_max:
-                self.learners.remove(name)
-                future = self._adding.pop(name, None)
-                if future is not None:
-                    future.set_result(result.Success(None))
+    def _failure(self, kind, name):
+        known = name in self.silences_ms
+        if kind == 'add' and known:
+            return consensus.ChangeFailure.ALREADY_MEMBER
+        if kind == 'add' and name in self.unreachable:
+            return consensus.ChangeFailure.UNREACHABLE
+        if kind == 'remove' and not known:
+            return consensus.ChangeFailure.UNKNOWN_MEMBER
+        return None
+
+    def _promote_next(self):
+        """Queue the promotion of a learner before all other changes."""
+        if self.learners and len(self.voters) < self.voters_max:
+            name = self.learners[0]
+            promoted = self._adding.pop(name, concurrent.futures.Future())
+            self._queued.appendleft(('promote', name, True, promoted))
