Let mypy check how a controller starts its leadership

The function that imports the leadership on use returned the module, whose names are not checked. It returns the class now. No change at run time; mypy reports no issue.

--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -6,7 +6,6 @@
 import dataclasses
 import pathlib
 import threading
-import types
 import typing
 
 from returns import result
@@ -174,7 +173,7 @@
 
     def on_leading(self, term: messages.Term) -> None:
         """Start leading; called by the consensus node when it is elected."""
-        leadership = _load_leadership().Leadership(
+        leadership = _load_leadership()(
             self._options.leader,
             term,
             self.state,
@@ -380,8 +379,8 @@
             leadership.disconnected(connection)
 
 
-def _load_leadership() -> types.ModuleType:
+def _load_leadership() -> 'type[_leadership.Leadership]':
     """Import the scheduler and the rest that only a leader needs."""
     from dandeliondrum.jobs import _leadership
 
-    return _leadership
+    return _leadership.Leadership
