core_losses: the last fault meets a voter that is to be admitted

Cause: most drawn schedules ended with a fault that leaves the voters as they are, so the last one met a cell whose voters were all there.

Change: the fault before the last one is a lost disk, two, or a replacement.

--- a/dandeliondrum/testing/_losses_schedule.py
+++ b/dandeliondrum/testing/_losses_schedule.py
@@ -32,6 +32,15 @@
     ADD = 'added'
 
 
+# After these a voter has to be admitted or readmitted.
+ADMITTING_KINDS = (
+    Kind.WIPE,
+    Kind.WIPE_TWO,
+    Kind.REPLACE,
+    Kind.REPLACE_PLANNED,
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Fault:
     """A fault, how long it lasts, and the time until the next one.
@@ -91,8 +100,11 @@
                 rng.uniform(*PAUSE_S),
             )
         )
-    # The last fault of all follows as soon as it may.
-    faults[-1] = dataclasses.replace(faults[-1], pause_s=0.0)
+    # The last fault of all meets one that leaves a voter to be admitted, as
+    # soon as it may.
+    faults[-1] = dataclasses.replace(
+        faults[-1], kind=rng.choice(ADMITTING_KINDS), pause_s=0.0
+    )
     if rng.random() < ADDITION_SHARE:
         # Spare controllers are few.
         faults.insert(rng.randrange(len(faults)), Fault(Kind.ADD))
