Delay acknowledgements until a learner fills a free place

Cause, found on reading: once a lost voter was removed, or a voter's lost disk made it a learner, nothing counted as being replaced until the learner voted, since the one learner was not a spare one. The cell bears one loss less meanwhile.

Change: a free place with a learner or a candidate for it counts. A controller that asks an ended term for a replacement is answered.

Measured: the new test fails before; test_replaced_voters.py, test_voters.py and test_leadership.py pass.

--- a/dandeliondrum/jobs/_voters.py
+++ b/dandeliondrum/jobs/_voters.py
@@ -56,6 +56,8 @@
 
 _logger = structlog.get_logger()
 
+_NO_LONGER_LEADING = messages.CallFailed('no longer the leader', True)
+
 
 @dataclasses.dataclass(slots=True)
 class _Candidate:
@@ -154,11 +156,16 @@
         future = concurrent.futures.Future()
         deadline_ms = _clock.elapsed_ms() + LEAVE_TIMEOUT_MS
         with self._lock:
-            self._candidates.pop(request.controller_id, None)
-            _, future = self._leaving.setdefault(
-                request.controller_id, (deadline_ms, future)
-            )
-        self.check()
+            is_closed = self._is_closed
+            if not is_closed:
+                self._candidates.pop(request.controller_id, None)
+                _, future = self._leaving.setdefault(
+                    request.controller_id, (deadline_ms, future)
+                )
+        if is_closed:
+            future.set_result(_NO_LONGER_LEADING)
+        else:
+            self.check()
         return future
 
     def wait_for_replacements(self) -> 'concurrent.futures.Future[None]':
@@ -207,9 +214,7 @@
             self._leaving.clear()
             waiting, self._waiting = self._waiting, []
         for _, future in leaving:
-            future.set_result(
-                messages.CallFailed('no longer the leader', True)
-            )
+            future.set_result(_NO_LONGER_LEADING)
         for _, applied in waiting:
             applied.set_result(None)
 
@@ -299,22 +304,26 @@
 
     def _is_replacing(self, status: consensus.NodeStatus) -> bool:
         """Return whether a voter is missing that another one can replace."""
+        if self._is_changing:
+            return True
+        if self._free_count(status):
+            return bool(self._candidates) or self._live_learners(status) > 0
         voters = [member for member in status.members if member.voter]
         lost = self._lost(voters, SUSPICION_MS)
-        return self._is_changing or (
-            self._has_successor(status)
-            and (bool(lost) or len(voters) < self._voters_count)
-        )
+        return bool(lost) and self._has_successor(status)
 
     def _has_successor(self, status: consensus.NodeStatus) -> bool:
         """Return whether a controller may take the place of a voter.
 
         A learner that fills a place which is free already does not count.
         """
+        spare_count = self._live_learners(status) - self._free_count(status)
+        return bool(self._candidates) or spare_count > 0
+
+    def _live_learners(self, status: consensus.NodeStatus) -> int:
+        """Return the number of learners that are not lost."""
         learners = [member for member in status.members if not member.voter]
-        lost_learners = self._lost(learners, SILENCE_MAX_MS)
-        spare_count = len(learners) - len(lost_learners)
-        return bool(self._candidates) or spare_count > self._free_count(status)
+        return len(learners) - len(self._lost(learners, SILENCE_MAX_MS))
 
     def _free_count(self, status: consensus.NodeStatus) -> int:
         """Return how many voters there are too few."""
--- a/dandeliondrum/jobs/tests/test_replaced_voters.py
+++ b/dandeliondrum/jobs/tests/test_replaced_voters.py
@@ -164,6 +164,18 @@
     assert waiting.done()
 
 
+def test_operators_wait_until_a_learner_fills_a_free_place(now_ms):
+    """Four voters and one that gets the state bear one loss less."""
+    node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
+    voters = _voters.Voters(node, VOTERS_COUNT)
+    node.learners.append('c5')
+    waiting = voters.wait_for_replacements()
+    assert not waiting.done()
+    node.learners.clear()
+    voters.check()
+    assert waiting.done()
+
+
 def test_operators_wait_no_longer_than_the_limit(now_ms):
     node = voting_node.SlowNode(FIVE, VOTERS_COUNT)
     voters = _voters.Voters(node, VOTERS_COUNT)
@@ -216,6 +228,8 @@
     voters.close()
     assert left.result(0).not_done
     assert waiting.done()
+    assert _leave(voters, 'c4').result(0).not_done
+    assert voters.wait_for_replacements().done()
 
 
 def test_a_leaving_voter_does_not_wait_if_nobody_can_take_over(now_ms):
