Don't log a membership that was never changed

Change: an empty membership at the start is not logged. The test reads the last line, which the program prints after all else; the names that it compares are the same.

Measured: test_start.py and test_failover.py pass.

--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -94,7 +94,7 @@
             self.leader_contact_ns = options.started_ns
         self.election_deadline_ns = 0
         self.election_backoff = 1
-        self._reported_membership: _messages.Membership | None = None
+        self._reported_membership = _messages.Membership()
         # Term of the newest election that a leader has requested.
         self.transfer_term = 0
         self._led_term = 0
--- a/dandeliondrum/platform/tests/test_start.py
+++ b/dandeliondrum/platform/tests/test_start.py
@@ -45,14 +45,17 @@
 
 
 def output_of(program):
-    """Return the names that a program prints."""
+    """Return the names in the last line that a program prints.
+
+    It may have logged before.
+    """
     done = subprocess.run(
         [sys.executable, '-c', program],
         capture_output=True,
         check=True,
         timeout=60,
     )
-    return set(json.loads(done.stdout))
+    return set(json.loads(done.stdout.splitlines()[-1]))
 
 
 def test_the_jobs_package_does_not_pull_in_the_http_gateway():
