--- a/dandeliondrum/platform/_links.py
+++ b/dandeliondrum/platform/_links.py
@@ -1,4 +1,4 @@
-"""What the programs share of their links to controllers."""
+"""Options of the links from the programs to controllers."""
 
 from dandeliondrum import jobs
 from dandeliondrum import messages
--- a/dandeliondrum/testing/_losses_schedule.py
+++ b/dandeliondrum/testing/_losses_schedule.py
@@ -19,7 +19,7 @@
 
 
 class Kind(enum.Enum):
-    """What happens to a controller."""
+    """Kind of a fault of a controller."""
 
     KILL = 'killed'
     POWER_LOSS = 'without power'
@@ -106,7 +106,7 @@
         faults[-1], kind=rng.choice(ADMITTING_KINDS), pause_s=0.0
     )
     if rng.random() < ADDITION_SHARE:
-        # Spare controllers are few.
+        # There are few addresses for further controllers.
         faults.insert(rng.randrange(len(faults)), Fault(Kind.ADD))
     wiped_count, kills_others = rng.choice(
         [(2, True), (2, True), (2, True), (2, False), (0, True)]
