--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -182,7 +182,7 @@
     def _remove_segment(self, segment: _segment.Segment) -> None:
         segment.close()
         try:
-            segment.path.unlink()
+            self._files.remove(segment.path)
             self._files.sync_folder(self._folder)
         except OSError as error:
             raise _errors.StorageError(
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -33,15 +33,17 @@
     snapshot: _snapshot.Snapshot | None
 
 
-def lock_folder(folder: pathlib.Path) -> int:
+def lock_folder(files: _files.Files, folder: pathlib.Path) -> int:
     """Lock the data folder for this process and return the lock's descriptor.
 
     Creates the folder if needed. Raises StorageError when another process
     holds the lock, and OSError when the folder can't be created.
     """
-    folder.mkdir(parents=True, exist_ok=True)
+    for created in (*reversed(folder.parents), folder):
+        if not created.is_dir():
+            files.make_folder(created)
     path = folder / LOCK_FILE_NAME
-    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o640)
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, _files.FILE_MODE)
     try:
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError as error:
--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -7,7 +7,6 @@
 """
 
 import contextlib
-import os
 import pathlib
 
 import structlog
@@ -35,9 +34,7 @@
         self.size_bytes = 0
         self._files = files
         self._offsets: list[int] = []
-        self._descriptor = os.open(
-            self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o640
-        )
+        self._descriptor = files.open_for_append(self.path)
 
     @property
     def last_index(self) -> int:
@@ -80,7 +77,7 @@
 
     def close(self) -> None:
         """Close the file."""
-        os.close(self._descriptor)
+        self._files.close(self._descriptor)
 
     def load(self, newest: bool) -> list[_records.Entry]:
         """Read the entries and return them.
@@ -124,7 +121,7 @@
 
     def _truncate_file(self, size_bytes: int) -> None:
         try:
-            os.ftruncate(self._descriptor, size_bytes)
+            self._files.truncate(self._descriptor, size_bytes)
             self._files.sync(self._descriptor)
         except OSError as error:
             raise _errors.StorageError(
--- a/dandeliondrum/consensus/_snapshot.py
+++ b/dandeliondrum/consensus/_snapshot.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import dataclasses
-import os
 import pathlib
 import struct
 import zlib
@@ -99,16 +98,15 @@
         fails.
         """
         path = self._folder / INCOMING_FILE_NAME
-        flags = os.O_WRONLY | os.O_CREAT
-        if offset_bytes == 0:
-            flags |= os.O_TRUNC
-        descriptor = os.open(path, flags, 0o640)
+        descriptor = self._files.open_for_write(
+            path, keeps_data=offset_bytes > 0
+        )
         try:
-            os.lseek(descriptor, offset_bytes, os.SEEK_SET)
+            self._files.seek(descriptor, offset_bytes)
             self._files.write(descriptor, data)
             self._files.sync(descriptor)
         finally:
-            os.close(descriptor)
+            self._files.close(descriptor)
 
     def install_received(self) -> Snapshot | None:
         """Install the received file as the newest snapshot.
@@ -119,10 +117,10 @@
         path = self._folder / INCOMING_FILE_NAME
         snapshot = unpack(path.read_bytes())
         if snapshot is None:
-            path.unlink()
+            self._files.remove(path)
             return None
         target = self._path(snapshot.head.index)
-        path.replace(target)
+        self._files.rename(path, target)
         self._files.sync_folder(self._folder)
         self._delete_older_than(target)
         return snapshot
@@ -141,7 +139,7 @@
         for path in self._paths():
             if path < kept:
                 with contextlib.suppress(OSError):
-                    path.unlink()
+                    self._files.remove(path)
 
 
 def pack(snapshot: Snapshot) -> bytes:
--- a/dandeliondrum/consensus/_threads.py
+++ b/dandeliondrum/consensus/_threads.py
@@ -82,7 +82,8 @@
         StorageError or OSError when the files can't be used.
         """
         folder = self._options.data_folder
-        resources.callback(os.close, _recovery.lock_folder(folder))
+        lock = _recovery.lock_folder(self._files, folder)
+        resources.callback(os.close, lock)
         opened = _recovery.open_files(
             self._options, self._files, self._metrics
         )
