Log what surrounds damage in a log, and why a vote has no reply

"log damaged" and "torn tail cut" now carry the last readable entry, the zeros at the offset and the later batches; "data folder opened" tells how the previous process ended, from the boot id in the lock file; "log loaded" what was read; "votes missing" how calls without a reply ended.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -258,6 +258,11 @@
             pre_vote=ballot.pre_vote,
             granted=sorted(ballot.granted),
             refusals=refusals,
+            failures={
+                member_id: ballot.failures.get(member_id, 'timeout')
+                for member_id, why in refusals.items()
+                if why == _messages.VoteRefusal.NO_REPLY.value
+            },
             quorum=_membership.quorum_count(current),
             membership_index=state.history.index,
             last_index=state.log.last_index,
--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -8,12 +8,16 @@
 import pathlib
 import threading
 
+import structlog
+
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _segment
 
+_logger = structlog.get_logger()
+
 
 class Log:
     """Entries from ``first_index`` to ``last_index``, without gaps.
@@ -205,6 +209,13 @@
             self._segments.append(segment)
             self._entries += segment.load(position == len(segment_files) - 1)
         self._check_terms()
+        _logger.info(
+            'log loaded',
+            first_index=self.first_index,
+            last_index=self.last_index,
+            last_term=self.last_term,
+            files=len(self._segments),
+        )
 
     def _check_terms(self) -> None:
         terms = [entry.term for entry in self._entries]
--- a/dandeliondrum/consensus/_peer.py
+++ b/dandeliondrum/consensus/_peer.py
@@ -273,6 +273,7 @@
                 ballot.refused[self._member_id] = (
                     _messages.VoteRefusal.NO_REPLY
                 )
+                ballot.failures[self._member_id] = _describe_failure(outcome)
             elif reply.granted:
                 ballot.granted.add(self._member_id)
             else:
@@ -283,3 +284,11 @@
                     )
             self._state.election_condition.notify()
         return True
+
+
+def _describe_failure(outcome: result.Result[typing.Any, object]) -> str:
+    match outcome:
+        case result.Failure(transport.CallError(failure, detail)):
+            return f'{failure.value}: {detail}' if detail else failure.value
+        case _:
+            return 'unexpected reply'
--- a/dandeliondrum/consensus/_progress.py
+++ b/dandeliondrum/consensus/_progress.py
@@ -45,7 +45,10 @@
 
 @dataclasses.dataclass
 class Ballot:
-    """A round of vote requests, with the members' answers so far."""
+    """A round of vote requests, with the members' answers so far.
+
+    ``failures`` tells why a call got no answer.
+    """
 
     term: int
     pre_vote: bool
@@ -57,6 +60,9 @@
     refused: dict[messages.ControllerId, _messages.VoteRefusal] = (
         dataclasses.field(default_factory=dict)
     )
+    failures: dict[messages.ControllerId, str] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -1,5 +1,7 @@
 """Recovery of a node's state from its files, with consistency checks."""
 
+import collections.abc
+import contextlib
 import dataclasses
 import fcntl
 import os
@@ -15,6 +17,7 @@
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _previous_run
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _state
 
@@ -33,25 +36,42 @@
     snapshot: _snapshot.Snapshot | None
 
 
-def lock_folder(files: _files.Files, folder: pathlib.Path) -> int:
-    """Lock the data folder for this process and return the lock's descriptor.
+@contextlib.contextmanager
+def lock_folder(
+    files: _files.Files, folder: pathlib.Path
+) -> collections.abc.Iterator[None]:
+    """Create the data folder if needed, and lock it for this process.
 
-    Creates the folder if needed. Raises StorageError when another process
-    holds the lock, and OSError when the folder can't be created.
+    Raises StorageError when another process holds the lock, and OSError when
+    the folder can't be created.
     """
     for created in (*reversed(folder.parents), folder):
         if not created.is_dir():
             files.make_folder(created)
     path = folder / LOCK_FILE_NAME
+    is_new = not path.exists()
     descriptor = os.open(path, os.O_RDWR | os.O_CREAT, _files.FILE_MODE)
+    try:
+        _lock(descriptor, path)
+        previous_end = _previous_run.begin(descriptor, is_new=is_new)
+        _logger.info(
+            'data folder opened',
+            folder=str(folder),
+            previous_end=previous_end.value,
+        )
+        yield
+        _previous_run.end(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _lock(descriptor: int, path: pathlib.Path) -> None:
     try:
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError as error:
-        os.close(descriptor)
         raise _errors.StorageError(
             _errors.StartError('another process uses the folder', str(path))
         ) from error
-    return descriptor
 
 
 def open_files(
--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import logging
 import pathlib
 
 import structlog
@@ -103,15 +104,25 @@
         return entries
 
     def _cut_torn_tail(self, data: bytes, newest: bool, why: str) -> None:
-        if not newest or _has_later_batch(data, self.size_bytes + 1):
-            raise self._make_damage_error(f'damaged record: {why}')
-        _logger.warning(
-            'torn tail cut',
+        later_offsets = _later_batches(data, self.size_bytes + 1)
+        is_damage = not newest or bool(later_offsets)
+        tail = data[self.size_bytes :]
+        _logger.log(
+            logging.ERROR if is_damage else logging.WARNING,
+            'log damaged' if is_damage else 'torn tail cut',
             file=str(self.path),
             offset_bytes=self.size_bytes,
-            cut_bytes=len(data) - self.size_bytes,
+            last_index=self.last_index,
             why=why,
+            cut_bytes=0 if is_damage else len(tail),
+            tail_bytes=len(tail),
+            zero_bytes=len(tail) - len(tail.lstrip(b'\0')),
+            later_batches=len(later_offsets),
+            next_batch_bytes=later_offsets[0] if later_offsets else None,
+            is_newest=newest,
         )
+        if is_damage:
+            raise self._make_damage_error(f'damaged record: {why}')
         self._truncate_file(self.size_bytes)
 
     def _make_damage_error(self, detail: str) -> _errors.StorageError:
@@ -147,12 +158,12 @@
     return _records.parse(data, offset + MARKER_BYTES)
 
 
-def _has_later_batch(data: bytes, offset: int) -> bool:
-    while True:
-        offset = data.find(BATCH_MARKER, offset)
-        if offset < 0:
-            return False
+def _later_batches(data: bytes, offset: int) -> list[int]:
+    """Return the offsets of the readable batches from ``offset`` on."""
+    found = []
+    while (offset := data.find(BATCH_MARKER, offset)) >= 0:
         with contextlib.suppress(_records.RecordError):
             _records.parse(data, offset + MARKER_BYTES)
-            return True
+            found.append(offset)
         offset += 1
+    return found
--- a/dandeliondrum/consensus/_threads.py
+++ b/dandeliondrum/consensus/_threads.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import contextlib
-import os
 import threading
 
 from returns import result
@@ -82,8 +81,7 @@
         StorageError or OSError when the files can't be used.
         """
         folder = self._options.data_folder
-        lock = _recovery.lock_folder(self._files, folder)
-        resources.callback(os.close, lock)
+        resources.enter_context(_recovery.lock_folder(self._files, folder))
         opened = _recovery.open_files(
             self._options, self._files, self._metrics
         )
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+import structlog
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus.tests import harness
@@ -343,3 +344,29 @@
         leader = cluster.bootstrap()
         assert cluster.running[leader].listener is not failed[0]
         cluster.propose(leader, b'served').unwrap()
+
+
+def test_missing_votes_tell_how_the_calls_failed(tmp_path):
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.bootstrap()
+        stopped, silent, candidate = cluster.names
+        cluster.stop(stopped)
+        with structlog.testing.capture_logs() as lines:
+            cluster.isolate(silent)
+            line = harness.wait_for(
+                lambda: next(
+                    (
+                        line
+                        for line in list(lines)
+                        if line['event'] == 'votes missing'
+                        and len(line.get('failures', ())) == 2
+                        and line['granted'] == []
+                        and silent in line['refusals']
+                        and candidate not in line['refusals']
+                    ),
+                    None,
+                ),
+                'a lost ballot',
+            )
+    assert line['failures'][silent].startswith('timeout')
+    assert not line['failures'][stopped].startswith('timeout')
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -4,6 +4,7 @@
 import os
 
 import pytest
+import structlog
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _errors
@@ -12,6 +13,7 @@
 from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _recovery
 from dandeliondrum.consensus.tests import harness
 
 
@@ -105,6 +107,52 @@
     assert caught.value.error.offset_bytes == fourth - 4
 
 
+def test_a_refused_log_tells_what_surrounds_the_damage(tmp_path):
+    entries = make_entries(1, 6)
+    write_batches(tmp_path, entries[:2], entries[2:4], entries[4:])
+    path = newest_file(tmp_path)
+    data = bytearray(path.read_bytes())
+    second = data.index(entries[2].record) - 4
+    third = data.index(entries[4].record) - 4
+    data[second:third] = bytes(third - second)
+    path.write_bytes(data)
+    with structlog.testing.capture_logs() as lines:
+        with pytest.raises(_errors.StorageError):
+            reopen(tmp_path)
+    (line,) = [line for line in lines if line['event'] == 'log damaged']
+    assert line['offset_bytes'] == second
+    assert line['last_index'] == 2
+    assert line['zero_bytes'] == third - second
+    assert line['later_batches'] == 1
+    assert line['next_batch_bytes'] == third
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        (None, 'none'),
+        (b'', 'unknown'),
+        (b'closed', 'closed'),
+        (b'of another boot', 'rebooted'),
+        ('as it was', 'killed'),
+    ],
+)
+def test_the_end_of_the_previous_process_is_logged(tmp_path, text, expected):
+    files = _files.Files()
+    path = tmp_path / _recovery.LOCK_FILE_NAME
+    with _recovery.lock_folder(files, tmp_path):
+        as_it_was = path.read_bytes()
+    path.unlink()
+    if text is not None:
+        path.write_bytes(as_it_was if text == 'as it was' else text)
+    with structlog.testing.capture_logs() as lines:
+        with _recovery.lock_folder(files, tmp_path):
+            pass
+    (line,) = [line for line in lines if line['event'] == 'data folder opened']
+    assert line['previous_end'] == expected
+    assert path.read_bytes() == b'closed'
+
+
 def test_damage_at_the_end_of_an_older_file_is_refused(tmp_path, monkeypatch):
     monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
     write_batches(tmp_path, make_entries(1, 2), make_entries(3, 4))
