State in the log up to where it was synced

After a loss of power a controller refused its log with "damaged record: missing record marker": a later batch was readable, and the log took it as a proof that the earlier one had been synced. But a work batch of the writer may append several times before one sync, so after a loss of power a later append may be present and an earlier one not.

Each append now begins with a header that states its own offset and how many bytes of the file had been synced when it was written. What is unreadable is damage only below such a boundary; above, it is cut. Logs of earlier versions still load: their batches state what they did before.

--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -1,14 +1,21 @@
 """Segment files of the log.
 
-A marker precedes each record. The first record of a batch, which is synced as
-a whole, has a different marker, so that a torn write can be told from damage.
-An unreadable record is part of a torn write if no later batch follows, since a
-batch is written only after the previous one has been synced.
+Each append writes a batch: a header and its records, each with a marker. The
+header states up to which offset the file was synced when the batch was
+written. After a loss of power the writes since the last sync are present,
+missing or torn, each by itself; so what is unreadable is damage only below
+an offset that a header states, and else the beginning of what is cut.
+
+Batches of earlier versions have no header, and their first record has a marker
+of its own. They were written only after the previous ones had been synced.
 """
 
+import collections.abc
 import contextlib
 import logging
 import pathlib
+import struct
+import zlib
 
 import structlog
 
@@ -16,9 +23,16 @@
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _records
 
-BATCH_MARKER = b'\xd7DDb'
-INNER_RECORD_MARKER = b'\xd7DDi'
+HEADER_MARKER = b'\xd7DDh'
+RECORD_MARKER = b'\xd7DDi'
+# Marks the first record of a batch of earlier versions.
+OLD_BATCH_MARKER = b'\xd7DDb'
 MARKER_BYTES = 4
+# The header's own offset in the file, and the synced bytes, after the marker
+# and a checksum.
+_HEADER = struct.Struct('>QQ')
+_CHECKSUM_BYTES = 4
+HEADER_BYTES = MARKER_BYTES + _CHECKSUM_BYTES + _HEADER.size
 FILE_NAME_PREFIX = 'log-'
 
 _logger = structlog.get_logger()
@@ -34,6 +48,8 @@
         self.path = folder / f'{FILE_NAME_PREFIX}{first_index:020}'
         self.size_bytes = 0
         self._files = files
+        self._synced_bytes = 0
+        # An entry that begins a batch begins at the header.
         self._offsets: list[int] = []
         self._descriptor = files.open_for_append(self.path)
 
@@ -49,14 +65,15 @@
         truncated and synced. Raises StorageError when that fails too; the
         file must then no longer be used.
         """
-        parts = []
+        parts = [_pack_header(self.size_bytes, self._synced_bytes)]
         offsets = []
-        size_bytes = self.size_bytes
-        for position, entry in enumerate(entries):
-            parts.append(INNER_RECORD_MARKER if position else BATCH_MARKER)
-            parts.append(entry.record)
-            offsets.append(size_bytes)
+        end_bytes = self.size_bytes
+        size_bytes = end_bytes + HEADER_BYTES
+        for entry in entries:
+            parts += [RECORD_MARKER, entry.record]
+            offsets.append(end_bytes)
             size_bytes += MARKER_BYTES + len(entry.record)
+            end_bytes = size_bytes
         try:
             self._files.write(self._descriptor, b''.join(parts))
         except OSError:
@@ -68,6 +85,7 @@
     def sync(self) -> None:
         """Flush all appended entries to the disk and wait for it."""
         self._files.sync(self._descriptor)
+        self._synced_bytes = self.size_bytes
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry at ``index`` and all entries after it."""
@@ -83,16 +101,16 @@
     def load(self, newest: bool) -> list[_records.Entry]:
         """Read the entries and return them.
 
-        A torn write at the end is truncated when this is the newest segment.
-        Raises StorageError for any other damage.
+        In the newest segment, what no sync has covered is cut from the first
+        unreadable entry on. Raises StorageError for any other damage.
         """
         data = self.path.read_bytes()
         entries: list[_records.Entry] = []
         while self.size_bytes < len(data):
             try:
-                entry = _parse_record(data, self.size_bytes)
+                entry, end_bytes = _parse_entry(data, self.size_bytes)
             except _records.RecordError as error:
-                self._cut_torn_tail(data, newest, str(error))
+                self._cut_unsynced(data, newest, str(error))
                 break
             if entry.index != self.last_index + 1:
                 raise self._make_damage_error(
@@ -100,12 +118,13 @@
                 )
             entries.append(entry)
             self._offsets.append(self.size_bytes)
-            self.size_bytes += MARKER_BYTES + len(entry.record)
+            self.size_bytes = end_bytes
         return entries
 
-    def _cut_torn_tail(self, data: bytes, newest: bool, why: str) -> None:
-        later_offsets = _later_batches(data, self.size_bytes + 1)
-        is_damage = not newest or bool(later_offsets)
+    def _cut_unsynced(self, data: bytes, newest: bool, why: str) -> None:
+        later = dict(_later_batches(data, self.size_bytes + 1))
+        synced_bytes = max(later.values(), default=0)
+        is_damage = not newest or synced_bytes > self.size_bytes
         tail = data[self.size_bytes :]
         _logger.log(
             logging.ERROR if is_damage else logging.WARNING,
@@ -117,8 +136,9 @@
             cut_bytes=0 if is_damage else len(tail),
             tail_bytes=len(tail),
             zero_bytes=len(tail) - len(tail.lstrip(b'\0')),
-            later_batches=len(later_offsets),
-            next_batch_bytes=later_offsets[0] if later_offsets else None,
+            later_batches=len(later),
+            next_batch_bytes=min(later, default=None),
+            synced_bytes=synced_bytes,
             is_newest=newest,
         )
         if is_damage:
@@ -134,6 +154,7 @@
         try:
             self._files.truncate(self._descriptor, size_bytes)
             self._files.sync(self._descriptor)
+            self._synced_bytes = size_bytes
         except OSError as error:
             raise _errors.StorageError(
                 _errors.StartError(
@@ -151,19 +172,58 @@
     return sorted(found)
 
 
-def _parse_record(data: bytes, offset: int) -> _records.Entry:
+def _pack_header(offset_bytes: int, synced_bytes: int) -> bytes:
+    fields = _HEADER.pack(offset_bytes, synced_bytes)
+    checksum = zlib.crc32(fields).to_bytes(_CHECKSUM_BYTES, 'big')
+    return HEADER_MARKER + checksum + fields
+
+
+def _parse_header(data: bytes, offset: int) -> int:
+    """Return the synced bytes that the header of a batch states.
+
+    Raises RecordError for bytes that are not the header of a batch at this
+    offset, such as the same bytes in a command.
+    """
+    header = data[offset : offset + HEADER_BYTES]
+    if not header.startswith(HEADER_MARKER):
+        raise _records.RecordError('missing record marker')
+    if len(header) < HEADER_BYTES:
+        raise _records.RecordError('incomplete batch header')
+    own_offset, synced_bytes = _HEADER.unpack(header[-_HEADER.size :])
+    if header != _pack_header(offset, synced_bytes) or own_offset != offset:
+        raise _records.RecordError('checksum of batch header does not match')
+    return synced_bytes
+
+
+def _parse_entry(data: bytes, offset: int) -> tuple[_records.Entry, int]:
+    """Return the entry at an offset, and the offset after it."""
     marker = data[offset : offset + MARKER_BYTES]
-    if marker not in (BATCH_MARKER, INNER_RECORD_MARKER):
+    if marker == HEADER_MARKER:
+        _parse_header(data, offset)
+        offset += HEADER_BYTES
+        marker = data[offset : offset + MARKER_BYTES]
+        if marker != RECORD_MARKER:
+            raise _records.RecordError('missing record marker')
+    elif marker not in (RECORD_MARKER, OLD_BATCH_MARKER):
         raise _records.RecordError('missing record marker')
-    return _records.parse(data, offset + MARKER_BYTES)
+    entry = _records.parse(data, offset + MARKER_BYTES)
+    return entry, offset + MARKER_BYTES + len(entry.record)
 
 
-def _later_batches(data: bytes, offset: int) -> list[int]:
-    """Return the offsets of the readable batches from ``offset`` on."""
-    found = []
-    while (offset := data.find(BATCH_MARKER, offset)) >= 0:
-        with contextlib.suppress(_records.RecordError):
-            _records.parse(data, offset + MARKER_BYTES)
-            found.append(offset)
-        offset += 1
-    return found
+def _later_batches(
+    data: bytes, offset: int
+) -> collections.abc.Iterator[tuple[int, int]]:
+    """Yield the offsets of batches, and the synced bytes that each states."""
+    for marker in (HEADER_MARKER, OLD_BATCH_MARKER):
+        found = data.find(marker, offset)
+        while found >= 0:
+            try:
+                if marker == HEADER_MARKER:
+                    yield found, _parse_header(data, found)
+                else:
+                    _records.parse(data, found + MARKER_BYTES)
+                    yield found, found
+            except _records.RecordError:
+                # The same bytes may occur in a command.
+                pass
+            found = data.find(marker, found + 1)
