Sync the entries that a killed process left before they count

A process that was killed between write and sync leaves entries in the page cache.

The log syncs the newest segment when it is loaded. Older segments are synced before the next one is created.

--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -22,8 +22,8 @@
 class Log:
     """Entries from ``first_index`` to ``last_index``, without gaps.
 
-    The constructor loads the files and raises StorageError when they are
-    damaged.
+    The constructor loads the files, and syncs what a killed process may have
+    written without a sync. It raises StorageError when they are damaged.
     """
 
     def __init__(self, files: _files.Files, folder: pathlib.Path) -> None:
@@ -209,6 +209,9 @@
             self._segments.append(segment)
             self._entries += segment.load(position == len(segment_files) - 1)
         self._check_terms()
+        # A segment is synced before the next one is created.
+        self._has_unsynced = bool(self._segments)
+        self.sync()
         _logger.info(
             'log loaded',
             first_index=self.first_index,
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -143,6 +143,23 @@
     assert line['synced_bytes'] == third
 
 
+def test_damage_below_a_sync_is_refused_whatever_follows(tmp_path):
+    """Only the last header that can be read tells of the sync."""
+    entries = make_entries(1, 8)
+    write_batches(tmp_path, *(entries[at : at + 2] for at in (0, 2, 4)))
+    with_unsynced = _log.Log(_files.Files(), tmp_path)
+    with_unsynced.append(entries[6:7])
+    with_unsynced.append(entries[7:])
+    with_unsynced.close()
+    path = newest_file(tmp_path)
+    data = path.read_bytes()
+    flip_byte(path, data.index(entries[2].record))
+    flip_byte(path, data.index(entries[4].record) - BATCH_HEAD_BYTES)
+    flip_byte(path, data.index(entries[6].record))
+    with pytest.raises(_errors.StorageError):
+        reopen(tmp_path)
+
+
 def test_a_log_of_an_earlier_version_is_loaded_and_continued(tmp_path):
     entries = make_entries(1, 9)
     write_old_batches(tmp_path, entries[:3], entries[3:4])
@@ -158,7 +175,7 @@
     assert reopen(tmp_path).last_index == 3
 
 
-@pytest.mark.parametrize('later', ['earlier version'])
+@pytest.mark.parametrize('later', ['earlier version', 'this version'])
 def test_damage_in_a_log_of_an_earlier_version_is_refused(tmp_path, later):
     entries = make_entries(1, 6)
     if later == 'this version':
