Sync the names of the data folder and its files at each start

The data folder was created without a sync of the folder above, so a loss of power after the first start could take all of it, with the votes and entries that the node had acknowledged.

A new folder's name and those of its parents, up to the mount point, are synced before the identity is stored; and the folder itself at each start.

--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -45,14 +45,14 @@
     Raises StorageError when another process holds the lock, and OSError when
     the folder can't be created.
     """
-    for created in (*reversed(folder.parents), folder):
-        if not created.is_dir():
-            files.make_folder(created)
+    _make_folder(files, folder)
     path = folder / LOCK_FILE_NAME
     is_new = not path.exists()
     descriptor = os.open(path, os.O_RDWR | os.O_CREAT, _files.FILE_MODE)
     try:
         _lock(descriptor, path)
+        # A killed process may have left names that were not synced.
+        files.sync_folder(folder)
         previous_end = _previous_run.begin(descriptor, is_new=is_new)
         _logger.info(
             'data folder opened',
@@ -65,6 +65,31 @@
         os.close(descriptor)
 
 
+def _make_folder(files: _files.Files, folder: pathlib.Path) -> None:
+    """Create a folder with its parents, and sync their names.
+
+    The names are synced until the folder has an identity, which is stored
+    after them.
+    """
+    path = folder.absolute()
+    created = [one for one in (path, *path.parents) if not one.is_dir()]
+    for one in reversed(created):
+        files.make_folder(one)
+    if (path / _hard_state.IDENTITY_FILE_NAME).exists():
+        return
+    for one in (path, *path.parents):
+        if os.path.ismount(one):
+            return
+        try:
+            files.sync_folder(one.parent)
+        except OSError as error:
+            if one in created:
+                raise
+            # Who created this folder may not allow reading the one above.
+            _logger.debug('folder not synced', why=str(error))
+            return
+
+
 def _lock(descriptor: int, path: pathlib.Path) -> None:
     try:
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
