Remove a log file whose name could not be synced

When the sync of the folder failed after a new log file had been created, the append failed but the empty file stayed. After a truncation by a new leader the next segment began before it, and the next start was refused with "entry is missing".

The file is removed before the append fails. The test failed before.

--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -178,7 +178,12 @@
         segment = _segment.Segment(
             self._files, self._folder, self.last_index + 1
         )
-        self._files.sync_folder(self._folder)
+        try:
+            self._files.sync_folder(self._folder)
+        except OSError:
+            # The next segment may begin at another entry.
+            self._remove_segment(segment)
+            raise
         self._start_segment_next = False
         self._segments.append(segment)
         return segment
