--- a/dandeliondrum/consensus/_snapshot_receiver.py
+++ b/dandeliondrum/consensus/_snapshot_receiver.py
@@ -53,12 +53,14 @@
         with state.lock:
             if self._state.log.term_at(head.index) == head.term:
                 self._state.log.compact(head.index)
+                # Later entries of this batch of work may not be synced yet.
+                state.synced_index = max(state.synced_index, head.index)
             else:
                 self._state.log.reset(head.index, head.term)
+                state.synced_index = head.index
                 state.history = _membership.MembershipHistory(
                     head.index, head.membership
                 )
-            state.synced_index = self._state.log.last_index
             state.commit_index = head.index
             state.snapshot_index = head.index
             state.snapshot_to_restore = snapshot
--- a/dandeliondrum/consensus/tests/test_requests.py
+++ b/dandeliondrum/consensus/tests/test_requests.py
@@ -169,3 +169,17 @@
 def test_a_part_of_a_snapshot_out_of_order_is_refused(follower):
     reply = send_snapshot(follower, b'part', offset_bytes=100)
     assert reply.outcome is _messages.Outcome.MISMATCH
+
+
+def test_a_snapshot_does_not_count_entries_that_are_not_synced(follower):
+    state = state_of(follower)
+    send(follower, [1, 1, 1])
+    packed = _snapshot.pack(
+        _snapshot.Snapshot(
+            _snapshot.SnapshotHead(2, 1, _messages.Membership()), b'state'
+        )
+    )
+    send_snapshot(follower, packed, index=2)
+    assert state.snapshot_index == 2
+    assert state.log.last_index == 3
+    assert state.synced_index == 2
