Merge the fix of logs refused after a loss of power

The log now states up to where it was synced, loaded entries and names are synced before they count.

--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -8,18 +8,22 @@
 import pathlib
 import threading
 
+import structlog
+
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _segment
 
+_logger = structlog.get_logger()
+
 
 class Log:
     """Entries from ``first_index`` to ``last_index``, without gaps.
 
-    The constructor loads the files and raises StorageError when they are
-    damaged.
+    The constructor loads the files, and syncs what a killed process may have
+    written without a sync. It raises StorageError when they are damaged.
     """
 
     def __init__(self, files: _files.Files, folder: pathlib.Path) -> None:
@@ -174,7 +178,12 @@
         segment = _segment.Segment(
             self._files, self._folder, self.last_index + 1
         )
-        self._files.sync_folder(self._folder)
+        try:
+            self._files.sync_folder(self._folder)
+        except OSError:
+            # The next segment may begin at another entry.
+            self._remove_segment(segment)
+            raise
         self._start_segment_next = False
         self._segments.append(segment)
         return segment
@@ -182,7 +191,7 @@
     def _remove_segment(self, segment: _segment.Segment) -> None:
         segment.close()
         try:
-            segment.path.unlink()
+            self._files.remove(segment.path)
             self._files.sync_folder(self._folder)
         except OSError as error:
             raise _errors.StorageError(
@@ -205,6 +214,16 @@
             self._segments.append(segment)
             self._entries += segment.load(position == len(segment_files) - 1)
         self._check_terms()
+        # A segment is synced before the next one is created.
+        self._has_unsynced = bool(self._segments)
+        self.sync()
+        _logger.info(
+            'log loaded',
+            first_index=self.first_index,
+            last_index=self.last_index,
+            last_term=self.last_term,
+            files=len(self._segments),
+        )
 
     def _check_terms(self) -> None:
         terms = [entry.term for entry in self._entries]
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -1,5 +1,7 @@
 """Recovery of a node's state from its files, with consistency checks."""
 
+import collections.abc
+import contextlib
 import dataclasses
 import fcntl
 import os
@@ -15,6 +17,7 @@
 from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _metrics
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _previous_run
 from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus import _state
 
@@ -33,23 +36,67 @@
     snapshot: _snapshot.Snapshot | None
 
 
-def lock_folder(folder: pathlib.Path) -> int:
-    """Lock the data folder for this process and return the lock's descriptor.
+@contextlib.contextmanager
+def lock_folder(
+    files: _files.Files, folder: pathlib.Path
+) -> collections.abc.Iterator[None]:
+    """Create the data folder if needed, and lock it for this process.
 
-    Creates the folder if needed. Raises StorageError when another process
-    holds the lock, and OSError when the folder can't be created.
+    Raises StorageError when another process holds the lock, and OSError when
+    the folder can't be created.
     """
-    folder.mkdir(parents=True, exist_ok=True)
+    _make_folder(files, folder)
     path = folder / LOCK_FILE_NAME
-    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o640)
+    is_new = not path.exists()
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, _files.FILE_MODE)
+    try:
+        _lock(descriptor, path)
+        # A killed process may have left names that were not synced.
+        files.sync_folder(folder)
+        previous_end = _previous_run.begin(descriptor, is_new=is_new)
+        _logger.info(
+            'data folder opened',
+            folder=str(folder),
+            previous_end=previous_end.value,
+        )
+        yield
+        _previous_run.end(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _make_folder(files: _files.Files, folder: pathlib.Path) -> None:
+    """Create a folder with its parents, and sync their names.
+
+    The names are synced until the folder has an identity, which is stored
+    after them.
+    """
+    path = folder.absolute()
+    created = [one for one in (path, *path.parents) if not one.is_dir()]
+    for one in reversed(created):
+        files.make_folder(one)
+    if (path / _hard_state.IDENTITY_FILE_NAME).exists():
+        return
+    for one in (path, *path.parents):
+        if os.path.ismount(one):
+            return
+        try:
+            files.sync_folder(one.parent)
+        except OSError as error:
+            if one in created:
+                raise
+            # Who created this folder may not allow reading the one above.
+            _logger.debug('folder not synced', why=str(error))
+            return
+
+
+def _lock(descriptor: int, path: pathlib.Path) -> None:
     try:
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError as error:
-        os.close(descriptor)
         raise _errors.StorageError(
             _errors.StartError('another process uses the folder', str(path))
         ) from error
-    return descriptor
 
 
 def open_files(
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -4,6 +4,7 @@
 import os
 
 import pytest
+import structlog
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _errors
@@ -12,8 +13,13 @@
 from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _recovery
+from dandeliondrum.consensus import _segment
 from dandeliondrum.consensus.tests import harness
 
+# What precedes the first record of a batch.
+BATCH_HEAD_BYTES = _segment.HEADER_BYTES + _segment.MARKER_BYTES
+
 
 class LimitedDisk(_files.Files):
     """Disk that is full after ``writable_bytes``; None is no limit."""
@@ -50,6 +56,15 @@
     log.close()
 
 
+def write_old_batches(folder, *batches):
+    """Write a log in the format of earlier versions."""
+    with (folder / 'log-00000000000000000001').open('wb') as file:
+        for batch in batches:
+            for position, entry in enumerate(batch):
+                file.write(b'\xd7DDi' if position else b'\xd7DDb')
+                file.write(entry.record)
+
+
 def reopen(folder):
     log = _log.Log(_files.Files(), folder)
     log.close()
@@ -105,6 +120,101 @@
     assert caught.value.error.offset_bytes == fourth - 4
 
 
+def test_a_refused_log_tells_what_surrounds_the_damage(tmp_path):
+    entries = make_entries(1, 6)
+    write_batches(tmp_path, entries[:2], entries[2:4], entries[4:])
+    path = newest_file(tmp_path)
+    data = bytearray(path.read_bytes())
+    second, third = (
+        data.index(entries[position].record) - BATCH_HEAD_BYTES
+        for position in (2, 4)
+    )
+    data[second:third] = bytes(third - second)
+    path.write_bytes(data)
+    with structlog.testing.capture_logs() as lines:
+        with pytest.raises(_errors.StorageError):
+            reopen(tmp_path)
+    (line,) = [line for line in lines if line['event'] == 'log damaged']
+    assert line['offset_bytes'] == second
+    assert line['last_index'] == 2
+    assert line['zero_bytes'] == third - second
+    assert line['later_batches'] == 1
+    assert line['next_batch_bytes'] == third
+    assert line['synced_bytes'] == third
+
+
+def test_damage_below_a_sync_is_refused_whatever_follows(tmp_path):
+    """Only the last header that can be read tells of the sync."""
+    entries = make_entries(1, 8)
+    write_batches(tmp_path, *(entries[at : at + 2] for at in (0, 2, 4)))
+    with_unsynced = _log.Log(_files.Files(), tmp_path)
+    with_unsynced.append(entries[6:7])
+    with_unsynced.append(entries[7:])
+    with_unsynced.close()
+    path = newest_file(tmp_path)
+    data = path.read_bytes()
+    flip_byte(path, data.index(entries[2].record))
+    flip_byte(path, data.index(entries[4].record) - BATCH_HEAD_BYTES)
+    flip_byte(path, data.index(entries[6].record))
+    with pytest.raises(_errors.StorageError):
+        reopen(tmp_path)
+
+
+def test_a_log_of_an_earlier_version_is_loaded_and_continued(tmp_path):
+    entries = make_entries(1, 9)
+    write_old_batches(tmp_path, entries[:3], entries[3:4])
+    write_batches(tmp_path, entries[4:6], entries[6:])
+    assert reopen(tmp_path).read(1, 100, 1 << 20) == entries
+
+
+def test_a_torn_tail_of_an_earlier_version_is_cut(tmp_path):
+    entries = make_entries(1, 6)
+    write_old_batches(tmp_path, entries[:2], entries[2:])
+    path = newest_file(tmp_path)
+    flip_byte(path, path.read_bytes().index(entries[3].record))
+    assert reopen(tmp_path).last_index == 3
+
+
+@pytest.mark.parametrize('later', ['earlier version', 'this version'])
+def test_damage_in_a_log_of_an_earlier_version_is_refused(tmp_path, later):
+    entries = make_entries(1, 6)
+    if later == 'this version':
+        write_old_batches(tmp_path, entries[:2], entries[2:4])
+        write_batches(tmp_path, entries[4:])
+    else:
+        write_old_batches(tmp_path, entries[:2], entries[2:4], entries[4:])
+    path = newest_file(tmp_path)
+    flip_byte(path, path.read_bytes().index(entries[2].record))
+    with pytest.raises(_errors.StorageError):
+        reopen(tmp_path)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        (None, 'none'),
+        (b'', 'unknown'),
+        (b'closed', 'closed'),
+        (b'of another boot', 'rebooted'),
+        ('as it was', 'killed'),
+    ],
+)
+def test_the_end_of_the_previous_process_is_logged(tmp_path, text, expected):
+    files = _files.Files()
+    path = tmp_path / _recovery.LOCK_FILE_NAME
+    with _recovery.lock_folder(files, tmp_path):
+        as_it_was = path.read_bytes()
+    path.unlink()
+    if text is not None:
+        path.write_bytes(as_it_was if text == 'as it was' else text)
+    with structlog.testing.capture_logs() as lines:
+        with _recovery.lock_folder(files, tmp_path):
+            pass
+    (line,) = [line for line in lines if line['event'] == 'data folder opened']
+    assert line['previous_end'] == expected
+    assert path.read_bytes() == b'closed'
+
+
 def test_damage_at_the_end_of_an_older_file_is_refused(tmp_path, monkeypatch):
     monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
     write_batches(tmp_path, make_entries(1, 2), make_entries(3, 4))
