Take a controller with a damaged data folder in again

A controller for jobs now asks for the cell's leader. If the leader confirms a quorum, which does without this controller, the folder is set aside, kept, and the controller comes back like one whose disk was lost. Without such a leader nothing is touched: the folder may hold a vote that the cell still needs. After three damaged folders the disk is not trusted any more.

--- a/dandeliondrum/consensus/_errors.py
+++ b/dandeliondrum/consensus/_errors.py
@@ -12,11 +12,14 @@
 
     ``file`` is the path of the affected file or folder, empty when unknown.
     ``offset_bytes`` is the position in the file at which damage begins.
+    ``is_damage`` tells that the files could be read, and that their contents
+    are damaged, incomplete or inconsistent.
     """
 
     detail: str
     file: str = ''
     offset_bytes: int = 0
+    is_damage: bool = False
 
 
 class StorageError(Exception):
--- a/dandeliondrum/consensus/_hard_state.py
+++ b/dandeliondrum/consensus/_hard_state.py
@@ -83,6 +83,8 @@
     checksum = int.from_bytes(data[:_CHECKSUM_BYTES], 'big')
     if not body or zlib.crc32(body) != checksum:
         raise _errors.StorageError(
-            _errors.StartError('checksum does not match', str(path))
+            _errors.StartError(
+                'checksum does not match', str(path), is_damage=True
+            )
         )
     return msgpack.unpackb(body)
--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -204,7 +204,9 @@
             if position and first_index != self.last_index + 1:
                 raise _errors.StorageError(
                     _errors.StartError(
-                        f'entry {self.last_index + 1} is missing', str(path)
+                        f'entry {self.last_index + 1} is missing',
+                        str(path),
+                        is_damage=True,
                     )
                 )
             if not position:
@@ -236,6 +238,8 @@
                 path = self._segments[segment_count - 1].path
                 raise _errors.StorageError(
                     _errors.StartError(
-                        f'the term decreases at entry {index}', str(path)
+                        f'the term decreases at entry {index}',
+                        str(path),
+                        is_damage=True,
                     )
                 )
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -3,6 +3,7 @@
 import collections.abc
 import concurrent.futures
 import contextlib
+import pathlib
 import time
 import typing
 
@@ -21,6 +22,7 @@
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
+from dandeliondrum.consensus import _recovery
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _status
 from dandeliondrum.consensus import _threads
@@ -30,6 +32,25 @@
 from dandeliondrum import transport
 
 
+def set_data_folder_aside(
+    folder: pathlib.Path, files: _files.Files | None = None
+) -> result.Result[pathlib.Path, _errors.StartError]:
+    """Rename a damaged data folder, so that a node can start without it.
+
+    What the node has voted and acknowledged is lost to it then: it must be
+    taken into the cell again, as after the loss of its disk. Returns the new
+    path, or a StartError when the folder is in use or can't be renamed.
+    """
+    try:
+        return result.Success(
+            _recovery.set_folder_aside(files or _files.Files(), folder)
+        )
+    except _errors.StorageError as error:
+        return result.Failure(error.error)
+    except OSError as error:
+        return result.Failure(_errors.StartError(str(error), str(folder)))
+
+
 class Node:
     """Replicates a state machine across the controllers of a cell.
 
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -22,6 +22,8 @@
 from dandeliondrum.consensus import _state
 
 LOCK_FILE_NAME = 'lock'
+# With more damage than this the disk is not to be trusted.
+ASIDE_MAX = 3
 
 _logger = structlog.get_logger()
 
@@ -99,6 +101,32 @@
         ) from error
 
 
+def set_folder_aside(
+    files: _files.Files, folder: pathlib.Path
+) -> pathlib.Path:
+    """Rename a data folder, so that the next start makes an empty one.
+
+    Returns the new path, of which the number at the end is the first one that
+    is free. Raises StorageError when another process uses the folder, or when
+    ASIDE_MAX folders are kept already, and OSError when it can't be renamed.
+    """
+    path = folder.absolute()
+    for number in range(1, ASIDE_MAX + 1):
+        kept = path.with_name(f'{path.name}.damaged-{number}')
+        if not kept.exists():
+            break
+    else:
+        raise _errors.StorageError(
+            _errors.StartError(
+                f'{ASIDE_MAX} damaged folders are kept already', str(folder)
+            )
+        )
+    with lock_folder(files, folder):
+        files.rename(path, kept)
+        files.sync_folder(path.parent)
+    return kept
+
+
 def open_files(
     options: _options.Options,
     files: _files.Files,
@@ -141,6 +169,7 @@
                 f'the log begins at entry {log.first_index} and there is no '
                 'snapshot of the earlier entries',
                 str(options.data_folder),
+                is_damage=True,
             )
         )
     state = _state.NodeState(options, disk_id, log, history, metrics)
@@ -156,7 +185,9 @@
     if identity is None:
         if has_data:
             raise _errors.StorageError(
-                _errors.StartError('log without an identity file', str(path))
+                _errors.StartError(
+                    'log without an identity file', str(path), is_damage=True
+                )
             )
         identity = _hard_state.new_identity(
             options.cell_id, options.controller_id
@@ -183,7 +214,9 @@
     hard_state = _hard_state.load_state(path)
     if hard_state is None:
         raise _errors.StorageError(
-            _errors.StartError('term and vote file is missing', str(path))
+            _errors.StartError(
+                'term and vote file is missing', str(path), is_damage=True
+            )
         )
     return hard_state
 
@@ -201,6 +234,7 @@
                 f'entries {head.index + 1} to {log.first_index - 1} are '
                 'neither in the snapshot nor in the log',
                 str(folder),
+                is_damage=True,
             )
         )
     log.set_base_term(head.index, head.term)
@@ -223,6 +257,7 @@
                 f'the last log entry has term {log.last_term}, but the '
                 f'stored term is {hard_state.term}',
                 str(state.options.data_folder / _hard_state.STATE_FILE_NAME),
+                is_damage=True,
             )
         )
     state.term = hard_state.term
--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -147,7 +147,9 @@
 
     def _make_damage_error(self, detail: str) -> _errors.StorageError:
         return _errors.StorageError(
-            _errors.StartError(detail, str(self.path), self.size_bytes)
+            _errors.StartError(
+                detail, str(self.path), self.size_bytes, is_damage=True
+            )
         )
 
     def _truncate_file(self, size_bytes: int) -> None:
--- a/dandeliondrum/consensus/_snapshot.py
+++ b/dandeliondrum/consensus/_snapshot.py
@@ -78,7 +78,9 @@
         snapshot = unpack(path.read_bytes())
         if snapshot is None:
             raise _errors.StorageError(
-                _errors.StartError('the snapshot is damaged', str(path))
+                _errors.StartError(
+                    'the snapshot is damaged', str(path), is_damage=True
+                )
             )
         return snapshot
 
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -304,6 +304,7 @@
     flip_byte(path, offset)
     error = cluster.launch('c1').failure()
     assert error.file == str(path)
+    assert error.is_damage
 
 
 @pytest.mark.parametrize(
@@ -330,7 +331,26 @@
 def test_start_fails_with_a_folder_in_use(tmp_path):
     with harness.Cluster(tmp_path, 1) as cluster:
         cluster.start()
-        assert 'another process' in cluster.launch('c1').failure().detail
+        error = cluster.launch('c1').failure()
+        assert 'another process' in error.detail
+        assert not error.is_damage
+        kept = consensus.set_data_folder_aside(tmp_path / 'c1')
+        assert 'another process' in kept.failure().detail
+
+
+def test_a_damaged_folder_is_set_aside_a_few_times_only(tmp_path):
+    folder = tmp_path / 'c1'
+    for number in range(1, _recovery.ASIDE_MAX + 1):
+        folder.mkdir()
+        (folder / 'log-1').write_bytes(b'%d' % number)
+        kept = consensus.set_data_folder_aside(folder).unwrap()
+        assert kept.name == f'c1.damaged-{number}'
+        assert (kept / 'log-1').read_bytes() == b'%d' % number
+        assert not folder.exists()
+    folder.mkdir()
+    error = consensus.set_data_folder_aside(folder).failure()
+    assert 'kept already' in error.detail
+    assert folder.exists()
 
 
 def test_start_fails_with_a_folder_of_another_controller(tmp_path):
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -16,6 +16,7 @@
 from dandeliondrum.jobs import _adviser_client
 from dandeliondrum.jobs import _calls
 from dandeliondrum.jobs import _clock
+from dandeliondrum.jobs import _damaged_folder
 from dandeliondrum.jobs import _follower_reports
 from dandeliondrum.jobs import _leader_calls
 from dandeliondrum.jobs import _leader_options
@@ -143,7 +144,7 @@
                 on_call=self._handle_call, on_close=self._disconnected
             ),
         )
-        started = self.node.start()
+        started = self._start_node()
         if isinstance(started, result.Failure):
             server.close()
             self._resources.close()
@@ -162,6 +163,20 @@
         _load_leadership()
         return result.Success(None)
 
+    def _start_node(self) -> result.Result[None, consensus.StartError]:
+        started = self.node.start()
+        if isinstance(started, result.Success):
+            return started
+        error = started.failure()
+        if error.is_damage and _damaged_folder.replace(
+            self._options.data_folder,
+            self._options.link,
+            self._adviser_client,
+            error,
+        ):
+            return self.node.start()
+        return started
+
     def close(self) -> None:
         """Hand over the leadership and the vote if possible, then stop."""
         self._membership.leave()
