Let an earlier version refuse a log of this one

The header of a batch is now a record with index 0 after the marker that earlier versions use for a batch. The test plays the rule of the earlier version.

--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -1,21 +1,20 @@
 """Segment files of the log.
 
-Each append writes a batch: a header and its records, each with a marker. The
-header states up to which offset the file was synced when the batch was
-written. After a loss of power the writes since the last sync are present,
-missing or torn, each by itself; so what is unreadable is damage only below
-an offset that a header states, and else the beginning of what is cut.
-
-Batches of earlier versions have no header, and their first record has a marker
-of its own. They were written only after the previous ones had been synced.
+Each append writes a batch: a header and its entries, each a record after a
+marker. The header states up to which offset the file was synced when the batch
+was written. After a loss of power the writes since the last sync are present,
+missing or torn, each by itself. So unreadable bytes are damage only below an
+offset that a header states; above it, the file is cut at them.
+
+Batches of earlier versions have no header, and the marker of a batch before
+their first entry. They were written only after the previous ones had been
+synced. An earlier version refuses a header as an entry that is out of order.
 """
 
-import collections.abc
 import contextlib
 import logging
 import pathlib
 import struct
-import zlib
 
 import structlog
 
@@ -23,16 +22,14 @@
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _records
 
-HEADER_MARKER = b'\xd7DDh'
-RECORD_MARKER = b'\xd7DDi'
-# Marks the first record of a batch of earlier versions.
-OLD_BATCH_MARKER = b'\xd7DDb'
+BATCH_MARKER = b'\xd7DDb'
+INNER_RECORD_MARKER = b'\xd7DDi'
 MARKER_BYTES = 4
-# The header's own offset in the file, and the synced bytes, after the marker
-# and a checksum.
-_HEADER = struct.Struct('>QQ')
-_CHECKSUM_BYTES = 4
-HEADER_BYTES = MARKER_BYTES + _CHECKSUM_BYTES + _HEADER.size
+# The index of no entry marks the record of a header. Its payload is its own
+# offset in the file, and the synced bytes.
+_HEADER_INDEX = 0
+_HEADER_PAYLOAD = struct.Struct('>QQ')
+HEADER_BYTES = MARKER_BYTES + _records.HEADER_BYTES + _HEADER_PAYLOAD.size
 FILE_NAME_PREFIX = 'log-'
 
 _logger = structlog.get_logger()
@@ -70,7 +67,7 @@
         end_bytes = self.size_bytes
         size_bytes = end_bytes + HEADER_BYTES
         for entry in entries:
-            parts += [RECORD_MARKER, entry.record]
+            parts += [INNER_RECORD_MARKER, entry.record]
             offsets.append(end_bytes)
             size_bytes += MARKER_BYTES + len(entry.record)
             end_bytes = size_bytes
@@ -122,7 +119,7 @@
         return entries
 
     def _cut_unsynced(self, data: bytes, newest: bool, why: str) -> None:
-        later = dict(_later_batches(data, self.size_bytes + 1))
+        later = _later_batches(data, self.size_bytes + 1)
         synced_bytes = max(later.values(), default=0)
         is_damage = not newest or synced_bytes > self.size_bytes
         tail = data[self.size_bytes :]
@@ -175,57 +172,49 @@
 
 
 def _pack_header(offset_bytes: int, synced_bytes: int) -> bytes:
-    fields = _HEADER.pack(offset_bytes, synced_bytes)
-    checksum = zlib.crc32(fields).to_bytes(_CHECKSUM_BYTES, 'big')
-    return HEADER_MARKER + checksum + fields
+    payload = _HEADER_PAYLOAD.pack(offset_bytes, synced_bytes)
+    header = _records.make(_HEADER_INDEX, 0, _records.EntryKind.EMPTY, payload)
+    return BATCH_MARKER + header.record
 
 
-def _parse_header(data: bytes, offset: int) -> int:
-    """Return the synced bytes that the header of a batch states.
+def _parse_batch(data: bytes, offset: int) -> tuple[int, int]:
+    """Return the offset of a batch's first record, and its synced bytes.
 
-    Raises RecordError for bytes that are not the header of a batch at this
+    Raises RecordError for bytes that are not the beginning of a batch at this
     offset, such as the same bytes in a command.
     """
-    header = data[offset : offset + HEADER_BYTES]
-    if not header.startswith(HEADER_MARKER):
+    if not data.startswith(BATCH_MARKER, offset):
         raise _records.RecordError('missing record marker')
-    if len(header) < HEADER_BYTES:
-        raise _records.RecordError('incomplete batch header')
-    own_offset, synced_bytes = _HEADER.unpack(header[-_HEADER.size :])
-    if header != _pack_header(offset, synced_bytes) or own_offset != offset:
-        raise _records.RecordError('checksum of batch header does not match')
-    return synced_bytes
+    record = _records.parse(data, offset + MARKER_BYTES)
+    if record.index != _HEADER_INDEX:
+        return offset, offset
+    if len(record.payload) != _HEADER_PAYLOAD.size:
+        raise _records.RecordError('invalid batch header')
+    own_offset, synced_bytes = _HEADER_PAYLOAD.unpack(record.payload)
+    if own_offset != offset:
+        raise _records.RecordError('batch header of another offset')
+    return offset + HEADER_BYTES, synced_bytes
 
 
 def _parse_entry(data: bytes, offset: int) -> tuple[_records.Entry, int]:
     """Return the entry at an offset, and the offset after it."""
-    marker = data[offset : offset + MARKER_BYTES]
-    if marker == HEADER_MARKER:
-        _parse_header(data, offset)
-        offset += HEADER_BYTES
-        marker = data[offset : offset + MARKER_BYTES]
-        if marker != RECORD_MARKER:
+    begins_batch = data.startswith(BATCH_MARKER, offset)
+    start = offset
+    if begins_batch:
+        offset, _ = _parse_batch(data, offset)
+    has_header = offset > start
+    if has_header or not begins_batch:
+        if not data.startswith(INNER_RECORD_MARKER, offset):
             raise _records.RecordError('missing record marker')
-    elif marker not in (RECORD_MARKER, OLD_BATCH_MARKER):
-        raise _records.RecordError('missing record marker')
     entry = _records.parse(data, offset + MARKER_BYTES)
     return entry, offset + MARKER_BYTES + len(entry.record)
 
 
-def _later_batches(
-    data: bytes, offset: int
-) -> collections.abc.Iterator[tuple[int, int]]:
-    """Yield the offsets of batches, and the synced bytes that each states."""
-    for marker in (HEADER_MARKER, OLD_BATCH_MARKER):
-        found = data.find(marker, offset)
-        while found >= 0:
-            try:
-                if marker == HEADER_MARKER:
-                    yield found, _parse_header(data, found)
-                else:
-                    _records.parse(data, found + MARKER_BYTES)
-                    yield found, found
-            except _records.RecordError:
-                # The same bytes may occur in a command.
-                pass
-            found = data.find(marker, found + 1)
+def _later_batches(data: bytes, offset: int) -> dict[int, int]:
+    """Return the offsets of batches, and the synced bytes that each states."""
+    found = {}
+    while (offset := data.find(BATCH_MARKER, offset)) >= 0:
+        with contextlib.suppress(_records.RecordError):
+            _, found[offset] = _parse_batch(data, offset)
+        offset += 1
+    return found
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -189,6 +189,35 @@
         reopen(tmp_path)
 
 
+def read_as_earlier_version(data, first_index):
+    """Return the index of the first entry that an earlier version refuses.
+
+    It cuts the file at the first unreadable record unless a later record
+    with the marker of a batch can be read.
+    """
+    offset = 0
+    index = first_index
+    while offset < len(data):
+        assert data[offset : offset + 4] in (b'\xd7DDb', b'\xd7DDi'), 'cut'
+        entry = _records.parse(data, offset + 4)
+        if entry.index != index:
+            return index
+        index += 1
+        offset += 4 + len(entry.record)
+    return None
+
+
+@pytest.mark.parametrize('old_count', [0, 3])
+def test_an_earlier_version_refuses_a_log_of_this_one(tmp_path, old_count):
+    """It would cut the log, and the node forget what it has acknowledged."""
+    entries = make_entries(1, 9)
+    if old_count:
+        write_old_batches(tmp_path, entries[:old_count])
+    write_batches(tmp_path, entries[old_count:])
+    data = newest_file(tmp_path).read_bytes()
+    assert read_as_earlier_version(data, 1) == old_count + 1
+
+
 @pytest.mark.parametrize(
     ('text', 'expected'),
     [
