Sync each file of a log at a start, not only the newest

An earlier version could begin a new log file without having synced the entries that a killed process had left in the one before.

All loaded files are synced; those without changes cost little. The test failed before.

--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -107,15 +107,17 @@
         would not prove that the entries are on the disk.
         """
         if self._has_unsynced and self._segments:
-            segment = self._segments[-1]
-            try:
-                segment.sync()
-            except OSError as error:
-                raise _errors.StorageError(
-                    _errors.StartError(f'sync: {error}', str(segment.path))
-                ) from error
+            self._sync_segment(self._segments[-1])
         self._has_unsynced = False
 
+    def _sync_segment(self, segment: _segment.Segment) -> None:
+        try:
+            segment.sync()
+        except OSError as error:
+            raise _errors.StorageError(
+                _errors.StartError(f'sync: {error}', str(segment.path))
+            ) from error
+
     def truncate_from(self, index: int) -> None:
         """Remove the entry at ``index`` and all entries after it."""
         with self._lock:
@@ -216,9 +218,7 @@
             self._segments.append(segment)
             self._entries += segment.load(position == len(segment_files) - 1)
         self._check_terms()
-        # A segment is synced before the next one is created.
-        self._has_unsynced = bool(self._segments)
-        self.sync()
+        self._sync_loaded()
         _logger.info(
             'log loaded',
             first_index=self.first_index,
@@ -227,6 +227,12 @@
             files=len(self._segments),
         )
 
+    def _sync_loaded(self) -> None:
+        # An earlier version may have begun a segment before it had synced
+        # the entries that a killed process left in the one before.
+        for segment in self._segments:
+            self._sync_segment(segment)
+
     def _check_terms(self) -> None:
         terms = [entry.term for entry in self._entries]
         for position in range(1, len(terms)):
--- a/dandeliondrum/consensus/tests/test_power_loss.py
+++ b/dandeliondrum/consensus/tests/test_power_loss.py
@@ -105,6 +105,23 @@
             assert log.last_index == loaded_index
 
 
+def test_entries_of_a_killed_process_are_synced_in_each_file(disk):
+    """An earlier version began another file without a sync of the first."""
+    with disk.open_log() as log:
+        log.append(make_entries(1, 2))
+        log.sync()
+        log.append(make_entries(3, 4))
+        log.compact(0)
+        sync, disk.files.sync = disk.files.sync, lambda _descriptor: None
+        log.append(make_entries(5, 6))
+        disk.files.sync = sync
+    with disk.open_log():
+        pass
+    for files in disk.outcomes():
+        with disk.open_log(files) as log:
+            assert log.last_index == 6
+
+
 def test_a_synced_entry_survives_in_a_file_that_a_killed_process_made(disk):
     with disk.open_log():
         # The process is killed before it syncs the name.
