Keep the end of the previous process over refused starts

A refused start wrote "closed" to the lock file, since the node caught the error inside the stack that closes the folder.

After an exception the file tells what it told before; and it is synced, so that a loss of power soon after a start leaves no older text. The test failed before.

--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -98,17 +98,15 @@
 
         Returns a StartError when the files can't be used.
         """
-        with contextlib.ExitStack() as opened:
-            try:
+        try:
+            with contextlib.ExitStack() as opened:
                 self._threads.open(opened)
-            except _errors.StorageError as error:
-                return result.Failure(error.error)
-            except OSError as error:
-                name = error.filename or self._options.data_folder
-                return result.Failure(
-                    _errors.StartError(str(error), str(name))
-                )
-            self._resources = opened.pop_all()
+                self._resources = opened.pop_all()
+        except _errors.StorageError as error:
+            return result.Failure(error.error)
+        except OSError as error:
+            name = error.filename or self._options.data_folder
+            return result.Failure(_errors.StartError(str(error), str(name)))
         return result.Success(None)
 
     def close(self) -> None:
--- a/dandeliondrum/consensus/_previous_run.py
+++ b/dandeliondrum/consensus/_previous_run.py
@@ -1,9 +1,11 @@
 """How the previous process that used a data folder has ended.
 
-The lock file holds the boot id of the machine while a process uses the
-folder. The file is not synced: what it tells is logged, and decides nothing.
+The lock file holds the boot id of the machine while a process uses the folder.
+It serves diagnosis only: no decision depends on it.
 """
 
+import collections.abc
+import contextlib
 import enum
 import os
 import pathlib
@@ -31,14 +33,27 @@
     UNKNOWN = 'unknown'
 
 
-def begin(descriptor: int, *, is_new: bool) -> PreviousEnd:
-    """Record the use in the locked file; return how the previous one ended.
+@contextlib.contextmanager
+def record(
+    descriptor: int, *, is_new: bool
+) -> collections.abc.Iterator[PreviousEnd]:
+    """Record the use of the locked file; yield how the previous one ended.
 
-    Raises OSError when the file can't be read.
+    After an exception, such as a refused start, the file tells of the previous
+    process as before. Raises OSError when the file can't be read.
     """
     previous = os.pread(descriptor, _TEXT_BYTES_MAX, 0)
     boot_id = _read_boot_id()
     _write(descriptor, boot_id)
+    try:
+        yield _interpret(previous, boot_id, is_new)
+    except BaseException:
+        _write(descriptor, previous)
+        raise
+    _write(descriptor, _CLOSED)
+
+
+def _interpret(previous: bytes, boot_id: bytes, is_new: bool) -> PreviousEnd:
     if previous == _CLOSED:
         return PreviousEnd.CLOSED
     if not previous:
@@ -50,15 +65,11 @@
     return PreviousEnd.REBOOTED
 
 
-def end(descriptor: int) -> None:
-    """Record that the folder is closed."""
-    _write(descriptor, _CLOSED)
-
-
 def _write(descriptor: int, text: bytes) -> None:
     try:
         os.ftruncate(descriptor, 0)
         os.pwrite(descriptor, text, 0)
+        os.fdatasync(descriptor)
     except OSError as error:
         # A node must start on a full disk, too.
         _logger.warning('lock file not written', why=str(error))
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -55,14 +55,13 @@
         _lock(descriptor, path)
         # A killed process may have left names that were not synced.
         files.sync_folder(folder)
-        previous_end = _previous_run.begin(descriptor, is_new=is_new)
-        _logger.info(
-            'data folder opened',
-            folder=str(folder),
-            previous_end=previous_end.value,
-        )
-        yield
-        _previous_run.end(descriptor)
+        with _previous_run.record(descriptor, is_new=is_new) as previous_end:
+            _logger.info(
+                'data folder opened',
+                folder=str(folder),
+                previous_end=previous_end.value,
+            )
+            yield
     finally:
         os.close(descriptor)
 
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -244,6 +244,22 @@
     assert path.read_bytes() == b'closed'
 
 
+def test_a_refused_start_does_not_hide_the_end_of_the_previous_process(
+    tmp_path,
+):
+    cluster = make_stopped_cluster(tmp_path)
+    path = tmp_path / 'c1' / _recovery.LOCK_FILE_NAME
+    path.write_bytes(b'of another boot')
+    flip_byte(tmp_path / 'c1' / _hard_state.STATE_FILE_NAME, 5)
+    for _ in range(2):
+        with structlog.testing.capture_logs() as lines:
+            assert cluster.launch('c1').failure().is_damage
+        opened = [
+            line for line in lines if line['event'] == 'data folder opened'
+        ]
+        assert [line['previous_end'] for line in opened] == ['rebooted']
+
+
 def test_damage_at_the_end_of_an_older_file_is_refused(tmp_path, monkeypatch):
     monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
     write_batches(tmp_path, make_entries(1, 2), make_entries(3, 4))
