Refuse a start when the name of its new folder can't be synced

When a process was killed between the creation of its data folder and the sync of the folder above, the next one ignored a failure of that sync, and a later loss of power could take the folder with what the node had promised.

Only a folder above that may not be read is passed over. The test failed before.

--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -83,10 +83,10 @@
             return
         try:
             files.sync_folder(one.parent)
-        except OSError as error:
+        except PermissionError as error:
+            # The folder is older, and of a user who allows no reading above.
             if one in created:
                 raise
-            # Who created this folder may not allow reading the one above.
             _logger.debug('folder not synced', why=str(error))
             return
 
--- a/dandeliondrum/consensus/tests/test_power_loss.py
+++ b/dandeliondrum/consensus/tests/test_power_loss.py
@@ -141,6 +141,22 @@
         assert disk.open_node(files) == disk_id
 
 
+def test_a_start_fails_while_the_name_of_its_folder_cannot_be_synced(disk):
+    """A killed process has created the folder."""
+    disk.folder.mkdir(parents=True)
+    files = _power_loss.RecordingFiles(disk.root)
+    sync_folder = files.sync_folder
+
+    def fail_above(folder):
+        if folder != disk.folder:
+            raise OSError('no space')
+        sync_folder(folder)
+
+    files.sync_folder = fail_above
+    with pytest.raises(OSError, match='no space'):
+        disk.open_node(files)
+
+
 def test_a_term_that_a_killed_process_stored_is_not_lost_later(disk):
     """Entries of the term would then be newer than the stored term."""
     disk.open_node()
