Move damaged files within the data folder, and found no cell after it

The folder of a controller with damaged files was renamed to a name next to it. A process that may write only to its data folder, as the platform's, can't do that, so that it ended at each start as before. And it kept its settings: with Bootstrap still set it could found a second cell during a split, while the first one served others.

While there is such a folder, the node grants no founding and founds nothing.

--- a/dandeliondrum/consensus/__init__.py
+++ b/dandeliondrum/consensus/__init__.py
@@ -17,8 +17,8 @@
 from dandeliondrum.consensus._interfaces import NodeStatus
 from dandeliondrum.consensus._interfaces import Role
 from dandeliondrum.consensus._interfaces import StateMachine
+from dandeliondrum.consensus._node import move_damaged_files
 from dandeliondrum.consensus._node import Node
-from dandeliondrum.consensus._node import set_data_folder_aside
 from dandeliondrum.consensus._options import COMMAND_BYTES_MAX
 from dandeliondrum.consensus._options import Options
 
@@ -37,5 +37,5 @@
     'Role',
     'StartError',
     'StateMachine',
-    'set_data_folder_aside',
+    'move_damaged_files',
 ]
--- a/dandeliondrum/consensus/_files.py
+++ b/dandeliondrum/consensus/_files.py
@@ -72,7 +72,7 @@
             os.close(descriptor)
 
     def rename(self, path: pathlib.Path, target: pathlib.Path) -> None:
-        """Rename a file over another one, without syncing the folder."""
+        """Rename a file over another one, without syncing the folders."""
         path.replace(target)
 
     def remove(self, path: pathlib.Path) -> None:
--- a/dandeliondrum/consensus/_interfaces.py
+++ b/dandeliondrum/consensus/_interfaces.py
@@ -70,7 +70,8 @@
     """Current state of a node, for monitoring.
 
     ``leading`` is true while a quorum has confirmed the leadership recently;
-    ``role`` may stay ``LEADER`` somewhat longer.
+    ``role`` may stay ``LEADER`` somewhat longer. ``grants_founding`` is that
+    of the options, but false after damaged files were moved.
     """
 
     controller_id: messages.ControllerId
@@ -84,6 +85,7 @@
     snapshot_index: messages.LogIndex
     disk_id: str
     members: tuple[MemberStatus, ...]
+    grants_founding: bool = True
 
     def addresses(self) -> tuple[tuple[messages.ControllerId, str], ...]:
         """Return the members' ids and ``host:port``."""
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from dandeliondrum.consensus import _bootstrap
+from dandeliondrum.consensus import _damaged_files
 from dandeliondrum.consensus import _early_replies
 from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _files
@@ -22,7 +23,6 @@
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _progress
 from dandeliondrum.consensus import _records
-from dandeliondrum.consensus import _recovery
 from dandeliondrum.consensus import _state
 from dandeliondrum.consensus import _status
 from dandeliondrum.consensus import _threads
@@ -32,18 +32,19 @@
 from dandeliondrum import transport
 
 
-def set_data_folder_aside(
+def move_damaged_files(
     folder: pathlib.Path, files: _files.Files | None = None
 ) -> result.Result[pathlib.Path, _errors.StartError]:
-    """Rename a damaged data folder, so that a node can start without it.
+    """Move the files of a data folder, so that a node can start without them.
 
-    What the node has voted and acknowledged is lost to it then: it must be
-    taken into the cell again, as after the loss of its disk. Returns the new
-    path, or a StartError when the folder is in use or can't be renamed.
+    The node then no longer knows what it has voted and acknowledged: it must
+    be taken into the cell again, as after the loss of its disk, and founds no
+    cell. Returns the folder of the moved files, or a StartError when the data
+    folder is in use or its files can't be moved.
     """
     try:
         return result.Success(
-            _recovery.set_folder_aside(files or _files.Files(), folder)
+            _damaged_files.move(files or _files.Files(), folder)
         )
     except _errors.StorageError as error:
         return result.Failure(error.error)
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -22,8 +22,6 @@
 from dandeliondrum.consensus import _state
 
 LOCK_FILE_NAME = 'lock'
-# With more damage than this the disk is not to be trusted.
-ASIDE_MAX = 3
 
 _logger = structlog.get_logger()
 
@@ -100,32 +98,6 @@
         ) from error
 
 
-def set_folder_aside(
-    files: _files.Files, folder: pathlib.Path
-) -> pathlib.Path:
-    """Rename a data folder, so that the next start makes an empty one.
-
-    Returns the new path, of which the number at the end is the first one that
-    is free. Raises StorageError when another process uses the folder, or when
-    ASIDE_MAX folders are kept already, and OSError when it can't be renamed.
-    """
-    path = folder.absolute()
-    for number in range(1, ASIDE_MAX + 1):
-        kept = path.with_name(f'{path.name}.damaged-{number}')
-        if not kept.exists():
-            break
-    else:
-        raise _errors.StorageError(
-            _errors.StartError(
-                f'{ASIDE_MAX} damaged folders are kept already', str(folder)
-            )
-        )
-    with lock_folder(files, folder):
-        files.rename(path, kept)
-        files.sync_folder(path.parent)
-    return kept
-
-
 def open_files(
     options: _options.Options,
     files: _files.Files,
--- a/dandeliondrum/consensus/_status.py
+++ b/dandeliondrum/consensus/_status.py
@@ -29,6 +29,7 @@
         snapshot_index=messages.LogIndex(state.snapshot_index),
         disk_id=state.disk_id,
         members=tuple(members),
+        grants_founding=state.options.grants_founding,
     )
 
 
--- a/dandeliondrum/consensus/_threads.py
+++ b/dandeliondrum/consensus/_threads.py
@@ -2,12 +2,14 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import threading
 
 from returns import result
 import structlog
 
 from dandeliondrum.consensus import _applier
+from dandeliondrum.consensus import _damaged_files
 from dandeliondrum.consensus import _disk_space
 from dandeliondrum.consensus import _election
 from dandeliondrum.consensus import _errors
@@ -82,9 +84,10 @@
         """
         folder = self._options.data_folder
         resources.enter_context(_recovery.lock_folder(self._files, folder))
-        opened = _recovery.open_files(
-            self._options, self._files, self._metrics
-        )
+        options = self._options
+        if _damaged_files.exist(folder):
+            options = dataclasses.replace(options, grants_founding=False)
+        opened = _recovery.open_files(options, self._files, self._metrics)
         resources.callback(opened.log.close)
         state = opened.state
         applier = _applier.Applier(state, self._machine, opened.snapshots)
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -379,25 +379,10 @@
         error = cluster.launch('c1').failure()
         assert 'another process' in error.detail
         assert not error.is_damage
-        kept = consensus.set_data_folder_aside(tmp_path / 'c1')
+        kept = consensus.move_damaged_files(tmp_path / 'c1')
         assert 'another process' in kept.failure().detail
 
 
-def test_a_damaged_folder_is_set_aside_a_few_times_only(tmp_path):
-    folder = tmp_path / 'c1'
-    for number in range(1, _recovery.ASIDE_MAX + 1):
-        folder.mkdir()
-        (folder / 'log-1').write_bytes(b'%d' % number)
-        kept = consensus.set_data_folder_aside(folder).unwrap()
-        assert kept.name == f'c1.damaged-{number}'
-        assert (kept / 'log-1').read_bytes() == b'%d' % number
-        assert not folder.exists()
-    folder.mkdir()
-    error = consensus.set_data_folder_aside(folder).failure()
-    assert 'kept already' in error.detail
-    assert folder.exists()
-
-
 def test_start_fails_with_a_folder_of_another_controller(tmp_path):
     cluster = make_stopped_cluster(tmp_path)
     (tmp_path / 'c1').rename(tmp_path / 'c2')
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -168,7 +168,7 @@
         if isinstance(started, result.Success):
             return started
         error = started.failure()
-        if error.is_damage and _damaged_folder.replace(
+        if error.is_damage and _damaged_folder.recover(
             self._options.data_folder,
             self._options.link,
             self._adviser_client,
--- a/dandeliondrum/jobs/_damaged_folder.py
+++ b/dandeliondrum/jobs/_damaged_folder.py
@@ -1,9 +1,9 @@
-"""Replacement of a damaged data folder by an empty one.
+"""Start of a controller whose data folder is damaged.
 
-A voter whose files are damaged can't vote. With an empty folder the leader
-takes it in again like a controller whose disk was lost. That needs a leader,
-and only its quorum shows that the cell does without what the folder holds;
-until then the folder stays where it is, for an operator to repair.
+Such a voter can't vote. With an empty log the leader takes it in again like a
+controller whose disk was lost. A leader that confirms a quorum meanwhile shows
+that the cell does not need the damaged files; without one they stay in place,
+since an operator may be able to repair them.
 """
 
 import pathlib
@@ -23,15 +23,15 @@
 _logger = structlog.get_logger()
 
 
-def replace(
+def recover(
     folder: pathlib.Path,
     link_options: _leader_calls.LinkOptions,
     adviser_client: _adviser_client.AdviserClient,
     error: consensus.StartError,
 ) -> bool:
-    """Set a damaged folder aside if the cell has a leader without it.
+    """Move damaged files if the cell has a leader without this controller.
 
-    Returns whether the controller can start with an empty folder.
+    Returns whether the controller can start with an empty log.
     """
     _logger.error(
         'data folder damaged',
@@ -39,24 +39,24 @@
         offset_bytes=error.offset_bytes,
         why=error.detail,
     )
-    failure = _find_quorum(link_options, adviser_client)
-    if failure:
-        _logger.error('damaged data folder kept', why=failure)
+    confirmed = _confirm_quorum(link_options, adviser_client)
+    if isinstance(confirmed, result.Failure):
+        _logger.error('damaged files not moved', why=confirmed.failure())
         return False
-    match consensus.set_data_folder_aside(folder):
-        case result.Success(kept):
-            _logger.warning('damaged data folder set aside', folder=str(kept))
+    match consensus.move_damaged_files(folder):
+        case result.Success(target):
+            _logger.warning('damaged files moved', folder=str(target))
             return True
         case result.Failure(refusal):
-            _logger.error('damaged data folder kept', why=refusal.detail)
+            _logger.error('damaged files not moved', why=refusal.detail)
     return False
 
 
-def _find_quorum(
+def _confirm_quorum(
     link_options: _leader_calls.LinkOptions,
     adviser_client: _adviser_client.AdviserClient,
-) -> str:
-    """Ask the leader to confirm its quorum; return why it did not."""
+) -> result.Result[object, str]:
+    """Ask the leader to confirm its quorum."""
     calls = _leader_calls.LeaderCalls(
         link_options,
         _leader_calls.ActivePolicy(lambda _document: _policy.Policy()),
@@ -69,6 +69,4 @@
     finally:
         calls.link.close()
         supervisor.close()
-    if isinstance(outcome, result.Failure):
-        return outcome.failure().reason
-    return ''
+    return outcome.alt(lambda unavailable: unavailable.reason)
--- a/dandeliondrum/jobs/_membership.py
+++ b/dandeliondrum/jobs/_membership.py
@@ -95,7 +95,9 @@
 
     def _should_found(self, status: consensus.NodeStatus) -> bool:
         options = self._options
-        if not options.may_found or status.members or status.last_index:
+        if not options.may_found or not status.grants_founding:
+            return False
+        if status.members or status.last_index:
             return False
         waited_ms = _clock.elapsed_ms() - self._started_ms
         return any(
--- a/dandeliondrum/jobs/tests/test_membership.py
+++ b/dandeliondrum/jobs/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Which of the founders founds the cell, and when."""
 
+import dataclasses
+
 import pytest
 from returns import result
 
@@ -76,6 +78,12 @@
     assert not member._should_found(EMPTY)
 
 
+def test_a_controller_whose_files_were_moved_founds_nothing(now_ms):
+    member = _membership_of(0)
+    status = dataclasses.replace(EMPTY, grants_founding=False)
+    assert not member._should_found(status)
+
+
 def test_a_founder_waits_for_all_of_them_before_a_majority_suffices(now_ms):
     member = _membership_of(0)
     member._found_cell()
--- a/dandeliondrum/testing/_power_loss.py
+++ b/dandeliondrum/testing/_power_loss.py
@@ -183,11 +183,15 @@
         folder.changes.clear()
 
     def _apply_rename(self, path: str, target: str) -> None:
-        """Rename within one folder; both names change together."""
+        """Rename a file; within one folder both names change together."""
         folder, name = self._split(path)
         inode = self._names_now(folder)[name]
-        other = target.rpartition('/')[2]
-        folder.changes.append(('names', {other: inode, name: None}))
+        other_folder, other = self._split(target)
+        if other_folder is folder:
+            folder.changes.append(('names', {other: inode, name: None}))
+        else:
+            other_folder.changes.append(('names', {other: inode}))
+            folder.changes.append(('names', {name: None}))
 
     def _apply_remove(self, path: str) -> None:
         folder, name = self._split(path)
--- a/tests/test_damaged_folders.py
+++ b/tests/test_damaged_folders.py
@@ -63,13 +63,8 @@
         path.write_bytes(data)
         return path
 
-    def set_aside(self, number):
-        folder = self.data_folder(number)
-        return [
-            path
-            for path in folder.parent.rglob(f'{folder.name}*damaged-*')
-            if path.is_dir()
-        ]
+    def moved(self, number):
+        return list(self.data_folder(number).glob('**/damaged-*'))
 
 
 @pytest.fixture
@@ -91,14 +86,14 @@
         ),
         REPLACED_TIMEOUT_MS,
     )
-    (kept,) = cell.set_aside(2)
-    assert (kept / damaged.name).read_bytes() == data
+    (moved,) = cell.moved(2)
+    assert (moved / damaged.name).read_bytes() == data
     # Its vote is needed.
     cell.processes.kill(cell.name(1))
     testing.wait_until(cell.put, OPEN_TIMEOUT_MS)
 
 
-def test_a_damaged_folder_is_kept_while_no_quorum_leads_without_it(cell):
+def test_damaged_files_stay_while_no_quorum_leads_without_them(cell):
     cell.processes.kill_together(cell.name(number) for number in range(3))
     damaged = cell.damage(2)
     data = damaged.read_bytes()
@@ -110,13 +105,13 @@
         REPLACED_TIMEOUT_MS,
     )
     assert cell.processes.exit_code(name) == 1
-    assert cell.events(2, 'damaged data folder kept')
+    assert cell.events(2, 'damaged files not moved')
     assert damaged.read_bytes() == data
-    assert cell.set_aside(2) == []
+    assert cell.moved(2) == []
     cell.cell.launch_controller(0)
     testing.wait_until(cell.put, OPEN_TIMEOUT_MS)
     cell.cell.launch_controller(2)
     testing.wait_until(
-        lambda: cell.events(2, 'damaged data folder set aside'),
+        lambda: cell.events(2, 'damaged files moved'),
         REPLACED_TIMEOUT_MS,
     )
