--- a/dandeliondrum/consensus/tests/test_power_loss_plays.py
+++ b/dandeliondrum/consensus/tests/test_power_loss_plays.py
@@ -11,6 +11,7 @@
 import pytest
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _errors
 from dandeliondrum.consensus import _hard_state
 from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _messages
@@ -22,6 +23,7 @@
 
 STEPS_COUNT = 60
 SEGMENT_BYTES = 6_000
+FAULT_SHARE = 0.02
 PAYLOAD_BYTES = (0, 20, 300, 2_500)
 FOLDER = 'data/controller'
 
@@ -37,6 +39,38 @@
     """Raised in place of an operation when the process ends within it."""
 
 
+class FaultyFiles(_power_loss.RecordingFiles):
+    """Files of which some writes end midway, and some operations fail.
+
+    A process may also end within an operation, after ``left_count`` more.
+    """
+
+    def __init__(self, root, rng):
+        super().__init__(root)
+        self.random = rng
+        self.left_count = 0
+        self.before = self._count_down
+
+    def _count_down(self, _operation):
+        if self.left_count:
+            self.left_count -= 1
+            if not self.left_count:
+                raise ProcessEnded
+
+    def write(self, descriptor, data):
+        if self.random.random() < FAULT_SHARE:
+            super().write(
+                descriptor, data[: self.random.randint(0, len(data))]
+            )
+            raise self.random.choice((ProcessEnded, OSError('no space')))
+        super().write(descriptor, data)
+
+    def sync_folder(self, folder):
+        if self.random.random() < FAULT_SHARE:
+            raise OSError('no space')
+        super().sync_folder(folder)
+
+
 class Play:
     """A data folder on which a process works until it ends.
 
@@ -48,9 +82,7 @@
         self.root = root
         self.folder = root / FOLDER
         self.random = random.Random(seed)
-        self.files = _power_loss.RecordingFiles(root)
-        self.files.before = self._count_down
-        self.left_count = 0
+        self.files = FaultyFiles(root, self.random)
         self.log = None
         self.written = {}
         self.durable_index = 0
@@ -62,9 +94,9 @@
         for _ in range(STEPS_COUNT):
             if self.random.random() < 0.12:
                 # The process ends within one of the next operations.
-                self.left_count = self.random.randint(1, 6)
+                self.files.left_count = self.random.randint(1, 6)
             try:
-                self.random.choice(self.steps())()
+                self.take(self.random.choice(self.steps()))
             except ProcessEnded:
                 self.end()
                 self.begin()
@@ -79,20 +111,29 @@
     def steps(self):
         return [self.append] * 4 + [self.sync] * 2 + [self.truncate]
 
-    def _count_down(self, _operation):
-        if self.left_count:
-            self.left_count -= 1
-            if not self.left_count:
-                raise ProcessEnded
+    def take(self, step):
+        """Take a step; a write that failed leaves everything as it was."""
+        written = dict(self.written)
+        try:
+            step()
+        except OSError:
+            self.written = written
+        except _errors.StorageError as error:
+            assert not error.error.is_damage
+            raise ProcessEnded from error
 
     def begin(self):
         """Start a process, which may end within its start, too."""
         while True:
             if self.random.random() < 0.1:
-                self.left_count = self.random.randint(1, 12)
+                self.files.left_count = self.random.randint(1, 12)
             try:
                 self.open()
-            except ProcessEnded:
+            except (ProcessEnded, OSError):
+                self.end()
+            except _errors.StorageError as error:
+                if error.error.is_damage:
+                    raise
                 self.end()
             else:
                 return
@@ -104,7 +145,7 @@
             self.files.lose_power(self.random)
 
     def close(self):
-        self.left_count = 0
+        self.files.left_count = 0
         self.resources.close()
 
     def open(self):
@@ -177,7 +218,7 @@
         self.vote = (0, '')
         self.disk_id = None
         self.snapshot_index = 0
-        self.snapshot_term = 0
+        self.committed_index = 0
 
     def steps(self):
         return [
@@ -212,19 +253,13 @@
             if opened.snapshot is None
             else (opened.snapshot.head.index, opened.snapshot.head.term)
         )
-        self.snapshot_index, self.snapshot_term = head
-        # A snapshot replaces the entries up to it, and a conflicting log.
-        if self.log.term_at(head[0]) == head[1] and not self.log.last_index:
-            return
-        if self.log.first_index == head[0] + 1 and (
-            self.log.last_index == head[0]
-        ):
+        self.snapshot_index = head[0]
+        self.committed_index = max(self.committed_index, head[0])
+        # A received snapshot replaces a log that does not contain its end.
+        replaced = self.written.get(head[0])
+        if replaced is not None and replaced.term != head[1]:
             self.durable_index = min(self.durable_index, head[0])
-            self.written = {
-                index: entry
-                for index, entry in self.written.items()
-                if index <= head[0]
-            }
+            self.written = {}
 
     def next_term(self):
         self.term += 1
@@ -253,13 +288,15 @@
             return
         index = self.random.randint(low, self.log.last_index)
         term = self.log.term_at(index)
+        # The entries that it covers are committed, also if it isn't saved.
+        self.committed_index = index
         self.snapshots.save(self._snapshot(index, term))
-        self.snapshot_index, self.snapshot_term = index, term
+        self.snapshot_index = index
         self.log.compact(index)
 
     def receive_snapshot(self):
         """Receive a snapshot, which the log may or may not contain."""
-        index = self.snapshot_index + self.random.randint(1, 12)
+        index = self.committed_index + self.random.randint(1, 12)
         if self.vote[0] < self.term:
             self._save_vote(self.term, '')
         term = self.log.term_at(index)
@@ -268,10 +305,14 @@
             term = self.term
         packed = _snapshot.pack(self._snapshot(index, term))
         half = len(packed) // 2
-        self.snapshots.write_part(0, packed[:half])
-        self.snapshots.write_part(half, packed[half:])
-        self.snapshots.install_received()
-        self.snapshot_index, self.snapshot_term = index, term
+        try:
+            self.snapshots.write_part(0, packed[:half])
+            self.snapshots.write_part(half, packed[half:])
+            self.snapshots.install_received()
+        except OSError as error:
+            # Later entries would have to agree with the snapshot.
+            raise ProcessEnded from error
+        self.snapshot_index = self.committed_index = index
         if self.log.term_at(index) == term:
             self.log.compact(index)
             return
@@ -285,7 +326,7 @@
 
     def truncate(self):
         last_index = self.log.last_index
-        low = max(self.log.first_index, self.snapshot_index + 1)
+        low = max(self.log.first_index, self.committed_index + 1)
         if last_index < low:
             return
         index = self.random.randint(low, last_index)
