--- a/dandeliondrum/testing/_losses_schedule.py
+++ b/dandeliondrum/testing/_losses_schedule.py
@@ -83,6 +83,34 @@
 # The last fault hits controllers other than the replaced one.
 PLANNED = Schedule((Fault(Kind.REPLACE_PLANNED),), LastFault(choice=0.3))
 UNPLANNED = Schedule((Fault(Kind.REPLACE),), LastFault(choice=0.3))
+# How long after the launch of a controller that lost its disk the leader is
+# frozen, and for how long. It is readmitted after 0.4 to 0.6 s and promoted
+# 0.2 s later; a short freeze may leave the leader in its role.
+FREEZES_S = (
+    (0.4, 0.5),
+    (0.5, 1.5),
+    (0.6, 0.5),
+    (0.7, 1.0),
+    (0.8, 0.5),
+    (1.0, 1.5),
+)
+
+
+def _frozen_while_admitting() -> collections.abc.Iterator[Fault]:
+    for number, (after_s, length_s) in enumerate(FREEZES_S):
+        choice = number / len(FREEZES_S)
+        yield Fault(Kind.WIPE, choice=choice, pause_s=1.0 + after_s)
+        # Until neither of the two counts as lost.
+        yield Fault(
+            Kind.FREEZE,
+            at_leader=True,
+            length_s=length_s,
+            pause_s=length_s + CATCH_UP_S + 0.5,
+        )
+
+
+# The leader is frozen while it admits a controller that lost its disk.
+FROZEN = Schedule(tuple(_frozen_while_admitting()), LastFault(choice=0.3))
 
 
 def draw_schedule(seed: int) -> Schedule:
--- a/dandeliondrum/testing/core_losses.py
+++ b/dandeliondrum/testing/core_losses.py
@@ -18,6 +18,7 @@
 CASES = {
     'planned': _losses_schedule.PLANNED,
     'unplanned': _losses_schedule.UNPLANNED,
+    'frozen': _losses_schedule.FROZEN,
 }
 # The cells of different seeds have different addresses.
 NETWORK = '127.{}'
