Log why a learner is not promoted, and writes that take too long

No line tells what the leader knows of it, and none that a write to a disk took long: the step down with "disk stalled" is the leader's only, and only for syncs of the log, not for a new term, a new file of the log or a follower.

Change: the leader logs "learner not promoted" after 1 s, with the reason, the match index, the commit index and the last contact; again when the reason changes, at most once a second, and once in 5 s while it stays. A learner that has no room is logged once. The writer logs "slow batch" for one that took longer than the shortest election timeout, at most once a second.

--- a/dandeliondrum/consensus/_membership_changes.py
+++ b/dandeliondrum/consensus/_membership_changes.py
@@ -29,6 +29,10 @@
 
 # A learner is promoted once it is behind by no more entries than this.
 PROMOTION_LAG_ENTRIES = 1_000
+# Why a learner is no voter yet is logged after this time, when the reason
+# changes, and then once in the next one.
+LEARNER_LOG_DELAY_NS = 1_000_000_000
+LEARNER_LOG_INTERVAL_NS = 5_000_000_000
 
 _logger = structlog.get_logger()
 
@@ -57,6 +61,15 @@
 Change = AddMember | RemoveMember
 
 
+@dataclasses.dataclass(slots=True)
+class _Wait:
+    """Since when a learner waits, and what was logged about it."""
+
+    since_ns: int
+    logged_why: str = ''
+    logged_ns: int = 0
+
+
 class MembershipChanges:
     """Processes requested changes, and promotions and demotions."""
 
@@ -65,6 +78,8 @@
         self._queued: collections.deque[Change] = collections.deque()
         self._in_progress: list[Change] = []
         self._last_proposal: _work_items.ProposeFuture | None = None
+        # By the id of a learner and that of its disk.
+        self._waits: dict[tuple[messages.ControllerId, str], _Wait] = {}
 
     def submit(self, change: Change) -> None:
         """Queue a change; may be called from any thread."""
@@ -87,7 +102,9 @@
         with state.lock:
             if not state.is_leader() or state.closing:
                 self._fail_all()
+                self._waits.clear()
                 return
+            self._report_learners()
             if not self._can_change():
                 return
             self._resolve_completed()
@@ -150,21 +167,86 @@
                 member, disk_id=progress.readmission_disk_id
             )
             return _membership.with_learner(current, readmitted)
-        lag_entries = state.log.last_index - progress.match_index
-        if lag_entries > PROMOTION_LAG_ENTRIES or progress.match_index == 0:
+        if self._find_obstacle(current, member, progress):
             return None
+        _logger.info(
+            'learner promoted',
+            member=member.controller_id,
+            lag_entries=state.log.last_index - progress.match_index,
+        )
+        return _membership.with_voter(current, member)
+
+    def _find_obstacle(
+        self,
+        current: _messages.Membership,
+        member: _messages.Member,
+        progress: _progress.Progress,
+    ) -> str:
+        """Return why a learner can't be a voter now, or an empty text."""
+        state = self._state
+        if progress.match_index == 0:
+            return 'nothing stored'
+        lag_entries = state.log.last_index - progress.match_index
+        if lag_entries > PROMOTION_LAG_ENTRIES:
+            return 'behind'
         voters_max = state.options.voters_max
         if voters_max is not None and len(current.voters) >= voters_max:
-            return None
-        changed = _membership.with_voter(current, member)
-        if not self._keeps_quorum(changed):
-            return None
+            return 'no room'
+        if not self._keeps_quorum(_membership.with_voter(current, member)):
+            return 'no quorum'
+        return ''
+
+    def _report_learners(self) -> None:
+        """Log the learners that have waited for long, and why they wait."""
+        state = self._state
+        current = state.history.current
+        now_ns = time.monotonic_ns()
+        waits = self._waits
+        self._waits = {}
+        for member in current.learners:
+            progress = state.progress.get(member.controller_id)
+            if progress is None:
+                continue
+            key = (member.controller_id, member.disk_id)
+            wait = self._waits[key] = waits.get(key, _Wait(now_ns))
+            if now_ns - wait.since_ns < LEARNER_LOG_DELAY_NS:
+                continue
+            why = self._find_obstacle(current, member, progress)
+            if not why and not self._can_change():
+                why = 'earlier change'
+            is_known = why == wait.logged_why
+            is_due = now_ns - wait.logged_ns >= (
+                LEARNER_LOG_INTERVAL_NS if is_known else LEARNER_LOG_DELAY_NS
+            )
+            # One that has no room may stay a learner for good.
+            if not why or not is_due or (is_known and why == 'no room'):
+                continue
+            wait.logged_why, wait.logged_ns = why, now_ns
+            self._log_learner(member, progress, why, now_ns - wait.since_ns)
+
+    def _log_learner(
+        self,
+        member: _messages.Member,
+        progress: _progress.Progress,
+        why: str,
+        waited_ns: int,
+    ) -> None:
+        state = self._state
+        silent_ns = time.monotonic_ns() - progress.answered_ns
         _logger.info(
-            'learner promoted',
+            'learner not promoted',
             member=member.controller_id,
-            lag_entries=lag_entries,
+            why=why,
+            waited_ms=waited_ns // _progress.NS_PER_MS,
+            silent_ms=silent_ns // _progress.NS_PER_MS,
+            is_reachable=progress.is_reachable,
+            disk_changed=bool(progress.readmission_disk_id),
+            match_index=progress.match_index,
+            next_index=progress.next_index,
+            last_index=state.log.last_index,
+            commit_index=state.commit_index,
+            membership_index=state.history.index,
         )
-        return changed
 
     def _keeps_quorum(self, changed: _messages.Membership) -> bool:
         """Return whether the reachable voters form a quorum of ``changed``."""
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -4,6 +4,7 @@
 Only then do the entries count towards a quorum and the replies go out.
 """
 
+import collections
 import collections.abc
 import pathlib
 import threading
@@ -29,6 +30,9 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
+# A slow batch is logged at most once in this time.
+SLOW_BATCH_LOG_INTERVAL_NS = 1_000_000_000
+
 _logger = structlog.get_logger()
 
 
@@ -49,11 +53,14 @@
         self._request_handler = _request_handler.RequestHandler(
             state, snapshots, self.enter_term
         )
+        self._sync_ns = 0
+        self._slow_batch_logged_ns = 0
 
     def run(self, stopping: threading.Event) -> None:
         """Process work until the node closes."""
         while not stopping.is_set():
             batch = self._next_batch(stopping)
+            began_ns = time.monotonic_ns()
             try:
                 self._process_batch(batch)
             except (OSError, _errors.StorageError) as error:
@@ -63,6 +70,29 @@
                 raise utils.InvariantError(
                     f'the writer failed: {error!r}'
                 ) from error
+            self._report_slow(batch, began_ns)
+
+    def _report_slow(
+        self, batch: list[_work_items.WorkItem], began_ns: int
+    ) -> None:
+        """Log a batch that took longer than the shortest election timeout.
+
+        Until it was done, no vote, no term and no entry could be stored.
+        """
+        now_ns = time.monotonic_ns()
+        took_ms = (now_ns - began_ns) // _progress.NS_PER_MS
+        if took_ms < self._state.options.election_min_ms:
+            return
+        if now_ns - self._slow_batch_logged_ns < SLOW_BATCH_LOG_INTERVAL_NS:
+            return
+        self._slow_batch_logged_ns = now_ns
+        works = collections.Counter(_kind(work) for work in batch)
+        _logger.warning(
+            'slow batch',
+            took_ms=took_ms,
+            sync_ms=self._sync_ns // _progress.NS_PER_MS,
+            works=dict(works),
+        )
 
     def enter_term(self, term: int, voted_for: str) -> None:
         """Store and enter a later term, or store a vote in the current one.
@@ -228,12 +258,14 @@
 
     def _sync(self) -> None:
         state = self._state
+        began_ns = time.monotonic_ns()
         with state.lock:
-            state.sync_since_ns = time.monotonic_ns()
+            state.sync_since_ns = began_ns
         try:
             with state.metrics.sync_seconds.time():
                 self._log.sync()
         finally:
+            self._sync_ns = time.monotonic_ns() - began_ns
             with state.lock:
                 state.sync_since_ns = None
         with state.lock:
@@ -316,3 +348,9 @@
                         _errors.ChangeFailure.REFUSED, 'storage failed'
                     )
                     state.resolve_later(future, result.Failure(refused))
+
+
+def _kind(work: _work_items.WorkItem) -> str:
+    if isinstance(work, _work_items.PeerRequest):
+        return type(work.message).__name__
+    return type(work).__name__
--- a/dandeliondrum/consensus/tests/test_commit.py
+++ b/dandeliondrum/consensus/tests/test_commit.py
@@ -4,6 +4,7 @@
 import time
 
 from returns import result
+import structlog
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _files
@@ -181,3 +182,28 @@
         for future in (first, second, transfer):
             future.result(harness.TIMEOUT_S).unwrap()
         cluster.wait_applied([b'first', b'second'])
+
+
+def test_a_batch_that_the_disk_holds_up_is_reported(tmp_path):
+    """Regression test for issue 44: no line told of a write of 3 s."""
+    disk = harness.SlowSync()
+    with harness.Cluster(tmp_path, 1) as cluster:
+        cluster.files = {'c1': disk}
+        leader = cluster.bootstrap()
+        disk.delay_ms = 2 * harness.ELECTION_MIN_MS
+        with structlog.testing.capture_logs() as lines:
+            cluster.propose(leader, b'late').unwrap()
+            line = harness.wait_for(
+                lambda: next(
+                    (
+                        one
+                        for one in list(lines)
+                        if one['event'] == 'slow batch'
+                    ),
+                    None,
+                ),
+                'the report',
+            )
+        disk.delay_ms = 0
+    assert line['took_ms'] >= line['sync_ms'] >= 2 * harness.ELECTION_MIN_MS
+    assert line['works'] == {'Proposal': 1}
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -5,6 +5,7 @@
 import time
 
 from returns import result
+import structlog
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _bootstrap
@@ -456,3 +457,55 @@
         node.remove_member(removed).result(harness.TIMEOUT_S).unwrap()
         expected = {'c1', 'c2', 'c3', 'c4'} - {removed}
         wait_voters(cluster, leader, expected)
+
+
+def wait_line(lines, event, **fields):
+    """Wait for a log line with these fields and return it."""
+    return harness.wait_for(
+        lambda: next(
+            (
+                line
+                for line in list(lines)
+                if line['event'] == event and fields.items() <= line.items()
+            ),
+            None,
+        ),
+        event,
+    )
+
+
+def test_a_learner_whose_disk_stalls_is_reported_and_then_promoted(tmp_path):
+    """Regression test for issue 44: no line told why one stayed a learner."""
+    disk = harness.BlockingSync()
+    with harness.Cluster(tmp_path, extra=1) as cluster:
+        leader = cluster.bootstrap()
+        cluster.files = {'c4': disk}
+        cluster.start('c4')
+        disk.released.clear()
+        try:
+            with structlog.testing.capture_logs() as lines:
+                added = cluster.node(leader).add_member('c4', 'unused:1')
+                line = wait_line(lines, 'learner not promoted', member='c4')
+        finally:
+            disk.released.set()
+        assert line['why'] == 'nothing stored'
+        assert line['match_index'] == 0 < line['commit_index']
+        added.result(harness.TIMEOUT_S).unwrap()
+        assert voters(cluster, leader) == ['c1', 'c2', 'c3', 'c4']
+
+
+def test_a_learner_without_room_is_reported_once(tmp_path, monkeypatch):
+    monkeypatch.setattr(_membership_changes, 'LEARNER_LOG_DELAY_NS', 1)
+    monkeypatch.setattr(_membership_changes, 'LEARNER_LOG_INTERVAL_NS', 1)
+    with harness.Cluster(tmp_path, extra=1, voters_max=3) as cluster:
+        leader = cluster.bootstrap()
+        cluster.start('c4')
+        with structlog.testing.capture_logs() as lines:
+            added = cluster.node(leader).add_member(
+                'c4', 'unused:1', until_voter=False
+            )
+            added.result(harness.TIMEOUT_S).unwrap()
+            wait_line(lines, 'learner not promoted', why='no room')
+            time.sleep(3 * harness.ELECTION_MIN_MS / 1000)
+        reasons = [one.get('why') for one in lines]
+        assert reasons.count('no room') == 1
