Replace a leader whose disk stalls while it begins a file of its log

While the name of a new file of the log is synced, in the writing of its entries, it sends heartbeats and commits nothing for as long as that takes.

Evidence: the new test holds this sync.

Change: the writing of a leader's entries counts like the sync, with the same limit of twice the longest election timeout.

--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -76,6 +76,9 @@
         # Since when the writer thread waits until the log is on the disk,
         # None if it does not.
         self.sync_since_ns: int | None = None
+        # Since when it writes a leader's entries, which also waits for the
+        # disk if they begin a new file.
+        self.append_since_ns: int | None = None
         self.role_events: queue.Queue[_work_items.RoleEvent | None] = (
             queue.Queue()
         )
@@ -339,11 +342,18 @@
         That is ``factor`` times the longest election timeout. The caller
         holds the lock.
         """
-        if self.sync_since_ns is None:
+        return self._exceeds(self.sync_since_ns, factor)
+
+    def append_exceeds(self, factor: int) -> bool:
+        """Return the same for the writing of a leader's entries."""
+        return self._exceeds(self.append_since_ns, factor)
+
+    def _exceeds(self, since_ns: int | None, factor: int) -> bool:
+        if since_ns is None:
             return False
         timeout_ms = self.election_backoff * self.options.election_max_ms
         limit_ns = factor * timeout_ms * _progress.NS_PER_MS
-        return time.monotonic_ns() - self.sync_since_ns > limit_ns
+        return time.monotonic_ns() - since_ns > limit_ns
 
     def become_follower(self) -> None:
         """Step down as leader or candidate."""
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -185,6 +185,7 @@
             accepted = state.is_leader() and not state.storage_failed
             if accepted:
                 entries = self._make_entries(proposals)
+                state.append_since_ns = time.monotonic_ns()
             else:
                 error = state.make_propose_error(
                     _errors.ProposeFailure.NOT_LEADING, never_committed=True
@@ -197,6 +198,9 @@
         except OSError as error:
             self._handle_disk_full(proposals, entries, error)
             return
+        finally:
+            with state.lock:
+                state.append_since_ns = None
         with state.lock:
             if state.history.add(entries):
                 state.update_peers()
@@ -242,7 +246,8 @@
         state = self._state
         with state.lock:
             for entry in entries:
-                del state.pending[entry.index]
+                # It is gone if the leader stepped down meanwhile.
+                state.pending.pop(entry.index, None)
             state.storage_full = True
             _transfer.begin_if_full(state)
             if any(
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -1,12 +1,16 @@
 """Tests of leaders that are killed, isolated or transfer leadership."""
 
+import errno
 import threading
 import time
 
 import pytest
+from returns import result
 import structlog
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _options
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum.consensus.tests import load
 
@@ -155,6 +159,51 @@
         assert cluster.machine(successor).commands[-1] == b'1'
 
 
+class BlockingFolderSync(harness.BlockingSync):
+    """Files that block, or fail then, when the name of one is synced."""
+
+    fails = False
+
+    def sync(self, descriptor):
+        _files.Files.sync(self, descriptor)
+
+    def sync_folder(self, folder):
+        if not self.released.is_set():
+            self.waiting.set()
+        self.released.wait(harness.TIMEOUT_S)
+        if self.fails:
+            self.fails = False
+            raise OSError(errno.EIO, 'the disk refuses')
+        super().sync_folder(folder)
+
+
+@pytest.mark.parametrize('fails', [False, True])
+def test_a_leader_whose_disk_stalls_at_a_new_file_is_replaced(
+    tmp_path, monkeypatch, fails
+):
+    """Regression test: only a sync of the log counted as a stall."""
+    with harness.Cluster(tmp_path) as cluster:
+        cluster.files = {name: BlockingFolderSync() for name in cluster.names}
+        leader = cluster.bootstrap()
+        cluster.propose(leader, b'0').unwrap()
+        # The next entry begins a new file of the log.
+        monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
+        disk = cluster.files[leader]
+        disk.released.clear()
+        try:
+            future = cluster.node(leader).propose(b'1')
+            assert disk.waiting.wait(harness.TIMEOUT_S)
+            successor = cluster.leader(among=cluster.others(leader))
+            cluster.propose(successor, b'2').unwrap()
+            # The writer fails what the step down has failed already.
+            harness.wait_for(future.done, 'the failure')
+            disk.fails = fails
+        finally:
+            disk.released.set()
+        assert isinstance(future.result(harness.TIMEOUT_S), result.Failure)
+        cluster.wait_applied([b'0', b'2'])
+
+
 def silent_ms(cluster, leader, name):
     """Return how long a member has been silent according to the leader."""
     members = cluster.node(leader).status().members
