--- a/dandeliondrum/testing/_power_loss.py
+++ b/dandeliondrum/testing/_power_loss.py
@@ -36,6 +36,13 @@
 _Choice = tuple[tuple, random.Random | None]
 
 
+class Unsynced(typing.NamedTuple):
+    """How many changes had not been synced, and writes to one file."""
+
+    changes_count: int
+    writes_count_max: int
+
+
 class PowerLost(OSError):
     """Raised for operations after the power has been cut."""
 
@@ -76,10 +83,19 @@
             folder.names[name] = self._next_inode
             self._next_inode += 1
 
+    _apply_load = load
+
     def changes_count(self) -> int:
         """Return how many changes have not been synced."""
         return sum(len(file.changes) for file in self._files.values())
 
+    def writes_count_max(self) -> int:
+        """Return the most writes to one file that have not been synced."""
+        return max(
+            sum(change[0] == 'write' for change in file.changes)
+            for file in self._files.values()
+        )
+
     def contents(self) -> Contents:
         """Return what a process reads now."""
         return self._walk(lambda changes: [(c, None) for c in changes])
@@ -95,11 +111,15 @@
             data = contents[path]
             if path not in now:
                 found.append(('create', path, data is None))
-            if data and data != now.get(path):
-                found.append(('truncate', path, 0))
-                found.append(('write', path, 0, data))
-            elif data == b'' and now.get(path):
-                found.append(('truncate', path, 0))
+            before = now.get(path) or b''
+            if data is None or data == before:
+                continue
+            # What is as before may have been synced.
+            kept = os.path.commonprefix([before, data])
+            if len(kept) < len(before):
+                found.append(('truncate', path, len(kept)))
+            if len(kept) < len(data):
+                found.append(('write', path, len(kept), data[len(kept) :]))
         gone = sorted(now.keys() - contents.keys(), reverse=True)
         return found + [('remove', path) for path in gone]
 
@@ -275,6 +295,11 @@
             self._paths.clear()
             self._is_cut = False
 
+    def writes_count_max(self) -> int:
+        """Return the most writes to one file that have not been synced."""
+        with self._lock:
+            return self.disk.writes_count_max()
+
     def wait_for_sync(self, timeout_s: float) -> bool:
         """Wait for the end of the next sync of a file."""
         with self._lock:
@@ -380,17 +405,17 @@
 
 def lose_power(
     root: pathlib.Path, journal: pathlib.Path, rng: random.Random
-) -> int:
+) -> Unsynced:
     """Replace a folder by what a loss of power may have left of it.
 
     ``journal`` is that of the RecordingFiles of a process that has ended; it
-    is replaced, too. Returns how many changes had not been synced.
+    is replaced, too. Returns what had not been synced.
     """
     disk = _replay(journal)
     left = disk.survivors(rng)
     write_contents(root, left)
     journal.write_bytes(msgpack.packb(('load', left)))
-    return disk.changes_count()
+    return Unsynced(disk.changes_count(), disk.writes_count_max())
 
 
 def _replay(journal: pathlib.Path) -> Disk:
--- a/dandeliondrum/testing/tests/test_power_loss.py
+++ b/dandeliondrum/testing/tests/test_power_loss.py
@@ -99,8 +99,15 @@
     assert second.disk.contents() == {'a': b'keptlost'}
     found = [left['a'] for left in outcomes(root, second)]
     assert b'kept' in found
-    assert _power_loss.lose_power(root, journal, random.Random(3)) == 1
-    assert (root / 'a').read_bytes().startswith(b'kept')
+    unsynced = _power_loss.lose_power(root, journal, random.Random(3))
+    assert unsynced == (1, 1)
+    left = (root / 'a').read_bytes()
+    assert left.startswith(b'kept')
+    # What a loss of power has left is durable.
+    third = _power_loss.RecordingFiles(root, journal)
+    assert outcomes(root, third) == [{'a': left}]
+    unsynced = _power_loss.lose_power(root, journal, random.Random(3))
+    assert unsynced == (0, 0)
 
 
 def test_an_operation_that_a_kill_left_unrecorded_is_found(tmp_path):
@@ -112,3 +119,17 @@
     (root / 'a').write_bytes(b'data and more')
     second = _power_loss.RecordingFiles(root, journal)
     assert second.disk.contents() == {'a': b'data and more'}
+
+
+def test_synced_data_survives_after_an_unrecorded_operation(tmp_path):
+    root = tmp_path / 'root'
+    root.mkdir()
+    journal = tmp_path / 'journal'
+    first = _power_loss.RecordingFiles(root, journal)
+    write_file(first, root / 'a', b'synced', synced=True)
+    first.sync_folder(root)
+    (root / 'a').write_bytes(b'synced and more')
+    second = _power_loss.RecordingFiles(root, journal)
+    found = [left['a'] for left in outcomes(root, second)]
+    assert b'synced' in found
+    assert all(data.startswith(b'synced') for data in found)
