Let controllers of core_losses lose power

Controllers, one or all of them, lose what they had not synced: before or after the start that follows a kill, several times in a row, and with two disks lost at the end. Callers send documents all the time, but none between a loss of all and the proof that the last acknowledged one is there. A controller that has ended by itself, or logs a refusal, is a violation.

--- a/dandeliondrum/testing/_core_losses.py
+++ b/dandeliondrum/testing/_core_losses.py
@@ -5,6 +5,10 @@
 configuration that was acknowledged before must be readable, and another one
 must be acknowledged. A VM also counts as lost for a while after its start;
 its slot is that of the VM which it replaces.
+
+With a seed for losses of power, controllers also lose what they had not synced
+(see ``_power_loss``), while documents are sent all the time. No controller may
+refuse what is left on its disk.
 """
 
 import collections.abc
@@ -14,10 +18,12 @@
 import functools
 import pathlib
 import random
+import threading
 import time
 
 from dandeliondrum import messages
 from dandeliondrum.testing import _losses_admission
+from dandeliondrum.testing import _losses_power
 from dandeliondrum.testing import _losses_schedule
 from dandeliondrum.testing import _platform_cell
 from dandeliondrum.testing import _processes
@@ -35,6 +41,12 @@
 STOPPED_S = 0.1
 WORKERS_COUNT = 2
 CAPACITY = messages.Resources(1_000, 100_000)
+# With losses of power: callers at once that send documents, and how many
+# queues make these longer than a block of the disk.
+CALLERS_COUNT = 4
+ROUTES_COUNT = 12
+CALLER_PAUSE_S = 0.02
+REFUSALS = ('not started', 'log damaged')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,10 +72,15 @@
         cell: _platform_cell.PlatformCell,
         processes: _processes.Processes,
         schedule: _losses_schedule.Schedule,
+        power_seed: int | None = None,
     ) -> None:
         self._cell = cell
         self._processes = processes
         self._schedule = schedule
+        self._loses_power = power_seed is not None
+        self._cuts = _losses_power.PowerCuts(
+            cell, processes, power_seed or 0, self._note, self._violate
+        )
         self._slots = _losses_schedule.Slots(
             range(CONTROLLERS_COUNT), _losses_schedule.LOSSES_MAX
         )
@@ -72,8 +89,14 @@
         self._violations: list[str] = []
         self._events: list[str] = []
         self._began_s = time.monotonic()
+        # Protects the versions.
+        self._lock = threading.Lock()
         self._version = 0
+        self._acknowledged = 0
         self._attempts_count = 0
+        # Until a document is read back, no newer one may hide its loss.
+        self._may_send = threading.Event()
+        self._may_send.set()
 
     def run(self) -> Outcome:
         """Run the schedule; return what was seen."""
@@ -83,9 +106,11 @@
         else:
             # The founding is over when all that may join have joined.
             time.sleep(_losses_schedule.CATCH_UP_S)
-            self._apply_all()
-            recovered_s = self._apply_last()
+            with self._documents_sent():
+                self._apply_all()
+                recovered_s = self._apply_last()
         self._check_processes()
+        self._check_logs()
         return Outcome(
             tuple(self._violations),
             tuple(self._events),
@@ -110,6 +135,9 @@
         match fault.kind:
             case _losses_schedule.Kind.NEW_SEEDS:
                 return functools.partial(self._change_seeds, fault.choice)
+            case _losses_schedule.Kind.POWER_LOSS_ALL:
+                self._lose_power_everywhere(fault)
+                return lambda: None
             case _losses_schedule.Kind.ADD:
                 number = self._cell.add_controller(REGIONS[-1])
                 slot = self._slots.add(number)
@@ -143,24 +171,28 @@
         names = [self._name(slot) for slot in slots]
         match fault.kind:
             case _losses_schedule.Kind.KILL | _losses_schedule.Kind.POWER_LOSS:
-                processes.kill(names[0])
+                if fault.is_cut:
+                    self._cuts.cut(self._numbers(slots), fault.unsynced_writes)
+                else:
+                    self._cuts.kill(self._numbers(slots))
                 is_short = fault.kind is _losses_schedule.Kind.KILL
                 time.sleep(KILLED_S if is_short else fault.length_s)
-                self._launch(slots[0])
+                self._launch(slots)
+                self._restore_after_cuts(fault, slots)
             case _losses_schedule.Kind.FREEZE:
                 processes.freeze(names[0])
                 time.sleep(fault.length_s)
                 processes.thaw(names[0])
                 self._slots.restore(slots[0])
             case _losses_schedule.Kind.WIPE | _losses_schedule.Kind.WIPE_TWO:
-                processes.kill_together(names)
+                self._cuts.kill(self._numbers(slots))
                 for slot in slots:
                     self._cell.wipe_disk(self._slots.numbers[slot])
                 time.sleep(fault.length_s)
-                for slot in slots:
-                    self._launch(slot, 'disk lost')
+                self._launch(slots, wiped=slots)
+                self._restore_after_cuts(fault, slots)
             case _losses_schedule.Kind.REPLACE:
-                processes.kill(names[0])
+                self._cuts.kill(self._numbers(slots))
                 time.sleep(SUCCESSOR_S)
                 number = self._launch_successor(slots[0], 'successor')
                 self._slots.restore(slots[0], number)
@@ -180,15 +212,64 @@
         self._launch_empty(number, why)
         return number
 
-    def _launch(self, slot: int, wiped: str = '') -> None:
-        """Start the controller in a slot again; tell if its disk is wiped."""
-        number = self._slots.numbers[slot]
-        if wiped:
-            self._launch_empty(number, wiped)
-        else:
-            self._cell.launch_controller(number)
-            self._note(f'{self._name(slot)} is back')
-        self._slots.restore(slot)
+    def _launch(
+        self,
+        slots: list[int],
+        wiped: collections.abc.Container[int] = (),
+        why: str = 'disk lost',
+    ) -> None:
+        """Start controllers again; those in ``wiped`` have empty disks."""
+        for slot in slots:
+            number = self._slots.numbers[slot]
+            if slot in wiped:
+                self._launch_empty(number, why)
+            else:
+                self._cell.launch_controller(number)
+                self._note(f'{self._name(slot)} is back')
+
+    def _restore_after_cuts(
+        self, fault: _losses_schedule.Fault, slots: list[int]
+    ) -> None:
+        """Cut the power of started controllers, as often as it is to be."""
+        for after_s in fault.cuts_after_s:
+            time.sleep(after_s)
+            self._cuts.cut(self._numbers(slots), fault.unsynced_writes)
+            self._launch(slots)
+        for slot in slots:
+            self._slots.restore(slot)
+
+    def _lose_power_everywhere(self, fault: _losses_schedule.Fault) -> None:
+        """Let all controllers lose power; the cell serves again after it."""
+        slots = self._slots.lose_all()
+        self._note(fault.kind.value)
+        self._cuts.cut(self._numbers(slots), fault.unsynced_writes)
+        self._may_send.clear()
+        time.sleep(fault.length_s)
+        self._launch(slots)
+        self._watch_between_cuts(fault, slots)
+        for slot in slots:
+            self._slots.restore(slot)
+
+    def _watch_between_cuts(
+        self,
+        fault: _losses_schedule.Fault | _losses_schedule.LastFault,
+        slots: list[int],
+    ) -> dict[str, float | None]:
+        """Cut the power of all again; return when which part recovers."""
+        for after_s in fault.cuts_after_s:
+            end_s = time.monotonic() + after_s
+            while time.monotonic() < end_s:
+                if self._read_back(self._acknowledged):
+                    self._may_send.set()
+                    time.sleep(max(0.0, end_s - time.monotonic()))
+            self._cuts.cut(self._numbers(slots), fault.unsynced_writes)
+            self._may_send.clear()
+            self._launch(slots)
+        recovered_s = {}
+        for part, time_s in self._watch(self._acknowledged, time.monotonic()):
+            self._may_send.set()
+            recovered_s[part] = time_s
+        return recovered_s
 
     def _launch_empty(self, number: int, why: str) -> None:
         name = self._cell.controller(number)
@@ -224,15 +305,60 @@
         while True:
             numbers = self._slots.numbers
             number = numbers[self._attempts_count % len(numbers)]
-            self._version += 1
-            body = _platform_cell.document(self._version)
-            if self._cell.put_document(body, number, CALL_TIMEOUT_MS) == 200:
+            if self._send_document(number):
                 return True
             self._attempts_count += 1
             time.sleep(POLL_S)
             if time.monotonic() >= end_s:
                 return False
 
+    def _send_document(self, number: int) -> bool:
+        """Send the next document; return whether it was acknowledged."""
+        with self._lock:
+            self._version += 1
+            version = self._version
+        body = _platform_cell.document(version)
+        if self._loses_power:
+            routes = [
+                _platform_cell.route(f'r{route}')
+                for route in range(1, ROUTES_COUNT + 1)
+            ]
+            body = _platform_cell.document(version, Routes=routes)
+        if self._cell.put_document(body, number, CALL_TIMEOUT_MS) != 200:
+            return False
+        with self._lock:
+            self._acknowledged = max(self._acknowledged, version)
+        return True
+
+    @contextlib.contextmanager
+    def _documents_sent(self) -> collections.abc.Iterator[None]:
+        """Let callers send documents meanwhile, if power is to be lost."""
+        if not self._loses_power:
+            yield
+            return
+        stopping = threading.Event()
+        with concurrent.futures.ThreadPoolExecutor(CALLERS_COUNT) as pool:
+            callers = [
+                pool.submit(self._send_documents, caller, stopping)
+                for caller in range(CALLERS_COUNT)
+            ]
+            try:
+                yield
+            finally:
+                stopping.set()
+        for one in callers:
+            one.result()
+
+    def _send_documents(self, caller: int, stopping: threading.Event) -> None:
+        position = caller
+        while not stopping.wait(CALLER_PAUSE_S):
+            if not self._may_send.is_set():
+                continue
+            numbers = self._slots.numbers
+            number = numbers[position % len(numbers)]
+            if not self._send_document(number):
+                position += 1
+
     def _apply_last(self) -> dict[str, float | None]:
         """Apply the last fault; return ``recovered_s`` of the outcome."""
         last = self._schedule.last
@@ -247,20 +373,25 @@
         killed = wiped
         if last.kills_others:
             killed = list(range(len(self._slots.numbers)))
-        acknowledged = self._version
-        self._processes.kill_together(self._name(slot) for slot in killed)
+        if last.is_cut:
+            self._cuts.cut(
+                self._numbers(killed),
+                last.unsynced_writes,
+                self._numbers(wiped),
+            )
+        else:
+            self._cuts.kill(self._numbers(killed))
+        self._may_send.clear()
         self._note(
-            f'last fault after version {acknowledged}: lost disks of '
+            f'last fault after version {self._acknowledged}: lost disks of '
             f'{[self._name(slot) for slot in wiped]}, killed '
             f'{[self._name(slot) for slot in killed]}'
         )
         for slot in wiped:
             self._cell.wipe_disk(self._slots.numbers[slot])
         time.sleep(last.back_s)
-        for slot in killed:
-            self._launch(slot, 'disk lost last' if slot in wiped else '')
-        back_s = time.monotonic()
-        recovered_s = dict(self._watch(acknowledged, back_s))
+        self._launch(killed, wiped, 'disk lost last')
+        recovered_s = self._watch_between_cuts(last, killed)
         if None not in recovered_s.values():
             # For the admissions of those that lost their disks.
             time.sleep(_losses_schedule.CATCH_UP_S)
@@ -323,6 +454,14 @@
                 code = self._processes.exit_code(name)
                 self._violate(f'{name} has ended by itself with {code}')
 
+    def _check_logs(self) -> None:
+        """Check that no controller refused its disk at any start."""
+        for number in range(len(self._cell.control)):
+            name = self._cell.controller(number)
+            for entry in self._processes.log(name):
+                if entry.get('event') in REFUSALS:
+                    self._violate(f'{name}: {entry}')
+
     def _leader(self) -> int | None:
         """Return the number of the controller that began to lead last."""
         terms = {
@@ -341,6 +480,9 @@
         newest = max(terms, key=lambda number: terms[number])
         return newest if terms[newest] else None
 
+    def _numbers(self, slots: list[int]) -> list[int]:
+        return [self._slots.numbers[slot] for slot in slots]
+
     def _name(self, slot: int) -> str:
         return self._cell.controller(self._slots.numbers[slot])
 
@@ -365,9 +507,15 @@
 
 
 def run_core_losses(
-    folder: pathlib.Path, schedule: _losses_schedule.Schedule, network: str
+    folder: pathlib.Path,
+    schedule: _losses_schedule.Schedule,
+    network: str,
+    power_seed: int | None = None,
 ) -> Outcome:
-    """Run a schedule on a new cell in ``network``; logs are in ``folder``."""
+    """Run a schedule on a new cell in ``network``; logs are in ``folder``.
+
+    With ``power_seed``, the disks of controllers can lose power.
+    """
     workers = _platform_cell.make_workers(WORKERS_COUNT, CAPACITY, 100)
     with contextlib.ExitStack() as resources:
         processes = resources.enter_context(_processes.Processes(folder))
@@ -379,10 +527,11 @@
                 controllers_count=CONTROLLERS_COUNT,
                 network=network,
                 regions=REGIONS,
+                loses_power=power_seed is not None,
             )
         )
         resources.callback(processes.kill_all)
-        outcome = CoreLosses(cell, processes, schedule).run()
+        outcome = CoreLosses(cell, processes, schedule, power_seed).run()
     (folder / 'events.txt').write_text('\n'.join(outcome.events))
     return outcome
 
--- a/dandeliondrum/testing/_losses_schedule.py
+++ b/dandeliondrum/testing/_losses_schedule.py
@@ -6,6 +6,7 @@
 import random
 import threading
 import time
+import typing
 
 LOSSES_MAX = 2
 # A VM stays lost for this time after its start.
@@ -16,6 +17,12 @@
 FAULTS_COUNT = (3, 8)
 AIMED_SHARE = 0.4
 ADDITION_SHARE = 0.2
+# Of losses of power: how many follow a start, and how long after it; how many
+# writes to one file have not been synced.
+CUTS_COUNT = (0, 0, 1, 1, 2, 3)
+CUT_AFTER_S = (0.0, 4.0)
+UNSYNCED_WRITES = (0, 1, 2, 2)
+CUT_ALL_SHARE = 0.5
 
 
 class Kind(enum.Enum):
@@ -30,6 +37,7 @@
     REPLACE_PLANNED = 'replaced as planned'
     NEW_SEEDS = 'new seeds'
     ADD = 'added'
+    POWER_LOSS_ALL = 'all without power'
 
 
 # After these a voter has to be admitted or readmitted.
@@ -46,7 +54,10 @@
     """A fault, how long it lasts, and the time until the next one.
 
     Its target is the leader, or one that ``choice``, a number from 0 to 1,
-    selects among the controllers that are not lost.
+    selects among the controllers that are not lost. With ``is_cut``, it loses
+    what it has not synced; the power is cut once ``unsynced_writes`` to one
+    file are not. It loses power again so long after its next starts as
+    ``cuts_after_s`` says.
     """
 
     kind: Kind
@@ -54,6 +65,9 @@
     choice: float = 0.0
     length_s: float = 1.0
     pause_s: float = 0.0
+    is_cut: bool = False
+    unsynced_writes: int = 0
+    cuts_after_s: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,7 +76,8 @@
 
     The disks of ``wiped_count`` controllers are lost, of those selected by
     ``choice`` or first the leader's; the others are killed, too, or are not.
-    All are back after ``back_s``.
+    All are back after ``back_s``. With ``is_cut``, those killed lose power as
+    in a Fault, and then all of them.
     """
 
     wiped_count: int = LOSSES_MAX
@@ -70,6 +85,9 @@
     at_leader: bool = False
     choice: float = 0.0
     back_s: float = 0.5
+    is_cut: bool = False
+    unsynced_writes: int = 0
+    cuts_after_s: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,13 +101,19 @@
 # The last fault hits controllers other than the replaced one.
 PLANNED = Schedule((Fault(Kind.REPLACE_PLANNED),), LastFault(choice=0.3))
 UNPLANNED = Schedule((Fault(Kind.REPLACE),), LastFault(choice=0.3))
+# With the disk of issue 47: each survivor loses power with several appends
+# that were not synced, and again while the cell recovers.
+POWER = Schedule(
+    (),
+    LastFault(choice=0.3, is_cut=True, unsynced_writes=2, cuts_after_s=(2.5,)),
+)
 
 
 def draw_schedule(seed: int) -> Schedule:
     """Return the schedule of a seed."""
     rng = random.Random(seed)
     faults = []
-    kinds = [one for one in Kind if one is not Kind.ADD]
+    kinds = [one for one in Kind if one not in (Kind.ADD, Kind.POWER_LOSS_ALL)]
     for _ in range(rng.randint(*FAULTS_COUNT)):
         faults.append(
             Fault(
@@ -121,6 +145,48 @@
     return Schedule(tuple(faults), last)
 
 
+def draw_power_schedule(seed: int) -> Schedule:
+    """Return the schedule of a seed, whose controllers lose power."""
+    schedule = draw_schedule(seed)
+    rng = random.Random(f'{seed} power')
+    faults = [_cut(fault, rng) for fault in schedule.faults]
+    if rng.random() < CUT_ALL_SHARE:
+        everywhere = Fault(
+            Kind.POWER_LOSS_ALL, length_s=rng.uniform(*FINAL_BACK_S)
+        )
+        faults.insert(rng.randrange(len(faults)), _cut(everywhere, rng))
+    # Four of five runs end as in issue 47.
+    last = dataclasses.replace(schedule.last, is_cut=True, kills_others=True)
+    if rng.random() < 0.8:
+        last = dataclasses.replace(last, wiped_count=LOSSES_MAX)
+    return Schedule(tuple(faults), _cut(last, rng))
+
+
+_AnyFault = typing.TypeVar('_AnyFault', Fault, LastFault)
+
+
+def _cut(fault: _AnyFault, rng: random.Random) -> _AnyFault:
+    """Return a fault with the losses of power that may be in it."""
+    cuts_after_s = tuple(
+        rng.uniform(*CUT_AFTER_S) for _ in range(rng.choice(CUTS_COUNT))
+    )
+    unsynced_writes = rng.choice(UNSYNCED_WRITES)
+    is_cut = rng.random() < 0.5
+    if isinstance(fault, LastFault):
+        is_cut = True
+    elif fault.kind is not Kind.KILL:
+        is_cut = fault.kind in (Kind.POWER_LOSS, Kind.POWER_LOSS_ALL)
+    elif not is_cut and not cuts_after_s:
+        # What a killed process has not synced is lost after its next start.
+        cuts_after_s = (rng.uniform(*CUT_AFTER_S),)
+    return dataclasses.replace(
+        fault,
+        is_cut=is_cut,
+        unsynced_writes=unsynced_writes,
+        cuts_after_s=cuts_after_s,
+    )
+
+
 class Slots:
     """The controllers that count, and until when each is lost.
 
@@ -158,6 +224,14 @@
                 self._until_s[slot] = float('inf')
             return ordered[:count]
 
+    def lose_all(self) -> list[int]:
+        """Wait until none is lost; return all slots."""
+        with self._changed:
+            while max(self._left_s()) > 0:
+                self._changed.wait(min(max(self._left_s()), CATCH_UP_S))
+            self._until_s = [float('inf')] * len(self._until_s)
+            return list(range(len(self._until_s)))
+
     def restore(
         self,
         slot: int,
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import random
 import shutil
 import sys
 import threading
@@ -13,6 +14,7 @@
 from dandeliondrum.testing import _http
 from dandeliondrum.testing import _platform_fakes
 from dandeliondrum.testing import _ports
+from dandeliondrum.testing import _power_loss
 from dandeliondrum.testing import _processes
 from dandeliondrum.testing import _proxy
 from dandeliondrum.testing import _slow_region
@@ -83,7 +85,8 @@
     of them listen in ``network``, the first half of their IP addresses, and
     get ``settings`` in addition to their own. If ``failure_domains`` are
     given, they can be evacuated. With ``regions``, the controllers are in
-    these by turns, and have the delays of the module ``_slow_region``.
+    these by turns, and have the delays of the module ``_slow_region``. With
+    ``loses_power`` the disks of controllers can lose power, and are slow, too.
 
     Example::
 
@@ -105,8 +108,10 @@
         network: str = NETWORK,
         settings: collections.abc.Mapping[str, str] | None = None,
         regions: tuple[str, ...] = (),
+        loses_power: bool = False,
     ) -> None:
         self.processes = processes
+        self._loses_power = loses_power
         self.regions = regions
         self._settings = settings or {}
         self.failure_domains = failure_domains
@@ -206,6 +211,7 @@
             'Bootstrap': 'true' if first_start else 'false',
         }
         slowed: tuple[str, ...] = ()
+        remote_ips: list[str] = []
         if self.regions:
             region = overrides['Region'] = self._region_of[ip]
             remote_ips = [
@@ -214,6 +220,14 @@
                 if its_region != region
             ]
             slowed = _slow_region.arguments(remote_ips)
+        if self._loses_power:
+            # The name of the data folder can be lost, too.
+            root = self._folder / ip
+            root.mkdir(exist_ok=True)
+            overrides['DataDir'] = str(root / 'data')
+            slowed = _slow_region.arguments(
+                remote_ips, root, self._journal(number), self._aim(number)
+            )
         self._launch(self.controller(number), 'controller', overrides, slowed)
 
     def replace_disk(self, number: int) -> None:
@@ -227,6 +241,37 @@
         folder = self._folder / self._controller_ips[number]
         if folder.exists():
             shutil.rmtree(folder)
+        self._journal(number).unlink(missing_ok=True)
+
+    def aim(self, number: int, writes_count: int) -> None:
+        """Let a controller kill itself once so many writes are not synced.
+
+        It needs a disk that can lose power.
+        """
+        path = self._aim(number)
+        written = path.with_suffix('.new')
+        written.write_text(str(writes_count))
+        written.replace(path)
+
+    def lose_power(
+        self, number: int, rng: random.Random
+    ) -> _power_loss.Unsynced:
+        """Take what a killed controller has not synced; return how much.
+
+        It no longer kills itself after its next start.
+        """
+        self._aim(number).unlink(missing_ok=True)
+        return _power_loss.lose_power(
+            self._folder / self._controller_ips[number],
+            self._journal(number),
+            rng,
+        )
+
+    def _journal(self, number: int) -> pathlib.Path:
+        return self._folder / f'{self._controller_ips[number]}.journal'
+
+    def _aim(self, number: int) -> pathlib.Path:
+        return self._folder / f'{self._controller_ips[number]}.aim'
 
     def add_controller(self, region: str = '') -> int:
         """Reserve an unused address for a controller; return its number.
--- a/dandeliondrum/testing/core_losses.py
+++ b/dandeliondrum/testing/core_losses.py
@@ -4,6 +4,7 @@
 
     python -m dandeliondrum.testing.core_losses --seed=1 --seeds=50
     python -m dandeliondrum.testing.core_losses --case=planned --seeds=3
+    python -m dandeliondrum.testing.core_losses --power --seed=1 --seeds=50
 """
 
 import pathlib
@@ -18,6 +19,7 @@
 CASES = {
     'planned': _losses_schedule.PLANNED,
     'unplanned': _losses_schedule.UNPLANNED,
+    'power': _losses_schedule.POWER,
 }
 # The cells of different seeds have different addresses.
 NETWORK = '127.{}'
@@ -26,13 +28,19 @@
 
 
 def main(
-    seed: int = 1, seeds: int = 1, case: str = '', folder: str = ''
+    seed: int = 1,
+    seeds: int = 1,
+    case: str = '',
+    folder: str = '',
+    power: bool = False,
 ) -> None:
     """Run schedules of consecutive seeds; exit with code 1 if one failed.
 
     With ``case``, run the schedule of that name, which does not depend on the
-    seed. For a failed run, print the folder with its logs, and its faults.
-    The folders are made in ``folder``, by default that of temporary files.
+    seed. With ``power``, or in the case of this name, controllers also lose
+    what they have not synced. For a failed run, print the folder with its
+    logs, and its faults. The folders are made in ``folder``, by default that
+    of temporary files.
     """
     if case and case not in CASES:
         sys.exit(f'unknown case {case}: expected {", ".join(CASES)}')
@@ -41,9 +49,15 @@
         run_folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f'losses-{number}-', dir=folder or None)
         )
-        schedule = CASES.get(case) or _losses_schedule.draw_schedule(number)
+        draw = _losses_schedule.draw_schedule
+        if power:
+            draw = _losses_schedule.draw_power_schedule
+        schedule = CASES.get(case) or draw(number)
         network = NETWORK.format(FIRST_NETWORK + number % NETWORKS_COUNT)
-        outcome = _core_losses.run_core_losses(run_folder, schedule, network)
+        power_seed = number if power or case == 'power' else None
+        outcome = _core_losses.run_core_losses(
+            run_folder, schedule, network, power_seed
+        )
         sys.stdout.write(_core_losses.describe(number, outcome) + '\n')
         if outcome.violations:
             failed = True
--- a/tests/test_core_losses.py
+++ b/tests/test_core_losses.py
@@ -32,6 +32,14 @@
     assert outcome.violations == (), _core_losses.describe(0, outcome)
 
 
+def test_no_controller_refuses_its_log_after_a_loss_of_power(tmp_path):
+    """Guards against a refused log when two disks are lost, too: issue 47."""
+    outcome = _core_losses.run_core_losses(
+        tmp_path, _losses_schedule.POWER, '127.14', power_seed=1
+    )
+    assert outcome.violations == (), _core_losses.describe(0, outcome)
+
+
 @pytest.fixture
 def slots():
     return _losses_schedule.Slots(range(5), 2)
@@ -64,17 +72,71 @@
     assert slots.numbers[5] == 6 and slots.lost_s() == float('inf')
 
 
-def test_a_seed_draws_the_same_schedule_and_all_kinds_are_drawn():
-    drawn = [_losses_schedule.draw_schedule(seed) for seed in range(40)]
-    assert drawn == [
-        _losses_schedule.draw_schedule(seed) for seed in range(40)
-    ]
+def test_all_are_lost_once_none_is_lost(slots):
+    (slot,) = slots.lose(1, 0.0)
+    slots.restore(slot, catch_up_s=0.1)
+    assert slots.lose_all() == [0, 1, 2, 3, 4]
+    assert slots.lost_s() == float('inf')
+
+
+@pytest.mark.parametrize(
+    ('draw', 'other_kinds'),
+    [
+        (
+            _losses_schedule.draw_schedule,
+            {_losses_schedule.Kind.POWER_LOSS_ALL},
+        ),
+        (_losses_schedule.draw_power_schedule, set()),
+    ],
+)
+def test_a_seed_draws_the_same_schedule_and_all_kinds_are_drawn(
+    draw, other_kinds
+):
+    drawn = [draw(seed) for seed in range(40)]
+    assert drawn == [draw(seed) for seed in range(40)]
     faults = [fault for schedule in drawn for fault in schedule.faults]
-    assert {fault.kind for fault in faults} == set(_losses_schedule.Kind)
+    kinds = {fault.kind for fault in faults}
+    assert kinds == set(_losses_schedule.Kind) - other_kinds
     aimed = {fault.kind for fault in faults if fault.at_leader}
     assert len(aimed) >= 7
 
 
+def test_a_seed_of_a_known_failure_still_draws_its_faults():
+    """Seed 205 is in KNOWN-RED.txt."""
+    schedule = _losses_schedule.draw_schedule(205)
+    drawn = [
+        f'{one.kind.name} {one.choice:.4f} {one.pause_s:.4f}'
+        for one in schedule.faults
+    ]
+    assert drawn == [
+        'NEW_SEEDS 0.5362 4.1434',
+        'WIPE 0.7542 0.9844',
+        'WIPE 0.6271 2.9194',
+        'REPLACE 0.8940 1.6178',
+        'WIPE_TWO 0.0860 1.4631',
+        'REPLACE 0.6723 0.0000',
+    ]
+    assert schedule.last == _losses_schedule.LastFault(
+        at_leader=True, choice=0.9541302227417395, back_s=0.8050285205123009
+    )
+
+
+def test_controllers_lose_power_before_and_after_their_next_start():
+    drawn = [_losses_schedule.draw_power_schedule(seed) for seed in range(40)]
+    kills = [
+        fault
+        for schedule in drawn
+        for fault in schedule.faults
+        if fault.kind is _losses_schedule.Kind.KILL
+    ]
+    assert all(one.is_cut or one.cuts_after_s for one in kills)
+    assert any(one.is_cut for one in kills)
+    assert any(not one.is_cut for one in kills)
+    assert all(schedule.last.is_cut for schedule in drawn)
+    bursts = [schedule.last.cuts_after_s for schedule in drawn]
+    assert {len(burst) for burst in bursts} == {0, 1, 2, 3}
+
+
 def _entry(passed_s, event, **fields):
     time = f'1970-01-01T00:16:{40 + passed_s:05.2f}Z'
     return {'event': event, 'time': time, **fields}
