--- a/dandeliondrum/testing/_losses_power.py
+++ b/dandeliondrum/testing/_losses_power.py
@@ -55,7 +55,8 @@
 
         The moment is when one of them is about to sync as many writes to one
         file, if there is one soon. It is none of the ``wiped``, which are to
-        lose their disks as well.
+        lose their disks as well. Of several writes, the last survives and the
+        one before it does not, as in issue 47.
         """
         aimed = [number for number in numbers if number not in wiped]
         is_met = not unsynced_writes or self._wait_for_aim(
@@ -65,7 +66,9 @@
         lost = []
         with self._lock:
             for number in numbers:
-                unsynced = self._cell.lose_power(number, self._rng)
+                unsynced = self._cell.lose_power(
+                    number, self._rng, keeps_last_write=unsynced_writes > 1
+                )
                 lost.append(
                     f'{self._cell.controller(number)} '
                     f'{unsynced.changes_count}/{unsynced.writes_count_max}'
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -254,17 +254,23 @@
         written.replace(path)
 
     def lose_power(
-        self, number: int, rng: random.Random
+        self,
+        number: int,
+        rng: random.Random,
+        *,
+        keeps_last_write: bool = False,
     ) -> _power_loss.Unsynced:
         """Take what a killed controller has not synced; return how much.
 
-        It no longer kills itself after its next start.
+        ``keeps_last_write`` is that of ``_power_loss.lose_power``. The
+        controller no longer kills itself after its next start.
         """
         self._aim(number).unlink(missing_ok=True)
         return _power_loss.lose_power(
             self._folder / self._controller_ips[number],
             self._journal(number),
             rng,
+            keeps_last_write=keeps_last_write,
         )
 
     def _journal(self, number: int) -> pathlib.Path:
--- a/dandeliondrum/testing/_power_loss.py
+++ b/dandeliondrum/testing/_power_loss.py
@@ -123,11 +123,20 @@
         gone = sorted(now.keys() - contents.keys(), reverse=True)
         return found + [('remove', path) for path in gone]
 
-    def survivors(self, rng: random.Random) -> Contents:
-        """Return what a loss of power may leave."""
+    def survivors(
+        self, rng: random.Random, *, keeps_last_write: bool = False
+    ) -> Contents:
+        """Return what a loss of power may leave.
+
+        With ``keeps_last_write``, the last of several writes to a file is
+        present, and the one before it is not.
+        """
         policy = rng.choice((0.0, _PRESENT, _PRESENT, 1.0))
 
         def choose(changes: list[tuple]) -> list[_Choice]:
+            writes = [one for one in changes if one[0] == 'write']
+            if keeps_last_write and len(writes) > 1:
+                return [(c, None) for c in changes if c is not writes[-2]]
             kept: list[_Choice] = []
             for change in changes:
                 if rng.random() < policy:
@@ -404,15 +413,20 @@
 
 
 def lose_power(
-    root: pathlib.Path, journal: pathlib.Path, rng: random.Random
+    root: pathlib.Path,
+    journal: pathlib.Path,
+    rng: random.Random,
+    *,
+    keeps_last_write: bool = False,
 ) -> Unsynced:
     """Replace a folder by what a loss of power may have left of it.
 
     ``journal`` is that of the RecordingFiles of a process that has ended; it
-    is replaced, too. Returns what had not been synced.
+    is replaced, too. ``keeps_last_write`` is that of ``Disk.survivors``.
+    Returns what had not been synced.
     """
     disk = _replay(journal)
-    left = disk.survivors(rng)
+    left = disk.survivors(rng, keeps_last_write=keeps_last_write)
     write_contents(root, left)
     journal.write_bytes(msgpack.packb(('load', left)))
     return Unsynced(disk.changes_count(), disk.writes_count_max())
--- a/dandeliondrum/testing/tests/test_power_loss.py
+++ b/dandeliondrum/testing/tests/test_power_loss.py
@@ -55,6 +55,15 @@
         assert expected in found
 
 
+def test_a_chosen_loss_takes_the_write_before_the_last(tmp_path, files):
+    write_file(files, tmp_path / 'a', b'', synced=True)
+    files.sync_folder(tmp_path)
+    for data in (b'xx', b'yy', b'zz'):
+        write_file(files, tmp_path / 'a', data, synced=False)
+    left = files.disk.survivors(random.Random(1), keeps_last_write=True)
+    assert left == {'a': b'xx\0\0zz'}
+
+
 def test_a_write_is_torn_in_blocks(tmp_path, files):
     block_bytes = _power_loss.BLOCK_BYTES
     write_file(files, tmp_path / 'a', b'', synced=True)
