--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -59,6 +59,7 @@
     overload. A seed draws the same faults as before these were
     added if they are off. ``deadly_share`` is the share of jobs that crash
     the workers that start them. With ``uneven`` every fourth worker is slow.
+    With ``power`` killed controllers lose what they have not synced.
     """
 
     seed: int
@@ -73,6 +74,7 @@
     crowds: bool = False
     deadly_share: float = 0
     uneven: bool = False
+    power: bool = False
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
 
@@ -122,6 +124,7 @@
                 controllers_count=options.size.controllers_count,
                 job_state_kept_s=JOB_STATE_KEPT_S,
                 failure_domains=FAILURE_DOMAINS if options.evacuations else (),
+                loses_power=options.power,
             )
         )
         # Servers close at once when nobody is connected to them any more.
@@ -171,6 +174,7 @@
             options.recuts,
             options.evacuations,
             options.crowds,
+            options.power,
         )
         self._overload: _soak_overload.OverloadFigures | None = None
 
--- a/dandeliondrum/testing/_soak_faults.py
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -30,6 +30,8 @@
 SHRINKAGE_SHARE = 0.2
 # Often longer than starts may still use what was there before.
 SHRINKAGE_DURATION_S = (1.0, 10.0)
+# How long a loss of power waits for a write that has not been synced.
+CUT_AIM_S = 0.5
 RECUT_SHARE = 0.25
 EVACUATION_SHARE = 0.2
 CROWD_SHARE = 0.3
@@ -60,7 +62,8 @@
     started again, with calls to their former incarnations, and with
     ``evacuations`` operators evacuate failure domains for a while, and with
     ``crowds`` clients that nobody controls press at a port; a seed draws the
-    same faults as before these were added if they are off.
+    same faults as before these were added if they are off. With ``power``
+    killed controllers lose what they have not synced.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         recuts: bool = False,
         evacuations: bool = False,
         crowds: bool = False,
+        power: bool = False,
     ) -> None:
         self._cell = cell
         self._workers = workers
@@ -88,6 +92,7 @@
         self._recuts = recuts
         self._evacuations = evacuations
         self._crowds = crowds
+        self._power_rng = random.Random(f'{seed} power') if power else None
         self.names: list[str] = []
         self._reserved_names: set[str] = set()
         self._lock = threading.Lock()
@@ -381,7 +386,7 @@
     def _kill(self, name: str, length_s: float) -> None:
         with self._reserve(name) as reserved:
             if reserved:
-                self._cell.processes.kill(name)
+                self._end(name)
                 time.sleep(length_s)
                 self._cell.processes.restart(name)
 
@@ -419,10 +424,28 @@
         with self._reserve(*names) as reserved:
             if reserved:
                 for name in names:
-                    self._cell.processes.kill(name)
+                    self._end(name)
                 for name in names:
                     self._cell.processes.restart(name)
 
+    def _end(self, name: str) -> None:
+        """Kill a process; a controller may lose what it has not synced."""
+        names = self._controller_names()
+        if self._power_rng is None or name not in names:
+            self._cell.processes.kill(name)
+            return
+        number = names.index(name)
+        self._cell.aim(number, 1)
+        end_s = time.monotonic() + CUT_AIM_S
+        while (
+            self._cell.processes.is_running(name) and time.monotonic() < end_s
+        ):
+            time.sleep(POLL_S)
+        self._cell.processes.kill(name)
+        with self._lock:
+            unsynced = self._cell.lose_power(number, self._power_rng)
+        self._checker.log(f'{name} lost power: {unsynced}')
+
     def _silence(
         self, worker: _soak_checker.CheckedWorker, length_s: float
     ) -> None:
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -33,6 +33,7 @@
     crowds: bool = False,
     deadly: float = 0,
     uneven: bool = False,
+    power: bool = False,
     folder: str = '',
 ) -> None:
     """Run soaks with consecutive seeds; exit with code 1 if one failed.
@@ -47,7 +48,8 @@
     evacuated for a while; with ``crowds`` clients that nobody controls press
     at ports of gateways and controllers; ``deadly`` is the share of jobs that
     crash the workers that start them; with ``uneven`` every fourth worker
-    takes more than twice as long. Half-way, the cell is held over its capacity
+    takes more than twice as long; with ``power`` killed controllers lose what
+    they have not synced. Half-way, the cell is held over its capacity
     for ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
@@ -79,6 +81,7 @@
             crowds=crowds,
             deadly_share=deadly,
             uneven=uneven,
+            power=power,
             size=chosen,
         )
         outcome = _soak.run_soak(options)
