--- a/dandeliondrum/testing/tests/test_power_loss.py
+++ b/dandeliondrum/testing/tests/test_power_loss.py
@@ -55,6 +55,15 @@
         assert expected in found
 
 
+def test_a_chosen_loss_takes_the_write_before_the_last(tmp_path, files):
+    write_file(files, tmp_path / 'a', b'', synced=True)
+    files.sync_folder(tmp_path)
+    for data in (b'xx', b'yy', b'zz'):
+        write_file(files, tmp_path / 'a', data, synced=False)
+    left = files.disk.survivors(random.Random(1), keeps_last_write=True)
+    assert left == {'a': b'xx\0\0zz'}
+
+
 def test_a_write_is_torn_in_blocks(tmp_path, files):
     block_bytes = _power_loss.BLOCK_BYTES
     write_file(files, tmp_path / 'a', b'', synced=True)
@@ -99,8 +108,15 @@
     assert second.disk.contents() == {'a': b'keptlost'}
     found = [left['a'] for left in outcomes(root, second)]
     assert b'kept' in found
-    assert _power_loss.lose_power(root, journal, random.Random(3)) == 1
-    assert (root / 'a').read_bytes().startswith(b'kept')
+    unsynced = _power_loss.lose_power(root, journal, random.Random(3))
+    assert unsynced == (1, 1)
+    left = (root / 'a').read_bytes()
+    assert left.startswith(b'kept')
+    # What a loss of power has left is durable.
+    third = _power_loss.RecordingFiles(root, journal)
+    assert outcomes(root, third) == [{'a': left}]
+    unsynced = _power_loss.lose_power(root, journal, random.Random(3))
+    assert unsynced == (0, 0)
 
 
 def test_an_operation_that_a_kill_left_unrecorded_is_found(tmp_path):
@@ -112,3 +128,17 @@
     (root / 'a').write_bytes(b'data and more')
     second = _power_loss.RecordingFiles(root, journal)
     assert second.disk.contents() == {'a': b'data and more'}
+
+
+def test_synced_data_survives_after_an_unrecorded_operation(tmp_path):
+    root = tmp_path / 'root'
+    root.mkdir()
+    journal = tmp_path / 'journal'
+    first = _power_loss.RecordingFiles(root, journal)
+    write_file(first, root / 'a', b'synced', synced=True)
+    first.sync_folder(root)
+    (root / 'a').write_bytes(b'synced and more')
+    second = _power_loss.RecordingFiles(root, journal)
+    found = [left['a'] for left in outcomes(root, second)]
+    assert b'synced' in found
+    assert all(data.startswith(b'synced') for data in found)
