--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -227,13 +227,20 @@
             self.forwarders[key] = Forwarder()
         return self.forwarders[key]
 
+    def data_folder(self, name):
+        return self.folder / name
+
+    def on_call(self, _name, node):
+        """Return the handler of the requests of other nodes."""
+        return node.handle
+
     def launch(self, name):
         """Start a node and return the result of its start."""
         others = [other for other in self.all_names if other != name]
         options = consensus.Options(
             controller_id=name,
             cell_id=CELL_ID,
-            data_folder=self.folder / name,
+            data_folder=self.data_folder(name),
             addresses={
                 other: self.forwarder(name, other).address for other in others
             },
@@ -254,7 +261,7 @@
             return outcome
         server = transport.Server(
             transport.ServerOptions('127.0.0.1:0', CELL_ID),
-            transport.Callbacks(on_call=node.handle),
+            transport.Callbacks(on_call=self.on_call(name, node)),
         )
         server.start()
         for other in others:
--- a/dandeliondrum/consensus/tests/load.py
+++ b/dandeliondrum/consensus/tests/load.py
@@ -33,10 +33,14 @@
 
 
 class Proposers:
-    """Threads that propose to the current leader, each command once."""
+    """Threads that propose to the current leader, each command once.
 
-    def __init__(self, cluster, count=4):
+    Commands are padded to ``command_bytes``.
+    """
+
+    def __init__(self, cluster, count=4, command_bytes=0):
         self._cluster = cluster
+        self._command_bytes = command_bytes
         self._stop = threading.Event()
         self.acknowledged = []
         self.never_committed = []
@@ -74,6 +78,7 @@
                     continue
                 sequence += 1
                 command = b'%d/%d' % (number, sequence)
+                command = command.ljust(self._command_bytes, b'.')
                 outcome = running.node.propose(command).result(
                     harness.TIMEOUT_S
                 )
