Lose power in cells while commands arrive

Two thirds of the losses of the plays found nothing unsynced, since the cell had no leader yet, and none left a batch after a missing one.

Most losses now wait for an acknowledgement first, the sync of a folder is slow as well, and four calls may be in flight, so that a follower appends several times before a sync.

--- a/dandeliondrum/consensus/tests/test_power_loss_cells.py
+++ b/dandeliondrum/consensus/tests/test_power_loss_cells.py
@@ -27,12 +27,15 @@
 FAULTS_MAX = 4
 PROPOSERS_COUNT = 8
 COMMAND_BYTES = 120
+IN_FLIGHT_CALLS = 4
 SEGMENT_BYTES = 6_000
 CHUNK_BYTES = 8_000
 SNAPSHOT_EVERY_ENTRIES = 40
 SYNC_MS = (0, 1, 5, 20)
 # How long a fault waits for its moment before it happens anyway.
 MOMENT_TIMEOUT_S = 0.3
+# More than an election takes.
+TRAFFIC_TIMEOUT_S = 1.5
 
 _logger = structlog.get_logger()
 
@@ -185,7 +188,7 @@
                     self.reached.set()
         if self._is_killed:
             raise OSError('killed')
-        if operation == 'sync':
+        if operation in ('sync', 'sync_folder'):
             # Requests queue up meanwhile, so that several appends follow.
             time.sleep(self._delay_s)
 
@@ -483,6 +486,8 @@
         self._log('power lost', names, moment=moment)
         if not names:
             return
+        if self.random.random() < 0.7:
+            self._wait_for_traffic(proposers)
         disk = self.cell.disks[self.random.choice(names)]
         match moment:
             case 'any':
@@ -502,14 +507,18 @@
                 disk.arm(self.random.randint(1, 20), lambda: self._cut(names))
                 disk.reached.wait(MOMENT_TIMEOUT_S)
             case 'acknowledged':
-                goal = len(proposers.acknowledged) + 1
-                end_s = time.monotonic() + MOMENT_TIMEOUT_S
-                while len(proposers.acknowledged) < goal:
-                    if time.monotonic() > end_s:
-                        break
-                    time.sleep(0.0005)
+                self._wait_for_traffic(proposers)
         self._cut(names)
 
+    def _wait_for_traffic(self, proposers):
+        """Wait for an acknowledgement, unless there is no quorum."""
+        goal = len(proposers.acknowledged) + 1
+        end_s = time.monotonic() + TRAFFIC_TIMEOUT_S
+        while len(proposers.acknowledged) < goal:
+            if time.monotonic() > end_s:
+                return
+            time.sleep(0.0005)
+
     def _darken(self, names):
         """Stop nodes without power; they may still answer for a while."""
         if self.random.random() < 0.3:
@@ -580,6 +589,7 @@
 ):
     monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', SEGMENT_BYTES)
     monkeypatch.setattr(_options, 'SNAPSHOT_CHUNK_BYTES', CHUNK_BYTES)
+    monkeypatch.setattr(_options, 'IN_FLIGHT_CALLS_MAX', IN_FLIGHT_CALLS)
     with Cell(tmp_path, count, random.Random(seed)) as cell:
         faults = Faults(cell)
         faults.found()
