Lose power after killed followers find unsynced entries

A fault kills all followers before a sync, starts them while the leader waits for a quorum, and cuts the power after the first entries were reported as stored, also with lost disks.

--- a/dandeliondrum/consensus/tests/test_power_loss_cells.py
+++ b/dandeliondrum/consensus/tests/test_power_loss_cells.py
@@ -52,6 +52,8 @@
 
     def __init__(self):
         self.disk_id = None
+        # Set once the node has stored entries for a leader.
+        self.stored = threading.Event()
         self._lock = threading.Lock()
         # The highest term of a leader's request, which may truncate the log.
         self._leader_term = 0
@@ -96,6 +98,8 @@
 
     def _note_stored(self, term, index):
         self._stored = max(self._stored, (term, index))
+        if index:
+            self.stored.set()
 
     def check(self, opened):
         """Check the files that the node is about to start with."""
@@ -186,11 +190,11 @@
                 if not self._left_count:
                     self._action()
                     self.reached.set()
-        if self._is_killed:
-            raise OSError('killed')
         if operation in ('sync', 'sync_folder'):
             # Requests queue up meanwhile, so that several appends follow.
             time.sleep(self._delay_s)
+        if self._is_killed:
+            raise OSError('killed')
 
 
 class Cell(harness.Cluster):
@@ -222,6 +226,7 @@
 
     def launch(self, name):
         self.check_files(name)
+        self.disks[name].promises.stored.clear()
         outcome = super().launch(name)
         if isinstance(outcome, result.Success):
             running = self.running[name]
@@ -337,6 +342,8 @@
                     self._lose_all_power,
                     self._lose_disks_and_power,
                     self._lose_disks_and_power,
+                    self._kill_and_lose_power,
+                    self._kill_and_lose_power,
                     self._lose_disk,
                     self._kill,
                     self._kill,
@@ -384,11 +391,8 @@
         self._lose_power_of(self._some(self.cell.running), proposers)
 
     def _lose_all_power(self, proposers):
-        """Also the nodes that were killed before lose it."""
-        self._lose_power_of(sorted(self.cell.running), proposers)
-        self.dark |= self.killed
-        self.killed.clear()
-        self._start_all()
+        self._cut_at_some_moment(sorted(self.cell.running), proposers)
+        self._end_all([])
 
     def _lose_power_of(self, names, proposers):
         if not names:
@@ -402,15 +406,55 @@
     def _lose_disks_and_power(self, proposers):
         """Lose disks of a minority, and the power of all others."""
         victims = self._replaceable()
-        if not victims:
+        if victims:
+            self._cut_at_some_moment(
+                sorted(self.cell.running), proposers, is_acknowledged=True
+            )
+            self._end_all(victims)
+
+    def _kill_and_lose_power(self, proposers):
+        """Lose power after all followers were killed and started again.
+
+        They find entries that were not synced, and their leader, which waits
+        for a quorum, sends no others.
+        """
+        leaders = self.cell.leaders()
+        followers = sorted(set(self.cell.running) - set(leaders))
+        if not leaders or not followers:
             return
-        running = sorted(self.cell.running)
-        self._cut_at_some_moment(running, proposers, is_acknowledged=True)
-        self._log('disks lost', victims)
-        self._darken(running)
+        victims = self._replaceable()
+        self._wait_for_traffic(proposers)
+        disks = [self.cell.disks[name] for name in followers]
+        operation = self.random.choice(('sync', 'sync', 'sync_folder'))
+        disk = self.random.choice(disks)
+        disk.arm(1, lambda: [one.kill() for one in disks], operation)
+        disk.reached.wait(MOMENT_TIMEOUT_S)
+        for one in disks:
+            one.kill()
+        self._log('killed and started', followers)
+        self._stop(followers)
+        for name, one in zip(followers, disks, strict=True):
+            one.revive()
+            self.cell.launch(name).unwrap()
+        if self.random.random() < 0.7:
+            disk.promises.stored.wait(TRAFFIC_TIMEOUT_S)
+        else:
+            time.sleep(self.random.uniform(0, 0.3))
+        self._log('power lost', sorted(self.cell.running))
+        self._cut(sorted(self.cell.running))
+        self._end_all(self.random.choice(([], victims)))
+
+    def _end_all(self, victims):
+        """Stop all, also the killed nodes, without power; start them.
+
+        The disks of the victims are lost.
+        """
+        self._darken(sorted(self.cell.running))
         self.dark |= self.killed
         self.killed.clear()
-        self._replace_disks(victims)
+        if victims:
+            self._log('disks lost', victims)
+            self._replace_disks(victims)
         self._start_all()
 
     def _lose_disk(self, _proposers):
