Lose an acknowledged command unless found entries are synced

A test kills both followers before they sync a command, starts them again, waits until it is acknowledged, and takes the power of all and the leader's disk.

--- a/dandeliondrum/consensus/tests/test_power_loss_cells.py
+++ b/dandeliondrum/consensus/tests/test_power_loss_cells.py
@@ -205,9 +205,12 @@
 class Cell(harness.Cluster):
     """A cluster whose nodes have a disk each."""
 
-    def __init__(self, folder, count, rng):
+    def __init__(self, folder, count, rng, **options):
         super().__init__(
-            folder, count, snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES
+            folder,
+            count,
+            snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
+            **options,
         )
         self.random = rng
         self.disks = {}
@@ -279,6 +282,16 @@
         )
 
 
+class AllLost(random.Random):
+    """Randomness with which no unsynced change survives."""
+
+    def random(self):
+        return 1.0
+
+    def choice(self, probabilities):
+        return min(probabilities)
+
+
 class Faults:
     """Series of faults that overlap, with a fixed seed.
 
@@ -661,3 +674,35 @@
             unknown=len(proposers.unknown),
             snapshots=cell.restored_count(),
         )
+
+
+def test_an_acknowledged_command_survives_where_killed_nodes_found_it(
+    tmp_path,
+):
+    # The leader has to wait for the nodes that start again.
+    options = {'election_min_ms': 2_000, 'election_max_ms': 3_000}
+    with Cell(tmp_path, 3, random.Random(1), **options) as cell:
+        leader = cell.bootstrap()
+        cell.propose(leader, b'before').unwrap()
+        cell.wait_applied([b'before'])
+        followers = cell.others(leader)
+        disks = [cell.disks[name] for name in followers]
+        for disk in disks:
+            disk.arm(1, disk.kill, 'sync')
+        future = cell.node(leader).propose(b'acknowledged')
+        for name, disk in zip(followers, disks, strict=True):
+            assert disk.reached.wait(harness.TIMEOUT_S)
+            cell.stop(name)
+            disk.revive()
+        cell.start(*followers)
+        future.result(harness.TIMEOUT_S).unwrap()
+        for name in cell.names:
+            cell.disks[name].cut()
+        for name in cell.names:
+            cell.stop(name)
+        cell.replace_disk(leader)
+        for disk in disks:
+            disk.lose_power(AllLost())
+        cell.start()
+        cell.leader()
+        cell.wait_applied([b'before', b'acknowledged'])
