--- a/dandeliondrum/consensus/tests/test_power_loss.py
+++ b/dandeliondrum/consensus/tests/test_power_loss.py
@@ -105,6 +105,23 @@
             assert log.last_index == loaded_index
 
 
+def test_entries_of_a_killed_process_are_synced_in_each_file(disk):
+    """An earlier version began another file without a sync of the first."""
+    with disk.open_log() as log:
+        log.append(make_entries(1, 2))
+        log.sync()
+        log.append(make_entries(3, 4))
+        log.compact(0)
+        sync, disk.files.sync = disk.files.sync, lambda _descriptor: None
+        log.append(make_entries(5, 6))
+        disk.files.sync = sync
+    with disk.open_log():
+        pass
+    for files in disk.outcomes():
+        with disk.open_log(files) as log:
+            assert log.last_index == 6
+
+
 def test_a_synced_entry_survives_in_a_file_that_a_killed_process_made(disk):
     with disk.open_log():
         # The process is killed before it syncs the name.
@@ -124,6 +141,22 @@
         assert disk.open_node(files) == disk_id
 
 
+def test_a_start_fails_while_the_name_of_its_folder_cannot_be_synced(disk):
+    """A killed process has created the folder."""
+    disk.folder.mkdir(parents=True)
+    files = _power_loss.RecordingFiles(disk.root)
+    sync_folder = files.sync_folder
+
+    def fail_above(folder):
+        if folder != disk.folder:
+            raise OSError('no space')
+        sync_folder(folder)
+
+    files.sync_folder = fail_above
+    with pytest.raises(OSError, match='no space'):
+        disk.open_node(files)
+
+
 def test_a_term_that_a_killed_process_stored_is_not_lost_later(disk):
     """Entries of the term would then be newer than the stored term."""
     disk.open_node()
