--- a/dandeliondrum/consensus/_damaged_files.py
+++ b/dandeliondrum/consensus/_damaged_files.py
@@ -41,18 +41,24 @@
         # What is left of an interrupted move must not be taken for the intact
         # files of the former identity.
         identity = folder / _hard_state.IDENTITY_FILE_NAME
-        for moved in (
-            [identity],
-            [path for path in paths if path != identity],
-        ):
-            for path in moved:
-                if path in paths:
-                    files.rename(path, target / path.name)
-            files.sync_folder(target)
-            files.sync_folder(folder)
+        _move_files(
+            files, [path for path in paths if path == identity], target
+        )
+        _move_files(
+            files, [path for path in paths if path != identity], target
+        )
     return target
 
 
+def _move_files(
+    files: _files.Files, paths: list[pathlib.Path], target: pathlib.Path
+) -> None:
+    for path in paths:
+        files.rename(path, target / path.name)
+    files.sync_folder(target)
+    files.sync_folder(target.parent)
+
+
 def _choose_folder(
     folder: pathlib.Path, paths: list[pathlib.Path]
 ) -> pathlib.Path:
--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -198,14 +198,14 @@
 
 def _parse_entry(data: bytes, offset: int) -> tuple[_records.Entry, int]:
     """Return the entry at an offset, and the offset after it."""
-    begins_batch = data.startswith(BATCH_MARKER, offset)
-    start = offset
-    if begins_batch:
-        offset, _ = _parse_batch(data, offset)
-    has_header = offset > start
-    if has_header or not begins_batch:
-        if not data.startswith(INNER_RECORD_MARKER, offset):
-            raise _records.RecordError('missing record marker')
+    marker = INNER_RECORD_MARKER
+    if data.startswith(BATCH_MARKER, offset):
+        start = offset
+        offset, _ = _parse_batch(data, start)
+        if offset == start:
+            marker = BATCH_MARKER
+    if not data.startswith(marker, offset):
+        raise _records.RecordError('missing record marker')
     entry = _records.parse(data, offset + MARKER_BYTES)
     return entry, offset + MARKER_BYTES + len(entry.record)
 
