Take no bytes of a command for a later batch of the log

What follows an unreadable record is searched for batches, and a batch of an earlier version states that everything before it had been synced.

After a header only batches with headers count, and these state their own offset.

--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -46,6 +46,7 @@
         self.size_bytes = 0
         self._files = files
         self._synced_bytes = 0
+        self._has_headers = False
         # An entry that begins a batch begins at the header.
         self._offsets: list[int] = []
         self._descriptor = files.open_for_append(self.path)
@@ -114,12 +115,15 @@
                     f'entry {entry.index} is out of order'
                 )
             entries.append(entry)
+            self._has_headers = self._has_headers or _has_header(
+                data, self.size_bytes
+            )
             self._offsets.append(self.size_bytes)
             self.size_bytes = end_bytes
         return entries
 
     def _cut_unsynced(self, data: bytes, newest: bool, why: str) -> None:
-        later = _later_batches(data, self.size_bytes + 1)
+        later = _later_batches(data, self.size_bytes + 1, self._has_headers)
         synced_bytes = max(later.values(), default=0)
         is_damage = not newest or synced_bytes > self.size_bytes
         tail = data[self.size_bytes :]
@@ -210,11 +214,27 @@
     return entry, offset + MARKER_BYTES + len(entry.record)
 
 
-def _later_batches(data: bytes, offset: int) -> dict[int, int]:
-    """Return the offsets of batches, and the synced bytes that each states."""
+def _has_header(data: bytes, offset: int) -> bool:
+    """Return whether a readable entry begins with the header of a batch."""
+    if not data.startswith(BATCH_MARKER, offset):
+        return False
+    records_offset, _ = _parse_batch(data, offset)
+    return records_offset > offset
+
+
+def _later_batches(
+    data: bytes, offset: int, has_headers: bool
+) -> dict[int, int]:
+    """Return the offsets of batches, and the synced bytes that each states.
+
+    After a header there are no batches without one, but a command may contain
+    the same bytes.
+    """
     found = {}
     while (offset := data.find(BATCH_MARKER, offset)) >= 0:
         with contextlib.suppress(_records.RecordError):
-            _, found[offset] = _parse_batch(data, offset)
+            records_offset, synced_bytes = _parse_batch(data, offset)
+            if records_offset > offset or not has_headers:
+                found[offset] = synced_bytes
         offset += 1
     return found
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -160,6 +160,28 @@
         reopen(tmp_path)
 
 
+def test_a_command_with_the_bytes_of_a_batch_is_no_later_batch(tmp_path):
+    """A log would be refused after a loss of power for what a caller sent."""
+    (forged,) = make_entries(9, 9)
+    entries = make_entries(1, 2)
+    for index in (3, 4):
+        entries.append(
+            _records.make(
+                index,
+                1,
+                _records.EntryKind.COMMAND,
+                _segment.BATCH_MARKER + forged.record,
+            )
+        )
+    write_batches(tmp_path, entries[:2], entries[2:3], entries[3:])
+    path = newest_file(tmp_path)
+    data = path.read_bytes()
+    os.truncate(path, len(data) - 1)
+    assert reopen(tmp_path).last_index == 3
+    flip_byte(path, path.read_bytes().index(entries[2].record))
+    assert reopen(tmp_path).last_index == 2
+
+
 def test_a_log_of_an_earlier_version_is_loaded_and_continued(tmp_path):
     entries = make_entries(1, 9)
     write_old_batches(tmp_path, entries[:3], entries[3:4])
