--- a/dandeliondrum/consensus/tests/test_commit.py
+++ b/dandeliondrum/consensus/tests/test_commit.py
@@ -185,7 +185,7 @@
 
 
 def test_a_batch_that_the_disk_holds_up_is_reported(tmp_path):
-    """Regression test for issue 44: no line told of a write of 3 s."""
+    """Regression test for issue 44: a write of 3 s was not logged."""
     disk = harness.SlowSync()
     with harness.Cluster(tmp_path, 1) as cluster:
         cluster.files = {'c1': disk}
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -475,7 +475,7 @@
 
 
 def test_a_learner_whose_disk_stalls_is_reported_and_then_promoted(tmp_path):
-    """Regression test for issue 44: no line told why one stayed a learner."""
+    """Regression test for issue 44: why it waits was not logged."""
     disk = harness.BlockingSync()
     with harness.Cluster(tmp_path, extra=1) as cluster:
         leader = cluster.bootstrap()
--- a/dandeliondrum/consensus/tests/test_power_loss_cells.py
+++ b/dandeliondrum/consensus/tests/test_power_loss_cells.py
@@ -49,7 +49,7 @@
 
 
 class Promises:
-    """What the replies of a node have promised about its disk."""
+    """Guarantees of a node in its replies, which its disk has to keep."""
 
     def __init__(self):
         self.disk_id = None
