Handle signals from the first line of a program

SIGHUP up to 400 ms after its launch ended a gateway or controller without a line, and SIGTERM ended it without an orderly stop: handlers were installed after the imports and after the settings were read, so the default action held until then.

SIGHUP lets a gateway reread its settings at once and ends nothing. A stop during a start is an orderly one. The handlers set plain attributes and wake the main thread through a pipe: an event takes a lock that the interrupted code may hold.

The log now tells of each start and end: `starting`, `started` with the times of the phases, `stopping` with signal and phase, `not started` and `process ended` with phase, reason and exit code, `thread failed`. A broken invariant is written to standard error at once, since the queued lines were lost before. A readiness port that is taken no longer leaves a gateway that neither serves nor ends: each clean-up is registered before its resource is opened, and a start that fails ends the process after 10 s at the latest. The port of the metrics is tried again.

Evidence: tests/test_starts.py fails on (-1 for SIGHUP, -15 for SIGTERM in 8 of 8 cases) and passes now, 18 of 18 with test_start.py.

--- a/dandeliondrum/platform/__main__.py
+++ b/dandeliondrum/platform/__main__.py
@@ -1,13 +1,12 @@
-"""Entry point for a role: ``python3 -m dandeliondrum.platform ROLE``."""
+"""Entry point for a role: ``python3 -S -m dandeliondrum.platform ROLE``.
 
-import contextlib
-import sys
+With ``-S`` the signal handlers are installed before the module ``site`` is
+imported, which runs what other packages of the machine have installed.
+"""
 
-from returns import result
+import sys
 
-from dandeliondrum import observability
-from dandeliondrum.platform import _programs
-from dandeliondrum.platform import _settings
+from dandeliondrum import signals
 
 
 def main(arguments: list[str]) -> int:
@@ -15,21 +14,23 @@
     if len(arguments) != 1:
         sys.stderr.write('usage: dandeliondrum.platform gateway|controller\n')
         return 2
-    role = arguments[0]
-    match _settings.load(_settings.find_path()):
-        case result.Success(settings):
-            with contextlib.ExitStack() as resources:
-                stream = observability.BoundedStream(sys.stdout)
-                stream.start()
-                resources.callback(stream.close)
-                observability.configure_logging(
-                    role, settings.vm_name, 'info', stream
-                )
-                return _programs.run(role, settings)
-        case result.Failure(error):
-            sys.stderr.write(f'settings: {error}\n')
-    return 1
+    process_signals = signals.install()
+    # The imports take most of a start, and signals may come meanwhile.
+    if sys.flags.no_site:
+        import site
+
+        site.main()
+    from dandeliondrum.platform import _programs
+
+    return _programs.run(arguments[0], process_signals)
+
+
+def _run_process() -> None:
+    code = main(sys.argv[1:])
+    from dandeliondrum import startup
+
+    startup.end_process(code)
 
 
 if __name__ == '__main__':
-    sys.exit(main(sys.argv[1:]))
+    _run_process()
--- a/dandeliondrum/platform/_control_server.py
+++ b/dandeliondrum/platform/_control_server.py
@@ -2,8 +2,6 @@
 
 import contextlib
 
-from returns import result
-
 from dandeliondrum import gateway
 from dandeliondrum import http_server
 from dandeliondrum import jobs
@@ -11,6 +9,8 @@
 from dandeliondrum.platform import _evacuation_api
 from dandeliondrum.platform import _servers
 from dandeliondrum.platform import _settings
+from dandeliondrum import startup
+from dandeliondrum import utils
 
 # Share of the descriptors that are left after those of the process itself,
 # which keeps some for its calls to workers and the connections of its peers.
@@ -18,10 +18,12 @@
 
 
 def start(
+    start: startup.Startup,
     settings: _settings.Settings,
     controller: jobs.JobController,
+    timers: utils.TimerService,
     resources: contextlib.ExitStack,
-) -> result.Result[None, str]:
+) -> None:
     """Open the control port, then that of the metrics."""
     server = _servers.make_server(
         settings.control_address,
@@ -36,8 +38,9 @@
         http_server.ByteBudget(settings.process_limits.budget_bytes),
         gateway.Metrics(),
     )
-    server.open()
-    resources.callback(server.drain, 0)
-    return _servers.serve_metrics(
-        settings, controller.metrics.registry, resources
+    with start.phase('ports'):
+        resources.callback(server.drain, 0)
+        start.retry(f'port {settings.control_address}', server.open)
+    _servers.serve_metrics(
+        settings, controller.metrics.registry, timers, resources
     )
--- a/dandeliondrum/platform/_controller_program.py
+++ b/dandeliondrum/platform/_controller_program.py
@@ -1,10 +1,8 @@
 """The controller program."""
 
 import contextlib
-import os
 
 from returns import result
-import structlog
 
 import dandeliondrum
 from dandeliondrum import jobs
@@ -13,23 +11,27 @@
 from dandeliondrum.platform import _http_ports
 from dandeliondrum.platform import _links
 from dandeliondrum.platform import _settings
+from dandeliondrum import startup
 from dandeliondrum import utils
 
 # Longer than an election plus the first round of calls of the new leader. A
 # longer lease would delay the recovery of the runs of a lost VM.
 LEASE_MS = 4_500
-EXIT_INVARIANT_ERROR = 70
-
-_logger = structlog.get_logger()
 
 
 def start(
+    start: startup.Startup,
     settings: _settings.Settings,
+    timers: utils.TimerService,
     resources: contextlib.ExitStack,
-) -> result.Result[None, str]:
-    """Start a controller that runs until ``resources`` are closed."""
+) -> None:
+    """Start a controller that runs until ``resources`` are closed.
+
+    Raises the errors of :meth:`dandeliondrum.startup.Startup.retry` if the
+    data folder or a port can't be used.
+    """
     if settings.data_folder is None:
-        return result.Failure('DataDir is missing')
+        raise startup.NotStartedError('DataDir is missing')
     controller_id = messages.ControllerId(settings.ip)
     controller = jobs.JobController(
         jobs.ControllerOptions(
@@ -53,19 +55,14 @@
         ),
         _http_ports.make_ports(settings.adviser_address),
         _documents.decode,
-        _exit_on_invariant_error,
+        startup.end_broken_process,
     )
-    started = controller.start()
+    with start.phase('log'):
+        started = controller.start()
     if isinstance(started, result.Failure):
-        return result.Failure(str(started.failure()))
+        raise startup.NotStartedError(str(started.failure()))
     resources.callback(controller.close)
     # Its peers are answered while the modules for HTTP are imported.
-    from dandeliondrum.platform import _control_server
-
-    return _control_server.start(settings, controller, resources)
-
-
-def _exit_on_invariant_error(error: utils.InvariantError) -> None:
-    """Exit at once, so that no call acts on an inconsistent state."""
-    _logger.critical('process ended', why=str(error))
-    os._exit(EXIT_INVARIANT_ERROR)
+    with start.phase('imports for HTTP'):
+        from dandeliondrum.platform import _control_server
+    _control_server.start(start, settings, controller, timers, resources)
--- a/dandeliondrum/platform/_gateway_program.py
+++ b/dandeliondrum/platform/_gateway_program.py
@@ -1,5 +1,6 @@
 """The gateway program."""
 
+import collections.abc
 import contextlib
 import threading
 import time
@@ -17,6 +18,7 @@
 from dandeliondrum.platform import _links
 from dandeliondrum.platform import _servers
 from dandeliondrum.platform import _settings
+from dandeliondrum import startup
 from dandeliondrum import utils
 
 CALLER_THREADS_COUNT = 32
@@ -36,24 +38,27 @@
 
 
 def start(
+    start: startup.Startup,
     settings: _settings.Settings,
     timers: utils.TimerService,
     resources: contextlib.ExitStack,
-) -> result.Result[None, str]:
-    """Start a gateway that runs until ``resources`` are closed."""
+) -> collections.abc.Callable[[], None]:
+    """Start a gateway that runs until ``resources`` are closed.
+
+    Returns a function that rereads the settings. Raises the errors of
+    :meth:`dandeliondrum.startup.Startup.retry` if a port can't be opened.
+    """
     job_gateway = jobs.JobGateway(
         jobs.GatewayOptions(_links.make_link_options(settings)),
         _http_ports.HttpAdviserPort(settings.adviser_address),
         _documents.decode,
     )
-    draining = threading.Event()
+    serving = threading.Event()
 
     def ready(_call: gateway.Call) -> werkzeug.Response:
-        is_ready = not draining.is_set() and _can_serve_callers(job_gateway)
+        is_ready = serving.is_set() and _can_serve_callers(job_gateway)
         return werkzeug.Response(status=200 if is_ready else 503)
 
-    job_gateway.start()
-    resources.callback(job_gateway.close)
     metrics = gateway.Metrics()
     budget = http_server.ByteBudget(settings.process_limits.budget_bytes)
     callers = _servers.make_server(
@@ -76,15 +81,25 @@
         budget,
         metrics,
     )
-    callers.open()
-    readiness.open()
-    resources.callback(readiness.drain, 0)
-    resources.callback(callers.drain, DRAIN_MAX_MS)
+    with start.phase('ports'):
+        resources.callback(job_gateway.close)
+        job_gateway.start()
+        # It answers that the gateway is not ready until callers are served.
+        resources.callback(readiness.drain, 0)
+        start.retry(f'port {settings.readiness_address}', readiness.open)
+        resources.callback(callers.drain, DRAIN_MAX_MS)
+        start.retry(f'port {settings.callers_address}', callers.open)
+    _servers.serve_metrics(settings, metrics.registry, timers, resources)
     resources.callback(time.sleep, DRAIN_NOTICE_MS / 1000)
-    resources.callback(draining.set)
-    reload = timers.every(RELOAD_EVERY_MS, lambda: _reload_seeds(job_gateway))
-    resources.callback(reload.cancel)
-    return _servers.serve_metrics(settings, metrics.registry, resources)
+    resources.callback(serving.clear)
+    serving.set()
+
+    def reload() -> None:
+        _reload_seeds(job_gateway)
+
+    subscription = timers.every(RELOAD_EVERY_MS, reload)
+    resources.callback(subscription.cancel)
+    return reload
 
 
 def _can_serve_callers(job_gateway: jobs.JobGateway) -> bool:
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -1,57 +1,76 @@
 """The gateway and controller programs that run on the platform."""
 
 import contextlib
-import signal
-import threading
-import types
+import sys
 
 from returns import result
-import structlog
 
+from dandeliondrum import observability
 from dandeliondrum.platform import _settings
+from dandeliondrum import signals
+from dandeliondrum import startup
 from dandeliondrum import utils
 
-_logger = structlog.get_logger()
+ROLES = ('gateway', 'controller')
 
 
-def run(role: str, settings: _settings.Settings) -> int:
+def run(role: str, process_signals: signals.ProcessSignals) -> int:
     """Run a role until SIGTERM or SIGINT; return the exit code."""
+    if role not in ROLES:
+        sys.stderr.write(f'unknown role {role}\n')
+        return startup.ExitCode.USAGE
     utils.return_large_blocks()
+    stream = observability.BoundedStream(sys.stdout)
+    program = _Program(role, stream)
     with contextlib.ExitStack() as resources:
-        stopping = _stop_on_signals()
+        stream.start()
+        resources.callback(stream.close)
+        observability.configure_logging(role, '', 'info', stream)
+        return startup.run(
+            startup.Startup(process_signals), program.start, program.reload
+        )
+
+
+class _Program:
+    """A role with its settings."""
+
+    def __init__(self, role: str, stream: observability.BoundedStream) -> None:
+        self._role = role
+        self._stream = stream
+        self._reload_requested = lambda: None
+
+    def start(
+        self, start: startup.Startup, resources: contextlib.ExitStack
+    ) -> None:
+        """Start the role; it runs until ``resources`` are closed."""
+        with start.phase('settings'):
+            settings = _load()
+        observability.configure_logging(
+            self._role, settings.vm_name, 'info', self._stream
+        )
         timers = utils.TimerService()
-        timers.start()
         resources.callback(timers.close)
-        match role:
-            case 'gateway':
+        timers.start()
+        if self._role == 'gateway':
+            with start.phase('imports of the role'):
                 from dandeliondrum.platform import _gateway_program
-
-                outcome = _gateway_program.start(settings, timers, resources)
-            case 'controller':
+            self._reload_requested = _gateway_program.start(
+                start, settings, timers, resources
+            )
+        else:
+            with start.phase('imports of the role'):
                 from dandeliondrum.platform import _controller_program
+            _controller_program.start(start, settings, timers, resources)
+
+    def reload(self) -> None:
+        """Reread the settings that may change while the role runs."""
+        self._reload_requested()
+
 
-                outcome = _controller_program.start(settings, resources)
-            case _:
-                outcome = result.Failure(f'unknown role {role}')
-        if isinstance(outcome, result.Failure):
-            _logger.error('not started', why=outcome.failure())
-            return 1
-        utils.limit_collections()
-        _logger.info('started')
-        utils.wait_for_signal(stopping)
-        _logger.info('stopping')
-    _logger.info('stopped')
-    return 0
-
-
-def _stop_on_signals() -> threading.Event:
-    stopping = threading.Event()
-
-    def stop(_number: int, _frame: types.FrameType | None) -> None:
-        stopping.set()
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    # A gateway rereads its settings now and then; no signal is needed.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    return stopping
+def _load() -> _settings.Settings:
+    match _settings.load(_settings.find_path()):
+        case result.Success(settings):
+            return settings
+        case result.Failure(error):
+            raise startup.NotStartedError(error)
+    raise AssertionError('unreachable')
--- a/dandeliondrum/platform/_servers.py
+++ b/dandeliondrum/platform/_servers.py
@@ -1,6 +1,7 @@
 """The HTTP servers of the programs and their limits."""
 
 import contextlib
+import threading
 
 import prometheus_client
 from returns import result
@@ -11,9 +12,11 @@
 from dandeliondrum import observability
 from dandeliondrum.platform import _settings
 from dandeliondrum import transport
+from dandeliondrum import utils
 
 # Has to match deploy/system.toml.
 METRICS_PORT = 9_464
+METRICS_RETRY_EVERY_MS = 1_000
 # Limit for the arrival of a whole request.
 REQUEST_READ_TIMEOUT_MS = 3_000
 # The configuration's MaxHeaderBytes is 16,384; twice that is accepted.
@@ -73,19 +76,57 @@
 def serve_metrics(
     settings: _settings.Settings,
     registry: prometheus_client.CollectorRegistry,
+    timers: utils.TimerService,
     resources: contextlib.ExitStack,
-) -> result.Result[None, str]:
-    """Open the port of the metrics, until ``resources`` are closed."""
-    server = observability.Server(
-        f'{settings.ip}:{METRICS_PORT}',
-        observability.Endpoints(registry, _always_ready),
-    )
-    outcome = server.start()
-    if isinstance(outcome, result.Failure):
-        # Callers are served even if the metrics endpoint is not available.
-        _logger.error(
-            'metrics server not started', why=outcome.failure().reason
-        )
-        return result.Success(None)
-    resources.callback(server.close)
-    return result.Success(None)
+) -> None:
+    """Serve the metrics until ``resources`` are closed.
+
+    While the port can't be opened, the others are served without it.
+    """
+    port = _MetricsPort(f'{settings.ip}:{METRICS_PORT}', registry)
+    resources.callback(port.close)
+    if not port.open():
+        retries = timers.every(METRICS_RETRY_EVERY_MS, port.open)
+        resources.callback(retries.cancel)
+
+
+class _MetricsPort:
+    """Opens a port at the first attempt that succeeds."""
+
+    def __init__(
+        self, address: str, registry: prometheus_client.CollectorRegistry
+    ) -> None:
+        self._address = address
+        self._endpoints = observability.Endpoints(registry, _always_ready)
+        self._server: observability.Server | None = None
+        self._failed = False
+        self._closed = False
+        self._lock = threading.Lock()
+
+    def open(self) -> bool:
+        """Return whether the port is open, or need not be opened."""
+        with self._lock:
+            if self._server is not None or self._closed:
+                return True
+            server = observability.Server(self._address, self._endpoints)
+            outcome = server.start()
+            if isinstance(outcome, result.Failure):
+                if not self._failed:
+                    _logger.error(
+                        'metrics server not started',
+                        why=outcome.failure().reason,
+                    )
+                self._failed = True
+                return False
+            self._server = server
+        if self._failed:
+            _logger.info('metrics server started')
+        return True
+
+    def close(self) -> None:
+        """Close the port, and open it no more."""
+        with self._lock:
+            self._closed = True
+            server = self._server
+        if server is not None:
+            server.close()
--- a/dandeliondrum/platform/tests/test_start.py
+++ b/dandeliondrum/platform/tests/test_start.py
@@ -109,6 +109,7 @@
         'PortRange': f'{port},{port}',
         'Seeds': '',
         'DataDir': str(tmp_path / 'data'),
+        'Listen.Control': testing.free_address(),
         'FaultTolerance.Machines': '1',
         'Bounds.GraceS': '6',
         'Bounds.HoldMaxMs': '6000',
@@ -116,7 +117,7 @@
     }
     path = tmp_path / 'c1.conf'
     path.write_text(
-        '\n'.join(f'{name}={value}' for name, value in settings.items())
+        ''.join(f'{name}={value}\n' for name, value in settings.items())
     )
     monkeypatch.setenv('DANDELIONDRUM_SETTINGS', str(path))
 
--- /dev/null
+++ b/dandeliondrum/startup/_run.py
@@ -0,0 +1,134 @@
+"""Runs a program from its start to its end."""
+
+import collections.abc
+import contextlib
+import os
+import threading
+import time
+
+import structlog
+
+from dandeliondrum.startup import _errors
+from dandeliondrum.startup import _exit_code
+from dandeliondrum.startup import _startup
+from dandeliondrum import utils
+
+# The program looks at least this often whether a signal has arrived.
+POLL_MS = 60_000
+# Time for the resources of a start that failed; nobody else ends the process.
+CLOSE_TIMEOUT_S = 10.0
+# Time in which a log stream writes what it has queued.
+LOG_WRITE_S = 0.2
+
+_logger = structlog.get_logger()
+
+StartFunction = collections.abc.Callable[
+    [_startup.Startup, contextlib.ExitStack], object
+]
+
+
+def run(
+    startup: _startup.Startup,
+    start: StartFunction,
+    reload: collections.abc.Callable[[], object] = lambda: None,
+) -> _exit_code.ExitCode:
+    """Start a program, wait for the signal to stop it, and close it.
+
+    ``start`` opens the program and registers each resource with the exit
+    stack before it opens the next. It raises NotStartedError, or
+    StopRequestedError after a signal. ``reload`` is called after SIGHUP. The
+    log tells of each end, and in which phase of the start it came.
+    """
+    _logger.info('starting', pid=os.getpid())
+    threading.excepthook = _log_thread_failure
+    resources = contextlib.ExitStack()
+    code = _start_and_wait(startup, start, reload, resources)
+    watchdog = threading.Timer(CLOSE_TIMEOUT_S, _end_unclosed, (code,))
+    watchdog.daemon = True
+    if code is not _exit_code.ExitCode.STOPPED:
+        watchdog.start()
+    try:
+        resources.close()
+    except Exception:
+        _logger.critical('not closed in order', exc_info=True)
+        code = _exit_code.ExitCode.BROKEN
+    finally:
+        watchdog.cancel()
+    if code is _exit_code.ExitCode.STOPPED:
+        _logger.info('stopped')
+    return code
+
+
+def _start_and_wait(
+    startup: _startup.Startup,
+    start: StartFunction,
+    reload: collections.abc.Callable[[], object],
+    resources: contextlib.ExitStack,
+) -> _exit_code.ExitCode:
+    try:
+        start(startup, resources)
+        startup.raise_if_stopping()
+    except _errors.StopRequestedError:
+        _logger.info(
+            'stopping',
+            signal=startup.signals.stop_signal,
+            phase=startup.phase_name,
+        )
+        return _exit_code.ExitCode.STOPPED
+    except _errors.NotStartedError as error:
+        _logger.error(
+            'not started',
+            phase=startup.phase_name,
+            why=str(error),
+            took_ms=startup.took_ms,
+            code=int(_exit_code.ExitCode.NOT_STARTED),
+        )
+        return _exit_code.ExitCode.NOT_STARTED
+    except Exception as error:
+        _logger.critical(
+            'process ended',
+            phase=startup.phase_name,
+            why=repr(error),
+            code=int(_exit_code.ExitCode.BROKEN),
+            exc_info=True,
+        )
+        return _exit_code.ExitCode.BROKEN
+    utils.limit_collections()
+    _logger.info(
+        'started',
+        took_ms=startup.took_ms,
+        waited_ms=startup.waited_ms,
+        phases_ms=startup.phases_ms,
+    )
+    _wait_for_stop(startup, reload)
+    _logger.info('stopping', signal=startup.signals.stop_signal)
+    return _exit_code.ExitCode.STOPPED
+
+
+def _wait_for_stop(
+    startup: _startup.Startup, reload: collections.abc.Callable[[], object]
+) -> None:
+    while not startup.signals.stop_requested:
+        if startup.signals.take_reload_request():
+            _logger.info('reload requested', signal='SIGHUP')
+            try:
+                reload()
+            except Exception:
+                _logger.exception('reload failed')
+        startup.signals.wait(POLL_MS)
+
+
+def _end_unclosed(code: _exit_code.ExitCode) -> None:
+    _logger.critical('not closed in time', code=int(code))
+    time.sleep(LOG_WRITE_S)
+    os._exit(code)
+
+
+def _log_thread_failure(failure: threading.ExceptHookArgs) -> None:
+    thread = failure.thread.name if failure.thread is not None else ''
+    _logger.critical(
+        'thread failed',
+        thread=thread,
+        why=repr(failure.exc_value),
+        exc_info=failure.exc_value,
+    )
--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -424,7 +424,7 @@
         lines = {**settings, 'Seeds': ','.join(self._seeds)}
         written = path.with_suffix('.new')
         written.write_text(
-            '\n'.join(f'{key}={value}' for key, value in lines.items())
+            ''.join(f'{key}={value}\n' for key, value in lines.items())
         )
         written.replace(path)
         return path
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -8,6 +8,7 @@
 from dandeliondrum.utils._futures import gather
 from dandeliondrum.utils._futures import map_future
 from dandeliondrum.utils._lazy_imports import import_on_use
+from dandeliondrum.utils._passing_errors import is_passing
 from dandeliondrum.utils._processor_time import ProcessorTime
 from dandeliondrum.utils._processor_time import UNKNOWN_PART
 from dandeliondrum.utils._signals import wait_for_signal
@@ -33,6 +34,7 @@
     'completed_future',
     'gather',
     'import_on_use',
+    'is_passing',
     'limit_collections',
     'map_future',
     'monotonic_ms',
