Wait at a start for ports and a data folder that are in use

A process whose port was taken at its start ended at once with a traceback, and each of its restarts with it, for as long as another one held the port: its own predecessor, which drains for seconds, or a connection that uses the port.

The number of the error of the HTTP library's bind was lost, and is kept. JobController.start closes what it has opened after any error.

--- a/dandeliondrum/consensus/_errors.py
+++ b/dandeliondrum/consensus/_errors.py
@@ -13,13 +13,15 @@
     ``file`` is the path of the affected file or folder, empty when unknown.
     ``offset_bytes`` is the position in the file at which damage begins.
     ``is_damage`` tells that the files could be read, and that their contents
-    are damaged, incomplete or inconsistent.
+    are damaged, incomplete or inconsistent. ``may_pass`` tells that another
+    attempt may succeed without an operator.
     """
 
     detail: str
     file: str = ''
     offset_bytes: int = 0
     is_damage: bool = False
+    may_pass: bool = False
 
 
 class StorageError(Exception):
--- a/dandeliondrum/consensus/_node.py
+++ b/dandeliondrum/consensus/_node.py
@@ -30,6 +30,7 @@
 from dandeliondrum.consensus import _work_items
 from dandeliondrum import messages
 from dandeliondrum import transport
+from dandeliondrum import utils
 
 
 def move_damaged_files(
@@ -107,7 +108,11 @@
             return result.Failure(error.error)
         except OSError as error:
             name = error.filename or self._options.data_folder
-            return result.Failure(_errors.StartError(str(error), str(name)))
+            return result.Failure(
+                _errors.StartError(
+                    str(error), str(name), may_pass=utils.is_passing(error)
+                )
+            )
         return result.Success(None)
 
     def close(self) -> None:
--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -94,7 +94,9 @@
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError as error:
         raise _errors.StorageError(
-            _errors.StartError('another process uses the folder', str(path))
+            _errors.StartError(
+                'another process uses the folder', str(path), may_pass=True
+            )
         ) from error
 
 
--- a/dandeliondrum/http_server/_server.py
+++ b/dandeliondrum/http_server/_server.py
@@ -81,12 +81,29 @@
         self._open_lock = threading.Lock()
         self._noted: collections.Counter[str] = collections.Counter()
         self._noted_at_s = 0.0
+        self._bind_error: OSError | None = None
 
     def prepare(self) -> None:
         """Start listening; raise OSError if the port is in use."""
-        super().prepare()
+        self._bind_error = None
+        try:
+            super().prepare()
+        except OSError as error:
+            # The error of the library has no error number.
+            raise self._bind_error or error from None
         self._connections = _manager.ConnectionManager(self)
 
+    def bind(self, family: int, type: int, proto: int = 0) -> typing.Any:
+        """Create the socket; called by the library for each address."""
+        try:
+            return super().bind(family, type, proto)
+        except OSError as error:
+            host, port = self.bind_addr[:2]
+            self._bind_error = OSError(
+                error.errno, f'{error.strerror}: {host}:{port}'
+            )
+            raise
+
     def process_conn(self, conn: _connection.Connection) -> None:
         """Admit a new connection, or receive a request on a known one."""
         if conn.last_used is None:
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -27,6 +27,7 @@
 from dandeliondrum.jobs import _state
 from dandeliondrum.jobs import evacuations
 from dandeliondrum import messages
+from dandeliondrum import startup
 from dandeliondrum import transport
 from dandeliondrum import utils
 
@@ -42,6 +43,24 @@
 _logger = structlog.get_logger()
 
 OnFatal = collections.abc.Callable[[utils.InvariantError], object]
+# Gets the name of a resource and the function that opens it.
+Retry = collections.abc.Callable[
+    [str, collections.abc.Callable[[], typing.Any]], typing.Any
+]
+
+
+def _call_once(
+    _resource: str, action: collections.abc.Callable[[], typing.Any]
+) -> typing.Any:
+    return action()
+
+
+class _NodeNotReadyError(startup.NotReadyError):
+    """The files of the node can't be used yet."""
+
+    def __init__(self, error: consensus.StartError) -> None:
+        super().__init__(str(error))
+        self.error = error
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,13 +147,55 @@
             options.membership, self.node, self.calls
         )
 
-    def start(self) -> result.Result[None, consensus.StartError]:
-        """Load the stored state, listen for connections and join the cell."""
+    def start(
+        self, retry: Retry = _call_once
+    ) -> result.Result[None, consensus.StartError]:
+        """Load the stored state, listen for connections and join the cell.
+
+        ``retry`` calls a function that opens a resource, again while it
+        raises OSError or startup.NotReadyError, and raises an error at last.
+        """
+        with contextlib.ExitStack() as opened:
+            started = self._open(opened, retry)
+            if isinstance(started, result.Success):
+                self._resources = opened.pop_all()
+        return started
+
+    def _open(
+        self, opened: contextlib.ExitStack, retry: Retry
+    ) -> result.Result[None, consensus.StartError]:
+        opened.callback(self._timers.close)
         self._timers.start()
-        self._resources.callback(self._timers.close)
-        self._resources.callback(self._ports.workers.close)
-        self._resources.callback(self._adviser_client.close)
-        server = transport.Server(
+        opened.callback(self._ports.workers.close)
+        opened.callback(self._adviser_client.close)
+        address = self._options.listen_address
+        server = retry(f'port {address}', self._listen)
+        closing_server = opened.enter_context(contextlib.ExitStack())
+        closing_server.callback(server.close)
+        try:
+            started = retry('data folder', self._start_node)
+        except _NodeNotReadyError as error:
+            return result.Failure(error.error)
+        if isinstance(started, result.Failure):
+            return started
+        # The node is closed after the server, whose calls it handles.
+        closing_server.pop_all()
+        opened.callback(self._closing.shutdown)
+        opened.callback(self.on_following)
+        opened.callback(self.node.close)
+        opened.callback(server.close)
+        server.start()
+        supervisor = utils.Supervisor('job controller', THREADS_COUNT)
+        opened.callback(supervisor.close)
+        opened.callback(self.calls.link.close)
+        supervisor.run('leader link', self.calls.link.run)
+        supervisor.run('membership', self._membership.run)
+        # Peers are answered meanwhile; an election would have to wait for it.
+        _load_leadership()
+        return started
+
+    def _listen(self) -> transport.Server:
+        return transport.Server(
             transport.ServerOptions(
                 self._options.listen_address,
                 self._options.link.cell_id,
@@ -144,24 +205,6 @@
                 on_call=self._handle_call, on_close=self._disconnected
             ),
         )
-        started = self._start_node()
-        if isinstance(started, result.Failure):
-            server.close()
-            self._resources.close()
-            return started
-        self._resources.callback(self._closing.shutdown)
-        self._resources.callback(self.on_following)
-        self._resources.callback(self.node.close)
-        server.start()
-        self._resources.callback(server.close)
-        supervisor = utils.Supervisor('job controller', THREADS_COUNT)
-        self._resources.callback(supervisor.close)
-        self._resources.callback(self.calls.link.close)
-        supervisor.run('leader link', self.calls.link.run)
-        supervisor.run('membership', self._membership.run)
-        # Peers are answered meanwhile; an election would have to wait for it.
-        _load_leadership()
-        return result.Success(None)
 
     def _start_node(self) -> result.Result[None, consensus.StartError]:
         started = self.node.start()
@@ -175,6 +218,8 @@
             error,
         ):
             return self.node.start()
+        if error.may_pass:
+            raise _NodeNotReadyError(error)
         return started
 
     def close(self) -> None:
--- a/dandeliondrum/platform/_controller_program.py
+++ b/dandeliondrum/platform/_controller_program.py
@@ -58,7 +58,7 @@
         startup.end_broken_process,
     )
     with start.phase('log'):
-        started = controller.start()
+        started = controller.start(start.retry)
     if isinstance(started, result.Failure):
         raise startup.NotStartedError(str(started.failure()))
     resources.callback(controller.close)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -177,6 +177,49 @@
     assert launched.has('stopped')
 
 
+@pytest.mark.parametrize('role', ROLES)
+def test_a_port_that_is_taken_at_a_start_is_waited_for(tmp_path, role):
+    names = {
+        'gateway': ('Listen.Ready', 'Listen.Front'),
+        'controller': ('PortRange', 'Listen.Control'),
+    }[role]
+    for name in names:
+        folder = tmp_path / name
+        folder.mkdir()
+        program = Launched(folder, role)
+        port = program.settings[name].partition(',')[0].rpartition(':')[2]
+        with contextlib.closing(program):
+            with socket.create_server(('127.0.0.1', int(port))):
+                process = program.launch()
+                assert port in str(program.wait_for('start waits'))
+                assert process.poll() is None
+            program.wait_for('started')
+            assert stopped_in_order(process), program.output()
+
+
+@pytest.mark.parametrize('role', ROLES)
+def test_a_port_that_stays_taken_ends_a_start_with_its_reason(tmp_path, role):
+    program = Launched(tmp_path, role)
+    name = 'Listen.Front' if role == 'gateway' else 'Listen.Control'
+    port = program.settings[name].rpartition(':')[2]
+    with contextlib.closing(program):
+        with socket.create_server(('127.0.0.1', int(port))):
+            process = program.launch()
+            assert process.wait(TIMEOUT_MS / 1000) == 1, program.output()
+        ended = program.wait_for('not started')
+        assert ended['phase'] == 'ports'
+        assert port in str(ended['why'])
+
+
+def test_a_successor_waits_until_its_predecessor_has_stopped(launched):
+    first = launched.launch()
+    launched.wait_for('started')
+    launched.launch()
+    launched.wait_for('start waits', number=1)
+    assert stopped_in_order(first), launched.output()
+    launched.wait_for('started', number=1)
+
+
 def test_a_stop_is_orderly_after_the_reader_of_the_output_has_gone(launched):
     reader, writer = os.pipe()
     process = launched.launch(stdout=writer)
