Wait at a start until the settings file is written

A settings file that was read half written ended the process with a line of plain text, at each start until it was whole.

A start waits up to 10 s until the file can be read, has all settings that the role needs, has been unchanged for 0.2 s, and ends with the end of a line, or has been unchanged for 2 s without it.

What remains: a file cut exactly at the end of a line whose later lines are optional, and not written on within 0.2 s, is taken.

--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -44,7 +44,9 @@
     ) -> None:
         """Start the role; it runs until ``resources`` are closed."""
         with start.phase('settings'):
-            settings = _load()
+            settings = start.retry(
+                'settings', lambda: _load_settled(self._role)
+            )
         observability.configure_logging(
             self._role, settings.vm_name, 'info', self._stream
         )
@@ -67,10 +69,16 @@
         self._reload_requested()
 
 
-def _load() -> _settings.Settings:
-    match _settings.load(_settings.find_path()):
+def _load_settled(role: str) -> _settings.Settings:
+    """Return the settings; raise NotReadyError while they are written."""
+    path = _settings.find_path()
+    match _settings.load(path):
         case result.Success(settings):
-            return settings
+            problem = settings.find_missing(role) or _settings.find_change(
+                path
+            )
         case result.Failure(error):
-            raise startup.NotStartedError(error)
-    raise AssertionError('unreachable')
+            problem = error
+    if problem:
+        raise startup.NotReadyError(problem)
+    return settings
--- a/dandeliondrum/platform/_settings.py
+++ b/dandeliondrum/platform/_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 import os
 import pathlib
+import time
 
 from returns import result
 
@@ -14,6 +15,10 @@
 DEFAULT_PATH = '/etc/dandeliondrum/local.conf'
 # Followed by the name of a failure domain; the value is its region.
 DOMAIN_PREFIX = 'Zones.'
+# A file that was changed later than this may not be written completely, all
+# the more if its last line has no end.
+SETTLED_MS = 200
+SETTLED_WITHOUT_END_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,6 +52,18 @@
     contracts: frozenset[str] = frozenset()
     failure_domains: frozenset[messages.FailureDomain] = frozenset()
 
+    def find_missing(self, role: str) -> str:
+        """Return which setting of a role is missing, empty if none is."""
+        needed: dict[str, object] = {'Listen.Control': self.control_address}
+        needed['DataDir'] = self.data_folder
+        if role == 'gateway':
+            needed = {
+                'Listen.Front': self.callers_address,
+                'Listen.Ready': self.readiness_address,
+            }
+        missing = [name for name, value in needed.items() if not value]
+        return f'{missing[0]} is missing' if missing else ''
+
     @property
     def stream_address(self) -> str:
         """Return the address at which this process accepts streams."""
@@ -69,6 +86,20 @@
     return os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
 
 
+def find_change(path: str) -> str:
+    """Return why a file may not be written completely, empty if it is.
+
+    Raises OSError if there is no such file.
+    """
+    age_ms = (time.time() - os.stat(path).st_mtime) * 1000
+    if 0 <= age_ms < SETTLED_MS:
+        return f'{path} was changed {age_ms:.0f} ms ago'
+    is_complete = pathlib.Path(path).read_bytes().endswith(b'\n')
+    if not is_complete and 0 <= age_ms < SETTLED_WITHOUT_END_MS:
+        return f'the last line of {path} has no end'
+    return ''
+
+
 def load(path: str) -> result.Result[Settings, str]:
     """Return the settings in a file, or an error message."""
     try:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -220,6 +220,17 @@
     launched.wait_for('started', number=1)
 
 
+@pytest.mark.parametrize('share', (0, 0.3, 0.6, 0.95))
+def test_a_start_waits_for_settings_that_are_half_written(launched, share):
+    text = launched.text
+    launched.write(text[: int(len(text) * share)])
+    process = launched.launch()
+    launched.wait_for('start waits')
+    launched.write(text)
+    launched.wait_for('started')
+    assert stopped_in_order(process), launched.output()
+
+
 def test_a_stop_is_orderly_after_the_reader_of_the_output_has_gone(launched):
     reader, writer = os.pipe()
     process = launched.launch(stdout=writer)
