Start although a folder above the data folder can't be synced

A folder that this start created must be synced; an older one that is hidden or can't be synced ends the walk upwards with a log line. Other errors are raised.

Evidence: test_a_folder_above_that_cannot_be_synced_refuses_no_start fails before with ENOENT and EINVAL (2 of 3) and passes now; a created folder that can't be synced still refuses the start.

--- a/dandeliondrum/consensus/_recovery.py
+++ b/dandeliondrum/consensus/_recovery.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import errno
 import fcntl
 import os
 import pathlib
@@ -22,6 +23,16 @@
 from dandeliondrum.consensus import _state
 
 LOCK_FILE_NAME = 'lock'
+_UNSYNCABLE = frozenset(
+    {
+        errno.EACCES,
+        errno.EINVAL,
+        errno.ENOENT,
+        errno.ENOTSUP,
+        errno.EPERM,
+        errno.EROFS,
+    }
+)
 
 _logger = structlog.get_logger()
 
@@ -81,9 +92,10 @@
             return
         try:
             files.sync_folder(one.parent)
-        except PermissionError as error:
-            # The folder is older, and of a user who allows no reading above.
-            if one in created:
+        except OSError as error:
+            # An older folder above may be hidden from this process, or be of
+            # a file system that syncs no folders.
+            if one in created or error.errno not in _UNSYNCABLE:
                 raise
             _logger.debug('folder not synced', why=str(error))
             return
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -517,3 +517,37 @@
         assert not cluster.node(leader).is_leading()
         successor = cluster.leader(among=cluster.others(leader))
         assert cluster.propose(successor, b'after').unwrap()
+
+
+class HiddenParents(_files.Files):
+    """Can't sync the folders above the data folder."""
+
+    def __init__(self, root, error_number):
+        self._root = root
+        self._error_number = error_number
+
+    def sync_folder(self, folder):
+        if folder in self._root.parents:
+            raise OSError(self._error_number, 'no such folder here')
+        super().sync_folder(folder)
+
+
+@pytest.mark.parametrize(
+    'error_number', (errno.ENOENT, errno.EINVAL, errno.EACCES)
+)
+def test_a_folder_above_that_cannot_be_synced_refuses_no_start(
+    tmp_path, error_number
+):
+    folder = tmp_path / 'data'
+    folder.mkdir()
+    files = HiddenParents(folder, error_number)
+    with _recovery.lock_folder(files, folder):
+        assert (folder / _recovery.LOCK_FILE_NAME).exists()
+
+
+def test_a_created_folder_that_cannot_be_synced_refuses_the_start(tmp_path):
+    folder = tmp_path / 'data'
+    files = HiddenParents(folder, errno.EINVAL)
+    with pytest.raises(OSError, match='no such folder'):
+        with _recovery.lock_folder(files, folder):
+            pass
