Log the age of a process that registers with the leader

A front machine has no disk, so nothing on it tells how its previous process ended. The leader's line `process registered` now has `process_age_ms`: a small one after `process disconnected`, without `stopped` in the log of the gateway, shows that its process was killed or ended. Leaders of earlier versions ignore the field; a gateway of an earlier version shows null.

--- a/dandeliondrum/gateway/_leader_link.py
+++ b/dandeliondrum/gateway/_leader_link.py
@@ -426,6 +426,7 @@
             self._options.failure_domain,
             self.rules.version,
             takes_parts=True,
+            process_age_ms=utils.process_age_ms(),
         )
         answer = stream.call_async(register)
         match _wait(answer, REGISTER_TIMEOUT_MS):
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -258,7 +258,11 @@
             if not added:
                 _logger.info('registration refused', peer=message.gateway_id)
                 return messages.NotLeader()
-            _logger.info('process registered', peer=message.gateway_id)
+            _logger.info(
+                'process registered',
+                peer=message.gateway_id,
+                process_age_ms=message.process_age_ms,
+            )
             return self._documents.registered(
                 term.number, term.options.controller_id, message.takes_parts
             )
--- a/dandeliondrum/messages/_gateway_calls.py
+++ b/dandeliondrum/messages/_gateway_calls.py
@@ -52,6 +52,8 @@
     """The first call of a gateway on its connection to the leader.
 
     ``takes_parts`` tells that it requests large rules in parts.
+    ``process_age_ms`` is the time since the start of its process, None from
+    one that doesn't tell. It shows whether a process without a disk is new.
     """
 
     gateway_id: _ids.GatewayId
@@ -59,6 +61,7 @@
     failure_domain: _ids.FailureDomain
     rules_version: _ids.RulesVersion
     takes_parts: bool = False
+    process_age_ms: int | None = None
 
 
 @_codec.message
--- a/dandeliondrum/startup/_run.py
+++ b/dandeliondrum/startup/_run.py
@@ -80,7 +80,7 @@
             'not started',
             phase=startup.phase_name,
             why=str(error),
-            took_ms=startup.took_ms,
+            took_ms=utils.process_age_ms(),
             code=int(_exit_code.ExitCode.NOT_STARTED),
         )
         return _exit_code.ExitCode.NOT_STARTED
@@ -96,7 +96,7 @@
     utils.limit_collections()
     _logger.info(
         'started',
-        took_ms=startup.took_ms,
+        took_ms=utils.process_age_ms(),
         waited_ms=startup.waited_ms,
         phases_ms=startup.phases_ms,
     )
--- a/dandeliondrum/startup/_startup.py
+++ b/dandeliondrum/startup/_startup.py
@@ -2,12 +2,10 @@
 
 import collections.abc
 import contextlib
-import time
 import typing
 
 import structlog
 
-import dandeliondrum
 from dandeliondrum import signals
 from dandeliondrum.startup import _errors
 from dandeliondrum import utils
@@ -46,11 +44,6 @@
         self.phases_ms: dict[str, int] = {}
         self._wait_max_ms = wait_max_ms
 
-    @property
-    def took_ms(self) -> int:
-        """Return the time since the start of the process, in ms."""
-        return (time.monotonic_ns() - dandeliondrum.IMPORTED_NS) // 1_000_000
-
     @contextlib.contextmanager
     def phase(self, name: str) -> collections.abc.Iterator[None]:
         """Name a part of the start, which log lines about an end give.
@@ -59,9 +52,9 @@
         """
         self.raise_if_stopping()
         self.phase_name = name
-        began_ms = self.took_ms
+        began_ms = utils.process_age_ms()
         yield
-        self.phases_ms[name] = self.took_ms - began_ms
+        self.phases_ms[name] = utils.process_age_ms() - began_ms
 
     def raise_if_stopping(self) -> None:
         """Raise StopRequestedError if a signal asks for a stop."""
@@ -78,14 +71,16 @@
         Raises NotStartedError when the wait gets too long or the cause can't
         pass, and StopRequestedError when a signal asks for a stop.
         """
-        began_ms = self.took_ms
+        began_ms = utils.process_age_ms()
         waited = False
         while True:
             try:
                 outcome = action()
                 break
             except (OSError, _errors.NotReadyError) as error:
-                self._check_wait(resource, error, self.took_ms - began_ms)
+                self._check_wait(
+                    resource, error, utils.process_age_ms() - began_ms
+                )
                 if not waited:
                     self._log_wait(resource, error)
             waited = True
@@ -93,7 +88,7 @@
             self.signals.wait(RETRY_EVERY_MS)
             self.raise_if_stopping()
         if waited:
-            waited_ms = self.took_ms - began_ms
+            waited_ms = utils.process_age_ms() - began_ms
             self.waited_ms += waited_ms
             _logger.info(
                 'start goes on', resource=resource, waited_ms=waited_ms
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -2,6 +2,7 @@
 
 from dandeliondrum.utils._allocator import return_large_blocks
 from dandeliondrum.utils._clock import monotonic_ms
+from dandeliondrum.utils._clock import process_age_ms
 from dandeliondrum.utils._collector import limit_collections
 from dandeliondrum.utils._futures import chain_future
 from dandeliondrum.utils._futures import completed_future
@@ -38,6 +39,7 @@
     'limit_collections',
     'map_future',
     'monotonic_ms',
+    'process_age_ms',
     'return_large_blocks',
     'wait_for_signal',
 ]
