End a start that gets no threads, whatever it has opened

The exception of the thread that could not be started ended the start, but the thread that was to end the process could not be started either, and the threads that ran kept the process.

--- a/dandeliondrum/startup/_run.py
+++ b/dandeliondrum/startup/_run.py
@@ -41,19 +41,18 @@
     """
     _logger.info('starting', pid=os.getpid())
     threading.excepthook = _log_thread_failure
+    watchdog = _Watchdog()
+    watchdog.start()
     resources = contextlib.ExitStack()
     code = _start_and_wait(startup, start, reload, resources)
-    watchdog = threading.Timer(CLOSE_TIMEOUT_S, _end_unclosed, (code,))
-    watchdog.daemon = True
     if code is not _exit_code.ExitCode.STOPPED:
-        watchdog.start()
+        watchdog.failed.set()
     try:
         resources.close()
     except Exception:
         _logger.critical('not closed in order', exc_info=True)
         code = _exit_code.ExitCode.BROKEN
-    finally:
-        watchdog.cancel()
+    watchdog.closed.set()
     if code is _exit_code.ExitCode.STOPPED:
         _logger.info('stopped')
     return code
@@ -118,10 +117,31 @@
         startup.signals.wait(POLL_MS)
 
 
-def _end_unclosed(code: _exit_code.ExitCode) -> None:
-    _logger.critical('not closed in time', code=int(code))
-    time.sleep(LOG_WRITE_S)
-    os._exit(code)
+class _Watchdog:
+    """Ends the process if it is not closed in time after a failed start.
+
+    The thread runs from the beginning, since a start may fail because no
+    thread can be started.
+    """
+
+    def __init__(self) -> None:
+        self.failed = threading.Event()
+        self.closed = threading.Event()
+
+    def start(self) -> None:
+        """Start the thread; raise RuntimeError if that is not possible."""
+        threading.Thread(
+            target=self._run, name='watchdog', daemon=True
+        ).start()
+
+    def _run(self) -> None:
+        self.failed.wait()
+        if self.closed.wait(CLOSE_TIMEOUT_S):
+            return
+        code = _exit_code.ExitCode.BROKEN
+        _logger.critical('not closed in time', code=int(code))
+        time.sleep(LOG_WRITE_S)
+        os._exit(code)
 
 
 def _log_thread_failure(failure: threading.ExceptHookArgs) -> None:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -22,6 +22,7 @@
     'collections',
     'dandeliondrum',
     'dandeliondrum.platform',
+    'dandeliondrum.platform._settings_path',
     'dandeliondrum.signals',
     'dandeliondrum.signals._process_signals',
     'enum',
@@ -53,6 +54,12 @@
 runpy.run_module('dandeliondrum.platform', run_name='__main__')
 """
 
+LIMITED = """
+import resource, runpy
+resource.setrlimit(resource.RLIMIT_AS, ({limit}, {limit}))
+runpy.run_module('dandeliondrum.platform', run_name='__main__')
+"""
+
 
 class Launched:
     """A program of the platform with its settings and its log."""
@@ -263,3 +270,12 @@
         socket.create_connection((host, int(port)), 1).close()
         return True
     return False
+
+
+@pytest.mark.parametrize('memory_mb', (250, 600))
+def test_a_start_that_gets_no_threads_ends_the_process(launched, memory_mb):
+    # Address space for some of the threads, each of which maps its stack.
+    limit = memory_mb << 20
+    process = launched.launch(('-c', LIMITED.format(limit=limit)))
+    assert process.wait(TIMEOUT_MS / 1000) == 70, launched.output()
+    assert launched.has('process ended')
