Judge by its content whether a settings file is complete

On the platform the time of the file and the time of day of a process need not agree at all (trial: they differ by 251 days).

The content is read before the imports and compared with what is read after them, so a start need not wait; a cut last line is waited for from the first look on. Addresses to listen at are checked when the settings are read: a cut one ended the start with code 70.

--- a/dandeliondrum/platform/_gateway_program.py
+++ b/dandeliondrum/platform/_gateway_program.py
@@ -18,6 +18,7 @@
 from dandeliondrum.platform import _links
 from dandeliondrum.platform import _servers
 from dandeliondrum.platform import _settings
+from dandeliondrum.platform import _settings_path
 from dandeliondrum import startup
 from dandeliondrum import utils
 
@@ -108,7 +109,7 @@
 
 def _reload_seeds(job_gateway: jobs.JobGateway) -> None:
     """Reread the settings and use the controllers that they list."""
-    match _settings.load(_settings.find_path()):
+    match _settings.load(_settings_path.find_path()):
         case result.Success(settings):
             job_gateway.set_controllers(settings.controllers)
         case result.Failure(error):
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -3,10 +3,9 @@
 import contextlib
 import sys
 
-from returns import result
-
 from dandeliondrum import observability
-from dandeliondrum.platform import _settings
+from dandeliondrum.platform import _settings_file
+from dandeliondrum.platform import _settings_path
 from dandeliondrum import signals
 from dandeliondrum import startup
 from dandeliondrum import utils
@@ -14,14 +13,25 @@
 ROLES = ('gateway', 'controller')
 
 
-def run(role: str, process_signals: signals.ProcessSignals) -> int:
-    """Run a role until SIGTERM or SIGINT; return the exit code."""
+def run(
+    role: str,
+    process_signals: signals.ProcessSignals,
+    settings_content: bytes,
+    settings_read_ns: int,
+) -> int:
+    """Run a role until SIGTERM or SIGINT; return the exit code.
+
+    The last two arguments are those of :class:`_settings_file.SettingsFile`.
+    """
     if role not in ROLES:
         sys.stderr.write(f'unknown role {role}\n')
         return startup.ExitCode.USAGE
     utils.return_large_blocks()
     stream = observability.BoundedStream(sys.stdout)
-    program = _Program(role, stream)
+    settings_file = _settings_file.SettingsFile(
+        _settings_path.find_path(), settings_content, settings_read_ns
+    )
+    program = _Program(role, settings_file, stream)
     with contextlib.ExitStack() as resources:
         stream.start()
         resources.callback(stream.close)
@@ -34,8 +44,14 @@
 class _Program:
     """A role with its settings."""
 
-    def __init__(self, role: str, stream: observability.BoundedStream) -> None:
+    def __init__(
+        self,
+        role: str,
+        settings_file: _settings_file.SettingsFile,
+        stream: observability.BoundedStream,
+    ) -> None:
         self._role = role
+        self._settings_file = settings_file
         self._stream = stream
         self._reload_requested = lambda: None
 
@@ -45,7 +61,7 @@
         """Start the role; it runs until ``resources`` are closed."""
         with start.phase('settings'):
             settings = start.retry(
-                'settings', lambda: _load_settled(self._role)
+                'settings', lambda: self._settings_file.load(self._role)
             )
         observability.configure_logging(
             self._role, settings.vm_name, 'info', self._stream
@@ -67,18 +83,3 @@
     def reload(self) -> None:
         """Reread the settings that may change while the role runs."""
         self._reload_requested()
-
-
-def _load_settled(role: str) -> _settings.Settings:
-    """Return the settings; raise NotReadyError while they are written."""
-    path = _settings.find_path()
-    match _settings.load(path):
-        case result.Success(settings):
-            problem = settings.find_missing(role) or _settings.find_change(
-                path
-            )
-        case result.Failure(error):
-            problem = error
-    if problem:
-        raise startup.NotReadyError(problem)
-    return settings
--- a/dandeliondrum/platform/_settings.py
+++ b/dandeliondrum/platform/_settings.py
@@ -1,9 +1,7 @@
 """Reads the settings file that the platform writes for each process."""
 
 import dataclasses
-import os
 import pathlib
-import time
 
 from returns import result
 
@@ -11,14 +9,8 @@
 from dandeliondrum import messages
 from dandeliondrum import transport
 
-SETTINGS_VARIABLE = 'DANDELIONDRUM_SETTINGS'
-DEFAULT_PATH = '/etc/dandeliondrum/local.conf'
 # Followed by the name of a failure domain; the value is its region.
 DOMAIN_PREFIX = 'Zones.'
-# A file that was changed later than this may not be written completely, all
-# the more if its last line has no end.
-SETTLED_MS = 200
-SETTLED_WITHOUT_END_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,32 +73,21 @@
         )
 
 
-def find_path() -> str:
-    """Return the path of the settings file."""
-    return os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
-
-
-def find_change(path: str) -> str:
-    """Return why a file may not be written completely, empty if it is.
-
-    Raises OSError if there is no such file.
-    """
-    age_ms = (time.time() - os.stat(path).st_mtime) * 1000
-    if 0 <= age_ms < SETTLED_MS:
-        return f'{path} was changed {age_ms:.0f} ms ago'
-    is_complete = pathlib.Path(path).read_bytes().endswith(b'\n')
-    if not is_complete and 0 <= age_ms < SETTLED_WITHOUT_END_MS:
-        return f'the last line of {path} has no end'
-    return ''
-
-
 def load(path: str) -> result.Result[Settings, str]:
     """Return the settings in a file, or an error message."""
     try:
-        lines = pathlib.Path(path).read_text(encoding='utf-8').splitlines()
-    except (OSError, UnicodeDecodeError) as error:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as error:
         return result.Failure(f'{path}: {error}')
-    return parse(lines)
+    return decode(content).alt(lambda error: f'{path}: {error}')
+
+
+def decode(content: bytes) -> result.Result[Settings, str]:
+    """Return the settings in the content of a file, or an error message."""
+    try:
+        return parse(content.decode().splitlines())
+    except UnicodeDecodeError as error:
+        return result.Failure(str(error))
 
 
 def parse(lines: list[str]) -> result.Result[Settings, str]:
@@ -131,7 +112,11 @@
     first_port, _, _last_port = values['PortRange'].partition(',')
     folder = values.get('DataDir')
     seeds = tuple(seed for seed in values['Seeds'].split(',') if seed)
-    for address in seeds:
+    listened = (
+        values.get(f'Listen.{name}', '')
+        for name in ('Front', 'Ready', 'Control')
+    )
+    for address in (*seeds, *filter(None, listened)):
         transport.parse_address(address)
     return Settings(
         vm_name=values['Node'],
