Name the field of each error in a configuration document

The reader of the platform's configuration stopped at the first error and did not say which route or tenant it was about, so a check before sending could point at no line.

An error now carries the path of its field, as in Routes[1].TimeoutMs, and the reader collects the errors of all entries. What is accepted and the answer to an invalid document stay: the first error in the order of before, with the first entry added for duplicates.

--- a/dandeliondrum/platform/_documents.py
+++ b/dandeliondrum/platform/_documents.py
@@ -7,7 +7,9 @@
 """
 
 import collections.abc
+import contextlib
 import json
+import typing
 
 from returns import result
 
@@ -15,16 +17,29 @@
 from dandeliondrum import messages
 from dandeliondrum.platform import _fields
 
+_ENTRY_KINDS = {'Services': 'service', 'Routes': 'route', 'Tenants': 'tenant'}
+
+_Entry = typing.TypeVar('_Entry')
+
 
 def validate(document: bytes) -> result.Result[jobs.Policy, str]:
     """Return the policy of a valid document, or why it is invalid."""
+    return read(document).alt(lambda errors: str(errors[0]))
+
+
+def read(
+    document: bytes,
+) -> result.Result[jobs.Policy, tuple[_fields.FieldError, ...]]:
+    """Return the policy of a valid document, or all errors found in it."""
     try:
         body = _fields.parse_object(document)
-        if _fields.without_surrogates(body) != body:
-            return result.Failure('the document has unpaired surrogates')
-        return result.Success(_decode(body))
     except _fields.FieldError as error:
-        return result.Failure(str(error))
+        return result.Failure((error,))
+    if _fields.without_surrogates(body) != body:
+        return result.Failure(
+            (_fields.FieldError('the document has unpaired surrogates'),)
+        )
+    return _Reader(body).read()
 
 
 def decode(document: bytes) -> jobs.Policy:
@@ -33,45 +48,140 @@
     Earlier versions accepted documents in other encodings than UTF-8 and with
     unpaired surrogates, which are replaced here.
     """
+    outcome = _Reader(parse(document)).read()
+    if isinstance(outcome, result.Failure):
+        raise outcome.failure()[0]
+    return outcome.unwrap()
+
+
+def parse(document: bytes) -> _fields.Body:
+    """Return the object of a document in force; raises FieldError."""
     text = document.decode(json.detect_encoding(document), 'surrogatepass')
-    return _decode(_fields.without_surrogates(_fields.parse_object(text)))
+    return _fields.without_surrogates(_fields.parse_object(text))
 
 
-def _decode(body: _fields.Body) -> jobs.Policy:
-    pools = tuple(
-        _fields.text(_fields.as_object(service, 'service'), 'Name')
-        for service in _fields.array(body, 'Services')
-    )
-    queues = tuple(
-        _decode_queue(_fields.as_object(route, 'route'), pools)
-        for route in _fields.array(body, 'Routes')
-    )
-    teams = tuple(
-        _decode_team(_fields.as_object(tenant, 'tenant'))
-        for tenant in _fields.array(body, 'Tenants', [])
-    )
-    version = _fields.integer(body, 'Version')
-    if version < 1:
-        raise _fields.FieldError('Version must be at least 1')
-    _reject_duplicates('service', pools)
-    _reject_duplicates('route', [queue.name for queue in queues])
-    _reject_duplicates(
-        'host and prefix',
-        [(queue.host, queue.path_prefix) for queue in queues],
-    )
-    _reject_duplicates('tenant', [team.team_id for team in teams])
-    _reject_duplicates('key', [key for team in teams for key in team.keys])
-    return jobs.Policy(version, queues, teams, pools)
+class _Reader:
+    """Reads a document and collects its errors."""
+
+    def __init__(self, body: _fields.Body) -> None:
+        self._body = body
+        self._errors: list[_fields.FieldError] = []
+
+    def read(
+        self,
+    ) -> result.Result[jobs.Policy, tuple[_fields.FieldError, ...]]:
+        pools = self._entries('Services', _decode_pool)
+        # Unless all pools are known, any queue might name one of the others.
+        known_pools = None if self._errors else set(pools.values())
+        queues = self._entries(
+            'Routes', lambda route: _decode_queue(route, known_pools)
+        )
+        teams = self._entries('Tenants', _decode_team, [])
+        with self._collected():
+            version = _fields.integer(self._body, 'Version')
+            if version < 1:
+                raise _fields.FieldError(
+                    'Version must be at least 1', 'Version'
+                )
+        self._find_duplicates(pools, queues, teams)
+        if self._errors:
+            return result.Failure(tuple(self._errors))
+        return result.Success(
+            jobs.Policy(
+                version,
+                tuple(queues.values()),
+                tuple(teams.values()),
+                tuple(pools.values()),
+            )
+        )
+
+    @contextlib.contextmanager
+    def _collected(self) -> collections.abc.Iterator[None]:
+        try:
+            yield
+        except _fields.FieldError as error:
+            self._errors.append(error)
+
+    def _entries(
+        self,
+        name: str,
+        decode_entry: collections.abc.Callable[[_fields.Body], _Entry],
+        default: list[typing.Any] | None = None,
+    ) -> dict[str, _Entry]:
+        """Return the valid entries of a list by their paths."""
+        entries = {}
+        values: list[typing.Any] = []
+        with self._collected():
+            values = _fields.array(self._body, name, default)
+        for index, value in enumerate(values):
+            path = f'{name}[{index}]'
+            with self._collected(), _fields.within(path):
+                entries[path] = decode_entry(
+                    _fields.as_object(value, _ENTRY_KINDS[name])
+                )
+        return entries
+
+    def _find_duplicates(
+        self,
+        pools: collections.abc.Mapping[str, str],
+        queues: collections.abc.Mapping[str, jobs.QueuePolicy],
+        teams: collections.abc.Mapping[str, jobs.TeamPolicy],
+    ) -> None:
+        self._reject_duplicates(
+            'service', ((f'{path}.Name', name) for path, name in pools.items())
+        )
+        self._reject_duplicates(
+            'route',
+            ((f'{path}.Name', queue.name) for path, queue in queues.items()),
+        )
+        self._reject_duplicates(
+            'host and prefix',
+            (
+                (f'{path}.PathPrefix', (queue.host, queue.path_prefix))
+                for path, queue in queues.items()
+            ),
+        )
+        self._reject_duplicates(
+            'tenant',
+            ((f'{path}.Name', team.team_id) for path, team in teams.items()),
+        )
+        self._reject_duplicates(
+            'key',
+            (
+                (f'{path}.ApiKeys[{index}]', key)
+                for path, team in teams.items()
+                for index, key in enumerate(team.keys)
+            ),
+        )
+
+    def _reject_duplicates(
+        self,
+        kind: str,
+        values: collections.abc.Iterable[tuple[str, object]],
+    ) -> None:
+        first_paths: dict[object, str] = {}
+        for path, value in values:
+            first = first_paths.setdefault(value, path)
+            if first is not path:
+                self._errors.append(
+                    _fields.FieldError(
+                        f'duplicate {kind}; the first is {first}', path
+                    )
+                )
+
+
+def _decode_pool(body: _fields.Body) -> str:
+    return _fields.text(body, 'Name')
 
 
 def _decode_queue(
-    body: _fields.Body, pools: collections.abc.Collection[str]
+    body: _fields.Body, pools: collections.abc.Collection[str] | None
 ) -> jobs.QueuePolicy:
     pool = _fields.text(body, 'Service')
-    if pool not in pools:
-        raise _fields.FieldError(f'unknown service {pool}')
+    if pools is not None and pool not in pools:
+        raise _fields.FieldError(f'unknown service {pool}', 'Service')
     if _fields.integer(body, 'TimeoutMs') <= 0:
-        raise _fields.FieldError('TimeoutMs must be positive')
+        raise _fields.FieldError('TimeoutMs must be positive', 'TimeoutMs')
     advice = body.get('PlacementAdvisor')
     return jobs.QueuePolicy(
         name=messages.QueueName(_fields.text(body, 'Name')),
@@ -82,35 +192,34 @@
         attempts_max=max(1, _fields.integer(body, 'MaxAttempts', 1)),
         latency_target_ms=_fields.integer(body, 'TargetLatencyMs', 0),
         stretch=_fields.number(body, 'Stretch', 1.0),
-        advice=_decode_advice_policy(
-            _fields.as_object(advice, 'PlacementAdvisor')
-        )
-        if advice
-        else None,
+        advice=_decode_advice_policy(advice) if advice else None,
         is_open=_fields.boolean(body, 'Public'),
     )
 
 
-def _decode_advice_policy(body: _fields.Body) -> jobs.AdvicePolicy:
-    return jobs.AdvicePolicy(
-        decide_ms=_fields.number(body, 'DecideMs', 0.0),
-        # ``PeriodMs`` is the time per worker named in a call.
-        per_worker_ms=_fields.number(body, 'PeriodMs', 0.0),
-        valid_ms=_fields.integer(body, 'ValidityMs'),
-    )
+def _decode_advice_policy(value: object) -> jobs.AdvicePolicy:
+    with _fields.within('PlacementAdvisor'):
+        body = _fields.as_object(value, 'PlacementAdvisor')
+        return jobs.AdvicePolicy(
+            decide_ms=_fields.number(body, 'DecideMs', 0.0),
+            # ``PeriodMs`` is the time per worker named in a call.
+            per_worker_ms=_fields.number(body, 'PeriodMs', 0.0),
+            valid_ms=_fields.integer(body, 'ValidityMs'),
+        )
 
 
 def _decode_team(body: _fields.Body) -> jobs.TeamPolicy:
     keys = _fields.array(body, 'ApiKeys', [])
     if not all(isinstance(key, str) for key in keys):
-        raise _fields.FieldError('ApiKeys must be a list of strings')
-    cap = body.get('Cap') or {}
-    return jobs.TeamPolicy(
-        messages.TeamId(_fields.text(body, 'Name')),
-        tuple(keys),
-        _fields.integer(body, 'Weight', 0),
-        decode_resources(_fields.as_object(cap, 'Cap')),
-    )
+        raise _fields.FieldError(
+            'ApiKeys must be a list of strings', 'ApiKeys'
+        )
+    name = _fields.text(body, 'Name')
+    weight = _fields.integer(body, 'Weight', 0)
+    with _fields.within('Cap'):
+        cap = _fields.as_object(body.get('Cap') or {}, 'Cap')
+        limit = decode_resources(cap)
+    return jobs.TeamPolicy(messages.TeamId(name), tuple(keys), weight, limit)
 
 
 def decode_resources(body: _fields.Body) -> messages.Resources:
@@ -120,10 +229,3 @@
         _fields.integer(body, 'MemMb', 0),
         _fields.integer(body, 'Gpu', 0),
     )
-
-
-def _reject_duplicates(
-    kind: str, values: collections.abc.Collection[object]
-) -> None:
-    if len(set(values)) < len(values):
-        raise _fields.FieldError(f'duplicate {kind}')
--- a/dandeliondrum/platform/_fields.py
+++ b/dandeliondrum/platform/_fields.py
@@ -1,6 +1,7 @@
 """Typed access to the fields of decoded JSON objects."""
 
 import collections.abc
+import contextlib
 import json
 import math
 import re
@@ -19,7 +20,15 @@
 
 
 class FieldError(ValueError):
-    """A field is missing or has the wrong type or value."""
+    """A field is missing or has the wrong type or value.
+
+    ``path`` names the field, as in ``Routes[1].Host``; it is empty if the
+    error is about the whole object.
+    """
+
+    def __init__(self, detail: str, path: str = '') -> None:
+        super().__init__(detail)
+        self.path = path
 
 
 Body = collections.abc.Mapping[str, typing.Any]
@@ -27,6 +36,16 @@
 _Value = typing.TypeVar('_Value')
 
 
+@contextlib.contextmanager
+def within(path: str) -> collections.abc.Iterator[None]:
+    """Let the paths of errors begin with that of the object they are in."""
+    try:
+        yield
+    except FieldError as error:
+        error.path = f'{path}.{error.path}' if error.path else path
+        raise
+
+
 def parse_object(data: bytes | str) -> Body:
     """Parse a JSON object in UTF-8; raises FieldError for anything else.
 
@@ -108,7 +127,7 @@
     """Return a string field that can be stored."""
     value = text(body, name, default)
     if not is_storable(value):
-        raise FieldError(f'{name} has an unpaired surrogate')
+        raise FieldError(f'{name} has an unpaired surrogate', name)
     return value
 
 
@@ -128,7 +147,7 @@
     """Return an integer field of at most 64 bits."""
     value = _get_typed(body, name, int, default)
     if abs(value) > INTEGER_MAX:
-        raise FieldError(f'{name} is too large')
+        raise FieldError(f'{name} is too large', name)
     return value
 
 
@@ -136,10 +155,10 @@
     """Return a finite numeric field as a float."""
     value = _get(body, name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise FieldError(f'{name} must be a number')
+        raise FieldError(f'{name} must be a number', name)
     # Not only Infinity and NaN: 1e400 is read as infinite, too.
     if not math.isfinite(value) or abs(value) > INTEGER_MAX:
-        raise FieldError(f'{name} is too large or not finite')
+        raise FieldError(f'{name} is too large or not finite', name)
     return float(value)
 
 
@@ -165,12 +184,12 @@
 ) -> _Value:
     value = _get(body, name, default)
     if type(value) is not kind:
-        raise FieldError(f'{name} must be {kind.__name__}')
+        raise FieldError(f'{name} must be {kind.__name__}', name)
     return value
 
 
 def _get(body: Body, name: str, default: typing.Any) -> typing.Any:
     value = body.get(name, default)
     if value is None:
-        raise FieldError(f'{name} is missing')
+        raise FieldError(f'{name} is missing', name)
     return value
--- a/dandeliondrum/platform/tests/test_documents.py
+++ b/dandeliondrum/platform/tests/test_documents.py
@@ -73,3 +73,39 @@
         outcome = _documents.validate(whole[:length])
         assert isinstance(outcome, result.Failure)
     assert json.loads(whole)
+
+
+def test_all_errors_are_found_with_the_paths_of_their_fields():
+    """Otherwise an operator would learn of one error for each attempt."""
+    routes = [
+        testing.route(TimeoutMs=0),
+        testing.route('r2', PlacementAdvisor={'ValidityMs': 'x'}),
+        testing.route('r3', Service='unknown'),
+        testing.route('r4'),
+        testing.route('r5', PathPrefix='/r4/'),
+    ]
+    tenants = [
+        testing.tenant('a', ('k1', 'k1')),
+        testing.tenant('a', ('k2',)),
+        {**testing.tenant('c', ()), 'Cap': {'Cpu': 0.5}},
+        7,
+    ]
+    document = testing.document(0, Routes=routes, Tenants=tenants)
+    errors = _documents.read(document).failure()
+    assert [error.path for error in errors] == [
+        'Routes[0].TimeoutMs',
+        'Routes[1].PlacementAdvisor.ValidityMs',
+        'Routes[2].Service',
+        'Tenants[2].Cap.Cpu',
+        'Tenants[3]',
+        'Version',
+        'Routes[4].PathPrefix',
+        'Tenants[1].Name',
+        'Tenants[0].ApiKeys[1]',
+    ]
+
+
+def test_a_list_that_is_no_list_does_not_hide_other_errors():
+    document = testing.document(0, Services=None, Routes=[testing.route()])
+    errors = _documents.read(document).failure()
+    assert [error.path for error in errors] == ['Services', 'Version']
