--- a/dandeliondrum/json_text/_names.py
+++ b/dandeliondrum/json_text/_names.py
@@ -74,6 +74,9 @@
         self._positions: list[int | None] = []
         self._candidate: re.Match[str] | None = None
         self._value_path = ''
+        self._line = 1
+        self._line_start = 0
+        self._counted = 0
 
     def feed(self, token: re.Match[str]) -> None:
         if token.lastgroup != 'mark':
@@ -95,10 +98,22 @@
             return
         name = self._candidate.group().strip('"\'')
         path = f'{self._prefixes[-1]}{name}'
-        position = line_and_column(self._text, self._candidate.start())
+        position = self._position_of(self._candidate.start())
         self.found.append(FoundName(path, *position))
         self._value_path = path
 
+    def _position_of(self, offset: int) -> tuple[int, int]:
+        """Return the position of an offset behind all earlier ones.
+
+        To count lines from the start each time would be quadratic.
+        """
+        line_breaks = self._text.count('\n', self._counted, offset)
+        if line_breaks:
+            self._line += line_breaks
+            self._line_start = self._text.rindex('\n', 0, offset) + 1
+        self._counted = offset
+        return self._line, offset - self._line_start + 1
+
     def _open(self, mark: str) -> None:
         path = self._value_path
         if mark == '[':
--- a/dandeliondrum/json_text/_suggest.py
+++ b/dandeliondrum/json_text/_suggest.py
@@ -12,7 +12,14 @@
         suggest_name('memory_gb', ['share', 'memory_mb'])
         # 'did you mean "memory_mb"?'
     """
-    nearest = difflib.get_close_matches(name, known, n=1)
+    nearest = find_nearest_name(name, known)
     if nearest:
-        return f'did you mean "{nearest[0]}"?'
+        return f'did you mean "{nearest}"?'
     return 'known are ' + ', '.join(sorted(known))
+
+
+def find_nearest_name(
+    name: str, known: collections.abc.Collection[str]
+) -> str | None:
+    """Return the known name that is most like the given one, if any is."""
+    return next(iter(difflib.get_close_matches(name, known, n=1)), None)
