Review a job policy for entries that are likely mistakes

A valid policy may hold queues that no request matches, a prefix that takes the jobs of another queue, pools that nothing uses, shares without effect and limits that stop a team; nothing told the operator.

find_policy_doubts returns such entries, in the product's own terms and without a network. Workers and jobs are not part of a policy, so pools without workers and limits below a task are not found.

--- a/dandeliondrum/jobs/__init__.py
+++ b/dandeliondrum/jobs/__init__.py
@@ -28,6 +28,9 @@
 from dandeliondrum.jobs._policy import Policy
 from dandeliondrum.jobs._policy import QueuePolicy
 from dandeliondrum.jobs._policy import TeamPolicy
+from dandeliondrum.jobs._policy_review import Doubt
+from dandeliondrum.jobs._policy_review import find_policy_doubts
+from dandeliondrum.jobs._policy_review import PolicyDoubt
 from dandeliondrum.jobs._port import Accepted
 from dandeliondrum.jobs._port import AdviserPort
 from dandeliondrum.jobs._port import EndListing
@@ -57,6 +60,7 @@
     'AdviceReply',
     'AdviserPort',
     'ControllerOptions',
+    'Doubt',
     'EndListing',
     'EvacuatedDomains',
     'GatewayOptions',
@@ -73,6 +77,7 @@
     'MembershipOptions',
     'OrderOutcome',
     'Policy',
+    'PolicyDoubt',
     'Ports',
     'QueuePolicy',
     'Refusal',
@@ -95,5 +100,6 @@
     'WorkerReplaced',
     'WorkerReport',
     'find_job_problem',
+    'find_policy_doubts',
     'parse_task_key',
 ]
