Check a configuration document before it is sent

An operator learned of the first error of a document from the answer to PUT /config, and never of entries that are valid and can have no effect.

The roles start as before.

--- a/dandeliondrum/command/_fleet_actions.py
+++ b/dandeliondrum/command/_fleet_actions.py
@@ -64,7 +64,7 @@
 def _write(report: _report.Report, as_json: bool) -> None:
     if sys.stdout.isatty() and not as_json:
         print(CLEAR_SCREEN, end='')
-    _report.write(report, as_json)
+    _report.write_report(report, as_json)
 
 
 def drain(
--- a/dandeliondrum/command/_report.py
+++ b/dandeliondrum/command/_report.py
@@ -12,8 +12,8 @@
     """Exit codes of the command line.
 
     ``BROKEN`` means that an invariant of a daemon is broken; it has the value
-    of EX_SOFTWARE in ``sysexits.h``. ``DOUBTS`` means that rules are valid but
-    most likely wrong.
+    of EX_SOFTWARE in ``sysexits.h``. ``DOUBTS`` means that rules, or another
+    configuration, are valid but most likely wrong.
     """
 
     DONE = 0
@@ -62,11 +62,11 @@
         report = command._action()
     except OSError as error:
         report = Report(ExitCode.REFUSED, note=str(error))
-    write(report, command._as_json)
+    write_report(report, command._as_json)
     return report.code
 
 
-def write(report: Report, as_json: bool) -> None:
+def write_report(report: Report, as_json: bool) -> None:
     """Print a report as text or as JSON."""
     if report.note:
         print(report.note, file=sys.stderr)
--- a/dandeliondrum/platform/__main__.py
+++ b/dandeliondrum/platform/__main__.py
@@ -2,6 +2,9 @@
 
 With ``-S`` the signal handlers are installed before the module ``site`` is
 imported, which runs what other packages of the machine have installed.
+
+``python3 -m dandeliondrum.platform check FILE`` is no role: it checks a
+configuration document of the operators and ends.
 """
 
 import sys
@@ -11,18 +14,34 @@
 
 def main(arguments: list[str]) -> int:
     """Run the role given as the only argument and return the exit code."""
+    if arguments[:1] == ['check']:
+        return _run_check(arguments[1:])
     if len(arguments) != 1:
-        sys.stderr.write('usage: dandeliondrum.platform gateway|controller\n')
+        sys.stderr.write(
+            'usage: dandeliondrum.platform gateway|controller\n'
+            '       dandeliondrum.platform check FILE\n'
+        )
         return 2
     process_signals = signals.install()
     # The imports take most of a start, and signals may come meanwhile.
+    _import_site()
+    from dandeliondrum.platform import _programs
+
+    return _programs.run(arguments[0], process_signals)
+
+
+def _run_check(arguments: list[str]) -> int:
+    _import_site()
+    from dandeliondrum.platform import _check
+
+    return _check.run(arguments)
+
+
+def _import_site() -> None:
     if sys.flags.no_site:
         import site
 
         site.main()
-    from dandeliondrum.platform import _programs
-
-    return _programs.run(arguments[0], process_signals)
 
 
 def _run_process() -> None:
--- a/dandeliondrum/platform/_documents.py
+++ b/dandeliondrum/platform/_documents.py
@@ -56,7 +56,10 @@
 
 def parse(document: bytes) -> _fields.Body:
     """Return the object of a document in force; raises FieldError."""
-    text = document.decode(json.detect_encoding(document), 'surrogatepass')
+    try:
+        text = document.decode(json.detect_encoding(document), 'surrogatepass')
+    except UnicodeDecodeError as error:
+        raise _fields.FieldError(f'unknown encoding: {error}') from error
     return _fields.without_surrogates(_fields.parse_object(text))
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -38,6 +38,13 @@
     assert not rule_set.keys, 'an example key would be a known key'
 
 
+@pytest.mark.parametrize('path', sorted(EXAMPLES.rglob('*.rules')), ids=str)
+def test_rules_files_lack_nothing_but_keys(path):
+    """Teams get their keys later, with ``keys grant``."""
+    doubts = rules.find_doubts(rules.parse(path.read_text()).unwrap())
+    assert all(' key' in str(doubt) for doubt in doubts)
+
+
 @pytest.mark.parametrize('role', ['controller', 'gateway', 'worker'])
 def test_the_example_of_a_role_has_every_parameter(role):
     path = EXAMPLES / f'{role}.jsonc'
