Give warnings of rules check their lines, and find more of them

What the cell knows of its teams was not used: an upper limit below what a team runs stops it until tasks end, and a file may quarantine all workers.

Tests: a case for each. Three expectations follow the new form: a doubt's text is in .detail and its rule is checked, too, and a warning has its line. The test of a known worker has a second one, since a quarantined worker that is the only one is now found by itself.

--- a/dandeliondrum/command/_rules_commands.py
+++ b/dandeliondrum/command/_rules_commands.py
@@ -1,7 +1,5 @@
 """Commands of ``dandeliondrum rules``."""
 
-import collections.abc
-
 from returns import result
 
 from dandeliondrum.command import _arguments
@@ -17,9 +15,7 @@
 # Stands for the rules that are in force in the cell.
 IN_FORCE = 'in-force'
 
-_Other = tuple[
-    rules.RuleSet | None, collections.abc.Collection[messages.WorkerId] | None
-]
+_Other = tuple[rules.RuleSet | None, messages.FleetShown | None]
 
 
 class RulesCommands:
@@ -46,10 +42,10 @@
         Args:
           file: The rules file.
           against: Print in which rules the file differs from this one, or
-            from the rules of the cell if it is "in-force".
+            from the rules of the cell if it is "in-force" or their version.
           strict: Exit with 5 if there are warnings.
           gateways: Operator addresses of gateways, separated by commas; used
-            with --against=in-force only.
+            only to compare with the rules of the cell.
           key_file: File with the operator key.
           json: Print JSON.
         """
@@ -149,9 +145,10 @@
     other = _read_other(against, cell)
     if isinstance(other, result.Failure):
         return other.failure()
-    before, known_workers = other.unwrap()
-    doubts = rules.find_doubts(rule_set, known_workers)
-    data['warnings'] = list(doubts)
+    before, fleet = other.unwrap()
+    doubts = _find_doubts(rule_set, fleet)
+    warnings = _locate(file, read.unwrap(), doubts)
+    data['warnings'] = warnings
     if before is not None:
         changes = rules.compare(before, rule_set)
         data['changes'] = list(changes)
@@ -161,18 +158,48 @@
         if strict and doubts
         else _report.ExitCode.DONE,
         text=text,
-        note='\n'.join(f'{file}: warning: {doubt}' for doubt in doubts),
+        note='\n'.join(
+            f'{file}:{warning["line"]}: warning: {warning["detail"]}'
+            for warning in warnings
+        ),
         data=data,
     )
 
 
+def _find_doubts(
+    rule_set: rules.RuleSet, fleet: messages.FleetShown | None
+) -> tuple[rules.RulesDoubt, ...]:
+    if fleet is None:
+        return rules.find_doubts(rule_set)
+    workers = {one.facts.worker_id for one in fleet.workers}
+    return rules.find_doubts(rule_set, workers, fleet.teams)
+
+
+def _locate(
+    file: str, text: str, doubts: tuple[rules.RulesDoubt, ...]
+) -> list[dict[str, object]]:
+    """Return doubts with the lines of their rules, 1 for the whole file."""
+    lines = rules.find_lines(text)
+    return [
+        {
+            'file': file,
+            'line': lines.get((doubt.kind, doubt.name), 1),
+            'detail': doubt.detail,
+        }
+        for doubt in doubts
+    ]
+
+
 def _read_other(
     against: str, cell: tuple[str, str]
 ) -> result.Result[_Other, _report.Report]:
-    """Return the rules to compare with, and the known workers if asked."""
+    """Return the rules to compare with, and the fleet if the cell was asked.
+
+    A cell keeps only the text of the version in force.
+    """
     if not against:
         return result.Success((None, None))
-    if against != IN_FORCE:
+    if against != IN_FORCE and not against.isdecimal():
         return _rules_files.read(against).map(
             lambda text: (rules.parse(text).unwrap(), None)
         )
@@ -181,10 +208,15 @@
     for outcome in (shown, fleet):
         if isinstance(outcome, result.Failure):
             return result.Failure(outcome.failure().report())
-    workers = {one.facts.worker_id for one in fleet.unwrap().workers}
+    version = shown.unwrap().version
+    if against not in (IN_FORCE, str(version)):
+        note = f'version {against} is not in force; version {version} is'
+        return result.Failure(
+            _report.Report(_report.ExitCode.REFUSED, note=note)
+        )
     return (
         rules.parse(shown.unwrap().text)
-        .map(lambda rule_set: (rule_set, workers))
+        .map(lambda rule_set: (rule_set, fleet.unwrap()))
         .alt(lambda found: _rules_files.problems_report(IN_FORCE, found))
     )
 
--- a/dandeliondrum/command/tests/test_rules_commands.py
+++ b/dandeliondrum/command/tests/test_rules_commands.py
@@ -65,7 +65,7 @@
         'team "harbour": share 2 -> 3',
         'team "prisms": removed',
     ]
-    assert f'{rules_file}: warning: team "harbour" has no key' in result.err
+    assert f'{rules_file}:1: warning: team "harbour" has no key' in result.err
 
 
 def test_a_strict_check_fails_for_a_warning(run, rules_file):
@@ -73,6 +73,7 @@
     assert result.code == 5
     assert result.data()['problems'] == []
     assert len(result.data()['warnings']) == 2
+    assert result.data()['warnings'][0]['line'] == 1
 
 
 def test_check_compares_with_the_rules_in_force(
@@ -89,6 +90,32 @@
     assert put_calls(gateway) == []
 
 
+def test_check_compares_with_a_version_if_it_is_in_force(
+    run, gateway, gateways_flag, rules_file
+):
+    """A cell keeps no text of other versions, and must not seem to."""
+    gateway.text, gateway.version = TEAM + OTHER, 7
+    words = ('rules', 'check', str(rules_file), gateways_flag)
+    result = run(*words, '--against=7')
+    assert result.code == 0
+    assert result.out.splitlines()[1:] == ['team "prisms": removed']
+    result = run(*words, '--against=6')
+    assert (result.code, result.out) == (1, '')
+    assert 'version 6 is not in force; version 7 is' in result.err
+
+
+def test_check_against_the_cell_warns_of_limits_below_the_use(
+    run, gateway, gateways_flag, rules_file
+):
+    gateway.text = TEAM
+    limited = TEAM.replace('3', '3, "upper_limit": {"running": 2}')
+    rules_file.write_text(f'\n{limited}')
+    words = ('--against=in-force', gateways_flag)
+    result = run('rules', 'check', str(rules_file), *words)
+    assert result.code == 0
+    assert f'{rules_file}:2: warning: team "harbour" uses 3 ' in result.err
+
+
 def test_check_against_an_unreachable_cell_fails(run, rules_file):
     words = ('--against=in-force', f'--gateways={UNREACHABLE}')
     assert run('rules', 'check', str(rules_file), *words).code == 4
--- a/dandeliondrum/rules/__init__.py
+++ b/dandeliondrum/rules/__init__.py
@@ -25,9 +25,11 @@
 from dandeliondrum.rules._model import TeamRule
 from dandeliondrum.rules._model import UNLIMITED
 from dandeliondrum.rules._model import WorkerRule
+from dandeliondrum.rules._parse import find_lines
 from dandeliondrum.rules._parse import parse
 from dandeliondrum.rules._review import compare
 from dandeliondrum.rules._review import find_doubts
+from dandeliondrum.rules._review import RulesDoubt
 
 __all__ = [
     'Defaults',
@@ -37,6 +39,7 @@
     'QueueRule',
     'Rule',
     'RuleSet',
+    'RulesDoubt',
     'RulesProblem',
     'TeamRule',
     'UNLIMITED',
@@ -45,6 +48,7 @@
     'authorize',
     'compare',
     'find_doubts',
+    'find_lines',
     'new_key',
     'parse',
     'remove_key',
--- a/dandeliondrum/rules/_parse.py
+++ b/dandeliondrum/rules/_parse.py
@@ -47,6 +47,18 @@
     return result.Success(builder.build())
 
 
+def find_lines(
+    text: str,
+) -> collections.abc.Mapping[tuple[str, str], int]:
+    """Return the line of each rule of a valid file by its kind and name."""
+    lines = {}
+    for number, line in enumerate(text.split('\n'), start=1):
+        rule = _line_parser.read(line.rstrip('\r')).value_or(None)
+        if rule is not None:
+            lines[_identity(rule)] = number
+    return lines
+
+
 def _position(problem: _model.RulesProblem) -> tuple[int, int]:
     return problem.line, problem.column
 
--- a/dandeliondrum/rules/tests/test_review.py
+++ b/dandeliondrum/rules/tests/test_review.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dandeliondrum import messages
 from dandeliondrum import rules
 
 TEAM = '{"rule": "team", "team": "harbour", "share": 1}  // asked by S. P.\n'
@@ -47,6 +48,14 @@
             _limited('{"running": 9, "memory_mb": 0, "cpu_millicores": 0}'),
             ('0 for cpu_millicores and memory_mb,',),
         ),
+        (
+            FINE.replace('"batch"', '"batch", "policy": "p"'),
+            ('queue "figuring" has a policy, which has no effect',),
+        ),
+        (
+            _limited('{"running": 1}').replace('"batch"', '"gang"'),
+            ('team "harbour" may run 1 task, which is below any gang',),
+        ),
     ],
 )
 def test_a_rule_without_effect_is_named(text, expected):
@@ -54,7 +63,8 @@
     doubts = rules.find_doubts(_parse(text))
     assert len(doubts) == len(expected)
     for part, doubt in zip(expected, doubts, strict=True):
-        assert part in doubt
+        assert part in doubt.detail
+        assert f'{doubt.kind} "{doubt.name}"' in doubt.detail
 
 
 def test_a_limit_of_accelerators_of_0_is_no_contradiction():
@@ -64,9 +74,56 @@
 def test_a_rule_about_an_unknown_worker_is_named_if_workers_are_known():
     rule_set = _parse(FINE + WORKER)
     assert rules.find_doubts(rule_set) == ()
-    assert rules.find_doubts(rule_set, {'w1'}) == ()
+    assert rules.find_doubts(rule_set, {'w1', 'w2'}) == ()
     (doubt,) = rules.find_doubts(rule_set, {'w2'})
-    assert 'worker "w1" is not known' in doubt
+    assert 'worker "w1" is not known' in doubt.detail
+    assert (doubt.kind, doubt.name) == ('worker', 'w1')
+
+
+@pytest.mark.parametrize(
+    ('known', 'expected'),
+    [(('w1', 'w2'), []), (('w1',), ['quarantined']), ((), ['unknown'])],
+)
+def test_queues_without_workers_are_named_if_workers_are_known(
+    known, expected
+):
+    doubts = rules.find_doubts(_parse(FINE + WORKER), known)
+    found = [doubt.detail.split()[-1] for doubt in doubts if not doubt.kind]
+    assert found == expected
+
+
+@pytest.mark.parametrize(
+    ('limit', 'expected'),
+    [
+        ('{"running": 3, "cpu_millicores": 2500}', None),
+        ('{"running": 2}', 'uses 3 tasks now'),
+        ('{"memory_mb": 4095}', 'uses (2500, 4096, 0) now'),
+        (
+            '{"running": 2, "cpu_millicores": 1}',
+            'uses 3 tasks and (2500, 4096, 0) now',
+        ),
+    ],
+)
+def test_a_limit_below_what_a_team_uses_is_named(limit, expected):
+    """Nothing new of the team would start, maybe for a long time."""
+    amounts = messages.Resources(2_500, 4_096, 0)
+    views = [
+        messages.TeamView(messages.TeamId(name), 3, 12, amounts)
+        for name in ('harbour', 'removed')
+    ]
+    doubts = rules.find_doubts(_parse(_limited(limit)), None, views)
+    assert len(doubts) == (expected is not None)
+    assert all(expected in doubt.detail for doubt in doubts)
+
+
+def test_the_lines_of_rules_are_found():
+    lines = rules.find_lines(f'// comment\n\n{FINE}{WORKER}')
+    assert lines == {
+        ('team', 'harbour'): 3,
+        ('key', '0123456789abcdef'): 4,
+        ('queue', 'figuring'): 5,
+        ('worker', 'w1'): 6,
+    }
 
 
 def test_equal_rules_do_not_differ():
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -42,7 +42,7 @@
 def test_rules_files_lack_nothing_but_keys(path):
     """Teams get their keys later, with ``keys grant``."""
     doubts = rules.find_doubts(rules.parse(path.read_text()).unwrap())
-    assert all(' key' in str(doubt) for doubt in doubts)
+    assert all('needs a key' in doubt.detail for doubt in doubts)
 
 
 @pytest.mark.parametrize('role', ['controller', 'gateway', 'worker'])
