Refuse documents that are nested deeply, and read those in force

What callers saw: `PUT /config` with a field that is nested 981 levels deep got no answer; the controller ended with code 70, and again at each restart, as did each other controller that applied the entry. No operator can repair that.

Cause: Python limits the depth of the stack, not of the JSON. A thread of the HTTP server accepted the document; the applier, with a few more frames on its stack, could not decode the same bytes, and an exception in the state machine is fatal. Whether an entry can be applied depended on the thread.

Evidence: a controller of the deploy file on loopback, documents of 900 to 999 levels: 200 up to 980, then "the state machine failed to apply entry 84: FieldError('not JSON: maximum recursion depth exceeded ...')", code 70, and 70 again in 2 of 2 restarts. Without the fix the new tests fail in 5 of 9 cases.

Change: a body with more than NESTING_MAX levels (32, far above any message) is refused wherever it is parsed; in a document in force, which an earlier version may have accepted, such parts are read as null, on any stack.

--- a/dandeliondrum/platform/_documents.py
+++ b/dandeliondrum/platform/_documents.py
@@ -30,11 +30,12 @@
 def decode(document: bytes) -> jobs.Policy:
     """Return the policy of a document in force; raises FieldError if invalid.
 
-    Earlier versions accepted documents in other encodings than UTF-8 and with
-    unpaired surrogates, which are replaced here.
+    Earlier versions accepted documents in other encodings than UTF-8, with
+    unpaired surrogates, which are replaced here, and with any nesting.
     """
     text = document.decode(json.detect_encoding(document), 'surrogatepass')
-    return _decode(_fields.without_surrogates(_fields.parse_object(text)))
+    body = _fields.parse_shallow_object(text)
+    return _decode(_fields.without_surrogates(body))
 
 
 def _decode(body: _fields.Body) -> jobs.Policy:
--- a/dandeliondrum/platform/_fields.py
+++ b/dandeliondrum/platform/_fields.py
@@ -33,10 +33,13 @@
     An integer that is too long to be valid is read as infinite, so that it
     invalidates its own field only.
     """
-    return as_object(_parse(_decode(data)), 'body')
+    value = _parse(_decode(data))
+    if _is_nested_too_deeply(value):
+        raise FieldError(f'more than {NESTING_MAX} levels of nesting')
+    return as_object(value, 'body')
 
 
-def parse_shallow_object(data: bytes) -> Body:
+def parse_shallow_object(data: bytes | str) -> Body:
     """Parse like parse_object, with null for what is nested too deeply.
 
     For objects with lists of entries that are independent of each other.
@@ -48,6 +51,8 @@
         value = _parse(_cut_nesting(text))
     except ValueError as error:
         raise FieldError(f'not JSON: {error}') from error
+    if _is_nested_too_deeply(value):
+        value = _parse(_cut_nesting(text))
     return as_object(value, 'body')
 
 
@@ -74,6 +79,27 @@
 _DECODER = json.JSONDecoder(parse_int=_parse_integer)
 
 
+def _is_nested_too_deeply(value: typing.Any) -> bool:
+    """Return whether there are more than NESTING_MAX levels of nesting.
+
+    How many the parser takes depends on how deep the stack of the caller is.
+    """
+    level = [value]
+    for _ in range(NESTING_MAX + 1):
+        level = [
+            child
+            for parent in level
+            if isinstance(parent, dict | list)
+            for child in (
+                parent.values() if isinstance(parent, dict) else parent
+            )
+            if isinstance(child, dict | list)
+        ]
+        if not level:
+            return False
+    return True
+
+
 def _cut_nesting(text: str) -> str:
     """Replace what is nested more than NESTING_MAX levels deep by null."""
     parts = []
--- a/dandeliondrum/platform/tests/test_documents.py
+++ b/dandeliondrum/platform/tests/test_documents.py
@@ -73,3 +73,25 @@
         outcome = _documents.validate(whole[:length])
         assert isinstance(outcome, result.Failure)
     assert json.loads(whole)
+
+
+def nested(levels):
+    """Return a document with an unknown field of many levels."""
+    content = testing.document(7)[:-1]
+    return content + b', "New": ' + b'[' * levels + b']' * levels + b'}'
+
+
+@pytest.mark.parametrize('levels', (33, 500, 950, 20_000))
+def test_rejects_a_document_that_is_nested_deeply(levels):
+    outcome = _documents.validate(nested(levels))
+    assert isinstance(outcome, result.Failure)
+
+
+@pytest.mark.parametrize('levels', (1, 20, 500, 950, 20_000))
+def test_a_document_in_force_can_be_read_on_any_stack(levels):
+    def read_below(frames_count):
+        if frames_count:
+            return read_below(frames_count - 1)
+        return _documents.decode(nested(levels))
+
+    assert read_below(400).version == 7
