Leave a shared output blocking at the end of a process

What callers saw: after a process has ended, other processes that write to the same open file (a successor on the same pipe, the launcher) fail with EAGAIN when its reader is slow, and lose log lines.

Cause: the end of a process sets O_NONBLOCK on its standard output and error, so that a stalled reader does not delay it. The flag belongs to the open file, not to the descriptor, and outlives the process.

Change: the flag is restored after the last write.

--- a/dandeliondrum/startup/_output.py
+++ b/dandeliondrum/startup/_output.py
@@ -1,5 +1,6 @@
 """The end of a process after its last log line."""
 
+import collections.abc
 import contextlib
 import os
 import sys
@@ -19,8 +20,7 @@
     """
     for stream in (sys.stdout, sys.stderr):
         # Nobody reads an output that can't be written.
-        with contextlib.suppress(OSError, ValueError):
-            os.set_blocking(stream.fileno(), False)
+        with contextlib.suppress(OSError, ValueError), _unblocked(stream):
             stream.flush()
     os._exit(code)
 
@@ -31,8 +31,7 @@
     So nothing acts on an inconsistent state. The line goes to standard error,
     as queued log lines would not be written any more.
     """
-    with contextlib.suppress(OSError, ValueError):
-        os.set_blocking(sys.stderr.fileno(), False)
+    with contextlib.suppress(OSError, ValueError), _unblocked(sys.stderr):
         logger = structlog.wrap_logger(structlog.WriteLogger(sys.stderr))
         logger.critical(
             'process ended',
@@ -40,3 +39,18 @@
             code=int(_exit_code.ExitCode.BROKEN),
         )
     os._exit(_exit_code.ExitCode.BROKEN)
+
+
+@contextlib.contextmanager
+def _unblocked(stream: typing.TextIO) -> collections.abc.Iterator[None]:
+    """Let writes fail instead of waiting for the reader of a stream.
+
+    The flag is restored, as other processes may share the open file.
+    """
+    descriptor = stream.fileno()
+    was_blocking = os.get_blocking(descriptor)
+    os.set_blocking(descriptor, False)
+    try:
+        yield
+    finally:
+        os.set_blocking(descriptor, was_blocking)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -261,6 +261,15 @@
         assert stopped_in_order(process), launched.output()
 
 
+def test_an_ended_process_leaves_an_output_that_it_shared_blocking(launched):
+    reader, writer = os.pipe()
+    process = launched.launch(stdout=writer)
+    with open(reader) as output, open(writer, 'w'):
+        assert any('"started"' in line for line in output)
+        assert stopped_in_order(process), launched.output()
+        assert os.get_blocking(writer)
+
+
 def accepts_calls(launched: Launched) -> bool:
     address = launched.settings.get(
         'Listen.Front', launched.settings.get('Listen.Control', '')
