Log where a broken invariant arose

What callers saw: a process that ends with code 70 leaves "process ended" with a text such as "the writer failed: KeyError(7)". The traceback, which other lines have, is lost: they are queued for the log stream, and the process exits before it writes them.

Evidence: of a controller that failed to apply an entry, "state machine failed" and "invariant violated" were in none of three logs.

Change: the last line contains the traceback of the error and of its cause.

--- a/dandeliondrum/startup/_output.py
+++ b/dandeliondrum/startup/_output.py
@@ -37,6 +37,7 @@
             'process ended',
             why=str(error),
             code=int(_exit_code.ExitCode.BROKEN),
+            exc_info=error,
         )
     os._exit(_exit_code.ExitCode.BROKEN)
 
