--- a/dandeliondrum/platform/tests/test_programs.py
+++ b/dandeliondrum/platform/tests/test_programs.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -116,3 +118,25 @@
     deployment.open()
     assert deployment.processes.stop('g0') == 0
     assert deployment.processes.stop(deployment.controller(1)) == 0
+
+
+def test_the_check_of_a_document_asks_a_real_controller(deployment, tmp_path):
+    """What is in force stays, and the process ends with the exit code."""
+    deployment.open()
+    path = tmp_path / 'config.json'
+    path.write_bytes(testing.document(2, Routes=[testing.route(Host='a:1')]))
+    words = ['check', str(path), '--strict', '--json']
+    done = subprocess.run(
+        [
+            *(sys.executable, '-m', 'dandeliondrum.platform', *words),
+            f'--against={deployment.control[0]}',
+        ],
+        capture_output=True,
+        timeout=60,
+    )
+    assert done.returncode == 5
+    assert json.loads(done.stdout)['changes'] == [
+        'Version 1 -> 2',
+        'Routes "r1": Host "nony24.example" -> "a:1"',
+    ]
+    assert deployment.read_document(0).body == testing.document()
