Close a connection that can't be kept instead of ending the server

What callers saw: after one failed epoll_ctl (ENOMEM, ENOSPC) the port of a process refuses connections for good, while the process runs on and a gateway may still report itself ready on its other port.

Cause: the library registers a connection for its next request in the `finally` of a thread. An exception there sets the server's interrupt flag, which stops the server. Nobody looks at its thread.

Evidence: the new test fails without the change (server.ready is False).

Change: a connection that can't be registered is closed, with a log line.

--- a/dandeliondrum/gateway/tests/test_server.py
+++ b/dandeliondrum/gateway/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server's drain, without a gateway around it."""
 
 import contextlib
+import errno
 import http.client
 import socket
 import threading
@@ -87,3 +88,26 @@
         assert server._connections._from_server_socket(server.socket) is None
     server.socket = listener
     assert not errors
+
+
+def test_a_connection_that_cannot_be_kept_does_not_end_the_server(
+    server, client, monkeypatch
+):
+    selector = server._connections._selector
+    register, failures = selector.register, [OSError(errno.ENOMEM, 'memory')]
+
+    def fail_once(*arguments, **named):
+        if failures:
+            raise failures.pop()
+        return register(*arguments, **named)
+
+    monkeypatch.setattr(selector, 'register', fail_once)
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        client.request('GET', '/')
+        client.getresponse().read()
+    other = http.client.HTTPConnection(server.address, timeout=20)
+    with contextlib.closing(other):
+        other.request('GET', '/')
+        assert other.getresponse().read() == b'ok'
+    assert not failures
+    assert server.ready
--- a/dandeliondrum/http_server/_server.py
+++ b/dandeliondrum/http_server/_server.py
@@ -120,6 +120,17 @@
             case _arrival.State.CLOSED:
                 conn.close()
 
+    def put_conn(self, conn: _connection.Connection) -> None:
+        """Wait for the next request on a connection, or close it.
+
+        An error here would end the thread that served it, and the server.
+        """
+        try:
+            super().put_conn(conn)
+        except Exception:
+            _logger.exception('connection not kept', peer=conn.remote_addr)
+            conn.close()
+
     def time_out(self, conn: _connection.Connection) -> None:
         """Answer a request that did not arrive in time."""
         conn.arrival_timed_out = True
