Go on accepting streams after an unexpected error

What callers saw: a controller that answers on no new stream, without a log line, until it is restarted.

Cause: the loop that accepts streams runs in an executor whose future nobody reads. Any exception but OSError and the RuntimeError of a thread that can't be started ended it silently.

The new test fails without the change.

Change: such an error is logged, and the loop goes on after a pause.

--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -115,21 +115,30 @@
 
     def _accept_loop(self) -> None:
         while not self._stopping.is_set():
-            stream = self._accept()
-            if stream is None:
-                continue
-            with self._lock:
-                full = len(self._connections) >= self._options.connections_max
-            if full:
-                _logger.warning('too many connections')
-                stream.close()
-                continue
-            self._begin_handshake(stream)
             try:
-                self._executor.submit(self._serve, stream)
-            except RuntimeError:
-                self._end_handshake(stream)
-                stream.close()
+                self._accept_stream()
+            except Exception:
+                # Nobody reads the future of this loop.
+                _logger.exception('stream not served')
+                self._stopping.wait(ACCEPT_PAUSE_MS / 1000)
+
+    def _accept_stream(self) -> None:
+        """Accept a stream, and let a thread of the pool serve it."""
+        stream = self._accept()
+        if stream is None:
+            return
+        with self._lock:
+            full = len(self._connections) >= self._options.connections_max
+        if full:
+            _logger.warning('too many connections')
+            stream.close()
+            return
+        self._begin_handshake(stream)
+        try:
+            self._executor.submit(self._serve, stream)
+        except RuntimeError:
+            self._end_handshake(stream)
+            stream.close()
 
     def _accept(self) -> socket.socket | None:
         """Return the next stream; None after a failure, which is logged."""
--- a/dandeliondrum/transport/tests/test_streams.py
+++ b/dandeliondrum/transport/tests/test_streams.py
@@ -461,6 +461,26 @@
     assert os.strerror(number) in _events(lines, 'accept failed')[0]['why']
 
 
+def test_a_server_accepts_again_after_an_unexpected_error(monkeypatch):
+    begin, failures = transport.Server._begin_handshake, [MemoryError()]
+
+    def fail_once(server, stream):
+        if failures:
+            stream.close()
+            raise failures.pop()
+        begin(server, stream)
+
+    monkeypatch.setattr(transport.Server, '_begin_handshake', fail_once)
+    with structlog.testing.capture_logs() as lines:
+        with serving_faultily([]) as server:
+            with socket.create_connection(
+                transport.parse_address(server.address)
+            ):
+                _wait_for(lambda: not failures)
+            _assert_serves(server)
+    assert _events(lines, 'stream not served')
+
+
 def test_a_server_without_descriptors_accepts_again_when_there_are_some():
     limits = resource.getrlimit(resource.RLIMIT_NOFILE)
     with structlog.testing.capture_logs() as lines:
