Wait at a start for a leader that can do without damaged files

What callers saw: after a loss of power of the whole core, a controller with a damaged log ends with code 1 if no leader confirms a quorum within 3 s of its start. The others may be electing one; nobody starts it again.

Cause: damage was not among the causes that a start waits for, although the leader, which decides, may appear. A passing error of the start after the files were moved ended the process at once, too.

Evidence: both cases of the new test fail without the change.

Change: such a start is tried again within the bound of all waits, 10 s.

--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -217,8 +217,12 @@
             self._adviser_client,
             error,
         ):
-            return self.node.start()
-        if error.may_pass:
+            started = self.node.start()
+            if isinstance(started, result.Success):
+                return started
+            error = started.failure()
+        # A leader that can do without damaged files may be elected yet.
+        if error.may_pass or error.is_damage:
             raise _NodeNotReadyError(error)
         return started
 
