Extract the launching of programs from the tests of starts

The tests of the product's own daemons need the same: a program with its settings and logs, launched also with a signal at each import. No check is changed.

--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,65 +1,23 @@
 """Starts of real programs that are disturbed by signals, ports and files."""
 
 import contextlib
-import json
 import os
 import pathlib
 import signal
 import socket
-import subprocess
-import sys
-import time
 
 import pytest
 
 from dandeliondrum import testing
+from tests import starts
 
 ROLES = ('gateway', 'controller')
-TIMEOUT_MS = 30_000
-RUN = ('-S', '-m', 'dandeliondrum.platform')
-# Imports of the entry point until its handlers are installed.
-EARLY = (
-    'collections',
-    'dandeliondrum',
-    'dandeliondrum.platform',
-    'dandeliondrum.signals',
-    'dandeliondrum.signals._process_signals',
-    'enum',
-    'functools',
-    'select',
-    'signal',
-    'time',
-    'types',
-)
-# Sends a signal at each import, or at the one with a number, see `signalled`.
-SIGNALLING = """
-import os, runpy, signal, sys, time, types
-number, only = int(sys.argv[1]), int(sys.argv[2])
-early, count, sending = sys.argv[3].split(','), 0, False
 
-def hook(event, arguments):
-    global count, sending
-    if event != 'import' or arguments[0] in early or sending:
-        return
-    sending = True
-    count += 1
-    if only in (0, count):
-        os.kill(os.getpid(), number)
-    sending = False
 
-import collections, enum, functools, importlib.util, pkgutil, select
-sys.addaudithook(hook)
-sys.argv[1:] = sys.argv[4:]
-runpy.run_module('dandeliondrum.platform', run_name='__main__')
-"""
-
-
-class Launched:
+class Launched(starts.Program):
     """A program of the platform with its settings and its log."""
 
     def __init__(self, folder: pathlib.Path, role: str) -> None:
-        self.folder = folder
-        self.role = role
         ports = [testing.free_address().rpartition(':')[2] for _ in range(4)]
         stream, control, front, ready = ports
         self.settings = {
@@ -81,70 +39,14 @@
         else:
             self.settings['Listen.Front'] = f'127.0.0.1:{front}'
             self.settings['Listen.Ready'] = f'127.0.0.1:{ready}'
-        self.path = folder / 'process.conf'
-        self.write(self.text)
-        self._processes: list[subprocess.Popen[bytes]] = []
-
-    @property
-    def text(self) -> str:
-        return ''.join(f'{k}={v}\n' for k, v in self.settings.items())
-
-    def write(self, text: str) -> None:
-        self.path.write_text(text)
-
-    def launch(
-        self, arguments: tuple[str, ...] = RUN, stdout: int | None = None
-    ) -> subprocess.Popen[bytes]:
-        number = len(self._processes)
-        with (
-            open(self.folder / f'{number}.out', 'wb') as out,
-            open(self.folder / f'{number}.err', 'wb') as err,
-        ):
-            process = subprocess.Popen(
-                [sys.executable, *arguments, self.role],
-                stdout=out if stdout is None else stdout,
-                stderr=err,
-                env={**os.environ, 'DANDELIONDRUM_SETTINGS': str(self.path)},
-            )
-        self._processes.append(process)
-        return process
-
-    def lines(self, number: int = 0) -> list[dict[str, object]]:
-        found = []
-        for suffix in ('out', 'err'):
-            text = (self.folder / f'{number}.{suffix}').read_text()
-            for line in text.splitlines():
-                with contextlib.suppress(ValueError):
-                    found.append(json.loads(line))
-        return found
-
-    def output(self) -> str:
-        return '\n'.join(
-            path.read_text(errors='replace')
-            for path in sorted(self.folder.glob('*.[oe]*'))
+        super().__init__(
+            folder,
+            'dandeliondrum.platform',
+            (role,),
+            ''.join(f'{k}={v}\n' for k, v in self.settings.items()),
+            flags=('-S',),
         )
 
-    def has(self, event: str, number: int = 0) -> bool:
-        return any(line['event'] == event for line in self.lines(number))
-
-    def wait_for(self, event: str, number: int = 0) -> dict[str, object]:
-        """Return the line; fail if the process ends before it."""
-        process = self._processes[number]
-        end_s = time.monotonic() + TIMEOUT_MS / 1000
-        while time.monotonic() < end_s:
-            ended = process.poll() is not None
-            for line in self.lines(number):
-                if line['event'] == event:
-                    return line
-            assert not ended, (process.returncode, self.output())
-            time.sleep(0.02)
-        raise AssertionError(f'no {event!r}: {self.output()}')
-
-    def close(self) -> None:
-        for process in self._processes:
-            process.kill()
-            process.wait()
-
 
 @pytest.fixture(params=ROLES)
 def launched(request, tmp_path):
@@ -153,27 +55,17 @@
         yield program
 
 
-def stopped_in_order(process: subprocess.Popen[bytes]) -> bool:
-    process.send_signal(signal.SIGTERM)
-    return process.wait(TIMEOUT_MS / 1000) == 0
-
-
-def signalled(number: int, only: int = 0) -> tuple[str, ...]:
-    """Return arguments with a signal at each import, or at the one given."""
-    return ('-c', SIGNALLING, str(int(number)), str(only), ','.join(EARLY))
-
-
 def test_sighup_at_any_import_of_a_start_does_not_end_the_process(launched):
-    process = launched.launch(signalled(signal.SIGHUP))
+    process = launched.launch_signalled(signal.SIGHUP)
     launched.wait_for('started')
     launched.wait_for('reload requested')
-    assert stopped_in_order(process), launched.output()
+    assert starts.stopped_in_order(process), launched.output()
 
 
 @pytest.mark.parametrize('only', (1, 10, 60, 150))
 def test_sigterm_during_a_start_stops_the_process_in_order(launched, only):
-    process = launched.launch(signalled(signal.SIGTERM, only))
-    assert process.wait(TIMEOUT_MS / 1000) == 0, launched.output()
+    process = launched.launch_signalled(signal.SIGTERM, only)
+    assert process.wait(starts.TIMEOUT_MS / 1000) == 0, launched.output()
     assert launched.has('stopped')
 
 
@@ -194,7 +86,7 @@
                 assert port in str(program.wait_for('start waits'))
                 assert process.poll() is None
             program.wait_for('started')
-            assert stopped_in_order(process), program.output()
+            assert starts.stopped_in_order(process), program.output()
 
 
 @pytest.mark.parametrize('role', ROLES)
@@ -205,7 +97,9 @@
     with contextlib.closing(program):
         with socket.create_server(('127.0.0.1', int(port))):
             process = program.launch()
-            assert process.wait(TIMEOUT_MS / 1000) == 1, program.output()
+            assert process.wait(starts.TIMEOUT_MS / 1000) == 1, (
+                program.output()
+            )
         ended = program.wait_for('not started')
         assert ended['phase'] == 'ports'
         assert port in str(ended['why'])
@@ -216,7 +110,7 @@
     launched.wait_for('started')
     launched.launch()
     launched.wait_for('start waits', number=1)
-    assert stopped_in_order(first), launched.output()
+    assert starts.stopped_in_order(first), launched.output()
     launched.wait_for('started', number=1)
 
 
@@ -228,7 +122,7 @@
     launched.wait_for('start waits')
     launched.write(text)
     launched.wait_for('started')
-    assert stopped_in_order(process), launched.output()
+    assert starts.stopped_in_order(process), launched.output()
 
 
 def test_a_stop_is_orderly_after_the_reader_of_the_output_has_gone(launched):
@@ -237,7 +131,7 @@
     os.close(writer)
     with open(reader) as output:
         assert any('"started"' in line for line in output)
-    assert stopped_in_order(process), launched.output()
+    assert starts.stopped_in_order(process), launched.output()
 
 
 def test_a_stop_is_orderly_while_the_reader_of_the_output_stalls(launched):
@@ -251,7 +145,7 @@
     os.close(writer)
     with contextlib.closing(os.fdopen(reader)):
         testing.wait_until(lambda: accepts_calls(launched))
-        assert stopped_in_order(process), launched.output()
+        assert starts.stopped_in_order(process), launched.output()
 
 
 def accepts_calls(launched: Launched) -> bool:
