Give the exit codes of the command line a module of their own

The package of the command line has to become cheap to import, so that a daemon handles signals before its heavy imports; the exit codes stood beside the reports, which import dataclasses and json. No behavior changes.

--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -9,6 +9,7 @@
 from dandeliondrum.command import _daemon
 from dandeliondrum.command import _demo
 from dandeliondrum.command import _domains_commands
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _fleet_actions
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _keys_commands
@@ -249,7 +250,7 @@
         serialize=_suppress_command,
     )
     if not isinstance(command, _report.Command):
-        sys.exit(_report.ExitCode.USAGE)
+        sys.exit(_exit_code.ExitCode.USAGE)
     sys.exit(_report.execute(command))
 
 
--- a/dandeliondrum/command/_control_ports.py
+++ b/dandeliondrum/command/_control_ports.py
@@ -7,9 +7,9 @@
 
 from returns import result
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _http
-from dandeliondrum.command import _report
 from dandeliondrum import messages
 
 # After this time without an answer a call is sent to another controller.
@@ -58,7 +58,7 @@
         """Return the body of the response; a status of 4xx ends the call."""
         deadline_s = time.monotonic() + ACK_MAX_MS / 1000
         problem = _gateways.Problem(
-            _report.ExitCode.UNREACHABLE, 'no controller is given'
+            _exit_code.ExitCode.UNREACHABLE, 'no controller is given'
         )
         while self._addresses:
             for address in self._addresses:
@@ -92,14 +92,14 @@
             error = failed.failure()
             detail = f'{address}: {error.detail}'
             if error.failure is _http.Failure.NOT_SENT:
-                if problem.code is _report.ExitCode.IN_DOUBT:
+                if problem.code is _exit_code.ExitCode.IN_DOUBT:
                     return problem
                 return _gateways.Problem(
-                    _report.ExitCode.UNREACHABLE,
+                    _exit_code.ExitCode.UNREACHABLE,
                     f'no controller could be reached: {detail}',
                 )
     return _gateways.Problem(
-        _report.ExitCode.IN_DOUBT,
+        _exit_code.ExitCode.IN_DOUBT,
         f'not acknowledged: {detail}; send it again, or use "domains list"',
     )
 
@@ -111,7 +111,7 @@
     except (ValueError, KeyError, TypeError):
         text = text[: _gateways.DETAIL_MAX_CHARS]
     return _gateways.Problem(
-        _report.ExitCode.REFUSED, f'{response.status}: {text}'
+        _exit_code.ExitCode.REFUSED, f'{response.status}: {text}'
     )
 
 
@@ -136,7 +136,7 @@
     except (ValueError, KeyError, TypeError) as error:
         return result.Failure(
             _gateways.Problem(
-                _report.ExitCode.UNREACHABLE,
+                _exit_code.ExitCode.UNREACHABLE,
                 f'the answer cannot be decoded: {error!r}',
             )
         )
--- a/dandeliondrum/command/_controllers_commands.py
+++ b/dandeliondrum/command/_controllers_commands.py
@@ -3,6 +3,7 @@
 from returns import result
 
 from dandeliondrum.command import _arguments
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _report
 from dandeliondrum import messages
@@ -94,14 +95,14 @@
     if isinstance(outcome, result.Failure):
         return outcome.failure().report()
     return _report.Report(
-        _report.ExitCode.DONE, text=text, data={'outcome': 'done'}
+        _exit_code.ExitCode.DONE, text=text, data={'outcome': 'done'}
     )
 
 
 def _form(members: tuple[str, ...], cell_id: str) -> _report.Report:
     parsed = _parse_members(members)
     if isinstance(parsed, result.Failure):
-        return _report.Report(_report.ExitCode.USAGE, note=parsed.failure())
+        return _report.Report(_exit_code.ExitCode.USAGE, note=parsed.failure())
     controllers = parsed.unwrap()
     hello = messages.Hello(
         messages.CellId(cell_id),
@@ -114,7 +115,7 @@
         connection = transport.connect(address, hello, transport.Callbacks())
     except OSError as error:
         return _gateways.Problem(
-            _report.ExitCode.UNREACHABLE, f'{first} at {address}: {error}'
+            _exit_code.ExitCode.UNREACHABLE, f'{first} at {address}: {error}'
         ).report()
     try:
         reply = connection.call(
@@ -150,28 +151,28 @@
     match reply:
         case result.Success(messages.Done()):
             return _report.Report(
-                _report.ExitCode.DONE,
+                _exit_code.ExitCode.DONE,
                 text='formed with ' + ', '.join(names),
                 data={'outcome': 'done', 'controllers': names},
             )
         case result.Success(messages.CallFailed(reason, not_done)):
-            code = _report.ExitCode.IN_DOUBT
+            code = _exit_code.ExitCode.IN_DOUBT
             if not_done:
-                code = _report.ExitCode.REFUSED
+                code = _exit_code.ExitCode.REFUSED
             return _gateways.Problem(code, reason).report()
         case result.Failure(
             transport.CallError(transport.CallFailure.NOT_SENT)
         ):
             return _gateways.Problem(
-                _report.ExitCode.UNREACHABLE,
+                _exit_code.ExitCode.UNREACHABLE,
                 'the controller closed the connection',
             ).report()
         case result.Failure(error):
             return _gateways.Problem(
-                _report.ExitCode.IN_DOUBT,
+                _exit_code.ExitCode.IN_DOUBT,
                 f'no answer ({error.failure.value}); check cell_id, and use '
                 '"status" to see whether the cell is formed',
             ).report()
     return _gateways.Problem(
-        _report.ExitCode.IN_DOUBT, f'unexpected reply: {reply}'
+        _exit_code.ExitCode.IN_DOUBT, f'unexpected reply: {reply}'
     ).report()
--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -11,6 +11,7 @@
 from returns import result
 import structlog
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _report
 from dandeliondrum.command import _roles
 from dandeliondrum import observability
@@ -32,13 +33,13 @@
     settings_class = ROLE_SETTINGS.get(role)
     if settings_class is None:
         return _report.Report(
-            _report.ExitCode.USAGE,
+            _exit_code.ExitCode.USAGE,
             note=f'unknown role {role}; known are {", ".join(ROLE_SETTINGS)}',
         )
     outcome = settings.load(file, typing.cast(typing.Any, settings_class))
     if isinstance(outcome, result.Failure):
         return _report.Report(
-            _report.ExitCode.REFUSED,
+            _exit_code.ExitCode.REFUSED,
             note='\n'.join(map(str, outcome.failure())),
         )
     return _run(role, outcome.unwrap())
@@ -57,19 +58,19 @@
         started = _roles.start(loaded, exit_stack, end_process)
         if isinstance(started, result.Failure):
             _logger.error('not started', why=started.failure())
-            return _report.Report(_report.ExitCode.REFUSED)
+            return _report.Report(_exit_code.ExitCode.REFUSED)
         utils.limit_collections()
         _logger.info('started', address=started.unwrap())
         utils.wait_for_signal(stop_requested)
         _logger.info('stopping')
     _logger.info('stopped')
-    return _report.Report(_report.ExitCode.DONE)
+    return _report.Report(_exit_code.ExitCode.DONE)
 
 
 def end_process(error: utils.InvariantError) -> typing.NoReturn:
     """Exit without cleanup, so nothing acts on a broken invariant."""
     _logger.critical('process ended', why=str(error))
-    os._exit(_report.ExitCode.BROKEN)
+    os._exit(_exit_code.ExitCode.BROKEN)
 
 
 def _stop_on_signals(exit_stack: contextlib.ExitStack) -> threading.Event:
--- a/dandeliondrum/command/_demo.py
+++ b/dandeliondrum/command/_demo.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _report
 
 LENGTH_MAX_S = 3_600
@@ -15,14 +16,14 @@
 
     if not 1 <= length_s <= LENGTH_MAX_S:
         return _report.Report(
-            _report.ExitCode.USAGE,
+            _exit_code.ExitCode.USAGE,
             note=f'--length-s takes 1 to {LENGTH_MAX_S}, found {length_s}',
         )
     options = embedded.DemoOptions(length_s=length_s, seed=seed, folder=folder)
     outcome = embedded.run(options, on_progress=_print_progress)
-    code = _report.ExitCode.REFUSED
+    code = _exit_code.ExitCode.REFUSED
     if embedded.passed(outcome.summary):
-        code = _report.ExitCode.DONE
+        code = _exit_code.ExitCode.DONE
     summary = dataclasses.asdict(outcome.summary)
     return _report.Report(
         code, text=f'\n{outcome.tables}\n\n{json.dumps(summary)}', data=summary
--- a/dandeliondrum/command/_domains_commands.py
+++ b/dandeliondrum/command/_domains_commands.py
@@ -6,6 +6,7 @@
 
 from dandeliondrum.command import _arguments
 from dandeliondrum.command import _control_ports
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _report
 from dandeliondrum import messages
@@ -153,7 +154,7 @@
         else f'{domain} is restored'
     )
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=text,
         data={'domain': domain, 'evacuated': evacuated, 'outcome': 'done'},
     )
@@ -191,7 +192,7 @@
         for view in views
     ]
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=tables.render(_HEADER, rows),
         data={'domains': data},
     )
--- a/dandeliondrum/command/_fleet_actions.py
+++ b/dandeliondrum/command/_fleet_actions.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _fleet_views
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _report
@@ -21,7 +22,7 @@
         return outcome.failure().report()
     fleet = outcome.unwrap()
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=_fleet_views.summary(fleet),
         data=_fleet_views.as_data(fleet),
     )
@@ -35,7 +36,7 @@
     A failed refresh shows its problem and doesn't end the command.
     """
     rounds_done = 0
-    report = _report.Report(_report.ExitCode.DONE)
+    report = _report.Report(_exit_code.ExitCode.DONE)
     try:
         while True:
             report = _refresh(gateways)
@@ -45,7 +46,7 @@
             _write(report, as_json)
             time.sleep(every_ms / 1000)
     except KeyboardInterrupt:
-        return _report.Report(_report.ExitCode.DONE, data=report.data)
+        return _report.Report(_exit_code.ExitCode.DONE, data=report.data)
 
 
 def _refresh(gateways: _gateways.Gateways) -> _report.Report:
@@ -55,7 +56,7 @@
     fleet = outcome.unwrap()
     parts = (_fleet_views.summary(fleet), _fleet_views.workers(fleet))
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text='\n\n'.join(parts),
         data=_fleet_views.as_data(fleet),
     )
@@ -79,7 +80,7 @@
     if isinstance(outcome, result.Failure):
         return outcome.failure().report()
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=f'{worker_id} gets no new tasks; what runs there ends by itself',
         data={'worker_id': worker_id, 'outcome': 'done'},
     )
@@ -92,7 +93,7 @@
     team_id, request_id = _parse_task(task, team)
     if not team_id or not request_id:
         return _report.Report(
-            _report.ExitCode.USAGE,
+            _exit_code.ExitCode.USAGE,
             note='give the task as TEAM/REQUEST_ID, or its team by --team',
         )
     outcome = gateways.explain(team_id, request_id)
@@ -109,7 +110,7 @@
         ],
     }
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=f'{team_id}/{request_id}: {explained.status_line}\n\n{table}',
         data=data,
     )
--- a/dandeliondrum/command/_gateways.py
+++ b/dandeliondrum/command/_gateways.py
@@ -11,6 +11,7 @@
 
 from returns import result
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _http
 from dandeliondrum.command import _report
 from dandeliondrum import messages
@@ -31,7 +32,7 @@
 class Problem:
     """A failed call: its exit code and a description."""
 
-    code: _report.ExitCode
+    code: _exit_code.ExitCode
     detail: str
 
     def report(self) -> _report.Report:
@@ -174,19 +175,21 @@
         return self._request(
             _HttpCall('GET', path, {}, b'', True),
             reply_type,
-            _report.ExitCode.UNREACHABLE,
+            _exit_code.ExitCode.UNREACHABLE,
         )
 
     def _send(
         self, http_call: '_HttpCall', reply_type: type[Reply]
     ) -> result.Result[Reply, Problem]:
-        return self._request(http_call, reply_type, _report.ExitCode.IN_DOUBT)
+        return self._request(
+            http_call, reply_type, _exit_code.ExitCode.IN_DOUBT
+        )
 
     def _request(
         self,
         http_call: '_HttpCall',
         reply_type: type[Reply],
-        code_if_sent: _report.ExitCode,
+        code_if_sent: _exit_code.ExitCode,
     ) -> result.Result[Reply, Problem]:
         outcome = self._try_gateways(http_call)
         if isinstance(outcome, result.Failure):
@@ -233,11 +236,11 @@
 
 
 def _problem_without_response(
-    error: _http.Error, code_if_sent: _report.ExitCode
+    error: _http.Error, code_if_sent: _exit_code.ExitCode
 ) -> Problem:
     if error.failure is _http.Failure.NOT_SENT:
         return Problem(
-            _report.ExitCode.UNREACHABLE,
+            _exit_code.ExitCode.UNREACHABLE,
             f'no gateway could be reached: {error.detail}',
         )
     return Problem(code_if_sent, f'no answer: {error.detail}')
@@ -246,7 +249,7 @@
 def _decode_reply(
     response: _http.Response,
     reply_type: type[Reply],
-    code_if_sent: _report.ExitCode,
+    code_if_sent: _exit_code.ExitCode,
 ) -> result.Result[Reply, Problem]:
     if response.status < 300 or response.status in _RULES_OUTCOME_STATUSES:
         reply = worker.from_json(response.body, reply_type)
@@ -257,7 +260,7 @@
         detail = f'the answer cannot be decoded: {problem.detail}'
         return result.Failure(Problem(code_if_sent, detail))
     return result.Failure(
-        Problem(_exit_code(response, problem, code_if_sent), str(problem))
+        Problem(_code_of_error(response, problem, code_if_sent), str(problem))
     )
 
 
@@ -274,20 +277,20 @@
         return ': '.join(filter(None, parts))
 
 
-def _exit_code(
+def _code_of_error(
     response: _http.Response,
     problem: _GatewayProblem,
-    code_if_sent: _report.ExitCode,
-) -> _report.ExitCode:
+    code_if_sent: _exit_code.ExitCode,
+) -> _exit_code.ExitCode:
     match response.status, problem.reason:
         case 503, 'call_failed':
             # The leader replied that nothing was done.
-            return _report.ExitCode.REFUSED
+            return _exit_code.ExitCode.REFUSED
         case 503, _:
-            return _report.ExitCode.UNREACHABLE
+            return _exit_code.ExitCode.UNREACHABLE
         case status, _ if status >= 500:
             return code_if_sent
-    return _report.ExitCode.REFUSED
+    return _exit_code.ExitCode.REFUSED
 
 
 def _parse_problem(response: _http.Response) -> _GatewayProblem:
--- a/dandeliondrum/command/_keys_commands.py
+++ b/dandeliondrum/command/_keys_commands.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from dandeliondrum.command import _arguments
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _report
 from dandeliondrum.command import _rules_changes
@@ -107,7 +108,7 @@
     problem: _gateways.Problem, generated: rules.NewKey
 ) -> _report.Report:
     report = problem.report()
-    if problem.code is not _report.ExitCode.IN_DOUBT:
+    if problem.code is not _exit_code.ExitCode.IN_DOUBT:
         return report
     note = (
         f'{report.note}\nit is unknown whether the key below is granted; '
--- a/dandeliondrum/command/_report.py
+++ b/dandeliondrum/command/_report.py
@@ -2,27 +2,11 @@
 
 import collections.abc
 import dataclasses
-import enum
 import json
 import sys
 import typing
 
-
-class ExitCode(enum.IntEnum):
-    """Exit codes of the command line.
-
-    ``BROKEN`` means that an invariant of a daemon is broken; it has the value
-    of EX_SOFTWARE in ``sysexits.h``. ``DOUBTS`` means that rules are valid but
-    most likely wrong.
-    """
-
-    DONE = 0
-    REFUSED = 1
-    USAGE = 2
-    IN_DOUBT = 3
-    UNREACHABLE = 4
-    DOUBTS = 5
-    BROKEN = 70
+from dandeliondrum.command import _exit_code
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +17,7 @@
     ``--json`` the output is ``data`` in place of ``text``.
     """
 
-    code: ExitCode
+    code: _exit_code.ExitCode
     text: str = ''
     note: str = ''
     data: typing.Any = None
@@ -56,12 +40,12 @@
         self._as_json = as_json
 
 
-def execute(command: Command) -> ExitCode:
+def execute(command: Command) -> _exit_code.ExitCode:
     """Run a command, print its report and return its exit code."""
     try:
         report = command._action()
     except OSError as error:
-        report = Report(ExitCode.REFUSED, note=str(error))
+        report = Report(_exit_code.ExitCode.REFUSED, note=str(error))
     write(report, command._as_json)
     return report.code
 
--- a/dandeliondrum/command/_rules_changes.py
+++ b/dandeliondrum/command/_rules_changes.py
@@ -8,6 +8,7 @@
 
 from returns import result
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _report
 from dandeliondrum import messages
@@ -64,7 +65,7 @@
             return outcome
     return result.Failure(
         _gateways.Problem(
-            _report.ExitCode.REFUSED,
+            _exit_code.ExitCode.REFUSED,
             'other operators changed the rules each time; nothing was '
             'changed by this command',
         )
@@ -81,7 +82,7 @@
     if isinstance(edited, result.Failure):
         return result.Failure(
             _gateways.Problem(
-                _report.ExitCode.REFUSED, edited.failure().detail
+                _exit_code.ExitCode.REFUSED, edited.failure().detail
             )
         )
     return gateways.apply_rules(
@@ -140,7 +141,9 @@
     }
     if not outcome.accepted:
         note = f'refused, nothing was changed: {outcome.detail}'
-        return _report.Report(_report.ExitCode.REFUSED, note=note, data=data)
+        return _report.Report(
+            _exit_code.ExitCode.REFUSED, note=note, data=data
+        )
     rollout = wait_for_rollout(gateways, outcome.version, wait_ms)
     data |= {
         **extra_data,
@@ -149,7 +152,7 @@
         'latest_version': rollout.latest_version,
     }
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=text or rollout.text(),
         note=rollout.text() if text else '',
         data=data,
--- a/dandeliondrum/command/_rules_commands.py
+++ b/dandeliondrum/command/_rules_commands.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from dandeliondrum.command import _arguments
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _report
 from dandeliondrum.command import _rules_changes
@@ -145,7 +146,7 @@
     text = f'{file}: no problem ({words})'
     data: dict[str, object] = {'problems': [], **counts}
     if not against and not strict:
-        return _report.Report(_report.ExitCode.DONE, text=text, data=data)
+        return _report.Report(_exit_code.ExitCode.DONE, text=text, data=data)
     other = _read_other(against, cell)
     if isinstance(other, result.Failure):
         return other.failure()
@@ -157,9 +158,9 @@
         data['changes'] = list(changes)
         text = '\n'.join((text, *(changes or ('no difference',))))
     return _report.Report(
-        _report.ExitCode.DOUBTS
+        _exit_code.ExitCode.DOUBTS
         if strict and doubts
-        else _report.ExitCode.DONE,
+        else _exit_code.ExitCode.DONE,
         text=text,
         note='\n'.join(f'{file}: warning: {doubt}' for doubt in doubts),
         data=data,
@@ -214,7 +215,7 @@
     problem: _gateways.Problem, change_id: str
 ) -> _report.Report:
     report = problem.report()
-    if problem.code is not _report.ExitCode.IN_DOUBT:
+    if problem.code is not _exit_code.ExitCode.IN_DOUBT:
         return report
     note = (
         f'{report.note}\nit is unknown whether the rules were changed; '
@@ -235,7 +236,7 @@
         'gateways': dict(shown.gateways),
     }
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=shown.text.removesuffix('\n'),
         note=f'version {shown.version}',
         data=data,
@@ -257,4 +258,4 @@
     ]
     header = ('version', 'operator', 'cell_time_ms', 'change_id')
     table = tables.render(header, [tuple(row.values()) for row in rows])
-    return _report.Report(_report.ExitCode.DONE, text=table, data=rows)
+    return _report.Report(_exit_code.ExitCode.DONE, text=table, data=rows)
--- a/dandeliondrum/command/_rules_files.py
+++ b/dandeliondrum/command/_rules_files.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _report
 from dandeliondrum import rules
 
@@ -42,12 +43,12 @@
         ]
     }
     return _report.Report(
-        _report.ExitCode.REFUSED, note='\n'.join(lines), data=data
+        _exit_code.ExitCode.REFUSED, note='\n'.join(lines), data=data
     )
 
 
 def _refuse(detail: str) -> result.Result[str, _report.Report]:
     data = {'problems': [{'detail': detail}]}
     return result.Failure(
-        _report.Report(_report.ExitCode.REFUSED, note=detail, data=data)
+        _report.Report(_exit_code.ExitCode.REFUSED, note=detail, data=data)
     )
--- a/dandeliondrum/command/_settings_commands.py
+++ b/dandeliondrum/command/_settings_commands.py
@@ -3,6 +3,7 @@
 from returns import result
 
 from dandeliondrum.command import _arguments
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _report
 from dandeliondrum.command import _roles
 from dandeliondrum import settings
@@ -42,11 +43,13 @@
             ]
         }
         note = '\n'.join(map(str, problems))
-        return _report.Report(_report.ExitCode.REFUSED, note=note, data=data)
+        return _report.Report(
+            _exit_code.ExitCode.REFUSED, note=note, data=data
+        )
     loaded = outcome.unwrap()
     process_id = _roles.process_id(loaded)
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text=f'{file}: no problem ({process_id})',
         data={'problems': [], 'id': process_id},
     )
--- a/dandeliondrum/command/_submit.py
+++ b/dandeliondrum/command/_submit.py
@@ -11,6 +11,7 @@
 
 from returns import result
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _gateways
 from dandeliondrum.command import _http
 from dandeliondrum.command import _report
@@ -22,11 +23,11 @@
 ANSWER_MARGIN_MS = 5_000
 HEADER_PREFIX = 'Dandeliondrum-'
 
-_EXIT_CODES: collections.abc.Mapping[str, _report.ExitCode] = {
-    'answered': _report.ExitCode.DONE,
-    'accepted': _report.ExitCode.DONE,
-    'refused_not_run': _report.ExitCode.REFUSED,
-    'in_doubt': _report.ExitCode.IN_DOUBT,
+_EXIT_CODES: collections.abc.Mapping[str, _exit_code.ExitCode] = {
+    'answered': _exit_code.ExitCode.DONE,
+    'accepted': _exit_code.ExitCode.DONE,
+    'refused_not_run': _exit_code.ExitCode.REFUSED,
+    'in_doubt': _exit_code.ExitCode.IN_DOUBT,
 }
 
 
@@ -108,28 +109,28 @@
     submission: Submission, response: _http.Response, request_id: str
 ) -> _report.Report:
     outcome = response.headers.get('dandeliondrum-outcome', '')
-    code = _EXIT_CODES.get(outcome, _report.ExitCode.IN_DOUBT)
+    code = _EXIT_CODES.get(outcome, _exit_code.ExitCode.IN_DOUBT)
     data = {
         'outcome': outcome,
         'status': response.status,
         'request_id': request_id,
         'attempt_id': response.headers.get('dandeliondrum-attempt', ''),
     }
-    if code is not _report.ExitCode.DONE:
+    if code is not _exit_code.ExitCode.DONE:
         detail = response.body.decode(errors='replace').strip()
         data['detail'] = detail
         note = f'{outcome or "no outcome"} ({response.status}): {detail}'
         return _report.Report(code, note=f'{note}\n{request_id}', data=data)
     if response.status != 200:
         # The task failed on its worker, and the answer reports the failure.
-        code = _report.ExitCode.REFUSED
+        code = _exit_code.ExitCode.REFUSED
     return _answer_report(submission, response, code, data)
 
 
 def _answer_report(
     submission: Submission,
     response: _http.Response,
-    code: _report.ExitCode,
+    code: _exit_code.ExitCode,
     data: dict[str, typing.Any],
 ) -> _report.Report:
     note = f'request {data["request_id"]}, attempt {data["attempt_id"]}'
@@ -146,12 +147,12 @@
     data = {'request_id': request_id, 'detail': error.detail}
     if error.failure is _http.Failure.NOT_SENT:
         return _report.Report(
-            _report.ExitCode.UNREACHABLE,
+            _exit_code.ExitCode.UNREACHABLE,
             note=f'not run: no gateway could be reached: {error.detail}',
             data={'outcome': 'refused_not_run', **data},
         )
     return _report.Report(
-        _report.ExitCode.IN_DOUBT,
+        _exit_code.ExitCode.IN_DOUBT,
         note=(
             f'in doubt: {error.detail}\nask again for the same task with '
             f'--request-id {request_id} and the same body'
--- a/dandeliondrum/command/_why.py
+++ b/dandeliondrum/command/_why.py
@@ -5,6 +5,7 @@
 import json
 import typing
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _report
 
 # Fields whose value is the id of a request, or starts with it and a dot.
@@ -87,7 +88,7 @@
     history = why(request_id, raw_lines)
     if not history.lines:
         return _report.Report(
-            _report.ExitCode.REFUSED, note=f'no line names {request_id}'
+            _exit_code.ExitCode.REFUSED, note=f'no line names {request_id}'
         )
     rows = [*history.lines, *history.context]
     rows.sort(key=lambda line: str(line.get('time', '')))
@@ -96,7 +97,7 @@
     if len(rows) > len(shown):
         text += f'\n... and {len(rows) - len(shown)} more'
     return _report.Report(
-        _report.ExitCode.DONE,
+        _exit_code.ExitCode.DONE,
         text,
         data={'lines': history.lines, 'context': history.context},
     )
--- a/dandeliondrum/command/tests/test_why.py
+++ b/dandeliondrum/command/tests/test_why.py
@@ -2,7 +2,7 @@
 
 import json
 
-from dandeliondrum.command import _report
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _why
 
 
@@ -47,5 +47,5 @@
 
 def test_an_unknown_request_is_refused():
     outcome = _why.report('j2', LINES)
-    assert outcome.code is _report.ExitCode.REFUSED
+    assert outcome.code is _exit_code.ExitCode.REFUSED
     assert 'j2' in outcome.note
