Handle signals in the daemons from the first line of a program

Callers saw FAULT once, without logs. SIGHUP ended a controller, gateway or worker of `dandeliondrum run` at any time, also when it was up, and SIGTERM during the imports ended it without an orderly stop: the daemons handled SIGTERM and SIGINT only, once their settings were read and all commands imported.

The command line installs the handlers before its other imports if the command is `run`; its package imports nothing else before that. The other commands keep the default actions. `_daemon` uses `startup.run` in place of its own copy, so that a stop during a start is an orderly one, SIGHUP is logged, and each start and end has its line; a broken invariant ends a daemon with `startup.end_broken_process`, and the end of a daemon waits for no thread or reader. `utils.wait_for_signal` is gone; its test guards `signals.ProcessSignals.wait`, and the test of an end by an invariant guards `startup`, both as strictly. `started` no longer repeats the address of the settings; it has the times of the phases.

--- a/dandeliondrum/command/_cli.py
+++ b/dandeliondrum/command/_cli.py
@@ -46,8 +46,9 @@
     def run(self, role: str, *, settings: str) -> _report.Command:
         """Run a daemon until SIGTERM or SIGINT stops it gracefully.
 
-        Exits with 0 after a graceful stop, and with 1 when the settings are
-        invalid or the daemon can't start.
+        Exits with 0 after a graceful stop, also during the start, and with 1
+        when the settings are invalid or the daemon can't start. SIGHUP is
+        logged; settings are read only at a start.
 
         Args:
           role: One of controller, gateway, worker.
@@ -240,9 +241,11 @@
         return _report.Command(lambda: _why.report(request, sys.stdin), json)
 
 
-def main(arguments: list[str] | None = None) -> None:
-    """Run the command line and exit with one of the exit codes."""
-    words = sys.argv[1:] if arguments is None else arguments
+def run(words: list[str]) -> int:
+    """Run the command that the arguments name and return its exit code.
+
+    Raises SystemExit for wrong usage and for help.
+    """
     command = fire.Fire(
         Commands(),
         command=_arguments.quote_arguments(words),
@@ -250,8 +253,8 @@
         serialize=_suppress_command,
     )
     if not isinstance(command, _report.Command):
-        sys.exit(_exit_code.ExitCode.USAGE)
-    sys.exit(_report.execute(command))
+        return _exit_code.ExitCode.USAGE
+    return _report.execute(command)
 
 
 def _suppress_command(component: object) -> object:
--- a/dandeliondrum/command/_roles.py
+++ b/dandeliondrum/command/_roles.py
@@ -15,11 +15,9 @@
 import dandeliondrum
 from dandeliondrum import messages
 from dandeliondrum import settings
-from dandeliondrum import utils
+from dandeliondrum import startup
 
-StartResult = result.Result[str, str]
 Fields = dict[str, typing.Any]
-OnFatal = collections.abc.Callable[[utils.InvariantError], object]
 
 
 def process_id(loaded: settings.Settings) -> str:
@@ -34,65 +32,71 @@
 
 
 def start(
+    start: startup.Startup,
     loaded: settings.Settings,
-    exit_stack: contextlib.ExitStack,
-    on_fatal: OnFatal,
-) -> StartResult:
-    """Start a component and return its listen address or an error.
+    resources: contextlib.ExitStack,
+) -> None:
+    """Start a component, which runs until ``resources`` are closed.
 
-    The component is closed with ``exit_stack``. ``on_fatal`` is called when
-    an invariant of the component is broken.
+    Raises NotStartedError if it can't start. A broken invariant of the
+    component ends the process.
     """
     match loaded:
         case settings.ControllerSettings():
-            return _start_controller(loaded, exit_stack, on_fatal)
+            _start_controller(start, loaded, resources)
         case settings.GatewaySettings():
-            return _start_gateway(loaded, exit_stack, on_fatal)
+            _start_gateway(start, loaded, resources)
         case settings.WorkerSettings():
-            return _start_worker(loaded, exit_stack)
+            _start_worker(start, loaded, resources)
 
 
 def _start_controller(
+    start: startup.Startup,
     loaded: settings.ControllerSettings,
-    exit_stack: contextlib.ExitStack,
-    on_fatal: OnFatal,
-) -> StartResult:
-    from dandeliondrum import controller
-
+    resources: contextlib.ExitStack,
+) -> None:
+    with start.phase('imports of the role'):
+        from dandeliondrum import controller
     fields = _common_fields(loaded, controller.Options)
     fields['data_folder'] = pathlib.Path(loaded.data_folder)
     fields['started_ns'] = dandeliondrum.IMPORTED_NS
     fields['controllers'] = {
         item.controller_id: item.address for item in loaded.controllers
     }
-    component = controller.Controller(controller.Options(**fields), on_fatal)
-    return _start_component(
-        component.start, component.close, loaded.listen_address, exit_stack
+    component = controller.Controller(
+        controller.Options(**fields), startup.end_broken_process
     )
+    with start.phase('log and ports'):
+        _start_component(component.start)
+    resources.callback(component.close)
 
 
 def _start_gateway(
+    start: startup.Startup,
     loaded: settings.GatewaySettings,
-    exit_stack: contextlib.ExitStack,
-    on_fatal: OnFatal,
-) -> StartResult:
-    from dandeliondrum import gateway
-
+    resources: contextlib.ExitStack,
+) -> None:
+    with start.phase('imports of the role'):
+        from dandeliondrum import gateway
     fields = _common_fields(loaded, gateway.Options)
     fields['controllers'] = tuple(
         (item.controller_id, item.address) for item in loaded.controllers
     )
-    component = gateway.Gateway(gateway.Options(**fields), on_fatal)
-    return _start_component(
-        component.start, component.close, loaded.callers_address, exit_stack
+    component = gateway.Gateway(
+        gateway.Options(**fields), startup.end_broken_process
     )
+    with start.phase('ports'):
+        _start_component(component.start)
+    resources.callback(component.close)
 
 
 def _start_worker(
-    loaded: settings.WorkerSettings, exit_stack: contextlib.ExitStack
-) -> StartResult:
-    from dandeliondrum import worker
-
+    start: startup.Startup,
+    loaded: settings.WorkerSettings,
+    resources: contextlib.ExitStack,
+) -> None:
+    with start.phase('imports of the role'):
+        from dandeliondrum import worker
     fields = _common_fields(loaded, worker.Options)
     fields['gateways'] = tuple(
         f'http://{address}' for address in loaded.gateways
@@ -101,31 +105,25 @@
         loaded.cpu_millicores, loaded.memory_mb, loaded.accelerators_count
     )
     component = worker.Worker(worker.Options(**fields))
-
-    def close() -> None:
-        component.leave()
-        component.wait_idle(loaded.drain_max_ms)
-        component.close()
-
-    return _start_component(component.start, close, loaded.address, exit_stack)
+    with start.phase('ports'):
+        _start_component(component.start)
+    resources.callback(component.close)
+    resources.callback(component.wait_idle, loaded.drain_max_ms)
+    resources.callback(component.leave)
 
 
 def _start_component(
     start_function: collections.abc.Callable[
         [], result.Result[None, typing.Any]
     ],
-    close: collections.abc.Callable[[], object],
-    address: str,
-    exit_stack: contextlib.ExitStack,
-) -> StartResult:
+) -> None:
+    """Start a component; raise NotStartedError if it can't start."""
     try:
         outcome = start_function()
     except OSError as error:
-        return result.Failure(f'{address}: {error}')
+        raise startup.NotStartedError(str(error)) from error
     if isinstance(outcome, result.Failure):
-        return result.Failure(str(outcome.failure()))
-    exit_stack.callback(close)
-    return result.Success(address)
+        raise startup.NotStartedError(str(outcome.failure()))
 
 
 def _common_fields(loaded: settings.Settings, options: type) -> Fields:
--- a/dandeliondrum/utils/tests/test_signals.py
+++ b/dandeliondrum/signals/tests/test_process_signals.py
@@ -9,10 +9,9 @@
 import threading
 import time
 
-from dandeliondrum import utils
+from dandeliondrum import signals
 
-stopping = threading.Event()
-signal.signal(signal.SIGTERM, lambda _number, _frame: stopping.set())
+process_signals = signals.install()
 
 
 def receive():
@@ -22,7 +21,8 @@
 
 
 threading.Thread(target=receive, daemon=True).start()
-utils.wait_for_signal(stopping)
+while not process_signals.stop_requested:
+    process_signals.wait(60_000)
 """
 
 
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -11,7 +11,6 @@
 from dandeliondrum.utils._passing_errors import is_passing
 from dandeliondrum.utils._processor_time import ProcessorTime
 from dandeliondrum.utils._processor_time import UNKNOWN_PART
-from dandeliondrum.utils._signals import wait_for_signal
 from dandeliondrum.utils._supervisor import InvariantError
 from dandeliondrum.utils._supervisor import RESTART_BACKOFF_MAX_MS
 from dandeliondrum.utils._supervisor import RESTART_BACKOFF_MIN_MS
@@ -39,5 +38,4 @@
     'map_future',
     'monotonic_ms',
     'return_large_blocks',
-    'wait_for_signal',
 ]
--- a/tests/starts.py
+++ b/tests/starts.py
@@ -14,6 +14,9 @@
 EARLY = (
     'collections',
     'dandeliondrum',
+    'dandeliondrum.command',
+    'dandeliondrum.command._exit_code',
+    'dandeliondrum.command._main',
     'dandeliondrum.platform',
     'dandeliondrum.signals',
     'dandeliondrum.signals._process_signals',
--- /dev/null
+++ b/tests/test_daemon_starts.py
@@ -0,0 +1,84 @@
+"""Starts of real daemons that are disturbed by signals, ports and files."""
+
+import contextlib
+import json
+import pathlib
+import signal
+
+import pytest
+
+from dandeliondrum import testing
+from tests import starts
+
+PLACE = {'region': 'gulf', 'failure_domain': 'sattahip'}
+# Settings that are ports of the role.
+PORTS = {
+    'controller': ('listen_address', 'metrics_address'),
+    'gateway': ('callers_address', 'workers_address', 'operators_address'),
+    'worker': ('address',),
+}
+
+
+class Daemon(starts.Program):
+    """A daemon with its settings and its log."""
+
+    def __init__(self, folder: pathlib.Path, role: str) -> None:
+        self.ports = {name: testing.free_address() for name in PORTS[role]}
+        self.settings = {**PLACE, **self.ports}
+        if role == 'worker':
+            self.settings.update(
+                worker_id='w1',
+                rack='r1',
+                cpu_millicores=1_000,
+                memory_mb=1_000,
+                gateways=[testing.free_address()],
+            )
+        else:
+            address = self.ports.get('listen_address', testing.free_address())
+            self.settings.update(
+                cell_id='cell',
+                controllers=[{'controller_id': 'c1', 'address': address}],
+            )
+        if role == 'controller':
+            self.settings.update(
+                controller_id='c1', data_folder=str(folder / 'data')
+            )
+        elif role == 'gateway':
+            self.settings.update(gateway_id='g1', drain_notice_ms=0)
+        super().__init__(
+            folder,
+            'dandeliondrum.command',
+            ('run', role, '--settings', str(folder / 'process.conf')),
+            json.dumps(self.settings, indent=1),
+        )
+
+
+@pytest.fixture(params=PORTS)
+def daemon(request, tmp_path):
+    program = Daemon(tmp_path, request.param)
+    with contextlib.closing(program):
+        yield program
+
+
+def test_sighup_at_any_import_of_a_start_does_not_end_the_daemon(daemon):
+    process = daemon.launch_signalled(signal.SIGHUP)
+    daemon.wait_for('started')
+    daemon.wait_for('reload requested')
+    assert starts.stopped_in_order(process), daemon.output()
+
+
+def test_sighup_does_not_end_a_daemon_that_is_up(daemon):
+    process = daemon.launch()
+    daemon.wait_for('started')
+    assert not daemon.has('reload requested')
+    process.send_signal(signal.SIGHUP)
+    daemon.wait_for('reload requested')
+    assert starts.stopped_in_order(process), daemon.output()
+
+
+@pytest.mark.parametrize('only', (1, 100, 400))
+def test_sigterm_during_a_start_stops_the_daemon_in_order(daemon, only):
+    process = daemon.launch_signalled(signal.SIGTERM, only)
+    assert process.wait(starts.TIMEOUT_MS / 1000) == 0, daemon.output()
+    assert daemon.has('stopped')
+    assert not daemon.has('started')
