Wait at a start of a daemon for ports and a data folder in use

A daemon whose port or data folder was taken ended at once with code 1, and so did each of its restarts while its predecessor drained. Besides, a start that failed by anything but an OSError left what it had opened: a gateway its ports, a worker its port and threads, a controller its node.

The three roles open their resources through `startup.Startup.retry`, as the platform's controller does: for at most 10 s each, with `start waits` and `start goes on`, then `not started` and code 1. Each clean-up is registered before the next resource is opened, and is carried out after any error; the two faults are fixed together, since both are in the order of the same start functions. A gateway opens the port of callers last, a controller its metrics before its log, so that none serves or leads before it has all its ports; its /readyz is 503 until then and once it stops. A worker records `begun` once it has its port. `startup.Retry`, `startup.call_once` and `consensus.NodeNotReadyError` come from JobController. An error in the drain of a gateway no longer skips the rest of its end.

Of a port that stays taken only the reason is checked, which was there before.

--- a/dandeliondrum/command/_roles.py
+++ b/dandeliondrum/command/_roles.py
@@ -66,8 +66,8 @@
     component = controller.Controller(
         controller.Options(**fields), startup.end_broken_process
     )
-    with start.phase('log and ports'):
-        _start_component(component.start)
+    with start.phase('ports and log'):
+        _start_component(start, component.start)
     resources.callback(component.close)
 
 
@@ -86,7 +86,7 @@
         gateway.Options(**fields), startup.end_broken_process
     )
     with start.phase('ports'):
-        _start_component(component.start)
+        _start_component(start, component.start)
     resources.callback(component.close)
 
 
@@ -106,20 +106,21 @@
     )
     component = worker.Worker(worker.Options(**fields))
     with start.phase('ports'):
-        _start_component(component.start)
+        _start_component(start, component.start)
     resources.callback(component.close)
     resources.callback(component.wait_idle, loaded.drain_max_ms)
     resources.callback(component.leave)
 
 
 def _start_component(
+    start: startup.Startup,
     start_function: collections.abc.Callable[
-        [], result.Result[None, typing.Any]
+        [startup.Retry], result.Result[None, typing.Any]
     ],
 ) -> None:
     """Start a component; raise NotStartedError if it can't start."""
     try:
-        outcome = start_function()
+        outcome = start_function(start.retry)
     except OSError as error:
         raise startup.NotStartedError(str(error)) from error
     if isinstance(outcome, result.Failure):
--- a/dandeliondrum/consensus/__init__.py
+++ b/dandeliondrum/consensus/__init__.py
@@ -8,6 +8,7 @@
 
 from dandeliondrum.consensus._errors import ChangeError
 from dandeliondrum.consensus._errors import ChangeFailure
+from dandeliondrum.consensus._errors import NodeNotReadyError
 from dandeliondrum.consensus._errors import ProposeError
 from dandeliondrum.consensus._errors import ProposeFailure
 from dandeliondrum.consensus._errors import StartError
@@ -30,6 +31,7 @@
     'Listener',
     'MemberStatus',
     'Node',
+    'NodeNotReadyError',
     'NodeStatus',
     'Options',
     'ProposeError',
--- a/dandeliondrum/consensus/_errors.py
+++ b/dandeliondrum/consensus/_errors.py
@@ -4,6 +4,7 @@
 import enum
 
 from dandeliondrum import messages
+from dandeliondrum import startup
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +35,14 @@
         self.error = error
 
 
+class NodeNotReadyError(startup.NotReadyError):
+    """The files of a node can't be used yet; holds a :class:`StartError`."""
+
+    def __init__(self, error: StartError) -> None:
+        super().__init__(str(error))
+        self.error = error
+
+
 class ProposeFailure(enum.Enum):
     """Reason why a proposal or a confirmation failed."""
 
--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -1,6 +1,7 @@
 """A controller: a member of the replicated log that can become its leader."""
 
 import contextlib
+import functools
 import threading
 import typing
 
@@ -15,6 +16,7 @@
 from dandeliondrum.controller import _state
 from dandeliondrum import messages
 from dandeliondrum import observability
+from dandeliondrum import startup
 from dandeliondrum import transport
 from dandeliondrum import utils
 
@@ -47,6 +49,7 @@
         self._lock = threading.Lock()
         self._leadership: _leadership.Leadership | None = None
         self._timers = utils.TimerService()
+        self._serving = False
         self.state = _state.CellState()
         self._metrics.evacuated_domains.set_function(
             lambda: float(len(self.state.evacuations.domains))
@@ -69,11 +72,51 @@
             registry=self._metrics.registry,
         )
 
-    def start(self) -> result.Result[None, consensus.StartError]:
-        """Load the stored log, listen for connections and join the cell."""
+    def start(
+        self, retry: startup.Retry = startup.call_once
+    ) -> result.Result[None, consensus.StartError]:
+        """Load the stored log, listen for connections and join the cell.
+
+        ``retry`` calls a function that opens a resource, again while it
+        raises OSError or startup.NotReadyError, and raises an error at last.
+        """
+        with contextlib.ExitStack() as opened:
+            started = self._open(opened, retry)
+            if isinstance(started, result.Success):
+                self._resources = opened.pop_all()
+                self._serving = True
+        return started
+
+    def _open(
+        self, opened: contextlib.ExitStack, retry: startup.Retry
+    ) -> result.Result[None, consensus.StartError]:
+        opened.callback(self._timers.close)
         self._timers.start()
-        self._resources.callback(self._timers.close)
-        server = transport.Server(
+        address = self._options.listen_address
+        server = retry(f'port {address}', self._listen)
+        closing_server = opened.enter_context(contextlib.ExitStack())
+        closing_server.callback(server.close)
+        try:
+            # A controller that can't open all its ports must not lead.
+            started = self._serve_endpoints(opened, retry)
+            if isinstance(started, result.Success):
+                started = retry('data folder', self._start_node)
+        except consensus.NodeNotReadyError as error:
+            return result.Failure(error.error)
+        except startup.NotReadyError as error:
+            return result.Failure(consensus.StartError(str(error)))
+        if isinstance(started, result.Failure):
+            return started
+        # The node is closed after the server, whose calls it handles.
+        closing_server.pop_all()
+        opened.callback(self.on_following)
+        opened.callback(self.node.close)
+        opened.callback(server.close)
+        server.start()
+        return started
+
+    def _listen(self) -> transport.Server:
+        return transport.Server(
             transport.ServerOptions(
                 self._options.listen_address, self._options.cell_id
             ),
@@ -81,34 +124,34 @@
                 on_call=self._handle_call, on_close=self._on_close
             ),
         )
+
+    def _start_node(self) -> result.Result[None, consensus.StartError]:
         started = self.node.start()
         if isinstance(started, result.Failure):
-            server.close()
-            self._resources.close()
-            return started
-        self._resources.callback(self.on_following)
-        self._resources.callback(self.node.close)
-        server.start()
-        self._resources.callback(server.close)
-        if self._options.metrics_address:
-            return self._serve_endpoints()
-        return result.Success(None)
-
-    def _serve_endpoints(self) -> result.Result[None, consensus.StartError]:
+            error = started.failure()
+            if error.may_pass:
+                raise consensus.NodeNotReadyError(error)
+        return started
+
+    def _serve_endpoints(
+        self, opened: contextlib.ExitStack, retry: startup.Retry
+    ) -> result.Result[None, consensus.StartError]:
+        if not self._options.metrics_address:
+            return result.Success(None)
         server = observability.Server(
             self._options.metrics_address,
             observability.Endpoints(self._metrics.registry, self._readiness),
         )
-        outcome = server.start()
-        if isinstance(outcome, result.Failure):
-            self._resources.close()
-            error = outcome.failure()
-            detail = f'{error.address}: {error.reason}'
-            return result.Failure(consensus.StartError(detail))
-        self._resources.callback(server.close)
-        return result.Success(None)
+        opened.callback(server.close)
+        started: result.Result[None, consensus.StartError] = retry(
+            f'port {server.address}',
+            functools.partial(_start_endpoints, server),
+        )
+        return started
 
     def _readiness(self) -> observability.Readiness:
+        if not self._serving:
+            return observability.Readiness(False, 'starting or stopping')
         if self.node.status().leader_id is None:
             return observability.Readiness(False, 'no leader is known')
         return observability.Readiness(True)
@@ -119,6 +162,7 @@
         Without ``transfer_leadership`` it stops at once, and the other
         controllers elect a leader after their election timeout.
         """
+        self._serving = False
         leader_id = self.node.status().leader_id
         if transfer_leadership and leader_id == self._options.controller_id:
             with contextlib.suppress(Exception):
@@ -195,3 +239,16 @@
             leadership = self._leadership
         if leadership is not None:
             leadership.on_close(connection)
+
+
+def _start_endpoints(
+    server: observability.Server,
+) -> result.Result[None, consensus.StartError]:
+    """Open the port; raise NotReadyError if that may succeed later."""
+    match server.start():
+        case result.Failure(error):
+            why = f'{error.address}: {error.reason}'
+            if error.may_pass:
+                raise startup.NotReadyError(why)
+            return result.Failure(consensus.StartError(why))
+    return result.Success(None)
--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -32,6 +32,7 @@
 from dandeliondrum.gateway import _worker_handlers
 from dandeliondrum import http_server
 from dandeliondrum import messages
+from dandeliondrum import startup
 from dandeliondrum import transport
 from dandeliondrum import utils
 
@@ -122,29 +123,42 @@
         """Return whether the load balancer should send callers here."""
         return not self._components.readiness.not_ready_reason()
 
-    def start(self) -> result.Result[None, StartError]:
-        """Listen on all ports and start the search for the leader."""
+    def start(
+        self, retry: startup.Retry = startup.call_once
+    ) -> result.Result[None, StartError]:
+        """Listen on all ports and start the search for the leader.
+
+        ``retry`` calls a function that opens a port, again while it raises
+        OSError, and raises an error at last.
+        """
+        try:
+            with contextlib.ExitStack() as opened:
+                self._open(opened, retry)
+                self._resources = opened.pop_all()
+        except OSError as error:
+            return result.Failure(StartError(str(error)))
+        self._components.readiness.phase = _readiness.Phase.SERVING
+        return result.Success(None)
+
+    def _open(
+        self, opened: contextlib.ExitStack, retry: startup.Retry
+    ) -> None:
+        opened.callback(self._timers.close)
+        opened.callback(self._client.close)
         self._timers.start()
-        self._resources.callback(self._timers.close)
-        self._resources.callback(self._client.close)
         self._timers.every(
             UNUSED_CONNECTION_MS,
             functools.partial(self._client.close_unused, UNUSED_CONNECTION_MS),
         )
-        self._resources.callback(self._supervisor.close)
-        self._resources.callback(self._link.close)
-        for server in self._servers:
-            try:
-                server.open()
-            except OSError as error:
-                self._resources.close()
-                return result.Failure(StartError(str(error)))
-            self._resources.callback(server.drain, 0)
+        opened.callback(self._supervisor.close)
+        opened.callback(self._link.close)
+        # Callers come last: nothing is accepted before it can be served.
+        for server in reversed(self._servers):
+            opened.callback(server.drain, 0)
+            retry(f'port {server.address}', server.open)
         self._supervisor.run('leader link', self._link.run)
         self._supervisor.run('reports', self._components.reporter.run)
         self._supervisor.run('heartbeats', self._heartbeat_relay.run)
-        self._components.readiness.phase = _readiness.Phase.SERVING
-        return result.Success(None)
 
     def close(self) -> None:
         """Report that the gateway is not ready, drain open calls and stop.
@@ -153,18 +167,22 @@
         after that get a response that asks the caller to resend the id.
         """
         readiness = self._components.readiness
-        if readiness.phase is _readiness.Phase.SERVING:
-            readiness.phase = _readiness.Phase.DRAINING
-            time.sleep(self._options.drain_notice_ms / 1000)
-            self._timers.after(
-                self._options.drain_max_ms, readiness.stopping.set
-            )
-            callers, workers, _ = self._servers
-            callers.drain(self._options.drain_max_ms)
-            self._durable_dispatcher.close()
-            workers.drain(_heartbeat_relay.RELAY_TIMEOUT_MS)
-            self._flush_reports()
-        self._resources.close()
+        with self._resources:
+            if readiness.phase is _readiness.Phase.SERVING:
+                readiness.phase = _readiness.Phase.DRAINING
+                self._drain()
+
+    def _drain(self) -> None:
+        time.sleep(self._options.drain_notice_ms / 1000)
+        self._timers.after(
+            self._options.drain_max_ms,
+            self._components.readiness.stopping.set,
+        )
+        callers, workers, _ = self._servers
+        callers.drain(self._options.drain_max_ms)
+        self._durable_dispatcher.close()
+        workers.drain(_heartbeat_relay.RELAY_TIMEOUT_MS)
+        self._flush_reports()
 
     def _flush_reports(self) -> None:
         end_ms = utils.monotonic_ms() + REPORTS_FLUSH_MS
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -43,24 +43,6 @@
 _logger = structlog.get_logger()
 
 OnFatal = collections.abc.Callable[[utils.InvariantError], object]
-# Gets the name of a resource and the function that opens it.
-Retry = collections.abc.Callable[
-    [str, collections.abc.Callable[[], typing.Any]], typing.Any
-]
-
-
-def _call_once(
-    _resource: str, action: collections.abc.Callable[[], typing.Any]
-) -> typing.Any:
-    return action()
-
-
-class _NodeNotReadyError(startup.NotReadyError):
-    """The files of the node can't be used yet."""
-
-    def __init__(self, error: consensus.StartError) -> None:
-        super().__init__(str(error))
-        self.error = error
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,7 +130,7 @@
         )
 
     def start(
-        self, retry: Retry = _call_once
+        self, retry: startup.Retry = startup.call_once
     ) -> result.Result[None, consensus.StartError]:
         """Load the stored state, listen for connections and join the cell.
 
@@ -162,7 +144,7 @@
         return started
 
     def _open(
-        self, opened: contextlib.ExitStack, retry: Retry
+        self, opened: contextlib.ExitStack, retry: startup.Retry
     ) -> result.Result[None, consensus.StartError]:
         opened.callback(self._timers.close)
         self._timers.start()
@@ -174,7 +156,7 @@
         closing_server.callback(server.close)
         try:
             started = retry('data folder', self._start_node)
-        except _NodeNotReadyError as error:
+        except consensus.NodeNotReadyError as error:
             return result.Failure(error.error)
         if isinstance(started, result.Failure):
             return started
@@ -219,7 +201,7 @@
         ):
             return self.node.start()
         if error.may_pass:
-            raise _NodeNotReadyError(error)
+            raise consensus.NodeNotReadyError(error)
         return started
 
     def close(self) -> None:
--- a/dandeliondrum/observability/_server.py
+++ b/dandeliondrum/observability/_server.py
@@ -30,10 +30,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerError:
-    """The reason why a server failed to start."""
+    """The reason why a server failed to start.
+
+    ``may_pass`` tells that another attempt may succeed.
+    """
 
     address: str
     reason: str
+    may_pass: bool = False
 
 
 class Server:
@@ -64,16 +68,22 @@
             LIMITS,
             http_server.ByteBudget(BUDGET_BYTES),
         )
-        try:
-            server.prepare()
-        except OSError as error:
-            return result.Failure(ServerError(self.address, str(error)))
-        host, port = server.bind_addr[:2]
-        self.address = f'{host}:{port}'
         supervisor = utils.Supervisor('observability', threads_count=1)
-        supervisor.run('serve', lambda _: server.serve())
-        self._resources.callback(supervisor.close)
-        self._resources.callback(server.stop)
+        with contextlib.ExitStack() as opened:
+            opened.callback(supervisor.close)
+            opened.callback(server.stop)
+            try:
+                server.prepare()
+            except OSError as error:
+                return result.Failure(
+                    ServerError(
+                        self.address, str(error), utils.is_passing(error)
+                    )
+                )
+            host, port = server.bind_addr[:2]
+            self.address = f'{host}:{port}'
+            supervisor.run('serve', lambda _: server.serve())
+            self._resources = opened.pop_all()
         return result.Success(None)
 
     def close(self) -> None:
--- a/dandeliondrum/worker/_server.py
+++ b/dandeliondrum/worker/_server.py
@@ -71,16 +71,19 @@
             target=self._server.serve, name=f'{options.worker_id}-http'
         )
 
-    def start(self) -> str:
-        """Start to serve and return the bound ``host:port``.
+    def listen(self) -> str:
+        """Start to listen and return the bound ``host:port``.
 
         Raises OSError if the address can't be bound.
         """
         self._server.prepare()
-        self._thread.start()
         host, port = self._server.socket.getsockname()[:2]
         return f'{host}:{port}'
 
+    def start(self) -> None:
+        """Start to serve what arrives."""
+        self._thread.start()
+
     def close(self) -> None:
         """Stop listening and wait for requests in progress.
 
--- a/dandeliondrum/worker/_worker.py
+++ b/dandeliondrum/worker/_worker.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dandeliondrum import messages
+from dandeliondrum import startup
 from dandeliondrum import utils
 from dandeliondrum.worker import _attempt
 from dandeliondrum.worker import _attempt_table
@@ -56,15 +57,22 @@
         self._leave_client = _gateway_client.GatewayClient(options.gateways)
         self._heartbeats: _heartbeats.Heartbeats | None = None
 
-    def start(self) -> result.Result[None, StartError]:
-        """Start the HTTP server, and heartbeats in a background thread."""
+    def start(
+        self, retry: startup.Retry = startup.call_once
+    ) -> result.Result[None, StartError]:
+        """Start the HTTP server, and heartbeats in a background thread.
+
+        ``retry`` calls a function that opens a resource, again while it
+        raises OSError, and raises an error at last.
+        """
         problem = _validation_error(self.options)
         if problem:
             return result.Failure(StartError(problem))
         try:
-            self._build()
+            with contextlib.ExitStack() as opened:
+                self._open(opened, retry)
+                self._resources = opened.pop_all()
         except (OSError, ValueError) as error:
-            self._resources.close()
             return result.Failure(StartError(str(error)))
         return result.Success(None)
 
@@ -115,37 +123,50 @@
         """Return the events of the journal, oldest first."""
         return self._journal.events()
 
-    def _build(self) -> None:
-        self._journal = _journal.Journal(
-            self.options.worker_id, self.options.journal_path
-        )
+    def _open(
+        self, opened: contextlib.ExitStack, retry: startup.Retry
+    ) -> None:
+        opened.callback(self._gateway_client.close)
+        opened.callback(self._leave_client.close)
+        self._journal = retry('journal', self._open_journal)
+        opened.callback(self._journal.close)
         self._journal.incarnation = _heartbeats.new_incarnation()
-        self._resources.callback(self._journal.close)
-        self._resources.callback(
-            self._journal.record, _journal.EventKind.CLOSED
-        )
         timers = utils.TimerService()
         leases = _leases.Leases(timers, lambda: self._attempts.stop_expired())
         self._runner = _runner.Runner(self.options)
-        self._resources.callback(self._runner.close)
         self._attempts = _attempt_table.AttemptTable(
             self.options, self._journal, leases, self._run, self._on_ended
         )
+        server = _server.Server(self.options, self._attempts, self._journal)
+        closing_server = opened.enter_context(contextlib.ExitStack())
+        closing_server.callback(server.close)
+        self.address = retry(f'port {self.options.address}', server.listen)
+        # A worker that waits for its port may never begin.
+        opened.callback(self._journal.record, _journal.EventKind.CLOSED)
         self._journal.record(
             _journal.EventKind.BEGUN,
             resources=self.options.resources,
             slots_count=self.options.slots_count,
         )
-        server = _server.Server(self.options, self._attempts, self._journal)
-        self.address = server.start()
-        self._resources.callback(server.close)
-        self._resources.callback(self._attempts.close)
+        closing_server.pop_all()
+        opened.callback(self._runner.close)
+        opened.callback(server.close)
+        opened.callback(self._attempts.close)
+        server.start()
+        opened.callback(timers.close)
         timers.start()
-        self._resources.callback(timers.close)
-        self._start_heartbeats(timers, leases)
+        self._start_heartbeats(opened, timers, leases)
+
+    def _open_journal(self) -> _journal.Journal:
+        return _journal.Journal(
+            self.options.worker_id, self.options.journal_path
+        )
 
     def _start_heartbeats(
-        self, timers: utils.TimerService, leases: _leases.Leases
+        self,
+        opened: contextlib.ExitStack,
+        timers: utils.TimerService,
+        leases: _leases.Leases,
     ) -> None:
         heartbeats = _heartbeats.Heartbeats(
             self._facts(),
@@ -158,11 +179,9 @@
         supervisor = utils.Supervisor(
             f'worker {self.options.worker_id}', threads_count=1
         )
-        self._resources.callback(self._gateway_client.close)
-        self._resources.callback(self._leave_client.close)
-        self._resources.callback(supervisor.close)
-        self._resources.callback(heartbeats.wake)
-        self._resources.callback(supervisor.stopping.set)
+        opened.callback(supervisor.close)
+        opened.callback(heartbeats.wake)
+        opened.callback(supervisor.stopping.set)
         _heartbeats.schedule_heartbeats(
             heartbeats, timers, self.options.heartbeat_ms
         )
--- a/tests/test_daemon_starts.py
+++ b/tests/test_daemon_starts.py
@@ -1,9 +1,11 @@
 """Starts of real daemons that are disturbed by signals, ports and files."""
 
 import contextlib
+import fcntl
 import json
 import pathlib
 import signal
+import socket
 
 import pytest
 
@@ -23,6 +25,7 @@
     """A daemon with its settings and its log."""
 
     def __init__(self, folder: pathlib.Path, role: str) -> None:
+        self.role = role
         self.ports = {name: testing.free_address() for name in PORTS[role]}
         self.settings = {**PLACE, **self.ports}
         if role == 'worker':
@@ -82,3 +85,67 @@
     assert process.wait(starts.TIMEOUT_MS / 1000) == 0, daemon.output()
     assert daemon.has('stopped')
     assert not daemon.has('started')
+
+
+@pytest.mark.parametrize(
+    ('role', 'name'),
+    [(role, name) for role, names in PORTS.items() for name in names],
+)
+def test_a_port_that_is_taken_at_a_start_is_waited_for(tmp_path, role, name):
+    program = Daemon(tmp_path, role)
+    with contextlib.closing(program):
+        with taken(program.ports[name]):
+            process = program.launch()
+            assert program.ports[name] in str(program.wait_for('start waits'))
+            assert process.poll() is None
+        program.wait_for('started')
+        assert starts.stopped_in_order(process), program.output()
+
+
+def test_a_port_that_stays_taken_ends_a_start_with_its_reason(daemon):
+    address = daemon.ports[PORTS[daemon.role][-1]]
+    with taken(address):
+        process = daemon.launch()
+        code = process.wait(starts.TIMEOUT_MS / 1000)
+        assert code == 1, daemon.output()
+    ended = daemon.wait_for('not started')
+    assert 'ports' in str(ended['phase'])
+    assert address in str(ended['why'])
+    assert not daemon.has('leading')
+
+
+def test_sigterm_ends_the_wait_for_a_port_in_order(daemon):
+    with taken(daemon.ports[PORTS[daemon.role][-1]]):
+        process = daemon.launch()
+        daemon.wait_for('start waits')
+        assert starts.stopped_in_order(process), daemon.output()
+    assert daemon.has('stopped')
+
+
+def test_a_successor_waits_until_its_predecessor_has_stopped(daemon):
+    first = daemon.launch()
+    daemon.wait_for('started')
+    second = daemon.launch()
+    daemon.wait_for('start waits', number=1)
+    assert starts.stopped_in_order(first), daemon.output()
+    daemon.wait_for('started', number=1)
+    assert starts.stopped_in_order(second), daemon.output()
+
+
+def test_a_data_folder_in_use_is_waited_for(tmp_path):
+    daemon = Daemon(tmp_path, 'controller')
+    folder = tmp_path / 'data'
+    folder.mkdir()
+    with contextlib.closing(daemon):
+        with open(folder / 'lock', 'wb') as lock:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            process = daemon.launch()
+            waits = daemon.wait_for('start waits')
+            assert waits['resource'] == 'data folder'
+        daemon.wait_for('started')
+        assert starts.stopped_in_order(process), daemon.output()
+
+
+def taken(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    return socket.create_server((host, int(port)))
