Read the settings of a daemon again while they are written

A settings file that was read half written ended a daemon at its start with code 1 and a line of plain text, at each start until the file was whole.

A file that is older is refused at once, as before, now also with a line `not started`. Since the settings are one JSON object, no part of a file is taken for the whole. A missing file is refused at once, as before.

--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 import contextlib
+import os
+import time
 import typing
 
 from returns import result
@@ -20,47 +22,81 @@
     'gateway': settings.GatewaySettings,
     'worker': settings.WorkerSettings,
 }
+# A file that was changed later than this may not be written completely.
+SETTLED_MS = 2_000
 
 
 def run(role: str, file: str) -> _report.Report:
     """Run a role until it receives SIGTERM or SIGINT."""
-    settings_class = ROLE_SETTINGS.get(role)
-    if settings_class is None:
+    if role not in ROLE_SETTINGS:
         return _report.Report(
             _exit_code.ExitCode.USAGE,
             note=f'unknown role {role}; known are {", ".join(ROLE_SETTINGS)}',
         )
     process_signals = signals.install()
-    outcome = settings.load(file, typing.cast(typing.Any, settings_class))
-    if isinstance(outcome, result.Failure):
-        return _report.Report(
-            _exit_code.ExitCode.REFUSED,
-            note='\n'.join(map(str, outcome.failure())),
-        )
     utils.return_large_blocks()
-    daemon = _Daemon(role, outcome.unwrap())
+    daemon = _Daemon(role, file)
     code = startup.run(startup.Startup(process_signals), daemon.start)
-    return _report.Report(_exit_code.ExitCode(code))
+    return _report.Report(_exit_code.ExitCode(code), note=daemon.problems)
 
 
 class _Daemon:
-    """A role with its settings."""
+    """A role with its settings.
 
-    def __init__(self, role: str, loaded: settings.Settings) -> None:
+    ``problems`` has a line for each problem of the settings.
+    """
+
+    def __init__(self, role: str, file: str) -> None:
+        self.problems = ''
         self._role = role
-        self._loaded = loaded
-        observability.configure_logging(
-            role, _roles.process_id(loaded), loaded.log_level
-        )
+        self._file = file
+        # All log lines have the id of the process if it is known.
+        self._outcome = self._load()
 
     def start(
         self, start: startup.Startup, resources: contextlib.ExitStack
     ) -> None:
         """Start the role; it runs until ``resources`` are closed."""
+        with start.phase('settings'):
+            loaded: settings.Settings = start.retry(
+                'settings', self._load_settled
+            )
         provider = observability.configure_tracing(
-            self._role,
-            _roles.process_id(self._loaded),
-            self._loaded.traces_per_thousand,
+            self._role, _roles.process_id(loaded), loaded.traces_per_thousand
         )
         resources.callback(provider.shutdown)
-        _roles.start(start, self._loaded, resources)
+        _roles.start(start, loaded, resources)
+
+    def _load(self) -> result.Result[settings.Settings, str]:
+        """Return the settings or their problems, and configure the log."""
+        settings_class: typing.Any = ROLE_SETTINGS[self._role]
+        match settings.load(self._file, settings_class):
+            case result.Success(loaded):
+                observability.configure_logging(
+                    self._role, _roles.process_id(loaded), loaded.log_level
+                )
+                return result.Success(loaded)
+            case result.Failure(problems):
+                observability.configure_logging(self._role, '')
+                return result.Failure('\n'.join(map(str, problems)))
+        raise AssertionError('a result is a success or a failure')
+
+    def _load_settled(self) -> settings.Settings:
+        """Return the settings; raise NotReadyError while they are written."""
+        if isinstance(self._outcome, result.Failure):
+            self._outcome = self._load()
+        self.problems = ''
+        if isinstance(self._outcome, result.Success):
+            return self._outcome.unwrap()
+        self.problems = self._outcome.failure()
+        if _changed_lately(self._file):
+            raise startup.NotReadyError(self.problems)
+        raise startup.NotStartedError(self.problems)
+
+
+def _changed_lately(file: str) -> bool:
+    try:
+        age_ms = (time.time() - os.stat(file).st_mtime) * 1000
+    except (OSError, ValueError):
+        return False
+    return 0 <= age_ms < SETTLED_MS
--- a/tests/test_daemon_starts.py
+++ b/tests/test_daemon_starts.py
@@ -3,6 +3,7 @@
 import contextlib
 import fcntl
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -146,6 +147,40 @@
         assert starts.stopped_in_order(process), daemon.output()
 
 
+@pytest.mark.parametrize(
+    ('role', 'share'),
+    (('controller', 0), ('gateway', 0.3), ('worker', 0.6), ('worker', 0.95)),
+)
+def test_a_start_waits_for_settings_that_are_half_written(
+    tmp_path, role, share
+):
+    program = Daemon(tmp_path, role)
+
+    part = program.text[: int(len(program.text) * share)]
+
+    def waits_after_a_change():
+        program.write(part)
+        return process.poll() is not None or program.has('start waits')
+
+    program.write(part)
+    with contextlib.closing(program):
+        process = program.launch()
+        testing.wait_until(waits_after_a_change)
+        program.write(program.text)
+        program.wait_for('started')
+        assert starts.stopped_in_order(process), program.output()
+
+
+def test_wrong_settings_that_are_old_are_refused_at_once(daemon):
+    daemon.write(daemon.text[: len(daemon.text) // 2])
+    os.utime(daemon.path, (0, 0))
+    process = daemon.launch()
+    assert process.wait(starts.TIMEOUT_MS / 1000) == 1, daemon.output()
+    assert daemon.wait_for('not started')['phase'] == 'settings'
+    assert not daemon.has('start waits')
+    assert f'\n{daemon.path}:' in daemon.output()
+
+
 def taken(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     return socket.create_server((host, int(port)))
