End a daemon in order when nobody reads its log any more

Daemons log through `observability.BoundedStream`, as the platform's programs do: a write that fails or stalls stops nothing. Lines may now be lost with a process that is killed within 50 ms of them.

--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import os
+import sys
 import time
 import typing
 
@@ -35,8 +36,11 @@
         )
     process_signals = signals.install()
     utils.return_large_blocks()
-    daemon = _Daemon(role, file)
-    code = startup.run(startup.Startup(process_signals), daemon.start)
+    stream = observability.BoundedStream(sys.stderr)
+    with contextlib.closing(stream):
+        stream.start()
+        daemon = _Daemon(role, file, stream)
+        code = startup.run(startup.Startup(process_signals), daemon.start)
     return _report.Report(_exit_code.ExitCode(code), note=daemon.problems)
 
 
@@ -46,10 +50,13 @@
     ``problems`` has a line for each problem of the settings.
     """
 
-    def __init__(self, role: str, file: str) -> None:
+    def __init__(
+        self, role: str, file: str, stream: observability.BoundedStream
+    ) -> None:
         self.problems = ''
         self._role = role
         self._file = file
+        self._stream = stream
         # All log lines have the id of the process if it is known.
         self._outcome = self._load()
 
@@ -73,11 +80,16 @@
         match settings.load(self._file, settings_class):
             case result.Success(loaded):
                 observability.configure_logging(
-                    self._role, _roles.process_id(loaded), loaded.log_level
+                    self._role,
+                    _roles.process_id(loaded),
+                    loaded.log_level,
+                    self._stream,
                 )
                 return result.Success(loaded)
             case result.Failure(problems):
-                observability.configure_logging(self._role, '')
+                observability.configure_logging(
+                    self._role, '', stream=self._stream
+                )
                 return result.Failure('\n'.join(map(str, problems)))
         raise AssertionError('a result is a success or a failure')
 
--- a/tests/starts.py
+++ b/tests/starts.py
@@ -77,8 +77,11 @@
     def write(self, text: str) -> None:
         self.path.write_text(text)
 
-    def launch(self, stdout: int | None = None) -> subprocess.Popen[bytes]:
-        return self._launch((*self._flags, '-m', self._module), stdout)
+    def launch(
+        self, stdout: int | None = None, stderr: int | None = None
+    ) -> subprocess.Popen[bytes]:
+        command = (*self._flags, '-m', self._module)
+        return self._launch(command, stdout, stderr)
 
     def launch_signalled(
         self, number: int, only: int = 0
@@ -90,7 +93,10 @@
         )
 
     def _launch(
-        self, command: tuple[str, ...], stdout: int | None = None
+        self,
+        command: tuple[str, ...],
+        stdout: int | None = None,
+        stderr: int | None = None,
     ) -> subprocess.Popen[bytes]:
         number = len(self._processes)
         with (
@@ -100,7 +106,7 @@
             process = subprocess.Popen(
                 [sys.executable, *command, *self._arguments],
                 stdout=out if stdout is None else stdout,
-                stderr=err,
+                stderr=err if stderr is None else stderr,
                 env={**os.environ, 'DANDELIONDRUM_SETTINGS': str(self.path)},
             )
         self._processes.append(process)
--- a/tests/test_daemon_starts.py
+++ b/tests/test_daemon_starts.py
@@ -181,6 +181,16 @@
     assert f'\n{daemon.path}:' in daemon.output()
 
 
+def test_a_stop_is_orderly_after_the_reader_of_the_log_has_gone(daemon):
+    reader, writer = os.pipe()
+    process = daemon.launch(stderr=writer)
+    os.close(writer)
+    with open(reader) as log:
+        assert any('"started"' in line for line in log)
+    process.send_signal(signal.SIGHUP)
+    assert starts.stopped_in_order(process)
+
+
 def taken(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     return socket.create_server((host, int(port)))
