--- a/dandeliondrum/command/_exit_code.py
+++ b/dandeliondrum/command/_exit_code.py
@@ -7,8 +7,8 @@
     """Exit codes of the command line.
 
     ``BROKEN`` means that an invariant of a daemon is broken; it has the value
-    of EX_SOFTWARE in ``sysexits.h``. ``DOUBTS`` means that rules are valid but
-    most likely wrong.
+    of EX_SOFTWARE in ``sysexits.h``. ``DOUBTS`` means that rules, or another
+    configuration, are valid but most likely wrong.
     """
 
     DONE = 0
--- a/dandeliondrum/command/_report.py
+++ b/dandeliondrum/command/_report.py
@@ -46,11 +46,11 @@
         report = command._action()
     except OSError as error:
         report = Report(_exit_code.ExitCode.REFUSED, note=str(error))
-    write(report, command._as_json)
+    write_report(report, command._as_json)
     return report.code
 
 
-def write(report: Report, as_json: bool) -> None:
+def write_report(report: Report, as_json: bool) -> None:
     """Print a report as text or as JSON."""
     if report.note:
         print(report.note, file=sys.stderr)
--- a/tests/starts.py
+++ b/tests/starts.py
@@ -18,6 +18,7 @@
     'dandeliondrum.command._exit_code',
     'dandeliondrum.command._main',
     'dandeliondrum.platform',
+    'dandeliondrum.platform._settings_path',
     'dandeliondrum.signals',
     'dandeliondrum.signals._process_signals',
     'enum',
@@ -83,13 +84,19 @@
         command = (*self._flags, '-m', self._module)
         return self._launch(command, stdout, stderr)
 
+    def launch_code(
+        self, code: str, *arguments: str
+    ) -> subprocess.Popen[bytes]:
+        """Run code in place of the module, with arguments before its own."""
+        return self._launch(('-c', code, *arguments))
+
     def launch_signalled(
         self, number: int, only: int = 0
     ) -> subprocess.Popen[bytes]:
         """Send a signal at each import, or only at the one with a number."""
         numbers = (str(int(number)), str(only))
-        return self._launch(
-            ('-c', SIGNALLING, *numbers, ','.join(EARLY), self._module)
+        return self.launch_code(
+            SIGNALLING, *numbers, ','.join(EARLY), self._module
         )
 
     def _launch(
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -13,6 +13,12 @@
 
 ROLES = ('gateway', 'controller')
 
+LIMITED = """
+import resource, runpy
+resource.setrlimit(resource.RLIMIT_AS, ({limit}, {limit}))
+runpy.run_module('dandeliondrum.platform', run_name='__main__')
+"""
+
 
 class Launched(starts.Program):
     """A program of the platform with its settings and its log."""
@@ -157,3 +163,12 @@
         socket.create_connection((host, int(port)), 1).close()
         return True
     return False
+
+
+@pytest.mark.parametrize('memory_mb', (250, 600))
+def test_a_start_that_gets_no_threads_ends_the_process(launched, memory_mb):
+    # Address space for some of the threads, each of which maps its stack.
+    limit = memory_mb << 20
+    process = launched.launch_code(LIMITED.format(limit=limit))
+    assert process.wait(starts.TIMEOUT_MS / 1000) == 70, launched.output()
+    assert launched.has('process ended')
