Judge by the time of reading whether settings were just changed

A start that is paused between reading a half written settings file and looking at the time of its change refused the file as an old one. The change now counts from the time before the file was read.

--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -77,6 +77,7 @@
     def _load(self) -> result.Result[settings.Settings, str]:
         """Return the settings or their problems, and configure the log."""
         settings_class: typing.Any = ROLE_SETTINGS[self._role]
+        self._read_s = time.time()
         match settings.load(self._file, settings_class):
             case result.Success(loaded):
                 observability.configure_logging(
@@ -101,14 +102,14 @@
         if isinstance(self._outcome, result.Success):
             return self._outcome.unwrap()
         self.problems = self._outcome.failure()
-        if _changed_lately(self._file):
+        # A change after it was read counts, too.
+        if _is_changed_since(self._file, self._read_s - SETTLED_MS / 1000):
             raise startup.NotReadyError(self.problems)
         raise startup.NotStartedError(self.problems)
 
 
-def _changed_lately(file: str) -> bool:
+def _is_changed_since(file: str, at_s: float) -> bool:
     try:
-        age_ms = (time.time() - os.stat(file).st_mtime) * 1000
+        return os.stat(file).st_mtime > at_s
     except (OSError, ValueError):
         return False
-    return 0 <= age_ms < SETTLED_MS
