--- a/dandeliondrum/command/_daemon.py
+++ b/dandeliondrum/command/_daemon.py
@@ -3,18 +3,19 @@
 import collections.abc
 import contextlib
 import os
-import signal
-import threading
-import types
+import sys
+import time
 import typing
 
 from returns import result
-import structlog
 
+from dandeliondrum.command import _exit_code
 from dandeliondrum.command import _report
 from dandeliondrum.command import _roles
 from dandeliondrum import observability
 from dandeliondrum import settings
+from dandeliondrum import signals
+from dandeliondrum import startup
 from dandeliondrum import utils
 
 ROLE_SETTINGS: collections.abc.Mapping[str, type[settings.Settings]] = {
@@ -22,63 +23,93 @@
     'gateway': settings.GatewaySettings,
     'worker': settings.WorkerSettings,
 }
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
-_logger = structlog.get_logger()
+# A file that was changed later than this may not be written completely.
+SETTLED_MS = 2_000
 
 
 def run(role: str, file: str) -> _report.Report:
-    """Run a role until it receives one of ``STOP_SIGNALS``."""
-    settings_class = ROLE_SETTINGS.get(role)
-    if settings_class is None:
+    """Run a role until it receives SIGTERM or SIGINT."""
+    if role not in ROLE_SETTINGS:
         return _report.Report(
-            _report.ExitCode.USAGE,
+            _exit_code.ExitCode.USAGE,
             note=f'unknown role {role}; known are {", ".join(ROLE_SETTINGS)}',
         )
-    outcome = settings.load(file, typing.cast(typing.Any, settings_class))
-    if isinstance(outcome, result.Failure):
-        return _report.Report(
-            _report.ExitCode.REFUSED,
-            note='\n'.join(map(str, outcome.failure())),
-        )
-    return _run(role, outcome.unwrap())
+    process_signals = signals.install()
+    utils.return_large_blocks()
+    stream = observability.BoundedStream(sys.stderr)
+    with contextlib.closing(stream):
+        stream.start()
+        daemon = _Daemon(role, file, stream)
+        code = startup.run(startup.Startup(process_signals), daemon.start)
+    return _report.Report(_exit_code.ExitCode(code), note=daemon.problems)
 
 
-def _run(role: str, loaded: settings.Settings) -> _report.Report:
-    utils.return_large_blocks()
-    process_id = _roles.process_id(loaded)
-    observability.configure_logging(role, process_id, loaded.log_level)
-    with contextlib.ExitStack() as exit_stack:
-        stop_requested = _stop_on_signals(exit_stack)
-        provider = observability.configure_tracing(
-            role, process_id, loaded.traces_per_thousand
-        )
-        exit_stack.callback(provider.shutdown)
-        started = _roles.start(loaded, exit_stack, end_process)
-        if isinstance(started, result.Failure):
-            _logger.error('not started', why=started.failure())
-            return _report.Report(_report.ExitCode.REFUSED)
-        utils.limit_collections()
-        _logger.info('started', address=started.unwrap())
-        utils.wait_for_signal(stop_requested)
-        _logger.info('stopping')
-    _logger.info('stopped')
-    return _report.Report(_report.ExitCode.DONE)
+class _Daemon:
+    """A role with its settings.
+
+    ``problems`` has a line for each problem of the settings.
+    """
 
+    def __init__(
+        self, role: str, file: str, stream: observability.BoundedStream
+    ) -> None:
+        self.problems = ''
+        self._role = role
+        self._file = file
+        self._stream = stream
+        # All log lines have the id of the process if it is known.
+        self._outcome = self._load()
 
-def end_process(error: utils.InvariantError) -> typing.NoReturn:
-    """Exit without cleanup, so nothing acts on a broken invariant."""
-    _logger.critical('process ended', why=str(error))
-    os._exit(_report.ExitCode.BROKEN)
+    def start(
+        self, start: startup.Startup, resources: contextlib.ExitStack
+    ) -> None:
+        """Start the role; it runs until ``resources`` are closed."""
+        with start.phase('settings'):
+            loaded: settings.Settings = start.retry(
+                'settings', self._load_settled
+            )
+        provider = observability.configure_tracing(
+            self._role, _roles.process_id(loaded), loaded.traces_per_thousand
+        )
+        resources.callback(provider.shutdown)
+        _roles.start(start, loaded, resources)
 
+    def _load(self) -> result.Result[settings.Settings, str]:
+        """Return the settings or their problems, and configure the log."""
+        settings_class: typing.Any = ROLE_SETTINGS[self._role]
+        self._read_s = time.time()
+        match settings.load(self._file, settings_class):
+            case result.Success(loaded):
+                observability.configure_logging(
+                    self._role,
+                    _roles.process_id(loaded),
+                    loaded.log_level,
+                    self._stream,
+                )
+                return result.Success(loaded)
+            case result.Failure(problems):
+                observability.configure_logging(
+                    self._role, '', stream=self._stream
+                )
+                return result.Failure('\n'.join(map(str, problems)))
+        raise AssertionError('a result is a success or a failure')
 
-def _stop_on_signals(exit_stack: contextlib.ExitStack) -> threading.Event:
-    stop_requested = threading.Event()
+    def _load_settled(self) -> settings.Settings:
+        """Return the settings; raise NotReadyError while they are written."""
+        if isinstance(self._outcome, result.Failure):
+            self._outcome = self._load()
+        self.problems = ''
+        if isinstance(self._outcome, result.Success):
+            return self._outcome.unwrap()
+        self.problems = self._outcome.failure()
+        # A change after it was read counts, too.
+        if _is_changed_since(self._file, self._read_s - SETTLED_MS / 1000):
+            raise startup.NotReadyError(self.problems)
+        raise startup.NotStartedError(self.problems)
 
-    def stop(_number: int, _frame: types.FrameType | None) -> None:
-        stop_requested.set()
 
-    for number in STOP_SIGNALS:
-        previous_handler = signal.signal(number, stop)
-        exit_stack.callback(signal.signal, number, previous_handler)
-    return stop_requested
+def _is_changed_since(file: str, at_s: float) -> bool:
+    try:
+        return os.stat(file).st_mtime > at_s
+    except (OSError, ValueError):
+        return False
--- a/dandeliondrum/startup/tests/test_output.py
+++ b/dandeliondrum/startup/tests/test_output.py
@@ -1,4 +1,4 @@
-"""Tests of the last line of a process."""
+"""Tests of the last line and the code of a process."""
 
 import json
 import subprocess
@@ -6,6 +6,9 @@
 
 import pytest
 
+from dandeliondrum import command
+from dandeliondrum import startup
+
 BROKEN = """
 from dandeliondrum import observability, startup, utils
 
@@ -38,3 +41,33 @@
     shell = 'exec "$0" -c "$1" >&- 2>&-'
     command = ['sh', '-c', shell, sys.executable, program]
     assert subprocess.run(command).returncode == 70
+
+
+PROGRAM = """
+from dandeliondrum import observability
+from dandeliondrum import startup
+from dandeliondrum import utils
+observability.configure_logging('controller', 'c1')
+try:
+    startup.end_broken_process(utils.InvariantError('freed twice'))
+finally:
+    print('acted on')
+"""
+
+
+def test_a_broken_invariant_ends_the_process_at_once():
+    process = subprocess.run(
+        [sys.executable, '-c', PROGRAM],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert process.returncode == command.ExitCode.BROKEN
+    assert process.stdout == ''
+    line = json.loads(process.stderr)
+    assert (line['level'], line['why']) == ('critical', 'freed twice')
+
+
+def test_a_daemon_reports_the_exit_codes_of_its_end_unchanged():
+    for code in startup.ExitCode:
+        assert command.ExitCode(code) == code
