Answer heartbeats during all work on files, not only a sync of the log

Cause: the writer thread answers requests, and a heartbeat was answered beside it only during a sync of the log. During a compaction, at a new file of the log, and during a vote in the current term a follower was silent.

Evidence: test_followers_that_wait_for_other_files_do_not_depose_the_leader stalls both followers for 2.5 s with a longest election timeout of 1 s, at the creation of a file of the log, at the sync of its name, and at a compaction.

Ruled out: an answer while a later term is stored. A leader counts an answer for as long as an election may take, and the vote that is being stored may elect another one meanwhile. With such answers test_no_heartbeat_is_confirmed_while_a_later_term_is_stored fails. The old leader would be deposed by the stored term anyway. A vote in the current term is answered during: a leader of that term is elected already. Removing old files in another thread: the next new file would wait for the same disk.

Change: one marker, NodeState.disk_work, in place of the two times of a sync and of a leader's append. It is set around each work on files of the writer that stores no later term; entering a term within is an invariant. The bounds are as before: a follower is given up after four, a leader after two of the longest election timeouts.

--- a/dandeliondrum/consensus/_early_replies.py
+++ b/dandeliondrum/consensus/_early_replies.py
@@ -8,17 +8,17 @@
 def reply_to_heartbeat(
     state: _state.NodeState, message: _messages.AppendEntries
 ) -> _messages.AppendReply | None:
-    """Return the reply to a heartbeat that arrives while the log is synced.
+    """Return the reply to a heartbeat that arrives during work on files.
 
     Returns None if the writer thread has to reply. The reply confirms that
-    this node follows the leader, and nothing about the log. The writer handles
-    no vote request during a sync, so a vote that it has granted shows in the
-    term, and the next one is refused because of this heartbeat. The caller
-    holds the lock and has recorded the contact with the leader.
+    this node follows the leader, and nothing about the log. The writer enters
+    no later term meanwhile, so a vote that it has granted shows in the term,
+    and the next one is refused because of this heartbeat. The caller holds
+    the lock and has recorded the contact with the leader.
     """
-    if state.sync_since_ns is None or message.records:
+    if not state.has_disk_work() or message.records:
         return None
-    if state.sync_exceeds(_state.FOLLOWER_SYNC_FACTOR):
+    if state.disk_work_exceeds(_state.FOLLOWER_DISK_FACTOR):
         return None
     if state.role is not _interfaces.Role.FOLLOWER:
         return None
--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -109,7 +109,7 @@
             return True
         if self._may_have_unhandled():
             return False
-        if state.sync_exceeds(_state.LEADER_SYNC_FACTOR):
+        if state.disk_work_exceeds(_state.LEADER_DISK_FACTOR):
             return False
         return time.monotonic_ns() >= state.election_deadline_ns
 
@@ -129,9 +129,7 @@
         )
         silent_ns = now_ns - self._contact_ns()
         is_silent = silent_ns > limit_ns and not self._may_have_unhandled()
-        is_stalled = state.sync_exceeds(
-            _state.LEADER_SYNC_FACTOR
-        ) or state.append_exceeds(_state.LEADER_SYNC_FACTOR)
+        is_stalled = state.disk_work_exceeds(_state.LEADER_DISK_FACTOR)
         if is_silent or is_stalled:
             why = 'disk stalled' if is_stalled else 'no quorum answers'
             _logger.warning(why, term=state.term)
--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -288,7 +288,8 @@
             new_entries[0].index == self._log.last_index + 1,
             'gap between the log and new entries',
         )
-        self._log.append(new_entries)
+        with state.disk_work():
+            self._log.append(new_entries)
         with state.lock:
             if state.history.add(new_entries):
                 state.update_peers()
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -5,7 +5,9 @@
 """
 
 import collections
+import collections.abc
 import concurrent.futures
+import contextlib
 import queue
 import random
 import threading
@@ -32,11 +34,11 @@
 # ``election_max_ms`` was brief.
 BRIEF_LEADER_FACTOR = 8
 # A leader whose disk takes longer than this multiple of ``election_max_ms``
-# to sync the log steps down, since it can't commit anything.
-LEADER_SYNC_FACTOR = 2
+# for one piece of work steps down, since it can't commit anything.
+LEADER_DISK_FACTOR = 2
 # A follower whose disk takes longer than this multiple of ``election_max_ms``
 # no longer counts as reachable.
-FOLLOWER_SYNC_FACTOR = 4
+FOLLOWER_DISK_FACTOR = 4
 # Each brief leader doubles the election timeouts up to this multiple.
 ELECTION_BACKOFF_MAX = 4
 
@@ -73,12 +75,7 @@
         )
         self.queued_proposals_count = 0
         self.writer_busy = False
-        # Since when the writer thread waits until the log is on the disk,
-        # None if it does not.
-        self.sync_since_ns: int | None = None
-        # Since when it writes a leader's entries, which also waits for the
-        # disk if they begin a new file.
-        self.append_since_ns: int | None = None
+        self._disk_work_since_ns: int | None = None
         self.role_events: queue.Queue[_work_items.RoleEvent | None] = (
             queue.Queue()
         )
@@ -336,19 +333,32 @@
             return 0
         return sorted(values, reverse=True)[quorum - 1]
 
-    def sync_exceeds(self, factor: int) -> bool:
-        """Return whether a sync of the log takes longer than expected.
+    @contextlib.contextmanager
+    def disk_work(self) -> collections.abc.Iterator[None]:
+        """Mark that the writer thread works on files, and on nothing else.
 
-        That is ``factor`` times the longest election timeout. The caller
-        holds the lock.
+        No later term may be entered within, and no vote granted in one:
+        heartbeats of the current term are answered meanwhile. Acquires the
+        lock itself, and does not hold it during the work.
         """
-        return self._exceeds(self.sync_since_ns, factor)
+        with self.lock:
+            self._disk_work_since_ns = time.monotonic_ns()
+        try:
+            yield
+        finally:
+            with self.lock:
+                self._disk_work_since_ns = None
+
+    def has_disk_work(self) -> bool:
+        """Return whether the writer thread works on files only."""
+        return self._disk_work_since_ns is not None
 
-    def append_exceeds(self, factor: int) -> bool:
-        """Return the same for the writing of a leader's entries."""
-        return self._exceeds(self.append_since_ns, factor)
+    def disk_work_exceeds(self, factor: int) -> bool:
+        """Return whether work on files takes longer than expected.
 
-    def _exceeds(self, since_ns: int | None, factor: int) -> bool:
+        That is ``factor`` times the longest election timeout.
+        """
+        since_ns = self._disk_work_since_ns
         if since_ns is None:
             return False
         timeout_ms = self.election_backoff * self.options.election_max_ms
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import pathlib
 import threading
 import time
@@ -102,10 +103,19 @@
         state = self._state
         if (term, voted_for) == (state.term, state.voted_for):
             return
+        state.check_invariant(
+            not state.has_disk_work(),
+            f'term {term} would be stored during work on files',
+        )
+        later = term > state.term
         saved = _hard_state.HardState(term, voted_for)
-        _hard_state.save(self._files, self._hard_state_path, saved)
+        # While a later term is stored, a heartbeat of the current one must
+        # not be confirmed: the leader counts the reply for as long as it may
+        # take to elect another with the vote that is being stored. A vote in
+        # the current term can't contradict a leader that is elected.
+        with contextlib.nullcontext() if later else state.disk_work():
+            _hard_state.save(self._files, self._hard_state_path, saved)
         with state.lock:
-            later = term > state.term
             state.term = term
             state.voted_for = voted_for
             if later:
@@ -151,7 +161,8 @@
                 case _work_items.ObserveTerm(term):
                     self._observe_term(term)
                 case _work_items.Compact(index):
-                    self._log.compact(index)
+                    with self._state.disk_work():
+                        self._log.compact(index)
         if proposals:
             self._append(proposals)
         self._sync()
@@ -185,7 +196,6 @@
             accepted = state.is_leader() and not state.storage_failed
             if accepted:
                 entries = self._make_entries(proposals)
-                state.append_since_ns = time.monotonic_ns()
             else:
                 error = state.make_propose_error(
                     _errors.ProposeFailure.NOT_LEADING, never_committed=True
@@ -194,13 +204,11 @@
             self._fail_proposals(proposals, error)
             return
         try:
-            self._log.append(entries)
+            with state.disk_work():
+                self._log.append(entries)
         except OSError as error:
             self._handle_disk_full(proposals, entries, error)
             return
-        finally:
-            with state.lock:
-                state.append_since_ns = None
         with state.lock:
             if state.history.add(entries):
                 state.update_peers()
@@ -264,15 +272,11 @@
     def _sync(self) -> None:
         state = self._state
         began_ns = time.monotonic_ns()
-        with state.lock:
-            state.sync_since_ns = began_ns
         try:
-            with state.metrics.sync_seconds.time():
+            with state.disk_work(), state.metrics.sync_seconds.time():
                 self._log.sync()
         finally:
             self._sync_ns = time.monotonic_ns() - began_ns
-            with state.lock:
-                state.sync_since_ns = None
         with state.lock:
             state.synced_index = self._log.last_index
             state.advance_commit()
--- a/dandeliondrum/consensus/tests/test_election.py
+++ b/dandeliondrum/consensus/tests/test_election.py
@@ -367,3 +367,122 @@
         command = random.Random(1).randbytes(2 * 1024 * 1024)
         assert isinstance(cluster.propose(leader, command), result.Success)
         assert cluster.node(leader).status().term == term
+
+
+LEADER = messages.ControllerId('c3')
+
+
+class Voter:
+    """A node whose disk can block, and the requests of two others to it."""
+
+    def __init__(self, folder):
+        self.disk = harness.BlockingSync()
+        self.node = consensus.Node(
+            consensus.Options(
+                messages.ControllerId('c1'),
+                harness.CELL_ID,
+                folder,
+                election_min_ms=harness.ELECTION_MIN_MS,
+                election_max_ms=harness.ELECTION_MAX_MS,
+            ),
+            harness.Machine(),
+            harness.Listener(),
+            files=self.disk,
+        )
+        self.node.start().unwrap()
+        # The last contact with a leader is counted from the start.
+        self.silence()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.disk.released.set()
+        self.node.close()
+
+    def silence(self):
+        time.sleep(1.1 * harness.ELECTION_MIN_MS / 1000)
+
+    def heartbeat(self, term):
+        return self.node.handle(
+            None,
+            _messages.AppendEntries(
+                term, LEADER, self.node.status().disk_id, 0, 0, 0
+            ),
+        )
+
+    def vote(self, term, last_term=0):
+        return self.node.handle(
+            None,
+            _messages.RequestVote(
+                term, CANDIDATE, self.node.status().disk_id, 0, last_term
+            ),
+        )
+
+
+@pytest.mark.parametrize('last_term', [0, -1])
+def test_no_heartbeat_is_confirmed_while_a_later_term_is_stored(
+    tmp_path, last_term
+):
+    """Otherwise two leaders could have a quorum at the same time.
+
+    With ``last_term`` -1 the vote is refused, and the term stored alone.
+    """
+    with Voter(tmp_path) as voter:
+        voter.heartbeat(1).result(harness.TIMEOUT_S)
+        voter.silence()
+        voter.disk.released.clear()
+        vote = voter.vote(2, last_term)
+        assert voter.disk.waiting.wait(harness.TIMEOUT_S)
+        contacts = [voter.heartbeat(1), voter.heartbeat(2)]
+        assert not any(contact.done() for contact in contacts)
+        voter.disk.released.set()
+        assert vote.result(harness.TIMEOUT_S).granted == (last_term == 0)
+        former, current = [
+            contact.result(harness.TIMEOUT_S) for contact in contacts
+        ]
+    assert (former.term, former.outcome) == (2, _messages.Outcome.OLD_TERM)
+    assert (current.term, current.outcome) == (2, _messages.Outcome.STORED)
+
+
+def test_heartbeats_are_confirmed_while_a_vote_in_their_term_is_stored(
+    tmp_path,
+):
+    with Voter(tmp_path) as voter:
+        # The term is entered without a vote.
+        assert not voter.vote(2, -1).result(harness.TIMEOUT_S).granted
+        voter.disk.released.clear()
+        vote = voter.vote(2)
+        assert voter.disk.waiting.wait(harness.TIMEOUT_S)
+        reply = voter.heartbeat(2).result(harness.TIMEOUT_S)
+        assert (reply.term, reply.outcome) == (2, _messages.Outcome.STORED)
+        assert reply.match_index == 0
+        later = voter.vote(3)
+        voter.disk.released.set()
+        assert vote.result(harness.TIMEOUT_S).granted
+        refusal = later.result(harness.TIMEOUT_S).refusal
+    assert refusal is _messages.VoteRefusal.LEADER_KNOWN
+
+
+def test_a_vote_for_a_later_term_is_refused_after_work_on_files(tmp_path):
+    """A heartbeat confirmed during the work keeps its leader in office."""
+    with Voter(tmp_path) as voter:
+        voter.heartbeat(1).result(harness.TIMEOUT_S)
+        voter.silence()
+        voter.disk.released.clear()
+        record = _records.make(1, 1, _records.EntryKind.COMMAND, b'c').record
+        stored = voter.node.handle(
+            None,
+            _messages.AppendEntries(
+                1, LEADER, voter.node.status().disk_id, 0, 0, 0, record
+            ),
+        )
+        assert voter.disk.waiting.wait(harness.TIMEOUT_S)
+        vote = voter.vote(2, 1)
+        voter.silence()
+        contact = voter.heartbeat(1).result(harness.TIMEOUT_S)
+        assert contact.outcome is _messages.Outcome.STORED
+        voter.disk.released.set()
+        refusal = vote.result(harness.TIMEOUT_S).refusal
+        assert refusal is _messages.VoteRefusal.LEADER_KNOWN
+        assert stored.result(harness.TIMEOUT_S).match_index == 1
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -1,5 +1,6 @@
 """Tests of leaders that are killed, isolated or transfer leadership."""
 
+import contextlib
 import errno
 import threading
 import time
@@ -124,6 +125,119 @@
         assert node.status().term == term
 
 
+class StallingFiles(_files.Files):
+    """Files of which one operation blocks until ``released`` is set.
+
+    ``stalled`` names the operation and the beginning of the file names.
+    """
+
+    def __init__(self, stalled):
+        self.stalled = stalled
+        self.released = threading.Event()
+        self.released.set()
+        self.waiting = threading.Event()
+
+    def _pass(self, operation, path):
+        name, prefix = self.stalled
+        if operation == name and path.name.startswith(prefix):
+            if not self.released.is_set():
+                self.waiting.set()
+            self.released.wait(harness.TIMEOUT_S)
+
+    def open_for_append(self, path):
+        self._pass('open_for_append', path)
+        return super().open_for_append(path)
+
+    def sync_folder(self, folder):
+        self._pass('sync_folder', folder)
+        super().sync_folder(folder)
+
+    def remove(self, path):
+        self._pass('remove', path)
+        super().remove(path)
+
+
+# The settings with which an operation follows soon, and the operation.
+STALLS = {
+    'new file': ({}, ('open_for_append', 'log-')),
+    'name of a new file': ({}, ('sync_folder', '')),
+    'compaction': ({'snapshot_every_entries': 3}, ('remove', 'log-')),
+}
+
+
+@contextlib.contextmanager
+def stalled_disks(cluster, leader, monkeypatch):
+    """Stall the disks of all but the leader, and wait until they are busy.
+
+    Returns the number of the next command.
+    """
+    # Each entry begins a new file of the log.
+    monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
+    disks = [cluster.files[name] for name in cluster.others(leader)]
+    for disk in disks:
+        disk.released.clear()
+    try:
+        for number in range(100):
+            cluster.node(leader).propose(b'%d' % number)
+            time.sleep(0.05)
+            if all(disk.waiting.is_set() for disk in disks):
+                break
+        assert all(disk.waiting.is_set() for disk in disks)
+        yield number + 1
+    finally:
+        for disk in disks:
+            disk.released.set()
+
+
+@pytest.mark.parametrize('stall', STALLS)
+def test_followers_that_wait_for_other_files_do_not_depose_the_leader(
+    tmp_path, monkeypatch, stall
+):
+    """Regression test: followers answered only during a sync of the log."""
+    options, operation = STALLS[stall]
+    with harness.Cluster(
+        tmp_path, election_min_ms=800, election_max_ms=1_000, **options
+    ) as cluster:
+        cluster.files = {
+            name: StallingFiles(operation) for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        node = cluster.node(leader)
+        term = node.status().term
+        with stalled_disks(cluster, leader, monkeypatch) as count:
+            time.sleep(2.5)
+            assert node.is_leading()
+            node.confirm_leadership().result(harness.TIMEOUT_S).unwrap()
+        commands = [b'%d' % number for number in range(count)]
+        cluster.wait_applied(commands)
+        assert node.status().term == term
+        assert cluster.leaders() == [leader]
+
+
+@pytest.mark.parametrize('stall', STALLS)
+def test_followers_that_wait_for_other_files_too_long_depose_the_leader(
+    tmp_path, monkeypatch, stall
+):
+    options, operation = STALLS[stall]
+    with harness.Cluster(tmp_path, **options) as cluster:
+        cluster.files = {
+            name: StallingFiles(operation) for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        node = cluster.node(leader)
+        with stalled_disks(cluster, leader, monkeypatch):
+            for name in cluster.others(leader):
+                harness.wait_for(
+                    lambda name=name: (
+                        silent_ms(cluster, leader, name) > 1_000
+                        or not cluster.leaders()
+                    ),
+                    f'the silence of {name}',
+                )
+            harness.wait_for(lambda: not node.is_leading(), 'no leader')
+        cluster.propose(cluster.leader(), b'after').unwrap()
+
+
 def test_a_leader_is_elected_on_disks_slower_than_an_election(tmp_path):
     with harness.Cluster(
         tmp_path, election_min_ms=600, election_max_ms=1_200
@@ -204,6 +318,33 @@
         cluster.wait_applied([b'0', b'2'])
 
 
+def test_a_leader_whose_disk_stalls_at_a_compaction_is_replaced(
+    tmp_path, monkeypatch
+):
+    """Regression test: nothing was committed until the disk went on."""
+    monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
+    options, operation = STALLS['compaction']
+    with harness.Cluster(tmp_path, **options) as cluster:
+        cluster.files = {
+            name: StallingFiles(operation) for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        disk = cluster.files[leader]
+        disk.released.clear()
+        try:
+            node = cluster.node(leader)
+            for _ in range(100):
+                node.propose(b'before')
+                if disk.waiting.wait(0.05):
+                    break
+            assert disk.waiting.is_set()
+            successor = cluster.leader(among=cluster.others(leader))
+            cluster.propose(successor, b'after').unwrap()
+        finally:
+            disk.released.set()
+        assert cluster.machine(successor).commands[-1] == b'after'
+
+
 def silent_ms(cluster, leader, name):
     """Return how long a member has been silent according to the leader."""
     members = cluster.node(leader).status().members
