Answer heartbeats while a follower's log is truncated or replaced

Not only its writer but every thread that receives a heartbeat waited for the disk.

Ruled out: the lock is not needed for the files. Only the writer modifies the log, and the log has a lock for its entries in memory. The membership and the synced index are changed just before a truncation; no reader uses the truncated entries, as they are not committed and this node does not lead.

The order of the work on files is the same.

--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -302,11 +302,12 @@
             f'committed entry {index} would be truncated',
         )
         with state.lock:
-            self._log.truncate_from(index)
             state.synced_index = min(state.synced_index, index - 1)
             if state.history.truncate_from(index):
                 state.update_peers()
                 state.wake_peers()
+        with state.disk_work():
+            self._log.truncate_from(index)
 
     def _make_append_reply(
         self, outcome: _messages.Outcome, match_index: int
--- a/dandeliondrum/consensus/_snapshot_receiver.py
+++ b/dandeliondrum/consensus/_snapshot_receiver.py
@@ -35,7 +35,8 @@
         expected = (self._receiving_index, self._received_bytes)
         if (message.index, message.offset_bytes) != expected:
             return self.make_reply(_messages.Outcome.MISMATCH)
-        self._snapshots.write_part(message.offset_bytes, message.data)
+        with self._state.disk_work():
+            self._snapshots.write_part(message.offset_bytes, message.data)
         self._received_bytes += len(message.data)
         if self._received_bytes < message.length_bytes:
             return self.make_reply(_messages.Outcome.STORED)
@@ -45,18 +46,21 @@
         state = self._state
         if self._receiving_index <= state.commit_index:
             return self.make_reply(_messages.Outcome.STORED)
-        snapshot = self._snapshots.install_received()
+        with state.disk_work():
+            snapshot = self._snapshots.install_received()
         if snapshot is None:
             self._received_bytes = 0
             return self.make_reply(_messages.Outcome.MISMATCH)
         head = snapshot.head
+        is_in_log = state.log.term_at(head.index) == head.term
+        if not is_in_log:
+            with state.disk_work():
+                state.log.reset(head.index, head.term)
         with state.lock:
-            if self._state.log.term_at(head.index) == head.term:
-                self._state.log.compact(head.index)
+            if is_in_log:
                 # Later entries of this batch of work may not be synced yet.
                 state.synced_index = max(state.synced_index, head.index)
             else:
-                self._state.log.reset(head.index, head.term)
                 state.synced_index = head.index
                 state.history = _membership.MembershipHistory(
                     head.index, head.membership
@@ -66,6 +70,10 @@
             state.snapshot_to_restore = snapshot
             state.update_peers()
             state.notify_all_threads()
+        if is_in_log:
+            # The applier no longer reads entries that the snapshot covers.
+            with state.disk_work():
+                state.log.compact(head.index)
         _logger.info('snapshot installed', index=head.index)
         return self.make_reply(_messages.Outcome.STORED)
 
--- a/dandeliondrum/consensus/tests/harness.py
+++ b/dandeliondrum/consensus/tests/harness.py
@@ -179,6 +179,38 @@
         super().sync(descriptor)
 
 
+class StallingFiles(_files.Files):
+    """Files of which one operation blocks until ``released`` is set.
+
+    ``stalled`` names the operation and the beginning of the file names.
+    """
+
+    def __init__(self, stalled):
+        self.stalled = stalled
+        self.released = threading.Event()
+        self.released.set()
+        self.waiting = threading.Event()
+
+    def _pass(self, operation, path):
+        name, prefix = self.stalled
+        if operation == name and path.name.startswith(prefix):
+            if not self.released.is_set():
+                self.waiting.set()
+            self.released.wait(TIMEOUT_S)
+
+    def open_for_append(self, path):
+        self._pass('open_for_append', path)
+        return super().open_for_append(path)
+
+    def sync_folder(self, folder):
+        self._pass('sync_folder', folder)
+        super().sync_folder(folder)
+
+    def remove(self, path):
+        self._pass('remove', path)
+        super().remove(path)
+
+
 @dataclasses.dataclass
 class RunningNode:
     """A started node with its state machine, listener and server."""
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -125,38 +125,6 @@
         assert node.status().term == term
 
 
-class StallingFiles(_files.Files):
-    """Files of which one operation blocks until ``released`` is set.
-
-    ``stalled`` names the operation and the beginning of the file names.
-    """
-
-    def __init__(self, stalled):
-        self.stalled = stalled
-        self.released = threading.Event()
-        self.released.set()
-        self.waiting = threading.Event()
-
-    def _pass(self, operation, path):
-        name, prefix = self.stalled
-        if operation == name and path.name.startswith(prefix):
-            if not self.released.is_set():
-                self.waiting.set()
-            self.released.wait(harness.TIMEOUT_S)
-
-    def open_for_append(self, path):
-        self._pass('open_for_append', path)
-        return super().open_for_append(path)
-
-    def sync_folder(self, folder):
-        self._pass('sync_folder', folder)
-        super().sync_folder(folder)
-
-    def remove(self, path):
-        self._pass('remove', path)
-        super().remove(path)
-
-
 # The settings with which an operation follows soon, and the operation.
 STALLS = {
     'new file': ({}, ('open_for_append', 'log-')),
@@ -199,7 +167,7 @@
         tmp_path, election_min_ms=800, election_max_ms=1_000, **options
     ) as cluster:
         cluster.files = {
-            name: StallingFiles(operation) for name in cluster.names
+            name: harness.StallingFiles(operation) for name in cluster.names
         }
         leader = cluster.bootstrap()
         node = cluster.node(leader)
@@ -221,7 +189,7 @@
     options, operation = STALLS[stall]
     with harness.Cluster(tmp_path, **options) as cluster:
         cluster.files = {
-            name: StallingFiles(operation) for name in cluster.names
+            name: harness.StallingFiles(operation) for name in cluster.names
         }
         leader = cluster.bootstrap()
         node = cluster.node(leader)
@@ -326,7 +294,7 @@
     options, operation = STALLS['compaction']
     with harness.Cluster(tmp_path, **options) as cluster:
         cluster.files = {
-            name: StallingFiles(operation) for name in cluster.names
+            name: harness.StallingFiles(operation) for name in cluster.names
         }
         leader = cluster.bootstrap()
         disk = cluster.files[leader]
