Process the answers to heartbeats beside the calls in flight in any order

What callers saw: a leader stepped down ("no quorum answers") while its only other voter synced its log for 0.9 s, although that voter answers heartbeats meanwhile: test_a_founder_that_another_one_has_overtaken_commits_nothing, 1 of 1 run of all tests of consensus on at a load of 42 on 8 cores (NOT_LEADING, "slow batch", sync_ms 899); it passed in the two runs after, one of them before this change.

Cause, read and shown by a test, not shown for that run: a heartbeat that reaches the writer just before it begins work on files is answered after it. The leader processed the answers of these heartbeats in the order of sending, so the answers to all later ones waited for that one, until it timed out after the shortest election timeout and the connection was replaced, on which the same could happen again.

Evidence: test_followers_that_answer_one_heartbeat_late_do_not_depose_the_ leader withholds one such answer on each connection during a sync.

Change: an answered heartbeat counts at once, and those sent before it are dropped, as their answers tell no more. The order of the other calls is as before: their answers tell what is stored.

Ruled out: answering what waits for the writer when it begins work on files: it would have to tell heartbeats from the other requests of the batch, whose order matters.

--- a/dandeliondrum/consensus/_pipeline.py
+++ b/dandeliondrum/consensus/_pipeline.py
@@ -4,7 +4,8 @@
 takes one round trip and not two. Replies are processed in the order of the
 calls. After a failed call the remaining ones are abandoned and their entries
 sent again. Heartbeats that are sent beside as many calls as may be in flight
-are the exception: their replies only show that the peer follows.
+are the exception: their replies only show that the peer follows, and are
+processed in any order.
 """
 
 import collections
@@ -74,7 +75,7 @@
         """Return whether an oldest call is answered or has timed out."""
         return (
             _has_answer(self._in_flight)
-            or _has_answer(self._heartbeats)
+            or any(call.reply.done() for call in self._heartbeats)
             or self._has_timed_out()
         )
 
@@ -129,8 +130,8 @@
         while self.has_finished_call():
             if _has_answer(self._in_flight):
                 call, handle = self._in_flight.popleft(), self._handle_reply
-            elif _has_answer(self._heartbeats):
-                call, handle = self._heartbeats.popleft(), self._handle_contact
+            elif (answered := self._pop_heartbeat()) is not None:
+                call, handle = answered, self._handle_contact
             else:
                 self.abort()
                 return False
@@ -143,6 +144,17 @@
                 return False
         return True
 
+    def _pop_heartbeat(self) -> _InFlightCall | None:
+        """Remove and return the newest heartbeat that is answered.
+
+        Earlier ones are removed as well: their answers tell no more, and may
+        come late, if they reached the peer's writer before it was busy.
+        """
+        answered = None
+        while any(call.reply.done() for call in self._heartbeats):
+            answered = self._heartbeats.popleft()
+        return answered
+
     def abort(self) -> None:
         """Abandon all calls in flight and close the connection.
 
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -1,5 +1,7 @@
 """Tests of leaders that are killed, isolated or transfer leadership."""
 
+import collections
+import concurrent.futures
 import contextlib
 import errno
 import threading
@@ -125,6 +127,62 @@
         assert node.status().term == term
 
 
+class LateAnswers(harness.Cluster):
+    """Cluster whose stalled followers answer some heartbeats late.
+
+    Such a heartbeat has reached the writer before the stall. With each
+    connection it is one of the first beside the calls in flight.
+    """
+
+    def on_call(self, name, node):
+        handled_counts = collections.Counter()
+
+        def handle(connection, message):
+            reply = node.handle(connection, message)
+            disk = self.files[name]
+            if disk.waiting.is_set() and not disk.released.is_set():
+                handled_counts[connection] += 1
+                if handled_counts[connection] == LATE_POSITION:
+                    return concurrent.futures.Future()
+            return reply
+
+        return handle
+
+
+# The first two calls of a connection wait for the disk.
+LATE_POSITION = 3
+
+
+def test_followers_that_answer_one_heartbeat_late_do_not_depose_the_leader(
+    tmp_path,
+):
+    """Regression test: later answers to heartbeats waited for that one."""
+    with LateAnswers(
+        tmp_path, heartbeat_ms=150, election_min_ms=800, election_max_ms=1_000
+    ) as cluster:
+        cluster.files = {
+            name: harness.BlockingSync() for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        node = cluster.node(leader)
+        disks = [cluster.files[name] for name in cluster.others(leader)]
+        for disk in disks:
+            disk.released.clear()
+        try:
+            node.propose(b'0')
+            for disk in disks:
+                assert disk.waiting.wait(harness.TIMEOUT_S)
+            end_s = time.monotonic() + 3
+            while time.monotonic() < end_s:
+                time.sleep(0.01)
+                assert node.is_leading()
+        finally:
+            for disk in disks:
+                disk.released.set()
+        cluster.wait_applied([b'0'])
+        assert cluster.leaders() == [leader]
+
+
 # The settings with which an operation follows soon, and the operation.
 STALLS = {
     'new file': ({}, ('open_for_append', 'log-')),
