Give a leader that compacts its log as long as a follower

What callers saw, in a trial: a change got 502 no_reply.

Change: four of the longest election timeouts for a compaction, as for a follower. A leader whose compaction hangs is still replaced, and the bound for writing and syncing entries is as it was.

Ruled out: removing files in another thread.

Measured: test_a_leader_that_compacts_slowly_is_not_replaced fails with the bound of two timeouts and passes with four. test_failover.py and test_early_replies.py pass at a load of 80.

--- a/dandeliondrum/consensus/_election.py
+++ b/dandeliondrum/consensus/_election.py
@@ -129,7 +129,7 @@
         )
         silent_ns = now_ns - self._contact_ns()
         is_silent = silent_ns > limit_ns and not self._may_have_unhandled()
-        is_stalled = state.disk_work_exceeds(_state.LEADER_DISK_FACTOR)
+        is_stalled = state.is_leader_disk_stalled()
         if is_silent or is_stalled:
             why = 'disk stalled' if is_stalled else 'no quorum answers'
             _logger.warning(why, term=state.term)
--- a/dandeliondrum/consensus/_state.py
+++ b/dandeliondrum/consensus/_state.py
@@ -34,8 +34,11 @@
 # ``election_max_ms`` was brief.
 BRIEF_LEADER_FACTOR = 8
 # A leader whose disk takes longer than this multiple of ``election_max_ms``
-# for one piece of work steps down, since it can't commit anything.
+# to write or sync entries steps down, since it can't commit anything.
 LEADER_DISK_FACTOR = 2
+# The same for a compaction, which delays commits no longer than an election
+# would.
+LEADER_COMPACTION_FACTOR = 4
 # A follower whose disk takes longer than this multiple of ``election_max_ms``
 # no longer counts as reachable.
 FOLLOWER_DISK_FACTOR = 4
@@ -76,6 +79,7 @@
         self.queued_proposals_count = 0
         self.writer_busy = False
         self._disk_work_since_ns: int | None = None
+        self._leader_disk_factor = LEADER_DISK_FACTOR
         self.role_events: queue.Queue[_work_items.RoleEvent | None] = (
             queue.Queue()
         )
@@ -334,14 +338,18 @@
         return sorted(values, reverse=True)[quorum - 1]
 
     @contextlib.contextmanager
-    def disk_work(self) -> collections.abc.Iterator[None]:
+    def disk_work(
+        self, leader_factor: int = LEADER_DISK_FACTOR
+    ) -> collections.abc.Iterator[None]:
         """Mark that the writer thread works on files, and on nothing else.
 
         No later term may be entered within, and no vote granted in one:
-        heartbeats of the current term are answered meanwhile. Acquires the
-        lock itself, and does not hold it during the work.
+        heartbeats of the current term are answered meanwhile. A leader steps
+        down after ``leader_factor`` times the longest election timeout.
+        Acquires the lock itself, and does not hold it during the work.
         """
         with self.lock:
+            self._leader_disk_factor = leader_factor
             self._disk_work_since_ns = time.monotonic_ns()
         try:
             yield
@@ -353,6 +361,10 @@
         """Return whether the writer thread works on files only."""
         return self._disk_work_since_ns is not None
 
+    def is_leader_disk_stalled(self) -> bool:
+        """Return whether work on files takes too long for a leader."""
+        return self.disk_work_exceeds(self._leader_disk_factor)
+
     def disk_work_exceeds(self, factor: int) -> bool:
         """Return whether work on files takes longer than expected.
 
--- a/dandeliondrum/consensus/_writer.py
+++ b/dandeliondrum/consensus/_writer.py
@@ -161,7 +161,9 @@
                 case _work_items.ObserveTerm(term):
                     self._observe_term(term)
                 case _work_items.Compact(index):
-                    with self._state.disk_work():
+                    with self._state.disk_work(
+                        _state.LEADER_COMPACTION_FACTOR
+                    ):
                         self._log.compact(index)
         if proposals:
             self._append(proposals)
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -371,6 +371,34 @@
         assert cluster.machine(successor).commands[-1] == b'after'
 
 
+def test_a_leader_that_compacts_slowly_is_not_replaced(tmp_path, monkeypatch):
+    """Regression test: a compaction of 2.7 s cost it its role."""
+    monkeypatch.setattr(_options, 'SEGMENT_BYTES_MAX', 1)
+    options, operation = STALLS['compaction']
+    with harness.Cluster(tmp_path, **options) as cluster:
+        cluster.files = {
+            name: harness.StallingFiles(operation) for name in cluster.names
+        }
+        leader = cluster.bootstrap()
+        node = cluster.node(leader)
+        term = node.status().term
+        disk = cluster.files[leader]
+        disk.released.clear()
+        try:
+            for _ in range(100):
+                node.propose(b'before')
+                if disk.waiting.wait(0.05):
+                    break
+            assert disk.waiting.is_set()
+            last = node.propose(b'last')
+            time.sleep(3 * harness.ELECTION_MAX_MS / 1000)
+        finally:
+            disk.released.set()
+        last.result(harness.TIMEOUT_S).unwrap()
+        assert node.status().term == term
+        assert cluster.leaders() == [leader]
+
+
 def silent_ms(cluster, leader, name):
     """Return how long a member has been silent according to the leader."""
     members = cluster.node(leader).status().members
