--- a/dandeliondrum/consensus/_request_handler.py
+++ b/dandeliondrum/consensus/_request_handler.py
@@ -288,7 +288,8 @@
             new_entries[0].index == self._log.last_index + 1,
             'gap between the log and new entries',
         )
-        self._log.append(new_entries)
+        with state.disk_work():
+            self._log.append(new_entries)
         with state.lock:
             if state.history.add(new_entries):
                 state.update_peers()
@@ -301,11 +302,12 @@
             f'committed entry {index} would be truncated',
         )
         with state.lock:
-            self._log.truncate_from(index)
             state.synced_index = min(state.synced_index, index - 1)
             if state.history.truncate_from(index):
                 state.update_peers()
                 state.wake_peers()
+        with state.disk_work():
+            self._log.truncate_from(index)
 
     def _make_append_reply(
         self, outcome: _messages.Outcome, match_index: int
