Record each process that a test launches, and what is sent to it

A test could tell what became of the last process of a name only. A successor may be launched beside a process that still runs; it has log files of its own.

dandeliondrum/testing/tests pass: `pytest -n 2 dandeliondrum/testing`.

--- a/dandeliondrum/testing/_processes.py
+++ b/dandeliondrum/testing/_processes.py
@@ -16,6 +16,7 @@
 
 from dandeliondrum.testing import _fake_gateway
 from dandeliondrum.testing import _history
+from dandeliondrum.testing import _lives
 from dandeliondrum import transport
 from dandeliondrum import worker
 
@@ -88,7 +89,9 @@
         self._folder = pathlib.Path(log_folder)
         self._resources = contextlib.ExitStack()
         self._programs: dict[str, Program] = {}
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        # The last process of each name, and all of them.
+        self._current: dict[str, _lives.Life] = {}
+        self._lives: list[_lives.Life] = []
         self._frozen_since_ms: dict[str, float] = {}
         self._outages: list[_history.Outage] = []
 
@@ -103,8 +106,8 @@
     def kill_all(self) -> None:
         """Kill all processes that still run."""
         with contextlib.ExitStack() as kills:
-            for name in list(self._processes):
-                kills.callback(self.kill, name)
+            for life in self.lives:
+                kills.callback(self._kill, life)
 
     def start(self, name: str, program: Program) -> None:
         """Start a process and wait until it is ready.
@@ -115,20 +118,47 @@
         self.launch(name, program)
         self.wait_ready(name)
 
-    def launch(self, name: str, program: Program) -> None:
-        """Start a process without waiting until it is ready."""
-        if self.is_running(name):
+    def launch(
+        self, name: str, program: Program, *, beside: bool = False
+    ) -> _lives.Life:
+        """Start a process without waiting until it is ready.
+
+        With ``beside`` its predecessor may still run. It then has log files
+        of its own.
+        """
+        is_beside = self.is_running(name)
+        if is_beside and not beside:
             raise ProcessError(f'{name} is already running')
-        with open(self._log_path(name, 'out'), 'ab') as out:
-            with open(self._log_path(name, 'err'), 'ab') as err:
-                self._processes[name] = subprocess.Popen(
-                    program.arguments,
-                    stdin=subprocess.DEVNULL,
-                    stdout=out,
-                    stderr=err,
-                    env={**os.environ, **dict(program.environment)},
-                )
+        number = len(self._lives)
+        log_name = f'{name}.{number}' if is_beside else name
+        paths = [self._log_path(log_name, kind) for kind in ('out', 'err')]
+        with open(paths[0], 'ab') as out, open(paths[1], 'ab') as err:
+            logs = tuple((path, path.stat().st_size) for path in paths)
+            process = subprocess.Popen(
+                program.arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                env={**os.environ, **dict(program.environment)},
+            )
+        life = _lives.Life(name, number, process, logs)
+        self._current[name] = life
+        self._lives.append(life)
         self._programs[name] = program
+        return life
+
+    def relaunch(self, name: str, *, beside: bool = False) -> _lives.Life:
+        """Start a process again, with the same program, without waiting."""
+        return self.launch(name, self._programs[name], beside=beside)
+
+    def life(self, name: str) -> _lives.Life:
+        """Return the last process of a name."""
+        return self._current[name]
+
+    @property
+    def lives(self) -> tuple[_lives.Life, ...]:
+        """All processes so far."""
+        return tuple(self._lives)
 
     def wait_ready(
         self, name: str, timeout_ms: int = READY_TIMEOUT_MS
@@ -150,20 +180,15 @@
 
     def kill(self, name: str) -> None:
         """Kill a process, if it runs, and wait for its end."""
-        process = self._processes[name]
-        if process.poll() is not None:
-            return
-        process.kill()
-        process.wait()
-        self._record_end(name)
+        self._kill(self._current[name])
 
     def kill_together(self, names: collections.abc.Iterable[str]) -> None:
         """Kill processes at the same moment and wait for their end."""
         chosen = [name for name in names if self.is_running(name)]
         for name in chosen:
-            self._processes[name].send_signal(signal.SIGKILL)
+            self._current[name].send(signal.SIGKILL)
         for name in chosen:
-            self._processes[name].wait()
+            self._current[name].process.wait()
             self._record_end(name)
 
     def freeze(self, name: str) -> None:
@@ -193,7 +218,7 @@
         Raises ProcessError if it does not end within the timeout.
         """
         process = self._running_process(name)
-        process.terminate()
+        self._current[name].send(signal.SIGTERM)
         try:
             return process.wait(timeout_ms / 1000)
         except subprocess.TimeoutExpired:
@@ -203,16 +228,16 @@
 
     def is_running(self, name: str) -> bool:
         """Return whether a process runs; a frozen one counts as running."""
-        process = self._processes.get(name)
-        return process is not None and process.poll() is None
+        life = self._current.get(name)
+        return life is not None and life.is_running
 
     def exit_code(self, name: str) -> int | None:
         """Return the exit code of a process; None while it runs."""
-        return self._processes[name].poll()
+        return self._current[name].process.poll()
 
     def id_of(self, name: str) -> int:
         """Return the process id."""
-        return self._processes[name].pid
+        return self._current[name].process.pid
 
     @property
     def outages(self) -> tuple[_history.Outage, ...]:
@@ -234,12 +259,18 @@
     def describe(self) -> str:
         """Return the state of each process with the end of its log."""
         descriptions = []
-        for name, process in self._processes.items():
-            code = process.poll()
+        for name, life in self._current.items():
+            code = life.process.poll()
             state = 'running' if code is None else f'ended with {code}'
             descriptions.append(f'{name} {state}: {self.log_tail(name)}')
         return '\n'.join(descriptions)
 
+    def _kill(self, life: _lives.Life) -> None:
+        if life.is_running:
+            life.send(signal.SIGKILL)
+            life.process.wait()
+            self._record_end(life.name)
+
     def _record_end(self, name: str) -> None:
         self._record_freeze(name)
         now_ms = worker.now_ms()
@@ -273,7 +304,7 @@
     def _running_process(self, name: str) -> subprocess.Popen[bytes]:
         if not self.is_running(name):
             raise ProcessError(f'{name} is not running')
-        return self._processes[name]
+        return self._current[name].process
 
     def _log_path(self, name: str, kind: str) -> pathlib.Path:
         return self._folder / f'{name}.{kind}'
