Disturb the starts of processes in the soak

Cause of the miss: the soak sent no SIGHUP, stopped and killed processes only after their start, took no ports, wrote no settings in parts, and looked at exit codes only after a stop of its own.

In every soak, an end without a signal of the soak, a stop with another code than 0 or after 8 s, no 'started' line within 30 s, and lines about an end are violations. The platform cell runs the programs as the deploy file does, with -S.

--- a/dandeliondrum/testing/_platform_cell.py
+++ b/dandeliondrum/testing/_platform_cell.py
@@ -8,6 +8,7 @@
 import shutil
 import sys
 import threading
+import time
 
 from dandeliondrum import messages
 from dandeliondrum.testing import _fake_job_workers
@@ -300,6 +301,39 @@
             for name, settings in self._written.items():
                 self._write_settings(name, settings)
 
+    def ports(self, name: str) -> tuple[str, str]:
+        """Return the addresses that a process needs for its start."""
+        with self._lock:
+            settings = self._written[name]
+        if 'Listen.Front' in settings:
+            return settings['Listen.Ready'], settings['Listen.Front']
+        stream_address = f'{settings["Ip"]}:{self._stream_port}'
+        return stream_address, settings['Listen.Control']
+
+    def write_settings_slowly(
+        self,
+        name: str,
+        numbers: collections.abc.Iterable[int],
+        cuts: collections.abc.Sequence[tuple[float, float]],
+    ) -> None:
+        """Write other seeds to the settings of a process, in place.
+
+        Each of ``cuts`` is a share of the text, after which the writer pauses
+        for so many seconds. Processes launched later get the same seeds.
+        """
+        with self._lock:
+            self._seeds = [self.control[number] for number in numbers]
+            text = self._settings_text(self._written[name])
+        with open(self._folder / f'{name}.conf', 'w') as settings:
+            begin = 0
+            for share, pause_s in cuts:
+                end = int(share * len(text))
+                settings.write(text[begin:end])
+                settings.flush()
+                time.sleep(pause_s)
+                begin = end
+            settings.write(text[begin:])
+
     def put_document(
         self, body: bytes, number: int = 0, timeout_ms: int = CALL_TIMEOUT_MS
     ) -> int:
@@ -401,7 +435,7 @@
         with self._lock:
             self._written[name] = settings
             path = self._write_settings(name, settings)
-        program = slowed or ('-m', 'dandeliondrum.platform', role)
+        program = slowed or ('-S', '-m', 'dandeliondrum.platform', role)
         self.processes.launch(
             name,
             _processes.Program(
@@ -421,14 +455,15 @@
         The caller holds the lock.
         """
         path = self._folder / f'{name}.conf'
-        lines = {**settings, 'Seeds': ','.join(self._seeds)}
         written = path.with_suffix('.new')
-        written.write_text(
-            ''.join(f'{key}={value}\n' for key, value in lines.items())
-        )
+        written.write_text(self._settings_text(settings))
         written.replace(path)
         return path
 
+    def _settings_text(self, settings: dict[str, str]) -> str:
+        lines = {**settings, 'Seeds': ','.join(self._seeds)}
+        return ''.join(f'{key}={value}\n' for key, value in lines.items())
+
 
 def make_workers(
     count: int, capacity: messages.Resources, run_ms: int
--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -7,13 +7,15 @@
 reset, cut in one direction or silenced. The faults are drawn from one seed.
 Some jobs may crash the workers that start them, and the capacity of workers
 may shrink for a while. Operators may evacuate failure domains, and clients
-that nobody controls may press at a port. Between the faults, the cell may be
-overloaded for a while.
+that nobody controls may press at a port. Starts may be disturbed by signals,
+ports that are taken and settings that are written slowly. Between the faults,
+the cell may be overloaded for a while.
 """
 
 import concurrent.futures
 import contextlib
 import dataclasses
+import math
 import pathlib
 import threading
 import time
@@ -24,6 +26,7 @@
 from dandeliondrum.testing import _processes
 from dandeliondrum.testing import _soak_callers
 from dandeliondrum.testing import _soak_checker
+from dandeliondrum.testing import _soak_exits
 from dandeliondrum.testing import _soak_faults
 from dandeliondrum.testing import _soak_overload
 from dandeliondrum.testing import _soak_reports
@@ -45,6 +48,8 @@
 # Workers belong to these in turn if there are evacuations.
 FAILURE_DOMAINS = ('d1', 'd2', 'd3')
 EVENTS_FILE = 'events.log'
+# Disturbed starts overlap with each other and with the other faults.
+STARTS_AT_ONCE = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +64,8 @@
     overload. A seed draws the same faults as before these were
     added if they are off. ``deadly_share`` is the share of jobs that crash
     the workers that start them. With ``uneven`` every fourth worker is slow.
-    With ``power`` killed controllers lose what they have not synced.
+    With ``power`` killed controllers lose what they have not synced. With
+    ``starts`` starts of processes are disturbed.
     """
 
     seed: int
@@ -75,6 +81,7 @@
     deadly_share: float = 0
     uneven: bool = False
     power: bool = False
+    starts: bool = False
     size: _soak_size.SoakSize = _soak_size.SIZES['small']
 
 
@@ -89,6 +96,7 @@
     starts_count: int
     crashes_count: int
     overload: _soak_overload.OverloadFigures | None
+    exits: _soak_exits.ExitFigures
 
 
 def run_soak(options: SoakOptions) -> SoakOutcome:
@@ -152,6 +160,12 @@
         self._workers = workers
         self._checker = checker
         self._stopping = threading.Event()
+        self._exits = _soak_exits.ExitChecker(
+            cell.processes,
+            checker,
+            # Controllers that lose power import other modules first.
+            math.inf if options.power else _soak_exits.HANDLERS_CPU_MS_MAX,
+        )
         self._callers = _soak_callers.SoakCallers(
             cell,
             checker,
@@ -167,7 +181,8 @@
             workers,
             checker,
             options.seed,
-            options.size.faults_at_once,
+            options.size.faults_at_once
+            + (STARTS_AT_ONCE if options.starts else 0),
             options.links,
             options.series,
             options.shrinks,
@@ -175,6 +190,7 @@
             options.evacuations,
             options.crowds,
             options.power,
+            self._exits if options.starts else None,
         )
         self._overload: _soak_overload.OverloadFigures | None = None
 
@@ -189,13 +205,15 @@
                 size.faults_at_once
                 + size.callers_count
                 + size.workers_count
-                + 2
+                + 3
+                + STARTS_AT_ONCE
             )
         )
         resources.callback(self._callers.stop)
         resources.callback(self._stopping.set)
         background = [
             executor.submit(self._advance_workers),
+            executor.submit(self._exits.run, self._stopping),
             *(
                 executor.submit(self._reporter.run, number)
                 for number in range(size.workers_count)
@@ -219,6 +237,8 @@
         self._stopping.set()
         for task in background:
             task.result()
+        self._exits.look()
+        self._exits.check_logs(self._options.folder)
         return self._outcome()
 
     def _disturb(
@@ -254,6 +274,7 @@
             self._checker.starts_count,
             self._checker.crashes_count,
             self._overload,
+            self._exits.figures(),
         )
 
     def _wait_until_serving(self) -> bool:
@@ -286,7 +307,15 @@
         f'{outcome.jobs_count} jobs accepted, {outcome.starts_count} starts, '
         f'{outcome.crashes_count} crashes and restarts of workers'
     )
+    exits = outcome.exits
     lines = [summary, *(f'  {one}' for one in outcome.violations)]
+    if exits.handlers_count:
+        lines.append(
+            f'  {exits.launches_count} launches, {exits.killed_count} killed, '
+            f'{exits.stopped_count} stopped, {exits.hang_ups_count} SIGHUPs; '
+            'handlers after min, median, max '
+            f'{exits.handlers_ms} ms of {exits.handlers_count} launches'
+        )
     if outcome.overload is not None:
         lines.append(f'  {outcome.overload}')
     return '\n'.join(lines)
--- a/dandeliondrum/testing/_soak_faults.py
+++ b/dandeliondrum/testing/_soak_faults.py
@@ -15,6 +15,8 @@
 from dandeliondrum.testing import _soak_callers
 from dandeliondrum.testing import _soak_checker
 from dandeliondrum.testing import _soak_crowds
+from dandeliondrum.testing import _soak_exits
+from dandeliondrum.testing import _soak_starts
 
 FAULT_INTERVAL_S = (0.2, 1.5)
 FAULT_DURATION_S = (0.2, 3.5)
@@ -35,6 +37,7 @@
 RECUT_SHARE = 0.25
 EVACUATION_SHARE = 0.2
 CROWD_SHARE = 0.3
+STARTS_SHARE = 0.75
 # Longer than EVACUATION_GRACE_S of the checker, so that it is checked.
 EVACUATION_DURATION_S = (6.0, 15.0)
 # Operators send an order again after this time without an answer, at most for
@@ -63,7 +66,8 @@
     ``evacuations`` operators evacuate failure domains for a while, and with
     ``crowds`` clients that nobody controls press at a port; a seed draws the
     same faults as before these were added if they are off. With ``power``
-    killed controllers lose what they have not synced.
+    killed controllers lose what they have not synced. With ``starts`` starts
+    of processes are disturbed.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         evacuations: bool = False,
         crowds: bool = False,
         power: bool = False,
+        starts: _soak_exits.ExitChecker | None = None,
     ) -> None:
         self._cell = cell
         self._workers = workers
@@ -96,6 +101,13 @@
         self.names: list[str] = []
         self._reserved_names: set[str] = set()
         self._lock = threading.Lock()
+        self._starts = (
+            None
+            if starts is None
+            else _soak_starts.DisturbedStarts(
+                cell, checker, starts, self._reserve, self._end, not power
+            )
+        )
 
     def inject(
         self, executor: concurrent.futures.ThreadPoolExecutor, length_s: float
@@ -128,7 +140,9 @@
 
     def draw(self) -> tuple[Fault, float]:
         """Draw the next fault and the time until the one after it."""
-        if self._shrinks and self._rng.random() < SHRINKAGE_SHARE:
+        if self._starts is not None and self._rng.random() < STARTS_SHARE:
+            fault = self._starts.draw(self._rng)
+        elif self._shrinks and self._rng.random() < SHRINKAGE_SHARE:
             fault = self._draw_shrinkage()
         elif self._recuts and self._rng.random() < RECUT_SHARE:
             fault = self._draw_recut()
@@ -435,6 +449,7 @@
             self._cell.processes.kill(name)
             return
         number = names.index(name)
+        self._cell.processes.life(name).may_be_killed = True
         self._cell.aim(number, 1)
         end_s = time.monotonic() + CUT_AIM_S
         while (
--- a/dandeliondrum/testing/soak.py
+++ b/dandeliondrum/testing/soak.py
@@ -34,6 +34,7 @@
     deadly: float = 0,
     uneven: bool = False,
     power: bool = False,
+    starts: bool = False,
     folder: str = '',
 ) -> None:
     """Run soaks with consecutive seeds; exit with code 1 if one failed.
@@ -49,7 +50,8 @@
     at ports of gateways and controllers; ``deadly`` is the share of jobs that
     crash the workers that start them; with ``uneven`` every fourth worker
     takes more than twice as long; with ``power`` killed controllers lose what
-    they have not synced. Half-way, the cell is held over its capacity
+    they have not synced; with ``starts`` starts of processes are disturbed by
+    signals, ports and settings. Half-way, the cell is held over its capacity
     for ``overload`` seconds, for which ``small`` has too few gateways.
     """
     if size not in _soak_size.SIZES:
@@ -82,6 +84,7 @@
             deadly_share=deadly,
             uneven=uneven,
             power=power,
+            starts=starts,
             size=chosen,
         )
         outcome = _soak.run_soak(options)
