Give large soaks time in proportion for the starts of their processes

All processes of a soak start on one machine, at its opening and when a role is launched together. The bound for a start was 30 s whatever their number. It is now 1 s longer for each process, as the time for the opening of a soak is already.

--- a/dandeliondrum/testing/_soak.py
+++ b/dandeliondrum/testing/_soak.py
@@ -165,6 +165,7 @@
             checker,
             # Controllers that lose power import other modules first.
             math.inf if options.power else _soak_exits.HANDLERS_CPU_MS_MAX,
+            options.size.processes_count,
         )
         self._callers = _soak_callers.SoakCallers(
             cell,
--- a/dandeliondrum/testing/_soak_exits.py
+++ b/dandeliondrum/testing/_soak_exits.py
@@ -16,8 +16,10 @@
 # shares its machine with all of them.
 GRACE_S = 6.0
 GRACE_ALLOWANCE_S = 2.0
-# A start waits for 10 s for a resource; the rest is for the start itself.
+# A start waits for 10 s for a resource; the rest is for the start itself, and
+# for the others that start at the same time.
 START_MAX_S = 10.0 + 20.0
+START_PER_PROCESS_S = 1.0
 # Until it has handlers, a signal ends a process. The interpreter takes about
 # 20 ms of CPU time by itself, the imports of a program 500 ms.
 HANDLERS_CPU_MS_MAX = 200
@@ -60,9 +62,11 @@
         processes: _processes.Processes,
         checker: _soak_checker.InvariantChecker,
         handlers_cpu_ms_max: float = HANDLERS_CPU_MS_MAX,
+        processes_count: int = 0,
     ) -> None:
         self._processes = processes
         self._handlers_cpu_ms_max = handlers_cpu_ms_max
+        self._start_max_s = START_MAX_S + START_PER_PROCESS_S * processes_count
         self._checker = checker
         self._lock = threading.Lock()
         self._ended: set[int] = set()
@@ -99,7 +103,7 @@
         A signal before that would end the interpreter.
         """
         was_without = False
-        end_s = time.monotonic() + START_MAX_S
+        end_s = time.monotonic() + self._start_max_s
         while life.is_running and time.monotonic() < end_s:
             cpu_ms = life.cpu_ms()
             if life.has_handlers():
@@ -130,7 +134,7 @@
     def wait_until_started(self, life: _lives.Life) -> None:
         """Wait until a process has started, has ended, or takes too long."""
         while life.is_running and not self.has_started(life):
-            if time.monotonic() > life.launched_s + START_MAX_S:
+            if time.monotonic() > life.launched_s + self._start_max_s:
                 return
             time.sleep(POLL_S)
 
@@ -167,7 +171,7 @@
             if stopping_s > GRACE_S + GRACE_ALLOWANCE_S:
                 self._violate_once(life, 'not ended in time after SIGTERM')
         elif not self.has_started(life):
-            if now_s - life.launched_s > START_MAX_S:
+            if now_s - life.launched_s > self._start_max_s:
                 self._violate_once(life, 'not started in time')
 
     def _check_end(self, life: _lives.Life, now_s: float) -> None:
