--- a/dandeliondrum/testing/_soak_starts.py
+++ b/dandeliondrum/testing/_soak_starts.py
@@ -23,7 +23,7 @@
 # How long a process is down, and its port is taken after the launch. A start
 # waits for 10 s.
 DOWN_S = (0.0, 1.0)
-PORT_TAKEN_S = (0.1, 6.0)
+PORT_TAKEN_S = (0.5, 9.5)
 PORT_SHARE = 0.35
 REWRITE_SHARE = 0.35
 REWRITE_AT_S = (-0.4, 0.5)
