--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -159,7 +159,7 @@
     process = launched.launch(stdout=writer)
     with open(reader) as output, open(writer, 'w'):
         assert any('"started"' in line for line in output)
-        assert stopped_in_order(process), launched.output()
+        assert starts.stopped_in_order(process), launched.output()
         assert os.get_blocking(writer)
 
 
