Report a gateway as not ready if nothing accepts its callers

Ready now also means that this thread runs. test_a_server_whose_thread_has_ended checks the property.

--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -94,6 +94,11 @@
         host, port = self.bind_addr[:2]
         return f'{host}:{port}'
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the thread that accepts connections runs."""
+        return self._thread is not None and self._thread.is_alive()
+
     def open(self) -> None:
         """Start listening; raise OSError if the port is in use."""
         self.prepare()
--- a/dandeliondrum/gateway/tests/test_server.py
+++ b/dandeliondrum/gateway/tests/test_server.py
@@ -111,3 +111,10 @@
         assert other.getresponse().read() == b'ok'
     assert not failures
     assert server.ready
+
+
+def test_a_server_whose_thread_has_ended_does_not_count_as_serving(server):
+    assert server.is_serving
+    server.stop()
+    server._thread.join(20)
+    assert not server.is_serving
--- a/dandeliondrum/platform/_gateway_program.py
+++ b/dandeliondrum/platform/_gateway_program.py
@@ -57,7 +57,11 @@
     serving = threading.Event()
 
     def ready(_call: gateway.Call) -> werkzeug.Response:
-        is_ready = serving.is_set() and _can_serve_callers(job_gateway)
+        is_ready = (
+            serving.is_set()
+            and callers.is_serving
+            and _can_serve_callers(job_gateway)
+        )
         return werkzeug.Response(status=200 if is_ready else 503)
 
     metrics = gateway.Metrics()
