--- a/dandeliondrum/platform/tests/test_programs.py
+++ b/dandeliondrum/platform/tests/test_programs.py
@@ -88,7 +88,8 @@
 def test_every_controller_returns_newest_document(deployment):
     deployment.open()
     newest = testing.document(4)
-    assert deployment.put_document(newest, 2) == 200
+    # The set-up does not wait for this controller to start.
+    testing.wait_until(lambda: deployment.put_document(newest, 2) == 200)
     older = testing.document(3)
     assert deployment.put_document(older, 1) == 200
     for address in deployment.control:
