Give up a slow commit of ends when the process no longer leads

No process ended; the ends are listed again to the next leader.

Such ends count as not recorded, as those that EndRecorder.close finds.

Evidence: test_a_slow_commit_of_a_former_leader_raises_nothing fails before.

--- a/dandeliondrum/jobs/_end_recorder.py
+++ b/dandeliondrum/jobs/_end_recorder.py
@@ -106,9 +106,13 @@
         if _is_done(committed, timeout_s):
             self._complete(batch, committed)
             return batch.recorded
-        self._supervisor.run(
-            'ends', functools.partial(self._complete_late, batch, committed)
-        )
+        complete = functools.partial(self._complete_late, batch, committed)
+        try:
+            self._supervisor.run('ends', complete)
+        except RuntimeError:
+            # The supervisor has closed: this process no longer leads.
+            self._finish(batch, recorded=False)
+            return False
         return None
 
     def _gather(self) -> None:
--- a/dandeliondrum/jobs/tests/test_end_recorder.py
+++ b/dandeliondrum/jobs/tests/test_end_recorder.py
@@ -199,3 +199,13 @@
     assert waiting.wait(TIMEOUT_S) is False
     assert not recorder.record((end(2),))
     assert log.batches == [(end(0),)]
+
+
+def test_a_slow_commit_of_a_former_leader_raises_nothing(supervisor):
+    log = SlowLog(True)
+    recorder = _end_recorder.EndRecorder(log, supervisor, 20)
+    supervisor.close()
+    try:
+        assert recorder.begin((end(1),)).wait(0.01) is False
+    finally:
+        log.free.set()
