End a program in order whatever its wait for signals raises

The wait is now within the part whose exceptions end the program with `process ended`, and a daemon ends like a program of the platform.

--- a/dandeliondrum/command/_main.py
+++ b/dandeliondrum/command/_main.py
@@ -14,16 +14,23 @@
     """
     if arguments is not None:
         sys.exit(_import_commands().run(arguments))
-    is_daemon = sys.argv[1:2] == ['run']
-    if is_daemon:
+    if sys.argv[1:2] == ['run']:
         # The imports take most of a start, and signals may come meanwhile.
         signals.install()
-    code = _import_commands().run(sys.argv[1:])
-    if is_daemon:
-        from dandeliondrum import startup
+        _run_daemon()
+    sys.exit(_import_commands().run(sys.argv[1:]))
 
-        startup.end_process(code)
-    sys.exit(code)
+
+def _run_daemon() -> None:
+    code = None
+    try:
+        code = _import_commands().run(sys.argv[1:])
+    except Exception:
+        sys.excepthook(*sys.exc_info())
+    from dandeliondrum import startup
+
+    # Threads of a daemon that has failed must not keep the process.
+    startup.end_process(startup.ExitCode.BROKEN if code is None else code)
 
 
 def _import_commands() -> types.ModuleType:
--- a/dandeliondrum/startup/_run.py
+++ b/dandeliondrum/startup/_run.py
@@ -67,6 +67,14 @@
     try:
         start(startup, resources)
         startup.raise_if_stopping()
+        utils.limit_collections()
+        _logger.info(
+            'started',
+            took_ms=utils.process_age_ms(),
+            waited_ms=startup.waited_ms,
+            phases_ms=startup.phases_ms,
+        )
+        _wait_for_stop(startup, reload)
     except _errors.StopRequestedError:
         _logger.info(
             'stopping',
@@ -92,14 +100,6 @@
             exc_info=True,
         )
         return _exit_code.ExitCode.BROKEN
-    utils.limit_collections()
-    _logger.info(
-        'started',
-        took_ms=utils.process_age_ms(),
-        waited_ms=startup.waited_ms,
-        phases_ms=startup.phases_ms,
-    )
-    _wait_for_stop(startup, reload)
     _logger.info('stopping', signal=startup.signals.stop_signal)
     return _exit_code.ExitCode.STOPPED
 
--- a/dandeliondrum/testing/_soak_exits.py
+++ b/dandeliondrum/testing/_soak_exits.py
@@ -20,8 +20,8 @@
 # for the others that start at the same time.
 START_MAX_S = 10.0 + 20.0
 START_PER_PROCESS_S = 1.0
-# Until it has handlers, a signal ends a process. The interpreter takes about
-# 20 ms of CPU time by itself, the imports of a program 500 ms.
+# Until it has handlers, a signal ends a process. That lasts for the start of
+# the interpreter; the imports of a program take several times as long.
 HANDLERS_CPU_MS_MAX = 200
 HANDLERS_POLL_S = 0.002
 FATAL_EVENTS = (
