--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -53,7 +53,7 @@
         self._role = role
         self._settings_file = settings_file
         self._stream = stream
-        self._reload_requested = lambda: None
+        self._reload_settings = lambda: None
 
     def start(
         self, start: startup.Startup, resources: contextlib.ExitStack
@@ -72,7 +72,7 @@
         if self._role == 'gateway':
             with start.phase('imports of the role'):
                 from dandeliondrum.platform import _gateway_program
-            self._reload_requested = _gateway_program.start(
+            self._reload_settings = _gateway_program.start(
                 start, settings, timers, resources
             )
         else:
@@ -82,4 +82,4 @@
 
     def reload(self) -> None:
         """Reread the settings that may change while the role runs."""
-        self._reload_requested()
+        self._reload_settings()
--- a/dandeliondrum/platform/tests/test_check.py
+++ b/dandeliondrum/platform/tests/test_check.py
@@ -9,6 +9,7 @@
 
 from dandeliondrum import json_text
 from dandeliondrum.platform import __main__ as program
+from dandeliondrum.platform import _control_api
 from dandeliondrum import testing
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / 'examples/platform/config.json'
@@ -279,3 +280,10 @@
         assert exit_info.value.code == 2
     assert program.main(['check', str(tmp_path / 'none')]) == 1
     assert check(make(), '--against=none.json')[0] == 1
+
+
+def test_a_document_longer_than_a_controller_accepts(check, monkeypatch):
+    monkeypatch.setattr(_control_api, 'DOCUMENT_BYTES_MAX', 100)
+    code, _, err = check(make())
+    assert code == 1
+    assert 'longer than 100 bytes' in err
--- a/dandeliondrum/platform/tests/test_programs.py
+++ b/dandeliondrum/platform/tests/test_programs.py
@@ -122,7 +122,7 @@
 
 
 def test_the_check_of_a_document_asks_a_real_controller(deployment, tmp_path):
-    """What is in force stays, and the process ends with the exit code."""
+    """Guards against a check that changes the document in force."""
     deployment.open()
     path = tmp_path / 'config.json'
     path.write_bytes(testing.document(2, Routes=[testing.route(Host='a:1')]))
--- a/dandeliondrum/signals/_process_signals.py
+++ b/dandeliondrum/signals/_process_signals.py
@@ -6,7 +6,7 @@
 import types
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-# Read at once when signals arrive; they are counted by the handlers.
+# Empties the pipe that wakes the main thread; the handlers record the signals.
 _WAKE_UP_BYTES_MAX = 4_096
 
 
