--- a/dandeliondrum/gateway/tests/test_leader_loss.py
+++ b/dandeliondrum/gateway/tests/test_leader_loss.py
@@ -197,6 +197,7 @@
         (lambda: messages.NotLeader(), 'refused_not_run'),
         (lambda: messages.Done(), 'in_doubt'),
     ],
+    ids=['unanswered', 'call_failed', 'not_done', 'not_leader', 'done'],
 )
 def test_outcome_of_a_submission_without_a_status(leader, answer, outcome):
     leader.on_submit = lambda *_: answer()
