--- a/dandeliondrum/platform/_documents.py
+++ b/dandeliondrum/platform/_documents.py
@@ -45,8 +45,8 @@
 def decode(document: bytes) -> jobs.Policy:
     """Return the policy of a document in force; raises FieldError if invalid.
 
-    Earlier versions accepted documents in other encodings than UTF-8 and with
-    unpaired surrogates, which are replaced here.
+    Earlier versions accepted documents in other encodings than UTF-8, with
+    unpaired surrogates, which are replaced here, and with any nesting.
     """
     outcome = _Reader(parse(document)).read()
     if isinstance(outcome, result.Failure):
@@ -60,7 +60,7 @@
         text = document.decode(json.detect_encoding(document), 'surrogatepass')
     except UnicodeDecodeError as error:
         raise _fields.FieldError(f'unknown encoding: {error}') from error
-    return _fields.without_surrogates(_fields.parse_object(text))
+    return _fields.without_surrogates(_fields.parse_shallow_object(text))
 
 
 class _Reader:
