--- a/dandeliondrum/controller/_controller.py
+++ b/dandeliondrum/controller/_controller.py
@@ -97,10 +97,12 @@
         closing_server = opened.enter_context(contextlib.ExitStack())
         closing_server.callback(server.close)
         try:
-            # A controller that can't open all its ports must not lead.
-            started = self._serve_endpoints(opened, retry)
+            started = retry('data folder', self._start_node)
             if isinstance(started, result.Success):
-                started = retry('data folder', self._start_node)
+                opened.callback(self.on_following)
+                opened.callback(self.node.close)
+                # Its endpoints answer only once the log is loaded.
+                started = self._serve_endpoints(opened, retry)
         except consensus.NodeNotReadyError as error:
             return result.Failure(error.error)
         except startup.NotReadyError as error:
@@ -109,8 +111,6 @@
             return started
         # The node is closed after the server, whose calls it handles.
         closing_server.pop_all()
-        opened.callback(self.on_following)
-        opened.callback(self.node.close)
         opened.callback(server.close)
         server.start()
         return started
