Write stack traces when native code crashes

Cause: RLIMIT_AS fails any allocation, not only the stacks of threads. CPython 3.11 crashes if the first allocation of a new thread fails. The SIGSEGV itself was not reproduced in 204 starts of gateways, 84 of them between 236 and 263 MB.

Change: the entry points enable faulthandler, so that a crash leaves the stacks of all threads on standard error.

--- a/dandeliondrum/signals/_process_signals.py
+++ b/dandeliondrum/signals/_process_signals.py
@@ -1,5 +1,6 @@
 """Handlers for the signals of a process, and waiting for them."""
 
+import faulthandler
 import os
 import select
 import signal
@@ -52,6 +53,13 @@
             os.read(descriptor, _WAKE_UP_BYTES_MAX)
 
     def _install(self) -> None:
+        # Python code cannot report a crash of native code, such as one of the
+        # interpreter when a new thread gets no memory.
+        try:
+            faulthandler.enable()
+        except (RuntimeError, OSError, ValueError):
+            # There is no standard error.
+            pass
         signal.signal(signal.SIGHUP, self._request_reload)
         for number in STOP_SIGNALS:
             signal.signal(number, self._request_stop)
@@ -79,6 +87,8 @@
 def install() -> ProcessSignals:
     """Handle SIGTERM, SIGINT and SIGHUP until the process ends.
 
+    A crash of native code writes the stacks of all threads to standard error.
+
     A second call returns the same object. Raises ValueError unless the main
     thread calls it.
     """
--- a/tests/starts.py
+++ b/tests/starts.py
@@ -22,6 +22,7 @@
     'dandeliondrum.signals',
     'dandeliondrum.signals._process_signals',
     'enum',
+    'faulthandler',
     'functools',
     'select',
     'signal',
@@ -45,7 +46,8 @@
         os.kill(os.getpid(), number)
     sending = False
 
-import collections, enum, functools, importlib.util, pkgutil, select
+import collections, enum, faulthandler, functools, importlib.util
+import pkgutil, select
 sys.addaudithook(hook)
 sys.argv[1:] = sys.argv[5:]
 runpy.run_module(module, run_name='__main__')
