Wait at a start for a disk that refuses to cut or remove log files

Cause: the log wraps errors of the disk in StorageError with "truncate:" and "remove:". Their StartError did not say that another attempt may succeed, so EIO or ENOSPC ended a start at once, and each restart. An attempt that failed while the log was loaded also kept the descriptors of its segments open.

Change: such an error may pass if its OSError may. A failed sync of loaded entries, also after a cut, still ends the start at once, with "sync:" as the operation: a later sync that succeeds does not show that the entries are on the disk. Damage is never marked as an error that may pass.

--- a/dandeliondrum/consensus/_errors.py
+++ b/dandeliondrum/consensus/_errors.py
@@ -5,6 +5,7 @@
 
 from dandeliondrum import messages
 from dandeliondrum import startup
+from dandeliondrum import utils
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +36,23 @@
         self.error = error
 
 
+def make_disk_error(
+    operation: str, error: OSError, file: str, offset_bytes: int = 0
+) -> StorageError:
+    """Return the error of an operation that the system has refused.
+
+    ``may_pass`` is set if the cause of the refusal may pass.
+    """
+    return StorageError(
+        StartError(
+            f'{operation}: {error}',
+            file,
+            offset_bytes,
+            may_pass=utils.is_passing(error),
+        )
+    )
+
+
 class NodeNotReadyError(startup.NotReadyError):
     """The files of a node can't be used yet; holds a :class:`StartError`."""
 
--- a/dandeliondrum/consensus/_log.py
+++ b/dandeliondrum/consensus/_log.py
@@ -36,7 +36,12 @@
         self._base_term: int | None = 0
         self._has_unsynced = False
         self._start_segment_next = False
-        self._load()
+        try:
+            self._load()
+        except Exception:
+            # The start may be attempted again in the same process.
+            self.close()
+            raise
 
     @property
     def first_index(self) -> int:
@@ -196,8 +201,8 @@
             self._files.remove(segment.path)
             self._files.sync_folder(self._folder)
         except OSError as error:
-            raise _errors.StorageError(
-                _errors.StartError(f'remove: {error}', str(segment.path))
+            raise _errors.make_disk_error(
+                'remove', error, str(segment.path)
             ) from error
 
     def _load(self) -> None:
--- a/dandeliondrum/consensus/_segment.py
+++ b/dandeliondrum/consensus/_segment.py
@@ -156,14 +156,20 @@
     def _truncate_file(self, size_bytes: int) -> None:
         try:
             self._files.truncate(self._descriptor, size_bytes)
+        except OSError as error:
+            raise _errors.make_disk_error(
+                'truncate', error, str(self.path), size_bytes
+            ) from error
+        try:
             self._files.sync(self._descriptor)
-            self._synced_bytes = size_bytes
         except OSError as error:
+            # Not retried, as in Log.sync.
             raise _errors.StorageError(
                 _errors.StartError(
-                    f'truncate: {error}', str(self.path), size_bytes
+                    f'sync: {error}', str(self.path), size_bytes
                 )
             ) from error
+        self._synced_bytes = size_bytes
 
 
 def segment_files(folder: pathlib.Path) -> list[tuple[int, pathlib.Path]]:
--- a/dandeliondrum/consensus/tests/test_storage.py
+++ b/dandeliondrum/consensus/tests/test_storage.py
@@ -3,6 +3,7 @@
 import errno
 import os
 
+import psutil
 import pytest
 import structlog
 
@@ -11,10 +12,12 @@
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _hard_state
 from dandeliondrum.consensus import _log
+from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _options
 from dandeliondrum.consensus import _records
 from dandeliondrum.consensus import _recovery
 from dandeliondrum.consensus import _segment
+from dandeliondrum.consensus import _snapshot
 from dandeliondrum.consensus.tests import harness
 
 # What precedes the first record of a batch.
@@ -39,6 +42,33 @@
         raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
 
+class RefusingDisk(_files.Files):
+    """Disk that refuses an operation on files of the log, while ``left``."""
+
+    def __init__(self, operation, number, left=1 << 30):
+        self.operation = operation
+        self.error = OSError(number, os.strerror(number))
+        self.left = left
+
+    def _pass(self, operation):
+        if operation == self.operation and self.left:
+            self.left -= 1
+            raise self.error
+
+    def truncate(self, descriptor, size_bytes):
+        self._pass('truncate')
+        super().truncate(descriptor, size_bytes)
+
+    def sync(self, descriptor):
+        self._pass('sync')
+        super().sync(descriptor)
+
+    def remove(self, path):
+        if path.name.startswith(_segment.FILE_NAME_PREFIX):
+            self._pass('remove')
+        super().remove(path)
+
+
 def make_entries(first, last, term=1):
     return [
         _records.make(
@@ -395,6 +425,93 @@
     assert cluster.launch('c1').failure().file == str(path)
 
 
+def tear_tail(folder):
+    """Cut the log in a record that no sync has covered."""
+    path = newest_file(folder)
+    os.truncate(path, path.stat().st_size - 1)
+
+
+def replace_log_by_snapshot(folder):
+    """Leave a log that ends before the entry that a snapshot ends with."""
+    membership = _messages.Membership()
+    head = _snapshot.SnapshotHead(90, 9, membership)
+    _hard_state.save(
+        _files.Files(),
+        folder / _hard_state.STATE_FILE_NAME,
+        _hard_state.HardState(9),
+    )
+    store = _snapshot.SnapshotStore(_files.Files(), folder)
+    store.save(_snapshot.Snapshot(head, b''))
+
+
+PREPARE_FOR = {'truncate': tear_tail, 'remove': replace_log_by_snapshot}
+
+
+@pytest.mark.parametrize('operation', PREPARE_FOR)
+@pytest.mark.parametrize('number', [errno.EIO, errno.ENOSPC])
+def test_a_refused_change_of_a_file_may_pass_at_a_start(
+    tmp_path, operation, number
+):
+    """A start must wait for the disk instead of ending the process."""
+    with make_stopped_cluster(tmp_path) as cluster:
+        PREPARE_FOR[operation](tmp_path / 'c1')
+        cluster.files['c1'] = RefusingDisk(operation, number, left=3)
+        for _ in range(3):
+            error = cluster.launch('c1').failure()
+            assert error.detail.startswith(f'{operation}: ')
+            assert error.may_pass
+            assert not error.is_damage
+        cluster.launch('c1').unwrap()
+
+
+@pytest.mark.parametrize('operation', PREPARE_FOR)
+def test_a_change_of_a_file_that_is_not_permitted_ends_a_start(
+    tmp_path, operation
+):
+    cluster = make_stopped_cluster(tmp_path)
+    PREPARE_FOR[operation](tmp_path / 'c1')
+    cluster.files['c1'] = RefusingDisk(operation, errno.EROFS)
+    error = cluster.launch('c1').failure()
+    assert error.detail.startswith(f'{operation}: ')
+    assert not error.may_pass
+
+
+def test_a_failed_sync_of_a_loaded_log_does_not_pass(tmp_path):
+    """A later sync that succeeds doesn't show that the entries are stored."""
+    cluster = make_stopped_cluster(tmp_path)
+    for prepare in (lambda _folder: None, tear_tail):
+        prepare(tmp_path / 'c1')
+        cluster.files['c1'] = RefusingDisk('sync', errno.EIO)
+        error = cluster.launch('c1').failure()
+        assert error.detail.startswith('sync: ')
+        assert not error.may_pass
+
+
+def test_damage_is_no_error_that_may_pass(tmp_path):
+    """The disk refuses the cut, too, but damage must not be cut at all."""
+    cluster = make_stopped_cluster(tmp_path)
+    path = newest_file(tmp_path / 'c1')
+    flip_byte(path, BATCH_HEAD_BYTES + 20)
+    cluster.files['c1'] = RefusingDisk('truncate', errno.EIO)
+    data = path.read_bytes()
+    error = cluster.launch('c1').failure()
+    assert error.is_damage
+    assert not error.may_pass
+    assert path.read_bytes() == data
+
+
+def test_a_start_that_is_tried_again_keeps_no_files_open(tmp_path):
+    """The descriptors of a process would run out while a start waits."""
+    cluster = make_stopped_cluster(tmp_path)
+    tear_tail(tmp_path / 'c1')
+    cluster.files['c1'] = RefusingDisk('truncate', errno.EIO)
+    process = psutil.Process()
+    files_count = process.num_fds()
+    for _ in range(5):
+        assert 'truncate' in cluster.launch('c1').failure().detail
+    assert process.num_fds() == files_count
+
+
 def test_start_fails_with_a_folder_in_use(tmp_path):
     with harness.Cluster(tmp_path, 1) as cluster:
         cluster.start()
--- a/dandeliondrum/jobs/tests/test_damaged_start.py
+++ b/dandeliondrum/jobs/tests/test_damaged_start.py
@@ -1,11 +1,14 @@
-"""Start of a controller whose data folder is damaged."""
+"""Start of a controller whose data folder or disk is damaged."""
 
 import contextlib
+import errno
+import os
 
 import pytest
 from returns import result
 
 from dandeliondrum import consensus
+from dandeliondrum.consensus import _files
 from dandeliondrum import jobs
 from dandeliondrum.jobs import _damaged_folder
 from dandeliondrum.jobs.tests import helpers
@@ -71,3 +74,40 @@
         _damaged_folder, 'recover', lambda *_: confirmations.pop(0)
     )
     assert controller.start(retry) == result.Success(None)
+
+
+class Signals:
+    """Signals of a process, without waiting for them."""
+
+    stop_requested = False
+
+    def __init__(self):
+        self.waits_count = 0
+
+    def wait(self, _timeout_ms):
+        self.waits_count += 1
+
+
+def write_torn_log(folder):
+    folder.mkdir()
+    (folder / 'log-00000000000000000001').write_bytes(b'torn')
+
+
+def test_a_start_waits_for_a_disk_that_refuses_to_cut_a_torn_tail(
+    controller, tmp_path, monkeypatch
+):
+    """The process would end at once, and again at each of its restarts."""
+    write_torn_log(tmp_path / 'data')
+    refusals = [OSError(errno.EIO, os.strerror(errno.EIO)) for _ in range(3)]
+    truncate = _files.Files.truncate
+
+    def refuse(files, descriptor, size_bytes):
+        if refusals:
+            raise refusals.pop()
+        truncate(files, descriptor, size_bytes)
+
+    monkeypatch.setattr(_files.Files, 'truncate', refuse)
+    signals = Signals()
+    started = controller.start(startup.Startup(signals).retry)
+    assert started == result.Success(None)
+    assert signals.waits_count == 3
