Log and finish clean-ups that nobody waits for

Cause: nobody reads the futures of the closing of a former leadership, of the loop that ends late handshakes, and of the connections of a server. An exception there left no line. The loop ended, so that late handshakes stayed; the remaining steps of a closing were skipped, so that the threads of a leadership stayed. When the listener's on_following raised, the event was lost.

Change: utils.log_failure logs the exception of such a future with its traceback. The loop of handshakes goes on, after it has tried all of them. The leaderships of both controllers do each step of their end whichever of them fails, and a leadership that can't resign is closed. The node calls on_following again after a failure; the third one is fatal, as for on_leading, since what the listener holds would stay open. The soak counts the four new lines as violations; one of them replaces "task failed" for on_following.

--- a/dandeliondrum/consensus/_interfaces.py
+++ b/dandeliondrum/consensus/_interfaces.py
@@ -26,7 +26,11 @@
 
 
 class Listener(typing.Protocol):
-    """Callbacks for changes of leadership, in order, from one thread."""
+    """Callbacks for changes of leadership, in order, from one thread.
+
+    An exception from ``on_leading`` is fatal for the node. After one from
+    ``on_following`` the node calls it again, a few times, before it is fatal.
+    """
 
     def on_leading(self, term: messages.Term) -> None:
         """Handle the start of leadership in a term.
--- a/dandeliondrum/consensus/_threads.py
+++ b/dandeliondrum/consensus/_threads.py
@@ -26,6 +26,8 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
+# A listener that fails once may have released a part of what it holds.
+STOP_LEADING_ATTEMPTS_MAX = 3
 # Seven threads of the node itself, and one for each other member.
 THREADS_COUNT = 24
 
@@ -190,10 +192,27 @@
                 f'could not start leading in term {term}: {error!r}'
             ) from error
 
-    def _run_listener(self, _stopping: threading.Event) -> None:
+    def _stop_leading(self, stopping: threading.Event) -> None:
+        """Notify the listener, again after a failure; the last one is fatal.
+
+        Otherwise what the listener has opened to lead would stay open.
+        """
+        for number in range(1, STOP_LEADING_ATTEMPTS_MAX + 1):
+            try:
+                self._listener.on_following()
+                return
+            except Exception as error:
+                _logger.exception('could not stop leading', attempt=number)
+                if number == STOP_LEADING_ATTEMPTS_MAX:
+                    raise utils.InvariantError(
+                        f'could not stop leading: {error!r}'
+                    ) from error
+            stopping.wait(utils.RESTART_BACKOFF_MIN_MS / 1000)
+
+    def _run_listener(self, stopping: threading.Event) -> None:
         while (event := self.state.role_events.get()) is not None:
             match event:
                 case _work_items.StartedLeading(term):
                     self._start_leading(term)
                 case _work_items.StoppedLeading():
-                    self._listener.on_following()
+                    self._stop_leading(stopping)
--- a/dandeliondrum/consensus/tests/test_failover.py
+++ b/dandeliondrum/consensus/tests/test_failover.py
@@ -14,6 +14,7 @@
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _files
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _threads
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum.consensus.tests import load
 
@@ -590,6 +591,45 @@
         cluster.propose(leader, b'served').unwrap()
 
 
+@pytest.mark.parametrize('failures_count', [1, 2, 3])
+def test_a_listener_that_can_not_stop_leading_is_called_again(
+    tmp_path, monkeypatch, failures_count
+):
+    """What it has opened to lead would stay open otherwise."""
+    errors = [OSError(number) for number in range(failures_count)]
+    fatal = []
+    on_following = harness.Listener.on_following
+
+    def fail(listener):
+        if errors:
+            raise errors.pop()
+        on_following(listener)
+
+    monkeypatch.setattr(harness.Listener, 'on_following', fail)
+    monkeypatch.setattr(
+        _threads.NodeThreads,
+        '_handle_fatal_error',
+        lambda _threads, error: fatal.append(error),
+    )
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.bootstrap()
+        listener = cluster.running[leader].listener
+        with structlog.testing.capture_logs() as lines:
+            cluster.isolate(leader)
+            harness.wait_for(
+                lambda: fatal or listener.events[-1] is None,
+                'the end of the leadership',
+            )
+        assert not errors
+        assert len(fatal) == (failures_count == 3)
+        failed = [
+            line for line in lines if line['event'] == 'could not stop leading'
+        ]
+        assert len(failed) == failures_count
+        cluster.heal(leader)
+        cluster.propose(cluster.leader(), b'served').unwrap()
+
+
 def test_missing_votes_tell_how_the_calls_failed(tmp_path):
     with harness.Cluster(tmp_path) as cluster:
         cluster.bootstrap()
--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -83,9 +83,9 @@
 
     def close(self) -> None:
         """Stop scheduling and disconnect gateways, which look for a leader."""
-        self.context.sessions.close()
-        self.context.work_available.set()
-        self._resources.close()
+        with self._resources, contextlib.ExitStack() as steps:
+            steps.callback(self.context.work_available.set)
+            steps.callback(self.context.sessions.close)
 
     def _rebuild(self) -> None:
         context = self.context
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -280,11 +280,23 @@
         with self._lock:
             leadership = self._leadership
             self._leadership = None
-        if leadership is not None:
+        if leadership is None:
+            return
+        try:
             leadership.resign()
-            # The consensus node must not wait for all threads to end.
-            self._closing.submit(leadership.close)
-            _logger.info('following')
+        finally:
+            self._close_later(leadership)
+        _logger.info('following')
+
+    def _close_later(self, leadership: '_leadership.Leadership') -> None:
+        """Close a leadership without waiting for all its threads to end."""
+        try:
+            closed = self._closing.submit(leadership.close)
+        except RuntimeError:
+            _logger.exception('leadership closed without a thread')
+            leadership.close()
+            return
+        utils.log_failure(closed, 'leadership not closed in order')
 
     def report_worker(
         self, report: _calls.WorkerReport, timeout_ms: int
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -118,18 +118,20 @@
     def resign(self) -> None:
         """Stop scheduling and close the connections of registered processes.
 
-        Those processes then look for the next leader.
+        Those processes then look for the next leader. An exception of one
+        step is raised after the others.
         """
         self._supervisor.stopping.set()
-        self._workers.close()
-        self._voters.close()
-        self._term.adviser_clients.clear()
-        self._term.sessions.close()
+        with contextlib.ExitStack() as steps:
+            steps.callback(self._term.sessions.close)
+            steps.callback(self._term.adviser_clients.clear)
+            steps.callback(self._voters.close)
+            steps.callback(self._workers.close)
 
     def close(self) -> None:
         """Wait for all threads, some of which wait for replies of workers."""
-        self.resign()
-        self._resources.close()
+        with self._resources:
+            self.resign()
 
     def handle(
         self, connection: transport.Connection | None, message: typing.Any
--- a/dandeliondrum/testing/_soak_exits.py
+++ b/dandeliondrum/testing/_soak_exits.py
@@ -30,6 +30,10 @@
     'task failed',
     'not closed in time',
     'not closed in order',
+    'could not stop leading',
+    'leadership not closed in order',
+    'late handshakes not ended',
+    'stream not closed in order',
 )
 TAIL_CHARS = 1_500
 
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -14,6 +14,7 @@
 from dandeliondrum import messages
 from dandeliondrum.transport import _connection
 from dandeliondrum.transport import _frames
+from dandeliondrum import utils
 
 PROTOCOL_VERSION = 1
 # A hello has to arrive completely within this time.
@@ -80,6 +81,7 @@
         self._resources.callback(self._executor.shutdown)
         self._resources.callback(self._close_connections)
         self._resources.callback(self._stop_listening)
+        # Nobody reads their futures: they must not raise.
         self._executor.submit(self._accept_loop)
         self._executor.submit(self._cut_late_handshakes)
 
@@ -104,21 +106,28 @@
         """End handshakes of peers that send their hello too slowly."""
         while not self._stopping.wait(HANDSHAKE_TIMEOUT_MS / 4_000):
             began_before_s = time.monotonic() - HANDSHAKE_TIMEOUT_MS / 1_000
-            with self._lock:
-                late = [
-                    stream
-                    for stream, began_s in self._handshakes.items()
-                    if began_s < began_before_s
-                ]
+            try:
+                self._cut_handshakes(began_before_s)
+            except Exception:
+                _logger.exception('late handshakes not ended')
+
+    def _cut_handshakes(self, began_before_s: float) -> None:
+        """End older handshakes; raise an exception after all were tried."""
+        with self._lock:
+            late = [
+                stream
+                for stream, began_s in self._handshakes.items()
+                if began_s < began_before_s
+            ]
+        with contextlib.ExitStack() as cutting:
             for stream in late:
-                _cut(stream)
+                cutting.callback(_cut, stream)
 
     def _accept_loop(self) -> None:
         while not self._stopping.is_set():
             try:
                 self._accept_stream()
             except Exception:
-                # Nobody reads the future of this loop.
                 _logger.exception('stream not served')
                 self._stopping.wait(ACCEPT_PAUSE_MS / 1000)
 
@@ -135,10 +144,12 @@
             return
         self._begin_handshake(stream)
         try:
-            self._executor.submit(self._serve, stream)
+            served = self._executor.submit(self._serve, stream)
         except RuntimeError:
             self._end_handshake(stream)
             stream.close()
+            return
+        utils.log_failure(served, 'stream not closed in order')
 
     def _accept(self) -> socket.socket | None:
         """Return the next stream; None after a failure, which is logged."""
--- a/dandeliondrum/transport/tests/test_streams.py
+++ b/dandeliondrum/transport/tests/test_streams.py
@@ -18,6 +18,7 @@
 from dandeliondrum import messages
 from dandeliondrum import transport
 from dandeliondrum.transport import _frames
+from dandeliondrum.transport import _server
 
 CELL = messages.CellId('test')
 SHORT_SILENCE_MS = 200
@@ -481,6 +482,77 @@
     assert _events(lines, 'stream not served')
 
 
+def _send_slowly(address, stopping):
+    """Send a hello byte by byte; return whether the server has ended it."""
+    frame = _frames.pack(_frames.FrameKind.PUSH, 0, messages.encode(hello()))
+    with socket.create_connection(transport.parse_address(address)) as stream:
+        stream.setblocking(False)
+        for number in range(len(frame)):
+            try:
+                stream.send(frame[number : number + 1])
+                if not stream.recv(1):
+                    return True
+            except BlockingIOError:
+                pass
+            except OSError:
+                return True
+            if stopping.wait(0.2):
+                break
+    return False
+
+
+def test_late_handshakes_are_ended_after_one_could_not_be(monkeypatch):
+    """They would stay for good, and 32 of them keep peers out."""
+    monkeypatch.setattr(_server, 'HANDSHAKE_TIMEOUT_MS', 800)
+    cut, failed = _server._cut, []
+
+    def fail_for_the_first(stream):
+        if not failed or (stream in failed and len(failed) < 3):
+            failed.append(stream)
+            raise MemoryError
+        cut(stream)
+
+    stopping = threading.Event()
+    with (
+        structlog.testing.capture_logs() as lines,
+        concurrent.futures.ThreadPoolExecutor(3) as executor,
+        serving(lambda *_: messages.Done()) as server,
+    ):
+        monkeypatch.setattr(_server, '_cut', fail_for_the_first)
+        ended = [
+            executor.submit(_send_slowly, server.address, stopping)
+            for _ in range(3)
+        ]
+        concurrent.futures.wait(ended, 6)
+        stopping.set()
+        assert [one.result() for one in ended] == [True] * 3
+        monkeypatch.setattr(_server, '_cut', cut)
+    assert len(failed) == 3
+    assert len(_events(lines, 'late handshakes not ended')) == 3
+    assert all(
+        line['exc_info']
+        for line in _events(lines, 'late handshakes not ended')
+    )
+
+
+def test_a_handler_of_ends_that_fails_is_logged():
+    """Nobody reads the future of a connection."""
+    server = transport.Server(
+        transport.ServerOptions('127.0.0.1:0', CELL),
+        transport.Callbacks(
+            on_call=lambda *_: messages.Done(), on_close=_raise
+        ),
+    )
+    with structlog.testing.capture_logs() as lines:
+        with contextlib.closing(server):
+            server.start()
+            _assert_serves(server)
+            _wait_for(lambda: _events(lines, 'stream not closed in order'))
+    (line,) = _events(lines, 'stream not closed in order')
+    assert line['log_level'] == 'error'
+    assert isinstance(line['exc_info'], Exception)
+
+
 def test_a_server_without_descriptors_accepts_again_when_there_are_some():
     limits = resource.getrlimit(resource.RLIMIT_NOFILE)
     with structlog.testing.capture_logs() as lines:
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -7,6 +7,7 @@
 from dandeliondrum.utils._futures import chain_future
 from dandeliondrum.utils._futures import completed_future
 from dandeliondrum.utils._futures import gather
+from dandeliondrum.utils._futures import log_failure
 from dandeliondrum.utils._futures import map_future
 from dandeliondrum.utils._lazy_imports import import_on_use
 from dandeliondrum.utils._passing_errors import is_passing
@@ -36,6 +37,7 @@
     'import_on_use',
     'is_passing',
     'limit_collections',
+    'log_failure',
     'map_future',
     'monotonic_ms',
     'process_age_ms',
--- a/dandeliondrum/utils/_futures.py
+++ b/dandeliondrum/utils/_futures.py
@@ -5,6 +5,10 @@
 import threading
 import typing
 
+import structlog
+
+_logger = structlog.get_logger()
+
 Value = typing.TypeVar('Value')
 Mapped = typing.TypeVar('Mapped')
 
@@ -16,6 +20,22 @@
     return future
 
 
+def log_failure(
+    future: 'concurrent.futures.Future[typing.Any]', event: str
+) -> None:
+    """Log the exception of a future whose result nobody reads, as ``event``.
+
+    The line is an error with the traceback.
+    """
+
+    def log(done: 'concurrent.futures.Future[typing.Any]') -> None:
+        error = None if done.cancelled() else done.exception()
+        if error is not None:
+            _logger.error(event, exc_info=error)
+
+    future.add_done_callback(log)
+
+
 def map_future(
     future: 'concurrent.futures.Future[Value]',
     function: collections.abc.Callable[[Value], Mapped],
