Run each supervised task in a thread of its own

Cause: a supervisor gave its tasks a pool with a fixed number of threads, and queued further ones without a line. Consensus had 24, so members beyond 17 others were never served; a leadership had enough for 500 workers. When the system refused a thread, the pool kept the task and ran it later, though its caller had been told otherwise; a peer of the log and a sender of orders had been counted as running by then, and were not started again.

Change: a supervisor has an executor with one thread for each task at a time, and uses the threads of ended tasks again. It has no limit of its own, and raises RuntimeError if it has closed or there is no thread; the task is then not run. Peers and senders count once their task is started. An exception of on_fatal is logged. Tests construct supervisors without a number of threads.

--- a/benchmarks/bench_worker_calls.py
+++ b/benchmarks/bench_worker_calls.py
@@ -123,7 +123,7 @@
             None,
             _metrics.Metrics(),
         )
-        self._supervisor = utils.Supervisor('bench', _workers.PEER_THREADS_MAX)
+        self._supervisor = utils.Supervisor('bench')
         self.workers = _workers.Workers(self.term, self._supervisor)
 
     def apply(self, command: typing.Any) -> typing.Any:
--- a/dandeliondrum/consensus/_membership_manager.py
+++ b/dandeliondrum/consensus/_membership_manager.py
@@ -51,9 +51,10 @@
             if name == self._state.node_id or name in self._peers:
                 continue
             peer = _peer.Peer(self._state, self._snapshots, name)
+            # The task waits for the lock. A peer without a thread is none.
+            self._supervisor.run(f'peer {name}', self._peer_task(name, peer))
             self._peers[name] = peer
             self._state.add_peer(name)
-            self._supervisor.run(f'peer {name}', self._peer_task(name, peer))
 
     def _peer_task(
         self, name: messages.ControllerId, peer: _peer.Peer
--- a/dandeliondrum/consensus/_threads.py
+++ b/dandeliondrum/consensus/_threads.py
@@ -28,8 +28,6 @@
 
 # A listener that fails once may have released a part of what it holds.
 STOP_LEADING_ATTEMPTS_MAX = 3
-# Seven threads of the node itself, and one for each other member.
-THREADS_COUNT = 24
 
 _logger = structlog.get_logger()
 
@@ -95,9 +93,7 @@
         applier = _applier.Applier(state, self._machine, opened.snapshots)
         if opened.snapshot is not None:
             applier.restore(opened.snapshot)
-        supervisor = utils.Supervisor(
-            'consensus', THREADS_COUNT, self._handle_fatal_error
-        )
+        supervisor = utils.Supervisor('consensus', self._handle_fatal_error)
         writer = _writer.Writer(state, self._files, opened.snapshots, folder)
         changes = _membership_changes.MembershipChanges(state)
         membership_manager = _membership_manager.MembershipManager(
--- a/dandeliondrum/consensus/tests/test_membership.py
+++ b/dandeliondrum/consensus/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import shutil
+import threading
 import time
 
 from returns import result
@@ -9,11 +10,16 @@
 
 from dandeliondrum import consensus
 from dandeliondrum.consensus import _bootstrap
+from dandeliondrum.consensus import _files
+from dandeliondrum.consensus import _log
 from dandeliondrum.consensus import _membership_changes
+from dandeliondrum.consensus import _messages
 from dandeliondrum.consensus import _options
+from dandeliondrum.consensus import _records
 from dandeliondrum.consensus.tests import harness
 from dandeliondrum.consensus.tests import load
 from dandeliondrum import messages
+from dandeliondrum import utils
 
 
 def voters(cluster, name):
@@ -509,3 +515,57 @@
             time.sleep(3 * harness.ELECTION_MIN_MS / 1000)
         reasons = [one.get('why') for one in lines]
         assert reasons.count('no room') == 1
+
+
+def _peer_threads():
+    return {
+        thread.name.removeprefix('consensus: peer ')
+        for thread in threading.enumerate()
+        if thread.name.startswith('consensus: peer ')
+    }
+
+
+def test_each_of_many_members_is_served(tmp_path):
+    """Members beyond a number of threads would never hear of the leader."""
+    with harness.Cluster(tmp_path, 1) as cluster:
+        cluster.bootstrap()
+        cluster.stop('c1')
+        names = [f'c{number}' for number in range(1, 31)]
+        members = tuple(
+            _messages.Member(name, '127.0.0.1:1', '') for name in names
+        )
+        log = _log.Log(_files.Files(), tmp_path / 'c1')
+        log.append(
+            [
+                _records.make(
+                    log.last_index + 1,
+                    log.last_term,
+                    _records.EntryKind.MEMBERSHIP,
+                    messages.encode(_messages.Membership(members)),
+                )
+            ]
+        )
+        log.sync()
+        log.close()
+        cluster.start()
+        harness.wait_for(
+            lambda: _peer_threads() == {*names} - {'c1'}, 'all threads'
+        )
+
+
+def test_a_peer_without_a_thread_is_tried_again(tmp_path, monkeypatch):
+    """A member that was recorded as served would never get a thread."""
+    run, refused = utils.Supervisor.run, set()
+
+    def refuse_once(supervisor, name, task):
+        if name.startswith('peer ') and (supervisor, name) not in refused:
+            refused.add((supervisor, name))
+            raise RuntimeError("can't start new thread")
+        run(supervisor, name, task)
+
+    monkeypatch.setattr(utils.Supervisor, 'run', refuse_once)
+    with harness.Cluster(tmp_path) as cluster:
+        leader = cluster.bootstrap()
+        cluster.propose(leader, b'kept').unwrap()
+        cluster.wait_applied([b'kept'])
+    assert refused
--- a/dandeliondrum/controller/_leadership.py
+++ b/dandeliondrum/controller/_leadership.py
@@ -26,7 +26,6 @@
 from dandeliondrum import utils
 
 FORGET_EVERY_MS = 10_000
-THREADS_COUNT = 1
 
 _logger = structlog.get_logger()
 
@@ -68,9 +67,7 @@
     def open(self) -> None:
         """Rebuild the planner, then start scheduling."""
         self._rebuild()
-        supervisor = utils.Supervisor(
-            'leadership', THREADS_COUNT, self._on_fatal
-        )
+        supervisor = utils.Supervisor('leadership', self._on_fatal)
         self._resources.callback(supervisor.close)
         supervisor.run('dispatch', self._dispatch.run)
         for interval_ms, callback in (
--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -36,7 +36,6 @@
 from dandeliondrum import transport
 from dandeliondrum import utils
 
-SUPERVISED_TASKS_COUNT = 3
 REPORTS_FLUSH_MS = 2_000
 FLUSH_POLL_MS = 20
 # Connections to a worker not called for this long are closed.
@@ -77,7 +76,7 @@
         self._resources = contextlib.ExitStack()
         self._timers = utils.TimerService()
         self._supervisor = utils.Supervisor(
-            f'gateway-{options.gateway_id}', SUPERVISED_TASKS_COUNT, on_fatal
+            f'gateway-{options.gateway_id}', on_fatal
         )
         self._waiters = _waiters.WaiterRegistry()
         self._active_rules = _active_rules.ActiveRules()
--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -37,7 +37,6 @@
 TRANSFER_TIMEOUT_MS = 1_500
 # Limit for the replacement of a controller that stops.
 HAND_OVER_TIMEOUT_MS = 2_000
-THREADS_COUNT = 2
 STREAMS_MAX = 512
 
 _logger = structlog.get_logger()
@@ -167,7 +166,7 @@
         opened.callback(self.node.close)
         opened.callback(server.close)
         server.start()
-        supervisor = utils.Supervisor('job controller', THREADS_COUNT)
+        supervisor = utils.Supervisor('job controller')
         opened.callback(supervisor.close)
         opened.callback(self.calls.link.close)
         supervisor.run('leader link', self.calls.link.run)
--- a/dandeliondrum/jobs/_damaged_folder.py
+++ b/dandeliondrum/jobs/_damaged_folder.py
@@ -62,7 +62,7 @@
         _leader_calls.ActivePolicy(lambda _document: _policy.Policy()),
         adviser_client,
     )
-    supervisor = utils.Supervisor('damaged folder', 1)
+    supervisor = utils.Supervisor('damaged folder')
     supervisor.run('leader link', calls.link.run)
     try:
         outcome = calls.call(_calls.DomainQuery(), CONFIRMATION_TIMEOUT_MS)
--- a/dandeliondrum/jobs/_gateway.py
+++ b/dandeliondrum/jobs/_gateway.py
@@ -65,7 +65,7 @@
 
     def start(self) -> None:
         """Start the thread that connects to the leader."""
-        supervisor = utils.Supervisor('job gateway', threads_count=1)
+        supervisor = utils.Supervisor('job gateway')
         self._resources.callback(self._adviser_client.close)
         self._resources.callback(supervisor.close)
         self._resources.callback(self._calls.link.close)
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -70,9 +70,7 @@
         )
         self._timers = timers
         self._resources = contextlib.ExitStack()
-        self._supervisor = utils.Supervisor(
-            'leadership', _workers.PEER_THREADS_MAX
-        )
+        self._supervisor = utils.Supervisor('leadership')
         self._workers = _workers.Workers(self._term, self._supervisor)
         self._audit = _audit.Audit(self._term, self._workers)
         self._documents = transport.DocumentSender(self._newest_document)
--- a/dandeliondrum/jobs/_order_sender.py
+++ b/dandeliondrum/jobs/_order_sender.py
@@ -70,8 +70,8 @@
     def _start_task(self, run: Runner) -> None:
         # The caller holds the lock of the state.
         if self._tasks_count < ORDERS_MAX and not self._state.ended:
-            self._tasks_count += 1
             run(f'orders to {self._state.facts.worker_id}', self._send_queued)
+            self._tasks_count += 1
 
     def _send_queued(self, stopping: threading.Event) -> None:
         while not stopping.is_set() and not self._state.ended:
--- a/dandeliondrum/jobs/_workers.py
+++ b/dandeliondrum/jobs/_workers.py
@@ -15,7 +15,6 @@
 from dandeliondrum.jobs import _clock
 from dandeliondrum.jobs import _commands
 from dandeliondrum.jobs import _end_recorder
-from dandeliondrum.jobs import _order_sender
 from dandeliondrum.jobs import _port
 from dandeliondrum.jobs import _progress
 from dandeliondrum.jobs import _records
@@ -27,10 +26,6 @@
 from dandeliondrum import messages
 from dandeliondrum import utils
 
-# Sufficient for 500 workers, each with a thread that reads its lists and the
-# orders under way to it, plus the scheduler, the speeds, a slow commit of ends
-# and the effects of others.
-PEER_THREADS_MAX = 500 * (1 + _order_sender.ORDERS_MAX) + 5
 CHECK_INTERVAL_MS = 1_000
 # Interval between commits of starts. Callers are promised a count of waiting
 # jobs that is at most 2 s old.
--- a/dandeliondrum/jobs/speeds/tests/test_learning.py
+++ b/dandeliondrum/jobs/speeds/tests/test_learning.py
@@ -33,7 +33,7 @@
             peer = test_scheduler.ReadyPeer(helpers.facts(worker_id))
             peer.facts_are_former = lambda: False
             self.term.peers[peer.facts.worker_id] = peer
-        self.workers = _workers.Workers(self.term, utils.Supervisor('test', 1))
+        self.workers = _workers.Workers(self.term, utils.Supervisor('test'))
         self.scheduler = _scheduler.Scheduler(self.term)
         self.refresher = _speed_refresher.SpeedRefresher(self.term)
 
--- a/dandeliondrum/jobs/tests/test_end_recorder.py
+++ b/dandeliondrum/jobs/tests/test_end_recorder.py
@@ -56,7 +56,7 @@
 
 @pytest.fixture
 def supervisor():
-    supervisor = utils.Supervisor('test', 4)
+    supervisor = utils.Supervisor('test')
     yield supervisor
     supervisor.close()
 
--- a/dandeliondrum/jobs/tests/test_worker_peer.py
+++ b/dandeliondrum/jobs/tests/test_worker_peer.py
@@ -1052,7 +1052,7 @@
 @contextlib.contextmanager
 def serving_with_tasks(*leaders):
     """Serve the workers with the threads of one supervisor, as a leader."""
-    supervisor = utils.Supervisor('test', _workers.PEER_THREADS_MAX)
+    supervisor = utils.Supervisor('test')
     names = []
 
     def run(name, task):
@@ -1085,6 +1085,27 @@
     assert names == 2 * ['orders to w1']
 
 
+def test_orders_are_sent_after_threads_were_refused(worker):
+    """A refused task must not count as one that sends orders."""
+    leader = FakeLeader(worker)
+    leader.submit('j', helpers.step(_order_sender.ORDERS_MAX + 1))
+    with serving_with_tasks(leader):
+        testing.wait_until(leader.peer.usable)
+        run = leader.peer._state.orders.on_queued
+
+        def refuse(_name, _task):
+            raise RuntimeError("can't start new thread")
+
+        leader.peer.sender.start_with(refuse)
+        for index in range(_order_sender.ORDERS_MAX):
+            with pytest.raises(RuntimeError):
+                leader.start(f'j.0.0.{index}')
+        leader.peer._state.orders.on_queued = run
+        leader.start(f'j.0.0.{_order_sender.ORDERS_MAX}')
+        count = _order_sender.ORDERS_MAX + 1
+        testing.wait_until(lambda: len(leader.outcomes) == count)
+
+
 def test_hanging_orders_hold_up_neither_their_worker_nor_another(worker):
     """All but one of the orders to a worker hang until the others have run."""
     other = testing.FakeWorker('w2', messages.Resources(4_000, 100), 50)
--- a/dandeliondrum/jobs/tests/test_workers.py
+++ b/dandeliondrum/jobs/tests/test_workers.py
@@ -33,7 +33,7 @@
         self.term = helpers.new_term(
             self.node, testing.FakeFleet([self.worker])
         )
-        supervisor = utils.Supervisor('test', 20)
+        supervisor = utils.Supervisor('test')
         self.workers = _workers.Workers(self.term, supervisor)
         resources.callback(supervisor.close)
         resources.callback(self.workers.close)
@@ -360,7 +360,7 @@
 
 def _next_leader(leader, resources):
     """Return the workers of the next leader, which has heard no report."""
-    supervisor = utils.Supervisor('next leader', 20)
+    supervisor = utils.Supervisor('next leader')
     workers = _workers.Workers(
         helpers.new_term(leader.node, leader.term.port), supervisor
     )
--- a/dandeliondrum/observability/_server.py
+++ b/dandeliondrum/observability/_server.py
@@ -68,7 +68,7 @@
             LIMITS,
             http_server.ByteBudget(BUDGET_BYTES),
         )
-        supervisor = utils.Supervisor('observability', threads_count=1)
+        supervisor = utils.Supervisor('observability')
         with contextlib.ExitStack() as opened:
             opened.callback(supervisor.close)
             opened.callback(server.stop)
--- a/dandeliondrum/platform/tests/test_odd_entries.py
+++ b/dandeliondrum/platform/tests/test_odd_entries.py
@@ -124,7 +124,7 @@
     port = _http_ports.HttpWorkerPort()
     resources.callback(port.close)
     term = helpers.new_term(helpers.LocalNode(machine), port)
-    supervisor = utils.Supervisor('test', 60)
+    supervisor = utils.Supervisor('test')
     workers = _workers.Workers(term, supervisor)
     resources.callback(supervisor.close)
     resources.callback(workers.close)
--- a/dandeliondrum/testing/_platform_fakes.py
+++ b/dandeliondrum/testing/_platform_fakes.py
@@ -53,7 +53,7 @@
 
     def start(self) -> None:
         """Start serving requests in a thread."""
-        supervisor = utils.Supervisor('stand-in', threads_count=1)
+        supervisor = utils.Supervisor('stand-in')
         supervisor.run('serve', lambda _: self._server.serve())
         self._resources.callback(supervisor.close)
         self._resources.callback(self._server.stop)
--- a/dandeliondrum/utils/_supervisor.py
+++ b/dandeliondrum/utils/_supervisor.py
@@ -13,6 +13,8 @@
 
 import structlog
 
+from dandeliondrum.utils import _futures
+
 RESTART_BACKOFF_MIN_MS = 50
 RESTART_BACKOFF_MAX_MS = 2_000
 
@@ -29,11 +31,12 @@
     """Runs tasks in threads and restarts the ones that fail.
 
     Each task is called with an event that is set when the task has to
-    return. ``threads_count`` limits how many tasks run at a time.
+    return. It has a thread of its own, so that none waits for another one to
+    end. The threads of tasks that have returned are used again.
 
     Example::
 
-        supervisor = Supervisor('gateway', threads_count=4)
+        supervisor = Supervisor('gateway')
         supervisor.run('leader link', link.run)
         ...
         supervisor.close()
@@ -42,7 +45,6 @@
     def __init__(
         self,
         name: str,
-        threads_count: int,
         on_fatal: collections.abc.Callable[[InvariantError], object]
         | None = None,
     ) -> None:
@@ -50,19 +52,40 @@
         self.stopping = threading.Event()
         self._on_fatal = on_fatal
         self._resources = contextlib.ExitStack()
-        self._executor = concurrent.futures.ThreadPoolExecutor(
-            max_workers=threads_count, thread_name_prefix=name
-        )
+        # Protects the fields below.
+        self._lock = threading.Lock()
+        self._closed = False
+        # Each has one thread.
+        self._executors: set[concurrent.futures.Executor] = set()
+        self._idle: list[concurrent.futures.Executor] = []
 
     def run(self, name: str, task: Task) -> None:
-        """Run a task; restart it on failure until the supervisor closes."""
-        self._executor.submit(self._run_with_restarts, name, task)
+        """Run a task; restart it on failure until the supervisor closes.
+
+        Raises RuntimeError when the supervisor has closed, or the system
+        refuses a thread; the task is then not run.
+        """
+        with self._lock:
+            if self._closed:
+                raise RuntimeError(f'{name} after the end of {self.name}')
+            executor = self._idle.pop() if self._idle else self._new_executor()
+            try:
+                future = executor.submit(self._run, executor, name, task)
+            except RuntimeError:
+                # It would keep the task until it gets a thread.
+                executor.shutdown(wait=False, cancel_futures=True)
+                raise
+            self._executors.add(executor)
+        _futures.log_failure(future, 'supervised task ended')
+
+    def _new_executor(self) -> concurrent.futures.Executor:
+        return concurrent.futures.ThreadPoolExecutor(
+            1, thread_name_prefix=self.name
+        )
 
-    def child(self, name: str, threads_count: int) -> 'Supervisor':
+    def child(self, name: str) -> 'Supervisor':
         """Return a supervisor that is closed before this one is."""
-        child = Supervisor(
-            f'{self.name}/{name}', threads_count, self._on_fatal
-        )
+        child = Supervisor(f'{self.name}/{name}', self._on_fatal)
         self._resources.callback(child.close)
         return child
 
@@ -70,7 +93,19 @@
         """Ask all tasks to stop and wait for them, children first."""
         self.stopping.set()
         self._resources.close()
-        self._executor.shutdown(wait=True, cancel_futures=True)
+        with self._lock:
+            self._closed = True
+        for executor in self._executors:
+            executor.shutdown()
+
+    def _run(
+        self, executor: concurrent.futures.Executor, name: str, task: Task
+    ) -> None:
+        try:
+            self._run_with_restarts(name, task)
+        finally:
+            with self._lock:
+                self._idle.append(executor)
 
     def _run_with_restarts(self, name: str, task: Task) -> None:
         threading.current_thread().name = f'{self.name}: {name}'
--- a/dandeliondrum/utils/tests/test_processor_time.py
+++ b/dandeliondrum/utils/tests/test_processor_time.py
@@ -81,7 +81,7 @@
 
 def test_a_supervised_thread_is_named_after_its_task():
     names = []
-    supervisor = utils.Supervisor('owner', threads_count=1)
+    supervisor = utils.Supervisor('owner')
     supervisor.run('task', lambda _: names.append(_name()))
     supervisor.close()
     assert names == ['owner: task']
--- a/dandeliondrum/worker/_worker.py
+++ b/dandeliondrum/worker/_worker.py
@@ -176,9 +176,7 @@
             self._journal,
         )
         self._heartbeats = heartbeats
-        supervisor = utils.Supervisor(
-            f'worker {self.options.worker_id}', threads_count=1
-        )
+        supervisor = utils.Supervisor(f'worker {self.options.worker_id}')
         opened.callback(supervisor.close)
         opened.callback(heartbeats.wake)
         opened.callback(supervisor.stopping.set)
