--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -37,7 +37,6 @@
 TRANSFER_TIMEOUT_MS = 1_500
 # Limit for the replacement of a controller that stops.
 HAND_OVER_TIMEOUT_MS = 2_000
-THREADS_COUNT = 2
 STREAMS_MAX = 512
 
 _logger = structlog.get_logger()
@@ -167,7 +166,7 @@
         opened.callback(self.node.close)
         opened.callback(server.close)
         server.start()
-        supervisor = utils.Supervisor('job controller', THREADS_COUNT)
+        supervisor = utils.Supervisor('job controller')
         opened.callback(supervisor.close)
         opened.callback(self.calls.link.close)
         supervisor.run('leader link', self.calls.link.run)
@@ -280,11 +279,23 @@
         with self._lock:
             leadership = self._leadership
             self._leadership = None
-        if leadership is not None:
+        if leadership is None:
+            return
+        try:
             leadership.resign()
-            # The consensus node must not wait for all threads to end.
-            self._closing.submit(leadership.close)
-            _logger.info('following')
+        finally:
+            self._close_later(leadership)
+        _logger.info('following')
+
+    def _close_later(self, leadership: '_leadership.Leadership') -> None:
+        """Close a leadership without waiting for all its threads to end."""
+        try:
+            closed = self._closing.submit(leadership.close)
+        except RuntimeError:
+            _logger.exception('leadership closed without a thread')
+            leadership.close()
+            return
+        utils.log_failure(closed, 'leadership not closed in order')
 
     def report_worker(
         self, report: _calls.WorkerReport, timeout_ms: int
--- a/dandeliondrum/jobs/_leadership.py
+++ b/dandeliondrum/jobs/_leadership.py
@@ -70,9 +70,7 @@
         )
         self._timers = timers
         self._resources = contextlib.ExitStack()
-        self._supervisor = utils.Supervisor(
-            'leadership', _workers.PEER_THREADS_MAX
-        )
+        self._supervisor = utils.Supervisor('leadership')
         self._workers = _workers.Workers(self._term, self._supervisor)
         self._audit = _audit.Audit(self._term, self._workers)
         self._documents = transport.DocumentSender(self._newest_document)
@@ -118,18 +116,20 @@
     def resign(self) -> None:
         """Stop scheduling and close the connections of registered processes.
 
-        Those processes then look for the next leader.
+        Those processes then look for the next leader. An exception of one
+        step is raised after the others.
         """
         self._supervisor.stopping.set()
-        self._workers.close()
-        self._voters.close()
-        self._term.adviser_clients.clear()
-        self._term.sessions.close()
+        with contextlib.ExitStack() as steps:
+            steps.callback(self._term.sessions.close)
+            steps.callback(self._term.adviser_clients.clear)
+            steps.callback(self._voters.close)
+            steps.callback(self._workers.close)
 
     def close(self) -> None:
         """Wait for all threads, some of which wait for replies of workers."""
-        self.resign()
-        self._resources.close()
+        with self._resources:
+            self.resign()
 
     def handle(
         self, connection: transport.Connection | None, message: typing.Any
