Close the connections of a leader to workers that have gone

Cause: only the product's gateway closed unused connections; the pools of the platform's port to workers were kept for good. A curl handle keeps three descriptors, two of them after a refused call, and a worker that was called had up to four handles, however seldom it needed them. Class: a resource that grows with what the system has met, not with what it serves.

Change: a handle is closed when its call fails, with the other idle ones to that worker. close_unused closes each connection that was not used for some time, instead of those of a worker that was not called, and forgets workers without one; the controller program calls it every 5 s, for connections that were not used for 30 s.

Result: three tests, each failing before.

--- a/dandeliondrum/gateway/_worker_client.py
+++ b/dandeliondrum/gateway/_worker_client.py
@@ -6,6 +6,7 @@
 retry is safe is up to the caller.
 """
 
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -127,27 +128,46 @@
         self, request: WorkerRequest, open_writer: OpenWriter = discard_body
     ) -> Outcome:
         """Send the request once and read the reply."""
+        pool = self._enter_pool(request.address)
+        try:
+            connection = pool.acquire()
+            if connection is None:
+                return NotSent('all connections to the worker are in use')
+            outcome: Outcome | None = None
+            try:
+                outcome = connection.call(request, open_writer)
+            finally:
+                # After a failure the other idle connections are of no use
+                # either, and the handle would keep its descriptors.
+                pool.release(connection, isinstance(outcome, WorkerReply))
+            return outcome
+        finally:
+            self._leave_pool(pool)
+
+    def _enter_pool(self, address: str) -> '_ConnectionPool':
         with self._lock:
-            pool = self._pools.get(request.address)
+            pool = self._pools.get(address)
             if pool is None:
                 pool = _ConnectionPool(self._connections_max)
-                self._pools[request.address] = pool
-        connection = pool.acquire()
-        if connection is None:
-            return NotSent('all connections to the worker are in use')
-        try:
-            return connection.call(request, open_writer)
-        finally:
-            pool.release(connection)
+                self._pools[address] = pool
+            pool.calls_count += 1
+        return pool
 
-    def close_unused(self, unused_ms: int) -> None:
-        """Close the connections to workers not called for ``unused_ms``."""
+    def _leave_pool(self, pool: '_ConnectionPool') -> None:
         with self._lock:
-            pools = list(self._pools.values())
+            pool.calls_count -= 1
+
+    def close_unused(self, unused_ms: int) -> None:
+        """Close the connections that were not used for ``unused_ms``.
+
+        Workers without a connection are forgotten.
+        """
         oldest_ms = utils.monotonic_ms() - unused_ms
-        for pool in pools:
-            if pool.last_used_ms <= oldest_ms:
-                pool.close()
+        with self._lock:
+            for address, pool in list(self._pools.items()):
+                pool.close_unused(oldest_ms)
+                if not pool.calls_count and pool.is_empty():
+                    del self._pools[address]
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -162,9 +182,10 @@
     """Connections to one worker, the most recently used one first."""
 
     def __init__(self, connections_max: int) -> None:
-        self.last_used_ms = utils.monotonic_ms()
+        # Guarded by the lock of the client.
+        self.calls_count = 0
         self._semaphore = threading.Semaphore(connections_max)
-        self._idle: list[_Connection] = []
+        self._idle: collections.deque[_Connection] = collections.deque()
 
     def acquire(self) -> '_Connection | None':
         if not self._semaphore.acquire(timeout=POOL_WAIT_MS / 1000):
@@ -173,13 +194,25 @@
             return self._idle.pop()
         return _Connection()
 
-    def release(self, connection: '_Connection') -> None:
-        self.last_used_ms = utils.monotonic_ms()
-        self._idle.append(connection)
+    def release(self, connection: '_Connection', is_usable: bool) -> None:
+        if is_usable:
+            connection.last_used_ms = utils.monotonic_ms()
+            self._idle.append(connection)
+        else:
+            connection.close()
+            self.close()
         self._semaphore.release()
 
-    def close(self) -> None:
+    def is_empty(self) -> bool:
+        return not self._idle
+
+    def close_unused(self, oldest_ms: int) -> None:
         # Another thread may take the last connection concurrently.
+        with contextlib.suppress(IndexError):
+            while self._idle[0].last_used_ms <= oldest_ms:
+                self._idle.popleft().close()
+
+    def close(self) -> None:
         with contextlib.suppress(IndexError):
             while True:
                 self._idle.pop().close()
@@ -194,6 +227,7 @@
     """
 
     def __init__(self) -> None:
+        self.last_used_ms = 0
         self._handle = pycurl.Curl()
         # The request whose options are set, and the ones set for each call.
         self._kind: tuple[object, ...] = ()
--- a/dandeliondrum/gateway/tests/test_worker_failures.py
+++ b/dandeliondrum/gateway/tests/test_worker_failures.py
@@ -3,7 +3,9 @@
 import contextlib
 import socket
 import threading
+import time
 
+import psutil
 import pytest
 import werkzeug
 
@@ -258,6 +260,70 @@
         assert client.call(request).head.status == 200
 
 
+def open_descriptors_count():
+    return psutil.Process().num_fds()
+
+
+def test_calls_to_workers_that_have_gone_leave_no_descriptors():
+    """The descriptors of a leader ran out after some hundred workers."""
+    client = _worker_client.WorkerClient(2)
+    before = open_descriptors_count()
+    with contextlib.closing(client):
+        for _ in range(20):
+            with socket.create_server(('127.0.0.1', 0)) as listener:
+                port = listener.getsockname()[1]
+            request = _worker_client.WorkerRequest(
+                'GET', f'127.0.0.1:{port}', '/v1/attempts/a', 10_000
+            )
+            outcome = client.call(request)
+            assert isinstance(outcome, _worker_client.NotSent)
+        assert open_descriptors_count() == before
+
+
+def test_workers_that_are_not_called_are_forgotten(worker):
+    client = _worker_client.WorkerClient(2)
+    request = _worker_client.WorkerRequest(
+        'POST', worker.address, '/v1/attempts/a', 10_000
+    )
+    before = open_descriptors_count()
+    with contextlib.closing(client):
+        client.call(request)
+        client.close_unused(0)
+        assert not client._pools
+    fakes.wait_until(lambda: open_descriptors_count() == before)
+
+
+def test_a_connection_that_one_call_needed_is_closed_again(worker):
+    """Each live worker kept as many as it had ever used at a time."""
+    client = _worker_client.WorkerClient(2)
+    request = _worker_client.WorkerRequest(
+        'POST', worker.address, '/v1/attempts/a', 10_000
+    )
+    together = threading.Barrier(2)
+
+    def on_start(_seen):
+        together.wait(fakes.WAIT_S)
+        return fakes.ended(b'')
+
+    worker.on_start = on_start
+
+    def idle_count():
+        return sum(len(pool._idle) for pool in client._pools.values())
+
+    with contextlib.closing(client):
+        calls = [fakes.BackgroundCall(client.call, request) for _ in range(2)]
+        for call in calls:
+            call.result()
+        assert idle_count() == 2
+        time.sleep(0.3)
+        worker.on_start = lambda _seen: fakes.ended(b'')
+        client.call(request)
+        client.close_unused(250)
+        assert idle_count() == 1
+        client.close_unused(60_000)
+        assert idle_count() == 1
+
+
 def serve_one_then_drop(listener, received):
     """Answer the first call; read and then drop each later one."""
     with contextlib.suppress(OSError):
--- a/dandeliondrum/platform/_controller_program.py
+++ b/dandeliondrum/platform/_controller_program.py
@@ -33,6 +33,7 @@
     if settings.data_folder is None:
         raise startup.NotStartedError('DataDir is missing')
     controller_id = messages.ControllerId(settings.ip)
+    worker_port = _http_ports.HttpWorkerPort()
     controller = jobs.JobController(
         jobs.ControllerOptions(
             link=_links.make_link_options(settings),
@@ -53,7 +54,9 @@
             data_folder=settings.data_folder,
             started_ns=dandeliondrum.IMPORTED_NS,
         ),
-        _http_ports.make_ports(settings.adviser_address),
+        jobs.Ports(
+            worker_port, _http_ports.HttpAdviserPort(settings.adviser_address)
+        ),
         _documents.decode,
         startup.end_broken_process,
     )
@@ -62,6 +65,7 @@
     if isinstance(started, result.Failure):
         raise startup.NotStartedError(str(started.failure()))
     resources.callback(controller.close)
+    timers.every(_http_ports.CLOSE_UNUSED_EVERY_MS, worker_port.close_unused)
     # Its peers are answered while the modules for HTTP are imported.
     with start.phase('imports for HTTP'):
         from dandeliondrum.platform import _control_server
--- a/dandeliondrum/platform/_http_ports.py
+++ b/dandeliondrum/platform/_http_ports.py
@@ -17,6 +17,10 @@
 # longer has a problem.
 ORDER_TIMEOUT_MS = 500
 LISTS_TIMEOUT_MARGIN_MS = 400
+# A worker is called each second or more often; what it uses at times only is
+# opened again within one round trip.
+UNUSED_CONNECTION_MS = 30_000
+CLOSE_UNUSED_EVERY_MS = 5_000
 # Two calls of the slowest queue, 1.1 s each: one may be queued before it.
 ADVICE_TIMEOUT_MS = 2_500
 # Most ended runs in one reply, as specified by the platform.
@@ -116,6 +120,13 @@
         }
         return self._send_order(order.worker, '/run-stop', body)
 
+    def close_unused(self) -> None:
+        """Close the connections of workers that have gone, among others.
+
+        To be called every CLOSE_UNUSED_EVERY_MS.
+        """
+        self._client.close_unused(UNUSED_CONNECTION_MS)
+
     def close(self) -> None:
         """Close all idle connections."""
         self._client.close()
@@ -262,8 +273,3 @@
 
 def _advice_failure(problem: str) -> jobs.AdviceReply:
     return jobs.AdviceReply((), 0, problem)
-
-
-def make_ports(address: str) -> jobs.Ports:
-    """Return the ports to workers and to the adviser at an address."""
-    return jobs.Ports(HttpWorkerPort(), HttpAdviserPort(address))
