Measure the time-outs of HTTP connections by a clock that is not set

Cause: the library's loop checks for time-outs at intervals of the time of day, and it dates the last use of a connection by it. Requests and answers were already measured by the monotonic clock, but at times that the loop chose.

Change: the connection manager has a loop and dates of its own, both monotonic.

--- a/dandeliondrum/http_server/_manager.py
+++ b/dandeliondrum/http_server/_manager.py
@@ -17,6 +17,8 @@
 
     # Attributes missing from the type hints of the library.
     _selector: typing.Any
+    _stop_requested: bool
+    _remove_invalid_sockets: typing.Any
     server: typing.Any
 
     def unregister_listener(self, listener: socket.socket) -> None:
@@ -35,6 +37,42 @@
         # A drain removes the listener while the selector may report it.
         return self.accept(listener) if listener is not None else None
 
+    def put(self, conn: _connection.Connection) -> None:
+        """Wait for the next request on a connection."""
+        # The library takes the time of day.
+        conn.last_used = time.monotonic()
+        if conn.rfile.has_data():
+            self.server.process_conn(conn)
+            return
+        self._selector.register(
+            conn.socket.fileno(), selectors.EVENT_READ, data=conn
+        )
+
+    def _run(self, expiration_interval: float) -> None:
+        """Pass on connections with data until the server stops.
+
+        The loop of the library measures its interval by the time of day,
+        so that no time-out is due for as long as the clock was set back.
+        """
+        expired_s = time.monotonic()
+        while not self._stop_requested:
+            try:
+                ready = self._selector.select(timeout=expiration_interval)
+            except OSError:
+                self._remove_invalid_sockets()
+                continue
+            for descriptor, connection in ready:
+                if connection is not self.server:
+                    self._selector.unregister(descriptor)
+                else:
+                    connection = self._from_server_socket(self.server.socket)
+                if connection is not None:
+                    self.server.process_conn(connection)
+            now_s = time.monotonic()
+            if now_s - expired_s > expiration_interval:
+                self._expire(now_s - self.server.timeout)
+                expired_s = now_s
+
     def park(self, connection: _connection.Connection) -> None:
         """Wait for the rest of a request."""
         if connection.request_began_s is None:
@@ -81,7 +119,7 @@
         """Give up idle connections, late requests and slow answers."""
         limits = self.server.limits
         now_s = time.monotonic()
-        idle_since_s = time.time() - limits.idle_ms / 1000
+        idle_since_s = now_s - limits.idle_ms / 1000
         began_before_s = now_s - limits.arrival_ms / 1000
         for descriptor, connection in self._waiting():
             began_s = connection.request_began_s
