Pause accepting at HTTP ports without descriptors

Cause: the HTTP library logs an error of accept with its traceback and tries again at once. Without a free descriptor and with a connection in the backlog, the thread that waits for all connections did nothing else. A drain let the error through, so that the program did not close the rest in order.

Change: after an accept that failed the listener is not watched for 0.1 s, while open connections are served. With EMFILE or ENFILE the connection that has been without a request for longest is closed first, and accept is tried once more; requests that are arriving stay. Failures are logged as by the server of streams, whose class for this moves to utils. A drain logs an error of accept (`backlog not accepted`) and goes on; the connections left in the backlog are closed. It does not close idle connections for them, as only the thread that waits for connections may do so safely.

--- a/dandeliondrum/gateway/_server.py
+++ b/dandeliondrum/gateway/_server.py
@@ -132,11 +132,20 @@
         """Accept all connections in the backlog, then close the listener."""
         listener: socket.socket = self.socket
         self.socket = None
-        self._connections.unregister_listener(listener)
+        self._connections.unregister_listener()
         listener.setblocking(False)
+        try:
+            self._accept_backlog(listener)
+        except OSError as error:
+            # Without descriptors, their peers have to connect elsewhere.
+            _logger.warning(
+                'backlog not accepted', address=self.address, why=str(error)
+            )
+        listener.close()
+
+    def _accept_backlog(self, listener: socket.socket) -> None:
         while True:
             connection = self._connections.accept(listener)
             if connection is None:
-                break
+                return
             self.process_conn(connection)
-        listener.close()
--- a/dandeliondrum/http_server/_manager.py
+++ b/dandeliondrum/http_server/_manager.py
@@ -1,15 +1,21 @@
 """Waits for requests on all connections of a server."""
 
+import errno
 import selectors
 import socket
+import threading
 import time
 import typing
 
 from cheroot import connections
 
 from dandeliondrum.http_server import _connection
+from dandeliondrum import utils
 
 CLOSE_POLL_S = 0.05
+# Pause after a failed accept, in which descriptors or memory may become free.
+ACCEPT_PAUSE_S = 0.1
+NO_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE})
 
 
 class ConnectionManager(connections.ConnectionManager):
@@ -19,12 +25,27 @@
     _selector: typing.Any
     server: typing.Any
 
-    def unregister_listener(self, listener: socket.socket) -> None:
-        """Stop accepting connections from this listener automatically."""
-        self._selector.unregister(listener.fileno())
+    def __init__(self, server: typing.Any) -> None:
+        super().__init__(server)
+        self._accept_failures = utils.AcceptFailures()
+        # A drain unregisters the listener in a thread of its own.
+        self._listener_lock = threading.Lock()
+        self._listener: socket.socket | None = server.socket
+        # When a listener that is not registered meanwhile accepts again.
+        self._resume_s: float | None = None
+
+    def unregister_listener(self) -> None:
+        """Stop accepting connections automatically."""
+        with self._listener_lock:
+            if self._listener is not None and self._resume_s is None:
+                self._selector.unregister(self._listener.fileno())
+            self._listener = None
 
     def accept(self, listener: socket.socket) -> _connection.Connection | None:
-        """Return the next pending connection, or None."""
+        """Return the next pending connection, or None.
+
+        Raises OSError, mostly if descriptors or memory are used up.
+        """
         take = super()._from_server_socket  # type: ignore[misc]
         accepted: _connection.Connection | None = take(listener)
         return accepted
@@ -33,7 +54,56 @@
         self, listener: socket.socket | None
     ) -> _connection.Connection | None:
         # A drain removes the listener while the selector may report it.
-        return self.accept(listener) if listener is not None else None
+        if listener is None:
+            return None
+        try:
+            return self.accept(listener)
+        except OSError as error:
+            return self._accept_after(error, listener)
+
+    def _accept_after(
+        self, error: OSError, listener: socket.socket
+    ) -> _connection.Connection | None:
+        """Accept in place of an idle connection, or pause."""
+        evicted = error.errno in NO_DESCRIPTORS and self.evict(idle_only=True)
+        self._record_failure(error, idle_connection_closed=evicted)
+        if evicted:
+            try:
+                return self.accept(listener)
+            except OSError as again:
+                self._record_failure(again, idle_connection_closed=False)
+        self._pause()
+        return None
+
+    def _record_failure(self, error: OSError, **details: object) -> None:
+        port = self.server.bind_addr[1]
+        self._accept_failures.record(error, port=port, **details)
+
+    def _pause(self) -> None:
+        """Accept no connections for a while, and serve the others."""
+        with self._listener_lock:
+            if self._listener is not None and self._resume_s is None:
+                self._selector.unregister(self._listener.fileno())
+                self._resume_s = time.monotonic() + ACCEPT_PAUSE_S
+
+    def _resume(self) -> None:
+        """Accept connections again at the end of a pause."""
+        with self._listener_lock:
+            if self._listener is None or self._resume_s is None:
+                return
+            if time.monotonic() < self._resume_s:
+                return
+            try:
+                self._selector.register(
+                    self._listener.fileno(),
+                    selectors.EVENT_READ,
+                    data=self.server,
+                )
+            except OSError as error:
+                # The next expiration tries again.
+                self._record_failure(error)
+                return
+            self._resume_s = None
 
     def park(self, connection: _connection.Connection) -> None:
         """Wait for the rest of a request."""
@@ -43,14 +113,16 @@
             connection.socket.fileno(), selectors.EVENT_READ, data=connection
         )
 
-    def evict(self, peer: str = '') -> bool:
+    def evict(self, peer: str = '', idle_only: bool = False) -> bool:
         """Close the connection that has waited longest, of a peer if given.
 
-        Connections without a request go before those with a part of one.
-        Returns whether there was one.
+        Connections without a request go before those with a part of one,
+        which stay if ``idle_only``. Returns whether there was one.
         """
         for descriptor, connection in sorted(self._waiting(), key=_wait_key):
             is_candidate = not peer or connection.remote_addr == peer
+            if idle_only and connection.request_began_s is not None:
+                is_candidate = False
             # One with data may already be among those that are served next.
             if is_candidate and not connection.can_read():
                 self._selector.unregister(descriptor)
@@ -78,7 +150,11 @@
                 self.server.process_conn(connection)
 
     def _expire(self, threshold: float) -> None:
-        """Give up idle connections, late requests and slow answers."""
+        """Give up idle connections, late requests and slow answers.
+
+        The library calls this periodically, also while nothing arrives.
+        """
+        self._resume()
         limits = self.server.limits
         now_s = time.monotonic()
         idle_since_s = time.time() - limits.idle_ms / 1000
--- a/dandeliondrum/transport/_server.py
+++ b/dandeliondrum/transport/_server.py
@@ -3,7 +3,6 @@
 import concurrent.futures
 import contextlib
 import dataclasses
-import math
 import re
 import socket
 import threading
@@ -25,7 +24,6 @@
 PORT_MAX = 65_535
 # Pause after a failed accept, in which descriptors or memory may become free.
 ACCEPT_PAUSE_MS = 100
-ACCEPT_LOG_INTERVAL_MS = 1_000
 
 _ADDRESS = re.compile('([!-~]+):([0-9]{1,5})')
 
@@ -62,7 +60,7 @@
         # Streams without a hello and their times of arrival, oldest first.
         self._handshakes: dict[socket.socket, float] = {}
         self._stopping = threading.Event()
-        self._accept_failures = _AcceptFailures()
+        self._accept_failures = utils.AcceptFailures()
         self._listener = socket.create_server(
             parse_address(options.address), backlog=128
         )
@@ -226,26 +224,6 @@
         return hello
 
 
-class _AcceptFailures:
-    """Logs failures to accept, with a limit to the number of lines."""
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._logged_s = -math.inf
-
-    def record(self, error: OSError) -> None:
-        """Log a failure and the number of those since the last line."""
-        self._count += 1
-        now_s = time.monotonic()
-        if now_s - self._logged_s < ACCEPT_LOG_INTERVAL_MS / 1000:
-            return
-        _logger.warning(
-            'accept failed', why=str(error), failures_count=self._count
-        )
-        self._count = 0
-        self._logged_s = now_s
-
-
 def connect(
     address: str,
     hello: messages.Hello,
--- a/dandeliondrum/utils/__init__.py
+++ b/dandeliondrum/utils/__init__.py
@@ -1,5 +1,6 @@
 """Utilities for clocks, timers, futures and supervised threads."""
 
+from dandeliondrum.utils._accept_failures import AcceptFailures
 from dandeliondrum.utils._allocator import return_large_blocks
 from dandeliondrum.utils._clock import monotonic_ms
 from dandeliondrum.utils._clock import process_age_ms
@@ -22,6 +23,7 @@
 from dandeliondrum.utils._timers import TimerService
 
 __all__ = [
+    'AcceptFailures',
     'InvariantError',
     'ProcessorTime',
     'RESTART_BACKOFF_MAX_MS',
