Reread the seeds in a running controller

A controller whose settings named only controllers that were gone logged `started` and `reload requested`, never joined, and answered 503 until it was restarted, although its settings had been corrected meanwhile.

Cause: only the gateway program returned a function that rereads the settings, and Membership knew no controllers but the founders of its start and, while it was a member, those of the log.

Change: both programs reread the seeds each second and on SIGHUP with one function, which moved from the gateway program unchanged: a file that can't be read in full changes nothing. A controller uses new seeds only to find the leader, a member after the members in its log, another controller before these. The founders are those of the options of the start, which the new seeds do not touch, so that they found no second cell. New log event: `seeds changed`.

Not covered: a start that waits for a damaged data folder asks the seeds that it read first, and ends after 10 s.

--- a/dandeliondrum/jobs/_controller.py
+++ b/dandeliondrum/jobs/_controller.py
@@ -243,6 +243,13 @@
             time.sleep(_leader_calls.RETRY_DELAY_MS / 1000)
         return True
 
+    def set_seeds(
+        self,
+        seeds: collections.abc.Iterable[tuple[messages.ControllerId, str]],
+    ) -> None:
+        """Replace the controllers to ask for the leader, not the founders."""
+        self._membership.set_seeds(seeds)
+
     def _is_voter(self) -> bool:
         me = self._options.leader.controller_id
         return any(
--- a/dandeliondrum/jobs/_membership.py
+++ b/dandeliondrum/jobs/_membership.py
@@ -1,5 +1,6 @@
 """Founding the cell, or joining one that exists."""
 
+import collections.abc
 import dataclasses
 import threading
 
@@ -53,11 +54,26 @@
         self._options = options
         self._node = node
         self._calls = calls
+        self._seeds = options.founders
         self._started_ms = _clock.elapsed_ms()
         self._first_attempt_ms: int | None = None
         self._is_leaving = threading.Event()
         self._join_failure = ''
 
+    def set_seeds(
+        self,
+        seeds: collections.abc.Iterable[tuple[messages.ControllerId, str]],
+    ) -> None:
+        """Replace the controllers to ask for the leader.
+
+        The founders stay those of the start: with others, a controller that
+        is late could found a second cell.
+        """
+        seeds = tuple(seeds)
+        if seeds != self._seeds:
+            _logger.info('seeds changed', seeds=[seed[0] for seed in seeds])
+        self._seeds = seeds
+
     def leave(self) -> None:
         """Ask for no membership any more."""
         self._is_leaving.set()
@@ -73,8 +89,8 @@
             status = self._node.status()
             me = self._options.controller_id
             interval_ms = JOIN_INTERVAL_MS
-            if any(member.controller_id == me for member in status.members):
-                self._update_controllers(status)
+            self._update_controllers(status)
+            if self._is_member(status):
                 if status.leader_id != me:
                     self._join()
                 interval_ms = MEMBER_JOIN_INTERVAL_MS
@@ -86,13 +102,27 @@
             stopping.wait(interval_ms / 1000)
 
     def _update_controllers(self, status: consensus.NodeStatus) -> None:
-        """Look for the leader among the members and the founders."""
-        known = {
-            member.controller_id: member.address for member in status.members
-        }
+        """Look for the leader among members, seeds and founders.
+
+        A member trusts the log more than the seeds, which may be older; for
+        another controller the log may be the older one.
+        """
+        members = tuple(
+            (member.controller_id, member.address) for member in status.members
+        )
+        ordered = (*self._seeds, *members)
+        if self._is_member(status):
+            ordered = (*members, *self._seeds)
+        known: dict[messages.ControllerId, str] = {}
+        for controller_id, address in ordered:
+            known.setdefault(controller_id, address)
         known.update(self._options.founders)
         self._calls.link.set_controllers(known.items())
 
+    def _is_member(self, status: consensus.NodeStatus) -> bool:
+        me = self._options.controller_id
+        return any(member.controller_id == me for member in status.members)
+
     def _should_found(self, status: consensus.NodeStatus) -> bool:
         options = self._options
         if not options.may_found or not status.grants_founding:
--- a/dandeliondrum/platform/_controller_program.py
+++ b/dandeliondrum/platform/_controller_program.py
@@ -1,5 +1,6 @@
 """The controller program."""
 
+import collections.abc
 import contextlib
 
 from returns import result
@@ -10,6 +11,7 @@
 from dandeliondrum.platform import _documents
 from dandeliondrum.platform import _http_ports
 from dandeliondrum.platform import _links
+from dandeliondrum.platform import _seeds
 from dandeliondrum.platform import _settings
 from dandeliondrum import startup
 from dandeliondrum import utils
@@ -24,11 +26,12 @@
     settings: _settings.Settings,
     timers: utils.TimerService,
     resources: contextlib.ExitStack,
-) -> None:
+) -> collections.abc.Callable[[], None]:
     """Start a controller that runs until ``resources`` are closed.
 
-    Raises the errors of :meth:`dandeliondrum.startup.Startup.retry` if the
-    data folder or a port can't be used.
+    Returns a function that rereads the seeds. Raises the errors of
+    :meth:`dandeliondrum.startup.Startup.retry` if the data folder or a port
+    can't be used.
     """
     if settings.data_folder is None:
         raise startup.NotStartedError('DataDir is missing')
@@ -66,3 +69,4 @@
     with start.phase('imports for HTTP'):
         from dandeliondrum.platform import _control_server
     _control_server.start(start, settings, controller, timers, resources)
+    return _seeds.reload_regularly(controller.set_seeds, timers, resources)
--- a/dandeliondrum/platform/_gateway_program.py
+++ b/dandeliondrum/platform/_gateway_program.py
@@ -5,8 +5,6 @@
 import threading
 import time
 
-from returns import result
-import structlog
 import werkzeug
 
 from dandeliondrum import gateway
@@ -16,9 +14,9 @@
 from dandeliondrum.platform import _documents
 from dandeliondrum.platform import _http_ports
 from dandeliondrum.platform import _links
+from dandeliondrum.platform import _seeds
 from dandeliondrum.platform import _servers
 from dandeliondrum.platform import _settings
-from dandeliondrum.platform import _settings_path
 from dandeliondrum import startup
 from dandeliondrum import utils
 
@@ -33,9 +31,6 @@
 DRAIN_NOTICE_MS = 2_300
 # Open calls end within the longest deadline of a caller.
 DRAIN_MAX_MS = 3_000
-RELOAD_EVERY_MS = 1_000
-
-_logger = structlog.get_logger()
 
 
 def start(
@@ -98,23 +93,10 @@
     resources.callback(time.sleep, DRAIN_NOTICE_MS / 1000)
     resources.callback(serving.clear)
     serving.set()
-
-    def reload() -> None:
-        _reload_seeds(job_gateway)
-
-    subscription = timers.every(RELOAD_EVERY_MS, reload)
-    resources.callback(subscription.cancel)
-    return reload
+    return _seeds.reload_regularly(
+        job_gateway.set_controllers, timers, resources
+    )
 
 
 def _can_serve_callers(job_gateway: jobs.JobGateway) -> bool:
     return job_gateway.policy.version > 0 and job_gateway.has_leader()
-
-
-def _reload_seeds(job_gateway: jobs.JobGateway) -> None:
-    """Reread the settings and use the controllers that they list."""
-    match _settings.load(_settings_path.find_path()):
-        case result.Success(settings):
-            job_gateway.set_controllers(settings.controllers)
-        case result.Failure(error):
-            _logger.warning('settings not readable', why=error)
--- a/dandeliondrum/platform/_programs.py
+++ b/dandeliondrum/platform/_programs.py
@@ -78,7 +78,9 @@
         else:
             with start.phase('imports of the role'):
                 from dandeliondrum.platform import _controller_program
-            _controller_program.start(start, settings, timers, resources)
+            self._reload_settings = _controller_program.start(
+                start, settings, timers, resources
+            )
 
     def reload(self) -> None:
         """Reread the settings that may change while the role runs."""
