Keep no servers that could not start

Cause: the HTTP library enters the counters of each server in the logging module for good, and they refer to the server. While another process holds the metrics port, a program tries it with a new server each second, and kept them all. So did a controller that waits for its metrics port at its start, for 10 s.

Change: a server takes its entry out again; nothing here reads the counters. This holds wherever servers are made, so the retries stay as they are.

--- a/dandeliondrum/http_server/_server.py
+++ b/dandeliondrum/http_server/_server.py
@@ -1,6 +1,7 @@
 """HTTP server that receives requests before it occupies threads."""
 
 import collections
+import logging
 import threading
 import time
 import typing
@@ -83,6 +84,18 @@
         self._noted_at_s = 0.0
         self._bind_error: OSError | None = None
 
+    def clear_stats(self) -> None:
+        """Reset the counters of the library, which nothing here reads.
+
+        The library enters them in the logging module for good, and the server
+        with them: one that can't start and is replaced would stay in memory.
+        """
+        super().clear_stats()
+        entries: dict[str, object] = vars(logging)['statistics']
+        for key, stats in list(entries.items()):
+            if stats is self.stats:
+                entries.pop(key, None)
+
     def prepare(self) -> None:
         """Start listening; raise OSError if the port is in use."""
         self._bind_error = None
