Test stops of the programs without descriptors

Cause: the tests of accepts that fail use a server in their own process; the programs' exit code was not covered.

Change: test_starts lowers the limit of a running gateway or controller, opens a connection, waits for the failure to accept and stops the program.

--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import pathlib
+import resource
 import signal
 import socket
 
@@ -131,6 +132,26 @@
         assert port in str(ended['why'])
 
 
+def test_a_stop_without_free_descriptors_is_orderly(launched):
+    """An error of accept in the drain ended the process with code 70."""
+    process = launched.launch()
+    launched.wait_for('started')
+    settings = launched.settings
+    address = settings.get('Listen.Control') or settings['Listen.Front']
+    port = address.rpartition(':')[2]
+    _, hard = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (3, hard))
+    with socket.create_connection(('127.0.0.1', int(port))):
+        launched.wait_for('accept failed')
+        assert starts.stopped_in_order(process), launched.output()
+    assert address in [
+        line['address']
+        for line in launched.lines()
+        if line['event'] == 'backlog not accepted'
+    ]
+    assert launched.has('stopped')
+
+
 def test_a_successor_waits_until_its_predecessor_has_stopped(launched):
     first = launched.launch()
     launched.wait_for('started')
