--- a/dandeliondrum/consensus/_membership_manager.py
+++ b/dandeliondrum/consensus/_membership_manager.py
@@ -51,7 +51,8 @@
             if name == self._state.node_id or name in self._peers:
                 continue
             peer = _peer.Peer(self._state, self._snapshots, name)
-            # The task waits for the lock. A peer without a thread is none.
+            # The task waits for the lock. A peer that gets no thread is not
+            # recorded: the manager fails, and tries again when it restarts.
             self._supervisor.run(f'peer {name}', self._peer_task(name, peer))
             self._peers[name] = peer
             self._state.add_peer(name)
--- a/dandeliondrum/gateway/_gateway.py
+++ b/dandeliondrum/gateway/_gateway.py
@@ -143,7 +143,8 @@
     def _open(
         self, opened: contextlib.ExitStack, retry: startup.Retry
     ) -> None:
-        # Took 250 ms of the first call before, which may have less time.
+        # The first span would import it within a call, which may have less
+        # time than the 250 ms that this takes.
         observability.import_tracing()
         opened.callback(self._timers.close)
         opened.callback(self._client.close)
--- a/dandeliondrum/http_server/_manager.py
+++ b/dandeliondrum/http_server/_manager.py
@@ -109,7 +109,7 @@
 
     def put(self, conn: _connection.Connection) -> None:
         """Wait for the next request on a connection."""
-        # The library takes the time of day.
+        # Unlike in the library, not the time of day, which may be set.
         conn.last_used = time.monotonic()
         if conn.rfile.has_data():
             self.server.process_conn(conn)
--- a/dandeliondrum/platform/_http_ports.py
+++ b/dandeliondrum/platform/_http_ports.py
@@ -17,8 +17,8 @@
 # longer has a problem.
 ORDER_TIMEOUT_MS = 500
 LISTS_TIMEOUT_MARGIN_MS = 400
-# A worker is called each second or more often; what it uses at times only is
-# opened again within one round trip.
+# Live workers are called each second or more often. A connection that only
+# bursts of orders need is opened again within one round trip.
 UNUSED_CONNECTION_MS = 30_000
 CLOSE_UNUSED_EVERY_MS = 5_000
 # Two calls of the slowest queue, 1.1 s each: one may be queued before it.
